--- /dev/null
+++ b/packages/model/src/request/deferred.ts
@@ -0,0 +1,26 @@
+/**
+A promise together with the functions that settle it.
+*/
+export type Deferred<Value> = {
+	readonly promise: Promise<Value>;
+	readonly resolve: (value: Value) => void;
+	readonly reject: (reason: unknown) => void;
+};
+
+/**
+Creates a promise that is settled from outside.
+
+@example
+```
+const answer = createDeferred<string>();
+answer.resolve('done');
+await answer.promise; // => 'done'
+```
+*/
+export const createDeferred = <Value>(): Deferred<Value> => {
+	let settle: Omit<Deferred<Value>, 'promise'> | undefined;
+	const promise = new Promise<Value>((resolve, reject) => {
+		settle = {resolve, reject};
+	});
+	return {promise, ...settle!};
+};
