--- /dev/null
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -0,0 +1,209 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {detailOf, FaultKind, isFault} from '@galenakeel/model/request/fault.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
+import type {SubmissionState} from '../process/submission-register.js';
+import {relayRequest, type RelayRun} from '../request/relay-request.js';
+import {
+	CallerRequestKind, parseCallerRoute, problemOf, readJob, readRelayBody, readTask, readTerms, writeJobAnswer, writeJson, writeProblem, writeTaskAnswer, type CallerRoute, type JobRequest,
+} from './caller-encoding.js';
+
+/**
+One request of a caller with the response to it.
+*/
+export type CallerExchange = {readonly request: IncomingMessage; readonly response: ServerResponse};
+
+/**
+How far a job without an answer has come.
+*/
+export type JobProgress = {
+	readonly state: SubmissionState;
+	/** Number of tasks in all, of those sent to an endpoint, and of those with an answer. */
+	readonly tasks: number;
+	readonly started: number;
+	readonly finished: number;
+};
+
+/**
+The state of a job as a caller sees it.
+*/
+export type JobView
+	= | {readonly isAnswered: true; readonly answer: SubmissionAnswer}
+		| ({readonly isAnswered: false} & JobProgress);
+
+/**
+What a caller's connection needs from the process.
+*/
+export type CallerRun = RelayRun & {
+	readonly limits: {readonly bufferedBodyBytes: number; readonly requestBytes: number; readonly jobBytes: number; readonly tasksInJob: number};
+	readonly mint: () => string;
+	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
+	/** Looks at a job, or cancels it; an answer when nothing can be learned. */
+	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView>;
+	readonly defaultDeadlineMilliseconds: (service: string) => number;
+	readonly isLeaving: () => boolean;
+	readonly onAnswered: (outcome: Outcome, durationMilliseconds: number) => void;
+};
+
+const goneSignal = (response: ServerResponse): AbortSignal => {
+	const controller = new AbortController();
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			controller.abort();
+		}
+	});
+	return controller.signal;
+};
+
+type RelayRoute = CallerRoute & {readonly kind: CallerRequestKind.Relay};
+
+const answerRelay = async ({request, response}: CallerExchange, route: RelayRoute, run: CallerRun): Promise<void> => {
+	const terms = readTerms(request);
+	const task = {...readTask(request, route.path, terms.kind), body: await readRelayBody(request, run.limits)};
+	if (terms.idempotencyKey !== '' && task.body instanceof Uint8Array) {
+		const submission: Submission = {
+			identifier: terms.idempotencyKey,
+			service: route.service,
+			team: terms.team,
+			deadlineMilliseconds: terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(route.service),
+			tasks: [{...task, body: task.body}],
+			traceparent: terms.traceparent,
+		};
+		await writeSingleAnswer(response, submission, await run.submit(submission), request.method!);
+		return;
+	}
+
+	const answer = await relayRequest({
+		service: route.service, team: terms.team, deadlineMilliseconds: terms.deadlineMilliseconds, task, signal: goneSignal(response),
+	}, run);
+	if (answer.outcome === Outcome.Complete) {
+		await writeTaskAnswer(response, answer, request.method!);
+	} else {
+		writeProblem(response, problemOf(answer));
+	}
+};
+
+const writeSingleAnswer = async (response: ServerResponse, submission: Submission, answer: SubmissionAnswer, method: string): Promise<void> => {
+	const [only] = answer.answers;
+	if (answer.outcome === Outcome.Complete && only) {
+		await writeTaskAnswer(response, only, method);
+		return;
+	}
+
+	writeProblem(response, {...problemOf(answer), outcome: only?.outcome ?? answer.outcome, identifier: submission.identifier});
+};
+
+const submissionOf = (identifier: string, job: JobRequest, exchange: CallerExchange, run: CallerRun): Submission => {
+	const terms = readTerms(exchange.request);
+	return {
+		identifier,
+		service: job.service,
+		team: job.team === '' ? terms.team : job.team,
+		deadlineMilliseconds: job.deadlineMilliseconds ?? terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(job.service),
+		tasks: job.tasks,
+		traceparent: terms.traceparent,
+	};
+};
+
+const answerJob = async (exchange: CallerExchange, identifier: string | undefined, run: CallerRun): Promise<void> => {
+	const job = await readJob(exchange.request, run.limits);
+	const submission = submissionOf(identifier ?? run.mint(), job, exchange, run);
+	writeJobAnswer(exchange.response, submission.identifier, await run.submit(submission));
+};
+
+const answerInspection = async ({response}: CallerExchange, identifier: string, isCancelled: boolean, run: CallerRun): Promise<void> => {
+	const view = await run.inspect(identifier, isCancelled);
+	if (view.isAnswered) {
+		writeJobAnswer(response, identifier, view.answer);
+	} else {
+		writeJson(response, 202, {
+			job: identifier, state: view.state, tasks: view.tasks, started: view.started, finished: view.finished,
+		});
+	}
+};
+
+const answerExchange = async (exchange: CallerExchange, run: CallerRun): Promise<void> => {
+	const {request, response} = exchange;
+	const route = parseCallerRoute(request.method!, request.url!);
+	switch (route.kind) {
+		case CallerRequestKind.Relay: {
+			return answerRelay(exchange, route, run);
+		}
+
+		case CallerRequestKind.Mint: {
+			writeJson(response, 201, {job: run.mint()});
+			return undefined;
+		}
+
+		case CallerRequestKind.SubmitNew: {
+			return answerJob(exchange, undefined, run);
+		}
+
+		case CallerRequestKind.Submit: {
+			return answerJob(exchange, route.identifier, run);
+		}
+
+		case CallerRequestKind.Show: {
+			return answerInspection(exchange, route.identifier, false, run);
+		}
+
+		case CallerRequestKind.Cancel: {
+			return answerInspection(exchange, route.identifier, true, run);
+		}
+	}
+};
+
+const untilClosed = async (response: ServerResponse): Promise<void> => new Promise(resolve => {
+	if (response.closed || response.destroyed) {
+		resolve();
+	} else {
+		response.once('close', resolve);
+	}
+});
+
+/**
+Serves one connection of a caller: each request in turn, answered whole before the next is looked at.
+
+@param exchanges The requests of the connection, in order; ends when the connection closes.
+
+@example
+```
+void serveCallerConnection(inbox, run);
+```
+*/
+export const serveCallerConnection = async (exchanges: AsyncIterable<CallerExchange>, run: CallerRun): Promise<void> => {
+	for await (const exchange of exchanges) {
+		const {request, response} = exchange;
+		const startedAt = performance.now();
+		if (run.isLeaving()) {
+			response.setHeader('connection', 'close');
+		}
+
+		try {
+			await answerExchange(exchange, run);
+		} catch (error) {
+			refuseExchange(exchange, error);
+		}
+
+		// An unread body would be taken for the next request.
+		request.resume();
+		await untilClosed(response);
+		run.onAnswered(response.getHeader('galenakeel-outcome') as Outcome | undefined ?? Outcome.Complete, performance.now() - startedAt);
+	}
+};
+
+/**
+Answers an exchange that failed before any task was sent.
+*/
+const refuseExchange = ({response}: CallerExchange, error: unknown): void => {
+	if (response.headersSent) {
+		response.destroy();
+		return;
+	}
+
+	response.setHeader('connection', 'close');
+	writeProblem(response, {
+		fault: isFault(error) ? error.name : FaultKind.Internal, outcome: isFault(error) ? Outcome.NotRun : Outcome.OutcomeUnknown, detail: detailOf(error),
+	});
+};
--- /dev/null
+++ b/packages/galenakeeld/src/connection/http-encoding.ts
@@ -0,0 +1,114 @@
+import type {IncomingMessage} from 'node:http';
+import {Readable} from 'node:stream';
+import type {HeaderList} from '@galenakeel/model/request/task.js';
+
+// Fields that concern one connection only (RFC 9110, section 7.6.1), and those that this system sets itself.
+const connectionFields: ReadonlySet<string> = new Set([
+	'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', 'host', 'expect',
+]);
+const ownPrefix = 'galenakeel-';
+
+/**
+Returns header fields as pairs, in the order of the wire.
+
+@param rawHeaders Names and values in turn, as Node's `http` gives them.
+*/
+export const headerListOf = (rawHeaders: readonly string[]): HeaderList => {
+	const headers: Array<readonly [string, string]> = [];
+	for (let position = 0; position + 1 < rawHeaders.length; position += 2) {
+		headers.push([rawHeaders[position]!, rawHeaders[position + 1]!]);
+	}
+
+	return headers;
+};
+
+/**
+Drops the fields that must not travel to the next hop, including those that a `Connection` field names.
+*/
+export const endToEndHeaders = (headers: HeaderList): HeaderList => {
+	const named = new Set(headers
+		.filter(([name]) => name.toLowerCase() === 'connection')
+		.flatMap(([, value]) => value.toLowerCase().split(',').map(name => name.trim())));
+	return headers.filter(([name]) => {
+		const lowerCase = name.toLowerCase();
+		return !connectionFields.has(lowerCase) && !lowerCase.startsWith(ownPrefix) && !named.has(lowerCase);
+	});
+};
+
+const flatten = (headers: HeaderList): string[] => headers.flatMap(([name, value]) => [name, value]);
+
+/**
+Encodes the fields of a request to an endpoint as Node's `http` takes them.
+*/
+export const headersForEndpoint = (headers: HeaderList, address: string, body: Uint8Array | Readable): string[] => [
+	'host',
+	address,
+	...flatten(headers),
+	...(body instanceof Readable ? ['transfer-encoding', 'chunked'] : ['content-length', String(body.byteLength)]),
+];
+
+/**
+Encodes the fields of an answer to a caller as Node's `http` takes them.
+*/
+export const headersForCaller = (headers: HeaderList, own: HeaderList): string[] => [
+	...flatten(endToEndHeaders(headers)),
+	...flatten(own),
+];
+
+/**
+Reads a body up to a limit.
+
+@returns The chunks read, and whether they are the whole body. A body that is not whole is left paused.
+@throws The stream's error when the sender breaks off.
+*/
+export const collectBody = async (message: IncomingMessage, limitBytes: number): Promise<{readonly chunks: readonly Uint8Array[]; readonly isWhole: boolean}> => {
+	const chunks: Uint8Array[] = [];
+	let bytes = 0;
+	for (;;) {
+		const chunk = message.read() as Uint8Array | undefined;
+		if (chunk) {
+			chunks.push(chunk);
+			bytes += chunk.byteLength;
+			if (bytes > limitBytes) {
+				return {chunks, isWhole: false};
+			}
+		} else if (message.readableEnded) {
+			return {chunks, isWhole: true};
+		} else {
+			await nextReadable(message);
+		}
+	}
+};
+
+/**
+Waits until a message has more to read, has ended, or has failed.
+*/
+const nextReadable = async (message: IncomingMessage): Promise<void> => new Promise((resolve, reject) => {
+	const settle = (action: () => void) => (): void => {
+		message.off('readable', onReadable);
+		message.off('end', onEnd);
+		message.off('error', onError);
+		message.off('close', onClose);
+		action();
+	};
+
+	const onReadable = settle(resolve);
+	const onEnd = settle(resolve);
+	const onError = (error: Error): void => {
+		settle(() => {
+			reject(error);
+		})();
+	};
+
+	const onClose = settle(() => {
+		if (message.readableEnded) {
+			resolve();
+		} else {
+			reject(Object.assign(new Error('the message ended early'), {code: 'ECONNRESET'}));
+		}
+	});
+	message.on('readable', onReadable);
+	message.on('end', onEnd);
+	message.on('error', onError);
+	message.on('close', onClose);
+});
--- /dev/null
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -0,0 +1,156 @@
+import type {Writable} from 'node:stream';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	credentials, Metadata, type ClientDuplexStream, type ClientUnaryCall, type requestCallback,
+} from '@grpc/grpc-js';
+import {
+	PeerClient,
+	type BorrowSlotsReply,
+	type BorrowSlotsRequest,
+	type FetchDocumentsReply,
+	type Heartbeat,
+	type InspectReply,
+	type InspectRequest,
+	type ReturnSlotsRequest,
+	type SubmitReply,
+	type SubmitRequest,
+} from '@galenakeel/model/connection/generated/peer.js';
+import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
+import type {PeerHeartbeat} from '../process/membership.js';
+import {heartbeatFromWire, heartbeatToWire} from './peer-encoding.js';
+
+const maximumMessageBytes = 134_217_728;
+const reconnectPauseMilliseconds = 200;
+
+/**
+Options of every channel between entry instances. Keepalive finds connections that have gone silent.
+*/
+/* eslint-disable @typescript-eslint/naming-convention -- the names are those of gRPC's channel arguments */
+export const channelOptions = {
+	'grpc.max_receive_message_length': maximumMessageBytes,
+	'grpc.max_send_message_length': maximumMessageBytes,
+	'grpc.initial_reconnect_backoff_ms': 100,
+	'grpc.max_reconnect_backoff_ms': 1000,
+	'grpc.keepalive_time_ms': 2000,
+	'grpc.keepalive_timeout_ms': 1000,
+	'grpc.keepalive_permit_without_calls': 1,
+	'grpc.enable_http_proxy': 0,
+	// Peers at the same address share nothing, so that a closed channel closes its connection.
+	'grpc.use_local_subchannel_pool': 1,
+};
+/* eslint-enable @typescript-eslint/naming-convention */
+
+/**
+This instance's heartbeats.
+*/
+export type HeartbeatSource = {
+	readonly current: () => PeerHeartbeat;
+	/** Resolves when the interval has passed, or at once after a change that peers must know. */
+	readonly untilNext: () => Promise<void>;
+};
+
+/**
+Calls to one peer.
+*/
+export type PeerCalls = {
+	readonly submit: (request: SubmitRequest, timeoutMilliseconds: number) => Promise<SubmitReply>;
+	readonly inspect: (request: InspectRequest, timeoutMilliseconds: number) => Promise<InspectReply>;
+	readonly borrowSlots: (request: BorrowSlotsRequest, timeoutMilliseconds: number) => Promise<BorrowSlotsReply>;
+	readonly returnSlots: (request: ReturnSlotsRequest, timeoutMilliseconds: number) => Promise<void>;
+	readonly fetchDocuments: (aboveVersion: number, timeoutMilliseconds: number) => Promise<FetchDocumentsReply>;
+	readonly openHeartbeats: () => ClientDuplexStream<Heartbeat, Heartbeat>;
+	readonly close: () => void;
+};
+
+/**
+Creates the calls to the peer at an address. The connection is opened with the first call.
+
+All calls throw a fault of kind `HolderUnreachable` when no reply comes in time.
+
+@example
+```
+const calls = createPeerCalls('10.1.2.3:8001');
+const reply = await calls.fetchDocuments(17, 1000);
+```
+*/
+export const createPeerCalls = (address: string): PeerCalls => {
+	const client = new PeerClient(address, credentials.createInsecure(), channelOptions);
+	const pending = new Set<ClientUnaryCall>();
+
+	type StartCall<Reply> = (options: {deadline: number}, callback: requestCallback<Reply>) => ClientUnaryCall;
+
+	const invoke = async <Reply>(timeoutMilliseconds: number, start: StartCall<Reply>): Promise<Reply> => new Promise((resolve, reject) => {
+		const call = start({deadline: Date.now() + timeoutMilliseconds}, (error, reply) => {
+			pending.delete(call);
+			if (error) {
+				reject(createFault(FaultKind.HolderUnreachable, `the entry instance at ${address} did not reply`, error));
+			} else {
+				resolve(reply!);
+			}
+		});
+		pending.add(call);
+	});
+
+	return {
+		submit: async (request, timeout) => invoke(timeout, (options, callback) => client.submit(request, new Metadata(), options, callback)),
+		inspect: async (request, timeout) => invoke(timeout, (options, callback) => client.inspect(request, new Metadata(), options, callback)),
+		borrowSlots: async (request, timeout) => invoke(timeout, (options, callback) => client.borrowSlots(request, new Metadata(), options, callback)),
+		async returnSlots(request, timeout) {
+			await invoke(timeout, (options, callback) => client.returnSlots(request, new Metadata(), options, callback));
+		},
+		fetchDocuments: async (aboveVersion, timeout) => invoke(timeout, (options, callback) => client.fetchDocuments({aboveVersion}, new Metadata(), options, callback)),
+		openHeartbeats: () => client.heartbeats(),
+		close() {
+			// A closed channel leaves calls that wait for a connection pending until their deadline.
+			for (const call of pending) {
+				call.cancel();
+			}
+
+			client.close();
+		},
+	};
+};
+
+/**
+Keeps a stream of heartbeats to one peer until the signal aborts: sends this instance's, and hands on the peer's.
+
+@param options.source Says what to send, and when the next heartbeat is due.
+@param options.hear Called with each heartbeat of the peer.
+@param options.lose Called when the stream breaks.
+*/
+export const runPeerConnection = async (calls: PeerCalls, options: {
+	readonly source: HeartbeatSource;
+	readonly hear: (heartbeat: PeerHeartbeat) => void;
+	readonly lose: () => void;
+	readonly signal: AbortSignal;
+}): Promise<void> => {
+	while (!options.signal.aborted) {
+		const stream = calls.openHeartbeats();
+		const received = receiveHeartbeats(stream, options.hear);
+		const sent = sendHeartbeats(stream, options.source, options.signal);
+		await Promise.race([received, sent]);
+		stream.cancel();
+		options.lose();
+		await sleep(reconnectPauseMilliseconds);
+	}
+};
+
+const receiveHeartbeats = async (stream: AsyncIterable<Heartbeat>, hear: (heartbeat: PeerHeartbeat) => void): Promise<void> => {
+	try {
+		for await (const message of stream) {
+			hear(heartbeatFromWire(message));
+		}
+	} catch {
+		// A broken stream ends the loop like one that was closed; the caller reconnects.
+	}
+};
+
+/**
+Sends heartbeats on a stream until it closes or the signal aborts.
+*/
+export const sendHeartbeats = async (stream: Writable, source: HeartbeatSource, signal: AbortSignal): Promise<void> => {
+	while (!signal.aborted && stream.writable) {
+		stream.write(heartbeatToWire(source.current()));
+		await source.untilNext();
+	}
+};
--- /dev/null
+++ b/packages/galenakeeld/src/connection/peer-encoding.ts
@@ -0,0 +1,160 @@
+import {Buffer} from 'node:buffer';
+import * as wire from '@galenakeel/model/connection/generated/peer.js';
+import {FaultKind, isFaultKind} from '@galenakeel/model/request/fault.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {
+	HeaderList, Submission, SubmissionAnswer, Task, TaskAnswer,
+} from '@galenakeel/model/request/task.js';
+import {InstanceState, type PeerHeartbeat} from '../process/membership.js';
+
+const outcomeToWire: Readonly<Record<Outcome, wire.Outcome>> = {
+	[Outcome.Complete]: wire.Outcome.OUTCOME_COMPLETE,
+	[Outcome.Failed]: wire.Outcome.OUTCOME_FAILED,
+	[Outcome.NotRun]: wire.Outcome.OUTCOME_NOT_RUN,
+	[Outcome.OutcomeUnknown]: wire.Outcome.OUTCOME_UNKNOWN,
+};
+
+const stateToWire: Readonly<Record<InstanceState, wire.InstanceState>> = {
+	[InstanceState.Starting]: wire.InstanceState.INSTANCE_STATE_STARTING,
+	[InstanceState.Serving]: wire.InstanceState.INSTANCE_STATE_SERVING,
+	[InstanceState.Leaving]: wire.InstanceState.INSTANCE_STATE_LEAVING,
+};
+
+const outcomeFromWire = (outcome: wire.Outcome): Outcome => {
+	switch (outcome) {
+		case wire.Outcome.OUTCOME_COMPLETE: {
+			return Outcome.Complete;
+		}
+
+		case wire.Outcome.OUTCOME_FAILED: {
+			return Outcome.Failed;
+		}
+
+		case wire.Outcome.OUTCOME_NOT_RUN: {
+			return Outcome.NotRun;
+		}
+
+		case wire.Outcome.OUTCOME_UNKNOWN:
+		case wire.Outcome.OUTCOME_UNSPECIFIED:
+		case wire.Outcome.UNRECOGNIZED: {
+			return Outcome.OutcomeUnknown;
+		}
+	}
+};
+
+const stateFromWire = (state: wire.InstanceState): InstanceState => {
+	switch (state) {
+		case wire.InstanceState.INSTANCE_STATE_SERVING: {
+			return InstanceState.Serving;
+		}
+
+		case wire.InstanceState.INSTANCE_STATE_LEAVING: {
+			return InstanceState.Leaving;
+		}
+
+		case wire.InstanceState.INSTANCE_STATE_STARTING:
+		case wire.InstanceState.INSTANCE_STATE_UNSPECIFIED:
+		case wire.InstanceState.UNRECOGNIZED: {
+			return InstanceState.Starting;
+		}
+	}
+};
+
+const headersToWire = (headers: HeaderList): wire.Header[] => headers.map(([name, value]) => ({name, value}));
+
+const headersFromWire = (headers: readonly wire.Header[]): HeaderList => headers.map(({name, value}) => [name, value]);
+
+const taskToWire = (task: Task): wire.Task => ({...task, headers: headersToWire(task.headers), body: Buffer.from(task.body)});
+
+const taskFromWire = (task: wire.Task): Task => ({...task, headers: headersFromWire(task.headers)});
+
+const taskAnswerToWire = (answer: TaskAnswer): wire.TaskAnswer => ({
+	outcome: outcomeToWire[answer.outcome],
+	status: answer.status,
+	headers: headersToWire(answer.headers),
+	body: Buffer.from(answer.body),
+	endpoint: answer.endpoint,
+	fault: answer.fault ?? '',
+	detail: answer.detail ?? '',
+	attempts: answer.attempts,
+});
+
+const faultFromWire = (fault: string): {fault?: FaultKind} => {
+	if (fault === '') {
+		return {};
+	}
+
+	return {fault: isFaultKind(fault) ? fault : FaultKind.Internal};
+};
+
+const taskAnswerFromWire = (answer: wire.TaskAnswer): TaskAnswer => ({
+	outcome: outcomeFromWire(answer.outcome),
+	status: answer.status,
+	headers: headersFromWire(answer.headers),
+	body: answer.body,
+	endpoint: answer.endpoint,
+	attempts: answer.attempts,
+	...faultFromWire(answer.fault),
+	...(answer.detail !== '' && {detail: answer.detail}),
+});
+
+/**
+Encodes a submission for the incarnation that holds its identifier.
+*/
+export const submissionToWire = (submission: Submission, incarnation: string): wire.SubmitRequest => ({
+	...submission, incarnation, tasks: submission.tasks.map(task => taskToWire(task)),
+});
+
+/**
+Decodes a submission that a peer handed over.
+*/
+export const submissionFromWire = ({incarnation: _incarnation, ...request}: wire.SubmitRequest): Submission => ({
+	...request, tasks: request.tasks.map(task => taskFromWire(task)),
+});
+
+/**
+Encodes the answer to a submission.
+*/
+export const answerToWire = (answer: SubmissionAnswer): wire.SubmitReply => ({
+	outcome: outcomeToWire[answer.outcome],
+	answers: answer.answers.map(task => taskAnswerToWire(task)),
+	fault: answer.fault ?? '',
+	detail: answer.detail ?? '',
+	retryAfterMilliseconds: answer.retryAfterMilliseconds ?? 0,
+});
+
+/**
+Decodes the answer to a submission.
+*/
+export const answerFromWire = (reply: wire.SubmitReply): SubmissionAnswer => ({
+	outcome: outcomeFromWire(reply.outcome),
+	answers: reply.answers.map(task => taskAnswerFromWire(task)),
+	...faultFromWire(reply.fault),
+	...(reply.detail !== '' && {detail: reply.detail}),
+	...(reply.retryAfterMilliseconds > 0 && {retryAfterMilliseconds: reply.retryAfterMilliseconds}),
+});
+
+/**
+Encodes a heartbeat.
+*/
+export const heartbeatToWire = (heartbeat: PeerHeartbeat): wire.Heartbeat => ({
+	instance: heartbeat.instance,
+	incarnation: heartbeat.incarnation,
+	zone: heartbeat.zone,
+	state: stateToWire[heartbeat.state],
+	weight: heartbeat.weight,
+	catalogueVersion: heartbeat.catalogueVersion,
+	intervalMilliseconds: heartbeat.intervalMilliseconds,
+	freeSlots: [...heartbeat.hints],
+	leavingEndpoints: [...heartbeat.leavingEndpoints],
+	callerAddress: heartbeat.callerAddress,
+	operatorAddress: heartbeat.operatorAddress,
+	peerAddress: heartbeat.peerAddress,
+});
+
+/**
+Decodes a heartbeat.
+*/
+export const heartbeatFromWire = ({freeSlots, ...heartbeat}: wire.Heartbeat): PeerHeartbeat => ({
+	...heartbeat, state: stateFromWire(heartbeat.state), hints: freeSlots,
+});
--- /dev/null
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -0,0 +1,96 @@
+import {
+	Server, ServerCredentials, status, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall,
+} from '@grpc/grpc-js';
+import {
+	PeerService, type BorrowSlotsReply, type BorrowSlotsRequest, type FetchDocumentsReply, type Heartbeat, type InspectReply, type InspectRequest, type PeerServer, type ReturnSlotsRequest,
+} from '@galenakeel/model/connection/generated/peer.js';
+import {detailOf} from '@galenakeel/model/request/fault.js';
+import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
+import type {PeerHeartbeat} from '../process/membership.js';
+import {channelOptions, sendHeartbeats, type HeartbeatSource} from './peer-connection.js';
+import {answerToWire, heartbeatFromWire, submissionFromWire} from './peer-encoding.js';
+
+/**
+What this instance does for its peers.
+*/
+export type PeerHandlers = {
+	readonly hear: (heartbeat: PeerHeartbeat) => void;
+	readonly heartbeats: HeartbeatSource;
+	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
+	readonly inspect: (request: InspectRequest) => Promise<InspectReply>;
+	readonly lendSlots: (request: BorrowSlotsRequest) => BorrowSlotsReply;
+	readonly takeBackSlots: (request: ReturnSlotsRequest) => void;
+	readonly documentsAbove: (version: number) => FetchDocumentsReply;
+};
+
+type UnaryHandler<Request, Reply> = (call: ServerUnaryCall<Request, Reply>, callback: sendUnaryData<Reply>) => void;
+
+const answerCall = <Request, Reply>(handle: (request: Request) => Reply | Promise<Reply>): UnaryHandler<Request, Reply> => {
+	const answer = async (request: Request, callback: sendUnaryData<Reply>): Promise<void> => {
+		try {
+			callback(null, await handle(request));
+		} catch (error) {
+			callback({code: status.INTERNAL, details: detailOf(error)});
+		}
+	};
+
+	return (call, callback) => {
+		void answer(call.request, callback);
+	};
+};
+
+/**
+Serves one stream of heartbeats from a peer that dialled this instance.
+*/
+const serveHeartbeats = async (stream: ServerDuplexStream<Heartbeat, Heartbeat>, handlers: PeerHandlers): Promise<void> => {
+	const ended = new AbortController();
+	stream.on('cancelled', () => {
+		ended.abort();
+	});
+	void sendHeartbeats(stream, handlers.heartbeats, ended.signal);
+	try {
+		for await (const message of stream as AsyncIterable<Heartbeat>) {
+			handlers.hear(heartbeatFromWire(message));
+		}
+	} catch {
+		// A broken stream ends like a closed one; the peer dials again.
+	}
+
+	ended.abort();
+	stream.end();
+};
+
+/**
+Starts the server for calls of other entry instances.
+
+@returns A function that stops it.
+*/
+export const startPeerServer = async (address: string, handlers: PeerHandlers): Promise<() => void> => {
+	const server = new Server(channelOptions);
+	const implementation: PeerServer = {
+		heartbeats(stream) {
+			void serveHeartbeats(stream, handlers);
+		},
+		submit: answerCall(async request => answerToWire(await handlers.submit(submissionFromWire(request)))),
+		inspect: answerCall(handlers.inspect),
+		borrowSlots: answerCall(handlers.lendSlots),
+		returnSlots: answerCall(request => {
+			handlers.takeBackSlots(request);
+			return {};
+		}),
+		fetchDocuments: answerCall(({aboveVersion}) => handlers.documentsAbove(aboveVersion)),
+	};
+	server.addService(PeerService, implementation);
+	await new Promise<void>((resolve, reject) => {
+		server.bindAsync(address, ServerCredentials.createInsecure(), error => {
+			if (error) {
+				reject(error);
+			} else {
+				resolve();
+			}
+		});
+	});
+	return () => {
+		server.forceShutdown();
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/process/caller-server.ts
@@ -0,0 +1,77 @@
+import {createServer, type Server} from 'node:http';
+import type {Socket} from 'node:net';
+import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
+import {createInbox, type Inbox} from '@galenakeel/model/connection/inbox.js';
+import {encodeProblemResponse} from '../connection/caller-encoding.js';
+import {serveCallerConnection, type CallerExchange, type CallerRun} from '../connection/caller-connection.js';
+
+const headerTooLargeCode = 'HPE_HEADER_OVERFLOW';
+
+/**
+The server for callers.
+*/
+export type CallerServer = {
+	/** Connections on which a request is being served. */
+	readonly busy: () => number;
+	readonly close: () => void;
+};
+
+/**
+Starts the server for callers: each connection is served by a task of its own.
+*/
+export const startCallerServer = async (address: string, run: CallerRun, limits: {headerBytes: number; callerConnections: number; slowCallerMilliseconds: number}): Promise<CallerServer> => {
+	const inboxes = new Map<Socket, Inbox<CallerExchange>>();
+	let busy = 0;
+
+	const inboxOf = (socket: Socket): Inbox<CallerExchange> => {
+		const existing = inboxes.get(socket);
+		if (existing) {
+			return existing;
+		}
+
+		const inbox = createInbox<CallerExchange>();
+		inboxes.set(socket, inbox);
+		socket.once('close', () => {
+			inboxes.delete(socket);
+			inbox.close();
+		});
+		void serveCallerConnection(inbox, run);
+		return inbox;
+	};
+
+	const server: Server = createServer({
+		maxHeaderSize: limits.headerBytes, headersTimeout: limits.slowCallerMilliseconds, requestTimeout: limits.slowCallerMilliseconds, keepAlive: true, noDelay: true,
+	});
+	server.maxConnections = limits.callerConnections;
+	server.on('connection', socket => {
+		inboxOf(socket);
+	});
+	server.on('request', (request, response) => {
+		busy++;
+		response.once('close', () => {
+			busy--;
+		});
+		inboxOf(request.socket).push({request, response});
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		if (!socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		const status = error.code === headerTooLargeCode ? 431 : 400;
+		socket.end(encodeProblemResponse(status, `the request is not valid HTTP/1.1: ${error.message}`));
+	});
+	const [host, port] = splitAddress(address);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	return {
+		busy: () => busy,
+		close() {
+			server.close();
+			server.closeIdleConnections();
+		},
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -0,0 +1,87 @@
+import {parseConfiguration} from '@galenakeel/model/version/configuration-text.js';
+import {z} from 'zod';
+import {PlacementPolicy} from '../version/placement-policy.js';
+
+const address = z.string().regex(/^(?:\d+\.){3}\d+:\d+$|^\[[\da-f:]+\]:\d+$/v, 'must be an IP number and a port, as in "10.1.2.3:8080"');
+const milliseconds = z.number().int().positive();
+const bytes = z.number().int().positive();
+
+const settingsSchema = z.strictObject({
+	/** Name of the entry instance, as the platform lists it. */
+	instance: z.string().regex(/^[\w.\-]{1,60}$/v, 'must be 1 to 60 letters, digits, dots, hyphens or underscores'),
+	zone: z.string().regex(/^[\w.\-]{1,60}$/v, 'must be 1 to 60 letters, digits, dots, hyphens or underscores'),
+	/** Capacity of the machine relative to the others; its share of slots follows it. */
+	weight: z.number().positive().default(1),
+	listen: z.strictObject({callers: address, peers: address, operators: address}),
+	platform: z.strictObject({
+		address,
+		timeoutMilliseconds: milliseconds.default(1000),
+		/** Interval at which the catalogue version and the instance list are read. */
+		pollMilliseconds: milliseconds.default(500),
+	}),
+	peers: z.strictObject({
+		heartbeatMilliseconds: milliseconds.default(500),
+		/** Silent heartbeat intervals after which a peer is unreachable. */
+		missedHeartbeats: z.number().int().min(1).default(3),
+		callTimeoutMilliseconds: milliseconds.default(1000),
+	}).prefault({}),
+	endpoints: z.strictObject({
+		connectTimeoutMilliseconds: milliseconds.default(500),
+		/** Idle time after which a connection is replaced rather than trusted. */
+		maximumIdleMilliseconds: milliseconds.default(2000),
+		maximumAgeMilliseconds: milliseconds.default(60_000),
+	}).prefault({}),
+	limits: z.strictObject({
+		headerBytes: bytes.default(16_384),
+		/** Largest body of a single request that is held in memory; longer ones are streamed. */
+		bufferedBodyBytes: bytes.default(1_048_576),
+		/** Largest body of a single request. */
+		requestBytes: bytes.default(67_108_864),
+		/** Largest body of a job. */
+		jobBytes: bytes.default(33_554_432),
+		tasksInJob: z.number().int().min(1).default(2000),
+		callerConnections: z.number().int().min(1).default(10_000),
+		/** Time that a caller has to send its headers, and then its whole request. */
+		slowCallerMilliseconds: milliseconds.default(30_000),
+	}).prefault({}),
+	claims: z.strictObject({
+		/** Writes of claims a second over all entry instances. */
+		writesPerSecond: z.number().positive().default(300),
+		retentionMilliseconds: milliseconds.default(86_400_000),
+	}).prefault({}),
+	answers: z.strictObject({
+		/** Time for which an answer is repeated to a caller that submits again. */
+		retentionMilliseconds: milliseconds.default(600_000),
+		maximumBytes: bytes.default(67_108_864),
+	}).prefault({}),
+	drain: z.strictObject({
+		/** Time for the balancer and the peers to notice that the instance is leaving. */
+		announceMilliseconds: milliseconds.default(3000),
+		/** Longest time to finish what runs; afterwards it is cut, and logged. */
+		limitMilliseconds: milliseconds.default(120_000),
+	}).prefault({}),
+	placement: z.strictObject({
+		policy: z.enum(PlacementPolicy).default(PlacementPolicy.SharesWithBorrowing),
+	}).prefault({}),
+	logs: z.strictObject({
+		level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
+	}).prefault({}),
+});
+
+/**
+Settings of one daemon, from a file of JSON with comments.
+*/
+export type DaemonSettings = z.infer<typeof settingsSchema>;
+
+/**
+Parses and validates the text of a settings file.
+
+@throws A fault of kind `InvalidConfiguration` that names every faulty place by line and column.
+
+@example
+```
+const settings = parseDaemonSettings(readFileSync(path, 'utf8'), path);
+```
+*/
+export const parseDaemonSettings = (text: string, source: string): DaemonSettings =>
+	parseConfiguration(settingsSchema, text, source);
--- /dev/null
+++ b/packages/galenakeeld/src/process/incarnation.ts
@@ -0,0 +1,29 @@
+import {randomBytes} from 'node:crypto';
+import type {DaemonSettings} from './daemon-settings.js';
+
+/**
+One run of the daemon on one entry instance.
+*/
+export type Incarnation = {
+	readonly instance: string;
+	/** Differs for each run, so that nothing said by an earlier run is taken for this one's. */
+	readonly incarnation: string;
+	readonly zone: string;
+	readonly weight: number;
+	readonly callerAddress: string;
+	readonly peerAddress: string;
+	readonly operatorAddress: string;
+};
+
+/**
+Creates the identity of this run.
+*/
+export const createIncarnation = (settings: DaemonSettings): Incarnation => ({
+	instance: settings.instance,
+	incarnation: `${Date.now().toString(36)}${randomBytes(6).toString('hex')}`,
+	zone: settings.zone,
+	weight: settings.weight,
+	callerAddress: settings.listen.callers,
+	peerAddress: settings.listen.peers,
+	operatorAddress: settings.listen.operators,
+});
--- /dev/null
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -0,0 +1,105 @@
+import type {ListedInstance} from '@galenakeel/model/connection/platform-client.js';
+import {
+	createPeerCalls, runPeerConnection, type HeartbeatSource, type PeerCalls,
+} from '../connection/peer-connection.js';
+import type {Incarnation} from './incarnation.js';
+import type {Membership} from './membership.js';
+
+type PeerTask = {readonly address: string; readonly calls: PeerCalls; readonly stop: AbortController};
+
+/**
+The connections to peers: one task for each.
+*/
+export type PeerDirectory = {
+	/** Starts a task for each listed peer, and ends those of peers that are gone. */
+	readonly connect: () => void;
+	/** Calls to a peer by the name of its instance; `undefined` when neither the list nor a heartbeat names it. */
+	readonly callsOf: (instance: string) => PeerCalls | undefined;
+	readonly close: () => void;
+};
+
+/**
+Creates the directory of peers, without any connection.
+
+Of two peers the one whose name sorts first dials; the other dials only while it hears nothing.
+*/
+export const createPeerDirectory = (self: Incarnation, membership: Membership, heartbeats: HeartbeatSource): PeerDirectory => {
+	const tasks = new Map<string, PeerTask>();
+	const silentSince = new Map<string, number>();
+	const pollsBeforeDialling = 4;
+
+	const shouldDial = (instance: string): boolean => {
+		if (self.instance < instance) {
+			return true;
+		}
+
+		if (membership.findPeer(instance)?.isReachable) {
+			silentSince.delete(instance);
+			return false;
+		}
+
+		const polls = (silentSince.get(instance) ?? 0) + 1;
+		silentSince.set(instance, polls);
+		return polls > pollsBeforeDialling;
+	};
+
+	const open = (peer: ListedInstance): void => {
+		const calls = createPeerCalls(peer.address);
+		const stop = new AbortController();
+		tasks.set(peer.name, {address: peer.address, calls, stop});
+		void runPeerConnection(calls, {
+			source: heartbeats,
+			hear: membership.hear,
+			lose() {
+				membership.lose(peer.name);
+			},
+			signal: stop.signal,
+		});
+	};
+
+	const close = (instance: string, task: PeerTask): void => {
+		task.stop.abort();
+		task.calls.close();
+		tasks.delete(instance);
+	};
+
+	return {
+		connect() {
+			const listed = new Map(membership.listedPeers().map(peer => [peer.name, peer]));
+			for (const [instance, task] of tasks) {
+				const peer = listed.get(instance);
+				const isGone = !peer && !membership.findPeer(instance)?.isReachable;
+				if (isGone || (peer && peer.address !== task.address)) {
+					close(instance, task);
+				}
+			}
+
+			for (const [instance, peer] of listed) {
+				if (!tasks.has(instance) && shouldDial(instance)) {
+					open(peer);
+				}
+			}
+		},
+		callsOf(instance) {
+			const task = tasks.get(instance);
+			if (task) {
+				return task.calls;
+			}
+
+			const address = membership.listedPeers().find(({name}) => name === instance)?.address ?? membership.findPeer(instance)?.peerAddress;
+			if (address === undefined) {
+				return undefined;
+			}
+
+			// A peer that dialled this instance: the channel opens with the first call and carries no heartbeats.
+			const calls = createPeerCalls(address);
+			tasks.set(instance, {address, calls, stop: new AbortController()});
+			return calls;
+		},
+		close() {
+			for (const [instance, task] of tasks) {
+				close(instance, task);
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/process/submission-register.ts
@@ -0,0 +1,150 @@
+import {createDeferred} from '@galenakeel/model/request/deferred.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {SubmissionAnswer} from '@galenakeel/model/request/task.js';
+
+/**
+How far a submission has come on the incarnation that holds it.
+*/
+export enum SubmissionState {
+	/** No task has started. */
+	Waiting = 'waiting',
+	/** At least one task has started. */
+	Running = 'running',
+	/** The answer is final. */
+	Answered = 'answered',
+}
+
+/**
+A submission that this incarnation holds.
+*/
+export type SubmissionEntry = {
+	readonly identifier: string;
+	readonly tasks: number;
+	readonly cancellation: AbortController;
+	/** Resolves with the one answer. */
+	readonly answer: Promise<SubmissionAnswer>;
+	state: SubmissionState;
+	started: number;
+	finished: number;
+};
+
+type KeptEntry = {readonly entry: SubmissionEntry; bytes: number; answeredAt: number};
+
+/**
+The submissions that this incarnation has run, is running, or may still run.
+*/
+export type SubmissionRegister = {
+	/** Remembers a minted identifier as one that may be run once. */
+	readonly issue: (identifier: string) => void;
+	/** Uses up a minted identifier; false when it was never issued, was used, or lapsed. */
+	readonly redeem: (identifier: string) => boolean;
+	readonly entryOf: (identifier: string) => SubmissionEntry | undefined;
+	/** Adds a submission and runs it; an identifier that is already held keeps its entry. */
+	readonly begin: (identifier: string, tasks: number, run: (entry: SubmissionEntry) => Promise<SubmissionAnswer>) => SubmissionEntry;
+	/** Drops answers that are past their retention or above the bound on memory. */
+	readonly sweep: () => void;
+	readonly unanswered: () => number;
+	readonly size: () => number;
+};
+
+const bytesOf = (answer: SubmissionAnswer): number => {
+	let bytes = 0;
+	for (const task of answer.answers) {
+		bytes += task.body.byteLength;
+	}
+
+	return bytes;
+};
+
+/**
+Creates an empty register.
+
+@example
+```
+const register = createSubmissionRegister({retentionMilliseconds: 600_000, maximumBytes: 2 ** 26});
+const entry = register.begin(identifier, 1, async () => answer);
+```
+*/
+export const createSubmissionRegister = (limits: {retentionMilliseconds: number; maximumBytes: number}): SubmissionRegister => {
+	const issued = new Map<string, number>();
+	const kept = new Map<string, KeptEntry>();
+	let unanswered = 0;
+	let keptBytes = 0;
+
+	const settle = (held: KeptEntry, answer: SubmissionAnswer): void => {
+		unanswered--;
+		held.entry.state = SubmissionState.Answered;
+		held.answeredAt = Date.now();
+		held.bytes = bytesOf(answer);
+		keptBytes += held.bytes;
+		if (answer.outcome === Outcome.NotRun) {
+			// Nothing started, so the caller may submit the same identifier again.
+			drop(held.entry.identifier);
+			issued.set(held.entry.identifier, Date.now());
+		}
+	};
+
+	const drop = (identifier: string): void => {
+		const held = kept.get(identifier);
+		if (held) {
+			keptBytes -= held.bytes;
+			kept.delete(identifier);
+		}
+	};
+
+	return {
+		issue(identifier) {
+			issued.set(identifier, Date.now());
+		},
+		redeem: identifier => issued.delete(identifier),
+		entryOf: identifier => kept.get(identifier)?.entry,
+		begin(identifier, tasks, run) {
+			const existing = kept.get(identifier);
+			if (existing) {
+				return existing.entry;
+			}
+
+			const {promise, resolve, reject} = createDeferred<SubmissionAnswer>();
+			const entry: SubmissionEntry = {
+				identifier, tasks, cancellation: new AbortController(), answer: promise, state: SubmissionState.Waiting, started: 0, finished: 0,
+			};
+			const held: KeptEntry = {entry, bytes: 0, answeredAt: 0};
+			kept.set(identifier, held);
+			unanswered++;
+			void (async () => {
+				try {
+					const answer = await run(entry);
+					settle(held, answer);
+					resolve(answer);
+				} catch (error) {
+					settle(held, {outcome: Outcome.OutcomeUnknown, answers: []});
+					reject(error);
+				}
+			})();
+
+			return entry;
+		},
+		sweep() {
+			const now = Date.now();
+			for (const [identifier, issuedAt] of issued) {
+				if (now - issuedAt < limits.retentionMilliseconds) {
+					break;
+				}
+
+				issued.delete(identifier);
+			}
+
+			for (const [identifier, held] of kept) {
+				if (held.entry.state !== SubmissionState.Answered) {
+					continue;
+				}
+
+				if (now - held.answeredAt >= limits.retentionMilliseconds || keptBytes > limits.maximumBytes) {
+					drop(identifier);
+				}
+			}
+		},
+		unanswered: () => unanswered,
+		size: () => kept.size,
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/request/relay-request.ts
@@ -0,0 +1,69 @@
+import {performance} from 'node:perf_hooks';
+import type {Readable} from 'node:stream';
+import {FaultKind} from '@galenakeel/model/request/fault.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {Submission, SubmissionAnswer, Task} from '@galenakeel/model/request/task.js';
+import type {ServiceVersion} from '../version/service-version.js';
+import {runTask, type StreamedTaskAnswer, type TaskRun} from './run-task.js';
+
+/**
+A single request without an identifier.
+*/
+export type RelayedRequest = {
+	readonly service: string;
+	readonly team: string;
+	/** Time that the caller grants; `undefined` takes the deadline of the document. */
+	readonly deadlineMilliseconds: number | undefined;
+	readonly task: Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
+	/** Aborts when the caller has gone. */
+	readonly signal: AbortSignal;
+};
+
+/**
+What a relayed request needs from the process that takes it.
+*/
+export type RelayRun = {
+	readonly findVersion: (service: string) => ServiceVersion | undefined;
+	readonly admit: (version: ServiceVersion, submission: Pick<Submission, 'service' | 'team' | 'deadlineMilliseconds' | 'tasks'>) => SubmissionAnswer | undefined;
+	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
+};
+
+const refused = (fault: FaultKind, detail: string): StreamedTaskAnswer => ({
+	outcome: Outcome.NotRun, status: 0, headers: [], body: new Uint8Array(), endpoint: '', fault, detail, attempts: 0,
+});
+
+/**
+Relays a single request to an endpoint of its service.
+
+@returns The endpoint's answer, or the outcome with the reason; never throws.
+
+@example
+```
+const answer = await relayRequest({service: 'paysheet', team: 'payroll', deadlineMilliseconds: 2000, task, signal}, run);
+```
+*/
+export const relayRequest = async (request: RelayedRequest, run: RelayRun): Promise<StreamedTaskAnswer & {readonly retryAfterMilliseconds?: number}> => {
+	const version = run.findVersion(request.service);
+	if (!version) {
+		return refused(FaultKind.UnknownService, `no document in force names the service "${request.service}"`);
+	}
+
+	const deadlineMilliseconds = request.deadlineMilliseconds ?? version.document.deadlineMilliseconds;
+	const refusal = run.admit(version, {
+		service: request.service, team: request.team, deadlineMilliseconds, tasks: [{...request.task, body: new Uint8Array()}],
+	});
+	if (refusal) {
+		return {...refused(refusal.fault!, refusal.detail!), ...(refusal.retryAfterMilliseconds !== undefined && {retryAfterMilliseconds: refusal.retryAfterMilliseconds})};
+	}
+
+	return runTask(request.task, {
+		...run.taskRun(version),
+		version,
+		team: request.team,
+		deadlineAt: performance.now() + deadlineMilliseconds,
+		signal: request.signal,
+		onFirstStart() {
+			// A request without an identifier keeps no state beyond its own start record.
+		},
+	});
+};
--- /dev/null
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -0,0 +1,158 @@
+import {performance} from 'node:perf_hooks';
+import {FaultKind} from '@galenakeel/model/request/fault.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {Submission, SubmissionAnswer, TaskAnswer} from '@galenakeel/model/request/task.js';
+import {ClaimState, type ClaimResult} from '../process/claim-writer.js';
+import {SubmissionState, type SubmissionEntry, type SubmissionRegister} from '../process/submission-register.js';
+import type {ServiceVersion} from '../version/service-version.js';
+import {runTask, type TaskRun} from './run-task.js';
+import {IdentifierKind, parseIdentifier, type IdentifierHolder} from './submission-identifier.js';
+
+/**
+What a submission needs from the process that takes it.
+*/
+export type SubmissionRun = {
+	readonly self: IdentifierHolder;
+	readonly register: SubmissionRegister;
+	readonly claim: (identifier: string) => Promise<ClaimResult>;
+	/** Hands a submission to its holder; never throws. */
+	readonly forward: (holder: IdentifierHolder, submission: Submission) => Promise<SubmissionAnswer>;
+	readonly findVersion: (service: string) => ServiceVersion | undefined;
+	/** Refuses a submission that can't be served in time; `undefined` admits it. */
+	readonly admit: (version: ServiceVersion, submission: Submission) => SubmissionAnswer | undefined;
+	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
+};
+
+/**
+Creates the answer to a submission of which nothing was sent.
+*/
+export const refuse = (fault: FaultKind, detail: string, retryAfterMilliseconds?: number): SubmissionAnswer => ({
+	outcome: Outcome.NotRun, answers: [], fault, detail, ...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
+});
+
+/**
+Creates the answer to a submission of which it is not known here whether it ran.
+*/
+export const answerUnknown = (fault: FaultKind, detail: string): SubmissionAnswer => ({
+	outcome: Outcome.OutcomeUnknown, answers: [], fault, detail,
+});
+
+const outcomeOf = (answers: readonly TaskAnswer[]): Outcome => {
+	if (answers.every(answer => answer.outcome === Outcome.Complete)) {
+		return Outcome.Complete;
+	}
+
+	return answers.every(answer => answer.outcome === Outcome.NotRun) ? Outcome.NotRun : Outcome.Failed;
+};
+
+const combine = (answers: readonly TaskAnswer[]): SubmissionAnswer => {
+	const incomplete = answers.find(answer => answer.outcome !== Outcome.Complete);
+	return {
+		outcome: outcomeOf(answers),
+		answers,
+		...(incomplete?.fault && {fault: incomplete.fault}),
+		...(incomplete?.detail !== undefined && {detail: incomplete.detail}),
+	};
+};
+
+const runTasks = async (submission: Submission, version: ServiceVersion, entry: SubmissionEntry, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	const deadlineAt = performance.now() + submission.deadlineMilliseconds;
+	const shared = run.taskRun(version);
+	const runOne = async (task: Submission['tasks'][number]): Promise<TaskAnswer> => {
+		const answer = await runTask(task, {
+			...shared,
+			version,
+			team: submission.team,
+			deadlineAt,
+			signal: entry.cancellation.signal,
+			onFirstStart() {
+				entry.started++;
+				entry.state = SubmissionState.Running;
+			},
+		});
+		entry.finished++;
+		return answer;
+	};
+
+	return combine(await Promise.all(submission.tasks.map(async task => runOne(task))));
+};
+
+/**
+Runs a submission that this incarnation holds, or joins the run that has begun.
+*/
+const runHeld = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	const entry = run.register.begin(submission.identifier, submission.tasks.length, async begun => {
+		const version = run.findVersion(submission.service);
+		if (!version) {
+			return refuse(FaultKind.UnknownService, `no document in force names the service "${submission.service}"`);
+		}
+
+		return run.admit(version, submission) ?? runTasks(submission, version, begun, run);
+	});
+	return entry.answer;
+};
+
+const discarded = (identifier: string): SubmissionAnswer =>
+	answerUnknown(FaultKind.AnswerDiscarded, `"${identifier}" was taken before and its answer is no longer kept`);
+
+const submitMinted = async (submission: Submission, holder: IdentifierHolder, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	if (holder.incarnation !== run.self.incarnation) {
+		return run.forward(holder, submission);
+	}
+
+	return run.register.redeem(submission.identifier) ? runHeld(submission, run) : discarded(submission.identifier);
+};
+
+const submitChosen = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	const claim = await run.claim(submission.identifier);
+	switch (claim.state) {
+		case ClaimState.Ours: {
+			return runHeld(submission, run);
+		}
+
+		case ClaimState.Held: {
+			if (claim.holder.incarnation !== run.self.incarnation) {
+				return run.forward(claim.holder, submission);
+			}
+
+			// This incarnation claimed it in an earlier attempt.
+			if (run.register.entryOf(submission.identifier) !== undefined || run.register.redeem(submission.identifier)) {
+				return runHeld(submission, run);
+			}
+
+			return discarded(submission.identifier);
+		}
+
+		case ClaimState.Unavailable: {
+			// The row may yet be written; a later attempt that finds it may run the submission.
+			run.register.issue(submission.identifier);
+			return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${submission.identifier}" was not confirmed by the platform; this attempt started nothing`);
+		}
+	}
+};
+
+/**
+Takes a submission: runs it here if this incarnation holds its identifier, otherwise asks the holder.
+
+@returns The one answer of the submission, or what is known about it; never throws.
+
+@example
+```
+const answer = await submit({identifier: 'sheet-2041', service: 'paysheet', …}, run);
+```
+*/
+export const submit = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	const parsed = parseIdentifier(submission.identifier);
+	if (!parsed) {
+		return refuse(FaultKind.BadIdentifier, `"${submission.identifier}" is not a valid identifier`);
+	}
+
+	const held = run.register.entryOf(submission.identifier);
+	if (held) {
+		return held.answer;
+	}
+
+	return parsed.kind === IdentifierKind.Minted
+		? submitMinted(submission, parsed.holder, run)
+		: submitChosen(submission, run);
+};
--- /dev/null
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -0,0 +1,164 @@
+import {once} from 'node:events';
+import {performance} from 'node:perf_hooks';
+import type {Readable} from 'node:stream';
+import {createDeferred} from '@galenakeel/model/request/deferred.js';
+import {
+	createFault, detailOf, FaultKind, isFault,
+} from '@galenakeel/model/request/fault.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {Task, TaskAnswer} from '@galenakeel/model/request/task.js';
+import type {EndpointAnswer, EndpointRequest} from '../connection/endpoint-connection.js';
+import type {SlotDemand} from '../process/service-dispatcher.js';
+import type {SlotGrant} from '../process/slot-ledger.js';
+import type {Endpoint, ServiceVersion} from '../version/service-version.js';
+import {createStartRecord, type StartRecord} from './start-record.js';
+
+const maximumAttempts = 4;
+const firstServerError = 500;
+
+/**
+How one attempt at a task ended, for guards and estimates.
+*/
+export type AttemptReport = {
+	readonly endpoint: Endpoint;
+	readonly kind: string;
+	readonly durationMilliseconds: number;
+	readonly isSuccess: boolean;
+	/** Why there was no whole answer. */
+	readonly fault?: FaultKind;
+};
+
+/**
+What a task needs from the process that runs it.
+*/
+export type TaskRun = {
+	/** The document version that the request keeps from start to end. */
+	readonly version: ServiceVersion;
+	readonly team: string;
+	/** Time on the monotonic clock, in milliseconds. */
+	readonly deadlineAt: number;
+	readonly signal?: AbortSignal;
+	readonly withSlot: <Result>(demand: SlotDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
+	readonly send: (address: string, request: EndpointRequest) => Promise<EndpointAnswer>;
+	readonly report: (attempt: AttemptReport) => void;
+	/** Tells whether the retry budget allows sending an idempotent task again, and spends it. */
+	readonly mayRetry: () => boolean;
+	/** Called once, just before the first byte of the task goes out. */
+	readonly onFirstStart: () => void;
+};
+
+/**
+A task's answer, whose body may go on after the part that is held.
+*/
+export type StreamedTaskAnswer = TaskAnswer & {readonly rest?: Readable};
+
+type RunnableTask = Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
+
+const isRetriable = (record: StartRecord, run: TaskRun, fault: FaultKind): boolean => {
+	if (!record.hasStarted()) {
+		return fault === FaultKind.EndpointUnreachable;
+	}
+
+	return run.version.document.idempotent && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && run.mayRetry();
+};
+
+const attemptTask = async (task: RunnableTask, run: TaskRun, grant: SlotGrant, record: StartRecord): Promise<StreamedTaskAnswer> => {
+	const {endpoint} = grant;
+	const startedAt = performance.now();
+	const report = (isSuccess: boolean, fault?: FaultKind): void => {
+		run.report({
+			endpoint, kind: task.kind, durationMilliseconds: performance.now() - startedAt, isSuccess, ...(fault && {fault}),
+		});
+	};
+
+	try {
+		const answer = await run.send(endpoint.address, {
+			method: task.method,
+			path: task.path,
+			headers: task.headers,
+			body: task.body,
+			timeoutMilliseconds: Math.min(run.version.document.timeoutMilliseconds, Math.max(1, run.deadlineAt - startedAt)),
+			beforeFirstByte: record.start,
+		});
+		report(answer.status < firstServerError);
+		return {
+			outcome: Outcome.Complete, ...answer, endpoint: endpoint.address, attempts: record.starts(),
+		};
+	} catch (error) {
+		report(false, isFault(error) ? error.name : FaultKind.Internal);
+		throw error;
+	}
+};
+
+/**
+Resolves as soon as the answer can be passed on; the slot stays taken until the body has ended.
+*/
+const attemptOnFreeSlot = async (task: RunnableTask, run: TaskRun, demand: SlotDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
+	const answered = createDeferred<StreamedTaskAnswer>();
+	const attempt = async (): Promise<void> => {
+		try {
+			await run.withSlot(demand, async grant => {
+				const answer = await attemptTask(task, run, grant, record);
+				answered.resolve(answer);
+				if (answer.rest && !answer.rest.closed) {
+					await once(answer.rest, 'close');
+				}
+			});
+		} catch (error) {
+			answered.reject(error);
+		}
+	};
+
+	void attempt();
+	return answered.promise;
+};
+
+const answerOf = (error: unknown, record: StartRecord): TaskAnswer => {
+	const fault = isFault(error) ? error.name : FaultKind.Internal;
+	return {
+		outcome: record.hasStarted() ? Outcome.OutcomeUnknown : Outcome.NotRun,
+		status: 0,
+		headers: [],
+		body: new Uint8Array(),
+		endpoint: '',
+		fault,
+		detail: detailOf(error),
+		attempts: record.starts(),
+	};
+};
+
+/**
+Runs one task: waits for a slot, sends the task, and sends it again only where that can't start it twice against the will of its service.
+
+@returns The answer of the endpoint, or the outcome with the reason; never throws.
+
+@example
+```
+const answer = await runTask(task, {version, team: 'payroll', deadlineAt: performance.now() + 5000, …});
+```
+*/
+export const runTask = async (task: RunnableTask, run: TaskRun): Promise<StreamedTaskAnswer> => {
+	const record = createStartRecord({
+		isIdempotent: run.version.document.idempotent,
+		deadlineAt: run.deadlineAt,
+		onFirstStart: run.onFirstStart,
+		...(run.signal && {signal: run.signal}),
+	});
+	if (run.version.endpoints.length === 0) {
+		return answerOf(createFault(FaultKind.NoEndpoint, `the document of "${run.version.document.service}" names no endpoint`), record);
+	}
+
+	const demand: SlotDemand = {
+		kind: task.kind, team: run.team, deadlineAt: run.deadlineAt, ...(run.signal && {signal: run.signal}),
+	};
+	for (let attempt = 1; ; attempt++) {
+		try {
+			return await attemptOnFreeSlot(task, run, demand, record);
+		} catch (error) {
+			const fault = isFault(error) ? error.name : FaultKind.Internal;
+			if (attempt === maximumAttempts || !isRetriable(record, run, fault)) {
+				return answerOf(error, record);
+			}
+		}
+	}
+};
--- /dev/null
+++ b/packages/galenakeeld/src/request/submission-identifier.ts
@@ -0,0 +1,51 @@
+import {randomBytes} from 'node:crypto';
+
+const mintedPrefix = 'm~';
+const identifierPattern = /^[\w.:\-]{1,200}$/v;
+const mintedPattern = /^m~(?<instance>[\w.\-]{1,60})~(?<incarnation>[\da-z]{1,40})~[\da-f]{16}$/v;
+const randomLength = 8;
+
+/**
+The incarnation that a minted identifier names.
+*/
+export type IdentifierHolder = {readonly instance: string; readonly incarnation: string};
+
+/**
+The two kinds of submission identifier.
+*/
+export enum IdentifierKind {
+	/** Issued by an incarnation, which alone may run it. */
+	Minted = 'minted',
+	/** Chosen by the caller; the claim in the platform's table names its holder. */
+	Chosen = 'chosen',
+}
+
+/**
+A parsed identifier.
+*/
+export type ParsedIdentifier
+	= | {readonly kind: IdentifierKind.Minted; readonly holder: IdentifierHolder}
+		| {readonly kind: IdentifierKind.Chosen};
+
+/**
+Mints an identifier that only one incarnation can ever run.
+
+@example
+```
+mintIdentifier({instance: 'entry-a1', incarnation: 'm8x2'}); // => 'm~entry-a1~m8x2~0a1b2c3d4e5f6071'
+```
+*/
+export const mintIdentifier = (holder: IdentifierHolder): string =>
+	`${mintedPrefix}${holder.instance}~${holder.incarnation}~${randomBytes(randomLength).toString('hex')}`;
+
+/**
+Parses an identifier; `undefined` when it is malformed.
+*/
+export const parseIdentifier = (identifier: string): ParsedIdentifier | undefined => {
+	const groups = mintedPattern.exec(identifier)?.groups;
+	if (groups) {
+		return {kind: IdentifierKind.Minted, holder: {instance: groups.instance!, incarnation: groups.incarnation!}};
+	}
+
+	return identifierPattern.test(identifier) ? {kind: IdentifierKind.Chosen} : undefined;
+};
--- /dev/null
+++ b/packages/galenakeeld/src/version/document-catalogue.ts
@@ -0,0 +1,52 @@
+import type {AcceptedDocument} from '@galenakeel/model/version/service-document.js';
+import {createServiceVersion, type ServiceVersion} from './service-version.js';
+
+/**
+The documents in force on this instance. A version is only ever replaced by a higher one.
+*/
+export type DocumentCatalogue = {
+	/** Highest catalogue version whose documents are all installed; 0 before the first. */
+	readonly catalogueVersion: () => number;
+	readonly versionOf: (service: string) => ServiceVersion | undefined;
+	readonly all: () => readonly ServiceVersion[];
+	/** Installs the documents that are newer than those in force; returns the services that changed. */
+	readonly install: (documents: readonly AcceptedDocument[], catalogueVersion: number) => readonly string[];
+};
+
+/**
+Creates an empty catalogue.
+
+@param onInstall Called with each service version that comes into force.
+
+@example
+```
+const catalogue = createDocumentCatalogue(version => dispatchers.install(version));
+catalogue.install(await readDocuments(platform), await readCatalogueVersion(platform));
+```
+*/
+export const createDocumentCatalogue = (onInstall: (version: ServiceVersion) => void): DocumentCatalogue => {
+	const inForce = new Map<string, ServiceVersion>();
+	let installedVersion = 0;
+	return {
+		catalogueVersion: () => installedVersion,
+		versionOf: service => inForce.get(service),
+		all: () => [...inForce.values()],
+		install(documents, catalogueVersion) {
+			const changed: string[] = [];
+			for (const accepted of documents) {
+				const {service} = accepted.document;
+				if ((inForce.get(service)?.version ?? 0) >= accepted.version) {
+					continue;
+				}
+
+				const version = createServiceVersion(accepted);
+				inForce.set(service, version);
+				changed.push(service);
+				onInstall(version);
+			}
+
+			installedVersion = Math.max(installedVersion, catalogueVersion);
+			return changed;
+		},
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/version/service-version.ts
@@ -0,0 +1,26 @@
+import type {AcceptedDocument, EndpointEntry, ServiceDocument} from '@galenakeel/model/version/service-document.js';
+
+/**
+An endpoint of one document version, with its availability zone.
+*/
+export type Endpoint = EndpointEntry & {readonly zone: string};
+
+/**
+What a request keeps from its start to its end: one accepted document, prepared for routing.
+*/
+export type ServiceVersion = {
+	readonly version: number;
+	readonly text: string;
+	readonly document: ServiceDocument;
+	readonly endpoints: readonly Endpoint[];
+};
+
+/**
+Prepares an accepted document for routing.
+*/
+export const createServiceVersion = (accepted: AcceptedDocument): ServiceVersion => ({
+	version: accepted.version,
+	text: accepted.text,
+	document: accepted.document,
+	endpoints: Object.entries(accepted.document.endpoints).flatMap(([zone, entries]) => entries.map(entry => ({...entry, zone}))),
+});
