--- /dev/null
+++ b/packages/stand-ins/src/process/endpoint-stand-in.ts
@@ -0,0 +1,114 @@
+import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createDeferred, type Deferred} from '@galenakeel/model/request/deferred.js';
+import {listen, readText} from '../connection/http-json.js';
+
+/**
+How the endpoint misbehaves at present.
+*/
+export enum EndpointBehaviour {
+	/** Answers each task after its run time. */
+	Normal = 'normal',
+	/** Answers each task at once with status 500. */
+	FailAll = 'fail-all',
+	/** Takes tasks and never answers. */
+	Freeze = 'freeze',
+	/** Sends half of each answer, then breaks off. */
+	HalfAnswer = 'half-answer',
+}
+
+/**
+One start of a task on an endpoint.
+*/
+export type EndpointStart = {readonly task: string; readonly startedAt: number; readonly endpoint: string};
+
+/**
+A running stand-in of an endpoint.
+*/
+export type EndpointStandIn = {
+	readonly address: string;
+	behaviour: EndpointBehaviour;
+	/** Every start of a task, in order. */
+	readonly starts: () => readonly EndpointStart[];
+	readonly close: () => void;
+};
+
+const defaultRunMilliseconds = 50;
+
+/**
+Starts an endpoint that runs as many tasks at once as it has slots, and queues the others.
+
+The path's query says how long a task runs at speed 1 (`run`, in milliseconds), how many bytes it answers (`bytes`) and its name in the history (`task`).
+*/
+export const startEndpointStandIn = async (address: string, options: {slots: number; speed: number; connections: number}): Promise<EndpointStandIn> => {
+	const starts: EndpointStart[] = [];
+	const queue: Array<Deferred<void>> = [];
+	let busy = 0;
+
+	const acquire = async (): Promise<void> => {
+		if (busy < options.slots) {
+			busy++;
+			return;
+		}
+
+		const turn = createDeferred<void>();
+		queue.push(turn);
+		await turn.promise;
+	};
+
+	const release = (): void => {
+		const next = queue.shift();
+		if (next) {
+			next.resolve();
+		} else {
+			busy--;
+		}
+	};
+
+	const standIn: EndpointStandIn = {
+		address,
+		behaviour: EndpointBehaviour.Normal,
+		starts: () => starts,
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+	const server = await listen(address, async (request, response) => {
+		const query = new URL(request.url!, 'http://endpoint').searchParams;
+		const task = query.get('task') ?? '';
+		starts.push({task, startedAt: Date.now(), endpoint: address});
+		const body = await readText(request);
+		await acquire();
+		try {
+			if (standIn.behaviour === EndpointBehaviour.Freeze) {
+				await new Promise<void>(resolve => {
+					response.once('close', resolve);
+				});
+				return;
+			}
+
+			if (standIn.behaviour === EndpointBehaviour.FailAll) {
+				response.writeHead(500, {'content-length': 0});
+				response.end();
+				return;
+			}
+
+			await sleep(Number(query.get('run') ?? defaultRunMilliseconds) / options.speed);
+			const text = `${task}:${body}`.padEnd(Number(query.get('bytes') ?? 0), '.');
+			response.writeHead(200, {'content-type': 'text/plain', 'content-length': Buffer.byteLength(text)});
+			if (standIn.behaviour === EndpointBehaviour.HalfAnswer) {
+				response.write(text.slice(0, text.length / 2));
+				await sleep(1);
+				response.destroy();
+				return;
+			}
+
+			response.end(text);
+		} finally {
+			release();
+		}
+	});
+	server.maxConnections = options.connections;
+	return standIn;
+};
--- /dev/null
+++ b/packages/stand-ins/src/process/platform-stand-in.ts
@@ -0,0 +1,163 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+	ListedInstance, TableCondition, TableRow, TableWrite,
+} from '@galenakeel/model/connection/platform-client.js';
+import {parseJson} from '@galenakeel/model/connection/json.js';
+import {listen, readText, writeJson} from '../connection/http-json.js';
+
+/**
+How the stand-in misbehaves at present.
+*/
+export type PlatformFaults = {
+	/** No call is answered: connections are cut. */
+	isDown: boolean;
+	/** Added to each call. */
+	delayMilliseconds: number;
+	/** Number of further transactions that take effect and whose answer is lost. */
+	lostAnswers: number;
+	/** Whether reads answer from the rows as they were when this was set. */
+	isStale: boolean;
+};
+
+/**
+A running stand-in of the platform: table, object store and instance list.
+*/
+export type PlatformStandIn = {
+	readonly address: string;
+	readonly faults: PlatformFaults;
+	readonly setInstances: (instances: readonly ListedInstance[]) => void;
+	/** Number of calls answered, by kind. */
+	readonly counts: {transactions: number; reads: number};
+	readonly rows: () => readonly TableRow[];
+	readonly close: () => void;
+};
+
+const syncedWriteMilliseconds = 3;
+
+/**
+Starts a stand-in of the platform that keeps everything in memory.
+
+@param options.listLagMilliseconds Time until a change of instances shows on the list.
+*/
+export const startPlatformStandIn = async (address: string, options: {listLagMilliseconds: number}): Promise<PlatformStandIn> => {
+	const rows = new Map<string, TableRow>();
+	const objects = new Map<string, string>();
+	let staleRows: Map<string, TableRow> | undefined;
+	let instances: readonly ListedInstance[] = [];
+	let version = 0;
+	const counts = {transactions: 0, reads: 0};
+	const faults: PlatformFaults = {
+		isDown: false, delayMilliseconds: 0, lostAnswers: 0, isStale: false,
+	};
+
+	const readable = (): Map<string, TableRow> => {
+		staleRows = faults.isStale ? staleRows ?? new Map(rows) : undefined;
+		return staleRows ?? rows;
+	};
+
+	const commit = (conditions: readonly TableCondition[], writes: readonly TableWrite[]): string | undefined => {
+		const broken = conditions.find(condition => (rows.get(condition.key)?.version ?? 0) !== condition.version);
+		if (broken) {
+			return broken.key;
+		}
+
+		for (const {key, value} of writes) {
+			version++;
+			if (value === undefined) {
+				rows.delete(key);
+			} else {
+				rows.set(key, {key, value, version});
+			}
+		}
+
+		return undefined;
+	};
+
+	const transact = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const {conditions, writes} = parseJson<{conditions: TableCondition[]; writes: TableWrite[]}>(await readText(request));
+		counts.transactions++;
+		await sleep(syncedWriteMilliseconds);
+		const refusedKey = commit(conditions, writes);
+		if (faults.lostAnswers > 0) {
+			faults.lostAnswers--;
+			response.destroy();
+		} else if (refusedKey === undefined) {
+			writeJson(response, 200, {});
+		} else {
+			writeJson(response, 409, {key: refusedKey});
+		}
+	};
+
+	const scan = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const {prefix, limit, after} = parseJson<{prefix: string; limit: number; after: string}>(await readText(request));
+		counts.reads++;
+		const found = [...readable().values()].filter(row => row.key.startsWith(prefix) && row.key > after);
+		writeJson(response, 200, found.toSorted((first, second) => first.key < second.key ? -1 : 1).slice(0, limit));
+	};
+
+	const read = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const {keys} = parseJson<{keys: string[]}>(await readText(request));
+		counts.reads++;
+		writeJson(response, 200, keys.map(key => readable().get(key)).filter(row => row !== undefined));
+	};
+
+	const serveObject = async (request: IncomingMessage, response: ServerResponse, key: string): Promise<void> => {
+		if (request.method === 'PUT') {
+			const {value} = parseJson<{value: string}>(await readText(request));
+			objects.set(key, value);
+			writeJson(response, 200, {});
+			return;
+		}
+
+		const value = objects.get(key);
+		writeJson(response, value === undefined ? 404 : 200, {value});
+	};
+
+	const server = await listen(address, async (request, response) => {
+		if (faults.isDown) {
+			request.socket.destroy();
+			return;
+		}
+
+		await sleep(faults.delayMilliseconds);
+		switch (request.url ?? '') {
+			case '/table/transact': {
+				return transact(request, response);
+			}
+
+			case '/table/read': {
+				return read(request, response);
+			}
+
+			case '/table/scan': {
+				return scan(request, response);
+			}
+
+			case '/instances': {
+				writeJson(response, 200, instances);
+				return undefined;
+			}
+
+			default: {
+				return serveObject(request, response, decodeURIComponent(request.url!.replace('/objects/', '')));
+			}
+		}
+	});
+
+	return {
+		address,
+		faults,
+		counts,
+		rows: () => [...rows.values()],
+		setInstances(next) {
+			setTimeout(() => {
+				instances = next;
+			}, options.listLagMilliseconds);
+		},
+		close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
--- /dev/null
+++ b/packages/trials/src/process/fleet.ts
@@ -0,0 +1,155 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {randomUUID} from 'node:crypto';
+import {
+	createPlatformClient, InstanceRole, ListedState, type ListedInstance, type Platform,
+} from '@galenakeel/model/connection/platform-client.js';
+import {acceptDocument, readDocument} from '@galenakeel/model/version/document-store.js';
+import {startBalancerStandIn, type BalancerStandIn} from '@galenakeel/stand-ins/connection/balancer-stand-in.js';
+import {startEndpointStandIn, type EndpointStandIn} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
+import {startPlatformStandIn, type PlatformStandIn} from '@galenakeel/stand-ins/process/platform-stand-in.js';
+import {startDaemonProcess, type DaemonPlace, type DaemonProcess} from './daemon-process.js';
+import {findFreeAddresses} from './free-ports.js';
+
+const readyTimeoutMilliseconds = 15_000;
+const stopTimeoutMilliseconds = 5000;
+const addressesOfDaemon = 3;
+
+/**
+The sizes of a fleet under trial.
+*/
+export type FleetSize = {
+	readonly zones: readonly string[];
+	readonly daemonsPerZone: number;
+	readonly endpointsPerZone: number;
+	readonly slots: number;
+	/** Speed of the endpoint at a position, over all zones. */
+	readonly speedOf?: (position: number) => number;
+	readonly listLagMilliseconds?: number;
+	/** Settings of every daemon beyond its addresses. */
+	readonly settings?: Readonly<Record<string, unknown>>;
+};
+
+/**
+An endpoint stand-in with its availability zone.
+*/
+export type PlacedEndpoint = {readonly name: string; readonly zone: string; readonly standIn: EndpointStandIn};
+
+/**
+Stand-ins and daemons that form one system.
+*/
+export type Fleet = {
+	readonly directory: string;
+	readonly platform: PlatformStandIn;
+	readonly client: Platform;
+	readonly balancer: BalancerStandIn;
+	readonly endpoints: readonly PlacedEndpoint[];
+	readonly daemons: readonly DaemonProcess[];
+	/** Shows the platform's list as it should be: all daemons and endpoints but those named as leaving or gone. */
+	readonly list: (changes?: {readonly leaving?: readonly string[]; readonly gone?: readonly string[]}) => void;
+	/** Accepts a document for a service over all endpoints, changed by a function. */
+	readonly accept: (service: string, change?: (document: Record<string, unknown>) => Record<string, unknown>) => Promise<number>;
+	readonly stop: () => Promise<void>;
+};
+
+const listedOf = (daemons: readonly DaemonPlace[], endpoints: readonly PlacedEndpoint[]): readonly ListedInstance[] => [
+	...daemons.map(({instance, zone, peers, operators}) => ({
+		name: instance, role: InstanceRole.Entry, zone, address: peers, operators, state: ListedState.Live, incarnation: '1',
+	})),
+	...endpoints.map(({name, zone, standIn}) => ({
+		name, role: InstanceRole.Endpoint, zone, address: standIn.address, state: ListedState.Live, incarnation: '1',
+	})),
+];
+
+const startEndpoints = async (size: FleetSize): Promise<readonly PlacedEndpoint[]> => {
+	const count = size.zones.length * size.endpointsPerZone;
+	const addresses = await findFreeAddresses(count);
+	return Promise.all(addresses.map(async (address, position) => {
+		const speed = size.speedOf?.(position) ?? 1;
+		const standIn = await startEndpointStandIn(address, {slots: size.slots, speed, connections: 64});
+		return {name: `worker-${position + 1}`, zone: size.zones[position % size.zones.length]!, standIn};
+	}));
+};
+
+const placeDaemons = async (size: FleetSize, platform: string): Promise<readonly DaemonPlace[]> => {
+	const count = size.zones.length * size.daemonsPerZone;
+	const addresses = await findFreeAddresses(count * addressesOfDaemon);
+	return Array.from({length: count}, (_, position) => {
+		const [callers, peers, operators] = addresses.slice(position * addressesOfDaemon) as [string, string, string];
+		return {
+			instance: `entry-${position + 1}`, zone: size.zones[position % size.zones.length]!, callers, peers, operators, platform,
+		};
+	});
+};
+
+const stopDaemon = async (daemon: DaemonProcess): Promise<void> => {
+	daemon.signal('SIGCONT');
+	daemon.signal('SIGKILL');
+	await Promise.race([daemon.exited, sleep(stopTimeoutMilliseconds, undefined, {ref: false})]);
+};
+
+/**
+Starts stand-ins and daemons, and waits until every daemon takes requests.
+
+@example
+```
+const fleet = await startFleet({zones: ['zone-a', 'zone-b'], daemonsPerZone: 1, endpointsPerZone: 1, slots: 8});
+await fleet.accept('paysheet');
+await fleet.stop();
+```
+*/
+export const startFleet = async (size: FleetSize): Promise<Fleet> => {
+	const directory = await mkdtemp(join(tmpdir(), 'galenakeel-'));
+	const [platformAddress, balancerAddress] = await findFreeAddresses(2) as [string, string];
+	const platform = await startPlatformStandIn(platformAddress, {listLagMilliseconds: size.listLagMilliseconds ?? 0});
+	const balancer = await startBalancerStandIn(balancerAddress);
+	const endpoints = await startEndpoints(size);
+	const places = await placeDaemons(size, platformAddress);
+	platform.setInstances(listedOf(places, endpoints));
+	const daemons = await Promise.all(places.map(async place => startDaemonProcess(directory, place, size.settings)));
+	await Promise.all(daemons.map(async daemon => daemon.untilReady(readyTimeoutMilliseconds)));
+	balancer.setInstances(daemons);
+	const client = createPlatformClient(platformAddress, stopTimeoutMilliseconds);
+
+	const describe = (service: string): Record<string, unknown> => ({
+		service,
+		team: 'owners',
+		endpoints: Object.fromEntries(size.zones.map(zone => [
+			zone,
+			endpoints.filter(endpoint => endpoint.zone === zone).map(({name, standIn}) => ({name, address: standIn.address, slots: size.slots})),
+		])),
+	});
+
+	return {
+		directory,
+		platform,
+		client,
+		balancer,
+		endpoints,
+		daemons,
+		list({leaving = [], gone = []} = {}) {
+			const listed = listedOf(places, endpoints)
+				.filter(({name}) => !gone.includes(name))
+				.map(instance => leaving.includes(instance.name) ? {...instance, state: ListedState.Leaving} : instance);
+			platform.setInstances(listed);
+		},
+		async accept(service, change = document => document) {
+			const current = await readDocument(client, service);
+			return acceptDocument(client, {
+				text: JSON.stringify(change(describe(service)), undefined, '\t'), seenVersion: current?.version ?? 0, author: 'trial', nonce: randomUUID(),
+			});
+		},
+		async stop() {
+			await Promise.all(daemons.map(async daemon => stopDaemon(daemon)));
+			balancer.close();
+			platform.close();
+			for (const {standIn} of endpoints) {
+				standIn.close();
+			}
+
+			await rm(directory, {recursive: true, force: true});
+		},
+	};
+};
