--- a/packages/galenakeel/src/connection/instance-status.ts
+++ b/packages/galenakeel/src/connection/instance-status.ts
@@ -1,6 +1,7 @@
 import {request as httpRequest, type IncomingMessage} from 'node:http';
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {DaemonStatus} from '@galenakeel/model/process/daemon-status.js';
 import {parseJson} from '@galenakeel/model/connection/json.js';
 import {
 	InstanceRole, ListedState, splitAddress, type ListedInstance, type Platform,
@@ -10,15 +11,9 @@
 const unreachableState = 'unreachable';
 
 /**
-What an entry instance says of itself; only name and zone are known of one that can't be reached.
+The status of an entry instance; only name and zone are known of one that can't be reached.
 */
-export type InstanceStatus = {
-	readonly [detail: string]: unknown;
-	readonly instance: string;
-	readonly zone: string;
-	readonly state: string;
-	readonly catalogueVersion: number;
-};
+export type InstanceStatus = Pick<DaemonStatus, 'instance' | 'zone' | 'state' | 'catalogueVersion'> & Partial<DaemonStatus>;
 
 const readText = async (message: IncomingMessage): Promise<string> => {
 	let text = '';
--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -3,7 +3,7 @@
 import {detailOf, FaultKind, isFault} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
-import type {SubmissionState} from '../process/submission-register.js';
+import type {JobView} from '../request/inspect-submission.js';
 import {relayRequest, type RelayRun} from '../request/relay-request.js';
 import {
 	CallerRequestKind, parseCallerRoute, problemOf, readJob, readRelayBody, readTask, readTerms, writeJobAnswer, writeJson, writeProblem, writeTaskAnswer, type CallerRoute, type JobRequest,
@@ -14,24 +14,6 @@
 */
 export type CallerExchange = {readonly request: IncomingMessage; readonly response: ServerResponse};
 
-/**
-How far a job without an answer has come.
-*/
-export type JobProgress = {
-	readonly state: SubmissionState;
-	/** Number of tasks in all, of those sent to an endpoint, and of those with an answer. */
-	readonly tasks: number;
-	readonly started: number;
-	readonly finished: number;
-};
-
-/**
-The state of a job as a caller sees it.
-*/
-export type JobView
-	= | {readonly isAnswered: true; readonly answer: SubmissionAnswer}
-		| ({readonly isAnswered: false} & JobProgress);
-
 /**
 What a caller's connection needs from the process.
 */
--- a/packages/galenakeeld/src/connection/peer-encoding.ts
+++ b/packages/galenakeeld/src/connection/peer-encoding.ts
@@ -6,6 +6,8 @@
 	HeaderList, Submission, SubmissionAnswer, Task, TaskAnswer,
 } from '@galenakeel/model/request/task.js';
 import {InstanceState, type PeerHeartbeat} from '../process/membership.js';
+import {isSubmissionState, SubmissionState} from '../process/submission-register.js';
+import type {JobView} from '../request/inspect-submission.js';
 
 const outcomeToWire: Readonly<Record<Outcome, wire.Outcome>> = {
 	[Outcome.Complete]: wire.Outcome.OUTCOME_COMPLETE,
@@ -158,3 +160,41 @@
 export const heartbeatFromWire = ({freeSlots, ...heartbeat}: wire.Heartbeat): PeerHeartbeat => ({
 	...heartbeat, state: stateFromWire(heartbeat.state), hints: freeSlots,
 });
+
+const notKept: wire.InspectReply = {
+	state: '', tasks: 0, started: 0, finished: 0, answer: undefined,
+};
+
+/**
+Encodes what this incarnation knows of a submission; `undefined` says that it is not kept here.
+*/
+export const jobViewToWire = (view: JobView | undefined): wire.InspectReply => {
+	if (!view) {
+		return notKept;
+	}
+
+	if (view.isAnswered) {
+		return {...notKept, state: SubmissionState.Answered, answer: answerToWire(view.answer)};
+	}
+
+	const {state, tasks, started, finished} = view;
+	return {
+		state, tasks, started, finished, answer: undefined,
+	};
+};
+
+/**
+Decodes what a peer knows of a submission; `undefined` when it does not keep it.
+*/
+export const jobViewFromWire = (reply: wire.InspectReply): JobView | undefined => {
+	const {state, tasks, started, finished, answer} = reply;
+	if (answer) {
+		return {isAnswered: true, answer: answerFromWire(answer)};
+	}
+
+	return isSubmissionState(state)
+		? {
+			isAnswered: false, state, tasks, started, finished,
+		}
+		: undefined;
+};
--- a/packages/galenakeeld/src/connection/peer-service.ts
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -2,13 +2,16 @@
 	Server, ServerCredentials, status, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall,
 } from '@grpc/grpc-js';
 import {
-	PeerService, type BorrowSlotsReply, type BorrowSlotsRequest, type FetchDocumentsReply, type Heartbeat, type InspectReply, type InspectRequest, type PeerServer, type ReturnSlotsRequest,
+	PeerService, type BorrowSlotsReply, type BorrowSlotsRequest, type FetchDocumentsReply, type Heartbeat, type PeerServer, type ReturnSlotsRequest,
 } from '@galenakeel/model/connection/generated/peer.js';
 import {detailOf} from '@galenakeel/model/request/fault.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import type {PeerHeartbeat} from '../process/membership.js';
+import type {JobView} from '../request/inspect-submission.js';
 import {channelOptions, sendHeartbeats, type HeartbeatSource} from './peer-connection.js';
-import {answerToWire, heartbeatFromWire, submissionFromWire} from './peer-encoding.js';
+import {
+	answerToWire, heartbeatFromWire, jobViewToWire, submissionFromWire,
+} from './peer-encoding.js';
 
 /**
 What this instance does for its peers.
@@ -17,7 +20,8 @@
 	readonly hear: (heartbeat: PeerHeartbeat) => void;
 	readonly heartbeats: HeartbeatSource;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
-	readonly inspect: (request: InspectRequest) => Promise<InspectReply>;
+	/** Looks at a submission that this incarnation holds, or cancels it. */
+	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView | undefined>;
 	readonly lendSlots: (request: BorrowSlotsRequest) => BorrowSlotsReply;
 	readonly takeBackSlots: (request: ReturnSlotsRequest) => void;
 	readonly documentsAbove: (version: number) => FetchDocumentsReply;
@@ -72,7 +76,7 @@
 			void serveHeartbeats(stream, handlers);
 		},
 		submit: answerCall(async request => answerToWire(await handlers.submit(submissionFromWire(request)))),
-		inspect: answerCall(handlers.inspect),
+		inspect: answerCall(async ({identifier, cancel}) => jobViewToWire(await handlers.inspect(identifier, cancel))),
 		borrowSlots: answerCall(handlers.lendSlots),
 		returnSlots: answerCall(request => {
 			handlers.takeBackSlots(request);
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -1,23 +1,20 @@
 import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
-import type {InspectReply, InspectRequest} from '@galenakeel/model/connection/generated/peer.js';
-import {detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
-import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
-import type {CallerRun, JobView} from '../connection/caller-connection.js';
+import type {CallerRun} from '../connection/caller-connection.js';
 import {createEndpointConnections} from '../connection/endpoint-connection.js';
-import {answerFromWire, answerToWire, submissionToWire} from '../connection/peer-encoding.js';
 import {startPeerServer} from '../connection/peer-service.js';
-import {answerUnknown, submit, type SubmissionRun} from '../request/run-submission.js';
-import {
-	IdentifierKind, mintIdentifier, parseIdentifier, type IdentifierHolder,
-} from '../request/submission-identifier.js';
+import {inspectHeld, inspectSubmission} from '../request/inspect-submission.js';
+import {submit, type SubmissionRun} from '../request/run-submission.js';
+import {mintIdentifier} from '../request/submission-identifier.js';
 import type {TaskRun} from '../request/run-task.js';
 import {createDocumentCatalogue} from '../version/document-catalogue.js';
 import type {ServiceVersion} from '../version/service-version.js';
 import {startCallerServer} from './caller-server.js';
 import {createClaimWriter} from './claim-writer.js';
 import type {DaemonSettings} from './daemon-settings.js';
+import {describeDaemon} from './daemon-status.js';
 import {drain} from './drain.js';
 import {createHeartbeatSource} from './heartbeat-source.js';
+import {createHolderCalls} from './holder-calls.js';
 import {createIncarnation} from './incarnation.js';
 import type {Log} from './log.js';
 import {
@@ -28,11 +25,10 @@
 import {runPlatformWatch} from './platform-watch.js';
 import {createServiceDispatchers} from './service-dispatchers.js';
 import type {SlotLease} from './slot-leases.js';
-import {createSubmissionRegister, SubmissionState} from './submission-register.js';
+import {createSubmissionRegister} from './submission-register.js';
 
 const sweepMilliseconds = 20;
 const slowSweepMilliseconds = 500;
-const forwardMarginMilliseconds = 1000;
 
 /**
 A running daemon.
@@ -98,18 +94,7 @@
 	});
 	void claims.run();
 
-	const forward = async (holder: IdentifierHolder, submission: Submission): Promise<SubmissionAnswer> => {
-		const calls = directory.callsOf(holder.instance);
-		if (!calls) {
-			return answerUnknown(FaultKind.HolderUnreachable, `the instance "${holder.instance}" that holds "${submission.identifier}" is not listed`);
-		}
-
-		try {
-			return answerFromWire(await calls.submit(submissionToWire(submission, holder.incarnation), submission.deadlineMilliseconds + forwardMarginMilliseconds));
-		} catch (error) {
-			return answerUnknown(FaultKind.HolderUnreachable, detailOf(error));
-		}
-	};
+	const holders = createHolderCalls(directory.callsOf, settings.peers.callTimeoutMilliseconds);
 
 	const taskRun = (version: ServiceVersion): Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'> => {
 		const {service} = version.document;
@@ -124,67 +109,7 @@
 	};
 
 	const submissionRun: SubmissionRun = {
-		self, register, claim: claims.claim, forward, findVersion: catalogue.versionOf, admit: dispatchers.admit, taskRun,
-	};
-
-	const inspectHere = (identifier: string, isCancelled: boolean): JobView | undefined => {
-		const entry = register.entryOf(identifier);
-		if (!entry) {
-			return undefined;
-		}
-
-		if (isCancelled) {
-			entry.cancellation.abort();
-		}
-
-		return {
-			isAnswered: false, state: entry.state, tasks: entry.tasks, started: entry.started, finished: entry.finished,
-		};
-	};
-
-	const describeHeld = async (request: InspectRequest): Promise<InspectReply> => {
-		const view = inspectHere(request.identifier, request.cancel);
-		const entry = register.entryOf(request.identifier);
-		if (!view || view.isAnswered || !entry) {
-			return {
-				state: '', tasks: 0, started: 0, finished: 0, answer: undefined,
-			};
-		}
-
-		const {isAnswered: _isAnswered, ...counts} = view;
-		return {...counts, answer: entry.state === SubmissionState.Answered ? answerToWire(await entry.answer) : undefined};
-	};
-
-	const holderOf = async (identifier: string): Promise<IdentifierHolder | undefined> => {
-		const parsed = parseIdentifier(identifier);
-		return parsed?.kind === IdentifierKind.Minted ? parsed.holder : claims.findHolder(identifier);
-	};
-
-	const inspect = async (identifier: string, isCancelled: boolean): Promise<JobView> => {
-		const view = inspectHere(identifier, isCancelled);
-		const entry = register.entryOf(identifier);
-		if (view && entry) {
-			return entry.state === SubmissionState.Answered ? {isAnswered: true, answer: await entry.answer} : view;
-		}
-
-		const holder = await holderOf(identifier);
-		if (!holder) {
-			return {isAnswered: true, answer: answerUnknown(FaultKind.BadIdentifier, `no instance holds "${identifier}"`)};
-		}
-
-		const calls = holder.incarnation === self.incarnation ? undefined : directory.callsOf(holder.instance);
-		const reply = await calls?.inspect({identifier, incarnation: holder.incarnation, cancel: isCancelled}, settings.peers.callTimeoutMilliseconds);
-		if (!reply || reply.state === '') {
-			return {isAnswered: true, answer: answerUnknown(FaultKind.AnswerDiscarded, `the holder of "${identifier}" no longer keeps it`)};
-		}
-
-		if (reply.answer) {
-			return {isAnswered: true, answer: answerFromWire(reply.answer)};
-		}
-
-		return {
-			isAnswered: false, state: reply.state as SubmissionState, tasks: reply.tasks, started: reply.started, finished: reply.finished,
-		};
+		self, register, claim: claims.claim, forward: holders.forward, findVersion: catalogue.versionOf, admit: dispatchers.admit, taskRun,
 	};
 
 	const callerRun: CallerRun = {
@@ -198,7 +123,9 @@
 			return identifier;
 		},
 		submit: async submission => submit(submission, submissionRun),
-		inspect,
+		inspect: async (identifier, isCancelled) => inspectSubmission(identifier, isCancelled, {
+			self, register, findHolder: claims.findHolder, inspectRemote: holders.inspect,
+		}),
 		defaultDeadlineMilliseconds: service => catalogue.versionOf(service)?.document.deadlineMilliseconds ?? settings.peers.callTimeoutMilliseconds,
 		isLeaving: () => membership.state === InstanceState.Leaving,
 		onAnswered() {
@@ -210,7 +137,7 @@
 		hear: membership.hear,
 		heartbeats,
 		submit: async submission => submit(submission, submissionRun),
-		inspect: describeHeld,
+		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
 		lendSlots({service, count}) {
 			const dispatched = dispatchers.serviceOf(service);
 			return {
@@ -230,17 +157,8 @@
 	const callers = await startCallerServer(settings.listen.callers, callerRun, settings.limits);
 	const stopOperators = await startOperatorServer(settings.listen.operators, {
 		isReady: () => membership.state === InstanceState.Serving,
-		status: () => ({
-			...self,
-			state: membership.state,
-			catalogueVersion: catalogue.catalogueVersion(),
-			documents: catalogue.all().map(({version, document}) => ({service: document.service, version})),
-			peers: membership.peers().map(({instance, state, isReachable}) => ({instance, state, isReachable})),
-			services: [...dispatchers.all()].map(([service, {dispatcher}]) => ({
-				service, waiting: dispatcher.waiting(), usable: dispatcher.ledger.usable(), busy: dispatcher.ledger.busy(), free: dispatcher.ledger.free(),
-			})),
-			unanswered: register.unanswered(),
-			leavingEndpoints: membership.leavingEndpoints(),
+		status: () => describeDaemon({
+			self, membership, catalogue, dispatchers, register,
 		}),
 	});
 
--- /dev/null
+++ b/packages/galenakeeld/src/process/holder-calls.ts
@@ -0,0 +1,51 @@
+import {createFault, detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
+import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
+import type {PeerCalls} from '../connection/peer-connection.js';
+import {answerFromWire, jobViewFromWire, submissionToWire} from '../connection/peer-encoding.js';
+import type {RemoteInspection} from '../request/inspect-submission.js';
+import {answerUnknown} from '../request/run-submission.js';
+import type {IdentifierHolder} from '../request/submission-identifier.js';
+
+const forwardMarginMilliseconds = 1000;
+
+/**
+Calls to the incarnation that holds an identifier.
+*/
+export type HolderCalls = {
+	/** Hands a submission to its holder; never throws. */
+	readonly forward: (holder: IdentifierHolder, submission: Submission) => Promise<SubmissionAnswer>;
+	/** Looks at a submission at its holder, or cancels it. @throws A fault of kind `HolderUnreachable`. */
+	readonly inspect: RemoteInspection;
+};
+
+/**
+Creates the calls to holders.
+
+@param callsOf Finds the calls to an instance by its name.
+*/
+export const createHolderCalls = (callsOf: (instance: string) => PeerCalls | undefined, callTimeoutMilliseconds: number): HolderCalls => {
+	const reach = (holder: IdentifierHolder, identifier: string): PeerCalls => {
+		const calls = callsOf(holder.instance);
+		if (!calls) {
+			throw createFault(FaultKind.HolderUnreachable, `the instance "${holder.instance}" that holds "${identifier}" is not listed`);
+		}
+
+		return calls;
+	};
+
+	return {
+		async forward(holder, submission) {
+			try {
+				const request = submissionToWire(submission, holder.incarnation);
+				const reply = await reach(holder, submission.identifier).submit(request, submission.deadlineMilliseconds + forwardMarginMilliseconds);
+				return answerFromWire(reply);
+			} catch (error) {
+				return answerUnknown(FaultKind.HolderUnreachable, detailOf(error));
+			}
+		},
+		async inspect(holder, identifier, isCancelled) {
+			const request = {identifier, incarnation: holder.incarnation, cancel: isCancelled};
+			return jobViewFromWire(await reach(holder, identifier).inspect(request, callTimeoutMilliseconds));
+		},
+	};
+};
--- a/packages/galenakeeld/src/process/submission-register.ts
+++ b/packages/galenakeeld/src/process/submission-register.ts
@@ -14,6 +14,13 @@
 	Answered = 'answered',
 }
 
+const submissionStates: ReadonlySet<string> = new Set(Object.values(SubmissionState));
+
+/**
+Tells whether a string is the text of a submission's state.
+*/
+export const isSubmissionState = (value: string): value is SubmissionState => submissionStates.has(value);
+
 /**
 A submission that this incarnation holds.
 */
