--- a/packages/stand-ins/src/process/platform-stand-in.ts
+++ b/packages/stand-ins/src/process/platform-stand-in.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {
 	ListedInstance, TableCondition, TableRow, TableWrite,
 } from '@galenakeel/model/connection/platform-client.js';
@@ -20,6 +20,11 @@
 	isStale: boolean;
 };
 
+/**
+Changes the instance list for those who ask at one address, so that they reach others through proxies of their own.
+*/
+export type ListView = (instance: ListedInstance) => ListedInstance;
+
 /**
 A running stand-in of the platform: table, object store and instance list.
 */
@@ -30,6 +35,8 @@
 	/** Number of calls answered, by kind. */
 	readonly counts: {transactions: number; reads: number};
 	readonly rows: () => readonly TableRow[];
+	/** Serves the same platform at a further address, whose list is changed by a function. */
+	readonly addView: (address: string, view: ListView) => Promise<void>;
 	readonly close: () => void;
 };
 
@@ -114,7 +121,7 @@
 		writeJson(response, value === undefined ? 404 : 200, {value});
 	};
 
-	const server = await listen(address, async (request, response) => {
+	const serve = async (request: IncomingMessage, response: ServerResponse, view: ListView): Promise<void> => {
 		if (faults.isDown) {
 			request.socket.destroy();
 			return;
@@ -135,7 +142,7 @@
 			}
 
 			case '/instances': {
-				writeJson(response, 200, instances);
+				writeJson(response, 200, instances.map(instance => view(instance)));
 				return undefined;
 			}
 
@@ -143,12 +150,19 @@
 				return serveObject(request, response, decodeURIComponent(request.url!.replace('/objects/', '')));
 			}
 		}
-	});
+	};
 
+	const servers: Server[] = [];
+	const addView = async (viewAddress: string, view: ListView): Promise<void> => {
+		servers.push(await listen(viewAddress, async (request, response) => serve(request, response, view)));
+	};
+
+	await addView(address, instance => instance);
 	return {
 		address,
 		faults,
 		counts,
+		addView,
 		rows: () => [...rows.values()],
 		setInstances(next) {
 			setTimeout(() => {
@@ -156,8 +170,10 @@
 			}, options.listLagMilliseconds);
 		},
 		close() {
-			server.close();
-			server.closeAllConnections();
+			for (const server of servers) {
+				server.close();
+				server.closeAllConnections();
+			}
 		},
 	};
 };
--- a/packages/trials/src/process/__tests__/whole-path.steps.ts
+++ b/packages/trials/src/process/__tests__/whole-path.steps.ts
@@ -56,7 +56,7 @@
 	this.results.push(await submitAsCaller(callersOf(this, daemon), 'GET', `/v1/services/${service}/sheet?task=long&run=1&bytes=${bytes}`));
 });
 
-When('a caller submits a job of {int} tasks for {string} as {string} through daemon {int}', async function (this: FleetWorld, tasks: number, service: string, name: string, daemon: number) {
+When('a caller submits a job of {int} tasks for {string} as {string} through daemon {int}', async function (this: FleetWorld, ...[tasks, service, name, daemon]: [number, string, string, number]) {
 	await submitJob(this, {
 		tasks, service, name, daemon,
 	});
@@ -69,8 +69,8 @@
 });
 
 When('an operator accepts a document for {string} that names only endpoint {int}', async function (this: FleetWorld, service: string, endpoint: number) {
-	const {zone, name, standIn} = this.running.endpoints[endpoint - 1]!;
-	await this.running.accept(service, document => ({...document, endpoints: {[zone]: [{name, address: standIn.address}]}}));
+	const {zone, name, address} = this.running.endpoints[endpoint - 1]!;
+	await this.running.accept(service, document => ({...document, endpoints: {[zone]: [{name, address}]}}));
 });
 
 const sendRaw = async (address: string, text: string): Promise<string> => {
--- a/packages/trials/src/process/daemon-process.ts
+++ b/packages/trials/src/process/daemon-process.ts
@@ -54,6 +54,14 @@
 	const log = openSync(join(directory, `${place.instance}.log`), 'a');
 	const child = spawn(process.execPath, [daemonProgram, '--settings', settingsPath], {stdio: ['ignore', log, log]});
 	closeSync(log);
+	const endWithThisProcess = (): void => {
+		child.kill('SIGKILL');
+	};
+
+	process.once('exit', endWithThisProcess);
+	child.once('exit', () => {
+		process.off('exit', endWithThisProcess);
+	});
 	const exited = (async () => {
 		const [code, signal] = await once(child, 'exit') as [number | undefined, string | undefined];
 		return code ?? signal ?? 'unknown';
--- a/packages/trials/src/process/fleet.ts
+++ b/packages/trials/src/process/fleet.ts
@@ -8,10 +8,12 @@
 } from '@galenakeel/model/connection/platform-client.js';
 import {acceptDocument, readDocument} from '@galenakeel/model/version/document-store.js';
 import {startBalancerStandIn, type BalancerStandIn} from '@galenakeel/stand-ins/connection/balancer-stand-in.js';
+import {startFaultProxy, type FaultProxy} from '@galenakeel/stand-ins/connection/fault-proxy.js';
 import {startEndpointStandIn, type EndpointStandIn} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import {startPlatformStandIn, type PlatformStandIn} from '@galenakeel/stand-ins/process/platform-stand-in.js';
 import {startDaemonProcess, type DaemonPlace, type DaemonProcess} from './daemon-process.js';
 import {findFreeAddresses} from './free-ports.js';
+import {startProxiedLinks, type ProxiedLinks} from './proxied-links.js';
 
 const readyTimeoutMilliseconds = 15_000;
 const stopTimeoutMilliseconds = 5000;
@@ -28,6 +30,8 @@
 	/** Speed of the endpoint at a position, over all zones. */
 	readonly speedOf?: (position: number) => number;
 	readonly listLagMilliseconds?: number;
+	/** Whether each link has a fault-injecting proxy of its own. */
+	readonly isProxied?: boolean;
 	/** Settings of every daemon beyond its addresses. */
 	readonly settings?: Readonly<Record<string, unknown>>;
 };
@@ -35,7 +39,14 @@
 /**
 An endpoint stand-in with its availability zone.
 */
-export type PlacedEndpoint = {readonly name: string; readonly zone: string; readonly standIn: EndpointStandIn};
+export type PlacedEndpoint = {
+	readonly name: string;
+	readonly zone: string;
+	readonly standIn: EndpointStandIn;
+	/** Address that documents name; that of the proxy when there is one. */
+	readonly address: string;
+	readonly proxy: FaultProxy | undefined;
+};
 
 /**
 Stand-ins and daemons that form one system.
@@ -47,6 +58,12 @@
 	readonly balancer: BalancerStandIn;
 	readonly endpoints: readonly PlacedEndpoint[];
 	readonly daemons: readonly DaemonProcess[];
+	/** Present when the fleet is proxied. */
+	readonly links: ProxiedLinks | undefined;
+	/** Starts a further run of a daemon that has ended, in its place. */
+	readonly restart: (instance: string) => Promise<DaemonProcess>;
+	/** Address under which callers reach a daemon. */
+	readonly callersOf: (instance: string) => string;
 	/** Shows the platform's list as it should be: all daemons and endpoints but those named as leaving or gone. */
 	readonly list: (changes?: {readonly leaving?: readonly string[]; readonly gone?: readonly string[]}) => void;
 	/** Accepts a document for a service over all endpoints, changed by a function. */
@@ -58,18 +75,26 @@
 	...daemons.map(({instance, zone, peers, operators}) => ({
 		name: instance, role: InstanceRole.Entry, zone, address: peers, operators, state: ListedState.Live, incarnation: '1',
 	})),
-	...endpoints.map(({name, zone, standIn}) => ({
-		name, role: InstanceRole.Endpoint, zone, address: standIn.address, state: ListedState.Live, incarnation: '1',
+	...endpoints.map(({name, zone, address}) => ({
+		name, role: InstanceRole.Endpoint, zone, address, state: ListedState.Live, incarnation: '1',
 	})),
 ];
 
+const startProxyTo = async (target: string): Promise<FaultProxy> => {
+	const [address] = await findFreeAddresses(1) as [string];
+	return startFaultProxy(address, target);
+};
+
 const startEndpoints = async (size: FleetSize): Promise<readonly PlacedEndpoint[]> => {
 	const count = size.zones.length * size.endpointsPerZone;
 	const addresses = await findFreeAddresses(count);
 	return Promise.all(addresses.map(async (address, position) => {
 		const speed = size.speedOf?.(position) ?? 1;
 		const standIn = await startEndpointStandIn(address, {slots: size.slots, speed, connections: 64});
-		return {name: `worker-${position + 1}`, zone: size.zones[position % size.zones.length]!, standIn};
+		const proxy = size.isProxied ? await startProxyTo(address) : undefined;
+		return {
+			name: `worker-${position + 1}`, zone: size.zones[position % size.zones.length]!, standIn, address: proxy?.address ?? address, proxy,
+		};
 	}));
 };
 
@@ -108,7 +133,10 @@
 	const endpoints = await startEndpoints(size);
 	const places = await placeDaemons(size, platformAddress);
 	platform.setInstances(listedOf(places, endpoints));
-	const daemons = await Promise.all(places.map(async place => startDaemonProcess(directory, place, size.settings)));
+	const links = size.isProxied ? await startProxiedLinks(platform, places) : undefined;
+	const start = async (place: DaemonPlace): Promise<DaemonProcess> =>
+		startDaemonProcess(directory, {...place, platform: links?.toPlatform.get(place.instance)?.address ?? place.platform}, size.settings);
+	const daemons = await Promise.all(places.map(async place => start(place)));
 	await Promise.all(daemons.map(async daemon => daemon.untilReady(readyTimeoutMilliseconds)));
 	balancer.setInstances(daemons);
 	const client = createPlatformClient(platformAddress, stopTimeoutMilliseconds);
@@ -118,7 +146,7 @@
 		team: 'owners',
 		endpoints: Object.fromEntries(size.zones.map(zone => [
 			zone,
-			endpoints.filter(endpoint => endpoint.zone === zone).map(({name, standIn}) => ({name, address: standIn.address, slots: size.slots})),
+			endpoints.filter(endpoint => endpoint.zone === zone).map(({name, address}) => ({name, address, slots: size.slots})),
 		])),
 	});
 
@@ -129,6 +157,14 @@
 		balancer,
 		endpoints,
 		daemons,
+		links,
+		async restart(instance) {
+			const position = daemons.findIndex(daemon => daemon.instance === instance);
+			const daemon = await start(places[position]!);
+			daemons[position] = daemon;
+			return daemon;
+		},
+		callersOf: instance => links?.toCallers.get(instance)?.address ?? places.find(place => place.instance === instance)!.callers,
 		list({leaving = [], gone = []} = {}) {
 			const listed = listedOf(places, endpoints)
 				.filter(({name}) => !gone.includes(name))
@@ -145,7 +181,9 @@
 			await Promise.all(daemons.map(async daemon => stopDaemon(daemon)));
 			balancer.close();
 			platform.close();
-			for (const {standIn} of endpoints) {
+			links?.close();
+			for (const {standIn, proxy} of endpoints) {
+				proxy?.close();
 				standIn.close();
 			}
 
--- a/packages/trials/src/process/free-ports.ts
+++ b/packages/trials/src/process/free-ports.ts
@@ -1,8 +1,30 @@
 import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
+import process from 'node:process';
+
+// Below the range from which the system takes ports for outgoing connections, so that none of those takes one meanwhile.
+const firstPort = 10_000;
+const portCount = 22_000;
+const portsBetweenProcesses = 211;
+
+let next = (process.pid * portsBetweenProcesses) % portCount;
+
+const isFree = async (port: number): Promise<boolean> => {
+	const server = createServer();
+	server.listen(port, '127.0.0.1');
+	try {
+		await once(server, 'listening');
+	} catch {
+		return false;
+	}
+
+	server.close();
+	await once(server, 'close');
+	return true;
+};
 
 /**
-Finds loopback addresses that nothing listens on.
+Finds loopback addresses that nothing listens on, and that this process has not been given before.
 
 @example
 ```
@@ -10,17 +32,13 @@
 ```
 */
 export const findFreeAddresses = async (count: number): Promise<readonly string[]> => {
-	const servers = Array.from({length: count}, () => createServer());
 	const addresses: string[] = [];
-	for (const server of servers) {
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`);
-	}
-
-	for (const server of servers) {
-		server.close();
-		await once(server, 'close');
+	while (addresses.length < count) {
+		next = (next + 1) % portCount;
+		const port = firstPort + next;
+		if (await isFree(port)) {
+			addresses.push(`127.0.0.1:${port}`);
+		}
 	}
 
 	return addresses;
