Share slots evenly over the instances of a zone

Plain weighted rendezvous hashing gives each owner a binomial number of slots: with 240 slots and 6 owners one standard deviation is about 14%. An instance that is short by that much queues while others idle.

Ruled out: splitting each endpoint's slots by arithmetic (every change of members moves the slots of all owners).

Each slot now goes to the owner with the highest score that has not got its share yet (consistent hashing with bounded loads), so that shares differ by one slot at most.

--- a/packages/galenakeeld/src/version/slot-ownership.ts
+++ b/packages/galenakeeld/src/version/slot-ownership.ts
@@ -23,11 +23,16 @@
 	return -owner.weight / Math.log(uniform);
 };
 
-const ownerOf = (owners: readonly SlotOwner[], endpoint: string, slot: number): SlotOwner | undefined => {
+/**
+Owners that share the slots of some endpoints, with the slots that each still may take.
+*/
+type OwnerGroup = {readonly owners: readonly SlotOwner[]; readonly left: Map<string, number>};
+
+const ownerOf = ({owners, left}: OwnerGroup, endpoint: string, slot: number): SlotOwner | undefined => {
 	let best: SlotOwner | undefined;
 	let bestScore = -Infinity;
 	for (const owner of owners) {
-		const score = scoreOf(owner, endpoint, slot);
+		const score = left.get(owner.instance)! > 0 ? scoreOf(owner, endpoint, slot) : -Infinity;
 		if (score > bestScore) {
 			best = owner;
 			bestScore = score;
@@ -37,6 +42,12 @@
 	return best;
 };
 
+/** Bounds each owner's slots to its share by weight, rounded up. */
+const createGroup = (owners: readonly SlotOwner[], slots: number): OwnerGroup => {
+	const weight = owners.reduce((sum, owner) => sum + owner.weight, 0);
+	return {owners, left: new Map(owners.map(owner => [owner.instance, Math.ceil(slots * owner.weight / weight)]))};
+};
+
 const groupByZone = (owners: readonly SlotOwner[]): ReadonlyMap<string, readonly SlotOwner[]> => {
 	const groups = new Map<string, SlotOwner[]>();
 	for (const owner of owners) {
@@ -54,7 +65,7 @@
 /**
 Counts the slots of each endpoint that belong to one instance.
 
-The slots of an endpoint belong to the instances of its availability zone; while none of those is serving, to all.
+The slots of an endpoint belong to the instances of its availability zone; while none of those is serving, to all. Each slot goes to the owner with the highest score that has not got its share yet, as in consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018), so that shares differ by one slot at most.
 
 @returns Slot counts by endpoint address; endpoints without a slot of the instance are absent.
 
@@ -65,12 +76,24 @@
 */
 export const countOwnedSlots = (instance: string, owners: readonly SlotOwner[], endpoints: readonly OwnedEndpoint[]): ReadonlyMap<string, number> => {
 	const ownersByZone = groupByZone(owners);
+	const slotsByZone = new Map<string, number>();
+	for (const {zone, slots} of endpoints) {
+		slotsByZone.set(zone, (slotsByZone.get(zone) ?? 0) + slots);
+	}
+
+	const groups = new Map([...slotsByZone].map(([zone, slots]) => [zone, createGroup(ownersByZone.get(zone) ?? owners, slots)]));
 	const counts = new Map<string, number>();
-	for (const endpoint of endpoints) {
-		const candidates = ownersByZone.get(endpoint.zone) ?? owners;
-		for (let slot = 0; slot < endpoint.slots; slot++) {
-			if (ownerOf(candidates, endpoint.address, slot)?.instance === instance) {
-				counts.set(endpoint.address, (counts.get(endpoint.address) ?? 0) + 1);
+	for (const {address, zone, slots} of endpoints) {
+		const group = groups.get(zone)!;
+		for (let slot = 0; slot < slots; slot++) {
+			const owner = ownerOf(group, address, slot)?.instance;
+			if (owner === undefined) {
+				continue;
+			}
+
+			group.left.set(owner, group.left.get(owner)! - 1);
+			if (owner === instance) {
+				counts.set(address, (counts.get(address) ?? 0) + 1);
 			}
 		}
 	}
