--- a/packages/galenakeeld/src/process/choose-endpoint.ts
+++ b/packages/galenakeeld/src/process/choose-endpoint.ts
@@ -1,11 +1,6 @@
 import {PlacementPolicy} from '../version/placement-policy.js';
 import {freeSlotsOf, type ChooseEndpoint, type EndpointSlots} from './slot-ledger.js';
 
-/**
-Estimates the run time of a task kind on an endpoint, in milliseconds.
-*/
-export type EstimateRun = (slots: EndpointSlots, kind: string) => number;
-
 const openOnes = (candidates: Iterable<EndpointSlots>): EndpointSlots[] => [...candidates].filter(slots => slots.isOpen);
 
 const pick = (candidates: readonly EndpointSlots[]): EndpointSlots | undefined =>
@@ -40,17 +35,26 @@
 	return leastOf(pair, slots => slots.busy);
 };
 
+/**
+Tells whether the leases cover a run that begins now: an own slot needs none.
+*/
+const isCovered = (slots: EndpointSlots, runMilliseconds: number, now: number): boolean =>
+	slots.busy < slots.owned - slots.lent || now + runMilliseconds <= slots.borrowedUntil;
+
 /**
 Creates the function that chooses endpoints under a policy.
 
-The policies without shares send at once and leave queueing to the endpoint; those with shares take only a free slot, the one with the shortest estimated run.
+The policies without shares send at once and leave queueing to the endpoint; those with shares take only a free slot, the one with the shortest expected run.
+
+@param speedOf Estimated speed of an endpoint.
+@param clock Time on the monotonic clock, in milliseconds.
 
 @example
 ```
-const choose = createChooseEndpoint(PlacementPolicy.Shares, (slots, kind) => estimates.run(slots.endpoint, kind));
+const choose = createChooseEndpoint(PlacementPolicy.Shares, slots => estimates.speed(slots.endpoint.address, slots.endpoint.speed), () => performance.now());
 ```
 */
-export const createChooseEndpoint = (policy: PlacementPolicy, estimate: EstimateRun): ChooseEndpoint => {
+export const createChooseEndpoint = (policy: PlacementPolicy, speedOf: (slots: EndpointSlots) => number, clock: () => number): ChooseEndpoint => {
 	switch (policy) {
 		case PlacementPolicy.Random: {
 			return candidates => pick(openOnes(candidates));
@@ -70,7 +74,17 @@
 
 		case PlacementPolicy.Shares:
 		case PlacementPolicy.SharesWithBorrowing: {
-			return (candidates, kind) => leastOf(candidates, slots => freeSlotsOf(slots) > 0 ? estimate(slots, kind) : Infinity);
+			return (candidates, {workMilliseconds, avoidedEndpoint}) => {
+				const now = clock();
+				return leastOf(candidates, slots => {
+					const run = workMilliseconds / speedOf(slots);
+					if (freeSlotsOf(slots) === 0 || !isCovered(slots, run, now)) {
+						return Infinity;
+					}
+
+					return slots.endpoint.address === avoidedEndpoint ? Number.MAX_VALUE : run;
+				});
+			};
 		}
 	}
 };
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -14,17 +14,17 @@
 import {describeDaemon} from './daemon-status.js';
 import {drain} from './drain.js';
 import {createHeartbeatSource} from './heartbeat-source.js';
+import {createLendingCalls, lendSlots} from './lending-calls.js';
 import {createHolderCalls} from './holder-calls.js';
 import {createIncarnation} from './incarnation.js';
 import type {Log} from './log.js';
 import {
-	createMembership, InstanceState, type Peer, type PeerHeartbeat,
+	createMembership, InstanceState, type PeerHeartbeat,
 } from './membership.js';
 import {startOperatorServer} from './operator-server.js';
 import {createPeerDirectory} from './peer-directory.js';
 import {runPlatformWatch} from './platform-watch.js';
 import {createServiceDispatchers} from './service-dispatchers.js';
-import type {SlotLease} from './slot-leases.js';
 import {createSubmissionRegister} from './submission-register.js';
 
 const sweepMilliseconds = 20;
@@ -65,17 +65,10 @@
 			heartbeats.announce();
 		},
 	});
-	const borrowSlots = async (lender: Peer, service: string, count: number): Promise<readonly SlotLease[]> => {
-		try {
-			const reply = await directory.callsOf(lender.instance)?.borrowSlots({borrower: self.instance, service, count}, settings.peers.callTimeoutMilliseconds);
-			return reply?.leases ?? [];
-		} catch {
-			return [];
-		}
-	};
+	const lending = createLendingCalls({instance: self.instance, callsOf: instance => directory.callsOf(instance), callTimeoutMilliseconds: settings.peers.callTimeoutMilliseconds});
 
 	const dispatchers = createServiceDispatchers({
-		instance: self.instance, policy: settings.placement.policy, owners: membership.owners, isLeavingEndpoint: membership.isLeavingEndpoint, peers: membership.peers, borrowSlots,
+		instance: self.instance, policy: settings.placement.policy, owners: membership.owners, isLeavingEndpoint: membership.isLeavingEndpoint, peers: membership.peers, ...lending,
 	});
 	const catalogue = createDocumentCatalogue(dispatchers.install);
 
@@ -104,7 +97,7 @@
 			report(attempt) {
 				dispatchers.report(service, attempt);
 			},
-			mayRetry: () => true,
+			mayRetry: () => dispatchers.serviceOf(service)!.retries.spend(),
 		};
 	};
 
@@ -138,16 +131,9 @@
 		heartbeats,
 		submit: async submission => submit(submission, submissionRun),
 		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
-		lendSlots({service, count}) {
-			const dispatched = dispatchers.serviceOf(service);
-			return {
-				leases: [...dispatched?.leases.lend(count) ?? []],
-				leaseMilliseconds: dispatched?.leases.leaseMilliseconds ?? 0,
-				stillFree: dispatched?.dispatcher.ledger.free() ?? 0,
-			};
-		},
-		takeBackSlots() {
-			// Nothing is lent.
+		lendSlots: request => lendSlots(dispatchers, request),
+		takeBackSlots({borrower, service, leases}) {
+			dispatchers.serviceOf(service)?.leases.takeBack(borrower, leases);
 		},
 		documentsAbove: version => ({
 			catalogueVersion: catalogue.catalogueVersion(),
--- /dev/null
+++ b/packages/galenakeeld/src/process/decaying-histogram.ts
@@ -0,0 +1,65 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/**
+A distribution of run times in which old values fade.
+*/
+export type DecayingHistogram = {
+	readonly record: (milliseconds: number) => void;
+	/** Number of values that still count. */
+	readonly samples: () => number;
+	/** Mean in milliseconds; 0 without values. */
+	readonly mean: () => number;
+	/** Value at a percentile from 0 to 100, in milliseconds; 0 without values. */
+	readonly percentile: (percentile: number) => number;
+};
+
+const longestMilliseconds = 3_600_000;
+
+const createGeneration = (): Histogram => build({
+	bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 4096, numberOfSignificantValueDigits: 2,
+});
+
+/**
+Creates an empty distribution of two generations: the older is dropped whenever the newer holds enough values.
+
+@param generationSamples Values after which a new generation begins.
+
+@example
+```
+const runs = createDecayingHistogram(256);
+runs.record(120);
+runs.percentile(50); // => 120
+```
+*/
+export const createDecayingHistogram = (generationSamples: number): DecayingHistogram => {
+	let newer = createGeneration();
+	let older = createGeneration();
+	const both = createGeneration();
+	let isMerged = false;
+
+	const merge = (): Histogram => {
+		if (!isMerged) {
+			both.reset();
+			both.add(older);
+			both.add(newer);
+			isMerged = true;
+		}
+
+		return both;
+	};
+
+	return {
+		record(milliseconds) {
+			if (newer.totalCount >= generationSamples) {
+				[newer, older] = [older, newer];
+				newer.reset();
+			}
+
+			newer.recordValue(Math.min(longestMilliseconds, Math.max(1, Math.round(milliseconds))));
+			isMerged = false;
+		},
+		samples: () => newer.totalCount + older.totalCount,
+		mean: () => merge().mean,
+		percentile: percentile => merge().getValueAtPercentile(percentile),
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -0,0 +1,137 @@
+import {FaultKind} from '@galenakeel/model/request/fault.js';
+import type {AttemptReport} from '../request/run-task.js';
+import {
+	AttemptResult, createEndpointGuard, GuardReason, GuardState, type EndpointGuard, type GuardLimits,
+} from './endpoint-guard.js';
+import type {RunningTasks} from './running-tasks.js';
+import type {EndpointSlots, SlotLedger} from './slot-ledger.js';
+
+/** Share of a service's endpoints with server errors above which the tasks are at fault rather than the endpoints. */
+const maximumOpenShare = 0.5;
+/** Times the longest expected run time without any answer after which an endpoint counts as frozen. */
+const frozenFactor = 1.5;
+const frozenMarginMilliseconds = 100;
+
+/**
+The circuit breakers of one service's endpoints.
+*/
+export type EndpointGuards = {
+	/** Learns from an attempt at a task. */
+	readonly report: (attempt: AttemptReport, now: number) => void;
+	/** Looks for frozen endpoints and for probes that are due. */
+	readonly sweep: (now: number) => void;
+	readonly stateOf: (address: string) => GuardState;
+};
+
+/**
+Tells how an attempt speaks for its endpoint; `undefined` when it says nothing.
+
+@param longestMilliseconds Longest run time to be expected of the task on the endpoint.
+*/
+export const resultOf = (attempt: AttemptReport, longestMilliseconds: number): AttemptResult | undefined => {
+	if (attempt.fault === undefined) {
+		return attempt.isSuccess ? AttemptResult.Answered : AttemptResult.ServerError;
+	}
+
+	if (attempt.fault === FaultKind.EndpointUnreachable || attempt.fault === FaultKind.EndpointBroken) {
+		return AttemptResult.NoAnswer;
+	}
+
+	// The time that the caller granted may have been short.
+	const isTimeout = attempt.fault === FaultKind.EndpointTimeout && attempt.durationMilliseconds >= longestMilliseconds;
+	return isTimeout ? AttemptResult.NoAnswer : undefined;
+};
+
+/**
+Creates circuit breakers that keep the limits of the ledger's endpoints.
+
+@param options.longestRun Longest run time to be expected of a kind on an endpoint, in milliseconds.
+*/
+export const createEndpointGuards = (options: {
+	readonly ledger: SlotLedger;
+	readonly running: RunningTasks;
+	readonly limits: () => GuardLimits;
+	readonly longestRun: (slots: EndpointSlots, kind: string) => number;
+}): EndpointGuards => {
+	const {ledger, running} = options;
+	const guards = new Map<string, EndpointGuard>();
+
+	const guardOf = (address: string): EndpointGuard => {
+		let guard = guards.get(address);
+		if (!guard) {
+			guard = createEndpointGuard(options.limits);
+			guards.set(address, guard);
+		}
+
+		return guard;
+	};
+
+	const isFailing = (guard: EndpointGuard): boolean => guard.state() !== GuardState.Closed && guard.reason() === GuardReason.ServerErrors;
+
+	/** When most endpoints answer with errors, keeping work from them would only take the service down. */
+	const isServiceFailing = (): boolean => {
+		const failing = [...guards.values()].filter(guard => isFailing(guard)).length;
+		return failing > 1 && failing > ledger.inUse().length * maximumOpenShare;
+	};
+
+	const limitOf = (guard: EndpointGuard, slots: EndpointSlots): number => {
+		switch (guard.state()) {
+			case GuardState.Closed: {
+				return Infinity;
+			}
+
+			case GuardState.Open: {
+				return isFailing(guard) && isServiceFailing() ? Infinity : 0;
+			}
+
+			case GuardState.HalfOpen: {
+				// Tasks that hang must not keep the probe out; a probe on its way keeps the limit.
+				return slots.guardLimit === 0 ? slots.busy + 1 : slots.guardLimit;
+			}
+		}
+	};
+
+	const apply = (address: string, guard: EndpointGuard): void => {
+		const slots = ledger.slotsOf(address);
+		if (!slots) {
+			guards.delete(address);
+			return;
+		}
+
+		const guardLimit = limitOf(guard, slots);
+		if (guardLimit !== slots.guardLimit) {
+			ledger.change(slots, {guardLimit});
+		}
+	};
+
+	const freezeSilent = (now: number): void => {
+		for (const [slots, task] of running.oldest()) {
+			const guard = guardOf(slots.endpoint.address);
+			const silentSince = Math.max(task.startedAt, guard.answeredAt());
+			if (guard.state() === GuardState.Closed && now - silentSince > (task.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds) {
+				guard.freeze(now);
+			}
+		}
+	};
+
+	return {
+		report(attempt, now) {
+			const {address} = attempt.endpoint;
+			const slots = ledger.slotsOf(address);
+			const result = slots && resultOf(attempt, options.longestRun(slots, attempt.kind));
+			if (result) {
+				const guard = guardOf(address);
+				guard.record(result, now);
+				apply(address, guard);
+			}
+		},
+		sweep(now) {
+			freezeSilent(now);
+			for (const [address, guard] of guards) {
+				guard.look(now);
+				apply(address, guard);
+			}
+		},
+		stateOf: address => guards.get(address)?.state() ?? GuardState.Closed,
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/process/long-task-share.ts
@@ -0,0 +1,51 @@
+const riseFactor = 0.1;
+const fallFactor = 0.01;
+/** Slots kept beyond the mean need of short tasks, in standard deviations of a Poisson arrival process. */
+const reserveDeviations = 2;
+const smallestShare = 0.1;
+/** Times the median run time of a service above which a task counts as long. */
+const longFactor = 4;
+
+/**
+The share of the slots that long tasks may hold.
+*/
+export type LongTaskShare = {
+	/** Takes the number of slots that short tasks hold or wait for; called at a fixed interval. */
+	readonly observe: (shortTasks: number) => void;
+	/** Slots that long tasks may hold, of those that the instance may use. */
+	readonly limit: (usable: number) => number;
+};
+
+/**
+Tells whether a task counts as long in its service.
+
+@param medianMilliseconds Median run time of the task's kind.
+@param serviceMedianMilliseconds Median run time over all kinds of the service.
+*/
+export const isLongRun = (medianMilliseconds: number, serviceMedianMilliseconds: number): boolean =>
+	medianMilliseconds > serviceMedianMilliseconds * longFactor;
+
+/**
+Creates the share of an instance without load: all slots but one.
+
+The need of short tasks is followed quickly when it rises and slowly when it falls; long tasks get what is left beyond a reserve for the usual variation, and never less than a tenth.
+
+@example
+```
+const share = createLongTaskShare();
+share.observe(12);
+share.limit(40);
+```
+*/
+export const createLongTaskShare = (): LongTaskShare => {
+	let need = 0;
+	return {
+		observe(shortTasks) {
+			need += (shortTasks > need ? riseFactor : fallFactor) * (shortTasks - need);
+		},
+		limit(usable) {
+			const reserve = Math.ceil(need + (reserveDeviations * Math.sqrt(need)));
+			return Math.max(1, Math.floor(usable * smallestShare), usable - Math.max(1, reserve));
+		},
+	};
+};
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -3,15 +3,26 @@
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
 import PQueue from 'p-queue';
 import type {ServiceVersion} from '../version/service-version.js';
-import type {ChooseEndpoint, SlotGrant, SlotLedger} from './slot-ledger.js';
+import type {AdmissionLoad} from './admission.js';
+import {createLongTaskShare, isLongRun} from './long-task-share.js';
+import type {RunEstimates} from './run-estimates.js';
+import type {RunningTasks} from './running-tasks.js';
 import {
-	createTaskQueueClass, type TaskQueue, type WaitingOrder, type WaitingTask, type WaitingTaskOptions,
+	usableSlotsOf, type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
+} from './slot-ledger.js';
+import {
+	createTaskQueueClass, TaskLength, type TaskQueue, type WaitingOrder, type WaitingTask, type WaitingTaskOptions,
 } from './task-queue.js';
 
+/** Time for which tasks wait without a break before the queue counts as standing. */
+const standingMilliseconds = 500;
+/** Times the 90th percentile of its kind after which a task counts as long. */
+const overrunFactor = 2;
+
 /**
 What a task asks of a dispatcher.
 */
-export type SlotDemand = Omit<WaitingTask, 'abandon'>;
+export type SlotDemand = Pick<WaitingTask, 'kind' | 'team' | 'deadlineAt' | 'signal' | 'avoidedEndpoint'>;
 
 /**
 Hands the slots of one service to its waiting tasks.
@@ -26,11 +37,15 @@
 	readonly withSlot: <Result>(demand: SlotDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
 	/** Starts waiting tasks for which a slot has become free. */
 	readonly startNext: () => void;
-	/** Takes tasks out of the queue whose deadline has passed or whose caller has gone. */
+	/** Takes tasks out of the queue whose deadline has passed or whose caller has gone, and follows the load; called at a fixed interval. */
 	readonly sweep: () => void;
 	readonly waiting: () => number;
-	/** Expected time until a task that arrives now would start, in milliseconds. */
-	readonly expectedWaitMilliseconds: () => number;
+	/** Tasks that have been given a slot since the process began. */
+	readonly started: () => number;
+	/** Waiting tasks that could start if there were more free slots. */
+	readonly startable: () => number;
+	/** What a request of a team meets that holds tasks of a kind. */
+	readonly loadFor: (team: string, kind: string) => AdmissionLoad;
 	/** The version under which slots are owned at present. */
 	version: ServiceVersion;
 };
@@ -43,12 +58,17 @@
 	return now >= task.deadlineAt ? FaultKind.DeadlinePassed : undefined;
 };
 
+const abandon = (task: WaitingTask, kind: FaultKind): void => {
+	task.abandon(createFault(kind, kind === FaultKind.Cancelled ? 'the submission was cancelled before the task started' : 'the deadline passed before the task started'));
+};
+
 /**
 Creates the dispatcher of one service.
 
 @param options.choose Chooses the endpoint of the next task.
+@param options.hasShares Whether a task needs a free slot of this instance, rather than any open endpoint.
 @param options.order Holds the waiting tasks.
-@param options.meanRunMilliseconds Mean run time of the service's tasks, for the expected wait.
+@param options.onShortage Called when a task waits because no slot is free.
 
 @example
 ```
@@ -59,18 +79,67 @@
 	version: ServiceVersion;
 	ledger: SlotLedger;
 	order: WaitingOrder;
+	running: RunningTasks;
+	estimates: RunEstimates;
 	choose: ChooseEndpoint;
-	canChoose: (kind: string) => boolean;
-	meanRunMilliseconds: () => number;
+	hasShares: boolean;
+	onShortage: () => void;
 }): ServiceDispatcher => {
-	const {ledger, order, choose} = options;
+	const {ledger, order, running, estimates} = options;
+	const share = createLongTaskShare();
+	let chosen: {readonly task: WaitingTask; readonly revision: number; readonly slots: EndpointSlots | undefined} | undefined;
+	let emptyAt = performance.now();
+	let capacity: number | undefined;
+	let started = 0;
+
+	const longLeft = (): number => options.hasShares ? share.limit(ledger.usable()) - running.long() : Infinity;
+
+	const hasSlot = (): boolean => options.hasShares ? ledger.free() > 0 : [...ledger.all()].some(slots => slots.isOpen);
+
+	const choose = (task: WaitingTask): EndpointSlots | undefined => {
+		if (chosen?.task !== task || chosen.revision !== ledger.revision()) {
+			chosen = {task, revision: ledger.revision(), slots: options.choose(options.hasShares ? ledger.inUse() : ledger.all(), task)};
+		}
+
+		return chosen.slots;
+	};
+
+	const canStart = (task: WaitingTask): boolean =>
+		(task.length === TaskLength.Short || longLeft() > 0) && choose(task) !== undefined;
+
 	const queue = new PQueue<TaskQueue, WaitingTaskOptions>({
-		queueClass: createTaskQueueClass(order, task => options.canChoose(task.kind)),
+		queueClass: createTaskQueueClass(order, {hasSlot, canStart}),
 	});
 
-	const startNext = (): void => {
-		// Setting the concurrency makes `p-queue` look at its queue again.
-		queue.concurrency = Infinity;
+	const lengthOf = (kind: string): TaskLength =>
+		isLongRun(estimates.ofKind(kind).median, estimates.ofService().median) ? TaskLength.Long : TaskLength.Short;
+
+	const runOn = async <Result>(task: WaitingTask, slots: EndpointSlots, use: (grant: SlotGrant) => Promise<Result>): Promise<Result> => {
+		const startedAt = performance.now();
+		const speed = estimates.speed(slots.endpoint.address, slots.endpoint.speed);
+		const estimate = estimates.ofKind(task.kind);
+		const remove = running.add({
+			slots,
+			startedAt,
+			overrunAt: startedAt + (estimate.percentile90 * overrunFactor / speed),
+			longestMilliseconds: estimate.percentile99 / speed,
+			length: task.length,
+		});
+		const grant = ledger.take(slots);
+		started++;
+		try {
+			return await use(grant);
+		} finally {
+			remove();
+			order.settle(task.team, ((performance.now() - startedAt) * speed) - task.workMilliseconds);
+			grant.release();
+		}
+	};
+
+	/** Work that the usable slots do in a millisecond; measured anew with each sweep. */
+	const currentCapacity = (): number => {
+		capacity ??= ledger.inUse().reduce((sum, slots) => sum + (usableSlotsOf(slots) * estimates.speed(slots.endpoint.address, slots.endpoint.speed)), 0);
+		return capacity;
 	};
 
 	return {
@@ -79,41 +148,63 @@
 		async withSlot(demand, use) {
 			type Result = Awaited<ReturnType<typeof use>>;
 			const result = createDeferred<Result>();
+			const task: WaitingTask = {
+				...demand,
+				length: lengthOf(demand.kind),
+				workMilliseconds: estimates.ofKind(demand.kind).mean,
+				arrivedAt: performance.now(),
+				abandon: result.reject,
+			};
 			const run = async (): Promise<void> => {
-				const grant = ledger.take(choose, demand.kind);
-				if (!grant) {
-					result.reject(createFault(FaultKind.NoEndpoint, `no endpoint of "${options.version.document.service}" has a free slot`));
-					return;
-				}
-
 				try {
-					result.resolve(await use(grant));
+					result.resolve(await runOn(task, choose(task)!, use));
 				} catch (error) {
 					result.reject(error);
-				} finally {
-					grant.release();
 				}
 			};
 
-			void queue.add(run, {task: {...demand, abandon: result.reject}});
+			void queue.add(run, {task});
+			if (order.size() > 0) {
+				options.onShortage();
+			}
+
 			return result.promise;
 		},
-		startNext,
+		startNext() {
+			// Setting the concurrency makes `p-queue` look at its queue again.
+			queue.concurrency = Infinity;
+		},
 		sweep() {
-			if (order.size() === 0) {
-				return;
-			}
-
 			const now = performance.now();
+			capacity = undefined;
+			running.markOverruns(now);
 			for (const {task} of order.remove(task => reasonToAbandon(task, now) !== undefined)) {
-				const kind = reasonToAbandon(task, now) ?? FaultKind.DeadlinePassed;
-				task.abandon(createFault(kind, kind === FaultKind.Cancelled ? 'the submission was cancelled before the task started' : 'the deadline passed before the task started'));
+				abandon(task, reasonToAbandon(task, now) ?? FaultKind.DeadlinePassed);
 			}
+
+			if (order.size() === 0) {
+				emptyAt = now;
+			}
+
+			share.observe(running.short() + order.count(TaskLength.Short));
 		},
 		waiting: () => order.size(),
-		expectedWaitMilliseconds() {
+		started: () => started,
+		startable: () => order.count(TaskLength.Short) + Math.max(0, Math.min(order.count(TaskLength.Long), longLeft())),
+		loadFor(team, kind) {
+			const length = lengthOf(kind);
+			const isShort = length === TaskLength.Short;
 			const usable = ledger.usable();
-			return usable === 0 ? 0 : (order.size() * options.meanRunMilliseconds()) / usable;
+			const slots = isShort ? usable - running.long() : share.limit(usable);
+			const slotCapacity = usable === 0 ? 1 : currentCapacity() / usable;
+			return {
+				free: Math.min(ledger.free(), isShort ? Infinity : Math.max(0, longLeft())),
+				capacity: Math.max(1, slots) * slotCapacity,
+				waitingWork: order.work(length),
+				teamWork: order.work(length, team),
+				teamShare: order.shareOf(team),
+				isStanding: performance.now() - emptyAt > standingMilliseconds,
+			};
 		},
 	};
 };
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {FaultKind} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
@@ -6,13 +7,17 @@
 import {countOwnedSlots, type SlotOwner} from '../version/slot-ownership.js';
 import type {ServiceVersion} from '../version/service-version.js';
 import {createChooseEndpoint} from './choose-endpoint.js';
-import {createRunEstimates, type RunEstimates} from './run-estimates.js';
+import {createEndpointGuards, type EndpointGuards} from './endpoint-guards.js';
 import type {Peer} from './membership.js';
-import {createSlotBorrower, type SlotBorrower} from './slot-borrower.js';
+import {createRetryBudget, type RetryBudget} from './retry-budget.js';
+import {createRunEstimates, type RunEstimates} from './run-estimates.js';
+import {createRunningTasks, type RunningTasks} from './running-tasks.js';
+import {createServiceAdmission, type AdmittedSubmission} from './service-admission.js';
+import {createSlotBorrower, type LendReply, type SlotBorrower} from './slot-borrower.js';
 import {createSlotLeases, type SlotLease, type SlotLeases} from './slot-leases.js';
 import {createServiceDispatcher, type ServiceDispatcher} from './service-dispatcher.js';
-import {createSlotLedger} from './slot-ledger.js';
-import {createArrivalOrder} from './task-queue.js';
+import {createSlotLedger, type EndpointSlots} from './slot-ledger.js';
+import {createWaitingOrder} from './waiting-order.js';
 
 /**
 One service with what is known of it on this instance.
@@ -20,8 +25,12 @@
 export type DispatchedService = {
 	readonly dispatcher: ServiceDispatcher;
 	readonly estimates: RunEstimates;
+	readonly running: RunningTasks;
+	readonly guards: EndpointGuards;
+	readonly retries: RetryBudget;
 	readonly leases: SlotLeases;
 	readonly borrower: SlotBorrower;
+	readonly admit: (version: ServiceVersion, submission: AdmittedSubmission) => SubmissionAnswer | undefined;
 };
 
 /**
@@ -43,21 +52,15 @@
 
 const hasShares = (policy: PlacementPolicy): boolean => policy === PlacementPolicy.Shares || policy === PlacementPolicy.SharesWithBorrowing;
 
-const lendersOf = (peers: readonly Peer[], service: string): readonly Peer[] => {
-	const freeOf = (peer: Peer): number => peer.hints.find(hint => hint.service === service)?.free ?? 0;
-	return peers
-		.filter(peer => peer.isReachable && freeOf(peer) > 0)
-		.toSorted((first, second) => freeOf(second) - freeOf(first));
-};
-
-const leaseMilliseconds = 1000;
+const leaseMilliseconds = 2000;
 
 /**
 Creates the dispatchers; there are none until a document is installed.
 
 @param options.owners Instances among which slots are shared at present, this one included.
 @param options.isLeavingEndpoint Tells whether an endpoint gets no new work.
-@param options.borrowSlots Asks a peer for slots of a service; no slots when it does not reply.
+@param options.borrowSlots Asks a peer to renew leases and to lend more; `undefined` when it does not reply.
+@param options.returnSlots Gives slots back to a peer.
 */
 export const createServiceDispatchers = (options: {
 	instance: string;
@@ -65,15 +68,17 @@
 	owners: () => readonly SlotOwner[];
 	isLeavingEndpoint: (address: string) => boolean;
 	peers: () => readonly Peer[];
-	borrowSlots: (lender: Peer, service: string, count: number) => Promise<readonly SlotLease[]>;
+	borrowSlots: (lender: Peer, service: string, held: readonly SlotLease[], count: number) => Promise<LendReply | undefined>;
+	returnSlots: (lender: Peer, service: string, returned: readonly SlotLease[]) => Promise<void>;
 }): ServiceDispatchers => {
 	const services = new Map<string, DispatchedService>();
 
 	const share = ({dispatcher}: DispatchedService): void => {
 		const {ledger, version} = dispatcher;
-		ledger.install(version.endpoints, countOwnedSlots(options.instance, options.owners(), version.endpoints));
+		const owners = options.owners();
+		ledger.install(version.endpoints, countOwnedSlots(options.instance, owners, version.endpoints), owners.length);
 		for (const slots of ledger.all()) {
-			slots.isOpen = !options.isLeavingEndpoint(slots.endpoint.address);
+			ledger.change(slots, {isOpen: !options.isLeavingEndpoint(slots.endpoint.address)});
 		}
 
 		dispatcher.startNext();
@@ -82,46 +87,62 @@
 	const create = (version: ServiceVersion): DispatchedService => {
 		const {service} = version.document;
 		const estimates = createRunEstimates();
+		const running = createRunningTasks();
 		const ledger = createSlotLedger(() => {
 			services.get(service)?.dispatcher.startNext();
 		});
-		const choose = createChooseEndpoint(
-			options.policy,
-			(slots, kind) => estimates.expected(version.document, kind) / estimates.speed(slots.endpoint.address, slots.endpoint.speed),
-		);
-		const dispatcher = createServiceDispatcher({
+		const speedOf = ({endpoint}: EndpointSlots): number => estimates.speed(endpoint.address, endpoint.speed);
+		const dispatcher: ServiceDispatcher = createServiceDispatcher({
 			version,
 			ledger,
-			order: createArrivalOrder(),
-			choose,
-			canChoose: () => hasShares(options.policy) ? ledger.free() > 0 : [...ledger.all()].some(slots => slots.isOpen),
-			meanRunMilliseconds: estimates.mean,
+			running,
+			estimates,
+			order: createWaitingOrder(team => dispatcher.version.document.quotas[team]?.share),
+			choose: createChooseEndpoint(options.policy, speedOf, () => performance.now()),
+			hasShares: hasShares(options.policy),
+			onShortage() {
+				borrower.wake();
+			},
 		});
-		const leases = createSlotLeases(ledger, leaseMilliseconds, dispatcher.startNext);
+		const leases = createSlotLeases(ledger, {leaseMilliseconds, isShort: () => dispatcher.waiting() > 0, onReturn: dispatcher.startNext});
 		const borrower = createSlotBorrower({
-			shortfall: () => ledger.free() > 0 ? 0 : dispatcher.waiting(),
-			lenders: () => lendersOf(options.peers(), service),
-			ask: async (lender, count) => options.borrowSlots(lender, service, count),
-			use(lent) {
-				leases.borrow(lent);
-				dispatcher.startNext();
-			},
+			leases,
+			shortfall: () => ledger.free() > 0 ? 0 : dispatcher.startable(),
+			started: dispatcher.started,
+			peers: options.peers,
+			hintOf: peer => peer.hints.find(hint => hint.service === service)?.free ?? 0,
+			ask: async (lender, held, count) => options.borrowSlots(lender, service, held, count),
+			giveBack: async (lender, returned) => options.returnSlots(lender, service, returned),
+			onBorrowed: dispatcher.startNext,
 		});
 		if (options.policy === PlacementPolicy.SharesWithBorrowing) {
 			void borrower.run();
 		}
 
+		const guards = createEndpointGuards({
+			ledger,
+			running,
+			limits: () => dispatcher.version.document.guards,
+			longestRun: (slots, kind) => estimates.ofKind(kind).percentile99 / speedOf(slots),
+		});
 		return {
-			dispatcher, estimates, leases, borrower,
+			dispatcher,
+			estimates,
+			running,
+			guards,
+			retries: createRetryBudget(() => dispatcher.version.document.guards.retryBudget),
+			leases,
+			borrower,
+			admit: createServiceAdmission({dispatcher, estimates, hasShares: hasShares(options.policy)}),
 		};
 	};
 
 	return {
 		install(version) {
 			const {service} = version.document;
-			const existing = services.get(service);
-			const dispatched = existing ?? create(version);
+			const dispatched = services.get(service) ?? create(version);
 			dispatched.dispatcher.version = version;
+			dispatched.estimates.declare(version.document);
 			services.set(service, dispatched);
 			share(dispatched);
 		},
@@ -133,35 +154,40 @@
 		serviceOf: service => services.get(service),
 		all: () => services,
 		admit(version, submission) {
-			const {document} = version;
-			const dispatched = services.get(document.service);
-			if (!dispatched || version.endpoints.length === 0) {
-				return {
-					outcome: Outcome.NotRun, answers: [], fault: FaultKind.NoEndpoint, detail: `the document of "${document.service}" names no endpoint`,
+			const dispatched = services.get(version.document.service);
+			return dispatched
+				? dispatched.admit(version, submission)
+				: {
+					outcome: Outcome.NotRun, answers: [], fault: FaultKind.UnknownService, detail: `no document in force names the service "${version.document.service}"`,
 				};
+		},
+		report(service, attempt) {
+			const dispatched = services.get(service);
+			if (!dispatched) {
+				return;
 			}
 
-			const wait = dispatched.dispatcher.expectedWaitMilliseconds();
-			const bound = Math.min(document.maximumQueueMilliseconds, submission.deadlineMilliseconds);
-			if (hasShares(options.policy) && wait > bound) {
-				return {
-					outcome: Outcome.NotRun, answers: [], fault: FaultKind.Overloaded, detail: `the expected wait of ${Math.round(wait)} ms is above ${bound} ms`, retryAfterMilliseconds: wait,
-				};
+			const {endpoint, kind, durationMilliseconds} = attempt;
+			dispatched.retries.recordAttempt();
+			if (hasShares(options.policy)) {
+				dispatched.guards.report(attempt, performance.now());
 			}
 
-			return undefined;
-		},
-		report(service, attempt) {
 			if (attempt.isSuccess) {
-				services.get(service)?.estimates.record(attempt.endpoint.address, attempt.kind, attempt.durationMilliseconds);
+				dispatched.estimates.record(endpoint.address, endpoint.speed, kind, durationMilliseconds);
 			}
 		},
 		sweep() {
-			for (const {dispatcher, borrower} of services.values()) {
-				dispatcher.sweep();
-				if (dispatcher.waiting() > 0) {
-					borrower.wake();
+			const now = performance.now();
+			for (const {dispatcher, leases, guards, borrower} of services.values()) {
+				if (hasShares(options.policy)) {
+					guards.sweep(now);
 				}
+
+				leases.sweep(now);
+				dispatcher.sweep();
+				dispatcher.startNext();
+				borrower.wake();
 			}
 		},
 	};
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -1,48 +1,184 @@
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createDeferred} from '@galenakeel/model/request/deferred.js';
 import type {Peer} from './membership.js';
-import type {SlotLease} from './slot-leases.js';
+import type {SlotLease, SlotLeases} from './slot-leases.js';
 
-const emptyPauseMilliseconds = 20;
+/** Requests to peers for each started task; with their replies they are twice as many messages. */
+const requestsPerTask = 0.015;
+/** Requests a second that are allowed however few tasks start. */
+const requestsPerSecond = 1;
+const maximumSavedRequests = 20;
+const shortestPauseMilliseconds = 5;
+const firstBackOffMilliseconds = 40;
+const maximumBackOffMilliseconds = 1000;
+/** Time after which slots that are not in use are given back. */
+const idleMilliseconds = 250;
+
+/**
+What a lender replies.
+*/
+export type LendReply = {
+	/** All leases that this instance now holds from the lender. */
+	readonly leases: readonly SlotLease[];
+	readonly leaseMilliseconds: number;
+	/** Slots that the lender still has free. */
+	readonly stillFree: number;
+};
 
 /**
 Borrows slots for the waiting tasks of one service.
 */
 export type SlotBorrower = {
-	/** Wakes the borrower: tasks are waiting and no slot is free. */
+	/** Wakes the borrower: tasks are waiting and no slot is free, or leases need a look. */
 	readonly wake: () => void;
-	/** Borrows whenever it is woken, until the process ends. */
+	/** Borrows, renews and returns whenever it is woken, until the process ends. */
 	readonly run: () => Promise<never>;
 	/** Requests sent to peers. */
-	readonly messages: () => number;
+	readonly requests: () => number;
 };
 
+type LenderRecord = {free: number; learnedAt: number; backOffMilliseconds: number; askAt: number};
+
 /**
 Creates the borrower of one service.
 
-@param options.shortfall Waiting tasks for which no slot is free.
-@param options.lenders Reachable peers that last said they have free slots, the best first.
-@param options.ask Asks one peer for slots.
-@param options.use Puts borrowed slots into use.
+Requests are paid from a budget that grows with the started tasks, so that messages stay in proportion to the work.
+
+@param options.shortfall Tasks that wait because no slot is free.
+@param options.started Tasks started since the process began.
+@param options.peers Peers with their last hints.
+@param options.hintOf Free slots of a peer by its last heartbeat.
+@param options.ask Asks one peer to renew what is held and to lend more; `undefined` when it does not reply.
+@param options.giveBack Tells one peer that slots are no longer needed.
+
+@example
+```
+const borrower = createSlotBorrower({leases, shortfall, started, peers, hintOf, ask, giveBack, onBorrowed: dispatcher.startNext});
+void borrower.run();
+```
 */
 export const createSlotBorrower = (options: {
+	readonly leases: SlotLeases;
 	readonly shortfall: () => number;
-	readonly lenders: () => readonly Peer[];
-	readonly ask: (lender: Peer, count: number) => Promise<readonly SlotLease[]>;
-	readonly use: (leases: readonly SlotLease[]) => void;
+	readonly started: () => number;
+	readonly peers: () => readonly Peer[];
+	readonly hintOf: (peer: Peer) => number;
+	readonly ask: (lender: Peer, held: readonly SlotLease[], count: number) => Promise<LendReply | undefined>;
+	readonly giveBack: (lender: Peer, returned: readonly SlotLease[]) => Promise<void>;
+	readonly onBorrowed: () => void;
 }): SlotBorrower => {
+	const {leases} = options;
+	const records = new Map<string, LenderRecord>();
 	let woken = createDeferred<void>();
-	let messages = 0;
+	let requests = 0;
+	let saved = maximumSavedRequests;
+	let paidTasks = 0;
+	let paidAt = performance.now();
+
+	const collect = (): void => {
+		const now = performance.now();
+		const earned = (requestsPerTask * (options.started() - paidTasks)) + (requestsPerSecond * (now - paidAt) / 1000);
+		saved = Math.min(maximumSavedRequests, saved + earned);
+		paidTasks = options.started();
+		paidAt = now;
+	};
+
+	const pay = (): void => {
+		saved--;
+		requests++;
+	};
+
+	const recordOf = (peer: Peer): LenderRecord => {
+		let record = records.get(peer.instance);
+		if (!record) {
+			record = {
+				free: 0, learnedAt: -Infinity, backOffMilliseconds: firstBackOffMilliseconds, askAt: 0,
+			};
+			records.set(peer.instance, record);
+		}
+
+		return record;
+	};
+
+	/** The newer of the last heartbeat's hint and the last reply's. */
+	const freeOf = (peer: Peer): number => {
+		const record = recordOf(peer);
+		return record.learnedAt > peer.heardAt ? record.free : options.hintOf(peer);
+	};
+
+	const candidates = (): readonly Peer[] => {
+		const now = performance.now();
+		return options.peers()
+			.filter(peer => peer.isReachable && recordOf(peer).askAt <= now && freeOf(peer) > 0)
+			.toSorted((first, second) => freeOf(second) - freeOf(first));
+	};
 
-	const borrowOnce = async (): Promise<void> => {
-		for (const lender of options.lenders()) {
-			const count = options.shortfall();
-			if (count === 0) {
+	const learn = (lender: Peer, reply: LendReply | undefined, isGranted: boolean): void => {
+		const record = recordOf(lender);
+		record.free = reply?.stillFree ?? 0;
+		record.learnedAt = performance.now();
+		if (isGranted) {
+			record.backOffMilliseconds = firstBackOffMilliseconds;
+		} else {
+			record.askAt = record.learnedAt + record.backOffMilliseconds;
+			record.backOffMilliseconds = Math.min(maximumBackOffMilliseconds, record.backOffMilliseconds * 2);
+		}
+	};
+
+	const sizeOf = (held: readonly SlotLease[]): number => held.reduce((sum, {count}) => sum + count, 0);
+
+	const askOnce = async (lender: Peer, count: number): Promise<void> => {
+		pay();
+		const held = leases.needed(lender.instance);
+		const sentAt = performance.now();
+		const reply = await options.ask(lender, held, count);
+		if (reply) {
+			leases.hold(lender.instance, reply.leases, sentAt + reply.leaseMilliseconds);
+			options.onBorrowed();
+		}
+
+		if (count > 0) {
+			learn(lender, reply, reply !== undefined && sizeOf(reply.leases) > sizeOf(held));
+		}
+	};
+
+	/** A few more than wait now, for those that come while the leases last. */
+	const wanted = (shortfall: number): number => Math.ceil(shortfall * 1.5) + 1;
+
+	const borrow = async (): Promise<void> => {
+		for (const lender of candidates()) {
+			const shortfall = options.shortfall();
+			if (shortfall === 0 || saved < 1) {
 				return;
 			}
 
-			messages++;
-			options.use(await options.ask(lender, count));
+			await askOnce(lender, wanted(shortfall));
+		}
+	};
+
+	const giveBack = async (lender: Peer): Promise<void> => {
+		const returned = leases.release(lender.instance);
+		if (returned.length > 0) {
+			pay();
+			await options.giveBack(lender, returned);
+		}
+	};
+
+	const renew = async (): Promise<void> => {
+		for (const {lender, until, idleSince} of leases.lenders()) {
+			const peer = options.peers().find(({instance, isReachable}) => instance === lender && isReachable);
+			const now = performance.now();
+			if (!peer || saved < 1) {
+				continue;
+			}
+
+			if (now - idleSince > idleMilliseconds) {
+				await giveBack(peer);
+			} else if (until - now < leases.leaseMilliseconds / 2) {
+				const shortfall = options.shortfall();
+				await askOnce(peer, shortfall > 0 ? wanted(shortfall) : 0);
+			}
 		}
 	};
 
@@ -54,13 +190,12 @@
 			for (;;) {
 				await woken.promise;
 				woken = createDeferred<void>();
-				await borrowOnce();
-				if (options.shortfall() > 0) {
-					await sleep(emptyPauseMilliseconds);
-					woken.resolve();
-				}
+				collect();
+				await renew();
+				await borrow();
+				await sleep(shortestPauseMilliseconds);
 			}
 		},
-		messages: () => messages,
+		requests: () => requests,
 	};
 };
--- a/packages/galenakeeld/src/process/slot-ledger.ts
+++ b/packages/galenakeeld/src/process/slot-ledger.ts
@@ -1,7 +1,7 @@
 import type {Endpoint} from '../version/service-version.js';
 
 /**
-The slots of one endpoint, as this instance may use them.
+The slots of one endpoint, as this instance may use them. Only the ledger changes them.
 */
 export type EndpointSlots = {
 	endpoint: Endpoint;
@@ -11,42 +11,78 @@
 	lent: number;
 	/** Slots of peers that this instance uses under a lease. */
 	borrowed: number;
+	/** Time on the monotonic clock at which the first lease on a borrowed slot expires, in milliseconds. */
+	borrowedUntil: number;
 	/** Tasks of this instance that run on the endpoint now. */
 	busy: number;
 	/** Whether the endpoint may get new tasks. */
 	isOpen: boolean;
+	/** Tasks that the guard of the endpoint lets run at once. */
+	guardLimit: number;
+	/** Tasks that this instance's part of the endpoint's connections lets run at once. */
+	connectionLimit: number;
 };
 
 /**
 A function that chooses the endpoint of the next task; `undefined` leaves the task waiting.
+
+@param task.workMilliseconds Expected run time of the task at speed 1.
+@param task.avoidedEndpoint Address of an endpoint that is chosen only where there is no other.
 */
-export type ChooseEndpoint = (candidates: Iterable<EndpointSlots>, kind: string) => EndpointSlots | undefined;
+export type ChooseEndpoint = (candidates: Iterable<EndpointSlots>, task: {readonly workMilliseconds: number; readonly avoidedEndpoint?: string}) => EndpointSlots | undefined;
 
 /**
 A slot that is taken by one task.
 */
 export type SlotGrant = {readonly endpoint: Endpoint; readonly release: () => void};
 
+/**
+What may change on the slots of an endpoint besides the tasks that run there.
+*/
+export type SlotChange = Partial<Pick<EndpointSlots, 'lent' | 'borrowed' | 'borrowedUntil' | 'isOpen' | 'guardLimit'>>;
+
 /**
 The slots of one service on this instance.
 */
 export type SlotLedger = {
 	/** Replaces endpoints and ownership after a new document version or a change of members. */
-	readonly install: (endpoints: readonly Endpoint[], owned: ReadonlyMap<string, number>) => void;
+	readonly install: (endpoints: readonly Endpoint[], owned: ReadonlyMap<string, number>, instances: number) => void;
 	readonly slotsOf: (address: string) => EndpointSlots | undefined;
 	readonly all: () => Iterable<EndpointSlots>;
-	readonly take: (choose: ChooseEndpoint, kind: string) => SlotGrant | undefined;
+	/** Endpoints of which this instance may use a slot at present, busy or free. */
+	readonly inUse: () => readonly EndpointSlots[];
+	readonly change: (slots: EndpointSlots, change: SlotChange) => void;
+	readonly take: (slots: EndpointSlots) => SlotGrant;
 	/** Slots that this instance may use, busy or free. */
 	readonly usable: () => number;
 	readonly free: () => number;
 	readonly busy: () => number;
+	/** Rises with every change, so that a choice can be kept while nothing has changed. */
+	readonly revision: () => number;
+};
+
+/**
+Counts the slots of an endpoint that this instance may use, busy or free.
+*/
+export const usableSlotsOf = (slots: EndpointSlots): number => {
+	const held = slots.owned - slots.lent + slots.borrowed;
+	return slots.isOpen ? Math.max(0, Math.min(held, slots.guardLimit, slots.connectionLimit)) : 0;
 };
 
 /**
 Counts the slots of an endpoint that a new task of this instance may take.
 */
-export const freeSlotsOf = (slots: EndpointSlots): number =>
-	slots.isOpen ? Math.max(0, slots.owned - slots.lent + slots.borrowed - slots.busy) : 0;
+export const freeSlotsOf = (slots: EndpointSlots): number => Math.max(0, usableSlotsOf(slots) - slots.busy);
+
+/**
+Counts the borrowed slots of an endpoint on which a task runs; own slots are counted as used first.
+*/
+export const borrowedInUse = (slots: EndpointSlots): number =>
+	Math.max(0, Math.min(slots.borrowed, slots.busy - Math.max(0, slots.owned - slots.lent)));
+
+const createSlots = (endpoint: Endpoint): EndpointSlots => ({
+	endpoint, owned: 0, lent: 0, borrowed: 0, borrowedUntil: Infinity, busy: 0, isOpen: true, guardLimit: Infinity, connectionLimit: Infinity,
+});
 
 /**
 Creates a ledger without endpoints.
@@ -56,70 +92,102 @@
 @example
 ```
 const ledger = createSlotLedger(() => queue.startNext());
-ledger.install(version.endpoints, countOwnedSlots(instance, owners, version.endpoints));
-const grant = ledger.take(chooseFreeSlot, 'sheet');
+ledger.install(version.endpoints, countOwnedSlots(instance, owners, version.endpoints), owners.length);
+const grant = ledger.take(chooseFreeSlot(ledger.inUse(), {workMilliseconds: 120}));
 ```
 */
 export const createSlotLedger = (onRelease: () => void): SlotLedger => {
 	const byAddress = new Map<string, EndpointSlots>();
+	let inUse: readonly EndpointSlots[] = [];
+	let usable = 0;
+	let free = 0;
+	let busy = 0;
+	let revision = 0;
 
-	const sum = (count: (slots: EndpointSlots) => number): number => {
-		let total = 0;
-		for (const slots of byAddress.values()) {
-			total += count(slots);
+	const isKept = (slots: EndpointSlots): boolean => byAddress.get(slots.endpoint.address) === slots;
+
+	const isUsed = (slots: EndpointSlots): boolean => slots.owned + slots.borrowed > 0;
+
+	const listUsed = (): void => {
+		inUse = [...byAddress.values()].filter(slots => isUsed(slots));
+	};
+
+	/** Applies a change and keeps the totals, which are asked for with every task. */
+	const apply = (slots: EndpointSlots, mutate: () => void): void => {
+		const before = {usable: usableSlotsOf(slots), free: freeSlotsOf(slots), isUsed: isUsed(slots)};
+		mutate();
+		if (!isKept(slots)) {
+			return;
 		}
 
-		return total;
+		usable += usableSlotsOf(slots) - before.usable;
+		free += freeSlotsOf(slots) - before.free;
+		revision++;
+		if (isUsed(slots) !== before.isUsed) {
+			listUsed();
+		}
+	};
+
+	const remove = (address: string, slots: EndpointSlots): void => {
+		apply(slots, () => {
+			slots.isOpen = false;
+		});
+		byAddress.delete(address);
 	};
 
 	return {
-		install(endpoints, owned) {
+		install(endpoints, owned, instances) {
 			const listed = new Set(endpoints.map(endpoint => endpoint.address));
 			for (const [address, slots] of byAddress) {
 				if (!listed.has(address)) {
-					slots.isOpen = false;
-					byAddress.delete(address);
+					remove(address, slots);
 				}
 			}
 
 			for (const endpoint of endpoints) {
-				const slots = byAddress.get(endpoint.address);
-				const count = owned.get(endpoint.address) ?? 0;
-				if (slots) {
+				const slots = byAddress.get(endpoint.address) ?? createSlots(endpoint);
+				byAddress.set(endpoint.address, slots);
+				apply(slots, () => {
 					slots.endpoint = endpoint;
-					slots.owned = count;
-				} else {
-					byAddress.set(endpoint.address, {
-						endpoint, owned: count, lent: 0, borrowed: 0, busy: 0, isOpen: true,
-					});
-				}
+					slots.owned = owned.get(endpoint.address) ?? 0;
+					slots.connectionLimit = Math.max(1, Math.floor(endpoint.connections / Math.max(1, instances)));
+				});
 			}
 
+			listUsed();
 			onRelease();
 		},
 		slotsOf: address => byAddress.get(address),
 		all: () => byAddress.values(),
-		take(choose, kind) {
-			const slots = choose(byAddress.values(), kind);
-			if (!slots) {
-				return undefined;
-			}
-
-			slots.busy++;
+		inUse: () => inUse,
+		change(slots, change) {
+			apply(slots, () => {
+				Object.assign(slots, change);
+			});
+		},
+		take(slots) {
+			apply(slots, () => {
+				slots.busy++;
+			});
+			busy++;
 			let isHeld = true;
 			return {
 				endpoint: slots.endpoint,
 				release() {
 					if (isHeld) {
 						isHeld = false;
-						slots.busy--;
+						busy--;
+						apply(slots, () => {
+							slots.busy--;
+						});
 						onRelease();
 					}
 				},
 			};
 		},
-		usable: () => sum(slots => slots.isOpen ? slots.owned - slots.lent + slots.borrowed : 0),
-		free: () => sum(slots => freeSlotsOf(slots)),
-		busy: () => sum(slots => slots.busy),
+		usable: () => usable,
+		free: () => free,
+		busy: () => busy,
+		revision: () => revision,
 	};
 };
--- a/packages/galenakeeld/src/process/task-queue.ts
+++ b/packages/galenakeeld/src/process/task-queue.ts
@@ -1,15 +1,32 @@
 import type {Fault} from '@galenakeel/model/request/fault.js';
 import type {Queue, QueueAddOptions} from 'p-queue';
 
+/**
+Whether a task counts as long in its service.
+*/
+export enum TaskLength {
+	/** May use any slot. */
+	Short = 'short',
+	/** May use only the share of long tasks. */
+	Long = 'long',
+}
+
 /**
 What the queue needs to know of a waiting task.
 */
 export type WaitingTask = {
 	readonly kind: string;
 	readonly team: string;
+	readonly length: TaskLength;
+	/** Expected run time at speed 1, in milliseconds. */
+	readonly workMilliseconds: number;
+	/** Time on the monotonic clock at which the task began to wait, in milliseconds. */
+	readonly arrivedAt: number;
 	/** Time on the monotonic clock after which the task is not worth starting, in milliseconds. */
 	readonly deadlineAt: number;
 	readonly signal?: AbortSignal;
+	/** Address of the endpoint where an earlier attempt failed. */
+	readonly avoidedEndpoint?: string;
 	/** Takes the task out of the queue with a reason; it has not started. */
 	readonly abandon: (fault: Fault) => void;
 };
@@ -36,52 +53,40 @@
 */
 export type WaitingOrder = {
 	readonly add: (item: WaitingItem) => void;
-	/** Looks at the task that would start next. */
-	readonly peek: () => WaitingItem | undefined;
-	readonly shift: () => WaitingItem | undefined;
+	/** Finds the task that would start next among those that can. */
+	readonly peek: (canStart: (task: WaitingTask) => boolean) => WaitingItem | undefined;
+	/** Removes a task that `peek` returned. */
+	readonly take: (item: WaitingItem) => void;
 	readonly size: () => number;
+	/** Waiting tasks of a length. */
+	readonly count: (length: TaskLength) => number;
+	/** Expected run time of the waiting tasks of a length at speed 1, in milliseconds; of one team or of all. */
+	readonly work: (length: TaskLength, team?: string) => number;
+	/** Share of the slots that a team is due while the teams that wait now do, from 0 to 1. */
+	readonly shareOf: (team: string) => number;
+	/** Corrects what a team has used by the difference between expected and measured work. */
+	readonly settle: (team: string, differenceMilliseconds: number) => void;
 	/** Removes the tasks that a predicate selects, and returns them. */
 	readonly remove: (isRemoved: (task: WaitingTask) => boolean) => readonly WaitingItem[];
 };
 
-/**
-Creates an order by arrival.
-*/
-export const createArrivalOrder = (): WaitingOrder => {
-	let waiting: WaitingItem[] = [];
-	return {
-		add(item) {
-			waiting.push(item);
-		},
-		peek: () => waiting[0],
-		shift: () => waiting.shift(),
-		size: () => waiting.length,
-		remove(isRemoved) {
-			const removed = waiting.filter(item => isRemoved(item.task));
-			waiting = waiting.filter(item => !isRemoved(item.task));
-			return removed;
-		},
-	};
-};
-
 /**
 Creates the queue class that `p-queue` uses for the tasks of one service.
 
 @param order Holds the waiting tasks.
-@param canStart Tells whether a slot is free for a task.
+@param options.hasSlot Tells whether any slot is free.
+@param options.canStart Tells whether a slot is free for a task.
 
 @example
 ```
-const order = createArrivalOrder();
-const queue = new PQueue({queueClass: createTaskQueueClass(order, task => ledger.free() > 0)});
+const queue = new PQueue({queueClass: createTaskQueueClass(order, {hasSlot, canStart})});
 ```
 */
-export const createTaskQueueClass = (order: WaitingOrder, canStart: (task: WaitingTask) => boolean): new () => TaskQueue =>
+export const createTaskQueueClass = (order: WaitingOrder, {hasSlot, canStart}: {hasSlot: () => boolean; canStart: (task: WaitingTask) => boolean}): new () => TaskQueue =>
 	class {
 		/** Number of waiting tasks; 0 while none of them can start, so that `p-queue` waits. */
 		get size(): number {
-			const next = order.peek();
-			return next && canStart(next.task) ? order.size() : 0;
+			return order.size() > 0 && hasSlot() && order.peek(canStart) ? order.size() : 0;
 		}
 
 		enqueue(start: StartFunction, options?: Partial<WaitingTaskOptions>): void {
@@ -89,7 +94,12 @@
 		}
 
 		dequeue(): StartFunction | undefined {
-			return order.shift()?.start;
+			const next = order.peek(canStart);
+			if (next) {
+				order.take(next);
+			}
+
+			return next?.start;
 		}
 
 		filter(): StartFunction[] {
--- /dev/null
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -0,0 +1,184 @@
+import {createHeap, type Heap} from './task-heap.js';
+import {
+	TaskLength, type WaitingItem, type WaitingOrder, type WaitingTask,
+} from './task-queue.js';
+
+/** Waiting time that makes up for one unit of expected run time. */
+const ageingFactor = 2;
+/** Longest waiting time by which a longer task falls behind a shorter one. */
+const maximumHandicapMilliseconds = 2000;
+/** Teams beyond those of the document that are kept apart, so that invented names can't crowd out the others. */
+const maximumUndeclaredTeams = 128;
+const undeclaredTeams = '';
+
+const lengths = [TaskLength.Short, TaskLength.Long] as const;
+
+type TeamLane = {readonly heap: Heap<WaitingItem>; work: number};
+
+type WaitingTeam = {
+	readonly lanes: Readonly<Record<TaskLength, TeamLane>>;
+	/** Work that the team has been given, over its share. */
+	virtualTime: number;
+};
+
+const keyOf = ({task}: WaitingItem): number =>
+	task.arrivedAt + Math.min(maximumHandicapMilliseconds, task.workMilliseconds * ageingFactor);
+
+const createLane = (): TeamLane => ({heap: createHeap(keyOf), work: 0});
+
+const isWaiting = ({lanes}: WaitingTeam): boolean => lengths.some(length => lanes[length].heap.size() > 0);
+
+/** The first tasks of a team's lanes, the next one first. */
+const headsOf = ({lanes}: WaitingTeam): readonly WaitingItem[] => {
+	const short = lanes[TaskLength.Short].heap.peek();
+	const long = lanes[TaskLength.Long].heap.peek();
+	if (!short || !long) {
+		return short ? [short] : (long ? [long] : []);
+	}
+
+	return keyOf(long) < keyOf(short) ? [long, short] : [short, long];
+};
+
+/**
+Creates the order in which waiting tasks start: fair over teams by share, and within a team by expected size with ageing.
+
+Teams are served by start-time fair queueing (Goyal, Vin and Cheng, 1996): the team that has been given the least work for its share is next, and one that begins to wait starts level with the team served last, so that nothing is saved up while it is idle.
+
+@param shareOf The quota share that the document in force grants a team; `undefined` when it names none.
+
+@example
+```
+const order = createWaitingOrder(team => document.quotas[team]?.share);
+```
+*/
+export const createWaitingOrder = (shareOf: (team: string) => number | undefined): WaitingOrder => {
+	const teams = new Map<string, WaitingTeam>();
+	const waiting = new Map<string, WaitingTeam>();
+	const totals: Record<TaskLength, {count: number; work: number}> = {[TaskLength.Short]: {count: 0, work: 0}, [TaskLength.Long]: {count: 0, work: 0}};
+	let virtualTime = 0;
+
+	const nameOf = (team: string): string =>
+		teams.has(team) || shareOf(team) !== undefined || teams.size < maximumUndeclaredTeams ? team : undeclaredTeams;
+
+	const shareOrDefault = (team: string): number => shareOf(team) ?? 1;
+
+	const teamOf = (name: string): WaitingTeam => {
+		let team = teams.get(name);
+		if (!team) {
+			team = {lanes: {[TaskLength.Short]: createLane(), [TaskLength.Long]: createLane()}, virtualTime};
+			teams.set(name, team);
+		}
+
+		return team;
+	};
+
+	const change = (team: WaitingTeam, {length, workMilliseconds}: WaitingTask, sign: 1 | -1): void => {
+		team.lanes[length].work += sign * workMilliseconds;
+		totals[length].work += sign * workMilliseconds;
+		totals[length].count += sign;
+	};
+
+	/** Forgets teams that wait for nothing and have no work to make up for. */
+	const forget = (): void => {
+		for (const [name, team] of teams) {
+			if (team.virtualTime <= virtualTime && !waiting.has(name)) {
+				teams.delete(name);
+			}
+		}
+	};
+
+	const findOf = (team: WaitingTeam, canStart: (task: WaitingTask) => boolean): WaitingItem | undefined =>
+		headsOf(team).find(({task}) => canStart(task));
+
+	const leastServed = (): WaitingTeam | undefined => {
+		let least: WaitingTeam | undefined;
+		for (const team of waiting.values()) {
+			if (!least || team.virtualTime < least.virtualTime) {
+				least = team;
+			}
+		}
+
+		return least;
+	};
+
+	return {
+		add(item) {
+			const name = nameOf(item.task.team);
+			const team = teamOf(name);
+			if (!waiting.has(name)) {
+				team.virtualTime = Math.max(team.virtualTime, virtualTime);
+				waiting.set(name, team);
+			}
+
+			team.lanes[item.task.length].heap.add(item);
+			change(team, item.task, 1);
+		},
+		peek(canStart) {
+			const next = leastServed();
+			const found = next && findOf(next, canStart);
+			if (found !== undefined || waiting.size < 2) {
+				return found;
+			}
+
+			for (const team of [...waiting.values()].toSorted((first, second) => first.virtualTime - second.virtualTime)) {
+				const later = findOf(team, canStart);
+				if (later) {
+					return later;
+				}
+			}
+
+			return undefined;
+		},
+		take({task}) {
+			const name = nameOf(task.team);
+			const team = teamOf(name);
+			team.lanes[task.length].heap.shift();
+			change(team, task, -1);
+			virtualTime = Math.max(virtualTime, team.virtualTime);
+			team.virtualTime += task.workMilliseconds / shareOrDefault(name);
+			if (!isWaiting(team)) {
+				waiting.delete(name);
+			}
+		},
+		size: () => totals[TaskLength.Short].count + totals[TaskLength.Long].count,
+		count: length => totals[length].count,
+		work: (length, team) => team === undefined ? totals[length].work : teams.get(nameOf(team))?.lanes[length].work ?? 0,
+		shareOf(team) {
+			const name = nameOf(team);
+			const own = shareOrDefault(name);
+			let total = waiting.has(name) ? 0 : own;
+			for (const other of waiting.keys()) {
+				total += shareOrDefault(other);
+			}
+
+			return own / total;
+		},
+		settle(team, differenceMilliseconds) {
+			const name = nameOf(team);
+			const known = teams.get(name);
+			if (known) {
+				known.virtualTime += differenceMilliseconds / shareOrDefault(name);
+			}
+		},
+		remove(isRemoved) {
+			const removed: WaitingItem[] = [];
+			for (const [name, team] of waiting) {
+				for (const length of lengths) {
+					const gone = team.lanes[length].heap.remove(({task}) => isRemoved(task));
+					for (const {task} of gone) {
+						change(team, task, -1);
+					}
+
+					removed.push(...gone);
+				}
+
+				if (!isWaiting(team)) {
+					waiting.delete(name);
+				}
+			}
+
+			forget();
+			return removed;
+		},
+	};
+};
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -54,12 +54,20 @@
 
 type RunnableTask = Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
 
-const isRetriable = (record: StartRecord, run: TaskRun, fault: FaultKind): boolean => {
+/** Statuses by which an endpoint says that it could not serve the request (RFC 9110, sections 15.6.3 to 15.6.5). */
+const retriableStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
+
+const isResendable = (task: RunnableTask, run: TaskRun): boolean => run.version.document.idempotent && task.body instanceof Uint8Array;
+
+const isRetriableAnswer = (answer: StreamedTaskAnswer, task: RunnableTask, run: TaskRun): boolean =>
+	retriableStatuses.has(answer.status) && !answer.rest && isResendable(task, run) && run.mayRetry();
+
+const isRetriable = (record: StartRecord, task: RunnableTask, run: TaskRun, fault: FaultKind): boolean => {
 	if (!record.hasStarted()) {
 		return fault === FaultKind.EndpointUnreachable;
 	}
 
-	return run.version.document.idempotent && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && run.mayRetry();
+	return isResendable(task, run) && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && run.mayRetry();
 };
 
 const attemptTask = async (task: RunnableTask, run: TaskRun, grant: SlotGrant, record: StartRecord): Promise<StreamedTaskAnswer> => {
@@ -148,15 +156,21 @@
 		return answerOf(createFault(FaultKind.NoEndpoint, `the document of "${run.version.document.service}" names no endpoint`), record);
 	}
 
-	const demand: SlotDemand = {
+	let demand: SlotDemand = {
 		kind: task.kind, team: run.team, deadlineAt: run.deadlineAt, ...(run.signal && {signal: run.signal}),
 	};
 	for (let attempt = 1; ; attempt++) {
+		const isLast = attempt === maximumAttempts;
 		try {
-			return await attemptOnFreeSlot(task, run, demand, record);
+			const answer = await attemptOnFreeSlot(task, run, demand, record);
+			if (isLast || !isRetriableAnswer(answer, task, run)) {
+				return answer;
+			}
+
+			demand = {...demand, avoidedEndpoint: answer.endpoint};
 		} catch (error) {
 			const fault = isFault(error) ? error.name : FaultKind.Internal;
-			if (attempt === maximumAttempts || !isRetriable(record, run, fault)) {
+			if (isLast || !isRetriable(record, task, run, fault)) {
 				return answerOf(error, record);
 			}
 		}
