Mend seven ways in which a submission could break its promises

Ruled out: remembering every identifier that ever ran (memory without a bound); a lock in the table for each start (a write for each task).

Change: the nonce of a claim is the right to run, issued when the claim is made and redeemed once. Held answers are read whole, up to answers.maximumBytes. Claim rows keep a digest of the submission; another content under the same identifier gets 422 and never runs. Keys of single requests are scoped by service. Answers without a length are refused, since their end can't be told from a cut. A connection that received bytes while idle is not used again.

--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -1,10 +1,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {detailOf, FaultKind, isFault} from '@galenakeel/model/request/fault.js';
+import {
+	createFault, detailOf, FaultKind, isFault,
+} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import type {JobView} from '../request/inspect-submission.js';
 import {relayRequest, type RelayRun} from '../request/relay-request.js';
+import {answerUnknown} from '../request/run-submission.js';
+import {identifierOfKey} from '../request/submission-identifier.js';
 import {
 	CallerRequestKind, parseCallerRoute, problemOf, readJob, readRelayBody, readTask, readTerms, writeJobAnswer, writeJson, writeProblem, writeTaskAnswer, type CallerRoute, type JobRequest,
 } from './caller-encoding.js';
@@ -43,9 +47,13 @@
 const answerRelay = async ({request, response}: CallerExchange, route: RelayRoute, run: CallerRun): Promise<void> => {
 	const terms = readTerms(request);
 	const task = {...readTask(request, route.path, terms.kind), body: await readRelayBody(request, run.limits)};
-	if (terms.idempotencyKey !== '' && task.body instanceof Uint8Array) {
+	if (terms.idempotencyKey !== '') {
+		if (!(task.body instanceof Uint8Array)) {
+			throw createFault(FaultKind.TooLarge, `a request with an Idempotency-Key is held whole, and its body is above the limit of ${run.limits.bufferedBodyBytes} bytes`);
+		}
+
 		const submission: Submission = {
-			identifier: terms.idempotencyKey,
+			identifier: identifierOfKey(route.service, terms.idempotencyKey),
 			service: route.service,
 			team: terms.team,
 			deadlineMilliseconds: terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(route.service),
@@ -94,8 +102,19 @@
 	writeJobAnswer(exchange.response, submission.identifier, await run.submit(submission));
 };
 
+/**
+Looks at a job, or cancels it. A fault says nothing about whether the job runs.
+*/
+const inspectOrUnknown = async (identifier: string, isCancelled: boolean, run: CallerRun): Promise<JobView> => {
+	try {
+		return await run.inspect(identifier, isCancelled);
+	} catch (error) {
+		return {isAnswered: true, answer: answerUnknown(isFault(error) ? error.name : FaultKind.Internal, detailOf(error))};
+	}
+};
+
 const answerInspection = async ({response}: CallerExchange, identifier: string, isCancelled: boolean, run: CallerRun): Promise<void> => {
-	const view = await run.inspect(identifier, isCancelled);
+	const view = await inspectOrUnknown(identifier, isCancelled, run);
 	if (view.isAnswered) {
 		writeJobAnswer(response, identifier, view.answer);
 	} else {
--- a/packages/galenakeeld/src/connection/caller-encoding.ts
+++ b/packages/galenakeeld/src/connection/caller-encoding.ts
@@ -55,6 +55,7 @@
 	[FaultKind.TooLarge]: 413,
 	[FaultKind.UnknownService]: 404,
 	[FaultKind.BadIdentifier]: 400,
+	[FaultKind.IdentifierMismatch]: 422,
 	[FaultKind.NoEndpoint]: 503,
 	[FaultKind.NeverRunnable]: 422,
 	[FaultKind.Overloaded]: 503,
--- a/packages/galenakeeld/src/connection/endpoint-connection.ts
+++ b/packages/galenakeeld/src/connection/endpoint-connection.ts
@@ -52,7 +52,7 @@
 	readonly bufferedBodyBytes: number;
 };
 
-const connectSocket = async (request: ClientRequest, address: string, timeoutMilliseconds: number): Promise<void> => {
+const connectSocket = async (request: ClientRequest, address: string, timeoutMilliseconds: number): Promise<Socket> => {
 	const timer = setTimeout(() => {
 		request.destroy(createFault(FaultKind.EndpointUnreachable, `endpoint ${address} did not accept a connection within ${timeoutMilliseconds} ms`));
 	}, timeoutMilliseconds);
@@ -61,11 +61,25 @@
 		if (socket.connecting) {
 			await once(socket, 'connect');
 		}
+
+		return socket;
 	} finally {
 		clearTimeout(timer);
 	}
 };
 
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/**
+Refuses an answer whose end is the end of its connection, since a broken connection ends in the same way.
+*/
+const assertDelimited = (response: IncomingMessage, method: string, address: string): void => {
+	const {'content-length': length, 'transfer-encoding': coding} = response.headers;
+	if (length === undefined && coding === undefined && method !== 'HEAD' && !bodilessStatuses.has(response.statusCode!)) {
+		throw createFault(FaultKind.EndpointBroken, `endpoint ${address} sent an answer without Content-Length and Transfer-Encoding, whose end can't be told from a cut`);
+	}
+};
+
 const sendBody = async (request: ClientRequest, body: Uint8Array | Readable): Promise<void> => {
 	if (body instanceof Readable) {
 		await pipeline(body, request);
@@ -75,9 +89,27 @@
 };
 
 /**
-Performs one request and returns whether the connection may carry another.
+The socket of the last exchange, and how many bytes it had received by its end.
+*/
+type LastUse = {readonly socket: Socket; readonly bytesRead: number};
+
+type ExchangeLimits = EndpointConnectionLimits & {readonly last: LastUse | undefined};
+
+/**
+Refuses a socket that received bytes while no request was under way: what comes next might answer an earlier request.
+*/
+const assertQuiet = (socket: Socket, last: LastUse | undefined, address: string): void => {
+	if (last?.socket === socket && socket.bytesRead !== last.bytesRead) {
+		throw createFault(FaultKind.EndpointUnreachable, `endpoint ${address} sent bytes that no request had asked for`);
+	}
+};
+
+/**
+Performs one request.
+
+@returns What the next request must know of the connection; `undefined` when it may not carry another.
 */
-const performExchange = async (agent: Agent, address: string, {request: wanted, answer}: EndpointExchange, limits: EndpointConnectionLimits): Promise<boolean> => {
+const performExchange = async (agent: Agent, address: string, {request: wanted, answer}: EndpointExchange, limits: ExchangeLimits): Promise<LastUse | undefined> => {
 	const [host, port] = splitAddress(address);
 	const outgoing = httpRequest({
 		agent, host, port, method: wanted.method, path: wanted.path, headers: headersForEndpoint(wanted.headers, address, wanted.body), setHost: false,
@@ -89,7 +121,8 @@
 	let hasStarted = false;
 	let timer: NodeJS.Timeout | undefined;
 	try {
-		await connectSocket(outgoing, address, limits.connectTimeoutMilliseconds);
+		const socket = await connectSocket(outgoing, address, limits.connectTimeoutMilliseconds);
+		assertQuiet(socket, limits.last, address);
 		wanted.beforeFirstByte();
 		hasStarted = true;
 		timer = setTimeout(() => {
@@ -97,6 +130,7 @@
 		}, wanted.timeoutMilliseconds);
 		const responded = once(outgoing, 'response') as Promise<[IncomingMessage]>;
 		const [[response]] = await Promise.all([responded, sendBody(outgoing, wanted.body)]);
+		assertDelimited(response, wanted.method, address);
 		const {chunks, isWhole} = await collectBody(response, limits.bufferedBodyBytes);
 		answer.resolve({
 			status: response.statusCode!,
@@ -108,11 +142,11 @@
 			await once(response, 'close');
 		}
 
-		return outgoing.shouldKeepAlive && response.complete;
+		return outgoing.shouldKeepAlive && response.complete ? {socket, bytesRead: socket.bytesRead} : undefined;
 	} catch (error) {
 		outgoing.destroy();
 		answer.reject(faultOf(failure ?? error, address, hasStarted));
-		return false;
+		return undefined;
 	} finally {
 		clearTimeout(timer);
 	}
@@ -140,6 +174,7 @@
 */
 export const runEndpointConnection = async (address: string, nextExchange: () => Promise<EndpointExchange | undefined>, limits: EndpointConnectionLimits): Promise<void> => {
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
+	let last: LastUse | undefined;
 	try {
 		for (;;) {
 			const exchange = await nextExchange();
@@ -147,8 +182,8 @@
 				return;
 			}
 
-			const isReusable = await performExchange(agent, address, exchange, limits);
-			if (!isReusable) {
+			last = await performExchange(agent, address, exchange, {...limits, last});
+			if (!last) {
 				return;
 			}
 		}
--- a/packages/galenakeeld/src/process/claim-writer.ts
+++ b/packages/galenakeeld/src/process/claim-writer.ts
@@ -1,12 +1,13 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {performance} from 'node:perf_hooks';
-import {PlatformOutcome, type Platform, type TableRow} from '@galenakeel/model/connection/platform-client.js';
-import {parseJson} from '@galenakeel/model/connection/json.js';
+import {PlatformOutcome, type Platform} from '@galenakeel/model/connection/platform-client.js';
 import {createDeferred, type Deferred} from '@galenakeel/model/request/deferred.js';
 import type {IdentifierHolder} from '../request/submission-identifier.js';
+import {
+	claimKeyOf, encodeClaim, parseClaim, type Claim,
+} from './claim-row.js';
 
-const claimPrefix = 'claim/';
 const rowsInTransaction = 100;
 const readBackAttempts = 3;
 const readBackPauseMilliseconds = 50;
@@ -15,9 +16,7 @@
 What became of a claim.
 */
 export enum ClaimState {
-	/** The row was written by this claim; this incarnation may run the submission. */
-	Ours = 'ours',
-	/** The row names a holder that claimed before. */
+	/** A row names the incarnation that may run the submission, this one or another. */
 	Held = 'held',
 	/** The platform did not confirm the claim. */
 	Unavailable = 'unavailable',
@@ -27,20 +26,22 @@
 The result of a claim.
 */
 export type ClaimResult
-	= | {readonly state: ClaimState.Ours}
-		| {readonly state: ClaimState.Held; readonly holder: IdentifierHolder}
+	= | {readonly state: ClaimState.Held; readonly claim: Claim}
 		| {readonly state: ClaimState.Unavailable};
 
-type ClaimRow = IdentifierHolder & {readonly nonce: string; readonly claimedAt: number};
-
-type PendingClaim = {readonly identifier: string; readonly nonce: string; readonly result: Deferred<ClaimResult>; readonly claimedAt: number};
+type PendingClaim = {readonly identifier: string; readonly claim: Claim; readonly result: Deferred<ClaimResult>; deadlineAt: number};
 
 /**
 Claims caller-chosen identifiers in the platform's table, many in one transaction.
 */
 export type ClaimWriter = {
-	/** Claims an identifier; concurrent claims of the same one share their result. */
-	readonly claim: (identifier: string) => Promise<ClaimResult>;
+	/**
+	Claims an identifier; concurrent claims of the same one share their result.
+
+	@param fingerprint Digest of what is submitted, kept in the row.
+	@param deadlineAt Time on the monotonic clock after which a claim that has not been sent is given up, in milliseconds.
+	*/
+	readonly claim: (identifier: string, fingerprint: string, deadlineAt: number) => Promise<ClaimResult>;
 	/** Reads who holds an identifier; `undefined` when nobody claimed it. @throws A fault of kind `PlatformUnavailable`. */
 	readonly findHolder: (identifier: string) => Promise<IdentifierHolder | undefined>;
 	/** Commits pending claims until the process ends. */
@@ -49,35 +50,32 @@
 	readonly transactions: () => number;
 };
 
-const keyOf = (claim: PendingClaim): string => `${claimPrefix}${claim.identifier}`;
-
-const resultOf = (row: TableRow, claim: PendingClaim): ClaimResult => {
-	const {nonce, instance, incarnation} = parseJson<ClaimRow>(row.value);
-	return nonce === claim.nonce ? {state: ClaimState.Ours} : {state: ClaimState.Held, holder: {instance, incarnation}};
-};
+const keyOf = (pending: PendingClaim): string => claimKeyOf(pending.identifier);
 
 /**
 Creates a writer without pending claims.
 
 @param options.transactionsPerSecond This instance's part of the platform's write budget at present.
+@param options.onNonce Called with the nonce of each claim before it is sent. The row that holds a nonce gives its incarnation the right to run the submission once.
 
 @example
 ```
-const claims = createClaimWriter({platform, holder, transactionsPerSecond: () => 300 / members.size});
+const claims = createClaimWriter({platform, holder, transactionsPerSecond: () => 300 / members.size, onNonce: register.issue});
 void claims.run();
-const result = await claims.claim('sheet-2041');
+const result = await claims.claim('sheet-2041', fingerprint, performance.now() + 5000);
 ```
 */
-export const createClaimWriter = (options: {platform: Platform; holder: IdentifierHolder; transactionsPerSecond: () => number}): ClaimWriter => {
-	const {platform, holder} = options;
+export const createClaimWriter = (options: {platform: Platform; holder: IdentifierHolder; transactionsPerSecond: () => number; onNonce: (nonce: string) => void}): ClaimWriter => {
+	const {platform} = options;
+	const {instance, incarnation} = options.holder;
 	const pending: PendingClaim[] = [];
 	const inFlight = new Map<string, PendingClaim>();
 	let wake = createDeferred<void>();
 	let transactions = 0;
 
-	const settle = (claim: PendingClaim, result: ClaimResult): void => {
-		inFlight.delete(claim.identifier);
-		claim.result.resolve(result);
+	const settle = (settled: PendingClaim, result: ClaimResult): void => {
+		inFlight.delete(settled.identifier);
+		settled.result.resolve(result);
 	};
 
 	/** Settles the claims whose rows are in the table; returns the others. `undefined` when the table can't be read. */
@@ -89,7 +87,7 @@
 				return claims.filter(claim => {
 					const row = rows.get(keyOf(claim));
 					if (row) {
-						settle(claim, resultOf(row, claim));
+						settle(claim, {state: ClaimState.Held, claim: parseClaim(row)});
 					}
 
 					return !row;
@@ -108,11 +106,11 @@
 			transactions++;
 			const {outcome} = await platform.transact(
 				open.map(claim => ({key: keyOf(claim), version: 0})),
-				open.map(claim => ({key: keyOf(claim), value: JSON.stringify({...holder, nonce: claim.nonce, claimedAt: claim.claimedAt} satisfies ClaimRow)})),
+				open.map(claim => ({key: keyOf(claim), value: encodeClaim(claim.claim)})),
 			);
 			if (outcome === PlatformOutcome.Done) {
 				for (const claim of open) {
-					settle(claim, {state: ClaimState.Ours});
+					settle(claim, {state: ClaimState.Held, claim: claim.claim});
 				}
 
 				return;
@@ -123,8 +121,12 @@
 				break;
 			}
 
-			// A refusal settles at least one claim; an unknown result without a row may yet take effect, so it is tried again.
-			attempt += outcome === PlatformOutcome.Unknown ? 1 : 0;
+			// No progress: the write may yet take effect, or the read was stale.
+			if (remaining.length === open.length) {
+				attempt++;
+				await sleep(readBackPauseMilliseconds);
+			}
+
 			open = remaining;
 		}
 
@@ -133,24 +135,43 @@
 		}
 	};
 
+	/** Takes the next claims to send, and gives up those whose callers no longer wait. */
+	const takeBatch = (): readonly PendingClaim[] => {
+		const batch = pending.splice(0, rowsInTransaction);
+		const now = performance.now();
+		for (const late of batch.filter(claim => claim.deadlineAt <= now)) {
+			settle(late, {state: ClaimState.Unavailable});
+		}
+
+		return batch.filter(claim => claim.deadlineAt > now);
+	};
+
 	return {
-		async claim(identifier) {
+		async claim(identifier, fingerprint, deadlineAt) {
 			const existing = inFlight.get(identifier);
 			if (existing) {
+				existing.deadlineAt = Math.max(existing.deadlineAt, deadlineAt);
 				return existing.result.promise;
 			}
 
-			const claim: PendingClaim = {
-				identifier, nonce: randomUUID(), result: createDeferred<ClaimResult>(), claimedAt: Date.now(),
+			const nonce = randomUUID();
+			options.onNonce(nonce);
+			const added: PendingClaim = {
+				identifier,
+				claim: {
+					instance, incarnation, nonce, fingerprint, claimedAt: Date.now(),
+				},
+				result: createDeferred<ClaimResult>(),
+				deadlineAt,
 			};
-			inFlight.set(identifier, claim);
-			pending.push(claim);
+			inFlight.set(identifier, added);
+			pending.push(added);
 			wake.resolve();
-			return claim.result.promise;
+			return added.result.promise;
 		},
 		async findHolder(identifier) {
-			const [row] = await platform.readRows([`${claimPrefix}${identifier}`]);
-			return row && (parseJson<ClaimRow>(row.value));
+			const [row] = await platform.readRows([claimKeyOf(identifier)]);
+			return row && parseClaim(row);
 		},
 		async run() {
 			for (;;) {
@@ -160,7 +181,7 @@
 				}
 
 				const startedAt = performance.now();
-				await commit(pending.splice(0, rowsInTransaction));
+				await commit(takeBatch());
 				const interval = 1000 / options.transactionsPerSecond();
 				await sleep(Math.max(0, interval - (performance.now() - startedAt)));
 			}
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -47,7 +47,10 @@
 	claims: z.strictObject({
 		/** Writes of claims a second over all entry instances. */
 		writesPerSecond: z.number().positive().default(300),
-		retentionMilliseconds: milliseconds.default(86_400_000),
+		/** Time for which a claim is kept. A submission may begin in its first half and takes at most an hour. */
+		retentionMilliseconds: milliseconds.min(7_200_000, 'must be at least twice the longest deadline, 7200000').default(86_400_000),
+		/** Pause between two pages of the sweep of claims that are past their retention. */
+		sweepMilliseconds: milliseconds.default(500),
 	}).prefault({}),
 	answers: z.strictObject({
 		/** Time for which an answer is repeated to a caller that submits again. */
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -9,6 +9,7 @@
 import {createDocumentCatalogue} from '../version/document-catalogue.js';
 import type {ServiceVersion} from '../version/service-version.js';
 import {startCallerServer} from './caller-server.js';
+import {isBucketOwner, runClaimSweep} from './claim-sweeper.js';
 import {createClaimWriter} from './claim-writer.js';
 import type {DaemonSettings} from './daemon-settings.js';
 import {describeDaemon} from './daemon-status.js';
@@ -90,7 +91,7 @@
 	const heartbeats = createHeartbeatSource(describeSelf, settings.peers.heartbeatMilliseconds);
 	const directory = createPeerDirectory(self, membership, heartbeats);
 	const claims = createClaimWriter({
-		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1),
+		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1), onNonce: register.issue,
 	});
 	void claims.run();
 
@@ -109,7 +110,15 @@
 	};
 
 	const submissionRun: SubmissionRun = {
-		self, register, claim: claims.claim, forward: holders.forward, findVersion: catalogue.versionOf, admit: dispatchers.admit, taskRun,
+		self,
+		register,
+		claim: claims.claim,
+		claimRetentionMilliseconds: settings.claims.retentionMilliseconds,
+		heldAnswerBytes: settings.answers.maximumBytes,
+		forward: holders.forward,
+		findVersion: catalogue.versionOf,
+		admit: dispatchers.admit,
+		taskRun,
 	};
 
 	const callerRun: CallerRun = {
@@ -179,6 +188,10 @@
 			}
 		},
 	});
+	const stopClaimSweep = new AbortController();
+	void runClaimSweep({
+		platform, ...settings.claims, pauseMilliseconds: settings.claims.sweepMilliseconds, isOurs: bucket => isBucketOwner(bucket, self.instance, membership.listedPeers().map(({name}) => name)),
+	}, stopClaimSweep.signal);
 	const sweeps = [
 		setInterval(dispatchers.sweep, sweepMilliseconds),
 		setInterval(() => {
@@ -198,6 +211,7 @@
 			stopOperators();
 			directory.close();
 			stopPeers();
+			stopClaimSweep.abort();
 			for (const sweep of sweeps) {
 				clearInterval(sweep);
 			}
--- a/packages/galenakeeld/src/process/submission-register.ts
+++ b/packages/galenakeeld/src/process/submission-register.ts
@@ -26,6 +26,10 @@
 */
 export type SubmissionEntry = {
 	readonly identifier: string;
+	/** Digest of what was submitted; another submission under the same identifier is refused. */
+	readonly fingerprint: string;
+	/** The minted identifier or the nonce of the claim, given back when nothing started. */
+	readonly right: string;
 	readonly tasks: number;
 	readonly cancellation: AbortController;
 	/** Resolves with the one answer. */
@@ -35,19 +39,24 @@
 	finished: number;
 };
 
+/**
+What the register keeps of a submission from its beginning.
+*/
+export type HeldSubmission = Pick<SubmissionEntry, 'identifier' | 'fingerprint' | 'right' | 'tasks'>;
+
 type KeptEntry = {readonly entry: SubmissionEntry; bytes: number; answeredAt: number};
 
 /**
 The submissions that this incarnation has run, is running, or may still run.
 */
 export type SubmissionRegister = {
-	/** Remembers a minted identifier as one that may be run once. */
-	readonly issue: (identifier: string) => void;
-	/** Uses up a minted identifier; false when it was never issued, was used, or lapsed. */
-	readonly redeem: (identifier: string) => boolean;
+	/** Remembers a minted identifier, or the nonce of a claim, as a right to run one submission once. */
+	readonly issue: (right: string) => void;
+	/** Uses up a right; false when it was never issued, was used, or lapsed. */
+	readonly redeem: (right: string) => boolean;
 	readonly entryOf: (identifier: string) => SubmissionEntry | undefined;
 	/** Adds a submission and runs it; an identifier that is already held keeps its entry. */
-	readonly begin: (identifier: string, tasks: number, run: (entry: SubmissionEntry) => Promise<SubmissionAnswer>) => SubmissionEntry;
+	readonly begin: (submission: HeldSubmission, run: (entry: SubmissionEntry) => Promise<SubmissionAnswer>) => SubmissionEntry;
 	/** Drops answers that are past their retention or above the bound on memory. */
 	readonly sweep: () => void;
 	readonly unanswered: () => number;
@@ -69,7 +78,7 @@
 @example
 ```
 const register = createSubmissionRegister({retentionMilliseconds: 600_000, maximumBytes: 2 ** 26});
-const entry = register.begin(identifier, 1, async () => answer);
+const entry = register.begin({identifier, fingerprint, right: identifier, tasks: 1}, async () => answer);
 ```
 */
 export const createSubmissionRegister = (limits: {retentionMilliseconds: number; maximumBytes: number}): SubmissionRegister => {
@@ -84,10 +93,10 @@
 		held.answeredAt = Date.now();
 		held.bytes = bytesOf(answer);
 		keptBytes += held.bytes;
-		if (answer.outcome === Outcome.NotRun) {
-			// Nothing started, so the caller may submit the same identifier again.
+		if (answer.outcome === Outcome.NotRun && !held.entry.cancellation.signal.aborted) {
+			// Nothing started, so the caller may submit the same identifier again. A cancelled one stays cancelled.
 			drop(held.entry.identifier);
-			issued.set(held.entry.identifier, Date.now());
+			issue(held.entry.right);
 		}
 	};
 
@@ -99,13 +108,18 @@
 		}
 	};
 
+	const issue = (right: string): void => {
+		// Set anew at the end, since the sweep stops at the first right that has not lapsed.
+		issued.delete(right);
+		issued.set(right, Date.now());
+	};
+
 	return {
-		issue(identifier) {
-			issued.set(identifier, Date.now());
-		},
-		redeem: identifier => issued.delete(identifier),
+		issue,
+		redeem: right => issued.delete(right),
 		entryOf: identifier => kept.get(identifier)?.entry,
-		begin(identifier, tasks, run) {
+		begin(submission, run) {
+			const {identifier} = submission;
 			const existing = kept.get(identifier);
 			if (existing) {
 				return existing.entry;
@@ -113,7 +127,7 @@
 
 			const {promise, resolve, reject} = createDeferred<SubmissionAnswer>();
 			const entry: SubmissionEntry = {
-				identifier, tasks, cancellation: new AbortController(), answer: promise, state: SubmissionState.Waiting, started: 0, finished: 0,
+				...submission, cancellation: new AbortController(), answer: promise, state: SubmissionState.Waiting, started: 0, finished: 0,
 			};
 			const held: KeptEntry = {entry, bytes: 0, answeredAt: 0};
 			kept.set(identifier, held);
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -1,11 +1,14 @@
 import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {FaultKind} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer, TaskAnswer} from '@galenakeel/model/request/task.js';
 import {ClaimState, type ClaimResult} from '../process/claim-writer.js';
 import {SubmissionState, type SubmissionEntry, type SubmissionRegister} from '../process/submission-register.js';
 import type {ServiceVersion} from '../version/service-version.js';
+import {holdAnswer} from './hold-answer.js';
 import {runTask, type TaskRun} from './run-task.js';
+import {fingerprintOf} from './submission-fingerprint.js';
 import {IdentifierKind, parseIdentifier, type IdentifierHolder} from './submission-identifier.js';
 
 /**
@@ -14,7 +17,11 @@
 export type SubmissionRun = {
 	readonly self: IdentifierHolder;
 	readonly register: SubmissionRegister;
-	readonly claim: (identifier: string) => Promise<ClaimResult>;
+	readonly claim: (identifier: string, fingerprint: string, deadlineAt: number) => Promise<ClaimResult>;
+	/** Time for which a claim is kept, in milliseconds. */
+	readonly claimRetentionMilliseconds: number;
+	/** Longest answer of one task that is held. */
+	readonly heldAnswerBytes: number;
 	/** Hands a submission to its holder; never throws. */
 	readonly forward: (holder: IdentifierHolder, submission: Submission) => Promise<SubmissionAnswer>;
 	readonly findVersion: (service: string) => ServiceVersion | undefined;
@@ -55,8 +62,17 @@
 	};
 };
 
-const runTasks = async (submission: Submission, version: ServiceVersion, entry: SubmissionEntry, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	const deadlineAt = performance.now() + submission.deadlineMilliseconds;
+/**
+A submission on its way through this instance.
+*/
+type Arrival = {
+	readonly submission: Submission;
+	readonly fingerprint: string;
+	/** Time on the monotonic clock, counted from the arrival: a pause of the process uses it up. */
+	readonly deadlineAt: number;
+};
+
+const runTasks = async ({submission, deadlineAt}: Arrival, version: ServiceVersion, entry: SubmissionEntry, run: SubmissionRun): Promise<SubmissionAnswer> => {
 	const shared = run.taskRun(version);
 	const runOne = async (task: Submission['tasks'][number]): Promise<TaskAnswer> => {
 		const answer = await runTask(task, {
@@ -70,65 +86,108 @@
 				entry.state = SubmissionState.Running;
 			},
 		});
+		const held = await holdAnswer(answer, run.heldAnswerBytes);
 		entry.finished++;
-		return answer;
+		return held;
 	};
 
 	return combine(await Promise.all(submission.tasks.map(async task => runOne(task))));
 };
 
+const mismatched = (identifier: string): SubmissionAnswer =>
+	answerUnknown(FaultKind.IdentifierMismatch, `"${identifier}" was used for another submission, which may have run; this one started nothing`);
+
+const joinEntry = async (entry: SubmissionEntry, fingerprint: string): Promise<SubmissionAnswer> =>
+	entry.fingerprint === fingerprint ? entry.answer : mismatched(entry.identifier);
+
+const discarded = (identifier: string): SubmissionAnswer =>
+	answerUnknown(FaultKind.AnswerDiscarded, `"${identifier}" was taken before and its answer is no longer kept`);
+
 /**
 Runs a submission that this incarnation holds, or joins the run that has begun.
+
+@param right The minted identifier, or the nonce of the claim.
 */
-const runHeld = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	const entry = run.register.begin(submission.identifier, submission.tasks.length, async begun => {
+const runHeld = async (arrival: Arrival, right: string, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	const {submission, fingerprint} = arrival;
+	const {identifier, tasks} = submission;
+	const existing = run.register.entryOf(identifier);
+	if (existing) {
+		return joinEntry(existing, fingerprint);
+	}
+
+	if (!run.register.redeem(right)) {
+		return discarded(identifier);
+	}
+
+	const entry = run.register.begin({
+		identifier, fingerprint, right, tasks: tasks.length,
+	}, async begun => {
 		const version = run.findVersion(submission.service);
 		if (!version) {
 			return refuse(FaultKind.UnknownService, `no document in force names the service "${submission.service}"`);
 		}
 
-		return run.admit(version, submission) ?? runTasks(submission, version, begun, run);
+		return run.admit(version, submission) ?? runTasks(arrival, version, begun, run);
 	});
 	return entry.answer;
 };
 
-const discarded = (identifier: string): SubmissionAnswer =>
-	answerUnknown(FaultKind.AnswerDiscarded, `"${identifier}" was taken before and its answer is no longer kept`);
-
-const submitMinted = async (submission: Submission, holder: IdentifierHolder, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	if (holder.incarnation !== run.self.incarnation) {
-		return run.forward(holder, submission);
+/**
+Hands a submission to another incarnation, unless that was an earlier run of this instance.
+*/
+const forwardTo = async (holder: IdentifierHolder, {submission, deadlineAt}: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	if (holder.instance === run.self.instance) {
+		return answerUnknown(FaultKind.HolderUnreachable, `the run of "${holder.instance}" that holds "${submission.identifier}" has ended`);
 	}
 
-	return run.register.redeem(submission.identifier) ? runHeld(submission, run) : discarded(submission.identifier);
+	return run.forward(holder, {...submission, deadlineMilliseconds: Math.max(1, Math.ceil(deadlineAt - performance.now()))});
 };
 
-const submitChosen = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	const claim = await run.claim(submission.identifier);
-	switch (claim.state) {
-		case ClaimState.Ours: {
-			return runHeld(submission, run);
-		}
+const submitMinted = async (arrival: Arrival, holder: IdentifierHolder, run: SubmissionRun): Promise<SubmissionAnswer> =>
+	holder.incarnation === run.self.incarnation
+		? runHeld(arrival, arrival.submission.identifier, run)
+		: forwardTo(holder, arrival, run);
 
-		case ClaimState.Held: {
-			if (claim.holder.incarnation !== run.self.incarnation) {
-				return run.forward(claim.holder, submission);
-			}
+const unavailable: ClaimResult = {state: ClaimState.Unavailable};
 
-			// This incarnation claimed it in an earlier attempt.
-			if (run.register.entryOf(submission.identifier) !== undefined || run.register.redeem(submission.identifier)) {
-				return runHeld(submission, run);
-			}
+/**
+Claims an identifier, but waits no longer than its caller.
+*/
+const claimInTime = async ({submission, fingerprint, deadlineAt}: Arrival, run: SubmissionRun): Promise<ClaimResult> => {
+	const stop = new AbortController();
+	const giveUp = async (): Promise<ClaimResult> => {
+		await sleep(Math.max(0, deadlineAt - performance.now()), undefined, {signal: stop.signal});
+		return unavailable;
+	};
 
-			return discarded(submission.identifier);
-		}
+	try {
+		return await Promise.race([run.claim(submission.identifier, fingerprint, deadlineAt), giveUp()]);
+	} finally {
+		stop.abort();
+	}
+};
 
-		case ClaimState.Unavailable: {
-			// The row may yet be written; a later attempt that finds it may run the submission.
-			run.register.issue(submission.identifier);
-			return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${submission.identifier}" was not confirmed by the platform; this attempt started nothing`);
-		}
+const submitChosen = async (arrival: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	const {identifier} = arrival.submission;
+	const result = await claimInTime(arrival, run);
+	if (result.state === ClaimState.Unavailable) {
+		// The row may yet be written; a later attempt that finds it may run the submission.
+		return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${identifier}" was not confirmed by the platform; this attempt started nothing`);
+	}
+
+	const {claim} = result;
+	if (claim.fingerprint !== arrival.fingerprint) {
+		return mismatched(identifier);
+	}
+
+	if (claim.incarnation !== run.self.incarnation) {
+		return forwardTo(claim, arrival, run);
 	}
+
+	// The row may be swept, and claimed by another instance, before a submission that begins late has ended.
+	const isNearSweep = Date.now() - claim.claimedAt > run.claimRetentionMilliseconds / 2;
+	return isNearSweep && !run.register.entryOf(identifier) ? discarded(identifier) : runHeld(arrival, claim.nonce, run);
 };
 
 /**
@@ -147,12 +206,13 @@
 		return refuse(FaultKind.BadIdentifier, `"${submission.identifier}" is not a valid identifier`);
 	}
 
+	const arrival: Arrival = {submission, fingerprint: fingerprintOf(submission), deadlineAt: performance.now() + submission.deadlineMilliseconds};
 	const held = run.register.entryOf(submission.identifier);
 	if (held) {
-		return held.answer;
+		return joinEntry(held, arrival.fingerprint);
 	}
 
 	return parsed.kind === IdentifierKind.Minted
-		? submitMinted(submission, parsed.holder, run)
-		: submitChosen(submission, run);
+		? submitMinted(arrival, parsed.holder, run)
+		: submitChosen(arrival, run);
 };
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {performance} from 'node:perf_hooks';
-import type {Readable} from 'node:stream';
+import {Readable} from 'node:stream';
 import {createDeferred} from '@galenakeel/model/request/deferred.js';
 import {
 	createFault, detailOf, FaultKind, isFault,
@@ -54,12 +54,13 @@
 
 type RunnableTask = Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
 
-const isRetriable = (record: StartRecord, run: TaskRun, fault: FaultKind): boolean => {
+const isRetriable = (task: RunnableTask, record: StartRecord, run: TaskRun, fault: FaultKind): boolean => {
 	if (!record.hasStarted()) {
 		return fault === FaultKind.EndpointUnreachable;
 	}
 
-	return run.version.document.idempotent && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && run.mayRetry();
+	// A body that is streamed can be read only once.
+	return !(task.body instanceof Readable) && run.version.document.idempotent && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && run.mayRetry();
 };
 
 const attemptTask = async (task: RunnableTask, run: TaskRun, grant: SlotGrant, record: StartRecord): Promise<StreamedTaskAnswer> => {
@@ -156,7 +157,7 @@
 			return await attemptOnFreeSlot(task, run, demand, record);
 		} catch (error) {
 			const fault = isFault(error) ? error.name : FaultKind.Internal;
-			if (attempt === maximumAttempts || !isRetriable(record, run, fault)) {
+			if (attempt === maximumAttempts || !isRetriable(task, record, run, fault)) {
 				return answerOf(error, record);
 			}
 		}
--- a/packages/galenakeeld/src/request/submission-identifier.ts
+++ b/packages/galenakeeld/src/request/submission-identifier.ts
@@ -2,6 +2,7 @@
 
 const mintedPrefix = 'm~';
 const identifierPattern = /^[\w.:\-]{1,200}$/v;
+const keyPattern = /^k~[\w.\-]{1,100}~[\w.:\-]{1,200}$/v;
 const mintedPattern = /^m~(?<instance>[\w.\-]{1,60})~(?<incarnation>[\da-z]{1,40})~[\da-f]{16}$/v;
 const randomLength = 8;
 
@@ -38,6 +39,16 @@
 export const mintIdentifier = (holder: IdentifierHolder): string =>
 	`${mintedPrefix}${holder.instance}~${holder.incarnation}~${randomBytes(randomLength).toString('hex')}`;
 
+/**
+Returns the identifier of a single request with an idempotency key. Services have keys of their own, apart from the identifiers of jobs.
+
+@example
+```
+identifierOfKey('paysheet', 'reading-77'); // => 'k~paysheet~reading-77'
+```
+*/
+export const identifierOfKey = (service: string, key: string): string => `k~${service}~${key}`;
+
 /**
 Parses an identifier; `undefined` when it is malformed.
 */
@@ -47,5 +58,5 @@
 		return {kind: IdentifierKind.Minted, holder: {instance: groups.instance!, incarnation: groups.incarnation!}};
 	}
 
-	return identifierPattern.test(identifier) ? {kind: IdentifierKind.Chosen} : undefined;
+	return identifierPattern.test(identifier) || keyPattern.test(identifier) ? {kind: IdentifierKind.Chosen} : undefined;
 };
--- a/packages/model/src/request/fault.ts
+++ b/packages/model/src/request/fault.ts
@@ -12,6 +12,8 @@
 	UnknownService = 'unknown-service',
 	/** The identifier is malformed, or was never issued. */
 	BadIdentifier = 'bad-identifier',
+	/** The identifier was used before for a submission with another content. */
+	IdentifierMismatch = 'identifier-mismatch',
 	/** The service has no endpoint that could ever run the task. */
 	NoEndpoint = 'no-endpoint',
 	/** The task needs longer than its deadline or time-out allows. */
@@ -54,6 +56,7 @@
 	[FaultKind.TooLarge]: 'Send a smaller request, or split the job.',
 	[FaultKind.UnknownService]: 'Check the name of the service, or have its operators accept a document for it.',
 	[FaultKind.BadIdentifier]: 'Use an identifier of 1 to 200 letters, digits, dots, colons, hyphens and underscores, or ask for a minted one.',
+	[FaultKind.IdentifierMismatch]: 'Submit other work under an identifier of its own; repeat a submission unchanged.',
 	[FaultKind.NoEndpoint]: 'Have the operators of the service add endpoints to its document.',
 	[FaultKind.NeverRunnable]: 'Grant a longer deadline, or raise the time-out in the service document.',
 	[FaultKind.Overloaded]: 'Send the request again after the time in Retry-After.',
--- a/packages/stand-ins/src/process/endpoint-stand-in.ts
+++ b/packages/stand-ins/src/process/endpoint-stand-in.ts
@@ -15,6 +15,10 @@
 	Freeze = 'freeze',
 	/** Sends half of each answer, then breaks off. */
 	HalfAnswer = 'half-answer',
+	/** Sends half of each answer without a length, then closes the connection. */
+	NoLength = 'no-length',
+	/** Sends another answer after each, which no request asked for. */
+	TwoAnswers = 'two-answers',
 }
 
 /**
@@ -96,6 +100,11 @@
 
 			await sleep(Number(query.get('run') ?? defaultRunMilliseconds) / options.speed);
 			const text = `${task}:${body}`.padEnd(Number(query.get('bytes') ?? 0), '.');
+			if (standIn.behaviour === EndpointBehaviour.NoLength) {
+				response.socket!.end(`HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n${text.slice(0, text.length / 2)}`);
+				return;
+			}
+
 			response.writeHead(200, {'content-type': 'text/plain', 'content-length': Buffer.byteLength(text)});
 			if (standIn.behaviour === EndpointBehaviour.HalfAnswer) {
 				response.write(text.slice(0, text.length / 2));
@@ -105,6 +114,11 @@
 			}
 
 			response.end(text);
+			if (standIn.behaviour === EndpointBehaviour.TwoAnswers) {
+				const {socket} = response;
+				await sleep(2);
+				socket?.write('HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nanother:');
+			}
 		} finally {
 			release();
 		}
