--- a/packages/stand-ins/src/connection/http-json.ts
+++ b/packages/stand-ins/src/connection/http-json.ts
@@ -61,6 +61,8 @@
 export type HttpReply = {
 	readonly status: number;
 	readonly headers: IncomingMessage['headers'];
+	/** Fields that came after the body. */
+	readonly trailers: IncomingMessage['trailers'];
 	readonly text: string;
 };
 
@@ -101,5 +103,8 @@
 	});
 	request.end(body);
 	const [response] = await once(request, 'response') as [IncomingMessage];
-	return {status: response.statusCode!, headers: response.headers, text: await readText(response)};
+	const text = await readText(response);
+	return {
+		status: response.statusCode!, headers: response.headers, trailers: response.trailers, text,
+	};
 };
--- a/packages/trials/src/request/caller.ts
+++ b/packages/trials/src/request/caller.ts
@@ -16,7 +16,8 @@
 };
 
 const outcomeOf = (reply: HttpReply): Outcome => {
-	const value = String(reply.headers['galenakeel-outcome'] ?? '');
+	// The outcome of an answer that was passed on in parts follows it.
+	const value = String(reply.headers['galenakeel-outcome'] ?? reply.trailers['galenakeel-outcome'] ?? '');
 	return isOutcome(value) ? value : Outcome.OutcomeUnknown;
 };
 
--- a/packages/trials/src/request/history.ts
+++ b/packages/trials/src/request/history.ts
@@ -19,6 +19,10 @@
 	readonly isCut: boolean;
 	/** Whether the operation went to a daemon that the history killed or froze meanwhile. */
 	readonly isDisturbed: boolean;
+	/** Whether the document of the service lets a task start more than once. */
+	readonly isIdempotent?: boolean;
+	/** Length that each task's answer is padded to. */
+	readonly answerBytes?: number;
 };
 
 /**
