--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -1,12 +1,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {performance} from 'node:perf_hooks';
 import {detailOf, FaultKind, isFault} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import type {JobView} from '../request/inspect-submission.js';
 import {relayRequest, type RelayRun} from '../request/relay-request.js';
+import {ObservedKind, type Observe} from '../request/request-observer.js';
+import {SpanName, type OpenTrace} from '../request/trace-scope.js';
 import {
-	CallerRequestKind, parseCallerRoute, problemOf, readJob, readRelayBody, readTask, readTerms, writeJobAnswer, writeJson, writeProblem, writeTaskAnswer, type CallerRoute, type JobRequest,
+	CallerRequestKind, parseCallerRoute, problemOf, readJob, readRelayBody, readTask, readTerms, requestField, type CallerRoute, type JobRequest,
+	writeJobAnswer, writeJson, writeProblem, writeTaskAnswer,
 } from './caller-encoding.js';
 
 /**
@@ -25,7 +27,10 @@
 	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView>;
 	readonly defaultDeadlineMilliseconds: (service: string) => number;
 	readonly isLeaving: () => boolean;
-	readonly onAnswered: (outcome: Outcome, durationMilliseconds: number) => void;
+	/** Names a single request that has no identifier. */
+	readonly nameRequest: () => string;
+	readonly observe: Observe;
+	readonly openTrace: OpenTrace;
 };
 
 const goneSignal = (response: ServerResponse): AbortSignal => {
@@ -43,6 +48,7 @@
 const answerRelay = async ({request, response}: CallerExchange, route: RelayRoute, run: CallerRun): Promise<void> => {
 	const terms = readTerms(request);
 	const task = {...readTask(request, route.path, terms.kind), body: await readRelayBody(request, run.limits)};
+	const span = run.openTrace(terms.traceparent).begin(SpanName.CallerRequest, {service: route.service});
 	if (terms.idempotencyKey !== '' && task.body instanceof Uint8Array) {
 		const submission: Submission = {
 			identifier: terms.idempotencyKey,
@@ -50,18 +56,29 @@
 			team: terms.team,
 			deadlineMilliseconds: terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(route.service),
 			tasks: [{...task, body: task.body}],
-			traceparent: terms.traceparent,
+			traceparent: span.traceparent,
 		};
-		await writeSingleAnswer(response, submission, await run.submit(submission), request.method!);
+		const answer = await run.submit(submission);
+		span.end({job: submission.identifier, outcome: answer.outcome}, answer.fault);
+		await writeSingleAnswer(response, submission, answer, request.method!);
 		return;
 	}
 
+	const identifier = run.nameRequest();
 	const answer = await relayRequest({
-		service: route.service, team: terms.team, deadlineMilliseconds: terms.deadlineMilliseconds, task, signal: goneSignal(response),
+		service: route.service,
+		team: terms.team,
+		deadlineMilliseconds: terms.deadlineMilliseconds,
+		task,
+		signal: goneSignal(response),
+		observer: run.observe({kind: ObservedKind.Request, identifier, service: route.service}),
+		trace: span,
 	}, run);
+	span.end({request: identifier, outcome: answer.outcome}, answer.fault);
 	if (answer.outcome === Outcome.Complete) {
-		await writeTaskAnswer(response, answer, request.method!);
+		await writeTaskAnswer(response, answer, request.method!, [[requestField, identifier]]);
 	} else {
+		response.setHeader(requestField, identifier);
 		writeProblem(response, problemOf(answer));
 	}
 };
@@ -91,7 +108,10 @@
 const answerJob = async (exchange: CallerExchange, identifier: string | undefined, run: CallerRun): Promise<void> => {
 	const job = await readJob(exchange.request, run.limits);
 	const submission = submissionOf(identifier ?? run.mint(), job, exchange, run);
-	writeJobAnswer(exchange.response, submission.identifier, await run.submit(submission));
+	const span = run.openTrace(submission.traceparent).begin(SpanName.CallerRequest, {service: submission.service, job: submission.identifier});
+	const answer = await run.submit({...submission, traceparent: span.traceparent});
+	span.end({outcome: answer.outcome}, answer.fault);
+	writeJobAnswer(exchange.response, submission.identifier, answer);
 };
 
 const answerInspection = async ({response}: CallerExchange, identifier: string, isCancelled: boolean, run: CallerRun): Promise<void> => {
@@ -157,7 +177,6 @@
 export const serveCallerConnection = async (exchanges: AsyncIterable<CallerExchange>, run: CallerRun): Promise<void> => {
 	for await (const exchange of exchanges) {
 		const {request, response} = exchange;
-		const startedAt = performance.now();
 		if (run.isLeaving()) {
 			response.setHeader('connection', 'close');
 		}
@@ -171,7 +190,6 @@
 		// An unread body would be taken for the next request.
 		request.resume();
 		await untilClosed(response);
-		run.onAnswered(response.getHeader('galenakeel-outcome') as Outcome | undefined ?? Outcome.Complete, performance.now() - startedAt);
 	}
 };
 
--- a/packages/galenakeeld/src/connection/caller-encoding.ts
+++ b/packages/galenakeeld/src/connection/caller-encoding.ts
@@ -293,6 +293,11 @@
 const outcomeField = 'galenakeel-outcome';
 const identifierField = 'galenakeel-job';
 
+/**
+The field in which a caller gets the name of a single request that has no identifier.
+*/
+export const requestField = 'galenakeel-request';
+
 /**
 Writes a JSON answer with its length.
 */
@@ -372,14 +377,14 @@
 
 A body that is too long to be held is passed on as it comes, and its outcome follows in a trailer. When the endpoint breaks off, the caller's connection is destroyed, so that a part is never taken for the whole.
 */
-export const writeTaskAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, method: string): Promise<void> => {
+export const writeTaskAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, method: string, own: HeaderList = []): Promise<void> => {
 	if (!answer.rest) {
-		response.writeHead(answer.status, headersForCaller(answer.headers, [[outcomeField, answer.outcome], ...lengthFields(answer, method)]));
+		response.writeHead(answer.status, headersForCaller(answer.headers, [[outcomeField, answer.outcome], ...own, ...lengthFields(answer, method)]));
 		response.end(answer.body);
 		return;
 	}
 
-	response.writeHead(answer.status, headersForCaller(answer.headers, [['trailer', outcomeField]]));
+	response.writeHead(answer.status, headersForCaller(answer.headers, [['trailer', outcomeField], ...own]));
 	response.write(answer.body);
 	response.addTrailers({[outcomeField]: answer.outcome});
 	try {
--- a/packages/galenakeeld/src/connection/peer-connection.ts
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -17,6 +17,7 @@
 } from '@galenakeel/model/connection/generated/peer.js';
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
 import type {PeerHeartbeat} from '../process/membership.js';
+import type {PeerClientConstructor} from './counted-peer-service.js';
 import {heartbeatFromWire, heartbeatToWire} from './peer-encoding.js';
 
 const maximumMessageBytes = 134_217_728;
@@ -65,6 +66,8 @@
 /**
 Creates the calls to the peer at an address. The connection is opened with the first call.
 
+@param Client The generated client, or one that counts.
+
 All calls throw a fault of kind `HolderUnreachable` when no reply comes in time.
 
 @example
@@ -73,8 +76,8 @@
 const reply = await calls.fetchDocuments(17, 1000);
 ```
 */
-export const createPeerCalls = (address: string): PeerCalls => {
-	const client = new PeerClient(address, credentials.createInsecure(), channelOptions);
+export const createPeerCalls = (address: string, Client: PeerClientConstructor = PeerClient): PeerCalls => {
+	const client = new Client(address, credentials.createInsecure(), channelOptions);
 	const pending = new Set<ClientUnaryCall>();
 
 	type StartCall<Reply> = (options: {deadline: number}, callback: requestCallback<Reply>) => ClientUnaryCall;
--- a/packages/galenakeeld/src/connection/peer-service.ts
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -2,12 +2,13 @@
 	Server, ServerCredentials, status, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall,
 } from '@grpc/grpc-js';
 import {
-	PeerService, type BorrowSlotsReply, type BorrowSlotsRequest, type FetchDocumentsReply, type Heartbeat, type PeerServer, type ReturnSlotsRequest,
+	type BorrowSlotsReply, type BorrowSlotsRequest, type FetchDocumentsReply, type Heartbeat, type PeerServer, type ReturnSlotsRequest,
 } from '@galenakeel/model/connection/generated/peer.js';
 import {detailOf} from '@galenakeel/model/request/fault.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import type {PeerHeartbeat} from '../process/membership.js';
 import type {JobView} from '../request/inspect-submission.js';
+import {createCountedPeerService, type CountPeerMessage} from './counted-peer-service.js';
 import {channelOptions, sendHeartbeats, type HeartbeatSource} from './peer-connection.js';
 import {
 	answerToWire, heartbeatFromWire, jobViewToWire, submissionFromWire,
@@ -67,9 +68,10 @@
 /**
 Starts the server for calls of other entry instances.
 
+@param count Called with each message that is sent.
 @returns A function that stops it.
 */
-export const startPeerServer = async (address: string, handlers: PeerHandlers): Promise<() => void> => {
+export const startPeerServer = async (address: string, handlers: PeerHandlers, count: CountPeerMessage): Promise<() => void> => {
 	const server = new Server(channelOptions);
 	const implementation: PeerServer = {
 		heartbeats(stream) {
@@ -84,7 +86,7 @@
 		}),
 		fetchDocuments: answerCall(({aboveVersion}) => handlers.documentsAbove(aboveVersion)),
 	};
-	server.addService(PeerService, implementation);
+	server.addService(createCountedPeerService(count), implementation);
 	await new Promise<void>((resolve, reject) => {
 		server.bindAsync(address, ServerCredentials.createInsecure(), error => {
 			if (error) {
--- /dev/null
+++ b/packages/galenakeeld/src/connection/traceparent.ts
@@ -0,0 +1,30 @@
+import {isSpanContextValid, type SpanContext, TraceFlags} from '@opentelemetry/api';
+
+const pattern = /^[\da-f]{2}-(?<traceId>[\da-f]{32})-(?<spanId>[\da-f]{16})-(?<flags>[\da-f]{2})/v;
+const hexadecimal = 16;
+
+/**
+Parses a W3C trace context (version 00 of the field `traceparent`); `undefined` when it is malformed.
+*/
+export const parseTraceparent = (text: string): SpanContext | undefined => {
+	const groups = pattern.exec(text)?.groups;
+	if (!groups) {
+		return undefined;
+	}
+
+	const context: SpanContext = {
+		traceId: groups.traceId!, spanId: groups.spanId!, traceFlags: Number.parseInt(groups.flags!, hexadecimal) & TraceFlags.SAMPLED, isRemote: true, // eslint-disable-line no-bitwise -- the flags are bits
+	};
+	return isSpanContextValid(context) ? context : undefined;
+};
+
+/**
+Encodes a span's context as the field `traceparent`.
+
+@example
+```
+encodeTraceparent(span.spanContext()); // => '00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01'
+```
+*/
+export const encodeTraceparent = ({traceId, spanId, traceFlags}: SpanContext): string =>
+	`00-${traceId}-${spanId}-${traceFlags.toString(hexadecimal).padStart(2, '0')}`;
--- a/packages/galenakeeld/src/process/caller-server.ts
+++ b/packages/galenakeeld/src/process/caller-server.ts
@@ -13,6 +13,8 @@
 export type CallerServer = {
 	/** Connections on which a request is being served. */
 	readonly busy: () => number;
+	/** Open connections. */
+	readonly open: () => number;
 	readonly close: () => void;
 };
 
@@ -69,6 +71,7 @@
 	});
 	return {
 		busy: () => busy,
+		open: () => inboxes.size,
 		close() {
 			server.close();
 			server.closeIdleConnections();
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -1,6 +1,7 @@
 import {parseConfiguration} from '@galenakeel/model/version/configuration-text.js';
 import {z} from 'zod';
 import {PlacementPolicy} from '../version/placement-policy.js';
+import {LogLevel} from './log.js';
 
 const address = z.string().regex(/^(?:\d+\.){3}\d+:\d+$|^\[[\da-f:]+\]:\d+$/v, 'must be an IP number and a port, as in "10.1.2.3:8080"');
 const milliseconds = z.number().int().positive();
@@ -64,7 +65,20 @@
 		policy: z.enum(PlacementPolicy).default(PlacementPolicy.SharesWithBorrowing),
 	}).prefault({}),
 	logs: z.strictObject({
-		level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
+		level: z.enum(LogLevel).default(LogLevel.Info),
+	}).prefault({}),
+	records: z.strictObject({
+		/** Recent requests and jobs that `galenakeel explain` can show. */
+		entries: z.number().int().min(1).default(2000),
+		maximumBytes: bytes.default(2_097_152),
+	}).prefault({}),
+	traces: z.strictObject({
+		/** Share of the requests without a trace of their own that are traced; 0 turns tracing off. */
+		samplingRatio: z.number().min(0).max(1).default(0),
+		/** Where spans are sent by OTLP over HTTP, as in "http://10.1.2.3:4318/v1/traces". */
+		otlpUrl: z.url().optional(),
+		/** File to which spans are added as JSON lines. */
+		file: z.string().min(1).optional(),
 	}).prefault({}),
 });
 
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -1,5 +1,6 @@
 import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
 import type {CallerRun} from '../connection/caller-connection.js';
+import {createCountedPeerClient} from '../connection/counted-peer-service.js';
 import {createEndpointConnections} from '../connection/endpoint-connection.js';
 import {startPeerServer} from '../connection/peer-service.js';
 import {inspectHeld, inspectSubmission} from '../request/inspect-submission.js';
@@ -10,16 +11,19 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import {startCallerServer} from './caller-server.js';
 import {createClaimWriter} from './claim-writer.js';
+import {countPlatformCalls} from './counted-platform.js';
 import type {DaemonSettings} from './daemon-settings.js';
 import {describeDaemon} from './daemon-status.js';
 import {drain} from './drain.js';
 import {createHeartbeatSource} from './heartbeat-source.js';
 import {createHolderCalls} from './holder-calls.js';
 import {createIncarnation} from './incarnation.js';
+import {LogEvent} from './log-event.js';
 import type {Log} from './log.js';
 import {
 	createMembership, InstanceState, type Peer, type PeerHeartbeat,
 } from './membership.js';
+import {createObservation} from './observation.js';
 import {startOperatorServer} from './operator-server.js';
 import {createPeerDirectory} from './peer-directory.js';
 import {runPlatformWatch} from './platform-watch.js';
@@ -51,7 +55,23 @@
 */
 export const startDaemon = async (settings: DaemonSettings, log: Log): Promise<Daemon> => {
 	const self = createIncarnation(settings);
-	const platform = createPlatformClient(settings.platform.address, settings.platform.timeoutMilliseconds);
+	const observation = createObservation({
+		self,
+		settings,
+		log,
+		isKnown: service => catalogue.versionOf(service) !== undefined,
+		sources: () => ({
+			dispatchers,
+			claimTransactions: claims.transactions,
+			catalogueVersion: catalogue.catalogueVersion,
+			callerConnections: callers.open,
+			endpointConnections: connections.open,
+			unanswered: register.unanswered,
+			reachablePeers: () => membership.peers().filter(peer => peer.isReachable).length,
+		}),
+	});
+	const {metrics} = observation;
+	const platform = countPlatformCalls(createPlatformClient(settings.platform.address, settings.platform.timeoutMilliseconds), metrics.countPlatformCall);
 	const register = createSubmissionRegister(settings.answers);
 	const connections = createEndpointConnections({...settings.endpoints, bufferedBodyBytes: settings.limits.bufferedBodyBytes});
 
@@ -88,7 +108,7 @@
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
 	const heartbeats = createHeartbeatSource(describeSelf, settings.peers.heartbeatMilliseconds);
-	const directory = createPeerDirectory(self, membership, heartbeats);
+	const directory = createPeerDirectory(self, membership, heartbeats, createCountedPeerClient(metrics.countPeerMessage));
 	const claims = createClaimWriter({
 		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1),
 	});
@@ -108,8 +128,9 @@
 		};
 	};
 
+	const observed = {observe: observation.observe, openTrace: observation.tracing.openTrace, noteRepeat: observation.records.noteRepeat};
 	const submissionRun: SubmissionRun = {
-		self, register, claim: claims.claim, forward: holders.forward, findVersion: catalogue.versionOf, admit: dispatchers.admit, taskRun,
+		self, register, claim: claims.claim, forward: holders.forward, findVersion: catalogue.versionOf, admit: dispatchers.admit, taskRun, ...observed,
 	};
 
 	const callerRun: CallerRun = {
@@ -128,9 +149,9 @@
 		}),
 		defaultDeadlineMilliseconds: service => catalogue.versionOf(service)?.document.deadlineMilliseconds ?? settings.peers.callTimeoutMilliseconds,
 		isLeaving: () => membership.state === InstanceState.Leaving,
-		onAnswered() {
-			// Counted by the metrics.
-		},
+		nameRequest: observation.nameRequest,
+		observe: observation.observe,
+		openTrace: observation.tracing.openTrace,
 	};
 
 	const stopPeers = await startPeerServer(settings.listen.peers, {
@@ -153,13 +174,19 @@
 			catalogueVersion: catalogue.catalogueVersion(),
 			documents: catalogue.all().filter(document => document.version > version).map(({version, text, document}) => ({service: document.service, version, text})),
 		}),
-	});
+	}, metrics.countPeerMessage);
 	const callers = await startCallerServer(settings.listen.callers, callerRun, settings.limits);
 	const stopOperators = await startOperatorServer(settings.listen.operators, {
 		isReady: () => membership.state === InstanceState.Serving,
 		status: () => describeDaemon({
 			self, membership, catalogue, dispatchers, register,
 		}),
+		metrics: observation.readMetrics,
+		findRecord: observation.records.find,
+		setLogLevel(level) {
+			log.level = level;
+			log.warn({event: LogEvent.LogLevelChanged, level}, 'an operator changed the level of the log');
+		},
 	});
 
 	void runPlatformWatch({
@@ -175,7 +202,7 @@
 			if (membership.state === InstanceState.Starting) {
 				membership.state = InstanceState.Serving;
 				heartbeats.announce();
-				log.info({event: 'serving', catalogueVersion: catalogue.catalogueVersion()}, 'the daemon takes requests');
+				log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon takes requests');
 			}
 		},
 	});
@@ -190,7 +217,7 @@
 
 	return {
 		async leave() {
-			log.info({event: 'leaving'}, 'the daemon finishes what it has and takes no new connections from the balancer');
+			log.info({event: LogEvent.Leaving}, 'the daemon finishes what it has and takes no new connections from the balancer');
 			membership.state = InstanceState.Leaving;
 			heartbeats.announce();
 			const cut = await drain({...settings.drain, running: () => callers.busy() + register.unanswered(), log});
@@ -202,7 +229,9 @@
 				clearInterval(sweep);
 			}
 
-			log.info({event: 'stopped', cut}, 'the daemon has finished');
+			await observation.stop();
+
+			log.info({event: LogEvent.Stopped, cut}, 'the daemon has finished');
 			return cut;
 		},
 	};
--- a/packages/galenakeeld/src/process/drain.ts
+++ b/packages/galenakeeld/src/process/drain.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {performance} from 'node:perf_hooks';
+import {LogEvent} from './log-event.js';
 import type {Log} from './log.js';
 
 const lookMilliseconds = 20;
@@ -26,7 +27,7 @@
 
 	const cut = options.running();
 	if (cut > 0) {
-		options.log.error({event: 'drain-limit', cut}, 'the drain limit of the settings passed before every request had its answer; raise drain.limitMilliseconds');
+		options.log.error({event: LogEvent.DrainLimit, cut}, 'the drain limit of the settings passed before every request had its answer; raise drain.limitMilliseconds');
 	}
 
 	return cut;
--- a/packages/galenakeeld/src/process/main.ts
+++ b/packages/galenakeeld/src/process/main.ts
@@ -5,6 +5,7 @@
 import {detailOf} from '@galenakeel/model/request/fault.js';
 import {startDaemon} from './daemon.js';
 import {parseDaemonSettings, type DaemonSettings} from './daemon-settings.js';
+import {LogEvent} from './log-event.js';
 import {createLog} from './log.js';
 
 const usage = 'usage: galenakeeld --settings FILE [--check-settings]\n';
@@ -62,6 +63,6 @@
 	process.on('SIGTERM', () => void leave());
 	process.on('SIGINT', () => void leave());
 } catch (error) {
-	log.fatal({event: 'start-failed', detail: detailOf(error)}, 'the daemon could not start; check the addresses under "listen" in its settings');
+	log.fatal({event: LogEvent.StartFailed, detail: detailOf(error)}, 'the daemon could not start; check the addresses under "listen" in its settings');
 	exitWith(ExitCode.Failed);
 }
--- /dev/null
+++ b/packages/galenakeeld/src/process/observe-requests.ts
@@ -0,0 +1,44 @@
+import {performance} from 'node:perf_hooks';
+import {RecordStepKind} from '@galenakeel/model/process/request-record.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {Observe} from '../request/request-observer.js';
+import {LogEvent} from './log-event.js';
+import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
+import type {RequestRecords} from './request-records.js';
+
+const unknownService = 'unknown';
+
+/**
+Creates the observation of requests and jobs: records, metrics, and a line in the log for each that has no whole answer.
+
+@param options.isKnown Tells whether a document in force names a service; the others share one label.
+
+@example
+```
+const observe = createObserve({records, metrics, log, isKnown: service => catalogue.versionOf(service) !== undefined});
+const observer = observe({kind: ObservedKind.Job, identifier: 'sheet-2041', service: 'paysheet'});
+```
+*/
+export const createObserve = (options: {records: RequestRecords; metrics: Metrics; log: Log; isKnown: (service: string) => boolean}): Observe => ({kind, identifier, service, detail}) => {
+	const {records, metrics, log} = options;
+	const startedAt = performance.now();
+	const label = options.isKnown(service) ? service : unknownService;
+	const record = records.open(identifier, service);
+	record.note({kind: RecordStepKind.Accepted, ...(detail !== undefined && {detail})});
+	return {
+		note(step) {
+			record.note(step);
+			metrics.countStep(label, step);
+		},
+		end(end) {
+			record.end(end);
+			metrics.countEnd(kind, label, end, performance.now() - startedAt);
+			if (end.outcome !== Outcome.Complete) {
+				log.debug({
+					event: LogEvent.RequestIncomplete, kind, identifier, service, ...end,
+				}, 'a request or job has no whole answer');
+			}
+		},
+	};
+};
--- a/packages/galenakeeld/src/process/operator-server.ts
+++ b/packages/galenakeeld/src/process/operator-server.ts
@@ -1,5 +1,9 @@
-import {createServer} from 'node:http';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {text} from 'node:stream/consumers';
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
+import type {RequestRecord} from '@galenakeel/model/process/request-record.js';
+import {createFault, detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
+import {isLogLevel, LogLevel} from './log.js';
 
 /**
 What operators and the balancer can ask for, by path.
@@ -7,6 +11,112 @@
 export type OperatorRun = {
 	readonly isReady: () => boolean;
 	readonly status: () => unknown;
+	/** All metrics in the Prometheus text format. */
+	readonly metrics: () => string;
+	readonly findRecord: (identifier: string) => RequestRecord | undefined;
+	readonly setLogLevel: (level: LogLevel) => void;
+};
+
+const paths = ['GET /live', 'GET /ready', 'GET /metrics', 'GET /v1/status', 'GET /v1/records/ID', 'PUT /v1/log-level'];
+const recordsPath = '/v1/records/';
+const maximumBodyBytes = 1000;
+
+const answerJson = (response: ServerResponse, status: number, value: unknown): void => {
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(`${JSON.stringify(value)}\n`);
+};
+
+const answerRecord = (response: ServerResponse, identifier: string, run: OperatorRun): void => {
+	const record = run.findRecord(identifier);
+	if (record) {
+		answerJson(response, 200, record);
+	} else {
+		answerJson(response, 404, {detail: `this instance keeps no record of "${identifier}"; ask the other instances, or raise records.entries in the settings`});
+	}
+};
+
+/**
+Reads the wanted level from a body like `{"level": "debug"}`.
+
+@throws A fault of kind `MalformedRequest` when the body names no level.
+*/
+const readLogLevel = async (request: IncomingMessage): Promise<LogLevel> => {
+	if (Number(request.headers['content-length'] ?? Infinity) > maximumBodyBytes) {
+		throw createFault(FaultKind.MalformedRequest, `the body needs a Content-Length of at most ${maximumBodyBytes} bytes`);
+	}
+
+	const {level} = parseObject(await text(request));
+	if (!isLogLevel(level)) {
+		throw createFault(FaultKind.MalformedRequest, `the body must be {"level": LEVEL} with one of ${Object.values(LogLevel).join(', ')}`);
+	}
+
+	return level;
+};
+
+const parseObject = (body: string): {readonly level?: unknown} => {
+	try {
+		return JSON.parse(body) as {readonly level?: unknown} | undefined ?? {};
+	} catch (error) {
+		throw createFault(FaultKind.MalformedRequest, 'the body is not JSON', error);
+	}
+};
+
+const answerLogLevel = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+	try {
+		const level = await readLogLevel(request);
+		run.setLogLevel(level);
+		answerJson(response, 200, {level});
+	} catch (error) {
+		answerJson(response, 400, {detail: detailOf(error)});
+	}
+};
+
+const answerOperator = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+	const url = request.url ?? '';
+	if (request.method === 'GET' && url.startsWith(recordsPath)) {
+		answerRecord(response, decodeURIComponent(url.slice(recordsPath.length)), run);
+		return;
+	}
+
+	switch (`${request.method} ${url}`) {
+		case 'GET /live': {
+			answerJson(response, 200, {isLive: true});
+			break;
+		}
+
+		case 'GET /ready': {
+			answerJson(response, run.isReady() ? 200 : 503, {isReady: run.isReady()});
+			break;
+		}
+
+		case 'GET /metrics': {
+			response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+			response.end(run.metrics());
+			break;
+		}
+
+		case 'GET /v1/status': {
+			answerJson(response, 200, run.status());
+			break;
+		}
+
+		case 'PUT /v1/log-level': {
+			await answerLogLevel(request, response, run);
+			break;
+		}
+
+		default: {
+			answerJson(response, 404, {paths});
+		}
+	}
+};
+
+const serve = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+	try {
+		await answerOperator(request, response, run);
+	} catch (error) {
+		answerJson(response, 400, {detail: detailOf(error)});
+	}
 };
 
 /**
@@ -16,31 +126,7 @@
 */
 export const startOperatorServer = async (address: string, run: OperatorRun): Promise<() => void> => {
 	const server = createServer((request, response) => {
-		const answer = (status: number, value: unknown): void => {
-			response.writeHead(status, {'content-type': 'application/json'});
-			response.end(`${JSON.stringify(value)}\n`);
-		};
-
-		switch (request.url ?? '') {
-			case '/live': {
-				answer(200, {isLive: true});
-				break;
-			}
-
-			case '/ready': {
-				answer(run.isReady() ? 200 : 503, {isReady: run.isReady()});
-				break;
-			}
-
-			case '/v1/status': {
-				answer(200, run.status());
-				break;
-			}
-
-			default: {
-				answer(404, {paths: ['/live', '/ready', '/v1/status']});
-			}
-		}
+		void serve(request, response, run);
 	});
 	const [host, port] = splitAddress(address);
 	await new Promise<void>((resolve, reject) => {
--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -1,4 +1,5 @@
 import type {ListedInstance} from '@galenakeel/model/connection/platform-client.js';
+import type {PeerClientConstructor} from '../connection/counted-peer-service.js';
 import {
 	createPeerCalls, runPeerConnection, type HeartbeatSource, type PeerCalls,
 } from '../connection/peer-connection.js';
@@ -23,7 +24,7 @@
 
 Of two peers the one whose name sorts first dials; the other dials only while it hears nothing.
 */
-export const createPeerDirectory = (self: Incarnation, membership: Membership, heartbeats: HeartbeatSource): PeerDirectory => {
+export const createPeerDirectory = (self: Incarnation, membership: Membership, heartbeats: HeartbeatSource, Client: PeerClientConstructor): PeerDirectory => {
 	const tasks = new Map<string, PeerTask>();
 	const silentSince = new Map<string, number>();
 	const pollsBeforeDialling = 4;
@@ -44,7 +45,7 @@
 	};
 
 	const open = (peer: ListedInstance): void => {
-		const calls = createPeerCalls(peer.address);
+		const calls = createPeerCalls(peer.address, Client);
 		const stop = new AbortController();
 		tasks.set(peer.name, {address: peer.address, calls, stop});
 		void runPeerConnection(calls, {
@@ -92,7 +93,7 @@
 			}
 
 			// A peer that dialled this instance: the channel opens with the first call and carries no heartbeats.
-			const calls = createPeerCalls(address);
+			const calls = createPeerCalls(address, Client);
 			tasks.set(instance, {address, calls, stop: new AbortController()});
 			return calls;
 		},
--- a/packages/galenakeeld/src/process/platform-watch.ts
+++ b/packages/galenakeeld/src/process/platform-watch.ts
@@ -4,6 +4,7 @@
 import {readCatalogueVersion, readDocuments} from '@galenakeel/model/version/document-store.js';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
 import type {DocumentCatalogue} from '../version/document-catalogue.js';
+import {LogEvent} from './log-event.js';
 import type {Log} from './log.js';
 import type {Membership} from './membership.js';
 import type {PeerDirectory} from './peer-directory.js';
@@ -52,7 +53,7 @@
 	try {
 		membership.list(await platform.listInstances());
 	} catch (error) {
-		log.warn({event: 'platform-unavailable', detail: detailOf(error)}, 'the instance list could not be read; the last one stays in use');
+		log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the instance list could not be read; the last one stays in use');
 	}
 
 	directory.connect();
@@ -67,7 +68,7 @@
 
 		return true;
 	} catch (error) {
-		log.warn({event: 'platform-unavailable', detail: detailOf(error)}, 'the catalogue could not be read; the documents in force stay');
+		log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the catalogue could not be read; the documents in force stay');
 		return false;
 	}
 };
@@ -87,7 +88,7 @@
 		catalogue.install(documents, reply.catalogueVersion);
 		return true;
 	} catch (error) {
-		log.warn({event: 'peer-unavailable', peer: ahead.instance, detail: detailOf(error)}, 'a peer with newer documents did not give them; the next round asks again');
+		log.warn({event: LogEvent.PeerUnavailable, peer: ahead.instance, detail: detailOf(error)}, 'a peer with newer documents did not give them; the next round asks again');
 		return false;
 	}
 };
--- /dev/null
+++ b/packages/galenakeeld/src/process/prometheus-text.ts
@@ -0,0 +1,55 @@
+/**
+The kinds of metric in the Prometheus text format.
+*/
+export enum MetricType {
+	/** Only rises while the process lives. */
+	Counter = 'counter',
+	/** Rises and falls. */
+	Gauge = 'gauge',
+	/** Quantiles with a sum and a count. */
+	Summary = 'summary',
+}
+
+/**
+One value of a metric.
+*/
+export type MetricSample = {
+	/** Follows the name of the family, as `_sum` does in a summary. */
+	readonly suffix?: string;
+	readonly labels: Readonly<Record<string, string>>;
+	readonly value: number;
+};
+
+/**
+A metric with all its values.
+*/
+export type MetricFamily = {
+	readonly name: string;
+	readonly help: string;
+	readonly type: MetricType;
+	readonly samples: readonly MetricSample[];
+};
+
+const escapeLabel = (value: string): string => value.replaceAll('\\', '\\\\').replaceAll('"', String.raw`\"`).replaceAll('\n', String.raw`\n`);
+
+const encodeLabels = (labels: Readonly<Record<string, string>>): string => {
+	const pairs = Object.entries(labels).map(([name, value]) => `${name}="${escapeLabel(value)}"`);
+	return pairs.length === 0 ? '' : `{${pairs.join(',')}}`;
+};
+
+const encodeFamily = ({name, help, type, samples}: MetricFamily): string => [
+	`# HELP ${name} ${help}`,
+	`# TYPE ${name} ${type}`,
+	...samples.map(({suffix = '', labels, value}) => `${name}${suffix}${encodeLabels(labels)} ${value}`),
+].join('\n');
+
+/**
+Encodes metrics in the Prometheus text format, version 0.0.4.
+
+@example
+```
+encodeMetrics([{name: 'starts_total', help: 'Starts.', type: MetricType.Counter, samples: [{labels: {}, value: 3}]}]);
+```
+*/
+export const encodeMetrics = (families: readonly MetricFamily[]): string =>
+	`${families.map(family => encodeFamily(family)).join('\n')}\n`;
--- /dev/null
+++ b/packages/galenakeeld/src/process/request-records.ts
@@ -0,0 +1,151 @@
+import {performance} from 'node:perf_hooks';
+import {RecordStepKind, type RecordStep, type RequestRecord} from '@galenakeel/model/process/request-record.js';
+import type {ObservedEnd, ObservedStep, RequestObserver} from '../request/request-observer.js';
+
+const maximumSteps = 200;
+const recordBytes = 400;
+const stepBytes = 160;
+
+type StepTally = {at: number; lastAt: number; count: number; readonly kind: RecordStepKind; readonly endpoint: string; readonly detail: string};
+
+type KeptRecord = {
+	readonly identifier: string;
+	readonly service: string;
+	readonly startedAt: number;
+	readonly startedOn: number;
+	readonly steps: Map<string, StepTally>;
+	bytes: number;
+	durationMilliseconds?: number;
+	end?: ObservedEnd;
+};
+
+/**
+The most recent requests and jobs of this instance, for `explain`.
+*/
+export type RequestRecords = {
+	/** Begins a record; the oldest ones make room for it. */
+	readonly open: (identifier: string, service: string) => RequestObserver;
+	/** The latest record of an identifier; `undefined` when none is kept. */
+	readonly find: (identifier: string) => RequestRecord | undefined;
+	/** Notes on the kept record of an identifier that a repeat joined it. */
+	readonly noteRepeat: (identifier: string) => void;
+	readonly size: () => number;
+	readonly bytes: () => number;
+};
+
+const describeStep = ({at, lastAt, count, kind, endpoint, detail}: StepTally): RecordStep => ({
+	at,
+	kind,
+	...(endpoint !== '' && {endpoint}),
+	...(detail !== '' && {detail}),
+	...(count > 1 && {count, lastAt}),
+});
+
+const describeRecord = (instance: string, record: KeptRecord): RequestRecord => ({
+	identifier: record.identifier,
+	instance,
+	service: record.service,
+	startedAt: new Date(record.startedAt).toISOString(),
+	...record.end,
+	...(record.durationMilliseconds !== undefined && {durationMilliseconds: record.durationMilliseconds}),
+	steps: [...record.steps.values()].map(tally => describeStep(tally)),
+});
+
+const textOf = ({fault, detail}: ObservedStep): string => detail ?? fault ?? '';
+
+/**
+Creates a ring without records, bounded in entries and in estimated bytes.
+
+Steps alike are counted in one entry, so that a job of many tasks takes no more room than its endpoints.
+
+@example
+```
+const records = createRequestRecords('entry-a1', {entries: 2000, bytes: 4_194_304});
+const observer = records.open('sheet-2041', 'paysheet');
+observer.note({kind: RecordStepKind.Sent, endpoint: '10.1.2.3:8080'});
+observer.end({outcome: Outcome.Complete});
+records.find('sheet-2041')?.outcome; // => 'complete'
+```
+*/
+export const createRequestRecords = (instance: string, limits: {entries: number; bytes: number}): RequestRecords => {
+	const kept = new Map<string, KeptRecord>();
+	let keptBytes = 0;
+
+	const drop = (record: KeptRecord): void => {
+		keptBytes -= record.bytes;
+		kept.delete(record.identifier);
+	};
+
+	const makeRoom = (): void => {
+		for (const record of kept.values()) {
+			if (kept.size <= limits.entries && keptBytes <= limits.bytes) {
+				return;
+			}
+
+			drop(record);
+		}
+	};
+
+	const grow = (record: KeptRecord, bytes: number): void => {
+		record.bytes += bytes;
+		if (kept.get(record.identifier) === record) {
+			keptBytes += bytes;
+		}
+	};
+
+	const add = (record: KeptRecord, step: ObservedStep): void => {
+		const {kind, endpoint = ''} = step;
+		const detail = textOf(step);
+		const key = `${kind} ${endpoint} ${detail}`;
+		const now = Math.round((performance.now() - record.startedOn) * 10) / 10;
+		const tally = record.steps.get(key);
+		if (tally) {
+			tally.count++;
+			tally.lastAt = now;
+		} else if (record.steps.size < maximumSteps) {
+			record.steps.set(key, {
+				at: now, lastAt: now, count: 1, kind, endpoint, detail,
+			});
+			grow(record, stepBytes + detail.length);
+		}
+	};
+
+	return {
+		open(identifier, service) {
+			const before = kept.get(identifier);
+			if (before) {
+				drop(before);
+			}
+
+			const record: KeptRecord = {
+				identifier, service, startedAt: Date.now(), startedOn: performance.now(), steps: new Map(), bytes: 0,
+			};
+			kept.set(identifier, record);
+			grow(record, recordBytes + identifier.length);
+			makeRoom();
+			return {
+				note(step) {
+					add(record, step);
+				},
+				end(end) {
+					record.durationMilliseconds = Math.round(performance.now() - record.startedOn);
+					record.end = end;
+					grow(record, end.detail?.length ?? 0);
+					makeRoom();
+				},
+			};
+		},
+		find(identifier) {
+			const record = kept.get(identifier);
+			return record && describeRecord(instance, record);
+		},
+		noteRepeat(identifier) {
+			const record = kept.get(identifier);
+			if (record) {
+				add(record, {kind: RecordStepKind.Joined});
+			}
+		},
+		size: () => kept.size,
+		bytes: () => keptBytes,
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/process/tracing.ts
@@ -0,0 +1,89 @@
+import {
+	ROOT_CONTEXT, SpanStatusCode, trace, type Context, type Tracer,
+} from '@opentelemetry/api';
+import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
+import {resourceFromAttributes} from '@opentelemetry/resources';
+import {
+	BatchSpanProcessor, NodeTracerProvider, ParentBasedSampler, TraceIdRatioBasedSampler, type SpanExporter,
+} from '@opentelemetry/sdk-trace-node';
+import {encodeTraceparent, parseTraceparent} from '../connection/traceparent.js';
+import {
+	openUntraced, type OpenTrace, type SpanFacts, type SpanName, type TraceScope, type TraceSpan,
+} from '../request/trace-scope.js';
+
+const tracerName = 'galenakeeld';
+
+/**
+The tracing of the process.
+*/
+export type Tracing = {
+	readonly openTrace: OpenTrace;
+	/** Hands on the spans that are still held. */
+	readonly stop: () => Promise<void>;
+};
+
+const prefixFacts = (facts: SpanFacts): SpanFacts =>
+	Object.fromEntries(Object.entries(facts).map(([name, value]) => [`galenakeel.${name}`, value]));
+
+const beginSpan = (tracer: Tracer, parent: Context, name: SpanName, facts: SpanFacts): TraceSpan => {
+	const span = tracer.startSpan(name, {attributes: prefixFacts(facts)}, parent);
+	const context = trace.setSpan(ROOT_CONTEXT, span);
+	return {
+		traceparent: encodeTraceparent(span.spanContext()),
+		begin: (child, childFacts = {}) => beginSpan(tracer, context, child, childFacts),
+		end(endFacts = {}, fault = '') {
+			span.setAttributes(prefixFacts(endFacts));
+			if (fault !== '') {
+				span.setStatus({code: SpanStatusCode.ERROR, message: fault});
+			}
+
+			span.end();
+		},
+	};
+};
+
+const createOpenTrace = (tracer: Tracer): OpenTrace => (traceparent): TraceScope => {
+	const remote = parseTraceparent(traceparent);
+	const context = remote ? trace.setSpanContext(ROOT_CONTEXT, remote) : ROOT_CONTEXT;
+	return {traceparent, begin: (name, facts = {}) => beginSpan(tracer, context, name, facts)};
+};
+
+/**
+Creates the tracing of the process; without an exporter or with a ratio of 0 no span is ever created.
+
+A request whose caller traces it is sampled as the caller decided, the others by the ratio.
+
+@param options.resource Attributes that each span carries.
+
+@example
+```
+const tracing = createTracing({samplingRatio: 0.01, exporters: [createOtlpExporter(url)], resource: {'service.instance.id': 'entry-a1'}});
+const span = tracing.openTrace('').begin(SpanName.CallerRequest);
+```
+*/
+export const createTracing = (options: {samplingRatio: number; exporters: readonly SpanExporter[]; resource: Readonly<Record<string, string>>}): Tracing => {
+	if (options.samplingRatio === 0 || options.exporters.length === 0) {
+		return {
+			openTrace: openUntraced, async stop() {
+			// Nothing is held.
+			},
+		};
+	}
+
+	const provider = new NodeTracerProvider({
+		sampler: new ParentBasedSampler({root: new TraceIdRatioBasedSampler(options.samplingRatio)}),
+		spanProcessors: options.exporters.map(exporter => new BatchSpanProcessor(exporter)),
+		resource: resourceFromAttributes(options.resource),
+	});
+	return {
+		openTrace: createOpenTrace(provider.getTracer(tracerName)),
+		async stop() {
+			await provider.shutdown();
+		},
+	};
+};
+
+/**
+Creates an exporter that sends spans by OTLP over HTTP.
+*/
+export const createOtlpExporter = (url: string): SpanExporter => new OTLPTraceExporter({url});
--- a/packages/galenakeeld/src/request/relay-request.ts
+++ b/packages/galenakeeld/src/request/relay-request.ts
@@ -4,6 +4,8 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer, Task} from '@galenakeel/model/request/task.js';
 import type {ServiceVersion} from '../version/service-version.js';
+import type {RequestObserver} from './request-observer.js';
+import type {TraceScope} from './trace-scope.js';
 import {runTask, type StreamedTaskAnswer, type TaskRun} from './run-task.js';
 
 /**
@@ -17,6 +19,8 @@
 	readonly task: Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
 	/** Aborts when the caller has gone. */
 	readonly signal: AbortSignal;
+	readonly observer: RequestObserver;
+	readonly trace: TraceScope;
 };
 
 /**
@@ -28,6 +32,11 @@
 	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
 };
 
+/**
+The answer to a relayed request, with the time after which a refused one may be sent again.
+*/
+export type RelayAnswer = StreamedTaskAnswer & {readonly retryAfterMilliseconds?: number};
+
 const refused = (fault: FaultKind, detail: string): StreamedTaskAnswer => ({
 	outcome: Outcome.NotRun, status: 0, headers: [], body: new Uint8Array(), endpoint: '', fault, detail, attempts: 0,
 });
@@ -42,7 +51,14 @@
 const answer = await relayRequest({service: 'paysheet', team: 'payroll', deadlineMilliseconds: 2000, task, signal}, run);
 ```
 */
-export const relayRequest = async (request: RelayedRequest, run: RelayRun): Promise<StreamedTaskAnswer & {readonly retryAfterMilliseconds?: number}> => {
+export const relayRequest = async (request: RelayedRequest, run: RelayRun): Promise<RelayAnswer> => {
+	const answer = await relay(request, run);
+	const {outcome, fault, detail} = answer;
+	request.observer.end({outcome, ...(fault && {fault}), ...(detail !== undefined && {detail})});
+	return answer;
+};
+
+const relay = async (request: RelayedRequest, run: RelayRun): Promise<RelayAnswer> => {
 	const version = run.findVersion(request.service);
 	if (!version) {
 		return refused(FaultKind.UnknownService, `no document in force names the service "${request.service}"`);
@@ -65,5 +81,7 @@
 		onFirstStart() {
 			// A request without an identifier keeps no state beyond its own start record.
 		},
+		note: request.observer.note,
+		trace: request.trace,
 	});
 };
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -1,12 +1,15 @@
 import {performance} from 'node:perf_hooks';
+import {RecordStepKind} from '@galenakeel/model/process/request-record.js';
 import {FaultKind} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer, TaskAnswer} from '@galenakeel/model/request/task.js';
 import {ClaimState, type ClaimResult} from '../process/claim-writer.js';
 import {SubmissionState, type SubmissionEntry, type SubmissionRegister} from '../process/submission-register.js';
 import type {ServiceVersion} from '../version/service-version.js';
+import {ObservedKind, type Observe, type RequestObserver} from './request-observer.js';
 import {runTask, type TaskRun} from './run-task.js';
 import {IdentifierKind, parseIdentifier, type IdentifierHolder} from './submission-identifier.js';
+import {SpanName, type OpenTrace} from './trace-scope.js';
 
 /**
 What a submission needs from the process that takes it.
@@ -21,8 +24,17 @@
 	/** Refuses a submission that can't be served in time; `undefined` admits it. */
 	readonly admit: (version: ServiceVersion, submission: Submission) => SubmissionAnswer | undefined;
 	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
+	readonly observe: Observe;
+	readonly openTrace: OpenTrace;
+	/** Takes note that a repeat joined the submission that is kept. */
+	readonly noteRepeat: (identifier: string) => void;
 };
 
+/**
+A submission's run together with what observes this submission.
+*/
+type ObservedRun = SubmissionRun & {readonly observer: RequestObserver};
+
 /**
 Creates the answer to a submission of which nothing was sent.
 */
@@ -55,7 +67,8 @@
 	};
 };
 
-const runTasks = async (submission: Submission, version: ServiceVersion, entry: SubmissionEntry, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const runTasks = async (submission: Submission, version: ServiceVersion, entry: SubmissionEntry, run: ObservedRun): Promise<SubmissionAnswer> => {
+	const span = run.openTrace(submission.traceparent).begin(SpanName.HolderRun, {job: submission.identifier, service: submission.service, tasks: submission.tasks.length});
 	const deadlineAt = performance.now() + submission.deadlineMilliseconds;
 	const shared = run.taskRun(version);
 	const runOne = async (task: Submission['tasks'][number]): Promise<TaskAnswer> => {
@@ -69,18 +82,22 @@
 				entry.started++;
 				entry.state = SubmissionState.Running;
 			},
+			note: run.observer.note,
+			trace: span,
 		});
 		entry.finished++;
 		return answer;
 	};
 
-	return combine(await Promise.all(submission.tasks.map(async task => runOne(task))));
+	const answer = combine(await Promise.all(submission.tasks.map(async task => runOne(task))));
+	span.end({outcome: answer.outcome}, answer.fault);
+	return answer;
 };
 
 /**
 Runs a submission that this incarnation holds, or joins the run that has begun.
 */
-const runHeld = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const runHeld = async (submission: Submission, run: ObservedRun): Promise<SubmissionAnswer> => {
 	const entry = run.register.begin(submission.identifier, submission.tasks.length, async begun => {
 		const version = run.findVersion(submission.service);
 		if (!version) {
@@ -95,16 +112,25 @@
 const discarded = (identifier: string): SubmissionAnswer =>
 	answerUnknown(FaultKind.AnswerDiscarded, `"${identifier}" was taken before and its answer is no longer kept`);
 
-const submitMinted = async (submission: Submission, holder: IdentifierHolder, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const forward = async (submission: Submission, holder: IdentifierHolder, run: ObservedRun): Promise<SubmissionAnswer> => {
+	run.observer.note({kind: RecordStepKind.Forwarded, detail: `to ${holder.instance}, which holds the identifier`});
+	const span = run.openTrace(submission.traceparent).begin(SpanName.Forward, {job: submission.identifier, holder: holder.instance});
+	const answer = await run.forward(holder, {...submission, traceparent: span.traceparent});
+	span.end({outcome: answer.outcome}, answer.fault);
+	return answer;
+};
+
+const submitMinted = async (submission: Submission, holder: IdentifierHolder, run: ObservedRun): Promise<SubmissionAnswer> => {
 	if (holder.incarnation !== run.self.incarnation) {
-		return run.forward(holder, submission);
+		return forward(submission, holder, run);
 	}
 
 	return run.register.redeem(submission.identifier) ? runHeld(submission, run) : discarded(submission.identifier);
 };
 
-const submitChosen = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const submitChosen = async (submission: Submission, run: ObservedRun): Promise<SubmissionAnswer> => {
 	const claim = await run.claim(submission.identifier);
+	run.observer.note({kind: RecordStepKind.Claimed, detail: claim.state});
 	switch (claim.state) {
 		case ClaimState.Ours: {
 			return runHeld(submission, run);
@@ -112,7 +138,7 @@
 
 		case ClaimState.Held: {
 			if (claim.holder.incarnation !== run.self.incarnation) {
-				return run.forward(claim.holder, submission);
+				return forward(submission, claim.holder, run);
 			}
 
 			// This incarnation claimed it in an earlier attempt.
@@ -149,10 +175,18 @@
 
 	const held = run.register.entryOf(submission.identifier);
 	if (held) {
+		run.noteRepeat(submission.identifier);
 		return held.answer;
 	}
 
-	return parsed.kind === IdentifierKind.Minted
-		? submitMinted(submission, parsed.holder, run)
-		: submitChosen(submission, run);
+	const observer = run.observe({
+		kind: ObservedKind.Job, identifier: submission.identifier, service: submission.service, detail: `${submission.tasks.length} tasks`,
+	});
+	const observed = {...run, observer};
+	const answer = await (parsed.kind === IdentifierKind.Minted
+		? submitMinted(submission, parsed.holder, observed)
+		: submitChosen(submission, observed));
+	const {outcome, fault, detail} = answer;
+	observer.end({outcome, ...(fault && {fault}), ...(detail !== undefined && {detail})});
+	return answer;
 };
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -2,16 +2,19 @@
 import {performance} from 'node:perf_hooks';
 import type {Readable} from 'node:stream';
 import {createDeferred} from '@galenakeel/model/request/deferred.js';
+import {RecordStepKind} from '@galenakeel/model/process/request-record.js';
 import {
 	createFault, detailOf, FaultKind, isFault,
 } from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
-import type {Task, TaskAnswer} from '@galenakeel/model/request/task.js';
+import type {HeaderList, Task, TaskAnswer} from '@galenakeel/model/request/task.js';
 import type {EndpointAnswer, EndpointRequest} from '../connection/endpoint-connection.js';
 import type {SlotDemand} from '../process/service-dispatcher.js';
 import type {SlotGrant} from '../process/slot-ledger.js';
 import type {Endpoint, ServiceVersion} from '../version/service-version.js';
+import type {NoteStep} from './request-observer.js';
 import {createStartRecord, type StartRecord} from './start-record.js';
+import {SpanName, type TraceScope} from './trace-scope.js';
 
 const maximumAttempts = 4;
 const firstServerError = 500;
@@ -45,6 +48,10 @@
 	readonly mayRetry: () => boolean;
 	/** Called once, just before the first byte of the task goes out. */
 	readonly onFirstStart: () => void;
+	/** Takes note of each step of the task. */
+	readonly note: NoteStep;
+	/** The place in the request's trace under which the task's hops begin. */
+	readonly trace: TraceScope;
 };
 
 /**
@@ -62,23 +69,41 @@
 	return run.version.document.idempotent && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && run.mayRetry();
 };
 
+const traceparentField = 'traceparent';
+
+/**
+Replaces the trace context of a task by that of the hop that sends it.
+*/
+const headersOf = (task: RunnableTask, {traceparent}: TraceScope): HeaderList => traceparent === ''
+	? task.headers
+	: [...task.headers.filter(([name]) => name.toLowerCase() !== traceparentField), [traceparentField, traceparent]];
+
 const attemptTask = async (task: RunnableTask, run: TaskRun, grant: SlotGrant, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const {endpoint} = grant;
 	const startedAt = performance.now();
+	const span = run.trace.begin(SpanName.EndpointExchange, {endpoint: endpoint.address});
 	const report = (isSuccess: boolean, fault?: FaultKind): void => {
+		const durationMilliseconds = performance.now() - startedAt;
 		run.report({
-			endpoint, kind: task.kind, durationMilliseconds: performance.now() - startedAt, isSuccess, ...(fault && {fault}),
+			endpoint, kind: task.kind, durationMilliseconds, isSuccess, ...(fault && {fault}),
+		});
+		run.note({
+			kind: fault ? RecordStepKind.AttemptFailed : RecordStepKind.Answered, endpoint: endpoint.address, milliseconds: durationMilliseconds, ...(fault && {fault}),
 		});
+		span.end({}, fault);
 	};
 
 	try {
 		const answer = await run.send(endpoint.address, {
 			method: task.method,
 			path: task.path,
-			headers: task.headers,
+			headers: headersOf(task, span),
 			body: task.body,
 			timeoutMilliseconds: Math.min(run.version.document.timeoutMilliseconds, Math.max(1, run.deadlineAt - startedAt)),
-			beforeFirstByte: record.start,
+			beforeFirstByte() {
+				record.start();
+				run.note({kind: RecordStepKind.Sent, endpoint: endpoint.address});
+			},
 		});
 		report(answer.status < firstServerError);
 		return {
@@ -95,9 +120,13 @@
 */
 const attemptOnFreeSlot = async (task: RunnableTask, run: TaskRun, demand: SlotDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const answered = createDeferred<StreamedTaskAnswer>();
+	const waitsSince = performance.now();
+	const wait = run.trace.begin(SpanName.SlotWait);
 	const attempt = async (): Promise<void> => {
 		try {
 			await run.withSlot(demand, async grant => {
+				wait.end();
+				run.note({kind: RecordStepKind.SlotGranted, endpoint: grant.endpoint.address, milliseconds: performance.now() - waitsSince});
 				const answer = await attemptTask(task, run, grant, record);
 				answered.resolve(answer);
 				if (answer.rest && !answer.rest.closed) {
@@ -105,6 +134,8 @@
 				}
 			});
 		} catch (error) {
+			// A span that has ended stays as it is.
+			wait.end();
 			answered.reject(error);
 		}
 	};
@@ -159,6 +190,8 @@
 			if (attempt === maximumAttempts || !isRetriable(record, run, fault)) {
 				return answerOf(error, record);
 			}
+
+			run.note({kind: RecordStepKind.Retried});
 		}
 	}
 };
--- a/packages/stand-ins/src/process/endpoint-stand-in.ts
+++ b/packages/stand-ins/src/process/endpoint-stand-in.ts
@@ -20,7 +20,7 @@
 /**
 One start of a task on an endpoint.
 */
-export type EndpointStart = {readonly task: string; readonly startedAt: number; readonly endpoint: string};
+export type EndpointStart = {readonly task: string; readonly startedAt: number; readonly endpoint: string; readonly traceparent: string};
 
 /**
 A running stand-in of an endpoint.
@@ -77,7 +77,9 @@
 	const server = await listen(address, async (request, response) => {
 		const query = new URL(request.url!, 'http://endpoint').searchParams;
 		const task = query.get('task') ?? '';
-		starts.push({task, startedAt: Date.now(), endpoint: address});
+		starts.push({
+			task, startedAt: Date.now(), endpoint: address, traceparent: String(request.headers.traceparent ?? ''),
+		});
 		const body = await readText(request);
 		await acquire();
 		try {
