Measure control cost over peers, endpoints, documents, teams and jobs

Cause: docs/CAPACITY.md is to be worked out from measured slopes.

Ruled out: daemons as peers (a hundred processes for 96 peers); a proxy that counts (it would count neither the platform's side nor reads that grew a body).

--- a/packages/trials/src/process/__tests__/observation.steps.ts
+++ b/packages/trials/src/process/__tests__/observation.steps.ts
@@ -69,7 +69,7 @@
 	assert.equal(kindsOf(await readRecord(this, daemon, identifier)), steps);
 });
 
-Then('the record of {string} on daemon {int} counts {int} of the steps {string}', async function (this: FleetWorld, identifier: string, daemon: number, count: number, kind: string) { // eslint-disable-line max-params -- the step names each of them
+Then('the record of {string} on daemon {int} counts {int} of the steps {string}', async function (this: FleetWorld, identifier: string, daemon: number, count: number, kind: string) {
 	const {steps} = await readRecord(this, daemon, identifier);
 	const alike = steps.filter(step => String(step.kind) === kind);
 	assert.equal(alike.reduce((total, step) => total + (step.count ?? 1), 0), count);
--- /dev/null
+++ b/packages/trials/src/process/cost-bed.ts
@@ -0,0 +1,150 @@
+import {randomUUID} from 'node:crypto';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	createPlatformClient, InstanceRole, ListedState, type ListedInstance, type Platform,
+} from '@galenakeel/model/connection/platform-client.js';
+import {acceptDocument, readDocument} from '@galenakeel/model/version/document-store.js';
+import {startEndpointStandIn, type EndpointStandIn} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
+import {startPlatformStandIn, type PlatformStandIn} from '@galenakeel/stand-ins/process/platform-stand-in.js';
+import {startDaemonProcess, type DaemonProcess} from './daemon-process.js';
+import {startFakePeers, type FakePeers} from './fake-peers.js';
+import {findFreeAddresses} from './free-ports.js';
+
+const readyMilliseconds = 15_000;
+const inForceMilliseconds = 20_000;
+const lookMilliseconds = 20;
+const zone = 'zone-a';
+const exitMilliseconds = 3000;
+const endpointSlots = 64;
+
+/**
+The sizes of a bed on which one daemon's cost is measured.
+*/
+export type BedSize = {
+	/** Entry instances that exchange heartbeats with the daemon. */
+	readonly peers: number;
+	/** Endpoints that the platform lists and one document names, without a process behind them. */
+	readonly endpoints: number;
+	readonly documents: number;
+	/** Teams with a quota in one document. */
+	readonly teams: number;
+	/** Endpoints that run tasks. */
+	readonly runningEndpoints: number;
+};
+
+/**
+One daemon between stand-ins.
+*/
+export type CostBed = {
+	readonly daemon: DaemonProcess;
+	readonly platform: PlatformStandIn;
+	readonly client: Platform;
+	/** Accepts the document of a service again and returns its version. */
+	readonly accept: (service: string) => Promise<number>;
+	/** Waits until a catalogue version is in force on the daemon. */
+	readonly untilInForce: (version: number) => Promise<void>;
+	readonly stop: () => Promise<void>;
+};
+
+/** An address that nothing answers at; the daemon connects only to run a task. */
+const silentAddress = (position: number): string => `10.${Math.floor(position / 65_536)}.${Math.floor(position / 256) % 256}.${position % 256}:8080`;
+
+const serviceName = (position: number): string => `service-${position + 1}`;
+
+const describeDocument = (service: string, size: BedSize, running: readonly EndpointStandIn[]): string => {
+	const isFirst = service === serviceName(0);
+	const silent = Array.from({length: isFirst ? size.endpoints : 2}, (_, position) => ({name: `silent-${position + 1}`, address: silentAddress(position)}));
+	const working = running.map(({address}, position) => ({name: `worker-${position + 1}`, address, slots: endpointSlots}));
+	const quotas = Object.fromEntries(Array.from({length: isFirst ? size.teams : 1}, (_, position) => [`team-${position + 1}`, {share: 1}]));
+	return JSON.stringify({
+		service, team: 'owners', endpoints: {[zone]: isFirst && working.length > 0 ? working : silent}, quotas,
+	});
+};
+
+const listInstances = (peers: FakePeers, size: BedSize, daemon: {peers: string; operators: string}): readonly ListedInstance[] => [
+	...peers.listed,
+	{
+		name: 'entry-1', role: InstanceRole.Entry, zone, address: daemon.peers, operators: daemon.operators, state: ListedState.Live, incarnation: '1',
+	},
+	...Array.from({length: size.endpoints}, (_, position) => ({
+		name: `silent-${position + 1}`, role: InstanceRole.Endpoint, zone, address: silentAddress(position), state: ListedState.Live, incarnation: '1',
+	})),
+];
+
+const endDaemon = async (daemon: DaemonProcess): Promise<void> => {
+	daemon.signal('SIGKILL');
+	await Promise.race([daemon.exited, sleep(exitMilliseconds, undefined, {ref: false})]);
+};
+
+/**
+Starts one daemon with the stand-ins of a size, and waits until it serves with every document in force.
+
+@example
+```
+const bed = await startCostBed({peers: 8, endpoints: 30, documents: 1, teams: 1, runningEndpoints: 0});
+```
+*/
+export const startCostBed = async (size: BedSize): Promise<CostBed> => {
+	const directory = await mkdtemp(join(tmpdir(), 'galenakeel-cost-'));
+	const [platformAddress, callers, peersPort, operators, ...endpointAddresses] = await findFreeAddresses(4 + size.runningEndpoints) as [string, string, string, string, ...string[]];
+	const platform = await startPlatformStandIn(platformAddress, {listLagMilliseconds: 0});
+	const running = await Promise.all(endpointAddresses.map(async address => startEndpointStandIn(address, {slots: endpointSlots, speed: 1, connections: 1024})));
+	const client = createPlatformClient(platformAddress, readyMilliseconds);
+	const peers = startFakePeers({count: size.peers, daemonAddress: peersPort, zone});
+	platform.setInstances(listInstances(peers, size, {peers: peersPort, operators}));
+
+	const accept = async (service: string): Promise<number> => {
+		const current = await readDocument(client, service);
+		return acceptDocument(client, {
+			text: describeDocument(service, size, running), seenVersion: current?.version ?? 0, author: 'trial', nonce: randomUUID(),
+		});
+	};
+
+	let version = 0;
+	for (let position = 0; position < size.documents; position++) {
+		version = await accept(serviceName(position));
+	}
+
+	const daemon = await startDaemonProcess(directory, {
+		instance: 'entry-1', zone, callers, peers: peersPort, operators, platform: platformAddress,
+	});
+	await daemon.untilReady(readyMilliseconds);
+
+	const untilInForce = async (wanted: number): Promise<void> => {
+		const until = Date.now() + inForceMilliseconds;
+		for (;;) {
+			const {catalogueVersion} = await daemon.status();
+			if (Number(catalogueVersion) >= wanted) {
+				return;
+			}
+
+			if (Date.now() > until) {
+				throw new Error(`version ${wanted} is not in force after ${inForceMilliseconds} ms`);
+			}
+
+			await sleep(lookMilliseconds);
+		}
+	};
+
+	await untilInForce(version);
+	return {
+		daemon,
+		platform,
+		client,
+		accept,
+		untilInForce,
+		async stop() {
+			peers.close();
+			await endDaemon(daemon);
+			platform.close();
+			for (const endpoint of running) {
+				endpoint.close();
+			}
+
+			await rm(directory, {recursive: true, force: true});
+		},
+	};
+};
