--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -1,5 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {RecordStepKind} from '@galenakeel/model/process/request-record.js';
 import {FaultKind} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer, TaskAnswer} from '@galenakeel/model/request/task.js';
@@ -7,9 +8,11 @@
 import {SubmissionState, type SubmissionEntry, type SubmissionRegister} from '../process/submission-register.js';
 import type {ServiceVersion} from '../version/service-version.js';
 import {holdAnswer} from './hold-answer.js';
+import {ObservedKind, type Observe, type RequestObserver} from './request-observer.js';
 import {runTask, type TaskRun} from './run-task.js';
 import {fingerprintOf} from './submission-fingerprint.js';
 import {IdentifierKind, parseIdentifier, type IdentifierHolder} from './submission-identifier.js';
+import {SpanName, type OpenTrace} from './trace-scope.js';
 
 /**
 What a submission needs from the process that takes it.
@@ -28,6 +31,10 @@
 	/** Refuses a submission that can't be served in time; `undefined` admits it. */
 	readonly admit: (version: ServiceVersion, submission: Submission) => SubmissionAnswer | undefined;
 	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
+	readonly observe: Observe;
+	readonly openTrace: OpenTrace;
+	/** Takes note that a repeat joined the submission that is kept. */
+	readonly noteRepeat: (identifier: string) => void;
 };
 
 /**
@@ -70,9 +77,11 @@
 	readonly fingerprint: string;
 	/** Time on the monotonic clock, counted from the arrival: a pause of the process uses it up. */
 	readonly deadlineAt: number;
+	readonly observer: RequestObserver;
 };
 
-const runTasks = async ({submission, deadlineAt}: Arrival, version: ServiceVersion, entry: SubmissionEntry, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const runTasks = async ({submission, deadlineAt, observer}: Arrival, version: ServiceVersion, entry: SubmissionEntry, run: SubmissionRun): Promise<SubmissionAnswer> => {
+	const span = run.openTrace(submission.traceparent).begin(SpanName.HolderRun, {job: submission.identifier, service: submission.service, tasks: submission.tasks.length});
 	const shared = run.taskRun(version);
 	const runOne = async (task: Submission['tasks'][number]): Promise<TaskAnswer> => {
 		const answer = await runTask(task, {
@@ -85,13 +94,17 @@
 				entry.started++;
 				entry.state = SubmissionState.Running;
 			},
+			note: observer.note,
+			trace: span,
 		});
 		const held = await holdAnswer(answer, run.heldAnswerBytes);
 		entry.finished++;
 		return held;
 	};
 
-	return combine(await Promise.all(submission.tasks.map(async task => runOne(task))));
+	const answer = combine(await Promise.all(submission.tasks.map(async task => runOne(task))));
+	span.end({outcome: answer.outcome}, answer.fault);
+	return answer;
 };
 
 const mismatched = (identifier: string): SubmissionAnswer =>
@@ -136,12 +149,17 @@
 /**
 Hands a submission to another incarnation, unless that was an earlier run of this instance.
 */
-const forwardTo = async (holder: IdentifierHolder, {submission, deadlineAt}: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const forwardTo = async (holder: IdentifierHolder, {submission, deadlineAt, observer}: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
 	if (holder.instance === run.self.instance) {
 		return answerUnknown(FaultKind.HolderUnreachable, `the run of "${holder.instance}" that holds "${submission.identifier}" has ended`);
 	}
 
-	return run.forward(holder, {...submission, deadlineMilliseconds: Math.max(1, Math.ceil(deadlineAt - performance.now()))});
+	observer.note({kind: RecordStepKind.Forwarded, detail: `to ${holder.instance}, which holds the identifier`});
+	const span = run.openTrace(submission.traceparent).begin(SpanName.Forward, {job: submission.identifier, holder: holder.instance});
+	const deadlineMilliseconds = Math.max(1, Math.ceil(deadlineAt - performance.now()));
+	const answer = await run.forward(holder, {...submission, deadlineMilliseconds, traceparent: span.traceparent});
+	span.end({outcome: answer.outcome}, answer.fault);
+	return answer;
 };
 
 const submitMinted = async (arrival: Arrival, holder: IdentifierHolder, run: SubmissionRun): Promise<SubmissionAnswer> =>
@@ -171,6 +189,7 @@
 const submitChosen = async (arrival: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
 	const {identifier} = arrival.submission;
 	const result = await claimInTime(arrival, run);
+	arrival.observer.note({kind: RecordStepKind.Claimed, detail: result.state});
 	if (result.state === ClaimState.Unavailable) {
 		// The row may yet be written; a later attempt that finds it may run the submission.
 		return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${identifier}" was not confirmed by the platform; this attempt started nothing`);
@@ -206,13 +225,23 @@
 		return refuse(FaultKind.BadIdentifier, `"${submission.identifier}" is not a valid identifier`);
 	}
 
-	const arrival: Arrival = {submission, fingerprint: fingerprintOf(submission), deadlineAt: performance.now() + submission.deadlineMilliseconds};
+	const fingerprint = fingerprintOf(submission);
 	const held = run.register.entryOf(submission.identifier);
 	if (held) {
-		return joinEntry(held, arrival.fingerprint);
+		run.noteRepeat(submission.identifier);
+		return joinEntry(held, fingerprint);
 	}
 
-	return parsed.kind === IdentifierKind.Minted
+	const observer = run.observe({
+		kind: ObservedKind.Job, identifier: submission.identifier, service: submission.service, detail: `${submission.tasks.length} tasks`,
+	});
+	const arrival: Arrival = {
+		submission, fingerprint, deadlineAt: performance.now() + submission.deadlineMilliseconds, observer,
+	};
+	const answer = await (parsed.kind === IdentifierKind.Minted
 		? submitMinted(arrival, parsed.holder, run)
-		: submitChosen(arrival, run);
+		: submitChosen(arrival, run));
+	const {outcome, fault, detail} = answer;
+	observer.end({outcome, ...(fault && {fault}), ...(detail !== undefined && {detail})});
+	return answer;
 };
--- a/packages/trials/src/request/__tests__/check-history.steps.ts
+++ b/packages/trials/src/request/__tests__/check-history.steps.ts
@@ -23,7 +23,9 @@
 });
 
 const addStart = ({starts}: History, task: string, startedAt = 150): void => {
-	starts.push({task, startedAt, endpoint: 'worker-1'});
+	starts.push({
+		task, startedAt, endpoint: 'worker-1', traceparent: '',
+	});
 };
 
 const addOperation = ({operations}: History, changes: Partial<CallerOperation>): void => {
