Count the control messages that a daemon sends to its peers

The status on the operators' port now holds the heartbeats sent and the calls that borrow or return slots. Counting in the client's calls rather than in the borrower keeps later kinds of slot calls from being forgotten.

--- a/packages/galenakeeld/src/connection/peer-connection.ts
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -67,13 +67,15 @@
 
 All calls throw a fault of kind `HolderUnreachable` when no reply comes in time.
 
+@param onSlotCall Called with each call that borrows or returns slots.
+
 @example
 ```
-const calls = createPeerCalls('10.1.2.3:8001');
+const calls = createPeerCalls('10.1.2.3:8001', () => slotCalls++);
 const reply = await calls.fetchDocuments(17, 1000);
 ```
 */
-export const createPeerCalls = (address: string): PeerCalls => {
+export const createPeerCalls = (address: string, onSlotCall: () => void): PeerCalls => {
 	const client = new PeerClient(address, credentials.createInsecure(), channelOptions);
 	const pending = new Set<ClientUnaryCall>();
 
@@ -94,8 +96,12 @@
 	return {
 		submit: async (request, timeout) => invoke(timeout, (options, callback) => client.submit(request, new Metadata(), options, callback)),
 		inspect: async (request, timeout) => invoke(timeout, (options, callback) => client.inspect(request, new Metadata(), options, callback)),
-		borrowSlots: async (request, timeout) => invoke(timeout, (options, callback) => client.borrowSlots(request, new Metadata(), options, callback)),
+		async borrowSlots(request, timeout) {
+			onSlotCall();
+			return invoke(timeout, (options, callback) => client.borrowSlots(request, new Metadata(), options, callback));
+		},
 		async returnSlots(request, timeout) {
+			onSlotCall();
 			await invoke(timeout, (options, callback) => client.returnSlots(request, new Metadata(), options, callback));
 		},
 		fetchDocuments: async (aboveVersion, timeout) => invoke(timeout, (options, callback) => client.fetchDocuments({aboveVersion}, new Metadata(), options, callback)),
--- a/packages/galenakeeld/src/process/daemon-status.ts
+++ b/packages/galenakeeld/src/process/daemon-status.ts
@@ -1,4 +1,6 @@
-import type {DaemonStatus, EndpointStatus, ServiceStatus} from '@galenakeel/model/process/daemon-status.js';
+import type {
+	ControlMessageCounts, DaemonStatus, EndpointStatus, ServiceStatus,
+} from '@galenakeel/model/process/daemon-status.js';
 import type {DocumentCatalogue} from '../version/document-catalogue.js';
 import type {Incarnation} from './incarnation.js';
 import type {Membership} from './membership.js';
@@ -28,6 +30,7 @@
 	readonly catalogue: DocumentCatalogue;
 	readonly dispatchers: ServiceDispatchers;
 	readonly register: SubmissionRegister;
+	readonly messages: ControlMessageCounts;
 }): DaemonStatus => ({
 	instance: parts.self.instance,
 	incarnation: parts.self.incarnation,
@@ -39,4 +42,5 @@
 	services: [...parts.dispatchers.all()].map(([service, dispatched]) => describeService(service, dispatched)),
 	unanswered: parts.register.unanswered(),
 	leavingEndpoints: parts.membership.leavingEndpoints(),
+	messages: {...parts.messages},
 });
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -87,8 +87,13 @@
 		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.ledger.free(), waiting: dispatcher.waiting()})),
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
-	const heartbeats = createHeartbeatSource(describeSelf, settings.peers.heartbeatMilliseconds);
-	const directory = createPeerDirectory(self, membership, heartbeats);
+	const messages = {heartbeats: 0, slotCalls: 0};
+	const heartbeats = createHeartbeatSource(describeSelf, settings.peers.heartbeatMilliseconds, () => {
+		messages.heartbeats++;
+	});
+	const directory = createPeerDirectory(self, membership, heartbeats, () => {
+		messages.slotCalls++;
+	});
 	const claims = createClaimWriter({
 		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1),
 	});
@@ -158,7 +163,7 @@
 	const stopOperators = await startOperatorServer(settings.listen.operators, {
 		isReady: () => membership.state === InstanceState.Serving,
 		status: () => describeDaemon({
-			self, membership, catalogue, dispatchers, register,
+			self, membership, catalogue, dispatchers, register, messages,
 		}),
 	});
 
--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -14,17 +14,21 @@
 Creates the source of this instance's heartbeats.
 
 @param current Says what the next heartbeat holds.
+@param onSend Called with each heartbeat that a stream is about to send.
 
 @example
 ```
-const heartbeats = createHeartbeatSource(() => describeSelf(), 500);
+const heartbeats = createHeartbeatSource(() => describeSelf(), 500, () => heartbeatsSent++);
 heartbeats.announce();
 ```
 */
-export const createHeartbeatSource = (current: () => PeerHeartbeat, intervalMilliseconds: number): SharedHeartbeatSource => {
+export const createHeartbeatSource = (current: () => PeerHeartbeat, intervalMilliseconds: number, onSend: () => void): SharedHeartbeatSource => {
 	let announced = createDeferred<void>();
 	return {
-		current,
+		current() {
+			onSend();
+			return current();
+		},
 		async untilNext() {
 			const {promise} = announced;
 			let timer: NodeJS.Timeout | undefined;
--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -21,9 +21,11 @@
 /**
 Creates the directory of peers, without any connection.
 
+@param onSlotCall Called with each call to a peer that borrows or returns slots.
+
 Of two peers the one whose name sorts first dials; the other dials only while it hears nothing.
 */
-export const createPeerDirectory = (self: Incarnation, membership: Membership, heartbeats: HeartbeatSource): PeerDirectory => {
+export const createPeerDirectory = (self: Incarnation, membership: Membership, heartbeats: HeartbeatSource, onSlotCall: () => void): PeerDirectory => {
 	const tasks = new Map<string, PeerTask>();
 	const silentSince = new Map<string, number>();
 	const pollsBeforeDialling = 4;
@@ -44,7 +46,7 @@
 	};
 
 	const open = (peer: ListedInstance): void => {
-		const calls = createPeerCalls(peer.address);
+		const calls = createPeerCalls(peer.address, onSlotCall);
 		const stop = new AbortController();
 		tasks.set(peer.name, {address: peer.address, calls, stop});
 		void runPeerConnection(calls, {
@@ -92,7 +94,7 @@
 			}
 
 			// A peer that dialled this instance: the channel opens with the first call and carries no heartbeats.
-			const calls = createPeerCalls(address);
+			const calls = createPeerCalls(address, onSlotCall);
 			tasks.set(instance, {address, calls, stop: new AbortController()});
 			return calls;
 		},
--- a/packages/model/src/process/daemon-status.ts
+++ b/packages/model/src/process/daemon-status.ts
@@ -13,6 +13,16 @@
 	/** Submissions without an answer. */
 	readonly unanswered: number;
 	readonly leavingEndpoints: readonly string[];
+	readonly messages: ControlMessageCounts;
+};
+
+/**
+Control messages that a daemon has sent to its peers since it started.
+*/
+export type ControlMessageCounts = {
+	readonly heartbeats: number;
+	/** Calls that borrow or return slots. */
+	readonly slotCalls: number;
 };
 
 /**
