Add the bench with the scenarios steady and long-behind-short

Policies could not be compared: nothing sent the same load to each. Arrivals follow from the seed alone (Poisson, reciprocal run times, uneven callers), are sent open-loop by three processes straight to the daemons' callers ports, and are measured after a warm-up against one central queue computed from the same arrivals. Endpoints run in processes of their own.

Ratios to the ideal are taken task by task.

--- /dev/null
+++ b/packages/stand-ins/src/process/endpoint-process.ts
@@ -0,0 +1,45 @@
+import process from 'node:process';
+import {EndpointCommandKind, type EndpointCommand, type EndpointReport} from './endpoint-command.js';
+import {startEndpointStandIn, type EndpointStandIn, type EndpointStart} from './endpoint-stand-in.js';
+
+const reportMilliseconds = 100;
+const standIns = new Map<string, EndpointStandIn>();
+const reported = new Map<string, number>();
+
+const takeStarts = (): readonly EndpointStart[] => [...standIns.values()].flatMap(({address, starts}) => {
+	const all = starts();
+	const fresh = all.slice(reported.get(address) ?? 0);
+	reported.set(address, all.length);
+	return fresh;
+});
+
+const report = (message: EndpointReport): void => {
+	process.send!(message);
+};
+
+const obey = async (command: EndpointCommand): Promise<void> => {
+	switch (command.kind) {
+		case EndpointCommandKind.Start: {
+			standIns.set(command.address, await startEndpointStandIn(command.address, command.options));
+			report({listening: command.address, starts: []});
+			break;
+		}
+
+		case EndpointCommandKind.Behave: {
+			standIns.get(command.address)!.behaviour = command.behaviour;
+		}
+	}
+};
+
+process.on('message', (command: EndpointCommand) => {
+	void obey(command);
+});
+process.once('disconnect', () => {
+	process.exit();
+});
+setInterval(() => {
+	const starts = takeStarts();
+	if (starts.length > 0) {
+		report({starts});
+	}
+}, reportMilliseconds);
--- /dev/null
+++ b/packages/trials/src/process/bench-fleet.ts
@@ -0,0 +1,108 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {DaemonStatus} from '@galenakeel/model/process/daemon-status.js';
+import {createEndpointProcesses} from '@galenakeel/stand-ins/process/endpoint-processes.js';
+import type {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
+import type {TaskMix} from '../version/task-mix.js';
+import type {DaemonProcess} from './daemon-process.js';
+import {startFleet, type Fleet} from './fleet.js';
+
+/**
+The service that the bench calls.
+*/
+export const benchService = 'paysheet';
+
+/**
+Availability zones, daemons and endpoints of the fleet under the bench.
+*/
+export const benchSize = {
+	zones: ['zone-a', 'zone-b', 'zone-c'], daemonsPerZone: 2, endpointsPerZone: 10, slots: 8,
+} as const;
+
+/**
+Number of endpoints of the fleet under the bench.
+*/
+export const benchEndpoints = benchSize.zones.length * benchSize.endpointsPerZone;
+
+/**
+Share of the callers that are connected to each daemon.
+*/
+export const daemonShares: readonly number[] = [0.28, 0.2, 0.16, 0.14, 0.12, 0.1];
+
+/**
+Deadline of every task; a task without an answer counts as one that took as long.
+*/
+export const deadlineMilliseconds = 60_000;
+
+const endpointProcesses = 3;
+const readyMilliseconds = 10_000;
+const pollMilliseconds = 50;
+
+const statusOf = async (daemon: DaemonProcess): Promise<DaemonStatus> => await daemon.status() as DaemonStatus;
+
+const isSettled = (status: DaemonStatus, version: number, daemons: number): boolean =>
+	status.catalogueVersion >= version && status.peers.filter(({isReachable}) => isReachable).length === daemons - 1;
+
+const untilSettled = async (fleet: Fleet, version: number): Promise<void> => {
+	const until = Date.now() + readyMilliseconds;
+	while (Date.now() < until) {
+		const statuses = await Promise.all(fleet.daemons.map(async daemon => statusOf(daemon)));
+		if (statuses.every(status => isSettled(status, version, fleet.daemons.length))) {
+			return;
+		}
+
+		await sleep(pollMilliseconds);
+	}
+
+	throw new Error(`the daemons did not all hear each other and version ${version} within ${readyMilliseconds} ms`);
+};
+
+/**
+What a bench run may change about its fleet.
+*/
+export type BenchFleetOptions = {
+	readonly policy: PlacementPolicy;
+	readonly mix: TaskMix;
+	readonly speedOf?: (endpoint: number) => number;
+	/** Changes the service document before it is accepted. */
+	readonly change?: (document: Record<string, unknown>) => Record<string, unknown>;
+};
+
+/**
+Starts a fleet for one policy, uses it and stops it. Its endpoints run in processes of their own.
+*/
+export const withBenchFleet = async <Result>({policy, mix, speedOf, change}: BenchFleetOptions, use: (fleet: Fleet) => Promise<Result>): Promise<Result> => {
+	const processes = createEndpointProcesses(endpointProcesses);
+	try {
+		const fleet = await startFleet({
+			...benchSize, ...(speedOf && {speedOf}), settings: {placement: {policy}, logs: {level: 'warn'}}, startEndpoint: processes.startEndpoint,
+		});
+		try {
+			const kinds = Object.fromEntries(Object.entries(mix.declared).map(([kind, runMilliseconds]) => [kind, {runMilliseconds}]));
+			const describe = (document: Record<string, unknown>): Record<string, unknown> => ({...document, timeoutMilliseconds: deadlineMilliseconds, kinds});
+			const version = await fleet.accept(benchService, document => change ? change(describe(document)) : describe(document));
+			await untilSettled(fleet, version);
+			return await use(fleet);
+		} finally {
+			await fleet.stop();
+		}
+	} finally {
+		processes.close();
+	}
+};
+
+/**
+Adds up the control messages that the daemons have sent; daemons that don't answer are left out.
+*/
+export const countMessages = async (fleet: Fleet): Promise<{readonly heartbeats: number; readonly slotCalls: number}> => {
+	const statuses = await Promise.allSettled(fleet.daemons.map(async daemon => statusOf(daemon)));
+	let heartbeats = 0;
+	let slotCalls = 0;
+	for (const status of statuses) {
+		if (status.status === 'fulfilled') {
+			heartbeats += status.value.messages.heartbeats;
+			slotCalls += status.value.messages.slotCalls;
+		}
+	}
+
+	return {heartbeats, slotCalls};
+};
--- /dev/null
+++ b/packages/trials/src/process/bench.ts
@@ -0,0 +1,44 @@
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
+import {BenchScenario, idealPolicy, type BenchPolicy} from '../version/bench-line.js';
+import type {BenchRun} from './bench-run.js';
+import {runLongBehindShort} from './long-behind-short-scenario.js';
+import {runSteady} from './steady-scenario.js';
+
+const scenarios: Readonly<Partial<Record<BenchScenario, (run: BenchRun) => Promise<void>>>> = {
+	[BenchScenario.Steady]: runSteady,
+	[BenchScenario.LongBehindShort]: runLongBehindShort,
+};
+const policies: readonly BenchPolicy[] = [...Object.values(PlacementPolicy), idealPolicy];
+const defaultSeconds = '10';
+const defaultSeed = '1';
+
+/**
+Returns the wanted value alone, or all values when none is wanted.
+*/
+const select = <Value extends string>(option: string, wanted: string | undefined, all: readonly Value[]): readonly Value[] => {
+	const selected = wanted === undefined ? all : all.filter(value => value === wanted);
+	if (selected.length === 0) {
+		throw new Error(`--${option} ${wanted} is not one of: ${all.join(', ')}`);
+	}
+
+	return selected;
+};
+
+const {values} = parseArgs({
+	options: {
+		scenario: {type: 'string'}, policy: {type: 'string'}, seconds: {type: 'string', default: defaultSeconds}, seed: {type: 'string', default: defaultSeed},
+	},
+});
+const run: BenchRun = {
+	seed: Number(values.seed),
+	policies: select('policy', values.policy, policies),
+	milliseconds: Number(values.seconds) * 1000,
+	print(line) {
+		process.stdout.write(`${JSON.stringify(line)}\n`);
+	},
+};
+for (const scenario of select('scenario', values.scenario, Object.keys(scenarios) as BenchScenario[])) {
+	await scenarios[scenario]!(run);
+}
--- a/packages/trials/src/process/fleet.ts
+++ b/packages/trials/src/process/fleet.ts
@@ -32,6 +32,8 @@
 	readonly listLagMilliseconds?: number;
 	/** Whether each link has a fault-injecting proxy of its own. */
 	readonly isProxied?: boolean;
+	/** Starts the endpoint at an address; in this process when absent. */
+	readonly startEndpoint?: typeof startEndpointStandIn;
 	/** Settings of every daemon beyond its addresses. */
 	readonly settings?: Readonly<Record<string, unknown>>;
 };
@@ -86,11 +88,12 @@
 };
 
 const startEndpoints = async (size: FleetSize): Promise<readonly PlacedEndpoint[]> => {
+	const {startEndpoint = startEndpointStandIn} = size;
 	const count = size.zones.length * size.endpointsPerZone;
 	const addresses = await findFreeAddresses(count);
 	return Promise.all(addresses.map(async (address, position) => {
 		const speed = size.speedOf?.(position) ?? 1;
-		const standIn = await startEndpointStandIn(address, {slots: size.slots, speed, connections: 64});
+		const standIn = await startEndpoint(address, {slots: size.slots, speed, connections: 64});
 		const proxy = size.isProxied ? await startProxyTo(address) : undefined;
 		return {
 			name: `worker-${position + 1}`, zone: size.zones[position % size.zones.length]!, standIn, address: proxy?.address ?? address, proxy,
--- /dev/null
+++ b/packages/trials/src/process/load-generator.ts
@@ -0,0 +1,63 @@
+import {once} from 'node:events';
+import {Agent} from 'node:http';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Arrival, ArrivalResult} from '../request/arrival.js';
+import {submitAsCaller} from '../request/caller.js';
+
+/**
+What one load generator sends: its arrivals, to the daemons at the addresses.
+*/
+export type GeneratorOrder = {
+	readonly addresses: readonly string[];
+	/** Path under which the service's tasks are sent. */
+	readonly path: string;
+	readonly arrivals: readonly Arrival[];
+	/** Wall-clock time at which the run starts, in milliseconds since the epoch. */
+	readonly startAt: number;
+	readonly deadlineMilliseconds: number;
+};
+
+const answerMarginMilliseconds = 2000;
+
+const sendArrival = async (order: GeneratorOrder, arrival: Arrival, agent: Agent, due: number): Promise<ArrivalResult> => {
+	const sentAt = performance.now();
+	const headers = {
+		'galenakeel-kind': arrival.kind,
+		'galenakeel-team': arrival.team,
+		'galenakeel-deadline-milliseconds': String(order.deadlineMilliseconds),
+	};
+	const result = await submitAsCaller(order.addresses[arrival.daemon]!, 'POST', `${order.path}?run=${arrival.runMilliseconds}`, {
+		agent, headers, timeoutMilliseconds: order.deadlineMilliseconds + answerMarginMilliseconds,
+	});
+	return {
+		outcome: result.outcome, status: result.status, latenessMilliseconds: sentAt - due, responseMilliseconds: result.durationMilliseconds,
+	};
+};
+
+/**
+Sends every arrival at its time, whether or not earlier ones are answered.
+*/
+const generate = async (order: GeneratorOrder): Promise<readonly ArrivalResult[]> => {
+	const agent = new Agent({keepAlive: true});
+	const startAt = order.startAt - performance.timeOrigin;
+	const running: Array<Promise<ArrivalResult>> = [];
+	for (const arrival of order.arrivals) {
+		const due = startAt + arrival.at;
+		const wait = due - performance.now();
+		if (wait > 0) {
+			await sleep(wait);
+		}
+
+		running.push(sendArrival(order, arrival, agent, due));
+	}
+
+	const results = await Promise.all(running);
+	agent.destroy();
+	return results;
+};
+
+const [order] = await once(process, 'message') as [GeneratorOrder];
+process.send!(await generate(order), () => {
+	process.disconnect();
+});
--- /dev/null
+++ b/packages/trials/src/process/long-behind-short-scenario.ts
@@ -0,0 +1,71 @@
+import {
+	atMost, BenchScenario, idealPolicy, type BenchPolicy,
+} from '../version/bench-line.js';
+import {percentile, percentileRatio} from '../version/percentile.js';
+import {planLoad, type PlannedLoad} from '../version/planned-load.js';
+import {compareResponses} from '../version/response-figures.js';
+import {createMixWithLong, createShortMix} from '../version/task-mix.js';
+import {
+	benchEndpoints, benchSize, daemonShares, withBenchFleet,
+} from './bench-fleet.js';
+import {printLine, type BenchRun} from './bench-run.js';
+import {
+	measureIdeal, measureLoad, type LoadMeasurement, type MeasuredTask,
+} from './measure-load.js';
+
+const load = 0.9;
+const longShare = 0.05;
+// The long tasks must have reached their steady number before the measurement.
+const warmUpMilliseconds = 9000;
+const tail = 0.99;
+const shortTarget = 1.2;
+const longTarget = 3;
+
+type Plans = {readonly alone: PlannedLoad; readonly mixed: PlannedLoad};
+
+const responsesOf = (tasks: readonly MeasuredTask[], isLong: boolean): readonly number[] =>
+	tasks.filter(({arrival}) => arrival.isLong === isLong).map(({responseMilliseconds}) => responseMilliseconds);
+
+const report = (run: BenchRun, policy: BenchPolicy, alone: readonly MeasuredTask[], mixed: Pick<LoadMeasurement, 'tasks'> & Partial<LoadMeasurement>): void => {
+	const long = mixed.tasks.filter(({arrival}) => arrival.isLong);
+	const shortP99OverAlone = percentileRatio(responsesOf(mixed.tasks, false), responsesOf(alone, false), tail);
+	const longP99OverIdeal = percentile(long.map(({responseMilliseconds, idealMilliseconds}) => responseMilliseconds / idealMilliseconds), tail);
+	printLine(run, BenchScenario.LongBehindShort, policy, {
+		figures: {
+			load, tasks: mixed.tasks.length, ...compareResponses(mixed.tasks, 1), messagesPerTask: mixed.messagesPerTask ?? Number.NaN, shortP99OverAlone, longP99OverIdeal,
+		},
+		targets: [
+			atMost('p99 of short tasks over alone', shortTarget, shortP99OverAlone),
+			atMost('p99 of long tasks over ideal', longTarget, longP99OverIdeal),
+			...(mixed.validity ? [mixed.validity] : []),
+		],
+	});
+};
+
+const runPolicy = async (run: BenchRun, policy: BenchPolicy, {alone, mixed}: Plans): Promise<void> => {
+	if (policy === idealPolicy) {
+		report(run, policy, measureIdeal(alone), {tasks: measureIdeal(mixed)});
+		return;
+	}
+
+	await withBenchFleet({policy, mix: createShortMix()}, async fleet => {
+		const reference = await measureLoad(fleet, alone);
+		report(run, policy, reference.tasks, await measureLoad(fleet, mixed));
+	});
+};
+
+/**
+Runs short tasks of which a few run 10 to 100 times longer than declared, and the short ones alone at equal load.
+*/
+export const runLongBehindShort = async (run: BenchRun): Promise<void> => {
+	const common = {
+		seed: run.seed, load, slotSpeeds: Array.from({length: benchEndpoints * benchSize.slots}, () => 1), daemonShares, measuredMilliseconds: run.milliseconds,
+	};
+	const plans: Plans = {
+		alone: planLoad({...common, mix: createShortMix(), warmUpMilliseconds: warmUpMilliseconds / 3}),
+		mixed: planLoad({...common, mix: createMixWithLong(longShare), warmUpMilliseconds}),
+	};
+	for (const policy of run.policies) {
+		await runPolicy(run, policy, plans);
+	}
+};
