--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -12,6 +12,7 @@
 import {startCallerServer} from './caller-server.js';
 import {isBucketOwner, runClaimSweep} from './claim-sweeper.js';
 import {createClaimWriter} from './claim-writer.js';
+import {createControlMessages} from './control-messages.js';
 import {countPlatformCalls} from './counted-platform.js';
 import type {DaemonSettings} from './daemon-settings.js';
 import {describeDaemon} from './daemon-status.js';
@@ -72,6 +73,12 @@
 		}),
 	});
 	const {metrics} = observation;
+	const controlMessages = createControlMessages();
+	const countPeerMessage = (call: string, bytes: number): void => {
+		metrics.countPeerMessage(call, bytes);
+		controlMessages.count(call);
+	};
+
 	const platform = countPlatformCalls(createPlatformClient(settings.platform.address, settings.platform.timeoutMilliseconds), metrics.countPlatformCall);
 	const register = createSubmissionRegister(settings.answers);
 	const connections = createEndpointConnections({...settings.endpoints, bufferedBodyBytes: settings.limits.bufferedBodyBytes});
@@ -102,7 +109,7 @@
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
 	const heartbeats = createHeartbeatSource(describeSelf, settings.peers.heartbeatMilliseconds);
-	const directory = createPeerDirectory(self, membership, heartbeats, createCountedPeerClient(metrics.countPeerMessage));
+	const directory = createPeerDirectory(self, membership, heartbeats, createCountedPeerClient(countPeerMessage));
 	const claims = createClaimWriter({
 		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1), onNonce: register.issue,
 	});
@@ -170,12 +177,12 @@
 			catalogueVersion: catalogue.catalogueVersion(),
 			documents: catalogue.all().filter(document => document.version > version).map(({version, text, document}) => ({service: document.service, version, text})),
 		}),
-	}, metrics.countPeerMessage);
+	}, countPeerMessage);
 	const callers = await startCallerServer(settings.listen.callers, callerRun, settings.limits);
 	const stopOperators = await startOperatorServer(settings.listen.operators, {
 		isReady: () => membership.state === InstanceState.Serving,
 		status: () => describeDaemon({
-			self, membership, catalogue, dispatchers, register,
+			self, membership, catalogue, dispatchers, register, messages: controlMessages.counts(),
 		}),
 		metrics: observation.readMetrics,
 		findRecord: observation.records.find,
