Find an accept whose answer was lost in the history, and explain faulty configuration in words

Cause: an accept whose answer was lost was looked for only in the document's own row. When another operator had replaced the document before the row was read back, the first operator was told of a conflict although the document had been accepted. Faults in settings and documents carried the validator's raw messages, and a duplicate address was not reported while anything else was wrong.

Ruled out: a longer list of nonces in the document's row, since it grows with each version; the history row of each proposed version holds the nonce already.

Change: the versions that a proposal tried are looked up in the history by nonce before a conflict is reported; the state is read before the history, so that a write which takes effect in between fails on the row's version. A result that can't be learned is said to be unknown. History and documents share one paged scan.

--- a/packages/model/src/version/configuration-text.ts
+++ b/packages/model/src/version/configuration-text.ts
@@ -1,27 +1,54 @@
 import {
-	findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode, type Node, type ParseError,
+	findNodeAtLocation, getNodeValue, ParseErrorCode, parseTree, printParseErrorCode, type Node, type ParseError,
 } from 'jsonc-parser';
 import type {z} from 'zod';
 import {createFault, FaultKind} from '../request/fault.js';
+import {validateConfiguration, type ConfigurationFault} from './configuration-faults.js';
 
 const placeOf = (text: string, offset: number): string => {
 	const before = text.slice(0, offset).split('\n');
 	return `line ${before.length}, column ${(before.at(-1)?.length ?? 0) + 1}`;
 };
 
-const nearestNode = (root: Node, path: ReadonlyArray<string | number>): Node => {
+const keyNodeOf = (node: Node): Node => node.parent?.type === 'property' ? node.parent.children![0]! : node;
+
+/** The node of a path, or of the nearest part of it that the text has. */
+const findNode = (root: Node, path: ReadonlyArray<string | number>, isKey: boolean): Node => {
 	for (let {length} = path; length > 0; length--) {
 		const node = findNodeAtLocation(root, path.slice(0, length));
 		if (node) {
-			return node;
+			return isKey && length === path.length ? keyNodeOf(node) : node;
 		}
 	}
 
 	return root;
 };
 
+const syntaxWords: Readonly<Partial<Record<ParseErrorCode, string>>> = {
+	[ParseErrorCode.InvalidSymbol]: 'a word stands here without double quotes; quote it, or write true, false, null or a number',
+	[ParseErrorCode.InvalidNumberFormat]: 'this is not a number; write it as in 8 or 0.5',
+	[ParseErrorCode.PropertyNameExpected]: 'the name of a setting in double quotes is missing here',
+	[ParseErrorCode.ValueExpected]: 'a value is missing here',
+	[ParseErrorCode.ColonExpected]: 'a colon is missing between the name and its value',
+	[ParseErrorCode.CommaExpected]: 'a comma is missing before this place',
+	[ParseErrorCode.CloseBraceExpected]: 'a closing } is missing',
+	[ParseErrorCode.CloseBracketExpected]: 'a closing ] is missing',
+	[ParseErrorCode.EndOfFileExpected]: 'the text goes on after its end; remove what follows the last }',
+	[ParseErrorCode.UnexpectedEndOfString]: 'a closing double quote is missing',
+	[ParseErrorCode.UnexpectedEndOfComment]: 'a closing */ is missing',
+	[ParseErrorCode.InvalidCharacter]: String.raw`this character is not allowed here; remove it or write it as \u and four digits`,
+};
+
+const describeSyntax = (text: string, {error, offset}: ParseError): string =>
+	`${placeOf(text, offset)}: ${syntaxWords[error] ?? printParseErrorCode(error)}`;
+
+const describeFault = (text: string, root: Node, {path, isKey, message}: ConfigurationFault): {readonly offset: number; readonly line: string} => {
+	const {offset} = findNode(root, path, isKey);
+	return {offset, line: `${placeOf(text, offset)}: ${path.join('.') || 'the whole text'}: ${message}`};
+};
+
 /**
-Parses JSON with comments and validates it, reporting all faults at once.
+Parses JSON with comments and validates it, reporting all faults at once, in the order of the text.
 
 @throws A fault of kind `InvalidConfiguration` with one line for each faulty place: its line, column, path and what to change.
 
@@ -34,17 +61,14 @@
 	const parseErrors: ParseError[] = [];
 	const root = parseTree(text, parseErrors, {allowTrailingComma: true});
 	if (!root || parseErrors.length > 0) {
-		const places = parseErrors.map(error => `${placeOf(text, error.offset)}: ${printParseErrorCode(error.error)}`);
+		const places = parseErrors.map(error => describeSyntax(text, error));
 		throw createFault(FaultKind.InvalidConfiguration, `${source} is not JSON with comments:\n${places.join('\n') || 'the text is empty'}`);
 	}
 
-	const result = schema.safeParse(getNodeValue(root));
-	if (!result.success) {
-		const places = result.error.issues.map(issue => {
-			const path = issue.path.filter(part => typeof part !== 'symbol');
-			return `${placeOf(text, nearestNode(root, path).offset)}: ${path.join('.') || 'the document'}: ${issue.message}`;
-		});
-		throw createFault(FaultKind.InvalidConfiguration, `${source} has ${places.length} ${places.length === 1 ? 'fault' : 'faults'}:\n${places.join('\n')}`);
+	const result = validateConfiguration(schema, getNodeValue(root));
+	if ('faults' in result) {
+		const places = result.faults.map(fault => describeFault(text, root, fault)).toSorted((first, second) => first.offset - second.offset);
+		throw createFault(FaultKind.InvalidConfiguration, `${source} has ${places.length} ${places.length === 1 ? 'fault' : 'faults'}:\n${places.map(({line}) => line).join('\n')}`);
 	}
 
 	return result.data;
--- a/packages/model/src/version/document-store.ts
+++ b/packages/model/src/version/document-store.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {parseJson} from '../connection/json.js';
 import {PlatformOutcome, type Platform, type TableRow} from '../connection/platform-client.js';
 import {createFault, FaultKind} from '../request/fault.js';
@@ -51,28 +52,30 @@
 	return row && parseStored(row);
 };
 
+const scanAll = async (platform: Platform, prefix: string): Promise<readonly TableRow[]> => {
+	const rows: TableRow[] = [];
+	for (;;) {
+		const page = await platform.scanRows(prefix, pageRows, rows.at(-1)?.key);
+		rows.push(...page);
+		if (page.length < pageRows) {
+			return rows;
+		}
+	}
+};
+
 /**
 Reads every accepted document.
 */
 export const readDocuments = async (platform: Platform): Promise<readonly AcceptedDocument[]> => {
-	const documents: AcceptedDocument[] = [];
-	let after: string | undefined;
-	for (;;) {
-		const rows = await platform.scanRows(documentPrefix, pageRows, after);
-		documents.push(...rows.map(row => parseStored(row)));
-		if (rows.length < pageRows) {
-			return documents;
-		}
-
-		after = rows.at(-1)?.key;
-	}
+	const rows = await scanAll(platform, documentPrefix);
+	return rows.map(row => parseStored(row));
 };
 
 /**
 Reads the accepted versions of one service, oldest first.
 */
 export const readHistory = async (platform: Platform, service: string): Promise<readonly HistoryEntry[]> => {
-	const rows = await platform.scanRows(`${historyPrefix}${service}/`, pageRows);
+	const rows = await scanAll(platform, `${historyPrefix}${service}/`);
 	return rows.map(row => {
 		const {nonce: _nonce, ...entry} = parseJson<StoredDocument>(row.value);
 		return entry;
@@ -80,11 +83,94 @@
 };
 
 const acceptAttempts = 8;
+const readBackAttempts = 5;
+const readBackPauseMilliseconds = 200;
+
+/**
+A document that an operator wants in force.
+*/
+export type DocumentProposal = {
+	readonly text: string;
+	/** Version that the change was made from; 0 when there was none. */
+	readonly seenVersion: number;
+	readonly author: string;
+	/** Distinguishes this proposal from all others. */
+	readonly nonce: string;
+};
+
+/**
+What the table holds for a service at one moment.
+*/
+type DocumentState = {
+	readonly catalogueRow: TableRow | undefined;
+	readonly documentRow: TableRow | undefined;
+	readonly version: number;
+};
+
+const readState = async (platform: Platform, service: string): Promise<DocumentState> => {
+	const documentKey = `${documentPrefix}${service}`;
+	const rows = await platform.readRows([catalogueKey, documentKey]);
+	const documentRow = rows.find(row => row.key === documentKey);
+	return {
+		catalogueRow: rows.find(row => row.key === catalogueKey),
+		documentRow,
+		version: documentRow ? parseJson<StoredDocument>(documentRow.value).version : 0,
+	};
+};
+
+/**
+Looks for a proposal in the history, since another operator may have replaced its document meanwhile.
+*/
+const findAccepted = async (platform: Platform, service: string, proposed: readonly number[], nonce: string): Promise<number | undefined> => {
+	if (proposed.length === 0) {
+		return undefined;
+	}
+
+	const rows = await platform.readRows(proposed.map(version => historyKey(service, version)));
+	return rows.map(row => parseJson<StoredDocument>(row.value)).find(stored => stored.nonce === nonce)?.version;
+};
+
+/**
+Repeats a read while the platform is out of reach, when a write was sent and its result is not known.
+*/
+const readBack = async <Value>(read: () => Promise<Value>, service: string, hasProposed: boolean): Promise<Value> => {
+	for (let attempt = 1; ; attempt++) {
+		try {
+			return await read();
+		} catch (error) {
+			if (!hasProposed) {
+				throw error;
+			}
+
+			if (attempt === readBackAttempts) {
+				const detail = `the document of "${service}" was sent, and the platform does not tell whether it is accepted; accepting the same text again is safe`;
+				throw createFault(FaultKind.PlatformUnavailable, detail, error);
+			}
+
+			await sleep(readBackPauseMilliseconds);
+		}
+	}
+};
+
+const propose = async (platform: Platform, service: string, state: DocumentState, proposal: DocumentProposal): Promise<{readonly version: number; readonly outcome: PlatformOutcome}> => {
+	const {catalogueRow, documentRow} = state;
+	const documentKey = `${documentPrefix}${service}`;
+	const version = catalogueVersionOf(catalogueRow) + 1;
+	const stored: StoredDocument = {
+		version, text: proposal.text, nonce: proposal.nonce, author: proposal.author, acceptedAt: new Date().toISOString(),
+	};
+	const value = JSON.stringify(stored);
+	const {outcome} = await platform.transact(
+		[{key: catalogueKey, version: catalogueRow?.version ?? 0}, {key: documentKey, version: documentRow?.version ?? 0}],
+		[{key: catalogueKey, value: String(version)}, {key: documentKey, value}, {key: historyKey(service, version), value}],
+	);
+	return {version, outcome};
+};
 
 /**
 Accepts a document if the service's accepted version is still the one that the operator saw.
 
-The document and the catalogue version are written in one transaction. A lost answer is read back by its nonce.
+The document and the catalogue version are written in one transaction. A write whose answer was lost is looked up by its nonce in the history, so that it counts also when another operator has replaced the document since.
 
 @returns The version under which the document is accepted.
 @throws A fault of kind `DocumentConflict` when another operator was first, `InvalidConfiguration` for a faulty text, `PlatformUnavailable` when the result can't be learned.
@@ -94,36 +180,29 @@
 const version = await acceptDocument(platform, {text, seenVersion: 12, author: 'roisin', nonce: randomUUID()});
 ```
 */
-export const acceptDocument = async (platform: Platform, proposal: {text: string; seenVersion: number; author: string; nonce: string}): Promise<number> => {
+export const acceptDocument = async (platform: Platform, proposal: DocumentProposal): Promise<number> => {
 	const {service} = parseServiceDocument(proposal.text, 'the document');
-	const documentKey = `${documentPrefix}${service}`;
+	const proposed: number[] = [];
 	for (let attempt = 0; attempt < acceptAttempts; attempt++) {
-		const rows = await platform.readRows([catalogueKey, documentKey]);
-		const catalogueRow = rows.find(row => row.key === catalogueKey);
-		const documentRow = rows.find(row => row.key === documentKey);
-		const current = documentRow && parseStored(documentRow);
-		if (current?.nonce === proposal.nonce) {
-			return current.version;
+		const hasProposed = proposed.length > 0;
+		// The state is read before the history: a version that comes later fails on the row's version.
+		const state = await readBack(async () => readState(platform, service), service, hasProposed);
+		const accepted = await readBack(async () => findAccepted(platform, service, proposed, proposal.nonce), service, hasProposed);
+		if (accepted !== undefined) {
+			return accepted;
 		}
 
-		if ((current?.version ?? 0) !== proposal.seenVersion) {
-			throw createFault(FaultKind.DocumentConflict, `the document of "${service}" is at version ${current?.version ?? 0}, not at version ${proposal.seenVersion} that the change was made from`);
+		if (state.version !== proposal.seenVersion) {
+			throw createFault(FaultKind.DocumentConflict, `the document of "${service}" is at version ${state.version}, not at version ${proposal.seenVersion} that the change was made from`);
 		}
 
-		const version = catalogueVersionOf(catalogueRow) + 1;
-		const stored: StoredDocument = {
-			version, text: proposal.text, nonce: proposal.nonce, author: proposal.author, acceptedAt: new Date().toISOString(),
-		};
-		const value = JSON.stringify(stored);
-		const result = await platform.transact(
-			[{key: catalogueKey, version: catalogueRow?.version ?? 0}, {key: documentKey, version: documentRow?.version ?? 0}],
-			[{key: catalogueKey, value: String(version)}, {key: documentKey, value}, {key: historyKey(service, version), value}],
-		);
-		if (result.outcome === PlatformOutcome.Done) {
+		const {version, outcome} = await propose(platform, service, state, proposal);
+		if (outcome === PlatformOutcome.Done) {
 			return version;
 		}
 
 		// A refusal may only mean that another service's document took the catalogue version; the next look tells.
+		proposed.push(version);
 	}
 
 	throw createFault(FaultKind.PlatformUnavailable, `the platform did not confirm the document of "${service}" in ${acceptAttempts} attempts`);
--- a/packages/model/src/version/service-document.ts
+++ b/packages/model/src/version/service-document.ts
@@ -14,6 +14,20 @@
 	speed: z.number().positive().default(1),
 });
 
+const endpointsSchema = z.record(name, z.array(endpointSchema)).superRefine((endpoints, context) => {
+	const seen = new Map<string, string>();
+	for (const [zone, entries] of Object.entries(endpoints)) {
+		for (const [position, entry] of entries.entries()) {
+			const other = seen.get(entry.address);
+			if (other !== undefined) {
+				context.addIssue({code: 'custom', path: [zone, position, 'address'], message: `is also the address of endpoint "${other}"; give each endpoint its own`});
+			}
+
+			seen.set(entry.address, entry.name);
+		}
+	}
+});
+
 const kindSchema = z.strictObject({
 	/** Declared run time at speed 1. Measurements replace it. */
 	runMilliseconds: milliseconds,
@@ -45,22 +59,10 @@
 	deadlineMilliseconds: milliseconds.default(30_000),
 	/** Longest expected wait at which a request is still admitted. */
 	maximumQueueMilliseconds: milliseconds.default(1000),
-	endpoints: z.record(name, z.array(endpointSchema)),
+	endpoints: endpointsSchema,
 	kinds: z.record(name, kindSchema).default({}),
 	quotas: z.record(name, quotaSchema).default({}),
 	guards: guardsSchema.prefault({}),
-}).superRefine((document, context) => {
-	const seen = new Map<string, string>();
-	for (const [zone, endpoints] of Object.entries(document.endpoints)) {
-		for (const [position, endpoint] of endpoints.entries()) {
-			const other = seen.get(endpoint.address);
-			if (other !== undefined) {
-				context.addIssue({code: 'custom', path: ['endpoints', zone, position, 'address'], message: `is also the address of endpoint "${other}"; give each endpoint its own`});
-			}
-
-			seen.set(endpoint.address, endpoint.name);
-		}
-	}
 });
 
 /**
