--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -6,13 +6,29 @@
 const milliseconds = z.number().int().positive();
 const bytes = z.number().int().positive();
 
+const portOf = (text: string): string => text.slice(text.lastIndexOf(':') + 1);
+
+/** Callers, peers and operators have a port each, so that the firewall can tell them apart. */
+const checkPorts = (listen: Readonly<Record<string, string>>, context: z.RefinementCtx): void => {
+	const users = new Map<string, string>();
+	for (const [user, listened] of Object.entries(listen)) {
+		const port = portOf(listened);
+		const other = users.get(port);
+		if (other !== undefined) {
+			context.addIssue({code: 'custom', path: [user], message: `has port ${port}, which "${other}" has too; give each its own port`});
+		}
+
+		users.set(port, user);
+	}
+};
+
 const settingsSchema = z.strictObject({
 	/** Name of the entry instance, as the platform lists it. */
 	instance: z.string().regex(/^[\w.\-]{1,60}$/v, 'must be 1 to 60 letters, digits, dots, hyphens or underscores'),
 	zone: z.string().regex(/^[\w.\-]{1,60}$/v, 'must be 1 to 60 letters, digits, dots, hyphens or underscores'),
 	/** Capacity of the machine relative to the others; its share of slots follows it. */
 	weight: z.number().positive().default(1),
-	listen: z.strictObject({callers: address, peers: address, operators: address}),
+	listen: z.strictObject({callers: address, peers: address, operators: address}).superRefine(checkPorts),
 	platform: z.strictObject({
 		address,
 		timeoutMilliseconds: milliseconds.default(1000),
@@ -30,6 +46,12 @@
 		/** Idle time after which a connection is replaced rather than trusted. */
 		maximumIdleMilliseconds: milliseconds.default(2000),
 		maximumAgeMilliseconds: milliseconds.default(60_000),
+	}).superRefine(({maximumIdleMilliseconds, maximumAgeMilliseconds}, context) => {
+		if (maximumIdleMilliseconds > maximumAgeMilliseconds) {
+			context.addIssue({
+				code: 'custom', path: ['maximumIdleMilliseconds'], message: `must be at most maximumAgeMilliseconds, which is ${maximumAgeMilliseconds}; lower it, or raise maximumAgeMilliseconds`,
+			});
+		}
 	}).prefault({}),
 	limits: z.strictObject({
 		headerBytes: bytes.default(16_384),
@@ -43,6 +65,10 @@
 		callerConnections: z.number().int().min(1).default(10_000),
 		/** Time that a caller has to send its headers, and then its whole request. */
 		slowCallerMilliseconds: milliseconds.default(30_000),
+	}).superRefine(({bufferedBodyBytes, requestBytes}, context) => {
+		if (bufferedBodyBytes > requestBytes) {
+			context.addIssue({code: 'custom', path: ['bufferedBodyBytes'], message: `must be at most requestBytes, which is ${requestBytes}; lower it, or raise requestBytes`});
+		}
 	}).prefault({}),
 	claims: z.strictObject({
 		/** Writes of claims a second over all entry instances. */
@@ -62,6 +88,14 @@
 		announceMilliseconds: milliseconds.default(3000),
 		/** Longest time to finish what runs; afterwards it is cut, and logged. */
 		limitMilliseconds: milliseconds.default(120_000),
+	}).superRefine(({announceMilliseconds, limitMilliseconds}, context) => {
+		if (limitMilliseconds <= announceMilliseconds) {
+			context.addIssue({
+				code: 'custom',
+				path: ['limitMilliseconds'],
+				message: `must be above announceMilliseconds, which is ${announceMilliseconds}; otherwise requests would be cut before the balancer has noticed`,
+			});
+		}
 	}).prefault({}),
 	placement: z.strictObject({
 		policy: z.enum(PlacementPolicy).default(PlacementPolicy.SharesWithBorrowing),
--- a/packages/galenakeeld/src/process/main.ts
+++ b/packages/galenakeeld/src/process/main.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {detailOf} from '@galenakeel/model/request/fault.js';
+import {createFault, detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
 import {startDaemon} from './daemon.js';
 import {parseDaemonSettings, type DaemonSettings} from './daemon-settings.js';
 import {createLog} from './log.js';
@@ -26,9 +26,17 @@
 	process.exit(code);
 };
 
+const readText = (path: string): string => {
+	try {
+		return readFileSync(path, 'utf8');
+	} catch (error) {
+		throw createFault(FaultKind.InvalidConfiguration, `${path} can't be read: ${detailOf(error)}`);
+	}
+};
+
 const readSettings = (path: string): DaemonSettings => {
 	try {
-		return parseDaemonSettings(readFileSync(path, 'utf8'), path);
+		return parseDaemonSettings(readText(path), path);
 	} catch (error) {
 		return exitWith(ExitCode.Usage, `galenakeeld: ${error instanceof Error ? error.message : String(error)}\n`);
 	}
--- a/packages/trials/src/process/__tests__/whole-path.feature
+++ b/packages/trials/src/process/__tests__/whole-path.feature
@@ -52,4 +52,4 @@
 
   Scenario: A daemon with a wrong settings file says where and what to do
     When a daemon is started with the setting "zone" of 7
-    Then it exits with code 2 and says "line 3, column 10: zone: Invalid input: expected string, received number"
+    Then it exits with code 2 and says 'line 3, column 10: zone: must be text in double quotes, but is the number 7'
