Complete the operators' command line

Cause: operators could only list, show and accept documents. Faults came as stack traces.

Ruled out: starting an editor from 'document edit', since a process of the system starts no other; it writes a working copy whose first line says the version that it is made from, and says what to type next.

An accept needs the version that the change was made from; a conflict shows what the other changed, what this file would change, and the commands to type next. The same text accepted again changes nothing. Faults are one message with kind, detail and remedy, and an exit code of one enum. Settings from a file of JSON with comments. Help and completion by oclif's plugins, differences by the library diff.

--- a/packages/galenakeel/src/connection/instance-status.ts
+++ b/packages/galenakeel/src/connection/instance-status.ts
@@ -1,39 +1,30 @@
-import {request as httpRequest, type IncomingMessage} from 'node:http';
-import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {DaemonStatus} from '@galenakeel/model/process/daemon-status.js';
 import {parseJson} from '@galenakeel/model/connection/json.js';
 import {
-	InstanceRole, ListedState, splitAddress, type ListedInstance, type Platform,
+	InstanceRole, ListedState, type ListedInstance, type Platform,
 } from '@galenakeel/model/connection/platform-client.js';
+import {callDaemon} from './daemon-call.js';
 
 const pollMilliseconds = 100;
-const unreachableState = 'unreachable';
+
+/**
+The state that is shown for an instance that does not answer.
+*/
+export const unreachableState = 'unreachable';
 
 /**
 The status of an entry instance; only name and zone are known of one that can't be reached.
 */
 export type InstanceStatus = Pick<DaemonStatus, 'instance' | 'zone' | 'state' | 'catalogueVersion'> & Partial<DaemonStatus>;
 
-const readText = async (message: IncomingMessage): Promise<string> => {
-	let text = '';
-	message.setEncoding('utf8');
-	for await (const chunk of message as AsyncIterable<string>) {
-		text += chunk;
-	}
-
-	return text;
-};
-
-const readStatus = async (listed: ListedInstance, callMilliseconds: number): Promise<InstanceStatus> => {
-	const [host, port] = splitAddress(listed.operators ?? '');
+/**
+Asks one listed entry instance for its status.
+*/
+export const readStatus = async (listed: ListedInstance, callMilliseconds: number): Promise<InstanceStatus> => {
 	try {
-		const request = httpRequest({
-			host, port, path: '/v1/status', agent: false, signal: AbortSignal.timeout(callMilliseconds),
-		});
-		request.end();
-		const [response] = await once(request, 'response') as [IncomingMessage];
-		return parseJson<InstanceStatus>(await readText(response));
+		const {text} = await callDaemon(listed.operators ?? '', {method: 'GET', path: '/v1/status'}, callMilliseconds);
+		return parseJson<InstanceStatus>(text);
 	} catch {
 		return {
 			instance: listed.name, zone: listed.zone, state: unreachableState, catalogueVersion: 0,
@@ -41,12 +32,19 @@
 	}
 };
 
+/**
+Lists the entry instances, by name.
+*/
+export const listEntries = async (platform: Platform): Promise<readonly ListedInstance[]> => {
+	const listed = await platform.listInstances();
+	return listed.filter(({role}) => role === InstanceRole.Entry).toSorted((first, second) => first.name.localeCompare(second.name));
+};
+
 /**
 Asks every listed entry instance for its status.
 */
 export const readStatuses = async (platform: Platform, callMilliseconds: number): Promise<readonly InstanceStatus[]> => {
-	const listed = await platform.listInstances();
-	const entries = listed.filter(({role}) => role === InstanceRole.Entry);
+	const entries = await listEntries(platform);
 	return Promise.all(entries.map(async entry => readStatus(entry, callMilliseconds)));
 };
 
@@ -63,8 +61,8 @@
 export const waitUntilInForce = async (platform: Platform, version: number, limits: {waitMilliseconds: number; callMilliseconds: number}): Promise<readonly string[]> => {
 	const until = Date.now() + limits.waitMilliseconds;
 	for (;;) {
-		const listed = await platform.listInstances();
-		const live = listed.filter(({role, state}) => role === InstanceRole.Entry && state === ListedState.Live);
+		const entries = await listEntries(platform);
+		const live = entries.filter(({state}) => state === ListedState.Live);
 		const statuses = await Promise.all(live.map(async entry => readStatus(entry, limits.callMilliseconds)));
 		const behind = statuses.filter(({catalogueVersion}) => catalogueVersion < version).map(({instance}) => instance);
 		if (behind.length === 0 || Date.now() >= until) {
--- /dev/null
+++ b/packages/galenakeel/src/connection/job-client.ts
@@ -0,0 +1,124 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {parseJson} from '@galenakeel/model/connection/json.js';
+import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
+import {isOutcome, Outcome} from '@galenakeel/model/request/outcome.js';
+import {callDaemon, type DaemonReply} from './daemon-call.js';
+
+const accepted = 202;
+const progressMilliseconds = 500;
+
+/**
+How far a job without an answer has come.
+*/
+export type JobProgress = {readonly job: string; readonly state: string; readonly tasks: number; readonly started: number; readonly finished: number};
+
+/**
+The final answer to a job, or what is known about it.
+*/
+export type JobAnswer = {
+	readonly job: string;
+	readonly outcome: Outcome;
+	readonly status: number;
+	/** The body of the answer, as the dispatcher wrote it. */
+	readonly answer: JobAnswerBody;
+};
+
+/**
+The body of a job's answer: its tasks, or a problem (RFC 9457).
+*/
+export type JobAnswerBody = {
+	readonly title?: string;
+	readonly detail?: string;
+	readonly remedy?: string;
+	readonly tasks?: ReadonlyArray<{readonly outcome: Outcome; readonly status: number}>;
+};
+
+/**
+The state of a job.
+*/
+export type JobState
+	= | ({readonly isAnswered: false} & JobProgress)
+		| ({readonly isAnswered: true} & JobAnswer);
+
+const outcomeOf = ({headers}: DaemonReply): Outcome => {
+	const value = String(headers['galenakeel-outcome'] ?? '');
+	return isOutcome(value) ? value : Outcome.OutcomeUnknown;
+};
+
+const stateOf = (job: string, reply: DaemonReply): JobState => reply.status === accepted
+	? {isAnswered: false, ...parseJson<JobProgress>(reply.text)}
+	: {
+		isAnswered: true, job, outcome: outcomeOf(reply), status: reply.status, answer: parseJson<JobAnswerBody>(reply.text),
+	};
+
+const pathOf = (job: string): string => `/v1/jobs/${encodeURIComponent(job)}`;
+
+/**
+Asks for a new identifier that only one instance can ever run.
+*/
+export const mintJob = async (address: string, timeoutMilliseconds: number): Promise<string> => {
+	const reply = await callDaemon(address, {method: 'POST', path: '/v1/job-identifiers'}, timeoutMilliseconds);
+	if (reply.status !== 201) {
+		throw createFault(FaultKind.InstanceUnreachable, `the instance at ${address} gave no identifier: status ${reply.status}`);
+	}
+
+	return parseJson<{job: string}>(reply.text).job;
+};
+
+/**
+Reads the state of a job.
+*/
+export const showJob = async (address: string, job: string, timeoutMilliseconds: number): Promise<JobState> =>
+	stateOf(job, await callDaemon(address, {method: 'GET', path: pathOf(job)}, timeoutMilliseconds));
+
+/**
+Cancels a job: tasks that have not started never will.
+*/
+export const cancelJob = async (address: string, job: string, timeoutMilliseconds: number): Promise<JobState> =>
+	stateOf(job, await callDaemon(address, {method: 'DELETE', path: pathOf(job)}, timeoutMilliseconds));
+
+type WatchedJob = {readonly address: string; readonly job: string; readonly timeoutMilliseconds: number};
+
+const watchProgress = async (watched: WatchedJob, report: (progress: JobProgress) => void, signal: AbortSignal): Promise<void> => {
+	while (!signal.aborted) {
+		try {
+			await sleep(progressMilliseconds, undefined, {signal});
+			const state = await showJob(watched.address, watched.job, watched.timeoutMilliseconds);
+			if (!state.isAnswered && !signal.aborted) {
+				report(state);
+			}
+		} catch {
+			// Progress is a courtesy; the answer comes on its own connection.
+		}
+	}
+};
+
+/**
+Submits a job and waits for its one answer.
+
+@param options.report Called about twice a second while the job runs.
+@throws A fault of kind `InstanceUnreachable` when no answer came; the job may have run, and the same identifier may be repeated.
+
+@example
+```
+const {outcome} = await submitJob('10.1.2.3:8000', 'sheet-2041', text, {waitMilliseconds: 60_000, timeoutMilliseconds: 2000, report() {}});
+```
+*/
+export const submitJob = async (address: string, job: string, text: string, options: {
+	readonly waitMilliseconds: number;
+	readonly timeoutMilliseconds: number;
+	readonly report: (progress: JobProgress) => void;
+}): Promise<JobAnswer> => {
+	const answered = new AbortController();
+	void watchProgress({address, job, timeoutMilliseconds: options.timeoutMilliseconds}, options.report, answered.signal);
+	try {
+		const reply = await callDaemon(address, {
+			method: 'PUT', path: pathOf(job), body: text, headers: {'content-type': 'application/json'},
+		}, options.waitMilliseconds);
+		return {
+			job, outcome: outcomeOf(reply), status: reply.status, answer: parseJson<JobAnswerBody>(reply.text),
+		};
+	} finally {
+		answered.abort();
+	}
+};
--- a/packages/galenakeel/src/process/commands/document/accept.ts
+++ b/packages/galenakeel/src/process/commands/document/accept.ts
@@ -1,19 +1,27 @@
 import {randomUUID} from 'node:crypto';
-import {readFile} from 'node:fs/promises';
 import {userInfo} from 'node:os';
-import {Args, Command, Flags} from '@oclif/core';
-import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
+import {Args, Flags} from '@oclif/core';
+import type {Platform} from '@galenakeel/model/connection/platform-client.js';
+import {createFault, FaultKind, isFault} from '@galenakeel/model/request/fault.js';
 import {acceptDocument, readDocument} from '@galenakeel/model/version/document-store.js';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
 import {waitUntilInForce} from '../../../connection/instance-status.js';
-import {platformFlags} from '../../operator-flags.js';
+import {splitBase} from '../../../version/document-base.js';
+import {describeConflict, formatConflict} from '../../document-conflict.js';
+import {findDocumentWarnings} from '../../document-warnings.js';
+import {ExitCode} from '../../exit-code.js';
+import {loadSettings, OperatorCommand, openPlatform} from '../../operator-command.js';
+import {readText} from '../../read-text.js';
+
+type Acceptance = {readonly service: string; readonly version: number; readonly warnings: readonly string[]; readonly behind?: readonly string[]};
+
+type Proposal = {readonly service: string; readonly seenVersion: number; readonly file: string; readonly text: string};
 
 /**
 Accepts a document, so that it comes into force on every instance.
 */
-export default class DocumentAccept extends Command {
-	static override description = 'Accept a document: validate it, and put it in force on every instance.';
-	static override enableJsonFlag = true;
+export default class DocumentAccept extends OperatorCommand {
+	static override description = 'Validate a document and put it in force on every instance. If somebody else changed it since your change was made, nothing is changed, and you see both.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc --wait',
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc --from-version 12',
@@ -21,32 +29,76 @@
 
 	static override args = {file: Args.string({description: 'file with the document, JSON with comments', required: true})};
 	static override flags = {
-		...platformFlags,
-		'from-version': Flags.integer({description: 'version that the change was made from; the accepted one by default', min: 0}),
+		'from-version': Flags.integer({description: 'version that the change was made from; 0 for a new service. By default the first line of the file says it', min: 0}),
 		wait: Flags.boolean({description: 'return once every live instance has the document in force'}),
 		'wait-timeout': Flags.integer({description: 'longest wait, in milliseconds', default: 10_000, min: 1}),
 	};
 
-	async run(): Promise<{readonly service: string; readonly version: number; readonly behind?: readonly string[]}> {
-		const {args, flags} = await this.parse(DocumentAccept);
-		const platform = createPlatformClient(flags.platform, flags.timeout);
-		const text = await readFile(args.file, 'utf8');
-		const {service} = parseServiceDocument(text, args.file);
-		const current = await readDocument(platform, service);
-		const version = await acceptDocument(platform, {
-			text, seenVersion: flags['from-version'] ?? current?.version ?? 0, author: userInfo().username, nonce: randomUUID(),
+	async run(): Promise<Acceptance> {
+		const {args: {file}, flags} = await this.parse(DocumentAccept);
+		const settings = await loadSettings(flags);
+		const platform = openPlatform(settings);
+		const original = await readText(file);
+		const document = parseServiceDocument(original, file);
+		const {text, version: baseVersion} = splitBase(original);
+		const {service} = document;
+		const warnings = await findDocumentWarnings(platform, document);
+		for (const warning of warnings) {
+			this.logToStderr(`warning: ${warning}`);
+		}
+
+		const seenVersion = flags['from-version'] ?? baseVersion ?? await assumeNew(platform, service, file);
+		const version = await this.accept(platform, {
+			service, seenVersion, file, text,
 		});
 		this.log(`accepted version ${version} of the document of ${service}`);
 		if (!flags.wait) {
-			return {service, version};
+			return {service, version, warnings};
 		}
 
-		const behind = await waitUntilInForce(platform, version, {waitMilliseconds: flags['wait-timeout'], callMilliseconds: flags.timeout});
+		const behind = await waitUntilInForce(platform, version, {waitMilliseconds: flags['wait-timeout'], callMilliseconds: settings.instances.timeoutMilliseconds});
+		const result = {
+			service, version, warnings, behind,
+		};
 		if (behind.length > 0) {
-			this.error(`version ${version} is not in force on ${behind.join(', ')}; look at these instances with "galenakeel status"`, {exit: 3});
+			this.endWith(ExitCode.NotInForce, `version ${version} is accepted, and not yet in force on ${behind.join(', ')}; look at these instances with "galenakeel status"`, result);
 		}
 
 		this.log('in force on every live instance');
-		return {service, version, behind};
+		return result;
+	}
+
+	private async accept(platform: Platform, proposal: Proposal): Promise<number> {
+		try {
+			return await acceptDocument(platform, {
+				text: proposal.text, seenVersion: proposal.seenVersion, author: userInfo().username, nonce: randomUUID(),
+			});
+		} catch (error) {
+			return this.settleConflict(platform, proposal, error);
+		}
+	}
+
+	/** A conflict with the very same text means that the document was accepted before, perhaps by an attempt whose answer was lost. */
+	private async settleConflict(platform: Platform, proposal: Proposal, error: unknown): Promise<number> {
+		const report = isFault(error, FaultKind.DocumentConflict) ? await describeConflict(platform, proposal) : undefined;
+		if (!report) {
+			throw error;
+		}
+
+		if (report.yourDiff === '') {
+			return report.currentVersion;
+		}
+
+		return this.endWith(ExitCode.Conflict, formatConflict(report), {error: {kind: FaultKind.DocumentConflict, exitCode: ExitCode.Conflict, ...report}});
 	}
 }
+
+const assumeNew = async (platform: Platform, service: string, file: string): Promise<number> => {
+	const current = await readDocument(platform, service);
+	if (current) {
+		const remedy = `begin with "galenakeel document edit ${service}", or pass --from-version after a look at "galenakeel document diff ${file}"`;
+		throw createFault(FaultKind.InvalidConfiguration, `${file} does not say from which version of the document of "${service}" it was made; ${remedy}`);
+	}
+
+	return 0;
+};
--- a/packages/galenakeel/src/process/commands/document/list.ts
+++ b/packages/galenakeel/src/process/commands/document/list.ts
@@ -1,25 +1,23 @@
-import {Command} from '@oclif/core';
-import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
 import {readDocuments} from '@galenakeel/model/version/document-store.js';
-import {platformFlags} from '../../operator-flags.js';
+import {formatTable} from '../../../request/format-table.js';
+import {loadSettings, OperatorCommand, openPlatform} from '../../operator-command.js';
+
+type ListedDocument = {readonly service: string; readonly team: string; readonly version: number; readonly endpoints: number};
 
 /**
 Lists the accepted documents.
 */
-export default class DocumentList extends Command {
-	static override description = 'List the accepted documents with their versions and owning teams.';
-	static override enableJsonFlag = true;
-	static override examples = ['<%= config.bin %> <%= command.id %>'];
-	static override flags = platformFlags;
+export default class DocumentList extends OperatorCommand {
+	static override description = 'List the accepted documents with their owning teams, versions and numbers of endpoints.';
+	static override examples = ['<%= config.bin %> <%= command.id %>', '<%= config.bin %> <%= command.id %> --json'];
 
-	async run(): Promise<ReadonlyArray<{readonly service: string; readonly team: string; readonly version: number}>> {
+	async run(): Promise<readonly ListedDocument[]> {
 		const {flags} = await this.parse(DocumentList);
-		const documents = await readDocuments(createPlatformClient(flags.platform, flags.timeout));
-		const rows = documents.map(({version, document}) => ({service: document.service, team: document.team, version}));
-		for (const {service, team, version} of rows) {
-			this.log(`${service}\t${team}\tversion ${version}`);
-		}
-
+		const documents = await readDocuments(openPlatform(await loadSettings(flags)));
+		const rows = documents.map(({version, document}) => ({
+			service: document.service, team: document.team, version, endpoints: Object.values(document.endpoints).flat().length,
+		}));
+		this.log(formatTable(['SERVICE', 'TEAM', 'VERSION', 'ENDPOINTS'], rows.map(({service, team, version, endpoints}) => [service, team, String(version), String(endpoints)])));
 		return rows;
 	}
 }
--- a/packages/galenakeel/src/process/commands/document/show.ts
+++ b/packages/galenakeel/src/process/commands/document/show.ts
@@ -1,27 +1,25 @@
-import {Args, Command} from '@oclif/core';
-import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
-import {readDocument} from '@galenakeel/model/version/document-store.js';
-import {platformFlags} from '../../operator-flags.js';
+import {Args, Flags} from '@oclif/core';
+import {addBase} from '../../../version/document-base.js';
+import {readAcceptedText, type AcceptedText} from '../../accepted-text.js';
+import {loadSettings, OperatorCommand, openPlatform} from '../../operator-command.js';
 
 /**
 Shows the accepted document of a service.
 */
-export default class DocumentShow extends Command {
-	static override description = 'Show the accepted document of a service, as its operators wrote it.';
-	static override enableJsonFlag = true;
-	static override examples = ['<%= config.bin %> <%= command.id %> paysheet > paysheet.jsonc'];
+export default class DocumentShow extends OperatorCommand {
+	static override description = 'Show the accepted document of a service, as its operators wrote it. Its first line says the version, so that a change made from it can be accepted safely.';
+	static override examples = [
+		'<%= config.bin %> <%= command.id %> paysheet',
+		'<%= config.bin %> <%= command.id %> paysheet --version 12 > paysheet.jsonc',
+	];
+
 	static override args = {service: Args.string({description: 'name of the service', required: true})};
-	static override flags = platformFlags;
+	static override flags = {version: Flags.integer({description: 'an earlier accepted version', min: 1})};
 
-	async run(): Promise<{readonly service: string; readonly version: number; readonly text: string}> {
+	async run(): Promise<AcceptedText & {readonly service: string}> {
 		const {args, flags} = await this.parse(DocumentShow);
-		const accepted = await readDocument(createPlatformClient(flags.platform, flags.timeout), args.service);
-		if (!accepted) {
-			this.error(`no document of "${args.service}" is accepted; "galenakeel document list" names those that are`, {exit: 4});
-		}
-
-		this.logToStderr(`version ${accepted.version}`);
-		this.log(accepted.text);
-		return {service: args.service, version: accepted.version, text: accepted.text};
+		const {version, text} = await readAcceptedText(openPlatform(await loadSettings(flags)), args.service, flags.version);
+		this.log(addBase(text, version).trimEnd());
+		return {service: args.service, version, text};
 	}
 }
--- /dev/null
+++ b/packages/galenakeel/src/process/commands/job/cancel.ts
@@ -0,0 +1,30 @@
+import {Args} from '@oclif/core';
+import {cancelJob, type JobState} from '../../../connection/job-client.js';
+import {ExitCode, exitCodeOfOutcome} from '../../exit-code.js';
+import {loadSettings, OperatorCommand} from '../../operator-command.js';
+import {callerFlags} from '../../operator-flags.js';
+import {callersAddressOf} from '../../operator-settings.js';
+import {formatJobState} from '../../show-job.js';
+
+/**
+Cancels a job.
+*/
+export default class JobCancel extends OperatorCommand {
+	static override description = 'Cancel a job: tasks that have not started never will; those that have are not cut.';
+	static override examples = ['<%= config.bin %> <%= command.id %> sheets-2041 --callers 10.1.2.3:8000', '<%= config.bin %> <%= command.id %> sheets-2041 --json'];
+	static override args = {id: Args.string({description: 'identifier of the job', required: true})};
+	static override flags = callerFlags;
+
+	async run(): Promise<JobState> {
+		const {args: {id}, flags} = await this.parse(JobCancel);
+		const settings = await loadSettings(flags);
+		const state = await cancelJob(callersAddressOf(settings), id, settings.instances.timeoutMilliseconds);
+		const exitCode = state.isAnswered ? exitCodeOfOutcome(state.outcome) : ExitCode.Done;
+		if (exitCode !== ExitCode.Done) {
+			this.endWith(exitCode, formatJobState(state), state);
+		}
+
+		this.log(formatJobState(state));
+		return state;
+	}
+}
--- a/packages/galenakeel/src/process/commands/status.ts
+++ b/packages/galenakeel/src/process/commands/status.ts
@@ -1,24 +1,47 @@
-import {Command} from '@oclif/core';
-import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Flags} from '@oclif/core';
 import {readStatuses, type InstanceStatus} from '../../connection/instance-status.js';
-import {platformFlags} from '../operator-flags.js';
+import {loadSettings, OperatorCommand, openPlatform} from '../operator-command.js';
+import {formatStatus} from '../show-status.js';
 
 /**
 Shows the entry instances and what they have in force.
 */
-export default class Status extends Command {
-	static override description = 'Show every entry instance: its zone, state, catalogue version, waiting tasks and slots.';
-	static override enableJsonFlag = true;
-	static override examples = ['<%= config.bin %> <%= command.id %>', '<%= config.bin %> <%= command.id %> --json'];
-	static override flags = platformFlags;
+export default class Status extends OperatorCommand {
+	static override description = 'Show the fleet: each entry instance with its queue and slots, the versions in force, and each endpoint with its guard.';
+	static override examples = [
+		'<%= config.bin %> <%= command.id %>',
+		'<%= config.bin %> <%= command.id %> --watch --interval 1000',
+		'<%= config.bin %> <%= command.id %> --json',
+	];
+
+	static override flags = {
+		watch: Flags.boolean({description: 'show it again and again until Ctrl-C; with --json, one line each time'}),
+		interval: Flags.integer({description: 'time between two looks of --watch, in milliseconds', default: 2000, min: 100}),
+	};
 
 	async run(): Promise<readonly InstanceStatus[]> {
 		const {flags} = await this.parse(Status);
-		const statuses = await readStatuses(createPlatformClient(flags.platform, flags.timeout), flags.timeout);
-		for (const status of statuses) {
-			this.log([status.instance, status.zone, status.state, `catalogue ${status.catalogueVersion}`].join('\t'));
+		const settings = await loadSettings(flags);
+		const platform = openPlatform(settings);
+		for (;;) {
+			const statuses = await readStatuses(platform, settings.instances.timeoutMilliseconds);
+			if (!flags.watch) {
+				this.log(formatStatus(statuses));
+				return statuses;
+			}
+
+			this.show(statuses);
+			await sleep(flags.interval);
 		}
+	}
 
-		return statuses;
+	private show(statuses: readonly InstanceStatus[]): void {
+		if (this.jsonEnabled()) {
+			process.stdout.write(`${JSON.stringify(statuses)}\n`);
+		} else {
+			this.log(`${new Date().toISOString()}\n${formatStatus(statuses)}\n`);
+		}
 	}
 }
--- /dev/null
+++ b/packages/galenakeel/src/process/doctor-checks.ts
@@ -0,0 +1,220 @@
+import {performance} from 'node:perf_hooks';
+import {parseJson} from '@galenakeel/model/connection/json.js';
+import {ListedState, type ListedInstance, type Platform} from '@galenakeel/model/connection/platform-client.js';
+import type {DaemonStatus} from '@galenakeel/model/process/daemon-status.js';
+import {detailOf, isFault, remedies} from '@galenakeel/model/request/fault.js';
+import {readCatalogueVersion, readDocuments} from '@galenakeel/model/version/document-store.js';
+import {findSharedAddresses} from '@galenakeel/model/version/shared-addresses.js';
+import {callDaemon} from '../connection/daemon-call.js';
+
+/**
+What the doctor thinks of one thing that it looked at.
+*/
+export enum Verdict {
+	/** Nothing to mend. */
+	Good = 'good',
+	/** Service goes on; it should be mended. */
+	Warning = 'warning',
+	/** Something does not work. */
+	Bad = 'bad',
+	/** It could not be looked at. */
+	NotChecked = 'not checked',
+}
+
+/**
+One thing that the doctor looked at.
+*/
+export type Finding = {
+	readonly subject: string;
+	readonly verdict: Verdict;
+	readonly detail: string;
+	/** What to do; empty when there is nothing to mend. */
+	readonly remedy: string;
+};
+
+const good = (subject: string, detail: string): Finding => ({
+	subject, verdict: Verdict.Good, detail, remedy: '',
+});
+
+const findingOf = (subject: string, error: unknown): Finding => ({
+	subject,
+	verdict: Verdict.Bad,
+	detail: detailOf(error),
+	remedy: isFault(error) ? remedies[error.name] : '',
+});
+
+/** The platform's writes take several milliseconds; a read that takes this long delays documents and claims. */
+const slowPlatformMilliseconds = 250;
+
+/** The field that carries the time counts whole seconds, so that a smaller difference can't be told. */
+const clockToleranceMilliseconds = 2000;
+
+/**
+Turns a check that throws into a finding.
+
+@example
+```
+const finding = await checkThat('daemon settings', async () => { parseDaemonSettings(text, path); return 'entry-a1.jsonc is valid'; });
+```
+*/
+export const checkThat = async (subject: string, check: () => Promise<string>): Promise<Finding> => {
+	try {
+		return good(subject, await check());
+	} catch (error) {
+		return findingOf(subject, error);
+	}
+};
+
+const checkPlatform = async (platform: Platform): Promise<Finding> => {
+	const startedAt = performance.now();
+	const finding = await checkThat('platform', async () => `answers; the catalogue is at version ${await readCatalogueVersion(platform)}`);
+	const took = performance.now() - startedAt;
+	if (finding.verdict === Verdict.Good && took > slowPlatformMilliseconds) {
+		return {
+			...finding, verdict: Verdict.Warning, detail: `a read took ${took.toFixed(0)} ms`, remedy: 'Ask the platform\'s operators; documents and callers\' identifiers wait for it.',
+		};
+	}
+
+	return finding;
+};
+
+const checkDocuments = async (platform: Platform): Promise<readonly Finding[]> => {
+	const documents = await readDocuments(platform);
+	if (documents.length === 0) {
+		return [{
+			subject: 'documents',
+			verdict: Verdict.Warning,
+			detail: 'no document is accepted, so no service is served',
+			remedy: 'Begin one with "galenakeel document edit SERVICE".',
+		}];
+	}
+
+	const all = documents.map(({document}) => document);
+	const shared = all.flatMap((document, position) => findSharedAddresses(document, all.slice(0, position)).map(place => ({service: document.service, ...place})));
+	return [
+		good('documents', `${documents.length} accepted, all valid`),
+		...shared.map(({service, address, otherService}): Finding => ({
+			subject: 'documents',
+			verdict: Verdict.Warning,
+			detail: `the endpoint ${address} is in the documents of "${service}" and "${otherService}"`,
+			remedy: `Take it out of one of them: "galenakeel document edit ${service}".`,
+		})),
+	];
+};
+
+const checkClock = (subject: string, date: string | undefined, between: {readonly before: number; readonly after: number}): Finding => {
+	const theirs = Date.parse(date ?? '');
+	if (Number.isNaN(theirs)) {
+		return {
+			subject,
+			verdict: Verdict.NotChecked,
+			detail: 'the answer carries no time',
+			remedy: '',
+		};
+	}
+
+	const ahead = theirs - between.after;
+	const behind = between.before - theirs;
+	const difference = Math.max(ahead, behind);
+	if (difference <= clockToleranceMilliseconds) {
+		return good(subject, 'agrees with this machine\'s within 2 s');
+	}
+
+	return {
+		subject,
+		verdict: Verdict.Warning,
+		detail: `is ${(difference / 1000).toFixed(0)} s ${ahead > behind ? 'ahead of' : 'behind'} this machine's`,
+		remedy: 'Check the time service (NTP) on both machines; times in logs, traces and histories can\'t be compared until then.',
+	};
+};
+
+const checkPeers = (status: DaemonStatus, live: ReadonlySet<string>): Finding => {
+	const subject = `peers of ${status.instance}`;
+	const unheard = status.peers.filter(({instance, isReachable}) => live.has(instance) && !isReachable).map(({instance}) => instance);
+	if (unheard.length === 0) {
+		return good(subject, `hears ${status.peers.filter(({isReachable}) => isReachable).length} peers`);
+	}
+
+	return {
+		subject,
+		verdict: Verdict.Bad,
+		detail: `does not hear ${unheard.join(', ')}`,
+		remedy: 'Check the way between the peers\' ports ("listen.peers" in the daemons\' settings); jobs held by a peer that is not heard are answered "outcome unknown".',
+	};
+};
+
+const checkCatalogue = (status: DaemonStatus, version: number): Finding => {
+	const subject = `documents on ${status.instance}`;
+	if (status.catalogueVersion >= version) {
+		return good(subject, `catalogue version ${status.catalogueVersion} is in force`);
+	}
+
+	return {
+		subject,
+		verdict: Verdict.Bad,
+		detail: `catalogue version ${status.catalogueVersion} is in force, ${version} is accepted`,
+		remedy: 'If it does not catch up within seconds, look in its log for "platform-unavailable".',
+	};
+};
+
+type KnownFleet = {
+	/** Names of the entry instances that the platform lists as live. */
+	readonly live: ReadonlySet<string>;
+	readonly catalogueVersion: number;
+	readonly callMilliseconds: number;
+};
+
+const checkInstance = async (listed: ListedInstance, known: KnownFleet): Promise<readonly Finding[]> => {
+	try {
+		const before = Date.now();
+		const reply = await callDaemon(listed.operators ?? '', {method: 'GET', path: '/v1/status'}, known.callMilliseconds);
+		const after = Date.now();
+		const status = parseJson<DaemonStatus>(reply.text);
+		return [
+			good(listed.name, `answers, and is ${status.state}`),
+			checkClock(`clock of ${listed.name}`, reply.headers.date, {before, after}),
+			checkPeers(status, known.live),
+			checkCatalogue(status, known.catalogueVersion),
+		];
+	} catch (error) {
+		return [findingOf(listed.name, error)];
+	}
+};
+
+/**
+Looks at the platform, its list, the documents, and every listed entry instance with its peers and clock.
+
+@example
+```
+const findings = await examineFleet(platform, 2000);
+```
+*/
+export const examineFleet = async (platform: Platform, callMilliseconds: number): Promise<readonly Finding[]> => {
+	const platformFinding = await checkPlatform(platform);
+	if (platformFinding.verdict === Verdict.Bad) {
+		return [platformFinding, {
+			subject: 'instances',
+			verdict: Verdict.NotChecked,
+			detail: 'only the platform lists them',
+			remedy: 'Serving goes on with the documents in force; ask each instance\'s operators\' port for /v1/status.',
+		}];
+	}
+
+	try {
+		const [listed, catalogueVersion, documents] = await Promise.all([platform.listInstances(), readCatalogueVersion(platform), checkDocuments(platform)]);
+		const entries = listed.filter(({operators, state}) => operators !== undefined && state === ListedState.Live);
+		const live = new Set(entries.map(({name}) => name));
+		const instances = await Promise.all(entries.map(async entry => checkInstance(entry, {live, catalogueVersion, callMilliseconds})));
+		const list: Finding = entries.length > 0
+			? good('instance list', `${entries.length} live entry instances`)
+			: {
+				subject: 'instance list',
+				verdict: Verdict.Bad,
+				detail: 'the platform lists no live entry instance',
+				remedy: 'Start daemons, and check that the platform lists them with the role "entry".',
+			};
+		return [platformFinding, list, ...documents, ...instances.flat()];
+	} catch (error) {
+		return [platformFinding, findingOf('documents', error)];
+	}
+};
--- /dev/null
+++ b/packages/galenakeel/src/process/exit-code.ts
@@ -0,0 +1,63 @@
+import {FaultKind} from '@galenakeel/model/request/fault.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+
+/**
+Exit codes of the command line.
+*/
+export enum ExitCode {
+	/** The command did what it was asked to do. */
+	Done = 0,
+	/** The command failed for a reason that has no code of its own. */
+	Failed = 1,
+	/** The command line is wrong. */
+	Usage = 2,
+	/** The document is accepted, and some instance does not have it in force yet. */
+	NotInForce = 3,
+	/** There is no such document, version, job or record. */
+	NotFound = 4,
+	/** Another operator changed the document first. */
+	Conflict = 5,
+	/** A document, a job or a settings file is faulty. */
+	InvalidConfiguration = 6,
+	/** The platform or an instance did not answer. */
+	Unavailable = 7,
+	/** The job started and has no whole answer. */
+	JobFailed = 8,
+	/** The job was refused, and nothing of it ran. */
+	JobNotRun = 9,
+	/** It is not known whether the job ran. */
+	JobOutcomeUnknown = 10,
+	/** The doctor found something to mend. */
+	ProblemsFound = 11,
+}
+
+const codesOfFaults: Readonly<Partial<Record<FaultKind, ExitCode>>> = {
+	[FaultKind.UnknownService]: ExitCode.NotFound,
+	[FaultKind.BadIdentifier]: ExitCode.NotFound,
+	[FaultKind.DocumentConflict]: ExitCode.Conflict,
+	[FaultKind.InvalidConfiguration]: ExitCode.InvalidConfiguration,
+	[FaultKind.PlatformUnavailable]: ExitCode.Unavailable,
+	[FaultKind.InstanceUnreachable]: ExitCode.Unavailable,
+};
+
+/**
+Returns the exit code of a command that ends with a fault.
+
+@example
+```
+exitCodeOfFault(FaultKind.DocumentConflict); // => ExitCode.Conflict
+```
+*/
+export const exitCodeOfFault = (kind: FaultKind): ExitCode => codesOfFaults[kind] ?? ExitCode.Failed;
+
+const codesOfOutcomes: Readonly<Record<Outcome, ExitCode>> = {
+	[Outcome.Complete]: ExitCode.Done,
+	[Outcome.Failed]: ExitCode.JobFailed,
+	[Outcome.NotRun]: ExitCode.JobNotRun,
+	[Outcome.OutcomeUnknown]: ExitCode.JobOutcomeUnknown,
+};
+
+/**
+Returns the exit code of a command that ends with the answer to a job.
+*/
+export const exitCodeOfOutcome = (outcome: Outcome): ExitCode => codesOfOutcomes[outcome];
--- a/packages/galenakeel/src/process/operator-flags.ts
+++ b/packages/galenakeel/src/process/operator-flags.ts
@@ -1,13 +1,25 @@
 import {Flags} from '@oclif/core';
 
 /**
-Flags of every command that reaches the platform.
+Flags of every command.
 */
-export const platformFlags = {
+export const operatorFlags = {
+	settings: Flags.string({
+		description: 'file with the operator\'s settings, JSON with comments', env: 'GALENAKEEL_SETTINGS', helpValue: 'FILE', helpGroup: 'GLOBAL',
+	}),
 	platform: Flags.string({
-		description: 'address of the platform, as an IP number and a port', env: 'GALENAKEEL_PLATFORM', required: true, helpValue: '10.1.2.3:7000',
+		description: 'address of the platform, as an IP number and a port', env: 'GALENAKEEL_PLATFORM', helpValue: '10.1.2.3:7000', helpGroup: 'GLOBAL',
 	}),
 	timeout: Flags.integer({
-		description: 'time that the platform and each instance have to answer, in milliseconds', default: 2000, min: 1,
+		description: 'time that the platform and each instance have to answer, in milliseconds', min: 1, helpGroup: 'GLOBAL',
+	}),
+};
+
+/**
+Flags of the commands that act as a caller.
+*/
+export const callerFlags = {
+	callers: Flags.string({
+		description: 'address that takes jobs: the balancer, or the callers\' port of an instance', env: 'GALENAKEEL_CALLERS', helpValue: '10.1.2.3:8000',
 	}),
 };
--- /dev/null
+++ b/packages/galenakeel/src/process/read-text.ts
@@ -0,0 +1,20 @@
+import {readFile} from 'node:fs/promises';
+import {createFault, detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
+
+/**
+Reads a file that the operator named.
+
+@throws A fault of kind `InvalidConfiguration` when it can't be read.
+
+@example
+```
+const text = await readText('paysheet.jsonc');
+```
+*/
+export const readText = async (path: string): Promise<string> => {
+	try {
+		return await readFile(path, 'utf8');
+	} catch (error) {
+		throw createFault(FaultKind.InvalidConfiguration, `${path} can't be read: ${detailOf(error)}`);
+	}
+};
--- /dev/null
+++ b/packages/galenakeel/src/process/show-status.ts
@@ -0,0 +1,78 @@
+import type {EndpointStatus} from '@galenakeel/model/process/daemon-status.js';
+import type {InstanceStatus} from '../connection/instance-status.js';
+import {formatTable} from '../request/format-table.js';
+
+type EndpointView = {
+	readonly service: string;
+	readonly address: string;
+	readonly zone: string;
+	owned: number;
+	busy: number;
+	openOn: number;
+	seenBy: number;
+};
+
+const sumOf = (numbers: readonly number[]): number => numbers.reduce((sum, value) => sum + value, 0);
+
+const formatInstances = (statuses: readonly InstanceStatus[]): string => formatTable(
+	['INSTANCE', 'ZONE', 'STATE', 'CATALOGUE', 'WAITING', 'BUSY', 'USABLE', 'UNANSWERED', 'PEERS'],
+	statuses.map(({
+		instance, zone, state, catalogueVersion, services, unanswered, peers,
+	}) => [
+		instance,
+		zone,
+		state,
+		String(catalogueVersion),
+		services ? String(sumOf(services.map(({waiting}) => waiting))) : '-',
+		services ? String(sumOf(services.map(({busy}) => busy))) : '-',
+		services ? String(sumOf(services.map(({usable}) => usable))) : '-',
+		String(unanswered ?? '-'),
+		peers ? `${peers.filter(({isReachable}) => isReachable).length}/${peers.length}` : '-',
+	]),
+);
+
+const formatDocuments = (statuses: readonly InstanceStatus[]): string => {
+	const versions = new Map<string, Map<number, number>>();
+	for (const {service, version} of statuses.flatMap(({documents}) => documents ?? [])) {
+		const counts = versions.get(service) ?? new Map<number, number>();
+		counts.set(version, (counts.get(version) ?? 0) + 1);
+		versions.set(service, counts);
+	}
+
+	const rows = [...versions].flatMap(([service, counts]) => [...counts].toSorted(([first], [second]) => second - first).map(([version, count]) => [service, String(version), String(count)]));
+	return formatTable(['SERVICE', 'VERSION', 'IN FORCE ON'], rows.toSorted(([first], [second]) => first!.localeCompare(second!)));
+};
+
+const addEndpoint = (views: Map<string, EndpointView>, service: string, endpoint: EndpointStatus): void => {
+	const {address, zone, owned, busy, isOpen} = endpoint;
+	const key = `${service} ${address}`;
+	const view = views.get(key) ?? {
+		service, address, zone, owned: 0, busy: 0, openOn: 0, seenBy: 0,
+	};
+	view.owned += owned;
+	view.busy += busy;
+	view.openOn += isOpen ? 1 : 0;
+	view.seenBy++;
+	views.set(key, view);
+};
+
+const formatEndpoints = (statuses: readonly InstanceStatus[]): string => {
+	const views = new Map<string, EndpointView>();
+	for (const {service, endpoints} of statuses.flatMap(({services}) => services ?? [])) {
+		for (const endpoint of endpoints) {
+			addEndpoint(views, service, endpoint);
+		}
+	}
+
+	const sorted = [...views.values()].toSorted((first, second) => first.service.localeCompare(second.service) || first.zone.localeCompare(second.zone));
+	return formatTable(
+		['SERVICE', 'ENDPOINT', 'ZONE', 'SLOTS', 'BUSY', 'TAKES TASKS FROM'],
+		sorted.map(({service, address, zone, owned, busy, openOn, seenBy}) => [service, address, zone, String(owned), String(busy), `${openOn}/${seenBy}`]),
+	);
+};
+
+/**
+Writes the state of the fleet for people: instances, versions in force, endpoints.
+*/
+export const formatStatus = (statuses: readonly InstanceStatus[]): string =>
+	[formatInstances(statuses), formatDocuments(statuses), formatEndpoints(statuses)].join('\n\n');
--- /dev/null
+++ b/packages/galenakeel/src/version/document-difference.ts
@@ -0,0 +1,25 @@
+import {createTwoFilesPatch} from 'diff';
+
+/**
+A text with the name under which a difference shows it.
+*/
+export type NamedText = {readonly name: string; readonly text: string};
+
+/**
+Describes what changed from one text to another as a unified diff; empty when nothing did.
+
+@example
+```
+describeDifference({name: 'version 12', text: before}, {name: 'paysheet.jsonc', text: after});
+```
+*/
+export const describeDifference = (before: NamedText, after: NamedText): string => {
+	const ended = ({text}: NamedText): string => text.endsWith('\n') ? text : `${text}\n`;
+	if (ended(before) === ended(after)) {
+		return '';
+	}
+
+	const patch = createTwoFilesPatch(before.name, after.name, ended(before), ended(after));
+	// The first line is a ruler that only joins several files.
+	return patch.slice(patch.indexOf('\n') + 1).trimEnd();
+};
--- a/packages/galenakeeld/src/connection/caller-encoding.ts
+++ b/packages/galenakeeld/src/connection/caller-encoding.ts
@@ -71,6 +71,7 @@
 	[FaultKind.InvalidConfiguration]: 500,
 	[FaultKind.DocumentConflict]: 409,
 	[FaultKind.PlatformUnavailable]: 503,
+	[FaultKind.InstanceUnreachable]: 502,
 	[FaultKind.Internal]: 500,
 };
 
--- a/packages/model/src/request/fault.ts
+++ b/packages/model/src/request/fault.ts
@@ -44,6 +44,8 @@
 	DocumentConflict = 'document-conflict',
 	/** The platform's table or object store did not answer. */
 	PlatformUnavailable = 'platform-unavailable',
+	/** An entry instance did not answer an operator or a job of the command line. */
+	InstanceUnreachable = 'instance-unreachable',
 	/** The dispatcher itself is at fault. */
 	Internal = 'internal',
 }
@@ -72,6 +74,7 @@
 	[FaultKind.InvalidConfiguration]: 'Correct the places named in the detail.',
 	[FaultKind.DocumentConflict]: 'Show the document in force, merge the change, and accept it again.',
 	[FaultKind.PlatformUnavailable]: 'Check the platform\'s address in the settings and its state, then try again.',
+	[FaultKind.InstanceUnreachable]: 'Check the address, and see with "galenakeel status" which instances answer.',
 	[FaultKind.Internal]: 'Report the identifier of the request to the maintainers.',
 };
 
