--- a/packages/galenakeeld/src/process/daemon-gauges.ts
+++ b/packages/galenakeeld/src/process/daemon-gauges.ts
@@ -1,7 +1,9 @@
 import process from 'node:process';
 import type {IntervalHistogram} from 'node:perf_hooks';
 import type {DispatchedService, ServiceDispatchers} from './service-dispatchers.js';
-import {MetricType, type MetricFamily, type MetricSample} from './prometheus-text.js';
+import {
+	MetricType, quantileLabel, type MetricFamily, type MetricSample,
+} from './prometheus-text.js';
 
 const nanosecondsInSecond = 1_000_000_000;
 const microsecondsInSecond = 1_000_000;
@@ -30,7 +32,7 @@
 	help: 'Delay of the event loop since the last reading.',
 	type: MetricType.Gauge,
 	samples: percentiles.map((percentile): MetricSample => ({
-		labels: {quantile: String(percentile / 100)},
+		labels: {quantile: quantileLabel(percentile)},
 		value: Math.max(0, (delay.percentile(percentile) / nanosecondsInSecond) - (resolutionMilliseconds / 1000)),
 	})),
 });
--- a/packages/galenakeeld/src/process/percentiles.ts
+++ b/packages/galenakeeld/src/process/percentiles.ts
@@ -1,6 +1,8 @@
 import {performance} from 'node:perf_hooks';
 import {build, type Histogram} from 'hdr-histogram-js';
-import {MetricType, type MetricFamily, type MetricSample} from './prometheus-text.js';
+import {
+	MetricType, quantileLabel, type MetricFamily, type MetricSample,
+} from './prometheus-text.js';
 
 const percentiles = [50, 90, 99, 99.9] as const;
 const windowMilliseconds = 30_000;
@@ -49,7 +51,7 @@
 	merged.add(durations.current);
 	return [
 		...percentiles.map(percentile => ({
-			labels: {service, quantile: String(percentile / 100)}, value: merged.getValueAtPercentile(percentile) / microsecondsInSecond,
+			labels: {service, quantile: quantileLabel(percentile)}, value: merged.getValueAtPercentile(percentile) / microsecondsInSecond,
 		})),
 		{suffix: '_sum', labels: {service}, value: durations.sumMilliseconds / 1000},
 		{suffix: '_count', labels: {service}, value: durations.count},
--- a/packages/galenakeeld/src/process/prometheus-text.ts
+++ b/packages/galenakeeld/src/process/prometheus-text.ts
@@ -53,3 +53,15 @@
 */
 export const encodeMetrics = (families: readonly MetricFamily[]): string =>
 	`${families.map(family => encodeFamily(family)).join('\n')}\n`;
+
+const quantileDigits = 4;
+
+/**
+Writes a percentile as the quantile that labels its sample.
+
+@example
+```
+quantileLabel(99.9); // => '0.999'
+```
+*/
+export const quantileLabel = (percentile: number): string => String(Number((percentile / 100).toFixed(quantileDigits)));
--- a/packages/trials/src/process/steady-scenario.ts
+++ b/packages/trials/src/process/steady-scenario.ts
@@ -21,7 +21,7 @@
 const targetsOf = (figures: Partial<BenchFigures>): readonly BenchTarget[] => [
 	atMost('p50 over ideal', medianTarget, figures.p50OverIdeal!),
 	atMost('p99 over ideal', tailTarget, figures.p99OverIdeal!),
-	...(figures.messagesPerTask === undefined ? [] : [atMost('messages per task', messagesTarget, figures.messagesPerTask!)]),
+	...(figures.messagesPerTask === undefined ? [] : [atMost('messages per task', messagesTarget, figures.messagesPerTask)]),
 ];
 
 const runPolicy = async (run: BenchRun, policy: BenchPolicy, plans: readonly PlannedLoad[]): Promise<void> => {
