Lend only what the lender does not need itself

Each instance now keeps a smoothed demand with a reserve: it lends what it has beyond that, borrows up to it before tasks wait, and announces the surplus rather than the free slots. Renewals of slots in use are not held back by the budget of requests, since the task on them runs anyway.

Ruled out: a larger budget of requests (the circle of loans remains).

--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -105,7 +105,7 @@
 		state: membership.state,
 		catalogueVersion: catalogue.catalogueVersion(),
 		intervalMilliseconds: settings.peers.heartbeatMilliseconds,
-		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.ledger.free(), waiting: dispatcher.waiting()})),
+		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.surplus(), waiting: dispatcher.waiting()})),
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
 	const heartbeats = createHeartbeatSource(describeSelf, settings.peers.heartbeatMilliseconds);
--- a/packages/galenakeeld/src/process/lending-calls.ts
+++ b/packages/galenakeeld/src/process/lending-calls.ts
@@ -58,6 +58,6 @@
 	return {
 		leases: [...dispatched?.leases.lend(request.borrower, request.held, request.count, performance.now()) ?? []],
 		leaseMilliseconds: dispatched?.leases.leaseMilliseconds ?? 0,
-		stillFree: dispatched?.dispatcher.ledger.free() ?? 0,
+		stillFree: dispatched?.dispatcher.surplus() ?? 0,
 	};
 };
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -5,6 +5,7 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import type {AdmissionLoad} from './admission.js';
 import {createLongTaskShare, isLongRun} from './long-task-share.js';
+import {createSlotDemand} from './slot-demand.js';
 import type {RunEstimates} from './run-estimates.js';
 import type {RunningTasks} from './running-tasks.js';
 import {
@@ -22,7 +23,7 @@
 /**
 What a task asks of a dispatcher.
 */
-export type SlotDemand = Pick<WaitingTask, 'kind' | 'team' | 'deadlineAt' | 'signal' | 'avoidedEndpoint'>;
+export type TaskDemand = Pick<WaitingTask, 'kind' | 'team' | 'deadlineAt' | 'signal' | 'avoidedEndpoint'>;
 
 /**
 Hands the slots of one service to its waiting tasks.
@@ -34,7 +35,7 @@
 
 	@throws A fault of kind `DeadlinePassed` or `Cancelled` when the task was taken out of the queue, or whatever `use` throws.
 	*/
-	readonly withSlot: <Result>(demand: SlotDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
+	readonly withSlot: <Result>(demand: TaskDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
 	/** Starts waiting tasks for which a slot has become free. */
 	readonly startNext: () => void;
 	/** Takes tasks out of the queue whose deadline has passed or whose caller has gone, and follows the load; called at a fixed interval. */
@@ -42,8 +43,10 @@
 	readonly waiting: () => number;
 	/** Tasks that have been given a slot since the process began. */
 	readonly started: () => number;
-	/** Waiting tasks that could start if there were more free slots. */
-	readonly startable: () => number;
+	/** Slots that are missing for the tasks that wait, or that are expected to come. */
+	readonly shortfall: () => number;
+	/** Free slots beyond those for the tasks that are expected to come. */
+	readonly surplus: () => number;
 	/** What a request of a team meets that holds tasks of a kind. */
 	readonly loadFor: (team: string, kind: string) => AdmissionLoad;
 	/** The version under which slots are owned at present. */
@@ -87,6 +90,7 @@
 }): ServiceDispatcher => {
 	const {ledger, order, running, estimates} = options;
 	const share = createLongTaskShare();
+	const demand = createSlotDemand();
 	let chosen: {readonly task: WaitingTask; readonly revision: number; readonly slots: EndpointSlots | undefined} | undefined;
 	let emptyAt = performance.now();
 	let capacity: number | undefined;
@@ -145,13 +149,13 @@
 	return {
 		version: options.version,
 		ledger,
-		async withSlot(demand, use) {
+		async withSlot(wanted, use) {
 			type Result = Awaited<ReturnType<typeof use>>;
 			const result = createDeferred<Result>();
 			const task: WaitingTask = {
-				...demand,
-				length: lengthOf(demand.kind),
-				workMilliseconds: estimates.ofKind(demand.kind).mean,
+				...wanted,
+				length: lengthOf(wanted.kind),
+				workMilliseconds: estimates.ofKind(wanted.kind).mean,
 				arrivedAt: performance.now(),
 				abandon: result.reject,
 			};
@@ -187,10 +191,15 @@
 			}
 
 			share.observe(running.short() + order.count(TaskLength.Short));
+			demand.observe(ledger.busy() + order.size());
 		},
 		waiting: () => order.size(),
 		started: () => started,
-		startable: () => order.count(TaskLength.Short) + Math.max(0, Math.min(order.count(TaskLength.Long), longLeft())),
+		shortfall() {
+			const waiting = ledger.free() > 0 ? 0 : order.count(TaskLength.Short) + Math.max(0, Math.min(order.count(TaskLength.Long), longLeft()));
+			return Math.max(waiting, Math.ceil(demand.target() - ledger.usable()));
+		},
+		surplus: () => order.size() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - demand.target()))),
 		loadFor(team, kind) {
 			const length = lengthOf(kind);
 			const isShort = length === TaskLength.Short;
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -52,7 +52,7 @@
 
 const hasShares = (policy: PlacementPolicy): boolean => policy === PlacementPolicy.Shares || policy === PlacementPolicy.SharesWithBorrowing;
 
-const leaseMilliseconds = 2000;
+const leaseMilliseconds = 3000;
 
 /**
 Creates the dispatchers; there are none until a document is installed.
@@ -104,10 +104,12 @@
 				borrower.wake();
 			},
 		});
-		const leases = createSlotLeases(ledger, {leaseMilliseconds, isShort: () => dispatcher.waiting() > 0, onReturn: dispatcher.startNext});
+		const leases = createSlotLeases(ledger, {
+			leaseMilliseconds, surplus: dispatcher.surplus, isShort: () => dispatcher.waiting() > 0, onReturn: dispatcher.startNext,
+		});
 		const borrower = createSlotBorrower({
 			leases,
-			shortfall: () => ledger.free() > 0 ? 0 : dispatcher.startable(),
+			shortfall: dispatcher.shortfall,
 			started: dispatcher.started,
 			peers: options.peers,
 			hintOf: peer => peer.hints.find(hint => hint.service === service)?.free ?? 0,
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -14,6 +14,8 @@
 const maximumBackOffMilliseconds = 1000;
 /** Time after which slots that are not in use are given back. */
 const idleMilliseconds = 250;
+/** Part of a lease that is left when it is renewed. */
+const renewalShare = 0.4;
 
 /**
 What a lender replies.
@@ -45,7 +47,7 @@
 
 Requests are paid from a budget that grows with the started tasks, so that messages stay in proportion to the work.
 
-@param options.shortfall Tasks that wait because no slot is free.
+@param options.shortfall Slots that are missing for the tasks that wait or are expected.
 @param options.started Tasks started since the process began.
 @param options.peers Peers with their last hints.
 @param options.hintOf Free slots of a peer by its last heartbeat.
@@ -143,9 +145,6 @@
 		}
 	};
 
-	/** A few more than wait now, for those that come while the leases last. */
-	const wanted = (shortfall: number): number => Math.ceil(shortfall * 1.5) + 1;
-
 	const borrow = async (): Promise<void> => {
 		for (const lender of candidates()) {
 			const shortfall = options.shortfall();
@@ -153,7 +152,7 @@
 				return;
 			}
 
-			await askOnce(lender, wanted(shortfall));
+			await askOnce(lender, shortfall);
 		}
 	};
 
@@ -169,15 +168,14 @@
 		for (const {lender, until, idleSince} of leases.lenders()) {
 			const peer = options.peers().find(({instance, isReachable}) => instance === lender && isReachable);
 			const now = performance.now();
-			if (!peer || saved < 1) {
+			if (!peer) {
 				continue;
 			}
 
 			if (now - idleSince > idleMilliseconds) {
 				await giveBack(peer);
-			} else if (until - now < leases.leaseMilliseconds / 2) {
-				const shortfall = options.shortfall();
-				await askOnce(peer, shortfall > 0 ? wanted(shortfall) : 0);
+			} else if (until - now < leases.leaseMilliseconds * renewalShare) {
+				await askOnce(peer, options.shortfall());
 			}
 		}
 	};
--- a/packages/galenakeeld/src/process/slot-leases.ts
+++ b/packages/galenakeeld/src/process/slot-leases.ts
@@ -52,24 +52,22 @@
 
 type HeldSlots = {readonly counts: Map<string, number>; readonly peaks: Map<string, number>; until: number; idleSince: number};
 
-/** Part of the free slots that is lent at once; the rest is for the lender's own next tasks. */
-const lendableShare = 0.5;
-
 const countOf = (counts: ReadonlyMap<string, number>, endpoint: string): number => counts.get(endpoint) ?? 0;
 
 /**
 Creates the leases on a ledger.
 
+@param options.surplus Free slots that may be lent.
 @param options.isShort Tells whether tasks wait on this instance.
 @param options.onReturn Called when lent slots are this instance's own again.
 
 @example
 ```
-const leases = createSlotLeases(ledger, {leaseMilliseconds: 2000, isShort: () => dispatcher.waiting() > 0, onReturn: dispatcher.startNext});
+const leases = createSlotLeases(ledger, {leaseMilliseconds: 3000, surplus: dispatcher.surplus, isShort: () => dispatcher.waiting() > 0, onReturn: dispatcher.startNext});
 const lent = leases.lend('entry-2', [], 4, performance.now());
 ```
 */
-export const createSlotLeases = (ledger: SlotLedger, options: {leaseMilliseconds: number; isShort: () => boolean; onReturn: () => void}): SlotLeases => {
+export const createSlotLeases = (ledger: SlotLedger, options: {leaseMilliseconds: number; surplus: () => number; isShort: () => boolean; onReturn: () => void}): SlotLeases => {
 	const lentTo = new Map<string, LentSlots>();
 	const heldFrom = new Map<string, HeldSlots>();
 
@@ -100,7 +98,7 @@
 	const lendable = (slots: EndpointSlots): number => Math.min(freeSlotsOf(slots), slots.owned - slots.lent);
 
 	const grant = (lent: LentSlots, count: number): void => {
-		let open = Math.min(count, Math.ceil(ledger.free() * lendableShare));
+		let open = Math.min(count, options.surplus());
 		for (const slots of ledger.inUse().toSorted((first, second) => lendable(second) - lendable(first))) {
 			const part = Math.min(open, lendable(slots));
 			if (part <= 0) {
@@ -166,10 +164,7 @@
 			const lent = lentTo.get(borrower) ?? {counts: new Map<string, number>(), until: 0};
 			lentTo.set(borrower, lent);
 			renew(lent, held);
-			if (!options.isShort()) {
-				grant(lent, count);
-			}
-
+			grant(lent, count);
 			lent.until = now + options.leaseMilliseconds;
 			return [...lent.counts].map(([endpoint, lentCount]) => ({endpoint, count: lentCount, busy: 0}));
 		},
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -9,7 +9,7 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {HeaderList, Task, TaskAnswer} from '@galenakeel/model/request/task.js';
 import type {EndpointAnswer, EndpointRequest} from '../connection/endpoint-connection.js';
-import type {SlotDemand} from '../process/service-dispatcher.js';
+import type {TaskDemand} from '../process/service-dispatcher.js';
 import type {SlotGrant} from '../process/slot-ledger.js';
 import type {Endpoint, ServiceVersion} from '../version/service-version.js';
 import type {NoteStep} from './request-observer.js';
@@ -41,7 +41,7 @@
 	/** Time on the monotonic clock, in milliseconds. */
 	readonly deadlineAt: number;
 	readonly signal?: AbortSignal;
-	readonly withSlot: <Result>(demand: SlotDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
+	readonly withSlot: <Result>(demand: TaskDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
 	readonly send: (address: string, request: EndpointRequest) => Promise<EndpointAnswer>;
 	readonly report: (attempt: AttemptReport) => void;
 	/** Tells whether the retry budget allows sending an idempotent task again, and spends it. */
@@ -126,7 +126,7 @@
 /**
 Resolves as soon as the answer can be passed on; the slot stays taken until the body has ended.
 */
-const attemptOnFreeSlot = async (task: RunnableTask, run: TaskRun, demand: SlotDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
+const attemptOnFreeSlot = async (task: RunnableTask, run: TaskRun, demand: TaskDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const answered = createDeferred<StreamedTaskAnswer>();
 	const waitsSince = performance.now();
 	const wait = run.trace.begin(SpanName.SlotWait);
@@ -187,7 +187,7 @@
 		return answerOf(createFault(FaultKind.NoEndpoint, `the document of "${run.version.document.service}" names no endpoint`), record);
 	}
 
-	let demand: SlotDemand = {
+	let demand: TaskDemand = {
 		kind: task.kind, team: run.team, deadlineAt: run.deadlineAt, ...(run.signal && {signal: run.signal}),
 	};
 	for (let attempt = 1; ; attempt++) {
