Test the decisions of placement, admission, guards and lending

Adds features for the waiting order, the estimates, the circuit breaker and the retry budget, admission, leases and the ownership of slots; none needs a socket or a process.

Two changes come with them: - The work of a kind is its typical run time (Swanson's rule) rather than the mean.

--- /dev/null
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
@@ -0,0 +1,36 @@
+Feature: Circuit breakers and the retry budget
+
+  Scenario: An endpoint that fails everything gets a probe now and then
+    Given a circuit breaker that opens after 3 failures for 1000 ms
+    When the endpoint fails every task that it gets for 20000 ms
+    Then it got at most 8 tasks
+
+  Scenario: An endpoint that answers its probe gets work again
+    Given a circuit breaker that opens after 3 failures for 1000 ms
+    When the endpoint fails 3 tasks at 0 ms
+    Then the breaker is "open" at 999 ms
+    And the breaker is "half-open" at 1000 ms
+    When the endpoint answers a task at 1010 ms
+    Then the breaker is "closed" at 1011 ms
+
+  Scenario: Single failures among answers are no reason to stop
+    Given a circuit breaker that opens after 3 failures for 1000 ms
+    When every fourth task of 100 fails
+    Then the breaker is "closed" at 0 ms
+
+  Scenario: A frozen endpoint that answers again is trusted at once
+    Given a circuit breaker that opens after 3 failures for 1000 ms
+    When the endpoint is found frozen at 0 ms
+    Then the breaker is "open" at 1 ms
+    When the endpoint answers a task at 20 ms
+    Then the breaker is "closed" at 21 ms
+
+  Scenario: Retries stay within their share of first starts
+    Given a retry budget of 0.1
+    When 1000 tasks start and each asks to be retried
+    Then at most 103 retries are granted
+
+  Scenario: A service without retries gets none
+    Given a retry budget of 0
+    When 10 tasks start and each asks to be retried
+    Then at most 0 retries are granted
--- /dev/null
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {PlacementPolicy} from '../../version/placement-policy.js';
+import {createChooseEndpoint} from '../choose-endpoint.js';
+import {createSlotLeases, type SlotLeases} from '../slot-leases.js';
+import {createSlotLedger, type SlotGrant, type SlotLedger} from '../slot-ledger.js';
+
+type Side = {ledger: SlotLedger; leases: SlotLeases};
+
+type LeasesWorld = {lender: Side; borrower: Side; needed: number; isShort: boolean; grants: SlotGrant[]};
+
+const address = '127.0.0.1:8080';
+const leaseMilliseconds = 3000;
+
+const createSide = (owned: number, surplus: (ledger: SlotLedger) => number, isShort: () => boolean): Side => {
+	const ledger = createSlotLedger(() => undefined);
+	ledger.install([{
+		name: 'worker', address, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
+	}], new Map([[address, owned]]), 2);
+	return {
+		ledger,
+		leases: createSlotLeases(ledger, {
+			leaseMilliseconds, surplus: () => surplus(ledger), isShort, onReturn: () => undefined,
+		}),
+	};
+};
+
+const exchange = ({lender, borrower}: LeasesWorld, count: number, now: number): void => {
+	const leases = lender.leases.lend('borrower', borrower.leases.needed('lender'), count, now);
+	borrower.leases.hold('lender', leases, now + leaseMilliseconds);
+};
+
+const choose = ({borrower}: LeasesWorld, workMilliseconds: number, now: number): boolean => {
+	const chooseFree = createChooseEndpoint(PlacementPolicy.SharesWithBorrowing, () => 1, () => now);
+	return chooseFree(borrower.ledger.inUse(), {workMilliseconds}) !== undefined;
+};
+
+Given('a lender with {int} slots and a borrower of an endpoint', function (this: LeasesWorld, slots: number) {
+	this.needed = 0;
+	this.isShort = false;
+	this.grants = [];
+	this.lender = createSide(slots, ledger => Math.max(0, ledger.free() - this.needed), () => this.isShort);
+	this.borrower = createSide(0, () => 0, () => false);
+});
+
+Given('the lender needs {int} slots itself', function (this: LeasesWorld, needed: number) {
+	this.needed = needed;
+});
+
+When('the borrower asks for {int} slots at {int} ms', function (this: LeasesWorld, count: number, now: number) {
+	exchange(this, count, now);
+});
+
+When('the borrower renews at {int} ms', function (this: LeasesWorld, now: number) {
+	exchange(this, 0, now);
+});
+
+When('the borrower runs {int} tasks', function (this: LeasesWorld, count: number) {
+	for (let number = 0; number < count; number++) {
+		this.grants.push(this.borrower.ledger.take(this.borrower.ledger.slotsOf(address)!));
+	}
+});
+
+When('the borrower ends {int} tasks', function (this: LeasesWorld, count: number) {
+	for (const grant of this.grants.splice(0, count)) {
+		grant.release();
+	}
+});
+
+When('the lender is short', function (this: LeasesWorld) {
+	this.isShort = true;
+	this.needed = 8;
+});
+
+When('the borrower gives back what is idle', function (this: LeasesWorld) {
+	this.lender.leases.takeBack('borrower', this.borrower.leases.release('lender'));
+});
+
+When('{int} ms have passed', function (this: LeasesWorld, now: number) {
+	this.lender.leases.sweep(now);
+	this.borrower.leases.sweep(now);
+});
+
+Then('the lender may use {int} slots and the borrower {int}', function (this: LeasesWorld, lender: number, borrower: number) {
+	assert.deepEqual([this.lender.ledger.usable(), this.borrower.ledger.usable()], [lender, borrower]);
+});
+
+Then('the borrower finds a slot for a task of {int} ms at {int} ms', function (this: LeasesWorld, work: number, now: number) {
+	assert.equal(choose(this, work, now), true);
+});
+
+Then('the borrower finds none for a task of {int} ms at {int} ms', function (this: LeasesWorld, work: number, now: number) {
+	assert.equal(choose(this, work, now), false);
+});
--- a/packages/galenakeeld/src/process/run-estimates.ts
+++ b/packages/galenakeeld/src/process/run-estimates.ts
@@ -17,7 +17,8 @@
 What is expected of the run time of a kind of task, at speed 1, in milliseconds.
 */
 export type RunEstimate = {
-	readonly mean: number;
+	/** Mean without the tail of far longer tasks, by Swanson's rule: 0.3 P10 + 0.4 P50 + 0.3 P90. */
+	readonly typical: number;
 	readonly percentile10: number;
 	readonly median: number;
 	readonly percentile90: number;
@@ -46,7 +47,7 @@
 type MeasuredSpeed = {logarithm: number; speed: number; updates: number};
 
 const declaredEstimate = (milliseconds: number): RunEstimate => ({
-	mean: milliseconds, percentile10: milliseconds / 2, median: milliseconds, percentile90: milliseconds * 2, percentile99: milliseconds * 4, samples: 0,
+	typical: milliseconds, percentile10: milliseconds / 2, median: milliseconds, percentile90: milliseconds * 2, percentile99: milliseconds * 4, samples: 0,
 });
 
 const measure = (runs: DecayingHistogram, declaredMilliseconds: number): RunEstimate => {
@@ -56,11 +57,14 @@
 		return {...declaredEstimate(mean), samples};
 	}
 
+	const percentile10 = runs.percentile(10);
+	const median = runs.percentile(50);
+	const percentile90 = runs.percentile(90);
 	return {
-		mean: runs.mean(),
-		percentile10: runs.percentile(10),
-		median: runs.percentile(50),
-		percentile90: runs.percentile(90),
+		typical: (0.3 * percentile10) + (0.4 * median) + (0.3 * percentile90),
+		percentile10,
+		median,
+		percentile90,
 		percentile99: runs.percentile(99),
 		samples,
 	};
@@ -80,7 +84,7 @@
 const estimates = createRunEstimates();
 estimates.declare(version.document);
 estimates.record('10.1.2.3:8080', 1, 'sheet', 87);
-estimates.ofKind('sheet').mean;
+estimates.ofKind('sheet').typical;
 ```
 */
 export const createRunEstimates = (): RunEstimates => {
--- a/packages/galenakeeld/src/process/service-admission.ts
+++ b/packages/galenakeeld/src/process/service-admission.ts
@@ -69,7 +69,7 @@
 		let longestKind = '';
 		for (const {kind} of tasks) {
 			const estimate = estimates.ofKind(kind);
-			work += estimate.mean;
+			work += estimate.typical;
 			if (estimate.percentile10 / speed > runMilliseconds) {
 				runMilliseconds = estimate.percentile10 / speed;
 				longestKind = kind;
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -16,7 +16,7 @@
 } from './task-queue.js';
 
 /** Time for which tasks wait without a break before the queue counts as standing. */
-const standingMilliseconds = 500;
+const standingMilliseconds = 2000;
 /** Times the 90th percentile of its kind after which a task counts as long. */
 const overrunFactor = 2;
 
@@ -116,7 +116,7 @@
 	});
 
 	const lengthOf = (kind: string): TaskLength =>
-		isLongRun(estimates.ofKind(kind).median, estimates.ofService().median) ? TaskLength.Long : TaskLength.Short;
+		isLongRun(estimates.ofKind(kind), estimates.ofService()) ? TaskLength.Long : TaskLength.Short;
 
 	const runOn = async <Result>(task: WaitingTask, slots: EndpointSlots, use: (grant: SlotGrant) => Promise<Result>): Promise<Result> => {
 		const startedAt = performance.now();
@@ -155,7 +155,7 @@
 			const task: WaitingTask = {
 				...wanted,
 				length: lengthOf(wanted.kind),
-				workMilliseconds: estimates.ofKind(wanted.kind).mean,
+				workMilliseconds: estimates.ofKind(wanted.kind).typical,
 				arrivedAt: performance.now(),
 				abandon: result.reject,
 			};
