--- a/packages/galenakeeld/src/process/__tests__/waiting-order.feature
+++ b/packages/galenakeeld/src/process/__tests__/waiting-order.feature
@@ -31,3 +31,8 @@
     And 3 tasks of 100 ms of team "payroll" wait at 1 ms
     And the tasks of team "cancelled" are removed
     Then 3 tasks wait with 300 ms of work
+
+  Scenario: More teams than are kept apart wait, and all are served
+    Given a waiting order without quotas
+    When 300 teams wait with a task each while the first 200 are served
+    Then all waiting tasks start
--- a/packages/galenakeeld/src/process/__tests__/waiting-order.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/waiting-order.steps.ts
@@ -56,6 +56,20 @@
 	}
 });
 
+When('{int} teams wait with a task each while the first {int} are served', function (this: OrderWorld, teams: number, served: number) {
+	for (let number = 0; number < teams; number++) {
+		add(this.order, {
+			name: `task-${number}`, work: 100, team: `team-${number}`, at: number,
+		});
+	}
+
+	for (let number = 0; number < served; number++) {
+		this.order.take(this.order.peek(() => true)!);
+	}
+
+	this.order.remove(() => false);
+});
+
 When('the tasks of team {string} are removed', function (this: OrderWorld, team: string) {
 	this.order.remove(task => task.team === team);
 });
--- a/packages/galenakeeld/src/process/waiting-order.ts
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -55,6 +55,8 @@
 	const teams = new Map<string, WaitingTeam>();
 	const waiting = new Map<string, WaitingTeam>();
 	const totals: Record<TaskLength, {count: number; work: number}> = {[TaskLength.Short]: {count: 0, work: 0}, [TaskLength.Long]: {count: 0, work: 0}};
+	/** The name under which a task waits, which may not be its team's when there are too many. */
+	const placed = new WeakMap<WaitingTask, string>();
 	let virtualTime = 0;
 
 	const nameOf = (team: string): string =>
@@ -110,6 +112,7 @@
 				waiting.set(name, team);
 			}
 
+			placed.set(item.task, name);
 			team.lanes[item.task.length].heap.add(item);
 			change(team, item.task, 1);
 		},
@@ -130,8 +133,8 @@
 			return undefined;
 		},
 		take({task}) {
-			const name = nameOf(task.team);
-			const team = teamOf(name);
+			const name = placed.get(task)!;
+			const team = teams.get(name)!;
 			team.lanes[task.length].heap.shift();
 			change(team, task, -1);
 			virtualTime = Math.max(virtualTime, team.virtualTime);
