Add the scenarios relay, speeds, crest and unfair to the bench

Ratios to the ideal now compare percentiles of the slowdown (response over run time). Task by task was ruled out for endpoints of differing speed: the ideal and a daemon that are equally good give one task different speeds.

--- a/packages/trials/src/process/bench.ts
+++ b/packages/trials/src/process/bench.ts
@@ -3,12 +3,20 @@
 import {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
 import {BenchScenario, idealPolicy, type BenchPolicy} from '../version/bench-line.js';
 import type {BenchRun} from './bench-run.js';
+import {runCrest} from './crest-scenario.js';
 import {runLongBehindShort} from './long-behind-short-scenario.js';
+import {runRelay} from './relay-scenario.js';
+import {runSpeeds} from './speeds-scenario.js';
 import {runSteady} from './steady-scenario.js';
+import {runUnfair} from './unfair-scenario.js';
 
 const scenarios: Readonly<Partial<Record<BenchScenario, (run: BenchRun) => Promise<void>>>> = {
+	[BenchScenario.Relay]: runRelay,
 	[BenchScenario.Steady]: runSteady,
+	[BenchScenario.Speeds]: runSpeeds,
 	[BenchScenario.LongBehindShort]: runLongBehindShort,
+	[BenchScenario.Crest]: runCrest,
+	[BenchScenario.Unfair]: runUnfair,
 };
 const policies: readonly BenchPolicy[] = [...Object.values(PlacementPolicy), idealPolicy];
 const defaultSeconds = '10';
--- a/packages/trials/src/process/load-generator.ts
+++ b/packages/trials/src/process/load-generator.ts
@@ -19,6 +19,8 @@
 };
 
 const answerMarginMilliseconds = 2000;
+const bodyBytes = 256;
+const body = 'x'.repeat(bodyBytes);
 
 const sendArrival = async (order: GeneratorOrder, arrival: Arrival, agent: Agent, due: number): Promise<ArrivalResult> => {
 	const sentAt = performance.now();
@@ -27,8 +29,8 @@
 		'galenakeel-team': arrival.team,
 		'galenakeel-deadline-milliseconds': String(order.deadlineMilliseconds),
 	};
-	const result = await submitAsCaller(order.addresses[arrival.daemon]!, 'POST', `${order.path}?run=${arrival.runMilliseconds}`, {
-		agent, headers, timeoutMilliseconds: order.deadlineMilliseconds + answerMarginMilliseconds,
+	const result = await submitAsCaller(order.addresses[arrival.daemon]!, 'POST', `${order.path}?task=${arrival.name}&run=${arrival.runMilliseconds}`, {
+		agent, headers, body, timeoutMilliseconds: order.deadlineMilliseconds + answerMarginMilliseconds,
 	});
 	return {
 		outcome: result.outcome, status: result.status, latenessMilliseconds: sentAt - due, responseMilliseconds: result.durationMilliseconds,
--- a/packages/trials/src/process/long-behind-short-scenario.ts
+++ b/packages/trials/src/process/long-behind-short-scenario.ts
@@ -1,9 +1,9 @@
 import {
 	atMost, BenchScenario, idealPolicy, type BenchPolicy,
 } from '../version/bench-line.js';
-import {percentile, percentileRatio} from '../version/percentile.js';
+import {percentileRatio} from '../version/percentile.js';
 import {planLoad, type PlannedLoad} from '../version/planned-load.js';
-import {compareResponses} from '../version/response-figures.js';
+import {chargedResponse, compareResponses} from '../version/response-figures.js';
 import {createMixWithLong, createShortMix} from '../version/task-mix.js';
 import {
 	benchEndpoints, benchSize, daemonShares, withBenchFleet,
@@ -24,12 +24,12 @@
 type Plans = {readonly alone: PlannedLoad; readonly mixed: PlannedLoad};
 
 const responsesOf = (tasks: readonly MeasuredTask[], isLong: boolean): readonly number[] =>
-	tasks.filter(({arrival}) => arrival.isLong === isLong).map(({responseMilliseconds}) => responseMilliseconds);
+	tasks.filter(({arrival}) => arrival.isLong === isLong).map(task => chargedResponse(task));
 
 const report = (run: BenchRun, policy: BenchPolicy, alone: readonly MeasuredTask[], mixed: Pick<LoadMeasurement, 'tasks'> & Partial<LoadMeasurement>): void => {
 	const long = mixed.tasks.filter(({arrival}) => arrival.isLong);
 	const shortP99OverAlone = percentileRatio(responsesOf(mixed.tasks, false), responsesOf(alone, false), tail);
-	const longP99OverIdeal = percentile(long.map(({responseMilliseconds, idealMilliseconds}) => responseMilliseconds / idealMilliseconds), tail);
+	const {p99OverIdeal: longP99OverIdeal} = compareResponses(long, 1);
 	printLine(run, BenchScenario.LongBehindShort, policy, {
 		figures: {
 			load, tasks: mixed.tasks.length, ...compareResponses(mixed.tasks, 1), messagesPerTask: mixed.messagesPerTask ?? Number.NaN, shortP99OverAlone, longP99OverIdeal,
--- a/packages/trials/src/process/measure-load.ts
+++ b/packages/trials/src/process/measure-load.ts
@@ -4,7 +4,7 @@
 import {atMost, type BenchTarget} from '../version/bench-line.js';
 import {percentile} from '../version/percentile.js';
 import type {PlannedLoad} from '../version/planned-load.js';
-import {benchService, countMessages, deadlineMilliseconds} from './bench-fleet.js';
+import {benchService, countMessages, longDeadlineMilliseconds} from './bench-fleet.js';
 import type {Fleet} from './fleet.js';
 import {startLoad} from './load-generators.js';
 
@@ -31,6 +31,12 @@
 
 const latenessLimitMilliseconds = 5;
 
+/**
+Bounds the lateness of the load generators; a run that misses it is invalid.
+*/
+export const latenessTarget = (results: ReadonlyArray<Pick<ArrivalResult, 'latenessMilliseconds'>>): BenchTarget =>
+	atMost('p99 lateness of the load generators, ms', latenessLimitMilliseconds, percentile(results.map(({latenessMilliseconds}) => latenessMilliseconds), 0.99));
+
 /**
 Pairs the measured arrivals with the ideal as if the ideal had served them.
 */
@@ -40,20 +46,27 @@
 	}))
 	.filter(({arrival}) => arrival.at >= warmUpMilliseconds);
 
-// A task without a whole answer counts with its deadline, so that refusing work makes no figure better.
-const chargeResponse = (result: ArrivalResult): ArrivalResult =>
-	result.outcome === Outcome.Complete ? result : {...result, responseMilliseconds: deadlineMilliseconds};
+/**
+How load is sent.
+*/
+export type LoadOptions = {
+	readonly disturb?: (startAt: number) => Promise<void>;
+	readonly addresses?: readonly string[];
+	readonly deadlineMilliseconds?: number;
+};
 
 /**
 Sends planned load to a fleet and measures what comes after the warm-up.
 
-@param disturb Called once with the wall-clock time of the run's start, to bring faults about.
+@param options.disturb Called once with the wall-clock time of the run's start, to bring faults about.
+@param options.addresses Where callers connect; the daemons' callers ports when absent.
 */
-export const measureLoad = async (fleet: Fleet, load: PlannedLoad, disturb: (startAt: number) => Promise<void> = async () => undefined): Promise<LoadMeasurement> => {
+export const measureLoad = async (fleet: Fleet, load: PlannedLoad, options: LoadOptions = {}): Promise<LoadMeasurement> => {
+	const {addresses = fleet.daemons.map(({callers}) => callers), deadlineMilliseconds = longDeadlineMilliseconds} = options;
 	const {startAt, results} = startLoad({
-		addresses: fleet.daemons.map(({callers}) => callers), path: `/v1/services/${benchService}/sheet`, arrivals: load.arrivals, deadlineMilliseconds,
+		addresses, path: `/v1/services/${benchService}/sheet`, arrivals: load.arrivals, deadlineMilliseconds,
 	});
-	void disturb(startAt);
+	void options.disturb?.(startAt);
 	await sleep(Math.max(0, startAt + load.warmUpMilliseconds - Date.now()));
 	const before = await countMessages(fleet);
 	await sleep(Math.max(0, startAt + load.arrivals.at(-1)!.at - Date.now()));
@@ -64,9 +77,9 @@
 		.filter(({arrival}) => arrival.at >= load.warmUpMilliseconds);
 	const messages = after.heartbeats + after.slotCalls - before.heartbeats - before.slotCalls;
 	return {
-		tasks: tasks.map(task => ({...task, ...chargeResponse(task)})),
+		tasks,
 		startAt,
 		messagesPerTask: messages / tasks.length,
-		validity: atMost('p99 lateness of the load generators, ms', latenessLimitMilliseconds, percentile(tasks.map(({latenessMilliseconds}) => latenessMilliseconds), 0.99)),
+		validity: latenessTarget(tasks),
 	};
 };
--- a/packages/trials/src/request/arrival.ts
+++ b/packages/trials/src/request/arrival.ts
@@ -4,6 +4,8 @@
 One task of a bench run, with the time at which a caller sends it.
 */
 export type Arrival = {
+	/** Name in the history of the endpoints. */
+	readonly name: string;
 	/** Time since the start of the run, in milliseconds. */
 	readonly at: number;
 	/** Position of the daemon that the caller is connected to. */
--- a/packages/trials/src/version/__tests__/bench-calculation.steps.ts
+++ b/packages/trials/src/version/__tests__/bench-calculation.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Arrival} from '../../request/arrival.js';
 import {computeIdeal} from '../ideal-queue.js';
 import {createArrivals} from '../load-plan.js';
@@ -50,10 +51,11 @@
 	assert.deepEqual(this.ideal, numbersOf(responses));
 });
 
-Given('responses of {string} ms where the ideal gives {string} ms', function (this: CalculationWorld, responses: string, ideals: string) {
+Given('tasks that run {string} ms, with responses of {string} ms where the ideal gives {string} ms', function (this: CalculationWorld, runs: string, responses: string, ideals: string) {
+	const runMilliseconds = numbersOf(runs);
 	const ideal = numbersOf(ideals);
 	const tasks = numbersOf(responses).map((responseMilliseconds, position) => ({
-		responseMilliseconds, idealMilliseconds: ideal[position]!, arrival: {runMilliseconds: ideal[position]!},
+		outcome: Outcome.Complete, responseMilliseconds, idealMilliseconds: ideal[position]!, arrival: {runMilliseconds: runMilliseconds[position]!},
 	}));
 	this.compared = compareResponses(tasks, 1);
 });
--- a/packages/trials/src/version/bench-line.ts
+++ b/packages/trials/src/version/bench-line.ts
@@ -47,9 +47,9 @@
 	/** Share of the capacity that is asked for. */
 	readonly load: number;
 	readonly tasks: number;
-	/** Median over the tasks of the response over the response of the ideal to the same task. */
+	/** Median of the responses over the tasks' run times, over the same median of the ideal. */
 	readonly p50OverIdeal: number;
-	/** 99th percentile of the same ratio. */
+	/** 99th percentile of the responses over the tasks' run times, over the same percentile of the ideal. */
 	readonly p99OverIdeal: number;
 	/** 99th percentile of each response over the task's own run time on the fastest endpoint. */
 	readonly p99OverRunTime: number;
--- a/packages/trials/src/version/task-mix.ts
+++ b/packages/trials/src/version/task-mix.ts
@@ -1,5 +1,5 @@
 import type {Arrival} from '../request/arrival.js';
-import type {RandomSource} from './seeded-random.js';
+import type {Random} from '../request/random.js';
 
 /**
 What a task mix decides about an arrival.
@@ -10,7 +10,7 @@
 A distribution of tasks.
 */
 export type TaskMix = {
-	readonly draw: (random: RandomSource) => TaskDraw;
+	readonly draw: (random: Random) => TaskDraw;
 	/** Mean run time at speed 1. */
 	readonly meanRunMilliseconds: number;
 	/** Run times that the service document declares, by kind. */
@@ -37,7 +37,7 @@
 const longBaseMilliseconds = 100;
 
 // The reciprocal (log-uniform) distribution: density 1 / (x ln(to / from)).
-const drawReciprocal = (random: RandomSource, from: number, to: number): number => from * ((to / from) ** random());
+const drawReciprocal = (random: Random, from: number, to: number): number => from * ((to / from) ** random.fraction());
 
 const meanOfReciprocal = (from: number, to: number): number => (to - from) / Math.log(to / from);
 
@@ -50,11 +50,11 @@
 	return sum / values.length;
 };
 
-const createMix = (kinds: readonly RunRange[]): TaskMix => ({
+const createMix = (kinds: readonly RunRange[], teams: readonly string[] = [defaultTeam]): TaskMix => ({
 	draw(random) {
-		const {kind, from, to} = kinds[Math.floor(random() * kinds.length)]!;
+		const {kind, from, to} = random.pick(kinds);
 		return {
-			kind, team: defaultTeam, runMilliseconds: drawReciprocal(random, from, to), isLong: false,
+			kind, team: random.pick(teams), runMilliseconds: drawReciprocal(random, from, to), isLong: false,
 		};
 	},
 	meanRunMilliseconds: meanOf(kinds.map(({from, to}) => meanOfReciprocal(from, to))),
@@ -63,14 +63,27 @@
 
 /**
 Creates the mix of tasks from 50 ms to 1 s, in four kinds that declare their mean.
+
+@param teams Teams of the callers, drawn equally often.
 */
-export const createOrdinaryMix = (): TaskMix => createMix(ordinaryKinds);
+export const createOrdinaryMix = (teams?: readonly string[]): TaskMix => createMix(ordinaryKinds, teams);
 
 /**
 Creates the mix of tasks from 50 to 200 ms.
 */
 export const createShortMix = (): TaskMix => createMix(shortKinds);
 
+/**
+Creates a mix of tasks that all run equally long.
+*/
+export const createFixedMix = (runMilliseconds: number): TaskMix => ({
+	draw: () => ({
+		kind: 'reading', team: defaultTeam, runMilliseconds, isLong: false,
+	}),
+	meanRunMilliseconds: runMilliseconds,
+	declared: {reading: runMilliseconds},
+});
+
 /**
 Creates a mix in which a share of the short tasks runs 10 to 100 times longer than their kind declares.
 
@@ -88,7 +101,7 @@
 	return {
 		draw(random) {
 			const draw = short.draw(random);
-			return random() < longShare ? {...draw, runMilliseconds: drawReciprocal(random, from, to), isLong: true} : draw;
+			return random.fraction() < longShare ? {...draw, runMilliseconds: drawReciprocal(random, from, to), isLong: true} : draw;
 		},
 		meanRunMilliseconds: ((1 - longShare) * short.meanRunMilliseconds) + (longShare * meanOfReciprocal(from, to)),
 		declared: short.declared,
