Add the scenario faults to the bench

Nothing measured what a failing or frozen endpoint, a killed daemon or a cut zone costs in goodput. The scenario brings them about one after the other under 60% load; callers come through the balancer, as a caller of a killed daemon would. Loss is counted from 2 s after the beginning of each fault. A killed daemon and a cut zone take no slots away, so their target is the 1% of the measurement's noise rather than their share of daemons.

--- a/packages/trials/src/process/bench-fleet.ts
+++ b/packages/trials/src/process/bench-fleet.ts
@@ -74,7 +74,7 @@
 	readonly policy: PlacementPolicy;
 	readonly mix: TaskMix;
 	readonly speedOf?: (endpoint: number) => number;
-	readonly size?: Partial<Pick<FleetSize, 'zones' | 'daemonsPerZone' | 'endpointsPerZone'>>;
+	readonly size?: Partial<Pick<FleetSize, 'zones' | 'daemonsPerZone' | 'endpointsPerZone' | 'isProxied'>>;
 	/** Changes the service document before it is accepted. */
 	readonly change?: (document: Record<string, unknown>) => Record<string, unknown>;
 };
--- a/packages/trials/src/process/bench.ts
+++ b/packages/trials/src/process/bench.ts
@@ -4,18 +4,20 @@
 import {BenchScenario, idealPolicy, type BenchPolicy} from '../version/bench-line.js';
 import type {BenchRun} from './bench-run.js';
 import {runCrest} from './crest-scenario.js';
+import {runFaultsScenario} from './faults-scenario.js';
 import {runLongBehindShort} from './long-behind-short-scenario.js';
 import {runRelay} from './relay-scenario.js';
 import {runSpeeds} from './speeds-scenario.js';
 import {runSteady} from './steady-scenario.js';
 import {runUnfair} from './unfair-scenario.js';
 
-const scenarios: Readonly<Partial<Record<BenchScenario, (run: BenchRun) => Promise<void>>>> = {
+const scenarios: Readonly<Record<BenchScenario, (run: BenchRun) => Promise<void>>> = {
 	[BenchScenario.Relay]: runRelay,
 	[BenchScenario.Steady]: runSteady,
 	[BenchScenario.Speeds]: runSpeeds,
 	[BenchScenario.LongBehindShort]: runLongBehindShort,
 	[BenchScenario.Crest]: runCrest,
+	[BenchScenario.Faults]: runFaultsScenario,
 	[BenchScenario.Unfair]: runUnfair,
 };
 const policies: readonly BenchPolicy[] = [...Object.values(PlacementPolicy), idealPolicy];
@@ -48,5 +50,5 @@
 	},
 };
 for (const scenario of select('scenario', values.scenario, Object.keys(scenarios) as BenchScenario[])) {
-	await scenarios[scenario]!(run);
+	await scenarios[scenario](run);
 }
--- a/packages/trials/src/version/overload-figures.ts
+++ b/packages/trials/src/version/overload-figures.ts
@@ -12,7 +12,10 @@
 */
 export type Stretch = {readonly from: number; readonly to: number};
 
-const isWithin = (at: number, {from, to}: Stretch): boolean => at >= from && at < to;
+/**
+Tells whether a time lies in a stretch.
+*/
+export const isWithin = (at: number, {from, to}: Stretch): boolean => at >= from && at < to;
 
 /**
 Computes the work of the tasks that were answered within a stretch, over the work that the slots could have done.
