Let the playground cut a zone, lose the platform and bring a crest

'document edit' of a new service says to validate the draft, since there is nothing to compare it with.

--- a/packages/galenakeel/src/process/commands/document/edit.ts
+++ b/packages/galenakeel/src/process/commands/document/edit.ts
@@ -31,7 +31,7 @@
 		const version = current?.version ?? 0;
 		await writeCopy(file, addBase(current?.text ?? createDocumentTemplate(service), version), flags.force);
 		this.log(current ? `wrote version ${version} of the document of ${service} to ${file}` : `${service} has no document yet; wrote a first draft to ${file}`);
-		this.log(`Change it in your editor, then type:\n  galenakeel document diff ${file}\n  galenakeel document accept ${file} --wait`);
+		this.log(`Change it in your editor, then type:\n  galenakeel document ${current ? 'diff' : 'validate'} ${file}\n  galenakeel document accept ${file} --wait`);
 		return {service, version, file};
 	}
 }
--- /dev/null
+++ b/packages/trials/src/process/playground-commands.ts
@@ -0,0 +1,99 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Outcome} from '@galenakeel/model/request/outcome.js';
+import {submitAsCaller} from '../request/caller.js';
+import type {Fleet} from './fleet.js';
+
+const crestRequests = 600;
+const crestMilliseconds = 1000;
+const taskMilliseconds = 300;
+
+/**
+What can be typed into the playground.
+*/
+export enum PlaygroundCommand {
+	/** The platform answers no call. */
+	PlatformDown = 'platform down',
+	/** The platform answers again. */
+	PlatformUp = 'platform up',
+	/** The first availability zone is cut off from the other zones and from the platform. */
+	CutZone = 'cut zone',
+	/** The zone is reachable again. */
+	HealZone = 'heal zone',
+	/** Many requests come within a second. */
+	Crest = 'crest',
+}
+
+const commands: ReadonlySet<string> = new Set(Object.values(PlaygroundCommand));
+
+/**
+Tells whether a line is a command of the playground.
+*/
+export const isPlaygroundCommand = (line: string): line is PlaygroundCommand => commands.has(line);
+
+const setCut = (fleet: Fleet, isCut: boolean): string => {
+	const {zone} = (fleet.daemons[0]!);
+	const inside = fleet.daemons.filter(daemon => daemon.zone === zone);
+	const outside = fleet.daemons.filter(daemon => daemon.zone !== zone);
+	const links = fleet.links!;
+	const crossing = inside.flatMap(({instance}) => [
+		links.toPlatform.get(instance)!,
+		...outside.flatMap(other => [links.between(instance, other.instance), links.between(other.instance, instance)]),
+	]);
+	for (const proxy of crossing) {
+		proxy.faults.isRefusing = isCut;
+		if (isCut) {
+			proxy.cut();
+		}
+	}
+
+	return `${zone} is ${isCut ? 'cut off from the other zones and from the platform' : 'reachable again'}`;
+};
+
+const sendCrest = async (fleet: Fleet, service: string): Promise<string> => {
+	const counts = new Map<Outcome, number>();
+	await Promise.all(Array.from({length: crestRequests}, async (_, position) => {
+		await sleep(position * crestMilliseconds / crestRequests);
+		const {outcome} = await submitAsCaller(fleet.balancer.address, 'POST', `/v1/services/${service}/sheet?task=crest-${position}&run=${taskMilliseconds}`, {
+			body: 'crest', headers: {'galenakeel-deadline-milliseconds': '3000'},
+		});
+		counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
+	}));
+	const parts = [...counts].map(([outcome, count]) => `${count} ${outcome}`);
+	return `${crestRequests} requests of ${taskMilliseconds} ms within ${crestMilliseconds} ms: ${parts.join(', ')}`;
+};
+
+/**
+Does what was typed.
+
+@returns What happened, in words.
+
+@example
+```
+await runPlaygroundCommand(PlaygroundCommand.PlatformDown, fleet, 'paysheet'); // => 'the platform answers no call'
+```
+*/
+export const runPlaygroundCommand = async (command: PlaygroundCommand, fleet: Fleet, service: string): Promise<string> => {
+	switch (command) {
+		case PlaygroundCommand.PlatformDown: {
+			fleet.platform.faults.isDown = true;
+			return 'the platform answers no call';
+		}
+
+		case PlaygroundCommand.PlatformUp: {
+			fleet.platform.faults.isDown = false;
+			return 'the platform answers again';
+		}
+
+		case PlaygroundCommand.CutZone: {
+			return setCut(fleet, true);
+		}
+
+		case PlaygroundCommand.HealZone: {
+			return setCut(fleet, false);
+		}
+
+		case PlaygroundCommand.Crest: {
+			return sendCrest(fleet, service);
+		}
+	}
+};
