Ask instances by address when the platform is out of reach, and read records in the model's type

Cause: 'galenakeel status' and 'explain' needed the platform's list, and so failed during an outage of the platform, when they are wanted most.

'explain' uses the model's RequestRecord. The address for traces says what it must be.

--- a/packages/galenakeel/src/connection/instance-status.ts
+++ b/packages/galenakeel/src/connection/instance-status.ts
@@ -41,12 +41,10 @@
 };
 
 /**
-Asks every listed entry instance for its status.
+Asks entry instances for their status.
 */
-export const readStatuses = async (platform: Platform, callMilliseconds: number): Promise<readonly InstanceStatus[]> => {
-	const entries = await listEntries(platform);
-	return Promise.all(entries.map(async entry => readStatus(entry, callMilliseconds)));
-};
+export const readStatuses = async (entries: readonly ListedInstance[], callMilliseconds: number): Promise<readonly InstanceStatus[]> =>
+	Promise.all(entries.map(async entry => readStatus(entry, callMilliseconds)));
 
 /**
 Waits until every live instance has a catalogue version in force.
--- a/packages/galenakeel/src/connection/request-records.ts
+++ b/packages/galenakeel/src/connection/request-records.ts
@@ -1,41 +1,13 @@
 import {parseJson} from '@galenakeel/model/connection/json.js';
 import type {ListedInstance} from '@galenakeel/model/connection/platform-client.js';
+import type {RequestRecord} from '@galenakeel/model/process/request-record.js';
 import {callDaemon} from './daemon-call.js';
 
-/**
-One step of a request's way, or several alike of a job's tasks.
-*/
-export type ShownStep = {
-	/** Time since the start of the record, in milliseconds. */
-	readonly at: number;
-	readonly kind: string;
-	readonly endpoint?: string;
-	readonly detail?: string;
-	/** How many steps alike this entry stands for; absent for one. */
-	readonly count?: number;
-};
-
-/**
-What an instance remembers of a recent request or job.
-*/
-export type ShownRecord = {
-	readonly identifier: string;
-	readonly instance: string;
-	readonly service: string;
-	/** Time of the start, as an ISO 8601 text. */
-	readonly startedAt: string;
-	/** Absent while there is no answer. */
-	readonly outcome?: string;
-	readonly fault?: string;
-	readonly detail?: string;
-	readonly steps: readonly ShownStep[];
-};
-
 /**
 What the instances know of an identifier.
 */
 export type RecordSearch = {
-	readonly records: readonly ShownRecord[];
+	readonly records: readonly RequestRecord[];
 	/** Instances that did not answer; they may know more. */
 	readonly unreachable: readonly string[];
 };
@@ -43,11 +15,11 @@
 const found = 200;
 const notFound = 404;
 
-const readRecord = async (entry: ListedInstance, identifier: string, callMilliseconds: number): Promise<ShownRecord | 'none' | 'unreachable'> => {
+const readRecord = async (entry: ListedInstance, identifier: string, callMilliseconds: number): Promise<RequestRecord | 'none' | 'unreachable'> => {
 	try {
 		const {status, text} = await callDaemon(entry.operators ?? '', {method: 'GET', path: `/v1/records/${encodeURIComponent(identifier)}`}, callMilliseconds);
 		if (status === found) {
-			return parseJson<ShownRecord>(text);
+			return parseJson<RequestRecord>(text);
 		}
 
 		return status === notFound ? 'none' : 'unreachable';
--- a/packages/galenakeel/src/process/commands/explain.ts
+++ b/packages/galenakeel/src/process/commands/explain.ts
@@ -1,9 +1,11 @@
 import {Args} from '@oclif/core';
-import {listEntries} from '../../connection/instance-status.js';
-import {findRecords, type RecordSearch, type ShownRecord} from '../../connection/request-records.js';
+import type {RequestRecord} from '@galenakeel/model/process/request-record.js';
+import {findRecords, type RecordSearch} from '../../connection/request-records.js';
 import {formatTable} from '../../request/format-table.js';
 import {ExitCode} from '../exit-code.js';
-import {loadSettings, OperatorCommand, openPlatform} from '../operator-command.js';
+import {findEntries} from '../find-entries.js';
+import {instanceFlags} from '../operator-flags.js';
+import {loadSettings, OperatorCommand} from '../operator-command.js';
 
 /**
 Explains what became of a request or job.
@@ -11,12 +13,13 @@
 export default class Explain extends OperatorCommand {
 	static override description = 'Explain what became of a recent request or job: where it went, what happened at each step, and why. Every instance is asked.';
 	static override examples = ['<%= config.bin %> <%= command.id %> sheet-2041', '<%= config.bin %> <%= command.id %> sheet-2041 --json'];
+	static override flags = instanceFlags;
 	static override args = {id: Args.string({description: 'identifier of the job, or of the request', required: true})};
 
 	async run(): Promise<RecordSearch> {
 		const {args: {id}, flags} = await this.parse(Explain);
 		const settings = await loadSettings(flags);
-		const search = await findRecords(await listEntries(openPlatform(settings)), id, settings.instances.timeoutMilliseconds);
+		const search = await findRecords(await findEntries(settings), id, settings.instances.timeoutMilliseconds);
 		const missing = search.unreachable.length > 0 ? `; ${search.unreachable.join(', ')} did not answer and may know more` : '';
 		if (search.records.length === 0) {
 			this.endWith(ExitCode.NotFound, `no instance remembers "${id}"${missing}; only recent requests and jobs are remembered, and none across a restart`, search);
@@ -31,7 +34,7 @@
 	}
 }
 
-const formatRecord = (record: ShownRecord): string => [
+const formatRecord = (record: RequestRecord): string => [
 	`${record.identifier} for ${record.service} on ${record.instance}, begun at ${record.startedAt}: ${record.outcome ?? 'no answer yet'}`,
 	...(record.fault === undefined ? [] : [`why: ${record.fault}: ${record.detail ?? ''}`]),
 	formatTable(['AFTER MS', 'STEP', 'TIMES', 'ENDPOINT', 'DETAIL'], record.steps.map(({at, kind, count = 1, endpoint = '', detail = ''}) => [at.toFixed(1), kind, String(count), endpoint, detail])),
--- a/packages/galenakeel/src/process/commands/status.ts
+++ b/packages/galenakeel/src/process/commands/status.ts
@@ -2,7 +2,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Flags} from '@oclif/core';
 import {readStatuses, type InstanceStatus} from '../../connection/instance-status.js';
-import {loadSettings, OperatorCommand, openPlatform} from '../operator-command.js';
+import {findEntries} from '../find-entries.js';
+import {loadSettings, OperatorCommand} from '../operator-command.js';
+import {instanceFlags} from '../operator-flags.js';
 import {formatStatus} from '../show-status.js';
 
 /**
@@ -14,9 +16,11 @@
 		'<%= config.bin %> <%= command.id %>',
 		'<%= config.bin %> <%= command.id %> --watch --interval 1000',
 		'<%= config.bin %> <%= command.id %> --json',
+		'<%= config.bin %> <%= command.id %> --instance 10.1.2.3:8002 --instance 10.1.2.4:8002',
 	];
 
 	static override flags = {
+		...instanceFlags,
 		watch: Flags.boolean({description: 'show it again and again until Ctrl-C; with --json, one line each time'}),
 		interval: Flags.integer({description: 'time between two looks of --watch, in milliseconds', default: 2000, min: 100}),
 	};
@@ -24,9 +28,8 @@
 	async run(): Promise<readonly InstanceStatus[]> {
 		const {flags} = await this.parse(Status);
 		const settings = await loadSettings(flags);
-		const platform = openPlatform(settings);
 		for (;;) {
-			const statuses = await readStatuses(platform, settings.instances.timeoutMilliseconds);
+			const statuses = await readStatuses(await findEntries(settings), settings.instances.timeoutMilliseconds);
 			if (!flags.watch) {
 				this.log(formatStatus(statuses));
 				return statuses;
--- a/packages/galenakeel/src/process/doctor-checks.ts
+++ b/packages/galenakeel/src/process/doctor-checks.ts
@@ -196,7 +196,7 @@
 			subject: 'instances',
 			verdict: Verdict.NotChecked,
 			detail: 'only the platform lists them',
-			remedy: 'Serving goes on with the documents in force; ask each instance\'s operators\' port for /v1/status.',
+			remedy: 'Serving goes on with the documents in force; look at the instances with "galenakeel status --instance ADDRESS", by their operators\' ports.',
 		}];
 	}
 
--- /dev/null
+++ b/packages/galenakeel/src/process/find-entries.ts
@@ -0,0 +1,36 @@
+import {InstanceRole, ListedState, type ListedInstance} from '@galenakeel/model/connection/platform-client.js';
+import {FaultKind, isFault} from '@galenakeel/model/request/fault.js';
+import {listEntries} from '../connection/instance-status.js';
+import {openPlatform} from './operator-command.js';
+import type {OperatorSettings} from './operator-settings.js';
+
+const entryAt = (operators: string): ListedInstance => ({
+	name: operators, role: InstanceRole.Entry, zone: '', address: '', operators, state: ListedState.Live, incarnation: '',
+});
+
+/**
+Finds the entry instances: those that the platform lists, or those of the settings while the platform is out of reach.
+
+@throws A fault of kind `PlatformUnavailable` when the platform does not answer and the settings name no instance.
+
+@example
+```
+const entries = await findEntries(await loadSettings(flags));
+```
+*/
+export const findEntries = async (settings: OperatorSettings): Promise<readonly ListedInstance[]> => {
+	const known = settings.instances.operators.map(operators => entryAt(operators));
+	if (settings.platform.address === undefined && known.length > 0) {
+		return known;
+	}
+
+	try {
+		return await listEntries(openPlatform(settings));
+	} catch (error) {
+		if (isFault(error, FaultKind.PlatformUnavailable) && known.length > 0) {
+			return known;
+		}
+
+		throw error;
+	}
+};
--- a/packages/galenakeel/src/process/operator-flags.ts
+++ b/packages/galenakeel/src/process/operator-flags.ts
@@ -15,6 +15,15 @@
 	}),
 };
 
+/**
+Flags of the commands that ask the entry instances.
+*/
+export const instanceFlags = {
+	instance: Flags.string({
+		description: 'operators\' port of an instance to ask, asked when the platform lists none; may be repeated', multiple: true, helpValue: '10.1.2.3:8002',
+	}),
+};
+
 /**
 Flags of the commands that act as a caller.
 */
--- a/packages/galenakeel/src/process/operator-settings.ts
+++ b/packages/galenakeel/src/process/operator-settings.ts
@@ -15,6 +15,8 @@
 	instances: z.strictObject({
 		/** Time that each entry instance has to answer. */
 		timeoutMilliseconds: milliseconds.default(defaultTimeoutMilliseconds),
+		/** Operators' ports of the entry instances, to be asked when the platform does not list them. */
+		operators: z.array(address).default([]),
 	}).prefault({}),
 	callers: z.strictObject({
 		/** Address that takes jobs: the balancer, or the callers' port of one instance. */
@@ -43,14 +45,21 @@
 /**
 What the flags and the environment say; they go before the settings file.
 */
-export type OperatorFlags = {readonly platform?: string | undefined; readonly callers?: string | undefined; readonly timeout?: number | undefined};
+export type OperatorFlags = {
+	readonly platform?: string | undefined;
+	readonly callers?: string | undefined;
+	readonly instance?: readonly string[] | undefined;
+	readonly timeout?: number | undefined;
+};
 
 /**
 Merges the flags into the settings.
 */
-export const applyFlags = (settings: OperatorSettings, {platform, callers, timeout}: OperatorFlags): OperatorSettings => ({
+export const applyFlags = (settings: OperatorSettings, {
+	platform, callers, instance, timeout,
+}: OperatorFlags): OperatorSettings => ({
 	platform: {address: platform ?? settings.platform.address, timeoutMilliseconds: timeout ?? settings.platform.timeoutMilliseconds},
-	instances: {timeoutMilliseconds: timeout ?? settings.instances.timeoutMilliseconds},
+	instances: {timeoutMilliseconds: timeout ?? settings.instances.timeoutMilliseconds, operators: [...instance ?? settings.instances.operators]},
 	callers: {address: callers ?? settings.callers.address},
 });
 
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -113,7 +113,7 @@
 		/** Share of the requests without a trace of their own that are traced; 0 turns tracing off. */
 		samplingRatio: z.number().min(0).max(1).default(0),
 		/** Where spans are sent by OTLP over HTTP, as in "http://10.1.2.3:4318/v1/traces". */
-		otlpUrl: z.url().optional(),
+		otlpUrl: z.url({protocol: /^https?$/v, error: 'must be a URL, as in "http://10.1.2.3:4318/v1/traces"'}).optional(),
 		/** File to which spans are added as JSON lines. */
 		file: z.string().min(1).optional(),
 	}).prefault({}),
--- a/packages/trials/src/process/__tests__/operators.feature
+++ b/packages/trials/src/process/__tests__/operators.feature
@@ -54,6 +54,9 @@
     Then the command ends with code 0 and says '"outcome": "complete"'
     When an operator types "job show nowhere-1"
     Then the command ends with code 10 and says "no instance holds"
+    When an operator types "explain sheets-9"
+    Then the command ends with code 0 and says "sheets-9 for paysheet on entry-1"
+    And the command ends with code 0 and says "answered"
     When an operator types "explain nowhere-1"
     Then the command ends with code 4 and says 'no instance remembers "nowhere-1"'
 
@@ -83,6 +86,8 @@
     And an operator types "document list"
     Then the command ends with code 7 and says "galenakeel: platform-unavailable: the platform at"
     And the command prints no stack trace
+    When an operator asks daemon 1 for its status
+    Then the command ends with code 0 and says "entry-1"
 
   Scenario: A settings file takes the place of flags, and its faults have places
     Given a file "settings.jsonc" with '{"platfrom": {}}'
--- a/packages/trials/src/process/__tests__/operators.steps.ts
+++ b/packages/trials/src/process/__tests__/operators.steps.ts
@@ -34,6 +34,10 @@
 	await runCommand(this, line);
 });
 
+When('an operator asks daemon {int} for its status', async function (this: FleetWorld, daemon: number) {
+	await runCommand(this, `status --instance ${this.running.daemons[daemon - 1]!.operators}`);
+});
+
 When('the operator replaces {string} by {string} in {string}', async function (this: FleetWorld, before: string, after: string, file: string) {
 	const path = join(this.running.directory, file);
 	const text = await readFile(path, 'utf8');
