--- a/packages/stand-ins/src/process/endpoint-stand-in.ts
+++ b/packages/stand-ins/src/process/endpoint-stand-in.ts
@@ -95,8 +95,9 @@
 			}
 
 			if (standIn.behaviour === EndpointBehaviour.FailAll) {
-				response.writeHead(500, {'content-length': 0});
-				response.end();
+				const text = `${task}:failed`;
+				response.writeHead(500, {'content-length': Buffer.byteLength(text)});
+				response.end(text);
 				return;
 			}
 
--- /dev/null
+++ b/packages/trials/src/process/answer-histories.ts
@@ -0,0 +1,113 @@
+import {Agent} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
+import {ProvePoint} from '../version/prove-point.js';
+import {
+	disturb, killEndpoint, misbehave, silenceCallers, silenceEndpoint, type Disturbance,
+} from './disturbances.js';
+import type {FaultHistory} from './fault-history.js';
+import {
+	createTrialHistory, idempotentService, runCallers, trialService, type Trial,
+} from './trial.js';
+
+const callers = 12;
+const requestsOfCaller = 6;
+// Above and below the bound up to which an answer is held before it is passed on.
+const longAnswers = [900_000, 1_500_000, 2_500_000];
+
+const endpointDisturbances: readonly Disturbance[] = [
+	...[EndpointBehaviour.FailAll, EndpointBehaviour.Freeze, EndpointBehaviour.HalfAnswer, EndpointBehaviour.NoLength].map(behaviour => misbehave(behaviour)),
+	killEndpoint,
+	silenceEndpoint,
+];
+
+const disturbEndpoints = async (trial: Trial): Promise<void> => {
+	for (let round = 0; round < 2; round++) {
+		await trial.wait(200);
+		await trial.random.pick(endpointDisturbances)(trial);
+	}
+};
+
+/**
+Callers with a connection of their own send single requests one after the other, some of which run longer than their time-out.
+*/
+const sendSingles = async (trial: Trial, service: string): Promise<void> => runCallers(trial, callers, 200, async caller => {
+	const agent = new Agent({keepAlive: true, maxSockets: 1});
+	for (let request = 0; request < requestsOfCaller; request++) {
+		await trial.submit({
+			name: `${service}-${caller}-${request}`, service, instance: trial.random.pick(trial.instances), runMilliseconds: trial.random.pick([5, 20, 60, 60, 590, 610]), agent,
+		});
+	}
+
+	agent.destroy();
+});
+
+const createSinglesHistory = (point: ProvePoint): FaultHistory => createTrialHistory(point, {}, async trial => {
+	await Promise.all([disturbEndpoints(trial), disturb(trial), sendSingles(trial, trialService)]);
+});
+
+/**
+Endpoints fail in every way while callers reuse their connections: no answer may be cut or meet another request.
+*/
+export const crossedHistory: FaultHistory = createSinglesHistory(ProvePoint.WholeAnswer);
+
+/**
+Endpoints fail in every way: a request that may start once is never sent again.
+*/
+export const unrepeatableHistory: FaultHistory = createSinglesHistory(ProvePoint.AtMostOnce);
+
+/**
+Requests that may be sent again share the endpoints with some that may not.
+*/
+export const mixedHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
+	await Promise.all([disturbEndpoints(trial), sendSingles(trial, trialService), sendSingles(trial, idempotentService)]);
+});
+
+/**
+Long answers are passed on while their endpoints or callers fail.
+*/
+export const longAnswerHistory: FaultHistory = createTrialHistory(ProvePoint.WholeAnswer, {}, async trial => {
+	const fail = trial.random.pick([killEndpoint, misbehave(EndpointBehaviour.HalfAnswer), silenceEndpoint, silenceCallers]);
+	await Promise.all([
+		(async () => {
+			await trial.wait(150);
+			await fail(trial);
+		})(),
+		runCallers(trial, callers, 200, async caller => {
+			await trial.submit({
+				name: `long-${caller}`, instance: trial.random.pick(trial.instances), answerBytes: trial.random.pick(longAnswers), patienceMilliseconds: 1500,
+			});
+		}),
+	]);
+	await trial.submit({name: 'last', instance: trial.instances[1]!});
+});
+
+/**
+Jobs run on endpoints that fail in every way: their answer is whole or failed.
+*/
+export const failingEndpointsHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
+	await Promise.all([
+		disturbEndpoints(trial),
+		disturb(trial),
+		runCallers(trial, callers, 400, async caller => {
+			const job = {name: `job-${caller}`, tasks: 6};
+			await trial.submit({...job, instance: trial.random.pick(trial.instances)});
+			await sleep(5);
+			await trial.submit({...job, instance: trial.random.pick(trial.instances)});
+		}),
+	]);
+});
+
+/**
+Jobs with long answers are submitted to one instance and repeated at another, while an endpoint fails.
+*/
+export const longJobHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
+	await Promise.all([
+		disturbEndpoints(trial),
+		runCallers(trial, 6, 200, async caller => {
+			const job = {name: `job-${caller}`, tasks: 3, answerBytes: trial.random.pick(longAnswers)};
+			await trial.submit({...job, instance: trial.random.pick(trial.instances)});
+			await trial.submit({...job, instance: trial.random.pick(trial.instances)});
+		}),
+	]);
+});
--- a/packages/trials/src/process/history-recorder.ts
+++ b/packages/trials/src/process/history-recorder.ts
@@ -32,6 +32,8 @@
 
 const pathOf = (task: string, {runMilliseconds, answerBytes = 0}: RecordedSubmission): string => `/sheet?task=${task}&run=${runMilliseconds}&bytes=${answerBytes}`;
 
+const stillRunning = 202;
+
 const sendSingle = async (address: string, submission: RecordedSubmission, options: CallOptions): Promise<CallerResult> => {
 	const {service, tasks: [task], deadlineMilliseconds, idempotencyKey} = submission;
 	const headers: Record<string, string> = {
@@ -77,3 +79,22 @@
 		history.starts.push(...standIn.starts().map(start => ({...start, endpoint: address})));
 	}
 };
+
+/**
+Looks at a job as a caller, or cancels it, and records the answer if there is one yet.
+*/
+export const recordInspection = async (fleet: Fleet, history: History, inspection: {
+	readonly method: 'GET' | 'DELETE';
+	readonly instance: string;
+	readonly identifier: string;
+	readonly tasks: readonly string[];
+}): Promise<void> => {
+	const {method, instance, identifier, tasks} = inspection;
+	const sentAt = Date.now();
+	const {outcome, status, text, isCut} = await submitAsCaller(fleet.callersOf(instance), method, `/v1/jobs/${encodeURIComponent(identifier)}`, {timeoutMilliseconds: 5000});
+	if (status !== stillRunning) {
+		history.operations.push({
+			identifier, tasks, sentAt, endedAt: Date.now(), outcome, status, text, isCut, isDisturbed: true,
+		});
+	}
+};
--- /dev/null
+++ b/packages/trials/src/process/holder-histories.ts
@@ -0,0 +1,172 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {ProvePoint} from '../version/prove-point.js';
+import {disturb} from './disturbances.js';
+import type {FaultHistory} from './fault-history.js';
+import {
+	createTrialHistory, runCallers, waitUntil, type Trial, type TrialSubmission,
+} from './trial.js';
+
+const callers = 12;
+const tasksInJob = 4;
+const stepTimeoutMilliseconds = 1000;
+const pauseMilliseconds = 1200;
+
+/**
+How far the jobs have come when their holder fails.
+*/
+enum JobStep {
+	/** The claim is on its way. */
+	BeforeClaim = 'before-claim',
+	/** A claim is in the table. */
+	AfterClaim = 'after-claim',
+	/** A task has started. */
+	AfterStart = 'after-start',
+	/** Some tasks have answered. */
+	MidAnswer = 'mid-answer',
+	/** A caller has its answer. */
+	AfterAnswer = 'after-answer',
+}
+
+const hasStarts = ({fleet}: Trial): boolean => fleet.endpoints.some(({standIn}) => standIn.starts().length > 0);
+
+const untilStep = async (trial: Trial, step: JobStep): Promise<void> => {
+	const {fleet, history, wait} = trial;
+	switch (step) {
+		case JobStep.BeforeClaim: {
+			fleet.platform.faults.delayMilliseconds = 100;
+			await sleep(50);
+			fleet.platform.faults.delayMilliseconds = 0;
+			return;
+		}
+
+		case JobStep.AfterClaim: {
+			await waitUntil(() => fleet.platform.rows().some(({key}) => key.startsWith('claim/')), stepTimeoutMilliseconds);
+			return;
+		}
+
+		case JobStep.AfterStart: {
+			await waitUntil(() => hasStarts(trial), stepTimeoutMilliseconds);
+			return;
+		}
+
+		case JobStep.MidAnswer: {
+			await waitUntil(() => hasStarts(trial), stepTimeoutMilliseconds);
+			await wait(60);
+			return;
+		}
+
+		case JobStep.AfterAnswer: {
+			await waitUntil(() => history.operations.length > 0, stepTimeoutMilliseconds);
+		}
+	}
+};
+
+/**
+Submits through the holder, at the same moment or afterwards through the others, and again at the end.
+*/
+const submitEverywhere = async (trial: Trial, submission: Omit<TrialSubmission, 'instance'>): Promise<void> => {
+	const {instances, random, submit} = trial;
+	const [holder, second, third] = instances as [string, string, string];
+	await Promise.all([
+		submit({...submission, instance: holder}),
+		(async () => {
+			await sleep(random.pick([0, 2, 100, 300]));
+			await submit({...submission, instance: second});
+		})(),
+	]);
+	await submit({...submission, instance: random.pick([holder, third])});
+};
+
+const jobOf = (caller: number): Omit<TrialSubmission, 'instance'> => ({name: `job-${caller}`, tasks: tasksInJob});
+
+const keyOf = (caller: number): Omit<TrialSubmission, 'instance'> => ({name: `key-${caller}`, isKeyed: true});
+
+const killHolder = async (trial: Trial, step: JobStep): Promise<void> => {
+	const {fleet, random, disturbed, instances} = trial;
+	const holder = instances[0]!;
+	await untilStep(trial, step);
+	disturbed.add(holder);
+	fleet.daemons[0]!.signal('SIGKILL');
+	if (random.fraction() < 0.5) {
+		await fleet.daemons[0]!.exited;
+		await fleet.restart(holder);
+	}
+};
+
+const pauseHolder = async (trial: Trial): Promise<void> => {
+	const {fleet, random, disturbed, instances} = trial;
+	await untilStep(trial, random.pick(Object.values(JobStep)));
+	disturbed.add(instances[0]!);
+	fleet.daemons[0]!.signal('SIGSTOP');
+	await sleep(pauseMilliseconds);
+	fleet.daemons[0]!.signal('SIGCONT');
+};
+
+const createKillHistory = (step: JobStep): FaultHistory => createTrialHistory(ProvePoint.StartsOnce, {}, async trial => {
+	await Promise.all([
+		killHolder(trial, step),
+		disturb(trial),
+		runCallers(trial, callers, 150, async caller => submitEverywhere(trial, jobOf(caller))),
+	]);
+});
+
+/**
+A daemon is killed at each step of its jobs; every job is submitted again elsewhere.
+*/
+export const killHistories: readonly FaultHistory[] = Object.values(JobStep).map(step => createKillHistory(step));
+
+/**
+A daemon is paused for longer than every time-out while others get its jobs.
+*/
+export const pauseHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {}, async trial => {
+	await Promise.all([
+		pauseHolder(trial),
+		disturb(trial),
+		runCallers(trial, callers, 150, async caller => submitEverywhere(trial, {...jobOf(caller), deadlineMilliseconds: 800, patienceMilliseconds: 2500})),
+	]);
+});
+
+/**
+Every job is submitted through all instances at the same moment, again and again, while a fault comes about.
+*/
+export const raceHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {}, async trial => {
+	await Promise.all([
+		disturb(trial),
+		disturb(trial),
+		runCallers(trial, callers * 2, 300, async caller => {
+			for (let round = 0; round < 2; round++) {
+				await Promise.all(trial.instances.map(async instance => trial.submit({...jobOf(caller), instance})));
+			}
+		}),
+	]);
+});
+
+/**
+Answers are dropped at once, and jobs repeated while the platform can't be read: a repeat finds neither answer nor claim.
+*/
+export const forgottenHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {
+	size: {settings: {platform: {pollMilliseconds: 100, timeoutMilliseconds: 200}, answers: {retentionMilliseconds: 1}}},
+}, async trial => {
+	const {fleet, random, instances, submit} = trial;
+	const submitAll = async (): Promise<void> => runCallers(trial, callers, 50, async caller => {
+		await submit({...jobOf(caller), instance: random.pick(instances), deadlineMilliseconds: 500});
+	});
+	await submitAll();
+	// The sweep of answers runs twice a second.
+	await sleep(700);
+	fleet.platform.faults.isDown = true;
+	await submitAll();
+	fleet.platform.faults.isDown = false;
+	await submitAll();
+});
+
+/**
+Keyed single requests are sent through two instances at once while one is killed.
+*/
+export const keyedHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
+	await Promise.all([
+		killHolder(trial, trial.random.pick(Object.values(JobStep))),
+		disturb(trial),
+		runCallers(trial, callers * 2, 150, async caller => submitEverywhere(trial, keyOf(caller))),
+	]);
+});
--- /dev/null
+++ b/packages/trials/src/process/refusal-histories.ts
@@ -0,0 +1,113 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import {ProvePoint} from '../version/prove-point.js';
+import {cutOneWay, disturb, stopPlatform} from './disturbances.js';
+import type {FaultHistory} from './fault-history.js';
+import {recordInspection} from './history-recorder.js';
+import {
+	createTrialHistory, runCallers, tasksOf, trialService, type Trial, type TrialSubmission,
+} from './trial.js';
+
+const callers = 30;
+const pauseMilliseconds = 500;
+// Longer than the clocks' steps, so that a repeat's start is later than the refusal's end.
+const betweenAttemptsMilliseconds = 5;
+const fewSlots = {slots: 2};
+
+const pickInstance = ({random, instances}: Trial): string => random.pick(instances);
+
+/**
+Submits a job again after each refusal, through any instance.
+*/
+const submitUntilRun = async (trial: Trial, job: Omit<TrialSubmission, 'instance'>): Promise<void> => {
+	for (let attempt = 0; attempt < 4; attempt++) {
+		const {outcome} = await trial.submit({...job, instance: pickInstance(trial)});
+		if (outcome !== Outcome.NotRun) {
+			return;
+		}
+
+		await sleep(betweenAttemptsMilliseconds);
+	}
+};
+
+const shortJob = (trial: Trial, caller: number): Omit<TrialSubmission, 'instance'> => ({
+	name: `job-${caller}`, tasks: trial.random.integer(1, 5), deadlineMilliseconds: trial.random.integer(30, 300),
+});
+
+/**
+More jobs come than the endpoints can take before their deadlines.
+*/
+export const overloadHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots, document: {maximumQueueMilliseconds: 100}}, async trial => {
+	await Promise.all([
+		disturb(trial),
+		runCallers(trial, callers, 200, async caller => submitUntilRun(trial, shortJob(trial, caller))),
+		runCallers(trial, callers, 200, async caller => {
+			await trial.submit({name: `request-${caller}`, instance: pickInstance(trial), deadlineMilliseconds: trial.random.integer(30, 300)});
+		}),
+	]);
+});
+
+/**
+An instance with waiting tasks is paused beyond their deadlines.
+*/
+export const pausedQueueHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots}, async trial => {
+	const pause = async (): Promise<void> => {
+		await trial.wait(150);
+		trial.disturbed.add(trial.instances[0]!);
+		trial.fleet.daemons[0]!.signal('SIGSTOP');
+		await sleep(pauseMilliseconds);
+		trial.fleet.daemons[0]!.signal('SIGCONT');
+	};
+
+	await Promise.all([
+		pause(),
+		disturb(trial),
+		runCallers(trial, callers, 200, async caller => submitUntilRun(trial, shortJob(trial, caller))),
+	]);
+});
+
+/**
+Jobs are cancelled all at once, through any instance, and submitted again.
+*/
+export const cancelWaveHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots, document: {maximumQueueMilliseconds: 5000}}, async trial => {
+	const jobs = Array.from({length: callers}, (_, caller) => ({name: `job-${caller}`, tasks: 4, runMilliseconds: 40}));
+	const cancelAll = async (): Promise<void> => {
+		await sleep(trial.random.integer(20, 300));
+		await Promise.all(jobs.map(async job => recordInspection(trial.fleet, trial.history, {
+			method: 'DELETE', instance: pickInstance(trial), identifier: job.name, tasks: tasksOf(job),
+		})));
+	};
+
+	await Promise.all([
+		cancelAll(),
+		disturb(trial),
+		...jobs.map(async job => {
+			await trial.submit({...job, instance: pickInstance(trial)});
+			await sleep(betweenAttemptsMilliseconds);
+			await trial.submit({...job, instance: pickInstance(trial)});
+		}),
+	]);
+});
+
+/**
+Jobs are looked at while the platform or their holder is out of reach.
+*/
+export const outOfReachHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {}, async trial => {
+	const jobs = Array.from({length: callers}, (_, caller) => ({name: `job-${caller}`, tasks: 2}));
+	await Promise.all(jobs.map(async job => trial.submit({...job, instance: pickInstance(trial)})));
+	await Promise.all([
+		trial.random.pick([stopPlatform, cutOneWay])(trial),
+		...jobs.map(async job => {
+			await trial.wait(300);
+			await recordInspection(trial.fleet, trial.history, {
+				method: 'GET', instance: pickInstance(trial), identifier: job.name, tasks: tasksOf(job),
+			});
+		}),
+		...jobs.map(async job => {
+			await trial.wait(300);
+			await trial.submit({
+				...job, service: trialService, instance: pickInstance(trial), deadlineMilliseconds: 300,
+			});
+		}),
+	]);
+});
--- a/packages/trials/src/request/__tests__/check-history.steps.ts
+++ b/packages/trials/src/request/__tests__/check-history.steps.ts
@@ -7,7 +7,7 @@
 type HistoryWorld = {history: History};
 
 const jobText = (tasks: readonly string[], bodies = tasks.map(task => `${task}:${task}`)): string =>
-	JSON.stringify({outcome: Outcome.Complete, tasks: bodies.map(body => ({outcome: Outcome.Complete, body}))});
+	JSON.stringify({outcome: Outcome.Complete, tasks: bodies.map(body => ({outcome: Outcome.Complete, status: 200, body}))});
 
 const problemText = (outcome: Outcome): string => JSON.stringify({type: 'urn:galenakeel:fault:internal', outcome});
 
