Leave out of a heartbeat what its stream has already said

Ruled out: another message for the difference (two kinds of message on a stream and twice the handling); dropping addresses altogether (a peer that is not on the lagging list is reached by them).

Change: the first heartbeat of a stream is whole, a later one leaves out what is unchanged; the reader gives whole heartbeats to membership. All streams beat together, so that a heartbeat is described and compared once, not once for each peer.

--- /dev/null
+++ b/packages/galenakeeld/src/connection/heartbeat-stream.ts
@@ -0,0 +1,116 @@
+import * as wire from '@galenakeel/model/connection/generated/peer.js';
+import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
+import type {PeerHeartbeat, SlotHint} from '../process/membership.js';
+import {heartbeatFromWire, heartbeatToWire} from './peer-encoding.js';
+
+/**
+Encodes the heartbeats of one stream, each without what the one before it said.
+*/
+export type HeartbeatWriter = (heartbeat: PeerHeartbeat) => wire.Heartbeat;
+
+/**
+Decodes the heartbeats of one stream to whole ones.
+
+@throws A fault of kind `MalformedRequest` when the first message of the stream leaves something out.
+*/
+export type HeartbeatReader = (message: wire.Heartbeat) => PeerHeartbeat;
+
+const emptyMessage: wire.Heartbeat = wire.Heartbeat.decode(new Uint8Array());
+
+const isSameHint = (first: SlotHint | undefined, second: SlotHint): boolean =>
+	first?.free === second.free && first.waiting === second.waiting;
+
+const byService = (hints: readonly SlotHint[]): ReadonlyMap<string, SlotHint> => new Map(hints.map(hint => [hint.service, hint]));
+
+const isSameSender = (first: PeerHeartbeat, second: PeerHeartbeat): boolean =>
+	first.instance === second.instance
+	&& first.incarnation === second.incarnation
+	&& first.zone === second.zone
+	&& first.weight === second.weight
+	&& first.callerAddress === second.callerAddress
+	&& first.peerAddress === second.peerAddress
+	&& first.operatorAddress === second.operatorAddress;
+
+const containsAll = (names: ReadonlySet<string>, wanted: readonly string[]): boolean => wanted.every(name => names.has(name));
+
+/** What was said once can only be added to, so a service or a mark that went away needs a whole heartbeat. */
+const canContinue = (previous: PeerHeartbeat, next: PeerHeartbeat): boolean =>
+	isSameSender(previous, next)
+	&& containsAll(new Set(next.hints.map(({service}) => service)), previous.hints.map(({service}) => service))
+	&& containsAll(new Set(next.leavingEndpoints), previous.leavingEndpoints);
+
+const leaveOutUnchanged = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
+	const whole = heartbeatToWire(next);
+	const hints = byService(previous.hints);
+	const marks = new Set(previous.leavingEndpoints);
+	return {
+		...emptyMessage,
+		continues: true,
+		state: next.state === previous.state ? wire.InstanceState.INSTANCE_STATE_UNSPECIFIED : whole.state,
+		catalogueVersion: next.catalogueVersion === previous.catalogueVersion ? 0 : next.catalogueVersion,
+		intervalMilliseconds: next.intervalMilliseconds === previous.intervalMilliseconds ? 0 : next.intervalMilliseconds,
+		freeSlots: next.hints.filter(hint => !isSameHint(hints.get(hint.service), hint)),
+		leavingEndpoints: next.leavingEndpoints.filter(mark => !marks.has(mark)),
+	};
+};
+
+const fillIn = (previous: PeerHeartbeat, message: wire.Heartbeat): PeerHeartbeat => {
+	const {state, catalogueVersion, intervalMilliseconds, hints, leavingEndpoints} = heartbeatFromWire(message);
+	return {
+		...previous,
+		state: message.state === wire.InstanceState.INSTANCE_STATE_UNSPECIFIED ? previous.state : state,
+		catalogueVersion: catalogueVersion === 0 ? previous.catalogueVersion : catalogueVersion,
+		intervalMilliseconds: intervalMilliseconds === 0 ? previous.intervalMilliseconds : intervalMilliseconds,
+		hints: hints.length === 0 ? previous.hints : [...byService([...previous.hints, ...hints]).values()],
+		leavingEndpoints: leavingEndpoints.length === 0 ? previous.leavingEndpoints : [...previous.leavingEndpoints, ...leavingEndpoints],
+	};
+};
+
+type Difference = {readonly previous: PeerHeartbeat; readonly message: wire.Heartbeat};
+
+// All streams send the same heartbeats in turn, so the difference of two is worked out once.
+const differences = new WeakMap<PeerHeartbeat, Difference>();
+
+const encodeDifference = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
+	const known = differences.get(next);
+	if (known?.previous === previous) {
+		return known.message;
+	}
+
+	const message = canContinue(previous, next) ? leaveOutUnchanged(previous, next) : heartbeatToWire(next);
+	differences.set(next, {previous, message});
+	return message;
+};
+
+/**
+Creates the writer of a stream on which nothing was sent.
+
+@example
+```
+const write = createHeartbeatWriter();
+stream.write(write(source.current()));
+```
+*/
+export const createHeartbeatWriter = (): HeartbeatWriter => {
+	let previous: PeerHeartbeat | undefined;
+	return heartbeat => {
+		const message = previous ? encodeDifference(previous, heartbeat) : heartbeatToWire(heartbeat);
+		previous = heartbeat;
+		return message;
+	};
+};
+
+/**
+Creates the reader of a stream on which nothing was received.
+*/
+export const createHeartbeatReader = (): HeartbeatReader => {
+	let previous: PeerHeartbeat | undefined;
+	return message => {
+		if (message.continues && !previous) {
+			throw createFault(FaultKind.MalformedRequest, 'the first heartbeat of a stream leaves something out');
+		}
+
+		previous = message.continues ? fillIn(previous!, message) : heartbeatFromWire(message);
+		return previous;
+	};
+};
--- a/packages/galenakeeld/src/connection/peer-connection.ts
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -18,7 +18,7 @@
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
 import type {PeerHeartbeat} from '../process/membership.js';
 import type {PeerClientConstructor} from './counted-peer-service.js';
-import {heartbeatFromWire, heartbeatToWire} from './peer-encoding.js';
+import {createHeartbeatReader, createHeartbeatWriter} from './heartbeat-stream.js';
 
 const maximumMessageBytes = 134_217_728;
 const reconnectPauseMilliseconds = 200;
@@ -139,9 +139,10 @@
 };
 
 const receiveHeartbeats = async (stream: AsyncIterable<Heartbeat>, hear: (heartbeat: PeerHeartbeat) => void): Promise<void> => {
+	const read = createHeartbeatReader();
 	try {
 		for await (const message of stream) {
-			hear(heartbeatFromWire(message));
+			hear(read(message));
 		}
 	} catch {
 		// A broken stream ends the loop like one that was closed; the caller reconnects.
@@ -152,8 +153,9 @@
 Sends heartbeats on a stream until it closes or the signal aborts.
 */
 export const sendHeartbeats = async (stream: Writable, source: HeartbeatSource, signal: AbortSignal): Promise<void> => {
+	const write = createHeartbeatWriter();
 	while (!signal.aborted && stream.writable) {
-		stream.write(heartbeatToWire(source.current()));
+		stream.write(write(source.current()));
 		await source.untilNext();
 	}
 };
--- a/packages/galenakeeld/src/connection/peer-encoding.ts
+++ b/packages/galenakeeld/src/connection/peer-encoding.ts
@@ -137,7 +137,7 @@
 });
 
 /**
-Encodes a heartbeat.
+Encodes a whole heartbeat.
 */
 export const heartbeatToWire = (heartbeat: PeerHeartbeat): wire.Heartbeat => ({
 	instance: heartbeat.instance,
@@ -152,12 +152,13 @@
 	callerAddress: heartbeat.callerAddress,
 	operatorAddress: heartbeat.operatorAddress,
 	peerAddress: heartbeat.peerAddress,
+	continues: false,
 });
 
 /**
-Decodes a heartbeat.
+Decodes the fields that a heartbeat holds.
 */
-export const heartbeatFromWire = ({freeSlots, ...heartbeat}: wire.Heartbeat): PeerHeartbeat => ({
+export const heartbeatFromWire = ({freeSlots, continues: _continues, ...heartbeat}: wire.Heartbeat): PeerHeartbeat => ({
 	...heartbeat, state: stateFromWire(heartbeat.state), hints: freeSlots,
 });
 
--- a/packages/galenakeeld/src/connection/peer-service.ts
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -9,9 +9,10 @@
 import type {PeerHeartbeat} from '../process/membership.js';
 import type {JobView} from '../request/inspect-submission.js';
 import {createCountedPeerService, type CountPeerMessage} from './counted-peer-service.js';
+import {createHeartbeatReader} from './heartbeat-stream.js';
 import {channelOptions, sendHeartbeats, type HeartbeatSource} from './peer-connection.js';
 import {
-	answerToWire, heartbeatFromWire, jobViewToWire, submissionFromWire,
+	answerToWire, jobViewToWire, submissionFromWire,
 } from './peer-encoding.js';
 
 /**
@@ -53,9 +54,10 @@
 		ended.abort();
 	});
 	void sendHeartbeats(stream, handlers.heartbeats, ended.signal);
+	const read = createHeartbeatReader();
 	try {
 		for await (const message of stream as AsyncIterable<Heartbeat>) {
-			handlers.hear(heartbeatFromWire(message));
+			handlers.hear(read(message));
 		}
 	} catch {
 		// A broken stream ends like a closed one; the peer dials again.
--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -11,7 +11,7 @@
 };
 
 /**
-Creates the source of this instance's heartbeats.
+Creates the source of this instance's heartbeats. All streams send at the same time, so that each heartbeat is described once.
 
 @param current Says what the next heartbeat holds.
 
@@ -22,22 +22,28 @@
 ```
 */
 export const createHeartbeatSource = (current: () => PeerHeartbeat, intervalMilliseconds: number): SharedHeartbeatSource => {
-	let announced = createDeferred<void>();
+	let next = createDeferred<void>();
+	let timer: NodeJS.Timeout | undefined;
+	let described: PeerHeartbeat | undefined;
+
+	const beat = (): void => {
+		clearTimeout(timer);
+		timer = undefined;
+		described = undefined;
+		const before = next;
+		next = createDeferred<void>();
+		before.resolve();
+	};
+
 	return {
-		current,
-		async untilNext() {
-			const {promise} = announced;
-			let timer: NodeJS.Timeout | undefined;
-			const due = new Promise<void>(resolve => {
-				timer = setTimeout(resolve, intervalMilliseconds);
-			});
-			await Promise.race([due, promise]);
-			clearTimeout(timer);
+		current() {
+			described ??= current();
+			return described;
 		},
-		announce() {
-			const before = announced;
-			announced = createDeferred<void>();
-			before.resolve();
+		async untilNext() {
+			timer ??= setTimeout(beat, intervalMilliseconds);
+			return next.promise;
 		},
+		announce: beat,
 	};
 };
