--- a/packages/galenakeeld/src/process/daemon-gauges.ts
+++ b/packages/galenakeeld/src/process/daemon-gauges.ts
@@ -13,10 +13,10 @@
 	name, help, type, samples: [{labels: {}, value}],
 });
 
-const byService = (dispatchers: ServiceDispatchers, options: {name: string; help: string; type?: MetricType; measure: (service: DispatchedService) => number}): MetricFamily => ({
+const byService = (dispatchers: ServiceDispatchers, options: {name: string; help: string; measure: (service: DispatchedService) => number}): MetricFamily => ({
 	name: options.name,
 	help: options.help,
-	type: options.type ?? MetricType.Gauge,
+	type: MetricType.Gauge,
 	samples: [...dispatchers.all()].map(([service, dispatched]) => ({labels: {service}, value: options.measure(dispatched)})),
 });
 
