Scale the time between heartbeats with the number of instances

Cause: with many peers a fixed interval of 500 ms costs bytes and processor time in proportion to their number.

Change: the interval is min * sqrt(N - 1) * 0.25 between 500 ms and 5 s (Constellation Heartbeat Protocol, congestion control); it stays 500 ms up to 17 instances. Each heartbeat announces the time until the next, so a longer one is known before it begins.

--- /dev/null
+++ b/packages/galenakeeld/src/process/__tests__/heartbeat-interval.feature
@@ -0,0 +1,17 @@
+Feature: The time between heartbeats grows with the number of instances
+
+  Scenario Outline: The interval follows the square root of the number of instances
+    Then with <instances> instances the interval is <milliseconds> ms
+
+    Examples:
+      | instances | milliseconds |
+      | 1         | 500          |
+      | 9         | 500          |
+      | 17        | 500          |
+      | 101       | 1250         |
+      | 100000    | 5000         |
+
+  Scenario: A longer interval is announced before it begins
+    Given a source of heartbeats with an interval of 500 ms
+    When the interval becomes 2000 ms
+    Then the heartbeat at 500 ms announces 2000 ms and the next comes at 2500 ms
--- /dev/null
+++ b/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {scaleHeartbeatInterval} from '../heartbeat-interval.js';
+import {createHeartbeatSource, type SharedHeartbeatSource} from '../heartbeat-source.js';
+import {InstanceState} from '../membership.js';
+
+type PaceWorld = {source: SharedHeartbeatSource; interval: number; clock: Clock};
+
+const defaults = {heartbeatMilliseconds: 500, maximumHeartbeatMilliseconds: 5000, heartbeatLoadFactor: 0.25};
+
+Then('with {int} instances the interval is {int} ms', (instances: number, milliseconds: number) => {
+	assert.equal(scaleHeartbeatInterval(defaults, instances), milliseconds);
+});
+
+Given('a source of heartbeats with an interval of {int} ms', function (this: PaceWorld, interval: number) {
+	this.interval = interval;
+	this.source = createHeartbeatSource(() => ({
+		instance: 'entry-1', incarnation: 'i1', zone: 'zone-a', weight: 1, callerAddress: '', peerAddress: '', operatorAddress: '', state: InstanceState.Serving, catalogueVersion: 0, intervalMilliseconds: this.interval, hints: [], leavingEndpoints: [],
+	}));
+});
+
+When('the interval becomes {int} ms', function (this: PaceWorld, interval: number) {
+	this.source.current();
+	this.interval = interval;
+});
+
+Then('the heartbeat at {int} ms announces {int} ms and the next comes at {int} ms', async function (this: PaceWorld, first: number, announced: number, second: number) {
+	const clock = install();
+	try {
+		const beats: number[] = [];
+		const send = async (): Promise<void> => {
+			for (;;) {
+				await this.source.untilNext();
+				beats.push(clock.now);
+				assert.equal(this.source.current().intervalMilliseconds, announced);
+			}
+		};
+
+		const start = clock.now;
+		void send();
+		await clock.tickAsync(second);
+		assert.deepEqual(beats.map(at => at - start), [first, second]);
+	} finally {
+		clock.uninstall();
+	}
+});
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -17,6 +17,7 @@
 import type {DaemonSettings} from './daemon-settings.js';
 import {describeDaemon} from './daemon-status.js';
 import {drain} from './drain.js';
+import {scaleHeartbeatInterval} from './heartbeat-interval.js';
 import {createHeartbeatSource} from './heartbeat-source.js';
 import {createLendingCalls, lendSlots} from './lending-calls.js';
 import {createHolderCalls} from './holder-calls.js';
@@ -104,11 +105,11 @@
 		...self,
 		state: membership.state,
 		catalogueVersion: catalogue.catalogueVersion(),
-		intervalMilliseconds: settings.peers.heartbeatMilliseconds,
+		intervalMilliseconds: scaleHeartbeatInterval(settings.peers, membership.listedPeers().length + 1),
 		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.ledger.free(), waiting: dispatcher.waiting()})),
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
-	const heartbeats = createHeartbeatSource(describeSelf, settings.peers.heartbeatMilliseconds);
+	const heartbeats = createHeartbeatSource(describeSelf);
 	const directory = createPeerDirectory(self, membership, heartbeats, createCountedPeerClient(countPeerMessage));
 	const claims = createClaimWriter({
 		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1), onNonce: register.issue,
--- /dev/null
+++ b/packages/galenakeeld/src/process/heartbeat-interval.ts
@@ -0,0 +1,25 @@
+/**
+Bounds of the time between heartbeats.
+*/
+export type HeartbeatPace = {
+	readonly heartbeatMilliseconds: number;
+	readonly maximumHeartbeatMilliseconds: number;
+	/** Weight of the number of instances; 0 keeps the interval fixed. */
+	readonly heartbeatLoadFactor: number;
+};
+
+/**
+Scales the time between heartbeats with the square root of the number of instances, in milliseconds.
+
+`min(maximum, max(minimum, minimum * sqrt(N - 1) * l))` with N instances and the load factor l (Constellation Heartbeat Protocol, "Congestion Control").
+
+@example
+```
+scaleHeartbeatInterval({heartbeatMilliseconds: 500, maximumHeartbeatMilliseconds: 5000, heartbeatLoadFactor: 0.25}, 101); // => 1250
+```
+*/
+export const scaleHeartbeatInterval = (pace: HeartbeatPace, instances: number): number => {
+	const {heartbeatMilliseconds: minimum, maximumHeartbeatMilliseconds: maximum, heartbeatLoadFactor} = pace;
+	const scaled = minimum * Math.sqrt(Math.max(0, instances - 1)) * heartbeatLoadFactor;
+	return Math.round(Math.min(Math.max(minimum, maximum), Math.max(minimum, scaled)));
+};
--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -13,15 +13,15 @@
 /**
 Creates the source of this instance's heartbeats. All streams send at the same time, so that each heartbeat is described once.
 
-@param current Says what the next heartbeat holds.
+@param current Says what the next heartbeat holds, and how long it is until the one after it.
 
 @example
 ```
-const heartbeats = createHeartbeatSource(() => describeSelf(), 500);
+const heartbeats = createHeartbeatSource(() => describeSelf());
 heartbeats.announce();
 ```
 */
-export const createHeartbeatSource = (current: () => PeerHeartbeat, intervalMilliseconds: number): SharedHeartbeatSource => {
+export const createHeartbeatSource = (current: () => PeerHeartbeat): SharedHeartbeatSource => {
 	let next = createDeferred<void>();
 	let timer: NodeJS.Timeout | undefined;
 	let described: PeerHeartbeat | undefined;
@@ -41,7 +41,8 @@
 			return described;
 		},
 		async untilNext() {
-			timer ??= setTimeout(beat, intervalMilliseconds);
+			// The interval that the last heartbeat announced, so that peers know of a longer one before it begins.
+			timer ??= setTimeout(beat, described?.intervalMilliseconds);
 			return next.promise;
 		},
 		announce: beat,
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -184,7 +184,10 @@
 
 	return {
 		wake() {
-			woken.resolve();
+			// Without a shortfall or a holding there is nothing to do, and there may be hundreds of services.
+			if (options.shortfall() > 0 || leases.lenders().length > 0) {
+				woken.resolve();
+			}
 		},
 		async run() {
 			for (;;) {
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -199,6 +199,7 @@
 			}
 
 			demand = {...demand, avoidedEndpoint: answer.endpoint};
+			run.note({kind: RecordStepKind.Retried});
 		} catch (error) {
 			const fault = isFault(error) ? error.name : FaultKind.Internal;
 			if (isLast || !isRetriable(record, task, run, fault)) {
--- a/packages/trials/src/process/fake-peers.ts
+++ b/packages/trials/src/process/fake-peers.ts
@@ -50,7 +50,7 @@
 		const calls = createPeerCalls(options.daemonAddress);
 		allCalls.push(calls);
 		void runPeerConnection(calls, {
-			source: createHeartbeatSource(() => describePeer(position, options.zone), heartbeatMilliseconds),
+			source: createHeartbeatSource(() => describePeer(position, options.zone)),
 			hear() {
 				// A fake peer keeps no membership.
 			},
