Measure heartbeats at a fixed and at a scaled interval

Cause: the scaled interval is to be used only if it wins.

Change: control-cost has a trial over load factors with 96 peers: bytes, processor time, late heartbeats and false alarms while jobs run, and the time until every peer has missed three heartbeats of a stopped daemon. The rule is the daemons' own; the fake peers beat at the same pace.

--- a/packages/trials/src/process/control-cost-trials.ts
+++ b/packages/trials/src/process/control-cost-trials.ts
@@ -13,7 +13,7 @@
 const service = 'service-1';
 
 const smallest: BedSize = {
-	peers: 0, endpoints: 30, documents: 1, teams: 1, runningEndpoints: 0,
+	peers: 0, endpoints: 30, documents: 1, teams: 1, runningEndpoints: 0, heartbeatLoadFactor: 0.25,
 };
 
 /**
@@ -34,6 +34,8 @@
 	DocumentChanges = 'document-changes',
 	/** Tasks in a job with an identifier of the caller; costs are of one job. */
 	TasksInJob = 'tasks-in-job',
+	/** Load factor of the heartbeat interval, 0 for a fixed one, with 96 peers while jobs run. */
+	HeartbeatLoadFactor = 'heartbeat-load-factor',
 }
 
 /**
@@ -125,6 +127,26 @@
 	};
 });
 
+const measurePulse: MeasurePoint = async size => onBed({
+	peers: 96, runningEndpoints: 4, heartbeatLoadFactor: size,
+}, async ({daemon, pulse}) => {
+	await sleep(settleMilliseconds);
+	const idle = await measureCost(daemon, measuredSeconds);
+	pulse.reset();
+	const until = performance.now() + (measuredSeconds * 1000);
+	for (let round = 0; performance.now() < until; round++) {
+		await submitAsCaller(daemon.callers, 'PUT', `/v1/jobs/pulse-${round}`, {body: jobBody(400, 1)});
+	}
+
+	const [late, falseAlarms] = [pulse.late(), pulse.falseAlarms()];
+	daemon.signal('SIGSTOP');
+	const detectionMilliseconds = await pulse.untilSilent();
+	daemon.signal('SIGCONT');
+	return {
+		heartbeatBytes: idle.heartbeatBytes, sentBytes: idle.sentBytes, processorShare: idle.processorShare, late, falseAlarms, detectionMilliseconds,
+	};
+});
+
 type TrialPlan = {readonly dimension: CostDimension; readonly sizes: readonly number[]; readonly measure: MeasurePoint};
 
 /**
@@ -138,6 +160,7 @@
 	{dimension: CostDimension.JobsInFlight, sizes: [1, 100, 400], measure: measureJobsInFlight},
 	{dimension: CostDimension.DocumentChanges, sizes: [1, 100, 400], measure: measureChange},
 	{dimension: CostDimension.TasksInJob, sizes: [1, 100, 400, 1700], measure: measureJob},
+	{dimension: CostDimension.HeartbeatLoadFactor, sizes: [0, 0.25, 1], measure: measurePulse},
 ];
 
 /**
--- a/packages/trials/src/process/cost-bed.ts
+++ b/packages/trials/src/process/cost-bed.ts
@@ -9,9 +9,11 @@
 import {acceptDocument, readDocument} from '@galenakeel/model/version/document-store.js';
 import {startEndpointStandIn, type EndpointStandIn} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import {startPlatformStandIn, type PlatformStandIn} from '@galenakeel/stand-ins/process/platform-stand-in.js';
+import {scaleHeartbeatInterval} from 'galenakeeld/process/heartbeat-interval.js';
 import {startDaemonProcess, type DaemonProcess} from './daemon-process.js';
 import {startFakePeers, type FakePeers} from './fake-peers.js';
 import {findFreeAddresses} from './free-ports.js';
+import {createPulseWatch, type PulseWatch} from './pulse-watch.js';
 
 const readyMilliseconds = 15_000;
 const inForceMilliseconds = 20_000;
@@ -19,6 +21,8 @@
 const zone = 'zone-a';
 const exitMilliseconds = 3000;
 const endpointSlots = 64;
+const heartbeatMilliseconds = 500;
+const maximumHeartbeatMilliseconds = 5000;
 
 /**
 The sizes of a bed on which one daemon's cost is measured.
@@ -33,6 +37,8 @@
 	readonly teams: number;
 	/** Endpoints that run tasks. */
 	readonly runningEndpoints: number;
+	/** Weight of the number of instances in the time between heartbeats, of the daemon and of its peers. */
+	readonly heartbeatLoadFactor: number;
 };
 
 /**
@@ -42,6 +48,7 @@
 	readonly daemon: DaemonProcess;
 	readonly platform: PlatformStandIn;
 	readonly client: Platform;
+	readonly pulse: PulseWatch;
 	/** Accepts the document of a service again and returns its version. */
 	readonly accept: (service: string) => Promise<number>;
 	/** Waits until a catalogue version is in force on the daemon. */
@@ -84,7 +91,7 @@
 
 @example
 ```
-const bed = await startCostBed({peers: 8, endpoints: 30, documents: 1, teams: 1, runningEndpoints: 0});
+const bed = await startCostBed({peers: 8, endpoints: 30, documents: 1, teams: 1, runningEndpoints: 0, heartbeatLoadFactor: 0.25});
 ```
 */
 export const startCostBed = async (size: BedSize): Promise<CostBed> => {
@@ -93,7 +100,14 @@
 	const platform = await startPlatformStandIn(platformAddress, {listLagMilliseconds: 0});
 	const running = await Promise.all(endpointAddresses.map(async address => startEndpointStandIn(address, {slots: endpointSlots, speed: 1, connections: 1024})));
 	const client = createPlatformClient(platformAddress, readyMilliseconds);
-	const peers = startFakePeers({count: size.peers, daemonAddress: peersPort, zone});
+	const pulse = createPulseWatch();
+	const peers = startFakePeers({
+		count: size.peers,
+		daemonAddress: peersPort,
+		zone,
+		intervalMilliseconds: scaleHeartbeatInterval({heartbeatMilliseconds, maximumHeartbeatMilliseconds, heartbeatLoadFactor: size.heartbeatLoadFactor}, size.peers + 1),
+		hear: pulse.hear,
+	});
 	platform.setInstances(listInstances(peers, size, {peers: peersPort, operators}));
 
 	const accept = async (service: string): Promise<number> => {
@@ -110,7 +124,7 @@
 
 	const daemon = await startDaemonProcess(directory, {
 		instance: 'entry-1', zone, callers, peers: peersPort, operators, platform: platformAddress,
-	});
+	}, {peers: {heartbeatMilliseconds, maximumHeartbeatMilliseconds, heartbeatLoadFactor: size.heartbeatLoadFactor}});
 	await daemon.untilReady(readyMilliseconds);
 
 	const untilInForce = async (wanted: number): Promise<void> => {
@@ -134,6 +148,7 @@
 		daemon,
 		platform,
 		client,
+		pulse,
 		accept,
 		untilInForce,
 		async stop() {
--- a/packages/trials/src/process/fake-peers.ts
+++ b/packages/trials/src/process/fake-peers.ts
@@ -3,7 +3,6 @@
 import {createHeartbeatSource} from 'galenakeeld/process/heartbeat-source.js';
 import {InstanceState, type PeerHeartbeat} from 'galenakeeld/process/membership.js';
 
-const heartbeatMilliseconds = 500;
 const firstPort = 20_000;
 
 /**
@@ -20,7 +19,7 @@
 
 const addressOf = (position: number): string => `127.0.0.1:${firstPort + position}`;
 
-const describePeer = (position: number, zone: string): PeerHeartbeat => ({
+const describePeer = (position: number, zone: string, intervalMilliseconds: number): PeerHeartbeat => ({
 	instance: nameOf(position),
 	incarnation: `peer${position + 1}`,
 	zone,
@@ -30,7 +29,7 @@
 	operatorAddress: addressOf(position),
 	state: InstanceState.Serving,
 	catalogueVersion: 0,
-	intervalMilliseconds: heartbeatMilliseconds,
+	intervalMilliseconds,
 	hints: [],
 	leavingEndpoints: [],
 });
@@ -40,19 +39,27 @@
 
 @example
 ```
-const peers = startFakePeers({count: 96, daemonAddress: '127.0.0.1:8001', zone: 'zone-a'});
+const peers = startFakePeers({count: 96, daemonAddress: '127.0.0.1:8001', zone: 'zone-a', intervalMilliseconds: 500, hear: pulse.hear});
 ```
 */
-export const startFakePeers = (options: {readonly count: number; readonly daemonAddress: string; readonly zone: string}): FakePeers => {
+export const startFakePeers = (options: {
+	readonly count: number;
+	readonly daemonAddress: string;
+	readonly zone: string;
+	/** Time between the heartbeats of each peer. */
+	readonly intervalMilliseconds: number;
+	/** Called with each heartbeat of the daemon and the position of the peer that heard it. */
+	readonly hear: (peer: number, heartbeat: PeerHeartbeat) => void;
+}): FakePeers => {
 	const stop = new AbortController();
 	const allCalls: PeerCalls[] = [];
 	for (let position = 0; position < options.count; position++) {
 		const calls = createPeerCalls(options.daemonAddress);
 		allCalls.push(calls);
 		void runPeerConnection(calls, {
-			source: createHeartbeatSource(() => describePeer(position, options.zone)),
-			hear() {
-				// A fake peer keeps no membership.
+			source: createHeartbeatSource(() => describePeer(position, options.zone, options.intervalMilliseconds)),
+			hear(heartbeat) {
+				options.hear(position, heartbeat);
 			},
 			lose() {
 				// It dials again.
