--- a/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
@@ -3,21 +3,34 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {scaleHeartbeatInterval} from '../heartbeat-interval.js';
 import {createHeartbeatSource, type SharedHeartbeatSource} from '../heartbeat-source.js';
-import {InstanceState} from '../membership.js';
+import {InstanceState, type PeerHeartbeat} from '../membership.js';
 
 type PaceWorld = {source: SharedHeartbeatSource; interval: number; clock: Clock};
 
 const defaults = {heartbeatMilliseconds: 500, maximumHeartbeatMilliseconds: 5000, heartbeatLoadFactor: 0.25};
 
+const plainHeartbeat: PeerHeartbeat = {
+	instance: 'entry-1',
+	incarnation: 'i1',
+	zone: 'zone-a',
+	weight: 1,
+	callerAddress: '',
+	peerAddress: '',
+	operatorAddress: '',
+	state: InstanceState.Serving,
+	catalogueVersion: 0,
+	intervalMilliseconds: 0,
+	hints: [],
+	leavingEndpoints: [],
+};
+
 Then('with {int} instances the interval is {int} ms', (instances: number, milliseconds: number) => {
 	assert.equal(scaleHeartbeatInterval(defaults, instances), milliseconds);
 });
 
 Given('a source of heartbeats with an interval of {int} ms', function (this: PaceWorld, interval: number) {
 	this.interval = interval;
-	this.source = createHeartbeatSource(() => ({
-		instance: 'entry-1', incarnation: 'i1', zone: 'zone-a', weight: 1, callerAddress: '', peerAddress: '', operatorAddress: '', state: InstanceState.Serving, catalogueVersion: 0, intervalMilliseconds: this.interval, hints: [], leavingEndpoints: [],
-	}));
+	this.source = createHeartbeatSource(() => ({...plainHeartbeat, intervalMilliseconds: this.interval}));
 });
 
 When('the interval becomes {int} ms', function (this: PaceWorld, interval: number) {
