--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -11,33 +11,40 @@
 };
 
 /**
-Creates the source of this instance's heartbeats.
+Creates the source of this instance's heartbeats. All streams send at the same time, so that each heartbeat is described once.
 
-@param current Says what the next heartbeat holds.
+@param current Says what the next heartbeat holds, and how long it is until the one after it.
 
 @example
 ```
-const heartbeats = createHeartbeatSource(() => describeSelf(), 500);
+const heartbeats = createHeartbeatSource(() => describeSelf());
 heartbeats.announce();
 ```
 */
-export const createHeartbeatSource = (current: () => PeerHeartbeat, intervalMilliseconds: number): SharedHeartbeatSource => {
-	let announced = createDeferred<void>();
+export const createHeartbeatSource = (current: () => PeerHeartbeat): SharedHeartbeatSource => {
+	let next = createDeferred<void>();
+	let timer: NodeJS.Timeout | undefined;
+	let described: PeerHeartbeat | undefined;
+
+	const beat = (): void => {
+		clearTimeout(timer);
+		timer = undefined;
+		described = undefined;
+		const before = next;
+		next = createDeferred<void>();
+		before.resolve();
+	};
+
 	return {
-		current,
-		async untilNext() {
-			const {promise} = announced;
-			let timer: NodeJS.Timeout | undefined;
-			const due = new Promise<void>(resolve => {
-				timer = setTimeout(resolve, intervalMilliseconds);
-			});
-			await Promise.race([due, promise]);
-			clearTimeout(timer);
+		current() {
+			described ??= current();
+			return described;
 		},
-		announce() {
-			const before = announced;
-			announced = createDeferred<void>();
-			before.resolve();
+		async untilNext() {
+			// The interval that the last heartbeat announced, so that peers know of a longer one before it begins.
+			timer ??= setTimeout(beat, described?.intervalMilliseconds);
+			return next.promise;
 		},
+		announce: beat,
 	};
 };
