Check in the daemon that what lives long calls nothing that lives for less

Cause: several modules that live for the process or a connection called functions of a request or a connection directly (26 imports), against the shape. Ruled out: a check of our own; the linter's restricted imports tell the same. The wiring now passes these functions in, the enums that live for the process moved there, and an inspection answers instead of throwing.

--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -5,11 +5,12 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import type {JobView} from '../request/inspect-submission.js';
-import {relayRequest, type RelayRun} from '../request/relay-request.js';
-import {answerUnknown} from '../request/run-submission.js';
-import {identifierOfKey} from '../request/submission-identifier.js';
-import {ObservedKind, type Observe} from '../request/request-observer.js';
-import {SpanName, type OpenTrace} from '../request/trace-scope.js';
+import type {RelayedRequest} from '../request/relay-request.js';
+import type {StreamedTaskAnswer} from '../request/run-task.js';
+import type {Observe} from '../request/request-observer.js';
+import {ObservedKind} from '../process/observed-kind.js';
+import type {OpenTrace} from '../request/trace-scope.js';
+import {SpanName} from '../process/span-name.js';
 import {
 	CallerRequestKind, parseCallerRoute, problemOf, readJob, readRelayBody, readTask, readTerms, requestField, type CallerRoute, type JobRequest,
 	writeJobAnswer, writeJson, writeProblem, writeTaskAnswer,
@@ -23,11 +24,15 @@
 /**
 What a caller's connection needs from the process.
 */
-export type CallerRun = RelayRun & {
+export type CallerRun = {
+	/** Relays a single request without an identifier; never throws. */
+	readonly relay: (request: RelayedRequest) => Promise<StreamedTaskAnswer & {readonly retryAfterMilliseconds?: number}>;
+	/** Names the submission of a request with an `Idempotency-Key`. */
+	readonly identifierOfKey: (service: string, key: string) => string;
 	readonly limits: {readonly bufferedBodyBytes: number; readonly requestBytes: number; readonly jobBytes: number; readonly tasksInJob: number};
 	readonly mint: () => string;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
-	/** Looks at a job, or cancels it; an answer when nothing can be learned. */
+	/** Looks at a job, or cancels it; never throws. */
 	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView>;
 	readonly defaultDeadlineMilliseconds: (service: string) => number;
 	readonly isLeaving: () => boolean;
@@ -59,7 +64,7 @@
 	const span = run.openTrace(terms.traceparent).begin(SpanName.CallerRequest, {service: route.service});
 	if (terms.idempotencyKey !== '' && task.body instanceof Uint8Array) {
 		const submission: Submission = {
-			identifier: identifierOfKey(route.service, terms.idempotencyKey),
+			identifier: run.identifierOfKey(route.service, terms.idempotencyKey),
 			service: route.service,
 			team: terms.team,
 			deadlineMilliseconds: terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(route.service),
@@ -73,7 +78,7 @@
 	}
 
 	const identifier = run.nameRequest();
-	const answer = await relayRequest({
+	const answer = await run.relay({
 		service: route.service,
 		team: terms.team,
 		deadlineMilliseconds: terms.deadlineMilliseconds,
@@ -81,7 +86,7 @@
 		signal: goneSignal(response),
 		observer: run.observe({kind: ObservedKind.Request, identifier, service: route.service}),
 		trace: span,
-	}, run);
+	});
 	span.end({request: identifier, outcome: answer.outcome}, answer.fault);
 	if (answer.outcome === Outcome.Complete) {
 		await writeTaskAnswer(response, answer, request.method!, [[requestField, identifier]]);
@@ -122,19 +127,8 @@
 	writeJobAnswer(exchange.response, submission.identifier, answer);
 };
 
-/**
-Looks at a job, or cancels it. A fault says nothing about whether the job runs.
-*/
-const inspectOrUnknown = async (identifier: string, isCancelled: boolean, run: CallerRun): Promise<JobView> => {
-	try {
-		return await run.inspect(identifier, isCancelled);
-	} catch (error) {
-		return {isAnswered: true, answer: answerUnknown(isFault(error) ? error.name : FaultKind.Internal, detailOf(error))};
-	}
-};
-
 const answerInspection = async ({response}: CallerExchange, identifier: string, isCancelled: boolean, run: CallerRun): Promise<void> => {
-	const view = await inspectOrUnknown(identifier, isCancelled, run);
+	const view = await run.inspect(identifier, isCancelled);
 	if (view.isAnswered) {
 		writeJobAnswer(response, identifier, view.answer);
 	} else {
--- a/packages/galenakeeld/src/process/__tests__/daemon-settings.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/daemon-settings.steps.ts
@@ -6,7 +6,7 @@
 import {Then, When} from '@cucumber/cucumber';
 import {detailOf} from '@galenakeel/model/request/fault.js';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
-import {PlacementPolicy} from '../../version/placement-policy.js';
+import {PlacementPolicy} from '../placement-policy.js';
 import {parseDaemonSettings} from '../daemon-settings.js';
 
 type SettingsWorld = {faults: readonly string[]; code: number | undefined; output: string};
--- a/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {PlacementPolicy} from '../../version/placement-policy.js';
+import {PlacementPolicy} from '../placement-policy.js';
 import {createChooseEndpoint} from '../choose-endpoint.js';
 import {createSlotLeases, type SlotLeases} from '../slot-leases.js';
 import {createSlotLedger, type SlotGrant, type SlotLedger} from '../slot-ledger.js';
--- a/packages/galenakeeld/src/process/caller-server.ts
+++ b/packages/galenakeeld/src/process/caller-server.ts
@@ -2,8 +2,7 @@
 import type {Socket} from 'node:net';
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import {createInbox, type Inbox} from '@galenakeel/model/connection/inbox.js';
-import {encodeProblemResponse} from '../connection/caller-encoding.js';
-import {serveCallerConnection, type CallerExchange, type CallerRun} from '../connection/caller-connection.js';
+import type {CallerExchange} from '../connection/caller-connection.js';
 
 const headerTooLargeCode = 'HPE_HEADER_OVERFLOW';
 
@@ -18,10 +17,20 @@
 	readonly close: () => void;
 };
 
+/**
+What the server does with connections and with what is not HTTP.
+*/
+export type CallerServerRun = {
+	/** Serves one connection until it closes. */
+	readonly serve: (exchanges: AsyncIterable<CallerExchange>) => Promise<void>;
+	/** Encodes the whole response to a request that could not be parsed. */
+	readonly encodeRefusal: (status: number, detail: string) => string;
+};
+
 /**
 Starts the server for callers: each connection is served by a task of its own.
 */
-export const startCallerServer = async (address: string, run: CallerRun, limits: {headerBytes: number; callerConnections: number; slowCallerMilliseconds: number}): Promise<CallerServer> => {
+export const startCallerServer = async (address: string, run: CallerServerRun, limits: {headerBytes: number; callerConnections: number; slowCallerMilliseconds: number}): Promise<CallerServer> => {
 	const inboxes = new Map<Socket, Inbox<CallerExchange>>();
 	let busy = 0;
 
@@ -37,7 +46,7 @@
 			inboxes.delete(socket);
 			inbox.close();
 		});
-		void serveCallerConnection(inbox, run);
+		void run.serve(inbox);
 		return inbox;
 	};
 
@@ -62,7 +71,7 @@
 		}
 
 		const status = error.code === headerTooLargeCode ? 431 : 400;
-		socket.end(encodeProblemResponse(status, `the request is not valid HTTP/1.1: ${error.message}`));
+		socket.end(run.encodeRefusal(status, `the request is not valid HTTP/1.1: ${error.message}`));
 	});
 	const [host, port] = splitAddress(address);
 	await new Promise<void>((resolve, reject) => {
--- a/packages/galenakeeld/src/process/choose-endpoint.ts
+++ b/packages/galenakeeld/src/process/choose-endpoint.ts
@@ -1,4 +1,4 @@
-import {PlacementPolicy} from '../version/placement-policy.js';
+import {PlacementPolicy} from './placement-policy.js';
 import {freeSlotsOf, type ChooseEndpoint, type EndpointSlots} from './slot-ledger.js';
 
 const openOnes = (candidates: Iterable<EndpointSlots>): EndpointSlots[] => [...candidates].filter(slots => slots.isOpen);
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -1,6 +1,6 @@
 import {parseConfiguration} from '@galenakeel/model/version/configuration-text.js';
 import {z} from 'zod';
-import {PlacementPolicy} from '../version/placement-policy.js';
+import {PlacementPolicy} from './placement-policy.js';
 import {LogLevel} from './log.js';
 
 const address = z.string().regex(/^(?:\d+\.){3}\d+:\d+$|^\[[\da-f:]+\]:\d+$/v, 'must be an IP number and a port, as in "10.1.2.3:8080"');
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -1,14 +1,19 @@
 import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
-import type {CallerRun} from '../connection/caller-connection.js';
+import {serveCallerConnection, type CallerRun} from '../connection/caller-connection.js';
 import {createCountedPeerClient} from '../connection/counted-peer-service.js';
+import {encodeProblemResponse} from '../connection/caller-encoding.js';
 import {createEndpointConnections} from '../connection/endpoint-connection.js';
+import {createPeerCalls, runPeerConnection} from '../connection/peer-connection.js';
 import {startPeerServer} from '../connection/peer-service.js';
 import {inspectHeld, inspectSubmission} from '../request/inspect-submission.js';
+import {relayRequest} from '../request/relay-request.js';
 import {submit, type SubmissionRun} from '../request/run-submission.js';
-import {mintIdentifier} from '../request/submission-identifier.js';
+import {identifierOfKey, mintIdentifier} from '../request/submission-identifier.js';
 import type {TaskRun} from '../request/run-task.js';
 import {createDocumentCatalogue} from '../version/document-catalogue.js';
+import {countOwnedSlots} from '../version/slot-ownership.js';
 import type {ServiceVersion} from '../version/service-version.js';
+import {createHolderCalls} from '../request/holder-calls.js';
 import {startCallerServer} from './caller-server.js';
 import {isBucketOwner, runClaimSweep} from './claim-sweeper.js';
 import {createClaimWriter} from './claim-writer.js';
@@ -20,7 +25,6 @@
 import {scaleHeartbeatInterval} from './heartbeat-interval.js';
 import {createHeartbeatSource} from './heartbeat-source.js';
 import {createLendingCalls, lendSlots} from './lending-calls.js';
-import {createHolderCalls} from './holder-calls.js';
 import {createIncarnation} from './incarnation.js';
 import {LogEvent} from './log-event.js';
 import type {Log} from './log.js';
@@ -97,6 +101,7 @@
 	const lending = createLendingCalls({instance: self.instance, callsOf: instance => directory.callsOf(instance), callTimeoutMilliseconds: settings.peers.callTimeoutMilliseconds});
 
 	const dispatchers = createServiceDispatchers({
+		countOwnedSlots,
 		instance: self.instance, policy: settings.placement.policy, owners: membership.owners, isLeavingEndpoint: membership.isLeavingEndpoint, peers: membership.peers, ...lending,
 	});
 	const catalogue = createDocumentCatalogue(dispatchers.install);
@@ -110,7 +115,10 @@
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
 	const heartbeats = createHeartbeatSource(describeSelf);
-	const directory = createPeerDirectory(self, membership, heartbeats, createCountedPeerClient(countPeerMessage));
+	const countedClient = createCountedPeerClient(countPeerMessage);
+	const directory = createPeerDirectory(self, membership, heartbeats, {
+		createCalls: address => createPeerCalls(address, countedClient), runConnection: runPeerConnection,
+	});
 	const claims = createClaimWriter({
 		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1), onNonce: register.issue,
 	});
@@ -146,9 +154,8 @@
 
 	const callerRun: CallerRun = {
 		limits: settings.limits,
-		findVersion: catalogue.versionOf,
-		admit: dispatchers.admit,
-		taskRun,
+		relay: async request => relayRequest(request, {findVersion: catalogue.versionOf, admit: dispatchers.admit, taskRun}),
+		identifierOfKey,
 		mint() {
 			const identifier = mintIdentifier(self);
 			register.issue(identifier);
@@ -179,7 +186,9 @@
 			documents: catalogue.all().filter(document => document.version > version).map(({version, text, document}) => ({service: document.service, version, text})),
 		}),
 	}, countPeerMessage);
-	const callers = await startCallerServer(settings.listen.callers, callerRun, settings.limits);
+	const callers = await startCallerServer(settings.listen.callers, {
+		serve: async exchanges => serveCallerConnection(exchanges, callerRun), encodeRefusal: encodeProblemResponse,
+	}, settings.limits);
 	const stopOperators = await startOperatorServer(settings.listen.operators, {
 		isReady: () => membership.state === InstanceState.Serving,
 		status: () => describeDaemon({
--- a/packages/galenakeeld/src/process/metrics.ts
+++ b/packages/galenakeeld/src/process/metrics.ts
@@ -1,7 +1,8 @@
 import {RecordStepKind} from '@galenakeel/model/process/request-record.js';
 import {FaultKind} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
-import {ObservedKind, type ObservedEnd, type ObservedStep} from '../request/request-observer.js';
+import type {ObservedEnd, ObservedStep} from '../request/request-observer.js';
+import {ObservedKind} from './observed-kind.js';
 import {createCounters} from './counters.js';
 import {createPercentiles} from './percentiles.js';
 import type {MetricFamily} from './prometheus-text.js';
--- /dev/null
+++ b/packages/galenakeeld/src/process/observed-kind.ts
@@ -0,0 +1,9 @@
+/**
+What is observed.
+*/
+export enum ObservedKind {
+	/** A single request without an identifier. */
+	Request = 'request',
+	/** A job, or a single request with an identifier. */
+	Job = 'job',
+}
--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -1,8 +1,5 @@
 import type {ListedInstance} from '@galenakeel/model/connection/platform-client.js';
-import type {PeerClientConstructor} from '../connection/counted-peer-service.js';
-import {
-	createPeerCalls, runPeerConnection, type HeartbeatSource, type PeerCalls,
-} from '../connection/peer-connection.js';
+import type {HeartbeatSource, PeerCalls, runPeerConnection} from '../connection/peer-connection.js';
 import type {Incarnation} from './incarnation.js';
 import type {Membership} from './membership.js';
 
@@ -19,12 +16,21 @@
 	readonly close: () => void;
 };
 
+/**
+How the directory reaches peers.
+*/
+export type PeerLinks = {
+	readonly createCalls: (address: string) => PeerCalls;
+	/** Keeps a stream of heartbeats to one peer. */
+	readonly runConnection: typeof runPeerConnection;
+};
+
 /**
 Creates the directory of peers, without any connection.
 
 Of two peers the one whose name sorts first dials; the other dials only while it hears nothing.
 */
-export const createPeerDirectory = (self: Incarnation, membership: Membership, heartbeats: HeartbeatSource, Client: PeerClientConstructor): PeerDirectory => {
+export const createPeerDirectory = (self: Incarnation, membership: Membership, heartbeats: HeartbeatSource, links: PeerLinks): PeerDirectory => {
 	const tasks = new Map<string, PeerTask>();
 	const silentSince = new Map<string, number>();
 	const pollsBeforeDialling = 4;
@@ -45,10 +51,10 @@
 	};
 
 	const open = (peer: ListedInstance): void => {
-		const calls = createPeerCalls(peer.address, Client);
+		const calls = links.createCalls(peer.address);
 		const stop = new AbortController();
 		tasks.set(peer.name, {address: peer.address, calls, stop});
-		void runPeerConnection(calls, {
+		void links.runConnection(calls, {
 			source: heartbeats,
 			hear: membership.hear,
 			lose() {
@@ -93,7 +99,7 @@
 			}
 
 			// A peer that dialled this instance: the channel opens with the first call and carries no heartbeats.
-			const calls = createPeerCalls(address, Client);
+			const calls = links.createCalls(address);
 			tasks.set(instance, {address, calls, stop: new AbortController()});
 			return calls;
 		},
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -3,9 +3,9 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import type {AttemptReport} from '../request/run-task.js';
-import {PlacementPolicy} from '../version/placement-policy.js';
-import {countOwnedSlots, type SlotOwner} from '../version/slot-ownership.js';
+import type {countOwnedSlots, SlotOwner} from '../version/slot-ownership.js';
 import type {ServiceVersion} from '../version/service-version.js';
+import {PlacementPolicy} from './placement-policy.js';
 import {createChooseEndpoint} from './choose-endpoint.js';
 import {createEndpointGuards, type EndpointGuards} from './endpoint-guards.js';
 import type {Peer} from './membership.js';
@@ -64,6 +64,8 @@
 */
 export const createServiceDispatchers = (options: {
 	instance: string;
+	/** Counts the slots of each endpoint that belong to this instance. */
+	countOwnedSlots: typeof countOwnedSlots;
 	policy: PlacementPolicy;
 	owners: () => readonly SlotOwner[];
 	isLeavingEndpoint: (address: string) => boolean;
@@ -76,7 +78,7 @@
 	const share = ({dispatcher}: DispatchedService): void => {
 		const {ledger, version} = dispatcher;
 		const owners = options.owners();
-		ledger.install(version.endpoints, countOwnedSlots(options.instance, owners, version.endpoints), owners.length);
+		ledger.install(version.endpoints, options.countOwnedSlots(options.instance, owners, version.endpoints), owners.length);
 		for (const slots of ledger.all()) {
 			ledger.change(slots, {isOpen: !options.isLeavingEndpoint(slots.endpoint.address)});
 		}
--- a/packages/galenakeeld/src/process/tracing.ts
+++ b/packages/galenakeeld/src/process/tracing.ts
@@ -6,10 +6,12 @@
 import {
 	BatchSpanProcessor, NodeTracerProvider, ParentBasedSampler, TraceIdRatioBasedSampler, type SpanExporter,
 } from '@opentelemetry/sdk-trace-node';
-import {encodeTraceparent, parseTraceparent} from '../connection/traceparent.js';
 import {
-	openUntraced, type OpenTrace, type SpanFacts, type SpanName, type TraceScope, type TraceSpan,
+	type OpenTrace, type SpanFacts, type TraceScope, type TraceSpan,
 } from '../request/trace-scope.js';
+import {openUntraced} from './untraced.js';
+import {encodeTraceparent, parseTraceparent} from './traceparent.js';
+import type {SpanName} from './span-name.js';
 
 const tracerName = 'galenakeeld';
 
--- a/packages/galenakeeld/src/process/holder-calls.ts
+++ b/packages/galenakeeld/src/request/holder-calls.ts
@@ -2,9 +2,9 @@
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import type {PeerCalls} from '../connection/peer-connection.js';
 import {answerFromWire, jobViewFromWire, submissionToWire} from '../connection/peer-encoding.js';
-import type {RemoteInspection} from '../request/inspect-submission.js';
-import {answerUnknown} from '../request/run-submission.js';
-import type {IdentifierHolder} from '../request/submission-identifier.js';
+import type {RemoteInspection} from './inspect-submission.js';
+import {answerUnknown} from './run-submission.js';
+import type {IdentifierHolder} from './submission-identifier.js';
 
 const forwardMarginMilliseconds = 1000;
 
--- a/packages/galenakeeld/src/request/inspect-submission.ts
+++ b/packages/galenakeeld/src/request/inspect-submission.ts
@@ -1,4 +1,4 @@
-import {FaultKind} from '@galenakeel/model/request/fault.js';
+import {detailOf, FaultKind, isFault} from '@galenakeel/model/request/fault.js';
 import type {SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import {SubmissionState, type SubmissionEntry, type SubmissionRegister} from '../process/submission-register.js';
 import {answerUnknown} from './run-submission.js';
@@ -54,23 +54,36 @@
 	return viewOf(entry);
 };
 
+/**
+What an inspection needs from the process.
+*/
+export type InspectionRun = {
+	readonly self: IdentifierHolder;
+	readonly register: SubmissionRegister;
+	/** Reads who claimed an identifier. */
+	readonly findHolder: (identifier: string) => Promise<IdentifierHolder | undefined>;
+	readonly inspectRemote: RemoteInspection;
+};
+
 /**
 Looks at a submission wherever it is held, or cancels it.
 
-@throws A fault of kind `HolderUnreachable` or `PlatformUnavailable` when nothing can be learned.
+@returns The state of the submission, or an answer whose outcome is unknown when nothing can be learned; never throws.
 
 @example
 ```
 const view = await inspectSubmission('sheet-2041', false, {self, register, findHolder, inspectRemote});
 ```
 */
-export const inspectSubmission = async (identifier: string, isCancelled: boolean, run: {
-	readonly self: IdentifierHolder;
-	readonly register: SubmissionRegister;
-	/** Reads who claimed an identifier. */
-	readonly findHolder: (identifier: string) => Promise<IdentifierHolder | undefined>;
-	readonly inspectRemote: RemoteInspection;
-}): Promise<JobView> => {
+export const inspectSubmission = async (identifier: string, isCancelled: boolean, run: InspectionRun): Promise<JobView> => {
+	try {
+		return await inspectAnywhere(identifier, isCancelled, run);
+	} catch (error) {
+		return {isAnswered: true, answer: answerUnknown(isFault(error) ? error.name : FaultKind.Internal, detailOf(error))};
+	}
+};
+
+const inspectAnywhere = async (identifier: string, isCancelled: boolean, run: InspectionRun): Promise<JobView> => {
 	const held = await inspectHeld(identifier, isCancelled, run.register);
 	if (held) {
 		return held;
--- a/packages/galenakeeld/src/request/request-observer.ts
+++ b/packages/galenakeeld/src/request/request-observer.ts
@@ -1,6 +1,7 @@
 import type {RecordStepKind} from '@galenakeel/model/process/request-record.js';
 import type {FaultKind} from '@galenakeel/model/request/fault.js';
 import type {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {ObservedKind} from '../process/observed-kind.js';
 
 /**
 A step of a request or of one of its tasks, as it happens.
@@ -32,16 +33,6 @@
 	readonly end: (end: ObservedEnd) => void;
 };
 
-/**
-What is observed.
-*/
-export enum ObservedKind {
-	/** A single request without an identifier. */
-	Request = 'request',
-	/** A job, or a single request with an identifier. */
-	Job = 'job',
-}
-
 /**
 Begins to observe a request or job.
 */
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -7,12 +7,14 @@
 import {ClaimState, type ClaimResult} from '../process/claim-writer.js';
 import {SubmissionState, type SubmissionEntry, type SubmissionRegister} from '../process/submission-register.js';
 import type {ServiceVersion} from '../version/service-version.js';
+import {ObservedKind} from '../process/observed-kind.js';
+import {SpanName} from '../process/span-name.js';
 import {holdAnswer} from './hold-answer.js';
-import {ObservedKind, type Observe, type RequestObserver} from './request-observer.js';
+import type {Observe, RequestObserver} from './request-observer.js';
 import {runTask, type TaskRun} from './run-task.js';
 import {fingerprintOf} from './submission-fingerprint.js';
 import {IdentifierKind, parseIdentifier, type IdentifierHolder} from './submission-identifier.js';
-import {SpanName, type OpenTrace} from './trace-scope.js';
+import type {OpenTrace} from './trace-scope.js';
 
 /**
 What a submission needs from the process that takes it.
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -12,9 +12,10 @@
 import type {TaskDemand} from '../process/service-dispatcher.js';
 import type {SlotGrant} from '../process/slot-ledger.js';
 import type {Endpoint, ServiceVersion} from '../version/service-version.js';
+import {SpanName} from '../process/span-name.js';
 import type {NoteStep} from './request-observer.js';
 import {createStartRecord, type StartRecord} from './start-record.js';
-import {SpanName, type TraceScope} from './trace-scope.js';
+import type {TraceScope} from './trace-scope.js';
 
 const maximumAttempts = 4;
 const firstServerError = 500;
--- a/packages/galenakeeld/src/request/trace-scope.ts
+++ b/packages/galenakeeld/src/request/trace-scope.ts
@@ -1,18 +1,4 @@
-/**
-The hops of a request.
-*/
-export enum SpanName {
-	/** A request of a caller, until its answer is written. */
-	CallerRequest = 'caller request',
-	/** The wait of a task for a slot. */
-	SlotWait = 'slot wait',
-	/** One task sent to an endpoint, until its answer. */
-	EndpointExchange = 'endpoint exchange',
-	/** A submission handed to the instance that holds its identifier. */
-	Forward = 'forward to holder',
-	/** The run of a submission by its holder. */
-	HolderRun = 'holder run',
-}
+import type {SpanName} from '../process/span-name.js';
 
 /**
 Attributes of a span.
@@ -40,28 +26,3 @@
 Creates the scope of an incoming request from its W3C trace context; the empty string begins a trace.
 */
 export type OpenTrace = (traceparent: string) => TraceScope;
-
-/**
-The scope of requests that are not traced; it costs no allocation.
-*/
-export const untraced: TraceSpan = {
-	traceparent: '',
-	begin: () => untraced,
-	end() {
-		// Nothing was begun.
-	},
-};
-
-/**
-Opens scopes without spans, which pass the caller's trace context on unchanged.
-*/
-export const openUntraced: OpenTrace = traceparent => {
-	if (traceparent === '') {
-		return untraced;
-	}
-
-	const span: TraceSpan = {
-		...untraced, traceparent, begin: () => span,
-	};
-	return span;
-};
--- a/packages/trials/src/process/bench-fleet.ts
+++ b/packages/trials/src/process/bench-fleet.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {DaemonStatus} from '@galenakeel/model/process/daemon-status.js';
 import {createEndpointProcesses} from '@galenakeel/stand-ins/process/endpoint-processes.js';
-import type {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
+import type {PlacementPolicy} from 'galenakeeld/process/placement-policy.js';
 import type {TaskMix} from '../version/task-mix.js';
 import type {DaemonProcess} from './daemon-process.js';
 import {startFleet, type Fleet, type FleetSize} from './fleet.js';
--- a/packages/trials/src/process/bench-run.ts
+++ b/packages/trials/src/process/bench-run.ts
@@ -1,4 +1,4 @@
-import {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
+import {PlacementPolicy} from 'galenakeeld/process/placement-policy.js';
 import {
 	createBenchLine, type BenchFigures, type BenchLine, type BenchPolicy, type BenchScenario, type BenchTarget,
 } from '../version/bench-line.js';
--- a/packages/trials/src/process/bench.ts
+++ b/packages/trials/src/process/bench.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
+import {PlacementPolicy} from 'galenakeeld/process/placement-policy.js';
 import {BenchScenario, idealPolicy, type BenchPolicy} from '../version/bench-line.js';
 import type {BenchRun} from './bench-run.js';
 import {runCrest} from './crest-scenario.js';
--- a/packages/trials/src/process/faults-scenario.ts
+++ b/packages/trials/src/process/faults-scenario.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
+import type {PlacementPolicy} from 'galenakeeld/process/placement-policy.js';
 import {
 	atMost, BenchScenario, idealPolicy, type BenchTarget,
 } from '../version/bench-line.js';
--- a/packages/trials/src/process/relay-scenario.ts
+++ b/packages/trials/src/process/relay-scenario.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import type {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
+import type {PlacementPolicy} from 'galenakeeld/process/placement-policy.js';
 import type {ArrivalResult} from '../request/arrival.js';
 import {
 	atMost, BenchScenario, idealPolicy, type BenchTarget,
--- a/packages/trials/src/version/bench-line.ts
+++ b/packages/trials/src/version/bench-line.ts
@@ -1,4 +1,4 @@
-import type {PlacementPolicy} from 'galenakeeld/version/placement-policy.js';
+import type {PlacementPolicy} from 'galenakeeld/process/placement-policy.js';
 
 /**
 The scenarios of the bench.
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,3 +1,17 @@
+// In the daemon, an import of a value goes from the shorter life to the longer; a longer-lived module gets functions passed in.
+const longerLived = (folder, shorterLived) => ({
+	files: [`packages/galenakeeld/src/${folder}/**`],
+	rules: {
+		'@typescript-eslint/no-restricted-imports': ['error', {
+			patterns: [{
+				group: shorterLived.map(shorter => `**/../${shorter}/*`),
+				message: `What lives for a ${folder} must not call what lives for less; take a function as an argument.`,
+				allowTypeImports: true,
+			}],
+		}],
+	},
+});
+
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
@@ -15,6 +29,16 @@
 			'new-cap': ['error', {capIsNewExceptions: ['Given', 'When', 'Then', 'After', 'Before', 'AfterAll', 'BeforeAll']}],
 		},
 	},
+	longerLived('connection', ['request']),
+	longerLived('version', ['request', 'connection']),
+	longerLived('process', ['request', 'connection', 'version']),
+	{
+		// The wiring passes the functions in.
+		files: ['packages/galenakeeld/src/process/daemon.ts', '**/__tests__/**'],
+		rules: {
+			'@typescript-eslint/no-restricted-imports': 'off',
+		},
+	},
 	{
 		files: ['**/__tests__/**'],
 		rules: {
