--- a/packages/trials/src/process/prove.ts
+++ b/packages/trials/src/process/prove.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {checkHistory, type Violation} from '../request/check-history.js';
@@ -56,3 +57,6 @@
 	})}\n`);
 	process.exitCode = status === ProveStatus.Failed ? 1 : process.exitCode ?? 0;
 }
+
+// Silenced connections would keep the process alive.
+process.exit();
