Make repeats in the histories true repeats

Found by switching mechanisms off: the run time was drawn anew for each attempt, so every repeat had another path and was refused as another submission. The run time is now drawn once for each name. The histories of endpoints bring about every way of failing, not two drawn ones.

--- a/packages/trials/src/process/answer-histories.ts
+++ b/packages/trials/src/process/answer-histories.ts
@@ -3,7 +3,7 @@
 import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import {ProvePoint} from '../version/prove-point.js';
 import {
-	disturb, killEndpoint, misbehave, silenceCallers, silenceEndpoint, type Disturbance,
+	disturb, disturbEndpoints, killEndpoint, misbehave, silenceCallers, silenceEndpoint,
 } from './disturbances.js';
 import type {FaultHistory} from './fault-history.js';
 import {
@@ -15,19 +15,6 @@
 // Above and below the bound up to which an answer is held before it is passed on.
 const longAnswers = [900_000, 1_500_000, 2_500_000];
 
-const endpointDisturbances: readonly Disturbance[] = [
-	...[EndpointBehaviour.FailAll, EndpointBehaviour.Freeze, EndpointBehaviour.HalfAnswer, EndpointBehaviour.NoLength].map(behaviour => misbehave(behaviour)),
-	killEndpoint,
-	silenceEndpoint,
-];
-
-const disturbEndpoints = async (trial: Trial): Promise<void> => {
-	for (let round = 0; round < 2; round++) {
-		await trial.wait(200);
-		await trial.random.pick(endpointDisturbances)(trial);
-	}
-};
-
 /**
 Callers with a connection of their own send single requests one after the other, some of which run longer than their time-out.
 */
--- a/packages/trials/src/process/disturbances.ts
+++ b/packages/trials/src/process/disturbances.ts
@@ -123,6 +123,22 @@
 	fleet.links!.toCallers.get(instance)!.silenceOpen();
 };
 
+const endpointDisturbances: readonly Disturbance[] = [
+	...[EndpointBehaviour.FailAll, EndpointBehaviour.Freeze, EndpointBehaviour.HalfAnswer, EndpointBehaviour.NoLength].map(behaviour => misbehave(behaviour)),
+	killEndpoint,
+	silenceEndpoint,
+];
+
+/**
+Has endpoints fail in every way, at random times.
+*/
+export const disturbEndpoints: Disturbance = async trial => {
+	await Promise.all(endpointDisturbances.map(async fault => {
+		await trial.wait(lastMilliseconds);
+		await fault(trial);
+	}));
+};
+
 const none: Disturbance = async () => undefined;
 
 const platformFaults = [stopPlatform, slowPlatform, loseAnswers, staleReads, silencePlatform, cutPlatform];
--- a/packages/trials/src/process/holder-histories.ts
+++ b/packages/trials/src/process/holder-histories.ts
@@ -148,16 +148,17 @@
 	size: {settings: {platform: {pollMilliseconds: 100, timeoutMilliseconds: 200}, answers: {retentionMilliseconds: 1}}},
 }, async trial => {
 	const {fleet, random, instances, submit} = trial;
-	const submitAll = async (): Promise<void> => runCallers(trial, callers, 50, async caller => {
-		await submit({...jobOf(caller), instance: random.pick(instances), deadlineMilliseconds: 500});
+	const submitAll = async (deadlineMilliseconds: number): Promise<void> => runCallers(trial, callers, 50, async caller => {
+		await submit({...jobOf(caller), instance: random.pick(instances), deadlineMilliseconds});
 	});
-	await submitAll();
+	await submitAll(500);
 	// The sweep of answers runs twice a second.
 	await sleep(700);
 	fleet.platform.faults.isDown = true;
-	await submitAll();
+	await submitAll(500);
 	fleet.platform.faults.isDown = false;
-	await submitAll();
+	// Long enough for the claims that still wait for the platform.
+	await submitAll(3000);
 });
 
 /**
--- a/packages/trials/src/process/refusal-histories.ts
+++ b/packages/trials/src/process/refusal-histories.ts
@@ -1,7 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import {ProvePoint} from '../version/prove-point.js';
-import {cutOneWay, disturb, stopPlatform} from './disturbances.js';
+import {
+	cutOneWay, disturb, disturbEndpoints, stopPlatform,
+} from './disturbances.js';
 import type {FaultHistory} from './fault-history.js';
 import {recordInspection} from './history-recorder.js';
 import {
@@ -35,11 +37,12 @@
 });
 
 /**
-More jobs come than the endpoints can take before their deadlines.
+More jobs come than the endpoints can take before their deadlines, and endpoints fail in every way.
 */
 export const overloadHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots, document: {maximumQueueMilliseconds: 100}}, async trial => {
 	await Promise.all([
 		disturb(trial),
+		disturbEndpoints(trial),
 		runCallers(trial, callers, 200, async caller => submitUntilRun(trial, shortJob(trial, caller))),
 		runCallers(trial, callers, 200, async caller => {
 			await trial.submit({name: `request-${caller}`, instance: pickInstance(trial), deadlineMilliseconds: trial.random.integer(30, 300)});
--- a/packages/trials/src/process/trial.ts
+++ b/packages/trials/src/process/trial.ts
@@ -109,6 +109,15 @@
 
 const createTrial = (fleet: Fleet, history: History, random: Random): Trial => {
 	const disturbed = new Set<string>();
+	const runs = new Map<string, number>();
+
+	/** Draws a run time once for each name, since a repeat is the same submission only with the same path. */
+	const drawRun = (name: string): number => {
+		const run = runs.get(name) ?? random.integer(5, 60);
+		runs.set(name, run);
+		return run;
+	};
+
 	return {
 		fleet,
 		history,
@@ -116,7 +125,7 @@
 		disturbed,
 		instances: fleet.daemons.map(({instance}) => instance),
 		async submit(submission) {
-			const {name, instance, service = trialService, runMilliseconds = random.integer(5, 60), isKeyed = false, ...terms} = submission;
+			const {name, instance, service = trialService, runMilliseconds = drawRun(name), isKeyed = false, ...terms} = submission;
 			return recordSubmission(fleet, history, {
 				deadlineMilliseconds: 2000,
 				patienceMilliseconds: 5000,
