--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
@@ -25,6 +25,18 @@
     When the endpoint answers a task at 20 ms
     Then the breaker is "closed" at 21 ms
 
+  Scenario: An endpoint is found frozen only against measured run times
+    Given an endpoint on which a task runs that is expected to take 400 ms at most
+    When the guards look at the endpoint after 750 ms
+    Then the endpoint may take 0 further tasks
+    When the guards look at the endpoint after 1751 ms
+    Then the endpoint may take 1 further tasks
+
+  Scenario: A task without a measured run time says nothing about its endpoint
+    Given an endpoint on which a task of unknown size runs
+    When the guards look at the endpoint after 9000 ms
+    Then the endpoint may take 7 further tasks
+
   Scenario: Retries stay within their share of first starts
     Given a retry budget of 0.1
     When 1000 tasks start and each asks to be retried
--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -3,9 +3,49 @@
 import {
 	AttemptResult, createEndpointGuard, GuardState, type EndpointGuard,
 } from '../endpoint-guard.js';
+import {createEndpointGuards, type EndpointGuards} from '../endpoint-guards.js';
 import {createRetryBudget, type RetryBudget} from '../retry-budget.js';
+import {createRunningTasks} from '../running-tasks.js';
+import {createSlotLedger, type SlotLedger} from '../slot-ledger.js';
+import {TaskLength} from '../task-queue.js';
 
-type GuardWorld = {guard: EndpointGuard; attempts: number; budget: RetryBudget};
+type GuardWorld = {guard: EndpointGuard; attempts: number; budget: RetryBudget; ledger: SlotLedger; guards: EndpointGuards};
+
+const address = '127.0.0.1:8080';
+
+const runTaskOn = (world: GuardWorld, longestMilliseconds: number): void => {
+	const running = createRunningTasks();
+	world.ledger = createSlotLedger(() => undefined);
+	world.ledger.install([{
+		name: 'worker', address, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
+	}], new Map([[address, 8]]), 1);
+	const slots = world.ledger.slotsOf(address)!;
+	world.ledger.take(slots);
+	running.add({
+		slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
+	});
+	world.guards = createEndpointGuards({
+		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => longestMilliseconds,
+	});
+};
+
+Given('an endpoint on which a task runs that is expected to take {int} ms at most', function (this: GuardWorld, longest: number) {
+	runTaskOn(this, longest);
+});
+
+Given('an endpoint on which a task of unknown size runs', function (this: GuardWorld) {
+	runTaskOn(this, Infinity);
+});
+
+When('the guards look at the endpoint after {int} ms', function (this: GuardWorld, now: number) {
+	// A frozen endpoint is found by one sweep, and a probe let through by the next.
+	this.guards.sweep(now - 1);
+	this.guards.sweep(now);
+});
+
+Then('the endpoint may take {int} further tasks', function (this: GuardWorld, count: number) {
+	assert.equal(this.ledger.free(), count);
+});
 
 Given('a circuit breaker that opens after {int} failures for {int} ms', function (this: GuardWorld, failuresBeforeOpen: number, probationMilliseconds: number) {
 	this.guard = createEndpointGuard(() => ({failuresBeforeOpen, probationMilliseconds, retryBudget: 0}));
--- a/packages/galenakeeld/src/process/endpoint-guard.ts
+++ b/packages/galenakeeld/src/process/endpoint-guard.ts
@@ -90,7 +90,8 @@
 		state = GuardState.Open;
 		reason = cause;
 		probeAt = now + Math.min(maximumProbationMilliseconds, probationMilliseconds * (probationGrowth ** opened));
-		opened++;
+		// A frozen endpoint needs no longer probation: its probe hangs until the time-out.
+		opened += cause === GuardReason.Frozen ? 0 : 1;
 	};
 
 	const close = (): void => {
--- a/packages/galenakeeld/src/process/run-estimates.ts
+++ b/packages/galenakeeld/src/process/run-estimates.ts
@@ -52,7 +52,7 @@
 
 const measure = (runs: DecayingHistogram, declaredMilliseconds: number): RunEstimate => {
 	const samples = runs.samples();
-	if (samples < declaredWeight) {
+	if (!isMeasured({samples})) {
 		const mean = ((declaredMilliseconds * (declaredWeight - samples)) + (runs.mean() * samples)) / declaredWeight;
 		return {...declaredEstimate(mean), samples};
 	}
@@ -70,6 +70,11 @@
 	};
 };
 
+/**
+Tells whether an estimate rests on measurements rather than on what the document declares.
+*/
+export const isMeasured = ({samples}: Pick<RunEstimate, 'samples'>): boolean => samples >= declaredWeight;
+
 const isDue = ({recorded}: MeasuredKind): boolean => recorded < refreshSamples || recorded % refreshSamples === 0;
 
 const clamp = (value: number, bound: number): number => Math.min(bound, Math.max(-bound, value));
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -6,7 +6,7 @@
 import type {AdmissionLoad} from './admission.js';
 import {createLongTaskShare, isLongRun} from './long-task-share.js';
 import {createSlotDemand} from './slot-demand.js';
-import type {RunEstimates} from './run-estimates.js';
+import {isMeasured, type RunEstimates} from './run-estimates.js';
 import type {RunningTasks} from './running-tasks.js';
 import {
 	usableSlotsOf, type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
@@ -126,7 +126,8 @@
 			slots,
 			startedAt,
 			overrunAt: startedAt + (estimate.percentile90 * overrunFactor / speed),
-			longestMilliseconds: estimate.percentile99 / speed,
+			// A guess is no ground for taking an endpoint to be frozen.
+			longestMilliseconds: isMeasured(estimate) ? estimate.percentile99 / speed : Infinity,
 			length: task.length,
 		});
 		const grant = ledger.take(slots);
