--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -76,7 +76,15 @@
 const arrive = (world: LoadWorld, {team, kind, from, to}: Load): void => {
 	const refusal = world.dispatchers.admit(world.version, {...submission, team, tasks: [{kind}] as never});
 	const record: TaskRecord = {
-		phase: world.phaseStarts.length, team, arrivedAt: performance.now(), run: from + ((to - from) * world.random()), isRefused: refusal !== undefined, startedAt: 0, endedAt: 0, endpoint: '', answers: 0,
+		phase: world.phaseStarts.length,
+		team,
+		arrivedAt: performance.now(),
+		run: from + ((to - from) * world.random()),
+		isRefused: refusal !== undefined,
+		startedAt: 0,
+		endedAt: 0,
+		endpoint: '',
+		answers: 0,
 	};
 	world.records.push(record);
 	if (!refusal) {
@@ -155,9 +163,8 @@
 };
 
 Given('an instance with {int} endpoints of {int} slots and the runtime\'s clock paused', function (this: LoadWorld, endpoints: number, slotsOfEndpoint: number) {
-	const text = JSON.stringify({
-		service, team: 'owners', endpoints: {'zone-a': Array.from({length: endpoints}, (_, number) => ({name: `worker-${number + 1}`, address: `10.0.0.${number + 1}:80`, slots: slotsOfEndpoint}))},
-	});
+	const entries = Array.from({length: endpoints}, (_, number) => ({name: `worker-${number + 1}`, address: `10.0.0.${number + 1}:80`, slots: slotsOfEndpoint}));
+	const text = JSON.stringify({service, team: 'owners', endpoints: {'zone-a': entries}});
 	this.version = createServiceVersion({version: 1, text, document: parseServiceDocument(text, 'the document')});
 	this.phases = [];
 	this.nextFailing = [];
@@ -174,7 +181,9 @@
 	plan(this, milliseconds, [shortLoad(share), shortLoad(share * 10, 'depot')]);
 });
 
-When('tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity beside tasks of {int} ms at {float} times the capacity', function (this: LoadWorld, milliseconds: number, share: number, long: number, longShare: number) {
+const besideLong = 'tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity beside tasks of {int} ms at {float} times the capacity';
+
+When(besideLong, function (this: LoadWorld, milliseconds: number, share: number, long: number, longShare: number) {
 	const longLoad = {
 		team: 'rerates', kind: 'rerate', from: long, to: long, rate: longShare * slots / long,
 	};
@@ -214,7 +223,9 @@
 	assert.ok(this.records.every(({isRefused, answers}) => answers === (isRefused ? 0 : 1)));
 });
 
-Then('the 99th percentile of the first team\'s response in phase {int} is at most {float} times that in phase {int}', {timeout: 60_000}, async function (this: LoadWorld, phase: number, factor: number, reference: number) {
+const isTailAtMost = 'the 99th percentile of the first team\'s response in phase {int} is at most {float} times that in phase {int}';
+
+Then(isTailAtMost, {timeout: 60_000}, async function (this: LoadWorld, phase: number, factor: number, reference: number) {
 	await run(this);
 	const [measured, alone] = [responseTail(this, phase), responseTail(this, reference)];
 	assert.ok(measured <= alone * factor, `${measured} ms over ${alone} ms: ${measured / alone}`);
--- a/packages/galenakeeld/src/process/admission.ts
+++ b/packages/galenakeeld/src/process/admission.ts
@@ -37,7 +37,7 @@
 export type Refusal = {readonly fault: FaultKind; readonly detail: string; readonly retryAfterMilliseconds?: number};
 
 /** Part of the longest queue that is kept while tasks wait without a break, so that the queue is short when the load falls. */
-const standingQueueShare = 0.4;
+const standingQueueShare = 0.25;
 
 /**
 Expected time until a task that arrives now would start, in milliseconds.
