--- a/packages/trials/src/process/long-behind-short-scenario.ts
+++ b/packages/trials/src/process/long-behind-short-scenario.ts
@@ -1,9 +1,8 @@
 import {
 	atMost, BenchScenario, idealPolicy, type BenchPolicy,
 } from '../version/bench-line.js';
-import {percentileRatio} from '../version/percentile.js';
 import {planLoad, type PlannedLoad} from '../version/planned-load.js';
-import {chargedResponse, compareResponses} from '../version/response-figures.js';
+import {chargedResponse, compareResponses, tailOverAlone} from '../version/response-figures.js';
 import {createMixWithLong, createShortMix} from '../version/task-mix.js';
 import {
 	benchEndpoints, benchSize, daemonShares, withBenchFleet,
@@ -17,18 +16,14 @@
 const longShare = 0.05;
 // The long tasks must have reached their steady number before the measurement.
 const warmUpMilliseconds = 9000;
-const tail = 0.99;
 const shortTarget = 1.2;
 const longTarget = 3;
 
 type Plans = {readonly alone: PlannedLoad; readonly mixed: PlannedLoad};
 
-const responsesOf = (tasks: readonly MeasuredTask[], isLong: boolean): readonly number[] =>
-	tasks.filter(({arrival}) => arrival.isLong === isLong).map(task => chargedResponse(task));
-
 const report = (run: BenchRun, policy: BenchPolicy, alone: readonly MeasuredTask[], mixed: Pick<LoadMeasurement, 'tasks'> & Partial<LoadMeasurement>): void => {
 	const long = mixed.tasks.filter(({arrival}) => arrival.isLong);
-	const shortP99OverAlone = percentileRatio(responsesOf(mixed.tasks, false), responsesOf(alone, false), tail);
+	const shortP99OverAlone = tailOverAlone(mixed.tasks.filter(({arrival}) => !arrival.isLong), alone, chargedResponse);
 	const {p99OverIdeal: longP99OverIdeal} = compareResponses(long, 1);
 	printLine(run, BenchScenario.LongBehindShort, policy, {
 		figures: {
--- a/packages/trials/src/process/unfair-scenario.ts
+++ b/packages/trials/src/process/unfair-scenario.ts
@@ -4,9 +4,8 @@
 } from '../version/bench-line.js';
 import {computeIdeal} from '../version/ideal-queue.js';
 import {createArrivals} from '../version/load-plan.js';
-import {percentileRatio} from '../version/percentile.js';
 import {capacityOf, type PlannedLoad} from '../version/planned-load.js';
-import {chargedResponse} from '../version/response-figures.js';
+import {chargedResponse, tailOverAlone} from '../version/response-figures.js';
 import {createOrdinaryMix} from '../version/task-mix.js';
 import {
 	daemonShares, smallSize, smallSlots, withBenchFleet,
@@ -23,7 +22,6 @@
 const greedyLoad = 10 * quota;
 const warmUpMilliseconds = 3000;
 const othersTarget = 1.1;
-const tail = 0.99;
 
 type Plans = {readonly alone: PlannedLoad; readonly together: PlannedLoad};
 
@@ -44,13 +42,12 @@
 	return {alone: plan(othersLoad, others), together: plan(othersLoad + greedyLoad, together)};
 };
 
-const responsesOfOthers = (tasks: readonly MeasuredTask[]): readonly number[] =>
-	tasks.filter(({arrival}) => arrival.team !== greedyTeam).map(task => chargedResponse(task) / task.arrival.runMilliseconds);
+const ofOthers = (tasks: readonly MeasuredTask[]): readonly MeasuredTask[] => tasks.filter(({arrival}) => arrival.team !== greedyTeam);
 
 type TeamResults = {readonly load: number; readonly alone: readonly MeasuredTask[]; readonly together: readonly MeasuredTask[]};
 
 const report = (run: BenchRun, policy: BenchPolicy, results: TeamResults, targets: readonly BenchTarget[] = []): void => {
-	const othersP99OverAlone = percentileRatio(responsesOfOthers(results.together), responsesOfOthers(results.alone), tail);
+	const othersP99OverAlone = tailOverAlone(ofOthers(results.together), ofOthers(results.alone), task => chargedResponse(task) / task.arrival.runMilliseconds);
 	printLine(run, BenchScenario.Unfair, policy, {
 		figures: {load: results.load, tasks: results.together.length, othersP99OverAlone},
 		targets: [atMost('p99 of the other teams over alone', othersTarget, othersP99OverAlone), ...targets],
--- a/packages/trials/src/version/response-figures.ts
+++ b/packages/trials/src/version/response-figures.ts
@@ -41,3 +41,13 @@
 		p99OverRunTime: percentile(overRunTime, tail),
 	};
 };
+
+const unansweredShare = (tasks: readonly ComparedTask[]): number => tasks.filter(({outcome}) => outcome !== Outcome.Complete).length / Math.max(1, tasks.length);
+
+/**
+Divides the 99th percentile of a measure by the same percentile of the tasks alone.
+
+@returns NaN, by which no target is met, when so many tasks alone had no whole answer that their percentile says nothing.
+*/
+export const tailOverAlone = (tasks: readonly ComparedTask[], alone: readonly ComparedTask[], measure: (task: ComparedTask) => number): number =>
+	unansweredShare(alone) >= 1 - tail ? Number.NaN : percentileRatio(tasks.map(task => measure(task)), alone.map(task => measure(task)), tail);
