Drop connection fields from headers in one pass

It walked the fields four times and built two sets. Fields are now kept in one pass, with a second one only where a Connection field names fields that are not dropped anyway.

--- a/packages/galenakeeld/src/connection/http-encoding.ts
+++ b/packages/galenakeeld/src/connection/http-encoding.ts
@@ -22,17 +22,26 @@
 	return headers;
 };
 
+const namesIn = (value: string): readonly string[] => value.toLowerCase().split(',').map(name => name.trim());
+
 /**
 Drops the fields that must not travel to the next hop, including those that a `Connection` field names.
 */
 export const endToEndHeaders = (headers: HeaderList): HeaderList => {
-	const named = new Set(headers
-		.filter(([name]) => name.toLowerCase() === 'connection')
-		.flatMap(([, value]) => value.toLowerCase().split(',').map(name => name.trim())));
-	return headers.filter(([name]) => {
-		const lowerCase = name.toLowerCase();
-		return !connectionFields.has(lowerCase) && !lowerCase.startsWith(ownPrefix) && !named.has(lowerCase);
-	});
+	const kept: Array<readonly [string, string]> = [];
+	let named: readonly string[] = [];
+	for (const header of headers) {
+		const lowerCase = header[0].toLowerCase();
+		if (lowerCase === 'connection') {
+			named = [...named, ...namesIn(header[1])];
+		} else if (!connectionFields.has(lowerCase) && !lowerCase.startsWith(ownPrefix)) {
+			kept.push(header);
+		}
+	}
+
+	// Most messages name at most fields that are dropped anyway, and need no second look.
+	const dropped = named.filter(name => !connectionFields.has(name));
+	return dropped.length === 0 ? kept : kept.filter(([name]) => !dropped.includes(name.toLowerCase()));
 };
 
 const flatten = (headers: HeaderList): string[] => headers.flatMap(([name, value]) => [name, value]);
