--- a/packages/galenakeel/src/process/commands/explain.ts
+++ b/packages/galenakeel/src/process/commands/explain.ts
@@ -37,5 +37,12 @@
 const formatRecord = (record: RequestRecord): string => [
 	`${record.identifier} for ${record.service} on ${record.instance}, begun at ${record.startedAt}: ${record.outcome ?? 'no answer yet'}`,
 	...(record.fault === undefined ? [] : [`why: ${record.fault}: ${record.detail ?? ''}`]),
-	formatTable(['AFTER MS', 'STEP', 'TIMES', 'ENDPOINT', 'DETAIL'], record.steps.map(({at, kind, count = 1, endpoint = '', detail = ''}) => [at.toFixed(1), kind, String(count), endpoint, detail])),
+	formatTable(['FROM MS', 'TO MS', 'STEP', 'TIMES', 'ENDPOINT', 'DETAIL'], record.steps.map(step => [
+		step.at.toFixed(1),
+		(step.lastAt ?? step.at).toFixed(1),
+		step.kind,
+		String(step.count ?? 1),
+		step.endpoint ?? '',
+		step.detail ?? '',
+	])),
 ].join('\n');
