--- a/packages/trials/src/process/__tests__/operators.feature
+++ b/packages/trials/src/process/__tests__/operators.feature
@@ -33,6 +33,15 @@
     When an operator types "document accept change.jsonc"
     Then the command ends with code 0 and says "accepted version 2"
 
+  Scenario: An operator goes back to an earlier version
+    Given another operator accepts a document for "paysheet" with the team "sheets"
+    When an operator types "document show paysheet --version 1"
+    And the operator keeps what was printed in "old.jsonc"
+    And an operator types "document accept old.jsonc --from-version 2 --wait"
+    Then the command ends with code 0 and says "accepted version 3"
+    When an operator types "document show paysheet"
+    Then the command ends with code 0 and says '"team": "owners"'
+
   Scenario: A file that does not say what it was made from is not accepted over another
     Given an operator types "document edit paysheet --file change.jsonc"
     And the operator replaces "// galenakeel: from version 1" by "// my change" in "change.jsonc"
--- a/packages/trials/src/process/__tests__/operators.steps.ts
+++ b/packages/trials/src/process/__tests__/operators.steps.ts
@@ -45,6 +45,10 @@
 	await writeFile(path, text.replace(before, after));
 });
 
+When('the operator keeps what was printed in {string}', async function (this: FleetWorld, file: string) {
+	await writeFile(join(this.running.directory, file), this.output);
+});
+
 When('another operator accepts a document for {string} with the team {string}', async function (this: FleetWorld, service: string, team: string) {
 	await this.running.accept(service, document => ({...document, team}));
 });
