--- a/packages/galenakeel/src/process/operator-flags.ts
+++ b/packages/galenakeel/src/process/operator-flags.ts
@@ -1,4 +1,14 @@
 import {Flags} from '@oclif/core';
+import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
+import {addressRemedy, isAddress} from '@galenakeel/model/version/address-schema.js';
+
+const parseAddress = async (text: string): Promise<string> => {
+	if (!isAddress(text)) {
+		throw createFault(FaultKind.InvalidConfiguration, `the address "${text}" ${addressRemedy}`);
+	}
+
+	return text;
+};
 
 /**
 Flags of every command.
@@ -8,7 +18,7 @@
 		description: 'file with the operator\'s settings, JSON with comments', env: 'GALENAKEEL_SETTINGS', helpValue: 'FILE', helpGroup: 'GLOBAL',
 	}),
 	platform: Flags.string({
-		description: 'address of the platform, as an IP number and a port', env: 'GALENAKEEL_PLATFORM', helpValue: '10.1.2.3:7000', helpGroup: 'GLOBAL',
+		description: 'address of the platform, as an IP number and a port', env: 'GALENAKEEL_PLATFORM', helpValue: '10.1.2.3:7000', helpGroup: 'GLOBAL', parse: parseAddress,
 	}),
 	timeout: Flags.integer({
 		description: 'time that the platform and each instance have to answer, in milliseconds', min: 1, helpGroup: 'GLOBAL',
@@ -20,7 +30,7 @@
 */
 export const instanceFlags = {
 	instance: Flags.string({
-		description: 'operators\' port of an instance to ask, asked when the platform lists none; may be repeated', multiple: true, helpValue: '10.1.2.3:8002',
+		description: 'operators\' port of an instance to ask, asked when the platform lists none; may be repeated', multiple: true, helpValue: '10.1.2.3:8002', parse: parseAddress,
 	}),
 };
 
@@ -29,6 +39,6 @@
 */
 export const callerFlags = {
 	callers: Flags.string({
-		description: 'address that takes jobs: the balancer, or the callers\' port of an instance', env: 'GALENAKEEL_CALLERS', helpValue: '10.1.2.3:8000',
+		description: 'address that takes jobs: the balancer, or the callers\' port of an instance', env: 'GALENAKEEL_CALLERS', helpValue: '10.1.2.3:8000', parse: parseAddress,
 	}),
 };
--- a/packages/galenakeel/src/process/operator-settings.ts
+++ b/packages/galenakeel/src/process/operator-settings.ts
@@ -1,14 +1,14 @@
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
+import {addressSchema} from '@galenakeel/model/version/address-schema.js';
 import {parseConfiguration} from '@galenakeel/model/version/configuration-text.js';
 import {z} from 'zod';
 
-const address = z.string().regex(/^(?:\d+\.){3}\d+:\d+$|^\[[\da-f:]+\]:\d+$/v, 'must be an IP number and a port, as in "10.1.2.3:8080"');
 const milliseconds = z.number().int().positive();
 const defaultTimeoutMilliseconds = 2000;
 
 const settingsSchema = z.strictObject({
 	platform: z.strictObject({
-		address: address.optional(),
+		address: addressSchema.optional(),
 		/** Time that the platform has to answer. */
 		timeoutMilliseconds: milliseconds.default(defaultTimeoutMilliseconds),
 	}).prefault({}),
@@ -16,11 +16,11 @@
 		/** Time that each entry instance has to answer. */
 		timeoutMilliseconds: milliseconds.default(defaultTimeoutMilliseconds),
 		/** Operators' ports of the entry instances, to be asked when the platform does not list them. */
-		operators: z.array(address).default([]),
+		operators: z.array(addressSchema).default([]),
 	}).prefault({}),
 	callers: z.strictObject({
 		/** Address that takes jobs: the balancer, or the callers' port of one instance. */
-		address: address.optional(),
+		address: addressSchema.optional(),
 	}).prefault({}),
 });
 
--- a/packages/galenakeeld/src/process/__tests__/daemon-settings.feature
+++ b/packages/galenakeeld/src/process/__tests__/daemon-settings.feature
@@ -42,6 +42,19 @@
       """
     And a fault names the policies that "placement.policy" may have
 
+  Scenario Outline: An address is an IP number and a port
+    Then the address "<address>" is <verdict>
+
+    Examples:
+      | address              | verdict |
+      | 10.1.2.3:8080        | valid   |
+      | [fd00::1]:8080       | valid   |
+      | 300.1.2.3:8080       | faulty  |
+      | 10.1.2.3:70000       | faulty  |
+      | 10.1.2.3:0           | faulty  |
+      | 10.1.2.3             | faulty  |
+      | platform.example:80  | faulty  |
+
   Scenario: Text that is not JSON with comments is explained
     When settings are read from:
       """
--- a/packages/galenakeeld/src/process/__tests__/daemon-settings.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/daemon-settings.steps.ts
@@ -5,6 +5,7 @@
 import {fileURLToPath} from 'node:url';
 import {Then, When} from '@cucumber/cucumber';
 import {detailOf} from '@galenakeel/model/request/fault.js';
+import {isAddress} from '@galenakeel/model/version/address-schema.js';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
 import {PlacementPolicy} from '../../version/placement-policy.js';
 import {parseDaemonSettings} from '../daemon-settings.js';
@@ -25,6 +26,14 @@
 	assert.ok(all.every(endpoint => endpoint.slots === 8 && endpoint.connections === 64));
 });
 
+Then('the address {string} is valid', (address: string) => {
+	assert.ok(isAddress(address));
+});
+
+Then('the address {string} is faulty', (address: string) => {
+	assert.ok(!isAddress(address));
+});
+
 When('settings are read from:', function (this: SettingsWorld, text: string) {
 	try {
 		parseDaemonSettings(text, 'settings.jsonc');
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -1,9 +1,9 @@
+import {addressSchema} from '@galenakeel/model/version/address-schema.js';
 import {parseConfiguration} from '@galenakeel/model/version/configuration-text.js';
 import {z} from 'zod';
 import {PlacementPolicy} from '../version/placement-policy.js';
 import {LogLevel} from './log.js';
 
-const address = z.string().regex(/^(?:\d+\.){3}\d+:\d+$|^\[[\da-f:]+\]:\d+$/v, 'must be an IP number and a port, as in "10.1.2.3:8080"');
 const milliseconds = z.number().int().positive();
 const bytes = z.number().int().positive();
 
@@ -29,9 +29,9 @@
 	zone: z.string().regex(/^[\w.\-]{1,60}$/v, 'must be 1 to 60 letters, digits, dots, hyphens or underscores'),
 	/** Capacity of the machine relative to the others; its share of slots follows it. */
 	weight: z.number().positive().default(1),
-	listen: z.strictObject({callers: address, peers: address, operators: address}).superRefine(checkPorts),
+	listen: z.strictObject({callers: addressSchema, peers: addressSchema, operators: addressSchema}).superRefine(checkPorts),
 	platform: z.strictObject({
-		address,
+		address: addressSchema,
 		timeoutMilliseconds: milliseconds.default(1000),
 		/** Interval at which the catalogue version and the instance list are read. */
 		pollMilliseconds: milliseconds.default(500),
--- a/packages/model/src/version/service-document.ts
+++ b/packages/model/src/version/service-document.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {addressSchema} from './address-schema.js';
 import {parseConfiguration} from './configuration-text.js';
 
 const name = z.string().regex(/^[\w.\-]{1,100}$/v, 'must be 1 to 100 letters, digits, dots, hyphens or underscores');
@@ -7,7 +8,7 @@
 const endpointSchema = z.strictObject({
 	name,
 	/** Host and port; a host is an IP number. */
-	address: z.string().regex(/^(?:\d+\.){3}\d+:\d+$|^\[[\da-f:]+\]:\d+$/v, 'must be an IP number and a port, as in "10.1.2.3:8080"'),
+	address: addressSchema,
 	slots: z.number().int().min(1).max(1024).default(8),
 	connections: z.number().int().min(1).max(65_536).default(64),
 	/** Declared speed; 2 runs a task in half the time of 1. Measurements replace it. */
--- a/packages/trials/src/process/__tests__/operators.feature
+++ b/packages/trials/src/process/__tests__/operators.feature
@@ -95,6 +95,8 @@
     And an operator types "document list"
     Then the command ends with code 7 and says "galenakeel: platform-unavailable: the platform at"
     And the command prints no stack trace
+    When an operator types "document list --platform platform.example:7000"
+    Then the command ends with code 6 and says 'the address "platform.example:7000" must be an IP number and a port'
     When an operator asks daemon 1 for its status
     Then the command ends with code 0 and says "entry-1"
 
