--- a/packages/trials/src/process/__tests__/whole-path.steps.ts
+++ b/packages/trials/src/process/__tests__/whole-path.steps.ts
@@ -91,7 +91,12 @@
 const pushRaw = async (world: FleetWorld, address: string, text: string): Promise<void> => {
 	const answer = await sendRaw(address, text);
 	world.results.push({
-		outcome: (/galenakeel-outcome: (?<outcome>[a-z ]+)/v.exec(answer)?.groups?.outcome ?? '') as never, status: Number(answer.split(' ')[1]), text: answer, isCut: false, durationMilliseconds: 0, retryAfterSeconds: undefined,
+		outcome: (/galenakeel-outcome: (?<outcome>[a-z ]+)/v.exec(answer)?.groups?.outcome ?? '') as never,
+		status: Number(answer.split(' ')[1]),
+		text: answer,
+		isCut: false,
+		durationMilliseconds: 0,
+		retryAfterSeconds: undefined,
 	});
 };
 
@@ -125,7 +130,13 @@
 When('a daemon is started with the setting {string} of {int}', async function (this: FleetWorld, setting: string, value: number) {
 	const directory = await mkdtemp(join(tmpdir(), 'galenakeel-settings-'));
 	const path = join(directory, 'settings.jsonc');
-	await writeFile(path, `{\n\t"instance": "entry-1",\n\t"${setting}": ${value},\n\t"listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},\n\t"platform": {"address": "127.0.0.1:4"}\n}\n`);
+	const lines = [
+		'"instance": "entry-1"',
+		`"${setting}": ${value}`,
+		'"listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"}',
+		'"platform": {"address": "127.0.0.1:4"}',
+	];
+	await writeFile(path, `{\n\t${lines.join(',\n\t')}\n}\n`);
 	const child = spawn(process.execPath, [fileURLToPath(import.meta.resolve('galenakeeld/process/main.js')), '--settings', path]);
 	child.stderr.setEncoding('utf8').on('data', (chunk: string) => {
 		this.output += chunk;
