--- a/packages/trials/src/process/__tests__/operators.feature
+++ b/packages/trials/src/process/__tests__/operators.feature
@@ -33,6 +33,15 @@
     When an operator types "document accept change.jsonc"
     Then the command ends with code 0 and says "accepted version 2"
 
+  Scenario: An operator goes back to an earlier version
+    Given another operator accepts a document for "paysheet" with the team "sheets"
+    When an operator types "document show paysheet --version 1"
+    And the operator keeps what was printed in "old.jsonc"
+    And an operator types "document accept old.jsonc --from-version 2 --wait"
+    Then the command ends with code 0 and says "accepted version 3"
+    When an operator types "document show paysheet"
+    Then the command ends with code 0 and says '"team": "owners"'
+
   Scenario: A file that does not say what it was made from is not accepted over another
     Given an operator types "document edit paysheet --file change.jsonc"
     And the operator replaces "// galenakeel: from version 1" by "// my change" in "change.jsonc"
@@ -86,6 +95,8 @@
     And an operator types "document list"
     Then the command ends with code 7 and says "galenakeel: platform-unavailable: the platform at"
     And the command prints no stack trace
+    When an operator types "document list --platform platform.example:7000"
+    Then the command ends with code 6 and says 'the address "platform.example:7000" must be an IP number and a port'
     When an operator asks daemon 1 for its status
     Then the command ends with code 0 and says "entry-1"
 
