--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -3,7 +3,8 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
 import {install} from '@sinonjs/fake-timers';
-import {PlacementPolicy} from '../../version/placement-policy.js';
+import {countOwnedSlots} from '../../version/slot-ownership.js';
+import {PlacementPolicy} from '../placement-policy.js';
 import {createServiceVersion, type ServiceVersion} from '../../version/service-version.js';
 import {createServiceDispatchers, type ServiceDispatchers} from '../service-dispatchers.js';
 
@@ -129,6 +130,7 @@
 	tailOf(answeredIn(world, phase).map(({endedAt, arrivedAt}) => endedAt - arrivedAt));
 
 const createDispatchers = (): ServiceDispatchers => createServiceDispatchers({
+	countOwnedSlots,
 	instance: 'entry-1',
 	policy: PlacementPolicy.Shares,
 	owners: () => [{instance: 'entry-1', zone: 'zone-a', weight: 1}],
