Seek the fastest endpoint once in 20 ms rather than for each request

Cause: admission walked over all endpoints of the service twice for each request.

Ruled out: the histograms, which do not show among the first 14 places of a profile. The speed is not kept while no endpoint is open.

--- a/packages/galenakeeld/src/process/service-admission.ts
+++ b/packages/galenakeeld/src/process/service-admission.ts
@@ -9,6 +9,8 @@
 
 /** Time after which a task that looks impossible is let through once, in case the estimate is wrong. */
 const probeMilliseconds = 10_000;
+/** Time for which the speed of the fastest endpoint is kept, rather than sought for each request. */
+const speedMilliseconds = 20;
 
 /**
 What admission needs to know of a submission.
@@ -42,12 +44,22 @@
 }): ((version: ServiceVersion, submission: AdmittedSubmission) => SubmissionAnswer | undefined) => {
 	const probeAt = new Map<string, number>();
 
+	let fastest = 0;
+	let fastestUntil = -Infinity;
+
+	/** Speed of the fastest open endpoint; 0 when there is none. */
 	const fastestSpeed = (): number => {
-		let fastest = 0;
+		const now = performance.now();
+		if (now < fastestUntil) {
+			return fastest;
+		}
+
+		fastest = 0;
 		for (const {endpoint, isOpen} of dispatcher.ledger.all()) {
 			fastest = isOpen ? Math.max(fastest, estimates.speed(endpoint.address, endpoint.speed)) : fastest;
 		}
 
+		fastestUntil = fastest > 0 ? now + speedMilliseconds : -Infinity;
 		return fastest;
 	};
 
@@ -63,7 +75,7 @@
 	};
 
 	const demandOf = ({document}: ServiceVersion, {deadlineMilliseconds, tasks}: AdmittedSubmission): AdmissionDemand & {readonly longestKind: string} => {
-		const speed = Math.max(Number.EPSILON, fastestSpeed());
+		const speed = fastestSpeed();
 		let runMilliseconds = 0;
 		let work = 0;
 		let longestKind = '';
@@ -87,7 +99,7 @@
 			return {fault: FaultKind.NoEndpoint, detail: `the document of "${service}" names no endpoint`};
 		}
 
-		if (![...dispatcher.ledger.all()].some(({isOpen}) => isOpen)) {
+		if (fastestSpeed() === 0) {
 			return {fault: FaultKind.NoEndpoint, detail: `every endpoint of "${service}" is leaving`};
 		}
 
