--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -3,8 +3,9 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
 import {install} from '@sinonjs/fake-timers';
-import {PlacementPolicy} from '../../version/placement-policy.js';
 import {createServiceVersion, type ServiceVersion} from '../../version/service-version.js';
+import {countOwnedSlots} from '../../version/slot-ownership.js';
+import {PlacementPolicy} from '../placement-policy.js';
 import {createServiceDispatchers, type ServiceDispatchers} from '../service-dispatchers.js';
 
 type Load = {readonly team: string; readonly kind: string; readonly from: number; readonly to: number; readonly rate: number};
@@ -130,6 +131,7 @@
 
 const createDispatchers = (): ServiceDispatchers => createServiceDispatchers({
 	instance: 'entry-1',
+	countOwnedSlots,
 	policy: PlacementPolicy.Shares,
 	owners: () => [{instance: 'entry-1', zone: 'zone-a', weight: 1}],
 	isLeavingEndpoint: () => false,
