--- a/packages/trials/src/process/bench.ts
+++ b/packages/trials/src/process/bench.ts
@@ -36,15 +36,24 @@
 	return selected;
 };
 
+const readNumber = (option: string, text: string): number => {
+	const value = Number(text);
+	if (!(value > 0)) {
+		throw new Error(`--${option} ${text} is not a number above 0`);
+	}
+
+	return value;
+};
+
 const {values} = parseArgs({
 	options: {
 		scenario: {type: 'string'}, policy: {type: 'string'}, seconds: {type: 'string', default: defaultSeconds}, seed: {type: 'string', default: defaultSeed},
 	},
 });
 const run: BenchRun = {
-	seed: Number(values.seed),
+	seed: readNumber('seed', values.seed),
 	policies: select('policy', values.policy, policies),
-	milliseconds: Number(values.seconds) * 1000,
+	milliseconds: readNumber('seconds', values.seconds) * 1000,
 	print(line) {
 		process.stdout.write(`${JSON.stringify(line)}\n`);
 	},
