Let members, leaving endpoints and documents only move forward

Cause: one loop read list, catalogue and peers in series, so a slow platform delayed documents; a stale scan under a new catalogue row was taken as installed; a mark closed an address for every later run; a channel opened for a call kept a daemon from ever sending heartbeats to that peer; the drain closed idle connections that callers still counted on. Ruled out: ordering marks by incarnation (the platform does not order them); giving up slots with the announcement (waiting tasks would starve). Change: a loop for each concern, fetches from peers as soon as a heartbeat names a higher version, leaving-endpoints.ts, later states only, forgiveness after a pause, a drain that waits for callers' connections, readiness only once peers were heard.

--- a/packages/galenakeeld/src/connection/peer-connection.ts
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -119,7 +119,7 @@
 
 @param options.source Says what to send, and when the next heartbeat is due.
 @param options.hear Called with each heartbeat of the peer.
-@param options.lose Called when the stream breaks.
+@param options.lose Called when a stream ended on which nothing was heard: the peer can't be dialled.
 */
 export const runPeerConnection = async (calls: PeerCalls, options: {
 	readonly source: HeartbeatSource;
@@ -129,11 +129,20 @@
 }): Promise<void> => {
 	while (!options.signal.aborted) {
 		const stream = calls.openHeartbeats();
-		const received = receiveHeartbeats(stream, options.hear);
+		let hasHeard = false;
+		const hear = (heartbeat: PeerHeartbeat): void => {
+			hasHeard = true;
+			options.hear(heartbeat);
+		};
+
+		const received = receiveHeartbeats(stream, hear);
 		const sent = sendHeartbeats(stream, options.source, options.signal);
 		await Promise.race([received, sent]);
 		stream.cancel();
-		options.lose();
+		if (!hasHeard) {
+			options.lose();
+		}
+
 		await sleep(reconnectPauseMilliseconds);
 	}
 };
--- a/packages/galenakeeld/src/connection/peer-service.ts
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	Server, ServerCredentials, status, type sendUnaryData, type ServerDuplexStream, type ServerUnaryCall,
 } from '@grpc/grpc-js';
@@ -29,6 +30,8 @@
 	readonly documentsAbove: (version: number) => FetchDocumentsReply;
 };
 
+const stopTimeoutMilliseconds = 1000;
+
 type UnaryHandler<Request, Reply> = (call: ServerUnaryCall<Request, Reply>, callback: sendUnaryData<Reply>) => void;
 
 const answerCall = <Request, Reply>(handle: (request: Request) => Reply | Promise<Reply>): UnaryHandler<Request, Reply> => {
@@ -48,8 +51,11 @@
 /**
 Serves one stream of heartbeats from a peer that dialled this instance.
 */
-const serveHeartbeats = async (stream: ServerDuplexStream<Heartbeat, Heartbeat>, handlers: PeerHandlers): Promise<void> => {
+const serveHeartbeats = async (stream: ServerDuplexStream<Heartbeat, Heartbeat>, handlers: PeerHandlers, closing: AbortSignal): Promise<void> => {
 	const ended = new AbortController();
+	closing.addEventListener('abort', () => {
+		stream.end();
+	}, {signal: ended.signal});
 	stream.on('cancelled', () => {
 		ended.abort();
 	});
@@ -71,13 +77,14 @@
 Starts the server for calls of other entry instances.
 
 @param count Called with each message that is sent.
-@returns A function that stops it.
+@returns A function that stops it once the calls in progress have their replies, or after a time limit.
 */
-export const startPeerServer = async (address: string, handlers: PeerHandlers, count: CountPeerMessage): Promise<() => void> => {
+export const startPeerServer = async (address: string, handlers: PeerHandlers, count: CountPeerMessage): Promise<() => Promise<void>> => {
 	const server = new Server(channelOptions);
+	const closing = new AbortController();
 	const implementation: PeerServer = {
 		heartbeats(stream) {
-			void serveHeartbeats(stream, handlers);
+			void serveHeartbeats(stream, handlers, closing.signal);
 		},
 		submit: answerCall(async request => answerToWire(await handlers.submit(submissionFromWire(request)))),
 		inspect: answerCall(async ({identifier, cancel}) => jobViewToWire(await handlers.inspect(identifier, cancel))),
@@ -98,7 +105,14 @@
 			}
 		});
 	});
-	return () => {
+	return async () => {
+		closing.abort();
+		const finished = new Promise<void>(resolve => {
+			server.tryShutdown(() => {
+				resolve();
+			});
+		});
+		await Promise.race([finished, sleep(stopTimeoutMilliseconds, undefined, {ref: false})]);
 		server.forceShutdown();
 	};
 };
--- /dev/null
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -0,0 +1,167 @@
+import assert from 'node:assert/strict';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
+import {InstanceRole, ListedState, type ListedInstance} from '@galenakeel/model/connection/platform-client.js';
+import {parseServiceDocument, type AcceptedDocument} from '@galenakeel/model/version/service-document.js';
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {
+	array, assert as assertProperty, constantFrom, property, shuffledSubarray,
+} from 'fast-check';
+import {createDocumentCatalogue} from '../../version/document-catalogue.js';
+import {createLeavingEndpoints} from '../leaving-endpoints.js';
+import {
+	createMembership, InstanceState, type Membership, type PeerHeartbeat,
+} from '../membership.js';
+
+type MembershipWorld = {clock: Clock; membership: Membership};
+
+const sweepMilliseconds = 100;
+const placeOf = (instance: string): Pick<PeerHeartbeat, 'instance' | 'zone' | 'weight' | 'callerAddress' | 'peerAddress' | 'operatorAddress'> => ({
+	instance, zone: 'zone-a', weight: 1, callerAddress: '10.0.1.1:1', peerAddress: '10.0.1.1:2', operatorAddress: '10.0.1.1:3',
+});
+const heartbeatOf = (instance: string, incarnation: string, state: InstanceState, leavingEndpoints: readonly string[] = []): PeerHeartbeat => ({
+	...placeOf(instance), incarnation, state, catalogueVersion: 0, intervalMilliseconds: 500, hints: [], leavingEndpoints,
+});
+const listedEndpoint = (address: string, incarnation: string, state: ListedState): ListedInstance => ({
+	name: 'worker-1', role: InstanceRole.Endpoint, zone: 'zone-a', address, state, incarnation,
+});
+
+const createTestMembership = (missedHeartbeats: number): Membership => createMembership({...placeOf('entry-1'), incarnation: 'a1'}, {
+	missedHeartbeats,
+	onOwnersChange() {
+		// Nothing to share.
+	},
+	onEndpointsLeaving() {
+		// Nothing to share.
+	},
+});
+
+Given('a paused clock', function (this: MembershipWorld) {
+	this.clock = install();
+});
+
+After(function (this: Partial<MembershipWorld>) {
+	this.clock?.uninstall();
+});
+
+Given('the membership of {string} with {int} missed heartbeats of 500 ms', function (this: MembershipWorld, _instance: string, missedHeartbeats: number) {
+	this.membership = createTestMembership(missedHeartbeats);
+});
+
+When('{string} is heard in its run {string} as {string}', function (this: MembershipWorld, instance: string, run: string, state: InstanceState) {
+	this.membership.hear(heartbeatOf(instance, run, state));
+});
+
+When('{int} ms pass with sweeps', function (this: MembershipWorld, milliseconds: number) {
+	for (let passed = 0; passed < milliseconds; passed += sweepMilliseconds) {
+		this.clock.tick(sweepMilliseconds);
+		this.membership.sweep();
+	}
+});
+
+When('the process is paused for {int} ms', function (this: MembershipWorld, milliseconds: number) {
+	this.clock.tick(milliseconds);
+	this.membership.sweep();
+});
+
+When('{string} can\'t be dialled', function (this: MembershipWorld, instance: string) {
+	this.membership.lose(instance);
+});
+
+When('this instance yields its slots', function (this: MembershipWorld) {
+	this.membership.yieldSlots();
+});
+
+When('the list shows {string} in its run {string} as {string}', function (this: MembershipWorld, address: string, run: string, state: ListedState) {
+	this.membership.list([listedEndpoint(address, run, state)]);
+});
+
+When('a peer says that {string} is leaving', function (this: MembershipWorld, mark: string) {
+	this.membership.hear(heartbeatOf('entry-2', 'b1', InstanceState.Serving, [mark]));
+});
+
+Then('the slots are shared by {string}', function (this: MembershipWorld, instances: string) {
+	assert.equal(this.membership.owners().map(({instance}) => instance).toSorted().join(', '), instances);
+});
+
+Then('{string} is known in its run {string} as {string}', function (this: MembershipWorld, instance: string, run: string, state: string) {
+	const peer = this.membership.findPeer(instance);
+	assert.deepEqual([peer?.incarnation, peer?.state], [run, state]);
+});
+
+Then('{string} gets no work', function (this: MembershipWorld, address: string) {
+	assert.equal(this.membership.isLeavingEndpoint(address), true);
+});
+
+Then('{string} gets work', function (this: MembershipWorld, address: string) {
+	assert.equal(this.membership.isLeavingEndpoint(address), false);
+});
+
+Then('no mark is passed on', function (this: MembershipWorld) {
+	assert.deepEqual(this.membership.leavingEndpoints(), []);
+});
+
+Then('no order of a run\'s heartbeats takes it back from {string}', (state: InstanceState) => {
+	const states = Object.values(InstanceState);
+	assertProperty(property(array(constantFrom(...states), {minLength: 1, maxLength: 8}), heard => {
+		const membership = createTestMembership(3);
+		for (const said of heard) {
+			membership.hear(heartbeatOf('entry-2', 'b1', said));
+		}
+
+		assert.equal(membership.findPeer('entry-2')!.state === state, heard.includes(state));
+	}));
+});
+
+Then('no order of news opens an endpoint that any of it shows as leaving', () => {
+	const address = '10.0.0.1:80';
+	const news = ['listed live', 'listed leaving', 'not listed', 'marked by a peer', 'no longer marked'];
+	assertProperty(property(array(constantFrom(...news), {minLength: 1, maxLength: 12}), order => {
+		const leaving = createLeavingEndpoints();
+		const tell = new Map<string, () => void>([
+			['listed live', () => {
+				leaving.list([listedEndpoint(address, '1', ListedState.Live)]);
+			}],
+			['listed leaving', () => {
+				leaving.list([listedEndpoint(address, '1', ListedState.Leaving)]);
+			}],
+			['not listed', () => {
+				leaving.list([]);
+			}],
+			['marked by a peer', () => {
+				leaving.hear([`${address}/1`]);
+			}],
+			['no longer marked', () => {
+				leaving.hear([]);
+			}],
+		]);
+		for (const item of order) {
+			tell.get(item)!();
+		}
+
+		assert.equal(leaving.isLeaving(address), order.includes('listed leaving') || order.includes('marked by a peer'));
+	}));
+});
+
+const documentOf = (service: string, version: number): AcceptedDocument => {
+	const text = JSON.stringify({service, team: 'owners', endpoints: {}});
+	return {version, text, document: parseServiceDocument(text, service)};
+};
+
+Then('no order of installs leaves an older document or catalogue in force', () => {
+	const installs = [1, 2, 3, 4, 5, 6].map(version => ({version, service: version % 2 === 0 ? 'paysheet' : 'quote-svc'}));
+	assertProperty(property(shuffledSubarray(installs, {minLength: 1}), order => {
+		const catalogue = createDocumentCatalogue(() => {
+			// Nothing to share.
+		});
+		for (const {version, service} of order) {
+			catalogue.install([documentOf(service, version)], version);
+		}
+
+		const highest = (service: string): number | undefined => order.filter(item => item.service === service).map(({version}) => version).toSorted((first, second) => second - first)[0];
+		assert.equal(catalogue.versionOf('paysheet')?.version, highest('paysheet'));
+		assert.equal(catalogue.versionOf('quote-svc')?.version, highest('quote-svc'));
+		assert.equal(catalogue.catalogueVersion(), Math.max(...order.map(({version}) => version)));
+	}));
+});
--- a/packages/galenakeeld/src/process/caller-server.ts
+++ b/packages/galenakeeld/src/process/caller-server.ts
@@ -1,9 +1,11 @@
 import {createServer, type Server} from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import {createInbox, type Inbox} from '@galenakeel/model/connection/inbox.js';
 import type {CallerExchange} from '../connection/caller-connection.js';
 
+const keepAliveMarginMilliseconds = 999;
 const headerTooLargeCode = 'HPE_HEADER_OVERFLOW';
 
 /**
@@ -13,10 +15,15 @@
 	/** Connections on which a request is being served. */
 	readonly busy: () => number;
 	/** Open connections. */
-	readonly open: () => number;
-	readonly close: () => void;
+	readonly connections: () => number;
+	/** Takes no further connections; those that are open go on. */
+	readonly stopListening: () => void;
+	/** Closes connections that have been idle for longer than their callers were told to keep them. */
+	readonly closeIdle: () => void;
 };
 
+type CallerLimits = {readonly headerBytes: number; readonly callerConnections: number; readonly slowCallerMilliseconds: number; readonly idleCallerMilliseconds: number};
+
 /**
 What the server does with connections and with what is not HTTP.
 */
@@ -30,8 +37,11 @@
 /**
 Starts the server for callers: each connection is served by a task of its own.
 */
-export const startCallerServer = async (address: string, run: CallerServerRun, limits: {headerBytes: number; callerConnections: number; slowCallerMilliseconds: number}): Promise<CallerServer> => {
+export const startCallerServer = async (address: string, run: CallerServerRun, limits: CallerLimits): Promise<CallerServer> => {
 	const inboxes = new Map<Socket, Inbox<CallerExchange>>();
+	const idleSince = new Map<Socket, number>();
+	// The Keep-Alive header tells callers whole seconds; the rest is the margin in which a request may still be on its way.
+	const keepAliveTimeout = (Math.floor(limits.idleCallerMilliseconds / 1000) * 1000) + keepAliveMarginMilliseconds;
 	let busy = 0;
 
 	const inboxOf = (socket: Socket): Inbox<CallerExchange> => {
@@ -42,8 +52,10 @@
 
 		const inbox = createInbox<CallerExchange>();
 		inboxes.set(socket, inbox);
+		idleSince.set(socket, performance.now());
 		socket.once('close', () => {
 			inboxes.delete(socket);
+			idleSince.delete(socket);
 			inbox.close();
 		});
 		void run.serve(inbox);
@@ -51,7 +63,7 @@
 	};
 
 	const server: Server = createServer({
-		maxHeaderSize: limits.headerBytes, headersTimeout: limits.slowCallerMilliseconds, requestTimeout: limits.slowCallerMilliseconds, keepAlive: true, noDelay: true,
+		maxHeaderSize: limits.headerBytes, headersTimeout: limits.slowCallerMilliseconds, requestTimeout: limits.slowCallerMilliseconds, keepAlive: true, noDelay: true, keepAliveTimeout,
 	});
 	server.maxConnections = limits.callerConnections;
 	server.on('connection', socket => {
@@ -59,8 +71,12 @@
 	});
 	server.on('request', (request, response) => {
 		busy++;
+		idleSince.delete(request.socket);
 		response.once('close', () => {
 			busy--;
+			if (inboxes.has(request.socket)) {
+				idleSince.set(request.socket, performance.now());
+			}
 		});
 		inboxOf(request.socket).push({request, response});
 	});
@@ -80,10 +96,18 @@
 	});
 	return {
 		busy: () => busy,
-		open: () => inboxes.size,
-		close() {
-			server.close();
-			server.closeIdleConnections();
+		connections: () => inboxes.size,
+		stopListening() {
+			// The HTTP server's own method also closes idle connections, on which a request may be on its way.
+			NetServer.prototype.close.call(server);
+		},
+		closeIdle() {
+			const now = performance.now();
+			for (const [socket, since] of idleSince) {
+				if (now - since > keepAliveTimeout) {
+					socket.end();
+				}
+			}
 		},
 	};
 };
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -69,6 +69,8 @@
 		jobBytes: bytes.default(33_554_432),
 		tasksInJob: z.number().int().min(1).default(2000),
 		callerConnections: z.number().int().min(1).default(10_000),
+		/** Idle time, told to callers in whole seconds, after which a caller's connection is closed. */
+		idleCallerMilliseconds: milliseconds.min(1000).default(5000),
 		/** Time that a caller has to send its headers, and then its whole request. */
 		slowCallerMilliseconds: milliseconds.default(30_000),
 	}).superRefine(({bufferedBodyBytes, requestBytes}, context) => {
--- a/packages/galenakeeld/src/process/daemon-status.ts
+++ b/packages/galenakeeld/src/process/daemon-status.ts
@@ -35,7 +35,7 @@
 	instance: parts.self.instance,
 	incarnation: parts.self.incarnation,
 	zone: parts.self.zone,
-	state: parts.membership.state,
+	state: parts.membership.state(),
 	catalogueVersion: parts.catalogue.catalogueVersion(),
 	documents: parts.catalogue.all().map(({version, document}) => ({service: document.service, version})),
 	peers: parts.membership.peers().map(({instance, state, isReachable}) => ({instance, state, isReachable})),
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
 import {serveCallerConnection, type CallerRun} from '../connection/caller-connection.js';
 import {createCountedPeerClient} from '../connection/counted-peer-service.js';
@@ -16,6 +17,7 @@
 import {createHolderCalls} from '../request/holder-calls.js';
 import {startCallerServer} from './caller-server.js';
 import {isBucketOwner, runClaimSweep} from './claim-sweeper.js';
+import {createCatalogueWatch} from './catalogue-watch.js';
 import {createClaimWriter} from './claim-writer.js';
 import {createControlMessages} from './control-messages.js';
 import {countPlatformCalls} from './counted-platform.js';
@@ -27,6 +29,7 @@
 import {createLendingCalls, lendSlots} from './lending-calls.js';
 import {createIncarnation} from './incarnation.js';
 import {LogEvent} from './log-event.js';
+import {runInstanceWatch} from './instance-watch.js';
 import type {Log} from './log.js';
 import {
 	createMembership, InstanceState, type PeerHeartbeat,
@@ -34,12 +37,12 @@
 import {createObservation} from './observation.js';
 import {startOperatorServer} from './operator-server.js';
 import {createPeerDirectory} from './peer-directory.js';
-import {runPlatformWatch} from './platform-watch.js';
 import {createServiceDispatchers} from './service-dispatchers.js';
 import {createSubmissionRegister} from './submission-register.js';
 
 const sweepMilliseconds = 20;
 const slowSweepMilliseconds = 500;
+const farewellMilliseconds = 50;
 
 /**
 A running daemon.
@@ -71,7 +74,7 @@
 			dispatchers,
 			claimTransactions: claims.transactions,
 			catalogueVersion: catalogue.catalogueVersion,
-			callerConnections: callers.open,
+			callerConnections: callers.connections,
 			endpointConnections: connections.open,
 			unanswered: register.unanswered,
 			reachablePeers: () => membership.peers().filter(peer => peer.isReachable).length,
@@ -108,16 +111,34 @@
 
 	const describeSelf = (): PeerHeartbeat => ({
 		...self,
-		state: membership.state,
+		state: membership.state(),
+		weight: membership.weight(),
 		catalogueVersion: catalogue.catalogueVersion(),
 		intervalMilliseconds: scaleHeartbeatInterval(settings.peers, membership.listedPeers().length + 1),
 		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.surplus(), waiting: dispatcher.waiting()})),
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
 	const heartbeats = createHeartbeatSource(describeSelf);
+	const hear = (heartbeat: PeerHeartbeat): void => {
+		membership.hear(heartbeat);
+		if (heartbeat.catalogueVersion > catalogue.catalogueVersion()) {
+			watch.wake();
+		}
+	};
+
 	const countedClient = createCountedPeerClient(countPeerMessage);
-	const directory = createPeerDirectory(self, membership, heartbeats, {
-		createCalls: address => createPeerCalls(address, countedClient), runConnection: runPeerConnection,
+	const directory = createPeerDirectory({
+		self, membership, heartbeats, hear,
+	}, {createCalls: address => createPeerCalls(address, countedClient), runConnection: runPeerConnection});
+	const watch = createCatalogueWatch({
+		platform,
+		catalogue,
+		membership,
+		directory,
+		log,
+		pollMilliseconds: settings.platform.pollMilliseconds,
+		peerCallMilliseconds: settings.peers.callTimeoutMilliseconds,
+		onNewCatalogue: heartbeats.announce,
 	});
 	const claims = createClaimWriter({
 		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1), onNonce: register.issue,
@@ -166,14 +187,14 @@
 			self, register, findHolder: claims.findHolder, inspectRemote: holders.inspect,
 		}),
 		defaultDeadlineMilliseconds: service => catalogue.versionOf(service)?.document.deadlineMilliseconds ?? settings.peers.callTimeoutMilliseconds,
-		isLeaving: () => membership.state === InstanceState.Leaving,
+		isLeaving: () => membership.state() === InstanceState.Leaving,
 		nameRequest: observation.nameRequest,
 		observe: observation.observe,
 		openTrace: observation.tracing.openTrace,
 	};
 
 	const stopPeers = await startPeerServer(settings.listen.peers, {
-		hear: membership.hear,
+		hear,
 		heartbeats,
 		submit: async submission => submit(submission, submissionRun),
 		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
@@ -190,7 +211,7 @@
 		serve: async exchanges => serveCallerConnection(exchanges, callerRun), encodeRefusal: encodeProblemResponse,
 	}, settings.limits);
 	const stopOperators = await startOperatorServer(settings.listen.operators, {
-		isReady: () => membership.state === InstanceState.Serving,
+		isReady: () => membership.state() === InstanceState.Serving,
 		status: () => describeDaemon({
 			self, membership, catalogue, dispatchers, register, messages: controlMessages.counts(),
 		}),
@@ -202,27 +223,23 @@
 		},
 	});
 
-	void runPlatformWatch({
-		platform,
-		catalogue,
-		membership,
-		directory,
-		log,
-		pollMilliseconds: settings.platform.pollMilliseconds,
-		peerCallMilliseconds: settings.peers.callTimeoutMilliseconds,
-		onNewCatalogue: heartbeats.announce,
-		onReady() {
-			if (membership.state === InstanceState.Starting) {
-				membership.state = InstanceState.Serving;
-				heartbeats.announce();
-				log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon takes requests');
-			}
-		},
+	const serve = async (): Promise<void> => {
+		await watch.untilCaughtUp();
+		membership.enter(InstanceState.Serving);
+		heartbeats.announce();
+		log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon takes requests');
+	};
+
+	void runInstanceWatch({
+		platform, membership, directory, log, pollMilliseconds: settings.platform.pollMilliseconds,
 	});
 	const stopClaimSweep = new AbortController();
 	void runClaimSweep({
 		platform, ...settings.claims, pauseMilliseconds: settings.claims.sweepMilliseconds, isOurs: bucket => isBucketOwner(bucket, self.instance, membership.listedPeers().map(({name}) => name)),
 	}, stopClaimSweep.signal);
+	void watch.runPlatformReads();
+	void watch.runPeerFetches();
+	void serve();
 	const sweeps = [
 		setInterval(dispatchers.sweep, sweepMilliseconds),
 		setInterval(() => {
@@ -235,14 +252,18 @@
 	return {
 		async leave() {
 			log.info({event: LogEvent.Leaving}, 'the daemon finishes what it has and takes no new connections from the balancer');
-			membership.state = InstanceState.Leaving;
+			membership.enter(InstanceState.Leaving);
 			heartbeats.announce();
-			const cut = await drain({...settings.drain, running: () => callers.busy() + register.unanswered(), log});
-			callers.close();
-			stopOperators();
+			const cut = await drain({
+				...settings.drain, ...callers, running: () => callers.busy() + register.unanswered(), log,
+			});
+			membership.yieldSlots();
+			heartbeats.announce();
+			await sleep(farewellMilliseconds);
 			directory.close();
-			stopPeers();
 			stopClaimSweep.abort();
+			await stopPeers();
+			stopOperators();
 			for (const sweep of sweeps) {
 				clearInterval(sweep);
 			}
--- a/packages/galenakeeld/src/process/drain.ts
+++ b/packages/galenakeeld/src/process/drain.ts
@@ -8,7 +8,7 @@
 /**
 Waits until an instance that is leaving has finished what it had.
 
-Requests are taken for as long as the balancer may still send them. The wait ends when nothing has been running for the quiet time after the announcement, or at the limit.
+Connections are taken for as long as the balancer may still open them. Those that are open stay so until their callers close them, which the last answer on each asks for, or until they have been idle for as long as their callers were told: closing one earlier could meet a request that is on its way.
 
 @returns The number of requests and jobs that the limit cut.
 */
@@ -17,11 +17,18 @@
 	readonly limitMilliseconds: number;
 	/** Requests and jobs without an answer. */
 	readonly running: () => number;
+	/** Open connections of callers. */
+	readonly connections: () => number;
+	readonly stopListening: () => void;
+	/** Closes the connections that callers no longer count on. */
+	readonly closeIdle: () => void;
 	readonly log: Log;
 }): Promise<number> => {
-	const startedAt = performance.now();
+	const limitAt = performance.now() + options.limitMilliseconds;
 	await sleep(options.announceMilliseconds);
-	while (options.running() > 0 && performance.now() - startedAt < options.limitMilliseconds) {
+	options.stopListening();
+	while (options.running() + options.connections() > 0 && performance.now() < limitAt) {
+		options.closeIdle();
 		await sleep(lookMilliseconds);
 	}
 
--- a/packages/galenakeeld/src/process/incarnation.ts
+++ b/packages/galenakeeld/src/process/incarnation.ts
@@ -16,7 +16,17 @@
 };
 
 /**
-Creates the identity of this run.
+Tells whether a run of an instance began before another run of the same instance, by the clocks of the machines on which they began.
+
+@example
+```
+isEarlierIncarnation('mj3k2a1b00', 'mj3k2a9c00'); // => true
+```
+*/
+export const isEarlierIncarnation = (incarnation: string, other: string): boolean => incarnation < other;
+
+/**
+Creates the identity of this run. The incarnation begins with the time, so that runs of one instance can be ordered.
 */
 export const createIncarnation = (settings: DaemonSettings): Incarnation => ({
 	instance: settings.instance,
--- /dev/null
+++ b/packages/galenakeeld/src/process/leaving-endpoints.ts
@@ -0,0 +1,130 @@
+import {performance} from 'node:perf_hooks';
+import {ListedState, type ListedInstance} from '@galenakeel/model/connection/platform-client.js';
+
+const unorderedMarkMilliseconds = 10_000; // Above the lag of the platform's list.
+const unlistedRetentionMilliseconds = 600_000;
+const mostEarlierIncarnations = 16;
+
+type KnownAddress = {
+	/** Incarnation that the list showed last; `undefined` before it showed one. */
+	current: string | undefined;
+	/** Incarnations that the list showed before the current one. */
+	readonly earlier: Set<string>;
+	/** Incarnations that are leaving, with the time at which that was last said. */
+	readonly marks: Map<string, number>;
+	unlistedSince: number | undefined;
+};
+
+/**
+What is known of endpoints that are leaving. A mark holds for one incarnation and is never taken back; another incarnation at the same address is open.
+*/
+export type LeavingEndpoints = {
+	readonly list: (endpoints: readonly ListedInstance[]) => void;
+	/** Takes the marks that a peer announced. */
+	readonly hear: (marks: readonly string[]) => void;
+	/** Marks of incarnations that this instance's own list has shown, in the form `address/incarnation`. */
+	readonly marks: () => readonly string[];
+	readonly isLeaving: (address: string) => boolean;
+	/** Addresses that get no new work, sorted. */
+	readonly closed: () => readonly string[];
+};
+
+const createKnownAddress = (): KnownAddress => ({
+	current: undefined, earlier: new Set(), marks: new Map(), unlistedSince: undefined,
+});
+
+const splitMark = (mark: string): readonly [address: string, incarnation: string] => {
+	const slash = mark.indexOf('/');
+	return [mark.slice(0, slash), mark.slice(slash + 1)];
+};
+
+/**
+Moves on to an incarnation that the list shows, unless the list has gone back to an earlier one.
+*/
+const moveOn = (known: KnownAddress, incarnation: string): void => {
+	if (known.current === incarnation || known.earlier.has(incarnation)) {
+		return;
+	}
+
+	if (known.current !== undefined) {
+		known.earlier.add(known.current);
+		known.marks.delete(known.current);
+		const [oldest] = known.earlier;
+		if (known.earlier.size > mostEarlierIncarnations) {
+			known.earlier.delete(oldest!);
+		}
+	}
+
+	known.current = incarnation;
+};
+
+/**
+Creates the marks of an instance that knows of no leaving endpoint.
+
+The platform does not order incarnations, so a mark of one that the own list never showed may be of an earlier or of a later run than the listed one. It counts for as long as a peer repeats it, and for a while after.
+
+@example
+```
+const leaving = createLeavingEndpoints();
+leaving.hear(['10.1.2.3:8080/7']);
+leaving.isLeaving('10.1.2.3:8080'); // => true
+```
+*/
+export const createLeavingEndpoints = (): LeavingEndpoints => {
+	const addresses = new Map<string, KnownAddress>();
+
+	const knownOf = (address: string): KnownAddress => {
+		const known = addresses.get(address) ?? createKnownAddress();
+		addresses.set(address, known);
+		return known;
+	};
+
+	const forgetUnlisted = (listed: ReadonlySet<string>): void => {
+		const now = performance.now();
+		for (const [address, known] of addresses) {
+			known.unlistedSince = listed.has(address) ? undefined : known.unlistedSince ?? now;
+			if (known.unlistedSince !== undefined && now - known.unlistedSince > unlistedRetentionMilliseconds) {
+				addresses.delete(address);
+			}
+		}
+	};
+
+	const isClosed = ({current, marks}: KnownAddress): boolean => {
+		if (marks.size === 0) {
+			return false;
+		}
+
+		return current === undefined || marks.has(current) || [...marks.values()].some(saidAt => performance.now() - saidAt < unorderedMarkMilliseconds);
+	};
+
+	return {
+		list(endpoints) {
+			for (const {address, incarnation, state} of endpoints) {
+				const known = knownOf(address);
+				moveOn(known, incarnation);
+				if (state === ListedState.Leaving && known.current === incarnation) {
+					known.marks.set(incarnation, performance.now());
+				}
+			}
+
+			forgetUnlisted(new Set(endpoints.map(({address}) => address)));
+		},
+		hear(marks) {
+			for (const mark of marks) {
+				const [address, incarnation] = splitMark(mark);
+				const known = knownOf(address);
+				if (!known.earlier.has(incarnation)) {
+					known.marks.set(incarnation, performance.now());
+				}
+			}
+		},
+		marks: () => [...addresses]
+			.filter(([, {current, marks}]) => current !== undefined && marks.has(current))
+			.map(([address, {current}]) => `${address}/${current}`),
+		isLeaving(address) {
+			const known = addresses.get(address);
+			return known !== undefined && isClosed(known);
+		},
+		closed: () => [...addresses].filter(([, known]) => isClosed(known)).map(([address]) => address).toSorted(),
+	};
+};
--- a/packages/galenakeeld/src/process/membership.ts
+++ b/packages/galenakeeld/src/process/membership.ts
@@ -1,7 +1,10 @@
 import {performance} from 'node:perf_hooks';
-import {InstanceRole, ListedState, type ListedInstance} from '@galenakeel/model/connection/platform-client.js';
+import {InstanceRole, type ListedInstance} from '@galenakeel/model/connection/platform-client.js';
 import type {SlotOwner} from '../version/slot-ownership.js';
-import type {Incarnation} from './incarnation.js';
+import {isEarlierIncarnation, type Incarnation} from './incarnation.js';
+import {createLeavingEndpoints} from './leaving-endpoints.js';
+
+const pauseMilliseconds = 2000;
 
 /**
 What an entry instance says of itself.
@@ -42,7 +45,7 @@
 */
 export type Membership = {
 	readonly hear: (heartbeat: PeerHeartbeat) => void;
-	/** Marks a peer as unreachable; its identifiers stay its own. */
+	/** Marks a peer that can't be dialled as unreachable, unless it was heard within its interval; its identifiers stay its own. */
 	readonly lose: (instance: string) => void;
 	readonly list: (listed: readonly ListedInstance[]) => void;
 	readonly findPeer: (instance: string) => Peer | undefined;
@@ -53,9 +56,34 @@
 	readonly owners: () => readonly SlotOwner[];
 	readonly leavingEndpoints: () => readonly string[];
 	readonly isLeavingEndpoint: (address: string) => boolean;
-	/** Looks for peers that have fallen silent. */
+	/** Looks for peers that have fallen silent; to be called several times a second. */
 	readonly sweep: () => void;
-	state: InstanceState;
+	readonly state: () => InstanceState;
+	/** Moves this instance on to a later state; it never goes back. */
+	readonly enter: (state: InstanceState) => void;
+	/** Share of slots that this instance wants, relative to the others; 0 once it has yielded its slots. */
+	readonly weight: () => number;
+	/** Leaves all slots to the others. */
+	readonly yieldSlots: () => void;
+};
+
+const stateOrder: readonly InstanceState[] = [InstanceState.Starting, InstanceState.Serving, InstanceState.Leaving];
+
+const isBefore = (state: InstanceState, other: InstanceState): boolean => stateOrder.indexOf(state) < stateOrder.indexOf(other);
+
+/**
+Joins a heartbeat with what the same run said before, on another stream perhaps: state and catalogue version never go back.
+*/
+const joinHeartbeats = (before: Peer | undefined, heartbeat: PeerHeartbeat): PeerHeartbeat => {
+	if (before?.incarnation !== heartbeat.incarnation) {
+		return heartbeat;
+	}
+
+	return {
+		...heartbeat,
+		state: isBefore(heartbeat.state, before.state) ? before.state : heartbeat.state,
+		catalogueVersion: Math.max(before.catalogueVersion, heartbeat.catalogueVersion),
+	};
 };
 
 /**
@@ -63,15 +91,19 @@
 
 @param options.missedHeartbeats Silent intervals after which a peer is unreachable.
 @param options.onOwnersChange Called when the sharing of slots may have changed.
-@param options.onEndpointsLeaving Called when further endpoints are known to be leaving.
+@param options.onEndpointsLeaving Called when endpoints are closed to new work, or open to it again.
 */
 export const createMembership = (self: Incarnation, options: {missedHeartbeats: number; onOwnersChange: () => void; onEndpointsLeaving: () => void}): Membership => {
 	const peers = new Map<string, Peer>();
-	const leaving = new Set<string>();
+	const leaving = createLeavingEndpoints();
 	let listedPeers: readonly ListedInstance[] = [];
 	let state = InstanceState.Starting;
+	let {weight} = self;
+	let sweptAt = performance.now();
+	let closedEndpoints = '';
 
-	const isOwner = (peer: Peer | undefined): boolean => peer !== undefined && peer.isReachable && peer.state === InstanceState.Serving;
+	// An instance that is leaving keeps its slots for the tasks that wait in its queue, and lends the free ones.
+	const isOwner = (peer: Peer | undefined): boolean => peer !== undefined && peer.isReachable && peer.state !== InstanceState.Starting && peer.weight > 0;
 
 	const put = (peer: Peer): void => {
 		const before = peers.get(peer.instance);
@@ -81,32 +113,44 @@
 		}
 	};
 
-	const markLeaving = (endpoints: readonly string[]): void => {
-		const before = leaving.size;
-		for (const endpoint of endpoints) {
-			leaving.add(endpoint);
+	const lookAtClosedEndpoints = (): void => {
+		const closed = leaving.closed().join(' ');
+		if (closed !== closedEndpoints) {
+			closedEndpoints = closed;
+			options.onEndpointsLeaving();
 		}
+	};
 
-		if (leaving.size > before) {
-			options.onEndpointsLeaving();
+	/**
+	Starts the silence of every peer anew after this process was paused: it could not hear them.
+	*/
+	const forgiveSilence = (now: number): void => {
+		for (const [instance, peer] of peers) {
+			peers.set(instance, {...peer, heardAt: now});
 		}
 	};
 
 	return {
 		hear(heartbeat) {
-			put({...heartbeat, heardAt: performance.now(), isReachable: true});
-			markLeaving(heartbeat.leavingEndpoints);
+			const before = peers.get(heartbeat.instance);
+			if (before?.isReachable && isEarlierIncarnation(heartbeat.incarnation, before.incarnation)) {
+				return;
+			}
+
+			put({...joinHeartbeats(before, heartbeat), heardAt: performance.now(), isReachable: true});
+			leaving.hear(heartbeat.leavingEndpoints);
+			lookAtClosedEndpoints();
 		},
 		lose(instance) {
 			const peer = peers.get(instance);
-			if (peer?.isReachable) {
+			if (peer?.isReachable && performance.now() - peer.heardAt > peer.intervalMilliseconds) {
 				put({...peer, isReachable: false});
 			}
 		},
 		list(listed) {
 			listedPeers = listed.filter(({role, name}) => role === InstanceRole.Entry && name !== self.instance);
-			const endpoints = listed.filter(({role}) => role === InstanceRole.Endpoint);
-			markLeaving(endpoints.filter(endpoint => endpoint.state === ListedState.Leaving).map(endpoint => leavingMark(endpoint)));
+			leaving.list(listed.filter(({role}) => role === InstanceRole.Endpoint));
+			lookAtClosedEndpoints();
 			for (const [instance, peer] of peers) {
 				if (!peer.isReachable && !listedPeers.some(({name}) => name === instance)) {
 					peers.delete(instance);
@@ -117,38 +161,36 @@
 		peers: () => [...peers.values()],
 		listedPeers: () => listedPeers,
 		owners: () => [
-			...(state === InstanceState.Leaving ? [] : [self]),
+			...(weight > 0 ? [self] : []),
 			...[...peers.values()].filter(peer => isOwner(peer)),
 		],
-		leavingEndpoints: () => [...leaving],
-		isLeavingEndpoint(address) {
-			for (const mark of leaving) {
-				if (mark.startsWith(`${address}/`)) {
-					return true;
-				}
-			}
-
-			return false;
-		},
+		leavingEndpoints: leaving.marks,
+		isLeavingEndpoint: leaving.isLeaving,
 		sweep() {
 			const now = performance.now();
+			if (now - sweptAt > pauseMilliseconds) {
+				forgiveSilence(now);
+			}
+
+			sweptAt = now;
+			lookAtClosedEndpoints();
 			for (const peer of peers.values()) {
 				if (peer.isReachable && now - peer.heardAt > peer.intervalMilliseconds * options.missedHeartbeats) {
 					put({...peer, isReachable: false});
 				}
 			}
 		},
-		get state() {
-			return state;
+		state: () => state,
+		enter(next) {
+			if (isBefore(state, next)) {
+				state = next;
+				options.onOwnersChange();
+			}
 		},
-		set state(next) {
-			state = next;
+		weight: () => weight,
+		yieldSlots() {
+			weight = 0;
 			options.onOwnersChange();
 		},
 	};
 };
-
-/**
-Names one run of an endpoint, so that a restarted one at the same address is not taken for leaving.
-*/
-const leavingMark = (endpoint: ListedInstance): string => `${endpoint.address}/${endpoint.incarnation}`;
--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -1,9 +1,9 @@
 import type {ListedInstance} from '@galenakeel/model/connection/platform-client.js';
 import type {HeartbeatSource, PeerCalls, runPeerConnection} from '../connection/peer-connection.js';
 import type {Incarnation} from './incarnation.js';
-import type {Membership} from './membership.js';
+import type {Membership, PeerHeartbeat} from './membership.js';
 
-type PeerTask = {readonly address: string; readonly calls: PeerCalls; readonly stop: AbortController};
+type PeerTask = {readonly address: string; readonly calls: PeerCalls; readonly stop: AbortController; readonly hasHeartbeats: boolean};
 
 /**
 The connections to peers: one task for each.
@@ -28,9 +28,16 @@
 /**
 Creates the directory of peers, without any connection.
 
+@param options.hear Called with each heartbeat of a peer that this instance dialled.
+
 Of two peers the one whose name sorts first dials; the other dials only while it hears nothing.
 */
-export const createPeerDirectory = (self: Incarnation, membership: Membership, heartbeats: HeartbeatSource, links: PeerLinks): PeerDirectory => {
+export const createPeerDirectory = ({self, membership, heartbeats, hear}: {
+	readonly self: Incarnation;
+	readonly membership: Membership;
+	readonly heartbeats: HeartbeatSource;
+	readonly hear: (heartbeat: PeerHeartbeat) => void;
+}, links: PeerLinks): PeerDirectory => {
 	const tasks = new Map<string, PeerTask>();
 	const silentSince = new Map<string, number>();
 	const pollsBeforeDialling = 4;
@@ -51,12 +58,15 @@
 	};
 
 	const open = (peer: ListedInstance): void => {
-		const calls = links.createCalls(peer.address);
+		// Calls may have opened the channel before; the heartbeats use it too.
+		const calls = tasks.get(peer.name)?.calls ?? links.createCalls(peer.address);
 		const stop = new AbortController();
-		tasks.set(peer.name, {address: peer.address, calls, stop});
+		tasks.set(peer.name, {
+			address: peer.address, calls, stop, hasHeartbeats: true,
+		});
 		void links.runConnection(calls, {
 			source: heartbeats,
-			hear: membership.hear,
+			hear,
 			lose() {
 				membership.lose(peer.name);
 			},
@@ -82,7 +92,7 @@
 			}
 
 			for (const [instance, peer] of listed) {
-				if (!tasks.has(instance) && shouldDial(instance)) {
+				if (!tasks.get(instance)?.hasHeartbeats && shouldDial(instance)) {
 					open(peer);
 				}
 			}
@@ -100,7 +110,9 @@
 
 			// A peer that dialled this instance: the channel opens with the first call and carries no heartbeats.
 			const calls = links.createCalls(address);
-			tasks.set(instance, {address, calls, stop: new AbortController()});
+			tasks.set(instance, {
+				address, calls, stop: new AbortController(), hasHeartbeats: false,
+			});
 			return calls;
 		},
 		close() {
