--- a/packages/stand-ins/src/connection/fault-proxy.ts
+++ b/packages/stand-ins/src/connection/fault-proxy.ts
@@ -85,6 +85,7 @@
 */
 export const startFaultProxy = async (address: string, target: string): Promise<FaultProxy> => {
 	const links = new Set<Link>();
+	const sockets = new Set<Socket>();
 	const faults: ProxyFaults = {
 		forward: LinkState.Open, backward: LinkState.Open, delayMilliseconds: 0, isRefusing: false,
 	};
@@ -94,6 +95,13 @@
 		const far = connect({host, port, noDelay: true});
 		const link: Link = {near, far, isSilenced: false};
 		links.add(link);
+		for (const socket of [near, far]) {
+			sockets.add(socket);
+			socket.once('close', () => {
+				sockets.delete(socket);
+			});
+		}
+
 		near.on('error', () => {
 			far.destroy();
 		});
@@ -104,6 +112,8 @@
 			pump(link, faults, Direction.Forward),
 			pump(link, faults, Direction.Backward),
 		]);
+		near.destroySoon();
+		far.destroySoon();
 		links.delete(link);
 	};
 
@@ -139,7 +149,9 @@
 		connections: () => links.size,
 		close() {
 			server.close();
-			cut();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
 		},
 	};
 };
--- a/packages/stand-ins/src/process/platform-stand-in.ts
+++ b/packages/stand-ins/src/process/platform-stand-in.ts
@@ -16,10 +16,20 @@
 	delayMilliseconds: number;
 	/** Number of further transactions that take effect and whose answer is lost. */
 	lostAnswers: number;
-	/** Whether reads answer from the rows as they were when this was set. */
-	isStale: boolean;
 };
 
+/**
+Which reads at an address answer from the rows as they were when this was set, as from a replica that lags.
+*/
+export enum StaleReads {
+	/** Every read answers from the present rows. */
+	None = 'none',
+	/** Scans are stale, reads by key are not. */
+	Scans = 'scans',
+	/** All reads are stale. */
+	All = 'all',
+}
+
 /**
 Changes the instance list for those who ask at one address, so that they reach others through proxies of their own.
 */
@@ -32,14 +42,22 @@
 	readonly address: string;
 	readonly faults: PlatformFaults;
 	readonly setInstances: (instances: readonly ListedInstance[]) => void;
+	/** The list as it shows at present. */
+	readonly listed: () => readonly ListedInstance[];
+	/** Makes one address answer with a list of its own, as a replica that lags; `undefined` ends that. */
+	readonly overrideList: (address: string, instances: readonly ListedInstance[] | undefined) => void;
 	/** Number of calls answered, by kind. */
 	readonly counts: {transactions: number; reads: number};
 	readonly rows: () => readonly TableRow[];
 	/** Serves the same platform at a further address, whose list is changed by a function. */
 	readonly addView: (address: string, view: ListView) => Promise<void>;
+	/** Makes the reads at one address stale from now on, or fresh again. */
+	readonly setStaleReads: (address: string, reads: StaleReads) => void;
 	readonly close: () => void;
 };
 
+type StaleRows = {readonly reads: StaleReads; readonly rows: ReadonlyMap<string, TableRow>};
+
 const syncedWriteMilliseconds = 3;
 
 /**
@@ -50,17 +68,18 @@
 export const startPlatformStandIn = async (address: string, options: {listLagMilliseconds: number}): Promise<PlatformStandIn> => {
 	const rows = new Map<string, TableRow>();
 	const objects = new Map<string, string>();
-	let staleRows: Map<string, TableRow> | undefined;
+	const staleRows = new Map<string, StaleRows>();
+	const overridden = new Map<string, readonly ListedInstance[]>();
 	let instances: readonly ListedInstance[] = [];
 	let version = 0;
 	const counts = {transactions: 0, reads: 0};
 	const faults: PlatformFaults = {
-		isDown: false, delayMilliseconds: 0, lostAnswers: 0, isStale: false,
+		isDown: false, delayMilliseconds: 0, lostAnswers: 0,
 	};
 
-	const readable = (): Map<string, TableRow> => {
-		staleRows = faults.isStale ? staleRows ?? new Map(rows) : undefined;
-		return staleRows ?? rows;
+	const readable = (address: string, isScan: boolean): ReadonlyMap<string, TableRow> => {
+		const stale = staleRows.get(address);
+		return stale && (isScan || stale.reads === StaleReads.All) ? stale.rows : rows;
 	};
 
 	const commit = (conditions: readonly TableCondition[], writes: readonly TableWrite[]): string | undefined => {
@@ -96,17 +115,17 @@
 		}
 	};
 
-	const scan = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+	const scan = async (request: IncomingMessage, response: ServerResponse, at: string): Promise<void> => {
 		const {prefix, limit, after} = parseJson<{prefix: string; limit: number; after: string}>(await readText(request));
 		counts.reads++;
-		const found = [...readable().values()].filter(row => row.key.startsWith(prefix) && row.key > after);
+		const found = [...readable(at, true).values()].filter(row => row.key.startsWith(prefix) && row.key > after);
 		writeJson(response, 200, found.toSorted((first, second) => first.key < second.key ? -1 : 1).slice(0, limit));
 	};
 
-	const read = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+	const read = async (request: IncomingMessage, response: ServerResponse, at: string): Promise<void> => {
 		const {keys} = parseJson<{keys: string[]}>(await readText(request));
 		counts.reads++;
-		writeJson(response, 200, keys.map(key => readable().get(key)).filter(row => row !== undefined));
+		writeJson(response, 200, keys.map(key => readable(at, false).get(key)).filter(row => row !== undefined));
 	};
 
 	const serveObject = async (request: IncomingMessage, response: ServerResponse, key: string): Promise<void> => {
@@ -121,7 +140,7 @@
 		writeJson(response, value === undefined ? 404 : 200, {value});
 	};
 
-	const serve = async (request: IncomingMessage, response: ServerResponse, view: ListView): Promise<void> => {
+	const serve = async (request: IncomingMessage, response: ServerResponse, at: string, view: ListView): Promise<void> => {
 		if (faults.isDown) {
 			request.socket.destroy();
 			return;
@@ -134,15 +153,15 @@
 			}
 
 			case '/table/read': {
-				return read(request, response);
+				return read(request, response, at);
 			}
 
 			case '/table/scan': {
-				return scan(request, response);
+				return scan(request, response, at);
 			}
 
 			case '/instances': {
-				writeJson(response, 200, instances.map(instance => view(instance)));
+				writeJson(response, 200, (overridden.get(at) ?? instances).map(instance => view(instance)));
 				return undefined;
 			}
 
@@ -154,7 +173,7 @@
 
 	const servers: Server[] = [];
 	const addView = async (viewAddress: string, view: ListView): Promise<void> => {
-		servers.push(await listen(viewAddress, async (request, response) => serve(request, response, view)));
+		servers.push(await listen(viewAddress, async (request, response) => serve(request, response, viewAddress, view)));
 	};
 
 	await addView(address, instance => instance);
@@ -164,6 +183,21 @@
 		counts,
 		addView,
 		rows: () => [...rows.values()],
+		listed: () => instances,
+		overrideList(viewAddress, list) {
+			if (list) {
+				overridden.set(viewAddress, list);
+			} else {
+				overridden.delete(viewAddress);
+			}
+		},
+		setStaleReads(viewAddress, reads) {
+			if (reads === StaleReads.None) {
+				staleRows.delete(viewAddress);
+			} else {
+				staleRows.set(viewAddress, {reads, rows: new Map(rows)});
+			}
+		},
 		setInstances(next) {
 			setTimeout(() => {
 				instances = next;
--- a/packages/trials/src/process/fleet.ts
+++ b/packages/trials/src/process/fleet.ts
@@ -18,6 +18,7 @@
 const readyTimeoutMilliseconds = 15_000;
 const stopTimeoutMilliseconds = 5000;
 const addressesOfDaemon = 3;
+const restartedIncarnation = '2';
 
 /**
 The sizes of a fleet under trial.
@@ -66,8 +67,8 @@
 	readonly restart: (instance: string) => Promise<DaemonProcess>;
 	/** Address under which callers reach a daemon. */
 	readonly callersOf: (instance: string) => string;
-	/** Shows the platform's list as it should be: all daemons and endpoints but those named as leaving or gone. */
-	readonly list: (changes?: {readonly leaving?: readonly string[]; readonly gone?: readonly string[]}) => void;
+	/** Shows the platform's list as it should be: all daemons and endpoints but those named as leaving, gone or started anew. */
+	readonly list: (changes?: {readonly leaving?: readonly string[]; readonly gone?: readonly string[]; readonly restarted?: readonly string[]}) => void;
 	/** Accepts a document for a service over all endpoints, changed by a function. */
 	readonly accept: (service: string, change?: (document: Record<string, unknown>) => Record<string, unknown>) => Promise<number>;
 	readonly stop: () => Promise<void>;
@@ -168,10 +169,11 @@
 			return daemon;
 		},
 		callersOf: instance => links?.toCallers.get(instance)?.address ?? places.find(place => place.instance === instance)!.callers,
-		list({leaving = [], gone = []} = {}) {
+		list({leaving = [], gone = [], restarted = []} = {}) {
 			const listed = listedOf(places, endpoints)
 				.filter(({name}) => !gone.includes(name))
-				.map(instance => leaving.includes(instance.name) ? {...instance, state: ListedState.Leaving} : instance);
+				.map(instance => leaving.includes(instance.name) ? {...instance, state: ListedState.Leaving} : instance)
+				.map(instance => restarted.includes(instance.name) ? {...instance, incarnation: restartedIncarnation} : instance);
 			platform.setInstances(listed);
 		},
 		async accept(service, change = document => document) {
--- a/packages/trials/src/process/proxied-links.ts
+++ b/packages/trials/src/process/proxied-links.ts
@@ -9,6 +9,8 @@
 export type ProxiedLinks = {
 	/** From a daemon to the platform, by the daemon's instance. */
 	readonly toPlatform: ReadonlyMap<string, FaultProxy>;
+	/** Address of the platform that a daemon's proxy leads to, by the daemon's instance. */
+	readonly platformView: ReadonlyMap<string, string>;
 	/** From callers to a daemon, by the daemon's instance. */
 	readonly toCallers: ReadonlyMap<string, FaultProxy>;
 	/** From one daemon to another's peers' port. */
@@ -24,6 +26,7 @@
 */
 export const startProxiedLinks = async (platform: PlatformStandIn, places: readonly DaemonPlace[]): Promise<ProxiedLinks> => {
 	const toPlatform = new Map<string, FaultProxy>();
+	const platformView = new Map<string, string>();
 	const toCallers = new Map<string, FaultProxy>();
 	const betweenPeers = new Map<string, FaultProxy>();
 	for (const place of places) {
@@ -37,6 +40,7 @@
 		}
 
 		await platform.addView(view, instance => ({...instance, address: peerAddresses.get(instance.name) ?? instance.address}));
+		platformView.set(place.instance, view);
 		toPlatform.set(place.instance, await startFaultProxy(platformProxy, view));
 		toCallers.set(place.instance, await startFaultProxy(callersProxy, place.callers));
 	}
@@ -44,6 +48,7 @@
 	const all = (): readonly FaultProxy[] => [...toPlatform.values(), ...toCallers.values(), ...betweenPeers.values()];
 	return {
 		toPlatform,
+		platformView,
 		toCallers,
 		between: (from, to) => betweenPeers.get(`${from}>${to}`)!,
 		all,
--- /dev/null
+++ b/packages/trials/src/process/shutdown-histories.ts
@@ -0,0 +1,153 @@
+import {Agent} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {Violation} from '../request/check-history.js';
+import type {CallerOperation, History} from '../request/history.js';
+import type {Random} from '../request/random.js';
+import {ProvePoint} from '../version/prove-point.js';
+import type {FaultHistory} from './fault-history.js';
+import {startFleet, type Fleet} from './fleet.js';
+import {collectStarts, recordSubmission} from './history-recorder.js';
+import {startClosedLoad, type CallerLoad} from './caller-load.js';
+
+const service = 'paysheet';
+const inForceMilliseconds = 800;
+const announceMilliseconds = 800;
+const idleCallerMilliseconds = 1000;
+const exitTimeoutMilliseconds = 15_000;
+const readyTimeoutMilliseconds = 15_000;
+const slots = 8;
+
+const settings = {
+	peers: {heartbeatMilliseconds: 100},
+	platform: {pollMilliseconds: 200},
+	drain: {announceMilliseconds, limitMilliseconds: exitTimeoutMilliseconds},
+	limits: {idleCallerMilliseconds},
+};
+
+const startShutdownFleet = async (): Promise<Fleet> => {
+	const fleet = await startFleet({
+		zones: ['zone-a', 'zone-b'], daemonsPerZone: 1, endpointsPerZone: 1, slots, settings,
+	});
+	await fleet.accept(service);
+	await sleep(inForceMilliseconds);
+	return fleet;
+};
+
+/**
+Starts callers behind the balancer: some keep their connections and pause for up to longer than the idle time that they were told, some open one for each request.
+*/
+const startBalancedLoad = (fleet: Fleet, history: History, random: Random): readonly CallerLoad[] => {
+	const shape = {
+		service, instances: [fleet.daemons[0]!.instance], address: fleet.balancer.address, runMilliseconds: 20,
+	};
+	// A client must give up an idle connection before the server does, as the answer's Keep-Alive header tells it.
+	const agents = Array.from({length: 10}, () => new Agent({keepAlive: true, maxSockets: 1}));
+	return [
+		startClosedLoad(fleet, history, shape, {
+			callers: 6, agents, mostPauseMilliseconds: 60, random,
+		}),
+		startClosedLoad(fleet, history, shape, {
+			callers: 4, agents: agents.slice(6), mostPauseMilliseconds: idleCallerMilliseconds * 2, random,
+		}),
+		startClosedLoad(fleet, history, shape, {callers: 3, mostPauseMilliseconds: 30, random}),
+		startClosedLoad(fleet, history, {...shape, tasks: 4}, {callers: 2, mostPauseMilliseconds: 60, random}),
+	];
+};
+
+const checkComplete = (operations: readonly CallerOperation[]): readonly Violation[] => operations
+	.filter(({outcome}) => outcome !== Outcome.Complete)
+	.map(({tasks, outcome, status, text}) => ({point: ProvePoint.GracefulShutdown, detail: `${tasks[0]} was answered "${outcome}" with status ${status}: ${text.slice(0, 200)}`}));
+
+const stopLoads = async (loads: readonly CallerLoad[]): Promise<readonly Violation[]> => {
+	const operations = await Promise.all(loads.map(async load => load.stop()));
+	return operations.flatMap(ofLoad => checkComplete(ofLoad));
+};
+
+/**
+Waits until a daemon has ended, and checks that it says to have cut nothing.
+*/
+const checkExit = async (fleet: Fleet, instance: string): Promise<readonly Violation[]> => {
+	const daemon = fleet.daemons.find(candidate => candidate.instance === instance)!;
+	const exit = await Promise.race([daemon.exited, sleep(exitTimeoutMilliseconds, 'no exit in time', {ref: false})]);
+	return exit === 0 ? [] : [{point: ProvePoint.GracefulShutdown, detail: `${instance} ended with ${exit}`}];
+};
+
+/**
+Stops a daemon that callers reach through the balancer and that runs a job longer than its announcement; the signal comes twice.
+*/
+const stopUnderLoad: FaultHistory = async (history, random) => {
+	const fleet = await startShutdownFleet();
+	try {
+		const {instance, signal} = random.pick(fleet.daemons);
+		const loads = startBalancedLoad(fleet, history, random);
+		await sleep(random.integer(200, 500));
+		const longJob = recordSubmission(fleet, history, {
+			identifier: 'long-job', service, tasks: ['long-0', 'long-1'], runMilliseconds: announceMilliseconds * 2, instance,
+		});
+		await sleep(50);
+		signal('SIGTERM');
+		await sleep(random.integer(50, announceMilliseconds));
+		signal('SIGTERM');
+		const exits = await checkExit(fleet, instance);
+		await sleep(200);
+		const violations = [...exits, ...checkComplete([await longJob]), ...await stopLoads(loads)];
+		collectStarts(fleet, history);
+		return violations;
+	} finally {
+		await fleet.stop();
+	}
+};
+
+/**
+Replaces every daemon in turn under load.
+*/
+const replaceAll: FaultHistory = async (history, random) => {
+	const fleet = await startShutdownFleet();
+	try {
+		const loads = startBalancedLoad(fleet, history, random);
+		const violations: Violation[] = [];
+		for (const {instance, signal} of fleet.daemons) {
+			signal('SIGTERM');
+			violations.push(...await checkExit(fleet, instance));
+			const next = await fleet.restart(instance);
+			await next.untilReady(readyTimeoutMilliseconds);
+			await sleep(500);
+		}
+
+		violations.push(...await stopLoads(loads));
+		collectStarts(fleet, history);
+		return violations;
+	} finally {
+		await fleet.stop();
+	}
+};
+
+/**
+Creates a history in which one daemon has more work than slots and borrows the other's, and one of the two is stopped.
+*/
+const stopWhileLent = (position: number): FaultHistory => async (history, random) => {
+	const fleet = await startShutdownFleet();
+	try {
+		const [borrower] = fleet.daemons as [typeof fleet.daemons[0]];
+		const load = startClosedLoad(fleet, history, {service, instances: [borrower.instance], runMilliseconds: 100}, {callers: slots + 4, mostPauseMilliseconds: 5, random});
+		await sleep(700);
+		const borrowed = fleet.endpoints.at(1)!.standIn.starts().length;
+		const stopped = fleet.daemons[position]!;
+		stopped.signal('SIGTERM');
+		await sleep(stopped === borrower ? announceMilliseconds / 2 : announceMilliseconds * 2);
+		const violations = [...await stopLoads([load]), ...await checkExit(fleet, stopped.instance)];
+		collectStarts(fleet, history);
+		return borrowed > 0 ? violations : [...violations, {point: ProvePoint.GracefulShutdown, detail: 'no slot was borrowed before the stop; the history shows nothing'}];
+	} finally {
+		await fleet.stop();
+	}
+};
+
+const stopBorrower = stopWhileLent(0);
+const stopLender = stopWhileLent(1);
+
+/**
+Histories of daemons that are told to stop.
+*/
+export const shutdownHistories: readonly FaultHistory[] = [stopUnderLoad, replaceAll, stopBorrower, stopLender];
--- a/packages/trials/src/request/history.ts
+++ b/packages/trials/src/request/history.ts
@@ -43,7 +43,12 @@
 /**
 An endpoint that the platform's list shows as leaving.
 */
-export type LeavingMark = {readonly endpoint: string; readonly listedAt: number};
+export type LeavingMark = {
+	readonly endpoint: string;
+	readonly listedAt: number;
+	/** When another run of the endpoint was listed at the same address. */
+	restartedAt?: number;
+};
 
 /**
 The merged history of one run.
