--- a/packages/trials/src/process/disturbances.ts
+++ b/packages/trials/src/process/disturbances.ts
@@ -1,7 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {LinkState} from '@galenakeel/stand-ins/connection/fault-proxy.js';
 import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
-import type {PlacedEndpoint} from './fleet.js';
+import {StaleReads} from '@galenakeel/stand-ins/process/platform-stand-in.js';
+import type {Fleet, PlacedEndpoint} from './fleet.js';
 import type {Trial} from './trial.js';
 
 /**
@@ -88,9 +89,15 @@
 Has reads answer from an earlier state for a while.
 */
 export const staleReads: Disturbance = async ({fleet}) => {
-	fleet.platform.faults.isStale = true;
+	setStaleReads(fleet, StaleReads.All);
 	await sleep(lastMilliseconds);
-	fleet.platform.faults.isStale = false;
+	setStaleReads(fleet, StaleReads.None);
+};
+
+const setStaleReads = ({platform, links}: Fleet, reads: StaleReads): void => {
+	for (const address of links?.platformView.values() ?? []) {
+		platform.setStaleReads(address, reads);
+	}
 };
 
 /**
