Make reads stale for every daemon in the disturbance of the submissions

Cause: the platform stand-in now has stale reads for one address, in place of one switch for all. Change: the disturbance sets every address. Ruled out: two ways side by side. Checked: build only; its histories were not run again.

--- a/packages/trials/src/process/disturbances.ts
+++ b/packages/trials/src/process/disturbances.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {LinkState} from '@galenakeel/stand-ins/connection/fault-proxy.js';
 import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
+import {StaleReads} from '@galenakeel/stand-ins/process/platform-stand-in.js';
 import type {PlacedEndpoint} from './fleet.js';
 import type {Trial} from './trial.js';
 
@@ -88,9 +89,15 @@
 Has reads answer from an earlier state for a while.
 */
 export const staleReads: Disturbance = async ({fleet}) => {
-	fleet.platform.faults.isStale = true;
+	const views = [...fleet.links?.platformView.values() ?? [], fleet.platform.address];
+	for (const view of views) {
+		fleet.platform.setStaleReads(view, StaleReads.All);
+	}
+
 	await sleep(lastMilliseconds);
-	fleet.platform.faults.isStale = false;
+	for (const view of views) {
+		fleet.platform.setStaleReads(view, StaleReads.None);
+	}
 };
 
 /**
