--- a/packages/trials/src/process/disturbances.ts
+++ b/packages/trials/src/process/disturbances.ts
@@ -2,7 +2,7 @@
 import {LinkState} from '@galenakeel/stand-ins/connection/fault-proxy.js';
 import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import {StaleReads} from '@galenakeel/stand-ins/process/platform-stand-in.js';
-import type {Fleet, PlacedEndpoint} from './fleet.js';
+import type {PlacedEndpoint} from './fleet.js';
 import type {Trial} from './trial.js';
 
 /**
@@ -89,14 +89,14 @@
 Has reads answer from an earlier state for a while.
 */
 export const staleReads: Disturbance = async ({fleet}) => {
-	setStaleReads(fleet, StaleReads.All);
-	await sleep(lastMilliseconds);
-	setStaleReads(fleet, StaleReads.None);
-};
+	const views = [...fleet.links?.platformView.values() ?? [], fleet.platform.address];
+	for (const view of views) {
+		fleet.platform.setStaleReads(view, StaleReads.All);
+	}
 
-const setStaleReads = ({platform, links}: Fleet, reads: StaleReads): void => {
-	for (const address of links?.platformView.values() ?? []) {
-		platform.setStaleReads(address, reads);
+	await sleep(lastMilliseconds);
+	for (const view of views) {
+		fleet.platform.setStaleReads(view, StaleReads.None);
 	}
 };
 
