--- /dev/null
+++ b/packages/galenakeeld/src/connection/caller-answer.ts
@@ -0,0 +1,187 @@
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import {FaultKind, remedies} from '@galenakeel/model/request/fault.js';
+import {Outcome} from '@galenakeel/model/request/outcome.js';
+import type {HeaderList, SubmissionAnswer, TaskAnswer} from '@galenakeel/model/request/task.js';
+import type {StreamedTaskAnswer} from '../request/run-task.js';
+import {endToEndHeaders, headersForCaller} from './http-encoding.js';
+
+/**
+A problem on its way to a caller (RFC 9457).
+*/
+export type Problem = {
+	readonly fault: FaultKind;
+	readonly outcome: Outcome;
+	readonly detail: string;
+	readonly identifier?: string;
+	readonly retryAfterMilliseconds?: number;
+};
+
+const statusOf: Readonly<Record<FaultKind, number>> = {
+	[FaultKind.MalformedRequest]: 400,
+	[FaultKind.TooLarge]: 413,
+	[FaultKind.UnknownService]: 404,
+	[FaultKind.BadIdentifier]: 400,
+	[FaultKind.IdentifierMismatch]: 422,
+	[FaultKind.UnknownIdentifier]: 404,
+	[FaultKind.NoEndpoint]: 503,
+	[FaultKind.NeverRunnable]: 422,
+	[FaultKind.Overloaded]: 503,
+	[FaultKind.DeadlinePassed]: 504,
+	[FaultKind.Cancelled]: 409,
+	[FaultKind.EndpointTimeout]: 504,
+	[FaultKind.EndpointBroken]: 502,
+	[FaultKind.EndpointUnreachable]: 503,
+	[FaultKind.HolderUnreachable]: 502,
+	[FaultKind.ClaimUnavailable]: 503,
+	[FaultKind.AnswerDiscarded]: 410,
+	[FaultKind.Leaving]: 503,
+	[FaultKind.InvalidConfiguration]: 500,
+	[FaultKind.DocumentConflict]: 409,
+	[FaultKind.PlatformUnavailable]: 503,
+	[FaultKind.InstanceUnreachable]: 502,
+	[FaultKind.Internal]: 500,
+};
+
+const outcomeField = 'galenakeel-outcome';
+const identifierField = 'galenakeel-job';
+
+/**
+The field in which a caller gets the name of a single request that has no identifier.
+*/
+export const requestField = 'galenakeel-request';
+
+/**
+Writes a JSON answer with its length.
+*/
+export const writeJson = (response: ServerResponse, status: number, value: unknown, fields: Readonly<Record<string, string>> = {}): void => {
+	const body = JSON.stringify(value);
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...fields});
+	response.end(body);
+};
+
+const retryAfterFields = (milliseconds: number | undefined): Record<string, string> =>
+	milliseconds === undefined ? {} : {'retry-after': String(Math.max(1, Math.ceil(milliseconds / 1000)))};
+
+/**
+Describes an answer that is not whole as a problem.
+*/
+export const problemOf = (answer: Pick<TaskAnswer, 'fault' | 'outcome' | 'detail'> & {readonly retryAfterMilliseconds?: number}): Problem => ({
+	fault: answer.fault ?? FaultKind.Internal,
+	outcome: answer.outcome,
+	detail: answer.detail ?? '',
+	...(answer.retryAfterMilliseconds !== undefined && {retryAfterMilliseconds: answer.retryAfterMilliseconds}),
+});
+
+/**
+Writes a problem (RFC 9457) with its outcome and remedy.
+*/
+export const writeProblem = (response: ServerResponse, problem: Problem): void => {
+	const status = statusOf[problem.fault];
+	writeJson(response, status, {
+		type: `urn:galenakeel:fault:${problem.fault}`,
+		title: problem.fault.replaceAll('-', ' '),
+		status,
+		detail: problem.detail,
+		outcome: problem.outcome,
+		remedy: remedies[problem.fault],
+		...(problem.identifier !== undefined && {job: problem.identifier}),
+	}, {
+		'content-type': 'application/problem+json',
+		[outcomeField]: problem.outcome,
+		...retryAfterFields(problem.retryAfterMilliseconds),
+		...(problem.identifier !== undefined && {[identifierField]: problem.identifier}),
+	});
+};
+
+/**
+Encodes a problem as a whole HTTP/1.1 response, for a connection whose request could not be parsed.
+*/
+export const encodeProblemResponse = (status: number, detail: string): string => {
+	const fault = FaultKind.MalformedRequest;
+	const body = JSON.stringify({
+		type: `urn:galenakeel:fault:${fault}`, title: 'malformed request', status, detail, outcome: Outcome.NotRun, remedy: remedies[fault],
+	});
+	const head = [
+		`HTTP/1.1 ${status} Bad Request`,
+		'content-type: application/problem+json',
+		`${outcomeField}: ${Outcome.NotRun}`,
+		`content-length: ${Buffer.byteLength(body)}`,
+		'connection: close',
+	];
+	return `${head.join('\r\n')}\r\n\r\n${body}`;
+};
+
+const contentLengthOf = (headers: HeaderList): string | undefined => headers.find(([name]) => name.toLowerCase() === 'content-length')?.[1];
+
+const bodiless: ReadonlySet<number> = new Set([204, 304]);
+
+const lengthFields = (answer: TaskAnswer, method: string): HeaderList => {
+	if (method === 'HEAD') {
+		const length = contentLengthOf(answer.headers);
+		return length === undefined ? [] : [['content-length', length]];
+	}
+
+	return bodiless.has(answer.status) ? [] : [['content-length', String(answer.body.byteLength)]];
+};
+
+/**
+Writes the answer of an endpoint to the caller.
+
+A body that is too long to be held is passed on as it comes, and its outcome follows in a trailer. When the endpoint breaks off, the caller's connection is destroyed, so that a part is never taken for the whole.
+*/
+export const writeTaskAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, method: string, own: HeaderList = []): Promise<void> => {
+	if (!answer.rest) {
+		response.writeHead(answer.status, headersForCaller(answer.headers, [[outcomeField, answer.outcome], ...own, ...lengthFields(answer, method)]));
+		response.end(answer.body);
+		return;
+	}
+
+	response.writeHead(answer.status, headersForCaller(answer.headers, [['trailer', outcomeField], ...own]));
+	response.write(answer.body);
+	response.addTrailers({[outcomeField]: answer.outcome});
+	try {
+		await pipeline(answer.rest, response);
+	} catch {
+		response.destroy();
+	}
+};
+
+const encodeTaskAnswer = (answer: TaskAnswer): Record<string, unknown> => {
+	const body = Buffer.from(answer.body);
+	const text = body.toString();
+	return {
+		outcome: answer.outcome,
+		status: answer.status,
+		headers: Object.fromEntries(endToEndHeaders(answer.headers)),
+		...(Buffer.byteLength(text) === body.byteLength && body.equals(Buffer.from(text)) ? {body: text} : {bodyBase64: body.toString('base64')}),
+		...(answer.fault && {fault: answer.fault, detail: answer.detail}),
+	};
+};
+
+/**
+Writes the answer to a job: one body with its length, or a problem that counts the outcomes of the tasks.
+*/
+export const writeJobAnswer = (response: ServerResponse, identifier: string, answer: SubmissionAnswer): void => {
+	const tasks = answer.answers.map(task => encodeTaskAnswer(task));
+	if (answer.outcome === Outcome.Complete) {
+		writeJson(response, 200, {job: identifier, outcome: answer.outcome, tasks}, {[outcomeField]: answer.outcome, [identifierField]: identifier});
+		return;
+	}
+
+	const fault = answer.fault ?? FaultKind.Internal;
+	const status = statusOf[fault];
+	writeJson(response, status, {
+		type: `urn:galenakeel:fault:${fault}`,
+		title: fault.replaceAll('-', ' '),
+		status,
+		detail: answer.detail ?? '',
+		outcome: answer.outcome,
+		remedy: remedies[fault],
+		job: identifier,
+		tasks,
+	}, {
+		'content-type': 'application/problem+json', [outcomeField]: answer.outcome, [identifierField]: identifier, ...retryAfterFields(answer.retryAfterMilliseconds),
+	});
+};
--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -12,9 +12,12 @@
 import type {OpenTrace} from '../request/trace-scope.js';
 import {SpanName} from '../process/span-name.js';
 import {
-	CallerRequestKind, parseCallerRoute, problemOf, readJob, readRelayBody, readTask, readTerms, requestField, type CallerRoute, type JobRequest,
-	writeJobAnswer, writeJson, writeProblem, writeTaskAnswer,
-} from './caller-encoding.js';
+	problemOf, requestField, writeJobAnswer, writeJson, writeProblem, writeTaskAnswer,
+} from './caller-answer.js';
+import {
+	readJob, readRelayBody, readTask, readTerms, type JobRequest,
+} from './caller-request.js';
+import {CallerRequestKind, parseCallerRoute, type CallerRoute} from './caller-route.js';
 
 /**
 One request of a caller with the response to it.
--- a/packages/galenakeeld/src/connection/endpoint-connection.ts
+++ b/packages/galenakeeld/src/connection/endpoint-connection.ts
@@ -126,7 +126,7 @@
 		wanted.beforeFirstByte();
 		hasStarted = true;
 		timer = setTimeout(() => {
-			outgoing.destroy(createFault(FaultKind.EndpointTimeout, `endpoint ${address} sent no whole answer within ${wanted.timeoutMilliseconds} ms`));
+			outgoing.destroy(createFault(FaultKind.EndpointTimeout, `endpoint ${address} sent no whole answer within ${Math.round(wanted.timeoutMilliseconds)} ms`));
 		}, wanted.timeoutMilliseconds);
 		const responded = once(outgoing, 'response') as Promise<[IncomingMessage]>;
 		const [[response]] = await Promise.all([responded, sendBody(outgoing, wanted.body)]);
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -2,7 +2,7 @@
 import {createPlatformClient} from '@galenakeel/model/connection/platform-client.js';
 import {serveCallerConnection, type CallerRun} from '../connection/caller-connection.js';
 import {createCountedPeerClient} from '../connection/counted-peer-service.js';
-import {encodeProblemResponse} from '../connection/caller-encoding.js';
+import {encodeProblemResponse} from '../connection/caller-answer.js';
 import {createEndpointConnections} from '../connection/endpoint-connection.js';
 import {createPeerCalls, runPeerConnection} from '../connection/peer-connection.js';
 import {startPeerServer} from '../connection/peer-service.js';
--- a/packages/galenakeeld/src/request/inspect-submission.ts
+++ b/packages/galenakeeld/src/request/inspect-submission.ts
@@ -92,7 +92,7 @@
 	const parsed = parseIdentifier(identifier);
 	const holder = parsed?.kind === IdentifierKind.Minted ? parsed.holder : await run.findHolder(identifier);
 	if (!holder) {
-		return {isAnswered: true, answer: answerUnknown(FaultKind.BadIdentifier, `no instance holds "${identifier}"`)};
+		return {isAnswered: true, answer: answerUnknown(FaultKind.UnknownIdentifier, `no instance holds "${identifier}"`)};
 	}
 
 	const view = holder.incarnation === run.self.incarnation ? undefined : await run.inspectRemote(holder, identifier, isCancelled);
--- a/packages/model/src/request/fault.ts
+++ b/packages/model/src/request/fault.ts
@@ -14,6 +14,8 @@
 	BadIdentifier = 'bad-identifier',
 	/** The identifier was used before for a submission with another content. */
 	IdentifierMismatch = 'identifier-mismatch',
+	/** No instance holds a submission of this identifier. */
+	UnknownIdentifier = 'unknown-identifier',
 	/** The service has no endpoint that could ever run the task. */
 	NoEndpoint = 'no-endpoint',
 	/** The task needs longer than its deadline or time-out allows. */
@@ -59,6 +61,7 @@
 	[FaultKind.UnknownService]: 'Check the name of the service, or have its operators accept a document for it.',
 	[FaultKind.BadIdentifier]: 'Use an identifier of 1 to 200 letters, digits, dots, colons, hyphens and underscores, or ask for a minted one.',
 	[FaultKind.IdentifierMismatch]: 'Submit other work under an identifier of its own; repeat a submission unchanged.',
+	[FaultKind.UnknownIdentifier]: 'Check the identifier; submit the job if it was never submitted.',
 	[FaultKind.NoEndpoint]: 'Have the operators of the service add endpoints to its document.',
 	[FaultKind.NeverRunnable]: 'Grant a longer deadline, or raise the time-out in the service document.',
 	[FaultKind.Overloaded]: 'Send the request again after the time in Retry-After.',
--- a/packages/trials/src/process/run-tests.ts
+++ b/packages/trials/src/process/run-tests.ts
@@ -51,7 +51,12 @@
 };
 
 const paths = process.argv.slice(2);
-const {runConfiguration} = await loadConfiguration({provided: paths.length > 0 ? {paths} : {}});
+const {runConfiguration} = await loadConfiguration();
+if (paths.length > 0) {
+	// Paths that are given to `loadConfiguration` are added to those of the file.
+	runConfiguration.sources.paths = paths;
+}
+
 const knownReds = await readKnownReds();
 const results = createResults();
 const {success} = await runCucumber(runConfiguration, undefined, results.record);
