Carry one task on each connection to an endpoint by default

Cause: an endpoint that sends a second, unasked answer while the next request is under way on its connection had that answer taken for the next one's. Ruled out: watching idle connections for bytes, which is done and finds only what comes in between; a pause before reuse, which is a guess. The change: endpoints.tasksPerConnection, 1 by default, and a scenario with an endpoint that answers twice. The handshake's cost for the relay is not measured yet. Conclusion: the promise goes before the cost.

--- a/packages/galenakeeld/src/connection/endpoint-connection.ts
+++ b/packages/galenakeeld/src/connection/endpoint-connection.ts
@@ -48,6 +48,8 @@
 */
 export type EndpointConnectionLimits = {
 	readonly connectTimeoutMilliseconds: number;
+	/** Tasks that the connection carries, so that no answer can be taken for that of a later task. */
+	readonly tasksPerConnection: number;
 	/** Longest answer that is held in memory before it is passed on. */
 	readonly bufferedBodyBytes: number;
 };
@@ -163,7 +165,7 @@
 };
 
 /**
-Serves one connection to an endpoint: one request at a time, each with its whole answer, until the connection breaks or no further request comes.
+Serves one connection to an endpoint: one request at a time, each with its whole answer, until the connection breaks, has carried its number of tasks, or no further request comes.
 
 @param nextExchange Waits for the next request; `undefined` ends the connection.
 
@@ -173,10 +175,10 @@
 ```
 */
 export const runEndpointConnection = async (address: string, nextExchange: () => Promise<EndpointExchange | undefined>, limits: EndpointConnectionLimits): Promise<void> => {
-	const agent = new Agent({keepAlive: true, maxSockets: 1});
+	const agent = new Agent({keepAlive: limits.tasksPerConnection > 1, maxSockets: 1});
 	let last: LastUse | undefined;
 	try {
-		for (;;) {
+		for (let task = 1; task <= limits.tasksPerConnection; task++) {
 			const exchange = await nextExchange();
 			if (!exchange) {
 				return;
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -52,6 +52,8 @@
 		/** Idle time after which a connection is replaced rather than trusted. */
 		maximumIdleMilliseconds: milliseconds.default(2000),
 		maximumAgeMilliseconds: milliseconds.default(60_000),
+		/** Tasks that one connection carries. HTTP/1.1 can't tell a second answer to one task from the answer to the next, so only a back end that never sends one may have more than 1. */
+		tasksPerConnection: z.number().int().min(1).default(1),
 	}).superRefine(({maximumIdleMilliseconds, maximumAgeMilliseconds}, context) => {
 		if (maximumIdleMilliseconds > maximumAgeMilliseconds) {
 			context.addIssue({
--- a/packages/trials/src/process/__tests__/whole-path.feature
+++ b/packages/trials/src/process/__tests__/whole-path.feature
@@ -13,6 +13,11 @@
     When a caller asks "paysheet" for an answer of 3000000 bytes through daemon 1
     Then the caller gets status 200 and an answer of 3000000 bytes
 
+  Scenario: A second answer of an endpoint never reaches another request
+    Given endpoints that answer each task twice
+    When 60 requests go to "paysheet" through daemon 1, one after the other
+    Then each request gets its own answer
+
   Scenario: A job of many tasks is answered in one body
     When a caller submits a job of 40 tasks for "paysheet" as "sheets-1" through daemon 1
     Then the caller gets status 200 and the outcome "complete"
--- a/packages/trials/src/process/__tests__/whole-path.steps.ts
+++ b/packages/trials/src/process/__tests__/whole-path.steps.ts
@@ -11,6 +11,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import {call} from '@galenakeel/stand-ins/connection/http-json.js';
+import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import type {Outcome} from '@galenakeel/model/request/outcome.js';
 import {submitAsCaller} from '../../request/caller.js';
 import type {FleetWorld} from './fleet-world.js';
@@ -52,6 +53,26 @@
 	this.results.push(await submitAsCaller(callersOf(this, daemon), 'POST', `/v1/services/${service}/sheet?task=single&run=10`, {body}));
 });
 
+Given('endpoints that answer each task twice', function (this: FleetWorld) {
+	for (const {standIn} of this.running.endpoints) {
+		standIn.behaviour = EndpointBehaviour.TwoAnswers;
+	}
+});
+
+When('{int} requests go to {string} through daemon {int}, one after the other', async function (this: FleetWorld, requests: number, service: string, daemon: number) {
+	for (let request = 0; request < requests; request++) {
+		const path = `/v1/services/${service}/sheet?task=twice-${request}&run=20`;
+		this.results.push(await submitAsCaller(callersOf(this, daemon), 'POST', path, {body: `sheet-${request}`}));
+	}
+});
+
+Then('each request gets its own answer', function (this: FleetWorld) {
+	for (const [request, {status, text}] of this.results.entries()) {
+		assert.equal(status, 200);
+		assert.equal(text, `twice-${request}:sheet-${request}`);
+	}
+});
+
 When('a caller asks {string} for an answer of {int} bytes through daemon {int}', async function (this: FleetWorld, service: string, bytes: number, daemon: number) {
 	this.results.push(await submitAsCaller(callersOf(this, daemon), 'GET', `/v1/services/${service}/sheet?task=long&run=1&bytes=${bytes}`));
 });
