Let a team below its share start a burst ahead of one that floods

A team that begins to wait started level with the team served last, so the tasks of a burst took turns with the flood, although their team used 60% of its share.

Ruled out: the order within the team (equal kinds), admission (no task of the team was refused).

Change: a team keeps a credit of at most 2000 ms of work over its share for what it has left unused.

--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.feature
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.feature
@@ -12,11 +12,19 @@
     And 1000 ms after the start of phase 3 no task waits longer than 20 ms
     And every task was answered once or refused
 
-  Scenario: A team that sends ten times its quota
+  Scenario Outline: A team that sends ten times its quota
+    Given the seed <seed>
     When tasks of 100 to 300 ms arrive for 6000 ms at 0.3 times the capacity
     And tasks of 100 to 300 ms arrive for 6000 ms at 0.3 times the capacity while another team sends 10 times as many
     Then the 99th percentile of the first team's response in phase 2 is at most 1.1 times that in phase 1
 
+    Examples:
+      | seed |
+      | 7    |
+      | 11   |
+      | 23   |
+      | 99   |
+
   Scenario: A worker that fails all it starts
     When tasks of 100 to 300 ms arrive for 3000 ms at 0.5 times the capacity
     And endpoint 1 fails all that it starts
--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -40,10 +40,10 @@
 const slots = 40;
 const sweepMilliseconds = 20;
 const submission = {deadlineMilliseconds: 5000};
-const seed = 7;
+const defaultSeed = 7;
 
 // The minimal standard generator of Park and Miller (1988).
-const createRandom = (): (() => number) => {
+const createRandom = (seed: number): (() => number) => {
 	let state = seed;
 	return () => {
 		state = (state * 48_271) % 2_147_483_647;
@@ -173,7 +173,11 @@
 	this.records = [];
 	this.phaseStarts = [];
 	this.failing = new Set();
-	this.random = createRandom();
+	this.random = createRandom(defaultSeed);
+});
+
+Given('the seed {int}', function (this: LoadWorld, seed: number) {
+	this.random = createRandom(seed);
 });
 
 When('tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity', function (this: LoadWorld, milliseconds: number, share: number) {
--- a/packages/galenakeeld/src/process/waiting-order.ts
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -10,6 +10,8 @@
 /** Teams beyond those of the document that are kept apart, so that invented names can't crowd out the others. */
 const maximumUndeclaredTeams = 128;
 const undeclaredTeams = '';
+/** Work over its share that a team may start ahead of the others after it has used less than its share, in milliseconds at speed 1. */
+const burstMilliseconds = 2000;
 
 const lengths = [TaskLength.Short, TaskLength.Long] as const;
 
@@ -42,7 +44,7 @@
 /**
 Creates the order in which waiting tasks start: fair over teams by share, and within a team by expected size with ageing.
 
-Teams are served by start-time fair queueing (Goyal, Vin and Cheng, 1996): the team that has been given the least work for its share is next, and one that begins to wait starts level with the team served last, so that nothing is saved up while it is idle.
+Teams are served by start-time fair queueing (Goyal, Vin and Cheng, 1996): the team that has been given the least work for its share is next. A team that begins to wait starts level with the team served last, but for a bounded credit for what it has left unused: without the credit, the tasks of a burst would take turns with a team that floods, though their team is far below its share.
 
 @param shareOf The quota share that the document in force grants a team; `undefined` when it names none.
 
@@ -62,12 +64,14 @@
 	const nameOf = (team: string): string =>
 		teams.has(team) || shareOf(team) !== undefined || teams.size < maximumUndeclaredTeams ? team : undeclaredTeams;
 
+	const earliestVirtualTime = (): number => virtualTime - burstMilliseconds;
+
 	const shareOrDefault = (team: string): number => shareOf(team) ?? 1;
 
 	const teamOf = (name: string): WaitingTeam => {
 		let team = teams.get(name);
 		if (!team) {
-			team = {lanes: {[TaskLength.Short]: createLane(), [TaskLength.Long]: createLane()}, virtualTime};
+			team = {lanes: {[TaskLength.Short]: createLane(), [TaskLength.Long]: createLane()}, virtualTime: earliestVirtualTime()};
 			teams.set(name, team);
 		}
 
@@ -83,7 +87,7 @@
 	/** Forgets teams that wait for nothing and have no work to make up for. */
 	const forget = (): void => {
 		for (const [name, team] of teams) {
-			if (team.virtualTime <= virtualTime && !waiting.has(name)) {
+			if (team.virtualTime <= earliestVirtualTime() && !waiting.has(name)) {
 				teams.delete(name);
 			}
 		}
@@ -108,7 +112,7 @@
 			const name = nameOf(item.task.team);
 			const team = teamOf(name);
 			if (!waiting.has(name)) {
-				team.virtualTime = Math.max(team.virtualTime, virtualTime);
+				team.virtualTime = Math.max(team.virtualTime, earliestVirtualTime());
 				waiting.set(name, team);
 			}
 
