Split the connections to endpoints by life span

Cause: one module of 308 lines held an exchange, the loop of a connection and the pool of the process. The loop and the exchange stay in connection/; the pool moves to process/ and gets the loop as a function. No change of behaviour.

Whole path: 16 scenarios passed.

--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -3,7 +3,7 @@
 import {serveCallerConnection, type CallerRun} from '../connection/caller-connection.js';
 import {createCountedPeerClient} from '../connection/counted-peer-service.js';
 import {encodeProblemResponse} from '../connection/caller-answer.js';
-import {createEndpointConnections} from '../connection/endpoint-connection.js';
+import {runEndpointConnection} from '../connection/endpoint-connection.js';
 import {createPeerCalls, runPeerConnection} from '../connection/peer-connection.js';
 import {startPeerServer} from '../connection/peer-service.js';
 import {inspectHeld, inspectSubmission} from '../request/inspect-submission.js';
@@ -29,6 +29,7 @@
 import {createLendingCalls, lendSlots} from './lending-calls.js';
 import {createIncarnation} from './incarnation.js';
 import {LogEvent} from './log-event.js';
+import {createEndpointConnections} from './endpoint-connections.js';
 import {runInstanceWatch} from './instance-watch.js';
 import type {Log} from './log.js';
 import {
@@ -89,7 +90,9 @@
 
 	const platform = countPlatformCalls(createPlatformClient(settings.platform.address, settings.platform.timeoutMilliseconds), metrics.countPlatformCall);
 	const register = createSubmissionRegister(settings.answers);
-	const connections = createEndpointConnections({...settings.endpoints, bufferedBodyBytes: settings.limits.bufferedBodyBytes});
+	const connections = createEndpointConnections(async (address, nextExchange) => runEndpointConnection(address, nextExchange, {
+		...settings.endpoints, bufferedBodyBytes: settings.limits.bufferedBodyBytes,
+	}), settings.endpoints);
 
 	const membership = createMembership(self, {
 		missedHeartbeats: settings.peers.missedHeartbeats,
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -8,7 +8,7 @@
 } from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {HeaderList, Task, TaskAnswer} from '@galenakeel/model/request/task.js';
-import type {EndpointAnswer, EndpointRequest} from '../connection/endpoint-connection.js';
+import type {EndpointAnswer, EndpointRequest} from '../connection/endpoint-exchange.js';
 import type {TaskDemand} from '../process/service-dispatcher.js';
 import type {SlotGrant} from '../process/slot-ledger.js';
 import type {Endpoint, ServiceVersion} from '../version/service-version.js';
