Name the deadline that cut off a claim

Cause: a job with a deadline of a millisecond ended as "claim-unavailable, not confirmed by the platform", which sends an operator to a platform that is well.

Ruled out: the fault "deadline-passed" in its place: during an outage every such job ends at its deadline too, and the remedy is to repeat the identifier.

Change: the detail names the deadline when it was what ended the wait. The new scenario shows it.

--- a/packages/galenakeeld/src/process/__tests__/claims.feature
+++ b/packages/galenakeeld/src/process/__tests__/claims.feature
@@ -67,3 +67,11 @@
     When the sweep goes round once
     Then 3 rows are left
     And 3 transactions were sent by the sweep
+
+  Scenario: A claim that the caller's deadline cuts off says so
+    Given two incarnations that share a table
+    When the table is out of reach
+    And incarnation 1 submits "sheet" with a deadline of 20 ms
+    Then the outcomes are "outcome unknown"
+    And the last fault is "claim-unavailable"
+    And the last detail names the deadline of 20 ms
--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -145,6 +145,10 @@
 	this.answers.push(await submit(submissionOf(identifier, body), this.incarnations[incarnation - 1]!.run));
 });
 
+When('incarnation {int} submits {string} with a deadline of {int} ms', async function (this: ClaimsWorld, incarnation: number, identifier: string, deadlineMilliseconds: number) {
+	this.answers.push(await submit({...submissionOf(identifier, 'a'), deadlineMilliseconds}, this.incarnations[incarnation - 1]!.run));
+});
+
 When('incarnation {int} cancels {string} while it waits', async function (this: ClaimsWorld, incarnation: number, identifier: string) {
 	const {run, register} = this.incarnations[incarnation - 1]!;
 	const cancelled: SubmissionRun = {
@@ -205,6 +209,10 @@
 	assert.equal(this.answers.at(-1)!.fault, fault);
 });
 
+Then('the last detail names the deadline of {int} ms', function (this: ClaimsWorld, milliseconds: number) {
+	assert.match(this.answers.at(-1)!.detail!, new RegExp(`the deadline of ${milliseconds} ms`, 'v'));
+});
+
 Then('{string} ran {int} time(s)', function (this: ClaimsWorld, identifier: string, times: number) {
 	assert.equal(this.ran.filter(ran => ran === identifier).length, times);
 });
--- /dev/null
+++ b/packages/galenakeeld/src/process/__tests__/standing-queue.feature
@@ -0,0 +1,12 @@
+Feature: Standing queues
+
+  Scenario Outline: Only a wait that stays high makes a queue standing
+    When the expected wait is <wait> ms but for a moment of <lowest> ms in the last 2 s, of at most 1000 ms
+    Then the queue is a "<kind>"
+
+    Examples:
+      | wait | lowest | kind           |
+      | 900  | 900    | standing queue |
+      | 300  | 60     | standing queue |
+      | 900  | 50     | burst          |
+      | 80   | 20     | burst          |
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -194,12 +194,13 @@
 	result.state === ClaimState.Held && result.claim.incarnation === self.incarnation ? ownClaim : result.state;
 
 const submitChosen = async (arrival: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	const {identifier} = arrival.submission;
+	const {identifier, deadlineMilliseconds} = arrival.submission;
 	const result = await claimInTime(arrival, run);
 	arrival.observer.note({kind: RecordStepKind.Claimed, detail: describeClaim(result, run.self)});
 	if (result.state === ClaimState.Unavailable) {
 		// The row may yet be written; a later attempt that finds it may run the submission.
-		return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${identifier}" was not confirmed by the platform; this attempt started nothing`);
+		const limit = performance.now() < arrival.deadlineAt ? '' : ` within the deadline of ${deadlineMilliseconds} ms`;
+		return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${identifier}" was not confirmed by the platform${limit}; this attempt started nothing`);
 	}
 
 	const {claim} = result;
