--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -169,7 +169,8 @@
 		? runHeld(arrival, arrival.submission.identifier, run)
 		: forwardTo(holder, arrival, run);
 
-const unavailable: ClaimResult = {state: ClaimState.Unavailable};
+/** The result of a claim that its caller no longer waits for. */
+const lateClaim: ClaimResult = {state: ClaimState.Unavailable};
 
 /**
 Claims an identifier, but waits no longer than its caller.
@@ -178,7 +179,7 @@
 	const stop = new AbortController();
 	const giveUp = async (): Promise<ClaimResult> => {
 		await sleep(Math.max(0, deadlineAt - performance.now()), undefined, {signal: stop.signal});
-		return unavailable;
+		return lateClaim;
 	};
 
 	try {
@@ -199,7 +200,7 @@
 	arrival.observer.note({kind: RecordStepKind.Claimed, detail: describeClaim(result, run.self)});
 	if (result.state === ClaimState.Unavailable) {
 		// The row may yet be written; a later attempt that finds it may run the submission.
-		const limit = performance.now() < arrival.deadlineAt ? '' : ` within the deadline of ${deadlineMilliseconds} ms`;
+		const limit = result === lateClaim || performance.now() >= arrival.deadlineAt ? ` within the deadline of ${deadlineMilliseconds} ms` : '';
 		return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${identifier}" was not confirmed by the platform${limit}; this attempt started nothing`);
 	}
 
