Take no endpoint for frozen while tasks run long everywhere

Cause: a trace of refusals in the long-behind-short scenario (a trial on a busy machine) showed a daemon with 8 tasks running, no usable slot and a capacity of 1, which refused tasks for an expected wait of 3.8 s. The guards had closed every endpoint of it: each of its slots there held an unknown long task, so nothing was answered for 1.5 times the 99th percentile that had been measured before the long tasks came.

Ruled out: lent slots (none), endpoints marked as leaving (none).

Change: an endpoint is frozen only while at most a fifth of the tasks on the other endpoints are overdue. Two new scenarios; the first fails when the bound is taken out.

--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
@@ -32,6 +32,18 @@
     When the guards look at the endpoint after 1751 ms
     Then the endpoint may take 1 further tasks
 
+  Scenario: Tasks that run long everywhere say nothing about one endpoint
+    Given an endpoint on which a task runs that is expected to take 400 ms at most
+    And 3 of 10 tasks on another endpoint run as long
+    When the guards look at the endpoint after 750 ms
+    Then the endpoint may take 7 further tasks
+
+  Scenario: An endpoint is found frozen while the others answer in time
+    Given an endpoint on which a task runs that is expected to take 400 ms at most
+    And 1 of 10 tasks on another endpoint run as long
+    When the guards look at the endpoint after 750 ms
+    Then the endpoint may take 0 further tasks
+
   Scenario: A task without a measured run time says nothing about its endpoint
     Given an endpoint on which a task of unknown size runs
     When the guards look at the endpoint after 9000 ms
--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -5,20 +5,24 @@
 } from '../endpoint-guard.js';
 import {createEndpointGuards, type EndpointGuards} from '../endpoint-guards.js';
 import {createRetryBudget, type RetryBudget} from '../retry-budget.js';
-import {createRunningTasks} from '../running-tasks.js';
+import {createRunningTasks, type RunningTasks} from '../running-tasks.js';
 import {createSlotLedger, type SlotLedger} from '../slot-ledger.js';
 import {TaskLength} from '../task-queue.js';
 
-type GuardWorld = {guard: EndpointGuard; attempts: number; budget: RetryBudget; ledger: SlotLedger; guards: EndpointGuards};
+type GuardWorld = {runningTasks: RunningTasks; guard: EndpointGuard; attempts: number; budget: RetryBudget; ledger: SlotLedger; guards: EndpointGuards};
 
 const address = '127.0.0.1:8080';
+const otherAddress = '127.0.0.1:8081';
+const lookMilliseconds = 750;
 
 const runTaskOn = (world: GuardWorld, longestMilliseconds: number): void => {
 	const running = createRunningTasks();
+	world.runningTasks = running;
 	world.ledger = createSlotLedger(() => undefined);
-	world.ledger.install([{
-		name: 'worker', address, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
-	}], new Map([[address, 8]]), 1);
+	const endpoint = {
+		name: 'worker', zone: 'zone-a', slots: 8, connections: 64, speed: 1,
+	};
+	world.ledger.install([{...endpoint, address}, {...endpoint, address: otherAddress}], new Map([[address, 8]]), 1);
 	const slots = world.ledger.slotsOf(address)!;
 	world.ledger.take(slots);
 	running.add({
@@ -33,6 +37,15 @@
 	runTaskOn(this, longest);
 });
 
+Given('{int} of {int} tasks on another endpoint run as long', function (this: GuardWorld, overdue: number, running: number) {
+	for (let number = 0; number < running; number++) {
+		const startedAt = number < overdue ? 0 : lookMilliseconds - 1;
+		this.runningTasks.add({
+			slots: this.ledger.slotsOf(otherAddress)!, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+		});
+	}
+});
+
 Given('an endpoint on which a task of unknown size runs', function (this: GuardWorld) {
 	runTaskOn(this, Infinity);
 });
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -3,7 +3,7 @@
 import {
 	AttemptResult, createEndpointGuard, GuardReason, GuardState, type EndpointGuard, type GuardLimits,
 } from './endpoint-guard.js';
-import type {RunningTasks} from './running-tasks.js';
+import type {EndpointRun, RunningTasks} from './running-tasks.js';
 import type {EndpointSlots, SlotLedger} from './slot-ledger.js';
 
 /** Share of a service's endpoints with server errors above which the tasks are at fault rather than the endpoints. */
@@ -11,6 +11,8 @@
 /** Times the longest expected run time without any answer after which an endpoint counts as frozen. */
 const frozenFactor = 1.5;
 const frozenMarginMilliseconds = 100;
+/** Share of overdue tasks on the other endpoints above which the tasks are longer than known, rather than an endpoint frozen. */
+const maximumOverdueShare = 0.2;
 
 /**
 The circuit breakers of one service's endpoints.
@@ -42,6 +44,17 @@
 	return isTimeout ? AttemptResult.NoAnswer : undefined;
 };
 
+const sumRuns = (runs: Iterable<EndpointRun>): Pick<EndpointRun, 'running' | 'overdue'> => {
+	let running = 0;
+	let overdue = 0;
+	for (const run of runs) {
+		running += run.running;
+		overdue += run.overdue;
+	}
+
+	return {running, overdue};
+};
+
 /**
 Creates circuit breakers that keep the limits of the ledger's endpoints.
 
@@ -104,11 +117,18 @@
 		}
 	};
 
+	const isSilent = ({oldest}: EndpointRun, guard: EndpointGuard, now: number): boolean => {
+		const silentSince = Math.max(oldest.startedAt, guard.answeredAt());
+		return now - silentSince > (oldest.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds;
+	};
+
 	const freezeSilent = (now: number): void => {
-		for (const [slots, task] of running.oldest()) {
+		const runs = running.byEndpoint(now);
+		const all = sumRuns(runs.values());
+		for (const [slots, run] of runs) {
 			const guard = guardOf(slots.endpoint.address);
-			const silentSince = Math.max(task.startedAt, guard.answeredAt());
-			if (guard.state() === GuardState.Closed && now - silentSince > (task.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds) {
+			const overdueElsewhere = (all.overdue - run.overdue) / Math.max(1, all.running - run.running);
+			if (guard.state() === GuardState.Closed && overdueElsewhere <= maximumOverdueShare && isSilent(run, guard, now)) {
 				guard.freeze(now);
 			}
 		}
--- a/packages/galenakeeld/src/process/running-tasks.ts
+++ b/packages/galenakeeld/src/process/running-tasks.ts
@@ -24,10 +24,22 @@
 	readonly short: () => number;
 	/** Counts the tasks as long that have overrun their estimate. */
 	readonly markOverruns: (now: number) => void;
-	/** The task that has run longest on each endpoint. */
-	readonly oldest: () => ReadonlyMap<EndpointSlots, RunningTask>;
+	readonly byEndpoint: (now: number) => ReadonlyMap<EndpointSlots, EndpointRun>;
 };
 
+/**
+What runs on one endpoint.
+*/
+export type EndpointRun = {
+	/** The task that has run longest. */
+	readonly oldest: RunningTask;
+	readonly running: number;
+	/** Tasks that have run for longer than is to be expected. */
+	readonly overdue: number;
+};
+
+const isOverdue = ({startedAt, longestMilliseconds}: RunningTask, now: number): boolean => now - startedAt > longestMilliseconds;
+
 /**
 Creates an empty collection of running tasks.
 
@@ -61,15 +73,14 @@
 				}
 			}
 		},
-		oldest() {
-			const oldest = new Map<EndpointSlots, RunningTask>();
+		byEndpoint(now) {
+			const runs = new Map<EndpointSlots, EndpointRun>();
 			for (const task of tasks) {
-				if (!oldest.has(task.slots)) {
-					oldest.set(task.slots, task);
-				}
+				const {oldest = task, running = 0, overdue = 0} = runs.get(task.slots) ?? {};
+				runs.set(task.slots, {oldest, running: running + 1, overdue: overdue + (isOverdue(task, now) ? 1 : 0)});
 			}
 
-			return oldest;
+			return runs;
 		},
 	};
 };
