Judge a frozen endpoint against those that answer

A rack that freezes, 6 of 30 endpoints at half load, makes 29% of those tasks overdue, and none of its endpoints would have been found.

Change: the share of overdue tasks is taken over the endpoints that answer. If none answers, while there are several, the silence is that of the tasks. New scenario: 1 and 4 of 6 silent endpoints are found frozen, 6 of 6 are not.

--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
@@ -34,16 +34,27 @@
 
   Scenario: Tasks that run long everywhere say nothing about one endpoint
     Given an endpoint on which a task runs that is expected to take 400 ms at most
-    And 3 of 10 tasks on another endpoint run as long
+    And 3 of 10 tasks run as long on another endpoint, which answers
     When the guards look at the endpoint after 750 ms
     Then the endpoint may take 7 further tasks
 
   Scenario: An endpoint is found frozen while the others answer in time
     Given an endpoint on which a task runs that is expected to take 400 ms at most
-    And 1 of 10 tasks on another endpoint run as long
+    And 1 of 10 tasks run as long on another endpoint, which answers
     When the guards look at the endpoint after 750 ms
     Then the endpoint may take 0 further tasks
 
+  Scenario Outline: Silence of some endpoints and of all
+    Given 6 endpoints of which <silent> have answered nothing for far longer than their tasks take
+    When the guards look at the endpoints
+    Then <frozen> endpoints are taken for frozen
+
+    Examples:
+      | silent | frozen |
+      | 1      | 1      |
+      | 4      | 4      |
+      | 6      | 0      |
+
   Scenario: A task without a measured run time says nothing about its endpoint
     Given an endpoint on which a task of unknown size runs
     When the guards look at the endpoint after 9000 ms
--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -37,7 +37,9 @@
 	runTaskOn(this, longest);
 });
 
-Given('{int} of {int} tasks on another endpoint run as long', function (this: GuardWorld, overdue: number, running: number) {
+Given('{int} of {int} tasks run as long on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
+	const {endpoint} = this.ledger.slotsOf(otherAddress)!;
+	this.guards.report({endpoint, kind: '', durationMilliseconds: 100, isSuccess: true}, lookMilliseconds - 1);
 	for (let number = 0; number < running; number++) {
 		const startedAt = number < overdue ? 0 : lookMilliseconds - 1;
 		this.runningTasks.add({
@@ -46,6 +48,34 @@
 	}
 });
 
+Given('{int} endpoints of which {int} have answered nothing for far longer than their tasks take', function (this: GuardWorld, count: number, silent: number) {
+	const endpoints = Array.from({length: count}, (_, number) => ({
+		name: `worker-${number}`, address: `10.0.0.${number}:80`, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
+	}));
+	this.ledger = createSlotLedger(() => undefined);
+	this.ledger.install(endpoints, new Map(endpoints.map(endpoint => [endpoint.address, 8])), 1);
+	this.runningTasks = createRunningTasks();
+	for (const [number, slots] of [...this.ledger.all()].entries()) {
+		const startedAt = number < silent ? 0 : lookMilliseconds - 1;
+		this.runningTasks.add({
+			slots, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+		});
+	}
+
+	this.guards = createEndpointGuards({
+		ledger: this.ledger, running: this.runningTasks, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => 400,
+	});
+});
+
+When('the guards look at the endpoints', function (this: GuardWorld) {
+	this.guards.sweep(lookMilliseconds);
+});
+
+Then('{int} endpoints are taken for frozen', function (this: GuardWorld, count: number) {
+	const frozen = [...this.ledger.all()].filter(({endpoint}) => this.guards.stateOf(endpoint.address) === GuardState.Open);
+	assert.equal(frozen.length, count);
+});
+
 Given('an endpoint on which a task of unknown size runs', function (this: GuardWorld) {
 	runTaskOn(this, Infinity);
 });
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -11,7 +11,7 @@
 /** Times the longest expected run time without any answer after which an endpoint counts as frozen. */
 const frozenFactor = 1.5;
 const frozenMarginMilliseconds = 100;
-/** Share of overdue tasks on the other endpoints above which the tasks are longer than known, rather than an endpoint frozen. */
+/** Share of overdue tasks on the endpoints that answer above which the tasks are longer than known, rather than an endpoint frozen. */
 const maximumOverdueShare = 0.2;
 
 /**
@@ -44,15 +44,17 @@
 	return isTimeout ? AttemptResult.NoAnswer : undefined;
 };
 
-const sumRuns = (runs: Iterable<EndpointRun>): Pick<EndpointRun, 'running' | 'overdue'> => {
+type EndpointEntry = readonly [slots: EndpointSlots, run: EndpointRun];
+
+const overdueShareOf = (entries: readonly EndpointEntry[]): number => {
 	let running = 0;
 	let overdue = 0;
-	for (const run of runs) {
+	for (const [, run] of entries) {
 		running += run.running;
 		overdue += run.overdue;
 	}
 
-	return {running, overdue};
+	return overdue / running;
 };
 
 /**
@@ -117,18 +119,28 @@
 		}
 	};
 
-	const isSilent = ({oldest}: EndpointRun, guard: EndpointGuard, now: number): boolean => {
-		const silentSince = Math.max(oldest.startedAt, guard.answeredAt());
+	const isSilent = ([{endpoint}, {oldest}]: EndpointEntry, now: number): boolean => {
+		const silentSince = Math.max(oldest.startedAt, guardOf(endpoint.address).answeredAt());
 		return now - silentSince > (oldest.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds;
 	};
 
+	/** Tells whether silence may come from long tasks: those endpoints that answer hold many too, or none answers. */
+	const isSilenceOfTasks = (answering: readonly EndpointEntry[], silent: number): boolean => {
+		const used = ledger.inUse().length;
+		return answering.length === 0 ? used > 1 && silent >= used : overdueShareOf(answering) > maximumOverdueShare;
+	};
+
 	const freezeSilent = (now: number): void => {
-		const runs = running.byEndpoint(now);
-		const all = sumRuns(runs.values());
-		for (const [slots, run] of runs) {
-			const guard = guardOf(slots.endpoint.address);
-			const overdueElsewhere = (all.overdue - run.overdue) / Math.max(1, all.running - run.running);
-			if (guard.state() === GuardState.Closed && overdueElsewhere <= maximumOverdueShare && isSilent(run, guard, now)) {
+		const runs = [...running.byEndpoint(now)];
+		const silent = runs.filter(run => isSilent(run, now));
+		const answering = runs.filter(run => !silent.includes(run));
+		if (silent.length === 0 || isSilenceOfTasks(answering, silent.length)) {
+			return;
+		}
+
+		for (const [{endpoint}] of silent) {
+			const guard = guardOf(endpoint.address);
+			if (guard.state() === GuardState.Closed) {
 				guard.freeze(now);
 			}
 		}
