Weigh the silence of an endpoint against chance, and judge standing queues by the lowest wait

One overdue task among few says little where a tenth of all tasks are overdue.

Cause, queues: a queue counted as standing when some task had waited at every look for two seconds, which happens by chance at 90% load, and long tasks that waited for their share made the queue of short ones standing.

Ruled out: lent slots (counted since), the team shares (one team).

Change: an endpoint is frozen only if the chance that its overdue tasks are all merely long, each on its own, is at most 1%, with the share of overdue tasks on the endpoints that answer and at least 1%. A queue is standing when the lowest expected wait of two seconds was above a twentieth of the longest queue, for short and long tasks apart.

--- a/packages/galenakeeld/src/process/__tests__/admission.feature
+++ b/packages/galenakeeld/src/process/__tests__/admission.feature
@@ -21,7 +21,7 @@
 
   Scenario: A queue that never empties is kept short
     Given 30000 ms of work waits, 30000 ms of it of the same team, which is due 1 of the slots
-    And tasks have been waiting without a break
+    And the queue is standing
     When a request of 100 ms with a deadline of 5000 ms arrives
     Then the decision is "overloaded"
     And the caller is told to come back after 750 ms
--- a/packages/galenakeeld/src/process/__tests__/admission.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/admission.steps.ts
@@ -19,7 +19,7 @@
 	};
 });
 
-Given('tasks have been waiting without a break', function (this: AdmissionWorld) {
+Given('the queue is standing', function (this: AdmissionWorld) {
 	this.load = {...this.load, isStanding: true};
 });
 
--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
@@ -34,16 +34,28 @@
 
   Scenario: Tasks that run long everywhere say nothing about one endpoint
     Given an endpoint on which a task runs that is expected to take 400 ms at most
-    And 3 of 10 tasks run as long on another endpoint, which answers
+    And 1 of 10 tasks run as long on another endpoint, which answers
     When the guards look at the endpoint after 750 ms
     Then the endpoint may take 7 further tasks
 
   Scenario: An endpoint is found frozen while the others answer in time
     Given an endpoint on which a task runs that is expected to take 400 ms at most
-    And 1 of 10 tasks run as long on another endpoint, which answers
+    And 0 of 10 tasks run as long on another endpoint, which answers
     When the guards look at the endpoint after 750 ms
     Then the endpoint may take 0 further tasks
 
+  Scenario Outline: The more tasks hang on an endpoint, the less it is chance
+    Given an endpoint on which <hanging> tasks run that are expected to take 400 ms at most
+    And 1 of 10 tasks run as long on another endpoint, which answers
+    When the guards look at the endpoint after 750 ms
+    Then the endpoint may take <further> further tasks
+
+    Examples:
+      | hanging | further |
+      | 1       | 7       |
+      | 3       | 0       |
+      | 4       | 0       |
+
   Scenario Outline: Silence of some endpoints and of all
     Given 6 endpoints of which <silent> have answered nothing for far longer than their tasks take
     When the guards look at the endpoints
--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -15,7 +15,7 @@
 const otherAddress = '127.0.0.1:8081';
 const lookMilliseconds = 750;
 
-const runTaskOn = (world: GuardWorld, longestMilliseconds: number): void => {
+const runTasksOn = (world: GuardWorld, count: number, longestMilliseconds: number): void => {
 	const running = createRunningTasks();
 	world.runningTasks = running;
 	world.ledger = createSlotLedger(() => undefined);
@@ -24,17 +24,24 @@
 	};
 	world.ledger.install([{...endpoint, address}, {...endpoint, address: otherAddress}], new Map([[address, 8]]), 1);
 	const slots = world.ledger.slotsOf(address)!;
-	world.ledger.take(slots);
-	running.add({
-		slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
-	});
+	for (let task = 0; task < count; task++) {
+		world.ledger.take(slots);
+		running.add({
+			slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
+		});
+	}
+
 	world.guards = createEndpointGuards({
 		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => longestMilliseconds,
 	});
 };
 
 Given('an endpoint on which a task runs that is expected to take {int} ms at most', function (this: GuardWorld, longest: number) {
-	runTaskOn(this, longest);
+	runTasksOn(this, 1, longest);
+});
+
+Given('an endpoint on which {int} tasks run that are expected to take {int} ms at most', function (this: GuardWorld, count: number, longest: number) {
+	runTasksOn(this, count, longest);
 });
 
 Given('{int} of {int} tasks run as long on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
@@ -79,7 +86,7 @@
 });
 
 Given('an endpoint on which a task of unknown size runs', function (this: GuardWorld) {
-	runTaskOn(this, Infinity);
+	runTasksOn(this, 1, Infinity);
 });
 
 When('the guards look at the endpoint after {int} ms', function (this: GuardWorld, now: number) {
--- a/packages/galenakeeld/src/process/admission.ts
+++ b/packages/galenakeeld/src/process/admission.ts
@@ -14,7 +14,7 @@
 	readonly teamWork: number;
 	/** Part of the capacity that the team is due, from 0 to 1. */
 	readonly teamShare: number;
-	/** Whether tasks have been waiting without a break. */
+	/** Whether the expected wait has stayed high, rather than for a burst. */
 	readonly isStanding: boolean;
 };
 
@@ -36,7 +36,7 @@
 */
 export type Refusal = {readonly fault: FaultKind; readonly detail: string; readonly retryAfterMilliseconds?: number};
 
-/** Part of the longest queue that is kept while tasks wait without a break, so that the queue is short when the load falls. */
+/** Part of the longest queue that a standing one is kept to, so that it is short when the load falls. */
 const standingQueueShare = 0.25;
 
 /**
@@ -59,7 +59,7 @@
 /**
 Decides on a request before anything of it has started; `undefined` admits it.
 
-While tasks wait without a break, only a part of the longest queue is allowed, as in CoDel's distinction of a burst from a standing queue (Nichols and Jacobson, "Controlling Queue Delay", 2012): a queue that is never empty adds to every response and nothing to the throughput.
+Of a standing queue only a part of the longest is allowed: it adds to every response and nothing to the throughput.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -11,8 +11,10 @@
 /** Times the longest expected run time without any answer after which an endpoint counts as frozen. */
 const frozenFactor = 1.5;
 const frozenMarginMilliseconds = 100;
-/** Share of overdue tasks on the endpoints that answer above which the tasks are longer than known, rather than an endpoint frozen. */
-const maximumOverdueShare = 0.2;
+/** Share of tasks that are overdue by the definition of the longest run time, a 99th percentile. */
+const expectedOverdueShare = 0.01;
+/** Probability below which it is no chance that every overdue task of an endpoint is merely long. */
+const chanceOfLongTasks = 0.01;
 
 /**
 The circuit breakers of one service's endpoints.
@@ -124,23 +126,23 @@
 		return now - silentSince > (oldest.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds;
 	};
 
-	/** Tells whether silence may come from long tasks: those endpoints that answer hold many too, or none answers. */
-	const isSilenceOfTasks = (answering: readonly EndpointEntry[], silent: number): boolean => {
+	/**
+	Tells whether the silence of an endpoint may come from long tasks: none of several answers, or as many tasks are overdue where answers come that those of the endpoint may be long by chance, each on its own.
+	*/
+	const isSilenceOfTasks = ([, {overdue}]: EndpointEntry, answering: readonly EndpointEntry[], silent: number): boolean => {
 		const used = ledger.inUse().length;
-		return answering.length === 0 ? used > 1 && silent >= used : overdueShareOf(answering) > maximumOverdueShare;
+		return answering.length === 0
+			? used > 1 && silent >= used
+			: Math.max(expectedOverdueShare, overdueShareOf(answering)) ** overdue > chanceOfLongTasks;
 	};
 
 	const freezeSilent = (now: number): void => {
 		const runs = [...running.byEndpoint(now)];
 		const silent = runs.filter(run => isSilent(run, now));
 		const answering = runs.filter(run => !silent.includes(run));
-		if (silent.length === 0 || isSilenceOfTasks(answering, silent.length)) {
-			return;
-		}
-
-		for (const [{endpoint}] of silent) {
-			const guard = guardOf(endpoint.address);
-			if (guard.state() === GuardState.Closed) {
+		for (const run of silent) {
+			const guard = guardOf(run[0].endpoint.address);
+			if (guard.state() === GuardState.Closed && !isSilenceOfTasks(run, answering, silent.length)) {
 				guard.freeze(now);
 			}
 		}
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -11,12 +11,11 @@
 import {
 	returningSlotsOf, usableSlotsOf, type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
 } from './slot-ledger.js';
+import {createStandingQueue} from './standing-queue.js';
 import {
 	createTaskQueueClass, TaskLength, type TaskQueue, type WaitingOrder, type WaitingTask, type WaitingTaskOptions,
 } from './task-queue.js';
 
-/** Time for which tasks wait without a break before the queue counts as standing. */
-const standingMilliseconds = 2000;
 /** Times the 90th percentile of its kind after which a task counts as long. */
 const overrunFactor = 2;
 
@@ -113,7 +112,7 @@
 	const share = createLongTaskShare();
 	const demand = createSlotDemand();
 	let chosen: {readonly task: WaitingTask; readonly revision: number; readonly slots: EndpointSlots | undefined} | undefined;
-	let emptyAt = performance.now();
+	const queues = {[TaskLength.Short]: createStandingQueue(performance.now()), [TaskLength.Long]: createStandingQueue(performance.now())};
 	let capacity: SlotCapacity | undefined;
 	let started = 0;
 
@@ -168,7 +167,20 @@
 		return capacity;
 	};
 
-	return {
+	/** Work in a millisecond that the slots do which tasks of a length may use. */
+	const capacityFor = (length: TaskLength): number => {
+		const {slots, meanSpeed} = currentCapacity();
+		return Math.max(1, length === TaskLength.Short ? slots - running.long() : share.limit(slots)) * meanSpeed;
+	};
+
+	/** Observes the lengths apart: long tasks that wait for their share of the slots say nothing of the wait of short ones. */
+	const observeQueues = (now: number, {document}: ServiceVersion): void => {
+		for (const length of [TaskLength.Short, TaskLength.Long]) {
+			queues[length].observe(order.work(length) / capacityFor(length), document.maximumQueueMilliseconds, now);
+		}
+	};
+
+	const dispatcher: ServiceDispatcher = {
 		version: options.version,
 		ledger,
 		async withSlot(wanted, use) {
@@ -208,9 +220,7 @@
 				abandon(task, reasonToAbandon(task, now) ?? FaultKind.DeadlinePassed);
 			}
 
-			if (order.size() === 0) {
-				emptyAt = now;
-			}
+			observeQueues(now, dispatcher.version);
 
 			share.observe(running.short() + order.count(TaskLength.Short));
 			demand.observe(ledger.busy() + order.size());
@@ -224,17 +234,15 @@
 		surplus: () => order.size() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - demand.target()))),
 		loadFor(team, kind) {
 			const length = lengthOf(kind);
-			const isShort = length === TaskLength.Short;
-			const {slots, meanSpeed} = currentCapacity();
-			const forLength = isShort ? slots - running.long() : share.limit(slots);
 			return {
-				free: Math.min(ledger.free(), isShort ? Infinity : Math.max(0, longLeft())),
-				capacity: Math.max(1, forLength) * meanSpeed,
+				free: Math.min(ledger.free(), length === TaskLength.Short ? Infinity : Math.max(0, longLeft())),
+				capacity: capacityFor(length),
 				waitingWork: order.work(length),
 				teamWork: order.work(length, team),
 				teamShare: order.shareOf(team),
-				isStanding: performance.now() - emptyAt > standingMilliseconds,
+				isStanding: queues[length].isStanding(performance.now()),
 			};
 		},
 	};
+	return dispatcher;
 };
