Count lent slots until the queue is standing

Change: lent slots count as long as the queue is a burst. After two seconds of waiting, longer than the renewal of a lease, those that have not come back are in use. The capacity of an instance is a module of its own.

--- a/packages/galenakeeld/src/process/__tests__/standing-queue.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/standing-queue.steps.ts
@@ -1,8 +1,12 @@
 import assert from 'node:assert/strict';
-import {Then, When} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {expectedSlotsOf, measureSlotCapacity} from '../slot-capacity.js';
+import {createSlotLedger, type SlotLedger} from '../slot-ledger.js';
 import {createStandingQueue, type StandingQueue} from '../standing-queue.js';
 
-type QueueWorld = {queue: StandingQueue};
+type QueueWorld = {queue: StandingQueue; ledger: SlotLedger; isStanding: boolean};
+
+const address = '10.0.0.1:80';
 
 const observeMilliseconds = 20;
 const endMilliseconds = 3000;
@@ -15,6 +19,23 @@
 	}
 });
 
-Then('the queue is a {string}', function (this: QueueWorld, kind: string) {
+Then('the queue counts as a {string}', function (this: QueueWorld, kind: string) {
 	assert.equal(this.queue.isStanding(endMilliseconds) ? 'standing queue' : 'burst', kind);
 });
+
+Given('an instance of {int} slots that has lent {int} of them', function (this: QueueWorld, slots: number, lent: number) {
+	this.ledger = createSlotLedger(() => undefined);
+	const endpoint = {
+		name: 'worker', address, zone: 'zone-a', slots, connections: 64, speed: 1,
+	};
+	this.ledger.install([endpoint], new Map([[address, slots]]), 1);
+	this.ledger.change(this.ledger.slotsOf(address)!, {lent});
+});
+
+When('the queue is a {string}', function (this: QueueWorld, kind: string) {
+	this.isStanding = kind === 'standing queue';
+});
+
+Then('its waiting tasks may expect {int} slots', function (this: QueueWorld, count: number) {
+	assert.equal(expectedSlotsOf(measureSlotCapacity(this.ledger.inUse(), () => 1), this.isStanding), count);
+});
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -5,11 +5,12 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import type {AdmissionLoad} from './admission.js';
 import {createLongTaskShare, isLongRun} from './long-task-share.js';
+import {expectedSlotsOf, measureSlotCapacity, type SlotCapacity} from './slot-capacity.js';
 import {createSlotDemand} from './slot-demand.js';
 import {isMeasured, type RunEstimates} from './run-estimates.js';
 import type {RunningTasks} from './running-tasks.js';
 import {
-	returningSlotsOf, usableSlotsOf, type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
+	type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
 } from './slot-ledger.js';
 import {createStandingQueue} from './standing-queue.js';
 import {
@@ -60,27 +61,6 @@
 	return now >= task.deadlineAt ? FaultKind.DeadlinePassed : undefined;
 };
 
-/**
-What an instance can do for its waiting tasks.
-*/
-type SlotCapacity = {
-	/** Slots that it may use now, and those that it has lent and gets back while tasks wait. */
-	readonly slots: number;
-	readonly meanSpeed: number;
-};
-
-const measureCapacity = (all: readonly EndpointSlots[], speedOf: (slots: EndpointSlots) => number): SlotCapacity => {
-	let slots = 0;
-	let speed = 0;
-	for (const candidate of all) {
-		const count = usableSlotsOf(candidate) + returningSlotsOf(candidate);
-		slots += count;
-		speed += count * speedOf(candidate);
-	}
-
-	return {slots, meanSpeed: slots === 0 ? 1 : speed / slots};
-};
-
 const abandon = (task: WaitingTask, kind: FaultKind): void => {
 	task.abandon(createFault(kind, kind === FaultKind.Cancelled ? 'the submission was cancelled before the task started' : 'the deadline passed before the task started'));
 };
@@ -163,14 +143,15 @@
 
 	/** Measured anew with each sweep. */
 	const currentCapacity = (): SlotCapacity => {
-		capacity ??= measureCapacity(ledger.inUse(), ({endpoint}) => estimates.speed(endpoint.address, endpoint.speed));
+		capacity ??= measureSlotCapacity(ledger.inUse(), ({endpoint}) => estimates.speed(endpoint.address, endpoint.speed));
 		return capacity;
 	};
 
 	/** Work in a millisecond that the slots do which tasks of a length may use. */
 	const capacityFor = (length: TaskLength): number => {
-		const {slots, meanSpeed} = currentCapacity();
-		return Math.max(1, length === TaskLength.Short ? slots - running.long() : share.limit(slots)) * meanSpeed;
+		const current = currentCapacity();
+		const slots = expectedSlotsOf(current, queues[length].isStanding(performance.now()));
+		return Math.max(1, length === TaskLength.Short ? slots - running.long() : share.limit(slots)) * current.meanSpeed;
 	};
 
 	/** Observes the lengths apart: long tasks that wait for their share of the slots say nothing of the wait of short ones. */
