Write a row for each change of a document

Cause: a daemon that sees a higher catalogue version read every document, 199 KB for a change with 400 documents (docs/CAPACITY.md).

The accept transaction also writes which service the catalogue version changed. A reader that is at most 50 versions behind reads those rows and the changed documents, 3 reads in all. A change without a row (accepted by an earlier release, or a stale read) makes it read everything; a changed document that comes back stale leaves the reader's version before its change. The rows of the last 1000 changes are kept.

The readers and the rows have modules of their own now. The table of the test deletes rows that are written without a value, as the platform does.

--- a/packages/model/src/version/__tests__/document-store.steps.ts
+++ b/packages/model/src/version/__tests__/document-store.steps.ts
@@ -4,6 +4,8 @@
 	PlatformOutcome, type Platform, type TableRow, type TransactionResult,
 } from '../../connection/platform-client.js';
 import {createFault, FaultKind, isFault} from '../../request/fault.js';
+import {readCatalogue, type CatalogueRead} from '../catalogue-read.js';
+import {changeKey, documentKey} from '../document-rows.js';
 import {acceptDocument, readDocument, readHistory} from '../document-store.js';
 import {parseServiceDocument} from '../service-document.js';
 import {findSharedAddresses} from '../shared-addresses.js';
@@ -13,6 +15,9 @@
 	platform: Platform;
 	accepted: number | undefined;
 	fault: unknown;
+	/** Version that the reader of the catalogue has. */
+	readVersion: number;
+	reads: number;
 };
 
 const textOf = (service: string, team: string): string => JSON.stringify({
@@ -35,7 +40,11 @@
 
 			for (const {key, value} of writes) {
 				version++;
-				rows.set(key, {key, value: value!, version});
+				if (value === undefined) {
+					rows.delete(key);
+				} else {
+					rows.set(key, {key, value, version});
+				}
 			}
 
 			return {outcome: PlatformOutcome.Done};
@@ -151,3 +160,70 @@
 		address, endpoint: 'worker-1', otherService: other, otherEndpoint: 'worker-1',
 	}]);
 });
+
+const acceptService = async (platform: Platform, service: string): Promise<number> => {
+	const current = await readDocument(platform, service);
+	return acceptDocument(platform, {
+		text: textOf(service, 'owners'), seenVersion: current?.version ?? 0, author: 'roisin', nonce: `nonce-${service}-${current?.version}`,
+	});
+};
+
+const readOn = async (world: StoreWorld): Promise<CatalogueRead> => {
+	world.reads = 0;
+	const count = <Parameters extends readonly unknown[], Result>(read: (...parameters: Parameters) => Result) => (...parameters: Parameters): Result => {
+		world.reads++;
+		return read(...parameters);
+	};
+
+	return readCatalogue({...world.platform, readRows: count(world.platform.readRows), scanRows: count(world.platform.scanRows)}, world.readVersion);
+};
+
+Given('a table with {int} services', async function (this: StoreWorld, count: number) {
+	this.rows = new Map();
+	this.platform = createTable(this.rows);
+	for (let position = 1; position <= count; position++) {
+		await acceptService(this.platform, `service-${position}`);
+	}
+});
+
+Given('a reader of the catalogue', async function (this: StoreWorld) {
+	this.readVersion = 0;
+	({catalogueVersion: this.readVersion} = await readOn(this));
+});
+
+When('the documents of {string} are accepted again', async function (this: StoreWorld, services: string) {
+	for (const service of services.split(', ')) {
+		await acceptService(this.platform, service);
+	}
+});
+
+When('the documents of {int} services are accepted again', async function (this: StoreWorld, count: number) {
+	for (let position = 1; position <= count; position++) {
+		await acceptService(this.platform, `service-${position}`);
+	}
+});
+
+When('the row of the change {int} is missing', function (this: StoreWorld, version: number) {
+	assert.ok(this.rows.delete(changeKey(version)));
+});
+
+When('the document of {string} is read as it was', function (this: StoreWorld, service: string) {
+	const row = this.rows.get(documentKey(service))!;
+	this.rows.set(row.key, {...row, value: row.value.replace(/"version":\d+/v, '"version":9')});
+});
+
+Then('the reader gets {string} up to version {int} in {int} reads', async function (this: StoreWorld, services: string, version: number, reads: number) {
+	const {documents, catalogueVersion} = await readOn(this);
+	assert.equal(documents.map(({document}) => document.service).toSorted().join(', '), services);
+	assert.deepEqual([catalogueVersion, this.reads], [version, reads]);
+});
+
+Then('the reader gets {int} documents up to version {int}', async function (this: StoreWorld, count: number, version: number) {
+	const {documents, catalogueVersion} = await readOn(this);
+	assert.deepEqual([documents.length, catalogueVersion], [count, version]);
+});
+
+Then('the table has the rows of the changes {int} to {int}', function (this: StoreWorld, first: number, last: number) {
+	const kept = [...this.rows.keys()].filter(key => key.startsWith('change/')).toSorted();
+	assert.deepEqual(kept, Array.from({length: last - first + 1}, (_, position) => changeKey(first + position)));
+});
--- a/packages/model/src/version/document-store.ts
+++ b/packages/model/src/version/document-store.ts
@@ -2,40 +2,20 @@
 import {parseJson} from '../connection/json.js';
 import {PlatformOutcome, type Platform, type TableRow} from '../connection/platform-client.js';
 import {createFault, FaultKind} from '../request/fault.js';
+import {
+	catalogueKey, catalogueVersionOf, changeKey, documentKey, documentPrefix, historyKey, historyPrefixOf, parseStored, type StoredDocument,
+} from './document-rows.js';
 import {parseServiceDocument, type AcceptedDocument} from './service-document.js';
 
-const catalogueKey = 'catalogue';
-const documentPrefix = 'document/';
-const historyPrefix = 'history/';
 const pageRows = 200;
-
-type StoredDocument = {
-	readonly version: number;
-	readonly text: string;
-	/** Distinguishes this write from a racing one that took the same version. */
-	readonly nonce: string;
-	readonly author: string;
-	readonly acceptedAt: string;
-};
+/** Changes whose rows the table keeps. */
+const keptChanges = 1000;
 
 /**
 One accepted version of a document.
 */
 export type HistoryEntry = Omit<StoredDocument, 'nonce'>;
 
-const catalogueVersionOf = (row: TableRow | undefined): number => row ? Number(row.value) : 0;
-
-const historyKey = (service: string, version: number): string =>
-	`${historyPrefix}${service}/${String(version).padStart(12, '0')}`;
-
-const parseStored = (row: TableRow): AcceptedDocument & {readonly nonce: string} => {
-	const stored = parseJson<StoredDocument>(row.value);
-	const document = parseServiceDocument(stored.text, `document "${row.key.slice(documentPrefix.length)}"`);
-	return {
-		version: stored.version, text: stored.text, document, nonce: stored.nonce,
-	};
-};
-
 /**
 Reads the version of the catalogue, which rises with each accepted document.
 */
@@ -48,7 +28,7 @@
 Reads the accepted document of one service; `undefined` when there is none.
 */
 export const readDocument = async (platform: Platform, service: string): Promise<AcceptedDocument | undefined> => {
-	const [row] = await platform.readRows([`${documentPrefix}${service}`]);
+	const [row] = await platform.readRows([documentKey(service)]);
 	return row && parseStored(row);
 };
 
@@ -75,7 +55,7 @@
 Reads the accepted versions of one service, oldest first.
 */
 export const readHistory = async (platform: Platform, service: string): Promise<readonly HistoryEntry[]> => {
-	const rows = await scanAll(platform, `${historyPrefix}${service}/`);
+	const rows = await scanAll(platform, historyPrefixOf(service));
 	return rows.map(row => {
 		const {nonce: _nonce, ...entry} = parseJson<StoredDocument>(row.value);
 		return entry;
@@ -108,9 +88,9 @@
 };
 
 const readState = async (platform: Platform, service: string): Promise<DocumentState> => {
-	const documentKey = `${documentPrefix}${service}`;
-	const rows = await platform.readRows([catalogueKey, documentKey]);
-	const documentRow = rows.find(row => row.key === documentKey);
+	const key = documentKey(service);
+	const rows = await platform.readRows([catalogueKey, key]);
+	const documentRow = rows.find(row => row.key === key);
 	return {
 		catalogueRow: rows.find(row => row.key === catalogueKey),
 		documentRow,
@@ -154,15 +134,21 @@
 
 const propose = async (platform: Platform, service: string, state: DocumentState, proposal: DocumentProposal): Promise<{readonly version: number; readonly outcome: PlatformOutcome}> => {
 	const {catalogueRow, documentRow} = state;
-	const documentKey = `${documentPrefix}${service}`;
+	const key = documentKey(service);
 	const version = catalogueVersionOf(catalogueRow) + 1;
 	const stored: StoredDocument = {
 		version, text: proposal.text, nonce: proposal.nonce, author: proposal.author, acceptedAt: new Date().toISOString(),
 	};
 	const value = JSON.stringify(stored);
 	const {outcome} = await platform.transact(
-		[{key: catalogueKey, version: catalogueRow?.version ?? 0}, {key: documentKey, version: documentRow?.version ?? 0}],
-		[{key: catalogueKey, value: String(version)}, {key: documentKey, value}, {key: historyKey(service, version), value}],
+		[{key: catalogueKey, version: catalogueRow?.version ?? 0}, {key, version: documentRow?.version ?? 0}],
+		[
+			{key: catalogueKey, value: String(version)},
+			{key, value},
+			{key: historyKey(service, version), value},
+			{key: changeKey(version), value: service},
+			...(version > keptChanges ? [{key: changeKey(version - keptChanges)}] : []),
+		],
 	);
 	return {version, outcome};
 };
