--- a/packages/galenakeel/src/process/show-status.ts
+++ b/packages/galenakeel/src/process/show-status.ts
@@ -1,4 +1,5 @@
-import type {EndpointStatus} from '@galenakeel/model/process/daemon-status.js';
+import type {EndpointStatus, GuardStatus} from '@galenakeel/model/process/daemon-status.js';
+import {GuardState} from '@galenakeel/model/process/guard-state.js';
 import type {InstanceStatus} from '../connection/instance-status.js';
 import {formatTable} from '../request/format-table.js';
 
@@ -10,6 +11,8 @@
 	busy: number;
 	openOn: number;
 	seenBy: number;
+	/** Instances by the state of their guards that are not closed. */
+	readonly guards: Map<string, number>;
 };
 
 const sumOf = (numbers: readonly number[]): number => numbers.reduce((sum, value) => sum + value, 0);
@@ -43,16 +46,26 @@
 	return formatTable(['SERVICE', 'VERSION', 'IN FORCE ON'], rows.toSorted(([first], [second]) => first!.localeCompare(second!)));
 };
 
+const describeGuard = ({state, reason}: GuardStatus): string => reason === undefined ? state : `${state} (${reason})`;
+
+const formatGuards = (guards: ReadonlyMap<string, number>): string =>
+	guards.size === 0 ? GuardState.Closed : [...guards].map(([guard, count]) => `${guard} on ${count}`).join(', ');
+
 const addEndpoint = (views: Map<string, EndpointView>, service: string, endpoint: EndpointStatus): void => {
-	const {address, zone, owned, busy, isOpen} = endpoint;
+	const {address, zone, owned, busy, isOpen, guard} = endpoint;
 	const key = `${service} ${address}`;
 	const view = views.get(key) ?? {
-		service, address, zone, owned: 0, busy: 0, openOn: 0, seenBy: 0,
+		service, address, zone, owned: 0, busy: 0, openOn: 0, seenBy: 0, guards: new Map<string, number>(),
 	};
 	view.owned += owned;
 	view.busy += busy;
 	view.openOn += isOpen ? 1 : 0;
 	view.seenBy++;
+	if (guard.state !== GuardState.Closed) {
+		const described = describeGuard(guard);
+		view.guards.set(described, (view.guards.get(described) ?? 0) + 1);
+	}
+
 	views.set(key, view);
 };
 
@@ -66,8 +79,8 @@
 
 	const sorted = [...views.values()].toSorted((first, second) => first.service.localeCompare(second.service) || first.zone.localeCompare(second.zone));
 	return formatTable(
-		['SERVICE', 'ENDPOINT', 'ZONE', 'SLOTS', 'BUSY', 'TAKES TASKS FROM'],
-		sorted.map(({service, address, zone, owned, busy, openOn, seenBy}) => [service, address, zone, String(owned), String(busy), `${openOn}/${seenBy}`]),
+		['SERVICE', 'ENDPOINT', 'ZONE', 'SLOTS', 'BUSY', 'TAKES TASKS FROM', 'GUARD'],
+		sorted.map(({service, address, zone, owned, busy, openOn, seenBy, guards}) => [service, address, zone, String(owned), String(busy), `${openOn}/${seenBy}`, formatGuards(guards)]),
 	);
 };
 
--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.feature
@@ -27,10 +27,13 @@
 
   Scenario: An endpoint is found frozen only against measured run times
     Given an endpoint on which a task runs that is expected to take 400 ms at most
+    Then the status of its guard is "closed"
     When the guards look at the endpoint after 750 ms
     Then the endpoint may take 0 further tasks
+    And the status of its guard is "open" for "frozen"
     When the guards look at the endpoint after 1751 ms
     Then the endpoint may take 1 further tasks
+    And the status of its guard is "half-open" for "frozen"
 
   Scenario: A task without a measured run time says nothing about its endpoint
     Given an endpoint on which a task of unknown size runs
--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {
-	AttemptResult, createEndpointGuard, GuardState, type EndpointGuard,
-} from '../endpoint-guard.js';
+import {GuardState} from '@galenakeel/model/process/guard-state.js';
+import {AttemptResult, createEndpointGuard, type EndpointGuard} from '../endpoint-guard.js';
 import {createEndpointGuards, type EndpointGuards} from '../endpoint-guards.js';
 import {createRetryBudget, type RetryBudget} from '../retry-budget.js';
 import {createRunningTasks} from '../running-tasks.js';
@@ -109,3 +108,11 @@
 Then('at most {int} retries are granted', function (this: GuardWorld, count: number) {
 	assert.ok(this.attempts <= count, String(this.attempts));
 });
+
+Then('the status of its guard is {string} for {string}', function (this: GuardWorld, state: string, reason: string) {
+	assert.deepEqual(this.guards.statusOf(address), {state, reason});
+});
+
+Then('the status of its guard is {string}', function (this: GuardWorld, state: string) {
+	assert.deepEqual(this.guards.statusOf(address), {state});
+});
--- a/packages/galenakeeld/src/process/daemon-status.ts
+++ b/packages/galenakeeld/src/process/daemon-status.ts
@@ -1,5 +1,5 @@
 import type {
-	ControlMessageCounts, DaemonStatus, EndpointStatus, ServiceStatus,
+	ControlMessageCounts, DaemonStatus, EndpointStatus, GuardStatus, ServiceStatus,
 } from '@galenakeel/model/process/daemon-status.js';
 import type {DocumentCatalogue} from '../version/document-catalogue.js';
 import type {Incarnation} from './incarnation.js';
@@ -8,17 +8,17 @@
 import type {EndpointSlots} from './slot-ledger.js';
 import type {SubmissionRegister} from './submission-register.js';
 
-const describeEndpoint = ({endpoint, owned, lent, borrowed, busy, isOpen}: EndpointSlots): EndpointStatus => ({
-	address: endpoint.address, zone: endpoint.zone, owned, lent, borrowed, busy, isOpen,
+const describeEndpoint = ({endpoint, owned, lent, borrowed, busy, isOpen}: EndpointSlots, guard: GuardStatus): EndpointStatus => ({
+	address: endpoint.address, zone: endpoint.zone, owned, lent, borrowed, busy, isOpen, guard,
 });
 
-const describeService = (service: string, {dispatcher}: DispatchedService): ServiceStatus => ({
+const describeService = (service: string, {dispatcher, guards}: DispatchedService): ServiceStatus => ({
 	service,
 	waiting: dispatcher.waiting(),
 	usable: dispatcher.ledger.usable(),
 	busy: dispatcher.ledger.busy(),
 	free: dispatcher.ledger.free(),
-	endpoints: [...dispatcher.ledger.all()].map(slots => describeEndpoint(slots)),
+	endpoints: [...dispatcher.ledger.all()].map(slots => describeEndpoint(slots, guards.statusOf(slots.endpoint.address))),
 });
 
 /**
--- a/packages/galenakeeld/src/process/endpoint-guard.ts
+++ b/packages/galenakeeld/src/process/endpoint-guard.ts
@@ -1,14 +1,4 @@
-/**
-What an endpoint's circuit breaker lets through.
-*/
-export enum GuardState {
-	/** All tasks. */
-	Closed = 'closed',
-	/** No new tasks. */
-	Open = 'open',
-	/** One task as a probe. */
-	HalfOpen = 'half-open',
-}
+import {GuardReason, GuardState} from '@galenakeel/model/process/guard-state.js';
 
 /**
 How an attempt at a task speaks for or against an endpoint.
@@ -22,18 +12,6 @@
 	NoAnswer = 'no-answer',
 }
 
-/**
-Why the circuit breaker of an endpoint is not closed.
-*/
-export enum GuardReason {
-	/** Server errors, which may be the fault of the tasks. */
-	ServerErrors = 'server-errors',
-	/** No answers. */
-	NoAnswers = 'no-answers',
-	/** Tasks that run far longer than expected while nothing is answered. */
-	Frozen = 'frozen',
-}
-
 /**
 The circuit breaker of one endpoint. Times are on the monotonic clock, in milliseconds.
 */
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -1,7 +1,9 @@
+import type {GuardStatus} from '@galenakeel/model/process/daemon-status.js';
+import {GuardReason, GuardState} from '@galenakeel/model/process/guard-state.js';
 import {FaultKind} from '@galenakeel/model/request/fault.js';
 import type {AttemptReport} from '../request/run-task.js';
 import {
-	AttemptResult, createEndpointGuard, GuardReason, GuardState, type EndpointGuard, type GuardLimits,
+	AttemptResult, createEndpointGuard, type EndpointGuard, type GuardLimits,
 } from './endpoint-guard.js';
 import type {RunningTasks} from './running-tasks.js';
 import type {EndpointSlots, SlotLedger} from './slot-ledger.js';
@@ -20,7 +22,8 @@
 	readonly report: (attempt: AttemptReport, now: number) => void;
 	/** Looks for frozen endpoints and for probes that are due. */
 	readonly sweep: (now: number) => void;
-	readonly stateOf: (address: string) => GuardState;
+	/** State of an endpoint's breaker, and why it is not closed. */
+	readonly statusOf: (address: string) => GuardStatus;
 };
 
 /**
@@ -132,6 +135,10 @@
 				apply(address, guard);
 			}
 		},
-		stateOf: address => guards.get(address)?.state() ?? GuardState.Closed,
+		statusOf(address) {
+			const guard = guards.get(address);
+			const state = guard?.state() ?? GuardState.Closed;
+			return state === GuardState.Closed ? {state} : {state, reason: guard!.reason()};
+		},
 	};
 };
--- a/packages/model/src/process/daemon-status.ts
+++ b/packages/model/src/process/daemon-status.ts
@@ -1,3 +1,5 @@
+import type {GuardReason, GuardState} from './guard-state.js';
+
 /**
 What a daemon says of itself on its operators' port.
 */
@@ -57,6 +59,16 @@
 	readonly lent: number;
 	readonly borrowed: number;
 	readonly busy: number;
-	/** Whether the endpoint may get new tasks. */
+	/** Whether the endpoint may get new tasks; not while it is leaving. */
 	readonly isOpen: boolean;
+	readonly guard: GuardStatus;
+};
+
+/**
+The circuit breaker of an endpoint on one daemon.
+*/
+export type GuardStatus = {
+	readonly state: GuardState;
+	/** Why the breaker is not closed. */
+	readonly reason?: GuardReason;
 };
--- a/packages/trials/src/process/__tests__/operators.feature
+++ b/packages/trials/src/process/__tests__/operators.feature
@@ -82,6 +82,15 @@
     When an operator types "status --json"
     Then the command ends with code 0 and says '"instance": "entry-2"'
 
+  Scenario: The guard of an endpoint that fails every task is shown
+    When an operator types "status"
+    Then the command ends with code 0 and says "closed"
+    When endpoint 1 fails all of 8 requests for "paysheet" through daemon 1
+    And an operator types "status"
+    Then the command ends with code 0 and says "open (server-errors) on 1"
+    When an operator types "status --json"
+    Then the command ends with code 0 and says '"reason": "server-errors"'
+
   Scenario: The doctor finds a daemon that died and a faulty settings file
     When an operator types "doctor"
     Then the command ends with code 0 and says "catalogue version 1 is in force"
--- a/packages/trials/src/process/__tests__/operators.steps.ts
+++ b/packages/trials/src/process/__tests__/operators.steps.ts
@@ -5,9 +5,14 @@
 import {join} from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
+import {submitAsCaller} from '../../request/caller.js';
 import type {FleetWorld} from './fleet-world.js';
 
+const lookMilliseconds = 20;
+const failedRequests = 8;
 const program = fileURLToPath(import.meta.resolve('galenakeel/process/main.js'));
 
 const collect = async (stream: AsyncIterable<Uint8Array>): Promise<string> => {
@@ -68,6 +73,20 @@
 	await exited;
 });
 
+When('endpoint {int} fails all of 8 requests for {string} through daemon {int}', async function (this: FleetWorld, endpoint: number, service: string, daemon: number) {
+	// No probe is due before the operator looks.
+	await this.running.accept(service, document => ({...document, guards: {probationMilliseconds: 60_000}}));
+	const {status, callers} = this.running.daemons[daemon - 1]!;
+	for (let {catalogueVersion} = await status(); catalogueVersion !== 2; {catalogueVersion} = await status()) {
+		await sleep(lookMilliseconds);
+	}
+
+	this.running.endpoints[endpoint - 1]!.standIn.behaviour = EndpointBehaviour.FailAll;
+	for (let request = 0; request < failedRequests; request++) {
+		await submitAsCaller(callers, 'POST', `/v1/services/${service}/sheet?task=guard-${request}&run=10`, {body: 'butterfat 4.1'});
+	}
+});
+
 When('the platform goes down', function (this: FleetWorld) {
 	this.running.platform.faults.isDown = true;
 });
