Send heartbeats at full rate to one peer, and read what all share in turns

Cause: 6 daemons sent 60 heartbeats a second, 0.12 a task at 500 tasks a second, and each read the instance list and the catalogue twice a second.

Each instance is watched by one peer, the next in a ring by name, which probes it when it is late and raises an alarm when it does not answer; everyone then probes everyone. Other peers hear it each 4.8 s and after changes. Calls that share slots count as heard. Of the instances that reach each other one reads the list and the catalogue's version in each slot of 500 ms. Ruled out in docs/DESIGN.md: slower heartbeats to all, gossip, two watchers, uncounted pings.

--- a/packages/galenakeeld/src/connection/__tests__/heartbeat-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/heartbeat-stream.steps.ts
@@ -3,7 +3,7 @@
 import * as wire from '@galenakeel/model/connection/generated/peer.js';
 import {isFault} from '@galenakeel/model/request/fault.js';
 import fc from 'fast-check';
-import {InstanceState, type PeerHeartbeat} from '../../process/membership.js';
+import {HeartbeatProbe, InstanceState, type PeerHeartbeat} from '../../process/membership.js';
 import {createHeartbeatReader, createHeartbeatWriter} from '../heartbeat-stream.js';
 
 type StreamWorld = {heartbeat: PeerHeartbeat; bytes: readonly number[]; thrown: unknown};
@@ -24,7 +24,8 @@
 	intervalMilliseconds: fc.integer({min: 1, max: 2000}),
 	hints: fc.uniqueArray(fc.record({service: names, free: fc.nat(3), waiting: fc.nat(3)}, {noNullPrototype: true}), {selector: hint => hint.service}),
 	leavingEndpoints: fc.uniqueArray(names),
-}, {noNullPrototype: true});
+	probe: fc.constantFrom(undefined, ...Object.values(HeartbeatProbe)),
+}, {noNullPrototype: true}).map(({probe, ...heartbeat}) => probe ? {...heartbeat, probe} : heartbeat);
 
 const sort = (heartbeat: PeerHeartbeat): PeerHeartbeat => ({
 	...heartbeat,
--- a/packages/galenakeeld/src/connection/heartbeat-stream.ts
+++ b/packages/galenakeeld/src/connection/heartbeat-stream.ts
@@ -51,13 +51,18 @@
 		intervalMilliseconds: next.intervalMilliseconds === previous.intervalMilliseconds ? 0 : next.intervalMilliseconds,
 		freeSlots: next.hints.filter(hint => !isSameHint(hints.get(hint.service), hint)),
 		leavingEndpoints: next.leavingEndpoints.filter(mark => !marks.has(mark)),
+		probe: whole.probe,
 	};
 };
 
-const fillIn = (previous: PeerHeartbeat, message: wire.Heartbeat): PeerHeartbeat => {
-	const {state, catalogueVersion, intervalMilliseconds, hints, leavingEndpoints} = heartbeatFromWire(message);
+/** A probe counts for its own heartbeat only. */
+const fillIn = ({probe: _probe, ...previous}: PeerHeartbeat, message: wire.Heartbeat): PeerHeartbeat => {
+	const {
+		state, catalogueVersion, intervalMilliseconds, hints, leavingEndpoints, probe,
+	} = heartbeatFromWire(message);
 	return {
 		...previous,
+		...(probe && {probe}),
 		state: message.state === wire.InstanceState.INSTANCE_STATE_UNSPECIFIED ? previous.state : state,
 		catalogueVersion: catalogueVersion === 0 ? previous.catalogueVersion : catalogueVersion,
 		intervalMilliseconds: intervalMilliseconds === 0 ? previous.intervalMilliseconds : intervalMilliseconds,
--- a/packages/galenakeeld/src/connection/peer-connection.ts
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -21,7 +21,7 @@
 import {createHeartbeatReader, createHeartbeatWriter} from './heartbeat-stream.js';
 
 const maximumMessageBytes = 134_217_728;
-const reconnectPauseMilliseconds = 200;
+const reconnectPauseMilliseconds = 100;
 
 /**
 Options of every channel between entry instances. Keepalive finds connections that have gone silent.
@@ -42,12 +42,14 @@
 /* eslint-enable @typescript-eslint/naming-convention */
 
 /**
-This instance's heartbeats.
+This instance's heartbeats on one stream.
 */
 export type HeartbeatSource = {
 	readonly current: () => PeerHeartbeat;
-	/** Resolves when the interval has passed, or at once after a change that peers must know. */
+	/** Resolves when the interval has passed, or at once after a change that the peer must know. */
 	readonly untilNext: () => Promise<void>;
+	/** Ends the wait for the next heartbeat, because the stream has ended. */
+	readonly close: () => void;
 };
 
 /**
@@ -117,32 +119,25 @@
 /**
 Keeps a stream of heartbeats to one peer until the signal aborts: sends this instance's, and hands on the peer's.
 
-@param options.source Says what to send, and when the next heartbeat is due.
+@param options.openSource Opens what says what to send on a stream, and when the next heartbeat is due.
 @param options.hear Called with each heartbeat of the peer.
-@param options.lose Called when a stream ended on which nothing was heard: the peer can't be dialled.
+@param options.suspect Called when a stream has ended.
 */
 export const runPeerConnection = async (calls: PeerCalls, options: {
-	readonly source: HeartbeatSource;
+	readonly openSource: () => HeartbeatSource;
 	readonly hear: (heartbeat: PeerHeartbeat) => void;
-	readonly lose: () => void;
+	readonly suspect: () => void;
 	readonly signal: AbortSignal;
 }): Promise<void> => {
 	while (!options.signal.aborted) {
 		const stream = calls.openHeartbeats();
-		let hasHeard = false;
-		const hear = (heartbeat: PeerHeartbeat): void => {
-			hasHeard = true;
-			options.hear(heartbeat);
-		};
-
-		const received = receiveHeartbeats(stream, hear);
-		const sent = sendHeartbeats(stream, options.source, options.signal);
+		const source = options.openSource();
+		const received = receiveHeartbeats(stream, options.hear);
+		const sent = sendHeartbeats(stream, source, options.signal);
 		await Promise.race([received, sent]);
+		source.close();
 		stream.cancel();
-		if (!hasHeard) {
-			options.lose();
-		}
-
+		options.suspect();
 		await sleep(reconnectPauseMilliseconds);
 	}
 };
--- a/packages/galenakeeld/src/connection/peer-encoding.ts
+++ b/packages/galenakeeld/src/connection/peer-encoding.ts
@@ -5,7 +5,7 @@
 import type {
 	HeaderList, Submission, SubmissionAnswer, Task, TaskAnswer,
 } from '@galenakeel/model/request/task.js';
-import {InstanceState, type PeerHeartbeat} from '../process/membership.js';
+import {HeartbeatProbe, InstanceState, type PeerHeartbeat} from '../process/membership.js';
 import {isSubmissionState, SubmissionState} from '../process/submission-register.js';
 import type {JobView} from '../request/inspect-submission.js';
 
@@ -62,6 +62,39 @@
 	}
 };
 
+const probeToWire = (probe: HeartbeatProbe | undefined): wire.Probe => {
+	switch (probe) {
+		case HeartbeatProbe.Answer: {
+			return wire.Probe.PROBE_ANSWER;
+		}
+
+		case HeartbeatProbe.Alarm: {
+			return wire.Probe.PROBE_ALARM;
+		}
+
+		case undefined: {
+			return wire.Probe.PROBE_UNSPECIFIED;
+		}
+	}
+};
+
+const probeFromWire = (probe: wire.Probe): {probe?: HeartbeatProbe} => {
+	switch (probe) {
+		case wire.Probe.PROBE_ANSWER: {
+			return {probe: HeartbeatProbe.Answer};
+		}
+
+		case wire.Probe.PROBE_ALARM: {
+			return {probe: HeartbeatProbe.Alarm};
+		}
+
+		case wire.Probe.PROBE_UNSPECIFIED:
+		case wire.Probe.UNRECOGNIZED: {
+			return {};
+		}
+	}
+};
+
 const headersToWire = (headers: HeaderList): wire.Header[] => headers.map(([name, value]) => ({name, value}));
 
 const headersFromWire = (headers: readonly wire.Header[]): HeaderList => headers.map(({name, value}) => [name, value]);
@@ -153,13 +186,14 @@
 	operatorAddress: heartbeat.operatorAddress,
 	peerAddress: heartbeat.peerAddress,
 	continues: false,
+	probe: probeToWire(heartbeat.probe),
 });
 
 /**
 Decodes the fields that a heartbeat holds.
 */
-export const heartbeatFromWire = ({freeSlots, continues: _continues, ...heartbeat}: wire.Heartbeat): PeerHeartbeat => ({
-	...heartbeat, state: stateFromWire(heartbeat.state), hints: freeSlots,
+export const heartbeatFromWire = ({freeSlots, continues: _continues, probe, ...heartbeat}: wire.Heartbeat): PeerHeartbeat => ({
+	...heartbeat, state: stateFromWire(heartbeat.state), hints: freeSlots, ...probeFromWire(probe),
 });
 
 const notKept: wire.InspectReply = {
--- a/packages/galenakeeld/src/connection/peer-service.ts
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -21,7 +21,10 @@
 */
 export type PeerHandlers = {
 	readonly hear: (heartbeat: PeerHeartbeat) => void;
-	readonly heartbeats: HeartbeatSource;
+	/** Opens this instance's heartbeats on a stream to a peer. */
+	readonly openHeartbeats: (peer: string) => HeartbeatSource;
+	/** Called when the stream of a peer has ended. */
+	readonly suspect: (peer: string) => void;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
 	/** Looks at a submission that this incarnation holds, or cancels it. */
 	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView | undefined>;
@@ -59,18 +62,30 @@
 	stream.on('cancelled', () => {
 		ended.abort();
 	});
-	void sendHeartbeats(stream, handlers.heartbeats, ended.signal);
 	const read = createHeartbeatReader();
+	let peer: string | undefined;
+	let source: HeartbeatSource | undefined;
 	try {
 		for await (const message of stream as AsyncIterable<Heartbeat>) {
-			handlers.hear(read(message));
+			const heartbeat = read(message);
+			handlers.hear(heartbeat);
+			// The first heartbeat tells whose stream it is, and with that its pace.
+			if (!source) {
+				peer = heartbeat.instance;
+				source = handlers.openHeartbeats(peer);
+				void sendHeartbeats(stream, source, ended.signal);
+			}
 		}
 	} catch {
 		// A broken stream ends like a closed one; the peer dials again.
 	}
 
 	ended.abort();
+	source?.close();
 	stream.end();
+	if (peer !== undefined) {
+		handlers.suspect(peer);
+	}
 };
 
 /**
--- a/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
@@ -2,10 +2,10 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {scaleHeartbeatInterval} from '../heartbeat-interval.js';
-import {createHeartbeatSource, type SharedHeartbeatSource} from '../heartbeat-source.js';
+import {createHeartbeatSource, type PacedHeartbeatSource} from '../heartbeat-source.js';
 import {InstanceState, type PeerHeartbeat} from '../membership.js';
 
-type PaceWorld = {source: SharedHeartbeatSource; interval: number; clock: Clock};
+type PaceWorld = {source: PacedHeartbeatSource; interval: number; clock: Clock; beats: readonly number[]};
 
 const defaults = {heartbeatMilliseconds: 500, maximumHeartbeatMilliseconds: 5000, heartbeatLoadFactor: 0.25};
 
@@ -58,3 +58,32 @@
 		clock.uninstall();
 	}
 });
+
+When('a call to the peer stands in every {int} ms for {int} ms', async function (this: PaceWorld, every: number, milliseconds: number) {
+	const clock = install();
+	try {
+		const beats = [clock.now];
+		const send = async (): Promise<void> => {
+			for (;;) {
+				this.source.current();
+				await this.source.untilNext();
+				beats.push(clock.now);
+			}
+		};
+
+		void send();
+		for (let passed = 0; passed < milliseconds; passed += every) {
+			await clock.tickAsync(every);
+			this.source.postpone();
+		}
+
+		this.beats = beats;
+	} finally {
+		clock.uninstall();
+	}
+});
+
+Then('heartbeats come at most {int} ms apart, and at most {int} of them', function (this: PaceWorld, apart: number, count: number) {
+	const gaps = this.beats.slice(1).map((at, position) => at - this.beats[position]!);
+	assert.ok(gaps.length > 0 && gaps.length <= count && gaps.every(gap => gap <= apart), gaps.join(', '));
+});
--- a/packages/galenakeeld/src/process/__tests__/membership.feature
+++ b/packages/galenakeeld/src/process/__tests__/membership.feature
@@ -18,14 +18,6 @@
     When 1600 ms pass with sweeps
     Then the slots are shared by "entry-1"
 
-  Scenario: A broken stream costs a peer its slots only when it was not heard for an interval
-    When "entry-2" is heard in its run "b1" as "serving"
-    And "entry-2" can't be dialled
-    Then the slots are shared by "entry-1, entry-2"
-    When 600 ms pass with sweeps
-    And "entry-2" can't be dialled
-    Then the slots are shared by "entry-1"
-
   Scenario: A late heartbeat of an earlier run does not replace the later run
     When "entry-2" is heard in its run "b2" as "serving"
     And "entry-2" is heard in its run "b1" as "leaving"
--- a/packages/galenakeeld/src/process/__tests__/membership.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -65,10 +65,6 @@
 	this.membership.sweep();
 });
 
-When('{string} can\'t be dialled', function (this: MembershipWorld, instance: string) {
-	this.membership.lose(instance);
-});
-
 When('this instance yields its slots', function (this: MembershipWorld) {
 	this.membership.yieldSlots();
 });
--- a/packages/galenakeeld/src/process/catalogue-watch.ts
+++ b/packages/galenakeeld/src/process/catalogue-watch.ts
@@ -3,13 +3,14 @@
 import type {Platform} from '@galenakeel/model/connection/platform-client.js';
 import {createDeferred} from '@galenakeel/model/request/deferred.js';
 import {detailOf} from '@galenakeel/model/request/fault.js';
-import {readCatalogueVersion, readDocuments} from '@galenakeel/model/version/document-store.js';
+import {readCatalogue} from '@galenakeel/model/version/catalogue-read.js';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
 import type {DocumentCatalogue} from '../version/document-catalogue.js';
 import {LogEvent} from './log-event.js';
 import type {Log} from './log.js';
 import type {Membership, Peer} from './membership.js';
 import type {PeerDirectory} from './peer-directory.js';
+import type {SharedTurns} from './shared-turns.js';
 
 const lookMilliseconds = 20;
 const catchUpLimitMilliseconds = 1500;
@@ -22,7 +23,9 @@
 	readonly catalogue: DocumentCatalogue;
 	readonly membership: Membership;
 	readonly directory: PeerDirectory;
-	readonly pollMilliseconds: number;
+	readonly turns: SharedTurns;
+	/** Pause after a peer did not give its documents. */
+	readonly retryMilliseconds: number;
 	readonly peerCallMilliseconds: number;
 	readonly log: Log;
 	/** Called when a higher catalogue version is in force. */
@@ -33,7 +36,7 @@
 Keeps the catalogue at the highest version that the platform or a peer has.
 */
 export type CatalogueWatch = {
-	/** Reads the platform's catalogue until the process ends. */
+	/** Reads the platform's catalogue in this instance's turns, until the process ends. Until the documents are known, every slot is a turn. */
 	readonly runPlatformReads: () => Promise<never>;
 	/** Fetches documents from peers until the process ends, each time that it is woken. */
 	readonly runPeerFetches: () => Promise<never>;
@@ -57,9 +60,11 @@
 export const createCatalogueWatch = (options: CatalogueWatchOptions): CatalogueWatch => {
 	const {catalogue, membership, directory, log} = options;
 	const firstRead = createDeferred<void>();
+	let isKnown = false;
 	let woken = createDeferred<void>();
 
 	const announceAbove = (before: number): void => {
+		isKnown = true;
 		firstRead.resolve();
 		if (catalogue.catalogueVersion() > before) {
 			options.onNewCatalogue();
@@ -69,14 +74,8 @@
 	const readPlatform = async (): Promise<void> => {
 		const before = catalogue.catalogueVersion();
 		try {
-			const version = await readCatalogueVersion(options.platform);
-			if (version > before) {
-				const documents = await readDocuments(options.platform);
-				// Documents older than the catalogue come from a stale read; only what was read is in force.
-				const newest = Math.max(0, ...documents.map(document => document.version));
-				catalogue.install(documents, Math.min(version, newest));
-			}
-
+			const {documents, catalogueVersion} = await readCatalogue(options.platform, before);
+			catalogue.install(documents, catalogueVersion);
 			announceAbove(before);
 		} catch (error) {
 			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the catalogue could not be read; the documents in force stay');
@@ -97,7 +96,7 @@
 			announceAbove(before);
 		} catch (error) {
 			log.warn({event: LogEvent.PeerUnavailable, peer: peer.instance, detail: detailOf(error)}, 'a peer with newer documents did not give them; it is asked again');
-			await sleep(options.pollMilliseconds);
+			await sleep(options.retryMilliseconds);
 		}
 	};
 
@@ -108,7 +107,7 @@
 		async runPlatformReads() {
 			for (;;) {
 				await readPlatform();
-				await sleep(options.pollMilliseconds);
+				await (isKnown ? options.turns.untilOurTurn() : options.turns.untilNextSlot());
 			}
 		},
 		async runPeerFetches() {
--- /dev/null
+++ b/packages/galenakeeld/src/process/contact-by-lending.ts
@@ -0,0 +1,23 @@
+import type {LendingCalls} from './lending-calls.js';
+
+/**
+Wraps the calls to lenders so that each reply counts as contact with the lender.
+
+@param onContact Called with the name of an instance that has replied.
+
+@example
+```
+const lending = contactByLending(createLendingCalls(options), membership.contact);
+```
+*/
+export const contactByLending = (calls: LendingCalls, onContact: (instance: string) => void): LendingCalls => ({
+	...calls,
+	async borrowSlots(lender, service, held, count) {
+		const reply = await calls.borrowSlots(lender, service, held, count);
+		if (reply) {
+			onContact(lender.instance);
+		}
+
+		return reply;
+	},
+});
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -37,13 +37,13 @@
 		pollMilliseconds: milliseconds.default(500),
 	}),
 	peers: z.strictObject({
-		/** Time between heartbeats while there are few peers. */
-		heartbeatMilliseconds: milliseconds.default(500),
+		/** Time between heartbeats to the peer that watches this instance. Others get one for each six, or fewer. */
+		heartbeatMilliseconds: milliseconds.default(800),
 		/** Longest time between heartbeats, however many peers there are. */
 		maximumHeartbeatMilliseconds: milliseconds.default(5000),
-		/** Weight of the number of peers in the time between heartbeats; 0 keeps it fixed. */
+		/** Weight of the number of peers in the time between heartbeats to those that don't watch this instance; 0 keeps it fixed. */
 		heartbeatLoadFactor: z.number().min(0).max(10).default(0.25),
-		/** Silent heartbeat intervals after which a peer is unreachable. */
+		/** Silent heartbeat intervals after which a peer is unreachable, whether it was probed or not. */
 		missedHeartbeats: z.number().int().min(1).default(3),
 		callTimeoutMilliseconds: milliseconds.default(1000),
 	}).prefault({}),
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -19,13 +19,13 @@
 import {isBucketOwner, runClaimSweep} from './claim-sweeper.js';
 import {createCatalogueWatch} from './catalogue-watch.js';
 import {createClaimWriter} from './claim-writer.js';
+import {contactByLending} from './contact-by-lending.js';
 import {createControlMessages} from './control-messages.js';
 import {countPlatformCalls} from './counted-platform.js';
 import type {DaemonSettings} from './daemon-settings.js';
 import {describeDaemon} from './daemon-status.js';
 import {drain} from './drain.js';
-import {scaleHeartbeatInterval} from './heartbeat-interval.js';
-import {createHeartbeatSource} from './heartbeat-source.js';
+import {intervalToOthers} from './heartbeat-interval.js';
 import {createLendingCalls, lendSlots} from './lending-calls.js';
 import {createIncarnation} from './incarnation.js';
 import {LogEvent} from './log-event.js';
@@ -37,10 +37,19 @@
 import {createObservation} from './observation.js';
 import {startOperatorServer} from './operator-server.js';
 import {createPeerDirectory} from './peer-directory.js';
+import {createPeerHeartbeats} from './peer-heartbeats.js';
+import {createPeerWatch} from './peer-watch.js';
 import {createServiceDispatchers} from './service-dispatchers.js';
+import {createSharedTurns} from './shared-turns.js';
 import {createSubmissionRegister} from './submission-register.js';
 
 const sweepMilliseconds = 20;
+const peerSweepMilliseconds = 50;
+const connectMilliseconds = 200;
+/** Each daemon reads the list of instances at least as often, however many there are. */
+const longestListRoundMilliseconds = 10_000;
+/** Each daemon reads the catalogue's version at least as often. */
+const longestCatalogueRoundMilliseconds = 2000;
 const slowSweepMilliseconds = 500;
 const farewellMilliseconds = 50;
 
@@ -101,7 +110,13 @@
 			heartbeats.announce();
 		},
 	});
-	const lending = createLendingCalls({instance: self.instance, callsOf: instance => directory.callsOf(instance), callTimeoutMilliseconds: settings.peers.callTimeoutMilliseconds});
+	const contact = (instance: string): void => {
+		membership.contact(instance);
+		heartbeats.postpone(instance);
+	};
+
+	const lendingCalls = createLendingCalls({instance: self.instance, callsOf: instance => directory.callsOf(instance), callTimeoutMilliseconds: settings.peers.callTimeoutMilliseconds});
+	const lending = contactByLending(lendingCalls, contact);
 
 	const dispatchers = createServiceDispatchers({
 		countOwnedSlots,
@@ -109,18 +124,25 @@
 	});
 	const catalogue = createDocumentCatalogue(dispatchers.install);
 
-	const describeSelf = (): PeerHeartbeat => ({
+	const describeSelf = (): Omit<PeerHeartbeat, 'intervalMilliseconds'> => ({
 		...self,
 		state: membership.state(),
 		weight: membership.weight(),
 		catalogueVersion: catalogue.catalogueVersion(),
-		intervalMilliseconds: scaleHeartbeatInterval(settings.peers, membership.listedPeers().length + 1),
 		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.surplus(), waiting: dispatcher.waiting()})),
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
-	const heartbeats = createHeartbeatSource(describeSelf);
+	const heartbeats = createPeerHeartbeats({
+		describe: describeSelf,
+		intervalTo: peer => peerWatch.isFullRate(peer) ? settings.peers.heartbeatMilliseconds : intervalToOthers(settings.peers, membership.listedPeers().length + 1),
+	});
+	const peerWatch = createPeerWatch({self: self.instance, membership, heartbeats});
 	const hear = (heartbeat: PeerHeartbeat): void => {
 		membership.hear(heartbeat);
+		if (heartbeat.probe) {
+			peerWatch.answer(heartbeat.instance, heartbeat.probe);
+		}
+
 		if (heartbeat.catalogueVersion > catalogue.catalogueVersion()) {
 			watch.wake();
 		}
@@ -128,15 +150,17 @@
 
 	const countedClient = createCountedPeerClient(countPeerMessage);
 	const directory = createPeerDirectory({
-		self, membership, heartbeats, hear,
+		self, membership, openHeartbeats: heartbeats.open, hear, suspect: peerWatch.suspect,
 	}, {createCalls: address => createPeerCalls(address, countedClient), runConnection: runPeerConnection});
+	const sharedReads = {self: self.instance, membership, slotMilliseconds: settings.platform.pollMilliseconds};
 	const watch = createCatalogueWatch({
 		platform,
 		catalogue,
 		membership,
 		directory,
 		log,
-		pollMilliseconds: settings.platform.pollMilliseconds,
+		turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestCatalogueRoundMilliseconds}),
+		retryMilliseconds: settings.platform.pollMilliseconds,
 		peerCallMilliseconds: settings.peers.callTimeoutMilliseconds,
 		onNewCatalogue: heartbeats.announce,
 	});
@@ -195,11 +219,16 @@
 
 	const stopPeers = await startPeerServer(settings.listen.peers, {
 		hear,
-		heartbeats,
+		openHeartbeats: heartbeats.open,
+		suspect: peerWatch.suspect,
 		submit: async submission => submit(submission, submissionRun),
 		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
-		lendSlots: request => lendSlots(dispatchers, request),
+		lendSlots(request) {
+			contact(request.borrower);
+			return lendSlots(dispatchers, request);
+		},
 		takeBackSlots({borrower, service, leases}) {
+			contact(borrower);
 			dispatchers.serviceOf(service)?.leases.takeBack(borrower, leases);
 		},
 		documentsAbove: version => ({
@@ -231,7 +260,7 @@
 	};
 
 	void runInstanceWatch({
-		platform, membership, directory, log, pollMilliseconds: settings.platform.pollMilliseconds,
+		platform, membership, log, turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestListRoundMilliseconds}), onList: directory.connect,
 	});
 	const stopClaimSweep = new AbortController();
 	void runClaimSweep({
@@ -242,6 +271,8 @@
 	void serve();
 	const sweeps = [
 		setInterval(dispatchers.sweep, sweepMilliseconds),
+		setInterval(peerWatch.sweep, peerSweepMilliseconds),
+		setInterval(directory.connect, connectMilliseconds),
 		setInterval(() => {
 			membership.sweep();
 			connections.sweep();
--- a/packages/galenakeeld/src/process/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/heartbeat-interval.ts
@@ -23,3 +23,17 @@
 	const scaled = minimum * Math.sqrt(Math.max(0, instances - 1)) * heartbeatLoadFactor;
 	return Math.round(Math.min(Math.max(minimum, maximum), Math.max(minimum, scaled)));
 };
+
+/** Heartbeats to the peer that watches this instance for each one to another peer. */
+const heartbeatsToWatcher = 6;
+
+/**
+Tells the time between heartbeats to a peer that does not watch this instance, in milliseconds.
+
+@example
+```
+intervalToOthers({heartbeatMilliseconds: 800, maximumHeartbeatMilliseconds: 5000, heartbeatLoadFactor: 0.25}, 9); // => 4800
+```
+*/
+export const intervalToOthers = (pace: HeartbeatPace, instances: number): number =>
+	scaleHeartbeatInterval({...pace, heartbeatMilliseconds: pace.heartbeatMilliseconds * heartbeatsToWatcher}, instances);
--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -3,15 +3,19 @@
 import type {PeerHeartbeat} from './membership.js';
 
 /**
-The heartbeats of this instance, which all streams to peers share.
+The heartbeats that this instance sends on one stream.
 */
-export type SharedHeartbeatSource = HeartbeatSource & {
-	/** Makes every stream send a heartbeat now. */
+export type PacedHeartbeatSource = HeartbeatSource & {
+	/** Makes the stream send a heartbeat now. */
 	readonly announce: () => void;
+	/** Begins the time until the next heartbeat anew, because the peer has heard this instance otherwise. Only heartbeats bring all news, so one comes after a few intervals at the latest. */
+	readonly postpone: () => void;
 };
 
+const mostIntervalsPostponed = 3;
+
 /**
-Creates the source of this instance's heartbeats. All streams send at the same time, so that each heartbeat is described once.
+Creates the source of the heartbeats on one stream.
 
 @param current Says what the next heartbeat holds, and how long it is until the one after it.
 
@@ -21,30 +25,54 @@
 heartbeats.announce();
 ```
 */
-export const createHeartbeatSource = (current: () => PeerHeartbeat): SharedHeartbeatSource => {
+export const createHeartbeatSource = (current: () => PeerHeartbeat): PacedHeartbeatSource => {
 	let next = createDeferred<void>();
 	let timer: NodeJS.Timeout | undefined;
 	let described: PeerHeartbeat | undefined;
+	let describedAt = 0;
 
-	const beat = (): void => {
+	const stopTimer = (): void => {
 		clearTimeout(timer);
 		timer = undefined;
+	};
+
+	const beat = (): void => {
+		stopTimer();
 		described = undefined;
 		const before = next;
 		next = createDeferred<void>();
 		before.resolve();
 	};
 
+	// The interval that the last heartbeat announced, so that the peer knows of a longer one before it begins.
+	const startTimer = (): void => {
+		timer ??= setTimeout(beat, described?.intervalMilliseconds);
+	};
+
 	return {
 		current() {
-			described ??= current();
+			if (!described) {
+				described = current();
+				describedAt = performance.now();
+			}
+
 			return described;
 		},
 		async untilNext() {
-			// The interval that the last heartbeat announced, so that peers know of a longer one before it begins.
-			timer ??= setTimeout(beat, described?.intervalMilliseconds);
+			startTimer();
 			return next.promise;
 		},
 		announce: beat,
+		postpone() {
+			const isDue = described && performance.now() - describedAt > described.intervalMilliseconds * mostIntervalsPostponed;
+			if (timer && !isDue) {
+				stopTimer();
+				startTimer();
+			}
+		},
+		close() {
+			stopTimer();
+			next.resolve();
+		},
 	};
 };
--- a/packages/galenakeeld/src/process/instance-watch.ts
+++ b/packages/galenakeeld/src/process/instance-watch.ts
@@ -1,30 +1,32 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {Platform} from '@galenakeel/model/connection/platform-client.js';
 import {detailOf} from '@galenakeel/model/request/fault.js';
 import {LogEvent} from './log-event.js';
 import type {Log} from './log.js';
 import type {Membership} from './membership.js';
-import type {PeerDirectory} from './peer-directory.js';
+import type {SharedTurns} from './shared-turns.js';
 
 /**
-Reads the platform's list of instances until the process ends.
+Reads the platform's list of instances in this instance's turns, until the process ends. Until the first list is read, every slot is a turn.
 */
 export const runInstanceWatch = async (options: {
 	readonly platform: Platform;
 	readonly membership: Membership;
-	readonly directory: PeerDirectory;
-	readonly pollMilliseconds: number;
+	readonly turns: SharedTurns;
+	/** Called with each list that was read. */
+	readonly onList: () => void;
 	readonly log: Log;
 }): Promise<never> => {
-	const {platform, membership, directory, pollMilliseconds, log} = options;
+	const {platform, membership, turns, log} = options;
+	let hasList = false;
 	for (;;) {
 		try {
 			membership.list(await platform.listInstances());
+			hasList = true;
+			options.onList();
 		} catch (error) {
 			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the instance list could not be read; the last one stays in use');
 		}
 
-		directory.connect();
-		await sleep(pollMilliseconds);
+		await (hasList ? turns.untilOurTurn() : turns.untilNextSlot());
 	}
 };
--- a/packages/galenakeeld/src/process/membership.ts
+++ b/packages/galenakeeld/src/process/membership.ts
@@ -23,30 +23,51 @@
 */
 export type SlotHint = {readonly service: string; readonly free: number; readonly waiting: number};
 
+/**
+What a heartbeat asks of its receiver.
+*/
+export enum HeartbeatProbe {
+	/** A heartbeat at once. */
+	Answer = 'answer',
+	/** A heartbeat at once, and a look at whether each of its own peers still answers. */
+	Alarm = 'alarm',
+}
+
 /**
 A heartbeat, as decoded.
 */
 export type PeerHeartbeat = Incarnation & {
 	readonly state: InstanceState;
 	readonly catalogueVersion: number;
-	/** Longest time until the sender's next heartbeat. */
+	/** Longest time until the sender's next heartbeat on the same stream. */
 	readonly intervalMilliseconds: number;
 	readonly hints: readonly SlotHint[];
 	readonly leavingEndpoints: readonly string[];
+	readonly probe?: HeartbeatProbe;
 };
 
 /**
 A peer, as last heard.
 */
-export type Peer = PeerHeartbeat & {readonly heardAt: number; readonly isReachable: boolean};
+export type Peer = PeerHeartbeat & {
+	/** Time of the last heartbeat. */
+	readonly heardAt: number;
+	/** Time of the last heartbeat or call. */
+	readonly contactedAt: number;
+	readonly isReachable: boolean;
+};
 
 /**
 What this instance knows of the others, and of leaving endpoints.
 */
 export type Membership = {
 	readonly hear: (heartbeat: PeerHeartbeat) => void;
-	/** Marks a peer that can't be dialled as unreachable, unless it was heard within its interval; its identifiers stay its own. */
+	/** Says that a peer has called, or replied to a call. */
+	readonly contact: (instance: string) => void;
+	/** Marks a peer as unreachable; its identifiers stay its own. */
 	readonly lose: (instance: string) => void;
+	/** Starts the silence of every peer anew after this process was paused: it could not hear them. */
+	readonly forgiveSilence: () => void;
 	readonly list: (listed: readonly ListedInstance[]) => void;
 	readonly findPeer: (instance: string) => Peer | undefined;
 	readonly peers: () => readonly Peer[];
@@ -121,12 +142,10 @@
 		}
 	};
 
-	/**
-	Starts the silence of every peer anew after this process was paused: it could not hear them.
-	*/
-	const forgiveSilence = (now: number): void => {
+	const forgiveSilence = (): void => {
+		const contactedAt = performance.now();
 		for (const [instance, peer] of peers) {
-			peers.set(instance, {...peer, heardAt: now});
+			peers.set(instance, {...peer, contactedAt});
 		}
 	};
 
@@ -137,16 +156,26 @@
 				return;
 			}
 
-			put({...joinHeartbeats(before, heartbeat), heardAt: performance.now(), isReachable: true});
+			const heardAt = performance.now();
+			put({
+				...joinHeartbeats(before, heartbeat), heardAt, contactedAt: heardAt, isReachable: true,
+			});
 			leaving.hear(heartbeat.leavingEndpoints);
 			lookAtClosedEndpoints();
 		},
+		contact(instance) {
+			const peer = peers.get(instance);
+			if (peer) {
+				peers.set(instance, {...peer, contactedAt: performance.now()});
+			}
+		},
 		lose(instance) {
 			const peer = peers.get(instance);
-			if (peer?.isReachable && performance.now() - peer.heardAt > peer.intervalMilliseconds) {
+			if (peer?.isReachable) {
 				put({...peer, isReachable: false});
 			}
 		},
+		forgiveSilence,
 		list(listed) {
 			listedPeers = listed.filter(({role, name}) => role === InstanceRole.Entry && name !== self.instance);
 			leaving.list(listed.filter(({role}) => role === InstanceRole.Endpoint));
@@ -169,13 +198,13 @@
 		sweep() {
 			const now = performance.now();
 			if (now - sweptAt > pauseMilliseconds) {
-				forgiveSilence(now);
+				forgiveSilence();
 			}
 
 			sweptAt = now;
 			lookAtClosedEndpoints();
 			for (const peer of peers.values()) {
-				if (peer.isReachable && now - peer.heardAt > peer.intervalMilliseconds * options.missedHeartbeats) {
+				if (peer.isReachable && now - peer.contactedAt > peer.intervalMilliseconds * options.missedHeartbeats) {
 					put({...peer, isReachable: false});
 				}
 			}
--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -1,15 +1,19 @@
+import {performance} from 'node:perf_hooks';
 import type {ListedInstance} from '@galenakeel/model/connection/platform-client.js';
 import type {HeartbeatSource, PeerCalls, runPeerConnection} from '../connection/peer-connection.js';
 import type {Incarnation} from './incarnation.js';
 import type {Membership, PeerHeartbeat} from './membership.js';
 
+/** Silence after which this instance dials a peer that should dial it: within the time that a new instance takes to begin. */
+const dialAfterMilliseconds = 1000;
+
 type PeerTask = {readonly address: string; readonly calls: PeerCalls; readonly stop: AbortController; readonly hasHeartbeats: boolean};
 
 /**
 The connections to peers: one task for each.
 */
 export type PeerDirectory = {
-	/** Starts a task for each listed peer, and ends those of peers that are gone. */
+	/** Starts a task for each listed peer, and ends those of peers that are gone; to be called several times a second. */
 	readonly connect: () => void;
 	/** Calls to a peer by the name of its instance; `undefined` when neither the list nor a heartbeat names it. */
 	readonly callsOf: (instance: string) => PeerCalls | undefined;
@@ -28,33 +32,35 @@
 /**
 Creates the directory of peers, without any connection.
 
+@param options.openHeartbeats Opens this instance's heartbeats on a stream to a peer.
 @param options.hear Called with each heartbeat of a peer that this instance dialled.
+@param options.suspect Called when a stream to a peer has ended.
 
 Of two peers the one whose name sorts first dials; the other dials only while it hears nothing.
 */
-export const createPeerDirectory = ({self, membership, heartbeats, hear}: {
+export const createPeerDirectory = ({self, membership, openHeartbeats, hear, suspect}: {
 	readonly self: Incarnation;
 	readonly membership: Membership;
-	readonly heartbeats: HeartbeatSource;
+	readonly openHeartbeats: (peer: string) => HeartbeatSource;
 	readonly hear: (heartbeat: PeerHeartbeat) => void;
+	readonly suspect: (peer: string) => void;
 }, links: PeerLinks): PeerDirectory => {
 	const tasks = new Map<string, PeerTask>();
 	const silentSince = new Map<string, number>();
-	const pollsBeforeDialling = 4;
 
 	const shouldDial = (instance: string): boolean => {
-		if (self.instance < instance) {
-			return true;
-		}
-
 		if (membership.findPeer(instance)?.isReachable) {
 			silentSince.delete(instance);
 			return false;
 		}
 
-		const polls = (silentSince.get(instance) ?? 0) + 1;
-		silentSince.set(instance, polls);
-		return polls > pollsBeforeDialling;
+		if (self.instance < instance) {
+			return true;
+		}
+
+		const since = silentSince.get(instance) ?? performance.now();
+		silentSince.set(instance, since);
+		return performance.now() - since > dialAfterMilliseconds;
 	};
 
 	const open = (peer: ListedInstance): void => {
@@ -65,10 +71,10 @@
 			address: peer.address, calls, stop, hasHeartbeats: true,
 		});
 		void links.runConnection(calls, {
-			source: heartbeats,
+			openSource: () => openHeartbeats(peer.name),
 			hear,
-			lose() {
-				membership.lose(peer.name);
+			suspect() {
+				suspect(peer.name);
 			},
 			signal: stop.signal,
 		});
--- /dev/null
+++ b/packages/galenakeeld/src/process/peer-heartbeats.ts
@@ -0,0 +1,98 @@
+import type {HeartbeatSource} from '../connection/peer-connection.js';
+import {createHeartbeatSource, type PacedHeartbeatSource} from './heartbeat-source.js';
+import type {HeartbeatProbe, PeerHeartbeat} from './membership.js';
+
+/** Time for which a description of this instance serves the heartbeats of further streams. */
+const descriptionMilliseconds = 5;
+
+/**
+The heartbeats of this instance on the streams to all peers, each at its own pace.
+*/
+export type PeerHeartbeats = {
+	/** Opens the heartbeats of one stream to a peer. */
+	readonly open: (peer: string) => HeartbeatSource;
+	/** Makes every stream send a heartbeat now. */
+	readonly announce: () => void;
+	/** Makes the streams to one peer send a heartbeat now, with a probe if one is given. */
+	readonly send: (peer: string, probe?: HeartbeatProbe) => void;
+	/** Says that a call to the peer stands in for the next heartbeat. */
+	readonly postpone: (peer: string) => void;
+};
+
+/**
+Creates the heartbeats of an instance without any stream.
+
+@param options.describe Says what all heartbeats hold at present.
+@param options.intervalTo Time between the heartbeats to a peer, in milliseconds.
+
+@example
+```
+const heartbeats = createPeerHeartbeats({describe: describeSelf, intervalTo: peer => peer === watcher ? 800 : 4800});
+heartbeats.send('entry-2', HeartbeatProbe.Answer);
+```
+*/
+export const createPeerHeartbeats = (options: {
+	readonly describe: () => Omit<PeerHeartbeat, 'intervalMilliseconds' | 'probe'>;
+	readonly intervalTo: (peer: string) => number;
+}): PeerHeartbeats => {
+	const streams = new Map<string, Set<PacedHeartbeatSource>>();
+	const probes = new Map<string, HeartbeatProbe>();
+	// Streams that send at the same time share a heartbeat, so that its difference from the one before is worked out once.
+	const described = new Map<string, PeerHeartbeat>();
+	let describedAt = -Infinity;
+
+	const describe = (intervalMilliseconds: number, probe: HeartbeatProbe | undefined): PeerHeartbeat => {
+		const now = performance.now();
+		if (now - describedAt > descriptionMilliseconds) {
+			described.clear();
+			describedAt = now;
+		}
+
+		const key = `${intervalMilliseconds} ${probe}`;
+		const heartbeat = described.get(key) ?? {...options.describe(), intervalMilliseconds, ...(probe && {probe})};
+		described.set(key, heartbeat);
+		return heartbeat;
+	};
+
+	const streamsTo = (peer: string): Iterable<PacedHeartbeatSource> => streams.get(peer) ?? [];
+
+	return {
+		open(peer) {
+			const source = createHeartbeatSource(() => {
+				const probe = probes.get(peer);
+				probes.delete(peer);
+				return describe(options.intervalTo(peer), probe);
+			});
+			streams.set(peer, new Set([...streamsTo(peer), source]));
+			return {
+				...source,
+				close() {
+					source.close();
+					streams.get(peer)?.delete(source);
+				},
+			};
+		},
+		announce() {
+			describedAt = -Infinity;
+			for (const sources of streams.values()) {
+				for (const source of sources) {
+					source.announce();
+				}
+			}
+		},
+		send(peer, probe) {
+			if (probe) {
+				probes.set(peer, probe);
+			}
+
+			for (const source of streamsTo(peer)) {
+				source.announce();
+			}
+		},
+		postpone(peer) {
+			for (const source of streamsTo(peer)) {
+				source.postpone();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/process/peer-watch.ts
@@ -0,0 +1,149 @@
+import {performance} from 'node:perf_hooks';
+import {HeartbeatProbe, type Membership, type Peer} from './membership.js';
+import type {PeerHeartbeats} from './peer-heartbeats.js';
+
+/** Time beyond the announced interval after which a peer is probed. */
+const lateMilliseconds = 250;
+/** Time that a probed peer has to answer. */
+const answerMilliseconds = 350;
+/** Time for which an alarm of a peer covers those of others. */
+const alarmPauseMilliseconds = 1000;
+/** Time between two looks above which this process was paused. */
+const pauseMilliseconds = 500;
+
+/**
+What follows when a probed peer does not answer.
+*/
+enum SuspicionStage {
+	/** Every peer is probed, and told to probe its own. */
+	Silent = 'silent',
+	/** The peer is unreachable. */
+	Final = 'final',
+}
+
+type Suspicion = {readonly stage: SuspicionStage; readonly since: number};
+
+/**
+Finds the peers that have fallen silent.
+*/
+export type PeerWatch = {
+	/** Looks for silent peers; to be called every 50 ms. */
+	readonly sweep: () => void;
+	/** Suspects a peer whose stream has ended. */
+	readonly suspect: (instance: string) => void;
+	/** Answers the probe of a peer's heartbeat. */
+	readonly answer: (instance: string, probe: HeartbeatProbe) => void;
+	/** Whether this instance owes a peer heartbeats at full rate: the peer watches it, or is to be found again. */
+	readonly isFullRate: (instance: string) => boolean;
+};
+
+/**
+Finds the peer that watches an instance: the next reachable one in a ring by name.
+
+@example
+```
+findWatcher('entry-2', ['entry-1', 'entry-3']); // => 'entry-3'
+```
+*/
+export const findWatcher = (self: string, reachable: readonly string[]): string | undefined => {
+	const sorted = reachable.toSorted();
+	return sorted.find(instance => instance > self) ?? sorted[0];
+};
+
+/**
+Creates the watch over an instance's peers.
+
+Each instance sends heartbeats at full rate to one peer, which watches it; the others hear it seldom. A watched peer that is late is probed, and when it does not answer, every instance probes all its peers at once. So the messages grow with the number of instances and not with its square, and a cut availability zone is found as fast as a frozen instance.
+*/
+export const createPeerWatch = ({self, membership, heartbeats}: {
+	readonly self: string;
+	readonly membership: Membership;
+	readonly heartbeats: PeerHeartbeats;
+}): PeerWatch => {
+	const suspicions = new Map<string, Suspicion>();
+	let sweptAt = performance.now();
+	let alarmedAt = -Infinity;
+	let watcher: string | undefined;
+
+	const reachable = (): readonly Peer[] => membership.peers().filter(({isReachable}) => isReachable);
+
+	const probe = (instance: string, stage: SuspicionStage, kind: HeartbeatProbe): void => {
+		suspicions.set(instance, {stage, since: performance.now()});
+		heartbeats.send(instance, kind);
+	};
+
+	const probeAll = (kind: HeartbeatProbe): void => {
+		alarmedAt = performance.now();
+		for (const {instance} of reachable()) {
+			probe(instance, SuspicionStage.Final, kind);
+		}
+	};
+
+	const isAlarmed = (now: number): boolean => now - alarmedAt < alarmPauseMilliseconds;
+
+	const judge = (instance: string, {stage, since}: Suspicion, now: number): void => {
+		if (now - since < answerMilliseconds) {
+			return;
+		}
+
+		if (stage === SuspicionStage.Silent && !isAlarmed(now)) {
+			probeAll(HeartbeatProbe.Alarm);
+		} else {
+			suspicions.delete(instance);
+			membership.lose(instance);
+			heartbeats.send(instance, HeartbeatProbe.Answer);
+		}
+	};
+
+	const look = ({instance, contactedAt, intervalMilliseconds}: Peer, now: number): void => {
+		const suspicion = suspicions.get(instance);
+		if (suspicion && contactedAt <= suspicion.since) {
+			judge(instance, suspicion, now);
+			return;
+		}
+
+		suspicions.delete(instance);
+		if (now - contactedAt > intervalMilliseconds + lateMilliseconds) {
+			probe(instance, SuspicionStage.Silent, HeartbeatProbe.Answer);
+		}
+	};
+
+	const followWatcher = (): void => {
+		const next = findWatcher(self, reachable().map(({instance}) => instance));
+		if (next !== watcher) {
+			watcher = next;
+			if (next !== undefined) {
+				heartbeats.send(next);
+			}
+		}
+	};
+
+	return {
+		sweep() {
+			const now = performance.now();
+			if (now - sweptAt > pauseMilliseconds) {
+				suspicions.clear();
+				membership.forgiveSilence();
+			}
+
+			sweptAt = now;
+			for (const peer of reachable()) {
+				look(peer, now);
+			}
+
+			followWatcher();
+		},
+		suspect(instance) {
+			if (membership.findPeer(instance)?.isReachable) {
+				probe(instance, SuspicionStage.Final, HeartbeatProbe.Answer);
+			}
+		},
+		answer(instance, kind) {
+			heartbeats.send(instance);
+			if (kind === HeartbeatProbe.Alarm && !isAlarmed(performance.now())) {
+				probeAll(HeartbeatProbe.Answer);
+			}
+		},
+		isFullRate: instance => instance === watcher || membership.findPeer(instance)?.isReachable === false,
+	};
+};
--- a/packages/trials/src/process/fake-peers.ts
+++ b/packages/trials/src/process/fake-peers.ts
@@ -57,11 +57,11 @@
 		const calls = createPeerCalls(options.daemonAddress);
 		allCalls.push(calls);
 		void runPeerConnection(calls, {
-			source: createHeartbeatSource(() => describePeer(position, options.zone, options.intervalMilliseconds)),
+			openSource: () => createHeartbeatSource(() => describePeer(position, options.zone, options.intervalMilliseconds)),
 			hear(heartbeat) {
 				options.hear(position, heartbeat);
 			},
-			lose() {
+			suspect() {
 				// It dials again.
 			},
 			signal: stop.signal,
