--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -4,20 +4,24 @@
 import {AttemptResult, createEndpointGuard, type EndpointGuard} from '../endpoint-guard.js';
 import {createEndpointGuards, type EndpointGuards} from '../endpoint-guards.js';
 import {createRetryBudget, type RetryBudget} from '../retry-budget.js';
-import {createRunningTasks} from '../running-tasks.js';
+import {createRunningTasks, type RunningTasks} from '../running-tasks.js';
 import {createSlotLedger, type SlotLedger} from '../slot-ledger.js';
 import {TaskLength} from '../task-queue.js';
 
-type GuardWorld = {guard: EndpointGuard; attempts: number; budget: RetryBudget; ledger: SlotLedger; guards: EndpointGuards};
+type GuardWorld = {runningTasks: RunningTasks; guard: EndpointGuard; attempts: number; budget: RetryBudget; ledger: SlotLedger; guards: EndpointGuards};
 
 const address = '127.0.0.1:8080';
+const otherAddress = '127.0.0.1:8081';
+const lookMilliseconds = 750;
 
 const runTaskOn = (world: GuardWorld, longestMilliseconds: number): void => {
 	const running = createRunningTasks();
+	world.runningTasks = running;
 	world.ledger = createSlotLedger(() => undefined);
-	world.ledger.install([{
-		name: 'worker', address, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
-	}], new Map([[address, 8]]), 1);
+	const endpoint = {
+		name: 'worker', zone: 'zone-a', slots: 8, connections: 64, speed: 1,
+	};
+	world.ledger.install([{...endpoint, address}, {...endpoint, address: otherAddress}], new Map([[address, 8]]), 1);
 	const slots = world.ledger.slotsOf(address)!;
 	world.ledger.take(slots);
 	running.add({
@@ -32,6 +36,45 @@
 	runTaskOn(this, longest);
 });
 
+Given('{int} of {int} tasks run as long on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
+	const {endpoint} = this.ledger.slotsOf(otherAddress)!;
+	this.guards.report({endpoint, kind: '', durationMilliseconds: 100, isSuccess: true}, lookMilliseconds - 1);
+	for (let number = 0; number < running; number++) {
+		const startedAt = number < overdue ? 0 : lookMilliseconds - 1;
+		this.runningTasks.add({
+			slots: this.ledger.slotsOf(otherAddress)!, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+		});
+	}
+});
+
+Given('{int} endpoints of which {int} have answered nothing for far longer than their tasks take', function (this: GuardWorld, count: number, silent: number) {
+	const endpoints = Array.from({length: count}, (_, number) => ({
+		name: `worker-${number}`, address: `10.0.0.${number}:80`, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
+	}));
+	this.ledger = createSlotLedger(() => undefined);
+	this.ledger.install(endpoints, new Map(endpoints.map(endpoint => [endpoint.address, 8])), 1);
+	this.runningTasks = createRunningTasks();
+	for (const [number, slots] of [...this.ledger.all()].entries()) {
+		const startedAt = number < silent ? 0 : lookMilliseconds - 1;
+		this.runningTasks.add({
+			slots, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+		});
+	}
+
+	this.guards = createEndpointGuards({
+		ledger: this.ledger, running: this.runningTasks, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => 400,
+	});
+});
+
+When('the guards look at the endpoints', function (this: GuardWorld) {
+	this.guards.sweep(lookMilliseconds);
+});
+
+Then('{int} endpoints are taken for frozen', function (this: GuardWorld, count: number) {
+	const frozen = [...this.ledger.all()].filter(({endpoint}) => this.guards.stateOf(endpoint.address) === GuardState.Open);
+	assert.equal(frozen.length, count);
+});
+
 Given('an endpoint on which a task of unknown size runs', function (this: GuardWorld) {
 	runTaskOn(this, Infinity);
 });
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -5,7 +5,7 @@
 import {
 	AttemptResult, createEndpointGuard, type EndpointGuard, type GuardLimits,
 } from './endpoint-guard.js';
-import type {RunningTasks} from './running-tasks.js';
+import type {EndpointRun, RunningTasks} from './running-tasks.js';
 import type {EndpointSlots, SlotLedger} from './slot-ledger.js';
 
 /** Share of a service's endpoints with server errors above which the tasks are at fault rather than the endpoints. */
@@ -13,6 +13,8 @@
 /** Times the longest expected run time without any answer after which an endpoint counts as frozen. */
 const frozenFactor = 1.5;
 const frozenMarginMilliseconds = 100;
+/** Share of overdue tasks on the endpoints that answer above which the tasks are longer than known, rather than an endpoint frozen. */
+const maximumOverdueShare = 0.2;
 
 /**
 The circuit breakers of one service's endpoints.
@@ -45,6 +47,19 @@
 	return isTimeout ? AttemptResult.NoAnswer : undefined;
 };
 
+type EndpointEntry = readonly [slots: EndpointSlots, run: EndpointRun];
+
+const overdueShareOf = (entries: readonly EndpointEntry[]): number => {
+	let running = 0;
+	let overdue = 0;
+	for (const [, run] of entries) {
+		running += run.running;
+		overdue += run.overdue;
+	}
+
+	return overdue / running;
+};
+
 /**
 Creates circuit breakers that keep the limits of the ledger's endpoints.
 
@@ -107,11 +122,28 @@
 		}
 	};
 
+	const isSilent = ([{endpoint}, {oldest}]: EndpointEntry, now: number): boolean => {
+		const silentSince = Math.max(oldest.startedAt, guardOf(endpoint.address).answeredAt());
+		return now - silentSince > (oldest.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds;
+	};
+
+	/** Tells whether silence may come from long tasks: those endpoints that answer hold many too, or none answers. */
+	const isSilenceOfTasks = (answering: readonly EndpointEntry[], silent: number): boolean => {
+		const used = ledger.inUse().length;
+		return answering.length === 0 ? used > 1 && silent >= used : overdueShareOf(answering) > maximumOverdueShare;
+	};
+
 	const freezeSilent = (now: number): void => {
-		for (const [slots, task] of running.oldest()) {
-			const guard = guardOf(slots.endpoint.address);
-			const silentSince = Math.max(task.startedAt, guard.answeredAt());
-			if (guard.state() === GuardState.Closed && now - silentSince > (task.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds) {
+		const runs = [...running.byEndpoint(now)];
+		const silent = runs.filter(run => isSilent(run, now));
+		const answering = runs.filter(run => !silent.includes(run));
+		if (silent.length === 0 || isSilenceOfTasks(answering, silent.length)) {
+			return;
+		}
+
+		for (const [{endpoint}] of silent) {
+			const guard = guardOf(endpoint.address);
+			if (guard.state() === GuardState.Closed) {
 				guard.freeze(now);
 			}
 		}
