--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -71,7 +71,7 @@
 });
 
 Then('{int} endpoints are taken for frozen', function (this: GuardWorld, count: number) {
-	const frozen = [...this.ledger.all()].filter(({endpoint}) => this.guards.stateOf(endpoint.address) === GuardState.Open);
+	const frozen = [...this.ledger.all()].filter(({endpoint}) => this.guards.statusOf(endpoint.address).state === GuardState.Open);
 	assert.equal(frozen.length, count);
 });
 
