Frame long answers by their length for callers of HTTP/1.0

Cause: an answer that is passed on in parts was written with a trailer, which Node refuses without chunks; the caller of HTTP/1.0 got status 500 "internal" for a task that had run, and the slot stayed taken until the time-out.

Change: such a caller gets the length that the endpoint gave; without one the answer is 505 "http-version", outcome failed, and the endpoint is let go.

--- a/packages/galenakeeld/src/connection/caller-answer.ts
+++ b/packages/galenakeeld/src/connection/caller-answer.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import type {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
 import {FaultKind, remedies} from '@galenakeel/model/request/fault.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
@@ -21,6 +22,7 @@
 const statusOf: Readonly<Record<FaultKind, number>> = {
 	[FaultKind.MalformedRequest]: 400,
 	[FaultKind.TooLarge]: 413,
+	[FaultKind.HttpVersion]: 505,
 	[FaultKind.UnknownService]: 404,
 	[FaultKind.BadIdentifier]: 400,
 	[FaultKind.IdentifierMismatch]: 422,
@@ -127,27 +129,54 @@
 };
 
 /**
-Writes the answer of an endpoint to the caller.
-
-A body that is too long to be held is passed on as it comes, and its outcome follows in a trailer. When the endpoint breaks off, the caller's connection is destroyed, so that a part is never taken for the whole.
+Fields of an answer that is passed on as it comes. Its outcome follows in a trailer; a caller of HTTP/1.0, which has neither trailers nor chunks, gets the length instead, without which a part can't be told from the whole.
 */
-export const writeTaskAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, method: string, own: HeaderList = []): Promise<void> => {
-	if (!answer.rest) {
-		response.writeHead(answer.status, headersForCaller(answer.headers, [[outcomeField, answer.outcome], ...own, ...lengthFields(answer, method)]));
-		response.end(answer.body);
+const streamedFields = (answer: StreamedTaskAnswer, hasChunks: boolean): HeaderList | undefined => {
+	if (hasChunks) {
+		return [['trailer', outcomeField]];
+	}
+
+	const length = contentLengthOf(answer.headers);
+	return length === undefined ? undefined : [[outcomeField, answer.outcome], ['content-length', length]];
+};
+
+const writeStreamedAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, rest: Readable, own: HeaderList): Promise<void> => {
+	const hasChunks = response.req.httpVersionMinor > 0;
+	const fields = streamedFields(answer, hasChunks);
+	if (!fields) {
+		rest.destroy();
+		writeProblem(response, {fault: FaultKind.HttpVersion, outcome: Outcome.Failed, detail: 'the task ran, but its answer is too long to be held and its length is not known'});
 		return;
 	}
 
-	response.writeHead(answer.status, headersForCaller(answer.headers, [['trailer', outcomeField], ...own]));
+	response.writeHead(answer.status, headersForCaller(answer.headers, [...fields, ...own]));
 	response.write(answer.body);
-	response.addTrailers({[outcomeField]: answer.outcome});
+	if (hasChunks) {
+		response.addTrailers({[outcomeField]: answer.outcome});
+	}
+
 	try {
-		await pipeline(answer.rest, response);
+		await pipeline(rest, response);
 	} catch {
 		response.destroy();
 	}
 };
 
+/**
+Writes the answer of an endpoint to the caller.
+
+A body that is too long to be held is passed on as it comes. When the endpoint breaks off, the caller's connection is destroyed, so that a part is never taken for the whole.
+*/
+export const writeTaskAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, method: string, own: HeaderList = []): Promise<void> => {
+	if (answer.rest) {
+		await writeStreamedAnswer(response, answer, answer.rest, own);
+		return;
+	}
+
+	response.writeHead(answer.status, headersForCaller(answer.headers, [[outcomeField, answer.outcome], ...own, ...lengthFields(answer, method)]));
+	response.end(answer.body);
+};
+
 const encodeTaskAnswer = (answer: TaskAnswer): Record<string, unknown> => {
 	const body = Buffer.from(answer.body);
 	const text = body.toString();
--- a/packages/model/src/request/fault.ts
+++ b/packages/model/src/request/fault.ts
@@ -8,6 +8,8 @@
 	MalformedRequest = 'malformed-request',
 	/** A header, body or job is above its limit. */
 	TooLarge = 'too-large',
+	/** The answer can't be framed for the caller's version of HTTP. */
+	HttpVersion = 'http-version',
 	/** No document in force names the service. */
 	UnknownService = 'unknown-service',
 	/** The identifier is malformed, or was never issued. */
@@ -57,6 +59,7 @@
 */
 export const remedies: Readonly<Record<FaultKind, string>> = {
 	[FaultKind.MalformedRequest]: 'Correct the request as the detail says, then send it again.',
+	[FaultKind.HttpVersion]: 'Use HTTP/1.1, which frames an answer whose length is not known at its start.',
 	[FaultKind.TooLarge]: 'Send a smaller request, or split the job.',
 	[FaultKind.UnknownService]: 'Check the name of the service, or have its operators accept a document for it.',
 	[FaultKind.BadIdentifier]: 'Use an identifier of 1 to 200 letters, digits, dots, colons, hyphens and underscores, or ask for a minted one.',
