Run histories of "prove" three at a time

Task names came from a counter of the process and so from the order in which histories ran; each fleet counts its own now. Addresses are taken in one synchronous step from a counter of the process, so two histories at once can't be given the same.

process.exit(): a probe over all 43 histories, each in a process of its own, found none whose handles outlive it (each process ended by itself within 0.2 s; getActiveResourcesInfo had nothing to show). What can keep the process alive is a history that breaks off: a fleet of which one daemon did not become ready was not stopped, and loads and watches went on after a throw. Parts of a fleet are now ended in reverse order also when its start fails, and loads end with their fleet.

--- a/packages/trials/src/process/caller-load.ts
+++ b/packages/trials/src/process/caller-load.ts
@@ -28,10 +28,8 @@
 	readonly stop: () => Promise<readonly CallerOperation[]>;
 };
 
-let submissions = 0;
-
-const nextSubmission = (shape: LoadShape): RecordedSubmission => {
-	const number = submissions++;
+const nextSubmission = (fleet: Fleet, shape: LoadShape): RecordedSubmission => {
+	const number = fleet.takeNumber();
 	const {tasks = 1, instances} = shape;
 	return {
 		...shape,
@@ -51,8 +49,8 @@
 	const operations: CallerOperation[] = [];
 	const stopping = new AbortController();
 	const runCaller = async (caller: number): Promise<void> => {
-		while (!stopping.signal.aborted) {
-			operations.push(await recordSubmission(fleet, history, {...nextSubmission(shape), agent: options.agents?.[caller]}));
+		while (!stopping.signal.aborted && !fleet.stopped.aborted) {
+			operations.push(await recordSubmission(fleet, history, {...nextSubmission(fleet, shape), agent: options.agents?.[caller]}));
 			await sleep(options.random.integer(0, options.mostPauseMilliseconds));
 		}
 	};
@@ -73,11 +71,16 @@
 export const startOpenLoad = (fleet: Fleet, history: History, shape: LoadShape, intervalMilliseconds: number): CallerLoad => {
 	const operations: Array<Promise<CallerOperation>> = [];
 	const timer = setInterval(() => {
-		operations.push(recordSubmission(fleet, history, nextSubmission(shape)));
+		operations.push(recordSubmission(fleet, history, nextSubmission(fleet, shape)));
 	}, intervalMilliseconds);
+	const endArrivals = (): void => {
+		clearInterval(timer);
+	};
+
+	fleet.stopped.addEventListener('abort', endArrivals);
 	return {
 		async stop() {
-			clearInterval(timer);
+			endArrivals();
 			return Promise.all(operations);
 		},
 	};
--- a/packages/trials/src/process/fleet.ts
+++ b/packages/trials/src/process/fleet.ts
@@ -11,6 +11,7 @@
 import {startFaultProxy, type FaultProxy} from '@galenakeel/stand-ins/connection/fault-proxy.js';
 import {startEndpointStandIn, type EndpointStandIn} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import {startPlatformStandIn, type PlatformStandIn} from '@galenakeel/stand-ins/process/platform-stand-in.js';
+import {createCleanup, type Cleanup} from './cleanup.js';
 import {startDaemonProcess, type DaemonPlace, type DaemonProcess} from './daemon-process.js';
 import {findFreeAddresses} from './free-ports.js';
 import {startProxiedLinks, type ProxiedLinks} from './proxied-links.js';
@@ -71,6 +72,10 @@
 	readonly list: (changes?: {readonly leaving?: readonly string[]; readonly gone?: readonly string[]; readonly restarted?: readonly string[]}) => void;
 	/** Accepts a document for a service over all endpoints, changed by a function. */
 	readonly accept: (service: string, change?: (document: Record<string, unknown>) => Record<string, unknown>) => Promise<number>;
+	/** A number that no other submission to this fleet has. */
+	readonly takeNumber: () => number;
+	/** Aborts when the fleet is stopped, so that no load outlives it. */
+	readonly stopped: AbortSignal;
 	readonly stop: () => Promise<void>;
 };
 
@@ -83,19 +88,22 @@
 	})),
 ];
 
-const startProxyTo = async (target: string): Promise<FaultProxy> => {
+const startProxyTo = async (target: string, cleanup: Cleanup): Promise<FaultProxy> => {
 	const [address] = await findFreeAddresses(1) as [string];
-	return startFaultProxy(address, target);
+	const proxy = await startFaultProxy(address, target);
+	cleanup.add(proxy.close);
+	return proxy;
 };
 
-const startEndpoints = async (size: FleetSize): Promise<readonly PlacedEndpoint[]> => {
+const startEndpoints = async (size: FleetSize, cleanup: Cleanup): Promise<readonly PlacedEndpoint[]> => {
 	const {startEndpoint = startEndpointStandIn} = size;
 	const count = size.zones.length * size.endpointsPerZone;
 	const addresses = await findFreeAddresses(count);
 	return Promise.all(addresses.map(async (address, position) => {
 		const speed = size.speedOf?.(position) ?? 1;
 		const standIn = await startEndpoint(address, {slots: size.slots, speed, connections: 64});
-		const proxy = size.isProxied ? await startProxyTo(address) : undefined;
+		cleanup.add(standIn.close);
+		const proxy = size.isProxied ? await startProxyTo(address, cleanup) : undefined;
 		return {
 			name: `worker-${position + 1}`, zone: size.zones[position % size.zones.length]!, standIn, address: proxy?.address ?? address, proxy,
 		};
@@ -130,20 +138,41 @@
 ```
 */
 export const startFleet = async (size: FleetSize): Promise<Fleet> => {
+	const cleanup = createCleanup();
+	try {
+		return await startParts(size, cleanup);
+	} catch (error) {
+		// What was started before would keep this process alive.
+		await cleanup.run();
+		throw error;
+	}
+};
+
+const startParts = async (size: FleetSize, cleanup: Cleanup): Promise<Fleet> => {
 	const directory = await mkdtemp(join(tmpdir(), 'galenakeel-'));
+	cleanup.add(async () => rm(directory, {recursive: true, force: true}));
 	const [platformAddress, balancerAddress] = await findFreeAddresses(2) as [string, string];
 	const platform = await startPlatformStandIn(platformAddress, {listLagMilliseconds: size.listLagMilliseconds ?? 0});
+	cleanup.add(platform.close);
 	const balancer = await startBalancerStandIn(balancerAddress);
-	const endpoints = await startEndpoints(size);
+	cleanup.add(balancer.close);
+	const endpoints = await startEndpoints(size, cleanup);
 	const places = await placeDaemons(size, platformAddress);
 	platform.setInstances(listedOf(places, endpoints));
 	const links = size.isProxied ? await startProxiedLinks(platform, places) : undefined;
-	const start = async (place: DaemonPlace): Promise<DaemonProcess> =>
-		startDaemonProcess(directory, {...place, platform: links?.toPlatform.get(place.instance)?.address ?? place.platform}, size.settings);
+	cleanup.add(() => links?.close());
+	const start = async (place: DaemonPlace): Promise<DaemonProcess> => {
+		const daemon = await startDaemonProcess(directory, {...place, platform: links?.toPlatform.get(place.instance)?.address ?? place.platform}, size.settings);
+		cleanup.add(async () => stopDaemon(daemon));
+		return daemon;
+	};
+
 	const daemons = await Promise.all(places.map(async place => start(place)));
 	await Promise.all(daemons.map(async daemon => daemon.untilReady(readyTimeoutMilliseconds)));
 	balancer.setInstances(daemons);
 	const client = createPlatformClient(platformAddress, stopTimeoutMilliseconds);
+	const stopped = new AbortController();
+	let submissions = 0;
 
 	const describe = (service: string): Record<string, unknown> => ({
 		service,
@@ -182,17 +211,11 @@
 				text: JSON.stringify(change(describe(service)), undefined, '\t'), seenVersion: current?.version ?? 0, author: 'trial', nonce: randomUUID(),
 			});
 		},
+		takeNumber: () => submissions++,
+		stopped: stopped.signal,
 		async stop() {
-			await Promise.all(daemons.map(async daemon => stopDaemon(daemon)));
-			balancer.close();
-			platform.close();
-			links?.close();
-			for (const {standIn, proxy} of endpoints) {
-				proxy?.close();
-				standIn.close();
-			}
-
-			await rm(directory, {recursive: true, force: true});
+			stopped.abort();
+			await cleanup.run();
 		},
 	};
 };
--- a/packages/trials/src/process/prove.ts
+++ b/packages/trials/src/process/prove.ts
@@ -1,62 +1,57 @@
 #!/usr/bin/env node
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {checkHistory, type Violation} from '../request/check-history.js';
-import {createHistory} from '../request/history.js';
-import {createRandom} from '../request/random.js';
-import {isProvePoint, ProvePoint, ProveStatus} from '../version/prove-point.js';
+import PQueue from 'p-queue';
+import {isProvePoint, ProvePoint} from '../version/prove-point.js';
+import {summarizePoint} from '../version/point-summary.js';
 import {faultHistories} from './fault-histories.js';
-
-const defaultRounds = 1;
-const defaultSeed = 1;
-
-const {values} = parseArgs({options: {point: {type: 'string'}, seed: {type: 'string'}, rounds: {type: 'string'}}});
+import {runHistory, type HistoryRun} from './run-history.js';
+
+const defaultRounds = '1';
+const defaultSeed = '1';
+const defaultConcurrency = '3';
+const shownViolations = 10;
+// Seeds of the histories of one round lie next to each other.
+const seedsOfRound = 1000;
+
+const {values} = parseArgs({
+	options: {
+		point: {type: 'string'},
+		history: {type: 'string'},
+		seed: {type: 'string', default: defaultSeed},
+		rounds: {type: 'string', default: defaultRounds},
+		concurrency: {type: 'string', default: defaultConcurrency},
+	},
+});
 const wanted = values.point;
 if (wanted !== undefined && !isProvePoint(wanted)) {
 	throw new Error(`there is no point "${wanted}"; the points are ${Object.values(ProvePoint).join(', ')}`);
 }
 
-const seed = Number(values.seed ?? defaultSeed);
-const rounds = Number(values.rounds ?? defaultRounds);
-
-type PointResult = {histories: number; operations: number; readonly violations: Violation[]};
-
-const provePoint = async (point: ProvePoint): Promise<PointResult> => {
-	const result: PointResult = {histories: 0, operations: 0, violations: []};
-	for (let round = 0; round < rounds; round++) {
-		for (const [position, runHistory] of faultHistories[point].entries()) {
-			const history = createHistory();
-			const random = createRandom(seed + (round * 1000) + position);
-			const extra = await runHistory(history, random);
-			result.histories++;
-			result.operations += history.operations.length + history.accepts.length;
-			result.violations.push(...checkHistory(history), ...extra);
+const seed = Number(values.seed);
+const rounds = Number(values.rounds);
+const queue = new PQueue({concurrency: Number(values.concurrency)});
+
+/**
+Queues the histories of a point, each with a seed that depends on its round and place alone.
+*/
+const startPoint = (point: ProvePoint): ReadonlyArray<Promise<HistoryRun>> => Array.from({length: rounds}, (_, round) => faultHistories[point]
+	.map((history, position) => ({history, position}))
+	.filter(({position}) => values.history === undefined || position + 1 === Number(values.history))
+	.map(async ({history, position}) => queue.add(async () => runHistory(history, {point, position, seed: seed + (round * seedsOfRound) + position})))).flat();
+
+const points = wanted === undefined ? Object.values(ProvePoint) : [wanted];
+const started = points.map(point => ({point, runs: startPoint(point)}));
+process.exitCode = 0;
+for (const {point, runs} of started) {
+	const results = await Promise.all(runs);
+	for (const {command, violations} of results) {
+		for (const violation of violations.slice(0, shownViolations)) {
+			process.stderr.write(`${command}: ${violation.point}: ${violation.detail}\n`);
 		}
 	}
 
-	return result;
-};
-
-const statusOf = ({operations, violations}: PointResult): ProveStatus => {
-	if (violations.length > 0) {
-		return ProveStatus.Failed;
-	}
-
-	return operations > 0 ? ProveStatus.Proved : ProveStatus.Unproved;
-};
-
-for (const point of wanted === undefined ? Object.values(ProvePoint) : [wanted]) {
-	const result = await provePoint(point);
-	const status = statusOf(result);
-	for (const violation of result.violations.slice(0, 10)) {
-		process.stderr.write(`${point}: ${violation.point}: ${violation.detail}\n`);
-	}
-
-	process.stdout.write(`${JSON.stringify({
-		point, status, histories: result.histories, operations: result.operations, violations: result.violations.length, seed,
-	})}\n`);
-	process.exitCode = status === ProveStatus.Failed ? 1 : process.exitCode ?? 0;
+	const summary = summarizePoint(point, seed, results);
+	process.stdout.write(`${JSON.stringify(summary)}\n`);
+	process.exitCode = summary.violations > 0 ? 1 : process.exitCode;
 }
-
-// Silenced connections would keep the process alive.
-process.exit();
--- a/packages/trials/src/process/version-watch.ts
+++ b/packages/trials/src/process/version-watch.ts
@@ -44,7 +44,7 @@
 	};
 
 	const watch = async (instance: string): Promise<void> => {
-		while (!stopping.signal.aborted) {
+		while (!stopping.signal.aborted && !fleet.stopped.aborted) {
 			try {
 				await look(instance);
 			} catch {
