Refuse a broken request only where nothing of it can have started

A new history, the fifth of true-refusal: callers fall silent in the middle of their bodies, or go on with bytes that are no HTTP.

A connection is now closed without an answer when the body of its request is incomplete; bad bytes behind a whole request end the connection after that request's own answer. Time-outs are looked at ten times within limits.slowCallerMilliseconds, are answered 408 where no request has begun, and a refused connection is not read any further.

--- a/packages/galenakeeld/src/process/caller-server.ts
+++ b/packages/galenakeeld/src/process/caller-server.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type IncomingMessage, type Server} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
@@ -6,7 +6,27 @@
 import type {CallerExchange} from '../connection/caller-connection.js';
 
 const keepAliveMarginMilliseconds = 999;
-const headerTooLargeCode = 'HPE_HEADER_OVERFLOW';
+// How often the time of slow callers is looked at while it runs.
+const slowCallerChecks = 10;
+
+/** Statuses of refused requests by the code of the parser's error; any other is a malformed request. */
+const refusalStatuses: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['ERR_HTTP_REQUEST_TIMEOUT', 408]]);
+const malformedStatus = 400;
+
+/**
+An open connection of a caller.
+*/
+type OpenConnection = {
+	readonly inbox: Inbox<CallerExchange>;
+	/** Time of the monotonic clock since which no request is under way; `undefined` while one is. */
+	idleSince: number | undefined;
+	/** Requests whose response has not ended. */
+	unanswered: number;
+	/** The request whose body is received or was received last. */
+	lastRequest: IncomingMessage | undefined;
+	/** Whether bytes came that are no HTTP; nothing more is read. */
+	isMalformed: boolean;
+};
 
 /**
 The server for callers.
@@ -38,56 +58,71 @@
 Starts the server for callers: each connection is served by a task of its own.
 */
 export const startCallerServer = async (address: string, run: CallerServerRun, limits: CallerLimits): Promise<CallerServer> => {
-	const inboxes = new Map<Socket, Inbox<CallerExchange>>();
-	const idleSince = new Map<Socket, number>();
+	const connections = new Map<Socket, OpenConnection>();
 	// The Keep-Alive header tells callers whole seconds; the rest is the margin in which a request may still be on its way.
 	const keepAliveTimeout = (Math.floor(limits.idleCallerMilliseconds / 1000) * 1000) + keepAliveMarginMilliseconds;
-	let busy = 0;
-
-	const inboxOf = (socket: Socket): Inbox<CallerExchange> => {
-		const existing = inboxes.get(socket);
-		if (existing) {
-			return existing;
-		}
 
-		const inbox = createInbox<CallerExchange>();
-		inboxes.set(socket, inbox);
-		idleSince.set(socket, performance.now());
+	const open = (socket: Socket): OpenConnection => {
+		const connection: OpenConnection = {
+			inbox: createInbox<CallerExchange>(), idleSince: performance.now(), unanswered: 0, lastRequest: undefined, isMalformed: false,
+		};
+		connections.set(socket, connection);
 		socket.once('close', () => {
-			inboxes.delete(socket);
-			idleSince.delete(socket);
-			inbox.close();
+			connections.delete(socket);
+			connection.inbox.close();
 		});
-		void run.serve(inbox);
-		return inbox;
+		void run.serve(connection.inbox);
+		return connection;
+	};
+
+	const endExchange = (socket: Socket, connection: OpenConnection): void => {
+		connection.unanswered--;
+		if (connection.unanswered > 0) {
+			return;
+		}
+
+		connection.idleSince = performance.now();
+		if (connection.isMalformed) {
+			socket.destroySoon();
+		}
 	};
 
 	const server: Server = createServer({
-		maxHeaderSize: limits.headerBytes, headersTimeout: limits.slowCallerMilliseconds, requestTimeout: limits.slowCallerMilliseconds, keepAlive: true, noDelay: true, keepAliveTimeout,
+		maxHeaderSize: limits.headerBytes,
+		headersTimeout: limits.slowCallerMilliseconds,
+		requestTimeout: limits.slowCallerMilliseconds,
+		connectionsCheckingInterval: Math.ceil(limits.slowCallerMilliseconds / slowCallerChecks),
+		keepAlive: true,
+		noDelay: true,
+		keepAliveTimeout,
 	});
 	server.maxConnections = limits.callerConnections;
 	server.on('connection', socket => {
-		inboxOf(socket);
+		open(socket);
 	});
 	server.on('request', (request, response) => {
-		busy++;
-		idleSince.delete(request.socket);
+		const {socket} = request;
+		const connection = connections.get(socket) ?? open(socket);
+		connection.unanswered++;
+		connection.idleSince = undefined;
+		connection.lastRequest = request;
 		response.once('close', () => {
-			busy--;
-			if (inboxes.has(request.socket)) {
-				idleSince.set(request.socket, performance.now());
-			}
+			endExchange(socket, connection);
 		});
-		inboxOf(request.socket).push({request, response});
+		connection.inbox.push({request, response});
 	});
-	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		if (!socket.writable) {
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		const connection = connections.get(socket);
+		if (!socket.writable || connection?.lastRequest?.complete === false) {
+			// A part of the body may have reached an endpoint, so that no refusal would be true.
 			socket.destroy();
-			return;
+		} else if (connection && connection.unanswered > 0) {
+			// The next response on this connection must be that of the request under way.
+			connection.isMalformed = true;
+		} else {
+			socket.end(run.encodeRefusal(refusalStatuses.get(error.code ?? '') ?? malformedStatus, `the request is not valid HTTP/1.1: ${error.message}`));
+			socket.destroySoon();
 		}
-
-		const status = error.code === headerTooLargeCode ? 431 : 400;
-		socket.end(run.encodeRefusal(status, `the request is not valid HTTP/1.1: ${error.message}`));
 	});
 	const [host, port] = splitAddress(address);
 	await new Promise<void>((resolve, reject) => {
@@ -95,16 +130,16 @@
 		server.listen(port, host, resolve);
 	});
 	return {
-		busy: () => busy,
-		connections: () => inboxes.size,
+		busy: () => [...connections.values()].filter(({unanswered}) => unanswered > 0).length,
+		connections: () => connections.size,
 		stopListening() {
 			// The HTTP server's own method also closes idle connections, on which a request may be on its way.
 			NetServer.prototype.close.call(server);
 		},
 		closeIdle() {
 			const now = performance.now();
-			for (const [socket, since] of idleSince) {
-				if (now - since > keepAliveTimeout) {
+			for (const [socket, {idleSince}] of connections) {
+				if (idleSince !== undefined && now - idleSince > keepAliveTimeout) {
 					socket.end();
 				}
 			}
--- a/packages/trials/src/process/__tests__/whole-path.steps.ts
+++ b/packages/trials/src/process/__tests__/whole-path.steps.ts
@@ -2,21 +2,21 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtemp, writeFile} from 'node:fs/promises';
-import {connect} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import {call} from '@galenakeel/stand-ins/connection/http-json.js';
 import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import type {Outcome} from '@galenakeel/model/request/outcome.js';
+import {parseRawResponse, sendRaw} from '../../connection/raw-caller.js';
 import {submitAsCaller} from '../../request/caller.js';
 import type {FleetWorld} from './fleet-world.js';
 
 const inForceMilliseconds = 5000;
+const rawPatienceMilliseconds = 1000;
 
 const callersOf = (world: FleetWorld, daemon: number): string => world.running.daemons[daemon - 1]!.callers;
 
@@ -94,26 +94,12 @@
 	await this.running.accept(service, document => ({...document, endpoints: {[zone]: [{name, address}]}}));
 });
 
-const sendRaw = async (address: string, text: string): Promise<string> => {
-	const [host, port] = splitAddress(address);
-	const socket = connect({host, port});
-	await once(socket, 'connect');
-	socket.write(text);
-	let answer = '';
-	socket.setEncoding('utf8');
-	socket.on('data', (chunk: string) => {
-		answer += chunk;
-	});
-	await Promise.race([once(socket, 'close'), sleep(1000)]);
-	socket.destroy();
-	return answer;
-};
-
 const pushRaw = async (world: FleetWorld, address: string, text: string): Promise<void> => {
-	const answer = await sendRaw(address, text);
+	const {text: answer} = await sendRaw(address, [text], rawPatienceMilliseconds);
+	const {outcome, status} = parseRawResponse(answer);
 	world.results.push({
-		outcome: (/galenakeel-outcome: (?<outcome>[a-z ]+)/v.exec(answer)?.groups?.outcome ?? '') as never,
-		status: Number(answer.split(' ')[1]),
+		outcome,
+		status,
 		text: answer,
 		isCut: false,
 		durationMilliseconds: 0,
--- a/packages/trials/src/process/submission-histories.ts
+++ b/packages/trials/src/process/submission-histories.ts
@@ -1,6 +1,7 @@
 import {
 	crossedHistory, failingEndpointsHistory, longAnswerHistory, longJobHistory, mixedHistory, unrepeatableHistory,
 } from './answer-histories.js';
+import {brokenRequestHistory} from './broken-request-histories.js';
 import type {FaultHistory} from './fault-history.js';
 import {
 	forgottenHistory, keyedHistory, killHistories, pauseHistory, raceHistory,
@@ -16,6 +17,6 @@
 	startsOnce: [...killHistories, pauseHistory, raceHistory, forgottenHistory],
 	jobWhole: [failingEndpointsHistory, longJobHistory],
 	wholeAnswer: [crossedHistory, longAnswerHistory],
-	trueRefusal: [overloadHistory, pausedQueueHistory, cancelWaveHistory, outOfReachHistory],
+	trueRefusal: [overloadHistory, pausedQueueHistory, cancelWaveHistory, outOfReachHistory, brokenRequestHistory],
 	atMostOnce: [keyedHistory, unrepeatableHistory, mixedHistory],
 };
