Let some jobs outwait the pause in the history of a paused queue

Every fourth job may now wait for 2 s, so that jobs also start from the paused queue after the pause. The check that a history must show something stays.

--- a/packages/trials/src/process/refusal-histories.ts
+++ b/packages/trials/src/process/refusal-histories.ts
@@ -12,6 +12,9 @@
 
 const callers = 30;
 const pauseMilliseconds = 500;
+// Every fourth job may wait for longer than the pause.
+const patientJobs = 4;
+const patientDeadlineMilliseconds = 2000;
 // Longer than the clocks' steps, so that a repeat's start is later than the refusal's end.
 const betweenAttemptsMilliseconds = 5;
 const fewSlots = {slots: 2};
@@ -65,7 +68,10 @@
 	await Promise.all([
 		pause(),
 		disturb(trial),
-		runCallers(trial, callers, 200, async caller => submitUntilRun(trial, shortJob(trial, caller))),
+		runCallers(trial, callers, 200, async caller => {
+			const job = shortJob(trial, caller);
+			await submitUntilRun(trial, caller % patientJobs === 0 ? {...job, deadlineMilliseconds: patientDeadlineMilliseconds} : job);
+		}),
 	]);
 });
 
