--- a/packages/stand-ins/src/process/endpoint-stand-in.ts
+++ b/packages/stand-ins/src/process/endpoint-stand-in.ts
@@ -38,11 +38,13 @@
 };
 
 const defaultRunMilliseconds = 50;
+const okStatus = 200;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /**
 Starts an endpoint that runs as many tasks at once as it has slots, and queues the others.
 
-The path's query says how long a task runs at speed 1 (`run`, in milliseconds), how many bytes it answers (`bytes`) and its name in the history (`task`).
+The path's query says how long a task runs at speed 1 (`run`, in milliseconds), how many bytes it answers (`bytes`), with which status (`status`), and its name in the history (`task`).
 */
 export const startEndpointStandIn = async (address: string, options: {slots: number; speed: number; connections: number}): Promise<EndpointStandIn> => {
 	const starts: EndpointStart[] = [];
@@ -108,7 +110,14 @@
 				return;
 			}
 
-			response.writeHead(200, {'content-type': 'text/plain', 'content-length': Buffer.byteLength(text)});
+			const status = Number(query.get('status') ?? okStatus);
+			if (bodilessStatuses.has(status)) {
+				response.writeHead(status, {etag: `"${task}"`});
+				response.end();
+				return;
+			}
+
+			response.writeHead(status, {'content-type': 'text/plain', 'content-length': Buffer.byteLength(text)});
 			if (standIn.behaviour === EndpointBehaviour.HalfAnswer) {
 				response.write(text.slice(0, text.length / 2));
 				await sleep(1);
