Stop a lender with requests of its own and slots lent

The fourth history of graceful-shutdown passed with the drain off, since only the borrower had requests and those run on without the lender. Now the lender has as many requests of its own as it owns slots, each longer than the announcement, so that some run and some wait for lent slots, and it must show both at the signal.

--- a/packages/trials/src/process/shutdown-histories.ts
+++ b/packages/trials/src/process/shutdown-histories.ts
@@ -1,5 +1,6 @@
 import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {DaemonStatus} from '@galenakeel/model/process/daemon-status.js';
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Violation} from '../request/check-history.js';
 import type {CallerOperation, History} from '../request/history.js';
@@ -17,6 +18,7 @@
 const exitTimeoutMilliseconds = 15_000;
 const readyTimeoutMilliseconds = 15_000;
 const slots = 8;
+const longestQueueMilliseconds = 10_000;
 
 const settings = {
 	peers: {heartbeatMilliseconds: 100},
@@ -123,20 +125,24 @@
 	}
 };
 
+const startBorrowing = (fleet: Fleet, history: History, random: Random): CallerLoad => {
+	const [borrower] = fleet.daemons as [typeof fleet.daemons[0]];
+	return startClosedLoad(fleet, history, {service, instances: [borrower.instance], runMilliseconds: 100}, {callers: slots + 4, mostPauseMilliseconds: 5, random});
+};
+
 /**
-Creates a history in which one daemon has more work than slots and borrows the other's, and one of the two is stopped.
+Stops a daemon that has more work than slots and borrows the other's.
 */
-const stopWhileLent = (position: number): FaultHistory => async (history, random) => {
+const stopBorrower: FaultHistory = async (history, random) => {
 	const fleet = await startShutdownFleet();
 	try {
-		const [borrower] = fleet.daemons as [typeof fleet.daemons[0]];
-		const load = startClosedLoad(fleet, history, {service, instances: [borrower.instance], runMilliseconds: 100}, {callers: slots + 4, mostPauseMilliseconds: 5, random});
+		const load = startBorrowing(fleet, history, random);
 		await sleep(700);
 		const borrowed = fleet.endpoints.at(1)!.standIn.starts().length;
-		const stopped = fleet.daemons[position]!;
-		stopped.signal('SIGTERM');
-		await sleep(stopped === borrower ? announceMilliseconds / 2 : announceMilliseconds * 2);
-		const violations = [...await stopLoads([load]), ...await checkExit(fleet, stopped.instance)];
+		const {signal, instance} = fleet.daemons[0]!;
+		signal('SIGTERM');
+		await sleep(announceMilliseconds / 2);
+		const violations = [...await stopLoads([load]), ...await checkExit(fleet, instance)];
 		collectStarts(fleet, history);
 		return borrowed > 0 ? violations : [...violations, {point: ProvePoint.GracefulShutdown, detail: 'no slot was borrowed before the stop; the history shows nothing'}];
 	} finally {
@@ -144,8 +150,50 @@
 	}
 };
 
-const stopBorrower = stopWhileLent(0);
-const stopLender = stopWhileLent(1);
+/**
+Slots that a daemon has lent and tasks that wait on it.
+*/
+const slotUseOf = async (fleet: Fleet, position: number): Promise<{readonly lent: number; readonly waiting: number}> => {
+	const {services} = await fleet.daemons[position]!.status() as DaemonStatus;
+	return {
+		lent: services.flatMap(({endpoints}) => endpoints).reduce((total, {lent}) => total + lent, 0),
+		waiting: services.reduce((total, {waiting}) => total + waiting, 0),
+	};
+};
+
+/**
+Sends as many requests through a daemon as it owns slots, each longer than the announcement. With some of the slots lent, a part of them has to wait.
+*/
+const sendLong = (fleet: Fleet, history: History, instance: string): ReadonlyArray<Promise<CallerOperation>> => Array.from({length: slots}, async (_, position) => recordSubmission(fleet, history, {
+	identifier: '', service, tasks: [`single-long-${position}`], runMilliseconds: announceMilliseconds * 1.5, instance,
+}));
+
+/**
+Stops a daemon that has lent slots, while requests of its own run on the others and wait for those that it gets back: it keeps its slots until all have their answers, and the borrower goes on.
+*/
+const stopLender: FaultHistory = async (history, random) => {
+	const fleet = await startShutdownFleet();
+	try {
+		await fleet.accept(service, document => ({...document, maximumQueueMilliseconds: longestQueueMilliseconds}));
+		await sleep(inForceMilliseconds);
+		const load = startBorrowing(fleet, history, random);
+		await sleep(700);
+		const {signal, instance} = fleet.daemons[1]!;
+		const long = sendLong(fleet, history, instance);
+		await sleep(random.integer(20, 100));
+		const {lent, waiting} = await slotUseOf(fleet, 1);
+		signal('SIGTERM');
+		const violations = [...checkComplete(await Promise.all(long)), ...await checkExit(fleet, instance)];
+		await sleep(inForceMilliseconds);
+		violations.push(...await stopLoads([load]));
+		collectStarts(fleet, history);
+		return lent > 0 && waiting > 0
+			? violations
+			: [...violations, {point: ProvePoint.GracefulShutdown, detail: `${lent} slots were lent and ${waiting} tasks waited at the stop; the history shows nothing`}];
+	} finally {
+		await fleet.stop();
+	}
+};
 
 /**
 Histories of daemons that are told to stop.
