--- a/packages/trials/src/process/__tests__/prove-submissions.feature
+++ b/packages/trials/src/process/__tests__/prove-submissions.feature
@@ -9,5 +9,5 @@
       | starts-once  | 8         |
       | job-whole    | 2         |
       | whole-answer | 2         |
-      | true-refusal | 4         |
+      | true-refusal | 5         |
       | at-most-once | 3         |
--- a/packages/trials/src/process/answer-histories.ts
+++ b/packages/trials/src/process/answer-histories.ts
@@ -12,6 +12,8 @@
 
 const callers = 12;
 const requestsOfCaller = 6;
+const longJobsOfCaller = 3;
+const longestPauseMilliseconds = 500;
 // Above and below the bound up to which an answer is held before it is passed on.
 const longAnswers = [900_000, 1_500_000, 2_500_000];
 
@@ -86,15 +88,18 @@
 });
 
 /**
-Jobs with long answers are submitted to one instance and repeated at another, while an endpoint fails.
+Jobs with long answers are submitted to one instance and repeated at another, while endpoints fail and afterwards.
 */
 export const longJobHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
 	await Promise.all([
 		disturbEndpoints(trial),
 		runCallers(trial, 6, 200, async caller => {
-			const job = {name: `job-${caller}`, tasks: 3, answerBytes: trial.random.pick(longAnswers)};
-			await trial.submit({...job, instance: trial.random.pick(trial.instances)});
-			await trial.submit({...job, instance: trial.random.pick(trial.instances)});
+			for (let round = 0; round < longJobsOfCaller; round++) {
+				const job = {name: `job-${caller}-${round}`, tasks: 3, answerBytes: trial.random.pick(longAnswers)};
+				await trial.submit({...job, instance: trial.random.pick(trial.instances)});
+				await trial.submit({...job, instance: trial.random.pick(trial.instances)});
+				await trial.wait(longestPauseMilliseconds);
+			}
 		}),
 	]);
 });
