--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -15,7 +15,7 @@
 const otherAddress = '127.0.0.1:8081';
 const lookMilliseconds = 750;
 
-const runTaskOn = (world: GuardWorld, longestMilliseconds: number): void => {
+const runTasksOn = (world: GuardWorld, count: number, longestMilliseconds: number): void => {
 	const running = createRunningTasks();
 	world.runningTasks = running;
 	world.ledger = createSlotLedger(() => undefined);
@@ -24,20 +24,31 @@
 	};
 	world.ledger.install([{...endpoint, address}, {...endpoint, address: otherAddress}], new Map([[address, 8]]), 1);
 	const slots = world.ledger.slotsOf(address)!;
-	world.ledger.take(slots);
-	running.add({
-		slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
-	});
+	for (let task = 0; task < count; task++) {
+		world.ledger.take(slots);
+		running.add({
+			slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
+		});
+	}
+
 	world.guards = createEndpointGuards({
 		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => longestMilliseconds,
 	});
 };
 
 Given('an endpoint on which a task runs that is expected to take {int} ms at most', function (this: GuardWorld, longest: number) {
-	runTaskOn(this, longest);
+	runTasksOn(this, 1, longest);
 });
 
-Given('{int} of {int} tasks on another endpoint run as long', function (this: GuardWorld, overdue: number, running: number) {
+Given('an endpoint on which {int} tasks run that are expected to take {int} ms at most', function (this: GuardWorld, count: number, longest: number) {
+	runTasksOn(this, count, longest);
+});
+
+Given('{int} of {int} tasks run as long on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
+	const {endpoint} = this.ledger.slotsOf(otherAddress)!;
+	this.guards.report({
+		endpoint, kind: '', durationMilliseconds: 100, isSuccess: true,
+	}, lookMilliseconds - 1);
 	for (let number = 0; number < running; number++) {
 		const startedAt = number < overdue ? 0 : lookMilliseconds - 1;
 		this.runningTasks.add({
@@ -46,8 +57,36 @@
 	}
 });
 
+Given('{int} endpoints of which {int} have answered nothing for far longer than their tasks take', function (this: GuardWorld, count: number, silent: number) {
+	const endpoints = Array.from({length: count}, (_, number) => ({
+		name: `worker-${number}`, address: `10.0.0.${number}:80`, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
+	}));
+	this.ledger = createSlotLedger(() => undefined);
+	this.ledger.install(endpoints, new Map(endpoints.map(endpoint => [endpoint.address, 8])), 1);
+	this.runningTasks = createRunningTasks();
+	for (const [number, slots] of [...this.ledger.all()].entries()) {
+		const startedAt = number < silent ? 0 : lookMilliseconds - 1;
+		this.runningTasks.add({
+			slots, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+		});
+	}
+
+	this.guards = createEndpointGuards({
+		ledger: this.ledger, running: this.runningTasks, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => 400,
+	});
+});
+
+When('the guards look at the endpoints', function (this: GuardWorld) {
+	this.guards.sweep(lookMilliseconds);
+});
+
+Then('{int} endpoints are taken for frozen', function (this: GuardWorld, count: number) {
+	const frozen = [...this.ledger.all()].filter(({endpoint}) => this.guards.stateOf(endpoint.address) === GuardState.Open);
+	assert.equal(frozen.length, count);
+});
+
 Given('an endpoint on which a task of unknown size runs', function (this: GuardWorld) {
-	runTaskOn(this, Infinity);
+	runTasksOn(this, 1, Infinity);
 });
 
 When('the guards look at the endpoint after {int} ms', function (this: GuardWorld, now: number) {
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -11,8 +11,10 @@
 /** Times the longest expected run time without any answer after which an endpoint counts as frozen. */
 const frozenFactor = 1.5;
 const frozenMarginMilliseconds = 100;
-/** Share of overdue tasks on the other endpoints above which the tasks are longer than known, rather than an endpoint frozen. */
-const maximumOverdueShare = 0.2;
+/** Share of tasks that are overdue by the definition of the longest run time, a 99th percentile. */
+const expectedOverdueShare = 0.01;
+/** Probability below which it is no chance that every overdue task of an endpoint is merely long. */
+const chanceOfLongTasks = 0.01;
 
 /**
 The circuit breakers of one service's endpoints.
@@ -44,15 +46,17 @@
 	return isTimeout ? AttemptResult.NoAnswer : undefined;
 };
 
-const sumRuns = (runs: Iterable<EndpointRun>): Pick<EndpointRun, 'running' | 'overdue'> => {
+type EndpointEntry = readonly [slots: EndpointSlots, run: EndpointRun];
+
+const overdueShareOf = (entries: readonly EndpointEntry[]): number => {
 	let running = 0;
 	let overdue = 0;
-	for (const run of runs) {
+	for (const [, run] of entries) {
 		running += run.running;
 		overdue += run.overdue;
 	}
 
-	return {running, overdue};
+	return overdue / running;
 };
 
 /**
@@ -117,18 +121,28 @@
 		}
 	};
 
-	const isSilent = ({oldest}: EndpointRun, guard: EndpointGuard, now: number): boolean => {
-		const silentSince = Math.max(oldest.startedAt, guard.answeredAt());
+	const isSilent = ([{endpoint}, {oldest}]: EndpointEntry, now: number): boolean => {
+		const silentSince = Math.max(oldest.startedAt, guardOf(endpoint.address).answeredAt());
 		return now - silentSince > (oldest.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds;
 	};
 
+	/**
+	Tells whether the silence of an endpoint may come from long tasks: none of several answers, or as many tasks are overdue where answers come that those of the endpoint may be long by chance, each on its own.
+	*/
+	const isSilenceOfTasks = ([, {overdue}]: EndpointEntry, answering: readonly EndpointEntry[], silent: number): boolean => {
+		const used = ledger.inUse().length;
+		return answering.length === 0
+			? used > 1 && silent >= used
+			: Math.max(expectedOverdueShare, overdueShareOf(answering)) ** overdue > chanceOfLongTasks;
+	};
+
 	const freezeSilent = (now: number): void => {
-		const runs = running.byEndpoint(now);
-		const all = sumRuns(runs.values());
-		for (const [slots, run] of runs) {
-			const guard = guardOf(slots.endpoint.address);
-			const overdueElsewhere = (all.overdue - run.overdue) / Math.max(1, all.running - run.running);
-			if (guard.state() === GuardState.Closed && overdueElsewhere <= maximumOverdueShare && isSilent(run, guard, now)) {
+		const runs = [...running.byEndpoint(now)];
+		const silent = runs.filter(run => isSilent(run, now));
+		const answering = runs.filter(run => !silent.includes(run));
+		for (const run of silent) {
+			const guard = guardOf(run[0].endpoint.address);
+			if (guard.state() === GuardState.Closed && !isSilenceOfTasks(run, answering, silent.length)) {
 				guard.freeze(now);
 			}
 		}
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -5,18 +5,18 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import type {AdmissionLoad} from './admission.js';
 import {createLongTaskShare, isLongRun} from './long-task-share.js';
+import {expectedSlotsOf, measureSlotCapacity, type SlotCapacity} from './slot-capacity.js';
 import {createSlotDemand} from './slot-demand.js';
 import {isMeasured, type RunEstimates} from './run-estimates.js';
 import type {RunningTasks} from './running-tasks.js';
 import {
-	returningSlotsOf, usableSlotsOf, type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
+	type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
 } from './slot-ledger.js';
+import {createStandingQueue} from './standing-queue.js';
 import {
 	createTaskQueueClass, TaskLength, type TaskQueue, type WaitingOrder, type WaitingTask, type WaitingTaskOptions,
 } from './task-queue.js';
 
-/** Time for which tasks wait without a break before the queue counts as standing. */
-const standingMilliseconds = 2000;
 /** Times the 90th percentile of its kind after which a task counts as long. */
 const overrunFactor = 2;
 
@@ -61,27 +61,6 @@
 	return now >= task.deadlineAt ? FaultKind.DeadlinePassed : undefined;
 };
 
-/**
-What an instance can do for its waiting tasks.
-*/
-type SlotCapacity = {
-	/** Slots that it may use now, and those that it has lent and gets back while tasks wait. */
-	readonly slots: number;
-	readonly meanSpeed: number;
-};
-
-const measureCapacity = (all: readonly EndpointSlots[], speedOf: (slots: EndpointSlots) => number): SlotCapacity => {
-	let slots = 0;
-	let speed = 0;
-	for (const candidate of all) {
-		const count = usableSlotsOf(candidate) + returningSlotsOf(candidate);
-		slots += count;
-		speed += count * speedOf(candidate);
-	}
-
-	return {slots, meanSpeed: slots === 0 ? 1 : speed / slots};
-};
-
 const abandon = (task: WaitingTask, kind: FaultKind): void => {
 	task.abandon(createFault(kind, kind === FaultKind.Cancelled ? 'the submission was cancelled before the task started' : 'the deadline passed before the task started'));
 };
@@ -113,7 +92,7 @@
 	const share = createLongTaskShare();
 	const demand = createSlotDemand();
 	let chosen: {readonly task: WaitingTask; readonly revision: number; readonly slots: EndpointSlots | undefined} | undefined;
-	let emptyAt = performance.now();
+	const queues = {[TaskLength.Short]: createStandingQueue(performance.now()), [TaskLength.Long]: createStandingQueue(performance.now())};
 	let capacity: SlotCapacity | undefined;
 	let started = 0;
 
@@ -164,11 +143,25 @@
 
 	/** Measured anew with each sweep. */
 	const currentCapacity = (): SlotCapacity => {
-		capacity ??= measureCapacity(ledger.inUse(), ({endpoint}) => estimates.speed(endpoint.address, endpoint.speed));
+		capacity ??= measureSlotCapacity(ledger.inUse(), ({endpoint}) => estimates.speed(endpoint.address, endpoint.speed));
 		return capacity;
 	};
 
-	return {
+	/** Work in a millisecond that the slots do which tasks of a length may use. */
+	const capacityFor = (length: TaskLength): number => {
+		const current = currentCapacity();
+		const slots = expectedSlotsOf(current, queues[length].isStanding(performance.now()));
+		return Math.max(1, length === TaskLength.Short ? slots - running.long() : share.limit(slots)) * current.meanSpeed;
+	};
+
+	/** Observes the lengths apart: long tasks that wait for their share of the slots say nothing of the wait of short ones. */
+	const observeQueues = (now: number, {document}: ServiceVersion): void => {
+		for (const length of [TaskLength.Short, TaskLength.Long]) {
+			queues[length].observe(order.work(length) / capacityFor(length), document.maximumQueueMilliseconds, now);
+		}
+	};
+
+	const dispatcher: ServiceDispatcher = {
 		version: options.version,
 		ledger,
 		async withSlot(wanted, use) {
@@ -208,9 +201,7 @@
 				abandon(task, reasonToAbandon(task, now) ?? FaultKind.DeadlinePassed);
 			}
 
-			if (order.size() === 0) {
-				emptyAt = now;
-			}
+			observeQueues(now, dispatcher.version);
 
 			share.observe(running.short() + order.count(TaskLength.Short));
 			demand.observe(ledger.busy() + order.size());
@@ -224,17 +215,15 @@
 		surplus: () => order.size() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - demand.target()))),
 		loadFor(team, kind) {
 			const length = lengthOf(kind);
-			const isShort = length === TaskLength.Short;
-			const {slots, meanSpeed} = currentCapacity();
-			const forLength = isShort ? slots - running.long() : share.limit(slots);
 			return {
-				free: Math.min(ledger.free(), isShort ? Infinity : Math.max(0, longLeft())),
-				capacity: Math.max(1, forLength) * meanSpeed,
+				free: Math.min(ledger.free(), length === TaskLength.Short ? Infinity : Math.max(0, longLeft())),
+				capacity: capacityFor(length),
 				waitingWork: order.work(length),
 				teamWork: order.work(length, team),
 				teamShare: order.shareOf(team),
-				isStanding: performance.now() - emptyAt > standingMilliseconds,
+				isStanding: queues[length].isStanding(performance.now()),
 			};
 		},
 	};
+	return dispatcher;
 };
