Open connections to endpoints ahead of their tasks

Cause: with one task for each connection, each task waited for a handshake and paid for an http.Agent of its own; a profile of the daemon shows connect, close and the agent's bookkeeping at about a fifth of its busy time.

Change: a connection is opened first and then waits for its exchange, so that the pool can hold fresh ones (endpoints.connectionsAhead, 2) within this instance's part of the endpoint's connections. A fresh connection that received bytes, was closed, idled too long or is as old as a failure is not used, and the look comes before the start record. A connection for one task has no agent. A leaving daemon closes what is idle.

Tests: 45 scenarios passed (endpoint-connections, whole-path, submissions, settings, observation). The whole suite was not run.

--- a/packages/galenakeeld/src/connection/endpoint-exchange.ts
+++ b/packages/galenakeeld/src/connection/endpoint-exchange.ts
@@ -1,12 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {
-	request as httpRequest, type Agent, type ClientRequest, type IncomingMessage,
+	request as httpRequest, type ClientRequest, type IncomingMessage, type RequestOptions,
 } from 'node:http';
 import {once} from 'node:events';
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
-import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import type {Deferred} from '@galenakeel/model/request/deferred.js';
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
 import type {HeaderList} from '@galenakeel/model/request/task.js';
@@ -20,6 +19,8 @@
 	readonly path: string;
 	readonly headers: HeaderList;
 	readonly body: Uint8Array | Readable;
+	/** Connections that all entry instances may have open to the endpoint together. */
+	readonly connections: number;
 	readonly timeoutMilliseconds: number;
 	/** Called when the connection stands and before the first byte goes out; a throw keeps the request from being sent. */
 	readonly beforeFirstByte: () => void;
@@ -42,22 +43,6 @@
 */
 export type EndpointExchange = {readonly request: EndpointRequest; readonly answer: Deferred<EndpointAnswer>};
 
-const connectSocket = async (request: ClientRequest, address: string, timeoutMilliseconds: number): Promise<Socket> => {
-	const timer = setTimeout(() => {
-		request.destroy(createFault(FaultKind.EndpointUnreachable, `endpoint ${address} did not accept a connection within ${timeoutMilliseconds} ms`));
-	}, timeoutMilliseconds);
-	try {
-		const [socket] = await once(request, 'socket') as [Socket];
-		if (socket.connecting) {
-			await once(socket, 'connect');
-		}
-
-		return socket;
-	} finally {
-		clearTimeout(timer);
-	}
-};
-
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /**
@@ -79,38 +64,32 @@
 };
 
 /**
-The socket of the last exchange, and how many bytes it had received by its end.
-*/
-export type LastUse = {readonly socket: Socket; readonly bytesRead: number};
-
-/**
-Limits of one exchange, and what the connection carried before it.
+An open connection, as one exchange after the other uses it.
 */
-export type ExchangeLimits = {
-	readonly connectTimeoutMilliseconds: number;
-	/** Longest answer that is held in memory before it is passed on. */
-	readonly bufferedBodyBytes: number;
-	readonly last: LastUse | undefined;
+export type ExchangeConnection = {
+	readonly socket: Socket;
+	/** Bytes that the connection had received when its last exchange ended. */
+	bytesRead: number;
+	/** Makes Node's `http` send a request over the socket. */
+	readonly options: Pick<RequestOptions, 'agent' | 'createConnection'>;
 };
 
 /**
-Refuses a socket that received bytes while no request was under way: what comes next might answer an earlier request.
+Waits for the beginning of the answer; a failure of the request rejects.
 */
-const assertQuiet = (socket: Socket, last: LastUse | undefined, address: string): void => {
-	if (last?.socket === socket && socket.bytesRead !== last.bytesRead) {
-		throw createFault(FaultKind.EndpointUnreachable, `endpoint ${address} sent bytes that no request had asked for`);
-	}
-};
+const nextResponse = async (outgoing: ClientRequest): Promise<IncomingMessage> => new Promise((resolve, reject) => {
+	outgoing.once('response', resolve);
+	outgoing.once('error', reject);
+});
 
 /**
-Performs one request.
+Performs one request over an open connection.
 
-@returns What the next request must know of the connection; `undefined` when it may not carry another.
+@returns Whether the connection may carry another request.
 */
-export const performExchange = async (agent: Agent, address: string, {request: wanted, answer}: EndpointExchange, limits: ExchangeLimits): Promise<LastUse | undefined> => {
-	const [host, port] = splitAddress(address);
+export const performExchange = async (connection: ExchangeConnection, address: string, {request: wanted, answer}: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
 	const outgoing = httpRequest({
-		agent, host, port, method: wanted.method, path: wanted.path, headers: headersForEndpoint(wanted.headers, address, wanted.body), setHost: false,
+		...connection.options, method: wanted.method, path: wanted.path, headers: headersForEndpoint(wanted.headers, address, wanted.body), setHost: false,
 	});
 	let failure: unknown;
 	outgoing.on('error', error => {
@@ -119,32 +98,29 @@
 	let hasStarted = false;
 	let timer: NodeJS.Timeout | undefined;
 	try {
-		const socket = await connectSocket(outgoing, address, limits.connectTimeoutMilliseconds);
-		assertQuiet(socket, limits.last, address);
 		wanted.beforeFirstByte();
 		hasStarted = true;
 		timer = setTimeout(() => {
 			outgoing.destroy(createFault(FaultKind.EndpointTimeout, `endpoint ${address} sent no whole answer within ${Math.round(wanted.timeoutMilliseconds)} ms`));
 		}, wanted.timeoutMilliseconds);
-		const responded = once(outgoing, 'response') as Promise<[IncomingMessage]>;
-		const [[response]] = await Promise.all([responded, sendBody(outgoing, wanted.body)]);
+		const [response] = await Promise.all([nextResponse(outgoing), sendBody(outgoing, wanted.body)]);
 		assertDelimited(response, wanted.method, address);
-		const {chunks, isWhole} = await collectBody(response, limits.bufferedBodyBytes);
+		const {chunks, isWhole} = await collectBody(response, bufferedBodyBytes);
 		answer.resolve({
 			status: response.statusCode!,
 			headers: headerListOf(response.rawHeaders),
-			body: Buffer.concat(chunks),
+			body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
 			...(!isWhole && {rest: response}),
 		});
 		if (!isWhole) {
 			await once(response, 'close');
 		}
 
-		return outgoing.shouldKeepAlive && response.complete ? {socket, bytesRead: socket.bytesRead} : undefined;
+		return outgoing.shouldKeepAlive && response.complete;
 	} catch (error) {
 		outgoing.destroy();
 		answer.reject(faultOf(failure ?? error, address, hasStarted));
-		return undefined;
+		return false;
 	} finally {
 		clearTimeout(timer);
 	}
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -54,6 +54,8 @@
 		maximumAgeMilliseconds: milliseconds.default(60_000),
 		/** Tasks that one connection carries. HTTP/1.1 can't tell a second answer to one task from the answer to the next, so only a back end that never sends one may have more than 1. */
 		tasksPerConnection: z.number().int().min(1).default(1),
+		/** Connections to each endpoint in use that are opened before a task needs them, within this instance's part of the endpoint's connections; 0 opens none ahead. */
+		connectionsAhead: z.number().int().min(0).max(16).default(2),
 	}).superRefine(({maximumIdleMilliseconds, maximumAgeMilliseconds}, context) => {
 		if (maximumIdleMilliseconds > maximumAgeMilliseconds) {
 			context.addIssue({
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -92,7 +92,7 @@
 	const register = createSubmissionRegister(settings.answers);
 	const connections = createEndpointConnections(async (address, nextExchange) => runEndpointConnection(address, nextExchange, {
 		...settings.endpoints, bufferedBodyBytes: settings.limits.bufferedBodyBytes,
-	}), settings.endpoints);
+	}), {...settings.endpoints, instances: () => membership.owners().length});
 
 	const membership = createMembership(self, {
 		missedHeartbeats: settings.peers.missedHeartbeats,
@@ -264,6 +264,7 @@
 			heartbeats.announce();
 			await sleep(farewellMilliseconds);
 			directory.close();
+			connections.close();
 			stopClaimSweep.abort();
 			await stopPeers();
 			stopOperators();
--- a/packages/galenakeeld/src/process/endpoint-connections.ts
+++ b/packages/galenakeeld/src/process/endpoint-connections.ts
@@ -1,31 +1,57 @@
 import {performance} from 'node:perf_hooks';
 import {createDeferred} from '@galenakeel/model/request/deferred.js';
+import type {NextExchange} from '../connection/endpoint-connection.js';
 import type {EndpointAnswer, EndpointExchange, EndpointRequest} from '../connection/endpoint-exchange.js';
 
 /**
-Sends requests to endpoints over connections that are kept for the next request.
+Sends requests to endpoints, each over a connection that no other request is on.
 */
 export type EndpointConnections = {
 	/** @throws A fault of kind `EndpointUnreachable` when no byte went out, `EndpointTimeout` or `EndpointBroken` afterwards, or what `beforeFirstByte` threw. */
 	readonly send: (address: string, request: EndpointRequest) => Promise<EndpointAnswer>;
-	/** Closes connections that have been idle or open for too long. */
+	/** Closes connections that have been idle or open for too long, or that their endpoint has closed. */
 	readonly sweep: () => void;
 	readonly open: () => number;
+	/** Closes the connections that carry no request, and opens no more ahead of requests. */
+	readonly close: () => void;
 };
 
-type IdleConnection = {readonly take: (exchange: EndpointExchange | undefined) => void; readonly openedAt: number; readonly idleSince: number};
-
-type EndpointPool = {idle: IdleConnection[]; open: number; suspectBefore: number};
-
 /**
-Serves one connection until it can carry no further exchange.
+Opens and serves one connection until it can carry no further exchange; throws when it could not be opened.
 */
-export type RunEndpointConnection = (address: string, nextExchange: () => Promise<EndpointExchange | undefined>) => Promise<void>;
+export type RunEndpointConnection = (address: string, nextExchange: NextExchange) => Promise<void>;
 
 /**
-How long a connection is trusted while no task is on it.
+How many connections are open, and how long one is trusted while no request is on it.
 */
-export type EndpointPoolLimits = {readonly maximumIdleMilliseconds: number; readonly maximumAgeMilliseconds: number};
+export type EndpointPoolLimits = {
+	readonly maximumIdleMilliseconds: number;
+	readonly maximumAgeMilliseconds: number;
+	/** Connections to each endpoint in use that are open before a request needs them. */
+	readonly connectionsAhead: number;
+	/** Entry instances that share the connections of an endpoint at present. */
+	readonly instances: () => number;
+};
+
+type IdleConnection = {
+	readonly take: (exchange: EndpointExchange | undefined) => void;
+	readonly isUsable: () => boolean;
+	readonly openedAt: number;
+	readonly idleSince: number;
+};
+
+type EndpointPool = {
+	readonly address: string;
+	/** Requests for which a connection is being opened. */
+	readonly waiting: EndpointExchange[];
+	/** Connections without a request, the one that has been idle longest first. */
+	idle: IdleConnection[];
+	connecting: number;
+	open: number;
+	/** Connections opened before this time on the monotonic clock carry no further request. */
+	suspectBefore: number;
+	isOpeningAhead: boolean;
+};
 
 /**
 Creates the connections to all endpoints of this process, none of them open yet.
@@ -34,17 +60,20 @@
 
 @example
 ```
-const connections = createEndpointConnections(async (address, nextExchange) => runEndpointConnection(address, nextExchange, limits), settings.endpoints);
+const connections = createEndpointConnections(async (address, nextExchange) => runEndpointConnection(address, nextExchange, limits), {...settings.endpoints, instances});
 const answer = await connections.send('10.1.2.3:8080', request);
 ```
 */
 export const createEndpointConnections = (runConnection: RunEndpointConnection, limits: EndpointPoolLimits): EndpointConnections => {
 	const pools = new Map<string, EndpointPool>();
+	let isClosed = false;
 
 	const poolOf = (address: string): EndpointPool => {
 		let pool = pools.get(address);
 		if (!pool) {
-			pool = {idle: [], open: 0, suspectBefore: 0};
+			pool = {
+				address, waiting: [], idle: [], connecting: 0, open: 0, suspectBefore: 0, isOpeningAhead: false,
+			};
 			pools.set(address, pool);
 		}
 
@@ -54,12 +83,13 @@
 	const isTrusted = (pool: EndpointPool, connection: IdleConnection, now: number): boolean =>
 		now - connection.idleSince < limits.maximumIdleMilliseconds
 		&& now - connection.openedAt < limits.maximumAgeMilliseconds
-		&& connection.openedAt >= pool.suspectBefore;
+		&& connection.openedAt >= pool.suspectBefore
+		&& connection.isUsable();
 
 	const takeIdle = (pool: EndpointPool): IdleConnection | undefined => {
 		const now = performance.now();
 		for (;;) {
-			const connection = pool.idle.pop();
+			const connection = pool.idle.shift();
 			if (!connection || isTrusted(pool, connection, now)) {
 				return connection;
 			}
@@ -68,27 +98,58 @@
 		}
 	};
 
-	const openConnection = async (address: string, pool: EndpointPool, first: EndpointExchange): Promise<void> => {
+	const openConnection = async (pool: EndpointPool): Promise<void> => {
 		const openedAt = performance.now();
-		let upcoming: EndpointExchange | undefined = first;
+		let isConnecting = true;
 		pool.open++;
+		pool.connecting++;
+		const endConnecting = (): void => {
+			pool.connecting -= isConnecting ? 1 : 0;
+			isConnecting = false;
+		};
+
 		try {
-			await runConnection(address, async () => {
-				if (upcoming) {
-					const exchange = upcoming;
-					upcoming = undefined;
+			await runConnection(pool.address, async isUsable => {
+				endConnecting();
+				const exchange = pool.waiting.shift();
+				if (exchange ?? isClosed) {
 					return exchange;
 				}
 
 				const next = createDeferred<EndpointExchange | undefined>();
-				pool.idle.push({take: next.resolve, openedAt, idleSince: performance.now()});
+				pool.idle.push({
+					take: next.resolve, isUsable, openedAt, idleSince: performance.now(),
+				});
 				return next.promise;
 			});
+		} catch (error) {
+			endConnecting();
+			// An endpoint that can't be reached may have left the connections silent that are open already.
+			pool.suspectBefore = performance.now();
+			pool.waiting.shift()?.answer.reject(error);
 		} finally {
 			pool.open--;
 		}
 	};
 
+	const maximumConnections = (request: EndpointRequest): number => Math.floor(request.connections / Math.max(1, limits.instances()));
+
+	/** Opens connections for the next requests once those of this turn of the event loop are on their way. */
+	const openAhead = (pool: EndpointPool, request: EndpointRequest): void => {
+		if (pool.isOpeningAhead || pool.idle.length + pool.connecting - pool.waiting.length >= limits.connectionsAhead) {
+			return;
+		}
+
+		pool.isOpeningAhead = true;
+		setImmediate(() => {
+			pool.isOpeningAhead = false;
+			const maximum = isClosed ? 0 : maximumConnections(request);
+			while (pool.open < maximum && pool.idle.length + pool.connecting - pool.waiting.length < limits.connectionsAhead) {
+				void openConnection(pool);
+			}
+		});
+	};
+
 	return {
 		async send(address, request) {
 			const pool = poolOf(address);
@@ -97,9 +158,13 @@
 			if (idle) {
 				idle.take({request, answer});
 			} else {
-				void openConnection(address, pool, {request, answer});
+				pool.waiting.push({request, answer});
+				if (pool.connecting < pool.waiting.length) {
+					void openConnection(pool);
+				}
 			}
 
+			openAhead(pool, request);
 			try {
 				return await answer.promise;
 			} catch (error) {
@@ -112,12 +177,12 @@
 			const now = performance.now();
 			for (const [address, pool] of pools) {
 				const stale = pool.idle.filter(connection => !isTrusted(pool, connection, now));
-				pool.idle = pool.idle.filter(connection => isTrusted(pool, connection, now));
+				pool.idle = pool.idle.filter(connection => !stale.includes(connection));
 				for (const connection of stale) {
 					connection.take(undefined);
 				}
 
-				if (pool.open === 0) {
+				if (pool.open === 0 && !pool.isOpeningAhead) {
 					pools.delete(address);
 				}
 			}
@@ -130,5 +195,13 @@
 
 			return total;
 		},
+		close() {
+			isClosed = true;
+			for (const pool of pools.values()) {
+				for (const connection of pool.idle.splice(0)) {
+					connection.take(undefined);
+				}
+			}
+		},
 	};
 };
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -108,6 +108,7 @@
 			path: task.path,
 			headers: headersOf(task, span),
 			body: task.body,
+			connections: endpoint.connections,
 			timeoutMilliseconds: Math.min(run.version.document.timeoutMilliseconds, Math.max(1, run.deadlineAt - startedAt)),
 			beforeFirstByte() {
 				record.start();
