--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -38,7 +38,9 @@
 
 Given('{int} of {int} tasks run as long on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
 	const {endpoint} = this.ledger.slotsOf(otherAddress)!;
-	this.guards.report({endpoint, kind: '', durationMilliseconds: 100, isSuccess: true}, lookMilliseconds - 1);
+	this.guards.report({
+		endpoint, kind: '', durationMilliseconds: 100, isSuccess: true,
+	}, lookMilliseconds - 1);
 	for (let number = 0; number < running; number++) {
 		const startedAt = number < overdue ? 0 : lookMilliseconds - 1;
 		this.runningTasks.add({
--- a/packages/galenakeeld/src/process/__tests__/peer-watch.feature
+++ b/packages/galenakeeld/src/process/__tests__/peer-watch.feature
@@ -40,6 +40,13 @@
     When nothing of "entry-3" is heard for 100 ms
     Then the slots belong to "entry-1, entry-2, entry-4"
 
+  Scenario: A peer that can't be dialled again and again loses its slots as fast
+    When the stream of "entry-3" ends
+    And nothing of "entry-3" is heard for 200 ms
+    And the stream of "entry-3" ends
+    And nothing of "entry-3" is heard for 200 ms
+    Then the slots belong to "entry-1, entry-2, entry-4"
+
   Scenario: An alarm of a peer has every peer probed
     When "entry-2" raises an alarm
     Then the probes are "entry-2 answer, entry-3 answer, entry-4 answer"
--- a/packages/galenakeeld/src/process/peer-watch.ts
+++ b/packages/galenakeeld/src/process/peer-watch.ts
@@ -134,7 +134,11 @@
 			followWatcher();
 		},
 		suspect(instance) {
-			if (membership.findPeer(instance)?.isReachable) {
+			// Each dial that finds nothing ends a stream too; the time to answer runs from the first.
+			const peer = membership.findPeer(instance);
+			const suspicion = suspicions.get(instance);
+			const isSuspected = suspicion?.stage === SuspicionStage.Final && peer && peer.contactedAt <= suspicion.since;
+			if (peer?.isReachable && !isSuspected) {
 				probe(instance, SuspicionStage.Final, HeartbeatProbe.Answer);
 			}
 		},
--- a/packages/trials/src/process/cost-bed.ts
+++ b/packages/trials/src/process/cost-bed.ts
@@ -9,7 +9,7 @@
 import {acceptDocument, readDocument} from '@galenakeel/model/version/document-store.js';
 import {startEndpointStandIn, type EndpointStandIn} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import {startPlatformStandIn, type PlatformStandIn} from '@galenakeel/stand-ins/process/platform-stand-in.js';
-import {scaleHeartbeatInterval} from 'galenakeeld/process/heartbeat-interval.js';
+import {intervalToOthers} from 'galenakeeld/process/heartbeat-interval.js';
 import {startDaemonProcess, type DaemonProcess} from './daemon-process.js';
 import {startFakePeers, type FakePeers} from './fake-peers.js';
 import {findFreeAddresses} from './free-ports.js';
@@ -21,7 +21,7 @@
 const zone = 'zone-a';
 const exitMilliseconds = 3000;
 const endpointSlots = 64;
-const heartbeatMilliseconds = 500;
+const heartbeatMilliseconds = 800;
 const maximumHeartbeatMilliseconds = 5000;
 
 /**
@@ -37,7 +37,7 @@
 	readonly teams: number;
 	/** Endpoints that run tasks. */
 	readonly runningEndpoints: number;
-	/** Weight of the number of instances in the time between heartbeats, of the daemon and of its peers. */
+	/** Weight of the number of instances in the time between slow heartbeats, of the daemon and of its peers. */
 	readonly heartbeatLoadFactor: number;
 };
 
@@ -101,11 +101,13 @@
 	const running = await Promise.all(endpointAddresses.map(async address => startEndpointStandIn(address, {slots: endpointSlots, speed: 1, connections: 1024})));
 	const client = createPlatformClient(platformAddress, readyMilliseconds);
 	const pulse = createPulseWatch();
+	const slowMilliseconds = intervalToOthers({heartbeatMilliseconds, maximumHeartbeatMilliseconds, heartbeatLoadFactor: size.heartbeatLoadFactor}, size.peers + 1);
 	const peers = startFakePeers({
 		count: size.peers,
 		daemonAddress: peersPort,
 		zone,
-		intervalMilliseconds: scaleHeartbeatInterval({heartbeatMilliseconds, maximumHeartbeatMilliseconds, heartbeatLoadFactor: size.heartbeatLoadFactor}, size.peers + 1),
+		// One peer has the daemon as its watcher.
+		intervalOf: position => position === 0 ? heartbeatMilliseconds : slowMilliseconds,
 		hear: pulse.hear,
 	});
 	platform.setInstances(listInstances(peers, size, {peers: peersPort, operators}));
--- a/packages/trials/src/process/fake-peers.ts
+++ b/packages/trials/src/process/fake-peers.ts
@@ -1,6 +1,6 @@
 import {InstanceRole, ListedState, type ListedInstance} from '@galenakeel/model/connection/platform-client.js';
 import {createPeerCalls, runPeerConnection, type PeerCalls} from 'galenakeeld/connection/peer-connection.js';
-import {createHeartbeatSource} from 'galenakeeld/process/heartbeat-source.js';
+import {createHeartbeatSource, type PacedHeartbeatSource} from 'galenakeeld/process/heartbeat-source.js';
 import {InstanceState, type PeerHeartbeat} from 'galenakeeld/process/membership.js';
 
 const firstPort = 20_000;
@@ -39,15 +39,15 @@
 
 @example
 ```
-const peers = startFakePeers({count: 96, daemonAddress: '127.0.0.1:8001', zone: 'zone-a', intervalMilliseconds: 500, hear: pulse.hear});
+const peers = startFakePeers({count: 96, daemonAddress: '127.0.0.1:8001', zone: 'zone-a', intervalOf: peer => peer === 0 ? 800 : 4800, hear: pulse.hear});
 ```
 */
 export const startFakePeers = (options: {
 	readonly count: number;
 	readonly daemonAddress: string;
 	readonly zone: string;
-	/** Time between the heartbeats of each peer. */
-	readonly intervalMilliseconds: number;
+	/** Time between the heartbeats of a peer by its position. */
+	readonly intervalOf: (peer: number) => number;
 	/** Called with each heartbeat of the daemon and the position of the peer that heard it. */
 	readonly hear: (peer: number, heartbeat: PeerHeartbeat) => void;
 }): FakePeers => {
@@ -55,11 +55,19 @@
 	const allCalls: PeerCalls[] = [];
 	for (let position = 0; position < options.count; position++) {
 		const calls = createPeerCalls(options.daemonAddress);
+		const open: PacedHeartbeatSource[] = [];
 		allCalls.push(calls);
 		void runPeerConnection(calls, {
-			openSource: () => createHeartbeatSource(() => describePeer(position, options.zone, options.intervalMilliseconds)),
+			openSource() {
+				const source = createHeartbeatSource(() => describePeer(position, options.zone, options.intervalOf(position)));
+				open.push(source);
+				return source;
+			},
 			hear(heartbeat) {
 				options.hear(position, heartbeat);
+				if (heartbeat.probe) {
+					open.at(-1)!.announce();
+				}
 			},
 			suspect() {
 				// It dials again.
