Lend slots for teams within their quota before teams over theirs

Cause: shares were fair within an instance, not over the fleet. An instance with 28% of the callers and 17% of the slots could borrow nothing, since every peer was busy with the team over its quota.

Ruled out (trials without sockets, DESIGN.md): assuring the whole quota to the team over it, asking peers that announce nothing free, giving back single idle slots within the budget.

Change: requests for slots and replies name what teams offer; teams over 1.5 times their quota of the fleet get what the others leave, with a reserve that is announced and lent for teams within their quota. Admission counts it. Leases are split into lent and held slots.

--- a/packages/galenakeeld/src/process/__tests__/slot-leases.feature
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.feature
@@ -37,3 +37,8 @@
     When the borrower asks for 6 slots at 0 ms
     Then the borrower finds a slot for a task of 500 ms at 2400 ms
     But the borrower finds none for a task of 500 ms at 2600 ms
+
+  Scenario: Slots that teams over their quota would use are lent for teams within theirs
+    Given the lender needs 5 slots for teams within their quota and the rest for others
+    When the borrower asks for 6 slots at 0 ms, 2 of them for teams within their quota
+    Then the lender may use 6 slots and the borrower 2
--- a/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -2,32 +2,34 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {PlacementPolicy} from '../placement-policy.js';
 import {createChooseEndpoint} from '../choose-endpoint.js';
-import {createSlotLeases, type SlotLeases} from '../slot-leases.js';
+import {createHeldSlots, type HeldSlots} from '../held-slots.js';
+import {createLentSlots, type LentSlots, type SlotRequest} from '../lent-slots.js';
 import {createSlotLedger, type SlotGrant, type SlotLedger} from '../slot-ledger.js';
 
-type Side = {ledger: SlotLedger; leases: SlotLeases};
+type Side = {ledger: SlotLedger; lent: LentSlots; held: HeldSlots};
 
-type LeasesWorld = {lender: Side; borrower: Side; needed: number; isShort: boolean; grants: SlotGrant[]};
+type LeasesWorld = {lender: Side; borrower: Side; needed: number; neededWithinQuota: number; isShort: boolean; grants: SlotGrant[]};
 
 const address = '127.0.0.1:8080';
 const leaseMilliseconds = 3000;
 
-const createSide = (owned: number, surplus: (ledger: SlotLedger) => number, isShort: () => boolean): Side => {
+const createSide = (owned: number, surplus: (ledger: SlotLedger) => number, surplusWithinQuota: (ledger: SlotLedger) => number, isShort: () => boolean): Side => {
 	const ledger = createSlotLedger(() => undefined);
 	ledger.install([{
 		name: 'worker', address, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
 	}], new Map([[address, owned]]), 2);
 	return {
 		ledger,
-		leases: createSlotLeases(ledger, {
-			leaseMilliseconds, surplus: () => surplus(ledger), isShort, onReturn: () => undefined,
+		lent: createLentSlots(ledger, {
+			leaseMilliseconds, surplus: () => surplus(ledger), surplusWithinQuota: () => surplusWithinQuota(ledger), isShort, onReturn: () => undefined,
 		}),
+		held: createHeldSlots(ledger, leaseMilliseconds),
 	};
 };
 
-const exchange = ({lender, borrower}: LeasesWorld, count: number, now: number): void => {
-	const leases = lender.leases.lend('borrower', borrower.leases.needed('lender'), count, now);
-	borrower.leases.hold('lender', leases, now + leaseMilliseconds);
+const exchange = ({lender, borrower}: LeasesWorld, request: SlotRequest, now: number): void => {
+	const leases = lender.lent.lend('borrower', borrower.held.needed('lender'), request, now);
+	borrower.held.hold('lender', leases, now + leaseMilliseconds);
 };
 
 const choose = ({borrower}: LeasesWorld, workMilliseconds: number, now: number): boolean => {
@@ -37,10 +39,11 @@
 
 Given('a lender with {int} slots and a borrower of an endpoint', function (this: LeasesWorld, slots: number) {
 	this.needed = 0;
+	this.neededWithinQuota = 8;
 	this.isShort = false;
 	this.grants = [];
-	this.lender = createSide(slots, ledger => Math.max(0, ledger.free() - this.needed), () => this.isShort);
-	this.borrower = createSide(0, () => 0, () => false);
+	this.lender = createSide(slots, ledger => Math.max(0, ledger.free() - this.needed), ledger => Math.max(0, ledger.free() - this.neededWithinQuota), () => this.isShort);
+	this.borrower = createSide(0, () => 0, () => 0, () => false);
 });
 
 Given('the lender needs {int} slots itself', function (this: LeasesWorld, needed: number) {
@@ -48,11 +51,20 @@
 });
 
 When('the borrower asks for {int} slots at {int} ms', function (this: LeasesWorld, count: number, now: number) {
-	exchange(this, count, now);
+	exchange(this, {count, withinQuota: 0}, now);
+});
+
+Given('the lender needs {int} slots for teams within their quota and the rest for others', function (this: LeasesWorld, needed: number) {
+	this.needed = 8;
+	this.neededWithinQuota = needed;
+});
+
+When('the borrower asks for {int} slots at {int} ms, {int} of them for teams within their quota', function (this: LeasesWorld, count: number, now: number, withinQuota: number) {
+	exchange(this, {count, withinQuota}, now);
 });
 
 When('the borrower renews at {int} ms', function (this: LeasesWorld, now: number) {
-	exchange(this, 0, now);
+	exchange(this, {count: 0, withinQuota: 0}, now);
 });
 
 When('the borrower runs {int} tasks', function (this: LeasesWorld, count: number) {
@@ -73,12 +85,12 @@
 });
 
 When('the borrower gives back what is idle', function (this: LeasesWorld) {
-	this.lender.leases.takeBack('borrower', this.borrower.leases.release('lender'));
+	this.lender.lent.takeBack('borrower', this.borrower.held.release('lender'));
 });
 
 When('{int} ms have passed', function (this: LeasesWorld, now: number) {
-	this.lender.leases.sweep(now);
-	this.borrower.leases.sweep(now);
+	this.lender.lent.sweep(now);
+	this.borrower.held.sweep(now);
 });
 
 Then('the lender may use {int} slots and the borrower {int}', function (this: LeasesWorld, lender: number, borrower: number) {
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -115,7 +115,7 @@
 		weight: membership.weight(),
 		catalogueVersion: catalogue.catalogueVersion(),
 		intervalMilliseconds: scaleHeartbeatInterval(settings.peers, membership.listedPeers().length + 1),
-		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.surplus(), waiting: dispatcher.waiting()})),
+		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.surplusWithinQuota(), waiting: dispatcher.waiting()})),
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
 	const heartbeats = createHeartbeatSource(describeSelf);
@@ -200,7 +200,7 @@
 		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
 		lendSlots: request => lendSlots(dispatchers, request),
 		takeBackSlots({borrower, service, leases}) {
-			dispatchers.serviceOf(service)?.leases.takeBack(borrower, leases);
+			dispatchers.serviceOf(service)?.lent.takeBack(borrower, leases);
 		},
 		documentsAbove: version => ({
 			catalogueVersion: catalogue.catalogueVersion(),
--- a/packages/galenakeeld/src/process/lending-calls.ts
+++ b/packages/galenakeeld/src/process/lending-calls.ts
@@ -3,8 +3,8 @@
 import type {PeerCalls} from '../connection/peer-connection.js';
 import type {Peer} from './membership.js';
 import type {ServiceDispatchers} from './service-dispatchers.js';
-import type {LendReply} from './slot-borrower.js';
-import type {SlotLease} from './slot-leases.js';
+import type {BorrowRequest, LendReply} from './slot-borrower.js';
+import type {SlotLease} from './slot-lease.js';
 
 /** A lender that takes longer is no help to a task that lasts well under a second. */
 const longestCallMilliseconds = 250;
@@ -14,7 +14,7 @@
 */
 export type LendingCalls = {
 	/** Asks a peer to renew leases and to lend more; `undefined` when it does not reply. */
-	readonly borrowSlots: (lender: Peer, service: string, held: readonly SlotLease[], count: number) => Promise<LendReply | undefined>;
+	readonly borrowSlots: (lender: Peer, service: string, request: BorrowRequest) => Promise<LendReply | undefined>;
 	readonly returnSlots: (lender: Peer, service: string, returned: readonly SlotLease[]) => Promise<void>;
 };
 
@@ -31,10 +31,10 @@
 	const borrower = options.instance;
 	const timeoutMilliseconds = Math.min(longestCallMilliseconds, options.callTimeoutMilliseconds);
 	return {
-		async borrowSlots(lender, service, held, count) {
+		async borrowSlots(lender, service, {held, count, withinQuota, teams}) {
 			try {
 				return await options.callsOf(lender.instance)?.borrowSlots({
-					borrower, service, held: [...held], count,
+					borrower, service, held: [...held], count, withinQuota, teams: [...teams],
 				}, timeoutMilliseconds);
 			} catch {
 				return undefined;
@@ -50,14 +50,27 @@
 	};
 };
 
+const nothingLent: BorrowSlotsReply = {
+	leases: [], leaseMilliseconds: 0, stillFree: 0, stillFreeWithinQuota: 0, teams: [],
+};
+
 /**
 Lends slots to a peer that asks for them.
 */
 export const lendSlots = (dispatchers: ServiceDispatchers, request: BorrowSlotsRequest): BorrowSlotsReply => {
 	const dispatched = dispatchers.serviceOf(request.service);
+	if (!dispatched) {
+		return nothingLent;
+	}
+
+	const {lent, loads, dispatcher} = dispatched;
+	const now = performance.now();
+	loads.learn(request.borrower, request.teams, now);
 	return {
-		leases: [...dispatched?.leases.lend(request.borrower, request.held, request.count, performance.now()) ?? []],
-		leaseMilliseconds: dispatched?.leases.leaseMilliseconds ?? 0,
-		stillFree: dispatched?.dispatcher.surplus() ?? 0,
+		leases: [...lent.lend(request.borrower, request.held, request, now)],
+		leaseMilliseconds: lent.leaseMilliseconds,
+		stillFree: dispatcher.surplus(),
+		stillFreeWithinQuota: dispatcher.surplusWithinQuota(),
+		teams: [...loads.largest()],
 	};
 };
--- /dev/null
+++ b/packages/galenakeeld/src/process/lent-slots.ts
@@ -0,0 +1,130 @@
+import {countOf, type SlotLease} from './slot-lease.js';
+import {freeSlotsOf, type EndpointSlots, type SlotLedger} from './slot-ledger.js';
+
+/**
+Slots that a borrower asks for besides those that it holds.
+*/
+export type SlotRequest = {
+	readonly count: number;
+	/** Slots among the count that teams within their quota lack. */
+	readonly withinQuota: number;
+};
+
+/**
+Slots of one service that this instance lends to others. Times are on the monotonic clock, in milliseconds.
+*/
+export type LentSlots = {
+	/**
+	Renews what a borrower holds and lends it further slots.
+
+	While tasks of teams within their quota wait here nothing further is lent, and only the slots on which the borrower runs a task are renewed.
+
+	@returns All leases that the borrower now holds.
+	*/
+	readonly lend: (borrower: string, held: readonly SlotLease[], request: SlotRequest, now: number) => readonly SlotLease[];
+	/** Takes slots back that a borrower no longer needs. */
+	readonly takeBack: (borrower: string, returned: readonly SlotLease[]) => void;
+	/** Ends the leases that have expired; called at a fixed interval. */
+	readonly sweep: (now: number) => void;
+	readonly leaseMilliseconds: number;
+};
+
+type Borrower = {readonly counts: Map<string, number>; until: number};
+
+/**
+Creates the leases that an instance grants on the slots of a ledger.
+
+@param options.surplus Free slots that may be lent for any task.
+@param options.surplusWithinQuota Free slots that may be lent for tasks of teams within their quota.
+@param options.isShort Tells whether tasks of teams within their quota wait on this instance.
+@param options.onReturn Called when lent slots are this instance's own again.
+
+@example
+```
+const lent = createLentSlots(ledger, {leaseMilliseconds: 3000, surplus, surplusWithinQuota, isShort, onReturn: dispatcher.startNext});
+const leases = lent.lend('entry-2', [], {count: 4, withinQuota: 0}, performance.now());
+```
+*/
+export const createLentSlots = (ledger: SlotLedger, options: {
+	readonly leaseMilliseconds: number;
+	readonly surplus: () => number;
+	readonly surplusWithinQuota: () => number;
+	readonly isShort: () => boolean;
+	readonly onReturn: () => void;
+}): LentSlots => {
+	const borrowers = new Map<string, Borrower>();
+
+	const setLent = (borrower: Borrower, endpoint: string, count: number): void => {
+		const slots = ledger.slotsOf(endpoint);
+		const difference = count - countOf(borrower.counts, endpoint);
+		if (slots && difference !== 0) {
+			ledger.change(slots, {lent: Math.max(0, slots.lent + difference)});
+		}
+
+		if (count > 0) {
+			borrower.counts.set(endpoint, count);
+		} else {
+			borrower.counts.delete(endpoint);
+		}
+	};
+
+	const renew = (borrower: Borrower, held: readonly SlotLease[]): void => {
+		const isShort = options.isShort();
+		const kept = new Map(held.map(({endpoint, count, busy}) => [endpoint, isShort ? Math.min(count, busy) : count]));
+		for (const endpoint of new Set([...borrower.counts.keys(), ...kept.keys()])) {
+			setLent(borrower, endpoint, countOf(kept, endpoint));
+		}
+	};
+
+	const lendable = (slots: EndpointSlots): number => Math.min(freeSlotsOf(slots), slots.owned - slots.lent);
+
+	const grant = (borrower: Borrower, count: number): void => {
+		let open = count;
+		for (const slots of ledger.inUse().toSorted((first, second) => lendable(second) - lendable(first))) {
+			const part = Math.min(open, lendable(slots));
+			if (part <= 0) {
+				return;
+			}
+
+			const {address} = slots.endpoint;
+			setLent(borrower, address, countOf(borrower.counts, address) + part);
+			open -= part;
+		}
+	};
+
+	const end = (name: string, borrower: Borrower): void => {
+		for (const endpoint of borrower.counts.keys()) {
+			setLent(borrower, endpoint, 0);
+		}
+
+		borrowers.delete(name);
+	};
+
+	return {
+		leaseMilliseconds: options.leaseMilliseconds,
+		lend(name, held, {count, withinQuota}, now) {
+			const borrower = borrowers.get(name) ?? {counts: new Map<string, number>(), until: 0};
+			borrowers.set(name, borrower);
+			renew(borrower, held);
+			grant(borrower, Math.max(Math.min(count, options.surplus()), Math.min(withinQuota, options.surplusWithinQuota())));
+			borrower.until = now + options.leaseMilliseconds;
+			return [...borrower.counts].map(([endpoint, lentCount]) => ({endpoint, count: lentCount, busy: 0}));
+		},
+		takeBack(name, returned) {
+			const borrower = borrowers.get(name);
+			for (const {endpoint, count} of borrower ? returned : []) {
+				setLent(borrower!, endpoint, Math.max(0, countOf(borrower!.counts, endpoint) - count));
+			}
+
+			options.onReturn();
+		},
+		sweep(now) {
+			for (const [name, borrower] of borrowers) {
+				if (now >= borrower.until) {
+					end(name, borrower);
+					options.onReturn();
+				}
+			}
+		},
+	};
+};
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -5,6 +5,7 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import type {AdmissionLoad} from './admission.js';
 import {createLongTaskShare, isLongRun} from './long-task-share.js';
+import type {SlotRequest} from './lent-slots.js';
 import {createSlotDemand} from './slot-demand.js';
 import {isMeasured, type RunEstimates} from './run-estimates.js';
 import type {RunningTasks} from './running-tasks.js';
@@ -14,6 +15,8 @@
 import {
 	createTaskQueueClass, TaskLength, type TaskQueue, type WaitingOrder, type WaitingTask, type WaitingTaskOptions,
 } from './task-queue.js';
+import {createQuotaReserve, type QuotaReserve} from './quota-reserve.js';
+import type {TeamLoads} from './team-loads.js';
 
 /** Time for which tasks wait without a break before the queue counts as standing. */
 const standingMilliseconds = 2000;
@@ -43,10 +46,16 @@
 	readonly waiting: () => number;
 	/** Tasks that have been given a slot since the process began. */
 	readonly started: () => number;
+	/** Slots that are kept for the teams within their quota. */
+	readonly quotas: QuotaReserve;
+	/** Waiting tasks of the teams within their quota. */
+	readonly waitingWithinQuota: () => number;
 	/** Slots that are missing for the tasks that wait, or that are expected to come. */
-	readonly shortfall: () => number;
+	readonly shortfall: () => SlotRequest;
 	/** Free slots beyond those for the tasks that are expected to come. */
 	readonly surplus: () => number;
+	/** Free slots beyond those for the teams within their quota and the quota of the others. */
+	readonly surplusWithinQuota: () => number;
 	/** What a request of a team meets that holds tasks of a kind. */
 	readonly loadFor: (team: string, kind: string) => AdmissionLoad;
 	/** The version under which slots are owned at present. */
@@ -71,6 +80,7 @@
 @param options.choose Chooses the endpoint of the next task.
 @param options.hasShares Whether a task needs a free slot of this instance, rather than any open endpoint.
 @param options.order Holds the waiting tasks.
+@param options.loads Tells which teams are over their quota.
 @param options.onShortage Called when a task waits because no slot is free.
 
 @example
@@ -83,14 +93,16 @@
 	ledger: SlotLedger;
 	order: WaitingOrder;
 	running: RunningTasks;
+	loads: TeamLoads;
 	estimates: RunEstimates;
 	choose: ChooseEndpoint;
 	hasShares: boolean;
 	onShortage: () => void;
 }): ServiceDispatcher => {
-	const {ledger, order, running, estimates} = options;
+	const {ledger, order, running, estimates, loads} = options;
 	const share = createLongTaskShare();
 	const demand = createSlotDemand();
+	const quotas = createQuotaReserve({ledger, order, loads});
 	let chosen: {readonly task: WaitingTask; readonly revision: number; readonly slots: EndpointSlots | undefined} | undefined;
 	let emptyAt = performance.now();
 	let capacity: number | undefined;
@@ -109,7 +121,7 @@
 	};
 
 	const canStart = (task: WaitingTask): boolean =>
-		(task.length === TaskLength.Short || longLeft() > 0) && choose(task) !== undefined;
+		(task.length === TaskLength.Short || longLeft() > 0) && (!options.hasShares || quotas.mayStart(task.team)) && choose(task) !== undefined;
 
 	const queue = new PQueue<TaskQueue, WaitingTaskOptions>({
 		queueClass: createTaskQueueClass(order, {hasSlot, canStart}),
@@ -131,11 +143,13 @@
 			length: task.length,
 		});
 		const grant = ledger.take(slots);
+		const end = quotas.start(task.team);
 		started++;
 		try {
 			return await use(grant);
 		} finally {
 			remove();
+			end();
 			order.settle(task.team, ((performance.now() - startedAt) * speed) - task.workMilliseconds);
 			grant.release();
 		}
@@ -147,6 +161,8 @@
 		return capacity;
 	};
 
+	const surplus = (): number => order.size() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - demand.target())));
+
 	return {
 		version: options.version,
 		ledger,
@@ -191,16 +207,22 @@
 				emptyAt = now;
 			}
 
-			share.observe(running.short() + order.count(TaskLength.Short));
+			// Teams over their quota have an unbounded number of tasks waiting, which is no need to keep slots for.
+			share.observe(running.short() + quotas.waitingWithin(TaskLength.Short));
 			demand.observe(ledger.busy() + order.size());
+			quotas.sweep();
 		},
+		quotas,
 		waiting: () => order.size(),
+		waitingWithinQuota: () => quotas.waitingWithin(),
 		started: () => started,
 		shortfall() {
 			const waiting = ledger.free() > 0 ? 0 : order.count(TaskLength.Short) + Math.max(0, Math.min(order.count(TaskLength.Long), longLeft()));
-			return Math.max(waiting, Math.ceil(demand.target() - ledger.usable()));
+			const withinQuota = quotas.shortfall();
+			return {count: Math.max(waiting, Math.ceil(demand.target() - ledger.usable()), withinQuota), withinQuota};
 		},
-		surplus: () => order.size() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - demand.target()))),
+		surplus,
+		surplusWithinQuota: () => Math.max(surplus(), quotas.surplus()),
 		loadFor(team, kind) {
 			const length = lengthOf(kind);
 			const isShort = length === TaskLength.Short;
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -8,15 +8,18 @@
 import {PlacementPolicy} from './placement-policy.js';
 import {createChooseEndpoint} from './choose-endpoint.js';
 import {createEndpointGuards, type EndpointGuards} from './endpoint-guards.js';
-import type {Peer} from './membership.js';
+import type {Peer, SlotHint} from './membership.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
 import {createRunEstimates, type RunEstimates} from './run-estimates.js';
 import {createRunningTasks, type RunningTasks} from './running-tasks.js';
 import {createServiceAdmission, type AdmittedSubmission} from './service-admission.js';
-import {createSlotBorrower, type LendReply, type SlotBorrower} from './slot-borrower.js';
-import {createSlotLeases, type SlotLease, type SlotLeases} from './slot-leases.js';
+import {createHeldSlots, type HeldSlots} from './held-slots.js';
+import {createLentSlots, type LentSlots} from './lent-slots.js';
+import type {LendingCalls} from './lending-calls.js';
+import {createSlotBorrower, type SlotBorrower} from './slot-borrower.js';
 import {createServiceDispatcher, type ServiceDispatcher} from './service-dispatcher.js';
 import {createSlotLedger, type EndpointSlots} from './slot-ledger.js';
+import {createTeamLoads, type TeamLoads} from './team-loads.js';
 import {createWaitingOrder} from './waiting-order.js';
 
 /**
@@ -28,7 +31,9 @@
 	readonly running: RunningTasks;
 	readonly guards: EndpointGuards;
 	readonly retries: RetryBudget;
-	readonly leases: SlotLeases;
+	readonly lent: LentSlots;
+	readonly held: HeldSlots;
+	readonly loads: TeamLoads;
 	readonly borrower: SlotBorrower;
 	readonly admit: (version: ServiceVersion, submission: AdmittedSubmission) => SubmissionAnswer | undefined;
 };
@@ -54,6 +59,15 @@
 
 const leaseMilliseconds = 3000;
 
+const sumOf = <Item>(items: Iterable<Item>, measure: (item: Item) => number): number => {
+	let sum = 0;
+	for (const item of items) {
+		sum += measure(item);
+	}
+
+	return sum;
+};
+
 /**
 Creates the dispatchers; there are none until a document is installed.
 
@@ -62,7 +76,7 @@
 @param options.borrowSlots Asks a peer to renew leases and to lend more; `undefined` when it does not reply.
 @param options.returnSlots Gives slots back to a peer.
 */
-export const createServiceDispatchers = (options: {
+export const createServiceDispatchers = (options: LendingCalls & {
 	instance: string;
 	/** Counts the slots of each endpoint that belong to this instance. */
 	countOwnedSlots: typeof countOwnedSlots;
@@ -70,8 +84,6 @@
 	owners: () => readonly SlotOwner[];
 	isLeavingEndpoint: (address: string) => boolean;
 	peers: () => readonly Peer[];
-	borrowSlots: (lender: Peer, service: string, held: readonly SlotLease[], count: number) => Promise<LendReply | undefined>;
-	returnSlots: (lender: Peer, service: string, returned: readonly SlotLease[]) => Promise<void>;
 }): ServiceDispatchers => {
 	const services = new Map<string, DispatchedService>();
 
@@ -94,11 +106,16 @@
 			services.get(service)?.dispatcher.startNext();
 		});
 		const speedOf = ({endpoint}: EndpointSlots): number => estimates.speed(endpoint.address, endpoint.speed);
+		const loads = createTeamLoads({
+			shares: () => dispatcher.version.document.quotas,
+			capacity: () => sumOf(ledger.all(), slots => slots.endpoint.slots * speedOf(slots)),
+		});
 		const dispatcher: ServiceDispatcher = createServiceDispatcher({
 			version,
 			ledger,
 			running,
 			estimates,
+			loads,
 			order: createWaitingOrder(team => dispatcher.version.document.quotas[team]?.share),
 			choose: createChooseEndpoint(options.policy, speedOf, () => performance.now()),
 			hasShares: hasShares(options.policy),
@@ -106,16 +123,27 @@
 				borrower.wake();
 			},
 		});
-		const leases = createSlotLeases(ledger, {
-			leaseMilliseconds, surplus: dispatcher.surplus, isShort: () => dispatcher.waiting() > 0, onReturn: dispatcher.startNext,
+		const lent = createLentSlots(ledger, {
+			leaseMilliseconds,
+			surplus: dispatcher.surplus,
+			surplusWithinQuota: dispatcher.surplusWithinQuota,
+			isShort: () => dispatcher.waitingWithinQuota() > 0,
+			onReturn: dispatcher.startNext,
 		});
+		const held = createHeldSlots(ledger, leaseMilliseconds);
+		const hintOf = (peer: Peer): SlotHint | undefined => peer.hints.find(hint => hint.service === service);
 		const borrower = createSlotBorrower({
-			leases,
+			held,
 			shortfall: dispatcher.shortfall,
+			teams: loads.largest,
+			learn(lender, teams) {
+				loads.learn(lender, teams, performance.now());
+			},
 			started: dispatcher.started,
 			peers: options.peers,
-			hintOf: peer => peer.hints.find(hint => hint.service === service)?.free ?? 0,
-			ask: async (lender, held, count) => options.borrowSlots(lender, service, held, count),
+			hintOf: peer => hintOf(peer)?.free ?? 0,
+			isBusy: peer => loads.over().size > 0 && (hintOf(peer)?.waiting ?? 0) > 0,
+			ask: async (lender, request) => options.borrowSlots(lender, service, request),
 			giveBack: async (lender, returned) => options.returnSlots(lender, service, returned),
 			onBorrowed: dispatcher.startNext,
 		});
@@ -135,9 +163,15 @@
 			running,
 			guards,
 			retries: createRetryBudget(() => dispatcher.version.document.guards.retryBudget),
-			leases,
+			lent,
+			held,
+			loads,
 			borrower,
-			admit: createServiceAdmission({dispatcher, estimates, hasShares: hasShares(options.policy)}),
+			admit: createServiceAdmission({
+				dispatcher: {...dispatcher, loadFor: (team, kind) => dispatcher.quotas.limitLoad(team, dispatcher.loadFor(team, kind))},
+				estimates,
+				hasShares: hasShares(options.policy),
+			}),
 		};
 	};
 
@@ -159,11 +193,14 @@
 		all: () => services,
 		admit(version, submission) {
 			const dispatched = services.get(version.document.service);
-			return dispatched
-				? dispatched.admit(version, submission)
-				: {
+			if (!dispatched) {
+				return {
 					outcome: Outcome.NotRun, answers: [], fault: FaultKind.UnknownService, detail: `no document in force names the service "${version.document.service}"`,
 				};
+			}
+
+			dispatched.loads.offer(submission.team, sumOf(submission.tasks, ({kind}) => dispatched.estimates.ofKind(kind).typical));
+			return dispatched.admit(version, submission);
 		},
 		report(service, attempt) {
 			const dispatched = services.get(service);
@@ -183,12 +220,14 @@
 		},
 		sweep() {
 			const now = performance.now();
-			for (const {dispatcher, leases, guards, borrower} of services.values()) {
+			for (const {dispatcher, lent, held, loads, guards, borrower} of services.values()) {
 				if (hasShares(options.policy)) {
 					guards.sweep(now);
 				}
 
-				leases.sweep(now);
+				lent.sweep(now);
+				held.sweep(now);
+				loads.sweep(now);
 				dispatcher.sweep();
 				dispatcher.startNext();
 				borrower.wake();
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -2,7 +2,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createDeferred} from '@galenakeel/model/request/deferred.js';
 import type {Peer} from './membership.js';
-import type {SlotLease, SlotLeases} from './slot-leases.js';
+import type {HeldSlots} from './held-slots.js';
+import type {SlotRequest} from './lent-slots.js';
+import {sizeOf, type SlotLease} from './slot-lease.js';
+import type {TeamLoad} from './team-loads.js';
 
 /** Requests to peers for each started task; with their replies they are twice as many messages. */
 const requestsPerTask = 0.015;
@@ -17,6 +20,16 @@
 /** Part of a lease that is left when it is renewed. */
 const renewalShare = 0.4;
 
+/**
+What a lender is asked.
+*/
+export type BorrowRequest = SlotRequest & {
+	/** Leases to be renewed; others that the lender has granted are given back. */
+	readonly held: readonly SlotLease[];
+	/** The teams that offer most to this instance for their share. */
+	readonly teams: readonly TeamLoad[];
+};
+
 /**
 What a lender replies.
 */
@@ -26,6 +39,10 @@
 	readonly leaseMilliseconds: number;
 	/** Slots that the lender still has free. */
 	readonly stillFree: number;
+	/** Slots that the lender still has for teams within their quota. */
+	readonly stillFreeWithinQuota: number;
+	/** The teams that offer most to the lender for their share. */
+	readonly teams: readonly TeamLoad[];
 };
 
 /**
@@ -47,30 +64,36 @@
 
 Requests are paid from a budget that grows with the started tasks, so that messages stay in proportion to the work.
 
-@param options.shortfall Slots that are missing for the tasks that wait or are expected.
+@param options.shortfall Slots that are missing for the tasks that wait or are expected, and those of teams within their quota among them.
+@param options.teams What the teams offer to this instance.
+@param options.learn Takes what a lender says of its teams.
 @param options.started Tasks started since the process began.
 @param options.peers Peers with their last hints.
 @param options.hintOf Free slots of a peer by its last heartbeat.
+@param options.isBusy Tells whether a peer may lend for teams within their quota only.
 @param options.ask Asks one peer to renew what is held and to lend more; `undefined` when it does not reply.
 @param options.giveBack Tells one peer that slots are no longer needed.
 
 @example
 ```
-const borrower = createSlotBorrower({leases, shortfall, started, peers, hintOf, ask, giveBack, onBorrowed: dispatcher.startNext});
+const borrower = createSlotBorrower({held, shortfall, teams, learn, started, peers, hintOf, ask, giveBack, onBorrowed: dispatcher.startNext});
 void borrower.run();
 ```
 */
 export const createSlotBorrower = (options: {
-	readonly leases: SlotLeases;
-	readonly shortfall: () => number;
+	readonly held: HeldSlots;
+	readonly shortfall: () => SlotRequest;
+	readonly teams: () => readonly TeamLoad[];
+	readonly learn: (lender: string, teams: readonly TeamLoad[]) => void;
 	readonly started: () => number;
 	readonly peers: () => readonly Peer[];
 	readonly hintOf: (peer: Peer) => number;
-	readonly ask: (lender: Peer, held: readonly SlotLease[], count: number) => Promise<LendReply | undefined>;
+	readonly isBusy: (peer: Peer) => boolean;
+	readonly ask: (lender: Peer, request: BorrowRequest) => Promise<LendReply | undefined>;
 	readonly giveBack: (lender: Peer, returned: readonly SlotLease[]) => Promise<void>;
 	readonly onBorrowed: () => void;
 }): SlotBorrower => {
-	const {leases} = options;
+	const {held: leases} = options;
 	const records = new Map<string, LenderRecord>();
 	let woken = createDeferred<void>();
 	let requests = 0;
@@ -109,16 +132,19 @@
 		return record.learnedAt > peer.heardAt ? record.free : options.hintOf(peer);
 	};
 
-	const candidates = (): readonly Peer[] => {
+	/**
+	Peers to ask, the one with the most free slots first. One with waiting tasks lends only for teams within their quota.
+	*/
+	const candidates = (shortfall: SlotRequest): readonly Peer[] => {
 		const now = performance.now();
 		return options.peers()
-			.filter(peer => peer.isReachable && recordOf(peer).askAt <= now && freeOf(peer) > 0)
+			.filter(peer => peer.isReachable && recordOf(peer).askAt <= now && freeOf(peer) > 0 && (shortfall.withinQuota > 0 || !options.isBusy(peer)))
 			.toSorted((first, second) => freeOf(second) - freeOf(first));
 	};
 
 	const learn = (lender: Peer, reply: LendReply | undefined, isGranted: boolean): void => {
 		const record = recordOf(lender);
-		record.free = reply?.stillFree ?? 0;
+		record.free = reply?.stillFreeWithinQuota ?? 0;
 		record.learnedAt = performance.now();
 		if (isGranted) {
 			record.backOffMilliseconds = firstBackOffMilliseconds;
@@ -128,27 +154,26 @@
 		}
 	};
 
-	const sizeOf = (held: readonly SlotLease[]): number => held.reduce((sum, {count}) => sum + count, 0);
-
-	const askOnce = async (lender: Peer, count: number): Promise<void> => {
+	const askOnce = async (lender: Peer, wanted: SlotRequest): Promise<void> => {
 		pay();
 		const held = leases.needed(lender.instance);
 		const sentAt = performance.now();
-		const reply = await options.ask(lender, held, count);
+		const reply = await options.ask(lender, {...wanted, held, teams: options.teams()});
 		if (reply) {
 			leases.hold(lender.instance, reply.leases, sentAt + reply.leaseMilliseconds);
+			options.learn(lender.instance, reply.teams);
 			options.onBorrowed();
 		}
 
-		if (count > 0) {
+		if (wanted.count > 0) {
 			learn(lender, reply, reply !== undefined && sizeOf(reply.leases) > sizeOf(held));
 		}
 	};
 
 	const borrow = async (): Promise<void> => {
-		for (const lender of candidates()) {
+		for (const lender of candidates(options.shortfall())) {
 			const shortfall = options.shortfall();
-			if (shortfall === 0 || saved < 1) {
+			if (shortfall.count === 0 || saved < 1 || (shortfall.withinQuota === 0 && options.isBusy(lender))) {
 				return;
 			}
 
@@ -183,7 +208,7 @@
 	return {
 		wake() {
 			// Without a shortfall or a holding there is nothing to do, and there may be hundreds of services.
-			if (options.shortfall() > 0 || leases.lenders().length > 0) {
+			if (options.shortfall().count > 0 || leases.lenders().length > 0) {
 				woken.resolve();
 			}
 		},
--- a/packages/galenakeeld/src/process/slot-demand.ts
+++ b/packages/galenakeeld/src/process/slot-demand.ts
@@ -1,6 +1,5 @@
 const smoothing = 0.03;
-/** Slots kept beyond the mean need, in standard deviations of a Poisson process. */
-const reserveDeviations = 0.5;
+const usualDeviations = 0.5;
 
 /**
 The number of slots that the tasks of one service need on this instance.
@@ -8,8 +7,8 @@
 export type SlotDemand = {
 	/** Takes the number of tasks that run or wait; called at a fixed interval. */
 	readonly observe: (tasks: number) => void;
-	/** Slots to have for the tasks to come. */
-	readonly target: () => number;
+	/** Slots to have for the tasks to come, with a reserve in standard deviations of a Poisson process. */
+	readonly target: (deviations?: number) => number;
 };
 
 /**
@@ -28,6 +27,6 @@
 		observe(tasks) {
 			mean += smoothing * (tasks - mean);
 		},
-		target: () => mean + (reserveDeviations * Math.sqrt(mean)),
+		target: (deviations = usualDeviations) => mean + (deviations * Math.sqrt(mean)),
 	};
 };
--- a/packages/galenakeeld/src/process/task-queue.ts
+++ b/packages/galenakeeld/src/process/task-queue.ts
@@ -58,6 +58,8 @@
 	/** Removes a task that `peek` returned. */
 	readonly take: (item: WaitingItem) => void;
 	readonly size: () => number;
+	/** Waiting tasks of a team, of one length or of all. */
+	readonly countOf: (team: string, length?: TaskLength) => number;
 	/** Waiting tasks of a length. */
 	readonly count: (length: TaskLength) => number;
 	/** Expected run time of the waiting tasks of a length at speed 1, in milliseconds; of one team or of all. */
--- a/packages/galenakeeld/src/process/waiting-order.ts
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -144,6 +144,15 @@
 			}
 		},
 		size: () => totals[TaskLength.Short].count + totals[TaskLength.Long].count,
+		countOf(team, length) {
+			const lanes = waiting.get(nameOf(team))?.lanes;
+			let count = 0;
+			for (const each of lanes ? lengths : []) {
+				count += length === undefined || each === length ? lanes![each].heap.size() : 0;
+			}
+
+			return count;
+		},
 		count: length => totals[length].count,
 		work: (length, team) => team === undefined ? totals[length].work : teams.get(nameOf(team))?.lanes[length].work ?? 0,
 		shareOf(team) {
