--- a/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
@@ -82,6 +82,7 @@
 		operatorAddress: '',
 		peerAddress: '',
 		heardAt: performance.now(),
+		contactedAt: performance.now(),
 		isReachable: true,
 	};
 };
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -1,9 +1,11 @@
+import type {GuardStatus} from '@galenakeel/model/process/daemon-status.js';
+import {GuardReason, GuardState} from '@galenakeel/model/process/guard-state.js';
 import {FaultKind} from '@galenakeel/model/request/fault.js';
 import type {AttemptReport} from '../request/run-task.js';
 import {
-	AttemptResult, createEndpointGuard, GuardReason, GuardState, type EndpointGuard, type GuardLimits,
+	AttemptResult, createEndpointGuard, type EndpointGuard, type GuardLimits,
 } from './endpoint-guard.js';
-import type {RunningTasks} from './running-tasks.js';
+import type {EndpointRun, RunningTasks} from './running-tasks.js';
 import type {EndpointSlots, SlotLedger} from './slot-ledger.js';
 
 /** Share of a service's endpoints with server errors above which the tasks are at fault rather than the endpoints. */
@@ -11,6 +13,10 @@
 /** Times the longest expected run time without any answer after which an endpoint counts as frozen. */
 const frozenFactor = 1.5;
 const frozenMarginMilliseconds = 100;
+/** Share of tasks that are overdue by the definition of the longest run time, a 99th percentile. */
+const expectedOverdueShare = 0.01;
+/** Probability below which it is no chance that every overdue task of an endpoint is merely long. */
+const chanceOfLongTasks = 0.01;
 
 /**
 The circuit breakers of one service's endpoints.
@@ -20,7 +26,8 @@
 	readonly report: (attempt: AttemptReport, now: number) => void;
 	/** Looks for frozen endpoints and for probes that are due. */
 	readonly sweep: (now: number) => void;
-	readonly stateOf: (address: string) => GuardState;
+	/** State of an endpoint's breaker, and why it is not closed. */
+	readonly statusOf: (address: string) => GuardStatus;
 };
 
 /**
@@ -42,6 +49,19 @@
 	return isTimeout ? AttemptResult.NoAnswer : undefined;
 };
 
+type EndpointEntry = readonly [slots: EndpointSlots, run: EndpointRun];
+
+const overdueShareOf = (entries: readonly EndpointEntry[]): number => {
+	let running = 0;
+	let overdue = 0;
+	for (const [, run] of entries) {
+		running += run.running;
+		overdue += run.overdue;
+	}
+
+	return overdue / running;
+};
+
 /**
 Creates circuit breakers that keep the limits of the ledger's endpoints.
 
@@ -104,11 +124,28 @@
 		}
 	};
 
+	const isSilent = ([{endpoint}, {oldest}]: EndpointEntry, now: number): boolean => {
+		const silentSince = Math.max(oldest.startedAt, guardOf(endpoint.address).answeredAt());
+		return now - silentSince > (oldest.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds;
+	};
+
+	/**
+	Tells whether the silence of an endpoint may come from long tasks: none of several answers, or as many tasks are overdue where answers come that those of the endpoint may be long by chance, each on its own.
+	*/
+	const isSilenceOfTasks = ([, {overdue}]: EndpointEntry, answering: readonly EndpointEntry[], silent: number): boolean => {
+		const used = ledger.inUse().length;
+		return answering.length === 0
+			? used > 1 && silent >= used
+			: Math.max(expectedOverdueShare, overdueShareOf(answering)) ** overdue > chanceOfLongTasks;
+	};
+
 	const freezeSilent = (now: number): void => {
-		for (const [slots, task] of running.oldest()) {
-			const guard = guardOf(slots.endpoint.address);
-			const silentSince = Math.max(task.startedAt, guard.answeredAt());
-			if (guard.state() === GuardState.Closed && now - silentSince > (task.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds) {
+		const runs = [...running.byEndpoint(now)];
+		const silent = runs.filter(run => isSilent(run, now));
+		const answering = runs.filter(run => !silent.includes(run));
+		for (const run of silent) {
+			const guard = guardOf(run[0].endpoint.address);
+			if (guard.state() === GuardState.Closed && !isSilenceOfTasks(run, answering, silent.length)) {
 				guard.freeze(now);
 			}
 		}
@@ -132,6 +169,10 @@
 				apply(address, guard);
 			}
 		},
-		stateOf: address => guards.get(address)?.state() ?? GuardState.Closed,
+		statusOf(address) {
+			const guard = guards.get(address);
+			const state = guard?.state() ?? GuardState.Closed;
+			return state === GuardState.Closed ? {state} : {state, reason: guard!.reason()};
+		},
 	};
 };
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -6,20 +6,20 @@
 import type {AdmissionLoad} from './admission.js';
 import {createLongTaskShare, isLongRun} from './long-task-share.js';
 import type {SlotRequest} from './lent-slots.js';
+import {expectedSlotsOf, measureSlotCapacity, type SlotCapacity} from './slot-capacity.js';
 import {createSlotDemand} from './slot-demand.js';
 import {isMeasured, type RunEstimates} from './run-estimates.js';
 import type {RunningTasks} from './running-tasks.js';
 import {
-	usableSlotsOf, type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
+	type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
 } from './slot-ledger.js';
+import {createStandingQueue} from './standing-queue.js';
 import {
 	createTaskQueueClass, TaskLength, type TaskQueue, type WaitingOrder, type WaitingTask, type WaitingTaskOptions,
 } from './task-queue.js';
 import {createQuotaReserve, type QuotaReserve} from './quota-reserve.js';
 import type {TeamLoads} from './team-loads.js';
 
-/** Time for which tasks wait without a break before the queue counts as standing. */
-const standingMilliseconds = 2000;
 /** Times the 90th percentile of its kind after which a task counts as long. */
 const overrunFactor = 2;
 
@@ -104,8 +104,8 @@
 	const demand = createSlotDemand();
 	const quotas = createQuotaReserve({ledger, order, loads});
 	let chosen: {readonly task: WaitingTask; readonly revision: number; readonly slots: EndpointSlots | undefined} | undefined;
-	let emptyAt = performance.now();
-	let capacity: number | undefined;
+	const queues = {[TaskLength.Short]: createStandingQueue(performance.now()), [TaskLength.Long]: createStandingQueue(performance.now())};
+	let capacity: SlotCapacity | undefined;
 	let started = 0;
 
 	const longLeft = (): number => options.hasShares ? share.limit(ledger.usable()) - running.long() : Infinity;
@@ -155,15 +155,29 @@
 		}
 	};
 
-	/** Work that the usable slots do in a millisecond; measured anew with each sweep. */
-	const currentCapacity = (): number => {
-		capacity ??= ledger.inUse().reduce((sum, slots) => sum + (usableSlotsOf(slots) * estimates.speed(slots.endpoint.address, slots.endpoint.speed)), 0);
+	/** Measured anew with each sweep. */
+	const currentCapacity = (): SlotCapacity => {
+		capacity ??= measureSlotCapacity(ledger.inUse(), ({endpoint}) => estimates.speed(endpoint.address, endpoint.speed));
 		return capacity;
 	};
 
 	const surplus = (): number => order.size() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - demand.target())));
 
-	return {
+	/** Work in a millisecond that the slots do which tasks of a length may use. */
+	const capacityFor = (length: TaskLength): number => {
+		const current = currentCapacity();
+		const slots = expectedSlotsOf(current, queues[length].isStanding(performance.now()));
+		return Math.max(1, length === TaskLength.Short ? slots - running.long() : share.limit(slots)) * current.meanSpeed;
+	};
+
+	/** Observes the lengths apart: long tasks that wait for their share of the slots say nothing of the wait of short ones. */
+	const observeQueues = (now: number, {document}: ServiceVersion): void => {
+		for (const length of [TaskLength.Short, TaskLength.Long]) {
+			queues[length].observe(order.work(length) / capacityFor(length), document.maximumQueueMilliseconds, now);
+		}
+	};
+
+	const dispatcher: ServiceDispatcher = {
 		version: options.version,
 		ledger,
 		async withSlot(wanted, use) {
@@ -203,9 +217,7 @@
 				abandon(task, reasonToAbandon(task, now) ?? FaultKind.DeadlinePassed);
 			}
 
-			if (order.size() === 0) {
-				emptyAt = now;
-			}
+			observeQueues(now, dispatcher.version);
 
 			// Teams over their quota have an unbounded number of tasks waiting, which is no need to keep slots for.
 			share.observe(running.short() + quotas.waitingWithin(TaskLength.Short));
@@ -225,18 +237,15 @@
 		surplusWithinQuota: () => Math.max(surplus(), quotas.surplus()),
 		loadFor(team, kind) {
 			const length = lengthOf(kind);
-			const isShort = length === TaskLength.Short;
-			const usable = ledger.usable();
-			const slots = isShort ? usable - running.long() : share.limit(usable);
-			const slotCapacity = usable === 0 ? 1 : currentCapacity() / usable;
 			return {
-				free: Math.min(ledger.free(), isShort ? Infinity : Math.max(0, longLeft())),
-				capacity: Math.max(1, slots) * slotCapacity,
+				free: Math.min(ledger.free(), length === TaskLength.Short ? Infinity : Math.max(0, longLeft())),
+				capacity: capacityFor(length),
 				waitingWork: order.work(length),
 				teamWork: order.work(length, team),
 				teamShare: order.shareOf(team),
-				isStanding: performance.now() - emptyAt > standingMilliseconds,
+				isStanding: queues[length].isStanding(performance.now()),
 			};
 		},
 	};
+	return dispatcher;
 };
