--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -200,7 +200,7 @@
 Given('a peer has borrowed {int} slots', function (this: LoadWorld, count: number) {
 	this.dispatchers = createDispatchers();
 	this.dispatchers.install(this.version);
-	this.dispatchers.serviceOf(service)!.leases.lend('entry-2', [], count, performance.now());
+	this.dispatchers.serviceOf(service)!.lent.lend('entry-2', [], {count, withinQuota: 0}, performance.now());
 	assert.equal(this.dispatchers.serviceOf(service)!.dispatcher.ledger.usable(), slots - count);
 });
 
--- a/packages/galenakeeld/src/process/contact-by-lending.ts
+++ b/packages/galenakeeld/src/process/contact-by-lending.ts
@@ -12,8 +12,8 @@
 */
 export const contactByLending = (calls: LendingCalls, onContact: (instance: string) => void): LendingCalls => ({
 	...calls,
-	async borrowSlots(lender, service, held, count) {
-		const reply = await calls.borrowSlots(lender, service, held, count);
+	async borrowSlots(lender, service, request) {
+		const reply = await calls.borrowSlots(lender, service, request);
 		if (reply) {
 			onContact(lender.instance);
 		}
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -132,7 +132,7 @@
 		state: membership.state(),
 		weight: membership.weight(),
 		catalogueVersion: catalogue.catalogueVersion(),
-		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.surplus(), waiting: dispatcher.waiting()})),
+		hints: [...dispatchers.all()].map(([service, {dispatcher}]) => ({service, free: dispatcher.surplusWithinQuota(), waiting: dispatcher.waiting()})),
 		leavingEndpoints: membership.leavingEndpoints(),
 	});
 	const heartbeats = createPeerHeartbeats({
@@ -232,7 +232,7 @@
 		},
 		takeBackSlots({borrower, service, leases}) {
 			contact(borrower);
-			dispatchers.serviceOf(service)?.leases.takeBack(borrower, leases);
+			dispatchers.serviceOf(service)?.lent.takeBack(borrower, leases);
 		},
 		documentsAbove: version => ({
 			catalogueVersion: catalogue.catalogueVersion(),
