--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -40,10 +40,10 @@
 const slots = 40;
 const sweepMilliseconds = 20;
 const submission = {deadlineMilliseconds: 5000};
-const seed = 7;
+const defaultSeed = 7;
 
 // The minimal standard generator of Park and Miller (1988).
-const createRandom = (): (() => number) => {
+const createRandom = (seed: number): (() => number) => {
 	let state = seed;
 	return () => {
 		state = (state * 48_271) % 2_147_483_647;
@@ -172,7 +172,12 @@
 	this.nextFailing = [];
 	this.records = [];
 	this.phaseStarts = [];
-	this.random = createRandom();
+	this.failing = new Set();
+	this.random = createRandom(defaultSeed);
+});
+
+Given('the seed {int}', function (this: LoadWorld, seed: number) {
+	this.random = createRandom(seed);
 });
 
 When('tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity', function (this: LoadWorld, milliseconds: number, share: number) {
@@ -192,6 +197,23 @@
 	plan(this, milliseconds, [shortLoad(share), longLoad]);
 });
 
+Given('a peer has borrowed {int} slots', function (this: LoadWorld, count: number) {
+	this.dispatchers = createDispatchers();
+	this.dispatchers.install(this.version);
+	this.dispatchers.serviceOf(service)!.leases.lend('entry-2', [], count, performance.now());
+	assert.equal(this.dispatchers.serviceOf(service)!.dispatcher.ledger.usable(), slots - count);
+});
+
+When('{int} requests arrive at once', function (this: LoadWorld, count: number) {
+	for (let request = 0; request < count; request++) {
+		arrive(this, shortLoad(1));
+	}
+});
+
+Then('none is refused', function (this: LoadWorld) {
+	assert.deepEqual(this.records.filter(({isRefused}) => isRefused), []);
+});
+
 When('endpoint {int} fails all that it starts', function (this: LoadWorld, endpoint: number) {
 	this.nextFailing = [`10.0.0.${endpoint}:80`];
 });
