End a request at its time-out even when its connection reports nothing

Node's ClientRequest reports neither a response nor an error when its socket was destroyed before the request began, also after destroy(error), so a request that met this would have kept its caller and its slot for ever.

Ruled out as a case of today: the look and the start are in one turn of the event loop. Nothing guards that, so the time-out now ends the wait itself.

--- a/packages/galenakeeld/src/connection/endpoint-exchange.ts
+++ b/packages/galenakeeld/src/connection/endpoint-exchange.ts
@@ -6,7 +6,7 @@
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
-import type {Deferred} from '@galenakeel/model/request/deferred.js';
+import {createDeferred, type Deferred} from '@galenakeel/model/request/deferred.js';
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
 import type {HeaderList} from '@galenakeel/model/request/task.js';
 import {collectBody, headersForEndpoint, headerListOf} from './http-encoding.js';
@@ -82,12 +82,33 @@
 	outgoing.once('error', reject);
 });
 
+/**
+Sends a request and hands over its answer; resolves once the connection is free again.
+*/
+const exchangeOver = async (outgoing: ClientRequest, address: string, {request: wanted, answer}: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
+	const [response] = await Promise.all([nextResponse(outgoing), sendBody(outgoing, wanted.body)]);
+	assertDelimited(response, wanted.method, address);
+	const {chunks, isWhole} = await collectBody(response, bufferedBodyBytes);
+	answer.resolve({
+		status: response.statusCode!,
+		headers: headerListOf(response.rawHeaders),
+		body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+		...(!isWhole && {rest: response}),
+	});
+	if (!isWhole) {
+		await once(response, 'close');
+	}
+
+	return outgoing.shouldKeepAlive && response.complete;
+};
+
 /**
 Performs one request over an open connection.
 
 @returns Whether the connection may carry another request.
 */
-export const performExchange = async (connection: ExchangeConnection, address: string, {request: wanted, answer}: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
+export const performExchange = async (connection: ExchangeConnection, address: string, exchange: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
+	const {request: wanted, answer} = exchange;
 	const outgoing = httpRequest({
 		...connection.options, method: wanted.method, path: wanted.path, headers: headersForEndpoint(wanted.headers, address, wanted.body), setHost: false,
 	});
@@ -95,28 +116,19 @@
 	outgoing.on('error', error => {
 		failure ??= error;
 	});
+	const timeout = createDeferred<never>();
 	let hasStarted = false;
 	let timer: NodeJS.Timeout | undefined;
 	try {
 		wanted.beforeFirstByte();
 		hasStarted = true;
 		timer = setTimeout(() => {
-			outgoing.destroy(createFault(FaultKind.EndpointTimeout, `endpoint ${address} sent no whole answer within ${Math.round(wanted.timeoutMilliseconds)} ms`));
+			const fault = createFault(FaultKind.EndpointTimeout, `endpoint ${address} sent no whole answer within ${Math.round(wanted.timeoutMilliseconds)} ms`);
+			outgoing.destroy(fault);
+			// A request whose connection was closed before it began reports no error of its own.
+			timeout.reject(fault);
 		}, wanted.timeoutMilliseconds);
-		const [response] = await Promise.all([nextResponse(outgoing), sendBody(outgoing, wanted.body)]);
-		assertDelimited(response, wanted.method, address);
-		const {chunks, isWhole} = await collectBody(response, bufferedBodyBytes);
-		answer.resolve({
-			status: response.statusCode!,
-			headers: headerListOf(response.rawHeaders),
-			body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
-			...(!isWhole && {rest: response}),
-		});
-		if (!isWhole) {
-			await once(response, 'close');
-		}
-
-		return outgoing.shouldKeepAlive && response.complete;
+		return await Promise.race([exchangeOver(outgoing, address, exchange, bufferedBodyBytes), timeout.promise]);
 	} catch (error) {
 		outgoing.destroy();
 		answer.reject(faultOf(failure ?? error, address, hasStarted));
--- a/packages/galenakeeld/src/process/__tests__/endpoint-connections.feature
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-connections.feature
@@ -48,3 +48,8 @@
     And the endpoint ends
     And another task is sent
     Then the other task was not started, and its endpoint counts as unreachable
+
+  Scenario: A request on a connection that has just closed ends with its time-out
+    Given an endpoint, and connections with 0 opened ahead within a part of 8
+    When a request is sent over a connection that is closed already, with a time-out of 100 ms
+    Then it ends within 1000 ms with a fault
--- a/packages/galenakeeld/src/process/__tests__/endpoint-connections.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-connections.steps.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import {connect, type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {FaultKind, isFault} from '@galenakeel/model/request/fault.js';
+import {createDeferred, type Deferred} from '@galenakeel/model/request/deferred.js';
 import {runEndpointConnection} from '../../connection/endpoint-connection.js';
+import {performExchange, type EndpointAnswer} from '../../connection/endpoint-exchange.js';
 import {createEndpointConnections, type EndpointConnections} from '../endpoint-connections.js';
 
 const momentMilliseconds = 50;
@@ -27,6 +29,7 @@
 	mostOpen: number;
 	sent: number;
 	tasks: SentTask[];
+	answer: Deferred<EndpointAnswer>;
 };
 
 const idleSockets = ({openedAt, socketsOfTasks}: World): readonly Socket[] => {
@@ -184,3 +187,21 @@
 	assert.equal(hasStarted, false);
 	assert.equal(fault, FaultKind.EndpointUnreachable);
 });
+
+When('a request is sent over a connection that is closed already, with a time-out of {int} ms', async function (this: World, timeoutMilliseconds: number) {
+	const {port} = this.server.address() as AddressInfo;
+	const socket = connect({port, host: '127.0.0.1'});
+	await once(socket, 'connect');
+	socket.destroy();
+	await once(socket, 'close');
+	this.answer = createDeferred<EndpointAnswer>();
+	const request = {
+		method: 'GET', path: '/', headers: [], body: new Uint8Array(), connections: 1, timeoutMilliseconds, beforeFirstByte: () => undefined,
+	};
+	void performExchange({socket, bytesRead: 0, options: {createConnection: () => socket}}, this.address, {request, answer: this.answer}, bufferedBodyBytes);
+});
+
+Then('it ends within {int} ms with a fault', async function (this: World, milliseconds: number) {
+	const ended = Promise.race([this.answer.promise, sleep(milliseconds, 'nothing came')]);
+	await assert.rejects(ended, isFault);
+});
