Drop the free slots that no borrower reads, and ask the next lender when one is busy

Cause: the reply to a borrow request carried the free slots twice since lending follows the quotas, and only one of them was read; a busy lender ended the round instead of being passed over.

The round goes on. fleet-fairness (1 passed, the known red as before), slot-leases 7 and service-dispatchers 8 scenarios passed.

--- a/packages/galenakeeld/src/process/lending-calls.ts
+++ b/packages/galenakeeld/src/process/lending-calls.ts
@@ -51,7 +51,7 @@
 };
 
 const nothingLent: BorrowSlotsReply = {
-	leases: [], leaseMilliseconds: 0, stillFree: 0, stillFreeWithinQuota: 0, teams: [],
+	leases: [], leaseMilliseconds: 0, stillFree: 0, teams: [],
 };
 
 /**
@@ -69,8 +69,7 @@
 	return {
 		leases: [...lent.lend(request.borrower, request.held, request, now)],
 		leaseMilliseconds: lent.leaseMilliseconds,
-		stillFree: dispatcher.surplus(),
-		stillFreeWithinQuota: dispatcher.surplusWithinQuota(),
+		stillFree: dispatcher.surplusWithinQuota(),
 		teams: [...loads.largest()],
 	};
 };
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -37,10 +37,8 @@
 	/** All leases that this instance now holds from the lender. */
 	readonly leases: readonly SlotLease[];
 	readonly leaseMilliseconds: number;
-	/** Slots that the lender still has free. */
-	readonly stillFree: number;
 	/** Slots that the lender still has for teams within their quota. */
-	readonly stillFreeWithinQuota: number;
+	readonly stillFree: number;
 	/** The teams that offer most to the lender for their share. */
 	readonly teams: readonly TeamLoad[];
 };
@@ -144,7 +142,7 @@
 
 	const learn = (lender: Peer, reply: LendReply | undefined, isGranted: boolean): void => {
 		const record = recordOf(lender);
-		record.free = reply?.stillFreeWithinQuota ?? 0;
+		record.free = reply?.stillFree ?? 0;
 		record.learnedAt = performance.now();
 		if (isGranted) {
 			record.backOffMilliseconds = firstBackOffMilliseconds;
@@ -173,11 +171,13 @@
 	const borrow = async (): Promise<void> => {
 		for (const lender of candidates(options.shortfall())) {
 			const shortfall = options.shortfall();
-			if (shortfall.count === 0 || saved < 1 || (shortfall.withinQuota === 0 && options.isBusy(lender))) {
+			if (shortfall.count === 0 || saved < 1) {
 				return;
 			}
 
-			await askOnce(lender, shortfall);
+			if (shortfall.withinQuota > 0 || !options.isBusy(lender)) {
+				await askOnce(lender, shortfall);
+			}
 		}
 	};
 
