Judge the queue of the teams within their quota by the same rule as the others

Cause: the reserve for quotas kept a rule of its own for standing queues, the one that was replaced for its false alarms at high load.

--- a/packages/galenakeeld/src/process/quota-reserve.ts
+++ b/packages/galenakeeld/src/process/quota-reserve.ts
@@ -2,6 +2,7 @@
 import type {AdmissionLoad} from './admission.js';
 import {createSlotDemand} from './slot-demand.js';
 import type {SlotLedger} from './slot-ledger.js';
+import {createStandingQueue} from './standing-queue.js';
 import {TaskLength, type WaitingOrder} from './task-queue.js';
 import type {TeamLoads} from './team-loads.js';
 
@@ -11,8 +12,6 @@
 const lendingDeviations = 1;
 /** Part of its quota of the own slots that a team over its quota may always hold. */
 const assuredQuotaShare = 0.5;
-/** Time for which tasks of teams within their quota wait without a break before their queue counts as standing, in milliseconds. */
-const standingMilliseconds = 2000;
 
 /**
 Keeps slots for the teams within their quota while others offer more than theirs.
@@ -30,8 +29,12 @@
 	readonly shortfall: () => number;
 	/** Free slots that may be lent for teams within their quota while others are over theirs. */
 	readonly surplus: () => number;
-	/** Follows the load; called at a fixed interval. */
-	readonly sweep: () => void;
+	/**
+	Follows the load; called at a fixed interval.
+
+	@param capacity Work in a millisecond that is done for short tasks.
+	*/
+	readonly sweep: (capacity: number, maximumQueueMilliseconds: number) => void;
 };
 
 /**
@@ -53,7 +56,7 @@
 	const within = createSlotDemand();
 	const busy = new Map<string, number>();
 	let owned = 0;
-	let emptyAt = performance.now();
+	const queue = createStandingQueue(performance.now());
 
 	const sumOver = (measure: (team: string) => number): number => {
 		let sum = 0;
@@ -117,7 +120,7 @@
 			}
 
 			const waitingWork = Math.max(load.teamWork, load.waitingWork - sumOver(workOf));
-			return {...load, waitingWork, isStanding: performance.now() - emptyAt > standingMilliseconds};
+			return {...load, waitingWork, isStanding: queue.isStanding(performance.now())};
 		},
 		shortfall() {
 			return loads.over().size === 0 ? 0 : Math.max(0, ledger.free() > 0 ? 0 : waitingWithin(), Math.ceil(needed() - ledger.usable()));
@@ -125,11 +128,9 @@
 		surplus() {
 			return loads.over().size === 0 || waitingWithin() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - needed(lendingDeviations))));
 		},
-		sweep() {
-			if (waitingWithin() === 0) {
-				emptyAt = performance.now();
-			}
-
+		sweep(capacity, maximumQueueMilliseconds) {
+			const work = order.work(TaskLength.Short) - sumOver(team => order.work(TaskLength.Short, team));
+			queue.observe(work / capacity, maximumQueueMilliseconds, performance.now());
 			within.observe(ledger.busy() - busyOver() + waitingWithin());
 			owned = loads.over().size === 0 ? 0 : countOwned();
 		},
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -222,7 +222,7 @@
 			// Teams over their quota have an unbounded number of tasks waiting, which is no need to keep slots for.
 			share.observe(running.short() + quotas.waitingWithin(TaskLength.Short));
 			demand.observe(ledger.busy() + order.size());
-			quotas.sweep();
+			quotas.sweep(capacityFor(TaskLength.Short), dispatcher.version.document.maximumQueueMilliseconds);
 		},
 		quotas,
 		waiting: () => order.size(),
