--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -36,6 +36,10 @@
     When the owner of "north" refuses part "0.1"
     Then the holder answers "refused"
 
+  Scenario: A whole job that went to another cell can still be refused there
+    When the owner of "north" hands the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south" as part "0.1"
+    Then part "0.1" was submitted as one that can be refused
+
   Scenario: A job of which a part has run is not refused, though the news of its start was lost
     When the owner of "north" hands the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
     And the owner of "south" ends part "0.1"
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -161,6 +161,10 @@
 	assert.ok(ordersOf(this, part).at(-1)!.order.isCommitted);
 });
 
+Then('part {string} was submitted as one that can be refused', function (this: HolderWorld, part: string) {
+	assert.ok(!ordersOf(this, part).at(-1)!.order.isCommitted);
+});
+
 Then('part {string} was withdrawn', function (this: HolderWorld, part: string) {
 	assert.ok(this.withdrawn.includes(part));
 });
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -90,13 +90,13 @@
 	const allPositions = positionsOf(job);
 	const answer = createDeferred<JobAnswer>();
 	/** Parts that are under way. */
-	const held = new Set<HeldJob>();
+	const held = new Map<JobPart, HeldJob>();
 	let hasStarted = false;
 	/** The job has its answer. */
 	let isOver = false;
 
-	/** While a single part was handed out and nothing has started, the job can still be refused. */
-	const isCommitted = (): boolean => hasStarted || held.size > 1;
+	/** While a single part has tasks and nothing has started, the job can still be refused; a part whose tasks all went elsewhere is about to end. */
+	const isCommitted = (): boolean => hasStarted || [...held.keys()].filter(({positions}) => positions.size > 0).length > 1;
 
 	const createOrder = (part: JobPart): JobOrder => {
 		part.wasCommitted = isCommitted();
@@ -258,10 +258,10 @@
 
 	async function holdPart(part: JobPart): Promise<void> {
 		const holding = options.hold(part.name);
-		held.add(holding);
+		held.set(part, holding);
 		try {
 			const partAnswer = await followPart(part, holding);
-			held.delete(holding);
+			held.delete(part);
 			if (partAnswer) {
 				answer.resolve(partAnswer);
 			} else if (held.size === 0) {
@@ -281,7 +281,7 @@
 		return await answer.promise;
 	} finally {
 		isOver = true;
-		for (const {news} of held) {
+		for (const {news} of held.values()) {
 			news.push({kind: HolderEvent.CallerLeft});
 		}
 	}
