--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -42,8 +42,8 @@
 	fault: WorkerFault;
 	/** All runs since the stand-in was started, also of earlier lives. */
 	readonly runs: () => readonly WorkerRun[];
-	/** What the worker writes of itself into the store. */
-	readonly entry: (zone: string, state?: string) => Readonly<Record<string, unknown>>;
+	/** What the worker writes of itself into the store; another address is that of a proxy. */
+	readonly entry: (zone: string, state?: string, publicAddress?: string) => Readonly<Record<string, unknown>>;
 	/** Forgets all, as a process that has crashed and started anew. */
 	readonly crash: () => void;
 	readonly close: () => void;
@@ -97,9 +97,9 @@
 
 	const clock = (): number => Math.floor(performance.now() - bornSteady);
 
-	const finish = (run: ActiveRun, end: string): void => {
+	const finish = (run: ActiveRun, end: string, endedAt = performance.now()): void => {
 		active = active.filter(one => one !== run);
-		run.endedAt = performance.now();
+		run.endedAt = endedAt;
 		run.end = end;
 		sequence++;
 		ended.push([sequence, run.task, run.attempt, end, '']);
@@ -109,8 +109,10 @@
 	const advance = (): void => {
 		const now = performance.now();
 		for (const run of active) {
-			if (clock() > leaseEndsAt) {
-				finish(run, 'lapsed');
+			// A busy machine may look late; the run has ended in time all the same.
+			const lapsesAt = bornSteady + leaseEndsAt + 1;
+			if (now >= lapsesAt && (standIn.fault === WorkerFault.Stalls || lapsesAt < run.endsAt)) {
+				finish(run, 'lapsed', lapsesAt);
 			} else if (standIn.fault === WorkerFault.FailsAll) {
 				finish(run, 'failed');
 			} else if (standIn.fault !== WorkerFault.Stalls && now >= run.endsAt) {
@@ -163,6 +165,7 @@
 	};
 
 	const hold = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: Order): Promise<void> => {
+		advance();
 		extend(UntilMs);
 		ended = ended.filter(([place]) => place > AckCursor);
 		const until = performance.now() + WaitMs;
@@ -222,8 +225,8 @@
 		address,
 		fault: WorkerFault.None,
 		runs: () => past,
-		entry: (zone, state = 'ready') => ({
-			Service: 'sheets', Address: address, Zone: zone, Version: 'v1', Slots: 8, State: state, ColdRemainingMs: 0, Capacity: {Cpu: options.processor, MemMb: 1024, Gpu: 0}, Labels: [options.label, 'r1'], born, Seq: 1,
+		entry: (zone, state = 'ready', publicAddress = address) => ({
+			Service: 'sheets', Address: publicAddress, Zone: zone, Version: 'v1', Slots: 8, State: state, ColdRemainingMs: 0, Capacity: {Cpu: options.processor, MemMb: 1024, Gpu: 0}, Labels: [options.label, 'r1'], born, Seq: 1,
 		}),
 		crash() {
 			for (const run of active) {
--- /dev/null
+++ b/packages/trials/src/process/soak-faults.ts
@@ -0,0 +1,178 @@
+import {once} from 'node:events';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {LinkState, type FaultProxy} from '@galenakeel/stand-ins/connection/fault-proxy.js';
+import {StoreFault} from '@galenakeel/stand-ins/process/table-store-stand-in.js';
+import {WorkerFault, type WorkerStandIn} from '@galenakeel/stand-ins/process/worker-stand-in.js';
+import {createStandInConfiguration} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
+import type {Disturbance} from '../request/check-soak.js';
+import {SoakFault, type PlannedFault} from '../version/soak-plan.js';
+import {queueHost, type PlatformDaemon, type PlatformFleet} from './platform-fleet.js';
+
+/**
+Strikes the fleet with a fault, and resolves when it is over and what it struck is back.
+*/
+export type StrikeFault = (planned: PlannedFault) => Promise<void>;
+
+const delayMilliseconds = 60;
+/** Time after a daemon is ready again in which calls that were sent before may still break. */
+const settleMilliseconds = 300;
+
+const itemAt = <Item>(items: readonly Item[], target: number): Item => items[target % items.length]!;
+
+/**
+Creates what strikes a fleet. One target has one fault at a time; a fault whose target is busy is left out.
+
+@param disturbances Gets the times in which daemons were killed or stood still.
+@param onFault Called with each fault that strikes.
+
+@example
+```
+const strike = createSoakFaults(fleet, disturbances, fault => console.log(fault));
+await strike({fault: SoakFault.DaemonKilled, at: 0, forMilliseconds: 500, target: 3});
+```
+*/
+export const createSoakFaults = (fleet: PlatformFleet, disturbances: Disturbance[], onFault: (fault: SoakFault, target: string) => void): StrikeFault => {
+	const busy = new Set<string>();
+	let configurationVersion = 1;
+
+	const strikeAlone = async (fault: SoakFault, target: string, perform: () => Promise<void>): Promise<void> => {
+		if (busy.has(target)) {
+			return;
+		}
+
+		busy.add(target);
+		onFault(fault, target);
+		await perform();
+		busy.delete(target);
+	};
+
+	/** Notes the time in which a daemon can't answer. */
+	const disturb = async (daemon: PlatformDaemon, perform: () => Promise<void>): Promise<void> => {
+		const from = performance.now();
+		const position = disturbances.push({daemon: daemon.instance, from, to: Number.POSITIVE_INFINITY}) - 1;
+		await perform();
+		disturbances[position] = {daemon: daemon.instance, from, to: performance.now() + settleMilliseconds};
+	};
+
+	const killDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => disturb(daemon, async () => {
+		daemon.child().kill('SIGKILL');
+		await sleep(milliseconds);
+		await daemon.restart();
+	});
+
+	const pauseDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => disturb(daemon, async () => {
+		daemon.child().kill('SIGSTOP');
+		await sleep(milliseconds);
+		daemon.child().kill('SIGCONT');
+	});
+
+	/** A daemon that leaves owes its answers until it has ended; only its restart is a time without it. */
+	const leaveDaemon = async (daemon: PlatformDaemon): Promise<void> => {
+		const child = daemon.child();
+		child.kill('SIGTERM');
+		await once(child, 'exit');
+		await disturb(daemon, daemon.restart);
+	};
+
+	const stepClock = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => {
+		daemon.child().kill('SIGUSR2');
+		await sleep(milliseconds);
+		daemon.child().kill('SIGUSR2');
+	};
+
+	const setStore = async (fault: StoreFault, milliseconds: number): Promise<void> => {
+		fleet.store.fault = fault;
+		await sleep(milliseconds);
+		fleet.store.fault = StoreFault.None;
+	};
+
+	const setWorker = async (worker: WorkerStandIn, fault: WorkerFault, milliseconds: number): Promise<void> => {
+		worker.fault = fault;
+		await sleep(milliseconds);
+		worker.fault = WorkerFault.None;
+	};
+
+	const crashWorker = async (worker: WorkerStandIn): Promise<void> => {
+		worker.crash();
+		fleet.listWorkers();
+	};
+
+	const refuse = async ({faults, cut}: FaultProxy, milliseconds: number): Promise<void> => {
+		faults.isRefusing = true;
+		cut();
+		await sleep(milliseconds);
+		faults.isRefusing = false;
+	};
+
+	const deafen = async ({faults}: FaultProxy, milliseconds: number): Promise<void> => {
+		faults.backward = LinkState.Silent;
+		await sleep(milliseconds);
+		faults.backward = LinkState.Open;
+	};
+
+	const delay = async ({faults}: FaultProxy, milliseconds: number): Promise<void> => {
+		faults.delayMilliseconds = delayMilliseconds;
+		await sleep(milliseconds);
+		faults.delayMilliseconds = 0;
+	};
+
+	const changeConfiguration = async (): Promise<void> => {
+		configurationVersion++;
+		fleet.store.put('op', 'config', createStandInConfiguration(configurationVersion, queueHost, '/sheets/'));
+	};
+
+	type OnDaemon = (daemon: PlatformDaemon, milliseconds: number) => Promise<void>;
+	type OnWorker = (worker: WorkerStandIn, milliseconds: number, link: FaultProxy) => Promise<void>;
+
+	const onDaemon: Partial<Record<SoakFault, OnDaemon>> = {
+		[SoakFault.DaemonKilled]: killDaemon,
+		[SoakFault.DaemonPaused]: pauseDaemon,
+		[SoakFault.DaemonLeaves]: leaveDaemon,
+		[SoakFault.DaemonClockSteps]: stepClock,
+		[SoakFault.DaemonCutFromStore]: async ({instance}, milliseconds) => refuse(fleet.links!.toStore.get(instance)!, milliseconds),
+		[SoakFault.DaemonHearsNoStore]: async ({instance}, milliseconds) => deafen(fleet.links!.toStore.get(instance)!, milliseconds),
+	};
+
+	const onStore: Partial<Record<SoakFault, StoreFault>> = {
+		[SoakFault.StoreBusy]: StoreFault.Busy,
+		[SoakFault.StoreSilent]: StoreFault.Silent,
+		[SoakFault.StoreLosesAnswers]: StoreFault.LostAnswers,
+		[SoakFault.StoreHasNoHistory]: StoreFault.NoHistory,
+	};
+
+	const onWorker: Partial<Record<SoakFault, OnWorker>> = {
+		[SoakFault.EndpointCrashes]: crashWorker,
+		[SoakFault.EndpointFailsAll]: async (worker, milliseconds) => setWorker(worker, WorkerFault.FailsAll, milliseconds),
+		[SoakFault.EndpointStartsLate]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LateStarts, milliseconds),
+		[SoakFault.EndpointLosesAnswers]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostAnswers, milliseconds),
+		[SoakFault.EndpointLosesLooks]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostLooks, milliseconds),
+		[SoakFault.EndpointStalls]: async (worker, milliseconds) => setWorker(worker, WorkerFault.Stalls, milliseconds),
+		[SoakFault.EndpointSilent]: async (worker, milliseconds) => setWorker(worker, WorkerFault.Silent, milliseconds),
+		async [SoakFault.EndpointResets](_, __, link) {
+			link.cut();
+		},
+		[SoakFault.EndpointRefuses]: async (_, milliseconds, link) => refuse(link, milliseconds),
+		async [SoakFault.EndpointConnectionsSilent](_, __, link) {
+			link.silenceOpen();
+		},
+		[SoakFault.EndpointDelayed]: async (_, milliseconds, link) => delay(link, milliseconds),
+	};
+
+	return async ({fault, target, forMilliseconds}) => {
+		const daemon = itemAt(fleet.daemons, target);
+		const worker = itemAt(fleet.workers, target);
+		const storeFault = onStore[fault];
+		if (fault === SoakFault.AllDaemonsKilled) {
+			await Promise.all(fleet.daemons.map(async one => strikeAlone(fault, one.instance, async () => killDaemon(one, forMilliseconds))));
+		} else if (fault === SoakFault.ConfigurationChanges) {
+			await strikeAlone(fault, 'configuration', changeConfiguration);
+		} else if (storeFault) {
+			await strikeAlone(fault, 'store', async () => setStore(storeFault, forMilliseconds));
+		} else if (onDaemon[fault]) {
+			await strikeAlone(fault, daemon.instance, async () => onDaemon[fault]!(daemon, forMilliseconds));
+		} else {
+			await strikeAlone(fault, worker.identifier, async () => onWorker[fault]!(worker, forMilliseconds, fleet.links!.toWorkers.get(worker.identifier)!));
+		}
+	};
+};
--- /dev/null
+++ b/packages/trials/src/process/soak-load.ts
@@ -0,0 +1,123 @@
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createStandInJob} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
+import type {SoakCall, SoakJob} from '../request/check-soak.js';
+import type {Random} from '../request/random.js';
+import type {PlatformDaemon, PlatformFleet} from './platform-fleet.js';
+
+/**
+Jobs that are submitted while faults strike.
+*/
+export type SoakLoad = {
+	readonly jobs: readonly SoakJob[];
+	/** Submits nothing more, and resolves when all jobs have their answers. */
+	readonly stop: () => Promise<void>;
+};
+
+const processorOfTask = 1000;
+const leastTaskMilliseconds = 10;
+const mostTaskMilliseconds = 500;
+const mostTasks = 6;
+const mostSteps = 2;
+/** Attempts of a task in the configuration of the stand-ins. */
+const mostAttempts = 2;
+const meanGapMilliseconds = 120;
+/** Longer than a job is held at most: three objectives of the longest job. */
+const answerMilliseconds = 25_000;
+const mostCalls = 3;
+/** Time after which a caller without an answer sends its job again, at any daemon. */
+const resendMilliseconds = 1300;
+
+const stateOf = (text: string): string | undefined => {
+	try {
+		return (JSON.parse(text) as {State?: string}).State;
+	} catch {
+		return undefined;
+	}
+};
+
+const callOnce = async (fleet: PlatformFleet, daemon: PlatformDaemon, identifier: string, body: unknown): Promise<SoakCall> => {
+	const sentAt = performance.now();
+	const base = {job: identifier, daemon: daemon.instance, sentAt};
+	try {
+		const {status, text} = await fleet.submit(daemon, identifier, body, answerMilliseconds);
+		return {
+			...base, endedAt: performance.now(), status, state: stateOf(text), detail: text,
+		};
+	} catch (error) {
+		return {
+			...base, endedAt: performance.now(), status: undefined, state: undefined, detail: error instanceof Error ? error.message : String(error),
+		};
+	}
+};
+
+/** Whether a caller sends its job again: it doesn't know what became of it. */
+const isUnknown = ({status}: SoakCall): boolean => status === undefined || status === 502 || status === 504;
+
+/**
+Submits a job, and again while its outcome is unknown.
+*/
+export const submitSoakJob = async (fleet: PlatformFleet, identifier: string, random: Random): Promise<SoakJob> => {
+	const milliseconds = random.integer(leastTaskMilliseconds, mostTaskMilliseconds);
+	const steps = Array.from({length: random.integer(1, mostSteps)}, (_, step) => ({tasks: random.integer(1, mostTasks), ...(step > 0 && {after: [step - 1]})}));
+	const body = createStandInJob(milliseconds, processorOfTask, steps);
+	const calls: SoakCall[] = [];
+	const daemons = Array.from({length: mostCalls}, () => random.pick(fleet.daemons));
+	for (const daemon of daemons) {
+		const last = await callOnce(fleet, daemon, identifier, body);
+		calls.push(last);
+		if (!isUnknown(last)) {
+			break;
+		}
+
+		await sleep(resendMilliseconds);
+	}
+
+	return {
+		identifier, steps: steps.map(({tasks}, step) => Array.from({length: tasks}, (_, index) => `${identifier}.0.${step}.${index}`)), mostAttempts, calls,
+	};
+};
+
+/**
+Starts to submit jobs at random times to random daemons.
+
+@example
+```
+const load = startSoakLoad(fleet, createRandom(7));
+await load.stop();
+```
+*/
+export const startSoakLoad = (fleet: PlatformFleet, random: Random): SoakLoad => {
+	const jobs: SoakJob[] = [];
+	const open = new Set<Promise<void>>();
+	const stopping = new AbortController();
+
+	const submit = async (number: number): Promise<void> => {
+		jobs.push(await submitSoakJob(fleet, number.toString(16).padStart(16, '0'), random));
+	};
+
+	const run = async (): Promise<void> => {
+		for (let number = 1; ; number++) {
+			if (stopping.signal.aborted) {
+				return;
+			}
+
+			const submitted = submit(number);
+			open.add(submitted);
+			void submitted.finally(() => {
+				open.delete(submitted);
+			});
+			await sleep(-meanGapMilliseconds * Math.log(1 - random.fraction()));
+		}
+	};
+
+	const running = run();
+	return {
+		jobs,
+		async stop() {
+			stopping.abort();
+			await running;
+			await Promise.all(open);
+		},
+	};
+};
