--- a/packages/galenakeeld/src/process/cells/__tests__/admit-job.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/admit-job.feature
@@ -26,16 +26,6 @@
     When a job of 2 tasks of 100 ms arrives, due in 120 ms
     Then it is refused
 
-  Scenario: At the crest, a job that would surely be late leaves the room to jobs that are still to come
-    Given 2 lanes, free in 150 ms
-    When a job of 2 tasks of 50 ms arrives, due in 100 ms
-    Then it is refused
-
-  Scenario: A job that may be in time is taken
-    Given 2 lanes, free in 60 ms
-    When a job of 2 tasks of 50 ms arrives, due in 100 ms
-    Then it is taken
-
   Scenario: A job takes the place of one that waits, when that one loses less
     Given 2 lanes, free in 0 ms
     And 4 jobs of 2 tasks of 100 ms wait, due in 420 ms
--- a/packages/galenakeeld/src/process/cells/admit-job.ts
+++ b/packages/galenakeeld/src/process/cells/admit-job.ts
@@ -23,7 +23,7 @@
 	readonly worthlessIn: number;
 	/** From the arrival at the first daemon to the due time. */
 	readonly objectiveMilliseconds: number;
-	/** What an answer in time is worth: work of the whole job, in thousandths of a core times milliseconds, by the weight of its queue. */
+	/** What an answer in time is worth: work of the whole job, in thousandths of a core times milliseconds, by the urgency of its queue. */
 	readonly worth: number;
 	/** Position in the order of waiting jobs; lower goes first. */
 	readonly rank: number;
@@ -62,8 +62,8 @@
 const objectiveSpread = 0.15;
 /** Share of its worth that a job must gain by another cell. */
 const leastRedirectGain = 0.04;
-/** Share of its worth that a job that has to wait must be expected to have: more than a late answer, as room taken for one is missing for jobs that are still to come. */
-const leastExpectedWorth = 0.25;
+/** Shares of its own worth that a job must add to be taken. */
+const leastGain = 0;
 
 /**
 Returns what an answer is expected to be worth, as a share of the job's worth: certain when early, fading about the due time, and nothing once it is worthless.
@@ -138,7 +138,7 @@
 
 	const open = job.isRedirected ? undefined : others.find(other => freeProcessorIn(other) >= job.processor);
 	const gain = worthOf(order, ends) - worthOf(waiting, predictEnds(lanes, waiting));
-	if (gain > 0 && expectedWorth(job, endsIn) > leastExpectedWorth) {
+	if (gain > leastGain * job.worth) {
 		return {admission: Admission.Take, endsIn};
 	}
 
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -17,11 +17,10 @@
 import {
 	beginAttempt, createPlacedJob, isComplete, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingChain, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
-import {createQueueWeights} from './queue-weights.js';
 import {isFitting} from './room.js';
 import {shareTasks, type TaskShare} from './share-tasks.js';
 import {
-	bestFactorOf, freeRoomsOf, movableStepsOf, throughputOf, waitingInTimeWorkOf, waitingStepsOf, weighArrival, wholeWorkOf,
+	bestFactorOf, freeRoomsOf, movableStepsOf, throughputOf, waitingInTimeWorkOf, waitingStepsOf, weighArrival,
 } from './weigh-jobs.js';
 
 /**
@@ -113,7 +112,6 @@
 	let lastToken = options.token();
 	const jobs = new Map<string, PlacedJob>();
 	const past = createPastParts(keepEndMilliseconds);
-	const weights = createQueueWeights();
 	/** Thousandths of a core of a task of the usual size. */
 	let usualProcessor = 1;
 	let isDispatching = false;
@@ -371,19 +369,13 @@
 
 	const decide = (job: PlacedJob): void => {
 		const {order} = job;
-		if (order.moves === 0 && order.generation === 0) {
-			weights.noteArrival(order.queue, wholeWorkOf(job));
-		}
-
 		if (endpoints.openRooms().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaited()))) {
 			// The first looks are on their way.
 			accept(job, order.dueInMilliseconds);
 			return;
 		}
 
-		const decision = weighArrival(job, [...jobs.values()], {
-			rooms: endpoints.openRooms(), others: options.otherCells(), weightOf: weights.weightOf, now: performance.now(),
-		});
+		const decision = weighArrival(job, [...jobs.values()], {rooms: endpoints.openRooms(), others: options.otherCells(), now: performance.now()});
 		if (decision.admission === Admission.Redirect) {
 			jobs.set(keyOf(job), job);
 			handOver(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
--- a/packages/galenakeeld/src/process/cells/weigh-jobs.ts
+++ b/packages/galenakeeld/src/process/cells/weigh-jobs.ts
@@ -15,6 +15,8 @@
 const fillableShare = 0.85;
 /** Share of the objective by which a job may be over its due time and still count as in time, since estimates are rough. */
 const lateToleranceShare = 0.2;
+/** Worth of a job of the most urgent queues beside the same work of others. */
+const urgentWeight = 1.5;
 
 /**
 Returns the smallest factor of run time over estimate among endpoints; 1 without endpoints.
@@ -125,28 +127,22 @@
 const borrowedLanesOf = (others: readonly CellRoom[], processorOfTask: number): readonly Lane[] => others.flatMap(({free}) => free.flatMap(({factor, processor}) =>
 	Array.from({length: Math.max(0, Math.floor(processor / Math.max(1, processorOfTask)))}, () => ({freeInMilliseconds: moveMilliseconds, factor}))));
 
-/**
-Returns the work of all tasks of a job, in thousandths of a core times milliseconds of estimates.
-*/
-export const wholeWorkOf = ({order}: PlacedJob): number => {
+const worthOfJob = ({order}: PlacedJob): number => {
 	let work = 0;
 	for (const step of order.job.steps) {
 		work += step.tasks * step.room.processor * step.estimateMilliseconds;
 	}
 
-	return work;
+	return (order.priority === 0 ? urgentWeight : 1) * work;
 };
 
-/** Weight of the work of a queue beside that of others. */
-type WeightOf = (queue: string) => number;
-
-const weigh = (job: PlacedJob, bestFactor: number, weightOf: WeightOf, now: number): WeighedJob => ({
+const weigh = (job: PlacedJob, bestFactor: number, now: number): WeighedJob => ({
 	identifier: partKeyOf(job.order.job.identifier, job.order.part),
 	steps: job.steps.map(placed => ({tasks: waitingIndexes(placed).length, estimateMilliseconds: placed.step.estimateMilliseconds})),
 	dueIn: job.dueAt - now,
 	worthlessIn: job.worthlessAt - now,
 	objectiveMilliseconds: job.objectiveMilliseconds,
-	worth: weightOf(job.order.queue) * wholeWorkOf(job),
+	worth: worthOfJob(job),
 	rank: urgencyOfJob(job, bestFactor, now).rank,
 });
 
@@ -161,7 +157,7 @@
 
 @param now Steady milliseconds.
 */
-export const weighArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {rooms: allRooms, others: allOthers, weightOf, now}: {readonly rooms: readonly OpenRoom[]; readonly others: readonly CellRoom[]; readonly weightOf: WeightOf; readonly now: number}): AdmissionDecision => {
+export const weighArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {rooms: allRooms, others: allOthers, now}: {readonly rooms: readonly OpenRoom[]; readonly others: readonly CellRoom[]; readonly now: number}): AdmissionDecision => {
 	const {service} = job.order;
 	const rooms = allRooms.filter(room => room.service === service);
 	const others = allOthers.map(other => ({...other, free: other.free.filter(room => room.service === service)}));
@@ -170,11 +166,11 @@
 	const processor = firstProcessorOf(job);
 	const processorOfTask = processor / Math.max(1, tasksOf(firstStepsOf(job)));
 	return admitJob({
-		...weigh(job, bestFactor, weightOf, now),
+		...weigh(job, bestFactor, now),
 		processor,
 		freeProcessor: freeProcessorIn({free: freeRoomsOf(rooms, processorOfTask)}),
 		isRedirected: job.order.moves > 0 || job.order.generation > 0,
-	}, waiting.map(one => weigh(one.job, bestFactor, weightOf, now)), [...lanesOf(rooms, processorOfTask), ...borrowedLanesOf(others, processorOfTask)], others);
+	}, waiting.map(one => weigh(one.job, bestFactor, now)), [...lanesOf(rooms, processorOfTask), ...borrowedLanesOf(others, processorOfTask)], others);
 };
 
 /**
