--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -21,7 +21,7 @@
 let nextPort = firstPort;
 
 const beat: Beat = {
-	kind: FleetMessageKind.Beat, instance: 'entry-1', address: '127.0.0.1:1', zone: 'north', startedAt: 1, claims: [], configurationVersion: 1, isLeaving: false, known: [],
+	kind: FleetMessageKind.Beat, instance: 'entry-1', address: '127.0.0.1:1', zone: 'north', startedAt: 1, silentAfterMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 };
 
 const isDoneWithin = async (done: Promise<true>, milliseconds: number): Promise<boolean> =>
@@ -36,7 +36,7 @@
 	let connections = 0;
 	this.stream = createPeerStream(this.address, {
 		createBeat: () => beat,
-		beatMilliseconds: 100,
+		beatMilliseconds: () => 100,
 		gatherMilliseconds: 1,
 		redialMilliseconds: () => milliseconds,
 		onConnected: () => {
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -39,6 +39,9 @@
 /** Delay over the usual one with which messages no longer count: the peer has given this daemon up by then. */
 const mostDelayMilliseconds = 600;
 
+/** A holder needs the success of one task only when the owner of the rest is lost, so it goes with the next message or beat. */
+const isUrgent = ({kind}: FleetMessage): boolean => kind !== FleetMessageKind.TaskSucceeded;
+
 /** Waits for a connection; rejects as soon as nothing listens at the address. */
 const awaitReady = async (client: Client, onRefused: () => void): Promise<void> => {
 	const channel = client.getChannel();
@@ -155,13 +158,14 @@
 @param options.createBeat Makes the beat of this moment.
 @example
 ```
-const stream = createPeerStream('10.1.0.13:7720', {createBeat, beatMilliseconds: 100, gatherMilliseconds: 1, redialMilliseconds: 250, onConnected, onBroken});
+const stream = createPeerStream('10.1.0.13:7720', {createBeat, beatMilliseconds: () => 100, gatherMilliseconds: 1, redialMilliseconds: 250, onConnected, onBroken});
 void stream.run();
 ```
 */
 export const createPeerStream = (address: string, options: {
 	readonly createBeat: () => FleetMessage;
-	readonly beatMilliseconds: number;
+	/** Time between two beats; asked for anew after each message. */
+	readonly beatMilliseconds: () => number;
 	/** How long messages are gathered into one frame. */
 	readonly gatherMilliseconds: number;
 	readonly redialMilliseconds: () => number;
@@ -186,14 +190,14 @@
 	});
 
 	const awaitMessages = async (): Promise<void> => new Promise(resolve => {
-		const timer = setTimeout(resolve, options.beatMilliseconds);
+		const timer = setTimeout(resolve, options.beatMilliseconds());
 		wake = () => {
 			wake = undefined;
 			clearTimeout(timer);
 			setTimeout(resolve, options.gatherMilliseconds);
 		};
 
-		if (queued.length > 0) {
+		if (queued.some(message => isUrgent(message))) {
 			wake();
 		}
 	});
@@ -202,7 +206,7 @@
 		let beatAt = 0;
 		while (!broken.aborted) {
 			const now = performance.now();
-			if (now - beatAt >= options.beatMilliseconds - 1) {
+			if (now - beatAt >= options.beatMilliseconds() - 1) {
 				beatAt = now;
 				queued.unshift(options.createBeat());
 			}
@@ -254,7 +258,9 @@
 		send(message) {
 			if (isConnected) {
 				queued.push(message);
-				wake?.();
+				if (isUrgent(message)) {
+					wake?.();
+				}
 			}
 		},
 		async run() {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -13,7 +13,7 @@
 import {RunResult} from './endpoint-run.js';
 import {createPastParts} from './past-parts.js';
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
-import {placeTasks, type Placement} from './place-tasks.js';
+import {placeTasks, type OpenRoom, type Placement} from './place-tasks.js';
 import {
 	beginAttempt, createPlacedJob, isComplete, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingChain, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
@@ -114,6 +114,10 @@
 	const past = createPastParts(keepEndMilliseconds);
 	/** Thousandths of a core of a task of the usual size. */
 	let usualProcessor = 1;
+	/** The load as it was last worked out; undefined once something has changed. */
+	let knownLoad: CellLoad | undefined;
+	/** The open rooms, likewise. */
+	let knownRooms: readonly OpenRoom[] | undefined;
 	let isDispatching = false;
 	let isClosed = false;
 
@@ -274,14 +278,26 @@
 	/** A job that an earlier owner may have started waits until nothing of it can run unseen. */
 	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllKnown());
 
+	const openRooms = (): readonly OpenRoom[] => {
+		knownRooms ??= endpoints.openRooms();
+		return knownRooms;
+	};
+
+	/** Notes that endpoints or jobs have changed. */
+	const forgetRooms = (): void => {
+		knownLoad = undefined;
+		knownRooms = undefined;
+	};
+
 	const placeWaiting = (): void => {
+		forgetRooms();
 		isDispatching = false;
 		if (isClosed) {
 			return;
 		}
 
 		const now = performance.now();
-		const rooms = endpoints.openRooms();
+		const rooms = openRooms();
 		const startable = [...jobs.values()].filter(job => isStartable(job));
 		const placements = placeTasks(waitingStepsOf(startable, bestFactorOf(rooms), now), rooms, {now, remotePenalty: options.remotePenalty});
 		for (const placement of placements) {
@@ -291,10 +307,13 @@
 		for (const share of shareTasks(movableStepsOf(startable, bestFactorOf(rooms), now), options.otherCells(), now)) {
 			move(share);
 		}
+
+		forgetRooms();
 	};
 
 	/** Places what waits once the messages and answers that have arrived are taken in. */
 	function dispatch(): void {
+		forgetRooms();
 		if (!isDispatching) {
 			isDispatching = true;
 			setImmediate(placeWaiting);
@@ -369,13 +388,13 @@
 
 	const decide = (job: PlacedJob): void => {
 		const {order} = job;
-		if (endpoints.openRooms().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaited()))) {
+		if (openRooms().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaited()))) {
 			// The first looks are on their way.
 			accept(job, order.dueInMilliseconds);
 			return;
 		}
 
-		const decision = weighArrival(job, [...jobs.values()], {rooms: endpoints.openRooms(), others: options.otherCells(), now: performance.now()});
+		const decision = weighArrival(job, [...jobs.values()], {rooms: openRooms(), others: options.otherCells(), now: performance.now()});
 		if (decision.admission === Admission.Redirect) {
 			jobs.set(keyOf(job), job);
 			handOver(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
@@ -401,6 +420,12 @@
 
 	const timer = setInterval(sweep, sweepMilliseconds);
 
+	const describeLoad = (): CellLoad => {
+		const rooms = openRooms();
+		const waiting = waitingInTimeWorkOf([...jobs.values()], bestFactorOf(rooms), performance.now());
+		return {free: freeRoomsOf(rooms, usualProcessor), backlogMilliseconds: Math.round(waiting / throughputOf(rooms)), kindFactors: endpoints.kindFactors()};
+	};
+
 	return {
 		zone: options.zone,
 		submit(holder, order) {
@@ -450,9 +475,8 @@
 			dispatch();
 		},
 		load() {
-			const rooms = endpoints.openRooms();
-			const waiting = waitingInTimeWorkOf([...jobs.values()], bestFactorOf(rooms), performance.now());
-			return {free: freeRoomsOf(rooms, usualProcessor), backlogMilliseconds: Math.round(waiting / throughputOf(rooms)), kindFactors: endpoints.kindFactors()};
+			knownLoad ??= describeLoad();
+			return knownLoad;
 		},
 		close() {
 			isClosed = true;
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -5,6 +5,7 @@
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {FleetMessageKind, type Beat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import {nearPace} from '../beat-pace.js';
 import {createFleetLinks, type FleetLinks} from '../fleet-links.js';
 import {createFleetView} from '../fleet-view.js';
 
@@ -12,6 +13,7 @@
 	clock: Clock;
 	links: FleetLinks;
 	hear: (message: FleetMessage, from: string) => void;
+	silentAfterMilliseconds: number;
 	givenUp: string[];
 	dialled: string[];
 	lost: Array<readonly [address: string, cause: string]>;
@@ -19,8 +21,8 @@
 
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
-const createBeat = (address: string): Beat => ({
-	kind: FleetMessageKind.Beat, instance: address, address, zone: 'south', startedAt: 1, claims: [], configurationVersion: 1, isLeaving: false, known: [],
+const createBeat = (address: string, silentAfterMilliseconds: number): Beat => ({
+	kind: FleetMessageKind.Beat, instance: address, address, zone: 'south', startedAt: 1, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
 Given('links to the peers {string} that lose a peer after {int} ms of silence', async function (this: LinksWorld, names: string, milliseconds: number) {
@@ -28,9 +30,10 @@
 	this.givenUp = [];
 	this.dialled = [];
 	this.lost = [];
+	this.silentAfterMilliseconds = milliseconds;
 	this.links = await createFleetLinks({
 		address: 'n1',
-		view: createFleetView(milliseconds),
+		view: createFleetView(),
 		serve: async (_, handlers) => {
 			this.hear = handlers.onMessage;
 			return () => {
@@ -54,7 +57,8 @@
 				// Nothing was opened.
 			},
 		}),
-		createBeat: () => createBeat('n1'),
+		createBeat: () => createBeat('n1', milliseconds),
+		paceTo: () => nearPace,
 		onMessage() {
 			// Beats are all that is sent.
 		},
@@ -83,7 +87,7 @@
 Given('beats of {string} at {int} ms', function (this: LinksWorld, names: string, at: number) {
 	this.clock.tick(at - performance.now());
 	for (const name of splitNames(names)) {
-		this.hear(createBeat(name), name);
+		this.hear(createBeat(name, this.silentAfterMilliseconds), name);
 	}
 });
 
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -14,6 +14,7 @@
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
 import {findOwner, type Claimant} from './cell-claims.js';
+import {paceBetween, type BeatPace} from './beat-pace.js';
 import {createCellLoads} from './cell-loads.js';
 import {createConfigurationWatch} from './configuration-watch.js';
 import {createDecisionLog} from './decision-log.js';
@@ -38,7 +39,6 @@
 	readonly leave: () => Promise<number>;
 };
 
-const silenceMilliseconds = 700;
 const tickMilliseconds = 50;
 const announceLoadsMilliseconds = 10;
 /** Time after the start in which peers are heard before a cell is claimed. */
@@ -82,7 +82,7 @@
 	const self = settings.listen.peers;
 	const decide = createDecisionLog(log, mostLinesOfAnEvent);
 	const metrics = createFleetMetrics();
-	const view = createFleetView(silenceMilliseconds);
+	const view = createFleetView();
 	const heldJobs = createHeldJobs();
 	const leaving = new AbortController();
 	let isServing = false;
@@ -151,12 +151,18 @@
 		address: self, zone: settings.zone, startedAt, isLeaving: leaving.signal.aborted, claims: cells.terms(),
 	});
 
-	const createBeat = (): Beat => ({
+	const paceTo = (address: string): BeatPace => {
+		const peer = view.get(address);
+		return paceBetween({zone: settings.zone, isOwner: cells.count() > 0}, peer && {zone: peer.zone, isOwner: peer.claims.size > 0});
+	};
+
+	const createBeat = ({silentAfterMilliseconds}: BeatPace): Beat => ({
 		kind: FleetMessageKind.Beat,
 		instance: settings.instance,
 		address: self,
 		zone: settings.zone,
 		startedAt,
+		silentAfterMilliseconds,
 		claims: cells.claims(),
 		configurationVersion: configuration.current()?.version ?? -1,
 		isLeaving: leaving.signal.aborted,
@@ -226,6 +232,7 @@
 		address: self,
 		view,
 		createBeat,
+		paceTo,
 		onMessage,
 		onPeerHeard(peer) {
 			const {instance, address, startedAt: peerStartedAt} = peer;
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -1,5 +1,6 @@
 import {FleetMessageKind, type Beat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import type {createPeerStream, PeerStream, serveFleet} from '../../connection/fleet-service.js';
+import type {BeatPace} from './beat-pace.js';
 import {LossCause} from './cell-claims.js';
 import type {Peer, FleetView} from './fleet-view.js';
 
@@ -23,7 +24,9 @@
 	readonly view: FleetView;
 	readonly serve: typeof serveFleet;
 	readonly openStream: typeof createPeerStream;
-	readonly createBeat: () => Beat;
+	readonly createBeat: (pace: BeatPace) => Beat;
+	/** Pace of the beats to an address. */
+	readonly paceTo: (address: string) => BeatPace;
 	readonly onMessage: (message: FleetMessage, from: string) => void;
 	readonly onPeerHeard: (peer: Peer) => void;
 	readonly onPeerLost: (peer: Peer, cause: LossCause) => void;
@@ -32,7 +35,6 @@
 	readonly onBroken: (address: string, detail: string) => void;
 };
 
-const beatMilliseconds = 100;
 const gatherMilliseconds = 1;
 const redialMilliseconds = 150;
 /** Pause between dials of an address that has not been heard, which may be gone for good. */
@@ -64,8 +66,8 @@
 			}
 
 			const stream = options.openStream(address, {
-				createBeat: options.createBeat,
-				beatMilliseconds,
+				createBeat: () => options.createBeat(options.paceTo(address)),
+				beatMilliseconds: () => options.paceTo(address).beatMilliseconds,
 				gatherMilliseconds,
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnheardMilliseconds,
 				onConnected() {
@@ -125,9 +127,8 @@
 		},
 		meet,
 		announce() {
-			const beat = options.createBeat();
-			for (const stream of streams.values()) {
-				stream.send(beat);
+			for (const [address, stream] of streams) {
+				stream.send(options.createBeat(options.paceTo(address)));
 			}
 		},
 		sweep() {
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -9,6 +9,7 @@
 	readonly instance: string;
 	/** Steady milliseconds of its last beat. */
 	readonly heardAt: number;
+	readonly silentAfterMilliseconds: number;
 	readonly loads: ReadonlyMap<string, CellLoad>;
 	/** Steady milliseconds at which the loads were last told. */
 	readonly loadsHeardAt: number;
@@ -37,6 +38,7 @@
 	address: beat.address,
 	zone: beat.zone,
 	startedAt: beat.startedAt,
+	silentAfterMilliseconds: beat.silentAfterMilliseconds,
 	isLeaving: beat.isLeaving,
 	claims: new Map(beat.claims.map(({cell, token, term}) => [cell, {token, term}])),
 	loads: new Map(beat.claims.map(({cell, load}) => [cell, load])),
@@ -49,16 +51,14 @@
 /**
 Creates an empty view.
 
-@param silenceMilliseconds Silence after which a peer counts as lost.
-
 @example
 ```
-const view = createFleetView(700);
+const view = createFleetView();
 view.hear(beat);
 view.get('10.1.0.13:7720')?.zone;
 ```
 */
-export const createFleetView = (silenceMilliseconds: number): FleetView => {
+export const createFleetView = (): FleetView => {
 	const peers = new Map<string, Peer>();
 
 	const forget = (address: string): Peer | undefined => {
@@ -82,7 +82,7 @@
 		forget,
 		forgetSilent() {
 			const now = performance.now();
-			const silent = [...peers.values()].filter(({heardAt}) => now - heardAt > silenceMilliseconds);
+			const silent = [...peers.values()].filter(({heardAt, silentAfterMilliseconds}) => now - heardAt > silentAfterMilliseconds);
 			for (const {address} of silent) {
 				peers.delete(address);
 			}
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -1,4 +1,6 @@
-import {FleetMessageKind, type CellClaim, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import {
+	FleetMessageKind, type CellClaim, type CellLoad, type FleetMessage,
+} from '@galenakeel/model/connection/fleet-message.js';
 import type {Peer} from './fleet-view.js';
 
 export type LoadAnnouncementsOptions = {
@@ -18,10 +20,17 @@
 ```
 */
 export const createLoadAnnouncements = ({claims, peers, send}: LoadAnnouncementsOptions) => {
+	const seen = new Map<string, CellLoad>();
 	const told = new Map<string, string>();
 	return (): void => {
 		const owners = peers().filter(peer => peer.claims.size > 0);
 		for (const {cell, load} of claims()) {
+			// A load that was not worked out anew is the same object.
+			if (load === seen.get(cell)) {
+				continue;
+			}
+
+			seen.set(cell, load);
 			const text = JSON.stringify(load);
 			if (text === told.get(cell)) {
 				continue;
