--- a/packages/galenakeeld/src/process/fleet/__tests__/beat-pace.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/beat-pace.steps.ts
@@ -22,7 +22,7 @@
 };
 
 const createBeat = (address: string, silentAfterMilliseconds: number): Beat => ({
-	kind: FleetMessageKind.Beat, instance: address, address, zone: 'north', startedAt: 1, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
+	kind: FleetMessageKind.Beat, instance: address, address, zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
 Then('a daemon that is {string} sends beats to one that is {string} at the {string} pace', (self: string, peer: string, pace: string) => {
--- a/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.feature
@@ -8,6 +8,24 @@
     Then "n1" is to "claim" the cell "north"
     And "n2" is to "keep" the cell "north"
 
+  Scenario: The largest machine of a zone claims its cell
+    Given the daemons
+      | address | zone  | started | processor | claims |
+      | n1      | north | 1       | 243       |        |
+      | n2      | north | 3       | 1350      |        |
+      | n3      | north | 2       | 810       |        |
+    Then "n2" is to "claim" the cell "north"
+    And "n1" is to "keep" the cell "north"
+    And "n3" is to "keep" the cell "north"
+
+  Scenario: A large machine that comes later takes nothing over
+    Given the daemons
+      | address | zone  | started | processor | claims  |
+      | n1      | north | 1       | 243       | north=7 |
+      | n2      | north | 3       | 1350      |         |
+    Then "n2" is to "keep" the cell "north"
+    And the owner of "north" is "n1"
+
   Scenario: A daemon that starts or comes back takes nothing over
     Given the daemons
       | address | zone  | started | claims  |
--- a/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.steps.ts
@@ -15,7 +15,7 @@
 
 Given('the daemons', function (this: ClaimWorld, table: DataTable) {
 	this.claimants = table.hashes().map(row => ({
-		address: row.address!, zone: row.zone!, startedAt: Number(row.started), isLeaving: row.leaving === 'yes', claims: parseClaims(row.claims!),
+		address: row.address!, zone: row.zone!, startedAt: Number(row.started), processor: Number(row.processor ?? 1000), isLeaving: row.leaving === 'yes', claims: parseClaims(row.claims!),
 	}));
 });
 
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -22,7 +22,7 @@
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
 const createBeat = (address: string, silentAfterMilliseconds: number): Beat => ({
-	kind: FleetMessageKind.Beat, instance: address, address, zone: 'south', startedAt: 1, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
+	kind: FleetMessageKind.Beat, instance: address, address, zone: 'south', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
 Given('links to the peers {string} that lose a peer after {int} ms of silence', async function (this: LinksWorld, names: string, milliseconds: number) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-news.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-news.steps.ts
@@ -24,6 +24,7 @@
 	address,
 	zone,
 	startedAt: 1,
+	processor: 1000,
 	silentAfterMilliseconds: 700,
 	isLeaving: false,
 	claims: new Map(owned === '' ? [] : [[owned, {token: 1, term: 1}]]),
--- a/packages/galenakeeld/src/process/fleet/cell-claims.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-claims.ts
@@ -19,8 +19,10 @@
 	/** Address of the daemon's peer service; the same for all that see it. */
 	readonly address: string;
 	readonly zone: string;
-	/** Unix milliseconds of its start; the oldest claims first. */
+	/** Unix milliseconds of its start; of like machines the oldest claims first. */
 	readonly startedAt: number;
+	/** What its machine can carry, in thousandths of a core; the largest claims first. */
+	readonly processor: number;
 	readonly isLeaving: boolean;
 	/** Its claims by cell. */
 	readonly claims: ReadonlyMap<string, Claim>;
@@ -100,7 +102,9 @@
 	daemons.filter(({claims}) => claims.has(cell)).toSorted(holdsBefore(cell))[0];
 
 const claimsBefore = (first: Claimant, second: Claimant): number =>
-	first.startedAt - second.startedAt || (first.address < second.address ? -1 : 1);
+	second.processor - first.processor
+	|| first.startedAt - second.startedAt
+	|| (first.address < second.address ? -1 : 1);
 
 /** Daemons of the zone come first; another zone's daemon serves only while the zone has none. */
 const nextOwner = (cell: string, daemons: readonly Claimant[]): Claimant | undefined => {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -46,6 +46,7 @@
 /** The same for a daemon that has heard nobody. */
 const firstLookAloneMilliseconds = 3000;
 const mostLinesOfAnEvent = 40;
+const thousandthsOfCore = 1000;
 /** Gap between two ticks that tells that the process stood still. */
 const pauseMilliseconds = 500;
 /** Age up to which the configuration counts as the newest. */
@@ -80,6 +81,7 @@
 	const startedAt = Date.now();
 	const startedSteady = performance.now();
 	const self = settings.listen.peers;
+	const processor = Math.round(settings.machine.cores * settings.machine.share * thousandthsOfCore);
 	const decide = createDecisionLog(log, mostLinesOfAnEvent);
 	const metrics = createFleetMetrics();
 	const view = createFleetView();
@@ -148,7 +150,7 @@
 	const fencedAt = new Map<string, number>();
 
 	const describeSelf = (): Claimant => ({
-		address: self, zone: settings.zone, startedAt, isLeaving: leaving.signal.aborted, claims: cells.terms(),
+		address: self, zone: settings.zone, startedAt, processor, isLeaving: leaving.signal.aborted, claims: cells.terms(),
 	});
 
 	const paceTo = (address: string): BeatPace => {
@@ -162,6 +164,7 @@
 		address: self,
 		zone: settings.zone,
 		startedAt,
+		processor,
 		silentAfterMilliseconds,
 		claims: cells.claims(),
 		configurationVersion: configuration.current()?.version ?? -1,
--- a/packages/galenakeeld/src/process/fleet/fleet-settings.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-settings.ts
@@ -15,6 +15,8 @@
 		callers: addressSchema, readiness: addressSchema, peers: addressSchema, metrics: addressSchema,
 	}),
 	platform: z.strictObject({address: addressSchema}),
+	/** What the machine can carry: cores, and the share of each that the daemon gets. */
+	machine: z.strictObject({cores: z.number().positive().default(1), share: z.number().positive().default(1)}).prefault({}),
 	/** IP addresses of daemons to begin with, beside those that the store lists. */
 	seeds: z.array(z.string()).default([]),
 	leases: z.strictObject({
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -38,6 +38,7 @@
 	address: beat.address,
 	zone: beat.zone,
 	startedAt: beat.startedAt,
+	processor: beat.processor,
 	silentAfterMilliseconds: beat.silentAfterMilliseconds,
 	isLeaving: beat.isLeaving,
 	claims: new Map(beat.claims.map(({cell, token, term}) => [cell, {token, term}])),
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -79,6 +79,8 @@
 	readonly zone: string;
 	/** Unix milliseconds of the sender's start. */
 	readonly startedAt: number;
+	/** What its machine can carry, in thousandths of a core. */
+	readonly processor: number;
 	/** Silence after which the receiver may count the sender as lost. */
 	readonly silentAfterMilliseconds: number;
 	readonly claims: readonly CellClaim[];
