--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -11,16 +11,17 @@
 import {createCellEndpoints, lapsedEntryMilliseconds} from './cell-endpoints.js';
 import type {EndpointDecision} from './endpoint-decision.js';
 import {RunResult} from './endpoint-run.js';
+import {createCellRooms} from './cell-rooms.js';
 import {createPastParts} from './past-parts.js';
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
-import {placeTasks, type OpenRoom, type Placement} from './place-tasks.js';
+import {placeTasks, type Placement} from './place-tasks.js';
 import {
 	beginAttempt, createPlacedJob, isComplete, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingChain, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
 import {isFitting} from './room.js';
 import {shareTasks, type TaskShare} from './share-tasks.js';
 import {
-	bestFactorOf, freeRoomsOf, movableStepsOf, throughputOf, waitingInTimeWorkOf, waitingStepsOf, weighArrival,
+	bestFactorOf, movableStepsOf, waitingStepsOf, weighArrival,
 } from './weigh-jobs.js';
 
 /**
@@ -114,10 +115,6 @@
 	const past = createPastParts(keepEndMilliseconds);
 	/** Thousandths of a core of a task of the usual size. */
 	let usualProcessor = 1;
-	/** The load as it was last worked out; undefined once something has changed. */
-	let knownLoad: CellLoad | undefined;
-	/** The open rooms, likewise. */
-	let knownRooms: readonly OpenRoom[] | undefined;
 	let isDispatching = false;
 	let isClosed = false;
 
@@ -147,6 +144,8 @@
 		}),
 	});
 
+	const rooms = createCellRooms({endpoints, jobs: () => [...jobs.values()], usualProcessor: () => usualProcessor});
+
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
 	/** Takes a part out of the cell, with the news of its end, or without if its last tasks went elsewhere. */
@@ -278,42 +277,32 @@
 	/** A job that an earlier owner may have started waits until nothing of it can run unseen. */
 	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllKnown());
 
-	const openRooms = (): readonly OpenRoom[] => {
-		knownRooms ??= endpoints.openRooms();
-		return knownRooms;
-	};
-
-	/** Notes that endpoints or jobs have changed. */
-	const forgetRooms = (): void => {
-		knownLoad = undefined;
-		knownRooms = undefined;
-	};
-
 	const placeWaiting = (): void => {
-		forgetRooms();
+		rooms.forget();
 		isDispatching = false;
 		if (isClosed) {
 			return;
 		}
 
 		const now = performance.now();
-		const rooms = openRooms();
+		const openRooms = rooms.open();
+		const bestFactor = bestFactorOf(openRooms);
 		const startable = [...jobs.values()].filter(job => isStartable(job));
-		const placements = placeTasks(waitingStepsOf(startable, bestFactorOf(rooms), now), rooms, {now, remotePenalty: options.remotePenalty});
+		const placements = placeTasks(waitingStepsOf(startable, bestFactor, now), openRooms, {now, remotePenalty: options.remotePenalty});
 		for (const placement of placements) {
 			start(placement);
 		}
 
-		for (const share of shareTasks(movableStepsOf(startable, bestFactorOf(rooms), now), options.otherCells(), now)) {
+		for (const share of shareTasks(movableStepsOf(startable, bestFactor, now), options.otherCells(), now)) {
 			move(share);
 		}
 
-		forgetRooms();
+		rooms.forget();
 	};
 
 	/** Places what waits once the messages and answers that have arrived are taken in. */
 	function dispatch(): void {
-		forgetRooms();
+		rooms.forget();
 		if (!isDispatching) {
 			isDispatching = true;
 			setImmediate(placeWaiting);
@@ -388,13 +377,13 @@
 
 	const decide = (job: PlacedJob): void => {
 		const {order} = job;
-		if (openRooms().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaited()))) {
+		if (rooms.open().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaited()))) {
 			// The first looks are on their way.
 			accept(job, order.dueInMilliseconds);
 			return;
 		}
 
-		const decision = weighArrival(job, [...jobs.values()], {rooms: openRooms(), others: options.otherCells(), now: performance.now()});
+		const decision = weighArrival(job, [...jobs.values()], {rooms: rooms.open(), others: options.otherCells(), now: performance.now()});
 		if (decision.admission === Admission.Redirect) {
 			jobs.set(keyOf(job), job);
 			handOver(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
@@ -420,12 +409,6 @@
 
 	const timer = setInterval(sweep, sweepMilliseconds);
 
-	const describeLoad = (): CellLoad => {
-		const rooms = openRooms();
-		const waiting = waitingInTimeWorkOf([...jobs.values()], bestFactorOf(rooms), performance.now());
-		return {free: freeRoomsOf(rooms, usualProcessor), backlogMilliseconds: Math.round(waiting / throughputOf(rooms)), kindFactors: endpoints.kindFactors()};
-	};
-
 	return {
 		zone: options.zone,
 		submit(holder, order) {
@@ -474,10 +457,7 @@
 			endpoints.install(entries);
 			dispatch();
 		},
-		load() {
-			knownLoad ??= describeLoad();
-			return knownLoad;
-		},
+		load: rooms.load,
 		close() {
 			isClosed = true;
 			clearInterval(timer);
