Wait for lines of the log, which are written behind the answers

Cause: pino's default stream to standard output is asynchronous (sync false, read from the stream at run time), which keeps the log from blocking a daemon. A line that is logged before an answer may so reach the file after it, when the threads that write are busy. The scenario read the file once. Ruled out: the order in the code; observer.end is called before the answer is written. Change: the step looks for the line for up to 2 s, and asks for the same event and the same request as before; a missing line still fails. A run that makes the threads late on purpose was not made. Conclusion: a fault of the test, not of the daemon.

--- a/packages/trials/src/process/__tests__/observation.steps.ts
+++ b/packages/trials/src/process/__tests__/observation.steps.ts
@@ -3,6 +3,7 @@
 import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {RequestRecord} from '@galenakeel/model/process/request-record.js';
@@ -13,6 +14,8 @@
 const traceparent = `00-${traceId}-00f067aa0ba902b7-01`;
 const exportMilliseconds = 8000;
 const lookMilliseconds = 100;
+const logMilliseconds = 2000;
+const logLookMilliseconds = 10;
 
 type SpanLine = {readonly trace: string; readonly span: string; readonly parent?: string; readonly name: string};
 
@@ -120,10 +123,20 @@
 const readLog = async (world: FleetWorld, daemon: number): Promise<string> =>
 	readFile(join(world.running.directory, `${daemonOf(world, daemon).instance}.log`), 'utf8');
 
+const hasEvent = async (world: FleetWorld, daemon: number, event: string): Promise<boolean> => {
+	const log = await readLog(world, daemon);
+	// The last line may not be whole yet.
+	const lines = log.split('\n').slice(0, -1).map(line => JSON.parse(line) as {event: string; identifier?: string});
+	return lines.some(line => line.event === event && line.identifier === requestIdOf(world));
+};
+
+// The log never blocks a daemon: lines are written behind the answers that they tell of.
 Then('the log of daemon {int} has a line with the event {string}', async function (this: FleetWorld, daemon: number, event: string) {
-	const log = await readLog(this, daemon);
-	const lines = log.trimEnd().split('\n').map(line => JSON.parse(line) as {event: string; identifier?: string});
-	assert.ok(lines.some(line => line.event === event && line.identifier === requestIdOf(this)), JSON.stringify(lines));
+	const until = performance.now() + logMilliseconds;
+	while (!await hasEvent(this, daemon, event)) {
+		assert.ok(performance.now() < until, `the log has no line "${event}" after ${logMilliseconds} ms: ${await readLog(this, daemon)}`);
+		await sleep(logLookMilliseconds);
+	}
 });
 
 Then('the log of daemon {int} does not contain {string}', async function (this: FleetWorld, daemon: number, text: string) {
