Announce the first load at once; the scenario of unchanged loads waits for the turn of a calm

Cause: in a calm one announcement of five tells changes, so the scenario's third call told nothing. Conclusion: the check is as strict as before for the pace that is now meant.

--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-news.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-news.feature
@@ -35,5 +35,5 @@
     When the loads are announced
     And the loads are announced
     And 2000 thousandths are free
-    And the loads are announced
+    And the loads are announced in 5 turns
     Then the loads were sent to "s1, s1"
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-news.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-news.steps.ts
@@ -76,6 +76,12 @@
 	this.announceLoads();
 });
 
+When('the loads are announced in {int} turns', function (this: NewsWorld, turns: number) {
+	for (let turn = 0; turn < turns; turn++) {
+		this.announceLoads();
+	}
+});
+
 When('the peer {string} is greeted', function (this: NewsWorld, address: string) {
 	this.lists.greet(this.peers.find(peer => peer.address === address));
 });
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -27,7 +27,7 @@
 export const createLoadAnnouncements = ({claims, peers, send}: LoadAnnouncementsOptions) => {
 	const seen = new Map<string, CellLoad>();
 	const told = new Map<string, string>();
-	let calmCount = 0;
+	let calmCount = calmCalls;
 
 	const isCalm = (owners: readonly Peer[]): boolean =>
 		!hasBacklog(claims().map(({load}) => load)) && !owners.some(({loads}) => hasBacklog(loads.values()));
