--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -13,8 +13,7 @@
 import {createCell} from '../cells/cell.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
-import {findOwner, type Claimant} from './cell-claims.js';
-import {paceBetween, type BeatPace} from './beat-pace.js';
+import {findOwner} from './cell-claims.js';
 import {createCellLoads} from './cell-loads.js';
 import {createConfigurationWatch} from './configuration-watch.js';
 import {createDecisionLog} from './decision-log.js';
@@ -28,6 +27,7 @@
 import {closeServer, listen} from './listen.js';
 import {createLoadAnnouncements} from './load-announcements.js';
 import {createEndpointProbe} from './probe-endpoints.js';
+import {createSelfDescription} from './self-description.js';
 import {watchEndpoints, watchMembers, type TryStore} from './store-watches.js';
 import {createOwnedCells} from './owned-cells.js';
 
@@ -46,7 +46,6 @@
 /** The same for a daemon that has heard nobody. */
 const firstLookAloneMilliseconds = 3000;
 const mostLinesOfAnEvent = 40;
-const thousandthsOfCore = 1000;
 /** Gap between two ticks that tells that the process stood still. */
 const pauseMilliseconds = 500;
 /** Age up to which the configuration counts as the newest. */
@@ -81,7 +80,6 @@
 	const startedAt = Date.now();
 	const startedSteady = performance.now();
 	const self = settings.listen.peers;
-	const processor = Math.round(settings.machine.cores * settings.machine.share * thousandthsOfCore);
 	const decide = createDecisionLog(log, mostLinesOfAnEvent);
 	const metrics = createFleetMetrics();
 	const view = createFleetView();
@@ -149,31 +147,17 @@
 	/** Steady milliseconds at which an endpoint of a cell was first found to obey another owner. */
 	const fencedAt = new Map<string, number>();
 
-	const describeSelf = (): Claimant => ({
-		address: self, zone: settings.zone, startedAt, processor, isLeaving: leaving.signal.aborted, claims: cells.terms(),
-	});
-
-	const paceTo = (address: string): BeatPace => {
-		const peer = view.get(address);
-		return paceBetween({zone: settings.zone, isOwner: cells.count() > 0}, peer && {zone: peer.zone, isOwner: peer.claims.size > 0});
-	};
-
-	const createBeat = ({silentAfterMilliseconds}: BeatPace): Beat => ({
-		kind: FleetMessageKind.Beat,
-		instance: settings.instance,
-		address: self,
-		zone: settings.zone,
+	const description = createSelfDescription({
+		settings,
 		startedAt,
-		processor,
-		silentAfterMilliseconds,
-		claims: cells.claims(),
-		configurationVersion: configuration.current()?.version ?? -1,
-		isLeaving: leaving.signal.aborted,
-		known: view.all().map(({address}) => address),
+		cells,
+		view,
+		configurationVersion: () => configuration.current()?.version ?? -1,
+		isLeaving: () => leaving.signal.aborted,
 	});
 
 	const ownerOf = (cell: string): CellOwner | undefined => {
-		const owner = findOwner(cell, [describeSelf(), ...view.all()]);
+		const owner = findOwner(cell, [description.claimant(), ...view.all()]);
 		return owner && {address: owner.address, ...owner.claims.get(cell)!};
 	};
 
@@ -234,8 +218,8 @@
 		openStream: createPeerStream,
 		address: self,
 		view,
-		createBeat,
-		paceTo,
+		createBeat: description.createBeat,
+		paceTo: description.paceTo,
 		onMessage,
 		onPeerHeard(peer) {
 			const {instance, address, startedAt: peerStartedAt} = peer;
@@ -277,7 +261,7 @@
 		performance.now() - startedSteady > (view.all().length > 0 ? firstLookMilliseconds : firstLookAloneMilliseconds);
 
 	const review = (): void => {
-		if (isFirstLookOver() && cells.review(describeSelf, view.all(), performance.now() - startedSteady)) {
+		if (isFirstLookOver() && cells.review(description.claimant, view.all(), performance.now() - startedSteady)) {
 			links.announce();
 		}
 
--- /dev/null
+++ b/packages/galenakeeld/src/process/fleet/self-description.ts
@@ -0,0 +1,67 @@
+import {FleetMessageKind, type Beat} from '@galenakeel/model/connection/fleet-message.js';
+import {paceBetween, type BeatPace} from './beat-pace.js';
+import type {Claimant} from './cell-claims.js';
+import type {FleetSettings} from './fleet-settings.js';
+import type {FleetView} from './fleet-view.js';
+import type {OwnedCells} from './owned-cells.js';
+
+/**
+What a daemon tells of itself.
+*/
+export type SelfDescription = {
+	readonly claimant: () => Claimant;
+	readonly createBeat: (pace: BeatPace) => Beat;
+	/** Pace of the beats to an address. */
+	readonly paceTo: (address: string) => BeatPace;
+};
+
+export type SelfDescriptionOptions = {
+	readonly settings: Pick<FleetSettings, 'instance' | 'zone' | 'listen' | 'machine'>;
+	/** Unix milliseconds. */
+	readonly startedAt: number;
+	readonly cells: Pick<OwnedCells, 'claims' | 'terms' | 'count'>;
+	readonly view: Pick<FleetView, 'get' | 'all'>;
+	/** -1 while there is none. */
+	readonly configurationVersion: () => number;
+	readonly isLeaving: () => boolean;
+};
+
+const thousandthsOfCore = 1000;
+
+/**
+Creates the description of this daemon, as it is at each moment.
+
+@example
+```
+const self = createSelfDescription({settings, startedAt: Date.now(), cells, view, configurationVersion: () => 7, isLeaving: () => false});
+self.createBeat(self.paceTo('10.1.0.13:7720'));
+```
+*/
+export const createSelfDescription = ({settings, startedAt, cells, view, configurationVersion, isLeaving}: SelfDescriptionOptions): SelfDescription => {
+	const {zone, instance, machine} = settings;
+	const address = settings.listen.peers;
+	const processor = Math.round(machine.cores * machine.share * thousandthsOfCore);
+
+	return {
+		claimant: () => ({
+			address, zone, startedAt, processor, isLeaving: isLeaving(), claims: cells.terms(),
+		}),
+		createBeat: ({silentAfterMilliseconds}) => ({
+			kind: FleetMessageKind.Beat,
+			instance,
+			address,
+			zone,
+			startedAt,
+			processor,
+			silentAfterMilliseconds,
+			claims: cells.claims(),
+			configurationVersion: configurationVersion(),
+			isLeaving: isLeaving(),
+			known: view.all().map(peer => peer.address),
+		}),
+		paceTo(peerAddress) {
+			const peer = view.get(peerAddress);
+			return paceBetween({zone, isOwner: cells.count() > 0}, peer && {zone: peer.zone, isOwner: peer.claims.size > 0});
+		},
+	};
+};
