Send the next beat when the last one promised it, though the pace became slower

Its first beat had the pace of a peer that isn't known yet (200 ms, lost after 700 ms); then the peer was known as a far one, and the next beat was due after 700 ms. A daemon that gives its cell up did the same to all far peers. Streams were broken off and dialled again for it. Ruled out: frozen or slow machines; none was disturbed at that moment. Change: the interval that held when a beat was made counts until the next; a faster pace counts at once. Figures: the scenario of peer-stream.feature fails before (1 beat of 2) and passes now.

--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -11,6 +12,10 @@
 type StreamWorld = {
 	address: string;
 	stream: PeerStream;
+	/** Milliseconds between beats, from the first on; the last holds on. */
+	paces: number[];
+	beatsMade: number;
+	beatsHeard: number;
 	connected: Deferred<true>;
 	connectedAgain: Deferred<true>;
 	ended: Promise<true>;
@@ -33,10 +38,16 @@
 	this.stop = undefined;
 	this.connected = createDeferred<true>();
 	this.connectedAgain = createDeferred<true>();
+	this.paces = [100];
+	this.beatsMade = 0;
+	this.beatsHeard = 0;
 	let connections = 0;
 	this.stream = createPeerStream(this.address, {
-		createBeat: () => beat,
-		beatMilliseconds: () => 100,
+		createBeat: () => {
+			this.beatsMade++;
+			return beat;
+		},
+		beatMilliseconds: () => this.paces[Math.min(this.beatsMade, this.paces.length - 1)]!,
 		gatherMilliseconds: 1,
 		redialMilliseconds: () => milliseconds,
 		onConnected: () => {
@@ -66,8 +77,8 @@
 When('the peer starts after {int} ms and is heard', async function (this: StreamWorld, milliseconds: number) {
 	await sleep(milliseconds);
 	this.stop = await serveFleet(this.address, {
-		onMessage() {
-			// The connection alone counts.
+		onMessage: () => {
+			this.beatsHeard++;
 		},
 		onOpened() {
 			// The connection alone counts.
@@ -91,6 +102,21 @@
 	assert.ok(await isDoneWithin(this.connected.promise, milliseconds));
 });
 
+Given('its beats come each {int} ms for the first, and each {int} ms from then on', function (this: StreamWorld, first: number, later: number) {
+	this.paces = [first, later];
+});
+
+Then('{int} beats arrive within {int} ms, and no third within {int} ms', async function (this: StreamWorld, beats: number, milliseconds: number, quietMilliseconds: number) {
+	const until = performance.now() + milliseconds;
+	while (this.beatsHeard < beats && performance.now() < until) {
+		await sleep(10);
+	}
+
+	assert.equal(this.beatsHeard, beats);
+	await sleep(quietMilliseconds);
+	assert.equal(this.beatsHeard, beats);
+});
+
 When('the connection is given up', function (this: StreamWorld) {
 	this.stream.breakOff('the peer is silent');
 });
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -191,8 +191,8 @@
 		};
 	});
 
-	const awaitMessages = async (): Promise<void> => new Promise(resolve => {
-		const timer = setTimeout(resolve, options.beatMilliseconds());
+	const awaitMessages = async (mostMilliseconds: number): Promise<void> => new Promise(resolve => {
+		const timer = setTimeout(resolve, mostMilliseconds);
 		wake = () => {
 			wake = undefined;
 			clearTimeout(timer);
@@ -205,11 +205,16 @@
 	});
 
 	const sendUntilBroken = async (call: ClientWritableStream<Uint8Array>, broken: AbortSignal): Promise<void> => {
-		let beatAt = 0;
+		let beatAt = Number.NEGATIVE_INFINITY;
+		/** Interval that held when the last beat was made: the peer expects the next one by it. */
+		let interval = 0;
+
+		const untilBeat = (): number => beatAt + Math.min(interval, options.beatMilliseconds()) - performance.now();
+
 		while (!broken.aborted) {
-			const now = performance.now();
-			if (now - beatAt >= options.beatMilliseconds() - 1) {
-				beatAt = now;
+			if (untilBeat() <= 1) {
+				beatAt = performance.now();
+				interval = options.beatMilliseconds();
 				queued.unshift(options.createBeat());
 			}
 
@@ -219,7 +224,7 @@
 				call.write(frame);
 			}
 
-			await awaitMessages();
+			await awaitMessages(Math.max(0, untilBeat()));
 			if (call.writableLength > mostUnsentMessages) {
 				throw new Error('the peer doesn\'t read');
 			}
