Name the token of a lost owner only to the owners of its own cell

A part of a job kept one highest token for all cells, so that each job that went from the lost cell to another one made its owner take a higher token, doubt what runs and refuse nothing for 0.35 s, at the crest. Ruled out: fencing by another daemon (no cell-fenced), a second claimant (no other claim in the log). Change: the highest token is kept by cell. Endpoints are of one zone for good, so another cell's endpoints never saw the token.

--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -61,6 +61,16 @@
     Then part "0.1" was last submitted to "south" with the tasks "0.3"
     And part "0" was submitted 1 times
 
+  Scenario: A part whose owner is replaced names the token of the lost one
+    When the owner of "north" hands the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
+    And the owner of "south" is lost
+    Then part "0.1" was last submitted to "south" with the highest token 1
+
+  Scenario: A part that leaves a lost cell names no token to the owner of another cell, whose endpoints never saw it
+    When the owner of "north" hands the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
+    And the owner of "south" is lost, and nobody takes the cell over
+    Then part "0.1" was last submitted to "north" with the highest token 0
+
   Scenario: A part that fails ends the job, and the others are withdrawn
     When the owner of "north" hands the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
     And the owner of "south" fails part "0.1"
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -73,7 +73,10 @@
 				this.holdings.push(held);
 				return held;
 			},
-			awaitOwner: async cell => ({address: cell, term: this.terms.get(cell)!, token: this.terms.get(cell)!}),
+			awaitOwner: async cell => {
+				const term = this.terms.get(cell);
+				return term === undefined ? undefined : {address: cell, term, token: term};
+			},
 			otherCells: () => [],
 			send: (_, message) => {
 				record(this, message);
@@ -127,6 +130,12 @@
 	await settle();
 });
 
+When('the owner of {string} is lost, and nobody takes the cell over', async function (this: HolderWorld, cell: string) {
+	this.terms.delete(cell);
+	this.heldJobs.checkOwners(name => this.terms.has(name) ? {address: name, term: this.terms.get(name)!, token: this.terms.get(name)!} : undefined);
+	await settle();
+});
+
 When('the caller leaves', async function (this: HolderWorld) {
 	for (const {news} of this.holdings) {
 		news.push({kind: HolderEvent.CallerLeft});
@@ -153,6 +162,12 @@
 	assert.deepEqual(allPositions.filter(position => !last.order.excluded.includes(position)), splitNames(positions));
 });
 
+Then('part {string} was last submitted to {string} with the highest token {int}', function (this: HolderWorld, part: string, cell: string, token: number) {
+	const last = ordersOf(this, part).at(-1)!;
+	assert.equal(last.cell, cell);
+	assert.equal(last.order.highestToken, token);
+});
+
 Then('part {string} was submitted {int} times', function (this: HolderWorld, part: string, times: number) {
 	assert.equal(ordersOf(this, part).length, times);
 });
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -47,8 +47,8 @@
 	readonly positions: Set<string>;
 	/** Owners that were lost while they had the part. */
 	generation: number;
-	/** Highest token of these owners. */
-	highestToken: number;
+	/** Highest token of these owners, by cell: the endpoints of another cell never saw it. */
+	readonly highestTokens: Map<string, number>;
 	/** How often owners have handed the tasks to another cell. */
 	readonly moves: number;
 	/** Its last owner was told that it can't be refused. */
@@ -113,7 +113,7 @@
 			worthlessInMilliseconds: (worthlessObjectives * objective) - age,
 			excluded: allPositions.filter(position => !part.positions.has(position)),
 			generation: part.generation,
-			highestToken: part.highestToken,
+			highestToken: part.highestTokens.get(part.cell) ?? 0,
 			moves: part.moves,
 			isCommitted: part.wasCommitted,
 		};
@@ -124,7 +124,7 @@
 		const moved = positions.filter(position => part.positions.delete(position));
 		if (moved.length > 0) {
 			void holdPart({
-				name: newPart, cell, positions: new Set(moved), generation: 0, highestToken: 0, moves: part.moves + 1, wasCommitted: false,
+				name: newPart, cell, positions: new Set(moved), generation: 0, highestTokens: new Map(), moves: part.moves + 1, wasCommitted: false,
 			});
 		}
 	};
@@ -250,7 +250,7 @@
 
 				case StayEnd.OwnerLost: {
 					part.generation++;
-					part.highestToken = Math.max(part.highestToken, owner.token);
+					part.highestTokens.set(part.cell, Math.max(part.highestTokens.get(part.cell) ?? 0, owner.token));
 				}
 			}
 		}
@@ -275,7 +275,7 @@
 	}
 
 	void holdPart({
-		name: firstPart, cell: options.homeCell, positions: new Set(allPositions), generation: 0, highestToken: 0, moves: 0, wasCommitted: false,
+		name: firstPart, cell: options.homeCell, positions: new Set(allPositions), generation: 0, highestTokens: new Map(), moves: 0, wasCommitted: false,
 	});
 	try {
 		return await answer.promise;
