Soak: a daemon that was told to leave may refuse new connections, and owes answers to what it has read

The daemon had read nothing. Ruled out: a call that was read and broken off; the detail is ECONNREFUSED 1 ms after the call was made. Change: calls that found no connection are marked, and a daemon that leaves may refuse those, and nothing else. Three scenarios of check-soak.feature hold the difference; an undisturbed daemon that refuses is still a broken promise.

--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -5,7 +5,7 @@
 import {StoreFault} from '@galenakeel/stand-ins/process/table-store-stand-in.js';
 import {WorkerFault, type WorkerStandIn} from '@galenakeel/stand-ins/process/worker-stand-in.js';
 import {createStandInConfiguration} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
-import type {Disturbance} from '../request/check-soak.js';
+import {DisturbanceKind, type Disturbance} from '../request/check-soak.js';
 import {SoakFault, type PlannedFault} from '../version/soak-plan.js';
 import {queueHost, type PlatformDaemon, type PlatformFleet} from './platform-fleet.js';
 
@@ -48,32 +48,36 @@
 	};
 
 	/** Notes the time in which a daemon can't answer. */
-	const disturb = async (daemon: PlatformDaemon, perform: () => Promise<void>): Promise<void> => {
+	const disturb = async (daemon: PlatformDaemon, kind: DisturbanceKind, perform: () => Promise<void>): Promise<void> => {
 		const from = performance.now();
-		const position = disturbances.push({daemon: daemon.instance, from, to: Number.POSITIVE_INFINITY}) - 1;
+		const position = disturbances.push({
+			kind, daemon: daemon.instance, from, to: Number.POSITIVE_INFINITY,
+		}) - 1;
 		await perform();
-		disturbances[position] = {daemon: daemon.instance, from, to: performance.now() + settleMilliseconds};
+		disturbances[position] = {
+			kind, daemon: daemon.instance, from, to: performance.now() + settleMilliseconds,
+		};
 	};
 
-	const killDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => disturb(daemon, async () => {
+	const killDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => disturb(daemon, DisturbanceKind.Broken, async () => {
 		daemon.child().kill('SIGKILL');
 		await sleep(milliseconds);
 		await daemon.restart();
 	});
 
-	const pauseDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => disturb(daemon, async () => {
+	const pauseDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => disturb(daemon, DisturbanceKind.Broken, async () => {
 		daemon.child().kill('SIGSTOP');
 		await sleep(milliseconds);
 		daemon.child().kill('SIGCONT');
 	});
 
 	/** A daemon that leaves owes its answers until it has ended; only its restart is a time without it. */
-	const leaveDaemon = async (daemon: PlatformDaemon): Promise<void> => {
+	const leaveDaemon = async (daemon: PlatformDaemon): Promise<void> => disturb(daemon, DisturbanceKind.Leaving, async () => {
 		const child = daemon.child();
 		child.kill('SIGTERM');
 		await once(child, 'exit');
-		await disturb(daemon, daemon.restart);
-	};
+		await disturb(daemon, DisturbanceKind.Broken, daemon.restart);
+	});
 
 	const stepClock = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => {
 		daemon.child().kill('SIGUSR2');
--- a/packages/trials/src/process/soak-load.ts
+++ b/packages/trials/src/process/soak-load.ts
@@ -36,9 +36,13 @@
 	}
 };
 
+const isConnectionRefused = (error: unknown): boolean => error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+
 const callOnce = async (fleet: PlatformFleet, daemon: PlatformDaemon, identifier: string, body: unknown): Promise<SoakCall> => {
 	const sentAt = performance.now();
-	const base = {job: identifier, daemon: daemon.instance, sentAt};
+	const base = {
+		job: identifier, daemon: daemon.instance, sentAt, isUnread: false,
+	};
 	try {
 		const {status, text} = await fleet.submit(daemon, identifier, body, answerMilliseconds);
 		return {
@@ -46,7 +50,7 @@
 		};
 	} catch (error) {
 		return {
-			...base, endedAt: performance.now(), status: undefined, state: undefined, detail: error instanceof Error ? error.message : String(error),
+			...base, endedAt: performance.now(), isUnread: isConnectionRefused(error), status: undefined, state: undefined, detail: error instanceof Error ? error.message : String(error),
 		};
 	}
 };
--- a/packages/trials/src/request/__tests__/check-soak.feature
+++ b/packages/trials/src/request/__tests__/check-soak.feature
@@ -30,6 +30,20 @@
     And the daemon "north-1" was disturbed from 250 to 900
     Then the soak finds nothing
 
+  Scenario: A daemon that was told to leave breaks a call off that it has read
+    Given a job without tasks at daemon "north-1", sent at 100 and broken off at 300
+    And the daemon "north-1" was leaving from 50 to 900
+    Then the soak finds "lost"
+
+  Scenario: A daemon that was told to leave takes no new connection
+    Given a job without tasks at daemon "north-1", sent at 100 and not connected at 101
+    And the daemon "north-1" was leaving from 50 to 900
+    Then the soak finds nothing
+
+  Scenario: An undisturbed daemon takes no connection
+    Given a job without tasks at daemon "north-1", sent at 100 and not connected at 101
+    Then the soak finds "lost"
+
   Scenario: Another daemon's trouble is no reason to break a call off
     Given a job without tasks at daemon "north-1", sent at 100 and broken off at 300
     And the daemon "north-0" was disturbed from 250 to 900
--- a/packages/trials/src/request/__tests__/check-soak.steps.ts
+++ b/packages/trials/src/request/__tests__/check-soak.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then} from '@cucumber/cucumber';
 import {
-	checkSoak, type Disturbance, type SoakJob, type SoakRun,
+	checkSoak, DisturbanceKind, type Disturbance, type SoakJob, type SoakRun,
 } from '../check-soak.js';
 
 type SoakWorld = {
@@ -14,11 +14,13 @@
 
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
-const addJob = (world: SoakWorld, steps: ReadonlyArray<readonly string[]>, call: {readonly daemon: string; readonly sentAt: number; readonly endedAt: number; readonly status: number | undefined; readonly state: string | undefined}): void => {
+const addJob = (world: SoakWorld, steps: ReadonlyArray<readonly string[]>, call: {readonly daemon: string; readonly sentAt: number; readonly endedAt: number; readonly status: number | undefined; readonly state: string | undefined; readonly isUnread?: boolean}): void => {
 	world.soakJobs ??= [];
 	const identifier = `job-${world.soakJobs.length}`;
 	world.soakJobs.push({
-		identifier, steps, mostAttempts, calls: [{...call, job: identifier, detail: ''}],
+		identifier, steps, mostAttempts, calls: [{
+			isUnread: false, ...call, job: identifier, detail: '',
+		}],
 	});
 };
 
@@ -52,7 +54,21 @@
 });
 
 Given('the daemon {string} was disturbed from {int} to {int}', function (this: SoakWorld, daemon: string, from: number, to: number) {
-	this.soakDisturbances = [{daemon, from, to}];
+	this.soakDisturbances = [{
+		kind: DisturbanceKind.Broken, daemon, from, to,
+	}];
+});
+
+Given('the daemon {string} was leaving from {int} to {int}', function (this: SoakWorld, daemon: string, from: number, to: number) {
+	this.soakDisturbances = [{
+		kind: DisturbanceKind.Leaving, daemon, from, to,
+	}];
+});
+
+Given('a job without tasks at daemon {string}, sent at {int} and not connected at {int}', function (this: SoakWorld, daemon: string, sentAt: number, endedAt: number) {
+	addJob(this, [], {
+		daemon, sentAt, endedAt, status: undefined, state: undefined, isUnread: true,
+	});
 });
 
 const findRules = ({soakJobs = [], soakRuns = [], soakDisturbances = []}: SoakWorld): readonly string[] =>
--- a/packages/trials/src/request/check-soak.ts
+++ b/packages/trials/src/request/check-soak.ts
@@ -6,6 +6,8 @@
 	readonly daemon: string;
 	readonly sentAt: number;
 	readonly endedAt: number;
+	/** No connection came about, so the daemon has read nothing. */
+	readonly isUnread: boolean;
 	/** Undefined when no whole answer came. */
 	readonly status: number | undefined;
 	/** State of the job in the answer. */
@@ -35,9 +37,20 @@
 };
 
 /**
-A time in which a daemon was killed, stood still or was starting.
+What a daemon may do to calls while it is disturbed.
+*/
+export enum DisturbanceKind {
+	/** It was killed, stood still or was starting: calls may break off. */
+	Broken = 'broken',
+	/** It was told to leave: it may take no new connections, and owes an answer to what it has read. */
+	Leaving = 'leaving',
+}
+
+/**
+A time in which something was done to a daemon.
 */
 export type Disturbance = {
+	readonly kind: DisturbanceKind;
 	readonly daemon: string;
 	readonly from: number;
 	readonly to: number;
@@ -92,8 +105,9 @@
 		.map(({run, before}) => ({rule: SoakRule.Twice, detail: `${task} ran from ${Math.round(before.startedAt)} to ${Math.round(endOf(before))} and from ${Math.round(run.startedAt)}`}));
 };
 
-const isDisturbed = ({daemon, sentAt, endedAt}: SoakCall, disturbances: readonly Disturbance[]): boolean =>
-	disturbances.some(one => one.daemon === daemon && one.from <= endedAt && one.to >= sentAt);
+const isDisturbed = ({daemon, sentAt, endedAt, isUnread}: SoakCall, disturbances: readonly Disturbance[]): boolean => disturbances
+	.filter(one => one.daemon === daemon && one.from <= endedAt && one.to >= sentAt)
+	.some(({kind}) => kind === DisturbanceKind.Broken || isUnread);
 
 const checkCalls = ({identifier, calls}: SoakJob, disturbances: readonly Disturbance[]): readonly SoakViolation[] => calls
 	.filter(call => call.status === undefined && !isDisturbed(call, disturbances))
