Take the contact and the leases of an endpoint out of its orders

Ruled out: taking the orders themselves out; they share the set of runs with the looks. Change: endpoint-contact.ts says whether looks are answered, endpoint-leases.ts when leases end; no behaviour changes.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -6,7 +6,7 @@
 import type {Room} from '@galenakeel/model/request/job.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {lifeOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
-import {createEndpointClock} from './endpoint-clock.js';
+import {createEndpointContact} from './endpoint-contact.js';
 import {EndpointDecision} from './endpoint-decision.js';
 import {
 	HealthEvent, HealthState, healthAt, newEndpointHealth, updateHealth,
@@ -14,6 +14,7 @@
 import {
 	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
+import {createEndpointLeases} from './endpoint-leases.js';
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
 import type {OpenRoom} from './place-tasks.js';
 import {addRoom, subtractRoom} from './room.js';
@@ -70,8 +71,6 @@
 
 /** Longest wait of a look at runs, so that one without an answer hides their ends for a short time only. */
 const busyWaitMilliseconds = 150;
-/** Looks in a row without an answer after which an endpoint counts as silent. */
-const mostMissedLooks = 2;
 /** Starts without an answer at the same time after which an endpoint gets no more. */
 const mostDoubts = 2;
 /** A run that starts behind an idle look has its lease extended by the next one. */
@@ -98,7 +97,8 @@
 */
 export const createCellEndpoint = (firstEntry: EndpointEntry, options: CellEndpointOptions): CellEndpoint => {
 	const {calls, onDecision} = options;
-	const clock = createEndpointClock();
+	const leases = createEndpointLeases(options.holdMaximumMilliseconds);
+	const contact = createEndpointContact();
 	const longestLease = longestLeaseOf(options.holdMaximumMilliseconds);
 	const runs = new Set<Run>();
 	const strays = createStrayRuns();
@@ -108,14 +108,8 @@
 	let acknowledged = 0;
 	/** Token of the last look that was answered; what lower tokens order since then is not obeyed. */
 	let lookedToken = 0;
-	let hasLooked = false;
-	let isSilent = false;
-	/** Looks without an answer since the last one that had one. */
-	let missedLooks = 0;
 	let isClosed = false;
 	let closedUntil = 0;
-	/** Steady milliseconds at which every lease that was sent has ended. */
-	let leasesEndAt = performance.now() + longestLease;
 
 	const hasStrays = (): boolean => strays.active().length > 0;
 
@@ -146,16 +140,6 @@
 		options.onChange();
 	};
 
-	const nextLease = (): number | undefined => {
-		const now = clock.now();
-		if (now === undefined) {
-			return undefined;
-		}
-
-		leasesEndAt = performance.now() + longestLease;
-		return now + options.holdMaximumMilliseconds;
-	};
-
 	const loseAll = (): void => {
 		for (const run of runs) {
 			settle(run, RunResult.Lost);
@@ -198,7 +182,7 @@
 				options.onFenced();
 			}
 
-			if (performance.now() > leasesEndAt) {
+			if (leases.haveEnded()) {
 				settle(run, RunResult.Lost);
 				return;
 			}
@@ -218,7 +202,7 @@
 
 	const onStartReply = (run: Run, {outcome, clockMilliseconds}: OrderReply): void => {
 		if (clockMilliseconds !== undefined) {
-			clock.observe(clockMilliseconds);
+			leases.observe(clockMilliseconds);
 		}
 
 		if (!isListed(run)) {
@@ -266,7 +250,7 @@
 	};
 
 	const order = async (run: Run, specification: string): Promise<void> => {
-		const lease = nextLease();
+		const lease = leases.next();
 		if (lease === undefined) {
 			settle(run, RunResult.Declined);
 			return;
@@ -341,15 +325,13 @@
 	};
 
 	const onReport = (report: EndpointReport, lookedAt: number): void => {
-		const wasClosed = isSilent || !hasLooked || hasStrays();
-		clock.observe(report.clockMilliseconds);
-		if (isSilent) {
+		const wasClosed = !contact.isReached() || hasStrays();
+		leases.observe(report.clockMilliseconds);
+		if (contact.isSilent()) {
 			onDecision(EndpointDecision.Regained, {endpoint: entry.identifier});
 		}
 
-		isSilent = false;
-		missedLooks = 0;
-		hasLooked = true;
+		contact.noteAnswer();
 		for (const ended of report.ended) {
 			onEnded(ended);
 		}
@@ -377,23 +359,23 @@
 			options.onFenced();
 		}
 
-		missedLooks++;
-		if (missedLooks < mostMissedLooks && outcome === OrderOutcome.Unknown && hasLooked) {
+		const wasSilent = contact.isSilent();
+		contact.noteMiss(outcome === OrderOutcome.Unknown);
+		if (!contact.isSilent()) {
 			return;
 		}
 
-		if (!isSilent) {
+		if (!wasSilent) {
 			onDecision(EndpointDecision.Silent, {endpoint: entry.identifier, outcome, runs: runs.size});
 		}
 
-		isSilent = true;
-		if (performance.now() > leasesEndAt) {
+		if (leases.haveEnded()) {
 			loseAll();
 		}
 	};
 
 	const waitOfLook = (): number => {
-		if (!hasLooked || missedLooks > 0) {
+		if (!contact.hasLooked() || contact.hasMissed()) {
 			return 0;
 		}
 
@@ -406,8 +388,8 @@
 
 	const look = async (waitMilliseconds: number): Promise<LookReply> => {
 		// A lease that is not known to be extended must end, so that its runs count as lost.
-		const isExtending = runs.size > 0 && options.isSettled() && !isSilent;
-		const lease = isExtending ? nextLease() : undefined;
+		const isExtending = runs.size > 0 && options.isSettled() && !contact.isSilent();
+		const lease = isExtending ? leases.next() : undefined;
 		return calls.look({
 			fencingToken: options.token(),
 			acknowledged,
@@ -441,7 +423,7 @@
 		openRoom(factor) {
 			const now = performance.now();
 			const {state} = healthAt(health, now);
-			const isReached = hasLooked && !isSilent && !isClosed && !isDoubtful();
+			const isReached = contact.isReached() && !isClosed && !isDoubtful();
 			const isWilling = !entry.isDraining && now >= closedUntil && state !== HealthState.Resting;
 			if (!isReached || !isWilling || hasStrays()) {
 				return undefined;
@@ -460,10 +442,10 @@
 			};
 		},
 		isKnown() {
-			const isSeen = lookedToken === options.token() && !isSilent && !hasStrays();
+			const isSeen = lookedToken === options.token() && !contact.isSilent() && !hasStrays();
 			return isSeen || isClosed || performance.now() > options.ownedSince() + longestLease + yieldMilliseconds;
 		},
-		isAwaited: () => !hasLooked && !isSilent && !isClosed,
+		isAwaited: () => contact.isAwaited() && !isClosed,
 		async start(request) {
 			const run = createRun(request, RunState.Ordered);
 			take(run);
@@ -507,7 +489,7 @@
 					onReport(report, lookedAt);
 				} else {
 					onNoReport(outcome);
-					if (missedLooks >= mostMissedLooks) {
+					if (contact.isPausing()) {
 						await sleep(retryMilliseconds);
 					}
 				}
--- /dev/null
+++ b/packages/galenakeeld/src/process/cells/endpoint-leases.ts
@@ -0,0 +1,48 @@
+import {performance} from 'node:perf_hooks';
+import {createEndpointClock} from './endpoint-clock.js';
+import {longestLeaseOf} from './longest-lease.js';
+
+/**
+The leases that an owner has sent to one life of an endpoint.
+*/
+export type EndpointLeases = {
+	/** Takes the endpoint's clock from an answer that has just arrived. */
+	readonly observe: (clockMilliseconds: number) => void;
+	/** Returns the end of a lease that begins now, on the endpoint's clock; undefined before the first answer. It counts as sent. */
+	readonly next: () => number | undefined;
+	/** Whether every lease that was sent has ended, so that nothing can run any more. */
+	readonly haveEnded: () => boolean;
+};
+
+/**
+Creates the leases of an endpoint to which an earlier owner may just have sent one.
+
+@param holdMaximumMilliseconds Longest lease that the endpoint grants, on its own clock.
+
+@example
+```
+const leases = createEndpointLeases(1000);
+leases.observe(482113);
+leases.next(); // => 483113
+```
+*/
+export const createEndpointLeases = (holdMaximumMilliseconds: number): EndpointLeases => {
+	const clock = createEndpointClock();
+	const longest = longestLeaseOf(holdMaximumMilliseconds);
+	/** Steady milliseconds at which every lease that was sent has ended. */
+	let endAt = performance.now() + longest;
+
+	return {
+		observe: clock.observe,
+		next() {
+			const now = clock.now();
+			if (now === undefined) {
+				return undefined;
+			}
+
+			endAt = performance.now() + longest;
+			return now + holdMaximumMilliseconds;
+		},
+		haveEnded: () => performance.now() > endAt,
+	};
+};
