--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -242,7 +242,7 @@
 			setImmediate(review);
 		},
 		onReached(address) {
-			heldJobs.announceReached(address);
+			heldJobs.notifyReconnected(address);
 			lists.greet(view.get(address));
 		},
 		onBroken(address, detail) {
@@ -329,7 +329,7 @@
 			hold(part) {
 				const held = heldJobs.hold(job.identifier, part);
 				left.addEventListener('abort', () => {
-					held.news.push({kind: HolderEvent.CallerLeft});
+					held.updates.push({kind: HolderEvent.CallerDisconnected});
 				});
 				return held;
 			},
--- a/packages/galenakeeld/src/process/fleet/held-jobs.ts
+++ b/packages/galenakeeld/src/process/fleet/held-jobs.ts
@@ -8,12 +8,12 @@
 	/** The owner that has the job is gone, or another daemon orders the cell now. */
 	OwnerLost = 'owner-lost',
 	/** Messages to or from the owner may have been lost. */
-	OwnerReached = 'owner-reached',
+	OwnerReconnected = 'owner-reached',
 	/** The caller has left. */
-	CallerLeft = 'caller-left',
+	CallerDisconnected = 'caller-left',
 }
 
-export type HolderNews = JobNews | {readonly kind: HolderEvent};
+export type HolderUpdate = JobNews | {readonly kind: HolderEvent};
 
 /**
 The daemon that orders a cell, in one term.
@@ -29,9 +29,9 @@
 A part of a job that this daemon holds for its caller.
 */
 export type HeldJob = {
-	readonly news: Inbox<HolderNews>;
+	readonly updates: Inbox<HolderUpdate>;
 	/** Notes which owner has the part. */
-	readonly follow: (cell: string, owner: CellOwner | undefined) => void;
+	readonly setOwner: (cell: string, owner: CellOwner | undefined) => void;
 	/** Ends the holding. */
 	readonly release: () => void;
 };
@@ -44,17 +44,17 @@
 	readonly count: () => number;
 	readonly hold: (identifier: string, part: string) => HeldJob;
 	/** Hands news of an owner to the job's holders. */
-	readonly deliver: (from: string, news: JobNews) => void;
+	readonly deliver: (from: string, update: JobNews) => void;
 	/** Tells the jobs whose owner no longer orders their cell. */
 	readonly checkOwners: (findOwner: (cell: string) => CellOwner | undefined) => void;
 	/** Tells the jobs at a daemon whose messages may have been lost. */
-	readonly announceReached: (address: string) => void;
+	readonly notifyReconnected: (address: string) => void;
 };
 
 type Holding = {
 	readonly identifier: string;
 	readonly part: string;
-	readonly news: Inbox<HolderNews>;
+	readonly updates: Inbox<HolderUpdate>;
 	cell: string;
 	owner: CellOwner | undefined;
 };
@@ -76,27 +76,27 @@
 		count: () => holdings.size,
 		hold(identifier, part) {
 			const holding: Holding = {
-				identifier, part, news: createInbox<HolderNews>(), cell: '', owner: undefined,
+				identifier, part, updates: createInbox<HolderUpdate>(), cell: '', owner: undefined,
 			};
 			holdings.add(holding);
 			return {
-				news: holding.news,
-				follow(cell, owner) {
+				updates: holding.updates,
+				setOwner(cell, owner) {
 					holding.cell = cell;
 					holding.owner = owner;
 				},
 				release() {
 					holdings.delete(holding);
-					holding.news.close();
+					holding.updates.close();
 				},
 			};
 		},
-		deliver(from, news) {
-			for (const {identifier, part, owner, news: inbox} of holdings) {
+		deliver(from, update) {
+			for (const {identifier, part, owner, updates: inbox} of holdings) {
 				// What has succeeded at an earlier owner counts too.
-				const isCurrent = owner?.address === from || news.kind === FleetMessageKind.TaskSucceeded;
-				if (identifier === news.job && part === news.part && isCurrent) {
-					inbox.push(news);
+				const isCurrent = owner?.address === from || update.kind === FleetMessageKind.TaskSucceeded;
+				if (identifier === update.job && part === update.part && isCurrent) {
+					inbox.push(update);
 				}
 			}
 		},
@@ -104,14 +104,14 @@
 			for (const holding of holdings) {
 				if (holding.owner && !isSameTerm(holding.owner, findOwner(holding.cell))) {
 					holding.owner = undefined;
-					holding.news.push({kind: HolderEvent.OwnerLost});
+					holding.updates.push({kind: HolderEvent.OwnerLost});
 				}
 			}
 		},
-		announceReached(address) {
-			for (const {owner, news} of holdings) {
+		notifyReconnected(address) {
+			for (const {owner, updates: updates} of holdings) {
 				if (owner?.address === address) {
-					news.push({kind: HolderEvent.OwnerReached});
+					updates.push({kind: HolderEvent.OwnerReconnected});
 				}
 			}
 		},
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -130,7 +130,7 @@
 	};
 
 	/** Follows a part at one owner until it has ended or has to move. */
-	const stayAt = async (part: JobPart, owner: CellOwner, {news}: HeldJob): Promise<Stay> => {
+	const stayAt = async (part: JobPart, owner: CellOwner, {updates: news}: HeldJob): Promise<Stay> => {
 		const submit = (): void => {
 			options.send(owner, {kind: FleetMessageKind.Submit, cell: part.cell, order: createOrder(part)});
 		};
@@ -174,7 +174,7 @@
 					break;
 				}
 
-				case HolderEvent.OwnerReached: {
+				case HolderEvent.OwnerReconnected: {
 					submit();
 					break;
 				}
@@ -185,7 +185,7 @@
 					return {end: StayEnd.OwnerLost};
 				}
 
-				case HolderEvent.CallerLeft: {
+				case HolderEvent.CallerDisconnected: {
 					withdraw();
 					return {end: StayEnd.JobEnded, answer: {end: JobEnd.Withdrawn}};
 				}
@@ -221,9 +221,9 @@
 				return part.generation === 0 && !isCommitted() ? {end: JobEnd.Refused, reason: RefusalReason.NoCell, retryAfterMilliseconds: retryWithoutCellMilliseconds} : {end: undefined};
 			}
 
-			holding.follow(part.cell, owner);
+			holding.setOwner(part.cell, owner);
 			const stay = await stayAt(part, owner, holding);
-			holding.follow(part.cell, undefined);
+			holding.setOwner(part.cell, undefined);
 			switch (stay.end) {
 				case StayEnd.Done: {
 					return undefined;
@@ -281,8 +281,8 @@
 		return await answer.promise;
 	} finally {
 		isOver = true;
-		for (const {news} of held.values()) {
-			news.push({kind: HolderEvent.CallerLeft});
+		for (const {updates: news} of held.values()) {
+			news.push({kind: HolderEvent.CallerDisconnected});
 		}
 	}
 };
