--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -16,7 +16,7 @@
 import {findOwner} from './cell-claims.js';
 import {createCellLoads} from './cell-loads.js';
 import {createConfigurationWatch} from './configuration-watch.js';
-import {createDecisionLog} from './decision-log.js';
+import {createRateLimitedLog} from './rate-limited-log.js';
 import {createEndpointLists} from './endpoint-lists.js';
 import {FleetEvent} from './fleet-event.js';
 import {createFleetLinks} from './fleet-links.js';
@@ -80,7 +80,7 @@
 	const startedAt = Date.now();
 	const startedSteady = performance.now();
 	const self = settings.listen.peers;
-	const decide = createDecisionLog(log, mostLinesOfAnEvent);
+	const decide = createRateLimitedLog(log, mostLinesOfAnEvent);
 	const metrics = createFleetMetrics();
 	const view = createFleetView();
 	const heldJobs = createHeldJobs();
--- a/packages/galenakeeld/src/process/fleet/held-jobs.ts
+++ b/packages/galenakeeld/src/process/fleet/held-jobs.ts
@@ -109,7 +109,7 @@
 			}
 		},
 		notifyReconnected(address) {
-			for (const {owner, updates: updates} of holdings) {
+			for (const {owner, updates} of holdings) {
 				if (owner?.address === address) {
 					updates.push({kind: HolderEvent.OwnerReconnected});
 				}
