--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -42,27 +42,27 @@
 const tickMilliseconds = 50;
 const announceLoadsMilliseconds = 10;
 /** Time after the start in which peers are heard before a cell is claimed. */
-const firstLookMilliseconds = 300;
+const discoveryMilliseconds = 300;
 /** The same for a daemon that has heard nobody. */
-const firstLookAloneMilliseconds = 3000;
-const mostLinesOfAnEvent = 40;
+const discoveryWithoutPeersMilliseconds = 3000;
+const maximumLinesPerEvent = 40;
 /** Gap between two ticks that tells that the process stood still. */
-const pauseMilliseconds = 500;
+const pauseThresholdMilliseconds = 500;
 /** Age up to which the configuration counts as the newest. */
-const freshMilliseconds = 2500;
+const configurationFreshnessMilliseconds = 2500;
 /** A run lives at most this much longer than its lease: a slow clock, and the time until an owner notices its holder's loss. */
 const leaseSlackMilliseconds = 300;
 /** Time in which beats show the owner that an endpoint obeys. */
-const fenceMilliseconds = 400;
+const fenceDelayMilliseconds = 400;
 /** Time in which the platform notices that a leaving daemon isn't ready. */
 const announceMilliseconds = 2200;
 /** Share of the time until the kill in which a leaving daemon takes jobs; callers with open connections go on using them. */
-const acceptShare = 0.5;
-const drainLookMilliseconds = 20;
+const acceptingShare = 0.5;
+const statePollMilliseconds = 20;
 /** Time before the kill at which a leaving daemon ends by itself. */
 const drainReserveMilliseconds = 300;
 
-const splitListen = (address: string): readonly [host: string, port: number] => {
+const splitAddress = (address: string): readonly [host: string, port: number] => {
 	const separator = address.lastIndexOf(':');
 	return [address.slice(0, separator), Number(address.slice(separator + 1))];
 };
@@ -78,9 +78,9 @@
 */
 export const startFleetDaemon = async (settings: FleetSettings, log: Log): Promise<FleetDaemon> => {
 	const startedAt = Date.now();
-	const startedSteady = performance.now();
+	const monotonicStartedAt = performance.now();
 	const self = settings.listen.peers;
-	const decide = createRateLimitedLog(log, mostLinesOfAnEvent);
+	const logEvent = createRateLimitedLog(log, maximumLinesPerEvent);
 	const metrics = createFleetMetrics();
 	const view = createFleetView();
 	const heldJobs = createHeldJobs();
@@ -91,7 +91,7 @@
 	let acceptsUntil = Number.POSITIVE_INFINITY;
 
 	const store = createStoreClient(settings.platform.address, key => {
-		decide(FleetEvent.UnreadableEntry, {key});
+		logEvent(FleetEvent.UnreadableEntry, {key});
 	});
 
 	const configuration = createConfigurationWatch(store, {
@@ -122,8 +122,8 @@
 			listedSince: () => cells.listedSince(zone),
 			remotePenalty: settings.remotePenalty,
 			createCalls: createEndpointClient,
-			tell(holder, news) {
-				links.send(holder, news);
+			tell(holder, update) {
+				links.send(holder, update);
 			},
 			otherCells: () => loads.otherRooms(zone),
 			kindFactors: () => loads.kindFactors(zone),
@@ -133,7 +133,7 @@
 			},
 			onDecision(decision, fields) {
 				metrics.countDecision(decision);
-				decide(decision, {cell: zone, ...fields});
+				logEvent(decision, {cell: zone, ...fields});
 			},
 			onTaskWait: metrics.recordTaskWait,
 		}),
@@ -225,7 +225,7 @@
 			const {instance, address, startedAt: peerStartedAt} = peer;
 			lists.greet(peer);
 			log.info({
-				event: FleetEvent.PeerHeard, peer: instance, address, startedAt: peerStartedAt,
+				event: FleetEvent.PeerReachable, peer: instance, address, startedAt: peerStartedAt,
 			});
 		},
 		onPeerLost(peer, cause) {
@@ -246,7 +246,7 @@
 			lists.greet(view.get(address));
 		},
 		onBroken(address, detail) {
-			decide(FleetEvent.PeerStreamBroken, {address, detail});
+			logEvent(FleetEvent.PeerStreamBroken, {address, detail});
 		},
 	});
 
@@ -257,11 +257,11 @@
 		send: links.send,
 	});
 
-	const isFirstLookOver = (): boolean =>
-		performance.now() - startedSteady > (view.all().length > 0 ? firstLookMilliseconds : firstLookAloneMilliseconds);
+	const isDiscoveryOver = (): boolean =>
+		performance.now() - monotonicStartedAt > (view.all().length > 0 ? discoveryMilliseconds : discoveryWithoutPeersMilliseconds);
 
 	const review = (): void => {
-		if (isFirstLookOver() && cells.review(description.claimant, view.all(), performance.now() - startedSteady)) {
+		if (isDiscoveryOver() && cells.review(description.claimant, view.all(), performance.now() - monotonicStartedAt)) {
 			links.announce();
 		}
 
@@ -271,7 +271,7 @@
 	/** An endpoint that obeys another daemon than the owner in sight is taken back, once beats have had time to show that owner. */
 	const reviewFences = (): void => {
 		for (const [zone, at] of fencedAt) {
-			if (performance.now() - at > fenceMilliseconds) {
+			if (performance.now() - at > fenceDelayMilliseconds) {
 				fencedAt.delete(zone);
 				if (cells.get(zone)) {
 					log.warn({event: FleetEvent.CellFenced, cell: zone, peers: view.all().length});
@@ -288,7 +288,7 @@
 		const now = performance.now();
 		const gap = now - tickedAt;
 		tickedAt = now;
-		if (gap > pauseMilliseconds) {
+		if (gap > pauseThresholdMilliseconds) {
 			log.warn({event: FleetEvent.Paused, milliseconds: Math.round(gap)});
 			// Beats that arrived meanwhile are read before silence is judged.
 			return;
@@ -305,7 +305,7 @@
 		try {
 			return await perform();
 		} catch (error) {
-			decide(FleetEvent.StoreCallFailed, {call, detail: detailOf(error)});
+			logEvent(FleetEvent.StoreCallFailed, {call, detail: detailOf(error)});
 			return undefined;
 		}
 	};
@@ -318,17 +318,17 @@
 				return owner;
 			}
 
-			await sleep(Math.min(drainLookMilliseconds, Math.max(1, until - performance.now())));
+			await sleep(Math.min(statePollMilliseconds, Math.max(1, until - performance.now())));
 		}
 	};
 
-	const submit = async (job: Job, queue: Queue, left: AbortSignal): Promise<JobAnswer> => {
+	const submit = async (job: Job, queue: Queue, disconnected: AbortSignal): Promise<JobAnswer> => {
 		const arrivedAt = performance.now();
 		const answer = await holdJob(job, queue, {
 			homeCell: settings.zone,
 			hold(part) {
 				const held = heldJobs.hold(job.identifier, part);
-				left.addEventListener('abort', () => {
+				disconnected.addEventListener('abort', () => {
 					held.updates.push({kind: HolderEvent.CallerDisconnected});
 				});
 				return held;
@@ -342,7 +342,7 @@
 		});
 		const milliseconds = performance.now() - arrivedAt;
 		metrics.recordJob(queue.name, answer.end, milliseconds);
-		decide(FleetEvent.JobAnswered, {
+		logEvent(FleetEvent.JobAnswered, {
 			job: job.identifier, queue: queue.name, end: answer.end ?? 'unknown', ...(answer.end === JobEnd.Refused && {reason: answer.reason}), milliseconds: Math.round(milliseconds),
 		});
 		return answer;
@@ -361,14 +361,14 @@
 
 			const queue = findQueue(current, host, path);
 			// A daemon that may have missed a newer configuration can't say that a queue doesn't exist.
-			const absent = configuration.ageMilliseconds() < freshMilliseconds ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
-			return queue ? {queue, pathPrefix: queue.pathPrefix} : absent;
+			const refusal = configuration.ageMilliseconds() < configurationFreshnessMilliseconds ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
+			return queue ? {queue, pathPrefix: queue.pathPrefix} : refusal;
 		},
 		submit,
 		mostBodyBytes: () => configuration.current()?.limits.bodyBytes ?? 0,
 		isLeaving: () => leaving.signal.aborted,
 		onFailure(detail) {
-			decide(FleetEvent.RequestFailed, {detail});
+			logEvent(FleetEvent.RequestFailed, {detail});
 		},
 	});
 	const isReady = (): boolean => isServing && !leaving.signal.aborted && configuration.current() !== undefined && ownerOf(settings.zone) !== undefined && cells.endpointsOf(settings.zone) !== undefined;
@@ -378,12 +378,12 @@
 		response.end(encodeMetrics([...metrics.families(), metrics.gauge('galenakeel_held_jobs', 'Jobs that wait for their end.', heldJobs.count())]));
 	});
 	await Promise.all([
-		listen(callerServer, ...splitListen(settings.listen.callers)),
-		listen(readinessServer, ...splitListen(settings.listen.readiness)),
-		listen(metricsServer, ...splitListen(settings.listen.metrics)),
+		listen(callerServer, ...splitAddress(settings.listen.callers)),
+		listen(readinessServer, ...splitAddress(settings.listen.readiness)),
+		listen(metricsServer, ...splitAddress(settings.listen.metrics)),
 	]);
 	isServing = true;
-	links.meet(settings.seeds.map(address => `${address}:${splitListen(self)[1]}`));
+	links.meet(settings.seeds.map(address => `${address}:${splitAddress(self)[1]}`));
 	void configuration.run();
 	void watchMembers({
 		store, tryStore, leaving: leaving.signal, self: {instance: settings.instance, address: self, zone: settings.zone}, meet: links.meet,
@@ -400,13 +400,13 @@
 		async leave() {
 			const limitAt = performance.now() + settings.drain.limitMilliseconds - drainReserveMilliseconds;
 			leaving.abort();
-			acceptsUntil = performance.now() + (acceptShare * settings.drain.limitMilliseconds);
+			acceptsUntil = performance.now() + (acceptingShare * settings.drain.limitMilliseconds);
 			log.info({event: FleetEvent.Leaving, held: heldJobs.count()});
 			links.announce();
 			void tryStore('removeMember', async () => store.removeMember(settings.instance));
 			await sleep(announceMilliseconds);
 			while (heldJobs.count() > 0 && performance.now() < limitAt) {
-				await sleep(drainLookMilliseconds);
+				await sleep(statePollMilliseconds);
 			}
 
 			const cut = heldJobs.count();
--- a/packages/galenakeeld/src/process/fleet/fleet-event.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-event.ts
@@ -14,7 +14,7 @@
 	StoreRegained = 'store-regained',
 	StoreCallFailed = 'store-call-failed',
 	UnreadableEntry = 'unreadable-entry',
-	PeerHeard = 'peer-heard',
+	PeerReachable = 'peer-heard',
 	PeerLost = 'peer-lost',
 	PeerStreamBroken = 'peer-stream-broken',
 	CellClaimed = 'cell-claimed',
