--- a/packages/galenakeeld/src/process/fleet/configuration-watch.ts
+++ b/packages/galenakeeld/src/process/fleet/configuration-watch.ts
@@ -18,10 +18,10 @@
 	readonly close: () => void;
 };
 
-const waitMilliseconds = 800;
+const awaitChangeMilliseconds = 800;
 const retryMilliseconds = 150;
 /** A watch of the store may be deaf while changes are made, so the configuration is also read at this interval. */
-const readMilliseconds = 1200;
+const readIntervalMilliseconds = 1200;
 
 /**
 Creates the watch.
@@ -75,7 +75,7 @@
 	};
 
 	const wait = async (): Promise<void> => {
-		const change = await store.awaitConfiguration(revision, waitMilliseconds);
+		const change = await store.awaitConfiguration(revision, awaitChangeMilliseconds);
 		confirm();
 		if (change.isHistoryGone) {
 			await read();
@@ -95,7 +95,7 @@
 		async run() {
 			while (!closing.signal.aborted) {
 				try {
-					await (current === undefined || performance.now() - readAt > readMilliseconds ? read() : wait());
+					await (current === undefined || performance.now() - readAt > readIntervalMilliseconds ? read() : wait());
 				} catch (error) {
 					if (!isLost) {
 						isLost = true;
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -386,7 +386,7 @@
 	links.meet(settings.seeds.map(address => `${address}:${splitAddress(self)[1]}`));
 	void configuration.run();
 	void watchMembers({
-		store, tryStore, leaving: leaving.signal, self: {instance: settings.instance, address: self, zone: settings.zone}, meet: links.meet,
+		store, tryStore, leaving: leaving.signal, self: {instance: settings.instance, address: self, zone: settings.zone}, connect: links.meet,
 	});
 	void watchEndpoints({
 		store, tryStore, leaving: leaving.signal, ownedCells: cells.count, install(entries) {
--- a/packages/galenakeeld/src/process/fleet/fleet-main.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-main.ts
@@ -31,7 +31,7 @@
 };
 
 /** Resolves when the process is told to leave. */
-const awaitLeave = async (): Promise<void> => new Promise(resolve => {
+const awaitTermination = async (): Promise<void> => new Promise(resolve => {
 	process.once('SIGTERM', resolve);
 	process.once('SIGINT', resolve);
 });
@@ -56,10 +56,10 @@
 	process.on('SIGHUP', () => {
 		checkReload(path, log);
 	});
-	const leaveAsked = awaitLeave();
+	const terminationRequested = awaitTermination();
 	try {
 		const daemon = await startFleetDaemon(settings, log);
-		await leaveAsked;
+		await terminationRequested;
 		const cut = await daemon.leave();
 		return cut === 0 ? ExitCode.Done : ExitCode.Failed;
 	} catch (error) {
--- a/packages/galenakeeld/src/process/fleet/fleet-metrics.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-metrics.ts
@@ -16,7 +16,7 @@
 };
 
 const allQueues = 'all';
-const mostQueues = 64;
+const maximumQueues = 64;
 
 /**
 Creates metrics that stand at zero.
@@ -30,8 +30,8 @@
 export const createFleetMetrics = (): FleetMetrics => {
 	const decisions = createCounters('galenakeel_decisions_total', 'Decisions by kind.', ['decision']);
 	const ends = createCounters('galenakeel_jobs_total', 'Jobs by queue and end.', ['queue', 'end']);
-	const waits = createPercentiles('galenakeel_job_wait_seconds', 'Time from the arrival of a job at its cell to its first order.', {services: mostQueues});
-	const durations = createPercentiles('galenakeel_job_seconds', 'Time from a job\'s arrival to its answer.', {services: mostQueues});
+	const waits = createPercentiles('galenakeel_job_wait_seconds', 'Time from the arrival of a job at its cell to its first order.', {services: maximumQueues});
+	const durations = createPercentiles('galenakeel_job_seconds', 'Time from a job\'s arrival to its answer.', {services: maximumQueues});
 	return {
 		countDecision(decision) {
 			decisions.add([decision]);
--- a/packages/galenakeeld/src/process/fleet/store-watches.ts
+++ b/packages/galenakeeld/src/process/fleet/store-watches.ts
@@ -8,12 +8,12 @@
 */
 export type TryStore = <Value>(call: string, perform: () => Promise<Value>) => Promise<Value | undefined>;
 
-const listEndpointsMilliseconds = 500;
-const lookForClaimsMilliseconds = 50;
-const listMembersMilliseconds = 2000;
-const slowListMembersMilliseconds = 10_000;
+const endpointListIntervalMilliseconds = 500;
+const claimPollMilliseconds = 50;
+const memberListIntervalMilliseconds = 2000;
+const slowMemberListIntervalMilliseconds = 10_000;
 /** Age of the process up to which the members are listed often. */
-const youngMilliseconds = 10_000;
+const frequentListingMilliseconds = 10_000;
 /** Age of a member's row from which it is not dialled. */
 const staleMemberMilliseconds = 3_600_000;
 
@@ -34,9 +34,9 @@
 			options.install(entries);
 		}
 
-		const until = performance.now() + listEndpointsMilliseconds;
+		const until = performance.now() + endpointListIntervalMilliseconds;
 		while (performance.now() < until && options.ownedCells() <= owned) {
-			await sleep(lookForClaimsMilliseconds);
+			await sleep(claimPollMilliseconds);
 		}
 	}
 };
@@ -49,7 +49,7 @@
 	readonly tryStore: TryStore;
 	readonly leaving: AbortSignal;
 	readonly self: Omit<MemberRow, 'writtenAt'>;
-	readonly meet: (addresses: readonly string[]) => void;
+	readonly connect: (addresses: readonly string[]) => void;
 }): Promise<void> => {
 	const {store, tryStore} = options;
 	const startedAt = performance.now();
@@ -61,9 +61,9 @@
 		}) ?? false;
 
 		const members = await tryStore('listMembers', store.listMembers);
-		const fresh = (members ?? []).filter(({writtenAt}) => Date.now() - writtenAt < staleMemberMilliseconds);
-		options.meet(fresh.map(({address}) => address));
-		const isYoung = performance.now() - startedAt < youngMilliseconds || !members;
-		await sleep(isYoung ? listMembersMilliseconds : slowListMembersMilliseconds);
+		const recent = (members ?? []).filter(({writtenAt}) => Date.now() - writtenAt < staleMemberMilliseconds);
+		options.connect(recent.map(({address}) => address));
+		const isListingOften = performance.now() - startedAt < frequentListingMilliseconds || !members;
+		await sleep(isListingOften ? memberListIntervalMilliseconds : slowMemberListIntervalMilliseconds);
 	}
 };
--- a/packages/galenakeeld/src/version/document-catalogue.ts
+++ b/packages/galenakeeld/src/version/document-catalogue.ts
@@ -25,27 +25,27 @@
 ```
 */
 export const createDocumentCatalogue = (onInstall: (version: ServiceVersion) => void): DocumentCatalogue => {
-	const inForce = new Map<string, ServiceVersion>();
-	let installedVersion = 0;
+	const installedVersions = new Map<string, ServiceVersion>();
+	let installedCatalogueVersion = 0;
 	return {
-		catalogueVersion: () => installedVersion,
-		versionOf: service => inForce.get(service),
-		all: () => [...inForce.values()],
+		catalogueVersion: () => installedCatalogueVersion,
+		versionOf: service => installedVersions.get(service),
+		all: () => [...installedVersions.values()],
 		install(documents, catalogueVersion) {
 			const changed: string[] = [];
 			for (const accepted of documents) {
 				const {service} = accepted.document;
-				if ((inForce.get(service)?.version ?? 0) >= accepted.version) {
+				if ((installedVersions.get(service)?.version ?? 0) >= accepted.version) {
 					continue;
 				}
 
 				const version = createServiceVersion(accepted);
-				inForce.set(service, version);
+				installedVersions.set(service, version);
 				changed.push(service);
 				onInstall(version);
 			}
 
-			installedVersion = Math.max(installedVersion, catalogueVersion);
+			installedCatalogueVersion = Math.max(installedCatalogueVersion, catalogueVersion);
 			return changed;
 		},
 	};
--- a/packages/galenakeeld/src/version/slot-ownership.ts
+++ b/packages/galenakeeld/src/version/slot-ownership.ts
@@ -26,13 +26,13 @@
 /**
 Owners that share the slots of some endpoints, with the slots that each still may take.
 */
-type OwnerGroup = {readonly owners: readonly SlotOwner[]; readonly left: Map<string, number>};
+type OwnerGroup = {readonly owners: readonly SlotOwner[]; readonly remaining: Map<string, number>};
 
-const ownerOf = ({owners, left}: OwnerGroup, endpoint: string, slot: number): SlotOwner | undefined => {
+const selectOwner = ({owners, remaining}: OwnerGroup, endpoint: string, slot: number): SlotOwner | undefined => {
 	let best: SlotOwner | undefined;
 	let bestScore = -Infinity;
 	for (const owner of owners) {
-		const score = left.get(owner.instance)! > 0 ? scoreOf(owner, endpoint, slot) : -Infinity;
+		const score = remaining.get(owner.instance)! > 0 ? scoreOf(owner, endpoint, slot) : -Infinity;
 		if (score > bestScore) {
 			best = owner;
 			bestScore = score;
@@ -45,7 +45,7 @@
 /** Bounds each owner's slots to its share by weight, rounded up. */
 const createGroup = (owners: readonly SlotOwner[], slots: number): OwnerGroup => {
 	const weight = owners.reduce((sum, owner) => sum + owner.weight, 0);
-	return {owners, left: new Map(owners.map(owner => [owner.instance, Math.ceil(slots * owner.weight / weight)]))};
+	return {owners, remaining: new Map(owners.map(owner => [owner.instance, Math.ceil(slots * owner.weight / weight)]))};
 };
 
 const groupByZone = (owners: readonly SlotOwner[]): ReadonlyMap<string, readonly SlotOwner[]> => {
@@ -86,12 +86,12 @@
 	for (const {address, zone, slots} of endpoints) {
 		const group = groups.get(zone)!;
 		for (let slot = 0; slot < slots; slot++) {
-			const owner = ownerOf(group, address, slot)?.instance;
+			const owner = selectOwner(group, address, slot)?.instance;
 			if (owner === undefined) {
 				continue;
 			}
 
-			group.left.set(owner, group.left.get(owner)! - 1);
+			group.remaining.set(owner, group.remaining.get(owner)! - 1);
 			if (owner === instance) {
 				counts.set(address, (counts.get(address) ?? 0) + 1);
 			}
