--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -137,8 +137,8 @@
 });
 
 When('the caller leaves', async function (this: HolderWorld) {
-	for (const {updates: news} of this.holdings) {
-		news.push({kind: HolderEvent.CallerDisconnected});
+	for (const {updates} of this.holdings) {
+		updates.push({kind: HolderEvent.CallerDisconnected});
 	}
 
 	await settle();
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -130,7 +130,7 @@
 	};
 
 	/** Follows a part at one owner until it has ended or has to move. */
-	const stayAt = async (part: JobPart, owner: CellOwner, {updates: news}: HeldJob): Promise<Stay> => {
+	const stayAt = async (part: JobPart, owner: CellOwner, {updates}: HeldJob): Promise<Stay> => {
 		const submit = (): void => {
 			options.send(owner, {kind: FleetMessageKind.Submit, cell: part.cell, order: createOrder(part)});
 		};
@@ -142,7 +142,7 @@
 		};
 
 		submit();
-		for await (const one of news) {
+		for await (const one of updates) {
 			switch (one.kind) {
 				case FleetMessageKind.Started: {
 					hasStarted = true;
@@ -281,8 +281,8 @@
 		return await answer.promise;
 	} finally {
 		isOver = true;
-		for (const {updates: news} of held.values()) {
-			news.push({kind: HolderEvent.CallerDisconnected});
+		for (const {updates} of held.values()) {
+			updates.push({kind: HolderEvent.CallerDisconnected});
 		}
 	}
 };
