--- a/packages/galenakeeld/bin/galenakeeld.js
+++ b/packages/galenakeeld/bin/galenakeeld.js
@@ -1,3 +1,3 @@
 #!/usr/bin/env node
-// This file exists before the build, since npm links a binary only if its file is there.
+// Committed so that it exists before the build: npm links a binary only if its file is present.
 await import('../dist/process/main.js');
--- a/packages/galenakeeld/src/process/fleet/configuration-watch.ts
+++ b/packages/galenakeeld/src/process/fleet/configuration-watch.ts
@@ -5,26 +5,26 @@
 import type {QueueConfiguration} from '@galenakeel/model/version/queue-configuration.js';
 
 /**
-The configuration in force at this daemon. Its version only rises.
+The active configuration of this daemon. Its version only increases.
 */
 export type ConfigurationWatch = {
 	readonly current: () => QueueConfiguration | undefined;
-	/** Takes a configuration that a peer has. */
+	/** Installs a configuration received from a peer if it is newer. */
 	readonly offer: (configuration: QueueConfiguration) => void;
 	/** Milliseconds since the store last confirmed the configuration. */
 	readonly ageMilliseconds: () => number;
-	/** Follows the store until closed. */
+	/** Watches the store until `close` is called. */
 	readonly run: () => Promise<void>;
 	readonly close: () => void;
 };
 
 const awaitChangeMilliseconds = 800;
 const retryMilliseconds = 150;
-/** A watch of the store may be deaf while changes are made, so the configuration is also read at this interval. */
+/** A watch of the store can miss changes, so the configuration is also read at this interval. */
 const readIntervalMilliseconds = 1200;
 
 /**
-Creates the watch.
+Creates a watch of the configuration in the store.
 
 @example
 ```
@@ -34,7 +34,7 @@
 */
 export const createConfigurationWatch = (store: StoreCalls, handlers: {
 	readonly onInstall: (configuration: QueueConfiguration) => void;
-	/** Called once when the store stops answering. */
+	/** Called once per outage, when a call of the store first fails. */
 	readonly onLost: (detail: string) => void;
 	readonly onRegained: () => void;
 }): ConfigurationWatch => {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -35,31 +35,31 @@
 A running daemon.
 */
 export type FleetDaemon = {
-	/** Leaves the fleet: hands its cells over, answers what it holds, and resolves with the number of callers without an answer. */
+	/** Leaves the fleet: announces that it leaves, waits for the jobs that it holds, gives up its cells, and resolves with the number of held job parts that were aborted without an answer. */
 	readonly leave: () => Promise<number>;
 };
 
 const tickMilliseconds = 50;
 const announceLoadsMilliseconds = 10;
-/** Time after the start in which peers are heard before a cell is claimed. */
+/** Time after the start in which heartbeats of peers are awaited before a cell is claimed. */
 const discoveryMilliseconds = 300;
-/** The same for a daemon that has heard nobody. */
+/** The same while no peer is reachable. */
 const discoveryWithoutPeersMilliseconds = 3000;
 const maximumLinesPerEvent = 40;
-/** Gap between two ticks that tells that the process stood still. */
+/** Gap between two ticks from which the process counts as paused. */
 const pauseThresholdMilliseconds = 500;
-/** Age up to which the configuration counts as the newest. */
+/** Time since the last confirmation by the store up to which the configuration counts as current. */
 const configurationFreshnessMilliseconds = 2500;
-/** A run lives at most this much longer than its lease: a slow clock, and the time until an owner notices its holder's loss. */
+/** Maximum time for which a run continues after its lease: allows for a slow clock, and for the time until an owner detects the loss of its holder. */
 const leaseSlackMilliseconds = 300;
-/** Time in which beats show the owner that an endpoint obeys. */
+/** Time in which heartbeats show the owner whose token an endpoint accepts. */
 const fenceDelayMilliseconds = 400;
-/** Time in which the platform notices that a leaving daemon isn't ready. */
+/** Time until the platform has detected that a leaving daemon is no longer ready. */
 const announceMilliseconds = 2200;
-/** Share of the time until the kill in which a leaving daemon takes jobs; callers with open connections go on using them. */
+/** Share of the drain limit in which a leaving daemon still accepts jobs, since callers keep using their open connections. */
 const acceptingShare = 0.5;
 const statePollMilliseconds = 20;
-/** Time before the kill at which a leaving daemon ends by itself. */
+/** Time before the drain limit, at which the process is killed, by which a leaving daemon ends by itself. */
 const drainReserveMilliseconds = 300;
 
 const splitAddress = (address: string): readonly [host: string, port: number] => {
@@ -68,7 +68,9 @@
 };
 
 /**
-Starts a daemon: serves callers, holds their jobs, and orders the endpoints of the cells that it claims.
+Starts a daemon: it serves callers, holds their jobs, and dispatches tasks to the endpoints of the cells that it claims.
+
+@throws The error of an address under `listen` that cannot be bound.
 
 @example
 ```
@@ -87,7 +89,7 @@
 	const leaving = new AbortController();
 	let isServing = false;
 	let tickedAt = performance.now();
-	/** Steady milliseconds up to which jobs are taken. */
+	/** Monotonic milliseconds up to which jobs are accepted. */
 	let acceptsUntil = Number.POSITIVE_INFINITY;
 
 	const store = createStoreClient(settings.platform.address, key => {
@@ -144,7 +146,7 @@
 			log.info({event: FleetEvent.CellYielded, cell: zone, token});
 		},
 	});
-	/** Steady milliseconds at which an endpoint of a cell was first found to obey another owner. */
+	/** Monotonic milliseconds at which an endpoint of a cell was first found to accept the token of another owner. */
 	const fencedAt = new Map<string, number>();
 
 	const description = createSelfDescription({
@@ -238,7 +240,7 @@
 				cell.dropHolder(address);
 			}
 
-			// Several peers may be lost at once, and a claim needs to know of all.
+			// Several peers may be lost at once, and a claim must take all of these losses into account.
 			setImmediate(review);
 		},
 		onReached(address) {
@@ -268,7 +270,7 @@
 		heldJobs.checkOwners(ownerOf);
 	};
 
-	/** An endpoint that obeys another daemon than the owner in sight is taken back, once beats have had time to show that owner. */
+	/** Takes back cells whose endpoints accept another daemon than the known owner, once heartbeats have had time to show that daemon as the owner. */
 	const reviewFences = (): void => {
 		for (const [zone, at] of fencedAt) {
 			if (performance.now() - at > fenceDelayMilliseconds) {
@@ -290,7 +292,7 @@
 		tickedAt = now;
 		if (gap > pauseThresholdMilliseconds) {
 			log.warn({event: FleetEvent.Paused, milliseconds: Math.round(gap)});
-			// Beats that arrived meanwhile are read before silence is judged.
+			// Heartbeats that arrived during the pause are processed before peers are checked for silence.
 			return;
 		}
 
@@ -360,7 +362,7 @@
 			}
 
 			const queue = findQueue(current, host, path);
-			// A daemon that may have missed a newer configuration can't say that a queue doesn't exist.
+			// The queue may exist in a newer configuration that this daemon has missed.
 			const refusal = configuration.ageMilliseconds() < configurationFreshnessMilliseconds ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
 			return queue ? {queue, pathPrefix: queue.pathPrefix} : refusal;
 		},
--- a/packages/galenakeeld/src/process/fleet/fleet-event.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-event.ts
@@ -1,5 +1,5 @@
 /**
-The events of the log of a daemon on the platform of jobs, beside the decisions of its cells.
+Log events of a daemon on the job platform. The decisions of its cells are logged under their own names.
 */
 export enum FleetEvent {
 	Started = 'daemon-started',
--- a/packages/galenakeeld/src/process/fleet/fleet-main.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-main.ts
@@ -10,17 +10,17 @@
 Exit codes of the daemon.
 */
 export enum ExitCode {
-	/** Every caller had its answer. */
+	/** Every caller received its answer. */
 	Done = 0,
-	/** The daemon could not start, or callers were cut. */
+	/** The daemon could not start, or callers were left without an answer at shutdown. */
 	Failed = 1,
-	/** The settings are wrong. */
+	/** The settings are missing or invalid. */
 	Usage = 2,
 }
 
 const readSettings = (path: string): FleetSettings => parseFleetSettings(readFileSync(path, 'utf8'), path);
 
-/** Settings are fixed for the life of the process; a reload only checks them. */
+/** Settings do not change while the process runs; a reload only validates the file. */
 const checkReload = (path: string, log: Log): void => {
 	try {
 		readSettings(path);
@@ -30,16 +30,16 @@
 	}
 };
 
-/** Resolves when the process is told to leave. */
+/** Resolves at the first SIGTERM or SIGINT. */
 const awaitTermination = async (): Promise<void> => new Promise(resolve => {
 	process.once('SIGTERM', resolve);
 	process.once('SIGINT', resolve);
 });
 
 /**
-Runs a daemon on the platform of jobs until it is told to leave.
+Runs a daemon on the job platform until SIGTERM or SIGINT.
 
-@param path File of its settings, JSON with comments.
+@param path Path of the settings file, JSON with comments.
 @returns The exit code of the process.
 */
 export const runFleetDaemon = async (path: string): Promise<ExitCode> => {
--- a/packages/galenakeeld/src/process/fleet/fleet-metrics.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-metrics.ts
@@ -4,11 +4,11 @@
 import {MetricType, type MetricFamily} from '../prometheus-text.js';
 
 /**
-What a daemon counts and times.
+Metrics of a daemon.
 */
 export type FleetMetrics = {
 	readonly countDecision: (decision: string) => void;
-	/** Time from the arrival of a job at its cell to its first order. */
+	/** Records the time from the arrival of a job at its cell to the first start order of a task. */
 	readonly recordTaskWait: (milliseconds: number) => void;
 	readonly recordJob: (queue: string, end: JobEnd | undefined, milliseconds: number) => void;
 	readonly families: () => readonly MetricFamily[];
@@ -19,7 +19,7 @@
 const maximumQueues = 64;
 
 /**
-Creates metrics that stand at zero.
+Creates metrics without samples.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/fleet/fleet-settings.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-settings.ts
@@ -15,15 +15,15 @@
 		callers: addressSchema, readiness: addressSchema, peers: addressSchema, metrics: addressSchema,
 	}),
 	platform: z.strictObject({address: addressSchema}),
-	/** What the machine can carry: cores, and the share of each that the daemon gets. */
+	/** Capacity of the machine: cores, and the share of each that the daemon gets. */
 	machine: z.strictObject({cores: z.number().positive().default(1), share: z.number().positive().default(1)}).prefault({}),
-	/** IP addresses of daemons to begin with, beside those that the store lists. */
+	/** IP addresses of peers to connect to at the start, in addition to those listed in the store. */
 	seeds: z.array(z.string()).default([]),
 	leases: z.strictObject({
-		/** Longest lease that an endpoint grants. */
+		/** Maximum lease that an endpoint grants. */
 		maximumMilliseconds: milliseconds,
 	}),
-	/** Factor of the run time of a task away from its data. */
+	/** Factor by which the run time of a task grows away from its data. */
 	remotePenalty: z.number().min(1).default(1),
 	drain: z.strictObject({
 		/** Time from SIGTERM until the process is killed. */
@@ -33,14 +33,14 @@
 });
 
 /**
-Settings of a daemon on the platform of jobs.
+Settings of a daemon on the job platform.
 */
 export type FleetSettings = Readonly<z.output<typeof fleetSettingsSchema>>;
 
 /**
 Parses the settings of a daemon.
 
-@throws A fault of kind `InvalidConfiguration` with one line for each faulty place.
+@throws A fault of kind `InvalidConfiguration` with one line for each invalid setting.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/fleet/held-jobs.ts
+++ b/packages/galenakeeld/src/process/fleet/held-jobs.ts
@@ -2,25 +2,25 @@
 import {FleetMessageKind, type JobNews} from '@galenakeel/model/connection/fleet-message.js';
 
 /**
-What the holder of a job hears beside the news of the cell's owner.
+Local events that the holder of a job receives in addition to the updates of the cell's owner.
 */
 export enum HolderEvent {
-	/** The owner that has the job is gone, or another daemon orders the cell now. */
+	/** The owner of the job is lost, or another daemon owns the cell now. */
 	OwnerLost = 'owner-lost',
-	/** Messages to or from the owner may have been lost. */
+	/** The stream to the owner was opened again; messages in either direction may have been lost. */
 	OwnerReconnected = 'owner-reached',
-	/** The caller has left. */
+	/** The caller has closed its connection. */
 	CallerDisconnected = 'caller-left',
 }
 
 export type HolderUpdate = JobNews | {readonly kind: HolderEvent};
 
 /**
-The daemon that orders a cell, in one term.
+The owner of a cell during one term.
 */
 export type CellOwner = {
 	readonly address: string;
-	/** Tells apart what the daemon still knows of its jobs from what it has forgotten. */
+	/** Changes when the daemon claims the cell anew, and so has lost the state of its jobs. */
 	readonly term: number;
 	readonly token: number;
 };
@@ -30,9 +30,9 @@
 */
 export type HeldJob = {
 	readonly updates: Inbox<HolderUpdate>;
-	/** Notes which owner has the part. */
+	/** Records which owner has the part; undefined while none has. */
 	readonly setOwner: (cell: string, owner: CellOwner | undefined) => void;
-	/** Ends the holding. */
+	/** Stops holding the part and closes its inbox. */
 	readonly release: () => void;
 };
 
@@ -40,14 +40,14 @@
 The jobs that this daemon holds.
 */
 export type HeldJobs = {
-	/** Number of parts that are held. */
+	/** Number of job parts that are held. */
 	readonly count: () => number;
 	readonly hold: (identifier: string, part: string) => HeldJob;
-	/** Hands news of an owner to the job's holders. */
+	/** Delivers an update of an owner to all holdings of its job part. */
 	readonly deliver: (from: string, update: JobNews) => void;
-	/** Tells the jobs whose owner no longer orders their cell. */
+	/** Notifies the jobs whose owner no longer owns their cell. */
 	readonly checkOwners: (findOwner: (cell: string) => CellOwner | undefined) => void;
-	/** Tells the jobs at a daemon whose messages may have been lost. */
+	/** Notifies the jobs at an owner whose stream was opened again. */
 	readonly notifyReconnected: (address: string) => void;
 };
 
@@ -93,7 +93,7 @@
 		},
 		deliver(from, update) {
 			for (const {identifier, part, owner, updates: inbox} of holdings) {
-				// What has succeeded at an earlier owner counts too.
+				// A task that succeeded at an earlier owner counts as well.
 				const isCurrent = owner?.address === from || update.kind === FleetMessageKind.TaskSucceeded;
 				if (identifier === update.job && part === update.part && isCurrent) {
 					inbox.push(update);
--- a/packages/galenakeeld/src/process/fleet/listen.ts
+++ b/packages/galenakeeld/src/process/fleet/listen.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 
 /**
-Makes a server listen; rejects when the address can't be had.
+Starts listening on an address; rejects if the address cannot be bound.
 */
 export const listen = async (server: Server, host: string, port: number): Promise<void> => {
 	server.listen(port, host);
@@ -11,7 +11,7 @@
 };
 
 /**
-Closes a server: takes no connection any more, and waits until the answers under way are written out, up to a limit.
+Stops accepting connections and waits until pending answers are written, up to a limit.
 */
 export const closeServer = async (server: Server, limitMilliseconds: number): Promise<void> => {
 	const closed = once(server, 'close');
--- a/packages/galenakeeld/src/process/fleet/rate-limited-log.ts
+++ b/packages/galenakeeld/src/process/fleet/rate-limited-log.ts
@@ -2,7 +2,7 @@
 import type {Log} from '../log.js';
 
 /**
-Writes a line for each decision, at most so many of one event in a second.
+Logs an event unless its number of lines per second is used up.
 */
 export type RateLimitedLog = (event: string, fields: Readonly<Record<string, unknown>>) => void;
 
@@ -11,14 +11,14 @@
 type CountWindow = {startedAt: number; written: number; omitted: number};
 
 /**
-Creates a log of decisions. Lines that were left out are counted in a line of their own.
+Creates a log that limits the lines of each event per second. The number of omitted lines is logged when the next line of that event follows in a later window.
 
-@param maximumLines Lines of one event in a second.
+@param maximumLines Maximum number of lines per event and second.
 
 @example
 ```
-const decide = createDecisionLog(log, 50);
-decide(CellDecision.JobTaken, {job: '5c0e7a21d94b36f8'});
+const logEvent = createRateLimitedLog(log, 50);
+logEvent(CellDecision.JobTaken, {job: '5c0e7a21d94b36f8'});
 ```
 */
 export const createRateLimitedLog = (log: Log, maximumLines: number): RateLimitedLog => {
--- a/packages/galenakeeld/src/process/fleet/store-watches.ts
+++ b/packages/galenakeeld/src/process/fleet/store-watches.ts
@@ -4,7 +4,7 @@
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 
 /**
-Performs a call of the store; undefined, with a line in the log, when it fails.
+Performs a call of the store. Resolves with undefined, and logs the error, if the call fails.
 */
 export type TryStore = <Value>(call: string, perform: () => Promise<Value>) => Promise<Value | undefined>;
 
@@ -12,13 +12,13 @@
 const claimPollMilliseconds = 50;
 const memberListIntervalMilliseconds = 2000;
 const slowMemberListIntervalMilliseconds = 10_000;
-/** Age of the process up to which the members are listed often. */
+/** Time after the start in which the members are listed at the shorter interval. */
 const frequentListingMilliseconds = 10_000;
-/** Age of a member's row from which it is not dialled. */
+/** Age of a member's row from which this daemon does not connect to its address. */
 const staleMemberMilliseconds = 3_600_000;
 
 /**
-Lists the endpoints while this daemon owns a cell, at once after it has claimed another one, until it leaves and owns none.
+Lists the endpoints while this daemon owns a cell, and without delay after it claims another one. Ends when the daemon is leaving and owns no cell.
 */
 export const watchEndpoints = async (options: {
 	readonly store: StoreCalls;
@@ -42,7 +42,7 @@
 };
 
 /**
-Writes this daemon's row once and meets the daemons of the other rows, until it leaves.
+Writes this daemon's row once, and connects to the daemons of the recent rows until this daemon leaves.
 */
 export const watchMembers = async (options: {
 	readonly store: StoreCalls;
