--- a/packages/galenakeeld/src/version/__tests__/slot-ownership.feature
+++ b/packages/galenakeeld/src/version/__tests__/slot-ownership.feature
@@ -5,8 +5,8 @@
     Then each instance owns 40 slots
     And every slot has one owner
 
-  Scenario: An instance that leaves moves few slots besides its own
+  Scenario: Few slots move besides those of an instance that leaves
     Given 30 endpoints of 8 slots in one zone, owned by 6 instances
     When instance 6 leaves
     Then each instance owns 48 slots
-    And at most 35% of the slots changed hands
+    And at most 35% of the slots move to another instance
--- a/packages/galenakeeld/src/version/__tests__/slot-ownership.steps.ts
+++ b/packages/galenakeeld/src/version/__tests__/slot-ownership.steps.ts
@@ -40,7 +40,7 @@
 	}
 });
 
-Then('at most {int}% of the slots changed hands', function (this: OwnershipWorld, percent: number) {
+Then('at most {int}% of the slots move to another instance', function (this: OwnershipWorld, percent: number) {
 	let moved = 0;
 	for (const {address} of this.endpoints) {
 		for (const [instance, counts] of this.shares) {
--- a/packages/galenakeeld/src/version/document-catalogue.ts
+++ b/packages/galenakeeld/src/version/document-catalogue.ts
@@ -2,21 +2,21 @@
 import {createServiceVersion, type ServiceVersion} from './service-version.js';
 
 /**
-The documents in force on this instance. A version is only ever replaced by a higher one.
+The active documents of this instance. A version is only replaced by a higher one.
 */
 export type DocumentCatalogue = {
 	/** Highest catalogue version whose documents are all installed; 0 before the first. */
 	readonly catalogueVersion: () => number;
 	readonly versionOf: (service: string) => ServiceVersion | undefined;
 	readonly all: () => readonly ServiceVersion[];
-	/** Installs the documents that are newer than those in force; returns the services that changed. */
+	/** Installs the documents that are newer than the active ones; returns the services that changed. */
 	readonly install: (documents: readonly AcceptedDocument[], catalogueVersion: number) => readonly string[];
 };
 
 /**
 Creates an empty catalogue.
 
-@param onInstall Called with each service version that comes into force.
+@param onInstall Called with each service version that becomes active.
 
 @example
 ```
--- a/packages/galenakeeld/src/version/service-version.ts
+++ b/packages/galenakeeld/src/version/service-version.ts
@@ -6,7 +6,7 @@
 export type Endpoint = EndpointEntry & {readonly zone: string};
 
 /**
-What a request keeps from its start to its end: one accepted document, prepared for routing.
+An accepted document, prepared for routing. A request uses one version from its start to its end.
 */
 export type ServiceVersion = {
 	readonly version: number;
--- a/packages/galenakeeld/src/version/slot-ownership.ts
+++ b/packages/galenakeeld/src/version/slot-ownership.ts
@@ -4,19 +4,19 @@
 const hashRange = 2 ** 32;
 
 /**
-An entry instance as far as the ownership of slots is concerned.
+An entry instance with the properties that slot ownership depends on.
 */
 export type SlotOwner = {readonly instance: string; readonly zone: string; readonly weight: number};
 
 /**
-An endpoint as far as the ownership of its slots is concerned.
+An endpoint with the properties that the ownership of its slots depends on.
 */
 export type OwnedEndpoint = {readonly address: string; readonly zone: string; readonly slots: number};
 
 /**
 Score of weighted rendezvous hashing: `-weight / ln(u)` with `u` uniform in (0, 1) by the hash of the pair.
 
-The owner with the highest score wins, so that a change of owners moves only the slots of those that came or went, and each owner's share is proportional to its weight (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", 2005).
+The owner with the highest score wins, so that a change of owners moves only the slots of those that joined or left, and each owner's share is proportional to its weight (Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", 2005).
 */
 const scoreOf = (owner: SlotOwner, endpoint: string, slot: number): number => {
 	const uniform = (h32(`${owner.instance}/${endpoint}/${slot}`) + 0.5) / hashRange;
@@ -24,7 +24,7 @@
 };
 
 /**
-Owners that share the slots of some endpoints, with the slots that each still may take.
+Owners that share the slots of a set of endpoints, with the number of slots that each may still receive.
 */
 type OwnerGroup = {readonly owners: readonly SlotOwner[]; readonly remaining: Map<string, number>};
 
@@ -42,7 +42,7 @@
 	return best;
 };
 
-/** Bounds each owner's slots to its share by weight, rounded up. */
+/** Creates a group that limits each owner to its share of the slots by weight, rounded up. */
 const createGroup = (owners: readonly SlotOwner[], slots: number): OwnerGroup => {
 	const weight = owners.reduce((sum, owner) => sum + owner.weight, 0);
 	return {owners, remaining: new Map(owners.map(owner => [owner.instance, Math.ceil(slots * owner.weight / weight)]))};
@@ -65,7 +65,7 @@
 /**
 Counts the slots of each endpoint that belong to one instance.
 
-The slots of an endpoint belong to the instances of its availability zone; while none of those is serving, to all. Each slot goes to the owner with the highest score that has not got its share yet, as in consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018), so that shares differ by one slot at most.
+The slots of an endpoint belong to the instances of its availability zone; while none of those is serving, to all. Each slot goes to the owner with the highest score among those below their share, as in consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018), so that shares differ by one slot at most.
 
 @returns Slot counts by endpoint address; endpoints without a slot of the instance are absent.
 
