Rename Beat, JobNews and Withdraw to Heartbeat, JobUpdate and Cancel, Room to Resources, look to poll: usual terms of the field

Also incarnationOf for lifeOf, FreeCapacity for FreeRoom, and calls to an endpoint instead of orders (CallOutcome, CallReply, StartRequest). Values on the wire stay.

--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -5,7 +5,7 @@
 import {
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
-import {FleetMessageKind, type Beat} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type Heartbeat} from '@galenakeel/model/connection/fleet-message.js';
 import {createDeferred, type Deferred} from '@galenakeel/model/request/deferred.js';
 import {createPeerStream, serveFleet, type PeerStream} from '../fleet-service.js';
 
@@ -25,8 +25,8 @@
 const firstPort = 21_300;
 let nextPort = firstPort;
 
-const beat: Beat = {
-	kind: FleetMessageKind.Beat, instance: 'entry-1', address: '127.0.0.1:1', zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [],
+const beat: Heartbeat = {
+	kind: FleetMessageKind.Heartbeat, instance: 'entry-1', address: '127.0.0.1:1', zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 };
 
 const isDoneWithin = async (done: Promise<true>, milliseconds: number): Promise<boolean> =>
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -90,7 +90,7 @@
 			}
 
 			for (const message of messages) {
-				const isFirst = from === '' && message.kind === FleetMessageKind.Beat;
+				const isFirst = from === '' && message.kind === FleetMessageKind.Heartbeat;
 				if (isFirst) {
 					from = message.address;
 					noteSender(from);
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -5,7 +5,7 @@
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {
-	FleetMessageKind, type JobNews, type JobOrder, type Redirect,
+	FleetMessageKind, type JobUpdate, type JobOrder, type Redirect,
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {Step} from '@galenakeel/model/request/job.js';
 import {createCell, type Cell} from '../cell.js';
@@ -15,7 +15,7 @@
 	clock: Clock;
 	cell: Cell;
 	order: JobOrder;
-	news: JobNews[];
+	news: JobUpdate[];
 	started: string[];
 	stopped: string[];
 	/** Steady milliseconds at which the cell's first list came. */
--- a/packages/galenakeeld/src/process/cells/__tests__/crest-replay.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/crest-replay.ts
@@ -4,7 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import type {Clock} from '@sinonjs/fake-timers';
 import {
-	type EndedRun, type EndpointCalls, type LookOrder, type LookReply, OrderOutcome, type OrderReply, RunEnd, type StartOrder,
+	type EndedRun, type EndpointCalls, type PollRequest, type PollReply, CallOutcome, type CallReply, RunEnd, type StartRequest,
 } from '@galenakeel/model/connection/endpoint-calls.js';
 import {FleetMessageKind, type CellLoad} from '@galenakeel/model/connection/fleet-message.js';
 import {JobEnd, type Job, type Step} from '@galenakeel/model/request/job.js';
@@ -121,11 +121,11 @@
 		wake?.();
 	};
 
-	const begin = ({task, attempt, specification}: StartOrder): OrderOutcome => {
+	const begin = ({task, attempt, specification}: StartRequest): CallOutcome => {
 		const [processor, ...milliseconds] = specification.split(' ').map(Number);
 		const used = active.reduce((sum, run) => sum + run.processor, 0);
 		if (used + processor! > whole) {
-			return OrderOutcome.NoRoom;
+			return CallOutcome.InsufficientCapacity;
 		}
 
 		const run = {
@@ -137,7 +137,7 @@
 				finish(run, RunEnd.Succeeded);
 			}
 		}, milliseconds[task.index]! * speed);
-		return OrderOutcome.Done;
+		return CallOutcome.Done;
 	};
 
 	const awaitEnd = async (milliseconds: number): Promise<void> => new Promise(resolve => {
@@ -149,23 +149,23 @@
 	});
 
 	return {
-		async start(order): Promise<OrderReply> {
+		async start(order): Promise<CallReply> {
 			await delay();
 			const outcome = begin(order);
 			const clockMilliseconds = clock();
 			await delay();
 			return {outcome, clockMilliseconds};
 		},
-		async stop({task, attempt}): Promise<OrderReply> {
+		async stop({task, attempt}): Promise<CallReply> {
 			await delay();
 			const run = active.find(one => one.attempt === attempt && isSameTask(one.task, task));
 			if (run) {
 				finish(run, RunEnd.Stopped);
 			}
 
-			return {outcome: OrderOutcome.Done, clockMilliseconds: clock()};
+			return {outcome: CallOutcome.Done, clockMilliseconds: clock()};
 		},
-		async look({acknowledged, waitMilliseconds}: LookOrder): Promise<LookReply> {
+		async poll({acknowledged, waitMilliseconds}: PollRequest): Promise<PollReply> {
 			await delay();
 			ended = ended.filter(one => one.sequence > acknowledged);
 			if (ended.length === 0 && waitMilliseconds > 0) {
@@ -174,7 +174,7 @@
 
 			const report = {clockMilliseconds: clock(), active: active.map(({task, attempt, processor}) => ({task, attempt, processorInUse: processor})), ended};
 			await delay();
-			return {outcome: OrderOutcome.Done, report};
+			return {outcome: CallOutcome.Done, report};
 		},
 		close() {
 			active = [];
@@ -259,7 +259,7 @@
 			setTimeout(() => {
 				if (message.kind === FleetMessageKind.Submit) {
 					cells.get(address)!.submit(replayed.zone, message.order);
-				} else if (message.kind === FleetMessageKind.Withdraw) {
+				} else if (message.kind === FleetMessageKind.Cancel) {
 					cells.get(address)!.withdraw(replayed.zone, message.job, message.part);
 				}
 			}, address === replayed.zone ? callMilliseconds : peerMilliseconds);
--- a/packages/galenakeeld/src/process/cells/admit-job.ts
+++ b/packages/galenakeeld/src/process/cells/admit-job.ts
@@ -1,7 +1,7 @@
 /**
 Decides at the door whether a job waits here, goes to another cell, or is refused.
 */
-import type {FreeRoom} from '@galenakeel/model/connection/fleet-message.js';
+import type {FreeCapacity} from '@galenakeel/model/connection/fleet-message.js';
 import {predictEnds, type Lane, type PredictedJob} from './predict-ends.js';
 
 /**
@@ -10,7 +10,7 @@
 export type CellRoom = {
 	readonly cell: string;
 	/** Room that is free. */
-	readonly free: readonly FreeRoom[];
+	readonly free: readonly FreeCapacity[];
 	/** Time until work that arrives now starts, in milliseconds. */
 	readonly waitMilliseconds: number;
 };
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -1,11 +1,11 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, type LookReply, OrderOutcome, type OrderReply, RunEnd,
+	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, type PollReply, CallOutcome, type CallReply, RunEnd,
 } from '@galenakeel/model/connection/endpoint-calls.js';
-import type {Room} from '@galenakeel/model/request/job.js';
+import type {Resources} from '@galenakeel/model/request/job.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
-import {lifeOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
+import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import {createEndpointContact} from './endpoint-contact.js';
 import {EndpointDecision} from './endpoint-decision.js';
 import {
@@ -36,7 +36,7 @@
 	/** Starts a task and waits for its end. */
 	readonly start: (request: RunRequest) => Promise<RunResult>;
 	/** Takes a run of an earlier owner over; undefined if there is none. */
-	readonly adopt: (task: TaskKey, room: Room, estimateMilliseconds: number) => {readonly ended: Promise<RunResult>} | undefined;
+	readonly adopt: (task: TaskKey, room: Resources, estimateMilliseconds: number) => {readonly ended: Promise<RunResult>} | undefined;
 	/** Stops the runs of the tasks that a test holds for. */
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
 	/** Looks at the endpoint until it is closed. */
@@ -166,19 +166,19 @@
 	const stopUntilVoid = async (run: Run): Promise<void> => {
 		while (isListed(run) && run.state !== RunState.Stopping && !isOver()) {
 			const {outcome} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
-			if (outcome === OrderOutcome.Done) {
+			if (outcome === CallOutcome.Done) {
 				run.state = RunState.Stopping;
 				run.visibleAt = performance.now();
 				await lookNow();
 				return;
 			}
 
-			if (outcome === OrderOutcome.OtherLife) {
+			if (outcome === CallOutcome.OtherIncarnation) {
 				turnAway();
 				return;
 			}
 
-			if (outcome === OrderOutcome.Fenced) {
+			if (outcome === CallOutcome.Fenced) {
 				options.onFenced();
 			}
 
@@ -200,7 +200,7 @@
 		}
 	};
 
-	const onStartReply = (run: Run, {outcome, clockMilliseconds}: OrderReply): void => {
+	const onStartReply = (run: Run, {outcome, clockMilliseconds}: CallReply): void => {
 		if (clockMilliseconds !== undefined) {
 			leases.observe(clockMilliseconds);
 		}
@@ -210,35 +210,35 @@
 		}
 
 		switch (outcome) {
-			case OrderOutcome.Done: {
+			case CallOutcome.Done: {
 				run.state = run.state === RunState.Ordered ? RunState.Running : run.state;
 				run.visibleAt = performance.now();
 				return;
 			}
 
-			case OrderOutcome.Unknown: {
+			case CallOutcome.Unknown: {
 				doubt(run);
 				return;
 			}
 
-			case OrderOutcome.OtherLife: {
+			case CallOutcome.OtherIncarnation: {
 				turnAway();
 				return;
 			}
 
-			case OrderOutcome.Fenced: {
+			case CallOutcome.Fenced: {
 				options.onFenced();
 				break;
 			}
 
-			case OrderOutcome.Rejected: {
+			case CallOutcome.Rejected: {
 				noteHealth(HealthEvent.Declined);
 				break;
 			}
 
-			case OrderOutcome.NoRoom:
-			case OrderOutcome.Superseded:
-			case OrderOutcome.Expired: {
+			case CallOutcome.InsufficientCapacity:
+			case CallOutcome.Superseded:
+			case CallOutcome.Expired: {
 				closedUntil = performance.now() + restAfterNoRoomMilliseconds;
 				setTimeout(options.onChange, restAfterNoRoomMilliseconds);
 				break;
@@ -352,15 +352,15 @@
 		}
 	};
 
-	const onNoReport = (outcome: OrderOutcome): void => {
-		if (outcome === OrderOutcome.OtherLife) {
+	const onNoReport = (outcome: CallOutcome): void => {
+		if (outcome === CallOutcome.OtherIncarnation) {
 			turnAway();
-		} else if (outcome === OrderOutcome.Fenced) {
+		} else if (outcome === CallOutcome.Fenced) {
 			options.onFenced();
 		}
 
 		const wasSilent = contact.isSilent();
-		contact.noteMiss(outcome === OrderOutcome.Unknown);
+		contact.noteMiss(outcome === CallOutcome.Unknown);
 		if (!contact.isSilent()) {
 			return;
 		}
@@ -386,11 +386,11 @@
 		return runs.size > 0 ? busyWaitMilliseconds : idleWaitMilliseconds;
 	};
 
-	const look = async (waitMilliseconds: number): Promise<LookReply> => {
+	const look = async (waitMilliseconds: number): Promise<PollReply> => {
 		// A lease that is not known to be extended must end, so that its runs count as lost.
 		const isExtending = runs.size > 0 && options.isSettled() && !contact.isSilent();
 		const lease = isExtending ? leases.next() : undefined;
-		return calls.look({
+		return calls.poll({
 			fencingToken: options.token(),
 			acknowledged,
 			waitMilliseconds,
@@ -430,7 +430,7 @@
 			}
 
 			return {
-				endpoint: lifeOf(entry),
+				endpoint: incarnationOf(entry),
 				service: entry.service,
 				free,
 				whole: entry.room,
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
-import {lifeOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
+import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import type {CellEndpoint} from './cell-endpoint.js';
 import {createEndpointSpeeds} from './endpoint-speeds.js';
 import type {OpenRoom} from './place-tasks.js';
@@ -65,7 +65,7 @@
 		const endpoint = options.createEndpoint(entry, (estimateMilliseconds, runMilliseconds) => {
 			speeds.record(entry.identifier, kindOf(entry), estimateMilliseconds, runMilliseconds);
 		});
-		endpoints.set(lifeOf(entry), endpoint);
+		endpoints.set(incarnationOf(entry), endpoint);
 		void endpoint.run();
 	};
 
@@ -98,10 +98,10 @@
 			}
 		},
 		install(entries) {
-			const current = new Set(entries.map(entry => lifeOf(entry)));
+			const current = new Set(entries.map(entry => incarnationOf(entry)));
 			for (const entry of entries) {
-				const known = endpoints.get(lifeOf(entry));
-				missingSince.delete(lifeOf(entry));
+				const known = endpoints.get(incarnationOf(entry));
+				missingSince.delete(incarnationOf(entry));
 				if (known) {
 					known.update(entry);
 				} else {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -1,11 +1,11 @@
 import {performance} from 'node:perf_hooks';
 import type {EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
 import {
-	FleetMessageKind, type CellLoad, type JobNews, type JobOrder,
+	FleetMessageKind, type CellLoad, type JobUpdate, type JobOrder,
 } from '@galenakeel/model/connection/fleet-message.js';
 import {RefusalReason} from '@galenakeel/model/request/job.js';
 import {positionOf, type TaskKey} from '@galenakeel/model/request/task-key.js';
-import {lifeOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
+import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import {Admission, type CellRoom} from './admit-job.js';
 import {createCellEndpoint, type CellEndpoint} from './cell-endpoint.js';
 import {createCellEndpoints, lapsedEntryMilliseconds} from './cell-endpoints.js';
@@ -67,7 +67,7 @@
 	/** What other owners have learned of kinds of endpoints. */
 	readonly kindFactors: () => Readonly<Record<string, number>>;
 	readonly createCalls: (entry: EndpointEntry) => EndpointCalls;
-	readonly tell: (holder: string, news: JobNews) => void;
+	readonly tell: (holder: string, news: JobUpdate) => void;
 	/** Other cells as their owners last described them. */
 	readonly otherCells: () => readonly CellRoom[];
 	/** Called when tasks were handed to another cell, with the processor that they need there. */
@@ -149,7 +149,7 @@
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
 	/** Takes a part out of the cell, with the news of its end, or without if its last tasks went elsewhere. */
-	const finish = (job: PlacedJob, news?: JobNews): void => {
+	const finish = (job: PlacedJob, news?: JobUpdate): void => {
 		jobs.delete(keyOf(job));
 		past.add(keyOf(job), {job, news});
 		if (news) {
@@ -158,7 +158,7 @@
 	};
 
 	/** Tells a holder again what it may have missed. */
-	const retell = (holder: string, job: PlacedJob, news: JobNews | undefined): void => {
+	const retell = (holder: string, job: PlacedJob, news: JobUpdate | undefined): void => {
 		const {job: {identifier}, part} = job.order;
 		for (const position of succeededPositions(job)) {
 			tell(holder, {
@@ -208,7 +208,7 @@
 			}
 		} else {
 			const isFailure = result === RunResult.Failed;
-			const avoided = result === RunResult.Declined ? undefined : lifeOf(endpoint.entry());
+			const avoided = result === RunResult.Declined ? undefined : incarnationOf(endpoint.entry());
 			if (markWaiting(job, task, avoided, isFailure) >= job.order.mostAttempts) {
 				end(job, false);
 			}
--- a/packages/galenakeeld/src/process/cells/endpoint-run.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-run.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {createDeferred, type Deferred} from '@galenakeel/model/request/deferred.js';
-import type {Room} from '@galenakeel/model/request/job.js';
+import type {Resources} from '@galenakeel/model/request/job.js';
 import {isSameTask, type TaskKey} from '@galenakeel/model/request/task-key.js';
 
 /**
@@ -32,7 +32,7 @@
 export type Run = {
 	readonly task: TaskKey;
 	readonly attempt: number;
-	readonly room: Room;
+	readonly room: Resources;
 	readonly estimateMilliseconds: number;
 	readonly orderedAt: number;
 	state: RunState;
@@ -49,7 +49,7 @@
 export type RunRequest = {
 	readonly task: TaskKey;
 	readonly attempt: number;
-	readonly room: Room;
+	readonly room: Resources;
 	readonly estimateMilliseconds: number;
 	readonly specification: string;
 };
--- a/packages/galenakeeld/src/process/cells/past-parts.ts
+++ b/packages/galenakeeld/src/process/cells/past-parts.ts
@@ -1,5 +1,5 @@
 import {performance} from 'node:perf_hooks';
-import type {JobNews} from '@galenakeel/model/connection/fleet-message.js';
+import type {JobUpdate} from '@galenakeel/model/connection/fleet-message.js';
 import type {PlacedJob} from './placed-job.js';
 
 /**
@@ -8,7 +8,7 @@
 export type PastPart = {
 	readonly job: PlacedJob;
 	/** News of its end; undefined when its last tasks went to other cells. */
-	readonly news: JobNews | undefined;
+	readonly news: JobUpdate | undefined;
 };
 
 /**
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -1,4 +1,4 @@
-import type {Room, Step} from '@galenakeel/model/request/job.js';
+import type {Resources, Step} from '@galenakeel/model/request/job.js';
 import {isFitting, subtractRoom} from './room.js';
 
 /**
@@ -8,8 +8,8 @@
 	/** Life of the endpoint. */
 	readonly endpoint: string;
 	readonly service: string;
-	readonly free: Room;
-	readonly whole: Room;
+	readonly free: Resources;
+	readonly whole: Resources;
 	readonly labels: readonly string[];
 	/** Expected run time over estimate. */
 	readonly factor: number;
@@ -52,7 +52,7 @@
 	readonly endpoint: string;
 };
 
-type Candidate = {free: Room; taken: number; readonly room: OpenRoom; readonly placed: Map<string, number>};
+type Candidate = {free: Resources; taken: number; readonly room: OpenRoom; readonly placed: Map<string, number>};
 
 /** Time in hand over expected run time from which a slower endpoint is as good as a faster one. */
 const safeMargin = 1.25;
--- a/packages/galenakeeld/src/process/cells/room.ts
+++ b/packages/galenakeeld/src/process/cells/room.ts
@@ -1,4 +1,4 @@
-import type {Room} from '@galenakeel/model/request/job.js';
+import type {Resources} from '@galenakeel/model/request/job.js';
 
 /**
 Tells whether a demand fits into a room.
@@ -8,13 +8,13 @@
 isFitting({processor: 500, memoryMegabytes: 64, accelerators: 0}, free); // => true
 ```
 */
-export const isFitting = (demand: Room, room: Room): boolean =>
+export const isFitting = (demand: Resources, room: Resources): boolean =>
 	demand.processor <= room.processor && demand.memoryMegabytes <= room.memoryMegabytes && demand.accelerators <= room.accelerators;
 
 /**
 Returns what is left of a room beside a demand.
 */
-export const subtractRoom = (room: Room, demand: Room): Room => ({
+export const subtractRoom = (room: Resources, demand: Resources): Resources => ({
 	processor: room.processor - demand.processor,
 	memoryMegabytes: room.memoryMegabytes - demand.memoryMegabytes,
 	accelerators: room.accelerators - demand.accelerators,
@@ -23,7 +23,7 @@
 /**
 Returns a room with what a demand gives back.
 */
-export const addRoom = (room: Room, demand: Room): Room => ({
+export const addRoom = (room: Resources, demand: Resources): Resources => ({
 	processor: room.processor + demand.processor,
 	memoryMegabytes: room.memoryMegabytes + demand.memoryMegabytes,
 	accelerators: room.accelerators + demand.accelerators,
--- a/packages/galenakeeld/src/process/cells/weigh-jobs.ts
+++ b/packages/galenakeeld/src/process/cells/weigh-jobs.ts
@@ -1,4 +1,4 @@
-import type {FreeRoom} from '@galenakeel/model/connection/fleet-message.js';
+import type {FreeCapacity} from '@galenakeel/model/connection/fleet-message.js';
 import {
 	admitJob, freeProcessorIn, type AdmissionDecision, type CellRoom, type WeighedJob,
 } from './admit-job.js';
@@ -73,9 +73,9 @@
 /**
 Returns the free room that tasks of a size can fill, by the service and the speed of the endpoints.
 */
-export const freeRoomsOf = (rooms: readonly OpenRoom[], processorOfTask: number): readonly FreeRoom[] => {
+export const freeRoomsOf = (rooms: readonly OpenRoom[], processorOfTask: number): readonly FreeCapacity[] => {
 	const size = Math.max(1, processorOfTask);
-	const classes = new Map<string, FreeRoom>();
+	const classes = new Map<string, FreeCapacity>();
 	for (const room of rooms) {
 		const tasks = Math.min(room.mostTasks, Math.floor(Math.max(0, room.free.processor) / size));
 		if (tasks > 0) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/beat-pace.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/beat-pace.steps.ts
@@ -3,7 +3,7 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
-import {FleetMessageKind, type Beat} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type Heartbeat} from '@galenakeel/model/connection/fleet-message.js';
 import {
 	farPace, nearPace, paceBetween, type PacedDaemon,
 } from '../beat-pace.js';
@@ -21,8 +21,8 @@
 	return zone === undefined ? undefined : {zone, isOwner: text.endsWith('an owner')};
 };
 
-const createBeat = (address: string, silentAfterMilliseconds: number): Beat => ({
-	kind: FleetMessageKind.Beat, instance: address, address, zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
+const createBeat = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
+	kind: FleetMessageKind.Heartbeat, instance: address, address, zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
 Then('a daemon that is {string} sends beats to one that is {string} at the {string} pace', (self: string, peer: string, pace: string) => {
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -4,7 +4,7 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
-import {FleetMessageKind, type Beat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import {nearPace} from '../beat-pace.js';
 import {createFleetLinks, type FleetLinks} from '../fleet-links.js';
 import {createFleetView} from '../fleet-view.js';
@@ -21,8 +21,8 @@
 
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
-const createBeat = (address: string, silentAfterMilliseconds: number): Beat => ({
-	kind: FleetMessageKind.Beat, instance: address, address, zone: 'south', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
+const createBeat = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
+	kind: FleetMessageKind.Heartbeat, instance: address, address, zone: 'south', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
 Given('links to the peers {string} that lose a peer after {int} ms of silence', async function (this: LinksWorld, names: string, milliseconds: number) {
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -1,5 +1,5 @@
 import {performance} from 'node:perf_hooks';
-import type {CellClaim, FreeRoom} from '@galenakeel/model/connection/fleet-message.js';
+import type {CellClaim, FreeCapacity} from '@galenakeel/model/connection/fleet-message.js';
 import type {CellRoom} from '../cells/admit-job.js';
 import {findOwner} from './cell-claims.js';
 import type {FleetView} from './fleet-view.js';
@@ -20,7 +20,7 @@
 /**
 Takes processor off free room, from the fastest endpoints first, as tasks in time get these.
 */
-export const withoutSent = (free: readonly FreeRoom[], sent: number): readonly FreeRoom[] => {
+export const withoutSent = (free: readonly FreeCapacity[], sent: number): readonly FreeCapacity[] => {
 	let left = sent;
 	return free.toSorted((first, second) => first.factor - second.factor).map(room => {
 		const taken = Math.min(left, room.processor);
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -7,7 +7,7 @@
 import {detailOf} from '@galenakeel/model/request/fault.js';
 import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
 import {findQueue, type Queue} from '@galenakeel/model/version/queue-configuration.js';
-import {FleetMessageKind, type Beat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import {createPeerStream, serveFleet} from '../../connection/fleet-service.js';
 import {holdJob, type JobAnswer} from '../../request/hold-job.js';
 import {createCell} from '../cells/cell.js';
@@ -163,7 +163,7 @@
 
 	const onMessage = (message: FleetMessage, from: string): void => {
 		switch (message.kind) {
-			case FleetMessageKind.Beat: {
+			case FleetMessageKind.Heartbeat: {
 				onBeat(message);
 				break;
 			}
@@ -174,7 +174,7 @@
 				break;
 			}
 
-			case FleetMessageKind.Withdraw: {
+			case FleetMessageKind.Cancel: {
 				cells.get(message.cell)?.withdraw(from, message.job, message.part);
 				break;
 			}
@@ -205,7 +205,7 @@
 		}
 	};
 
-	const onBeat = ({address, configurationVersion, claims}: Beat): void => {
+	const onBeat = ({address, configurationVersion, claims}: Heartbeat): void => {
 		loads.noteClaims(claims);
 		const current = configuration.current();
 		if (current && configurationVersion < current.version) {
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -1,4 +1,4 @@
-import {FleetMessageKind, type Beat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import type {createPeerStream, PeerStream, serveFleet} from '../../connection/fleet-service.js';
 import type {BeatPace} from './beat-pace.js';
 import {LossCause} from './cell-claims.js';
@@ -24,7 +24,7 @@
 	readonly view: FleetView;
 	readonly serve: typeof serveFleet;
 	readonly openStream: typeof createPeerStream;
-	readonly createBeat: (pace: BeatPace) => Beat;
+	readonly createBeat: (pace: BeatPace) => Heartbeat;
 	/** Pace of the beats to an address. */
 	readonly paceTo: (address: string) => BeatPace;
 	readonly onMessage: (message: FleetMessage, from: string) => void;
@@ -85,7 +85,7 @@
 		}
 	};
 
-	const hear = (beat: Beat): void => {
+	const hear = (beat: Heartbeat): void => {
 		const before = view.get(beat.address);
 		const isNew = view.hear(beat);
 		if (isNew) {
@@ -100,7 +100,7 @@
 
 	const stop = await options.serve(self, {
 		onMessage(message, from) {
-			if (message.kind === FleetMessageKind.Beat) {
+			if (message.kind === FleetMessageKind.Heartbeat) {
 				hear(message);
 			}
 
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -1,5 +1,5 @@
 import {performance} from 'node:perf_hooks';
-import type {Beat, CellLoad} from '@galenakeel/model/connection/fleet-message.js';
+import type {Heartbeat, CellLoad} from '@galenakeel/model/connection/fleet-message.js';
 import type {Claimant} from './cell-claims.js';
 
 /**
@@ -22,7 +22,7 @@
 */
 export type FleetView = {
 	/** Takes a beat. Returns whether the peer is new, or another life of a known one. */
-	readonly hear: (beat: Beat) => boolean;
+	readonly hear: (beat: Heartbeat) => boolean;
 	/** Takes the load of a peer's cell between two beats. */
 	readonly hearLoad: (address: string, cell: string, load: CellLoad) => void;
 	/** Forgets a peer at once, since nothing listens at its address any more. */
@@ -33,7 +33,7 @@
 	readonly all: () => readonly Peer[];
 };
 
-const toPeer = (beat: Beat): Peer => ({
+const toPeer = (beat: Heartbeat): Peer => ({
 	instance: beat.instance,
 	address: beat.address,
 	zone: beat.zone,
--- a/packages/galenakeeld/src/process/fleet/held-jobs.ts
+++ b/packages/galenakeeld/src/process/fleet/held-jobs.ts
@@ -1,5 +1,5 @@
 import {createInbox, type Inbox} from '@galenakeel/model/connection/inbox.js';
-import {FleetMessageKind, type JobNews} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type JobUpdate} from '@galenakeel/model/connection/fleet-message.js';
 
 /**
 What the holder of a job hears beside the news of the cell's owner.
@@ -13,7 +13,7 @@
 	CallerLeft = 'caller-left',
 }
 
-export type HolderNews = JobNews | {readonly kind: HolderEvent};
+export type HolderNews = JobUpdate | {readonly kind: HolderEvent};
 
 /**
 The daemon that orders a cell, in one term.
@@ -44,7 +44,7 @@
 	readonly count: () => number;
 	readonly hold: (identifier: string, part: string) => HeldJob;
 	/** Hands news of an owner to the job's holders. */
-	readonly deliver: (from: string, news: JobNews) => void;
+	readonly deliver: (from: string, news: JobUpdate) => void;
 	/** Tells the jobs whose owner no longer orders their cell. */
 	readonly checkOwners: (findOwner: (cell: string) => CellOwner | undefined) => void;
 	/** Tells the jobs at a daemon whose messages may have been lost. */
--- a/packages/galenakeeld/src/process/fleet/probe-endpoints.ts
+++ b/packages/galenakeeld/src/process/fleet/probe-endpoints.ts
@@ -1,4 +1,4 @@
-import {OrderOutcome, type EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
+import {CallOutcome, type EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 
 /** A token that no endpoint obeys once it has had an owner, so that the look changes nothing. */
@@ -17,9 +17,9 @@
 export const createEndpointProbe = (createCalls: (entry: EndpointEntry) => EndpointCalls) => {
 	const look = async (entry: EndpointEntry): Promise<boolean> => {
 		const calls = createCalls(entry);
-		const {outcome} = await calls.look({fencingToken: noToken, acknowledged: 0, waitMilliseconds: 0});
+		const {outcome} = await calls.poll({fencingToken: noToken, acknowledged: 0, waitMilliseconds: 0});
 		calls.close();
-		return outcome !== OrderOutcome.Unknown;
+		return outcome !== CallOutcome.Unknown;
 	};
 
 	return async (entries: readonly EndpointEntry[]): Promise<boolean> => {
--- a/packages/galenakeeld/src/process/fleet/self-description.ts
+++ b/packages/galenakeeld/src/process/fleet/self-description.ts
@@ -1,4 +1,4 @@
-import {FleetMessageKind, type Beat} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type Heartbeat} from '@galenakeel/model/connection/fleet-message.js';
 import {paceBetween, type BeatPace} from './beat-pace.js';
 import type {Claimant} from './cell-claims.js';
 import type {FleetSettings} from './fleet-settings.js';
@@ -10,7 +10,7 @@
 */
 export type SelfDescription = {
 	readonly claimant: () => Claimant;
-	readonly createBeat: (pace: BeatPace) => Beat;
+	readonly createBeat: (pace: BeatPace) => Heartbeat;
 	/** Pace of the beats to an address. */
 	readonly paceTo: (address: string) => BeatPace;
 };
@@ -47,7 +47,7 @@
 			address, zone, startedAt, processor, isLeaving: isLeaving(), claims: cells.terms(),
 		}),
 		createBeat: ({silentAfterMilliseconds}) => ({
-			kind: FleetMessageKind.Beat,
+			kind: FleetMessageKind.Heartbeat,
 			instance,
 			address,
 			zone,
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -44,7 +44,7 @@
 const record = (world: HolderWorld, message: FleetMessage): void => {
 	if (message.kind === FleetMessageKind.Submit) {
 		world.submitted.push({cell: message.cell, order: message.order});
-	} else if (message.kind === FleetMessageKind.Withdraw) {
+	} else if (message.kind === FleetMessageKind.Cancel) {
 		world.withdrawn.push(message.part);
 	}
 };
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -13,7 +13,7 @@
 The answer to the caller of a job.
 */
 export type JobAnswer
-	= | {readonly end: JobEnd.Complete | JobEnd.Failed | JobEnd.Withdrawn}
+	= | {readonly end: JobEnd.Complete | JobEnd.Failed | JobEnd.Cancelled}
 		| {readonly end: JobEnd.Refused; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number}
 	/** Undefined end: whether the job has run can't be known. */
 		| {readonly end: undefined};
@@ -137,7 +137,7 @@
 
 		const withdraw = (): void => {
 			options.send(owner, {
-				kind: FleetMessageKind.Withdraw, cell: part.cell, job: job.identifier, part: part.name,
+				kind: FleetMessageKind.Cancel, cell: part.cell, job: job.identifier, part: part.name,
 			});
 		};
 
@@ -187,7 +187,7 @@
 
 				case HolderEvent.CallerLeft: {
 					withdraw();
-					return {end: StayEnd.JobEnded, answer: {end: JobEnd.Withdrawn}};
+					return {end: StayEnd.JobEnded, answer: {end: JobEnd.Cancelled}};
 				}
 			}
 		}
@@ -214,7 +214,7 @@
 		for (;;) {
 			const owner = await findOwnerFor(part);
 			if (isOver) {
-				return {end: JobEnd.Withdrawn};
+				return {end: JobEnd.Cancelled};
 			}
 
 			if (!owner) {
--- a/packages/model/src/connection/endpoint-calls.ts
+++ b/packages/model/src/connection/endpoint-calls.ts
@@ -3,7 +3,7 @@
 /**
 How an endpoint answered an order.
 */
-export enum OrderOutcome {
+export enum CallOutcome {
 	/** The endpoint has carried the order out. */
 	Done = 'done',
 	/** The endpoint obeys a higher fencing token. */
@@ -13,11 +13,11 @@
 	/** The lease of the order had passed when it arrived. */
 	Expired = 'expired',
 	/** The task doesn't fit. */
-	NoRoom = 'no-room',
+	InsufficientCapacity = 'no-room',
 	/** The endpoint did nothing, for another reason. */
 	Rejected = 'rejected',
 	/** Another life of the endpoint answered. */
-	OtherLife = 'other-life',
+	OtherIncarnation = 'other-life',
 	/** No answer came in time; the order may be carried out later. */
 	Unknown = 'unknown',
 }
@@ -72,23 +72,23 @@
 /**
 The answer to an order, with the clock of the endpoint if it told it.
 */
-export type OrderReply = {
-	readonly outcome: OrderOutcome;
+export type CallReply = {
+	readonly outcome: CallOutcome;
 	readonly clockMilliseconds: number | undefined;
 };
 
 /**
 The answer to a look; `report` stands only with the outcome `Done`.
 */
-export type LookReply = {
-	readonly outcome: OrderOutcome;
+export type PollReply = {
+	readonly outcome: CallOutcome;
 	readonly report?: EndpointReport;
 };
 
 /**
 A start of a task.
 */
-export type StartOrder = {
+export type StartRequest = {
 	readonly task: TaskKey;
 	readonly attempt: number;
 	readonly specification: string;
@@ -100,12 +100,12 @@
 /**
 A stop of a task.
 */
-export type StopOrder = Pick<StartOrder, 'task' | 'attempt' | 'fencingToken'>;
+export type StopRequest = Pick<StartRequest, 'task' | 'attempt' | 'fencingToken'>;
 
 /**
 A look at an endpoint, which may extend the lease of all that runs there.
 */
-export type LookOrder = {
+export type PollRequest = {
 	readonly fencingToken: number;
 	/** Ends up to this sequence number are forgotten by the endpoint. */
 	readonly acknowledged: number;
@@ -119,8 +119,8 @@
 The orders to one life of an endpoint.
 */
 export type EndpointCalls = {
-	readonly start: (order: StartOrder) => Promise<OrderReply>;
-	readonly stop: (order: StopOrder) => Promise<OrderReply>;
-	readonly look: (order: LookOrder) => Promise<LookReply>;
+	readonly start: (order: StartRequest) => Promise<CallReply>;
+	readonly stop: (order: StopRequest) => Promise<CallReply>;
+	readonly poll: (order: PollRequest) => Promise<PollReply>;
 	readonly close: () => void;
 };
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -9,11 +9,11 @@
 */
 export enum FleetMessageKind {
 	/** The sender lives; carries what it owns and how busy that is. */
-	Beat = 'beat',
+	Heartbeat = 'beat',
 	/** A holder hands a job to the owner of a cell. */
 	Submit = 'submit',
 	/** A holder no longer wants a job. */
-	Withdraw = 'withdraw',
+	Cancel = 'withdraw',
 	/** The owner is about to start the job's first task. */
 	Started = 'started',
 	/** A task of the job has succeeded. */
@@ -35,7 +35,7 @@
 /**
 Free room at endpoints of one service and of like speed.
 */
-export type FreeRoom = {
+export type FreeCapacity = {
 	readonly service: string;
 	/** Expected run time over estimate. */
 	readonly factor: number;
@@ -48,7 +48,7 @@
 */
 export type CellLoad = {
 	/** Room at open endpoints that tasks of the usual size can fill. */
-	readonly free: readonly FreeRoom[];
+	readonly free: readonly FreeCapacity[];
 	/** Milliseconds of work that wait for each millisecond of the cell's capacity. */
 	readonly backlogMilliseconds: number;
 	/** Expected run time over estimate of each kind of endpoint, as far as the owner has learned it. */
@@ -71,8 +71,8 @@
 /**
 A sign of life.
 */
-export type Beat = {
-	readonly kind: FleetMessageKind.Beat;
+export type Heartbeat = {
+	readonly kind: FleetMessageKind.Heartbeat;
 	readonly instance: string;
 	/** Address of the sender's peer service. */
 	readonly address: string;
@@ -136,9 +136,9 @@
 };
 
 export type FleetMessage
-	= | Beat
+	= | Heartbeat
 		| {readonly kind: FleetMessageKind.Submit; readonly cell: string; readonly order: JobOrder}
-		| {readonly kind: FleetMessageKind.Withdraw; readonly cell: string; readonly job: string; readonly part: string}
+		| {readonly kind: FleetMessageKind.Cancel; readonly cell: string; readonly job: string; readonly part: string}
 		| {readonly kind: FleetMessageKind.Started; readonly job: string; readonly part: string}
 		| {readonly kind: FleetMessageKind.TaskSucceeded; readonly job: string; readonly part: string; readonly position: string}
 		| Redirect
@@ -151,7 +151,7 @@
 /**
 What the owner of a cell tells the holder of a job.
 */
-export type JobNews = Extract<FleetMessage, {kind: FleetMessageKind.Started | FleetMessageKind.TaskSucceeded | FleetMessageKind.Redirect | FleetMessageKind.Refuse | FleetMessageKind.End}>;
+export type JobUpdate = Extract<FleetMessage, {kind: FleetMessageKind.Started | FleetMessageKind.TaskSucceeded | FleetMessageKind.Redirect | FleetMessageKind.Refuse | FleetMessageKind.End}>;
 
 const kinds: ReadonlySet<unknown> = new Set(Object.values(FleetMessageKind));
 
--- a/packages/model/src/request/job.ts
+++ b/packages/model/src/request/job.ts
@@ -1,7 +1,7 @@
 /**
 What a task occupies at an endpoint, and what an endpoint offers.
 */
-export type Room = {
+export type Resources = {
 	/** Thousandths of a core. */
 	readonly processor: number;
 	readonly memoryMegabytes: number;
@@ -15,7 +15,7 @@
 export type Step = {
 	readonly tasks: number;
 	/** Room of each task. */
-	readonly room: Room;
+	readonly room: Resources;
 	/** Rough duration of a task, in milliseconds. */
 	readonly estimateMilliseconds: number;
 	/** Positions of the steps whose tasks must have succeeded before. */
@@ -50,7 +50,7 @@
 	/** Nothing of the job has run, and nothing will. */
 	Refused = 'refused',
 	/** The caller left. */
-	Withdrawn = 'withdrawn',
+	Cancelled = 'withdrawn',
 }
 
 /**
--- a/packages/model/src/version/endpoint-entry.ts
+++ b/packages/model/src/version/endpoint-entry.ts
@@ -1,4 +1,4 @@
-import type {Room} from '../request/job.js';
+import type {Resources} from '../request/job.js';
 
 /**
 An endpoint as the platform lists it.
@@ -12,7 +12,7 @@
 	readonly zone: string;
 	/** The endpoint has announced that it will leave. */
 	readonly isDraining: boolean;
-	readonly room: Room;
+	readonly room: Resources;
 	/** Kind of the machine, its rack, and whatever else the platform says of it. */
 	readonly labels: readonly string[];
 };
@@ -25,4 +25,4 @@
 lifeOf({identifier: 'i-7f3a', startedAt: 1764800000000}); // => 'i-7f3a@1764800000000'
 ```
 */
-export const lifeOf = ({identifier, startedAt}: Pick<EndpointEntry, 'identifier' | 'startedAt'>): string => `${identifier}@${startedAt}`;
+export const incarnationOf = ({identifier, startedAt}: Pick<EndpointEntry, 'identifier' | 'startedAt'>): string => `${identifier}@${startedAt}`;
