--- a/packages/model/src/connection/endpoint-calls.ts
+++ b/packages/model/src/connection/endpoint-calls.ts
@@ -119,8 +119,8 @@
 The orders to one life of an endpoint.
 */
 export type EndpointCalls = {
-	readonly start: (order: StartRequest) => Promise<CallReply>;
-	readonly stop: (order: StopRequest) => Promise<CallReply>;
-	readonly poll: (order: PollRequest) => Promise<PollReply>;
+	readonly start: (request: StartRequest) => Promise<CallReply>;
+	readonly stop: (request: StopRequest) => Promise<CallReply>;
+	readonly poll: (request: PollRequest) => Promise<PollReply>;
 	readonly close: () => void;
 };
--- a/packages/model/src/connection/platform-client.ts
+++ b/packages/model/src/connection/platform-client.ts
@@ -138,13 +138,13 @@
 ```
 */
 export const createPlatformClient = (address: string, timeoutMilliseconds: number): Platform => {
-	const read = async <Value>(wanted: PlatformCall): Promise<Value | undefined> => {
-		const place = `${wanted.method} ${wanted.path}`;
+	const read = async <Value>(platformCall: PlatformCall): Promise<Value | undefined> => {
+		const operation = `${platformCall.method} ${platformCall.path}`;
 		let reply: PlatformReply;
 		try {
-			reply = await call(address, timeoutMilliseconds, wanted);
+			reply = await call(address, timeoutMilliseconds, platformCall);
 		} catch (error) {
-			throw createFault(FaultKind.PlatformUnavailable, `the platform at ${address} did not answer ${place}`, error);
+			throw createFault(FaultKind.PlatformUnavailable, `the platform at ${address} did not answer ${operation}`, error);
 		}
 
 		if (reply.status === 404) {
@@ -152,7 +152,7 @@
 		}
 
 		if (reply.status !== 200) {
-			throw createFault(FaultKind.PlatformUnavailable, `the platform at ${address} answered ${place} with status ${reply.status}`);
+			throw createFault(FaultKind.PlatformUnavailable, `the platform at ${address} answered ${operation} with status ${reply.status}`);
 		}
 
 		return parseJson<Value>(reply.body);
--- a/packages/model/src/version/__tests__/document-store.steps.ts
+++ b/packages/model/src/version/__tests__/document-store.steps.ts
@@ -20,7 +20,7 @@
 	reads: number;
 };
 
-const textOf = (service: string, team: string): string => JSON.stringify({
+const documentText = (service: string, team: string): string => JSON.stringify({
 	service, team, endpoints: {'zone-a': [{name: 'worker-1', address: '10.1.0.1:8080'}]},
 });
 
@@ -57,7 +57,7 @@
 
 const acceptAs = async (platform: Platform, author: string, seenVersion: number): Promise<number> =>
 	acceptDocument(platform, {
-		text: textOf('paysheet', author), seenVersion, author, nonce: `nonce-of-${author}`,
+		text: documentText('paysheet', author), seenVersion, author, nonce: `nonce-of-${author}`,
 	});
 
 /** A platform whose first transaction takes effect, after which something happens and the answer is lost. */
@@ -155,7 +155,7 @@
 
 Then('a document of {string} with the same endpoint shares {string} with {string}', async function (this: StoreWorld, service: string, address: string, other: string) {
 	const current = await readDocument(this.platform, other);
-	const shared = findSharedAddresses(parseServiceDocument(textOf(service, 'owners'), service), [current!.document]);
+	const shared = findSharedAddresses(parseServiceDocument(documentText(service, 'owners'), service), [current!.document]);
 	assert.deepEqual(shared, [{
 		address, endpoint: 'worker-1', otherService: other, otherEndpoint: 'worker-1',
 	}]);
@@ -164,11 +164,11 @@
 const acceptService = async (platform: Platform, service: string): Promise<number> => {
 	const current = await readDocument(platform, service);
 	return acceptDocument(platform, {
-		text: textOf(service, 'owners'), seenVersion: current?.version ?? 0, author: 'roisin', nonce: `nonce-${service}-${current?.version}`,
+		text: documentText(service, 'owners'), seenVersion: current?.version ?? 0, author: 'roisin', nonce: `nonce-${service}-${current?.version}`,
 	});
 };
 
-const readOn = async (world: StoreWorld): Promise<CatalogueRead> => {
+const readCountingCalls = async (world: StoreWorld): Promise<CatalogueRead> => {
 	world.reads = 0;
 	const count = <Parameters extends readonly unknown[], Result>(read: (...parameters: Parameters) => Result) => (...parameters: Parameters): Result => {
 		world.reads++;
@@ -188,7 +188,7 @@
 
 Given('a reader of the catalogue', async function (this: StoreWorld) {
 	this.readVersion = 0;
-	({catalogueVersion: this.readVersion} = await readOn(this));
+	({catalogueVersion: this.readVersion} = await readCountingCalls(this));
 });
 
 When('the documents of {string} are accepted again', async function (this: StoreWorld, services: string) {
@@ -213,13 +213,13 @@
 });
 
 Then('the reader gets {string} up to version {int} in {int} reads', async function (this: StoreWorld, services: string, version: number, reads: number) {
-	const {documents, catalogueVersion} = await readOn(this);
+	const {documents, catalogueVersion} = await readCountingCalls(this);
 	assert.equal(documents.map(({document}) => document.service).toSorted().join(', '), services);
 	assert.deepEqual([catalogueVersion, this.reads], [version, reads]);
 });
 
 Then('the reader gets {int} documents up to version {int}', async function (this: StoreWorld, count: number, version: number) {
-	const {documents, catalogueVersion} = await readOn(this);
+	const {documents, catalogueVersion} = await readCountingCalls(this);
 	assert.deepEqual([documents.length, catalogueVersion], [count, version]);
 });
 
--- a/packages/model/src/version/catalogue-read.ts
+++ b/packages/model/src/version/catalogue-read.ts
@@ -4,7 +4,7 @@
 import type {AcceptedDocument} from './service-document.js';
 
 /** Changes that a reader may be behind and still read only what changed. */
-const mostChangesBehind = 50;
+const maximumChangesBehind = 50;
 
 /**
 Documents with the catalogue version up to which they are complete.
@@ -12,7 +12,7 @@
 export type CatalogueRead = {readonly documents: readonly AcceptedDocument[]; readonly catalogueVersion: number};
 
 /** Documents older than the catalogue come from a stale read; the next look brings the rest. */
-const readWhole = async (platform: Platform, version: number): Promise<CatalogueRead> => {
+const readAllDocuments = async (platform: Platform, version: number): Promise<CatalogueRead> => {
 	const documents = await readDocuments(platform);
 	return {documents, catalogueVersion: Math.min(version, Math.max(0, ...documents.map(document => document.version)))};
 };
@@ -29,7 +29,7 @@
 	});
 };
 
-const readChanged = async (platform: Platform, changes: readonly DocumentChange[]): Promise<CatalogueRead> => {
+const readChangedDocuments = async (platform: Platform, changes: readonly DocumentChange[]): Promise<CatalogueRead> => {
 	const keys = new Set(changes.map(({service}) => documentKey(service)));
 	const rows = await platform.readRows([...keys]);
 	const documents = rows.map(row => parseStored(row));
@@ -53,11 +53,11 @@
 	}
 
 	const behind = version - aboveVersion;
-	if (aboveVersion === 0 || behind > mostChangesBehind) {
-		return readWhole(platform, version);
+	if (aboveVersion === 0 || behind > maximumChangesBehind) {
+		return readAllDocuments(platform, version);
 	}
 
 	// A change without a row was accepted by an earlier release, or comes from a stale read.
 	const changes = await readChanges(platform, aboveVersion, version);
-	return changes.length === behind ? readChanged(platform, changes) : readWhole(platform, version);
+	return changes.length === behind ? readChangedDocuments(platform, changes) : readAllDocuments(platform, version);
 };
--- a/packages/model/src/version/configuration-faults.ts
+++ b/packages/model/src/version/configuration-faults.ts
@@ -11,7 +11,7 @@
 	readonly message: string;
 };
 
-const expectedWords: Readonly<Record<string, string>> = {
+const expectedTypeNames: Readonly<Record<string, string>> = {
 	string: 'text in double quotes',
 	number: 'a number',
 	int: 'a whole number',
@@ -21,9 +21,9 @@
 	record: 'a group of named entries in { }',
 };
 
-const wordsForExpected = (expected: string): string => expectedWords[expected] ?? expected;
+const describeExpectedType = (expected: string): string => expectedTypeNames[expected] ?? expected;
 
-const wordsForInput = (input: unknown): string => {
+const describeInput = (input: unknown): string => {
 	if (Array.isArray(input)) {
 		return 'a list';
 	}
@@ -43,9 +43,9 @@
 	return typeof input === 'number' ? `the number ${input}` : `the value ${JSON.stringify(input)}`;
 };
 
-const lastName = (path: readonly PropertyKey[]): string => String(path.at(-1) ?? 'it');
+const lastSegment = (path: readonly PropertyKey[]): string => String(path.at(-1) ?? 'it');
 
-const wordsForBound = (origin: string, inclusive: boolean, bound: string, direction: 'least' | 'most'): string => {
+const describeBound = (origin: string, inclusive: boolean, bound: string, direction: 'least' | 'most'): string => {
 	const amount = inclusive ? `at ${direction} ${bound}` : `${direction === 'least' ? 'above' : 'below'} ${bound}`;
 	switch (origin) {
 		case 'array': {
@@ -62,31 +62,31 @@
 	}
 };
 
-const wordsForType = ({input, expected, path = []}: z.core.$ZodRawIssue<z.core.$ZodIssueInvalidType>): string =>
+const invalidTypeMessage = ({input, expected, path = []}: z.core.$ZodRawIssue<z.core.$ZodIssueInvalidType>): string =>
 	input === undefined
-		? `is missing; add "${lastName(path)}" with ${wordsForExpected(expected)}`
-		: `must be ${wordsForExpected(expected)}, but is ${wordsForInput(input)}`;
+		? `is missing; add "${lastSegment(path)}" with ${describeExpectedType(expected)}`
+		: `must be ${describeExpectedType(expected)}, but is ${describeInput(input)}`;
 
-const wordsForValue = ({input, values}: z.core.$ZodRawIssue<z.core.$ZodIssueInvalidValue>): string => {
+const invalidValueMessage = ({input, values}: z.core.$ZodRawIssue<z.core.$ZodIssueInvalidValue>): string => {
 	const allowed = values.map(value => JSON.stringify(value)).join(', ');
-	return input === undefined ? `is missing; add one of ${allowed}` : `must be one of ${allowed}, but is ${wordsForInput(input)}`;
+	return input === undefined ? `is missing; add one of ${allowed}` : `must be one of ${allowed}, but is ${describeInput(input)}`;
 };
 
-const wordsForIssue = (issue: z.core.$ZodRawIssue): string | undefined => {
+const issueMessage = (issue: z.core.$ZodRawIssue): string | undefined => {
 	if (issue.code === 'invalid_type') {
-		return wordsForType(issue);
+		return invalidTypeMessage(issue);
 	}
 
 	if (issue.code === 'invalid_value') {
-		return wordsForValue(issue);
+		return invalidValueMessage(issue);
 	}
 
 	if (issue.code === 'too_small') {
-		return `${wordsForBound(issue.origin, issue.inclusive !== false, String(issue.minimum), 'least')}, but is ${wordsForInput(issue.input)}`;
+		return `${describeBound(issue.origin, issue.inclusive !== false, String(issue.minimum), 'least')}, but is ${describeInput(issue.input)}`;
 	}
 
 	if (issue.code === 'too_big') {
-		return `${wordsForBound(issue.origin, issue.inclusive !== false, String(issue.maximum), 'most')}, but is ${wordsForInput(issue.input)}`;
+		return `${describeBound(issue.origin, issue.inclusive !== false, String(issue.maximum), 'most')}, but is ${describeInput(issue.input)}`;
 	}
 
 	// The schema says it in its own words.
@@ -99,7 +99,7 @@
 	return best && best.edits <= Math.max(2, Math.floor(key.length / 2)) ? best.name : undefined;
 };
 
-const wordsForUnknownKey = (key: string, known: readonly string[]): string => {
+const unknownKeyMessage = (key: string, known: readonly string[]): string => {
 	const nearest = nearestKey(key, known);
 	if (nearest !== undefined) {
 		return `is not known here; did you mean "${nearest}"?`;
@@ -108,16 +108,16 @@
 	return `is not known here; remove it, or use one of ${known.map(name => `"${name}"`).join(', ')}`;
 };
 
-const namesOf = (path: readonly PropertyKey[]): ReadonlyArray<string | number> => path.filter(part => typeof part !== 'symbol');
+const withoutSymbols = (path: readonly PropertyKey[]): ReadonlyArray<string | number> => path.filter(part => typeof part !== 'symbol');
 
 const isObjectSchema = (schema: unknown): schema is {readonly shape: Readonly<Record<string, unknown>>} =>
 	typeof schema === 'object' && schema !== null && 'shape' in schema;
 
 const describeIssue = (issue: z.core.$ZodIssue, knownKeys: ReadonlyMap<string, readonly string[]>): readonly ConfigurationFault[] => {
-	const path = namesOf(issue.path);
+	const path = withoutSymbols(issue.path);
 	if (issue.code === 'unrecognized_keys') {
 		const known = knownKeys.get(path.join('.')) ?? [];
-		return issue.keys.map(key => ({path: [...path, key], isKey: true, message: wordsForUnknownKey(key, known)}));
+		return issue.keys.map(key => ({path: [...path, key], isKey: true, message: unknownKeyMessage(key, known)}));
 	}
 
 	if (issue.code === 'invalid_key') {
@@ -143,10 +143,10 @@
 	const result = schema.safeParse(value, {
 		error(issue) {
 			if (issue.code === 'unrecognized_keys' && isObjectSchema(issue.inst)) {
-				knownKeys.set(namesOf(issue.path ?? []).join('.'), Object.keys(issue.inst.shape));
+				knownKeys.set(withoutSymbols(issue.path ?? []).join('.'), Object.keys(issue.inst.shape));
 			}
 
-			return wordsForIssue(issue);
+			return issueMessage(issue);
 		},
 	});
 	return result.success ? {data: result.data} : {faults: result.error.issues.flatMap(issue => describeIssue(issue, knownKeys))};
--- a/packages/model/src/version/configuration-text.ts
+++ b/packages/model/src/version/configuration-text.ts
@@ -5,7 +5,7 @@
 import {createFault, FaultKind} from '../request/fault.js';
 import {validateConfiguration, type ConfigurationFault} from './configuration-faults.js';
 
-const placeOf = (text: string, offset: number): string => {
+const formatLocation = (text: string, offset: number): string => {
 	const before = text.slice(0, offset).split('\n');
 	return `line ${before.length}, column ${(before.at(-1)?.length ?? 0) + 1}`;
 };
@@ -24,7 +24,7 @@
 	return root;
 };
 
-const syntaxWords: Readonly<Partial<Record<ParseErrorCode, string>>> = {
+const syntaxErrorMessages: Readonly<Partial<Record<ParseErrorCode, string>>> = {
 	[ParseErrorCode.InvalidSymbol]: 'a word stands here without double quotes; quote it, or write true, false, null or a number',
 	[ParseErrorCode.InvalidNumberFormat]: 'this is not a number; write it as in 8 or 0.5',
 	[ParseErrorCode.PropertyNameExpected]: 'the name of a setting in double quotes is missing here',
@@ -39,12 +39,12 @@
 	[ParseErrorCode.InvalidCharacter]: String.raw`this character is not allowed here; remove it or write it as \u and four digits`,
 };
 
-const describeSyntax = (text: string, {error, offset}: ParseError): string =>
-	`${placeOf(text, offset)}: ${syntaxWords[error] ?? printParseErrorCode(error)}`;
+const describeSyntaxError = (text: string, {error, offset}: ParseError): string =>
+	`${formatLocation(text, offset)}: ${syntaxErrorMessages[error] ?? printParseErrorCode(error)}`;
 
 const describeFault = (text: string, root: Node, {path, isKey, message}: ConfigurationFault): {readonly offset: number; readonly line: string} => {
 	const {offset} = findNode(root, path, isKey);
-	return {offset, line: `${placeOf(text, offset)}: ${path.join('.') || 'the whole text'}: ${message}`};
+	return {offset, line: `${formatLocation(text, offset)}: ${path.join('.') || 'the whole text'}: ${message}`};
 };
 
 /**
@@ -61,7 +61,7 @@
 	const parseErrors: ParseError[] = [];
 	const root = parseTree(text, parseErrors, {allowTrailingComma: true});
 	if (!root || parseErrors.length > 0) {
-		const places = parseErrors.map(error => describeSyntax(text, error));
+		const places = parseErrors.map(error => describeSyntaxError(text, error));
 		throw createFault(FaultKind.InvalidConfiguration, `${source} is not JSON with comments:\n${places.join('\n') || 'the text is empty'}`);
 	}
 
--- a/packages/model/src/version/document-store.ts
+++ b/packages/model/src/version/document-store.ts
@@ -7,9 +7,9 @@
 } from './document-rows.js';
 import {parseServiceDocument, type AcceptedDocument} from './service-document.js';
 
-const pageRows = 200;
+const rowsPerPage = 200;
 /** Changes whose rows the table keeps. */
-const keptChanges = 1000;
+const retainedChanges = 1000;
 
 /**
 One accepted version of a document.
@@ -35,9 +35,9 @@
 const scanAll = async (platform: Platform, prefix: string): Promise<readonly TableRow[]> => {
 	const rows: TableRow[] = [];
 	for (;;) {
-		const page = await platform.scanRows(prefix, pageRows, rows.at(-1)?.key);
+		const page = await platform.scanRows(prefix, rowsPerPage, rows.at(-1)?.key);
 		rows.push(...page);
-		if (page.length < pageRows) {
+		if (page.length < rowsPerPage) {
 			return rows;
 		}
 	}
@@ -62,9 +62,9 @@
 	});
 };
 
-const acceptAttempts = 8;
-const readBackAttempts = 5;
-const readBackPauseMilliseconds = 200;
+const maximumAcceptAttempts = 8;
+const maximumReadBackAttempts = 5;
+const readBackDelayMilliseconds = 200;
 
 /**
 A document that an operator wants in force.
@@ -113,7 +113,7 @@
 /**
 Repeats a read while the platform is out of reach, when a write was sent and its result is not known.
 */
-const readBack = async <Value>(read: () => Promise<Value>, service: string, hasProposed: boolean): Promise<Value> => {
+const readWithRetries = async <Value>(read: () => Promise<Value>, service: string, hasProposed: boolean): Promise<Value> => {
 	for (let attempt = 1; ; attempt++) {
 		try {
 			return await read();
@@ -122,12 +122,12 @@
 				throw error;
 			}
 
-			if (attempt === readBackAttempts) {
+			if (attempt === maximumReadBackAttempts) {
 				const detail = `the document of "${service}" was sent, and the platform does not tell whether it is accepted; accepting the same text again is safe`;
 				throw createFault(FaultKind.PlatformUnavailable, detail, error);
 			}
 
-			await sleep(readBackPauseMilliseconds);
+			await sleep(readBackDelayMilliseconds);
 		}
 	}
 };
@@ -147,7 +147,7 @@
 			{key, value},
 			{key: historyKey(service, version), value},
 			{key: changeKey(version), value: service},
-			...(version > keptChanges ? [{key: changeKey(version - keptChanges)}] : []),
+			...(version > retainedChanges ? [{key: changeKey(version - retainedChanges)}] : []),
 		],
 	);
 	return {version, outcome};
@@ -169,11 +169,11 @@
 export const acceptDocument = async (platform: Platform, proposal: DocumentProposal): Promise<number> => {
 	const {service} = parseServiceDocument(proposal.text, 'the document');
 	const proposed: number[] = [];
-	for (let attempt = 0; attempt < acceptAttempts; attempt++) {
+	for (let attempt = 0; attempt < maximumAcceptAttempts; attempt++) {
 		const hasProposed = proposed.length > 0;
 		// The state is read before the history: a version that comes later fails on the row's version.
-		const state = await readBack(async () => readState(platform, service), service, hasProposed);
-		const accepted = await readBack(async () => findAccepted(platform, service, proposed, proposal.nonce), service, hasProposed);
+		const state = await readWithRetries(async () => readState(platform, service), service, hasProposed);
+		const accepted = await readWithRetries(async () => findAccepted(platform, service, proposed, proposal.nonce), service, hasProposed);
 		if (accepted !== undefined) {
 			return accepted;
 		}
@@ -191,5 +191,5 @@
 		proposed.push(version);
 	}
 
-	throw createFault(FaultKind.PlatformUnavailable, `the platform did not confirm the document of "${service}" in ${acceptAttempts} attempts`);
+	throw createFault(FaultKind.PlatformUnavailable, `the platform did not confirm the document of "${service}" in ${maximumAcceptAttempts} attempts`);
 };
