--- a/packages/model/src/version/__tests__/document-store.steps.ts
+++ b/packages/model/src/version/__tests__/document-store.steps.ts
@@ -15,7 +15,7 @@
 	platform: Platform;
 	accepted: number | undefined;
 	fault: unknown;
-	/** Version that the reader of the catalogue has. */
+	/** Catalogue version up to which the reader has read. */
 	readVersion: number;
 	reads: number;
 };
@@ -60,7 +60,7 @@
 		text: documentText('paysheet', author), seenVersion, author, nonce: `nonce-of-${author}`,
 	});
 
-/** A platform whose first transaction takes effect, after which something happens and the answer is lost. */
+/** Wraps a platform so that its first transaction takes effect, `afterwards` runs, and the answer is lost. */
 const loseFirstAnswer = (platform: Platform, afterwards: () => Promise<void>): Platform => {
 	let isLost = false;
 	return {
@@ -107,7 +107,7 @@
 	await tryAccept(this, lossy, first, 1);
 });
 
-When('{string} accepts a document that was made from version {int}', async function (this: StoreWorld, author: string, seenVersion: number) {
+When('{string} accepts a document that is based on version {int}', async function (this: StoreWorld, author: string, seenVersion: number) {
 	await tryAccept(this, this.platform, author, seenVersion);
 });
 
@@ -139,11 +139,11 @@
 	assert.equal(current?.version, version);
 });
 
-Then('the accept fails with {string}', function (this: StoreWorld, kind: FaultKind) {
+Then('accepting the document fails with {string}', function (this: StoreWorld, kind: FaultKind) {
 	assert.ok(isFault(this.fault, kind), String(this.fault));
 });
 
-Then('the accept fails with {string} and says {string}', function (this: StoreWorld, kind: FaultKind, text: string) {
+Then('accepting the document fails with {string} and the message {string}', function (this: StoreWorld, kind: FaultKind, text: string) {
 	assert.ok(isFault(this.fault, kind), String(this.fault));
 	assert.ok(this.fault.message.includes(text), this.fault.message);
 });
@@ -153,7 +153,7 @@
 	assert.deepEqual(history.map(({version}) => version), Array.from({length: last - first + 1}, (_, position) => first + position));
 });
 
-Then('a document of {string} with the same endpoint shares {string} with {string}', async function (this: StoreWorld, service: string, address: string, other: string) {
+Then('a document of {string} with the same endpoint has the address {string} in common with {string}', async function (this: StoreWorld, service: string, address: string, other: string) {
 	const current = await readDocument(this.platform, other);
 	const shared = findSharedAddresses(parseServiceDocument(documentText(service, 'owners'), service), [current!.document]);
 	assert.deepEqual(shared, [{
@@ -186,7 +186,7 @@
 	}
 });
 
-Given('a reader of the catalogue', async function (this: StoreWorld) {
+Given('a reader that has read the catalogue', async function (this: StoreWorld) {
 	this.readVersion = 0;
 	({catalogueVersion: this.readVersion} = await readCountingCalls(this));
 });
@@ -203,27 +203,27 @@
 	}
 });
 
-When('the row of the change {int} is missing', function (this: StoreWorld, version: number) {
+When('the row of change {int} is missing', function (this: StoreWorld, version: number) {
 	assert.ok(this.rows.delete(changeKey(version)));
 });
 
-When('the document of {string} is read as it was', function (this: StoreWorld, service: string) {
+When('a read of the document of {string} returns its earlier version', function (this: StoreWorld, service: string) {
 	const row = this.rows.get(documentKey(service))!;
 	this.rows.set(row.key, {...row, value: row.value.replace(/"version":\d+/v, '"version":9')});
 });
 
-Then('the reader gets {string} up to version {int} in {int} reads', async function (this: StoreWorld, services: string, version: number, reads: number) {
+Then('the reader receives {string} up to version {int} in {int} reads', async function (this: StoreWorld, services: string, version: number, reads: number) {
 	const {documents, catalogueVersion} = await readCountingCalls(this);
 	assert.equal(documents.map(({document}) => document.service).toSorted().join(', '), services);
 	assert.deepEqual([catalogueVersion, this.reads], [version, reads]);
 });
 
-Then('the reader gets {int} documents up to version {int}', async function (this: StoreWorld, count: number, version: number) {
+Then('the reader receives {int} documents up to version {int}', async function (this: StoreWorld, count: number, version: number) {
 	const {documents, catalogueVersion} = await readCountingCalls(this);
 	assert.deepEqual([documents.length, catalogueVersion], [count, version]);
 });
 
-Then('the table has the rows of the changes {int} to {int}', function (this: StoreWorld, first: number, last: number) {
+Then('the table has the rows of changes {int} to {int}', function (this: StoreWorld, first: number, last: number) {
 	const kept = [...this.rows.keys()].filter(key => key.startsWith('change/')).toSorted();
 	assert.deepEqual(kept, Array.from({length: last - first + 1}, (_, position) => changeKey(first + position)));
 });
