--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -47,7 +47,7 @@
 Load of a cell.
 */
 export type CellLoad = {
-	/** Free capacity of available endpoints that tasks of average size can use. */
+	/** Free capacity of available endpoints that tasks of typical size can use. */
 	readonly free: readonly FreeCapacity[];
 	/** Queued work divided by the cell's capacity: milliseconds until the present queue is worked off. */
 	readonly backlogMilliseconds: number;
@@ -180,7 +180,7 @@
 export const decodeFrame = (bytes: Uint8Array): FleetFrame => {
 	const {sentAt, messages} = JSON.parse(Buffer.from(bytes).toString()) as {readonly sentAt?: unknown; readonly messages?: unknown};
 	if (typeof sentAt !== 'number' || !Array.isArray(messages)) {
-		throw createFault(FaultKind.MalformedRequest, 'the peer sent a malformed message frame');
+		throw createFault(FaultKind.MalformedRequest, 'the peer sent what is no frame of messages');
 	}
 
 	return {sentAt, messages: messages.filter(message => isFleetMessage(message))};
--- a/packages/model/src/process/request-record.ts
+++ b/packages/model/src/process/request-record.ts
@@ -19,7 +19,7 @@
 	Sent = 'sent',
 	/** The endpoint answered. */
 	Answered = 'answered',
-	/** An attempt ended without a whole answer. */
+	/** An attempt ended without a complete answer. */
 	AttemptFailed = 'attempt-failed',
 	/** A task is sent to an endpoint again. */
 	Retried = 'retried',
--- a/packages/model/src/version/address-schema.ts
+++ b/packages/model/src/version/address-schema.ts
@@ -5,7 +5,7 @@
 const addressPattern = /^(?:(?<plain>[\d.]+)|\[(?<bracketed>[\da-f:]+)\]):(?<port>\d{1,5})$/v;
 
 /**
-Tells whether a text is an IP number and a port; an IP number of version 6 stands in brackets.
+Checks whether a text is an IP address and a port; an IPv6 address must be in brackets.
 
 @example
 ```
@@ -20,11 +20,11 @@
 };
 
 /**
-What is said about a text that is not an address.
+Error message for a text that is not an address.
 */
 export const addressRemedy = 'must be an IP number and a port, as in "10.1.2.3:8080"';
 
 /**
-The schema of an address in settings and documents.
+Schema of an address in settings and documents.
 */
 export const addressSchema = z.string().refine(text => isAddress(text), addressRemedy);
--- a/packages/model/src/version/catalogue-read.ts
+++ b/packages/model/src/version/catalogue-read.ts
@@ -3,15 +3,15 @@
 import {readCatalogueVersion, readDocuments} from './document-store.js';
 import type {AcceptedDocument} from './service-document.js';
 
-/** Changes that a reader may be behind and still read only what changed. */
+/** Maximum number of changes to catch up with by reading only the changed documents; a reader that is further behind reads all. */
 const maximumChangesBehind = 50;
 
 /**
-Documents with the catalogue version up to which they are complete.
+Documents, and the catalogue version up to which they are complete.
 */
 export type CatalogueRead = {readonly documents: readonly AcceptedDocument[]; readonly catalogueVersion: number};
 
-/** Documents older than the catalogue come from a stale read; the next look brings the rest. */
+/** If a stale read returns documents older than the catalogue, their version is reported, and the next read returns the rest. */
 const readAllDocuments = async (platform: Platform, version: number): Promise<CatalogueRead> => {
 	const documents = await readDocuments(platform);
 	return {documents, catalogueVersion: Math.min(version, Math.max(0, ...documents.map(document => document.version)))};
@@ -39,7 +39,7 @@
 };
 
 /**
-Reads the documents that were accepted above a catalogue version. A reader that is far behind gets every document.
+Reads the documents that were accepted after a catalogue version. A reader that is far behind gets all documents.
 
 @example
 ```
@@ -57,7 +57,7 @@
 		return readAllDocuments(platform, version);
 	}
 
-	// A change without a row was accepted by an earlier release, or comes from a stale read.
+	// The row of a change is missing if an earlier release accepted the change, or if the read was stale.
 	const changes = await readChanges(platform, aboveVersion, version);
 	return changes.length === behind ? readChangedDocuments(platform, changes) : readAllDocuments(platform, version);
 };
--- a/packages/model/src/version/configuration-faults.ts
+++ b/packages/model/src/version/configuration-faults.ts
@@ -2,11 +2,11 @@
 import type {z} from 'zod';
 
 /**
-A faulty place of a configuration, with what to change in words.
+An invalid entry of a configuration, with a message that says what to change.
 */
 export type ConfigurationFault = {
 	readonly path: ReadonlyArray<string | number>;
-	/** Whether the place is the key of an entry rather than its value. */
+	/** Whether the key of the entry is invalid, not its value. */
 	readonly isKey: boolean;
 	readonly message: string;
 };
@@ -89,7 +89,7 @@
 		return `${describeBound(issue.origin, issue.inclusive !== false, String(issue.maximum), 'most')}, but is ${describeInput(issue.input)}`;
 	}
 
-	// The schema says it in its own words.
+	// The message of the schema is used.
 	return undefined;
 };
 
@@ -128,7 +128,7 @@
 };
 
 /**
-Validates a value and describes every fault in words for the person who wrote it.
+Validates a value and describes all faults in messages for the author of the configuration.
 
 @returns The validated value, or all faults at once.
 
--- a/packages/model/src/version/configuration-text.ts
+++ b/packages/model/src/version/configuration-text.ts
@@ -12,7 +12,7 @@
 
 const keyNodeOf = (node: Node): Node => node.parent?.type === 'property' ? node.parent.children![0]! : node;
 
-/** The node of a path, or of the nearest part of it that the text has. */
+/** Finds the node of a path, or of its longest prefix that exists in the text. */
 const findNode = (root: Node, path: ReadonlyArray<string | number>, isKey: boolean): Node => {
 	for (let {length} = path; length > 0; length--) {
 		const node = findNodeAtLocation(root, path.slice(0, length));
@@ -26,14 +26,14 @@
 
 const syntaxErrorMessages: Readonly<Partial<Record<ParseErrorCode, string>>> = {
 	[ParseErrorCode.InvalidSymbol]: 'a word stands here without double quotes; quote it, or write true, false, null or a number',
-	[ParseErrorCode.InvalidNumberFormat]: 'this is not a number; write it as in 8 or 0.5',
-	[ParseErrorCode.PropertyNameExpected]: 'the name of a setting in double quotes is missing here',
-	[ParseErrorCode.ValueExpected]: 'a value is missing here',
+	[ParseErrorCode.InvalidNumberFormat]: 'invalid number; write it like 8 or 0.5',
+	[ParseErrorCode.PropertyNameExpected]: 'expected the name of a setting in double quotes',
+	[ParseErrorCode.ValueExpected]: 'expected a value',
 	[ParseErrorCode.ColonExpected]: 'a colon is missing between the name and its value',
-	[ParseErrorCode.CommaExpected]: 'a comma is missing before this place',
+	[ParseErrorCode.CommaExpected]: 'a comma is missing before this character',
 	[ParseErrorCode.CloseBraceExpected]: 'a closing } is missing',
 	[ParseErrorCode.CloseBracketExpected]: 'a closing ] is missing',
-	[ParseErrorCode.EndOfFileExpected]: 'the text goes on after its end; remove what follows the last }',
+	[ParseErrorCode.EndOfFileExpected]: 'unexpected text after the end; remove what follows the last }',
 	[ParseErrorCode.UnexpectedEndOfString]: 'a closing double quote is missing',
 	[ParseErrorCode.UnexpectedEndOfComment]: 'a closing */ is missing',
 	[ParseErrorCode.InvalidCharacter]: String.raw`this character is not allowed here; remove it or write it as \u and four digits`,
@@ -48,9 +48,9 @@
 };
 
 /**
-Parses JSON with comments and validates it, reporting all faults at once, in the order of the text.
+Parses JSON with comments and validates it. Reports all faults at once, in the order of the text.
 
-@throws A fault of kind `InvalidConfiguration` with one line for each faulty place: its line, column, path and what to change.
+@throws A fault of kind `InvalidConfiguration` with one line for each invalid entry: its line, column, path and what to change.
 
 @example
 ```
--- a/packages/model/src/version/document-rows.ts
+++ b/packages/model/src/version/document-rows.ts
@@ -8,7 +8,7 @@
 export const catalogueKey = 'catalogue';
 
 /**
-Prefix of the keys of documents in force.
+Prefix of the keys of the documents in force.
 */
 export const documentPrefix = 'document/';
 
@@ -17,12 +17,12 @@
 const versionDigits = 12;
 
 /**
-A document as the table holds it.
+A document as stored in the table.
 */
 export type StoredDocument = {
 	readonly version: number;
 	readonly text: string;
-	/** Distinguishes this write from a racing one that took the same version. */
+	/** Distinguishes this write from a concurrent one that used the same version. */
 	readonly nonce: string;
 	readonly author: string;
 	readonly acceptedAt: string;
@@ -31,7 +31,7 @@
 const formatVersion = (version: number): string => String(version).padStart(versionDigits, '0');
 
 /**
-Key of the document in force of a service.
+Key of a service's document in force.
 */
 export const documentKey = (service: string): string => `${documentPrefix}${service}`;
 
@@ -46,19 +46,19 @@
 export const historyKey = (service: string, version: number): string => `${historyPrefixOf(service)}${formatVersion(version)}`;
 
 /**
-Key of the row whose value is the service that a catalogue version changed.
+Key of the row that holds the name of the service changed by a catalogue version.
 */
 export const changeKey = (version: number): string => `${changePrefix}${formatVersion(version)}`;
 
 /**
-Reads the version of the catalogue from its row; 0 before the first document.
+Returns the version of the catalogue from its row; 0 before the first document is accepted.
 */
 export const catalogueVersionOf = (row: TableRow | undefined): number => row ? Number(row.value) : 0;
 
 /**
 Parses the row of a document.
 
-@throws A fault of kind `InvalidConfiguration` for a faulty text.
+@throws A fault of kind `InvalidConfiguration` if the text of the document is invalid.
 */
 export const parseStored = (row: TableRow): AcceptedDocument & {readonly nonce: string} => {
 	const stored = parseJson<StoredDocument>(row.value);
--- a/packages/model/src/version/document-store.ts
+++ b/packages/model/src/version/document-store.ts
@@ -8,7 +8,7 @@
 import {parseServiceDocument, type AcceptedDocument} from './service-document.js';
 
 const rowsPerPage = 200;
-/** Changes whose rows the table keeps. */
+/** Number of latest changes whose rows are kept in the table. */
 const retainedChanges = 1000;
 
 /**
@@ -17,7 +17,7 @@
 export type HistoryEntry = Omit<StoredDocument, 'nonce'>;
 
 /**
-Reads the version of the catalogue, which rises with each accepted document.
+Reads the version of the catalogue, which increases with each accepted document.
 */
 export const readCatalogueVersion = async (platform: Platform): Promise<number> => {
 	const [row] = await platform.readRows([catalogueKey]);
@@ -25,7 +25,7 @@
 };
 
 /**
-Reads the accepted document of one service; `undefined` when there is none.
+Reads the accepted document of one service; `undefined` if there is none.
 */
 export const readDocument = async (platform: Platform, service: string): Promise<AcceptedDocument | undefined> => {
 	const [row] = await platform.readRows([documentKey(service)]);
@@ -44,7 +44,7 @@
 };
 
 /**
-Reads every accepted document.
+Reads all accepted documents.
 */
 export const readDocuments = async (platform: Platform): Promise<readonly AcceptedDocument[]> => {
 	const rows = await scanAll(platform, documentPrefix);
@@ -67,11 +67,11 @@
 const readBackDelayMilliseconds = 200;
 
 /**
-A document that an operator wants in force.
+A document that an operator proposes.
 */
 export type DocumentProposal = {
 	readonly text: string;
-	/** Version that the change was made from; 0 when there was none. */
+	/** Version on which the change is based; 0 if there was none. */
 	readonly seenVersion: number;
 	readonly author: string;
 	/** Distinguishes this proposal from all others. */
@@ -79,7 +79,7 @@
 };
 
 /**
-What the table holds for a service at one moment.
+Rows of a service's document and the catalogue, from a single read.
 */
 type DocumentState = {
 	readonly catalogueRow: TableRow | undefined;
@@ -99,7 +99,7 @@
 };
 
 /**
-Looks for a proposal in the history, since another operator may have replaced its document meanwhile.
+Looks up a proposal in the history, since another operator may already have replaced its document.
 */
 const findAccepted = async (platform: Platform, service: string, proposed: readonly number[], nonce: string): Promise<number | undefined> => {
 	if (proposed.length === 0) {
@@ -111,7 +111,7 @@
 };
 
 /**
-Repeats a read while the platform is out of reach, when a write was sent and its result is not known.
+Retries a read while the platform is unreachable, if a write was sent whose result is unknown.
 */
 const readWithRetries = async <Value>(read: () => Promise<Value>, service: string, hasProposed: boolean): Promise<Value> => {
 	for (let attempt = 1; ; attempt++) {
@@ -156,10 +156,10 @@
 /**
 Accepts a document if the service's accepted version is still the one that the operator saw.
 
-The document and the catalogue version are written in one transaction. A write whose answer was lost is looked up by its nonce in the history, so that it counts also when another operator has replaced the document since.
+The document and the catalogue version are written in one transaction. If the answer to the write is lost, the history is searched for its nonce, so that the write counts even if another operator has replaced the document since.
 
 @returns The version under which the document is accepted.
-@throws A fault of kind `DocumentConflict` when another operator was first, `InvalidConfiguration` for a faulty text, `PlatformUnavailable` when the result can't be learned.
+@throws A fault of kind `DocumentConflict` if another operator changed the document first, `InvalidConfiguration` if the text is invalid, `PlatformUnavailable` if the result can't be determined.
 
 @example
 ```
@@ -171,7 +171,7 @@
 	const proposed: number[] = [];
 	for (let attempt = 0; attempt < maximumAcceptAttempts; attempt++) {
 		const hasProposed = proposed.length > 0;
-		// The state is read before the history: a version that comes later fails on the row's version.
+		// The state is read before the history: if another version is accepted in between, the transaction fails on the row's version.
 		const state = await readWithRetries(async () => readState(platform, service), service, hasProposed);
 		const accepted = await readWithRetries(async () => findAccepted(platform, service, proposed, proposal.nonce), service, hasProposed);
 		if (accepted !== undefined) {
@@ -179,7 +179,7 @@
 		}
 
 		if (state.version !== proposal.seenVersion) {
-			throw createFault(FaultKind.DocumentConflict, `the document of "${service}" is at version ${state.version}, not at version ${proposal.seenVersion} that the change was made from`);
+			throw createFault(FaultKind.DocumentConflict, `the document of "${service}" is at version ${state.version}, not at version ${proposal.seenVersion} on which the change is based`);
 		}
 
 		const {version, outcome} = await propose(platform, service, state, proposal);
@@ -187,7 +187,7 @@
 			return version;
 		}
 
-		// A refusal may only mean that another service's document took the catalogue version; the next look tells.
+		// The refusal may be due to another service's document that took the catalogue version; the next attempt reads the state again.
 		proposed.push(version);
 	}
 
--- a/packages/model/src/version/endpoint-entry.ts
+++ b/packages/model/src/version/endpoint-entry.ts
@@ -1,24 +1,24 @@
 import type {Resources} from '../request/job.js';
 
 /**
-An endpoint as the platform lists it.
+An endpoint on the platform's list.
 */
 export type EndpointEntry = {
 	readonly identifier: string;
-	/** Unix milliseconds of the endpoint's start; an endpoint that starts anew keeps its identifier. */
+	/** Unix milliseconds of the endpoint's start; an endpoint that is restarted keeps its identifier. */
 	readonly startedAt: number;
 	readonly service: string;
 	readonly address: string;
 	readonly zone: string;
-	/** The endpoint has announced that it will leave. */
+	/** The endpoint has announced that it will shut down. */
 	readonly isDraining: boolean;
 	readonly room: Resources;
-	/** Kind of the machine, its rack, and whatever else the platform says of it. */
+	/** Labels from the platform, among them the kind of machine and its rack. */
 	readonly labels: readonly string[];
 };
 
 /**
-Names one life of an endpoint.
+Identifies one incarnation of an endpoint, from one start to the next.
 
 @example
 ```
--- a/packages/model/src/version/queue-configuration.ts
+++ b/packages/model/src/version/queue-configuration.ts
@@ -1,5 +1,5 @@
 /**
-A queue: where callers hand jobs in, and how these are served.
+A queue: the host and path to which callers submit jobs, and how these jobs are served.
 */
 export type Queue = {
 	readonly name: string;
@@ -9,11 +9,11 @@
 	readonly service: string;
 	/** 0 is served first. */
 	readonly priority: number;
-	/** Failed runs of a task after which its job has failed. */
+	/** Number of failed runs of a task after which its job fails. */
 	readonly mostAttempts: number;
-	/** The objective of a job is this many times its longest chain of work, … */
+	/** The target time of a job is the duration of its critical path times this factor, … */
 	readonly objectiveFactor: number;
-	/** … and this many milliseconds more. */
+	/** … plus this many milliseconds. */
 	readonly objectiveMilliseconds: number;
 };
 
@@ -32,7 +32,7 @@
 };
 
 /**
-Finds the queue of a request: the longest prefix of its path among the queues of its host.
+Finds the queue of a request: among the queues of its host, the one with the longest matching path prefix.
 
 @example
 ```
--- a/packages/model/src/version/service-document.ts
+++ b/packages/model/src/version/service-document.ts
@@ -7,11 +7,11 @@
 
 const endpointSchema = z.strictObject({
 	name,
-	/** Host and port; a host is an IP number. */
+	/** IP address and port. */
 	address: addressSchema,
 	slots: z.number().int().min(1).max(1024).default(8),
 	connections: z.number().int().min(1).max(65_536).default(64),
-	/** Declared speed; 2 runs a task in half the time of 1. Measurements replace it. */
+	/** Relative speed, used until run times are measured; an endpoint of speed 2 runs a task in half the time of speed 1. */
 	speed: z.number().positive().default(1),
 });
 
@@ -30,21 +30,21 @@
 });
 
 const kindSchema = z.strictObject({
-	/** Declared run time at speed 1. Measurements replace it. */
+	/** Run time at speed 1, used until run times are measured. */
 	runMilliseconds: milliseconds,
 });
 
 const quotaSchema = z.strictObject({
-	/** Share of the service relative to other teams. */
+	/** Team's share of the service, relative to other teams. */
 	share: z.number().positive().default(1),
 });
 
 const guardsSchema = z.strictObject({
-	/** Consecutive failures after which an endpoint gets only probes. */
+	/** Consecutive failures after which an endpoint is sent only probes. */
 	failuresBeforeOpen: z.number().int().min(1).default(3),
 	/** Time until an endpoint that failed is probed again. */
 	probationMilliseconds: milliseconds.default(1000),
-	/** Retries of idempotent tasks as a share of first starts. */
+	/** Maximum retries of idempotent tasks, as a fraction of first starts. */
 	retryBudget: z.number().min(0).max(1).default(0.1),
 });
 
@@ -54,11 +54,11 @@
 	team: name,
 	/** Whether a task may be sent again after it started. */
 	idempotent: z.boolean().default(false),
-	/** Time that an endpoint has for a whole answer. */
+	/** Time within which an endpoint must answer completely. */
 	timeoutMilliseconds: milliseconds.default(10_000),
-	/** Deadline of a request that names none. */
+	/** Deadline of a request that gives none. */
 	deadlineMilliseconds: milliseconds.default(30_000),
-	/** Longest expected wait at which a request is still admitted. */
+	/** Maximum expected wait at which a request is admitted. */
 	maximumQueueMilliseconds: milliseconds.default(1000),
 	endpoints: endpointsSchema,
 	kinds: z.record(name, kindSchema).default({}),
@@ -67,17 +67,17 @@
 });
 
 /**
-What the owning team says about one service.
+Configuration of one service, written by the team that owns it.
 */
 export type ServiceDocument = z.infer<typeof documentSchema>;
 
 /**
-One endpoint of a service document.
+An endpoint in a service document.
 */
 export type EndpointEntry = z.infer<typeof endpointSchema>;
 
 /**
-A document together with the version under which it was accepted.
+A document with the version under which it was accepted.
 */
 export type AcceptedDocument = {
 	readonly version: number;
@@ -89,7 +89,7 @@
 /**
 Parses and validates the text of a service document.
 
-@throws A fault of kind `InvalidConfiguration` that names every faulty place by line and column.
+@throws A fault of kind `InvalidConfiguration` that gives the line and column of every invalid entry.
 
 @example
 ```
--- a/packages/model/src/version/shared-addresses.ts
+++ b/packages/model/src/version/shared-addresses.ts
@@ -1,16 +1,16 @@
 import type {ServiceDocument} from './service-document.js';
 
 /**
-An endpoint address that the documents of two services name.
+An endpoint address that the documents of two services have in common.
 */
 export type SharedAddress = {readonly address: string; readonly endpoint: string; readonly otherService: string; readonly otherEndpoint: string};
 
 const endpointsOf = ({endpoints}: ServiceDocument): ReadonlyArray<{readonly name: string; readonly address: string}> => Object.values(endpoints).flat();
 
 /**
-Finds the endpoint addresses of a document that documents of other services name too.
+Finds the endpoint addresses of a document that also occur in documents of other services.
 
-An endpoint belongs to one service: two services would each fill its slots.
+An endpoint must belong to one service only: two services would each fill all of its slots.
 
 @example
 ```
