--- a/packages/galenakeeld/src/process/fleet/held-jobs.ts
+++ b/packages/galenakeeld/src/process/fleet/held-jobs.ts
@@ -1,5 +1,5 @@
 import {createInbox, type Inbox} from '@galenakeel/model/connection/inbox.js';
-import {FleetMessageKind, type JobNews} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type JobUpdate} from '@galenakeel/model/connection/fleet-message.js';
 
 /**
 Local events that the holder of a job receives in addition to the updates of the cell's owner.
@@ -13,7 +13,7 @@
 	CallerDisconnected = 'caller-left',
 }
 
-export type HolderUpdate = JobNews | {readonly kind: HolderEvent};
+export type HolderUpdate = JobUpdate | {readonly kind: HolderEvent};
 
 /**
 The owner of a cell during one term.
@@ -44,7 +44,7 @@
 	readonly count: () => number;
 	readonly hold: (identifier: string, part: string) => HeldJob;
 	/** Delivers an update of an owner to all holdings of its job part. */
-	readonly deliver: (from: string, update: JobNews) => void;
+	readonly deliver: (from: string, update: JobUpdate) => void;
 	/** Notifies the jobs whose owner no longer owns their cell. */
 	readonly checkOwners: (findOwner: (cell: string) => CellOwner | undefined) => void;
 	/** Notifies the jobs at an owner whose stream was opened again. */
--- a/packages/model/src/version/configuration-text.ts
+++ b/packages/model/src/version/configuration-text.ts
@@ -5,14 +5,14 @@
 import {createFault, FaultKind} from '../request/fault.js';
 import {validateConfiguration, type ConfigurationFault} from './configuration-faults.js';
 
-const placeOf = (text: string, offset: number): string => {
+const formatLocation = (text: string, offset: number): string => {
 	const before = text.slice(0, offset).split('\n');
 	return `line ${before.length}, column ${(before.at(-1)?.length ?? 0) + 1}`;
 };
 
 const keyNodeOf = (node: Node): Node => node.parent?.type === 'property' ? node.parent.children![0]! : node;
 
-/** The node of a path, or of the nearest part of it that the text has. */
+/** Finds the node of a path, or of its longest prefix that exists in the text. */
 const findNode = (root: Node, path: ReadonlyArray<string | number>, isKey: boolean): Node => {
 	for (let {length} = path; length > 0; length--) {
 		const node = findNodeAtLocation(root, path.slice(0, length));
@@ -24,33 +24,33 @@
 	return root;
 };
 
-const syntaxWords: Readonly<Partial<Record<ParseErrorCode, string>>> = {
+const syntaxErrorMessages: Readonly<Partial<Record<ParseErrorCode, string>>> = {
 	[ParseErrorCode.InvalidSymbol]: 'a word stands here without double quotes; quote it, or write true, false, null or a number',
-	[ParseErrorCode.InvalidNumberFormat]: 'this is not a number; write it as in 8 or 0.5',
-	[ParseErrorCode.PropertyNameExpected]: 'the name of a setting in double quotes is missing here',
-	[ParseErrorCode.ValueExpected]: 'a value is missing here',
+	[ParseErrorCode.InvalidNumberFormat]: 'invalid number; write it like 8 or 0.5',
+	[ParseErrorCode.PropertyNameExpected]: 'expected the name of a setting in double quotes',
+	[ParseErrorCode.ValueExpected]: 'expected a value',
 	[ParseErrorCode.ColonExpected]: 'a colon is missing between the name and its value',
-	[ParseErrorCode.CommaExpected]: 'a comma is missing before this place',
+	[ParseErrorCode.CommaExpected]: 'a comma is missing before this character',
 	[ParseErrorCode.CloseBraceExpected]: 'a closing } is missing',
 	[ParseErrorCode.CloseBracketExpected]: 'a closing ] is missing',
-	[ParseErrorCode.EndOfFileExpected]: 'the text goes on after its end; remove what follows the last }',
+	[ParseErrorCode.EndOfFileExpected]: 'unexpected text after the end; remove what follows the last }',
 	[ParseErrorCode.UnexpectedEndOfString]: 'a closing double quote is missing',
 	[ParseErrorCode.UnexpectedEndOfComment]: 'a closing */ is missing',
 	[ParseErrorCode.InvalidCharacter]: String.raw`this character is not allowed here; remove it or write it as \u and four digits`,
 };
 
-const describeSyntax = (text: string, {error, offset}: ParseError): string =>
-	`${placeOf(text, offset)}: ${syntaxWords[error] ?? printParseErrorCode(error)}`;
+const describeSyntaxError = (text: string, {error, offset}: ParseError): string =>
+	`${formatLocation(text, offset)}: ${syntaxErrorMessages[error] ?? printParseErrorCode(error)}`;
 
 const describeFault = (text: string, root: Node, {path, isKey, message}: ConfigurationFault): {readonly offset: number; readonly line: string} => {
 	const {offset} = findNode(root, path, isKey);
-	return {offset, line: `${placeOf(text, offset)}: ${path.join('.') || 'the whole text'}: ${message}`};
+	return {offset, line: `${formatLocation(text, offset)}: ${path.join('.') || 'the whole text'}: ${message}`};
 };
 
 /**
-Parses JSON with comments and validates it, reporting all faults at once, in the order of the text.
+Parses JSON with comments and validates it. Reports all faults at once, in the order of the text.
 
-@throws A fault of kind `InvalidConfiguration` with one line for each faulty place: its line, column, path and what to change.
+@throws A fault of kind `InvalidConfiguration` with one line for each invalid entry: its line, column, path and what to change.
 
 @example
 ```
@@ -61,7 +61,7 @@
 	const parseErrors: ParseError[] = [];
 	const root = parseTree(text, parseErrors, {allowTrailingComma: true});
 	if (!root || parseErrors.length > 0) {
-		const places = parseErrors.map(error => describeSyntax(text, error));
+		const places = parseErrors.map(error => describeSyntaxError(text, error));
 		throw createFault(FaultKind.InvalidConfiguration, `${source} is not JSON with comments:\n${places.join('\n') || 'the text is empty'}`);
 	}
 
--- a/packages/model/src/version/endpoint-entry.ts
+++ b/packages/model/src/version/endpoint-entry.ts
@@ -1,28 +1,28 @@
-import type {Room} from '../request/job.js';
+import type {Resources} from '../request/job.js';
 
 /**
-An endpoint as the platform lists it.
+An endpoint on the platform's list.
 */
 export type EndpointEntry = {
 	readonly identifier: string;
-	/** Unix milliseconds of the endpoint's start; an endpoint that starts anew keeps its identifier. */
+	/** Unix milliseconds of the endpoint's start; an endpoint that is restarted keeps its identifier. */
 	readonly startedAt: number;
 	readonly service: string;
 	readonly address: string;
 	readonly zone: string;
-	/** The endpoint has announced that it will leave. */
+	/** The endpoint has announced that it will shut down. */
 	readonly isDraining: boolean;
-	readonly room: Room;
-	/** Kind of the machine, its rack, and whatever else the platform says of it. */
+	readonly room: Resources;
+	/** Labels from the platform, among them the kind of machine and its rack. */
 	readonly labels: readonly string[];
 };
 
 /**
-Names one life of an endpoint.
+Identifies one incarnation of an endpoint, from one start to the next.
 
 @example
 ```
 lifeOf({identifier: 'i-7f3a', startedAt: 1764800000000}); // => 'i-7f3a@1764800000000'
 ```
 */
-export const lifeOf = ({identifier, startedAt}: Pick<EndpointEntry, 'identifier' | 'startedAt'>): string => `${identifier}@${startedAt}`;
+export const incarnationOf = ({identifier, startedAt}: Pick<EndpointEntry, 'identifier' | 'startedAt'>): string => `${identifier}@${startedAt}`;
