--- a/packages/galenakeeld/src/process/cells/__tests__/crest-replay.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/crest-replay.ts
@@ -12,7 +12,7 @@
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {holdJob, type HoldOptions} from '../../../request/hold-job.js';
-import {withoutSent} from '../../fleet/cell-loads.js';
+import {subtractSentProcessor} from '../../fleet/cell-loads.js';
 import {createHeldJobs} from '../../fleet/held-jobs.js';
 import {createCell, type Cell} from '../cell.js';
 
@@ -287,7 +287,7 @@
 		sent.set(zone, recent);
 		const processor = recent.reduce((sum, one) => sum + one.processor, 0);
 		const cellLoad = told.get(zone)!;
-		return {cell: zone, free: withoutSent(cellLoad.free, processor), waitMilliseconds: cellLoad.backlogMilliseconds};
+		return {cell: zone, free: subtractSentProcessor(cellLoad.free, processor), waitMilliseconds: cellLoad.backlogMilliseconds};
 	});
 
 	for (const [place, zone] of load.zones.entries()) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.steps.ts
@@ -33,9 +33,9 @@
 		{cause: loss === 'has ended' ? LossCause.Ended : LossCause.Silent, ageMilliseconds},
 		{
 			isOfZone: place === 'of the zone',
-			seesPeers: peers === 'sees peers',
+			hasReachablePeers: peers === 'sees peers',
 			reachesEndpoints: reach !== 'doesn\'t reach the endpoints',
-			regainedMilliseconds: reach === 'has just come to reach them' ? 100 : Number.POSITIVE_INFINITY,
+			sinceProbeFailureMilliseconds: reach === 'has just come to reach them' ? 100 : Number.POSITIVE_INFINITY,
 		},
 	);
 	assert.equal(isSafe, may === 'may');
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -5,7 +5,7 @@
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {FleetMessageKind, type Beat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
-import {nearPace} from '../beat-pace.js';
+import {shortInterval} from '../heartbeat-interval.js';
 import {createFleetLinks, type FleetLinks} from '../fleet-links.js';
 import {createFleetView} from '../fleet-view.js';
 
@@ -57,25 +57,25 @@
 				// Nothing was opened.
 			},
 		}),
-		createBeat: () => createBeat('n1', milliseconds),
-		paceTo: () => nearPace,
+		createHeartbeat: () => createBeat('n1', milliseconds),
+		heartbeatIntervalTo: () => shortInterval,
 		onMessage() {
 			// Beats are all that is sent.
 		},
-		onPeerHeard() {
+		onPeerReachable() {
 			// The view tells who was heard.
 		},
 		onPeerLost: ({address}, cause) => {
 			this.lost.push([address, cause]);
 		},
-		onReached() {
+		onStreamOpened() {
 			// Streams are played.
 		},
 		onBroken() {
 			// Streams are played.
 		},
 	});
-	this.links.meet(splitNames(names));
+	this.links.connect(splitNames(names));
 });
 
 After(function (this: Partial<LinksWorld>) {
@@ -93,7 +93,7 @@
 
 When('the links are swept at {int} ms', function (this: LinksWorld, at: number) {
 	this.clock.tick(at - performance.now());
-	this.links.sweep();
+	this.links.removeSilentPeers();
 });
 
 Then('the streams to {string} were given up', function (this: LinksWorld, names: string) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
@@ -24,8 +24,8 @@
 	isLeaving: false,
 	claims: new Map([...loads.keys()].map(cell => [cell, {token: 1, term: 1}])),
 	loads,
-	loadsHeardAt: 0,
-	heardAt: 0,
+	loadsUpdatedAt: 0,
+	lastHeartbeatAt: 0,
 	configurationVersion: 1,
 	known: [],
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-news.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.steps.ts
@@ -4,7 +4,7 @@
 } from '@cucumber/cucumber';
 import {FleetMessageKind, type CellLoad, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
-import {createEndpointLists, type EndpointLists} from '../endpoint-lists.js';
+import {createEndpointListAnnouncements, type EndpointListAnnouncements} from '../endpoint-list-announcements.js';
 import type {Peer} from '../fleet-view.js';
 import {createLoadAnnouncements} from '../load-announcements.js';
 
@@ -13,7 +13,7 @@
 	listed: Map<string, readonly EndpointEntry[]>;
 	load: CellLoad;
 	sent: Array<readonly [address: string, kind: FleetMessageKind]>;
-	lists: EndpointLists;
+	lists: EndpointListAnnouncements;
 	announceLoads: () => void;
 };
 
@@ -29,10 +29,10 @@
 	isLeaving: false,
 	claims: new Map(owned === '' ? [] : [[owned, {token: 1, term: 1}]]),
 	loads: new Map(),
-	loadsHeardAt: 0,
+	loadsUpdatedAt: 0,
 	configurationVersion: 1,
 	known: [],
-	heardAt: 0,
+	lastHeartbeatAt: 0,
 });
 
 const createEntry = (identifier: string, zone: string): EndpointEntry => ({
@@ -48,7 +48,7 @@
 		this.sent.push([address, message.kind]);
 	};
 
-	this.lists = createEndpointLists({
+	this.lists = createEndpointListAnnouncements({
 		ownedZones: () => [cell], endpointsOf: zone => this.listed.get(zone), peers: () => this.peers, send,
 	});
 	this.announceLoads = createLoadAnnouncements({
@@ -83,7 +83,7 @@
 });
 
 When('the peer {string} is greeted', function (this: NewsWorld, address: string) {
-	this.lists.greet(this.peers.find(peer => peer.address === address));
+	this.lists.synchronize(this.peers.find(peer => peer.address === address));
 });
 
 const receiversOf = ({sent}: NewsWorld, kind: FleetMessageKind): string =>
--- a/packages/galenakeeld/src/process/fleet/cell-claims.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-claims.ts
@@ -61,12 +61,12 @@
 /**
 What a daemon reaches of a zone.
 */
-export type Contact = {
+export type Reachability = {
 	readonly isOfZone: boolean;
-	readonly seesPeers: boolean;
+	readonly hasReachablePeers: boolean;
 	readonly reachesEndpoints: boolean;
 	/** Milliseconds since a probe of the endpoints last failed. */
-	readonly regainedMilliseconds: number;
+	readonly sinceProbeFailureMilliseconds: number;
 };
 
 /** Time after which an owner that may only be out of reach of this daemon, but not of its endpoints, is replaced from afar. */
@@ -79,17 +79,17 @@
 
 @param contact.regainedMilliseconds Time since a probe of the endpoints last failed.
 */
-export const isTakeoverSafe = (loss: OwnerLoss | undefined, contact: Contact): boolean => {
-	const {isOfZone, seesPeers, reachesEndpoints, regainedMilliseconds} = contact;
+export const isTakeoverSafe = (loss: OwnerLoss | undefined, contact: Reachability): boolean => {
+	const {isOfZone, hasReachablePeers: seesPeers, reachesEndpoints, sinceProbeFailureMilliseconds: regainedMilliseconds} = contact;
 	if (isOfZone && (seesPeers || loss === undefined)) {
 		return true;
 	}
 
-	const isSurelyGone = loss?.cause === LossCause.Ended || (loss?.ageMilliseconds ?? Number.POSITIVE_INFINITY) > remoteTakeoverMilliseconds;
-	return seesPeers && reachesEndpoints && isSurelyGone && regainedMilliseconds > remoteTakeoverMilliseconds;
+	const isConfirmedLost = loss?.cause === LossCause.Ended || (loss?.ageMilliseconds ?? Number.POSITIVE_INFINITY) > remoteTakeoverMilliseconds;
+	return seesPeers && reachesEndpoints && isConfirmedLost && regainedMilliseconds > remoteTakeoverMilliseconds;
 };
 
-const holdsBefore = (cell: string) => (first: Claimant, second: Claimant): number =>
+const byClaimPrecedence = (cell: string) => (first: Claimant, second: Claimant): number =>
 	Number(first.isLeaving) - Number(second.isLeaving)
 	|| Number(second.zone === cell) - Number(first.zone === cell)
 	|| second.claims.get(cell)!.token - first.claims.get(cell)!.token
@@ -99,19 +99,19 @@
 Finds the daemon that holds a cell: among the claims in sight one that stays, then one of the cell's own zone, then the highest token.
 */
 export const findOwner = (cell: string, daemons: readonly Claimant[]): Claimant | undefined =>
-	daemons.filter(({claims}) => claims.has(cell)).toSorted(holdsBefore(cell))[0];
+	daemons.filter(({claims}) => claims.has(cell)).toSorted(byClaimPrecedence(cell))[0];
 
-const claimsBefore = (first: Claimant, second: Claimant): number =>
+const byCapacity = (first: Claimant, second: Claimant): number =>
 	second.processor - first.processor
 	|| first.startedAt - second.startedAt
 	|| (first.address < second.address ? -1 : 1);
 
 /** Daemons of the zone come first; another zone's daemon serves only while the zone has none. */
-const nextOwner = (cell: string, daemons: readonly Claimant[]): Claimant | undefined => {
+const findPreferredOwner = (cell: string, daemons: readonly Claimant[]): Claimant | undefined => {
 	const staying = daemons.filter(({isLeaving}) => !isLeaving);
 	const local = staying.filter(({zone}) => zone === cell);
 	const owned = ({claims}: Claimant): number => claims.size;
-	return (local.length > 0 ? local : staying).toSorted((first, second) => owned(first) - owned(second) || claimsBefore(first, second))[0];
+	return (local.length > 0 ? local : staying).toSorted((first, second) => owned(first) - owned(second) || byCapacity(first, second))[0];
 };
 
 /**
@@ -134,7 +134,7 @@
 		return ClaimStep.Yield;
 	}
 
-	const next = nextOwner(cell, daemons);
+	const next = findPreferredOwner(cell, daemons);
 	const isOwnerRight = owner !== undefined && !owner.isLeaving && (owner.zone === cell || next?.zone !== cell);
 	if (isOwnerRight) {
 		return ClaimStep.Keep;
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -9,10 +9,10 @@
 */
 export type CellLoads = {
 	/** Room of the other cells, less what was sent there since their owners last described them. */
-	readonly otherRooms: (own: string) => readonly CellRoom[];
+	readonly otherCellCapacities: (own: string) => readonly CellRoom[];
 	/** Notes that a job was sent to a cell, with the processor that it needs there. */
-	readonly noteRedirect: (cell: string, processor: number) => void;
-	readonly noteClaims: (claims: readonly CellClaim[]) => void;
+	readonly recordRedirect: (cell: string, processor: number) => void;
+	readonly recordClaims: (claims: readonly CellClaim[]) => void;
 	/** Expected run time over estimate by kind of endpoint, as the cell's earlier owner told it; kinds that it has not met come from other cells. */
 	readonly kindFactors: (cell: string) => Readonly<Record<string, number>>;
 };
@@ -20,7 +20,7 @@
 /**
 Takes processor off free room, from the fastest endpoints first, as tasks in time get these.
 */
-export const withoutSent = (free: readonly FreeRoom[], sent: number): readonly FreeRoom[] => {
+export const subtractSentProcessor = (free: readonly FreeRoom[], sent: number): readonly FreeRoom[] => {
 	let left = sent;
 	return free.toSorted((first, second) => first.factor - second.factor).map(room => {
 		const taken = Math.min(left, room.processor);
@@ -56,15 +56,15 @@
 	};
 
 	return {
-		otherRooms: own => zones.filter(zone => zone !== own).flatMap(zone => {
+		otherCellCapacities: own => zones.filter(zone => zone !== own).flatMap(zone => {
 			const owner = view.get(findOwner(zone, view.all())?.address ?? '');
 			const load = owner?.loads.get(zone);
-			return load ? [{cell: zone, free: withoutSent(load.free, sentSince(zone, owner!.loadsHeardAt)), waitMilliseconds: load.backlogMilliseconds}] : [];
+			return load ? [{cell: zone, free: subtractSentProcessor(load.free, sentSince(zone, owner!.loadsUpdatedAt)), waitMilliseconds: load.backlogMilliseconds}] : [];
 		}),
-		noteRedirect(cell, processor) {
+		recordRedirect(cell, processor) {
 			sent.set(cell, [...sent.get(cell) ?? [], {at: performance.now(), processor}]);
 		},
-		noteClaims(claims) {
+		recordClaims(claims) {
 			for (const {cell, load} of claims) {
 				factors.set(cell, load.kindFactors);
 			}
--- a/packages/galenakeeld/src/process/fleet/endpoint-lists.ts
+++ b/packages/galenakeeld/src/process/fleet/endpoint-list-announcements.ts
@@ -5,14 +5,14 @@
 /**
 Tells the daemons of a zone which endpoints it has, so that any of them can take its cell over while the store is away.
 */
-export type EndpointLists = {
+export type EndpointListAnnouncements = {
 	/** Tells the peers of the zone what has changed since they were last told. */
 	readonly announce: () => void;
 	/** Tells a peer that may have missed what was sent, once its zone is known. */
-	readonly greet: (peer: Peer | undefined) => void;
+	readonly synchronize: (peer: Peer | undefined) => void;
 };
 
-export type EndpointListsOptions = {
+export type EndpointListAnnouncementsOptions = {
 	/** Zones whose cells this daemon owns. */
 	readonly ownedZones: () => readonly string[];
 	readonly endpointsOf: (zone: string) => readonly EndpointEntry[] | undefined;
@@ -29,11 +29,11 @@
 lists.announce();
 ```
 */
-export const createEndpointLists = ({ownedZones, endpointsOf, peers, send}: EndpointListsOptions): EndpointLists => {
+export const createEndpointListAnnouncements = ({ownedZones, endpointsOf, peers, send}: EndpointListAnnouncementsOptions): EndpointListAnnouncements => {
 	/** What the peers of each zone were last told. */
-	const told = new Map<string, string>();
+	const lastSent = new Map<string, string>();
 
-	const tell = (zone: string, receivers: readonly Peer[]): void => {
+	const sendList = (zone: string, receivers: readonly Peer[]): void => {
 		const entries = endpointsOf(zone);
 		if (!entries) {
 			return;
@@ -48,19 +48,19 @@
 		announce() {
 			for (const zone of ownedZones()) {
 				const text = JSON.stringify(endpointsOf(zone));
-				if (told.get(zone) !== text) {
-					told.set(zone, text);
-					tell(zone, peers());
+				if (lastSent.get(zone) !== text) {
+					lastSent.set(zone, text);
+					sendList(zone, peers());
 				}
 			}
 		},
-		greet(peer) {
+		synchronize(peer) {
 			if (!peer) {
 				return;
 			}
 
 			for (const zone of ownedZones()) {
-				tell(zone, [peer]);
+				sendList(zone, [peer]);
 			}
 		},
 	};
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -17,7 +17,7 @@
 import {createCellLoads} from './cell-loads.js';
 import {createConfigurationWatch} from './configuration-watch.js';
 import {createDecisionLog} from './decision-log.js';
-import {createEndpointLists} from './endpoint-lists.js';
+import {createEndpointListAnnouncements} from './endpoint-list-announcements.js';
 import {FleetEvent} from './fleet-event.js';
 import {createFleetLinks} from './fleet-links.js';
 import {createFleetMetrics} from './fleet-metrics.js';
@@ -26,7 +26,7 @@
 import {createHeldJobs, HolderEvent, type CellOwner} from './held-jobs.js';
 import {closeServer, listen} from './listen.js';
 import {createLoadAnnouncements} from './load-announcements.js';
-import {createEndpointProbe} from './probe-endpoints.js';
+import {createEndpointProbe} from './endpoint-probe.js';
 import {createSelfDescription} from './self-description.js';
 import {watchEndpoints, watchMembers, type TryStore} from './store-watches.js';
 import {createOwnedCells} from './owned-cells.js';
@@ -111,7 +111,7 @@
 
 	const cells = createOwnedCells({
 		zones: settings.zones,
-		async reaches(zone) {
+		async canReachEndpoints(zone) {
 			const entries = await tryStore('listEndpoints', store.listEndpoints);
 			return entries !== undefined && probeEndpoints(entries.filter(entry => entry.zone === zone));
 		},
@@ -125,9 +125,9 @@
 			tell(holder, news) {
 				links.send(holder, news);
 			},
-			otherCells: () => loads.otherRooms(zone),
+			otherCells: () => loads.otherCellCapacities(zone),
 			kindFactors: () => loads.kindFactors(zone),
-			onRedirected: loads.noteRedirect,
+			onRedirected: loads.recordRedirect,
 			onFenced() {
 				fencedAt.set(zone, fencedAt.get(zone) ?? performance.now());
 			},
@@ -169,7 +169,7 @@
 			}
 
 			case FleetMessageKind.Submit: {
-				cells.outbid(message.cell, message.order.highestToken);
+				cells.raiseTokenAbove(message.cell, message.order.highestToken);
 				cells.get(message.cell)?.submit(from, message.order);
 				break;
 			}
@@ -185,12 +185,12 @@
 			}
 
 			case FleetMessageKind.Load: {
-				view.hearLoad(from, message.cell, message.load);
+				view.receiveLoad(from, message.cell, message.load);
 				break;
 			}
 
 			case FleetMessageKind.Endpoints: {
-				cells.remember(message.cell, message.entries);
+				cells.recordEndpoints(message.cell, message.entries);
 				break;
 			}
 
@@ -206,7 +206,7 @@
 	};
 
 	const onBeat = ({address, configurationVersion, claims}: Beat): void => {
-		loads.noteClaims(claims);
+		loads.recordClaims(claims);
 		const current = configuration.current();
 		if (current && configurationVersion < current.version) {
 			links.send(address, {kind: FleetMessageKind.Configuration, configuration: current});
@@ -218,22 +218,22 @@
 		openStream: createPeerStream,
 		address: self,
 		view,
-		createBeat: description.createBeat,
-		paceTo: description.paceTo,
+		createHeartbeat: description.createHeartbeat,
+		heartbeatIntervalTo: description.heartbeatIntervalTo,
 		onMessage,
-		onPeerHeard(peer) {
+		onPeerReachable(peer) {
 			const {instance, address, startedAt: peerStartedAt} = peer;
-			lists.greet(peer);
+			lists.synchronize(peer);
 			log.info({
 				event: FleetEvent.PeerHeard, peer: instance, address, startedAt: peerStartedAt,
 			});
 		},
 		onPeerLost(peer, cause) {
-			const {instance, address, heardAt} = peer;
+			const {instance, address, lastHeartbeatAt: heardAt} = peer;
 			log.warn({
 				event: FleetEvent.PeerLost, peer: instance, address, cause, silentMilliseconds: Math.round(performance.now() - heardAt),
 			});
-			cells.noteLoss(peer, cause);
+			cells.recordLoss(peer, cause);
 			for (const cell of cells.all()) {
 				cell.dropHolder(address);
 			}
@@ -241,16 +241,16 @@
 			// Several peers may be lost at once, and a claim needs to know of all.
 			setImmediate(review);
 		},
-		onReached(address) {
+		onStreamOpened(address) {
 			heldJobs.announceReached(address);
-			lists.greet(view.get(address));
+			lists.synchronize(view.get(address));
 		},
 		onBroken(address, detail) {
 			decide(FleetEvent.PeerStreamBroken, {address, detail});
 		},
 	});
 
-	const lists = createEndpointLists({
+	const lists = createEndpointListAnnouncements({
 		ownedZones: () => cells.all().map(({zone}) => zone),
 		endpointsOf: cells.endpointsOf,
 		peers: view.all,
@@ -261,8 +261,8 @@
 		performance.now() - startedSteady > (view.all().length > 0 ? firstLookMilliseconds : firstLookAloneMilliseconds);
 
 	const review = (): void => {
-		if (isFirstLookOver() && cells.review(description.claimant, view.all(), performance.now() - startedSteady)) {
-			links.announce();
+		if (isFirstLookOver() && cells.reviewClaims(description.claimant, view.all(), performance.now() - startedSteady)) {
+			links.sendHeartbeats();
 		}
 
 		heldJobs.checkOwners(ownerOf);
@@ -275,8 +275,8 @@
 				fencedAt.delete(zone);
 				if (cells.get(zone)) {
 					log.warn({event: FleetEvent.CellFenced, cell: zone, peers: view.all().length});
-					cells.contest(zone, view.all().length > 0);
-					links.announce();
+					cells.reclaimOrYield(zone, view.all().length > 0);
+					links.sendHeartbeats();
 				}
 			}
 		}
@@ -294,7 +294,7 @@
 			return;
 		}
 
-		links.sweep();
+		links.removeSilentPeers();
 		review();
 		reviewFences();
 	};
@@ -383,10 +383,10 @@
 		listen(metricsServer, ...splitListen(settings.listen.metrics)),
 	]);
 	isServing = true;
-	links.meet(settings.seeds.map(address => `${address}:${splitListen(self)[1]}`));
+	links.connect(settings.seeds.map(address => `${address}:${splitListen(self)[1]}`));
 	void configuration.run();
 	void watchMembers({
-		store, tryStore, leaving: leaving.signal, self: {instance: settings.instance, address: self, zone: settings.zone}, meet: links.meet,
+		store, tryStore, leaving: leaving.signal, self: {instance: settings.instance, address: self, zone: settings.zone}, meet: links.connect,
 	});
 	void watchEndpoints({
 		store, tryStore, leaving: leaving.signal, ownedCells: cells.count, install(entries) {
@@ -402,7 +402,7 @@
 			leaving.abort();
 			acceptsUntil = performance.now() + (acceptShare * settings.drain.limitMilliseconds);
 			log.info({event: FleetEvent.Leaving, held: heldJobs.count()});
-			links.announce();
+			links.sendHeartbeats();
 			void tryStore('removeMember', async () => store.removeMember(settings.instance));
 			await sleep(announceMilliseconds);
 			while (heldJobs.count() > 0 && performance.now() < limitAt) {
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -1,6 +1,6 @@
 import {FleetMessageKind, type Beat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import type {createPeerStream, PeerStream, serveFleet} from '../../connection/fleet-service.js';
-import type {BeatPace} from './beat-pace.js';
+import type {HeartbeatInterval} from './heartbeat-interval.js';
 import {LossCause} from './cell-claims.js';
 import type {Peer, FleetView} from './fleet-view.js';
 
@@ -11,11 +11,11 @@
 	/** Sends a message to a daemon; this one's own messages come back at once. */
 	readonly send: (address: string, message: FleetMessage) => void;
 	/** Opens streams to addresses that aren't known yet. */
-	readonly meet: (addresses: readonly string[]) => void;
+	readonly connect: (addresses: readonly string[]) => void;
 	/** Tells all peers what has changed, before the next beat is due. */
-	readonly announce: () => void;
+	readonly sendHeartbeats: () => void;
 	/** Forgets the peers that have been silent for too long. */
-	readonly sweep: () => void;
+	readonly removeSilentPeers: () => void;
 	readonly close: () => void;
 };
 
@@ -24,14 +24,14 @@
 	readonly view: FleetView;
 	readonly serve: typeof serveFleet;
 	readonly openStream: typeof createPeerStream;
-	readonly createBeat: (pace: BeatPace) => Beat;
+	readonly createHeartbeat: (pace: HeartbeatInterval) => Beat;
 	/** Pace of the beats to an address. */
-	readonly paceTo: (address: string) => BeatPace;
+	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
 	readonly onMessage: (message: FleetMessage, from: string) => void;
-	readonly onPeerHeard: (peer: Peer) => void;
+	readonly onPeerReachable: (peer: Peer) => void;
 	readonly onPeerLost: (peer: Peer, cause: LossCause) => void;
 	/** Messages to or from the daemon may have been lost. */
-	readonly onReached: (address: string) => void;
+	readonly onStreamOpened: (address: string) => void;
 	readonly onBroken: (address: string, detail: string) => void;
 };
 
@@ -46,7 +46,7 @@
 @example
 ```
 const links = await createFleetLinks(options);
-links.meet(['10.1.0.13:7720']);
+links.connect(['10.1.0.13:7720']);
 ```
 */
 export const createFleetLinks = async (options: FleetLinksOptions): Promise<FleetLinks> => {
@@ -59,25 +59,25 @@
 		}
 	};
 
-	const meet = (addresses: readonly string[]): void => {
+	const connect = (addresses: readonly string[]): void => {
 		for (const address of addresses) {
 			if (address === self || streams.has(address)) {
 				continue;
 			}
 
 			const stream = options.openStream(address, {
-				createBeat: () => options.createBeat(options.paceTo(address)),
-				beatMilliseconds: () => options.paceTo(address).beatMilliseconds,
+				createBeat: () => options.createHeartbeat(options.heartbeatIntervalTo(address)),
+				beatMilliseconds: () => options.heartbeatIntervalTo(address).heartbeatMilliseconds,
 				gatherMilliseconds,
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnheardMilliseconds,
 				onConnected() {
-					options.onReached(address);
+					options.onStreamOpened(address);
 				},
 				onBroken(detail) {
 					options.onBroken(address, detail);
 				},
 				onRefused() {
-					lose(view.forget(address), LossCause.Ended);
+					lose(view.remove(address), LossCause.Ended);
 				},
 			});
 			streams.set(address, stream);
@@ -85,28 +85,28 @@
 		}
 	};
 
-	const hear = (beat: Beat): void => {
+	const handleHeartbeat = (beat: Beat): void => {
 		const before = view.get(beat.address);
-		const isNew = view.hear(beat);
+		const isNew = view.receiveHeartbeat(beat);
 		if (isNew) {
 			lose(before, LossCause.Ended);
-			options.onPeerHeard(view.get(beat.address)!);
+			options.onPeerReachable(view.get(beat.address)!);
 			// It may have started after this daemon dialled it in vain.
 			streams.get(beat.address)?.dialNow();
 		}
 
-		meet([beat.address, ...beat.known]);
+		connect([beat.address, ...beat.known]);
 	};
 
 	const stop = await options.serve(self, {
 		onMessage(message, from) {
 			if (message.kind === FleetMessageKind.Beat) {
-				hear(message);
+				handleHeartbeat(message);
 			}
 
 			options.onMessage(message, from);
 		},
-		onOpened: options.onReached,
+		onOpened: options.onStreamOpened,
 		onBroken(from) {
 			options.onBroken(from, 'the peer\'s stream has ended');
 		},
@@ -125,14 +125,14 @@
 				streams.get(address)?.send(message);
 			}
 		},
-		meet,
-		announce() {
+		connect,
+		sendHeartbeats() {
 			for (const [address, stream] of streams) {
-				stream.send(options.createBeat(options.paceTo(address)));
+				stream.send(options.createHeartbeat(options.heartbeatIntervalTo(address)));
 			}
 		},
-		sweep() {
-			for (const peer of view.forgetSilent()) {
+		removeSilentPeers() {
+			for (const peer of view.removeSilent()) {
 				streams.get(peer.address)?.breakOff('the peer is silent');
 				lose(peer, LossCause.Silent);
 			}
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -8,11 +8,11 @@
 export type Peer = Claimant & {
 	readonly instance: string;
 	/** Steady milliseconds of its last beat. */
-	readonly heardAt: number;
+	readonly lastHeartbeatAt: number;
 	readonly silentAfterMilliseconds: number;
 	readonly loads: ReadonlyMap<string, CellLoad>;
 	/** Steady milliseconds at which the loads were last told. */
-	readonly loadsHeardAt: number;
+	readonly loadsUpdatedAt: number;
 	readonly configurationVersion: number;
 	readonly known: readonly string[];
 };
@@ -22,13 +22,13 @@
 */
 export type FleetView = {
 	/** Takes a beat. Returns whether the peer is new, or another life of a known one. */
-	readonly hear: (beat: Beat) => boolean;
+	readonly receiveHeartbeat: (beat: Beat) => boolean;
 	/** Takes the load of a peer's cell between two beats. */
-	readonly hearLoad: (address: string, cell: string, load: CellLoad) => void;
+	readonly receiveLoad: (address: string, cell: string, load: CellLoad) => void;
 	/** Forgets a peer at once, since nothing listens at its address any more. */
-	readonly forget: (address: string) => Peer | undefined;
+	readonly remove: (address: string) => Peer | undefined;
 	/** Forgets the peers that have been silent for too long, and returns them. */
-	readonly forgetSilent: () => readonly Peer[];
+	readonly removeSilent: () => readonly Peer[];
 	readonly get: (address: string) => Peer | undefined;
 	readonly all: () => readonly Peer[];
 };
@@ -45,8 +45,8 @@
 	loads: new Map(beat.claims.map(({cell, load}) => [cell, load])),
 	configurationVersion: beat.configurationVersion,
 	known: beat.known,
-	heardAt: performance.now(),
-	loadsHeardAt: performance.now(),
+	lastHeartbeatAt: performance.now(),
+	loadsUpdatedAt: performance.now(),
 });
 
 /**
@@ -62,28 +62,28 @@
 export const createFleetView = (): FleetView => {
 	const peers = new Map<string, Peer>();
 
-	const forget = (address: string): Peer | undefined => {
+	const remove = (address: string): Peer | undefined => {
 		const peer = peers.get(address);
 		peers.delete(address);
 		return peer;
 	};
 
 	return {
-		hear(beat) {
+		receiveHeartbeat(beat) {
 			const before = peers.get(beat.address);
 			peers.set(beat.address, toPeer(beat));
 			return before?.startedAt !== beat.startedAt;
 		},
-		hearLoad(address, cell, load) {
+		receiveLoad(address, cell, load) {
 			const peer = peers.get(address);
 			if (peer?.loads.has(cell)) {
-				peers.set(address, {...peer, loads: new Map([...peer.loads, [cell, load]]), loadsHeardAt: performance.now()});
+				peers.set(address, {...peer, loads: new Map([...peer.loads, [cell, load]]), loadsUpdatedAt: performance.now()});
 			}
 		},
-		forget,
-		forgetSilent() {
+		remove,
+		removeSilent() {
 			const now = performance.now();
-			const silent = [...peers.values()].filter(({heardAt, silentAfterMilliseconds}) => now - heardAt > silentAfterMilliseconds);
+			const silent = [...peers.values()].filter(({lastHeartbeatAt: heardAt, silentAfterMilliseconds}) => now - heardAt > silentAfterMilliseconds);
 			for (const {address} of silent) {
 				peers.delete(address);
 			}
--- a/packages/galenakeeld/src/process/fleet/beat-pace.ts
+++ b/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
@@ -1,8 +1,8 @@
 /**
 How often a daemon sends beats to a peer.
 */
-export type BeatPace = {
-	readonly beatMilliseconds: number;
+export type HeartbeatInterval = {
+	readonly heartbeatMilliseconds: number;
 	/** Silence after which the peer may count this daemon as lost. */
 	readonly silentAfterMilliseconds: number;
 };
@@ -10,16 +10,16 @@
 /**
 A daemon as the pace between two of them depends on it.
 */
-export type PacedDaemon = {
+export type DaemonRole = {
 	readonly zone: string;
 	/** It orders the endpoints of a cell. */
 	readonly isOwner: boolean;
 };
 
 /** Between daemons that need to know of each other's loss at once. */
-export const nearPace: BeatPace = {beatMilliseconds: 200, silentAfterMilliseconds: 700};
+export const shortInterval: HeartbeatInterval = {heartbeatMilliseconds: 200, silentAfterMilliseconds: 700};
 /** Between all others, so that their messages don't grow with the square of the fleet. */
-export const farPace: BeatPace = {beatMilliseconds: 700, silentAfterMilliseconds: 2500};
+export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 700, silentAfterMilliseconds: 2500};
 
 /**
 Returns the pace of beats between two daemons. Daemons of one zone take each other's cells over, and an owner of a cell and the holders of its jobs wait for each other; the others only pass on what they have heard.
@@ -31,5 +31,5 @@
 paceBetween({zone: 'ie-south-a', isOwner: false}, {zone: 'ie-south-b', isOwner: true}).beatMilliseconds; // => 200
 ```
 */
-export const paceBetween = (self: PacedDaemon, peer: PacedDaemon | undefined): BeatPace =>
-	peer === undefined || self.zone === peer.zone || self.isOwner || peer.isOwner ? nearPace : farPace;
+export const heartbeatIntervalBetween = (self: DaemonRole, peer: DaemonRole | undefined): HeartbeatInterval =>
+	peer === undefined || self.zone === peer.zone || self.isOwner || peer.isOwner ? shortInterval : longInterval;
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -11,7 +11,7 @@
 };
 
 /** Calls in a calm of which one announces. */
-const calmCalls = 5;
+const callsPerIdleAnnouncement = 5;
 
 const hasBacklog = (loads: Iterable<CellLoad>): boolean => [...loads].some(({backlogMilliseconds}) => backlogMilliseconds > 0);
 
@@ -27,15 +27,15 @@
 export const createLoadAnnouncements = ({claims, peers, send}: LoadAnnouncementsOptions) => {
 	const seen = new Map<string, CellLoad>();
 	const told = new Map<string, string>();
-	let calmCount = calmCalls;
+	let calmCount = callsPerIdleAnnouncement;
 
 	const isCalm = (owners: readonly Peer[]): boolean =>
 		!hasBacklog(claims().map(({load}) => load)) && !owners.some(({loads}) => hasBacklog(loads.values()));
 
 	return (): void => {
 		const owners = peers().filter(peer => peer.claims.size > 0);
-		calmCount = isCalm(owners) ? calmCount + 1 : calmCalls;
-		if (calmCount < calmCalls) {
+		calmCount = isCalm(owners) ? calmCount + 1 : callsPerIdleAnnouncement;
+		if (calmCount < callsPerIdleAnnouncement) {
 			return;
 		}
 
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -14,19 +14,19 @@
 	readonly all: () => readonly Cell[];
 	readonly count: () => number;
 	/** Takes a higher token for a cell than one with which another daemon has given orders. */
-	readonly outbid: (zone: string, token: number) => void;
+	readonly raiseTokenAbove: (zone: string, token: number) => void;
 	readonly claims: () => readonly CellClaim[];
-	readonly terms: () => ReadonlyMap<string, Claim>;
+	readonly claimsByCell: () => ReadonlyMap<string, Claim>;
 	/** Claims and gives up cells by what is in sight. Returns whether anything changed. */
-	readonly review: (self: () => Claimant, peers: readonly Claimant[], ageMilliseconds: number) => boolean;
+	readonly reviewClaims: (self: () => Claimant, peers: readonly Claimant[], ageMilliseconds: number) => boolean;
 	/** Notes that a daemon is out of sight, with the cells that it claimed. */
-	readonly noteLoss: (claimant: Claimant, cause: LossCause) => void;
+	readonly recordLoss: (claimant: Claimant, cause: LossCause) => void;
 	/** Takes a higher token for a cell whose endpoints obey another daemon that isn't in sight, or gives the cell up where this daemon sees nobody. */
-	readonly contest: (zone: string, seesPeers: boolean) => void;
+	readonly reclaimOrYield: (zone: string, seesPeers: boolean) => void;
 	/** Takes the endpoints of all zones as the platform lists them. */
 	readonly install: (entries: readonly EndpointEntry[]) => void;
 	/** Takes the endpoints of a zone as the owner of its cell lists them, for the case that this daemon takes the cell over while the store is away. */
-	readonly remember: (zone: string, entries: readonly EndpointEntry[]) => void;
+	readonly recordEndpoints: (zone: string, entries: readonly EndpointEntry[]) => void;
 	/** Steady milliseconds of the first list of a zone; undefined before it. */
 	readonly listedSince: (zone: string) => number | undefined;
 	/** Returns the endpoints of a zone as they were last listed; undefined before the first list. */
@@ -37,16 +37,16 @@
 export type OwnedCellsOptions = {
 	readonly zones: readonly string[];
 	/** Tells whether an endpoint of a zone answers, without giving it an order. */
-	readonly reaches: (zone: string) => Promise<boolean>;
+	readonly canReachEndpoints: (zone: string) => Promise<boolean>;
 	readonly createCell: (zone: string, token: () => number) => Cell;
 	readonly onClaimed: (zone: string, token: number) => void;
 	readonly onYielded: (zone: string, token: number) => void;
 };
 
 /** Time for which the answer of an endpoint shows that its zone is in reach. */
-const reachedMilliseconds = 500;
+const probeValidityMilliseconds = 500;
 /** Age of a daemon from which it claims cells of other zones, whose own daemons may start later. */
-const remoteFirstLookMilliseconds = 2500;
+const remoteClaimDelayMilliseconds = 2500;
 
 /**
 Creates a daemon without cells.
@@ -64,9 +64,9 @@
 	const losses = new Map<string, {readonly cause: LossCause; readonly at: number}>();
 	const probing = new Set<string>();
 	/** Steady milliseconds at which an endpoint of a zone last answered a probe. */
-	const reachedAt = new Map<string, number>();
+	const probeSucceededAt = new Map<string, number>();
 	/** Steady milliseconds at which a probe of a zone last failed. */
-	const missedAt = new Map<string, number>();
+	const probeFailedAt = new Map<string, number>();
 	let highestToken = 0;
 	const listedSince = new Map<string, number>();
 	/** The endpoints of each zone as they were last listed. */
@@ -103,7 +103,7 @@
 	};
 
 	/** Takes a token above all in sight and goes on with what the cell has. */
-	const raise = (zone: string): void => {
+	const raiseToken = (zone: string): void => {
 		const owned = cells.get(zone);
 		if (owned) {
 			owned.token = nextToken();
@@ -130,7 +130,7 @@
 	const probe = async (zone: string): Promise<void> => {
 		if (!probing.has(zone)) {
 			probing.add(zone);
-			const contacts = await options.reaches(zone) ? reachedAt : missedAt;
+			const contacts = await options.canReachEndpoints(zone) ? probeSucceededAt : probeFailedAt;
 			contacts.set(zone, performance.now());
 
 			probing.delete(zone);
@@ -149,9 +149,9 @@
 			loss && {cause: loss.cause, ageMilliseconds: now - loss.at},
 			{
 				isOfZone,
-				seesPeers,
-				reachesEndpoints: now - (reachedAt.get(zone) ?? Number.NEGATIVE_INFINITY) < reachedMilliseconds,
-				regainedMilliseconds: now - (missedAt.get(zone) ?? Number.NEGATIVE_INFINITY),
+				hasReachablePeers: seesPeers,
+				reachesEndpoints: now - (probeSucceededAt.get(zone) ?? Number.NEGATIVE_INFINITY) < probeValidityMilliseconds,
+				sinceProbeFailureMilliseconds: now - (probeFailedAt.get(zone) ?? Number.NEGATIVE_INFINITY),
 			},
 		);
 	};
@@ -160,22 +160,22 @@
 		get: zone => cells.get(zone)?.cell,
 		all: () => [...cells.values()].map(({cell}) => cell),
 		count: () => cells.size,
-		outbid(zone, token) {
+		raiseTokenAbove(zone, token) {
 			highestToken = Math.max(highestToken, token);
 			if ((cells.get(zone)?.token ?? Number.POSITIVE_INFINITY) <= token) {
-				raise(zone);
+				raiseToken(zone);
 			}
 		},
 		claims: () => [...cells].map(([zone, {cell, token, term}]) => ({
 			cell: zone, token, term, load: cell.load(),
 		})),
-		terms: () => new Map([...cells].map(([zone, {token, term}]) => [zone, {token, term}])),
-		review(self, peers, ageMilliseconds) {
+		claimsByCell: () => new Map([...cells].map(([zone, {token, term}]) => [zone, {token, term}])),
+		reviewClaims(self, peers, ageMilliseconds) {
 			noteTokens(peers);
 			let hasChanged = false;
 			for (const zone of options.zones) {
 				const step = decideClaim(zone, self(), [self(), ...peers]);
-				if (step === ClaimStep.Claim && (zone === self().zone || ageMilliseconds > remoteFirstLookMilliseconds) && isSafe(zone, self(), peers.length > 0)) {
+				if (step === ClaimStep.Claim && (zone === self().zone || ageMilliseconds > remoteClaimDelayMilliseconds) && isSafe(zone, self(), peers.length > 0)) {
 					yieldCell(zone);
 					claim(zone);
 					hasChanged = true;
@@ -183,21 +183,21 @@
 					yieldCell(zone);
 					hasChanged = true;
 				} else if (isOutbid(zone, peers)) {
-					raise(zone);
+					raiseToken(zone);
 					hasChanged = true;
 				}
 			}
 
 			return hasChanged;
 		},
-		noteLoss({claims}, cause) {
+		recordLoss({claims}, cause) {
 			for (const zone of claims.keys()) {
 				losses.set(zone, {cause, at: performance.now()});
 			}
 		},
-		contest(zone, seesPeers) {
+		reclaimOrYield(zone, seesPeers) {
 			if (seesPeers) {
-				raise(zone);
+				raiseToken(zone);
 			} else {
 				yieldCell(zone);
 				losses.set(zone, {cause: LossCause.Silent, at: performance.now()});
@@ -210,7 +210,7 @@
 				cells.get(zone)?.cell.install(entries);
 			}
 		},
-		remember(zone, entries) {
+		recordEndpoints(zone, entries) {
 			if (!cells.has(zone)) {
 				note(zone, entries);
 			}
--- a/packages/galenakeeld/src/process/fleet/self-description.ts
+++ b/packages/galenakeeld/src/process/fleet/self-description.ts
@@ -1,5 +1,5 @@
 import {FleetMessageKind, type Beat} from '@galenakeel/model/connection/fleet-message.js';
-import {paceBetween, type BeatPace} from './beat-pace.js';
+import {heartbeatIntervalBetween, type HeartbeatInterval} from './heartbeat-interval.js';
 import type {Claimant} from './cell-claims.js';
 import type {FleetSettings} from './fleet-settings.js';
 import type {FleetView} from './fleet-view.js';
@@ -10,23 +10,23 @@
 */
 export type SelfDescription = {
 	readonly claimant: () => Claimant;
-	readonly createBeat: (pace: BeatPace) => Beat;
+	readonly createHeartbeat: (pace: HeartbeatInterval) => Beat;
 	/** Pace of the beats to an address. */
-	readonly paceTo: (address: string) => BeatPace;
+	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
 };
 
 export type SelfDescriptionOptions = {
 	readonly settings: Pick<FleetSettings, 'instance' | 'zone' | 'listen' | 'machine'>;
 	/** Unix milliseconds. */
 	readonly startedAt: number;
-	readonly cells: Pick<OwnedCells, 'claims' | 'terms' | 'count'>;
+	readonly cells: Pick<OwnedCells, 'claims' | 'claimsByCell' | 'count'>;
 	readonly view: Pick<FleetView, 'get' | 'all'>;
 	/** -1 while there is none. */
 	readonly configurationVersion: () => number;
 	readonly isLeaving: () => boolean;
 };
 
-const thousandthsOfCore = 1000;
+const millicoresPerCore = 1000;
 
 /**
 Creates the description of this daemon, as it is at each moment.
@@ -40,13 +40,13 @@
 export const createSelfDescription = ({settings, startedAt, cells, view, configurationVersion, isLeaving}: SelfDescriptionOptions): SelfDescription => {
 	const {zone, instance, machine} = settings;
 	const address = settings.listen.peers;
-	const processor = Math.round(machine.cores * machine.share * thousandthsOfCore);
+	const processor = Math.round(machine.cores * machine.share * millicoresPerCore);
 
 	return {
 		claimant: () => ({
-			address, zone, startedAt, processor, isLeaving: isLeaving(), claims: cells.terms(),
+			address, zone, startedAt, processor, isLeaving: isLeaving(), claims: cells.claimsByCell(),
 		}),
-		createBeat: ({silentAfterMilliseconds}) => ({
+		createHeartbeat: ({silentAfterMilliseconds}) => ({
 			kind: FleetMessageKind.Beat,
 			instance,
 			address,
@@ -59,9 +59,9 @@
 			isLeaving: isLeaving(),
 			known: view.all().map(peer => peer.address),
 		}),
-		paceTo(peerAddress) {
+		heartbeatIntervalTo(peerAddress) {
 			const peer = view.get(peerAddress);
-			return paceBetween({zone, isOwner: cells.count() > 0}, peer && {zone: peer.zone, isOwner: peer.claims.size > 0});
+			return heartbeatIntervalBetween({zone, isOwner: cells.count() > 0}, peer && {zone: peer.zone, isOwner: peer.claims.size > 0});
 		},
 	};
 };
