Reword the texts of the fleet module in the usual terms of the field

Comments and steps used figurative words for heartbeats, reachability and updates. They now say what the code does and why; behaviour and checks are unchanged.

--- a/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.feature
@@ -1,4 +1,4 @@
-Feature: Each cell is ordered by one daemon
+Feature: Each cell has one owner
 
   Scenario: The first daemon of a zone claims its cell, the others don't
     Given the daemons
@@ -18,7 +18,7 @@
     And "n1" is to "keep" the cell "north"
     And "n3" is to "keep" the cell "north"
 
-  Scenario: A large machine that comes later takes nothing over
+  Scenario: A large machine that starts later takes nothing over
     Given the daemons
       | address | zone  | started | processor | claims  |
       | n1      | north | 1       | 243       | north=7 |
@@ -34,7 +34,7 @@
     Then "n1" is to "keep" the cell "north"
     And the owner of "north" is "n2"
 
-  Scenario: Of two claims the higher token holds
+  Scenario: Of two claims the one with the higher token has precedence
     Given the daemons
       | address | zone  | started | claims  |
       | n1      | north | 1       | north=5 |
@@ -42,7 +42,7 @@
     Then "n1" is to "yield" the cell "north"
     And "n2" is to "keep" the cell "north"
 
-  Scenario: A claim of the zone's own daemon holds against one from afar, whatever the tokens
+  Scenario: A claim of the zone's own daemon has precedence over one of another zone, whatever the tokens
     Given the daemons
       | address | zone  | started | claims  |
       | n1      | north | 1       | north=5 |
@@ -57,7 +57,7 @@
       | s1      | south | 2       | north=7 |
     Then "n1" is to "claim" the cell "north"
 
-  Scenario: Without daemons of the zone another zone's daemon serves it
+  Scenario: Without daemons of the zone another zone's daemon owns its cell
     Given the daemons
       | address | zone  | started | claims  |
       | s1      | south | 1       | south=3 |
@@ -65,7 +65,7 @@
     Then "s2" is to "claim" the cell "north"
     And "s1" is to "keep" the cell "north"
 
-  Scenario: A daemon that leaves is replaced before it has gone
+  Scenario: A leaving daemon is replaced before its process ends
     Given the daemons
       | address | zone  | started | claims  | leaving |
       | n1      | north | 1       | north=5 | yes     |
@@ -73,7 +73,7 @@
     Then "n2" is to "claim" the cell "north"
     And "n1" is to "keep" the cell "north"
 
-  Scenario: The only daemon of a zone that leaves hands its cell to another zone's, once
+  Scenario: The only daemon of a zone transfers its cell to another zone's daemon once when it leaves
     Given the daemons
       | address | zone  | started | claims  | leaving |
       | n1      | north | 1       | north=5 | yes     |
@@ -82,19 +82,19 @@
     And "s1" is to "keep" the cell "north"
     And "n1" is to "yield" the cell "north"
 
-  Scenario Outline: A cell whose owner is out of sight is taken over only where that harms nobody
+  Scenario Outline: A cell whose owner is unreachable is taken over only when that is safe
     Then after an owner that "<loss>" for <age> ms, a daemon "<place>" that "<peers>" and "<reach>" "<may>" take over
 
     Examples:
       | loss       | age  | place               | peers        | reach                        | may     |
-      | has ended  | 0    | of the zone         | sees peers   | reaches the endpoints        | may     |
-      | was silent | 0    | of the zone         | sees peers   | doesn't reach the endpoints  | may     |
-      | was silent | 0    | of the zone         | sees nobody  | reaches the endpoints        | may not |
-      | was silent | 9000 | of the zone         | sees nobody  | reaches the endpoints        | may not |
-      | has ended  | 0    | of another zone     | sees peers   | reaches the endpoints        | may     |
-      | has ended  | 0    | of another zone     | sees peers   | doesn't reach the endpoints  | may not |
-      | was silent | 500  | of another zone     | sees peers   | reaches the endpoints        | may not |
-      | was silent | 3000 | of another zone     | sees peers   | reaches the endpoints        | may     |
-      | has ended  | 0    | of another zone     | sees nobody  | reaches the endpoints        | may not |
-      | has ended  | 5000 | of another zone     | sees peers   | has just come to reach them  | may not |
-      | was silent | 5000 | of another zone     | sees peers   | has just come to reach them  | may not |
+      | has ended  | 0    | of the zone         | has peers    | reaches the endpoints        | may     |
+      | was silent | 0    | of the zone         | has peers    | doesn't reach the endpoints  | may     |
+      | was silent | 0    | of the zone         | has no peers | reaches the endpoints        | may not |
+      | was silent | 9000 | of the zone         | has no peers | reaches the endpoints        | may not |
+      | has ended  | 0    | of another zone     | has peers    | reaches the endpoints        | may     |
+      | has ended  | 0    | of another zone     | has peers    | doesn't reach the endpoints  | may not |
+      | was silent | 500  | of another zone     | has peers    | reaches the endpoints        | may not |
+      | was silent | 3000 | of another zone     | has peers    | reaches the endpoints        | may     |
+      | has ended  | 0    | of another zone     | has no peers | reaches the endpoints        | may not |
+      | has ended  | 5000 | of another zone     | has peers    | has just come to reach them  | may not |
+      | was silent | 5000 | of another zone     | has peers    | has just come to reach them  | may not |
--- a/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/cell-claims.steps.ts
@@ -33,7 +33,7 @@
 		{cause: loss === 'has ended' ? LossCause.Ended : LossCause.Silent, ageMilliseconds},
 		{
 			isOfZone: place === 'of the zone',
-			hasReachablePeers: peers === 'sees peers',
+			hasReachablePeers: peers === 'has peers',
 			reachesEndpoints: reach !== 'doesn\'t reach the endpoints',
 			sinceProbeFailureMilliseconds: reach === 'has just come to reach them' ? 100 : Number.POSITIVE_INFINITY,
 		},
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -14,7 +14,7 @@
 	links: FleetLinks;
 	hear: (message: FleetMessage, from: string) => void;
 	silentAfterMilliseconds: number;
-	givenUp: string[];
+	brokenOff: string[];
 	dialled: string[];
 	lost: Array<readonly [address: string, cause: string]>;
 };
@@ -25,9 +25,9 @@
 	kind: FleetMessageKind.Beat, instance: address, address, zone: 'south', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
-Given('links to the peers {string} that lose a peer after {int} ms of silence', async function (this: LinksWorld, names: string, milliseconds: number) {
+Given('links to the peers {string} that lose a peer after {int} ms without heartbeats', async function (this: LinksWorld, names: string, milliseconds: number) {
 	this.clock = install({toFake: ['performance']});
-	this.givenUp = [];
+	this.brokenOff = [];
 	this.dialled = [];
 	this.lost = [];
 	this.silentAfterMilliseconds = milliseconds;
@@ -42,7 +42,7 @@
 		},
 		openStream: address => ({
 			send() {
-				// What is sent is of no interest here.
+				// Sent messages are not checked.
 			},
 			async run() {
 				// Nothing is opened.
@@ -51,7 +51,7 @@
 				this.dialled.push(address);
 			},
 			breakOff: () => {
-				this.givenUp.push(address);
+				this.brokenOff.push(address);
 			},
 			close() {
 				// Nothing was opened.
@@ -60,19 +60,19 @@
 		createHeartbeat: () => createBeat('n1', milliseconds),
 		heartbeatIntervalTo: () => shortInterval,
 		onMessage() {
-			// Beats are all that is sent.
+			// Only heartbeats are sent.
 		},
 		onPeerReachable() {
-			// The view tells who was heard.
+			// Not checked.
 		},
 		onPeerLost: ({address}, cause) => {
 			this.lost.push([address, cause]);
 		},
 		onStreamOpened() {
-			// Streams are played.
+			// No real streams are opened.
 		},
 		onBroken() {
-			// Streams are played.
+			// No real streams are opened.
 		},
 	});
 	this.links.connect(splitNames(names));
@@ -84,20 +84,20 @@
 	}
 });
 
-Given('beats of {string} at {int} ms', function (this: LinksWorld, names: string, at: number) {
+Given('heartbeats of {string} at {int} ms', function (this: LinksWorld, names: string, at: number) {
 	this.clock.tick(at - performance.now());
 	for (const name of splitNames(names)) {
 		this.hear(createBeat(name, this.silentAfterMilliseconds), name);
 	}
 });
 
-When('the links are swept at {int} ms', function (this: LinksWorld, at: number) {
+When('silent peers are removed at {int} ms', function (this: LinksWorld, at: number) {
 	this.clock.tick(at - performance.now());
 	this.links.removeSilentPeers();
 });
 
-Then('the streams to {string} were given up', function (this: LinksWorld, names: string) {
-	assert.deepEqual(this.givenUp, splitNames(names));
+Then('the streams to {string} were broken off', function (this: LinksWorld, names: string) {
+	assert.deepEqual(this.brokenOff, splitNames(names));
 });
 
 Then('the streams to {string} were dialled at once', function (this: LinksWorld, names: string) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.feature
@@ -1,24 +1,24 @@
-Feature: Beats are frequent only between daemons that need to know of each other's loss at once
+Feature: Heartbeats are frequent only between daemons that must detect each other's failure quickly
 
   Scenario Outline: <self> to <peer>
-    Then a daemon that is "<self>" sends beats to one that is "<peer>" at the "<pace>" pace
+    Then a daemon that is "<self>" sends heartbeats to one that is "<peer>" at the "<interval>" interval
 
     Examples:
-      | self                  | peer                  | pace |
-      | in north              | in north              | near |
-      | in north              | in south              | far  |
-      | in north              | in south and an owner | near |
-      | in north and an owner | in south              | near |
-      | in north              | unheard               | near |
+      | self                  | peer                  | interval |
+      | in north              | in north              | short    |
+      | in north              | in south              | long     |
+      | in north              | in south and an owner | short    |
+      | in north and an owner | in south              | short    |
+      | in north              | unknown               | short    |
 
-  Scenario: A peer is lost after the silence that its last beat promised at most
-    Given a view that has heard "far" with a silence of 2500 ms and "near" with one of 700 ms
-    When 800 ms of silence pass
+  Scenario: A peer is lost after the time without heartbeats that its last one announced
+    Given a view with heartbeats of "far" that expire after 2500 ms and of "near" that expire after 700 ms
+    When 800 ms pass without heartbeats
     Then the view loses "near"
-    When 1600 ms of silence pass
+    When 1600 ms pass without heartbeats
     Then the view loses ""
-    When 200 ms of silence pass
+    When 200 ms pass without heartbeats
     Then the view loses "far"
 
-  Scenario: Messages of a daemon don't grow with the square of the fleet
-    Then a daemon of 4 zones with 70 daemons each, which owns no cell, sends at most 700 beats a second
+  Scenario: Heartbeat traffic doesn't grow with the square of the fleet size
+    Then a daemon of 4 zones with 70 daemons each, which owns no cell, sends at most 700 heartbeats a second
--- a/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.steps.ts
@@ -9,9 +9,9 @@
 } from '../heartbeat-interval.js';
 import {createFleetView, type FleetView} from '../fleet-view.js';
 
-type PaceWorld = {
-	paceClock: Clock | undefined;
-	pacedView: FleetView;
+type IntervalWorld = {
+	heartbeatClock: Clock | undefined;
+	heartbeatView: FleetView;
 };
 
 const millisecondsOfSecond = 1000;
@@ -25,30 +25,30 @@
 	kind: FleetMessageKind.Beat, instance: address, address, zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
-Then('a daemon that is {string} sends beats to one that is {string} at the {string} pace', (self: string, peer: string, pace: string) => {
-	assert.equal(heartbeatIntervalBetween(daemonOf(self)!, daemonOf(peer)), pace === 'near' ? shortInterval : longInterval);
+Then('a daemon that is {string} sends heartbeats to one that is {string} at the {string} interval', (self: string, peer: string, pace: string) => {
+	assert.equal(heartbeatIntervalBetween(daemonOf(self)!, daemonOf(peer)), pace === 'short' ? shortInterval : longInterval);
 });
 
-Given('a view that has heard {string} with a silence of {int} ms and {string} with one of {int} ms', function (this: PaceWorld, first: string, firstMilliseconds: number, second: string, secondMilliseconds: number) {
-	this.paceClock = install({toFake: ['performance']});
-	this.pacedView = createFleetView();
-	this.pacedView.receiveHeartbeat(createBeat(first, firstMilliseconds));
-	this.pacedView.receiveHeartbeat(createBeat(second, secondMilliseconds));
+Given('a view with heartbeats of {string} that expire after {int} ms and of {string} that expire after {int} ms', function (this: IntervalWorld, first: string, firstMilliseconds: number, second: string, secondMilliseconds: number) {
+	this.heartbeatClock = install({toFake: ['performance']});
+	this.heartbeatView = createFleetView();
+	this.heartbeatView.receiveHeartbeat(createBeat(first, firstMilliseconds));
+	this.heartbeatView.receiveHeartbeat(createBeat(second, secondMilliseconds));
 });
 
-After(function (this: Partial<PaceWorld>) {
-	this.paceClock?.uninstall();
+After(function (this: Partial<IntervalWorld>) {
+	this.heartbeatClock?.uninstall();
 });
 
-When('{int} ms of silence pass', function (this: PaceWorld, milliseconds: number) {
-	this.paceClock!.tick(milliseconds);
+When('{int} ms pass without heartbeats', function (this: IntervalWorld, milliseconds: number) {
+	this.heartbeatClock!.tick(milliseconds);
 });
 
-Then('the view loses {string}', function (this: PaceWorld, names: string) {
-	assert.equal(this.pacedView.removeSilent().map(({address}) => address).join(', '), names);
+Then('the view loses {string}', function (this: IntervalWorld, names: string) {
+	assert.equal(this.heartbeatView.removeSilent().map(({address}) => address).join(', '), names);
 });
 
-Then('a daemon of {int} zones with {int} daemons each, which owns no cell, sends at most {int} beats a second', (zones: number, daemonsInZone: number, mostBeats: number) => {
+Then('a daemon of {int} zones with {int} daemons each, which owns no cell, sends at most {int} heartbeats a second', (zones: number, daemonsInZone: number, mostBeats: number) => {
 	const self: DaemonRole = {zone: 'zone-0', isOwner: false};
 	let beats = 0;
 	for (let zone = 0; zone < zones; zone++) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.feature
@@ -1,23 +1,23 @@
-Feature: Owners tell each other their loads, often while work waits
+Feature: Owners announce loads to each other, more often while there is a backlog
 
   Background:
-    Given an owner of "north" that sees an owner of "south" and a daemon without a cell
+    Given an owner of "north" with an owner of "south" and a daemon without a cell as peers
 
-  Scenario: A load that has not changed is told once
-    When work waits in "north"
+  Scenario: An unchanged load is sent once
+    When there is a backlog in "north"
     And 10 announcements are due
-    Then "south" was told 1 loads, and the daemon without a cell 0
+    Then "south" was sent 1 loads, and the daemon without a cell 0
 
-  Scenario: While work waits, each change is told
-    When work waits in "north"
+  Scenario: During a backlog, each change is sent
+    When there is a backlog in "north"
     And 10 announcements are due, with a change of load before each
-    Then "south" was told 10 loads, and the daemon without a cell 0
+    Then "south" was sent 10 loads, and the daemon without a cell 0
 
-  Scenario: While work waits in another cell, each change is told
-    When work waits in "south"
+  Scenario: During a backlog in another cell, each change is sent
+    When there is a backlog in "south"
     And 10 announcements are due, with a change of load before each
-    Then "south" was told 10 loads, and the daemon without a cell 0
+    Then "south" was sent 10 loads, and the daemon without a cell 0
 
-  Scenario: In a calm, one announcement of five tells changes
+  Scenario: Without a backlog, one announcement in five sends changes
     When 10 announcements are due, with a change of load before each
-    Then "south" was told 2 loads, and the daemon without a cell 0
+    Then "south" was sent 2 loads, and the daemon without a cell 0
--- a/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
@@ -30,7 +30,7 @@
 	known: [],
 });
 
-Given('an owner of {string} that sees an owner of {string} and a daemon without a cell', function (this: AnnouncementsWorld, own: string, other: string) {
+Given('an owner of {string} with an owner of {string} and a daemon without a cell as peers', function (this: AnnouncementsWorld, own: string, other: string) {
 	this.ownLoad = calmLoad;
 	this.ownerOfSouth = createPeer(other, new Map([[other, calmLoad]]));
 	this.told = [];
@@ -45,7 +45,7 @@
 	});
 });
 
-When('work waits in {string}', function (this: AnnouncementsWorld, cell: string) {
+When('there is a backlog in {string}', function (this: AnnouncementsWorld, cell: string) {
 	const load = {...calmLoad, backlogMilliseconds: waitingMilliseconds};
 	if (cell === this.ownerOfSouth.address) {
 		this.ownerOfSouth = createPeer(cell, new Map([[cell, load]]));
@@ -67,7 +67,7 @@
 	}
 });
 
-Then('{string} was told {int} loads, and the daemon without a cell {int}', function (this: AnnouncementsWorld, owner: string, loads: number, none: number) {
+Then('{string} was sent {int} loads, and the daemon without a cell {int}', function (this: AnnouncementsWorld, owner: string, loads: number, none: number) {
 	assert.equal(this.told.filter(address => address === owner).length, loads);
 	assert.equal(this.told.filter(address => address === 'idle').length, none);
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.feature
@@ -1,4 +1,4 @@
-Feature: Owners tell their peers the endpoints of a zone and the loads of cells
+Feature: Owners send the endpoints of a zone and the loads of cells to their peers
 
   Background:
     Given a daemon that owns the cell "north", and the peers
@@ -6,31 +6,31 @@
       | n2      | north |       |
       | s1      | south | south |
 
-  Scenario: The daemons of the zone are told its endpoints, once
+  Scenario: The endpoints are sent once to the daemons of the zone
     Given the zone "north" has the endpoints "i-1, i-2"
     When the lists are announced
     And the lists are announced
     Then the endpoints were sent to "n2"
 
-  Scenario: A change is told again
+  Scenario: A changed list is sent again
     Given the zone "north" has the endpoints "i-1, i-2"
     When the lists are announced
     And the zone "north" has the endpoints "i-1"
     And the lists are announced
     Then the endpoints were sent to "n2, n2"
 
-  Scenario: Before the first list nothing is told
+  Scenario: Nothing is sent before the first list
     When the lists are announced
-    And the peer "n2" is greeted
+    And the peer "n2" is synchronized
     Then the endpoints were sent to ""
 
-  Scenario: A daemon of the zone that is heard anew is told at once
+  Scenario: The endpoints are sent at once to a daemon of the zone that becomes reachable
     Given the zone "north" has the endpoints "i-1, i-2"
-    When the peer "n2" is greeted
-    And the peer "s1" is greeted
+    When the peer "n2" is synchronized
+    And the peer "s1" is synchronized
     Then the endpoints were sent to "n2"
 
-  Scenario: Loads go to the owners of other cells when they change
+  Scenario: Changed loads are sent to the owners of other cells
     Given 3000 thousandths are free
     When the loads are announced
     And the loads are announced
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.steps.ts
@@ -8,7 +8,7 @@
 import type {Peer} from '../fleet-view.js';
 import {createLoadAnnouncements} from '../load-announcements.js';
 
-type NewsWorld = {
+type UpdatesWorld = {
 	peers: readonly Peer[];
 	listed: Map<string, readonly EndpointEntry[]>;
 	load: CellLoad;
@@ -39,7 +39,7 @@
 	identifier, startedAt: 1, service: 'sheets', address: '10.1.0.1:80', zone, isDraining: false, room: {processor: 1000, memoryMegabytes: 1, accelerators: 0}, labels: [],
 });
 
-Given('a daemon that owns the cell {string}, and the peers', function (this: NewsWorld, cell: string, table: DataTable) {
+Given('a daemon that owns the cell {string}, and the peers', function (this: UpdatesWorld, cell: string, table: DataTable) {
 	this.peers = table.hashes().map(row => createPeer(row.address!, row.zone!, row.owns!));
 	this.listed = new Map();
 	this.load = {free: [], backlogMilliseconds: 0, kindFactors: {}};
@@ -60,39 +60,39 @@
 	});
 });
 
-Given('the zone {string} has the endpoints {string}', function (this: NewsWorld, zone: string, names: string) {
+Given('the zone {string} has the endpoints {string}', function (this: UpdatesWorld, zone: string, names: string) {
 	this.listed.set(zone, splitNames(names).map(name => createEntry(name, zone)));
 });
 
-Given('{int} thousandths are free', function (this: NewsWorld, processor: number) {
+Given('{int} thousandths are free', function (this: UpdatesWorld, processor: number) {
 	this.load = {...this.load, free: [{service: 'sheets', factor: 1, processor}]};
 });
 
-When('the lists are announced', function (this: NewsWorld) {
+When('the lists are announced', function (this: UpdatesWorld) {
 	this.lists.announce();
 });
 
-When('the loads are announced', function (this: NewsWorld) {
+When('the loads are announced', function (this: UpdatesWorld) {
 	this.announceLoads();
 });
 
-When('the loads are announced in {int} turns', function (this: NewsWorld, turns: number) {
+When('the loads are announced in {int} turns', function (this: UpdatesWorld, turns: number) {
 	for (let turn = 0; turn < turns; turn++) {
 		this.announceLoads();
 	}
 });
 
-When('the peer {string} is greeted', function (this: NewsWorld, address: string) {
+When('the peer {string} is synchronized', function (this: UpdatesWorld, address: string) {
 	this.lists.synchronize(this.peers.find(peer => peer.address === address));
 });
 
-const receiversOf = ({sent}: NewsWorld, kind: FleetMessageKind): string =>
+const receiversOf = ({sent}: UpdatesWorld, kind: FleetMessageKind): string =>
 	sent.filter(([, one]) => one === kind).map(([address]) => address).join(', ');
 
-Then('the endpoints were sent to {string}', function (this: NewsWorld, receivers: string) {
+Then('the endpoints were sent to {string}', function (this: UpdatesWorld, receivers: string) {
 	assert.equal(receiversOf(this, FleetMessageKind.Endpoints), receivers);
 });
 
-Then('the loads were sent to {string}', function (this: NewsWorld, receivers: string) {
+Then('the loads were sent to {string}', function (this: UpdatesWorld, receivers: string) {
 	assert.equal(receiversOf(this, FleetMessageKind.Load), receivers);
 });
--- a/packages/galenakeeld/src/process/fleet/cell-claims.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-claims.ts
@@ -1,27 +1,27 @@
 /**
-Decides which daemon orders the endpoints of each availability zone. A zone's endpoints form a cell.
+Decides which daemon owns the cell of each availability zone. A cell consists of the endpoints of a zone.
 */
 
 /**
-A claim to order the endpoints of a cell.
+A daemon's claim to own a cell, which entitles it to give orders to the endpoints.
 */
 export type Claim = {
-	/** Endpoints obey the highest that they have seen; an owner may raise its own. */
+	/** Fencing token. Endpoints reject orders with a lower token than the highest that they have received; an owner may raise its own. */
 	readonly token: number;
-	/** Token with which the claim began; another one tells that the owner has forgotten what it had. */
+	/** Initial token of the claim. A different term means that the owner has lost its earlier state. */
 	readonly term: number;
 };
 
 /**
-A daemon in touch, as the decision sees it.
+A reachable daemon, with the properties that the decision uses.
 */
 export type Claimant = {
-	/** Address of the daemon's peer service; the same for all that see it. */
+	/** Address of the daemon's peer service, identical for all observers. */
 	readonly address: string;
 	readonly zone: string;
-	/** Unix milliseconds of its start; of like machines the oldest claims first. */
+	/** Start time in Unix milliseconds. Among machines of equal size the oldest daemon has precedence. */
 	readonly startedAt: number;
-	/** What its machine can carry, in thousandths of a core; the largest claims first. */
+	/** Processor capacity of its machine in thousandths of a core. The largest machine has precedence. */
 	readonly processor: number;
 	readonly isLeaving: boolean;
 	/** Its claims by cell. */
@@ -29,24 +29,24 @@
 };
 
 /**
-What a daemon is to do about a cell.
+The action that a daemon takes for a cell.
 */
 export enum ClaimStep {
 	/** Nothing changes. */
 	Keep = 'keep',
-	/** Claim the cell, with a token above all that were seen. */
+	/** Claim the cell, with a token above all known ones. */
 	Claim = 'claim',
-	/** Give the cell up: another daemon holds it. */
+	/** Release the cell: another daemon owns it. */
 	Yield = 'yield',
 }
 
 /**
-How a daemon went out of sight.
+Why a daemon is unreachable.
 */
 export enum LossCause {
-	/** Nothing listens at its address: its process has ended. */
+	/** Nothing listens at its address: the process has ended. */
 	Ended = 'ended',
-	/** It has been silent; it may be out of reach and still give orders. */
+	/** No heartbeat arrived in time. It may be partitioned and still give orders. */
 	Silent = 'silent',
 }
 
@@ -59,34 +59,34 @@
 };
 
 /**
-What a daemon reaches of a zone.
+Which parts of the system a daemon can reach, as seen for one zone.
 */
 export type Reachability = {
 	readonly isOfZone: boolean;
 	readonly hasReachablePeers: boolean;
 	readonly reachesEndpoints: boolean;
-	/** Milliseconds since a probe of the endpoints last failed. */
+	/** Time since a probe of the endpoints last failed. */
 	readonly sinceProbeFailureMilliseconds: number;
 };
 
-/** Time after which an owner that may only be out of reach of this daemon, but not of its endpoints, is replaced from afar. */
+/** Delay before a daemon of another zone replaces an owner that may still reach its endpoints; also the time for which probes must succeed. */
 const remoteTakeoverMilliseconds = 2500;
 
 /**
-Tells whether a daemon may take a cell over whose owner is out of sight.
+Tells whether a daemon may take over a cell whose owner is unreachable.
 
-An owner that is cut off goes on with its endpoints, and an order of another one would end that. A cut may also look like a process that has ended. So a daemon of another zone, or one that sees nobody, takes over only where it reaches the endpoints, and after a while. When it has just come to reach them, a cut has ended, and the owner will be heard in a moment.
+A partitioned owner continues to give orders to its endpoints, and an order of another daemon would fence it off. A partition can also look like a process that has ended. A daemon of the zone takes over if it reaches peers or no loss is recorded. Any other takeover requires reachable peers and endpoints, and an owner that has ended or has been lost for a while. If the endpoints have only just become reachable, a partition has healed and a heartbeat of the owner is about to arrive, so the daemon waits.
 
-@param contact.regainedMilliseconds Time since a probe of the endpoints last failed.
+@param contact.sinceProbeFailureMilliseconds Time since a probe of the endpoints last failed.
 */
 export const isTakeoverSafe = (loss: OwnerLoss | undefined, contact: Reachability): boolean => {
-	const {isOfZone, hasReachablePeers: seesPeers, reachesEndpoints, sinceProbeFailureMilliseconds: regainedMilliseconds} = contact;
-	if (isOfZone && (seesPeers || loss === undefined)) {
+	const {isOfZone, hasReachablePeers, reachesEndpoints, sinceProbeFailureMilliseconds} = contact;
+	if (isOfZone && (hasReachablePeers || loss === undefined)) {
 		return true;
 	}
 
 	const isConfirmedLost = loss?.cause === LossCause.Ended || (loss?.ageMilliseconds ?? Number.POSITIVE_INFINITY) > remoteTakeoverMilliseconds;
-	return seesPeers && reachesEndpoints && isConfirmedLost && regainedMilliseconds > remoteTakeoverMilliseconds;
+	return hasReachablePeers && reachesEndpoints && isConfirmedLost && sinceProbeFailureMilliseconds > remoteTakeoverMilliseconds;
 };
 
 const byClaimPrecedence = (cell: string) => (first: Claimant, second: Claimant): number =>
@@ -96,7 +96,7 @@
 	|| (first.address < second.address ? -1 : 1);
 
 /**
-Finds the daemon that holds a cell: among the claims in sight one that stays, then one of the cell's own zone, then the highest token.
+Finds the owner of a cell among the daemons that claim it. A daemon that isn't leaving has precedence, then one of the cell's own zone, then the highest token.
 */
 export const findOwner = (cell: string, daemons: readonly Claimant[]): Claimant | undefined =>
 	daemons.filter(({claims}) => claims.has(cell)).toSorted(byClaimPrecedence(cell))[0];
@@ -106,7 +106,7 @@
 	|| first.startedAt - second.startedAt
 	|| (first.address < second.address ? -1 : 1);
 
-/** Daemons of the zone come first; another zone's daemon serves only while the zone has none. */
+/** Daemons of the zone have precedence; a daemon of another zone is chosen only while the zone has none. Fewer owned cells are preferred. */
 const findPreferredOwner = (cell: string, daemons: readonly Claimant[]): Claimant | undefined => {
 	const staying = daemons.filter(({isLeaving}) => !isLeaving);
 	const local = staying.filter(({zone}) => zone === cell);
@@ -115,12 +115,12 @@
 };
 
 /**
-Decides what a daemon does about a cell, from what it sees at this moment.
+Decides which action a daemon takes for a cell, given the daemons that are reachable now.
 
-A claim stands while its daemon is in touch, so that a daemon which starts or returns takes nothing over. It ends when the daemon leaves, when a higher token is in sight, or when a daemon of the zone is there to take over from one of another zone.
+A claim remains valid while its daemon is reachable, so a daemon that starts or returns does not displace an owner. The claim ends when the daemon leaves, when a claim with precedence appears, or when a daemon of the zone can take over from one of another zone.
 
 @param self The deciding daemon, also part of `daemons`.
-@param daemons All daemons in touch.
+@param daemons All reachable daemons.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -5,20 +5,20 @@
 import type {FleetView} from './fleet-view.js';
 
 /**
-What the owners of other cells have told of them.
+Loads of other cells, as reported by their owners.
 */
 export type CellLoads = {
-	/** Room of the other cells, less what was sent there since their owners last described them. */
+	/** Free capacity of the other cells, minus the jobs that were redirected there since the last report of their owners. */
 	readonly otherCellCapacities: (own: string) => readonly CellRoom[];
-	/** Notes that a job was sent to a cell, with the processor that it needs there. */
+	/** Records that a job was redirected to a cell, with the processor capacity that it needs there, in thousandths of a core. */
 	readonly recordRedirect: (cell: string, processor: number) => void;
 	readonly recordClaims: (claims: readonly CellClaim[]) => void;
-	/** Expected run time over estimate by kind of endpoint, as the cell's earlier owner told it; kinds that it has not met come from other cells. */
+	/** Ratio of expected to estimated run time by kind of endpoint, as last reported for the cell. Kinds that the cell has not reported are taken from other cells. */
 	readonly kindFactors: (cell: string) => Readonly<Record<string, number>>;
 };
 
 /**
-Takes processor off free room, from the fastest endpoints first, as tasks in time get these.
+Subtracts processor capacity from the free capacity, starting with the fastest endpoints, because tasks that are on time are placed on these.
 */
 export const subtractSentProcessor = (free: readonly FreeRoom[], sent: number): readonly FreeRoom[] => {
 	let left = sent;
@@ -32,7 +32,7 @@
 type SentJob = {readonly at: number; readonly processor: number};
 
 /**
-Creates loads of which nothing was told yet.
+Creates the loads, with nothing reported yet.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/fleet/endpoint-list-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/endpoint-list-announcements.ts
@@ -3,12 +3,12 @@
 import type {Peer} from './fleet-view.js';
 
 /**
-Tells the daemons of a zone which endpoints it has, so that any of them can take its cell over while the store is away.
+Sends the list of a zone's endpoints to the daemons of the zone, so that any of them can take over the cell while the store is unavailable.
 */
 export type EndpointListAnnouncements = {
-	/** Tells the peers of the zone what has changed since they were last told. */
+	/** Sends the lists that have changed since they were last sent to the peers of their zone. */
 	readonly announce: () => void;
-	/** Tells a peer that may have missed what was sent, once its zone is known. */
+	/** Sends the current list to a peer that may have missed earlier messages. Does nothing while the peer, and so its zone, is unknown. */
 	readonly synchronize: (peer: Peer | undefined) => void;
 };
 
@@ -21,7 +21,7 @@
 };
 
 /**
-Creates lists of which nobody was told yet.
+Creates the announcements, with nothing sent yet.
 
 @example
 ```
@@ -30,7 +30,7 @@
 ```
 */
 export const createEndpointListAnnouncements = ({ownedZones, endpointsOf, peers, send}: EndpointListAnnouncementsOptions): EndpointListAnnouncements => {
-	/** What the peers of each zone were last told. */
+	/** The list that was last sent to the peers of each zone, as JSON. */
 	const lastSent = new Map<string, string>();
 
 	const sendList = (zone: string, receivers: readonly Peer[]): void => {
--- a/packages/galenakeeld/src/process/fleet/endpoint-probe.ts
+++ b/packages/galenakeeld/src/process/fleet/endpoint-probe.ts
@@ -1,12 +1,12 @@
 import {OrderOutcome, type EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 
-/** A token that no endpoint obeys once it has had an owner, so that the look changes nothing. */
+/** Lower than any token of an owner. Endpoints that have had an owner reject it, so the probe changes nothing. */
 const noToken = 0;
 const probedEndpoints = 2;
 
 /**
-Creates a probe that tells whether any of some endpoints answers.
+Creates a probe that tells whether any of the first endpoints of a list answers.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -229,9 +229,9 @@
 			});
 		},
 		onPeerLost(peer, cause) {
-			const {instance, address, lastHeartbeatAt: heardAt} = peer;
+			const {instance, address, lastHeartbeatAt} = peer;
 			log.warn({
-				event: FleetEvent.PeerLost, peer: instance, address, cause, silentMilliseconds: Math.round(performance.now() - heardAt),
+				event: FleetEvent.PeerLost, peer: instance, address, cause, silentMilliseconds: Math.round(performance.now() - lastHeartbeatAt),
 			});
 			cells.recordLoss(peer, cause);
 			for (const cell of cells.all()) {
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -8,13 +8,13 @@
 The streams between this daemon and its peers.
 */
 export type FleetLinks = {
-	/** Sends a message to a daemon; this one's own messages come back at once. */
+	/** Sends a message to a daemon. Messages to this daemon itself are delivered in a microtask. */
 	readonly send: (address: string, message: FleetMessage) => void;
-	/** Opens streams to addresses that aren't known yet. */
+	/** Opens streams to addresses that have none yet. */
 	readonly connect: (addresses: readonly string[]) => void;
-	/** Tells all peers what has changed, before the next beat is due. */
+	/** Sends a heartbeat to all peers now, ahead of the next regular one. */
 	readonly sendHeartbeats: () => void;
-	/** Forgets the peers that have been silent for too long. */
+	/** Removes the peers whose heartbeats have stopped, and breaks off their streams. */
 	readonly removeSilentPeers: () => void;
 	readonly close: () => void;
 };
@@ -25,23 +25,23 @@
 	readonly serve: typeof serveFleet;
 	readonly openStream: typeof createPeerStream;
 	readonly createHeartbeat: (pace: HeartbeatInterval) => Beat;
-	/** Pace of the beats to an address. */
+	/** Heartbeat interval for an address. */
 	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
 	readonly onMessage: (message: FleetMessage, from: string) => void;
 	readonly onPeerReachable: (peer: Peer) => void;
 	readonly onPeerLost: (peer: Peer, cause: LossCause) => void;
-	/** Messages to or from the daemon may have been lost. */
+	/** Called when a stream to or from the daemon has opened; earlier messages may have been lost. */
 	readonly onStreamOpened: (address: string) => void;
 	readonly onBroken: (address: string, detail: string) => void;
 };
 
 const gatherMilliseconds = 1;
 const redialMilliseconds = 150;
-/** Pause between dials of an address that has not been heard, which may be gone for good. */
+/** Pause between connection attempts to an address that is not a reachable peer; it may be gone permanently. */
 const redialUnheardMilliseconds = 500;
 
 /**
-Serves the streams of peers and opens one to each.
+Accepts the streams of peers and opens one to each peer.
 
 @example
 ```
@@ -91,7 +91,7 @@
 		if (isNew) {
 			lose(before, LossCause.Ended);
 			options.onPeerReachable(view.get(beat.address)!);
-			// It may have started after this daemon dialled it in vain.
+			// The peer may have started after the last failed connection attempt.
 			streams.get(beat.address)?.dialNow();
 		}
 
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -3,31 +3,31 @@
 import type {Claimant} from './cell-claims.js';
 
 /**
-A peer as its last beat described it.
+A peer, as described by its last heartbeat.
 */
 export type Peer = Claimant & {
 	readonly instance: string;
-	/** Steady milliseconds of its last beat. */
+	/** Arrival of its last heartbeat, in monotonic milliseconds. */
 	readonly lastHeartbeatAt: number;
 	readonly silentAfterMilliseconds: number;
 	readonly loads: ReadonlyMap<string, CellLoad>;
-	/** Steady milliseconds at which the loads were last told. */
+	/** Last update of the loads, in monotonic milliseconds. */
 	readonly loadsUpdatedAt: number;
 	readonly configurationVersion: number;
 	readonly known: readonly string[];
 };
 
 /**
-The daemons that this one hears.
+The peers from which this daemon receives heartbeats.
 */
 export type FleetView = {
-	/** Takes a beat. Returns whether the peer is new, or another life of a known one. */
+	/** Records a heartbeat. Returns whether the peer is new or has restarted. */
 	readonly receiveHeartbeat: (beat: Beat) => boolean;
-	/** Takes the load of a peer's cell between two beats. */
+	/** Records the load of a peer's cell between two heartbeats. */
 	readonly receiveLoad: (address: string, cell: string, load: CellLoad) => void;
-	/** Forgets a peer at once, since nothing listens at its address any more. */
+	/** Removes a peer immediately, because nothing listens at its address any more, and returns it. */
 	readonly remove: (address: string) => Peer | undefined;
-	/** Forgets the peers that have been silent for too long, and returns them. */
+	/** Removes the peers whose heartbeats have stopped, and returns them. */
 	readonly removeSilent: () => readonly Peer[];
 	readonly get: (address: string) => Peer | undefined;
 	readonly all: () => readonly Peer[];
@@ -83,7 +83,7 @@
 		remove,
 		removeSilent() {
 			const now = performance.now();
-			const silent = [...peers.values()].filter(({lastHeartbeatAt: heardAt, silentAfterMilliseconds}) => now - heardAt > silentAfterMilliseconds);
+			const silent = [...peers.values()].filter(({lastHeartbeatAt, silentAfterMilliseconds}) => now - lastHeartbeatAt > silentAfterMilliseconds);
 			for (const {address} of silent) {
 				peers.delete(address);
 			}
--- a/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
@@ -1,30 +1,30 @@
 /**
-How often a daemon sends beats to a peer.
+How often a daemon sends heartbeats to a peer, and when their absence counts as a loss.
 */
 export type HeartbeatInterval = {
 	readonly heartbeatMilliseconds: number;
-	/** Silence after which the peer may count this daemon as lost. */
+	/** Time without a heartbeat after which the peer treats this daemon as lost. */
 	readonly silentAfterMilliseconds: number;
 };
 
 /**
-A daemon as the pace between two of them depends on it.
+The properties of a daemon that determine the heartbeat interval.
 */
 export type DaemonRole = {
 	readonly zone: string;
-	/** It orders the endpoints of a cell. */
+	/** It owns at least one cell. */
 	readonly isOwner: boolean;
 };
 
-/** Between daemons that need to know of each other's loss at once. */
+/** Between daemons that must detect each other's failure quickly. */
 export const shortInterval: HeartbeatInterval = {heartbeatMilliseconds: 200, silentAfterMilliseconds: 700};
-/** Between all others, so that their messages don't grow with the square of the fleet. */
+/** Between all others, to limit heartbeat traffic, which grows with the square of the fleet size. */
 export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 700, silentAfterMilliseconds: 2500};
 
 /**
-Returns the pace of beats between two daemons. Daemons of one zone take each other's cells over, and an owner of a cell and the holders of its jobs wait for each other; the others only pass on what they have heard.
+Returns the heartbeat interval between two daemons. Daemons of one zone take over each other's cells, and the owner of a cell and the holders of its jobs wait for each other. All other daemons only pass on addresses of peers.
 
-@param peer Undefined while nothing was heard of it.
+@param peer Undefined until its first heartbeat arrives.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -4,19 +4,19 @@
 import type {Peer} from './fleet-view.js';
 
 export type LoadAnnouncementsOptions = {
-	/** The claims of this daemon, with the loads of this moment. */
+	/** The claims of this daemon, with current loads. */
 	readonly claims: () => readonly CellClaim[];
 	readonly peers: () => readonly Peer[];
 	readonly send: (address: string, message: FleetMessage) => void;
 };
 
-/** Calls in a calm of which one announces. */
+/** While idle, one call in this many announces. */
 const callsPerIdleAnnouncement = 5;
 
 const hasBacklog = (loads: Iterable<CellLoad>): boolean => [...loads].some(({backlogMilliseconds}) => backlogMilliseconds > 0);
 
 /**
-Creates a function that tells the owners of other cells the loads that have changed since it last did, before the next beat is due. While no cell in sight has work that waits, most calls tell nothing.
+Creates a function that sends loads that have changed since its last announcement to the owners of other cells, ahead of the next heartbeat. While no known cell has a backlog, most calls send nothing.
 
 @example
 ```
@@ -41,7 +41,7 @@
 
 		calmCount = 0;
 		for (const {cell, load} of claims()) {
-			// A load that was not worked out anew is the same object.
+			// A load that was not recomputed is the same object.
 			if (load === seen.get(cell)) {
 				continue;
 			}
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -13,45 +13,45 @@
 	readonly get: (zone: string) => Cell | undefined;
 	readonly all: () => readonly Cell[];
 	readonly count: () => number;
-	/** Takes a higher token for a cell than one with which another daemon has given orders. */
+	/** Raises the token of a cell above one with which another daemon has given orders. */
 	readonly raiseTokenAbove: (zone: string, token: number) => void;
 	readonly claims: () => readonly CellClaim[];
 	readonly claimsByCell: () => ReadonlyMap<string, Claim>;
-	/** Claims and gives up cells by what is in sight. Returns whether anything changed. */
+	/** Claims and releases cells according to the reachable peers. Returns whether anything changed. */
 	readonly reviewClaims: (self: () => Claimant, peers: readonly Claimant[], ageMilliseconds: number) => boolean;
-	/** Notes that a daemon is out of sight, with the cells that it claimed. */
+	/** Records the loss of a daemon, for each cell that it claimed. */
 	readonly recordLoss: (claimant: Claimant, cause: LossCause) => void;
-	/** Takes a higher token for a cell whose endpoints obey another daemon that isn't in sight, or gives the cell up where this daemon sees nobody. */
-	readonly reclaimOrYield: (zone: string, seesPeers: boolean) => void;
-	/** Takes the endpoints of all zones as the platform lists them. */
+	/** Raises the token of a cell whose endpoints obey another, unreachable daemon; releases the cell if this daemon has no reachable peers. */
+	readonly reclaimOrYield: (zone: string, hasReachablePeers: boolean) => void;
+	/** Installs the platform's list of the endpoints of all zones. */
 	readonly install: (entries: readonly EndpointEntry[]) => void;
-	/** Takes the endpoints of a zone as the owner of its cell lists them, for the case that this daemon takes the cell over while the store is away. */
+	/** Records the endpoints of a zone as sent by the owner of its cell, in case this daemon takes over the cell while the store is unavailable. */
 	readonly recordEndpoints: (zone: string, entries: readonly EndpointEntry[]) => void;
-	/** Steady milliseconds of the first list of a zone; undefined before it. */
+	/** Time of the first list of a zone, in monotonic milliseconds; undefined before it. */
 	readonly listedSince: (zone: string) => number | undefined;
-	/** Returns the endpoints of a zone as they were last listed; undefined before the first list. */
+	/** Returns the latest list of the endpoints of a zone; undefined before the first one. */
 	readonly endpointsOf: (zone: string) => readonly EndpointEntry[] | undefined;
 	readonly close: () => void;
 };
 
 export type OwnedCellsOptions = {
 	readonly zones: readonly string[];
-	/** Tells whether an endpoint of a zone answers, without giving it an order. */
+	/** Tells whether an endpoint of a zone answers a probe, which gives it no order. */
 	readonly canReachEndpoints: (zone: string) => Promise<boolean>;
 	readonly createCell: (zone: string, token: () => number) => Cell;
 	readonly onClaimed: (zone: string, token: number) => void;
 	readonly onYielded: (zone: string, token: number) => void;
 };
 
-/** Time for which the answer of an endpoint shows that its zone is in reach. */
+/** Time for which a successful probe counts as proof that the endpoints of a zone are reachable. */
 const probeValidityMilliseconds = 500;
-/** Age of a daemon from which it claims cells of other zones, whose own daemons may start later. */
+/** Minimum age of a daemon that claims cells of other zones, whose own daemons may start later. */
 const remoteClaimDelayMilliseconds = 2500;
 
 /**
-Creates a daemon without cells.
+Creates the set of owned cells, initially empty.
 
-Tokens are Unix milliseconds, and higher than all that were seen, so they rise from owner to owner also where the store is out of reach.
+A token is the current time in Unix milliseconds, or one above the highest known token if that is larger. Tokens therefore increase from owner to owner even while the store is unreachable.
 
 @example
 ```
@@ -60,16 +60,16 @@
 */
 export const createOwnedCells = (options: OwnedCellsOptions): OwnedCells => {
 	const cells = new Map<string, {readonly cell: Cell; readonly term: number; token: number}>();
-	/** Owners that went out of sight, by cell; until another claim is in sight. */
+	/** Losses of owners by cell; each is kept until another claim to the cell is known. */
 	const losses = new Map<string, {readonly cause: LossCause; readonly at: number}>();
 	const probing = new Set<string>();
-	/** Steady milliseconds at which an endpoint of a zone last answered a probe. */
+	/** Time of the last successful probe of each zone, in monotonic milliseconds. */
 	const probeSucceededAt = new Map<string, number>();
-	/** Steady milliseconds at which a probe of a zone last failed. */
+	/** Time of the last failed probe of each zone, in monotonic milliseconds. */
 	const probeFailedAt = new Map<string, number>();
 	let highestToken = 0;
 	const listedSince = new Map<string, number>();
-	/** The endpoints of each zone as they were last listed. */
+	/** The latest list of endpoints of each zone. */
 	const listed = new Map<string, readonly EndpointEntry[]>();
 
 	const nextToken = (): number => {
@@ -102,7 +102,7 @@
 		}
 	};
 
-	/** Takes a token above all in sight and goes on with what the cell has. */
+	/** Raises the token above all known ones and keeps the state of the cell. */
 	const raiseToken = (zone: string): void => {
 		const owned = cells.get(zone);
 		if (owned) {
@@ -120,13 +120,13 @@
 		}
 	};
 
-	/** Whether a daemon from afar has a higher token for a cell that this one keeps. */
+	/** Tells whether a peer has a higher token for a cell that this daemon owns and keeps, for instance one of another zone. */
 	const isOutbid = (zone: string, peers: readonly Claimant[]): boolean => {
 		const own = cells.get(zone)?.token;
 		return own !== undefined && peers.some(({claims}) => (claims.get(zone)?.token ?? 0) > own);
 	};
 
-	/** Asks the endpoints of a zone whether they are in reach; the answer counts for a short time. */
+	/** Probes the endpoints of a zone and records the time of the result, unless a probe of the zone is in progress. */
 	const probe = async (zone: string): Promise<void> => {
 		if (!probing.has(zone)) {
 			probing.add(zone);
@@ -137,7 +137,7 @@
 		}
 	};
 
-	const isSafe = (zone: string, self: Claimant, seesPeers: boolean): boolean => {
+	const isSafe = (zone: string, self: Claimant, hasReachablePeers: boolean): boolean => {
 		const now = performance.now();
 		const loss = losses.get(zone);
 		const isOfZone = self.zone === zone;
@@ -149,7 +149,7 @@
 			loss && {cause: loss.cause, ageMilliseconds: now - loss.at},
 			{
 				isOfZone,
-				hasReachablePeers: seesPeers,
+				hasReachablePeers,
 				reachesEndpoints: now - (probeSucceededAt.get(zone) ?? Number.NEGATIVE_INFINITY) < probeValidityMilliseconds,
 				sinceProbeFailureMilliseconds: now - (probeFailedAt.get(zone) ?? Number.NEGATIVE_INFINITY),
 			},
@@ -195,8 +195,8 @@
 				losses.set(zone, {cause, at: performance.now()});
 			}
 		},
-		reclaimOrYield(zone, seesPeers) {
-			if (seesPeers) {
+		reclaimOrYield(zone, hasReachablePeers) {
+			if (hasReachablePeers) {
 				raiseToken(zone);
 			} else {
 				yieldCell(zone);
--- a/packages/galenakeeld/src/process/fleet/self-description.ts
+++ b/packages/galenakeeld/src/process/fleet/self-description.ts
@@ -6,12 +6,12 @@
 import type {OwnedCells} from './owned-cells.js';
 
 /**
-What a daemon tells of itself.
+How a daemon describes itself to its peers.
 */
 export type SelfDescription = {
 	readonly claimant: () => Claimant;
 	readonly createHeartbeat: (pace: HeartbeatInterval) => Beat;
-	/** Pace of the beats to an address. */
+	/** Heartbeat interval for an address. */
 	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
 };
 
@@ -21,7 +21,7 @@
 	readonly startedAt: number;
 	readonly cells: Pick<OwnedCells, 'claims' | 'claimsByCell' | 'count'>;
 	readonly view: Pick<FleetView, 'get' | 'all'>;
-	/** -1 while there is none. */
+	/** -1 while no configuration is installed. */
 	readonly configurationVersion: () => number;
 	readonly isLeaving: () => boolean;
 };
@@ -29,7 +29,7 @@
 const millicoresPerCore = 1000;
 
 /**
-Creates the description of this daemon, as it is at each moment.
+Creates the description of this daemon. Each call returns the current state.
 
 @example
 ```
