--- a/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.steps.ts
@@ -25,8 +25,8 @@
 	kind: FleetMessageKind.Beat, instance: address, address, zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
-Then('a daemon that is {string} sends heartbeats to one that is {string} at the {string} interval', (self: string, peer: string, pace: string) => {
-	assert.equal(heartbeatIntervalBetween(daemonOf(self)!, daemonOf(peer)), pace === 'short' ? shortInterval : longInterval);
+Then('a daemon that is {string} sends heartbeats to one that is {string} at the {string} interval', (self: string, peer: string, interval: string) => {
+	assert.equal(heartbeatIntervalBetween(daemonOf(self)!, daemonOf(peer)), interval === 'short' ? shortInterval : longInterval);
 });
 
 Given('a view with heartbeats of {string} that expire after {int} ms and of {string} that expire after {int} ms', function (this: IntervalWorld, first: string, firstMilliseconds: number, second: string, secondMilliseconds: number) {
@@ -48,14 +48,14 @@
 	assert.equal(this.heartbeatView.removeSilent().map(({address}) => address).join(', '), names);
 });
 
-Then('a daemon of {int} zones with {int} daemons each, which owns no cell, sends at most {int} heartbeats a second', (zones: number, daemonsInZone: number, mostBeats: number) => {
+Then('a daemon of {int} zones with {int} daemons each, which owns no cell, sends at most {int} heartbeats a second', (zones: number, daemonsInZone: number, maximumHeartbeats: number) => {
 	const self: DaemonRole = {zone: 'zone-0', isOwner: false};
-	let beats = 0;
+	let count = 0;
 	for (let zone = 0; zone < zones; zone++) {
 		for (let place = 0; place < daemonsInZone; place++) {
-			beats += millisecondsOfSecond / heartbeatIntervalBetween(self, {zone: `zone-${zone}`, isOwner: zone > 0 && place === 0}).heartbeatMilliseconds;
+			count += millisecondsOfSecond / heartbeatIntervalBetween(self, {zone: `zone-${zone}`, isOwner: zone > 0 && place === 0}).heartbeatMilliseconds;
 		}
 	}
 
-	assert.ok(beats <= mostBeats, `${beats}`);
+	assert.ok(count <= maximumHeartbeats, `${count}`);
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
@@ -7,7 +7,7 @@
 type AnnouncementsWorld = {
 	ownLoad: CellLoad;
 	ownerOfSouth: Peer;
-	told: string[];
+	receivers: string[];
 	announce: () => void;
 };
 
@@ -33,14 +33,14 @@
 Given('an owner of {string} with an owner of {string} and a daemon without a cell as peers', function (this: AnnouncementsWorld, own: string, other: string) {
 	this.ownLoad = calmLoad;
 	this.ownerOfSouth = createPeer(other, new Map([[other, calmLoad]]));
-	this.told = [];
+	this.receivers = [];
 	this.announce = createLoadAnnouncements({
 		claims: () => [{
 			cell: own, token: 1, term: 1, load: this.ownLoad,
 		}],
 		peers: () => [this.ownerOfSouth, createPeer('idle', new Map())],
 		send: address => {
-			this.told.push(address);
+			this.receivers.push(address);
 		},
 	});
 });
@@ -68,6 +68,6 @@
 });
 
 Then('{string} was sent {int} loads, and the daemon without a cell {int}', function (this: AnnouncementsWorld, owner: string, loads: number, none: number) {
-	assert.equal(this.told.filter(address => address === owner).length, loads);
-	assert.equal(this.told.filter(address => address === 'idle').length, none);
+	assert.equal(this.receivers.filter(address => address === owner).length, loads);
+	assert.equal(this.receivers.filter(address => address === 'idle').length, none);
 });
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -37,7 +37,7 @@
 @example
 ```
 const loads = createCellLoads(settings.zones, view);
-loads.otherRooms('ie-south-a');
+loads.otherCellCapacities('ie-south-a');
 ```
 */
 export const createCellLoads = (zones: readonly string[], view: FleetView): CellLoads => {
--- a/packages/galenakeeld/src/process/fleet/endpoint-list-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/endpoint-list-announcements.ts
@@ -25,7 +25,7 @@
 
 @example
 ```
-const lists = createEndpointLists(options);
+const lists = createEndpointListAnnouncements(options);
 lists.announce();
 ```
 */
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -24,7 +24,7 @@
 	readonly view: FleetView;
 	readonly serve: typeof serveFleet;
 	readonly openStream: typeof createPeerStream;
-	readonly createHeartbeat: (pace: HeartbeatInterval) => Beat;
+	readonly createHeartbeat: (interval: HeartbeatInterval) => Beat;
 	/** Heartbeat interval for an address. */
 	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
 	readonly onMessage: (message: FleetMessage, from: string) => void;
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -55,7 +55,7 @@
 @example
 ```
 const view = createFleetView();
-view.hear(beat);
+view.receiveHeartbeat(beat);
 view.get('10.1.0.13:7720')?.zone;
 ```
 */
--- a/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
@@ -28,7 +28,7 @@
 
 @example
 ```
-paceBetween({zone: 'ie-south-a', isOwner: false}, {zone: 'ie-south-b', isOwner: true}).beatMilliseconds; // => 200
+heartbeatIntervalBetween({zone: 'ie-south-a', isOwner: false}, {zone: 'ie-south-b', isOwner: true}).heartbeatMilliseconds; // => 200
 ```
 */
 export const heartbeatIntervalBetween = (self: DaemonRole, peer: DaemonRole | undefined): HeartbeatInterval =>
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -26,7 +26,7 @@
 */
 export const createLoadAnnouncements = ({claims, peers, send}: LoadAnnouncementsOptions) => {
 	const seen = new Map<string, CellLoad>();
-	const told = new Map<string, string>();
+	const lastSent = new Map<string, string>();
 	let calmCount = callsPerIdleAnnouncement;
 
 	const isCalm = (owners: readonly Peer[]): boolean =>
@@ -48,11 +48,11 @@
 
 			seen.set(cell, load);
 			const text = JSON.stringify(load);
-			if (text === told.get(cell)) {
+			if (text === lastSent.get(cell)) {
 				continue;
 			}
 
-			told.set(cell, text);
+			lastSent.set(cell, text);
 			for (const {address} of owners) {
 				send(address, {kind: FleetMessageKind.Load, cell, load});
 			}
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -55,7 +55,7 @@
 
 @example
 ```
-const changed = cells.review(describeSelf, view.all());
+const changed = cells.reviewClaims(describeSelf, view.all());
 ```
 */
 export const createOwnedCells = (options: OwnedCellsOptions): OwnedCells => {
--- a/packages/galenakeeld/src/process/fleet/self-description.ts
+++ b/packages/galenakeeld/src/process/fleet/self-description.ts
@@ -10,7 +10,7 @@
 */
 export type SelfDescription = {
 	readonly claimant: () => Claimant;
-	readonly createHeartbeat: (pace: HeartbeatInterval) => Beat;
+	readonly createHeartbeat: (interval: HeartbeatInterval) => Beat;
 	/** Heartbeat interval for an address. */
 	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
 };
@@ -34,7 +34,7 @@
 @example
 ```
 const self = createSelfDescription({settings, startedAt: Date.now(), cells, view, configurationVersion: () => 7, isLeaving: () => false});
-self.createBeat(self.paceTo('10.1.0.13:7720'));
+self.createHeartbeat(self.heartbeatIntervalTo('10.1.0.13:7720'));
 ```
 */
 export const createSelfDescription = ({settings, startedAt, cells, view, configurationVersion, isLeaving}: SelfDescriptionOptions): SelfDescription => {
