--- a/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
@@ -7,7 +7,7 @@
 type AnnouncementsWorld = {
 	ownLoad: CellLoad;
 	ownerOfSouth: Peer;
-	told: string[];
+	receivers: string[];
 	announce: () => void;
 };
 
@@ -24,28 +24,28 @@
 	isLeaving: false,
 	claims: new Map([...loads.keys()].map(cell => [cell, {token: 1, term: 1}])),
 	loads,
-	loadsHeardAt: 0,
-	heardAt: 0,
+	loadsUpdatedAt: 0,
+	lastHeartbeatAt: 0,
 	configurationVersion: 1,
 	known: [],
 });
 
-Given('an owner of {string} that sees an owner of {string} and a daemon without a cell', function (this: AnnouncementsWorld, own: string, other: string) {
+Given('an owner of {string} with an owner of {string} and a daemon without a cell as peers', function (this: AnnouncementsWorld, own: string, other: string) {
 	this.ownLoad = calmLoad;
 	this.ownerOfSouth = createPeer(other, new Map([[other, calmLoad]]));
-	this.told = [];
+	this.receivers = [];
 	this.announce = createLoadAnnouncements({
 		claims: () => [{
 			cell: own, token: 1, term: 1, load: this.ownLoad,
 		}],
 		peers: () => [this.ownerOfSouth, createPeer('idle', new Map())],
 		send: address => {
-			this.told.push(address);
+			this.receivers.push(address);
 		},
 	});
 });
 
-When('work waits in {string}', function (this: AnnouncementsWorld, cell: string) {
+When('there is a backlog in {string}', function (this: AnnouncementsWorld, cell: string) {
 	const load = {...calmLoad, backlogMilliseconds: waitingMilliseconds};
 	if (cell === this.ownerOfSouth.address) {
 		this.ownerOfSouth = createPeer(cell, new Map([[cell, load]]));
@@ -67,7 +67,7 @@
 	}
 });
 
-Then('{string} was told {int} loads, and the daemon without a cell {int}', function (this: AnnouncementsWorld, owner: string, loads: number, none: number) {
-	assert.equal(this.told.filter(address => address === owner).length, loads);
-	assert.equal(this.told.filter(address => address === 'idle').length, none);
+Then('{string} was sent {int} loads, and the daemon without a cell {int}', function (this: AnnouncementsWorld, owner: string, loads: number, none: number) {
+	assert.equal(this.receivers.filter(address => address === owner).length, loads);
+	assert.equal(this.receivers.filter(address => address === 'idle').length, none);
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-news.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.steps.ts
@@ -4,16 +4,16 @@
 } from '@cucumber/cucumber';
 import {FleetMessageKind, type CellLoad, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
-import {createEndpointLists, type EndpointLists} from '../endpoint-lists.js';
+import {createEndpointListAnnouncements, type EndpointListAnnouncements} from '../endpoint-list-announcements.js';
 import type {Peer} from '../fleet-view.js';
 import {createLoadAnnouncements} from '../load-announcements.js';
 
-type NewsWorld = {
+type UpdatesWorld = {
 	peers: readonly Peer[];
 	listed: Map<string, readonly EndpointEntry[]>;
 	load: CellLoad;
 	sent: Array<readonly [address: string, kind: FleetMessageKind]>;
-	lists: EndpointLists;
+	lists: EndpointListAnnouncements;
 	announceLoads: () => void;
 };
 
@@ -29,17 +29,17 @@
 	isLeaving: false,
 	claims: new Map(owned === '' ? [] : [[owned, {token: 1, term: 1}]]),
 	loads: new Map(),
-	loadsHeardAt: 0,
+	loadsUpdatedAt: 0,
 	configurationVersion: 1,
 	known: [],
-	heardAt: 0,
+	lastHeartbeatAt: 0,
 });
 
 const createEntry = (identifier: string, zone: string): EndpointEntry => ({
 	identifier, startedAt: 1, service: 'sheets', address: '10.1.0.1:80', zone, isDraining: false, room: {processor: 1000, memoryMegabytes: 1, accelerators: 0}, labels: [],
 });
 
-Given('a daemon that owns the cell {string}, and the peers', function (this: NewsWorld, cell: string, table: DataTable) {
+Given('a daemon that owns the cell {string}, and the peers', function (this: UpdatesWorld, cell: string, table: DataTable) {
 	this.peers = table.hashes().map(row => createPeer(row.address!, row.zone!, row.owns!));
 	this.listed = new Map();
 	this.load = {free: [], backlogMilliseconds: 0, kindFactors: {}};
@@ -48,7 +48,7 @@
 		this.sent.push([address, message.kind]);
 	};
 
-	this.lists = createEndpointLists({
+	this.lists = createEndpointListAnnouncements({
 		ownedZones: () => [cell], endpointsOf: zone => this.listed.get(zone), peers: () => this.peers, send,
 	});
 	this.announceLoads = createLoadAnnouncements({
@@ -60,39 +60,39 @@
 	});
 });
 
-Given('the zone {string} has the endpoints {string}', function (this: NewsWorld, zone: string, names: string) {
+Given('the zone {string} has the endpoints {string}', function (this: UpdatesWorld, zone: string, names: string) {
 	this.listed.set(zone, splitNames(names).map(name => createEntry(name, zone)));
 });
 
-Given('{int} thousandths are free', function (this: NewsWorld, processor: number) {
+Given('{int} thousandths are free', function (this: UpdatesWorld, processor: number) {
 	this.load = {...this.load, free: [{service: 'sheets', factor: 1, processor}]};
 });
 
-When('the lists are announced', function (this: NewsWorld) {
+When('the lists are announced', function (this: UpdatesWorld) {
 	this.lists.announce();
 });
 
-When('the loads are announced', function (this: NewsWorld) {
+When('the loads are announced', function (this: UpdatesWorld) {
 	this.announceLoads();
 });
 
-When('the loads are announced in {int} turns', function (this: NewsWorld, turns: number) {
+When('the loads are announced in {int} turns', function (this: UpdatesWorld, turns: number) {
 	for (let turn = 0; turn < turns; turn++) {
 		this.announceLoads();
 	}
 });
 
-When('the peer {string} is greeted', function (this: NewsWorld, address: string) {
-	this.lists.greet(this.peers.find(peer => peer.address === address));
+When('the peer {string} is synchronized', function (this: UpdatesWorld, address: string) {
+	this.lists.synchronize(this.peers.find(peer => peer.address === address));
 });
 
-const receiversOf = ({sent}: NewsWorld, kind: FleetMessageKind): string =>
+const receiversOf = ({sent}: UpdatesWorld, kind: FleetMessageKind): string =>
 	sent.filter(([, one]) => one === kind).map(([address]) => address).join(', ');
 
-Then('the endpoints were sent to {string}', function (this: NewsWorld, receivers: string) {
+Then('the endpoints were sent to {string}', function (this: UpdatesWorld, receivers: string) {
 	assert.equal(receiversOf(this, FleetMessageKind.Endpoints), receivers);
 });
 
-Then('the loads were sent to {string}', function (this: NewsWorld, receivers: string) {
+Then('the loads were sent to {string}', function (this: UpdatesWorld, receivers: string) {
 	assert.equal(receiversOf(this, FleetMessageKind.Load), receivers);
 });
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -5,22 +5,22 @@
 import type {FleetView} from './fleet-view.js';
 
 /**
-What the owners of other cells have told of them.
+Loads of other cells, as reported by their owners.
 */
 export type CellLoads = {
-	/** Room of the other cells, less what was sent there since their owners last described them. */
-	readonly otherRooms: (own: string) => readonly CellRoom[];
-	/** Notes that a job was sent to a cell, with the processor that it needs there. */
-	readonly noteRedirect: (cell: string, processor: number) => void;
-	readonly noteClaims: (claims: readonly CellClaim[]) => void;
-	/** Expected run time over estimate by kind of endpoint, as the cell's earlier owner told it; kinds that it has not met come from other cells. */
+	/** Free capacity of the other cells, minus the jobs that were redirected there since the last report of their owners. */
+	readonly otherCellCapacities: (own: string) => readonly CellRoom[];
+	/** Records that a job was redirected to a cell, with the processor capacity that it needs there, in thousandths of a core. */
+	readonly recordRedirect: (cell: string, processor: number) => void;
+	readonly recordClaims: (claims: readonly CellClaim[]) => void;
+	/** Ratio of expected to estimated run time by kind of endpoint, as last reported for the cell. Kinds that the cell has not reported are taken from other cells. */
 	readonly kindFactors: (cell: string) => Readonly<Record<string, number>>;
 };
 
 /**
-Takes processor off free room, from the fastest endpoints first, as tasks in time get these.
+Subtracts processor capacity from the free capacity, starting with the fastest endpoints, because tasks that are on time are placed on these.
 */
-export const withoutSent = (free: readonly FreeCapacity[], sent: number): readonly FreeCapacity[] => {
+export const subtractSentProcessor = (free: readonly FreeCapacity[], sent: number): readonly FreeCapacity[] => {
 	let left = sent;
 	return free.toSorted((first, second) => first.factor - second.factor).map(room => {
 		const taken = Math.min(left, room.processor);
@@ -32,12 +32,12 @@
 type SentJob = {readonly at: number; readonly processor: number};
 
 /**
-Creates loads of which nothing was told yet.
+Creates the loads, with nothing reported yet.
 
 @example
 ```
 const loads = createCellLoads(settings.zones, view);
-loads.otherRooms('ie-south-a');
+loads.otherCellCapacities('ie-south-a');
 ```
 */
 export const createCellLoads = (zones: readonly string[], view: FleetView): CellLoads => {
@@ -56,15 +56,15 @@
 	};
 
 	return {
-		otherRooms: own => zones.filter(zone => zone !== own).flatMap(zone => {
+		otherCellCapacities: own => zones.filter(zone => zone !== own).flatMap(zone => {
 			const owner = view.get(findOwner(zone, view.all())?.address ?? '');
 			const load = owner?.loads.get(zone);
-			return load ? [{cell: zone, free: withoutSent(load.free, sentSince(zone, owner!.loadsHeardAt)), waitMilliseconds: load.backlogMilliseconds}] : [];
+			return load ? [{cell: zone, free: subtractSentProcessor(load.free, sentSince(zone, owner!.loadsUpdatedAt)), waitMilliseconds: load.backlogMilliseconds}] : [];
 		}),
-		noteRedirect(cell, processor) {
+		recordRedirect(cell, processor) {
 			sent.set(cell, [...sent.get(cell) ?? [], {at: performance.now(), processor}]);
 		},
-		noteClaims(claims) {
+		recordClaims(claims) {
 			for (const {cell, load} of claims) {
 				factors.set(cell, load.kindFactors);
 			}
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -3,32 +3,32 @@
 import type {Claimant} from './cell-claims.js';
 
 /**
-A peer as its last beat described it.
+A peer, as described by its last heartbeat.
 */
 export type Peer = Claimant & {
 	readonly instance: string;
-	/** Steady milliseconds of its last beat. */
-	readonly heardAt: number;
+	/** Arrival of its last heartbeat, in monotonic milliseconds. */
+	readonly lastHeartbeatAt: number;
 	readonly silentAfterMilliseconds: number;
 	readonly loads: ReadonlyMap<string, CellLoad>;
-	/** Steady milliseconds at which the loads were last told. */
-	readonly loadsHeardAt: number;
+	/** Last update of the loads, in monotonic milliseconds. */
+	readonly loadsUpdatedAt: number;
 	readonly configurationVersion: number;
 	readonly known: readonly string[];
 };
 
 /**
-The daemons that this one hears.
+The peers from which this daemon receives heartbeats.
 */
 export type FleetView = {
-	/** Takes a beat. Returns whether the peer is new, or another life of a known one. */
-	readonly hear: (beat: Heartbeat) => boolean;
-	/** Takes the load of a peer's cell between two beats. */
-	readonly hearLoad: (address: string, cell: string, load: CellLoad) => void;
-	/** Forgets a peer at once, since nothing listens at its address any more. */
-	readonly forget: (address: string) => Peer | undefined;
-	/** Forgets the peers that have been silent for too long, and returns them. */
-	readonly forgetSilent: () => readonly Peer[];
+	/** Records a heartbeat. Returns whether the peer is new or has restarted. */
+	readonly receiveHeartbeat: (beat: Heartbeat) => boolean;
+	/** Records the load of a peer's cell between two heartbeats. */
+	readonly receiveLoad: (address: string, cell: string, load: CellLoad) => void;
+	/** Removes a peer immediately, because nothing listens at its address any more, and returns it. */
+	readonly remove: (address: string) => Peer | undefined;
+	/** Removes the peers whose heartbeats have stopped, and returns them. */
+	readonly removeSilent: () => readonly Peer[];
 	readonly get: (address: string) => Peer | undefined;
 	readonly all: () => readonly Peer[];
 };
@@ -45,8 +45,8 @@
 	loads: new Map(beat.claims.map(({cell, load}) => [cell, load])),
 	configurationVersion: beat.configurationVersion,
 	known: beat.known,
-	heardAt: performance.now(),
-	loadsHeardAt: performance.now(),
+	lastHeartbeatAt: performance.now(),
+	loadsUpdatedAt: performance.now(),
 });
 
 /**
@@ -55,35 +55,35 @@
 @example
 ```
 const view = createFleetView();
-view.hear(beat);
+view.receiveHeartbeat(beat);
 view.get('10.1.0.13:7720')?.zone;
 ```
 */
 export const createFleetView = (): FleetView => {
 	const peers = new Map<string, Peer>();
 
-	const forget = (address: string): Peer | undefined => {
+	const remove = (address: string): Peer | undefined => {
 		const peer = peers.get(address);
 		peers.delete(address);
 		return peer;
 	};
 
 	return {
-		hear(beat) {
+		receiveHeartbeat(beat) {
 			const before = peers.get(beat.address);
 			peers.set(beat.address, toPeer(beat));
 			return before?.startedAt !== beat.startedAt;
 		},
-		hearLoad(address, cell, load) {
+		receiveLoad(address, cell, load) {
 			const peer = peers.get(address);
 			if (peer?.loads.has(cell)) {
-				peers.set(address, {...peer, loads: new Map([...peer.loads, [cell, load]]), loadsHeardAt: performance.now()});
+				peers.set(address, {...peer, loads: new Map([...peer.loads, [cell, load]]), loadsUpdatedAt: performance.now()});
 			}
 		},
-		forget,
-		forgetSilent() {
+		remove,
+		removeSilent() {
 			const now = performance.now();
-			const silent = [...peers.values()].filter(({heardAt, silentAfterMilliseconds}) => now - heardAt > silentAfterMilliseconds);
+			const silent = [...peers.values()].filter(({lastHeartbeatAt, silentAfterMilliseconds}) => now - lastHeartbeatAt > silentAfterMilliseconds);
 			for (const {address} of silent) {
 				peers.delete(address);
 			}
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -4,19 +4,19 @@
 import type {Peer} from './fleet-view.js';
 
 export type LoadAnnouncementsOptions = {
-	/** The claims of this daemon, with the loads of this moment. */
+	/** The claims of this daemon, with current loads. */
 	readonly claims: () => readonly CellClaim[];
 	readonly peers: () => readonly Peer[];
 	readonly send: (address: string, message: FleetMessage) => void;
 };
 
-/** Calls in a calm of which one announces. */
-const calmCalls = 5;
+/** While idle, one call in this many announces. */
+const callsPerIdleAnnouncement = 5;
 
 const hasBacklog = (loads: Iterable<CellLoad>): boolean => [...loads].some(({backlogMilliseconds}) => backlogMilliseconds > 0);
 
 /**
-Creates a function that tells the owners of other cells the loads that have changed since it last did, before the next beat is due. While no cell in sight has work that waits, most calls tell nothing.
+Creates a function that sends loads that have changed since its last announcement to the owners of other cells, ahead of the next heartbeat. While no known cell has a backlog, most calls send nothing.
 
 @example
 ```
@@ -26,33 +26,33 @@
 */
 export const createLoadAnnouncements = ({claims, peers, send}: LoadAnnouncementsOptions) => {
 	const seen = new Map<string, CellLoad>();
-	const told = new Map<string, string>();
-	let calmCount = calmCalls;
+	const lastSent = new Map<string, string>();
+	let calmCount = callsPerIdleAnnouncement;
 
 	const isCalm = (owners: readonly Peer[]): boolean =>
 		!hasBacklog(claims().map(({load}) => load)) && !owners.some(({loads}) => hasBacklog(loads.values()));
 
 	return (): void => {
 		const owners = peers().filter(peer => peer.claims.size > 0);
-		calmCount = isCalm(owners) ? calmCount + 1 : calmCalls;
-		if (calmCount < calmCalls) {
+		calmCount = isCalm(owners) ? calmCount + 1 : callsPerIdleAnnouncement;
+		if (calmCount < callsPerIdleAnnouncement) {
 			return;
 		}
 
 		calmCount = 0;
 		for (const {cell, load} of claims()) {
-			// A load that was not worked out anew is the same object.
+			// A load that was not recomputed is the same object.
 			if (load === seen.get(cell)) {
 				continue;
 			}
 
 			seen.set(cell, load);
 			const text = JSON.stringify(load);
-			if (text === told.get(cell)) {
+			if (text === lastSent.get(cell)) {
 				continue;
 			}
 
-			told.set(cell, text);
+			lastSent.set(cell, text);
 			for (const {address} of owners) {
 				send(address, {kind: FleetMessageKind.Load, cell, load});
 			}
