--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -18,7 +18,7 @@
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
 import type {OpenRoom} from './place-tasks.js';
 import {addRoom, subtractRoom} from './room.js';
-import {createStrayRuns} from './stray-runs.js';
+import {createOrphanedRuns} from './orphaned-runs.js';
 
 /**
 An endpoint that this daemon gives orders to.
@@ -63,7 +63,7 @@
 	readonly onChange: () => void;
 	readonly onFenced: () => void;
 	/** Called when a look shows runs that this owner has not started. */
-	readonly onStrays: () => void;
+	readonly onOrphans: () => void;
 	readonly onDecision: (decision: EndpointDecision, fields: Readonly<Record<string, unknown>>) => void;
 	/** Called for each run that succeeded. */
 	readonly onRunTime: (estimateMilliseconds: number, runMilliseconds: number) => void;
@@ -101,7 +101,7 @@
 	const contact = createEndpointContact();
 	const longestLease = longestLeaseOf(options.holdMaximumMilliseconds);
 	const runs = new Set<Run>();
-	const strays = createStrayRuns();
+	const orphans = createOrphanedRuns();
 	let entry = firstEntry;
 	let free = entry.room;
 	let health = newEndpointHealth;
@@ -111,7 +111,7 @@
 	let isClosed = false;
 	let closedUntil = 0;
 
-	const hasStrays = (): boolean => strays.active().length > 0;
+	const hasOrphans = (): boolean => orphans.active().length > 0;
 
 	const describe = (task: TaskKey, attempt: number): Readonly<Record<string, unknown>> => ({
 		job: task.job, task: `${task.step}.${task.index}`, attempt, endpoint: entry.identifier,
@@ -269,7 +269,7 @@
 		acknowledged = Math.max(acknowledged, ended.sequence);
 		const run = [...runs].find(one => isRunOf(one, ended));
 		if (!run) {
-			strays.noteEnd(ended);
+			orphans.recordEnd(ended);
 			return;
 		}
 
@@ -297,8 +297,8 @@
 		void stopUntilVoid(run);
 	};
 
-	const stopStray = async ({task, attempt}: ActiveRun): Promise<void> => {
-		onDecision(EndpointDecision.StrayStopped, describe(task, attempt));
+	const stopOrphan = async ({task, attempt}: ActiveRun): Promise<void> => {
+		onDecision(EndpointDecision.OrphanStopped, describe(task, attempt));
 		await calls.stop({task, attempt, fencingToken: options.token()});
 	};
 
@@ -321,11 +321,11 @@
 			}
 		}
 
-		strays.install(active.filter(one => ![...runs].some(run => isRunOf(run, one))));
+		orphans.install(active.filter(one => ![...runs].some(run => isRunOf(run, one))));
 	};
 
 	const onReport = (report: EndpointReport, lookedAt: number): void => {
-		const wasClosed = !contact.isReached() || hasStrays();
+		const wasClosed = !contact.isReached() || hasOrphans();
 		leases.observe(report.clockMilliseconds);
 		if (contact.isSilent()) {
 			onDecision(EndpointDecision.Regained, {endpoint: entry.identifier});
@@ -337,13 +337,13 @@
 		}
 
 		compareRuns(report.active, lookedAt);
-		if (hasStrays()) {
-			options.onStrays();
+		if (hasOrphans()) {
+			options.onOrphans();
 		}
 
 		if (options.isSettled()) {
-			for (const stray of strays.active()) {
-				void stopStray(stray);
+			for (const stray of orphans.active()) {
+				void stopOrphan(stray);
 			}
 		}
 
@@ -379,7 +379,7 @@
 			return 0;
 		}
 
-		if (hasStrays() || [...runs].some(({state}) => state === RunState.Stopping)) {
+		if (hasOrphans() || [...runs].some(({state}) => state === RunState.Stopping)) {
 			return briefWaitMilliseconds;
 		}
 
@@ -425,7 +425,7 @@
 			const {state} = healthAt(health, now);
 			const isReached = contact.isReached() && !isClosed && !isDoubtful();
 			const isWilling = !entry.isDraining && now >= closedUntil && state !== HealthState.Resting;
-			if (!isReached || !isWilling || hasStrays()) {
+			if (!isReached || !isWilling || hasOrphans()) {
 				return undefined;
 			}
 
@@ -442,7 +442,7 @@
 			};
 		},
 		isKnown() {
-			const isSeen = lookedToken === options.token() && !contact.isSilent() && !hasStrays();
+			const isSeen = lookedToken === options.token() && !contact.isSilent() && !hasOrphans();
 			return isSeen || isClosed || performance.now() > options.ownedSince() + longestLease + yieldMilliseconds;
 		},
 		isAwaited: () => contact.isAwaited() && !isClosed,
@@ -453,11 +453,11 @@
 			return run.ended.promise;
 		},
 		adopt(task, room, estimateMilliseconds) {
-			if (strays.hasSucceeded(task)) {
+			if (orphans.hasSucceeded(task)) {
 				return {ended: Promise.resolve(RunResult.Succeeded)};
 			}
 
-			const stray = strays.take(task);
+			const stray = orphans.take(task);
 			if (!stray) {
 				return undefined;
 			}
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -138,7 +138,7 @@
 			isSettled,
 			onChange: dispatch,
 			onFenced: options.onFenced,
-			onStrays: adoptAll,
+			onOrphans: adoptAll,
 			onDecision,
 			onRunTime,
 		}),
--- a/packages/galenakeeld/src/process/cells/endpoint-decision.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-decision.ts
@@ -7,7 +7,7 @@
 	/** The endpoint answers again. */
 	Regained = 'endpoint-regained',
 	/** A run of an earlier owner was stopped. */
-	StrayStopped = 'stray-stopped',
+	OrphanStopped = 'stray-stopped',
 	/** An order was not answered and is made void. */
 	OrderUnknown = 'order-unknown',
 	/** A run is no longer shown, without an end. */
--- a/packages/galenakeeld/src/process/cells/stray-runs.ts
+++ b/packages/galenakeeld/src/process/cells/orphaned-runs.ts
@@ -4,19 +4,19 @@
 /**
 What an endpoint runs, or has run, by orders of earlier owners.
 */
-export type StrayRuns = {
+export type OrphanedRuns = {
 	/** Runs that the last look showed. */
 	readonly active: () => readonly ActiveRun[];
 	readonly install: (active: readonly ActiveRun[]) => void;
 	/** Notes an end, since its job may be handed over yet. */
-	readonly noteEnd: (ended: EndedRun) => void;
+	readonly recordEnd: (ended: EndedRun) => void;
 	readonly hasSucceeded: (task: TaskKey) => boolean;
 	/** Takes the run of a task out; undefined if there is none. */
 	readonly take: (task: TaskKey) => ActiveRun | undefined;
 };
 
 /** Ends of earlier owners that are kept. */
-const mostSuccesses = 256;
+const maximumSuccesses = 256;
 
 /**
 Creates an empty set.
@@ -28,7 +28,7 @@
 strays.take(task)?.attempt;
 ```
 */
-export const createStrayRuns = (): StrayRuns => {
+export const createOrphanedRuns = (): OrphanedRuns => {
 	let active: readonly ActiveRun[] = [];
 	const successes: TaskKey[] = [];
 	return {
@@ -36,10 +36,10 @@
 		install(newer) {
 			active = newer;
 		},
-		noteEnd({task, end}) {
+		recordEnd({task, end}) {
 			if (end === RunEnd.Succeeded) {
 				successes.push(task);
-				successes.splice(0, successes.length - mostSuccesses);
+				successes.splice(0, successes.length - maximumSuccesses);
 			}
 		},
 		hasSucceeded: task => successes.some(one => isSameTask(one, task)),
