--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -12,7 +12,7 @@
 import type {EndpointDecision} from './endpoint-decision.js';
 import {RunResult} from './endpoint-run.js';
 import {createCellRooms} from './cell-rooms.js';
-import {createPastParts} from './past-parts.js';
+import {createFinishedParts} from './finished-parts.js';
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
@@ -112,7 +112,7 @@
 	let ownedSince = performance.now();
 	let lastToken = options.token();
 	const jobs = new Map<string, PlacedJob>();
-	const past = createPastParts(keepEndMilliseconds);
+	const finishedParts = createFinishedParts(keepEndMilliseconds);
 	/** Thousandths of a core of a task of the usual size. */
 	let usualProcessor = 1;
 	let isDispatching = false;
@@ -151,7 +151,7 @@
 	/** Takes a part out of the cell, with the news of its end, or without if its last tasks went elsewhere. */
 	const finish = (job: PlacedJob, news?: JobNews): void => {
 		jobs.delete(keyOf(job));
-		past.add(keyOf(job), {job, news});
+		finishedParts.add(keyOf(job), {job, update: news});
 		if (news) {
 			tell(job.holder, news);
 		}
@@ -397,7 +397,7 @@
 	const sweep = (): void => {
 		noteToken();
 		const now = performance.now();
-		past.sweep();
+		finishedParts.sweep();
 		for (const job of jobs.values()) {
 			if (!job.isCommitted && now + remainingChain(job) > job.worthlessAt) {
 				refuse(job, RefusalReason.Overloaded, shortestRetryMilliseconds);
@@ -415,7 +415,7 @@
 			noteToken();
 			const key = partKeyOf(order.job.identifier, order.part);
 			const known = jobs.get(key);
-			const ended = past.get(key);
+			const ended = finishedParts.get(key);
 			if (known) {
 				known.holder = holder;
 				retell(holder, known, undefined);
@@ -423,7 +423,7 @@
 			}
 
 			if (ended) {
-				retell(holder, ended.job, ended.news);
+				retell(holder, ended.job, ended.update);
 				return;
 			}
 
--- a/packages/galenakeeld/src/process/cells/past-parts.ts
+++ b/packages/galenakeeld/src/process/cells/finished-parts.ts
@@ -5,18 +5,18 @@
 /**
 A part of a job that has left its cell.
 */
-export type PastPart = {
+export type FinishedPart = {
 	readonly job: PlacedJob;
 	/** News of its end; undefined when its last tasks went to other cells. */
-	readonly news: JobNews | undefined;
+	readonly update: JobNews | undefined;
 };
 
 /**
 The parts that have left a cell, for holders that missed the news.
 */
-export type PastParts = {
-	readonly add: (key: string, part: PastPart) => void;
-	readonly get: (key: string) => PastPart | undefined;
+export type FinishedParts = {
+	readonly add: (key: string, part: FinishedPart) => void;
+	readonly get: (key: string) => FinishedPart | undefined;
 	/** Forgets the parts that left long ago. */
 	readonly sweep: () => void;
 };
@@ -32,8 +32,8 @@
 past.add('5c0e7a21d94b36f8/0', {job, news});
 ```
 */
-export const createPastParts = (keepMilliseconds: number): PastParts => {
-	const parts = new Map<string, PastPart & {readonly at: number}>();
+export const createFinishedParts = (keepMilliseconds: number): FinishedParts => {
+	const parts = new Map<string, FinishedPart & {readonly at: number}>();
 	return {
 		add(key, part) {
 			parts.set(key, {...part, at: performance.now()});
