--- a/packages/galenakeeld/src/process/cells/cell-rooms.ts
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -10,18 +10,18 @@
 /**
 The open rooms of a cell and its load, worked out once after each change.
 */
-export type CellRooms = {
+export type CellCapacityCache = {
 	readonly open: () => readonly OpenRoom[];
 	readonly load: () => CellLoad;
 	/** Notes that endpoints or jobs have changed. */
-	readonly forget: () => void;
+	readonly invalidate: () => void;
 };
 
-export type CellRoomsOptions = {
+export type CellCapacityCacheOptions = {
 	readonly endpoints: Pick<CellEndpoints, 'openRooms' | 'kindFactors'>;
 	readonly jobs: () => readonly PlacedJob[];
 	/** Thousandths of a core of a task of the usual size. */
-	readonly usualProcessor: () => number;
+	readonly typicalProcessor: () => number;
 };
 
 /**
@@ -34,30 +34,30 @@
 rooms.forget();
 ```
 */
-export const createCellRooms = ({endpoints, jobs, usualProcessor}: CellRoomsOptions): CellRooms => {
-	let known: readonly OpenRoom[] | undefined;
-	let knownLoad: CellLoad | undefined;
+export const createCellCapacityCache = ({endpoints, jobs, typicalProcessor: usualProcessor}: CellCapacityCacheOptions): CellCapacityCache => {
+	let cachedCapacities: readonly OpenRoom[] | undefined;
+	let cachedLoad: CellLoad | undefined;
 
 	const open = (): readonly OpenRoom[] => {
-		known ??= endpoints.openRooms();
-		return known;
+		cachedCapacities ??= endpoints.availableCapacities();
+		return cachedCapacities;
 	};
 
-	const describe = (): CellLoad => {
-		const rooms = open();
-		const waiting = waitingInTimeWorkOf(jobs(), bestFactorOf(rooms), performance.now());
-		return {free: freeRoomsOf(rooms, usualProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(rooms)), kindFactors: endpoints.kindFactors()};
+	const computeLoad = (): CellLoad => {
+		const capacities = open();
+		const waiting = waitingInTimeWorkOf(jobs(), bestFactorOf(capacities), performance.now());
+		return {free: freeRoomsOf(capacities, usualProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(capacities)), kindFactors: endpoints.kindFactors()};
 	};
 
 	return {
 		open,
 		load() {
-			knownLoad ??= describe();
-			return knownLoad;
+			cachedLoad ??= computeLoad();
+			return cachedLoad;
 		},
-		forget() {
-			known = undefined;
-			knownLoad = undefined;
+		invalidate() {
+			cachedCapacities = undefined;
+			cachedLoad = undefined;
 		},
 	};
 };
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -28,7 +28,7 @@
 	/** Takes a newer entry of the same life. */
 	readonly update: (entry: EndpointEntry) => void;
 	/** Room for tasks now; undefined while the endpoint takes none. */
-	readonly openRoom: (factor: number) => OpenRoom | undefined;
+	readonly availableCapacity: (factor: number) => OpenRoom | undefined;
 	/** Whether a look has shown what runs there, or nothing of an earlier owner can run any more. */
 	readonly isKnown: () => boolean;
 	/** Whether its first answer is still to come. */
@@ -420,7 +420,7 @@
 		update(newer) {
 			entry = newer;
 		},
-		openRoom(factor) {
+		availableCapacity(factor) {
 			const now = performance.now();
 			const {state} = healthAt(health, now);
 			const isReached = contact.isReached() && !isClosed && !isDoubtful();
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -14,7 +14,7 @@
 	/** Expected run time over estimate at an endpoint. */
 	readonly factorOf: (endpoint: CellEndpoint) => number;
 	readonly kindFactors: () => Readonly<Record<string, number>>;
-	readonly openRooms: () => readonly OpenRoom[];
+	readonly availableCapacities: () => readonly OpenRoom[];
 	/** Stops the runs of the tasks that a test holds for. */
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
 	/** Takes the endpoints as the platform lists them. */
@@ -91,7 +91,7 @@
 		get: life => endpoints.get(life),
 		factorOf,
 		kindFactors: speeds.kindFactors,
-		openRooms: () => [...endpoints.values()].map(endpoint => endpoint.openRoom(factorOf(endpoint))).filter(room => room !== undefined),
+		availableCapacities: () => [...endpoints.values()].map(endpoint => endpoint.availableCapacity(factorOf(endpoint))).filter(room => room !== undefined),
 		stopRuns(isStopped) {
 			for (const endpoint of endpoints.values()) {
 				endpoint.stopRuns(isStopped);
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -11,7 +11,7 @@
 import {createCellEndpoints, lapsedEntryMilliseconds} from './cell-endpoints.js';
 import type {EndpointDecision} from './endpoint-decision.js';
 import {RunResult} from './endpoint-run.js';
-import {createCellRooms} from './cell-rooms.js';
+import {createCellCapacityCache} from './cell-capacity-cache.js';
 import {createFinishedParts} from './finished-parts.js';
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
@@ -86,7 +86,7 @@
 const longestRetryMilliseconds = 8000;
 const sweepMilliseconds = 50;
 /** Weight of a step's tasks in the usual size of a task. */
-const usualProcessorGain = 0.05;
+const typicalProcessorGain = 0.05;
 
 const processorOf = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step'>>): number => {
 	let processor = 0;
@@ -144,7 +144,7 @@
 		}),
 	});
 
-	const rooms = createCellRooms({endpoints, jobs: () => [...jobs.values()], usualProcessor: () => usualProcessor});
+	const rooms = createCellCapacityCache({endpoints, jobs: () => [...jobs.values()], typicalProcessor: () => usualProcessor});
 
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
@@ -278,17 +278,17 @@
 	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllKnown());
 
 	const placeWaiting = (): void => {
-		rooms.forget();
+		rooms.invalidate();
 		isDispatching = false;
 		if (isClosed) {
 			return;
 		}
 
 		const now = performance.now();
-		const openRooms = rooms.open();
-		const bestFactor = bestFactorOf(openRooms);
+		const capacities = rooms.open();
+		const bestFactor = bestFactorOf(capacities);
 		const startable = [...jobs.values()].filter(job => isStartable(job));
-		const placements = placeTasks(waitingStepsOf(startable, bestFactor, now), openRooms, {now, remotePenalty: options.remotePenalty});
+		const placements = placeTasks(waitingStepsOf(startable, bestFactor, now), capacities, {now, remotePenalty: options.remotePenalty});
 		for (const placement of placements) {
 			start(placement);
 		}
@@ -297,12 +297,12 @@
 			move(share);
 		}
 
-		rooms.forget();
+		rooms.invalidate();
 	};
 
 	/** Places what waits once the messages and answers that have arrived are taken in. */
 	function dispatch(): void {
-		rooms.forget();
+		rooms.invalidate();
 		if (!isDispatching) {
 			isDispatching = true;
 			setImmediate(placeWaiting);
@@ -351,15 +351,15 @@
 		}
 	}
 
-	const noteSize = (job: PlacedJob): void => {
+	const recordTaskSize = (job: PlacedJob): void => {
 		for (const {room} of job.order.job.steps) {
-			usualProcessor += usualProcessorGain * (room.processor - usualProcessor);
+			usualProcessor += typicalProcessorGain * (room.processor - usualProcessor);
 		}
 	};
 
 	const accept = (job: PlacedJob, endsIn: number): void => {
 		const {order} = job;
-		noteSize(job);
+		recordTaskSize(job);
 		jobs.set(keyOf(job), job);
 		onDecision(CellDecision.JobTaken, {
 			job: order.job.identifier, queue: order.queue, holder: job.holder, dueInMilliseconds: Math.round(order.dueInMilliseconds), endsInMilliseconds: Math.round(endsIn), generation: order.generation,
