--- a/packages/galenakeeld/src/process/cells/__tests__/endpoint-contact.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/endpoint-contact.steps.ts
@@ -68,9 +68,9 @@
 });
 
 Then('a lease may still last', function (this: ContactWorld) {
-	assert.ok(!this.leases.haveEnded());
+	assert.ok(!this.leases.haveExpired());
 });
 
 Then('no lease lasts', function (this: ContactWorld) {
-	assert.ok(this.leases.haveEnded());
+	assert.ok(this.leases.haveExpired());
 });
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -15,7 +15,7 @@
 	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
 import {createEndpointLeases} from './endpoint-leases.js';
-import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
+import {maximumLeaseOf, yieldMilliseconds} from './maximum-lease.js';
 import type {OpenRoom} from './place-tasks.js';
 import {addRoom, subtractRoom} from './room.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
@@ -99,7 +99,7 @@
 	const {calls, onDecision} = options;
 	const leases = createEndpointLeases(options.holdMaximumMilliseconds);
 	const contact = createEndpointContact();
-	const longestLease = longestLeaseOf(options.holdMaximumMilliseconds);
+	const maximumLease = maximumLeaseOf(options.holdMaximumMilliseconds);
 	const runs = new Set<Run>();
 	const orphans = createOrphanedRuns();
 	let entry = firstEntry;
@@ -182,7 +182,7 @@
 				options.onFenced();
 			}
 
-			if (leases.haveEnded()) {
+			if (leases.haveExpired()) {
 				settle(run, RunResult.Lost);
 				return;
 			}
@@ -369,7 +369,7 @@
 			onDecision(EndpointDecision.Silent, {endpoint: entry.identifier, outcome, runs: runs.size});
 		}
 
-		if (leases.haveEnded()) {
+		if (leases.haveExpired()) {
 			loseAll();
 		}
 	};
@@ -443,7 +443,7 @@
 		},
 		isKnown() {
 			const isSeen = lookedToken === options.token() && !contact.isSilent() && !hasOrphans();
-			return isSeen || isClosed || performance.now() > options.ownedSince() + longestLease + yieldMilliseconds;
+			return isSeen || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
 		},
 		isAwaited: () => contact.isAwaited() && !isClosed,
 		async start(request) {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -13,7 +13,7 @@
 import {RunResult} from './endpoint-run.js';
 import {createCellCapacityCache} from './cell-capacity-cache.js';
 import {createFinishedParts} from './finished-parts.js';
-import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
+import {maximumLeaseOf, yieldMilliseconds} from './maximum-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
 	beginAttempt, createPlacedJob, isComplete, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingChain, succeededPositions, waitingIndexes, type PlacedJob,
@@ -271,7 +271,7 @@
 	const areAllKnown = (): boolean => {
 		const now = performance.now();
 		const isListWhole = now - (options.listedSince() ?? now) > lapsedEntryMilliseconds;
-		return isListWhole ? endpoints.all().every(endpoint => endpoint.isKnown()) : now - ownedSince > longestLeaseOf(options.holdMaximumMilliseconds) + yieldMilliseconds;
+		return isListWhole ? endpoints.all().every(endpoint => endpoint.isKnown()) : now - ownedSince > maximumLeaseOf(options.holdMaximumMilliseconds) + yieldMilliseconds;
 	};
 
 	/** A job that an earlier owner may have started waits until nothing of it can run unseen. */
--- a/packages/galenakeeld/src/process/cells/endpoint-leases.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-leases.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {createEndpointClock} from './endpoint-clock.js';
-import {longestLeaseOf} from './longest-lease.js';
+import {maximumLeaseOf} from './maximum-lease.js';
 
 /**
 The leases that an owner has sent to one life of an endpoint.
@@ -11,7 +11,7 @@
 	/** Returns the end of a lease that begins now, on the endpoint's clock; undefined before the first answer. It counts as sent. */
 	readonly next: () => number | undefined;
 	/** Whether every lease that was sent has ended, so that nothing can run any more. */
-	readonly haveEnded: () => boolean;
+	readonly haveExpired: () => boolean;
 };
 
 /**
@@ -28,9 +28,9 @@
 */
 export const createEndpointLeases = (holdMaximumMilliseconds: number): EndpointLeases => {
 	const clock = createEndpointClock();
-	const longest = longestLeaseOf(holdMaximumMilliseconds);
+	const maximumLease = maximumLeaseOf(holdMaximumMilliseconds);
 	/** Steady milliseconds at which every lease that was sent has ended. */
-	let endAt = performance.now() + longest;
+	let endAt = performance.now() + maximumLease;
 
 	return {
 		observe: clock.observe,
@@ -40,9 +40,9 @@
 				return undefined;
 			}
 
-			endAt = performance.now() + longest;
+			endAt = performance.now() + maximumLease;
 			return now + holdMaximumMilliseconds;
 		},
-		haveEnded: () => performance.now() > endAt,
+		haveExpired: () => performance.now() > endAt,
 	};
 };
--- a/packages/galenakeeld/src/process/cells/longest-lease.ts
+++ b/packages/galenakeeld/src/process/cells/maximum-lease.ts
@@ -17,4 +17,4 @@
 longestLeaseOf(1000); // => 1060
 ```
 */
-export const longestLeaseOf = (holdMaximumMilliseconds: number): number => (holdMaximumMilliseconds * slowClockFactor) + leaseSlackMilliseconds;
+export const maximumLeaseOf = (holdMaximumMilliseconds: number): number => (holdMaximumMilliseconds * slowClockFactor) + leaseSlackMilliseconds;
