--- /dev/null
+++ b/packages/galenakeeld/src/process/cells/__tests__/endpoint-reachability.steps.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {createEndpointReachability, type EndpointReachability} from '../endpoint-reachability.js';
+import {createEndpointLeases, type EndpointLeases} from '../endpoint-leases.js';
+
+type ReachabilityWorld = {
+	contact: EndpointReachability;
+	leases: EndpointLeases;
+	leasesClock: Clock | undefined;
+};
+
+const describe = (contact: EndpointReachability): string => [
+	['awaited', contact.isAwaitingFirstAnswer()],
+	['reached', contact.isReachable()],
+	['silent', contact.isSilent()],
+	['missed', contact.hasMissedPoll()],
+	['pausing', contact.isBackingOff()],
+].filter(([, isSet]) => isSet).map(([name]) => name).join(', ');
+
+Given('an endpoint that was not looked at', function (this: ReachabilityWorld) {
+	this.contact = createEndpointReachability();
+});
+
+When('a look is answered', function (this: ReachabilityWorld) {
+	this.contact.recordAnswer();
+});
+
+When('{int} looks have no answer', function (this: ReachabilityWorld, polls: number) {
+	for (let poll = 0; poll < polls; poll++) {
+		this.contact.recordMissedPoll(true);
+	}
+});
+
+When('a look is turned away', function (this: ReachabilityWorld) {
+	this.contact.recordMissedPoll(false);
+});
+
+Then('the contact is {string}', function (this: ReachabilityWorld, expected: string) {
+	assert.equal(describe(this.contact), expected);
+});
+
+Given('leases of at most {int} ms', function (this: ReachabilityWorld, milliseconds: number) {
+	this.leasesClock = install({toFake: ['performance']});
+	this.leases = createEndpointLeases(milliseconds);
+});
+
+After(function (this: Partial<ReachabilityWorld>) {
+	this.leasesClock?.uninstall();
+});
+
+When('the endpoint\'s clock is {int} ms', function (this: ReachabilityWorld, milliseconds: number) {
+	this.leases.observe(milliseconds);
+});
+
+When('{int} ms pass for the leases', function (this: ReachabilityWorld, milliseconds: number) {
+	this.leasesClock!.tick(milliseconds);
+});
+
+Then('there is no next lease', function (this: ReachabilityWorld) {
+	assert.equal(this.leases.next(), undefined);
+});
+
+Then('the next lease ends at {int} ms', function (this: ReachabilityWorld, milliseconds: number) {
+	assert.equal(this.leases.next(), milliseconds);
+});
+
+Then('a lease may still last', function (this: ReachabilityWorld) {
+	assert.ok(!this.leases.haveExpired());
+});
+
+Then('no lease lasts', function (this: ReachabilityWorld) {
+	assert.ok(this.leases.haveExpired());
+});
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -6,7 +6,7 @@
 import type {Room} from '@galenakeel/model/request/job.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {lifeOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
-import {createEndpointContact} from './endpoint-contact.js';
+import {createEndpointReachability} from './endpoint-reachability.js';
 import {EndpointDecision} from './endpoint-decision.js';
 import {
 	HealthEvent, HealthState, healthAt, newEndpointHealth, updateHealth,
@@ -98,7 +98,7 @@
 export const createCellEndpoint = (firstEntry: EndpointEntry, options: CellEndpointOptions): CellEndpoint => {
 	const {calls, onDecision} = options;
 	const leases = createEndpointLeases(options.holdMaximumMilliseconds);
-	const contact = createEndpointContact();
+	const contact = createEndpointReachability();
 	const maximumLease = maximumLeaseOf(options.holdMaximumMilliseconds);
 	const runs = new Set<Run>();
 	const orphans = createOrphanedRuns();
@@ -325,13 +325,13 @@
 	};
 
 	const onReport = (report: EndpointReport, lookedAt: number): void => {
-		const wasClosed = !contact.isReached() || hasOrphans();
+		const wasClosed = !contact.isReachable() || hasOrphans();
 		leases.observe(report.clockMilliseconds);
 		if (contact.isSilent()) {
 			onDecision(EndpointDecision.Regained, {endpoint: entry.identifier});
 		}
 
-		contact.noteAnswer();
+		contact.recordAnswer();
 		for (const ended of report.ended) {
 			onEnded(ended);
 		}
@@ -360,7 +360,7 @@
 		}
 
 		const wasSilent = contact.isSilent();
-		contact.noteMiss(outcome === OrderOutcome.Unknown);
+		contact.recordMissedPoll(outcome === OrderOutcome.Unknown);
 		if (!contact.isSilent()) {
 			return;
 		}
@@ -375,7 +375,7 @@
 	};
 
 	const waitOfLook = (): number => {
-		if (!contact.hasLooked() || contact.hasMissed()) {
+		if (!contact.hasAnswered() || contact.hasMissedPoll()) {
 			return 0;
 		}
 
@@ -423,7 +423,7 @@
 		availableCapacity(factor) {
 			const now = performance.now();
 			const {state} = healthAt(health, now);
-			const isReached = contact.isReached() && !isClosed && !isDoubtful();
+			const isReached = contact.isReachable() && !isClosed && !isDoubtful();
 			const isWilling = !entry.isDraining && now >= closedUntil && state !== HealthState.Resting;
 			if (!isReached || !isWilling || hasOrphans()) {
 				return undefined;
@@ -445,7 +445,7 @@
 			const isSeen = lookedToken === options.token() && !contact.isSilent() && !hasOrphans();
 			return isSeen || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
 		},
-		isAwaited: () => contact.isAwaited() && !isClosed,
+		isAwaited: () => contact.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
 			const run = createRun(request, RunState.Ordered);
 			take(run);
@@ -489,7 +489,7 @@
 					onReport(report, lookedAt);
 				} else {
 					onNoReport(outcome);
-					if (contact.isPausing()) {
+					if (contact.isBackingOff()) {
 						await sleep(retryMilliseconds);
 					}
 				}
--- a/packages/galenakeeld/src/process/cells/endpoint-contact.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-reachability.ts
@@ -1,30 +1,30 @@
 /**
 Whether an endpoint answers looks.
 */
-export type EndpointContact = {
+export type EndpointReachability = {
 	/** A look was answered at least once. */
-	readonly hasLooked: () => boolean;
+	readonly hasAnswered: () => boolean;
 	/** It was answered, and counts as answering now. */
-	readonly isReached: () => boolean;
+	readonly isReachable: () => boolean;
 	/** It counts as one that doesn't answer. */
 	readonly isSilent: () => boolean;
 	/** The first look has neither been answered nor missed. */
-	readonly isAwaited: () => boolean;
+	readonly isAwaitingFirstAnswer: () => boolean;
 	/** The last look was not answered. */
-	readonly hasMissed: () => boolean;
+	readonly hasMissedPoll: () => boolean;
 	/** So many looks in a row were not answered that the next one waits. */
-	readonly isPausing: () => boolean;
-	readonly noteAnswer: () => void;
+	readonly isBackingOff: () => boolean;
+	readonly recordAnswer: () => void;
 	/**
 	Notes a look without a report.
 
 	@param isUnknown No answer came, rather than one that turns the look away.
 	*/
-	readonly noteMiss: (isUnknown: boolean) => void;
+	readonly recordMissedPoll: (isUnknown: boolean) => void;
 };
 
 /** Looks in a row without an answer after which an endpoint counts as silent. */
-const mostMissedLooks = 2;
+const maximumMissedPolls = 2;
 
 /**
 Creates the contact to an endpoint that was not looked at yet. A single look without an answer makes nobody silent who has answered before, as answers get lost.
@@ -36,26 +36,26 @@
 contact.isReached(); // => true
 ```
 */
-export const createEndpointContact = (): EndpointContact => {
+export const createEndpointReachability = (): EndpointReachability => {
 	let hasLooked = false;
 	let isSilent = false;
-	let missedLooks = 0;
+	let missedPolls = 0;
 
 	return {
-		hasLooked: () => hasLooked,
-		isReached: () => hasLooked && !isSilent,
+		hasAnswered: () => hasLooked,
+		isReachable: () => hasLooked && !isSilent,
 		isSilent: () => isSilent,
-		isAwaited: () => !hasLooked && !isSilent,
-		hasMissed: () => missedLooks > 0,
-		isPausing: () => missedLooks >= mostMissedLooks,
-		noteAnswer() {
+		isAwaitingFirstAnswer: () => !hasLooked && !isSilent,
+		hasMissedPoll: () => missedPolls > 0,
+		isBackingOff: () => missedPolls >= maximumMissedPolls,
+		recordAnswer() {
 			hasLooked = true;
 			isSilent = false;
-			missedLooks = 0;
+			missedPolls = 0;
 		},
-		noteMiss(isUnknown) {
-			missedLooks++;
-			isSilent ||= !hasLooked || !isUnknown || missedLooks >= mostMissedLooks;
+		recordMissedPoll(isUnknown) {
+			missedPolls++;
+			isSilent ||= !hasLooked || !isUnknown || missedPolls >= maximumMissedPolls;
 		},
 	};
 };
