--- a/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
@@ -34,21 +34,21 @@
 	this.healthNow = 0;
 });
 
-const note = (world: DecisionWorld, event: HealthEvent, now: number): void => {
+const recordEvent = (world: DecisionWorld, event: HealthEvent, now: number): void => {
 	world.health = updateHealth(healthAt(world.health, now), event, now);
 	world.healthNow = now;
 };
 
 When('a run fails at {int} ms', function (this: DecisionWorld, now: number) {
-	note(this, HealthEvent.Failed, now);
+	recordEvent(this, HealthEvent.Failed, now);
 });
 
 When('a run stalls at {int} ms', function (this: DecisionWorld, now: number) {
-	note(this, HealthEvent.Stalled, now);
+	recordEvent(this, HealthEvent.Stalled, now);
 });
 
 When('a run succeeds at {int} ms', function (this: DecisionWorld, now: number) {
-	note(this, HealthEvent.Succeeded, now);
+	recordEvent(this, HealthEvent.Succeeded, now);
 });
 
 Then('it is {string}', function (this: DecisionWorld, state: string) {
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -82,7 +82,7 @@
 const doubtMilliseconds = 50;
 /** Age from which the reported use of processor tells whether a run stands still. */
 const stallAgeMilliseconds = 700;
-const restAfterNoRoomMilliseconds = 60;
+const noRoomCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
 
 /**
@@ -109,7 +109,7 @@
 	/** Token of the last look that was answered; what lower tokens order since then is not obeyed. */
 	let lookedToken = 0;
 	let isClosed = false;
-	let closedUntil = 0;
+	let cooldownEndsAt = 0;
 
 	const hasOrphans = (): boolean => orphans.active().length > 0;
 
@@ -117,11 +117,11 @@
 		job: task.job, task: `${task.step}.${task.index}`, attempt, endpoint: entry.identifier,
 	});
 
-	const noteHealth = (event: HealthEvent): void => {
+	const recordHealth = (event: HealthEvent): void => {
 		const before = healthAt(health, performance.now());
 		health = updateHealth(before, event, performance.now());
-		if (health.state === HealthState.Resting && before.state !== HealthState.Resting) {
-			onDecision(EndpointDecision.Rested, {endpoint: entry.identifier, cause: event, failuresInRow: health.failuresInRow});
+		if (health.state === HealthState.CoolingDown && before.state !== HealthState.CoolingDown) {
+			onDecision(EndpointDecision.CooldownStarted, {endpoint: entry.identifier, cause: event, failuresInRow: health.failuresInRow});
 		}
 	};
 
@@ -232,15 +232,15 @@
 			}
 
 			case OrderOutcome.Rejected: {
-				noteHealth(HealthEvent.Declined);
+				recordHealth(HealthEvent.Declined);
 				break;
 			}
 
 			case OrderOutcome.NoRoom:
 			case OrderOutcome.Superseded:
 			case OrderOutcome.Expired: {
-				closedUntil = performance.now() + restAfterNoRoomMilliseconds;
-				setTimeout(options.onChange, restAfterNoRoomMilliseconds);
+				cooldownEndsAt = performance.now() + noRoomCooldownMilliseconds;
+				setTimeout(options.onChange, noRoomCooldownMilliseconds);
 				break;
 			}
 		}
@@ -275,11 +275,11 @@
 
 		const milliseconds = performance.now() - run.orderedAt;
 		if (ended.end === RunEnd.Succeeded) {
-			noteHealth(HealthEvent.Succeeded);
+			recordHealth(HealthEvent.Succeeded);
 			options.onRunTime(run.estimateMilliseconds, milliseconds);
 			settle(run, RunResult.Succeeded);
 		} else if (ended.end === RunEnd.Failed) {
-			noteHealth(HealthEvent.Failed);
+			recordHealth(HealthEvent.Failed);
 			settle(run, RunResult.Failed);
 		} else {
 			settle(run, RunResult.Lost);
@@ -293,7 +293,7 @@
 		}
 
 		onDecision(EndpointDecision.RunStalled, {...describe(run.task, run.attempt), ageMilliseconds: Math.round(age)});
-		noteHealth(HealthEvent.Stalled);
+		recordHealth(HealthEvent.Stalled);
 		void stopUntilVoid(run);
 	};
 
@@ -424,7 +424,7 @@
 			const now = performance.now();
 			const {state} = healthAt(health, now);
 			const isReached = contact.isReachable() && !isClosed && !isDoubtful();
-			const isWilling = !entry.isDraining && now >= closedUntil && state !== HealthState.Resting;
+			const isWilling = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
 			if (!isReached || !isWilling || hasOrphans()) {
 				return undefined;
 			}
--- a/packages/galenakeeld/src/process/cells/endpoint-decision.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-decision.ts
@@ -15,7 +15,7 @@
 	/** A run stands still and is stopped. */
 	RunStalled = 'run-stalled',
 	/** The endpoint rests after bad ends. */
-	Rested = 'endpoint-rests',
+	CooldownStarted = 'endpoint-rests',
 	/** The endpoint declined a start. */
 	Declined = 'start-declined',
 	/** Another life of the endpoint answers. */
--- a/packages/galenakeeld/src/process/cells/endpoint-health.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-health.ts
@@ -3,9 +3,9 @@
 */
 export enum HealthState {
 	/** Takes work. */
-	Sound = 'sound',
+	Healthy = 'sound',
 	/** Takes nothing until its rest is over. */
-	Resting = 'resting',
+	CoolingDown = 'resting',
 	/** Takes one task at a time until one succeeds. */
 	Probing = 'probing',
 }
@@ -27,20 +27,20 @@
 	/** Bad events since the last success. */
 	readonly failuresInRow: number;
 	/** Steady milliseconds at which the rest is over. */
-	readonly restsUntil: number;
+	readonly cooldownEndsAt: number;
 };
 
-const mostFailuresInRow = 2;
-const shortestRestMilliseconds = 1500;
-const longestRestMilliseconds = 6000;
+const failureThreshold = 2;
+const minimumCooldownMilliseconds = 1500;
+const maximumCooldownMilliseconds = 6000;
 
 /**
 The health of an endpoint of which nothing is known.
 */
-export const newEndpointHealth: EndpointHealth = {state: HealthState.Sound, failuresInRow: 0, restsUntil: 0};
+export const newEndpointHealth: EndpointHealth = {state: HealthState.Healthy, failuresInRow: 0, cooldownEndsAt: 0};
 
-const restAfter = (failuresInRow: number): number =>
-	Math.min(longestRestMilliseconds, shortestRestMilliseconds * (2 ** (failuresInRow - mostFailuresInRow)));
+const cooldownAfter = (failuresInRow: number): number =>
+	Math.min(maximumCooldownMilliseconds, minimumCooldownMilliseconds * (2 ** (failuresInRow - failureThreshold)));
 
 /**
 Returns the health after an event. A stalled run counts as much as several failures, since finding it took long.
@@ -57,10 +57,10 @@
 		return newEndpointHealth;
 	}
 
-	const failuresInRow = health.failuresInRow + (event === HealthEvent.Stalled ? mostFailuresInRow : 1);
-	const isResting = failuresInRow >= mostFailuresInRow || health.state === HealthState.Probing;
-	return isResting
-		? {state: HealthState.Resting, failuresInRow, restsUntil: now + restAfter(Math.max(failuresInRow, mostFailuresInRow))}
+	const failuresInRow = health.failuresInRow + (event === HealthEvent.Stalled ? failureThreshold : 1);
+	const isCoolingDown = failuresInRow >= failureThreshold || health.state === HealthState.Probing;
+	return isCoolingDown
+		? {state: HealthState.CoolingDown, failuresInRow, cooldownEndsAt: now + cooldownAfter(Math.max(failuresInRow, failureThreshold))}
 		: {...health, failuresInRow};
 };
 
@@ -68,4 +68,4 @@
 Returns the health at a moment: a rest that is over becomes a probe.
 */
 export const healthAt = (health: EndpointHealth, now: number): EndpointHealth =>
-	health.state === HealthState.Resting && now >= health.restsUntil ? {...health, state: HealthState.Probing} : health;
+	health.state === HealthState.CoolingDown && now >= health.cooldownEndsAt ? {...health, state: HealthState.Probing} : health;
