--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -24,7 +24,7 @@
 
 const processorOfTask = 1000;
 const taskMilliseconds = 200;
-const lookMilliseconds = 500;
+const firstPollMilliseconds = 500;
 const settleMilliseconds = 50;
 const holder = 'holder';
 
@@ -108,7 +108,7 @@
 	this.cell.install([{
 		identifier: 'i-1', startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false, room: {processor: places * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
 	}]);
-	await this.clock.tickAsync(lookMilliseconds);
+	await this.clock.tickAsync(firstPollMilliseconds);
 });
 
 After(function (this: Partial<PartsWorld>) {
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -30,7 +30,7 @@
 	/** Room for tasks now; undefined while the endpoint takes none. */
 	readonly availableCapacity: (factor: number) => OpenRoom | undefined;
 	/** Whether a look has shown what runs there, or nothing of an earlier owner can run any more. */
-	readonly isKnown: () => boolean;
+	readonly areRunsKnown: () => boolean;
 	/** Whether its first answer is still to come. */
 	readonly isAwaited: () => boolean;
 	/** Starts a task and waits for its end. */
@@ -70,13 +70,13 @@
 };
 
 /** Longest wait of a look at runs, so that one without an answer hides their ends for a short time only. */
-const busyWaitMilliseconds = 150;
+const busyPollWaitMilliseconds = 150;
 /** Starts without an answer at the same time after which an endpoint gets no more. */
 const mostDoubts = 2;
 /** A run that starts behind an idle look has its lease extended by the next one. */
-const idleWaitMilliseconds = 500;
+const idlePollWaitMilliseconds = 500;
 /** Wait while an end that may not come is awaited. */
-const briefWaitMilliseconds = 20;
+const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
 /** Time without an answer after which a start is looked for; an answer takes a few milliseconds. */
 const doubtMilliseconds = 50;
@@ -107,7 +107,7 @@
 	let health = newEndpointHealth;
 	let acknowledged = 0;
 	/** Token of the last look that was answered; what lower tokens order since then is not obeyed. */
-	let lookedToken = 0;
+	let polledToken = 0;
 	let isClosed = false;
 	let cooldownEndsAt = 0;
 
@@ -169,7 +169,7 @@
 			if (outcome === OrderOutcome.Done) {
 				run.state = RunState.Stopping;
 				run.visibleAt = performance.now();
-				await lookNow();
+				await pollNow();
 				return;
 			}
 
@@ -302,7 +302,7 @@
 		await calls.stop({task, attempt, fencingToken: options.token()});
 	};
 
-	const compareRuns = (active: readonly ActiveRun[], lookedAt: number): void => {
+	const compareRuns = (active: readonly ActiveRun[], polledAt: number): void => {
 		for (const run of runs) {
 			const shown = active.find(one => isRunOf(run, one));
 			if (shown) {
@@ -312,7 +312,7 @@
 				}
 
 				stopStalled(run, shown);
-			} else if (run.state !== RunState.Ordered && run.visibleAt < lookedAt) {
+			} else if (run.state !== RunState.Ordered && run.visibleAt < polledAt) {
 				if (run.state === RunState.Running) {
 					onDecision(EndpointDecision.RunLost, describe(run.task, run.attempt));
 				}
@@ -352,7 +352,7 @@
 		}
 	};
 
-	const onNoReport = (outcome: OrderOutcome): void => {
+	const onMissedPoll = (outcome: OrderOutcome): void => {
 		if (outcome === OrderOutcome.OtherLife) {
 			turnAway();
 		} else if (outcome === OrderOutcome.Fenced) {
@@ -374,19 +374,19 @@
 		}
 	};
 
-	const waitOfLook = (): number => {
+	const pollWaitMilliseconds = (): number => {
 		if (!contact.hasAnswered() || contact.hasMissedPoll()) {
 			return 0;
 		}
 
 		if (hasOrphans() || [...runs].some(({state}) => state === RunState.Stopping)) {
-			return briefWaitMilliseconds;
+			return briefPollWaitMilliseconds;
 		}
 
-		return runs.size > 0 ? busyWaitMilliseconds : idleWaitMilliseconds;
+		return runs.size > 0 ? busyPollWaitMilliseconds : idlePollWaitMilliseconds;
 	};
 
-	const look = async (waitMilliseconds: number): Promise<LookReply> => {
+	const poll = async (waitMilliseconds: number): Promise<LookReply> => {
 		// A lease that is not known to be extended must end, so that its runs count as lost.
 		const isExtending = runs.size > 0 && options.isSettled() && !contact.isSilent();
 		const lease = isExtending ? leases.next() : undefined;
@@ -399,9 +399,9 @@
 	};
 
 	/** Looks beside the look that waits for an end. */
-	async function lookNow(): Promise<void> {
+	async function pollNow(): Promise<void> {
 		const lookedAt = performance.now();
-		const {report} = await look(0);
+		const {report} = await poll(0);
 		if (report && !isOver()) {
 			onReport(report, lookedAt);
 		}
@@ -409,7 +409,7 @@
 
 	/** A start without an answer goes on if a look shows the run; else it is made void. */
 	async function resolveUnknown(run: Run): Promise<void> {
-		await lookNow();
+		await pollNow();
 		if (run.state === RunState.Ordered) {
 			await stopUntilVoid(run);
 		}
@@ -441,9 +441,9 @@
 				countOf: (job, step) => [...runs].filter(({task}) => task.job === job && task.step === step).length,
 			};
 		},
-		isKnown() {
-			const isSeen = lookedToken === options.token() && !contact.isSilent() && !hasOrphans();
-			return isSeen || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
+		areRunsKnown() {
+			const isPolled = polledToken === options.token() && !contact.isSilent() && !hasOrphans();
+			return isPolled || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
 		},
 		isAwaited: () => contact.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
@@ -479,16 +479,16 @@
 			while (!isOver()) {
 				const lookedAt = performance.now();
 				const token = options.token();
-				const {outcome, report} = await look(waitOfLook());
+				const {outcome, report} = await poll(pollWaitMilliseconds());
 				if (isClosed) {
 					break;
 				}
 
 				if (report) {
-					lookedToken = token;
+					polledToken = token;
 					onReport(report, lookedAt);
 				} else {
-					onNoReport(outcome);
+					onMissedPoll(outcome);
 					if (contact.isBackingOff()) {
 						await sleep(retryMilliseconds);
 					}
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -268,14 +268,14 @@
 	};
 
 	/** Whether each endpoint on which an earlier owner may have started tasks has been looked at, or has ended what it ran. Entries that had lapsed are missing in a new list. */
-	const areAllKnown = (): boolean => {
+	const areAllRunsKnown = (): boolean => {
 		const now = performance.now();
-		const isListWhole = now - (options.listedSince() ?? now) > lapsedEntryMilliseconds;
-		return isListWhole ? endpoints.all().every(endpoint => endpoint.isKnown()) : now - ownedSince > maximumLeaseOf(options.holdMaximumMilliseconds) + yieldMilliseconds;
+		const isListComplete = now - (options.listedSince() ?? now) > lapsedEntryMilliseconds;
+		return isListComplete ? endpoints.all().every(endpoint => endpoint.areRunsKnown()) : now - ownedSince > maximumLeaseOf(options.holdMaximumMilliseconds) + yieldMilliseconds;
 	};
 
 	/** A job that an earlier owner may have started waits until nothing of it can run unseen. */
-	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllKnown());
+	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllRunsKnown());
 
 	const placeWaiting = (): void => {
 		rooms.invalidate();
