--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -72,14 +72,14 @@
 /** Longest wait of a look at runs, so that one without an answer hides their ends for a short time only. */
 const busyPollWaitMilliseconds = 150;
 /** Starts without an answer at the same time after which an endpoint gets no more. */
-const mostDoubts = 2;
+const maximumUnconfirmedStarts = 2;
 /** A run that starts behind an idle look has its lease extended by the next one. */
 const idlePollWaitMilliseconds = 500;
 /** Wait while an end that may not come is awaited. */
 const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
 /** Time without an answer after which a start is looked for; an answer takes a few milliseconds. */
-const doubtMilliseconds = 50;
+const startAnswerTimeoutMilliseconds = 50;
 /** Age from which the reported use of processor tells whether a run stands still. */
 const stallAgeMilliseconds = 700;
 const noRoomCooldownMilliseconds = 60;
@@ -125,7 +125,7 @@
 		}
 	};
 
-	const take = (run: Run): void => {
+	const addRun = (run: Run): void => {
 		runs.add(run);
 		free = subtractRoom(free, run.room);
 	};
@@ -140,7 +140,7 @@
 		options.onChange();
 	};
 
-	const loseAll = (): void => {
+	const settleAllAsLost = (): void => {
 		for (const run of runs) {
 			settle(run, RunResult.Lost);
 		}
@@ -152,19 +152,19 @@
 		}
 
 		isClosed = true;
-		loseAll();
+		settleAllAsLost();
 	};
 
-	const isOver = (): boolean => isClosed;
+	const hasClosed = (): boolean => isClosed;
 
 	/** Whether starts have not been answered and not been found out about. One alone may be a lost answer. */
-	const isDoubtful = (): boolean => [...runs].filter(({isDoubted, state}) => isDoubted && state === RunState.Ordered).length >= mostDoubts;
+	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed: isDoubted, state}) => isDoubted && state === RunState.Ordered).length >= maximumUnconfirmedStarts;
 
-	const isListed = (run: Run): boolean => runs.has(run);
+	const isActive = (run: Run): boolean => runs.has(run);
 
 	/** Orders a stop until the endpoint has carried it out or the lease has ended. */
-	const stopUntilVoid = async (run: Run): Promise<void> => {
-		while (isListed(run) && run.state !== RunState.Stopping && !isOver()) {
+	const stopUntilEnded = async (run: Run): Promise<void> => {
+		while (isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
 			const {outcome} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
 			if (outcome === OrderOutcome.Done) {
 				run.state = RunState.Stopping;
@@ -192,9 +192,9 @@
 	};
 
 	/** Begins to find out what became of a start without an answer, once. */
-	const doubt = (run: Run): void => {
-		if (isListed(run) && run.state === RunState.Ordered && !run.isDoubted) {
-			run.isDoubted = true;
+	const beginResolving = (run: Run): void => {
+		if (isActive(run) && run.state === RunState.Ordered && !run.isUnconfirmed) {
+			run.isUnconfirmed = true;
 			onDecision(EndpointDecision.OrderUnknown, describe(run.task, run.attempt));
 			void resolveUnknown(run);
 		}
@@ -205,7 +205,7 @@
 			leases.observe(clockMilliseconds);
 		}
 
-		if (!isListed(run)) {
+		if (!isActive(run)) {
 			return;
 		}
 
@@ -217,7 +217,7 @@
 			}
 
 			case OrderOutcome.Unknown: {
-				doubt(run);
+				beginResolving(run);
 				return;
 			}
 
@@ -249,7 +249,7 @@
 		settle(run, RunResult.Declined);
 	};
 
-	const order = async (run: Run, specification: string): Promise<void> => {
+	const sendStart = async (run: Run, specification: string): Promise<void> => {
 		const lease = leases.next();
 		if (lease === undefined) {
 			settle(run, RunResult.Declined);
@@ -257,8 +257,8 @@
 		}
 
 		const timer = setTimeout(() => {
-			doubt(run);
-		}, doubtMilliseconds);
+			beginResolving(run);
+		}, startAnswerTimeoutMilliseconds);
 		onStartReply(run, await calls.start({
 			task: run.task, attempt: run.attempt, specification, leaseEndMilliseconds: lease, fencingToken: options.token(),
 		}));
@@ -294,7 +294,7 @@
 
 		onDecision(EndpointDecision.RunStalled, {...describe(run.task, run.attempt), ageMilliseconds: Math.round(age)});
 		recordHealth(HealthEvent.Stalled);
-		void stopUntilVoid(run);
+		void stopUntilEnded(run);
 	};
 
 	const stopOrphan = async ({task, attempt}: ActiveRun): Promise<void> => {
@@ -302,7 +302,7 @@
 		await calls.stop({task, attempt, fencingToken: options.token()});
 	};
 
-	const compareRuns = (active: readonly ActiveRun[], polledAt: number): void => {
+	const reconcileRuns = (active: readonly ActiveRun[], polledAt: number): void => {
 		for (const run of runs) {
 			const shown = active.find(one => isRunOf(run, one));
 			if (shown) {
@@ -325,7 +325,7 @@
 	};
 
 	const onReport = (report: EndpointReport, lookedAt: number): void => {
-		const wasClosed = !contact.isReachable() || hasOrphans();
+		const wasUnavailable = !contact.isReachable() || hasOrphans();
 		leases.observe(report.clockMilliseconds);
 		if (contact.isSilent()) {
 			onDecision(EndpointDecision.Regained, {endpoint: entry.identifier});
@@ -336,7 +336,7 @@
 			onEnded(ended);
 		}
 
-		compareRuns(report.active, lookedAt);
+		reconcileRuns(report.active, lookedAt);
 		if (hasOrphans()) {
 			options.onOrphans();
 		}
@@ -347,7 +347,7 @@
 			}
 		}
 
-		if (wasClosed) {
+		if (wasUnavailable) {
 			options.onChange();
 		}
 	};
@@ -370,7 +370,7 @@
 		}
 
 		if (leases.haveExpired()) {
-			loseAll();
+			settleAllAsLost();
 		}
 	};
 
@@ -402,7 +402,7 @@
 	async function pollNow(): Promise<void> {
 		const lookedAt = performance.now();
 		const {report} = await poll(0);
-		if (report && !isOver()) {
+		if (report && !hasClosed()) {
 			onReport(report, lookedAt);
 		}
 	}
@@ -411,7 +411,7 @@
 	async function resolveUnknown(run: Run): Promise<void> {
 		await pollNow();
 		if (run.state === RunState.Ordered) {
-			await stopUntilVoid(run);
+			await stopUntilEnded(run);
 		}
 	}
 
@@ -423,7 +423,7 @@
 		availableCapacity(factor) {
 			const now = performance.now();
 			const {state} = healthAt(health, now);
-			const isReached = contact.isReachable() && !isClosed && !isDoubtful();
+			const isReached = contact.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
 			const isWilling = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
 			if (!isReached || !isWilling || hasOrphans()) {
 				return undefined;
@@ -448,8 +448,8 @@
 		isAwaited: () => contact.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
 			const run = createRun(request, RunState.Ordered);
-			take(run);
-			void order(run, request.specification);
+			addRun(run);
+			void sendStart(run, request.specification);
 			return run.ended.promise;
 		},
 		adopt(task, room, estimateMilliseconds) {
@@ -465,18 +465,18 @@
 			const run = createRun({
 				task, attempt: stray.attempt, room, estimateMilliseconds,
 			}, RunState.Running);
-			take(run);
+			addRun(run);
 			return {ended: run.ended.promise};
 		},
 		stopRuns(isStopped) {
 			for (const run of runs) {
 				if (isStopped(run.task)) {
-					void stopUntilVoid(run);
+					void stopUntilEnded(run);
 				}
 			}
 		},
 		async run() {
-			while (!isOver()) {
+			while (!hasClosed()) {
 				const lookedAt = performance.now();
 				const token = options.token();
 				const {outcome, report} = await poll(pollWaitMilliseconds());
@@ -499,7 +499,7 @@
 		},
 		close() {
 			isClosed = true;
-			loseAll();
+			settleAllAsLost();
 		},
 		isIdle: () => runs.size === 0,
 		overdueFactor: () => overdueFactorOf(runs),
--- a/packages/galenakeeld/src/process/cells/endpoint-run.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-run.ts
@@ -37,7 +37,7 @@
 	readonly orderedAt: number;
 	state: RunState;
 	/** Its start was not answered in time. */
-	isDoubted: boolean;
+	isUnconfirmed: boolean;
 	/** Steady milliseconds since when a look must show the run, or its end. */
 	visibleAt: number;
 	readonly ended: Deferred<RunResult>;
@@ -55,7 +55,7 @@
 };
 
 /** Share of its expected time that an active run takes at least from any moment on, as many run longer than expected. */
-const leastRemainingShare = 0.25;
+const minimumRemainingShare = 0.25;
 
 /**
 Creates a run that begins now.
@@ -65,7 +65,7 @@
 export const createRun = ({task, attempt, room, estimateMilliseconds}: Omit<RunRequest, 'specification'>, state: RunState): Run => {
 	const now = performance.now();
 	return {
-		task, attempt, room, estimateMilliseconds, orderedAt: now, state, isDoubted: false, visibleAt: now, ended: createDeferred<RunResult>(),
+		task, attempt, room, estimateMilliseconds, orderedAt: now, state, isUnconfirmed: false, visibleAt: now, ended: createDeferred<RunResult>(),
 	};
 };
 
@@ -83,7 +83,7 @@
 	const now = performance.now();
 	return [...runs].map(({orderedAt, estimateMilliseconds}) => {
 		const expected = estimateMilliseconds * factor;
-		return Math.max(expected - (now - orderedAt), leastRemainingShare * expected);
+		return Math.max(expected - (now - orderedAt), minimumRemainingShare * expected);
 	}).toSorted((first, second) => first - second);
 };
 
