--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -146,9 +146,9 @@
 		}
 	};
 
-	const turnAway = (): void => {
+	const closeForOtherIncarnation = (): void => {
 		if (!isClosed) {
-			onDecision(EndpointDecision.OtherLife, {endpoint: entry.identifier, startedAt: entry.startedAt});
+			onDecision(EndpointDecision.OtherIncarnation, {endpoint: entry.identifier, startedAt: entry.startedAt});
 		}
 
 		isClosed = true;
@@ -174,7 +174,7 @@
 			}
 
 			if (outcome === OrderOutcome.OtherLife) {
-				turnAway();
+				closeForOtherIncarnation();
 				return;
 			}
 
@@ -222,7 +222,7 @@
 			}
 
 			case OrderOutcome.OtherLife: {
-				turnAway();
+				closeForOtherIncarnation();
 				return;
 			}
 
@@ -354,7 +354,7 @@
 
 	const onMissedPoll = (outcome: OrderOutcome): void => {
 		if (outcome === OrderOutcome.OtherLife) {
-			turnAway();
+			closeForOtherIncarnation();
 		} else if (outcome === OrderOutcome.Fenced) {
 			options.onFenced();
 		}
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -221,9 +221,9 @@
 		onResult(job, task, endpoint, await result);
 	};
 
-	const start = ({part, position, index, endpoint: life}: Placement): void => {
+	const start = ({part, position, index, endpoint: incarnation}: Placement): void => {
 		const job = jobs.get(part);
-		const endpoint = endpoints.get(life);
+		const endpoint = endpoints.get(incarnation);
 		if (!job || !endpoint) {
 			return;
 		}
--- a/packages/galenakeeld/src/process/cells/endpoint-decision.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-decision.ts
@@ -19,5 +19,5 @@
 	/** The endpoint declined a start. */
 	Declined = 'start-declined',
 	/** Another life of the endpoint answers. */
-	OtherLife = 'endpoint-other-life',
+	OtherIncarnation = 'endpoint-other-life',
 }
