--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -15,7 +15,7 @@
 	clock: Clock;
 	cell: Cell;
 	order: JobOrder;
-	news: JobNews[];
+	updates: JobNews[];
 	started: string[];
 	stopped: string[];
 	/** Steady milliseconds at which the cell's first list came. */
@@ -55,18 +55,18 @@
 	await world.clock.tickAsync(settleMilliseconds);
 };
 
-const redirectsOf = ({news}: PartsWorld): readonly Redirect[] => news.filter(one => one.kind === FleetMessageKind.Redirect);
+const redirectsOf = ({updates: news}: PartsWorld): readonly Redirect[] => news.filter(one => one.kind === FleetMessageKind.Redirect);
 
-const countMoved = (world: PartsWorld, tasks: number, cell: string, newPart: string): number =>
+const countTransfers = (world: PartsWorld, tasks: number, cell: string, newPart: string): number =>
 	redirectsOf(world).filter(one => one.positions.length === tasks && one.cell === cell && one.newPart === newPart).length;
 
 Given('a cell with {int} places, and the cell {string} with room for {int} tasks', async function (this: PartsWorld, places: number, other: string, room: number) {
 	this.clock = install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'clearImmediate', 'Date'], shouldClearNativeTimers: true});
-	this.news = [];
+	this.updates = [];
 	this.started = [];
 	this.stopped = [];
 	this.listedSince = -10_000;
-	let isTold = true;
+	let isOtherCellKnown = true;
 	this.cell = createCell({
 		zone: 'north',
 		token: () => 1,
@@ -88,12 +88,12 @@
 				},
 			};
 		},
-		tell: (_, news) => {
-			this.news.push(news);
+		notify: (_, news) => {
+			this.updates.push(news);
 		},
-		otherCells: () => isTold ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: room * processorOfTask}], waitMilliseconds: 0}] : [],
+		otherCells: () => isOtherCellKnown ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: room * processorOfTask}], waitMilliseconds: 0}] : [],
 		onRedirected() {
-			isTold = false;
+			isOtherCellKnown = false;
 		},
 		onFenced() {
 			throw new Error('a played endpoint has one owner');
@@ -171,11 +171,11 @@
 });
 
 Then('{int} tasks went to {string} as part {string}', function (this: PartsWorld, tasks: number, cell: string, newPart: string) {
-	assert.equal(countMoved(this, tasks, cell, newPart), 1);
+	assert.equal(countTransfers(this, tasks, cell, newPart), 1);
 });
 
 Then('the holder heard {int} times that {int} tasks went to {string} as part {string}', function (this: PartsWorld, times: number, tasks: number, cell: string, newPart: string) {
-	assert.equal(countMoved(this, tasks, cell, newPart), times);
+	assert.equal(countTransfers(this, tasks, cell, newPart), times);
 });
 
 Then('no task went elsewhere', function (this: PartsWorld) {
--- a/packages/galenakeeld/src/process/cells/__tests__/crest-replay.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/crest-replay.ts
@@ -260,7 +260,7 @@
 				if (message.kind === FleetMessageKind.Submit) {
 					cells.get(address)!.submit(replayed.zone, message.order);
 				} else if (message.kind === FleetMessageKind.Withdraw) {
-					cells.get(address)!.withdraw(replayed.zone, message.job, message.part);
+					cells.get(address)!.cancel(replayed.zone, message.job, message.part);
 				}
 			}, address === replayed.zone ? callMilliseconds : peerMilliseconds);
 		},
@@ -302,7 +302,7 @@
 				const [kind] = entry.labels;
 				return createPlayedEndpoint(entry.room.processor, kinds.find(({label}) => label === kind)!.speed);
 			},
-			tell(holder, news) {
+			notify(holder, news) {
 				setTimeout(() => {
 					heldJobs.deliver(zone, news);
 				}, holder === zone ? callMilliseconds : peerMilliseconds);
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -28,12 +28,12 @@
 Decisions of a cell that are logged.
 */
 export enum CellDecision {
-	JobTaken = 'job-taken',
+	JobAccepted = 'job-taken',
 	/** Tasks went to another cell. */
 	JobRedirected = 'job-redirected',
 	JobRefused = 'job-refused',
 	JobEnded = 'job-ended',
-	JobWithdrawn = 'job-withdrawn',
+	JobCancelled = 'job-withdrawn',
 	TaskStarted = 'task-started',
 	TaskEnded = 'task-ended',
 	TaskAdopted = 'task-adopted',
@@ -47,7 +47,7 @@
 	/** Takes a job from its holder, or refuses it. */
 	readonly submit: (holder: string, order: JobOrder) => void;
 	/** Drops a part of a job that its holder no longer wants. */
-	readonly withdraw: (holder: string, job: string, part: string) => void;
+	readonly cancel: (holder: string, job: string, part: string) => void;
 	/** Drops the jobs of a holder that is lost, so that none of their tasks runs when their callers come again. */
 	readonly dropHolder: (holder: string) => void;
 	/** Takes the endpoints of the zone as the platform lists them. */
@@ -67,7 +67,7 @@
 	/** What other owners have learned of kinds of endpoints. */
 	readonly kindFactors: () => Readonly<Record<string, number>>;
 	readonly createCalls: (entry: EndpointEntry) => EndpointCalls;
-	readonly tell: (holder: string, news: JobNews) => void;
+	readonly notify: (holder: string, news: JobNews) => void;
 	/** Other cells as their owners last described them. */
 	readonly otherCells: () => readonly CellRoom[];
 	/** Called when tasks were handed to another cell, with the processor that they need there. */
@@ -82,8 +82,8 @@
 const settleMilliseconds = 350;
 /** How long the end of a job is kept for a holder that missed it. */
 const keepEndMilliseconds = 5000;
-const shortestRetryMilliseconds = 1000;
-const longestRetryMilliseconds = 8000;
+const minimumRetryMilliseconds = 1000;
+const maximumRetryMilliseconds = 8000;
 const sweepMilliseconds = 50;
 /** Weight of a step's tasks in the usual size of a task. */
 const typicalProcessorGain = 0.05;
@@ -108,7 +108,7 @@
 ```
 */
 export const createCell = (options: CellOptions): Cell => {
-	const {tell, onDecision} = options;
+	const {notify: tell, onDecision} = options;
 	let ownedSince = performance.now();
 	let lastToken = options.token();
 	const jobs = new Map<string, PlacedJob>();
@@ -119,7 +119,7 @@
 	let isClosed = false;
 
 	/** Notes a token that was raised, which makes all that was seen before doubtful. */
-	const noteToken = (): void => {
+	const checkToken = (): void => {
 		if (options.token() !== lastToken) {
 			lastToken = options.token();
 			ownedSince = performance.now();
@@ -158,7 +158,7 @@
 	};
 
 	/** Tells a holder again what it may have missed. */
-	const retell = (holder: string, job: PlacedJob, news: JobNews | undefined): void => {
+	const resend = (holder: string, job: PlacedJob, news: JobNews | undefined): void => {
 		const {job: {identifier}, part} = job.order;
 		for (const position of succeededPositions(job)) {
 			tell(holder, {
@@ -245,7 +245,7 @@
 		}));
 	};
 
-	const handOver = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): void => {
+	const transferTasks = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): void => {
 		const redirect = moveTasks(job, tasks, cell);
 		onDecision(CellDecision.JobRedirected, {
 			job: redirect.job, part: redirect.part, newPart: redirect.newPart, cell, tasks: tasks.length,
@@ -258,13 +258,13 @@
 	};
 
 	/** Hands tasks that found no room here to a cell that has some. */
-	const move = ({part, position, indexes, cell}: TaskShare): void => {
+	const transferShare = ({part, position, indexes, cell}: TaskShare): void => {
 		const job = jobs.get(part);
 		if (!job) {
 			return;
 		}
 
-		handOver(job, indexes.map(index => ({step: position, index})), cell);
+		transferTasks(job, indexes.map(index => ({step: position, index})), cell);
 	};
 
 	/** Whether each endpoint on which an earlier owner may have started tasks has been looked at, or has ended what it ran. Entries that had lapsed are missing in a new list. */
@@ -294,7 +294,7 @@
 		}
 
 		for (const share of shareTasks(movableStepsOf(startable, bestFactor, now), options.otherCells(), now)) {
-			move(share);
+			transferShare(share);
 		}
 
 		rooms.invalidate();
@@ -316,7 +316,7 @@
 		});
 		jobs.delete(keyOf(job));
 		tell(job.holder, {
-			kind: FleetMessageKind.Refuse, job: identifier, part: job.order.part, reason, retryAfterMilliseconds: Math.min(longestRetryMilliseconds, Math.max(shortestRetryMilliseconds, retryAfterMilliseconds)),
+			kind: FleetMessageKind.Refuse, job: identifier, part: job.order.part, reason, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, retryAfterMilliseconds)),
 		});
 	};
 
@@ -361,7 +361,7 @@
 		const {order} = job;
 		recordTaskSize(job);
 		jobs.set(keyOf(job), job);
-		onDecision(CellDecision.JobTaken, {
+		onDecision(CellDecision.JobAccepted, {
 			job: order.job.identifier, queue: order.queue, holder: job.holder, dueInMilliseconds: Math.round(order.dueInMilliseconds), endsInMilliseconds: Math.round(endsIn), generation: order.generation,
 		});
 		if (order.generation > 0) {
@@ -386,7 +386,7 @@
 		const decision = weighArrival(job, [...jobs.values()], {rooms: rooms.open(), others: options.otherCells(), now: performance.now()});
 		if (decision.admission === Admission.Redirect) {
 			jobs.set(keyOf(job), job);
-			handOver(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
+			transferTasks(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
 		} else if (decision.admission === Admission.Refuse && !job.isCommitted && isSettled()) {
 			refuse(job, RefusalReason.Overloaded, decision.endsIn - order.dueInMilliseconds);
 		} else {
@@ -395,12 +395,12 @@
 	};
 
 	const sweep = (): void => {
-		noteToken();
+		checkToken();
 		const now = performance.now();
 		finishedParts.sweep();
 		for (const job of jobs.values()) {
 			if (!job.isCommitted && now + remainingChain(job) > job.worthlessAt) {
-				refuse(job, RefusalReason.Overloaded, shortestRetryMilliseconds);
+				refuse(job, RefusalReason.Overloaded, minimumRetryMilliseconds);
 			}
 		}
 
@@ -412,18 +412,18 @@
 	return {
 		zone: options.zone,
 		submit(holder, order) {
-			noteToken();
+			checkToken();
 			const key = partKeyOf(order.job.identifier, order.part);
 			const known = jobs.get(key);
 			const ended = finishedParts.get(key);
 			if (known) {
 				known.holder = holder;
-				retell(holder, known, undefined);
+				resend(holder, known, undefined);
 				return;
 			}
 
 			if (ended) {
-				retell(holder, ended.job, ended.update);
+				resend(holder, ended.job, ended.update);
 				return;
 			}
 
@@ -431,13 +431,13 @@
 			if (isEverPossible(order)) {
 				decide(job);
 			} else {
-				refuse(job, RefusalReason.NoEndpoint, longestRetryMilliseconds);
+				refuse(job, RefusalReason.NoEndpoint, maximumRetryMilliseconds);
 			}
 		},
-		withdraw(holder, identifier, part) {
+		cancel(holder, identifier, part) {
 			const job = jobs.get(partKeyOf(identifier, part));
 			if (job?.holder === holder) {
-				onDecision(CellDecision.JobWithdrawn, {job: identifier, part, hasStarted: job.hasStarted});
+				onDecision(CellDecision.JobCancelled, {job: identifier, part, hasStarted: job.hasStarted});
 				jobs.delete(keyOf(job));
 				stopRunsOf(job);
 			}
@@ -445,7 +445,7 @@
 		dropHolder(holder) {
 			for (const [key, job] of jobs) {
 				if (job.holder === holder) {
-					onDecision(CellDecision.JobWithdrawn, {
+					onDecision(CellDecision.JobCancelled, {
 						job: job.order.job.identifier, part: job.order.part, hasStarted: job.hasStarted, lostHolder: holder,
 					});
 					jobs.delete(key);
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -122,7 +122,7 @@
 			listedSince: () => cells.listedSince(zone),
 			remotePenalty: settings.remotePenalty,
 			createCalls: createEndpointClient,
-			tell(holder, news) {
+			notify(holder, news) {
 				links.send(holder, news);
 			},
 			otherCells: () => loads.otherRooms(zone),
@@ -175,7 +175,7 @@
 			}
 
 			case FleetMessageKind.Withdraw: {
-				cells.get(message.cell)?.withdraw(from, message.job, message.part);
+				cells.get(message.cell)?.cancel(from, message.job, message.part);
 				break;
 			}
 
