--- a/packages/galenakeeld/src/process/cells/__tests__/endpoint-reachability.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/endpoint-reachability.steps.ts
@@ -7,7 +7,7 @@
 import {createEndpointLeases, type EndpointLeases} from '../endpoint-leases.js';
 
 type ReachabilityWorld = {
-	contact: EndpointReachability;
+	reachability: EndpointReachability;
 	leases: EndpointLeases;
 	leasesClock: Clock | undefined;
 };
@@ -21,25 +21,25 @@
 ].filter(([, isSet]) => isSet).map(([name]) => name).join(', ');
 
 Given('an endpoint that was not looked at', function (this: ReachabilityWorld) {
-	this.contact = createEndpointReachability();
+	this.reachability = createEndpointReachability();
 });
 
 When('a look is answered', function (this: ReachabilityWorld) {
-	this.contact.recordAnswer();
+	this.reachability.recordAnswer();
 });
 
 When('{int} looks have no answer', function (this: ReachabilityWorld, polls: number) {
 	for (let poll = 0; poll < polls; poll++) {
-		this.contact.recordMissedPoll(true);
+		this.reachability.recordMissedPoll(true);
 	}
 });
 
 When('a look is turned away', function (this: ReachabilityWorld) {
-	this.contact.recordMissedPoll(false);
+	this.reachability.recordMissedPoll(false);
 });
 
 Then('the contact is {string}', function (this: ReachabilityWorld, expected: string) {
-	assert.equal(describe(this.contact), expected);
+	assert.equal(describe(this.reachability), expected);
 });
 
 Given('leases of at most {int} ms', function (this: ReachabilityWorld, milliseconds: number) {
--- a/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -11,7 +11,7 @@
 The open rooms of a cell and its load, worked out once after each change.
 */
 export type CellCapacityCache = {
-	readonly open: () => readonly OpenRoom[];
+	readonly available: () => readonly OpenRoom[];
 	readonly load: () => CellLoad;
 	/** Notes that endpoints or jobs have changed. */
 	readonly invalidate: () => void;
@@ -50,7 +50,7 @@
 	};
 
 	return {
-		open,
+		available: open,
 		load() {
 			cachedLoad ??= computeLoad();
 			return cachedLoad;
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -32,7 +32,7 @@
 	/** Whether a look has shown what runs there, or nothing of an earlier owner can run any more. */
 	readonly areRunsKnown: () => boolean;
 	/** Whether its first answer is still to come. */
-	readonly isAwaited: () => boolean;
+	readonly isAwaitingFirstAnswer: () => boolean;
 	/** Starts a task and waits for its end. */
 	readonly start: (request: RunRequest) => Promise<RunResult>;
 	/** Takes a run of an earlier owner over; undefined if there is none. */
@@ -98,7 +98,7 @@
 export const createCellEndpoint = (firstEntry: EndpointEntry, options: CellEndpointOptions): CellEndpoint => {
 	const {calls, onDecision} = options;
 	const leases = createEndpointLeases(options.holdMaximumMilliseconds);
-	const contact = createEndpointReachability();
+	const reachability = createEndpointReachability();
 	const maximumLease = maximumLeaseOf(options.holdMaximumMilliseconds);
 	const runs = new Set<Run>();
 	const orphans = createOrphanedRuns();
@@ -325,13 +325,13 @@
 	};
 
 	const onReport = (report: EndpointReport, lookedAt: number): void => {
-		const wasUnavailable = !contact.isReachable() || hasOrphans();
+		const wasUnavailable = !reachability.isReachable() || hasOrphans();
 		leases.observe(report.clockMilliseconds);
-		if (contact.isSilent()) {
+		if (reachability.isSilent()) {
 			onDecision(EndpointDecision.Regained, {endpoint: entry.identifier});
 		}
 
-		contact.recordAnswer();
+		reachability.recordAnswer();
 		for (const ended of report.ended) {
 			onEnded(ended);
 		}
@@ -359,9 +359,9 @@
 			options.onFenced();
 		}
 
-		const wasSilent = contact.isSilent();
-		contact.recordMissedPoll(outcome === OrderOutcome.Unknown);
-		if (!contact.isSilent()) {
+		const wasSilent = reachability.isSilent();
+		reachability.recordMissedPoll(outcome === OrderOutcome.Unknown);
+		if (!reachability.isSilent()) {
 			return;
 		}
 
@@ -375,7 +375,7 @@
 	};
 
 	const pollWaitMilliseconds = (): number => {
-		if (!contact.hasAnswered() || contact.hasMissedPoll()) {
+		if (!reachability.hasAnswered() || reachability.hasMissedPoll()) {
 			return 0;
 		}
 
@@ -388,7 +388,7 @@
 
 	const poll = async (waitMilliseconds: number): Promise<LookReply> => {
 		// A lease that is not known to be extended must end, so that its runs count as lost.
-		const isExtending = runs.size > 0 && options.isSettled() && !contact.isSilent();
+		const isExtending = runs.size > 0 && options.isSettled() && !reachability.isSilent();
 		const lease = isExtending ? leases.next() : undefined;
 		return calls.look({
 			fencingToken: options.token(),
@@ -423,7 +423,7 @@
 		availableCapacity(factor) {
 			const now = performance.now();
 			const {state} = healthAt(health, now);
-			const isReached = contact.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
+			const isReached = reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
 			const isWilling = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
 			if (!isReached || !isWilling || hasOrphans()) {
 				return undefined;
@@ -442,10 +442,10 @@
 			};
 		},
 		areRunsKnown() {
-			const isPolled = polledToken === options.token() && !contact.isSilent() && !hasOrphans();
+			const isPolled = polledToken === options.token() && !reachability.isSilent() && !hasOrphans();
 			return isPolled || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
 		},
-		isAwaited: () => contact.isAwaitingFirstAnswer() && !isClosed,
+		isAwaitingFirstAnswer: () => reachability.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
 			const run = createRun(request, RunState.Ordered);
 			addRun(run);
@@ -489,7 +489,7 @@
 					onReport(report, lookedAt);
 				} else {
 					onMissedPoll(outcome);
-					if (contact.isBackingOff()) {
+					if (reachability.isBackingOff()) {
 						await sleep(retryMilliseconds);
 					}
 				}
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -10,7 +10,7 @@
 */
 export type CellEndpoints = {
 	readonly all: () => readonly CellEndpoint[];
-	readonly get: (life: string) => CellEndpoint | undefined;
+	readonly get: (incarnation: string) => CellEndpoint | undefined;
 	/** Expected run time over estimate at an endpoint. */
 	readonly factorOf: (endpoint: CellEndpoint) => number;
 	readonly kindFactors: () => Readonly<Record<string, number>>;
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -114,7 +114,7 @@
 	const jobs = new Map<string, PlacedJob>();
 	const finishedParts = createFinishedParts(keepEndMilliseconds);
 	/** Thousandths of a core of a task of the usual size. */
-	let usualProcessor = 1;
+	let typicalProcessor = 1;
 	let isDispatching = false;
 	let isClosed = false;
 
@@ -144,7 +144,7 @@
 		}),
 	});
 
-	const rooms = createCellCapacityCache({endpoints, jobs: () => [...jobs.values()], typicalProcessor: () => usualProcessor});
+	const capacity = createCellCapacityCache({endpoints, jobs: () => [...jobs.values()], typicalProcessor: () => typicalProcessor});
 
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
@@ -278,14 +278,14 @@
 	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllRunsKnown());
 
 	const placeWaiting = (): void => {
-		rooms.invalidate();
+		capacity.invalidate();
 		isDispatching = false;
 		if (isClosed) {
 			return;
 		}
 
 		const now = performance.now();
-		const capacities = rooms.open();
+		const capacities = capacity.available();
 		const bestFactor = bestFactorOf(capacities);
 		const startable = [...jobs.values()].filter(job => isStartable(job));
 		const placements = placeTasks(waitingStepsOf(startable, bestFactor, now), capacities, {now, remotePenalty: options.remotePenalty});
@@ -297,12 +297,12 @@
 			transferShare(share);
 		}
 
-		rooms.invalidate();
+		capacity.invalidate();
 	};
 
 	/** Places what waits once the messages and answers that have arrived are taken in. */
 	function dispatch(): void {
-		rooms.invalidate();
+		capacity.invalidate();
 		if (!isDispatching) {
 			isDispatching = true;
 			setImmediate(placeWaiting);
@@ -353,7 +353,7 @@
 
 	const recordTaskSize = (job: PlacedJob): void => {
 		for (const {room} of job.order.job.steps) {
-			usualProcessor += typicalProcessorGain * (room.processor - usualProcessor);
+			typicalProcessor += typicalProcessorGain * (room.processor - typicalProcessor);
 		}
 	};
 
@@ -377,13 +377,13 @@
 
 	const decide = (job: PlacedJob): void => {
 		const {order} = job;
-		if (rooms.open().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaited()))) {
+		if (capacity.available().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaitingFirstAnswer()))) {
 			// The first looks are on their way.
 			accept(job, order.dueInMilliseconds);
 			return;
 		}
 
-		const decision = weighArrival(job, [...jobs.values()], {rooms: rooms.open(), others: options.otherCells(), now: performance.now()});
+		const decision = weighArrival(job, [...jobs.values()], {rooms: capacity.available(), others: options.otherCells(), now: performance.now()});
 		if (decision.admission === Admission.Redirect) {
 			jobs.set(keyOf(job), job);
 			transferTasks(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
@@ -457,7 +457,7 @@
 			endpoints.install(entries);
 			dispatch();
 		},
-		load: rooms.load,
+		load: capacity.load,
 		close() {
 			isClosed = true;
 			clearInterval(timer);
