--- a/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
@@ -29,7 +29,7 @@
 	assert.equal(jobs.toSorted((first, second) => compareUrgency(first.urgency, second.urgency)).map(({name}) => name).join(', '), expected);
 });
 
-Given('a sound endpoint', function (this: DecisionWorld) {
+Given('a healthy endpoint', function (this: DecisionWorld) {
 	this.health = newEndpointHealth;
 	this.healthNow = 0;
 });
@@ -78,7 +78,7 @@
 	assert.ok(Math.abs(this.speeds.factorOf('other', kind) - factor) <= tolerance);
 });
 
-Given('lanes that are free in {string} ms', function (this: DecisionWorld, times: string) {
+Given('simulated slots that are free in {string} ms', function (this: DecisionWorld, times: string) {
 	this.predictedLanes = times.split(',').map(time => ({freeInMilliseconds: Number(time), factor: 1}));
 });
 
--- a/packages/galenakeeld/src/process/cells/__tests__/endpoint-reachability.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/endpoint-reachability.steps.ts
@@ -14,31 +14,31 @@
 
 const describe = (contact: EndpointReachability): string => [
 	['awaited', contact.isAwaitingFirstAnswer()],
-	['reached', contact.isReachable()],
+	['reachable', contact.isReachable()],
 	['silent', contact.isSilent()],
 	['missed', contact.hasMissedPoll()],
-	['pausing', contact.isBackingOff()],
+	['backing off', contact.isBackingOff()],
 ].filter(([, isSet]) => isSet).map(([name]) => name).join(', ');
 
-Given('an endpoint that was not looked at', function (this: ReachabilityWorld) {
+Given('an endpoint that was not polled', function (this: ReachabilityWorld) {
 	this.reachability = createEndpointReachability();
 });
 
-When('a look is answered', function (this: ReachabilityWorld) {
+When('a poll is answered', function (this: ReachabilityWorld) {
 	this.reachability.recordAnswer();
 });
 
-When('{int} looks have no answer', function (this: ReachabilityWorld, polls: number) {
+When('{int} polls have no answer', function (this: ReachabilityWorld, polls: number) {
 	for (let poll = 0; poll < polls; poll++) {
 		this.reachability.recordMissedPoll(true);
 	}
 });
 
-When('a look is turned away', function (this: ReachabilityWorld) {
+When('a poll is rejected', function (this: ReachabilityWorld) {
 	this.reachability.recordMissedPoll(false);
 });
 
-Then('the contact is {string}', function (this: ReachabilityWorld, expected: string) {
+Then('the endpoint is {string}', function (this: ReachabilityWorld, expected: string) {
 	assert.equal(describe(this.reachability), expected);
 });
 
@@ -67,10 +67,10 @@
 	assert.equal(this.leases.next(), milliseconds);
 });
 
-Then('a lease may still last', function (this: ReachabilityWorld) {
+Then('a lease may still be in force', function (this: ReachabilityWorld) {
 	assert.ok(!this.leases.haveExpired());
 });
 
-Then('no lease lasts', function (this: ReachabilityWorld) {
+Then('no lease is in force', function (this: ReachabilityWorld) {
 	assert.ok(this.leases.haveExpired());
 });
--- a/packages/galenakeeld/src/process/cells/endpoint-clock.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-clock.ts
@@ -1,17 +1,17 @@
 import {performance} from 'node:perf_hooks';
 
 /**
-The steady clock of an endpoint, as far as its answers tell it.
+Estimates the monotonic clock of an endpoint from its answers.
 */
 export type EndpointClock = {
-	/** Takes the clock of an answer that has just arrived. */
+	/** Records the clock value of an answer that has just arrived. */
 	readonly observe: (clockMilliseconds: number) => void;
-	/** The endpoint's clock now, at most; undefined before the first answer. */
+	/** Upper bound of the endpoint's clock now; undefined before the first answer. */
 	readonly now: () => number | undefined;
 };
 
 /**
-Creates a clock that nobody has told yet.
+Creates a clock that has not been observed yet.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/cells/endpoint-decision.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-decision.ts
@@ -2,22 +2,22 @@
 Decisions about an endpoint that are logged.
 */
 export enum EndpointDecision {
-	/** The endpoint doesn't answer looks. */
+	/** The endpoint doesn't answer polls. */
 	Silent = 'endpoint-silent',
 	/** The endpoint answers again. */
 	Regained = 'endpoint-regained',
-	/** A run of an earlier owner was stopped. */
+	/** An orphaned run of an earlier owner was stopped. */
 	OrphanStopped = 'stray-stopped',
-	/** An order was not answered and is made void. */
+	/** A start was not answered; its outcome is being resolved. */
 	OrderUnknown = 'order-unknown',
-	/** A run is no longer shown, without an end. */
+	/** The endpoint no longer lists a run and reported no end of it. */
 	RunLost = 'run-lost',
-	/** A run stands still and is stopped. */
+	/** A run makes no progress and is stopped. */
 	RunStalled = 'run-stalled',
-	/** The endpoint rests after bad ends. */
+	/** The endpoint cools down after failures. */
 	CooldownStarted = 'endpoint-rests',
 	/** The endpoint declined a start. */
 	Declined = 'start-declined',
-	/** Another life of the endpoint answers. */
+	/** Another incarnation of the endpoint answered. */
 	OtherIncarnation = 'endpoint-other-life',
 }
--- a/packages/galenakeeld/src/process/cells/endpoint-health.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-health.ts
@@ -1,32 +1,32 @@
 /**
-Whether an endpoint is given work, by how its last runs ended.
+Whether an endpoint is given tasks, depending on how its last runs ended.
 */
 export enum HealthState {
-	/** Takes work. */
-	Healthy = 'sound',
-	/** Takes nothing until its rest is over. */
-	CoolingDown = 'resting',
+	/** Takes tasks. */
+	Healthy = 'healthy',
+	/** Takes no tasks until its cooldown is over. */
+	CoolingDown = 'cooling-down',
 	/** Takes one task at a time until one succeeds. */
 	Probing = 'probing',
 }
 
 /**
-What the health of an endpoint follows.
+Events that change the health of an endpoint.
 */
 export enum HealthEvent {
 	Succeeded = 'succeeded',
 	Failed = 'failed',
 	/** A run made no progress. */
 	Stalled = 'stalled',
-	/** The endpoint declined an order for a reason other than room, or didn't answer it. */
+	/** The endpoint declined a start for a reason other than capacity. */
 	Declined = 'declined',
 }
 
 export type EndpointHealth = {
 	readonly state: HealthState;
-	/** Bad events since the last success. */
+	/** Failures since the last success. */
 	readonly failuresInRow: number;
-	/** Steady milliseconds at which the rest is over. */
+	/** Monotonic milliseconds at which the cooldown is over. */
 	readonly cooldownEndsAt: number;
 };
 
@@ -35,7 +35,7 @@
 const maximumCooldownMilliseconds = 6000;
 
 /**
-The health of an endpoint of which nothing is known.
+The health of an endpoint without history.
 */
 export const newEndpointHealth: EndpointHealth = {state: HealthState.Healthy, failuresInRow: 0, cooldownEndsAt: 0};
 
@@ -43,9 +43,9 @@
 	Math.min(maximumCooldownMilliseconds, minimumCooldownMilliseconds * (2 ** (failuresInRow - failureThreshold)));
 
 /**
-Returns the health after an event. A stalled run counts as much as several failures, since finding it took long.
+Returns the health after an event. A stalled run counts as several failures, because it takes long to detect.
 
-@param now Steady milliseconds.
+@param now Monotonic milliseconds.
 
 @example
 ```
@@ -65,7 +65,7 @@
 };
 
 /**
-Returns the health at a moment: a rest that is over becomes a probe.
+Returns the health at a given time: once the cooldown is over, the endpoint is probed.
 */
 export const healthAt = (health: EndpointHealth, now: number): EndpointHealth =>
 	health.state === HealthState.CoolingDown && now >= health.cooldownEndsAt ? {...health, state: HealthState.Probing} : health;
--- a/packages/galenakeeld/src/process/cells/endpoint-leases.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-leases.ts
@@ -3,21 +3,21 @@
 import {maximumLeaseOf} from './maximum-lease.js';
 
 /**
-The leases that an owner has sent to one life of an endpoint.
+The leases that an owner has sent to one incarnation of an endpoint.
 */
 export type EndpointLeases = {
-	/** Takes the endpoint's clock from an answer that has just arrived. */
+	/** Records the endpoint's clock from an answer that has just arrived. */
 	readonly observe: (clockMilliseconds: number) => void;
 	/** Returns the end of a lease that begins now, on the endpoint's clock; undefined before the first answer. It counts as sent. */
 	readonly next: () => number | undefined;
-	/** Whether every lease that was sent has ended, so that nothing can run any more. */
+	/** Whether every lease that was sent has expired, so that nothing can be running any more. */
 	readonly haveExpired: () => boolean;
 };
 
 /**
-Creates the leases of an endpoint to which an earlier owner may just have sent one.
+Creates the leases of an endpoint. An earlier owner may have sent a lease just before, so the maximum lease is assumed to run from now.
 
-@param holdMaximumMilliseconds Longest lease that the endpoint grants, on its own clock.
+@param holdMaximumMilliseconds Maximum lease that the endpoint grants, on its own clock.
 
 @example
 ```
@@ -29,7 +29,7 @@
 export const createEndpointLeases = (holdMaximumMilliseconds: number): EndpointLeases => {
 	const clock = createEndpointClock();
 	const maximumLease = maximumLeaseOf(holdMaximumMilliseconds);
-	/** Steady milliseconds at which every lease that was sent has ended. */
+	/** Monotonic milliseconds at which every lease that was sent has expired. */
 	let endAt = performance.now() + maximumLease;
 
 	return {
--- a/packages/galenakeeld/src/process/cells/endpoint-reachability.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-reachability.ts
@@ -1,33 +1,33 @@
 /**
-Whether an endpoint answers looks.
+Whether an endpoint answers polls.
 */
 export type EndpointReachability = {
-	/** A look was answered at least once. */
+	/** At least one poll was answered. */
 	readonly hasAnswered: () => boolean;
-	/** It was answered, and counts as answering now. */
+	/** The endpoint has answered before and does not count as silent. */
 	readonly isReachable: () => boolean;
-	/** It counts as one that doesn't answer. */
+	/** The endpoint counts as not answering. */
 	readonly isSilent: () => boolean;
-	/** The first look has neither been answered nor missed. */
+	/** The first poll has neither been answered nor failed. */
 	readonly isAwaitingFirstAnswer: () => boolean;
-	/** The last look was not answered. */
+	/** The last poll was not answered. */
 	readonly hasMissedPoll: () => boolean;
-	/** So many looks in a row were not answered that the next one waits. */
+	/** So many polls in a row were not answered that the next one is delayed. */
 	readonly isBackingOff: () => boolean;
 	readonly recordAnswer: () => void;
 	/**
-	Notes a look without a report.
+	Records a poll without a report.
 
-	@param isUnknown No answer came, rather than one that turns the look away.
+	@param isUnknown Whether no answer arrived, rather than one that rejected the poll.
 	*/
 	readonly recordMissedPoll: (isUnknown: boolean) => void;
 };
 
-/** Looks in a row without an answer after which an endpoint counts as silent. */
+/** Consecutive polls without an answer after which an endpoint counts as silent. */
 const maximumMissedPolls = 2;
 
 /**
-Creates the contact to an endpoint that was not looked at yet. A single look without an answer makes nobody silent who has answered before, as answers get lost.
+Creates the reachability of an endpoint that was not polled yet. An endpoint that has answered before stays reachable after a single poll without an answer, since an answer can be lost.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/cells/endpoint-run.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-run.ts
@@ -4,25 +4,25 @@
 import {isSameTask, type TaskKey} from '@galenakeel/model/request/task-key.js';
 
 /**
-What became of a run.
+Result of a run.
 */
 export enum RunResult {
 	Succeeded = 'succeeded',
 	Failed = 'failed',
-	/** Nothing runs any more; the task may be started again. */
+	/** The run is no longer active; the task may be started again. */
 	Lost = 'lost',
-	/** The endpoint had no room after all, or declined; nothing has run. */
+	/** The endpoint had no capacity or declined the start; nothing has run. */
 	Declined = 'declined',
 }
 
 /**
-Where a run stands, as far as its owner knows.
+State of a run as known to its owner.
 */
 export enum RunState {
-	/** The order is on its way, or its outcome isn't known. */
+	/** The start was sent; its outcome isn't known. */
 	Ordered = 'ordered',
 	Running = 'running',
-	/** A stop was carried out; its end isn't listed yet. */
+	/** A stop was carried out; the end isn't reported yet. */
 	Stopping = 'stopping',
 }
 
@@ -38,7 +38,7 @@
 	state: RunState;
 	/** Its start was not answered in time. */
 	isUnconfirmed: boolean;
-	/** Steady milliseconds since when a look must show the run, or its end. */
+	/** Monotonic milliseconds from which a poll must report the run or its end. */
 	visibleAt: number;
 	readonly ended: Deferred<RunResult>;
 };
@@ -54,13 +54,13 @@
 	readonly specification: string;
 };
 
-/** Share of its expected time that an active run takes at least from any moment on, as many run longer than expected. */
+/** Minimum remaining time of an active run as a share of its expected time, because many runs take longer than expected. */
 const minimumRemainingShare = 0.25;
 
 /**
-Creates a run that begins now.
+Creates a run that starts now.
 
-@param state `Running` for one that is adopted, `Ordered` for one that is started.
+@param state `Running` for an adopted run, `Ordered` for a run that is being started.
 */
 export const createRun = ({task, attempt, room, estimateMilliseconds}: Omit<RunRequest, 'specification'>, state: RunState): Run => {
 	const now = performance.now();
@@ -70,12 +70,12 @@
 };
 
 /**
-Tells whether a run is of a task and an attempt.
+Checks whether a run belongs to the given task and attempt.
 */
 export const isRunOf = (run: Run, {task, attempt}: Pick<Run, 'task' | 'attempt'>): boolean => run.attempt === attempt && isSameTask(run.task, task);
 
 /**
-Returns the expected milliseconds until each run ends, the soonest first.
+Returns the expected milliseconds until each run ends, in ascending order.
 
 @param factor Expected run time over estimate.
 */
@@ -88,7 +88,7 @@
 };
 
 /**
-Returns the ratio of elapsed time to estimate that all runs have passed; 0 without runs.
+Returns the lowest ratio of elapsed time to estimate among the runs; 0 without runs.
 */
 export const overdueFactorOf = (runs: Iterable<Run>): number => {
 	const now = performance.now();
--- a/packages/galenakeeld/src/process/cells/finished-parts.ts
+++ b/packages/galenakeeld/src/process/cells/finished-parts.ts
@@ -7,29 +7,29 @@
 */
 export type FinishedPart = {
 	readonly job: PlacedJob;
-	/** News of its end; undefined when its last tasks went to other cells. */
+	/** Update that reports its end; undefined if its last tasks were transferred to other cells. */
 	readonly update: JobNews | undefined;
 };
 
 /**
-The parts that have left a cell, for holders that missed the news.
+The parts that have left a cell, kept for holders that missed the update.
 */
 export type FinishedParts = {
 	readonly add: (key: string, part: FinishedPart) => void;
 	readonly get: (key: string) => FinishedPart | undefined;
-	/** Forgets the parts that left long ago. */
+	/** Removes the parts whose retention period is over. */
 	readonly sweep: () => void;
 };
 
 /**
 Creates an empty set.
 
-@param keepMilliseconds How long a part is kept.
+@param keepMilliseconds How long a part is kept, in milliseconds.
 
 @example
 ```
-const past = createPastParts(5000);
-past.add('5c0e7a21d94b36f8/0', {job, news});
+const finishedParts = createPastParts(5000);
+finishedParts.add('5c0e7a21d94b36f8/0', {job, update});
 ```
 */
 export const createFinishedParts = (keepMilliseconds: number): FinishedParts => {
--- a/packages/galenakeeld/src/process/cells/maximum-lease.ts
+++ b/packages/galenakeeld/src/process/cells/maximum-lease.ts
@@ -1,16 +1,16 @@
-/** An endpoint's clock may be this much slower than ours. */
+/** An endpoint's clock may be slower than the local clock by this factor. */
 const slowClockFactor = 1.02;
 const leaseSlackMilliseconds = 40;
 
 /**
-Time in which an owner that is cut off from its peers finds that endpoints obey another one, and gives its cell up.
+Time within which an owner that is partitioned from its peers detects that endpoints obey another owner, and gives up its cell.
 */
 export const yieldMilliseconds = 1000;
 
 /**
-Returns the time after which a lease that begins now has surely ended, in milliseconds.
+Returns the time after which a lease that begins now is certain to have expired, in milliseconds.
 
-@param holdMaximumMilliseconds Longest lease that an endpoint grants, on its own clock.
+@param holdMaximumMilliseconds Maximum lease that an endpoint grants, on its own clock.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/cells/orphaned-runs.ts
+++ b/packages/galenakeeld/src/process/cells/orphaned-runs.ts
@@ -2,20 +2,20 @@
 import {isSameTask, type TaskKey} from '@galenakeel/model/request/task-key.js';
 
 /**
-What an endpoint runs, or has run, by orders of earlier owners.
+Active and ended runs at an endpoint that earlier owners started.
 */
 export type OrphanedRuns = {
-	/** Runs that the last look showed. */
+	/** Runs that the last poll reported. */
 	readonly active: () => readonly ActiveRun[];
 	readonly install: (active: readonly ActiveRun[]) => void;
-	/** Notes an end, since its job may be handed over yet. */
+	/** Records an end, because the job of the run may still be submitted to this owner. */
 	readonly recordEnd: (ended: EndedRun) => void;
 	readonly hasSucceeded: (task: TaskKey) => boolean;
-	/** Takes the run of a task out; undefined if there is none. */
+	/** Removes and returns the run of a task; undefined if there is none. */
 	readonly take: (task: TaskKey) => ActiveRun | undefined;
 };
 
-/** Ends of earlier owners that are kept. */
+/** Successful ends that are kept for each endpoint. */
 const maximumSuccesses = 256;
 
 /**
@@ -23,9 +23,9 @@
 
 @example
 ```
-const strays = createStrayRuns();
-strays.install(report.active);
-strays.take(task)?.attempt;
+const orphans = createStrayRuns();
+orphans.install(report.active);
+orphans.take(task)?.attempt;
 ```
 */
 export const createOrphanedRuns = (): OrphanedRuns => {
