--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -1,20 +1,20 @@
-Feature: A cell hands tasks to other cells and tells holders again what they missed
+Feature: A cell redirects tasks to other cells and resends updates that holders missed
 
   Background:
-    Given a cell with 2 places, and the cell "south" with room for 4 tasks
+    Given a cell with 2 slots, and the cell "south" with capacity for 4 tasks
 
-  Scenario: Tasks that find no room go to a cell with room
+  Scenario: Tasks that find no capacity are redirected to a cell that has some
     When a job of 4 tasks is submitted
     Then 2 tasks were started here
     And 2 tasks went to "south" as part "0.1"
 
-  Scenario: A holder that hands the part over again hears the same news again
+  Scenario: A holder that submits the part again receives the same updates again
     When a job of 4 tasks is submitted
     And the job is submitted again
     Then 2 tasks were started here
-    And the holder heard 2 times that 2 tasks went to "south" as part "0.1"
+    And the holder was notified 2 times that 2 tasks went to "south" as part "0.1"
 
-  Scenario: A part that was handed over several times moves no further
+  Scenario: A part that was redirected several times is redirected no further
     When a job of 4 tasks that was moved 4 times is submitted
     Then 2 tasks were started here
     And no task went elsewhere
@@ -30,19 +30,19 @@
 
   Scenario: No more tasks of a step run on an endpoint than the step allows, also when it is placed again
     When a job of 6 tasks with at most 1 on one endpoint is submitted
-    And the cell goes on for 150 ms
+    And the cell runs for 150 ms
     Then 1 tasks were started here
 
   Scenario: Tasks of an earlier owner start once all endpoints are known
     When a job of 2 tasks that an earlier owner may have started is submitted
     Then 2 tasks were started here
 
-  Scenario: Entries that lapsed in a cut may be missing, so what an earlier owner started waits until its leases have ended
+  Scenario: Entries that lapsed during a partition may be missing, so what an earlier owner started waits until its leases have expired
     Given the endpoints were listed a moment ago
     When a job of 2 tasks that an earlier owner may have started is submitted
-    And the cell goes on for 1200 ms
+    And the cell runs for 1200 ms
     Then no task was started here
-    When the cell goes on for 1000 ms
+    When the cell runs for 1000 ms
     Then 2 tasks were started here
 
   Scenario: The loss of the holder stops what runs here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -18,7 +18,7 @@
 	updates: JobNews[];
 	started: string[];
 	stopped: string[];
-	/** Steady milliseconds at which the cell's first list came. */
+	/** Monotonic milliseconds at which the first list of endpoints arrived. */
 	listedSince: number;
 };
 
@@ -60,7 +60,7 @@
 const countTransfers = (world: PartsWorld, tasks: number, cell: string, newPart: string): number =>
 	redirectsOf(world).filter(one => one.positions.length === tasks && one.cell === cell && one.newPart === newPart).length;
 
-Given('a cell with {int} places, and the cell {string} with room for {int} tasks', async function (this: PartsWorld, places: number, other: string, room: number) {
+Given('a cell with {int} slots, and the cell {string} with capacity for {int} tasks', async function (this: PartsWorld, places: number, other: string, room: number) {
 	this.clock = install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'clearImmediate', 'Date'], shouldClearNativeTimers: true});
 	this.updates = [];
 	this.started = [];
@@ -96,13 +96,13 @@
 			isOtherCellKnown = false;
 		},
 		onFenced() {
-			throw new Error('a played endpoint has one owner');
+			throw new Error('a simulated endpoint has a single owner');
 		},
 		onDecision() {
-			// The news tells what was decided.
+			// The updates show what was decided.
 		},
 		onTaskWait() {
-			// Waits are of no interest here.
+			// Waits are not checked here.
 		},
 	});
 	this.cell.install([{
@@ -144,7 +144,7 @@
 	await submit(this, {...createOrder([createStep(tasks, [])], 0), generation: 1, isCommitted: true});
 });
 
-When('the cell goes on for {int} ms', async function (this: PartsWorld, milliseconds: number) {
+When('the cell runs for {int} ms', async function (this: PartsWorld, milliseconds: number) {
 	await this.clock.tickAsync(milliseconds);
 });
 
@@ -174,7 +174,7 @@
 	assert.equal(countTransfers(this, tasks, cell, newPart), 1);
 });
 
-Then('the holder heard {int} times that {int} tasks went to {string} as part {string}', function (this: PartsWorld, times: number, tasks: number, cell: string, newPart: string) {
+Then('the holder was notified {int} times that {int} tasks went to {string} as part {string}', function (this: PartsWorld, times: number, tasks: number, cell: string, newPart: string) {
 	assert.equal(countTransfers(this, tasks, cell, newPart), times);
 });
 
--- a/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -8,30 +8,30 @@
 } from './weigh-jobs.js';
 
 /**
-The open rooms of a cell and its load, worked out once after each change.
+Caches the available capacity and the load of a cell between changes.
 */
 export type CellCapacityCache = {
 	readonly available: () => readonly OpenRoom[];
 	readonly load: () => CellLoad;
-	/** Notes that endpoints or jobs have changed. */
+	/** Discards the cached values after endpoints or jobs have changed. */
 	readonly invalidate: () => void;
 };
 
 export type CellCapacityCacheOptions = {
 	readonly endpoints: Pick<CellEndpoints, 'openRooms' | 'kindFactors'>;
 	readonly jobs: () => readonly PlacedJob[];
-	/** Thousandths of a core of a task of the usual size. */
+	/** Processor of a typical task, in thousandths of a core. */
 	readonly typicalProcessor: () => number;
 };
 
 /**
-Creates rooms of which nothing was worked out yet.
+Creates an empty cache.
 
 @example
 ```
-const rooms = createCellRooms({endpoints, jobs: () => [...jobs.values()], usualProcessor: () => 1000});
-rooms.open();
-rooms.forget();
+const capacity = createCellRooms({endpoints, jobs: () => [...jobs.values()], typicalProcessor: () => 1000});
+capacity.available();
+capacity.invalidate();
 ```
 */
 export const createCellCapacityCache = ({endpoints, jobs, typicalProcessor: usualProcessor}: CellCapacityCacheOptions): CellCapacityCache => {
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -21,72 +21,72 @@
 import {createOrphanedRuns} from './orphaned-runs.js';
 
 /**
-An endpoint that this daemon gives orders to.
+An endpoint that this daemon starts tasks on.
 */
 export type CellEndpoint = {
 	readonly entry: () => EndpointEntry;
-	/** Takes a newer entry of the same life. */
+	/** Installs a newer entry of the same incarnation. */
 	readonly update: (entry: EndpointEntry) => void;
-	/** Room for tasks now; undefined while the endpoint takes none. */
+	/** Free capacity now; undefined while the endpoint takes no tasks. */
 	readonly availableCapacity: (factor: number) => OpenRoom | undefined;
-	/** Whether a look has shown what runs there, or nothing of an earlier owner can run any more. */
+	/** Whether a poll has reported what runs there, or no run of an earlier owner can be active any more. */
 	readonly areRunsKnown: () => boolean;
-	/** Whether its first answer is still to come. */
+	/** Whether the first poll has neither been answered nor failed. */
 	readonly isAwaitingFirstAnswer: () => boolean;
 	/** Starts a task and waits for its end. */
 	readonly start: (request: RunRequest) => Promise<RunResult>;
-	/** Takes a run of an earlier owner over; undefined if there is none. */
+	/** Takes over a run of an earlier owner; undefined if there is none. */
 	readonly adopt: (task: TaskKey, room: Room, estimateMilliseconds: number) => {readonly ended: Promise<RunResult>} | undefined;
-	/** Stops the runs of the tasks that a test holds for. */
+	/** Stops the runs of the tasks for which `isStopped` returns true. */
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
-	/** Looks at the endpoint until it is closed. */
+	/** Polls the endpoint until it is closed. */
 	readonly run: () => Promise<void>;
-	/** Gives no further orders; all runs count as lost for this owner. */
+	/** Sends no further orders; all runs count as lost for this owner. */
 	readonly close: () => void;
 	readonly isIdle: () => boolean;
-	/** Ratio of elapsed time to estimate that all its active runs have passed; 0 when idle. */
+	/** Lowest ratio of elapsed time to estimate among the active runs; 0 when idle. */
 	readonly overdueFactor: () => number;
 };
 
 /**
-What an endpoint asks of its cell.
+What an endpoint needs from its cell.
 */
 export type CellEndpointOptions = {
 	readonly calls: EndpointCalls;
 	readonly holdMaximumMilliseconds: number;
 	readonly token: () => number;
-	/** Steady milliseconds since when the token is in force. */
+	/** Monotonic milliseconds since when the token is in force. */
 	readonly ownedSince: () => number;
 	/** Whether runs of an earlier owner that nobody has claimed may be stopped. */
 	readonly isSettled: () => boolean;
-	/** Called after each change of room. */
+	/** Called after each change of capacity. */
 	readonly onChange: () => void;
 	readonly onFenced: () => void;
-	/** Called when a look shows runs that this owner has not started. */
+	/** Called when a poll reports runs that this owner has not started. */
 	readonly onOrphans: () => void;
 	readonly onDecision: (decision: EndpointDecision, fields: Readonly<Record<string, unknown>>) => void;
 	/** Called for each run that succeeded. */
 	readonly onRunTime: (estimateMilliseconds: number, runMilliseconds: number) => void;
 };
 
-/** Longest wait of a look at runs, so that one without an answer hides their ends for a short time only. */
+/** Maximum wait of a poll while runs are active: a poll whose answer is lost delays their ends for this time only. */
 const busyPollWaitMilliseconds = 150;
-/** Starts without an answer at the same time after which an endpoint gets no more. */
+/** Number of simultaneous starts without an answer from which an endpoint gets no more. */
 const maximumUnconfirmedStarts = 2;
-/** A run that starts behind an idle look has its lease extended by the next one. */
+/** The lease of a run that starts during an idle poll is extended by the next poll. */
 const idlePollWaitMilliseconds = 500;
-/** Wait while an end that may not come is awaited. */
+/** Maximum wait of a poll while the end of a run that may never be reported is awaited. */
 const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
-/** Time without an answer after which a start is looked for; an answer takes a few milliseconds. */
+/** Time without an answer after which a poll looks for the run of a start; an answer takes a few milliseconds. */
 const startAnswerTimeoutMilliseconds = 50;
-/** Age from which the reported use of processor tells whether a run stands still. */
+/** Age from which the reported processor use shows whether a run makes progress. */
 const stallAgeMilliseconds = 700;
 const noRoomCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
 
 /**
-Creates the orders to one life of an endpoint.
+Creates the control of one incarnation of an endpoint.
 
 @example
 ```
@@ -106,7 +106,7 @@
 	let free = entry.room;
 	let health = newEndpointHealth;
 	let acknowledged = 0;
-	/** Token of the last look that was answered; what lower tokens order since then is not obeyed. */
+	/** Token of the last answered poll; the endpoint rejects orders with lower tokens since then. */
 	let polledToken = 0;
 	let isClosed = false;
 	let cooldownEndsAt = 0;
@@ -157,12 +157,12 @@
 
 	const hasClosed = (): boolean => isClosed;
 
-	/** Whether starts have not been answered and not been found out about. One alone may be a lost answer. */
+	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
 	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed: isDoubted, state}) => isDoubted && state === RunState.Ordered).length >= maximumUnconfirmedStarts;
 
 	const isActive = (run: Run): boolean => runs.has(run);
 
-	/** Orders a stop until the endpoint has carried it out or the lease has ended. */
+	/** Repeats a stop until the endpoint has carried it out or the lease has expired. */
 	const stopUntilEnded = async (run: Run): Promise<void> => {
 		while (isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
 			const {outcome} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
@@ -191,7 +191,7 @@
 		}
 	};
 
-	/** Begins to find out what became of a start without an answer, once. */
+	/** Resolves the outcome of a start without an answer, once. */
 	const beginResolving = (run: Run): void => {
 		if (isActive(run) && run.state === RunState.Ordered && !run.isUnconfirmed) {
 			run.isUnconfirmed = true;
@@ -387,7 +387,7 @@
 	};
 
 	const poll = async (waitMilliseconds: number): Promise<LookReply> => {
-		// A lease that is not known to be extended must end, so that its runs count as lost.
+		// No extension while the endpoint is silent: its leases must expire so that its runs count as lost.
 		const isExtending = runs.size > 0 && options.isSettled() && !reachability.isSilent();
 		const lease = isExtending ? leases.next() : undefined;
 		return calls.look({
@@ -398,7 +398,7 @@
 		});
 	};
 
-	/** Looks beside the look that waits for an end. */
+	/** Polls at once, beside the poll that waits for an end. */
 	async function pollNow(): Promise<void> {
 		const lookedAt = performance.now();
 		const {report} = await poll(0);
@@ -407,7 +407,7 @@
 		}
 	}
 
-	/** A start without an answer goes on if a look shows the run; else it is made void. */
+	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
 	async function resolveUnknown(run: Run): Promise<void> {
 		await pollNow();
 		if (run.state === RunState.Ordered) {
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -6,7 +6,7 @@
 import type {OpenRoom} from './place-tasks.js';
 
 /**
-The endpoints of a cell, by their lives, and how fast each is.
+The endpoints of a cell by incarnation, and the speed of each.
 */
 export type CellEndpoints = {
 	readonly all: () => readonly CellEndpoint[];
@@ -15,9 +15,9 @@
 	readonly factorOf: (endpoint: CellEndpoint) => number;
 	readonly kindFactors: () => Readonly<Record<string, number>>;
 	readonly availableCapacities: () => readonly OpenRoom[];
-	/** Stops the runs of the tasks that a test holds for. */
+	/** Stops the runs of the tasks for which `isStopped` returns true. */
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
-	/** Takes the endpoints as the platform lists them. */
+	/** Installs the endpoints that the platform lists. */
 	readonly install: (entries: readonly EndpointEntry[]) => void;
 	readonly close: () => void;
 };
@@ -29,10 +29,10 @@
 };
 
 /**
-Time in which an entry that lapsed while the store was away is back.
+Time within which an entry that lapsed during a store outage is listed again.
 */
 export const lapsedEntryMilliseconds = 2500;
-/** Active runs that are overdue by this much say that their endpoint has turned slow. */
+/** If all active runs exceed their expected time by this factor, the endpoint has become slow. */
 const overdueRatio = 3;
 
 /** The first label of an endpoint names its kind. */
@@ -45,13 +45,13 @@
 ```
 const endpoints = createCellEndpoints(options);
 endpoints.install(entries);
-const rooms = endpoints.openRooms();
+const capacities = endpoints.openRooms();
 ```
 */
 export const createCellEndpoints = (options: CellEndpointsOptions): CellEndpoints => {
 	const endpoints = new Map<string, CellEndpoint>();
 	const speeds = createEndpointSpeeds(options.kindFactors);
-	/** Steady milliseconds since when the platform doesn't list an endpoint. */
+	/** Monotonic milliseconds since when the platform no longer lists an endpoint. */
 	const missingSince = new Map<string, number>();
 
 	const factorOf = (endpoint: CellEndpoint): number => {
@@ -69,7 +69,7 @@
 		void endpoint.run();
 	};
 
-	/** Lets an endpoint go that the platform no longer lists, once nothing runs there: entries also lapse while the store is away. */
+	/** Drains an endpoint that the platform no longer lists and removes it once idle, after a delay: entries also lapse during a store outage. */
 	const retire = (life: string, endpoint: CellEndpoint): void => {
 		const since = missingSince.get(life) ?? performance.now();
 		missingSince.set(life, since);
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -29,7 +29,7 @@
 */
 export enum CellDecision {
 	JobAccepted = 'job-taken',
-	/** Tasks went to another cell. */
+	/** Tasks were redirected to another cell. */
 	JobRedirected = 'job-redirected',
 	JobRefused = 'job-refused',
 	JobEnded = 'job-ended',
@@ -40,20 +40,20 @@
 }
 
 /**
-The endpoints of one availability zone, and the jobs that wait for them or run on them, at the daemon that orders them.
+The endpoints of one availability zone, and the jobs that wait for them or run on them, at the daemon that owns the cell.
 */
 export type Cell = {
 	readonly zone: string;
-	/** Takes a job from its holder, or refuses it. */
+	/** Accepts or refuses a job from its holder. */
 	readonly submit: (holder: string, order: JobOrder) => void;
-	/** Drops a part of a job that its holder no longer wants. */
+	/** Cancels a part of a job at the request of its holder. */
 	readonly cancel: (holder: string, job: string, part: string) => void;
-	/** Drops the jobs of a holder that is lost, so that none of their tasks runs when their callers come again. */
+	/** Drops the jobs of a holder that is lost, so that none of their tasks is running when their callers submit them again. */
 	readonly dropHolder: (holder: string) => void;
-	/** Takes the endpoints of the zone as the platform lists them. */
+	/** Installs the endpoints of the zone that the platform lists. */
 	readonly install: (entries: readonly EndpointEntry[]) => void;
 	readonly load: () => CellLoad;
-	/** Orders nothing more; what runs is left to the next owner. */
+	/** Sends no further orders; active runs are left to the next owner. */
 	readonly close: () => void;
 };
 
@@ -61,7 +61,7 @@
 	readonly zone: string;
 	readonly token: () => number;
 	readonly holdMaximumMilliseconds: number;
-	/** Steady milliseconds since when this daemon has known endpoints of the zone; undefined before the first list. */
+	/** Monotonic milliseconds since when this daemon has known endpoints of the zone; undefined before the first list. */
 	readonly listedSince: () => number | undefined;
 	readonly remotePenalty: number;
 	/** What other owners have learned of kinds of endpoints. */
@@ -70,7 +70,7 @@
 	readonly notify: (holder: string, news: JobNews) => void;
 	/** Other cells as their owners last described them. */
 	readonly otherCells: () => readonly CellRoom[];
-	/** Called when tasks were handed to another cell, with the processor that they need there. */
+	/** Called when tasks were redirected to another cell, with the processor that they need there. */
 	readonly onRedirected: (cell: string, processor: number) => void;
 	/** Called when an endpoint obeys a higher token. */
 	readonly onFenced: () => void;
@@ -78,14 +78,14 @@
 	readonly onTaskWait: (milliseconds: number) => void;
 };
 
-/** Time for holders to claim what an earlier owner started, before it is stopped. */
+/** Time for holders to submit jobs of an earlier owner again before its runs are stopped. */
 const settleMilliseconds = 350;
-/** How long the end of a job is kept for a holder that missed it. */
+/** How long the end of a job is kept for a holder that missed the update. */
 const keepEndMilliseconds = 5000;
 const minimumRetryMilliseconds = 1000;
 const maximumRetryMilliseconds = 8000;
 const sweepMilliseconds = 50;
-/** Weight of a step's tasks in the usual size of a task. */
+/** Weight of a new step in the moving average of the processor of a task. */
 const typicalProcessorGain = 0.05;
 
 const processorOf = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step'>>): number => {
@@ -113,12 +113,12 @@
 	let lastToken = options.token();
 	const jobs = new Map<string, PlacedJob>();
 	const finishedParts = createFinishedParts(keepEndMilliseconds);
-	/** Thousandths of a core of a task of the usual size. */
+	/** Processor of a typical task, in thousandths of a core. */
 	let typicalProcessor = 1;
 	let isDispatching = false;
 	let isClosed = false;
 
-	/** Notes a token that was raised, which makes all that was seen before doubtful. */
+	/** Restarts the ownership period when the token was raised, since earlier observations are no longer reliable. */
 	const checkToken = (): void => {
 		if (options.token() !== lastToken) {
 			lastToken = options.token();
@@ -148,7 +148,7 @@
 
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
-	/** Takes a part out of the cell, with the news of its end, or without if its last tasks went elsewhere. */
+	/** Removes a part from the cell, with the update that reports its end, or without one if its last tasks were redirected. */
 	const finish = (job: PlacedJob, news?: JobNews): void => {
 		jobs.delete(keyOf(job));
 		finishedParts.add(keyOf(job), {job, update: news});
@@ -157,7 +157,7 @@
 		}
 	};
 
-	/** Tells a holder again what it may have missed. */
+	/** Resends the updates that a holder may have missed. */
 	const resend = (holder: string, job: PlacedJob, news: JobNews | undefined): void => {
 		const {job: {identifier}, part} = job.order;
 		for (const position of succeededPositions(job)) {
@@ -257,7 +257,7 @@
 		}
 	};
 
-	/** Hands tasks that found no room here to a cell that has some. */
+	/** Redirects tasks that found no capacity here to a cell that has some. */
 	const transferShare = ({part, position, indexes, cell}: TaskShare): void => {
 		const job = jobs.get(part);
 		if (!job) {
@@ -267,14 +267,14 @@
 		transferTasks(job, indexes.map(index => ({step: position, index})), cell);
 	};
 
-	/** Whether each endpoint on which an earlier owner may have started tasks has been looked at, or has ended what it ran. Entries that had lapsed are missing in a new list. */
+	/** Whether each endpoint on which an earlier owner may have started tasks has been polled, or can no longer run them. A new list may lack entries that lapsed. */
 	const areAllRunsKnown = (): boolean => {
 		const now = performance.now();
 		const isListComplete = now - (options.listedSince() ?? now) > lapsedEntryMilliseconds;
 		return isListComplete ? endpoints.all().every(endpoint => endpoint.areRunsKnown()) : now - ownedSince > maximumLeaseOf(options.holdMaximumMilliseconds) + yieldMilliseconds;
 	};
 
-	/** A job that an earlier owner may have started waits until nothing of it can run unseen. */
+	/** A job that an earlier owner may have started waits until none of its tasks can be running unobserved. */
 	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllRunsKnown());
 
 	const placeWaiting = (): void => {
@@ -300,7 +300,7 @@
 		capacity.invalidate();
 	};
 
-	/** Places what waits once the messages and answers that have arrived are taken in. */
+	/** Schedules the placement of waiting tasks after the messages and answers that have arrived are processed. */
 	function dispatch(): void {
 		capacity.invalidate();
 		if (!isDispatching) {
@@ -378,7 +378,7 @@
 	const decide = (job: PlacedJob): void => {
 		const {order} = job;
 		if (capacity.available().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaitingFirstAnswer()))) {
-			// The first looks are on their way.
+			// The first polls have not been answered yet.
 			accept(job, order.dueInMilliseconds);
 			return;
 		}
