--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -55,7 +55,7 @@
 	await world.clock.tickAsync(settleMilliseconds);
 };
 
-const redirectsOf = ({updates: news}: PartsWorld): readonly Redirect[] => news.filter(one => one.kind === FleetMessageKind.Redirect);
+const redirectsOf = ({updates}: PartsWorld): readonly Redirect[] => updates.filter(one => one.kind === FleetMessageKind.Redirect);
 
 const countTransfers = (world: PartsWorld, tasks: number, cell: string, newPart: string): number =>
 	redirectsOf(world).filter(one => one.positions.length === tasks && one.cell === cell && one.newPart === newPart).length;
@@ -88,8 +88,8 @@
 				},
 			};
 		},
-		notify: (_, news) => {
-			this.updates.push(news);
+		notify: (_, update) => {
+			this.updates.push(update);
 		},
 		otherCells: () => isOtherCellKnown ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: room * processorOfTask}], waitMilliseconds: 0}] : [],
 		onRedirected() {
--- a/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -18,7 +18,7 @@
 };
 
 export type CellCapacityCacheOptions = {
-	readonly endpoints: Pick<CellEndpoints, 'openRooms' | 'kindFactors'>;
+	readonly endpoints: Pick<CellEndpoints, 'availableCapacities' | 'kindFactors'>;
 	readonly jobs: () => readonly PlacedJob[];
 	/** Processor of a typical task, in thousandths of a core. */
 	readonly typicalProcessor: () => number;
@@ -34,7 +34,7 @@
 capacity.invalidate();
 ```
 */
-export const createCellCapacityCache = ({endpoints, jobs, typicalProcessor: usualProcessor}: CellCapacityCacheOptions): CellCapacityCache => {
+export const createCellCapacityCache = ({endpoints, jobs, typicalProcessor}: CellCapacityCacheOptions): CellCapacityCache => {
 	let cachedCapacities: readonly OpenRoom[] | undefined;
 	let cachedLoad: CellLoad | undefined;
 
@@ -46,7 +46,7 @@
 	const computeLoad = (): CellLoad => {
 		const capacities = open();
 		const waiting = waitingInTimeWorkOf(jobs(), bestFactorOf(capacities), performance.now());
-		return {free: freeRoomsOf(capacities, usualProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(capacities)), kindFactors: endpoints.kindFactors()};
+		return {free: freeRoomsOf(capacities, typicalProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(capacities)), kindFactors: endpoints.kindFactors()};
 	};
 
 	return {
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -158,7 +158,7 @@
 	const hasClosed = (): boolean => isClosed;
 
 	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
-	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed: isDoubted, state}) => isDoubted && state === RunState.Ordered).length >= maximumUnconfirmedStarts;
+	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed, state}) => isUnconfirmed && state === RunState.Ordered).length >= maximumUnconfirmedStarts;
 
 	const isActive = (run: Run): boolean => runs.has(run);
 
@@ -423,9 +423,9 @@
 		availableCapacity(factor) {
 			const now = performance.now();
 			const {state} = healthAt(health, now);
-			const isReached = reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
+			const isReachable = reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
 			const isWilling = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
-			if (!isReached || !isWilling || hasOrphans()) {
+			if (!isReachable || !isWilling || hasOrphans()) {
 				return undefined;
 			}
 
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -67,7 +67,7 @@
 	/** What other owners have learned of kinds of endpoints. */
 	readonly kindFactors: () => Readonly<Record<string, number>>;
 	readonly createCalls: (entry: EndpointEntry) => EndpointCalls;
-	readonly notify: (holder: string, news: JobNews) => void;
+	readonly notify: (holder: string, update: JobNews) => void;
 	/** Other cells as their owners last described them. */
 	readonly otherCells: () => readonly CellRoom[];
 	/** Called when tasks were redirected to another cell, with the processor that they need there. */
@@ -108,7 +108,7 @@
 ```
 */
 export const createCell = (options: CellOptions): Cell => {
-	const {notify: tell, onDecision} = options;
+	const {notify, onDecision} = options;
 	let ownedSince = performance.now();
 	let lastToken = options.token();
 	const jobs = new Map<string, PlacedJob>();
@@ -149,25 +149,25 @@
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
 	/** Removes a part from the cell, with the update that reports its end, or without one if its last tasks were redirected. */
-	const finish = (job: PlacedJob, news?: JobNews): void => {
+	const finish = (job: PlacedJob, update?: JobNews): void => {
 		jobs.delete(keyOf(job));
-		finishedParts.add(keyOf(job), {job, update: news});
-		if (news) {
-			tell(job.holder, news);
+		finishedParts.add(keyOf(job), {job, update});
+		if (update) {
+			notify(job.holder, update);
 		}
 	};
 
 	/** Resends the updates that a holder may have missed. */
-	const resend = (holder: string, job: PlacedJob, news: JobNews | undefined): void => {
+	const resend = (holder: string, job: PlacedJob, update: JobNews | undefined): void => {
 		const {job: {identifier}, part} = job.order;
 		for (const position of succeededPositions(job)) {
-			tell(holder, {
+			notify(holder, {
 				kind: FleetMessageKind.TaskSucceeded, job: identifier, part, position,
 			});
 		}
 
-		for (const again of [...job.redirects, ...news ? [news] : []]) {
-			tell(holder, again);
+		for (const again of [...job.redirects, ...update ? [update] : []]) {
+			notify(holder, again);
 		}
 	};
 
@@ -202,7 +202,7 @@
 			if (isComplete(job)) {
 				end(job, true);
 			} else {
-				tell(job.holder, {
+				notify(job.holder, {
 					kind: FleetMessageKind.TaskSucceeded, job: task.job, part: job.order.part, position: positionOf(task),
 				});
 			}
@@ -231,7 +231,7 @@
 		const {step} = job.steps[position]!;
 		const {identifier} = job.order.job;
 		if (!job.hasStarted) {
-			tell(job.holder, {kind: FleetMessageKind.Started, job: identifier, part: job.order.part});
+			notify(job.holder, {kind: FleetMessageKind.Started, job: identifier, part: job.order.part});
 			options.onTaskWait(performance.now() - job.receivedAt);
 		}
 
@@ -251,7 +251,7 @@
 			job: redirect.job, part: redirect.part, newPart: redirect.newPart, cell, tasks: tasks.length,
 		});
 		options.onRedirected(cell, processorOf(job, tasks));
-		tell(job.holder, redirect);
+		notify(job.holder, redirect);
 		if (isComplete(job)) {
 			finish(job);
 		}
@@ -315,7 +315,7 @@
 			job: identifier, reason, queue: job.order.queue, heldMilliseconds: Math.round(performance.now() - job.receivedAt),
 		});
 		jobs.delete(keyOf(job));
-		tell(job.holder, {
+		notify(job.holder, {
 			kind: FleetMessageKind.Refuse, job: identifier, part: job.order.part, reason, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, retryAfterMilliseconds)),
 		});
 	};
