--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -66,7 +66,7 @@
 	this.started = [];
 	this.stopped = [];
 	this.listedSince = -10_000;
-	let isOtherCellKnown = true;
+	let isOtherKnown = true;
 	this.cell = createCell({
 		zone: 'north',
 		token: () => 1,
@@ -91,9 +91,9 @@
 		notify: (_, update) => {
 			this.updates.push(update);
 		},
-		otherCells: () => isOtherCellKnown ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: room * processorOfTask}], waitMilliseconds: 0}] : [],
+		otherCells: () => isOtherKnown ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: room * processorOfTask}], waitMilliseconds: 0}] : [],
 		onRedirected() {
-			isOtherCellKnown = false;
+			isOtherKnown = false;
 		},
 		onFenced() {
 			throw new Error('a simulated endpoint has a single owner');
--- a/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -38,19 +38,19 @@
 	let cachedCapacities: readonly OpenRoom[] | undefined;
 	let cachedLoad: CellLoad | undefined;
 
-	const open = (): readonly OpenRoom[] => {
+	const available = (): readonly OpenRoom[] => {
 		cachedCapacities ??= endpoints.availableCapacities();
 		return cachedCapacities;
 	};
 
 	const computeLoad = (): CellLoad => {
-		const capacities = open();
+		const capacities = available();
 		const waiting = waitingInTimeWorkOf(jobs(), bestFactorOf(capacities), performance.now());
 		return {free: freeRoomsOf(capacities, typicalProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(capacities)), kindFactors: endpoints.kindFactors()};
 	};
 
 	return {
-		available: open,
+		available,
 		load() {
 			cachedLoad ??= computeLoad();
 			return cachedLoad;
--- a/packages/galenakeeld/src/process/cells/endpoint-reachability.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-reachability.ts
@@ -37,25 +37,25 @@
 ```
 */
 export const createEndpointReachability = (): EndpointReachability => {
-	let hasLooked = false;
+	let hasAnswered = false;
 	let isSilent = false;
 	let missedPolls = 0;
 
 	return {
-		hasAnswered: () => hasLooked,
-		isReachable: () => hasLooked && !isSilent,
+		hasAnswered: () => hasAnswered,
+		isReachable: () => hasAnswered && !isSilent,
 		isSilent: () => isSilent,
-		isAwaitingFirstAnswer: () => !hasLooked && !isSilent,
+		isAwaitingFirstAnswer: () => !hasAnswered && !isSilent,
 		hasMissedPoll: () => missedPolls > 0,
 		isBackingOff: () => missedPolls >= maximumMissedPolls,
 		recordAnswer() {
-			hasLooked = true;
+			hasAnswered = true;
 			isSilent = false;
 			missedPolls = 0;
 		},
 		recordMissedPoll(isUnknown) {
 			missedPolls++;
-			isSilent ||= !hasLooked || !isUnknown || missedPolls >= maximumMissedPolls;
+			isSilent ||= !hasAnswered || !isUnknown || missedPolls >= maximumMissedPolls;
 		},
 	};
 };
