--- a/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
@@ -29,26 +29,26 @@
 	assert.equal(jobs.toSorted((first, second) => compareUrgency(first.urgency, second.urgency)).map(({name}) => name).join(', '), expected);
 });
 
-Given('a sound endpoint', function (this: DecisionWorld) {
+Given('a healthy endpoint', function (this: DecisionWorld) {
 	this.health = newEndpointHealth;
 	this.healthNow = 0;
 });
 
-const note = (world: DecisionWorld, event: HealthEvent, now: number): void => {
+const recordEvent = (world: DecisionWorld, event: HealthEvent, now: number): void => {
 	world.health = updateHealth(healthAt(world.health, now), event, now);
 	world.healthNow = now;
 };
 
 When('a run fails at {int} ms', function (this: DecisionWorld, now: number) {
-	note(this, HealthEvent.Failed, now);
+	recordEvent(this, HealthEvent.Failed, now);
 });
 
 When('a run stalls at {int} ms', function (this: DecisionWorld, now: number) {
-	note(this, HealthEvent.Stalled, now);
+	recordEvent(this, HealthEvent.Stalled, now);
 });
 
 When('a run succeeds at {int} ms', function (this: DecisionWorld, now: number) {
-	note(this, HealthEvent.Succeeded, now);
+	recordEvent(this, HealthEvent.Succeeded, now);
 });
 
 Then('it is {string}', function (this: DecisionWorld, state: string) {
@@ -78,7 +78,7 @@
 	assert.ok(Math.abs(this.speeds.factorOf('other', kind) - factor) <= tolerance);
 });
 
-Given('lanes that are free in {string} ms', function (this: DecisionWorld, times: string) {
+Given('simulated slots that are free in {string} ms', function (this: DecisionWorld, times: string) {
 	this.predictedLanes = times.split(',').map(time => ({freeInMilliseconds: Number(time), factor: 1}));
 });
 
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -15,16 +15,16 @@
 	clock: Clock;
 	cell: Cell;
 	order: JobOrder;
-	news: JobUpdate[];
+	updates: JobUpdate[];
 	started: string[];
 	stopped: string[];
-	/** Steady milliseconds at which the cell's first list came. */
+	/** Monotonic milliseconds at which the first list of endpoints arrived. */
 	listedSince: number;
 };
 
 const processorOfTask = 1000;
 const taskMilliseconds = 200;
-const lookMilliseconds = 500;
+const firstPollMilliseconds = 500;
 const settleMilliseconds = 50;
 const holder = 'holder';
 
@@ -55,18 +55,18 @@
 	await world.clock.tickAsync(settleMilliseconds);
 };
 
-const redirectsOf = ({news}: PartsWorld): readonly Redirect[] => news.filter(one => one.kind === FleetMessageKind.Redirect);
+const redirectsOf = ({updates}: PartsWorld): readonly Redirect[] => updates.filter(one => one.kind === FleetMessageKind.Redirect);
 
-const countMoved = (world: PartsWorld, tasks: number, cell: string, newPart: string): number =>
+const countTransfers = (world: PartsWorld, tasks: number, cell: string, newPart: string): number =>
 	redirectsOf(world).filter(one => one.positions.length === tasks && one.cell === cell && one.newPart === newPart).length;
 
-Given('a cell with {int} places, and the cell {string} with room for {int} tasks', async function (this: PartsWorld, places: number, other: string, room: number) {
+Given('a cell with {int} slots, and the cell {string} with capacity for {int} tasks', async function (this: PartsWorld, places: number, other: string, room: number) {
 	this.clock = install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'clearImmediate', 'Date'], shouldClearNativeTimers: true});
-	this.news = [];
+	this.updates = [];
 	this.started = [];
 	this.stopped = [];
 	this.listedSince = -10_000;
-	let isTold = true;
+	let isOtherKnown = true;
 	this.cell = createCell({
 		zone: 'north',
 		token: () => 1,
@@ -88,27 +88,27 @@
 				},
 			};
 		},
-		tell: (_, news) => {
-			this.news.push(news);
+		notify: (_, update) => {
+			this.updates.push(update);
 		},
-		otherCells: () => isTold ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: room * processorOfTask}], waitMilliseconds: 0}] : [],
+		otherCells: () => isOtherKnown ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: room * processorOfTask}], waitMilliseconds: 0}] : [],
 		onRedirected() {
-			isTold = false;
+			isOtherKnown = false;
 		},
 		onFenced() {
-			throw new Error('a played endpoint has one owner');
+			throw new Error('a simulated endpoint has a single owner');
 		},
 		onDecision() {
-			// The news tells what was decided.
+			// The updates show what was decided.
 		},
 		onTaskWait() {
-			// Waits are of no interest here.
+			// Waits are not checked here.
 		},
 	});
 	this.cell.install([{
 		identifier: 'i-1', startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false, room: {processor: places * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
 	}]);
-	await this.clock.tickAsync(lookMilliseconds);
+	await this.clock.tickAsync(firstPollMilliseconds);
 });
 
 After(function (this: Partial<PartsWorld>) {
@@ -144,7 +144,7 @@
 	await submit(this, {...createOrder([createStep(tasks, [])], 0), generation: 1, isCommitted: true});
 });
 
-When('the cell goes on for {int} ms', async function (this: PartsWorld, milliseconds: number) {
+When('the cell runs for {int} ms', async function (this: PartsWorld, milliseconds: number) {
 	await this.clock.tickAsync(milliseconds);
 });
 
@@ -171,11 +171,11 @@
 });
 
 Then('{int} tasks went to {string} as part {string}', function (this: PartsWorld, tasks: number, cell: string, newPart: string) {
-	assert.equal(countMoved(this, tasks, cell, newPart), 1);
+	assert.equal(countTransfers(this, tasks, cell, newPart), 1);
 });
 
-Then('the holder heard {int} times that {int} tasks went to {string} as part {string}', function (this: PartsWorld, times: number, tasks: number, cell: string, newPart: string) {
-	assert.equal(countMoved(this, tasks, cell, newPart), times);
+Then('the holder was notified {int} times that {int} tasks went to {string} as part {string}', function (this: PartsWorld, times: number, tasks: number, cell: string, newPart: string) {
+	assert.equal(countTransfers(this, tasks, cell, newPart), times);
 });
 
 Then('no task went elsewhere', function (this: PartsWorld) {
--- /dev/null
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -0,0 +1,63 @@
+import {performance} from 'node:perf_hooks';
+import type {CellLoad} from '@galenakeel/model/connection/fleet-message.js';
+import type {CellEndpoints} from './cell-endpoints.js';
+import type {OpenRoom} from './place-tasks.js';
+import type {PlacedJob} from './placed-job.js';
+import {
+	bestFactorOf, freeRoomsOf, throughputOf, waitingInTimeWorkOf,
+} from './weigh-jobs.js';
+
+/**
+Caches the available capacity and the load of a cell between changes.
+*/
+export type CellCapacityCache = {
+	readonly available: () => readonly OpenRoom[];
+	readonly load: () => CellLoad;
+	/** Discards the cached values after endpoints or jobs have changed. */
+	readonly invalidate: () => void;
+};
+
+export type CellCapacityCacheOptions = {
+	readonly endpoints: Pick<CellEndpoints, 'availableCapacities' | 'kindFactors'>;
+	readonly jobs: () => readonly PlacedJob[];
+	/** Processor of a typical task, in thousandths of a core. */
+	readonly typicalProcessor: () => number;
+};
+
+/**
+Creates an empty cache.
+
+@example
+```
+const capacity = createCellRooms({endpoints, jobs: () => [...jobs.values()], typicalProcessor: () => 1000});
+capacity.available();
+capacity.invalidate();
+```
+*/
+export const createCellCapacityCache = ({endpoints, jobs, typicalProcessor}: CellCapacityCacheOptions): CellCapacityCache => {
+	let cachedCapacities: readonly OpenRoom[] | undefined;
+	let cachedLoad: CellLoad | undefined;
+
+	const available = (): readonly OpenRoom[] => {
+		cachedCapacities ??= endpoints.availableCapacities();
+		return cachedCapacities;
+	};
+
+	const computeLoad = (): CellLoad => {
+		const capacities = available();
+		const waiting = waitingInTimeWorkOf(jobs(), bestFactorOf(capacities), performance.now());
+		return {free: freeRoomsOf(capacities, typicalProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(capacities)), kindFactors: endpoints.kindFactors()};
+	};
+
+	return {
+		available,
+		load() {
+			cachedLoad ??= computeLoad();
+			return cachedLoad;
+		},
+		invalidate() {
+			cachedCapacities = undefined;
+			cachedLoad = undefined;
+		},
+	};
+};
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -6,7 +6,7 @@
 import type {Resources} from '@galenakeel/model/request/job.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
-import {createEndpointContact} from './endpoint-contact.js';
+import {createEndpointReachability} from './endpoint-reachability.js';
 import {EndpointDecision} from './endpoint-decision.js';
 import {
 	HealthEvent, HealthState, healthAt, newEndpointHealth, updateHealth,
@@ -15,78 +15,78 @@
 	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
 import {createEndpointLeases} from './endpoint-leases.js';
-import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
+import {maximumLeaseOf, yieldMilliseconds} from './maximum-lease.js';
 import type {OpenRoom} from './place-tasks.js';
 import {addRoom, subtractRoom} from './room.js';
-import {createStrayRuns} from './stray-runs.js';
+import {createOrphanedRuns} from './orphaned-runs.js';
 
 /**
-An endpoint that this daemon gives orders to.
+An endpoint that this daemon starts tasks on.
 */
 export type CellEndpoint = {
 	readonly entry: () => EndpointEntry;
-	/** Takes a newer entry of the same life. */
+	/** Installs a newer entry of the same incarnation. */
 	readonly update: (entry: EndpointEntry) => void;
-	/** Room for tasks now; undefined while the endpoint takes none. */
-	readonly openRoom: (factor: number) => OpenRoom | undefined;
-	/** Whether a look has shown what runs there, or nothing of an earlier owner can run any more. */
-	readonly isKnown: () => boolean;
-	/** Whether its first answer is still to come. */
-	readonly isAwaited: () => boolean;
+	/** Free capacity now; undefined while the endpoint takes no tasks. */
+	readonly availableCapacity: (factor: number) => OpenRoom | undefined;
+	/** Whether a poll has reported what runs there, or no run of an earlier owner can be active any more. */
+	readonly areRunsKnown: () => boolean;
+	/** Whether the first poll has neither been answered nor failed. */
+	readonly isAwaitingFirstAnswer: () => boolean;
 	/** Starts a task and waits for its end. */
 	readonly start: (request: RunRequest) => Promise<RunResult>;
-	/** Takes a run of an earlier owner over; undefined if there is none. */
+	/** Takes over a run of an earlier owner; undefined if there is none. */
 	readonly adopt: (task: TaskKey, room: Resources, estimateMilliseconds: number) => {readonly ended: Promise<RunResult>} | undefined;
-	/** Stops the runs of the tasks that a test holds for. */
+	/** Stops the runs of the tasks for which `isStopped` returns true. */
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
-	/** Looks at the endpoint until it is closed. */
+	/** Polls the endpoint until it is closed. */
 	readonly run: () => Promise<void>;
-	/** Gives no further orders; all runs count as lost for this owner. */
+	/** Sends no further orders; all runs count as lost for this owner. */
 	readonly close: () => void;
 	readonly isIdle: () => boolean;
-	/** Ratio of elapsed time to estimate that all its active runs have passed; 0 when idle. */
+	/** Lowest ratio of elapsed time to estimate among the active runs; 0 when idle. */
 	readonly overdueFactor: () => number;
 };
 
 /**
-What an endpoint asks of its cell.
+What an endpoint needs from its cell.
 */
 export type CellEndpointOptions = {
 	readonly calls: EndpointCalls;
 	readonly holdMaximumMilliseconds: number;
 	readonly token: () => number;
-	/** Steady milliseconds since when the token is in force. */
+	/** Monotonic milliseconds since when the token is in force. */
 	readonly ownedSince: () => number;
 	/** Whether runs of an earlier owner that nobody has claimed may be stopped. */
 	readonly isSettled: () => boolean;
-	/** Called after each change of room. */
+	/** Called after each change of capacity. */
 	readonly onChange: () => void;
 	readonly onFenced: () => void;
-	/** Called when a look shows runs that this owner has not started. */
-	readonly onStrays: () => void;
+	/** Called when a poll reports runs that this owner has not started. */
+	readonly onOrphans: () => void;
 	readonly onDecision: (decision: EndpointDecision, fields: Readonly<Record<string, unknown>>) => void;
 	/** Called for each run that succeeded. */
 	readonly onRunTime: (estimateMilliseconds: number, runMilliseconds: number) => void;
 };
 
-/** Longest wait of a look at runs, so that one without an answer hides their ends for a short time only. */
-const busyWaitMilliseconds = 150;
-/** Starts without an answer at the same time after which an endpoint gets no more. */
-const mostDoubts = 2;
-/** A run that starts behind an idle look has its lease extended by the next one. */
-const idleWaitMilliseconds = 500;
-/** Wait while an end that may not come is awaited. */
-const briefWaitMilliseconds = 20;
+/** Maximum wait of a poll while runs are active: a poll whose answer is lost delays their ends for this time only. */
+const busyPollWaitMilliseconds = 150;
+/** Number of simultaneous starts without an answer from which an endpoint gets no more. */
+const maximumUnconfirmedStarts = 2;
+/** The lease of a run that starts during an idle poll is extended by the next poll. */
+const idlePollWaitMilliseconds = 500;
+/** Maximum wait of a poll while the end of a run that may never be reported is awaited. */
+const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
-/** Time without an answer after which a start is looked for; an answer takes a few milliseconds. */
-const doubtMilliseconds = 50;
-/** Age from which the reported use of processor tells whether a run stands still. */
+/** Time without an answer after which a poll looks for the run of a start; an answer takes a few milliseconds. */
+const startAnswerTimeoutMilliseconds = 50;
+/** Age from which the reported processor use shows whether a run makes progress. */
 const stallAgeMilliseconds = 700;
-const restAfterNoRoomMilliseconds = 60;
+const noRoomCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
 
 /**
-Creates the orders to one life of an endpoint.
+Creates the control of one incarnation of an endpoint.
 
 @example
 ```
@@ -98,34 +98,34 @@
 export const createCellEndpoint = (firstEntry: EndpointEntry, options: CellEndpointOptions): CellEndpoint => {
 	const {calls, onDecision} = options;
 	const leases = createEndpointLeases(options.holdMaximumMilliseconds);
-	const contact = createEndpointContact();
-	const longestLease = longestLeaseOf(options.holdMaximumMilliseconds);
+	const reachability = createEndpointReachability();
+	const maximumLease = maximumLeaseOf(options.holdMaximumMilliseconds);
 	const runs = new Set<Run>();
-	const strays = createStrayRuns();
+	const orphans = createOrphanedRuns();
 	let entry = firstEntry;
 	let free = entry.room;
 	let health = newEndpointHealth;
 	let acknowledged = 0;
-	/** Token of the last look that was answered; what lower tokens order since then is not obeyed. */
-	let lookedToken = 0;
+	/** Token of the last answered poll; the endpoint rejects orders with lower tokens since then. */
+	let polledToken = 0;
 	let isClosed = false;
-	let closedUntil = 0;
+	let cooldownEndsAt = 0;
 
-	const hasStrays = (): boolean => strays.active().length > 0;
+	const hasOrphans = (): boolean => orphans.active().length > 0;
 
 	const describe = (task: TaskKey, attempt: number): Readonly<Record<string, unknown>> => ({
 		job: task.job, task: `${task.step}.${task.index}`, attempt, endpoint: entry.identifier,
 	});
 
-	const noteHealth = (event: HealthEvent): void => {
+	const recordHealth = (event: HealthEvent): void => {
 		const before = healthAt(health, performance.now());
 		health = updateHealth(before, event, performance.now());
-		if (health.state === HealthState.Resting && before.state !== HealthState.Resting) {
-			onDecision(EndpointDecision.Rested, {endpoint: entry.identifier, cause: event, failuresInRow: health.failuresInRow});
+		if (health.state === HealthState.CoolingDown && before.state !== HealthState.CoolingDown) {
+			onDecision(EndpointDecision.CooldownStarted, {endpoint: entry.identifier, cause: event, failuresInRow: health.failuresInRow});
 		}
 	};
 
-	const take = (run: Run): void => {
+	const addRun = (run: Run): void => {
 		runs.add(run);
 		free = subtractRoom(free, run.room);
 	};
@@ -140,41 +140,41 @@
 		options.onChange();
 	};
 
-	const loseAll = (): void => {
+	const settleAllAsLost = (): void => {
 		for (const run of runs) {
 			settle(run, RunResult.Lost);
 		}
 	};
 
-	const turnAway = (): void => {
+	const closeForOtherIncarnation = (): void => {
 		if (!isClosed) {
-			onDecision(EndpointDecision.OtherLife, {endpoint: entry.identifier, startedAt: entry.startedAt});
+			onDecision(EndpointDecision.OtherIncarnation, {endpoint: entry.identifier, startedAt: entry.startedAt});
 		}
 
 		isClosed = true;
-		loseAll();
+		settleAllAsLost();
 	};
 
-	const isOver = (): boolean => isClosed;
+	const hasClosed = (): boolean => isClosed;
 
-	/** Whether starts have not been answered and not been found out about. One alone may be a lost answer. */
-	const isDoubtful = (): boolean => [...runs].filter(({isDoubted, state}) => isDoubted && state === RunState.Ordered).length >= mostDoubts;
+	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
+	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed, state}) => isUnconfirmed && state === RunState.Ordered).length >= maximumUnconfirmedStarts;
 
-	const isListed = (run: Run): boolean => runs.has(run);
+	const isActive = (run: Run): boolean => runs.has(run);
 
-	/** Orders a stop until the endpoint has carried it out or the lease has ended. */
-	const stopUntilVoid = async (run: Run): Promise<void> => {
-		while (isListed(run) && run.state !== RunState.Stopping && !isOver()) {
+	/** Repeats a stop until the endpoint has carried it out or the lease has expired. */
+	const stopUntilEnded = async (run: Run): Promise<void> => {
+		while (isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
 			const {outcome} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
 			if (outcome === CallOutcome.Done) {
 				run.state = RunState.Stopping;
 				run.visibleAt = performance.now();
-				await lookNow();
+				await pollNow();
 				return;
 			}
 
 			if (outcome === CallOutcome.OtherIncarnation) {
-				turnAway();
+				closeForOtherIncarnation();
 				return;
 			}
 
@@ -182,7 +182,7 @@
 				options.onFenced();
 			}
 
-			if (leases.haveEnded()) {
+			if (leases.haveExpired()) {
 				settle(run, RunResult.Lost);
 				return;
 			}
@@ -191,10 +191,10 @@
 		}
 	};
 
-	/** Begins to find out what became of a start without an answer, once. */
-	const doubt = (run: Run): void => {
-		if (isListed(run) && run.state === RunState.Ordered && !run.isDoubted) {
-			run.isDoubted = true;
+	/** Resolves the outcome of a start without an answer, once. */
+	const beginResolving = (run: Run): void => {
+		if (isActive(run) && run.state === RunState.Ordered && !run.isUnconfirmed) {
+			run.isUnconfirmed = true;
 			onDecision(EndpointDecision.OrderUnknown, describe(run.task, run.attempt));
 			void resolveUnknown(run);
 		}
@@ -205,7 +205,7 @@
 			leases.observe(clockMilliseconds);
 		}
 
-		if (!isListed(run)) {
+		if (!isActive(run)) {
 			return;
 		}
 
@@ -217,12 +217,12 @@
 			}
 
 			case CallOutcome.Unknown: {
-				doubt(run);
+				beginResolving(run);
 				return;
 			}
 
 			case CallOutcome.OtherIncarnation: {
-				turnAway();
+				closeForOtherIncarnation();
 				return;
 			}
 
@@ -232,15 +232,15 @@
 			}
 
 			case CallOutcome.Rejected: {
-				noteHealth(HealthEvent.Declined);
+				recordHealth(HealthEvent.Declined);
 				break;
 			}
 
 			case CallOutcome.InsufficientCapacity:
 			case CallOutcome.Superseded:
 			case CallOutcome.Expired: {
-				closedUntil = performance.now() + restAfterNoRoomMilliseconds;
-				setTimeout(options.onChange, restAfterNoRoomMilliseconds);
+				cooldownEndsAt = performance.now() + noRoomCooldownMilliseconds;
+				setTimeout(options.onChange, noRoomCooldownMilliseconds);
 				break;
 			}
 		}
@@ -249,7 +249,7 @@
 		settle(run, RunResult.Declined);
 	};
 
-	const order = async (run: Run, specification: string): Promise<void> => {
+	const sendStart = async (run: Run, specification: string): Promise<void> => {
 		const lease = leases.next();
 		if (lease === undefined) {
 			settle(run, RunResult.Declined);
@@ -257,8 +257,8 @@
 		}
 
 		const timer = setTimeout(() => {
-			doubt(run);
-		}, doubtMilliseconds);
+			beginResolving(run);
+		}, startAnswerTimeoutMilliseconds);
 		onStartReply(run, await calls.start({
 			task: run.task, attempt: run.attempt, specification, leaseEndMilliseconds: lease, fencingToken: options.token(),
 		}));
@@ -269,17 +269,17 @@
 		acknowledged = Math.max(acknowledged, ended.sequence);
 		const run = [...runs].find(one => isRunOf(one, ended));
 		if (!run) {
-			strays.noteEnd(ended);
+			orphans.recordEnd(ended);
 			return;
 		}
 
 		const milliseconds = performance.now() - run.orderedAt;
 		if (ended.end === RunEnd.Succeeded) {
-			noteHealth(HealthEvent.Succeeded);
+			recordHealth(HealthEvent.Succeeded);
 			options.onRunTime(run.estimateMilliseconds, milliseconds);
 			settle(run, RunResult.Succeeded);
 		} else if (ended.end === RunEnd.Failed) {
-			noteHealth(HealthEvent.Failed);
+			recordHealth(HealthEvent.Failed);
 			settle(run, RunResult.Failed);
 		} else {
 			settle(run, RunResult.Lost);
@@ -293,16 +293,16 @@
 		}
 
 		onDecision(EndpointDecision.RunStalled, {...describe(run.task, run.attempt), ageMilliseconds: Math.round(age)});
-		noteHealth(HealthEvent.Stalled);
-		void stopUntilVoid(run);
+		recordHealth(HealthEvent.Stalled);
+		void stopUntilEnded(run);
 	};
 
-	const stopStray = async ({task, attempt}: ActiveRun): Promise<void> => {
-		onDecision(EndpointDecision.StrayStopped, describe(task, attempt));
+	const stopOrphan = async ({task, attempt}: ActiveRun): Promise<void> => {
+		onDecision(EndpointDecision.OrphanStopped, describe(task, attempt));
 		await calls.stop({task, attempt, fencingToken: options.token()});
 	};
 
-	const compareRuns = (active: readonly ActiveRun[], lookedAt: number): void => {
+	const reconcileRuns = (active: readonly ActiveRun[], polledAt: number): void => {
 		for (const run of runs) {
 			const shown = active.find(one => isRunOf(run, one));
 			if (shown) {
@@ -312,7 +312,7 @@
 				}
 
 				stopStalled(run, shown);
-			} else if (run.state !== RunState.Ordered && run.visibleAt < lookedAt) {
+			} else if (run.state !== RunState.Ordered && run.visibleAt < polledAt) {
 				if (run.state === RunState.Running) {
 					onDecision(EndpointDecision.RunLost, describe(run.task, run.attempt));
 				}
@@ -321,47 +321,47 @@
 			}
 		}
 
-		strays.install(active.filter(one => ![...runs].some(run => isRunOf(run, one))));
+		orphans.install(active.filter(one => ![...runs].some(run => isRunOf(run, one))));
 	};
 
 	const onReport = (report: EndpointReport, lookedAt: number): void => {
-		const wasClosed = !contact.isReached() || hasStrays();
+		const wasUnavailable = !reachability.isReachable() || hasOrphans();
 		leases.observe(report.clockMilliseconds);
-		if (contact.isSilent()) {
+		if (reachability.isSilent()) {
 			onDecision(EndpointDecision.Regained, {endpoint: entry.identifier});
 		}
 
-		contact.noteAnswer();
+		reachability.recordAnswer();
 		for (const ended of report.ended) {
 			onEnded(ended);
 		}
 
-		compareRuns(report.active, lookedAt);
-		if (hasStrays()) {
-			options.onStrays();
+		reconcileRuns(report.active, lookedAt);
+		if (hasOrphans()) {
+			options.onOrphans();
 		}
 
 		if (options.isSettled()) {
-			for (const stray of strays.active()) {
-				void stopStray(stray);
+			for (const stray of orphans.active()) {
+				void stopOrphan(stray);
 			}
 		}
 
-		if (wasClosed) {
+		if (wasUnavailable) {
 			options.onChange();
 		}
 	};
 
-	const onNoReport = (outcome: CallOutcome): void => {
+	const onMissedPoll = (outcome: CallOutcome): void => {
 		if (outcome === CallOutcome.OtherIncarnation) {
-			turnAway();
+			closeForOtherIncarnation();
 		} else if (outcome === CallOutcome.Fenced) {
 			options.onFenced();
 		}
 
-		const wasSilent = contact.isSilent();
-		contact.noteMiss(outcome === CallOutcome.Unknown);
-		if (!contact.isSilent()) {
+		const wasSilent = reachability.isSilent();
+		reachability.recordMissedPoll(outcome === CallOutcome.Unknown);
+		if (!reachability.isSilent()) {
 			return;
 		}
 
@@ -369,26 +369,26 @@
 			onDecision(EndpointDecision.Silent, {endpoint: entry.identifier, outcome, runs: runs.size});
 		}
 
-		if (leases.haveEnded()) {
-			loseAll();
+		if (leases.haveExpired()) {
+			settleAllAsLost();
 		}
 	};
 
-	const waitOfLook = (): number => {
-		if (!contact.hasLooked() || contact.hasMissed()) {
+	const pollWaitMilliseconds = (): number => {
+		if (!reachability.hasAnswered() || reachability.hasMissedPoll()) {
 			return 0;
 		}
 
-		if (hasStrays() || [...runs].some(({state}) => state === RunState.Stopping)) {
-			return briefWaitMilliseconds;
+		if (hasOrphans() || [...runs].some(({state}) => state === RunState.Stopping)) {
+			return briefPollWaitMilliseconds;
 		}
 
-		return runs.size > 0 ? busyWaitMilliseconds : idleWaitMilliseconds;
+		return runs.size > 0 ? busyPollWaitMilliseconds : idlePollWaitMilliseconds;
 	};
 
-	const look = async (waitMilliseconds: number): Promise<PollReply> => {
-		// A lease that is not known to be extended must end, so that its runs count as lost.
-		const isExtending = runs.size > 0 && options.isSettled() && !contact.isSilent();
+	const poll = async (waitMilliseconds: number): Promise<PollReply> => {
+		// No extension while the endpoint is silent: its leases must expire so that its runs count as lost.
+		const isExtending = runs.size > 0 && options.isSettled() && !reachability.isSilent();
 		const lease = isExtending ? leases.next() : undefined;
 		return calls.poll({
 			fencingToken: options.token(),
@@ -398,20 +398,20 @@
 		});
 	};
 
-	/** Looks beside the look that waits for an end. */
-	async function lookNow(): Promise<void> {
+	/** Polls at once, beside the poll that waits for an end. */
+	async function pollNow(): Promise<void> {
 		const lookedAt = performance.now();
-		const {report} = await look(0);
-		if (report && !isOver()) {
+		const {report} = await poll(0);
+		if (report && !hasClosed()) {
 			onReport(report, lookedAt);
 		}
 	}
 
-	/** A start without an answer goes on if a look shows the run; else it is made void. */
+	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
 	async function resolveUnknown(run: Run): Promise<void> {
-		await lookNow();
+		await pollNow();
 		if (run.state === RunState.Ordered) {
-			await stopUntilVoid(run);
+			await stopUntilEnded(run);
 		}
 	}
 
@@ -420,12 +420,12 @@
 		update(newer) {
 			entry = newer;
 		},
-		openRoom(factor) {
+		availableCapacity(factor) {
 			const now = performance.now();
 			const {state} = healthAt(health, now);
-			const isReached = contact.isReached() && !isClosed && !isDoubtful();
-			const isWilling = !entry.isDraining && now >= closedUntil && state !== HealthState.Resting;
-			if (!isReached || !isWilling || hasStrays()) {
+			const isReachable = reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
+			const isWilling = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
+			if (!isReachable || !isWilling || hasOrphans()) {
 				return undefined;
 			}
 
@@ -441,23 +441,23 @@
 				countOf: (job, step) => [...runs].filter(({task}) => task.job === job && task.step === step).length,
 			};
 		},
-		isKnown() {
-			const isSeen = lookedToken === options.token() && !contact.isSilent() && !hasStrays();
-			return isSeen || isClosed || performance.now() > options.ownedSince() + longestLease + yieldMilliseconds;
+		areRunsKnown() {
+			const isPolled = polledToken === options.token() && !reachability.isSilent() && !hasOrphans();
+			return isPolled || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
 		},
-		isAwaited: () => contact.isAwaited() && !isClosed,
+		isAwaitingFirstAnswer: () => reachability.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
 			const run = createRun(request, RunState.Ordered);
-			take(run);
-			void order(run, request.specification);
+			addRun(run);
+			void sendStart(run, request.specification);
 			return run.ended.promise;
 		},
 		adopt(task, room, estimateMilliseconds) {
-			if (strays.hasSucceeded(task)) {
+			if (orphans.hasSucceeded(task)) {
 				return {ended: Promise.resolve(RunResult.Succeeded)};
 			}
 
-			const stray = strays.take(task);
+			const stray = orphans.take(task);
 			if (!stray) {
 				return undefined;
 			}
@@ -465,31 +465,31 @@
 			const run = createRun({
 				task, attempt: stray.attempt, room, estimateMilliseconds,
 			}, RunState.Running);
-			take(run);
+			addRun(run);
 			return {ended: run.ended.promise};
 		},
 		stopRuns(isStopped) {
 			for (const run of runs) {
 				if (isStopped(run.task)) {
-					void stopUntilVoid(run);
+					void stopUntilEnded(run);
 				}
 			}
 		},
 		async run() {
-			while (!isOver()) {
+			while (!hasClosed()) {
 				const lookedAt = performance.now();
 				const token = options.token();
-				const {outcome, report} = await look(waitOfLook());
+				const {outcome, report} = await poll(pollWaitMilliseconds());
 				if (isClosed) {
 					break;
 				}
 
 				if (report) {
-					lookedToken = token;
+					polledToken = token;
 					onReport(report, lookedAt);
 				} else {
-					onNoReport(outcome);
-					if (contact.isPausing()) {
+					onMissedPoll(outcome);
+					if (reachability.isBackingOff()) {
 						await sleep(retryMilliseconds);
 					}
 				}
@@ -499,7 +499,7 @@
 		},
 		close() {
 			isClosed = true;
-			loseAll();
+			settleAllAsLost();
 		},
 		isIdle: () => runs.size === 0,
 		overdueFactor: () => overdueFactorOf(runs),
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -11,9 +11,9 @@
 import {createCellEndpoints, lapsedEntryMilliseconds} from './cell-endpoints.js';
 import type {EndpointDecision} from './endpoint-decision.js';
 import {RunResult} from './endpoint-run.js';
-import {createCellRooms} from './cell-rooms.js';
-import {createPastParts} from './past-parts.js';
-import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
+import {createCellCapacityCache} from './cell-capacity-cache.js';
+import {createFinishedParts} from './finished-parts.js';
+import {maximumLeaseOf, yieldMilliseconds} from './maximum-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
 	beginAttempt, createPlacedJob, isComplete, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingChain, succeededPositions, waitingIndexes, type PlacedJob,
@@ -28,32 +28,32 @@
 Decisions of a cell that are logged.
 */
 export enum CellDecision {
-	JobTaken = 'job-taken',
-	/** Tasks went to another cell. */
+	JobAccepted = 'job-taken',
+	/** Tasks were redirected to another cell. */
 	JobRedirected = 'job-redirected',
 	JobRefused = 'job-refused',
 	JobEnded = 'job-ended',
-	JobWithdrawn = 'job-withdrawn',
+	JobCancelled = 'job-withdrawn',
 	TaskStarted = 'task-started',
 	TaskEnded = 'task-ended',
 	TaskAdopted = 'task-adopted',
 }
 
 /**
-The endpoints of one availability zone, and the jobs that wait for them or run on them, at the daemon that orders them.
+The endpoints of one availability zone, and the jobs that wait for them or run on them, at the daemon that owns the cell.
 */
 export type Cell = {
 	readonly zone: string;
-	/** Takes a job from its holder, or refuses it. */
+	/** Accepts or refuses a job from its holder. */
 	readonly submit: (holder: string, order: JobOrder) => void;
-	/** Drops a part of a job that its holder no longer wants. */
-	readonly withdraw: (holder: string, job: string, part: string) => void;
-	/** Drops the jobs of a holder that is lost, so that none of their tasks runs when their callers come again. */
+	/** Cancels a part of a job at the request of its holder. */
+	readonly cancel: (holder: string, job: string, part: string) => void;
+	/** Drops the jobs of a holder that is lost, so that none of their tasks is running when their callers submit them again. */
 	readonly dropHolder: (holder: string) => void;
-	/** Takes the endpoints of the zone as the platform lists them. */
+	/** Installs the endpoints of the zone that the platform lists. */
 	readonly install: (entries: readonly EndpointEntry[]) => void;
 	readonly load: () => CellLoad;
-	/** Orders nothing more; what runs is left to the next owner. */
+	/** Sends no further orders; active runs are left to the next owner. */
 	readonly close: () => void;
 };
 
@@ -61,16 +61,16 @@
 	readonly zone: string;
 	readonly token: () => number;
 	readonly holdMaximumMilliseconds: number;
-	/** Steady milliseconds since when this daemon has known endpoints of the zone; undefined before the first list. */
+	/** Monotonic milliseconds since when this daemon has known endpoints of the zone; undefined before the first list. */
 	readonly listedSince: () => number | undefined;
 	readonly remotePenalty: number;
 	/** What other owners have learned of kinds of endpoints. */
 	readonly kindFactors: () => Readonly<Record<string, number>>;
 	readonly createCalls: (entry: EndpointEntry) => EndpointCalls;
-	readonly tell: (holder: string, news: JobUpdate) => void;
+	readonly notify: (holder: string, update: JobUpdate) => void;
 	/** Other cells as their owners last described them. */
 	readonly otherCells: () => readonly CellRoom[];
-	/** Called when tasks were handed to another cell, with the processor that they need there. */
+	/** Called when tasks were redirected to another cell, with the processor that they need there. */
 	readonly onRedirected: (cell: string, processor: number) => void;
 	/** Called when an endpoint obeys a higher token. */
 	readonly onFenced: () => void;
@@ -78,15 +78,15 @@
 	readonly onTaskWait: (milliseconds: number) => void;
 };
 
-/** Time for holders to claim what an earlier owner started, before it is stopped. */
+/** Time for holders to submit jobs of an earlier owner again before its runs are stopped. */
 const settleMilliseconds = 350;
-/** How long the end of a job is kept for a holder that missed it. */
+/** How long the end of a job is kept for a holder that missed the update. */
 const keepEndMilliseconds = 5000;
-const shortestRetryMilliseconds = 1000;
-const longestRetryMilliseconds = 8000;
+const minimumRetryMilliseconds = 1000;
+const maximumRetryMilliseconds = 8000;
 const sweepMilliseconds = 50;
-/** Weight of a step's tasks in the usual size of a task. */
-const usualProcessorGain = 0.05;
+/** Weight of a new step in the moving average of the processor of a task. */
+const typicalProcessorGain = 0.05;
 
 const processorOf = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step'>>): number => {
 	let processor = 0;
@@ -108,18 +108,18 @@
 ```
 */
 export const createCell = (options: CellOptions): Cell => {
-	const {tell, onDecision} = options;
+	const {notify, onDecision} = options;
 	let ownedSince = performance.now();
 	let lastToken = options.token();
 	const jobs = new Map<string, PlacedJob>();
-	const past = createPastParts(keepEndMilliseconds);
-	/** Thousandths of a core of a task of the usual size. */
-	let usualProcessor = 1;
+	const finishedParts = createFinishedParts(keepEndMilliseconds);
+	/** Processor of a typical task, in thousandths of a core. */
+	let typicalProcessor = 1;
 	let isDispatching = false;
 	let isClosed = false;
 
-	/** Notes a token that was raised, which makes all that was seen before doubtful. */
-	const noteToken = (): void => {
+	/** Restarts the ownership period when the token was raised, since earlier observations are no longer reliable. */
+	const checkToken = (): void => {
 		if (options.token() !== lastToken) {
 			lastToken = options.token();
 			ownedSince = performance.now();
@@ -138,36 +138,36 @@
 			isSettled,
 			onChange: dispatch,
 			onFenced: options.onFenced,
-			onStrays: adoptAll,
+			onOrphans: adoptAll,
 			onDecision,
 			onRunTime,
 		}),
 	});
 
-	const rooms = createCellRooms({endpoints, jobs: () => [...jobs.values()], usualProcessor: () => usualProcessor});
+	const capacity = createCellCapacityCache({endpoints, jobs: () => [...jobs.values()], typicalProcessor: () => typicalProcessor});
 
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
-	/** Takes a part out of the cell, with the news of its end, or without if its last tasks went elsewhere. */
-	const finish = (job: PlacedJob, news?: JobUpdate): void => {
+	/** Removes a part from the cell, with the update that reports its end, or without one if its last tasks were redirected. */
+	const finish = (job: PlacedJob, update?: JobUpdate): void => {
 		jobs.delete(keyOf(job));
-		past.add(keyOf(job), {job, news});
-		if (news) {
-			tell(job.holder, news);
+		finishedParts.add(keyOf(job), {job, update});
+		if (update) {
+			notify(job.holder, update);
 		}
 	};
 
-	/** Tells a holder again what it may have missed. */
-	const retell = (holder: string, job: PlacedJob, news: JobUpdate | undefined): void => {
+	/** Resends the updates that a holder may have missed. */
+	const resend = (holder: string, job: PlacedJob, update: JobUpdate | undefined): void => {
 		const {job: {identifier}, part} = job.order;
 		for (const position of succeededPositions(job)) {
-			tell(holder, {
+			notify(holder, {
 				kind: FleetMessageKind.TaskSucceeded, job: identifier, part, position,
 			});
 		}
 
-		for (const again of [...job.redirects, ...news ? [news] : []]) {
-			tell(holder, again);
+		for (const again of [...job.redirects, ...update ? [update] : []]) {
+			notify(holder, again);
 		}
 	};
 
@@ -202,7 +202,7 @@
 			if (isComplete(job)) {
 				end(job, true);
 			} else {
-				tell(job.holder, {
+				notify(job.holder, {
 					kind: FleetMessageKind.TaskSucceeded, job: task.job, part: job.order.part, position: positionOf(task),
 				});
 			}
@@ -221,9 +221,9 @@
 		onResult(job, task, endpoint, await result);
 	};
 
-	const start = ({part, position, index, endpoint: life}: Placement): void => {
+	const start = ({part, position, index, endpoint: incarnation}: Placement): void => {
 		const job = jobs.get(part);
-		const endpoint = endpoints.get(life);
+		const endpoint = endpoints.get(incarnation);
 		if (!job || !endpoint) {
 			return;
 		}
@@ -231,7 +231,7 @@
 		const {step} = job.steps[position]!;
 		const {identifier} = job.order.job;
 		if (!job.hasStarted) {
-			tell(job.holder, {kind: FleetMessageKind.Started, job: identifier, part: job.order.part});
+			notify(job.holder, {kind: FleetMessageKind.Started, job: identifier, part: job.order.part});
 			options.onTaskWait(performance.now() - job.receivedAt);
 		}
 
@@ -245,64 +245,64 @@
 		}));
 	};
 
-	const handOver = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): void => {
+	const transferTasks = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): void => {
 		const redirect = moveTasks(job, tasks, cell);
 		onDecision(CellDecision.JobRedirected, {
 			job: redirect.job, part: redirect.part, newPart: redirect.newPart, cell, tasks: tasks.length,
 		});
 		options.onRedirected(cell, processorOf(job, tasks));
-		tell(job.holder, redirect);
+		notify(job.holder, redirect);
 		if (isComplete(job)) {
 			finish(job);
 		}
 	};
 
-	/** Hands tasks that found no room here to a cell that has some. */
-	const move = ({part, position, indexes, cell}: TaskShare): void => {
+	/** Redirects tasks that found no capacity here to a cell that has some. */
+	const transferShare = ({part, position, indexes, cell}: TaskShare): void => {
 		const job = jobs.get(part);
 		if (!job) {
 			return;
 		}
 
-		handOver(job, indexes.map(index => ({step: position, index})), cell);
+		transferTasks(job, indexes.map(index => ({step: position, index})), cell);
 	};
 
-	/** Whether each endpoint on which an earlier owner may have started tasks has been looked at, or has ended what it ran. Entries that had lapsed are missing in a new list. */
-	const areAllKnown = (): boolean => {
+	/** Whether each endpoint on which an earlier owner may have started tasks has been polled, or can no longer run them. A new list may lack entries that lapsed. */
+	const areAllRunsKnown = (): boolean => {
 		const now = performance.now();
-		const isListWhole = now - (options.listedSince() ?? now) > lapsedEntryMilliseconds;
-		return isListWhole ? endpoints.all().every(endpoint => endpoint.isKnown()) : now - ownedSince > longestLeaseOf(options.holdMaximumMilliseconds) + yieldMilliseconds;
+		const isListComplete = now - (options.listedSince() ?? now) > lapsedEntryMilliseconds;
+		return isListComplete ? endpoints.all().every(endpoint => endpoint.areRunsKnown()) : now - ownedSince > maximumLeaseOf(options.holdMaximumMilliseconds) + yieldMilliseconds;
 	};
 
-	/** A job that an earlier owner may have started waits until nothing of it can run unseen. */
-	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllKnown());
+	/** A job that an earlier owner may have started waits until none of its tasks can be running unobserved. */
+	const isStartable = (job: PlacedJob): boolean => job.order.generation === 0 || (isSettled() && areAllRunsKnown());
 
 	const placeWaiting = (): void => {
-		rooms.forget();
+		capacity.invalidate();
 		isDispatching = false;
 		if (isClosed) {
 			return;
 		}
 
 		const now = performance.now();
-		const openRooms = rooms.open();
-		const bestFactor = bestFactorOf(openRooms);
+		const capacities = capacity.available();
+		const bestFactor = bestFactorOf(capacities);
 		const startable = [...jobs.values()].filter(job => isStartable(job));
-		const placements = placeTasks(waitingStepsOf(startable, bestFactor, now), openRooms, {now, remotePenalty: options.remotePenalty});
+		const placements = placeTasks(waitingStepsOf(startable, bestFactor, now), capacities, {now, remotePenalty: options.remotePenalty});
 		for (const placement of placements) {
 			start(placement);
 		}
 
 		for (const share of shareTasks(movableStepsOf(startable, bestFactor, now), options.otherCells(), now)) {
-			move(share);
+			transferShare(share);
 		}
 
-		rooms.forget();
+		capacity.invalidate();
 	};
 
-	/** Places what waits once the messages and answers that have arrived are taken in. */
+	/** Schedules the placement of waiting tasks after the messages and answers that have arrived are processed. */
 	function dispatch(): void {
-		rooms.forget();
+		capacity.invalidate();
 		if (!isDispatching) {
 			isDispatching = true;
 			setImmediate(placeWaiting);
@@ -315,8 +315,8 @@
 			job: identifier, reason, queue: job.order.queue, heldMilliseconds: Math.round(performance.now() - job.receivedAt),
 		});
 		jobs.delete(keyOf(job));
-		tell(job.holder, {
-			kind: FleetMessageKind.Refuse, job: identifier, part: job.order.part, reason, retryAfterMilliseconds: Math.min(longestRetryMilliseconds, Math.max(shortestRetryMilliseconds, retryAfterMilliseconds)),
+		notify(job.holder, {
+			kind: FleetMessageKind.Refuse, job: identifier, part: job.order.part, reason, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, retryAfterMilliseconds)),
 		});
 	};
 
@@ -351,17 +351,17 @@
 		}
 	}
 
-	const noteSize = (job: PlacedJob): void => {
+	const recordTaskSize = (job: PlacedJob): void => {
 		for (const {room} of job.order.job.steps) {
-			usualProcessor += usualProcessorGain * (room.processor - usualProcessor);
+			typicalProcessor += typicalProcessorGain * (room.processor - typicalProcessor);
 		}
 	};
 
 	const accept = (job: PlacedJob, endsIn: number): void => {
 		const {order} = job;
-		noteSize(job);
+		recordTaskSize(job);
 		jobs.set(keyOf(job), job);
-		onDecision(CellDecision.JobTaken, {
+		onDecision(CellDecision.JobAccepted, {
 			job: order.job.identifier, queue: order.queue, holder: job.holder, dueInMilliseconds: Math.round(order.dueInMilliseconds), endsInMilliseconds: Math.round(endsIn), generation: order.generation,
 		});
 		if (order.generation > 0) {
@@ -377,16 +377,16 @@
 
 	const decide = (job: PlacedJob): void => {
 		const {order} = job;
-		if (rooms.open().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaited()))) {
-			// The first looks are on their way.
+		if (capacity.available().length === 0 && (!isSettled() || endpoints.all().some(endpoint => endpoint.isAwaitingFirstAnswer()))) {
+			// The first polls have not been answered yet.
 			accept(job, order.dueInMilliseconds);
 			return;
 		}
 
-		const decision = weighArrival(job, [...jobs.values()], {rooms: rooms.open(), others: options.otherCells(), now: performance.now()});
+		const decision = weighArrival(job, [...jobs.values()], {rooms: capacity.available(), others: options.otherCells(), now: performance.now()});
 		if (decision.admission === Admission.Redirect) {
 			jobs.set(keyOf(job), job);
-			handOver(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
+			transferTasks(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
 		} else if (decision.admission === Admission.Refuse && !job.isCommitted && isSettled()) {
 			refuse(job, RefusalReason.Overloaded, decision.endsIn - order.dueInMilliseconds);
 		} else {
@@ -395,12 +395,12 @@
 	};
 
 	const sweep = (): void => {
-		noteToken();
+		checkToken();
 		const now = performance.now();
-		past.sweep();
+		finishedParts.sweep();
 		for (const job of jobs.values()) {
 			if (!job.isCommitted && now + remainingChain(job) > job.worthlessAt) {
-				refuse(job, RefusalReason.Overloaded, shortestRetryMilliseconds);
+				refuse(job, RefusalReason.Overloaded, minimumRetryMilliseconds);
 			}
 		}
 
@@ -412,18 +412,18 @@
 	return {
 		zone: options.zone,
 		submit(holder, order) {
-			noteToken();
+			checkToken();
 			const key = partKeyOf(order.job.identifier, order.part);
 			const known = jobs.get(key);
-			const ended = past.get(key);
+			const ended = finishedParts.get(key);
 			if (known) {
 				known.holder = holder;
-				retell(holder, known, undefined);
+				resend(holder, known, undefined);
 				return;
 			}
 
 			if (ended) {
-				retell(holder, ended.job, ended.news);
+				resend(holder, ended.job, ended.update);
 				return;
 			}
 
@@ -431,13 +431,13 @@
 			if (isEverPossible(order)) {
 				decide(job);
 			} else {
-				refuse(job, RefusalReason.NoEndpoint, longestRetryMilliseconds);
+				refuse(job, RefusalReason.NoEndpoint, maximumRetryMilliseconds);
 			}
 		},
-		withdraw(holder, identifier, part) {
+		cancel(holder, identifier, part) {
 			const job = jobs.get(partKeyOf(identifier, part));
 			if (job?.holder === holder) {
-				onDecision(CellDecision.JobWithdrawn, {job: identifier, part, hasStarted: job.hasStarted});
+				onDecision(CellDecision.JobCancelled, {job: identifier, part, hasStarted: job.hasStarted});
 				jobs.delete(keyOf(job));
 				stopRunsOf(job);
 			}
@@ -445,7 +445,7 @@
 		dropHolder(holder) {
 			for (const [key, job] of jobs) {
 				if (job.holder === holder) {
-					onDecision(CellDecision.JobWithdrawn, {
+					onDecision(CellDecision.JobCancelled, {
 						job: job.order.job.identifier, part: job.order.part, hasStarted: job.hasStarted, lostHolder: holder,
 					});
 					jobs.delete(key);
@@ -457,7 +457,7 @@
 			endpoints.install(entries);
 			dispatch();
 		},
-		load: rooms.load,
+		load: capacity.load,
 		close() {
 			isClosed = true;
 			clearInterval(timer);
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -124,7 +124,7 @@
 			listedSince: () => cells.listedSince(zone),
 			remotePenalty: settings.remotePenalty,
 			createCalls: createEndpointClient,
-			tell(holder, update) {
+			notify(holder, update) {
 				links.send(holder, update);
 			},
 			otherCells: () => loads.otherCellCapacities(zone),
@@ -177,7 +177,7 @@
 			}
 
 			case FleetMessageKind.Cancel: {
-				cells.get(message.cell)?.withdraw(from, message.job, message.part);
+				cells.get(message.cell)?.cancel(from, message.job, message.part);
 				break;
 			}
 
