--- a/packages/galenakeeld/src/process/cells/__tests__/admit-job.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/admit-job.steps.ts
@@ -3,14 +3,14 @@
 	Before, Given, Then, When,
 } from '@cucumber/cucumber';
 import {
-	Admission, admitJob, expectedWorth, type AdmissionDecision, type ArrivingJob, type CellRoom, type WeighedJob,
+	Admission, admitJob, expectedValueShare, type AdmissionDecision, type ArrivingJob, type CellCapacity, type ValuedJob,
 } from '../admit-job.js';
-import type {Lane} from '../predict-ends.js';
+import type {SimulatedSlot} from '../predict-ends.js';
 
 type AdmissionWorld = {
-	lanes: Lane[];
-	others: CellRoom[];
-	waitingJobs: WeighedJob[];
+	lanes: SimulatedSlot[];
+	others: CellCapacity[];
+	waitingJobs: ValuedJob[];
 	decision: AdmissionDecision;
 };
 
@@ -18,13 +18,13 @@
 const worthlessObjectives = 3;
 const tolerance = 0.05;
 
-const createJob = (identifier: string, tasks: number, estimateMilliseconds: number, dueIn: number): WeighedJob => ({
+const createJob = (identifier: string, tasks: number, estimateMilliseconds: number, dueIn: number): ValuedJob => ({
 	identifier,
 	steps: [{tasks, estimateMilliseconds}],
 	dueIn,
-	worthlessIn: worthlessObjectives * dueIn,
+	expiresIn: worthlessObjectives * dueIn,
 	objectiveMilliseconds: dueIn,
-	worth: tasks * estimateMilliseconds * processorOfTask,
+	value: tasks * estimateMilliseconds * processorOfTask,
 	rank: dueIn - estimateMilliseconds,
 });
 
@@ -59,7 +59,7 @@
 	this.others.push({cell, free: [{service: 'sheets', factor: 1, processor: freeProcessor}], waitMilliseconds});
 });
 
-const arrive = (world: AdmissionWorld, job: WeighedJob, isRedirected: boolean): void => {
+const arrive = (world: AdmissionWorld, job: ValuedJob, isRedirected: boolean): void => {
 	const isFree = world.lanes.every(({freeInMilliseconds}) => freeInMilliseconds === 0) && world.waitingJobs.length === 0;
 	const processor = processorOfTask * job.steps[0]!.tasks;
 	const arriving: ArrivingJob = {
@@ -77,7 +77,7 @@
 });
 
 Then('it is taken', function (this: AdmissionWorld) {
-	assert.equal(this.decision.admission, Admission.Take);
+	assert.equal(this.decision.admission, Admission.Accept);
 });
 
 Then('it is refused', function (this: AdmissionWorld) {
@@ -89,8 +89,8 @@
 	assert.equal(this.decision.cell, cell);
 });
 
-Then('an answer due in {int} ms and worthless in {int} ms is worth over {float} at {int} ms, about {float} at {int} ms, about {float} at {int} ms and {int} at {int} ms', (dueIn: number, worthlessIn: number, early: number, earlyAt: number, middle: number, middleAt: number, late: number, lateAt: number, never: number, neverAt: number) => {
-	const worthAt = (endsIn: number): number => expectedWorth({dueIn, worthlessIn, objectiveMilliseconds: dueIn}, endsIn);
+Then('an answer due in {int} ms and worthless in {int} ms is worth over {float} at {int} ms, about {float} at {int} ms, about {float} at {int} ms and {int} at {int} ms', (dueIn: number, expiresIn: number, early: number, earlyAt: number, middle: number, middleAt: number, late: number, lateAt: number, never: number, neverAt: number) => {
+	const worthAt = (endsIn: number): number => expectedValueShare({dueIn, expiresIn, objectiveMilliseconds: dueIn}, endsIn);
 	assert.ok(worthAt(earlyAt) > early);
 	assert.ok(Math.abs(worthAt(middleAt) - middle) < tolerance);
 	assert.ok(Math.abs(worthAt(lateAt) - late) < tolerance);
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
@@ -7,13 +7,13 @@
 } from '../endpoint-health.js';
 import {createEndpointSpeeds, type EndpointSpeeds} from '../endpoint-speeds.js';
 import {compareUrgency, urgencyOf} from '../job-urgency.js';
-import {predictEnds, type Lane} from '../predict-ends.js';
+import {predictEnds, type SimulatedSlot} from '../predict-ends.js';
 
 type DecisionWorld = {
 	health: EndpointHealth;
 	healthNow: number;
 	speeds: EndpointSpeeds;
-	predictedLanes: Lane[];
+	predictedLanes: SimulatedSlot[];
 };
 
 const learned = 'learned';
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -9,7 +9,7 @@
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {Step} from '@galenakeel/model/request/job.js';
 import {createCell, type Cell} from '../cell.js';
-import {createPlayedEndpoint} from './crest-replay.js';
+import {createSimulatedEndpoint} from './replay-load.js';
 
 type PartsWorld = {
 	clock: Clock;
@@ -75,7 +75,7 @@
 		remotePenalty: 1,
 		kindFactors: () => ({}),
 		createCalls: ({room: {processor}}) => {
-			const calls = createPlayedEndpoint(processor, 1);
+			const calls = createSimulatedEndpoint(processor, 1);
 			return {
 				...calls,
 				start: async order => {
--- a/packages/galenakeeld/src/process/cells/__tests__/crest-replay.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
@@ -3,7 +3,7 @@
 import {install} from '@sinonjs/fake-timers';
 import {
 	replayLoad, type LoadQueue, type ReplayedLoad, type ReplayResult,
-} from './crest-replay.js';
+} from './replay-load.js';
 
 type ReplayWorld = {
 	crest: number;
--- a/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
@@ -5,11 +5,11 @@
 import type {Step} from '@galenakeel/model/request/job.js';
 import fc from 'fast-check';
 import {
-	placeTasks, type OpenRoom, type Placement, type WaitingStep,
+	placeTasks, type EndpointCapacity, type Placement, type WaitingStep,
 } from '../place-tasks.js';
 
 type PlacementWorld = {
-	rooms: OpenRoom[];
+	rooms: EndpointCapacity[];
 	waiting: WaitingStep[];
 };
 
@@ -30,7 +30,7 @@
 	indexes: Array.from({length: step.tasks}, (_, index) => index),
 	dueAt: 1000,
 	isInTime: true,
-	avoidedBy: () => new Set(),
+	avoidedEndpoints: () => new Set(),
 	...more,
 });
 
@@ -40,7 +40,7 @@
 	world.waiting.push(createWaiting(world.waiting.length, step, more));
 };
 
-const changeRoom = (world: PlacementWorld, name: string, change: Partial<OpenRoom>): void => {
+const changeRoom = (world: PlacementWorld, name: string, change: Partial<EndpointCapacity>): void => {
 	world.rooms = world.rooms.map(room => room.endpoint === name ? {...room, ...change} : room);
 };
 
@@ -55,11 +55,11 @@
 	this.rooms = table.hashes().map(row => ({
 		endpoint: row.name!,
 		service: 'sheets',
-		whole: createRoom(Number(row.processor)),
+		total: createRoom(Number(row.processor)),
 		free: createRoom(Number(row.free)),
 		factor: Number(row.factor),
 		labels: splitNames(row.labels!),
-		mostTasks: unbounded,
+		maximumTasks: unbounded,
 		remainingTimes: () => [],
 		countOf: () => 0,
 	}));
@@ -73,8 +73,8 @@
 	changeRoom(this, name, {factor: this.rooms.find(({endpoint}) => endpoint === other)!.factor});
 });
 
-Given('{string} takes at most {int} task(s)', function (this: PlacementWorld, name: string, mostTasks: number) {
-	changeRoom(this, name, {mostTasks});
+Given('{string} takes at most {int} task(s)', function (this: PlacementWorld, name: string, maximumTasks: number) {
+	changeRoom(this, name, {maximumTasks});
 });
 
 When('a task of {int} ms and {int} thousandths waits, due in {int} ms', function (this: PlacementWorld, milliseconds: number, processor: number, dueAt: number) {
@@ -86,7 +86,7 @@
 });
 
 When('a task of {int} ms and {int} thousandths waits, due in {int} ms, that failed at {string}', function (this: PlacementWorld, milliseconds: number, processor: number, dueAt: number, names: string) {
-	addWaiting(this, createStep(1, milliseconds, processor), {dueAt, avoidedBy: () => new Set(splitNames(names))});
+	addWaiting(this, createStep(1, milliseconds, processor), {dueAt, avoidedEndpoints: () => new Set(splitNames(names))});
 });
 
 When('a task of {int} ms and {int} thousandths waits, due in {int} ms, that requires the label {string}', function (this: PlacementWorld, milliseconds: number, processor: number, dueAt: number, requiredLabel: string) {
@@ -114,11 +114,11 @@
 const arbitraryRoom = fc.record({
 	endpoint: fc.integer({min: 0, max: 9}).map(String),
 	service: fc.constantFrom('sheets', 'quotes'),
-	whole: fc.constant(createRoom(4000)),
+	total: fc.constant(createRoom(4000)),
 	free: fc.integer({min: 0, max: 4000}).map(processor => createRoom(processor)),
 	labels: arbitraryLabel.map(label => [label]),
 	factor: fc.double({min: 0.3, max: 8, noNaN: true}),
-	mostTasks: fc.constantFrom(0, 1, unbounded),
+	maximumTasks: fc.constantFrom(0, 1, unbounded),
 	remainingTimes: fc.constant(() => []),
 	countOf: fc.constant(() => 0),
 });
@@ -134,7 +134,7 @@
 
 const arbitraryWaiting = fc.array(fc.tuple(arbitraryStep, fc.integer({min: 0, max: 3000}), fc.boolean(), fc.constantFrom('sheets', 'quotes')), {maxLength: 12});
 
-const checkRooms = (rooms: readonly OpenRoom[], waiting: readonly WaitingStep[], placements: readonly Placement[]): void => {
+const checkRooms = (rooms: readonly EndpointCapacity[], waiting: readonly WaitingStep[], placements: readonly Placement[]): void => {
 	const stepOf = (job: string): WaitingStep => waiting.find(one => one.job === job)!;
 	for (const room of rooms) {
 		const here = placements.filter(({endpoint}) => endpoint === room.endpoint).map(placement => stepOf(placement.part));
@@ -147,7 +147,7 @@
 		}
 
 		assert.ok(used <= room.free.processor);
-		assert.ok(here.length <= room.mostTasks);
+		assert.ok(here.length <= room.maximumTasks);
 	}
 
 	assert.equal(new Set(placements.map(({part, index}) => `${part} ${index}`)).size, placements.length);
--- a/packages/galenakeeld/src/process/cells/__tests__/crest-replay.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -102,7 +102,7 @@
 @param whole Thousandths of a core.
 @param speed Run time over the milliseconds of the specification.
 */
-export const createPlayedEndpoint = (whole: number, speed: number): EndpointCalls => {
+export const createSimulatedEndpoint = (whole: number, speed: number): EndpointCalls => {
 	let active: PlayedRun[] = [];
 	let ended: EndedRun[] = [];
 	let sequence = 0;
@@ -300,7 +300,7 @@
 			kindFactors: () => ({}),
 			createCalls(entry) {
 				const [kind] = entry.labels;
-				return createPlayedEndpoint(entry.room.processor, kinds.find(({label}) => label === kind)!.speed);
+				return createSimulatedEndpoint(entry.room.processor, kinds.find(({label}) => label === kind)!.speed);
 			},
 			tell(holder, news) {
 				setTimeout(() => {
--- a/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
@@ -4,12 +4,12 @@
 } from '@cucumber/cucumber';
 import type {Step} from '@galenakeel/model/request/job.js';
 import fc from 'fast-check';
-import type {CellRoom} from '../admit-job.js';
+import type {CellCapacity} from '../admit-job.js';
 import type {WaitingStep} from '../place-tasks.js';
 import {shareTasks} from '../share-tasks.js';
 
 type ShareWorld = {
-	others: CellRoom[];
+	others: CellCapacity[];
 	waitingSteps: WaitingStep[];
 };
 
@@ -29,7 +29,7 @@
 	indexes: Array.from({length: step.tasks}, (_, index) => index),
 	dueAt,
 	isInTime,
-	avoidedBy: () => new Set(),
+	avoidedEndpoints: () => new Set(),
 });
 
 Before(function (this: Partial<ShareWorld>) {
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -16,8 +16,8 @@
 } from './endpoint-run.js';
 import {createEndpointLeases} from './endpoint-leases.js';
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
-import type {OpenRoom} from './place-tasks.js';
-import {addRoom, subtractRoom} from './room.js';
+import type {EndpointCapacity} from './place-tasks.js';
+import {addResources, subtractResources} from './resources.js';
 import {createStrayRuns} from './stray-runs.js';
 
 /**
@@ -28,7 +28,7 @@
 	/** Takes a newer entry of the same life. */
 	readonly update: (entry: EndpointEntry) => void;
 	/** Room for tasks now; undefined while the endpoint takes none. */
-	readonly openRoom: (factor: number) => OpenRoom | undefined;
+	readonly openRoom: (factor: number) => EndpointCapacity | undefined;
 	/** Whether a look has shown what runs there, or nothing of an earlier owner can run any more. */
 	readonly isKnown: () => boolean;
 	/** Whether its first answer is still to come. */
@@ -127,7 +127,7 @@
 
 	const take = (run: Run): void => {
 		runs.add(run);
-		free = subtractRoom(free, run.room);
+		free = subtractResources(free, run.room);
 	};
 
 	const settle = (run: Run, result: RunResult): void => {
@@ -135,7 +135,7 @@
 			return;
 		}
 
-		free = addRoom(free, run.room);
+		free = addResources(free, run.room);
 		run.ended.resolve(result);
 		options.onChange();
 	};
@@ -433,10 +433,10 @@
 				endpoint: lifeOf(entry),
 				service: entry.service,
 				free,
-				whole: entry.room,
+				total: entry.room,
 				labels: entry.labels,
 				factor,
-				mostTasks: state === HealthState.Probing ? Math.max(0, 1 - runs.size) : unboundedTasks,
+				maximumTasks: state === HealthState.Probing ? Math.max(0, 1 - runs.size) : unboundedTasks,
 				remainingTimes: () => remainingTimesOf(runs, factor),
 				countOf: (job, step) => [...runs].filter(({task}) => task.job === job && task.step === step).length,
 			};
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -3,7 +3,7 @@
 import {lifeOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import type {CellEndpoint} from './cell-endpoint.js';
 import {createEndpointSpeeds} from './endpoint-speeds.js';
-import type {OpenRoom} from './place-tasks.js';
+import type {EndpointCapacity} from './place-tasks.js';
 
 /**
 The endpoints of a cell, by their lives, and how fast each is.
@@ -14,7 +14,7 @@
 	/** Expected run time over estimate at an endpoint. */
 	readonly factorOf: (endpoint: CellEndpoint) => number;
 	readonly kindFactors: () => Readonly<Record<string, number>>;
-	readonly openRooms: () => readonly OpenRoom[];
+	readonly openRooms: () => readonly EndpointCapacity[];
 	/** Stops the runs of the tasks that a test holds for. */
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
 	/** Takes the endpoints as the platform lists them. */
--- a/packages/galenakeeld/src/process/cells/cell-rooms.ts
+++ b/packages/galenakeeld/src/process/cells/cell-rooms.ts
@@ -1,17 +1,17 @@
 import {performance} from 'node:perf_hooks';
 import type {CellLoad} from '@galenakeel/model/connection/fleet-message.js';
 import type {CellEndpoints} from './cell-endpoints.js';
-import type {OpenRoom} from './place-tasks.js';
+import type {EndpointCapacity} from './place-tasks.js';
 import type {PlacedJob} from './placed-job.js';
 import {
-	bestFactorOf, freeRoomsOf, throughputOf, waitingInTimeWorkOf,
-} from './weigh-jobs.js';
+	bestFactorOf, freeCapacitiesOf, throughputOf, waitingInTimeWorkOf,
+} from './evaluate-arrival.js';
 
 /**
 The open rooms of a cell and its load, worked out once after each change.
 */
 export type CellRooms = {
-	readonly open: () => readonly OpenRoom[];
+	readonly open: () => readonly EndpointCapacity[];
 	readonly load: () => CellLoad;
 	/** Notes that endpoints or jobs have changed. */
 	readonly forget: () => void;
@@ -35,10 +35,10 @@
 ```
 */
 export const createCellRooms = ({endpoints, jobs, usualProcessor}: CellRoomsOptions): CellRooms => {
-	let known: readonly OpenRoom[] | undefined;
+	let known: readonly EndpointCapacity[] | undefined;
 	let knownLoad: CellLoad | undefined;
 
-	const open = (): readonly OpenRoom[] => {
+	const open = (): readonly EndpointCapacity[] => {
 		known ??= endpoints.openRooms();
 		return known;
 	};
@@ -46,7 +46,7 @@
 	const describe = (): CellLoad => {
 		const rooms = open();
 		const waiting = waitingInTimeWorkOf(jobs(), bestFactorOf(rooms), performance.now());
-		return {free: freeRoomsOf(rooms, usualProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(rooms)), kindFactors: endpoints.kindFactors()};
+		return {free: freeCapacitiesOf(rooms, usualProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(rooms)), kindFactors: endpoints.kindFactors()};
 	};
 
 	return {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -6,7 +6,7 @@
 import {RefusalReason} from '@galenakeel/model/request/job.js';
 import {positionOf, type TaskKey} from '@galenakeel/model/request/task-key.js';
 import {lifeOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
-import {Admission, type CellRoom} from './admit-job.js';
+import {Admission, type CellCapacity} from './admit-job.js';
 import {createCellEndpoint, type CellEndpoint} from './cell-endpoint.js';
 import {createCellEndpoints, lapsedEntryMilliseconds} from './cell-endpoints.js';
 import type {EndpointDecision} from './endpoint-decision.js';
@@ -16,13 +16,13 @@
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
-	beginAttempt, createPlacedJob, isComplete, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingChain, succeededPositions, waitingIndexes, type PlacedJob,
+	beginAttempt, createPlacedJob, isComplete, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
-import {isFitting} from './room.js';
+import {isFitting} from './resources.js';
 import {shareTasks, type TaskShare} from './share-tasks.js';
 import {
-	bestFactorOf, movableStepsOf, waitingStepsOf, weighArrival,
-} from './weigh-jobs.js';
+	bestFactorOf, movableStepsOf, waitingStepsOf, evaluateArrival,
+} from './evaluate-arrival.js';
 
 /**
 Decisions of a cell that are logged.
@@ -69,7 +69,7 @@
 	readonly createCalls: (entry: EndpointEntry) => EndpointCalls;
 	readonly tell: (holder: string, news: JobNews) => void;
 	/** Other cells as their owners last described them. */
-	readonly otherCells: () => readonly CellRoom[];
+	readonly otherCells: () => readonly CellCapacity[];
 	/** Called when tasks were handed to another cell, with the processor that they need there. */
 	readonly onRedirected: (cell: string, processor: number) => void;
 	/** Called when an endpoint obeys a higher token. */
@@ -383,7 +383,7 @@
 			return;
 		}
 
-		const decision = weighArrival(job, [...jobs.values()], {rooms: rooms.open(), others: options.otherCells(), now: performance.now()});
+		const decision = evaluateArrival(job, [...jobs.values()], {capacities: rooms.open(), others: options.otherCells(), now: performance.now()});
 		if (decision.admission === Admission.Redirect) {
 			jobs.set(keyOf(job), job);
 			handOver(job, job.steps.flatMap(placed => waitingIndexes(placed).map(index => ({step: placed.position, index}))), decision.cell);
@@ -399,7 +399,7 @@
 		const now = performance.now();
 		past.sweep();
 		for (const job of jobs.values()) {
-			if (!job.isCommitted && now + remainingChain(job) > job.worthlessAt) {
+			if (!job.isCommitted && now + remainingCriticalPath(job) > job.expiresAt) {
 				refuse(job, RefusalReason.Overloaded, shortestRetryMilliseconds);
 			}
 		}
--- a/packages/galenakeeld/src/process/cells/endpoint-speeds.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-speeds.ts
@@ -18,18 +18,18 @@
 const kindGain = 0.04;
 /** Runs of its own that an endpoint needs to count as much as its kind does. */
 const kindWeight = 2;
-const mostWeight = 10;
+const maximumWeight = 10;
 /** Single runs are cut to these ratios, since estimates may be wrong by several times. */
-const leastLogarithm = -2;
-const mostLogarithm = 2.1;
+const minimumLogarithm = -2;
+const maximumLogarithm = 2.1;
 
-const follow = (average: Average, logarithm: number, gain: number): void => {
+const updateAverage = (average: Average, logarithm: number, gain: number): void => {
 	const step = Math.max(gain, 1 / (average.weight + 1));
 	average.logarithm += step * (logarithm - average.logarithm);
-	average.weight = Math.min(mostWeight, average.weight + 1);
+	average.weight = Math.min(maximumWeight, average.weight + 1);
 };
 
-const averageOf = (averages: Map<string, Average>, key: string): Average => {
+const getOrCreateAverage = (averages: Map<string, Average>, key: string): Average => {
 	const average = averages.get(key) ?? {logarithm: 0, weight: 0};
 	averages.set(key, average);
 	return average;
@@ -57,9 +57,9 @@
 	return {
 		record(endpoint, kind, estimateMilliseconds, runMilliseconds) {
 			const ratio = Math.log(Math.max(1, runMilliseconds) / Math.max(1, estimateMilliseconds));
-			const logarithm = Math.min(mostLogarithm, Math.max(leastLogarithm, ratio));
-			follow(averageOf(endpoints, endpoint), logarithm, endpointGain);
-			follow(averageOf(kinds, kind), logarithm, kindGain);
+			const logarithm = Math.min(maximumLogarithm, Math.max(minimumLogarithm, ratio));
+			updateAverage(getOrCreateAverage(endpoints, endpoint), logarithm, endpointGain);
+			updateAverage(getOrCreateAverage(kinds, kind), logarithm, kindGain);
 		},
 		factorOf(endpoint, kind) {
 			const own = endpoints.get(endpoint) ?? {logarithm: 0, weight: 0};
--- a/packages/galenakeeld/src/process/cells/weigh-jobs.ts
+++ b/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
@@ -1,15 +1,15 @@
 import type {FreeRoom} from '@galenakeel/model/connection/fleet-message.js';
 import {
-	admitJob, freeProcessorIn, type AdmissionDecision, type CellRoom, type WeighedJob,
+	admitJob, freeProcessorIn, type AdmissionDecision, type CellCapacity, type ValuedJob,
 } from './admit-job.js';
 import {
 	compareUrgency, isInTime, urgencyOf, type Urgency,
 } from './job-urgency.js';
-import type {OpenRoom, WaitingStep} from './place-tasks.js';
+import type {EndpointCapacity, WaitingStep} from './place-tasks.js';
 import {
-	isMovable, isStepOpen, partKeyOf, remainingChain, untouchedIndexes, waitingIndexes, type PlacedJob, type PlacedStep,
+	isMovable, isStepReady, partKeyOf, remainingCriticalPath, neverStartedIndexes, waitingIndexes, type PlacedJob, type PlacedStep,
 } from './placed-job.js';
-import type {Lane} from './predict-ends.js';
+import type {SimulatedSlot} from './predict-ends.js';
 
 /** Share of the processor of endpoints that tasks of unlike sizes fill. */
 const fillableShare = 0.85;
@@ -21,12 +21,12 @@
 /**
 Returns the smallest factor of run time over estimate among endpoints; 1 without endpoints.
 */
-export const bestFactorOf = (rooms: readonly OpenRoom[]): number => rooms.length > 0 ? Math.min(...rooms.map(({factor}) => factor)) : 1;
+export const bestFactorOf = (rooms: readonly EndpointCapacity[]): number => rooms.length > 0 ? Math.min(...rooms.map(({factor}) => factor)) : 1;
 
 const urgencyOfJob = (job: PlacedJob, bestFactor: number, now: number): Urgency => urgencyOf({
 	dueAt: job.dueAt,
 	toleranceMilliseconds: lateToleranceShare * job.objectiveMilliseconds,
-	remainingMilliseconds: remainingChain(job) * bestFactor,
+	remainingMilliseconds: remainingCriticalPath(job) * bestFactor,
 	hasStarted: job.hasStarted,
 	priority: job.order.priority,
 }, now);
@@ -58,29 +58,29 @@
 /**
 Returns the work that endpoints do in a millisecond, in thousandths of a core times milliseconds of estimates; at least 1.
 */
-export const throughputOf = (rooms: readonly OpenRoom[]): number => {
+export const throughputOf = (rooms: readonly EndpointCapacity[]): number => {
 	let processor = 0;
-	for (const {whole, factor} of rooms) {
-		processor += whole.processor / factor;
+	for (const {total, factor} of rooms) {
+		processor += total.processor / factor;
 	}
 
 	return Math.max(1, processor * fillableShare);
 };
 
 /** Speeds of one class differ by less than this. */
-const factorGrain = 0.2;
+const factorStep = 0.2;
 
 /**
 Returns the free room that tasks of a size can fill, by the service and the speed of the endpoints.
 */
-export const freeRoomsOf = (rooms: readonly OpenRoom[], processorOfTask: number): readonly FreeRoom[] => {
+export const freeCapacitiesOf = (rooms: readonly EndpointCapacity[], processorOfTask: number): readonly FreeRoom[] => {
 	const size = Math.max(1, processorOfTask);
 	const classes = new Map<string, FreeRoom>();
 	for (const room of rooms) {
-		const tasks = Math.min(room.mostTasks, Math.floor(Math.max(0, room.free.processor) / size));
+		const tasks = Math.min(room.maximumTasks, Math.floor(Math.max(0, room.free.processor) / size));
 		if (tasks > 0) {
 			const {service} = room;
-			const factor = Number((Math.max(1, Math.round(room.factor / factorGrain)) * factorGrain).toFixed(1));
+			const factor = Number((Math.max(1, Math.round(room.factor / factorStep)) * factorStep).toFixed(1));
 			const key = `${service} ${factor}`;
 			const before = classes.get(key)?.processor ?? 0;
 			classes.set(key, {service, factor, processor: Math.round(before + (tasks * size))});
@@ -97,25 +97,25 @@
 */
 export const firstProcessorOf = (job: PlacedJob): number => {
 	let processor = 0;
-	for (const {left, step} of firstStepsOf(job)) {
-		processor += left * step.room.processor;
+	for (const {remainingTasks, step} of firstStepsOf(job)) {
+		processor += remainingTasks * step.room.processor;
 	}
 
 	return processor;
 };
 
-const tasksOf = (steps: readonly PlacedStep[]): number => {
+const countTasks = (steps: readonly PlacedStep[]): number => {
 	let tasks = 0;
-	for (const {left} of steps) {
-		tasks += left;
+	for (const {remainingTasks} of steps) {
+		tasks += remainingTasks;
 	}
 
 	return tasks;
 };
 
 /** Room for tasks of the usual size, one after the other. */
-const lanesOf = (rooms: readonly OpenRoom[], processorOfTask: number): readonly Lane[] => rooms.flatMap(({whole, factor, remainingTimes}) => {
-	const count = Math.max(1, Math.floor(whole.processor / Math.max(1, processorOfTask)));
+const slotsOf = (rooms: readonly EndpointCapacity[], processorOfTask: number): readonly SimulatedSlot[] => rooms.flatMap(({total, factor, remainingTimes}) => {
+	const count = Math.max(1, Math.floor(total.processor / Math.max(1, processorOfTask)));
 	const busy = remainingTimes();
 	return Array.from({length: count}, (_, place) => ({freeInMilliseconds: busy[place] ?? 0, factor}));
 });
@@ -124,10 +124,10 @@
 const moveMilliseconds = 8;
 
 /** Room of other cells that tasks of the usual size can go to. */
-const borrowedLanesOf = (others: readonly CellRoom[], processorOfTask: number): readonly Lane[] => others.flatMap(({free}) => free.flatMap(({factor, processor}) =>
+const remoteSlotsOf = (others: readonly CellCapacity[], processorOfTask: number): readonly SimulatedSlot[] => others.flatMap(({free}) => free.flatMap(({factor, processor}) =>
 	Array.from({length: Math.max(0, Math.floor(processor / Math.max(1, processorOfTask)))}, () => ({freeInMilliseconds: moveMilliseconds, factor}))));
 
-const worthOfJob = ({order}: PlacedJob): number => {
+const valueOfJob = ({order}: PlacedJob): number => {
 	let work = 0;
 	for (const step of order.job.steps) {
 		work += step.tasks * step.room.processor * step.estimateMilliseconds;
@@ -136,13 +136,13 @@
 	return (order.priority === 0 ? urgentWeight : 1) * work;
 };
 
-const weigh = (job: PlacedJob, bestFactor: number, now: number): WeighedJob => ({
+const toValuedJob = (job: PlacedJob, bestFactor: number, now: number): ValuedJob => ({
 	identifier: partKeyOf(job.order.job.identifier, job.order.part),
 	steps: job.steps.map(placed => ({tasks: waitingIndexes(placed).length, estimateMilliseconds: placed.step.estimateMilliseconds})),
 	dueIn: job.dueAt - now,
-	worthlessIn: job.worthlessAt - now,
+	expiresIn: job.expiresAt - now,
 	objectiveMilliseconds: job.objectiveMilliseconds,
-	worth: worthOfJob(job),
+	value: valueOfJob(job),
 	rank: urgencyOfJob(job, bestFactor, now).rank,
 });
 
@@ -157,20 +157,20 @@
 
 @param now Steady milliseconds.
 */
-export const weighArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {rooms: allRooms, others: allOthers, now}: {readonly rooms: readonly OpenRoom[]; readonly others: readonly CellRoom[]; readonly now: number}): AdmissionDecision => {
+export const evaluateArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {capacities: allRooms, others: allOthers, now}: {readonly capacities: readonly EndpointCapacity[]; readonly others: readonly CellCapacity[]; readonly now: number}): AdmissionDecision => {
 	const {service} = job.order;
 	const rooms = allRooms.filter(room => room.service === service);
 	const others = allOthers.map(other => ({...other, free: other.free.filter(room => room.service === service)}));
 	const bestFactor = bestFactorOf(rooms);
 	const waiting = rankJobs(jobs.filter(one => one.order.service === service && waitingWorkOf(one) > 0), bestFactor, now).filter(({urgency}) => isInTime(urgency));
 	const processor = firstProcessorOf(job);
-	const processorOfTask = processor / Math.max(1, tasksOf(firstStepsOf(job)));
+	const processorOfTask = processor / Math.max(1, countTasks(firstStepsOf(job)));
 	return admitJob({
-		...weigh(job, bestFactor, now),
+		...toValuedJob(job, bestFactor, now),
 		processor,
-		freeProcessor: freeProcessorIn({free: freeRoomsOf(rooms, processorOfTask)}),
+		freeProcessor: freeProcessorIn({free: freeCapacitiesOf(rooms, processorOfTask)}),
 		isRedirected: job.order.moves > 0 || job.order.generation > 0,
-	}, waiting.map(one => weigh(one.job, bestFactor, now)), [...lanesOf(rooms, processorOfTask), ...borrowedLanesOf(others, processorOfTask)], others);
+	}, waiting.map(one => toValuedJob(one.job, bestFactor, now)), [...slotsOf(rooms, processorOfTask), ...remoteSlotsOf(others, processorOfTask)], others);
 };
 
 /**
@@ -179,7 +179,7 @@
 @param now Steady milliseconds.
 */
 export const waitingStepsOf = (jobs: readonly PlacedJob[], bestFactor: number, now: number): readonly WaitingStep[] =>
-	rankJobs(jobs, bestFactor, now).flatMap(({job, urgency}) => job.steps.filter(placed => placed.left > 0 && isStepOpen(job, placed)).map(placed => ({
+	rankJobs(jobs, bestFactor, now).flatMap(({job, urgency}) => job.steps.filter(placed => placed.remainingTasks > 0 && isStepReady(job, placed)).map(placed => ({
 		part: partKeyOf(job.order.job.identifier, job.order.part),
 		job: job.order.job.identifier,
 		service: job.order.service,
@@ -188,7 +188,7 @@
 		indexes: waitingIndexes(placed),
 		dueAt: job.dueAt,
 		isInTime: isInTime(urgency),
-		avoidedBy: (index: number) => placed.tasks[index]!.avoided,
+		avoidedEndpoints: (index: number) => placed.tasks[index]!.avoided,
 	})).filter(({indexes}) => indexes.length > 0));
 
 /**
@@ -199,6 +199,6 @@
 export const movableStepsOf = (jobs: readonly PlacedJob[], bestFactor: number, now: number): readonly WaitingStep[] => {
 	const movable = new Map(jobs.filter(job => isMovable(job)).map(job => [partKeyOf(job.order.job.identifier, job.order.part), job]));
 	return waitingStepsOf([...movable.values()], bestFactor, now)
-		.map(waiting => ({...waiting, indexes: untouchedIndexes(movable.get(waiting.part)!.steps[waiting.position]!)}))
+		.map(waiting => ({...waiting, indexes: neverStartedIndexes(movable.get(waiting.part)!.steps[waiting.position]!)}))
 		.filter(({indexes}) => indexes.length > 0);
 };
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -1,20 +1,20 @@
 import type {Room, Step} from '@galenakeel/model/request/job.js';
-import {isFitting, subtractRoom} from './room.js';
+import {isFitting, subtractResources} from './resources.js';
 
 /**
 An endpoint that takes work at this moment.
 */
-export type OpenRoom = {
+export type EndpointCapacity = {
 	/** Life of the endpoint. */
 	readonly endpoint: string;
 	readonly service: string;
 	readonly free: Room;
-	readonly whole: Room;
+	readonly total: Room;
 	readonly labels: readonly string[];
 	/** Expected run time over estimate. */
 	readonly factor: number;
 	/** Tasks that the endpoint takes at most now, whatever their size. */
-	readonly mostTasks: number;
+	readonly maximumTasks: number;
 	/** Expected milliseconds until each active run ends, the soonest first. */
 	readonly remainingTimes: () => readonly number[];
 	/** Active tasks of a step of a job at the endpoint. */
@@ -38,7 +38,7 @@
 	/** The job can still meet its objective. */
 	readonly isInTime: boolean;
 	/** Endpoints where a task has failed or was not answered. */
-	readonly avoidedBy: (index: number) => ReadonlySet<string>;
+	readonly avoidedEndpoints: (index: number) => ReadonlySet<string>;
 };
 
 /**
@@ -52,16 +52,16 @@
 	readonly endpoint: string;
 };
 
-type Candidate = {free: Room; taken: number; readonly room: OpenRoom; readonly placed: Map<string, number>};
+type Candidate = {free: Room; taken: number; readonly room: EndpointCapacity; readonly placed: Map<string, number>};
 
 /** Time in hand over expected run time from which a slower endpoint is as good as a faster one. */
-const safeMargin = 1.25;
+const safetyFactor = 1.25;
 /** Share of free processor below which fast endpoints are kept for the tasks that need them. */
-const crowdedShare = 0.4;
+const scarceShare = 0.4;
 /** Free processor of one endpoint that isn't worth looking at, in thousandths of a core. */
-const leastProcessor = 1;
+const minimumProcessor = 1;
 
-const factorFor = (step: Step, {factor, labels}: OpenRoom, remotePenalty: number): number =>
+const factorFor = (step: Step, {factor, labels}: EndpointCapacity, remotePenalty: number): number =>
 	step.preferredRack !== undefined && !labels.includes(step.preferredRack) ? factor * remotePenalty : factor;
 
 const isAllowed = (waiting: WaitingStep, {room, placed}: Candidate): boolean => {
@@ -78,7 +78,7 @@
 	return step.mostOnOneEndpoint === undefined || room.countOf(job, position) + (placed.get(key) ?? 0) < step.mostOnOneEndpoint;
 };
 
-const isOpen = ({free, taken, room}: Candidate): boolean => free.processor >= leastProcessor && taken < room.mostTasks;
+const isAvailable = ({free, taken, room}: Candidate): boolean => free.processor >= minimumProcessor && taken < room.maximumTasks;
 
 type Choice = {readonly candidate: Candidate; readonly milliseconds: number};
 
@@ -88,28 +88,28 @@
 const speedClassOf = ({milliseconds}: Choice): number => Math.round(Math.log(milliseconds) / Math.log(speedClassFactor));
 
 /** The one that the task fills best, so that room for large tasks is left elsewhere. */
-const fullestFirst = (first: Choice, second: Choice): number => first.candidate.free.processor - second.candidate.free.processor;
+const bestFitFirst = (first: Choice, second: Choice): number => first.candidate.free.processor - second.candidate.free.processor;
 
 const fastestFirst = (first: Choice, second: Choice): number =>
-	speedClassOf(first) - speedClassOf(second) || fullestFirst(first, second);
+	speedClassOf(first) - speedClassOf(second) || bestFitFirst(first, second);
 
 const slowestFirst = (first: Choice, second: Choice): number =>
-	speedClassOf(second) - speedClassOf(first) || fullestFirst(first, second);
+	speedClassOf(second) - speedClassOf(first) || bestFitFirst(first, second);
 
 /**
 Chooses an endpoint for a task that can still be in time: while room is scarce the slowest with which it surely is, so that faster ones stay free for longer tasks; else the fastest. One with which the task would be late is left to others.
 */
-const chooseInTime = (choices: readonly Choice[], timeInHand: number, isCrowded: boolean): Choice | undefined => {
-	const safe = choices.filter(({milliseconds}) => milliseconds * safeMargin <= timeInHand);
-	if (isCrowded && safe.length > 0) {
+const chooseInTime = (choices: readonly Choice[], timeUntilDue: number, isScarce: boolean): Choice | undefined => {
+	const safe = choices.filter(({milliseconds}) => milliseconds * safetyFactor <= timeUntilDue);
+	if (isScarce && safe.length > 0) {
 		return safe.toSorted(slowestFirst)[0];
 	}
 
 	const fastest = choices.toSorted(fastestFirst)[0];
-	return fastest && fastest.milliseconds <= timeInHand ? fastest : undefined;
+	return fastest && fastest.milliseconds <= timeUntilDue ? fastest : undefined;
 };
 
-const fastestFactorOf = (rooms: readonly OpenRoom[]): number => Math.min(...rooms.map(({factor}) => factor));
+const fastestFactorOf = (capacities: readonly EndpointCapacity[]): number => Math.min(...capacities.map(({factor}) => factor));
 
 /**
 Places waiting tasks on free room.
@@ -124,41 +124,41 @@
 const placements = placeTasks(waiting, rooms, {now: performance.now(), remotePenalty: 3});
 ```
 */
-export const placeTasks = (waiting: readonly WaitingStep[], rooms: readonly OpenRoom[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
-	let candidates = rooms.map((room): Candidate => ({
+export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
+	let candidates = capacities.map((room): Candidate => ({
 		room, free: room.free, taken: 0, placed: new Map(),
-	})).filter(candidate => isOpen(candidate));
-	const wholeProcessor = rooms.reduce((sum, {whole}) => sum + whole.processor, 0);
-	let freeProcessor = rooms.reduce((sum, {free}) => sum + free.processor, 0);
-	const bestFactor = fastestFactorOf(rooms);
+	})).filter(candidate => isAvailable(candidate));
+	const totalProcessor = capacities.reduce((sum, {total}) => sum + total.processor, 0);
+	let freeProcessor = capacities.reduce((sum, {free}) => sum + free.processor, 0);
+	const bestFactor = fastestFactorOf(capacities);
 	const placements: Placement[] = [];
 
 	const choose = (step: WaitingStep, index: number): Candidate | undefined => {
-		const avoided = step.avoidedBy(index);
+		const avoided = step.avoidedEndpoints(index);
 		const fitting = candidates.filter(candidate => isFitting(step.step.room, candidate.free) && isAllowed(step, candidate));
 		const preferred = fitting.filter(({room}) => !avoided.has(room.endpoint));
 		// A task that failed everywhere is tried again where it failed.
-		const usable = preferred.length > 0 || avoided.size < rooms.length ? preferred : fitting;
+		const usable = preferred.length > 0 || avoided.size < capacities.length ? preferred : fitting;
 		const choices = usable.map(candidate => ({candidate, milliseconds: Math.max(1, step.step.estimateMilliseconds) * factorFor(step.step, candidate.room, remotePenalty)}));
 		// A job that counts as in time gets at least what the fastest endpoint needs.
-		const timeInHand = Math.max(step.dueAt - now, step.step.estimateMilliseconds * bestFactor * safeMargin);
-		const isHopeful = step.isInTime;
-		const choice = isHopeful
-			? chooseInTime(choices, timeInHand, freeProcessor < crowdedShare * wholeProcessor)
+		const timeUntilDue = Math.max(step.dueAt - now, step.step.estimateMilliseconds * bestFactor * safetyFactor);
+		const canBeInTime = step.isInTime;
+		const choice = canBeInTime
+			? chooseInTime(choices, timeUntilDue, freeProcessor < scarceShare * totalProcessor)
 			: choices.toSorted(slowestFirst)[0];
 		return choice?.candidate;
 	};
 
 	const take = (candidate: Candidate, {part, job, position, step}: WaitingStep, index: number): void => {
 		const key = `${job}.${position}`;
-		candidate.free = subtractRoom(candidate.free, step.room);
+		candidate.free = subtractResources(candidate.free, step.room);
 		candidate.taken++;
 		candidate.placed.set(key, (candidate.placed.get(key) ?? 0) + 1);
 		freeProcessor -= step.room.processor;
 		placements.push({
 			part, position, index, endpoint: candidate.room.endpoint,
 		});
-		candidates = candidates.filter(one => isOpen(one));
+		candidates = candidates.filter(one => isAvailable(one));
 	};
 
 	for (const step of waiting) {
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -33,7 +33,7 @@
 	readonly position: number;
 	readonly tasks: readonly Task[];
 	/** Tasks of this part that have not succeeded. */
-	left: number;
+	remainingTasks: number;
 };
 
 /**
@@ -45,7 +45,7 @@
 	holder: string;
 	readonly receivedAt: number;
 	readonly dueAt: number;
-	readonly worthlessAt: number;
+	readonly expiresAt: number;
 	readonly objectiveMilliseconds: number;
 	readonly steps: readonly PlacedStep[];
 	/** A task was started in this hand-over. */
@@ -77,12 +77,12 @@
 		holder,
 		receivedAt: now,
 		dueAt: now + order.dueInMilliseconds,
-		worthlessAt: now + order.worthlessInMilliseconds,
+		expiresAt: now + order.worthlessInMilliseconds,
 		objectiveMilliseconds: order.objectiveMilliseconds,
 		steps: order.job.steps.map((step, position) => {
 			const tasks = createTasks(position, step, excluded);
 			return {
-				step, position, tasks, left: tasks.filter(({state}) => state !== TaskState.Elsewhere).length,
+				step, position, tasks, remainingTasks: tasks.filter(({state}) => state !== TaskState.Elsewhere).length,
 			};
 		}),
 		hasStarted: false,
@@ -94,12 +94,12 @@
 /**
 Tells whether the steps before a step have succeeded.
 */
-export const isStepOpen = (job: PlacedJob, {step}: PlacedStep): boolean => step.after.every(before => job.steps[before]!.left === 0);
+export const isStepReady = (job: PlacedJob, {step}: PlacedStep): boolean => step.after.every(before => job.steps[before]!.remainingTasks === 0);
 
 /**
 Tells whether all tasks have succeeded.
 */
-export const isComplete = (job: PlacedJob): boolean => job.steps.every(({left}) => left === 0);
+export const isComplete = (job: PlacedJob): boolean => job.steps.every(({remainingTasks}) => remainingTasks === 0);
 
 /**
 Returns the indexes of the tasks of a step that wait.
@@ -110,11 +110,11 @@
 /**
 Returns the longest chain of estimates over the steps that have tasks left, in milliseconds.
 */
-export const remainingChain = ({steps}: PlacedJob): number => {
+export const remainingCriticalPath = ({steps}: PlacedJob): number => {
 	const ends: number[] = [];
-	for (const {step, left} of steps) {
+	for (const {step, remainingTasks} of steps) {
 		const begins = Math.max(0, ...step.after.map(before => ends[before]!));
-		ends.push(begins + (left > 0 ? step.estimateMilliseconds : 0));
+		ends.push(begins + (remainingTasks > 0 ? step.estimateMilliseconds : 0));
 	}
 
 	return Math.max(0, ...ends);
@@ -123,7 +123,7 @@
 /**
 Returns the longest chain of estimates of a job, in milliseconds.
 */
-export const longestChain = (steps: readonly Step[]): number => {
+export const criticalPathOf = (steps: readonly Step[]): number => {
 	const ends: number[] = [];
 	for (const {after, estimateMilliseconds} of steps) {
 		ends.push(Math.max(0, ...after.map(before => ends[before]!)) + estimateMilliseconds);
@@ -155,7 +155,7 @@
 	}
 
 	task.state = TaskState.Succeeded;
-	placed.left--;
+	placed.remainingTasks--;
 	return true;
 };
 
@@ -182,7 +182,7 @@
 };
 
 /** A part is handed on at most this often, so that it comes to rest. */
-const mostMoves = 4;
+const maximumMoves = 4;
 
 /**
 Tells whether the tasks of a step can run wherever there is processor free; other cells tell nothing of their labels, racks and accelerators.
@@ -194,12 +194,12 @@
 Tells whether tasks of a job may go to another cell. Steps that wait for others need one owner that knows of all.
 */
 export const isMovable = ({order}: PlacedJob): boolean =>
-	order.moves < mostMoves && order.generation === 0 && order.job.steps.every(step => isPlainStep(step));
+	order.moves < maximumMoves && order.generation === 0 && order.job.steps.every(step => isPlainStep(step));
 
 /**
 Returns the indexes of the tasks of a step that were never started here.
 */
-export const untouchedIndexes = ({tasks}: PlacedStep): readonly number[] =>
+export const neverStartedIndexes = ({tasks}: PlacedStep): readonly number[] =>
 	tasks.flatMap(({state, starts}, index) => state === TaskState.Waiting && starts === 0 ? [index] : []);
 
 /**
@@ -208,7 +208,7 @@
 export const moveTasks = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): Redirect => {
 	for (const {step, index} of tasks) {
 		job.steps[step]!.tasks[index]!.state = TaskState.Elsewhere;
-		job.steps[step]!.left--;
+		job.steps[step]!.remainingTasks--;
 	}
 
 	const redirect: Redirect = {
--- a/packages/galenakeeld/src/process/cells/predict-ends.ts
+++ b/packages/galenakeeld/src/process/cells/predict-ends.ts
@@ -5,7 +5,7 @@
 /**
 Room for one task after another.
 */
-export type Lane = {
+export type SimulatedSlot = {
 	/** Milliseconds from now until the room is free. */
 	freeInMilliseconds: number;
 	/** Expected run time over estimate. */
@@ -21,9 +21,9 @@
 	readonly steps: ReadonlyArray<{readonly tasks: number; readonly estimateMilliseconds: number}>;
 };
 
-const nextLane = (lanes: readonly Lane[]): Lane => {
-	let best = lanes[0]!;
-	for (const lane of lanes) {
+const earliestSlot = (slots: readonly SimulatedSlot[]): SimulatedSlot => {
+	let best = slots[0]!;
+	for (const lane of slots) {
 		const isSooner = lane.freeInMilliseconds < best.freeInMilliseconds
 			|| (lane.freeInMilliseconds === best.freeInMilliseconds && lane.factor < best.factor);
 		best = isSooner ? lane : best;
@@ -35,7 +35,7 @@
 /**
 Returns the milliseconds until each job ends. Without lanes nothing ends.
 
-@param lanes Are not changed.
+@param slots Are not changed.
 @param jobs In the order in which they get room.
 
 @example
@@ -43,15 +43,15 @@
 predictEnds([{freeInMilliseconds: 10, factor: 1}], [{identifier: 'a', steps: [{tasks: 1, estimateMilliseconds: 50}]}]).get('a'); // => 60
 ```
 */
-export const predictEnds = (lanes: readonly Lane[], jobs: readonly PredictedJob[]): ReadonlyMap<string, number> => {
-	const played = lanes.map(lane => ({...lane}));
+export const predictEnds = (slots: readonly SimulatedSlot[], jobs: readonly PredictedJob[]): ReadonlyMap<string, number> => {
+	const simulated = slots.map(lane => ({...lane}));
 	const ends = new Map<string, number>();
 	for (const {identifier, steps} of jobs) {
-		let end = played.length > 0 ? 0 : Number.POSITIVE_INFINITY;
+		let end = simulated.length > 0 ? 0 : Number.POSITIVE_INFINITY;
 		for (const {tasks, estimateMilliseconds} of steps) {
 			const begins = end;
-			for (let count = 0; count < tasks && played.length > 0; count++) {
-				const lane = nextLane(played);
+			for (let count = 0; count < tasks && simulated.length > 0; count++) {
+				const lane = earliestSlot(simulated);
 				const start = Math.max(begins, lane.freeInMilliseconds);
 				lane.freeInMilliseconds = start + (estimateMilliseconds * lane.factor);
 				end = Math.max(end, lane.freeInMilliseconds);
--- a/packages/galenakeeld/src/process/cells/room.ts
+++ b/packages/galenakeeld/src/process/cells/resources.ts
@@ -14,7 +14,7 @@
 /**
 Returns what is left of a room beside a demand.
 */
-export const subtractRoom = (room: Room, demand: Room): Room => ({
+export const subtractResources = (room: Room, demand: Room): Room => ({
 	processor: room.processor - demand.processor,
 	memoryMegabytes: room.memoryMegabytes - demand.memoryMegabytes,
 	accelerators: room.accelerators - demand.accelerators,
@@ -23,7 +23,7 @@
 /**
 Returns a room with what a demand gives back.
 */
-export const addRoom = (room: Room, demand: Room): Room => ({
+export const addResources = (room: Room, demand: Room): Room => ({
 	processor: room.processor + demand.processor,
 	memoryMegabytes: room.memoryMegabytes + demand.memoryMegabytes,
 	accelerators: room.accelerators + demand.accelerators,
--- a/packages/galenakeeld/src/process/cells/share-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/share-tasks.ts
@@ -1,4 +1,4 @@
-import type {CellRoom} from './admit-job.js';
+import type {CellCapacity} from './admit-job.js';
 import type {WaitingStep} from './place-tasks.js';
 
 /**
@@ -21,7 +21,7 @@
 	!waiting.isInTime || now + moveMilliseconds + (waiting.step.estimateMilliseconds * factor) <= waiting.dueAt;
 
 /** The cell with the most room, so that tasks of one step go together; there the fastest endpoints. */
-const mostRoomFirst = (first: FreeClass, second: FreeClass): number =>
+const mostCapacityFirst = (first: FreeClass, second: FreeClass): number =>
 	second.processor - first.processor || first.factor - second.factor;
 
 /**
@@ -38,18 +38,18 @@
 shareTasks(waiting, otherCells, performance.now()); // => [{part: '5c0e7a21d94b36f8/0', position: 0, indexes: [2, 3], cell: 'ie-south-b'}]
 ```
 */
-export const shareTasks = (waiting: readonly WaitingStep[], others: readonly CellRoom[], now: number): readonly TaskShare[] => {
+export const shareTasks = (waiting: readonly WaitingStep[], others: readonly CellCapacity[], now: number): readonly TaskShare[] => {
 	const classes = others.flatMap(({cell, free}) => free.map((room): FreeClass => ({cell, ...room})));
 	const shares: TaskShare[] = [];
 
-	const findRoom = (step: WaitingStep): FreeClass | undefined => classes
+	const findCapacity = (step: WaitingStep): FreeClass | undefined => classes
 		.filter(free => free.service === step.service && free.processor >= step.step.room.processor && isInTimeAt(step, free, now))
-		.toSorted(mostRoomFirst)[0];
+		.toSorted(mostCapacityFirst)[0];
 
 	for (const step of waiting) {
 		const byCell = new Map<string, number[]>();
 		for (const index of step.indexes) {
-			const room = findRoom(step);
+			const room = findCapacity(step);
 			if (!room) {
 				break;
 			}
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import type {CellClaim, FreeRoom} from '@galenakeel/model/connection/fleet-message.js';
-import type {CellRoom} from '../cells/admit-job.js';
+import type {CellCapacity} from '../cells/admit-job.js';
 import {findOwner} from './cell-claims.js';
 import type {FleetView} from './fleet-view.js';
 
@@ -9,7 +9,7 @@
 */
 export type CellLoads = {
 	/** Room of the other cells, less what was sent there since their owners last described them. */
-	readonly otherRooms: (own: string) => readonly CellRoom[];
+	readonly otherRooms: (own: string) => readonly CellCapacity[];
 	/** Notes that a job was sent to a cell, with the processor that it needs there. */
 	readonly noteRedirect: (cell: string, processor: number) => void;
 	readonly noteClaims: (claims: readonly CellClaim[]) => void;
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -6,7 +6,7 @@
 import {
 	FleetMessageKind, type FleetMessage, type JobOrder, type Redirect,
 } from '@galenakeel/model/connection/fleet-message.js';
-import {longestChain} from '../process/cells/placed-job.js';
+import {criticalPathOf} from '../process/cells/placed-job.js';
 import {HolderEvent, type CellOwner, type HeldJob} from '../process/fleet/held-jobs.js';
 
 /**
@@ -86,7 +86,7 @@
 */
 export const holdJob = async (job: Job, queue: Queue, options: HoldOptions): Promise<JobAnswer> => {
 	const arrivedAt = performance.now();
-	const objective = (queue.objectiveFactor * longestChain(job.steps)) + queue.objectiveMilliseconds;
+	const objective = (queue.objectiveFactor * criticalPathOf(job.steps)) + queue.objectiveMilliseconds;
 	const allPositions = positionsOf(job);
 	const answer = createDeferred<JobAnswer>();
 	/** Parts that are under way. */
