--- a/packages/galenakeeld/src/process/cells/__tests__/admit-job.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/admit-job.steps.ts
@@ -8,7 +8,7 @@
 import type {SimulatedSlot} from '../predict-ends.js';
 
 type AdmissionWorld = {
-	lanes: SimulatedSlot[];
+	slots: SimulatedSlot[];
 	others: CellCapacity[];
 	waitingJobs: ValuedJob[];
 	decision: AdmissionDecision;
@@ -34,7 +34,7 @@
 });
 
 Given('{int} lanes, free in {int} ms', function (this: AdmissionWorld, count: number, freeInMilliseconds: number) {
-	this.lanes = Array.from({length: count}, () => ({freeInMilliseconds, factor: 1}));
+	this.slots = Array.from({length: count}, () => ({freeInMilliseconds, factor: 1}));
 });
 
 const addWaiting = (world: AdmissionWorld, count: number, tasks: number, milliseconds: number, dueIn: number): void => {
@@ -60,12 +60,12 @@
 });
 
 const arrive = (world: AdmissionWorld, job: ValuedJob, isRedirected: boolean): void => {
-	const isFree = world.lanes.every(({freeInMilliseconds}) => freeInMilliseconds === 0) && world.waitingJobs.length === 0;
+	const isFree = world.slots.every(({freeInMilliseconds}) => freeInMilliseconds === 0) && world.waitingJobs.length === 0;
 	const processor = processorOfTask * job.steps[0]!.tasks;
 	const arriving: ArrivingJob = {
 		...job, processor, freeProcessor: isFree ? processor : 0, isRedirected,
 	};
-	world.decision = admitJob(arriving, world.waitingJobs, world.lanes, world.others);
+	world.decision = admitJob(arriving, world.waitingJobs, world.slots, world.others);
 };
 
 When('a job of {int} tasks of {int} ms arrives, due in {int} ms', function (this: AdmissionWorld, tasks: number, milliseconds: number, dueIn: number) {
--- a/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
@@ -11,8 +11,8 @@
 	inOne: ReadonlyMap<string, number>;
 };
 
-const lateWorth = 0.2;
-const troughOverCrest = 0.29;
+const lateValueShare = 0.2;
+const troughOverPeak = 0.29;
 const wavePeriodSeconds = 17;
 const endpoints = 32;
 const zones = ['north', 'east', 'south', 'west'];
@@ -31,7 +31,7 @@
 ];
 
 const createLoad = (crest: number, seed: number, places: readonly string[], shares: readonly number[]): ReplayedLoad => ({
-	seed, seconds: wavePeriodSeconds, crest, trough: crest * troughOverCrest, wavePeriodSeconds, zones: places, shares, endpointsInZone: endpoints / places.length, queues,
+	seed, seconds: wavePeriodSeconds, peak: crest, trough: crest * troughOverPeak, wavePeriodSeconds, zones: places, shares, endpointsInZone: endpoints / places.length, queues,
 });
 
 const replay = async (load: ReplayedLoad): Promise<readonly ReplayResult[]> => {
@@ -49,8 +49,8 @@
 	const served = new Map<string, number>();
 	for (const seed of seeds) {
 		for (const result of await replay(createLoad(crest, seed, places, shares))) {
-			asked.set(result.queue, (asked.get(result.queue) ?? 0) + result.asked);
-			served.set(result.queue, (served.get(result.queue) ?? 0) + result.inTime + (lateWorth * result.late));
+			asked.set(result.queue, (asked.get(result.queue) ?? 0) + result.submitted);
+			served.set(result.queue, (served.get(result.queue) ?? 0) + result.inTime + (lateValueShare * result.late));
 		}
 	}
 
--- a/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
@@ -15,7 +15,7 @@
 
 const remotePenalty = 3;
 const unbounded = Number.POSITIVE_INFINITY;
-const createRoom = (processor: number) => ({processor, memoryMegabytes: 1024, accelerators: 0});
+const createResources = (processor: number) => ({processor, memoryMegabytes: 1024, accelerators: 0});
 
 const createStep = (tasks: number, estimateMilliseconds: number, processor: number, more: Partial<Step> = {}): Step => ({
 	tasks, estimateMilliseconds, room: {processor, memoryMegabytes: 1, accelerators: 0}, after: [], ...more,
@@ -40,7 +40,7 @@
 	world.waiting.push(createWaiting(world.waiting.length, step, more));
 };
 
-const changeRoom = (world: PlacementWorld, name: string, change: Partial<EndpointCapacity>): void => {
+const changeCapacity = (world: PlacementWorld, name: string, change: Partial<EndpointCapacity>): void => {
 	world.rooms = world.rooms.map(room => room.endpoint === name ? {...room, ...change} : room);
 };
 
@@ -55,8 +55,8 @@
 	this.rooms = table.hashes().map(row => ({
 		endpoint: row.name!,
 		service: 'sheets',
-		total: createRoom(Number(row.processor)),
-		free: createRoom(Number(row.free)),
+		total: createResources(Number(row.processor)),
+		free: createResources(Number(row.free)),
 		factor: Number(row.factor),
 		labels: splitNames(row.labels!),
 		maximumTasks: unbounded,
@@ -66,15 +66,15 @@
 });
 
 Given('{string} has {int} thousandths free', function (this: PlacementWorld, name: string, processor: number) {
-	changeRoom(this, name, {free: createRoom(processor)});
+	changeCapacity(this, name, {free: createResources(processor)});
 });
 
 Given('{string} is as fast as {string}', function (this: PlacementWorld, name: string, other: string) {
-	changeRoom(this, name, {factor: this.rooms.find(({endpoint}) => endpoint === other)!.factor});
+	changeCapacity(this, name, {factor: this.rooms.find(({endpoint}) => endpoint === other)!.factor});
 });
 
 Given('{string} takes at most {int} task(s)', function (this: PlacementWorld, name: string, maximumTasks: number) {
-	changeRoom(this, name, {maximumTasks});
+	changeCapacity(this, name, {maximumTasks});
 });
 
 When('a task of {int} ms and {int} thousandths waits, due in {int} ms', function (this: PlacementWorld, milliseconds: number, processor: number, dueAt: number) {
@@ -111,11 +111,11 @@
 
 const arbitraryLabel = fc.constantFrom('a', 'b');
 
-const arbitraryRoom = fc.record({
+const arbitraryCapacity = fc.record({
 	endpoint: fc.integer({min: 0, max: 9}).map(String),
 	service: fc.constantFrom('sheets', 'quotes'),
-	total: fc.constant(createRoom(4000)),
-	free: fc.integer({min: 0, max: 4000}).map(processor => createRoom(processor)),
+	total: fc.constant(createResources(4000)),
+	free: fc.integer({min: 0, max: 4000}).map(processor => createResources(processor)),
 	labels: arbitraryLabel.map(label => [label]),
 	factor: fc.double({min: 0.3, max: 8, noNaN: true}),
 	maximumTasks: fc.constantFrom(0, 1, unbounded),
@@ -154,7 +154,7 @@
 };
 
 Then('in {int} random loads with seed {int} no endpoint is over its room, and no task is placed twice or where it may not run', {timeout: 60_000}, (numberRuns: number, seed: number) => {
-	const rooms = fc.uniqueArray(arbitraryRoom, {selector: ({endpoint}) => endpoint, maxLength: 8});
+	const rooms = fc.uniqueArray(arbitraryCapacity, {selector: ({endpoint}) => endpoint, maxLength: 8});
 	fc.assert(fc.property(rooms, arbitraryWaiting, (open, drawn) => {
 		const waiting = drawn.map(([step, dueAt, isInTime, service], position) => createWaiting(position, step as Step, {dueAt, isInTime, service}));
 		checkRooms(open, waiting, placeTasks(waiting, open, {now: 0, remotePenalty}));
--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -34,7 +34,7 @@
 	readonly seed: number;
 	readonly seconds: number;
 	/** Factor of the rates at the crest and at the trough of the wave. */
-	readonly crest: number;
+	readonly peak: number;
 	readonly trough: number;
 	readonly wavePeriodSeconds: number;
 	readonly zones: readonly string[];
@@ -49,7 +49,7 @@
 */
 export type ReplayResult = {
 	readonly queue: string;
-	asked: number;
+	submitted: number;
 	inTime: number;
 	late: number;
 	refused: number;
@@ -72,7 +72,7 @@
 const longTailShare = 0.03;
 const longTailFactor = 7;
 const workSpread = 0.4;
-const unevenness = 0.15;
+const taskSpread = 0.15;
 const widthSpread = 0.4;
 const estimateSpread = 0.4;
 
@@ -94,7 +94,7 @@
 /** A value whose logarithm is normal, with mean 1. */
 const createLogNormal = (random: Random, spread: number): number => Math.exp((spread * createNormal(random)) - ((spread ** 2) / 2));
 
-type PlayedRun = {readonly task: TaskKey; readonly attempt: number; readonly processor: number; readonly endsAt: number};
+type SimulatedRun = {readonly task: TaskKey; readonly attempt: number; readonly processor: number; readonly endsAt: number};
 
 /**
 Creates an endpoint that runs tasks for the time that stands in their specification: the processor, and the milliseconds of each task by its index.
@@ -103,7 +103,7 @@
 @param speed Run time over the milliseconds of the specification.
 */
 export const createSimulatedEndpoint = (whole: number, speed: number): EndpointCalls => {
-	let active: PlayedRun[] = [];
+	let active: SimulatedRun[] = [];
 	let ended: EndedRun[] = [];
 	let sequence = 0;
 	let wake: (() => void) | undefined;
@@ -112,7 +112,7 @@
 		setTimeout(resolve, callMilliseconds);
 	});
 
-	const finish = (run: PlayedRun, end: RunEnd): void => {
+	const finish = (run: SimulatedRun, end: RunEnd): void => {
 		active = active.filter(one => one !== run);
 		sequence++;
 		ended.push({
@@ -188,19 +188,19 @@
 	readonly zone: string;
 	readonly arrivesAt: number;
 	/** Longest task on an endpoint of speed 1, in milliseconds. */
-	readonly chain: number;
+	readonly longestTaskMilliseconds: number;
 };
 
 const createReplayedJob = (random: Random, queue: LoadQueue, zone: string, arrivesAt: number, number: number): ReplayedJob => {
 	const tasks = Math.max(1, Math.round(queue.tasks * createLogNormal(random, widthSpread)));
 	const base = queue.milliseconds * createLogNormal(random, workSpread) * (random() < longTailShare ? longTailFactor : 1);
-	const works = Array.from({length: tasks}, () => Math.max(1, Math.round(base * createLogNormal(random, unevenness))));
+	const works = Array.from({length: tasks}, () => Math.max(1, Math.round(base * createLogNormal(random, taskSpread))));
 	const processor = Math.min(largestProcessor, Math.round(processorOfTask * createLogNormal(random, 0.2)));
 	const step: Step = {
 		tasks, room: {processor, memoryMegabytes: 64, accelerators: 0}, estimateMilliseconds: Math.round(base * createLogNormal(random, estimateSpread)), after: [],
 	};
 	return {
-		job: {identifier: number.toString(16).padStart(16, '0'), specification: [processor, ...works].join(' '), steps: [step]}, queue, zone, arrivesAt, chain: Math.max(...works),
+		job: {identifier: number.toString(16).padStart(16, '0'), specification: [processor, ...works].join(' '), steps: [step]}, queue, zone, arrivesAt, longestTaskMilliseconds: Math.max(...works),
 	};
 };
 
@@ -209,7 +209,7 @@
 });
 
 const rateAt = (load: ReplayedLoad, seconds: number): number =>
-	((load.crest + load.trough) / 2) + (((load.crest - load.trough) / 2) * Math.cos(2 * Math.PI * seconds / load.wavePeriodSeconds));
+	((load.peak + load.trough) / 2) + (((load.peak - load.trough) / 2) * Math.cos(2 * Math.PI * seconds / load.wavePeriodSeconds));
 
 const createJobs = (load: ReplayedLoad, random: Random): readonly ReplayedJob[] => {
 	const jobs: ReplayedJob[] = [];
@@ -217,13 +217,13 @@
 		for (const queue of load.queues) {
 			let seconds = 0;
 			for (;;) {
-				seconds -= Math.log(1 - random()) / (queue.jobsEachSecond * load.shares[place]! * load.crest);
+				seconds -= Math.log(1 - random()) / (queue.jobsEachSecond * load.shares[place]! * load.peak);
 				if (seconds >= load.seconds) {
 					break;
 				}
 
 				// Arrivals at the rate of the crest, thinned to the rate of the moment.
-				if (random() * load.crest < rateAt(load, seconds)) {
+				if (random() * load.peak < rateAt(load, seconds)) {
 					jobs.push(createReplayedJob(random, queue, zone, seconds * 1000, jobs.length));
 				}
 			}
@@ -242,11 +242,11 @@
 	const random = createRandom(load.seed);
 	const jobs = createJobs(load, random);
 	const results = new Map(load.queues.map(({name}): [string, ReplayResult] => [name, {
-		queue: name, asked: 0, inTime: 0, late: 0, refused: 0,
+		queue: name, submitted: 0, inTime: 0, late: 0, refused: 0,
 	}]));
-	const told = new Map<string, CellLoad>();
+	const announcedLoads = new Map<string, CellLoad>();
 	const sent = new Map<string, Array<{readonly at: number; readonly processor: number}>>();
-	const heardAt = new Map<string, number>();
+	const receivedAt = new Map<string, number>();
 	const cells = new Map<string, Cell>();
 	const heldJobs = createHeldJobs();
 
@@ -267,12 +267,12 @@
 		leaseMilliseconds: 1300,
 	});
 
-	const play = async (replayed: ReplayedJob): Promise<void> => {
+	const runJob = async (replayed: ReplayedJob): Promise<void> => {
 		const result = results.get(replayed.queue.name)!;
 		const beganAt = performance.now();
 		const {end} = await holdJob(replayed.job, queueOf(replayed.queue), holdOptions(replayed));
 		const age = performance.now() - beganAt;
-		const objective = (objectiveFactor * replayed.chain) + objectiveMilliseconds;
+		const objective = (objectiveFactor * replayed.longestTaskMilliseconds) + objectiveMilliseconds;
 		if (end === JobEnd.Refused) {
 			result.refused++;
 		} else if (end === JobEnd.Complete && age <= objective) {
@@ -282,11 +282,11 @@
 		}
 	};
 
-	const otherCells = (own: string) => load.zones.filter(zone => zone !== own && told.has(zone)).map(zone => {
-		const recent = (sent.get(zone) ?? []).filter(({at}) => at > (heardAt.get(zone) ?? 0));
+	const otherCells = (own: string) => load.zones.filter(zone => zone !== own && announcedLoads.has(zone)).map(zone => {
+		const recent = (sent.get(zone) ?? []).filter(({at}) => at > (receivedAt.get(zone) ?? 0));
 		sent.set(zone, recent);
 		const processor = recent.reduce((sum, one) => sum + one.processor, 0);
-		const cellLoad = told.get(zone)!;
+		const cellLoad = announcedLoads.get(zone)!;
 		return {cell: zone, free: withoutSent(cellLoad.free, processor), waitMilliseconds: cellLoad.backlogMilliseconds};
 	});
 
@@ -302,9 +302,9 @@
 				const [kind] = entry.labels;
 				return createSimulatedEndpoint(entry.room.processor, kinds.find(({label}) => label === kind)!.speed);
 			},
-			tell(holder, news) {
+			tell(holder, update) {
 				setTimeout(() => {
-					heldJobs.deliver(zone, news);
+					heldJobs.deliver(zone, update);
 				}, holder === zone ? callMilliseconds : peerMilliseconds);
 			},
 			otherCells: () => otherCells(zone),
@@ -338,8 +338,8 @@
 			if (text !== announced.get(zone)) {
 				announced.set(zone, text);
 				setTimeout(() => {
-					told.set(zone, cellLoad);
-					heardAt.set(zone, performance.now());
+					announcedLoads.set(zone, cellLoad);
+					receivedAt.set(zone, performance.now());
 				}, peerMilliseconds);
 			}
 		}
@@ -347,8 +347,8 @@
 
 	for (const replayed of jobs) {
 		setTimeout(() => {
-			results.get(replayed.queue.name)!.asked++;
-			void play(replayed);
+			results.get(replayed.queue.name)!.submitted++;
+			void runJob(replayed);
 		}, replayed.arrivesAt);
 	}
 
--- a/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
@@ -63,7 +63,7 @@
 	assert.equal(shares.map(({cell, indexes}) => `${cell}: ${indexes.join(', ')}`).join('; '), expected);
 });
 
-const arbitraryRoom = fc.record({
+const arbitraryCapacity = fc.record({
 	cell: fc.constantFrom('east', 'south', 'west'),
 	free: fc.array(fc.record({service: fc.constantFrom('sheets', 'quotes'), factor: fc.double({min: 0.3, max: 4, noNaN: true}), processor: fc.integer({min: -2000, max: 9000})}), {maxLength: 3}),
 	waitMilliseconds: fc.integer({min: 0, max: 500}),
@@ -72,7 +72,7 @@
 const arbitraryWaiting = fc.array(fc.tuple(fc.integer({min: 1, max: 12}), fc.integer({min: 1, max: 900}), fc.integer({min: 0, max: 2000}), fc.boolean()), {maxLength: 8});
 
 Then('over {int} random loads no cell is sent more than it has room for', (numberRuns: number) => {
-	fc.assert(fc.property(fc.uniqueArray(arbitraryRoom, {selector: ({cell}) => cell, maxLength: 3}), arbitraryWaiting, (others, loads) => {
+	fc.assert(fc.property(fc.uniqueArray(arbitraryCapacity, {selector: ({cell}) => cell, maxLength: 3}), arbitraryWaiting, (others, loads) => {
 		const waiting = loads.map(([tasks, milliseconds, dueAt, isInTime], position) => createWaiting(position, createStep(tasks, milliseconds), dueAt, isInTime));
 		const shares = shareTasks(waiting, others, 0);
 		for (const {cell, free} of others) {
--- a/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
+++ b/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
@@ -188,7 +188,7 @@
 		indexes: waitingIndexes(placed),
 		dueAt: job.dueAt,
 		isInTime: isInTime(urgency),
-		avoidedEndpoints: (index: number) => placed.tasks[index]!.avoided,
+		avoidedEndpoints: (index: number) => placed.tasks[index]!.avoidedEndpoints,
 	})).filter(({indexes}) => indexes.length > 0));
 
 /**
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -52,7 +52,7 @@
 	readonly endpoint: string;
 };
 
-type Candidate = {free: Room; taken: number; readonly room: EndpointCapacity; readonly placed: Map<string, number>};
+type Candidate = {free: Room; taken: number; readonly capacity: EndpointCapacity; readonly placed: Map<string, number>};
 
 /** Time in hand over expected run time from which a slower endpoint is as good as a faster one. */
 const safetyFactor = 1.25;
@@ -64,7 +64,7 @@
 const factorFor = (step: Step, {factor, labels}: EndpointCapacity, remotePenalty: number): number =>
 	step.preferredRack !== undefined && !labels.includes(step.preferredRack) ? factor * remotePenalty : factor;
 
-const isAllowed = (waiting: WaitingStep, {room, placed}: Candidate): boolean => {
+const isAllowed = (waiting: WaitingStep, {capacity: room, placed}: Candidate): boolean => {
 	const {step, job, position} = waiting;
 	if (room.service !== waiting.service) {
 		return false;
@@ -78,7 +78,7 @@
 	return step.mostOnOneEndpoint === undefined || room.countOf(job, position) + (placed.get(key) ?? 0) < step.mostOnOneEndpoint;
 };
 
-const isAvailable = ({free, taken, room}: Candidate): boolean => free.processor >= minimumProcessor && taken < room.maximumTasks;
+const isAvailable = ({free, taken, capacity: room}: Candidate): boolean => free.processor >= minimumProcessor && taken < room.maximumTasks;
 
 type Choice = {readonly candidate: Candidate; readonly milliseconds: number};
 
@@ -126,7 +126,7 @@
 */
 export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
 	let candidates = capacities.map((room): Candidate => ({
-		room, free: room.free, taken: 0, placed: new Map(),
+		capacity: room, free: room.free, taken: 0, placed: new Map(),
 	})).filter(candidate => isAvailable(candidate));
 	const totalProcessor = capacities.reduce((sum, {total}) => sum + total.processor, 0);
 	let freeProcessor = capacities.reduce((sum, {free}) => sum + free.processor, 0);
@@ -136,10 +136,10 @@
 	const choose = (step: WaitingStep, index: number): Candidate | undefined => {
 		const avoided = step.avoidedEndpoints(index);
 		const fitting = candidates.filter(candidate => isFitting(step.step.room, candidate.free) && isAllowed(step, candidate));
-		const preferred = fitting.filter(({room}) => !avoided.has(room.endpoint));
+		const preferred = fitting.filter(({capacity: room}) => !avoided.has(room.endpoint));
 		// A task that failed everywhere is tried again where it failed.
 		const usable = preferred.length > 0 || avoided.size < capacities.length ? preferred : fitting;
-		const choices = usable.map(candidate => ({candidate, milliseconds: Math.max(1, step.step.estimateMilliseconds) * factorFor(step.step, candidate.room, remotePenalty)}));
+		const choices = usable.map(candidate => ({candidate, milliseconds: Math.max(1, step.step.estimateMilliseconds) * factorFor(step.step, candidate.capacity, remotePenalty)}));
 		// A job that counts as in time gets at least what the fastest endpoint needs.
 		const timeUntilDue = Math.max(step.dueAt - now, step.step.estimateMilliseconds * bestFactor * safetyFactor);
 		const canBeInTime = step.isInTime;
@@ -156,7 +156,7 @@
 		candidate.placed.set(key, (candidate.placed.get(key) ?? 0) + 1);
 		freeProcessor -= step.room.processor;
 		placements.push({
-			part, position, index, endpoint: candidate.room.endpoint,
+			part, position, index, endpoint: candidate.capacity.endpoint,
 		});
 		candidates = candidates.filter(one => isAvailable(one));
 	};
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -22,7 +22,7 @@
 	starts: number;
 	failures: number;
 	/** Endpoints where a run ended badly. */
-	readonly avoided: Set<string>;
+	readonly avoidedEndpoints: Set<string>;
 };
 
 /**
@@ -175,7 +175,7 @@
 	task.state = TaskState.Waiting;
 	task.failures += isFailure ? 1 : 0;
 	if (endpoint !== undefined) {
-		task.avoided.add(endpoint);
+		task.avoidedEndpoints.add(endpoint);
 	}
 
 	return task.failures;
