--- a/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
@@ -6,7 +6,7 @@
 } from './replay-load.js';
 
 type ReplayWorld = {
-	crest: number;
+	peak: number;
 	inZones: ReadonlyMap<string, number>;
 	inOne: ReadonlyMap<string, number>;
 };
@@ -68,13 +68,13 @@
 };
 
 Given('a load like the creameries\', whose crest is {float} times its mean', function (this: ReplayWorld, crest: number) {
-	this.crest = crest;
+	this.peak = crest;
 });
 
 When('it is replayed with seeds {string} on cells of four zones, and on one cell of all endpoints', {timeout: 300_000}, async function (this: ReplayWorld, text: string) {
 	const seeds = text.split(',').map(Number);
-	this.inZones = await replaySeeds(this.crest, seeds, zones, sharesOfZones);
-	this.inOne = await replaySeeds(this.crest, seeds, ['all'], [1]);
+	this.inZones = await replaySeeds(this.peak, seeds, zones, sharesOfZones);
+	this.inOne = await replaySeeds(this.peak, seeds, ['all'], [1]);
 });
 
 Then('the cells of four zones serve at most {float} less of it', function (this: ReplayWorld, most: number) {
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -63,7 +63,7 @@
 		state: excluded.has(positionOf({step: position, index})) ? TaskState.Elsewhere : TaskState.Waiting,
 		starts: 0,
 		failures: 0,
-		avoided: new Set<string>(),
+		avoidedEndpoints: new Set<string>(),
 	}));
 
 /**
