--- a/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
@@ -30,8 +30,8 @@
 	},
 ];
 
-const createLoad = (crest: number, seed: number, places: readonly string[], shares: readonly number[]): ReplayedLoad => ({
-	seed, seconds: wavePeriodSeconds, peak: crest, trough: crest * troughOverPeak, wavePeriodSeconds, zones: places, shares, endpointsInZone: endpoints / places.length, queues,
+const createLoad = (peak: number, seed: number, places: readonly string[], shares: readonly number[]): ReplayedLoad => ({
+	seed, seconds: wavePeriodSeconds, peak, trough: peak * troughOverPeak, wavePeriodSeconds, zones: places, shares, endpointsInZone: endpoints / places.length, queues,
 });
 
 const replay = async (load: ReplayedLoad): Promise<readonly ReplayResult[]> => {
@@ -44,11 +44,11 @@
 };
 
 /** The share of each queue's jobs that is served; a late answer counts for a part. */
-const replaySeeds = async (crest: number, seeds: readonly number[], places: readonly string[], shares: readonly number[]): Promise<ReadonlyMap<string, number>> => {
+const replaySeeds = async (peak: number, seeds: readonly number[], places: readonly string[], shares: readonly number[]): Promise<ReadonlyMap<string, number>> => {
 	const asked = new Map<string, number>();
 	const served = new Map<string, number>();
 	for (const seed of seeds) {
-		for (const result of await replay(createLoad(crest, seed, places, shares))) {
+		for (const result of await replay(createLoad(peak, seed, places, shares))) {
 			asked.set(result.queue, (asked.get(result.queue) ?? 0) + result.submitted);
 			served.set(result.queue, (served.get(result.queue) ?? 0) + result.inTime + (lateValueShare * result.late));
 		}
@@ -67,8 +67,8 @@
 	return sum / served.size;
 };
 
-Given('a load like the creameries\', whose crest is {float} times its mean', function (this: ReplayWorld, crest: number) {
-	this.peak = crest;
+Given('a load like the creameries\', whose crest is {float} times its mean', function (this: ReplayWorld, peak: number) {
+	this.peak = peak;
 });
 
 When('it is replayed with seeds {string} on cells of four zones, and on one cell of all endpoints', {timeout: 300_000}, async function (this: ReplayWorld, text: string) {
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -64,21 +64,21 @@
 const factorFor = (step: Step, {factor, labels}: EndpointCapacity, remotePenalty: number): number =>
 	step.preferredRack !== undefined && !labels.includes(step.preferredRack) ? factor * remotePenalty : factor;
 
-const isAllowed = (waiting: WaitingStep, {capacity: room, placed}: Candidate): boolean => {
+const isAllowed = (waiting: WaitingStep, {capacity, placed}: Candidate): boolean => {
 	const {step, job, position} = waiting;
-	if (room.service !== waiting.service) {
+	if (capacity.service !== waiting.service) {
 		return false;
 	}
 
-	if (step.requiredLabel !== undefined && !room.labels.includes(step.requiredLabel)) {
+	if (step.requiredLabel !== undefined && !capacity.labels.includes(step.requiredLabel)) {
 		return false;
 	}
 
 	const key = `${job}.${position}`;
-	return step.mostOnOneEndpoint === undefined || room.countOf(job, position) + (placed.get(key) ?? 0) < step.mostOnOneEndpoint;
+	return step.mostOnOneEndpoint === undefined || capacity.countOf(job, position) + (placed.get(key) ?? 0) < step.mostOnOneEndpoint;
 };
 
-const isAvailable = ({free, taken, capacity: room}: Candidate): boolean => free.processor >= minimumProcessor && taken < room.maximumTasks;
+const isAvailable = ({free, taken, capacity}: Candidate): boolean => free.processor >= minimumProcessor && taken < capacity.maximumTasks;
 
 type Choice = {readonly candidate: Candidate; readonly milliseconds: number};
 
@@ -125,8 +125,8 @@
 ```
 */
 export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
-	let candidates = capacities.map((room): Candidate => ({
-		capacity: room, free: room.free, taken: 0, placed: new Map(),
+	let candidates = capacities.map((capacity): Candidate => ({
+		capacity, free: capacity.free, taken: 0, placed: new Map(),
 	})).filter(candidate => isAvailable(candidate));
 	const totalProcessor = capacities.reduce((sum, {total}) => sum + total.processor, 0);
 	let freeProcessor = capacities.reduce((sum, {free}) => sum + free.processor, 0);
@@ -136,7 +136,7 @@
 	const choose = (step: WaitingStep, index: number): Candidate | undefined => {
 		const avoided = step.avoidedEndpoints(index);
 		const fitting = candidates.filter(candidate => isFitting(step.step.room, candidate.free) && isAllowed(step, candidate));
-		const preferred = fitting.filter(({capacity: room}) => !avoided.has(room.endpoint));
+		const preferred = fitting.filter(({capacity}) => !avoided.has(capacity.endpoint));
 		// A task that failed everywhere is tried again where it failed.
 		const usable = preferred.length > 0 || avoided.size < capacities.length ? preferred : fitting;
 		const choices = usable.map(candidate => ({candidate, milliseconds: Math.max(1, step.step.estimateMilliseconds) * factorFor(step.step, candidate.capacity, remotePenalty)}));
