Reword the comments of admission, placement, prediction and sharing

Figurative terms such as room, lanes and crests made them hard to follow. They now use the usual terms of scheduling; the reasons behind constants and rules stay. The type of the redirect names its second case.

--- a/packages/galenakeeld/src/process/cells/admit-job.ts
+++ b/packages/galenakeeld/src/process/cells/admit-job.ts
@@ -1,36 +1,36 @@
 /**
-Decides at the door whether a job waits here, goes to another cell, or is refused.
+Admission control: decides whether an arriving job is accepted, redirected to another cell, or refused.
 */
 import type {FreeRoom} from '@galenakeel/model/connection/fleet-message.js';
 import {predictEnds, type SimulatedSlot, type PredictedJob} from './predict-ends.js';
 
 /**
-Another cell as its owner last described it.
+Capacity of another cell, as last announced by its owner.
 */
 export type CellCapacity = {
 	readonly cell: string;
-	/** Room that is free. */
+	/** Free capacity by service and speed. */
 	readonly free: readonly FreeRoom[];
 	/** Time until work that arrives now starts, in milliseconds. */
 	readonly waitMilliseconds: number;
 };
 
 /**
-A job as the decision sees it. Times are milliseconds from now.
+A job with the data that admission needs. Times are milliseconds from now.
 */
 export type ValuedJob = PredictedJob & {
 	readonly dueIn: number;
 	readonly expiresIn: number;
 	/** From the arrival at the first daemon to the due time. */
 	readonly objectiveMilliseconds: number;
-	/** What an answer in time is worth: work of the whole job, in thousandths of a core times milliseconds, by the urgency of its queue. */
+	/** Value of an answer in time: work of the whole job, in thousandths of a core times milliseconds, weighted by the priority of its queue. */
 	readonly value: number;
-	/** Position in the order of waiting jobs; lower goes first. */
+	/** Sort key of the waiting jobs; lower goes first. */
 	readonly rank: number;
 };
 
 /**
-A job that arrives.
+A job on arrival, before the decision.
 */
 export type ArrivingJob = ValuedJob & {
 	/** Thousandths of a core that its first tasks need at once. */
@@ -41,11 +41,11 @@
 };
 
 export enum Admission {
-	/** The job waits, or starts at once. */
+	/** The job is accepted; it waits or starts at once. */
 	Accept = 'take',
-	/** Another cell ends it sooner. */
+	/** Another cell is expected to complete it sooner, or has free capacity when this one would refuse it. */
 	Redirect = 'redirect',
-	/** Serving it would cost the jobs that wait more than it is worth. */
+	/** Serving it would cost the waiting jobs more value than it adds. */
 	Refuse = 'refuse',
 }
 
@@ -54,19 +54,19 @@
 		| {readonly admission: Admission.Refuse; readonly endsIn: number}
 		| {readonly admission: Admission.Redirect; readonly endsIn: number; readonly cell: string};
 
-/** Time that a job loses on its way to another cell: a redirect, a hand-over, and ends that come back later. */
+/** Latency added by a redirect: the redirect message, the new submission, and longer return paths of task results. */
 const redirectMilliseconds = 8;
-/** Worth of a late answer beside one in time. */
+/** Value of a late answer as a share of one in time. */
 const lateValueShare = 0.2;
-/** Spread of the real objective about the expected one, as a share of it, since estimates are rough. */
+/** Scale of the logistic curve around the due time, as a share of the objective; allows for inaccurate estimates. */
 const objectiveSpread = 0.15;
-/** Share of its worth that a job must gain by another cell. */
+/** Share of its value that a job must gain in another cell to be redirected. */
 const minimumRedirectGain = 0.04;
-/** Shares of its own worth that a job must add to be taken. */
+/** Share of its own value by which a job must raise the total to be accepted. */
 const minimumGain = 0;
 
 /**
-Returns what an answer is expected to be worth, as a share of the job's worth: certain when early, fading about the due time, and nothing once it is worthless.
+Returns the expected value of an answer as a share of the job's value: close to 1 when early, falling around the due time, and 0 after expiry.
 */
 export const expectedValueShare = ({dueIn, expiresIn, objectiveMilliseconds}: Pick<ValuedJob, 'dueIn' | 'expiresIn' | 'objectiveMilliseconds'>, endsIn: number): number => {
 	if (endsIn > expiresIn) {
@@ -97,7 +97,7 @@
 
 const idleSlots = (slots: readonly SimulatedSlot[]): readonly SimulatedSlot[] => slots.map(({factor}) => ({freeInMilliseconds: 0, factor}));
 
-/** Another cell is taken to have like endpoints, so the job ends there as it would end here without others, and waits. */
+/** Assumes that other cells have similar endpoints: the end there is the end here on idle slots, plus the wait there and the redirect. */
 const findBetterCell = (job: ArrivingJob, endsIn: number, slots: readonly SimulatedSlot[], others: readonly CellCapacity[]): CellCapacity | undefined => {
 	const withRoom = others.filter(other => freeProcessorIn(other) >= job.processor && other.waitMilliseconds <= 0);
 	const best = (withRoom.length > 0 ? withRoom : others).toSorted(startsSooner)[0];
@@ -111,15 +111,15 @@
 };
 
 /**
-Decides about a job that arrives: what it adds, less what the jobs that wait lose by it.
+Decides about an arriving job by the value that it adds, less the value that the waiting jobs lose.
 
-Load that it answers: zones whose crests come at different times, and a crest that is above the capacity of all.
+Handles peaks that reach the zones at different times, and peaks above the total capacity.
 
-@param waiting Jobs that wait, in the order in which they get room.
+@param waiting Waiting jobs in scheduling order.
 
 @example
 ```
-admitJob(job, waiting, lanes, others).admission;
+admitJob(job, waiting, slots, others).admission;
 ```
 */
 export const admitJob = (job: ArrivingJob, waiting: readonly ValuedJob[], slots: readonly SimulatedSlot[], others: readonly CellCapacity[]): AdmissionDecision => {
@@ -142,6 +142,6 @@
 		return {admission: Admission.Accept, endsIn};
 	}
 
-	// Room that only serves it late is still room.
+	// Free capacity elsewhere is used even if the answer will be late.
 	return open ? {admission: Admission.Redirect, endsIn, cell: open.cell} : {admission: Admission.Refuse, endsIn};
 };
--- a/packages/galenakeeld/src/process/cells/endpoint-speeds.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-speeds.ts
@@ -1,25 +1,25 @@
 /**
-How long tasks run at each endpoint, as a multiple of their estimates.
+Learned run-time factors: the run time of tasks at each endpoint as a multiple of their estimates.
 */
 export type EndpointSpeeds = {
-	/** Takes a run that succeeded. */
+	/** Records a successful run. */
 	readonly record: (endpoint: string, kind: string, estimateMilliseconds: number, runMilliseconds: number) => void;
-	/** Expected run time over estimate; at least the smallest ratio that is measured. */
+	/** Expected run time over estimate; not below the lower bound for single runs. */
 	readonly factorOf: (endpoint: string, kind: string) => number;
 	readonly forget: (endpoint: string) => void;
-	/** What was learned of each kind. */
+	/** Learned factor of each kind. */
 	readonly kindFactors: () => Readonly<Record<string, number>>;
 };
 
 type Average = {logarithm: number; weight: number};
 
-/** Weight of a new run of an endpoint against its past. */
+/** Smoothing factor of the moving average of an endpoint. */
 const endpointGain = 0.2;
 const kindGain = 0.04;
-/** Runs of its own that an endpoint needs to count as much as its kind does. */
+/** Weight of the average of the kind, in runs of the endpoint. */
 const kindWeight = 2;
 const maximumWeight = 10;
-/** Single runs are cut to these ratios, since estimates may be wrong by several times. */
+/** Bounds for the logarithm of the ratio of a single run, since estimates may be wrong by a factor of several. */
 const minimumLogarithm = -2;
 const maximumLogarithm = 2.1;
 
@@ -35,14 +35,14 @@
 	return average;
 };
 
-/** Runs that what another owner has learned of a kind counts for. */
+/** Weight of a factor learned by another owner, in runs. */
 const seedWeight = 5;
 const factorDigits = 2;
 
 /**
-Creates speeds of endpoints of which nothing is known: each endpoint counts as its kind, and each kind as fast as estimated.
+Creates the factors without data on single endpoints: an endpoint starts with the factor of its kind, and a kind without a seed with 1.
 
-@param seed What owners of other cells, or an earlier owner, have learned of kinds.
+@param seed Factors of kinds that owners of other cells, or an earlier owner, have learned.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
+++ b/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
@@ -11,11 +11,11 @@
 } from './placed-job.js';
 import type {SimulatedSlot} from './predict-ends.js';
 
-/** Share of the processor of endpoints that tasks of unlike sizes fill. */
+/** Usable share of the processor of endpoints; the rest is lost to fragmentation by tasks of different sizes. */
 const fillableShare = 0.85;
-/** Share of the objective by which a job may be over its due time and still count as in time, since estimates are rough. */
+/** Tolerated lateness as a share of the objective, since estimates are inaccurate. */
 const lateToleranceShare = 0.2;
-/** Worth of a job of the most urgent queues beside the same work of others. */
+/** Value of the work of the highest-priority queues relative to that of others. */
 const urgentWeight = 1.5;
 
 /**
@@ -32,7 +32,7 @@
 }, now);
 
 /**
-Returns the work of a job that waits, in thousandths of a core times milliseconds of estimates.
+Returns the waiting work of a job, in thousandths of a core times milliseconds of estimates.
 */
 export const waitingWorkOf = (job: PlacedJob): number => {
 	let work = 0;
@@ -44,7 +44,7 @@
 };
 
 /**
-Returns the work that waits of jobs that can still be in time, in thousandths of a core times milliseconds of estimates. Late jobs hold nothing up.
+Returns the waiting work of jobs that can still be in time, in thousandths of a core times milliseconds of estimates. Late jobs are left out, as they go last.
 */
 export const waitingInTimeWorkOf = (jobs: readonly PlacedJob[], bestFactor: number, now: number): number => {
 	let work = 0;
@@ -56,7 +56,7 @@
 };
 
 /**
-Returns the work that endpoints do in a millisecond, in thousandths of a core times milliseconds of estimates; at least 1.
+Returns the work that endpoints complete in a millisecond, in thousandths of a core times milliseconds of estimates; at least 1.
 */
 export const throughputOf = (rooms: readonly EndpointCapacity[]): number => {
 	let processor = 0;
@@ -67,11 +67,11 @@
 	return Math.max(1, processor * fillableShare);
 };
 
-/** Speeds of one class differ by less than this. */
+/** Width of a class of run-time factors. */
 const factorStep = 0.2;
 
 /**
-Returns the free room that tasks of a size can fill, by the service and the speed of the endpoints.
+Returns the free capacity usable by tasks of a given size, by service and run-time factor of the endpoints.
 */
 export const freeCapacitiesOf = (rooms: readonly EndpointCapacity[], processorOfTask: number): readonly FreeRoom[] => {
 	const size = Math.max(1, processorOfTask);
@@ -93,7 +93,7 @@
 const firstStepsOf = (job: PlacedJob): readonly PlacedStep[] => job.steps.filter(({step}) => step.after.length === 0);
 
 /**
-Returns the processor that a job's first tasks need at once, in thousandths of a core.
+Returns the processor that the steps without dependencies need at once, in thousandths of a core.
 */
 export const firstProcessorOf = (job: PlacedJob): number => {
 	let processor = 0;
@@ -113,17 +113,17 @@
 	return tasks;
 };
 
-/** Room for tasks of the usual size, one after the other. */
+/** Slots of the own cell for tasks of the given size. */
 const slotsOf = (rooms: readonly EndpointCapacity[], processorOfTask: number): readonly SimulatedSlot[] => rooms.flatMap(({total, factor, remainingTimes}) => {
 	const count = Math.max(1, Math.floor(total.processor / Math.max(1, processorOfTask)));
 	const busy = remainingTimes();
 	return Array.from({length: count}, (_, place) => ({freeInMilliseconds: busy[place] ?? 0, factor}));
 });
 
-/** Time until a task starts in another cell that has room, in milliseconds. */
+/** Delay of the start of a task in another cell with free capacity, in milliseconds. */
 const moveMilliseconds = 8;
 
-/** Room of other cells that tasks of the usual size can go to. */
+/** Slots of other cells for tasks of the given size. */
 const remoteSlotsOf = (others: readonly CellCapacity[], processorOfTask: number): readonly SimulatedSlot[] => others.flatMap(({free}) => free.flatMap(({factor, processor}) =>
 	Array.from({length: Math.max(0, Math.floor(processor / Math.max(1, processorOfTask)))}, () => ({freeInMilliseconds: moveMilliseconds, factor}))));
 
@@ -153,9 +153,9 @@
 	.toSorted((first, second) => compareUrgency(first.urgency, second.urgency));
 
 /**
-Decides about a job that arrives at a cell, by what waits there and the room that is open.
+Decides about a job that arrives at a cell, by the waiting jobs and the available capacity.
 
-@param now Steady milliseconds.
+@param now Monotonic milliseconds.
 */
 export const evaluateArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {capacities: allRooms, others: allOthers, now}: {readonly capacities: readonly EndpointCapacity[]; readonly others: readonly CellCapacity[]; readonly now: number}): AdmissionDecision => {
 	const {service} = job.order;
@@ -174,9 +174,9 @@
 };
 
 /**
-Returns the steps whose tasks wait and may start, in the order in which they get room.
+Returns the steps with waiting tasks that may start, in scheduling order.
 
-@param now Steady milliseconds.
+@param now Monotonic milliseconds.
 */
 export const waitingStepsOf = (jobs: readonly PlacedJob[], bestFactor: number, now: number): readonly WaitingStep[] =>
 	rankJobs(jobs, bestFactor, now).flatMap(({job, urgency}) => job.steps.filter(placed => placed.remainingTasks > 0 && isStepReady(job, placed)).map(placed => ({
@@ -192,9 +192,9 @@
 	})).filter(({indexes}) => indexes.length > 0));
 
 /**
-Returns the steps whose tasks wait and may go to another cell, in the order in which they get room.
+Returns the steps with waiting tasks that may be transferred to another cell, in scheduling order.
 
-@param now Steady milliseconds.
+@param now Monotonic milliseconds.
 */
 export const movableStepsOf = (jobs: readonly PlacedJob[], bestFactor: number, now: number): readonly WaitingStep[] => {
 	const movable = new Map(jobs.filter(job => isMovable(job)).map(job => [partKeyOf(job.order.job.identifier, job.order.part), job]));
--- a/packages/galenakeeld/src/process/cells/job-urgency.ts
+++ b/packages/galenakeeld/src/process/cells/job-urgency.ts
@@ -1,29 +1,29 @@
 /**
-The order in which waiting jobs get room.
+Scheduling order of waiting jobs.
 */
 
 /**
-How soon a job needs room, the most pressing first.
+Urgency classes of jobs, most urgent first.
 */
 export enum UrgencyClass {
-	/** Some of its tasks run or have run, and it can still meet its objective. */
+	/** Started, and can still meet its objective. */
 	StartedInTime = 0,
-	/** It can still meet its objective. */
+	/** Not started, and can still meet its objective. */
 	InTime = 1,
-	/** Some of its tasks run or have run; it will be late. */
+	/** Started, and will be late. */
 	StartedLate = 2,
-	/** It will be late. */
+	/** Not started, and will be late. */
 	Late = 3,
 }
 
 /**
-A job as the order sees it. Times are steady milliseconds.
+A job with the data that the scheduling order needs. Times are monotonic milliseconds.
 */
 export type TimedJob = {
 	readonly dueAt: number;
-	/** Estimated time of the longest chain of the work that is left, on the fastest endpoints. */
+	/** Critical path of the remaining work on the fastest endpoints. */
 	readonly remainingMilliseconds: number;
-	/** Time over the due time up to which the job counts as in time. */
+	/** Lateness up to which the job still counts as in time. */
 	readonly toleranceMilliseconds: number;
 	readonly hasStarted: boolean;
 	/** Priority of the queue; 0 goes first. */
@@ -32,17 +32,17 @@
 
 export type Urgency = {
 	readonly urgencyClass: UrgencyClass;
-	/** Latest start with which the objective is met. */
+	/** Latest start that still meets the objective. */
 	readonly latestStart: number;
-	/** The latest start, put off by the queue's priority; the lowest goes first. */
+	/** Sort key within a class: the latest start, delayed by the queue's priority; lowest first. */
 	readonly rank: number;
 };
 
-/** Time that a level of priority counts for in the order. */
+/** Delay in the order for each level of priority. */
 const priorityMilliseconds = 60;
 
 /**
-Tells how urgent a job is.
+Returns the urgency of a job.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -2,10 +2,10 @@
 import {isFitting, subtractResources} from './resources.js';
 
 /**
-An endpoint that takes work at this moment.
+An endpoint that accepts tasks now, with its capacity.
 */
 export type EndpointCapacity = {
-	/** Life of the endpoint. */
+	/** Incarnation of the endpoint. */
 	readonly endpoint: string;
 	readonly service: string;
 	readonly free: Room;
@@ -13,39 +13,39 @@
 	readonly labels: readonly string[];
 	/** Expected run time over estimate. */
 	readonly factor: number;
-	/** Tasks that the endpoint takes at most now, whatever their size. */
+	/** Maximum number of additional tasks, independent of their size. */
 	readonly maximumTasks: number;
-	/** Expected milliseconds until each active run ends, the soonest first. */
+	/** Expected milliseconds until each active run ends, in ascending order. */
 	readonly remainingTimes: () => readonly number[];
 	/** Active tasks of a step of a job at the endpoint. */
 	readonly countOf: (job: string, step: number) => number;
 };
 
 /**
-A step with tasks that wait, in the order in which jobs get room.
+A step with waiting tasks.
 */
 export type WaitingStep = {
-	/** Key of the part of the job that the tasks are of. */
+	/** Key of the part of the job that the tasks belong to. */
 	readonly part: string;
 	readonly job: string;
 	readonly service: string;
 	readonly position: number;
 	readonly step: Step;
-	/** Indexes of the tasks that wait. */
+	/** Indexes of the waiting tasks. */
 	readonly indexes: readonly number[];
-	/** Steady milliseconds of the job's objective. */
+	/** Time of the job's objective, in monotonic milliseconds. */
 	readonly dueAt: number;
 	/** The job can still meet its objective. */
 	readonly isInTime: boolean;
-	/** Endpoints where a task has failed or was not answered. */
+	/** Endpoints at which a task has failed or got no answer. */
 	readonly avoidedEndpoints: (index: number) => ReadonlySet<string>;
 };
 
 /**
-A task and the endpoint that is to run it.
+A task and the endpoint selected to run it.
 */
 export type Placement = {
-	/** Key of the part of the job that the task is of. */
+	/** Key of the part of the job that the task belongs to. */
 	readonly part: string;
 	readonly position: number;
 	readonly index: number;
@@ -54,11 +54,11 @@
 
 type Candidate = {free: Room; taken: number; readonly capacity: EndpointCapacity; readonly placed: Map<string, number>};
 
-/** Time in hand over expected run time from which a slower endpoint is as good as a faster one. */
+/** Ratio of the time until the due time to the expected run time from which an endpoint counts as fast enough. */
 const safetyFactor = 1.25;
-/** Share of free processor below which fast endpoints are kept for the tasks that need them. */
+/** Share of free processor below which fast endpoints are reserved for tasks that need them. */
 const scarceShare = 0.4;
-/** Free processor of one endpoint that isn't worth looking at, in thousandths of a core. */
+/** Minimum free processor of a candidate, in thousandths of a core. */
 const minimumProcessor = 1;
 
 const factorFor = (step: Step, {factor, labels}: EndpointCapacity, remotePenalty: number): number =>
@@ -82,12 +82,12 @@
 
 type Choice = {readonly candidate: Candidate; readonly milliseconds: number};
 
-/** Run times of one class differ by less than this factor; within it, filling endpoints well counts more. */
+/** Width of a run-time class as a factor; within a class, best fit decides. */
 const speedClassFactor = 1.05;
 
 const speedClassOf = ({milliseconds}: Choice): number => Math.round(Math.log(milliseconds) / Math.log(speedClassFactor));
 
-/** The one that the task fills best, so that room for large tasks is left elsewhere. */
+/** Best fit: prefers the endpoint with the least free processor, which keeps capacity for large tasks elsewhere. */
 const bestFitFirst = (first: Choice, second: Choice): number => first.candidate.free.processor - second.candidate.free.processor;
 
 const fastestFirst = (first: Choice, second: Choice): number =>
@@ -97,7 +97,7 @@
 	speedClassOf(second) - speedClassOf(first) || bestFitFirst(first, second);
 
 /**
-Chooses an endpoint for a task that can still be in time: while room is scarce the slowest with which it surely is, so that faster ones stay free for longer tasks; else the fastest. One with which the task would be late is left to others.
+Chooses an endpoint for a task that can still be in time. While capacity is scarce, this is the slowest endpoint that meets the due time with a safety margin, so that faster ones stay free for longer tasks; otherwise the fastest. Returns undefined if the task would be late on the fastest.
 */
 const chooseInTime = (choices: readonly Choice[], timeUntilDue: number, isScarce: boolean): Choice | undefined => {
 	const safe = choices.filter(({milliseconds}) => milliseconds * safetyFactor <= timeUntilDue);
@@ -112,16 +112,16 @@
 const fastestFactorOf = (capacities: readonly EndpointCapacity[]): number => Math.min(...capacities.map(({factor}) => factor));
 
 /**
-Places waiting tasks on free room.
+Places waiting tasks on endpoints with free capacity.
 
-Load that it answers: tasks of unlike sizes and lengths wait for endpoints of unlike speeds. A task that finds no room lets those behind it pass. A late one takes the slowest endpoint that is free.
+Handles tasks of different sizes and lengths on endpoints of different speeds. A task that fits nowhere does not block those behind it. A late task gets the slowest available endpoint.
 
-@param waiting Steps in the order in which they get room.
-@param now Steady milliseconds.
+@param waiting Steps in scheduling order.
+@param now Monotonic milliseconds.
 
 @example
 ```
-const placements = placeTasks(waiting, rooms, {now: performance.now(), remotePenalty: 3});
+const placements = placeTasks(waiting, capacities, {now: performance.now(), remotePenalty: 3});
 ```
 */
 export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
@@ -137,10 +137,10 @@
 		const avoided = step.avoidedEndpoints(index);
 		const fitting = candidates.filter(candidate => isFitting(step.step.room, candidate.free) && isAllowed(step, candidate));
 		const preferred = fitting.filter(({capacity}) => !avoided.has(capacity.endpoint));
-		// A task that failed everywhere is tried again where it failed.
+		// A task that has failed at every endpoint is retried at any of them.
 		const usable = preferred.length > 0 || avoided.size < capacities.length ? preferred : fitting;
 		const choices = usable.map(candidate => ({candidate, milliseconds: Math.max(1, step.step.estimateMilliseconds) * factorFor(step.step, candidate.capacity, remotePenalty)}));
-		// A job that counts as in time gets at least what the fastest endpoint needs.
+		// A job within the tolerance may be past its latest start: allow at least the run time on the fastest endpoint.
 		const timeUntilDue = Math.max(step.dueAt - now, step.step.estimateMilliseconds * bestFactor * safetyFactor);
 		const canBeInTime = step.isInTime;
 		const choice = canBeInTime
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -4,24 +4,25 @@
 import {FleetMessageKind, type JobOrder, type Redirect} from '@galenakeel/model/connection/fleet-message.js';
 
 /**
-Where a task of a job stands at the owner of its cell.
+State of a task at the owner of its cell.
 */
 export enum TaskState {
-	/** Waits for room, or for the steps before its own. */
+	/** Waits for capacity, or for the steps that its step depends on. */
 	Waiting = 'waiting',
 	/** An endpoint runs it, or may run it. */
 	Active = 'active',
+	/** A run has succeeded. */
 	Succeeded = 'succeeded',
-	/** Isn't of this part of the job: it has succeeded elsewhere, or another owner has it. */
+	/** Not in this part of the job: it has succeeded elsewhere, or is assigned to another owner. */
 	Elsewhere = 'elsewhere',
 }
 
 type Task = {
 	state: TaskState;
-	/** Starts so far, in this hand-over of the job. */
+	/** Starts so far in this submission of the job. */
 	starts: number;
 	failures: number;
-	/** Endpoints where a run ended badly. */
+	/** Endpoints at which a run ended without success. */
 	readonly avoidedEndpoints: Set<string>;
 };
 
@@ -37,22 +38,22 @@
 };
 
 /**
-A job at the owner of its cell. Times are steady milliseconds.
+A job at the owner of its cell. Times are monotonic milliseconds.
 */
 export type PlacedJob = {
 	readonly order: JobOrder;
-	/** Address of the daemon that holds the job; a repeated hand-over may change it. */
+	/** Address of the daemon that holds the job; a repeated submission may change it. */
 	holder: string;
 	readonly receivedAt: number;
 	readonly dueAt: number;
 	readonly expiresAt: number;
 	readonly objectiveMilliseconds: number;
 	readonly steps: readonly PlacedStep[];
-	/** A task was started in this hand-over. */
+	/** A task has been started in this submission. */
 	hasStarted: boolean;
-	/** The job can't be refused any more, as tasks of it may have started, here or elsewhere. */
+	/** The job can no longer be refused, because some of its tasks may have started here or elsewhere. */
 	isCommitted: boolean;
-	/** What was handed to other cells. */
+	/** Tasks transferred to other cells. */
 	readonly redirects: Redirect[];
 };
 
@@ -67,7 +68,7 @@
 	}));
 
 /**
-Creates the state of a job that has just arrived.
+Creates the state of an arriving job.
 */
 export const createPlacedJob = (order: JobOrder, holder: string): PlacedJob => {
 	const now = performance.now();
@@ -92,23 +93,23 @@
 };
 
 /**
-Tells whether the steps before a step have succeeded.
+Returns whether all steps that a step depends on have succeeded.
 */
 export const isStepReady = (job: PlacedJob, {step}: PlacedStep): boolean => step.after.every(before => job.steps[before]!.remainingTasks === 0);
 
 /**
-Tells whether all tasks have succeeded.
+Returns whether all tasks have succeeded.
 */
 export const isComplete = (job: PlacedJob): boolean => job.steps.every(({remainingTasks}) => remainingTasks === 0);
 
 /**
-Returns the indexes of the tasks of a step that wait.
+Returns the indexes of the waiting tasks of a step.
 */
 export const waitingIndexes = ({tasks}: PlacedStep): readonly number[] =>
 	tasks.flatMap(({state}, index) => state === TaskState.Waiting ? [index] : []);
 
 /**
-Returns the longest chain of estimates over the steps that have tasks left, in milliseconds.
+Returns the critical path over the steps with remaining tasks, by their estimates, in milliseconds.
 */
 export const remainingCriticalPath = ({steps}: PlacedJob): number => {
 	const ends: number[] = [];
@@ -121,7 +122,7 @@
 };
 
 /**
-Returns the longest chain of estimates of a job, in milliseconds.
+Returns the critical path of a job by its estimates, in milliseconds.
 */
 export const criticalPathOf = (steps: readonly Step[]): number => {
 	const ends: number[] = [];
@@ -133,7 +134,7 @@
 };
 
 /**
-Marks a task as started and returns the number of the attempt. Attempts rise over hand-overs.
+Marks a task as started and returns the number of the attempt. The number increases with each generation of the job.
 */
 export const beginAttempt = (job: PlacedJob, {step, index}: Pick<TaskKey, 'step' | 'index'>): number => {
 	const task = job.steps[step]!.tasks[index]!;
@@ -145,7 +146,7 @@
 };
 
 /**
-Marks a task as succeeded; false when it had been already.
+Marks a task as succeeded; returns false if it was not active.
 */
 export const markSucceeded = (job: PlacedJob, {step, index}: Pick<TaskKey, 'step' | 'index'>): boolean => {
 	const placed = job.steps[step]!;
@@ -160,9 +161,9 @@
 };
 
 /**
-Marks a task as waiting again after a run that ended badly.
+Marks a task as waiting again after a run that ended without success.
 
-@param endpoint Is avoided in later attempts.
+@param endpoint Endpoint to avoid in later attempts.
 @param isFailure Whether the run counts against the attempts of the queue.
 @returns Failed runs of the task so far.
 */
@@ -181,17 +182,17 @@
 	return task.failures;
 };
 
-/** A part is handed on at most this often, so that it comes to rest. */
+/** Maximum number of transfers of a part, so that it does not circulate between cells. */
 const maximumMoves = 4;
 
 /**
-Tells whether the tasks of a step can run wherever there is processor free; other cells tell nothing of their labels, racks and accelerators.
+Returns whether the tasks of a step need only processor; other cells announce no labels, racks or accelerators.
 */
 const isPlainStep = ({after, requiredLabel, preferredRack, room}: Step): boolean =>
 	after.length === 0 && requiredLabel === undefined && preferredRack === undefined && room.accelerators === 0;
 
 /**
-Tells whether tasks of a job may go to another cell. Steps that wait for others need one owner that knows of all.
+Returns whether tasks of a job may be transferred to another cell. Dependent steps need one owner that tracks all of them.
 */
 export const isMovable = ({order}: PlacedJob): boolean =>
 	order.moves < maximumMoves && order.generation === 0 && order.job.steps.every(step => isPlainStep(step));
@@ -203,7 +204,7 @@
 	tasks.flatMap(({state, starts}, index) => state === TaskState.Waiting && starts === 0 ? [index] : []);
 
 /**
-Hands tasks that wait to another cell, as a part of their own, and returns what the holder is to be told.
+Transfers waiting tasks to another cell as a new part, and returns the message for the holder.
 */
 export const moveTasks = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): Redirect => {
 	for (const {step, index} of tasks) {
@@ -220,7 +221,7 @@
 		cell,
 	};
 	job.redirects.push(redirect);
-	// Some of the job may start there.
+	// Tasks of the job may start there.
 	job.isCommitted = true;
 	return redirect;
 };
@@ -232,12 +233,12 @@
 	steps.flatMap(({tasks, position}) => tasks.flatMap(({state}, index) => state === TaskState.Succeeded ? [positionOf({step: position, index})] : []));
 
 /**
-Tells whether a task is of this part of its job.
+Returns whether a task belongs to this part of its job.
 */
 export const isOfPart = ({steps}: PlacedJob, {step, index}: Pick<TaskKey, 'step' | 'index'>): boolean =>
 	(steps[step]?.tasks[index]?.state ?? TaskState.Elsewhere) !== TaskState.Elsewhere;
 
 /**
-Names a part of a job among all jobs.
+Returns the key of a part, unique among all jobs.
 */
 export const partKeyOf = (job: string, part: string): string => `${job}/${part}`;
--- a/packages/galenakeeld/src/process/cells/predict-ends.ts
+++ b/packages/galenakeeld/src/process/cells/predict-ends.ts
@@ -1,23 +1,23 @@
 /**
-Predicts when waiting jobs end, by playing the order in which they get room.
+Predicts the ends of waiting jobs by simulating the schedule.
 */
 
 /**
-Room for one task after another.
+A simulated slot that runs one task at a time.
 */
 export type SimulatedSlot = {
-	/** Milliseconds from now until the room is free. */
+	/** Milliseconds from now until the slot is free. */
 	freeInMilliseconds: number;
 	/** Expected run time over estimate. */
 	readonly factor: number;
 };
 
 /**
-A job as the prediction sees it: its tasks wait now, those of later steps after the earlier ones.
+A job to simulate. Each step starts after the one before it.
 */
 export type PredictedJob = {
 	readonly identifier: string;
-	/** Tasks that wait, step by step. */
+	/** Waiting tasks by step. */
 	readonly steps: ReadonlyArray<{readonly tasks: number; readonly estimateMilliseconds: number}>;
 };
 
@@ -33,10 +33,10 @@
 };
 
 /**
-Returns the milliseconds until each job ends. Without lanes nothing ends.
+Returns the milliseconds until each job ends. Without slots the time is infinite.
 
-@param slots Are not changed.
-@param jobs In the order in which they get room.
+@param slots Not modified.
+@param jobs Jobs in scheduling order.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/cells/resources.ts
+++ b/packages/galenakeeld/src/process/cells/resources.ts
@@ -1,7 +1,7 @@
 import type {Room} from '@galenakeel/model/request/job.js';
 
 /**
-Tells whether a demand fits into a room.
+Returns whether a demand fits into the free resources.
 
 @example
 ```
@@ -12,7 +12,7 @@
 	demand.processor <= room.processor && demand.memoryMegabytes <= room.memoryMegabytes && demand.accelerators <= room.accelerators;
 
 /**
-Returns what is left of a room beside a demand.
+Returns the resources less a demand.
 */
 export const subtractResources = (room: Room, demand: Room): Room => ({
 	processor: room.processor - demand.processor,
@@ -21,7 +21,7 @@
 });
 
 /**
-Returns a room with what a demand gives back.
+Returns the resources plus a released demand.
 */
 export const addResources = (room: Room, demand: Room): Room => ({
 	processor: room.processor + demand.processor,
--- a/packages/galenakeeld/src/process/cells/share-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/share-tasks.ts
@@ -2,10 +2,10 @@
 import type {WaitingStep} from './place-tasks.js';
 
 /**
-Tasks of a step that go to another cell.
+Tasks of a step to transfer to another cell.
 */
 export type TaskShare = {
-	/** Key of the part of the job that the tasks are of. */
+	/** Key of the part of the job that the tasks belong to. */
 	readonly part: string;
 	readonly position: number;
 	readonly indexes: readonly number[];
@@ -14,24 +14,24 @@
 
 type FreeClass = {readonly cell: string; readonly service: string; readonly factor: number; processor: number};
 
-/** Time that tasks lose on their way to another cell, and their ends on the way back, in milliseconds. */
+/** Latency that a transfer adds to a task and to the return of its result, in milliseconds. */
 const moveMilliseconds = 8;
 
 const isInTimeAt = (waiting: WaitingStep, {factor}: FreeClass, now: number): boolean =>
 	!waiting.isInTime || now + moveMilliseconds + (waiting.step.estimateMilliseconds * factor) <= waiting.dueAt;
 
-/** The cell with the most room, so that tasks of one step go together; there the fastest endpoints. */
+/** Most free capacity first, so that tasks of one step stay together; then the fastest endpoints. */
 const mostCapacityFirst = (first: FreeClass, second: FreeClass): number =>
 	second.processor - first.processor || first.factor - second.factor;
 
 /**
-Shares tasks that found no room in their own cell out to other cells that have some.
+Distributes tasks that found no capacity in their own cell to other cells with free capacity.
 
-Load that it answers: zones whose crests come at different times, and wide jobs, which in one zone would run in waves while others have room.
+Handles peaks that reach the zones at different times, and wide jobs, which in one zone would run in several rounds while other zones have free capacity.
 
-@param waiting Steps that have found no room, in the order in which they get it.
-@param others Is not changed.
-@param now Steady milliseconds.
+@param waiting Steps without capacity, in scheduling order.
+@param others Not modified.
+@param now Monotonic milliseconds.
 
 @example
 ```
