--- a/packages/galenakeeld/src/process/cells/__tests__/admit-job.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/admit-job.steps.ts
@@ -33,7 +33,7 @@
 	this.waitingJobs = [];
 });
 
-Given('{int} lanes, free in {int} ms', function (this: AdmissionWorld, count: number, freeInMilliseconds: number) {
+Given('{int} slots, free in {int} ms', function (this: AdmissionWorld, count: number, freeInMilliseconds: number) {
 	this.slots = Array.from({length: count}, () => ({freeInMilliseconds, factor: 1}));
 });
 
@@ -76,7 +76,7 @@
 	arrive(this, createJob('arriving', tasks, milliseconds, dueIn), true);
 });
 
-Then('it is taken', function (this: AdmissionWorld) {
+Then('it is accepted', function (this: AdmissionWorld) {
 	assert.equal(this.decision.admission, Admission.Accept);
 });
 
@@ -84,12 +84,12 @@
 	assert.equal(this.decision.admission, Admission.Refuse);
 });
 
-Then('it is sent to {string}', function (this: AdmissionWorld, cell: string) {
+Then('it is redirected to {string}', function (this: AdmissionWorld, cell: string) {
 	assert.ok(this.decision.admission === Admission.Redirect);
 	assert.equal(this.decision.cell, cell);
 });
 
-Then('an answer due in {int} ms and worthless in {int} ms is worth over {float} at {int} ms, about {float} at {int} ms, about {float} at {int} ms and {int} at {int} ms', (dueIn: number, expiresIn: number, early: number, earlyAt: number, middle: number, middleAt: number, late: number, lateAt: number, never: number, neverAt: number) => {
+Then('an answer due in {int} ms and expired in {int} ms has a value over {float} at {int} ms, about {float} at {int} ms, about {float} at {int} ms and {int} at {int} ms', (dueIn: number, expiresIn: number, early: number, earlyAt: number, middle: number, middleAt: number, late: number, lateAt: number, never: number, neverAt: number) => {
 	const worthAt = (endsIn: number): number => expectedValueShare({dueIn, expiresIn, objectiveMilliseconds: dueIn}, endsIn);
 	assert.ok(worthAt(earlyAt) > early);
 	assert.ok(Math.abs(worthAt(middleAt) - middle) < tolerance);
--- a/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
@@ -43,7 +43,7 @@
 	}
 };
 
-/** The share of each queue's jobs that is served; a late answer counts for a part. */
+/** Served share of the jobs of each queue; a late answer counts in part. */
 const replaySeeds = async (peak: number, seeds: readonly number[], places: readonly string[], shares: readonly number[]): Promise<ReadonlyMap<string, number>> => {
 	const asked = new Map<string, number>();
 	const served = new Map<string, number>();
@@ -57,7 +57,7 @@
 	return new Map([...served].map(([queue, count]) => [queue, count / asked.get(queue)!]));
 };
 
-/** Queues count alike, as no kind of request may be left behind. */
+/** Mean over the queues with equal weights, so that no queue is neglected. */
 const meanOf = (served: ReadonlyMap<string, number>): number => {
 	let sum = 0;
 	for (const share of served.values()) {
@@ -67,7 +67,7 @@
 	return sum / served.size;
 };
 
-Given('a load like the creameries\', whose crest is {float} times its mean', function (this: ReplayWorld, peak: number) {
+Given('a load in waves, whose peak is {float} times its mean', function (this: ReplayWorld, peak: number) {
 	this.peak = peak;
 });
 
--- a/packages/galenakeeld/src/process/cells/__tests__/place-tasks.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/place-tasks.feature
@@ -1,4 +1,4 @@
-Feature: Waiting tasks are placed on free room
+Feature: Waiting tasks are placed on free capacity
 
   Background:
     Given endpoints
@@ -6,11 +6,11 @@
       | quick | 2000      | 2000 | 1      | a,r1   |
       | slow  | 2000      | 2000 | 2      | b,r2   |
 
-  Scenario: While room is plenty, the fastest endpoint comes first
+  Scenario: While capacity is plentiful, the fastest endpoint is preferred
     When a task of 100 ms and 500 thousandths waits, due in 1000 ms
     Then it goes to "quick"
 
-  Scenario: While room is scarce, a short task with time in hand leaves the fast endpoint to longer ones
+  Scenario: While capacity is scarce, a short task that is not urgent leaves the fast endpoint to longer ones
     Given "quick" has 500 thousandths free
     And "slow" has 500 thousandths free
     When a task of 100 ms and 500 thousandths waits, due in 1000 ms
@@ -26,14 +26,14 @@
     When a late task of 600 ms and 500 thousandths waits, due in 100 ms
     Then it goes to "slow"
 
-  Scenario: A task that finds no room lets those behind it pass
+  Scenario: A task that fits nowhere does not block those behind it
     Given "quick" has 800 thousandths free
     And "slow" has 0 thousandths free
     When a task of 100 ms and 1500 thousandths waits, due in 1000 ms
     And a task of 100 ms and 500 thousandths waits, due in 1000 ms
     Then they go to "nowhere, quick"
 
-  Scenario: A task goes elsewhere than where it failed
+  Scenario: A task avoids the endpoint where it failed
     When a task of 100 ms and 500 thousandths waits, due in 1000 ms, that failed at "quick"
     Then it goes to "slow"
 
@@ -41,7 +41,7 @@
     When a task of 100 ms and 500 thousandths waits, due in 1000 ms, that failed at "quick, slow"
     Then it goes to "quick"
 
-  Scenario: A required label is kept
+  Scenario: A required label is respected
     When a task of 100 ms and 500 thousandths waits, due in 1000 ms, that requires the label "b"
     Then it goes to "slow"
 
@@ -59,7 +59,7 @@
     When 2 tasks of a step of 100 ms and 100 thousandths wait, at most 9 on one endpoint
     Then they go to "quick, nowhere"
 
-  Scenario: Among like endpoints a task fills the fullest, so that a large one still fits elsewhere
+  Scenario: Among equally fast endpoints a task goes to the fullest, so that a large one still fits elsewhere
     Given "slow" is as fast as "quick"
     And "quick" has 1900 thousandths free
     And "slow" has 600 thousandths free
@@ -67,5 +67,5 @@
     And a task of 100 ms and 1800 thousandths waits, due in 1000 ms
     Then they go to "slow, quick"
 
-  Scenario: Nothing is placed beyond free room, whatever waits
-    Then in 1000 random loads with seed 7 no endpoint is over its room, and no task is placed twice or where it may not run
+  Scenario: No placement exceeds the free capacity
+    Then in 1000 random loads with seed 7 no endpoint exceeds its capacity, and no task is placed twice or where it may not run
--- a/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
@@ -153,7 +153,7 @@
 	assert.equal(new Set(placements.map(({part, index}) => `${part} ${index}`)).size, placements.length);
 };
 
-Then('in {int} random loads with seed {int} no endpoint is over its room, and no task is placed twice or where it may not run', {timeout: 60_000}, (numberRuns: number, seed: number) => {
+Then('in {int} random loads with seed {int} no endpoint exceeds its capacity, and no task is placed twice or where it may not run', {timeout: 60_000}, (numberRuns: number, seed: number) => {
 	const rooms = fc.uniqueArray(arbitraryCapacity, {selector: ({endpoint}) => endpoint, maxLength: 8});
 	fc.assert(fc.property(rooms, arbitraryWaiting, (open, drawn) => {
 		const waiting = drawn.map(([step, dueAt, isInTime, service], position) => createWaiting(position, step as Step, {dueAt, isInTime, service}));
--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -1,5 +1,5 @@
 /**
-Replays a load on the cells of several availability zones, on the paused clock, with endpoints that are played.
+Replays a load on the cells of several availability zones, with a fake clock and simulated endpoints.
 */
 import {performance} from 'node:perf_hooks';
 import type {Clock} from '@sinonjs/fake-timers';
@@ -33,7 +33,7 @@
 export type ReplayedLoad = {
 	readonly seed: number;
 	readonly seconds: number;
-	/** Factor of the rates at the crest and at the trough of the wave. */
+	/** Factors of the mean rate at the peak and at the trough of the wave. */
 	readonly peak: number;
 	readonly trough: number;
 	readonly wavePeriodSeconds: number;
@@ -45,7 +45,7 @@
 };
 
 /**
-What became of the jobs of a queue.
+Results of the jobs of a queue.
 */
 export type ReplayResult = {
 	readonly queue: string;
@@ -55,9 +55,9 @@
 	refused: number;
 };
 
-/** One way between a daemon and an endpoint of its zone, with the time to handle a call, in milliseconds. */
+/** One-way latency between a daemon and an endpoint of its zone, with the handling of a call, in milliseconds. */
 const callMilliseconds = 1.2;
-/** One way between daemons of two zones, with the time that messages are gathered, in milliseconds. */
+/** One-way latency between daemons of two zones, with the batching of messages, in milliseconds. */
 const peerMilliseconds = 3;
 const objectiveFactor = 1.6;
 const objectiveMilliseconds = 60;
@@ -76,7 +76,7 @@
 const widthSpread = 0.4;
 const estimateSpread = 0.4;
 
-/** The generator of Park and Miller; numbers from 0 to 1. */
+/** Park-Miller generator; numbers from 0 to 1. */
 const createRandom = (seed: number) => {
 	const modulus = (2 ** 31) - 1;
 	const multiplier = 48_271;
@@ -97,7 +97,7 @@
 type SimulatedRun = {readonly task: TaskKey; readonly attempt: number; readonly processor: number; readonly endsAt: number};
 
 /**
-Creates an endpoint that runs tasks for the time that stands in their specification: the processor, and the milliseconds of each task by its index.
+Creates an endpoint that runs tasks for the times in their specification, which holds the processor and the milliseconds of each task by index.
 
 @param whole Thousandths of a core.
 @param speed Run time over the milliseconds of the specification.
@@ -222,7 +222,7 @@
 					break;
 				}
 
-				// Arrivals at the rate of the crest, thinned to the rate of the moment.
+				// Poisson arrivals at the peak rate, thinned to the current rate.
 				if (random() * load.peak < rateAt(load, seconds)) {
 					jobs.push(createReplayedJob(random, queue, zone, seconds * 1000, jobs.length));
 				}
@@ -234,9 +234,9 @@
 };
 
 /**
-Replays a load and returns what became of the jobs of each queue.
+Replays a load and returns the results of each queue.
 
-@param clock The paused clock.
+@param clock Fake clock.
 */
 export const replayLoad = async (load: ReplayedLoad, clock: Clock): Promise<readonly ReplayResult[]> => {
 	const random = createRandom(load.seed);
@@ -312,13 +312,13 @@
 				sent.set(other, [...sent.get(other) ?? [], {at: performance.now(), processor}]);
 			},
 			onFenced() {
-				throw new Error('a played endpoint has one owner');
+				throw new Error('a simulated endpoint has one owner');
 			},
 			onDecision() {
-				// Decisions show in the results.
+				// Decisions are visible in the results.
 			},
 			onTaskWait() {
-				// Waits show in the results.
+				// Waits are visible in the results.
 			},
 		});
 		cells.set(zone, cell);
--- a/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
@@ -37,11 +37,11 @@
 	this.waitingSteps = [];
 });
 
-Given('the cell {string} has room for {int} tasks on endpoints of factor {float}', function (this: ShareWorld, cell: string, tasks: number, factor: number) {
+Given('the cell {string} has capacity for {int} tasks on endpoints of factor {float}', function (this: ShareWorld, cell: string, tasks: number, factor: number) {
 	this.others.push({cell, free: [{service: 'sheets', factor, processor: tasks * processorOfTask}], waitMilliseconds: 0});
 });
 
-Given('the cell {string} has room for {int} tasks of the service {string}', function (this: ShareWorld, cell: string, tasks: number, service: string) {
+Given('the cell {string} has capacity for {int} tasks of the service {string}', function (this: ShareWorld, cell: string, tasks: number, service: string) {
 	this.others.push({cell, free: [{service, factor: 1, processor: tasks * processorOfTask}], waitMilliseconds: 0});
 });
 
@@ -71,7 +71,7 @@
 
 const arbitraryWaiting = fc.array(fc.tuple(fc.integer({min: 1, max: 12}), fc.integer({min: 1, max: 900}), fc.integer({min: 0, max: 2000}), fc.boolean()), {maxLength: 8});
 
-Then('over {int} random loads no cell is sent more than it has room for', (numberRuns: number) => {
+Then('over {int} random loads no cell is sent more than its free capacity', (numberRuns: number) => {
 	fc.assert(fc.property(fc.uniqueArray(arbitraryCapacity, {selector: ({cell}) => cell, maxLength: 3}), arbitraryWaiting, (others, loads) => {
 		const waiting = loads.map(([tasks, milliseconds, dueAt, isInTime], position) => createWaiting(position, createStep(tasks, milliseconds), dueAt, isInTime));
 		const shares = shareTasks(waiting, others, 0);
