--- a/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
+++ b/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
@@ -21,7 +21,7 @@
 /**
 Returns the smallest factor of run time over estimate among endpoints; 1 without endpoints.
 */
-export const bestFactorOf = (rooms: readonly EndpointCapacity[]): number => rooms.length > 0 ? Math.min(...rooms.map(({factor}) => factor)) : 1;
+export const bestFactorOf = (capacities: readonly EndpointCapacity[]): number => capacities.length > 0 ? Math.min(...capacities.map(({factor}) => factor)) : 1;
 
 const urgencyOfJob = (job: PlacedJob, bestFactor: number, now: number): Urgency => urgencyOf({
 	dueAt: job.dueAt,
@@ -58,9 +58,9 @@
 /**
 Returns the work that endpoints complete in a millisecond, in thousandths of a core times milliseconds of estimates; at least 1.
 */
-export const throughputOf = (rooms: readonly EndpointCapacity[]): number => {
+export const throughputOf = (capacities: readonly EndpointCapacity[]): number => {
 	let processor = 0;
-	for (const {total, factor} of rooms) {
+	for (const {total, factor} of capacities) {
 		processor += total.processor / factor;
 	}
 
@@ -73,14 +73,14 @@
 /**
 Returns the free capacity usable by tasks of a given size, by service and run-time factor of the endpoints.
 */
-export const freeCapacitiesOf = (rooms: readonly EndpointCapacity[], processorOfTask: number): readonly FreeRoom[] => {
+export const freeCapacitiesOf = (capacities: readonly EndpointCapacity[], processorOfTask: number): readonly FreeRoom[] => {
 	const size = Math.max(1, processorOfTask);
 	const classes = new Map<string, FreeRoom>();
-	for (const room of rooms) {
-		const tasks = Math.min(room.maximumTasks, Math.floor(Math.max(0, room.free.processor) / size));
+	for (const capacity of capacities) {
+		const tasks = Math.min(capacity.maximumTasks, Math.floor(Math.max(0, capacity.free.processor) / size));
 		if (tasks > 0) {
-			const {service} = room;
-			const factor = Number((Math.max(1, Math.round(room.factor / factorStep)) * factorStep).toFixed(1));
+			const {service} = capacity;
+			const factor = Number((Math.max(1, Math.round(capacity.factor / factorStep)) * factorStep).toFixed(1));
 			const key = `${service} ${factor}`;
 			const before = classes.get(key)?.processor ?? 0;
 			classes.set(key, {service, factor, processor: Math.round(before + (tasks * size))});
@@ -114,7 +114,7 @@
 };
 
 /** Slots of the own cell for tasks of the given size. */
-const slotsOf = (rooms: readonly EndpointCapacity[], processorOfTask: number): readonly SimulatedSlot[] => rooms.flatMap(({total, factor, remainingTimes}) => {
+const slotsOf = (capacities: readonly EndpointCapacity[], processorOfTask: number): readonly SimulatedSlot[] => capacities.flatMap(({total, factor, remainingTimes}) => {
 	const count = Math.max(1, Math.floor(total.processor / Math.max(1, processorOfTask)));
 	const busy = remainingTimes();
 	return Array.from({length: count}, (_, place) => ({freeInMilliseconds: busy[place] ?? 0, factor}));
@@ -159,18 +159,18 @@
 */
 export const evaluateArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {capacities: allRooms, others: allOthers, now}: {readonly capacities: readonly EndpointCapacity[]; readonly others: readonly CellCapacity[]; readonly now: number}): AdmissionDecision => {
 	const {service} = job.order;
-	const rooms = allRooms.filter(room => room.service === service);
+	const capacities = allRooms.filter(room => room.service === service);
 	const others = allOthers.map(other => ({...other, free: other.free.filter(room => room.service === service)}));
-	const bestFactor = bestFactorOf(rooms);
+	const bestFactor = bestFactorOf(capacities);
 	const waiting = rankJobs(jobs.filter(one => one.order.service === service && waitingWorkOf(one) > 0), bestFactor, now).filter(({urgency}) => isInTime(urgency));
 	const processor = firstProcessorOf(job);
 	const processorOfTask = processor / Math.max(1, countTasks(firstStepsOf(job)));
 	return admitJob({
 		...toValuedJob(job, bestFactor, now),
 		processor,
-		freeProcessor: freeProcessorIn({free: freeCapacitiesOf(rooms, processorOfTask)}),
+		freeProcessor: freeProcessorIn({free: freeCapacitiesOf(capacities, processorOfTask)}),
 		isRedirected: job.order.moves > 0 || job.order.generation > 0,
-	}, waiting.map(one => toValuedJob(one.job, bestFactor, now)), [...slotsOf(rooms, processorOfTask), ...remoteSlotsOf(others, processorOfTask)], others);
+	}, waiting.map(one => toValuedJob(one.job, bestFactor, now)), [...slotsOf(capacities, processorOfTask), ...remoteSlotsOf(others, processorOfTask)], others);
 };
 
 /**
--- a/packages/galenakeeld/src/process/cells/predict-ends.ts
+++ b/packages/galenakeeld/src/process/cells/predict-ends.ts
@@ -23,10 +23,10 @@
 
 const earliestSlot = (slots: readonly SimulatedSlot[]): SimulatedSlot => {
 	let best = slots[0]!;
-	for (const lane of slots) {
-		const isSooner = lane.freeInMilliseconds < best.freeInMilliseconds
-			|| (lane.freeInMilliseconds === best.freeInMilliseconds && lane.factor < best.factor);
-		best = isSooner ? lane : best;
+	for (const slot of slots) {
+		const isSooner = slot.freeInMilliseconds < best.freeInMilliseconds
+			|| (slot.freeInMilliseconds === best.freeInMilliseconds && slot.factor < best.factor);
+		best = isSooner ? slot : best;
 	}
 
 	return best;
@@ -44,17 +44,17 @@
 ```
 */
 export const predictEnds = (slots: readonly SimulatedSlot[], jobs: readonly PredictedJob[]): ReadonlyMap<string, number> => {
-	const simulated = slots.map(lane => ({...lane}));
+	const simulated = slots.map(slot => ({...slot}));
 	const ends = new Map<string, number>();
 	for (const {identifier, steps} of jobs) {
 		let end = simulated.length > 0 ? 0 : Number.POSITIVE_INFINITY;
 		for (const {tasks, estimateMilliseconds} of steps) {
 			const begins = end;
 			for (let count = 0; count < tasks && simulated.length > 0; count++) {
-				const lane = earliestSlot(simulated);
-				const start = Math.max(begins, lane.freeInMilliseconds);
-				lane.freeInMilliseconds = start + (estimateMilliseconds * lane.factor);
-				end = Math.max(end, lane.freeInMilliseconds);
+				const slot = earliestSlot(simulated);
+				const start = Math.max(begins, slot.freeInMilliseconds);
+				slot.freeInMilliseconds = start + (estimateMilliseconds * slot.factor);
+				end = Math.max(end, slot.freeInMilliseconds);
 			}
 		}
 
--- a/packages/galenakeeld/src/process/cells/resources.ts
+++ b/packages/galenakeeld/src/process/cells/resources.ts
@@ -8,23 +8,23 @@
 isFitting({processor: 500, memoryMegabytes: 64, accelerators: 0}, free); // => true
 ```
 */
-export const isFitting = (demand: Room, room: Room): boolean =>
-	demand.processor <= room.processor && demand.memoryMegabytes <= room.memoryMegabytes && demand.accelerators <= room.accelerators;
+export const isFitting = (demand: Room, available: Room): boolean =>
+	demand.processor <= available.processor && demand.memoryMegabytes <= available.memoryMegabytes && demand.accelerators <= available.accelerators;
 
 /**
 Returns the resources less a demand.
 */
-export const subtractResources = (room: Room, demand: Room): Room => ({
-	processor: room.processor - demand.processor,
-	memoryMegabytes: room.memoryMegabytes - demand.memoryMegabytes,
-	accelerators: room.accelerators - demand.accelerators,
+export const subtractResources = (available: Room, demand: Room): Room => ({
+	processor: available.processor - demand.processor,
+	memoryMegabytes: available.memoryMegabytes - demand.memoryMegabytes,
+	accelerators: available.accelerators - demand.accelerators,
 });
 
 /**
 Returns the resources plus a released demand.
 */
-export const addResources = (room: Room, demand: Room): Room => ({
-	processor: room.processor + demand.processor,
-	memoryMegabytes: room.memoryMegabytes + demand.memoryMegabytes,
-	accelerators: room.accelerators + demand.accelerators,
+export const addResources = (available: Room, demand: Room): Room => ({
+	processor: available.processor + demand.processor,
+	memoryMegabytes: available.memoryMegabytes + demand.memoryMegabytes,
+	accelerators: available.accelerators + demand.accelerators,
 });
--- a/packages/galenakeeld/src/process/cells/share-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/share-tasks.ts
@@ -49,13 +49,13 @@
 	for (const step of waiting) {
 		const byCell = new Map<string, number[]>();
 		for (const index of step.indexes) {
-			const room = findCapacity(step);
-			if (!room) {
+			const capacity = findCapacity(step);
+			if (!capacity) {
 				break;
 			}
 
-			room.processor -= step.step.room.processor;
-			byCell.set(room.cell, [...byCell.get(room.cell) ?? [], index]);
+			capacity.processor -= step.step.room.processor;
+			byCell.set(capacity.cell, [...byCell.get(capacity.cell) ?? [], index]);
 		}
 
 		for (const [cell, indexes] of byCell) {
