--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -17,7 +17,7 @@
 import {createEndpointLeases} from './endpoint-leases.js';
 import {longestLeaseOf, yieldMilliseconds} from './longest-lease.js';
 import type {EndpointCapacity} from './place-tasks.js';
-import {addResources, subtractResources} from './resources.js';
+import {addResources, subtractResources} from './room.js';
 import {createStrayRuns} from './stray-runs.js';
 
 /**
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -18,7 +18,7 @@
 import {
 	beginAttempt, createPlacedJob, isComplete, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
-import {isFitting} from './resources.js';
+import {isFitting} from './room.js';
 import {shareTasks, type TaskShare} from './share-tasks.js';
 import {
 	bestFactorOf, movableStepsOf, waitingStepsOf, evaluateArrival,
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -1,5 +1,5 @@
 import type {Room, Step} from '@galenakeel/model/request/job.js';
-import {isFitting, subtractResources} from './resources.js';
+import {isFitting, subtractResources} from './room.js';
 
 /**
 An endpoint that accepts tasks now, with its capacity.
