--- a/packages/galenakeeld/src/process/cells/__tests__/crest-replay.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
@@ -3,16 +3,16 @@
 import {install} from '@sinonjs/fake-timers';
 import {
 	replayLoad, type LoadQueue, type ReplayedLoad, type ReplayResult,
-} from './crest-replay.js';
+} from './replay-load.js';
 
 type ReplayWorld = {
-	crest: number;
+	peak: number;
 	inZones: ReadonlyMap<string, number>;
 	inOne: ReadonlyMap<string, number>;
 };
 
-const lateWorth = 0.2;
-const troughOverCrest = 0.29;
+const lateValueShare = 0.2;
+const troughOverPeak = 0.29;
 const wavePeriodSeconds = 17;
 const endpoints = 32;
 const zones = ['north', 'east', 'south', 'west'];
@@ -30,8 +30,8 @@
 	},
 ];
 
-const createLoad = (crest: number, seed: number, places: readonly string[], shares: readonly number[]): ReplayedLoad => ({
-	seed, seconds: wavePeriodSeconds, crest, trough: crest * troughOverCrest, wavePeriodSeconds, zones: places, shares, endpointsInZone: endpoints / places.length, queues,
+const createLoad = (peak: number, seed: number, places: readonly string[], shares: readonly number[]): ReplayedLoad => ({
+	seed, seconds: wavePeriodSeconds, peak, trough: peak * troughOverPeak, wavePeriodSeconds, zones: places, shares, endpointsInZone: endpoints / places.length, queues,
 });
 
 const replay = async (load: ReplayedLoad): Promise<readonly ReplayResult[]> => {
@@ -43,21 +43,21 @@
 	}
 };
 
-/** The share of each queue's jobs that is served; a late answer counts for a part. */
-const replaySeeds = async (crest: number, seeds: readonly number[], places: readonly string[], shares: readonly number[]): Promise<ReadonlyMap<string, number>> => {
+/** Served share of the jobs of each queue; a late answer counts in part. */
+const replaySeeds = async (peak: number, seeds: readonly number[], places: readonly string[], shares: readonly number[]): Promise<ReadonlyMap<string, number>> => {
 	const asked = new Map<string, number>();
 	const served = new Map<string, number>();
 	for (const seed of seeds) {
-		for (const result of await replay(createLoad(crest, seed, places, shares))) {
-			asked.set(result.queue, (asked.get(result.queue) ?? 0) + result.asked);
-			served.set(result.queue, (served.get(result.queue) ?? 0) + result.inTime + (lateWorth * result.late));
+		for (const result of await replay(createLoad(peak, seed, places, shares))) {
+			asked.set(result.queue, (asked.get(result.queue) ?? 0) + result.submitted);
+			served.set(result.queue, (served.get(result.queue) ?? 0) + result.inTime + (lateValueShare * result.late));
 		}
 	}
 
 	return new Map([...served].map(([queue, count]) => [queue, count / asked.get(queue)!]));
 };
 
-/** Queues count alike, as no kind of request may be left behind. */
+/** Mean over the queues with equal weights, so that no queue is neglected. */
 const meanOf = (served: ReadonlyMap<string, number>): number => {
 	let sum = 0;
 	for (const share of served.values()) {
@@ -67,14 +67,14 @@
 	return sum / served.size;
 };
 
-Given('a load like the creameries\', whose crest is {float} times its mean', function (this: ReplayWorld, crest: number) {
-	this.crest = crest;
+Given('a load in waves, whose peak is {float} times its mean', function (this: ReplayWorld, peak: number) {
+	this.peak = peak;
 });
 
 When('it is replayed with seeds {string} on cells of four zones, and on one cell of all endpoints', {timeout: 300_000}, async function (this: ReplayWorld, text: string) {
 	const seeds = text.split(',').map(Number);
-	this.inZones = await replaySeeds(this.crest, seeds, zones, sharesOfZones);
-	this.inOne = await replaySeeds(this.crest, seeds, ['all'], [1]);
+	this.inZones = await replaySeeds(this.peak, seeds, zones, sharesOfZones);
+	this.inOne = await replaySeeds(this.peak, seeds, ['all'], [1]);
 });
 
 Then('the cells of four zones serve at most {float} less of it', function (this: ReplayWorld, most: number) {
--- a/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
@@ -4,12 +4,12 @@
 } from '@cucumber/cucumber';
 import type {Step} from '@galenakeel/model/request/job.js';
 import fc from 'fast-check';
-import type {CellRoom} from '../admit-job.js';
+import type {CellCapacity} from '../admit-job.js';
 import type {WaitingStep} from '../place-tasks.js';
 import {shareTasks} from '../share-tasks.js';
 
 type ShareWorld = {
-	others: CellRoom[];
+	others: CellCapacity[];
 	waitingSteps: WaitingStep[];
 };
 
@@ -29,7 +29,7 @@
 	indexes: Array.from({length: step.tasks}, (_, index) => index),
 	dueAt,
 	isInTime,
-	avoidedBy: () => new Set(),
+	avoidedEndpoints: () => new Set(),
 });
 
 Before(function (this: Partial<ShareWorld>) {
@@ -37,11 +37,11 @@
 	this.waitingSteps = [];
 });
 
-Given('the cell {string} has room for {int} tasks on endpoints of factor {float}', function (this: ShareWorld, cell: string, tasks: number, factor: number) {
+Given('the cell {string} has capacity for {int} tasks on endpoints of factor {float}', function (this: ShareWorld, cell: string, tasks: number, factor: number) {
 	this.others.push({cell, free: [{service: 'sheets', factor, processor: tasks * processorOfTask}], waitMilliseconds: 0});
 });
 
-Given('the cell {string} has room for {int} tasks of the service {string}', function (this: ShareWorld, cell: string, tasks: number, service: string) {
+Given('the cell {string} has capacity for {int} tasks of the service {string}', function (this: ShareWorld, cell: string, tasks: number, service: string) {
 	this.others.push({cell, free: [{service, factor: 1, processor: tasks * processorOfTask}], waitMilliseconds: 0});
 });
 
@@ -63,7 +63,7 @@
 	assert.equal(shares.map(({cell, indexes}) => `${cell}: ${indexes.join(', ')}`).join('; '), expected);
 });
 
-const arbitraryRoom = fc.record({
+const arbitraryCapacity = fc.record({
 	cell: fc.constantFrom('east', 'south', 'west'),
 	free: fc.array(fc.record({service: fc.constantFrom('sheets', 'quotes'), factor: fc.double({min: 0.3, max: 4, noNaN: true}), processor: fc.integer({min: -2000, max: 9000})}), {maxLength: 3}),
 	waitMilliseconds: fc.integer({min: 0, max: 500}),
@@ -71,8 +71,8 @@
 
 const arbitraryWaiting = fc.array(fc.tuple(fc.integer({min: 1, max: 12}), fc.integer({min: 1, max: 900}), fc.integer({min: 0, max: 2000}), fc.boolean()), {maxLength: 8});
 
-Then('over {int} random loads no cell is sent more than it has room for', (numberRuns: number) => {
-	fc.assert(fc.property(fc.uniqueArray(arbitraryRoom, {selector: ({cell}) => cell, maxLength: 3}), arbitraryWaiting, (others, loads) => {
+Then('over {int} random loads no cell is sent more than its free capacity', (numberRuns: number) => {
+	fc.assert(fc.property(fc.uniqueArray(arbitraryCapacity, {selector: ({cell}) => cell, maxLength: 3}), arbitraryWaiting, (others, loads) => {
 		const waiting = loads.map(([tasks, milliseconds, dueAt, isInTime], position) => createWaiting(position, createStep(tasks, milliseconds), dueAt, isInTime));
 		const shares = shareTasks(waiting, others, 0);
 		for (const {cell, free} of others) {
--- a/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -1,17 +1,17 @@
 import {performance} from 'node:perf_hooks';
 import type {CellLoad} from '@galenakeel/model/connection/fleet-message.js';
 import type {CellEndpoints} from './cell-endpoints.js';
-import type {OpenRoom} from './place-tasks.js';
+import type {EndpointCapacity} from './place-tasks.js';
 import type {PlacedJob} from './placed-job.js';
 import {
-	bestFactorOf, freeRoomsOf, throughputOf, waitingInTimeWorkOf,
-} from './weigh-jobs.js';
+	bestFactorOf, freeCapacitiesOf, throughputOf, waitingInTimeWorkOf,
+} from './evaluate-arrival.js';
 
 /**
 Caches the available capacity and the load of a cell between changes.
 */
 export type CellCapacityCache = {
-	readonly available: () => readonly OpenRoom[];
+	readonly available: () => readonly EndpointCapacity[];
 	readonly load: () => CellLoad;
 	/** Discards the cached values after endpoints or jobs have changed. */
 	readonly invalidate: () => void;
@@ -35,10 +35,10 @@
 ```
 */
 export const createCellCapacityCache = ({endpoints, jobs, typicalProcessor}: CellCapacityCacheOptions): CellCapacityCache => {
-	let cachedCapacities: readonly OpenRoom[] | undefined;
+	let cachedCapacities: readonly EndpointCapacity[] | undefined;
 	let cachedLoad: CellLoad | undefined;
 
-	const available = (): readonly OpenRoom[] => {
+	const available = (): readonly EndpointCapacity[] => {
 		cachedCapacities ??= endpoints.availableCapacities();
 		return cachedCapacities;
 	};
@@ -46,7 +46,7 @@
 	const computeLoad = (): CellLoad => {
 		const capacities = available();
 		const waiting = waitingInTimeWorkOf(jobs(), bestFactorOf(capacities), performance.now());
-		return {free: freeRoomsOf(capacities, typicalProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(capacities)), kindFactors: endpoints.kindFactors()};
+		return {free: freeCapacitiesOf(capacities, typicalProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(capacities)), kindFactors: endpoints.kindFactors()};
 	};
 
 	return {
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -16,8 +16,8 @@
 } from './endpoint-run.js';
 import {createEndpointLeases} from './endpoint-leases.js';
 import {maximumLeaseOf, yieldMilliseconds} from './maximum-lease.js';
-import type {OpenRoom} from './place-tasks.js';
-import {addRoom, subtractRoom} from './room.js';
+import type {EndpointCapacity} from './place-tasks.js';
+import {addResources, subtractResources} from './room.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
 
 /**
@@ -28,7 +28,7 @@
 	/** Installs a newer entry of the same incarnation. */
 	readonly update: (entry: EndpointEntry) => void;
 	/** Free capacity now; undefined while the endpoint takes no tasks. */
-	readonly availableCapacity: (factor: number) => OpenRoom | undefined;
+	readonly availableCapacity: (factor: number) => EndpointCapacity | undefined;
 	/** Whether a poll has reported what runs there, or no run of an earlier owner can be active any more. */
 	readonly areRunsKnown: () => boolean;
 	/** Whether the first poll has neither been answered nor failed. */
@@ -127,7 +127,7 @@
 
 	const addRun = (run: Run): void => {
 		runs.add(run);
-		free = subtractRoom(free, run.room);
+		free = subtractResources(free, run.room);
 	};
 
 	const settle = (run: Run, result: RunResult): void => {
@@ -135,7 +135,7 @@
 			return;
 		}
 
-		free = addRoom(free, run.room);
+		free = addResources(free, run.room);
 		run.ended.resolve(result);
 		options.onChange();
 	};
@@ -433,10 +433,10 @@
 				endpoint: incarnationOf(entry),
 				service: entry.service,
 				free,
-				whole: entry.room,
+				total: entry.room,
 				labels: entry.labels,
 				factor,
-				mostTasks: state === HealthState.Probing ? Math.max(0, 1 - runs.size) : unboundedTasks,
+				maximumTasks: state === HealthState.Probing ? Math.max(0, 1 - runs.size) : unboundedTasks,
 				remainingTimes: () => remainingTimesOf(runs, factor),
 				countOf: (job, step) => [...runs].filter(({task}) => task.job === job && task.step === step).length,
 			};
--- /dev/null
+++ b/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
@@ -0,0 +1,204 @@
+import type {FreeCapacity} from '@galenakeel/model/connection/fleet-message.js';
+import {
+	admitJob, freeProcessorIn, type AdmissionDecision, type CellCapacity, type ValuedJob,
+} from './admit-job.js';
+import {
+	compareUrgency, isInTime, urgencyOf, type Urgency,
+} from './job-urgency.js';
+import type {EndpointCapacity, WaitingStep} from './place-tasks.js';
+import {
+	isMovable, isStepReady, partKeyOf, remainingCriticalPath, neverStartedIndexes, waitingIndexes, type PlacedJob, type PlacedStep,
+} from './placed-job.js';
+import type {SimulatedSlot} from './predict-ends.js';
+
+/** Usable share of the processor of endpoints; the rest is lost to fragmentation by tasks of different sizes. */
+const fillableShare = 0.85;
+/** Tolerated lateness as a share of the objective, since estimates are inaccurate. */
+const lateToleranceShare = 0.2;
+/** Value of the work of the highest-priority queues relative to that of others. */
+const urgentWeight = 1.5;
+
+/**
+Returns the smallest factor of run time over estimate among endpoints; 1 without endpoints.
+*/
+export const bestFactorOf = (capacities: readonly EndpointCapacity[]): number => capacities.length > 0 ? Math.min(...capacities.map(({factor}) => factor)) : 1;
+
+const urgencyOfJob = (job: PlacedJob, bestFactor: number, now: number): Urgency => urgencyOf({
+	dueAt: job.dueAt,
+	toleranceMilliseconds: lateToleranceShare * job.objectiveMilliseconds,
+	remainingMilliseconds: remainingCriticalPath(job) * bestFactor,
+	hasStarted: job.hasStarted,
+	priority: job.order.priority,
+}, now);
+
+/**
+Returns the waiting work of a job, in thousandths of a core times milliseconds of estimates.
+*/
+export const waitingWorkOf = (job: PlacedJob): number => {
+	let work = 0;
+	for (const placed of job.steps) {
+		work += waitingIndexes(placed).length * placed.step.room.processor * placed.step.estimateMilliseconds;
+	}
+
+	return work;
+};
+
+/**
+Returns the waiting work of jobs that can still be in time, in thousandths of a core times milliseconds of estimates. Late jobs are left out, as they go last.
+*/
+export const waitingInTimeWorkOf = (jobs: readonly PlacedJob[], bestFactor: number, now: number): number => {
+	let work = 0;
+	for (const job of jobs) {
+		work += isInTime(urgencyOfJob(job, bestFactor, now)) ? waitingWorkOf(job) : 0;
+	}
+
+	return work;
+};
+
+/**
+Returns the work that endpoints complete in a millisecond, in thousandths of a core times milliseconds of estimates; at least 1.
+*/
+export const throughputOf = (capacities: readonly EndpointCapacity[]): number => {
+	let processor = 0;
+	for (const {total, factor} of capacities) {
+		processor += total.processor / factor;
+	}
+
+	return Math.max(1, processor * fillableShare);
+};
+
+/** Width of a class of run-time factors. */
+const factorStep = 0.2;
+
+/**
+Returns the free capacity usable by tasks of a given size, by service and run-time factor of the endpoints.
+*/
+export const freeCapacitiesOf = (capacities: readonly EndpointCapacity[], processorOfTask: number): readonly FreeCapacity[] => {
+	const size = Math.max(1, processorOfTask);
+	const classes = new Map<string, FreeCapacity>();
+	for (const capacity of capacities) {
+		const tasks = Math.min(capacity.maximumTasks, Math.floor(Math.max(0, capacity.free.processor) / size));
+		if (tasks > 0) {
+			const {service} = capacity;
+			const factor = Number((Math.max(1, Math.round(capacity.factor / factorStep)) * factorStep).toFixed(1));
+			const key = `${service} ${factor}`;
+			const before = classes.get(key)?.processor ?? 0;
+			classes.set(key, {service, factor, processor: Math.round(before + (tasks * size))});
+		}
+	}
+
+	return [...classes.values()];
+};
+
+const firstStepsOf = (job: PlacedJob): readonly PlacedStep[] => job.steps.filter(({step}) => step.after.length === 0);
+
+/**
+Returns the processor that the steps without dependencies need at once, in thousandths of a core.
+*/
+export const firstProcessorOf = (job: PlacedJob): number => {
+	let processor = 0;
+	for (const {remainingTasks, step} of firstStepsOf(job)) {
+		processor += remainingTasks * step.room.processor;
+	}
+
+	return processor;
+};
+
+const countTasks = (steps: readonly PlacedStep[]): number => {
+	let tasks = 0;
+	for (const {remainingTasks} of steps) {
+		tasks += remainingTasks;
+	}
+
+	return tasks;
+};
+
+/** Slots of the own cell for tasks of the given size. */
+const slotsOf = (capacities: readonly EndpointCapacity[], processorOfTask: number): readonly SimulatedSlot[] => capacities.flatMap(({total, factor, remainingTimes}) => {
+	const count = Math.max(1, Math.floor(total.processor / Math.max(1, processorOfTask)));
+	const busy = remainingTimes();
+	return Array.from({length: count}, (_, place) => ({freeInMilliseconds: busy[place] ?? 0, factor}));
+});
+
+/** Delay of the start of a task in another cell with free capacity, in milliseconds. */
+const moveMilliseconds = 8;
+
+/** Slots of other cells for tasks of the given size. */
+const remoteSlotsOf = (others: readonly CellCapacity[], processorOfTask: number): readonly SimulatedSlot[] => others.flatMap(({free}) => free.flatMap(({factor, processor}) =>
+	Array.from({length: Math.max(0, Math.floor(processor / Math.max(1, processorOfTask)))}, () => ({freeInMilliseconds: moveMilliseconds, factor}))));
+
+const valueOfJob = ({order}: PlacedJob): number => {
+	let work = 0;
+	for (const step of order.job.steps) {
+		work += step.tasks * step.room.processor * step.estimateMilliseconds;
+	}
+
+	return (order.priority === 0 ? urgentWeight : 1) * work;
+};
+
+const toValuedJob = (job: PlacedJob, bestFactor: number, now: number): ValuedJob => ({
+	identifier: partKeyOf(job.order.job.identifier, job.order.part),
+	steps: job.steps.map(placed => ({tasks: waitingIndexes(placed).length, estimateMilliseconds: placed.step.estimateMilliseconds})),
+	dueIn: job.dueAt - now,
+	expiresIn: job.expiresAt - now,
+	objectiveMilliseconds: job.objectiveMilliseconds,
+	value: valueOfJob(job),
+	rank: urgencyOfJob(job, bestFactor, now).rank,
+});
+
+type RankedJob = {readonly job: PlacedJob; readonly urgency: Urgency};
+
+const rankJobs = (jobs: readonly PlacedJob[], bestFactor: number, now: number): readonly RankedJob[] => jobs
+	.map(job => ({job, urgency: urgencyOfJob(job, bestFactor, now)}))
+	.toSorted((first, second) => compareUrgency(first.urgency, second.urgency));
+
+/**
+Decides about a job that arrives at a cell, by the waiting jobs and the available capacity.
+
+@param now Monotonic milliseconds.
+*/
+export const evaluateArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {capacities: allRooms, others: allOthers, now}: {readonly capacities: readonly EndpointCapacity[]; readonly others: readonly CellCapacity[]; readonly now: number}): AdmissionDecision => {
+	const {service} = job.order;
+	const capacities = allRooms.filter(room => room.service === service);
+	const others = allOthers.map(other => ({...other, free: other.free.filter(room => room.service === service)}));
+	const bestFactor = bestFactorOf(capacities);
+	const waiting = rankJobs(jobs.filter(one => one.order.service === service && waitingWorkOf(one) > 0), bestFactor, now).filter(({urgency}) => isInTime(urgency));
+	const processor = firstProcessorOf(job);
+	const processorOfTask = processor / Math.max(1, countTasks(firstStepsOf(job)));
+	return admitJob({
+		...toValuedJob(job, bestFactor, now),
+		processor,
+		freeProcessor: freeProcessorIn({free: freeCapacitiesOf(capacities, processorOfTask)}),
+		isRedirected: job.order.moves > 0 || job.order.generation > 0,
+	}, waiting.map(one => toValuedJob(one.job, bestFactor, now)), [...slotsOf(capacities, processorOfTask), ...remoteSlotsOf(others, processorOfTask)], others);
+};
+
+/**
+Returns the steps with waiting tasks that may start, in scheduling order.
+
+@param now Monotonic milliseconds.
+*/
+export const waitingStepsOf = (jobs: readonly PlacedJob[], bestFactor: number, now: number): readonly WaitingStep[] =>
+	rankJobs(jobs, bestFactor, now).flatMap(({job, urgency}) => job.steps.filter(placed => placed.remainingTasks > 0 && isStepReady(job, placed)).map(placed => ({
+		part: partKeyOf(job.order.job.identifier, job.order.part),
+		job: job.order.job.identifier,
+		service: job.order.service,
+		position: placed.position,
+		step: placed.step,
+		indexes: waitingIndexes(placed),
+		dueAt: job.dueAt,
+		isInTime: isInTime(urgency),
+		avoidedEndpoints: (index: number) => placed.tasks[index]!.avoidedEndpoints,
+	})).filter(({indexes}) => indexes.length > 0));
+
+/**
+Returns the steps with waiting tasks that may be transferred to another cell, in scheduling order.
+
+@param now Monotonic milliseconds.
+*/
+export const movableStepsOf = (jobs: readonly PlacedJob[], bestFactor: number, now: number): readonly WaitingStep[] => {
+	const movable = new Map(jobs.filter(job => isMovable(job)).map(job => [partKeyOf(job.order.job.identifier, job.order.part), job]));
+	return waitingStepsOf([...movable.values()], bestFactor, now)
+		.map(waiting => ({...waiting, indexes: neverStartedIndexes(movable.get(waiting.part)!.steps[waiting.position]!)}))
+		.filter(({indexes}) => indexes.length > 0);
+};
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -1,164 +1,164 @@
 import type {Resources, Step} from '@galenakeel/model/request/job.js';
-import {isFitting, subtractRoom} from './room.js';
+import {isFitting, subtractResources} from './room.js';
 
 /**
-An endpoint that takes work at this moment.
+An endpoint that accepts tasks now, with its capacity.
 */
-export type OpenRoom = {
-	/** Life of the endpoint. */
+export type EndpointCapacity = {
+	/** Incarnation of the endpoint. */
 	readonly endpoint: string;
 	readonly service: string;
 	readonly free: Resources;
-	readonly whole: Resources;
+	readonly total: Resources;
 	readonly labels: readonly string[];
 	/** Expected run time over estimate. */
 	readonly factor: number;
-	/** Tasks that the endpoint takes at most now, whatever their size. */
-	readonly mostTasks: number;
-	/** Expected milliseconds until each active run ends, the soonest first. */
+	/** Maximum number of additional tasks, independent of their size. */
+	readonly maximumTasks: number;
+	/** Expected milliseconds until each active run ends, in ascending order. */
 	readonly remainingTimes: () => readonly number[];
 	/** Active tasks of a step of a job at the endpoint. */
 	readonly countOf: (job: string, step: number) => number;
 };
 
 /**
-A step with tasks that wait, in the order in which jobs get room.
+A step with waiting tasks.
 */
 export type WaitingStep = {
-	/** Key of the part of the job that the tasks are of. */
+	/** Key of the part of the job that the tasks belong to. */
 	readonly part: string;
 	readonly job: string;
 	readonly service: string;
 	readonly position: number;
 	readonly step: Step;
-	/** Indexes of the tasks that wait. */
+	/** Indexes of the waiting tasks. */
 	readonly indexes: readonly number[];
-	/** Steady milliseconds of the job's objective. */
+	/** Time of the job's objective, in monotonic milliseconds. */
 	readonly dueAt: number;
 	/** The job can still meet its objective. */
 	readonly isInTime: boolean;
-	/** Endpoints where a task has failed or was not answered. */
-	readonly avoidedBy: (index: number) => ReadonlySet<string>;
+	/** Endpoints at which a task has failed or got no answer. */
+	readonly avoidedEndpoints: (index: number) => ReadonlySet<string>;
 };
 
 /**
-A task and the endpoint that is to run it.
+A task and the endpoint selected to run it.
 */
 export type Placement = {
-	/** Key of the part of the job that the task is of. */
+	/** Key of the part of the job that the task belongs to. */
 	readonly part: string;
 	readonly position: number;
 	readonly index: number;
 	readonly endpoint: string;
 };
 
-type Candidate = {free: Resources; taken: number; readonly room: OpenRoom; readonly placed: Map<string, number>};
+type Candidate = {free: Resources; taken: number; readonly capacity: EndpointCapacity; readonly placed: Map<string, number>};
 
-/** Time in hand over expected run time from which a slower endpoint is as good as a faster one. */
-const safeMargin = 1.25;
-/** Share of free processor below which fast endpoints are kept for the tasks that need them. */
-const crowdedShare = 0.4;
-/** Free processor of one endpoint that isn't worth looking at, in thousandths of a core. */
-const leastProcessor = 1;
+/** Ratio of the time until the due time to the expected run time from which an endpoint counts as fast enough. */
+const safetyFactor = 1.25;
+/** Share of free processor below which fast endpoints are reserved for tasks that need them. */
+const scarceShare = 0.4;
+/** Minimum free processor of a candidate, in thousandths of a core. */
+const minimumProcessor = 1;
 
-const factorFor = (step: Step, {factor, labels}: OpenRoom, remotePenalty: number): number =>
+const factorFor = (step: Step, {factor, labels}: EndpointCapacity, remotePenalty: number): number =>
 	step.preferredRack !== undefined && !labels.includes(step.preferredRack) ? factor * remotePenalty : factor;
 
-const isAllowed = (waiting: WaitingStep, {room, placed}: Candidate): boolean => {
+const isAllowed = (waiting: WaitingStep, {capacity, placed}: Candidate): boolean => {
 	const {step, job, position} = waiting;
-	if (room.service !== waiting.service) {
+	if (capacity.service !== waiting.service) {
 		return false;
 	}
 
-	if (step.requiredLabel !== undefined && !room.labels.includes(step.requiredLabel)) {
+	if (step.requiredLabel !== undefined && !capacity.labels.includes(step.requiredLabel)) {
 		return false;
 	}
 
 	const key = `${job}.${position}`;
-	return step.mostOnOneEndpoint === undefined || room.countOf(job, position) + (placed.get(key) ?? 0) < step.mostOnOneEndpoint;
+	return step.mostOnOneEndpoint === undefined || capacity.countOf(job, position) + (placed.get(key) ?? 0) < step.mostOnOneEndpoint;
 };
 
-const isOpen = ({free, taken, room}: Candidate): boolean => free.processor >= leastProcessor && taken < room.mostTasks;
+const isAvailable = ({free, taken, capacity}: Candidate): boolean => free.processor >= minimumProcessor && taken < capacity.maximumTasks;
 
 type Choice = {readonly candidate: Candidate; readonly milliseconds: number};
 
-/** Run times of one class differ by less than this factor; within it, filling endpoints well counts more. */
+/** Width of a run-time class as a factor; within a class, best fit decides. */
 const speedClassFactor = 1.05;
 
 const speedClassOf = ({milliseconds}: Choice): number => Math.round(Math.log(milliseconds) / Math.log(speedClassFactor));
 
-/** The one that the task fills best, so that room for large tasks is left elsewhere. */
-const fullestFirst = (first: Choice, second: Choice): number => first.candidate.free.processor - second.candidate.free.processor;
+/** Best fit: prefers the endpoint with the least free processor, which keeps capacity for large tasks elsewhere. */
+const bestFitFirst = (first: Choice, second: Choice): number => first.candidate.free.processor - second.candidate.free.processor;
 
 const fastestFirst = (first: Choice, second: Choice): number =>
-	speedClassOf(first) - speedClassOf(second) || fullestFirst(first, second);
+	speedClassOf(first) - speedClassOf(second) || bestFitFirst(first, second);
 
 const slowestFirst = (first: Choice, second: Choice): number =>
-	speedClassOf(second) - speedClassOf(first) || fullestFirst(first, second);
+	speedClassOf(second) - speedClassOf(first) || bestFitFirst(first, second);
 
 /**
-Chooses an endpoint for a task that can still be in time: while room is scarce the slowest with which it surely is, so that faster ones stay free for longer tasks; else the fastest. One with which the task would be late is left to others.
+Chooses an endpoint for a task that can still be in time. While capacity is scarce, this is the slowest endpoint that meets the due time with a safety margin, so that faster ones stay free for longer tasks; otherwise the fastest. Returns undefined if the task would be late on the fastest.
 */
-const chooseInTime = (choices: readonly Choice[], timeInHand: number, isCrowded: boolean): Choice | undefined => {
-	const safe = choices.filter(({milliseconds}) => milliseconds * safeMargin <= timeInHand);
-	if (isCrowded && safe.length > 0) {
+const chooseInTime = (choices: readonly Choice[], timeUntilDue: number, isScarce: boolean): Choice | undefined => {
+	const safe = choices.filter(({milliseconds}) => milliseconds * safetyFactor <= timeUntilDue);
+	if (isScarce && safe.length > 0) {
 		return safe.toSorted(slowestFirst)[0];
 	}
 
 	const fastest = choices.toSorted(fastestFirst)[0];
-	return fastest && fastest.milliseconds <= timeInHand ? fastest : undefined;
+	return fastest && fastest.milliseconds <= timeUntilDue ? fastest : undefined;
 };
 
-const fastestFactorOf = (rooms: readonly OpenRoom[]): number => Math.min(...rooms.map(({factor}) => factor));
+const fastestFactorOf = (capacities: readonly EndpointCapacity[]): number => Math.min(...capacities.map(({factor}) => factor));
 
 /**
-Places waiting tasks on free room.
+Places waiting tasks on endpoints with free capacity.
 
-Load that it answers: tasks of unlike sizes and lengths wait for endpoints of unlike speeds. A task that finds no room lets those behind it pass. A late one takes the slowest endpoint that is free.
+Handles tasks of different sizes and lengths on endpoints of different speeds. A task that fits nowhere does not block those behind it. A late task gets the slowest available endpoint.
 
-@param waiting Steps in the order in which they get room.
-@param now Steady milliseconds.
+@param waiting Steps in scheduling order.
+@param now Monotonic milliseconds.
 
 @example
 ```
-const placements = placeTasks(waiting, rooms, {now: performance.now(), remotePenalty: 3});
+const placements = placeTasks(waiting, capacities, {now: performance.now(), remotePenalty: 3});
 ```
 */
-export const placeTasks = (waiting: readonly WaitingStep[], rooms: readonly OpenRoom[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
-	let candidates = rooms.map((room): Candidate => ({
-		room, free: room.free, taken: 0, placed: new Map(),
-	})).filter(candidate => isOpen(candidate));
-	const wholeProcessor = rooms.reduce((sum, {whole}) => sum + whole.processor, 0);
-	let freeProcessor = rooms.reduce((sum, {free}) => sum + free.processor, 0);
-	const bestFactor = fastestFactorOf(rooms);
+export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
+	let candidates = capacities.map((capacity): Candidate => ({
+		capacity, free: capacity.free, taken: 0, placed: new Map(),
+	})).filter(candidate => isAvailable(candidate));
+	const totalProcessor = capacities.reduce((sum, {total}) => sum + total.processor, 0);
+	let freeProcessor = capacities.reduce((sum, {free}) => sum + free.processor, 0);
+	const bestFactor = fastestFactorOf(capacities);
 	const placements: Placement[] = [];
 
 	const choose = (step: WaitingStep, index: number): Candidate | undefined => {
-		const avoided = step.avoidedBy(index);
+		const avoided = step.avoidedEndpoints(index);
 		const fitting = candidates.filter(candidate => isFitting(step.step.room, candidate.free) && isAllowed(step, candidate));
-		const preferred = fitting.filter(({room}) => !avoided.has(room.endpoint));
-		// A task that failed everywhere is tried again where it failed.
-		const usable = preferred.length > 0 || avoided.size < rooms.length ? preferred : fitting;
-		const choices = usable.map(candidate => ({candidate, milliseconds: Math.max(1, step.step.estimateMilliseconds) * factorFor(step.step, candidate.room, remotePenalty)}));
-		// A job that counts as in time gets at least what the fastest endpoint needs.
-		const timeInHand = Math.max(step.dueAt - now, step.step.estimateMilliseconds * bestFactor * safeMargin);
-		const isHopeful = step.isInTime;
-		const choice = isHopeful
-			? chooseInTime(choices, timeInHand, freeProcessor < crowdedShare * wholeProcessor)
+		const preferred = fitting.filter(({capacity}) => !avoided.has(capacity.endpoint));
+		// A task that has failed at every endpoint is retried at any of them.
+		const usable = preferred.length > 0 || avoided.size < capacities.length ? preferred : fitting;
+		const choices = usable.map(candidate => ({candidate, milliseconds: Math.max(1, step.step.estimateMilliseconds) * factorFor(step.step, candidate.capacity, remotePenalty)}));
+		// A job within the tolerance may be past its latest start: allow at least the run time on the fastest endpoint.
+		const timeUntilDue = Math.max(step.dueAt - now, step.step.estimateMilliseconds * bestFactor * safetyFactor);
+		const canBeInTime = step.isInTime;
+		const choice = canBeInTime
+			? chooseInTime(choices, timeUntilDue, freeProcessor < scarceShare * totalProcessor)
 			: choices.toSorted(slowestFirst)[0];
 		return choice?.candidate;
 	};
 
 	const take = (candidate: Candidate, {part, job, position, step}: WaitingStep, index: number): void => {
 		const key = `${job}.${position}`;
-		candidate.free = subtractRoom(candidate.free, step.room);
+		candidate.free = subtractResources(candidate.free, step.room);
 		candidate.taken++;
 		candidate.placed.set(key, (candidate.placed.get(key) ?? 0) + 1);
 		freeProcessor -= step.room.processor;
 		placements.push({
-			part, position, index, endpoint: candidate.room.endpoint,
+			part, position, index, endpoint: candidate.capacity.endpoint,
 		});
-		candidates = candidates.filter(one => isOpen(one));
+		candidates = candidates.filter(one => isAvailable(one));
 	};
 
 	for (const step of waiting) {
--- a/packages/galenakeeld/src/process/cells/predict-ends.ts
+++ b/packages/galenakeeld/src/process/cells/predict-ends.ts
@@ -1,60 +1,60 @@
 /**
-Predicts when waiting jobs end, by playing the order in which they get room.
+Predicts the ends of waiting jobs by simulating the schedule.
 */
 
 /**
-Room for one task after another.
+A simulated slot that runs one task at a time.
 */
-export type Lane = {
-	/** Milliseconds from now until the room is free. */
+export type SimulatedSlot = {
+	/** Milliseconds from now until the slot is free. */
 	freeInMilliseconds: number;
 	/** Expected run time over estimate. */
 	readonly factor: number;
 };
 
 /**
-A job as the prediction sees it: its tasks wait now, those of later steps after the earlier ones.
+A job to simulate. Each step starts after the one before it.
 */
 export type PredictedJob = {
 	readonly identifier: string;
-	/** Tasks that wait, step by step. */
+	/** Waiting tasks by step. */
 	readonly steps: ReadonlyArray<{readonly tasks: number; readonly estimateMilliseconds: number}>;
 };
 
-const nextLane = (lanes: readonly Lane[]): Lane => {
-	let best = lanes[0]!;
-	for (const lane of lanes) {
-		const isSooner = lane.freeInMilliseconds < best.freeInMilliseconds
-			|| (lane.freeInMilliseconds === best.freeInMilliseconds && lane.factor < best.factor);
-		best = isSooner ? lane : best;
+const earliestSlot = (slots: readonly SimulatedSlot[]): SimulatedSlot => {
+	let best = slots[0]!;
+	for (const slot of slots) {
+		const isSooner = slot.freeInMilliseconds < best.freeInMilliseconds
+			|| (slot.freeInMilliseconds === best.freeInMilliseconds && slot.factor < best.factor);
+		best = isSooner ? slot : best;
 	}
 
 	return best;
 };
 
 /**
-Returns the milliseconds until each job ends. Without lanes nothing ends.
+Returns the milliseconds until each job ends. Without slots the time is infinite.
 
-@param lanes Are not changed.
-@param jobs In the order in which they get room.
+@param slots Not modified.
+@param jobs Jobs in scheduling order.
 
 @example
 ```
 predictEnds([{freeInMilliseconds: 10, factor: 1}], [{identifier: 'a', steps: [{tasks: 1, estimateMilliseconds: 50}]}]).get('a'); // => 60
 ```
 */
-export const predictEnds = (lanes: readonly Lane[], jobs: readonly PredictedJob[]): ReadonlyMap<string, number> => {
-	const played = lanes.map(lane => ({...lane}));
+export const predictEnds = (slots: readonly SimulatedSlot[], jobs: readonly PredictedJob[]): ReadonlyMap<string, number> => {
+	const simulated = slots.map(slot => ({...slot}));
 	const ends = new Map<string, number>();
 	for (const {identifier, steps} of jobs) {
-		let end = played.length > 0 ? 0 : Number.POSITIVE_INFINITY;
+		let end = simulated.length > 0 ? 0 : Number.POSITIVE_INFINITY;
 		for (const {tasks, estimateMilliseconds} of steps) {
 			const begins = end;
-			for (let count = 0; count < tasks && played.length > 0; count++) {
-				const lane = nextLane(played);
-				const start = Math.max(begins, lane.freeInMilliseconds);
-				lane.freeInMilliseconds = start + (estimateMilliseconds * lane.factor);
-				end = Math.max(end, lane.freeInMilliseconds);
+			for (let count = 0; count < tasks && simulated.length > 0; count++) {
+				const slot = earliestSlot(simulated);
+				const start = Math.max(begins, slot.freeInMilliseconds);
+				slot.freeInMilliseconds = start + (estimateMilliseconds * slot.factor);
+				end = Math.max(end, slot.freeInMilliseconds);
 			}
 		}
 
--- a/packages/galenakeeld/src/process/cells/room.ts
+++ b/packages/galenakeeld/src/process/cells/room.ts
@@ -1,30 +1,30 @@
 import type {Resources} from '@galenakeel/model/request/job.js';
 
 /**
-Tells whether a demand fits into a room.
+Returns whether a demand fits into the free resources.
 
 @example
 ```
 isFitting({processor: 500, memoryMegabytes: 64, accelerators: 0}, free); // => true
 ```
 */
-export const isFitting = (demand: Resources, room: Resources): boolean =>
-	demand.processor <= room.processor && demand.memoryMegabytes <= room.memoryMegabytes && demand.accelerators <= room.accelerators;
+export const isFitting = (demand: Resources, available: Resources): boolean =>
+	demand.processor <= available.processor && demand.memoryMegabytes <= available.memoryMegabytes && demand.accelerators <= available.accelerators;
 
 /**
-Returns what is left of a room beside a demand.
+Returns the resources less a demand.
 */
-export const subtractRoom = (room: Resources, demand: Resources): Resources => ({
-	processor: room.processor - demand.processor,
-	memoryMegabytes: room.memoryMegabytes - demand.memoryMegabytes,
-	accelerators: room.accelerators - demand.accelerators,
+export const subtractResources = (available: Resources, demand: Resources): Resources => ({
+	processor: available.processor - demand.processor,
+	memoryMegabytes: available.memoryMegabytes - demand.memoryMegabytes,
+	accelerators: available.accelerators - demand.accelerators,
 });
 
 /**
-Returns a room with what a demand gives back.
+Returns the resources plus a released demand.
 */
-export const addRoom = (room: Resources, demand: Resources): Resources => ({
-	processor: room.processor + demand.processor,
-	memoryMegabytes: room.memoryMegabytes + demand.memoryMegabytes,
-	accelerators: room.accelerators + demand.accelerators,
+export const addResources = (available: Resources, demand: Resources): Resources => ({
+	processor: available.processor + demand.processor,
+	memoryMegabytes: available.memoryMegabytes + demand.memoryMegabytes,
+	accelerators: available.accelerators + demand.accelerators,
 });
--- a/packages/galenakeeld/src/process/cells/share-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/share-tasks.ts
@@ -1,11 +1,11 @@
-import type {CellRoom} from './admit-job.js';
+import type {CellCapacity} from './admit-job.js';
 import type {WaitingStep} from './place-tasks.js';
 
 /**
-Tasks of a step that go to another cell.
+Tasks of a step to transfer to another cell.
 */
 export type TaskShare = {
-	/** Key of the part of the job that the tasks are of. */
+	/** Key of the part of the job that the tasks belong to. */
 	readonly part: string;
 	readonly position: number;
 	readonly indexes: readonly number[];
@@ -14,48 +14,48 @@
 
 type FreeClass = {readonly cell: string; readonly service: string; readonly factor: number; processor: number};
 
-/** Time that tasks lose on their way to another cell, and their ends on the way back, in milliseconds. */
+/** Latency that a transfer adds to a task and to the return of its result, in milliseconds. */
 const moveMilliseconds = 8;
 
 const isInTimeAt = (waiting: WaitingStep, {factor}: FreeClass, now: number): boolean =>
 	!waiting.isInTime || now + moveMilliseconds + (waiting.step.estimateMilliseconds * factor) <= waiting.dueAt;
 
-/** The cell with the most room, so that tasks of one step go together; there the fastest endpoints. */
-const mostRoomFirst = (first: FreeClass, second: FreeClass): number =>
+/** Most free capacity first, so that tasks of one step stay together; then the fastest endpoints. */
+const mostCapacityFirst = (first: FreeClass, second: FreeClass): number =>
 	second.processor - first.processor || first.factor - second.factor;
 
 /**
-Shares tasks that found no room in their own cell out to other cells that have some.
+Distributes tasks that found no capacity in their own cell to other cells with free capacity.
 
-Load that it answers: zones whose crests come at different times, and wide jobs, which in one zone would run in waves while others have room.
+Handles peaks that reach the zones at different times, and wide jobs, which in one zone would run in several rounds while other zones have free capacity.
 
-@param waiting Steps that have found no room, in the order in which they get it.
-@param others Is not changed.
-@param now Steady milliseconds.
+@param waiting Steps without capacity, in scheduling order.
+@param others Not modified.
+@param now Monotonic milliseconds.
 
 @example
 ```
 shareTasks(waiting, otherCells, performance.now()); // => [{part: '5c0e7a21d94b36f8/0', position: 0, indexes: [2, 3], cell: 'ie-south-b'}]
 ```
 */
-export const shareTasks = (waiting: readonly WaitingStep[], others: readonly CellRoom[], now: number): readonly TaskShare[] => {
+export const shareTasks = (waiting: readonly WaitingStep[], others: readonly CellCapacity[], now: number): readonly TaskShare[] => {
 	const classes = others.flatMap(({cell, free}) => free.map((room): FreeClass => ({cell, ...room})));
 	const shares: TaskShare[] = [];
 
-	const findRoom = (step: WaitingStep): FreeClass | undefined => classes
+	const findCapacity = (step: WaitingStep): FreeClass | undefined => classes
 		.filter(free => free.service === step.service && free.processor >= step.step.room.processor && isInTimeAt(step, free, now))
-		.toSorted(mostRoomFirst)[0];
+		.toSorted(mostCapacityFirst)[0];
 
 	for (const step of waiting) {
 		const byCell = new Map<string, number[]>();
 		for (const index of step.indexes) {
-			const room = findRoom(step);
-			if (!room) {
+			const capacity = findCapacity(step);
+			if (!capacity) {
 				break;
 			}
 
-			room.processor -= step.step.room.processor;
-			byCell.set(room.cell, [...byCell.get(room.cell) ?? [], index]);
+			capacity.processor -= step.step.room.processor;
+			byCell.set(capacity.cell, [...byCell.get(capacity.cell) ?? [], index]);
 		}
 
 		for (const [cell, indexes] of byCell) {
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import type {CellClaim, FreeCapacity} from '@galenakeel/model/connection/fleet-message.js';
-import type {CellRoom} from '../cells/admit-job.js';
+import type {CellCapacity} from '../cells/admit-job.js';
 import {findOwner} from './cell-claims.js';
 import type {FleetView} from './fleet-view.js';
 
@@ -9,7 +9,7 @@
 */
 export type CellLoads = {
 	/** Free capacity of the other cells, minus the jobs that were redirected there since the last report of their owners. */
-	readonly otherCellCapacities: (own: string) => readonly CellRoom[];
+	readonly otherCellCapacities: (own: string) => readonly CellCapacity[];
 	/** Records that a job was redirected to a cell, with the processor capacity that it needs there, in thousandths of a core. */
 	readonly recordRedirect: (cell: string, processor: number) => void;
 	readonly recordClaims: (claims: readonly CellClaim[]) => void;
