--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -15,7 +15,7 @@
 	problemOf, requestField, writeJobAnswer, writeJson, writeProblem, writeTaskAnswer,
 } from './caller-answer.js';
 import {
-	readJob, readRelayBody, readTask, readTerms, type JobRequest,
+	readJob, readRelayBody, readTask, readCallerHeaders, type JobRequest,
 } from './caller-request.js';
 import {CallerRequestKind, parseCallerRoute, type CallerRoute} from './caller-route.js';
 
@@ -58,7 +58,7 @@
 type RelayRoute = CallerRoute & {readonly kind: CallerRequestKind.Relay};
 
 const answerRelay = async ({request, response}: CallerExchange, route: RelayRoute, run: CallerRun): Promise<void> => {
-	const terms = readTerms(request);
+	const terms = readCallerHeaders(request);
 	const task = {...readTask(request, route.path, terms.kind), body: await readRelayBody(request, run.limits)};
 	if (terms.idempotencyKey !== '' && !(task.body instanceof Uint8Array)) {
 		throw createFault(FaultKind.TooLarge, `a request with an Idempotency-Key is held whole, and its body is above the limit of ${run.limits.bufferedBodyBytes} bytes`);
@@ -110,7 +110,7 @@
 };
 
 const submissionOf = (identifier: string, job: JobRequest, exchange: CallerExchange, run: CallerRun): Submission => {
-	const terms = readTerms(exchange.request);
+	const terms = readCallerHeaders(exchange.request);
 	return {
 		identifier,
 		service: job.service,
--- a/packages/galenakeeld/src/connection/caller-request.ts
+++ b/packages/galenakeeld/src/connection/caller-request.ts
@@ -14,7 +14,7 @@
 /**
 What a caller says about a request in header fields.
 */
-export type CallerTerms = {
+export type CallerHeaders = {
 	readonly team: string;
 	readonly kind: string;
 	readonly deadlineMilliseconds: number | undefined;
@@ -29,7 +29,7 @@
 
 @throws A fault of kind `MalformedRequest` when the deadline is not a whole number of milliseconds.
 */
-export const readTerms = (request: IncomingMessage): CallerTerms => {
+export const readCallerHeaders = (request: IncomingMessage): CallerHeaders => {
 	const deadline = headerText(request, 'galenakeel-deadline-milliseconds');
 	const deadlineMilliseconds = deadline === '' ? undefined : Number(deadline);
 	if (deadlineMilliseconds !== undefined && !(Number.isSafeInteger(deadlineMilliseconds) && deadlineMilliseconds > 0 && deadlineMilliseconds <= maximumDeadlineMilliseconds)) {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -367,7 +367,7 @@
 			return queue ? {queue, pathPrefix: queue.pathPrefix} : refusal;
 		},
 		submit,
-		mostBodyBytes: () => configuration.current()?.limits.bodyBytes ?? 0,
+		maximumBodyBytes: () => configuration.current()?.limits.bodyBytes ?? 0,
 		isLeaving: () => leaving.signal.aborted,
 		onFailure(detail) {
 			logEvent(FleetEvent.RequestFailed, {detail});
