--- a/packages/galenakeeld/src/connection/caller-answer.ts
+++ b/packages/galenakeeld/src/connection/caller-answer.ts
@@ -141,7 +141,7 @@
 	return length === undefined ? undefined : [[outcomeField, answer.outcome], ['content-length', length]];
 };
 
-const writeStreamedAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, rest: Readable, own: HeaderList): Promise<void> => {
+const writeStreamedAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, rest: Readable, additionalHeaders: HeaderList): Promise<void> => {
 	const hasChunks = response.req.httpVersionMinor > 0;
 	const fields = streamedFields(answer, hasChunks);
 	if (!fields) {
@@ -150,7 +150,7 @@
 		return;
 	}
 
-	response.writeHead(answer.status, headersForCaller(answer.headers, [...fields, ...own]));
+	response.writeHead(answer.status, headersForCaller(answer.headers, [...fields, ...additionalHeaders]));
 	response.write(answer.body);
 	if (hasChunks) {
 		response.addTrailers({[outcomeField]: answer.outcome});
@@ -168,13 +168,13 @@
 
 A body that is too long to be held is passed on as it comes. When the endpoint breaks off, the caller's connection is destroyed, so that a part is never taken for the whole.
 */
-export const writeTaskAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, method: string, own: HeaderList = []): Promise<void> => {
+export const writeTaskAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, method: string, additionalHeaders: HeaderList = []): Promise<void> => {
 	if (answer.rest) {
-		await writeStreamedAnswer(response, answer, answer.rest, own);
+		await writeStreamedAnswer(response, answer, answer.rest, additionalHeaders);
 		return;
 	}
 
-	response.writeHead(answer.status, headersForCaller(answer.headers, [[outcomeField, answer.outcome], ...own, ...lengthFields(answer, method)]));
+	response.writeHead(answer.status, headersForCaller(answer.headers, [[outcomeField, answer.outcome], ...additionalHeaders, ...lengthFields(answer, method)]));
 	response.end(answer.body);
 };
 
--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -36,7 +36,7 @@
 	readonly mint: () => string;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
 	/** Looks at a job, or cancels it; never throws. */
-	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView>;
+	readonly inspect: (identifier: string, shouldCancel: boolean) => Promise<JobView>;
 	readonly defaultDeadlineMilliseconds: (service: string) => number;
 	readonly isLeaving: () => boolean;
 	/** Names a single request that has no identifier. */
@@ -45,7 +45,7 @@
 	readonly openTrace: OpenTrace;
 };
 
-const goneSignal = (response: ServerResponse): AbortSignal => {
+const disconnectSignal = (response: ServerResponse): AbortSignal => {
 	const controller = new AbortController();
 	response.once('close', () => {
 		if (!response.writableFinished) {
@@ -58,19 +58,19 @@
 type RelayRoute = CallerRoute & {readonly kind: CallerRequestKind.Relay};
 
 const answerRelay = async ({request, response}: CallerExchange, route: RelayRoute, run: CallerRun): Promise<void> => {
-	const terms = readCallerHeaders(request);
-	const task = {...readTask(request, route.path, terms.kind), body: await readRelayBody(request, run.limits)};
-	if (terms.idempotencyKey !== '' && !(task.body instanceof Uint8Array)) {
+	const callerHeaders = readCallerHeaders(request);
+	const task = {...readTask(request, route.path, callerHeaders.kind), body: await readRelayBody(request, run.limits)};
+	if (callerHeaders.idempotencyKey !== '' && !(task.body instanceof Uint8Array)) {
 		throw createFault(FaultKind.TooLarge, `a request with an Idempotency-Key is held whole, and its body is above the limit of ${run.limits.bufferedBodyBytes} bytes`);
 	}
 
-	const span = run.openTrace(terms.traceparent).begin(SpanName.CallerRequest, {service: route.service});
-	if (terms.idempotencyKey !== '' && task.body instanceof Uint8Array) {
+	const span = run.openTrace(callerHeaders.traceparent).begin(SpanName.CallerRequest, {service: route.service});
+	if (callerHeaders.idempotencyKey !== '' && task.body instanceof Uint8Array) {
 		const submission: Submission = {
-			identifier: run.identifierOfKey(route.service, terms.idempotencyKey),
+			identifier: run.identifierOfKey(route.service, callerHeaders.idempotencyKey),
 			service: route.service,
-			team: terms.team,
-			deadlineMilliseconds: terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(route.service),
+			team: callerHeaders.team,
+			deadlineMilliseconds: callerHeaders.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(route.service),
 			tasks: [{...task, body: task.body}],
 			traceparent: span.traceparent,
 		};
@@ -83,10 +83,10 @@
 	const identifier = run.nameRequest();
 	const answer = await run.relay({
 		service: route.service,
-		team: terms.team,
-		deadlineMilliseconds: terms.deadlineMilliseconds,
+		team: callerHeaders.team,
+		deadlineMilliseconds: callerHeaders.deadlineMilliseconds,
 		task,
-		signal: goneSignal(response),
+		signal: disconnectSignal(response),
 		observer: run.observe({kind: ObservedKind.Request, identifier, service: route.service}),
 		trace: span,
 	});
@@ -110,14 +110,14 @@
 };
 
 const submissionOf = (identifier: string, job: JobRequest, exchange: CallerExchange, run: CallerRun): Submission => {
-	const terms = readCallerHeaders(exchange.request);
+	const callerHeaders = readCallerHeaders(exchange.request);
 	return {
 		identifier,
 		service: job.service,
-		team: job.team === '' ? terms.team : job.team,
-		deadlineMilliseconds: job.deadlineMilliseconds ?? terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(job.service),
+		team: job.team === '' ? callerHeaders.team : job.team,
+		deadlineMilliseconds: job.deadlineMilliseconds ?? callerHeaders.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(job.service),
 		tasks: job.tasks,
-		traceparent: terms.traceparent,
+		traceparent: callerHeaders.traceparent,
 	};
 };
 
@@ -130,8 +130,8 @@
 	writeJobAnswer(exchange.response, submission.identifier, answer);
 };
 
-const answerInspection = async ({response}: CallerExchange, identifier: string, isCancelled: boolean, run: CallerRun): Promise<void> => {
-	const view = await run.inspect(identifier, isCancelled);
+const answerInspection = async ({response}: CallerExchange, identifier: string, shouldCancel: boolean, run: CallerRun): Promise<void> => {
+	const view = await run.inspect(identifier, shouldCancel);
 	if (view.isAnswered) {
 		writeJobAnswer(response, identifier, view.answer);
 	} else {
--- a/packages/galenakeeld/src/connection/endpoint-exchange.ts
+++ b/packages/galenakeeld/src/connection/endpoint-exchange.ts
@@ -85,9 +85,9 @@
 /**
 Sends a request and hands over its answer; resolves once the connection is free again.
 */
-const exchangeOver = async (outgoing: ClientRequest, address: string, {request: wanted, answer}: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
-	const [response] = await Promise.all([nextResponse(outgoing), sendBody(outgoing, wanted.body)]);
-	assertDelimited(response, wanted.method, address);
+const sendAndReceive = async (outgoing: ClientRequest, address: string, {request: endpointRequest, answer}: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
+	const [response] = await Promise.all([nextResponse(outgoing), sendBody(outgoing, endpointRequest.body)]);
+	assertDelimited(response, endpointRequest.method, address);
 	const {chunks, isWhole} = await collectBody(response, bufferedBodyBytes);
 	answer.resolve({
 		status: response.statusCode!,
@@ -108,9 +108,9 @@
 @returns Whether the connection may carry another request.
 */
 export const performExchange = async (connection: ExchangeConnection, address: string, exchange: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
-	const {request: wanted, answer} = exchange;
+	const {request: endpointRequest, answer} = exchange;
 	const outgoing = httpRequest({
-		...connection.options, method: wanted.method, path: wanted.path, headers: headersForEndpoint(wanted.headers, address, wanted.body), setHost: false,
+		...connection.options, method: endpointRequest.method, path: endpointRequest.path, headers: headersForEndpoint(endpointRequest.headers, address, endpointRequest.body), setHost: false,
 	});
 	let failure: unknown;
 	outgoing.on('error', error => {
@@ -120,15 +120,15 @@
 	let hasStarted = false;
 	let timer: NodeJS.Timeout | undefined;
 	try {
-		wanted.beforeFirstByte();
+		endpointRequest.beforeFirstByte();
 		hasStarted = true;
 		timer = setTimeout(() => {
-			const fault = createFault(FaultKind.EndpointTimeout, `endpoint ${address} sent no whole answer within ${Math.round(wanted.timeoutMilliseconds)} ms`);
+			const fault = createFault(FaultKind.EndpointTimeout, `endpoint ${address} sent no whole answer within ${Math.round(endpointRequest.timeoutMilliseconds)} ms`);
 			outgoing.destroy(fault);
 			// A request whose connection was closed before it began reports no error of its own.
 			timeout.reject(fault);
-		}, wanted.timeoutMilliseconds);
-		return await Promise.race([exchangeOver(outgoing, address, exchange, bufferedBodyBytes), timeout.promise]);
+		}, endpointRequest.timeoutMilliseconds);
+		return await Promise.race([sendAndReceive(outgoing, address, exchange, bufferedBodyBytes), timeout.promise]);
 	} catch (error) {
 		outgoing.destroy();
 		answer.reject(faultOf(failure ?? error, address, hasStarted));
--- a/packages/galenakeeld/src/connection/http-encoding.ts
+++ b/packages/galenakeeld/src/connection/http-encoding.ts
@@ -29,18 +29,18 @@
 */
 export const endToEndHeaders = (headers: HeaderList): HeaderList => {
 	const kept: Array<readonly [string, string]> = [];
-	let named: readonly string[] = [];
+	let connectionOptions: readonly string[] = [];
 	for (const header of headers) {
 		const lowerCase = header[0].toLowerCase();
 		if (lowerCase === 'connection') {
-			named = [...named, ...namesIn(header[1])];
+			connectionOptions = [...connectionOptions, ...namesIn(header[1])];
 		} else if (!connectionFields.has(lowerCase) && !lowerCase.startsWith(ownPrefix)) {
 			kept.push(header);
 		}
 	}
 
 	// Most messages name at most fields that are dropped anyway, and need no second look.
-	const dropped = named.filter(name => !connectionFields.has(name));
+	const dropped = connectionOptions.filter(name => !connectionFields.has(name));
 	return dropped.length === 0 ? kept : kept.filter(([name]) => !dropped.includes(name.toLowerCase()));
 };
 
@@ -59,9 +59,9 @@
 /**
 Encodes the fields of an answer to a caller as Node's `http` takes them.
 */
-export const headersForCaller = (headers: HeaderList, own: HeaderList): string[] => [
+export const headersForCaller = (headers: HeaderList, additionalHeaders: HeaderList): string[] => [
 	...flatten(endToEndHeaders(headers)),
-	...flatten(own),
+	...flatten(additionalHeaders),
 ];
 
 /**
