--- a/packages/galenakeeld/src/connection/caller-answer.ts
+++ b/packages/galenakeeld/src/connection/caller-answer.ts
@@ -118,7 +118,7 @@
 
 const contentLengthOf = (headers: HeaderList): string | undefined => headers.find(([name]) => name.toLowerCase() === 'content-length')?.[1];
 
-const bodiless: ReadonlySet<number> = new Set([204, 304]);
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 const lengthFields = (answer: TaskAnswer, method: string): HeaderList => {
 	if (method === 'HEAD') {
@@ -126,7 +126,7 @@
 		return length === undefined ? [] : [['content-length', length]];
 	}
 
-	return bodiless.has(answer.status) ? [] : [['content-length', String(answer.body.byteLength)]];
+	return bodilessStatuses.has(answer.status) ? [] : [['content-length', String(answer.body.byteLength)]];
 };
 
 /**
--- a/packages/galenakeeld/src/connection/http-encoding.ts
+++ b/packages/galenakeeld/src/connection/http-encoding.ts
@@ -6,7 +6,7 @@
 const connectionFields: ReadonlySet<string> = new Set([
 	'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', 'host', 'expect',
 ]);
-const ownPrefix = 'galenakeel-';
+const reservedPrefix = 'galenakeel-';
 
 /**
 Returns header fields as pairs, in the order of the wire.
@@ -34,7 +34,7 @@
 		const lowerCase = header[0].toLowerCase();
 		if (lowerCase === 'connection') {
 			connectionOptions = [...connectionOptions, ...namesIn(header[1])];
-		} else if (!connectionFields.has(lowerCase) && !lowerCase.startsWith(ownPrefix)) {
+		} else if (!connectionFields.has(lowerCase) && !lowerCase.startsWith(reservedPrefix)) {
 			kept.push(header);
 		}
 	}
