--- a/packages/galenakeeld/src/connection/caller-answer.ts
+++ b/packages/galenakeeld/src/connection/caller-answer.ts
@@ -9,7 +9,7 @@
 import {endToEndHeaders, headersForCaller} from './http-encoding.js';
 
 /**
-A problem on its way to a caller (RFC 9457).
+A problem to be sent to a caller (RFC 9457).
 */
 export type Problem = {
 	readonly fault: FaultKind;
@@ -51,12 +51,12 @@
 const identifierField = 'galenakeel-job';
 
 /**
-The field in which a caller gets the name of a single request that has no identifier.
+The header field that gives a caller the generated identifier of a single request without an `Idempotency-Key`.
 */
 export const requestField = 'galenakeel-request';
 
 /**
-Writes a JSON answer with its length.
+Writes a JSON response with a `Content-Length` field.
 */
 export const writeJson = (response: ServerResponse, status: number, value: unknown, fields: Readonly<Record<string, string>> = {}): void => {
 	const body = JSON.stringify(value);
@@ -68,7 +68,7 @@
 	milliseconds === undefined ? {} : {'retry-after': String(Math.max(1, Math.ceil(milliseconds / 1000)))};
 
 /**
-Describes an answer that is not whole as a problem.
+Converts an answer whose outcome is not `Complete` to a problem.
 */
 export const problemOf = (answer: Pick<TaskAnswer, 'fault' | 'outcome' | 'detail'> & {readonly retryAfterMilliseconds?: number}): Problem => ({
 	fault: answer.fault ?? FaultKind.Internal,
@@ -78,7 +78,7 @@
 });
 
 /**
-Writes a problem (RFC 9457) with its outcome and remedy.
+Writes a problem (RFC 9457) with its status, outcome and remedy.
 */
 export const writeProblem = (response: ServerResponse, problem: Problem): void => {
 	const status = statusOf[problem.fault];
@@ -99,7 +99,7 @@
 };
 
 /**
-Encodes a problem as a whole HTTP/1.1 response, for a connection whose request could not be parsed.
+Encodes a problem as a complete HTTP/1.1 response for a connection whose request could not be parsed, for which Node gives no response object.
 */
 export const encodeProblemResponse = (status: number, detail: string): string => {
 	const fault = FaultKind.MalformedRequest;
@@ -130,7 +130,7 @@
 };
 
 /**
-Fields of an answer that is passed on as it comes. Its outcome follows in a trailer; a caller of HTTP/1.0, which has neither trailers nor chunks, gets the length instead, without which a part can't be told from the whole.
+Returns the header fields of a streamed answer. Its outcome follows in a trailer. HTTP/1.0 has neither trailers nor chunked encoding, so such a caller gets the outcome and the length in the header instead; without a length it could not detect a truncated body, and `undefined` is returned.
 */
 const streamedFields = (answer: StreamedTaskAnswer, hasChunks: boolean): HeaderList | undefined => {
 	if (hasChunks) {
@@ -164,9 +164,9 @@
 };
 
 /**
-Writes the answer of an endpoint to the caller.
+Writes the response of an endpoint to the caller.
 
-A body that is too long to be held is passed on as it comes. When the endpoint breaks off, the caller's connection is destroyed, so that a part is never taken for the whole.
+A body that is too long to be buffered is streamed. When the endpoint's connection breaks, the caller's connection is destroyed, so that the caller can't mistake a truncated body for a complete one.
 */
 export const writeTaskAnswer = async (response: ServerResponse, answer: StreamedTaskAnswer, method: string, additionalHeaders: HeaderList = []): Promise<void> => {
 	if (answer.rest) {
@@ -191,7 +191,7 @@
 };
 
 /**
-Writes the answer to a job: one body with its length, or a problem that counts the outcomes of the tasks.
+Writes the answer to a job: one JSON body with the answers of all tasks, or a problem that lists them.
 */
 export const writeJobAnswer = (response: ServerResponse, identifier: string, answer: SubmissionAnswer): void => {
 	const tasks = answer.answers.map(task => encodeTaskAnswer(task));
--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -20,26 +20,26 @@
 import {CallerRequestKind, parseCallerRoute, type CallerRoute} from './caller-route.js';
 
 /**
-One request of a caller with the response to it.
+A request of a caller with its response.
 */
 export type CallerExchange = {readonly request: IncomingMessage; readonly response: ServerResponse};
 
 /**
-What a caller's connection needs from the process.
+The dependencies of a caller's connection that live as long as the process.
 */
 export type CallerRun = {
-	/** Relays a single request without an identifier; never throws. */
+	/** Relays a single request without an identifier to an endpoint; never throws. */
 	readonly relay: (request: RelayedRequest) => Promise<StreamedTaskAnswer & {readonly retryAfterMilliseconds?: number}>;
-	/** Names the submission of a request with an `Idempotency-Key`. */
+	/** Derives the identifier of the submission for a request with an `Idempotency-Key`. */
 	readonly identifierOfKey: (service: string, key: string) => string;
 	readonly limits: {readonly bufferedBodyBytes: number; readonly requestBytes: number; readonly jobBytes: number; readonly tasksInJob: number};
 	readonly mint: () => string;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
-	/** Looks at a job, or cancels it; never throws. */
+	/** Returns the state of a job, after cancelling it when `shouldCancel` is true; never throws. */
 	readonly inspect: (identifier: string, shouldCancel: boolean) => Promise<JobView>;
 	readonly defaultDeadlineMilliseconds: (service: string) => number;
 	readonly isLeaving: () => boolean;
-	/** Names a single request that has no identifier. */
+	/** Generates an identifier for a single request without an `Idempotency-Key`. */
 	readonly nameRequest: () => string;
 	readonly observe: Observe;
 	readonly openTrace: OpenTrace;
@@ -181,9 +181,9 @@
 });
 
 /**
-Serves one connection of a caller: each request in turn, answered whole before the next is looked at.
+Serves one connection of a caller. Requests are handled in order; the next one is read after the response to the previous one is closed.
 
-@param exchanges The requests of the connection, in order; ends when the connection closes.
+@param exchanges The requests of the connection in order of arrival; ends when the connection closes.
 
 @example
 ```
@@ -203,14 +203,14 @@
 			refuseExchange(exchange, error);
 		}
 
-		// An unread body would be taken for the next request.
+		// Discards an unread body, which would otherwise be parsed as the next request.
 		request.resume();
 		await untilClosed(response);
 	}
 };
 
 /**
-Answers an exchange that failed before any task was sent.
+Answers an exchange whose handler threw. A fault is thrown only before a task is sent, so its outcome is `NotRun`; after any other error the outcome is unknown.
 */
 const refuseExchange = ({response}: CallerExchange, error: unknown): void => {
 	if (response.headersSent) {
--- a/packages/galenakeeld/src/connection/caller-request.ts
+++ b/packages/galenakeeld/src/connection/caller-request.ts
@@ -12,7 +12,7 @@
 };
 
 /**
-What a caller says about a request in header fields.
+The header fields of a request that the dispatcher reads.
 */
 export type CallerHeaders = {
 	readonly team: string;
@@ -25,9 +25,9 @@
 const maximumDeadlineMilliseconds = 3_600_000;
 
 /**
-Reads the caller's terms from the header.
+Reads the header fields that are meant for the dispatcher.
 
-@throws A fault of kind `MalformedRequest` when the deadline is not a whole number of milliseconds.
+@throws A fault of kind `MalformedRequest` when the deadline is not an integer from 1 to `maximumDeadlineMilliseconds`.
 */
 export const readCallerHeaders = (request: IncomingMessage): CallerHeaders => {
 	const deadline = headerText(request, 'galenakeel-deadline-milliseconds');
@@ -69,7 +69,9 @@
 const noBody = new Uint8Array();
 
 /**
-Reads the body of a single request: whole when it is short, otherwise as a stream.
+Reads the body of a single request: buffered up to `bufferedBodyBytes`, streamed when it is longer.
+
+@throws A fault of kind `TooLarge` when the declared length is above `requestBytes`; a streamed body without a declared length fails with the same fault while it is read.
 */
 export const readRelayBody = async (request: IncomingMessage, limits: {bufferedBodyBytes: number; requestBytes: number}): Promise<Uint8Array | Readable> => {
 	assertLength(request, limits.requestBytes);
@@ -82,7 +84,7 @@
 };
 
 /**
-Reads the task of a single request, without its body.
+Builds the task of a single request, without its body.
 */
 export const readTask = (request: IncomingMessage, path: string, kind: string): Omit<Task, 'body'> => ({
 	method: request.method!, path, headers: endToEndHeaders(headerListOf(request.rawHeaders)), kind,
@@ -108,7 +110,7 @@
 });
 
 /**
-A job as the caller wrote it.
+A job as submitted by the caller.
 */
 export type JobRequest = {
 	readonly service: string;
@@ -134,9 +136,9 @@
 };
 
 /**
-Reads a job.
+Reads and validates a job.
 
-@throws A fault of kind `MalformedRequest` that names the faulty places, or `TooLarge`.
+@throws A fault of kind `MalformedRequest` that lists up to 10 invalid fields, or of kind `TooLarge`.
 */
 export const readJob = async (request: IncomingMessage, limits: {jobBytes: number; tasksInJob: number}): Promise<JobRequest> => {
 	assertLength(request, limits.jobBytes);
--- a/packages/galenakeeld/src/connection/caller-route.ts
+++ b/packages/galenakeeld/src/connection/caller-route.ts
@@ -1,25 +1,25 @@
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
 
 /**
-What a caller asks for.
+The operations of the HTTP interface for callers.
 */
 export enum CallerRequestKind {
-	/** A request for an endpoint of a service. */
+	/** Relays a single request to an endpoint of a service. */
 	Relay = 'relay',
-	/** A new minted identifier. */
+	/** Mints an identifier for a job. */
 	Mint = 'mint',
-	/** A job under a minted identifier. */
+	/** Submits a job under a newly minted identifier. */
 	SubmitNew = 'submit-new',
-	/** A job under an identifier that the caller has. */
+	/** Submits a job under an identifier given by the caller. */
 	Submit = 'submit',
-	/** The state of a job. */
+	/** Returns the state of a job. */
 	Show = 'show',
-	/** The end of a job. */
+	/** Cancels a job. */
 	Cancel = 'cancel',
 }
 
 /**
-A caller's request, told apart by its method and path.
+The operation of a request with the parameters from its path.
 */
 export type CallerRoute
 	= | {readonly kind: CallerRequestKind.Relay; readonly service: string; readonly path: string}
@@ -50,9 +50,9 @@
 };
 
 /**
-Tells what a caller asks for.
+Parses the method and path of a request.
 
-@throws A fault of kind `MalformedRequest` when the path or method means nothing here.
+@throws A fault of kind `MalformedRequest` when the path is unknown or does not support the method, or of kind `BadIdentifier` when the identifier is not valid percent-encoding.
 
 @example
 ```
--- a/packages/galenakeeld/src/connection/endpoint-connection.ts
+++ b/packages/galenakeeld/src/connection/endpoint-connection.ts
@@ -5,13 +5,13 @@
 import {performExchange, type EndpointExchange, type ExchangeConnection} from './endpoint-exchange.js';
 
 /**
-Limits of one connection to an endpoint.
+Limits of a connection to an endpoint.
 */
 export type EndpointConnectionLimits = {
 	readonly connectTimeoutMilliseconds: number;
-	/** Tasks that the connection carries, so that no answer can be taken for that of a later task. */
+	/** Maximum number of tasks sent over one connection; with 1, no response can be mistaken for that of a later task. */
 	readonly tasksPerConnection: number;
-	/** Longest answer that is held in memory before it is passed on. */
+	/** Maximum number of response bytes buffered before the response is streamed. */
 	readonly bufferedBodyBytes: number;
 };
 
@@ -21,7 +21,7 @@
 	const timer = setTimeout(() => {
 		socket.destroy(createFault(FaultKind.EndpointUnreachable, `endpoint ${address} did not accept a connection within ${timeoutMilliseconds} ms`));
 	}, timeoutMilliseconds);
-	// Stays for the life of the socket, which may break while no request is on it.
+	// This listener stays for the lifetime of the socket, since an idle connection can fail too.
 	socket.on('error', error => {
 		clearTimeout(timer);
 		reject('code' in error ? createFault(FaultKind.EndpointUnreachable, `endpoint ${address} could not be reached`, error) : error);
@@ -32,27 +32,27 @@
 	});
 });
 
-/** A connection for one task needs no agent, and asks the endpoint to close it. */
+/** A connection for a single task uses no keep-alive agent, so Node sends `Connection: close`. */
 const openExchangeConnection = (socket: Socket, tasksPerConnection: number): ExchangeConnection => tasksPerConnection === 1
 	? {socket, bytesRead: 0, options: {createConnection: () => socket}}
 	: {socket, bytesRead: 0, options: {agent: Object.assign(new Agent({keepAlive: true, maxSockets: 1}), {createConnection: () => socket})}};
 
 /**
-Tells whether an open connection may carry a request: a connection that received bytes while no request was under way might take them for the answer.
+Returns whether an open connection can carry another request. Bytes that were received while no request was in flight would be parsed as the next response, so such a connection is not used.
 */
 const isUsable = ({socket, bytesRead}: ExchangeConnection): boolean => socket.readable && socket.writable && socket.bytesRead === bytesRead;
 
 /**
-Waits for the next request of an open connection; `undefined` ends the connection.
+Waits for the next request to send over an open connection; `undefined` closes the connection.
 
-@param isUsable Tells whether the connection may still carry a request.
+@param isUsable Returns whether the connection can still carry a request.
 */
 export type NextExchange = (isUsable: () => boolean) => Promise<EndpointExchange | undefined>;
 
 /**
-Opens and serves one connection to an endpoint: one request at a time, each with its whole answer, until the connection breaks, has carried its number of tasks, or no further request comes.
+Opens a connection to an endpoint and sends requests over it one at a time, until the connection breaks, `tasksPerConnection` requests have been sent, or `nextExchange` returns `undefined`.
 
-@throws A fault of kind `EndpointUnreachable` when the connection could not be opened.
+@throws A fault of kind `EndpointUnreachable` when the connection can't be opened. Failures of a request reject its answer instead.
 
 @example
 ```
--- a/packages/galenakeeld/src/connection/endpoint-exchange.ts
+++ b/packages/galenakeeld/src/connection/endpoint-exchange.ts
@@ -12,41 +12,41 @@
 import {collectBody, headersForEndpoint, headerListOf} from './http-encoding.js';
 
 /**
-What is sent to an endpoint.
+A request to an endpoint.
 */
 export type EndpointRequest = {
 	readonly method: string;
 	readonly path: string;
 	readonly headers: HeaderList;
 	readonly body: Uint8Array | Readable;
-	/** Connections that all entry instances may have open to the endpoint together. */
+	/** Maximum number of open connections to the endpoint from all entry instances together. */
 	readonly connections: number;
 	readonly timeoutMilliseconds: number;
-	/** Called when the connection stands and before the first byte goes out; a throw keeps the request from being sent. */
+	/** Called after the connection is open and before the first byte is sent; if it throws, the request is not sent. */
 	readonly beforeFirstByte: () => void;
 };
 
 /**
-What came back from an endpoint.
+A response of an endpoint.
 */
 export type EndpointAnswer = {
 	readonly status: number;
 	readonly headers: HeaderList;
-	/** The whole body, or its beginning when `rest` is present. */
+	/** The complete body, or its first part when `rest` is present. */
 	readonly body: Uint8Array;
-	/** The remainder of a body that is too long to be held; it errors when the endpoint breaks off. */
+	/** The remainder of a body that is too long to be buffered; it emits an error when the connection breaks. */
 	readonly rest?: Readable;
 };
 
 /**
-A request with the promise of its answer.
+A request with the deferred that is settled with its answer.
 */
 export type EndpointExchange = {readonly request: EndpointRequest; readonly answer: Deferred<EndpointAnswer>};
 
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /**
-Refuses an answer whose end is the end of its connection, since a broken connection ends in the same way.
+Rejects a response that is delimited by the end of its connection, since a truncated one would look the same.
 */
 const assertDelimited = (response: IncomingMessage, method: string, address: string): void => {
 	const {'content-length': length, 'transfer-encoding': coding} = response.headers;
@@ -64,18 +64,18 @@
 };
 
 /**
-An open connection, as one exchange after the other uses it.
+An open connection, used by one exchange at a time.
 */
 export type ExchangeConnection = {
 	readonly socket: Socket;
-	/** Bytes that the connection had received when its last exchange ended. */
+	/** Number of bytes that the socket had received when the last exchange ended. */
 	bytesRead: number;
-	/** Makes Node's `http` send a request over the socket. */
+	/** Request options that make Node's `http` use the socket. */
 	readonly options: Pick<RequestOptions, 'agent' | 'createConnection'>;
 };
 
 /**
-Waits for the beginning of the answer; a failure of the request rejects.
+Waits for the header of the response; rejects when the request fails.
 */
 const nextResponse = async (outgoing: ClientRequest): Promise<IncomingMessage> => new Promise((resolve, reject) => {
 	outgoing.once('response', resolve);
@@ -83,7 +83,9 @@
 });
 
 /**
-Sends a request and hands over its answer; resolves once the connection is free again.
+Sends a request and resolves its answer. A streamed body is awaited to its end.
+
+@returns Whether the connection can carry another request.
 */
 const sendAndReceive = async (outgoing: ClientRequest, address: string, {request: endpointRequest, answer}: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
 	const [response] = await Promise.all([nextResponse(outgoing), sendBody(outgoing, endpointRequest.body)]);
@@ -103,9 +105,9 @@
 };
 
 /**
-Performs one request over an open connection.
+Performs one request over an open connection. A failure of the exchange rejects its answer.
 
-@returns Whether the connection may carry another request.
+@returns Whether the connection can carry another request.
 */
 export const performExchange = async (connection: ExchangeConnection, address: string, exchange: EndpointExchange, bufferedBodyBytes: number): Promise<boolean> => {
 	const {request: endpointRequest, answer} = exchange;
@@ -125,7 +127,7 @@
 		timer = setTimeout(() => {
 			const fault = createFault(FaultKind.EndpointTimeout, `endpoint ${address} sent no whole answer within ${Math.round(endpointRequest.timeoutMilliseconds)} ms`);
 			outgoing.destroy(fault);
-			// A request whose connection was closed before it began reports no error of its own.
+			// A request on a connection that was already closed emits no error, so the timeout is raced against it.
 			timeout.reject(fault);
 		}, endpointRequest.timeoutMilliseconds);
 		return await Promise.race([sendAndReceive(outgoing, address, exchange, bufferedBodyBytes), timeout.promise]);
--- a/packages/galenakeeld/src/connection/http-encoding.ts
+++ b/packages/galenakeeld/src/connection/http-encoding.ts
@@ -2,16 +2,16 @@
 import {Readable} from 'node:stream';
 import type {HeaderList} from '@galenakeel/model/request/task.js';
 
-// Fields that concern one connection only (RFC 9110, section 7.6.1), and those that this system sets itself.
+// Hop-by-hop fields (RFC 9110, section 7.6.1), and those that the dispatcher sets itself.
 const connectionFields: ReadonlySet<string> = new Set([
 	'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', 'host', 'expect',
 ]);
 const reservedPrefix = 'galenakeel-';
 
 /**
-Returns header fields as pairs, in the order of the wire.
+Returns header fields as pairs, in the order in which they were received.
 
-@param rawHeaders Names and values in turn, as Node's `http` gives them.
+@param rawHeaders Alternating names and values, in the format of `rawHeaders` of Node's `http`.
 */
 export const headerListOf = (rawHeaders: readonly string[]): HeaderList => {
 	const headers: Array<readonly [string, string]> = [];
@@ -25,7 +25,7 @@
 const namesIn = (value: string): readonly string[] => value.toLowerCase().split(',').map(name => name.trim());
 
 /**
-Drops the fields that must not travel to the next hop, including those that a `Connection` field names.
+Removes hop-by-hop fields, including those listed in a `Connection` field, and fields reserved for the dispatcher.
 */
 export const endToEndHeaders = (headers: HeaderList): HeaderList => {
 	const kept: Array<readonly [string, string]> = [];
@@ -39,7 +39,7 @@
 		}
 	}
 
-	// Most messages name at most fields that are dropped anyway, and need no second look.
+	// The second pass is rarely needed: most `Connection` fields list only names that are removed anyway.
 	const dropped = connectionOptions.filter(name => !connectionFields.has(name));
 	return dropped.length === 0 ? kept : kept.filter(([name]) => !dropped.includes(name.toLowerCase()));
 };
@@ -47,7 +47,7 @@
 const flatten = (headers: HeaderList): string[] => headers.flatMap(([name, value]) => [name, value]);
 
 /**
-Encodes the fields of a request to an endpoint as Node's `http` takes them.
+Encodes the header of a request to an endpoint in the raw format of Node's `http`.
 */
 export const headersForEndpoint = (headers: HeaderList, address: string, body: Uint8Array | Readable): string[] => [
 	'host',
@@ -57,7 +57,7 @@
 ];
 
 /**
-Encodes the fields of an answer to a caller as Node's `http` takes them.
+Encodes the header of a response to a caller in the raw format of Node's `http`.
 */
 export const headersForCaller = (headers: HeaderList, additionalHeaders: HeaderList): string[] => [
 	...flatten(endToEndHeaders(headers)),
@@ -67,8 +67,8 @@
 /**
 Reads a body up to a limit.
 
-@returns The chunks read, and whether they are the whole body. A body that is not whole is left paused.
-@throws The stream's error when the sender breaks off.
+@returns The chunks read, and whether they are the complete body. The remainder of a longer body stays unread in the paused stream.
+@throws The error of the stream, or an `ECONNRESET` error, when the connection breaks.
 */
 export const collectBody = async (message: IncomingMessage, limitBytes: number): Promise<{readonly chunks: readonly Uint8Array[]; readonly isWhole: boolean}> => {
 	const chunks: Uint8Array[] = [];
@@ -90,7 +90,7 @@
 };
 
 /**
-Waits until a message has more to read, has ended, or has failed.
+Waits until a message is readable or has ended; rejects when it has failed.
 */
 const nextReadable = async (message: IncomingMessage): Promise<void> => new Promise((resolve, reject) => {
 	const settle = (action: () => void) => (): void => {
