--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -15,37 +15,37 @@
 	problemOf, requestField, writeJobAnswer, writeJson, writeProblem, writeTaskAnswer,
 } from './caller-answer.js';
 import {
-	readJob, readRelayBody, readTask, readTerms, type JobRequest,
+	readJob, readRelayBody, readTask, readCallerHeaders, type JobRequest,
 } from './caller-request.js';
 import {CallerRequestKind, parseCallerRoute, type CallerRoute} from './caller-route.js';
 
 /**
-One request of a caller with the response to it.
+A request of a caller with its response.
 */
 export type CallerExchange = {readonly request: IncomingMessage; readonly response: ServerResponse};
 
 /**
-What a caller's connection needs from the process.
+The dependencies of a caller's connection that live as long as the process.
 */
 export type CallerRun = {
-	/** Relays a single request without an identifier; never throws. */
+	/** Relays a single request without an identifier to an endpoint; never throws. */
 	readonly relay: (request: RelayedRequest) => Promise<StreamedTaskAnswer & {readonly retryAfterMilliseconds?: number}>;
-	/** Names the submission of a request with an `Idempotency-Key`. */
+	/** Derives the identifier of the submission for a request with an `Idempotency-Key`. */
 	readonly identifierOfKey: (service: string, key: string) => string;
 	readonly limits: {readonly bufferedBodyBytes: number; readonly requestBytes: number; readonly jobBytes: number; readonly tasksInJob: number};
 	readonly mint: () => string;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
-	/** Looks at a job, or cancels it; never throws. */
-	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView>;
+	/** Returns the state of a job, after cancelling it when `shouldCancel` is true; never throws. */
+	readonly inspect: (identifier: string, shouldCancel: boolean) => Promise<JobView>;
 	readonly defaultDeadlineMilliseconds: (service: string) => number;
 	readonly isLeaving: () => boolean;
-	/** Names a single request that has no identifier. */
+	/** Generates an identifier for a single request without an `Idempotency-Key`. */
 	readonly nameRequest: () => string;
 	readonly observe: Observe;
 	readonly openTrace: OpenTrace;
 };
 
-const goneSignal = (response: ServerResponse): AbortSignal => {
+const disconnectSignal = (response: ServerResponse): AbortSignal => {
 	const controller = new AbortController();
 	response.once('close', () => {
 		if (!response.writableFinished) {
@@ -58,19 +58,19 @@
 type RelayRoute = CallerRoute & {readonly kind: CallerRequestKind.Relay};
 
 const answerRelay = async ({request, response}: CallerExchange, route: RelayRoute, run: CallerRun): Promise<void> => {
-	const terms = readTerms(request);
-	const task = {...readTask(request, route.path, terms.kind), body: await readRelayBody(request, run.limits)};
-	if (terms.idempotencyKey !== '' && !(task.body instanceof Uint8Array)) {
+	const callerHeaders = readCallerHeaders(request);
+	const task = {...readTask(request, route.path, callerHeaders.kind), body: await readRelayBody(request, run.limits)};
+	if (callerHeaders.idempotencyKey !== '' && !(task.body instanceof Uint8Array)) {
 		throw createFault(FaultKind.TooLarge, `a request with an Idempotency-Key is held whole, and its body is above the limit of ${run.limits.bufferedBodyBytes} bytes`);
 	}
 
-	const span = run.openTrace(terms.traceparent).begin(SpanName.CallerRequest, {service: route.service});
-	if (terms.idempotencyKey !== '' && task.body instanceof Uint8Array) {
+	const span = run.openTrace(callerHeaders.traceparent).begin(SpanName.CallerRequest, {service: route.service});
+	if (callerHeaders.idempotencyKey !== '' && task.body instanceof Uint8Array) {
 		const submission: Submission = {
-			identifier: run.identifierOfKey(route.service, terms.idempotencyKey),
+			identifier: run.identifierOfKey(route.service, callerHeaders.idempotencyKey),
 			service: route.service,
-			team: terms.team,
-			deadlineMilliseconds: terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(route.service),
+			team: callerHeaders.team,
+			deadlineMilliseconds: callerHeaders.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(route.service),
 			tasks: [{...task, body: task.body}],
 			traceparent: span.traceparent,
 		};
@@ -83,10 +83,10 @@
 	const identifier = run.nameRequest();
 	const answer = await run.relay({
 		service: route.service,
-		team: terms.team,
-		deadlineMilliseconds: terms.deadlineMilliseconds,
+		team: callerHeaders.team,
+		deadlineMilliseconds: callerHeaders.deadlineMilliseconds,
 		task,
-		signal: goneSignal(response),
+		signal: disconnectSignal(response),
 		observer: run.observe({kind: ObservedKind.Request, identifier, service: route.service}),
 		trace: span,
 	});
@@ -110,14 +110,14 @@
 };
 
 const submissionOf = (identifier: string, job: JobRequest, exchange: CallerExchange, run: CallerRun): Submission => {
-	const terms = readTerms(exchange.request);
+	const callerHeaders = readCallerHeaders(exchange.request);
 	return {
 		identifier,
 		service: job.service,
-		team: job.team === '' ? terms.team : job.team,
-		deadlineMilliseconds: job.deadlineMilliseconds ?? terms.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(job.service),
+		team: job.team === '' ? callerHeaders.team : job.team,
+		deadlineMilliseconds: job.deadlineMilliseconds ?? callerHeaders.deadlineMilliseconds ?? run.defaultDeadlineMilliseconds(job.service),
 		tasks: job.tasks,
-		traceparent: terms.traceparent,
+		traceparent: callerHeaders.traceparent,
 	};
 };
 
@@ -130,8 +130,8 @@
 	writeJobAnswer(exchange.response, submission.identifier, answer);
 };
 
-const answerInspection = async ({response}: CallerExchange, identifier: string, isCancelled: boolean, run: CallerRun): Promise<void> => {
-	const view = await run.inspect(identifier, isCancelled);
+const answerInspection = async ({response}: CallerExchange, identifier: string, shouldCancel: boolean, run: CallerRun): Promise<void> => {
+	const view = await run.inspect(identifier, shouldCancel);
 	if (view.isAnswered) {
 		writeJobAnswer(response, identifier, view.answer);
 	} else {
@@ -181,9 +181,9 @@
 });
 
 /**
-Serves one connection of a caller: each request in turn, answered whole before the next is looked at.
+Serves one connection of a caller. Requests are handled in order; the next one is read after the response to the previous one is closed.
 
-@param exchanges The requests of the connection, in order; ends when the connection closes.
+@param exchanges The requests of the connection in order of arrival; ends when the connection closes.
 
 @example
 ```
@@ -203,14 +203,14 @@
 			refuseExchange(exchange, error);
 		}
 
-		// An unread body would be taken for the next request.
+		// Discards an unread body, which would otherwise be parsed as the next request.
 		request.resume();
 		await untilClosed(response);
 	}
 };
 
 /**
-Answers an exchange that failed before any task was sent.
+Answers an exchange whose handler threw. A fault is thrown only before a task is sent, so its outcome is `NotRun`; after any other error the outcome is unknown.
 */
 const refuseExchange = ({response}: CallerExchange, error: unknown): void => {
 	if (response.headersSent) {
