--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -9,7 +9,7 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {Submission, SubmissionAnswer} from '@galenakeel/model/request/task.js';
 import {install} from '@sinonjs/fake-timers';
-import {refuse, submit, type SubmissionRun} from '../../request/run-submission.js';
+import {refuse, submit, type SubmissionContext} from '../../request/run-submission.js';
 import type {ServiceVersion} from '../../version/service-version.js';
 import {claimPrefixOf, encodeClaim, parseClaim} from '../claim-row.js';
 import {runClaimSweep} from '../claim-sweeper.js';
@@ -24,7 +24,7 @@
 	throw new Error('no task is sent in these scenarios');
 };
 
-type Incarnation = {readonly run: SubmissionRun; readonly register: SubmissionRegister};
+type Incarnation = {readonly run: SubmissionContext; readonly register: SubmissionRegister};
 
 type ClaimsWorld = {
 	rows: Map<string, TableRow>;
@@ -83,7 +83,7 @@
 		platform: createTable(world), holder: self, transactionsPerSecond: () => 1000, onNonce: register.issue,
 	});
 	void claims.run();
-	const run: SubmissionRun = {
+	const run: SubmissionContext = {
 		self,
 		register,
 		claim: claims.claim,
@@ -101,7 +101,7 @@
 				outcome: Outcome.Complete, answers: [],
 			};
 		},
-		taskRun: notReached,
+		taskContext: notReached,
 		openTrace: notReached,
 		noteRepeat: () => undefined,
 		observe: () => ({note: () => undefined, end: () => undefined}),
@@ -151,7 +151,7 @@
 
 When('incarnation {int} cancels {string} while it waits', async function (this: ClaimsWorld, incarnation: number, identifier: string) {
 	const {run, register} = this.incarnations[incarnation - 1]!;
-	const cancelled: SubmissionRun = {
+	const cancelled: SubmissionContext = {
 		...run,
 		admit() {
 			register.entryOf(identifier)!.cancellation.abort();
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -8,9 +8,9 @@
 import {startPeerServer} from '../connection/peer-service.js';
 import {inspectHeld, inspectSubmission} from '../request/inspect-submission.js';
 import {relayRequest} from '../request/relay-request.js';
-import {submit, type SubmissionRun} from '../request/run-submission.js';
+import {submit, type SubmissionContext} from '../request/run-submission.js';
 import {identifierOfKey, mintIdentifier} from '../request/submission-identifier.js';
-import type {TaskRun} from '../request/run-task.js';
+import type {TaskContext} from '../request/run-task.js';
 import {createDocumentCatalogue} from '../version/document-catalogue.js';
 import {countOwnedSlots} from '../version/slot-ownership.js';
 import type {ServiceVersion} from '../version/service-version.js';
@@ -174,7 +174,7 @@
 
 	const holders = createHolderCalls(directory.callsOf, settings.peers.callTimeoutMilliseconds);
 
-	const taskRun = (version: ServiceVersion): Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'> => {
+	const taskContext = (version: ServiceVersion): Pick<TaskContext, 'withSlot' | 'send' | 'report' | 'mayRetry'> => {
 		const {service} = version.document;
 		return {
 			withSlot: dispatchers.serviceOf(service)!.dispatcher.withSlot,
@@ -187,7 +187,7 @@
 	};
 
 	const observed = {observe: observation.observe, openTrace: observation.tracing.openTrace, noteRepeat: observation.records.noteRepeat};
-	const submissionRun: SubmissionRun = {
+	const submissionRun: SubmissionContext = {
 		self,
 		register,
 		claim: claims.claim,
@@ -196,13 +196,13 @@
 		forward: holders.forward,
 		findVersion: catalogue.versionOf,
 		admit: dispatchers.admit,
-		taskRun,
+		taskContext,
 		...observed,
 	};
 
 	const callerRun: CallerRun = {
 		limits: settings.limits,
-		relay: async request => relayRequest(request, {findVersion: catalogue.versionOf, admit: dispatchers.admit, taskRun}),
+		relay: async request => relayRequest(request, {findVersion: catalogue.versionOf, admit: dispatchers.admit, taskContext}),
 		identifierOfKey,
 		mint() {
 			const identifier = mintIdentifier(self);
--- a/packages/galenakeeld/src/request/inspect-submission.ts
+++ b/packages/galenakeeld/src/request/inspect-submission.ts
@@ -57,7 +57,7 @@
 /**
 What an inspection needs from the process.
 */
-export type InspectionRun = {
+export type InspectionContext = {
 	readonly self: IdentifierHolder;
 	readonly register: SubmissionRegister;
 	/** Reads who claimed an identifier. */
@@ -75,26 +75,26 @@
 const view = await inspectSubmission('sheet-2041', false, {self, register, findHolder, inspectRemote});
 ```
 */
-export const inspectSubmission = async (identifier: string, isCancelled: boolean, run: InspectionRun): Promise<JobView> => {
+export const inspectSubmission = async (identifier: string, isCancelled: boolean, context: InspectionContext): Promise<JobView> => {
 	try {
-		return await inspectAnywhere(identifier, isCancelled, run);
+		return await inspectAnywhere(identifier, isCancelled, context);
 	} catch (error) {
 		return {isAnswered: true, answer: answerUnknown(isFault(error) ? error.name : FaultKind.Internal, detailOf(error))};
 	}
 };
 
-const inspectAnywhere = async (identifier: string, isCancelled: boolean, run: InspectionRun): Promise<JobView> => {
-	const held = await inspectHeld(identifier, isCancelled, run.register);
+const inspectAnywhere = async (identifier: string, isCancelled: boolean, context: InspectionContext): Promise<JobView> => {
+	const held = await inspectHeld(identifier, isCancelled, context.register);
 	if (held) {
 		return held;
 	}
 
 	const parsed = parseIdentifier(identifier);
-	const holder = parsed?.kind === IdentifierKind.Minted ? parsed.holder : await run.findHolder(identifier);
+	const holder = parsed?.kind === IdentifierKind.Minted ? parsed.holder : await context.findHolder(identifier);
 	if (!holder) {
 		return {isAnswered: true, answer: answerUnknown(FaultKind.UnknownIdentifier, `no instance holds "${identifier}"`)};
 	}
 
-	const view = holder.incarnation === run.self.incarnation ? undefined : await run.inspectRemote(holder, identifier, isCancelled);
+	const view = holder.incarnation === context.self.incarnation ? undefined : await context.inspectRemote(holder, identifier, isCancelled);
 	return view ?? {isAnswered: true, answer: answerUnknown(FaultKind.AnswerDiscarded, `the holder of "${identifier}" no longer keeps it`)};
 };
--- a/packages/galenakeeld/src/request/relay-request.ts
+++ b/packages/galenakeeld/src/request/relay-request.ts
@@ -6,7 +6,7 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import type {RequestObserver} from './request-observer.js';
 import type {TraceScope} from './trace-scope.js';
-import {runTask, type StreamedTaskAnswer, type TaskRun} from './run-task.js';
+import {runTask, type StreamedTaskAnswer, type TaskContext} from './run-task.js';
 
 /**
 A single request without an identifier.
@@ -26,10 +26,10 @@
 /**
 What a relayed request needs from the process that takes it.
 */
-export type RelayRun = {
+export type RelayContext = {
 	readonly findVersion: (service: string) => ServiceVersion | undefined;
 	readonly admit: (version: ServiceVersion, submission: Pick<Submission, 'service' | 'team' | 'deadlineMilliseconds' | 'tasks'>) => SubmissionAnswer | undefined;
-	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
+	readonly taskContext: (version: ServiceVersion) => Pick<TaskContext, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
 };
 
 /**
@@ -51,21 +51,21 @@
 const answer = await relayRequest({service: 'paysheet', team: 'payroll', deadlineMilliseconds: 2000, task, signal}, run);
 ```
 */
-export const relayRequest = async (request: RelayedRequest, run: RelayRun): Promise<RelayAnswer> => {
-	const answer = await relay(request, run);
+export const relayRequest = async (request: RelayedRequest, context: RelayContext): Promise<RelayAnswer> => {
+	const answer = await relay(request, context);
 	const {outcome, fault, detail} = answer;
 	request.observer.end({outcome, ...(fault && {fault}), ...(detail !== undefined && {detail})});
 	return answer;
 };
 
-const relay = async (request: RelayedRequest, run: RelayRun): Promise<RelayAnswer> => {
-	const version = run.findVersion(request.service);
+const relay = async (request: RelayedRequest, context: RelayContext): Promise<RelayAnswer> => {
+	const version = context.findVersion(request.service);
 	if (!version) {
 		return refused(FaultKind.UnknownService, `no document in force names the service "${request.service}"`);
 	}
 
 	const deadlineMilliseconds = request.deadlineMilliseconds ?? version.document.deadlineMilliseconds;
-	const refusal = run.admit(version, {
+	const refusal = context.admit(version, {
 		service: request.service, team: request.team, deadlineMilliseconds, tasks: [{...request.task, body: new Uint8Array()}],
 	});
 	if (refusal) {
@@ -73,7 +73,7 @@
 	}
 
 	return runTask(request.task, {
-		...run.taskRun(version),
+		...context.taskContext(version),
 		version,
 		team: request.team,
 		deadlineAt: performance.now() + deadlineMilliseconds,
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -11,7 +11,7 @@
 import {SpanName} from '../process/span-name.js';
 import {holdAnswer} from './hold-answer.js';
 import type {Observe, RequestObserver} from './request-observer.js';
-import {runTask, type TaskRun} from './run-task.js';
+import {runTask, type TaskContext} from './run-task.js';
 import {fingerprintOf} from './submission-fingerprint.js';
 import {IdentifierKind, parseIdentifier, type IdentifierHolder} from './submission-identifier.js';
 import type {OpenTrace} from './trace-scope.js';
@@ -19,7 +19,7 @@
 /**
 What a submission needs from the process that takes it.
 */
-export type SubmissionRun = {
+export type SubmissionContext = {
 	readonly self: IdentifierHolder;
 	readonly register: SubmissionRegister;
 	readonly claim: (identifier: string, fingerprint: string, deadlineAt: number) => Promise<ClaimResult>;
@@ -32,7 +32,7 @@
 	readonly findVersion: (service: string) => ServiceVersion | undefined;
 	/** Refuses a submission that can't be served in time; `undefined` admits it. */
 	readonly admit: (version: ServiceVersion, submission: Submission) => SubmissionAnswer | undefined;
-	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
+	readonly taskContext: (version: ServiceVersion) => Pick<TaskContext, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
 	readonly observe: Observe;
 	readonly openTrace: OpenTrace;
 	/** Takes note that a repeat joined the submission that is kept. */
@@ -82,9 +82,9 @@
 	readonly observer: RequestObserver;
 };
 
-const runTasks = async ({submission, deadlineAt, observer}: Arrival, version: ServiceVersion, entry: SubmissionEntry, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	const span = run.openTrace(submission.traceparent).begin(SpanName.HolderRun, {job: submission.identifier, service: submission.service, tasks: submission.tasks.length});
-	const shared = run.taskRun(version);
+const runTasks = async ({submission, deadlineAt, observer}: Arrival, version: ServiceVersion, entry: SubmissionEntry, context: SubmissionContext): Promise<SubmissionAnswer> => {
+	const span = context.openTrace(submission.traceparent).begin(SpanName.HolderRun, {job: submission.identifier, service: submission.service, tasks: submission.tasks.length});
+	const shared = context.taskContext(version);
 	const runOne = async (task: Submission['tasks'][number]): Promise<TaskAnswer> => {
 		const answer = await runTask(task, {
 			...shared,
@@ -99,7 +99,7 @@
 			note: observer.note,
 			trace: span,
 		});
-		const held = await holdAnswer(answer, run.heldAnswerBytes);
+		const held = await holdAnswer(answer, context.heldAnswerBytes);
 		entry.finished++;
 		return held;
 	};
@@ -123,27 +123,27 @@
 
 @param right The minted identifier, or the nonce of the claim.
 */
-const runHeld = async (arrival: Arrival, right: string, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const runHeld = async (arrival: Arrival, right: string, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const {submission, fingerprint} = arrival;
 	const {identifier, tasks} = submission;
-	const existing = run.register.entryOf(identifier);
+	const existing = context.register.entryOf(identifier);
 	if (existing) {
 		return joinEntry(existing, fingerprint);
 	}
 
-	if (!run.register.redeem(right)) {
+	if (!context.register.redeem(right)) {
 		return discarded(identifier);
 	}
 
-	const entry = run.register.begin({
+	const entry = context.register.begin({
 		identifier, fingerprint, right, tasks: tasks.length,
 	}, async begun => {
-		const version = run.findVersion(submission.service);
+		const version = context.findVersion(submission.service);
 		if (!version) {
 			return refuse(FaultKind.UnknownService, `no document in force names the service "${submission.service}"`);
 		}
 
-		return run.admit(version, submission) ?? runTasks(arrival, version, begun, run);
+		return context.admit(version, submission) ?? runTasks(arrival, version, begun, context);
 	});
 	return entry.answer;
 };
@@ -151,23 +151,23 @@
 /**
 Hands a submission to another incarnation, unless that was an earlier run of this instance.
 */
-const forwardTo = async (holder: IdentifierHolder, {submission, deadlineAt, observer}: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	if (holder.instance === run.self.instance) {
+const forwardTo = async (holder: IdentifierHolder, {submission, deadlineAt, observer}: Arrival, context: SubmissionContext): Promise<SubmissionAnswer> => {
+	if (holder.instance === context.self.instance) {
 		return answerUnknown(FaultKind.HolderUnreachable, `the run of "${holder.instance}" that holds "${submission.identifier}" has ended`);
 	}
 
 	observer.note({kind: RecordStepKind.Forwarded, detail: `to ${holder.instance}, which holds the identifier`});
-	const span = run.openTrace(submission.traceparent).begin(SpanName.Forward, {job: submission.identifier, holder: holder.instance});
+	const span = context.openTrace(submission.traceparent).begin(SpanName.Forward, {job: submission.identifier, holder: holder.instance});
 	const deadlineMilliseconds = Math.max(1, Math.ceil(deadlineAt - performance.now()));
-	const answer = await run.forward(holder, {...submission, deadlineMilliseconds, traceparent: span.traceparent});
+	const answer = await context.forward(holder, {...submission, deadlineMilliseconds, traceparent: span.traceparent});
 	span.end({outcome: answer.outcome}, answer.fault);
 	return answer;
 };
 
-const submitMinted = async (arrival: Arrival, holder: IdentifierHolder, run: SubmissionRun): Promise<SubmissionAnswer> =>
-	holder.incarnation === run.self.incarnation
-		? runHeld(arrival, arrival.submission.identifier, run)
-		: forwardTo(holder, arrival, run);
+const submitMinted = async (arrival: Arrival, holder: IdentifierHolder, context: SubmissionContext): Promise<SubmissionAnswer> =>
+	holder.incarnation === context.self.incarnation
+		? runHeld(arrival, arrival.submission.identifier, context)
+		: forwardTo(holder, arrival, context);
 
 /** The result of a claim that its caller no longer waits for. */
 const lateClaim: ClaimResult = {state: ClaimState.Unavailable};
@@ -175,7 +175,7 @@
 /**
 Claims an identifier, but waits no longer than its caller.
 */
-const claimInTime = async ({submission, fingerprint, deadlineAt}: Arrival, run: SubmissionRun): Promise<ClaimResult> => {
+const claimInTime = async ({submission, fingerprint, deadlineAt}: Arrival, context: SubmissionContext): Promise<ClaimResult> => {
 	const stop = new AbortController();
 	const giveUp = async (): Promise<ClaimResult> => {
 		await sleep(Math.max(0, deadlineAt - performance.now()), undefined, {signal: stop.signal});
@@ -183,7 +183,7 @@
 	};
 
 	try {
-		return await Promise.race([run.claim(submission.identifier, fingerprint, deadlineAt), giveUp()]);
+		return await Promise.race([context.claim(submission.identifier, fingerprint, deadlineAt), giveUp()]);
 	} finally {
 		stop.abort();
 	}
@@ -194,10 +194,10 @@
 const describeClaim = (result: ClaimResult, self: IdentifierHolder): string =>
 	result.state === ClaimState.Held && result.claim.incarnation === self.incarnation ? ownClaim : result.state;
 
-const submitChosen = async (arrival: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const submitChosen = async (arrival: Arrival, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const {identifier, deadlineMilliseconds} = arrival.submission;
-	const result = await claimInTime(arrival, run);
-	arrival.observer.note({kind: RecordStepKind.Claimed, detail: describeClaim(result, run.self)});
+	const result = await claimInTime(arrival, context);
+	arrival.observer.note({kind: RecordStepKind.Claimed, detail: describeClaim(result, context.self)});
 	if (result.state === ClaimState.Unavailable) {
 		// The row may yet be written; a later attempt that finds it may run the submission.
 		const limit = result === lateClaim || performance.now() >= arrival.deadlineAt ? ` within the deadline of ${deadlineMilliseconds} ms` : '';
@@ -209,13 +209,13 @@
 		return mismatched(identifier);
 	}
 
-	if (claim.incarnation !== run.self.incarnation) {
-		return forwardTo(claim, arrival, run);
+	if (claim.incarnation !== context.self.incarnation) {
+		return forwardTo(claim, arrival, context);
 	}
 
 	// The row may be swept, and claimed by another instance, before a submission that begins late has ended.
-	const isNearSweep = Date.now() - claim.claimedAt > run.claimRetentionMilliseconds / 2;
-	return isNearSweep && !run.register.entryOf(identifier) ? discarded(identifier) : runHeld(arrival, claim.nonce, run);
+	const isNearSweep = Date.now() - claim.claimedAt > context.claimRetentionMilliseconds / 2;
+	return isNearSweep && !context.register.entryOf(identifier) ? discarded(identifier) : runHeld(arrival, claim.nonce, context);
 };
 
 /**
@@ -228,28 +228,28 @@
 const answer = await submit({identifier: 'sheet-2041', service: 'paysheet', …}, run);
 ```
 */
-export const submit = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
+export const submit = async (submission: Submission, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const parsed = parseIdentifier(submission.identifier);
 	if (!parsed) {
 		return refuse(FaultKind.BadIdentifier, `"${submission.identifier}" is not a valid identifier`);
 	}
 
 	const fingerprint = fingerprintOf(submission);
-	const held = run.register.entryOf(submission.identifier);
+	const held = context.register.entryOf(submission.identifier);
 	if (held) {
-		run.noteRepeat(submission.identifier);
+		context.noteRepeat(submission.identifier);
 		return joinEntry(held, fingerprint);
 	}
 
-	const observer = run.observe({
+	const observer = context.observe({
 		kind: ObservedKind.Job, identifier: submission.identifier, service: submission.service, detail: `${submission.tasks.length} tasks`,
 	});
 	const arrival: Arrival = {
 		submission, fingerprint, deadlineAt: performance.now() + submission.deadlineMilliseconds, observer,
 	};
 	const answer = await (parsed.kind === IdentifierKind.Minted
-		? submitMinted(arrival, parsed.holder, run)
-		: submitChosen(arrival, run));
+		? submitMinted(arrival, parsed.holder, context)
+		: submitChosen(arrival, context));
 	const {outcome, fault, detail} = answer;
 	observer.end({outcome, ...(fault && {fault}), ...(detail !== undefined && {detail})});
 	return answer;
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -35,7 +35,7 @@
 /**
 What a task needs from the process that runs it.
 */
-export type TaskRun = {
+export type TaskContext = {
 	/** The document version that the request keeps from start to end. */
 	readonly version: ServiceVersion;
 	readonly team: string;
@@ -65,17 +65,17 @@
 /** Statuses by which an endpoint says that it could not serve the request (RFC 9110, sections 15.6.3 to 15.6.5). */
 const retriableStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 
-const isResendable = (task: RunnableTask, run: TaskRun): boolean => run.version.document.idempotent && task.body instanceof Uint8Array;
+const isResendable = (task: RunnableTask, context: TaskContext): boolean => context.version.document.idempotent && task.body instanceof Uint8Array;
 
-const isRetriableAnswer = (answer: StreamedTaskAnswer, task: RunnableTask, run: TaskRun): boolean =>
-	retriableStatuses.has(answer.status) && !answer.rest && isResendable(task, run) && run.mayRetry();
+const isRetriableAnswer = (answer: StreamedTaskAnswer, task: RunnableTask, context: TaskContext): boolean =>
+	retriableStatuses.has(answer.status) && !answer.rest && isResendable(task, context) && context.mayRetry();
 
-const isRetriable = (record: StartRecord, task: RunnableTask, run: TaskRun, fault: FaultKind): boolean => {
+const isRetriable = (record: StartRecord, task: RunnableTask, context: TaskContext, fault: FaultKind): boolean => {
 	if (!record.hasStarted()) {
 		return fault === FaultKind.EndpointUnreachable;
 	}
 
-	return isResendable(task, run) && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && run.mayRetry();
+	return isResendable(task, context) && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && context.mayRetry();
 };
 
 const traceparentField = 'traceparent';
@@ -87,32 +87,32 @@
 	? task.headers
 	: [...task.headers.filter(([name]) => name.toLowerCase() !== traceparentField), [traceparentField, traceparent]];
 
-const attemptTask = async (task: RunnableTask, run: TaskRun, grant: SlotGrant, record: StartRecord): Promise<StreamedTaskAnswer> => {
+const attemptTask = async (task: RunnableTask, context: TaskContext, grant: SlotGrant, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const {endpoint} = grant;
 	const startedAt = performance.now();
-	const span = run.trace.begin(SpanName.EndpointExchange, {endpoint: endpoint.address});
+	const span = context.trace.begin(SpanName.EndpointExchange, {endpoint: endpoint.address});
 	const report = (isSuccess: boolean, fault?: FaultKind): void => {
 		const durationMilliseconds = performance.now() - startedAt;
-		run.report({
+		context.report({
 			endpoint, kind: task.kind, durationMilliseconds, isSuccess, ...(fault && {fault}),
 		});
-		run.note({
+		context.note({
 			kind: fault ? RecordStepKind.AttemptFailed : RecordStepKind.Answered, endpoint: endpoint.address, milliseconds: durationMilliseconds, ...(fault && {fault}),
 		});
 		span.end({}, fault);
 	};
 
 	try {
-		const answer = await run.send(endpoint.address, {
+		const answer = await context.send(endpoint.address, {
 			method: task.method,
 			path: task.path,
 			headers: headersOf(task, span),
 			body: task.body,
 			connections: endpoint.connections,
-			timeoutMilliseconds: Math.min(run.version.document.timeoutMilliseconds, Math.max(1, run.deadlineAt - startedAt)),
+			timeoutMilliseconds: Math.min(context.version.document.timeoutMilliseconds, Math.max(1, context.deadlineAt - startedAt)),
 			beforeFirstByte() {
 				record.start();
-				run.note({kind: RecordStepKind.Sent, endpoint: endpoint.address});
+				context.note({kind: RecordStepKind.Sent, endpoint: endpoint.address});
 			},
 		});
 		report(answer.status < firstServerError);
@@ -128,16 +128,16 @@
 /**
 Resolves as soon as the answer can be passed on; the slot stays taken until the body has ended.
 */
-const attemptOnFreeSlot = async (task: RunnableTask, run: TaskRun, demand: TaskDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
+const attemptOnFreeSlot = async (task: RunnableTask, context: TaskContext, demand: TaskDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const answered = createDeferred<StreamedTaskAnswer>();
 	const waitsSince = performance.now();
-	const wait = run.trace.begin(SpanName.SlotWait);
+	const wait = context.trace.begin(SpanName.SlotWait);
 	const attempt = async (): Promise<void> => {
 		try {
-			await run.withSlot(demand, async grant => {
+			await context.withSlot(demand, async grant => {
 				wait.end();
-				run.note({kind: RecordStepKind.SlotGranted, endpoint: grant.endpoint.address, milliseconds: performance.now() - waitsSince});
-				const answer = await attemptTask(task, run, grant, record);
+				context.note({kind: RecordStepKind.SlotGranted, endpoint: grant.endpoint.address, milliseconds: performance.now() - waitsSince});
+				const answer = await attemptTask(task, context, grant, record);
 				answered.resolve(answer);
 				if (answer.rest && !answer.rest.closed) {
 					await once(answer.rest, 'close');
@@ -178,37 +178,37 @@
 const answer = await runTask(task, {version, team: 'payroll', deadlineAt: performance.now() + 5000, …});
 ```
 */
-export const runTask = async (task: RunnableTask, run: TaskRun): Promise<StreamedTaskAnswer> => {
+export const runTask = async (task: RunnableTask, context: TaskContext): Promise<StreamedTaskAnswer> => {
 	const record = createStartRecord({
-		isIdempotent: run.version.document.idempotent,
-		deadlineAt: run.deadlineAt,
-		onFirstStart: run.onFirstStart,
-		...(run.signal && {signal: run.signal}),
+		isIdempotent: context.version.document.idempotent,
+		deadlineAt: context.deadlineAt,
+		onFirstStart: context.onFirstStart,
+		...(context.signal && {signal: context.signal}),
 	});
-	if (run.version.endpoints.length === 0) {
-		return answerOf(createFault(FaultKind.NoEndpoint, `the document of "${run.version.document.service}" names no endpoint`), record);
+	if (context.version.endpoints.length === 0) {
+		return answerOf(createFault(FaultKind.NoEndpoint, `the document of "${context.version.document.service}" names no endpoint`), record);
 	}
 
 	let demand: TaskDemand = {
-		kind: task.kind, team: run.team, deadlineAt: run.deadlineAt, ...(run.signal && {signal: run.signal}),
+		kind: task.kind, team: context.team, deadlineAt: context.deadlineAt, ...(context.signal && {signal: context.signal}),
 	};
 	for (let attempt = 1; ; attempt++) {
 		const isLast = attempt === maximumAttempts;
 		try {
-			const answer = await attemptOnFreeSlot(task, run, demand, record);
-			if (isLast || !isRetriableAnswer(answer, task, run)) {
+			const answer = await attemptOnFreeSlot(task, context, demand, record);
+			if (isLast || !isRetriableAnswer(answer, task, context)) {
 				return answer;
 			}
 
 			demand = {...demand, avoidedEndpoint: answer.endpoint};
-			run.note({kind: RecordStepKind.Retried});
+			context.note({kind: RecordStepKind.Retried});
 		} catch (error) {
 			const fault = isFault(error) ? error.name : FaultKind.Internal;
-			if (isLast || !isRetriable(record, task, run, fault)) {
+			if (isLast || !isRetriable(record, task, context, fault)) {
 				return answerOf(error, record);
 			}
 
-			run.note({kind: RecordStepKind.Retried});
+			context.note({kind: RecordStepKind.Retried});
 		}
 	}
 };
