--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -17,7 +17,7 @@
 	/** Terms of the owners by cell. */
 	terms: Map<string, number>;
 	submitted: Array<{readonly cell: string; readonly order: JobOrder}>;
-	withdrawn: string[];
+	cancelled: string[];
 	holdings: HeldJob[];
 	answer: JobAnswer | undefined;
 };
@@ -45,7 +45,7 @@
 	if (message.kind === FleetMessageKind.Submit) {
 		world.submitted.push({cell: message.cell, order: message.order});
 	} else if (message.kind === FleetMessageKind.Cancel) {
-		world.withdrawn.push(message.part);
+		world.cancelled.push(message.part);
 	}
 };
 
@@ -62,7 +62,7 @@
 	this.heldJobs = createHeldJobs();
 	this.terms = new Map([['north', 1], ['south', 1]]);
 	this.submitted = [];
-	this.withdrawn = [];
+	this.cancelled = [];
 	this.holdings = [];
 	this.answer = undefined;
 	const hold = async (): Promise<void> => {
@@ -181,5 +181,5 @@
 });
 
 Then('part {string} was withdrawn', function (this: HolderWorld, part: string) {
-	assert.ok(this.withdrawn.includes(part));
+	assert.ok(this.cancelled.includes(part));
 });
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -32,7 +32,7 @@
 };
 
 /** An answer later than this many objectives is worth nothing. */
-const worthlessObjectives = 3;
+const expiryObjectives = 3;
 const ownerWaitMilliseconds = 400;
 const retryWithoutCellMilliseconds = 2000;
 const firstPart = '0';
@@ -56,7 +56,7 @@
 };
 
 /** What a part's stay at an owner came to. */
-enum StayEnd {
+enum AssignmentEnd {
 	/** All its tasks have succeeded, or other parts have them. */
 	Done = 'done',
 	/** Nothing of the part has run there. */
@@ -67,9 +67,9 @@
 	JobEnded = 'job-ended',
 }
 
-type Stay
-	= | {readonly end: StayEnd.Done | StayEnd.OwnerLost}
-		| {readonly end: StayEnd.Refused | StayEnd.JobEnded; readonly answer: JobAnswer};
+type AssignmentResult
+	= | {readonly end: AssignmentEnd.Done | AssignmentEnd.OwnerLost}
+		| {readonly end: AssignmentEnd.Refused | AssignmentEnd.JobEnded; readonly answer: JobAnswer};
 
 const positionsOf = (job: Job): readonly string[] =>
 	job.steps.flatMap(({tasks}, step) => Array.from({length: tasks}, (_, index) => positionOf({step, index})));
@@ -90,13 +90,13 @@
 	const allPositions = positionsOf(job);
 	const answer = createDeferred<JobAnswer>();
 	/** Parts that are under way. */
-	const held = new Map<JobPart, HeldJob>();
+	const heldParts = new Map<JobPart, HeldJob>();
 	let hasStarted = false;
 	/** The job has its answer. */
-	let isOver = false;
+	let isAnswered = false;
 
 	/** While a single part has tasks and nothing has started, the job can still be refused; a part whose tasks all went elsewhere is about to end. */
-	const isCommitted = (): boolean => hasStarted || [...held.keys()].filter(({positions}) => positions.size > 0).length > 1;
+	const isCommitted = (): boolean => hasStarted || [...heldParts.keys()].filter(({positions}) => positions.size > 0).length > 1;
 
 	const createOrder = (part: JobPart): JobOrder => {
 		part.wasCommitted = isCommitted();
@@ -110,7 +110,7 @@
 			mostAttempts: queue.mostAttempts,
 			objectiveMilliseconds: objective,
 			dueInMilliseconds: objective - age,
-			worthlessInMilliseconds: (worthlessObjectives * objective) - age,
+			worthlessInMilliseconds: (expiryObjectives * objective) - age,
 			excluded: allPositions.filter(position => !part.positions.has(position)),
 			generation: part.generation,
 			highestToken: part.highestTokens.get(part.cell) ?? 0,
@@ -130,12 +130,12 @@
 	};
 
 	/** Follows a part at one owner until it has ended or has to move. */
-	const stayAt = async (part: JobPart, owner: CellOwner, {updates}: HeldJob): Promise<Stay> => {
+	const assignPart = async (part: JobPart, owner: CellOwner, {updates}: HeldJob): Promise<AssignmentResult> => {
 		const submit = (): void => {
 			options.send(owner, {kind: FleetMessageKind.Submit, cell: part.cell, order: createOrder(part)});
 		};
 
-		const withdraw = (): void => {
+		const cancel = (): void => {
 			options.send(owner, {
 				kind: FleetMessageKind.Cancel, cell: part.cell, job: job.identifier, part: part.name,
 			});
@@ -158,17 +158,17 @@
 				case FleetMessageKind.End: {
 					// The news of the start may have been lost.
 					hasStarted = true;
-					return one.isComplete ? {end: StayEnd.Done} : {end: StayEnd.JobEnded, answer: {end: JobEnd.Failed}};
+					return one.isComplete ? {end: AssignmentEnd.Done} : {end: AssignmentEnd.JobEnded, answer: {end: JobEnd.Failed}};
 				}
 
 				case FleetMessageKind.Refuse: {
-					return {end: StayEnd.Refused, answer: {end: JobEnd.Refused, reason: one.reason, retryAfterMilliseconds: one.retryAfterMilliseconds}};
+					return {end: AssignmentEnd.Refused, answer: {end: JobEnd.Refused, reason: one.reason, retryAfterMilliseconds: one.retryAfterMilliseconds}};
 				}
 
 				case FleetMessageKind.Redirect: {
 					split(part, one);
 					if (part.positions.size === 0) {
-						return {end: StayEnd.Done};
+						return {end: AssignmentEnd.Done};
 					}
 
 					break;
@@ -181,25 +181,25 @@
 
 				case HolderEvent.OwnerLost: {
 					// One that is still there must not start what the next one starts.
-					withdraw();
-					return {end: StayEnd.OwnerLost};
+					cancel();
+					return {end: AssignmentEnd.OwnerLost};
 				}
 
 				case HolderEvent.CallerDisconnected: {
-					withdraw();
-					return {end: StayEnd.JobEnded, answer: {end: JobEnd.Cancelled}};
+					cancel();
+					return {end: AssignmentEnd.JobEnded, answer: {end: JobEnd.Cancelled}};
 				}
 			}
 		}
 
-		return {end: StayEnd.JobEnded, answer: {end: undefined}};
+		return {end: AssignmentEnd.JobEnded, answer: {end: undefined}};
 	};
 
 	/** Finds a cell with an owner; one that may run tasks of the part goes first, for as long as they can run. */
 	const findOwnerFor = async (part: JobPart): Promise<CellOwner | undefined> => {
-		const patience = part.generation === 0 ? ownerWaitMilliseconds : options.leaseMilliseconds;
+		const ownerWaitLimitMilliseconds = part.generation === 0 ? ownerWaitMilliseconds : options.leaseMilliseconds;
 		for (const candidate of new Set([part.cell, options.homeCell, ...options.otherCells()])) {
-			const owner = await options.awaitOwner(candidate, candidate === part.cell ? patience : 0);
+			const owner = await options.awaitOwner(candidate, candidate === part.cell ? ownerWaitLimitMilliseconds : 0);
 			if (owner) {
 				part.cell = candidate;
 				return owner;
@@ -210,10 +210,10 @@
 	};
 
 	/** Lets a part stay at one owner after the other. Returns undefined when its tasks have succeeded, and the answer to the job otherwise. */
-	const followPart = async (part: JobPart, holding: HeldJob): Promise<JobAnswer | undefined> => {
+	const runPart = async (part: JobPart, heldJob: HeldJob): Promise<JobAnswer | undefined> => {
 		for (;;) {
 			const owner = await findOwnerFor(part);
-			if (isOver) {
+			if (isAnswered) {
 				return {end: JobEnd.Cancelled};
 			}
 
@@ -221,22 +221,22 @@
 				return part.generation === 0 && !isCommitted() ? {end: JobEnd.Refused, reason: RefusalReason.NoCell, retryAfterMilliseconds: retryWithoutCellMilliseconds} : {end: undefined};
 			}
 
-			holding.setOwner(part.cell, owner);
-			const stay = await stayAt(part, owner, holding);
-			holding.setOwner(part.cell, undefined);
-			switch (stay.end) {
-				case StayEnd.Done: {
+			heldJob.setOwner(part.cell, owner);
+			const result = await assignPart(part, owner, heldJob);
+			heldJob.setOwner(part.cell, undefined);
+			switch (result.end) {
+				case AssignmentEnd.Done: {
 					return undefined;
 				}
 
-				case StayEnd.JobEnded: {
-					return stay.answer;
+				case AssignmentEnd.JobEnded: {
+					return result.answer;
 				}
 
-				case StayEnd.Refused: {
+				case AssignmentEnd.Refused: {
 					const isAtHome = part.cell === options.homeCell;
 					if (isAtHome && part.generation === 0 && !isCommitted()) {
-						return stay.answer;
+						return result.answer;
 					}
 
 					// Owners may have started what this one refuses, and it won't take it.
@@ -248,7 +248,7 @@
 					break;
 				}
 
-				case StayEnd.OwnerLost: {
+				case AssignmentEnd.OwnerLost: {
 					part.generation++;
 					part.highestTokens.set(part.cell, Math.max(part.highestTokens.get(part.cell) ?? 0, owner.token));
 				}
@@ -258,13 +258,13 @@
 
 	async function holdPart(part: JobPart): Promise<void> {
 		const holding = options.hold(part.name);
-		held.set(part, holding);
+		heldParts.set(part, holding);
 		try {
-			const partAnswer = await followPart(part, holding);
-			held.delete(part);
+			const partAnswer = await runPart(part, holding);
+			heldParts.delete(part);
 			if (partAnswer) {
 				answer.resolve(partAnswer);
-			} else if (held.size === 0) {
+			} else if (heldParts.size === 0) {
 				answer.resolve({end: JobEnd.Complete});
 			}
 		} catch (error) {
@@ -280,8 +280,8 @@
 	try {
 		return await answer.promise;
 	} finally {
-		isOver = true;
-		for (const {updates} of held.values()) {
+		isAnswered = true;
+		for (const {updates} of heldParts.values()) {
 			updates.push({kind: HolderEvent.CallerDisconnected});
 		}
 	}
