--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -88,7 +88,7 @@
 		register,
 		claim: claims.claim,
 		claimRetentionMilliseconds: retentionMilliseconds,
-		heldAnswerBytes: 1000,
+		maximumAnswerBytes: 1000,
 		forward: async () => refuse(FaultKind.Internal, 'forwarded'),
 		findVersion: () => versionWithoutEndpoints,
 		admit(_version, submission) {
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -192,7 +192,7 @@
 		register,
 		claim: claims.claim,
 		claimRetentionMilliseconds: settings.claims.retentionMilliseconds,
-		heldAnswerBytes: settings.answers.maximumBytes,
+		maximumAnswerBytes: settings.answers.maximumBytes,
 		forward: holders.forward,
 		findVersion: catalogue.versionOf,
 		admit: dispatchers.admit,
--- a/packages/galenakeeld/src/process/tracing.ts
+++ b/packages/galenakeeld/src/process/tracing.ts
@@ -7,7 +7,7 @@
 	BatchSpanProcessor, NodeTracerProvider, ParentBasedSampler, TraceIdRatioBasedSampler, type SpanExporter,
 } from '@opentelemetry/sdk-trace-node';
 import {
-	type OpenTrace, type SpanFacts, type TraceScope, type TraceSpan,
+	type OpenTrace, type SpanAttributes, type TraceScope, type TraceSpan,
 } from '../request/trace-scope.js';
 import {openUntraced} from './untraced.js';
 import {encodeTraceparent, parseTraceparent} from './traceparent.js';
@@ -24,10 +24,10 @@
 	readonly stop: () => Promise<void>;
 };
 
-const prefixFacts = (facts: SpanFacts): SpanFacts =>
+const prefixFacts = (facts: SpanAttributes): SpanAttributes =>
 	Object.fromEntries(Object.entries(facts).map(([name, value]) => [`galenakeel.${name}`, value]));
 
-const beginSpan = (tracer: Tracer, parent: Context, name: SpanName, facts: SpanFacts): TraceSpan => {
+const beginSpan = (tracer: Tracer, parent: Context, name: SpanName, facts: SpanAttributes): TraceSpan => {
 	const span = tracer.startSpan(name, {attributes: prefixFacts(facts)}, parent);
 	const context = trace.setSpan(ROOT_CONTEXT, span);
 	return {
--- a/packages/galenakeeld/src/request/hold-answer.ts
+++ b/packages/galenakeeld/src/request/buffer-answer.ts
@@ -30,7 +30,7 @@
 const answer = await holdAnswer(await runTask(task, run), 2 ** 26);
 ```
 */
-export const holdAnswer = async (answer: StreamedTaskAnswer, limitBytes: number): Promise<TaskAnswer> => {
+export const bufferAnswer = async (answer: StreamedTaskAnswer, limitBytes: number): Promise<TaskAnswer> => {
 	const {rest, ...beginning} = answer;
 	if (!rest) {
 		return answer;
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -9,7 +9,7 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import {ObservedKind} from '../process/observed-kind.js';
 import {SpanName} from '../process/span-name.js';
-import {holdAnswer} from './hold-answer.js';
+import {bufferAnswer} from './buffer-answer.js';
 import type {Observe, RequestObserver} from './request-observer.js';
 import {runTask, type TaskContext} from './run-task.js';
 import {fingerprintOf} from './submission-fingerprint.js';
@@ -26,7 +26,7 @@
 	/** Time for which a claim is kept, in milliseconds. */
 	readonly claimRetentionMilliseconds: number;
 	/** Longest answer of one task that is held. */
-	readonly heldAnswerBytes: number;
+	readonly maximumAnswerBytes: number;
 	/** Hands a submission to its holder; never throws. */
 	readonly forward: (holder: IdentifierHolder, submission: Submission) => Promise<SubmissionAnswer>;
 	readonly findVersion: (service: string) => ServiceVersion | undefined;
@@ -99,7 +99,7 @@
 			note: observer.note,
 			trace: span,
 		});
-		const held = await holdAnswer(answer, context.heldAnswerBytes);
+		const held = await bufferAnswer(answer, context.maximumAnswerBytes);
 		entry.finished++;
 		return held;
 	};
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -130,13 +130,13 @@
 */
 const attemptOnFreeSlot = async (task: RunnableTask, context: TaskContext, demand: TaskDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const answered = createDeferred<StreamedTaskAnswer>();
-	const waitsSince = performance.now();
-	const wait = context.trace.begin(SpanName.SlotWait);
+	const waitStartedAt = performance.now();
+	const waitSpan = context.trace.begin(SpanName.SlotWait);
 	const attempt = async (): Promise<void> => {
 		try {
 			await context.withSlot(demand, async grant => {
-				wait.end();
-				context.note({kind: RecordStepKind.SlotGranted, endpoint: grant.endpoint.address, milliseconds: performance.now() - waitsSince});
+				waitSpan.end();
+				context.note({kind: RecordStepKind.SlotGranted, endpoint: grant.endpoint.address, milliseconds: performance.now() - waitStartedAt});
 				const answer = await attemptTask(task, context, grant, record);
 				answered.resolve(answer);
 				if (answer.rest && !answer.rest.closed) {
@@ -145,7 +145,7 @@
 			});
 		} catch (error) {
 			// A span that has ended stays as it is.
-			wait.end();
+			waitSpan.end();
 			answered.reject(error);
 		}
 	};
--- a/packages/galenakeeld/src/request/trace-scope.ts
+++ b/packages/galenakeeld/src/request/trace-scope.ts
@@ -3,7 +3,7 @@
 /**
 Attributes of a span.
 */
-export type SpanFacts = Readonly<Record<string, string | number>>;
+export type SpanAttributes = Readonly<Record<string, string | number>>;
 
 /**
 A place in a trace under which spans begin.
@@ -11,7 +11,7 @@
 export type TraceScope = {
 	/** W3C trace context to pass on; the empty string when the request is not traced here. */
 	readonly traceparent: string;
-	readonly begin: (name: SpanName, facts?: SpanFacts) => TraceSpan;
+	readonly begin: (name: SpanName, facts?: SpanAttributes) => TraceSpan;
 };
 
 /**
@@ -19,7 +19,7 @@
 */
 export type TraceSpan = TraceScope & {
 	/** Ends the span; a fault marks it as failed. */
-	readonly end: (facts?: SpanFacts, fault?: string) => void;
+	readonly end: (facts?: SpanAttributes, fault?: string) => void;
 };
 
 /**
