Reword comments of the request modules and steps of the job holder

Several comments were figurative or left out what a value means. They now state what the code does and why, and the scenarios use the terms redirect, cancel and home cell.

--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -14,7 +14,7 @@
 
 type HolderWorld = {
 	heldJobs: HeldJobs;
-	/** Terms of the owners by cell. */
+	/** Terms of the owners, by cell. A cell without an entry has no owner. */
 	terms: Map<string, number>;
 	submitted: Array<{readonly cell: string; readonly order: JobOrder}>;
 	cancelled: string[];
@@ -49,7 +49,7 @@
 	}
 };
 
-/** Lets the holder take what it was sent. */
+/** Waits until the holder has processed the updates sent to it. */
 const settle = async (): Promise<void> => {
 	await turn();
 	await turn();
@@ -89,7 +89,7 @@
 	await settle();
 });
 
-When('the owner of {string} hands the tasks {string} of part {string} to {string} as part {string}', async function (this: HolderWorld, owner: string, positions: string, part: string, cell: string, newPart: string) {
+When('the owner of {string} redirects the tasks {string} of part {string} to {string} as part {string}', async function (this: HolderWorld, owner: string, positions: string, part: string, cell: string, newPart: string) {
 	this.heldJobs.deliver(owner, {
 		kind: FleetMessageKind.Redirect, job: identifier, part, newPart, positions: splitNames(positions), cell,
 	});
@@ -130,13 +130,13 @@
 	await settle();
 });
 
-When('the owner of {string} is lost, and nobody takes the cell over', async function (this: HolderWorld, cell: string) {
+When('the owner of {string} is lost, and no other instance claims the cell', async function (this: HolderWorld, cell: string) {
 	this.terms.delete(cell);
 	this.heldJobs.checkOwners(name => this.terms.has(name) ? {address: name, term: this.terms.get(name)!, token: this.terms.get(name)!} : undefined);
 	await settle();
 });
 
-When('the caller leaves', async function (this: HolderWorld) {
+When('the caller disconnects', async function (this: HolderWorld) {
 	for (const {updates} of this.holdings) {
 		updates.push({kind: HolderEvent.CallerDisconnected});
 	}
@@ -180,6 +180,6 @@
 	assert.ok(!ordersOf(this, part).at(-1)!.order.isCommitted);
 });
 
-Then('part {string} was withdrawn', function (this: HolderWorld, part: string) {
+Then('part {string} was cancelled', function (this: HolderWorld, part: string) {
 	assert.ok(this.cancelled.includes(part));
 });
--- a/packages/galenakeeld/src/request/buffer-answer.ts
+++ b/packages/galenakeeld/src/request/buffer-answer.ts
@@ -21,13 +21,14 @@
 };
 
 /**
-Reads the remainder of an answer, so that it can be repeated. An answer that breaks off, or is too long to be held, is none.
+Reads the rest of an answer's body into memory, so that the answer can be sent again to a repeated submission. An answer that breaks off, or exceeds the limit, becomes a failed one without a body.
 
-@returns The whole answer, or the task as failed; never throws.
+@param limitBytes Maximum size of the buffered body.
+@returns The complete answer, or a failed one with the fault; never throws.
 
 @example
 ```
-const answer = await holdAnswer(await runTask(task, run), 2 ** 26);
+const answer = await holdAnswer(await runTask(task, context), 2 ** 26);
 ```
 */
 export const bufferAnswer = async (answer: StreamedTaskAnswer, limitBytes: number): Promise<TaskAnswer> => {
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -15,55 +15,55 @@
 export type JobAnswer
 	= | {readonly end: JobEnd.Complete | JobEnd.Failed | JobEnd.Cancelled}
 		| {readonly end: JobEnd.Refused; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number}
-	/** Undefined end: whether the job has run can't be known. */
+	/** Undefined end: it is unknown whether the job has run. */
 		| {readonly end: undefined};
 
 export type HoldOptions = {
 	readonly homeCell: string;
-	/** Begins to hear the news of a part. */
+	/** Subscribes to the updates of a part. */
 	readonly hold: (part: string) => HeldJob;
-	/** Waits for an owner of a cell; undefined when there is none in reach in that time. */
+	/** Waits for a reachable owner of a cell; undefined when there is none within that time. */
 	readonly awaitOwner: (cell: string, waitMilliseconds: number) => Promise<CellOwner | undefined>;
-	/** Other cells that are in reach, the least busy first. */
+	/** Other cells with a reachable owner, the least busy first. */
 	readonly otherCells: () => readonly string[];
 	readonly send: (owner: CellOwner, message: FleetMessage) => void;
-	/** Longest time for which a run can go on that nobody extends, in milliseconds. */
+	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
 	readonly leaseMilliseconds: number;
 };
 
-/** An answer later than this many objectives is worth nothing. */
+/** The answer of a job expires after this many objectives. */
 const expiryObjectives = 3;
 const ownerWaitMilliseconds = 400;
 const retryWithoutCellMilliseconds = 2000;
 const firstPart = '0';
 
 /**
-Tasks of a job that one owner at a time has.
+A subset of a job's tasks, assigned to one owner at a time.
 */
 type JobPart = {
 	readonly name: string;
 	cell: string;
-	/** Tasks that have not succeeded, as far as this daemon knows. */
+	/** Tasks that this daemon doesn't know to have succeeded. */
 	readonly positions: Set<string>;
-	/** Owners that were lost while they had the part. */
+	/** Number of owners lost while the part was assigned to them. */
 	generation: number;
-	/** Highest token of these owners, by cell: the endpoints of another cell never saw it. */
+	/** Highest fencing token of these owners, by cell, since the endpoints of one cell never receive the tokens of another. */
 	readonly highestTokens: Map<string, number>;
-	/** How often owners have handed the tasks to another cell. */
+	/** Number of times that owners have redirected the tasks to another cell. */
 	readonly moves: number;
-	/** Its last owner was told that it can't be refused. */
+	/** The last order for the part said that it can't be refused. */
 	wasCommitted: boolean;
 };
 
-/** What a part's stay at an owner came to. */
+/** How the assignment of a part to an owner ended. */
 enum AssignmentEnd {
-	/** All its tasks have succeeded, or other parts have them. */
+	/** All its tasks have succeeded or were moved to other parts. */
 	Done = 'done',
-	/** Nothing of the part has run there. */
+	/** The owner refused the part and has run none of its tasks. */
 	Refused = 'refused',
-	/** The owner is gone, or has been replaced. */
+	/** The owner is unreachable or has been replaced. */
 	OwnerLost = 'owner-lost',
-	/** The job has ended otherwise. */
+	/** The job has ended in another way. */
 	JobEnded = 'job-ended',
 }
 
@@ -75,9 +75,9 @@
 	job.steps.flatMap(({tasks}, step) => Array.from({length: tasks}, (_, index) => positionOf({step, index})));
 
 /**
-Holds a job for its caller: hands it to the owner of a cell, hands tasks that this one can't start to the owners of others, and the tasks of a lost owner to the next one, until the job has ended.
+Holds a job for its caller until the job has ended: assigns it to the owner of its home cell, reassigns redirected tasks to the owners of other cells, and reassigns the tasks of a lost owner to its successor.
 
-The objective is the queue's factor times the longest chain of estimates, and the queue's milliseconds.
+The latency objective is the critical path of the estimates times the queue's `objectiveFactor`, plus the queue's `objectiveMilliseconds`.
 
 @example
 ```
@@ -89,13 +89,13 @@
 	const objective = (queue.objectiveFactor * longestChain(job.steps)) + queue.objectiveMilliseconds;
 	const allPositions = positionsOf(job);
 	const answer = createDeferred<JobAnswer>();
-	/** Parts that are under way. */
+	/** Parts that have not ended. */
 	const heldParts = new Map<JobPart, HeldJob>();
 	let hasStarted = false;
-	/** The job has its answer. */
+	/** The job has been answered, or this call has failed. */
 	let isAnswered = false;
 
-	/** While a single part has tasks and nothing has started, the job can still be refused; a part whose tasks all went elsewhere is about to end. */
+	/** The job can be refused while nothing has started and only one part has tasks. Parts without tasks don't count: all their tasks were redirected, and they are about to end. */
 	const isCommitted = (): boolean => hasStarted || [...heldParts.keys()].filter(({positions}) => positions.size > 0).length > 1;
 
 	const createOrder = (part: JobPart): JobOrder => {
@@ -119,7 +119,7 @@
 		};
 	};
 
-	/** Takes tasks out of a part for another cell; those that it no longer has were taken out before. */
+	/** Moves tasks of a part to a new part in another cell. A repeated redirect finds them already moved and does nothing. */
 	const split = (part: JobPart, {positions, newPart, cell}: Redirect): void => {
 		const moved = positions.filter(position => part.positions.delete(position));
 		if (moved.length > 0) {
@@ -129,7 +129,7 @@
 		}
 	};
 
-	/** Follows a part at one owner until it has ended or has to move. */
+	/** Assigns a part to an owner and processes its updates until the part has ended or needs another owner. */
 	const assignPart = async (part: JobPart, owner: CellOwner, {updates}: HeldJob): Promise<AssignmentResult> => {
 		const submit = (): void => {
 			options.send(owner, {kind: FleetMessageKind.Submit, cell: part.cell, order: createOrder(part)});
@@ -156,7 +156,7 @@
 				}
 
 				case FleetMessageKind.End: {
-					// The news of the start may have been lost.
+					// The update that reports the start may have been lost.
 					hasStarted = true;
 					return one.isComplete ? {end: AssignmentEnd.Done} : {end: AssignmentEnd.JobEnded, answer: {end: JobEnd.Failed}};
 				}
@@ -180,7 +180,7 @@
 				}
 
 				case HolderEvent.OwnerLost: {
-					// One that is still there must not start what the next one starts.
+					// An owner that is still running must not start tasks that its successor starts.
 					cancel();
 					return {end: AssignmentEnd.OwnerLost};
 				}
@@ -195,7 +195,7 @@
 		return {end: AssignmentEnd.JobEnded, answer: {end: undefined}};
 	};
 
-	/** Finds a cell with an owner; one that may run tasks of the part goes first, for as long as they can run. */
+	/** Finds a cell with an owner. The part's own cell comes first; after a lost owner, the wait for a successor lasts as long as the lease, because tasks may still run there. */
 	const findOwnerFor = async (part: JobPart): Promise<CellOwner | undefined> => {
 		const ownerWaitLimitMilliseconds = part.generation === 0 ? ownerWaitMilliseconds : options.leaseMilliseconds;
 		for (const candidate of new Set([part.cell, options.homeCell, ...options.otherCells()])) {
@@ -209,7 +209,7 @@
 		return undefined;
 	};
 
-	/** Lets a part stay at one owner after the other. Returns undefined when its tasks have succeeded, and the answer to the job otherwise. */
+	/** Assigns a part to one owner after another. Returns undefined when its tasks have succeeded or were moved, and the answer to the job otherwise. */
 	const runPart = async (part: JobPart, heldJob: HeldJob): Promise<JobAnswer | undefined> => {
 		for (;;) {
 			const owner = await findOwnerFor(part);
@@ -239,7 +239,7 @@
 						return result.answer;
 					}
 
-					// Owners may have started what this one refuses, and it won't take it.
+					// Tasks of the part may have been started by a lost owner, or the home cell refuses a committed part: no owner is left to ask.
 					if (part.generation > 0 || (isAtHome && part.wasCommitted)) {
 						return {end: undefined};
 					}
--- a/packages/galenakeeld/src/request/holder-calls.ts
+++ b/packages/galenakeeld/src/request/holder-calls.ts
@@ -9,19 +9,20 @@
 const forwardMarginMilliseconds = 1000;
 
 /**
-Calls to the incarnation that holds an identifier.
+Calls to the incarnation that holds a submission identifier.
 */
 export type HolderCalls = {
-	/** Hands a submission to its holder; never throws. */
+	/** Forwards a submission to its holder; never throws. */
 	readonly forward: (holder: IdentifierHolder, submission: Submission) => Promise<SubmissionAnswer>;
-	/** Looks at a submission at its holder, or cancels it. @throws A fault of kind `HolderUnreachable`. */
+	/** Reads the state of a submission from its holder, and cancels it on request. @throws A fault of kind `HolderUnreachable`. */
 	readonly inspect: RemoteInspection;
 };
 
 /**
 Creates the calls to holders.
 
-@param callsOf Finds the calls to an instance by its name.
+@param callsOf Returns the calls to an instance by its name; `undefined` when it is not listed.
+@param callTimeoutMilliseconds Time limit of an inspection. A forwarded submission has its own deadline plus a margin.
 */
 export const createHolderCalls = (callsOf: (instance: string) => PeerCalls | undefined, callTimeoutMilliseconds: number): HolderCalls => {
 	const reach = (holder: IdentifierHolder, identifier: string): PeerCalls => {
--- a/packages/galenakeeld/src/request/inspect-submission.ts
+++ b/packages/galenakeeld/src/request/inspect-submission.ts
@@ -5,11 +5,11 @@
 import {IdentifierKind, parseIdentifier, type IdentifierHolder} from './submission-identifier.js';
 
 /**
-How far a job without an answer has come.
+The progress of a job that has no answer yet.
 */
 export type JobProgress = {
 	readonly state: SubmissionState;
-	/** Number of tasks in all, of those sent to an endpoint, and of those with an answer. */
+	/** Number of all tasks, of those sent to an endpoint, and of those with an answer. */
 	readonly tasks: number;
 	readonly started: number;
 	readonly finished: number;
@@ -23,7 +23,7 @@
 		| ({readonly isAnswered: false} & JobProgress);
 
 /**
-What is learned of a submission at its holder; `undefined` when the holder does not keep it.
+Reads the state of a submission from its holder, and cancels it if `isCancelled`; `undefined` when the holder does not keep it.
 */
 export type RemoteInspection = (holder: IdentifierHolder, identifier: string, isCancelled: boolean) => Promise<JobView | undefined>;
 
@@ -39,7 +39,7 @@
 };
 
 /**
-Looks at a submission that this incarnation holds, or cancels it; `undefined` when it is not kept here.
+Returns the state of a submission that this incarnation holds, and cancels it if `isCancelled`; `undefined` when it is not kept here.
 */
 export const inspectHeld = async (identifier: string, isCancelled: boolean, register: SubmissionRegister): Promise<JobView | undefined> => {
 	const entry = register.entryOf(identifier);
@@ -55,20 +55,20 @@
 };
 
 /**
-What an inspection needs from the process.
+The state and functions of the process that an inspection uses.
 */
 export type InspectionContext = {
 	readonly self: IdentifierHolder;
 	readonly register: SubmissionRegister;
-	/** Reads who claimed an identifier. */
+	/** Reads which incarnation claimed an identifier. */
 	readonly findHolder: (identifier: string) => Promise<IdentifierHolder | undefined>;
 	readonly inspectRemote: RemoteInspection;
 };
 
 /**
-Looks at a submission wherever it is held, or cancels it.
+Reads the state of a submission from the incarnation that holds it, and cancels it if `isCancelled`.
 
-@returns The state of the submission, or an answer whose outcome is unknown when nothing can be learned; never throws.
+@returns The state of the submission, or an answer whose outcome is unknown when no holder can report it; never throws.
 
 @example
 ```
--- a/packages/galenakeeld/src/request/relay-request.ts
+++ b/packages/galenakeeld/src/request/relay-request.ts
@@ -14,17 +14,17 @@
 export type RelayedRequest = {
 	readonly service: string;
 	readonly team: string;
-	/** Time that the caller grants; `undefined` takes the deadline of the document. */
+	/** Deadline set by the caller; `undefined` applies the deadline of the document. */
 	readonly deadlineMilliseconds: number | undefined;
 	readonly task: Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
-	/** Aborts when the caller has gone. */
+	/** Aborts when the caller has disconnected. */
 	readonly signal: AbortSignal;
 	readonly observer: RequestObserver;
 	readonly trace: TraceScope;
 };
 
 /**
-What a relayed request needs from the process that takes it.
+The functions of the process that a relayed request uses.
 */
 export type RelayContext = {
 	readonly findVersion: (service: string) => ServiceVersion | undefined;
@@ -33,7 +33,7 @@
 };
 
 /**
-The answer to a relayed request, with the time after which a refused one may be sent again.
+The answer to a relayed request, with the time after which a refused request may be sent again.
 */
 export type RelayAnswer = StreamedTaskAnswer & {readonly retryAfterMilliseconds?: number};
 
@@ -48,7 +48,7 @@
 
 @example
 ```
-const answer = await relayRequest({service: 'paysheet', team: 'payroll', deadlineMilliseconds: 2000, task, signal}, run);
+const answer = await relayRequest({service: 'paysheet', team: 'payroll', deadlineMilliseconds: 2000, task, signal}, context);
 ```
 */
 export const relayRequest = async (request: RelayedRequest, context: RelayContext): Promise<RelayAnswer> => {
@@ -79,7 +79,7 @@
 		deadlineAt: performance.now() + deadlineMilliseconds,
 		signal: request.signal,
 		onFirstStart() {
-			// A request without an identifier keeps no state beyond its own start record.
+			// A request without an identifier has no submission entry to update.
 		},
 		note: request.observer.note,
 		trace: request.trace,
--- a/packages/galenakeeld/src/request/request-observer.ts
+++ b/packages/galenakeeld/src/request/request-observer.ts
@@ -4,7 +4,7 @@
 import type {ObservedKind} from '../process/observed-kind.js';
 
 /**
-A step of a request or of one of its tasks, as it happens.
+A step of a request or of one of its tasks.
 */
 export type ObservedStep = {
 	readonly kind: RecordStepKind;
@@ -16,7 +16,7 @@
 };
 
 /**
-Takes note of a step, for records and metrics. It is called on the path of every task, so it must be cheap.
+Records a step for request records and metrics. It is called several times for every task, so it must be cheap.
 */
 export type NoteStep = (step: ObservedStep) => void;
 
@@ -34,6 +34,6 @@
 };
 
 /**
-Begins to observe a request or job.
+Starts the observation of a request or job.
 */
 export type Observe = (subject: {readonly kind: ObservedKind; readonly identifier: string; readonly service: string; readonly detail?: string}) => RequestObserver;
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -17,17 +17,17 @@
 import type {OpenTrace} from './trace-scope.js';
 
 /**
-What a submission needs from the process that takes it.
+The state and functions of the process that a submission uses.
 */
 export type SubmissionContext = {
 	readonly self: IdentifierHolder;
 	readonly register: SubmissionRegister;
 	readonly claim: (identifier: string, fingerprint: string, deadlineAt: number) => Promise<ClaimResult>;
-	/** Time for which a claim is kept, in milliseconds. */
+	/** Retention time of a claim, in milliseconds. */
 	readonly claimRetentionMilliseconds: number;
-	/** Longest answer of one task that is held. */
+	/** Maximum size of one task's answer that is buffered. */
 	readonly maximumAnswerBytes: number;
-	/** Hands a submission to its holder; never throws. */
+	/** Forwards a submission to its holder; never throws. */
 	readonly forward: (holder: IdentifierHolder, submission: Submission) => Promise<SubmissionAnswer>;
 	readonly findVersion: (service: string) => ServiceVersion | undefined;
 	/** Refuses a submission that can't be served in time; `undefined` admits it. */
@@ -35,19 +35,19 @@
 	readonly taskContext: (version: ServiceVersion) => Pick<TaskContext, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
 	readonly observe: Observe;
 	readonly openTrace: OpenTrace;
-	/** Takes note that a repeat joined the submission that is kept. */
+	/** Records that a repeated submission joined the one that is kept. */
 	readonly noteRepeat: (identifier: string) => void;
 };
 
 /**
-Creates the answer to a submission of which nothing was sent.
+Creates the answer to a submission of which no task was sent.
 */
 export const refuse = (fault: FaultKind, detail: string, retryAfterMilliseconds?: number): SubmissionAnswer => ({
 	outcome: Outcome.NotRun, answers: [], fault, detail, ...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
 });
 
 /**
-Creates the answer to a submission of which it is not known here whether it ran.
+Creates the answer to a submission when this instance doesn't know whether it ran.
 */
 export const answerUnknown = (fault: FaultKind, detail: string): SubmissionAnswer => ({
 	outcome: Outcome.OutcomeUnknown, answers: [], fault, detail,
@@ -72,12 +72,12 @@
 };
 
 /**
-A submission on its way through this instance.
+A submission that this instance is processing.
 */
 type Arrival = {
 	readonly submission: Submission;
 	readonly fingerprint: string;
-	/** Time on the monotonic clock, counted from the arrival: a pause of the process uses it up. */
+	/** Monotonic milliseconds, counted from the arrival, so that a pause of the process counts towards the deadline. */
 	readonly deadlineAt: number;
 	readonly observer: RequestObserver;
 };
@@ -119,9 +119,9 @@
 	answerUnknown(FaultKind.AnswerDiscarded, `"${identifier}" was taken before and its answer is no longer kept`);
 
 /**
-Runs a submission that this incarnation holds, or joins the run that has begun.
+Runs a submission that this incarnation holds, or joins the run already in progress or ended.
 
-@param right The minted identifier, or the nonce of the claim.
+@param right What entitles this incarnation to a single run: the minted identifier, or the nonce of the claim.
 */
 const runHeld = async (arrival: Arrival, right: string, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const {submission, fingerprint} = arrival;
@@ -149,7 +149,7 @@
 };
 
 /**
-Hands a submission to another incarnation, unless that was an earlier run of this instance.
+Forwards a submission to another incarnation, unless that is an earlier incarnation of this instance, which has ended.
 */
 const forwardTo = async (holder: IdentifierHolder, {submission, deadlineAt, observer}: Arrival, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	if (holder.instance === context.self.instance) {
@@ -169,11 +169,11 @@
 		? runHeld(arrival, arrival.submission.identifier, context)
 		: forwardTo(holder, arrival, context);
 
-/** The result of a claim that its caller no longer waits for. */
+/** The result of a claim that was not confirmed within the deadline. */
 const lateClaim: ClaimResult = {state: ClaimState.Unavailable};
 
 /**
-Claims an identifier, but waits no longer than its caller.
+Claims an identifier, and waits for the result no longer than the deadline of the submission.
 */
 const claimInTime = async ({submission, fingerprint, deadlineAt}: Arrival, context: SubmissionContext): Promise<ClaimResult> => {
 	const stop = new AbortController();
@@ -199,7 +199,7 @@
 	const result = await claimInTime(arrival, context);
 	arrival.observer.note({kind: RecordStepKind.Claimed, detail: describeClaim(result, context.self)});
 	if (result.state === ClaimState.Unavailable) {
-		// The row may yet be written; a later attempt that finds it may run the submission.
+		// The claim's row may still be written; a later attempt that finds it may run the submission.
 		const limit = result === lateClaim || performance.now() >= arrival.deadlineAt ? ` within the deadline of ${deadlineMilliseconds} ms` : '';
 		return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${identifier}" was not confirmed by the platform${limit}; this attempt started nothing`);
 	}
@@ -213,19 +213,19 @@
 		return forwardTo(claim, arrival, context);
 	}
 
-	// The row may be swept, and claimed by another instance, before a submission that begins late has ended.
+	// After the retention time the row may be deleted and the identifier claimed by another instance, while a submission that starts late is still running.
 	const isNearSweep = Date.now() - claim.claimedAt > context.claimRetentionMilliseconds / 2;
 	return isNearSweep && !context.register.entryOf(identifier) ? discarded(identifier) : runHeld(arrival, claim.nonce, context);
 };
 
 /**
-Takes a submission: runs it here if this incarnation holds its identifier, otherwise asks the holder.
+Runs a submission if this incarnation holds its identifier, and forwards it to the holder otherwise.
 
-@returns The one answer of the submission, or what is known about it; never throws.
+@returns The answer of the submission, the same for every repeat, or an answer that states why it is refused or unknown; never throws.
 
 @example
 ```
-const answer = await submit({identifier: 'sheet-2041', service: 'paysheet', …}, run);
+const answer = await submit({identifier: 'sheet-2041', service: 'paysheet', …}, context);
 ```
 */
 export const submit = async (submission: Submission, context: SubmissionContext): Promise<SubmissionAnswer> => {
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -21,48 +21,48 @@
 const firstServerError = 500;
 
 /**
-How one attempt at a task ended, for guards and estimates.
+How one attempt at a task ended; input to the endpoint guards and the run-time estimates.
 */
 export type AttemptReport = {
 	readonly endpoint: Endpoint;
 	readonly kind: string;
 	readonly durationMilliseconds: number;
 	readonly isSuccess: boolean;
-	/** Why there was no whole answer. */
+	/** Why there is no complete answer. */
 	readonly fault?: FaultKind;
 };
 
 /**
-What a task needs from the process that runs it.
+The state and functions of the process that a task uses.
 */
 export type TaskContext = {
-	/** The document version that the request keeps from start to end. */
+	/** The document version in force when the request arrived; it applies until the request ends. */
 	readonly version: ServiceVersion;
 	readonly team: string;
-	/** Time on the monotonic clock, in milliseconds. */
+	/** Monotonic milliseconds. */
 	readonly deadlineAt: number;
 	readonly signal?: AbortSignal;
 	readonly withSlot: <Result>(demand: TaskDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
 	readonly send: (address: string, request: EndpointRequest) => Promise<EndpointAnswer>;
 	readonly report: (attempt: AttemptReport) => void;
-	/** Tells whether the retry budget allows sending an idempotent task again, and spends it. */
+	/** Returns whether the retry budget allows an idempotent task to be sent again, and if so deducts the retry. */
 	readonly mayRetry: () => boolean;
-	/** Called once, just before the first byte of the task goes out. */
+	/** Called once, just before the first byte of the task is sent. */
 	readonly onFirstStart: () => void;
-	/** Takes note of each step of the task. */
+	/** Records each step of the task. */
 	readonly note: NoteStep;
-	/** The place in the request's trace under which the task's hops begin. */
+	/** The parent of the task's spans in the request's trace. */
 	readonly trace: TraceScope;
 };
 
 /**
-A task's answer, whose body may go on after the part that is held.
+A task's answer, whose body may continue in a stream after the bytes already read.
 */
 export type StreamedTaskAnswer = TaskAnswer & {readonly rest?: Readable};
 
 type RunnableTask = Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
 
-/** Statuses by which an endpoint says that it could not serve the request (RFC 9110, sections 15.6.3 to 15.6.5). */
+/** Statuses that report that an endpoint could not serve the request (RFC 9110, sections 15.6.3 to 15.6.5). */
 const retriableStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 
 const isResendable = (task: RunnableTask, context: TaskContext): boolean => context.version.document.idempotent && task.body instanceof Uint8Array;
@@ -81,7 +81,7 @@
 const traceparentField = 'traceparent';
 
 /**
-Replaces the trace context of a task by that of the hop that sends it.
+Replaces the trace context of a task with that of the span that sends it.
 */
 const headersOf = (task: RunnableTask, {traceparent}: TraceScope): HeaderList => traceparent === ''
 	? task.headers
@@ -126,7 +126,7 @@
 };
 
 /**
-Resolves as soon as the answer can be passed on; the slot stays taken until the body has ended.
+Resolves as soon as the answer can be passed on; the slot stays occupied until the body has been streamed or its stream is closed.
 */
 const attemptOnFreeSlot = async (task: RunnableTask, context: TaskContext, demand: TaskDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const answered = createDeferred<StreamedTaskAnswer>();
@@ -144,7 +144,7 @@
 				}
 			});
 		} catch (error) {
-			// A span that has ended stays as it is.
+			// Has no effect on a span that has already ended.
 			waitSpan.end();
 			answered.reject(error);
 		}
@@ -169,7 +169,7 @@
 };
 
 /**
-Runs one task: waits for a slot, sends the task, and sends it again only where that can't start it twice against the will of its service.
+Runs one task: waits for a slot and sends the task. A failed attempt is retried only if the task can't have started or its service is declared idempotent.
 
 @returns The answer of the endpoint, or the outcome with the reason; never throws.
 
--- a/packages/galenakeeld/src/request/start-record.ts
+++ b/packages/galenakeeld/src/request/start-record.ts
@@ -2,15 +2,15 @@
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
 
 /**
-Whether a task has started, decided before its first byte leaves the process.
+Records whether a task has started. A start is recorded before the first byte of the task leaves the process.
 */
 export type StartRecord = {
 	/**
 	Marks the task as started.
 
-	Looks at the clock again, since the process may have been paused after the slot was taken.
+	Checks the deadline again, since the process may have been paused after the slot was granted.
 
-	@throws A fault of kind `DeadlinePassed` or `Cancelled` when the task must not start, `Internal` when a task that may start once already has.
+	@throws A fault of kind `DeadlinePassed` or `Cancelled` when the task must not start, `Internal` when a non-idempotent task has already started.
 	*/
 	readonly start: () => void;
 	readonly hasStarted: () => boolean;
@@ -21,7 +21,7 @@
 Creates the record of a task that has not started.
 
 @param options.isIdempotent Whether the task may start more than once.
-@param options.deadlineAt Time on the monotonic clock after which the task must not start, in milliseconds.
+@param options.deadlineAt Monotonic milliseconds from which the task must not start.
 @param options.onFirstStart Called at the first start.
 
 @example
--- a/packages/galenakeeld/src/request/submission-fingerprint.ts
+++ b/packages/galenakeeld/src/request/submission-fingerprint.ts
@@ -2,7 +2,7 @@
 import type {Submission} from '@galenakeel/model/request/task.js';
 
 /**
-Digests what a submission asks for, so that another submission under the same identifier is told apart from a repeat.
+Returns a digest of a submission's service and tasks, which distinguishes a repeat from a different submission with the same identifier.
 
 Header fields, kinds and deadlines may differ between repeats and are left out.
 
@@ -15,7 +15,7 @@
 	const hash = createHash('sha256');
 	hash.update(JSON.stringify([service, tasks.length]));
 	for (const {method, path, body} of tasks) {
-		// The length keeps two bodies apart that differ only in where one ends and the next begins.
+		// Without the length, moving bytes from the end of one body to the start of the next would give the same digest.
 		hash.update(JSON.stringify([method, path, body.byteLength]));
 		hash.update(body);
 	}
--- a/packages/galenakeeld/src/request/submission-identifier.ts
+++ b/packages/galenakeeld/src/request/submission-identifier.ts
@@ -15,9 +15,9 @@
 The two kinds of submission identifier.
 */
 export enum IdentifierKind {
-	/** Issued by an incarnation, which alone may run it. */
+	/** Issued by an incarnation; no other may run its submission. */
 	Minted = 'minted',
-	/** Chosen by the caller; the claim in the platform's table names its holder. */
+	/** Chosen by the caller; the claim in the platform's table names the holder. */
 	Chosen = 'chosen',
 }
 
@@ -29,7 +29,7 @@
 		| {readonly kind: IdentifierKind.Chosen};
 
 /**
-Mints an identifier that only one incarnation can ever run.
+Mints an identifier whose submission only the given incarnation can run.
 
 @example
 ```
@@ -40,7 +40,7 @@
 	`${mintedPrefix}${holder.instance}~${holder.incarnation}~${randomBytes(randomLength).toString('hex')}`;
 
 /**
-Returns the identifier of a single request with an idempotency key. Services have keys of their own, apart from the identifiers of jobs.
+Returns the identifier of a single request with an idempotency key. Keys are scoped to a service and distinct from the identifiers of jobs.
 
 @example
 ```
--- a/packages/galenakeeld/src/request/trace-scope.ts
+++ b/packages/galenakeeld/src/request/trace-scope.ts
@@ -6,7 +6,7 @@
 export type SpanAttributes = Readonly<Record<string, string | number>>;
 
 /**
-A place in a trace under which spans begin.
+A parent for new spans in a trace.
 */
 export type TraceScope = {
 	/** W3C trace context to pass on; the empty string when the request is not traced here. */
@@ -15,7 +15,7 @@
 };
 
 /**
-A span that has begun; further spans begin under it.
+A started span, which can be the parent of further spans.
 */
 export type TraceSpan = TraceScope & {
 	/** Ends the span; a fault marks it as failed. */
@@ -23,6 +23,6 @@
 };
 
 /**
-Creates the scope of an incoming request from its W3C trace context; the empty string begins a trace.
+Creates the scope of an incoming request from its W3C trace context; the empty string starts a new trace.
 */
 export type OpenTrace = (traceparent: string) => TraceScope;
