--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -239,7 +239,7 @@
 						return result.answer;
 					}
 
-					// Tasks of the part may have been started by a lost owner, or the home cell refuses a committed part: no owner is left to ask.
+					// Tasks of the part may have been started by a lost owner, or the home cell refused a committed part, so the outcome is unknown.
 					if (part.generation > 0 || (isAtHome && part.wasCommitted)) {
 						return {end: undefined};
 					}
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -36,7 +36,7 @@
 The state and functions of the process that a task uses.
 */
 export type TaskContext = {
-	/** The document version in force when the request arrived; it applies until the request ends. */
+	/** The document version that applies to the request from start to end. */
 	readonly version: ServiceVersion;
 	readonly team: string;
 	/** Monotonic milliseconds. */
