--- a/packages/galenakeeld/src/request/relay-request.ts
+++ b/packages/galenakeeld/src/request/relay-request.ts
@@ -6,7 +6,7 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import type {RequestObserver} from './request-observer.js';
 import type {TraceScope} from './trace-scope.js';
-import {runTask, type StreamedTaskAnswer, type TaskRun} from './run-task.js';
+import {runTask, type StreamedTaskAnswer, type TaskContext} from './run-task.js';
 
 /**
 A single request without an identifier.
@@ -14,26 +14,26 @@
 export type RelayedRequest = {
 	readonly service: string;
 	readonly team: string;
-	/** Time that the caller grants; `undefined` takes the deadline of the document. */
+	/** Deadline set by the caller; `undefined` applies the deadline of the document. */
 	readonly deadlineMilliseconds: number | undefined;
 	readonly task: Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
-	/** Aborts when the caller has gone. */
+	/** Aborts when the caller has disconnected. */
 	readonly signal: AbortSignal;
 	readonly observer: RequestObserver;
 	readonly trace: TraceScope;
 };
 
 /**
-What a relayed request needs from the process that takes it.
+The functions of the process that a relayed request uses.
 */
-export type RelayRun = {
+export type RelayContext = {
 	readonly findVersion: (service: string) => ServiceVersion | undefined;
 	readonly admit: (version: ServiceVersion, submission: Pick<Submission, 'service' | 'team' | 'deadlineMilliseconds' | 'tasks'>) => SubmissionAnswer | undefined;
-	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
+	readonly taskContext: (version: ServiceVersion) => Pick<TaskContext, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
 };
 
 /**
-The answer to a relayed request, with the time after which a refused one may be sent again.
+The answer to a relayed request, with the time after which a refused request may be sent again.
 */
 export type RelayAnswer = StreamedTaskAnswer & {readonly retryAfterMilliseconds?: number};
 
@@ -48,24 +48,24 @@
 
 @example
 ```
-const answer = await relayRequest({service: 'paysheet', team: 'payroll', deadlineMilliseconds: 2000, task, signal}, run);
+const answer = await relayRequest({service: 'paysheet', team: 'payroll', deadlineMilliseconds: 2000, task, signal}, context);
 ```
 */
-export const relayRequest = async (request: RelayedRequest, run: RelayRun): Promise<RelayAnswer> => {
-	const answer = await relay(request, run);
+export const relayRequest = async (request: RelayedRequest, context: RelayContext): Promise<RelayAnswer> => {
+	const answer = await relay(request, context);
 	const {outcome, fault, detail} = answer;
 	request.observer.end({outcome, ...(fault && {fault}), ...(detail !== undefined && {detail})});
 	return answer;
 };
 
-const relay = async (request: RelayedRequest, run: RelayRun): Promise<RelayAnswer> => {
-	const version = run.findVersion(request.service);
+const relay = async (request: RelayedRequest, context: RelayContext): Promise<RelayAnswer> => {
+	const version = context.findVersion(request.service);
 	if (!version) {
 		return refused(FaultKind.UnknownService, `no document in force names the service "${request.service}"`);
 	}
 
 	const deadlineMilliseconds = request.deadlineMilliseconds ?? version.document.deadlineMilliseconds;
-	const refusal = run.admit(version, {
+	const refusal = context.admit(version, {
 		service: request.service, team: request.team, deadlineMilliseconds, tasks: [{...request.task, body: new Uint8Array()}],
 	});
 	if (refusal) {
@@ -73,13 +73,13 @@
 	}
 
 	return runTask(request.task, {
-		...run.taskRun(version),
+		...context.taskContext(version),
 		version,
 		team: request.team,
 		deadlineAt: performance.now() + deadlineMilliseconds,
 		signal: request.signal,
 		onFirstStart() {
-			// A request without an identifier keeps no state beyond its own start record.
+			// A request without an identifier has no submission entry to update.
 		},
 		note: request.observer.note,
 		trace: request.trace,
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -9,45 +9,45 @@
 import type {ServiceVersion} from '../version/service-version.js';
 import {ObservedKind} from '../process/observed-kind.js';
 import {SpanName} from '../process/span-name.js';
-import {holdAnswer} from './hold-answer.js';
+import {bufferAnswer} from './buffer-answer.js';
 import type {Observe, RequestObserver} from './request-observer.js';
-import {runTask, type TaskRun} from './run-task.js';
+import {runTask, type TaskContext} from './run-task.js';
 import {fingerprintOf} from './submission-fingerprint.js';
 import {IdentifierKind, parseIdentifier, type IdentifierHolder} from './submission-identifier.js';
 import type {OpenTrace} from './trace-scope.js';
 
 /**
-What a submission needs from the process that takes it.
+The state and functions of the process that a submission uses.
 */
-export type SubmissionRun = {
+export type SubmissionContext = {
 	readonly self: IdentifierHolder;
 	readonly register: SubmissionRegister;
 	readonly claim: (identifier: string, fingerprint: string, deadlineAt: number) => Promise<ClaimResult>;
-	/** Time for which a claim is kept, in milliseconds. */
+	/** Retention time of a claim, in milliseconds. */
 	readonly claimRetentionMilliseconds: number;
-	/** Longest answer of one task that is held. */
-	readonly heldAnswerBytes: number;
-	/** Hands a submission to its holder; never throws. */
+	/** Maximum size of one task's answer that is buffered. */
+	readonly maximumAnswerBytes: number;
+	/** Forwards a submission to its holder; never throws. */
 	readonly forward: (holder: IdentifierHolder, submission: Submission) => Promise<SubmissionAnswer>;
 	readonly findVersion: (service: string) => ServiceVersion | undefined;
 	/** Refuses a submission that can't be served in time; `undefined` admits it. */
 	readonly admit: (version: ServiceVersion, submission: Submission) => SubmissionAnswer | undefined;
-	readonly taskRun: (version: ServiceVersion) => Pick<TaskRun, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
+	readonly taskContext: (version: ServiceVersion) => Pick<TaskContext, 'withSlot' | 'send' | 'report' | 'mayRetry'>;
 	readonly observe: Observe;
 	readonly openTrace: OpenTrace;
-	/** Takes note that a repeat joined the submission that is kept. */
+	/** Records that a repeated submission joined the one that is kept. */
 	readonly noteRepeat: (identifier: string) => void;
 };
 
 /**
-Creates the answer to a submission of which nothing was sent.
+Creates the answer to a submission of which no task was sent.
 */
 export const refuse = (fault: FaultKind, detail: string, retryAfterMilliseconds?: number): SubmissionAnswer => ({
 	outcome: Outcome.NotRun, answers: [], fault, detail, ...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
 });
 
 /**
-Creates the answer to a submission of which it is not known here whether it ran.
+Creates the answer to a submission when this instance doesn't know whether it ran.
 */
 export const answerUnknown = (fault: FaultKind, detail: string): SubmissionAnswer => ({
 	outcome: Outcome.OutcomeUnknown, answers: [], fault, detail,
@@ -72,19 +72,19 @@
 };
 
 /**
-A submission on its way through this instance.
+A submission that this instance is processing.
 */
 type Arrival = {
 	readonly submission: Submission;
 	readonly fingerprint: string;
-	/** Time on the monotonic clock, counted from the arrival: a pause of the process uses it up. */
+	/** Monotonic milliseconds, counted from the arrival, so that a pause of the process counts towards the deadline. */
 	readonly deadlineAt: number;
 	readonly observer: RequestObserver;
 };
 
-const runTasks = async ({submission, deadlineAt, observer}: Arrival, version: ServiceVersion, entry: SubmissionEntry, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	const span = run.openTrace(submission.traceparent).begin(SpanName.HolderRun, {job: submission.identifier, service: submission.service, tasks: submission.tasks.length});
-	const shared = run.taskRun(version);
+const runTasks = async ({submission, deadlineAt, observer}: Arrival, version: ServiceVersion, entry: SubmissionEntry, context: SubmissionContext): Promise<SubmissionAnswer> => {
+	const span = context.openTrace(submission.traceparent).begin(SpanName.HolderRun, {job: submission.identifier, service: submission.service, tasks: submission.tasks.length});
+	const shared = context.taskContext(version);
 	const runOne = async (task: Submission['tasks'][number]): Promise<TaskAnswer> => {
 		const answer = await runTask(task, {
 			...shared,
@@ -99,7 +99,7 @@
 			note: observer.note,
 			trace: span,
 		});
-		const held = await holdAnswer(answer, run.heldAnswerBytes);
+		const held = await bufferAnswer(answer, context.maximumAnswerBytes);
 		entry.finished++;
 		return held;
 	};
@@ -119,63 +119,63 @@
 	answerUnknown(FaultKind.AnswerDiscarded, `"${identifier}" was taken before and its answer is no longer kept`);
 
 /**
-Runs a submission that this incarnation holds, or joins the run that has begun.
+Runs a submission that this incarnation holds, or joins the run already in progress or ended.
 
-@param right The minted identifier, or the nonce of the claim.
+@param right What entitles this incarnation to a single run: the minted identifier, or the nonce of the claim.
 */
-const runHeld = async (arrival: Arrival, right: string, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const runHeld = async (arrival: Arrival, right: string, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const {submission, fingerprint} = arrival;
 	const {identifier, tasks} = submission;
-	const existing = run.register.entryOf(identifier);
+	const existing = context.register.entryOf(identifier);
 	if (existing) {
 		return joinEntry(existing, fingerprint);
 	}
 
-	if (!run.register.redeem(right)) {
+	if (!context.register.redeem(right)) {
 		return discarded(identifier);
 	}
 
-	const entry = run.register.begin({
+	const entry = context.register.begin({
 		identifier, fingerprint, right, tasks: tasks.length,
 	}, async begun => {
-		const version = run.findVersion(submission.service);
+		const version = context.findVersion(submission.service);
 		if (!version) {
 			return refuse(FaultKind.UnknownService, `no document in force names the service "${submission.service}"`);
 		}
 
-		return run.admit(version, submission) ?? runTasks(arrival, version, begun, run);
+		return context.admit(version, submission) ?? runTasks(arrival, version, begun, context);
 	});
 	return entry.answer;
 };
 
 /**
-Hands a submission to another incarnation, unless that was an earlier run of this instance.
+Forwards a submission to another incarnation, unless that is an earlier incarnation of this instance, which has ended.
 */
-const forwardTo = async (holder: IdentifierHolder, {submission, deadlineAt, observer}: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
-	if (holder.instance === run.self.instance) {
+const forwardTo = async (holder: IdentifierHolder, {submission, deadlineAt, observer}: Arrival, context: SubmissionContext): Promise<SubmissionAnswer> => {
+	if (holder.instance === context.self.instance) {
 		return answerUnknown(FaultKind.HolderUnreachable, `the run of "${holder.instance}" that holds "${submission.identifier}" has ended`);
 	}
 
 	observer.note({kind: RecordStepKind.Forwarded, detail: `to ${holder.instance}, which holds the identifier`});
-	const span = run.openTrace(submission.traceparent).begin(SpanName.Forward, {job: submission.identifier, holder: holder.instance});
+	const span = context.openTrace(submission.traceparent).begin(SpanName.Forward, {job: submission.identifier, holder: holder.instance});
 	const deadlineMilliseconds = Math.max(1, Math.ceil(deadlineAt - performance.now()));
-	const answer = await run.forward(holder, {...submission, deadlineMilliseconds, traceparent: span.traceparent});
+	const answer = await context.forward(holder, {...submission, deadlineMilliseconds, traceparent: span.traceparent});
 	span.end({outcome: answer.outcome}, answer.fault);
 	return answer;
 };
 
-const submitMinted = async (arrival: Arrival, holder: IdentifierHolder, run: SubmissionRun): Promise<SubmissionAnswer> =>
-	holder.incarnation === run.self.incarnation
-		? runHeld(arrival, arrival.submission.identifier, run)
-		: forwardTo(holder, arrival, run);
+const submitMinted = async (arrival: Arrival, holder: IdentifierHolder, context: SubmissionContext): Promise<SubmissionAnswer> =>
+	holder.incarnation === context.self.incarnation
+		? runHeld(arrival, arrival.submission.identifier, context)
+		: forwardTo(holder, arrival, context);
 
-/** The result of a claim that its caller no longer waits for. */
+/** The result of a claim that was not confirmed within the deadline. */
 const lateClaim: ClaimResult = {state: ClaimState.Unavailable};
 
 /**
-Claims an identifier, but waits no longer than its caller.
+Claims an identifier, and waits for the result no longer than the deadline of the submission.
 */
-const claimInTime = async ({submission, fingerprint, deadlineAt}: Arrival, run: SubmissionRun): Promise<ClaimResult> => {
+const claimInTime = async ({submission, fingerprint, deadlineAt}: Arrival, context: SubmissionContext): Promise<ClaimResult> => {
 	const stop = new AbortController();
 	const giveUp = async (): Promise<ClaimResult> => {
 		await sleep(Math.max(0, deadlineAt - performance.now()), undefined, {signal: stop.signal});
@@ -183,7 +183,7 @@
 	};
 
 	try {
-		return await Promise.race([run.claim(submission.identifier, fingerprint, deadlineAt), giveUp()]);
+		return await Promise.race([context.claim(submission.identifier, fingerprint, deadlineAt), giveUp()]);
 	} finally {
 		stop.abort();
 	}
@@ -194,12 +194,12 @@
 const describeClaim = (result: ClaimResult, self: IdentifierHolder): string =>
 	result.state === ClaimState.Held && result.claim.incarnation === self.incarnation ? ownClaim : result.state;
 
-const submitChosen = async (arrival: Arrival, run: SubmissionRun): Promise<SubmissionAnswer> => {
+const submitChosen = async (arrival: Arrival, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const {identifier, deadlineMilliseconds} = arrival.submission;
-	const result = await claimInTime(arrival, run);
-	arrival.observer.note({kind: RecordStepKind.Claimed, detail: describeClaim(result, run.self)});
+	const result = await claimInTime(arrival, context);
+	arrival.observer.note({kind: RecordStepKind.Claimed, detail: describeClaim(result, context.self)});
 	if (result.state === ClaimState.Unavailable) {
-		// The row may yet be written; a later attempt that finds it may run the submission.
+		// The claim's row may still be written; a later attempt that finds it may run the submission.
 		const limit = result === lateClaim || performance.now() >= arrival.deadlineAt ? ` within the deadline of ${deadlineMilliseconds} ms` : '';
 		return answerUnknown(FaultKind.ClaimUnavailable, `the claim of "${identifier}" was not confirmed by the platform${limit}; this attempt started nothing`);
 	}
@@ -209,47 +209,47 @@
 		return mismatched(identifier);
 	}
 
-	if (claim.incarnation !== run.self.incarnation) {
-		return forwardTo(claim, arrival, run);
+	if (claim.incarnation !== context.self.incarnation) {
+		return forwardTo(claim, arrival, context);
 	}
 
-	// The row may be swept, and claimed by another instance, before a submission that begins late has ended.
-	const isNearSweep = Date.now() - claim.claimedAt > run.claimRetentionMilliseconds / 2;
-	return isNearSweep && !run.register.entryOf(identifier) ? discarded(identifier) : runHeld(arrival, claim.nonce, run);
+	// After the retention time the row may be deleted and the identifier claimed by another instance, while a submission that starts late is still running.
+	const isNearSweep = Date.now() - claim.claimedAt > context.claimRetentionMilliseconds / 2;
+	return isNearSweep && !context.register.entryOf(identifier) ? discarded(identifier) : runHeld(arrival, claim.nonce, context);
 };
 
 /**
-Takes a submission: runs it here if this incarnation holds its identifier, otherwise asks the holder.
+Runs a submission if this incarnation holds its identifier, and forwards it to the holder otherwise.
 
-@returns The one answer of the submission, or what is known about it; never throws.
+@returns The answer of the submission, the same for every repeat, or an answer that states why it is refused or unknown; never throws.
 
 @example
 ```
-const answer = await submit({identifier: 'sheet-2041', service: 'paysheet', …}, run);
+const answer = await submit({identifier: 'sheet-2041', service: 'paysheet', …}, context);
 ```
 */
-export const submit = async (submission: Submission, run: SubmissionRun): Promise<SubmissionAnswer> => {
+export const submit = async (submission: Submission, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const parsed = parseIdentifier(submission.identifier);
 	if (!parsed) {
 		return refuse(FaultKind.BadIdentifier, `"${submission.identifier}" is not a valid identifier`);
 	}
 
 	const fingerprint = fingerprintOf(submission);
-	const held = run.register.entryOf(submission.identifier);
+	const held = context.register.entryOf(submission.identifier);
 	if (held) {
-		run.noteRepeat(submission.identifier);
+		context.noteRepeat(submission.identifier);
 		return joinEntry(held, fingerprint);
 	}
 
-	const observer = run.observe({
+	const observer = context.observe({
 		kind: ObservedKind.Job, identifier: submission.identifier, service: submission.service, detail: `${submission.tasks.length} tasks`,
 	});
 	const arrival: Arrival = {
 		submission, fingerprint, deadlineAt: performance.now() + submission.deadlineMilliseconds, observer,
 	};
 	const answer = await (parsed.kind === IdentifierKind.Minted
-		? submitMinted(arrival, parsed.holder, run)
-		: submitChosen(arrival, run));
+		? submitMinted(arrival, parsed.holder, context)
+		: submitChosen(arrival, context));
 	const {outcome, fault, detail} = answer;
 	observer.end({outcome, ...(fault && {fault}), ...(detail !== undefined && {detail})});
 	return answer;
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -21,98 +21,98 @@
 const firstServerError = 500;
 
 /**
-How one attempt at a task ended, for guards and estimates.
+How one attempt at a task ended; input to the endpoint guards and the run-time estimates.
 */
 export type AttemptReport = {
 	readonly endpoint: Endpoint;
 	readonly kind: string;
 	readonly durationMilliseconds: number;
 	readonly isSuccess: boolean;
-	/** Why there was no whole answer. */
+	/** Why there is no complete answer. */
 	readonly fault?: FaultKind;
 };
 
 /**
-What a task needs from the process that runs it.
+The state and functions of the process that a task uses.
 */
-export type TaskRun = {
-	/** The document version that the request keeps from start to end. */
+export type TaskContext = {
+	/** The document version that applies to the request from start to end. */
 	readonly version: ServiceVersion;
 	readonly team: string;
-	/** Time on the monotonic clock, in milliseconds. */
+	/** Monotonic milliseconds. */
 	readonly deadlineAt: number;
 	readonly signal?: AbortSignal;
 	readonly withSlot: <Result>(demand: TaskDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
 	readonly send: (address: string, request: EndpointRequest) => Promise<EndpointAnswer>;
 	readonly report: (attempt: AttemptReport) => void;
-	/** Tells whether the retry budget allows sending an idempotent task again, and spends it. */
+	/** Returns whether the retry budget allows an idempotent task to be sent again, and if so deducts the retry. */
 	readonly mayRetry: () => boolean;
-	/** Called once, just before the first byte of the task goes out. */
+	/** Called once, just before the first byte of the task is sent. */
 	readonly onFirstStart: () => void;
-	/** Takes note of each step of the task. */
+	/** Records each step of the task. */
 	readonly note: NoteStep;
-	/** The place in the request's trace under which the task's hops begin. */
+	/** The parent of the task's spans in the request's trace. */
 	readonly trace: TraceScope;
 };
 
 /**
-A task's answer, whose body may go on after the part that is held.
+A task's answer, whose body may continue in a stream after the bytes already read.
 */
 export type StreamedTaskAnswer = TaskAnswer & {readonly rest?: Readable};
 
 type RunnableTask = Omit<Task, 'body'> & {readonly body: Uint8Array | Readable};
 
-/** Statuses by which an endpoint says that it could not serve the request (RFC 9110, sections 15.6.3 to 15.6.5). */
+/** Statuses that report that an endpoint could not serve the request (RFC 9110, sections 15.6.3 to 15.6.5). */
 const retriableStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 
-const isResendable = (task: RunnableTask, run: TaskRun): boolean => run.version.document.idempotent && task.body instanceof Uint8Array;
+const isResendable = (task: RunnableTask, context: TaskContext): boolean => context.version.document.idempotent && task.body instanceof Uint8Array;
 
-const isRetriableAnswer = (answer: StreamedTaskAnswer, task: RunnableTask, run: TaskRun): boolean =>
-	retriableStatuses.has(answer.status) && !answer.rest && isResendable(task, run) && run.mayRetry();
+const isRetriableAnswer = (answer: StreamedTaskAnswer, task: RunnableTask, context: TaskContext): boolean =>
+	retriableStatuses.has(answer.status) && !answer.rest && isResendable(task, context) && context.mayRetry();
 
-const isRetriable = (record: StartRecord, task: RunnableTask, run: TaskRun, fault: FaultKind): boolean => {
+const isRetriable = (record: StartRecord, task: RunnableTask, context: TaskContext, fault: FaultKind): boolean => {
 	if (!record.hasStarted()) {
 		return fault === FaultKind.EndpointUnreachable;
 	}
 
-	return isResendable(task, run) && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && run.mayRetry();
+	return isResendable(task, context) && (fault === FaultKind.EndpointBroken || fault === FaultKind.EndpointTimeout) && context.mayRetry();
 };
 
 const traceparentField = 'traceparent';
 
 /**
-Replaces the trace context of a task by that of the hop that sends it.
+Replaces the trace context of a task with that of the span that sends it.
 */
 const headersOf = (task: RunnableTask, {traceparent}: TraceScope): HeaderList => traceparent === ''
 	? task.headers
 	: [...task.headers.filter(([name]) => name.toLowerCase() !== traceparentField), [traceparentField, traceparent]];
 
-const attemptTask = async (task: RunnableTask, run: TaskRun, grant: SlotGrant, record: StartRecord): Promise<StreamedTaskAnswer> => {
+const attemptTask = async (task: RunnableTask, context: TaskContext, grant: SlotGrant, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const {endpoint} = grant;
 	const startedAt = performance.now();
-	const span = run.trace.begin(SpanName.EndpointExchange, {endpoint: endpoint.address});
+	const span = context.trace.begin(SpanName.EndpointExchange, {endpoint: endpoint.address});
 	const report = (isSuccess: boolean, fault?: FaultKind): void => {
 		const durationMilliseconds = performance.now() - startedAt;
-		run.report({
+		context.report({
 			endpoint, kind: task.kind, durationMilliseconds, isSuccess, ...(fault && {fault}),
 		});
-		run.note({
+		context.note({
 			kind: fault ? RecordStepKind.AttemptFailed : RecordStepKind.Answered, endpoint: endpoint.address, milliseconds: durationMilliseconds, ...(fault && {fault}),
 		});
 		span.end({}, fault);
 	};
 
 	try {
-		const answer = await run.send(endpoint.address, {
+		const answer = await context.send(endpoint.address, {
 			method: task.method,
 			path: task.path,
 			headers: headersOf(task, span),
 			body: task.body,
 			connections: endpoint.connections,
-			timeoutMilliseconds: Math.min(run.version.document.timeoutMilliseconds, Math.max(1, run.deadlineAt - startedAt)),
+			timeoutMilliseconds: Math.min(context.version.document.timeoutMilliseconds, Math.max(1, context.deadlineAt - startedAt)),
 			beforeFirstByte() {
 				record.start();
-				run.note({kind: RecordStepKind.Sent, endpoint: endpoint.address});
+				context.note({kind: RecordStepKind.Sent, endpoint: endpoint.address});
 			},
 		});
 		report(answer.status < firstServerError);
@@ -126,26 +126,26 @@
 };
 
 /**
-Resolves as soon as the answer can be passed on; the slot stays taken until the body has ended.
+Resolves as soon as the answer can be passed on; the slot stays occupied until the body has been streamed or its stream is closed.
 */
-const attemptOnFreeSlot = async (task: RunnableTask, run: TaskRun, demand: TaskDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
+const attemptOnFreeSlot = async (task: RunnableTask, context: TaskContext, demand: TaskDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const answered = createDeferred<StreamedTaskAnswer>();
-	const waitsSince = performance.now();
-	const wait = run.trace.begin(SpanName.SlotWait);
+	const waitStartedAt = performance.now();
+	const waitSpan = context.trace.begin(SpanName.SlotWait);
 	const attempt = async (): Promise<void> => {
 		try {
-			await run.withSlot(demand, async grant => {
-				wait.end();
-				run.note({kind: RecordStepKind.SlotGranted, endpoint: grant.endpoint.address, milliseconds: performance.now() - waitsSince});
-				const answer = await attemptTask(task, run, grant, record);
+			await context.withSlot(demand, async grant => {
+				waitSpan.end();
+				context.note({kind: RecordStepKind.SlotGranted, endpoint: grant.endpoint.address, milliseconds: performance.now() - waitStartedAt});
+				const answer = await attemptTask(task, context, grant, record);
 				answered.resolve(answer);
 				if (answer.rest && !answer.rest.closed) {
 					await once(answer.rest, 'close');
 				}
 			});
 		} catch (error) {
-			// A span that has ended stays as it is.
-			wait.end();
+			// Has no effect on a span that has already ended.
+			waitSpan.end();
 			answered.reject(error);
 		}
 	};
@@ -169,7 +169,7 @@
 };
 
 /**
-Runs one task: waits for a slot, sends the task, and sends it again only where that can't start it twice against the will of its service.
+Runs one task: waits for a slot and sends the task. A failed attempt is retried only if the task can't have started or its service is declared idempotent.
 
 @returns The answer of the endpoint, or the outcome with the reason; never throws.
 
@@ -178,37 +178,37 @@
 const answer = await runTask(task, {version, team: 'payroll', deadlineAt: performance.now() + 5000, …});
 ```
 */
-export const runTask = async (task: RunnableTask, run: TaskRun): Promise<StreamedTaskAnswer> => {
+export const runTask = async (task: RunnableTask, context: TaskContext): Promise<StreamedTaskAnswer> => {
 	const record = createStartRecord({
-		isIdempotent: run.version.document.idempotent,
-		deadlineAt: run.deadlineAt,
-		onFirstStart: run.onFirstStart,
-		...(run.signal && {signal: run.signal}),
+		isIdempotent: context.version.document.idempotent,
+		deadlineAt: context.deadlineAt,
+		onFirstStart: context.onFirstStart,
+		...(context.signal && {signal: context.signal}),
 	});
-	if (run.version.endpoints.length === 0) {
-		return answerOf(createFault(FaultKind.NoEndpoint, `the document of "${run.version.document.service}" names no endpoint`), record);
+	if (context.version.endpoints.length === 0) {
+		return answerOf(createFault(FaultKind.NoEndpoint, `the document of "${context.version.document.service}" names no endpoint`), record);
 	}
 
 	let demand: TaskDemand = {
-		kind: task.kind, team: run.team, deadlineAt: run.deadlineAt, ...(run.signal && {signal: run.signal}),
+		kind: task.kind, team: context.team, deadlineAt: context.deadlineAt, ...(context.signal && {signal: context.signal}),
 	};
 	for (let attempt = 1; ; attempt++) {
 		const isLast = attempt === maximumAttempts;
 		try {
-			const answer = await attemptOnFreeSlot(task, run, demand, record);
-			if (isLast || !isRetriableAnswer(answer, task, run)) {
+			const answer = await attemptOnFreeSlot(task, context, demand, record);
+			if (isLast || !isRetriableAnswer(answer, task, context)) {
 				return answer;
 			}
 
 			demand = {...demand, avoidedEndpoint: answer.endpoint};
-			run.note({kind: RecordStepKind.Retried});
+			context.note({kind: RecordStepKind.Retried});
 		} catch (error) {
 			const fault = isFault(error) ? error.name : FaultKind.Internal;
-			if (isLast || !isRetriable(record, task, run, fault)) {
+			if (isLast || !isRetriable(record, task, context, fault)) {
 				return answerOf(error, record);
 			}
 
-			run.note({kind: RecordStepKind.Retried});
+			context.note({kind: RecordStepKind.Retried});
 		}
 	}
 };
--- a/packages/galenakeeld/src/request/trace-scope.ts
+++ b/packages/galenakeeld/src/request/trace-scope.ts
@@ -3,26 +3,26 @@
 /**
 Attributes of a span.
 */
-export type SpanFacts = Readonly<Record<string, string | number>>;
+export type SpanAttributes = Readonly<Record<string, string | number>>;
 
 /**
-A place in a trace under which spans begin.
+A parent for new spans in a trace.
 */
 export type TraceScope = {
 	/** W3C trace context to pass on; the empty string when the request is not traced here. */
 	readonly traceparent: string;
-	readonly begin: (name: SpanName, facts?: SpanFacts) => TraceSpan;
+	readonly begin: (name: SpanName, facts?: SpanAttributes) => TraceSpan;
 };
 
 /**
-A span that has begun; further spans begin under it.
+A started span, which can be the parent of further spans.
 */
 export type TraceSpan = TraceScope & {
 	/** Ends the span; a fault marks it as failed. */
-	readonly end: (facts?: SpanFacts, fault?: string) => void;
+	readonly end: (facts?: SpanAttributes, fault?: string) => void;
 };
 
 /**
-Creates the scope of an incoming request from its W3C trace context; the empty string begins a trace.
+Creates the scope of an incoming request from its W3C trace context; the empty string starts a new trace.
 */
 export type OpenTrace = (traceparent: string) => TraceScope;
