--- a/packages/galenakeeld/src/connection/__tests__/fleet-frames.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/fleet-frames.steps.ts
@@ -3,14 +3,14 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {decodeFrame} from '@galenakeel/model/connection/fleet-message.js';
 import {FaultKind, isFault} from '@galenakeel/model/request/fault.js';
-import {createDelayWatch} from '../delay-watch.js';
+import {createDelayDetector} from '../delay-detector.js';
 
 type FrameWorld = {
 	sentTimes: readonly number[];
-	heldUp: readonly number[];
+	delayed: readonly number[];
 };
 
-const mostDelayMilliseconds = 600;
+const maximumDelayMilliseconds = 600;
 const parseTimes = (text: string): readonly number[] => text.split(',').map(Number);
 
 Given('messages sent at {string} ms by the sender\'s clock', function (this: FrameWorld, times: string) {
@@ -18,12 +18,12 @@
 });
 
 When('they arrive at {string} ms by the receiver\'s clock', function (this: FrameWorld, times: string) {
-	const isHeldUp = createDelayWatch(mostDelayMilliseconds);
-	this.heldUp = parseTimes(times).flatMap((receivedAt, position) => isHeldUp(this.sentTimes[position]!, receivedAt) ? [position + 1] : []);
+	const isDelayed = createDelayDetector(maximumDelayMilliseconds);
+	this.delayed = parseTimes(times).flatMap((receivedAt, position) => isDelayed(this.sentTimes[position]!, receivedAt) ? [position + 1] : []);
 });
 
 Then('{string} of them were held up', function (this: FrameWorld, expected: string) {
-	assert.equal(this.heldUp.join(', ') || 'none', expected);
+	assert.equal(this.delayed.join(', ') || 'none', expected);
 });
 
 Then('the frame {string} is refused', (text: string) => {
--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -13,9 +13,9 @@
 	address: string;
 	stream: PeerStream;
 	/** Milliseconds between beats, from the first on; the last holds on. */
-	paces: number[];
-	beatsMade: number;
-	beatsHeard: number;
+	intervals: number[];
+	heartbeatsCreated: number;
+	heartbeatsReceived: number;
 	connected: Deferred<true>;
 	connectedAgain: Deferred<true>;
 	ended: Promise<true>;
@@ -25,7 +25,7 @@
 const firstPort = 21_300;
 let nextPort = firstPort;
 
-const beat: Heartbeat = {
+const heartbeat: Heartbeat = {
 	kind: FleetMessageKind.Heartbeat, instance: 'entry-1', address: '127.0.0.1:1', zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 };
 
@@ -38,17 +38,17 @@
 	this.stop = undefined;
 	this.connected = createDeferred<true>();
 	this.connectedAgain = createDeferred<true>();
-	this.paces = [100];
-	this.beatsMade = 0;
-	this.beatsHeard = 0;
+	this.intervals = [100];
+	this.heartbeatsCreated = 0;
+	this.heartbeatsReceived = 0;
 	let connections = 0;
 	this.stream = createPeerStream(this.address, {
-		createBeat: () => {
-			this.beatsMade++;
-			return beat;
+		createHeartbeat: () => {
+			this.heartbeatsCreated++;
+			return heartbeat;
 		},
-		beatMilliseconds: () => this.paces[Math.min(this.beatsMade, this.paces.length - 1)]!,
-		gatherMilliseconds: 1,
+		heartbeatIntervalMilliseconds: () => this.intervals[Math.min(this.heartbeatsCreated, this.intervals.length - 1)]!,
+		batchMilliseconds: 1,
 		redialMilliseconds: () => milliseconds,
 		onConnected: () => {
 			connections++;
@@ -78,7 +78,7 @@
 	await sleep(milliseconds);
 	this.stop = await serveFleet(this.address, {
 		onMessage: () => {
-			this.beatsHeard++;
+			this.heartbeatsReceived++;
 		},
 		onOpened() {
 			// The connection alone counts.
@@ -86,7 +86,7 @@
 		onBroken() {
 			// Streams end with the scenario.
 		},
-		onUnreadable() {
+		onReadError() {
 			// A connection that is given up ends in the middle of its stream.
 		},
 	});
@@ -103,22 +103,22 @@
 });
 
 Given('its beats come each {int} ms for the first, and each {int} ms from then on', function (this: StreamWorld, first: number, later: number) {
-	this.paces = [first, later];
+	this.intervals = [first, later];
 });
 
 Then('{int} beats arrive within {int} ms, and no third within {int} ms', async function (this: StreamWorld, beats: number, milliseconds: number, quietMilliseconds: number) {
 	const until = performance.now() + milliseconds;
-	while (this.beatsHeard < beats && performance.now() < until) {
+	while (this.heartbeatsReceived < beats && performance.now() < until) {
 		await sleep(10);
 	}
 
-	assert.equal(this.beatsHeard, beats);
+	assert.equal(this.heartbeatsReceived, beats);
 	await sleep(quietMilliseconds);
-	assert.equal(this.beatsHeard, beats);
+	assert.equal(this.heartbeatsReceived, beats);
 });
 
 When('the connection is given up', function (this: StreamWorld) {
-	this.stream.breakOff('the peer is silent');
+	this.stream.resetConnection('the peer is silent');
 });
 
 Then('the stream is connected anew within {int} ms', async function (this: StreamWorld, milliseconds: number) {
--- a/packages/galenakeeld/src/connection/counted-peer-service.ts
+++ b/packages/galenakeeld/src/connection/counted-peer-service.ts
@@ -15,7 +15,7 @@
 
 type AnyMethod = MethodDefinition<unknown, unknown>;
 
-const countWrites = (method: AnyMethod, count: CountPeerMessage): AnyMethod => {
+const withMessageCount = (method: AnyMethod, count: CountPeerMessage): AnyMethod => {
 	const call = method.path.slice(method.path.lastIndexOf('/') + 1);
 	const counted = (serialize: AnyMethod['requestSerialize']): AnyMethod['requestSerialize'] => message => {
 		const encoded = serialize(message);
@@ -30,7 +30,7 @@
 The service between entry instances, whose encoder counts what is sent.
 */
 export const createCountedPeerService = (count: CountPeerMessage): PeerService =>
-	Object.fromEntries(Object.entries(PeerService).map(([name, method]) => [name, countWrites(method as AnyMethod, count)])) as unknown as PeerService;
+	Object.fromEntries(Object.entries(PeerService).map(([name, method]) => [name, withMessageCount(method as AnyMethod, count)])) as unknown as PeerService;
 
 /**
 A constructor of clients whose encoder counts what is sent.
--- a/packages/galenakeeld/src/connection/delay-watch.ts
+++ b/packages/galenakeeld/src/connection/delay-detector.ts
@@ -3,7 +3,7 @@
 
 The clocks of the two sides need not agree: the least difference that was seen stands for a delay of nothing.
 
-@param mostDelayMilliseconds Delay over the least one from which a message was held up.
+@param maximumDelayMilliseconds Delay over the least one from which a message was held up.
 
 @example
 ```
@@ -11,11 +11,11 @@
 isHeldUp(sentAt, performance.now());
 ```
 */
-export const createDelayWatch = (mostDelayMilliseconds: number) => {
-	let leastDifference = Number.POSITIVE_INFINITY;
+export const createDelayDetector = (maximumDelayMilliseconds: number) => {
+	let minimumDifference = Number.POSITIVE_INFINITY;
 	return (sentAt: number, receivedAt: number): boolean => {
 		const difference = receivedAt - sentAt;
-		leastDifference = Math.min(leastDifference, difference);
-		return difference - leastDifference > mostDelayMilliseconds;
+		minimumDifference = Math.min(minimumDifference, difference);
+		return difference - minimumDifference > maximumDelayMilliseconds;
 	};
 };
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -7,7 +7,7 @@
 import {
 	decodeFrame, encodeFrame, FleetMessageKind, type FleetMessage,
 } from '@galenakeel/model/connection/fleet-message.js';
-import {createDelayWatch} from './delay-watch.js';
+import {createDelayDetector} from './delay-detector.js';
 
 const serialize = (bytes: Uint8Array) => Buffer.from(bytes);
 const deserialize = (bytes: Uint8Array): Uint8Array => bytes;
@@ -34,15 +34,15 @@
 ]);
 
 /** Unsent bytes after which a peer that doesn't read counts as silent. */
-const mostUnsentMessages = 4096;
+const maximumUnsentFrames = 4096;
 const connectTimeoutMilliseconds = 400;
 /** Delay over the usual one with which messages no longer count: the peer has given this daemon up by then. */
-const mostDelayMilliseconds = 600;
+const maximumDelayMilliseconds = 600;
 
 /** What a holder needs only when the owner is lost, so that it goes with the next message or beat. A lost owner may have started tasks in any case. */
-const unhurriedKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Started, FleetMessageKind.TaskSucceeded]);
+const deferrableKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Started, FleetMessageKind.TaskSucceeded]);
 
-const isUrgent = ({kind}: FleetMessage): boolean => !unhurriedKinds.has(kind);
+const isUrgent = ({kind}: FleetMessage): boolean => !deferrableKinds.has(kind);
 
 /** Waits for a connection; rejects as soon as nothing listens at the address. */
 const awaitReady = async (client: Client, onRefused: () => void): Promise<void> => {
@@ -78,14 +78,14 @@
 	/** Called after the first message of a stream; what was sent on an earlier one may be lost. */
 	readonly onOpened: (from: string) => void;
 	readonly onBroken: (from: string) => void;
-	readonly onUnreadable: (detail: string) => void;
+	readonly onReadError: (detail: string) => void;
 }): Promise<() => void> => {
-	const readFrames = async (stream: ServerReadableStream<Uint8Array, Uint8Array>, noteSender: (from: string) => void): Promise<void> => {
-		const isHeldUp = createDelayWatch(mostDelayMilliseconds);
+	const readFrames = async (stream: ServerReadableStream<Uint8Array, Uint8Array>, onSender: (from: string) => void): Promise<void> => {
+		const isDelayed = createDelayDetector(maximumDelayMilliseconds);
 		let from = '';
 		for await (const bytes of stream as AsyncIterable<Uint8Array>) {
 			const {sentAt, messages} = decodeFrame(bytes);
-			if (isHeldUp(sentAt, performance.now())) {
+			if (isDelayed(sentAt, performance.now())) {
 				throw createFault(FaultKind.InstanceUnreachable, 'messages were held up on their way, and what they ask for may be out of date');
 			}
 
@@ -93,7 +93,7 @@
 				const isFirst = from === '' && message.kind === FleetMessageKind.Heartbeat;
 				if (isFirst) {
 					from = message.address;
-					noteSender(from);
+					onSender(from);
 				}
 
 				handlers.onMessage(message, from);
@@ -112,7 +112,7 @@
 				from = sender;
 			});
 		} catch (error) {
-			handlers.onUnreadable(detailOf(error));
+			handlers.onReadError(detailOf(error));
 			callback({code: status.ABORTED, details: detailOf(error)});
 		}
 
@@ -150,7 +150,7 @@
 	/** Ends a pause between two dials, as the peer has just been heard. */
 	readonly dialNow: () => void;
 	/** Gives the connection up and dials anew: one that was cut carries nothing for seconds after the cut has ended, as TCP waits longer after each loss. */
-	readonly breakOff: (reason: string) => void;
+	readonly resetConnection: (reason: string) => void;
 	readonly close: () => void;
 };
 
@@ -165,11 +165,11 @@
 ```
 */
 export const createPeerStream = (address: string, options: {
-	readonly createBeat: () => FleetMessage;
+	readonly createHeartbeat: () => FleetMessage;
 	/** Time between two beats; asked for anew after each message. */
-	readonly beatMilliseconds: () => number;
+	readonly heartbeatIntervalMilliseconds: () => number;
 	/** How long messages are gathered into one frame. */
-	readonly gatherMilliseconds: number;
+	readonly batchMilliseconds: number;
 	readonly redialMilliseconds: () => number;
 	readonly onConnected: () => void;
 	readonly onBroken: (detail: string) => void;
@@ -191,12 +191,12 @@
 		};
 	});
 
-	const awaitMessages = async (mostMilliseconds: number): Promise<void> => new Promise(resolve => {
-		const timer = setTimeout(resolve, mostMilliseconds);
+	const awaitMessages = async (timeoutMilliseconds: number): Promise<void> => new Promise(resolve => {
+		const timer = setTimeout(resolve, timeoutMilliseconds);
 		wake = () => {
 			wake = undefined;
 			clearTimeout(timer);
-			setTimeout(resolve, options.gatherMilliseconds);
+			setTimeout(resolve, options.batchMilliseconds);
 		};
 
 		if (queued.some(message => isUrgent(message))) {
@@ -205,17 +205,17 @@
 	});
 
 	const sendUntilBroken = async (call: ClientWritableStream<Uint8Array>, broken: AbortSignal): Promise<void> => {
-		let beatAt = Number.NEGATIVE_INFINITY;
+		let lastHeartbeatAt = Number.NEGATIVE_INFINITY;
 		/** Interval that held when the last beat was made: the peer expects the next one by it. */
 		let interval = 0;
 
-		const untilBeat = (): number => beatAt + Math.min(interval, options.beatMilliseconds()) - performance.now();
+		const millisecondsUntilHeartbeat = (): number => lastHeartbeatAt + Math.min(interval, options.heartbeatIntervalMilliseconds()) - performance.now();
 
 		while (!broken.aborted) {
-			if (untilBeat() <= 1) {
-				beatAt = performance.now();
-				interval = options.beatMilliseconds();
-				queued.unshift(options.createBeat());
+			if (millisecondsUntilHeartbeat() <= 1) {
+				lastHeartbeatAt = performance.now();
+				interval = options.heartbeatIntervalMilliseconds();
+				queued.unshift(options.createHeartbeat());
 			}
 
 			if (queued.length > 0) {
@@ -224,8 +224,8 @@
 				call.write(frame);
 			}
 
-			await awaitMessages(Math.max(0, untilBeat()));
-			if (call.writableLength > mostUnsentMessages) {
+			await awaitMessages(Math.max(0, millisecondsUntilHeartbeat()));
+			if (call.writableLength > maximumUnsentFrames) {
 				throw new Error('the peer doesn\'t read');
 			}
 		}
@@ -286,7 +286,7 @@
 		dialNow() {
 			endPause?.();
 		},
-		breakOff(reason) {
+		resetConnection(reason) {
 			breakConnection?.(reason);
 		},
 		close() {
--- a/packages/galenakeeld/src/connection/heartbeat-stream.ts
+++ b/packages/galenakeeld/src/connection/heartbeat-stream.ts
@@ -34,29 +34,29 @@
 const containsAll = (names: ReadonlySet<string>, wanted: readonly string[]): boolean => wanted.every(name => names.has(name));
 
 /** What was said once can only be added to, so a service or a mark that went away needs a whole heartbeat. */
-const canContinue = (previous: PeerHeartbeat, next: PeerHeartbeat): boolean =>
+const isDeltaPossible = (previous: PeerHeartbeat, next: PeerHeartbeat): boolean =>
 	isSameSender(previous, next)
 	&& containsAll(new Set(next.hints.map(({service}) => service)), previous.hints.map(({service}) => service))
 	&& containsAll(new Set(next.leavingEndpoints), previous.leavingEndpoints);
 
-const leaveOutUnchanged = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
-	const whole = heartbeatToWire(next);
+const encodeDelta = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
+	const complete = heartbeatToWire(next);
 	const hints = byService(previous.hints);
-	const marks = new Set(previous.leavingEndpoints);
+	const previousEndpoints = new Set(previous.leavingEndpoints);
 	return {
 		...emptyMessage,
 		continues: true,
-		state: next.state === previous.state ? wire.InstanceState.INSTANCE_STATE_UNSPECIFIED : whole.state,
+		state: next.state === previous.state ? wire.InstanceState.INSTANCE_STATE_UNSPECIFIED : complete.state,
 		catalogueVersion: next.catalogueVersion === previous.catalogueVersion ? 0 : next.catalogueVersion,
 		intervalMilliseconds: next.intervalMilliseconds === previous.intervalMilliseconds ? 0 : next.intervalMilliseconds,
 		freeSlots: next.hints.filter(hint => !isSameHint(hints.get(hint.service), hint)),
-		leavingEndpoints: next.leavingEndpoints.filter(mark => !marks.has(mark)),
-		probe: whole.probe,
+		leavingEndpoints: next.leavingEndpoints.filter(endpoint => !previousEndpoints.has(endpoint)),
+		probe: complete.probe,
 	};
 };
 
 /** A probe counts for its own heartbeat only. */
-const fillIn = ({probe: _probe, ...previous}: PeerHeartbeat, message: wire.Heartbeat): PeerHeartbeat => {
+const applyDelta = ({probe: _probe, ...previous}: PeerHeartbeat, message: wire.Heartbeat): PeerHeartbeat => {
 	const {
 		state, catalogueVersion, intervalMilliseconds, hints, leavingEndpoints, probe,
 	} = heartbeatFromWire(message);
@@ -71,19 +71,19 @@
 	};
 };
 
-type Difference = {readonly previous: PeerHeartbeat; readonly message: wire.Heartbeat};
+type HeartbeatDelta = {readonly previous: PeerHeartbeat; readonly message: wire.Heartbeat};
 
 // All streams send the same heartbeats in turn, so the difference of two is worked out once.
-const differences = new WeakMap<PeerHeartbeat, Difference>();
+const deltas = new WeakMap<PeerHeartbeat, HeartbeatDelta>();
 
-const encodeDifference = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
-	const known = differences.get(next);
+const encodeNext = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
+	const known = deltas.get(next);
 	if (known?.previous === previous) {
 		return known.message;
 	}
 
-	const message = canContinue(previous, next) ? leaveOutUnchanged(previous, next) : heartbeatToWire(next);
-	differences.set(next, {previous, message});
+	const message = isDeltaPossible(previous, next) ? encodeDelta(previous, next) : heartbeatToWire(next);
+	deltas.set(next, {previous, message});
 	return message;
 };
 
@@ -99,7 +99,7 @@
 export const createHeartbeatWriter = (): HeartbeatWriter => {
 	let previous: PeerHeartbeat | undefined;
 	return heartbeat => {
-		const message = previous ? encodeDifference(previous, heartbeat) : heartbeatToWire(heartbeat);
+		const message = previous ? encodeNext(previous, heartbeat) : heartbeatToWire(heartbeat);
 		previous = heartbeat;
 		return message;
 	};
@@ -115,7 +115,7 @@
 			throw createFault(FaultKind.MalformedRequest, 'the first heartbeat of a stream leaves something out');
 		}
 
-		previous = message.continues ? fillIn(previous!, message) : heartbeatFromWire(message);
+		previous = message.continues ? applyDelta(previous!, message) : heartbeatFromWire(message);
 		return previous;
 	};
 };
--- a/packages/galenakeeld/src/connection/peer-connection.ts
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -125,28 +125,28 @@
 */
 export const runPeerConnection = async (calls: PeerCalls, options: {
 	readonly openSource: () => HeartbeatSource;
-	readonly hear: (heartbeat: PeerHeartbeat) => void;
-	readonly suspect: () => void;
+	readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
+	readonly onStreamEnded: () => void;
 	readonly signal: AbortSignal;
 }): Promise<void> => {
 	while (!options.signal.aborted) {
 		const stream = calls.openHeartbeats();
 		const source = options.openSource();
-		const received = receiveHeartbeats(stream, options.hear);
+		const received = receiveHeartbeats(stream, options.onHeartbeat);
 		const sent = sendHeartbeats(stream, source, options.signal);
 		await Promise.race([received, sent]);
 		source.close();
 		stream.cancel();
-		options.suspect();
+		options.onStreamEnded();
 		await sleep(reconnectPauseMilliseconds);
 	}
 };
 
-const receiveHeartbeats = async (stream: AsyncIterable<Heartbeat>, hear: (heartbeat: PeerHeartbeat) => void): Promise<void> => {
+const receiveHeartbeats = async (stream: AsyncIterable<Heartbeat>, onHeartbeat: (heartbeat: PeerHeartbeat) => void): Promise<void> => {
 	const read = createHeartbeatReader();
 	try {
 		for await (const message of stream) {
-			hear(read(message));
+			onHeartbeat(read(message));
 		}
 	} catch {
 		// A broken stream ends the loop like one that was closed; the caller reconnects.
--- a/packages/galenakeeld/src/connection/peer-encoding.ts
+++ b/packages/galenakeeld/src/connection/peer-encoding.ts
@@ -196,7 +196,7 @@
 	...heartbeat, state: stateFromWire(heartbeat.state), hints: freeSlots, ...probeFromWire(probe),
 });
 
-const notKept: wire.InspectReply = {
+const unknownSubmission: wire.InspectReply = {
 	state: '', tasks: 0, started: 0, finished: 0, answer: undefined,
 };
 
@@ -205,11 +205,11 @@
 */
 export const jobViewToWire = (view: JobView | undefined): wire.InspectReply => {
 	if (!view) {
-		return notKept;
+		return unknownSubmission;
 	}
 
 	if (view.isAnswered) {
-		return {...notKept, state: SubmissionState.Answered, answer: answerToWire(view.answer)};
+		return {...unknownSubmission, state: SubmissionState.Answered, answer: answerToWire(view.answer)};
 	}
 
 	const {state, tasks, started, finished} = view;
--- a/packages/galenakeeld/src/connection/peer-service.ts
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -20,16 +20,16 @@
 What this instance does for its peers.
 */
 export type PeerHandlers = {
-	readonly hear: (heartbeat: PeerHeartbeat) => void;
+	readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
 	/** Opens this instance's heartbeats on a stream to a peer. */
 	readonly openHeartbeats: (peer: string) => HeartbeatSource;
 	/** Called when the stream of a peer has ended. */
-	readonly suspect: (peer: string) => void;
+	readonly onStreamEnded: (peer: string) => void;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
 	/** Looks at a submission that this incarnation holds, or cancels it. */
 	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView | undefined>;
 	readonly lendSlots: (request: BorrowSlotsRequest) => BorrowSlotsReply;
-	readonly takeBackSlots: (request: ReturnSlotsRequest) => void;
+	readonly reclaimSlots: (request: ReturnSlotsRequest) => void;
 	readonly documentsAbove: (version: number) => FetchDocumentsReply;
 };
 
@@ -68,7 +68,7 @@
 	try {
 		for await (const message of stream as AsyncIterable<Heartbeat>) {
 			const heartbeat = read(message);
-			handlers.hear(heartbeat);
+			handlers.onHeartbeat(heartbeat);
 			// The first heartbeat tells whose stream it is, and with that its pace.
 			if (!source) {
 				peer = heartbeat.instance;
@@ -84,7 +84,7 @@
 	source?.close();
 	stream.end();
 	if (peer !== undefined) {
-		handlers.suspect(peer);
+		handlers.onStreamEnded(peer);
 	}
 };
 
@@ -105,7 +105,7 @@
 		inspect: answerCall(async ({identifier, cancel}) => jobViewToWire(await handlers.inspect(identifier, cancel))),
 		borrowSlots: answerCall(handlers.lendSlots),
 		returnSlots: answerCall(request => {
-			handlers.takeBackSlots(request);
+			handlers.reclaimSlots(request);
 			return {};
 		}),
 		fetchDocuments: answerCall(({aboveVersion}) => handlers.documentsAbove(aboveVersion)),
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -221,16 +221,16 @@
 	};
 
 	const stopPeers = await startPeerServer(settings.listen.peers, {
-		hear,
+		onHeartbeat: hear,
 		openHeartbeats: heartbeats.open,
-		suspect: peerWatch.suspect,
+		onStreamEnded: peerWatch.suspect,
 		submit: async submission => submit(submission, submissionRun),
 		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
 		lendSlots(request) {
 			contact(request.borrower);
 			return lendSlots(dispatchers, request);
 		},
-		takeBackSlots({borrower, service, leases}) {
+		reclaimSlots({borrower, service, leases}) {
 			contact(borrower);
 			dispatchers.serviceOf(service)?.lent.takeBack(borrower, leases);
 		},
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -50,7 +50,7 @@
 			dialNow: () => {
 				this.dialled.push(address);
 			},
-			breakOff: () => {
+			resetConnection: () => {
 				this.brokenOff.push(address);
 			},
 			close() {
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -35,7 +35,7 @@
 	readonly onBroken: (address: string, detail: string) => void;
 };
 
-const gatherMilliseconds = 1;
+const batchMilliseconds = 1;
 const redialMilliseconds = 150;
 /** Pause between connection attempts to an address that is not a reachable peer; it may be gone permanently. */
 const redialUnheardMilliseconds = 500;
@@ -66,9 +66,9 @@
 			}
 
 			const stream = options.openStream(address, {
-				createBeat: () => options.createHeartbeat(options.heartbeatIntervalTo(address)),
-				beatMilliseconds: () => options.heartbeatIntervalTo(address).heartbeatMilliseconds,
-				gatherMilliseconds,
+				createHeartbeat: () => options.createHeartbeat(options.heartbeatIntervalTo(address)),
+				heartbeatIntervalMilliseconds: () => options.heartbeatIntervalTo(address).heartbeatMilliseconds,
+				batchMilliseconds,
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnheardMilliseconds,
 				onConnected() {
 					options.onStreamOpened(address);
@@ -110,7 +110,7 @@
 		onBroken(from) {
 			options.onBroken(from, 'the peer\'s stream has ended');
 		},
-		onUnreadable(detail) {
+		onReadError(detail) {
 			options.onBroken('', detail);
 		},
 	});
@@ -133,7 +133,7 @@
 		},
 		removeSilentPeers() {
 			for (const peer of view.removeSilent()) {
-				streams.get(peer.address)?.breakOff('the peer is silent');
+				streams.get(peer.address)?.resetConnection('the peer is silent');
 				lose(peer, LossCause.Silent);
 			}
 		},
--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -72,8 +72,8 @@
 		});
 		void links.runConnection(calls, {
 			openSource: () => openHeartbeats(peer.name),
-			hear,
-			suspect() {
+			onHeartbeat: hear,
+			onStreamEnded() {
 				suspect(peer.name);
 			},
 			signal: stop.signal,
--- a/packages/trials/src/process/fake-peers.ts
+++ b/packages/trials/src/process/fake-peers.ts
@@ -63,13 +63,13 @@
 				open.push(source);
 				return source;
 			},
-			hear(heartbeat) {
+			onHeartbeat(heartbeat) {
 				options.hear(position, heartbeat);
 				if (heartbeat.probe) {
 					open.at(-1)!.announce();
 				}
 			},
-			suspect() {
+			onStreamEnded() {
 				// It dials again.
 			},
 			signal: stop.signal,
