Describe connections between daemons in the usual terms of gRPC streams

Comments, step texts and log details spoke of beats, dials and held-up messages in private terms. They now say heartbeat, connection attempt, delayed and delta.

--- a/packages/galenakeeld/src/connection/__tests__/fleet-frames.feature
+++ b/packages/galenakeeld/src/connection/__tests__/fleet-frames.feature
@@ -1,16 +1,16 @@
-Feature: Messages between daemons that were held up are not acted on
+Feature: Delayed messages between daemons are detected and malformed frames are rejected
 
-  Scenario: A stream whose messages arrive in time
+  Scenario: Messages that arrive in time are not delayed
     Given messages sent at "0, 100, 200, 300" ms by the sender's clock
     When they arrive at "5000, 5100, 5230, 5301" ms by the receiver's clock
-    Then "none" of them were held up
+    Then "none" of them are delayed
 
-  Scenario: A cut holds messages up and lets them through when it heals
+  Scenario: Messages held back by a network partition are delayed when it heals
     Given messages sent at "0, 100, 200, 300" ms by the sender's clock
     When they arrive at "5000, 5100, 11000, 11000" ms by the receiver's clock
-    Then "3, 4" of them were held up
+    Then "3, 4" of them are delayed
 
-  Scenario: What is no frame is refused, and unknown kinds of messages are left out
-    Then the frame '[]' is refused
-    And the frame '{"messages":[]}' is refused
-    And the frame '{"sentAt":1,"messages":[{"kind":"started","job":"a"},{"kind":"later-version"},7]}' holds 1 message
+  Scenario: Malformed frames are rejected and messages of unknown kinds are skipped
+    Then the frame '[]' is rejected
+    And the frame '{"messages":[]}' is rejected
+    And the frame '{"sentAt":1,"messages":[{"kind":"started","job":"a"},{"kind":"later-version"},7]}' contains 1 message
--- a/packages/galenakeeld/src/connection/__tests__/fleet-frames.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/fleet-frames.steps.ts
@@ -22,14 +22,14 @@
 	this.delayed = parseTimes(times).flatMap((receivedAt, position) => isDelayed(this.sentTimes[position]!, receivedAt) ? [position + 1] : []);
 });
 
-Then('{string} of them were held up', function (this: FrameWorld, expected: string) {
+Then('{string} of them are delayed', function (this: FrameWorld, expected: string) {
 	assert.equal(this.delayed.join(', ') || 'none', expected);
 });
 
-Then('the frame {string} is refused', (text: string) => {
+Then('the frame {string} is rejected', (text: string) => {
 	assert.throws(() => decodeFrame(Buffer.from(text)), error => isFault(error, FaultKind.MalformedRequest));
 });
 
-Then('the frame {string} holds {int} message', (text: string, count: number) => {
+Then('the frame {string} contains {int} message', (text: string, count: number) => {
 	assert.equal(decodeFrame(Buffer.from(text)).messages.length, count);
 });
--- a/packages/galenakeeld/src/connection/__tests__/heartbeat-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/heartbeat-stream.steps.ts
@@ -19,7 +19,7 @@
 	peerAddress: fc.constant('10.0.0.1:8001'),
 	operatorAddress: fc.constant('10.0.0.1:8002'),
 	state: fc.constantFrom(...Object.values(InstanceState)),
-	// A sender's catalogue version never falls, and its interval is above 0.
+	// The catalogue version of a sender never decreases, and its heartbeat interval is above 0.
 	catalogueVersion: fc.constant(0),
 	intervalMilliseconds: fc.integer({min: 1, max: 2000}),
 	hints: fc.uniqueArray(fc.record({service: names, free: fc.nat(3), waiting: fc.nat(3)}, {noNullPrototype: true}), {selector: hint => hint.service}),
@@ -35,7 +35,7 @@
 
 const overWire = (message: wire.Heartbeat): wire.Heartbeat => wire.Heartbeat.decode(wire.Heartbeat.encode(message).finish());
 
-Then('any sequence of heartbeats is heard as it was meant', () => {
+Then('any sequence of heartbeats is decoded to the heartbeats that were sent', () => {
 	fc.assert(fc.property(fc.array(heartbeats, {maxLength: 12}), sent => {
 		const write = createHeartbeatWriter();
 		const read = createHeartbeatReader();
@@ -60,7 +60,7 @@
 	assert.ok(this.bytes[1]! <= bytes, `${this.bytes.join(' and ')} bytes`);
 });
 
-When('a stream begins with a message that continues', function (this: StreamWorld) {
+When('a stream begins with a delta message', function (this: StreamWorld) {
 	try {
 		createHeartbeatReader()({...wire.Heartbeat.decode(new Uint8Array()), continues: true});
 	} catch (error) {
--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.feature
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.feature
@@ -1,25 +1,25 @@
-Feature: A stream to a peer that starts later
+Feature: Connection management of the stream to a peer
 
-  Scenario: A peer that is heard is dialled at once, whatever the pause between dials
-    Given a stream to an address where nothing listens, with a pause of 5000 ms between dials
-    When the peer starts after 300 ms and is heard
+  Scenario: A heartbeat from a peer triggers a connection attempt without waiting for the retry pause
+    Given a stream to an address where nothing listens, with a pause of 5000 ms between connection attempts
+    When the peer starts after 300 ms and its heartbeat arrives
     Then the stream is connected within 1000 ms
 
-  Scenario: A connection that is given up is replaced, though the old one never closes
-    Given a stream to an address where nothing listens, with a pause of 200 ms between dials
-    When the peer starts after 100 ms and is heard
+  Scenario: A connection that is reset is replaced, even if the old one never closes
+    Given a stream to an address where nothing listens, with a pause of 200 ms between connection attempts
+    When the peer starts after 100 ms and its heartbeat arrives
     Then the stream is connected within 1000 ms
-    When the connection is given up
-    Then the stream is connected anew within 1000 ms
+    When the connection is reset
+    Then the stream is reconnected within 1000 ms
 
-  Scenario: A pace that becomes slower holds from the next beat on, as the last one has promised it
-    Given a stream to an address where nothing listens, with a pause of 200 ms between dials
-    And its beats come each 100 ms for the first, and each 5000 ms from then on
-    When the peer starts after 100 ms and is heard
+  Scenario: A longer heartbeat interval applies only after the next heartbeat, because the peer expects that one within the shorter interval
+    Given a stream to an address where nothing listens, with a pause of 200 ms between connection attempts
+    And its heartbeat interval is 100 ms at first, and 5000 ms after the first heartbeat
+    When the peer starts after 100 ms and its heartbeat arrives
     Then the stream is connected within 1000 ms
-    And 2 beats arrive within 1000 ms, and no third within 500 ms
+    And 2 heartbeats arrive within 1000 ms, and no third within 500 ms
 
-  Scenario: A stream that is closed in its pause ends at once
-    Given a stream to an address where nothing listens, with a pause of 5000 ms between dials
+  Scenario: A stream that is closed during the retry pause ends at once
+    Given a stream to an address where nothing listens, with a pause of 5000 ms between connection attempts
     When the stream is closed after 300 ms
     Then its task ends within 500 ms
--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -12,7 +12,7 @@
 type StreamWorld = {
 	address: string;
 	stream: PeerStream;
-	/** Milliseconds between beats, from the first on; the last holds on. */
+	/** Heartbeat intervals in milliseconds, in order; the last one applies from then on. */
 	intervals: number[];
 	heartbeatsCreated: number;
 	heartbeatsReceived: number;
@@ -32,7 +32,7 @@
 const isDoneWithin = async (done: Promise<true>, milliseconds: number): Promise<boolean> =>
 	Promise.race([done, sleep(milliseconds, false, {ref: false})]);
 
-Given('a stream to an address where nothing listens, with a pause of {int} ms between dials', function (this: StreamWorld, milliseconds: number) {
+Given('a stream to an address where nothing listens, with a pause of {int} ms between connection attempts', function (this: StreamWorld, milliseconds: number) {
 	nextPort++;
 	this.address = `127.${process.pid % 200}.7.1:${nextPort}`;
 	this.stop = undefined;
@@ -55,10 +55,10 @@
 			(connections === 1 ? this.connected : this.connectedAgain).resolve(true);
 		},
 		onBroken() {
-			// The first dial is in vain.
+			// The first connection attempt is expected to fail.
 		},
 		onRefused() {
-			// Nothing listens yet.
+			// The first connection attempt is refused, as the peer has not started.
 		},
 	});
 	const run = async (): Promise<true> => {
@@ -74,20 +74,20 @@
 	this.stop?.();
 });
 
-When('the peer starts after {int} ms and is heard', async function (this: StreamWorld, milliseconds: number) {
+When('the peer starts after {int} ms and its heartbeat arrives', async function (this: StreamWorld, milliseconds: number) {
 	await sleep(milliseconds);
 	this.stop = await serveFleet(this.address, {
 		onMessage: () => {
 			this.heartbeatsReceived++;
 		},
 		onOpened() {
-			// The connection alone counts.
+			// The scenarios check only connections and heartbeats.
 		},
 		onBroken() {
-			// Streams end with the scenario.
+			// Streams break when the scenario ends.
 		},
 		onReadError() {
-			// A connection that is given up ends in the middle of its stream.
+			// A reset connection ends without closing its stream.
 		},
 	});
 	this.stream.dialNow();
@@ -102,11 +102,11 @@
 	assert.ok(await isDoneWithin(this.connected.promise, milliseconds));
 });
 
-Given('its beats come each {int} ms for the first, and each {int} ms from then on', function (this: StreamWorld, first: number, later: number) {
+Given('its heartbeat interval is {int} ms at first, and {int} ms after the first heartbeat', function (this: StreamWorld, first: number, later: number) {
 	this.intervals = [first, later];
 });
 
-Then('{int} beats arrive within {int} ms, and no third within {int} ms', async function (this: StreamWorld, beats: number, milliseconds: number, quietMilliseconds: number) {
+Then('{int} heartbeats arrive within {int} ms, and no third within {int} ms', async function (this: StreamWorld, beats: number, milliseconds: number, quietMilliseconds: number) {
 	const until = performance.now() + milliseconds;
 	while (this.heartbeatsReceived < beats && performance.now() < until) {
 		await sleep(10);
@@ -117,11 +117,11 @@
 	assert.equal(this.heartbeatsReceived, beats);
 });
 
-When('the connection is given up', function (this: StreamWorld) {
+When('the connection is reset', function (this: StreamWorld) {
 	this.stream.resetConnection('the peer is silent');
 });
 
-Then('the stream is connected anew within {int} ms', async function (this: StreamWorld, milliseconds: number) {
+Then('the stream is reconnected within {int} ms', async function (this: StreamWorld, milliseconds: number) {
 	assert.ok(await isDoneWithin(this.connectedAgain.promise, milliseconds));
 });
 
--- a/packages/galenakeeld/src/connection/counted-peer-service.ts
+++ b/packages/galenakeeld/src/connection/counted-peer-service.ts
@@ -2,12 +2,12 @@
 import {PeerService, type PeerClient} from '@galenakeel/model/connection/generated/peer.js';
 
 /**
-Counts a message to a peer by the name of its call, with the bytes of its encoding.
+Records one message sent to a peer: the name of its gRPC method and its encoded size in bytes.
 */
 export type CountPeerMessage = (call: string, bytes: number) => void;
 
 /**
-A constructor of clients of the service between entry instances.
+Constructor of gRPC clients of the peer service.
 */
 export type PeerClientConstructor = new (...parameters: ConstructorParameters<typeof PeerClient>) => PeerClient;
 
@@ -27,13 +27,13 @@
 };
 
 /**
-The service between entry instances, whose encoder counts what is sent.
+Creates the definition of the peer service with serializers that report each sent message to `count`.
 */
 export const createCountedPeerService = (count: CountPeerMessage): PeerService =>
 	Object.fromEntries(Object.entries(PeerService).map(([name, method]) => [name, withMessageCount(method as AnyMethod, count)])) as unknown as PeerService;
 
 /**
-A constructor of clients whose encoder counts what is sent.
+Creates a client constructor whose serializers report each sent message to `count`.
 
 @example
 ```
--- a/packages/galenakeeld/src/connection/delay-detector.ts
+++ b/packages/galenakeeld/src/connection/delay-detector.ts
@@ -1,21 +1,21 @@
 /**
-Creates a watch that tells whether a message of a stream was held up, as by a cut of the network or a pause of either process.
+Creates a detector of messages delayed by a network partition or by a pause of either process.
 
-The clocks of the two sides need not agree: the least difference that was seen stands for a delay of nothing.
+The clocks need not be synchronized: the smallest difference seen so far counts as zero delay.
 
-@param maximumDelayMilliseconds Delay over the least one from which a message was held up.
+@param maximumDelayMilliseconds Excess over the smallest difference above which a message is delayed.
 
 @example
 ```
-const isHeldUp = createDelayWatch(600);
-isHeldUp(sentAt, performance.now());
+const isDelayed = createDelayDetector(600);
+isDelayed(sentAt, performance.now());
 ```
 */
 export const createDelayDetector = (maximumDelayMilliseconds: number) => {
-	let minimumDifference = Number.POSITIVE_INFINITY;
+	let leastDifference = Number.POSITIVE_INFINITY;
 	return (sentAt: number, receivedAt: number): boolean => {
 		const difference = receivedAt - sentAt;
-		minimumDifference = Math.min(minimumDifference, difference);
-		return difference - minimumDifference > maximumDelayMilliseconds;
+		leastDifference = Math.min(leastDifference, difference);
+		return difference - leastDifference > maximumDelayMilliseconds;
 	};
 };
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -12,7 +12,7 @@
 const serialize = (bytes: Uint8Array) => Buffer.from(bytes);
 const deserialize = (bytes: Uint8Array): Uint8Array => bytes;
 
-/** One call streams the messages of one daemon to another; each daemon opens its own. */
+/** Client-streaming call that carries messages from one daemon to another. Each daemon opens one in its own direction. */
 const exchange = {
 	path: '/galenakeel.Fleet/Exchange',
 	requestStream: true,
@@ -25,7 +25,7 @@
 
 const fleetService: ServiceDefinition = {exchange};
 
-/** Each stream has a connection of its own; it is replaced here rather than by the library. */
+/** Each stream has its own connection. The long backoff disables reconnection by gRPC, because `createPeerStream` reconnects. */
 const channelOptions = Object.fromEntries([
 	['grpc.use_local_subchannel_pool', 1],
 	['grpc.enable_http_proxy', 0],
@@ -33,25 +33,25 @@
 	['grpc.max_reconnect_backoff_ms', 60_000],
 ]);
 
-/** Unsent bytes after which a peer that doesn't read counts as silent. */
+/** Number of unsent frames above which the connection to a peer that does not read is closed. */
 const maximumUnsentFrames = 4096;
 const connectTimeoutMilliseconds = 400;
-/** Delay over the usual one with which messages no longer count: the peer has given this daemon up by then. */
+/** Delay above the smallest one, beyond which messages are discarded: by then the sender has declared this daemon lost. */
 const maximumDelayMilliseconds = 600;
 
-/** What a holder needs only when the owner is lost, so that it goes with the next message or beat. A lost owner may have started tasks in any case. */
+/** Messages that a holder needs only after the owner is lost, so they wait for the next urgent message or heartbeat. Losing them is safe: a holder must always assume that a lost owner may have started tasks. */
 const deferrableKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Started, FleetMessageKind.TaskSucceeded]);
 
 const isUrgent = ({kind}: FleetMessage): boolean => !deferrableKinds.has(kind);
 
-/** Waits for a connection; rejects as soon as nothing listens at the address. */
+/** Waits until the connection is established. Rejects on timeout, or at once when the connection is refused. */
 const awaitReady = async (client: Client, onRefused: () => void): Promise<void> => {
 	const channel = client.getChannel();
 	const deadline = Date.now() + connectTimeoutMilliseconds;
 	for (let state = channel.getConnectivityState(true); state !== connectivityState.READY; state = channel.getConnectivityState(true)) {
 		if (state === connectivityState.TRANSIENT_FAILURE) {
 			onRefused();
-			throw new Error('the connection was refused');
+			throw new Error('connection refused');
 		}
 
 		await new Promise<void>((resolve, reject) => {
@@ -67,15 +67,16 @@
 };
 
 /**
-Serves the streams of peers.
+Starts the server that receives message streams from peers.
 
-@param onMessage Called for each message in order; a stream may break at any time and be opened anew.
-@param onBroken Called when a stream has ended, with the address of the last beat on it.
-@returns A function that ends the service.
+@param onMessage Called for each message of a stream, in order. A stream may break at any time and be reopened by the peer.
+@param onBroken Called when a stream has ended, with the address from its first heartbeat, or an empty string if there was none.
+@param onReadError Called with the reason when reading a stream fails or a message is rejected.
+@returns A function that shuts the server down at once.
 */
 export const serveFleet = async (address: string, handlers: {
 	readonly onMessage: (message: FleetMessage, from: string) => void;
-	/** Called after the first message of a stream; what was sent on an earlier one may be lost. */
+	/** Called after the first heartbeat of a stream. Messages sent on an earlier stream may be lost. */
 	readonly onOpened: (from: string) => void;
 	readonly onBroken: (from: string) => void;
 	readonly onReadError: (detail: string) => void;
@@ -104,7 +105,7 @@
 		}
 	};
 
-	/** Reads one stream until it ends. The peer opens another when it is refused. */
+	/** Reads one stream until it ends. If the stream is aborted, the peer opens another. */
 	const receive = async (stream: ServerReadableStream<Uint8Array, Uint8Array>, callback: sendUnaryData<Uint8Array>): Promise<void> => {
 		let from = '';
 		try {
@@ -140,40 +141,40 @@
 };
 
 /**
-The stream of messages to one peer.
+Outgoing message stream to one peer.
 */
 export type PeerStream = {
-	/** Queues a message; what is queued while the peer is out of reach is dropped. */
+	/** Queues a message. Messages are dropped while the stream is not connected. */
 	readonly send: (message: FleetMessage) => void;
-	/** Runs until closed: connects, sends what is queued and a beat in each interval, connects again. */
+	/** Connects, sends queued messages and one heartbeat per interval, and reconnects after a failure, until the stream is closed. */
 	readonly run: () => Promise<void>;
-	/** Ends a pause between two dials, as the peer has just been heard. */
+	/** Skips the rest of the pause between connection attempts, for use when a heartbeat from the peer has arrived. */
 	readonly dialNow: () => void;
-	/** Gives the connection up and dials anew: one that was cut carries nothing for seconds after the cut has ended, as TCP waits longer after each loss. */
+	/** Closes the connection and opens a new one. After a network partition heals, the old connection stays stalled for seconds because TCP backs off its retransmissions exponentially. */
 	readonly resetConnection: (reason: string) => void;
 	readonly close: () => void;
 };
 
 /**
-Creates the stream to a peer.
+Creates the outgoing stream to a peer. It connects when `run` is called.
 
-@param options.createBeat Makes the beat of this moment.
+@param options.createHeartbeat Creates a heartbeat with the current state.
 @example
 ```
-const stream = createPeerStream('10.1.0.13:7720', {createBeat, beatMilliseconds: () => 100, gatherMilliseconds: 1, redialMilliseconds: 250, onConnected, onBroken});
+const stream = createPeerStream('10.1.0.13:7720', {createHeartbeat, heartbeatIntervalMilliseconds: () => 100, batchMilliseconds: 1, redialMilliseconds: () => 250, onConnected, onBroken, onRefused});
 void stream.run();
 ```
 */
 export const createPeerStream = (address: string, options: {
 	readonly createHeartbeat: () => FleetMessage;
-	/** Time between two beats; asked for anew after each message. */
+	/** Heartbeat interval, read again after each frame so that a shorter one applies at once. */
 	readonly heartbeatIntervalMilliseconds: () => number;
-	/** How long messages are gathered into one frame. */
+	/** How long messages are collected into one frame after an urgent one. */
 	readonly batchMilliseconds: number;
 	readonly redialMilliseconds: () => number;
 	readonly onConnected: () => void;
 	readonly onBroken: (detail: string) => void;
-	/** Called when nothing listens at the address. */
+	/** Called when a connection attempt is refused. */
 	readonly onRefused: () => void;
 }): PeerStream => {
 	let queued: FleetMessage[] = [];
@@ -206,7 +207,7 @@
 
 	const sendUntilBroken = async (call: ClientWritableStream<Uint8Array>, broken: AbortSignal): Promise<void> => {
 		let lastHeartbeatAt = Number.NEGATIVE_INFINITY;
-		/** Interval that held when the last beat was made: the peer expects the next one by it. */
+		/** Interval when the last heartbeat was created. The peer expects the next heartbeat within this interval, even if it has since become longer. */
 		let interval = 0;
 
 		const millisecondsUntilHeartbeat = (): number => lastHeartbeatAt + Math.min(interval, options.heartbeatIntervalMilliseconds()) - performance.now();
@@ -226,7 +227,7 @@
 
 			await awaitMessages(Math.max(0, millisecondsUntilHeartbeat()));
 			if (call.writableLength > maximumUnsentFrames) {
-				throw new Error('the peer doesn\'t read');
+				throw new Error('too many unsent frames: the peer does not read the stream');
 			}
 		}
 	};
@@ -253,7 +254,7 @@
 
 			options.onConnected();
 			await sendUntilBroken(call, broken.signal);
-			throw new Error(`the stream has ended: ${detailOf(broken.signal.reason)}`);
+			throw new Error(`stream ended: ${detailOf(broken.signal.reason)}`);
 		} finally {
 			isConnected = false;
 			breakConnection = undefined;
--- a/packages/galenakeeld/src/connection/heartbeat-stream.ts
+++ b/packages/galenakeeld/src/connection/heartbeat-stream.ts
@@ -4,14 +4,14 @@
 import {heartbeatFromWire, heartbeatToWire} from './peer-encoding.js';
 
 /**
-Encodes the heartbeats of one stream, each without what the one before it said.
+Encodes the heartbeats of one stream as deltas: fields unchanged since the previous heartbeat are omitted.
 */
 export type HeartbeatWriter = (heartbeat: PeerHeartbeat) => wire.Heartbeat;
 
 /**
-Decodes the heartbeats of one stream to whole ones.
+Decodes the heartbeats of one stream and restores omitted fields.
 
-@throws A fault of kind `MalformedRequest` when the first message of the stream leaves something out.
+@throws A fault of kind `MalformedRequest` when the first message of the stream is a delta.
 */
 export type HeartbeatReader = (message: wire.Heartbeat) => PeerHeartbeat;
 
@@ -33,7 +33,7 @@
 
 const containsAll = (names: ReadonlySet<string>, wanted: readonly string[]): boolean => wanted.every(name => names.has(name));
 
-/** What was said once can only be added to, so a service or a mark that went away needs a whole heartbeat. */
+/** A delta cannot remove a service or a leaving endpoint, so a removal requires a complete heartbeat. */
 const isDeltaPossible = (previous: PeerHeartbeat, next: PeerHeartbeat): boolean =>
 	isSameSender(previous, next)
 	&& containsAll(new Set(next.hints.map(({service}) => service)), previous.hints.map(({service}) => service))
@@ -55,7 +55,7 @@
 	};
 };
 
-/** A probe counts for its own heartbeat only. */
+/** A probe is not carried over: it applies only to the heartbeat that contains it. */
 const applyDelta = ({probe: _probe, ...previous}: PeerHeartbeat, message: wire.Heartbeat): PeerHeartbeat => {
 	const {
 		state, catalogueVersion, intervalMilliseconds, hints, leavingEndpoints, probe,
@@ -73,7 +73,7 @@
 
 type HeartbeatDelta = {readonly previous: PeerHeartbeat; readonly message: wire.Heartbeat};
 
-// All streams send the same heartbeats in turn, so the difference of two is worked out once.
+// All streams send the same sequence of heartbeats, so each delta is computed once and shared.
 const deltas = new WeakMap<PeerHeartbeat, HeartbeatDelta>();
 
 const encodeNext = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
@@ -88,7 +88,7 @@
 };
 
 /**
-Creates the writer of a stream on which nothing was sent.
+Creates the writer for a new stream. Its first message is a complete heartbeat.
 
 @example
 ```
@@ -106,13 +106,13 @@
 };
 
 /**
-Creates the reader of a stream on which nothing was received.
+Creates the reader for a new stream.
 */
 export const createHeartbeatReader = (): HeartbeatReader => {
 	let previous: PeerHeartbeat | undefined;
 	return message => {
 		if (message.continues && !previous) {
-			throw createFault(FaultKind.MalformedRequest, 'the first heartbeat of a stream leaves something out');
+			throw createFault(FaultKind.MalformedRequest, 'the first heartbeat of a stream must be complete, but it is a delta');
 		}
 
 		previous = message.continues ? applyDelta(previous!, message) : heartbeatFromWire(message);
--- a/packages/galenakeeld/src/connection/peer-connection.ts
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -24,9 +24,9 @@
 const reconnectPauseMilliseconds = 100;
 
 /**
-Options of every channel between entry instances. Keepalive finds connections that have gone silent.
+gRPC channel options for connections between entry instances. Keepalive detects dead connections.
 */
-/* eslint-disable @typescript-eslint/naming-convention -- the names are those of gRPC's channel arguments */
+/* eslint-disable @typescript-eslint/naming-convention -- gRPC defines the names of channel arguments */
 export const channelOptions = {
 	'grpc.max_receive_message_length': maximumMessageBytes,
 	'grpc.max_send_message_length': maximumMessageBytes,
@@ -36,24 +36,24 @@
 	'grpc.keepalive_timeout_ms': 1000,
 	'grpc.keepalive_permit_without_calls': 1,
 	'grpc.enable_http_proxy': 0,
-	// Peers at the same address share nothing, so that a closed channel closes its connection.
+	// Channels to the same address do not share a connection, so closing a channel closes its connection.
 	'grpc.use_local_subchannel_pool': 1,
 };
 /* eslint-enable @typescript-eslint/naming-convention */
 
 /**
-This instance's heartbeats on one stream.
+Source of the heartbeats that this instance sends on one stream.
 */
 export type HeartbeatSource = {
 	readonly current: () => PeerHeartbeat;
-	/** Resolves when the interval has passed, or at once after a change that the peer must know. */
+	/** Resolves when the heartbeat interval has passed, or at once after a change that must be sent to the peer. */
 	readonly untilNext: () => Promise<void>;
-	/** Ends the wait for the next heartbeat, because the stream has ended. */
+	/** Ends the wait for the next heartbeat after the stream has ended. */
 	readonly close: () => void;
 };
 
 /**
-Calls to one peer.
+Remote calls to one peer.
 */
 export type PeerCalls = {
 	readonly submit: (request: SubmitRequest, timeoutMilliseconds: number) => Promise<SubmitReply>;
@@ -66,11 +66,11 @@
 };
 
 /**
-Creates the calls to the peer at an address. The connection is opened with the first call.
+Creates the client for the peer at an address. The connection is opened by the first call.
 
-@param Client The generated client, or one that counts.
+@param Client Constructor of the gRPC client: the generated one, or one that counts sent messages.
 
-All calls throw a fault of kind `HolderUnreachable` when no reply comes in time.
+Every unary call throws a fault of kind `HolderUnreachable` when it fails or no reply arrives before its timeout.
 
 @example
 ```
@@ -106,7 +106,7 @@
 		fetchDocuments: async (aboveVersion, timeout) => invoke(timeout, (options, callback) => client.fetchDocuments({aboveVersion}, new Metadata(), options, callback)),
 		openHeartbeats: () => client.heartbeats(),
 		close() {
-			// A closed channel leaves calls that wait for a connection pending until their deadline.
+			// Closing the channel does not end calls that wait for a connection: they would stay pending until their deadline.
 			for (const call of pending) {
 				call.cancel();
 			}
@@ -117,11 +117,11 @@
 };
 
 /**
-Keeps a stream of heartbeats to one peer until the signal aborts: sends this instance's, and hands on the peer's.
+Maintains a heartbeat stream to one peer until the signal aborts: sends heartbeats of this instance, receives those of the peer, and reconnects after a failure.
 
-@param options.openSource Opens what says what to send on a stream, and when the next heartbeat is due.
-@param options.hear Called with each heartbeat of the peer.
-@param options.suspect Called when a stream has ended.
+@param options.openSource Opens the source that provides the heartbeats for a stream and their timing.
+@param options.onHeartbeat Called with each heartbeat from the peer.
+@param options.onStreamEnded Called each time the stream has ended.
 */
 export const runPeerConnection = async (calls: PeerCalls, options: {
 	readonly openSource: () => HeartbeatSource;
@@ -149,7 +149,7 @@
 			onHeartbeat(read(message));
 		}
 	} catch {
-		// A broken stream ends the loop like one that was closed; the caller reconnects.
+		// A broken stream is handled like a closed one: `runPeerConnection` reconnects.
 	}
 };
 
--- a/packages/galenakeeld/src/connection/peer-encoding.ts
+++ b/packages/galenakeeld/src/connection/peer-encoding.ts
@@ -141,7 +141,7 @@
 });
 
 /**
-Decodes a submission that a peer handed over.
+Decodes a submission that a peer has forwarded.
 */
 export const submissionFromWire = ({incarnation: _incarnation, ...request}: wire.SubmitRequest): Submission => ({
 	...request, tasks: request.tasks.map(task => taskFromWire(task)),
@@ -170,7 +170,7 @@
 });
 
 /**
-Encodes a whole heartbeat.
+Encodes a complete heartbeat, with no fields omitted.
 */
 export const heartbeatToWire = (heartbeat: PeerHeartbeat): wire.Heartbeat => ({
 	instance: heartbeat.instance,
@@ -190,7 +190,7 @@
 });
 
 /**
-Decodes the fields that a heartbeat holds.
+Decodes a heartbeat message. Omitted fields get their protobuf default values.
 */
 export const heartbeatFromWire = ({freeSlots, continues: _continues, probe, ...heartbeat}: wire.Heartbeat): PeerHeartbeat => ({
 	...heartbeat, state: stateFromWire(heartbeat.state), hints: freeSlots, ...probeFromWire(probe),
@@ -201,7 +201,7 @@
 };
 
 /**
-Encodes what this incarnation knows of a submission; `undefined` says that it is not kept here.
+Encodes the state of a submission in this incarnation; `undefined` means that the submission is unknown here.
 */
 export const jobViewToWire = (view: JobView | undefined): wire.InspectReply => {
 	if (!view) {
@@ -219,7 +219,7 @@
 };
 
 /**
-Decodes what a peer knows of a submission; `undefined` when it does not keep it.
+Decodes the state of a submission on a peer; `undefined` when the submission is unknown there.
 */
 export const jobViewFromWire = (reply: wire.InspectReply): JobView | undefined => {
 	const {state, tasks, started, finished, answer} = reply;
--- a/packages/galenakeeld/src/connection/peer-service.ts
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -17,16 +17,16 @@
 } from './peer-encoding.js';
 
 /**
-What this instance does for its peers.
+Handlers for streams and calls from peers.
 */
 export type PeerHandlers = {
 	readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
-	/** Opens this instance's heartbeats on a stream to a peer. */
+	/** Opens the source of the heartbeats to send on a stream to a peer. */
 	readonly openHeartbeats: (peer: string) => HeartbeatSource;
-	/** Called when the stream of a peer has ended. */
+	/** Called when the heartbeat stream from a peer has ended. */
 	readonly onStreamEnded: (peer: string) => void;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
-	/** Looks at a submission that this incarnation holds, or cancels it. */
+	/** Returns the state of a submission that this incarnation holds, or cancels it. */
 	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView | undefined>;
 	readonly lendSlots: (request: BorrowSlotsRequest) => BorrowSlotsReply;
 	readonly reclaimSlots: (request: ReturnSlotsRequest) => void;
@@ -52,7 +52,7 @@
 };
 
 /**
-Serves one stream of heartbeats from a peer that dialled this instance.
+Serves one heartbeat stream opened by a peer.
 */
 const serveHeartbeats = async (stream: ServerDuplexStream<Heartbeat, Heartbeat>, handlers: PeerHandlers, closing: AbortSignal): Promise<void> => {
 	const ended = new AbortController();
@@ -69,7 +69,7 @@
 		for await (const message of stream as AsyncIterable<Heartbeat>) {
 			const heartbeat = read(message);
 			handlers.onHeartbeat(heartbeat);
-			// The first heartbeat tells whose stream it is, and with that its pace.
+			// The first heartbeat identifies the peer, which determines the heartbeat interval.
 			if (!source) {
 				peer = heartbeat.instance;
 				source = handlers.openHeartbeats(peer);
@@ -77,7 +77,7 @@
 			}
 		}
 	} catch {
-		// A broken stream ends like a closed one; the peer dials again.
+		// A broken stream is handled like a closed one: the peer reconnects.
 	}
 
 	ended.abort();
@@ -89,10 +89,10 @@
 };
 
 /**
-Starts the server for calls of other entry instances.
+Starts the gRPC server for calls from other entry instances.
 
-@param count Called with each message that is sent.
-@returns A function that stops it once the calls in progress have their replies, or after a time limit.
+@param count Called for each message sent by the server.
+@returns A function that shuts the server down gracefully: it waits up to 1 s for calls in progress, then aborts them.
 */
 export const startPeerServer = async (address: string, handlers: PeerHandlers, count: CountPeerMessage): Promise<() => Promise<void>> => {
 	const server = new Server(channelOptions);
