--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -38,11 +38,11 @@
 
 Of two peers the one whose name sorts first dials; the other dials only while it hears nothing.
 */
-export const createPeerDirectory = ({self, membership, openHeartbeats, hear, suspect}: {
+export const createPeerDirectory = ({self, membership, openHeartbeats, onHeartbeat, suspect}: {
 	readonly self: Incarnation;
 	readonly membership: Membership;
 	readonly openHeartbeats: (peer: string) => HeartbeatSource;
-	readonly hear: (heartbeat: PeerHeartbeat) => void;
+	readonly onHeartbeat: (heartbeat: PeerHeartbeat) => void;
 	readonly suspect: (peer: string) => void;
 }, links: PeerLinks): PeerDirectory => {
 	const tasks = new Map<string, PeerTask>();
@@ -72,7 +72,7 @@
 		});
 		void links.runConnection(calls, {
 			openSource: () => openHeartbeats(peer.name),
-			onHeartbeat: hear,
+			onHeartbeat,
 			onStreamEnded() {
 				suspect(peer.name);
 			},
