--- a/packages/galenakeeld/src/connection/peer-connection.ts
+++ b/packages/galenakeeld/src/connection/peer-connection.ts
@@ -24,7 +24,7 @@
 const reconnectPauseMilliseconds = 100;
 
 /**
-gRPC channel options for connections between entry instances. Keepalive detects dead connections.
+Options of the gRPC channels between entry instances. Keepalive detects dead connections.
 */
 /* eslint-disable @typescript-eslint/naming-convention -- gRPC defines the names of channel arguments */
 export const channelOptions = {
