--- a/packages/galenakeeld/src/connection/heartbeat-stream.ts
+++ b/packages/galenakeeld/src/connection/heartbeat-stream.ts
@@ -4,14 +4,14 @@
 import {heartbeatFromWire, heartbeatToWire} from './peer-encoding.js';
 
 /**
-Encodes the heartbeats of one stream, each without what the one before it said.
+Encodes the heartbeats of one stream as deltas: fields unchanged since the previous heartbeat are omitted.
 */
 export type HeartbeatWriter = (heartbeat: PeerHeartbeat) => wire.Heartbeat;
 
 /**
-Decodes the heartbeats of one stream to whole ones.
+Decodes the heartbeats of one stream and restores omitted fields.
 
-@throws A fault of kind `MalformedRequest` when the first message of the stream leaves something out.
+@throws A fault of kind `MalformedRequest` when the first message of the stream is a delta.
 */
 export type HeartbeatReader = (message: wire.Heartbeat) => PeerHeartbeat;
 
@@ -33,30 +33,30 @@
 
 const containsAll = (names: ReadonlySet<string>, wanted: readonly string[]): boolean => wanted.every(name => names.has(name));
 
-/** What was said once can only be added to, so a service or a mark that went away needs a whole heartbeat. */
-const canContinue = (previous: PeerHeartbeat, next: PeerHeartbeat): boolean =>
+/** A delta cannot remove a service or a leaving endpoint, so a removal requires a complete heartbeat. */
+const isDeltaPossible = (previous: PeerHeartbeat, next: PeerHeartbeat): boolean =>
 	isSameSender(previous, next)
 	&& containsAll(new Set(next.hints.map(({service}) => service)), previous.hints.map(({service}) => service))
 	&& containsAll(new Set(next.leavingEndpoints), previous.leavingEndpoints);
 
-const leaveOutUnchanged = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
-	const whole = heartbeatToWire(next);
+const encodeDelta = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
+	const complete = heartbeatToWire(next);
 	const hints = byService(previous.hints);
-	const marks = new Set(previous.leavingEndpoints);
+	const previousEndpoints = new Set(previous.leavingEndpoints);
 	return {
 		...emptyMessage,
 		continues: true,
-		state: next.state === previous.state ? wire.InstanceState.INSTANCE_STATE_UNSPECIFIED : whole.state,
+		state: next.state === previous.state ? wire.InstanceState.INSTANCE_STATE_UNSPECIFIED : complete.state,
 		catalogueVersion: next.catalogueVersion === previous.catalogueVersion ? 0 : next.catalogueVersion,
 		intervalMilliseconds: next.intervalMilliseconds === previous.intervalMilliseconds ? 0 : next.intervalMilliseconds,
 		freeSlots: next.hints.filter(hint => !isSameHint(hints.get(hint.service), hint)),
-		leavingEndpoints: next.leavingEndpoints.filter(mark => !marks.has(mark)),
-		probe: whole.probe,
+		leavingEndpoints: next.leavingEndpoints.filter(endpoint => !previousEndpoints.has(endpoint)),
+		probe: complete.probe,
 	};
 };
 
-/** A probe counts for its own heartbeat only. */
-const fillIn = ({probe: _probe, ...previous}: PeerHeartbeat, message: wire.Heartbeat): PeerHeartbeat => {
+/** A probe is not carried over: it applies only to the heartbeat that contains it. */
+const applyDelta = ({probe: _probe, ...previous}: PeerHeartbeat, message: wire.Heartbeat): PeerHeartbeat => {
 	const {
 		state, catalogueVersion, intervalMilliseconds, hints, leavingEndpoints, probe,
 	} = heartbeatFromWire(message);
@@ -71,24 +71,24 @@
 	};
 };
 
-type Difference = {readonly previous: PeerHeartbeat; readonly message: wire.Heartbeat};
+type HeartbeatDelta = {readonly previous: PeerHeartbeat; readonly message: wire.Heartbeat};
 
-// All streams send the same heartbeats in turn, so the difference of two is worked out once.
-const differences = new WeakMap<PeerHeartbeat, Difference>();
+// All streams send the same sequence of heartbeats, so each delta is computed once and shared.
+const deltas = new WeakMap<PeerHeartbeat, HeartbeatDelta>();
 
-const encodeDifference = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
-	const known = differences.get(next);
+const encodeNext = (previous: PeerHeartbeat, next: PeerHeartbeat): wire.Heartbeat => {
+	const known = deltas.get(next);
 	if (known?.previous === previous) {
 		return known.message;
 	}
 
-	const message = canContinue(previous, next) ? leaveOutUnchanged(previous, next) : heartbeatToWire(next);
-	differences.set(next, {previous, message});
+	const message = isDeltaPossible(previous, next) ? encodeDelta(previous, next) : heartbeatToWire(next);
+	deltas.set(next, {previous, message});
 	return message;
 };
 
 /**
-Creates the writer of a stream on which nothing was sent.
+Creates the writer for a new stream. Its first message is a complete heartbeat.
 
 @example
 ```
@@ -99,23 +99,23 @@
 export const createHeartbeatWriter = (): HeartbeatWriter => {
 	let previous: PeerHeartbeat | undefined;
 	return heartbeat => {
-		const message = previous ? encodeDifference(previous, heartbeat) : heartbeatToWire(heartbeat);
+		const message = previous ? encodeNext(previous, heartbeat) : heartbeatToWire(heartbeat);
 		previous = heartbeat;
 		return message;
 	};
 };
 
 /**
-Creates the reader of a stream on which nothing was received.
+Creates the reader for a new stream.
 */
 export const createHeartbeatReader = (): HeartbeatReader => {
 	let previous: PeerHeartbeat | undefined;
 	return message => {
 		if (message.continues && !previous) {
-			throw createFault(FaultKind.MalformedRequest, 'the first heartbeat of a stream leaves something out');
+			throw createFault(FaultKind.MalformedRequest, 'the first heartbeat of a stream must be complete, but it is a delta');
 		}
 
-		previous = message.continues ? fillIn(previous!, message) : heartbeatFromWire(message);
+		previous = message.continues ? applyDelta(previous!, message) : heartbeatFromWire(message);
 		return previous;
 	};
 };
