--- a/packages/galenakeeld/src/process/lending-calls.ts
+++ b/packages/galenakeeld/src/process/lending-calls.ts
@@ -65,11 +65,11 @@
 
 	const {lent, loads, dispatcher} = dispatched;
 	const now = performance.now();
-	loads.learn(request.borrower, request.teams, now);
+	loads.receivePeerLoads(request.borrower, request.teams, now);
 	return {
 		leases: [...lent.lend(request.borrower, request.held, request, now)],
 		leaseMilliseconds: lent.leaseMilliseconds,
 		stillFree: dispatcher.surplusWithinQuota(),
-		teams: [...loads.largest()],
+		teams: [...loads.largestLoads()],
 	};
 };
--- a/packages/galenakeeld/src/process/quota-reserve.ts
+++ b/packages/galenakeeld/src/process/quota-reserve.ts
@@ -60,7 +60,7 @@
 
 	const sumOver = (measure: (team: string) => number): number => {
 		let sum = 0;
-		for (const team of loads.over()) {
+		for (const team of loads.teamsOverQuota()) {
 			sum += measure(team);
 		}
 
@@ -94,7 +94,7 @@
 	/** Slots that teams over their quota may hold. */
 	const limit = (): number => Math.max(1, Math.floor(assured()), ledger.usable() - Math.ceil(within.target(reserveDeviations)));
 
-	const mayStart = (team: string): boolean => !loads.over().has(team) || busyOver() < limit();
+	const mayStart = (team: string): boolean => !loads.teamsOverQuota().has(team) || busyOver() < limit();
 
 	return {
 		mayStart,
@@ -111,11 +111,11 @@
 		},
 		waitingWithin,
 		limitLoad(team, load) {
-			if (loads.over().size === 0) {
+			if (loads.teamsOverQuota().size === 0) {
 				return load;
 			}
 
-			if (loads.over().has(team)) {
+			if (loads.teamsOverQuota().has(team)) {
 				return {...load, free: mayStart(team) ? load.free : 0, capacity: load.capacity * Math.min(1, limit() / Math.max(1, ledger.usable()))};
 			}
 
@@ -123,16 +123,16 @@
 			return {...load, waitingWork, isStanding: queue.isStanding(performance.now())};
 		},
 		shortfall() {
-			return loads.over().size === 0 ? 0 : Math.max(0, ledger.free() > 0 ? 0 : waitingWithin(), Math.ceil(needed() - ledger.usable()));
+			return loads.teamsOverQuota().size === 0 ? 0 : Math.max(0, ledger.free() > 0 ? 0 : waitingWithin(), Math.ceil(needed() - ledger.usable()));
 		},
 		surplus() {
-			return loads.over().size === 0 || waitingWithin() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - needed(lendingDeviations))));
+			return loads.teamsOverQuota().size === 0 || waitingWithin() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - needed(lendingDeviations))));
 		},
 		sweep(capacity, maximumQueueMilliseconds) {
 			const work = order.work(TaskLength.Short) - sumOver(team => order.work(TaskLength.Short, team));
 			queue.observe(work / capacity, maximumQueueMilliseconds, performance.now());
 			within.observe(ledger.busy() - busyOver() + waitingWithin());
-			owned = loads.over().size === 0 ? 0 : countOwned();
+			owned = loads.teamsOverQuota().size === 0 ? 0 : countOwned();
 		},
 	};
 };
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -135,14 +135,14 @@
 		const borrower = createSlotBorrower({
 			held,
 			shortfall: dispatcher.shortfall,
-			teams: loads.largest,
+			teams: loads.largestLoads,
 			learn(lender, teams) {
-				loads.learn(lender, teams, performance.now());
+				loads.receivePeerLoads(lender, teams, performance.now());
 			},
 			started: dispatcher.started,
 			peers: options.peers,
 			hintOf: peer => hintOf(peer)?.free ?? 0,
-			isBusy: peer => loads.over().size > 0 && (hintOf(peer)?.waiting ?? 0) > 0,
+			isBusy: peer => loads.teamsOverQuota().size > 0 && (hintOf(peer)?.waiting ?? 0) > 0,
 			ask: async (lender, request) => options.borrowSlots(lender, service, request),
 			giveBack: async (lender, returned) => options.returnSlots(lender, service, returned),
 			onBorrowed: dispatcher.startNext,
@@ -199,7 +199,7 @@
 				};
 			}
 
-			dispatched.loads.offer(submission.team, sumOf(submission.tasks, ({kind}) => dispatched.estimates.ofKind(kind).typical));
+			dispatched.loads.addOfferedWork(submission.team, sumOf(submission.tasks, ({kind}) => dispatched.estimates.ofKind(kind).typical));
 			return dispatched.admit(version, submission);
 		},
 		report(service, attempt) {
--- a/packages/galenakeeld/src/process/team-loads.ts
+++ b/packages/galenakeeld/src/process/team-loads.ts
@@ -3,11 +3,11 @@
 /** Times its quota that a team may offer before it counts as over it, so that chance does not decide. */
 const tolerance = 1.5;
 /** Time for which what a peer said of its teams is believed, in milliseconds. */
-const beliefMilliseconds = 10_000;
+const peerLoadsRetentionMilliseconds = 10_000;
 /** Slots offered below which a team is forgotten. */
 const negligibleSlots = 0.001;
 /** Teams that one message names at most. */
-const maximumNamedTeams = 16;
+const maximumReportedTeams = 16;
 
 /**
 What callers of one instance ask of a service on behalf of a team.
@@ -23,20 +23,20 @@
 */
 export type TeamLoads = {
 	/** Adds work that a team offers, admitted or not, in milliseconds at speed 1. */
-	readonly offer: (team: string, workMilliseconds: number) => void;
+	readonly addOfferedWork: (team: string, workMilliseconds: number) => void;
 	/** Takes what a peer says of its teams. */
-	readonly learn: (peer: string, loads: readonly TeamLoad[], now: number) => void;
+	readonly receivePeerLoads: (peer: string, loads: readonly TeamLoad[], now: number) => void;
 	/** Measures anew; called at a fixed interval. */
 	readonly sweep: (now: number) => void;
 	/** Teams that offer more than their quota of the fleet. */
-	readonly over: () => ReadonlySet<string>;
+	readonly teamsOverQuota: () => ReadonlySet<string>;
 	/** Part of the slots that a team's quota grants, from 0 to 1. */
 	readonly quotaOf: (team: string) => number;
 	/** The teams that offer most for their share at this instance, to be told to a peer. */
-	readonly largest: () => readonly TeamLoad[];
+	readonly largestLoads: () => readonly TeamLoad[];
 };
 
-type LearnedLoads = {readonly slots: ReadonlyMap<string, number>; readonly until: number};
+type PeerLoads = {readonly slots: ReadonlyMap<string, number>; readonly expiresAt: number};
 
 /**
 Creates the loads of an instance without tasks.
@@ -60,7 +60,7 @@
 }): TeamLoads => {
 	const offered = new Map<string, number>();
 	const slots = new Map<string, number>();
-	const learned = new Map<string, LearnedLoads>();
+	const peerLoads = new Map<string, PeerLoads>();
 	let over: ReadonlySet<string> = new Set();
 	let totalShares = 1;
 	let sweptAt: number | undefined;
@@ -95,9 +95,9 @@
 		offered.clear();
 	};
 
-	const inFleet = (team: string): number => {
+	const fleetLoadOf = (team: string): number => {
 		let sum = slots.get(team) ?? 0;
-		for (const peer of learned.values()) {
+		for (const peer of peerLoads.values()) {
 			sum += peer.slots.get(team) ?? 0;
 		}
 
@@ -108,15 +108,15 @@
 
 	const findOver = (): ReadonlySet<string> => {
 		const capacity = options.capacity();
-		return new Set([...slots.keys()].filter(team => inFleet(team) > tolerance * quotaOf(team) * capacity));
+		return new Set([...slots.keys()].filter(team => fleetLoadOf(team) > tolerance * quotaOf(team) * capacity));
 	};
 
 	return {
-		offer(team, workMilliseconds) {
+		addOfferedWork(team, workMilliseconds) {
 			offered.set(team, (offered.get(team) ?? 0) + workMilliseconds);
 		},
-		learn(peer, loads, now) {
-			learned.set(peer, {slots: new Map(loads.map(load => [load.team, load.slots])), until: now + beliefMilliseconds});
+		receivePeerLoads(peer, loads, now) {
+			peerLoads.set(peer, {slots: new Map(loads.map(load => [load.team, load.slots])), expiresAt: now + peerLoadsRetentionMilliseconds});
 		},
 		sweep(now) {
 			if (sweptAt !== undefined && now > sweptAt) {
@@ -124,20 +124,20 @@
 			}
 
 			sweptAt = now;
-			for (const [peer, {until}] of learned) {
+			for (const [peer, {expiresAt: until}] of peerLoads) {
 				if (now >= until) {
-					learned.delete(peer);
+					peerLoads.delete(peer);
 				}
 			}
 
 			totalShares = sumShares();
 			over = slots.size > 1 ? findOver() : new Set();
 		},
-		over: () => over,
+		teamsOverQuota: () => over,
 		quotaOf,
-		largest: () => [...slots]
+		largestLoads: () => [...slots]
 			.toSorted(([first, firstSlots], [second, secondSlots]) => (secondSlots / shareOf(second)) - (firstSlots / shareOf(first)))
-			.slice(0, maximumNamedTeams)
+			.slice(0, maximumReportedTeams)
 			.map(([team, teamSlots]) => ({team, slots: teamSlots})),
 	};
 };
