--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -150,7 +150,7 @@
 		} finally {
 			remove();
 			end();
-			order.settle(task.team, ((performance.now() - startedAt) * speed) - task.workMilliseconds);
+			order.correctUsage(task.team, ((performance.now() - startedAt) * speed) - task.workMilliseconds);
 			grant.release();
 		}
 	};
--- a/packages/galenakeeld/src/process/task-queue.ts
+++ b/packages/galenakeeld/src/process/task-queue.ts
@@ -67,7 +67,7 @@
 	/** Share of the slots that a team is due while the teams that wait now do, from 0 to 1. */
 	readonly shareOf: (team: string) => number;
 	/** Corrects what a team has used by the difference between expected and measured work. */
-	readonly settle: (team: string, differenceMilliseconds: number) => void;
+	readonly correctUsage: (team: string, differenceMilliseconds: number) => void;
 	/** Removes the tasks that a predicate selects, and returns them. */
 	readonly remove: (isRemoved: (task: WaitingTask) => boolean) => readonly WaitingItem[];
 };
--- a/packages/galenakeeld/src/process/waiting-order.ts
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -6,32 +6,32 @@
 /** Waiting time that makes up for one unit of expected run time. */
 const ageingFactor = 2;
 /** Longest waiting time by which a longer task falls behind a shorter one. */
-const maximumHandicapMilliseconds = 2000;
+const maximumSizePenaltyMilliseconds = 2000;
 /** Teams beyond those of the document that are kept apart, so that invented names can't crowd out the others. */
 const maximumUndeclaredTeams = 128;
-const undeclaredTeams = '';
+const overflowTeamName = '';
 /** Work over its share that a team may start ahead of the others after it has used less than its share, in milliseconds at speed 1. */
 const burstMilliseconds = 2000;
 
 const lengths = [TaskLength.Short, TaskLength.Long] as const;
 
-type TeamLane = {readonly heap: Heap<WaitingItem>; work: number};
+type TeamQueue = {readonly heap: Heap<WaitingItem>; work: number};
 
 type WaitingTeam = {
-	readonly lanes: Readonly<Record<TaskLength, TeamLane>>;
+	readonly queues: Readonly<Record<TaskLength, TeamQueue>>;
 	/** Work that the team has been given, over its share. */
 	virtualTime: number;
 };
 
 const keyOf = ({task}: WaitingItem): number =>
-	task.arrivedAt + Math.min(maximumHandicapMilliseconds, task.workMilliseconds * ageingFactor);
+	task.arrivedAt + Math.min(maximumSizePenaltyMilliseconds, task.workMilliseconds * ageingFactor);
 
-const createLane = (): TeamLane => ({heap: createHeap(keyOf), work: 0});
+const createTeamQueue = (): TeamQueue => ({heap: createHeap(keyOf), work: 0});
 
-const isWaiting = ({lanes}: WaitingTeam): boolean => lengths.some(length => lanes[length].heap.size() > 0);
+const isWaiting = ({queues: lanes}: WaitingTeam): boolean => lengths.some(length => lanes[length].heap.size() > 0);
 
 /** The first tasks of a team's lanes, the next one first. */
-const headsOf = ({lanes}: WaitingTeam): readonly WaitingItem[] => {
+const headsOf = ({queues: lanes}: WaitingTeam): readonly WaitingItem[] => {
 	const short = lanes[TaskLength.Short].heap.peek();
 	const long = lanes[TaskLength.Long].heap.peek();
 	if (!short || !long) {
@@ -58,11 +58,11 @@
 	const waiting = new Map<string, WaitingTeam>();
 	const totals: Record<TaskLength, {count: number; work: number}> = {[TaskLength.Short]: {count: 0, work: 0}, [TaskLength.Long]: {count: 0, work: 0}};
 	/** The name under which a task waits, which may not be its team's when there are too many. */
-	const placed = new WeakMap<WaitingTask, string>();
+	const nameByTask = new WeakMap<WaitingTask, string>();
 	let virtualTime = 0;
 
 	const nameOf = (team: string): string =>
-		teams.has(team) || shareOf(team) !== undefined || teams.size < maximumUndeclaredTeams ? team : undeclaredTeams;
+		teams.has(team) || shareOf(team) !== undefined || teams.size < maximumUndeclaredTeams ? team : overflowTeamName;
 
 	const earliestVirtualTime = (): number => virtualTime - burstMilliseconds;
 
@@ -71,21 +71,21 @@
 	const teamOf = (name: string): WaitingTeam => {
 		let team = teams.get(name);
 		if (!team) {
-			team = {lanes: {[TaskLength.Short]: createLane(), [TaskLength.Long]: createLane()}, virtualTime: earliestVirtualTime()};
+			team = {queues: {[TaskLength.Short]: createTeamQueue(), [TaskLength.Long]: createTeamQueue()}, virtualTime: earliestVirtualTime()};
 			teams.set(name, team);
 		}
 
 		return team;
 	};
 
-	const change = (team: WaitingTeam, {length, workMilliseconds}: WaitingTask, sign: 1 | -1): void => {
-		team.lanes[length].work += sign * workMilliseconds;
+	const updateTotals = (team: WaitingTeam, {length, workMilliseconds}: WaitingTask, sign: 1 | -1): void => {
+		team.queues[length].work += sign * workMilliseconds;
 		totals[length].work += sign * workMilliseconds;
 		totals[length].count += sign;
 	};
 
 	/** Forgets teams that wait for nothing and have no work to make up for. */
-	const forget = (): void => {
+	const removeIdleTeams = (): void => {
 		for (const [name, team] of teams) {
 			if (team.virtualTime <= earliestVirtualTime() && !waiting.has(name)) {
 				teams.delete(name);
@@ -93,7 +93,7 @@
 		}
 	};
 
-	const findOf = (team: WaitingTeam, canStart: (task: WaitingTask) => boolean): WaitingItem | undefined =>
+	const findStartable = (team: WaitingTeam, canStart: (task: WaitingTask) => boolean): WaitingItem | undefined =>
 		headsOf(team).find(({task}) => canStart(task));
 
 	const leastServed = (): WaitingTeam | undefined => {
@@ -116,19 +116,19 @@
 				waiting.set(name, team);
 			}
 
-			placed.set(item.task, name);
-			team.lanes[item.task.length].heap.add(item);
-			change(team, item.task, 1);
+			nameByTask.set(item.task, name);
+			team.queues[item.task.length].heap.add(item);
+			updateTotals(team, item.task, 1);
 		},
 		peek(canStart) {
 			const next = leastServed();
-			const found = next && findOf(next, canStart);
+			const found = next && findStartable(next, canStart);
 			if (found !== undefined || waiting.size < 2) {
 				return found;
 			}
 
 			for (const team of [...waiting.values()].toSorted((first, second) => first.virtualTime - second.virtualTime)) {
-				const later = findOf(team, canStart);
+				const later = findStartable(team, canStart);
 				if (later) {
 					return later;
 				}
@@ -137,10 +137,10 @@
 			return undefined;
 		},
 		take({task}) {
-			const name = placed.get(task)!;
+			const name = nameByTask.get(task)!;
 			const team = teams.get(name)!;
-			team.lanes[task.length].heap.shift();
-			change(team, task, -1);
+			team.queues[task.length].heap.shift();
+			updateTotals(team, task, -1);
 			virtualTime = Math.max(virtualTime, team.virtualTime);
 			team.virtualTime += task.workMilliseconds / shareOrDefault(name);
 			if (!isWaiting(team)) {
@@ -149,7 +149,7 @@
 		},
 		size: () => totals[TaskLength.Short].count + totals[TaskLength.Long].count,
 		countOf(team, length) {
-			const lanes = waiting.get(nameOf(team))?.lanes;
+			const lanes = waiting.get(nameOf(team))?.queues;
 			let count = 0;
 			for (const each of lanes ? lengths : []) {
 				count += length === undefined || each === length ? lanes![each].heap.size() : 0;
@@ -158,7 +158,7 @@
 			return count;
 		},
 		count: length => totals[length].count,
-		work: (length, team) => team === undefined ? totals[length].work : teams.get(nameOf(team))?.lanes[length].work ?? 0,
+		work: (length, team) => team === undefined ? totals[length].work : teams.get(nameOf(team))?.queues[length].work ?? 0,
 		shareOf(team) {
 			const name = nameOf(team);
 			const own = shareOrDefault(name);
@@ -169,7 +169,7 @@
 
 			return own / total;
 		},
-		settle(team, differenceMilliseconds) {
+		correctUsage(team, differenceMilliseconds) {
 			const name = nameOf(team);
 			const known = teams.get(name);
 			if (known) {
@@ -180,9 +180,9 @@
 			const removed: WaitingItem[] = [];
 			for (const [name, team] of waiting) {
 				for (const length of lengths) {
-					const gone = team.lanes[length].heap.remove(({task}) => isRemoved(task));
+					const gone = team.queues[length].heap.remove(({task}) => isRemoved(task));
 					for (const {task} of gone) {
-						change(team, task, -1);
+						updateTotals(team, task, -1);
 					}
 
 					removed.push(...gone);
@@ -193,7 +193,7 @@
 				}
 			}
 
-			forget();
+			removeIdleTeams();
 			return removed;
 		},
 	};
