--- a/packages/galenakeeld/src/process/__tests__/standing-queue.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/standing-queue.steps.ts
@@ -2,9 +2,9 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {expectedSlotsOf, measureSlotCapacity} from '../slot-capacity.js';
 import {createSlotLedger, type SlotLedger} from '../slot-ledger.js';
-import {createStandingQueue, type StandingQueue} from '../standing-queue.js';
+import {createStandingQueueDetector, type StandingQueueDetector} from '../standing-queue-detector.js';
 
-type QueueWorld = {queue: StandingQueue; ledger: SlotLedger; isStanding: boolean};
+type QueueWorld = {queue: StandingQueueDetector; ledger: SlotLedger; isStanding: boolean};
 
 const address = '10.0.0.1:80';
 
@@ -13,7 +13,7 @@
 const lowestAtMilliseconds = 2000;
 
 When('the expected wait is {int} ms but for a moment of {int} ms in the last 2 s, of at most {int} ms', function (this: QueueWorld, wait: number, lowest: number, maximum: number) {
-	this.queue = createStandingQueue(0);
+	this.queue = createStandingQueueDetector(0);
 	for (let now = 0; now <= endMilliseconds; now += observeMilliseconds) {
 		this.queue.observe(now === lowestAtMilliseconds ? lowest : wait, maximum, now);
 	}
--- a/packages/galenakeeld/src/process/quota-reserve.ts
+++ b/packages/galenakeeld/src/process/quota-reserve.ts
@@ -2,7 +2,7 @@
 import type {AdmissionLoad} from './admission.js';
 import {createSlotDemand} from './slot-demand.js';
 import type {SlotLedger} from './slot-ledger.js';
-import {createStandingQueue} from './standing-queue.js';
+import {createStandingQueueDetector} from './standing-queue-detector.js';
 import {TaskLength, type WaitingOrder} from './task-queue.js';
 import type {TeamLoads} from './team-loads.js';
 
@@ -56,7 +56,7 @@
 	const within = createSlotDemand();
 	const busy = new Map<string, number>();
 	let owned = 0;
-	const queue = createStandingQueue(performance.now());
+	const queue = createStandingQueueDetector(performance.now());
 
 	const sumOver = (measure: (team: string) => number): number => {
 		let sum = 0;
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -13,7 +13,7 @@
 import {
 	type ChooseEndpoint, type EndpointSlots, type SlotGrant, type SlotLedger,
 } from './slot-ledger.js';
-import {createStandingQueue} from './standing-queue.js';
+import {createStandingQueueDetector} from './standing-queue-detector.js';
 import {
 	createTaskQueueClass, TaskLength, type TaskQueue, type WaitingOrder, type WaitingTask, type WaitingTaskOptions,
 } from './task-queue.js';
@@ -104,7 +104,7 @@
 	const demand = createSlotDemand();
 	const quotas = createQuotaReserve({ledger, order, loads});
 	let chosen: {readonly task: WaitingTask; readonly revision: number; readonly slots: EndpointSlots | undefined} | undefined;
-	const queues = {[TaskLength.Short]: createStandingQueue(performance.now()), [TaskLength.Long]: createStandingQueue(performance.now())};
+	const queues = {[TaskLength.Short]: createStandingQueueDetector(performance.now()), [TaskLength.Long]: createStandingQueueDetector(performance.now())};
 	let capacity: SlotCapacity | undefined;
 	let started = 0;
 
--- a/packages/galenakeeld/src/process/standing-queue.ts
+++ b/packages/galenakeeld/src/process/standing-queue-detector.ts
@@ -6,7 +6,7 @@
 /**
 Tells a burst, which drains by itself, from a queue that stays.
 */
-export type StandingQueue = {
+export type StandingQueueDetector = {
 	/** Takes the expected wait of a task that arrives now; called at a fixed interval. */
 	readonly observe: (waitMilliseconds: number, maximumQueueMilliseconds: number, now: number) => void;
 	readonly isStanding: (now: number) => boolean;
@@ -26,7 +26,7 @@
 queue.isStanding(performance.now()); // => false
 ```
 */
-export const createStandingQueue = (now: number): StandingQueue => {
+export const createStandingQueueDetector = (now: number): StandingQueueDetector => {
 	let lowAt = now;
 	return {
 		observe(waitMilliseconds, maximumQueueMilliseconds, observedAt) {
