--- a/packages/galenakeeld/src/process/task-heap.ts
+++ b/packages/galenakeeld/src/process/heap.ts
@@ -34,7 +34,7 @@
 
 	const keyAt = (position: number): number => position < items.length ? keyOf(items[position]!) : Infinity;
 
-	const rise = (from: number): void => {
+	const siftUp = (from: number): void => {
 		for (let position = from; position > 0;) {
 			const parent = Math.floor((position - 1) / 2);
 			if (keyAt(parent) <= keyAt(position)) {
@@ -46,7 +46,7 @@
 		}
 	};
 
-	const sink = (from: number): void => {
+	const siftDown = (from: number): void => {
 		for (let position = from; ;) {
 			const left = (position * 2) + 1;
 			const smaller = keyAt(left + 1) < keyAt(left) ? left + 1 : left;
@@ -62,7 +62,7 @@
 	return {
 		add(item) {
 			items.push(item);
-			rise(items.length - 1);
+			siftUp(items.length - 1);
 		},
 		peek: () => items[0],
 		shift() {
@@ -70,7 +70,7 @@
 			const last = items.pop();
 			if (items.length > 0) {
 				items[0] = last!;
-				sink(0);
+				siftDown(0);
 			}
 
 			return first;
--- a/packages/galenakeeld/src/process/waiting-order.ts
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -1,4 +1,4 @@
-import {createHeap, type Heap} from './task-heap.js';
+import {createHeap, type Heap} from './heap.js';
 import {
 	TaskLength, type WaitingItem, type WaitingOrder, type WaitingTask,
 } from './task-queue.js';
