--- a/packages/galenakeeld/src/process/long-task-share.ts
+++ b/packages/galenakeeld/src/process/long-task-share.ts
@@ -46,13 +46,13 @@
 ```
 */
 export const createLongTaskShare = (): LongTaskShare => {
-	let need = 0;
+	let shortTaskDemand = 0;
 	return {
 		observe(shortTasks) {
-			need += (shortTasks > need ? riseFactor : fallFactor) * (shortTasks - need);
+			shortTaskDemand += (shortTasks > shortTaskDemand ? riseFactor : fallFactor) * (shortTasks - shortTaskDemand);
 		},
 		limit(usable) {
-			const reserve = Math.ceil(need + (reserveDeviations * Math.sqrt(need)));
+			const reserve = Math.ceil(shortTaskDemand + (reserveDeviations * Math.sqrt(shortTaskDemand)));
 			return Math.max(1, Math.floor(usable * smallestShare), usable - Math.max(1, reserve));
 		},
 	};
--- a/packages/galenakeeld/src/process/service-admission.ts
+++ b/packages/galenakeeld/src/process/service-admission.ts
@@ -10,7 +10,7 @@
 /** Time after which a task that looks impossible is let through once, in case the estimate is wrong. */
 const probeMilliseconds = 10_000;
 /** Time for which the speed of the fastest endpoint is kept, rather than sought for each request. */
-const speedMilliseconds = 20;
+const speedCacheMilliseconds = 20;
 
 /**
 What admission needs to know of a submission.
@@ -59,7 +59,7 @@
 			fastest = isOpen ? Math.max(fastest, estimates.speed(endpoint.address, endpoint.speed)) : fastest;
 		}
 
-		fastestUntil = fastest > 0 ? now + speedMilliseconds : -Infinity;
+		fastestUntil = fastest > 0 ? now + speedCacheMilliseconds : -Infinity;
 		return fastest;
 	};
 
