--- a/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
@@ -89,7 +89,7 @@
 
 /** Creates the instances; each learns of the others by what was described at the last heartbeat. */
 const createInstances = (world: FleetWorld): void => {
-	let described: readonly Peer[] = [];
+	let announcedPeers: readonly Peer[] = [];
 	const call = async <Reply>(lender: Peer, use: (dispatchers: ServiceDispatchers) => Reply | Promise<Reply>): Promise<Reply> => {
 		world.calls++;
 		await wait(oneWayMilliseconds);
@@ -104,7 +104,7 @@
 		policy: PlacementPolicy.SharesWithBorrowing,
 		owners: () => owners,
 		isLeavingEndpoint: () => false,
-		peers: () => described.filter(peer => peer.instance !== instance),
+		peers: () => announcedPeers.filter(peer => peer.instance !== instance),
 		borrowSlots: async (lender, _service, {held, teams: loads, ...wanted}) => call(lender, async dispatchers => lendSlots(dispatchers, {
 			borrower: instance, service, held: [...held], teams: [...loads], ...wanted,
 		})),
@@ -117,7 +117,7 @@
 	}
 
 	setInterval(() => {
-		described = owners.map((_, number) => describePeer(world, number));
+		announcedPeers = owners.map((_, number) => describePeer(world, number));
 	}, heartbeatMilliseconds);
 };
 
@@ -158,7 +158,7 @@
 	}
 };
 
-const pass = async (world: FleetWorld, now: number): Promise<void> => {
+const advance = async (world: FleetWorld, now: number): Promise<void> => {
 	if (now % sweepMilliseconds === 0) {
 		for (const instance of world.instances) {
 			instance.sweep();
@@ -181,7 +181,7 @@
 			due.set(team, at);
 		}
 
-		await pass(world, now);
+		await advance(world, now);
 	}
 };
 
@@ -247,9 +247,9 @@
 	assert.equal(refused, 0, `${refused} of ${tasks.length}`);
 });
 
-const isTailAtMost = 'the 99th percentile of their slowdown in phase {int} is at most {float} times that in phase {int}';
+const tailStepText = 'the 99th percentile of their slowdown in phase {int} is at most {float} times that in phase {int}';
 
-Then(isTailAtMost, {timeout: 60_000}, async function (this: FleetWorld, phase: number, factor: number, reference: number) {
+Then(tailStepText, {timeout: 60_000}, async function (this: FleetWorld, phase: number, factor: number, reference: number) {
 	await run(this);
 	const [measured, alone] = [slowdownTail(this, phase), slowdownTail(this, reference)];
 	assert.ok(measured <= alone * factor, `${measured} over ${alone}: ${measured / alone}`);
