--- a/packages/galenakeeld/src/process/quota-reserve.ts
+++ b/packages/galenakeeld/src/process/quota-reserve.ts
@@ -51,7 +51,7 @@
 export const createQuotaReserve = ({ledger, order, loads}: {
 	readonly ledger: SlotLedger;
 	readonly order: Pick<WaitingOrder, 'size' | 'count' | 'countOf' | 'work'>;
-	readonly loads: Pick<TeamLoads, 'over' | 'quotaOf'>;
+	readonly loads: Pick<TeamLoads, 'teamsOverQuota' | 'quotaOf'>;
 }): QuotaReserve => {
 	const within = createSlotDemand();
 	const busy = new Map<string, number>();
--- a/packages/galenakeeld/src/process/team-loads.ts
+++ b/packages/galenakeeld/src/process/team-loads.ts
@@ -1,7 +1,7 @@
 /** Part of a new measurement in the mean; with a sweep every 20 ms the mean follows the last second or so. */
 const smoothing = 0.01;
 /** Times its quota that a team may offer before it counts as over it, so that chance does not decide. */
-const tolerance = 1.5;
+const quotaTolerance = 1.5;
 /** Time for which what a peer said of its teams is believed, in milliseconds. */
 const peerLoadsRetentionMilliseconds = 10_000;
 /** Slots offered below which a team is forgotten. */
@@ -61,7 +61,7 @@
 	const offered = new Map<string, number>();
 	const slots = new Map<string, number>();
 	const peerLoads = new Map<string, PeerLoads>();
-	let over: ReadonlySet<string> = new Set();
+	let overQuota: ReadonlySet<string> = new Set();
 	let totalShares = 1;
 	let sweptAt: number | undefined;
 
@@ -106,9 +106,9 @@
 
 	const quotaOf = (team: string): number => shareOf(team) / Math.max(totalShares, shareOf(team));
 
-	const findOver = (): ReadonlySet<string> => {
+	const findTeamsOverQuota = (): ReadonlySet<string> => {
 		const capacity = options.capacity();
-		return new Set([...slots.keys()].filter(team => fleetLoadOf(team) > tolerance * quotaOf(team) * capacity));
+		return new Set([...slots.keys()].filter(team => fleetLoadOf(team) > quotaTolerance * quotaOf(team) * capacity));
 	};
 
 	return {
@@ -124,16 +124,16 @@
 			}
 
 			sweptAt = now;
-			for (const [peer, {expiresAt: until}] of peerLoads) {
-				if (now >= until) {
+			for (const [peer, {expiresAt}] of peerLoads) {
+				if (now >= expiresAt) {
 					peerLoads.delete(peer);
 				}
 			}
 
 			totalShares = sumShares();
-			over = slots.size > 1 ? findOver() : new Set();
+			overQuota = slots.size > 1 ? findTeamsOverQuota() : new Set();
 		},
-		teamsOverQuota: () => over,
+		teamsOverQuota: () => overQuota,
 		quotaOf,
 		largestLoads: () => [...slots]
 			.toSorted(([first, firstSlots], [second, secondSlots]) => (secondSlots / shareOf(second)) - (firstSlots / shareOf(first)))
--- a/packages/galenakeeld/src/process/waiting-order.ts
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -28,12 +28,12 @@
 
 const createTeamQueue = (): TeamQueue => ({heap: createHeap(keyOf), work: 0});
 
-const isWaiting = ({queues: lanes}: WaitingTeam): boolean => lengths.some(length => lanes[length].heap.size() > 0);
+const isWaiting = ({queues}: WaitingTeam): boolean => lengths.some(length => queues[length].heap.size() > 0);
 
-/** The first tasks of a team's lanes, the next one first. */
-const headsOf = ({queues: lanes}: WaitingTeam): readonly WaitingItem[] => {
-	const short = lanes[TaskLength.Short].heap.peek();
-	const long = lanes[TaskLength.Long].heap.peek();
+/** The first tasks of a team's queues, the next one first. */
+const headsOf = ({queues}: WaitingTeam): readonly WaitingItem[] => {
+	const short = queues[TaskLength.Short].heap.peek();
+	const long = queues[TaskLength.Long].heap.peek();
 	if (!short || !long) {
 		return short ? [short] : (long ? [long] : []);
 	}
@@ -149,10 +149,10 @@
 		},
 		size: () => totals[TaskLength.Short].count + totals[TaskLength.Long].count,
 		countOf(team, length) {
-			const lanes = waiting.get(nameOf(team))?.queues;
+			const queues = waiting.get(nameOf(team))?.queues;
 			let count = 0;
-			for (const each of lanes ? lengths : []) {
-				count += length === undefined || each === length ? lanes![each].heap.size() : 0;
+			for (const each of queues ? lengths : []) {
+				count += length === undefined || each === length ? queues![each].heap.size() : 0;
 			}
 
 			return count;
