Reword admission and the order of waiting tasks

Comments used phrases private to the project. They now use the usual terms of admission control and fair queueing; the reasons behind the constants stay.

--- a/packages/galenakeeld/src/process/admission.ts
+++ b/packages/galenakeeld/src/process/admission.ts
@@ -1,30 +1,30 @@
 import {FaultKind} from '@galenakeel/model/request/fault.js';
 
 /**
-What a request meets on this instance. Work is expected run time at speed 1, in milliseconds.
+Load of this instance as a request finds it. Work is expected run time at speed 1, in milliseconds.
 */
 export type AdmissionLoad = {
-	/** Slots that a task of the request could take now. */
+	/** Slots in which a task of the request could start now. */
 	readonly free: number;
-	/** Work that the usable slots do in a millisecond. */
+	/** Work that the usable slots complete per millisecond. */
 	readonly capacity: number;
-	/** Work that waits for the same slots. */
+	/** Work queued for the same slots. */
 	readonly waitingWork: number;
-	/** Work of the request's team among it. */
+	/** Part of the queued work that belongs to the request's team. */
 	readonly teamWork: number;
-	/** Part of the capacity that the team is due, from 0 to 1. */
+	/** Fraction of the capacity to which the team is entitled, from 0 to 1. */
 	readonly teamShare: number;
-	/** Whether the expected wait has stayed high, rather than for a burst. */
+	/** Whether the expected wait has stayed high for longer than a burst causes. */
 	readonly isStanding: boolean;
 };
 
 /**
-What a request asks for.
+Demand and limits of a request.
 */
 export type AdmissionDemand = {
-	/** Shortest run time to be expected of its longest task, on the fastest endpoint, in milliseconds. */
+	/** Low estimate of the run time of its longest task on the fastest endpoint, in milliseconds. */
 	readonly runMilliseconds: number;
-	/** Work of all its tasks. */
+	/** Total work of its tasks. */
 	readonly work: number;
 	readonly deadlineMilliseconds: number;
 	readonly timeoutMilliseconds: number;
@@ -32,17 +32,17 @@
 };
 
 /**
-Why a request is not taken.
+Reason for refusing a request.
 */
 export type Refusal = {readonly fault: FaultKind; readonly detail: string; readonly retryAfterMilliseconds?: number};
 
-/** Part of the longest queue that a standing one is kept to, so that it is short when the load falls. */
+/** Fraction of the maximum queue allowed while a queue is standing, so that the queue is short when the load falls. */
 const standingQueueShare = 0.25;
 
 /**
-Expected time until a task that arrives now would start, in milliseconds.
+Expected time until a task that arrives now starts, in milliseconds.
 
-A team waits for its own work at its due rate, and never longer than for all the waiting work, since unused shares go to the others.
+A team's queued work is served at least at the rate of the team's share. The wait never exceeds the time for all queued work, since shares that other teams leave unused are redistributed.
 */
 export const expectedWaitMilliseconds = ({free, capacity, waitingWork, teamWork, teamShare}: AdmissionLoad): number =>
 	free > 0 ? 0 : Math.min(waitingWork, teamWork / teamShare) / capacity;
@@ -57,9 +57,9 @@
 const overloaded = (wait: number, detail: string): Refusal => ({fault: FaultKind.Overloaded, detail, retryAfterMilliseconds: wait});
 
 /**
-Decides on a request before anything of it has started; `undefined` admits it.
+Decides whether to admit a request, before any of its tasks starts; `undefined` admits it.
 
-Of a standing queue only a part of the longest is allowed: it adds to every response and nothing to the throughput.
+A standing queue is limited to a fraction of the maximum: it adds latency to every response and does not raise throughput.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/heap.ts
+++ b/packages/galenakeeld/src/process/heap.ts
@@ -1,13 +1,13 @@
 /**
-A binary heap of items with a key that does not change.
+A binary min-heap of items whose keys do not change.
 */
 export type Heap<Item> = {
 	readonly add: (item: Item) => void;
-	/** Looks at the item with the smallest key. */
+	/** Returns the item with the smallest key without removing it. */
 	readonly peek: () => Item | undefined;
 	readonly shift: () => Item | undefined;
 	readonly size: () => number;
-	/** Removes all items that a predicate selects, and returns them; takes time in proportion to the size. */
+	/** Removes and returns all items that match a predicate; scans the whole heap and sorts the remaining items. */
 	readonly remove: (isRemoved: (item: Item) => boolean) => readonly Item[];
 	readonly values: () => readonly Item[];
 };
@@ -15,7 +15,7 @@
 /**
 Creates an empty heap.
 
-@param keyOf The smaller the key, the earlier the item.
+@param keyOf Returns the key of an item; items with smaller keys are removed first.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/long-task-share.ts
+++ b/packages/galenakeeld/src/process/long-task-share.ts
@@ -2,28 +2,28 @@
 
 const riseFactor = 0.1;
 const fallFactor = 0.01;
-/** Slots kept beyond the mean need of short tasks, in standard deviations of a Poisson arrival process. */
+/** Slots reserved beyond the mean demand of short tasks, in standard deviations of a Poisson arrival process. */
 const reserveDeviations = 1;
 const smallestShare = 0.2;
-/** Times the median run time of a service above which a task counts as long. */
+/** Multiple of the service's median run time above which a task counts as long. */
 const longFactor = 4;
 const serviceSamples = 100;
 
 /**
-The share of the slots that long tasks may hold.
+Limits the slots that long tasks may occupy.
 */
 export type LongTaskShare = {
-	/** Takes the number of slots that short tasks hold or wait for; called at a fixed interval. */
+	/** Records the number of slots that short tasks occupy or wait for; called at a fixed interval. */
 	readonly observe: (shortTasks: number) => void;
-	/** Slots that long tasks may hold, of those that the instance may use. */
+	/** Number of the usable slots of the instance that long tasks may occupy. */
 	readonly limit: (usable: number) => number;
 };
 
 /**
-Tells whether a task counts as long in its service.
+Whether a task counts as long in its service.
 
 @param kind Estimate of the task's kind.
-@param service Estimate over all kinds of the service; says nothing before enough tasks have run.
+@param service Estimate over all kinds of the service; no task counts as long until this has enough samples.
 
 @example
 ```
@@ -34,9 +34,9 @@
 	service.samples >= serviceSamples && kind.median > service.median * longFactor;
 
 /**
-Creates the share of an instance without load: all slots but one.
+Creates the limit of an instance without load: all slots but one.
 
-The need of short tasks is followed quickly when it rises and slowly when it falls; long tasks get what is left beyond a reserve for the usual variation, and never less than a fifth.
+The moving average of the demand of short tasks rises quickly and falls slowly. Long tasks get the slots beyond this average and a reserve for its usual variation, and never less than a fifth.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/service-admission.ts
+++ b/packages/galenakeeld/src/process/service-admission.ts
@@ -7,13 +7,13 @@
 import type {RunEstimates} from './run-estimates.js';
 import type {ServiceDispatcher} from './service-dispatcher.js';
 
-/** Time after which a task that looks impossible is let through once, in case the estimate is wrong. */
+/** Interval at which a request refused as never runnable is admitted once for each task kind, in case the estimate is wrong. */
 const probeMilliseconds = 10_000;
-/** Time for which the speed of the fastest endpoint is kept, rather than sought for each request. */
+/** Time for which the speed of the fastest endpoint is cached, to avoid a scan of all endpoints for each request. */
 const speedCacheMilliseconds = 20;
 
 /**
-What admission needs to know of a submission.
+Part of a submission that admission depends on.
 */
 export type AdmittedSubmission = {
 	readonly deadlineMilliseconds: number;
@@ -26,9 +26,9 @@
 });
 
 /**
-Creates the admission of one service: refuses at once what can't be served in time.
+Creates the admission check of one service, which refuses a submission at once if it cannot be served in time.
 
-@param options.hasShares Whether tasks wait here for slots of this instance.
+@param options.hasShares Whether tasks wait here for slots of this instance; otherwise every submission is admitted.
 @returns A function that returns a refusal, or `undefined` to admit.
 
 @example
@@ -47,7 +47,7 @@
 	let fastest = 0;
 	let fastestUntil = -Infinity;
 
-	/** Speed of the fastest open endpoint; 0 when there is none. */
+	/** Speed of the fastest available endpoint; 0 when there is none. */
 	const fastestSpeed = (): number => {
 		const now = performance.now();
 		if (now < fastestUntil) {
@@ -63,7 +63,7 @@
 		return fastest;
 	};
 
-	/** Lets one of the tasks through from time to time whose estimate says that they can't run. */
+	/** Whether a request is admitted as a probe although the estimate says that a task of this kind can't finish in time. */
 	const isProbe = (kind: string): boolean => {
 		const now = performance.now();
 		const due = probeAt.get(kind);
--- a/packages/galenakeeld/src/process/standing-queue-detector.ts
+++ b/packages/galenakeeld/src/process/standing-queue-detector.ts
@@ -1,21 +1,21 @@
-/** Time for which the expected wait stays high without a break before the queue counts as standing. */
+/** Time for which the expected wait must stay high without interruption before the queue counts as standing. */
 const standingMilliseconds = 2000;
-/** Part of the longest queue up to which the expected wait counts as low. */
+/** Fraction of the maximum queue up to which the expected wait counts as low. */
 const lowQueueShare = 0.05;
 
 /**
-Tells a burst, which drains by itself, from a queue that stays.
+Distinguishes a standing queue from a burst, which drains by itself.
 */
 export type StandingQueueDetector = {
-	/** Takes the expected wait of a task that arrives now; called at a fixed interval. */
+	/** Records the expected wait of a task that arrives now; called at a fixed interval. */
 	readonly observe: (waitMilliseconds: number, maximumQueueMilliseconds: number, now: number) => void;
 	readonly isStanding: (now: number) => boolean;
 };
 
 /**
-Creates the watch over a queue that is empty now.
+Creates the detector for a queue that is empty now.
 
-A queue is standing when the lowest expected wait of the last two seconds was above a twentieth of the longest allowed, as CoDel judges by the lowest delay of an interval (Nichols and Jacobson, "Controlling Queue Delay", 2012). That some task is always waiting is no sign of it: at 90% load this is so by chance alone.
+A queue is standing when the minimum expected wait of the last two seconds was above a twentieth of the maximum allowed. CoDel uses the minimum delay of an interval in the same way (Nichols and Jacobson, "Controlling Queue Delay", 2012). A queue that is never empty is not enough evidence: at 90% load this happens by chance alone.
 
 @param now Time on the monotonic clock, in milliseconds.
 
--- a/packages/galenakeeld/src/process/task-queue.ts
+++ b/packages/galenakeeld/src/process/task-queue.ts
@@ -2,17 +2,17 @@
 import type {Queue, QueueAddOptions} from 'p-queue';
 
 /**
-Whether a task counts as long in its service.
+Length class of a task, relative to the other tasks of its service.
 */
 export enum TaskLength {
 	/** May use any slot. */
 	Short = 'short',
-	/** May use only the share of long tasks. */
+	/** May use only the slots allowed for long tasks. */
 	Long = 'long',
 }
 
 /**
-What the queue needs to know of a waiting task.
+A waiting task, as the queue sees it.
 */
 export type WaitingTask = {
 	readonly kind: string;
@@ -20,19 +20,19 @@
 	readonly length: TaskLength;
 	/** Expected run time at speed 1, in milliseconds. */
 	readonly workMilliseconds: number;
-	/** Time on the monotonic clock at which the task began to wait, in milliseconds. */
+	/** Time on the monotonic clock at which the task was queued, in milliseconds. */
 	readonly arrivedAt: number;
-	/** Time on the monotonic clock after which the task is not worth starting, in milliseconds. */
+	/** Time on the monotonic clock after which the task is not started, in milliseconds. */
 	readonly deadlineAt: number;
 	readonly signal?: AbortSignal;
 	/** Address of the endpoint where an earlier attempt failed. */
 	readonly avoidedEndpoint?: string;
-	/** Takes the task out of the queue with a reason; it has not started. */
+	/** Rejects the task, which has not started, with the reason. */
 	readonly abandon: (fault: Fault) => void;
 };
 
 /**
-Options under which a task is added to the queue.
+Options for adding a task to the queue.
 */
 export type WaitingTaskOptions = QueueAddOptions & {readonly task: WaitingTask};
 
@@ -44,31 +44,31 @@
 type StartFunction = () => Promise<unknown>;
 
 /**
-The queue that `p-queue` takes its tasks from.
+The queue from which `p-queue` takes its tasks.
 */
 export type TaskQueue = Queue<StartFunction, WaitingTaskOptions>;
 
 /**
-The waiting tasks of one service, in the order in which they are to start.
+The waiting tasks of one service, in the order in which they start.
 */
 export type WaitingOrder = {
 	readonly add: (item: WaitingItem) => void;
-	/** Finds the task that would start next among those that can. */
+	/** Returns the next task among those that can start, without removing it. */
 	readonly peek: (canStart: (task: WaitingTask) => boolean) => WaitingItem | undefined;
-	/** Removes a task that `peek` returned. */
+	/** Removes a task that `peek` returned and charges its work to its team. */
 	readonly take: (item: WaitingItem) => void;
 	readonly size: () => number;
-	/** Waiting tasks of a team, of one length or of all. */
+	/** Number of waiting tasks of a team, of one length or of all. */
 	readonly countOf: (team: string, length?: TaskLength) => number;
-	/** Waiting tasks of a length. */
+	/** Number of waiting tasks of a length. */
 	readonly count: (length: TaskLength) => number;
-	/** Expected run time of the waiting tasks of a length at speed 1, in milliseconds; of one team or of all. */
+	/** Expected run time at speed 1 of the waiting tasks of a length, of one team or of all, in milliseconds. */
 	readonly work: (length: TaskLength, team?: string) => number;
-	/** Share of the slots that a team is due while the teams that wait now do, from 0 to 1. */
+	/** Fraction of the slots to which a team is entitled among the teams that wait now, from 0 to 1. */
 	readonly shareOf: (team: string) => number;
-	/** Corrects what a team has used by the difference between expected and measured work. */
+	/** Corrects the usage charged to a team by the measured work minus the expected work. */
 	readonly correctUsage: (team: string, differenceMilliseconds: number) => void;
-	/** Removes the tasks that a predicate selects, and returns them. */
+	/** Removes and returns the tasks that match a predicate. */
 	readonly remove: (isRemoved: (task: WaitingTask) => boolean) => readonly WaitingItem[];
 };
 
@@ -76,8 +76,8 @@
 Creates the queue class that `p-queue` uses for the tasks of one service.
 
 @param order Holds the waiting tasks.
-@param options.hasSlot Tells whether any slot is free.
-@param options.canStart Tells whether a slot is free for a task.
+@param options.hasSlot Returns whether any slot is free.
+@param options.canStart Returns whether a slot is free for a task.
 
 @example
 ```
@@ -86,7 +86,7 @@
 */
 export const createTaskQueueClass = (order: WaitingOrder, {hasSlot, canStart}: {hasSlot: () => boolean; canStart: (task: WaitingTask) => boolean}): new () => TaskQueue =>
 	class {
-		/** Number of waiting tasks; 0 while none of them can start, so that `p-queue` waits. */
+		/** Number of waiting tasks; 0 while none of them can start, so that `p-queue` does not dequeue. */
 		get size(): number {
 			return order.size() > 0 && hasSlot() && order.peek(canStart) ? order.size() : 0;
 		}
@@ -109,6 +109,6 @@
 		}
 
 		setPriority(): void {
-			// The order is that of `order`; a task has no priority of its own.
+			// `order` alone determines the order; tasks have no priority of their own.
 		}
 	};
--- a/packages/galenakeeld/src/process/team-loads.ts
+++ b/packages/galenakeeld/src/process/team-loads.ts
@@ -1,57 +1,57 @@
-/** Part of a new measurement in the mean; with a sweep every 20 ms the mean follows the last second or so. */
+/** Weight of a new measurement in the moving average; with a sweep every 20 ms the average covers roughly the last second. */
 const smoothing = 0.01;
-/** Times its quota that a team may offer before it counts as over it, so that chance does not decide. */
+/** Multiple of its quota above which a team counts as over it, so that random variation of its load does not decide. */
 const quotaTolerance = 1.5;
-/** Time for which what a peer said of its teams is believed, in milliseconds. */
+/** Time after which the loads received from a peer expire. */
 const peerLoadsRetentionMilliseconds = 10_000;
-/** Slots offered below which a team is forgotten. */
+/** Offered load, in slots, below which a team is no longer tracked. */
 const negligibleSlots = 0.001;
-/** Teams that one message names at most. */
+/** Maximum number of teams in one message. */
 const maximumReportedTeams = 16;
 
 /**
-What callers of one instance ask of a service on behalf of a team.
+Load that the callers of one instance offer to a service on behalf of a team.
 */
 export type TeamLoad = {
 	readonly team: string;
-	/** Slots of speed 1 that the offered work would keep busy. */
+	/** Number of slots of speed 1 that the offered work would keep busy. */
 	readonly slots: number;
 };
 
 /**
-What the teams of one service ask for, at this instance and as far as known at its peers.
+Loads that the teams of one service offer, at this instance and as reported by its peers.
 */
 export type TeamLoads = {
-	/** Adds work that a team offers, admitted or not, in milliseconds at speed 1. */
+	/** Adds work that a team offers, whether admitted or refused, in milliseconds at speed 1. */
 	readonly addOfferedWork: (team: string, workMilliseconds: number) => void;
-	/** Takes what a peer says of its teams. */
+	/** Replaces the loads received from a peer. */
 	readonly receivePeerLoads: (peer: string, loads: readonly TeamLoad[], now: number) => void;
-	/** Measures anew; called at a fixed interval. */
+	/** Updates the averages and the set of teams over their quota; called at a fixed interval. */
 	readonly sweep: (now: number) => void;
-	/** Teams that offer more than their quota of the fleet. */
+	/** Teams whose load on the whole fleet exceeds their quota. */
 	readonly teamsOverQuota: () => ReadonlySet<string>;
-	/** Part of the slots that a team's quota grants, from 0 to 1. */
+	/** Fraction of the slots that a team's quota grants, from 0 to 1. */
 	readonly quotaOf: (team: string) => number;
-	/** The teams that offer most for their share at this instance, to be told to a peer. */
+	/** The teams with the highest load relative to their share at this instance, for sending to a peer. */
 	readonly largestLoads: () => readonly TeamLoad[];
 };
 
 type PeerLoads = {readonly slots: ReadonlyMap<string, number>; readonly expiresAt: number};
 
 /**
-Creates the loads of an instance without tasks.
+Creates the loads of an instance that has received no tasks.
 
-A team is over its quota by what it offers to the whole fleet: the callers of a team may all be connected to one instance, whose own part of the quota they exceed while the team stays within it.
+A team is compared with its quota by its load on the whole fleet: its callers may all be connected to one instance and exceed that instance's part of the quota while the team stays within its quota.
 
-@param options.shares Quota shares that the document in force declares; a team that it does not name has a share of 1.
-@param options.capacity Slots of the service in the whole fleet, times their speeds.
+@param options.shares Quota shares declared by the document in force; a team that it does not name has a share of 1.
+@param options.capacity Sum of the speeds of all slots of the service in the whole fleet.
 
 @example
 ```
 const loads = createTeamLoads({shares: () => ({payroll: {share: 1}, depot: {share: 1}}), capacity: () => 96});
-loads.offer('payroll', 120);
+loads.addOfferedWork('payroll', 120);
 loads.sweep(performance.now());
-loads.over().has('payroll');
+loads.teamsOverQuota().has('payroll');
 ```
 */
 export const createTeamLoads = (options: {
--- a/packages/galenakeeld/src/process/waiting-order.ts
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -3,14 +3,14 @@
 	TaskLength, type WaitingItem, type WaitingOrder, type WaitingTask,
 } from './task-queue.js';
 
-/** Waiting time that makes up for one unit of expected run time. */
+/** Waiting time that offsets one unit of expected run time. */
 const ageingFactor = 2;
-/** Longest waiting time by which a longer task falls behind a shorter one. */
+/** Maximum waiting time by which a longer task is placed behind a shorter one. */
 const maximumSizePenaltyMilliseconds = 2000;
-/** Teams beyond those of the document that are kept apart, so that invented names can't crowd out the others. */
+/** Number of tracked teams from which further undeclared teams share one queue, so that made-up names can't crowd out the others. */
 const maximumUndeclaredTeams = 128;
 const overflowTeamName = '';
-/** Work over its share that a team may start ahead of the others after it has used less than its share, in milliseconds at speed 1. */
+/** Credit for unused capacity: work, divided by its share, that a team may start ahead of the others after it has used less than its share, in milliseconds at speed 1. */
 const burstMilliseconds = 2000;
 
 const lengths = [TaskLength.Short, TaskLength.Long] as const;
@@ -19,7 +19,7 @@
 
 type WaitingTeam = {
 	readonly queues: Readonly<Record<TaskLength, TeamQueue>>;
-	/** Work that the team has been given, over its share. */
+	/** Work charged to the team, divided by its share. */
 	virtualTime: number;
 };
 
@@ -30,7 +30,7 @@
 
 const isWaiting = ({queues}: WaitingTeam): boolean => lengths.some(length => queues[length].heap.size() > 0);
 
-/** The first tasks of a team's queues, the next one first. */
+/** Heads of a team's queues, in the order in which they start. */
 const headsOf = ({queues}: WaitingTeam): readonly WaitingItem[] => {
 	const short = queues[TaskLength.Short].heap.peek();
 	const long = queues[TaskLength.Long].heap.peek();
@@ -42,11 +42,11 @@
 };
 
 /**
-Creates the order in which waiting tasks start: fair over teams by share, and within a team by expected size with ageing.
+Creates the order in which waiting tasks start: fair between teams by share, and within a team by expected run time with ageing.
 
-Teams are served by start-time fair queueing (Goyal, Vin and Cheng, 1996): the team that has been given the least work for its share is next. A team that begins to wait starts level with the team served last, but for a bounded credit for what it has left unused: without the credit, the tasks of a burst would take turns with a team that floods, though their team is far below its share.
+Teams are served by start-time fair queueing (Goyal, Vin and Cheng, 1996): the next task comes from the team with the least work charged relative to its share. A team that starts to wait gets the virtual time of the team served last, minus a bounded credit for capacity that it has not used. Without the credit, the tasks of a burst would alternate with those of a team that floods the queue, although their own team is far below its share.
 
-@param shareOf The quota share that the document in force grants a team; `undefined` when it names none.
+@param shareOf Returns the quota share that the document in force grants a team; `undefined` when it names none.
 
 @example
 ```
@@ -57,7 +57,7 @@
 	const teams = new Map<string, WaitingTeam>();
 	const waiting = new Map<string, WaitingTeam>();
 	const totals: Record<TaskLength, {count: number; work: number}> = {[TaskLength.Short]: {count: 0, work: 0}, [TaskLength.Long]: {count: 0, work: 0}};
-	/** The name under which a task waits, which may not be its team's when there are too many. */
+	/** Name under which a task waits: its team, or the overflow name when too many teams are tracked. */
 	const nameByTask = new WeakMap<WaitingTask, string>();
 	let virtualTime = 0;
 
@@ -84,7 +84,7 @@
 		totals[length].count += sign;
 	};
 
-	/** Forgets teams that wait for nothing and have no work to make up for. */
+	/** Removes teams that have no waiting tasks and whose charged work no longer affects the order. */
 	const removeIdleTeams = (): void => {
 		for (const [name, team] of teams) {
 			if (team.virtualTime <= earliestVirtualTime() && !waiting.has(name)) {
