--- a/packages/galenakeeld/src/process/__tests__/admission.feature
+++ b/packages/galenakeeld/src/process/__tests__/admission.feature
@@ -3,8 +3,8 @@
   Background:
     Given 40 slots of speed 1, all busy
 
-  Scenario Outline: A request is taken only if it can be served in time
-    Given <waiting> ms of work waits, <own> ms of it of the same team, which is due <share> of the slots
+  Scenario Outline: A request is admitted only if it can be served in time
+    Given <waiting> ms of work is queued, <own> ms of it by the same team, which is entitled to <share> of the slots
     When a request of <work> ms with a deadline of <deadline> ms arrives
     Then the decision is "<decision>"
 
@@ -19,9 +19,9 @@
       | 80000   | 80000 | 0.5   | 100  | 5000     | overloaded     |
       | 20000   | 8000  | 0.1   | 100  | 5000     | admitted       |
 
-  Scenario: A queue that never empties is kept short
-    Given 30000 ms of work waits, 30000 ms of it of the same team, which is due 1 of the slots
+  Scenario: A standing queue is kept short
+    Given 30000 ms of work is queued, 30000 ms of it by the same team, which is entitled to 1 of the slots
     And the queue is standing
     When a request of 100 ms with a deadline of 5000 ms arrives
     Then the decision is "overloaded"
-    And the caller is told to come back after 750 ms
+    And the caller is told to retry after 750 ms
--- a/packages/galenakeeld/src/process/__tests__/admission.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/admission.steps.ts
@@ -13,7 +13,7 @@
 	};
 });
 
-Given('{int} ms of work waits, {int} ms of it of the same team, which is due {float} of the slots', function (this: AdmissionWorld, waitingWork: number, teamWork: number, teamShare: number) {
+Given('{int} ms of work is queued, {int} ms of it by the same team, which is entitled to {float} of the slots', function (this: AdmissionWorld, waitingWork: number, teamWork: number, teamShare: number) {
 	this.load = {
 		...this.load, waitingWork, teamWork, teamShare,
 	};
@@ -33,6 +33,6 @@
 	assert.equal(this.refusal?.fault ?? 'admitted', decision, this.refusal?.detail);
 });
 
-Then('the caller is told to come back after {int} ms', function (this: AdmissionWorld, milliseconds: number) {
+Then('the caller is told to retry after {int} ms', function (this: AdmissionWorld, milliseconds: number) {
 	assert.equal(this.refusal?.retryAfterMilliseconds, milliseconds);
 });
--- a/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
@@ -87,7 +87,7 @@
 	};
 };
 
-/** Creates the instances; each learns of the others by what was described at the last heartbeat. */
+/** Creates the instances; each sees its peers as of the last heartbeat. */
 const createInstances = (world: FleetWorld): void => {
 	let announcedPeers: readonly Peer[] = [];
 	const call = async <Reply>(lender: Peer, use: (dispatchers: ServiceDispatchers) => Reply | Promise<Reply>): Promise<Reply> => {
@@ -131,7 +131,7 @@
 	record.endedAt = performance.now();
 };
 
-/** Draws the instance that a caller is connected to. */
+/** Picks at random, by weight, the instance to which a caller is connected. */
 const drawInstance = ({instances, random}: FleetWorld): ServiceDispatchers => {
 	let rest = random();
 	for (const [number, share] of callerShares.entries()) {
@@ -185,7 +185,7 @@
 	}
 };
 
-/** Runs all phases on a paused clock, once for a scenario. */
+/** Runs all phases on the fake clock, once per scenario. */
 const run = async (world: FleetWorld): Promise<void> => {
 	if (world.records.length > 0) {
 		return;
@@ -204,7 +204,7 @@
 	}
 };
 
-/** Tasks of the teams that stay below their quotas. */
+/** Tasks of the teams that stay within their quotas. */
 const othersIn = ({records}: FleetWorld, phase: number): readonly TaskRecord[] =>
 	records.filter(record => record.phase === phase && record.team !== greedyTeam);
 
@@ -216,7 +216,7 @@
 	return slowdowns[Math.floor(slowdowns.length * 0.99)]!;
 };
 
-Given('6 instances that lend each other the slots of 12 endpoints, and the runtime\'s clock paused', function (this: FleetWorld) {
+Given('6 instances that lend each other the slots of 12 endpoints, and a fake clock', function (this: FleetWorld) {
 	const endpointsOf = (zone: string, position: number): unknown =>
 		[1, 2, 3, 4].map(number => ({name: `${zone}-${number}`, address: `10.0.${position}.${number}:80`, slots: 8}));
 	const endpoints = Object.fromEntries(zones.map((zone, position) => [zone, endpointsOf(zone, position)]));
@@ -232,11 +232,11 @@
 	this.random = createRandom();
 });
 
-When('4 teams of 5 ask for {float} times the capacity for {int} ms', function (this: FleetWorld, load: number, milliseconds: number) {
+When('4 of 5 teams offer {float} times the capacity for {int} ms', function (this: FleetWorld, load: number, milliseconds: number) {
 	this.phases.push({milliseconds, loads: new Map(teams.map(team => [team, load / teams.length]))});
 });
 
-When('the fifth team sends {int} times its quota besides for {int} ms', function (this: FleetWorld, times: number, milliseconds: number) {
+When('the fifth team additionally offers {int} times its quota for {int} ms', function (this: FleetWorld, times: number, milliseconds: number) {
 	this.phases.push({milliseconds, loads: new Map([...this.phases.at(-1)!.loads, [greedyTeam, times * 0.2]])});
 });
 
@@ -255,7 +255,7 @@
 	assert.ok(measured <= alone * factor, `${measured} over ${alone}: ${measured / alone}`);
 });
 
-Then('less than {float} calls to peers were made for each task', {timeout: 60_000}, async function (this: FleetWorld, most: number) {
+Then('fewer than {float} calls to peers were made per task', {timeout: 60_000}, async function (this: FleetWorld, most: number) {
 	await run(this);
 	const calls = this.calls / this.records.filter(({isRefused}) => !isRefused).length;
 	assert.ok(calls < most, String(calls));
--- a/packages/galenakeeld/src/process/__tests__/standing-queue.feature
+++ b/packages/galenakeeld/src/process/__tests__/standing-queue.feature
@@ -1,7 +1,7 @@
 Feature: Standing queues
 
-  Scenario Outline: Only a wait that stays high makes a queue standing
-    When the expected wait is <wait> ms but for a moment of <lowest> ms in the last 2 s, of at most 1000 ms
+  Scenario Outline: Only a wait that stays high indicates a standing queue
+    When the expected wait is <wait> ms except for one sample of <lowest> ms in the last 2 s, with a maximum of 1000 ms
     Then the queue counts as a "<kind>"
 
     Examples:
@@ -11,10 +11,10 @@
       | 900  | 50     | burst          |
       | 80   | 20     | burst          |
 
-  Scenario Outline: Lent slots count until the queue is standing
+  Scenario Outline: Lent slots count towards the expected slots until the queue is standing
     Given an instance of 8 slots that has lent <lent> of them
     When the queue is a "<kind>"
-    Then its waiting tasks may expect <slots> slots
+    Then <slots> slots are expected for its waiting tasks
 
     Examples:
       | lent | kind           | slots |
--- a/packages/galenakeeld/src/process/__tests__/standing-queue.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/standing-queue.steps.ts
@@ -12,7 +12,7 @@
 const endMilliseconds = 3000;
 const lowestAtMilliseconds = 2000;
 
-When('the expected wait is {int} ms but for a moment of {int} ms in the last 2 s, of at most {int} ms', function (this: QueueWorld, wait: number, lowest: number, maximum: number) {
+When('the expected wait is {int} ms except for one sample of {int} ms in the last 2 s, with a maximum of {int} ms', function (this: QueueWorld, wait: number, lowest: number, maximum: number) {
 	this.queue = createStandingQueueDetector(0);
 	for (let now = 0; now <= endMilliseconds; now += observeMilliseconds) {
 		this.queue.observe(now === lowestAtMilliseconds ? lowest : wait, maximum, now);
@@ -36,6 +36,6 @@
 	this.isStanding = kind === 'standing queue';
 });
 
-Then('its waiting tasks may expect {int} slots', function (this: QueueWorld, count: number) {
+Then('{int} slots are expected for its waiting tasks', function (this: QueueWorld, count: number) {
 	assert.equal(expectedSlotsOf(measureSlotCapacity(this.ledger.inUse(), () => 1), this.isStanding), count);
 });
