--- a/packages/galenakeeld/src/process/__tests__/admission.feature
+++ b/packages/galenakeeld/src/process/__tests__/admission.feature
@@ -4,7 +4,7 @@
     Given 40 slots of speed 1, all busy
 
   Scenario Outline: A request is admitted only if it can be served in time
-    Given <waiting> ms of work is queued, <own> ms of it by the same team, which is entitled to <share> of the slots
+    Given <waiting> ms of work is queued, <own> ms of it by the same team, entitled to <share> of the slots
     When a request of <work> ms with a deadline of <deadline> ms arrives
     Then the decision is "<decision>"
 
@@ -20,7 +20,7 @@
       | 20000   | 8000  | 0.1   | 100  | 5000     | admitted       |
 
   Scenario: A standing queue is kept short
-    Given 30000 ms of work is queued, 30000 ms of it by the same team, which is entitled to 1 of the slots
+    Given 30000 ms of work is queued, 30000 ms of it by the same team, entitled to 1 of the slots
     And the queue is standing
     When a request of 100 ms with a deadline of 5000 ms arrives
     Then the decision is "overloaded"
--- a/packages/galenakeeld/src/process/__tests__/admission.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/admission.steps.ts
@@ -13,7 +13,7 @@
 	};
 });
 
-Given('{int} ms of work is queued, {int} ms of it by the same team, which is entitled to {float} of the slots', function (this: AdmissionWorld, waitingWork: number, teamWork: number, teamShare: number) {
+Given('{int} ms of work is queued, {int} ms of it by the same team, entitled to {float} of the slots', function (this: AdmissionWorld, waitingWork: number, teamWork: number, teamShare: number) {
 	this.load = {
 		...this.load, waitingWork, teamWork, teamShare,
 	};
