--- a/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
@@ -87,9 +87,9 @@
 	};
 };
 
-/** Creates the instances; each learns of the others by what was described at the last heartbeat. */
+/** Creates the instances; each sees its peers as of the last heartbeat. */
 const createInstances = (world: FleetWorld): void => {
-	let described: readonly Peer[] = [];
+	let announcedPeers: readonly Peer[] = [];
 	const call = async <Reply>(lender: Peer, use: (dispatchers: ServiceDispatchers) => Reply | Promise<Reply>): Promise<Reply> => {
 		world.calls++;
 		await wait(oneWayMilliseconds);
@@ -104,7 +104,7 @@
 		policy: PlacementPolicy.SharesWithBorrowing,
 		owners: () => owners,
 		isLeavingEndpoint: () => false,
-		peers: () => described.filter(peer => peer.instance !== instance),
+		peers: () => announcedPeers.filter(peer => peer.instance !== instance),
 		borrowSlots: async (lender, _service, {held, teams: loads, ...wanted}) => call(lender, async dispatchers => lendSlots(dispatchers, {
 			borrower: instance, service, held: [...held], teams: [...loads], ...wanted,
 		})),
@@ -117,7 +117,7 @@
 	}
 
 	setInterval(() => {
-		described = owners.map((_, number) => describePeer(world, number));
+		announcedPeers = owners.map((_, number) => describePeer(world, number));
 	}, heartbeatMilliseconds);
 };
 
@@ -131,7 +131,7 @@
 	record.endedAt = performance.now();
 };
 
-/** Draws the instance that a caller is connected to. */
+/** Picks at random, by weight, the instance to which a caller is connected. */
 const drawInstance = ({instances, random}: FleetWorld): ServiceDispatchers => {
 	let rest = random();
 	for (const [number, share] of callerShares.entries()) {
@@ -158,7 +158,7 @@
 	}
 };
 
-const pass = async (world: FleetWorld, now: number): Promise<void> => {
+const advance = async (world: FleetWorld, now: number): Promise<void> => {
 	if (now % sweepMilliseconds === 0) {
 		for (const instance of world.instances) {
 			instance.sweep();
@@ -181,11 +181,11 @@
 			due.set(team, at);
 		}
 
-		await pass(world, now);
+		await advance(world, now);
 	}
 };
 
-/** Runs all phases on a paused clock, once for a scenario. */
+/** Runs all phases on the fake clock, once per scenario. */
 const run = async (world: FleetWorld): Promise<void> => {
 	if (world.records.length > 0) {
 		return;
@@ -204,7 +204,7 @@
 	}
 };
 
-/** Tasks of the teams that stay below their quotas. */
+/** Tasks of the teams that stay within their quotas. */
 const othersIn = ({records}: FleetWorld, phase: number): readonly TaskRecord[] =>
 	records.filter(record => record.phase === phase && record.team !== greedyTeam);
 
@@ -216,7 +216,7 @@
 	return slowdowns[Math.floor(slowdowns.length * 0.99)]!;
 };
 
-Given('6 instances that lend each other the slots of 12 endpoints, and the runtime\'s clock paused', function (this: FleetWorld) {
+Given('6 instances that lend each other the slots of 12 endpoints, and a fake clock', function (this: FleetWorld) {
 	const endpointsOf = (zone: string, position: number): unknown =>
 		[1, 2, 3, 4].map(number => ({name: `${zone}-${number}`, address: `10.0.${position}.${number}:80`, slots: 8}));
 	const endpoints = Object.fromEntries(zones.map((zone, position) => [zone, endpointsOf(zone, position)]));
@@ -232,11 +232,11 @@
 	this.random = createRandom();
 });
 
-When('4 teams of 5 ask for {float} times the capacity for {int} ms', function (this: FleetWorld, load: number, milliseconds: number) {
+When('4 of 5 teams offer {float} times the capacity for {int} ms', function (this: FleetWorld, load: number, milliseconds: number) {
 	this.phases.push({milliseconds, loads: new Map(teams.map(team => [team, load / teams.length]))});
 });
 
-When('the fifth team sends {int} times its quota besides for {int} ms', function (this: FleetWorld, times: number, milliseconds: number) {
+When('the fifth team additionally offers {int} times its quota for {int} ms', function (this: FleetWorld, times: number, milliseconds: number) {
 	this.phases.push({milliseconds, loads: new Map([...this.phases.at(-1)!.loads, [greedyTeam, times * 0.2]])});
 });
 
@@ -247,15 +247,15 @@
 	assert.equal(refused, 0, `${refused} of ${tasks.length}`);
 });
 
-const isTailAtMost = 'the 99th percentile of their slowdown in phase {int} is at most {float} times that in phase {int}';
+const tailStepText = 'the 99th percentile of their slowdown in phase {int} is at most {float} times that in phase {int}';
 
-Then(isTailAtMost, {timeout: 60_000}, async function (this: FleetWorld, phase: number, factor: number, reference: number) {
+Then(tailStepText, {timeout: 60_000}, async function (this: FleetWorld, phase: number, factor: number, reference: number) {
 	await run(this);
 	const [measured, alone] = [slowdownTail(this, phase), slowdownTail(this, reference)];
 	assert.ok(measured <= alone * factor, `${measured} over ${alone}: ${measured / alone}`);
 });
 
-Then('less than {float} calls to peers were made for each task', {timeout: 60_000}, async function (this: FleetWorld, most: number) {
+Then('fewer than {float} calls to peers were made per task', {timeout: 60_000}, async function (this: FleetWorld, most: number) {
 	await run(this);
 	const calls = this.calls / this.records.filter(({isRefused}) => !isRefused).length;
 	assert.ok(calls < most, String(calls));
--- a/packages/galenakeeld/src/process/task-heap.ts
+++ b/packages/galenakeeld/src/process/heap.ts
@@ -1,13 +1,13 @@
 /**
-A binary heap of items with a key that does not change.
+A binary min-heap of items whose keys do not change.
 */
 export type Heap<Item> = {
 	readonly add: (item: Item) => void;
-	/** Looks at the item with the smallest key. */
+	/** Returns the item with the smallest key without removing it. */
 	readonly peek: () => Item | undefined;
 	readonly shift: () => Item | undefined;
 	readonly size: () => number;
-	/** Removes all items that a predicate selects, and returns them; takes time in proportion to the size. */
+	/** Removes and returns all items that match a predicate; scans the whole heap and sorts the remaining items. */
 	readonly remove: (isRemoved: (item: Item) => boolean) => readonly Item[];
 	readonly values: () => readonly Item[];
 };
@@ -15,7 +15,7 @@
 /**
 Creates an empty heap.
 
-@param keyOf The smaller the key, the earlier the item.
+@param keyOf Returns the key of an item; items with smaller keys are removed first.
 
 @example
 ```
@@ -34,7 +34,7 @@
 
 	const keyAt = (position: number): number => position < items.length ? keyOf(items[position]!) : Infinity;
 
-	const rise = (from: number): void => {
+	const siftUp = (from: number): void => {
 		for (let position = from; position > 0;) {
 			const parent = Math.floor((position - 1) / 2);
 			if (keyAt(parent) <= keyAt(position)) {
@@ -46,7 +46,7 @@
 		}
 	};
 
-	const sink = (from: number): void => {
+	const siftDown = (from: number): void => {
 		for (let position = from; ;) {
 			const left = (position * 2) + 1;
 			const smaller = keyAt(left + 1) < keyAt(left) ? left + 1 : left;
@@ -62,7 +62,7 @@
 	return {
 		add(item) {
 			items.push(item);
-			rise(items.length - 1);
+			siftUp(items.length - 1);
 		},
 		peek: () => items[0],
 		shift() {
@@ -70,7 +70,7 @@
 			const last = items.pop();
 			if (items.length > 0) {
 				items[0] = last!;
-				sink(0);
+				siftDown(0);
 			}
 
 			return first;
