--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -21,7 +21,7 @@
 import {createClaimWriter} from './claim-writer.js';
 import {contactByLending} from './contact-by-lending.js';
 import {createControlMessages} from './control-messages.js';
-import {countPlatformCalls} from './counted-platform.js';
+import {countPlatformCalls} from './count-platform-calls.js';
 import type {DaemonSettings} from './daemon-settings.js';
 import {describeDaemon} from './daemon-status.js';
 import {drain} from './drain.js';
