--- a/packages/galenakeeld/src/process/operator-server.ts
+++ b/packages/galenakeeld/src/process/operator-server.ts
@@ -8,7 +8,7 @@
 /**
 What operators and the balancer can ask for, by path.
 */
-export type OperatorRun = {
+export type OperatorHandlers = {
 	readonly isReady: () => boolean;
 	readonly status: () => unknown;
 	/** All metrics in the Prometheus text format. */
@@ -26,8 +26,8 @@
 	response.end(`${JSON.stringify(value)}\n`);
 };
 
-const answerRecord = (response: ServerResponse, identifier: string, run: OperatorRun): void => {
-	const record = run.findRecord(identifier);
+const answerRecord = (response: ServerResponse, identifier: string, handlers: OperatorHandlers): void => {
+	const record = handlers.findRecord(identifier);
 	if (record) {
 		answerJson(response, 200, record);
 	} else {
@@ -61,20 +61,20 @@
 	}
 };
 
-const answerLogLevel = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+const answerLogLevel = async (request: IncomingMessage, response: ServerResponse, handlers: OperatorHandlers): Promise<void> => {
 	try {
 		const level = await readLogLevel(request);
-		run.setLogLevel(level);
+		handlers.setLogLevel(level);
 		answerJson(response, 200, {level});
 	} catch (error) {
 		answerJson(response, 400, {detail: detailOf(error)});
 	}
 };
 
-const answerOperator = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+const answerRequest = async (request: IncomingMessage, response: ServerResponse, handlers: OperatorHandlers): Promise<void> => {
 	const url = request.url ?? '';
 	if (request.method === 'GET' && url.startsWith(recordsPath)) {
-		answerRecord(response, decodeURIComponent(url.slice(recordsPath.length)), run);
+		answerRecord(response, decodeURIComponent(url.slice(recordsPath.length)), handlers);
 		return;
 	}
 
@@ -85,23 +85,23 @@
 		}
 
 		case 'GET /ready': {
-			answerJson(response, run.isReady() ? 200 : 503, {isReady: run.isReady()});
+			answerJson(response, handlers.isReady() ? 200 : 503, {isReady: handlers.isReady()});
 			break;
 		}
 
 		case 'GET /metrics': {
 			response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-			response.end(run.metrics());
+			response.end(handlers.metrics());
 			break;
 		}
 
 		case 'GET /v1/status': {
-			answerJson(response, 200, run.status());
+			answerJson(response, 200, handlers.status());
 			break;
 		}
 
 		case 'PUT /v1/log-level': {
-			await answerLogLevel(request, response, run);
+			await answerLogLevel(request, response, handlers);
 			break;
 		}
 
@@ -111,9 +111,9 @@
 	}
 };
 
-const serve = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+const serve = async (request: IncomingMessage, response: ServerResponse, handlers: OperatorHandlers): Promise<void> => {
 	try {
-		await answerOperator(request, response, run);
+		await answerRequest(request, response, handlers);
 	} catch (error) {
 		answerJson(response, 400, {detail: detailOf(error)});
 	}
@@ -124,9 +124,9 @@
 
 @returns A function that stops it.
 */
-export const startOperatorServer = async (address: string, run: OperatorRun): Promise<() => void> => {
+export const startOperatorServer = async (address: string, handlers: OperatorHandlers): Promise<() => void> => {
 	const server = createServer((request, response) => {
-		void serve(request, response, run);
+		void serve(request, response, handlers);
 	});
 	const [host, port] = splitAddress(address);
 	await new Promise<void>((resolve, reject) => {
