--- a/packages/galenakeeld/src/process/percentiles.ts
+++ b/packages/galenakeeld/src/process/percentiles.ts
@@ -8,7 +8,7 @@
 const windowMilliseconds = 30_000;
 const microsecondsInMillisecond = 1000;
 const microsecondsInSecond = 1_000_000;
-const longestMicroseconds = 3_600_000_000;
+const maximumMicroseconds = 3_600_000_000;
 const otherServices = 'other';
 
 /**
@@ -20,15 +20,15 @@
 	readonly family: () => MetricFamily;
 };
 
-type ServiceDurations = {current: Histogram; previous: Histogram; changedAt: number; count: number; sumMilliseconds: number};
+type ServiceDurations = {current: Histogram; previous: Histogram; rotatedAt: number; count: number; sumMilliseconds: number};
 
 const createHistogram = (): Histogram => build({
 	bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 2, numberOfSignificantValueDigits: 2,
 });
 
 /** Starts a new window when the current one is over, so that percentiles tell of the last 30 to 60 seconds. */
-const turn = (durations: ServiceDurations, now: number): void => {
-	const age = now - durations.changedAt;
+const rotateHistograms = (durations: ServiceDurations, now: number): void => {
+	const age = now - durations.rotatedAt;
 	if (age < windowMilliseconds) {
 		return;
 	}
@@ -41,11 +41,11 @@
 		durations.previous.reset();
 	}
 
-	durations.changedAt = now;
+	durations.rotatedAt = now;
 };
 
 const samplesOf = (service: string, durations: ServiceDurations): readonly MetricSample[] => {
-	turn(durations, performance.now());
+	rotateHistograms(durations, performance.now());
 	const merged = createHistogram();
 	merged.add(durations.previous);
 	merged.add(durations.current);
@@ -83,7 +83,7 @@
 		}
 
 		const created: ServiceDurations = {
-			current: createHistogram(), previous: createHistogram(), changedAt: performance.now(), count: 0, sumMilliseconds: 0,
+			current: createHistogram(), previous: createHistogram(), rotatedAt: performance.now(), count: 0, sumMilliseconds: 0,
 		};
 		byService.set(service, created);
 		return created;
@@ -92,8 +92,8 @@
 	return {
 		record(service, milliseconds) {
 			const durations = durationsOf(service);
-			turn(durations, performance.now());
-			durations.current.recordValue(Math.min(longestMicroseconds, Math.max(0, Math.round(milliseconds * microsecondsInMillisecond))));
+			rotateHistograms(durations, performance.now());
+			durations.current.recordValue(Math.min(maximumMicroseconds, Math.max(0, Math.round(milliseconds * microsecondsInMillisecond))));
 			durations.count++;
 			durations.sumMilliseconds += milliseconds;
 		},
