--- a/packages/galenakeeld/src/process/request-records.ts
+++ b/packages/galenakeeld/src/process/request-records.ts
@@ -3,8 +3,8 @@
 import type {ObservedEnd, ObservedStep, RequestObserver} from '../request/request-observer.js';
 
 const maximumSteps = 200;
-const recordBytes = 400;
-const stepBytes = 160;
+const estimatedRecordBytes = 400;
+const estimatedStepBytes = 160;
 
 type StepTally = {at: number; lastAt: number; count: number; readonly kind: RecordStepKind; readonly endpoint: string; readonly detail: string};
 
@@ -12,7 +12,7 @@
 	readonly identifier: string;
 	readonly service: string;
 	readonly startedAt: number;
-	readonly startedOn: number;
+	readonly monotonicStart: number;
 	readonly steps: Map<string, StepTally>;
 	bytes: number;
 	durationMilliseconds?: number;
@@ -71,33 +71,33 @@
 	const kept = new Map<string, KeptRecord>();
 	let keptBytes = 0;
 
-	const drop = (record: KeptRecord): void => {
+	const remove = (record: KeptRecord): void => {
 		keptBytes -= record.bytes;
 		kept.delete(record.identifier);
 	};
 
-	const makeRoom = (): void => {
+	const evictOldest = (): void => {
 		for (const record of kept.values()) {
 			if (kept.size <= limits.entries && keptBytes <= limits.bytes) {
 				return;
 			}
 
-			drop(record);
+			remove(record);
 		}
 	};
 
-	const grow = (record: KeptRecord, bytes: number): void => {
+	const addBytes = (record: KeptRecord, bytes: number): void => {
 		record.bytes += bytes;
 		if (kept.get(record.identifier) === record) {
 			keptBytes += bytes;
 		}
 	};
 
-	const add = (record: KeptRecord, step: ObservedStep): void => {
+	const addStep = (record: KeptRecord, step: ObservedStep): void => {
 		const {kind, endpoint = ''} = step;
 		const detail = textOf(step);
 		const key = `${kind} ${endpoint} ${detail}`;
-		const now = Math.round((performance.now() - record.startedOn) * 10) / 10;
+		const now = Math.round((performance.now() - record.monotonicStart) * 10) / 10;
 		const tally = record.steps.get(key);
 		if (tally) {
 			tally.count++;
@@ -106,7 +106,7 @@
 			record.steps.set(key, {
 				at: now, lastAt: now, count: 1, kind, endpoint, detail,
 			});
-			grow(record, stepBytes + detail.length);
+			addBytes(record, estimatedStepBytes + detail.length);
 		}
 	};
 
@@ -114,24 +114,24 @@
 		open(identifier, service) {
 			const before = kept.get(identifier);
 			if (before) {
-				drop(before);
+				remove(before);
 			}
 
 			const record: KeptRecord = {
-				identifier, service, startedAt: Date.now(), startedOn: performance.now(), steps: new Map(), bytes: 0,
+				identifier, service, startedAt: Date.now(), monotonicStart: performance.now(), steps: new Map(), bytes: 0,
 			};
 			kept.set(identifier, record);
-			grow(record, recordBytes + identifier.length);
-			makeRoom();
+			addBytes(record, estimatedRecordBytes + identifier.length);
+			evictOldest();
 			return {
 				note(step) {
-					add(record, step);
+					addStep(record, step);
 				},
 				end(end) {
-					record.durationMilliseconds = Math.round(performance.now() - record.startedOn);
+					record.durationMilliseconds = Math.round(performance.now() - record.monotonicStart);
 					record.end = end;
-					grow(record, end.detail?.length ?? 0);
-					makeRoom();
+					addBytes(record, end.detail?.length ?? 0);
+					evictOldest();
 				},
 			};
 		},
@@ -142,7 +142,7 @@
 		noteRepeat(identifier) {
 			const record = kept.get(identifier);
 			if (record) {
-				add(record, {kind: RecordStepKind.Joined});
+				addStep(record, {kind: RecordStepKind.Joined});
 			}
 		},
 		size: () => kept.size,
