--- a/packages/galenakeeld/src/process/tracing.ts
+++ b/packages/galenakeeld/src/process/tracing.ts
@@ -24,17 +24,17 @@
 	readonly stop: () => Promise<void>;
 };
 
-const prefixFacts = (facts: SpanAttributes): SpanAttributes =>
-	Object.fromEntries(Object.entries(facts).map(([name, value]) => [`galenakeel.${name}`, value]));
+const prefixAttributes = (attributes: SpanAttributes): SpanAttributes =>
+	Object.fromEntries(Object.entries(attributes).map(([name, value]) => [`galenakeel.${name}`, value]));
 
-const beginSpan = (tracer: Tracer, parent: Context, name: SpanName, facts: SpanAttributes): TraceSpan => {
-	const span = tracer.startSpan(name, {attributes: prefixFacts(facts)}, parent);
+const beginSpan = (tracer: Tracer, parent: Context, name: SpanName, attributes: SpanAttributes): TraceSpan => {
+	const span = tracer.startSpan(name, {attributes: prefixAttributes(attributes)}, parent);
 	const context = trace.setSpan(ROOT_CONTEXT, span);
 	return {
 		traceparent: encodeTraceparent(span.spanContext()),
-		begin: (child, childFacts = {}) => beginSpan(tracer, context, child, childFacts),
-		end(endFacts = {}, fault = '') {
-			span.setAttributes(prefixFacts(endFacts));
+		begin: (child, childAttributes = {}) => beginSpan(tracer, context, child, childAttributes),
+		end(endAttributes = {}, fault = '') {
+			span.setAttributes(prefixAttributes(endAttributes));
 			if (fault !== '') {
 				span.setStatus({code: SpanStatusCode.ERROR, message: fault});
 			}
@@ -47,7 +47,7 @@
 const createOpenTrace = (tracer: Tracer): OpenTrace => (traceparent): TraceScope => {
 	const remote = parseTraceparent(traceparent);
 	const context = remote ? trace.setSpanContext(ROOT_CONTEXT, remote) : ROOT_CONTEXT;
-	return {traceparent, begin: (name, facts = {}) => beginSpan(tracer, context, name, facts)};
+	return {traceparent, begin: (name, attributes = {}) => beginSpan(tracer, context, name, attributes)};
 };
 
 /**
