--- a/packages/galenakeeld/src/connection/caller-connection.ts
+++ b/packages/galenakeeld/src/connection/caller-connection.ts
@@ -40,7 +40,7 @@
 	readonly defaultDeadlineMilliseconds: (service: string) => number;
 	readonly isLeaving: () => boolean;
 	/** Generates an identifier for a single request without an `Idempotency-Key`. */
-	readonly nameRequest: () => string;
+	readonly createRequestIdentifier: () => string;
 	readonly observe: Observe;
 	readonly openTrace: OpenTrace;
 };
@@ -80,7 +80,7 @@
 		return;
 	}
 
-	const identifier = run.nameRequest();
+	const identifier = run.createRequestIdentifier();
 	const answer = await run.relay({
 		service: route.service,
 		team: callerHeaders.team,
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -215,7 +215,7 @@
 		}),
 		defaultDeadlineMilliseconds: service => catalogue.versionOf(service)?.document.deadlineMilliseconds ?? settings.peers.callTimeoutMilliseconds,
 		isLeaving: () => membership.state() === InstanceState.Leaving,
-		nameRequest: observation.nameRequest,
+		createRequestIdentifier: observation.createRequestIdentifier,
 		observe: observation.observe,
 		openTrace: observation.tracing.openTrace,
 	};
--- a/packages/galenakeeld/src/process/observation.ts
+++ b/packages/galenakeeld/src/process/observation.ts
@@ -29,7 +29,7 @@
 	readonly tracing: Tracing;
 	readonly observe: Observe;
 	/** Names a single request that has no identifier. */
-	readonly nameRequest: () => string;
+	readonly createRequestIdentifier: () => string;
 	/** Reads all metrics in the Prometheus text format. */
 	readonly readMetrics: () => string;
 	readonly stop: () => Promise<void>;
@@ -75,7 +75,7 @@
 		observe: createObserve({
 			records, metrics, log, isKnown: options.isKnown,
 		}),
-		nameRequest() {
+		createRequestIdentifier() {
 			requests++;
 			return `r~${self.instance}~${self.incarnation}~${requests}`;
 		},
