--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -11,15 +11,15 @@
 
 /** Callers, peers and operators have a port each, so that the firewall can tell them apart. */
 const checkPorts = (listen: Readonly<Record<string, string>>, context: z.RefinementCtx): void => {
-	const users = new Map<string, string>();
-	for (const [user, listened] of Object.entries(listen)) {
-		const port = portOf(listened);
-		const other = users.get(port);
+	const listenersByPort = new Map<string, string>();
+	for (const [listener, address] of Object.entries(listen)) {
+		const port = portOf(address);
+		const other = listenersByPort.get(port);
 		if (other !== undefined) {
-			context.addIssue({code: 'custom', path: [user], message: `has port ${port}, which "${other}" has too; give each its own port`});
+			context.addIssue({code: 'custom', path: [listener], message: `has port ${port}, which "${other}" has too; give each its own port`});
 		}
 
-		users.set(port, user);
+		listenersByPort.set(port, listener);
 	}
 };
 
