Describe settings, log events and the operators' server in plain technical terms

The doc comments used figurative words for limits, aborted requests and log levels. They now name limits, intervals and errors; settings, values and answers are unchanged.

--- a/packages/galenakeeld/src/process/__tests__/daemon-settings.feature
+++ b/packages/galenakeeld/src/process/__tests__/daemon-settings.feature
@@ -1,6 +1,6 @@
 Feature: Settings of a daemon
 
-  Scenario Outline: The example of each user's deployment is valid
+  Scenario Outline: The example configuration of each user is valid
     Then the settings "examples/<user>/galenakeeld.jsonc" are valid for a zone of "<region>"
     And the document "examples/<user>/<service>.jsonc" has <zones> zones and 30 endpoints of 8 slots and 64 connections
 
@@ -9,7 +9,7 @@
       | bainne        | ie-south    | paysheet  | 4     |
       | tsagaan-gerel | ulaanbaatar | quote-svc | 3     |
 
-  Scenario: Every fault is said at once, with its place and what to do
+  Scenario: All faults are reported together, each with its place and a remedy
     When settings are read from:
       """
       {
@@ -28,7 +28,7 @@
         "placement": {"policy": "guess"}
       }
       """
-    Then exactly these faults are said:
+    Then exactly these faults are reported:
       """
       line 1, column 1: zone: is missing; add "zone" with text in double quotes
       line 3, column 3: zome: is not known here; did you mean "zone"?
@@ -55,7 +55,7 @@
       | 10.1.2.3             | faulty  |
       | platform.example:80  | faulty  |
 
-  Scenario: Text that is not JSON with comments is explained
+  Scenario: A syntax error is reported with its place and an explanation
     When settings are read from:
       """
       {
@@ -65,9 +65,9 @@
       """
     Then a fault at line 2, column 15 says "a word stands here without double quotes"
 
-  Scenario Outline: The daemon checks a settings file and says the result
+  Scenario Outline: The daemon checks a settings file and prints the result
     When the daemon checks the settings file "<file>"
-    Then the check ends with code <code> and says '<text>'
+    Then the check ends with code <code> and prints '<text>'
 
     Examples:
       | file                                    | code | text                                                |
--- a/packages/galenakeeld/src/process/__tests__/daemon-settings.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/daemon-settings.steps.ts
@@ -43,7 +43,7 @@
 	}
 });
 
-Then('exactly these faults are said:', function (this: SettingsWorld, text: string) {
+Then('exactly these faults are reported:', function (this: SettingsWorld, text: string) {
 	assert.deepEqual(this.faults.filter(line => !line.includes('placement.policy')), text.split('\n'));
 });
 
@@ -63,7 +63,7 @@
 	this.output = stdout + stderr;
 });
 
-Then('the check ends with code {int} and says {string}', function (this: SettingsWorld, code: number, text: string) {
+Then('the check ends with code {int} and prints {string}', function (this: SettingsWorld, code: number, text: string) {
 	assert.equal(this.code, code, this.output);
 	assert.ok(this.output.includes(text), this.output);
 });
--- a/packages/galenakeeld/src/process/daemon-settings.ts
+++ b/packages/galenakeeld/src/process/daemon-settings.ts
@@ -9,7 +9,7 @@
 
 const portOf = (text: string): string => text.slice(text.lastIndexOf(':') + 1);
 
-/** Callers, peers and operators have a port each, so that the firewall can tell them apart. */
+/** Requires different ports for callers, peers and operators, so that firewall rules can tell them apart. */
 const checkPorts = (listen: Readonly<Record<string, string>>, context: z.RefinementCtx): void => {
 	const listenersByPort = new Map<string, string>();
 	for (const [listener, address] of Object.entries(listen)) {
@@ -24,37 +24,37 @@
 };
 
 const settingsSchema = z.strictObject({
-	/** Name of the entry instance, as the platform lists it. */
+	/** Name of the entry instance in the platform's instance list. */
 	instance: z.string().regex(/^[\w.\-]{1,60}$/v, 'must be 1 to 60 letters, digits, dots, hyphens or underscores'),
 	zone: z.string().regex(/^[\w.\-]{1,60}$/v, 'must be 1 to 60 letters, digits, dots, hyphens or underscores'),
-	/** Capacity of the machine relative to the others; its share of slots follows it. */
+	/** Capacity of the machine relative to the others. Its share of slots is proportional to it. */
 	weight: z.number().positive().default(1),
 	listen: z.strictObject({callers: addressSchema, peers: addressSchema, operators: addressSchema}).superRefine(checkPorts),
 	platform: z.strictObject({
 		address: addressSchema,
 		timeoutMilliseconds: milliseconds.default(1000),
-		/** Interval at which the catalogue version and the instance list are read. */
+		/** Polling interval for the catalogue version and the instance list. */
 		pollMilliseconds: milliseconds.default(500),
 	}),
 	peers: z.strictObject({
-		/** Time between heartbeats to the peer that watches this instance. Others get one for each six, or fewer. */
+		/** Interval between heartbeats to the peer that monitors this instance. Other peers get at most one in six of them. */
 		heartbeatMilliseconds: milliseconds.default(800),
-		/** Longest time between heartbeats, however many peers there are. */
+		/** Upper limit of the interval between heartbeats, for any number of peers. */
 		maximumHeartbeatMilliseconds: milliseconds.default(5000),
-		/** Weight of the number of peers in the time between heartbeats to those that don't watch this instance; 0 keeps it fixed. */
+		/** How strongly the number of peers lengthens the heartbeat interval to peers that don't monitor this instance; 0 keeps it fixed. */
 		heartbeatLoadFactor: z.number().min(0).max(10).default(0.25),
-		/** Silent heartbeat intervals after which a peer is unreachable, whether it was probed or not. */
+		/** Number of heartbeat intervals without a message after which a peer counts as unreachable, whether it was probed or not. */
 		missedHeartbeats: z.number().int().min(1).default(3),
 		callTimeoutMilliseconds: milliseconds.default(1000),
 	}).prefault({}),
 	endpoints: z.strictObject({
 		connectTimeoutMilliseconds: milliseconds.default(500),
-		/** Idle time after which a connection is replaced rather than trusted. */
+		/** Idle time after which a connection is replaced instead of being assumed to be still open. */
 		maximumIdleMilliseconds: milliseconds.default(2000),
 		maximumAgeMilliseconds: milliseconds.default(60_000),
-		/** Tasks that one connection carries. HTTP/1.1 can't tell a second answer to one task from the answer to the next, so only a back end that never sends one may have more than 1. */
+		/** Number of tasks sent on one connection before it is closed. HTTP/1.1 can't distinguish a second answer to one task from the answer to the next, so use more than 1 only for a back end that never sends a second answer. */
 		tasksPerConnection: z.number().int().min(1).default(1),
-		/** Connections to each endpoint in use that are opened before a task needs them, within this instance's part of the endpoint's connections; 0 opens none ahead. */
+		/** Number of spare connections opened in advance to each endpoint in use, within this instance's share of the endpoint's connections; 0 opens none in advance. */
 		connectionsAhead: z.number().int().min(0).max(16).default(2),
 	}).superRefine(({maximumIdleMilliseconds, maximumAgeMilliseconds}, context) => {
 		if (maximumIdleMilliseconds > maximumAgeMilliseconds) {
@@ -65,17 +65,17 @@
 	}).prefault({}),
 	limits: z.strictObject({
 		headerBytes: bytes.default(16_384),
-		/** Largest body of a single request that is held in memory; longer ones are streamed. */
+		/** Maximum body of a single request that is buffered in memory; longer bodies are streamed. */
 		bufferedBodyBytes: bytes.default(1_048_576),
-		/** Largest body of a single request. */
+		/** Maximum body of a single request. */
 		requestBytes: bytes.default(67_108_864),
-		/** Largest body of a job. */
+		/** Maximum body of a job. */
 		jobBytes: bytes.default(33_554_432),
 		tasksInJob: z.number().int().min(1).default(2000),
 		callerConnections: z.number().int().min(1).default(10_000),
-		/** Idle time, told to callers in whole seconds, after which a caller's connection is closed. */
+		/** Idle time after which a caller's connection is closed. It is announced to callers in whole seconds, hence the minimum. */
 		idleCallerMilliseconds: milliseconds.min(1000).default(5000),
-		/** Time that a caller has to send its headers, and then its whole request. */
+		/** Timeout for a caller to send its headers, and then for its whole request. */
 		slowCallerMilliseconds: milliseconds.default(30_000),
 	}).superRefine(({bufferedBodyBytes, requestBytes}, context) => {
 		if (bufferedBodyBytes > requestBytes) {
@@ -83,22 +83,22 @@
 		}
 	}).prefault({}),
 	claims: z.strictObject({
-		/** Writes of claims a second over all entry instances. */
+		/** Maximum rate of claim writes, summed over all entry instances. */
 		writesPerSecond: z.number().positive().default(300),
-		/** Time for which a claim is kept. A submission may begin in its first half and takes at most an hour. */
+		/** Retention period of a claim. A submission may begin in the first half of it and takes at most an hour. */
 		retentionMilliseconds: milliseconds.min(7_200_000, 'must be at least twice the longest deadline, 7200000').default(86_400_000),
-		/** Pause between two pages of the sweep of claims that are past their retention. */
+		/** Pause between two pages of the sweep that deletes expired claims. */
 		sweepMilliseconds: milliseconds.default(500),
 	}).prefault({}),
 	answers: z.strictObject({
-		/** Time for which an answer is repeated to a caller that submits again. */
+		/** Retention period of an answer, during which a repeated submission gets the same answer. */
 		retentionMilliseconds: milliseconds.default(600_000),
 		maximumBytes: bytes.default(67_108_864),
 	}).prefault({}),
 	drain: z.strictObject({
-		/** Time for the balancer and the peers to notice that the instance is leaving. */
+		/** Time during which the instance announces that it is leaving, so that the load balancer and the peers stop using it. */
 		announceMilliseconds: milliseconds.default(3000),
-		/** Longest time to finish what runs; afterwards it is cut, and logged. */
+		/** Time limit of the whole drain. Requests that still run after it are aborted and logged. */
 		limitMilliseconds: milliseconds.default(120_000),
 	}).superRefine(({announceMilliseconds, limitMilliseconds}, context) => {
 		if (limitMilliseconds <= announceMilliseconds) {
@@ -116,29 +116,31 @@
 		level: z.enum(LogLevel).default(LogLevel.Info),
 	}).prefault({}),
 	records: z.strictObject({
-		/** Recent requests and jobs that `galenakeel explain` can show. */
+		/** Maximum number of recent requests and jobs kept for `galenakeel explain`. */
 		entries: z.number().int().min(1).default(2000),
 		maximumBytes: bytes.default(2_097_152),
 	}).prefault({}),
 	traces: z.strictObject({
-		/** Share of the requests without a trace of their own that are traced; 0 turns tracing off. */
+		/** Fraction of the requests without a trace context from the caller that are traced; 0 turns tracing off for all requests. */
 		samplingRatio: z.number().min(0).max(1).default(0),
-		/** Where spans are sent by OTLP over HTTP, as in "http://10.1.2.3:4318/v1/traces". */
+		/** URL to which spans are exported by OTLP over HTTP, as in "http://10.1.2.3:4318/v1/traces". */
 		otlpUrl: z.url({protocol: /^https?$/v, error: 'must be a URL, as in "http://10.1.2.3:4318/v1/traces"'}).optional(),
-		/** File to which spans are added as JSON lines. */
+		/** File to which spans are appended as JSON lines. */
 		file: z.string().min(1).optional(),
 	}).prefault({}),
 });
 
 /**
-Settings of one daemon, from a file of JSON with comments.
+Settings of one daemon, read from a JSON file with comments.
 */
 export type DaemonSettings = z.infer<typeof settingsSchema>;
 
 /**
 Parses and validates the text of a settings file.
 
-@throws A fault of kind `InvalidConfiguration` that names every faulty place by line and column.
+@param source Name of the file in error messages.
+
+@throws A fault of kind `InvalidConfiguration` that lists every error with its line and column.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/daemon-status.ts
+++ b/packages/galenakeeld/src/process/daemon-status.ts
@@ -22,7 +22,7 @@
 });
 
 /**
-Describes the daemon for operators.
+Creates the status report of the daemon for operators.
 */
 export const describeDaemon = (parts: {
 	readonly self: Incarnation;
--- a/packages/galenakeeld/src/process/log.ts
+++ b/packages/galenakeeld/src/process/log.ts
@@ -1,54 +1,55 @@
 import {pino, type DestinationStream, type Logger} from 'pino';
 
 /**
-The log of the process: JSON lines on standard output.
+Logger of the process, which writes JSON lines.
 */
 export type Log = Logger;
 
 /**
-The levels of the log, the most verbose first.
+Log levels, the most verbose first.
 */
 export enum LogLevel {
-	/** Everything. */
+	/** All lines. */
 	Trace = 'trace',
-	/** Each request that has no whole answer. */
+	/** Each request without a complete answer. */
 	Debug = 'debug',
-	/** Changes of the daemon's state. */
+	/** State changes of the daemon. */
 	Info = 'info',
-	/** Something is out of order and the daemon goes on. */
+	/** A problem that the daemon continues to run with. */
 	Warn = 'warn',
-	/** Something was lost or cut. */
+	/** Data was lost or a request was aborted. */
 	Error = 'error',
-	/** The daemon ends. */
+	/** A failure that ends the daemon. */
 	Fatal = 'fatal',
-	/** Nothing. */
+	/** No lines. */
 	Silent = 'silent',
 }
 
 const logLevels: ReadonlySet<string> = new Set(Object.values(LogLevel));
 
 /**
-Tells whether a value is the name of a level.
+Tells whether a value is the name of a log level.
 */
 export const isLogLevel = (value: unknown): value is LogLevel => typeof value === 'string' && logLevels.has(value);
 
 const credentialFields = ['authorization', 'proxy-authorization', 'cookie', 'set-cookie', 'x-api-key'];
 
-/** Credentials are replaced wherever a line holds them, at the top or up to two objects down. */
+/** Credentials are redacted at the top level of a line and in objects nested up to two levels deep. */
 const redactedPaths = credentialFields.flatMap(field => ['', '*.', '*.*.'].map(parents => {
 	const path = `${parents}["${field}"]`;
 	return path.replace('.[', '[');
 }));
 
 /**
-Creates the log.
+Creates the logger of the process.
 
-@param destination Takes the lines; standard output when absent.
+@param fields Fields that each line carries.
+@param destination Receives the lines; standard output when absent.
 
 @example
 ```
 const log = createLog(LogLevel.Info, {instance: 'entry-a1'});
-log.info({event: LogEvent.Serving}, 'the daemon takes requests');
+log.info({event: LogEvent.Serving}, 'the daemon accepts requests');
 ```
 */
 export const createLog = (level: string, fields: Readonly<Record<string, string>>, destination?: DestinationStream): Log =>
--- a/packages/galenakeeld/src/process/operator-server.ts
+++ b/packages/galenakeeld/src/process/operator-server.ts
@@ -6,7 +6,7 @@
 import {isLogLevel, LogLevel} from './log.js';
 
 /**
-What operators and the balancer can ask for, by path.
+Functions that answer the requests of operators and of the load balancer.
 */
 export type OperatorHandlers = {
 	readonly isReady: () => boolean;
@@ -36,9 +36,9 @@
 };
 
 /**
-Reads the wanted level from a body like `{"level": "debug"}`.
+Reads the log level from a request body such as `{"level": "debug"}`.
 
-@throws A fault of kind `MalformedRequest` when the body names no level.
+@throws A fault of kind `MalformedRequest` when the body is too large, has no Content-Length, is not JSON or names no log level.
 */
 const readLogLevel = async (request: IncomingMessage): Promise<LogLevel> => {
 	if (Number(request.headers['content-length'] ?? Infinity) > maximumBodyBytes) {
@@ -120,9 +120,9 @@
 };
 
 /**
-Starts the server for operators and for the balancer's health checks.
+Starts the HTTP server for operators and for the health checks of the load balancer.
 
-@returns A function that stops it.
+@returns A function that stops the server and closes its connections.
 */
 export const startOperatorServer = async (address: string, handlers: OperatorHandlers): Promise<() => void> => {
 	const server = createServer((request, response) => {
