Describe metrics, request records and tracing in plain technical terms

Comments, two log messages and the steps of the observation modules were worded figuratively. They now use the terms of Prometheus and OpenTelemetry; metric names, help texts and checks are unchanged.

--- a/packages/galenakeeld/src/process/__tests__/observation-modules.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/observation-modules.steps.ts
@@ -14,7 +14,7 @@
 
 type ModuleWorld = {records: RequestRecords; percentiles: Percentiles; line: string};
 
-Given('records with room for {int} entries', function (this: ModuleWorld, entries: number) {
+Given('request records limited to {int} entries', function (this: ModuleWorld, entries: number) {
 	this.records = createRequestRecords('entry-1', {entries, bytes: 1_000_000});
 });
 
@@ -78,7 +78,7 @@
 	assert.ok(text.includes(String.raw`m{service="a\"b\\c"} 1`), text);
 });
 
-When('a line is logged with credentials at its top, in its headers and in a request\'s headers', function (this: ModuleWorld) {
+When('a line is logged with credentials at its top level, in its headers and in a request\'s headers', function (this: ModuleWorld) {
 	const log = createLog(LogLevel.Info, {instance: 'entry-1'}, {
 		write: (line: string) => {
 			this.line = line;
--- a/packages/galenakeeld/src/process/count-platform-calls.ts
+++ b/packages/galenakeeld/src/process/count-platform-calls.ts
@@ -1,25 +1,25 @@
 import {PlatformOutcome, type Platform} from '@galenakeel/model/connection/platform-client.js';
 
 /**
-The calls to the platform, as metrics name them.
+Calls to the platform; the values are the `call` label in metrics.
 */
 export enum PlatformCallKind {
-	/** Rows by key. */
+	/** Reads rows by key. */
 	ReadRows = 'read-rows',
-	/** Rows by prefix. */
+	/** Reads rows by key prefix. */
 	ScanRows = 'scan-rows',
-	/** Conditions and writes. */
+	/** Writes rows atomically if all conditions are met. */
 	Transact = 'transact',
-	/** The list of instances. */
+	/** Lists the instances. */
 	ListInstances = 'list-instances',
-	/** An object. */
+	/** Reads an object. */
 	ReadObject = 'read-object',
-	/** A new object. */
+	/** Writes a new object. */
 	WriteObject = 'write-object',
 }
 
 /**
-Wraps the functions of the platform so that each call is counted by its outcome.
+Wraps a platform client so that each call is counted by kind and outcome. A read that throws is counted as `Unknown`.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/counters.ts
+++ b/packages/galenakeeld/src/process/counters.ts
@@ -1,7 +1,7 @@
 import {MetricType, type MetricFamily} from './prometheus-text.js';
 
 /**
-A counter for each combination of label values.
+A counter metric with one count for each combination of label values.
 */
 export type Counters = {
 	readonly add: (values: readonly string[], amount?: number) => void;
@@ -11,7 +11,9 @@
 type Count = {readonly values: readonly string[]; total: number};
 
 /**
-Creates counters that stand at zero.
+Creates a counter metric without samples. A combination of label values gets its sample when it is first added.
+
+@param labels Names of the labels, in the order of the values that `add` takes.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/daemon-gauges.ts
+++ b/packages/galenakeeld/src/process/daemon-gauges.ts
@@ -49,12 +49,12 @@
 };
 
 /**
-What the gauges are read from.
+Where the gauges get their values.
 */
 export type GaugeSources = {
 	readonly dispatchers: ServiceDispatchers;
 	readonly eventLoopDelay: IntervalHistogram;
-	/** Resolution with which the delay of the event loop is sampled. */
+	/** Sampling interval of the event loop delay. It is subtracted, because the histogram measures the whole interval. */
 	readonly delayResolutionMilliseconds: number;
 	readonly claimTransactions: () => number;
 	readonly catalogueVersion: () => number;
@@ -66,7 +66,7 @@
 };
 
 /**
-Reads what is not counted as it happens: gauges, and counters that other parts keep.
+Reads the metrics that are sampled when they are scraped: gauges, and counters kept by other modules. Resets the event loop delay, so that each reading covers the time since the one before.
 */
 export const readGauges = (sources: GaugeSources): readonly MetricFamily[] => {
 	const families = [
--- a/packages/galenakeeld/src/process/metrics.ts
+++ b/packages/galenakeeld/src/process/metrics.ts
@@ -10,19 +10,19 @@
 const servicesWithPercentiles = 64;
 
 /**
-What the daemon counts and times as it happens.
+Metrics that are updated when an event occurs: counters and durations.
 */
 export type Metrics = {
 	readonly countStep: (service: string, step: ObservedStep) => void;
 	readonly countEnd: (kind: ObservedKind, service: string, end: ObservedEnd, durationMilliseconds: number) => void;
-	/** Counts a message to a peer by the name of its call, with the bytes of its encoding. */
+	/** Counts a message to a peer by the name of its call, and its encoded length in bytes. */
 	readonly countPeerMessage: (call: string, bytes: number) => void;
 	readonly countPlatformCall: (call: string, outcome: string) => void;
 	readonly families: () => readonly MetricFamily[];
 };
 
 /**
-Creates metrics that stand at zero.
+Creates metrics without samples.
 
 @example
 ```
@@ -89,7 +89,7 @@
 
 				case RecordStepKind.Accepted:
 				case RecordStepKind.Joined:
-					// Counted when the request ends.
+					// Counted by `countEnd`.
 			}
 		},
 		countEnd(kind, service, {outcome, fault}, durationMilliseconds) {
--- a/packages/galenakeeld/src/process/observation.ts
+++ b/packages/galenakeeld/src/process/observation.ts
@@ -15,22 +15,22 @@
 
 const delayResolutionMilliseconds = 50;
 
-// Names of OpenTelemetry's semantic conventions.
+// Attribute names from OpenTelemetry's semantic conventions.
 const serviceNameAttribute = 'service.name';
 const instanceAttribute = 'service.instance.id';
 const zoneAttribute = 'cloud.availability_zone';
 
 /**
-What lets people see what the daemon does: metrics, records of requests, and traces.
+Observability of the daemon: metrics, request records and traces.
 */
 export type Observation = {
 	readonly metrics: Metrics;
 	readonly records: RequestRecords;
 	readonly tracing: Tracing;
 	readonly observe: Observe;
-	/** Names a single request that has no identifier. */
+	/** Creates an identifier for a single request that was sent without one. */
 	readonly createRequestIdentifier: () => string;
-	/** Reads all metrics in the Prometheus text format. */
+	/** Reads all metrics and encodes them in the Prometheus text format. */
 	readonly readMetrics: () => string;
 	readonly stop: () => Promise<void>;
 };
@@ -40,15 +40,15 @@
 	...(file === undefined
 		? []
 		: [createSpanFileExporter(file, error => {
-			log.error({event: LogEvent.TraceExportFailed, detail: error.message}, 'spans can\'t be written; check traces.file in the settings');
+			log.error({event: LogEvent.TraceExportFailed, detail: error.message}, 'spans can\'t be written to the trace file; check traces.file in the settings');
 		})]),
 ];
 
 /**
-Creates the observation of a daemon.
+Creates the metrics, request records and tracing of a daemon.
 
-@param options.sources Where gauges are read from at each reading of the metrics.
 @param options.isKnown Tells whether a document in force names a service.
+@param options.sources Called at each reading of the metrics; returns where the gauges get their values.
 */
 export const createObservation = (options: {
 	readonly self: Incarnation;
--- a/packages/galenakeeld/src/process/observe-requests.ts
+++ b/packages/galenakeeld/src/process/observe-requests.ts
@@ -10,9 +10,9 @@
 const unknownService = 'unknown';
 
 /**
-Creates the observation of requests and jobs: records, metrics, and a line in the log for each that has no whole answer.
+Creates a function that starts the observation of a request or job. It updates the request records and metrics, and logs each request that ends without a complete answer.
 
-@param options.isKnown Tells whether a document in force names a service; the others share one label.
+@param options.isKnown Tells whether a document in force names a service. All other services share one label, because callers choose the name and could create any number of labels.
 
 @example
 ```
@@ -37,7 +37,7 @@
 			if (end.outcome !== Outcome.Complete) {
 				log.debug({
 					event: LogEvent.RequestIncomplete, kind, identifier, service, ...end,
-				}, 'a request or job has no whole answer');
+				}, 'a request or job ended without a complete answer');
 			}
 		},
 	};
--- a/packages/galenakeeld/src/process/observed-kind.ts
+++ b/packages/galenakeeld/src/process/observed-kind.ts
@@ -1,5 +1,5 @@
 /**
-What is observed.
+Kinds of observed work.
 */
 export enum ObservedKind {
 	/** A single request without an identifier. */
--- a/packages/galenakeeld/src/process/percentiles.ts
+++ b/packages/galenakeeld/src/process/percentiles.ts
@@ -12,7 +12,7 @@
 const otherServices = 'other';
 
 /**
-Percentiles of durations, by service.
+Percentiles of recent durations by service, with the sum and count of all durations.
 */
 export type Percentiles = {
 	/** Records a duration in milliseconds. */
@@ -26,7 +26,7 @@
 	bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 2, numberOfSignificantValueDigits: 2,
 });
 
-/** Starts a new window when the current one is over, so that percentiles tell of the last 30 to 60 seconds. */
+/** Starts a new window when the current one has ended. Percentiles are read from the current and the previous window, and so cover the last 30 to 60 seconds. */
 const rotateHistograms = (durations: ServiceDurations, now: number): void => {
 	const age = now - durations.rotatedAt;
 	if (age < windowMilliseconds) {
@@ -59,9 +59,9 @@
 };
 
 /**
-Creates percentiles without durations.
+Creates a summary metric without durations.
 
-@param options.services Services with percentiles of their own; the others share the label `other`.
+@param options.services Maximum number of services with percentiles of their own; all others share the label `other`.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/prometheus-text.ts
+++ b/packages/galenakeeld/src/process/prometheus-text.ts
@@ -1,27 +1,27 @@
 /**
-The kinds of metric in the Prometheus text format.
+Metric types of the Prometheus text format.
 */
 export enum MetricType {
-	/** Only rises while the process lives. */
+	/** Only increases during the life of the process. */
 	Counter = 'counter',
-	/** Rises and falls. */
+	/** Can increase and decrease. */
 	Gauge = 'gauge',
-	/** Quantiles with a sum and a count. */
+	/** Quantiles, with the sum and count of all observations. */
 	Summary = 'summary',
 }
 
 /**
-One value of a metric.
+One sample of a metric.
 */
 export type MetricSample = {
-	/** Follows the name of the family, as `_sum` does in a summary. */
+	/** Appended to the name of the family, such as `_sum` in a summary. */
 	readonly suffix?: string;
 	readonly labels: Readonly<Record<string, string>>;
 	readonly value: number;
 };
 
 /**
-A metric with all its values.
+A metric with all its samples.
 */
 export type MetricFamily = {
 	readonly name: string;
@@ -57,7 +57,7 @@
 const quantileDigits = 4;
 
 /**
-Writes a percentile as the quantile that labels its sample.
+Converts a percentile to the value of the label `quantile`.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/request-records.ts
+++ b/packages/galenakeeld/src/process/request-records.ts
@@ -20,14 +20,14 @@
 };
 
 /**
-The most recent requests and jobs of this instance, for `explain`.
+Records of the most recent requests and jobs of this instance, shown by `galenakeel explain`.
 */
 export type RequestRecords = {
-	/** Begins a record; the oldest ones make room for it. */
+	/** Starts a record and evicts the oldest ones if a limit is exceeded. */
 	readonly open: (identifier: string, service: string) => RequestObserver;
-	/** The latest record of an identifier; `undefined` when none is kept. */
+	/** Returns the latest record of an identifier; `undefined` when there is none. */
 	readonly find: (identifier: string) => RequestRecord | undefined;
-	/** Notes on the kept record of an identifier that a repeat joined it. */
+	/** Records that a repeated submission joined the one with the same identifier. */
 	readonly noteRepeat: (identifier: string) => void;
 	readonly size: () => number;
 	readonly bytes: () => number;
@@ -54,9 +54,9 @@
 const textOf = ({fault, detail}: ObservedStep): string => detail ?? fault ?? '';
 
 /**
-Creates a ring without records, bounded in entries and in estimated bytes.
+Creates an empty store of request records, limited in entries and in estimated bytes.
 
-Steps alike are counted in one entry, so that a job of many tasks takes no more room than its endpoints.
+Equal steps are counted in one entry, so that the size of a job's record depends on the number of its endpoints and not of its tasks.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/span-file-exporter.ts
+++ b/packages/galenakeeld/src/process/span-file-exporter.ts
@@ -19,7 +19,7 @@
 });
 
 /**
-Creates an exporter that adds each span to a file as a JSON line.
+Creates an exporter that appends each span to a file as a JSON line.
 
 @param onError Called when the file can't be written.
 
--- a/packages/galenakeeld/src/process/traceparent.ts
+++ b/packages/galenakeeld/src/process/traceparent.ts
@@ -4,7 +4,9 @@
 const hexadecimal = 16;
 
 /**
-Parses a W3C trace context (version 00 of the field `traceparent`); `undefined` when it is malformed.
+Parses a W3C trace context (header field `traceparent`). Accepts any version and reads the fields of version 00.
+
+@returns `undefined` when the text is malformed.
 */
 export const parseTraceparent = (text: string): SpanContext | undefined => {
 	const groups = pattern.exec(text)?.groups;
@@ -13,13 +15,13 @@
 	}
 
 	const context: SpanContext = {
-		traceId: groups.traceId!, spanId: groups.spanId!, traceFlags: Number.parseInt(groups.flags!, hexadecimal) & TraceFlags.SAMPLED, isRemote: true, // eslint-disable-line no-bitwise -- the flags are bits
+		traceId: groups.traceId!, spanId: groups.spanId!, traceFlags: Number.parseInt(groups.flags!, hexadecimal) & TraceFlags.SAMPLED, isRemote: true, // eslint-disable-line no-bitwise -- the flags are a bit field
 	};
 	return isSpanContextValid(context) ? context : undefined;
 };
 
 /**
-Encodes a span's context as the field `traceparent`.
+Encodes the context of a span as a `traceparent` of version 00.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/tracing.ts
+++ b/packages/galenakeeld/src/process/tracing.ts
@@ -16,11 +16,11 @@
 const tracerName = 'galenakeeld';
 
 /**
-The tracing of the process.
+Tracing of the process.
 */
 export type Tracing = {
 	readonly openTrace: OpenTrace;
-	/** Hands on the spans that are still held. */
+	/** Exports the buffered spans and shuts the exporters down. */
 	readonly stop: () => Promise<void>;
 };
 
@@ -51,11 +51,11 @@
 };
 
 /**
-Creates the tracing of the process; without an exporter or with a ratio of 0 no span is ever created.
+Creates the tracing of the process. Without an exporter, or with a ratio of 0, no spans are created.
 
-A request whose caller traces it is sampled as the caller decided, the others by the ratio.
+A request with a trace context follows the sampling decision of its caller; other requests are sampled by the ratio.
 
-@param options.resource Attributes that each span carries.
+@param options.resource Resource attributes of all spans.
 
 @example
 ```
@@ -67,7 +67,7 @@
 	if (options.samplingRatio === 0 || options.exporters.length === 0) {
 		return {
 			openTrace: openUntraced, async stop() {
-			// Nothing is held.
+			// No spans are buffered.
 			},
 		};
 	}
@@ -86,6 +86,6 @@
 };
 
 /**
-Creates an exporter that sends spans by OTLP over HTTP.
+Creates an exporter that sends spans to a URL by OTLP over HTTP.
 */
 export const createOtlpExporter = (url: string): SpanExporter => new OTLPTraceExporter({url});
--- a/packages/galenakeeld/src/process/untraced.ts
+++ b/packages/galenakeeld/src/process/untraced.ts
@@ -1,18 +1,18 @@
 import type {OpenTrace, TraceSpan} from '../request/trace-scope.js';
 
 /**
-The scope of requests that are not traced; it costs no allocation.
+No-op span of requests that are not traced. It is shared, so that no allocation is needed.
 */
 export const untraced: TraceSpan = {
 	traceparent: '',
 	begin: () => untraced,
 	end() {
-		// Nothing was begun.
+		// No span was started.
 	},
 };
 
 /**
-Opens scopes without spans, which pass the caller's trace context on unchanged.
+Creates scopes that record no spans and pass the caller's trace context on unchanged.
 */
 export const openUntraced: OpenTrace = traceparent => {
 	if (traceparent === '') {
