--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -21,7 +21,7 @@
 import {createClaimWriter} from './claim-writer.js';
 import {contactByLending} from './contact-by-lending.js';
 import {createControlMessages} from './control-messages.js';
-import {countPlatformCalls} from './counted-platform.js';
+import {countPlatformCalls} from './count-platform-calls.js';
 import type {DaemonSettings} from './daemon-settings.js';
 import {describeDaemon} from './daemon-status.js';
 import {drain} from './drain.js';
@@ -215,7 +215,7 @@
 		}),
 		defaultDeadlineMilliseconds: service => catalogue.versionOf(service)?.document.deadlineMilliseconds ?? settings.peers.callTimeoutMilliseconds,
 		isLeaving: () => membership.state() === InstanceState.Leaving,
-		nameRequest: observation.nameRequest,
+		createRequestIdentifier: observation.createRequestIdentifier,
 		observe: observation.observe,
 		openTrace: observation.tracing.openTrace,
 	};
--- a/packages/galenakeeld/src/process/operator-server.ts
+++ b/packages/galenakeeld/src/process/operator-server.ts
@@ -6,9 +6,9 @@
 import {isLogLevel, LogLevel} from './log.js';
 
 /**
-What operators and the balancer can ask for, by path.
+Functions that answer the requests of operators and of the load balancer.
 */
-export type OperatorRun = {
+export type OperatorHandlers = {
 	readonly isReady: () => boolean;
 	readonly status: () => unknown;
 	/** All metrics in the Prometheus text format. */
@@ -26,8 +26,8 @@
 	response.end(`${JSON.stringify(value)}\n`);
 };
 
-const answerRecord = (response: ServerResponse, identifier: string, run: OperatorRun): void => {
-	const record = run.findRecord(identifier);
+const answerRecord = (response: ServerResponse, identifier: string, handlers: OperatorHandlers): void => {
+	const record = handlers.findRecord(identifier);
 	if (record) {
 		answerJson(response, 200, record);
 	} else {
@@ -36,9 +36,9 @@
 };
 
 /**
-Reads the wanted level from a body like `{"level": "debug"}`.
+Reads the log level from a request body such as `{"level": "debug"}`.
 
-@throws A fault of kind `MalformedRequest` when the body names no level.
+@throws A fault of kind `MalformedRequest` when the body is too large, has no Content-Length, is not JSON or names no log level.
 */
 const readLogLevel = async (request: IncomingMessage): Promise<LogLevel> => {
 	if (Number(request.headers['content-length'] ?? Infinity) > maximumBodyBytes) {
@@ -61,20 +61,20 @@
 	}
 };
 
-const answerLogLevel = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+const answerLogLevel = async (request: IncomingMessage, response: ServerResponse, handlers: OperatorHandlers): Promise<void> => {
 	try {
 		const level = await readLogLevel(request);
-		run.setLogLevel(level);
+		handlers.setLogLevel(level);
 		answerJson(response, 200, {level});
 	} catch (error) {
 		answerJson(response, 400, {detail: detailOf(error)});
 	}
 };
 
-const answerOperator = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+const answerRequest = async (request: IncomingMessage, response: ServerResponse, handlers: OperatorHandlers): Promise<void> => {
 	const url = request.url ?? '';
 	if (request.method === 'GET' && url.startsWith(recordsPath)) {
-		answerRecord(response, decodeURIComponent(url.slice(recordsPath.length)), run);
+		answerRecord(response, decodeURIComponent(url.slice(recordsPath.length)), handlers);
 		return;
 	}
 
@@ -85,23 +85,23 @@
 		}
 
 		case 'GET /ready': {
-			answerJson(response, run.isReady() ? 200 : 503, {isReady: run.isReady()});
+			answerJson(response, handlers.isReady() ? 200 : 503, {isReady: handlers.isReady()});
 			break;
 		}
 
 		case 'GET /metrics': {
 			response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-			response.end(run.metrics());
+			response.end(handlers.metrics());
 			break;
 		}
 
 		case 'GET /v1/status': {
-			answerJson(response, 200, run.status());
+			answerJson(response, 200, handlers.status());
 			break;
 		}
 
 		case 'PUT /v1/log-level': {
-			await answerLogLevel(request, response, run);
+			await answerLogLevel(request, response, handlers);
 			break;
 		}
 
@@ -111,22 +111,22 @@
 	}
 };
 
-const serve = async (request: IncomingMessage, response: ServerResponse, run: OperatorRun): Promise<void> => {
+const serve = async (request: IncomingMessage, response: ServerResponse, handlers: OperatorHandlers): Promise<void> => {
 	try {
-		await answerOperator(request, response, run);
+		await answerRequest(request, response, handlers);
 	} catch (error) {
 		answerJson(response, 400, {detail: detailOf(error)});
 	}
 };
 
 /**
-Starts the server for operators and for the balancer's health checks.
+Starts the HTTP server for operators and for the health checks of the load balancer.
 
-@returns A function that stops it.
+@returns A function that stops the server and closes its connections.
 */
-export const startOperatorServer = async (address: string, run: OperatorRun): Promise<() => void> => {
+export const startOperatorServer = async (address: string, handlers: OperatorHandlers): Promise<() => void> => {
 	const server = createServer((request, response) => {
-		void serve(request, response, run);
+		void serve(request, response, handlers);
 	});
 	const [host, port] = splitAddress(address);
 	await new Promise<void>((resolve, reject) => {
--- a/packages/galenakeeld/src/process/tracing.ts
+++ b/packages/galenakeeld/src/process/tracing.ts
@@ -16,25 +16,25 @@
 const tracerName = 'galenakeeld';
 
 /**
-The tracing of the process.
+Tracing of the process.
 */
 export type Tracing = {
 	readonly openTrace: OpenTrace;
-	/** Hands on the spans that are still held. */
+	/** Exports the buffered spans and shuts the exporters down. */
 	readonly stop: () => Promise<void>;
 };
 
-const prefixFacts = (facts: SpanAttributes): SpanAttributes =>
-	Object.fromEntries(Object.entries(facts).map(([name, value]) => [`galenakeel.${name}`, value]));
+const prefixAttributes = (attributes: SpanAttributes): SpanAttributes =>
+	Object.fromEntries(Object.entries(attributes).map(([name, value]) => [`galenakeel.${name}`, value]));
 
-const beginSpan = (tracer: Tracer, parent: Context, name: SpanName, facts: SpanAttributes): TraceSpan => {
-	const span = tracer.startSpan(name, {attributes: prefixFacts(facts)}, parent);
+const beginSpan = (tracer: Tracer, parent: Context, name: SpanName, attributes: SpanAttributes): TraceSpan => {
+	const span = tracer.startSpan(name, {attributes: prefixAttributes(attributes)}, parent);
 	const context = trace.setSpan(ROOT_CONTEXT, span);
 	return {
 		traceparent: encodeTraceparent(span.spanContext()),
-		begin: (child, childFacts = {}) => beginSpan(tracer, context, child, childFacts),
-		end(endFacts = {}, fault = '') {
-			span.setAttributes(prefixFacts(endFacts));
+		begin: (child, childAttributes = {}) => beginSpan(tracer, context, child, childAttributes),
+		end(endAttributes = {}, fault = '') {
+			span.setAttributes(prefixAttributes(endAttributes));
 			if (fault !== '') {
 				span.setStatus({code: SpanStatusCode.ERROR, message: fault});
 			}
@@ -47,15 +47,15 @@
 const createOpenTrace = (tracer: Tracer): OpenTrace => (traceparent): TraceScope => {
 	const remote = parseTraceparent(traceparent);
 	const context = remote ? trace.setSpanContext(ROOT_CONTEXT, remote) : ROOT_CONTEXT;
-	return {traceparent, begin: (name, facts = {}) => beginSpan(tracer, context, name, facts)};
+	return {traceparent, begin: (name, attributes = {}) => beginSpan(tracer, context, name, attributes)};
 };
 
 /**
-Creates the tracing of the process; without an exporter or with a ratio of 0 no span is ever created.
+Creates the tracing of the process. Without an exporter, or with a ratio of 0, no spans are created.
 
-A request whose caller traces it is sampled as the caller decided, the others by the ratio.
+A request with a trace context follows the sampling decision of its caller; other requests are sampled by the ratio.
 
-@param options.resource Attributes that each span carries.
+@param options.resource Resource attributes of all spans.
 
 @example
 ```
@@ -67,7 +67,7 @@
 	if (options.samplingRatio === 0 || options.exporters.length === 0) {
 		return {
 			openTrace: openUntraced, async stop() {
-			// Nothing is held.
+			// No spans are buffered.
 			},
 		};
 	}
@@ -86,6 +86,6 @@
 };
 
 /**
-Creates an exporter that sends spans by OTLP over HTTP.
+Creates an exporter that sends spans to a URL by OTLP over HTTP.
 */
 export const createOtlpExporter = (url: string): SpanExporter => new OTLPTraceExporter({url});
