--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -288,7 +288,7 @@
 			log.info({event: LogEvent.Leaving}, 'the daemon finishes what it has and takes no new connections from the balancer');
 			membership.enter(InstanceState.Leaving);
 			heartbeats.announce();
-			const cut = await drain({
+			const interrupted = await drain({
 				...settings.drain, ...callers, running: () => callers.busy() + register.unanswered(), log,
 			});
 			membership.yieldSlots();
@@ -305,8 +305,8 @@
 
 			await observation.stop();
 
-			log.info({event: LogEvent.Stopped, cut}, 'the daemon has finished');
-			return cut;
+			log.info({event: LogEvent.Stopped, cut: interrupted}, 'the daemon has finished');
+			return interrupted;
 		},
 	};
 };
--- a/packages/galenakeeld/src/process/drain.ts
+++ b/packages/galenakeeld/src/process/drain.ts
@@ -32,10 +32,10 @@
 		await sleep(lookMilliseconds);
 	}
 
-	const cut = options.running();
-	if (cut > 0) {
-		options.log.error({event: LogEvent.DrainLimit, cut}, 'the drain limit of the settings passed before every request had its answer; raise drain.limitMilliseconds');
+	const interrupted = options.running();
+	if (interrupted > 0) {
+		options.log.error({event: LogEvent.DrainLimit, cut: interrupted}, 'the drain limit of the settings passed before every request had its answer; raise drain.limitMilliseconds');
 	}
 
-	return cut;
+	return interrupted;
 };
--- a/packages/galenakeeld/src/process/main.ts
+++ b/packages/galenakeeld/src/process/main.ts
@@ -64,8 +64,8 @@
 		}
 
 		isLeaving = true;
-		const cut = await daemon.leave();
-		process.exit(cut === 0 ? ExitCode.Done : ExitCode.Failed);
+		const interrupted = await daemon.leave();
+		process.exit(interrupted === 0 ? ExitCode.Done : ExitCode.Failed);
 	};
 
 	process.on('SIGTERM', () => void leave());
