--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -194,7 +194,7 @@
 	void runClaimSweep({
 		platform: createTable(this), retentionMilliseconds, pauseMilliseconds: 1, isOurs: bucket => bucket === 7,
 	}, stop.signal);
-	for (let look = 0; look < 200 && isPending(); look++) {
+	for (let attempt = 0; attempt < 200 && isPending(); attempt++) {
 		await sleep(5);
 	}
 
--- a/packages/galenakeeld/src/process/catalogue-watch.ts
+++ b/packages/galenakeeld/src/process/catalogue-watch.ts
@@ -12,7 +12,7 @@
 import type {PeerDirectory} from './peer-directory.js';
 import type {SharedTurns} from './shared-turns.js';
 
-const lookMilliseconds = 20;
+const pollIntervalMilliseconds = 20;
 const catchUpLimitMilliseconds = 1500;
 
 /**
@@ -126,7 +126,7 @@
 			await firstRead.promise;
 			const until = performance.now() + catchUpLimitMilliseconds;
 			while (!hasHeardAll() && performance.now() < until) {
-				await sleep(lookMilliseconds);
+				await sleep(pollIntervalMilliseconds);
 			}
 		},
 	};
--- a/packages/galenakeeld/src/process/drain.ts
+++ b/packages/galenakeeld/src/process/drain.ts
@@ -3,7 +3,7 @@
 import {LogEvent} from './log-event.js';
 import type {Log} from './log.js';
 
-const lookMilliseconds = 20;
+const pollIntervalMilliseconds = 20;
 
 /**
 Waits until an instance that is leaving has finished what it had.
@@ -29,7 +29,7 @@
 	options.stopListening();
 	while (options.running() + options.connections() > 0 && performance.now() < limitAt) {
 		options.closeIdle();
-		await sleep(lookMilliseconds);
+		await sleep(pollIntervalMilliseconds);
 	}
 
 	const interrupted = options.running();
