--- a/packages/galenakeeld/src/process/catalogue-watch.ts
+++ b/packages/galenakeeld/src/process/catalogue-watch.ts
@@ -61,9 +61,9 @@
 	const {catalogue, membership, directory, log} = options;
 	const firstRead = createDeferred<void>();
 	let isKnown = false;
-	let woken = createDeferred<void>();
+	let wakeSignal = createDeferred<void>();
 
-	const announceAbove = (before: number): void => {
+	const handleInstall = (before: number): void => {
 		isKnown = true;
 		firstRead.resolve();
 		if (catalogue.catalogueVersion() > before) {
@@ -76,13 +76,13 @@
 		try {
 			const {documents, catalogueVersion} = await readCatalogue(options.platform, before);
 			catalogue.install(documents, catalogueVersion);
-			announceAbove(before);
+			handleInstall(before);
 		} catch (error) {
 			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the catalogue could not be read; the documents in force stay');
 		}
 	};
 
-	const findAhead = (): Peer | undefined => {
+	const findPeerAhead = (): Peer | undefined => {
 		const [highest] = membership.peers().filter(({isReachable}) => isReachable).toSorted((first, second) => second.catalogueVersion - first.catalogueVersion);
 		return highest && highest.catalogueVersion > catalogue.catalogueVersion() ? highest : undefined;
 	};
@@ -93,14 +93,14 @@
 			const reply = await directory.callsOf(peer.instance)!.fetchDocuments(before, options.peerCallMilliseconds);
 			const documents = reply.documents.map(({service, version, text}) => ({version, text, document: parseServiceDocument(text, `document "${service}"`)}));
 			catalogue.install(documents, reply.catalogueVersion);
-			announceAbove(before);
+			handleInstall(before);
 		} catch (error) {
 			log.warn({event: LogEvent.PeerUnavailable, peer: peer.instance, detail: detailOf(error)}, 'a peer with newer documents did not give them; it is asked again');
 			await sleep(options.retryMilliseconds);
 		}
 	};
 
-	const hasHeardAll = (): boolean => findAhead() === undefined
+	const isCaughtUpWithPeers = (): boolean => findPeerAhead() === undefined
 		&& membership.listedPeers().every(({name}) => membership.findPeer(name)?.isReachable);
 
 	return {
@@ -112,20 +112,20 @@
 		},
 		async runPeerFetches() {
 			for (;;) {
-				await woken.promise;
-				woken = createDeferred<void>();
-				for (let ahead = findAhead(); ahead; ahead = findAhead()) {
-					await fetchFrom(ahead);
+				await wakeSignal.promise;
+				wakeSignal = createDeferred<void>();
+				for (let peerAhead = findPeerAhead(); peerAhead; peerAhead = findPeerAhead()) {
+					await fetchFrom(peerAhead);
 				}
 			}
 		},
 		wake() {
-			woken.resolve();
+			wakeSignal.resolve();
 		},
 		async untilCaughtUp() {
 			await firstRead.promise;
 			const until = performance.now() + catchUpLimitMilliseconds;
-			while (!hasHeardAll() && performance.now() < until) {
+			while (!isCaughtUpWithPeers() && performance.now() < until) {
 				await sleep(pollIntervalMilliseconds);
 			}
 		},
