--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -192,7 +192,7 @@
 	const stop = new AbortController();
 	const isPending = (): boolean => [...this.rows.values()].some(row => Date.now() - parseClaim(row).claimedAt >= retentionMilliseconds);
 	void runClaimSweep({
-		platform: createTable(this), retentionMilliseconds, pauseMilliseconds: 1, isOurs: bucket => bucket === 7,
+		platform: createTable(this), retentionMilliseconds, pauseMilliseconds: 1, isOwnBucket: bucket => bucket === 7,
 	}, stop.signal);
 	for (let attempt = 0; attempt < 200 && isPending(); attempt++) {
 		await sleep(5);
--- a/packages/galenakeeld/src/process/claim-row.ts
+++ b/packages/galenakeeld/src/process/claim-row.ts
@@ -6,7 +6,7 @@
 /**
 Number of buckets into which claims are spread, so that instances can share the sweep.
 */
-export const claimBuckets = 256;
+export const claimBucketCount = 256;
 
 /**
 The claim of an identifier as the platform's table holds it.
--- a/packages/galenakeeld/src/process/claim-sweeper.ts
+++ b/packages/galenakeeld/src/process/claim-sweeper.ts
@@ -1,8 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Platform} from '@galenakeel/model/connection/platform-client.js';
-import {claimBuckets, claimPrefixOf, parseClaim} from './claim-row.js';
+import {claimBucketCount, claimPrefixOf, parseClaim} from './claim-row.js';
 
-const rowsInPage = 100;
+const rowsPerPage = 100;
 
 /**
 What the sweep of claims needs from the process.
@@ -14,7 +14,7 @@
 	/** Pause after each page: the sweep costs at most one read and one write in this time. */
 	readonly pauseMilliseconds: number;
 	/** Tells whether this instance sweeps a bucket at present. */
-	readonly isOurs: (bucket: number) => boolean;
+	readonly isOwnBucket: (bucket: number) => boolean;
 };
 
 /**
@@ -38,19 +38,19 @@
 @returns The key after which the next page begins; `undefined` at the end of the bucket.
 */
 const sweepPage = async (bucket: number, after: string, {platform, retentionMilliseconds}: ClaimSweepOptions): Promise<string | undefined> => {
-	const rows = await platform.scanRows(claimPrefixOf(bucket), rowsInPage, after);
-	const lapsed = rows.filter(row => Date.now() - parseClaim(row).claimedAt >= retentionMilliseconds);
-	if (lapsed.length > 0) {
+	const rows = await platform.scanRows(claimPrefixOf(bucket), rowsPerPage, after);
+	const expired = rows.filter(row => Date.now() - parseClaim(row).claimedAt >= retentionMilliseconds);
+	if (expired.length > 0) {
 		// The condition keeps a row that was claimed anew since it was read. What is not deleted now falls to the next round.
-		await platform.transact(lapsed.map(({key, version}) => ({key, version})), lapsed.map(({key}) => ({key})));
+		await platform.transact(expired.map(({key, version}) => ({key, version})), expired.map(({key}) => ({key})));
 	}
 
-	return rows.length < rowsInPage ? undefined : rows.at(-1)!.key;
+	return rows.length < rowsPerPage ? undefined : rows.at(-1)!.key;
 };
 
 const sweepBucket = async (bucket: number, options: ClaimSweepOptions): Promise<void> => {
 	let after: string | undefined = '';
-	while (after !== undefined && options.isOurs(bucket)) {
+	while (after !== undefined && options.isOwnBucket(bucket)) {
 		try {
 			after = await sweepPage(bucket, after, options);
 		} catch {
@@ -71,8 +71,8 @@
 ```
 */
 export const runClaimSweep = async (options: ClaimSweepOptions, signal: AbortSignal): Promise<void> => {
-	for (let bucket = 0; !signal.aborted; bucket = (bucket + 1) % claimBuckets) {
-		if (options.isOurs(bucket)) {
+	for (let bucket = 0; !signal.aborted; bucket = (bucket + 1) % claimBucketCount) {
+		if (options.isOwnBucket(bucket)) {
 			await sweepBucket(bucket, options);
 		} else if (bucket === 0) {
 			// An instance without any bucket waits like the others.
--- a/packages/galenakeeld/src/process/claim-writer.ts
+++ b/packages/galenakeeld/src/process/claim-writer.ts
@@ -8,7 +8,7 @@
 	claimKeyOf, encodeClaim, parseClaim, type Claim,
 } from './claim-row.js';
 
-const rowsInTransaction = 100;
+const maximumRowsPerTransaction = 100;
 const readBackAttempts = 3;
 const readBackPauseMilliseconds = 50;
 
@@ -101,46 +101,46 @@
 	};
 
 	const commit = async (claims: readonly PendingClaim[]): Promise<void> => {
-		let open = claims;
-		for (let attempt = 0; attempt < readBackAttempts && open.length > 0;) {
+		let unsettled = claims;
+		for (let attempt = 0; attempt < readBackAttempts && unsettled.length > 0;) {
 			transactions++;
 			const {outcome} = await platform.transact(
-				open.map(claim => ({key: keyOf(claim), version: 0})),
-				open.map(claim => ({key: keyOf(claim), value: encodeClaim(claim.claim)})),
+				unsettled.map(claim => ({key: keyOf(claim), version: 0})),
+				unsettled.map(claim => ({key: keyOf(claim), value: encodeClaim(claim.claim)})),
 			);
 			if (outcome === PlatformOutcome.Done) {
-				for (const claim of open) {
+				for (const claim of unsettled) {
 					settle(claim, {state: ClaimState.Held, claim: claim.claim});
 				}
 
 				return;
 			}
 
-			const remaining = await readBack(open);
+			const remaining = await readBack(unsettled);
 			if (!remaining) {
 				break;
 			}
 
 			// No progress: the write may yet take effect, or the read was stale.
-			if (remaining.length === open.length) {
+			if (remaining.length === unsettled.length) {
 				attempt++;
 				await sleep(readBackPauseMilliseconds);
 			}
 
-			open = remaining;
+			unsettled = remaining;
 		}
 
-		for (const claim of open) {
+		for (const claim of unsettled) {
 			settle(claim, {state: ClaimState.Unavailable});
 		}
 	};
 
 	/** Takes the next claims to send, and gives up those whose callers no longer wait. */
 	const takeBatch = (): readonly PendingClaim[] => {
-		const batch = pending.splice(0, rowsInTransaction);
+		const batch = pending.splice(0, maximumRowsPerTransaction);
 		const now = performance.now();
-		for (const late of batch.filter(claim => claim.deadlineAt <= now)) {
-			settle(late, {state: ClaimState.Unavailable});
+		for (const expired of batch.filter(claim => claim.deadlineAt <= now)) {
+			settle(expired, {state: ClaimState.Unavailable});
 		}
 
 		return batch.filter(claim => claim.deadlineAt > now);
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -267,7 +267,7 @@
 	});
 	const stopClaimSweep = new AbortController();
 	void runClaimSweep({
-		platform, ...settings.claims, pauseMilliseconds: settings.claims.sweepMilliseconds, isOurs: bucket => isBucketOwner(bucket, self.instance, membership.listedPeers().map(({name}) => name)),
+		platform, ...settings.claims, pauseMilliseconds: settings.claims.sweepMilliseconds, isOwnBucket: bucket => isBucketOwner(bucket, self.instance, membership.listedPeers().map(({name}) => name)),
 	}, stopClaimSweep.signal);
 	void watch.runPlatformReads();
 	void watch.runPeerFetches();
