--- a/packages/galenakeeld/src/process/submission-register.ts
+++ b/packages/galenakeeld/src/process/submission-register.ts
@@ -29,7 +29,7 @@
 	/** Digest of what was submitted; another submission under the same identifier is refused. */
 	readonly fingerprint: string;
 	/** The minted identifier or the nonce of the claim, given back when nothing started. */
-	readonly right: string;
+	readonly permit: string;
 	readonly tasks: number;
 	readonly cancellation: AbortController;
 	/** Resolves with the one answer. */
@@ -51,9 +51,9 @@
 */
 export type SubmissionRegister = {
 	/** Remembers a minted identifier, or the nonce of a claim, as a right to run one submission once. */
-	readonly issue: (right: string) => void;
+	readonly issue: (permit: string) => void;
 	/** Uses up a right; false when it was never issued, was used, or lapsed. */
-	readonly redeem: (right: string) => boolean;
+	readonly redeem: (permit: string) => boolean;
 	readonly entryOf: (identifier: string) => SubmissionEntry | undefined;
 	/** Adds a submission and runs it; an identifier that is already held keeps its entry. */
 	readonly begin: (submission: HeldSubmission, run: (entry: SubmissionEntry) => Promise<SubmissionAnswer>) => SubmissionEntry;
@@ -96,7 +96,7 @@
 		if (answer.outcome === Outcome.NotRun && !held.entry.cancellation.signal.aborted) {
 			// Nothing started, so the caller may submit the same identifier again. A cancelled one stays cancelled.
 			drop(held.entry.identifier);
-			issue(held.entry.right);
+			issue(held.entry.permit);
 		}
 	};
 
@@ -108,10 +108,10 @@
 		}
 	};
 
-	const issue = (right: string): void => {
+	const issue = (permit: string): void => {
 		// Set anew at the end, since the sweep stops at the first right that has not lapsed.
-		issued.delete(right);
-		issued.set(right, Date.now());
+		issued.delete(permit);
+		issued.set(permit, Date.now());
 	};
 
 	return {
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -121,9 +121,9 @@
 /**
 Runs a submission that this incarnation holds, or joins the run already in progress or ended.
 
-@param right What entitles this incarnation to a single run: the minted identifier, or the nonce of the claim.
+@param permit What entitles this incarnation to a single run: the minted identifier, or the nonce of the claim.
 */
-const runHeld = async (arrival: Arrival, right: string, context: SubmissionContext): Promise<SubmissionAnswer> => {
+const runHeld = async (arrival: Arrival, permit: string, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const {submission, fingerprint} = arrival;
 	const {identifier, tasks} = submission;
 	const existing = context.register.entryOf(identifier);
@@ -131,12 +131,12 @@
 		return joinEntry(existing, fingerprint);
 	}
 
-	if (!context.register.redeem(right)) {
+	if (!context.register.redeem(permit)) {
 		return discarded(identifier);
 	}
 
 	const entry = context.register.begin({
-		identifier, fingerprint, right, tasks: tasks.length,
+		identifier, fingerprint, permit, tasks: tasks.length,
 	}, async begun => {
 		const version = context.findVersion(submission.service);
 		if (!version) {
