--- a/packages/galenakeeld/src/process/caller-server.ts
+++ b/packages/galenakeeld/src/process/caller-server.ts
@@ -7,7 +7,7 @@
 
 const keepAliveMarginMilliseconds = 999;
 // How often the time of slow callers is looked at while it runs.
-const slowCallerChecks = 10;
+const timeoutChecksPerLimit = 10;
 
 /** Statuses of refused requests by the code of the parser's error; any other is a malformed request. */
 const refusalStatuses: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['ERR_HTTP_REQUEST_TIMEOUT', 408]]);
@@ -47,7 +47,7 @@
 /**
 What the server does with connections and with what is not HTTP.
 */
-export type CallerServerRun = {
+export type CallerServerHandlers = {
 	/** Serves one connection until it closes. */
 	readonly serve: (exchanges: AsyncIterable<CallerExchange>) => Promise<void>;
 	/** Encodes the whole response to a request that could not be parsed. */
@@ -57,7 +57,7 @@
 /**
 Starts the server for callers: each connection is served by a task of its own.
 */
-export const startCallerServer = async (address: string, run: CallerServerRun, limits: CallerLimits): Promise<CallerServer> => {
+export const startCallerServer = async (address: string, handlers: CallerServerHandlers, limits: CallerLimits): Promise<CallerServer> => {
 	const connections = new Map<Socket, OpenConnection>();
 	// The Keep-Alive header tells callers whole seconds; the rest is the margin in which a request may still be on its way.
 	const keepAliveTimeout = (Math.floor(limits.idleCallerMilliseconds / 1000) * 1000) + keepAliveMarginMilliseconds;
@@ -71,7 +71,7 @@
 			connections.delete(socket);
 			connection.inbox.close();
 		});
-		void run.serve(connection.inbox);
+		void handlers.serve(connection.inbox);
 		return connection;
 	};
 
@@ -91,7 +91,7 @@
 		maxHeaderSize: limits.headerBytes,
 		headersTimeout: limits.slowCallerMilliseconds,
 		requestTimeout: limits.slowCallerMilliseconds,
-		connectionsCheckingInterval: Math.ceil(limits.slowCallerMilliseconds / slowCallerChecks),
+		connectionsCheckingInterval: Math.ceil(limits.slowCallerMilliseconds / timeoutChecksPerLimit),
 		keepAlive: true,
 		noDelay: true,
 		keepAliveTimeout,
@@ -120,7 +120,7 @@
 			// The next response on this connection must be that of the request under way.
 			connection.isMalformed = true;
 		} else {
-			socket.end(run.encodeRefusal(refusalStatuses.get(error.code ?? '') ?? malformedStatus, `the request is not valid HTTP/1.1: ${error.message}`));
+			socket.end(handlers.encodeRefusal(refusalStatuses.get(error.code ?? '') ?? malformedStatus, `the request is not valid HTTP/1.1: ${error.message}`));
 			socket.destroySoon();
 		}
 	});
