--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -44,15 +44,15 @@
 import {createSharedTurns} from './shared-turns.js';
 import {createSubmissionRegister} from './submission-register.js';
 
-const sweepMilliseconds = 20;
+const dispatcherSweepMilliseconds = 20;
 const peerSweepMilliseconds = 50;
 const connectMilliseconds = 200;
 /** Each daemon reads the list of instances at least as often, however many there are. */
-const longestListRoundMilliseconds = 10_000;
+const maximumListRoundMilliseconds = 10_000;
 /** Each daemon reads the catalogue's version at least as often. */
-const longestCatalogueRoundMilliseconds = 2000;
+const maximumCatalogueRoundMilliseconds = 2000;
 const slowSweepMilliseconds = 500;
-const farewellMilliseconds = 50;
+const finalHeartbeatMilliseconds = 50;
 
 /**
 A running daemon.
@@ -162,7 +162,7 @@
 		membership,
 		directory,
 		log,
-		turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestCatalogueRoundMilliseconds}),
+		turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: maximumCatalogueRoundMilliseconds}),
 		retryMilliseconds: settings.platform.pollMilliseconds,
 		peerCallMilliseconds: settings.peers.callTimeoutMilliseconds,
 		onNewCatalogue: heartbeats.announce,
@@ -187,7 +187,7 @@
 	};
 
 	const observed = {observe: observation.observe, openTrace: observation.tracing.openTrace, noteRepeat: observation.records.noteRepeat};
-	const submissionRun: SubmissionContext = {
+	const submissionContext: SubmissionContext = {
 		self,
 		register,
 		claim: claims.claim,
@@ -209,7 +209,7 @@
 			register.issue(identifier);
 			return identifier;
 		},
-		submit: async submission => submit(submission, submissionRun),
+		submit: async submission => submit(submission, submissionContext),
 		inspect: async (identifier, isCancelled) => inspectSubmission(identifier, isCancelled, {
 			self, register, findHolder: claims.findHolder, inspectRemote: holders.inspect,
 		}),
@@ -224,7 +224,7 @@
 		hear,
 		openHeartbeats: heartbeats.open,
 		suspect: peerWatch.suspect,
-		submit: async submission => submit(submission, submissionRun),
+		submit: async submission => submit(submission, submissionContext),
 		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
 		lendSlots(request) {
 			contact(request.borrower);
@@ -263,7 +263,7 @@
 	};
 
 	void runInstanceWatch({
-		platform, membership, log, turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestListRoundMilliseconds}), onList: directory.connect,
+		platform, membership, log, turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: maximumListRoundMilliseconds}), onList: directory.connect,
 	});
 	const stopClaimSweep = new AbortController();
 	void runClaimSweep({
@@ -272,8 +272,8 @@
 	void watch.runPlatformReads();
 	void watch.runPeerFetches();
 	void serve();
-	const sweeps = [
-		setInterval(dispatchers.sweep, sweepMilliseconds),
+	const sweepTimers = [
+		setInterval(dispatchers.sweep, dispatcherSweepMilliseconds),
 		setInterval(peerWatch.sweep, peerSweepMilliseconds),
 		setInterval(directory.connect, connectMilliseconds),
 		setInterval(() => {
@@ -293,13 +293,13 @@
 			});
 			membership.yieldSlots();
 			heartbeats.announce();
-			await sleep(farewellMilliseconds);
+			await sleep(finalHeartbeatMilliseconds);
 			directory.close();
 			connections.close();
 			stopClaimSweep.abort();
 			await stopPeers();
 			stopOperators();
-			for (const sweep of sweeps) {
+			for (const sweep of sweepTimers) {
 				clearInterval(sweep);
 			}
 
