--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -24,7 +24,7 @@
 	throw new Error('no task is sent in these scenarios');
 };
 
-type Incarnation = {readonly run: SubmissionContext; readonly register: SubmissionRegister};
+type Incarnation = {readonly context: SubmissionContext; readonly register: SubmissionRegister};
 
 type ClaimsWorld = {
 	rows: Map<string, TableRow>;
@@ -83,7 +83,7 @@
 		platform: createTable(world), holder: self, transactionsPerSecond: () => 1000, onNonce: register.issue,
 	});
 	void claims.run();
-	const run: SubmissionContext = {
+	const context: SubmissionContext = {
 		self,
 		register,
 		claim: claims.claim,
@@ -106,7 +106,7 @@
 		noteRepeat: () => undefined,
 		observe: () => ({note: () => undefined, end: () => undefined}),
 	};
-	return {run, register};
+	return {context, register};
 };
 
 const submissionOf = (identifier: string, body: string): Submission => ({
@@ -142,17 +142,17 @@
 });
 
 When('incarnation {int} submits {string} with the body {string}', async function (this: ClaimsWorld, incarnation: number, identifier: string, body: string) {
-	this.answers.push(await submit(submissionOf(identifier, body), this.incarnations[incarnation - 1]!.run));
+	this.answers.push(await submit(submissionOf(identifier, body), this.incarnations[incarnation - 1]!.context));
 });
 
 When('incarnation {int} submits {string} with a deadline of {int} ms', async function (this: ClaimsWorld, incarnation: number, identifier: string, deadlineMilliseconds: number) {
-	this.answers.push(await submit({...submissionOf(identifier, 'a'), deadlineMilliseconds}, this.incarnations[incarnation - 1]!.run));
+	this.answers.push(await submit({...submissionOf(identifier, 'a'), deadlineMilliseconds}, this.incarnations[incarnation - 1]!.context));
 });
 
 When('incarnation {int} cancels {string} while it waits', async function (this: ClaimsWorld, incarnation: number, identifier: string) {
-	const {run, register} = this.incarnations[incarnation - 1]!;
+	const {context, register} = this.incarnations[incarnation - 1]!;
 	const cancelled: SubmissionContext = {
-		...run,
+		...context,
 		admit() {
 			register.entryOf(identifier)!.cancellation.abort();
 			return refuse(FaultKind.Cancelled, 'cancelled');
