--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -140,7 +140,7 @@
 		intervalTo: peer => peerWatch.isFullRate(peer) ? settings.peers.heartbeatMilliseconds : intervalToOthers(settings.peers, membership.listedPeers().length + 1),
 	});
 	const peerWatch = createPeerWatch({self: self.instance, membership, heartbeats});
-	const hear = (heartbeat: PeerHeartbeat): void => {
+	const receiveHeartbeat = (heartbeat: PeerHeartbeat): void => {
 		membership.hear(heartbeat);
 		if (heartbeat.probe) {
 			peerWatch.answer(heartbeat.instance, heartbeat.probe);
@@ -153,7 +153,7 @@
 
 	const countedClient = createCountedPeerClient(countPeerMessage);
 	const directory = createPeerDirectory({
-		self, membership, openHeartbeats: heartbeats.open, hear, suspect: peerWatch.suspect,
+		self, membership, openHeartbeats: heartbeats.open, hear: receiveHeartbeat, suspect: peerWatch.suspect,
 	}, {createCalls: address => createPeerCalls(address, countedClient), runConnection: runPeerConnection});
 	const sharedReads = {self: self.instance, membership, slotMilliseconds: settings.platform.pollMilliseconds};
 	const watch = createCatalogueWatch({
@@ -221,7 +221,7 @@
 	};
 
 	const stopPeers = await startPeerServer(settings.listen.peers, {
-		hear,
+		hear: receiveHeartbeat,
 		openHeartbeats: heartbeats.open,
 		suspect: peerWatch.suspect,
 		submit: async submission => submit(submission, submissionContext),
