--- a/packages/galenakeeld/src/process/submission-register.ts
+++ b/packages/galenakeeld/src/process/submission-register.ts
@@ -42,7 +42,7 @@
 /**
 What the register keeps of a submission from its beginning.
 */
-export type HeldSubmission = Pick<SubmissionEntry, 'identifier' | 'fingerprint' | 'right' | 'tasks'>;
+export type HeldSubmission = Pick<SubmissionEntry, 'identifier' | 'fingerprint' | 'permit' | 'tasks'>;
 
 type KeptEntry = {readonly entry: SubmissionEntry; bytes: number; answeredAt: number};
 
@@ -116,7 +116,7 @@
 
 	return {
 		issue,
-		redeem: right => issued.delete(right),
+		redeem: permit => issued.delete(permit),
 		entryOf: identifier => kept.get(identifier)?.entry,
 		begin(submission, run) {
 			const {identifier} = submission;
