--- a/packages/galenakeeld/src/process/__tests__/claims.feature
+++ b/packages/galenakeeld/src/process/__tests__/claims.feature
@@ -12,14 +12,14 @@
     Given two incarnations that share a table
     When incarnation 1 submits "sheet" with the body "a"
     And the answers are dropped
-    And the table is out of reach
+    And the table is unreachable
     And incarnation 1 submits "sheet" with the body "a"
-    And the table is back
+    And the table is reachable again
     And incarnation 1 submits "sheet" with the body "a"
     Then the outcomes are "complete, outcome unknown, outcome unknown"
     And "sheet" ran 1 time
 
-  Scenario: Stale reads end the claim instead of repeating it for ever
+  Scenario: Stale reads end the claim after a limited number of attempts
     Given two incarnations that share a table
     When incarnation 1 submits "sheet" with the body "a"
     And reads are stale
@@ -40,7 +40,7 @@
       | 1           |
       | 2           |
 
-  Scenario: A refused submission may be repeated, a cancelled one may not
+  Scenario: A refused submission may be submitted again, a cancelled one may not
     Given two incarnations that share a table
     When no task can run
     And incarnation 1 submits "sheet" with the body "a"
@@ -51,7 +51,7 @@
     Then the outcomes are "not run, complete, not run, not run"
     And "quote" ran 0 times
 
-  Scenario: A claim past half of its retention does not begin
+  Scenario: A submission whose claim is older than half of its retention does not run
     Given two incarnations that share a table
     When no task can run
     And incarnation 1 submits "sheet" with the body "a"
@@ -61,16 +61,16 @@
     Then the outcomes are "not run, outcome unknown"
     And "sheet" ran 0 times
 
-  Scenario: Claims past their retention are swept in pages, others stay
+  Scenario: Expired claims are deleted page by page, others are kept
     Given two incarnations that share a table
-    And a table of 250 lapsed and 3 fresh claims in one bucket
-    When the sweep goes round once
-    Then 3 rows are left
-    And 3 transactions were sent by the sweep
+    And a table of 250 expired and 3 fresh claims in one bucket
+    When the sweep completes one round
+    Then 3 rows remain
+    And the sweep sent 3 transactions
 
-  Scenario: A claim that the caller's deadline cuts off says so
+  Scenario: A claim that ends at the caller's deadline names the deadline
     Given two incarnations that share a table
-    When the table is out of reach
+    When the table is unreachable
     And incarnation 1 submits "sheet" with a deadline of 20 ms
     Then the outcomes are "outcome unknown"
     And the last fault is "claim-unavailable"
--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -21,7 +21,7 @@
 const versionWithoutEndpoints = Object.freeze(Object.create(null)) as ServiceVersion;
 
 const notReached = (): never => {
-	throw new Error('no task is sent in these scenarios');
+	throw new Error('these scenarios must not send a task to an endpoint');
 };
 
 type Incarnation = {readonly context: SubmissionContext; readonly register: SubmissionRegister};
@@ -39,7 +39,7 @@
 const createTable = (world: ClaimsWorld): Platform => {
 	const assertUp = (): void => {
 		if (world.faults.isDown) {
-			throw createFault(FaultKind.PlatformUnavailable, 'the table is out of reach');
+			throw createFault(FaultKind.PlatformUnavailable, 'the table is unreachable');
 		}
 	};
 
@@ -126,9 +126,9 @@
 	this.incarnations = ['entry-1', 'entry-2'].map(name => createIncarnation(this, name));
 });
 
-Given('a table of {int} lapsed and {int} fresh claims in one bucket', function (this: ClaimsWorld, lapsed: number, fresh: number) {
-	for (let position = 0; position < lapsed + fresh; position++) {
-		const claimedAt = Date.now() - (position < lapsed ? retentionMilliseconds : 0);
+Given('a table of {int} expired and {int} fresh claims in one bucket', function (this: ClaimsWorld, expired: number, fresh: number) {
+	for (let position = 0; position < expired + fresh; position++) {
+		const claimedAt = Date.now() - (position < expired ? retentionMilliseconds : 0);
 		const key = `${claimPrefixOf(7)}${String(position).padStart(3, '0')}`;
 		const value = encodeClaim({
 			instance: 'entry-1', incarnation: 'gone', nonce: 'n', fingerprint: 'f', claimedAt,
@@ -162,14 +162,14 @@
 });
 
 When('the answers are dropped', async function (this: ClaimsWorld) {
-	// An answer without tasks holds no bytes, so the bound of -1 drops it.
+	// An answer without tasks has 0 bytes, so only a limit of -1 drops it.
 	this.incarnations[0]!.register.sweep();
 	assert.equal(this.incarnations[0]!.register.size(), 0);
 });
 
 const faultSteps: Readonly<Record<string, Partial<ClaimsWorld['faults']>>> = {
-	'the table is out of reach': {isDown: true},
-	'the table is back': {isDown: false},
+	'the table is unreachable': {isDown: true},
+	'the table is reachable again': {isDown: false},
 	'reads are stale': {isStale: true},
 	'no task can run': {canRun: false},
 	'tasks can run': {canRun: true},
@@ -188,7 +188,7 @@
 	};
 });
 
-When('the sweep goes round once', async function (this: ClaimsWorld) {
+When('the sweep completes one round', async function (this: ClaimsWorld) {
 	const stop = new AbortController();
 	const isPending = (): boolean => [...this.rows.values()].some(row => Date.now() - parseClaim(row).claimedAt >= retentionMilliseconds);
 	void runClaimSweep({
@@ -217,15 +217,15 @@
 	assert.equal(this.ran.filter(ran => ran === identifier).length, times);
 });
 
-Then('at most {int} transactions were sent', function (this: ClaimsWorld, most: number) {
-	assert.ok(this.transactions <= most, `${this.transactions} transactions`);
+Then('at most {int} transactions were sent', function (this: ClaimsWorld, maximum: number) {
+	assert.ok(this.transactions <= maximum, `${this.transactions} transactions`);
 });
 
-Then('{int} rows are left', function (this: ClaimsWorld, rows: number) {
+Then('{int} rows remain', function (this: ClaimsWorld, rows: number) {
 	assert.equal(this.rows.size, rows);
 });
 
-Then('{int} transactions were sent by the sweep', function (this: ClaimsWorld, transactions: number) {
+Then('the sweep sent {int} transactions', function (this: ClaimsWorld, transactions: number) {
 	assert.equal(this.transactions, transactions);
 });
 
--- a/packages/galenakeeld/src/process/claim-row.ts
+++ b/packages/galenakeeld/src/process/claim-row.ts
@@ -4,24 +4,24 @@
 import type {IdentifierHolder} from '../request/submission-identifier.js';
 
 /**
-Number of buckets into which claims are spread, so that instances can share the sweep.
+Number of buckets over which claims are distributed, so that instances can divide the sweep among themselves.
 */
 export const claimBucketCount = 256;
 
 /**
-The claim of an identifier as the platform's table holds it.
+The claim of an identifier as stored in the platform's table.
 */
 export type Claim = IdentifierHolder & {
-	/** Tells apart the attempts of one incarnation. */
+	/** Distinguishes the claim attempts of one incarnation. */
 	readonly nonce: string;
-	/** Digest of what was submitted. */
+	/** Digest of the submission. */
 	readonly fingerprint: string;
-	/** Time on the holder's wall clock, in milliseconds. */
+	/** Time of the claim on the holder's wall clock, in milliseconds since the epoch. */
 	readonly claimedAt: number;
 };
 
 /**
-Returns the prefix of the rows of a bucket.
+Returns the key prefix of the rows of a bucket.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/claim-sweeper.ts
+++ b/packages/galenakeeld/src/process/claim-sweeper.ts
@@ -5,22 +5,22 @@
 const rowsPerPage = 100;
 
 /**
-What the sweep of claims needs from the process.
+Options of the sweep of expired claims.
 */
 export type ClaimSweepOptions = {
 	readonly platform: Platform;
-	/** Time after which a claim is deleted, in milliseconds. */
+	/** Age at which a claim expires and may be deleted, in milliseconds. */
 	readonly retentionMilliseconds: number;
-	/** Pause after each page: the sweep costs at most one read and one write in this time. */
+	/** Pause after each page, in milliseconds: the sweep makes at most one read and one write per pause. */
 	readonly pauseMilliseconds: number;
-	/** Tells whether this instance sweeps a bucket at present. */
+	/** Returns whether this instance currently sweeps the bucket. */
 	readonly isOwnBucket: (bucket: number) => boolean;
 };
 
 /**
-Tells whether an instance sweeps a bucket: the buckets go round the listed instances in the order of their names.
+Returns whether an instance sweeps a bucket: buckets are assigned round-robin to the listed instances, sorted by name.
 
-Two instances that see different lists may both sweep a bucket, which only costs a refused transaction.
+Two instances with different lists may both sweep a bucket; the only cost is a refused transaction.
 
 @example
 ```
@@ -33,15 +33,15 @@
 };
 
 /**
-Deletes the lapsed claims of one page.
+Deletes the expired claims of one page.
 
-@returns The key after which the next page begins; `undefined` at the end of the bucket.
+@returns The key after which the next page begins, or `undefined` at the end of the bucket.
 */
 const sweepPage = async (bucket: number, after: string, {platform, retentionMilliseconds}: ClaimSweepOptions): Promise<string | undefined> => {
 	const rows = await platform.scanRows(claimPrefixOf(bucket), rowsPerPage, after);
 	const expired = rows.filter(row => Date.now() - parseClaim(row).claimedAt >= retentionMilliseconds);
 	if (expired.length > 0) {
-		// The condition keeps a row that was claimed anew since it was read. What is not deleted now falls to the next round.
+		// The version condition protects a row that was claimed again after it was read. Rows that are not deleted now are left to the next round.
 		await platform.transact(expired.map(({key, version}) => ({key, version})), expired.map(({key}) => ({key})));
 	}
 
@@ -54,7 +54,7 @@
 		try {
 			after = await sweepPage(bucket, after, options);
 		} catch {
-			// The platform is out of reach; the next round comes back to this bucket.
+			// The platform is unreachable; the next round retries this bucket.
 			after = undefined;
 		}
 
@@ -63,7 +63,7 @@
 };
 
 /**
-Deletes claims that are past their retention, bucket by bucket, until the signal aborts.
+Deletes expired claims, bucket by bucket, until the signal is aborted.
 
 @example
 ```
@@ -75,7 +75,7 @@
 		if (options.isOwnBucket(bucket)) {
 			await sweepBucket(bucket, options);
 		} else if (bucket === 0) {
-			// An instance without any bucket waits like the others.
+			// Without this pause, an instance that owns no bucket would loop without waiting.
 			await sleep(options.pauseMilliseconds, undefined, {ref: false});
 		}
 	}
--- a/packages/galenakeeld/src/process/claim-writer.ts
+++ b/packages/galenakeeld/src/process/claim-writer.ts
@@ -13,17 +13,17 @@
 const readBackPauseMilliseconds = 50;
 
 /**
-What became of a claim.
+Outcome of an attempt to claim an identifier.
 */
 export enum ClaimState {
-	/** A row names the incarnation that may run the submission, this one or another. */
+	/** A row in the table names the incarnation that may run the submission: this one or another. */
 	Held = 'held',
 	/** The platform did not confirm the claim. */
 	Unavailable = 'unavailable',
 }
 
 /**
-The result of a claim.
+Result of an attempt to claim an identifier.
 */
 export type ClaimResult
 	= | {readonly state: ClaimState.Held; readonly claim: Claim}
@@ -32,31 +32,31 @@
 type PendingClaim = {readonly identifier: string; readonly claim: Claim; readonly result: Deferred<ClaimResult>; deadlineAt: number};
 
 /**
-Claims caller-chosen identifiers in the platform's table, many in one transaction.
+Claims identifiers chosen by callers in the platform's table; many claims share one transaction.
 */
 export type ClaimWriter = {
 	/**
-	Claims an identifier; concurrent claims of the same one share their result.
+	Claims an identifier; concurrent claims of the same identifier share one result.
 
-	@param fingerprint Digest of what is submitted, kept in the row.
-	@param deadlineAt Time on the monotonic clock after which a claim that has not been sent is given up, in milliseconds.
+	@param fingerprint Digest of the submission, stored in the row.
+	@param deadlineAt Time on the monotonic clock, in milliseconds, after which a claim that has not been sent is abandoned.
 	*/
 	readonly claim: (identifier: string, fingerprint: string, deadlineAt: number) => Promise<ClaimResult>;
-	/** Reads who holds an identifier; `undefined` when nobody claimed it. @throws A fault of kind `PlatformUnavailable`. */
+	/** Reads which incarnation holds an identifier; `undefined` if it is unclaimed. @throws A fault of kind `PlatformUnavailable`. */
 	readonly findHolder: (identifier: string) => Promise<IdentifierHolder | undefined>;
-	/** Commits pending claims until the process ends. */
+	/** Commits pending claims in batches until the process ends. */
 	readonly run: () => Promise<never>;
-	/** Transactions sent to the platform. */
+	/** Returns the number of transactions sent to the platform. */
 	readonly transactions: () => number;
 };
 
 const keyOf = (pending: PendingClaim): string => claimKeyOf(pending.identifier);
 
 /**
-Creates a writer without pending claims.
+Creates a claim writer; claims are sent once `run` is called.
 
-@param options.transactionsPerSecond This instance's part of the platform's write budget at present.
-@param options.onNonce Called with the nonce of each claim before it is sent. The row that holds a nonce gives its incarnation the right to run the submission once.
+@param options.transactionsPerSecond Returns this instance's current share of the platform's write budget.
+@param options.onNonce Called with the nonce of each claim before it is sent. The row that stores a nonce permits its incarnation to run the submission once.
 
 @example
 ```
@@ -78,7 +78,7 @@
 		settled.result.resolve(result);
 	};
 
-	/** Settles the claims whose rows are in the table; returns the others. `undefined` when the table can't be read. */
+	/** Settles the claims whose rows are in the table and returns the others, or `undefined` if the table can't be read. */
 	const readBack = async (claims: readonly PendingClaim[]): Promise<readonly PendingClaim[] | undefined> => {
 		for (let attempt = 0; attempt < readBackAttempts; attempt++) {
 			try {
@@ -121,7 +121,7 @@
 				break;
 			}
 
-			// No progress: the write may yet take effect, or the read was stale.
+			// No progress: the write may still take effect, or the read was stale.
 			if (remaining.length === unsettled.length) {
 				attempt++;
 				await sleep(readBackPauseMilliseconds);
@@ -135,7 +135,7 @@
 		}
 	};
 
-	/** Takes the next claims to send, and gives up those whose callers no longer wait. */
+	/** Removes the next claims to send from the queue, and settles those past their deadline as unavailable. */
 	const takeBatch = (): readonly PendingClaim[] => {
 		const batch = pending.splice(0, maximumRowsPerTransaction);
 		const now = performance.now();
