Reword comments and log messages of the catalogue watch and the drain

Comments spoke of peers that "give" documents and callers that "count on" connections; they now name fetches and the announced keep-alive time.

--- a/packages/galenakeeld/src/process/catalogue-watch.ts
+++ b/packages/galenakeeld/src/process/catalogue-watch.ts
@@ -16,7 +16,7 @@
 const catchUpLimitMilliseconds = 1500;
 
 /**
-What the watch keeps up to date.
+Options of the catalogue watch.
 */
 export type CatalogueWatchOptions = {
 	readonly platform: Platform;
@@ -24,30 +24,30 @@
 	readonly membership: Membership;
 	readonly directory: PeerDirectory;
 	readonly turns: SharedTurns;
-	/** Pause after a peer did not give its documents. */
+	/** Pause after a failed fetch from a peer, in milliseconds. */
 	readonly retryMilliseconds: number;
 	readonly peerCallMilliseconds: number;
 	readonly log: Log;
-	/** Called when a higher catalogue version is in force. */
+	/** Called after a higher catalogue version was installed. */
 	readonly onNewCatalogue: () => void;
 };
 
 /**
-Keeps the catalogue at the highest version that the platform or a peer has.
+Keeps the local catalogue at the highest version known to the platform or to a peer.
 */
 export type CatalogueWatch = {
-	/** Reads the platform's catalogue in this instance's turns, until the process ends. Until the documents are known, every slot is a turn. */
+	/** Reads the platform's catalogue in this instance's turns until the process ends. Until the documents are known, it reads in every time slot. */
 	readonly runPlatformReads: () => Promise<never>;
-	/** Fetches documents from peers until the process ends, each time that it is woken. */
+	/** Fetches newer documents from peers after each `wake`, until the process ends. */
 	readonly runPeerFetches: () => Promise<never>;
-	/** Says that a peer may have a higher catalogue. */
+	/** Signals that a peer may have a higher catalogue version. */
 	readonly wake: () => void;
-	/** Resolves when the platform or a peer has given the documents, and every listed peer was heard and has none that are newer, or has had time to say so. */
+	/** Resolves once the documents have been read from the platform or a peer, and either every listed peer is reachable and none has a higher catalogue version, or the time limit for this has passed. */
 	readonly untilCaughtUp: () => Promise<void>;
 };
 
 /**
-Creates the watch; nothing is read before it runs.
+Creates the watch; it reads nothing until its `run` functions are called.
 
 @example
 ```
@@ -78,7 +78,7 @@
 			catalogue.install(documents, catalogueVersion);
 			handleInstall(before);
 		} catch (error) {
-			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the catalogue could not be read; the documents in force stay');
+			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the catalogue could not be read from the platform; the documents in force are kept');
 		}
 	};
 
@@ -95,7 +95,7 @@
 			catalogue.install(documents, reply.catalogueVersion);
 			handleInstall(before);
 		} catch (error) {
-			log.warn({event: LogEvent.PeerUnavailable, peer: peer.instance, detail: detailOf(error)}, 'a peer with newer documents did not give them; it is asked again');
+			log.warn({event: LogEvent.PeerUnavailable, peer: peer.instance, detail: detailOf(error)}, 'newer documents could not be fetched from a peer; the fetch is retried');
 			await sleep(options.retryMilliseconds);
 		}
 	};
--- a/packages/galenakeeld/src/process/drain.ts
+++ b/packages/galenakeeld/src/process/drain.ts
@@ -6,21 +6,21 @@
 const pollIntervalMilliseconds = 20;
 
 /**
-Waits until an instance that is leaving has finished what it had.
+Waits until a leaving instance has answered its requests and jobs and its callers have closed their connections.
 
-Connections are taken for as long as the balancer may still open them. Those that are open stay so until their callers close them, which the last answer on each asks for, or until they have been idle for as long as their callers were told: closing one earlier could meet a request that is on its way.
+New connections are accepted while the load balancer may still open them (`announceMilliseconds`). An open connection is kept until its caller closes it, as the last answer on it asks, or until it has been idle for the announced keep-alive time: closing it earlier could lose a request in transit.
 
-@returns The number of requests and jobs that the limit cut.
+@returns The number of requests and jobs that were interrupted by the time limit.
 */
 export const drain = async (options: {
 	readonly announceMilliseconds: number;
 	readonly limitMilliseconds: number;
-	/** Requests and jobs without an answer. */
+	/** Returns the number of requests and jobs without an answer. */
 	readonly running: () => number;
-	/** Open connections of callers. */
+	/** Returns the number of open connections of callers. */
 	readonly connections: () => number;
 	readonly stopListening: () => void;
-	/** Closes the connections that callers no longer count on. */
+	/** Closes the connections whose announced keep-alive time has passed. */
 	readonly closeIdle: () => void;
 	readonly log: Log;
 }): Promise<number> => {
@@ -34,7 +34,7 @@
 
 	const interrupted = options.running();
 	if (interrupted > 0) {
-		options.log.error({event: LogEvent.DrainLimit, cut: interrupted}, 'the drain limit of the settings passed before every request had its answer; raise drain.limitMilliseconds');
+		options.log.error({event: LogEvent.DrainLimit, cut: interrupted}, 'the drain limit passed before every request was answered; raise drain.limitMilliseconds in the settings');
 	}
 
 	return interrupted;
