--- a/packages/galenakeeld/src/process/caller-server.ts
+++ b/packages/galenakeeld/src/process/caller-server.ts
@@ -6,10 +6,10 @@
 import type {CallerExchange} from '../connection/caller-connection.js';
 
 const keepAliveMarginMilliseconds = 999;
-// How often the time of slow callers is looked at while it runs.
+// Checks for slow callers per time limit, so that a time-out fires at most a tenth of the limit late.
 const timeoutChecksPerLimit = 10;
 
-/** Statuses of refused requests by the code of the parser's error; any other is a malformed request. */
+/** Response statuses by the code of the parser's error; any other code is answered as a malformed request. */
 const refusalStatuses: ReadonlyMap<string, number> = new Map([['HPE_HEADER_OVERFLOW', 431], ['ERR_HTTP_REQUEST_TIMEOUT', 408]]);
 const malformedStatus = 400;
 
@@ -18,34 +18,34 @@
 */
 type OpenConnection = {
 	readonly inbox: Inbox<CallerExchange>;
-	/** Time of the monotonic clock since which no request is under way; `undefined` while one is. */
+	/** Time on the monotonic clock, in milliseconds, since which no request is in progress; `undefined` while one is. */
 	idleSince: number | undefined;
-	/** Requests whose response has not ended. */
+	/** Number of requests whose response has not ended. */
 	unanswered: number;
-	/** The request whose body is received or was received last. */
+	/** The request whose body is being received, or was received last. */
 	lastRequest: IncomingMessage | undefined;
-	/** Whether bytes came that are no HTTP; nothing more is read. */
+	/** Whether bytes that are not valid HTTP were received; nothing more is read. */
 	isMalformed: boolean;
 };
 
 /**
-The server for callers.
+The HTTP server for callers.
 */
 export type CallerServer = {
-	/** Connections on which a request is being served. */
+	/** Returns the number of connections on which a request is being served. */
 	readonly busy: () => number;
-	/** Open connections. */
+	/** Returns the number of open connections. */
 	readonly connections: () => number;
-	/** Takes no further connections; those that are open go on. */
+	/** Stops accepting connections; those that are open continue. */
 	readonly stopListening: () => void;
-	/** Closes connections that have been idle for longer than their callers were told to keep them. */
+	/** Closes connections that have been idle for longer than the keep-alive time announced to their callers. */
 	readonly closeIdle: () => void;
 };
 
 type CallerLimits = {readonly headerBytes: number; readonly callerConnections: number; readonly slowCallerMilliseconds: number; readonly idleCallerMilliseconds: number};
 
 /**
-What the server does with connections and with what is not HTTP.
+Handlers for connections and for requests that are not valid HTTP.
 */
 export type CallerServerHandlers = {
 	/** Serves one connection until it closes. */
@@ -55,11 +55,11 @@
 };
 
 /**
-Starts the server for callers: each connection is served by a task of its own.
+Starts the HTTP server for callers; each connection is served by its own task.
 */
 export const startCallerServer = async (address: string, handlers: CallerServerHandlers, limits: CallerLimits): Promise<CallerServer> => {
 	const connections = new Map<Socket, OpenConnection>();
-	// The Keep-Alive header tells callers whole seconds; the rest is the margin in which a request may still be on its way.
+	// The Keep-Alive header announces whole seconds; the remainder is a margin for requests that are still in transit.
 	const keepAliveTimeout = (Math.floor(limits.idleCallerMilliseconds / 1000) * 1000) + keepAliveMarginMilliseconds;
 
 	const open = (socket: Socket): OpenConnection => {
@@ -114,10 +114,10 @@
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		const connection = connections.get(socket);
 		if (!socket.writable || connection?.lastRequest?.complete === false) {
-			// A part of the body may have reached an endpoint, so that no refusal would be true.
+			// Part of the body may have reached an endpoint, so a refusal, which says that nothing ran, could be wrong.
 			socket.destroy();
 		} else if (connection && connection.unanswered > 0) {
-			// The next response on this connection must be that of the request under way.
+			// The next response on this connection must be that of the request in progress.
 			connection.isMalformed = true;
 		} else {
 			socket.end(handlers.encodeRefusal(refusalStatuses.get(error.code ?? '') ?? malformedStatus, `the request is not valid HTTP/1.1: ${error.message}`));
@@ -133,7 +133,7 @@
 		busy: () => [...connections.values()].filter(({unanswered}) => unanswered > 0).length,
 		connections: () => connections.size,
 		stopListening() {
-			// The HTTP server's own method also closes idle connections, on which a request may be on its way.
+			// The `close` method of the HTTP server also closes idle connections, on which a request may be in transit.
 			NetServer.prototype.close.call(server);
 		},
 		closeIdle() {
--- a/packages/galenakeeld/src/process/submission-register.ts
+++ b/packages/galenakeeld/src/process/submission-register.ts
@@ -3,7 +3,7 @@
 import type {SubmissionAnswer} from '@galenakeel/model/request/task.js';
 
 /**
-How far a submission has come on the incarnation that holds it.
+Progress of a submission on the incarnation that holds it.
 */
 export enum SubmissionState {
 	/** No task has started. */
@@ -17,7 +17,7 @@
 const submissionStates: ReadonlySet<string> = new Set(Object.values(SubmissionState));
 
 /**
-Tells whether a string is the text of a submission's state.
+Returns whether a string is the value of a submission state.
 */
 export const isSubmissionState = (value: string): value is SubmissionState => submissionStates.has(value);
 
@@ -26,13 +26,13 @@
 */
 export type SubmissionEntry = {
 	readonly identifier: string;
-	/** Digest of what was submitted; another submission under the same identifier is refused. */
+	/** Digest of the submission; a different submission under the same identifier is refused. */
 	readonly fingerprint: string;
-	/** The minted identifier or the nonce of the claim, given back when nothing started. */
+	/** Single-use permit to run the submission: the minted identifier or the nonce of the claim. Issued again if nothing started. */
 	readonly permit: string;
 	readonly tasks: number;
 	readonly cancellation: AbortController;
-	/** Resolves with the one answer. */
+	/** Resolves with the answer, which every repeat of the submission shares. */
 	readonly answer: Promise<SubmissionAnswer>;
 	state: SubmissionState;
 	started: number;
@@ -40,7 +40,7 @@
 };
 
 /**
-What the register keeps of a submission from its beginning.
+Properties of a submission that are known when it begins.
 */
 export type HeldSubmission = Pick<SubmissionEntry, 'identifier' | 'fingerprint' | 'permit' | 'tasks'>;
 
@@ -50,14 +50,14 @@
 The submissions that this incarnation has run, is running, or may still run.
 */
 export type SubmissionRegister = {
-	/** Remembers a minted identifier, or the nonce of a claim, as a right to run one submission once. */
+	/** Records a minted identifier, or the nonce of a claim, as a permit to run one submission once. */
 	readonly issue: (permit: string) => void;
-	/** Uses up a right; false when it was never issued, was used, or lapsed. */
+	/** Consumes a permit; returns false if it was never issued, has been used, or has expired. */
 	readonly redeem: (permit: string) => boolean;
 	readonly entryOf: (identifier: string) => SubmissionEntry | undefined;
-	/** Adds a submission and runs it; an identifier that is already held keeps its entry. */
+	/** Adds a submission and runs it; returns the existing entry if the identifier is already held. */
 	readonly begin: (submission: HeldSubmission, run: (entry: SubmissionEntry) => Promise<SubmissionAnswer>) => SubmissionEntry;
-	/** Drops answers that are past their retention or above the bound on memory. */
+	/** Removes permits and answers that are past their retention, and answers, oldest submission first, while their total size is above the limit. */
 	readonly sweep: () => void;
 	readonly unanswered: () => number;
 	readonly size: () => number;
@@ -78,7 +78,7 @@
 @example
 ```
 const register = createSubmissionRegister({retentionMilliseconds: 600_000, maximumBytes: 2 ** 26});
-const entry = register.begin({identifier, fingerprint, right: identifier, tasks: 1}, async () => answer);
+const entry = register.begin({identifier, fingerprint, permit: identifier, tasks: 1}, async () => answer);
 ```
 */
 export const createSubmissionRegister = (limits: {retentionMilliseconds: number; maximumBytes: number}): SubmissionRegister => {
@@ -94,7 +94,7 @@
 		held.bytes = bytesOf(answer);
 		keptBytes += held.bytes;
 		if (answer.outcome === Outcome.NotRun && !held.entry.cancellation.signal.aborted) {
-			// Nothing started, so the caller may submit the same identifier again. A cancelled one stays cancelled.
+			// Nothing started, so the caller may submit under the same identifier again. A cancelled submission stays cancelled.
 			drop(held.entry.identifier);
 			issue(held.entry.permit);
 		}
@@ -109,7 +109,7 @@
 	};
 
 	const issue = (permit: string): void => {
-		// Set anew at the end, since the sweep stops at the first right that has not lapsed.
+		// Reinserted at the end, since the sweep stops at the first permit that has not expired.
 		issued.delete(permit);
 		issued.set(permit, Date.now());
 	};
