--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -47,9 +47,9 @@
 const dispatcherSweepMilliseconds = 20;
 const peerSweepMilliseconds = 50;
 const connectMilliseconds = 200;
-/** Each daemon reads the list of instances at least as often, however many there are. */
+/** Each daemon reads the list of instances at least this often, regardless of the number of instances. */
 const maximumListRoundMilliseconds = 10_000;
-/** Each daemon reads the catalogue's version at least as often. */
+/** Each daemon reads the catalogue's version at least this often. */
 const maximumCatalogueRoundMilliseconds = 2000;
 const slowSweepMilliseconds = 500;
 const finalHeartbeatMilliseconds = 50;
@@ -58,12 +58,12 @@
 A running daemon.
 */
 export type Daemon = {
-	/** Leaves the fleet: finishes every request and job, then stops. Resolves with the number of requests that the limit cut. */
+	/** Leaves the fleet: finishes every request and job, then stops. Resolves with the number of requests and jobs that were interrupted at the drain limit. */
 	readonly leave: () => Promise<number>;
 };
 
 /**
-Starts a daemon: reads the documents, joins its peers, and takes requests.
+Starts a daemon, which reads the documents, connects to its peers and accepts requests.
 
 @throws An error of the operating system when an address of the settings can't be bound.
 
@@ -251,7 +251,7 @@
 		findRecord: observation.records.find,
 		setLogLevel(level) {
 			log.level = level;
-			log.warn({event: LogEvent.LogLevelChanged, level}, 'an operator changed the level of the log');
+			log.warn({event: LogEvent.LogLevelChanged, level}, 'an operator changed the log level');
 		},
 	});
 
@@ -259,7 +259,7 @@
 		await watch.untilCaughtUp();
 		membership.enter(InstanceState.Serving);
 		heartbeats.announce();
-		log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon takes requests');
+		log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon is ready and accepts requests');
 	};
 
 	void runInstanceWatch({
@@ -285,7 +285,7 @@
 
 	return {
 		async leave() {
-			log.info({event: LogEvent.Leaving}, 'the daemon finishes what it has and takes no new connections from the balancer');
+			log.info({event: LogEvent.Leaving}, 'the daemon is leaving: it finishes its requests and jobs and stops accepting connections from the load balancer');
 			membership.enter(InstanceState.Leaving);
 			heartbeats.announce();
 			const interrupted = await drain({
@@ -305,7 +305,7 @@
 
 			await observation.stop();
 
-			log.info({event: LogEvent.Stopped, cut: interrupted}, 'the daemon has finished');
+			log.info({event: LogEvent.Stopped, cut: interrupted}, 'the daemon has stopped');
 			return interrupted;
 		},
 	};
--- a/packages/galenakeeld/src/process/main.ts
+++ b/packages/galenakeeld/src/process/main.ts
@@ -14,11 +14,11 @@
 Exit codes of the daemon.
 */
 enum ExitCode {
-	/** The daemon left after every request had its answer, or the settings are valid. */
+	/** The daemon stopped after answering every request, or the settings are valid. */
 	Done = 0,
-	/** The daemon could not start, or its drain limit cut requests. */
+	/** The daemon could not start, or requests were interrupted at the drain limit. */
 	Failed = 1,
-	/** The command line or the settings are wrong. */
+	/** The command line or the settings are invalid. */
 	Usage = 2,
 }
 
