Restore the local names cut and hear in the daemon and the drain

Both are passed on as shorthand properties: cut is the outer log field, hear is an option declared in the peer directory and the peer service.

--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -140,7 +140,7 @@
 		intervalTo: peer => peerWatch.isFullRate(peer) ? settings.peers.heartbeatMilliseconds : intervalToOthers(settings.peers, membership.listedPeers().length + 1),
 	});
 	const peerWatch = createPeerWatch({self: self.instance, membership, heartbeats});
-	const receiveHeartbeat = (heartbeat: PeerHeartbeat): void => {
+	const hear = (heartbeat: PeerHeartbeat): void => {
 		membership.hear(heartbeat);
 		if (heartbeat.probe) {
 			peerWatch.answer(heartbeat.instance, heartbeat.probe);
@@ -153,7 +153,7 @@
 
 	const countedClient = createCountedPeerClient(countPeerMessage);
 	const directory = createPeerDirectory({
-		self, membership, openHeartbeats: heartbeats.open, hear: receiveHeartbeat, suspect: peerWatch.suspect,
+		self, membership, openHeartbeats: heartbeats.open, hear, suspect: peerWatch.suspect,
 	}, {createCalls: address => createPeerCalls(address, countedClient), runConnection: runPeerConnection});
 	const sharedReads = {self: self.instance, membership, slotMilliseconds: settings.platform.pollMilliseconds};
 	const watch = createCatalogueWatch({
@@ -221,7 +221,7 @@
 	};
 
 	const stopPeers = await startPeerServer(settings.listen.peers, {
-		hear: receiveHeartbeat,
+		hear,
 		openHeartbeats: heartbeats.open,
 		suspect: peerWatch.suspect,
 		submit: async submission => submit(submission, submissionContext),
@@ -288,7 +288,7 @@
 			log.info({event: LogEvent.Leaving}, 'the daemon is leaving: it finishes its requests and jobs and stops accepting connections from the load balancer');
 			membership.enter(InstanceState.Leaving);
 			heartbeats.announce();
-			const interrupted = await drain({
+			const cut = await drain({
 				...settings.drain, ...callers, running: () => callers.busy() + register.unanswered(), log,
 			});
 			membership.yieldSlots();
@@ -305,8 +305,8 @@
 
 			await observation.stop();
 
-			log.info({event: LogEvent.Stopped, cut: interrupted}, 'the daemon has stopped');
-			return interrupted;
+			log.info({event: LogEvent.Stopped, cut}, 'the daemon has stopped');
+			return cut;
 		},
 	};
 };
--- a/packages/galenakeeld/src/process/drain.ts
+++ b/packages/galenakeeld/src/process/drain.ts
@@ -32,10 +32,10 @@
 		await sleep(pollIntervalMilliseconds);
 	}
 
-	const interrupted = options.running();
-	if (interrupted > 0) {
-		options.log.error({event: LogEvent.DrainLimit, cut: interrupted}, 'the drain limit passed before every request was answered; raise drain.limitMilliseconds in the settings');
+	const cut = options.running();
+	if (cut > 0) {
+		options.log.error({event: LogEvent.DrainLimit, cut}, 'the drain limit passed before every request was answered; raise drain.limitMilliseconds in the settings');
 	}
 
-	return interrupted;
+	return cut;
 };
