--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -21,10 +21,10 @@
 const versionWithoutEndpoints = Object.freeze(Object.create(null)) as ServiceVersion;
 
 const notReached = (): never => {
-	throw new Error('no task is sent in these scenarios');
+	throw new Error('these scenarios must not send a task to an endpoint');
 };
 
-type Incarnation = {readonly run: SubmissionContext; readonly register: SubmissionRegister};
+type Incarnation = {readonly context: SubmissionContext; readonly register: SubmissionRegister};
 
 type ClaimsWorld = {
 	rows: Map<string, TableRow>;
@@ -39,7 +39,7 @@
 const createTable = (world: ClaimsWorld): Platform => {
 	const assertUp = (): void => {
 		if (world.faults.isDown) {
-			throw createFault(FaultKind.PlatformUnavailable, 'the table is out of reach');
+			throw createFault(FaultKind.PlatformUnavailable, 'the table is unreachable');
 		}
 	};
 
@@ -83,7 +83,7 @@
 		platform: createTable(world), holder: self, transactionsPerSecond: () => 1000, onNonce: register.issue,
 	});
 	void claims.run();
-	const run: SubmissionContext = {
+	const context: SubmissionContext = {
 		self,
 		register,
 		claim: claims.claim,
@@ -106,7 +106,7 @@
 		noteRepeat: () => undefined,
 		observe: () => ({note: () => undefined, end: () => undefined}),
 	};
-	return {run, register};
+	return {context, register};
 };
 
 const submissionOf = (identifier: string, body: string): Submission => ({
@@ -126,9 +126,9 @@
 	this.incarnations = ['entry-1', 'entry-2'].map(name => createIncarnation(this, name));
 });
 
-Given('a table of {int} lapsed and {int} fresh claims in one bucket', function (this: ClaimsWorld, lapsed: number, fresh: number) {
-	for (let position = 0; position < lapsed + fresh; position++) {
-		const claimedAt = Date.now() - (position < lapsed ? retentionMilliseconds : 0);
+Given('a table of {int} expired and {int} fresh claims in one bucket', function (this: ClaimsWorld, expired: number, fresh: number) {
+	for (let position = 0; position < expired + fresh; position++) {
+		const claimedAt = Date.now() - (position < expired ? retentionMilliseconds : 0);
 		const key = `${claimPrefixOf(7)}${String(position).padStart(3, '0')}`;
 		const value = encodeClaim({
 			instance: 'entry-1', incarnation: 'gone', nonce: 'n', fingerprint: 'f', claimedAt,
@@ -142,17 +142,17 @@
 });
 
 When('incarnation {int} submits {string} with the body {string}', async function (this: ClaimsWorld, incarnation: number, identifier: string, body: string) {
-	this.answers.push(await submit(submissionOf(identifier, body), this.incarnations[incarnation - 1]!.run));
+	this.answers.push(await submit(submissionOf(identifier, body), this.incarnations[incarnation - 1]!.context));
 });
 
 When('incarnation {int} submits {string} with a deadline of {int} ms', async function (this: ClaimsWorld, incarnation: number, identifier: string, deadlineMilliseconds: number) {
-	this.answers.push(await submit({...submissionOf(identifier, 'a'), deadlineMilliseconds}, this.incarnations[incarnation - 1]!.run));
+	this.answers.push(await submit({...submissionOf(identifier, 'a'), deadlineMilliseconds}, this.incarnations[incarnation - 1]!.context));
 });
 
 When('incarnation {int} cancels {string} while it waits', async function (this: ClaimsWorld, incarnation: number, identifier: string) {
-	const {run, register} = this.incarnations[incarnation - 1]!;
+	const {context, register} = this.incarnations[incarnation - 1]!;
 	const cancelled: SubmissionContext = {
-		...run,
+		...context,
 		admit() {
 			register.entryOf(identifier)!.cancellation.abort();
 			return refuse(FaultKind.Cancelled, 'cancelled');
@@ -162,14 +162,14 @@
 });
 
 When('the answers are dropped', async function (this: ClaimsWorld) {
-	// An answer without tasks holds no bytes, so the bound of -1 drops it.
+	// An answer without tasks has 0 bytes, so only a limit of -1 drops it.
 	this.incarnations[0]!.register.sweep();
 	assert.equal(this.incarnations[0]!.register.size(), 0);
 });
 
 const faultSteps: Readonly<Record<string, Partial<ClaimsWorld['faults']>>> = {
-	'the table is out of reach': {isDown: true},
-	'the table is back': {isDown: false},
+	'the table is unreachable': {isDown: true},
+	'the table is reachable again': {isDown: false},
 	'reads are stale': {isStale: true},
 	'no task can run': {canRun: false},
 	'tasks can run': {canRun: true},
@@ -188,13 +188,13 @@
 	};
 });
 
-When('the sweep goes round once', async function (this: ClaimsWorld) {
+When('the sweep completes one round', async function (this: ClaimsWorld) {
 	const stop = new AbortController();
 	const isPending = (): boolean => [...this.rows.values()].some(row => Date.now() - parseClaim(row).claimedAt >= retentionMilliseconds);
 	void runClaimSweep({
-		platform: createTable(this), retentionMilliseconds, pauseMilliseconds: 1, isOurs: bucket => bucket === 7,
+		platform: createTable(this), retentionMilliseconds, pauseMilliseconds: 1, isOwnBucket: bucket => bucket === 7,
 	}, stop.signal);
-	for (let look = 0; look < 200 && isPending(); look++) {
+	for (let attempt = 0; attempt < 200 && isPending(); attempt++) {
 		await sleep(5);
 	}
 
@@ -217,15 +217,15 @@
 	assert.equal(this.ran.filter(ran => ran === identifier).length, times);
 });
 
-Then('at most {int} transactions were sent', function (this: ClaimsWorld, most: number) {
-	assert.ok(this.transactions <= most, `${this.transactions} transactions`);
+Then('at most {int} transactions were sent', function (this: ClaimsWorld, maximum: number) {
+	assert.ok(this.transactions <= maximum, `${this.transactions} transactions`);
 });
 
-Then('{int} rows are left', function (this: ClaimsWorld, rows: number) {
+Then('{int} rows remain', function (this: ClaimsWorld, rows: number) {
 	assert.equal(this.rows.size, rows);
 });
 
-Then('{int} transactions were sent by the sweep', function (this: ClaimsWorld, transactions: number) {
+Then('the sweep sent {int} transactions', function (this: ClaimsWorld, transactions: number) {
 	assert.equal(this.transactions, transactions);
 });
 
--- a/packages/galenakeeld/src/process/catalogue-watch.ts
+++ b/packages/galenakeeld/src/process/catalogue-watch.ts
@@ -12,11 +12,11 @@
 import type {PeerDirectory} from './peer-directory.js';
 import type {SharedTurns} from './shared-turns.js';
 
-const lookMilliseconds = 20;
+const pollIntervalMilliseconds = 20;
 const catchUpLimitMilliseconds = 1500;
 
 /**
-What the watch keeps up to date.
+Options of the catalogue watch.
 */
 export type CatalogueWatchOptions = {
 	readonly platform: Platform;
@@ -24,30 +24,30 @@
 	readonly membership: Membership;
 	readonly directory: PeerDirectory;
 	readonly turns: SharedTurns;
-	/** Pause after a peer did not give its documents. */
+	/** Pause after a failed fetch from a peer, in milliseconds. */
 	readonly retryMilliseconds: number;
 	readonly peerCallMilliseconds: number;
 	readonly log: Log;
-	/** Called when a higher catalogue version is in force. */
+	/** Called after a higher catalogue version was installed. */
 	readonly onNewCatalogue: () => void;
 };
 
 /**
-Keeps the catalogue at the highest version that the platform or a peer has.
+Keeps the local catalogue at the highest version known to the platform or to a peer.
 */
 export type CatalogueWatch = {
-	/** Reads the platform's catalogue in this instance's turns, until the process ends. Until the documents are known, every slot is a turn. */
+	/** Reads the platform's catalogue in this instance's turns until the process ends. Until the documents are known, it reads in every time slot. */
 	readonly runPlatformReads: () => Promise<never>;
-	/** Fetches documents from peers until the process ends, each time that it is woken. */
+	/** Fetches newer documents from peers after each `wake`, until the process ends. */
 	readonly runPeerFetches: () => Promise<never>;
-	/** Says that a peer may have a higher catalogue. */
+	/** Signals that a peer may have a higher catalogue version. */
 	readonly wake: () => void;
-	/** Resolves when the platform or a peer has given the documents, and every listed peer was heard and has none that are newer, or has had time to say so. */
+	/** Resolves once the documents have been read from the platform or a peer, and either every listed peer is reachable and none has a higher catalogue version, or the time limit for this has passed. */
 	readonly untilCaughtUp: () => Promise<void>;
 };
 
 /**
-Creates the watch; nothing is read before it runs.
+Creates the watch; it reads nothing until its `run` functions are called.
 
 @example
 ```
@@ -61,9 +61,9 @@
 	const {catalogue, membership, directory, log} = options;
 	const firstRead = createDeferred<void>();
 	let isKnown = false;
-	let woken = createDeferred<void>();
+	let wakeSignal = createDeferred<void>();
 
-	const announceAbove = (before: number): void => {
+	const handleInstall = (before: number): void => {
 		isKnown = true;
 		firstRead.resolve();
 		if (catalogue.catalogueVersion() > before) {
@@ -76,13 +76,13 @@
 		try {
 			const {documents, catalogueVersion} = await readCatalogue(options.platform, before);
 			catalogue.install(documents, catalogueVersion);
-			announceAbove(before);
+			handleInstall(before);
 		} catch (error) {
-			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the catalogue could not be read; the documents in force stay');
+			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the catalogue could not be read from the platform; the documents in force are kept');
 		}
 	};
 
-	const findAhead = (): Peer | undefined => {
+	const findPeerAhead = (): Peer | undefined => {
 		const [highest] = membership.peers().filter(({isReachable}) => isReachable).toSorted((first, second) => second.catalogueVersion - first.catalogueVersion);
 		return highest && highest.catalogueVersion > catalogue.catalogueVersion() ? highest : undefined;
 	};
@@ -93,14 +93,14 @@
 			const reply = await directory.callsOf(peer.instance)!.fetchDocuments(before, options.peerCallMilliseconds);
 			const documents = reply.documents.map(({service, version, text}) => ({version, text, document: parseServiceDocument(text, `document "${service}"`)}));
 			catalogue.install(documents, reply.catalogueVersion);
-			announceAbove(before);
+			handleInstall(before);
 		} catch (error) {
-			log.warn({event: LogEvent.PeerUnavailable, peer: peer.instance, detail: detailOf(error)}, 'a peer with newer documents did not give them; it is asked again');
+			log.warn({event: LogEvent.PeerUnavailable, peer: peer.instance, detail: detailOf(error)}, 'newer documents could not be fetched from a peer; the fetch is retried');
 			await sleep(options.retryMilliseconds);
 		}
 	};
 
-	const hasHeardAll = (): boolean => findAhead() === undefined
+	const isCaughtUpWithPeers = (): boolean => findPeerAhead() === undefined
 		&& membership.listedPeers().every(({name}) => membership.findPeer(name)?.isReachable);
 
 	return {
@@ -112,21 +112,21 @@
 		},
 		async runPeerFetches() {
 			for (;;) {
-				await woken.promise;
-				woken = createDeferred<void>();
-				for (let ahead = findAhead(); ahead; ahead = findAhead()) {
-					await fetchFrom(ahead);
+				await wakeSignal.promise;
+				wakeSignal = createDeferred<void>();
+				for (let peerAhead = findPeerAhead(); peerAhead; peerAhead = findPeerAhead()) {
+					await fetchFrom(peerAhead);
 				}
 			}
 		},
 		wake() {
-			woken.resolve();
+			wakeSignal.resolve();
 		},
 		async untilCaughtUp() {
 			await firstRead.promise;
 			const until = performance.now() + catchUpLimitMilliseconds;
-			while (!hasHeardAll() && performance.now() < until) {
-				await sleep(lookMilliseconds);
+			while (!isCaughtUpWithPeers() && performance.now() < until) {
+				await sleep(pollIntervalMilliseconds);
 			}
 		},
 	};
--- a/packages/galenakeeld/src/process/claim-sweeper.ts
+++ b/packages/galenakeeld/src/process/claim-sweeper.ts
@@ -1,26 +1,26 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Platform} from '@galenakeel/model/connection/platform-client.js';
-import {claimBuckets, claimPrefixOf, parseClaim} from './claim-row.js';
+import {claimBucketCount, claimPrefixOf, parseClaim} from './claim-row.js';
 
-const rowsInPage = 100;
+const rowsPerPage = 100;
 
 /**
-What the sweep of claims needs from the process.
+Options of the sweep of expired claims.
 */
 export type ClaimSweepOptions = {
 	readonly platform: Platform;
-	/** Time after which a claim is deleted, in milliseconds. */
+	/** Age at which a claim expires and may be deleted, in milliseconds. */
 	readonly retentionMilliseconds: number;
-	/** Pause after each page: the sweep costs at most one read and one write in this time. */
+	/** Pause after each page, in milliseconds: the sweep makes at most one read and one write per pause. */
 	readonly pauseMilliseconds: number;
-	/** Tells whether this instance sweeps a bucket at present. */
-	readonly isOurs: (bucket: number) => boolean;
+	/** Returns whether this instance currently sweeps the bucket. */
+	readonly isOwnBucket: (bucket: number) => boolean;
 };
 
 /**
-Tells whether an instance sweeps a bucket: the buckets go round the listed instances in the order of their names.
+Returns whether an instance sweeps a bucket: buckets are assigned round-robin to the listed instances, sorted by name.
 
-Two instances that see different lists may both sweep a bucket, which only costs a refused transaction.
+Two instances with different lists may both sweep a bucket; the only cost is a refused transaction.
 
 @example
 ```
@@ -33,28 +33,28 @@
 };
 
 /**
-Deletes the lapsed claims of one page.
+Deletes the expired claims of one page.
 
-@returns The key after which the next page begins; `undefined` at the end of the bucket.
+@returns The key after which the next page begins, or `undefined` at the end of the bucket.
 */
 const sweepPage = async (bucket: number, after: string, {platform, retentionMilliseconds}: ClaimSweepOptions): Promise<string | undefined> => {
-	const rows = await platform.scanRows(claimPrefixOf(bucket), rowsInPage, after);
-	const lapsed = rows.filter(row => Date.now() - parseClaim(row).claimedAt >= retentionMilliseconds);
-	if (lapsed.length > 0) {
-		// The condition keeps a row that was claimed anew since it was read. What is not deleted now falls to the next round.
-		await platform.transact(lapsed.map(({key, version}) => ({key, version})), lapsed.map(({key}) => ({key})));
+	const rows = await platform.scanRows(claimPrefixOf(bucket), rowsPerPage, after);
+	const expired = rows.filter(row => Date.now() - parseClaim(row).claimedAt >= retentionMilliseconds);
+	if (expired.length > 0) {
+		// The version condition protects a row that was claimed again after it was read. Rows that are not deleted now are left to the next round.
+		await platform.transact(expired.map(({key, version}) => ({key, version})), expired.map(({key}) => ({key})));
 	}
 
-	return rows.length < rowsInPage ? undefined : rows.at(-1)!.key;
+	return rows.length < rowsPerPage ? undefined : rows.at(-1)!.key;
 };
 
 const sweepBucket = async (bucket: number, options: ClaimSweepOptions): Promise<void> => {
 	let after: string | undefined = '';
-	while (after !== undefined && options.isOurs(bucket)) {
+	while (after !== undefined && options.isOwnBucket(bucket)) {
 		try {
 			after = await sweepPage(bucket, after, options);
 		} catch {
-			// The platform is out of reach; the next round comes back to this bucket.
+			// The platform is unreachable; the next round retries this bucket.
 			after = undefined;
 		}
 
@@ -63,7 +63,7 @@
 };
 
 /**
-Deletes claims that are past their retention, bucket by bucket, until the signal aborts.
+Deletes expired claims, bucket by bucket, until the signal is aborted.
 
 @example
 ```
@@ -71,11 +71,11 @@
 ```
 */
 export const runClaimSweep = async (options: ClaimSweepOptions, signal: AbortSignal): Promise<void> => {
-	for (let bucket = 0; !signal.aborted; bucket = (bucket + 1) % claimBuckets) {
-		if (options.isOurs(bucket)) {
+	for (let bucket = 0; !signal.aborted; bucket = (bucket + 1) % claimBucketCount) {
+		if (options.isOwnBucket(bucket)) {
 			await sweepBucket(bucket, options);
 		} else if (bucket === 0) {
-			// An instance without any bucket waits like the others.
+			// Without this pause, an instance that owns no bucket would loop without waiting.
 			await sleep(options.pauseMilliseconds, undefined, {ref: false});
 		}
 	}
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -44,26 +44,26 @@
 import {createSharedTurns} from './shared-turns.js';
 import {createSubmissionRegister} from './submission-register.js';
 
-const sweepMilliseconds = 20;
+const dispatcherSweepMilliseconds = 20;
 const peerSweepMilliseconds = 50;
 const connectMilliseconds = 200;
-/** Each daemon reads the list of instances at least as often, however many there are. */
-const longestListRoundMilliseconds = 10_000;
-/** Each daemon reads the catalogue's version at least as often. */
-const longestCatalogueRoundMilliseconds = 2000;
+/** Each daemon reads the list of instances at least this often, regardless of the number of instances. */
+const maximumListRoundMilliseconds = 10_000;
+/** Each daemon reads the catalogue's version at least this often. */
+const maximumCatalogueRoundMilliseconds = 2000;
 const slowSweepMilliseconds = 500;
-const farewellMilliseconds = 50;
+const finalHeartbeatMilliseconds = 50;
 
 /**
 A running daemon.
 */
 export type Daemon = {
-	/** Leaves the fleet: finishes every request and job, then stops. Resolves with the number of requests that the limit cut. */
+	/** Leaves the fleet: finishes every request and job, then stops. Resolves with the number of requests and jobs that were interrupted at the drain limit. */
 	readonly leave: () => Promise<number>;
 };
 
 /**
-Starts a daemon: reads the documents, joins its peers, and takes requests.
+Starts a daemon, which reads the documents, connects to its peers and accepts requests.
 
 @throws An error of the operating system when an address of the settings can't be bound.
 
@@ -162,7 +162,7 @@
 		membership,
 		directory,
 		log,
-		turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestCatalogueRoundMilliseconds}),
+		turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: maximumCatalogueRoundMilliseconds}),
 		retryMilliseconds: settings.platform.pollMilliseconds,
 		peerCallMilliseconds: settings.peers.callTimeoutMilliseconds,
 		onNewCatalogue: heartbeats.announce,
@@ -187,7 +187,7 @@
 	};
 
 	const observed = {observe: observation.observe, openTrace: observation.tracing.openTrace, noteRepeat: observation.records.noteRepeat};
-	const submissionRun: SubmissionContext = {
+	const submissionContext: SubmissionContext = {
 		self,
 		register,
 		claim: claims.claim,
@@ -209,7 +209,7 @@
 			register.issue(identifier);
 			return identifier;
 		},
-		submit: async submission => submit(submission, submissionRun),
+		submit: async submission => submit(submission, submissionContext),
 		inspect: async (identifier, isCancelled) => inspectSubmission(identifier, isCancelled, {
 			self, register, findHolder: claims.findHolder, inspectRemote: holders.inspect,
 		}),
@@ -224,7 +224,7 @@
 		onHeartbeat,
 		openHeartbeats: heartbeats.open,
 		onStreamEnded: peerWatch.suspect,
-		submit: async submission => submit(submission, submissionRun),
+		submit: async submission => submit(submission, submissionContext),
 		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
 		lendSlots(request) {
 			contact(request.borrower);
@@ -251,7 +251,7 @@
 		findRecord: observation.records.find,
 		setLogLevel(level) {
 			log.level = level;
-			log.warn({event: LogEvent.LogLevelChanged, level}, 'an operator changed the level of the log');
+			log.warn({event: LogEvent.LogLevelChanged, level}, 'an operator changed the log level');
 		},
 	});
 
@@ -259,21 +259,21 @@
 		await watch.untilCaughtUp();
 		membership.enter(InstanceState.Serving);
 		heartbeats.announce();
-		log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon takes requests');
+		log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon is ready and accepts requests');
 	};
 
 	void runInstanceWatch({
-		platform, membership, log, turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestListRoundMilliseconds}), onList: directory.connect,
+		platform, membership, log, turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: maximumListRoundMilliseconds}), onList: directory.connect,
 	});
 	const stopClaimSweep = new AbortController();
 	void runClaimSweep({
-		platform, ...settings.claims, pauseMilliseconds: settings.claims.sweepMilliseconds, isOurs: bucket => isBucketOwner(bucket, self.instance, membership.listedPeers().map(({name}) => name)),
+		platform, ...settings.claims, pauseMilliseconds: settings.claims.sweepMilliseconds, isOwnBucket: bucket => isBucketOwner(bucket, self.instance, membership.listedPeers().map(({name}) => name)),
 	}, stopClaimSweep.signal);
 	void watch.runPlatformReads();
 	void watch.runPeerFetches();
 	void serve();
-	const sweeps = [
-		setInterval(dispatchers.sweep, sweepMilliseconds),
+	const sweepTimers = [
+		setInterval(dispatchers.sweep, dispatcherSweepMilliseconds),
 		setInterval(peerWatch.sweep, peerSweepMilliseconds),
 		setInterval(directory.connect, connectMilliseconds),
 		setInterval(() => {
@@ -285,7 +285,7 @@
 
 	return {
 		async leave() {
-			log.info({event: LogEvent.Leaving}, 'the daemon finishes what it has and takes no new connections from the balancer');
+			log.info({event: LogEvent.Leaving}, 'the daemon is leaving: it finishes its requests and jobs and stops accepting connections from the load balancer');
 			membership.enter(InstanceState.Leaving);
 			heartbeats.announce();
 			const cut = await drain({
@@ -293,19 +293,19 @@
 			});
 			membership.yieldSlots();
 			heartbeats.announce();
-			await sleep(farewellMilliseconds);
+			await sleep(finalHeartbeatMilliseconds);
 			directory.close();
 			connections.close();
 			stopClaimSweep.abort();
 			await stopPeers();
 			stopOperators();
-			for (const sweep of sweeps) {
+			for (const sweep of sweepTimers) {
 				clearInterval(sweep);
 			}
 
 			await observation.stop();
 
-			log.info({event: LogEvent.Stopped, cut}, 'the daemon has finished');
+			log.info({event: LogEvent.Stopped, cut}, 'the daemon has stopped');
 			return cut;
 		},
 	};
