--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -19,7 +19,7 @@
 import {isBucketOwner, runClaimSweep} from './claim-sweeper.js';
 import {createCatalogueWatch} from './catalogue-watch.js';
 import {createClaimWriter} from './claim-writer.js';
-import {contactByLending} from './contact-by-lending.js';
+import {recordLenderContact} from './record-lender-contact.js';
 import {createControlMessages} from './control-messages.js';
 import {countPlatformCalls} from './counted-platform.js';
 import type {DaemonSettings} from './daemon-settings.js';
@@ -119,7 +119,7 @@
 	};
 
 	const lendingCalls = createLendingCalls({instance: self.instance, callsOf: instance => directory.callsOf(instance), callTimeoutMilliseconds: settings.peers.callTimeoutMilliseconds});
-	const lending = contactByLending(lendingCalls, contact);
+	const lending = recordLenderContact(lendingCalls, contact);
 
 	const dispatchers = createServiceDispatchers({
 		countOwnedSlots,
--- a/packages/galenakeeld/src/process/contact-by-lending.ts
+++ b/packages/galenakeeld/src/process/record-lender-contact.ts
@@ -10,7 +10,7 @@
 const lending = contactByLending(createLendingCalls(options), membership.contact);
 ```
 */
-export const contactByLending = (calls: LendingCalls, onContact: (instance: string) => void): LendingCalls => ({
+export const recordLenderContact = (calls: LendingCalls, onContact: (instance: string) => void): LendingCalls => ({
 	...calls,
 	async borrowSlots(lender, service, request) {
 		const reply = await calls.borrowSlots(lender, service, request);
