--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -109,7 +109,7 @@
 When('the endpoint fails every task that it gets for {int} ms', function (this: GuardWorld, duration: number) {
 	this.attempts = 0;
 	for (let now = 0; now < duration; now += 10) {
-		this.guard.look(now);
+		this.guard.allowProbe(now);
 		if (this.guard.state() !== GuardState.Open) {
 			this.attempts++;
 			this.guard.record(AttemptResult.ServerError, now);
@@ -134,7 +134,7 @@
 });
 
 When('the endpoint is found frozen at {int} ms', function (this: GuardWorld, at: number) {
-	this.guard.freeze(at);
+	this.guard.markFrozen(at);
 });
 
 When('{int} tasks start and each asks to be retried', function (this: GuardWorld, count: number) {
@@ -153,7 +153,7 @@
 });
 
 Then('the breaker is {string} at {int} ms', function (this: GuardWorld, state: string, at: number) {
-	this.guard.look(at);
+	this.guard.allowProbe(at);
 	assert.equal(this.guard.state(), state);
 });
 
--- a/packages/galenakeeld/src/process/endpoint-guard.ts
+++ b/packages/galenakeeld/src/process/endpoint-guard.ts
@@ -18,9 +18,9 @@
 export type EndpointGuard = {
 	readonly record: (result: AttemptResult, now: number) => void;
 	/** Opens the breaker because nothing has been answered for too long. */
-	readonly freeze: (now: number) => void;
+	readonly markFrozen: (now: number) => void;
 	/** Lets a probe through when it is due. */
-	readonly look: (now: number) => void;
+	readonly allowProbe: (now: number) => void;
 	readonly state: () => GuardState;
 	/** Why the breaker is not closed. */
 	readonly reason: () => GuardReason;
@@ -59,7 +59,7 @@
 	let failuresInRow = 0;
 	let answersInRow = 0;
 	let failureShare = 0;
-	let opened = 0;
+	let probationExponent = 0;
 	let probeAt = 0;
 	let answeredAt = -Infinity;
 
@@ -67,9 +67,9 @@
 		const {probationMilliseconds} = limits();
 		state = GuardState.Open;
 		reason = cause;
-		probeAt = now + Math.min(maximumProbationMilliseconds, probationMilliseconds * (probationGrowth ** opened));
+		probeAt = now + Math.min(maximumProbationMilliseconds, probationMilliseconds * (probationGrowth ** probationExponent));
 		// A frozen endpoint needs no longer probation: its probe hangs until the time-out.
-		opened += cause === GuardReason.Frozen ? 0 : 1;
+		probationExponent += cause === GuardReason.Frozen ? 0 : 1;
 	};
 
 	const close = (): void => {
@@ -83,7 +83,7 @@
 		answersInRow++;
 		failureShare -= failureSmoothing * failureShare;
 		if (answersInRow >= answersToForget) {
-			opened = 0;
+			probationExponent = 0;
 		}
 
 		// A late answer of a task from before says nothing about an endpoint that fails what it starts now.
@@ -114,12 +114,12 @@
 				fail(result === AttemptResult.ServerError ? GuardReason.ServerErrors : GuardReason.NoAnswers, now);
 			}
 		},
-		freeze(now) {
+		markFrozen(now) {
 			if (state !== GuardState.Open) {
 				open(GuardReason.Frozen, now);
 			}
 		},
-		look(now) {
+		allowProbe(now) {
 			if (state === GuardState.Open && now >= probeAt) {
 				state = GuardState.HalfOpen;
 			}
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -146,7 +146,7 @@
 		for (const run of silent) {
 			const guard = guardOf(run[0].endpoint.address);
 			if (guard.state() === GuardState.Closed && !isSilenceOfTasks(run, answering, silent.length)) {
-				guard.freeze(now);
+				guard.markFrozen(now);
 			}
 		}
 	};
@@ -165,7 +165,7 @@
 		sweep(now) {
 			freezeSilent(now);
 			for (const [address, guard] of guards) {
-				guard.look(now);
+				guard.allowProbe(now);
 				apply(address, guard);
 			}
 		},
