--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -16,7 +16,7 @@
 /** Share of tasks that are overdue by the definition of the longest run time, a 99th percentile. */
 const expectedOverdueShare = 0.01;
 /** Probability below which it is no chance that every overdue task of an endpoint is merely long. */
-const chanceOfLongTasks = 0.01;
+const longTasksSignificance = 0.01;
 
 /**
 The circuit breakers of one service's endpoints.
@@ -132,20 +132,20 @@
 	/**
 	Tells whether the silence of an endpoint may come from long tasks: none of several answers, or as many tasks are overdue where answers come that those of the endpoint may be long by chance, each on its own.
 	*/
-	const isSilenceOfTasks = ([, {overdue}]: EndpointEntry, answering: readonly EndpointEntry[], silent: number): boolean => {
+	const isExplainedByLongTasks = ([, {overdue}]: EndpointEntry, answering: readonly EndpointEntry[], silent: number): boolean => {
 		const used = ledger.inUse().length;
 		return answering.length === 0
 			? used > 1 && silent >= used
-			: Math.max(expectedOverdueShare, overdueShareOf(answering)) ** overdue > chanceOfLongTasks;
+			: Math.max(expectedOverdueShare, overdueShareOf(answering)) ** overdue > longTasksSignificance;
 	};
 
-	const freezeSilent = (now: number): void => {
+	const detectFrozen = (now: number): void => {
 		const runs = [...running.byEndpoint(now)];
 		const silent = runs.filter(run => isSilent(run, now));
 		const answering = runs.filter(run => !silent.includes(run));
 		for (const run of silent) {
 			const guard = guardOf(run[0].endpoint.address);
-			if (guard.state() === GuardState.Closed && !isSilenceOfTasks(run, answering, silent.length)) {
+			if (guard.state() === GuardState.Closed && !isExplainedByLongTasks(run, answering, silent.length)) {
 				guard.markFrozen(now);
 			}
 		}
@@ -163,7 +163,7 @@
 			}
 		},
 		sweep(now) {
-			freezeSilent(now);
+			detectFrozen(now);
 			for (const [address, guard] of guards) {
 				guard.allowProbe(now);
 				apply(address, guard);
