--- a/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -28,8 +28,8 @@
 };
 
 const exchange = ({lender, borrower}: LeasesWorld, request: SlotRequest, now: number): void => {
-	const leases = lender.lent.lend('borrower', borrower.held.needed('lender'), request, now);
-	borrower.held.hold('lender', leases, now + leaseMilliseconds);
+	const leases = lender.lent.lend('borrower', borrower.held.leasesToRenew('lender'), request, now);
+	borrower.held.replaceLeases('lender', leases, now + leaseMilliseconds);
 };
 
 const choose = ({borrower}: LeasesWorld, workMilliseconds: number, now: number): boolean => {
@@ -85,7 +85,7 @@
 });
 
 When('the borrower gives back what is idle', function (this: LeasesWorld) {
-	this.lender.lent.takeBack('borrower', this.borrower.held.release('lender'));
+	this.lender.lent.takeBack('borrower', this.borrower.held.releaseIdle('lender'));
 });
 
 When('{int} ms have passed', function (this: LeasesWorld, now: number) {
--- a/packages/galenakeeld/src/process/held-slots.ts
+++ b/packages/galenakeeld/src/process/held-slots.ts
@@ -16,11 +16,11 @@
 */
 export type HeldSlots = {
 	/** Replaces what is held from a lender by what it granted. */
-	readonly hold: (lender: string, leases: readonly SlotLease[], until: number) => void;
+	readonly replaceLeases: (lender: string, leases: readonly SlotLease[], until: number) => void;
 	/** What is held from a lender and was in use since the last call of `hold` for it. */
-	readonly needed: (lender: string) => readonly SlotLease[];
+	readonly leasesToRenew: (lender: string) => readonly SlotLease[];
 	/** Gives up what is held from a lender and not in use, and returns it. */
-	readonly release: (lender: string) => readonly SlotLease[];
+	readonly releaseIdle: (lender: string) => readonly SlotLease[];
 	readonly lenders: () => readonly Holding[];
 	/** Ends the leases that have expired and notes which slots are in use; called at a fixed interval. */
 	readonly sweep: (now: number) => void;
@@ -79,7 +79,7 @@
 		lenders.delete(name);
 	};
 
-	const notePeaks = (lender: Lender, now: number): void => {
+	const recordPeaks = (lender: Lender, now: number): void => {
 		for (const endpoint of lender.counts.keys()) {
 			const busy = busyOf(lender, endpoint);
 			lender.peaks.set(endpoint, Math.max(busy, countOf(lender.peaks, endpoint)));
@@ -89,7 +89,7 @@
 
 	return {
 		leaseMilliseconds,
-		hold(name, leases, until) {
+		replaceLeases(name, leases, until) {
 			const lender = lenders.get(name) ?? {
 				counts: new Map<string, number>(), peaks: new Map<string, number>(), until, idleSince: until,
 			};
@@ -106,11 +106,11 @@
 				lenders.delete(name);
 			}
 		},
-		needed(name) {
+		leasesToRenew(name) {
 			const lender = lenders.get(name);
 			return lender ? [...lender.counts.keys()].map(endpoint => neededOf(lender, endpoint)).filter(({count}) => count > 0) : [];
 		},
-		release(name) {
+		releaseIdle(name) {
 			const lender = lenders.get(name);
 			if (!lender) {
 				return [];
@@ -132,7 +132,7 @@
 		lenders: () => [...lenders].map(([lender, {until, idleSince}]) => ({lender, until, idleSince})),
 		sweep(now) {
 			for (const [name, lender] of lenders) {
-				notePeaks(lender, now);
+				recordPeaks(lender, now);
 				if (now >= lender.until) {
 					end(name, lender);
 				}
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -154,11 +154,11 @@
 
 	const askOnce = async (lender: Peer, wanted: SlotRequest): Promise<void> => {
 		pay();
-		const held = leases.needed(lender.instance);
+		const held = leases.leasesToRenew(lender.instance);
 		const sentAt = performance.now();
 		const reply = await options.ask(lender, {...wanted, held, teams: options.teams()});
 		if (reply) {
-			leases.hold(lender.instance, reply.leases, sentAt + reply.leaseMilliseconds);
+			leases.replaceLeases(lender.instance, reply.leases, sentAt + reply.leaseMilliseconds);
 			options.learn(lender.instance, reply.teams);
 			options.onBorrowed();
 		}
@@ -182,7 +182,7 @@
 	};
 
 	const giveBack = async (lender: Peer): Promise<void> => {
-		const returned = leases.release(lender.instance);
+		const returned = leases.releaseIdle(lender.instance);
 		if (returned.length > 0) {
 			pay();
 			await options.giveBack(lender, returned);
