--- a/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
@@ -109,7 +109,7 @@
 			borrower: instance, service, held: [...held], teams: [...loads], ...wanted,
 		})),
 		returnSlots: async (lender, _service, leases) => call(lender, dispatchers => {
-			dispatchers.serviceOf(service)!.lent.takeBack(instance, leases);
+			dispatchers.serviceOf(service)!.lent.reclaim(instance, leases);
 		}),
 	}));
 	for (const instance of world.instances) {
--- a/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -21,7 +21,7 @@
 	return {
 		ledger,
 		lent: createLentSlots(ledger, {
-			leaseMilliseconds, surplus: () => surplus(ledger), surplusWithinQuota: () => surplusWithinQuota(ledger), isShort, onReturn: () => undefined,
+			leaseMilliseconds, surplus: () => surplus(ledger), surplusWithinQuota: () => surplusWithinQuota(ledger), hasShortage: isShort, onReturn: () => undefined,
 		}),
 		held: createHeldSlots(ledger, leaseMilliseconds),
 	};
@@ -85,7 +85,7 @@
 });
 
 When('the borrower gives back what is idle', function (this: LeasesWorld) {
-	this.lender.lent.takeBack('borrower', this.borrower.held.releaseIdle('lender'));
+	this.lender.lent.reclaim('borrower', this.borrower.held.releaseIdle('lender'));
 });
 
 When('{int} ms have passed', function (this: LeasesWorld, now: number) {
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -232,7 +232,7 @@
 		},
 		takeBackSlots({borrower, service, leases}) {
 			contact(borrower);
-			dispatchers.serviceOf(service)?.lent.takeBack(borrower, leases);
+			dispatchers.serviceOf(service)?.lent.reclaim(borrower, leases);
 		},
 		documentsAbove: version => ({
 			catalogueVersion: catalogue.catalogueVersion(),
--- a/packages/galenakeeld/src/process/lent-slots.ts
+++ b/packages/galenakeeld/src/process/lent-slots.ts
@@ -23,7 +23,7 @@
 	*/
 	readonly lend: (borrower: string, held: readonly SlotLease[], request: SlotRequest, now: number) => readonly SlotLease[];
 	/** Takes slots back that a borrower no longer needs. */
-	readonly takeBack: (borrower: string, returned: readonly SlotLease[]) => void;
+	readonly reclaim: (borrower: string, returned: readonly SlotLease[]) => void;
 	/** Ends the leases that have expired; called at a fixed interval. */
 	readonly sweep: (now: number) => void;
 	readonly leaseMilliseconds: number;
@@ -49,7 +49,7 @@
 	readonly leaseMilliseconds: number;
 	readonly surplus: () => number;
 	readonly surplusWithinQuota: () => number;
-	readonly isShort: () => boolean;
+	readonly hasShortage: () => boolean;
 	readonly onReturn: () => void;
 }): LentSlots => {
 	const borrowers = new Map<string, Borrower>();
@@ -69,7 +69,7 @@
 	};
 
 	const renew = (borrower: Borrower, held: readonly SlotLease[]): void => {
-		const isShort = options.isShort();
+		const isShort = options.hasShortage();
 		const kept = new Map(held.map(({endpoint, count, busy}) => [endpoint, isShort ? Math.min(count, busy) : count]));
 		for (const endpoint of new Set([...borrower.counts.keys(), ...kept.keys()])) {
 			setLent(borrower, endpoint, countOf(kept, endpoint));
@@ -110,7 +110,7 @@
 			borrower.until = now + options.leaseMilliseconds;
 			return [...borrower.counts].map(([endpoint, lentCount]) => ({endpoint, count: lentCount, busy: 0}));
 		},
-		takeBack(name, returned) {
+		reclaim(name, returned) {
 			const borrower = borrowers.get(name);
 			for (const {endpoint, count} of borrower ? returned : []) {
 				setLent(borrower!, endpoint, Math.max(0, countOf(borrower!.counts, endpoint) - count));
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -127,7 +127,7 @@
 			leaseMilliseconds,
 			surplus: dispatcher.surplus,
 			surplusWithinQuota: dispatcher.surplusWithinQuota,
-			isShort: () => dispatcher.waitingWithinQuota() > 0,
+			hasShortage: () => dispatcher.waitingWithinQuota() > 0,
 			onReturn: dispatcher.startNext,
 		});
 		const held = createHeldSlots(ledger, leaseMilliseconds);
