--- a/packages/galenakeeld/src/process/__tests__/membership.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -117,19 +117,19 @@
 		const leaving = createLeavingEndpoints();
 		const tell = new Map<string, () => void>([
 			['listed live', () => {
-				leaving.list([listedEndpoint(address, '1', ListedState.Live)]);
+				leaving.updateListed([listedEndpoint(address, '1', ListedState.Live)]);
 			}],
 			['listed leaving', () => {
-				leaving.list([listedEndpoint(address, '1', ListedState.Leaving)]);
+				leaving.updateListed([listedEndpoint(address, '1', ListedState.Leaving)]);
 			}],
 			['not listed', () => {
-				leaving.list([]);
+				leaving.updateListed([]);
 			}],
 			['marked by a peer', () => {
-				leaving.hear([`${address}/1`]);
+				leaving.receiveMarks([`${address}/1`]);
 			}],
 			['no longer marked', () => {
-				leaving.hear([]);
+				leaving.receiveMarks([]);
 			}],
 		]);
 		for (const item of order) {
--- a/packages/galenakeeld/src/process/leaving-endpoints.ts
+++ b/packages/galenakeeld/src/process/leaving-endpoints.ts
@@ -3,7 +3,7 @@
 
 const unorderedMarkMilliseconds = 10_000; // Above the lag of the platform's list.
 const unlistedRetentionMilliseconds = 600_000;
-const mostEarlierIncarnations = 16;
+const maximumEarlierIncarnations = 16;
 
 type KnownAddress = {
 	/** Incarnation that the list showed last; `undefined` before it showed one. */
@@ -19,14 +19,14 @@
 What is known of endpoints that are leaving. A mark holds for one incarnation and is never taken back; another incarnation at the same address is open.
 */
 export type LeavingEndpoints = {
-	readonly list: (endpoints: readonly ListedInstance[]) => void;
+	readonly updateListed: (endpoints: readonly ListedInstance[]) => void;
 	/** Takes the marks that a peer announced. */
-	readonly hear: (marks: readonly string[]) => void;
+	readonly receiveMarks: (marks: readonly string[]) => void;
 	/** Marks of incarnations that this instance's own list has shown, in the form `address/incarnation`. */
 	readonly marks: () => readonly string[];
 	readonly isLeaving: (address: string) => boolean;
 	/** Addresses that get no new work, sorted. */
-	readonly closed: () => readonly string[];
+	readonly leavingAddresses: () => readonly string[];
 };
 
 const createKnownAddress = (): KnownAddress => ({
@@ -41,7 +41,7 @@
 /**
 Moves on to an incarnation that the list shows, unless the list has gone back to an earlier one.
 */
-const moveOn = (known: KnownAddress, incarnation: string): void => {
+const advanceIncarnation = (known: KnownAddress, incarnation: string): void => {
 	if (known.current === incarnation || known.earlier.has(incarnation)) {
 		return;
 	}
@@ -50,7 +50,7 @@
 		known.earlier.add(known.current);
 		known.marks.delete(known.current);
 		const [oldest] = known.earlier;
-		if (known.earlier.size > mostEarlierIncarnations) {
+		if (known.earlier.size > maximumEarlierIncarnations) {
 			known.earlier.delete(oldest!);
 		}
 	}
@@ -98,10 +98,10 @@
 	};
 
 	return {
-		list(endpoints) {
+		updateListed(endpoints) {
 			for (const {address, incarnation, state} of endpoints) {
 				const known = knownOf(address);
-				moveOn(known, incarnation);
+				advanceIncarnation(known, incarnation);
 				if (state === ListedState.Leaving && known.current === incarnation) {
 					known.marks.set(incarnation, performance.now());
 				}
@@ -109,7 +109,7 @@
 
 			forgetUnlisted(new Set(endpoints.map(({address}) => address)));
 		},
-		hear(marks) {
+		receiveMarks(marks) {
 			for (const mark of marks) {
 				const [address, incarnation] = splitMark(mark);
 				const known = knownOf(address);
@@ -125,6 +125,6 @@
 			const known = addresses.get(address);
 			return known !== undefined && isClosed(known);
 		},
-		closed: () => [...addresses].filter(([, known]) => isClosed(known)).map(([address]) => address).toSorted(),
+		leavingAddresses: () => [...addresses].filter(([, known]) => isClosed(known)).map(([address]) => address).toSorted(),
 	};
 };
--- a/packages/galenakeeld/src/process/membership.ts
+++ b/packages/galenakeeld/src/process/membership.ts
@@ -135,7 +135,7 @@
 	};
 
 	const lookAtClosedEndpoints = (): void => {
-		const closed = leaving.closed().join(' ');
+		const closed = leaving.leavingAddresses().join(' ');
 		if (closed !== closedEndpoints) {
 			closedEndpoints = closed;
 			options.onEndpointsLeaving();
@@ -160,7 +160,7 @@
 			put({
 				...joinHeartbeats(before, heartbeat), heardAt, contactedAt: heardAt, isReachable: true,
 			});
-			leaving.hear(heartbeat.leavingEndpoints);
+			leaving.receiveMarks(heartbeat.leavingEndpoints);
 			lookAtClosedEndpoints();
 		},
 		contact(instance) {
@@ -178,7 +178,7 @@
 		forgiveSilence,
 		list(listed) {
 			listedPeers = listed.filter(({role, name}) => role === InstanceRole.Entry && name !== self.instance);
-			leaving.list(listed.filter(({role}) => role === InstanceRole.Endpoint));
+			leaving.updateListed(listed.filter(({role}) => role === InstanceRole.Endpoint));
 			lookAtClosedEndpoints();
 			for (const [instance, peer] of peers) {
 				if (!peer.isReachable && !listedPeers.some(({name}) => name === instance)) {
