--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -35,7 +35,7 @@
 
 @param longestMilliseconds Longest run time to be expected of the task on the endpoint.
 */
-export const resultOf = (attempt: AttemptReport, longestMilliseconds: number): AttemptResult | undefined => {
+export const attemptResultOf = (attempt: AttemptReport, longestMilliseconds: number): AttemptResult | undefined => {
 	if (attempt.fault === undefined) {
 		return attempt.isSuccess ? AttemptResult.Answered : AttemptResult.ServerError;
 	}
@@ -155,7 +155,7 @@
 		report(attempt, now) {
 			const {address} = attempt.endpoint;
 			const slots = ledger.slotsOf(address);
-			const result = slots && resultOf(attempt, options.longestRun(slots, attempt.kind));
+			const result = slots && attemptResultOf(attempt, options.longestRun(slots, attempt.kind));
 			if (result) {
 				const guard = guardOf(address);
 				guard.record(result, now);
--- a/packages/galenakeeld/src/process/lending-calls.ts
+++ b/packages/galenakeeld/src/process/lending-calls.ts
@@ -7,7 +7,7 @@
 import type {SlotLease} from './slot-lease.js';
 
 /** A lender that takes longer is no help to a task that lasts well under a second. */
-const longestCallMilliseconds = 250;
+const maximumCallMilliseconds = 250;
 
 /**
 Calls that borrow slots of peers and give them back; neither throws.
@@ -29,7 +29,7 @@
 	readonly callTimeoutMilliseconds: number;
 }): LendingCalls => {
 	const borrower = options.instance;
-	const timeoutMilliseconds = Math.min(longestCallMilliseconds, options.callTimeoutMilliseconds);
+	const timeoutMilliseconds = Math.min(maximumCallMilliseconds, options.callTimeoutMilliseconds);
 	return {
 		async borrowSlots(lender, service, {held, count, withinQuota, teams}) {
 			try {
