--- a/packages/galenakeeld/src/process/retry-budget.ts
+++ b/packages/galenakeeld/src/process/retry-budget.ts
@@ -10,7 +10,7 @@
 	/** Tells whether a task may be sent again, and spends one retry if so. */
 	readonly spend: () => boolean;
 	/** Retries that may be spent now. */
-	readonly left: () => number;
+	readonly remaining: () => number;
 };
 
 /**
@@ -39,6 +39,6 @@
 			retries -= 1 + share();
 			return true;
 		},
-		left: () => Math.max(0, Math.floor(retries)),
+		remaining: () => Math.max(0, Math.floor(retries)),
 	};
 };
