--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -136,14 +136,14 @@
 			held,
 			shortfall: dispatcher.shortfall,
 			teams: loads.largest,
-			learn(lender, teams) {
+			onTeamLoads(lender, teams) {
 				loads.learn(lender, teams, performance.now());
 			},
 			started: dispatcher.started,
 			peers: options.peers,
-			hintOf: peer => hintOf(peer)?.free ?? 0,
+			advertisedFreeOf: peer => hintOf(peer)?.free ?? 0,
 			isBusy: peer => loads.over().size > 0 && (hintOf(peer)?.waiting ?? 0) > 0,
-			ask: async (lender, request) => options.borrowSlots(lender, service, request),
+			requestSlots: async (lender, request) => options.borrowSlots(lender, service, request),
 			giveBack: async (lender, returned) => options.returnSlots(lender, service, returned),
 			onBorrowed: dispatcher.startNext,
 		});
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -82,12 +82,12 @@
 	readonly held: HeldSlots;
 	readonly shortfall: () => SlotRequest;
 	readonly teams: () => readonly TeamLoad[];
-	readonly learn: (lender: string, teams: readonly TeamLoad[]) => void;
+	readonly onTeamLoads: (lender: string, teams: readonly TeamLoad[]) => void;
 	readonly started: () => number;
 	readonly peers: () => readonly Peer[];
-	readonly hintOf: (peer: Peer) => number;
+	readonly advertisedFreeOf: (peer: Peer) => number;
 	readonly isBusy: (peer: Peer) => boolean;
-	readonly ask: (lender: Peer, request: BorrowRequest) => Promise<LendReply | undefined>;
+	readonly requestSlots: (lender: Peer, request: BorrowRequest) => Promise<LendReply | undefined>;
 	readonly giveBack: (lender: Peer, returned: readonly SlotLease[]) => Promise<void>;
 	readonly onBorrowed: () => void;
 }): SlotBorrower => {
@@ -127,7 +127,7 @@
 	/** The newer of the last heartbeat's hint and the last reply's. */
 	const freeOf = (peer: Peer): number => {
 		const record = recordOf(peer);
-		return record.learnedAt > peer.heardAt ? record.free : options.hintOf(peer);
+		return record.learnedAt > peer.heardAt ? record.free : options.advertisedFreeOf(peer);
 	};
 
 	/**
@@ -140,7 +140,7 @@
 			.toSorted((first, second) => freeOf(second) - freeOf(first));
 	};
 
-	const learn = (lender: Peer, reply: LendReply | undefined, isGranted: boolean): void => {
+	const recordReply = (lender: Peer, reply: LendReply | undefined, isGranted: boolean): void => {
 		const record = recordOf(lender);
 		record.free = reply?.stillFree ?? 0;
 		record.learnedAt = performance.now();
@@ -156,15 +156,15 @@
 		pay();
 		const held = leases.leasesToRenew(lender.instance);
 		const sentAt = performance.now();
-		const reply = await options.ask(lender, {...wanted, held, teams: options.teams()});
+		const reply = await options.requestSlots(lender, {...wanted, held, teams: options.teams()});
 		if (reply) {
 			leases.replaceLeases(lender.instance, reply.leases, sentAt + reply.leaseMilliseconds);
-			options.learn(lender.instance, reply.teams);
+			options.onTeamLoads(lender.instance, reply.teams);
 			options.onBorrowed();
 		}
 
 		if (wanted.count > 0) {
-			learn(lender, reply, reply !== undefined && sizeOf(reply.leases) > sizeOf(held));
+			recordReply(lender, reply, reply !== undefined && sizeOf(reply.leases) > sizeOf(held));
 		}
 	};
 
@@ -181,7 +181,7 @@
 		}
 	};
 
-	const giveBack = async (lender: Peer): Promise<void> => {
+	const returnIdle = async (lender: Peer): Promise<void> => {
 		const returned = leases.releaseIdle(lender.instance);
 		if (returned.length > 0) {
 			pay();
@@ -198,7 +198,7 @@
 			}
 
 			if (now - idleSince > idleMilliseconds) {
-				await giveBack(peer);
+				await returnIdle(peer);
 			} else if (until - now < leases.leaseMilliseconds * renewalShare) {
 				await askOnce(peer, options.shortfall());
 			}
