--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -11,9 +11,9 @@
 const requestsPerTask = 0.015;
 /** Requests a second that are allowed however few tasks start. */
 const requestsPerSecond = 1;
-const maximumSavedRequests = 20;
-const shortestPauseMilliseconds = 5;
-const firstBackOffMilliseconds = 40;
+const maximumRequestTokens = 20;
+const minimumPauseMilliseconds = 5;
+const initialBackOffMilliseconds = 40;
 const maximumBackOffMilliseconds = 1000;
 /** Time after which slots that are not in use are given back. */
 const idleMilliseconds = 250;
@@ -95,20 +95,20 @@
 	const records = new Map<string, LenderRecord>();
 	let woken = createDeferred<void>();
 	let requests = 0;
-	let saved = maximumSavedRequests;
-	let paidTasks = 0;
-	let paidAt = performance.now();
+	let requestTokens = maximumRequestTokens;
+	let refilledTasks = 0;
+	let refilledAt = performance.now();
 
-	const collect = (): void => {
+	const refillTokens = (): void => {
 		const now = performance.now();
-		const earned = (requestsPerTask * (options.started() - paidTasks)) + (requestsPerSecond * (now - paidAt) / 1000);
-		saved = Math.min(maximumSavedRequests, saved + earned);
-		paidTasks = options.started();
-		paidAt = now;
+		const earned = (requestsPerTask * (options.started() - refilledTasks)) + (requestsPerSecond * (now - refilledAt) / 1000);
+		requestTokens = Math.min(maximumRequestTokens, requestTokens + earned);
+		refilledTasks = options.started();
+		refilledAt = now;
 	};
 
-	const pay = (): void => {
-		saved--;
+	const spendToken = (): void => {
+		requestTokens--;
 		requests++;
 	};
 
@@ -116,7 +116,7 @@
 		let record = records.get(peer.instance);
 		if (!record) {
 			record = {
-				free: 0, learnedAt: -Infinity, backOffMilliseconds: firstBackOffMilliseconds, askAt: 0,
+				free: 0, learnedAt: -Infinity, backOffMilliseconds: initialBackOffMilliseconds, askAt: 0,
 			};
 			records.set(peer.instance, record);
 		}
@@ -145,7 +145,7 @@
 		record.free = reply?.stillFree ?? 0;
 		record.learnedAt = performance.now();
 		if (isGranted) {
-			record.backOffMilliseconds = firstBackOffMilliseconds;
+			record.backOffMilliseconds = initialBackOffMilliseconds;
 		} else {
 			record.askAt = record.learnedAt + record.backOffMilliseconds;
 			record.backOffMilliseconds = Math.min(maximumBackOffMilliseconds, record.backOffMilliseconds * 2);
@@ -153,7 +153,7 @@
 	};
 
 	const askOnce = async (lender: Peer, wanted: SlotRequest): Promise<void> => {
-		pay();
+		spendToken();
 		const held = leases.leasesToRenew(lender.instance);
 		const sentAt = performance.now();
 		const reply = await options.requestSlots(lender, {...wanted, held, teams: options.teams()});
@@ -171,7 +171,7 @@
 	const borrow = async (): Promise<void> => {
 		for (const lender of candidates(options.shortfall())) {
 			const shortfall = options.shortfall();
-			if (shortfall.count === 0 || saved < 1) {
+			if (shortfall.count === 0 || requestTokens < 1) {
 				return;
 			}
 
@@ -184,7 +184,7 @@
 	const returnIdle = async (lender: Peer): Promise<void> => {
 		const returned = leases.releaseIdle(lender.instance);
 		if (returned.length > 0) {
-			pay();
+			spendToken();
 			await options.giveBack(lender, returned);
 		}
 	};
@@ -216,10 +216,10 @@
 			for (;;) {
 				await woken.promise;
 				woken = createDeferred<void>();
-				collect();
+				refillTokens();
 				await renew();
 				await borrow();
-				await sleep(shortestPauseMilliseconds);
+				await sleep(minimumPauseMilliseconds);
 			}
 		},
 		requests: () => requests,
