--- a/packages/galenakeeld/src/process/quota-reserve.ts
+++ b/packages/galenakeeld/src/process/quota-reserve.ts
@@ -53,7 +53,7 @@
 	readonly order: Pick<WaitingOrder, 'size' | 'count' | 'countOf' | 'work'>;
 	readonly loads: Pick<TeamLoads, 'over' | 'quotaOf'>;
 }): QuotaReserve => {
-	const within = createSlotDemand();
+	const demandWithinQuota = createSlotDemand();
 	const busy = new Map<string, number>();
 	let owned = 0;
 	const queue = createStandingQueue(performance.now());
@@ -70,17 +70,17 @@
 	const busyOf = (team: string): number => busy.get(team) ?? 0;
 
 	/** Own slots that teams over their quota may hold whatever the others need. */
-	const assured = (): number => assuredQuotaShare * owned * sumOver(loads.quotaOf);
+	const assuredSlots = (): number => assuredQuotaShare * owned * sumOver(loads.quotaOf);
 
 	const workOf = (team: string): number => order.work(TaskLength.Short, team) + order.work(TaskLength.Long, team);
 
-	const busyOver = (): number => sumOver(busyOf);
+	const busyOverQuota = (): number => sumOver(busyOf);
 
-	const waitingWithin = (length?: TaskLength): number =>
+	const waitingWithinQuota = (length?: TaskLength): number =>
 		(length === undefined ? order.size() : order.count(length)) - sumOver(team => order.countOf(team, length));
 
 	/** Slots needed for the teams within their quota, and by the others as far as their quota goes. */
-	const needed = (deviations?: number): number => within.target(deviations) + Math.min(assured(), sumOver(team => busyOf(team) + order.countOf(team)));
+	const neededSlots = (deviations?: number): number => demandWithinQuota.target(deviations) + Math.min(assuredSlots(), sumOver(team => busyOf(team) + order.countOf(team)));
 
 	const countOwned = (): number => {
 		let count = 0;
@@ -92,9 +92,9 @@
 	};
 
 	/** Slots that teams over their quota may hold. */
-	const limit = (): number => Math.max(1, Math.floor(assured()), ledger.usable() - Math.ceil(within.target(reserveDeviations)));
+	const overQuotaLimit = (): number => Math.max(1, Math.floor(assuredSlots()), ledger.usable() - Math.ceil(demandWithinQuota.target(reserveDeviations)));
 
-	const mayStart = (team: string): boolean => !loads.over().has(team) || busyOver() < limit();
+	const mayStart = (team: string): boolean => !loads.over().has(team) || busyOverQuota() < overQuotaLimit();
 
 	return {
 		mayStart,
@@ -109,29 +109,29 @@
 				}
 			};
 		},
-		waitingWithin,
+		waitingWithin: waitingWithinQuota,
 		limitLoad(team, load) {
 			if (loads.over().size === 0) {
 				return load;
 			}
 
 			if (loads.over().has(team)) {
-				return {...load, free: mayStart(team) ? load.free : 0, capacity: load.capacity * Math.min(1, limit() / Math.max(1, ledger.usable()))};
+				return {...load, free: mayStart(team) ? load.free : 0, capacity: load.capacity * Math.min(1, overQuotaLimit() / Math.max(1, ledger.usable()))};
 			}
 
 			const waitingWork = Math.max(load.teamWork, load.waitingWork - sumOver(workOf));
 			return {...load, waitingWork, isStanding: queue.isStanding(performance.now())};
 		},
 		shortfall() {
-			return loads.over().size === 0 ? 0 : Math.max(0, ledger.free() > 0 ? 0 : waitingWithin(), Math.ceil(needed() - ledger.usable()));
+			return loads.over().size === 0 ? 0 : Math.max(0, ledger.free() > 0 ? 0 : waitingWithinQuota(), Math.ceil(neededSlots() - ledger.usable()));
 		},
 		surplus() {
-			return loads.over().size === 0 || waitingWithin() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - needed(lendingDeviations))));
+			return loads.over().size === 0 || waitingWithinQuota() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - neededSlots(lendingDeviations))));
 		},
 		sweep(capacity, maximumQueueMilliseconds) {
 			const work = order.work(TaskLength.Short) - sumOver(team => order.work(TaskLength.Short, team));
 			queue.observe(work / capacity, maximumQueueMilliseconds, performance.now());
-			within.observe(ledger.busy() - busyOver() + waitingWithin());
+			demandWithinQuota.observe(ledger.busy() - busyOverQuota() + waitingWithinQuota());
 			owned = loads.over().size === 0 ? 0 : countOwned();
 		},
 	};
