--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -24,7 +24,7 @@
 	world.ledger.install([{...endpoint, address}, {...endpoint, address: otherAddress}], new Map([[address, 8]]), 1);
 	const slots = world.ledger.slotsOf(address)!;
 	for (let task = 0; task < count; task++) {
-		world.ledger.take(slots);
+		world.ledger.acquire(slots);
 		running.add({
 			slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
 		});
--- a/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -69,7 +69,7 @@
 
 When('the borrower runs {int} tasks', function (this: LeasesWorld, count: number) {
 	for (let number = 0; number < count; number++) {
-		this.grants.push(this.borrower.ledger.take(this.borrower.ledger.slotsOf(address)!));
+		this.grants.push(this.borrower.ledger.acquire(this.borrower.ledger.slotsOf(address)!));
 	}
 });
 
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -142,7 +142,7 @@
 			longestMilliseconds: isMeasured(estimate) ? estimate.percentile99 / speed : Infinity,
 			length: task.length,
 		});
-		const grant = ledger.take(slots);
+		const grant = ledger.acquire(slots);
 		const end = quotas.start(task.team);
 		started++;
 		try {
--- a/packages/galenakeeld/src/process/slot-ledger.ts
+++ b/packages/galenakeeld/src/process/slot-ledger.ts
@@ -52,7 +52,7 @@
 	/** Endpoints of which this instance may use a slot at present, busy or free. */
 	readonly inUse: () => readonly EndpointSlots[];
 	readonly change: (slots: EndpointSlots, change: SlotChange) => void;
-	readonly take: (slots: EndpointSlots) => SlotGrant;
+	readonly acquire: (slots: EndpointSlots) => SlotGrant;
 	/** Slots that this instance may use, busy or free. */
 	readonly usable: () => number;
 	readonly free: () => number;
@@ -171,7 +171,7 @@
 				Object.assign(slots, change);
 			});
 		},
-		take(slots) {
+		acquire(slots) {
 			apply(slots, () => {
 				slots.busy++;
 			});
