--- a/packages/galenakeeld/src/process/lent-slots.ts
+++ b/packages/galenakeeld/src/process/lent-slots.ts
@@ -79,16 +79,16 @@
 	const lendable = (slots: EndpointSlots): number => Math.min(freeSlotsOf(slots), slots.owned - slots.lent);
 
 	const grant = (borrower: Borrower, count: number): void => {
-		let open = count;
+		let remaining = count;
 		for (const slots of ledger.inUse().toSorted((first, second) => lendable(second) - lendable(first))) {
-			const part = Math.min(open, lendable(slots));
+			const part = Math.min(remaining, lendable(slots));
 			if (part <= 0) {
 				return;
 			}
 
 			const {address} = slots.endpoint;
 			setLent(borrower, address, countOf(borrower.counts, address) + part);
-			open -= part;
+			remaining -= part;
 		}
 	};
 
