--- a/packages/galenakeeld/src/process/quota-reserve.ts
+++ b/packages/galenakeeld/src/process/quota-reserve.ts
@@ -22,7 +22,7 @@
 	/** Counts a task of a team as running until the function that is returned is called. */
 	readonly start: (team: string) => () => void;
 	/** Waiting tasks of the teams within their quota, of one length or of all. */
-	readonly waitingWithin: (length?: TaskLength) => number;
+	readonly waitingWithinQuota: (length?: TaskLength) => number;
 	/** Corrects what a request meets by the slots that are kept. */
 	readonly limitLoad: (team: string, load: AdmissionLoad) => AdmissionLoad;
 	/** Slots that the teams within their quota lack while others are over theirs. */
@@ -109,7 +109,7 @@
 				}
 			};
 		},
-		waitingWithin: waitingWithinQuota,
+		waitingWithinQuota,
 		limitLoad(team, load) {
 			if (loads.over().size === 0) {
 				return load;
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -220,13 +220,13 @@
 			observeQueues(now, dispatcher.version);
 
 			// Teams over their quota have an unbounded number of tasks waiting, which is no need to keep slots for.
-			share.observe(running.short() + quotas.waitingWithin(TaskLength.Short));
+			share.observe(running.short() + quotas.waitingWithinQuota(TaskLength.Short));
 			demand.observe(ledger.busy() + order.size());
 			quotas.sweep(capacityFor(TaskLength.Short), dispatcher.version.document.maximumQueueMilliseconds);
 		},
 		quotas,
 		waiting: () => order.size(),
-		waitingWithinQuota: () => quotas.waitingWithin(),
+		waitingWithinQuota: () => quotas.waitingWithinQuota(),
 		started: () => started,
 		shortfall() {
 			const waiting = ledger.free() > 0 ? 0 : order.count(TaskLength.Short) + Math.max(0, Math.min(order.count(TaskLength.Long), longLeft()));
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -144,7 +144,7 @@
 			advertisedFreeOf: peer => hintOf(peer)?.free ?? 0,
 			isBusy: peer => loads.over().size > 0 && (hintOf(peer)?.waiting ?? 0) > 0,
 			requestSlots: async (lender, request) => options.borrowSlots(lender, service, request),
-			giveBack: async (lender, returned) => options.returnSlots(lender, service, returned),
+			returnSlots: async (lender, returned) => options.returnSlots(lender, service, returned),
 			onBorrowed: dispatcher.startNext,
 		});
 		if (options.policy === PlacementPolicy.SharesWithBorrowing) {
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -88,7 +88,7 @@
 	readonly advertisedFreeOf: (peer: Peer) => number;
 	readonly isBusy: (peer: Peer) => boolean;
 	readonly requestSlots: (lender: Peer, request: BorrowRequest) => Promise<LendReply | undefined>;
-	readonly giveBack: (lender: Peer, returned: readonly SlotLease[]) => Promise<void>;
+	readonly returnSlots: (lender: Peer, returned: readonly SlotLease[]) => Promise<void>;
 	readonly onBorrowed: () => void;
 }): SlotBorrower => {
 	const {held: leases} = options;
@@ -185,7 +185,7 @@
 		const returned = leases.releaseIdle(lender.instance);
 		if (returned.length > 0) {
 			spendToken();
-			await options.giveBack(lender, returned);
+			await options.returnSlots(lender, returned);
 		}
 	};
 
