--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -12,7 +12,7 @@
 
 const address = '127.0.0.1:8080';
 const otherAddress = '127.0.0.1:8081';
-const lookMilliseconds = 750;
+const sweepMilliseconds = 750;
 
 const runTasksOn = (world: GuardWorld, count: number, longestMilliseconds: number): void => {
 	const running = createRunningTasks();
@@ -47,9 +47,9 @@
 	const {endpoint} = this.ledger.slotsOf(otherAddress)!;
 	this.guards.report({
 		endpoint, kind: '', durationMilliseconds: 100, isSuccess: true,
-	}, lookMilliseconds - 1);
+	}, sweepMilliseconds - 1);
 	for (let number = 0; number < running; number++) {
-		const startedAt = number < overdue ? 0 : lookMilliseconds - 1;
+		const startedAt = number < overdue ? 0 : sweepMilliseconds - 1;
 		this.runningTasks.add({
 			slots: this.ledger.slotsOf(otherAddress)!, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
 		});
@@ -64,7 +64,7 @@
 	this.ledger.install(endpoints, new Map(endpoints.map(endpoint => [endpoint.address, 8])), 1);
 	this.runningTasks = createRunningTasks();
 	for (const [number, slots] of [...this.ledger.all()].entries()) {
-		const startedAt = number < silent ? 0 : lookMilliseconds - 1;
+		const startedAt = number < silent ? 0 : sweepMilliseconds - 1;
 		this.runningTasks.add({
 			slots, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
 		});
@@ -76,7 +76,7 @@
 });
 
 When('the guards look at the endpoints', function (this: GuardWorld) {
-	this.guards.sweep(lookMilliseconds);
+	this.guards.sweep(sweepMilliseconds);
 });
 
 Then('{int} endpoints are taken for frozen', function (this: GuardWorld, count: number) {
--- a/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -8,12 +8,12 @@
 
 type Side = {ledger: SlotLedger; lent: LentSlots; held: HeldSlots};
 
-type LeasesWorld = {lender: Side; borrower: Side; needed: number; neededWithinQuota: number; isShort: boolean; grants: SlotGrant[]};
+type LeasesWorld = {lender: Side; borrower: Side; needed: number; neededWithinQuota: number; hasShortage: boolean; grants: SlotGrant[]};
 
 const address = '127.0.0.1:8080';
 const leaseMilliseconds = 3000;
 
-const createSide = (owned: number, surplus: (ledger: SlotLedger) => number, surplusWithinQuota: (ledger: SlotLedger) => number, isShort: () => boolean): Side => {
+const createSide = (owned: number, surplus: (ledger: SlotLedger) => number, surplusWithinQuota: (ledger: SlotLedger) => number, hasShortage: () => boolean): Side => {
 	const ledger = createSlotLedger(() => undefined);
 	ledger.install([{
 		name: 'worker', address, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
@@ -21,7 +21,7 @@
 	return {
 		ledger,
 		lent: createLentSlots(ledger, {
-			leaseMilliseconds, surplus: () => surplus(ledger), surplusWithinQuota: () => surplusWithinQuota(ledger), hasShortage: isShort, onReturn: () => undefined,
+			leaseMilliseconds, surplus: () => surplus(ledger), surplusWithinQuota: () => surplusWithinQuota(ledger), hasShortage, onReturn: () => undefined,
 		}),
 		held: createHeldSlots(ledger, leaseMilliseconds),
 	};
@@ -40,9 +40,9 @@
 Given('a lender with {int} slots and a borrower of an endpoint', function (this: LeasesWorld, slots: number) {
 	this.needed = 0;
 	this.neededWithinQuota = 8;
-	this.isShort = false;
+	this.hasShortage = false;
 	this.grants = [];
-	this.lender = createSide(slots, ledger => Math.max(0, ledger.free() - this.needed), ledger => Math.max(0, ledger.free() - this.neededWithinQuota), () => this.isShort);
+	this.lender = createSide(slots, ledger => Math.max(0, ledger.free() - this.needed), ledger => Math.max(0, ledger.free() - this.neededWithinQuota), () => this.hasShortage);
 	this.borrower = createSide(0, () => 0, () => 0, () => false);
 });
 
@@ -80,7 +80,7 @@
 });
 
 When('the lender is short', function (this: LeasesWorld) {
-	this.isShort = true;
+	this.hasShortage = true;
 	this.needed = 8;
 });
 
--- a/packages/galenakeeld/src/process/leaving-endpoints.ts
+++ b/packages/galenakeeld/src/process/leaving-endpoints.ts
@@ -89,7 +89,7 @@
 		}
 	};
 
-	const isClosed = ({current, marks}: KnownAddress): boolean => {
+	const isCurrentLeaving = ({current, marks}: KnownAddress): boolean => {
 		if (marks.size === 0) {
 			return false;
 		}
@@ -123,8 +123,8 @@
 			.map(([address, {current}]) => `${address}/${current}`),
 		isLeaving(address) {
 			const known = addresses.get(address);
-			return known !== undefined && isClosed(known);
+			return known !== undefined && isCurrentLeaving(known);
 		},
-		leavingAddresses: () => [...addresses].filter(([, known]) => isClosed(known)).map(([address]) => address).toSorted(),
+		leavingAddresses: () => [...addresses].filter(([, known]) => isCurrentLeaving(known)).map(([address]) => address).toSorted(),
 	};
 };
--- a/packages/galenakeeld/src/process/lent-slots.ts
+++ b/packages/galenakeeld/src/process/lent-slots.ts
@@ -69,8 +69,8 @@
 	};
 
 	const renew = (borrower: Borrower, held: readonly SlotLease[]): void => {
-		const isShort = options.hasShortage();
-		const kept = new Map(held.map(({endpoint, count, busy}) => [endpoint, isShort ? Math.min(count, busy) : count]));
+		const hasShortage = options.hasShortage();
+		const kept = new Map(held.map(({endpoint, count, busy}) => [endpoint, hasShortage ? Math.min(count, busy) : count]));
 		for (const endpoint of new Set([...borrower.counts.keys(), ...kept.keys()])) {
 			setLent(borrower, endpoint, countOf(kept, endpoint));
 		}
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -55,7 +55,7 @@
 	readonly requests: () => number;
 };
 
-type LenderRecord = {free: number; learnedAt: number; backOffMilliseconds: number; askAt: number};
+type LenderRecord = {free: number; repliedAt: number; backOffMilliseconds: number; retryAt: number};
 
 /**
 Creates the borrower of one service.
@@ -116,7 +116,7 @@
 		let record = records.get(peer.instance);
 		if (!record) {
 			record = {
-				free: 0, learnedAt: -Infinity, backOffMilliseconds: initialBackOffMilliseconds, askAt: 0,
+				free: 0, repliedAt: -Infinity, backOffMilliseconds: initialBackOffMilliseconds, retryAt: 0,
 			};
 			records.set(peer.instance, record);
 		}
@@ -127,7 +127,7 @@
 	/** The newer of the last heartbeat's hint and the last reply's. */
 	const freeOf = (peer: Peer): number => {
 		const record = recordOf(peer);
-		return record.learnedAt > peer.heardAt ? record.free : options.advertisedFreeOf(peer);
+		return record.repliedAt > peer.heardAt ? record.free : options.advertisedFreeOf(peer);
 	};
 
 	/**
@@ -136,18 +136,18 @@
 	const candidates = (shortfall: SlotRequest): readonly Peer[] => {
 		const now = performance.now();
 		return options.peers()
-			.filter(peer => peer.isReachable && recordOf(peer).askAt <= now && freeOf(peer) > 0 && (shortfall.withinQuota > 0 || !options.isBusy(peer)))
+			.filter(peer => peer.isReachable && recordOf(peer).retryAt <= now && freeOf(peer) > 0 && (shortfall.withinQuota > 0 || !options.isBusy(peer)))
 			.toSorted((first, second) => freeOf(second) - freeOf(first));
 	};
 
 	const recordReply = (lender: Peer, reply: LendReply | undefined, isGranted: boolean): void => {
 		const record = recordOf(lender);
 		record.free = reply?.stillFree ?? 0;
-		record.learnedAt = performance.now();
+		record.repliedAt = performance.now();
 		if (isGranted) {
 			record.backOffMilliseconds = initialBackOffMilliseconds;
 		} else {
-			record.askAt = record.learnedAt + record.backOffMilliseconds;
+			record.retryAt = record.repliedAt + record.backOffMilliseconds;
 			record.backOffMilliseconds = Math.min(maximumBackOffMilliseconds, record.backOffMilliseconds * 2);
 		}
 	};
