--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -55,7 +55,7 @@
 	readonly requests: () => number;
 };
 
-type LenderRecord = {free: number; repliedAt: number; backOffMilliseconds: number; retryAt: number};
+type LenderRecord = {free: number; freeUpdatedAt: number; backOffMilliseconds: number; retryAt: number};
 
 /**
 Creates the borrower of one service.
@@ -116,7 +116,7 @@
 		let record = records.get(peer.instance);
 		if (!record) {
 			record = {
-				free: 0, repliedAt: -Infinity, backOffMilliseconds: initialBackOffMilliseconds, retryAt: 0,
+				free: 0, freeUpdatedAt: -Infinity, backOffMilliseconds: initialBackOffMilliseconds, retryAt: 0,
 			};
 			records.set(peer.instance, record);
 		}
@@ -127,7 +127,7 @@
 	/** The newer of the last heartbeat's hint and the last reply's. */
 	const freeOf = (peer: Peer): number => {
 		const record = recordOf(peer);
-		return record.repliedAt > peer.heardAt ? record.free : options.advertisedFreeOf(peer);
+		return record.freeUpdatedAt > peer.heardAt ? record.free : options.advertisedFreeOf(peer);
 	};
 
 	/**
@@ -143,11 +143,11 @@
 	const recordReply = (lender: Peer, reply: LendReply | undefined, isGranted: boolean): void => {
 		const record = recordOf(lender);
 		record.free = reply?.stillFree ?? 0;
-		record.repliedAt = performance.now();
+		record.freeUpdatedAt = performance.now();
 		if (isGranted) {
 			record.backOffMilliseconds = initialBackOffMilliseconds;
 		} else {
-			record.retryAt = record.repliedAt + record.backOffMilliseconds;
+			record.retryAt = record.freeUpdatedAt + record.backOffMilliseconds;
 			record.backOffMilliseconds = Math.min(maximumBackOffMilliseconds, record.backOffMilliseconds * 2);
 		}
 	};
