Reword scenarios of circuit breakers and slot leases in terms of the field

The step texts spoke of guards that look and of lenders that are short; they now name breakers, checks and shortages. Steps, rows and checks are the same.

--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -43,7 +43,7 @@
 	runTasksOn(this, count, longest);
 });
 
-Given('{int} of {int} tasks run as long on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
+Given('{int} of {int} tasks are as long overdue on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
 	const {endpoint} = this.ledger.slotsOf(otherAddress)!;
 	this.guards.report({
 		endpoint, kind: '', durationMilliseconds: 100, isSuccess: true,
@@ -56,7 +56,7 @@
 	}
 });
 
-Given('{int} endpoints of which {int} have answered nothing for far longer than their tasks take', function (this: GuardWorld, count: number, silent: number) {
+Given('{int} endpoints of which {int} have not answered for far longer than their tasks take', function (this: GuardWorld, count: number, silent: number) {
 	const endpoints = Array.from({length: count}, (_, number) => ({
 		name: `worker-${number}`, address: `10.0.0.${number}:80`, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
 	}));
@@ -75,11 +75,11 @@
 	});
 });
 
-When('the guards look at the endpoints', function (this: GuardWorld) {
+When('the circuit breakers are checked', function (this: GuardWorld) {
 	this.guards.sweep(sweepMilliseconds);
 });
 
-Then('{int} endpoints are taken for frozen', function (this: GuardWorld, count: number) {
+Then('{int} endpoints are considered frozen', function (this: GuardWorld, count: number) {
 	const frozen = [...this.ledger.all()].filter(({endpoint}) => this.guards.statusOf(endpoint.address).state === GuardState.Open);
 	assert.equal(frozen.length, count);
 });
@@ -88,8 +88,8 @@
 	runTasksOn(this, 1, Infinity);
 });
 
-When('the guards look at the endpoint after {int} ms', function (this: GuardWorld, now: number) {
-	// A frozen endpoint is found by one sweep, and a probe let through by the next.
+When('the circuit breakers are checked after {int} ms', function (this: GuardWorld, now: number) {
+	// One sweep detects a frozen endpoint, and the next allows a probe that is due.
 	this.guards.sweep(now - 1);
 	this.guards.sweep(now);
 });
@@ -106,7 +106,7 @@
 	this.budget = createRetryBudget(() => share);
 });
 
-When('the endpoint fails every task that it gets for {int} ms', function (this: GuardWorld, duration: number) {
+When('the endpoint fails every task that it receives for {int} ms', function (this: GuardWorld, duration: number) {
 	this.attempts = 0;
 	for (let now = 0; now < duration; now += 10) {
 		this.guard.allowProbe(now);
@@ -133,7 +133,7 @@
 	}
 });
 
-When('the endpoint is found frozen at {int} ms', function (this: GuardWorld, at: number) {
+When('the endpoint is detected as frozen at {int} ms', function (this: GuardWorld, at: number) {
 	this.guard.markFrozen(at);
 });
 
@@ -148,7 +148,7 @@
 	}
 });
 
-Then('it got at most {int} tasks', function (this: GuardWorld, count: number) {
+Then('it received at most {int} tasks', function (this: GuardWorld, count: number) {
 	assert.ok(this.attempts <= count, String(this.attempts));
 });
 
@@ -161,10 +161,10 @@
 	assert.ok(this.attempts <= count, String(this.attempts));
 });
 
-Then('the status of its guard is {string} for {string}', function (this: GuardWorld, state: string, reason: string) {
+Then('the status of its breaker is {string} for {string}', function (this: GuardWorld, state: string, reason: string) {
 	assert.deepEqual(this.guards.statusOf(address), {state, reason});
 });
 
-Then('the status of its guard is {string}', function (this: GuardWorld, state: string) {
+Then('the status of its breaker is {string}', function (this: GuardWorld, state: string) {
 	assert.deepEqual(this.guards.statusOf(address), {state});
 });
--- a/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -50,7 +50,7 @@
 	this.needed = needed;
 });
 
-When('the borrower asks for {int} slots at {int} ms', function (this: LeasesWorld, count: number, now: number) {
+When('the borrower requests {int} slots at {int} ms', function (this: LeasesWorld, count: number, now: number) {
 	exchange(this, {count, withinQuota: 0}, now);
 });
 
@@ -59,11 +59,11 @@
 	this.neededWithinQuota = needed;
 });
 
-When('the borrower asks for {int} slots at {int} ms, {int} of them for teams within their quota', function (this: LeasesWorld, count: number, now: number, withinQuota: number) {
+When('the borrower requests {int} slots at {int} ms, {int} of them for teams within their quota', function (this: LeasesWorld, count: number, now: number, withinQuota: number) {
 	exchange(this, {count, withinQuota}, now);
 });
 
-When('the borrower renews at {int} ms', function (this: LeasesWorld, now: number) {
+When('the borrower renews its leases at {int} ms', function (this: LeasesWorld, now: number) {
 	exchange(this, {count: 0, withinQuota: 0}, now);
 });
 
@@ -73,18 +73,18 @@
 	}
 });
 
-When('the borrower ends {int} tasks', function (this: LeasesWorld, count: number) {
+When('the borrower completes {int} tasks', function (this: LeasesWorld, count: number) {
 	for (const grant of this.grants.splice(0, count)) {
 		grant.release();
 	}
 });
 
-When('the lender is short', function (this: LeasesWorld) {
+When('the lender has a shortage', function (this: LeasesWorld) {
 	this.hasShortage = true;
 	this.needed = 8;
 });
 
-When('the borrower gives back what is idle', function (this: LeasesWorld) {
+When('the borrower returns its idle slots', function (this: LeasesWorld) {
 	this.lender.lent.reclaim('borrower', this.borrower.held.releaseIdle('lender'));
 });
 
