--- a/packages/galenakeeld/src/process/endpoint-guard.ts
+++ b/packages/galenakeeld/src/process/endpoint-guard.ts
@@ -1,14 +1,14 @@
 import {GuardReason, GuardState} from '@galenakeel/model/process/guard-state.js';
 
 /**
-How an attempt at a task speaks for or against an endpoint.
+Outcome of an attempt at a task, as the circuit breaker of its endpoint counts it.
 */
 export enum AttemptResult {
-	/** A whole answer that is not a server error. */
+	/** A complete answer that is not a server error. */
 	Answered = 'answered',
-	/** A whole answer with a server error. */
+	/** A complete answer with a server error. */
 	ServerError = 'server-error',
-	/** No connection, no whole answer, or no answer in time. */
+	/** No connection, an incomplete answer, or no answer within the time-out. */
 	NoAnswer = 'no-answer',
 }
 
@@ -17,14 +17,14 @@
 */
 export type EndpointGuard = {
 	readonly record: (result: AttemptResult, now: number) => void;
-	/** Opens the breaker because nothing has been answered for too long. */
+	/** Opens the breaker because the endpoint has not answered for too long. */
 	readonly markFrozen: (now: number) => void;
-	/** Lets a probe through when it is due. */
+	/** Moves an open breaker to half-open once its probation time is over. */
 	readonly allowProbe: (now: number) => void;
 	readonly state: () => GuardState;
-	/** Why the breaker is not closed. */
+	/** Why the breaker last opened; meaningful only while it is not closed. */
 	readonly reason: () => GuardReason;
-	/** Time of the last whole answer; `-Infinity` before the first. */
+	/** Time of the last complete answer; `-Infinity` before the first. */
 	readonly answeredAt: () => number;
 };
 
@@ -35,16 +35,16 @@
 
 const probationGrowth = 2;
 const maximumProbationMilliseconds = 30_000;
-/** Answers in a row after which earlier failures no longer lengthen the probation. */
+/** Consecutive successful answers after which the probation time is back at its initial value. */
 const answersToForget = 20;
 const failureSmoothing = 0.05;
-/** Share of failures among recent attempts above which an endpoint is not used. */
+/** Smoothed share of failures among recent attempts above which the breaker opens. */
 const maximumFailureShare = 0.5;
 
 /**
-Creates the circuit breaker of an endpoint that has not failed.
+Creates a closed circuit breaker for an endpoint.
 
-It opens after a number of failures in a row, or when most recent attempts failed, and then lets one probe through after the probation time, which doubles with each probe that fails (Nygard, "Release It!", 2007, on circuit breakers).
+It opens after a number of consecutive failures, or when most recent attempts failed. After the probation time it is half-open and allows one probe. The probation time doubles with each failed probe (Nygard, "Release It!", 2007, on circuit breakers).
 
 @example
 ```
@@ -68,7 +68,7 @@
 		state = GuardState.Open;
 		reason = cause;
 		probeAt = now + Math.min(maximumProbationMilliseconds, probationMilliseconds * (probationGrowth ** probationExponent));
-		// A frozen endpoint needs no longer probation: its probe hangs until the time-out.
+		// The probation of a frozen endpoint is not lengthened, since each of its probes already lasts until the time-out.
 		probationExponent += cause === GuardReason.Frozen ? 0 : 1;
 	};
 
@@ -86,7 +86,7 @@
 			probationExponent = 0;
 		}
 
-		// A late answer of a task from before says nothing about an endpoint that fails what it starts now.
+		// A late answer to a task started before the breaker opened does not show that an endpoint with server errors has recovered.
 		if (state === GuardState.HalfOpen || (state === GuardState.Open && reason === GuardReason.Frozen)) {
 			close();
 		}
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -8,32 +8,32 @@
 import type {EndpointRun, RunningTasks} from './running-tasks.js';
 import type {EndpointSlots, SlotLedger} from './slot-ledger.js';
 
-/** Share of a service's endpoints with server errors above which the tasks are at fault rather than the endpoints. */
+/** Share of a service's endpoints with server errors above which the errors are attributed to the tasks, not to the endpoints. */
 const maximumOpenShare = 0.5;
-/** Times the longest expected run time without any answer after which an endpoint counts as frozen. */
+/** An endpoint counts as frozen after this multiple of the longest expected run time, plus the margin, without an answer. */
 const frozenFactor = 1.5;
 const frozenMarginMilliseconds = 100;
-/** Share of tasks that are overdue by the definition of the longest run time, a 99th percentile. */
+/** The longest expected run time is a 99th percentile, so 1 % of tasks exceed it. */
 const expectedOverdueShare = 0.01;
-/** Probability below which it is no chance that every overdue task of an endpoint is merely long. */
+/** Significance level: an endpoint counts as frozen when the probability that all its overdue tasks are merely long is at most this. */
 const longTasksSignificance = 0.01;
 
 /**
 The circuit breakers of one service's endpoints.
 */
 export type EndpointGuards = {
-	/** Learns from an attempt at a task. */
+	/** Records the outcome of an attempt at a task. */
 	readonly report: (attempt: AttemptReport, now: number) => void;
-	/** Looks for frozen endpoints and for probes that are due. */
+	/** Detects frozen endpoints and allows probes that are due; called at a fixed interval. */
 	readonly sweep: (now: number) => void;
-	/** State of an endpoint's breaker, and why it is not closed. */
+	/** State of an endpoint's breaker, with the reason unless it is closed. */
 	readonly statusOf: (address: string) => GuardStatus;
 };
 
 /**
-Tells how an attempt speaks for its endpoint; `undefined` when it says nothing.
+Classifies an attempt for the circuit breaker of its endpoint; `undefined` when it is no evidence for or against the endpoint.
 
-@param longestMilliseconds Longest run time to be expected of the task on the endpoint.
+@param longestMilliseconds Longest expected run time of the task on the endpoint.
 */
 export const attemptResultOf = (attempt: AttemptReport, longestMilliseconds: number): AttemptResult | undefined => {
 	if (attempt.fault === undefined) {
@@ -44,7 +44,7 @@
 		return AttemptResult.NoAnswer;
 	}
 
-	// The time that the caller granted may have been short.
+	// A time-out before the longest expected run time may come from a short deadline of the caller and is no evidence against the endpoint.
 	const isTimeout = attempt.fault === FaultKind.EndpointTimeout && attempt.durationMilliseconds >= longestMilliseconds;
 	return isTimeout ? AttemptResult.NoAnswer : undefined;
 };
@@ -63,9 +63,9 @@
 };
 
 /**
-Creates circuit breakers that keep the limits of the ledger's endpoints.
+Creates the circuit breakers of the ledger's endpoints. They set the `guardLimit` of each endpoint in the ledger.
 
-@param options.longestRun Longest run time to be expected of a kind on an endpoint, in milliseconds.
+@param options.longestRun Longest expected run time of a kind on an endpoint, in milliseconds.
 */
 export const createEndpointGuards = (options: {
 	readonly ledger: SlotLedger;
@@ -88,7 +88,7 @@
 
 	const isFailing = (guard: EndpointGuard): boolean => guard.state() !== GuardState.Closed && guard.reason() === GuardReason.ServerErrors;
 
-	/** When most endpoints answer with errors, keeping work from them would only take the service down. */
+	/** Whether most endpoints answer with errors; blocking all of them would take the whole service down. */
 	const isServiceFailing = (): boolean => {
 		const failing = [...guards.values()].filter(guard => isFailing(guard)).length;
 		return failing > 1 && failing > ledger.inUse().length * maximumOpenShare;
@@ -105,7 +105,7 @@
 			}
 
 			case GuardState.HalfOpen: {
-				// Tasks that hang must not keep the probe out; a probe on its way keeps the limit.
+				// The limit is raised above the hanging tasks, which would otherwise block the probe, and stays while the probe runs.
 				return slots.guardLimit === 0 ? slots.busy + 1 : slots.guardLimit;
 			}
 		}
@@ -130,7 +130,7 @@
 	};
 
 	/**
-	Tells whether the silence of an endpoint may come from long tasks: none of several answers, or as many tasks are overdue where answers come that those of the endpoint may be long by chance, each on its own.
+	Returns whether long tasks rather than a frozen endpoint may explain the silence. That is so when none of several endpoints answers. Otherwise the share of overdue tasks on the answering endpoints is taken as the probability that a task is merely long, and the endpoint's overdue tasks as independent of each other.
 	*/
 	const isExplainedByLongTasks = ([, {overdue}]: EndpointEntry, answering: readonly EndpointEntry[], silent: number): boolean => {
 		const used = ledger.inUse().length;
--- a/packages/galenakeeld/src/process/leaving-endpoints.ts
+++ b/packages/galenakeeld/src/process/leaving-endpoints.ts
@@ -1,29 +1,31 @@
 import {performance} from 'node:perf_hooks';
 import {ListedState, type ListedInstance} from '@galenakeel/model/connection/platform-client.js';
 
-const unorderedMarkMilliseconds = 10_000; // Above the lag of the platform's list.
+const unorderedMarkMilliseconds = 10_000; // Longer than the lag of the platform's list.
 const unlistedRetentionMilliseconds = 600_000;
 const maximumEarlierIncarnations = 16;
 
 type KnownAddress = {
-	/** Incarnation that the list showed last; `undefined` before it showed one. */
+	/** Latest incarnation in this instance's list; `undefined` before the address is listed. */
 	current: string | undefined;
-	/** Incarnations that the list showed before the current one. */
+	/** Incarnations that were listed before the current one. */
 	readonly earlier: Set<string>;
-	/** Incarnations that are leaving, with the time at which that was last said. */
+	/** Incarnations that are leaving, with the time of the last report. */
 	readonly marks: Map<string, number>;
 	unlistedSince: number | undefined;
 };
 
 /**
-What is known of endpoints that are leaving. A mark holds for one incarnation and is never taken back; another incarnation at the same address is open.
+Tracks endpoints that are leaving. A mark applies to one incarnation and is never revoked; another incarnation at the same address gets work.
 */
 export type LeavingEndpoints = {
+	/** Updates incarnations and marks from this instance's list of endpoints. */
 	readonly updateListed: (endpoints: readonly ListedInstance[]) => void;
-	/** Takes the marks that a peer announced. */
+	/** Adds the marks that a peer announced. */
 	readonly receiveMarks: (marks: readonly string[]) => void;
-	/** Marks of incarnations that this instance's own list has shown, in the form `address/incarnation`. */
+	/** Marks of the current incarnations in this instance's own list, in the form `address/incarnation`. */
 	readonly marks: () => readonly string[];
+	/** Whether the endpoint at an address gets no new work. */
 	readonly isLeaving: (address: string) => boolean;
 	/** Addresses that get no new work, sorted. */
 	readonly leavingAddresses: () => readonly string[];
@@ -39,7 +41,7 @@
 };
 
 /**
-Moves on to an incarnation that the list shows, unless the list has gone back to an earlier one.
+Makes a listed incarnation the current one, unless a stale list shows an earlier one.
 */
 const advanceIncarnation = (known: KnownAddress, incarnation: string): void => {
 	if (known.current === incarnation || known.earlier.has(incarnation)) {
@@ -59,14 +61,14 @@
 };
 
 /**
-Creates the marks of an instance that knows of no leaving endpoint.
+Creates the register of leaving endpoints, without marks.
 
-The platform does not order incarnations, so a mark of one that the own list never showed may be of an earlier or of a later run than the listed one. It counts for as long as a peer repeats it, and for a while after.
+The platform does not order incarnations, so a marked incarnation that is absent from this instance's list may be older or newer than the listed one. Such a mark counts while peers repeat it, and for `unorderedMarkMilliseconds` after the last report.
 
 @example
 ```
 const leaving = createLeavingEndpoints();
-leaving.hear(['10.1.2.3:8080/7']);
+leaving.receiveMarks(['10.1.2.3:8080/7']);
 leaving.isLeaving('10.1.2.3:8080'); // => true
 ```
 */
--- a/packages/galenakeeld/src/process/retry-budget.ts
+++ b/packages/galenakeeld/src/process/retry-budget.ts
@@ -7,14 +7,14 @@
 export type RetryBudget = {
 	/** Counts an attempt at a task. */
 	readonly recordAttempt: () => void;
-	/** Tells whether a task may be sent again, and spends one retry if so. */
+	/** Returns whether a task may be retried, and spends one retry if so. */
 	readonly spend: () => boolean;
-	/** Retries that may be spent now. */
+	/** Whole retries left in the budget. */
 	readonly remaining: () => number;
 };
 
 /**
-Creates a budget that allows a few retries before the first start.
+Creates a budget that starts with a few retries, so that the first tasks may be retried, too.
 
 @param share Retries as a share of first starts, from 0 to 1.
 
@@ -35,7 +35,7 @@
 				return false;
 			}
 
-			// The retry is counted as an attempt, too, and must not earn a part of the next.
+			// The caller also records the retry as an attempt, which must not add to the budget.
 			retries -= 1 + share();
 			return true;
 		},
