--- a/packages/galenakeeld/src/process/held-slots.ts
+++ b/packages/galenakeeld/src/process/held-slots.ts
@@ -2,27 +2,27 @@
 import {borrowedInUse, type SlotLedger} from './slot-ledger.js';
 
 /**
-What is held from one lender. Times are on the monotonic clock, in milliseconds.
+The slots held from one lender. Times are on the monotonic clock, in milliseconds.
 */
 export type Holding = {
 	readonly lender: string;
 	readonly until: number;
-	/** Time since which no slot of the holding has been in use. */
+	/** Time since which none of these slots has been in use. */
 	readonly idleSince: number;
 };
 
 /**
-Slots of one service that this instance holds from others.
+Slots of one service that this instance has borrowed from others.
 */
 export type HeldSlots = {
-	/** Replaces what is held from a lender by what it granted. */
+	/** Replaces the leases held from a lender with those that it has now granted. */
 	readonly replaceLeases: (lender: string, leases: readonly SlotLease[], until: number) => void;
-	/** What is held from a lender and was in use since the last call of `hold` for it. */
+	/** The leases from a lender, reduced to the slots that were in use since the last call of `replaceLeases` for it. */
 	readonly leasesToRenew: (lender: string) => readonly SlotLease[];
-	/** Gives up what is held from a lender and not in use, and returns it. */
+	/** Releases the slots of a lender that are not in use, and returns them. */
 	readonly releaseIdle: (lender: string) => readonly SlotLease[];
 	readonly lenders: () => readonly Holding[];
-	/** Ends the leases that have expired and notes which slots are in use; called at a fixed interval. */
+	/** Ends expired leases and records the peak use of the others; called at a fixed interval. */
 	readonly sweep: (now: number) => void;
 	readonly leaseMilliseconds: number;
 };
@@ -30,14 +30,14 @@
 type Lender = {readonly counts: Map<string, number>; readonly peaks: Map<string, number>; until: number; idleSince: number};
 
 /**
-Creates the leases that an instance holds; there are none at first.
+Creates the record of borrowed slots, without leases.
 
 @param leaseMilliseconds Length of a lease.
 
 @example
 ```
 const held = createHeldSlots(ledger, 3000);
-held.hold('entry-1', [{endpoint: '10.0.0.1:80', count: 2, busy: 0}], performance.now() + 3000);
+held.replaceLeases('entry-1', [{endpoint: '10.0.0.1:80', count: 2, busy: 0}], performance.now() + 3000);
 ```
 */
 export const createHeldSlots = (ledger: SlotLedger, leaseMilliseconds: number): HeldSlots => {
@@ -59,7 +59,7 @@
 		}
 	};
 
-	/** Slots of a holding in use, when those of the other lenders are counted as used first. */
+	/** Slots of a lender that are in use; slots of the other lenders are counted as used first. */
 	const busyOf = (lender: Lender, endpoint: string): number => {
 		const slots = ledger.slotsOf(endpoint);
 		const own = countOf(lender.counts, endpoint);
--- a/packages/galenakeeld/src/process/lending-calls.ts
+++ b/packages/galenakeeld/src/process/lending-calls.ts
@@ -6,22 +6,23 @@
 import type {BorrowRequest, LendReply} from './slot-borrower.js';
 import type {SlotLease} from './slot-lease.js';
 
-/** A lender that takes longer is no help to a task that lasts well under a second. */
+/** A slot borrowed later than this no longer shortens the wait of a sub-second task. */
 const maximumCallMilliseconds = 250;
 
 /**
-Calls that borrow slots of peers and give them back; neither throws.
+Calls that borrow slots from peers and return them; neither throws.
 */
 export type LendingCalls = {
-	/** Asks a peer to renew leases and to lend more; `undefined` when it does not reply. */
+	/** Requests a peer to renew leases and to lend more slots; `undefined` when the call fails. */
 	readonly borrowSlots: (lender: Peer, service: string, request: BorrowRequest) => Promise<LendReply | undefined>;
+	/** Returns slots to a peer before their leases expire. */
 	readonly returnSlots: (lender: Peer, service: string, returned: readonly SlotLease[]) => Promise<void>;
 };
 
 /**
 Creates the calls of an instance to its lenders.
 
-@param options.callsOf Finds the calls to an instance by its name.
+@param options.callsOf Returns the calls to the instance of a name.
 */
 export const createLendingCalls = (options: {
 	readonly instance: string;
@@ -44,7 +45,7 @@
 			try {
 				await options.callsOf(lender.instance)?.returnSlots({borrower, service, leases: [...returned]}, timeoutMilliseconds);
 			} catch {
-				// The leases expire at the lender.
+				// The lender gets the slots back when the leases expire.
 			}
 		},
 	};
@@ -55,7 +56,7 @@
 };
 
 /**
-Lends slots to a peer that asks for them.
+Handles the borrow request of a peer; lends nothing for an unknown service.
 */
 export const lendSlots = (dispatchers: ServiceDispatchers, request: BorrowSlotsRequest): BorrowSlotsReply => {
 	const dispatched = dispatchers.serviceOf(request.service);
--- a/packages/galenakeeld/src/process/lent-slots.ts
+++ b/packages/galenakeeld/src/process/lent-slots.ts
@@ -2,11 +2,11 @@
 import {freeSlotsOf, type EndpointSlots, type SlotLedger} from './slot-ledger.js';
 
 /**
-Slots that a borrower asks for besides those that it holds.
+Slots that a borrower requests in addition to those that it holds.
 */
 export type SlotRequest = {
 	readonly count: number;
-	/** Slots among the count that teams within their quota lack. */
+	/** Slots among `count` that are for teams within their quota. */
 	readonly withinQuota: number;
 };
 
@@ -15,16 +15,16 @@
 */
 export type LentSlots = {
 	/**
-	Renews what a borrower holds and lends it further slots.
+	Renews a borrower's leases and lends it further slots.
 
-	While tasks of teams within their quota wait here nothing further is lent, and only the slots on which the borrower runs a task are renewed.
+	While tasks of teams within their quota wait on this instance, no further slots are lent, and only slots on which the borrower runs a task are renewed.
 
-	@returns All leases that the borrower now holds.
+	@returns All leases that the borrower holds after the call.
 	*/
 	readonly lend: (borrower: string, held: readonly SlotLease[], request: SlotRequest, now: number) => readonly SlotLease[];
-	/** Takes slots back that a borrower no longer needs. */
+	/** Ends the leases on slots that a borrower returns. */
 	readonly reclaim: (borrower: string, returned: readonly SlotLease[]) => void;
-	/** Ends the leases that have expired; called at a fixed interval. */
+	/** Ends expired leases; called at a fixed interval. */
 	readonly sweep: (now: number) => void;
 	readonly leaseMilliseconds: number;
 };
@@ -32,16 +32,16 @@
 type Borrower = {readonly counts: Map<string, number>; until: number};
 
 /**
-Creates the leases that an instance grants on the slots of a ledger.
+Creates the record of leases that an instance grants on the slots of a ledger, without leases.
 
 @param options.surplus Free slots that may be lent for any task.
 @param options.surplusWithinQuota Free slots that may be lent for tasks of teams within their quota.
-@param options.isShort Tells whether tasks of teams within their quota wait on this instance.
-@param options.onReturn Called when lent slots are this instance's own again.
+@param options.hasShortage Returns whether tasks of teams within their quota wait on this instance.
+@param options.onReturn Called when lent slots have been returned or their leases have expired.
 
 @example
 ```
-const lent = createLentSlots(ledger, {leaseMilliseconds: 3000, surplus, surplusWithinQuota, isShort, onReturn: dispatcher.startNext});
+const lent = createLentSlots(ledger, {leaseMilliseconds: 3000, surplus, surplusWithinQuota, hasShortage, onReturn: dispatcher.startNext});
 const leases = lent.lend('entry-2', [], {count: 4, withinQuota: 0}, performance.now());
 ```
 */
--- a/packages/galenakeeld/src/process/quota-reserve.ts
+++ b/packages/galenakeeld/src/process/quota-reserve.ts
@@ -6,41 +6,41 @@
 import {TaskLength, type WaitingOrder} from './task-queue.js';
 import type {TeamLoads} from './team-loads.js';
 
-/** Slots kept free beyond the mean need of the teams within their quota, in standard deviations of a Poisson process. */
+/** Slots reserved above the mean demand of the teams within their quota, in standard deviations of a Poisson process. */
 const reserveDeviations = 2.5;
-/** Part of that which is kept when slots are lent to a peer, in standard deviations. */
+/** Smaller reserve that is kept when slots are lent to a peer, in standard deviations. */
 const lendingDeviations = 1;
-/** Part of its quota of the own slots that a team over its quota may always hold. */
+/** Share of its quota of this instance's own slots that a team over its quota may always hold. */
 const assuredQuotaShare = 0.5;
 
 /**
-Keeps slots for the teams within their quota while others offer more than theirs.
+Reserves slots for the teams within their quota while other teams exceed theirs.
 */
 export type QuotaReserve = {
-	/** Tells whether a task of a team may take a free slot. */
+	/** Returns whether a task of a team may take a free slot. */
 	readonly mayStart: (team: string) => boolean;
-	/** Counts a task of a team as running until the function that is returned is called. */
+	/** Counts a task of a team as running until the returned function is called. */
 	readonly start: (team: string) => () => void;
 	/** Waiting tasks of the teams within their quota, of one length or of all. */
 	readonly waitingWithinQuota: (length?: TaskLength) => number;
-	/** Corrects what a request meets by the slots that are kept. */
+	/** Adjusts the load that admission sees for a request of a team by the reserved slots. */
 	readonly limitLoad: (team: string, load: AdmissionLoad) => AdmissionLoad;
-	/** Slots that the teams within their quota lack while others are over theirs. */
+	/** Slots that are missing for the teams within their quota; 0 while no team is over its quota. */
 	readonly shortfall: () => number;
-	/** Free slots that may be lent for teams within their quota while others are over theirs. */
+	/** Free slots that may be lent for teams within their quota; 0 while no team is over its quota. */
 	readonly surplus: () => number;
 	/**
-	Follows the load; called at a fixed interval.
+	Updates the measured demand and queue; called at a fixed interval.
 
-	@param capacity Work in a millisecond that is done for short tasks.
+	@param capacity Work per millisecond that is done for short tasks.
 	*/
 	readonly sweep: (capacity: number, maximumQueueMilliseconds: number) => void;
 };
 
 /**
-Creates the reserve of an instance without tasks.
+Creates the reserve of an instance that runs no tasks.
 
-Teams over their quota hold what the others leave, with a reserve for the usual variation, and never less than half of their quota of the own slots.
+Teams over their quota share the slots that remain after the demand of the other teams and a reserve for its usual variation. They may always hold half of their quota of this instance's own slots.
 
 @example
 ```
@@ -69,7 +69,7 @@
 
 	const busyOf = (team: string): number => busy.get(team) ?? 0;
 
-	/** Own slots that teams over their quota may hold whatever the others need. */
+	/** Own slots that teams over their quota may hold regardless of the demand of the others. */
 	const assuredSlots = (): number => assuredQuotaShare * owned * sumOver(loads.quotaOf);
 
 	const workOf = (team: string): number => order.work(TaskLength.Short, team) + order.work(TaskLength.Long, team);
@@ -79,7 +79,7 @@
 	const waitingWithinQuota = (length?: TaskLength): number =>
 		(length === undefined ? order.size() : order.count(length)) - sumOver(team => order.countOf(team, length));
 
-	/** Slots needed for the teams within their quota, and by the others as far as their quota goes. */
+	/** Slots needed by the teams within their quota, plus those that the others use or wait for, up to the assured slots. */
 	const neededSlots = (deviations?: number): number => demandWithinQuota.target(deviations) + Math.min(assuredSlots(), sumOver(team => busyOf(team) + order.countOf(team)));
 
 	const countOwned = (): number => {
--- a/packages/galenakeeld/src/process/record-lender-contact.ts
+++ b/packages/galenakeeld/src/process/record-lender-contact.ts
@@ -1,9 +1,9 @@
 import type {LendingCalls} from './lending-calls.js';
 
 /**
-Wraps the calls to lenders so that each reply counts as contact with the lender.
+Wraps the calls to lenders so that each reply to a borrow request is recorded as contact with the lender.
 
-@param onContact Called with the name of an instance that has replied.
+@param onContact Called with the name of the instance that replied.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -7,39 +7,39 @@
 import {sizeOf, type SlotLease} from './slot-lease.js';
 import type {TeamLoad} from './team-loads.js';
 
-/** Requests to peers for each started task; with their replies they are twice as many messages. */
+/** Requests to peers allowed for each started task; with the replies this makes twice as many messages. */
 const requestsPerTask = 0.015;
-/** Requests a second that are allowed however few tasks start. */
+/** Requests per second that are always allowed, even when few tasks start. */
 const requestsPerSecond = 1;
 const maximumRequestTokens = 20;
 const minimumPauseMilliseconds = 5;
 const initialBackOffMilliseconds = 40;
 const maximumBackOffMilliseconds = 1000;
-/** Time after which slots that are not in use are given back. */
+/** Time after which unused slots are returned. */
 const idleMilliseconds = 250;
-/** Part of a lease that is left when it is renewed. */
+/** Remaining share of a lease at which it is renewed. */
 const renewalShare = 0.4;
 
 /**
-What a lender is asked.
+A request to a lender.
 */
 export type BorrowRequest = SlotRequest & {
-	/** Leases to be renewed; others that the lender has granted are given back. */
+	/** Leases to renew; other leases from this lender end. */
 	readonly held: readonly SlotLease[];
-	/** The teams that offer most to this instance for their share. */
+	/** The teams that offer this instance the most work in relation to their share. */
 	readonly teams: readonly TeamLoad[];
 };
 
 /**
-What a lender replies.
+The reply of a lender.
 */
 export type LendReply = {
-	/** All leases that this instance now holds from the lender. */
+	/** All leases that this instance holds from the lender after the request. */
 	readonly leases: readonly SlotLease[];
 	readonly leaseMilliseconds: number;
-	/** Slots that the lender still has for teams within their quota. */
+	/** Slots that the lender can still lend for teams within their quota. */
 	readonly stillFree: number;
-	/** The teams that offer most to the lender for their share. */
+	/** The teams that offer the lender the most work in relation to their share. */
 	readonly teams: readonly TeamLoad[];
 };
 
@@ -47,9 +47,9 @@
 Borrows slots for the waiting tasks of one service.
 */
 export type SlotBorrower = {
-	/** Wakes the borrower: tasks are waiting and no slot is free, or leases need a look. */
+	/** Wakes the borrower if slots are missing or leases are held; otherwise does nothing. */
 	readonly wake: () => void;
-	/** Borrows, renews and returns whenever it is woken, until the process ends. */
+	/** Renews, returns and borrows slots each time it is woken, until the process ends. */
 	readonly run: () => Promise<never>;
 	/** Requests sent to peers. */
 	readonly requests: () => number;
@@ -60,21 +60,21 @@
 /**
 Creates the borrower of one service.
 
-Requests are paid from a budget that grows with the started tasks, so that messages stay in proportion to the work.
+A token bucket limits the requests. It refills with each started task, and slowly with time, so that the number of messages stays in proportion to the work.
 
-@param options.shortfall Slots that are missing for the tasks that wait or are expected, and those of teams within their quota among them.
-@param options.teams What the teams offer to this instance.
-@param options.learn Takes what a lender says of its teams.
+@param options.shortfall Slots that are missing for waiting and expected tasks, and how many of them are for teams within their quota.
+@param options.teams Loads that the teams offer to this instance.
+@param options.onTeamLoads Called with the team loads in the reply of a lender.
 @param options.started Tasks started since the process began.
-@param options.peers Peers with their last hints.
-@param options.hintOf Free slots of a peer by its last heartbeat.
-@param options.isBusy Tells whether a peer may lend for teams within their quota only.
-@param options.ask Asks one peer to renew what is held and to lend more; `undefined` when it does not reply.
-@param options.giveBack Tells one peer that slots are no longer needed.
+@param options.peers Known peers.
+@param options.advertisedFreeOf Free slots of a peer according to its last heartbeat.
+@param options.isBusy Returns whether a peer lends only for teams within their quota.
+@param options.requestSlots Requests one peer to renew leases and to lend more slots; `undefined` when it does not reply.
+@param options.returnSlots Returns slots to one peer.
 
 @example
 ```
-const borrower = createSlotBorrower({held, shortfall, teams, learn, started, peers, hintOf, ask, giveBack, onBorrowed: dispatcher.startNext});
+const borrower = createSlotBorrower({held, shortfall, teams, onTeamLoads, started, peers, advertisedFreeOf, isBusy, requestSlots, returnSlots, onBorrowed: dispatcher.startNext});
 void borrower.run();
 ```
 */
@@ -124,14 +124,14 @@
 		return record;
 	};
 
-	/** The newer of the last heartbeat's hint and the last reply's. */
+	/** Free slots of a peer, from its last heartbeat or the last reply, whichever is newer. */
 	const freeOf = (peer: Peer): number => {
 		const record = recordOf(peer);
 		return record.freeUpdatedAt > peer.heardAt ? record.free : options.advertisedFreeOf(peer);
 	};
 
 	/**
-	Peers to ask, the one with the most free slots first. One with waiting tasks lends only for teams within their quota.
+	Peers to request slots from, by descending number of free slots. A busy peer lends only for teams within their quota.
 	*/
 	const candidates = (shortfall: SlotRequest): readonly Peer[] => {
 		const now = performance.now();
@@ -207,7 +207,7 @@
 
 	return {
 		wake() {
-			// Without a shortfall or a holding there is nothing to do, and there may be hundreds of services.
+			// An idle borrower stays asleep, since there may be hundreds of services.
 			if (options.shortfall().count > 0 || leases.lenders().length > 0) {
 				woken.resolve();
 			}
--- a/packages/galenakeeld/src/process/slot-capacity.ts
+++ b/packages/galenakeeld/src/process/slot-capacity.ts
@@ -1,19 +1,19 @@
 import {returningSlotsOf, usableSlotsOf, type EndpointSlots} from './slot-ledger.js';
 
 /**
-What an instance can do for its waiting tasks.
+Capacity of an instance for its waiting tasks.
 */
 export type SlotCapacity = {
-	/** Slots that it may use now. */
+	/** Slots that the instance may use now. */
 	readonly usable: number;
-	/** Own slots that it has lent. */
+	/** Lent slots that it could use as soon as they are returned. */
 	readonly returning: number;
-	/** Mean speed over both. */
+	/** Mean speed of the usable and the returning slots; 1 when there are none. */
 	readonly meanSpeed: number;
 };
 
 /**
-Measures the capacity of an instance over the endpoints that it uses.
+Sums up the capacity of an instance over its endpoints.
 
 @example
 ```
@@ -37,9 +37,9 @@
 };
 
 /**
-Counts the slots that waiting tasks may expect to get.
+Returns the number of slots that waiting tasks can expect.
 
-Lent slots count, since an idle borrower gives them back soon after tasks wait here. Those that have not come back by the time at which the queue is standing are in use at the borrower, and are not counted.
+Lent slots count at first, since an idle borrower returns them soon after tasks start to wait here. Once the queue is a standing queue, lent slots that have not been returned are in use at the borrower and no longer count.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/slot-lease.ts
+++ b/packages/galenakeeld/src/process/slot-lease.ts
@@ -1,15 +1,15 @@
 /**
-Slots of one endpoint that one instance lends to another for a time.
+Slots of one endpoint that one instance lends to another for a limited time.
 */
 export type SlotLease = {
 	readonly endpoint: string;
 	readonly count: number;
-	/** Slots among them on which the borrower runs a task. */
+	/** Leased slots on which the borrower runs a task. */
 	readonly busy: number;
 };
 
 /**
-Adds up the slots of leases.
+Returns the total number of slots in leases.
 */
 export const sizeOf = (leases: readonly SlotLease[]): number => {
 	let size = 0;
@@ -21,6 +21,6 @@
 };
 
 /**
-Returns the slots that are counted for an endpoint; 0 when there are none.
+Returns the count of an endpoint, or 0 when it has none.
 */
 export const countOf = (counts: ReadonlyMap<string, number>, endpoint: string): number => counts.get(endpoint) ?? 0;
--- a/packages/galenakeeld/src/process/slot-ledger.ts
+++ b/packages/galenakeeld/src/process/slot-ledger.ts
@@ -1,43 +1,43 @@
 import type {Endpoint} from '../version/service-version.js';
 
 /**
-The slots of one endpoint, as this instance may use them. Only the ledger changes them.
+The slots of one endpoint from the view of this instance. Only the ledger changes them.
 */
 export type EndpointSlots = {
 	endpoint: Endpoint;
 	/** Slots that belong to this instance. */
 	owned: number;
-	/** Own slots that a peer uses under a lease. */
+	/** Own slots that are leased to peers. */
 	lent: number;
-	/** Slots of peers that this instance uses under a lease. */
+	/** Slots of peers that are leased to this instance. */
 	borrowed: number;
-	/** Time on the monotonic clock at which the first lease on a borrowed slot expires, in milliseconds. */
+	/** Earliest expiry of a lease on a borrowed slot, in milliseconds on the monotonic clock. */
 	borrowedUntil: number;
-	/** Tasks of this instance that run on the endpoint now. */
+	/** Tasks of this instance that are running on the endpoint. */
 	busy: number;
 	/** Whether the endpoint may get new tasks. */
 	isOpen: boolean;
-	/** Tasks that the guard of the endpoint lets run at once. */
+	/** Concurrent tasks that the endpoint's circuit breaker allows. */
 	guardLimit: number;
-	/** Tasks that this instance's part of the endpoint's connections lets run at once. */
+	/** Concurrent tasks that this instance's share of the endpoint's connections allows. */
 	connectionLimit: number;
 };
 
 /**
-A function that chooses the endpoint of the next task; `undefined` leaves the task waiting.
+Chooses the endpoint of the next task; `undefined` leaves the task waiting.
 
 @param task.workMilliseconds Expected run time of the task at speed 1.
-@param task.avoidedEndpoint Address of an endpoint that is chosen only where there is no other.
+@param task.avoidedEndpoint Address of an endpoint that is chosen only if there is no other.
 */
 export type ChooseEndpoint = (candidates: Iterable<EndpointSlots>, task: {readonly workMilliseconds: number; readonly avoidedEndpoint?: string}) => EndpointSlots | undefined;
 
 /**
-A slot that is taken by one task.
+A slot that is acquired for one task.
 */
 export type SlotGrant = {readonly endpoint: Endpoint; readonly release: () => void};
 
 /**
-What may change on the slots of an endpoint besides the tasks that run there.
+Changes to the slots of an endpoint that do not come from starting or ending tasks.
 */
 export type SlotChange = Partial<Pick<EndpointSlots, 'lent' | 'borrowed' | 'borrowedUntil' | 'isOpen' | 'guardLimit'>>;
 
@@ -45,24 +45,25 @@
 The slots of one service on this instance.
 */
 export type SlotLedger = {
-	/** Replaces endpoints and ownership after a new document version or a change of members. */
+	/** Replaces endpoints and ownership after a new document version or a membership change. */
 	readonly install: (endpoints: readonly Endpoint[], owned: ReadonlyMap<string, number>, instances: number) => void;
 	readonly slotsOf: (address: string) => EndpointSlots | undefined;
 	readonly all: () => Iterable<EndpointSlots>;
-	/** Endpoints of which this instance may use a slot at present, busy or free. */
+	/** Endpoints on which this instance owns or has borrowed slots, busy or free. */
 	readonly inUse: () => readonly EndpointSlots[];
 	readonly change: (slots: EndpointSlots, change: SlotChange) => void;
+	/** Occupies one slot until the grant is released. */
 	readonly acquire: (slots: EndpointSlots) => SlotGrant;
 	/** Slots that this instance may use, busy or free. */
 	readonly usable: () => number;
 	readonly free: () => number;
 	readonly busy: () => number;
-	/** Rises with every change, so that a choice can be kept while nothing has changed. */
+	/** Increases with every change, so that a choice of endpoint can be cached until then. */
 	readonly revision: () => number;
 };
 
 /**
-Counts the slots of an endpoint that this instance may use, busy or free.
+Returns the number of slots of an endpoint that this instance may use, busy or free.
 */
 export const usableSlotsOf = (slots: EndpointSlots): number => {
 	const held = slots.owned - slots.lent + slots.borrowed;
@@ -70,18 +71,18 @@
 };
 
 /**
-Counts the own slots of an endpoint that a peer uses under a lease, and that could be used here as soon as they are given back.
+Returns the number of own slots of an endpoint that are lent to peers and could be used here as soon as they are returned.
 */
 export const returningSlotsOf = (slots: EndpointSlots): number =>
 	usableSlotsOf({...slots, lent: 0}) - usableSlotsOf(slots);
 
 /**
-Counts the slots of an endpoint that a new task of this instance may take.
+Returns the number of slots of an endpoint that are free for new tasks of this instance.
 */
 export const freeSlotsOf = (slots: EndpointSlots): number => Math.max(0, usableSlotsOf(slots) - slots.busy);
 
 /**
-Counts the borrowed slots of an endpoint on which a task runs; own slots are counted as used first.
+Returns the number of borrowed slots of an endpoint that are in use; own slots are counted as used first.
 */
 export const borrowedInUse = (slots: EndpointSlots): number =>
 	Math.max(0, Math.min(slots.borrowed, slots.busy - Math.max(0, slots.owned - slots.lent)));
@@ -99,7 +100,7 @@
 ```
 const ledger = createSlotLedger(() => queue.startNext());
 ledger.install(version.endpoints, countOwnedSlots(instance, owners, version.endpoints), owners.length);
-const grant = ledger.take(chooseFreeSlot(ledger.inUse(), {workMilliseconds: 120}));
+const grant = ledger.acquire(chooseFreeSlot(ledger.inUse(), {workMilliseconds: 120}));
 ```
 */
 export const createSlotLedger = (onRelease: () => void): SlotLedger => {
@@ -118,7 +119,7 @@
 		inUse = [...byAddress.values()].filter(slots => isUsed(slots));
 	};
 
-	/** Applies a change and keeps the totals, which are asked for with every task. */
+	/** Applies a change and updates the totals incrementally, since they are read for every task. */
 	const apply = (slots: EndpointSlots, mutate: () => void): void => {
 		const before = {usable: usableSlotsOf(slots), free: freeSlotsOf(slots), isUsed: isUsed(slots)};
 		mutate();
