--- a/packages/galenakeeld/src/process/lent-slots.ts
+++ b/packages/galenakeeld/src/process/lent-slots.ts
@@ -70,9 +70,9 @@
 
 	const renew = (borrower: Borrower, held: readonly SlotLease[]): void => {
 		const hasShortage = options.hasShortage();
-		const kept = new Map(held.map(({endpoint, count, busy}) => [endpoint, hasShortage ? Math.min(count, busy) : count]));
-		for (const endpoint of new Set([...borrower.counts.keys(), ...kept.keys()])) {
-			setLent(borrower, endpoint, countOf(kept, endpoint));
+		const renewed = new Map(held.map(({endpoint, count, busy}) => [endpoint, hasShortage ? Math.min(count, busy) : count]));
+		for (const endpoint of new Set([...borrower.counts.keys(), ...renewed.keys()])) {
+			setLent(borrower, endpoint, countOf(renewed, endpoint));
 		}
 	};
 
