--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -33,9 +33,9 @@
 /**
 Classifies an attempt for the circuit breaker of its endpoint; `undefined` when it is no evidence for or against the endpoint.
 
-@param longestMilliseconds Longest expected run time of the task on the endpoint.
+@param maximumExpectedMilliseconds Longest expected run time of the task on the endpoint.
 */
-export const attemptResultOf = (attempt: AttemptReport, longestMilliseconds: number): AttemptResult | undefined => {
+export const attemptResultOf = (attempt: AttemptReport, maximumExpectedMilliseconds: number): AttemptResult | undefined => {
 	if (attempt.fault === undefined) {
 		return attempt.isSuccess ? AttemptResult.Answered : AttemptResult.ServerError;
 	}
@@ -45,7 +45,7 @@
 	}
 
 	// A time-out before the longest expected run time may come from a short deadline of the caller and is no evidence against the endpoint.
-	const isTimeout = attempt.fault === FaultKind.EndpointTimeout && attempt.durationMilliseconds >= longestMilliseconds;
+	const isTimeout = attempt.fault === FaultKind.EndpointTimeout && attempt.durationMilliseconds >= maximumExpectedMilliseconds;
 	return isTimeout ? AttemptResult.NoAnswer : undefined;
 };
 
