--- a/packages/galenakeeld/src/process/record-lender-contact.ts
+++ b/packages/galenakeeld/src/process/record-lender-contact.ts
@@ -7,7 +7,7 @@
 
 @example
 ```
-const lending = contactByLending(createLendingCalls(options), membership.contact);
+const lending = recordLenderContact(createLendingCalls(options), membership.recordContact);
 ```
 */
 export const recordLenderContact = (calls: LendingCalls, onContact: (instance: string) => void): LendingCalls => ({
