--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -12,7 +12,7 @@
 
 const address = '127.0.0.1:8080';
 const otherAddress = '127.0.0.1:8081';
-const lookMilliseconds = 750;
+const sweepMilliseconds = 750;
 
 const runTasksOn = (world: GuardWorld, count: number, longestMilliseconds: number): void => {
 	const running = createRunningTasks();
@@ -24,7 +24,7 @@
 	world.ledger.install([{...endpoint, address}, {...endpoint, address: otherAddress}], new Map([[address, 8]]), 1);
 	const slots = world.ledger.slotsOf(address)!;
 	for (let task = 0; task < count; task++) {
-		world.ledger.take(slots);
+		world.ledger.acquire(slots);
 		running.add({
 			slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
 		});
@@ -43,20 +43,20 @@
 	runTasksOn(this, count, longest);
 });
 
-Given('{int} of {int} tasks run as long on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
+Given('{int} of {int} tasks are as long overdue on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
 	const {endpoint} = this.ledger.slotsOf(otherAddress)!;
 	this.guards.report({
 		endpoint, kind: '', durationMilliseconds: 100, isSuccess: true,
-	}, lookMilliseconds - 1);
+	}, sweepMilliseconds - 1);
 	for (let number = 0; number < running; number++) {
-		const startedAt = number < overdue ? 0 : lookMilliseconds - 1;
+		const startedAt = number < overdue ? 0 : sweepMilliseconds - 1;
 		this.runningTasks.add({
 			slots: this.ledger.slotsOf(otherAddress)!, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
 		});
 	}
 });
 
-Given('{int} endpoints of which {int} have answered nothing for far longer than their tasks take', function (this: GuardWorld, count: number, silent: number) {
+Given('{int} endpoints of which {int} have not answered for far longer than their tasks take', function (this: GuardWorld, count: number, silent: number) {
 	const endpoints = Array.from({length: count}, (_, number) => ({
 		name: `worker-${number}`, address: `10.0.0.${number}:80`, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
 	}));
@@ -64,7 +64,7 @@
 	this.ledger.install(endpoints, new Map(endpoints.map(endpoint => [endpoint.address, 8])), 1);
 	this.runningTasks = createRunningTasks();
 	for (const [number, slots] of [...this.ledger.all()].entries()) {
-		const startedAt = number < silent ? 0 : lookMilliseconds - 1;
+		const startedAt = number < silent ? 0 : sweepMilliseconds - 1;
 		this.runningTasks.add({
 			slots, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
 		});
@@ -75,11 +75,11 @@
 	});
 });
 
-When('the guards look at the endpoints', function (this: GuardWorld) {
-	this.guards.sweep(lookMilliseconds);
+When('the circuit breakers are checked', function (this: GuardWorld) {
+	this.guards.sweep(sweepMilliseconds);
 });
 
-Then('{int} endpoints are taken for frozen', function (this: GuardWorld, count: number) {
+Then('{int} endpoints are considered frozen', function (this: GuardWorld, count: number) {
 	const frozen = [...this.ledger.all()].filter(({endpoint}) => this.guards.statusOf(endpoint.address).state === GuardState.Open);
 	assert.equal(frozen.length, count);
 });
@@ -88,8 +88,8 @@
 	runTasksOn(this, 1, Infinity);
 });
 
-When('the guards look at the endpoint after {int} ms', function (this: GuardWorld, now: number) {
-	// A frozen endpoint is found by one sweep, and a probe let through by the next.
+When('the circuit breakers are checked after {int} ms', function (this: GuardWorld, now: number) {
+	// One sweep detects a frozen endpoint, and the next allows a probe that is due.
 	this.guards.sweep(now - 1);
 	this.guards.sweep(now);
 });
@@ -106,10 +106,10 @@
 	this.budget = createRetryBudget(() => share);
 });
 
-When('the endpoint fails every task that it gets for {int} ms', function (this: GuardWorld, duration: number) {
+When('the endpoint fails every task that it receives for {int} ms', function (this: GuardWorld, duration: number) {
 	this.attempts = 0;
 	for (let now = 0; now < duration; now += 10) {
-		this.guard.look(now);
+		this.guard.allowProbe(now);
 		if (this.guard.state() !== GuardState.Open) {
 			this.attempts++;
 			this.guard.record(AttemptResult.ServerError, now);
@@ -133,8 +133,8 @@
 	}
 });
 
-When('the endpoint is found frozen at {int} ms', function (this: GuardWorld, at: number) {
-	this.guard.freeze(at);
+When('the endpoint is detected as frozen at {int} ms', function (this: GuardWorld, at: number) {
+	this.guard.markFrozen(at);
 });
 
 When('{int} tasks start and each asks to be retried', function (this: GuardWorld, count: number) {
@@ -148,12 +148,12 @@
 	}
 });
 
-Then('it got at most {int} tasks', function (this: GuardWorld, count: number) {
+Then('it received at most {int} tasks', function (this: GuardWorld, count: number) {
 	assert.ok(this.attempts <= count, String(this.attempts));
 });
 
 Then('the breaker is {string} at {int} ms', function (this: GuardWorld, state: string, at: number) {
-	this.guard.look(at);
+	this.guard.allowProbe(at);
 	assert.equal(this.guard.state(), state);
 });
 
@@ -161,10 +161,10 @@
 	assert.ok(this.attempts <= count, String(this.attempts));
 });
 
-Then('the status of its guard is {string} for {string}', function (this: GuardWorld, state: string, reason: string) {
+Then('the status of its breaker is {string} for {string}', function (this: GuardWorld, state: string, reason: string) {
 	assert.deepEqual(this.guards.statusOf(address), {state, reason});
 });
 
-Then('the status of its guard is {string}', function (this: GuardWorld, state: string) {
+Then('the status of its breaker is {string}', function (this: GuardWorld, state: string) {
 	assert.deepEqual(this.guards.statusOf(address), {state});
 });
--- a/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/slot-leases.steps.ts
@@ -8,12 +8,12 @@
 
 type Side = {ledger: SlotLedger; lent: LentSlots; held: HeldSlots};
 
-type LeasesWorld = {lender: Side; borrower: Side; needed: number; neededWithinQuota: number; isShort: boolean; grants: SlotGrant[]};
+type LeasesWorld = {lender: Side; borrower: Side; needed: number; neededWithinQuota: number; hasShortage: boolean; grants: SlotGrant[]};
 
 const address = '127.0.0.1:8080';
 const leaseMilliseconds = 3000;
 
-const createSide = (owned: number, surplus: (ledger: SlotLedger) => number, surplusWithinQuota: (ledger: SlotLedger) => number, isShort: () => boolean): Side => {
+const createSide = (owned: number, surplus: (ledger: SlotLedger) => number, surplusWithinQuota: (ledger: SlotLedger) => number, hasShortage: () => boolean): Side => {
 	const ledger = createSlotLedger(() => undefined);
 	ledger.install([{
 		name: 'worker', address, zone: 'zone-a', slots: 8, connections: 64, speed: 1,
@@ -21,15 +21,15 @@
 	return {
 		ledger,
 		lent: createLentSlots(ledger, {
-			leaseMilliseconds, surplus: () => surplus(ledger), surplusWithinQuota: () => surplusWithinQuota(ledger), isShort, onReturn: () => undefined,
+			leaseMilliseconds, surplus: () => surplus(ledger), surplusWithinQuota: () => surplusWithinQuota(ledger), hasShortage, onReturn: () => undefined,
 		}),
 		held: createHeldSlots(ledger, leaseMilliseconds),
 	};
 };
 
 const exchange = ({lender, borrower}: LeasesWorld, request: SlotRequest, now: number): void => {
-	const leases = lender.lent.lend('borrower', borrower.held.needed('lender'), request, now);
-	borrower.held.hold('lender', leases, now + leaseMilliseconds);
+	const leases = lender.lent.lend('borrower', borrower.held.leasesToRenew('lender'), request, now);
+	borrower.held.replaceLeases('lender', leases, now + leaseMilliseconds);
 };
 
 const choose = ({borrower}: LeasesWorld, workMilliseconds: number, now: number): boolean => {
@@ -40,9 +40,9 @@
 Given('a lender with {int} slots and a borrower of an endpoint', function (this: LeasesWorld, slots: number) {
 	this.needed = 0;
 	this.neededWithinQuota = 8;
-	this.isShort = false;
+	this.hasShortage = false;
 	this.grants = [];
-	this.lender = createSide(slots, ledger => Math.max(0, ledger.free() - this.needed), ledger => Math.max(0, ledger.free() - this.neededWithinQuota), () => this.isShort);
+	this.lender = createSide(slots, ledger => Math.max(0, ledger.free() - this.needed), ledger => Math.max(0, ledger.free() - this.neededWithinQuota), () => this.hasShortage);
 	this.borrower = createSide(0, () => 0, () => 0, () => false);
 });
 
@@ -50,7 +50,7 @@
 	this.needed = needed;
 });
 
-When('the borrower asks for {int} slots at {int} ms', function (this: LeasesWorld, count: number, now: number) {
+When('the borrower requests {int} slots at {int} ms', function (this: LeasesWorld, count: number, now: number) {
 	exchange(this, {count, withinQuota: 0}, now);
 });
 
@@ -59,33 +59,33 @@
 	this.neededWithinQuota = needed;
 });
 
-When('the borrower asks for {int} slots at {int} ms, {int} of them for teams within their quota', function (this: LeasesWorld, count: number, now: number, withinQuota: number) {
+When('the borrower requests {int} slots at {int} ms, {int} of them for teams within their quota', function (this: LeasesWorld, count: number, now: number, withinQuota: number) {
 	exchange(this, {count, withinQuota}, now);
 });
 
-When('the borrower renews at {int} ms', function (this: LeasesWorld, now: number) {
+When('the borrower renews its leases at {int} ms', function (this: LeasesWorld, now: number) {
 	exchange(this, {count: 0, withinQuota: 0}, now);
 });
 
 When('the borrower runs {int} tasks', function (this: LeasesWorld, count: number) {
 	for (let number = 0; number < count; number++) {
-		this.grants.push(this.borrower.ledger.take(this.borrower.ledger.slotsOf(address)!));
+		this.grants.push(this.borrower.ledger.acquire(this.borrower.ledger.slotsOf(address)!));
 	}
 });
 
-When('the borrower ends {int} tasks', function (this: LeasesWorld, count: number) {
+When('the borrower completes {int} tasks', function (this: LeasesWorld, count: number) {
 	for (const grant of this.grants.splice(0, count)) {
 		grant.release();
 	}
 });
 
-When('the lender is short', function (this: LeasesWorld) {
-	this.isShort = true;
+When('the lender has a shortage', function (this: LeasesWorld) {
+	this.hasShortage = true;
 	this.needed = 8;
 });
 
-When('the borrower gives back what is idle', function (this: LeasesWorld) {
-	this.lender.lent.takeBack('borrower', this.borrower.held.release('lender'));
+When('the borrower returns its idle slots', function (this: LeasesWorld) {
+	this.lender.lent.reclaim('borrower', this.borrower.held.releaseIdle('lender'));
 });
 
 When('{int} ms have passed', function (this: LeasesWorld, now: number) {
--- a/packages/galenakeeld/src/process/quota-reserve.ts
+++ b/packages/galenakeeld/src/process/quota-reserve.ts
@@ -6,41 +6,41 @@
 import {TaskLength, type WaitingOrder} from './task-queue.js';
 import type {TeamLoads} from './team-loads.js';
 
-/** Slots kept free beyond the mean need of the teams within their quota, in standard deviations of a Poisson process. */
+/** Slots reserved above the mean demand of the teams within their quota, in standard deviations of a Poisson process. */
 const reserveDeviations = 2.5;
-/** Part of that which is kept when slots are lent to a peer, in standard deviations. */
+/** Smaller reserve that is kept when slots are lent to a peer, in standard deviations. */
 const lendingDeviations = 1;
-/** Part of its quota of the own slots that a team over its quota may always hold. */
+/** Share of its quota of this instance's own slots that a team over its quota may always hold. */
 const assuredQuotaShare = 0.5;
 
 /**
-Keeps slots for the teams within their quota while others offer more than theirs.
+Reserves slots for the teams within their quota while other teams exceed theirs.
 */
 export type QuotaReserve = {
-	/** Tells whether a task of a team may take a free slot. */
+	/** Returns whether a task of a team may take a free slot. */
 	readonly mayStart: (team: string) => boolean;
-	/** Counts a task of a team as running until the function that is returned is called. */
+	/** Counts a task of a team as running until the returned function is called. */
 	readonly start: (team: string) => () => void;
 	/** Waiting tasks of the teams within their quota, of one length or of all. */
-	readonly waitingWithin: (length?: TaskLength) => number;
-	/** Corrects what a request meets by the slots that are kept. */
+	readonly waitingWithinQuota: (length?: TaskLength) => number;
+	/** Adjusts the load that admission sees for a request of a team by the reserved slots. */
 	readonly limitLoad: (team: string, load: AdmissionLoad) => AdmissionLoad;
-	/** Slots that the teams within their quota lack while others are over theirs. */
+	/** Slots that are missing for the teams within their quota; 0 while no team is over its quota. */
 	readonly shortfall: () => number;
-	/** Free slots that may be lent for teams within their quota while others are over theirs. */
+	/** Free slots that may be lent for teams within their quota; 0 while no team is over its quota. */
 	readonly surplus: () => number;
 	/**
-	Follows the load; called at a fixed interval.
+	Updates the measured demand and queue; called at a fixed interval.
 
-	@param capacity Work in a millisecond that is done for short tasks.
+	@param capacity Work per millisecond that is done for short tasks.
 	*/
 	readonly sweep: (capacity: number, maximumQueueMilliseconds: number) => void;
 };
 
 /**
-Creates the reserve of an instance without tasks.
+Creates the reserve of an instance that runs no tasks.
 
-Teams over their quota hold what the others leave, with a reserve for the usual variation, and never less than half of their quota of the own slots.
+Teams over their quota share the slots that remain after the demand of the other teams and a reserve for its usual variation. They may always hold half of their quota of this instance's own slots.
 
 @example
 ```
@@ -53,7 +53,7 @@
 	readonly order: Pick<WaitingOrder, 'size' | 'count' | 'countOf' | 'work'>;
 	readonly loads: Pick<TeamLoads, 'teamsOverQuota' | 'quotaOf'>;
 }): QuotaReserve => {
-	const within = createSlotDemand();
+	const demandWithinQuota = createSlotDemand();
 	const busy = new Map<string, number>();
 	let owned = 0;
 	const queue = createStandingQueueDetector(performance.now());
@@ -69,18 +69,18 @@
 
 	const busyOf = (team: string): number => busy.get(team) ?? 0;
 
-	/** Own slots that teams over their quota may hold whatever the others need. */
-	const assured = (): number => assuredQuotaShare * owned * sumOver(loads.quotaOf);
+	/** Own slots that teams over their quota may hold regardless of the demand of the others. */
+	const assuredSlots = (): number => assuredQuotaShare * owned * sumOver(loads.quotaOf);
 
 	const workOf = (team: string): number => order.work(TaskLength.Short, team) + order.work(TaskLength.Long, team);
 
-	const busyOver = (): number => sumOver(busyOf);
+	const busyOverQuota = (): number => sumOver(busyOf);
 
-	const waitingWithin = (length?: TaskLength): number =>
+	const waitingWithinQuota = (length?: TaskLength): number =>
 		(length === undefined ? order.size() : order.count(length)) - sumOver(team => order.countOf(team, length));
 
-	/** Slots needed for the teams within their quota, and by the others as far as their quota goes. */
-	const needed = (deviations?: number): number => within.target(deviations) + Math.min(assured(), sumOver(team => busyOf(team) + order.countOf(team)));
+	/** Slots needed by the teams within their quota, plus those that the others use or wait for, up to the assured slots. */
+	const neededSlots = (deviations?: number): number => demandWithinQuota.target(deviations) + Math.min(assuredSlots(), sumOver(team => busyOf(team) + order.countOf(team)));
 
 	const countOwned = (): number => {
 		let count = 0;
@@ -92,9 +92,9 @@
 	};
 
 	/** Slots that teams over their quota may hold. */
-	const limit = (): number => Math.max(1, Math.floor(assured()), ledger.usable() - Math.ceil(within.target(reserveDeviations)));
+	const overQuotaLimit = (): number => Math.max(1, Math.floor(assuredSlots()), ledger.usable() - Math.ceil(demandWithinQuota.target(reserveDeviations)));
 
-	const mayStart = (team: string): boolean => !loads.teamsOverQuota().has(team) || busyOver() < limit();
+	const mayStart = (team: string): boolean => !loads.teamsOverQuota().has(team) || busyOverQuota() < overQuotaLimit();
 
 	return {
 		mayStart,
@@ -109,29 +109,29 @@
 				}
 			};
 		},
-		waitingWithin,
+		waitingWithinQuota,
 		limitLoad(team, load) {
 			if (loads.teamsOverQuota().size === 0) {
 				return load;
 			}
 
 			if (loads.teamsOverQuota().has(team)) {
-				return {...load, free: mayStart(team) ? load.free : 0, capacity: load.capacity * Math.min(1, limit() / Math.max(1, ledger.usable()))};
+				return {...load, free: mayStart(team) ? load.free : 0, capacity: load.capacity * Math.min(1, overQuotaLimit() / Math.max(1, ledger.usable()))};
 			}
 
 			const waitingWork = Math.max(load.teamWork, load.waitingWork - sumOver(workOf));
 			return {...load, waitingWork, isStanding: queue.isStanding(performance.now())};
 		},
 		shortfall() {
-			return loads.teamsOverQuota().size === 0 ? 0 : Math.max(0, ledger.free() > 0 ? 0 : waitingWithin(), Math.ceil(needed() - ledger.usable()));
+			return loads.teamsOverQuota().size === 0 ? 0 : Math.max(0, ledger.free() > 0 ? 0 : waitingWithinQuota(), Math.ceil(neededSlots() - ledger.usable()));
 		},
 		surplus() {
-			return loads.teamsOverQuota().size === 0 || waitingWithin() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - needed(lendingDeviations))));
+			return loads.teamsOverQuota().size === 0 || waitingWithinQuota() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - neededSlots(lendingDeviations))));
 		},
 		sweep(capacity, maximumQueueMilliseconds) {
 			const work = order.work(TaskLength.Short) - sumOver(team => order.work(TaskLength.Short, team));
 			queue.observe(work / capacity, maximumQueueMilliseconds, performance.now());
-			within.observe(ledger.busy() - busyOver() + waitingWithin());
+			demandWithinQuota.observe(ledger.busy() - busyOverQuota() + waitingWithinQuota());
 			owned = loads.teamsOverQuota().size === 0 ? 0 : countOwned();
 		},
 	};
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -127,7 +127,7 @@
 			leaseMilliseconds,
 			surplus: dispatcher.surplus,
 			surplusWithinQuota: dispatcher.surplusWithinQuota,
-			isShort: () => dispatcher.waitingWithinQuota() > 0,
+			hasShortage: () => dispatcher.waitingWithinQuota() > 0,
 			onReturn: dispatcher.startNext,
 		});
 		const held = createHeldSlots(ledger, leaseMilliseconds);
@@ -136,15 +136,15 @@
 			held,
 			shortfall: dispatcher.shortfall,
 			teams: loads.largestLoads,
-			learn(lender, teams) {
+			onTeamLoads(lender, teams) {
 				loads.receivePeerLoads(lender, teams, performance.now());
 			},
 			started: dispatcher.started,
 			peers: options.peers,
-			hintOf: peer => hintOf(peer)?.free ?? 0,
+			advertisedFreeOf: peer => hintOf(peer)?.free ?? 0,
 			isBusy: peer => loads.teamsOverQuota().size > 0 && (hintOf(peer)?.waiting ?? 0) > 0,
-			ask: async (lender, request) => options.borrowSlots(lender, service, request),
-			giveBack: async (lender, returned) => options.returnSlots(lender, service, returned),
+			requestSlots: async (lender, request) => options.borrowSlots(lender, service, request),
+			returnSlots: async (lender, returned) => options.returnSlots(lender, service, returned),
 			onBorrowed: dispatcher.startNext,
 		});
 		if (options.policy === PlacementPolicy.SharesWithBorrowing) {
