--- a/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
@@ -2,10 +2,10 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {scaleHeartbeatInterval} from '../heartbeat-interval.js';
-import {createHeartbeatSource, type PacedHeartbeatSource} from '../heartbeat-source.js';
+import {createHeartbeatSource, type TimedHeartbeatSource} from '../heartbeat-source.js';
 import {InstanceState, type PeerHeartbeat} from '../membership.js';
 
-type PaceWorld = {source: PacedHeartbeatSource; interval: number; clock: Clock; beats: readonly number[]};
+type HeartbeatIntervalWorld = {source: TimedHeartbeatSource; interval: number; clock: Clock; heartbeatTimes: readonly number[]};
 
 const defaults = {heartbeatMilliseconds: 500, maximumHeartbeatMilliseconds: 5000, heartbeatLoadFactor: 0.25};
 
@@ -28,17 +28,17 @@
 	assert.equal(scaleHeartbeatInterval(defaults, instances), milliseconds);
 });
 
-Given('a source of heartbeats with an interval of {int} ms', function (this: PaceWorld, interval: number) {
+Given('a source of heartbeats with an interval of {int} ms', function (this: HeartbeatIntervalWorld, interval: number) {
 	this.interval = interval;
 	this.source = createHeartbeatSource(() => ({...plainHeartbeat, intervalMilliseconds: this.interval}));
 });
 
-When('the interval becomes {int} ms', function (this: PaceWorld, interval: number) {
+When('the interval becomes {int} ms', function (this: HeartbeatIntervalWorld, interval: number) {
 	this.source.current();
 	this.interval = interval;
 });
 
-Then('the heartbeat at {int} ms announces {int} ms and the next comes at {int} ms', async function (this: PaceWorld, first: number, announced: number, second: number) {
+Then('the heartbeat at {int} ms announces {int} ms and the next comes at {int} ms', async function (this: HeartbeatIntervalWorld, first: number, announced: number, second: number) {
 	const clock = install();
 	try {
 		const beats: number[] = [];
@@ -59,7 +59,7 @@
 	}
 });
 
-When('a call to the peer stands in every {int} ms for {int} ms', async function (this: PaceWorld, every: number, milliseconds: number) {
+When('a call to the peer stands in every {int} ms for {int} ms', async function (this: HeartbeatIntervalWorld, every: number, milliseconds: number) {
 	const clock = install();
 	try {
 		const beats = [clock.now];
@@ -77,13 +77,13 @@
 			this.source.postpone();
 		}
 
-		this.beats = beats;
+		this.heartbeatTimes = beats;
 	} finally {
 		clock.uninstall();
 	}
 });
 
-Then('heartbeats come at most {int} ms apart, and at most {int} of them', function (this: PaceWorld, apart: number, count: number) {
-	const gaps = this.beats.slice(1).map((at, position) => at - this.beats[position]!);
+Then('heartbeats come at most {int} ms apart, and at most {int} of them', function (this: HeartbeatIntervalWorld, apart: number, count: number) {
+	const gaps = this.heartbeatTimes.slice(1).map((at, position) => at - this.heartbeatTimes[position]!);
 	assert.ok(gaps.length > 0 && gaps.length <= count && gaps.every(gap => gap <= apart), gaps.join(', '));
 });
--- a/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
@@ -85,7 +85,7 @@
 		membership: this.membership,
 		heartbeats: {
 			open: () => assert.fail('no stream is opened'),
-			announce: () => assert.fail('nothing is announced'),
+			sendToAll: () => assert.fail('nothing is announced'),
 			postpone: () => assert.fail('nothing is postponed'),
 			send: (peer, probe) => {
 				if (probe && this.membership.findPeer(peer)!.isReachable) {
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -110,7 +110,7 @@
 		},
 		onEndpointsLeaving() {
 			dispatchers.shareSlots();
-			heartbeats.announce();
+			heartbeats.sendToAll();
 		},
 	});
 	const contact = (instance: string): void => {
@@ -165,7 +165,7 @@
 		turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestCatalogueRoundMilliseconds}),
 		retryMilliseconds: settings.platform.pollMilliseconds,
 		peerCallMilliseconds: settings.peers.callTimeoutMilliseconds,
-		onNewCatalogue: heartbeats.announce,
+		onNewCatalogue: heartbeats.sendToAll,
 	});
 	const claims = createClaimWriter({
 		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1), onNonce: register.issue,
@@ -258,7 +258,7 @@
 	const serve = async (): Promise<void> => {
 		await watch.untilCaughtUp();
 		membership.enter(InstanceState.Serving);
-		heartbeats.announce();
+		heartbeats.sendToAll();
 		log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon takes requests');
 	};
 
@@ -287,12 +287,12 @@
 		async leave() {
 			log.info({event: LogEvent.Leaving}, 'the daemon finishes what it has and takes no new connections from the balancer');
 			membership.enter(InstanceState.Leaving);
-			heartbeats.announce();
+			heartbeats.sendToAll();
 			const cut = await drain({
 				...settings.drain, ...callers, running: () => callers.busy() + register.unanswered(), log,
 			});
 			membership.yieldSlots();
-			heartbeats.announce();
+			heartbeats.sendToAll();
 			await sleep(farewellMilliseconds);
 			directory.close();
 			connections.close();
--- a/packages/galenakeeld/src/process/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/heartbeat-interval.ts
@@ -1,7 +1,7 @@
 /**
 Bounds of the time between heartbeats.
 */
-export type HeartbeatPace = {
+export type HeartbeatIntervalSettings = {
 	readonly heartbeatMilliseconds: number;
 	readonly maximumHeartbeatMilliseconds: number;
 	/** Weight of the number of instances; 0 keeps the interval fixed. */
@@ -18,8 +18,8 @@
 scaleHeartbeatInterval({heartbeatMilliseconds: 500, maximumHeartbeatMilliseconds: 5000, heartbeatLoadFactor: 0.25}, 101); // => 1250
 ```
 */
-export const scaleHeartbeatInterval = (pace: HeartbeatPace, instances: number): number => {
-	const {heartbeatMilliseconds: minimum, maximumHeartbeatMilliseconds: maximum, heartbeatLoadFactor} = pace;
+export const scaleHeartbeatInterval = (settings: HeartbeatIntervalSettings, instances: number): number => {
+	const {heartbeatMilliseconds: minimum, maximumHeartbeatMilliseconds: maximum, heartbeatLoadFactor} = settings;
 	const scaled = minimum * Math.sqrt(Math.max(0, instances - 1)) * heartbeatLoadFactor;
 	return Math.round(Math.min(Math.max(minimum, maximum), Math.max(minimum, scaled)));
 };
@@ -35,5 +35,5 @@
 intervalToOthers({heartbeatMilliseconds: 800, maximumHeartbeatMilliseconds: 5000, heartbeatLoadFactor: 0.25}, 9); // => 4800
 ```
 */
-export const intervalToOthers = (pace: HeartbeatPace, instances: number): number =>
-	scaleHeartbeatInterval({...pace, heartbeatMilliseconds: pace.heartbeatMilliseconds * heartbeatsToWatcher}, instances);
+export const intervalToOthers = (settings: HeartbeatIntervalSettings, instances: number): number =>
+	scaleHeartbeatInterval({...settings, heartbeatMilliseconds: settings.heartbeatMilliseconds * heartbeatsToWatcher}, instances);
--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -5,14 +5,14 @@
 /**
 The heartbeats that this instance sends on one stream.
 */
-export type PacedHeartbeatSource = HeartbeatSource & {
+export type TimedHeartbeatSource = HeartbeatSource & {
 	/** Makes the stream send a heartbeat now. */
-	readonly announce: () => void;
+	readonly sendNow: () => void;
 	/** Begins the time until the next heartbeat anew, because the peer has heard this instance otherwise. Only heartbeats bring all news, so one comes after a few intervals at the latest. */
 	readonly postpone: () => void;
 };
 
-const mostIntervalsPostponed = 3;
+const maximumPostponedIntervals = 3;
 
 /**
 Creates the source of the heartbeats on one stream.
@@ -25,7 +25,7 @@
 heartbeats.announce();
 ```
 */
-export const createHeartbeatSource = (current: () => PeerHeartbeat): PacedHeartbeatSource => {
+export const createHeartbeatSource = (current: () => PeerHeartbeat): TimedHeartbeatSource => {
 	let next = createDeferred<void>();
 	let timer: NodeJS.Timeout | undefined;
 	let described: PeerHeartbeat | undefined;
@@ -36,7 +36,7 @@
 		timer = undefined;
 	};
 
-	const beat = (): void => {
+	const sendHeartbeat = (): void => {
 		stopTimer();
 		described = undefined;
 		const before = next;
@@ -46,7 +46,7 @@
 
 	// The interval that the last heartbeat announced, so that the peer knows of a longer one before it begins.
 	const startTimer = (): void => {
-		timer ??= setTimeout(beat, described?.intervalMilliseconds);
+		timer ??= setTimeout(sendHeartbeat, described?.intervalMilliseconds);
 	};
 
 	return {
@@ -62,9 +62,9 @@
 			startTimer();
 			return next.promise;
 		},
-		announce: beat,
+		sendNow: sendHeartbeat,
 		postpone() {
-			const isDue = described && performance.now() - describedAt > described.intervalMilliseconds * mostIntervalsPostponed;
+			const isDue = described && performance.now() - describedAt > described.intervalMilliseconds * maximumPostponedIntervals;
 			if (timer && !isDue) {
 				stopTimer();
 				startTimer();
--- a/packages/galenakeeld/src/process/peer-heartbeats.ts
+++ b/packages/galenakeeld/src/process/peer-heartbeats.ts
@@ -1,5 +1,5 @@
 import type {HeartbeatSource} from '../connection/peer-connection.js';
-import {createHeartbeatSource, type PacedHeartbeatSource} from './heartbeat-source.js';
+import {createHeartbeatSource, type TimedHeartbeatSource} from './heartbeat-source.js';
 import type {HeartbeatProbe, PeerHeartbeat} from './membership.js';
 
 /** Time for which a description of this instance serves the heartbeats of further streams. */
@@ -12,7 +12,7 @@
 	/** Opens the heartbeats of one stream to a peer. */
 	readonly open: (peer: string) => HeartbeatSource;
 	/** Makes every stream send a heartbeat now. */
-	readonly announce: () => void;
+	readonly sendToAll: () => void;
 	/** Makes the streams to one peer send a heartbeat now, with a probe if one is given. */
 	readonly send: (peer: string, probe?: HeartbeatProbe) => void;
 	/** Says that a call to the peer stands in for the next heartbeat. */
@@ -35,7 +35,7 @@
 	readonly describe: () => Omit<PeerHeartbeat, 'intervalMilliseconds' | 'probe'>;
 	readonly intervalTo: (peer: string) => number;
 }): PeerHeartbeats => {
-	const streams = new Map<string, Set<PacedHeartbeatSource>>();
+	const streams = new Map<string, Set<TimedHeartbeatSource>>();
 	const probes = new Map<string, HeartbeatProbe>();
 	// Streams that send at the same time share a heartbeat, so that its difference from the one before is worked out once.
 	const described = new Map<string, PeerHeartbeat>();
@@ -54,7 +54,7 @@
 		return heartbeat;
 	};
 
-	const streamsTo = (peer: string): Iterable<PacedHeartbeatSource> => streams.get(peer) ?? [];
+	const streamsTo = (peer: string): Iterable<TimedHeartbeatSource> => streams.get(peer) ?? [];
 
 	return {
 		open(peer) {
@@ -72,11 +72,11 @@
 				},
 			};
 		},
-		announce() {
+		sendToAll() {
 			describedAt = -Infinity;
 			for (const sources of streams.values()) {
 				for (const source of sources) {
-					source.announce();
+					source.sendNow();
 				}
 			}
 		},
@@ -86,7 +86,7 @@
 			}
 
 			for (const source of streamsTo(peer)) {
-				source.announce();
+				source.sendNow();
 			}
 		},
 		postpone(peer) {
--- a/packages/trials/src/process/fake-peers.ts
+++ b/packages/trials/src/process/fake-peers.ts
@@ -1,6 +1,6 @@
 import {InstanceRole, ListedState, type ListedInstance} from '@galenakeel/model/connection/platform-client.js';
 import {createPeerCalls, runPeerConnection, type PeerCalls} from 'galenakeeld/connection/peer-connection.js';
-import {createHeartbeatSource, type PacedHeartbeatSource} from 'galenakeeld/process/heartbeat-source.js';
+import {createHeartbeatSource, type TimedHeartbeatSource} from 'galenakeeld/process/heartbeat-source.js';
 import {InstanceState, type PeerHeartbeat} from 'galenakeeld/process/membership.js';
 
 const firstPort = 20_000;
@@ -55,7 +55,7 @@
 	const allCalls: PeerCalls[] = [];
 	for (let position = 0; position < options.count; position++) {
 		const calls = createPeerCalls(options.daemonAddress);
-		const open: PacedHeartbeatSource[] = [];
+		const open: TimedHeartbeatSource[] = [];
 		allCalls.push(calls);
 		void runPeerConnection(calls, {
 			openSource() {
@@ -66,7 +66,7 @@
 			hear(heartbeat) {
 				options.hear(position, heartbeat);
 				if (heartbeat.probe) {
-					open.at(-1)!.announce();
+					open.at(-1)!.sendNow();
 				}
 			},
 			suspect() {
