--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -162,7 +162,7 @@
 		membership,
 		directory,
 		log,
-		turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestCatalogueRoundMilliseconds}),
+		turns: createSharedTurns({...sharedReads, maximumRoundMilliseconds: longestCatalogueRoundMilliseconds}),
 		retryMilliseconds: settings.platform.pollMilliseconds,
 		peerCallMilliseconds: settings.peers.callTimeoutMilliseconds,
 		onNewCatalogue: heartbeats.sendToAll,
@@ -263,7 +263,7 @@
 	};
 
 	void runInstanceWatch({
-		platform, membership, log, turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: longestListRoundMilliseconds}), onList: directory.connect,
+		platform, membership, log, turns: createSharedTurns({...sharedReads, maximumRoundMilliseconds: longestListRoundMilliseconds}), onList: directory.connect,
 	});
 	const stopClaimSweep = new AbortController();
 	void runClaimSweep({
--- a/packages/galenakeeld/src/process/shared-turns.ts
+++ b/packages/galenakeeld/src/process/shared-turns.ts
@@ -17,15 +17,15 @@
 /**
 Tells whether a slot of time is this instance's, in the order of the instances' names.
 
-@param mostTurns Slots in a round at most.
+@param maximumTurns Slots in a round at most.
 
 @example
 ```
 isOurTurn('entry-2', ['entry-1', 'entry-2', 'entry-3'], 4, 20); // => true
 ```
 */
-export const isOurTurn = (self: string, instances: readonly string[], slot: number, mostTurns: number): boolean => {
-	const turns = Math.min(instances.length, mostTurns);
+export const isOurTurn = (self: string, instances: readonly string[], slot: number, maximumTurns: number): boolean => {
+	const turns = Math.min(instances.length, maximumTurns);
 	const rank = instances.filter(instance => instance < self).length;
 	return slot % turns === rank % turns;
 };
@@ -43,13 +43,13 @@
 await turns.untilOurTurn();
 ```
 */
-export const createSharedTurns = ({self, membership, slotMilliseconds, longestRoundMilliseconds}: {
+export const createSharedTurns = ({self, membership, slotMilliseconds, maximumRoundMilliseconds}: {
 	readonly self: string;
 	readonly membership: Pick<Membership, 'peers'>;
 	readonly slotMilliseconds: number;
-	readonly longestRoundMilliseconds: number;
+	readonly maximumRoundMilliseconds: number;
 }): SharedTurns => {
-	const mostTurns = Math.max(1, Math.floor(longestRoundMilliseconds / slotMilliseconds));
+	const maximumTurns = Math.max(1, Math.floor(maximumRoundMilliseconds / slotMilliseconds));
 
 	const instances = (): readonly string[] => [self, ...membership.peers().filter(({isReachable}) => isReachable).map(({instance}) => instance)];
 
@@ -62,7 +62,7 @@
 		async untilOurTurn() {
 			do {
 				await untilNextSlot();
-			} while (!isOurTurn(self, instances(), Math.floor(Date.now() / slotMilliseconds), mostTurns));
+			} while (!isOurTurn(self, instances(), Math.floor(Date.now() / slotMilliseconds), maximumTurns));
 		},
 	};
 };
