Rename hear, contact, lose and alarm to receiveHeartbeat, recordContact, markUnreachable and Suspicion: terms of failure detectors

judge, look, followWatcher and forgiveSilence become resolveSuspicion, checkPeer, updateWatcher and resetSilence; heardAt and contactedAt become lastHeartbeatAt and lastContactAt.

--- a/packages/galenakeeld/src/connection/peer-encoding.ts
+++ b/packages/galenakeeld/src/connection/peer-encoding.ts
@@ -68,7 +68,7 @@
 			return wire.Probe.PROBE_ANSWER;
 		}
 
-		case HeartbeatProbe.Alarm: {
+		case HeartbeatProbe.Suspicion: {
 			return wire.Probe.PROBE_ALARM;
 		}
 
@@ -85,7 +85,7 @@
 		}
 
 		case wire.Probe.PROBE_ALARM: {
-			return {probe: HeartbeatProbe.Alarm};
+			return {probe: HeartbeatProbe.Suspicion};
 		}
 
 		case wire.Probe.PROBE_UNSPECIFIED:
--- a/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
@@ -81,8 +81,8 @@
 		callerAddress: '',
 		operatorAddress: '',
 		peerAddress: '',
-		heardAt: performance.now(),
-		contactedAt: performance.now(),
+		lastHeartbeatAt: performance.now(),
+		lastContactAt: performance.now(),
 		isReachable: true,
 	};
 };
--- a/packages/galenakeeld/src/process/__tests__/membership.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -50,7 +50,7 @@
 });
 
 When('{string} is heard in its run {string} as {string}', function (this: MembershipWorld, instance: string, run: string, state: InstanceState) {
-	this.membership.hear(heartbeatOf(instance, run, state));
+	this.membership.receiveHeartbeat(heartbeatOf(instance, run, state));
 });
 
 When('{int} ms pass with sweeps', function (this: MembershipWorld, milliseconds: number) {
@@ -70,11 +70,11 @@
 });
 
 When('the list shows {string} in its run {string} as {string}', function (this: MembershipWorld, address: string, run: string, state: ListedState) {
-	this.membership.list([listedEndpoint(address, run, state)]);
+	this.membership.updateListed([listedEndpoint(address, run, state)]);
 });
 
 When('a peer says that {string} is leaving', function (this: MembershipWorld, mark: string) {
-	this.membership.hear(heartbeatOf('entry-2', 'b1', InstanceState.Serving, [mark]));
+	this.membership.receiveHeartbeat(heartbeatOf('entry-2', 'b1', InstanceState.Serving, [mark]));
 });
 
 Then('the slots are shared by {string}', function (this: MembershipWorld, instances: string) {
@@ -103,7 +103,7 @@
 	assertProperty(property(array(constantFrom(...states), {minLength: 1, maxLength: 8}), heard => {
 		const membership = createTestMembership(3);
 		for (const said of heard) {
-			membership.hear(heartbeatOf('entry-2', 'b1', said));
+			membership.receiveHeartbeat(heartbeatOf('entry-2', 'b1', said));
 		}
 
 		assert.equal(membership.findPeer('entry-2')!.state === state, heard.includes(state));
@@ -115,7 +115,7 @@
 	const news = ['listed live', 'listed leaving', 'not listed', 'marked by a peer', 'no longer marked'];
 	assertProperty(property(array(constantFrom(...news), {minLength: 1, maxLength: 12}), order => {
 		const leaving = createLeavingEndpoints();
-		const tell = new Map<string, () => void>([
+		const actions = new Map<string, () => void>([
 			['listed live', () => {
 				leaving.list([listedEndpoint(address, '1', ListedState.Live)]);
 			}],
@@ -133,7 +133,7 @@
 			}],
 		]);
 		for (const item of order) {
-			tell.get(item)!();
+			actions.get(item)!();
 		}
 
 		assert.equal(leaving.isLeaving(address), order.includes('listed leaving') || order.includes('marked by a peer'));
--- a/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
@@ -41,7 +41,7 @@
 });
 
 const hear = (world: WatchWorld, instance: string): void => {
-	world.membership.hear(heartbeatOf(instance, world.interval));
+	world.membership.receiveHeartbeat(heartbeatOf(instance, world.interval));
 	world.heardAt.set(instance, world.clock.now);
 	world.silent.delete(instance);
 };
@@ -131,7 +131,7 @@
 When('{string} only calls every {int} ms for {int} ms', function (this: WatchWorld, caller: string, _interval: number, milliseconds: number) {
 	pass(this, milliseconds, instance => {
 		if (instance === caller) {
-			this.membership.contact(instance);
+			this.membership.recordContact(instance);
 			this.heardAt.set(instance, this.clock.now);
 		} else {
 			hear(this, instance);
@@ -145,7 +145,7 @@
 });
 
 When('{string} raises an alarm', function (this: WatchWorld, instance: string) {
-	this.watch.answer(instance, HeartbeatProbe.Alarm);
+	this.watch.answerProbe(instance, HeartbeatProbe.Suspicion);
 });
 
 When('this process is paused for {int} ms', function (this: WatchWorld, milliseconds: number) {
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -114,7 +114,7 @@
 		},
 	});
 	const contact = (instance: string): void => {
-		membership.contact(instance);
+		membership.recordContact(instance);
 		heartbeats.postpone(instance);
 	};
 
@@ -141,9 +141,9 @@
 	});
 	const peerWatch = createPeerWatch({self: self.instance, membership, heartbeats});
 	const hear = (heartbeat: PeerHeartbeat): void => {
-		membership.hear(heartbeat);
+		membership.receiveHeartbeat(heartbeat);
 		if (heartbeat.probe) {
-			peerWatch.answer(heartbeat.instance, heartbeat.probe);
+			peerWatch.answerProbe(heartbeat.instance, heartbeat.probe);
 		}
 
 		if (heartbeat.catalogueVersion > catalogue.catalogueVersion()) {
@@ -257,7 +257,7 @@
 
 	const serve = async (): Promise<void> => {
 		await watch.untilCaughtUp();
-		membership.enter(InstanceState.Serving);
+		membership.advanceTo(InstanceState.Serving);
 		heartbeats.sendToAll();
 		log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon takes requests');
 	};
@@ -286,7 +286,7 @@
 	return {
 		async leave() {
 			log.info({event: LogEvent.Leaving}, 'the daemon finishes what it has and takes no new connections from the balancer');
-			membership.enter(InstanceState.Leaving);
+			membership.advanceTo(InstanceState.Leaving);
 			heartbeats.sendToAll();
 			const cut = await drain({
 				...settings.drain, ...callers, running: () => callers.busy() + register.unanswered(), log,
--- a/packages/galenakeeld/src/process/instance-watch.ts
+++ b/packages/galenakeeld/src/process/instance-watch.ts
@@ -20,7 +20,7 @@
 	let hasList = false;
 	for (;;) {
 		try {
-			membership.list(await platform.listInstances());
+			membership.updateListed(await platform.listInstances());
 			hasList = true;
 			options.onList();
 		} catch (error) {
--- a/packages/galenakeeld/src/process/membership.ts
+++ b/packages/galenakeeld/src/process/membership.ts
@@ -30,7 +30,7 @@
 	/** A heartbeat at once. */
 	Answer = 'answer',
 	/** A heartbeat at once, and a look at whether each of its own peers still answers. */
-	Alarm = 'alarm',
+	Suspicion = 'alarm',
 }
 
 /**
@@ -51,9 +51,9 @@
 */
 export type Peer = PeerHeartbeat & {
 	/** Time of the last heartbeat. */
-	readonly heardAt: number;
+	readonly lastHeartbeatAt: number;
 	/** Time of the last heartbeat or call. */
-	readonly contactedAt: number;
+	readonly lastContactAt: number;
 	readonly isReachable: boolean;
 };
 
@@ -61,14 +61,14 @@
 What this instance knows of the others, and of leaving endpoints.
 */
 export type Membership = {
-	readonly hear: (heartbeat: PeerHeartbeat) => void;
+	readonly receiveHeartbeat: (heartbeat: PeerHeartbeat) => void;
 	/** Says that a peer has called, or replied to a call. */
-	readonly contact: (instance: string) => void;
+	readonly recordContact: (instance: string) => void;
 	/** Marks a peer as unreachable; its identifiers stay its own. */
-	readonly lose: (instance: string) => void;
+	readonly markUnreachable: (instance: string) => void;
 	/** Starts the silence of every peer anew after this process was paused: it could not hear them. */
-	readonly forgiveSilence: () => void;
-	readonly list: (listed: readonly ListedInstance[]) => void;
+	readonly resetSilence: () => void;
+	readonly updateListed: (listed: readonly ListedInstance[]) => void;
 	readonly findPeer: (instance: string) => Peer | undefined;
 	readonly peers: () => readonly Peer[];
 	/** Entry instances on the platform's list other than this one. */
@@ -81,7 +81,7 @@
 	readonly sweep: () => void;
 	readonly state: () => InstanceState;
 	/** Moves this instance on to a later state; it never goes back. */
-	readonly enter: (state: InstanceState) => void;
+	readonly advanceTo: (state: InstanceState) => void;
 	/** Share of slots that this instance wants, relative to the others; 0 once it has yielded its slots. */
 	readonly weight: () => number;
 	/** Leaves all slots to the others. */
@@ -95,7 +95,7 @@
 /**
 Joins a heartbeat with what the same run said before, on another stream perhaps: state and catalogue version never go back.
 */
-const joinHeartbeats = (before: Peer | undefined, heartbeat: PeerHeartbeat): PeerHeartbeat => {
+const mergeHeartbeats = (before: Peer | undefined, heartbeat: PeerHeartbeat): PeerHeartbeat => {
 	if (before?.incarnation !== heartbeat.incarnation) {
 		return heartbeat;
 	}
@@ -126,7 +126,7 @@
 	// An instance that is leaving keeps its slots for the tasks that wait in its queue, and lends the free ones.
 	const isOwner = (peer: Peer | undefined): boolean => peer !== undefined && peer.isReachable && peer.state !== InstanceState.Starting && peer.weight > 0;
 
-	const put = (peer: Peer): void => {
+	const setPeer = (peer: Peer): void => {
 		const before = peers.get(peer.instance);
 		peers.set(peer.instance, peer);
 		if (isOwner(before) !== isOwner(peer) || before?.weight !== peer.weight) {
@@ -134,7 +134,7 @@
 		}
 	};
 
-	const lookAtClosedEndpoints = (): void => {
+	const notifyClosedEndpoints = (): void => {
 		const closed = leaving.closed().join(' ');
 		if (closed !== closedEndpoints) {
 			closedEndpoints = closed;
@@ -142,44 +142,44 @@
 		}
 	};
 
-	const forgiveSilence = (): void => {
-		const contactedAt = performance.now();
+	const resetSilence = (): void => {
+		const lastContactAt = performance.now();
 		for (const [instance, peer] of peers) {
-			peers.set(instance, {...peer, contactedAt});
+			peers.set(instance, {...peer, lastContactAt});
 		}
 	};
 
 	return {
-		hear(heartbeat) {
+		receiveHeartbeat(heartbeat) {
 			const before = peers.get(heartbeat.instance);
 			if (before?.isReachable && isEarlierIncarnation(heartbeat.incarnation, before.incarnation)) {
 				return;
 			}
 
-			const heardAt = performance.now();
-			put({
-				...joinHeartbeats(before, heartbeat), heardAt, contactedAt: heardAt, isReachable: true,
+			const receivedAt = performance.now();
+			setPeer({
+				...mergeHeartbeats(before, heartbeat), lastHeartbeatAt: receivedAt, lastContactAt: receivedAt, isReachable: true,
 			});
 			leaving.hear(heartbeat.leavingEndpoints);
-			lookAtClosedEndpoints();
+			notifyClosedEndpoints();
 		},
-		contact(instance) {
+		recordContact(instance) {
 			const peer = peers.get(instance);
 			if (peer) {
-				peers.set(instance, {...peer, contactedAt: performance.now()});
+				peers.set(instance, {...peer, lastContactAt: performance.now()});
 			}
 		},
-		lose(instance) {
+		markUnreachable(instance) {
 			const peer = peers.get(instance);
 			if (peer?.isReachable) {
-				put({...peer, isReachable: false});
+				setPeer({...peer, isReachable: false});
 			}
 		},
-		forgiveSilence,
-		list(listed) {
+		resetSilence,
+		updateListed(listed) {
 			listedPeers = listed.filter(({role, name}) => role === InstanceRole.Entry && name !== self.instance);
 			leaving.list(listed.filter(({role}) => role === InstanceRole.Endpoint));
-			lookAtClosedEndpoints();
+			notifyClosedEndpoints();
 			for (const [instance, peer] of peers) {
 				if (!peer.isReachable && !listedPeers.some(({name}) => name === instance)) {
 					peers.delete(instance);
@@ -198,19 +198,19 @@
 		sweep() {
 			const now = performance.now();
 			if (now - sweptAt > pauseMilliseconds) {
-				forgiveSilence();
+				resetSilence();
 			}
 
 			sweptAt = now;
-			lookAtClosedEndpoints();
+			notifyClosedEndpoints();
 			for (const peer of peers.values()) {
-				if (peer.isReachable && now - peer.contactedAt > peer.intervalMilliseconds * options.missedHeartbeats) {
-					put({...peer, isReachable: false});
+				if (peer.isReachable && now - peer.lastContactAt > peer.intervalMilliseconds * options.missedHeartbeats) {
+					setPeer({...peer, isReachable: false});
 				}
 			}
 		},
 		state: () => state,
-		enter(next) {
+		advanceTo(next) {
 			if (isBefore(state, next)) {
 				state = next;
 				options.onOwnersChange();
--- a/packages/galenakeeld/src/process/peer-watch.ts
+++ b/packages/galenakeeld/src/process/peer-watch.ts
@@ -3,11 +3,11 @@
 import type {PeerHeartbeats} from './peer-heartbeats.js';
 
 /** Time beyond the announced interval after which a peer is probed. */
-const lateMilliseconds = 250;
+const lateHeartbeatMilliseconds = 250;
 /** Time that a probed peer has to answer. */
-const answerMilliseconds = 350;
+const probeTimeoutMilliseconds = 350;
 /** Time for which an alarm of a peer covers those of others. */
-const alarmPauseMilliseconds = 1000;
+const probeAllIntervalMilliseconds = 1000;
 /** Time between two looks above which this process was paused. */
 const pauseMilliseconds = 500;
 
@@ -32,7 +32,7 @@
 	/** Suspects a peer whose stream has ended. */
 	readonly suspect: (instance: string) => void;
 	/** Answers the probe of a peer's heartbeat. */
-	readonly answer: (instance: string, probe: HeartbeatProbe) => void;
+	readonly answerProbe: (instance: string, probe: HeartbeatProbe) => void;
 	/** Whether this instance owes a peer heartbeats at full rate: the peer watches it, or is to be found again. */
 	readonly isFullRate: (instance: string) => boolean;
 };
@@ -62,7 +62,7 @@
 }): PeerWatch => {
 	const suspicions = new Map<string, Suspicion>();
 	let sweptAt = performance.now();
-	let alarmedAt = -Infinity;
+	let allProbedAt = -Infinity;
 	let watcher: string | undefined;
 
 	const reachable = (): readonly Peer[] => membership.peers().filter(({isReachable}) => isReachable);
@@ -73,42 +73,42 @@
 	};
 
 	const probeAll = (kind: HeartbeatProbe): void => {
-		alarmedAt = performance.now();
+		allProbedAt = performance.now();
 		for (const {instance} of reachable()) {
 			probe(instance, SuspicionStage.Final, kind);
 		}
 	};
 
-	const isAlarmed = (now: number): boolean => now - alarmedAt < alarmPauseMilliseconds;
+	const isProbingAll = (now: number): boolean => now - allProbedAt < probeAllIntervalMilliseconds;
 
-	const judge = (instance: string, {stage, since}: Suspicion, now: number): void => {
-		if (now - since < answerMilliseconds) {
+	const resolveSuspicion = (instance: string, {stage, since}: Suspicion, now: number): void => {
+		if (now - since < probeTimeoutMilliseconds) {
 			return;
 		}
 
-		if (stage === SuspicionStage.Silent && !isAlarmed(now)) {
-			probeAll(HeartbeatProbe.Alarm);
+		if (stage === SuspicionStage.Silent && !isProbingAll(now)) {
+			probeAll(HeartbeatProbe.Suspicion);
 		} else {
 			suspicions.delete(instance);
-			membership.lose(instance);
+			membership.markUnreachable(instance);
 			heartbeats.send(instance, HeartbeatProbe.Answer);
 		}
 	};
 
-	const look = ({instance, contactedAt, intervalMilliseconds}: Peer, now: number): void => {
+	const checkPeer = ({instance, lastContactAt, intervalMilliseconds}: Peer, now: number): void => {
 		const suspicion = suspicions.get(instance);
-		if (suspicion && contactedAt <= suspicion.since) {
-			judge(instance, suspicion, now);
+		if (suspicion && lastContactAt <= suspicion.since) {
+			resolveSuspicion(instance, suspicion, now);
 			return;
 		}
 
 		suspicions.delete(instance);
-		if (now - contactedAt > intervalMilliseconds + lateMilliseconds) {
+		if (now - lastContactAt > intervalMilliseconds + lateHeartbeatMilliseconds) {
 			probe(instance, SuspicionStage.Silent, HeartbeatProbe.Answer);
 		}
 	};
 
-	const followWatcher = (): void => {
+	const updateWatcher = (): void => {
 		const next = findWatcher(self, reachable().map(({instance}) => instance));
 		if (next !== watcher) {
 			watcher = next;
@@ -123,28 +123,28 @@
 			const now = performance.now();
 			if (now - sweptAt > pauseMilliseconds) {
 				suspicions.clear();
-				membership.forgiveSilence();
+				membership.resetSilence();
 			}
 
 			sweptAt = now;
 			for (const peer of reachable()) {
-				look(peer, now);
+				checkPeer(peer, now);
 			}
 
-			followWatcher();
+			updateWatcher();
 		},
 		suspect(instance) {
 			// Each dial that finds nothing ends a stream too; the time to answer runs from the first.
 			const peer = membership.findPeer(instance);
 			const suspicion = suspicions.get(instance);
-			const isSuspected = suspicion?.stage === SuspicionStage.Final && peer && peer.contactedAt <= suspicion.since;
+			const isSuspected = suspicion?.stage === SuspicionStage.Final && peer && peer.lastContactAt <= suspicion.since;
 			if (peer?.isReachable && !isSuspected) {
 				probe(instance, SuspicionStage.Final, HeartbeatProbe.Answer);
 			}
 		},
-		answer(instance, kind) {
+		answerProbe(instance, kind) {
 			heartbeats.send(instance);
-			if (kind === HeartbeatProbe.Alarm && !isAlarmed(performance.now())) {
+			if (kind === HeartbeatProbe.Suspicion && !isProbingAll(performance.now())) {
 				probeAll(HeartbeatProbe.Answer);
 			}
 		},
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -127,7 +127,7 @@
 	/** The newer of the last heartbeat's hint and the last reply's. */
 	const freeOf = (peer: Peer): number => {
 		const record = recordOf(peer);
-		return record.learnedAt > peer.heardAt ? record.free : options.hintOf(peer);
+		return record.learnedAt > peer.lastHeartbeatAt ? record.free : options.hintOf(peer);
 	};
 
 	/**
