Reword comments of membership, heartbeats and peer watch

They used figurative terms. They now state conditions, units and reasons in the usual terms of failure detectors; the log line of a failed read of the instance list names the platform.

--- a/packages/galenakeeld/src/process/control-messages.ts
+++ b/packages/galenakeeld/src/process/control-messages.ts
@@ -1,10 +1,10 @@
 import type {ControlMessageCounts} from '@galenakeel/model/process/daemon-status.js';
 
 /**
-Counts of the messages that share slots and tell who is alive.
+Counts of the messages for slot sharing and failure detection between daemons.
 */
 export type ControlMessages = {
-	/** Counts a message to a peer by the name of its call; a request and its reply are two. */
+	/** Counts a message to a peer by the name of its call; a request and its reply count as two messages. */
 	readonly count: (call: string) => void;
 	readonly counts: () => ControlMessageCounts;
 };
@@ -13,7 +13,7 @@
 const slotCallNames: ReadonlySet<string> = new Set(['BorrowSlots', 'ReturnSlots']);
 
 /**
-Creates counts of zero.
+Creates the counts, starting at zero.
 */
 export const createControlMessages = (): ControlMessages => {
 	let heartbeats = 0;
--- a/packages/galenakeeld/src/process/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/heartbeat-interval.ts
@@ -1,15 +1,15 @@
 /**
-Bounds of the time between heartbeats.
+Settings from which the time between heartbeats follows.
 */
 export type HeartbeatIntervalSettings = {
 	readonly heartbeatMilliseconds: number;
 	readonly maximumHeartbeatMilliseconds: number;
-	/** Weight of the number of instances; 0 keeps the interval fixed. */
+	/** Factor of the growth with the number of instances; 0 keeps the interval at its minimum. */
 	readonly heartbeatLoadFactor: number;
 };
 
 /**
-Scales the time between heartbeats with the square root of the number of instances, in milliseconds.
+Returns the time between heartbeats in milliseconds, scaled with the square root of the number of instances.
 
 `min(maximum, max(minimum, minimum * sqrt(N - 1) * l))` with N instances and the load factor l (Constellation Heartbeat Protocol, "Congestion Control").
 
@@ -24,11 +24,11 @@
 	return Math.round(Math.min(Math.max(minimum, maximum), Math.max(minimum, scaled)));
 };
 
-/** Heartbeats to the peer that watches this instance for each one to another peer. */
+/** Number of heartbeats to the peer that watches this instance for each heartbeat to any other peer. */
 const heartbeatsToWatcher = 6;
 
 /**
-Tells the time between heartbeats to a peer that does not watch this instance, in milliseconds.
+Returns the time in milliseconds between heartbeats to a peer that does not watch this instance.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -6,9 +6,9 @@
 The heartbeats that this instance sends on one stream.
 */
 export type TimedHeartbeatSource = HeartbeatSource & {
-	/** Makes the stream send a heartbeat now. */
+	/** Makes the stream send a heartbeat immediately. */
 	readonly sendNow: () => void;
-	/** Begins the time until the next heartbeat anew, because the peer has heard this instance otherwise. Only heartbeats bring all news, so one comes after a few intervals at the latest. */
+	/** Restarts the timer of the next heartbeat, because another message has shown the peer that this instance is alive. Only a heartbeat carries the whole state, so one is sent after `maximumPostponedIntervals` at the latest. */
 	readonly postpone: () => void;
 };
 
@@ -17,7 +17,7 @@
 /**
 Creates the source of the heartbeats on one stream.
 
-@param current Says what the next heartbeat holds, and how long it is until the one after it.
+@param current Returns the next heartbeat, including the time until the one after it.
 
 @example
 ```
@@ -44,7 +44,7 @@
 		before.resolve();
 	};
 
-	// The interval that the last heartbeat announced, so that the peer knows of a longer one before it begins.
+	// Uses the interval announced by the last heartbeat, so that the peer learns of a longer interval before it applies.
 	const startTimer = (): void => {
 		timer ??= setTimeout(sendHeartbeat, described?.intervalMilliseconds);
 	};
--- a/packages/galenakeeld/src/process/incarnation.ts
+++ b/packages/galenakeeld/src/process/incarnation.ts
@@ -6,7 +6,7 @@
 */
 export type Incarnation = {
 	readonly instance: string;
-	/** Differs for each run, so that nothing said by an earlier run is taken for this one's. */
+	/** Differs for each run, so that messages of an earlier run are not attributed to this one. */
 	readonly incarnation: string;
 	readonly zone: string;
 	readonly weight: number;
@@ -16,7 +16,7 @@
 };
 
 /**
-Tells whether a run of an instance began before another run of the same instance, by the clocks of the machines on which they began.
+Tells whether a run of an instance started before another run of the same instance, by the wall clocks of the machines on which they started.
 
 @example
 ```
@@ -26,7 +26,7 @@
 export const isEarlierIncarnation = (incarnation: string, other: string): boolean => incarnation < other;
 
 /**
-Creates the identity of this run. The incarnation begins with the time, so that runs of one instance can be ordered.
+Creates the identity of this run. The incarnation starts with the current time, so that runs of one instance can be ordered.
 */
 export const createIncarnation = (settings: DaemonSettings): Incarnation => ({
 	instance: settings.instance,
--- a/packages/galenakeeld/src/process/instance-watch.ts
+++ b/packages/galenakeeld/src/process/instance-watch.ts
@@ -6,13 +6,13 @@
 import type {SharedTurns} from './shared-turns.js';
 
 /**
-Reads the platform's list of instances in this instance's turns, until the process ends. Until the first list is read, every slot is a turn.
+Polls the platform's list of instances in this instance's turns until the process ends. Before the first list has been read, it polls in every slot.
 */
 export const runInstanceWatch = async (options: {
 	readonly platform: Platform;
 	readonly membership: Membership;
 	readonly turns: SharedTurns;
-	/** Called with each list that was read. */
+	/** Called after each list that has been read. */
 	readonly onList: () => void;
 	readonly log: Log;
 }): Promise<never> => {
@@ -24,7 +24,7 @@
 			hasList = true;
 			options.onList();
 		} catch (error) {
-			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'the instance list could not be read; the last one stays in use');
+			log.warn({event: LogEvent.PlatformUnavailable, detail: detailOf(error)}, 'could not read the instance list from the platform; the previous list stays in use');
 		}
 
 		await (hasList ? turns.untilOurTurn() : turns.untilNextSlot());
--- a/packages/galenakeeld/src/process/membership.ts
+++ b/packages/galenakeeld/src/process/membership.ts
@@ -4,17 +4,18 @@
 import {isEarlierIncarnation, type Incarnation} from './incarnation.js';
 import {createLeavingEndpoints} from './leaving-endpoints.js';
 
+/** Time between two sweeps above which this process is taken to have been paused. */
 const pauseMilliseconds = 2000;
 
 /**
-What an entry instance says of itself.
+State of an entry instance, as it reports it in its heartbeats.
 */
 export enum InstanceState {
-	/** Has not read its documents yet. */
+	/** Has not loaded its documents yet. */
 	Starting = 'starting',
-	/** Takes requests. */
+	/** Accepts requests. */
 	Serving = 'serving',
-	/** Finishes what it has. */
+	/** Finishes the requests that it has accepted. */
 	Leaving = 'leaving',
 }
 
@@ -24,22 +25,22 @@
 export type SlotHint = {readonly service: string; readonly free: number; readonly waiting: number};
 
 /**
-What a heartbeat asks of its receiver.
+What a heartbeat requests of its receiver.
 */
 export enum HeartbeatProbe {
-	/** A heartbeat at once. */
+	/** Send a heartbeat immediately. */
 	Answer = 'answer',
-	/** A heartbeat at once, and a look at whether each of its own peers still answers. */
+	/** Send a heartbeat immediately, and probe all peers of its own, because a peer is suspected of having failed. */
 	Suspicion = 'alarm',
 }
 
 /**
-A heartbeat, as decoded.
+A decoded heartbeat.
 */
 export type PeerHeartbeat = Incarnation & {
 	readonly state: InstanceState;
 	readonly catalogueVersion: number;
-	/** Longest time until the sender's next heartbeat on the same stream. */
+	/** Maximum time until the sender's next heartbeat on the same stream. */
 	readonly intervalMilliseconds: number;
 	readonly hints: readonly SlotHint[];
 	readonly leavingEndpoints: readonly string[];
@@ -47,44 +48,44 @@
 };
 
 /**
-A peer, as last heard.
+A peer, according to its last heartbeat.
 */
 export type Peer = PeerHeartbeat & {
-	/** Time of the last heartbeat. */
+	/** Time of the last heartbeat, in monotonic milliseconds. */
 	readonly lastHeartbeatAt: number;
-	/** Time of the last heartbeat or call. */
+	/** Time of the last heartbeat, call or reply, in monotonic milliseconds. */
 	readonly lastContactAt: number;
 	readonly isReachable: boolean;
 };
 
 /**
-What this instance knows of the others, and of leaving endpoints.
+What this instance knows of its peers and of leaving endpoints.
 */
 export type Membership = {
 	readonly receiveHeartbeat: (heartbeat: PeerHeartbeat) => void;
-	/** Says that a peer has called, or replied to a call. */
+	/** Records that a peer has made a call or replied to one. */
 	readonly recordContact: (instance: string) => void;
-	/** Marks a peer as unreachable; its identifiers stay its own. */
+	/** Marks a peer as unreachable. Identifiers that it has issued still belong to it. */
 	readonly markUnreachable: (instance: string) => void;
-	/** Starts the silence of every peer anew after this process was paused: it could not hear them. */
+	/** Restarts the silence timeout of every peer after a pause of this process, during which it could not receive heartbeats. */
 	readonly resetSilence: () => void;
 	readonly updateListed: (listed: readonly ListedInstance[]) => void;
 	readonly findPeer: (instance: string) => Peer | undefined;
 	readonly peers: () => readonly Peer[];
-	/** Entry instances on the platform's list other than this one. */
+	/** Entry instances in the platform's list, without this one. */
 	readonly listedPeers: () => readonly ListedInstance[];
 	/** This instance and the reachable peers among which slots are shared. */
 	readonly owners: () => readonly SlotOwner[];
 	readonly leavingEndpoints: () => readonly string[];
 	readonly isLeavingEndpoint: (address: string) => boolean;
-	/** Looks for peers that have fallen silent; to be called several times a second. */
+	/** Marks peers that have fallen silent as unreachable; to be called several times a second. */
 	readonly sweep: () => void;
 	readonly state: () => InstanceState;
-	/** Moves this instance on to a later state; it never goes back. */
+	/** Advances this instance to a later state. An earlier state is ignored. */
 	readonly advanceTo: (state: InstanceState) => void;
-	/** Share of slots that this instance wants, relative to the others; 0 once it has yielded its slots. */
+	/** Weight of this instance in the sharing of slots, relative to its peers; 0 once it has yielded its slots. */
 	readonly weight: () => number;
-	/** Leaves all slots to the others. */
+	/** Gives up all slots of this instance to its peers. */
 	readonly yieldSlots: () => void;
 };
 
@@ -93,7 +94,7 @@
 const isBefore = (state: InstanceState, other: InstanceState): boolean => stateOrder.indexOf(state) < stateOrder.indexOf(other);
 
 /**
-Joins a heartbeat with what the same run said before, on another stream perhaps: state and catalogue version never go back.
+Merges a heartbeat with an earlier one of the same run. Heartbeats on different streams may arrive out of order, so state and catalogue version never decrease.
 */
 const mergeHeartbeats = (before: Peer | undefined, heartbeat: PeerHeartbeat): PeerHeartbeat => {
 	if (before?.incarnation !== heartbeat.incarnation) {
@@ -108,11 +109,11 @@
 };
 
 /**
-Creates the membership of an instance that has not heard from anyone.
+Creates the membership of an instance that has not received any heartbeat yet.
 
-@param options.missedHeartbeats Silent intervals after which a peer is unreachable.
-@param options.onOwnersChange Called when the sharing of slots may have changed.
-@param options.onEndpointsLeaving Called when endpoints are closed to new work, or open to it again.
+@param options.missedHeartbeats Number of heartbeat intervals without contact after which a peer is unreachable.
+@param options.onOwnersChange Called when the distribution of slots may have changed.
+@param options.onEndpointsLeaving Called when endpoints are closed to new tasks, or opened to them again.
 */
 export const createMembership = (self: Incarnation, options: {missedHeartbeats: number; onOwnersChange: () => void; onEndpointsLeaving: () => void}): Membership => {
 	const peers = new Map<string, Peer>();
@@ -123,7 +124,7 @@
 	let sweptAt = performance.now();
 	let closedEndpoints = '';
 
-	// An instance that is leaving keeps its slots for the tasks that wait in its queue, and lends the free ones.
+	// A leaving instance keeps its slots for the tasks waiting in its queue, and lends the free ones.
 	const isOwner = (peer: Peer | undefined): boolean => peer !== undefined && peer.isReachable && peer.state !== InstanceState.Starting && peer.weight > 0;
 
 	const setPeer = (peer: Peer): void => {
--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -4,39 +4,39 @@
 import type {Incarnation} from './incarnation.js';
 import type {Membership, PeerHeartbeat} from './membership.js';
 
-/** Silence after which this instance dials a peer that should dial it: within the time that a new instance takes to begin. */
+/** Time without a heartbeat after which this instance dials a peer that should dial it; shorter than the start of a new instance. */
 const dialAfterMilliseconds = 1000;
 
 type PeerTask = {readonly address: string; readonly calls: PeerCalls; readonly stop: AbortController; readonly hasHeartbeats: boolean};
 
 /**
-The connections to peers: one task for each.
+The connections to peers, with one task for each.
 */
 export type PeerDirectory = {
-	/** Starts a task for each listed peer, and ends those of peers that are gone; to be called several times a second. */
+	/** Starts a task for each listed peer, and stops the tasks of peers that are neither listed nor reachable, or whose address has changed; to be called several times a second. */
 	readonly connect: () => void;
-	/** Calls to a peer by the name of its instance; `undefined` when neither the list nor a heartbeat names it. */
+	/** Returns the calls to a peer by the name of its instance; `undefined` if neither the list nor a heartbeat contains it. */
 	readonly callsOf: (instance: string) => PeerCalls | undefined;
 	readonly close: () => void;
 };
 
 /**
-How the directory reaches peers.
+Functions with which the directory connects to peers.
 */
 export type PeerLinks = {
 	readonly createCalls: (address: string) => PeerCalls;
-	/** Keeps a stream of heartbeats to one peer. */
+	/** Keeps a heartbeat stream to one peer open. */
 	readonly runConnection: typeof runPeerConnection;
 };
 
 /**
-Creates the directory of peers, without any connection.
+Creates the directory of peers, initially without connections.
 
-@param options.openHeartbeats Opens this instance's heartbeats on a stream to a peer.
-@param options.hear Called with each heartbeat of a peer that this instance dialled.
+@param options.openHeartbeats Opens the source of this instance's heartbeats on a stream to a peer.
+@param options.hear Called with each heartbeat received from a peer that this instance dialled.
 @param options.suspect Called when a stream to a peer has ended.
 
-Of two peers the one whose name sorts first dials; the other dials only while it hears nothing.
+Of two peers, the one whose name sorts first dials; the other dials only while it receives no heartbeats.
 */
 export const createPeerDirectory = ({self, membership, openHeartbeats, hear, suspect}: {
 	readonly self: Incarnation;
@@ -64,7 +64,7 @@
 	};
 
 	const open = (peer: ListedInstance): void => {
-		// Calls may have opened the channel before; the heartbeats use it too.
+		// Reuses the channel if a call has opened it already.
 		const calls = tasks.get(peer.name)?.calls ?? links.createCalls(peer.address);
 		const stop = new AbortController();
 		tasks.set(peer.name, {
@@ -114,7 +114,7 @@
 				return undefined;
 			}
 
-			// A peer that dialled this instance: the channel opens with the first call and carries no heartbeats.
+			// This peer dialled this instance, so the channel opened here is for calls only and carries no heartbeats.
 			const calls = links.createCalls(address);
 			tasks.set(instance, {
 				address, calls, stop: new AbortController(), hasHeartbeats: false,
--- a/packages/galenakeeld/src/process/peer-heartbeats.ts
+++ b/packages/galenakeeld/src/process/peer-heartbeats.ts
@@ -2,28 +2,28 @@
 import {createHeartbeatSource, type TimedHeartbeatSource} from './heartbeat-source.js';
 import type {HeartbeatProbe, PeerHeartbeat} from './membership.js';
 
-/** Time for which a description of this instance serves the heartbeats of further streams. */
+/** Time for which a description of this instance is reused for the heartbeats of other streams. */
 const descriptionMilliseconds = 5;
 
 /**
-The heartbeats of this instance on the streams to all peers, each at its own pace.
+The heartbeats of this instance on the streams to all peers, each at its own interval.
 */
 export type PeerHeartbeats = {
-	/** Opens the heartbeats of one stream to a peer. */
+	/** Opens the source of heartbeats for one stream to a peer. */
 	readonly open: (peer: string) => HeartbeatSource;
-	/** Makes every stream send a heartbeat now. */
+	/** Makes every stream send a heartbeat immediately. */
 	readonly sendToAll: () => void;
-	/** Makes the streams to one peer send a heartbeat now, with a probe if one is given. */
+	/** Makes the streams to one peer send a heartbeat immediately, with a probe if one is given. */
 	readonly send: (peer: string, probe?: HeartbeatProbe) => void;
-	/** Says that a call to the peer stands in for the next heartbeat. */
+	/** Postpones the next heartbeat to a peer, because a call to it serves as a sign of life. */
 	readonly postpone: (peer: string) => void;
 };
 
 /**
-Creates the heartbeats of an instance without any stream.
+Creates the heartbeats of an instance, initially without streams.
 
-@param options.describe Says what all heartbeats hold at present.
-@param options.intervalTo Time between the heartbeats to a peer, in milliseconds.
+@param options.describe Returns the current content common to all heartbeats.
+@param options.intervalTo Returns the time between heartbeats to a peer, in milliseconds.
 
 @example
 ```
@@ -37,7 +37,7 @@
 }): PeerHeartbeats => {
 	const streams = new Map<string, Set<TimedHeartbeatSource>>();
 	const probes = new Map<string, HeartbeatProbe>();
-	// Streams that send at the same time share a heartbeat, so that its difference from the one before is worked out once.
+	// Streams that send at the same time share a heartbeat object, so that its difference from the previous one is computed only once.
 	const described = new Map<string, PeerHeartbeat>();
 	let describedAt = -Infinity;
 
--- a/packages/galenakeeld/src/process/peer-watch.ts
+++ b/packages/galenakeeld/src/process/peer-watch.ts
@@ -2,43 +2,43 @@
 import {HeartbeatProbe, type Membership, type Peer} from './membership.js';
 import type {PeerHeartbeats} from './peer-heartbeats.js';
 
-/** Time beyond the announced interval after which a peer is probed. */
+/** Time past the announced interval after which a peer is probed. */
 const lateHeartbeatMilliseconds = 250;
-/** Time that a probed peer has to answer. */
+/** Time within which a probed peer must answer. */
 const probeTimeoutMilliseconds = 350;
-/** Time for which an alarm of a peer covers those of others. */
+/** Minimum time between two probes of all peers, so that the suspicions of several peers lead to one. */
 const probeAllIntervalMilliseconds = 1000;
-/** Time between two looks above which this process was paused. */
+/** Time between two sweeps above which this process is taken to have been paused. */
 const pauseMilliseconds = 500;
 
 /**
-What follows when a probed peer does not answer.
+What happens when a probed peer does not answer.
 */
 enum SuspicionStage {
-	/** Every peer is probed, and told to probe its own. */
+	/** Every peer is probed, and asked to probe its own peers. */
 	Silent = 'silent',
-	/** The peer is unreachable. */
+	/** The peer is marked as unreachable. */
 	Final = 'final',
 }
 
 type Suspicion = {readonly stage: SuspicionStage; readonly since: number};
 
 /**
-Finds the peers that have fallen silent.
+Failure detector for the peers of an instance.
 */
 export type PeerWatch = {
-	/** Looks for silent peers; to be called every 50 ms. */
+	/** Checks all peers for silence; to be called every 50 ms. */
 	readonly sweep: () => void;
 	/** Suspects a peer whose stream has ended. */
 	readonly suspect: (instance: string) => void;
 	/** Answers the probe of a peer's heartbeat. */
 	readonly answerProbe: (instance: string, probe: HeartbeatProbe) => void;
-	/** Whether this instance owes a peer heartbeats at full rate: the peer watches it, or is to be found again. */
+	/** Whether this instance sends a peer heartbeats at the full rate: either the peer watches it, or the peer is unreachable and its return is to be noticed quickly. */
 	readonly isFullRate: (instance: string) => boolean;
 };
 
 /**
-Finds the peer that watches an instance: the next reachable one in a ring by name.
+Finds the peer that watches an instance: the next reachable one in a ring ordered by name.
 
 @example
 ```
@@ -51,9 +51,9 @@
 };
 
 /**
-Creates the watch over an instance's peers.
+Creates the failure detector for the peers of an instance.
 
-Each instance sends heartbeats at full rate to one peer, which watches it; the others hear it seldom. A watched peer that is late is probed, and when it does not answer, every instance probes all its peers at once. So the messages grow with the number of instances and not with its square, and a cut availability zone is found as fast as a frozen instance.
+Each instance sends heartbeats at the full rate to one peer, its watcher, and at a lower rate to the others. A peer whose heartbeat is late is probed; if it does not answer, every instance probes all its peers at once. The number of messages therefore grows linearly with the number of instances, not quadratically, and the loss of an availability zone is detected as fast as a frozen instance.
 */
 export const createPeerWatch = ({self, membership, heartbeats}: {
 	readonly self: string;
@@ -134,7 +134,7 @@
 			updateWatcher();
 		},
 		suspect(instance) {
-			// Each dial that finds nothing ends a stream too; the time to answer runs from the first.
+			// Each failed dial ends a stream too, so the timeout runs from the first one and is not restarted.
 			const peer = membership.findPeer(instance);
 			const suspicion = suspicions.get(instance);
 			const isSuspected = suspicion?.stage === SuspicionStage.Final && peer && peer.lastContactAt <= suspicion.since;
--- a/packages/galenakeeld/src/process/shared-turns.ts
+++ b/packages/galenakeeld/src/process/shared-turns.ts
@@ -1,23 +1,23 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Membership} from './membership.js';
 
-/** Wait beyond the beginning of a slot, so that a timer that fires early does not find the slot before. */
+/** Wait past the start of a slot, so that a timer that fires early does not see the previous slot. */
 const slotMarginMilliseconds = 5;
 
 /**
-The turns of an instance to read what all instances share.
+Schedules the turns in which an instance reads data shared by all instances.
 */
 export type SharedTurns = {
-	/** Resolves when the next slot begins, whoever's turn it is. */
+	/** Resolves when the next slot starts, whichever instance has its turn. */
 	readonly untilNextSlot: () => Promise<void>;
-	/** Resolves when it is this instance's turn. */
+	/** Resolves at the start of this instance's next turn. */
 	readonly untilOurTurn: () => Promise<void>;
 };
 
 /**
-Tells whether a slot of time is this instance's, in the order of the instances' names.
+Tells whether a time slot is this instance's turn. Turns go round in the order of the instances' names.
 
-@param maximumTurns Slots in a round at most.
+@param maximumTurns Maximum number of slots in a round.
 
 @example
 ```
@@ -31,15 +31,15 @@
 };
 
 /**
-Creates the turns of an instance. In each slot one of the instances that reach each other reads, and passes the news on, so that together they read once in a slot however many they are.
+Creates the turns of an instance. In each slot, one of the instances that can reach each other reads and passes updates on to the others, so that they read about once per slot however many instances there are.
 
-Slots follow the wall clock. Clocks that disagree move the turns of an instance; it still has one in every round.
+Slots follow the wall clock. Clock differences shift the turns of an instance, but it still has one in every round.
 
-@param options.longestRoundMilliseconds Time within which each instance has a turn, however many they are.
+@param options.maximumRoundMilliseconds Time within which each instance has a turn, however many instances there are. Above `maximumRoundMilliseconds / slotMilliseconds` instances, several share a slot.
 
 @example
 ```
-const turns = createSharedTurns({self: 'entry-2', membership, slotMilliseconds: 500, longestRoundMilliseconds: 10_000});
+const turns = createSharedTurns({self: 'entry-2', membership, slotMilliseconds: 500, maximumRoundMilliseconds: 10_000});
 await turns.untilOurTurn();
 ```
 */
