--- a/packages/galenakeeld/src/process/__tests__/membership.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -112,8 +112,8 @@
 
 Then('no order of news opens an endpoint that any of it shows as leaving', () => {
 	const address = '10.0.0.1:80';
-	const news = ['listed live', 'listed leaving', 'not listed', 'marked by a peer', 'no longer marked'];
-	assertProperty(property(array(constantFrom(...news), {minLength: 1, maxLength: 12}), order => {
+	const updates = ['listed live', 'listed leaving', 'not listed', 'marked by a peer', 'no longer marked'];
+	assertProperty(property(array(constantFrom(...updates), {minLength: 1, maxLength: 12}), order => {
 		const leaving = createLeavingEndpoints();
 		const actions = new Map<string, () => void>([
 			['listed live', () => {
--- a/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
@@ -40,7 +40,7 @@
 	leavingEndpoints: [],
 });
 
-const hear = (world: WatchWorld, instance: string): void => {
+const receiveHeartbeat = (world: WatchWorld, instance: string): void => {
 	world.membership.receiveHeartbeat(heartbeatOf(instance, world.interval));
 	world.heardAt.set(instance, world.clock.now);
 	world.silent.delete(instance);
@@ -92,7 +92,7 @@
 					this.probes.push(`${peer} ${probe}`);
 					this.clock.setTimeout(() => {
 						if (!this.silent.has(peer)) {
-							hear(this, peer);
+							receiveHeartbeat(this, peer);
 						}
 					}, 1);
 				}
@@ -100,7 +100,7 @@
 		},
 	});
 	for (const peer of this.peers) {
-		hear(this, peer);
+		receiveHeartbeat(this, peer);
 	}
 });
 
@@ -113,19 +113,19 @@
 	this.probes = [];
 	pass(this, milliseconds, instance => {
 		if (!silent.has(instance)) {
-			hear(this, instance);
+			receiveHeartbeat(this, instance);
 		}
 	});
 });
 
 When('{int} ms pass in which all are heard', function (this: WatchWorld, milliseconds: number) {
 	pass(this, milliseconds, instance => {
-		hear(this, instance);
+		receiveHeartbeat(this, instance);
 	});
 });
 
 When('{string} is heard again', function (this: WatchWorld, instance: string) {
-	hear(this, instance);
+	receiveHeartbeat(this, instance);
 });
 
 When('{string} only calls every {int} ms for {int} ms', function (this: WatchWorld, caller: string, _interval: number, milliseconds: number) {
@@ -134,7 +134,7 @@
 			this.membership.recordContact(instance);
 			this.heardAt.set(instance, this.clock.now);
 		} else {
-			hear(this, instance);
+			receiveHeartbeat(this, instance);
 		}
 	});
 });
--- a/packages/galenakeeld/src/process/__tests__/shared-turns.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/shared-turns.steps.ts
@@ -4,9 +4,9 @@
 
 type TurnsWorld = {
 	names: readonly string[];
-	cutOff: string | undefined;
+	isolated: string | undefined;
 	slotMilliseconds: number;
-	mostTurns: number;
+	maximumTurns: number;
 	nextSlot: number;
 	/** Slot from which the reads count. */
 	fromSlot: number;
@@ -14,17 +14,17 @@
 	reads: Map<string, number[]>;
 };
 
-const reachableFrom = ({names, cutOff}: TurnsWorld, self: string): readonly string[] =>
-	self === cutOff ? [self] : names.filter(name => name !== cutOff);
+const reachableFrom = ({names, isolated}: TurnsWorld, self: string): readonly string[] =>
+	self === isolated ? [self] : names.filter(name => name !== isolated);
 
 const slotsSince = ({reads, fromSlot}: TurnsWorld, names: readonly string[]): readonly number[] =>
 	[...new Set(names.flatMap(name => reads.get(name)!))].filter(slot => slot >= fromSlot);
 
 Given('{int} instances that reach each other, with slots of {int} ms and rounds of at most {int} ms', function (this: TurnsWorld, count: number, slotMilliseconds: number, roundMilliseconds: number) {
 	this.names = Array.from({length: count}, (_, position) => `entry-${position + 1}`);
-	this.cutOff = undefined;
+	this.isolated = undefined;
 	this.slotMilliseconds = slotMilliseconds;
-	this.mostTurns = roundMilliseconds / slotMilliseconds;
+	this.maximumTurns = roundMilliseconds / slotMilliseconds;
 	this.nextSlot = 0;
 	this.fromSlot = 0;
 	this.reads = new Map(this.names.map(name => [name, []]));
@@ -34,7 +34,7 @@
 	const until = this.nextSlot + (milliseconds / this.slotMilliseconds);
 	for (; this.nextSlot < until; this.nextSlot++) {
 		for (const name of this.names) {
-			if (isOurTurn(name, reachableFrom(this, name), this.nextSlot, this.mostTurns)) {
+			if (isOurTurn(name, reachableFrom(this, name), this.nextSlot, this.maximumTurns)) {
 				this.reads.get(name)!.push(this.nextSlot);
 			}
 		}
@@ -42,7 +42,7 @@
 });
 
 When('instance {int} is cut off', function (this: TurnsWorld, position: number) {
-	this.cutOff = this.names[position - 1]!;
+	this.isolated = this.names[position - 1]!;
 	this.fromSlot = this.nextSlot;
 });
 
@@ -58,9 +58,9 @@
 });
 
 Then('the instance that is cut off read in every slot since then', function (this: TurnsWorld) {
-	assert.equal(slotsSince(this, [this.cutOff!]).length, this.nextSlot - this.fromSlot);
+	assert.equal(slotsSince(this, [this.isolated!]).length, this.nextSlot - this.fromSlot);
 });
 
 Then('the others read in every slot since then', function (this: TurnsWorld) {
-	assert.equal(slotsSince(this, this.names.filter(name => name !== this.cutOff)).length, this.nextSlot - this.fromSlot);
+	assert.equal(slotsSince(this, this.names.filter(name => name !== this.isolated)).length, this.nextSlot - this.fromSlot);
 });
