--- a/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
@@ -38,7 +38,7 @@
 	this.interval = interval;
 });
 
-Then('the heartbeat at {int} ms announces {int} ms and the next comes at {int} ms', async function (this: HeartbeatIntervalWorld, first: number, announced: number, second: number) {
+Then('the heartbeat at {int} ms announces {int} ms and the next is sent at {int} ms', async function (this: HeartbeatIntervalWorld, first: number, announced: number, second: number) {
 	const clock = install();
 	try {
 		const beats: number[] = [];
@@ -59,7 +59,7 @@
 	}
 });
 
-When('a call to the peer stands in every {int} ms for {int} ms', async function (this: HeartbeatIntervalWorld, every: number, milliseconds: number) {
+When('a call postpones the heartbeat every {int} ms for {int} ms', async function (this: HeartbeatIntervalWorld, every: number, milliseconds: number) {
 	const clock = install();
 	try {
 		const beats = [clock.now];
@@ -83,7 +83,7 @@
 	}
 });
 
-Then('heartbeats come at most {int} ms apart, and at most {int} of them', function (this: HeartbeatIntervalWorld, apart: number, count: number) {
+Then('heartbeats are sent at most {int} ms apart, and at most {int} of them', function (this: HeartbeatIntervalWorld, apart: number, count: number) {
 	const gaps = this.heartbeatTimes.slice(1).map((at, position) => at - this.heartbeatTimes[position]!);
 	assert.ok(gaps.length > 0 && gaps.length <= count && gaps.every(gap => gap <= apart), gaps.join(', '));
 });
--- a/packages/galenakeeld/src/process/__tests__/membership.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -30,10 +30,10 @@
 const createTestMembership = (missedHeartbeats: number): Membership => createMembership({...placeOf('entry-1'), incarnation: 'a1'}, {
 	missedHeartbeats,
 	onOwnersChange() {
-		// Nothing to share.
+		// Not checked in this feature.
 	},
 	onEndpointsLeaving() {
-		// Nothing to share.
+		// Not checked in this feature.
 	},
 });
 
@@ -49,7 +49,7 @@
 	this.membership = createTestMembership(missedHeartbeats);
 });
 
-When('{string} is heard in its run {string} as {string}', function (this: MembershipWorld, instance: string, run: string, state: InstanceState) {
+When('{string} sends a heartbeat of its run {string} as {string}', function (this: MembershipWorld, instance: string, run: string, state: InstanceState) {
 	this.membership.receiveHeartbeat(heartbeatOf(instance, run, state));
 });
 
@@ -73,7 +73,7 @@
 	this.membership.updateListed([listedEndpoint(address, run, state)]);
 });
 
-When('a peer says that {string} is leaving', function (this: MembershipWorld, mark: string) {
+When('a peer reports that {string} is leaving', function (this: MembershipWorld, mark: string) {
 	this.membership.receiveHeartbeat(heartbeatOf('entry-2', 'b1', InstanceState.Serving, [mark]));
 });
 
@@ -86,11 +86,11 @@
 	assert.deepEqual([peer?.incarnation, peer?.state], [run, state]);
 });
 
-Then('{string} gets no work', function (this: MembershipWorld, address: string) {
+Then('{string} gets no tasks', function (this: MembershipWorld, address: string) {
 	assert.equal(this.membership.isLeavingEndpoint(address), true);
 });
 
-Then('{string} gets work', function (this: MembershipWorld, address: string) {
+Then('{string} gets tasks', function (this: MembershipWorld, address: string) {
 	assert.equal(this.membership.isLeavingEndpoint(address), false);
 });
 
@@ -98,7 +98,7 @@
 	assert.deepEqual(this.membership.leavingEndpoints(), []);
 });
 
-Then('no order of a run\'s heartbeats takes it back from {string}', (state: InstanceState) => {
+Then('no order of a run\'s heartbeats reverts it from {string}', (state: InstanceState) => {
 	const states = Object.values(InstanceState);
 	assertProperty(property(array(constantFrom(...states), {minLength: 1, maxLength: 8}), heard => {
 		const membership = createTestMembership(3);
@@ -110,7 +110,7 @@
 	}));
 });
 
-Then('no order of news opens an endpoint that any of it shows as leaving', () => {
+Then('no order of updates opens an endpoint that any of them shows as leaving', () => {
 	const address = '10.0.0.1:80';
 	const updates = ['listed live', 'listed leaving', 'not listed', 'marked by a peer', 'no longer marked'];
 	assertProperty(property(array(constantFrom(...updates), {minLength: 1, maxLength: 12}), order => {
@@ -149,7 +149,7 @@
 	const installs = [1, 2, 3, 4, 5, 6].map(version => ({version, service: version % 2 === 0 ? 'paysheet' : 'quote-svc'}));
 	assertProperty(property(shuffledSubarray(installs, {minLength: 1}), order => {
 		const catalogue = createDocumentCatalogue(() => {
-			// Nothing to share.
+			// Not checked in this feature.
 		});
 		for (const {version, service} of order) {
 			catalogue.install([documentOf(service, version)], version);
--- a/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
@@ -17,7 +17,7 @@
 	interval: number;
 	probes: string[];
 	heardAt: Map<string, number>;
-	/** Peers that answer no probe. */
+	/** Peers that do not answer probes. */
 	silent: Set<string>;
 };
 
@@ -46,7 +46,7 @@
 	world.silent.delete(instance);
 };
 
-/** Passes time with sweeps; every peer but the silent ones makes contact at its interval. */
+/** Advances the clock with sweeps; `contact` is called for every peer whose interval has passed since its last contact. */
 const pass = (world: WatchWorld, milliseconds: number, contact: (instance: string) => void): void => {
 	for (let passed = 0; passed < milliseconds; passed += sweepMilliseconds) {
 		world.clock.tick(sweepMilliseconds);
@@ -64,7 +64,7 @@
 	this.clock?.uninstall();
 });
 
-Given('a watch of {string} over {string}, heard every {int} ms', function (this: WatchWorld, self: string, peers: string, interval: number) {
+Given('a watch of {string} over {string}, with heartbeats every {int} ms', function (this: WatchWorld, self: string, peers: string, interval: number) {
 	this.clock = install();
 	this.peers = namesOf(peers);
 	this.interval = interval;
@@ -74,10 +74,10 @@
 	this.membership = createMembership(heartbeatOf(self, interval), {
 		missedHeartbeats: 3,
 		onOwnersChange() {
-			// Nothing to share.
+			// Not checked in this feature.
 		},
 		onEndpointsLeaving() {
-			// Nothing to share.
+			// Not checked in this feature.
 		},
 	});
 	this.watch = createPeerWatch({
@@ -85,8 +85,8 @@
 		membership: this.membership,
 		heartbeats: {
 			open: () => assert.fail('no stream is opened'),
-			sendToAll: () => assert.fail('nothing is announced'),
-			postpone: () => assert.fail('nothing is postponed'),
+			sendToAll: () => assert.fail('no heartbeat is sent to all peers'),
+			postpone: () => assert.fail('no heartbeat is postponed'),
 			send: (peer, probe) => {
 				if (probe && this.membership.findPeer(peer)!.isReachable) {
 					this.probes.push(`${peer} ${probe}`);
@@ -104,7 +104,7 @@
 	}
 });
 
-When('nothing of {string} is heard for {int} ms', function (this: WatchWorld, names: string, milliseconds: number) {
+When('nothing is received from {string} for {int} ms', function (this: WatchWorld, names: string, milliseconds: number) {
 	const silent = new Set(namesOf(names));
 	for (const name of silent) {
 		this.silent.add(name);
@@ -118,13 +118,13 @@
 	});
 });
 
-When('{int} ms pass in which all are heard', function (this: WatchWorld, milliseconds: number) {
+When('{int} ms pass in which all send heartbeats', function (this: WatchWorld, milliseconds: number) {
 	pass(this, milliseconds, instance => {
 		receiveHeartbeat(this, instance);
 	});
 });
 
-When('{string} is heard again', function (this: WatchWorld, instance: string) {
+When('{string} sends a heartbeat again', function (this: WatchWorld, instance: string) {
 	receiveHeartbeat(this, instance);
 });
 
@@ -144,7 +144,7 @@
 	this.watch.suspect(instance);
 });
 
-When('{string} raises an alarm', function (this: WatchWorld, instance: string) {
+When('{string} sends a suspicion probe', function (this: WatchWorld, instance: string) {
 	this.watch.answerProbe(instance, HeartbeatProbe.Suspicion);
 });
 
@@ -161,7 +161,7 @@
 	assert.equal(this.membership.owners().map(({instance}) => instance).toSorted().join(', '), instances);
 });
 
-Then('no set of silent instances goes unwatched', () => {
+Then('every set of silent instances includes one with a watcher that is not silent', () => {
 	const names = fc.uniqueArray(fc.string({minLength: 1, maxLength: 3}), {minLength: 2, maxLength: 12});
 	fc.assert(fc.property(names, fc.array(fc.boolean(), {minLength: 12, maxLength: 12}), (instances, isSilent) => {
 		const silent = instances.filter((_, position) => isSilent[position]);
--- a/packages/galenakeeld/src/process/__tests__/shared-turns.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/shared-turns.steps.ts
@@ -8,19 +8,19 @@
 	slotMilliseconds: number;
 	maximumTurns: number;
 	nextSlot: number;
-	/** Slot from which the reads count. */
+	/** First slot whose reads are checked. */
 	fromSlot: number;
 	/** Slots in which each instance read. */
 	reads: Map<string, number[]>;
 };
 
-const reachableFrom = ({names, isolated}: TurnsWorld, self: string): readonly string[] =>
-	self === isolated ? [self] : names.filter(name => name !== isolated);
+const reachableFrom = ({names, isolated: cutOff}: TurnsWorld, self: string): readonly string[] =>
+	self === cutOff ? [self] : names.filter(name => name !== cutOff);
 
 const slotsSince = ({reads, fromSlot}: TurnsWorld, names: readonly string[]): readonly number[] =>
 	[...new Set(names.flatMap(name => reads.get(name)!))].filter(slot => slot >= fromSlot);
 
-Given('{int} instances that reach each other, with slots of {int} ms and rounds of at most {int} ms', function (this: TurnsWorld, count: number, slotMilliseconds: number, roundMilliseconds: number) {
+Given('{int} instances that can reach each other, with slots of {int} ms and rounds of at most {int} ms', function (this: TurnsWorld, count: number, slotMilliseconds: number, roundMilliseconds: number) {
 	this.names = Array.from({length: count}, (_, position) => `entry-${position + 1}`);
 	this.isolated = undefined;
 	this.slotMilliseconds = slotMilliseconds;
@@ -30,7 +30,7 @@
 	this.reads = new Map(this.names.map(name => [name, []]));
 });
 
-When('slots of {int} ms in all pass', function (this: TurnsWorld, milliseconds: number) {
+When('slots of {int} ms in total pass', function (this: TurnsWorld, milliseconds: number) {
 	const until = this.nextSlot + (milliseconds / this.slotMilliseconds);
 	for (; this.nextSlot < until; this.nextSlot++) {
 		for (const name of this.names) {
@@ -41,7 +41,7 @@
 	}
 });
 
-When('instance {int} is cut off', function (this: TurnsWorld, position: number) {
+When('instance {int} is isolated', function (this: TurnsWorld, position: number) {
 	this.isolated = this.names[position - 1]!;
 	this.fromSlot = this.nextSlot;
 });
@@ -57,7 +57,7 @@
 	}
 });
 
-Then('the instance that is cut off read in every slot since then', function (this: TurnsWorld) {
+Then('the instance that is isolated read in every slot since then', function (this: TurnsWorld) {
 	assert.equal(slotsSince(this, [this.isolated!]).length, this.nextSlot - this.fromSlot);
 });
 
