--- a/packages/galenakeeld/src/process/__tests__/shared-turns.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/shared-turns.steps.ts
@@ -14,8 +14,8 @@
 	reads: Map<string, number[]>;
 };
 
-const reachableFrom = ({names, isolated: cutOff}: TurnsWorld, self: string): readonly string[] =>
-	self === cutOff ? [self] : names.filter(name => name !== cutOff);
+const reachableFrom = ({names, isolated}: TurnsWorld, self: string): readonly string[] =>
+	self === isolated ? [self] : names.filter(name => name !== isolated);
 
 const slotsSince = ({reads, fromSlot}: TurnsWorld, names: readonly string[]): readonly number[] =>
 	[...new Set(names.flatMap(name => reads.get(name)!))].filter(slot => slot >= fromSlot);
--- a/packages/galenakeeld/src/process/membership.ts
+++ b/packages/galenakeeld/src/process/membership.ts
@@ -157,9 +157,9 @@
 				return;
 			}
 
-			const receivedAt = performance.now();
+			const lastHeartbeatAt = performance.now();
 			setPeer({
-				...mergeHeartbeats(before, heartbeat), lastHeartbeatAt: receivedAt, lastContactAt: receivedAt, isReachable: true,
+				...mergeHeartbeats(before, heartbeat), lastHeartbeatAt, lastContactAt: lastHeartbeatAt, isReachable: true,
 			});
 			leaving.hear(heartbeat.leavingEndpoints);
 			notifyClosedEndpoints();
