--- a/packages/galenakeeld/src/process/__tests__/shared-turns.feature
+++ b/packages/galenakeeld/src/process/__tests__/shared-turns.feature
@@ -1,7 +1,7 @@
 Feature: Data shared by all instances is read by one instance at a time
 
   Scenario Outline: Instances that can reach each other take turns
-    Given <instances> instances that can reach each other, with slots of 500 ms and rounds of at most <round> ms
+    Given <instances> connected instances with slots of 500 ms and rounds of at most <round> ms
     When slots of 60000 ms in total pass
     Then together they read in every slot
     And each reads every <apart> ms
@@ -14,7 +14,7 @@
       | 195       | 10000 | 10000 |
 
   Scenario: An instance that can reach no other reads in every slot
-    Given 6 instances that can reach each other, with slots of 500 ms and rounds of at most 10000 ms
+    Given 6 connected instances with slots of 500 ms and rounds of at most 10000 ms
     When slots of 6000 ms in total pass
     And instance 3 is isolated
     And slots of 6000 ms in total pass
--- a/packages/galenakeeld/src/process/__tests__/shared-turns.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/shared-turns.steps.ts
@@ -20,7 +20,7 @@
 const slotsSince = ({reads, fromSlot}: TurnsWorld, names: readonly string[]): readonly number[] =>
 	[...new Set(names.flatMap(name => reads.get(name)!))].filter(slot => slot >= fromSlot);
 
-Given('{int} instances that can reach each other, with slots of {int} ms and rounds of at most {int} ms', function (this: TurnsWorld, count: number, slotMilliseconds: number, roundMilliseconds: number) {
+Given('{int} connected instances with slots of {int} ms and rounds of at most {int} ms', function (this: TurnsWorld, count: number, slotMilliseconds: number, roundMilliseconds: number) {
 	this.names = Array.from({length: count}, (_, position) => `entry-${position + 1}`);
 	this.isolated = undefined;
 	this.slotMilliseconds = slotMilliseconds;
