--- a/packages/galenakeeld/src/process/__tests__/membership.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -30,10 +30,10 @@
 const createTestMembership = (missedHeartbeats: number): Membership => createMembership({...placeOf('entry-1'), incarnation: 'a1'}, {
 	missedHeartbeats,
 	onOwnersChange() {
-		// Nothing to share.
+		// Not checked in this feature.
 	},
 	onEndpointsLeaving() {
-		// Nothing to share.
+		// Not checked in this feature.
 	},
 });
 
@@ -49,8 +49,8 @@
 	this.membership = createTestMembership(missedHeartbeats);
 });
 
-When('{string} is heard in its run {string} as {string}', function (this: MembershipWorld, instance: string, run: string, state: InstanceState) {
-	this.membership.hear(heartbeatOf(instance, run, state));
+When('{string} sends a heartbeat of its run {string} as {string}', function (this: MembershipWorld, instance: string, run: string, state: InstanceState) {
+	this.membership.receiveHeartbeat(heartbeatOf(instance, run, state));
 });
 
 When('{int} ms pass with sweeps', function (this: MembershipWorld, milliseconds: number) {
@@ -70,11 +70,11 @@
 });
 
 When('the list shows {string} in its run {string} as {string}', function (this: MembershipWorld, address: string, run: string, state: ListedState) {
-	this.membership.list([listedEndpoint(address, run, state)]);
+	this.membership.updateListed([listedEndpoint(address, run, state)]);
 });
 
-When('a peer says that {string} is leaving', function (this: MembershipWorld, mark: string) {
-	this.membership.hear(heartbeatOf('entry-2', 'b1', InstanceState.Serving, [mark]));
+When('a peer reports that {string} is leaving', function (this: MembershipWorld, mark: string) {
+	this.membership.receiveHeartbeat(heartbeatOf('entry-2', 'b1', InstanceState.Serving, [mark]));
 });
 
 Then('the slots are shared by {string}', function (this: MembershipWorld, instances: string) {
@@ -86,11 +86,11 @@
 	assert.deepEqual([peer?.incarnation, peer?.state], [run, state]);
 });
 
-Then('{string} gets no work', function (this: MembershipWorld, address: string) {
+Then('{string} gets no tasks', function (this: MembershipWorld, address: string) {
 	assert.equal(this.membership.isLeavingEndpoint(address), true);
 });
 
-Then('{string} gets work', function (this: MembershipWorld, address: string) {
+Then('{string} gets tasks', function (this: MembershipWorld, address: string) {
 	assert.equal(this.membership.isLeavingEndpoint(address), false);
 });
 
@@ -98,24 +98,24 @@
 	assert.deepEqual(this.membership.leavingEndpoints(), []);
 });
 
-Then('no order of a run\'s heartbeats takes it back from {string}', (state: InstanceState) => {
+Then('no order of a run\'s heartbeats reverts it from {string}', (state: InstanceState) => {
 	const states = Object.values(InstanceState);
 	assertProperty(property(array(constantFrom(...states), {minLength: 1, maxLength: 8}), heard => {
 		const membership = createTestMembership(3);
 		for (const said of heard) {
-			membership.hear(heartbeatOf('entry-2', 'b1', said));
+			membership.receiveHeartbeat(heartbeatOf('entry-2', 'b1', said));
 		}
 
 		assert.equal(membership.findPeer('entry-2')!.state === state, heard.includes(state));
 	}));
 });
 
-Then('no order of news opens an endpoint that any of it shows as leaving', () => {
+Then('no order of updates opens an endpoint that any of them shows as leaving', () => {
 	const address = '10.0.0.1:80';
-	const news = ['listed live', 'listed leaving', 'not listed', 'marked by a peer', 'no longer marked'];
-	assertProperty(property(array(constantFrom(...news), {minLength: 1, maxLength: 12}), order => {
+	const updates = ['listed live', 'listed leaving', 'not listed', 'marked by a peer', 'no longer marked'];
+	assertProperty(property(array(constantFrom(...updates), {minLength: 1, maxLength: 12}), order => {
 		const leaving = createLeavingEndpoints();
-		const tell = new Map<string, () => void>([
+		const actions = new Map<string, () => void>([
 			['listed live', () => {
 				leaving.updateListed([listedEndpoint(address, '1', ListedState.Live)]);
 			}],
@@ -133,7 +133,7 @@
 			}],
 		]);
 		for (const item of order) {
-			tell.get(item)!();
+			actions.get(item)!();
 		}
 
 		assert.equal(leaving.isLeaving(address), order.includes('listed leaving') || order.includes('marked by a peer'));
@@ -149,7 +149,7 @@
 	const installs = [1, 2, 3, 4, 5, 6].map(version => ({version, service: version % 2 === 0 ? 'paysheet' : 'quote-svc'}));
 	assertProperty(property(shuffledSubarray(installs, {minLength: 1}), order => {
 		const catalogue = createDocumentCatalogue(() => {
-			// Nothing to share.
+			// Not checked in this feature.
 		});
 		for (const {version, service} of order) {
 			catalogue.install([documentOf(service, version)], version);
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -110,11 +110,11 @@
 		},
 		onEndpointsLeaving() {
 			dispatchers.shareSlots();
-			heartbeats.announce();
+			heartbeats.sendToAll();
 		},
 	});
 	const contact = (instance: string): void => {
-		membership.contact(instance);
+		membership.recordContact(instance);
 		heartbeats.postpone(instance);
 	};
 
@@ -141,9 +141,9 @@
 	});
 	const peerWatch = createPeerWatch({self: self.instance, membership, heartbeats});
 	const onHeartbeat = (heartbeat: PeerHeartbeat): void => {
-		membership.hear(heartbeat);
+		membership.receiveHeartbeat(heartbeat);
 		if (heartbeat.probe) {
-			peerWatch.answer(heartbeat.instance, heartbeat.probe);
+			peerWatch.answerProbe(heartbeat.instance, heartbeat.probe);
 		}
 
 		if (heartbeat.catalogueVersion > catalogue.catalogueVersion()) {
@@ -162,10 +162,10 @@
 		membership,
 		directory,
 		log,
-		turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: maximumCatalogueRoundMilliseconds}),
+		turns: createSharedTurns({...sharedReads, maximumRoundMilliseconds: maximumCatalogueRoundMilliseconds}),
 		retryMilliseconds: settings.platform.pollMilliseconds,
 		peerCallMilliseconds: settings.peers.callTimeoutMilliseconds,
-		onNewCatalogue: heartbeats.announce,
+		onNewCatalogue: heartbeats.sendToAll,
 	});
 	const claims = createClaimWriter({
 		platform, holder: self, transactionsPerSecond: () => settings.claims.writesPerSecond / Math.max(1, membership.listedPeers().length + 1), onNonce: register.issue,
@@ -257,13 +257,13 @@
 
 	const serve = async (): Promise<void> => {
 		await watch.untilCaughtUp();
-		membership.enter(InstanceState.Serving);
-		heartbeats.announce();
+		membership.advanceTo(InstanceState.Serving);
+		heartbeats.sendToAll();
 		log.info({event: LogEvent.Serving, catalogueVersion: catalogue.catalogueVersion()}, 'the daemon is ready and accepts requests');
 	};
 
 	void runInstanceWatch({
-		platform, membership, log, turns: createSharedTurns({...sharedReads, longestRoundMilliseconds: maximumListRoundMilliseconds}), onList: directory.connect,
+		platform, membership, log, turns: createSharedTurns({...sharedReads, maximumRoundMilliseconds: maximumListRoundMilliseconds}), onList: directory.connect,
 	});
 	const stopClaimSweep = new AbortController();
 	void runClaimSweep({
@@ -286,13 +286,13 @@
 	return {
 		async leave() {
 			log.info({event: LogEvent.Leaving}, 'the daemon is leaving: it finishes its requests and jobs and stops accepting connections from the load balancer');
-			membership.enter(InstanceState.Leaving);
-			heartbeats.announce();
+			membership.advanceTo(InstanceState.Leaving);
+			heartbeats.sendToAll();
 			const cut = await drain({
 				...settings.drain, ...callers, running: () => callers.busy() + register.unanswered(), log,
 			});
 			membership.yieldSlots();
-			heartbeats.announce();
+			heartbeats.sendToAll();
 			await sleep(finalHeartbeatMilliseconds);
 			directory.close();
 			connections.close();
--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -5,19 +5,19 @@
 /**
 The heartbeats that this instance sends on one stream.
 */
-export type PacedHeartbeatSource = HeartbeatSource & {
-	/** Makes the stream send a heartbeat now. */
-	readonly announce: () => void;
-	/** Begins the time until the next heartbeat anew, because the peer has heard this instance otherwise. Only heartbeats bring all news, so one comes after a few intervals at the latest. */
+export type TimedHeartbeatSource = HeartbeatSource & {
+	/** Makes the stream send a heartbeat immediately. */
+	readonly sendNow: () => void;
+	/** Restarts the timer of the next heartbeat, because another message has shown the peer that this instance is alive. Only a heartbeat carries the whole state, so one is sent after `maximumPostponedIntervals` at the latest. */
 	readonly postpone: () => void;
 };
 
-const mostIntervalsPostponed = 3;
+const maximumPostponedIntervals = 3;
 
 /**
 Creates the source of the heartbeats on one stream.
 
-@param current Says what the next heartbeat holds, and how long it is until the one after it.
+@param current Returns the next heartbeat, including the time until the one after it.
 
 @example
 ```
@@ -25,7 +25,7 @@
 heartbeats.announce();
 ```
 */
-export const createHeartbeatSource = (current: () => PeerHeartbeat): PacedHeartbeatSource => {
+export const createHeartbeatSource = (current: () => PeerHeartbeat): TimedHeartbeatSource => {
 	let next = createDeferred<void>();
 	let timer: NodeJS.Timeout | undefined;
 	let described: PeerHeartbeat | undefined;
@@ -36,7 +36,7 @@
 		timer = undefined;
 	};
 
-	const beat = (): void => {
+	const sendHeartbeat = (): void => {
 		stopTimer();
 		described = undefined;
 		const before = next;
@@ -44,9 +44,9 @@
 		before.resolve();
 	};
 
-	// The interval that the last heartbeat announced, so that the peer knows of a longer one before it begins.
+	// Uses the interval announced by the last heartbeat, so that the peer learns of a longer interval before it applies.
 	const startTimer = (): void => {
-		timer ??= setTimeout(beat, described?.intervalMilliseconds);
+		timer ??= setTimeout(sendHeartbeat, described?.intervalMilliseconds);
 	};
 
 	return {
@@ -62,9 +62,9 @@
 			startTimer();
 			return next.promise;
 		},
-		announce: beat,
+		sendNow: sendHeartbeat,
 		postpone() {
-			const isDue = described && performance.now() - describedAt > described.intervalMilliseconds * mostIntervalsPostponed;
+			const isDue = described && performance.now() - describedAt > described.intervalMilliseconds * maximumPostponedIntervals;
 			if (timer && !isDue) {
 				stopTimer();
 				startTimer();
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -127,7 +127,7 @@
 	/** Free slots of a peer, from its last heartbeat or the last reply, whichever is newer. */
 	const freeOf = (peer: Peer): number => {
 		const record = recordOf(peer);
-		return record.freeUpdatedAt > peer.heardAt ? record.free : options.advertisedFreeOf(peer);
+		return record.freeUpdatedAt > peer.lastHeartbeatAt ? record.free : options.advertisedFreeOf(peer);
 	};
 
 	/**
