Rename EndpointRun to RunningTaskSummary, TaskDemand to TaskRequirements: say what they hold

Also longestMilliseconds to maximumExpectedMilliseconds, longLeft to remainingLongSlots and queues to standingQueues, as limits and detectors are named elsewhere.

--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -26,7 +26,7 @@
 	for (let task = 0; task < count; task++) {
 		world.ledger.take(slots);
 		running.add({
-			slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
+			slots, startedAt: 0, overrunAt: Infinity, maximumExpectedMilliseconds: longestMilliseconds, length: TaskLength.Short,
 		});
 	}
 
@@ -51,7 +51,7 @@
 	for (let number = 0; number < running; number++) {
 		const startedAt = number < overdue ? 0 : lookMilliseconds - 1;
 		this.runningTasks.add({
-			slots: this.ledger.slotsOf(otherAddress)!, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+			slots: this.ledger.slotsOf(otherAddress)!, startedAt, overrunAt: Infinity, maximumExpectedMilliseconds: 400, length: TaskLength.Short,
 		});
 	}
 });
@@ -66,7 +66,7 @@
 	for (const [number, slots] of [...this.ledger.all()].entries()) {
 		const startedAt = number < silent ? 0 : lookMilliseconds - 1;
 		this.runningTasks.add({
-			slots, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+			slots, startedAt, overrunAt: Infinity, maximumExpectedMilliseconds: 400, length: TaskLength.Short,
 		});
 	}
 
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -5,7 +5,7 @@
 import {
 	AttemptResult, createEndpointGuard, type EndpointGuard, type GuardLimits,
 } from './endpoint-guard.js';
-import type {EndpointRun, RunningTasks} from './running-tasks.js';
+import type {RunningTaskSummary, RunningTasks} from './running-tasks.js';
 import type {EndpointSlots, SlotLedger} from './slot-ledger.js';
 
 /** Share of a service's endpoints with server errors above which the tasks are at fault rather than the endpoints. */
@@ -49,7 +49,7 @@
 	return isTimeout ? AttemptResult.NoAnswer : undefined;
 };
 
-type EndpointEntry = readonly [slots: EndpointSlots, run: EndpointRun];
+type EndpointEntry = readonly [slots: EndpointSlots, run: RunningTaskSummary];
 
 const overdueShareOf = (entries: readonly EndpointEntry[]): number => {
 	let running = 0;
@@ -126,7 +126,7 @@
 
 	const isSilent = ([{endpoint}, {oldest}]: EndpointEntry, now: number): boolean => {
 		const silentSince = Math.max(oldest.startedAt, guardOf(endpoint.address).answeredAt());
-		return now - silentSince > (oldest.longestMilliseconds * frozenFactor) + frozenMarginMilliseconds;
+		return now - silentSince > (oldest.maximumExpectedMilliseconds * frozenFactor) + frozenMarginMilliseconds;
 	};
 
 	/**
--- a/packages/galenakeeld/src/process/running-tasks.ts
+++ b/packages/galenakeeld/src/process/running-tasks.ts
@@ -10,7 +10,7 @@
 	/** Time from which the task counts as long. */
 	readonly overrunAt: number;
 	/** Longest run time to be expected of such a task on this endpoint. */
-	readonly longestMilliseconds: number;
+	readonly maximumExpectedMilliseconds: number;
 	length: TaskLength;
 };
 
@@ -24,13 +24,13 @@
 	readonly short: () => number;
 	/** Counts the tasks as long that have overrun their estimate. */
 	readonly markOverruns: (now: number) => void;
-	readonly byEndpoint: (now: number) => ReadonlyMap<EndpointSlots, EndpointRun>;
+	readonly byEndpoint: (now: number) => ReadonlyMap<EndpointSlots, RunningTaskSummary>;
 };
 
 /**
 What runs on one endpoint.
 */
-export type EndpointRun = {
+export type RunningTaskSummary = {
 	/** The task that has run longest. */
 	readonly oldest: RunningTask;
 	readonly running: number;
@@ -38,7 +38,7 @@
 	readonly overdue: number;
 };
 
-const isOverdue = ({startedAt, longestMilliseconds}: RunningTask, now: number): boolean => now - startedAt > longestMilliseconds;
+const isOverdue = ({startedAt, maximumExpectedMilliseconds: longestMilliseconds}: RunningTask, now: number): boolean => now - startedAt > longestMilliseconds;
 
 /**
 Creates an empty collection of running tasks.
@@ -74,7 +74,7 @@
 			}
 		},
 		byEndpoint(now) {
-			const runs = new Map<EndpointSlots, EndpointRun>();
+			const runs = new Map<EndpointSlots, RunningTaskSummary>();
 			for (const task of tasks) {
 				const {oldest = task, running = 0, overdue = 0} = runs.get(task.slots) ?? {};
 				runs.set(task.slots, {oldest, running: running + 1, overdue: overdue + (isOverdue(task, now) ? 1 : 0)});
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -26,7 +26,7 @@
 /**
 What a task asks of a dispatcher.
 */
-export type TaskDemand = Pick<WaitingTask, 'kind' | 'team' | 'deadlineAt' | 'signal' | 'avoidedEndpoint'>;
+export type TaskRequirements = Pick<WaitingTask, 'kind' | 'team' | 'deadlineAt' | 'signal' | 'avoidedEndpoint'>;
 
 /**
 Hands the slots of one service to its waiting tasks.
@@ -38,7 +38,7 @@
 
 	@throws A fault of kind `DeadlinePassed` or `Cancelled` when the task was taken out of the queue, or whatever `use` throws.
 	*/
-	readonly withSlot: <Result>(demand: TaskDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
+	readonly withSlot: <Result>(demand: TaskRequirements, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
 	/** Starts waiting tasks for which a slot has become free. */
 	readonly startNext: () => void;
 	/** Takes tasks out of the queue whose deadline has passed or whose caller has gone, and follows the load; called at a fixed interval. */
@@ -104,11 +104,11 @@
 	const demand = createSlotDemand();
 	const quotas = createQuotaReserve({ledger, order, loads});
 	let chosen: {readonly task: WaitingTask; readonly revision: number; readonly slots: EndpointSlots | undefined} | undefined;
-	const queues = {[TaskLength.Short]: createStandingQueueDetector(performance.now()), [TaskLength.Long]: createStandingQueueDetector(performance.now())};
+	const standingQueues = {[TaskLength.Short]: createStandingQueueDetector(performance.now()), [TaskLength.Long]: createStandingQueueDetector(performance.now())};
 	let capacity: SlotCapacity | undefined;
 	let started = 0;
 
-	const longLeft = (): number => options.hasShares ? share.limit(ledger.usable()) - running.long() : Infinity;
+	const remainingLongSlots = (): number => options.hasShares ? share.limit(ledger.usable()) - running.long() : Infinity;
 
 	const hasSlot = (): boolean => options.hasShares ? ledger.free() > 0 : [...ledger.all()].some(slots => slots.isOpen);
 
@@ -121,7 +121,7 @@
 	};
 
 	const canStart = (task: WaitingTask): boolean =>
-		(task.length === TaskLength.Short || longLeft() > 0) && (!options.hasShares || quotas.mayStart(task.team)) && choose(task) !== undefined;
+		(task.length === TaskLength.Short || remainingLongSlots() > 0) && (!options.hasShares || quotas.mayStart(task.team)) && choose(task) !== undefined;
 
 	const queue = new PQueue<TaskQueue, WaitingTaskOptions>({
 		queueClass: createTaskQueueClass(order, {hasSlot, canStart}),
@@ -139,7 +139,7 @@
 			startedAt,
 			overrunAt: startedAt + (estimate.percentile90 * overrunFactor / speed),
 			// A guess is no ground for taking an endpoint to be frozen.
-			longestMilliseconds: isMeasured(estimate) ? estimate.percentile99 / speed : Infinity,
+			maximumExpectedMilliseconds: isMeasured(estimate) ? estimate.percentile99 / speed : Infinity,
 			length: task.length,
 		});
 		const grant = ledger.take(slots);
@@ -166,14 +166,14 @@
 	/** Work in a millisecond that the slots do which tasks of a length may use. */
 	const capacityFor = (length: TaskLength): number => {
 		const current = currentCapacity();
-		const slots = expectedSlotsOf(current, queues[length].isStanding(performance.now()));
+		const slots = expectedSlotsOf(current, standingQueues[length].isStanding(performance.now()));
 		return Math.max(1, length === TaskLength.Short ? slots - running.long() : share.limit(slots)) * current.meanSpeed;
 	};
 
 	/** Observes the lengths apart: long tasks that wait for their share of the slots say nothing of the wait of short ones. */
 	const observeQueues = (now: number, {document}: ServiceVersion): void => {
 		for (const length of [TaskLength.Short, TaskLength.Long]) {
-			queues[length].observe(order.work(length) / capacityFor(length), document.maximumQueueMilliseconds, now);
+			standingQueues[length].observe(order.work(length) / capacityFor(length), document.maximumQueueMilliseconds, now);
 		}
 	};
 
@@ -229,7 +229,7 @@
 		waitingWithinQuota: () => quotas.waitingWithin(),
 		started: () => started,
 		shortfall() {
-			const waiting = ledger.free() > 0 ? 0 : order.count(TaskLength.Short) + Math.max(0, Math.min(order.count(TaskLength.Long), longLeft()));
+			const waiting = ledger.free() > 0 ? 0 : order.count(TaskLength.Short) + Math.max(0, Math.min(order.count(TaskLength.Long), remainingLongSlots()));
 			const withinQuota = quotas.shortfall();
 			return {count: Math.max(waiting, Math.ceil(demand.target() - ledger.usable()), withinQuota), withinQuota};
 		},
@@ -238,12 +238,12 @@
 		loadFor(team, kind) {
 			const length = lengthOf(kind);
 			return {
-				free: Math.min(ledger.free(), length === TaskLength.Short ? Infinity : Math.max(0, longLeft())),
+				free: Math.min(ledger.free(), length === TaskLength.Short ? Infinity : Math.max(0, remainingLongSlots())),
 				capacity: capacityFor(length),
 				waitingWork: order.work(length),
 				teamWork: order.work(length, team),
 				teamShare: order.shareOf(team),
-				isStanding: queues[length].isStanding(performance.now()),
+				isStanding: standingQueues[length].isStanding(performance.now()),
 			};
 		},
 	};
--- a/packages/galenakeeld/src/request/run-task.ts
+++ b/packages/galenakeeld/src/request/run-task.ts
@@ -9,7 +9,7 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import type {HeaderList, Task, TaskAnswer} from '@galenakeel/model/request/task.js';
 import type {EndpointAnswer, EndpointRequest} from '../connection/endpoint-exchange.js';
-import type {TaskDemand} from '../process/service-dispatcher.js';
+import type {TaskRequirements} from '../process/service-dispatcher.js';
 import type {SlotGrant} from '../process/slot-ledger.js';
 import type {Endpoint, ServiceVersion} from '../version/service-version.js';
 import {SpanName} from '../process/span-name.js';
@@ -42,7 +42,7 @@
 	/** Monotonic milliseconds. */
 	readonly deadlineAt: number;
 	readonly signal?: AbortSignal;
-	readonly withSlot: <Result>(demand: TaskDemand, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
+	readonly withSlot: <Result>(demand: TaskRequirements, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
 	readonly send: (address: string, request: EndpointRequest) => Promise<EndpointAnswer>;
 	readonly report: (attempt: AttemptReport) => void;
 	/** Returns whether the retry budget allows an idempotent task to be sent again, and if so deducts the retry. */
@@ -128,7 +128,7 @@
 /**
 Resolves as soon as the answer can be passed on; the slot stays occupied until the body has been streamed or its stream is closed.
 */
-const attemptOnFreeSlot = async (task: RunnableTask, context: TaskContext, demand: TaskDemand, record: StartRecord): Promise<StreamedTaskAnswer> => {
+const attemptOnFreeSlot = async (task: RunnableTask, context: TaskContext, demand: TaskRequirements, record: StartRecord): Promise<StreamedTaskAnswer> => {
 	const answered = createDeferred<StreamedTaskAnswer>();
 	const waitStartedAt = performance.now();
 	const waitSpan = context.trace.begin(SpanName.SlotWait);
@@ -189,7 +189,7 @@
 		return answerOf(createFault(FaultKind.NoEndpoint, `the document of "${context.version.document.service}" names no endpoint`), record);
 	}
 
-	let demand: TaskDemand = {
+	let demand: TaskRequirements = {
 		kind: task.kind, team: context.team, deadlineAt: context.deadlineAt, ...(context.signal && {signal: context.signal}),
 	};
 	for (let attempt = 1; ; attempt++) {
