--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -106,10 +106,10 @@
 	const membership = createMembership(self, {
 		missedHeartbeats: settings.peers.missedHeartbeats,
 		onOwnersChange() {
-			dispatchers.shareSlots();
+			dispatchers.redistributeSlots();
 		},
 		onEndpointsLeaving() {
-			dispatchers.shareSlots();
+			dispatchers.redistributeSlots();
 			heartbeats.announce();
 		},
 	});
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -45,7 +45,7 @@
 	/** Creates or updates the dispatcher of a service for a new document version. */
 	readonly install: (version: ServiceVersion) => void;
 	/** Shares the slots anew after a change of members or of leaving endpoints. */
-	readonly shareSlots: () => void;
+	readonly redistributeSlots: () => void;
 	readonly serviceOf: (service: string) => DispatchedService | undefined;
 	readonly all: () => Iterable<readonly [service: string, service: DispatchedService]>;
 	/** Refuses a submission that can't be served in time; `undefined` admits it. */
@@ -87,7 +87,7 @@
 }): ServiceDispatchers => {
 	const services = new Map<string, DispatchedService>();
 
-	const share = ({dispatcher}: DispatchedService): void => {
+	const redistributeServiceSlots = ({dispatcher}: DispatchedService): void => {
 		const {ledger, version} = dispatcher;
 		const owners = options.owners();
 		ledger.install(version.endpoints, options.countOwnedSlots(options.instance, owners, version.endpoints), owners.length);
@@ -182,11 +182,11 @@
 			dispatched.dispatcher.version = version;
 			dispatched.estimates.declare(version.document);
 			services.set(service, dispatched);
-			share(dispatched);
+			redistributeServiceSlots(dispatched);
 		},
-		shareSlots() {
+		redistributeSlots() {
 			for (const dispatched of services.values()) {
-				share(dispatched);
+				redistributeServiceSlots(dispatched);
 			}
 		},
 		serviceOf: service => services.get(service),
