Rename constants of the estimates: usual terms of statistics

smoothing to smoothingFactor, usualDeviations to defaultDeviations, undeclaredMilliseconds to defaultRunMilliseconds, smallest and largest to minimum and maximum; learnSpeed and learnRun to updateSpeed and recordRun.

--- a/packages/galenakeeld/src/process/decaying-histogram.ts
+++ b/packages/galenakeeld/src/process/decaying-histogram.ts
@@ -13,7 +13,7 @@
 	readonly percentile: (percentile: number) => number;
 };
 
-const longestMilliseconds = 3_600_000;
+const maximumRecordableMilliseconds = 3_600_000;
 
 const createGeneration = (): Histogram => build({
 	bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 4096, numberOfSignificantValueDigits: 2,
@@ -55,7 +55,7 @@
 				newer.reset();
 			}
 
-			newer.recordValue(Math.min(longestMilliseconds, Math.max(1, Math.round(milliseconds))));
+			newer.recordValue(Math.min(maximumRecordableMilliseconds, Math.max(1, Math.round(milliseconds))));
 			isMerged = false;
 		},
 		samples: () => newer.totalCount + older.totalCount,
--- a/packages/galenakeeld/src/process/run-estimates.ts
+++ b/packages/galenakeeld/src/process/run-estimates.ts
@@ -1,17 +1,17 @@
 import type {ServiceDocument} from '@galenakeel/model/version/service-document.js';
 import {createDecayingHistogram, type DecayingHistogram} from './decaying-histogram.js';
 
-const undeclaredMilliseconds = 200;
+const defaultRunMilliseconds = 200;
 const generationSamples = 256;
 /** Measurements that weigh as much as what the document declares. */
-const declaredWeight = 8;
+const declaredWeightSamples = 8;
 /** New measurements of a kind after which its estimate is worked out again. */
-const refreshSamples = 32;
+const refreshIntervalSamples = 32;
 /** Names of kinds beyond those of the document that are kept apart. */
 const maximumUndeclaredKinds = 64;
-const smallestSpeedStep = 0.02;
-const largestSpeedCorrection = 0.5;
-const declaredSpeedPull = 0.001;
+const minimumSpeedStep = 0.02;
+const maximumSpeedCorrection = 0.5;
+const declaredSpeedWeight = 0.001;
 
 /**
 What is expected of the run time of a kind of task, at speed 1, in milliseconds.
@@ -53,7 +53,7 @@
 const measure = (runs: DecayingHistogram, declaredMilliseconds: number): RunEstimate => {
 	const samples = runs.samples();
 	if (!isMeasured({samples})) {
-		const mean = ((declaredMilliseconds * (declaredWeight - samples)) + (runs.mean() * samples)) / declaredWeight;
+		const mean = ((declaredMilliseconds * (declaredWeightSamples - samples)) + (runs.mean() * samples)) / declaredWeightSamples;
 		return {...declaredEstimate(mean), samples};
 	}
 
@@ -73,9 +73,9 @@
 /**
 Tells whether an estimate rests on measurements rather than on what the document declares.
 */
-export const isMeasured = ({samples}: Pick<RunEstimate, 'samples'>): boolean => samples >= declaredWeight;
+export const isMeasured = ({samples}: Pick<RunEstimate, 'samples'>): boolean => samples >= declaredWeightSamples;
 
-const isDue = ({recorded}: MeasuredKind): boolean => recorded < refreshSamples || recorded % refreshSamples === 0;
+const isRefreshDue = ({recorded}: MeasuredKind): boolean => recorded < refreshIntervalSamples || recorded % refreshIntervalSamples === 0;
 
 const clamp = (value: number, bound: number): number => Math.min(bound, Math.max(-bound, value));
 
@@ -95,10 +95,10 @@
 export const createRunEstimates = (): RunEstimates => {
 	const byKind = new Map<string, MeasuredKind>();
 	const speeds = new Map<string, MeasuredSpeed>();
-	const service: MeasuredKind = {runs: createDecayingHistogram(generationSamples), estimate: declaredEstimate(undeclaredMilliseconds), recorded: 0};
+	const service: MeasuredKind = {runs: createDecayingHistogram(generationSamples), estimate: declaredEstimate(defaultRunMilliseconds), recorded: 0};
 	let declared: ServiceDocument['kinds'] = {};
 
-	const declaredMilliseconds = (kind: string): number => declared[kind]?.runMilliseconds ?? undeclaredMilliseconds;
+	const declaredMilliseconds = (kind: string): number => declared[kind]?.runMilliseconds ?? defaultRunMilliseconds;
 
 	const kindOf = (kind: string): MeasuredKind => {
 		const existing = byKind.get(kind);
@@ -117,21 +117,21 @@
 
 	const speedOf = (endpoint: string, declaredSpeed: number): number => speeds.get(endpoint)?.speed ?? declaredSpeed;
 
-	const learnSpeed = (endpoint: string, declaredSpeed: number, ratio: number): void => {
+	const updateSpeed = (endpoint: string, declaredSpeed: number, ratio: number): void => {
 		const speed = speeds.get(endpoint) ?? {logarithm: Math.log(declaredSpeed), speed: declaredSpeed, updates: 0};
 		speed.updates++;
-		const step = Math.max(smallestSpeedStep, 1 / (speed.updates + 1));
-		speed.logarithm += step * clamp(Math.log(ratio) - speed.logarithm, largestSpeedCorrection);
+		const step = Math.max(minimumSpeedStep, 1 / (speed.updates + 1));
+		speed.logarithm += step * clamp(Math.log(ratio) - speed.logarithm, maximumSpeedCorrection);
 		// Without a pull, all speeds could rise together while the run times rise with them.
-		speed.logarithm += declaredSpeedPull * (Math.log(declaredSpeed) - speed.logarithm);
+		speed.logarithm += declaredSpeedWeight * (Math.log(declaredSpeed) - speed.logarithm);
 		speed.speed = Math.exp(speed.logarithm);
 		speeds.set(endpoint, speed);
 	};
 
-	const learnRun = (measured: MeasuredKind, work: number, declaredRun: number): void => {
+	const recordRun = (measured: MeasuredKind, work: number, declaredRun: number): void => {
 		measured.runs.record(work);
 		measured.recorded++;
-		if (isDue(measured)) {
+		if (isRefreshDue(measured)) {
 			measured.estimate = measure(measured.runs, declaredRun);
 		}
 	};
@@ -146,13 +146,13 @@
 		record(endpoint, declaredSpeed, kind, durationMilliseconds) {
 			const measured = kindOf(kind);
 			const duration = Math.max(1, durationMilliseconds);
-			if (measured.recorded >= declaredWeight) {
-				learnSpeed(endpoint, declaredSpeed, measured.estimate.median / duration);
+			if (measured.recorded >= declaredWeightSamples) {
+				updateSpeed(endpoint, declaredSpeed, measured.estimate.median / duration);
 			}
 
 			const work = duration * speedOf(endpoint, declaredSpeed);
-			learnRun(measured, work, declaredMilliseconds(kind));
-			learnRun(service, work, undeclaredMilliseconds);
+			recordRun(measured, work, declaredMilliseconds(kind));
+			recordRun(service, work, defaultRunMilliseconds);
 		},
 		ofKind: kind => kindOf(kind).estimate,
 		ofService: () => service.estimate,
--- a/packages/galenakeeld/src/process/slot-demand.ts
+++ b/packages/galenakeeld/src/process/slot-demand.ts
@@ -1,5 +1,5 @@
-const smoothing = 0.03;
-const usualDeviations = 0.5;
+const smoothingFactor = 0.03;
+const defaultDeviations = 0.5;
 
 /**
 The number of slots that the tasks of one service need on this instance.
@@ -25,8 +25,8 @@
 	let mean = 0;
 	return {
 		observe(tasks) {
-			mean += smoothing * (tasks - mean);
+			mean += smoothingFactor * (tasks - mean);
 		},
-		target: (deviations = usualDeviations) => mean + (deviations * Math.sqrt(mean)),
+		target: (deviations = defaultDeviations) => mean + (deviations * Math.sqrt(mean)),
 	};
 };
