--- a/packages/galenakeeld/src/process/__tests__/endpoint-connections.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-connections.steps.ts
@@ -12,7 +12,7 @@
 import {performExchange, type EndpointAnswer} from '../../connection/endpoint-exchange.js';
 import {createEndpointConnections, type EndpointConnections} from '../endpoint-connections.js';
 
-const momentMilliseconds = 50;
+const settleMilliseconds = 50;
 const maximumIdleMilliseconds = 200;
 const bufferedBodyBytes = 1_048_576;
 
@@ -26,7 +26,7 @@
 	socketsOfTasks: Map<string, Socket>;
 	/** Connections that this instance may have open. */
 	share: number;
-	mostOpen: number;
+	maximumOpen: number;
 	sent: number;
 	tasks: SentTask[];
 	answer: Deferred<EndpointAnswer>;
@@ -69,20 +69,20 @@
 Given('an endpoint, and connections with {int} opened ahead within a part of {int}', async function (this: World, connectionsAhead: number, share: number) {
 	this.openedAt = new Map();
 	this.socketsOfTasks = new Map();
-	this.mostOpen = 0;
+	this.maximumOpen = 0;
 	this.sent = 0;
 	this.tasks = [];
 	this.share = share;
 	this.server = createServer((request, response) => {
 		this.socketsOfTasks.set(request.url!, request.socket);
 		const text = `answer to ${request.url!}`;
-		this.mostOpen = Math.max(this.mostOpen, this.connections.open());
+		this.maximumOpen = Math.max(this.maximumOpen, this.connections.open());
 		response.writeHead(200, {'content-length': text.length});
 		response.end(text);
 	});
 	this.server.on('connection', socket => {
 		this.openedAt.set(socket, performance.now());
-		this.mostOpen = Math.max(this.mostOpen, this.connections.open());
+		this.maximumOpen = Math.max(this.maximumOpen, this.connections.open());
 	});
 	this.server.listen(0, '127.0.0.1');
 	await once(this.server, 'listening');
@@ -102,7 +102,7 @@
 
 const sendOne = async function (this: World): Promise<void> {
 	await send(this);
-	await sleep(momentMilliseconds);
+	await sleep(settleMilliseconds);
 };
 
 When('a task is sent', sendOne);
@@ -122,7 +122,7 @@
 		socket.end();
 	}
 
-	await sleep(momentMilliseconds);
+	await sleep(settleMilliseconds);
 });
 
 When('the endpoint writes an answer to the connections without a task', async function (this: World) {
@@ -130,7 +130,7 @@
 		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\nanother');
 	}
 
-	await sleep(momentMilliseconds);
+	await sleep(settleMilliseconds);
 });
 
 When('the connections without a task pass their idle time', async () => {
@@ -139,13 +139,13 @@
 
 When('the connections are closed', async function (this: World) {
 	this.connections.close();
-	await sleep(momentMilliseconds);
+	await sleep(settleMilliseconds);
 });
 
 When('the endpoint ends', async function (this: World) {
 	this.server.close();
 	this.server.closeAllConnections();
-	await sleep(momentMilliseconds);
+	await sleep(settleMilliseconds);
 });
 
 Then('each task had its own answer', function (this: World) {
@@ -174,7 +174,7 @@
 });
 
 Then('at most {int} connections were open at once', function (this: World, most: number) {
-	assert.ok(this.mostOpen <= most, `${this.mostOpen} connections were open at once`);
+	assert.ok(this.maximumOpen <= most, `${this.maximumOpen} connections were open at once`);
 });
 
 Then('the endpoint has no open connection', function (this: World) {
--- a/packages/galenakeeld/src/process/endpoint-connections.ts
+++ b/packages/galenakeeld/src/process/endpoint-connections.ts
@@ -34,7 +34,7 @@
 };
 
 type IdleConnection = {
-	readonly take: (exchange: EndpointExchange | undefined) => void;
+	readonly assign: (exchange: EndpointExchange | undefined) => void;
 	readonly isUsable: () => boolean;
 	readonly openedAt: number;
 	readonly idleSince: number;
@@ -49,8 +49,8 @@
 	connecting: number;
 	open: number;
 	/** Connections opened before this time on the monotonic clock carry no further request. */
-	suspectBefore: number;
-	isOpeningAhead: boolean;
+	minimumOpenedAt: number;
+	isPreconnecting: boolean;
 };
 
 /**
@@ -72,7 +72,7 @@
 		let pool = pools.get(address);
 		if (!pool) {
 			pool = {
-				address, waiting: [], idle: [], connecting: 0, open: 0, suspectBefore: 0, isOpeningAhead: false,
+				address, waiting: [], idle: [], connecting: 0, open: 0, minimumOpenedAt: 0, isPreconnecting: false,
 			};
 			pools.set(address, pool);
 		}
@@ -80,21 +80,21 @@
 		return pool;
 	};
 
-	const isTrusted = (pool: EndpointPool, connection: IdleConnection, now: number): boolean =>
+	const isReusable = (pool: EndpointPool, connection: IdleConnection, now: number): boolean =>
 		now - connection.idleSince < limits.maximumIdleMilliseconds
 		&& now - connection.openedAt < limits.maximumAgeMilliseconds
-		&& connection.openedAt >= pool.suspectBefore
+		&& connection.openedAt >= pool.minimumOpenedAt
 		&& connection.isUsable();
 
-	const takeIdle = (pool: EndpointPool): IdleConnection | undefined => {
+	const acquireIdle = (pool: EndpointPool): IdleConnection | undefined => {
 		const now = performance.now();
 		for (;;) {
 			const connection = pool.idle.shift();
-			if (!connection || isTrusted(pool, connection, now)) {
+			if (!connection || isReusable(pool, connection, now)) {
 				return connection;
 			}
 
-			connection.take(undefined);
+			connection.assign(undefined);
 		}
 	};
 
@@ -118,14 +118,14 @@
 
 				const next = createDeferred<EndpointExchange | undefined>();
 				pool.idle.push({
-					take: next.resolve, isUsable, openedAt, idleSince: performance.now(),
+					assign: next.resolve, isUsable, openedAt, idleSince: performance.now(),
 				});
 				return next.promise;
 			});
 		} catch (error) {
 			endConnecting();
 			// An endpoint that can't be reached may have left the connections silent that are open already.
-			pool.suspectBefore = performance.now();
+			pool.minimumOpenedAt = performance.now();
 			pool.waiting.shift()?.answer.reject(error);
 		} finally {
 			pool.open--;
@@ -135,14 +135,14 @@
 	const maximumConnections = (request: EndpointRequest): number => Math.floor(request.connections / Math.max(1, limits.instances()));
 
 	/** Opens connections for the next requests once those of this turn of the event loop are on their way. */
-	const openAhead = (pool: EndpointPool, request: EndpointRequest): void => {
-		if (pool.isOpeningAhead || pool.idle.length + pool.connecting - pool.waiting.length >= limits.connectionsAhead) {
+	const preconnect = (pool: EndpointPool, request: EndpointRequest): void => {
+		if (pool.isPreconnecting || pool.idle.length + pool.connecting - pool.waiting.length >= limits.connectionsAhead) {
 			return;
 		}
 
-		pool.isOpeningAhead = true;
+		pool.isPreconnecting = true;
 		setImmediate(() => {
-			pool.isOpeningAhead = false;
+			pool.isPreconnecting = false;
 			const maximum = isClosed ? 0 : maximumConnections(request);
 			while (pool.open < maximum && pool.idle.length + pool.connecting - pool.waiting.length < limits.connectionsAhead) {
 				void openConnection(pool);
@@ -154,9 +154,9 @@
 		async send(address, request) {
 			const pool = poolOf(address);
 			const answer = createDeferred<EndpointAnswer>();
-			const idle = takeIdle(pool);
+			const idle = acquireIdle(pool);
 			if (idle) {
-				idle.take({request, answer});
+				idle.assign({request, answer});
 			} else {
 				pool.waiting.push({request, answer});
 				if (pool.connecting < pool.waiting.length) {
@@ -164,25 +164,25 @@
 				}
 			}
 
-			openAhead(pool, request);
+			preconnect(pool, request);
 			try {
 				return await answer.promise;
 			} catch (error) {
 				// Whatever silenced this connection may have silenced the others that are as old.
-				pool.suspectBefore = performance.now();
+				pool.minimumOpenedAt = performance.now();
 				throw error;
 			}
 		},
 		sweep() {
 			const now = performance.now();
 			for (const [address, pool] of pools) {
-				const stale = pool.idle.filter(connection => !isTrusted(pool, connection, now));
+				const stale = pool.idle.filter(connection => !isReusable(pool, connection, now));
 				pool.idle = pool.idle.filter(connection => !stale.includes(connection));
 				for (const connection of stale) {
-					connection.take(undefined);
+					connection.assign(undefined);
 				}
 
-				if (pool.open === 0 && !pool.isOpeningAhead) {
+				if (pool.open === 0 && !pool.isPreconnecting) {
 					pools.delete(address);
 				}
 			}
@@ -199,7 +199,7 @@
 			isClosed = true;
 			for (const pool of pools.values()) {
 				for (const connection of pool.idle.splice(0)) {
-					connection.take(undefined);
+					connection.assign(undefined);
 				}
 			}
 		},
