--- a/packages/galenakeeld/src/process/choose-endpoint.ts
+++ b/packages/galenakeeld/src/process/choose-endpoint.ts
@@ -1,7 +1,7 @@
 import {PlacementPolicy} from './placement-policy.js';
 import {freeSlotsOf, type ChooseEndpoint, type EndpointSlots} from './slot-ledger.js';
 
-const openOnes = (candidates: Iterable<EndpointSlots>): EndpointSlots[] => [...candidates].filter(slots => slots.isOpen);
+const availableEndpoints = (candidates: Iterable<EndpointSlots>): EndpointSlots[] => [...candidates].filter(slots => slots.isOpen);
 
 const pick = (candidates: readonly EndpointSlots[]): EndpointSlots | undefined =>
 	candidates[Math.floor(Math.random() * candidates.length)];
@@ -23,14 +23,14 @@
 const createRoundRobin = (): ChooseEndpoint => {
 	let next = 0;
 	return candidates => {
-		const open = openOnes(candidates);
+		const open = availableEndpoints(candidates);
 		next = (next + 1) % Math.max(1, open.length);
 		return open[next];
 	};
 };
 
-const chooseOfTwo: ChooseEndpoint = candidates => {
-	const open = openOnes(candidates);
+const choosePowerOfTwo: ChooseEndpoint = candidates => {
+	const open = availableEndpoints(candidates);
 	const pair = [pick(open), pick(open)].filter(slots => slots !== undefined);
 	return leastOf(pair, slots => slots.busy);
 };
@@ -57,7 +57,7 @@
 export const createChooseEndpoint = (policy: PlacementPolicy, speedOf: (slots: EndpointSlots) => number, clock: () => number): ChooseEndpoint => {
 	switch (policy) {
 		case PlacementPolicy.Random: {
-			return candidates => pick(openOnes(candidates));
+			return candidates => pick(availableEndpoints(candidates));
 		}
 
 		case PlacementPolicy.RoundRobin: {
@@ -65,11 +65,11 @@
 		}
 
 		case PlacementPolicy.PowerOfTwoChoices: {
-			return chooseOfTwo;
+			return choosePowerOfTwo;
 		}
 
 		case PlacementPolicy.LeastOutstanding: {
-			return candidates => leastOf(openOnes(candidates), slots => slots.busy);
+			return candidates => leastOf(availableEndpoints(candidates), slots => slots.busy);
 		}
 
 		case PlacementPolicy.Shares:
