--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -124,10 +124,10 @@
 const answeredIn = ({records}: LoadWorld, phase: number, team = 'payroll'): readonly TaskRecord[] =>
 	records.filter(record => record.phase === phase && record.team === team && record.answers > 0);
 
-const tailOf = (values: readonly number[]): number => values.toSorted((first, second) => first - second)[Math.floor(values.length * 0.99)]!;
+const percentile99Of = (values: readonly number[]): number => values.toSorted((first, second) => first - second)[Math.floor(values.length * 0.99)]!;
 
-const responseTail = (world: LoadWorld, phase: number): number =>
-	tailOf(answeredIn(world, phase).map(({endedAt, arrivedAt}) => endedAt - arrivedAt));
+const responsePercentile99 = (world: LoadWorld, phase: number): number =>
+	percentile99Of(answeredIn(world, phase).map(({endedAt, arrivedAt}) => endedAt - arrivedAt));
 
 const createDispatchers = (): ServiceDispatchers => createServiceDispatchers({
 	instance: 'entry-1',
@@ -251,7 +251,7 @@
 
 Then(isTailAtMost, {timeout: 60_000}, async function (this: LoadWorld, phase: number, factor: number, reference: number) {
 	await run(this);
-	const [measured, alone] = [responseTail(this, phase), responseTail(this, reference)];
+	const [measured, alone] = [responsePercentile99(this, phase), responsePercentile99(this, reference)];
 	assert.ok(measured <= alone * factor, `${measured} ms over ${alone} ms: ${measured / alone}`);
 });
 
