--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -14,7 +14,7 @@
 const otherAddress = '127.0.0.1:8081';
 const lookMilliseconds = 750;
 
-const runTasksOn = (world: GuardWorld, count: number, longestMilliseconds: number): void => {
+const runTasksOn = (world: GuardWorld, count: number, maximumExpectedMilliseconds: number): void => {
 	const running = createRunningTasks();
 	world.runningTasks = running;
 	world.ledger = createSlotLedger(() => undefined);
@@ -26,12 +26,12 @@
 	for (let task = 0; task < count; task++) {
 		world.ledger.take(slots);
 		running.add({
-			slots, startedAt: 0, overrunAt: Infinity, maximumExpectedMilliseconds: longestMilliseconds, length: TaskLength.Short,
+			slots, startedAt: 0, overrunAt: Infinity, maximumExpectedMilliseconds, length: TaskLength.Short,
 		});
 	}
 
 	world.guards = createEndpointGuards({
-		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => longestMilliseconds,
+		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => maximumExpectedMilliseconds,
 	});
 };
 
--- a/packages/galenakeeld/src/process/running-tasks.ts
+++ b/packages/galenakeeld/src/process/running-tasks.ts
@@ -38,7 +38,7 @@
 	readonly overdue: number;
 };
 
-const isOverdue = ({startedAt, maximumExpectedMilliseconds: longestMilliseconds}: RunningTask, now: number): boolean => now - startedAt > longestMilliseconds;
+const isOverdue = ({startedAt, maximumExpectedMilliseconds}: RunningTask, now: number): boolean => now - startedAt > maximumExpectedMilliseconds;
 
 /**
 Creates an empty collection of running tasks.
