--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -74,7 +74,7 @@
 	record.answers++;
 };
 
-const arrive = (world: LoadWorld, {team, kind, from, to}: Load): void => {
+const submitRequest = (world: LoadWorld, {team, kind, from, to}: Load): void => {
 	const refusal = world.dispatchers.admit(world.version, {...submission, team, tasks: [{kind}] as never});
 	const record: TaskRecord = {
 		phase: world.phaseStarts.length,
@@ -100,7 +100,7 @@
 	for (let now = 0; now < milliseconds; now++) {
 		for (const [position, load] of loads.entries()) {
 			for (; due[position]! <= now; due[position]! -= Math.log(world.random()) / load.rate) {
-				arrive(world, load);
+				submitRequest(world, load);
 			}
 		}
 
@@ -160,7 +160,7 @@
 	}
 };
 
-const plan = (world: LoadWorld, milliseconds: number, loads: readonly Load[]): void => {
+const addPhase = (world: LoadWorld, milliseconds: number, loads: readonly Load[]): void => {
 	world.phases.push({milliseconds, loads, failing: world.nextFailing});
 };
 
@@ -181,20 +181,20 @@
 });
 
 When('tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity', function (this: LoadWorld, milliseconds: number, share: number) {
-	plan(this, milliseconds, [shortLoad(share)]);
+	addPhase(this, milliseconds, [shortLoad(share)]);
 });
 
 When('tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity while another team sends 10 times as many', function (this: LoadWorld, milliseconds: number, share: number) {
-	plan(this, milliseconds, [shortLoad(share), shortLoad(share * 10, 'depot')]);
+	addPhase(this, milliseconds, [shortLoad(share), shortLoad(share * 10, 'depot')]);
 });
 
-const besideLong = 'tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity beside tasks of {int} ms at {float} times the capacity';
+const mixedLoadStep = 'tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity beside tasks of {int} ms at {float} times the capacity';
 
-When(besideLong, function (this: LoadWorld, milliseconds: number, share: number, long: number, longShare: number) {
+When(mixedLoadStep, function (this: LoadWorld, milliseconds: number, share: number, long: number, longShare: number) {
 	const longLoad = {
 		team: 'rerates', kind: 'rerate', from: long, to: long, rate: longShare * slots / long,
 	};
-	plan(this, milliseconds, [shortLoad(share), longLoad]);
+	addPhase(this, milliseconds, [shortLoad(share), longLoad]);
 });
 
 Given('a peer has borrowed {int} slots', function (this: LoadWorld, count: number) {
@@ -206,7 +206,7 @@
 
 When('{int} requests arrive at once', function (this: LoadWorld, count: number) {
 	for (let request = 0; request < count; request++) {
-		arrive(this, shortLoad(1));
+		submitRequest(this, shortLoad(1));
 	}
 });
 
@@ -247,9 +247,9 @@
 	assert.ok(this.records.every(({isRefused, answers}) => answers === (isRefused ? 0 : 1)));
 });
 
-const isTailAtMost = 'the 99th percentile of the first team\'s response in phase {int} is at most {float} times that in phase {int}';
+const responseTimeStep = 'the 99th percentile of the first team\'s response in phase {int} is at most {float} times that in phase {int}';
 
-Then(isTailAtMost, {timeout: 60_000}, async function (this: LoadWorld, phase: number, factor: number, reference: number) {
+Then(responseTimeStep, {timeout: 60_000}, async function (this: LoadWorld, phase: number, factor: number, reference: number) {
 	await run(this);
 	const [measured, alone] = [responsePercentile99(this, phase), responsePercentile99(this, reference)];
 	assert.ok(measured <= alone * factor, `${measured} ms over ${alone} ms: ${measured / alone}`);
