--- a/packages/galenakeeld/src/process/__tests__/endpoint-connections.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-connections.steps.ts
@@ -66,7 +66,7 @@
 	}
 };
 
-Given('an endpoint, and connections with {int} opened ahead within a part of {int}', async function (this: World, connectionsAhead: number, share: number) {
+Given('an endpoint and a pool that opens {int} connections in advance, limited to {int}', async function (this: World, connectionsAhead: number, share: number) {
 	this.openedAt = new Map();
 	this.socketsOfTasks = new Map();
 	this.maximumOpen = 0;
@@ -109,7 +109,7 @@
 
 When('another task is sent', sendOne);
 
-When('{int} tasks are sent, {int} at once', async function (this: World, count: number, atOnce: number) {
+When('{int} tasks are sent, {int} concurrently', async function (this: World, count: number, atOnce: number) {
 	await Promise.all(Array.from({length: atOnce}, async () => {
 		while (this.sent < count) {
 			await send(this);
@@ -117,7 +117,7 @@
 	}));
 });
 
-When('the endpoint closes the connections without a task', async function (this: World) {
+When('the endpoint closes the idle connections', async function (this: World) {
 	for (const socket of idleSockets(this)) {
 		socket.end();
 	}
@@ -125,7 +125,7 @@
 	await sleep(settleMilliseconds);
 });
 
-When('the endpoint writes an answer to the connections without a task', async function (this: World) {
+When('the endpoint sends an answer on the idle connections', async function (this: World) {
 	for (const socket of idleSockets(this)) {
 		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\nanother');
 	}
@@ -133,22 +133,22 @@
 	await sleep(settleMilliseconds);
 });
 
-When('the connections without a task pass their idle time', async () => {
+When('the idle connections exceed the maximum idle time', async () => {
 	await sleep(maximumIdleMilliseconds);
 });
 
-When('the connections are closed', async function (this: World) {
+When('the pool is closed', async function (this: World) {
 	this.connections.close();
 	await sleep(settleMilliseconds);
 });
 
-When('the endpoint ends', async function (this: World) {
+When('the endpoint shuts down', async function (this: World) {
 	this.server.close();
 	this.server.closeAllConnections();
 	await sleep(settleMilliseconds);
 });
 
-Then('each task had its own answer', function (this: World) {
+Then('each task received its own answer', function (this: World) {
 	for (const {name, answer, fault} of this.tasks) {
 		assert.equal(answer, `answer to ${name}`, `task ${name} failed with ${fault}`);
 	}
@@ -161,11 +161,11 @@
 	return openedAt.get(socketsOfTasks.get(name)!)! < sentAt;
 };
 
-Then('the other task went over a connection that was open before it was sent', function (this: World) {
+Then('the other task used a connection that was open before it was sent', function (this: World) {
 	assert.equal(openedBefore(this), true);
 });
 
-Then('the other task went over a connection that was opened for it', function (this: World) {
+Then('the other task used a connection that was opened for it', function (this: World) {
 	assert.equal(openedBefore(this), false);
 });
 
@@ -188,7 +188,7 @@
 	assert.equal(fault, FaultKind.EndpointUnreachable);
 });
 
-When('a request is sent over a connection that is closed already, with a time-out of {int} ms', async function (this: World, timeoutMilliseconds: number) {
+When('a request is sent over a closed connection with a time-out of {int} ms', async function (this: World, timeoutMilliseconds: number) {
 	const {port} = this.server.address() as AddressInfo;
 	const socket = connect({port, host: '127.0.0.1'});
 	await once(socket, 'connect');
@@ -202,6 +202,6 @@
 });
 
 Then('it ends within {int} ms with a fault', async function (this: World, milliseconds: number) {
-	const ended = Promise.race([this.answer.promise, sleep(milliseconds, 'nothing came')]);
+	const ended = Promise.race([this.answer.promise, sleep(milliseconds, 'no answer within the time limit')]);
 	await assert.rejects(ended, isFault);
 });
--- a/packages/galenakeeld/src/process/endpoint-connections.ts
+++ b/packages/galenakeeld/src/process/endpoint-connections.ts
@@ -4,36 +4,40 @@
 import type {EndpointAnswer, EndpointExchange, EndpointRequest} from '../connection/endpoint-exchange.js';
 
 /**
-Sends requests to endpoints, each over a connection that no other request is on.
+A pool of connections to endpoints. Each connection carries at most one request at a time.
 */
 export type EndpointConnections = {
-	/** @throws A fault of kind `EndpointUnreachable` when no byte went out, `EndpointTimeout` or `EndpointBroken` afterwards, or what `beforeFirstByte` threw. */
+	/** @throws A fault of kind `EndpointUnreachable` if no byte was sent, `EndpointTimeout` or `EndpointBroken` afterwards, or the error that `beforeFirstByte` threw. */
 	readonly send: (address: string, request: EndpointRequest) => Promise<EndpointAnswer>;
-	/** Closes connections that have been idle or open for too long, or that their endpoint has closed. */
+	/** Closes idle connections that have exceeded their maximum idle time or age, or that the endpoint has closed. */
 	readonly sweep: () => void;
+	/** Number of open connections to all endpoints. */
 	readonly open: () => number;
-	/** Closes the connections that carry no request, and opens no more ahead of requests. */
+	/** Closes the idle connections and stops opening connections in advance. */
 	readonly close: () => void;
 };
 
 /**
-Opens and serves one connection until it can carry no further exchange; throws when it could not be opened.
+Opens one connection and performs exchanges on it until it can no longer be reused.
+
+@throws If the connection could not be opened.
 */
 export type RunEndpointConnection = (address: string, nextExchange: NextExchange) => Promise<void>;
 
 /**
-How many connections are open, and how long one is trusted while no request is on it.
+Limits on the number of connections and on the reuse of idle ones.
 */
 export type EndpointPoolLimits = {
 	readonly maximumIdleMilliseconds: number;
 	readonly maximumAgeMilliseconds: number;
-	/** Connections to each endpoint in use that are open before a request needs them. */
+	/** Number of connections to each endpoint in use that are opened before a request needs them. */
 	readonly connectionsAhead: number;
-	/** Entry instances that share the connections of an endpoint at present. */
+	/** Current number of entry instances that share the connections of an endpoint. */
 	readonly instances: () => number;
 };
 
 type IdleConnection = {
+	/** Assigns the next exchange; `undefined` closes the connection. */
 	readonly assign: (exchange: EndpointExchange | undefined) => void;
 	readonly isUsable: () => boolean;
 	readonly openedAt: number;
@@ -42,21 +46,21 @@
 
 type EndpointPool = {
 	readonly address: string;
-	/** Requests for which a connection is being opened. */
+	/** Exchanges that wait for a connection to open. */
 	readonly waiting: EndpointExchange[];
-	/** Connections without a request, the one that has been idle longest first. */
+	/** Idle connections, longest idle first. */
 	idle: IdleConnection[];
 	connecting: number;
 	open: number;
-	/** Connections opened before this time on the monotonic clock carry no further request. */
+	/** Monotonic time in milliseconds; connections opened before it are not reused. */
 	minimumOpenedAt: number;
 	isPreconnecting: boolean;
 };
 
 /**
-Creates the connections to all endpoints of this process, none of them open yet.
+Creates the pool of connections to all endpoints of this process, without open connections.
 
-@param runConnection Opens and serves one connection.
+@param runConnection Opens one connection and performs its exchanges.
 
 @example
 ```
@@ -124,7 +128,7 @@
 			});
 		} catch (error) {
 			endConnecting();
-			// An endpoint that can't be reached may have left the connections silent that are open already.
+			// The open connections to an unreachable endpoint may be dead without having been closed.
 			pool.minimumOpenedAt = performance.now();
 			pool.waiting.shift()?.answer.reject(error);
 		} finally {
@@ -134,7 +138,7 @@
 
 	const maximumConnections = (request: EndpointRequest): number => Math.floor(request.connections / Math.max(1, limits.instances()));
 
-	/** Opens connections for the next requests once those of this turn of the event loop are on their way. */
+	/** Opens connections for later requests, after the requests of the current turn of the event loop have been sent. */
 	const preconnect = (pool: EndpointPool, request: EndpointRequest): void => {
 		if (pool.isPreconnecting || pool.idle.length + pool.connecting - pool.waiting.length >= limits.connectionsAhead) {
 			return;
@@ -168,7 +172,7 @@
 			try {
 				return await answer.promise;
 			} catch (error) {
-				// Whatever silenced this connection may have silenced the others that are as old.
+				// The cause of this failure may have broken other connections that are open already.
 				pool.minimumOpenedAt = performance.now();
 				throw error;
 			}
