--- a/packages/galenakeeld/src/process/__tests__/run-estimates.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/run-estimates.steps.ts
@@ -7,7 +7,7 @@
 
 const isLongKind = ({estimates}: EstimatesWorld, kind: string): boolean => isLongRun(estimates.ofKind(kind), estimates.ofService());
 
-Given('estimates with the kind {string} declared as {int} ms', function (this: EstimatesWorld, kind: string, runMilliseconds: number) {
+Given('estimates for the kind {string} declared as {int} ms', function (this: EstimatesWorld, kind: string, runMilliseconds: number) {
 	this.estimates = createRunEstimates();
 	this.estimates.declare({kinds: {[kind]: {runMilliseconds}}});
 });
@@ -26,7 +26,7 @@
 	}
 });
 
-Then('a {string} is expected to run for {int} to {int} ms', function (this: EstimatesWorld, kind: string, from: number, to: number) {
+Then('the expected run time of {string} is {int} to {int} ms', function (this: EstimatesWorld, kind: string, from: number, to: number) {
 	const {typical} = this.estimates.ofKind(kind);
 	assert.ok(typical >= from && typical <= to, `${typical} ms`);
 });
--- a/packages/galenakeeld/src/process/decaying-histogram.ts
+++ b/packages/galenakeeld/src/process/decaying-histogram.ts
@@ -1,15 +1,15 @@
 import {build, type Histogram} from 'hdr-histogram-js';
 
 /**
-A distribution of run times in which old values fade.
+A histogram of run times that drops old values.
 */
 export type DecayingHistogram = {
 	readonly record: (milliseconds: number) => void;
-	/** Number of values that still count. */
+	/** Number of values in the histogram. */
 	readonly samples: () => number;
-	/** Mean in milliseconds; 0 without values. */
+	/** Mean in milliseconds; 0 if the histogram is empty. */
 	readonly mean: () => number;
-	/** Value at a percentile from 0 to 100, in milliseconds; 0 without values. */
+	/** Value in milliseconds at a percentile from 0 to 100; 0 if the histogram is empty. */
 	readonly percentile: (percentile: number) => number;
 };
 
@@ -20,9 +20,9 @@
 });
 
 /**
-Creates an empty distribution of two generations: the older is dropped whenever the newer holds enough values.
+Creates an empty histogram of two generations. When the newer generation is full, the older one is discarded and a new one begins.
 
-@param generationSamples Values after which a new generation begins.
+@param generationSamples Number of values in a full generation.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/run-estimates.ts
+++ b/packages/galenakeeld/src/process/run-estimates.ts
@@ -3,42 +3,42 @@
 
 const defaultRunMilliseconds = 200;
 const generationSamples = 256;
-/** Measurements that weigh as much as what the document declares. */
+/** Number of measurements of a kind from which on its declared run time is ignored. */
 const declaredWeightSamples = 8;
-/** New measurements of a kind after which its estimate is worked out again. */
+/** Number of measurements between two updates of an estimate; the first as many each update it. */
 const refreshIntervalSamples = 32;
-/** Names of kinds beyond those of the document that are kept apart. */
+/** Number of known kinds from which on further undeclared kinds share one estimate. */
 const maximumUndeclaredKinds = 64;
 const minimumSpeedStep = 0.02;
 const maximumSpeedCorrection = 0.5;
 const declaredSpeedWeight = 0.001;
 
 /**
-What is expected of the run time of a kind of task, at speed 1, in milliseconds.
+Expected run times of a kind of task on an endpoint of speed 1, in milliseconds.
 */
 export type RunEstimate = {
-	/** Mean without the tail of far longer tasks, by Swanson's rule: 0.3 P10 + 0.4 P50 + 0.3 P90. */
+	/** Mean without the influence of outliers, by Swanson's rule: 0.3 P10 + 0.4 P50 + 0.3 P90. */
 	readonly typical: number;
 	readonly percentile10: number;
 	readonly median: number;
 	readonly percentile90: number;
 	readonly percentile99: number;
-	/** Measurements behind the estimate; 0 while it is only declared. */
+	/** Number of measurements used; 0 if the estimate comes only from the declared run time. */
 	readonly samples: number;
 };
 
 /**
-Estimates of run times by kind of task, and of speeds by endpoint.
+Estimated run times by kind of task, and speeds by endpoint.
 */
 export type RunEstimates = {
-	/** Takes the declared figures of a document as first guesses. */
+	/** Sets the declared run times of a document as initial estimates. */
 	readonly declare: (document: Pick<ServiceDocument, 'kinds'>) => void;
-	/** Records a measured run time. */
+	/** Records the measured run time of a task, in milliseconds. */
 	readonly record: (endpoint: string, declaredSpeed: number, kind: string, durationMilliseconds: number) => void;
 	readonly ofKind: (kind: string) => RunEstimate;
-	/** The estimate over all kinds. */
+	/** Estimate over all kinds of the service. */
 	readonly ofService: () => RunEstimate;
-	/** Speed of an endpoint; the declared one before the first measurement. */
+	/** Estimated speed of an endpoint; the declared speed until the first measurement. */
 	readonly speed: (endpoint: string, declaredSpeed: number) => number;
 };
 
@@ -71,7 +71,7 @@
 };
 
 /**
-Tells whether an estimate rests on measurements rather than on what the document declares.
+Whether an estimate is computed from measurements alone, without the declared run time.
 */
 export const isMeasured = ({samples}: Pick<RunEstimate, 'samples'>): boolean => samples >= declaredWeightSamples;
 
@@ -82,7 +82,7 @@
 /**
 Creates estimates without measurements.
 
-Run times are kept as if they had run at speed 1. The logarithm of a speed moves towards that of the kind's median over the measured time by bounded steps, as in the M-estimator of Huber ("Robust Estimation of a Location Parameter", 1964), so that a few far longer tasks do not make an endpoint look slow.
+Run times are normalized to speed 1. A measurement yields the speed as the median run time of the kind divided by the measured time. The logarithm of the estimated speed moves towards that of the measured speed in bounded steps, as in the M-estimator of Huber ("Robust Estimation of a Location Parameter", 1964), so that a few outliers do not make an endpoint look slow.
 
 @example
 ```
@@ -122,7 +122,7 @@
 		speed.updates++;
 		const step = Math.max(minimumSpeedStep, 1 / (speed.updates + 1));
 		speed.logarithm += step * clamp(Math.log(ratio) - speed.logarithm, maximumSpeedCorrection);
-		// Without a pull, all speeds could rise together while the run times rise with them.
+		// Speeds and run times are known only up to a common factor. The weight of the declared speed keeps them from drifting together.
 		speed.logarithm += declaredSpeedWeight * (Math.log(declaredSpeed) - speed.logarithm);
 		speed.speed = Math.exp(speed.logarithm);
 		speeds.set(endpoint, speed);
--- a/packages/galenakeeld/src/process/running-tasks.ts
+++ b/packages/galenakeeld/src/process/running-tasks.ts
@@ -2,39 +2,43 @@
 import {TaskLength} from './task-queue.js';
 
 /**
-A task that holds a slot. Times are on the monotonic clock, in milliseconds.
+A task that occupies a slot. Times are monotonic, in milliseconds.
 */
 export type RunningTask = {
 	readonly slots: EndpointSlots;
 	readonly startedAt: number;
 	/** Time from which the task counts as long. */
 	readonly overrunAt: number;
-	/** Longest run time to be expected of such a task on this endpoint. */
+	/** Maximum expected run time of the task on this endpoint; infinite if there are too few measurements. */
 	readonly maximumExpectedMilliseconds: number;
 	length: TaskLength;
 };
 
 /**
-The tasks of one service that hold slots of this instance.
+The tasks of one service that occupy slots of this instance.
 */
 export type RunningTasks = {
-	/** Adds a task; the function that is returned removes it. */
+	/** Adds a task and returns a function that removes it. */
 	readonly add: (task: RunningTask) => () => void;
+	/** Number of running tasks that count as long. */
 	readonly long: () => number;
+	/** Number of running tasks that count as short. */
 	readonly short: () => number;
-	/** Counts the tasks as long that have overrun their estimate. */
+	/** Marks short tasks as long once their overrun time is reached. */
 	readonly markOverruns: (now: number) => void;
+	/** Summarizes the running tasks of each endpoint that runs any. */
 	readonly byEndpoint: (now: number) => ReadonlyMap<EndpointSlots, RunningTaskSummary>;
 };
 
 /**
-What runs on one endpoint.
+Summary of the tasks that run on one endpoint.
 */
 export type RunningTaskSummary = {
-	/** The task that has run longest. */
+	/** The task with the earliest start. */
 	readonly oldest: RunningTask;
+	/** Number of running tasks. */
 	readonly running: number;
-	/** Tasks that have run for longer than is to be expected. */
+	/** Number of tasks that have exceeded their maximum expected run time. */
 	readonly overdue: number;
 };
 
@@ -46,11 +50,11 @@
 @example
 ```
 const running = createRunningTasks();
-const remove = running.add({slots, startedAt: performance.now(), overrunAt, longestMilliseconds, length: TaskLength.Short});
+const remove = running.add({slots, startedAt: performance.now(), overrunAt, maximumExpectedMilliseconds, length: TaskLength.Short});
 ```
 */
 export const createRunningTasks = (): RunningTasks => {
-	// In the order of their starts.
+	// Ordered by start time.
 	const tasks = new Set<RunningTask>();
 	let long = 0;
 	return {
--- a/packages/galenakeeld/src/process/slot-demand.ts
+++ b/packages/galenakeeld/src/process/slot-demand.ts
@@ -2,17 +2,17 @@
 const defaultDeviations = 0.5;
 
 /**
-The number of slots that the tasks of one service need on this instance.
+Estimates the number of slots that the tasks of one service need on this instance.
 */
 export type SlotDemand = {
-	/** Takes the number of tasks that run or wait; called at a fixed interval. */
+	/** Records the number of running and waiting tasks; called at a fixed interval. */
 	readonly observe: (tasks: number) => void;
-	/** Slots to have for the tasks to come, with a reserve in standard deviations of a Poisson process. */
+	/** Number of slots needed for the expected tasks, with a reserve in standard deviations of a Poisson process. */
 	readonly target: (deviations?: number) => number;
 };
 
 /**
-Creates the demand of an instance without tasks: a mean over the last second or so, with a reserve for the usual variation.
+Creates the estimate of an instance without tasks: an exponential moving average over about one second, with a reserve for random variation.
 
 @example
 ```
