Reword the dispatchers and the placement policies

Comments say what each function returns or updates, in the usual terms of scheduling. The steps and scenario names of the feature follow; counts and checks are unchanged.

--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -140,7 +140,7 @@
 	returnSlots: async () => undefined,
 });
 
-/** Runs all phases on a paused clock, once for a scenario. */
+/** Runs all phases on a simulated clock, once per scenario. */
 const run = async (world: LoadWorld): Promise<void> => {
 	if (world.records.length > 0) {
 		return;
@@ -164,7 +164,7 @@
 	world.phases.push({milliseconds, loads, failing: world.nextFailing});
 };
 
-Given('an instance with {int} endpoints of {int} slots and the runtime\'s clock paused', function (this: LoadWorld, endpoints: number, slotsOfEndpoint: number) {
+Given('an instance with {int} endpoints of {int} slots and a simulated clock', function (this: LoadWorld, endpoints: number, slotsOfEndpoint: number) {
 	const entries = Array.from({length: endpoints}, (_, number) => ({name: `worker-${number + 1}`, address: `10.0.0.${number + 1}:80`, slots: slotsOfEndpoint}));
 	const text = JSON.stringify({service, team: 'owners', endpoints: {'zone-a': entries}});
 	this.version = createServiceVersion({version: 1, text, document: parseServiceDocument(text, 'the document')});
@@ -188,7 +188,7 @@
 	addPhase(this, milliseconds, [shortLoad(share), shortLoad(share * 10, 'depot')]);
 });
 
-const mixedLoadStep = 'tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity beside tasks of {int} ms at {float} times the capacity';
+const mixedLoadStep = 'tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity together with tasks of {int} ms at {float} times the capacity';
 
 When(mixedLoadStep, function (this: LoadWorld, milliseconds: number, share: number, long: number, longShare: number) {
 	const longLoad = {
@@ -214,7 +214,7 @@
 	assert.deepEqual(this.records.filter(({isRefused}) => isRefused), []);
 });
 
-When('endpoint {int} fails all that it starts', function (this: LoadWorld, endpoint: number) {
+When('endpoint {int} fails every task', function (this: LoadWorld, endpoint: number) {
 	this.nextFailing = [`10.0.0.${endpoint}:80`];
 });
 
@@ -232,7 +232,7 @@
 });
 
 Then('no refusal took longer than {int} ms', function (this: LoadWorld, milliseconds: number) {
-	// A refusal is decided before the task waits; one that was admitted must not be refused later.
+	// A refusal is decided on arrival; an admitted task must not be refused later.
 	const late = this.records.filter(({isRefused, answers}) => !isRefused && answers === 0);
 	assert.equal(late.length, 0, `${late.length} tasks were refused after ${milliseconds} ms`);
 });
@@ -247,7 +247,7 @@
 	assert.ok(this.records.every(({isRefused, answers}) => answers === (isRefused ? 0 : 1)));
 });
 
-const responseTimeStep = 'the 99th percentile of the first team\'s response in phase {int} is at most {float} times that in phase {int}';
+const responseTimeStep = 'the 99th percentile of the first team\'s response time in phase {int} is at most {float} times that in phase {int}';
 
 Then(responseTimeStep, {timeout: 60_000}, async function (this: LoadWorld, phase: number, factor: number, reference: number) {
 	await run(this);
@@ -255,7 +255,7 @@
 	assert.ok(measured <= alone * factor, `${measured} ms over ${alone} ms: ${measured / alone}`);
 });
 
-Then('endpoint {int} got under {int}% of the starts of phase {int}', {timeout: 60_000}, async function (this: LoadWorld, endpoint: number, percent: number, phase: number) {
+Then('endpoint {int} received less than {int}% of the tasks started in phase {int}', {timeout: 60_000}, async function (this: LoadWorld, endpoint: number, percent: number, phase: number) {
 	await run(this);
 	const starts = answeredIn(this, phase);
 	const own = starts.filter(record => record.endpoint === `10.0.0.${endpoint}:80`);
--- a/packages/galenakeeld/src/process/choose-endpoint.ts
+++ b/packages/galenakeeld/src/process/choose-endpoint.ts
@@ -36,18 +36,18 @@
 };
 
 /**
-Tells whether the leases cover a run that begins now: an own slot needs none.
+Whether the task would run on an owned slot, or end before the leases on the borrowed slots expire.
 */
 const isCovered = (slots: EndpointSlots, runMilliseconds: number, now: number): boolean =>
 	slots.busy < slots.owned - slots.lent || now + runMilliseconds <= slots.borrowedUntil;
 
 /**
-Creates the function that chooses endpoints under a policy.
+Creates the function that chooses the endpoint of a task according to a placement policy.
 
-The policies without shares send at once and leave queueing to the endpoint; those with shares take only a free slot, the one with the shortest expected run.
+Policies without shares dispatch at once and leave queueing to the endpoint. Policies with shares use only free slots and choose the endpoint with the shortest expected run time; an avoided endpoint is chosen only if there is no other.
 
-@param speedOf Estimated speed of an endpoint.
-@param clock Time on the monotonic clock, in milliseconds.
+@param speedOf Returns the estimated speed of an endpoint.
+@param clock Returns the monotonic time in milliseconds.
 
 @example
 ```
--- a/packages/galenakeeld/src/process/placement-policy.ts
+++ b/packages/galenakeeld/src/process/placement-policy.ts
@@ -1,17 +1,17 @@
 /**
-The ways of choosing an endpoint for a task.
+Policies for choosing the endpoint of a task.
 */
 export enum PlacementPolicy {
-	/** Any endpoint, drawn uniformly. */
+	/** An endpoint chosen uniformly at random. */
 	Random = 'random',
-	/** Each endpoint in turn. */
+	/** The endpoints in turn. */
 	RoundRobin = 'round-robin',
-	/** The less loaded of two drawn endpoints, by this instance's own counts. */
+	/** The one of two randomly chosen endpoints that runs fewer tasks of this instance. */
 	PowerOfTwoChoices = 'power-of-two-choices',
-	/** The endpoint with the fewest tasks of this instance. */
+	/** The endpoint that runs the fewest tasks of this instance. */
 	LeastOutstanding = 'least-outstanding',
-	/** Free slots that this instance owns. */
+	/** An endpoint with a free slot that this instance owns. */
 	Shares = 'shares',
-	/** Own free slots, then slots lent by peers. */
+	/** An endpoint with a free slot that this instance owns or has borrowed from a peer. */
 	SharesWithBorrowing = 'shares-with-borrowing',
 }
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -20,45 +20,46 @@
 import {createQuotaReserve, type QuotaReserve} from './quota-reserve.js';
 import type {TeamLoads} from './team-loads.js';
 
-/** Times the 90th percentile of its kind after which a task counts as long. */
+/** Multiple of the 90th percentile of its kind after which a running task counts as long. */
 const overrunFactor = 2;
 
 /**
-What a task asks of a dispatcher.
+The properties of a task that determine when and where it runs.
 */
 export type TaskRequirements = Pick<WaitingTask, 'kind' | 'team' | 'deadlineAt' | 'signal' | 'avoidedEndpoint'>;
 
 /**
-Hands the slots of one service to its waiting tasks.
+Assigns the slots of one service to its waiting tasks.
 */
 export type ServiceDispatcher = {
 	readonly ledger: SlotLedger;
 	/**
-	Waits for a slot, uses it, and gives it back.
+	Waits for a slot, calls `use` with it, and releases it afterwards.
 
-	@throws A fault of kind `DeadlinePassed` or `Cancelled` when the task was taken out of the queue, or whatever `use` throws.
+	@throws A fault of kind `DeadlinePassed` or `Cancelled` if the task was removed from the queue, or the error that `use` throws.
 	*/
 	readonly withSlot: <Result>(demand: TaskRequirements, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
-	/** Starts waiting tasks for which a slot has become free. */
+	/** Starts waiting tasks for which a slot is free. */
 	readonly startNext: () => void;
-	/** Takes tasks out of the queue whose deadline has passed or whose caller has gone, and follows the load; called at a fixed interval. */
+	/** Removes waiting tasks whose deadline has passed or that were cancelled, and updates the load estimates; called at a fixed interval. */
 	readonly sweep: () => void;
+	/** Number of waiting tasks. */
 	readonly waiting: () => number;
-	/** Tasks that have been given a slot since the process began. */
+	/** Number of tasks that have received a slot since the dispatcher was created. */
 	readonly started: () => number;
-	/** Slots that are kept for the teams within their quota. */
+	/** Reserves slots for teams within their quota. */
 	readonly quotas: QuotaReserve;
-	/** Waiting tasks of the teams within their quota. */
+	/** Number of waiting tasks of teams within their quota. */
 	readonly waitingWithinQuota: () => number;
-	/** Slots that are missing for the tasks that wait, or that are expected to come. */
+	/** Number of slots missing for waiting and expected tasks. */
 	readonly shortfall: () => SlotRequest;
-	/** Free slots beyond those for the tasks that are expected to come. */
+	/** Number of free slots beyond those needed for expected tasks. */
 	readonly surplus: () => number;
-	/** Free slots beyond those for the teams within their quota and the quota of the others. */
+	/** Number of free slots beyond those needed for teams within their quota and for the quota of the other teams. */
 	readonly surplusWithinQuota: () => number;
-	/** What a request of a team meets that holds tasks of a kind. */
+	/** The load that the admission of a request considers, for a team and the kind of its tasks. */
 	readonly loadFor: (team: string, kind: string) => AdmissionLoad;
-	/** The version under which slots are owned at present. */
+	/** The installed version of the service, by which slots are owned. */
 	version: ServiceVersion;
 };
 
@@ -78,10 +79,10 @@
 Creates the dispatcher of one service.
 
 @param options.choose Chooses the endpoint of the next task.
-@param options.hasShares Whether a task needs a free slot of this instance, rather than any open endpoint.
-@param options.order Holds the waiting tasks.
-@param options.loads Tells which teams are over their quota.
-@param options.onShortage Called when a task waits because no slot is free.
+@param options.hasShares Whether a task needs a free slot of this instance; otherwise any available endpoint is enough.
+@param options.order Stores the waiting tasks and determines their order.
+@param options.loads Determines which teams are over their quota.
+@param options.onShortage Called when a task is queued and tasks are waiting for a slot.
 
 @example
 ```
@@ -138,7 +139,7 @@
 			slots,
 			startedAt,
 			overrunAt: startedAt + (estimate.percentile90 * overrunFactor / speed),
-			// A guess is no ground for taking an endpoint to be frozen.
+			// A declared run time is too uncertain to conclude that an endpoint is frozen.
 			maximumExpectedMilliseconds: isMeasured(estimate) ? estimate.percentile99 / speed : Infinity,
 			length: task.length,
 		});
@@ -155,7 +156,7 @@
 		}
 	};
 
-	/** Measured anew with each sweep. */
+	/** Cached until the next sweep. */
 	const currentCapacity = (): SlotCapacity => {
 		capacity ??= measureSlotCapacity(ledger.inUse(), ({endpoint}) => estimates.speed(endpoint.address, endpoint.speed));
 		return capacity;
@@ -163,14 +164,14 @@
 
 	const surplus = (): number => order.size() > 0 ? 0 : Math.max(0, Math.min(ledger.free(), Math.floor(ledger.usable() - demand.target())));
 
-	/** Work in a millisecond that the slots do which tasks of a length may use. */
+	/** Work per millisecond, in milliseconds at speed 1, of the slots that tasks of a length may use. */
 	const capacityFor = (length: TaskLength): number => {
 		const current = currentCapacity();
 		const slots = expectedSlotsOf(current, standingQueues[length].isStanding(performance.now()));
 		return Math.max(1, length === TaskLength.Short ? slots - running.long() : share.limit(slots)) * current.meanSpeed;
 	};
 
-	/** Observes the lengths apart: long tasks that wait for their share of the slots say nothing of the wait of short ones. */
+	/** Observes short and long tasks separately: the wait of long tasks for their share of the slots does not indicate a delay of short ones. */
 	const observeQueues = (now: number, {document}: ServiceVersion): void => {
 		for (const length of [TaskLength.Short, TaskLength.Long]) {
 			standingQueues[length].observe(order.work(length) / capacityFor(length), document.maximumQueueMilliseconds, now);
@@ -206,7 +207,7 @@
 			return result.promise;
 		},
 		startNext() {
-			// Setting the concurrency makes `p-queue` look at its queue again.
+			// Setting the concurrency makes `p-queue` process its queue again.
 			queue.concurrency = Infinity;
 		},
 		sweep() {
@@ -219,7 +220,7 @@
 
 			observeQueues(now, dispatcher.version);
 
-			// Teams over their quota have an unbounded number of tasks waiting, which is no need to keep slots for.
+			// Teams over their quota may have any number of waiting tasks, so only those within the quota count as demand.
 			share.observe(running.short() + quotas.waitingWithin(TaskLength.Short));
 			demand.observe(ledger.busy() + order.size());
 			quotas.sweep(capacityFor(TaskLength.Short), dispatcher.version.document.maximumQueueMilliseconds);
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -23,7 +23,7 @@
 import {createWaitingOrder} from './waiting-order.js';
 
 /**
-One service with what is known of it on this instance.
+The state of one service on this instance.
 */
 export type DispatchedService = {
 	readonly dispatcher: ServiceDispatcher;
@@ -39,19 +39,20 @@
 };
 
 /**
-The dispatchers of all services on this instance.
+The services of this instance with their dispatchers.
 */
 export type ServiceDispatchers = {
-	/** Creates or updates the dispatcher of a service for a new document version. */
+	/** Installs a new document version; creates the dispatcher of the service if it does not exist. */
 	readonly install: (version: ServiceVersion) => void;
-	/** Shares the slots anew after a change of members or of leaving endpoints. */
+	/** Redistributes the slots among the instances after the members or the leaving endpoints have changed. */
 	readonly redistributeSlots: () => void;
 	readonly serviceOf: (service: string) => DispatchedService | undefined;
 	readonly all: () => Iterable<readonly [service: string, service: DispatchedService]>;
-	/** Refuses a submission that can't be served in time; `undefined` admits it. */
+	/** Returns the refusal of a submission that cannot be completed in time, or `undefined` if it is admitted. */
 	readonly admit: (version: ServiceVersion, submission: Pick<Submission, 'deadlineMilliseconds' | 'tasks' | 'team'>) => SubmissionAnswer | undefined;
-	/** Learns from an attempt at a task. */
+	/** Updates guards, retry budget and estimates with the result of an attempt. */
 	readonly report: (service: string, attempt: AttemptReport) => void;
+	/** Updates time-dependent state of all services, such as leases and deadlines; called at a fixed interval. */
 	readonly sweep: () => void;
 };
 
@@ -69,16 +70,16 @@
 };
 
 /**
-Creates the dispatchers; there are none until a document is installed.
+Creates an empty collection of dispatchers; a dispatcher is created when the first document of its service is installed.
 
-@param options.owners Instances among which slots are shared at present, this one included.
-@param options.isLeavingEndpoint Tells whether an endpoint gets no new work.
-@param options.borrowSlots Asks a peer to renew leases and to lend more; `undefined` when it does not reply.
-@param options.returnSlots Gives slots back to a peer.
+@param options.owners Returns the instances that currently share the slots, including this one.
+@param options.isLeavingEndpoint Whether an endpoint is leaving and receives no new tasks.
+@param options.borrowSlots Asks a peer to renew leases and to lend more slots; returns `undefined` if the peer does not reply.
+@param options.returnSlots Returns borrowed slots to a peer.
 */
 export const createServiceDispatchers = (options: LendingCalls & {
 	instance: string;
-	/** Counts the slots of each endpoint that belong to this instance. */
+	/** Returns the number of slots of each endpoint that this instance owns. */
 	countOwnedSlots: typeof countOwnedSlots;
 	policy: PlacementPolicy;
 	owners: () => readonly SlotOwner[];
