--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -14,7 +14,7 @@
 const otherAddress = '127.0.0.1:8081';
 const sweepMilliseconds = 750;
 
-const runTasksOn = (world: GuardWorld, count: number, longestMilliseconds: number): void => {
+const runTasksOn = (world: GuardWorld, count: number, maximumExpectedMilliseconds: number): void => {
 	const running = createRunningTasks();
 	world.runningTasks = running;
 	world.ledger = createSlotLedger(() => undefined);
@@ -26,12 +26,12 @@
 	for (let task = 0; task < count; task++) {
 		world.ledger.acquire(slots);
 		running.add({
-			slots, startedAt: 0, overrunAt: Infinity, longestMilliseconds, length: TaskLength.Short,
+			slots, startedAt: 0, overrunAt: Infinity, maximumExpectedMilliseconds, length: TaskLength.Short,
 		});
 	}
 
 	world.guards = createEndpointGuards({
-		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => longestMilliseconds,
+		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => maximumExpectedMilliseconds,
 	});
 };
 
@@ -51,7 +51,7 @@
 	for (let number = 0; number < running; number++) {
 		const startedAt = number < overdue ? 0 : sweepMilliseconds - 1;
 		this.runningTasks.add({
-			slots: this.ledger.slotsOf(otherAddress)!, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+			slots: this.ledger.slotsOf(otherAddress)!, startedAt, overrunAt: Infinity, maximumExpectedMilliseconds: 400, length: TaskLength.Short,
 		});
 	}
 });
@@ -66,7 +66,7 @@
 	for (const [number, slots] of [...this.ledger.all()].entries()) {
 		const startedAt = number < silent ? 0 : sweepMilliseconds - 1;
 		this.runningTasks.add({
-			slots, startedAt, overrunAt: Infinity, longestMilliseconds: 400, length: TaskLength.Short,
+			slots, startedAt, overrunAt: Infinity, maximumExpectedMilliseconds: 400, length: TaskLength.Short,
 		});
 	}
 
--- a/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/service-dispatchers.steps.ts
@@ -74,7 +74,7 @@
 	record.answers++;
 };
 
-const arrive = (world: LoadWorld, {team, kind, from, to}: Load): void => {
+const submitRequest = (world: LoadWorld, {team, kind, from, to}: Load): void => {
 	const refusal = world.dispatchers.admit(world.version, {...submission, team, tasks: [{kind}] as never});
 	const record: TaskRecord = {
 		phase: world.phaseStarts.length,
@@ -100,7 +100,7 @@
 	for (let now = 0; now < milliseconds; now++) {
 		for (const [position, load] of loads.entries()) {
 			for (; due[position]! <= now; due[position]! -= Math.log(world.random()) / load.rate) {
-				arrive(world, load);
+				submitRequest(world, load);
 			}
 		}
 
@@ -124,10 +124,10 @@
 const answeredIn = ({records}: LoadWorld, phase: number, team = 'payroll'): readonly TaskRecord[] =>
 	records.filter(record => record.phase === phase && record.team === team && record.answers > 0);
 
-const tailOf = (values: readonly number[]): number => values.toSorted((first, second) => first - second)[Math.floor(values.length * 0.99)]!;
+const percentile99Of = (values: readonly number[]): number => values.toSorted((first, second) => first - second)[Math.floor(values.length * 0.99)]!;
 
-const responseTail = (world: LoadWorld, phase: number): number =>
-	tailOf(answeredIn(world, phase).map(({endedAt, arrivedAt}) => endedAt - arrivedAt));
+const responsePercentile99 = (world: LoadWorld, phase: number): number =>
+	percentile99Of(answeredIn(world, phase).map(({endedAt, arrivedAt}) => endedAt - arrivedAt));
 
 const createDispatchers = (): ServiceDispatchers => createServiceDispatchers({
 	instance: 'entry-1',
@@ -140,7 +140,7 @@
 	returnSlots: async () => undefined,
 });
 
-/** Runs all phases on a paused clock, once for a scenario. */
+/** Runs all phases on a simulated clock, once per scenario. */
 const run = async (world: LoadWorld): Promise<void> => {
 	if (world.records.length > 0) {
 		return;
@@ -160,11 +160,11 @@
 	}
 };
 
-const plan = (world: LoadWorld, milliseconds: number, loads: readonly Load[]): void => {
+const addPhase = (world: LoadWorld, milliseconds: number, loads: readonly Load[]): void => {
 	world.phases.push({milliseconds, loads, failing: world.nextFailing});
 };
 
-Given('an instance with {int} endpoints of {int} slots and the runtime\'s clock paused', function (this: LoadWorld, endpoints: number, slotsOfEndpoint: number) {
+Given('an instance with {int} endpoints of {int} slots and a simulated clock', function (this: LoadWorld, endpoints: number, slotsOfEndpoint: number) {
 	const entries = Array.from({length: endpoints}, (_, number) => ({name: `worker-${number + 1}`, address: `10.0.0.${number + 1}:80`, slots: slotsOfEndpoint}));
 	const text = JSON.stringify({service, team: 'owners', endpoints: {'zone-a': entries}});
 	this.version = createServiceVersion({version: 1, text, document: parseServiceDocument(text, 'the document')});
@@ -181,20 +181,20 @@
 });
 
 When('tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity', function (this: LoadWorld, milliseconds: number, share: number) {
-	plan(this, milliseconds, [shortLoad(share)]);
+	addPhase(this, milliseconds, [shortLoad(share)]);
 });
 
 When('tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity while another team sends 10 times as many', function (this: LoadWorld, milliseconds: number, share: number) {
-	plan(this, milliseconds, [shortLoad(share), shortLoad(share * 10, 'depot')]);
+	addPhase(this, milliseconds, [shortLoad(share), shortLoad(share * 10, 'depot')]);
 });
 
-const besideLong = 'tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity beside tasks of {int} ms at {float} times the capacity';
+const mixedLoadStep = 'tasks of 100 to 300 ms arrive for {int} ms at {float} times the capacity together with tasks of {int} ms at {float} times the capacity';
 
-When(besideLong, function (this: LoadWorld, milliseconds: number, share: number, long: number, longShare: number) {
+When(mixedLoadStep, function (this: LoadWorld, milliseconds: number, share: number, long: number, longShare: number) {
 	const longLoad = {
 		team: 'rerates', kind: 'rerate', from: long, to: long, rate: longShare * slots / long,
 	};
-	plan(this, milliseconds, [shortLoad(share), longLoad]);
+	addPhase(this, milliseconds, [shortLoad(share), longLoad]);
 });
 
 Given('a peer has borrowed {int} slots', function (this: LoadWorld, count: number) {
@@ -206,7 +206,7 @@
 
 When('{int} requests arrive at once', function (this: LoadWorld, count: number) {
 	for (let request = 0; request < count; request++) {
-		arrive(this, shortLoad(1));
+		submitRequest(this, shortLoad(1));
 	}
 });
 
@@ -214,7 +214,7 @@
 	assert.deepEqual(this.records.filter(({isRefused}) => isRefused), []);
 });
 
-When('endpoint {int} fails all that it starts', function (this: LoadWorld, endpoint: number) {
+When('endpoint {int} fails every task', function (this: LoadWorld, endpoint: number) {
 	this.nextFailing = [`10.0.0.${endpoint}:80`];
 });
 
@@ -232,7 +232,7 @@
 });
 
 Then('no refusal took longer than {int} ms', function (this: LoadWorld, milliseconds: number) {
-	// A refusal is decided before the task waits; one that was admitted must not be refused later.
+	// A refusal is decided on arrival; an admitted task must not be refused later.
 	const late = this.records.filter(({isRefused, answers}) => !isRefused && answers === 0);
 	assert.equal(late.length, 0, `${late.length} tasks were refused after ${milliseconds} ms`);
 });
@@ -247,15 +247,15 @@
 	assert.ok(this.records.every(({isRefused, answers}) => answers === (isRefused ? 0 : 1)));
 });
 
-const isTailAtMost = 'the 99th percentile of the first team\'s response in phase {int} is at most {float} times that in phase {int}';
+const responseTimeStep = 'the 99th percentile of the first team\'s response time in phase {int} is at most {float} times that in phase {int}';
 
-Then(isTailAtMost, {timeout: 60_000}, async function (this: LoadWorld, phase: number, factor: number, reference: number) {
+Then(responseTimeStep, {timeout: 60_000}, async function (this: LoadWorld, phase: number, factor: number, reference: number) {
 	await run(this);
-	const [measured, alone] = [responseTail(this, phase), responseTail(this, reference)];
+	const [measured, alone] = [responsePercentile99(this, phase), responsePercentile99(this, reference)];
 	assert.ok(measured <= alone * factor, `${measured} ms over ${alone} ms: ${measured / alone}`);
 });
 
-Then('endpoint {int} got under {int}% of the starts of phase {int}', {timeout: 60_000}, async function (this: LoadWorld, endpoint: number, percent: number, phase: number) {
+Then('endpoint {int} received less than {int}% of the tasks started in phase {int}', {timeout: 60_000}, async function (this: LoadWorld, endpoint: number, percent: number, phase: number) {
 	await run(this);
 	const starts = answeredIn(this, phase);
 	const own = starts.filter(record => record.endpoint === `10.0.0.${endpoint}:80`);
--- a/packages/galenakeeld/src/process/choose-endpoint.ts
+++ b/packages/galenakeeld/src/process/choose-endpoint.ts
@@ -1,7 +1,7 @@
 import {PlacementPolicy} from './placement-policy.js';
 import {freeSlotsOf, type ChooseEndpoint, type EndpointSlots} from './slot-ledger.js';
 
-const openOnes = (candidates: Iterable<EndpointSlots>): EndpointSlots[] => [...candidates].filter(slots => slots.isOpen);
+const availableEndpoints = (candidates: Iterable<EndpointSlots>): EndpointSlots[] => [...candidates].filter(slots => slots.isOpen);
 
 const pick = (candidates: readonly EndpointSlots[]): EndpointSlots | undefined =>
 	candidates[Math.floor(Math.random() * candidates.length)];
@@ -23,31 +23,31 @@
 const createRoundRobin = (): ChooseEndpoint => {
 	let next = 0;
 	return candidates => {
-		const open = openOnes(candidates);
+		const open = availableEndpoints(candidates);
 		next = (next + 1) % Math.max(1, open.length);
 		return open[next];
 	};
 };
 
-const chooseOfTwo: ChooseEndpoint = candidates => {
-	const open = openOnes(candidates);
+const choosePowerOfTwo: ChooseEndpoint = candidates => {
+	const open = availableEndpoints(candidates);
 	const pair = [pick(open), pick(open)].filter(slots => slots !== undefined);
 	return leastOf(pair, slots => slots.busy);
 };
 
 /**
-Tells whether the leases cover a run that begins now: an own slot needs none.
+Whether the task would run on an owned slot, or end before the leases on the borrowed slots expire.
 */
 const isCovered = (slots: EndpointSlots, runMilliseconds: number, now: number): boolean =>
 	slots.busy < slots.owned - slots.lent || now + runMilliseconds <= slots.borrowedUntil;
 
 /**
-Creates the function that chooses endpoints under a policy.
+Creates the function that chooses the endpoint of a task according to a placement policy.
 
-The policies without shares send at once and leave queueing to the endpoint; those with shares take only a free slot, the one with the shortest expected run.
+Policies without shares dispatch at once and leave queueing to the endpoint. Policies with shares use only free slots and choose the endpoint with the shortest expected run time; an avoided endpoint is chosen only if there is no other.
 
-@param speedOf Estimated speed of an endpoint.
-@param clock Time on the monotonic clock, in milliseconds.
+@param speedOf Returns the estimated speed of an endpoint.
+@param clock Returns the monotonic time in milliseconds.
 
 @example
 ```
@@ -57,7 +57,7 @@
 export const createChooseEndpoint = (policy: PlacementPolicy, speedOf: (slots: EndpointSlots) => number, clock: () => number): ChooseEndpoint => {
 	switch (policy) {
 		case PlacementPolicy.Random: {
-			return candidates => pick(openOnes(candidates));
+			return candidates => pick(availableEndpoints(candidates));
 		}
 
 		case PlacementPolicy.RoundRobin: {
@@ -65,11 +65,11 @@
 		}
 
 		case PlacementPolicy.PowerOfTwoChoices: {
-			return chooseOfTwo;
+			return choosePowerOfTwo;
 		}
 
 		case PlacementPolicy.LeastOutstanding: {
-			return candidates => leastOf(openOnes(candidates), slots => slots.busy);
+			return candidates => leastOf(availableEndpoints(candidates), slots => slots.busy);
 		}
 
 		case PlacementPolicy.Shares:
--- a/packages/galenakeeld/src/process/endpoint-connections.ts
+++ b/packages/galenakeeld/src/process/endpoint-connections.ts
@@ -4,37 +4,41 @@
 import type {EndpointAnswer, EndpointExchange, EndpointRequest} from '../connection/endpoint-exchange.js';
 
 /**
-Sends requests to endpoints, each over a connection that no other request is on.
+A pool of connections to endpoints. Each connection carries at most one request at a time.
 */
 export type EndpointConnections = {
-	/** @throws A fault of kind `EndpointUnreachable` when no byte went out, `EndpointTimeout` or `EndpointBroken` afterwards, or what `beforeFirstByte` threw. */
+	/** @throws A fault of kind `EndpointUnreachable` if no byte was sent, `EndpointTimeout` or `EndpointBroken` afterwards, or the error that `beforeFirstByte` threw. */
 	readonly send: (address: string, request: EndpointRequest) => Promise<EndpointAnswer>;
-	/** Closes connections that have been idle or open for too long, or that their endpoint has closed. */
+	/** Closes idle connections that have exceeded their maximum idle time or age, or that the endpoint has closed. */
 	readonly sweep: () => void;
+	/** Number of open connections to all endpoints. */
 	readonly open: () => number;
-	/** Closes the connections that carry no request, and opens no more ahead of requests. */
+	/** Closes the idle connections and stops opening connections in advance. */
 	readonly close: () => void;
 };
 
 /**
-Opens and serves one connection until it can carry no further exchange; throws when it could not be opened.
+Opens one connection and performs exchanges on it until it can no longer be reused.
+
+@throws If the connection could not be opened.
 */
 export type RunEndpointConnection = (address: string, nextExchange: NextExchange) => Promise<void>;
 
 /**
-How many connections are open, and how long one is trusted while no request is on it.
+Limits on the number of connections and on the reuse of idle ones.
 */
 export type EndpointPoolLimits = {
 	readonly maximumIdleMilliseconds: number;
 	readonly maximumAgeMilliseconds: number;
-	/** Connections to each endpoint in use that are open before a request needs them. */
+	/** Number of connections to each endpoint in use that are opened before a request needs them. */
 	readonly connectionsAhead: number;
-	/** Entry instances that share the connections of an endpoint at present. */
+	/** Current number of entry instances that share the connections of an endpoint. */
 	readonly instances: () => number;
 };
 
 type IdleConnection = {
-	readonly take: (exchange: EndpointExchange | undefined) => void;
+	/** Assigns the next exchange; `undefined` closes the connection. */
+	readonly assign: (exchange: EndpointExchange | undefined) => void;
 	readonly isUsable: () => boolean;
 	readonly openedAt: number;
 	readonly idleSince: number;
@@ -42,21 +46,21 @@
 
 type EndpointPool = {
 	readonly address: string;
-	/** Requests for which a connection is being opened. */
+	/** Exchanges that wait for a connection to open. */
 	readonly waiting: EndpointExchange[];
-	/** Connections without a request, the one that has been idle longest first. */
+	/** Idle connections, longest idle first. */
 	idle: IdleConnection[];
 	connecting: number;
 	open: number;
-	/** Connections opened before this time on the monotonic clock carry no further request. */
-	suspectBefore: number;
-	isOpeningAhead: boolean;
+	/** Monotonic time in milliseconds; connections opened before it are not reused. */
+	minimumOpenedAt: number;
+	isPreconnecting: boolean;
 };
 
 /**
-Creates the connections to all endpoints of this process, none of them open yet.
+Creates the pool of connections to all endpoints of this process, without open connections.
 
-@param runConnection Opens and serves one connection.
+@param runConnection Opens one connection and performs its exchanges.
 
 @example
 ```
@@ -72,7 +76,7 @@
 		let pool = pools.get(address);
 		if (!pool) {
 			pool = {
-				address, waiting: [], idle: [], connecting: 0, open: 0, suspectBefore: 0, isOpeningAhead: false,
+				address, waiting: [], idle: [], connecting: 0, open: 0, minimumOpenedAt: 0, isPreconnecting: false,
 			};
 			pools.set(address, pool);
 		}
@@ -80,21 +84,21 @@
 		return pool;
 	};
 
-	const isTrusted = (pool: EndpointPool, connection: IdleConnection, now: number): boolean =>
+	const isReusable = (pool: EndpointPool, connection: IdleConnection, now: number): boolean =>
 		now - connection.idleSince < limits.maximumIdleMilliseconds
 		&& now - connection.openedAt < limits.maximumAgeMilliseconds
-		&& connection.openedAt >= pool.suspectBefore
+		&& connection.openedAt >= pool.minimumOpenedAt
 		&& connection.isUsable();
 
-	const takeIdle = (pool: EndpointPool): IdleConnection | undefined => {
+	const acquireIdle = (pool: EndpointPool): IdleConnection | undefined => {
 		const now = performance.now();
 		for (;;) {
 			const connection = pool.idle.shift();
-			if (!connection || isTrusted(pool, connection, now)) {
+			if (!connection || isReusable(pool, connection, now)) {
 				return connection;
 			}
 
-			connection.take(undefined);
+			connection.assign(undefined);
 		}
 	};
 
@@ -118,14 +122,14 @@
 
 				const next = createDeferred<EndpointExchange | undefined>();
 				pool.idle.push({
-					take: next.resolve, isUsable, openedAt, idleSince: performance.now(),
+					assign: next.resolve, isUsable, openedAt, idleSince: performance.now(),
 				});
 				return next.promise;
 			});
 		} catch (error) {
 			endConnecting();
-			// An endpoint that can't be reached may have left the connections silent that are open already.
-			pool.suspectBefore = performance.now();
+			// The open connections to an unreachable endpoint may be dead without having been closed.
+			pool.minimumOpenedAt = performance.now();
 			pool.waiting.shift()?.answer.reject(error);
 		} finally {
 			pool.open--;
@@ -134,15 +138,15 @@
 
 	const maximumConnections = (request: EndpointRequest): number => Math.floor(request.connections / Math.max(1, limits.instances()));
 
-	/** Opens connections for the next requests once those of this turn of the event loop are on their way. */
-	const openAhead = (pool: EndpointPool, request: EndpointRequest): void => {
-		if (pool.isOpeningAhead || pool.idle.length + pool.connecting - pool.waiting.length >= limits.connectionsAhead) {
+	/** Opens connections for later requests, after the requests of the current turn of the event loop have been sent. */
+	const preconnect = (pool: EndpointPool, request: EndpointRequest): void => {
+		if (pool.isPreconnecting || pool.idle.length + pool.connecting - pool.waiting.length >= limits.connectionsAhead) {
 			return;
 		}
 
-		pool.isOpeningAhead = true;
+		pool.isPreconnecting = true;
 		setImmediate(() => {
-			pool.isOpeningAhead = false;
+			pool.isPreconnecting = false;
 			const maximum = isClosed ? 0 : maximumConnections(request);
 			while (pool.open < maximum && pool.idle.length + pool.connecting - pool.waiting.length < limits.connectionsAhead) {
 				void openConnection(pool);
@@ -154,9 +158,9 @@
 		async send(address, request) {
 			const pool = poolOf(address);
 			const answer = createDeferred<EndpointAnswer>();
-			const idle = takeIdle(pool);
+			const idle = acquireIdle(pool);
 			if (idle) {
-				idle.take({request, answer});
+				idle.assign({request, answer});
 			} else {
 				pool.waiting.push({request, answer});
 				if (pool.connecting < pool.waiting.length) {
@@ -164,25 +168,25 @@
 				}
 			}
 
-			openAhead(pool, request);
+			preconnect(pool, request);
 			try {
 				return await answer.promise;
 			} catch (error) {
-				// Whatever silenced this connection may have silenced the others that are as old.
-				pool.suspectBefore = performance.now();
+				// The cause of this failure may have broken other connections that are open already.
+				pool.minimumOpenedAt = performance.now();
 				throw error;
 			}
 		},
 		sweep() {
 			const now = performance.now();
 			for (const [address, pool] of pools) {
-				const stale = pool.idle.filter(connection => !isTrusted(pool, connection, now));
+				const stale = pool.idle.filter(connection => !isReusable(pool, connection, now));
 				pool.idle = pool.idle.filter(connection => !stale.includes(connection));
 				for (const connection of stale) {
-					connection.take(undefined);
+					connection.assign(undefined);
 				}
 
-				if (pool.open === 0 && !pool.isOpeningAhead) {
+				if (pool.open === 0 && !pool.isPreconnecting) {
 					pools.delete(address);
 				}
 			}
@@ -199,7 +203,7 @@
 			isClosed = true;
 			for (const pool of pools.values()) {
 				for (const connection of pool.idle.splice(0)) {
-					connection.take(undefined);
+					connection.assign(undefined);
 				}
 			}
 		},
--- a/packages/galenakeeld/src/process/run-estimates.ts
+++ b/packages/galenakeeld/src/process/run-estimates.ts
@@ -1,44 +1,44 @@
 import type {ServiceDocument} from '@galenakeel/model/version/service-document.js';
 import {createDecayingHistogram, type DecayingHistogram} from './decaying-histogram.js';
 
-const undeclaredMilliseconds = 200;
+const defaultRunMilliseconds = 200;
 const generationSamples = 256;
-/** Measurements that weigh as much as what the document declares. */
-const declaredWeight = 8;
-/** New measurements of a kind after which its estimate is worked out again. */
-const refreshSamples = 32;
-/** Names of kinds beyond those of the document that are kept apart. */
+/** Number of measurements of a kind from which on its declared run time is ignored. */
+const declaredWeightSamples = 8;
+/** Number of measurements between two updates of an estimate; the first as many each update it. */
+const refreshIntervalSamples = 32;
+/** Number of known kinds from which on further undeclared kinds share one estimate. */
 const maximumUndeclaredKinds = 64;
-const smallestSpeedStep = 0.02;
-const largestSpeedCorrection = 0.5;
-const declaredSpeedPull = 0.001;
+const minimumSpeedStep = 0.02;
+const maximumSpeedCorrection = 0.5;
+const declaredSpeedWeight = 0.001;
 
 /**
-What is expected of the run time of a kind of task, at speed 1, in milliseconds.
+Expected run times of a kind of task on an endpoint of speed 1, in milliseconds.
 */
 export type RunEstimate = {
-	/** Mean without the tail of far longer tasks, by Swanson's rule: 0.3 P10 + 0.4 P50 + 0.3 P90. */
+	/** Mean without the influence of outliers, by Swanson's rule: 0.3 P10 + 0.4 P50 + 0.3 P90. */
 	readonly typical: number;
 	readonly percentile10: number;
 	readonly median: number;
 	readonly percentile90: number;
 	readonly percentile99: number;
-	/** Measurements behind the estimate; 0 while it is only declared. */
+	/** Number of measurements used; 0 if the estimate comes only from the declared run time. */
 	readonly samples: number;
 };
 
 /**
-Estimates of run times by kind of task, and of speeds by endpoint.
+Estimated run times by kind of task, and speeds by endpoint.
 */
 export type RunEstimates = {
-	/** Takes the declared figures of a document as first guesses. */
+	/** Sets the declared run times of a document as initial estimates. */
 	readonly declare: (document: Pick<ServiceDocument, 'kinds'>) => void;
-	/** Records a measured run time. */
+	/** Records the measured run time of a task, in milliseconds. */
 	readonly record: (endpoint: string, declaredSpeed: number, kind: string, durationMilliseconds: number) => void;
 	readonly ofKind: (kind: string) => RunEstimate;
-	/** The estimate over all kinds. */
+	/** Estimate over all kinds of the service. */
 	readonly ofService: () => RunEstimate;
-	/** Speed of an endpoint; the declared one before the first measurement. */
+	/** Estimated speed of an endpoint; the declared speed until the first measurement. */
 	readonly speed: (endpoint: string, declaredSpeed: number) => number;
 };
 
@@ -53,7 +53,7 @@
 const measure = (runs: DecayingHistogram, declaredMilliseconds: number): RunEstimate => {
 	const samples = runs.samples();
 	if (!isMeasured({samples})) {
-		const mean = ((declaredMilliseconds * (declaredWeight - samples)) + (runs.mean() * samples)) / declaredWeight;
+		const mean = ((declaredMilliseconds * (declaredWeightSamples - samples)) + (runs.mean() * samples)) / declaredWeightSamples;
 		return {...declaredEstimate(mean), samples};
 	}
 
@@ -71,18 +71,18 @@
 };
 
 /**
-Tells whether an estimate rests on measurements rather than on what the document declares.
+Whether an estimate is computed from measurements alone, without the declared run time.
 */
-export const isMeasured = ({samples}: Pick<RunEstimate, 'samples'>): boolean => samples >= declaredWeight;
+export const isMeasured = ({samples}: Pick<RunEstimate, 'samples'>): boolean => samples >= declaredWeightSamples;
 
-const isDue = ({recorded}: MeasuredKind): boolean => recorded < refreshSamples || recorded % refreshSamples === 0;
+const isRefreshDue = ({recorded}: MeasuredKind): boolean => recorded < refreshIntervalSamples || recorded % refreshIntervalSamples === 0;
 
 const clamp = (value: number, bound: number): number => Math.min(bound, Math.max(-bound, value));
 
 /**
 Creates estimates without measurements.
 
-Run times are kept as if they had run at speed 1. The logarithm of a speed moves towards that of the kind's median over the measured time by bounded steps, as in the M-estimator of Huber ("Robust Estimation of a Location Parameter", 1964), so that a few far longer tasks do not make an endpoint look slow.
+Run times are normalized to speed 1. A measurement yields the speed as the median run time of the kind divided by the measured time. The logarithm of the estimated speed moves towards that of the measured speed in bounded steps, as in the M-estimator of Huber ("Robust Estimation of a Location Parameter", 1964), so that a few outliers do not make an endpoint look slow.
 
 @example
 ```
@@ -95,10 +95,10 @@
 export const createRunEstimates = (): RunEstimates => {
 	const byKind = new Map<string, MeasuredKind>();
 	const speeds = new Map<string, MeasuredSpeed>();
-	const service: MeasuredKind = {runs: createDecayingHistogram(generationSamples), estimate: declaredEstimate(undeclaredMilliseconds), recorded: 0};
+	const service: MeasuredKind = {runs: createDecayingHistogram(generationSamples), estimate: declaredEstimate(defaultRunMilliseconds), recorded: 0};
 	let declared: ServiceDocument['kinds'] = {};
 
-	const declaredMilliseconds = (kind: string): number => declared[kind]?.runMilliseconds ?? undeclaredMilliseconds;
+	const declaredMilliseconds = (kind: string): number => declared[kind]?.runMilliseconds ?? defaultRunMilliseconds;
 
 	const kindOf = (kind: string): MeasuredKind => {
 		const existing = byKind.get(kind);
@@ -117,21 +117,21 @@
 
 	const speedOf = (endpoint: string, declaredSpeed: number): number => speeds.get(endpoint)?.speed ?? declaredSpeed;
 
-	const learnSpeed = (endpoint: string, declaredSpeed: number, ratio: number): void => {
+	const updateSpeed = (endpoint: string, declaredSpeed: number, ratio: number): void => {
 		const speed = speeds.get(endpoint) ?? {logarithm: Math.log(declaredSpeed), speed: declaredSpeed, updates: 0};
 		speed.updates++;
-		const step = Math.max(smallestSpeedStep, 1 / (speed.updates + 1));
-		speed.logarithm += step * clamp(Math.log(ratio) - speed.logarithm, largestSpeedCorrection);
-		// Without a pull, all speeds could rise together while the run times rise with them.
-		speed.logarithm += declaredSpeedPull * (Math.log(declaredSpeed) - speed.logarithm);
+		const step = Math.max(minimumSpeedStep, 1 / (speed.updates + 1));
+		speed.logarithm += step * clamp(Math.log(ratio) - speed.logarithm, maximumSpeedCorrection);
+		// Speeds and run times are known only up to a common factor. The weight of the declared speed keeps them from drifting together.
+		speed.logarithm += declaredSpeedWeight * (Math.log(declaredSpeed) - speed.logarithm);
 		speed.speed = Math.exp(speed.logarithm);
 		speeds.set(endpoint, speed);
 	};
 
-	const learnRun = (measured: MeasuredKind, work: number, declaredRun: number): void => {
+	const recordRun = (measured: MeasuredKind, work: number, declaredRun: number): void => {
 		measured.runs.record(work);
 		measured.recorded++;
-		if (isDue(measured)) {
+		if (isRefreshDue(measured)) {
 			measured.estimate = measure(measured.runs, declaredRun);
 		}
 	};
@@ -146,13 +146,13 @@
 		record(endpoint, declaredSpeed, kind, durationMilliseconds) {
 			const measured = kindOf(kind);
 			const duration = Math.max(1, durationMilliseconds);
-			if (measured.recorded >= declaredWeight) {
-				learnSpeed(endpoint, declaredSpeed, measured.estimate.median / duration);
+			if (measured.recorded >= declaredWeightSamples) {
+				updateSpeed(endpoint, declaredSpeed, measured.estimate.median / duration);
 			}
 
 			const work = duration * speedOf(endpoint, declaredSpeed);
-			learnRun(measured, work, declaredMilliseconds(kind));
-			learnRun(service, work, undeclaredMilliseconds);
+			recordRun(measured, work, declaredMilliseconds(kind));
+			recordRun(service, work, defaultRunMilliseconds);
 		},
 		ofKind: kind => kindOf(kind).estimate,
 		ofService: () => service.estimate,
--- a/packages/galenakeeld/src/process/running-tasks.ts
+++ b/packages/galenakeeld/src/process/running-tasks.ts
@@ -2,43 +2,47 @@
 import {TaskLength} from './task-queue.js';
 
 /**
-A task that holds a slot. Times are on the monotonic clock, in milliseconds.
+A task that occupies a slot. Times are monotonic, in milliseconds.
 */
 export type RunningTask = {
 	readonly slots: EndpointSlots;
 	readonly startedAt: number;
 	/** Time from which the task counts as long. */
 	readonly overrunAt: number;
-	/** Longest run time to be expected of such a task on this endpoint. */
-	readonly longestMilliseconds: number;
+	/** Maximum expected run time of the task on this endpoint; infinite if there are too few measurements. */
+	readonly maximumExpectedMilliseconds: number;
 	length: TaskLength;
 };
 
 /**
-The tasks of one service that hold slots of this instance.
+The tasks of one service that occupy slots of this instance.
 */
 export type RunningTasks = {
-	/** Adds a task; the function that is returned removes it. */
+	/** Adds a task and returns a function that removes it. */
 	readonly add: (task: RunningTask) => () => void;
+	/** Number of running tasks that count as long. */
 	readonly long: () => number;
+	/** Number of running tasks that count as short. */
 	readonly short: () => number;
-	/** Counts the tasks as long that have overrun their estimate. */
+	/** Marks short tasks as long once their overrun time is reached. */
 	readonly markOverruns: (now: number) => void;
-	readonly byEndpoint: (now: number) => ReadonlyMap<EndpointSlots, EndpointRun>;
+	/** Summarizes the running tasks of each endpoint that runs any. */
+	readonly byEndpoint: (now: number) => ReadonlyMap<EndpointSlots, RunningTaskSummary>;
 };
 
 /**
-What runs on one endpoint.
+Summary of the tasks that run on one endpoint.
 */
-export type EndpointRun = {
-	/** The task that has run longest. */
+export type RunningTaskSummary = {
+	/** The task with the earliest start. */
 	readonly oldest: RunningTask;
+	/** Number of running tasks. */
 	readonly running: number;
-	/** Tasks that have run for longer than is to be expected. */
+	/** Number of tasks that have exceeded their maximum expected run time. */
 	readonly overdue: number;
 };
 
-const isOverdue = ({startedAt, longestMilliseconds}: RunningTask, now: number): boolean => now - startedAt > longestMilliseconds;
+const isOverdue = ({startedAt, maximumExpectedMilliseconds}: RunningTask, now: number): boolean => now - startedAt > maximumExpectedMilliseconds;
 
 /**
 Creates an empty collection of running tasks.
@@ -46,11 +50,11 @@
 @example
 ```
 const running = createRunningTasks();
-const remove = running.add({slots, startedAt: performance.now(), overrunAt, longestMilliseconds, length: TaskLength.Short});
+const remove = running.add({slots, startedAt: performance.now(), overrunAt, maximumExpectedMilliseconds, length: TaskLength.Short});
 ```
 */
 export const createRunningTasks = (): RunningTasks => {
-	// In the order of their starts.
+	// Ordered by start time.
 	const tasks = new Set<RunningTask>();
 	let long = 0;
 	return {
@@ -74,7 +78,7 @@
 			}
 		},
 		byEndpoint(now) {
-			const runs = new Map<EndpointSlots, EndpointRun>();
+			const runs = new Map<EndpointSlots, RunningTaskSummary>();
 			for (const task of tasks) {
 				const {oldest = task, running = 0, overdue = 0} = runs.get(task.slots) ?? {};
 				runs.set(task.slots, {oldest, running: running + 1, overdue: overdue + (isOverdue(task, now) ? 1 : 0)});
