--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -106,15 +106,15 @@
 	this.intervals = [first, later];
 });
 
-Then('{int} heartbeats arrive within {int} ms, and no third within {int} ms', async function (this: StreamWorld, beats: number, milliseconds: number, quietMilliseconds: number) {
+Then('{int} heartbeats arrive within {int} ms, and no third within {int} ms', async function (this: StreamWorld, count: number, milliseconds: number, quietMilliseconds: number) {
 	const until = performance.now() + milliseconds;
-	while (this.heartbeatsReceived < beats && performance.now() < until) {
+	while (this.heartbeatsReceived < count && performance.now() < until) {
 		await sleep(10);
 	}
 
-	assert.equal(this.heartbeatsReceived, beats);
+	assert.equal(this.heartbeatsReceived, count);
 	await sleep(quietMilliseconds);
-	assert.equal(this.heartbeatsReceived, beats);
+	assert.equal(this.heartbeatsReceived, count);
 });
 
 When('the connection is reset', function (this: StreamWorld) {
--- a/packages/galenakeeld/src/connection/peer-service.ts
+++ b/packages/galenakeeld/src/connection/peer-service.ts
@@ -27,7 +27,7 @@
 	readonly onStreamEnded: (peer: string) => void;
 	readonly submit: (submission: Submission) => Promise<SubmissionAnswer>;
 	/** Returns the state of a submission that this incarnation holds, or cancels it. */
-	readonly inspect: (identifier: string, isCancelled: boolean) => Promise<JobView | undefined>;
+	readonly inspect: (identifier: string, shouldCancel: boolean) => Promise<JobView | undefined>;
 	readonly lendSlots: (request: BorrowSlotsRequest) => BorrowSlotsReply;
 	readonly reclaimSlots: (request: ReturnSlotsRequest) => void;
 	readonly documentsAbove: (version: number) => FetchDocumentsReply;
--- a/packages/galenakeeld/src/process/cells/__tests__/admit-job.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/admit-job.steps.ts
@@ -15,14 +15,14 @@
 };
 
 const processorOfTask = 1000;
-const worthlessObjectives = 3;
+const expiryObjectives = 3;
 const tolerance = 0.05;
 
 const createJob = (identifier: string, tasks: number, estimateMilliseconds: number, dueIn: number): ValuedJob => ({
 	identifier,
 	steps: [{tasks, estimateMilliseconds}],
 	dueIn,
-	expiresIn: worthlessObjectives * dueIn,
+	expiresIn: expiryObjectives * dueIn,
 	objectiveMilliseconds: dueIn,
 	value: tasks * estimateMilliseconds * processorOfTask,
 	rank: dueIn - estimateMilliseconds,
@@ -90,9 +90,9 @@
 });
 
 Then('an answer due in {int} ms and expired in {int} ms has a value over {float} at {int} ms, about {float} at {int} ms, about {float} at {int} ms and {int} at {int} ms', (dueIn: number, expiresIn: number, early: number, earlyAt: number, middle: number, middleAt: number, late: number, lateAt: number, never: number, neverAt: number) => {
-	const worthAt = (endsIn: number): number => expectedValueShare({dueIn, expiresIn, objectiveMilliseconds: dueIn}, endsIn);
-	assert.ok(worthAt(earlyAt) > early);
-	assert.ok(Math.abs(worthAt(middleAt) - middle) < tolerance);
-	assert.ok(Math.abs(worthAt(lateAt) - late) < tolerance);
-	assert.equal(worthAt(neverAt), never);
+	const valueAt = (endsIn: number): number => expectedValueShare({dueIn, expiresIn, objectiveMilliseconds: dueIn}, endsIn);
+	assert.ok(valueAt(earlyAt) > early);
+	assert.ok(Math.abs(valueAt(middleAt) - middle) < tolerance);
+	assert.ok(Math.abs(valueAt(lateAt) - late) < tolerance);
+	assert.equal(valueAt(neverAt), never);
 });
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-decisions.steps.ts
@@ -13,7 +13,7 @@
 	health: EndpointHealth;
 	healthNow: number;
 	speeds: EndpointSpeeds;
-	predictedLanes: SimulatedSlot[];
+	simulatedSlots: SimulatedSlot[];
 };
 
 const learned = 'learned';
@@ -79,11 +79,11 @@
 });
 
 Given('simulated slots that are free in {string} ms', function (this: DecisionWorld, times: string) {
-	this.predictedLanes = times.split(',').map(time => ({freeInMilliseconds: Number(time), factor: 1}));
+	this.simulatedSlots = times.split(',').map(time => ({freeInMilliseconds: Number(time), factor: 1}));
 });
 
 Then('jobs of {string} tasks are predicted to end in {string} ms', function (this: DecisionWorld, jobs: string, ends: string) {
-	const predicted = predictEnds(this.predictedLanes, jobs.split(',').map((job, position) => {
+	const predicted = predictEnds(this.simulatedSlots, jobs.split(',').map((job, position) => {
 		const [tasks, milliseconds] = job.split('x').map(Number);
 		return {identifier: String(position), steps: [{tasks: tasks!, estimateMilliseconds: milliseconds!}]};
 	}));
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -60,7 +60,7 @@
 const countTransfers = (world: PartsWorld, tasks: number, cell: string, newPart: string): number =>
 	redirectsOf(world).filter(one => one.positions.length === tasks && one.cell === cell && one.newPart === newPart).length;
 
-Given('a cell with {int} slots, and the cell {string} with capacity for {int} tasks', async function (this: PartsWorld, places: number, other: string, room: number) {
+Given('a cell with {int} slots, and the cell {string} with capacity for {int} tasks', async function (this: PartsWorld, slots: number, other: string, otherSlots: number) {
 	this.clock = install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'clearImmediate', 'Date'], shouldClearNativeTimers: true});
 	this.updates = [];
 	this.started = [];
@@ -78,20 +78,20 @@
 			const calls = createSimulatedEndpoint(processor, 1);
 			return {
 				...calls,
-				start: async order => {
-					this.started.push(`${order.task.step}.${order.task.index}`);
-					return calls.start(order);
+				start: async request => {
+					this.started.push(`${request.task.step}.${request.task.index}`);
+					return calls.start(request);
 				},
-				stop: async order => {
-					this.stopped.push(`${order.task.step}.${order.task.index}`);
-					return calls.stop(order);
+				stop: async request => {
+					this.stopped.push(`${request.task.step}.${request.task.index}`);
+					return calls.stop(request);
 				},
 			};
 		},
 		notify: (_, update) => {
 			this.updates.push(update);
 		},
-		otherCells: () => isOtherKnown ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: room * processorOfTask}], waitMilliseconds: 0}] : [],
+		otherCells: () => isOtherKnown ? [{cell: other, free: [{service: 'sheets', factor: 1, processor: otherSlots * processorOfTask}], waitMilliseconds: 0}] : [],
 		onRedirected() {
 			isOtherKnown = false;
 		},
@@ -106,7 +106,7 @@
 		},
 	});
 	this.cell.install([{
-		identifier: 'i-1', startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false, room: {processor: places * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
+		identifier: 'i-1', startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false, room: {processor: slots * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
 	}]);
 	await this.clock.tickAsync(firstPollMilliseconds);
 });
--- a/packages/galenakeeld/src/process/cells/__tests__/endpoint-reachability.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/endpoint-reachability.steps.ts
@@ -12,12 +12,12 @@
 	leasesClock: Clock | undefined;
 };
 
-const describe = (contact: EndpointReachability): string => [
-	['awaited', contact.isAwaitingFirstAnswer()],
-	['reachable', contact.isReachable()],
-	['silent', contact.isSilent()],
-	['missed', contact.hasMissedPoll()],
-	['backing off', contact.isBackingOff()],
+const describe = (reachability: EndpointReachability): string => [
+	['awaited', reachability.isAwaitingFirstAnswer()],
+	['reachable', reachability.isReachable()],
+	['silent', reachability.isSilent()],
+	['missed', reachability.hasMissedPoll()],
+	['backing off', reachability.isBackingOff()],
 ].filter(([, isSet]) => isSet).map(([name]) => name).join(', ');
 
 Given('an endpoint that was not polled', function (this: ReachabilityWorld) {
--- a/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/peak-replay.steps.ts
@@ -45,16 +45,16 @@
 
 /** Served share of the jobs of each queue; a late answer counts in part. */
 const replaySeeds = async (peak: number, seeds: readonly number[], places: readonly string[], shares: readonly number[]): Promise<ReadonlyMap<string, number>> => {
-	const asked = new Map<string, number>();
+	const submittedByQueue = new Map<string, number>();
 	const served = new Map<string, number>();
 	for (const seed of seeds) {
 		for (const result of await replay(createLoad(peak, seed, places, shares))) {
-			asked.set(result.queue, (asked.get(result.queue) ?? 0) + result.submitted);
+			submittedByQueue.set(result.queue, (submittedByQueue.get(result.queue) ?? 0) + result.submitted);
 			served.set(result.queue, (served.get(result.queue) ?? 0) + result.inTime + (lateValueShare * result.late));
 		}
 	}
 
-	return new Map([...served].map(([queue, count]) => [queue, count / asked.get(queue)!]));
+	return new Map([...served].map(([queue, count]) => [queue, count / submittedByQueue.get(queue)!]));
 };
 
 /** Mean over the queues with equal weights, so that no queue is neglected. */
--- a/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
@@ -9,7 +9,7 @@
 } from '../place-tasks.js';
 
 type PlacementWorld = {
-	rooms: EndpointCapacity[];
+	capacities: EndpointCapacity[];
 	waiting: WaitingStep[];
 };
 
@@ -41,18 +41,18 @@
 };
 
 const changeCapacity = (world: PlacementWorld, name: string, change: Partial<EndpointCapacity>): void => {
-	world.rooms = world.rooms.map(room => room.endpoint === name ? {...room, ...change} : room);
+	world.capacities = world.capacities.map(capacity => capacity.endpoint === name ? {...capacity, ...change} : capacity);
 };
 
-const whereTasksGo = ({rooms, waiting}: PlacementWorld): string => {
-	const placements = placeTasks(waiting, rooms, {now: 0, remotePenalty});
+const describePlacements = ({capacities, waiting}: PlacementWorld): string => {
+	const placements = placeTasks(waiting, capacities, {now: 0, remotePenalty});
 	const endpointOf = (job: string, index: number): string => placements.find(placement => placement.part === job && placement.index === index)?.endpoint ?? 'nowhere';
 	return waiting.flatMap(({job, indexes}) => indexes.map(index => endpointOf(job, index))).join(', ');
 };
 
 Given('endpoints', function (this: PlacementWorld, table: DataTable) {
 	this.waiting = [];
-	this.rooms = table.hashes().map(row => ({
+	this.capacities = table.hashes().map(row => ({
 		endpoint: row.name!,
 		service: 'sheets',
 		total: createResources(Number(row.processor)),
@@ -70,7 +70,7 @@
 });
 
 Given('{string} is as fast as {string}', function (this: PlacementWorld, name: string, other: string) {
-	changeCapacity(this, name, {factor: this.rooms.find(({endpoint}) => endpoint === other)!.factor});
+	changeCapacity(this, name, {factor: this.capacities.find(({endpoint}) => endpoint === other)!.factor});
 });
 
 Given('{string} takes at most {int} task(s)', function (this: PlacementWorld, name: string, maximumTasks: number) {
@@ -102,11 +102,11 @@
 });
 
 Then('it goes to {string}', function (this: PlacementWorld, expected: string) {
-	assert.equal(whereTasksGo(this), expected);
+	assert.equal(describePlacements(this), expected);
 });
 
 Then('they go to {string}', function (this: PlacementWorld, expected: string) {
-	assert.equal(whereTasksGo(this), expected);
+	assert.equal(describePlacements(this), expected);
 });
 
 const arbitraryLabel = fc.constantFrom('a', 'b');
@@ -134,29 +134,29 @@
 
 const arbitraryWaiting = fc.array(fc.tuple(arbitraryStep, fc.integer({min: 0, max: 3000}), fc.boolean(), fc.constantFrom('sheets', 'quotes')), {maxLength: 12});
 
-const checkRooms = (rooms: readonly EndpointCapacity[], waiting: readonly WaitingStep[], placements: readonly Placement[]): void => {
+const checkCapacities = (capacities: readonly EndpointCapacity[], waiting: readonly WaitingStep[], placements: readonly Placement[]): void => {
 	const stepOf = (job: string): WaitingStep => waiting.find(one => one.job === job)!;
-	for (const room of rooms) {
-		const here = placements.filter(({endpoint}) => endpoint === room.endpoint).map(placement => stepOf(placement.part));
+	for (const capacity of capacities) {
+		const here = placements.filter(({endpoint}) => endpoint === capacity.endpoint).map(placement => stepOf(placement.part));
 		let used = 0;
 		for (const {step, service, job} of here) {
 			used += step.room.processor;
-			assert.equal(service, room.service);
-			assert.ok(step.requiredLabel === undefined || room.labels.includes(step.requiredLabel));
+			assert.equal(service, capacity.service);
+			assert.ok(step.requiredLabel === undefined || capacity.labels.includes(step.requiredLabel));
 			assert.ok(here.filter(one => one.job === job).length <= (step.mostOnOneEndpoint ?? unbounded));
 		}
 
-		assert.ok(used <= room.free.processor);
-		assert.ok(here.length <= room.maximumTasks);
+		assert.ok(used <= capacity.free.processor);
+		assert.ok(here.length <= capacity.maximumTasks);
 	}
 
 	assert.equal(new Set(placements.map(({part, index}) => `${part} ${index}`)).size, placements.length);
 };
 
 Then('in {int} random loads with seed {int} no endpoint exceeds its capacity, and no task is placed twice or where it may not run', {timeout: 60_000}, (numberRuns: number, seed: number) => {
-	const rooms = fc.uniqueArray(arbitraryCapacity, {selector: ({endpoint}) => endpoint, maxLength: 8});
-	fc.assert(fc.property(rooms, arbitraryWaiting, (open, drawn) => {
+	const capacities = fc.uniqueArray(arbitraryCapacity, {selector: ({endpoint}) => endpoint, maxLength: 8});
+	fc.assert(fc.property(capacities, arbitraryWaiting, (drawnCapacities, drawn) => {
 		const waiting = drawn.map(([step, dueAt, isInTime, service], position) => createWaiting(position, step as Step, {dueAt, isInTime, service}));
-		checkRooms(open, waiting, placeTasks(waiting, open, {now: 0, remotePenalty}));
+		checkCapacities(drawnCapacities, waiting, placeTasks(waiting, drawnCapacities, {now: 0, remotePenalty}));
 	}), {numRuns: numberRuns, seed});
 });
--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -99,10 +99,10 @@
 /**
 Creates an endpoint that runs tasks for the times in their specification, which holds the processor and the milliseconds of each task by index.
 
-@param whole Thousandths of a core.
+@param totalProcessor Thousandths of a core.
 @param speed Run time over the milliseconds of the specification.
 */
-export const createSimulatedEndpoint = (whole: number, speed: number): EndpointCalls => {
+export const createSimulatedEndpoint = (totalProcessor: number, speed: number): EndpointCalls => {
 	let active: SimulatedRun[] = [];
 	let ended: EndedRun[] = [];
 	let sequence = 0;
@@ -121,10 +121,10 @@
 		wake?.();
 	};
 
-	const begin = ({task, attempt, specification}: StartRequest): CallOutcome => {
+	const startRun = ({task, attempt, specification}: StartRequest): CallOutcome => {
 		const [processor, ...milliseconds] = specification.split(' ').map(Number);
 		const used = active.reduce((sum, run) => sum + run.processor, 0);
-		if (used + processor! > whole) {
+		if (used + processor! > totalProcessor) {
 			return CallOutcome.InsufficientCapacity;
 		}
 
@@ -149,9 +149,9 @@
 	});
 
 	return {
-		async start(order): Promise<CallReply> {
+		async start(request): Promise<CallReply> {
 			await delay();
-			const outcome = begin(order);
+			const outcome = startRun(request);
 			const clockMilliseconds = clock();
 			await delay();
 			return {outcome, clockMilliseconds};
@@ -194,13 +194,13 @@
 const createReplayedJob = (random: Random, queue: LoadQueue, zone: string, arrivesAt: number, number: number): ReplayedJob => {
 	const tasks = Math.max(1, Math.round(queue.tasks * createLogNormal(random, widthSpread)));
 	const base = queue.milliseconds * createLogNormal(random, workSpread) * (random() < longTailShare ? longTailFactor : 1);
-	const works = Array.from({length: tasks}, () => Math.max(1, Math.round(base * createLogNormal(random, taskSpread))));
+	const taskDurations = Array.from({length: tasks}, () => Math.max(1, Math.round(base * createLogNormal(random, taskSpread))));
 	const processor = Math.min(largestProcessor, Math.round(processorOfTask * createLogNormal(random, 0.2)));
 	const step: Step = {
 		tasks, room: {processor, memoryMegabytes: 64, accelerators: 0}, estimateMilliseconds: Math.round(base * createLogNormal(random, estimateSpread)), after: [],
 	};
 	return {
-		job: {identifier: number.toString(16).padStart(16, '0'), specification: [processor, ...works].join(' '), steps: [step]}, queue, zone, arrivesAt, longestTaskMilliseconds: Math.max(...works),
+		job: {identifier: number.toString(16).padStart(16, '0'), specification: [processor, ...taskDurations].join(' '), steps: [step]}, queue, zone, arrivesAt, longestTaskMilliseconds: Math.max(...taskDurations),
 	};
 };
 
@@ -213,11 +213,11 @@
 
 const createJobs = (load: ReplayedLoad, random: Random): readonly ReplayedJob[] => {
 	const jobs: ReplayedJob[] = [];
-	for (const [place, zone] of load.zones.entries()) {
+	for (const [zoneIndex, zone] of load.zones.entries()) {
 		for (const queue of load.queues) {
 			let seconds = 0;
 			for (;;) {
-				seconds -= Math.log(1 - random()) / (queue.jobsEachSecond * load.shares[place]! * load.peak);
+				seconds -= Math.log(1 - random()) / (queue.jobsEachSecond * load.shares[zoneIndex]! * load.peak);
 				if (seconds >= load.seconds) {
 					break;
 				}
@@ -290,7 +290,7 @@
 		return {cell: zone, free: subtractSentProcessor(cellLoad.free, processor), waitMilliseconds: cellLoad.backlogMilliseconds};
 	});
 
-	for (const [place, zone] of load.zones.entries()) {
+	for (const [zoneIndex, zone] of load.zones.entries()) {
 		const cell = createCell({
 			zone,
 			token: () => 1,
@@ -323,20 +323,20 @@
 		});
 		cells.set(zone, cell);
 		cell.install(Array.from({length: load.endpointsInZone}, (_, index): EndpointEntry => {
-			const kind = kinds[(index + (place * load.endpointsInZone)) % kinds.length]!;
+			const kind = kinds[(index + (zoneIndex * load.endpointsInZone)) % kinds.length]!;
 			return {
 				identifier: `i-${zone}-${index}`, startedAt: 1, service: 'sheets', address: '', zone, isDraining: false, room: {processor: kind.processor, memoryMegabytes: 32_768, accelerators: 0}, labels: [kind.label, 'r1'],
 			};
 		}));
 	}
 
-	const announced = new Map<string, string>();
+	const lastAnnounced = new Map<string, string>();
 	const timer = setInterval(() => {
 		for (const [zone, cell] of cells) {
 			const cellLoad = cell.load();
 			const text = JSON.stringify(cellLoad);
-			if (text !== announced.get(zone)) {
-				announced.set(zone, text);
+			if (text !== lastAnnounced.get(zone)) {
+				lastAnnounced.set(zone, text);
 				setTimeout(() => {
 					announcedLoads.set(zone, cellLoad);
 					receivedAt.set(zone, performance.now());
--- a/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/share-tasks.steps.ts
@@ -77,8 +77,8 @@
 		const shares = shareTasks(waiting, others, 0);
 		for (const {cell, free} of others) {
 			const sent = shares.filter(share => share.cell === cell).reduce((sum, {indexes}) => sum + (indexes.length * processorOfTask), 0);
-			const room = free.filter(({service}) => service === 'sheets').reduce((sum, {processor}) => sum + Math.max(0, processor), 0);
-			assert.ok(sent <= room);
+			const freeProcessor = free.filter(({service}) => service === 'sheets').reduce((sum, {processor}) => sum + Math.max(0, processor), 0);
+			assert.ok(sent <= freeProcessor);
 		}
 
 		const sentTasks = shares.flatMap(({part, indexes}) => indexes.map(index => `${part}.${index}`));
--- a/packages/galenakeeld/src/process/cells/admit-job.ts
+++ b/packages/galenakeeld/src/process/cells/admit-job.ts
@@ -92,15 +92,15 @@
 	return sum;
 };
 
-const startsSooner = (first: CellCapacity, second: CellCapacity): number =>
+const byWaitThenCapacity = (first: CellCapacity, second: CellCapacity): number =>
 	first.waitMilliseconds - second.waitMilliseconds || freeProcessorIn(second) - freeProcessorIn(first);
 
 const idleSlots = (slots: readonly SimulatedSlot[]): readonly SimulatedSlot[] => slots.map(({factor}) => ({freeInMilliseconds: 0, factor}));
 
 /** Assumes that other cells have similar endpoints: the end there is the end here on idle slots, plus the wait there and the redirect. */
 const findBetterCell = (job: ArrivingJob, endsIn: number, slots: readonly SimulatedSlot[], others: readonly CellCapacity[]): CellCapacity | undefined => {
-	const withRoom = others.filter(other => freeProcessorIn(other) >= job.processor && other.waitMilliseconds <= 0);
-	const best = (withRoom.length > 0 ? withRoom : others).toSorted(startsSooner)[0];
+	const withCapacity = others.filter(other => freeProcessorIn(other) >= job.processor && other.waitMilliseconds <= 0);
+	const best = (withCapacity.length > 0 ? withCapacity : others).toSorted(byWaitThenCapacity)[0];
 	if (!best) {
 		return undefined;
 	}
@@ -123,8 +123,8 @@
 ```
 */
 export const admitJob = (job: ArrivingJob, waiting: readonly ValuedJob[], slots: readonly SimulatedSlot[], others: readonly CellCapacity[]): AdmissionDecision => {
-	const place = waiting.findIndex(({rank}) => rank > job.rank);
-	const order = waiting.toSpliced(place === -1 ? waiting.length : place, 0, job);
+	const position = waiting.findIndex(({rank}) => rank > job.rank);
+	const order = waiting.toSpliced(position === -1 ? waiting.length : position, 0, job);
 	const ends = predictEnds(slots, order);
 	const endsIn = ends.get(job.identifier)!;
 	const better = job.isRedirected ? undefined : findBetterCell(job, endsIn, slots, others);
@@ -136,12 +136,12 @@
 		return {admission: Admission.Accept, endsIn};
 	}
 
-	const open = job.isRedirected ? undefined : others.find(other => freeProcessorIn(other) >= job.processor);
+	const availableCell = job.isRedirected ? undefined : others.find(other => freeProcessorIn(other) >= job.processor);
 	const gain = totalValueOf(order, ends) - totalValueOf(waiting, predictEnds(slots, waiting));
 	if (gain > minimumGain * job.value) {
 		return {admission: Admission.Accept, endsIn};
 	}
 
 	// Free capacity elsewhere is used even if the answer will be late.
-	return open ? {admission: Admission.Redirect, endsIn, cell: open.cell} : {admission: Admission.Refuse, endsIn};
+	return availableCell ? {admission: Admission.Redirect, endsIn, cell: availableCell.cell} : {admission: Admission.Refuse, endsIn};
 };
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -82,7 +82,7 @@
 const startAnswerTimeoutMilliseconds = 50;
 /** Age from which the reported processor use shows whether a run makes progress. */
 const stallAgeMilliseconds = 700;
-const noRoomCooldownMilliseconds = 60;
+const insufficientCapacityCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
 
 /**
@@ -239,8 +239,8 @@
 			case CallOutcome.InsufficientCapacity:
 			case CallOutcome.Superseded:
 			case CallOutcome.Expired: {
-				cooldownEndsAt = performance.now() + noRoomCooldownMilliseconds;
-				setTimeout(options.onChange, noRoomCooldownMilliseconds);
+				cooldownEndsAt = performance.now() + insufficientCapacityCooldownMilliseconds;
+				setTimeout(options.onChange, insufficientCapacityCooldownMilliseconds);
 				break;
 			}
 		}
@@ -342,8 +342,8 @@
 		}
 
 		if (options.isSettled()) {
-			for (const stray of orphans.active()) {
-				void stopOrphan(stray);
+			for (const orphan of orphans.active()) {
+				void stopOrphan(orphan);
 			}
 		}
 
@@ -457,13 +457,13 @@
 				return {ended: Promise.resolve(RunResult.Succeeded)};
 			}
 
-			const stray = orphans.take(task);
-			if (!stray) {
+			const orphan = orphans.take(task);
+			if (!orphan) {
 				return undefined;
 			}
 
 			const run = createRun({
-				task, attempt: stray.attempt, room, estimateMilliseconds,
+				task, attempt: orphan.attempt, room, estimateMilliseconds,
 			}, RunState.Running);
 			addRun(run);
 			return {ended: run.ended.promise};
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -91,7 +91,7 @@
 		get: life => endpoints.get(life),
 		factorOf,
 		kindFactors: speeds.kindFactors,
-		availableCapacities: () => [...endpoints.values()].map(endpoint => endpoint.availableCapacity(factorOf(endpoint))).filter(room => room !== undefined),
+		availableCapacities: () => [...endpoints.values()].map(endpoint => endpoint.availableCapacity(factorOf(endpoint))).filter(capacity => capacity !== undefined),
 		stopRuns(isStopped) {
 			for (const endpoint of endpoints.values()) {
 				endpoint.stopRuns(isStopped);
--- a/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
+++ b/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
@@ -117,7 +117,7 @@
 const slotsOf = (capacities: readonly EndpointCapacity[], processorOfTask: number): readonly SimulatedSlot[] => capacities.flatMap(({total, factor, remainingTimes}) => {
 	const count = Math.max(1, Math.floor(total.processor / Math.max(1, processorOfTask)));
 	const busy = remainingTimes();
-	return Array.from({length: count}, (_, place) => ({freeInMilliseconds: busy[place] ?? 0, factor}));
+	return Array.from({length: count}, (_, index) => ({freeInMilliseconds: busy[index] ?? 0, factor}));
 });
 
 /** Delay of the start of a task in another cell with free capacity, in milliseconds. */
@@ -157,10 +157,10 @@
 
 @param now Monotonic milliseconds.
 */
-export const evaluateArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {capacities: allRooms, others: allOthers, now}: {readonly capacities: readonly EndpointCapacity[]; readonly others: readonly CellCapacity[]; readonly now: number}): AdmissionDecision => {
+export const evaluateArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {capacities: allCapacities, others: allOthers, now}: {readonly capacities: readonly EndpointCapacity[]; readonly others: readonly CellCapacity[]; readonly now: number}): AdmissionDecision => {
 	const {service} = job.order;
-	const capacities = allRooms.filter(room => room.service === service);
-	const others = allOthers.map(other => ({...other, free: other.free.filter(room => room.service === service)}));
+	const capacities = allCapacities.filter(capacity => capacity.service === service);
+	const others = allOthers.map(other => ({...other, free: other.free.filter(capacity => capacity.service === service)}));
 	const bestFactor = bestFactorOf(capacities);
 	const waiting = rankJobs(jobs.filter(one => one.order.service === service && waitingWorkOf(one) > 0), bestFactor, now).filter(({urgency}) => isInTime(urgency));
 	const processor = firstProcessorOf(job);
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -52,7 +52,7 @@
 	readonly endpoint: string;
 };
 
-type Candidate = {free: Resources; taken: number; readonly capacity: EndpointCapacity; readonly placed: Map<string, number>};
+type Candidate = {free: Resources; assignedTasks: number; readonly capacity: EndpointCapacity; readonly assignedByStep: Map<string, number>};
 
 /** Ratio of the time until the due time to the expected run time from which an endpoint counts as fast enough. */
 const safetyFactor = 1.25;
@@ -64,7 +64,7 @@
 const factorFor = (step: Step, {factor, labels}: EndpointCapacity, remotePenalty: number): number =>
 	step.preferredRack !== undefined && !labels.includes(step.preferredRack) ? factor * remotePenalty : factor;
 
-const isAllowed = (waiting: WaitingStep, {capacity, placed}: Candidate): boolean => {
+const isAllowed = (waiting: WaitingStep, {capacity, assignedByStep}: Candidate): boolean => {
 	const {step, job, position} = waiting;
 	if (capacity.service !== waiting.service) {
 		return false;
@@ -75,10 +75,10 @@
 	}
 
 	const key = `${job}.${position}`;
-	return step.mostOnOneEndpoint === undefined || capacity.countOf(job, position) + (placed.get(key) ?? 0) < step.mostOnOneEndpoint;
+	return step.mostOnOneEndpoint === undefined || capacity.countOf(job, position) + (assignedByStep.get(key) ?? 0) < step.mostOnOneEndpoint;
 };
 
-const isAvailable = ({free, taken, capacity}: Candidate): boolean => free.processor >= minimumProcessor && taken < capacity.maximumTasks;
+const isAvailable = ({free, assignedTasks, capacity}: Candidate): boolean => free.processor >= minimumProcessor && assignedTasks < capacity.maximumTasks;
 
 type Choice = {readonly candidate: Candidate; readonly milliseconds: number};
 
@@ -126,7 +126,7 @@
 */
 export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
 	let candidates = capacities.map((capacity): Candidate => ({
-		capacity, free: capacity.free, taken: 0, placed: new Map(),
+		capacity, free: capacity.free, assignedTasks: 0, assignedByStep: new Map(),
 	})).filter(candidate => isAvailable(candidate));
 	const totalProcessor = capacities.reduce((sum, {total}) => sum + total.processor, 0);
 	let freeProcessor = capacities.reduce((sum, {free}) => sum + free.processor, 0);
@@ -149,11 +149,11 @@
 		return choice?.candidate;
 	};
 
-	const take = (candidate: Candidate, {part, job, position, step}: WaitingStep, index: number): void => {
+	const assign = (candidate: Candidate, {part, job, position, step}: WaitingStep, index: number): void => {
 		const key = `${job}.${position}`;
 		candidate.free = subtractResources(candidate.free, step.room);
-		candidate.taken++;
-		candidate.placed.set(key, (candidate.placed.get(key) ?? 0) + 1);
+		candidate.assignedTasks++;
+		candidate.assignedByStep.set(key, (candidate.assignedByStep.get(key) ?? 0) + 1);
 		freeProcessor -= step.room.processor;
 		placements.push({
 			part, position, index, endpoint: candidate.capacity.endpoint,
@@ -169,7 +169,7 @@
 
 			const candidate = choose(step, index);
 			if (candidate) {
-				take(candidate, step, index);
+				assign(candidate, step, index);
 			}
 		}
 	}
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -114,8 +114,8 @@
 export const remainingCriticalPath = ({steps}: PlacedJob): number => {
 	const ends: number[] = [];
 	for (const {step, remainingTasks} of steps) {
-		const begins = Math.max(0, ...step.after.map(before => ends[before]!));
-		ends.push(begins + (remainingTasks > 0 ? step.estimateMilliseconds : 0));
+		const startsAt = Math.max(0, ...step.after.map(before => ends[before]!));
+		ends.push(startsAt + (remainingTasks > 0 ? step.estimateMilliseconds : 0));
 	}
 
 	return Math.max(0, ...ends);
--- a/packages/galenakeeld/src/process/cells/predict-ends.ts
+++ b/packages/galenakeeld/src/process/cells/predict-ends.ts
@@ -49,10 +49,10 @@
 	for (const {identifier, steps} of jobs) {
 		let end = simulated.length > 0 ? 0 : Number.POSITIVE_INFINITY;
 		for (const {tasks, estimateMilliseconds} of steps) {
-			const begins = end;
+			const earliestStart = end;
 			for (let count = 0; count < tasks && simulated.length > 0; count++) {
 				const slot = earliestSlot(simulated);
-				const start = Math.max(begins, slot.freeInMilliseconds);
+				const start = Math.max(earliestStart, slot.freeInMilliseconds);
 				slot.freeInMilliseconds = start + (estimateMilliseconds * slot.factor);
 				end = Math.max(end, slot.freeInMilliseconds);
 			}
--- a/packages/galenakeeld/src/process/cells/share-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/share-tasks.ts
@@ -12,16 +12,16 @@
 	readonly cell: string;
 };
 
-type FreeClass = {readonly cell: string; readonly service: string; readonly factor: number; processor: number};
+type FreeCapacityClass = {readonly cell: string; readonly service: string; readonly factor: number; processor: number};
 
 /** Latency that a transfer adds to a task and to the return of its result, in milliseconds. */
 const moveMilliseconds = 8;
 
-const isInTimeAt = (waiting: WaitingStep, {factor}: FreeClass, now: number): boolean =>
+const isInTimeAt = (waiting: WaitingStep, {factor}: FreeCapacityClass, now: number): boolean =>
 	!waiting.isInTime || now + moveMilliseconds + (waiting.step.estimateMilliseconds * factor) <= waiting.dueAt;
 
 /** Most free capacity first, so that tasks of one step stay together; then the fastest endpoints. */
-const mostCapacityFirst = (first: FreeClass, second: FreeClass): number =>
+const mostCapacityFirst = (first: FreeCapacityClass, second: FreeCapacityClass): number =>
 	second.processor - first.processor || first.factor - second.factor;
 
 /**
@@ -39,10 +39,10 @@
 ```
 */
 export const shareTasks = (waiting: readonly WaitingStep[], others: readonly CellCapacity[], now: number): readonly TaskShare[] => {
-	const classes = others.flatMap(({cell, free}) => free.map((room): FreeClass => ({cell, ...room})));
+	const classes = others.flatMap(({cell, free}) => free.map((capacity): FreeCapacityClass => ({cell, ...capacity})));
 	const shares: TaskShare[] = [];
 
-	const findCapacity = (step: WaitingStep): FreeClass | undefined => classes
+	const findCapacity = (step: WaitingStep): FreeCapacityClass | undefined => classes
 		.filter(free => free.service === step.service && free.processor >= step.step.room.processor && isInTimeAt(step, free, now))
 		.toSorted(mostCapacityFirst)[0];
 
--- a/packages/galenakeeld/src/process/daemon.ts
+++ b/packages/galenakeeld/src/process/daemon.ts
@@ -210,7 +210,7 @@
 			return identifier;
 		},
 		submit: async submission => submit(submission, submissionRun),
-		inspect: async (identifier, isCancelled) => inspectSubmission(identifier, isCancelled, {
+		inspect: async (identifier, shouldCancel) => inspectSubmission(identifier, shouldCancel, {
 			self, register, findHolder: claims.findHolder, inspectRemote: holders.inspect,
 		}),
 		defaultDeadlineMilliseconds: service => catalogue.versionOf(service)?.document.deadlineMilliseconds ?? settings.peers.callTimeoutMilliseconds,
@@ -225,7 +225,7 @@
 		openHeartbeats: heartbeats.open,
 		onStreamEnded: peerWatch.suspect,
 		submit: async submission => submit(submission, submissionRun),
-		inspect: async (identifier, isCancelled) => inspectHeld(identifier, isCancelled, register),
+		inspect: async (identifier, shouldCancel) => inspectHeld(identifier, shouldCancel, register),
 		lendSlots(request) {
 			contact(request.borrower);
 			return lendSlots(dispatchers, request);
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -12,7 +12,7 @@
 type LinksWorld = {
 	clock: Clock;
 	links: FleetLinks;
-	hear: (message: FleetMessage, from: string) => void;
+	receiveMessage: (message: FleetMessage, from: string) => void;
 	silentAfterMilliseconds: number;
 	brokenOff: string[];
 	dialled: string[];
@@ -21,7 +21,7 @@
 
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
-const createBeat = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
+const heartbeatFrom = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
 	kind: FleetMessageKind.Heartbeat, instance: address, address, zone: 'south', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
@@ -35,7 +35,7 @@
 		address: 'n1',
 		view: createFleetView(),
 		serve: async (_, handlers) => {
-			this.hear = handlers.onMessage;
+			this.receiveMessage = handlers.onMessage;
 			return () => {
 				// Nothing was opened.
 			};
@@ -57,7 +57,7 @@
 				// Nothing was opened.
 			},
 		}),
-		createHeartbeat: () => createBeat('n1', milliseconds),
+		createHeartbeat: () => heartbeatFrom('n1', milliseconds),
 		heartbeatIntervalTo: () => shortInterval,
 		onMessage() {
 			// Only heartbeats are sent.
@@ -87,7 +87,7 @@
 Given('heartbeats of {string} at {int} ms', function (this: LinksWorld, names: string, at: number) {
 	this.clock.tick(at - performance.now());
 	for (const name of splitNames(names)) {
-		this.hear(createBeat(name, this.silentAfterMilliseconds), name);
+		this.receiveMessage(heartbeatFrom(name, this.silentAfterMilliseconds), name);
 	}
 });
 
--- a/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.steps.ts
@@ -21,7 +21,7 @@
 	return zone === undefined ? undefined : {zone, isOwner: text.endsWith('an owner')};
 };
 
-const createBeat = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
+const heartbeatFrom = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
 	kind: FleetMessageKind.Heartbeat, instance: address, address, zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds, claims: [], configurationVersion: 1, isLeaving: false, known: [],
 });
 
@@ -32,8 +32,8 @@
 Given('a view with heartbeats of {string} that expire after {int} ms and of {string} that expire after {int} ms', function (this: IntervalWorld, first: string, firstMilliseconds: number, second: string, secondMilliseconds: number) {
 	this.heartbeatClock = install({toFake: ['performance']});
 	this.heartbeatView = createFleetView();
-	this.heartbeatView.receiveHeartbeat(createBeat(first, firstMilliseconds));
-	this.heartbeatView.receiveHeartbeat(createBeat(second, secondMilliseconds));
+	this.heartbeatView.receiveHeartbeat(heartbeatFrom(first, firstMilliseconds));
+	this.heartbeatView.receiveHeartbeat(heartbeatFrom(second, secondMilliseconds));
 });
 
 After(function (this: Partial<IntervalWorld>) {
--- a/packages/galenakeeld/src/process/fleet/cell-claims.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-claims.ts
@@ -77,10 +77,10 @@
 
 A partitioned owner continues to give orders to its endpoints, and an order of another daemon would fence it off. A partition can also look like a process that has ended. A daemon of the zone takes over if it reaches peers or no loss is recorded. Any other takeover requires reachable peers and endpoints, and an owner that has ended or has been lost for a while. If the endpoints have only just become reachable, a partition has healed and a heartbeat of the owner is about to arrive, so the daemon waits.
 
-@param contact.sinceProbeFailureMilliseconds Time since a probe of the endpoints last failed.
+@param reachability.sinceProbeFailureMilliseconds Time since a probe of the endpoints last failed.
 */
-export const isTakeoverSafe = (loss: OwnerLoss | undefined, contact: Reachability): boolean => {
-	const {isOfZone, hasReachablePeers, reachesEndpoints, sinceProbeFailureMilliseconds} = contact;
+export const isTakeoverSafe = (loss: OwnerLoss | undefined, reachability: Reachability): boolean => {
+	const {isOfZone, hasReachablePeers, reachesEndpoints, sinceProbeFailureMilliseconds} = reachability;
 	if (isOfZone && (hasReachablePeers || loss === undefined)) {
 		return true;
 	}
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -21,11 +21,11 @@
 Subtracts processor capacity from the free capacity, starting with the fastest endpoints, because tasks that are on time are placed on these.
 */
 export const subtractSentProcessor = (free: readonly FreeCapacity[], sent: number): readonly FreeCapacity[] => {
-	let left = sent;
-	return free.toSorted((first, second) => first.factor - second.factor).map(room => {
-		const taken = Math.min(left, room.processor);
-		left -= taken;
-		return {...room, processor: room.processor - taken};
+	let remaining = sent;
+	return free.toSorted((first, second) => first.factor - second.factor).map(capacity => {
+		const subtracted = Math.min(remaining, capacity.processor);
+		remaining -= subtracted;
+		return {...capacity, processor: capacity.processor - subtracted};
 	});
 };
 
@@ -44,8 +44,8 @@
 	const sent = new Map<string, readonly SentJob[]>();
 	const factors = new Map<string, Readonly<Record<string, number>>>();
 
-	const sentSince = (cell: string, heardAt: number): number => {
-		const recent = (sent.get(cell) ?? []).filter(({at}) => at > heardAt);
+	const sentSince = (cell: string, updatedAt: number): number => {
+		const recent = (sent.get(cell) ?? []).filter(({at}) => at > updatedAt);
 		sent.set(cell, recent);
 		let total = 0;
 		for (const {processor} of recent) {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -166,7 +166,7 @@
 	const onMessage = (message: FleetMessage, from: string): void => {
 		switch (message.kind) {
 			case FleetMessageKind.Heartbeat: {
-				onBeat(message);
+				onHeartbeat(message);
 				break;
 			}
 
@@ -207,7 +207,7 @@
 		}
 	};
 
-	const onBeat = ({address, configurationVersion, claims}: Heartbeat): void => {
+	const onHeartbeat = ({address, configurationVersion, claims}: Heartbeat): void => {
 		loads.recordClaims(claims);
 		const current = configuration.current();
 		if (current && configurationVersion < current.version) {
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -38,7 +38,7 @@
 const batchMilliseconds = 1;
 const redialMilliseconds = 150;
 /** Pause between connection attempts to an address that is not a reachable peer; it may be gone permanently. */
-const redialUnheardMilliseconds = 500;
+const redialUnknownPeerMilliseconds = 500;
 
 /**
 Accepts the streams of peers and opens one to each peer.
@@ -53,7 +53,7 @@
 	const {view, address: self} = options;
 	const streams = new Map<string, PeerStream>();
 
-	const lose = (peer: Peer | undefined, cause: LossCause): void => {
+	const reportLoss = (peer: Peer | undefined, cause: LossCause): void => {
 		if (peer) {
 			options.onPeerLost(peer, cause);
 		}
@@ -69,7 +69,7 @@
 				createHeartbeat: () => options.createHeartbeat(options.heartbeatIntervalTo(address)),
 				heartbeatIntervalMilliseconds: () => options.heartbeatIntervalTo(address).heartbeatMilliseconds,
 				batchMilliseconds,
-				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnheardMilliseconds,
+				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnknownPeerMilliseconds,
 				onConnected() {
 					options.onStreamOpened(address);
 				},
@@ -77,7 +77,7 @@
 					options.onBroken(address, detail);
 				},
 				onRefused() {
-					lose(view.remove(address), LossCause.Ended);
+					reportLoss(view.remove(address), LossCause.Ended);
 				},
 			});
 			streams.set(address, stream);
@@ -85,17 +85,17 @@
 		}
 	};
 
-	const handleHeartbeat = (beat: Heartbeat): void => {
-		const before = view.get(beat.address);
-		const isNew = view.receiveHeartbeat(beat);
+	const handleHeartbeat = (heartbeat: Heartbeat): void => {
+		const before = view.get(heartbeat.address);
+		const isNew = view.receiveHeartbeat(heartbeat);
 		if (isNew) {
-			lose(before, LossCause.Ended);
-			options.onPeerReachable(view.get(beat.address)!);
+			reportLoss(before, LossCause.Ended);
+			options.onPeerReachable(view.get(heartbeat.address)!);
 			// The peer may have started after the last failed connection attempt.
-			streams.get(beat.address)?.dialNow();
+			streams.get(heartbeat.address)?.dialNow();
 		}
 
-		connect([beat.address, ...beat.known]);
+		connect([heartbeat.address, ...heartbeat.known]);
 	};
 
 	const stop = await options.serve(self, {
@@ -134,7 +134,7 @@
 		removeSilentPeers() {
 			for (const peer of view.removeSilent()) {
 				streams.get(peer.address)?.resetConnection('the peer is silent');
-				lose(peer, LossCause.Silent);
+				reportLoss(peer, LossCause.Silent);
 			}
 		},
 		close() {
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -22,7 +22,7 @@
 */
 export type FleetView = {
 	/** Records a heartbeat. Returns whether the peer is new or has restarted. */
-	readonly receiveHeartbeat: (beat: Heartbeat) => boolean;
+	readonly receiveHeartbeat: (heartbeat: Heartbeat) => boolean;
 	/** Records the load of a peer's cell between two heartbeats. */
 	readonly receiveLoad: (address: string, cell: string, load: CellLoad) => void;
 	/** Removes a peer immediately, because nothing listens at its address any more, and returns it. */
@@ -33,18 +33,18 @@
 	readonly all: () => readonly Peer[];
 };
 
-const toPeer = (beat: Heartbeat): Peer => ({
-	instance: beat.instance,
-	address: beat.address,
-	zone: beat.zone,
-	startedAt: beat.startedAt,
-	processor: beat.processor,
-	silentAfterMilliseconds: beat.silentAfterMilliseconds,
-	isLeaving: beat.isLeaving,
-	claims: new Map(beat.claims.map(({cell, token, term}) => [cell, {token, term}])),
-	loads: new Map(beat.claims.map(({cell, load}) => [cell, load])),
-	configurationVersion: beat.configurationVersion,
-	known: beat.known,
+const toPeer = (heartbeat: Heartbeat): Peer => ({
+	instance: heartbeat.instance,
+	address: heartbeat.address,
+	zone: heartbeat.zone,
+	startedAt: heartbeat.startedAt,
+	processor: heartbeat.processor,
+	silentAfterMilliseconds: heartbeat.silentAfterMilliseconds,
+	isLeaving: heartbeat.isLeaving,
+	claims: new Map(heartbeat.claims.map(({cell, token, term}) => [cell, {token, term}])),
+	loads: new Map(heartbeat.claims.map(({cell, load}) => [cell, load])),
+	configurationVersion: heartbeat.configurationVersion,
+	known: heartbeat.known,
 	lastHeartbeatAt: performance.now(),
 	loadsUpdatedAt: performance.now(),
 });
@@ -55,7 +55,7 @@
 @example
 ```
 const view = createFleetView();
-view.receiveHeartbeat(beat);
+view.receiveHeartbeat(heartbeat);
 view.get('10.1.0.13:7720')?.zone;
 ```
 */
@@ -69,10 +69,10 @@
 	};
 
 	return {
-		receiveHeartbeat(beat) {
-			const before = peers.get(beat.address);
-			peers.set(beat.address, toPeer(beat));
-			return before?.startedAt !== beat.startedAt;
+		receiveHeartbeat(heartbeat) {
+			const before = peers.get(heartbeat.address);
+			peers.set(heartbeat.address, toPeer(heartbeat));
+			return before?.startedAt !== heartbeat.startedAt;
 		},
 		receiveLoad(address, cell, load) {
 			const peer = peers.get(address);
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -27,19 +27,19 @@
 export const createLoadAnnouncements = ({claims, peers, send}: LoadAnnouncementsOptions) => {
 	const seen = new Map<string, CellLoad>();
 	const lastSent = new Map<string, string>();
-	let calmCount = callsPerIdleAnnouncement;
+	let idleCount = callsPerIdleAnnouncement;
 
-	const isCalm = (owners: readonly Peer[]): boolean =>
+	const isIdle = (owners: readonly Peer[]): boolean =>
 		!hasBacklog(claims().map(({load}) => load)) && !owners.some(({loads}) => hasBacklog(loads.values()));
 
 	return (): void => {
 		const owners = peers().filter(peer => peer.claims.size > 0);
-		calmCount = isCalm(owners) ? calmCount + 1 : callsPerIdleAnnouncement;
-		if (calmCount < callsPerIdleAnnouncement) {
+		idleCount = isIdle(owners) ? idleCount + 1 : callsPerIdleAnnouncement;
+		if (idleCount < callsPerIdleAnnouncement) {
 			return;
 		}
 
-		calmCount = 0;
+		idleCount = 0;
 		for (const {cell, load} of claims()) {
 			// A load that was not recomputed is the same object.
 			if (load === seen.get(cell)) {
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -77,7 +77,7 @@
 		return highestToken;
 	};
 
-	const note = (zone: string, entries: readonly EndpointEntry[]): void => {
+	const recordList = (zone: string, entries: readonly EndpointEntry[]): void => {
 		listed.set(zone, entries);
 		listedSince.set(zone, listedSince.get(zone) ?? performance.now());
 	};
@@ -111,7 +111,7 @@
 		}
 	};
 
-	const noteTokens = (claimants: readonly Claimant[]): void => {
+	const recordTokens = (claimants: readonly Claimant[]): void => {
 		for (const {claims} of claimants) {
 			for (const [zone, {token}] of claims) {
 				highestToken = Math.max(highestToken, token);
@@ -121,7 +121,7 @@
 	};
 
 	/** Tells whether a peer has a higher token for a cell that this daemon owns and keeps, for instance one of another zone. */
-	const isOutbid = (zone: string, peers: readonly Claimant[]): boolean => {
+	const hasLowerToken = (zone: string, peers: readonly Claimant[]): boolean => {
 		const own = cells.get(zone)?.token;
 		return own !== undefined && peers.some(({claims}) => (claims.get(zone)?.token ?? 0) > own);
 	};
@@ -130,8 +130,8 @@
 	const probe = async (zone: string): Promise<void> => {
 		if (!probing.has(zone)) {
 			probing.add(zone);
-			const contacts = await options.canReachEndpoints(zone) ? probeSucceededAt : probeFailedAt;
-			contacts.set(zone, performance.now());
+			const probeTimes = await options.canReachEndpoints(zone) ? probeSucceededAt : probeFailedAt;
+			probeTimes.set(zone, performance.now());
 
 			probing.delete(zone);
 		}
@@ -171,7 +171,7 @@
 		})),
 		claimsByCell: () => new Map([...cells].map(([zone, {token, term}]) => [zone, {token, term}])),
 		reviewClaims(self, peers, ageMilliseconds) {
-			noteTokens(peers);
+			recordTokens(peers);
 			let hasChanged = false;
 			for (const zone of options.zones) {
 				const step = decideClaim(zone, self(), [self(), ...peers]);
@@ -182,7 +182,7 @@
 				} else if (step === ClaimStep.Yield) {
 					yieldCell(zone);
 					hasChanged = true;
-				} else if (isOutbid(zone, peers)) {
+				} else if (hasLowerToken(zone, peers)) {
 					raiseToken(zone);
 					hasChanged = true;
 				}
@@ -206,13 +206,13 @@
 		install(newer) {
 			for (const zone of options.zones) {
 				const entries = newer.filter(entry => entry.zone === zone);
-				note(zone, entries);
+				recordList(zone, entries);
 				cells.get(zone)?.cell.install(entries);
 			}
 		},
 		recordEndpoints(zone, entries) {
 			if (!cells.has(zone)) {
-				note(zone, entries);
+				recordList(zone, entries);
 			}
 		},
 		listedSince: zone => listedSince.get(zone),
--- a/packages/galenakeeld/src/request/holder-calls.ts
+++ b/packages/galenakeeld/src/request/holder-calls.ts
@@ -44,8 +44,8 @@
 				return answerUnknown(FaultKind.HolderUnreachable, detailOf(error));
 			}
 		},
-		async inspect(holder, identifier, isCancelled) {
-			const request = {identifier, incarnation: holder.incarnation, cancel: isCancelled};
+		async inspect(holder, identifier, shouldCancel) {
+			const request = {identifier, incarnation: holder.incarnation, cancel: shouldCancel};
 			return jobViewFromWire(await reach(holder, identifier).inspect(request, callTimeoutMilliseconds));
 		},
 	};
--- a/packages/galenakeeld/src/request/inspect-submission.ts
+++ b/packages/galenakeeld/src/request/inspect-submission.ts
@@ -23,9 +23,9 @@
 		| ({readonly isAnswered: false} & JobProgress);
 
 /**
-Reads the state of a submission from its holder, and cancels it if `isCancelled`; `undefined` when the holder does not keep it.
+Reads the state of a submission from its holder, and cancels it if `shouldCancel`; `undefined` when the holder does not keep it.
 */
-export type RemoteInspection = (holder: IdentifierHolder, identifier: string, isCancelled: boolean) => Promise<JobView | undefined>;
+export type RemoteInspection = (holder: IdentifierHolder, identifier: string, shouldCancel: boolean) => Promise<JobView | undefined>;
 
 const viewOf = async (entry: SubmissionEntry): Promise<JobView> => {
 	const {state, tasks, started, finished} = entry;
@@ -39,15 +39,15 @@
 };
 
 /**
-Returns the state of a submission that this incarnation holds, and cancels it if `isCancelled`; `undefined` when it is not kept here.
+Returns the state of a submission that this incarnation holds, and cancels it if `shouldCancel`; `undefined` when it is not kept here.
 */
-export const inspectHeld = async (identifier: string, isCancelled: boolean, register: SubmissionRegister): Promise<JobView | undefined> => {
+export const inspectHeld = async (identifier: string, shouldCancel: boolean, register: SubmissionRegister): Promise<JobView | undefined> => {
 	const entry = register.entryOf(identifier);
 	if (!entry) {
 		return undefined;
 	}
 
-	if (isCancelled) {
+	if (shouldCancel) {
 		entry.cancellation.abort();
 	}
 
@@ -66,7 +66,7 @@
 };
 
 /**
-Reads the state of a submission from the incarnation that holds it, and cancels it if `isCancelled`.
+Reads the state of a submission from the incarnation that holds it, and cancels it if `shouldCancel`.
 
 @returns The state of the submission, or an answer whose outcome is unknown when no holder can report it; never throws.
 
@@ -75,16 +75,16 @@
 const view = await inspectSubmission('sheet-2041', false, {self, register, findHolder, inspectRemote});
 ```
 */
-export const inspectSubmission = async (identifier: string, isCancelled: boolean, context: InspectionContext): Promise<JobView> => {
+export const inspectSubmission = async (identifier: string, shouldCancel: boolean, context: InspectionContext): Promise<JobView> => {
 	try {
-		return await inspectAnywhere(identifier, isCancelled, context);
+		return await inspectAnywhere(identifier, shouldCancel, context);
 	} catch (error) {
 		return {isAnswered: true, answer: answerUnknown(isFault(error) ? error.name : FaultKind.Internal, detailOf(error))};
 	}
 };
 
-const inspectAnywhere = async (identifier: string, isCancelled: boolean, context: InspectionContext): Promise<JobView> => {
-	const held = await inspectHeld(identifier, isCancelled, context.register);
+const inspectAnywhere = async (identifier: string, shouldCancel: boolean, context: InspectionContext): Promise<JobView> => {
+	const held = await inspectHeld(identifier, shouldCancel, context.register);
 	if (held) {
 		return held;
 	}
@@ -95,6 +95,6 @@
 		return {isAnswered: true, answer: answerUnknown(FaultKind.UnknownIdentifier, `no instance holds "${identifier}"`)};
 	}
 
-	const view = holder.incarnation === context.self.incarnation ? undefined : await context.inspectRemote(holder, identifier, isCancelled);
+	const view = holder.incarnation === context.self.incarnation ? undefined : await context.inspectRemote(holder, identifier, shouldCancel);
 	return view ?? {isAnswered: true, answer: answerUnknown(FaultKind.AnswerDiscarded, `the holder of "${identifier}" no longer keeps it`)};
 };
--- a/packages/galenakeeld/src/request/trace-scope.ts
+++ b/packages/galenakeeld/src/request/trace-scope.ts
@@ -11,7 +11,7 @@
 export type TraceScope = {
 	/** W3C trace context to pass on; the empty string when the request is not traced here. */
 	readonly traceparent: string;
-	readonly begin: (name: SpanName, facts?: SpanAttributes) => TraceSpan;
+	readonly begin: (name: SpanName, attributes?: SpanAttributes) => TraceSpan;
 };
 
 /**
@@ -19,7 +19,7 @@
 */
 export type TraceSpan = TraceScope & {
 	/** Ends the span; a fault marks it as failed. */
-	readonly end: (facts?: SpanAttributes, fault?: string) => void;
+	readonly end: (attributes?: SpanAttributes, fault?: string) => void;
 };
 
 /**
