Correct examples and comments that name former functions

Earlier renames left createStrayRuns, openRooms, longestLeaseOf and others in examples; comments call a request to an endpoint an order no longer.

--- a/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -29,7 +29,7 @@
 
 @example
 ```
-const capacity = createCellRooms({endpoints, jobs: () => [...jobs.values()], typicalProcessor: () => 1000});
+const capacity = createCellCapacityCache({endpoints, jobs: () => [...jobs.values()], typicalProcessor: () => 1000});
 capacity.available();
 capacity.invalidate();
 ```
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -41,7 +41,7 @@
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
 	/** Polls the endpoint until it is closed. */
 	readonly run: () => Promise<void>;
-	/** Sends no further orders; all runs count as lost for this owner. */
+	/** Sends no further requests; all runs count as lost for this owner. */
 	readonly close: () => void;
 	readonly isIdle: () => boolean;
 	/** Lowest ratio of elapsed time to estimate among the active runs; 0 when idle. */
@@ -55,9 +55,9 @@
 	readonly calls: EndpointCalls;
 	readonly holdMaximumMilliseconds: number;
 	readonly token: () => number;
-	/** Monotonic milliseconds since when the token is in force. */
+	/** Monotonic milliseconds since when the token has been valid. */
 	readonly ownedSince: () => number;
-	/** Whether runs of an earlier owner that nobody has claimed may be stopped. */
+	/** Whether orphaned runs of an earlier owner may be stopped. */
 	readonly isSettled: () => boolean;
 	/** Called after each change of capacity. */
 	readonly onChange: () => void;
@@ -106,7 +106,7 @@
 	let free = entry.room;
 	let health = newEndpointHealth;
 	let acknowledged = 0;
-	/** Token of the last answered poll; the endpoint rejects orders with lower tokens since then. */
+	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. */
 	let polledToken = 0;
 	let isClosed = false;
 	let cooldownEndsAt = 0;
@@ -304,14 +304,14 @@
 
 	const reconcileRuns = (active: readonly ActiveRun[], polledAt: number): void => {
 		for (const run of runs) {
-			const shown = active.find(one => isRunOf(run, one));
-			if (shown) {
+			const reported = active.find(one => isRunOf(run, one));
+			if (reported) {
 				if (run.state === RunState.Ordered) {
 					run.state = RunState.Running;
 					run.visibleAt = performance.now();
 				}
 
-				stopStalled(run, shown);
+				stopStalled(run, reported);
 			} else if (run.state !== RunState.Ordered && run.visibleAt < polledAt) {
 				if (run.state === RunState.Running) {
 					onDecision(EndpointDecision.RunLost, describe(run.task, run.attempt));
@@ -324,7 +324,7 @@
 		orphans.install(active.filter(one => ![...runs].some(run => isRunOf(run, one))));
 	};
 
-	const onReport = (report: EndpointReport, lookedAt: number): void => {
+	const onReport = (report: EndpointReport, polledAt: number): void => {
 		const wasUnavailable = !reachability.isReachable() || hasOrphans();
 		leases.observe(report.clockMilliseconds);
 		if (reachability.isSilent()) {
@@ -336,7 +336,7 @@
 			onEnded(ended);
 		}
 
-		reconcileRuns(report.active, lookedAt);
+		reconcileRuns(report.active, polledAt);
 		if (hasOrphans()) {
 			options.onOrphans();
 		}
@@ -400,10 +400,10 @@
 
 	/** Polls at once, beside the poll that waits for an end. */
 	async function pollNow(): Promise<void> {
-		const lookedAt = performance.now();
+		const polledAt = performance.now();
 		const {report} = await poll(0);
 		if (report && !hasClosed()) {
-			onReport(report, lookedAt);
+			onReport(report, polledAt);
 		}
 	}
 
@@ -424,8 +424,8 @@
 			const now = performance.now();
 			const {state} = healthAt(health, now);
 			const isReachable = reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
-			const isWilling = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
-			if (!isReachable || !isWilling || hasOrphans()) {
+			const acceptsTasks = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
+			if (!isReachable || !acceptsTasks || hasOrphans()) {
 				return undefined;
 			}
 
@@ -477,7 +477,7 @@
 		},
 		async run() {
 			while (!hasClosed()) {
-				const lookedAt = performance.now();
+				const polledAt = performance.now();
 				const token = options.token();
 				const {outcome, report} = await poll(pollWaitMilliseconds());
 				if (isClosed) {
@@ -486,7 +486,7 @@
 
 				if (report) {
 					polledToken = token;
-					onReport(report, lookedAt);
+					onReport(report, polledAt);
 				} else {
 					onMissedPoll(outcome);
 					if (reachability.isBackingOff()) {
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -45,7 +45,7 @@
 ```
 const endpoints = createCellEndpoints(options);
 endpoints.install(entries);
-const capacities = endpoints.openRooms();
+const capacities = endpoints.availableCapacities();
 ```
 */
 export const createCellEndpoints = (options: CellEndpointsOptions): CellEndpoints => {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -53,7 +53,7 @@
 	/** Installs the endpoints of the zone that the platform lists. */
 	readonly install: (entries: readonly EndpointEntry[]) => void;
 	readonly load: () => CellLoad;
-	/** Sends no further orders; active runs are left to the next owner. */
+	/** Sends no further requests to endpoints; active runs continue under the next owner. */
 	readonly close: () => void;
 };
 
@@ -72,7 +72,7 @@
 	readonly otherCells: () => readonly CellCapacity[];
 	/** Called when tasks were redirected to another cell, with the processor that they need there. */
 	readonly onRedirected: (cell: string, processor: number) => void;
-	/** Called when an endpoint obeys a higher token. */
+	/** Called when an endpoint has accepted a higher token. */
 	readonly onFenced: () => void;
 	readonly onDecision: (decision: CellDecision | EndpointDecision, fields: Readonly<Record<string, unknown>>) => void;
 	readonly onTaskWait: (milliseconds: number) => void;
--- a/packages/galenakeeld/src/process/cells/endpoint-reachability.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-reachability.ts
@@ -31,9 +31,9 @@
 
 @example
 ```
-const contact = createEndpointContact();
-contact.noteAnswer();
-contact.isReached(); // => true
+const reachability = createEndpointReachability();
+reachability.recordAnswer();
+reachability.isReachable(); // => true
 ```
 */
 export const createEndpointReachability = (): EndpointReachability => {
--- a/packages/galenakeeld/src/process/cells/finished-parts.ts
+++ b/packages/galenakeeld/src/process/cells/finished-parts.ts
@@ -28,7 +28,7 @@
 
 @example
 ```
-const finishedParts = createPastParts(5000);
+const finishedParts = createFinishedParts(5000);
 finishedParts.add('5c0e7a21d94b36f8/0', {job, update});
 ```
 */
--- a/packages/galenakeeld/src/process/cells/maximum-lease.ts
+++ b/packages/galenakeeld/src/process/cells/maximum-lease.ts
@@ -3,7 +3,7 @@
 const leaseSlackMilliseconds = 40;
 
 /**
-Time within which an owner that is partitioned from its peers detects that endpoints obey another owner, and gives up its cell.
+Time within which an owner that is partitioned from its peers detects that endpoints accept another owner, and gives up its cell.
 */
 export const yieldMilliseconds = 1000;
 
@@ -14,7 +14,7 @@
 
 @example
 ```
-longestLeaseOf(1000); // => 1060
+maximumLeaseOf(1000); // => 1060
 ```
 */
 export const maximumLeaseOf = (holdMaximumMilliseconds: number): number => (holdMaximumMilliseconds * slowClockFactor) + leaseSlackMilliseconds;
--- a/packages/galenakeeld/src/process/cells/orphaned-runs.ts
+++ b/packages/galenakeeld/src/process/cells/orphaned-runs.ts
@@ -23,7 +23,7 @@
 
 @example
 ```
-const orphans = createStrayRuns();
+const orphans = createOrphanedRuns();
 orphans.install(report.active);
 orphans.take(task)?.attempt;
 ```
--- a/packages/galenakeeld/src/process/fleet/cell-claims.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-claims.ts
@@ -3,10 +3,10 @@
 */
 
 /**
-A daemon's claim to own a cell, which entitles it to give orders to the endpoints.
+A daemon's claim to own a cell, which entitles it to schedule tasks on the endpoints.
 */
 export type Claim = {
-	/** Fencing token. Endpoints reject orders with a lower token than the highest that they have received; an owner may raise its own. */
+	/** Fencing token. Endpoints reject requests with a lower token than the highest that they have received; an owner may raise its own. */
 	readonly token: number;
 	/** Initial token of the claim. A different term means that the owner has lost its earlier state. */
 	readonly term: number;
@@ -46,7 +46,7 @@
 export enum LossCause {
 	/** Nothing listens at its address: the process has ended. */
 	Ended = 'ended',
-	/** No heartbeat arrived in time. It may be partitioned and still give orders. */
+	/** No heartbeat arrived in time. It may be partitioned and still schedule tasks. */
 	Silent = 'silent',
 }
 
@@ -75,7 +75,9 @@
 /**
 Tells whether a daemon may take over a cell whose owner is unreachable.
 
-A partitioned owner continues to give orders to its endpoints, and an order of another daemon would fence it off. A partition can also look like a process that has ended. A daemon of the zone takes over if it reaches peers or no loss is recorded. Any other takeover requires reachable peers and endpoints, and an owner that has ended or has been lost for a while. If the endpoints have only just become reachable, a partition has healed and a heartbeat of the owner is about to arrive, so the daemon waits.
+A partitioned owner continues to schedule tasks on its endpoints, and a request of another daemon would fence it off. A partition can also be mistaken for the end of a process.
+
+A daemon of the zone takes over if it reaches peers or no loss is recorded. Any other takeover requires reachable peers and endpoints, and an owner that has ended or has been lost for a while. If the endpoints have only just become reachable, a partition has healed and a heartbeat of the owner is about to arrive, so the daemon waits.
 
 @param reachability.sinceProbeFailureMilliseconds Time since a probe of the endpoints last failed.
 */
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -36,7 +36,7 @@
 
 export type OwnedCellsOptions = {
 	readonly zones: readonly string[];
-	/** Tells whether an endpoint of a zone answers a probe, which gives it no order. */
+	/** Tells whether an endpoint of a zone answers a probe, which starts and stops nothing. */
 	readonly canReachEndpoints: (zone: string) => Promise<boolean>;
 	readonly createCell: (zone: string, token: () => number) => Cell;
 	readonly onClaimed: (zone: string, token: number) => void;
--- a/packages/galenakeeld/src/process/fleet/rate-limited-log.ts
+++ b/packages/galenakeeld/src/process/fleet/rate-limited-log.ts
@@ -18,7 +18,7 @@
 @example
 ```
 const logEvent = createRateLimitedLog(log, 50);
-logEvent(CellDecision.JobTaken, {job: '5c0e7a21d94b36f8'});
+logEvent(CellDecision.JobAccepted, {job: '5c0e7a21d94b36f8'});
 ```
 */
 export const createRateLimitedLog = (log: Log, maximumLines: number): RateLimitedLog => {
--- a/packages/galenakeeld/src/request/buffer-answer.ts
+++ b/packages/galenakeeld/src/request/buffer-answer.ts
@@ -28,7 +28,7 @@
 
 @example
 ```
-const answer = await holdAnswer(await runTask(task, context), 2 ** 26);
+const answer = await bufferAnswer(await runTask(task, context), 2 ** 26);
 ```
 */
 export const bufferAnswer = async (answer: StreamedTaskAnswer, limitBytes: number): Promise<TaskAnswer> => {
