--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -158,7 +158,7 @@
 	const hasClosed = (): boolean => isClosed;
 
 	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
-	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed, state}) => isUnconfirmed && state === RunState.Ordered).length >= maximumUnconfirmedStarts;
+	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed, state}) => isUnconfirmed && state === RunState.Starting).length >= maximumUnconfirmedStarts;
 
 	const isActive = (run: Run): boolean => runs.has(run);
 
@@ -193,9 +193,9 @@
 
 	/** Resolves the outcome of a start without an answer, once. */
 	const beginResolving = (run: Run): void => {
-		if (isActive(run) && run.state === RunState.Ordered && !run.isUnconfirmed) {
+		if (isActive(run) && run.state === RunState.Starting && !run.isUnconfirmed) {
 			run.isUnconfirmed = true;
-			onDecision(EndpointDecision.OrderUnknown, describe(run.task, run.attempt));
+			onDecision(EndpointDecision.StartUnknown, describe(run.task, run.attempt));
 			void resolveUnknown(run);
 		}
 	};
@@ -211,7 +211,7 @@
 
 		switch (outcome) {
 			case CallOutcome.Done: {
-				run.state = run.state === RunState.Ordered ? RunState.Running : run.state;
+				run.state = run.state === RunState.Starting ? RunState.Running : run.state;
 				run.visibleAt = performance.now();
 				return;
 			}
@@ -273,7 +273,7 @@
 			return;
 		}
 
-		const milliseconds = performance.now() - run.orderedAt;
+		const milliseconds = performance.now() - run.startSentAt;
 		if (ended.end === RunEnd.Succeeded) {
 			recordHealth(HealthEvent.Succeeded);
 			options.onRunTime(run.estimateMilliseconds, milliseconds);
@@ -287,7 +287,7 @@
 	};
 
 	const stopStalled = (run: Run, active: ActiveRun): void => {
-		const age = performance.now() - run.orderedAt;
+		const age = performance.now() - run.startSentAt;
 		if (active.processorInUse !== 0 || age < stallAgeMilliseconds || run.state !== RunState.Running) {
 			return;
 		}
@@ -306,13 +306,13 @@
 		for (const run of runs) {
 			const reported = active.find(one => isRunOf(run, one));
 			if (reported) {
-				if (run.state === RunState.Ordered) {
+				if (run.state === RunState.Starting) {
 					run.state = RunState.Running;
 					run.visibleAt = performance.now();
 				}
 
 				stopStalled(run, reported);
-			} else if (run.state !== RunState.Ordered && run.visibleAt < polledAt) {
+			} else if (run.state !== RunState.Starting && run.visibleAt < polledAt) {
 				if (run.state === RunState.Running) {
 					onDecision(EndpointDecision.RunLost, describe(run.task, run.attempt));
 				}
@@ -410,7 +410,7 @@
 	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
 	async function resolveUnknown(run: Run): Promise<void> {
 		await pollNow();
-		if (run.state === RunState.Ordered) {
+		if (run.state === RunState.Starting) {
 			await stopUntilEnded(run);
 		}
 	}
@@ -447,7 +447,7 @@
 		},
 		isAwaitingFirstAnswer: () => reachability.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
-			const run = createRun(request, RunState.Ordered);
+			const run = createRun(request, RunState.Starting);
 			addRun(run);
 			void sendStart(run, request.specification);
 			return run.ended.promise;
--- a/packages/galenakeeld/src/process/cells/endpoint-decision.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-decision.ts
@@ -9,7 +9,7 @@
 	/** An orphaned run of an earlier owner was stopped. */
 	OrphanStopped = 'stray-stopped',
 	/** A start was not answered; its outcome is being resolved. */
-	OrderUnknown = 'order-unknown',
+	StartUnknown = 'order-unknown',
 	/** The endpoint no longer lists a run and reported no end of it. */
 	RunLost = 'run-lost',
 	/** A run makes no progress and is stopped. */
--- a/packages/galenakeeld/src/process/cells/endpoint-run.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-run.ts
@@ -20,7 +20,7 @@
 */
 export enum RunState {
 	/** The start was sent; its outcome isn't known. */
-	Ordered = 'ordered',
+	Starting = 'ordered',
 	Running = 'running',
 	/** A stop was carried out; the end isn't reported yet. */
 	Stopping = 'stopping',
@@ -34,7 +34,7 @@
 	readonly attempt: number;
 	readonly room: Resources;
 	readonly estimateMilliseconds: number;
-	readonly orderedAt: number;
+	readonly startSentAt: number;
 	state: RunState;
 	/** Its start was not answered in time. */
 	isUnconfirmed: boolean;
@@ -60,12 +60,12 @@
 /**
 Creates a run that starts now.
 
-@param state `Running` for an adopted run, `Ordered` for a run that is being started.
+@param state `Running` for an adopted run, `Starting` for a run that is being started.
 */
 export const createRun = ({task, attempt, room, estimateMilliseconds}: Omit<RunRequest, 'specification'>, state: RunState): Run => {
 	const now = performance.now();
 	return {
-		task, attempt, room, estimateMilliseconds, orderedAt: now, state, isUnconfirmed: false, visibleAt: now, ended: createDeferred<RunResult>(),
+		task, attempt, room, estimateMilliseconds, startSentAt: now, state, isUnconfirmed: false, visibleAt: now, ended: createDeferred<RunResult>(),
 	};
 };
 
@@ -81,9 +81,9 @@
 */
 export const remainingTimesOf = (runs: Iterable<Run>, factor: number): readonly number[] => {
 	const now = performance.now();
-	return [...runs].map(({orderedAt, estimateMilliseconds}) => {
+	return [...runs].map(({startSentAt, estimateMilliseconds}) => {
 		const expected = estimateMilliseconds * factor;
-		return Math.max(expected - (now - orderedAt), minimumRemainingShare * expected);
+		return Math.max(expected - (now - startSentAt), minimumRemainingShare * expected);
 	}).toSorted((first, second) => first - second);
 };
 
@@ -92,6 +92,6 @@
 */
 export const overdueFactorOf = (runs: Iterable<Run>): number => {
 	const now = performance.now();
-	const ratios = [...runs].map(({orderedAt, estimateMilliseconds}) => (now - orderedAt) / Math.max(1, estimateMilliseconds));
+	const ratios = [...runs].map(({startSentAt, estimateMilliseconds}) => (now - startSentAt) / Math.max(1, estimateMilliseconds));
 	return ratios.length > 0 ? Math.min(...ratios) : 0;
 };
