--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -39,7 +39,7 @@
 /** Delay above the smallest one, beyond which messages are discarded: by then the sender has declared this daemon lost. */
 const maximumDelayMilliseconds = 600;
 
-/** Messages that a holder needs only after the owner is lost, so they wait for the next urgent message or heartbeat. Losing them is safe: a holder must always assume that a lost owner may have started tasks. */
+/** Messages that a holder needs only after the owner is lost, so they wait for the next urgent message or heartbeat. Losing them is safe: a holder assumes that a lost owner may have started tasks. */
 const deferrableKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Started, FleetMessageKind.TaskSucceeded]);
 
 const isUrgent = ({kind}: FleetMessage): boolean => !deferrableKinds.has(kind);
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -106,7 +106,8 @@
 		},
 	});
 	this.cell.install([{
-		identifier: 'i-1', startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false, room: {processor: slots * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
+		identifier: 'i-1', startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false,
+		room: {processor: slots * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
 	}]);
 	await this.clock.tickAsync(firstPollMilliseconds);
 });
--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -200,7 +200,8 @@
 		tasks, room: {processor, memoryMegabytes: 64, accelerators: 0}, estimateMilliseconds: Math.round(base * createLogNormal(random, estimateSpread)), after: [],
 	};
 	return {
-		job: {identifier: number.toString(16).padStart(16, '0'), specification: [processor, ...taskDurations].join(' '), steps: [step]}, queue, zone, arrivesAt, longestTaskMilliseconds: Math.max(...taskDurations),
+		job: {identifier: number.toString(16).padStart(16, '0'), specification: [processor, ...taskDurations].join(' '), steps: [step]}, queue, zone, arrivesAt,
+		longestTaskMilliseconds: Math.max(...taskDurations),
 	};
 };
 
@@ -325,7 +326,8 @@
 		cell.install(Array.from({length: load.endpointsInZone}, (_, index): EndpointEntry => {
 			const kind = kinds[(index + (zoneIndex * load.endpointsInZone)) % kinds.length]!;
 			return {
-				identifier: `i-${zone}-${index}`, startedAt: 1, service: 'sheets', address: '', zone, isDraining: false, room: {processor: kind.processor, memoryMegabytes: 32_768, accelerators: 0}, labels: [kind.label, 'r1'],
+				identifier: `i-${zone}-${index}`, startedAt: 1, service: 'sheets', address: '', zone, isDraining: false,
+				room: {processor: kind.processor, memoryMegabytes: 32_768, accelerators: 0}, labels: [kind.label, 'r1'],
 			};
 		}));
 	}
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -75,7 +75,7 @@
 const maximumUnconfirmedStarts = 2;
 /** The lease of a run that starts during an idle poll is extended by the next poll. */
 const idlePollWaitMilliseconds = 500;
-/** Maximum wait of a poll while the end of a run that may never be reported is awaited. */
+/** Maximum wait of a poll while a run is active whose end may never be reported. */
 const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
 /** Time without an answer after which a poll looks for the run of a start; an answer takes a few milliseconds. */
--- a/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
+++ b/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
@@ -157,7 +157,11 @@
 
 @param now Monotonic milliseconds.
 */
-export const evaluateArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {capacities: allCapacities, others: allOthers, now}: {readonly capacities: readonly EndpointCapacity[]; readonly others: readonly CellCapacity[]; readonly now: number}): AdmissionDecision => {
+export const evaluateArrival = (job: PlacedJob, jobs: readonly PlacedJob[], {capacities: allCapacities, others: allOthers, now}: {
+	readonly capacities: readonly EndpointCapacity[];
+	readonly others: readonly CellCapacity[];
+	readonly now: number;
+}): AdmissionDecision => {
 	const {service} = job.order;
 	const capacities = allCapacities.filter(capacity => capacity.service === service);
 	const others = allOthers.map(other => ({...other, free: other.free.filter(capacity => capacity.service === service)}));
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -124,7 +124,10 @@
 const placements = placeTasks(waiting, capacities, {now: performance.now(), remotePenalty: 3});
 ```
 */
-export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {readonly now: number; readonly remotePenalty: number}): readonly Placement[] => {
+export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {
+	readonly now: number;
+	readonly remotePenalty: number;
+}): readonly Placement[] => {
 	let candidates = capacities.map((capacity): Candidate => ({
 		capacity, free: capacity.free, assignedTasks: 0, assignedByStep: new Map(),
 	})).filter(candidate => isAvailable(candidate));
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -373,7 +373,8 @@
 			logEvent(FleetEvent.RequestFailed, {detail});
 		},
 	});
-	const isReady = (): boolean => isServing && !leaving.signal.aborted && configuration.current() !== undefined && ownerOf(settings.zone) !== undefined && cells.endpointsOf(settings.zone) !== undefined;
+	const isReady = (): boolean => isServing && !leaving.signal.aborted && configuration.current() !== undefined
+		&& ownerOf(settings.zone) !== undefined && cells.endpointsOf(settings.zone) !== undefined;
 	const readinessServer = createReadinessServer(isReady);
 	const metricsServer = createServer((_, response) => {
 		response.setHeader('content-type', 'text/plain; version=0.0.4');
--- a/packages/galenakeeld/src/process/fleet/fleet-metrics.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-metrics.ts
@@ -8,7 +8,7 @@
 */
 export type FleetMetrics = {
 	readonly countDecision: (decision: string) => void;
-	/** Records the time from the arrival of a job at its cell to the first start order of a task. */
+	/** Records the time from the arrival of a job at its cell to the first start request of a task. */
 	readonly recordTaskWait: (milliseconds: number) => void;
 	readonly recordJob: (queue: string, end: JobEnd | undefined, milliseconds: number) => void;
 	readonly families: () => readonly MetricFamily[];
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -21,7 +21,7 @@
 	readonly reviewClaims: (self: () => Claimant, peers: readonly Claimant[], ageMilliseconds: number) => boolean;
 	/** Records the loss of a daemon, for each cell that it claimed. */
 	readonly recordLoss: (claimant: Claimant, cause: LossCause) => void;
-	/** Raises the token of a cell whose endpoints obey another, unreachable daemon; releases the cell if this daemon has no reachable peers. */
+	/** Raises the token of a cell whose endpoints have accepted the token of another, unreachable daemon; releases the cell if this daemon has no reachable peers. */
 	readonly reclaimOrYield: (zone: string, hasReachablePeers: boolean) => void;
 	/** Installs the platform's list of the endpoints of all zones. */
 	readonly install: (entries: readonly EndpointEntry[]) => void;
