--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -41,7 +41,7 @@
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
 	/** Polls the endpoint until it is closed. */
 	readonly run: () => Promise<void>;
-	/** Sends no further orders; all runs count as lost for this owner. */
+	/** Sends no further requests; all runs count as lost for this owner. */
 	readonly close: () => void;
 	readonly isIdle: () => boolean;
 	/** Lowest ratio of elapsed time to estimate among the active runs; 0 when idle. */
@@ -55,9 +55,9 @@
 	readonly calls: EndpointCalls;
 	readonly holdMaximumMilliseconds: number;
 	readonly token: () => number;
-	/** Monotonic milliseconds since when the token is in force. */
+	/** Monotonic milliseconds since when the token has been valid. */
 	readonly ownedSince: () => number;
-	/** Whether runs of an earlier owner that nobody has claimed may be stopped. */
+	/** Whether orphaned runs of an earlier owner may be stopped. */
 	readonly isSettled: () => boolean;
 	/** Called after each change of capacity. */
 	readonly onChange: () => void;
@@ -75,14 +75,14 @@
 const maximumUnconfirmedStarts = 2;
 /** The lease of a run that starts during an idle poll is extended by the next poll. */
 const idlePollWaitMilliseconds = 500;
-/** Maximum wait of a poll while the end of a run that may never be reported is awaited. */
+/** Maximum wait of a poll while a run is active whose end may never be reported. */
 const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
 /** Time without an answer after which a poll looks for the run of a start; an answer takes a few milliseconds. */
 const startAnswerTimeoutMilliseconds = 50;
 /** Age from which the reported processor use shows whether a run makes progress. */
 const stallAgeMilliseconds = 700;
-const noRoomCooldownMilliseconds = 60;
+const insufficientCapacityCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
 
 /**
@@ -106,7 +106,7 @@
 	let free = entry.room;
 	let health = newEndpointHealth;
 	let acknowledged = 0;
-	/** Token of the last answered poll; the endpoint rejects orders with lower tokens since then. */
+	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. */
 	let polledToken = 0;
 	let isClosed = false;
 	let cooldownEndsAt = 0;
@@ -158,7 +158,7 @@
 	const hasClosed = (): boolean => isClosed;
 
 	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
-	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed, state}) => isUnconfirmed && state === RunState.Ordered).length >= maximumUnconfirmedStarts;
+	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed, state}) => isUnconfirmed && state === RunState.Starting).length >= maximumUnconfirmedStarts;
 
 	const isActive = (run: Run): boolean => runs.has(run);
 
@@ -193,9 +193,9 @@
 
 	/** Resolves the outcome of a start without an answer, once. */
 	const beginResolving = (run: Run): void => {
-		if (isActive(run) && run.state === RunState.Ordered && !run.isUnconfirmed) {
+		if (isActive(run) && run.state === RunState.Starting && !run.isUnconfirmed) {
 			run.isUnconfirmed = true;
-			onDecision(EndpointDecision.OrderUnknown, describe(run.task, run.attempt));
+			onDecision(EndpointDecision.StartUnknown, describe(run.task, run.attempt));
 			void resolveUnknown(run);
 		}
 	};
@@ -211,7 +211,7 @@
 
 		switch (outcome) {
 			case CallOutcome.Done: {
-				run.state = run.state === RunState.Ordered ? RunState.Running : run.state;
+				run.state = run.state === RunState.Starting ? RunState.Running : run.state;
 				run.visibleAt = performance.now();
 				return;
 			}
@@ -239,8 +239,8 @@
 			case CallOutcome.InsufficientCapacity:
 			case CallOutcome.Superseded:
 			case CallOutcome.Expired: {
-				cooldownEndsAt = performance.now() + noRoomCooldownMilliseconds;
-				setTimeout(options.onChange, noRoomCooldownMilliseconds);
+				cooldownEndsAt = performance.now() + insufficientCapacityCooldownMilliseconds;
+				setTimeout(options.onChange, insufficientCapacityCooldownMilliseconds);
 				break;
 			}
 		}
@@ -273,7 +273,7 @@
 			return;
 		}
 
-		const milliseconds = performance.now() - run.orderedAt;
+		const milliseconds = performance.now() - run.startSentAt;
 		if (ended.end === RunEnd.Succeeded) {
 			recordHealth(HealthEvent.Succeeded);
 			options.onRunTime(run.estimateMilliseconds, milliseconds);
@@ -287,7 +287,7 @@
 	};
 
 	const stopStalled = (run: Run, active: ActiveRun): void => {
-		const age = performance.now() - run.orderedAt;
+		const age = performance.now() - run.startSentAt;
 		if (active.processorInUse !== 0 || age < stallAgeMilliseconds || run.state !== RunState.Running) {
 			return;
 		}
@@ -304,15 +304,15 @@
 
 	const reconcileRuns = (active: readonly ActiveRun[], polledAt: number): void => {
 		for (const run of runs) {
-			const shown = active.find(one => isRunOf(run, one));
-			if (shown) {
-				if (run.state === RunState.Ordered) {
+			const reported = active.find(one => isRunOf(run, one));
+			if (reported) {
+				if (run.state === RunState.Starting) {
 					run.state = RunState.Running;
 					run.visibleAt = performance.now();
 				}
 
-				stopStalled(run, shown);
-			} else if (run.state !== RunState.Ordered && run.visibleAt < polledAt) {
+				stopStalled(run, reported);
+			} else if (run.state !== RunState.Starting && run.visibleAt < polledAt) {
 				if (run.state === RunState.Running) {
 					onDecision(EndpointDecision.RunLost, describe(run.task, run.attempt));
 				}
@@ -324,7 +324,7 @@
 		orphans.install(active.filter(one => ![...runs].some(run => isRunOf(run, one))));
 	};
 
-	const onReport = (report: EndpointReport, lookedAt: number): void => {
+	const onReport = (report: EndpointReport, polledAt: number): void => {
 		const wasUnavailable = !reachability.isReachable() || hasOrphans();
 		leases.observe(report.clockMilliseconds);
 		if (reachability.isSilent()) {
@@ -336,14 +336,14 @@
 			onEnded(ended);
 		}
 
-		reconcileRuns(report.active, lookedAt);
+		reconcileRuns(report.active, polledAt);
 		if (hasOrphans()) {
 			options.onOrphans();
 		}
 
 		if (options.isSettled()) {
-			for (const stray of orphans.active()) {
-				void stopOrphan(stray);
+			for (const orphan of orphans.active()) {
+				void stopOrphan(orphan);
 			}
 		}
 
@@ -400,17 +400,17 @@
 
 	/** Polls at once, beside the poll that waits for an end. */
 	async function pollNow(): Promise<void> {
-		const lookedAt = performance.now();
+		const polledAt = performance.now();
 		const {report} = await poll(0);
 		if (report && !hasClosed()) {
-			onReport(report, lookedAt);
+			onReport(report, polledAt);
 		}
 	}
 
 	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
 	async function resolveUnknown(run: Run): Promise<void> {
 		await pollNow();
-		if (run.state === RunState.Ordered) {
+		if (run.state === RunState.Starting) {
 			await stopUntilEnded(run);
 		}
 	}
@@ -424,8 +424,8 @@
 			const now = performance.now();
 			const {state} = healthAt(health, now);
 			const isReachable = reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
-			const isWilling = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
-			if (!isReachable || !isWilling || hasOrphans()) {
+			const acceptsTasks = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown;
+			if (!isReachable || !acceptsTasks || hasOrphans()) {
 				return undefined;
 			}
 
@@ -447,7 +447,7 @@
 		},
 		isAwaitingFirstAnswer: () => reachability.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
-			const run = createRun(request, RunState.Ordered);
+			const run = createRun(request, RunState.Starting);
 			addRun(run);
 			void sendStart(run, request.specification);
 			return run.ended.promise;
@@ -457,13 +457,13 @@
 				return {ended: Promise.resolve(RunResult.Succeeded)};
 			}
 
-			const stray = orphans.take(task);
-			if (!stray) {
+			const orphan = orphans.take(task);
+			if (!orphan) {
 				return undefined;
 			}
 
 			const run = createRun({
-				task, attempt: stray.attempt, room, estimateMilliseconds,
+				task, attempt: orphan.attempt, room, estimateMilliseconds,
 			}, RunState.Running);
 			addRun(run);
 			return {ended: run.ended.promise};
@@ -477,7 +477,7 @@
 		},
 		async run() {
 			while (!hasClosed()) {
-				const lookedAt = performance.now();
+				const polledAt = performance.now();
 				const token = options.token();
 				const {outcome, report} = await poll(pollWaitMilliseconds());
 				if (isClosed) {
@@ -486,7 +486,7 @@
 
 				if (report) {
 					polledToken = token;
-					onReport(report, lookedAt);
+					onReport(report, polledAt);
 				} else {
 					onMissedPoll(outcome);
 					if (reachability.isBackingOff()) {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -166,7 +166,7 @@
 	const onMessage = (message: FleetMessage, from: string): void => {
 		switch (message.kind) {
 			case FleetMessageKind.Heartbeat: {
-				onBeat(message);
+				onHeartbeat(message);
 				break;
 			}
 
@@ -207,7 +207,7 @@
 		}
 	};
 
-	const onBeat = ({address, configurationVersion, claims}: Heartbeat): void => {
+	const onHeartbeat = ({address, configurationVersion, claims}: Heartbeat): void => {
 		loads.recordClaims(claims);
 		const current = configuration.current();
 		if (current && configurationVersion < current.version) {
@@ -373,7 +373,8 @@
 			logEvent(FleetEvent.RequestFailed, {detail});
 		},
 	});
-	const isReady = (): boolean => isServing && !leaving.signal.aborted && configuration.current() !== undefined && ownerOf(settings.zone) !== undefined && cells.endpointsOf(settings.zone) !== undefined;
+	const isReady = (): boolean => isServing && !leaving.signal.aborted && configuration.current() !== undefined
+		&& ownerOf(settings.zone) !== undefined && cells.endpointsOf(settings.zone) !== undefined;
 	const readinessServer = createReadinessServer(isReady);
 	const metricsServer = createServer((_, response) => {
 		response.setHeader('content-type', 'text/plain; version=0.0.4');
