--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -17,7 +17,7 @@
 	/** Its tasks stand still. */
 	Stalls = 'stalls',
 	/** Leaves each third look without an answer. */
-	LostLooks = 'lost-looks',
+	LostPolls = 'lost-looks',
 	/** Answers nothing. */
 	Silent = 'silent',
 }
@@ -63,7 +63,7 @@
 
 const mostLeaseMilliseconds = 1000;
 const tickMilliseconds = 2;
-const lostLookEvery = 3;
+const lostPollInterval = 3;
 const lateMilliseconds = 2000;
 const lateSpreadMilliseconds = 500;
 
@@ -90,7 +90,7 @@
 	let highestAttempts = new Map<string, number>();
 	let token = 0;
 	let sequence = 0;
-	let looks = 0;
+	let polls = 0;
 	let leaseEndsAt = 0;
 	let born = Date.now();
 	let bornSteady = performance.now();
@@ -164,7 +164,7 @@
 		writeJson(response, 200, {ClockMs: clock(), born});
 	};
 
-	const hold = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: Order): Promise<void> => {
+	const answerPoll = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: Order): Promise<void> => {
 		advance();
 		extend(UntilMs);
 		ended = ended.filter(([place]) => place > AckCursor);
@@ -175,8 +175,8 @@
 			advance();
 		}
 
-		looks++;
-		if (standIn.fault === WorkerFault.Silent || (standIn.fault === WorkerFault.LostLooks && looks % lostLookEvery === 0)) {
+		polls++;
+		if (standIn.fault === WorkerFault.Silent || (standIn.fault === WorkerFault.LostPolls && polls % lostPollInterval === 0)) {
 			return;
 		}
 
@@ -197,7 +197,7 @@
 		} else if (path === '/run-stop') {
 			stop(response, order);
 		} else {
-			await hold(response, order);
+			await answerPoll(response, order);
 		}
 	};
 
--- a/packages/trials/src/process/__tests__/platform-path.steps.ts
+++ b/packages/trials/src/process/__tests__/platform-path.steps.ts
@@ -155,7 +155,7 @@
 
 When('the endpoints of {string} leave each third look without an answer', function (this: PlatformWorld, zone: string) {
 	for (const worker of workersOf(this, zone)) {
-		worker.fault = WorkerFault.LostLooks;
+		worker.fault = WorkerFault.LostPolls;
 	}
 });
 
--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -150,7 +150,7 @@
 		[SoakFault.EndpointFailsAll]: async (worker, milliseconds) => setWorker(worker, WorkerFault.FailsAll, milliseconds),
 		[SoakFault.EndpointStartsLate]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LateStarts, milliseconds),
 		[SoakFault.EndpointLosesAnswers]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostAnswers, milliseconds),
-		[SoakFault.EndpointLosesLooks]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostLooks, milliseconds),
+		[SoakFault.EndpointLosesLooks]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostPolls, milliseconds),
 		[SoakFault.EndpointStalls]: async (worker, milliseconds) => setWorker(worker, WorkerFault.Stalls, milliseconds),
 		[SoakFault.EndpointSilent]: async (worker, milliseconds) => setWorker(worker, WorkerFault.Silent, milliseconds),
 		async [SoakFault.EndpointResets](_, __, link) {
