--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -51,7 +51,7 @@
 
 type ActiveRun = WorkerRun & {readonly endsAt: number; readonly processor: number};
 type Ended = readonly [sequence: number, task: string, attempt: number, end: string, saved: string];
-type Order = {
+type RequestBody = {
 	readonly Task?: string;
 	readonly Attempt?: number;
 	readonly Spec?: string;
@@ -129,7 +129,7 @@
 		writeJson(response, 409, {ClockMs: clock(), Reason: reason, born});
 	};
 
-	const begin = (response: ServerResponse, {Task = '', Attempt = 0, Spec = '', UntilMs = 0}: Order): void => {
+	const begin = (response: ServerResponse, {Task = '', Attempt = 0, Spec = '', UntilMs = 0}: RequestBody): void => {
 		advance();
 		const [milliseconds, processor] = parseSpecification(Spec);
 		const used = active.reduce((sum, run) => sum + run.processor, 0);
@@ -153,7 +153,7 @@
 		}
 	};
 
-	const stop = (response: ServerResponse, {Task = '', Attempt = 0}: Order): void => {
+	const stop = (response: ServerResponse, {Task = '', Attempt = 0}: RequestBody): void => {
 		advance();
 		const run = active.find(({task, attempt}) => task === Task && attempt === Attempt);
 		if (run) {
@@ -164,7 +164,7 @@
 		writeJson(response, 200, {ClockMs: clock(), born});
 	};
 
-	const answerPoll = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: Order): Promise<void> => {
+	const answerPoll = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: RequestBody): Promise<void> => {
 		advance();
 		extend(UntilMs);
 		ended = ended.filter(([place]) => place > AckCursor);
@@ -185,25 +185,25 @@
 		});
 	};
 
-	const serve = async (path: string, order: Order, response: ServerResponse): Promise<void> => {
-		if ((order.FencingToken ?? 0) < token) {
+	const serve = async (path: string, requestBody: RequestBody, response: ServerResponse): Promise<void> => {
+		if ((requestBody.FencingToken ?? 0) < token) {
 			conflict(response, 'fence');
 			return;
 		}
 
-		token = Math.max(token, order.FencingToken ?? 0);
+		token = Math.max(token, requestBody.FencingToken ?? 0);
 		if (path === '/run-start') {
-			begin(response, order);
+			begin(response, requestBody);
 		} else if (path === '/run-stop') {
-			stop(response, order);
+			stop(response, requestBody);
 		} else {
-			await answerPoll(response, order);
+			await answerPoll(response, requestBody);
 		}
 	};
 
 	const server = await listen(address, async (request, response) => {
 		const path = request.url ?? '/';
-		const order = JSON.parse(await readText(request)) as Order;
+		const requestBody = JSON.parse(await readText(request)) as RequestBody;
 		const isStart = path === '/run-start';
 		if (standIn.fault === WorkerFault.Silent) {
 			return;
@@ -216,7 +216,7 @@
 			response.destroy();
 		}
 
-		await serve(path, order, response);
+		await serve(path, requestBody, response);
 	});
 	const timer = setInterval(advance, tickMilliseconds);
 
