--- a/packages/stand-ins/src/process/table-store-stand-in.ts
+++ b/packages/stand-ins/src/process/table-store-stand-in.ts
@@ -52,7 +52,7 @@
 };
 
 const pollMilliseconds = 5;
-const mostRows = 500;
+const maximumRows = 500;
 const nameOf = ({Table, part, Key}: RowName): string => JSON.stringify([Table, part, Key]);
 
 /**
@@ -103,7 +103,7 @@
 		const found = [...rows.values()]
 			.filter(row => row.Table === query.get('Table') && row.part === (query.get('part') ?? '') && !row.Deleted && row.Key >= (query.get('Source') ?? ''))
 			.toSorted((first, second) => first.Key < second.Key ? -1 : 1);
-		writeJson(response, 200, {rows: found.slice(0, mostRows), HasMore: found.length > mostRows, ...stamp()});
+		writeJson(response, 200, {rows: found.slice(0, maximumRows), HasMore: found.length > maximumRows, ...stamp()});
 	};
 
 	const feed = async (response: ServerResponse, query: URLSearchParams): Promise<void> => {
--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -61,7 +61,7 @@
 	readonly WaitMs?: number;
 };
 
-const mostLeaseMilliseconds = 1000;
+const maximumLeaseMilliseconds = 1000;
 const tickMilliseconds = 2;
 const lostPollInterval = 3;
 const lateMilliseconds = 2000;
@@ -122,7 +122,7 @@
 	};
 
 	const extend = (until: number | undefined): void => {
-		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, clock() + mostLeaseMilliseconds));
+		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, clock() + maximumLeaseMilliseconds));
 	};
 
 	const conflict = (response: ServerResponse, reason: string): void => {
