--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -93,9 +93,9 @@
 	let polls = 0;
 	let leaseEndsAt = 0;
 	let born = Date.now();
-	let bornSteady = performance.now();
+	let startedAtMonotonic = performance.now();
 
-	const clock = (): number => Math.floor(performance.now() - bornSteady);
+	const clock = (): number => Math.floor(performance.now() - startedAtMonotonic);
 
 	const finish = (run: ActiveRun, end: string, endedAt = performance.now()): void => {
 		active = active.filter(one => one !== run);
@@ -106,13 +106,13 @@
 		highestAttempts.set(run.task, Math.max(run.attempt, highestAttempts.get(run.task) ?? 0));
 	};
 
-	const advance = (): void => {
+	const updateRuns = (): void => {
 		const now = performance.now();
 		for (const run of active) {
 			// A busy machine may look late; the run has ended in time all the same.
-			const lapsesAt = bornSteady + leaseEndsAt + 1;
-			if (now >= lapsesAt && (standIn.fault === WorkerFault.Stalls || lapsesAt < run.endsAt)) {
-				finish(run, 'lapsed', lapsesAt);
+			const leaseExpiresAt = startedAtMonotonic + leaseEndsAt + 1;
+			if (now >= leaseExpiresAt && (standIn.fault === WorkerFault.Stalls || leaseExpiresAt < run.endsAt)) {
+				finish(run, 'lapsed', leaseExpiresAt);
 			} else if (standIn.fault === WorkerFault.FailsAll) {
 				finish(run, 'failed');
 			} else if (standIn.fault !== WorkerFault.Stalls && now >= run.endsAt) {
@@ -121,7 +121,7 @@
 		}
 	};
 
-	const extend = (until: number | undefined): void => {
+	const extendLease = (until: number | undefined): void => {
 		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, clock() + maximumLeaseMilliseconds));
 	};
 
@@ -130,7 +130,7 @@
 	};
 
 	const begin = (response: ServerResponse, {Task = '', Attempt = 0, Spec = '', UntilMs = 0}: RequestBody): void => {
-		advance();
+		updateRuns();
 		const [milliseconds, processor] = parseSpecification(Spec);
 		const used = active.reduce((sum, run) => sum + run.processor, 0);
 		if (active.some(({task, attempt}) => task === Task && attempt === Attempt)) {
@@ -142,7 +142,7 @@
 		} else if (used + processor > options.processor) {
 			conflict(response, 'room');
 		} else {
-			extend(UntilMs);
+			extendLease(UntilMs);
 			const now = performance.now();
 			const run: ActiveRun = {
 				task: Task, attempt: Attempt, startedAt: now, endedAt: undefined, end: undefined, endsAt: now + (milliseconds * options.speed), processor,
@@ -154,7 +154,7 @@
 	};
 
 	const stop = (response: ServerResponse, {Task = '', Attempt = 0}: RequestBody): void => {
-		advance();
+		updateRuns();
 		const run = active.find(({task, attempt}) => task === Task && attempt === Attempt);
 		if (run) {
 			finish(run, 'stopped');
@@ -165,14 +165,14 @@
 	};
 
 	const answerPoll = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: RequestBody): Promise<void> => {
-		advance();
-		extend(UntilMs);
+		updateRuns();
+		extendLease(UntilMs);
 		ended = ended.filter(([place]) => place > AckCursor);
 		const until = performance.now() + WaitMs;
-		advance();
+		updateRuns();
 		while (ended.length === 0 && performance.now() < until) {
 			await sleep(tickMilliseconds);
-			advance();
+			updateRuns();
 		}
 
 		polls++;
@@ -218,7 +218,7 @@
 
 		await serve(path, requestBody, response);
 	});
-	const timer = setInterval(advance, tickMilliseconds);
+	const timer = setInterval(updateRuns, tickMilliseconds);
 
 	const standIn: WorkerStandIn = {
 		identifier,
@@ -241,7 +241,7 @@
 			sequence = 0;
 			leaseEndsAt = 0;
 			born = Date.now();
-			bornSteady = performance.now();
+			startedAtMonotonic = performance.now();
 		},
 		close() {
 			clearInterval(timer);
