--- a/packages/stand-ins/src/connection/fault-proxy.ts
+++ b/packages/stand-ins/src/connection/fault-proxy.ts
@@ -34,9 +34,9 @@
 	readonly address: string;
 	readonly faults: ProxyFaults;
 	/** Resets every open connection. */
-	readonly cut: () => void;
+	readonly resetConnections: () => void;
 	/** Silences the connections that are open now, for good, while new ones work. */
-	readonly silenceOpen: () => void;
+	readonly silenceOpenConnections: () => void;
 	readonly connections: () => number;
 	readonly close: () => void;
 };
@@ -140,8 +140,8 @@
 	return {
 		address,
 		faults,
-		cut,
-		silenceOpen() {
+		resetConnections: cut,
+		silenceOpenConnections() {
 			for (const link of links) {
 				link.isSilenced = true;
 			}
--- a/packages/trials/src/process/disturbances.ts
+++ b/packages/trials/src/process/disturbances.ts
@@ -30,7 +30,7 @@
 export const killEndpoint: Disturbance = async trial => {
 	const {proxy} = pickEndpoint(trial);
 	proxy!.faults.isRefusing = true;
-	proxy!.cut();
+	proxy!.resetConnections();
 	await sleep(lastMilliseconds);
 	proxy!.faults.isRefusing = false;
 };
@@ -39,14 +39,14 @@
 Silences the open connections to an endpoint for good, while new ones work.
 */
 export const silenceEndpoint: Disturbance = async trial => {
-	pickEndpoint(trial).proxy!.silenceOpen();
+	pickEndpoint(trial).proxy!.silenceOpenConnections();
 };
 
 /**
 Silences the open connections of one instance to the platform for good.
 */
 export const silencePlatform: Disturbance = async ({fleet, random, instances}) => {
-	fleet.links!.toPlatform.get(random.pick(instances))!.silenceOpen();
+	fleet.links!.toPlatform.get(random.pick(instances))!.silenceOpenConnections();
 };
 
 /**
@@ -55,7 +55,7 @@
 export const cutPlatform: Disturbance = async ({fleet, random, instances}) => {
 	const proxy = fleet.links!.toPlatform.get(random.pick(instances))!;
 	proxy.faults.isRefusing = true;
-	proxy.cut();
+	proxy.resetConnections();
 	await sleep(lastMilliseconds);
 	proxy.faults.isRefusing = false;
 };
@@ -118,7 +118,7 @@
 */
 export const silencePeers: Disturbance = async ({fleet, random, instances}) => {
 	const from = random.pick(instances);
-	fleet.links!.between(from, random.pick(instances.filter(instance => instance !== from))).silenceOpen();
+	fleet.links!.between(from, random.pick(instances.filter(instance => instance !== from))).silenceOpenConnections();
 };
 
 /**
@@ -127,7 +127,7 @@
 export const silenceCallers: Disturbance = async ({fleet, random, instances, disturbed}) => {
 	const instance = random.pick(instances);
 	disturbed.add(instance);
-	fleet.links!.toCallers.get(instance)!.silenceOpen();
+	fleet.links!.toCallers.get(instance)!.silenceOpenConnections();
 };
 
 const endpointDisturbances: readonly Disturbance[] = [
--- a/packages/trials/src/process/document-histories.ts
+++ b/packages/trials/src/process/document-histories.ts
@@ -56,7 +56,7 @@
 const cutFromPlatform = (fleet: Fleet, instance: string): void => {
 	const proxy = fleet.links!.toPlatform.get(instance)!;
 	proxy.faults.isRefusing = true;
-	proxy.cut();
+	proxy.resetConnections();
 };
 
 const platformWhole = acceptWhile(() => {
--- a/packages/trials/src/process/leaving-histories.ts
+++ b/packages/trials/src/process/leaving-histories.ts
@@ -74,7 +74,7 @@
 const oneCutFromPlatform = leaveUnderLoad(fleet => {
 	const proxy = fleet.links!.toPlatform.get(fleet.daemons[1]!.instance)!;
 	proxy.faults.isRefusing = true;
-	proxy.cut();
+	proxy.resetConnections();
 	return doNothing;
 });
 
--- a/packages/trials/src/process/outage-histories.ts
+++ b/packages/trials/src/process/outage-histories.ts
@@ -88,7 +88,7 @@
 	for (const proxy of proxies) {
 		proxy.faults.isRefusing = isRefusing;
 		if (isRefusing) {
-			proxy.cut();
+			proxy.resetConnections();
 		}
 	}
 };
@@ -153,7 +153,7 @@
 
 const peerConnectionsSilent = workThrough(fleet => {
 	for (const proxy of peerLinks(fleet)) {
-		proxy.silenceOpen();
+		proxy.silenceOpenConnections();
 	}
 }, () => {
 	// The connections stay silent for good.
--- a/packages/trials/src/process/playground-commands.ts
+++ b/packages/trials/src/process/playground-commands.ts
@@ -42,7 +42,7 @@
 	for (const proxy of crossing) {
 		proxy.faults.isRefusing = isCut;
 		if (isCut) {
-			proxy.cut();
+			proxy.resetConnections();
 		}
 	}
 
--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -102,7 +102,7 @@
 		fleet.listWorkers();
 	};
 
-	const refuse = async ({faults, cut}: FaultProxy, milliseconds: number): Promise<void> => {
+	const refuse = async ({faults, resetConnections: cut}: FaultProxy, milliseconds: number): Promise<void> => {
 		faults.isRefusing = true;
 		cut();
 		await sleep(milliseconds);
@@ -154,11 +154,11 @@
 		[SoakFault.EndpointStalls]: async (worker, milliseconds) => setWorker(worker, WorkerFault.Stalls, milliseconds),
 		[SoakFault.EndpointSilent]: async (worker, milliseconds) => setWorker(worker, WorkerFault.Silent, milliseconds),
 		async [SoakFault.EndpointResets](_, __, link) {
-			link.cut();
+			link.resetConnections();
 		},
 		[SoakFault.EndpointRefuses]: async (_, milliseconds, link) => refuse(link, milliseconds),
 		async [SoakFault.EndpointConnectionsSilent](_, __, link) {
-			link.silenceOpen();
+			link.silenceOpenConnections();
 		},
 		[SoakFault.EndpointDelayed]: async (_, milliseconds, link) => delay(link, milliseconds),
 	};
