--- a/packages/stand-ins/src/connection/balancer-stand-in.ts
+++ b/packages/stand-ins/src/connection/balancer-stand-in.ts
@@ -19,7 +19,7 @@
 	readonly close: () => void;
 };
 
-const checkMilliseconds = 200;
+const checkIntervalMilliseconds = 200;
 const checkTimeoutMilliseconds = 500;
 
 const join = async (near: Socket, far: Socket): Promise<void> => {
@@ -54,7 +54,7 @@
 		for (;;) {
 			const checks = await Promise.all(instances.map(async instance => isReady(instance)));
 			ready = instances.filter((_, position) => checks[position]);
-			await sleep(checkMilliseconds);
+			await sleep(checkIntervalMilliseconds);
 			if (!server.listening) {
 				return;
 			}
--- a/packages/stand-ins/src/process/endpoint-process.ts
+++ b/packages/stand-ins/src/process/endpoint-process.ts
@@ -2,14 +2,14 @@
 import {EndpointCommandKind, type EndpointCommand, type EndpointReport} from './endpoint-command.js';
 import {startEndpointStandIn, type EndpointStandIn, type EndpointStart} from './endpoint-stand-in.js';
 
-const reportMilliseconds = 100;
+const reportIntervalMilliseconds = 100;
 const standIns = new Map<string, EndpointStandIn>();
-const reported = new Map<string, number>();
+const reportedCounts = new Map<string, number>();
 
-const takeStarts = (): readonly EndpointStart[] => [...standIns.values()].flatMap(({address, starts}) => {
+const takeNewStarts = (): readonly EndpointStart[] => [...standIns.values()].flatMap(({address, starts}) => {
 	const all = starts();
-	const fresh = all.slice(reported.get(address) ?? 0);
-	reported.set(address, all.length);
+	const fresh = all.slice(reportedCounts.get(address) ?? 0);
+	reportedCounts.set(address, all.length);
 	return fresh;
 });
 
@@ -17,7 +17,7 @@
 	process.send!(message);
 };
 
-const obey = async (command: EndpointCommand): Promise<void> => {
+const execute = async (command: EndpointCommand): Promise<void> => {
 	switch (command.kind) {
 		case EndpointCommandKind.Start: {
 			standIns.set(command.address, await startEndpointStandIn(command.address, command.options));
@@ -32,14 +32,14 @@
 };
 
 process.on('message', (command: EndpointCommand) => {
-	void obey(command);
+	void execute(command);
 });
 process.once('disconnect', () => {
 	process.exit();
 });
 setInterval(() => {
-	const starts = takeStarts();
+	const starts = takeNewStarts();
 	if (starts.length > 0) {
 		report({starts});
 	}
-}, reportMilliseconds);
+}, reportIntervalMilliseconds);
