--- a/packages/stand-ins/src/process/bare-relay.ts
+++ b/packages/stand-ins/src/process/bare-relay.ts
@@ -8,7 +8,7 @@
 /**
 Addresses that the relay listens on and passes requests on to.
 */
-export type RelayOrder = {readonly listen: string; readonly targets: readonly string[]};
+export type RelayCommand = {readonly listen: string; readonly targets: readonly string[]};
 
 const agent = new Agent({keepAlive: true});
 
@@ -26,7 +26,7 @@
 	request.pipe(outgoing);
 };
 
-const [{listen, targets}] = await once(process, 'message') as [RelayOrder];
+const [{listen, targets}] = await once(process, 'message') as [RelayCommand];
 let next = 0;
 const server = createServer((request, response) => {
 	relay(request, response, targets[next++ % targets.length]!);
--- a/packages/stand-ins/src/process/endpoint-command.ts
+++ b/packages/stand-ins/src/process/endpoint-command.ts
@@ -7,7 +7,7 @@
 	/** Start an endpoint. */
 	Start = 'start',
 	/** Change how an endpoint misbehaves. */
-	Behave = 'behave',
+	SetBehaviour = 'behave',
 }
 
 /**
@@ -15,7 +15,7 @@
 */
 export type EndpointCommand
 	= | {readonly kind: EndpointCommandKind.Start; readonly address: string; readonly options: {slots: number; speed: number; connections: number}}
-		| {readonly kind: EndpointCommandKind.Behave; readonly address: string; readonly behaviour: EndpointBehaviour};
+		| {readonly kind: EndpointCommandKind.SetBehaviour; readonly address: string; readonly behaviour: EndpointBehaviour};
 
 /**
 What the process reports: an endpoint that listens now, and the starts since the last report.
--- a/packages/stand-ins/src/process/endpoint-process.ts
+++ b/packages/stand-ins/src/process/endpoint-process.ts
@@ -25,7 +25,7 @@
 			break;
 		}
 
-		case EndpointCommandKind.Behave: {
+		case EndpointCommandKind.SetBehaviour: {
 			standIns.get(command.address)!.behaviour = command.behaviour;
 		}
 	}
--- a/packages/stand-ins/src/process/endpoint-processes.ts
+++ b/packages/stand-ins/src/process/endpoint-processes.ts
@@ -65,7 +65,7 @@
 				},
 				set behaviour(changed) {
 					behaviour = changed;
-					send(child, {kind: EndpointCommandKind.Behave, address, behaviour});
+					send(child, {kind: EndpointCommandKind.SetBehaviour, address, behaviour});
 				},
 				starts: () => starts,
 				close() {
