--- a/packages/stand-ins/src/connection/balancer-stand-in.ts
+++ b/packages/stand-ins/src/connection/balancer-stand-in.ts
@@ -22,7 +22,7 @@
 const checkIntervalMilliseconds = 200;
 const checkTimeoutMilliseconds = 500;
 
-const join = async (near: Socket, far: Socket): Promise<void> => {
+const pipeBothWays = async (near: Socket, far: Socket): Promise<void> => {
 	try {
 		await pipeline(near, far, near);
 	} catch {
@@ -50,7 +50,7 @@
 	let ready: readonly BalancedInstance[] = [];
 	let next = 0;
 
-	const watch = async (): Promise<void> => {
+	const pollReadiness = async (): Promise<void> => {
 		for (;;) {
 			const checks = await Promise.all(instances.map(async instance => isReady(instance)));
 			ready = instances.filter((_, position) => checks[position]);
@@ -70,7 +70,7 @@
 
 		const [host, port] = splitAddress(chosen.callers);
 		const far = connect({host, port, noDelay: true});
-		void join(near, far);
+		void pipeBothWays(near, far);
 	};
 
 	const server = createServer({noDelay: true}, serve);
@@ -79,7 +79,7 @@
 		server.once('error', reject);
 		server.listen(port, host, resolve);
 	});
-	void watch();
+	void pollReadiness();
 	return {
 		address,
 		setInstances(changed) {
--- a/packages/stand-ins/src/process/platform-stand-in.ts
+++ b/packages/stand-ins/src/process/platform-stand-in.ts
@@ -77,15 +77,15 @@
 		isDown: false, delayMilliseconds: 0, lostAnswers: 0,
 	};
 
-	const readable = (address: string, isScan: boolean): ReadonlyMap<string, TableRow> => {
+	const rowsVisibleAt = (address: string, isScan: boolean): ReadonlyMap<string, TableRow> => {
 		const stale = staleRows.get(address);
 		return stale && (isScan || stale.reads === StaleReads.All) ? stale.rows : rows;
 	};
 
 	const commit = (conditions: readonly TableCondition[], writes: readonly TableWrite[]): string | undefined => {
-		const broken = conditions.find(condition => (rows.get(condition.key)?.version ?? 0) !== condition.version);
-		if (broken) {
-			return broken.key;
+		const unmetCondition = conditions.find(condition => (rows.get(condition.key)?.version ?? 0) !== condition.version);
+		if (unmetCondition) {
+			return unmetCondition.key;
 		}
 
 		for (const {key, value} of writes) {
@@ -118,14 +118,14 @@
 	const scan = async (request: IncomingMessage, response: ServerResponse, at: string): Promise<void> => {
 		const {prefix, limit, after} = parseJson<{prefix: string; limit: number; after: string}>(await readText(request));
 		counts.reads++;
-		const found = [...readable(at, true).values()].filter(row => row.key.startsWith(prefix) && row.key > after);
+		const found = [...rowsVisibleAt(at, true).values()].filter(row => row.key.startsWith(prefix) && row.key > after);
 		writeJson(response, 200, found.toSorted((first, second) => first.key < second.key ? -1 : 1).slice(0, limit));
 	};
 
 	const read = async (request: IncomingMessage, response: ServerResponse, at: string): Promise<void> => {
 		const {keys} = parseJson<{keys: string[]}>(await readText(request));
 		counts.reads++;
-		writeJson(response, 200, keys.map(key => readable(at, false).get(key)).filter(row => row !== undefined));
+		writeJson(response, 200, keys.map(key => rowsVisibleAt(at, false).get(key)).filter(row => row !== undefined));
 	};
 
 	const serveObject = async (request: IncomingMessage, response: ServerResponse, key: string): Promise<void> => {
