--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -64,8 +64,8 @@
 const maximumLeaseMilliseconds = 1000;
 const tickMilliseconds = 2;
 const lostPollInterval = 3;
-const lateMilliseconds = 2000;
-const lateSpreadMilliseconds = 500;
+const lateStartDelayMilliseconds = 2000;
+const lateStartJitterMilliseconds = 500;
 
 /** Duration and processor of a task stand in its specification, as "MILLISECONDS PROCESSOR". */
 const parseSpecification = (text: string): readonly [milliseconds: number, processor: number] => {
@@ -84,11 +84,11 @@
 ```
 */
 export const startWorkerStandIn = async (identifier: string, address: string, options: {readonly processor: number; readonly speed: number; readonly label: string}): Promise<WorkerStandIn> => {
-	const past: WorkerRun[] = [];
+	const allRuns: WorkerRun[] = [];
 	let active: ActiveRun[] = [];
 	let ended: Ended[] = [];
 	let highestAttempts = new Map<string, number>();
-	let token = 0;
+	let highestToken = 0;
 	let sequence = 0;
 	let polls = 0;
 	let leaseEndsAt = 0;
@@ -98,7 +98,7 @@
 	const clock = (): number => Math.floor(performance.now() - startedAtMonotonic);
 
 	const finish = (run: ActiveRun, end: string, endedAt = performance.now()): void => {
-		active = active.filter(one => one !== run);
+		active = active.filter(other => other !== run);
 		run.endedAt = endedAt;
 		run.end = end;
 		sequence++;
@@ -125,7 +125,7 @@
 		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, clock() + maximumLeaseMilliseconds));
 	};
 
-	const conflict = (response: ServerResponse, reason: string): void => {
+	const replyConflict = (response: ServerResponse, reason: string): void => {
 		writeJson(response, 409, {ClockMs: clock(), Reason: reason, born});
 	};
 
@@ -136,11 +136,11 @@
 		if (active.some(({task, attempt}) => task === Task && attempt === Attempt)) {
 			writeJson(response, 200, {ClockMs: clock(), born});
 		} else if (UntilMs <= clock()) {
-			conflict(response, 'late');
+			replyConflict(response, 'late');
 		} else if (Attempt <= (highestAttempts.get(Task) ?? 0)) {
-			conflict(response, 'old');
+			replyConflict(response, 'old');
 		} else if (used + processor > options.processor) {
-			conflict(response, 'room');
+			replyConflict(response, 'room');
 		} else {
 			extendLease(UntilMs);
 			const now = performance.now();
@@ -148,7 +148,7 @@
 				task: Task, attempt: Attempt, startedAt: now, endedAt: undefined, end: undefined, endsAt: now + (milliseconds * options.speed), processor,
 			};
 			active.push(run);
-			past.push(run);
+			allRuns.push(run);
 			writeJson(response, 200, {ClockMs: clock(), born});
 		}
 	};
@@ -186,12 +186,12 @@
 	};
 
 	const serve = async (path: string, requestBody: RequestBody, response: ServerResponse): Promise<void> => {
-		if ((requestBody.FencingToken ?? 0) < token) {
-			conflict(response, 'fence');
+		if ((requestBody.FencingToken ?? 0) < highestToken) {
+			replyConflict(response, 'fence');
 			return;
 		}
 
-		token = Math.max(token, requestBody.FencingToken ?? 0);
+		highestToken = Math.max(highestToken, requestBody.FencingToken ?? 0);
 		if (path === '/run-start') {
 			begin(response, requestBody);
 		} else if (path === '/run-stop') {
@@ -210,7 +210,7 @@
 		}
 
 		if (isStart && standIn.fault === WorkerFault.LateStarts) {
-			await sleep(lateMilliseconds + (Math.random() * lateSpreadMilliseconds));
+			await sleep(lateStartDelayMilliseconds + (Math.random() * lateStartJitterMilliseconds));
 			response.destroy();
 		} else if (isStart && standIn.fault === WorkerFault.LostAnswers) {
 			response.destroy();
@@ -224,7 +224,7 @@
 		identifier,
 		address,
 		fault: WorkerFault.None,
-		runs: () => past,
+		runs: () => allRuns,
 		entry: (zone, state = 'ready', publicAddress = address) => ({
 			Service: 'sheets', Address: publicAddress, Zone: zone, Version: 'v1', Slots: 8, State: state, ColdRemainingMs: 0, Capacity: {Cpu: options.processor, MemMb: 1024, Gpu: 0}, Labels: [options.label, 'r1'], born, Seq: 1,
 		}),
@@ -237,7 +237,7 @@
 			active = [];
 			ended = [];
 			highestAttempts = new Map();
-			token = 0;
+			highestToken = 0;
 			sequence = 0;
 			leaseEndsAt = 0;
 			born = Date.now();
