--- a/packages/stand-ins/src/process/endpoint-stand-in.ts
+++ b/packages/stand-ins/src/process/endpoint-stand-in.ts
@@ -49,11 +49,11 @@
 export const startEndpointStandIn = async (address: string, options: {slots: number; speed: number; connections: number}): Promise<EndpointStandIn> => {
 	const starts: EndpointStart[] = [];
 	const queue: Array<Deferred<void>> = [];
-	let busy = 0;
+	let busySlots = 0;
 
 	const acquire = async (): Promise<void> => {
-		if (busy < options.slots) {
-			busy++;
+		if (busySlots < options.slots) {
+			busySlots++;
 			return;
 		}
 
@@ -67,7 +67,7 @@
 		if (next) {
 			next.resolve();
 		} else {
-			busy--;
+			busySlots--;
 		}
 	};
 
--- a/packages/stand-ins/src/process/table-store-stand-in.ts
+++ b/packages/stand-ins/src/process/table-store-stand-in.ts
@@ -75,7 +75,7 @@
 		});
 	};
 
-	const stamp = (): {readonly Ver: number; readonly NowMs: number} => ({Ver: version, NowMs: Math.round(performance.now() - startedAt)});
+	const versionAndTime = (): {readonly Ver: number; readonly NowMs: number} => ({Ver: version, NowMs: Math.round(performance.now() - startedAt)});
 
 	const transact = (response: ServerResponse, {Expected = [], Puts = [], Remove = []}: Transaction): void => {
 		const isMet = Expected.every(expected => {
@@ -83,7 +83,7 @@
 			return (row && !row.Deleted ? row.Ver : 0) === expected.Ver;
 		});
 		if (!isMet) {
-			writeJson(response, 412, {rows: Expected.flatMap(expected => rows.get(nameOf(expected)) ?? []), ...stamp()});
+			writeJson(response, 412, {rows: Expected.flatMap(expected => rows.get(nameOf(expected)) ?? []), ...versionAndTime()});
 			return;
 		}
 
@@ -96,14 +96,14 @@
 			write(removed, undefined);
 		}
 
-		writeJson(response, 200, stamp());
+		writeJson(response, 200, versionAndTime());
 	};
 
 	const get = (response: ServerResponse, query: URLSearchParams): void => {
 		const found = [...rows.values()]
 			.filter(row => row.Table === query.get('Table') && row.part === (query.get('part') ?? '') && !row.Deleted && row.Key >= (query.get('Source') ?? ''))
 			.toSorted((first, second) => first.Key < second.Key ? -1 : 1);
-		writeJson(response, 200, {rows: found.slice(0, maximumRows), HasMore: found.length > maximumRows, ...stamp()});
+		writeJson(response, 200, {rows: found.slice(0, maximumRows), HasMore: found.length > maximumRows, ...versionAndTime()});
 	};
 
 	const feed = async (response: ServerResponse, query: URLSearchParams): Promise<void> => {
@@ -112,7 +112,7 @@
 			const changed = [...rows.values()].filter(row => row.Table === query.get('Table') && row.Ver > Number(query.get('After')))
 				.toSorted((first, second) => first.Ver - second.Ver);
 			if (changed.length > 0 || performance.now() >= until) {
-				writeJson(response, 200, {rows: changed, ...stamp()});
+				writeJson(response, 200, {rows: changed, ...versionAndTime()});
 				return;
 			}
 
@@ -138,7 +138,7 @@
 		} else if (pathname === '/rows-get') {
 			get(response, searchParams);
 		} else if (standIn.fault === StoreFault.NoHistory) {
-			writeJson(response, 410, stamp());
+			writeJson(response, 410, versionAndTime());
 		} else {
 			await feed(response, searchParams);
 		}
