--- a/packages/stand-ins/src/connection/fault-proxy.ts
+++ b/packages/stand-ins/src/connection/fault-proxy.ts
@@ -130,7 +130,7 @@
 		server.listen(port, host, resolve);
 	});
 
-	const cut = (): void => {
+	const resetConnections = (): void => {
 		for (const {near, far} of links) {
 			near.resetAndDestroy();
 			far.resetAndDestroy();
@@ -140,7 +140,7 @@
 	return {
 		address,
 		faults,
-		resetConnections: cut,
+		resetConnections,
 		silenceOpenConnections() {
 			for (const link of links) {
 				link.isSilenced = true;
--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -102,9 +102,9 @@
 		fleet.listWorkers();
 	};
 
-	const refuse = async ({faults, resetConnections: cut}: FaultProxy, milliseconds: number): Promise<void> => {
+	const refuse = async ({faults, resetConnections}: FaultProxy, milliseconds: number): Promise<void> => {
 		faults.isRefusing = true;
-		cut();
+		resetConnections();
 		await sleep(milliseconds);
 		faults.isRefusing = false;
 	};
