--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -167,7 +167,7 @@
 	const answerPoll = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: RequestBody): Promise<void> => {
 		updateRuns();
 		extendLease(UntilMs);
-		ended = ended.filter(([place]) => place > AckCursor);
+		ended = ended.filter(([endedSequence]) => endedSequence > AckCursor);
 		const until = performance.now() + WaitMs;
 		updateRuns();
 		while (ended.length === 0 && performance.now() < until) {
