--- a/packages/stand-ins/src/connection/balancer-stand-in.ts
+++ b/packages/stand-ins/src/connection/balancer-stand-in.ts
@@ -5,16 +5,16 @@
 import {call} from './http-json.js';
 
 /**
-An entry instance behind the balancer.
+Addresses of an entry instance behind the balancer: for callers and for operators.
 */
 export type BalancedInstance = {readonly callers: string; readonly operators: string};
 
 /**
-A stand-in of the platform's balancer: new connections go in turn to the instances that say they are ready.
+A stand-in of the platform's TCP load balancer. New connections are distributed round-robin over the instances that pass the readiness check.
 */
 export type BalancerStandIn = {
 	readonly address: string;
-	/** Replaces the instances. */
+	/** Replaces the list of instances; takes effect with the next readiness check. */
 	readonly setInstances: (instances: readonly BalancedInstance[]) => void;
 	readonly close: () => void;
 };
@@ -26,7 +26,7 @@
 	try {
 		await pipeline(near, far, near);
 	} catch {
-		// A broken side breaks the other.
+		// When one side fails, both sockets are destroyed below.
 	}
 
 	near.destroy();
@@ -43,7 +43,7 @@
 };
 
 /**
-Starts the balancer.
+Starts a balancer without instances. It resets new connections while no instance is ready.
 */
 export const startBalancerStandIn = async (address: string): Promise<BalancerStandIn> => {
 	let instances: readonly BalancedInstance[] = [];
--- a/packages/stand-ins/src/connection/fault-proxy.ts
+++ b/packages/stand-ins/src/connection/fault-proxy.ts
@@ -6,52 +6,56 @@
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 
 /**
-What the proxy does to bytes in one direction.
+How the proxy treats bytes in one direction.
 */
 export enum LinkState {
-	/** Passes bytes on. */
+	/** Forwards bytes. */
 	Open = 'open',
-	/** Swallows bytes without closing the connection. */
+	/** Discards bytes without closing the connection. */
 	Silent = 'silent',
 }
 
 /**
-Faults of a proxy, changed while it runs.
+Faults that a proxy injects. They may be changed while it runs.
 */
 export type ProxyFaults = {
-	/** From the side that connects to the side that listens. */
+	/** From the client to the target. */
 	forward: LinkState;
+	/** From the target to the client. */
 	backward: LinkState;
+	/** Delay of each chunk, in both directions. */
 	delayMilliseconds: number;
-	/** Whether new connections are refused. */
+	/** Whether new connections are reset. */
 	isRefusing: boolean;
 };
 
 /**
-A TCP proxy that stands between two processes and injects faults.
+A TCP proxy between two processes that injects network faults.
 */
 export type FaultProxy = {
 	readonly address: string;
 	readonly faults: ProxyFaults;
 	/** Resets every open connection. */
 	readonly resetConnections: () => void;
-	/** Silences the connections that are open now, for good, while new ones work. */
+	/** Discards all further bytes of the connections that are open now; new connections work. */
 	readonly silenceOpenConnections: () => void;
+	/** Number of open connections. */
 	readonly connections: () => number;
 	readonly close: () => void;
 };
 
 enum Direction {
-	/** From the side that connects to the side that listens. */
+	/** From the client to the target. */
 	Forward = 'forward',
-	/** From the side that listens to the side that connects. */
+	/** From the target to the client. */
 	Backward = 'backward',
 }
 
+/** A proxied connection: `near` is the client's socket, `far` the target's. */
 type Link = {readonly near: Socket; readonly far: Socket; isSilenced: boolean};
 
 /**
-Passes bytes from one socket to the other until either closes.
+Copies bytes from one socket to the other until either closes.
 */
 const pump = async (link: Link, faults: ProxyFaults, direction: Direction): Promise<void> => {
 	const [from, to] = direction === Direction.Forward ? [link.near, link.far] : [link.far, link.near];
@@ -81,7 +85,7 @@
 };
 
 /**
-Starts a proxy that forwards connections from one address to another.
+Starts a proxy that forwards connections from an address to a target, without faults at first.
 */
 export const startFaultProxy = async (address: string, target: string): Promise<FaultProxy> => {
 	const links = new Set<Link>();
--- a/packages/stand-ins/src/connection/http-json.ts
+++ b/packages/stand-ins/src/connection/http-json.ts
@@ -18,7 +18,7 @@
 };
 
 /**
-Writes a JSON answer.
+Sends a JSON response.
 */
 export const writeJson = (response: ServerResponse, status: number, value: unknown): void => {
 	const body = JSON.stringify(value);
@@ -56,33 +56,33 @@
 };
 
 /**
-An answer that came whole.
+A response that was received completely.
 */
 export type HttpReply = {
 	readonly status: number;
 	readonly headers: IncomingMessage['headers'];
-	/** Fields that came after the body. */
+	/** Fields received after the body. */
 	readonly trailers: IncomingMessage['trailers'];
 	readonly text: string;
 };
 
 /**
-What a call sends beside its method and path.
+What a call sends besides its method and path.
 */
 export type CallOptions = {
 	readonly body?: string;
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly timeoutMilliseconds?: number;
-	/** Keeps connections for further calls; each call opens its own otherwise. */
+	/** Reuses connections between calls; without it, each call opens its own. */
 	readonly agent?: Agent;
 };
 
 const defaultTimeoutMilliseconds = 60_000;
 
 /**
-Sends a request and reads the whole answer.
+Sends a request and reads the whole response.
 
-@throws The connection's error when the answer is cut.
+@throws An error when the connection breaks or the time-out passes before the response is complete.
 
 @example
 ```
