Reword the comments of the stand-ins of platform, endpoints and workers

The comments used private terms; they now say what each fault executes, answers and closes, and in which unit and direction a speed, a time and a capacity are given.

--- a/packages/stand-ins/src/process/bare-relay.ts
+++ b/packages/stand-ins/src/process/bare-relay.ts
@@ -6,7 +6,7 @@
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 
 /**
-Addresses that the relay listens on and passes requests on to.
+The address that the relay listens on, and those that it forwards requests to, round-robin.
 */
 export type RelayCommand = {readonly listen: string; readonly targets: readonly string[]};
 
--- a/packages/stand-ins/src/process/endpoint-command.ts
+++ b/packages/stand-ins/src/process/endpoint-command.ts
@@ -1,23 +1,23 @@
 import type {EndpointBehaviour, EndpointStart} from './endpoint-stand-in.js';
 
 /**
-What the parent asks of a process that holds endpoints.
+Kinds of commands from the parent to a process that runs endpoint stand-ins.
 */
 export enum EndpointCommandKind {
 	/** Start an endpoint. */
 	Start = 'start',
-	/** Change how an endpoint misbehaves. */
+	/** Change the behaviour of an endpoint. */
 	SetBehaviour = 'behave',
 }
 
 /**
-A command to a process that holds endpoints.
+A command to a process that runs endpoint stand-ins.
 */
 export type EndpointCommand
 	= | {readonly kind: EndpointCommandKind.Start; readonly address: string; readonly options: {slots: number; speed: number; connections: number}}
 		| {readonly kind: EndpointCommandKind.SetBehaviour; readonly address: string; readonly behaviour: EndpointBehaviour};
 
 /**
-What the process reports: an endpoint that listens now, and the starts since the last report.
+A report of the process: the address of an endpoint that has begun to listen, and the task starts since the last report.
 */
 export type EndpointReport = {readonly listening?: string; readonly starts: readonly EndpointStart[]};
--- a/packages/stand-ins/src/process/endpoint-processes.ts
+++ b/packages/stand-ins/src/process/endpoint-processes.ts
@@ -9,16 +9,16 @@
 const endpointProgram = fileURLToPath(import.meta.resolve('./endpoint-process.js'));
 
 /**
-Processes that hold endpoint stand-ins, so that these share no thread with the process that measures them.
+Child processes that run endpoint stand-ins, so that these share no thread with the process that measures them.
 */
 export type EndpointProcesses = {
-	/** Starts an endpoint in one of the processes. Its starts are reported with a lag of a tenth of a second. */
+	/** Starts an endpoint in one of the processes, chosen round-robin. Its task starts are reported every 100 ms, so `starts` lags by as much. */
 	readonly startEndpoint: typeof startEndpointStandIn;
 	readonly close: () => void;
 };
 
 /**
-Starts processes that hold no endpoint yet.
+Starts child processes without endpoints.
 
 @example
 ```
@@ -69,7 +69,7 @@
 				},
 				starts: () => starts,
 				close() {
-					// The endpoint ends with its process.
+					// The endpoint is closed when its process exits.
 				},
 			};
 		},
--- a/packages/stand-ins/src/process/endpoint-stand-in.ts
+++ b/packages/stand-ins/src/process/endpoint-stand-in.ts
@@ -4,25 +4,25 @@
 import {listen, readText} from '../connection/http-json.js';
 
 /**
-How the endpoint misbehaves at present.
+How the endpoint answers at present.
 */
 export enum EndpointBehaviour {
 	/** Answers each task after its run time. */
 	Normal = 'normal',
 	/** Answers each task at once with status 500. */
 	FailAll = 'fail-all',
-	/** Takes tasks and never answers. */
+	/** Accepts tasks and never answers. */
 	Freeze = 'freeze',
-	/** Sends half of each answer, then breaks off. */
+	/** Sends half of each answer, then destroys the connection. */
 	HalfAnswer = 'half-answer',
-	/** Sends half of each answer without a length, then closes the connection. */
+	/** Sends half of each answer without a content length, then closes the connection. */
 	NoLength = 'no-length',
-	/** Sends another answer after each, which no request asked for. */
+	/** Sends an unsolicited second answer after each one. */
 	TwoAnswers = 'two-answers',
 }
 
 /**
-One start of a task on an endpoint.
+One start of a task on an endpoint, with the time of day in milliseconds.
 */
 export type EndpointStart = {readonly task: string; readonly startedAt: number; readonly endpoint: string; readonly traceparent: string};
 
@@ -32,7 +32,7 @@
 export type EndpointStandIn = {
 	readonly address: string;
 	behaviour: EndpointBehaviour;
-	/** Every start of a task, in order. */
+	/** All task starts, in order of arrival. */
 	readonly starts: () => readonly EndpointStart[];
 	readonly close: () => void;
 };
@@ -44,7 +44,7 @@
 /**
 Starts an endpoint that runs as many tasks at once as it has slots, and queues the others.
 
-The path's query says how long a task runs at speed 1 (`run`, in milliseconds), how many bytes it answers (`bytes`), with which status (`status`), and its name in the history (`task`).
+Query parameters of the path: `run` (run time at speed 1, in milliseconds), `bytes` (minimum length of the answer), `status` (status of the answer) and `task` (name of the task in the history).
 */
 export const startEndpointStandIn = async (address: string, options: {slots: number; speed: number; connections: number}): Promise<EndpointStandIn> => {
 	const starts: EndpointStart[] = [];
--- a/packages/stand-ins/src/process/platform-stand-in.ts
+++ b/packages/stand-ins/src/process/platform-stand-in.ts
@@ -7,22 +7,22 @@
 import {listen, readText, writeJson} from '../connection/http-json.js';
 
 /**
-How the stand-in misbehaves at present.
+Faults of the stand-in at present.
 */
 export type PlatformFaults = {
-	/** No call is answered: connections are cut. */
+	/** No call is answered: the connection of each call is destroyed. */
 	isDown: boolean;
-	/** Added to each call. */
+	/** Delay of each call. */
 	delayMilliseconds: number;
-	/** Number of further transactions that take effect and whose answer is lost. */
+	/** Number of further transactions that are committed but not answered: the connection is destroyed. */
 	lostAnswers: number;
 };
 
 /**
-Which reads at an address answer from the rows as they were when this was set, as from a replica that lags.
+Which reads at an address return the rows as of the moment when this was set, like a lagging replica.
 */
 export enum StaleReads {
-	/** Every read answers from the present rows. */
+	/** All reads return the present rows. */
 	None = 'none',
 	/** Scans are stale, reads by key are not. */
 	Scans = 'scans',
@@ -31,7 +31,7 @@
 }
 
 /**
-Changes the instance list for those who ask at one address, so that they reach others through proxies of their own.
+Maps the instances listed at one address, so that the clients of that address reach the instances through proxies of their own.
 */
 export type ListView = (instance: ListedInstance) => ListedInstance;
 
@@ -41,17 +41,18 @@
 export type PlatformStandIn = {
 	readonly address: string;
 	readonly faults: PlatformFaults;
+	/** Replaces the instance list after the lag. */
 	readonly setInstances: (instances: readonly ListedInstance[]) => void;
-	/** The list as it shows at present. */
+	/** The instance list at present, without overrides and views. */
 	readonly listed: () => readonly ListedInstance[];
-	/** Makes one address answer with a list of its own, as a replica that lags; `undefined` ends that. */
+	/** Overrides the list returned at one address, as a lagging replica would; `undefined` removes the override. */
 	readonly overrideList: (address: string, instances: readonly ListedInstance[] | undefined) => void;
-	/** Number of calls answered, by kind. */
+	/** Number of table calls, by kind. */
 	readonly counts: {transactions: number; reads: number};
 	readonly rows: () => readonly TableRow[];
-	/** Serves the same platform at a further address, whose list is changed by a function. */
+	/** Serves the same platform at another address, with the instance list mapped by a function. */
 	readonly addView: (address: string, view: ListView) => Promise<void>;
-	/** Makes the reads at one address stale from now on, or fresh again. */
+	/** Makes the reads at one address stale as of now, or current again. */
 	readonly setStaleReads: (address: string, reads: StaleReads) => void;
 	readonly close: () => void;
 };
@@ -61,9 +62,9 @@
 const syncedWriteMilliseconds = 3;
 
 /**
-Starts a stand-in of the platform that keeps everything in memory.
+Starts an in-memory stand-in of the platform.
 
-@param options.listLagMilliseconds Time until a change of instances shows on the list.
+@param options.listLagMilliseconds Time until a change of instances appears in the list.
 */
 export const startPlatformStandIn = async (address: string, options: {listLagMilliseconds: number}): Promise<PlatformStandIn> => {
 	const rows = new Map<string, TableRow>();
--- a/packages/stand-ins/src/process/stepping-clock.ts
+++ b/packages/stand-ins/src/process/stepping-clock.ts
@@ -1,5 +1,5 @@
 /**
-Loaded before a daemon, steps its time of day: by two seconds ahead at each first SIGUSR2, and back at each second one. Steady time goes on.
+Steps the time of day of the process that preloads it: each SIGUSR2 alternately sets `Date.now` 2 s ahead and back again. The monotonic clock is unaffected.
 
 @example
 ```
--- a/packages/stand-ins/src/process/table-store-stand-in.ts
+++ b/packages/stand-ins/src/process/table-store-stand-in.ts
@@ -17,28 +17,30 @@
 };
 
 /**
-How the store misbehaves.
+Faults of the store.
 */
 export enum StoreFault {
+	/** Answers correctly. */
 	None = 'none',
-	/** Answers 503 and does nothing. */
+	/** Answers status 503 without executing the call. */
 	Busy = 'busy',
-	/** Doesn't answer. */
+	/** Neither executes nor answers calls. */
 	Silent = 'silent',
-	/** Writes, and doesn't answer. */
+	/** Executes transactions but closes the connection without an answer. */
 	LostAnswers = 'lost-answers',
-	/** Has no history to feed from. */
+	/** Answers feed calls with status 410: the history of changes is gone. */
 	NoHistory = 'no-history',
 }
 
 /**
-A stand-in of the platform's store of tables.
+An in-memory stand-in of the platform's table store.
 */
 export type TableStoreStandIn = {
 	readonly address: string;
 	fault: StoreFault;
-	/** Writes a row as the platform or its operators do. */
+	/** Writes a row unconditionally, as the platform or its operators do. */
 	readonly put: (table: string, key: string, value: unknown) => void;
+	/** Marks a row as deleted. */
 	readonly remove: (table: string, key: string) => void;
 	readonly rows: (table: string) => readonly StoredRow[];
 	readonly close: () => void;
@@ -56,7 +58,7 @@
 const nameOf = ({Table, part, Key}: RowName): string => JSON.stringify([Table, part, Key]);
 
 /**
-Starts a store without rows.
+Starts an empty store.
 
 @example
 ```
--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -4,26 +4,27 @@
 import {listen, readText, writeJson} from '../connection/http-json.js';
 
 /**
-How a worker misbehaves.
+Faults of a worker.
 */
 export enum WorkerFault {
+	/** Works correctly. */
 	None = 'none',
-	/** Fails all that it starts, at once. */
+	/** Fails all runs immediately. */
 	FailsAll = 'fails-all',
-	/** Leaves starts unanswered and carries them out late. */
+	/** Executes start calls after a delay and doesn't answer them. */
 	LateStarts = 'late-starts',
-	/** Carries starts out and loses the answers. */
+	/** Executes start calls but closes the connection without an answer. */
 	LostAnswers = 'lost-answers',
-	/** Its tasks stand still. */
+	/** Runs make no progress and use no processor time. */
 	Stalls = 'stalls',
-	/** Leaves each third look without an answer. */
+	/** Doesn't answer every third poll. */
 	LostPolls = 'lost-looks',
-	/** Answers nothing. */
+	/** Neither executes nor answers calls. */
 	Silent = 'silent',
 }
 
 /**
-A run as callers of a trial see it. Times are steady milliseconds of the trial.
+A run as recorded for a trial. Times are monotonic milliseconds of the trial's process.
 */
 export type WorkerRun = {
 	readonly task: string;
@@ -34,17 +35,17 @@
 };
 
 /**
-A stand-in of an endpoint that runs tasks on orders, under leases and fencing tokens.
+A stand-in of an endpoint that runs tasks on request, under leases and fencing tokens.
 */
 export type WorkerStandIn = {
 	readonly identifier: string;
 	readonly address: string;
 	fault: WorkerFault;
-	/** All runs since the stand-in was started, also of earlier lives. */
+	/** All runs since the stand-in was started, including those of earlier incarnations. */
 	readonly runs: () => readonly WorkerRun[];
-	/** What the worker writes of itself into the store; another address is that of a proxy. */
+	/** The worker's entry for the store. A public address other than the worker's own is that of a proxy. */
 	readonly entry: (zone: string, state?: string, publicAddress?: string) => Readonly<Record<string, unknown>>;
-	/** Forgets all, as a process that has crashed and started anew. */
+	/** Loses all state and starts a new incarnation, as after a crash and restart of the process. */
 	readonly crash: () => void;
 	readonly close: () => void;
 };
@@ -67,16 +68,17 @@
 const lateStartDelayMilliseconds = 2000;
 const lateStartJitterMilliseconds = 500;
 
-/** Duration and processor of a task stand in its specification, as "MILLISECONDS PROCESSOR". */
+/** Parses a task specification of the form "MILLISECONDS PROCESSOR": run time at speed 1 and thousandths of a core. */
 const parseSpecification = (text: string): readonly [milliseconds: number, processor: number] => {
 	const [milliseconds, processor] = text.split(' ').map(Number);
 	return [milliseconds ?? 0, processor ?? 0];
 };
 
 /**
-Starts a worker without runs.
+Starts an idle worker.
 
-@param options.processor Thousandths of a core.
+@param options.processor Capacity in thousandths of a core.
+@param options.speed Factor of the run time of tasks: 2 doubles it.
 
 @example
 ```
@@ -109,7 +111,7 @@
 	const updateRuns = (): void => {
 		const now = performance.now();
 		for (const run of active) {
-			// A busy machine may look late; the run has ended in time all the same.
+			// On a busy machine this check may run late. The run still counts as ended at the expiry of its lease.
 			const leaseExpiresAt = startedAtMonotonic + leaseEndsAt + 1;
 			if (now >= leaseExpiresAt && (standIn.fault === WorkerFault.Stalls || leaseExpiresAt < run.endsAt)) {
 				finish(run, 'lapsed', leaseExpiresAt);
--- a/packages/stand-ins/src/version/stand-in-configuration.ts
+++ b/packages/stand-ins/src/version/stand-in-configuration.ts
@@ -1,5 +1,5 @@
 /**
-Creates a configuration of one queue, as operators write it into the platform's store.
+Creates a configuration with one queue, as operators write it into the platform's store.
 
 @example
 ```
@@ -18,9 +18,11 @@
 });
 
 /**
-Creates the body of a job whose tasks take so long and so much processor.
+Creates the body of a job submission. All of its tasks have the same run time and processor demand.
 
-@param steps Tasks of each step, and the positions of the steps before it.
+@param milliseconds Run time of a task at speed 1.
+@param processor Processor demand of a task, in thousandths of a core.
+@param steps Number of tasks of each step, and the positions of the steps that it depends on.
 */
 export const createStandInJob = (milliseconds: number, processor: number, steps: ReadonlyArray<{readonly tasks: number; readonly after?: readonly number[]}>): unknown => ({
 	BestEffort: true,
