--- a/packages/stand-ins/src/connection/balancer-stand-in.ts
+++ b/packages/stand-ins/src/connection/balancer-stand-in.ts
@@ -5,28 +5,28 @@
 import {call} from './http-json.js';
 
 /**
-An entry instance behind the balancer.
+Addresses of an entry instance behind the balancer: for callers and for operators.
 */
 export type BalancedInstance = {readonly callers: string; readonly operators: string};
 
 /**
-A stand-in of the platform's balancer: new connections go in turn to the instances that say they are ready.
+A stand-in of the platform's TCP load balancer. New connections are distributed round-robin over the instances that pass the readiness check.
 */
 export type BalancerStandIn = {
 	readonly address: string;
-	/** Replaces the instances. */
+	/** Replaces the list of instances; takes effect with the next readiness check. */
 	readonly setInstances: (instances: readonly BalancedInstance[]) => void;
 	readonly close: () => void;
 };
 
-const checkMilliseconds = 200;
+const checkIntervalMilliseconds = 200;
 const checkTimeoutMilliseconds = 500;
 
-const join = async (near: Socket, far: Socket): Promise<void> => {
+const pipeBothWays = async (near: Socket, far: Socket): Promise<void> => {
 	try {
 		await pipeline(near, far, near);
 	} catch {
-		// A broken side breaks the other.
+		// When one side fails, both sockets are destroyed below.
 	}
 
 	near.destroy();
@@ -43,18 +43,18 @@
 };
 
 /**
-Starts the balancer.
+Starts a balancer without instances. It resets new connections while no instance is ready.
 */
 export const startBalancerStandIn = async (address: string): Promise<BalancerStandIn> => {
 	let instances: readonly BalancedInstance[] = [];
 	let ready: readonly BalancedInstance[] = [];
 	let next = 0;
 
-	const watch = async (): Promise<void> => {
+	const pollReadiness = async (): Promise<void> => {
 		for (;;) {
 			const checks = await Promise.all(instances.map(async instance => isReady(instance)));
 			ready = instances.filter((_, position) => checks[position]);
-			await sleep(checkMilliseconds);
+			await sleep(checkIntervalMilliseconds);
 			if (!server.listening) {
 				return;
 			}
@@ -70,7 +70,7 @@
 
 		const [host, port] = splitAddress(chosen.callers);
 		const far = connect({host, port, noDelay: true});
-		void join(near, far);
+		void pipeBothWays(near, far);
 	};
 
 	const server = createServer({noDelay: true}, serve);
@@ -79,7 +79,7 @@
 		server.once('error', reject);
 		server.listen(port, host, resolve);
 	});
-	void watch();
+	void pollReadiness();
 	return {
 		address,
 		setInstances(changed) {
--- a/packages/stand-ins/src/process/table-store-stand-in.ts
+++ b/packages/stand-ins/src/process/table-store-stand-in.ts
@@ -17,28 +17,30 @@
 };
 
 /**
-How the store misbehaves.
+Faults of the store.
 */
 export enum StoreFault {
+	/** Answers correctly. */
 	None = 'none',
-	/** Answers 503 and does nothing. */
+	/** Answers status 503 without executing the call. */
 	Busy = 'busy',
-	/** Doesn't answer. */
+	/** Neither executes nor answers calls. */
 	Silent = 'silent',
-	/** Writes, and doesn't answer. */
+	/** Executes transactions but closes the connection without an answer. */
 	LostAnswers = 'lost-answers',
-	/** Has no history to feed from. */
+	/** Answers feed calls with status 410: the history of changes is gone. */
 	NoHistory = 'no-history',
 }
 
 /**
-A stand-in of the platform's store of tables.
+An in-memory stand-in of the platform's table store.
 */
 export type TableStoreStandIn = {
 	readonly address: string;
 	fault: StoreFault;
-	/** Writes a row as the platform or its operators do. */
+	/** Writes a row unconditionally, as the platform or its operators do. */
 	readonly put: (table: string, key: string, value: unknown) => void;
+	/** Marks a row as deleted. */
 	readonly remove: (table: string, key: string) => void;
 	readonly rows: (table: string) => readonly StoredRow[];
 	readonly close: () => void;
@@ -52,11 +54,11 @@
 };
 
 const pollMilliseconds = 5;
-const mostRows = 500;
+const maximumRows = 500;
 const nameOf = ({Table, part, Key}: RowName): string => JSON.stringify([Table, part, Key]);
 
 /**
-Starts a store without rows.
+Starts an empty store.
 
 @example
 ```
@@ -75,7 +77,7 @@
 		});
 	};
 
-	const stamp = (): {readonly Ver: number; readonly NowMs: number} => ({Ver: version, NowMs: Math.round(performance.now() - startedAt)});
+	const versionAndTime = (): {readonly Ver: number; readonly NowMs: number} => ({Ver: version, NowMs: Math.round(performance.now() - startedAt)});
 
 	const transact = (response: ServerResponse, {Expected = [], Puts = [], Remove = []}: Transaction): void => {
 		const isMet = Expected.every(expected => {
@@ -83,7 +85,7 @@
 			return (row && !row.Deleted ? row.Ver : 0) === expected.Ver;
 		});
 		if (!isMet) {
-			writeJson(response, 412, {rows: Expected.flatMap(expected => rows.get(nameOf(expected)) ?? []), ...stamp()});
+			writeJson(response, 412, {rows: Expected.flatMap(expected => rows.get(nameOf(expected)) ?? []), ...versionAndTime()});
 			return;
 		}
 
@@ -96,14 +98,14 @@
 			write(removed, undefined);
 		}
 
-		writeJson(response, 200, stamp());
+		writeJson(response, 200, versionAndTime());
 	};
 
 	const get = (response: ServerResponse, query: URLSearchParams): void => {
 		const found = [...rows.values()]
 			.filter(row => row.Table === query.get('Table') && row.part === (query.get('part') ?? '') && !row.Deleted && row.Key >= (query.get('Source') ?? ''))
 			.toSorted((first, second) => first.Key < second.Key ? -1 : 1);
-		writeJson(response, 200, {rows: found.slice(0, mostRows), HasMore: found.length > mostRows, ...stamp()});
+		writeJson(response, 200, {rows: found.slice(0, maximumRows), HasMore: found.length > maximumRows, ...versionAndTime()});
 	};
 
 	const feed = async (response: ServerResponse, query: URLSearchParams): Promise<void> => {
@@ -112,7 +114,7 @@
 			const changed = [...rows.values()].filter(row => row.Table === query.get('Table') && row.Ver > Number(query.get('After')))
 				.toSorted((first, second) => first.Ver - second.Ver);
 			if (changed.length > 0 || performance.now() >= until) {
-				writeJson(response, 200, {rows: changed, ...stamp()});
+				writeJson(response, 200, {rows: changed, ...versionAndTime()});
 				return;
 			}
 
@@ -138,7 +140,7 @@
 		} else if (pathname === '/rows-get') {
 			get(response, searchParams);
 		} else if (standIn.fault === StoreFault.NoHistory) {
-			writeJson(response, 410, stamp());
+			writeJson(response, 410, versionAndTime());
 		} else {
 			await feed(response, searchParams);
 		}
--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -4,26 +4,27 @@
 import {listen, readText, writeJson} from '../connection/http-json.js';
 
 /**
-How a worker misbehaves.
+Faults of a worker.
 */
 export enum WorkerFault {
+	/** Works correctly. */
 	None = 'none',
-	/** Fails all that it starts, at once. */
+	/** Fails all runs immediately. */
 	FailsAll = 'fails-all',
-	/** Leaves starts unanswered and carries them out late. */
+	/** Executes start calls after a delay and doesn't answer them. */
 	LateStarts = 'late-starts',
-	/** Carries starts out and loses the answers. */
+	/** Executes start calls but closes the connection without an answer. */
 	LostAnswers = 'lost-answers',
-	/** Its tasks stand still. */
+	/** Runs make no progress and use no processor time. */
 	Stalls = 'stalls',
-	/** Leaves each third look without an answer. */
-	LostLooks = 'lost-looks',
-	/** Answers nothing. */
+	/** Doesn't answer every third poll. */
+	LostPolls = 'lost-looks',
+	/** Neither executes nor answers calls. */
 	Silent = 'silent',
 }
 
 /**
-A run as callers of a trial see it. Times are steady milliseconds of the trial.
+A run as recorded for a trial. Times are monotonic milliseconds of the trial's process.
 */
 export type WorkerRun = {
 	readonly task: string;
@@ -34,24 +35,24 @@
 };
 
 /**
-A stand-in of an endpoint that runs tasks on orders, under leases and fencing tokens.
+A stand-in of an endpoint that runs tasks on request, under leases and fencing tokens.
 */
 export type WorkerStandIn = {
 	readonly identifier: string;
 	readonly address: string;
 	fault: WorkerFault;
-	/** All runs since the stand-in was started, also of earlier lives. */
+	/** All runs since the stand-in was started, including those of earlier incarnations. */
 	readonly runs: () => readonly WorkerRun[];
-	/** What the worker writes of itself into the store; another address is that of a proxy. */
+	/** The worker's entry for the store. A public address other than the worker's own is that of a proxy. */
 	readonly entry: (zone: string, state?: string, publicAddress?: string) => Readonly<Record<string, unknown>>;
-	/** Forgets all, as a process that has crashed and started anew. */
+	/** Loses all state and starts a new incarnation, as after a crash and restart of the process. */
 	readonly crash: () => void;
 	readonly close: () => void;
 };
 
 type ActiveRun = WorkerRun & {readonly endsAt: number; readonly processor: number};
 type Ended = readonly [sequence: number, task: string, attempt: number, end: string, saved: string];
-type Order = {
+type RequestBody = {
 	readonly Task?: string;
 	readonly Attempt?: number;
 	readonly Spec?: string;
@@ -61,22 +62,23 @@
 	readonly WaitMs?: number;
 };
 
-const mostLeaseMilliseconds = 1000;
+const maximumLeaseMilliseconds = 1000;
 const tickMilliseconds = 2;
-const lostLookEvery = 3;
-const lateMilliseconds = 2000;
-const lateSpreadMilliseconds = 500;
+const lostPollInterval = 3;
+const lateStartDelayMilliseconds = 2000;
+const lateStartJitterMilliseconds = 500;
 
-/** Duration and processor of a task stand in its specification, as "MILLISECONDS PROCESSOR". */
+/** Parses a task specification of the form "MILLISECONDS PROCESSOR": run time at speed 1 and thousandths of a core. */
 const parseSpecification = (text: string): readonly [milliseconds: number, processor: number] => {
 	const [milliseconds, processor] = text.split(' ').map(Number);
 	return [milliseconds ?? 0, processor ?? 0];
 };
 
 /**
-Starts a worker without runs.
+Starts an idle worker.
 
-@param options.processor Thousandths of a core.
+@param options.processor Capacity in thousandths of a core.
+@param options.speed Factor of the run time of tasks: 2 doubles it.
 
 @example
 ```
@@ -84,21 +86,21 @@
 ```
 */
 export const startWorkerStandIn = async (identifier: string, address: string, options: {readonly processor: number; readonly speed: number; readonly label: string}): Promise<WorkerStandIn> => {
-	const past: WorkerRun[] = [];
+	const allRuns: WorkerRun[] = [];
 	let active: ActiveRun[] = [];
 	let ended: Ended[] = [];
 	let highestAttempts = new Map<string, number>();
-	let token = 0;
+	let highestToken = 0;
 	let sequence = 0;
-	let looks = 0;
+	let polls = 0;
 	let leaseEndsAt = 0;
 	let born = Date.now();
-	let bornSteady = performance.now();
+	let startedAtMonotonic = performance.now();
 
-	const clock = (): number => Math.floor(performance.now() - bornSteady);
+	const clock = (): number => Math.floor(performance.now() - startedAtMonotonic);
 
 	const finish = (run: ActiveRun, end: string, endedAt = performance.now()): void => {
-		active = active.filter(one => one !== run);
+		active = active.filter(other => other !== run);
 		run.endedAt = endedAt;
 		run.end = end;
 		sequence++;
@@ -106,13 +108,13 @@
 		highestAttempts.set(run.task, Math.max(run.attempt, highestAttempts.get(run.task) ?? 0));
 	};
 
-	const advance = (): void => {
+	const updateRuns = (): void => {
 		const now = performance.now();
 		for (const run of active) {
-			// A busy machine may look late; the run has ended in time all the same.
-			const lapsesAt = bornSteady + leaseEndsAt + 1;
-			if (now >= lapsesAt && (standIn.fault === WorkerFault.Stalls || lapsesAt < run.endsAt)) {
-				finish(run, 'lapsed', lapsesAt);
+			// On a busy machine this check may run late. The run still counts as ended at the expiry of its lease.
+			const leaseExpiresAt = startedAtMonotonic + leaseEndsAt + 1;
+			if (now >= leaseExpiresAt && (standIn.fault === WorkerFault.Stalls || leaseExpiresAt < run.endsAt)) {
+				finish(run, 'lapsed', leaseExpiresAt);
 			} else if (standIn.fault === WorkerFault.FailsAll) {
 				finish(run, 'failed');
 			} else if (standIn.fault !== WorkerFault.Stalls && now >= run.endsAt) {
@@ -121,40 +123,40 @@
 		}
 	};
 
-	const extend = (until: number | undefined): void => {
-		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, clock() + mostLeaseMilliseconds));
+	const extendLease = (until: number | undefined): void => {
+		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, clock() + maximumLeaseMilliseconds));
 	};
 
-	const conflict = (response: ServerResponse, reason: string): void => {
+	const replyConflict = (response: ServerResponse, reason: string): void => {
 		writeJson(response, 409, {ClockMs: clock(), Reason: reason, born});
 	};
 
-	const begin = (response: ServerResponse, {Task = '', Attempt = 0, Spec = '', UntilMs = 0}: Order): void => {
-		advance();
+	const begin = (response: ServerResponse, {Task = '', Attempt = 0, Spec = '', UntilMs = 0}: RequestBody): void => {
+		updateRuns();
 		const [milliseconds, processor] = parseSpecification(Spec);
 		const used = active.reduce((sum, run) => sum + run.processor, 0);
 		if (active.some(({task, attempt}) => task === Task && attempt === Attempt)) {
 			writeJson(response, 200, {ClockMs: clock(), born});
 		} else if (UntilMs <= clock()) {
-			conflict(response, 'late');
+			replyConflict(response, 'late');
 		} else if (Attempt <= (highestAttempts.get(Task) ?? 0)) {
-			conflict(response, 'old');
+			replyConflict(response, 'old');
 		} else if (used + processor > options.processor) {
-			conflict(response, 'room');
+			replyConflict(response, 'room');
 		} else {
-			extend(UntilMs);
+			extendLease(UntilMs);
 			const now = performance.now();
 			const run: ActiveRun = {
 				task: Task, attempt: Attempt, startedAt: now, endedAt: undefined, end: undefined, endsAt: now + (milliseconds * options.speed), processor,
 			};
 			active.push(run);
-			past.push(run);
+			allRuns.push(run);
 			writeJson(response, 200, {ClockMs: clock(), born});
 		}
 	};
 
-	const stop = (response: ServerResponse, {Task = '', Attempt = 0}: Order): void => {
-		advance();
+	const stop = (response: ServerResponse, {Task = '', Attempt = 0}: RequestBody): void => {
+		updateRuns();
 		const run = active.find(({task, attempt}) => task === Task && attempt === Attempt);
 		if (run) {
 			finish(run, 'stopped');
@@ -164,19 +166,19 @@
 		writeJson(response, 200, {ClockMs: clock(), born});
 	};
 
-	const hold = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: Order): Promise<void> => {
-		advance();
-		extend(UntilMs);
-		ended = ended.filter(([place]) => place > AckCursor);
+	const answerPoll = async (response: ServerResponse, {UntilMs, AckCursor = 0, WaitMs = 0}: RequestBody): Promise<void> => {
+		updateRuns();
+		extendLease(UntilMs);
+		ended = ended.filter(([endedSequence]) => endedSequence > AckCursor);
 		const until = performance.now() + WaitMs;
-		advance();
+		updateRuns();
 		while (ended.length === 0 && performance.now() < until) {
 			await sleep(tickMilliseconds);
-			advance();
+			updateRuns();
 		}
 
-		looks++;
-		if (standIn.fault === WorkerFault.Silent || (standIn.fault === WorkerFault.LostLooks && looks % lostLookEvery === 0)) {
+		polls++;
+		if (standIn.fault === WorkerFault.Silent || (standIn.fault === WorkerFault.LostPolls && polls % lostPollInterval === 0)) {
 			return;
 		}
 
@@ -185,46 +187,46 @@
 		});
 	};
 
-	const serve = async (path: string, order: Order, response: ServerResponse): Promise<void> => {
-		if ((order.FencingToken ?? 0) < token) {
-			conflict(response, 'fence');
+	const serve = async (path: string, requestBody: RequestBody, response: ServerResponse): Promise<void> => {
+		if ((requestBody.FencingToken ?? 0) < highestToken) {
+			replyConflict(response, 'fence');
 			return;
 		}
 
-		token = Math.max(token, order.FencingToken ?? 0);
+		highestToken = Math.max(highestToken, requestBody.FencingToken ?? 0);
 		if (path === '/run-start') {
-			begin(response, order);
+			begin(response, requestBody);
 		} else if (path === '/run-stop') {
-			stop(response, order);
+			stop(response, requestBody);
 		} else {
-			await hold(response, order);
+			await answerPoll(response, requestBody);
 		}
 	};
 
 	const server = await listen(address, async (request, response) => {
 		const path = request.url ?? '/';
-		const order = JSON.parse(await readText(request)) as Order;
+		const requestBody = JSON.parse(await readText(request)) as RequestBody;
 		const isStart = path === '/run-start';
 		if (standIn.fault === WorkerFault.Silent) {
 			return;
 		}
 
 		if (isStart && standIn.fault === WorkerFault.LateStarts) {
-			await sleep(lateMilliseconds + (Math.random() * lateSpreadMilliseconds));
+			await sleep(lateStartDelayMilliseconds + (Math.random() * lateStartJitterMilliseconds));
 			response.destroy();
 		} else if (isStart && standIn.fault === WorkerFault.LostAnswers) {
 			response.destroy();
 		}
 
-		await serve(path, order, response);
+		await serve(path, requestBody, response);
 	});
-	const timer = setInterval(advance, tickMilliseconds);
+	const timer = setInterval(updateRuns, tickMilliseconds);
 
 	const standIn: WorkerStandIn = {
 		identifier,
 		address,
 		fault: WorkerFault.None,
-		runs: () => past,
+		runs: () => allRuns,
 		entry: (zone, state = 'ready', publicAddress = address) => ({
 			Service: 'sheets', Address: publicAddress, Zone: zone, Version: 'v1', Slots: 8, State: state, ColdRemainingMs: 0, Capacity: {Cpu: options.processor, MemMb: 1024, Gpu: 0}, Labels: [options.label, 'r1'], born, Seq: 1,
 		}),
@@ -237,11 +239,11 @@
 			active = [];
 			ended = [];
 			highestAttempts = new Map();
-			token = 0;
+			highestToken = 0;
 			sequence = 0;
 			leaseEndsAt = 0;
 			born = Date.now();
-			bornSteady = performance.now();
+			startedAtMonotonic = performance.now();
 		},
 		close() {
 			clearInterval(timer);
--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -102,9 +102,9 @@
 		fleet.listWorkers();
 	};
 
-	const refuse = async ({faults, cut}: FaultProxy, milliseconds: number): Promise<void> => {
+	const refuse = async ({faults, resetConnections}: FaultProxy, milliseconds: number): Promise<void> => {
 		faults.isRefusing = true;
-		cut();
+		resetConnections();
 		await sleep(milliseconds);
 		faults.isRefusing = false;
 	};
@@ -150,15 +150,15 @@
 		[SoakFault.EndpointFailsAll]: async (worker, milliseconds) => setWorker(worker, WorkerFault.FailsAll, milliseconds),
 		[SoakFault.EndpointStartsLate]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LateStarts, milliseconds),
 		[SoakFault.EndpointLosesAnswers]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostAnswers, milliseconds),
-		[SoakFault.EndpointLosesLooks]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostLooks, milliseconds),
+		[SoakFault.EndpointLosesLooks]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostPolls, milliseconds),
 		[SoakFault.EndpointStalls]: async (worker, milliseconds) => setWorker(worker, WorkerFault.Stalls, milliseconds),
 		[SoakFault.EndpointSilent]: async (worker, milliseconds) => setWorker(worker, WorkerFault.Silent, milliseconds),
 		async [SoakFault.EndpointResets](_, __, link) {
-			link.cut();
+			link.resetConnections();
 		},
 		[SoakFault.EndpointRefuses]: async (_, milliseconds, link) => refuse(link, milliseconds),
 		async [SoakFault.EndpointConnectionsSilent](_, __, link) {
-			link.silenceOpen();
+			link.silenceOpenConnections();
 		},
 		[SoakFault.EndpointDelayed]: async (_, milliseconds, link) => delay(link, milliseconds),
 	};
