--- a/packages/trials/src/process/answer-histories.ts
+++ b/packages/trials/src/process/answer-histories.ts
@@ -3,8 +3,8 @@
 import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import {ProvePoint} from '../version/prove-point.js';
 import {
-	disturb, disturbEndpoints, killEndpoint, misbehave, silenceCallers, silenceEndpoint,
-} from './disturbances.js';
+	injectRandomFault, injectEndpointFaults, killEndpoint, injectBehaviour, silenceCallers, silenceEndpoint,
+} from './fault-injections.js';
 import type {FaultHistory} from './fault-history.js';
 import {
 	createTrialHistory, idempotentService, runCallers, trialService, type Trial,
@@ -32,7 +32,7 @@
 });
 
 const createSinglesHistory = (point: ProvePoint): FaultHistory => createTrialHistory(point, {}, async trial => {
-	await Promise.all([disturbEndpoints(trial), disturb(trial), sendSingles(trial, trialService)]);
+	await Promise.all([injectEndpointFaults(trial), injectRandomFault(trial), sendSingles(trial, trialService)]);
 });
 
 /**
@@ -49,14 +49,14 @@
 Requests that may be sent again share the endpoints with some that may not.
 */
 export const mixedHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
-	await Promise.all([disturbEndpoints(trial), sendSingles(trial, trialService), sendSingles(trial, idempotentService)]);
+	await Promise.all([injectEndpointFaults(trial), sendSingles(trial, trialService), sendSingles(trial, idempotentService)]);
 });
 
 /**
 Long answers are passed on while their endpoints or callers fail.
 */
 export const longAnswerHistory: FaultHistory = createTrialHistory(ProvePoint.WholeAnswer, {}, async trial => {
-	const fail = trial.random.pick([killEndpoint, misbehave(EndpointBehaviour.HalfAnswer), silenceEndpoint, silenceCallers]);
+	const fail = trial.random.pick([killEndpoint, injectBehaviour(EndpointBehaviour.HalfAnswer), silenceEndpoint, silenceCallers]);
 	await Promise.all([
 		(async () => {
 			await trial.wait(150);
@@ -76,8 +76,8 @@
 */
 export const failingEndpointsHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
 	await Promise.all([
-		disturbEndpoints(trial),
-		disturb(trial),
+		injectEndpointFaults(trial),
+		injectRandomFault(trial),
 		runCallers(trial, callers, 400, async caller => {
 			const job = {name: `job-${caller}`, tasks: 6};
 			await trial.submit({...job, instance: trial.random.pick(trial.instances)});
@@ -92,7 +92,7 @@
 */
 export const longJobHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
 	await Promise.all([
-		disturbEndpoints(trial),
+		injectEndpointFaults(trial),
 		runCallers(trial, 6, 200, async caller => {
 			for (let round = 0; round < longJobsOfCaller; round++) {
 				const job = {name: `job-${caller}-${round}`, tasks: 3, answerBytes: trial.random.pick(longAnswers)};
--- a/packages/trials/src/process/holder-histories.ts
+++ b/packages/trials/src/process/holder-histories.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ProvePoint} from '../version/prove-point.js';
-import {disturb} from './disturbances.js';
+import {injectRandomFault} from './fault-injections.js';
 import type {FaultHistory} from './fault-history.js';
 import {
 	createTrialHistory, runCallers, waitUntil, type Trial, type TrialSubmission,
@@ -105,7 +105,7 @@
 const createKillHistory = (step: JobStep): FaultHistory => createTrialHistory(ProvePoint.StartsOnce, {}, async trial => {
 	await Promise.all([
 		killHolder(trial, step),
-		disturb(trial),
+		injectRandomFault(trial),
 		runCallers(trial, callers, 150, async caller => submitEverywhere(trial, jobOf(caller))),
 	]);
 });
@@ -121,7 +121,7 @@
 export const pauseHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {}, async trial => {
 	await Promise.all([
 		pauseHolder(trial),
-		disturb(trial),
+		injectRandomFault(trial),
 		runCallers(trial, callers, 150, async caller => submitEverywhere(trial, {...jobOf(caller), deadlineMilliseconds: 800, patienceMilliseconds: 2500})),
 	]);
 });
@@ -131,8 +131,8 @@
 */
 export const raceHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {}, async trial => {
 	await Promise.all([
-		disturb(trial),
-		disturb(trial),
+		injectRandomFault(trial),
+		injectRandomFault(trial),
 		runCallers(trial, callers * 2, 300, async caller => {
 			for (let round = 0; round < 2; round++) {
 				await Promise.all(trial.instances.map(async instance => trial.submit({...jobOf(caller), instance})));
@@ -167,7 +167,7 @@
 export const keyedHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
 	await Promise.all([
 		killHolder(trial, trial.random.pick(Object.values(JobStep))),
-		disturb(trial),
+		injectRandomFault(trial),
 		runCallers(trial, callers * 2, 150, async caller => submitEverywhere(trial, keyOf(caller))),
 	]);
 });
--- a/packages/trials/src/process/refusal-histories.ts
+++ b/packages/trials/src/process/refusal-histories.ts
@@ -2,8 +2,8 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import {ProvePoint} from '../version/prove-point.js';
 import {
-	cutOneWay, disturb, disturbEndpoints, stopPlatform,
-} from './disturbances.js';
+	blockOneWay, injectRandomFault, injectEndpointFaults, stopPlatform,
+} from './fault-injections.js';
 import type {FaultHistory} from './fault-history.js';
 import {recordInspection} from './history-recorder.js';
 import {
@@ -44,8 +44,8 @@
 */
 export const overloadHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots, document: {maximumQueueMilliseconds: 100}}, async trial => {
 	await Promise.all([
-		disturb(trial),
-		disturbEndpoints(trial),
+		injectRandomFault(trial),
+		injectEndpointFaults(trial),
 		runCallers(trial, callers, 200, async caller => submitUntilRun(trial, shortJob(trial, caller))),
 		runCallers(trial, callers, 200, async caller => {
 			await trial.submit({name: `request-${caller}`, instance: pickInstance(trial), deadlineMilliseconds: trial.random.integer(30, 300)});
@@ -67,7 +67,7 @@
 
 	await Promise.all([
 		pause(),
-		disturb(trial),
+		injectRandomFault(trial),
 		runCallers(trial, callers, 200, async caller => {
 			const job = shortJob(trial, caller);
 			await submitUntilRun(trial, caller % patientJobs === 0 ? {...job, deadlineMilliseconds: patientDeadlineMilliseconds} : job);
@@ -89,7 +89,7 @@
 
 	await Promise.all([
 		cancelAll(),
-		disturb(trial),
+		injectRandomFault(trial),
 		...jobs.map(async job => {
 			await trial.submit({...job, instance: pickInstance(trial)});
 			await sleep(betweenAttemptsMilliseconds);
@@ -105,7 +105,7 @@
 	const jobs = Array.from({length: callers}, (_, caller) => ({name: `job-${caller}`, tasks: 2}));
 	await Promise.all(jobs.map(async job => trial.submit({...job, instance: pickInstance(trial)})));
 	await Promise.all([
-		trial.random.pick([stopPlatform, cutOneWay])(trial),
+		trial.random.pick([stopPlatform, blockOneWay])(trial),
 		...jobs.map(async job => {
 			await trial.wait(300);
 			await recordInspection(trial.fleet, trial.history, {
