--- a/packages/trials/src/process/answer-histories.ts
+++ b/packages/trials/src/process/answer-histories.ts
@@ -64,7 +64,7 @@
 		})(),
 		runCallers(trial, callers, 200, async caller => {
 			await trial.submit({
-				name: `long-${caller}`, instance: trial.random.pick(trial.instances), answerBytes: trial.random.pick(longAnswers), patienceMilliseconds: 1500,
+				name: `long-${caller}`, instance: trial.random.pick(trial.instances), answerBytes: trial.random.pick(longAnswers), callerTimeoutMilliseconds: 1500,
 			});
 		}),
 	]);
--- a/packages/trials/src/process/history-recorder.ts
+++ b/packages/trials/src/process/history-recorder.ts
@@ -23,7 +23,7 @@
 	/** Length that each task's answer is padded to. */
 	readonly answerBytes?: number;
 	/** Time after which the caller gives up. */
-	readonly patienceMilliseconds?: number;
+	readonly callerTimeoutMilliseconds?: number;
 	/** Address that the submission goes to instead of the instance's own, such as the balancer's. */
 	readonly address?: string;
 	/** Keeps the caller's connections for its further requests. */
@@ -46,7 +46,7 @@
 };
 
 const send = async (fleet: Fleet, submission: RecordedSubmission): Promise<CallerResult> => {
-	const {identifier, service, tasks, instance, deadlineMilliseconds, patienceMilliseconds, agent, idempotencyKey} = submission;
+	const {identifier, service, tasks, instance, deadlineMilliseconds, callerTimeoutMilliseconds: patienceMilliseconds, agent, idempotencyKey} = submission;
 	const address = submission.address ?? fleet.callersOf(instance);
 	const options: CallOptions = {...(patienceMilliseconds !== undefined && {timeoutMilliseconds: patienceMilliseconds}), ...(agent && {agent})};
 	if ((identifier === '' && tasks.length === 1) || idempotencyKey !== undefined) {
--- a/packages/trials/src/process/holder-histories.ts
+++ b/packages/trials/src/process/holder-histories.ts
@@ -122,7 +122,7 @@
 	await Promise.all([
 		pauseHolder(trial),
 		injectRandomFault(trial),
-		runCallers(trial, callers, 150, async caller => submitEverywhere(trial, {...jobOf(caller), deadlineMilliseconds: 800, patienceMilliseconds: 2500})),
+		runCallers(trial, callers, 150, async caller => submitEverywhere(trial, {...jobOf(caller), deadlineMilliseconds: 800, callerTimeoutMilliseconds: 2500})),
 	]);
 });
 
--- a/packages/trials/src/process/trial.ts
+++ b/packages/trials/src/process/trial.ts
@@ -48,7 +48,7 @@
 	readonly answerBytes?: number;
 	/** Whether the name is the idempotency key of a single request. */
 	readonly isKeyed?: boolean;
-	readonly patienceMilliseconds?: number;
+	readonly callerTimeoutMilliseconds?: number;
 	readonly agent?: Agent;
 };
 
@@ -128,7 +128,7 @@
 			const {name, instance, service = trialService, runMilliseconds = drawRun(name), isKeyed = false, ...terms} = submission;
 			return recordSubmission(fleet, history, {
 				deadlineMilliseconds: 2000,
-				patienceMilliseconds: 5000,
+				callerTimeoutMilliseconds: 5000,
 				...terms,
 				identifier: identifierOf(submission),
 				tasks: tasksOf(submission),
