--- a/packages/trials/src/process/version-watch.ts
+++ b/packages/trials/src/process/version-watch.ts
@@ -5,12 +5,12 @@
 import {ProvePoint} from '../version/prove-point.js';
 import type {Fleet} from './fleet.js';
 
-const lookMilliseconds = 20;
+const pollIntervalMilliseconds = 20;
 const usualLimitMilliseconds = 2000;
 const usualShare = 0.99;
-const longestMilliseconds = 4000;
+const absoluteLimitMilliseconds = 4000;
 
-type Sighting = {readonly instance: string; readonly service: string; readonly version: number; readonly at: number};
+type ObservedVersion = {readonly instance: string; readonly service: string; readonly version: number; readonly at: number};
 
 /**
 Looks at the versions in force on daemons until it is stopped.
@@ -26,11 +26,11 @@
 Starts to watch daemons. Each look is also recorded in the history.
 */
 export const startVersionWatch = (fleet: Fleet, history: History, instances: readonly string[]): VersionWatch => {
-	const sightings: Sighting[] = [];
-	const expected: Array<Omit<Sighting, 'instance' | 'at'> & {readonly sentAt: number}> = [];
+	const sightings: ObservedVersion[] = [];
+	const expected: Array<Omit<ObservedVersion, 'instance' | 'at'> & {readonly sentAt: number}> = [];
 	const stopping = new AbortController();
 
-	const look = async (instance: string): Promise<void> => {
+	const observe = async (instance: string): Promise<void> => {
 		const daemon = fleet.daemons.find(candidate => candidate.instance === instance)!;
 		const {incarnation, catalogueVersion, documents} = await daemon.status() as DaemonStatus;
 		const at = Date.now();
@@ -46,12 +46,12 @@
 	const watch = async (instance: string): Promise<void> => {
 		while (!stopping.signal.aborted && !fleet.stopped.aborted) {
 			try {
-				await look(instance);
+				await observe(instance);
 			} catch {
 				// The daemon is being replaced.
 			}
 
-			await sleep(lookMilliseconds);
+			await sleep(pollIntervalMilliseconds);
 		}
 	};
 
@@ -77,7 +77,7 @@
 const checkDelays = (delays: readonly number[]): readonly Violation[] => {
 	const late = delays.filter(delay => delay > usualLimitMilliseconds);
 	const worst = Math.max(0, ...delays);
-	if (worst > longestMilliseconds || late.length > delays.length * (1 - usualShare)) {
+	if (worst > absoluteLimitMilliseconds || late.length > delays.length * (1 - usualShare)) {
 		return [{point: ProvePoint.DocumentInForce, detail: `${late.length} of ${delays.length} documents took longer than ${usualLimitMilliseconds} ms to be in force, the slowest ${worst} ms`}];
 	}
 
