--- a/packages/trials/src/process/answer-histories.ts
+++ b/packages/trials/src/process/answer-histories.ts
@@ -38,17 +38,17 @@
 /**
 Endpoints fail in every way while callers reuse their connections: no answer may be cut or meet another request.
 */
-export const crossedHistory: FaultHistory = createSinglesHistory(ProvePoint.WholeAnswer);
+export const crossedAnswersHistory: FaultHistory = createSinglesHistory(ProvePoint.WholeAnswer);
 
 /**
 Endpoints fail in every way: a request that may start once is never sent again.
 */
-export const unrepeatableHistory: FaultHistory = createSinglesHistory(ProvePoint.AtMostOnce);
+export const nonIdempotentHistory: FaultHistory = createSinglesHistory(ProvePoint.AtMostOnce);
 
 /**
 Requests that may be sent again share the endpoints with some that may not.
 */
-export const mixedHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
+export const mixedIdempotencyHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
 	await Promise.all([injectEndpointFaults(trial), sendSingles(trial, trialService), sendSingles(trial, idempotentService)]);
 });
 
--- a/packages/trials/src/process/document-histories.ts
+++ b/packages/trials/src/process/document-histories.ts
@@ -36,7 +36,7 @@
 
 @param disturb Called after the first documents are in force.
 */
-const acceptWhile = (disturb: (fleet: Fleet, instance: string) => void): FaultHistory => async (history, random) => {
+const createPlatformFaultHistory = (disturb: (fleet: Fleet, instance: string) => void): FaultHistory => async (history, random) => {
 	const fleet = await startDocumentFleet();
 	try {
 		const watch = startVersionWatch(fleet, history, instancesOf(fleet));
@@ -59,19 +59,19 @@
 	proxy.cut();
 };
 
-const platformWhole = acceptWhile(() => {
+const platformWhole = createPlatformFaultHistory(() => {
 	// Nothing fails.
 });
 
-const staleReads = acceptWhile((fleet, instance) => {
+const staleReads = createPlatformFaultHistory((fleet, instance) => {
 	fleet.platform.setStaleReads(viewOf(fleet, instance), StaleReads.All);
 });
 
-const staleScans = acceptWhile((fleet, instance) => {
+const staleScans = createPlatformFaultHistory((fleet, instance) => {
 	fleet.platform.setStaleReads(viewOf(fleet, instance), StaleReads.Scans);
 });
 
-const heardFromPeerOnly = acceptWhile(cutFromPlatform);
+const learnedFromPeerOnly = createPlatformFaultHistory(cutFromPlatform);
 
 /**
 Restarts a daemon while the platform is down; the new one gets the documents from its peer.
@@ -173,4 +173,4 @@
 /**
 Histories of documents that are accepted.
 */
-export const documentHistories: readonly FaultHistory[] = [platformWhole, staleReads, staleScans, heardFromPeerOnly, restartInOutage, operatorsRace];
+export const documentHistories: readonly FaultHistory[] = [platformWhole, staleReads, staleScans, learnedFromPeerOnly, restartInOutage, operatorsRace];
--- a/packages/trials/src/process/history-recorder.ts
+++ b/packages/trials/src/process/history-recorder.ts
@@ -46,9 +46,9 @@
 };
 
 const send = async (fleet: Fleet, submission: RecordedSubmission): Promise<CallerResult> => {
-	const {identifier, service, tasks, instance, deadlineMilliseconds, callerTimeoutMilliseconds: patienceMilliseconds, agent, idempotencyKey} = submission;
+	const {identifier, service, tasks, instance, deadlineMilliseconds, callerTimeoutMilliseconds, agent, idempotencyKey} = submission;
 	const address = submission.address ?? fleet.callersOf(instance);
-	const options: CallOptions = {...(patienceMilliseconds !== undefined && {timeoutMilliseconds: patienceMilliseconds}), ...(agent && {agent})};
+	const options: CallOptions = {...(callerTimeoutMilliseconds !== undefined && {timeoutMilliseconds: callerTimeoutMilliseconds}), ...(agent && {agent})};
 	if ((identifier === '' && tasks.length === 1) || idempotencyKey !== undefined) {
 		return sendSingle(address, submission, options);
 	}
--- a/packages/trials/src/process/holder-histories.ts
+++ b/packages/trials/src/process/holder-histories.ts
@@ -29,7 +29,7 @@
 
 const hasStarts = ({fleet}: Trial): boolean => fleet.endpoints.some(({standIn}) => standIn.starts().length > 0);
 
-const untilStep = async (trial: Trial, step: JobStep): Promise<void> => {
+const waitForStep = async (trial: Trial, step: JobStep): Promise<void> => {
 	const {fleet, history, wait} = trial;
 	switch (step) {
 		case JobStep.BeforeClaim: {
@@ -84,7 +84,7 @@
 const killHolder = async (trial: Trial, step: JobStep): Promise<void> => {
 	const {fleet, random, disturbed, instances} = trial;
 	const holder = instances[0]!;
-	await untilStep(trial, step);
+	await waitForStep(trial, step);
 	disturbed.add(holder);
 	fleet.daemons[0]!.signal('SIGKILL');
 	if (random.fraction() < 0.5) {
@@ -95,7 +95,7 @@
 
 const pauseHolder = async (trial: Trial): Promise<void> => {
 	const {fleet, random, disturbed, instances} = trial;
-	await untilStep(trial, random.pick(Object.values(JobStep)));
+	await waitForStep(trial, random.pick(Object.values(JobStep)));
 	disturbed.add(instances[0]!);
 	fleet.daemons[0]!.signal('SIGSTOP');
 	await sleep(pauseMilliseconds);
@@ -144,7 +144,7 @@
 /**
 Answers are dropped at once, and jobs repeated while the platform can't be read: a repeat finds neither answer nor claim.
 */
-export const forgottenHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {
+export const expiredAnswersHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {
 	size: {settings: {platform: {pollMilliseconds: 100, timeoutMilliseconds: 200}, answers: {retentionMilliseconds: 1}}},
 }, async trial => {
 	const {fleet, random, instances, submit} = trial;
--- a/packages/trials/src/process/leaving-histories.ts
+++ b/packages/trials/src/process/leaving-histories.ts
@@ -35,7 +35,7 @@
 
 @param disturb Called before the endpoint is listed as leaving; what it returns is called a second later.
 */
-const leaveUnderLoad = (disturb: (fleet: Fleet) => (() => void)): FaultHistory => async (history, random) => {
+const createLeavingHistory = (disturb: (fleet: Fleet) => (() => void)): FaultHistory => async (history, random) => {
 	const fleet = await startLeavingFleet();
 	try {
 		const instances = fleet.daemons.map(({instance}) => instance);
@@ -64,21 +64,21 @@
 
 const viewOf = (fleet: Fleet, position: number): string => fleet.links!.platformView.get(fleet.daemons[position]!.instance)!;
 
-const listedAtOnce = leaveUnderLoad(() => doNothing);
+const listedAtOnce = createLeavingHistory(() => doNothing);
 
-const listLagsForOne = leaveUnderLoad(fleet => {
+const listLagsForOne = createLeavingHistory(fleet => {
 	fleet.platform.overrideList(viewOf(fleet, 1), fleet.platform.listed());
 	return doNothing;
 });
 
-const oneCutFromPlatform = leaveUnderLoad(fleet => {
+const oneCutFromPlatform = createLeavingHistory(fleet => {
 	const proxy = fleet.links!.toPlatform.get(fleet.daemons[1]!.instance)!;
 	proxy.faults.isRefusing = true;
 	proxy.cut();
 	return doNothing;
 });
 
-const markVanishes = leaveUnderLoad(fleet => {
+const markVanishes = createLeavingHistory(fleet => {
 	const before = fleet.platform.listed();
 	return () => {
 		for (const position of fleet.daemons.keys()) {
--- a/packages/trials/src/process/outage-histories.ts
+++ b/packages/trials/src/process/outage-histories.ts
@@ -63,9 +63,9 @@
 Creates a history in which something fails for a time while callers send at a fixed rate.
 
 @param fail Brings the failure about.
-@param mend Ends it.
+@param restore Ends it.
 */
-const workThrough = (fail: (fleet: Fleet) => void, mend: (fleet: Fleet) => void): FaultHistory => async history => {
+const createOutageHistory = (fail: (fleet: Fleet) => void, restore: (fleet: Fleet) => void): FaultHistory => async history => {
 	const fleet = await startOutageFleet();
 	try {
 		const loads = startLoads(fleet, history);
@@ -74,7 +74,7 @@
 		fail(fleet);
 		await sleep(outageMilliseconds);
 		const to = Date.now();
-		mend(fleet);
+		restore(fleet);
 		await sleep(beforeMilliseconds / 2);
 		const operations = await Promise.all(loads.map(async load => load.stop()));
 		collectStarts(fleet, history);
@@ -107,43 +107,43 @@
 
 const platformLinks = (fleet: Fleet): Iterable<FaultProxy> => fleet.links!.toPlatform.values();
 
-const platformDown = workThrough(({platform}) => {
+const platformDown = createOutageHistory(({platform}) => {
 	platform.faults.isDown = true;
 }, ({platform}) => {
 	platform.faults.isDown = false;
 });
 
-const platformSlow = workThrough(({platform}) => {
+const platformSlow = createOutageHistory(({platform}) => {
 	platform.faults.delayMilliseconds = platformTimeoutMilliseconds;
 }, ({platform}) => {
 	platform.faults.delayMilliseconds = 0;
 });
 
-const platformHalfOpen = workThrough(fleet => {
+const platformHalfOpen = createOutageHistory(fleet => {
 	setSilent(platformLinks(fleet), LinkState.Silent);
 }, fleet => {
 	setSilent(platformLinks(fleet), LinkState.Open);
 });
 
-const zonesCut = workThrough(fleet => {
+const zonesCut = createOutageHistory(fleet => {
 	setRefusing(peerLinks(fleet), true);
 }, fleet => {
 	setRefusing(peerLinks(fleet), false);
 });
 
-const zonesCutSilently = workThrough(fleet => {
+const zonesCutSilently = createOutageHistory(fleet => {
 	setSilent(peerLinks(fleet), LinkState.Silent);
 }, fleet => {
 	setSilent(peerLinks(fleet), LinkState.Open);
 });
 
-const zonesCutFromAll = workThrough(fleet => {
+const zonesCutFromAll = createOutageHistory(fleet => {
 	setRefusing([...peerLinks(fleet), ...platformLinks(fleet)], true);
 }, fleet => {
 	setRefusing([...peerLinks(fleet), ...platformLinks(fleet)], false);
 });
 
-const zonesCutOneWay = workThrough(fleet => {
+const zonesCutOneWay = createOutageHistory(fleet => {
 	for (const {faults} of peerLinks(fleet)) {
 		faults.backward = LinkState.Silent;
 	}
@@ -151,7 +151,7 @@
 	setSilent(peerLinks(fleet), LinkState.Open);
 });
 
-const peerConnectionsSilent = workThrough(fleet => {
+const peerConnectionsSilent = createOutageHistory(fleet => {
 	for (const proxy of peerLinks(fleet)) {
 		proxy.silenceOpen();
 	}
--- a/packages/trials/src/process/prove.ts
+++ b/packages/trials/src/process/prove.ts
@@ -23,9 +23,9 @@
 		concurrency: {type: 'string', default: defaultConcurrency},
 	},
 });
-const wanted = values.point;
-if (wanted !== undefined && !isProvePoint(wanted)) {
-	throw new Error(`there is no point "${wanted}"; the points are ${Object.values(ProvePoint).join(', ')}`);
+const selectedPoint = values.point;
+if (selectedPoint !== undefined && !isProvePoint(selectedPoint)) {
+	throw new Error(`there is no point "${selectedPoint}"; the points are ${Object.values(ProvePoint).join(', ')}`);
 }
 
 const seed = Number(values.seed);
@@ -40,7 +40,7 @@
 	.filter(({position}) => values.history === undefined || position + 1 === Number(values.history))
 	.map(async ({history, position}) => queue.add(async () => runHistory(history, {point, position, seed: seed + (round * seedsOfRound) + position})))).flat();
 
-const points = wanted === undefined ? Object.values(ProvePoint) : [wanted];
+const points = selectedPoint === undefined ? Object.values(ProvePoint) : [selectedPoint];
 const started = points.map(point => ({point, runs: startPoint(point)}));
 process.exitCode = 0;
 for (const {point, runs} of started) {
--- a/packages/trials/src/process/submission-histories.ts
+++ b/packages/trials/src/process/submission-histories.ts
@@ -1,10 +1,10 @@
 import {
-	crossedHistory, failingEndpointsHistory, longAnswerHistory, longJobHistory, mixedHistory, unrepeatableHistory,
+	crossedAnswersHistory, failingEndpointsHistory, longAnswerHistory, longJobHistory, mixedIdempotencyHistory, nonIdempotentHistory,
 } from './answer-histories.js';
 import {brokenRequestHistory} from './broken-request-histories.js';
 import type {FaultHistory} from './fault-history.js';
 import {
-	forgottenHistory, keyedHistory, killHistories, pauseHistory, raceHistory,
+	expiredAnswersHistory, keyedHistory, killHistories, pauseHistory, raceHistory,
 } from './holder-histories.js';
 import {
 	cancelWaveHistory, outOfReachHistory, overloadHistory, pausedQueueHistory,
@@ -14,9 +14,9 @@
 The histories of the points about submissions and their answers.
 */
 export const submissionHistories: Readonly<Record<'startsOnce' | 'jobWhole' | 'wholeAnswer' | 'trueRefusal' | 'atMostOnce', readonly FaultHistory[]>> = {
-	startsOnce: [...killHistories, pauseHistory, raceHistory, forgottenHistory],
+	startsOnce: [...killHistories, pauseHistory, raceHistory, expiredAnswersHistory],
 	jobWhole: [failingEndpointsHistory, longJobHistory],
-	wholeAnswer: [crossedHistory, longAnswerHistory],
+	wholeAnswer: [crossedAnswersHistory, longAnswerHistory],
 	trueRefusal: [overloadHistory, pausedQueueHistory, cancelWaveHistory, outOfReachHistory, brokenRequestHistory],
-	atMostOnce: [keyedHistory, unrepeatableHistory, mixedHistory],
+	atMostOnce: [keyedHistory, nonIdempotentHistory, mixedIdempotencyHistory],
 };
