Describe the recorder, proxies and fault injections of the histories

Comments spoke of faults and records figuratively. They now name the fault, its duration and the limits in the usual terms; the messages of prove and of failed histories are plain.

--- a/packages/trials/src/process/fault-history.ts
+++ b/packages/trials/src/process/fault-history.ts
@@ -3,8 +3,8 @@
 import type {Random} from '../request/random.js';
 
 /**
-Brings about a fault while callers work, and records what happened.
+Injects faults while callers send requests, and records what the callers and endpoints observe.
 
-@returns Violations that the history alone does not show, such as a missed time limit.
+@returns Violations that can't be derived from the recorded history, such as an exceeded time limit.
 */
 export type FaultHistory = (history: History, random: Random) => Promise<readonly Violation[]>;
--- a/packages/trials/src/process/fault-injections.ts
+++ b/packages/trials/src/process/fault-injections.ts
@@ -6,7 +6,7 @@
 import type {Trial} from './trial.js';
 
 /**
-A fault that lasts for a while and is then mended.
+Injects a fault into a trial. Most faults end after `faultDurationMilliseconds`; connections that are silenced stay so.
 */
 export type FaultInjection = (trial: Trial) => Promise<void>;
 
@@ -15,7 +15,7 @@
 const pickEndpoint = ({random, fleet}: Trial): PlacedEndpoint => random.pick(fleet.endpoints);
 
 /**
-Has an endpoint misbehave for a while.
+Gives a random endpoint another behaviour for a limited time.
 */
 export const injectBehaviour = (behaviour: EndpointBehaviour): FaultInjection => async trial => {
 	const {standIn} = pickEndpoint(trial);
@@ -25,7 +25,7 @@
 };
 
 /**
-Resets every connection to an endpoint, and refuses new ones for a while: to the daemons the endpoint was killed.
+Resets every connection to an endpoint and refuses new ones for a limited time, as if the endpoint had been killed.
 */
 export const killEndpoint: FaultInjection = async trial => {
 	const {proxy} = pickEndpoint(trial);
@@ -36,21 +36,21 @@
 };
 
 /**
-Silences the open connections to an endpoint for good, while new ones work.
+Permanently stops all traffic on the open connections to an endpoint; new connections work.
 */
 export const silenceEndpoint: FaultInjection = async trial => {
 	pickEndpoint(trial).proxy!.silenceOpen();
 };
 
 /**
-Silences the open connections of one instance to the platform for good.
+Permanently stops all traffic on the open connections from one instance to the platform.
 */
 export const silencePlatform: FaultInjection = async ({fleet, random, instances}) => {
 	fleet.links!.toPlatform.get(random.pick(instances))!.silenceOpen();
 };
 
 /**
-Cuts one instance off from the platform for a while.
+Disconnects one instance from the platform for a limited time.
 */
 export const cutPlatform: FaultInjection = async ({fleet, random, instances}) => {
 	const proxy = fleet.links!.toPlatform.get(random.pick(instances))!;
@@ -61,7 +61,7 @@
 };
 
 /**
-Takes the platform down for a while.
+Makes the platform unavailable for a limited time.
 */
 export const stopPlatform: FaultInjection = async ({fleet}) => {
 	fleet.platform.faults.isDown = true;
@@ -70,7 +70,7 @@
 };
 
 /**
-Slows the platform down, some calls beyond their time-out.
+Delays every call to the platform by 50 to 400 ms, so that some exceed their time-out.
 */
 export const slowPlatform: FaultInjection = async ({fleet, random}) => {
 	fleet.platform.faults.delayMilliseconds = random.integer(50, 400);
@@ -79,14 +79,14 @@
 };
 
 /**
-Loses the answers of the next transactions, which take effect.
+Commits the next transactions on the platform but drops their answers.
 */
 export const loseAnswers: FaultInjection = async ({fleet, random}) => {
 	fleet.platform.faults.lostAnswers = random.integer(1, 4);
 };
 
 /**
-Has reads answer from an earlier state for a while.
+Makes the platform answer reads from an earlier state for a limited time.
 */
 export const staleReads: FaultInjection = async ({fleet}) => {
 	const views = [...fleet.links?.platformView.values() ?? [], fleet.platform.address];
@@ -101,7 +101,7 @@
 };
 
 /**
-Swallows the bytes from one instance to another for a while, in one direction only.
+Drops the bytes between two instances in one direction for a limited time.
 */
 export const blockOneWay: FaultInjection = async ({fleet, random, instances}) => {
 	const from = random.pick(instances);
@@ -114,7 +114,7 @@
 };
 
 /**
-Silences the open connections between two instances for good.
+Permanently stops all traffic on the open connections from one instance to another.
 */
 export const silencePeers: FaultInjection = async ({fleet, random, instances}) => {
 	const from = random.pick(instances);
@@ -122,7 +122,7 @@
 };
 
 /**
-Silences the open connections of the callers of one instance for good.
+Permanently stops all traffic on the open connections between callers and one instance.
 */
 export const silenceCallers: FaultInjection = async ({fleet, random, instances, disturbed}) => {
 	const instance = random.pick(instances);
@@ -137,7 +137,7 @@
 ];
 
 /**
-Has endpoints fail in every way, at random times.
+Injects every kind of endpoint fault, each at a random time.
 */
 export const injectEndpointFaults: FaultInjection = async trial => {
 	await Promise.all(endpointDisturbances.map(async fault => {
@@ -153,7 +153,7 @@
 const linkFaults = [blockOneWay, silencePeers, silenceCallers];
 
 /**
-Brings about a second fault at a random time, or in one case of three none.
+Injects a randomly chosen second fault at a random time, or none in one of three cases.
 */
 export const injectRandomFault: FaultInjection = async trial => {
 	const fault = trial.random.pick([...platformFaults, ...endpointFaults, ...linkFaults, ...Array.from({length: 7}, () => none)]);
--- a/packages/trials/src/process/history-recorder.ts
+++ b/packages/trials/src/process/history-recorder.ts
@@ -5,10 +5,10 @@
 import type {Fleet} from './fleet.js';
 
 /**
-A submission to be recorded.
+A submission to send and record.
 */
 export type RecordedSubmission = {
-	/** Identifier of a job; the empty string for a request without one: a single one for one task, a job with a minted identifier for several. */
+	/** Identifier of a job, or the empty string: one task is then sent as a single request, several as a job whose identifier the daemon mints. */
 	readonly identifier: string;
 	readonly service: string;
 	/** Names of the tasks; a single request has one. */
@@ -17,18 +17,18 @@
 	/** Instance through which the submission goes. */
 	readonly instance: string;
 	readonly deadlineMilliseconds?: number;
-	/** Key of a single request; only its identifier tells it from a job. */
+	/** Idempotency key. The submission is then sent as a single request, although it has an identifier. */
 	readonly idempotencyKey?: string;
 	readonly isIdempotent?: boolean;
-	/** Length that each task's answer is padded to. */
+	/** Length in bytes to which each task's answer is padded. */
 	readonly answerBytes?: number;
-	/** Time after which the caller gives up. */
+	/** Time after which the caller stops waiting for the answer. */
 	readonly callerTimeoutMilliseconds?: number;
-	/** Address that the submission goes to instead of the instance's own, such as the balancer's. */
+	/** Address to send to instead of the instance's own, such as that of the load balancer. */
 	readonly address?: string;
-	/** Keeps the caller's connections for its further requests. */
+	/** HTTP agent that keeps the caller's connections open between requests. */
 	readonly agent?: Agent;
-	/** Tells, once the operation has ended, whether its daemon was killed or frozen meanwhile. */
+	/** Called when the operation has ended; returns whether its daemon was killed or frozen in the meantime. */
 	readonly isDisturbed?: () => boolean;
 };
 
@@ -64,7 +64,7 @@
 };
 
 /**
-Sends a submission as a caller and records what came back.
+Sends a submission as a caller and records its outcome in the history.
 */
 export const recordSubmission = async (fleet: Fleet, history: History, submission: RecordedSubmission): Promise<CallerOperation> => {
 	const {identifier, tasks, isIdempotent = false, answerBytes = 0} = submission;
@@ -78,7 +78,7 @@
 };
 
 /**
-Adds the starts that the endpoints saw to a history.
+Adds the task starts that the endpoints recorded to a history.
 */
 export const collectStarts = (fleet: Fleet, history: History): void => {
 	for (const {standIn, address} of fleet.endpoints) {
@@ -87,7 +87,7 @@
 };
 
 /**
-Looks at a job as a caller, or cancels it, and records the answer if there is one yet.
+Queries (`GET`) or cancels (`DELETE`) a job as a caller. The answer is recorded unless the job is still running.
 */
 export const recordInspection = async (fleet: Fleet, history: History, inspection: {
 	readonly method: 'GET' | 'DELETE';
--- a/packages/trials/src/process/prove.ts
+++ b/packages/trials/src/process/prove.ts
@@ -11,7 +11,7 @@
 const defaultSeed = '1';
 const defaultConcurrency = '3';
 const shownViolations = 10;
-// Seeds of the histories of one round lie next to each other.
+// Distance between the seeds of two rounds; within a round, consecutive histories have consecutive seeds.
 const seedsOfRound = 1000;
 
 const {values} = parseArgs({
@@ -25,7 +25,7 @@
 });
 const selectedPoint = values.point;
 if (selectedPoint !== undefined && !isProvePoint(selectedPoint)) {
-	throw new Error(`there is no point "${selectedPoint}"; the points are ${Object.values(ProvePoint).join(', ')}`);
+	throw new Error(`unknown point "${selectedPoint}"; known points: ${Object.values(ProvePoint).join(', ')}`);
 }
 
 const seed = Number(values.seed);
@@ -33,7 +33,7 @@
 const queue = new PQueue({concurrency: Number(values.concurrency)});
 
 /**
-Queues the histories of a point, each with a seed that depends on its round and place alone.
+Queues the histories of a point. The seed of each depends only on its round and position, so that it can be rerun alone.
 */
 const startPoint = (point: ProvePoint): ReadonlyArray<Promise<HistoryRun>> => Array.from({length: rounds}, (_, round) => faultHistories[point]
 	.map((history, position) => ({history, position}))
--- a/packages/trials/src/process/proxied-links.ts
+++ b/packages/trials/src/process/proxied-links.ts
@@ -4,25 +4,25 @@
 import {findFreeAddresses} from './free-ports.js';
 
 /**
-The proxies between the processes of a fleet. Each link has a proxy of its own, so that it can fail alone.
+The fault proxies between the processes of a fleet. Each link has its own proxy, so that faults can be injected on each link separately.
 */
 export type ProxiedLinks = {
-	/** From a daemon to the platform, by the daemon's instance. */
+	/** Proxies from daemons to the platform, by instance. */
 	readonly toPlatform: ReadonlyMap<string, FaultProxy>;
-	/** Address of the platform that a daemon's proxy leads to, by the daemon's instance. */
+	/** Addresses of the platform to which the daemons' proxies forward, by instance. */
 	readonly platformView: ReadonlyMap<string, string>;
-	/** From callers to a daemon, by the daemon's instance. */
+	/** Proxies from callers to daemons, by instance. */
 	readonly toCallers: ReadonlyMap<string, FaultProxy>;
-	/** From one daemon to another's peers' port. */
+	/** Returns the proxy from one daemon to the peer port of another. */
 	readonly between: (from: string, to: string) => FaultProxy;
 	readonly all: () => readonly FaultProxy[];
 	readonly close: () => void;
 };
 
 /**
-Puts a proxy on each link of the daemons.
+Starts a fault proxy for each link of the daemons.
 
-@returns The links, and the addresses under which each daemon reaches the platform.
+@returns The proxies by link, and the platform address that each daemon's proxy forwards to.
 */
 export const startProxiedLinks = async (platform: PlatformStandIn, places: readonly DaemonPlace[]): Promise<ProxiedLinks> => {
 	const toPlatform = new Map<string, FaultProxy>();
--- a/packages/trials/src/process/version-watch.ts
+++ b/packages/trials/src/process/version-watch.ts
@@ -13,17 +13,17 @@
 type ObservedVersion = {readonly instance: string; readonly service: string; readonly version: number; readonly at: number};
 
 /**
-Looks at the versions in force on daemons until it is stopped.
+Polls the document versions in force on daemons until it is stopped.
 */
 export type VersionWatch = {
-	/** Remembers that a document was accepted; it has to come into force on the watched daemons. */
+	/** Registers an accepted document, which must come into force on all watched daemons within the limits. */
 	readonly expect: (service: string, version: number, sentAt: number) => void;
-	/** Ends the looks, and checks the times against the limits. */
+	/** Stops polling, and checks the propagation delays against the limits. */
 	readonly stop: () => Promise<readonly Violation[]>;
 };
 
 /**
-Starts to watch daemons. Each look is also recorded in the history.
+Starts to poll daemons. Each observed version is also recorded in the history.
 */
 export const startVersionWatch = (fleet: Fleet, history: History, instances: readonly string[]): VersionWatch => {
 	const sightings: ObservedVersion[] = [];
@@ -48,7 +48,7 @@
 			try {
 				await observe(instance);
 			} catch {
-				// The daemon is being replaced.
+				// The daemon can't be reached while it is being replaced.
 			}
 
 			await sleep(pollIntervalMilliseconds);
@@ -78,8 +78,8 @@
 	const late = delays.filter(delay => delay > usualLimitMilliseconds);
 	const worst = Math.max(0, ...delays);
 	if (worst > absoluteLimitMilliseconds || late.length > delays.length * (1 - usualShare)) {
-		return [{point: ProvePoint.DocumentInForce, detail: `${late.length} of ${delays.length} documents took longer than ${usualLimitMilliseconds} ms to be in force, the slowest ${worst} ms`}];
+		return [{point: ProvePoint.DocumentInForce, detail: `${late.length} of ${delays.length} documents took longer than ${usualLimitMilliseconds} ms to come into force, the slowest ${worst} ms`}];
 	}
 
-	return delays.length > 0 ? [] : [{point: ProvePoint.DocumentInForce, detail: 'no document was accepted; the history shows nothing'}];
+	return delays.length > 0 ? [] : [{point: ProvePoint.DocumentInForce, detail: 'no document was accepted; the history proves nothing'}];
 };
