--- a/packages/trials/src/process/answer-histories.ts
+++ b/packages/trials/src/process/answer-histories.ts
@@ -14,11 +14,11 @@
 const requestsOfCaller = 6;
 const longJobsOfCaller = 3;
 const longestPauseMilliseconds = 500;
-// Above and below the bound up to which an answer is held before it is passed on.
+// Below and above the size up to which a daemon buffers an answer before it forwards it (limits.bufferedBodyBytes, 1 MiB by default).
 const longAnswers = [900_000, 1_500_000, 2_500_000];
 
 /**
-Callers with a connection of their own send single requests one after the other, some of which run longer than their time-out.
+Callers, each with its own connection, send single requests one after the other. Some requests run longer than their time-out.
 */
 const sendSingles = async (trial: Trial, service: string): Promise<void> => runCallers(trial, callers, 200, async caller => {
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
@@ -36,24 +36,24 @@
 });
 
 /**
-Endpoints fail in every way while callers reuse their connections: no answer may be cut or meet another request.
+Endpoints fail in every way while callers reuse their connections: no answer may be truncated or matched to another request.
 */
 export const crossedAnswersHistory: FaultHistory = createSinglesHistory(ProvePoint.WholeAnswer);
 
 /**
-Endpoints fail in every way: a request that may start once is never sent again.
+Endpoints fail in every way: a request that isn't idempotent must never be sent again.
 */
 export const nonIdempotentHistory: FaultHistory = createSinglesHistory(ProvePoint.AtMostOnce);
 
 /**
-Requests that may be sent again share the endpoints with some that may not.
+Idempotent requests, which may be retried, share the endpoints with requests that must not be retried.
 */
 export const mixedIdempotencyHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
 	await Promise.all([injectEndpointFaults(trial), sendSingles(trial, trialService), sendSingles(trial, idempotentService)]);
 });
 
 /**
-Long answers are passed on while their endpoints or callers fail.
+Long answers are forwarded while their endpoints or callers fail.
 */
 export const longAnswerHistory: FaultHistory = createTrialHistory(ProvePoint.WholeAnswer, {}, async trial => {
 	const fail = trial.random.pick([killEndpoint, injectBehaviour(EndpointBehaviour.HalfAnswer), silenceEndpoint, silenceCallers]);
@@ -72,7 +72,7 @@
 });
 
 /**
-Jobs run on endpoints that fail in every way: their answer is whole or failed.
+Jobs run on endpoints that fail in every way: the answer of a job is complete or reports a failure.
 */
 export const failingEndpointsHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
 	await Promise.all([
@@ -88,7 +88,7 @@
 });
 
 /**
-Jobs with long answers are submitted to one instance and repeated at another, while endpoints fail and afterwards.
+Jobs with long answers are submitted and then submitted again, each time to a random instance, during and after endpoint faults.
 */
 export const longJobHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
 	await Promise.all([
--- a/packages/trials/src/process/broken-request-histories.ts
+++ b/packages/trials/src/process/broken-request-histories.ts
@@ -8,7 +8,7 @@
 
 const callers = 25;
 const slowCallerMilliseconds = 800;
-// The limits of the settings, and time for a busy machine.
+// Twice the slow-caller limit of the settings, and 1 s of tolerance for a busy machine.
 const endTimeoutMilliseconds = (slowCallerMilliseconds * 2) + 1000;
 const pauseMilliseconds = 100;
 const bufferedBodyBytes = 4096;
@@ -16,18 +16,18 @@
 const declaredBytes = 40_000;
 
 /**
-How a caller's request goes wrong after it has begun.
+How a caller's request becomes invalid or incomplete after it has begun.
 */
 enum BrokenRequest {
-	/** The caller falls silent in the middle of a job's body. */
+	/** The caller stops sending in the middle of a job's body. */
 	HalfJob = 'half-job',
-	/** The caller falls silent in the middle of a body that is held whole. */
+	/** The caller stops sending in the middle of a body that is buffered completely. */
 	HalfBody = 'half-body',
-	/** The caller falls silent in the middle of a body that is passed on as it comes. */
+	/** The caller stops sending in the middle of a body that is streamed to the endpoint. */
 	HalfStream = 'half-stream',
-	/** A body that is passed on as it comes goes on with bytes that are no chunk. */
+	/** A streamed body with chunked encoding continues with bytes that are not a valid chunk. */
 	BadChunk = 'bad-chunk',
-	/** Bytes that are no request follow one that runs. */
+	/** While a request runs, its connection receives bytes that are not a valid request. */
 	BadNextRequest = 'bad-next-request',
 }
 
@@ -41,7 +41,7 @@
 };
 
 /**
-The parts in which a caller sends its request; after the last it sends nothing more.
+Returns the parts in which a caller sends its request. After the last part the caller sends nothing more.
 */
 const partsOf = (kind: BrokenRequest, name: string, task: string): readonly string[] => {
 	const sent = 'x'.repeat(sentBytes);
@@ -68,7 +68,7 @@
 	}
 };
 
-/** Requests of which an endpoint may see the beginning. */
+/** Kinds of requests whose beginning may reach an endpoint. */
 const mayStart: ReadonlySet<BrokenRequest> = new Set([BrokenRequest.HalfStream, BrokenRequest.BadChunk, BrokenRequest.BadNextRequest]);
 
 const sendBroken = async (trial: Trial, kind: BrokenRequest, caller: number): Promise<readonly Violation[]> => {
@@ -83,13 +83,13 @@
 	});
 	const hasStarted = fleet.endpoints.some(({standIn}) => standIn.starts().some(start => start.task === task));
 	return [
-		...isClosed ? [] : [{point: ProvePoint.TrueRefusal, detail: `the connection of ${name} was open after ${Math.round(durationMilliseconds)} ms, and had been answered with status ${status}`}],
-		...hasStarted && !mayStart.has(kind) ? [{point: ProvePoint.StartsOnce, detail: `${name} started a task from a part of its body`}] : [],
+		...isClosed ? [] : [{point: ProvePoint.TrueRefusal, detail: `the connection of ${name} was still open after ${Math.round(durationMilliseconds)} ms; the answer had status ${status}`}],
+		...hasStarted && !mayStart.has(kind) ? [{point: ProvePoint.StartsOnce, detail: `${name} started a task from an incomplete body`}] : [],
 	];
 };
 
 /**
-Callers fall silent in the middle of their bodies or go on with what is no HTTP: nothing starts from a part of a body that is held whole, no refusal is false, and the connection ends within the limits of the settings.
+Callers stop sending in the middle of a body or continue with bytes that are not valid HTTP: no task starts from an incomplete body that is buffered, no refused request has run, and the connection is closed within the limits of the settings.
 */
 export const brokenRequestHistory: FaultHistory = async (history, random) => {
 	const violations: Violation[] = [];
--- a/packages/trials/src/process/holder-histories.ts
+++ b/packages/trials/src/process/holder-histories.ts
@@ -12,18 +12,18 @@
 const pauseMilliseconds = 1200;
 
 /**
-How far the jobs have come when their holder fails.
+Progress of the jobs when their holder fails.
 */
 enum JobStep {
-	/** The claim is on its way. */
+	/** The claim has been sent to the platform but may not be stored. */
 	BeforeClaim = 'before-claim',
-	/** A claim is in the table. */
+	/** A claim is stored in the table. */
 	AfterClaim = 'after-claim',
 	/** A task has started. */
 	AfterStart = 'after-start',
 	/** Some tasks have answered. */
 	MidAnswer = 'mid-answer',
-	/** A caller has its answer. */
+	/** A caller has received its answer. */
 	AfterAnswer = 'after-answer',
 }
 
@@ -62,7 +62,7 @@
 };
 
 /**
-Submits through the holder, at the same moment or afterwards through the others, and again at the end.
+Submits through the holder, at about the same time through a second instance, and once more at the end through the holder or the third.
 */
 const submitEverywhere = async (trial: Trial, submission: Omit<TrialSubmission, 'instance'>): Promise<void> => {
 	const {instances, random, submit} = trial;
@@ -111,12 +111,12 @@
 });
 
 /**
-A daemon is killed at each step of its jobs; every job is submitted again elsewhere.
+A daemon is killed at each step of its jobs, and every job is also submitted through other instances.
 */
 export const killHistories: readonly FaultHistory[] = Object.values(JobStep).map(step => createKillHistory(step));
 
 /**
-A daemon is paused for longer than every time-out while others get its jobs.
+A daemon is paused for longer than every time-out while its jobs are also submitted through other instances.
 */
 export const pauseHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {}, async trial => {
 	await Promise.all([
@@ -127,7 +127,7 @@
 });
 
 /**
-Every job is submitted through all instances at the same moment, again and again, while a fault comes about.
+Every job is submitted twice through all instances at the same time while faults are injected.
 */
 export const raceHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {}, async trial => {
 	await Promise.all([
@@ -142,7 +142,7 @@
 });
 
 /**
-Answers are dropped at once, and jobs repeated while the platform can't be read: a repeat finds neither answer nor claim.
+Answers are retained for 1 ms only, and jobs are submitted again while the platform is down: a repeated submission finds neither the answer nor the claim.
 */
 export const expiredAnswersHistory: FaultHistory = createTrialHistory(ProvePoint.StartsOnce, {
 	size: {settings: {platform: {pollMilliseconds: 100, timeoutMilliseconds: 200}, answers: {retentionMilliseconds: 1}}},
@@ -152,17 +152,17 @@
 		await submit({...jobOf(caller), instance: random.pick(instances), deadlineMilliseconds});
 	});
 	await submitAll(500);
-	// The sweep of answers runs twice a second.
+	// Expired answers are removed twice a second.
 	await sleep(700);
 	fleet.platform.faults.isDown = true;
 	await submitAll(500);
 	fleet.platform.faults.isDown = false;
-	// Long enough for the claims that still wait for the platform.
+	// Long enough for pending claims to complete after the platform is back.
 	await submitAll(3000);
 });
 
 /**
-Keyed single requests are sent through two instances at once while one is killed.
+Single requests with an idempotency key are sent through two instances at about the same time while one of them is killed.
 */
 export const keyedHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
 	await Promise.all([
--- a/packages/trials/src/process/refusal-histories.ts
+++ b/packages/trials/src/process/refusal-histories.ts
@@ -12,17 +12,17 @@
 
 const callers = 30;
 const pauseMilliseconds = 500;
-// Every fourth job may wait for longer than the pause.
+// Every fourth job has a deadline beyond the pause.
 const patientJobs = 4;
 const patientDeadlineMilliseconds = 2000;
-// Longer than the clocks' steps, so that a repeat's start is later than the refusal's end.
+// Longer than the resolution of the clocks, so that the next attempt starts measurably after the refusal.
 const betweenAttemptsMilliseconds = 5;
 const fewSlots = {slots: 2};
 
 const pickInstance = ({random, instances}: Trial): string => random.pick(instances);
 
 /**
-Submits a job again after each refusal, through any instance.
+Submits a job through a random instance until it isn't refused, at most four times.
 */
 const submitUntilRun = async (trial: Trial, job: Omit<TrialSubmission, 'instance'>): Promise<void> => {
 	for (let attempt = 0; attempt < 4; attempt++) {
@@ -40,7 +40,7 @@
 });
 
 /**
-More jobs come than the endpoints can take before their deadlines, and endpoints fail in every way.
+More jobs arrive than the endpoints can run before their deadlines, and endpoints fail in every way.
 */
 export const overloadHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots, document: {maximumQueueMilliseconds: 100}}, async trial => {
 	await Promise.all([
@@ -54,7 +54,7 @@
 });
 
 /**
-An instance with waiting tasks is paused beyond their deadlines.
+An instance with queued tasks is paused beyond the deadlines of most of them.
 */
 export const pausedQueueHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots}, async trial => {
 	const pause = async (): Promise<void> => {
@@ -76,7 +76,7 @@
 });
 
 /**
-Jobs are cancelled all at once, through any instance, and submitted again.
+All jobs are cancelled at the same time, through random instances, and submitted again.
 */
 export const cancelWaveHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots, document: {maximumQueueMilliseconds: 5000}}, async trial => {
 	const jobs = Array.from({length: callers}, (_, caller) => ({name: `job-${caller}`, tasks: 4, runMilliseconds: 40}));
@@ -99,7 +99,7 @@
 });
 
 /**
-Jobs are looked at while the platform or their holder is out of reach.
+Jobs are queried and submitted again while the platform is down or bytes between two instances are lost.
 */
 export const outOfReachHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {}, async trial => {
 	const jobs = Array.from({length: callers}, (_, caller) => ({name: `job-${caller}`, tasks: 2}));
