--- a/packages/trials/src/process/document-histories.ts
+++ b/packages/trials/src/process/document-histories.ts
@@ -32,9 +32,9 @@
 };
 
 /**
-Creates a history in which documents are accepted while one daemon sees the platform badly.
+Creates a history in which documents are accepted while one daemon has a faulty view of the platform.
 
-@param disturb Called after the first documents are in force.
+@param disturb Injects the fault; called when the first documents are in force.
 */
 const createPlatformFaultHistory = (disturb: (fleet: Fleet, instance: string) => void): FaultHistory => async (history, random) => {
 	const fleet = await startDocumentFleet();
@@ -60,7 +60,7 @@
 };
 
 const platformWhole = createPlatformFaultHistory(() => {
-	// Nothing fails.
+	// Baseline without a fault.
 });
 
 const staleReads = createPlatformFaultHistory((fleet, instance) => {
@@ -74,7 +74,7 @@
 const learnedFromPeerOnly = createPlatformFaultHistory(cutFromPlatform);
 
 /**
-Restarts a daemon while the platform is down; the new one gets the documents from its peer.
+Kills and restarts a daemon while the platform is down: the new process must fetch the documents from its peer.
 */
 const restartInOutage: FaultHistory = async (history, random) => {
 	const fleet = await startDocumentFleet();
@@ -93,7 +93,7 @@
 		const violations = await watch.stop();
 		return first!.catalogueVersion === second!.catalogueVersion
 			? violations
-			: [...violations, {point: ProvePoint.DocumentInForce, detail: `${daemon.instance} is ready with another catalogue than its peer's`}];
+			: [...violations, {point: ProvePoint.DocumentInForce, detail: `${daemon.instance} became ready with a catalogue version that differs from its peer's`}];
 	} finally {
 		await fleet.stop();
 	}
@@ -121,7 +121,7 @@
 	const losers = attempts.filter(({fault}) => fault === FaultKind.DocumentConflict);
 	return winners.length === 1 && losers.length === attempts.length - 1
 		? []
-		: [{point: ProvePoint.DocumentInForce, detail: `of ${attempts.length} operators of "${service}" ${winners.length} won and ${losers.length} were told of the conflict`}];
+		: [{point: ProvePoint.DocumentInForce, detail: `of ${attempts.length} operators of "${service}" ${winners.length} succeeded and ${losers.length} got a document conflict`}];
 };
 
 const checkKept = async (fleet: Fleet, won: ReadonlyMap<number, string>): Promise<readonly Violation[]> => {
@@ -129,11 +129,11 @@
 	const kept = new Set(entries.flat().map(({version}) => version));
 	return [...won]
 		.filter(([version]) => !kept.has(version))
-		.map(([version, service]) => ({point: ProvePoint.DocumentInForce, detail: `version ${version} of "${service}" was accepted and is not in the history`}));
+		.map(([version, service]) => ({point: ProvePoint.DocumentInForce, detail: `version ${version} of "${service}" was accepted but is missing from the document history`}));
 };
 
 /**
-Lets operators accept the same document from the same version at the same moment, some with the platform's answer lost.
+Lets two operators change the same document from the same version at the same time, in some rounds with one lost answer of the platform. Exactly one must succeed.
 */
 const raceOperators = async (fleet: Fleet, history: History, watch: VersionWatch, random: Random): Promise<readonly Violation[]> => {
 	const won = new Map<number, string>();
@@ -171,6 +171,6 @@
 };
 
 /**
-Histories of documents that are accepted.
+Histories in which documents are accepted and must come into force on every daemon.
 */
 export const documentHistories: readonly FaultHistory[] = [platformWhole, staleReads, staleScans, learnedFromPeerOnly, restartInOutage, operatorsRace];
--- a/packages/trials/src/process/leaving-histories.ts
+++ b/packages/trials/src/process/leaving-histories.ts
@@ -23,17 +23,17 @@
 };
 
 /**
-Checks that an endpoint worked before it was listed as leaving; otherwise the history shows nothing.
+Checks that an endpoint received tasks before it was listed as leaving; otherwise the history proves nothing.
 */
 const checkWorkedBefore = (fleet: Fleet, name: string, listedAt: number): readonly Violation[] => {
 	const {standIn} = fleet.endpoints.find(endpoint => endpoint.name === name)!;
-	return standIn.starts().some(({startedAt}) => startedAt < listedAt) ? [] : [{point: ProvePoint.LeavingEndpoint, detail: `${name} had no work before it was listed as leaving`}];
+	return standIn.starts().some(({startedAt}) => startedAt < listedAt) ? [] : [{point: ProvePoint.LeavingEndpoint, detail: `${name} received no tasks before it was listed as leaving`}];
 };
 
 /**
 Creates a history in which an endpoint leaves under load.
 
-@param disturb Called before the endpoint is listed as leaving; what it returns is called a second later.
+@param disturb Injects the first fault; called just before the endpoint is listed as leaving. The function it returns is called one second later.
 */
 const createLeavingHistory = (disturb: (fleet: Fleet) => (() => void)): FaultHistory => async (history, random) => {
 	const fleet = await startLeavingFleet();
@@ -41,7 +41,7 @@
 		const instances = fleet.daemons.map(({instance}) => instance);
 		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, mostPauseMilliseconds: 10, random});
 		await sleep(warmMilliseconds);
-		// The second daemon is the one that is disturbed, and it owns the slots of its zone.
+		// Faults of a single daemon affect the second one, which owns the slots of its zone.
 		const {name, address} = random.pick(fleet.endpoints.filter(({zone}) => zone === fleet.daemons[1]!.zone));
 		const disturbLater = disturb(fleet);
 		fleet.list({leaving: [name]});
@@ -59,7 +59,7 @@
 };
 
 const doNothing = (): void => {
-	// The list alone tells.
+	// No second fault.
 };
 
 const viewOf = (fleet: Fleet, position: number): string => fleet.links!.platformView.get(fleet.daemons[position]!.instance)!;
@@ -88,7 +88,7 @@
 });
 
 /**
-Replaces a leaving endpoint by another run at the same address, which has to get work again.
+Replaces a leaving endpoint by a new incarnation at the same address, which must receive tasks again.
 */
 const restartAtSameAddress: FaultHistory = async (history, random) => {
 	const fleet = await startLeavingFleet();
@@ -111,13 +111,13 @@
 		const hasWorkAgain = standIn.starts().some(({startedAt}) => startedAt > mark.restartedAt);
 		return hasWorkAgain
 			? checkWorkedBefore(fleet, name, mark.listedAt)
-			: [{point: ProvePoint.LeavingEndpoint, detail: `${name} was started anew and got no work within ${restartedWorkMilliseconds} ms`}];
+			: [{point: ProvePoint.LeavingEndpoint, detail: `${name} was restarted and received no tasks within ${restartedWorkMilliseconds} ms`}];
 	} finally {
 		await fleet.stop();
 	}
 };
 
 /**
-Histories of endpoints that leave.
+Histories in which an endpoint leaves the fleet.
 */
 export const leavingHistories: readonly FaultHistory[] = [listedAtOnce, listLagsForOne, oneCutFromPlatform, markVanishes, restartAtSameAddress];
--- a/packages/trials/src/process/outage-histories.ts
+++ b/packages/trials/src/process/outage-histories.ts
@@ -21,7 +21,7 @@
 const leastShareOfRate = 0.99;
 const platformTimeoutMilliseconds = 500;
 
-/** Length of each outage; longer runs set it. */
+/** Length of each outage; set OUTAGE_MILLISECONDS for longer ones. */
 const outageMilliseconds = Number(process.env.OUTAGE_MILLISECONDS ?? defaultOutageMilliseconds);
 
 const startOutageFleet = async (): Promise<Fleet> => {
@@ -34,7 +34,7 @@
 };
 
 /**
-Starts requests without identifier and jobs with a minted one, through all daemons or one.
+Starts an open load of single requests without identifier and of jobs whose identifiers the daemons mint, through the given instances (all by default).
 */
 const startLoads = (fleet: Fleet, history: History, instances = fleet.daemons.map(({instance}) => instance)): readonly CallerLoad[] => {
 	const shape = {service, instances, runMilliseconds: 20};
@@ -48,7 +48,7 @@
 	operations.filter(({outcome}) => outcome === Outcome.Complete).length / operations.length;
 
 /**
-Checks that the share of requests with a whole answer during the outage is at least 99% of that before.
+Checks that the share of requests with a complete answer during the outage is at least 99% of the share before it.
 */
 const checkRate = (operations: readonly CallerOperation[], from: number, to: number): readonly Violation[] => {
 	const before = shareComplete(operations.filter(({sentAt}) => sentAt < from));
@@ -56,14 +56,14 @@
 	const share = shareComplete(during);
 	return share >= before * leastShareOfRate
 		? []
-		: [{point: ProvePoint.PlatformOutage, detail: `${(100 * share).toFixed(1)}% of ${during.length} requests were answered during the outage, ${(100 * before).toFixed(1)}% before it`}];
+		: [{point: ProvePoint.PlatformOutage, detail: `${(100 * share).toFixed(1)}% of ${during.length} requests were answered completely during the outage, ${(100 * before).toFixed(1)}% before it`}];
 };
 
 /**
-Creates a history in which something fails for a time while callers send at a fixed rate.
+Creates a history in which a fault lasts for `outageMilliseconds` while callers send at a fixed rate.
 
-@param fail Brings the failure about.
-@param restore Ends it.
+@param fail Injects the fault.
+@param restore Ends the fault.
 */
 const createOutageHistory = (fail: (fleet: Fleet) => void, restore: (fleet: Fleet) => void): FaultHistory => async history => {
 	const fleet = await startOutageFleet();
@@ -156,7 +156,7 @@
 		proxy.silenceOpen();
 	}
 }, () => {
-	// The connections stay silent for good.
+	// The silenced connections are not restored.
 });
 
 const ownedBy = async (fleet: Fleet, position: number): Promise<number> => {
@@ -180,7 +180,7 @@
 const takeoverMilliseconds = 4000;
 
 /**
-Freezes a daemon for longer than any timeout: the other takes its slots, and shares them again once it goes on.
+Freezes a daemon for longer than any time-out: the other daemon must take over its slots, and share them again when the first one resumes.
 */
 const daemonFrozen: FaultHistory = async history => {
 	const fleet = await startOutageFleet();
@@ -200,8 +200,8 @@
 		collectStarts(fleet, history);
 		return [
 			...operations.flatMap(ofLoad => checkRate(ofLoad, from, to)),
-			...hasTaken ? [] : [{point: ProvePoint.PlatformOutage, detail: `the slots of the frozen daemon were not taken within ${takeoverMilliseconds} ms`}],
-			...hasShared ? [] : [{point: ProvePoint.PlatformOutage, detail: `the slots were not shared again within ${takeoverMilliseconds} ms`}],
+			...hasTaken ? [] : [{point: ProvePoint.PlatformOutage, detail: `the slots of the frozen daemon were not taken over within ${takeoverMilliseconds} ms`}],
+			...hasShared ? [] : [{point: ProvePoint.PlatformOutage, detail: `the slots were not shared again after the daemon resumed, within ${takeoverMilliseconds} ms`}],
 		];
 	} finally {
 		frozen.signal('SIGCONT');
@@ -210,7 +210,7 @@
 };
 
 /**
-Histories in which the platform, links between zones or a daemon fail for a time.
+Histories in which the platform, the links between zones or a daemon fail for a limited time.
 */
 export const outageHistories: readonly FaultHistory[] = [
 	platformDown, platformSlow, platformHalfOpen, zonesCut, zonesCutSilently, zonesCutFromAll, zonesCutOneWay, peerConnectionsSilent, daemonFrozen,
--- a/packages/trials/src/process/shutdown-histories.ts
+++ b/packages/trials/src/process/shutdown-histories.ts
@@ -37,13 +37,13 @@
 };
 
 /**
-Starts callers behind the balancer: some keep their connections and pause for up to longer than the idle time that they were told, some open one for each request.
+Starts callers that send through the load balancer. Some keep their connections and pause for up to twice the idle limit that the server announces; others open a connection for each request.
 */
 const startBalancedLoad = (fleet: Fleet, history: History, random: Random): readonly CallerLoad[] => {
 	const shape = {
 		service, instances: [fleet.daemons[0]!.instance], address: fleet.balancer.address, runMilliseconds: 20,
 	};
-	// A client must give up an idle connection before the server does, as the answer's Keep-Alive header tells it.
+	// A client must close an idle connection before the server does; the Keep-Alive header of the answer announces the limit.
 	const agents = Array.from({length: 10}, () => new Agent({keepAlive: true, maxSockets: 1}));
 	return [
 		startClosedLoad(fleet, history, shape, {
@@ -67,16 +67,16 @@
 };
 
 /**
-Waits until a daemon has ended, and checks that it says to have cut nothing.
+Waits until a daemon has exited, and checks that its exit code is 0, which reports that it aborted no request.
 */
 const checkExit = async (fleet: Fleet, instance: string): Promise<readonly Violation[]> => {
 	const daemon = fleet.daemons.find(candidate => candidate.instance === instance)!;
-	const exit = await Promise.race([daemon.exited, sleep(exitTimeoutMilliseconds, 'no exit in time', {ref: false})]);
-	return exit === 0 ? [] : [{point: ProvePoint.GracefulShutdown, detail: `${instance} ended with ${exit}`}];
+	const exit = await Promise.race([daemon.exited, sleep(exitTimeoutMilliseconds, 'no exit code before the time-out', {ref: false})]);
+	return exit === 0 ? [] : [{point: ProvePoint.GracefulShutdown, detail: `${instance} exited with ${exit}`}];
 };
 
 /**
-Stops a daemon that callers reach through the balancer and that runs a job longer than its announcement; the signal comes twice.
+Stops a daemon that receives requests through the load balancer and runs a job that takes longer than the announcement of the shutdown. The signal is sent twice.
 */
 const stopUnderLoad: FaultHistory = async (history, random) => {
 	const fleet = await startShutdownFleet();
@@ -102,7 +102,7 @@
 };
 
 /**
-Replaces every daemon in turn under load.
+Stops and restarts every daemon in turn under load.
 */
 const replaceAll: FaultHistory = async (history, random) => {
 	const fleet = await startShutdownFleet();
@@ -131,7 +131,7 @@
 };
 
 /**
-Stops a daemon that has more work than slots and borrows the other's.
+Stops a daemon that has more tasks than slots and borrows slots from its peer.
 */
 const stopBorrower: FaultHistory = async (history, random) => {
 	const fleet = await startShutdownFleet();
@@ -144,14 +144,14 @@
 		await sleep(announceMilliseconds / 2);
 		const violations = [...await stopLoads([load]), ...await checkExit(fleet, instance)];
 		collectStarts(fleet, history);
-		return borrowed > 0 ? violations : [...violations, {point: ProvePoint.GracefulShutdown, detail: 'no slot was borrowed before the stop; the history shows nothing'}];
+		return borrowed > 0 ? violations : [...violations, {point: ProvePoint.GracefulShutdown, detail: 'no slot was borrowed before the shutdown; the history proves nothing'}];
 	} finally {
 		await fleet.stop();
 	}
 };
 
 /**
-Slots that a daemon has lent and tasks that wait on it.
+Returns the number of slots that a daemon has lent and the number of tasks that wait in its queue.
 */
 const slotUseOf = async (fleet: Fleet, position: number): Promise<{readonly lent: number; readonly waiting: number}> => {
 	const {services} = await fleet.daemons[position]!.status() as DaemonStatus;
@@ -162,14 +162,14 @@
 };
 
 /**
-Sends as many requests through a daemon as it owns slots, each longer than the announcement. With some of the slots lent, a part of them has to wait.
+Sends as many requests through a daemon as it owns slots, each longer than the announcement of the shutdown. Some must wait if slots are lent.
 */
 const sendLong = (fleet: Fleet, history: History, instance: string): ReadonlyArray<Promise<CallerOperation>> => Array.from({length: slots}, async (_, position) => recordSubmission(fleet, history, {
 	identifier: '', service, tasks: [`single-long-${position}`], runMilliseconds: announceMilliseconds * 1.5, instance,
 }));
 
 /**
-Stops a daemon that has lent slots, while requests of its own run on the others and wait for those that it gets back: it keeps its slots until all have their answers, and the borrower goes on.
+Stops a daemon that has lent slots while its own requests occupy its other slots or wait for returned ones: it must keep its slots until every request is answered, and the borrower must continue to work.
 */
 const stopLender: FaultHistory = async (history, random) => {
 	const fleet = await startShutdownFleet();
@@ -189,13 +189,13 @@
 		collectStarts(fleet, history);
 		return lent > 0 && waiting > 0
 			? violations
-			: [...violations, {point: ProvePoint.GracefulShutdown, detail: `${lent} slots were lent and ${waiting} tasks waited at the stop; the history shows nothing`}];
+			: [...violations, {point: ProvePoint.GracefulShutdown, detail: `${lent} slots were lent and ${waiting} tasks waited at the shutdown; the history proves nothing`}];
 	} finally {
 		await fleet.stop();
 	}
 };
 
 /**
-Histories of daemons that are told to stop.
+Histories in which daemons are shut down gracefully.
 */
 export const shutdownHistories: readonly FaultHistory[] = [stopUnderLoad, replaceAll, stopBorrower, stopLender];
