--- a/packages/trials/src/process/leaving-histories.ts
+++ b/packages/trials/src/process/leaving-histories.ts
@@ -111,7 +111,7 @@
 		const hasWorkAgain = standIn.starts().some(({startedAt}) => startedAt > mark.restartedAt);
 		return hasWorkAgain
 			? checkWorkedBefore(fleet, name, mark.listedAt)
-			: [{point: ProvePoint.LeavingEndpoint, detail: `${name} was restarted and received no tasks within ${restartedWorkMilliseconds} ms`}];
+			: [{point: ProvePoint.LeavingEndpoint, detail: `${name} was started anew and got no work within ${restartedWorkMilliseconds} ms`}];
 	} finally {
 		await fleet.stop();
 	}
