--- a/packages/trials/src/process/answer-histories.ts
+++ b/packages/trials/src/process/answer-histories.ts
@@ -13,7 +13,7 @@
 const callers = 12;
 const requestsOfCaller = 6;
 const longJobsOfCaller = 3;
-const longestPauseMilliseconds = 500;
+const maximumPauseMilliseconds = 500;
 // Below and above the size up to which a daemon buffers an answer before it forwards it (limits.bufferedBodyBytes, 1 MiB by default).
 const longAnswers = [900_000, 1_500_000, 2_500_000];
 
@@ -98,7 +98,7 @@
 				const job = {name: `job-${caller}-${round}`, tasks: 3, answerBytes: trial.random.pick(longAnswers)};
 				await trial.submit({...job, instance: trial.random.pick(trial.instances)});
 				await trial.submit({...job, instance: trial.random.pick(trial.instances)});
-				await trial.wait(longestPauseMilliseconds);
+				await trial.wait(maximumPauseMilliseconds);
 			}
 		}),
 	]);
--- a/packages/trials/src/process/refusal-histories.ts
+++ b/packages/trials/src/process/refusal-histories.ts
@@ -101,7 +101,7 @@
 /**
 Jobs are queried and submitted again while the platform is down or bytes between two instances are lost.
 */
-export const outOfReachHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {}, async trial => {
+export const unreachableHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {}, async trial => {
 	const jobs = Array.from({length: callers}, (_, caller) => ({name: `job-${caller}`, tasks: 2}));
 	await Promise.all(jobs.map(async job => trial.submit({...job, instance: pickInstance(trial)})));
 	await Promise.all([
--- a/packages/trials/src/process/shutdown-histories.ts
+++ b/packages/trials/src/process/shutdown-histories.ts
@@ -18,7 +18,7 @@
 const exitTimeoutMilliseconds = 15_000;
 const readyTimeoutMilliseconds = 15_000;
 const slots = 8;
-const longestQueueMilliseconds = 10_000;
+const queueLimitMilliseconds = 10_000;
 
 const settings = {
 	peers: {heartbeatMilliseconds: 100},
@@ -174,7 +174,7 @@
 const stopLender: FaultHistory = async (history, random) => {
 	const fleet = await startShutdownFleet();
 	try {
-		await fleet.accept(service, document => ({...document, maximumQueueMilliseconds: longestQueueMilliseconds}));
+		await fleet.accept(service, document => ({...document, maximumQueueMilliseconds: queueLimitMilliseconds}));
 		await sleep(inForceMilliseconds);
 		const load = startBorrowing(fleet, history, random);
 		await sleep(700);
--- a/packages/trials/src/process/submission-histories.ts
+++ b/packages/trials/src/process/submission-histories.ts
@@ -7,7 +7,7 @@
 	expiredAnswersHistory, keyedHistory, killHistories, pauseHistory, raceHistory,
 } from './holder-histories.js';
 import {
-	cancelWaveHistory, outOfReachHistory, overloadHistory, pausedQueueHistory,
+	cancelWaveHistory, unreachableHistory, overloadHistory, pausedQueueHistory,
 } from './refusal-histories.js';
 
 /**
@@ -17,6 +17,6 @@
 	startsOnce: [...killHistories, pauseHistory, raceHistory, expiredAnswersHistory],
 	jobWhole: [failingEndpointsHistory, longJobHistory],
 	wholeAnswer: [crossedAnswersHistory, longAnswerHistory],
-	trueRefusal: [overloadHistory, pausedQueueHistory, cancelWaveHistory, outOfReachHistory, brokenRequestHistory],
+	trueRefusal: [overloadHistory, pausedQueueHistory, cancelWaveHistory, unreachableHistory, brokenRequestHistory],
 	atMostOnce: [keyedHistory, nonIdempotentHistory, mixedIdempotencyHistory],
 };
