--- a/packages/trials/src/process/answer-histories.ts
+++ b/packages/trials/src/process/answer-histories.ts
@@ -3,8 +3,8 @@
 import {EndpointBehaviour} from '@galenakeel/stand-ins/process/endpoint-stand-in.js';
 import {ProvePoint} from '../version/prove-point.js';
 import {
-	disturb, disturbEndpoints, killEndpoint, misbehave, silenceCallers, silenceEndpoint,
-} from './disturbances.js';
+	injectRandomFault, injectEndpointFaults, killEndpoint, injectBehaviour, silenceCallers, silenceEndpoint,
+} from './fault-injections.js';
 import type {FaultHistory} from './fault-history.js';
 import {
 	createTrialHistory, idempotentService, runCallers, trialService, type Trial,
@@ -13,12 +13,12 @@
 const callers = 12;
 const requestsOfCaller = 6;
 const longJobsOfCaller = 3;
-const longestPauseMilliseconds = 500;
-// Above and below the bound up to which an answer is held before it is passed on.
+const maximumPauseMilliseconds = 500;
+// Below and above the size up to which a daemon buffers an answer before it forwards it (limits.bufferedBodyBytes, 1 MiB by default).
 const longAnswers = [900_000, 1_500_000, 2_500_000];
 
 /**
-Callers with a connection of their own send single requests one after the other, some of which run longer than their time-out.
+Callers, each with its own connection, send single requests one after the other. Some requests run longer than their time-out.
 */
 const sendSingles = async (trial: Trial, service: string): Promise<void> => runCallers(trial, callers, 200, async caller => {
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
@@ -32,31 +32,31 @@
 });
 
 const createSinglesHistory = (point: ProvePoint): FaultHistory => createTrialHistory(point, {}, async trial => {
-	await Promise.all([disturbEndpoints(trial), disturb(trial), sendSingles(trial, trialService)]);
+	await Promise.all([injectEndpointFaults(trial), injectRandomFault(trial), sendSingles(trial, trialService)]);
 });
 
 /**
-Endpoints fail in every way while callers reuse their connections: no answer may be cut or meet another request.
+Endpoints fail in every way while callers reuse their connections: no answer may be truncated or matched to another request.
 */
-export const crossedHistory: FaultHistory = createSinglesHistory(ProvePoint.WholeAnswer);
+export const crossedAnswersHistory: FaultHistory = createSinglesHistory(ProvePoint.WholeAnswer);
 
 /**
-Endpoints fail in every way: a request that may start once is never sent again.
+Endpoints fail in every way: a request that isn't idempotent must never be sent again.
 */
-export const unrepeatableHistory: FaultHistory = createSinglesHistory(ProvePoint.AtMostOnce);
+export const nonIdempotentHistory: FaultHistory = createSinglesHistory(ProvePoint.AtMostOnce);
 
 /**
-Requests that may be sent again share the endpoints with some that may not.
+Idempotent requests, which may be retried, share the endpoints with requests that must not be retried.
 */
-export const mixedHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
-	await Promise.all([disturbEndpoints(trial), sendSingles(trial, trialService), sendSingles(trial, idempotentService)]);
+export const mixedIdempotencyHistory: FaultHistory = createTrialHistory(ProvePoint.AtMostOnce, {}, async trial => {
+	await Promise.all([injectEndpointFaults(trial), sendSingles(trial, trialService), sendSingles(trial, idempotentService)]);
 });
 
 /**
-Long answers are passed on while their endpoints or callers fail.
+Long answers are forwarded while their endpoints or callers fail.
 */
 export const longAnswerHistory: FaultHistory = createTrialHistory(ProvePoint.WholeAnswer, {}, async trial => {
-	const fail = trial.random.pick([killEndpoint, misbehave(EndpointBehaviour.HalfAnswer), silenceEndpoint, silenceCallers]);
+	const fail = trial.random.pick([killEndpoint, injectBehaviour(EndpointBehaviour.HalfAnswer), silenceEndpoint, silenceCallers]);
 	await Promise.all([
 		(async () => {
 			await trial.wait(150);
@@ -64,7 +64,7 @@
 		})(),
 		runCallers(trial, callers, 200, async caller => {
 			await trial.submit({
-				name: `long-${caller}`, instance: trial.random.pick(trial.instances), answerBytes: trial.random.pick(longAnswers), patienceMilliseconds: 1500,
+				name: `long-${caller}`, instance: trial.random.pick(trial.instances), answerBytes: trial.random.pick(longAnswers), callerTimeoutMilliseconds: 1500,
 			});
 		}),
 	]);
@@ -72,12 +72,12 @@
 });
 
 /**
-Jobs run on endpoints that fail in every way: their answer is whole or failed.
+Jobs run on endpoints that fail in every way: the answer of a job is complete or reports a failure.
 */
 export const failingEndpointsHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
 	await Promise.all([
-		disturbEndpoints(trial),
-		disturb(trial),
+		injectEndpointFaults(trial),
+		injectRandomFault(trial),
 		runCallers(trial, callers, 400, async caller => {
 			const job = {name: `job-${caller}`, tasks: 6};
 			await trial.submit({...job, instance: trial.random.pick(trial.instances)});
@@ -88,17 +88,17 @@
 });
 
 /**
-Jobs with long answers are submitted to one instance and repeated at another, while endpoints fail and afterwards.
+Jobs with long answers are submitted and then submitted again, each time to a random instance, during and after endpoint faults.
 */
 export const longJobHistory: FaultHistory = createTrialHistory(ProvePoint.JobWhole, {}, async trial => {
 	await Promise.all([
-		disturbEndpoints(trial),
+		injectEndpointFaults(trial),
 		runCallers(trial, 6, 200, async caller => {
 			for (let round = 0; round < longJobsOfCaller; round++) {
 				const job = {name: `job-${caller}-${round}`, tasks: 3, answerBytes: trial.random.pick(longAnswers)};
 				await trial.submit({...job, instance: trial.random.pick(trial.instances)});
 				await trial.submit({...job, instance: trial.random.pick(trial.instances)});
-				await trial.wait(longestPauseMilliseconds);
+				await trial.wait(maximumPauseMilliseconds);
 			}
 		}),
 	]);
--- a/packages/trials/src/process/leaving-histories.ts
+++ b/packages/trials/src/process/leaving-histories.ts
@@ -23,25 +23,25 @@
 };
 
 /**
-Checks that an endpoint worked before it was listed as leaving; otherwise the history shows nothing.
+Checks that an endpoint received tasks before it was listed as leaving; otherwise the history proves nothing.
 */
 const checkWorkedBefore = (fleet: Fleet, name: string, listedAt: number): readonly Violation[] => {
 	const {standIn} = fleet.endpoints.find(endpoint => endpoint.name === name)!;
-	return standIn.starts().some(({startedAt}) => startedAt < listedAt) ? [] : [{point: ProvePoint.LeavingEndpoint, detail: `${name} had no work before it was listed as leaving`}];
+	return standIn.starts().some(({startedAt}) => startedAt < listedAt) ? [] : [{point: ProvePoint.LeavingEndpoint, detail: `${name} received no tasks before it was listed as leaving`}];
 };
 
 /**
 Creates a history in which an endpoint leaves under load.
 
-@param disturb Called before the endpoint is listed as leaving; what it returns is called a second later.
+@param disturb Injects the first fault; called just before the endpoint is listed as leaving. The function it returns is called one second later.
 */
-const leaveUnderLoad = (disturb: (fleet: Fleet) => (() => void)): FaultHistory => async (history, random) => {
+const createLeavingHistory = (disturb: (fleet: Fleet) => (() => void)): FaultHistory => async (history, random) => {
 	const fleet = await startLeavingFleet();
 	try {
 		const instances = fleet.daemons.map(({instance}) => instance);
 		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, mostPauseMilliseconds: 10, random});
 		await sleep(warmMilliseconds);
-		// The second daemon is the one that is disturbed, and it owns the slots of its zone.
+		// Faults of a single daemon affect the second one, which owns the slots of its zone.
 		const {name, address} = random.pick(fleet.endpoints.filter(({zone}) => zone === fleet.daemons[1]!.zone));
 		const disturbLater = disturb(fleet);
 		fleet.list({leaving: [name]});
@@ -59,26 +59,26 @@
 };
 
 const doNothing = (): void => {
-	// The list alone tells.
+	// No second fault.
 };
 
 const viewOf = (fleet: Fleet, position: number): string => fleet.links!.platformView.get(fleet.daemons[position]!.instance)!;
 
-const listedAtOnce = leaveUnderLoad(() => doNothing);
+const listedAtOnce = createLeavingHistory(() => doNothing);
 
-const listLagsForOne = leaveUnderLoad(fleet => {
+const listLagsForOne = createLeavingHistory(fleet => {
 	fleet.platform.overrideList(viewOf(fleet, 1), fleet.platform.listed());
 	return doNothing;
 });
 
-const oneCutFromPlatform = leaveUnderLoad(fleet => {
+const oneCutFromPlatform = createLeavingHistory(fleet => {
 	const proxy = fleet.links!.toPlatform.get(fleet.daemons[1]!.instance)!;
 	proxy.faults.isRefusing = true;
 	proxy.resetConnections();
 	return doNothing;
 });
 
-const markVanishes = leaveUnderLoad(fleet => {
+const markVanishes = createLeavingHistory(fleet => {
 	const before = fleet.platform.listed();
 	return () => {
 		for (const position of fleet.daemons.keys()) {
@@ -88,7 +88,7 @@
 });
 
 /**
-Replaces a leaving endpoint by another run at the same address, which has to get work again.
+Replaces a leaving endpoint by a new incarnation at the same address, which must receive tasks again.
 */
 const restartAtSameAddress: FaultHistory = async (history, random) => {
 	const fleet = await startLeavingFleet();
@@ -118,6 +118,6 @@
 };
 
 /**
-Histories of endpoints that leave.
+Histories in which an endpoint leaves the fleet.
 */
 export const leavingHistories: readonly FaultHistory[] = [listedAtOnce, listLagsForOne, oneCutFromPlatform, markVanishes, restartAtSameAddress];
--- a/packages/trials/src/process/refusal-histories.ts
+++ b/packages/trials/src/process/refusal-histories.ts
@@ -2,8 +2,8 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import {ProvePoint} from '../version/prove-point.js';
 import {
-	cutOneWay, disturb, disturbEndpoints, stopPlatform,
-} from './disturbances.js';
+	blockOneWay, injectRandomFault, injectEndpointFaults, stopPlatform,
+} from './fault-injections.js';
 import type {FaultHistory} from './fault-history.js';
 import {recordInspection} from './history-recorder.js';
 import {
@@ -12,17 +12,17 @@
 
 const callers = 30;
 const pauseMilliseconds = 500;
-// Every fourth job may wait for longer than the pause.
+// Every fourth job has a deadline beyond the pause.
 const patientJobs = 4;
 const patientDeadlineMilliseconds = 2000;
-// Longer than the clocks' steps, so that a repeat's start is later than the refusal's end.
+// Longer than the resolution of the clocks, so that the next attempt starts measurably after the refusal.
 const betweenAttemptsMilliseconds = 5;
 const fewSlots = {slots: 2};
 
 const pickInstance = ({random, instances}: Trial): string => random.pick(instances);
 
 /**
-Submits a job again after each refusal, through any instance.
+Submits a job through a random instance until it isn't refused, at most four times.
 */
 const submitUntilRun = async (trial: Trial, job: Omit<TrialSubmission, 'instance'>): Promise<void> => {
 	for (let attempt = 0; attempt < 4; attempt++) {
@@ -40,12 +40,12 @@
 });
 
 /**
-More jobs come than the endpoints can take before their deadlines, and endpoints fail in every way.
+More jobs arrive than the endpoints can run before their deadlines, and endpoints fail in every way.
 */
 export const overloadHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots, document: {maximumQueueMilliseconds: 100}}, async trial => {
 	await Promise.all([
-		disturb(trial),
-		disturbEndpoints(trial),
+		injectRandomFault(trial),
+		injectEndpointFaults(trial),
 		runCallers(trial, callers, 200, async caller => submitUntilRun(trial, shortJob(trial, caller))),
 		runCallers(trial, callers, 200, async caller => {
 			await trial.submit({name: `request-${caller}`, instance: pickInstance(trial), deadlineMilliseconds: trial.random.integer(30, 300)});
@@ -54,7 +54,7 @@
 });
 
 /**
-An instance with waiting tasks is paused beyond their deadlines.
+An instance with queued tasks is paused beyond the deadlines of most of them.
 */
 export const pausedQueueHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots}, async trial => {
 	const pause = async (): Promise<void> => {
@@ -67,7 +67,7 @@
 
 	await Promise.all([
 		pause(),
-		disturb(trial),
+		injectRandomFault(trial),
 		runCallers(trial, callers, 200, async caller => {
 			const job = shortJob(trial, caller);
 			await submitUntilRun(trial, caller % patientJobs === 0 ? {...job, deadlineMilliseconds: patientDeadlineMilliseconds} : job);
@@ -76,7 +76,7 @@
 });
 
 /**
-Jobs are cancelled all at once, through any instance, and submitted again.
+All jobs are cancelled at the same time, through random instances, and submitted again.
 */
 export const cancelWaveHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {size: fewSlots, document: {maximumQueueMilliseconds: 5000}}, async trial => {
 	const jobs = Array.from({length: callers}, (_, caller) => ({name: `job-${caller}`, tasks: 4, runMilliseconds: 40}));
@@ -89,7 +89,7 @@
 
 	await Promise.all([
 		cancelAll(),
-		disturb(trial),
+		injectRandomFault(trial),
 		...jobs.map(async job => {
 			await trial.submit({...job, instance: pickInstance(trial)});
 			await sleep(betweenAttemptsMilliseconds);
@@ -99,13 +99,13 @@
 });
 
 /**
-Jobs are looked at while the platform or their holder is out of reach.
+Jobs are queried and submitted again while the platform is down or bytes between two instances are lost.
 */
-export const outOfReachHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {}, async trial => {
+export const unreachableHistory: FaultHistory = createTrialHistory(ProvePoint.TrueRefusal, {}, async trial => {
 	const jobs = Array.from({length: callers}, (_, caller) => ({name: `job-${caller}`, tasks: 2}));
 	await Promise.all(jobs.map(async job => trial.submit({...job, instance: pickInstance(trial)})));
 	await Promise.all([
-		trial.random.pick([stopPlatform, cutOneWay])(trial),
+		trial.random.pick([stopPlatform, blockOneWay])(trial),
 		...jobs.map(async job => {
 			await trial.wait(300);
 			await recordInspection(trial.fleet, trial.history, {
--- a/packages/trials/src/process/version-watch.ts
+++ b/packages/trials/src/process/version-watch.ts
@@ -5,32 +5,32 @@
 import {ProvePoint} from '../version/prove-point.js';
 import type {Fleet} from './fleet.js';
 
-const lookMilliseconds = 20;
+const pollIntervalMilliseconds = 20;
 const usualLimitMilliseconds = 2000;
 const usualShare = 0.99;
-const longestMilliseconds = 4000;
+const absoluteLimitMilliseconds = 4000;
 
-type Sighting = {readonly instance: string; readonly service: string; readonly version: number; readonly at: number};
+type ObservedVersion = {readonly instance: string; readonly service: string; readonly version: number; readonly at: number};
 
 /**
-Looks at the versions in force on daemons until it is stopped.
+Polls the document versions in force on daemons until it is stopped.
 */
 export type VersionWatch = {
-	/** Remembers that a document was accepted; it has to come into force on the watched daemons. */
+	/** Registers an accepted document, which must come into force on all watched daemons within the limits. */
 	readonly expect: (service: string, version: number, sentAt: number) => void;
-	/** Ends the looks, and checks the times against the limits. */
+	/** Stops polling, and checks the propagation delays against the limits. */
 	readonly stop: () => Promise<readonly Violation[]>;
 };
 
 /**
-Starts to watch daemons. Each look is also recorded in the history.
+Starts to poll daemons. Each observed version is also recorded in the history.
 */
 export const startVersionWatch = (fleet: Fleet, history: History, instances: readonly string[]): VersionWatch => {
-	const sightings: Sighting[] = [];
-	const expected: Array<Omit<Sighting, 'instance' | 'at'> & {readonly sentAt: number}> = [];
+	const sightings: ObservedVersion[] = [];
+	const expected: Array<Omit<ObservedVersion, 'instance' | 'at'> & {readonly sentAt: number}> = [];
 	const stopping = new AbortController();
 
-	const look = async (instance: string): Promise<void> => {
+	const observe = async (instance: string): Promise<void> => {
 		const daemon = fleet.daemons.find(candidate => candidate.instance === instance)!;
 		const {incarnation, catalogueVersion, documents} = await daemon.status() as DaemonStatus;
 		const at = Date.now();
@@ -46,12 +46,12 @@
 	const watch = async (instance: string): Promise<void> => {
 		while (!stopping.signal.aborted && !fleet.stopped.aborted) {
 			try {
-				await look(instance);
+				await observe(instance);
 			} catch {
-				// The daemon is being replaced.
+				// The daemon can't be reached while it is being replaced.
 			}
 
-			await sleep(lookMilliseconds);
+			await sleep(pollIntervalMilliseconds);
 		}
 	};
 
@@ -77,9 +77,9 @@
 const checkDelays = (delays: readonly number[]): readonly Violation[] => {
 	const late = delays.filter(delay => delay > usualLimitMilliseconds);
 	const worst = Math.max(0, ...delays);
-	if (worst > longestMilliseconds || late.length > delays.length * (1 - usualShare)) {
-		return [{point: ProvePoint.DocumentInForce, detail: `${late.length} of ${delays.length} documents took longer than ${usualLimitMilliseconds} ms to be in force, the slowest ${worst} ms`}];
+	if (worst > absoluteLimitMilliseconds || late.length > delays.length * (1 - usualShare)) {
+		return [{point: ProvePoint.DocumentInForce, detail: `${late.length} of ${delays.length} documents took longer than ${usualLimitMilliseconds} ms to come into force, the slowest ${worst} ms`}];
 	}
 
-	return delays.length > 0 ? [] : [{point: ProvePoint.DocumentInForce, detail: 'no document was accepted; the history shows nothing'}];
+	return delays.length > 0 ? [] : [{point: ProvePoint.DocumentInForce, detail: 'no document was accepted; the history proves nothing'}];
 };
