--- a/packages/trials/src/process/bench.ts
+++ b/packages/trials/src/process/bench.ts
@@ -3,7 +3,7 @@
 import {PlacementPolicy} from 'galenakeeld/process/placement-policy.js';
 import {BenchScenario, idealPolicy, type BenchPolicy} from '../version/bench-line.js';
 import type {BenchRun} from './bench-run.js';
-import {runCrest} from './crest-scenario.js';
+import {runPeak} from './peak-scenario.js';
 import {runFaultsScenario} from './faults-scenario.js';
 import {runLongBehindShort} from './long-behind-short-scenario.js';
 import {runRelay} from './relay-scenario.js';
@@ -16,7 +16,7 @@
 	[BenchScenario.Steady]: runSteady,
 	[BenchScenario.Speeds]: runSpeeds,
 	[BenchScenario.LongBehindShort]: runLongBehindShort,
-	[BenchScenario.Crest]: runCrest,
+	[BenchScenario.Peak]: runPeak,
 	[BenchScenario.Faults]: runFaultsScenario,
 	[BenchScenario.Unfair]: runUnfair,
 };
--- a/packages/trials/src/process/crest-scenario.ts
+++ b/packages/trials/src/process/peak-scenario.ts
@@ -30,9 +30,9 @@
 const refusalTarget = 50;
 const recoveryTarget = 1000;
 
-type CrestPlan = PlannedLoad & {readonly before: Stretch; readonly crest: Stretch; readonly after: Stretch};
+type PeakPlan = PlannedLoad & {readonly before: Stretch; readonly peak: Stretch; readonly after: Stretch};
 
-const planCrest = (run: BenchRun): CrestPlan => {
+const planPeak = (run: BenchRun): PeakPlan => {
 	const mix = createOrdinaryMix();
 	const slotSpeeds = smallSlots();
 	const capacity = capacityOf(mix, slotSpeeds);
@@ -51,27 +51,27 @@
 		mix,
 		daemonShares,
 	});
-	const crestFrom = warmUpMilliseconds + normalMilliseconds + swingMilliseconds;
-	const crestTo = crestFrom + run.milliseconds;
+	const peakFrom = warmUpMilliseconds + normalMilliseconds + swingMilliseconds;
+	const peakTo = peakFrom + run.milliseconds;
 	return {
 		load: highLoad,
 		arrivals,
 		ideal: computeIdeal(arrivals, slotSpeeds, idealWaitMilliseconds),
 		warmUpMilliseconds,
 		before: {from: warmUpMilliseconds, to: warmUpMilliseconds + normalMilliseconds},
-		crest: {from: crestFrom, to: crestTo},
-		after: {from: crestTo, to: crestTo + afterMilliseconds},
+		peak: {from: peakFrom, to: peakTo},
+		after: {from: peakTo, to: peakTo + afterMilliseconds},
 	};
 };
 
-type CrestResult = {readonly tasks: readonly MeasuredTask[]; readonly messagesPerTask?: number; readonly targets?: readonly BenchTarget[]};
+type PeakResult = {readonly tasks: readonly MeasuredTask[]; readonly messagesPerTask?: number; readonly targets?: readonly BenchTarget[]};
 
-const report = (run: BenchRun, policy: BenchPolicy, plan: CrestPlan, result: CrestResult): void => {
+const report = (run: BenchRun, policy: BenchPolicy, plan: PeakPlan, result: PeakResult): void => {
 	const {tasks} = result;
-	const goodput = goodputOverCapacity(tasks, plan.crest, smallSlots().length);
+	const goodput = goodputOverCapacity(tasks, plan.peak, smallSlots().length);
 	const refusalP99Milliseconds = refusalTail(tasks);
 	const recoveryMilliseconds = recoveryTime(tasks, plan.before, plan.after);
-	printLine(run, BenchScenario.Crest, policy, {
+	printLine(run, BenchScenario.Peak, policy, {
 		figures: {
 			load: plan.load, tasks: tasks.length, messagesPerTask: result.messagesPerTask ?? Number.NaN, goodputOverCapacity: goodput, refusalP99Milliseconds, recoveryMilliseconds,
 		},
@@ -84,7 +84,7 @@
 	});
 };
 
-const runPolicy = async (run: BenchRun, policy: BenchPolicy, plan: CrestPlan): Promise<void> => {
+const runPolicy = async (run: BenchRun, policy: BenchPolicy, plan: PeakPlan): Promise<void> => {
 	if (policy === idealPolicy) {
 		const tasks = measureIdeal(plan).map(task => Number.isNaN(task.idealMilliseconds) ? {...task, outcome: Outcome.NotRun, responseMilliseconds: 0} : task);
 		report(run, policy, plan, {tasks});
@@ -102,8 +102,8 @@
 /**
 Swings the load from half the capacity to 2.5 times of it within a second, holds it, and drops it.
 */
-export const runCrest = async (run: BenchRun): Promise<void> => {
-	const plan = planCrest(run);
+export const runPeak = async (run: BenchRun): Promise<void> => {
+	const plan = planPeak(run);
 	for (const policy of run.policies) {
 		await runPolicy(run, policy, plan);
 	}
--- a/packages/trials/src/version/bench-line.ts
+++ b/packages/trials/src/version/bench-line.ts
@@ -13,7 +13,7 @@
 	/** A few tasks that run many times longer than declared. */
 	LongBehindShort = 'long-behind-short',
 	/** Demand that swings above the capacity and back. */
-	Crest = 'crest',
+	Peak = 'crest',
 	/** Failing and frozen endpoints, a killed daemon, a zone that is cut off. */
 	Faults = 'faults',
 	/** One team that sends far more than its quota. */
