--- a/packages/trials/src/process/control-cost-trials.ts
+++ b/packages/trials/src/process/control-cost-trials.ts
@@ -1,7 +1,7 @@
 import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {submitAsCaller} from '../request/caller.js';
-import {startCostBed, type BedSize, type CostBed} from './cost-bed.js';
+import {startTestBed, type TestBedSize, type TestBed} from './test-bed.js';
 import {measureCost, readCounters} from './daemon-cost.js';
 import {fitLine, type Line} from './least-squares.js';
 
@@ -12,7 +12,7 @@
 const jobRounds = 12;
 const service = 'service-1';
 
-const smallest: BedSize = {
+const smallest: TestBedSize = {
 	peers: 0, endpoints: 30, documents: 1, teams: 1, runningEndpoints: 0, heartbeatLoadFactor: 0.25,
 };
 
@@ -50,8 +50,8 @@
 
 type MeasurePoint = (size: number) => Promise<Readonly<Record<string, number>>>;
 
-const onBed = async <Result>(size: Partial<BedSize>, use: (bed: CostBed) => Promise<Result>): Promise<Result> => {
-	const bed = await startCostBed({...smallest, ...size});
+const withTestBed = async <Result>(size: Partial<TestBedSize>, use: (bed: TestBed) => Promise<Result>): Promise<Result> => {
+	const bed = await startTestBed({...smallest, ...size});
 	try {
 		return await use(bed);
 	} finally {
@@ -59,7 +59,7 @@
 	}
 };
 
-const measureIdle = (sizeOf: (size: number) => Partial<BedSize>): MeasurePoint => async size => onBed(sizeOf(size), async ({daemon}) => {
+const measureIdle = (sizeOf: (size: number) => Partial<TestBedSize>): MeasurePoint => async size => withTestBed(sizeOf(size), async ({daemon}) => {
 	await sleep(settleMilliseconds);
 	return measureCost(daemon, measuredSeconds);
 });
@@ -68,7 +68,7 @@
 	service, deadlineMilliseconds: 120_000, tasks: Array.from({length: tasks}, (_, position) => ({path: `/sheet?task=${position}&run=${run}`, body: 'butterfat 4.1'})),
 });
 
-const measureJobsInFlight: MeasurePoint = async size => onBed({runningEndpoints: 1}, async ({daemon}) => {
+const measureJobsInFlight: MeasurePoint = async size => withTestBed({runningEndpoints: 1}, async ({daemon}) => {
 	const agent = new Agent({keepAlive: true, maxSockets: Infinity});
 	const body = jobBody(10, 60_000);
 	const jobs = Array.from({length: size}, async (_, position) => submitAsCaller(daemon.callers, 'PUT', `/v1/jobs/held-${position}`, {body, agent, timeoutMilliseconds: 60_000}));
@@ -79,7 +79,7 @@
 	return cost;
 });
 
-const measureChange: MeasurePoint = async size => onBed({documents: size}, async ({daemon, platform, accept, untilInForce}) => {
+const measureChange: MeasurePoint = async size => withTestBed({documents: size}, async ({daemon, platform, accept, untilInForce}) => {
 	await sleep(settleMilliseconds);
 	const idle = await measureCost(daemon, measuredSeconds);
 	const before = await readCounters(daemon);
@@ -103,7 +103,7 @@
 	};
 });
 
-const measureJob: MeasurePoint = async size => onBed({runningEndpoints: 4}, async ({daemon, platform}) => {
+const measureJob: MeasurePoint = async size => withTestBed({runningEndpoints: 4}, async ({daemon, platform}) => {
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
 	const submitRounds = async (name: string): Promise<void> => {
 		for (let round = 0; round < jobRounds; round++) {
@@ -127,7 +127,7 @@
 	};
 });
 
-const measurePulse: MeasurePoint = async size => onBed({
+const measurePulse: MeasurePoint = async size => withTestBed({
 	peers: 96, runningEndpoints: 4, heartbeatLoadFactor: size,
 }, async ({daemon, pulse}) => {
 	await sleep(settleMilliseconds);
--- a/packages/trials/src/process/cost-bed.ts
+++ b/packages/trials/src/process/test-bed.ts
@@ -27,7 +27,7 @@
 /**
 The sizes of a bed on which one daemon's cost is measured.
 */
-export type BedSize = {
+export type TestBedSize = {
 	/** Entry instances that exchange heartbeats with the daemon. */
 	readonly peers: number;
 	/** Endpoints that the platform lists and one document names, without a process behind them. */
@@ -44,7 +44,7 @@
 /**
 One daemon between stand-ins.
 */
-export type CostBed = {
+export type TestBed = {
 	readonly daemon: DaemonProcess;
 	readonly platform: PlatformStandIn;
 	readonly client: Platform;
@@ -61,7 +61,7 @@
 
 const serviceName = (position: number): string => `service-${position + 1}`;
 
-const describeDocument = (service: string, size: BedSize, running: readonly EndpointStandIn[]): string => {
+const describeDocument = (service: string, size: TestBedSize, running: readonly EndpointStandIn[]): string => {
 	const isFirst = service === serviceName(0);
 	const silent = Array.from({length: isFirst ? size.endpoints : 2}, (_, position) => ({name: `silent-${position + 1}`, address: silentAddress(position)}));
 	const working = running.map(({address}, position) => ({name: `worker-${position + 1}`, address, slots: endpointSlots}));
@@ -71,7 +71,7 @@
 	});
 };
 
-const listInstances = (peers: FakePeers, size: BedSize, daemon: {peers: string; operators: string}): readonly ListedInstance[] => [
+const listInstances = (peers: FakePeers, size: TestBedSize, daemon: {peers: string; operators: string}): readonly ListedInstance[] => [
 	...peers.listed,
 	{
 		name: 'entry-1', role: InstanceRole.Entry, zone, address: daemon.peers, operators: daemon.operators, state: ListedState.Live, incarnation: '1',
@@ -94,7 +94,7 @@
 const bed = await startCostBed({peers: 8, endpoints: 30, documents: 1, teams: 1, runningEndpoints: 0, heartbeatLoadFactor: 0.25});
 ```
 */
-export const startCostBed = async (size: BedSize): Promise<CostBed> => {
+export const startTestBed = async (size: TestBedSize): Promise<TestBed> => {
 	const directory = await mkdtemp(join(tmpdir(), 'galenakeel-cost-'));
 	const [platformAddress, callers, peersPort, operators, ...endpointAddresses] = await findFreeAddresses(4 + size.runningEndpoints) as [string, string, string, string, ...string[]];
 	const platform = await startPlatformStandIn(platformAddress, {listLagMilliseconds: 0});
