--- a/packages/trials/src/process/caller-load.ts
+++ b/packages/trials/src/process/caller-load.ts
@@ -45,13 +45,13 @@
 @param options.agents One agent for each caller that keeps its connection; the others open one for each request.
 @param options.mostPauseMilliseconds Longest pause; each is drawn.
 */
-export const startClosedLoad = (fleet: Fleet, history: History, shape: LoadShape, options: {callers: number; agents?: readonly Agent[]; mostPauseMilliseconds: number; random: Random}): CallerLoad => {
+export const startClosedLoad = (fleet: Fleet, history: History, shape: LoadShape, options: {callers: number; agents?: readonly Agent[]; maximumPauseMilliseconds: number; random: Random}): CallerLoad => {
 	const operations: CallerOperation[] = [];
 	const stopping = new AbortController();
 	const runCaller = async (caller: number): Promise<void> => {
 		while (!stopping.signal.aborted && !fleet.stopped.aborted) {
 			operations.push(await recordSubmission(fleet, history, {...nextSubmission(fleet, shape), agent: options.agents?.[caller]}));
-			await sleep(options.random.integer(0, options.mostPauseMilliseconds));
+			await sleep(options.random.integer(0, options.maximumPauseMilliseconds));
 		}
 	};
 
--- a/packages/trials/src/process/control-cost-trials.ts
+++ b/packages/trials/src/process/control-cost-trials.ts
@@ -127,7 +127,7 @@
 	};
 });
 
-const measurePulse: MeasurePoint = async size => withTestBed({
+const measureHeartbeats: MeasurePoint = async size => withTestBed({
 	peers: 96, runningEndpoints: 4, heartbeatLoadFactor: size,
 }, async ({daemon, pulse}) => {
 	await sleep(settleMilliseconds);
@@ -160,7 +160,7 @@
 	{dimension: CostDimension.JobsInFlight, sizes: [1, 100, 400], measure: measureJobsInFlight},
 	{dimension: CostDimension.DocumentChanges, sizes: [1, 100, 400], measure: measureChange},
 	{dimension: CostDimension.TasksInJob, sizes: [1, 100, 400, 1700], measure: measureJob},
-	{dimension: CostDimension.HeartbeatLoadFactor, sizes: [0, 0.25, 1], measure: measurePulse},
+	{dimension: CostDimension.HeartbeatLoadFactor, sizes: [0, 0.25, 1], measure: measureHeartbeats},
 ];
 
 /**
--- a/packages/trials/src/process/daemon-cost.ts
+++ b/packages/trials/src/process/daemon-cost.ts
@@ -3,7 +3,7 @@
 import {call} from '@galenakeel/stand-ins/connection/http-json.js';
 import type {DaemonProcess} from './daemon-process.js';
 
-const looks = 3;
+const sampleCount = 3;
 
 /**
 What a daemon spent over a time.
@@ -84,8 +84,8 @@
 */
 export const measureCost = async (daemon: DaemonProcess, seconds: number): Promise<DaemonCost> => {
 	const counters = [await readCounters(daemon)];
-	for (let look = 0; look < looks; look++) {
-		await sleep(seconds * 1000 / looks);
+	for (let sample = 0; sample < sampleCount; sample++) {
+		await sleep(seconds * 1000 / sampleCount);
 		counters.push(await readCounters(daemon));
 	}
 
--- a/packages/trials/src/process/detection.ts
+++ b/packages/trials/src/process/detection.ts
@@ -86,7 +86,7 @@
 	const instances = fleet.daemons.map(({instance}) => instance);
 	// The last two daemons are those that fail later; their callers stop before.
 	const startLoad = (through: readonly string[], callers: number): CallerLoad => startClosedLoad(fleet, history, {service, instances: through, runMilliseconds}, {
-		callers, mostPauseMilliseconds: 5, random,
+		callers, maximumPauseMilliseconds: 5, random,
 	});
 	const callers = Number(values.callers);
 	const remaining = startLoad(instances.slice(0, -2), Math.round(callers * 2 / 3));
--- a/packages/trials/src/process/faults-scenario.ts
+++ b/packages/trials/src/process/faults-scenario.ts
@@ -22,7 +22,7 @@
 const warmUpMilliseconds = 4000;
 const settleMilliseconds = 2000;
 const gapMilliseconds = 2000;
-const shortestMeasuredMilliseconds = 2000;
+const minimumMeasuredMilliseconds = 2000;
 const callerDeadlineMilliseconds = 5000;
 const timeoutMilliseconds = 3000;
 const okStatus = 200;
@@ -48,7 +48,7 @@
 type FaultPlan = {readonly fault: BenchFault; readonly stretch: Stretch; readonly measured: Stretch};
 
 const planFaults = (run: BenchRun): readonly FaultPlan[] => {
-	const lasting = settleMilliseconds + Math.max(shortestMeasuredMilliseconds, run.milliseconds / Object.values(BenchFault).length);
+	const lasting = settleMilliseconds + Math.max(minimumMeasuredMilliseconds, run.milliseconds / Object.values(BenchFault).length);
 	return Object.values(BenchFault).map((fault, position) => {
 		const from = warmUpMilliseconds + (position * (lasting + gapMilliseconds));
 		const to = from + lasting;
@@ -90,7 +90,7 @@
 		const measurement = await measureLoad(fleet, plan, {
 			addresses: fleet.daemons.map(() => fleet.balancer.address),
 			deadlineMilliseconds: callerDeadlineMilliseconds,
-			disturb: async startAt => runFaults(fleet, faults, startAt),
+			injectFaults: async startAt => runFaults(fleet, faults, startAt),
 		});
 		await sleep(reportLagMilliseconds);
 		printLine(run, BenchScenario.Faults, policy, {
--- a/packages/trials/src/process/leaving-histories.ts
+++ b/packages/trials/src/process/leaving-histories.ts
@@ -39,7 +39,7 @@
 	const fleet = await startLeavingFleet();
 	try {
 		const instances = fleet.daemons.map(({instance}) => instance);
-		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, mostPauseMilliseconds: 10, random});
+		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, maximumPauseMilliseconds: 10, random});
 		await sleep(warmMilliseconds);
 		// The second daemon is the one that is disturbed, and it owns the slots of its zone.
 		const {name, address} = random.pick(fleet.endpoints.filter(({zone}) => zone === fleet.daemons[1]!.zone));
@@ -94,7 +94,7 @@
 	const fleet = await startLeavingFleet();
 	try {
 		const instances = fleet.daemons.map(({instance}) => instance);
-		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, mostPauseMilliseconds: 10, random});
+		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, maximumPauseMilliseconds: 10, random});
 		await sleep(warmMilliseconds);
 		const {name, address, standIn} = random.pick(fleet.endpoints);
 		const mark = {endpoint: address, listedAt: Date.now(), restartedAt: Infinity};
--- a/packages/trials/src/process/load-generator.ts
+++ b/packages/trials/src/process/load-generator.ts
@@ -8,7 +8,7 @@
 /**
 What one load generator sends: its arrivals, to the daemons at the addresses.
 */
-export type GeneratorOrder = {
+export type GeneratorWorkload = {
 	readonly addresses: readonly string[];
 	/** Path under which the service's tasks are sent. */
 	readonly path: string;
@@ -22,7 +22,7 @@
 const bodyBytes = 256;
 const body = 'x'.repeat(bodyBytes);
 
-const sendArrival = async (order: GeneratorOrder, arrival: Arrival, agent: Agent, due: number): Promise<ArrivalResult> => {
+const sendArrival = async (order: GeneratorWorkload, arrival: Arrival, agent: Agent, due: number): Promise<ArrivalResult> => {
 	const sentAt = performance.now();
 	const headers = {
 		'galenakeel-kind': arrival.kind,
@@ -40,7 +40,7 @@
 /**
 Sends every arrival at its time, whether or not earlier ones are answered.
 */
-const generate = async (order: GeneratorOrder): Promise<readonly ArrivalResult[]> => {
+const generate = async (order: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
 	const agent = new Agent({keepAlive: true});
 	const startAt = order.startAt - performance.timeOrigin;
 	const running: Array<Promise<ArrivalResult>> = [];
@@ -59,7 +59,7 @@
 	return results;
 };
 
-const [order] = await once(process, 'message') as [GeneratorOrder];
+const [order] = await once(process, 'message') as [GeneratorWorkload];
 process.send!(await generate(order), () => {
 	process.disconnect();
 });
--- a/packages/trials/src/process/load-generators.ts
+++ b/packages/trials/src/process/load-generators.ts
@@ -2,14 +2,14 @@
 import {once} from 'node:events';
 import {fileURLToPath} from 'node:url';
 import type {ArrivalResult} from '../request/arrival.js';
-import type {GeneratorOrder} from './load-generator.js';
+import type {GeneratorWorkload} from './load-generator.js';
 
 const generatorProgram = fileURLToPath(import.meta.resolve('./load-generator.js'));
 const generators = 3;
 // Time for the generators to start and to read their arrivals.
 const leadMilliseconds = 1500;
 
-const runGenerator = async (order: GeneratorOrder): Promise<readonly ArrivalResult[]> => {
+const runGenerator = async (order: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
 	const child = fork(generatorProgram);
 	const replied = once(child, 'message') as Promise<[readonly ArrivalResult[]]>;
 	const exited = (async () => {
@@ -43,7 +43,7 @@
 const results = await startLoad({addresses, path: '/v1/services/paysheet/sheet', arrivals, deadlineMilliseconds: 30_000}).results;
 ```
 */
-export const startLoad = (order: Omit<GeneratorOrder, 'startAt'>): LoadRun => {
+export const startLoad = (order: Omit<GeneratorWorkload, 'startAt'>): LoadRun => {
 	const startAt = Date.now() + leadMilliseconds;
 	const parts = Array.from({length: generators}, (_, part) => order.arrivals.filter((_arrival, position) => position % generators === part));
 	const gather = async (): Promise<readonly ArrivalResult[]> => {
--- a/packages/trials/src/process/measure-load.ts
+++ b/packages/trials/src/process/measure-load.ts
@@ -50,7 +50,7 @@
 How load is sent.
 */
 export type LoadOptions = {
-	readonly disturb?: (startAt: number) => Promise<void>;
+	readonly injectFaults?: (startAt: number) => Promise<void>;
 	readonly addresses?: readonly string[];
 	readonly deadlineMilliseconds?: number;
 };
@@ -66,7 +66,7 @@
 	const {startAt, results} = startLoad({
 		addresses, path: `/v1/services/${benchService}/sheet`, arrivals: load.arrivals, deadlineMilliseconds,
 	});
-	void options.disturb?.(startAt);
+	void options.injectFaults?.(startAt);
 	await sleep(Math.max(0, startAt + load.warmUpMilliseconds - Date.now()));
 	const before = await countMessages(fleet);
 	await sleep(Math.max(0, startAt + load.arrivals.at(-1)!.at - Date.now()));
--- a/packages/trials/src/process/shutdown-histories.ts
+++ b/packages/trials/src/process/shutdown-histories.ts
@@ -47,13 +47,13 @@
 	const agents = Array.from({length: 10}, () => new Agent({keepAlive: true, maxSockets: 1}));
 	return [
 		startClosedLoad(fleet, history, shape, {
-			callers: 6, agents, mostPauseMilliseconds: 60, random,
+			callers: 6, agents, maximumPauseMilliseconds: 60, random,
 		}),
 		startClosedLoad(fleet, history, shape, {
-			callers: 4, agents: agents.slice(6), mostPauseMilliseconds: idleCallerMilliseconds * 2, random,
+			callers: 4, agents: agents.slice(6), maximumPauseMilliseconds: idleCallerMilliseconds * 2, random,
 		}),
-		startClosedLoad(fleet, history, shape, {callers: 3, mostPauseMilliseconds: 30, random}),
-		startClosedLoad(fleet, history, {...shape, tasks: 4}, {callers: 2, mostPauseMilliseconds: 60, random}),
+		startClosedLoad(fleet, history, shape, {callers: 3, maximumPauseMilliseconds: 30, random}),
+		startClosedLoad(fleet, history, {...shape, tasks: 4}, {callers: 2, maximumPauseMilliseconds: 60, random}),
 	];
 };
 
@@ -127,7 +127,7 @@
 
 const startBorrowing = (fleet: Fleet, history: History, random: Random): CallerLoad => {
 	const [borrower] = fleet.daemons as [typeof fleet.daemons[0]];
-	return startClosedLoad(fleet, history, {service, instances: [borrower.instance], runMilliseconds: 100}, {callers: slots + 4, mostPauseMilliseconds: 5, random});
+	return startClosedLoad(fleet, history, {service, instances: [borrower.instance], runMilliseconds: 100}, {callers: slots + 4, maximumPauseMilliseconds: 5, random});
 };
 
 /**
--- a/packages/trials/src/process/test-bed.ts
+++ b/packages/trials/src/process/test-bed.ts
@@ -17,7 +17,7 @@
 
 const readyMilliseconds = 15_000;
 const inForceMilliseconds = 20_000;
-const lookMilliseconds = 20;
+const pollIntervalMilliseconds = 20;
 const zone = 'zone-a';
 const exitMilliseconds = 3000;
 const endpointSlots = 64;
@@ -141,7 +141,7 @@
 				throw new Error(`version ${wanted} is not in force after ${inForceMilliseconds} ms`);
 			}
 
-			await sleep(lookMilliseconds);
+			await sleep(pollIntervalMilliseconds);
 		}
 	};
 
--- a/packages/trials/src/process/trial.ts
+++ b/packages/trials/src/process/trial.ts
@@ -10,7 +10,7 @@
 import {collectStarts, recordSubmission} from './history-recorder.js';
 
 const inForceTimeoutMilliseconds = 10_000;
-const lookMilliseconds = 2;
+const pollIntervalMilliseconds = 2;
 // A task that has left a daemon reaches its endpoint in this time.
 const settleMilliseconds = 100;
 
@@ -73,7 +73,7 @@
 export const waitUntil = async (isMet: () => boolean, timeoutMilliseconds: number): Promise<void> => {
 	const until = Date.now() + timeoutMilliseconds;
 	while (!isMet() && Date.now() < until) {
-		await sleep(lookMilliseconds);
+		await sleep(pollIntervalMilliseconds);
 	}
 };
 
@@ -89,7 +89,7 @@
 			throw new Error(`version ${version} is not in force everywhere after ${inForceTimeoutMilliseconds} ms`);
 		}
 
-		await sleep(lookMilliseconds * 10);
+		await sleep(pollIntervalMilliseconds * 10);
 	}
 };
 
@@ -104,7 +104,7 @@
 /**
 Tells whether an answer is passed on as it comes; when its endpoint breaks off, the caller sees the cut.
 */
-const isPassedOn = ({tasks, isKeyed, answerBytes = 0}: TrialSubmission): boolean =>
+const isStreamed = ({tasks, isKeyed, answerBytes = 0}: TrialSubmission): boolean =>
 	tasks === undefined && !isKeyed && answerBytes > bufferedBodyBytes;
 
 const createTrial = (fleet: Fleet, history: History, random: Random): Trial => {
@@ -137,7 +137,7 @@
 				runMilliseconds,
 				...(isKeyed && {idempotencyKey: name}),
 				isIdempotent: service === idempotentService,
-				isDisturbed: () => disturbed.has(instance) || isPassedOn(submission),
+				isDisturbed: () => disturbed.has(instance) || isStreamed(submission),
 			});
 		},
 		wait: async mostMilliseconds => sleep(random.integer(0, mostMilliseconds)),
@@ -170,8 +170,8 @@
 		await act(createTrial(fleet, history, random));
 		await sleep(settleMilliseconds);
 		collectStarts(fleet, history);
-		const isTelling = history.operations.some(({outcome}) => outcome === Outcome.Complete);
-		return isTelling ? [] : [{point, detail: 'no submission was complete, so the history shows nothing'} satisfies Violation];
+		const hasCompleteSubmission = history.operations.some(({outcome}) => outcome === Outcome.Complete);
+		return hasCompleteSubmission ? [] : [{point, detail: 'no submission was complete, so the history shows nothing'} satisfies Violation];
 	} finally {
 		await fleet.stop();
 	}
