--- a/packages/trials/src/process/bench-faults.ts
+++ b/packages/trials/src/process/bench-faults.ts
@@ -21,7 +21,7 @@
 */
 export const faultPositions = {failingWorker: 0, frozenWorker: 1, killedDaemon: 5} as const;
 
-const cutOffZone = 'zone-c';
+const isolatedZone = 'zone-c';
 
 /**
 Lists the links that join the daemons of a zone to the platform and to the daemons of other zones.
@@ -36,7 +36,7 @@
 };
 
 const setZoneState = (fleet: Fleet, state: LinkState): void => {
-	for (const {faults} of linksOfZone(fleet, cutOffZone)) {
+	for (const {faults} of linksOfZone(fleet, isolatedZone)) {
 		faults.forward = state;
 		faults.backward = state;
 	}
--- a/packages/trials/src/process/load-generator.ts
+++ b/packages/trials/src/process/load-generator.ts
@@ -22,15 +22,15 @@
 const bodyBytes = 256;
 const body = 'x'.repeat(bodyBytes);
 
-const sendArrival = async (order: GeneratorWorkload, arrival: Arrival, agent: Agent, due: number): Promise<ArrivalResult> => {
+const sendArrival = async (workload: GeneratorWorkload, arrival: Arrival, agent: Agent, due: number): Promise<ArrivalResult> => {
 	const sentAt = performance.now();
 	const headers = {
 		'galenakeel-kind': arrival.kind,
 		'galenakeel-team': arrival.team,
-		'galenakeel-deadline-milliseconds': String(order.deadlineMilliseconds),
+		'galenakeel-deadline-milliseconds': String(workload.deadlineMilliseconds),
 	};
-	const result = await submitAsCaller(order.addresses[arrival.daemon]!, 'POST', `${order.path}?task=${arrival.name}&run=${arrival.runMilliseconds}`, {
-		agent, headers, body, timeoutMilliseconds: order.deadlineMilliseconds + answerMarginMilliseconds,
+	const result = await submitAsCaller(workload.addresses[arrival.daemon]!, 'POST', `${workload.path}?task=${arrival.name}&run=${arrival.runMilliseconds}`, {
+		agent, headers, body, timeoutMilliseconds: workload.deadlineMilliseconds + answerMarginMilliseconds,
 	});
 	return {
 		outcome: result.outcome, status: result.status, latenessMilliseconds: sentAt - due, responseMilliseconds: result.durationMilliseconds,
@@ -40,18 +40,18 @@
 /**
 Sends every arrival at its time, whether or not earlier ones are answered.
 */
-const generate = async (order: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
+const generate = async (workload: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
 	const agent = new Agent({keepAlive: true});
-	const startAt = order.startAt - performance.timeOrigin;
+	const startAt = workload.startAt - performance.timeOrigin;
 	const running: Array<Promise<ArrivalResult>> = [];
-	for (const arrival of order.arrivals) {
+	for (const arrival of workload.arrivals) {
 		const due = startAt + arrival.at;
 		const wait = due - performance.now();
 		if (wait > 0) {
 			await sleep(wait);
 		}
 
-		running.push(sendArrival(order, arrival, agent, due));
+		running.push(sendArrival(workload, arrival, agent, due));
 	}
 
 	const results = await Promise.all(running);
@@ -59,7 +59,7 @@
 	return results;
 };
 
-const [order] = await once(process, 'message') as [GeneratorWorkload];
-process.send!(await generate(order), () => {
+const [workload] = await once(process, 'message') as [GeneratorWorkload];
+process.send!(await generate(workload), () => {
 	process.disconnect();
 });
--- a/packages/trials/src/process/load-generators.ts
+++ b/packages/trials/src/process/load-generators.ts
@@ -9,14 +9,14 @@
 // Time for the generators to start and to read their arrivals.
 const leadMilliseconds = 1500;
 
-const runGenerator = async (order: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
+const runGenerator = async (workload: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
 	const child = fork(generatorProgram);
 	const replied = once(child, 'message') as Promise<[readonly ArrivalResult[]]>;
 	const exited = (async () => {
 		await once(child, 'exit');
 		throw new Error('a load generator ended without results');
 	})();
-	child.send(order);
+	child.send(workload);
 	try {
 		const [results] = await Promise.race([replied, exited]);
 		return results;
@@ -43,12 +43,12 @@
 const results = await startLoad({addresses, path: '/v1/services/paysheet/sheet', arrivals, deadlineMilliseconds: 30_000}).results;
 ```
 */
-export const startLoad = (order: Omit<GeneratorWorkload, 'startAt'>): LoadRun => {
+export const startLoad = (workload: Omit<GeneratorWorkload, 'startAt'>): LoadRun => {
 	const startAt = Date.now() + leadMilliseconds;
-	const parts = Array.from({length: generators}, (_, part) => order.arrivals.filter((_arrival, position) => position % generators === part));
+	const parts = Array.from({length: generators}, (_, part) => workload.arrivals.filter((_arrival, position) => position % generators === part));
 	const gather = async (): Promise<readonly ArrivalResult[]> => {
-		const results = await Promise.all(parts.map(async arrivals => runGenerator({...order, arrivals, startAt})));
-		return order.arrivals.map((_, position) => results[position % generators]![Math.floor(position / generators)]!);
+		const results = await Promise.all(parts.map(async arrivals => runGenerator({...workload, arrivals, startAt})));
+		return workload.arrivals.map((_, position) => results[position % generators]![Math.floor(position / generators)]!);
 	};
 
 	return {startAt, results: gather()};
