--- a/packages/trials/src/process/bench-faults.ts
+++ b/packages/trials/src/process/bench-faults.ts
@@ -3,28 +3,28 @@
 import type {Fleet} from './fleet.js';
 
 /**
-The faults that the bench brings about, one after the other.
+Faults that the benchmark injects, one at a time.
 */
 export enum BenchFault {
-	/** An endpoint answers every task at once with status 500. */
+	/** An endpoint answers every task immediately with status 500. */
 	FailingWorker = 'failing worker',
-	/** An endpoint takes tasks and never answers. */
+	/** An endpoint accepts tasks and never answers them. */
 	FrozenWorker = 'frozen worker',
-	/** A daemon is killed. */
+	/** A daemon is killed with SIGKILL. */
 	KilledDaemon = 'killed daemon',
-	/** The daemons of one availability zone hear neither the others nor the platform. */
+	/** A network partition separates the daemons of one availability zone from all other daemons and from the platform. */
 	CutZone = 'cut zone',
 }
 
 /**
-Positions of the endpoints and of the daemon that the faults befall.
+Indexes, in the fleet, of the endpoints and the daemon that the faults affect.
 */
 export const faultPositions = {failingWorker: 0, frozenWorker: 1, killedDaemon: 5} as const;
 
 const isolatedZone = 'zone-c';
 
 /**
-Lists the links that join the daemons of a zone to the platform and to the daemons of other zones.
+Lists the proxies on the links between the daemons of a zone and the platform or the daemons of other zones.
 */
 const linksOfZone = ({daemons, links}: Fleet, zone: string): readonly FaultProxy[] => {
 	const inside = daemons.filter(daemon => daemon.zone === zone);
@@ -43,7 +43,7 @@
 };
 
 /**
-Brings a fault about in a proxied fleet.
+Injects a fault into a fleet whose links run through proxies.
 */
 export const beginFault = (fleet: Fleet, fault: BenchFault): void => {
 	switch (fault) {
@@ -69,7 +69,7 @@
 };
 
 /**
-Ends a fault.
+Reverts a fault that `beginFault` has injected.
 */
 export const endFault = async (fleet: Fleet, fault: BenchFault): Promise<void> => {
 	switch (fault) {
--- a/packages/trials/src/process/bench-fleet.ts
+++ b/packages/trials/src/process/bench-fleet.ts
@@ -7,29 +7,29 @@
 import {startFleet, type Fleet, type FleetSize} from './fleet.js';
 
 /**
-The service that the bench calls.
+The service that the benchmark calls.
 */
 export const benchService = 'paysheet';
 
 /**
-Availability zones, daemons and endpoints of the fleet under the bench.
+Size of the default benchmark fleet.
 */
 export const benchSize = {
 	zones: ['zone-a', 'zone-b', 'zone-c'], daemonsPerZone: 2, endpointsPerZone: 10, slots: 8,
 } as const;
 
 /**
-Number of endpoints of the fleet under the bench.
+Number of endpoints of the default benchmark fleet.
 */
 export const benchEndpoints = benchSize.zones.length * benchSize.endpointsPerZone;
 
 /**
-The sizes of a fleet whose capacity one machine can exceed several times.
+Size of a smaller fleet, whose capacity the load generators of one machine can exceed several times over.
 */
 export const smallSize = {zones: benchSize.zones, daemonsPerZone: 2, endpointsPerZone: 4} as const;
 
 /**
-Lists the speed of each slot of the small fleet.
+Returns the relative speed of each slot of the small fleet.
 */
 export const smallSlots = (): readonly number[] =>
 	Array.from({length: smallSize.zones.length * smallSize.endpointsPerZone * benchSize.slots}, () => 1);
@@ -40,7 +40,7 @@
 export const daemonShares: readonly number[] = [0.28, 0.2, 0.16, 0.14, 0.12, 0.1];
 
 /**
-Deadline of tasks that are not to be refused for it.
+Deadline long enough that no task is refused because of it.
 */
 export const longDeadlineMilliseconds = 60_000;
 
@@ -64,23 +64,27 @@
 		await sleep(pollMilliseconds);
 	}
 
-	throw new Error(`the daemons did not all hear each other and version ${version} within ${readyMilliseconds} ms`);
+	throw new Error(`not every daemon reached all its peers and catalogue version ${version} within ${readyMilliseconds} ms`);
 };
 
 /**
-What a bench run may change about its fleet.
+Options of a benchmark fleet.
 */
 export type BenchFleetOptions = {
 	readonly policy: PlacementPolicy;
 	readonly mix: TaskMix;
 	readonly speedOf?: (endpoint: number) => number;
 	readonly size?: Partial<Pick<FleetSize, 'zones' | 'daemonsPerZone' | 'endpointsPerZone' | 'isProxied'>>;
-	/** Changes the service document before it is accepted. */
+	/** Transforms the service document before it is accepted. */
 	readonly change?: (document: Record<string, unknown>) => Record<string, unknown>;
 };
 
 /**
-Starts a fleet for one policy, uses it and stops it. Its endpoints run in processes of their own.
+Starts a fleet with a placement policy, passes it to a function, and stops it when the function returns or throws.
+
+The endpoints run in separate processes.
+
+@returns The result of the function.
 */
 export const withBenchFleet = async <Result>({policy, mix, speedOf, size, change}: BenchFleetOptions, use: (fleet: Fleet) => Promise<Result>): Promise<Result> => {
 	const processes = createEndpointProcesses(endpointProcesses);
@@ -103,7 +107,7 @@
 };
 
 /**
-Adds up the control messages that the daemons have sent; daemons that don't answer are left out.
+Adds up the control messages that all daemons have sent. Daemons that do not answer are left out.
 */
 export const countMessages = async (fleet: Fleet): Promise<{readonly heartbeats: number; readonly slotCalls: number}> => {
 	const statuses = await Promise.allSettled(fleet.daemons.map(async daemon => statusOf(daemon)));
@@ -122,7 +126,9 @@
 const reportLagMilliseconds = 300;
 
 /**
-Waits for the endpoints' last reports and counts how often each task started, by its name.
+Waits for the last reports of the endpoint processes, then counts the starts of each task.
+
+@returns Number of starts by task name.
 */
 export const countStarts = async (fleet: Fleet): Promise<ReadonlyMap<string, number>> => {
 	await sleep(reportLagMilliseconds);
--- a/packages/trials/src/process/bench-run.ts
+++ b/packages/trials/src/process/bench-run.ts
@@ -4,23 +4,23 @@
 } from '../version/bench-line.js';
 
 /**
-The policy that the product ships with.
+The default placement policy of the daemon.
 */
 export const shippedPolicy = PlacementPolicy.SharesWithBorrowing;
 
 /**
-What a scenario is run with.
+Parameters of a benchmark run, shared by all scenarios.
 */
 export type BenchRun = {
 	readonly seed: number;
 	readonly policies: readonly BenchPolicy[];
-	/** Measured time of each run of load. */
+	/** Length of the measured part of each load run. */
 	readonly milliseconds: number;
 	readonly print: (line: BenchLine) => void;
 };
 
 /**
-Prints one line of a scenario.
+Prints one result line of a scenario.
 */
 export const printLine = (run: BenchRun, scenario: BenchScenario, policy: BenchPolicy, result: {readonly figures: Partial<BenchFigures>; readonly targets: readonly BenchTarget[]}): void => {
 	const head = {
--- a/packages/trials/src/process/bench.ts
+++ b/packages/trials/src/process/bench.ts
@@ -25,12 +25,14 @@
 const defaultSeed = '1';
 
 /**
-Returns the wanted value alone, or all values when none is wanted.
+Selects the values that a command-line option names: one value, or all when the option is absent.
+
+@throws An `Error` when the option names an unknown value.
 */
 const select = <Value extends string>(option: string, wanted: string | undefined, all: readonly Value[]): readonly Value[] => {
 	const selected = wanted === undefined ? all : all.filter(value => value === wanted);
 	if (selected.length === 0) {
-		throw new Error(`--${option} ${wanted} is not one of: ${all.join(', ')}`);
+		throw new Error(`--${option} ${wanted} is unknown; expected one of: ${all.join(', ')}`);
 	}
 
 	return selected;
@@ -39,7 +41,7 @@
 const readNumber = (option: string, text: string): number => {
 	const value = Number(text);
 	if (!(value > 0)) {
-		throw new Error(`--${option} ${text} is not a number above 0`);
+		throw new Error(`--${option} ${text} is not a positive number`);
 	}
 
 	return value;
--- a/packages/trials/src/process/caller-load.ts
+++ b/packages/trials/src/process/caller-load.ts
@@ -6,25 +6,25 @@
 import {recordSubmission, type RecordedSubmission} from './history-recorder.js';
 
 /**
-What a load sends.
+The requests that a load consists of.
 */
 export type LoadShape = {
 	readonly service: string;
-	/** Instances through which the requests go, in turn. */
+	/** Instances that receive the requests, in round-robin order. */
 	readonly instances: readonly string[];
-	/** Address that all requests go to instead, such as the balancer's. */
+	/** Address that receives all requests instead of the instances, such as that of the balancer. */
 	readonly address?: string;
 	readonly runMilliseconds: number;
-	/** Tasks of each submission; above 1 they are jobs with minted identifiers. */
+	/** Number of tasks in each submission, 1 by default. Submissions of more than one task are jobs, whose identifiers the daemon assigns. */
 	readonly tasks?: number;
 	readonly isDisturbed?: () => boolean;
 };
 
 /**
-A load that goes on until it is stopped.
+A load that runs until it is stopped.
 */
 export type CallerLoad = {
-	/** Sends nothing more, and resolves with every operation once the last has ended. */
+	/** Stops sending, and resolves with all operations once the last has ended. */
 	readonly stop: () => Promise<readonly CallerOperation[]>;
 };
 
@@ -40,10 +40,10 @@
 };
 
 /**
-Starts callers that each send one request after the other, with a pause between.
+Starts a closed-loop load: each caller waits for its answer and a random pause before it sends the next request.
 
-@param options.agents One agent for each caller that keeps its connection; the others open one for each request.
-@param options.mostPauseMilliseconds Longest pause; each is drawn.
+@param options.agents Agents of the callers that reuse their connection, by caller. Callers without one open a connection for each request.
+@param options.maximumPauseMilliseconds Upper bound of the random pause between requests.
 */
 export const startClosedLoad = (fleet: Fleet, history: History, shape: LoadShape, options: {callers: number; agents?: readonly Agent[]; maximumPauseMilliseconds: number; random: Random}): CallerLoad => {
 	const operations: CallerOperation[] = [];
@@ -66,7 +66,7 @@
 };
 
 /**
-Starts a load whose requests arrive at a fixed interval, whether or not the earlier ones have their answers.
+Starts an open-loop load: requests are sent at a fixed interval, whether or not earlier ones have been answered.
 */
 export const startOpenLoad = (fleet: Fleet, history: History, shape: LoadShape, intervalMilliseconds: number): CallerLoad => {
 	const operations: Array<Promise<CallerOperation>> = [];
--- a/packages/trials/src/process/control-cost-trials.ts
+++ b/packages/trials/src/process/control-cost-trials.ts
@@ -17,34 +17,34 @@
 };
 
 /**
-What is varied in a trial of control cost.
+The parameter that a trial of control cost varies.
 */
 export enum CostDimension {
 	/** Entry instances that exchange heartbeats. */
 	Peers = 'peers',
-	/** Endpoints on the list and in one document. */
+	/** Endpoints in the platform's list and in one document. */
 	Endpoints = 'endpoints',
-	/** Documents in force, with eight peers that get their hints. */
+	/** Documents in force, with eight peers that receive load hints for them. */
 	Documents = 'documents',
 	/** Teams with a quota in one document. */
 	Teams = 'teams',
-	/** Jobs of ten tasks that wait for a slot. */
+	/** Jobs of ten tasks each that wait for a slot. */
 	JobsInFlight = 'jobs-in-flight',
-	/** Documents in force while one of them changes each second; costs are of one change. */
+	/** Documents in force while one of them changes each second. Costs are per change. */
 	DocumentChanges = 'document-changes',
-	/** Tasks in a job with an identifier of the caller; costs are of one job. */
+	/** Tasks in a job whose identifier the caller chose. Costs are per job. */
 	TasksInJob = 'tasks-in-job',
-	/** Load factor of the heartbeat interval, 0 for a fixed one, with 96 peers while jobs run. */
+	/** Load factor of the heartbeat interval, 0 for a fixed interval, with 96 peers while jobs run. */
 	HeartbeatLoadFactor = 'heartbeat-load-factor',
 }
 
 /**
-Measured quantities at one size.
+Quantities measured at one size.
 */
 export type CostPoint = {readonly size: number; readonly quantities: Readonly<Record<string, number>>};
 
 /**
-A trial's points with the line through each quantity.
+The points of a trial, and the line fitted through each quantity.
 */
 export type CostTrial = {readonly dimension: CostDimension; readonly points: readonly CostPoint[]; readonly lines: Readonly<Record<string, Line>>};
 
@@ -109,7 +109,7 @@
 		for (let round = 0; round < jobRounds; round++) {
 			const {status, text} = await submitAsCaller(daemon.callers, 'PUT', `/v1/jobs/${name}-${round}`, {body: jobBody(size, 1), agent});
 			if (status !== 200) {
-				throw new Error(`the job of ${size} tasks got status ${status}: ${text.slice(0, 200)}`);
+				throw new Error(`a job of ${size} tasks was answered with status ${status}: ${text.slice(0, 200)}`);
 			}
 		}
 	};
@@ -150,7 +150,7 @@
 type TrialPlan = {readonly dimension: CostDimension; readonly sizes: readonly number[]; readonly measure: MeasurePoint};
 
 /**
-The trials with their sizes.
+All trials of control cost, with the sizes that they measure.
 */
 export const costTrials: readonly TrialPlan[] = [
 	{dimension: CostDimension.Peers, sizes: [0, 8, 32, 96], measure: measureIdle(peers => ({peers}))},
@@ -164,7 +164,7 @@
 ];
 
 /**
-Measures every size of a trial and fits a line through each quantity.
+Measures every size of a trial, and fits a line through each quantity.
 */
 export const runCostTrial = async ({dimension, sizes, measure}: TrialPlan): Promise<CostTrial> => {
 	const points: CostPoint[] = [];
--- a/packages/trials/src/process/daemon-cost.ts
+++ b/packages/trials/src/process/daemon-cost.ts
@@ -6,23 +6,23 @@
 const sampleCount = 3;
 
 /**
-What a daemon spent over a time.
+Resources that a daemon used over a period.
 */
 export type DaemonCost = {
-	/** Share of one core. */
+	/** Processor time as a share of one core. */
 	readonly processorShare: number;
 	readonly residentBytes: number;
-	/** The least heap and buffers in use at any look, which garbage inflates least. */
+	/** Heap and external memory in use, in bytes: the minimum of all samples, since uncollected garbage inflates it least. */
 	readonly liveBytes: number;
-	/** Bytes written and read by system calls, over sockets above all, in a second. */
+	/** Bytes per second written and read by system calls, mostly on sockets. */
 	readonly sentBytes: number;
 	readonly receivedBytes: number;
-	/** Encoded heartbeats in a second, without framing. */
+	/** Bytes per second of encoded heartbeats, without framing. */
 	readonly heartbeatBytes: number;
 };
 
 /**
-The counters of a daemon at one time.
+Counters of a daemon, sampled at one time.
 */
 export type DaemonCounters = {
 	readonly at: number;
@@ -32,18 +32,20 @@
 	readonly writtenBytes: number;
 	readonly readBytes: number;
 	readonly heartbeatBytes: number;
-	/** Bytes of this reading's own answer, which the next reading must not count. */
+	/** Size of the metrics answer that this sample was read from, which is subtracted from the bytes that the daemon wrote. */
 	readonly answerBytes: number;
 };
 
 /**
-Reads one value of a daemon's metrics; 0 when there is none.
+Reads the value of one sample from a daemon's metrics text.
+
+@returns 0 when the text has no such sample.
 */
 export const readSample = (metrics: string, name: string): number =>
 	Number(metrics.split('\n').find(line => line.startsWith(`${name} `))?.split(' ').at(-1) ?? 0);
 
 /**
-Reads the daemon's metrics and what the kernel counts of its reads and writes.
+Reads the daemon's metrics, and the kernel's counters of the bytes that it has read and written.
 */
 export const readCounters = async (daemon: DaemonProcess): Promise<DaemonCounters> => {
 	const io = await readFile(`/proc/${daemon.child.pid}/io`, 'utf8');
@@ -75,7 +77,7 @@
 };
 
 /**
-Measures what a daemon spends, looking at its counters a few times.
+Measures the resources that a daemon uses over a number of seconds, from several samples of its counters.
 
 @example
 ```
--- a/packages/trials/src/process/faults-scenario.ts
+++ b/packages/trials/src/process/faults-scenario.ts
@@ -27,13 +27,13 @@
 const timeoutMilliseconds = 3000;
 const okStatus = 200;
 const workers = smallSize.zones.length * smallSize.endpointsPerZone;
-// What noise of the measurement may cost while no capacity is lost.
+// Tolerance for measurement noise of faults that take no capacity away.
 const noise = 0.01;
 const failingShareTarget = 0.01;
 const reportLagMilliseconds = 300;
 
 /**
-Share of the slots that each fault takes away.
+Share of the goodput that each fault may cost: the share of the slots that it makes unusable, or else the noise of the measurement.
 */
 const lostCapacity: Readonly<Record<BenchFault, number>> = {
 	[BenchFault.FailingWorker]: 1 / workers,
@@ -43,7 +43,7 @@
 };
 
 /**
-A fault with the time from its beginning to its end, and the later part of it that is measured.
+A fault with its period, and the later part of that period, in which goodput is measured after the fleet has had time to react.
 */
 type FaultPlan = {readonly fault: BenchFault; readonly stretch: Stretch; readonly measured: Stretch};
 
@@ -100,9 +100,9 @@
 };
 
 /**
-Brings about a failing and a frozen endpoint, a killed daemon and a cut availability zone, one after the other, under steady load through the balancer.
+Injects four faults one after the other, under steady load through the balancer: a failing endpoint, a frozen endpoint, a killed daemon, and an availability zone cut off by a network partition.
 
-The ideal knows no faults and has no line.
+The ideal policy is skipped, since its calculation does not model faults.
 */
 export const runFaultsScenario = async (run: BenchRun): Promise<void> => {
 	const faults = planFaults(run);
--- a/packages/trials/src/process/least-squares.ts
+++ b/packages/trials/src/process/least-squares.ts
@@ -1,15 +1,15 @@
 /**
-A measured value at a size.
+A value measured at a size.
 */
 export type SizedValue = {readonly size: number; readonly value: number};
 
 /**
-A straight line through measured values.
+A straight line fitted to measured values.
 */
 export type Line = {
 	readonly slope: number;
 	readonly intercept: number;
-	/** Root of the mean square of the residuals, in the unit of the values. */
+	/** Root mean square of the residuals, in the unit of the values. */
 	readonly residual: number;
 };
 
@@ -25,7 +25,7 @@
 /**
 Fits a line by ordinary least squares.
 
-@throws A `RangeError` when there are not two different sizes.
+@throws A `RangeError` when there are fewer than two different sizes.
 
 @example
 ```
@@ -37,7 +37,7 @@
 	const meanValue = mean(points.map(({value}) => value));
 	const spread = mean(points.map(({size}) => (size - meanSize) ** 2));
 	if (!(spread > 0)) {
-		throw new RangeError('a line needs values at two different sizes or more');
+		throw new RangeError('cannot fit a line to values at fewer than two different sizes');
 	}
 
 	const slope = mean(points.map(({size, value}) => (size - meanSize) * (value - meanValue))) / spread;
--- a/packages/trials/src/process/load-generator.ts
+++ b/packages/trials/src/process/load-generator.ts
@@ -6,11 +6,11 @@
 import {submitAsCaller} from '../request/caller.js';
 
 /**
-What one load generator sends: its arrivals, to the daemons at the addresses.
+Workload of one load generator process. Each arrival is sent to the address that its `daemon` indexes.
 */
 export type GeneratorWorkload = {
 	readonly addresses: readonly string[];
-	/** Path under which the service's tasks are sent. */
+	/** Path of the service's requests, without the query. */
 	readonly path: string;
 	readonly arrivals: readonly Arrival[];
 	/** Wall-clock time at which the run starts, in milliseconds since the epoch. */
@@ -38,7 +38,7 @@
 };
 
 /**
-Sends every arrival at its time, whether or not earlier ones are answered.
+Sends every arrival when it is due, whether or not earlier ones have been answered (open loop).
 */
 const generate = async (workload: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
 	const agent = new Agent({keepAlive: true});
--- a/packages/trials/src/process/load-generators.ts
+++ b/packages/trials/src/process/load-generators.ts
@@ -6,7 +6,7 @@
 
 const generatorProgram = fileURLToPath(import.meta.resolve('./load-generator.js'));
 const generators = 3;
-// Time for the generators to start and to read their arrivals.
+// Delay before the first arrival, in which the generators start and receive their workload.
 const leadMilliseconds = 1500;
 
 const runGenerator = async (workload: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
@@ -14,7 +14,7 @@
 	const replied = once(child, 'message') as Promise<[readonly ArrivalResult[]]>;
 	const exited = (async () => {
 		await once(child, 'exit');
-		throw new Error('a load generator ended without results');
+		throw new Error('a load generator process exited without sending results');
 	})();
 	child.send(workload);
 	try {
@@ -26,17 +26,17 @@
 };
 
 /**
-A run of load in progress.
+A load run in progress.
 */
 export type LoadRun = {
-	/** Wall-clock time of the run's start, in milliseconds since the epoch. */
+	/** Wall-clock time at which the run starts, in milliseconds since the epoch. */
 	readonly startAt: number;
-	/** The result of each arrival, in the order of the arrivals. */
+	/** Result of each arrival, in the order of the workload's arrivals. */
 	readonly results: Promise<readonly ArrivalResult[]>;
 };
 
 /**
-Starts to send arrivals from several processes, each arrival at its time.
+Starts a load run: divides the arrivals between several generator processes, which send each arrival when it is due.
 
 @example
 ```
--- a/packages/trials/src/process/long-behind-short-scenario.ts
+++ b/packages/trials/src/process/long-behind-short-scenario.ts
@@ -14,7 +14,7 @@
 
 const load = 0.9;
 const longShare = 0.05;
-// The long tasks must have reached their steady number before the measurement.
+// The number of long tasks in progress must reach its steady state before the measurement.
 const warmUpMilliseconds = 9000;
 const shortTarget = 1.2;
 const longTarget = 3;
@@ -50,7 +50,7 @@
 };
 
 /**
-Runs short tasks of which a few run 10 to 100 times longer than declared, and the short ones alone at equal load.
+Runs short tasks alone, then, at the same load, a mix in which a few tasks run 10 to 100 times longer than declared, and compares the response of the short ones.
 */
 export const runLongBehindShort = async (run: BenchRun): Promise<void> => {
 	const common = {
--- a/packages/trials/src/process/measure-load.ts
+++ b/packages/trials/src/process/measure-load.ts
@@ -9,36 +9,38 @@
 import {startLoad} from './load-generators.js';
 
 /**
-An arrival after the warm-up, with what the caller saw and what the ideal would have given.
+An arrival after the warm-up, with the result that the caller observed and the response of the ideal queue.
 */
 export type MeasuredTask = ArrivalResult & {
 	readonly arrival: Arrival;
-	/** Response of the one-queue ideal, in milliseconds. */
+	/** Response time that one ideal queue for the whole fleet would give, in milliseconds. */
 	readonly idealMilliseconds: number;
 };
 
 /**
-What a run of load gave.
+Measurements of a load run.
 */
 export type LoadMeasurement = {
 	readonly tasks: readonly MeasuredTask[];
-	/** Wall-clock time of the run's start, in milliseconds since the epoch. */
+	/** Wall-clock time at which the run started, in milliseconds since the epoch. */
 	readonly startAt: number;
 	readonly messagesPerTask: number;
-	/** Bounds the lateness of the load generators; the run is invalid when it is missed. */
+	/** Target for the lateness of the load generators. A run that misses it is invalid. */
 	readonly validity: BenchTarget;
 };
 
 const latenessLimitMilliseconds = 5;
 
 /**
-Bounds the lateness of the load generators; a run that misses it is invalid.
+Creates the target for the lateness of the load generators.
+
+A run that misses it is invalid, since the generators did not send the planned load.
 */
 export const latenessTarget = (results: ReadonlyArray<Pick<ArrivalResult, 'latenessMilliseconds'>>): BenchTarget =>
 	atMost('p99 lateness of the load generators, ms', latenessLimitMilliseconds, percentile(results.map(({latenessMilliseconds}) => latenessMilliseconds), 0.99));
 
 /**
-Pairs the measured arrivals with the ideal as if the ideal had served them.
+Returns the measured tasks as if the ideal queue had served the planned load.
 */
 export const measureIdeal = ({arrivals, ideal, warmUpMilliseconds}: PlannedLoad): readonly MeasuredTask[] => arrivals
 	.map((arrival, position) => ({
@@ -47,7 +49,7 @@
 	.filter(({arrival}) => arrival.at >= warmUpMilliseconds);
 
 /**
-How load is sent.
+Options of a load run.
 */
 export type LoadOptions = {
 	readonly injectFaults?: (startAt: number) => Promise<void>;
@@ -56,10 +58,11 @@
 };
 
 /**
-Sends planned load to a fleet and measures what comes after the warm-up.
+Sends a planned load to a fleet, and measures the arrivals after the warm-up.
 
-@param options.disturb Called once with the wall-clock time of the run's start, to bring faults about.
-@param options.addresses Where callers connect; the daemons' callers ports when absent.
+@param options.injectFaults Called once, with the wall-clock time at which the run starts, in milliseconds since the epoch.
+@param options.addresses Addresses that callers connect to. The default is the caller port of each daemon.
+@param options.deadlineMilliseconds Deadline of each task. The default is too long for a refusal.
 */
 export const measureLoad = async (fleet: Fleet, load: PlannedLoad, options: LoadOptions = {}): Promise<LoadMeasurement> => {
 	const {addresses = fleet.daemons.map(({callers}) => callers), deadlineMilliseconds = longDeadlineMilliseconds} = options;
--- a/packages/trials/src/process/peak-scenario.ts
+++ b/packages/trials/src/process/peak-scenario.ts
@@ -23,7 +23,7 @@
 const swingMilliseconds = 1000;
 const swingSteps = 5;
 const afterMilliseconds = 4000;
-// A longer wait would leave a backlog that half the capacity can't work off within a second.
+// A longer wait would leave a backlog that the half of the capacity free after the peak cannot clear within a second.
 const idealWaitMilliseconds = 250;
 const callerDeadlineMilliseconds = 5000;
 const goodputTarget = 0.97;
@@ -100,7 +100,7 @@
 };
 
 /**
-Swings the load from half the capacity to 2.5 times of it within a second, holds it, and drops it.
+Raises the load from half the capacity to 2.5 times the capacity within a second, keeps it there for the measured time, and drops it back to half.
 */
 export const runPeak = async (run: BenchRun): Promise<void> => {
 	const plan = planPeak(run);
--- a/packages/trials/src/process/processor-time.ts
+++ b/packages/trials/src/process/processor-time.ts
@@ -1,16 +1,16 @@
 import {readFile} from 'node:fs/promises';
 
-// Linux reports the times of /proc in ticks of 1/100 s (proc(5), sysconf(_SC_CLK_TCK)).
+// Linux reports processor times in /proc in clock ticks of 1/100 s (proc(5), sysconf(_SC_CLK_TCK)).
 const millisecondsOfTick = 10;
-// Fields 14 and 15 of proc(5), counted after the name, which ends with the last parenthesis.
+// Fields 14 (utime) and 15 (stime) of proc(5), as indexes after the process name, which ends at the last parenthesis.
 const userField = 11;
 const systemField = 12;
 
 /**
-Reads the processor time that a process has used, in user and kernel mode.
+Reads the processor time that a process has used in user and kernel mode, from /proc.
 
-@returns Milliseconds, in steps of 10.
-@throws The error of the file system when there is no such process.
+@returns Milliseconds, with a resolution of 10.
+@throws A file system error when there is no such process.
 
 @example
 ```
--- a/packages/trials/src/process/relay-scenario.ts
+++ b/packages/trials/src/process/relay-scenario.ts
@@ -27,14 +27,14 @@
 const processorTarget = 2;
 
 /**
-The ways to an endpoint that are compared, by their position among the addresses.
+Request paths to an endpoint that are compared. The values are indexes into the addresses of the workload.
 */
 enum Way {
 	/** Through the daemon. */
 	Daemon = 0,
-	/** Through a relay that does nothing else. */
+	/** Through a relay that only forwards. */
 	BareRelay = 1,
-	/** Without anything in between. */
+	/** Directly to the endpoint. */
 	Direct = 2,
 }
 
@@ -106,9 +106,9 @@
 };
 
 /**
-Sends the same load through the daemon, through a bare relay and straight to an endpoint, all at once, and compares response and processor time.
+Sends the same load through the daemon, through a bare relay and directly to an endpoint, all at the same time, and compares response and processor times.
 
-The policy hardly matters to it: of all policies only the shipped one is run.
+The placement policy hardly affects the result, so only the default policy is run when it is among those selected.
 */
 export const runRelay = async (run: BenchRun): Promise<void> => {
 	const policies = run.policies.includes(shippedPolicy) ? [shippedPolicy] : run.policies.filter(policy => policy !== idealPolicy);
--- a/packages/trials/src/process/speeds-scenario.ts
+++ b/packages/trials/src/process/speeds-scenario.ts
@@ -13,12 +13,12 @@
 } from './measure-load.js';
 
 const load = 0.7;
-// The daemons learn the speeds, which no document declares.
+// During the warm-up the daemons learn the speeds, which no document declares.
 const warmUpMilliseconds = 6000;
 const tailTarget = 1.3;
 const speeds = [1, 1.5, 2, 3, 4];
 
-// Each availability zone has endpoints of every speed.
+// Spreads the speeds so that each availability zone has endpoints of every speed.
 const speedOf = (endpoint: number): number => speeds[Math.floor(endpoint / benchSize.zones.length) % speeds.length]!;
 
 const report = (run: BenchRun, policy: BenchPolicy, measurement: Pick<LoadMeasurement, 'tasks'> & Partial<LoadMeasurement>): void => {
@@ -46,7 +46,7 @@
 };
 
 /**
-Runs tasks on endpoints that differ in speed by up to four times.
+Runs tasks on endpoints whose speeds differ by a factor of up to four.
 */
 export const runSpeeds = async (run: BenchRun): Promise<void> => {
 	const slotSpeeds = Array.from({length: benchEndpoints * benchSize.slots}, (_, slot) => speedOf(Math.floor(slot / benchSize.slots)));
--- a/packages/trials/src/process/steady-scenario.ts
+++ b/packages/trials/src/process/steady-scenario.ts
@@ -44,7 +44,7 @@
 };
 
 /**
-Runs tasks from 50 ms to 1 s at 70% and at 90% load on equal endpoints.
+Runs tasks of 50 ms to 1 s at 70% and at 90% load on endpoints of equal speed.
 */
 export const runSteady = async (run: BenchRun): Promise<void> => {
 	const slotSpeeds = Array.from({length: benchEndpoints * benchSize.slots}, () => 1);
--- a/packages/trials/src/process/test-bed.ts
+++ b/packages/trials/src/process/test-bed.ts
@@ -25,38 +25,38 @@
 const maximumHeartbeatMilliseconds = 5000;
 
 /**
-The sizes of a bed on which one daemon's cost is measured.
+Dimensions of a test bed for the control cost of one daemon.
 */
 export type TestBedSize = {
 	/** Entry instances that exchange heartbeats with the daemon. */
 	readonly peers: number;
-	/** Endpoints that the platform lists and one document names, without a process behind them. */
+	/** Endpoints that the platform lists and one document names, but that no process serves. */
 	readonly endpoints: number;
 	readonly documents: number;
 	/** Teams with a quota in one document. */
 	readonly teams: number;
-	/** Endpoints that run tasks. */
+	/** Endpoint stand-ins that run tasks. */
 	readonly runningEndpoints: number;
-	/** Weight of the number of instances in the time between slow heartbeats, of the daemon and of its peers. */
+	/** Factor by which the interval of slow heartbeats grows with the number of instances, for the daemon and its peers. */
 	readonly heartbeatLoadFactor: number;
 };
 
 /**
-One daemon between stand-ins.
+One daemon process, connected to stand-ins for the platform, its peers and its endpoints.
 */
 export type TestBed = {
 	readonly daemon: DaemonProcess;
 	readonly platform: PlatformStandIn;
 	readonly client: Platform;
 	readonly pulse: PulseWatch;
-	/** Accepts the document of a service again and returns its version. */
+	/** Accepts the document of a service again, and returns its new version. */
 	readonly accept: (service: string) => Promise<number>;
-	/** Waits until a catalogue version is in force on the daemon. */
+	/** Waits until a catalogue version is in force on the daemon. Throws when this takes too long. */
 	readonly untilInForce: (version: number) => Promise<void>;
 	readonly stop: () => Promise<void>;
 };
 
-/** An address that nothing answers at; the daemon connects only to run a task. */
+/** Returns an address at which nothing listens. The daemon connects to an endpoint only to run a task, so no connection fails. */
 const silentAddress = (position: number): string => `10.${Math.floor(position / 65_536)}.${Math.floor(position / 256) % 256}.${position % 256}:8080`;
 
 const serviceName = (position: number): string => `service-${position + 1}`;
@@ -87,7 +87,7 @@
 };
 
 /**
-Starts one daemon with the stand-ins of a size, and waits until it serves with every document in force.
+Starts a test bed of the given size, and waits until the daemon is ready and has every document in force.
 
 @example
 ```
@@ -106,7 +106,7 @@
 		count: size.peers,
 		daemonAddress: peersPort,
 		zone,
-		// One peer has the daemon as its watcher.
+		// The daemon watches one peer, which therefore sends it heartbeats at the short interval.
 		intervalOf: position => position === 0 ? heartbeatMilliseconds : slowMilliseconds,
 		hear: pulse.hear,
 	});
@@ -138,7 +138,7 @@
 			}
 
 			if (Date.now() > until) {
-				throw new Error(`version ${wanted} is not in force after ${inForceMilliseconds} ms`);
+				throw new Error(`catalogue version ${wanted} was not in force on the daemon within ${inForceMilliseconds} ms`);
 			}
 
 			await sleep(pollIntervalMilliseconds);
--- a/packages/trials/src/process/trial.ts
+++ b/packages/trials/src/process/trial.ts
@@ -11,13 +11,13 @@
 
 const inForceTimeoutMilliseconds = 10_000;
 const pollIntervalMilliseconds = 2;
-// A task that has left a daemon reaches its endpoint in this time.
+// Time in which a task that a daemon has sent reaches its endpoint.
 const settleMilliseconds = 100;
 
-// The daemons' default of limits.bufferedBodyBytes.
+// The daemon's default for limits.bufferedBodyBytes.
 const bufferedBodyBytes = 1_048_576;
 
-// Short intervals and time-outs, so that a history takes seconds.
+// Short intervals and time-outs keep the duration of a history to a few seconds.
 const quickSettings = {
 	platform: {pollMilliseconds: 100, timeoutMilliseconds: 300},
 	peers: {heartbeatMilliseconds: 100, callTimeoutMilliseconds: 300},
@@ -25,50 +25,50 @@
 };
 
 /**
-The service of every trial. Its document grants 600 ms for an answer.
+The default service of a trial. Its document sets a time-out of 600 ms for an answer.
 */
 export const trialService = 'paysheet';
 
 /**
-The service of the same endpoints whose tasks may start more than once.
+An idempotent service on the same endpoints, whose tasks may start more than once.
 */
 export const idempotentService = 'quote-svc';
 
 /**
-A submission of a trial; what it leaves out is drawn or has a default.
+A submission of a trial. The run time is random when absent; the other optional properties have defaults.
 */
 export type TrialSubmission = {
 	readonly name: string;
 	readonly instance: string;
-	/** Number of tasks; a single request has none. */
+	/** Number of tasks of a job; absent for a single request. */
 	readonly tasks?: number;
 	readonly service?: string;
 	readonly runMilliseconds?: number;
 	readonly deadlineMilliseconds?: number;
 	readonly answerBytes?: number;
-	/** Whether the name is the idempotency key of a single request. */
+	/** Whether a single request carries its name as the idempotency key. */
 	readonly isKeyed?: boolean;
 	readonly patienceMilliseconds?: number;
 	readonly agent?: Agent;
 };
 
 /**
-A fleet whose callers are recorded while faults are brought about.
+A fleet under fault injection, with the history that records its callers.
 */
 export type Trial = {
 	readonly fleet: Fleet;
 	readonly history: History;
 	readonly random: Random;
-	/** Names of the instances that were killed, frozen or cut off from their callers. */
+	/** Names of instances that were killed, frozen or disconnected from their callers. */
 	readonly disturbed: Set<string>;
 	readonly instances: readonly string[];
 	readonly submit: (submission: TrialSubmission) => Promise<CallerOperation>;
-	/** Waits a random time up to a limit. */
+	/** Waits for a random time of at most the given length. */
 	readonly wait: (mostMilliseconds: number) => Promise<void>;
 };
 
 /**
-Waits until a condition holds, at most for a time.
+Waits until a condition is met or the time-out has passed, and returns in both cases.
 */
 export const waitUntil = async (isMet: () => boolean, timeoutMilliseconds: number): Promise<void> => {
 	const until = Date.now() + timeoutMilliseconds;
@@ -86,7 +86,7 @@
 		}
 
 		if (Date.now() > until) {
-			throw new Error(`version ${version} is not in force everywhere after ${inForceTimeoutMilliseconds} ms`);
+			throw new Error(`catalogue version ${version} was not in force on every daemon within ${inForceTimeoutMilliseconds} ms`);
 		}
 
 		await sleep(pollIntervalMilliseconds * 10);
@@ -94,7 +94,7 @@
 };
 
 /**
-Returns the names of a submission's tasks, as they reach the endpoints. Those of single requests begin with "single".
+Returns the names under which the endpoints receive a submission's tasks. Those of single requests begin with "single".
 */
 export const tasksOf = ({name, tasks}: Pick<TrialSubmission, 'name' | 'tasks'>): readonly string[] =>
 	tasks === undefined ? [`single-${name}`] : Array.from({length: tasks}, (_, position) => `${name}-${position}`);
@@ -102,7 +102,7 @@
 const identifierOf = ({name, tasks, isKeyed}: TrialSubmission): string => tasks === undefined && !isKeyed ? '' : name;
 
 /**
-Tells whether an answer is passed on as it comes; when its endpoint breaks off, the caller sees the cut.
+Tells whether the daemon streams the answer instead of buffering it. When the endpoint aborts a streamed answer, the caller sees an incomplete one.
 */
 const isStreamed = ({tasks, isKeyed, answerBytes = 0}: TrialSubmission): boolean =>
 	tasks === undefined && !isKeyed && answerBytes > bufferedBodyBytes;
@@ -111,7 +111,7 @@
 	const disturbed = new Set<string>();
 	const runs = new Map<string, number>();
 
-	/** Draws a run time once for each name, since a repeat is the same submission only with the same path. */
+	/** Draws one run time for each name: the run time is part of the path, and a repeat counts as the same submission only with the same path. */
 	const drawRun = (name: string): number => {
 		const run = runs.get(name) ?? random.integer(5, 60);
 		runs.set(name, run);
@@ -145,14 +145,14 @@
 };
 
 /**
-What a trial changes of its fleet and of both documents.
+Overrides of a trial for the size of its fleet and for both service documents.
 */
 export type TrialOptions = {readonly size?: Partial<FleetSize>; readonly document?: Readonly<Record<string, unknown>>};
 
 /**
-Creates a fault history: starts a fleet, has the callers and the faults act, and collects the starts.
+Creates a fault history: starts a fleet, runs the callers and the faults, and collects the starts from the endpoints.
 
-A history in which nothing was complete shows nothing, and counts as a violation.
+A history without a complete submission proves nothing, so it counts as a violation.
 
 @example
 ```
@@ -178,7 +178,7 @@
 };
 
 /**
-Has many callers act, each after a random time.
+Runs a number of callers concurrently, each after a random delay.
 */
 export const runCallers = async (trial: Trial, count: number, spreadMilliseconds: number, act: (caller: number) => Promise<void>): Promise<void> => {
 	await Promise.all(Array.from({length: count}, async (_, caller) => {
--- a/packages/trials/src/process/unfair-scenario.ts
+++ b/packages/trials/src/process/unfair-scenario.ts
@@ -17,7 +17,7 @@
 const greedyTeam = 'reruns';
 const teams = [...otherTeams, greedyTeam];
 const quota = 1 / teams.length;
-// The other teams together; each stays below its quota.
+// Load of the other teams together. Each of them stays below its quota.
 const othersLoad = 0.6;
 const greedyLoad = 10 * quota;
 const warmUpMilliseconds = 3000;
@@ -72,7 +72,7 @@
 };
 
 /**
-Lets one team of five send ten times its quota while the others stay below theirs, and compares the others' responses with those without it.
+Has one team of five send ten times its quota while the others stay below theirs, and compares the response times of the others with those measured without that team.
 */
 export const runUnfair = async (run: BenchRun): Promise<void> => {
 	const plans = planTeams(run);
