--- a/packages/trials/src/process/test-bed.ts
+++ b/packages/trials/src/process/test-bed.ts
@@ -37,7 +37,7 @@
 	readonly teams: number;
 	/** Endpoint stand-ins that run tasks. */
 	readonly runningEndpoints: number;
-	/** Factor by which the interval of slow heartbeats grows with the number of instances, for the daemon and its peers. */
+	/** Weight of the number of instances in the interval of slow heartbeats, for the daemon and its peers. */
 	readonly heartbeatLoadFactor: number;
 };
 
