--- a/packages/trials/src/process/control-cost-trials.ts
+++ b/packages/trials/src/process/control-cost-trials.ts
@@ -1,7 +1,7 @@
 import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {submitAsCaller} from '../request/caller.js';
-import {startCostBed, type BedSize, type CostBed} from './cost-bed.js';
+import {startTestBed, type TestBedSize, type TestBed} from './test-bed.js';
 import {measureCost, readCounters} from './daemon-cost.js';
 import {fitLine, type Line} from './least-squares.js';
 
@@ -12,46 +12,46 @@
 const jobRounds = 12;
 const service = 'service-1';
 
-const smallest: BedSize = {
+const smallest: TestBedSize = {
 	peers: 0, endpoints: 30, documents: 1, teams: 1, runningEndpoints: 0, heartbeatLoadFactor: 0.25,
 };
 
 /**
-What is varied in a trial of control cost.
+The parameter that a trial of control cost varies.
 */
 export enum CostDimension {
 	/** Entry instances that exchange heartbeats. */
 	Peers = 'peers',
-	/** Endpoints on the list and in one document. */
+	/** Endpoints in the platform's list and in one document. */
 	Endpoints = 'endpoints',
-	/** Documents in force, with eight peers that get their hints. */
+	/** Documents in force, with eight peers that receive load hints for them. */
 	Documents = 'documents',
 	/** Teams with a quota in one document. */
 	Teams = 'teams',
-	/** Jobs of ten tasks that wait for a slot. */
+	/** Jobs of ten tasks each that wait for a slot. */
 	JobsInFlight = 'jobs-in-flight',
-	/** Documents in force while one of them changes each second; costs are of one change. */
+	/** Documents in force while one of them changes each second. Costs are per change. */
 	DocumentChanges = 'document-changes',
-	/** Tasks in a job with an identifier of the caller; costs are of one job. */
+	/** Tasks in a job whose identifier the caller chose. Costs are per job. */
 	TasksInJob = 'tasks-in-job',
-	/** Load factor of the heartbeat interval, 0 for a fixed one, with 96 peers while jobs run. */
+	/** Load factor of the heartbeat interval, 0 for a fixed interval, with 96 peers while jobs run. */
 	HeartbeatLoadFactor = 'heartbeat-load-factor',
 }
 
 /**
-Measured quantities at one size.
+Quantities measured at one size.
 */
 export type CostPoint = {readonly size: number; readonly quantities: Readonly<Record<string, number>>};
 
 /**
-A trial's points with the line through each quantity.
+The points of a trial, and the line fitted through each quantity.
 */
 export type CostTrial = {readonly dimension: CostDimension; readonly points: readonly CostPoint[]; readonly lines: Readonly<Record<string, Line>>};
 
 type MeasurePoint = (size: number) => Promise<Readonly<Record<string, number>>>;
 
-const onBed = async <Result>(size: Partial<BedSize>, use: (bed: CostBed) => Promise<Result>): Promise<Result> => {
-	const bed = await startCostBed({...smallest, ...size});
+const withTestBed = async <Result>(size: Partial<TestBedSize>, use: (bed: TestBed) => Promise<Result>): Promise<Result> => {
+	const bed = await startTestBed({...smallest, ...size});
 	try {
 		return await use(bed);
 	} finally {
@@ -59,7 +59,7 @@
 	}
 };
 
-const measureIdle = (sizeOf: (size: number) => Partial<BedSize>): MeasurePoint => async size => onBed(sizeOf(size), async ({daemon}) => {
+const measureIdle = (sizeOf: (size: number) => Partial<TestBedSize>): MeasurePoint => async size => withTestBed(sizeOf(size), async ({daemon}) => {
 	await sleep(settleMilliseconds);
 	return measureCost(daemon, measuredSeconds);
 });
@@ -68,7 +68,7 @@
 	service, deadlineMilliseconds: 120_000, tasks: Array.from({length: tasks}, (_, position) => ({path: `/sheet?task=${position}&run=${run}`, body: 'butterfat 4.1'})),
 });
 
-const measureJobsInFlight: MeasurePoint = async size => onBed({runningEndpoints: 1}, async ({daemon}) => {
+const measureJobsInFlight: MeasurePoint = async size => withTestBed({runningEndpoints: 1}, async ({daemon}) => {
 	const agent = new Agent({keepAlive: true, maxSockets: Infinity});
 	const body = jobBody(10, 60_000);
 	const jobs = Array.from({length: size}, async (_, position) => submitAsCaller(daemon.callers, 'PUT', `/v1/jobs/held-${position}`, {body, agent, timeoutMilliseconds: 60_000}));
@@ -79,7 +79,7 @@
 	return cost;
 });
 
-const measureChange: MeasurePoint = async size => onBed({documents: size}, async ({daemon, platform, accept, untilInForce}) => {
+const measureChange: MeasurePoint = async size => withTestBed({documents: size}, async ({daemon, platform, accept, untilInForce}) => {
 	await sleep(settleMilliseconds);
 	const idle = await measureCost(daemon, measuredSeconds);
 	const before = await readCounters(daemon);
@@ -103,13 +103,13 @@
 	};
 });
 
-const measureJob: MeasurePoint = async size => onBed({runningEndpoints: 4}, async ({daemon, platform}) => {
+const measureJob: MeasurePoint = async size => withTestBed({runningEndpoints: 4}, async ({daemon, platform}) => {
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
 	const submitRounds = async (name: string): Promise<void> => {
 		for (let round = 0; round < jobRounds; round++) {
 			const {status, text} = await submitAsCaller(daemon.callers, 'PUT', `/v1/jobs/${name}-${round}`, {body: jobBody(size, 1), agent});
 			if (status !== 200) {
-				throw new Error(`the job of ${size} tasks got status ${status}: ${text.slice(0, 200)}`);
+				throw new Error(`a job of ${size} tasks was answered with status ${status}: ${text.slice(0, 200)}`);
 			}
 		}
 	};
@@ -127,7 +127,7 @@
 	};
 });
 
-const measurePulse: MeasurePoint = async size => onBed({
+const measureHeartbeats: MeasurePoint = async size => withTestBed({
 	peers: 96, runningEndpoints: 4, heartbeatLoadFactor: size,
 }, async ({daemon, pulse}) => {
 	await sleep(settleMilliseconds);
@@ -150,7 +150,7 @@
 type TrialPlan = {readonly dimension: CostDimension; readonly sizes: readonly number[]; readonly measure: MeasurePoint};
 
 /**
-The trials with their sizes.
+All trials of control cost, with the sizes that they measure.
 */
 export const costTrials: readonly TrialPlan[] = [
 	{dimension: CostDimension.Peers, sizes: [0, 8, 32, 96], measure: measureIdle(peers => ({peers}))},
@@ -160,11 +160,11 @@
 	{dimension: CostDimension.JobsInFlight, sizes: [1, 100, 400], measure: measureJobsInFlight},
 	{dimension: CostDimension.DocumentChanges, sizes: [1, 100, 400], measure: measureChange},
 	{dimension: CostDimension.TasksInJob, sizes: [1, 100, 400, 1700], measure: measureJob},
-	{dimension: CostDimension.HeartbeatLoadFactor, sizes: [0, 0.25, 1], measure: measurePulse},
+	{dimension: CostDimension.HeartbeatLoadFactor, sizes: [0, 0.25, 1], measure: measureHeartbeats},
 ];
 
 /**
-Measures every size of a trial and fits a line through each quantity.
+Measures every size of a trial, and fits a line through each quantity.
 */
 export const runCostTrial = async ({dimension, sizes, measure}: TrialPlan): Promise<CostTrial> => {
 	const points: CostPoint[] = [];
--- a/packages/trials/src/process/leaving-histories.ts
+++ b/packages/trials/src/process/leaving-histories.ts
@@ -39,7 +39,7 @@
 	const fleet = await startLeavingFleet();
 	try {
 		const instances = fleet.daemons.map(({instance}) => instance);
-		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, mostPauseMilliseconds: 10, random});
+		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, maximumPauseMilliseconds: 10, random});
 		await sleep(warmMilliseconds);
 		// Faults of a single daemon affect the second one, which owns the slots of its zone.
 		const {name, address} = random.pick(fleet.endpoints.filter(({zone}) => zone === fleet.daemons[1]!.zone));
@@ -94,7 +94,7 @@
 	const fleet = await startLeavingFleet();
 	try {
 		const instances = fleet.daemons.map(({instance}) => instance);
-		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, mostPauseMilliseconds: 10, random});
+		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, maximumPauseMilliseconds: 10, random});
 		await sleep(warmMilliseconds);
 		const {name, address, standIn} = random.pick(fleet.endpoints);
 		const mark = {endpoint: address, listedAt: Date.now(), restartedAt: Infinity};
--- a/packages/trials/src/process/load-generator.ts
+++ b/packages/trials/src/process/load-generator.ts
@@ -6,11 +6,11 @@
 import {submitAsCaller} from '../request/caller.js';
 
 /**
-What one load generator sends: its arrivals, to the daemons at the addresses.
+Workload of one load generator process. Each arrival is sent to the address that its `daemon` indexes.
 */
-export type GeneratorOrder = {
+export type GeneratorWorkload = {
 	readonly addresses: readonly string[];
-	/** Path under which the service's tasks are sent. */
+	/** Path of the service's requests, without the query. */
 	readonly path: string;
 	readonly arrivals: readonly Arrival[];
 	/** Wall-clock time at which the run starts, in milliseconds since the epoch. */
@@ -22,15 +22,15 @@
 const bodyBytes = 256;
 const body = 'x'.repeat(bodyBytes);
 
-const sendArrival = async (order: GeneratorOrder, arrival: Arrival, agent: Agent, due: number): Promise<ArrivalResult> => {
+const sendArrival = async (workload: GeneratorWorkload, arrival: Arrival, agent: Agent, due: number): Promise<ArrivalResult> => {
 	const sentAt = performance.now();
 	const headers = {
 		'galenakeel-kind': arrival.kind,
 		'galenakeel-team': arrival.team,
-		'galenakeel-deadline-milliseconds': String(order.deadlineMilliseconds),
+		'galenakeel-deadline-milliseconds': String(workload.deadlineMilliseconds),
 	};
-	const result = await submitAsCaller(order.addresses[arrival.daemon]!, 'POST', `${order.path}?task=${arrival.name}&run=${arrival.runMilliseconds}`, {
-		agent, headers, body, timeoutMilliseconds: order.deadlineMilliseconds + answerMarginMilliseconds,
+	const result = await submitAsCaller(workload.addresses[arrival.daemon]!, 'POST', `${workload.path}?task=${arrival.name}&run=${arrival.runMilliseconds}`, {
+		agent, headers, body, timeoutMilliseconds: workload.deadlineMilliseconds + answerMarginMilliseconds,
 	});
 	return {
 		outcome: result.outcome, status: result.status, latenessMilliseconds: sentAt - due, responseMilliseconds: result.durationMilliseconds,
@@ -38,20 +38,20 @@
 };
 
 /**
-Sends every arrival at its time, whether or not earlier ones are answered.
+Sends every arrival when it is due, whether or not earlier ones have been answered (open loop).
 */
-const generate = async (order: GeneratorOrder): Promise<readonly ArrivalResult[]> => {
+const generate = async (workload: GeneratorWorkload): Promise<readonly ArrivalResult[]> => {
 	const agent = new Agent({keepAlive: true});
-	const startAt = order.startAt - performance.timeOrigin;
+	const startAt = workload.startAt - performance.timeOrigin;
 	const running: Array<Promise<ArrivalResult>> = [];
-	for (const arrival of order.arrivals) {
+	for (const arrival of workload.arrivals) {
 		const due = startAt + arrival.at;
 		const wait = due - performance.now();
 		if (wait > 0) {
 			await sleep(wait);
 		}
 
-		running.push(sendArrival(order, arrival, agent, due));
+		running.push(sendArrival(workload, arrival, agent, due));
 	}
 
 	const results = await Promise.all(running);
@@ -59,7 +59,7 @@
 	return results;
 };
 
-const [order] = await once(process, 'message') as [GeneratorOrder];
-process.send!(await generate(order), () => {
+const [workload] = await once(process, 'message') as [GeneratorWorkload];
+process.send!(await generate(workload), () => {
 	process.disconnect();
 });
