--- a/packages/galenakeel/src/process/commands/status.ts
+++ b/packages/galenakeel/src/process/commands/status.ts
@@ -5,7 +5,7 @@
 import {findEntries} from '../find-entries.js';
 import {loadSettings, OperatorCommand} from '../operator-command.js';
 import {instanceFlags} from '../operator-flags.js';
-import {formatStatus} from '../show-status.js';
+import {formatStatus} from '../format-status.js';
 
 /**
 Shows the entry instances and what they have in force.
--- a/packages/galenakeel/src/process/show-status.ts
+++ b/packages/galenakeel/src/process/format-status.ts
@@ -3,14 +3,14 @@
 import type {InstanceStatus} from '../connection/instance-status.js';
 import {formatTable} from '../request/format-table.js';
 
-type EndpointView = {
+type EndpointSummary = {
 	readonly service: string;
 	readonly address: string;
 	readonly zone: string;
 	owned: number;
 	busy: number;
-	openOn: number;
-	seenBy: number;
+	availableFrom: number;
+	reportedBy: number;
 	/** Instances by the state of their guards that are not closed. */
 	readonly guards: Map<string, number>;
 };
@@ -51,16 +51,16 @@
 const formatGuards = (guards: ReadonlyMap<string, number>): string =>
 	guards.size === 0 ? GuardState.Closed : [...guards].map(([guard, count]) => `${guard} on ${count}`).join(', ');
 
-const addEndpoint = (views: Map<string, EndpointView>, service: string, endpoint: EndpointStatus): void => {
+const addEndpoint = (views: Map<string, EndpointSummary>, service: string, endpoint: EndpointStatus): void => {
 	const {address, zone, owned, busy, isOpen, guard} = endpoint;
 	const key = `${service} ${address}`;
 	const view = views.get(key) ?? {
-		service, address, zone, owned: 0, busy: 0, openOn: 0, seenBy: 0, guards: new Map<string, number>(),
+		service, address, zone, owned: 0, busy: 0, availableFrom: 0, reportedBy: 0, guards: new Map<string, number>(),
 	};
 	view.owned += owned;
 	view.busy += busy;
-	view.openOn += isOpen ? 1 : 0;
-	view.seenBy++;
+	view.availableFrom += isOpen ? 1 : 0;
+	view.reportedBy++;
 	if (guard.state !== GuardState.Closed) {
 		const described = describeGuard(guard);
 		view.guards.set(described, (view.guards.get(described) ?? 0) + 1);
@@ -70,7 +70,7 @@
 };
 
 const formatEndpoints = (statuses: readonly InstanceStatus[]): string => {
-	const views = new Map<string, EndpointView>();
+	const views = new Map<string, EndpointSummary>();
 	for (const {service, endpoints} of statuses.flatMap(({services}) => services ?? [])) {
 		for (const endpoint of endpoints) {
 			addEndpoint(views, service, endpoint);
@@ -80,7 +80,9 @@
 	const sorted = [...views.values()].toSorted((first, second) => first.service.localeCompare(second.service) || first.zone.localeCompare(second.zone));
 	return formatTable(
 		['SERVICE', 'ENDPOINT', 'ZONE', 'SLOTS', 'BUSY', 'TAKES TASKS FROM', 'GUARD'],
-		sorted.map(({service, address, zone, owned, busy, openOn, seenBy, guards}) => [service, address, zone, String(owned), String(busy), `${openOn}/${seenBy}`, formatGuards(guards)]),
+		sorted.map(({
+			service, address, zone, owned, busy, availableFrom, reportedBy, guards,
+		}) => [service, address, zone, String(owned), String(busy), `${availableFrom}/${reportedBy}`, formatGuards(guards)]),
 	);
 };
 
