--- a/packages/galenakeel/src/process/find-entries.ts
+++ b/packages/galenakeel/src/process/find-entries.ts
@@ -4,7 +4,7 @@
 import {openPlatform} from './operator-command.js';
 import type {OperatorSettings} from './operator-settings.js';
 
-const entryAt = (operators: string): ListedInstance => ({
+const createEntry = (operators: string): ListedInstance => ({
 	name: operators, role: InstanceRole.Entry, zone: '', address: '', operators, state: ListedState.Live, incarnation: '',
 });
 
@@ -19,16 +19,16 @@
 ```
 */
 export const findEntries = async (settings: OperatorSettings): Promise<readonly ListedInstance[]> => {
-	const known = settings.instances.operators.map(operators => entryAt(operators));
-	if (settings.platform.address === undefined && known.length > 0) {
-		return known;
+	const configured = settings.instances.operators.map(operators => createEntry(operators));
+	if (settings.platform.address === undefined && configured.length > 0) {
+		return configured;
 	}
 
 	try {
 		return await listEntries(openPlatform(settings));
 	} catch (error) {
-		if (isFault(error, FaultKind.PlatformUnavailable) && known.length > 0) {
-			return known;
+		if (isFault(error, FaultKind.PlatformUnavailable) && configured.length > 0) {
+			return configured;
 		}
 
 		throw error;
