--- a/packages/galenakeel/src/version/document-difference.ts
+++ b/packages/galenakeel/src/version/document-difference.ts
@@ -14,12 +14,12 @@
 ```
 */
 export const describeDifference = (before: NamedText, after: NamedText): string => {
-	const ended = ({text}: NamedText): string => text.endsWith('\n') ? text : `${text}\n`;
-	if (ended(before) === ended(after)) {
+	const endWithNewline = ({text}: NamedText): string => text.endsWith('\n') ? text : `${text}\n`;
+	if (endWithNewline(before) === endWithNewline(after)) {
 		return '';
 	}
 
-	const patch = createTwoFilesPatch(before.name, after.name, ended(before), ended(after));
+	const patch = createTwoFilesPatch(before.name, after.name, endWithNewline(before), endWithNewline(after));
 	// The first line is a ruler that only joins several files.
 	return patch.slice(patch.indexOf('\n') + 1).trimEnd();
 };
