--- a/packages/galenakeel/src/process/commands/doctor.ts
+++ b/packages/galenakeel/src/process/commands/doctor.ts
@@ -39,7 +39,7 @@
 		}
 
 		if (findings.some(({verdict}) => verdict === Verdict.Bad)) {
-			this.endWith(ExitCode.ProblemsFound, 'problems found', findings);
+			this.exitWith(ExitCode.ProblemsFound, 'problems found', findings);
 		}
 
 		return findings;
--- a/packages/galenakeel/src/process/commands/document/accept.ts
+++ b/packages/galenakeel/src/process/commands/document/accept.ts
@@ -61,7 +61,7 @@
 			service, version, warnings, behind,
 		};
 		if (behind.length > 0) {
-			this.endWith(ExitCode.NotInForce, `version ${version} is accepted, and not yet in force on ${behind.join(', ')}; look at these instances with "galenakeel status"`, result);
+			this.exitWith(ExitCode.NotInForce, `version ${version} is accepted, and not yet in force on ${behind.join(', ')}; look at these instances with "galenakeel status"`, result);
 		}
 
 		this.log('in force on every live instance');
@@ -89,7 +89,7 @@
 			return report.currentVersion;
 		}
 
-		return this.endWith(ExitCode.Conflict, formatConflict(report), {error: {kind: FaultKind.DocumentConflict, exitCode: ExitCode.Conflict, ...report}});
+		return this.exitWith(ExitCode.Conflict, formatConflict(report), {error: {kind: FaultKind.DocumentConflict, exitCode: ExitCode.Conflict, ...report}});
 	}
 }
 
--- a/packages/galenakeel/src/process/commands/explain.ts
+++ b/packages/galenakeel/src/process/commands/explain.ts
@@ -22,7 +22,7 @@
 		const search = await findRecords(await findEntries(settings), id, settings.instances.timeoutMilliseconds);
 		const missing = search.unreachable.length > 0 ? `; ${search.unreachable.join(', ')} did not answer and may know more` : '';
 		if (search.records.length === 0) {
-			this.endWith(ExitCode.NotFound, `no instance remembers "${id}"${missing}; only recent requests and jobs are remembered, and none across a restart`, search);
+			this.exitWith(ExitCode.NotFound, `no instance remembers "${id}"${missing}; only recent requests and jobs are remembered, and none across a restart`, search);
 		}
 
 		this.log(search.records.map(record => formatRecord(record)).join('\n\n'));
--- a/packages/galenakeel/src/process/commands/job/cancel.ts
+++ b/packages/galenakeel/src/process/commands/job/cancel.ts
@@ -21,7 +21,7 @@
 		const state = await cancelJob(callersAddressOf(settings), id, settings.instances.timeoutMilliseconds);
 		const exitCode = state.isAnswered ? exitCodeOfOutcome(state.outcome) : ExitCode.Done;
 		if (exitCode !== ExitCode.Done) {
-			this.endWith(exitCode, formatJobState(state), state);
+			this.exitWith(exitCode, formatJobState(state), state);
 		}
 
 		this.log(formatJobState(state));
--- a/packages/galenakeel/src/process/commands/job/submit.ts
+++ b/packages/galenakeel/src/process/commands/job/submit.ts
@@ -41,7 +41,7 @@
 		});
 		const exitCode = exitCodeOfOutcome(answer.outcome);
 		if (exitCode !== ExitCode.Done) {
-			this.endWith(exitCode, formatJobAnswer(answer), answer);
+			this.exitWith(exitCode, formatJobAnswer(answer), answer);
 		}
 
 		this.log(formatJobAnswer(answer));
--- a/packages/galenakeel/src/process/operator-command.ts
+++ b/packages/galenakeel/src/process/operator-command.ts
@@ -49,7 +49,7 @@
 	}
 
 	/** Ends the command with a message and a code, in the form that the operator asked for. */
-	protected endWith(exitCode: ExitCode, message: string, result?: unknown): never {
+	protected exitWith(exitCode: ExitCode, message: string, result?: unknown): never {
 		if (this.jsonEnabled()) {
 			this.logJson(result ?? {error: {detail: message, exitCode}});
 		} else {
