--- a/packages/galenakeel/src/process/commands/job/show.ts
+++ b/packages/galenakeel/src/process/commands/job/show.ts
@@ -19,8 +19,8 @@
 		const {args: {id}, flags} = await this.parse(JobShow);
 		const settings = await loadSettings(flags);
 		const state = await showJob(callersAddressOf(settings), id, settings.instances.timeoutMilliseconds);
-		const exitCode = state.isAnswered ? exitCodeOfOutcome(state.outcome) : ExitCode.Done;
-		if (exitCode !== ExitCode.Done) {
+		const exitCode = state.isAnswered ? exitCodeOfOutcome(state.outcome) : ExitCode.Success;
+		if (exitCode !== ExitCode.Success) {
 			this.exitWith(exitCode, formatJobState(state), state);
 		}
 
--- a/packages/galenakeel/src/process/commands/job/submit.ts
+++ b/packages/galenakeel/src/process/commands/job/submit.ts
@@ -40,7 +40,7 @@
 			},
 		});
 		const exitCode = exitCodeOfOutcome(answer.outcome);
-		if (exitCode !== ExitCode.Done) {
+		if (exitCode !== ExitCode.Success) {
 			this.exitWith(exitCode, formatJobAnswer(answer), answer);
 		}
 
--- a/packages/galenakeel/src/process/exit-code.ts
+++ b/packages/galenakeel/src/process/exit-code.ts
@@ -6,7 +6,7 @@
 */
 export enum ExitCode {
 	/** The command did what it was asked to do. */
-	Done = 0,
+	Success = 0,
 	/** The command failed for a reason that has no code of its own. */
 	Failed = 1,
 	/** The command line is wrong. */
@@ -31,7 +31,7 @@
 	ProblemsFound = 11,
 }
 
-const codesOfFaults: Readonly<Partial<Record<FaultKind, ExitCode>>> = {
+const exitCodesByFault: Readonly<Partial<Record<FaultKind, ExitCode>>> = {
 	[FaultKind.UnknownService]: ExitCode.NotFound,
 	[FaultKind.BadIdentifier]: ExitCode.NotFound,
 	[FaultKind.DocumentConflict]: ExitCode.Conflict,
@@ -48,10 +48,10 @@
 exitCodeOfFault(FaultKind.DocumentConflict); // => ExitCode.Conflict
 ```
 */
-export const exitCodeOfFault = (kind: FaultKind): ExitCode => codesOfFaults[kind] ?? ExitCode.Failed;
+export const exitCodeOfFault = (kind: FaultKind): ExitCode => exitCodesByFault[kind] ?? ExitCode.Failed;
 
-const codesOfOutcomes: Readonly<Record<Outcome, ExitCode>> = {
-	[Outcome.Complete]: ExitCode.Done,
+const exitCodesByOutcome: Readonly<Record<Outcome, ExitCode>> = {
+	[Outcome.Complete]: ExitCode.Success,
 	[Outcome.Failed]: ExitCode.JobFailed,
 	[Outcome.NotRun]: ExitCode.JobNotRun,
 	[Outcome.OutcomeUnknown]: ExitCode.JobOutcomeUnknown,
@@ -60,4 +60,4 @@
 /**
 Returns the exit code of a command that ends with the answer to a job.
 */
-export const exitCodeOfOutcome = (outcome: Outcome): ExitCode => codesOfOutcomes[outcome];
+export const exitCodeOfOutcome = (outcome: Outcome): ExitCode => exitCodesByOutcome[outcome];
