--- a/packages/galenakeel/src/process/commands/document/accept.ts
+++ b/packages/galenakeel/src/process/commands/document/accept.ts
@@ -6,7 +6,7 @@
 import {acceptDocument, readDocument} from '@galenakeel/model/version/document-store.js';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
 import {waitUntilInForce} from '../../../connection/instance-status.js';
-import {splitBase} from '../../../version/document-base.js';
+import {splitBaseVersion} from '../../../version/document-base.js';
 import {describeConflict, formatConflict} from '../../document-conflict.js';
 import {findDocumentWarnings} from '../../document-warnings.js';
 import {ExitCode} from '../../exit-code.js';
@@ -40,7 +40,7 @@
 		const platform = openPlatform(settings);
 		const original = await readText(file);
 		const document = parseServiceDocument(original, file);
-		const {text, version: baseVersion} = splitBase(original);
+		const {text, version: baseVersion} = splitBaseVersion(original);
 		const {service} = document;
 		const warnings = await findDocumentWarnings(platform, document);
 		for (const warning of warnings) {
--- a/packages/galenakeel/src/process/commands/document/diff.ts
+++ b/packages/galenakeel/src/process/commands/document/diff.ts
@@ -1,6 +1,6 @@
 import {Args, Flags} from '@oclif/core';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
-import {splitBase} from '../../../version/document-base.js';
+import {splitBaseVersion} from '../../../version/document-base.js';
 import {describeDifference} from '../../../version/document-difference.js';
 import {readAcceptedText} from '../../accepted-text.js';
 import {loadSettings, OperatorCommand, openPlatform} from '../../operator-command.js';
@@ -26,7 +26,7 @@
 		const original = await readText(file);
 		const {service} = parseServiceDocument(original, file);
 		const accepted = await readAcceptedText(openPlatform(await loadSettings(flags)), service, flags.version);
-		const diff = describeDifference({name: `${service} version ${accepted.version}`, text: accepted.text}, {name: file, text: splitBase(original).text});
+		const diff = describeDifference({name: `${service} version ${accepted.version}`, text: accepted.text}, {name: file, text: splitBaseVersion(original).text});
 		this.log(diff === '' ? `${file} is the same as version ${accepted.version}` : diff);
 		return {
 			service, version: accepted.version, isDifferent: diff !== '', diff,
--- a/packages/galenakeel/src/process/commands/document/edit.ts
+++ b/packages/galenakeel/src/process/commands/document/edit.ts
@@ -2,7 +2,7 @@
 import {Args, Flags} from '@oclif/core';
 import {createFault, detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
 import {readDocument} from '@galenakeel/model/version/document-store.js';
-import {addBase} from '../../../version/document-base.js';
+import {addBaseVersion} from '../../../version/document-base.js';
 import {createDocumentTemplate} from '../../../version/document-template.js';
 import {loadSettings, OperatorCommand, openPlatform} from '../../operator-command.js';
 
@@ -29,7 +29,7 @@
 		const current = await readDocument(openPlatform(await loadSettings(flags)), service);
 		const file = flags.file ?? `${service}.jsonc`;
 		const version = current?.version ?? 0;
-		await writeCopy(file, addBase(current?.text ?? createDocumentTemplate(service), version), flags.force);
+		await writeCopy(file, addBaseVersion(current?.text ?? createDocumentTemplate(service), version), flags.force);
 		this.log(current ? `wrote version ${version} of the document of ${service} to ${file}` : `${service} has no document yet; wrote a first draft to ${file}`);
 		this.log(`Change it in your editor, then type:\n  galenakeel document ${current ? 'diff' : 'validate'} ${file}\n  galenakeel document accept ${file} --wait`);
 		return {service, version, file};
--- a/packages/galenakeel/src/process/commands/document/show.ts
+++ b/packages/galenakeel/src/process/commands/document/show.ts
@@ -1,5 +1,5 @@
 import {Args, Flags} from '@oclif/core';
-import {addBase} from '../../../version/document-base.js';
+import {addBaseVersion} from '../../../version/document-base.js';
 import {readAcceptedText, type AcceptedText} from '../../accepted-text.js';
 import {loadSettings, OperatorCommand, openPlatform} from '../../operator-command.js';
 
@@ -19,7 +19,7 @@
 	async run(): Promise<AcceptedText & {readonly service: string}> {
 		const {args, flags} = await this.parse(DocumentShow);
 		const {version, text} = await readAcceptedText(openPlatform(await loadSettings(flags)), args.service, flags.version);
-		this.log(addBase(text, version).trimEnd());
+		this.log(addBaseVersion(text, version).trimEnd());
 		return {service: args.service, version, text};
 	}
 }
