--- a/packages/galenakeel/src/process/commands/document/accept.ts
+++ b/packages/galenakeel/src/process/commands/document/accept.ts
@@ -47,7 +47,7 @@
 			this.logToStderr(`warning: ${warning}`);
 		}
 
-		const seenVersion = flags['from-version'] ?? baseVersion ?? await assumeNew(platform, service, file);
+		const seenVersion = flags['from-version'] ?? baseVersion ?? await requireNewService(platform, service, file);
 		const version = await this.accept(platform, {
 			service, seenVersion, file, text,
 		});
@@ -74,12 +74,12 @@
 				text: proposal.text, seenVersion: proposal.seenVersion, author: userInfo().username, nonce: randomUUID(),
 			});
 		} catch (error) {
-			return this.settleConflict(platform, proposal, error);
+			return this.resolveConflict(platform, proposal, error);
 		}
 	}
 
 	/** A conflict with the very same text means that the document was accepted before, perhaps by an attempt whose answer was lost. */
-	private async settleConflict(platform: Platform, proposal: Proposal, error: unknown): Promise<number> {
+	private async resolveConflict(platform: Platform, proposal: Proposal, error: unknown): Promise<number> {
 		const report = isFault(error, FaultKind.DocumentConflict) ? await describeConflict(platform, proposal) : undefined;
 		if (!report) {
 			throw error;
@@ -93,7 +93,7 @@
 	}
 }
 
-const assumeNew = async (platform: Platform, service: string, file: string): Promise<number> => {
+const requireNewService = async (platform: Platform, service: string, file: string): Promise<number> => {
 	const current = await readDocument(platform, service);
 	if (current) {
 		const remedy = `begin with "galenakeel document edit ${service}", or pass --from-version after a look at "galenakeel document diff ${file}"`;
