--- a/packages/galenakeel/src/process/commands/doctor.ts
+++ b/packages/galenakeel/src/process/commands/doctor.ts
@@ -2,7 +2,7 @@
 import {parseDaemonSettings} from 'galenakeeld/process/daemon-settings.js';
 import {formatTable} from '../../request/format-table.js';
 import {
-	checkThat, examineFleet, Verdict, type Finding,
+	runCheck, checkFleet, Verdict, type Finding,
 } from '../doctor-checks.js';
 import {ExitCode} from '../exit-code.js';
 import {loadSettings, OperatorCommand, openPlatform} from '../operator-command.js';
@@ -30,7 +30,7 @@
 		const isFleetChecked = files.length === 0 || settings.platform.address !== undefined;
 		const findings = [
 			...await Promise.all(files.map(async file => checkDaemonSettings(file))),
-			...isFleetChecked ? await examineFleet(openPlatform(settings), settings.instances.timeoutMilliseconds) : [],
+			...isFleetChecked ? await checkFleet(openPlatform(settings), settings.instances.timeoutMilliseconds) : [],
 		];
 		const wrong = findings.filter(({verdict}) => verdict !== Verdict.Good);
 		this.log(formatTable(['SUBJECT', 'VERDICT', 'DETAIL'], findings.map(({subject, verdict, detail}) => [subject, verdict, detail.split('\n')[0]!])));
@@ -46,7 +46,7 @@
 	}
 }
 
-const checkDaemonSettings = async (file: string): Promise<Finding> => checkThat('daemon settings', async () => {
+const checkDaemonSettings = async (file: string): Promise<Finding> => runCheck('daemon settings', async () => {
 	const {instance, zone} = parseDaemonSettings(await readText(file), file);
 	return `${file} is valid, for ${instance} in ${zone}`;
 });
--- a/packages/galenakeel/src/process/doctor-checks.ts
+++ b/packages/galenakeel/src/process/doctor-checks.ts
@@ -32,11 +32,11 @@
 	readonly remedy: string;
 };
 
-const good = (subject: string, detail: string): Finding => ({
+const createGoodFinding = (subject: string, detail: string): Finding => ({
 	subject, verdict: Verdict.Good, detail, remedy: '',
 });
 
-const findingOf = (subject: string, error: unknown): Finding => ({
+const createBadFinding = (subject: string, error: unknown): Finding => ({
 	subject,
 	verdict: Verdict.Bad,
 	detail: detailOf(error),
@@ -57,21 +57,21 @@
 const finding = await checkThat('daemon settings', async () => { parseDaemonSettings(text, path); return 'entry-a1.jsonc is valid'; });
 ```
 */
-export const checkThat = async (subject: string, check: () => Promise<string>): Promise<Finding> => {
+export const runCheck = async (subject: string, check: () => Promise<string>): Promise<Finding> => {
 	try {
-		return good(subject, await check());
+		return createGoodFinding(subject, await check());
 	} catch (error) {
-		return findingOf(subject, error);
+		return createBadFinding(subject, error);
 	}
 };
 
 const checkPlatform = async (platform: Platform): Promise<Finding> => {
 	const startedAt = performance.now();
-	const finding = await checkThat('platform', async () => `answers; the catalogue is at version ${await readCatalogueVersion(platform)}`);
-	const took = performance.now() - startedAt;
-	if (finding.verdict === Verdict.Good && took > slowPlatformMilliseconds) {
+	const finding = await runCheck('platform', async () => `answers; the catalogue is at version ${await readCatalogueVersion(platform)}`);
+	const elapsedMilliseconds = performance.now() - startedAt;
+	if (finding.verdict === Verdict.Good && elapsedMilliseconds > slowPlatformMilliseconds) {
 		return {
-			...finding, verdict: Verdict.Warning, detail: `a read took ${took.toFixed(0)} ms`, remedy: 'Ask the platform\'s operators; documents and callers\' identifiers wait for it.',
+			...finding, verdict: Verdict.Warning, detail: `a read took ${elapsedMilliseconds.toFixed(0)} ms`, remedy: 'Ask the platform\'s operators; documents and callers\' identifiers wait for it.',
 		};
 	}
 
@@ -92,7 +92,7 @@
 	const all = documents.map(({document}) => document);
 	const shared = all.flatMap((document, position) => findSharedAddresses(document, all.slice(0, position)).map(place => ({service: document.service, ...place})));
 	return [
-		good('documents', `${documents.length} accepted, all valid`),
+		createGoodFinding('documents', `${documents.length} accepted, all valid`),
 		...shared.map(({service, address, otherService}): Finding => ({
 			subject: 'documents',
 			verdict: Verdict.Warning,
@@ -102,9 +102,9 @@
 	];
 };
 
-const checkClock = (subject: string, date: string | undefined, between: {readonly before: number; readonly after: number}): Finding => {
-	const theirs = Date.parse(date ?? '');
-	if (Number.isNaN(theirs)) {
+const checkClock = (subject: string, date: string | undefined, callTimes: {readonly before: number; readonly after: number}): Finding => {
+	const remoteTime = Date.parse(date ?? '');
+	if (Number.isNaN(remoteTime)) {
 		return {
 			subject,
 			verdict: Verdict.NotChecked,
@@ -113,11 +113,11 @@
 		};
 	}
 
-	const ahead = theirs - between.after;
-	const behind = between.before - theirs;
+	const ahead = remoteTime - callTimes.after;
+	const behind = callTimes.before - remoteTime;
 	const difference = Math.max(ahead, behind);
 	if (difference <= clockToleranceMilliseconds) {
-		return good(subject, 'agrees with this machine\'s within 2 s');
+		return createGoodFinding(subject, 'agrees with this machine\'s within 2 s');
 	}
 
 	return {
@@ -130,15 +130,15 @@
 
 const checkPeers = (status: DaemonStatus, live: ReadonlySet<string>): Finding => {
 	const subject = `peers of ${status.instance}`;
-	const unheard = status.peers.filter(({instance, isReachable}) => live.has(instance) && !isReachable).map(({instance}) => instance);
-	if (unheard.length === 0) {
-		return good(subject, `hears ${status.peers.filter(({isReachable}) => isReachable).length} peers`);
+	const unreachablePeers = status.peers.filter(({instance, isReachable}) => live.has(instance) && !isReachable).map(({instance}) => instance);
+	if (unreachablePeers.length === 0) {
+		return createGoodFinding(subject, `hears ${status.peers.filter(({isReachable}) => isReachable).length} peers`);
 	}
 
 	return {
 		subject,
 		verdict: Verdict.Bad,
-		detail: `does not hear ${unheard.join(', ')}`,
+		detail: `does not hear ${unreachablePeers.join(', ')}`,
 		remedy: 'Check the way between the peers\' ports ("listen.peers" in the daemons\' settings); jobs held by a peer that is not heard are answered "outcome unknown".',
 	};
 };
@@ -146,7 +146,7 @@
 const checkCatalogue = (status: DaemonStatus, version: number): Finding => {
 	const subject = `documents on ${status.instance}`;
 	if (status.catalogueVersion >= version) {
-		return good(subject, `catalogue version ${status.catalogueVersion} is in force`);
+		return createGoodFinding(subject, `catalogue version ${status.catalogueVersion} is in force`);
 	}
 
 	return {
@@ -171,13 +171,13 @@
 		const after = Date.now();
 		const status = parseJson<DaemonStatus>(reply.text);
 		return [
-			good(listed.name, `answers, and is ${status.state}`),
+			createGoodFinding(listed.name, `answers, and is ${status.state}`),
 			checkClock(`clock of ${listed.name}`, reply.headers.date, {before, after}),
 			checkPeers(status, known.live),
 			checkCatalogue(status, known.catalogueVersion),
 		];
 	} catch (error) {
-		return [findingOf(listed.name, error)];
+		return [createBadFinding(listed.name, error)];
 	}
 };
 
@@ -189,7 +189,7 @@
 const findings = await examineFleet(platform, 2000);
 ```
 */
-export const examineFleet = async (platform: Platform, callMilliseconds: number): Promise<readonly Finding[]> => {
+export const checkFleet = async (platform: Platform, callMilliseconds: number): Promise<readonly Finding[]> => {
 	const platformFinding = await checkPlatform(platform);
 	if (platformFinding.verdict === Verdict.Bad) {
 		return [platformFinding, {
@@ -206,7 +206,7 @@
 		const live = new Set(entries.map(({name}) => name));
 		const instances = await Promise.all(entries.map(async entry => checkInstance(entry, {live, catalogueVersion, callMilliseconds})));
 		const list: Finding = entries.length > 0
-			? good('instance list', `${entries.length} live entry instances`)
+			? createGoodFinding('instance list', `${entries.length} live entry instances`)
 			: {
 				subject: 'instance list',
 				verdict: Verdict.Bad,
@@ -215,6 +215,6 @@
 			};
 		return [platformFinding, list, ...documents, ...instances.flat()];
 	} catch (error) {
-		return [platformFinding, findingOf('documents', error)];
+		return [platformFinding, createBadFinding('documents', error)];
 	}
 };
