--- a/packages/galenakeel/src/process/commands/explain.ts
+++ b/packages/galenakeel/src/process/commands/explain.ts
@@ -20,14 +20,14 @@
 		const {args: {id}, flags} = await this.parse(Explain);
 		const settings = await loadSettings(flags);
 		const search = await findRecords(await findEntries(settings), id, settings.instances.timeoutMilliseconds);
-		const missing = search.unreachable.length > 0 ? `; ${search.unreachable.join(', ')} did not answer and may know more` : '';
+		const unreachableNote = search.unreachable.length > 0 ? `; ${search.unreachable.join(', ')} did not answer and may know more` : '';
 		if (search.records.length === 0) {
-			this.exitWith(ExitCode.NotFound, `no instance remembers "${id}"${missing}; only recent requests and jobs are remembered, and none across a restart`, search);
+			this.exitWith(ExitCode.NotFound, `no instance remembers "${id}"${unreachableNote}; only recent requests and jobs are remembered, and none across a restart`, search);
 		}
 
 		this.log(search.records.map(record => formatRecord(record)).join('\n\n'));
-		if (missing !== '') {
-			this.logToStderr(missing.slice(2));
+		if (unreachableNote !== '') {
+			this.logToStderr(unreachableNote.slice(2));
 		}
 
 		return search;
