--- a/packages/galenakeel/src/connection/job-client.ts
+++ b/packages/galenakeel/src/connection/job-client.ts
@@ -5,7 +5,7 @@
 import {callDaemon, type DaemonReply} from './daemon-call.js';
 
 const accepted = 202;
-const progressMilliseconds = 500;
+const progressIntervalMilliseconds = 500;
 
 /**
 How far a job without an answer has come.
@@ -56,7 +56,7 @@
 /**
 Asks for a new identifier that only one instance can ever run.
 */
-export const mintJob = async (address: string, timeoutMilliseconds: number): Promise<string> => {
+export const createJobIdentifier = async (address: string, timeoutMilliseconds: number): Promise<string> => {
 	const reply = await callDaemon(address, {method: 'POST', path: '/v1/job-identifiers'}, timeoutMilliseconds);
 	if (reply.status !== 201) {
 		throw createFault(FaultKind.InstanceUnreachable, `the instance at ${address} gave no identifier: status ${reply.status}`);
@@ -79,10 +79,10 @@
 
 type WatchedJob = {readonly address: string; readonly job: string; readonly timeoutMilliseconds: number};
 
-const watchProgress = async (watched: WatchedJob, report: (progress: JobProgress) => void, signal: AbortSignal): Promise<void> => {
+const pollProgress = async (watched: WatchedJob, report: (progress: JobProgress) => void, signal: AbortSignal): Promise<void> => {
 	while (!signal.aborted) {
 		try {
-			await sleep(progressMilliseconds, undefined, {signal});
+			await sleep(progressIntervalMilliseconds, undefined, {signal});
 			const state = await showJob(watched.address, watched.job, watched.timeoutMilliseconds);
 			if (!state.isAnswered && !signal.aborted) {
 				report(state);
@@ -110,7 +110,7 @@
 	readonly report: (progress: JobProgress) => void;
 }): Promise<JobAnswer> => {
 	const answered = new AbortController();
-	void watchProgress({address, job, timeoutMilliseconds: options.timeoutMilliseconds}, options.report, answered.signal);
+	void pollProgress({address, job, timeoutMilliseconds: options.timeoutMilliseconds}, options.report, answered.signal);
 	try {
 		const reply = await callDaemon(address, {
 			method: 'PUT', path: pathOf(job), body: text, headers: {'content-type': 'application/json'},
--- a/packages/galenakeel/src/process/commands/job/submit.ts
+++ b/packages/galenakeel/src/process/commands/job/submit.ts
@@ -1,5 +1,5 @@
 import {Args, Flags} from '@oclif/core';
-import {mintJob, submitJob, type JobAnswer} from '../../../connection/job-client.js';
+import {createJobIdentifier, submitJob, type JobAnswer} from '../../../connection/job-client.js';
 import {ExitCode, exitCodeOfOutcome} from '../../exit-code.js';
 import {loadSettings, OperatorCommand} from '../../operator-command.js';
 import {callerFlags} from '../../operator-flags.js';
@@ -30,7 +30,7 @@
 		const address = callersAddressOf(settings);
 		const text = await readText(file);
 		const {timeoutMilliseconds} = settings.instances;
-		const job = flags.id ?? await mintJob(address, timeoutMilliseconds);
+		const job = flags.id ?? await createJobIdentifier(address, timeoutMilliseconds);
 		this.logToStderr(`submitted as ${job}; if this command ends without an answer, repeat it with --id "${job}"`);
 		const answer = await submitJob(address, job, text, {
 			waitMilliseconds: flags['wait-timeout'],
