--- a/packages/galenakeel/src/process/commands/job/cancel.ts
+++ b/packages/galenakeel/src/process/commands/job/cancel.ts
@@ -4,7 +4,7 @@
 import {loadSettings, OperatorCommand} from '../../operator-command.js';
 import {callerFlags} from '../../operator-flags.js';
 import {callersAddressOf} from '../../operator-settings.js';
-import {formatJobState} from '../../show-job.js';
+import {formatJobState} from '../../format-job.js';
 
 /**
 Cancels a job.
--- a/packages/galenakeel/src/process/commands/job/submit.ts
+++ b/packages/galenakeel/src/process/commands/job/submit.ts
@@ -5,7 +5,7 @@
 import {callerFlags} from '../../operator-flags.js';
 import {callersAddressOf} from '../../operator-settings.js';
 import {readText} from '../../read-text.js';
-import {formatJobAnswer, formatJobProgress} from '../../show-job.js';
+import {formatJobAnswer, formatJobProgress} from '../../format-job.js';
 
 /**
 Submits a job and waits for its answer.
