Describe base versions and differences of documents in plain terms

Comments, scenario names and steps spoke of a line that comes off and of a ruler. They name the base version and the diff now; the checks are the same.

--- a/packages/galenakeel/src/version/__tests__/document-base.feature
+++ b/packages/galenakeel/src/version/__tests__/document-base.feature
@@ -1,11 +1,11 @@
-Feature: The version that a working copy is made from
+Feature: The base version of a working copy
 
-  Scenario: The line comes off again exactly
-    Then any document text gets back unchanged from its working copy, with the version
+  Scenario: Only the line that names the base version is removed
+    Then adding and splitting off the base version returns any document text unchanged, with the version
 
-  Scenario: A text that does not say its version keeps every line
-    Then the text "// a comment" says no version and stays as it is
+  Scenario: A text without a base version keeps every line
+    Then the text "// a comment" has no base version and stays unchanged
 
-  Scenario: A change is shown as a unified diff, and no change as nothing
-    Then the difference between "a" and "b" removes the one and adds the other
+  Scenario: A change is shown as a unified diff, and equal texts as an empty one
+    Then the difference between "a" and "b" removes the first and adds the second
     And the difference between "a" and "a" is empty
--- a/packages/galenakeel/src/version/document-base.ts
+++ b/packages/galenakeel/src/version/document-base.ts
@@ -1,16 +1,16 @@
 const baseVersionPattern = /^\/\/ galenakeel: from version (?<version>\d+)\r?\n/v;
 
 /**
-The text of a document apart from the line that says which version it was made from.
+The text of a document without the line that names the version it is based on.
 */
 export type VersionedText = {
 	readonly text: string;
-	/** Version that the change was made from; `undefined` when the text does not say. */
+	/** Version that the change is based on; `undefined` when the text has no such line. */
 	readonly version: number | undefined;
 };
 
 /**
-Puts the version that a working copy is made from on its first line.
+Adds a first line that names the version a working copy is based on.
 
 @example
 ```
@@ -20,7 +20,7 @@
 export const addBaseVersion = (text: string, version: number): string => `// galenakeel: from version ${version}\n${text}`;
 
 /**
-Takes that line off again, so that it never becomes part of the document.
+Removes that line, which is not part of the document, and returns its version.
 */
 export const splitBaseVersion = (text: string): VersionedText => {
 	const match = baseVersionPattern.exec(text);
--- a/packages/galenakeel/src/version/document-difference.ts
+++ b/packages/galenakeel/src/version/document-difference.ts
@@ -1,12 +1,12 @@
 import {createTwoFilesPatch} from 'diff';
 
 /**
-A text with the name under which a difference shows it.
+A text with the name that the diff shows for it.
 */
 export type NamedText = {readonly name: string; readonly text: string};
 
 /**
-Describes what changed from one text to another as a unified diff; empty when nothing did.
+Returns the unified diff of two texts; empty when they are equal. A missing newline at the end is ignored.
 
 @example
 ```
@@ -20,6 +20,6 @@
 	}
 
 	const patch = createTwoFilesPatch(before.name, after.name, endWithNewline(before), endWithNewline(after));
-	// The first line is a ruler that only joins several files.
+	// The first line separates the patches of several files.
 	return patch.slice(patch.indexOf('\n') + 1).trimEnd();
 };
--- a/packages/galenakeel/src/version/document-template.ts
+++ b/packages/galenakeel/src/version/document-template.ts
@@ -1,5 +1,5 @@
 /**
-Writes the first draft of a document for a service that has none.
+Returns a document template for a service that has no document yet.
 */
 export const createDocumentTemplate = (service: string): string => `// Document of the service ${service}. Check it with: galenakeel document validate FILE
 {
