--- a/packages/galenakeel/bin/galenakeel.js
+++ b/packages/galenakeel/bin/galenakeel.js
@@ -1,3 +1,3 @@
 #!/usr/bin/env node
-// This file exists before the build, since npm links a binary only if its file is there.
+// Checked in, not built: npm links a binary only if its file exists at install time, which is before the build.
 await import('../dist/process/main.js');
--- a/packages/galenakeel/src/connection/daemon-call.ts
+++ b/packages/galenakeel/src/connection/daemon-call.ts
@@ -5,7 +5,7 @@
 import {createFault, FaultKind} from '@galenakeel/model/request/fault.js';
 
 /**
-A call to an entry instance.
+An HTTP request to an entry instance.
 */
 export type DaemonCall = {
 	readonly method: string;
@@ -15,7 +15,7 @@
 };
 
 /**
-A whole answer of an entry instance.
+A complete HTTP response of an entry instance.
 */
 export type DaemonReply = {
 	readonly status: number;
@@ -33,9 +33,9 @@
 };
 
 /**
-Calls an entry instance and reads its whole answer.
+Sends a request to an entry instance on a new connection and reads the complete response.
 
-@throws A fault of kind `InstanceUnreachable` when no whole answer comes in time.
+@throws A fault of kind `InstanceUnreachable` when no complete response arrives within `timeoutMilliseconds`.
 
 @example
 ```
--- a/packages/galenakeel/src/connection/instance-status.ts
+++ b/packages/galenakeel/src/connection/instance-status.ts
@@ -9,17 +9,17 @@
 const pollMilliseconds = 100;
 
 /**
-The state that is shown for an instance that does not answer.
+The state reported for an instance that does not respond.
 */
 export const unreachableState = 'unreachable';
 
 /**
-The status of an entry instance; only name and zone are known of one that can't be reached.
+The status of an entry instance. For an unreachable instance, only its name and zone are known.
 */
 export type InstanceStatus = Pick<DaemonStatus, 'instance' | 'zone' | 'state' | 'catalogueVersion'> & Partial<DaemonStatus>;
 
 /**
-Asks one listed entry instance for its status.
+Requests the status of one listed entry instance. An instance that does not respond is returned with `unreachableState`.
 */
 export const readStatus = async (listed: ListedInstance, callMilliseconds: number): Promise<InstanceStatus> => {
 	try {
@@ -33,7 +33,7 @@
 };
 
 /**
-Lists the entry instances, by name.
+Returns the entry instances that the platform lists, sorted by name.
 */
 export const listEntries = async (platform: Platform): Promise<readonly ListedInstance[]> => {
 	const listed = await platform.listInstances();
@@ -41,15 +41,15 @@
 };
 
 /**
-Asks entry instances for their status.
+Requests the status of several entry instances concurrently.
 */
 export const readStatuses = async (entries: readonly ListedInstance[], callMilliseconds: number): Promise<readonly InstanceStatus[]> =>
 	Promise.all(entries.map(async entry => readStatus(entry, callMilliseconds)));
 
 /**
-Waits until every live instance has a catalogue version in force.
+Waits until every live entry instance has the given catalogue version, or a later one, in force.
 
-@returns The instances that still have not when the wait ends.
+@returns The names of the instances that are still behind when the wait ends; empty when none is.
 
 @example
 ```
--- a/packages/galenakeel/src/connection/job-client.ts
+++ b/packages/galenakeel/src/connection/job-client.ts
@@ -8,23 +8,23 @@
 const progressIntervalMilliseconds = 500;
 
 /**
-How far a job without an answer has come.
+The progress of a job that has no answer yet.
 */
 export type JobProgress = {readonly job: string; readonly state: string; readonly tasks: number; readonly started: number; readonly finished: number};
 
 /**
-The final answer to a job, or what is known about it.
+The final answer to a job, or the problem that was returned instead of it.
 */
 export type JobAnswer = {
 	readonly job: string;
 	readonly outcome: Outcome;
 	readonly status: number;
-	/** The body of the answer, as the dispatcher wrote it. */
+	/** The parsed body of the response. */
 	readonly answer: JobAnswerBody;
 };
 
 /**
-The body of a job's answer: its tasks, or a problem (RFC 9457).
+The body of a job's answer: its tasks, or problem details (RFC 9457).
 */
 export type JobAnswerBody = {
 	readonly title?: string;
@@ -34,7 +34,7 @@
 };
 
 /**
-The state of a job.
+The state of a job: its progress, or its answer.
 */
 export type JobState
 	= | ({readonly isAnswered: false} & JobProgress)
@@ -54,12 +54,14 @@
 const pathOf = (job: string): string => `/v1/jobs/${encodeURIComponent(job)}`;
 
 /**
-Asks for a new identifier that only one instance can ever run.
+Requests a new job identifier. A job with this identifier can run only on the instance that issued it.
+
+@throws A fault of kind `InstanceUnreachable` when the instance does not issue one.
 */
 export const createJobIdentifier = async (address: string, timeoutMilliseconds: number): Promise<string> => {
 	const reply = await callDaemon(address, {method: 'POST', path: '/v1/job-identifiers'}, timeoutMilliseconds);
 	if (reply.status !== 201) {
-		throw createFault(FaultKind.InstanceUnreachable, `the instance at ${address} gave no identifier: status ${reply.status}`);
+		throw createFault(FaultKind.InstanceUnreachable, `the instance at ${address} did not issue a job identifier: status ${reply.status}`);
 	}
 
 	return parseJson<{job: string}>(reply.text).job;
@@ -72,7 +74,7 @@
 	stateOf(job, await callDaemon(address, {method: 'GET', path: pathOf(job)}, timeoutMilliseconds));
 
 /**
-Cancels a job: tasks that have not started never will.
+Cancels a job: tasks that have not started will not start.
 */
 export const cancelJob = async (address: string, job: string, timeoutMilliseconds: number): Promise<JobState> =>
 	stateOf(job, await callDaemon(address, {method: 'DELETE', path: pathOf(job)}, timeoutMilliseconds));
@@ -88,16 +90,16 @@
 				report(state);
 			}
 		} catch {
-			// Progress is a courtesy; the answer comes on its own connection.
+			// Progress reports are optional: the answer arrives on a separate connection, so a failed poll is ignored.
 		}
 	}
 };
 
 /**
-Submits a job and waits for its one answer.
+Submits a job and waits for its answer.
 
-@param options.report Called about twice a second while the job runs.
-@throws A fault of kind `InstanceUnreachable` when no answer came; the job may have run, and the same identifier may be repeated.
+@param options.report Called about every 500 ms while the job runs.
+@throws A fault of kind `InstanceUnreachable` when no answer arrives within `waitMilliseconds`. The job may have run; it is safe to submit it again with the same identifier.
 
 @example
 ```
--- a/packages/galenakeel/src/connection/request-records.ts
+++ b/packages/galenakeel/src/connection/request-records.ts
@@ -4,11 +4,11 @@
 import {callDaemon} from './daemon-call.js';
 
 /**
-What the instances know of an identifier.
+The records of the entry instances for one identifier.
 */
 export type RecordSearch = {
 	readonly records: readonly RequestRecord[];
-	/** Instances that did not answer; they may know more. */
+	/** Names of the instances that did not return a usable answer; they may have further records. */
 	readonly unreachable: readonly string[];
 };
 
@@ -29,7 +29,7 @@
 };
 
 /**
-Asks every listed entry instance what it remembers of a request or job.
+Requests the records of a request or job from the given entry instances, and sorts them by start time.
 
 @example
 ```
--- a/packages/galenakeel/src/request/format-table.ts
+++ b/packages/galenakeel/src/request/format-table.ts
@@ -1,5 +1,5 @@
 /**
-Lays out rows of text in aligned columns under their headings.
+Formats rows of text as aligned columns under their headings.
 
 @example
 ```
