--- a/packages/galenakeel/src/process/commands/doctor.ts
+++ b/packages/galenakeel/src/process/commands/doctor.ts
@@ -9,10 +9,10 @@
 import {readText} from '../read-text.js';
 
 /**
-Looks for what is wrong, and says the remedy.
+Checks the settings files and the fleet, and prints a remedy for each problem.
 */
 export default class Doctor extends OperatorCommand {
-	static override description = 'Check daemons\' settings files, the platform, the documents, every entry instance, its peers and its clock, and say the remedy of what is wrong.';
+	static override description = 'Check daemons\' settings files, the platform, the documents, and every entry instance with its peers and clock, and print a remedy for each problem found.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %>',
 		'<%= config.bin %> <%= command.id %> --daemon-settings /etc/galenakeeld.jsonc',
@@ -20,7 +20,7 @@
 	];
 
 	static override flags = {
-		'daemon-settings': Flags.string({description: 'settings file of a daemon to check; may be repeated', multiple: true, helpValue: 'FILE'}),
+		'daemon-settings': Flags.string({description: 'settings file of a daemon to check; can be given several times', multiple: true, helpValue: 'FILE'}),
 	};
 
 	async run(): Promise<readonly Finding[]> {
--- a/packages/galenakeel/src/process/commands/document/accept.ts
+++ b/packages/galenakeel/src/process/commands/document/accept.ts
@@ -18,10 +18,10 @@
 type Proposal = {readonly service: string; readonly seenVersion: number; readonly file: string; readonly text: string};
 
 /**
-Accepts a document, so that it comes into force on every instance.
+Accepts a document, which puts it in force on every instance.
 */
 export default class DocumentAccept extends OperatorCommand {
-	static override description = 'Validate a document and put it in force on every instance. If somebody else changed it since your change was made, nothing is changed, and you see both.';
+	static override description = 'Validate a document and put it in force on every instance. If it has changed since your base version, nothing is changed, and both changes are shown.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc --wait',
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc --from-version 12',
@@ -29,9 +29,9 @@
 
 	static override args = {file: Args.string({description: 'file with the document, JSON with comments', required: true})};
 	static override flags = {
-		'from-version': Flags.integer({description: 'version that the change was made from; 0 for a new service. By default the first line of the file says it', min: 0}),
-		wait: Flags.boolean({description: 'return once every live instance has the document in force'}),
-		'wait-timeout': Flags.integer({description: 'longest wait, in milliseconds', default: 10_000, min: 1}),
+		'from-version': Flags.integer({description: 'version that the change is based on; 0 for a new service. Read from the first line of the file by default', min: 0}),
+		wait: Flags.boolean({description: 'wait until every live instance has the document in force'}),
+		'wait-timeout': Flags.integer({description: 'maximum time that --wait waits, in milliseconds', default: 10_000, min: 1}),
 	};
 
 	async run(): Promise<Acceptance> {
@@ -61,7 +61,7 @@
 			service, version, warnings, behind,
 		};
 		if (behind.length > 0) {
-			this.exitWith(ExitCode.NotInForce, `version ${version} is accepted, and not yet in force on ${behind.join(', ')}; look at these instances with "galenakeel status"`, result);
+			this.exitWith(ExitCode.NotInForce, `version ${version} is accepted, but not yet in force on ${behind.join(', ')}; check these instances with "galenakeel status"`, result);
 		}
 
 		this.log('in force on every live instance');
@@ -78,7 +78,7 @@
 		}
 	}
 
-	/** A conflict with the very same text means that the document was accepted before, perhaps by an attempt whose answer was lost. */
+	/** Returns the current version if its text is identical: the document was accepted before, for example by an attempt whose response was lost. */
 	private async resolveConflict(platform: Platform, proposal: Proposal, error: unknown): Promise<number> {
 		const report = isFault(error, FaultKind.DocumentConflict) ? await describeConflict(platform, proposal) : undefined;
 		if (!report) {
@@ -96,8 +96,8 @@
 const requireNewService = async (platform: Platform, service: string, file: string): Promise<number> => {
 	const current = await readDocument(platform, service);
 	if (current) {
-		const remedy = `begin with "galenakeel document edit ${service}", or pass --from-version after a look at "galenakeel document diff ${file}"`;
-		throw createFault(FaultKind.InvalidConfiguration, `${file} does not say from which version of the document of "${service}" it was made; ${remedy}`);
+		const remedy = `begin with "galenakeel document edit ${service}", or check "galenakeel document diff ${file}" and pass --from-version`;
+		throw createFault(FaultKind.InvalidConfiguration, `${file} does not name the version of the document of "${service}" that it is based on; ${remedy}`);
 	}
 
 	return 0;
--- a/packages/galenakeel/src/process/commands/document/diff.ts
+++ b/packages/galenakeel/src/process/commands/document/diff.ts
@@ -9,10 +9,10 @@
 type Difference = {readonly service: string; readonly version: number; readonly isDifferent: boolean; readonly diff: string};
 
 /**
-Shows what a file would change.
+Shows the difference between the accepted document and a file.
 */
 export default class DocumentDiff extends OperatorCommand {
-	static override description = 'Show what a file would change in the accepted document, or in an earlier version of it.';
+	static override description = 'Show the changes that a file makes to the accepted document, or to an earlier version of it.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc',
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc --version 12',
@@ -27,7 +27,7 @@
 		const {service} = parseServiceDocument(original, file);
 		const accepted = await readAcceptedText(openPlatform(await loadSettings(flags)), service, flags.version);
 		const diff = describeDifference({name: `${service} version ${accepted.version}`, text: accepted.text}, {name: file, text: splitBaseVersion(original).text});
-		this.log(diff === '' ? `${file} is the same as version ${accepted.version}` : diff);
+		this.log(diff === '' ? `${file} is identical to version ${accepted.version}` : diff);
 		return {
 			service, version: accepted.version, isDifferent: diff !== '', diff,
 		};
--- a/packages/galenakeel/src/process/commands/document/edit.ts
+++ b/packages/galenakeel/src/process/commands/document/edit.ts
@@ -9,10 +9,10 @@
 type WorkingCopy = {readonly service: string; readonly version: number; readonly file: string};
 
 /**
-Writes a working copy of a document, to be changed in any editor.
+Writes a working copy of a document, to be edited and accepted.
 */
 export default class DocumentEdit extends OperatorCommand {
-	static override description = 'Begin a change: write a working copy of the accepted document, or a first draft for a new service, and say what to type next.';
+	static override description = 'Start a change: write a working copy of the accepted document, or a template for a new service, and print the next commands.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %> paysheet',
 		'<%= config.bin %> <%= command.id %> paysheet --file change.jsonc --force',
@@ -21,7 +21,7 @@
 	static override args = {service: Args.string({description: 'name of the service', required: true})};
 	static override flags = {
 		file: Flags.string({description: 'file to write; SERVICE.jsonc by default'}),
-		force: Flags.boolean({description: 'replace the file if it is there'}),
+		force: Flags.boolean({description: 'overwrite the file if it exists'}),
 	};
 
 	async run(): Promise<WorkingCopy> {
@@ -30,8 +30,8 @@
 		const file = flags.file ?? `${service}.jsonc`;
 		const version = current?.version ?? 0;
 		await writeCopy(file, addBaseVersion(current?.text ?? createDocumentTemplate(service), version), flags.force);
-		this.log(current ? `wrote version ${version} of the document of ${service} to ${file}` : `${service} has no document yet; wrote a first draft to ${file}`);
-		this.log(`Change it in your editor, then type:\n  galenakeel document ${current ? 'diff' : 'validate'} ${file}\n  galenakeel document accept ${file} --wait`);
+		this.log(current ? `wrote version ${version} of the document of ${service} to ${file}` : `${service} has no document yet; wrote a template to ${file}`);
+		this.log(`Edit the file, then run:\n  galenakeel document ${current ? 'diff' : 'validate'} ${file}\n  galenakeel document accept ${file} --wait`);
 		return {service, version, file};
 	}
 }
@@ -40,6 +40,6 @@
 	try {
 		await writeFile(file, text, {flag: isReplacing ? 'w' : 'wx'});
 	} catch (error) {
-		throw createFault(FaultKind.InvalidConfiguration, `${file} can't be written: ${detailOf(error)}; name another file with --file, or replace it with --force`);
+		throw createFault(FaultKind.InvalidConfiguration, `${file} can't be written: ${detailOf(error)}; choose another file with --file, or overwrite it with --force`);
 	}
 };
--- a/packages/galenakeel/src/process/commands/document/list.ts
+++ b/packages/galenakeel/src/process/commands/document/list.ts
@@ -8,7 +8,7 @@
 Lists the accepted documents.
 */
 export default class DocumentList extends OperatorCommand {
-	static override description = 'List the accepted documents with their owning teams, versions and numbers of endpoints.';
+	static override description = 'List the accepted documents with the owning team, the version and the number of endpoints of each.';
 	static override examples = ['<%= config.bin %> <%= command.id %>', '<%= config.bin %> <%= command.id %> --json'];
 
 	async run(): Promise<readonly ListedDocument[]> {
--- a/packages/galenakeel/src/process/commands/document/show.ts
+++ b/packages/galenakeel/src/process/commands/document/show.ts
@@ -4,10 +4,10 @@
 import {loadSettings, OperatorCommand, openPlatform} from '../../operator-command.js';
 
 /**
-Shows the accepted document of a service.
+Shows the accepted document of a service, or an earlier version of it.
 */
 export default class DocumentShow extends OperatorCommand {
-	static override description = 'Show the accepted document of a service, as its operators wrote it. Its first line says the version, so that a change made from it can be accepted safely.';
+	static override description = 'Show the accepted document of a service, as its operators wrote it. Its first line names the version, so that conflicting changes are detected.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %> paysheet',
 		'<%= config.bin %> <%= command.id %> paysheet --version 12 > paysheet.jsonc',
--- a/packages/galenakeel/src/process/commands/document/validate.ts
+++ b/packages/galenakeel/src/process/commands/document/validate.ts
@@ -10,7 +10,7 @@
 Validates a document without accepting it.
 */
 export default class DocumentValidate extends OperatorCommand {
-	static override description = 'Validate a document and say every fault at once. With the platform\'s address, it is also compared with the documents of other services.';
+	static override description = 'Validate a document and report all errors at once. If the platform\'s address is given, the document is also compared with those of other services.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc',
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc --platform 10.1.2.3:7000 --json',
@@ -29,7 +29,7 @@
 
 		this.log(`${file} is a valid document of ${document.service}`);
 		if (settings.platform.address === undefined) {
-			this.logToStderr('not compared with the documents of other services, since no platform is named');
+			this.logToStderr('not compared with the documents of other services, because the platform\'s address is not given');
 		}
 
 		return {service: document.service, isValid: true, warnings};
--- a/packages/galenakeel/src/process/commands/explain.ts
+++ b/packages/galenakeel/src/process/commands/explain.ts
@@ -8,10 +8,10 @@
 import {loadSettings, OperatorCommand} from '../operator-command.js';
 
 /**
-Explains what became of a request or job.
+Shows the records of a request or job from all instances.
 */
 export default class Explain extends OperatorCommand {
-	static override description = 'Explain what became of a recent request or job: where it went, what happened at each step, and why. Every instance is asked.';
+	static override description = 'Explain a recent request or job: which instances and endpoints handled it, the time and result of each step, and the reason of a failure. Queries all instances.';
 	static override examples = ['<%= config.bin %> <%= command.id %> sheet-2041', '<%= config.bin %> <%= command.id %> sheet-2041 --json'];
 	static override flags = instanceFlags;
 	static override args = {id: Args.string({description: 'identifier of the job, or of the request', required: true})};
@@ -20,9 +20,9 @@
 		const {args: {id}, flags} = await this.parse(Explain);
 		const settings = await loadSettings(flags);
 		const search = await findRecords(await findEntries(settings), id, settings.instances.timeoutMilliseconds);
-		const unreachableNote = search.unreachable.length > 0 ? `; ${search.unreachable.join(', ')} did not answer and may know more` : '';
+		const unreachableNote = search.unreachable.length > 0 ? `; ${search.unreachable.join(', ')} did not answer and may have further records` : '';
 		if (search.records.length === 0) {
-			this.exitWith(ExitCode.NotFound, `no instance remembers "${id}"${unreachableNote}; only recent requests and jobs are remembered, and none across a restart`, search);
+			this.exitWith(ExitCode.NotFound, `no instance remembers "${id}"${unreachableNote}; instances keep only recent requests and jobs, and lose them at a restart`, search);
 		}
 
 		this.log(search.records.map(record => formatRecord(record)).join('\n\n'));
--- a/packages/galenakeel/src/process/commands/job/cancel.ts
+++ b/packages/galenakeel/src/process/commands/job/cancel.ts
@@ -10,7 +10,7 @@
 Cancels a job.
 */
 export default class JobCancel extends OperatorCommand {
-	static override description = 'Cancel a job: tasks that have not started never will; those that have are not cut.';
+	static override description = 'Cancel a job: tasks that have not started will not start; running tasks are not interrupted.';
 	static override examples = ['<%= config.bin %> <%= command.id %> sheets-2041 --callers 10.1.2.3:8000', '<%= config.bin %> <%= command.id %> sheets-2041 --json'];
 	static override args = {id: Args.string({description: 'identifier of the job', required: true})};
 	static override flags = callerFlags;
--- a/packages/galenakeel/src/process/commands/job/show.ts
+++ b/packages/galenakeel/src/process/commands/job/show.ts
@@ -7,10 +7,10 @@
 import {formatJobState} from '../../format-job.js';
 
 /**
-Shows a job.
+Shows the progress of a job, or its answer.
 */
 export default class JobShow extends OperatorCommand {
-	static override description = 'Show how far a job has come, or its answer.';
+	static override description = 'Show the progress of a job, or its answer.';
 	static override examples = ['<%= config.bin %> <%= command.id %> sheets-2041 --callers 10.1.2.3:8000', '<%= config.bin %> <%= command.id %> sheets-2041 --json'];
 	static override args = {id: Args.string({description: 'identifier of the job', required: true})};
 	static override flags = callerFlags;
--- a/packages/galenakeel/src/process/commands/job/submit.ts
+++ b/packages/galenakeel/src/process/commands/job/submit.ts
@@ -8,10 +8,10 @@
 import {formatJobAnswer, formatJobProgress} from '../../format-job.js';
 
 /**
-Submits a job and waits for its answer.
+Submits a job, reports its progress and waits for its answer.
 */
 export default class JobSubmit extends OperatorCommand {
-	static override description = 'Submit a job as a caller does, show its progress, and wait for its one answer. A repeat of the same identifier never starts a task twice.';
+	static override description = 'Submit a job as a caller does, show its progress, and wait for its answer. Submitting it again with the same identifier never starts a task twice.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %> sheets.json --callers 10.1.2.3:8000',
 		'<%= config.bin %> <%= command.id %> sheets.json --id sheets-2041 --json',
@@ -20,8 +20,8 @@
 	static override args = {file: Args.string({description: 'file with the job, JSON', required: true})};
 	static override flags = {
 		...callerFlags,
-		id: Flags.string({description: 'identifier of the job; one is minted by default'}),
-		'wait-timeout': Flags.integer({description: 'longest wait for the answer, in milliseconds', default: 600_000, min: 1}),
+		id: Flags.string({description: 'identifier of the job; a new one is requested by default'}),
+		'wait-timeout': Flags.integer({description: 'maximum time to wait for the answer, in milliseconds', default: 600_000, min: 1}),
 	};
 
 	async run(): Promise<JobAnswer> {
@@ -31,7 +31,7 @@
 		const text = await readText(file);
 		const {timeoutMilliseconds} = settings.instances;
 		const job = flags.id ?? await createJobIdentifier(address, timeoutMilliseconds);
-		this.logToStderr(`submitted as ${job}; if this command ends without an answer, repeat it with --id "${job}"`);
+		this.logToStderr(`submitted as ${job}; if this command ends without an answer, run it again with --id "${job}"`);
 		const answer = await submitJob(address, job, text, {
 			waitMilliseconds: flags['wait-timeout'],
 			timeoutMilliseconds,
--- a/packages/galenakeel/src/process/commands/status.ts
+++ b/packages/galenakeel/src/process/commands/status.ts
@@ -8,10 +8,10 @@
 import {formatStatus} from '../format-status.js';
 
 /**
-Shows the entry instances and what they have in force.
+Shows the entry instances, the document versions in force and the endpoints.
 */
 export default class Status extends OperatorCommand {
-	static override description = 'Show the fleet: each entry instance with its queue and slots, the versions in force, and each endpoint with its guard.';
+	static override description = 'Show the fleet: each entry instance with its queue and slots, the document versions in force, and each endpoint with the state of its guard.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %>',
 		'<%= config.bin %> <%= command.id %> --watch --interval 1000',
@@ -21,8 +21,8 @@
 
 	static override flags = {
 		...instanceFlags,
-		watch: Flags.boolean({description: 'show it again and again until Ctrl-C; with --json, one line each time'}),
-		interval: Flags.integer({description: 'time between two looks of --watch, in milliseconds', default: 2000, min: 100}),
+		watch: Flags.boolean({description: 'refresh until interrupted with Ctrl-C; with --json, print one line per refresh'}),
+		interval: Flags.integer({description: 'time between two refreshes of --watch, in milliseconds', default: 2000, min: 100}),
 	};
 
 	async run(): Promise<readonly InstanceStatus[]> {
