--- a/packages/galenakeel/src/process/accepted-text.ts
+++ b/packages/galenakeel/src/process/accepted-text.ts
@@ -8,9 +8,9 @@
 export type AcceptedText = {readonly version: number; readonly text: string};
 
 /**
-Reads the text that is accepted for a service, or that was under an earlier version.
+Reads the accepted document of a service, or an earlier accepted version of it.
 
-@throws A fault of kind `UnknownService` when there is none.
+@throws A fault of kind `UnknownService` when the service has no accepted document or no such version.
 
 @example
 ```
@@ -30,7 +30,7 @@
 
 	const current = await readDocument(platform, service);
 	if (!current) {
-		throw createFault(FaultKind.UnknownService, `no document of "${service}" is accepted; "galenakeel document list" names those that are`);
+		throw createFault(FaultKind.UnknownService, `"${service}" has no accepted document; "galenakeel document list" lists the services that have one`);
 	}
 
 	return current;
--- a/packages/galenakeel/src/process/doctor-checks.ts
+++ b/packages/galenakeel/src/process/doctor-checks.ts
@@ -8,27 +8,27 @@
 import {callDaemon} from '../connection/daemon-call.js';
 
 /**
-What the doctor thinks of one thing that it looked at.
+The result of one check of the `doctor` command.
 */
 export enum Verdict {
-	/** Nothing to mend. */
+	/** No problem was found. */
 	Good = 'good',
-	/** Service goes on; it should be mended. */
+	/** Tasks are still served, but the problem should be fixed. */
 	Warning = 'warning',
-	/** Something does not work. */
+	/** The subject is faulty or unreachable. */
 	Bad = 'bad',
-	/** It could not be looked at. */
+	/** The check could not be made. */
 	NotChecked = 'not checked',
 }
 
 /**
-One thing that the doctor looked at.
+A checked subject with the result of its check.
 */
 export type Finding = {
 	readonly subject: string;
 	readonly verdict: Verdict;
 	readonly detail: string;
-	/** What to do; empty when there is nothing to mend. */
+	/** How to fix the problem; empty when there is nothing to fix or no remedy is known. */
 	readonly remedy: string;
 };
 
@@ -43,14 +43,14 @@
 	remedy: isFault(error) ? remedies[error.name] : '',
 });
 
-/** The platform's writes take several milliseconds; a read that takes this long delays documents and claims. */
+/** A platform write takes several milliseconds; a read that takes this long delays documents and claims. */
 const slowPlatformMilliseconds = 250;
 
-/** The field that carries the time counts whole seconds, so that a smaller difference can't be told. */
+/** The `Date` header has a resolution of one second, so smaller differences can't be detected reliably. */
 const clockToleranceMilliseconds = 2000;
 
 /**
-Turns a check that throws into a finding.
+Runs a check and returns a finding: good with the returned detail, or bad with the detail and remedy of the error thrown.
 
 @example
 ```
@@ -71,7 +71,7 @@
 	const elapsedMilliseconds = performance.now() - startedAt;
 	if (finding.verdict === Verdict.Good && elapsedMilliseconds > slowPlatformMilliseconds) {
 		return {
-			...finding, verdict: Verdict.Warning, detail: `a read took ${elapsedMilliseconds.toFixed(0)} ms`, remedy: 'Ask the platform\'s operators; documents and callers\' identifiers wait for it.',
+			...finding, verdict: Verdict.Warning, detail: `a read took ${elapsedMilliseconds.toFixed(0)} ms`, remedy: 'Contact the platform\'s operators; documents and identifiers depend on it.',
 		};
 	}
 
@@ -85,7 +85,7 @@
 			subject: 'documents',
 			verdict: Verdict.Warning,
 			detail: 'no document is accepted, so no service is served',
-			remedy: 'Begin one with "galenakeel document edit SERVICE".',
+			remedy: 'Create one with "galenakeel document edit SERVICE".',
 		}];
 	}
 
@@ -97,7 +97,7 @@
 			subject: 'documents',
 			verdict: Verdict.Warning,
 			detail: `the endpoint ${address} is in the documents of "${service}" and "${otherService}"`,
-			remedy: `Take it out of one of them: "galenakeel document edit ${service}".`,
+			remedy: `Remove it from one of them: "galenakeel document edit ${service}".`,
 		})),
 	];
 };
@@ -124,7 +124,7 @@
 		subject,
 		verdict: Verdict.Warning,
 		detail: `is ${(difference / 1000).toFixed(0)} s ${ahead > behind ? 'ahead of' : 'behind'} this machine's`,
-		remedy: 'Check the time service (NTP) on both machines; times in logs, traces and histories can\'t be compared until then.',
+		remedy: 'Check the time service (NTP) on both machines; until it is fixed, times in logs, traces and histories can\'t be compared between them.',
 	};
 };
 
@@ -139,7 +139,7 @@
 		subject,
 		verdict: Verdict.Bad,
 		detail: `does not hear ${unreachablePeers.join(', ')}`,
-		remedy: 'Check the way between the peers\' ports ("listen.peers" in the daemons\' settings); jobs held by a peer that is not heard are answered "outcome unknown".',
+		remedy: 'Check the network between the peers\' ports ("listen.peers" in the daemons\' settings); requests for jobs held by an unreachable peer are answered "outcome unknown".',
 	};
 };
 
@@ -153,7 +153,7 @@
 		subject,
 		verdict: Verdict.Bad,
 		detail: `catalogue version ${status.catalogueVersion} is in force, ${version} is accepted`,
-		remedy: 'If it does not catch up within seconds, look in its log for "platform-unavailable".',
+		remedy: 'If it does not catch up within a few seconds, search its log for "platform-unavailable".',
 	};
 };
 
@@ -182,7 +182,7 @@
 };
 
 /**
-Looks at the platform, its list, the documents, and every listed entry instance with its peers and clock.
+Checks the platform, its instance list, the documents, and every live entry instance with its peers and clock.
 
 @example
 ```
@@ -196,7 +196,7 @@
 			subject: 'instances',
 			verdict: Verdict.NotChecked,
 			detail: 'only the platform lists them',
-			remedy: 'Serving goes on with the documents in force; look at the instances with "galenakeel status --instance ADDRESS", by their operators\' ports.',
+			remedy: 'Instances continue to serve the documents in force; check them with "galenakeel status --instance ADDRESS", with the address of an operators\' port.',
 		}];
 	}
 
--- a/packages/galenakeel/src/process/document-conflict.ts
+++ b/packages/galenakeel/src/process/document-conflict.ts
@@ -3,26 +3,28 @@
 import {describeDifference} from '../version/document-difference.js';
 
 /**
-What an operator needs to know to settle a conflict.
+A conflict between an operator's change and a newer version of the document, with the information needed to resolve it.
 */
 export type ConflictReport = {
 	readonly service: string;
-	/** Version that the operator's change was made from; 0 when none. */
+	/** Version that the operator's change is based on; 0 if the service had no document. */
 	readonly seenVersion: number;
 	readonly currentVersion: number;
-	/** Who accepted the current version, and when. */
+	/** Operator who accepted the current version; `acceptedAt` is the time. Both are `unknown` if the version is not in the history. */
 	readonly author: string;
 	readonly acceptedAt: string;
-	/** What the others changed since the version that the change was made from. */
+	/** Difference between the base version and the current version. */
 	readonly theirDiff: string;
-	/** What the operator's file would change in the current version. */
+	/** Difference between the current version and the operator's file. */
 	readonly yourDiff: string;
-	/** The commands to type next. */
+	/** The commands that resolve the conflict. */
 	readonly next: readonly string[];
 };
 
 /**
-Describes a conflict between an operator's file and the document in force; `undefined` when there is no document.
+Describes the conflict between an operator's file and the accepted document.
+
+@returns `undefined` when the service has no accepted document.
 
 @example
 ```
@@ -63,15 +65,15 @@
 };
 
 /**
-Writes a conflict for people.
+Formats a conflict as text for the terminal.
 */
 export const formatConflict = (report: ConflictReport): string => [
 	`document-conflict: version ${report.currentVersion} of the document of "${report.service}" was accepted by ${report.author} at ${report.acceptedAt};`,
-	`your change was made from version ${report.seenVersion}. Nothing was changed.`,
-	`What changed since version ${report.seenVersion}:`,
+	`your change is based on version ${report.seenVersion}. Nothing was changed.`,
+	`Changes since version ${report.seenVersion}:`,
 	report.theirDiff,
-	'What your file would change in the document in force:',
+	'Changes that your file makes to the document in force:',
 	report.yourDiff,
-	'Next: write a copy of the document in force, put your change into it, look at it, and accept it:',
+	'Next: write a copy of the document in force, make your change in it, review it, and accept it:',
 	...report.next.map(command => `  ${command}`),
 ].join('\n');
--- a/packages/galenakeel/src/process/document-warnings.ts
+++ b/packages/galenakeel/src/process/document-warnings.ts
@@ -4,7 +4,7 @@
 import {findSharedAddresses} from '@galenakeel/model/version/shared-addresses.js';
 
 /**
-Finds what is doubtful about a document next to those of the other services, in words.
+Returns a warning for each endpoint address that the documents of other services also contain.
 
 @example
 ```
@@ -15,5 +15,5 @@
 	const accepted = await readDocuments(platform);
 	const shared = findSharedAddresses(document, accepted.map(entry => entry.document));
 	return shared.map(({address, endpoint, otherService, otherEndpoint}) =>
-		`endpoint "${endpoint}" at ${address} is also endpoint "${otherEndpoint}" of "${otherService}"; an endpoint belongs to one service, so take it out of one of the two documents`);
+		`endpoint "${endpoint}" at ${address} is also endpoint "${otherEndpoint}" of "${otherService}"; an endpoint belongs to one service, so remove it from one of the two documents`);
 };
--- a/packages/galenakeel/src/process/exit-code.ts
+++ b/packages/galenakeel/src/process/exit-code.ts
@@ -5,29 +5,29 @@
 Exit codes of the command line.
 */
 export enum ExitCode {
-	/** The command did what it was asked to do. */
+	/** The command succeeded. */
 	Success = 0,
-	/** The command failed for a reason that has no code of its own. */
+	/** The command failed for a reason without a code of its own. */
 	Failed = 1,
-	/** The command line is wrong. */
+	/** The command line is invalid. */
 	Usage = 2,
-	/** The document is accepted, and some instance does not have it in force yet. */
+	/** The document is accepted, but not yet in force on every live instance. */
 	NotInForce = 3,
-	/** There is no such document, version, job or record. */
+	/** The document, version, job or record does not exist. */
 	NotFound = 4,
 	/** Another operator changed the document first. */
 	Conflict = 5,
-	/** A document, a job or a settings file is faulty. */
+	/** A document, a job, a settings file or an address is invalid, or a file can't be read or written. */
 	InvalidConfiguration = 6,
 	/** The platform or an instance did not answer. */
 	Unavailable = 7,
-	/** The job started and has no whole answer. */
+	/** The job started, but has no complete answer. */
 	JobFailed = 8,
-	/** The job was refused, and nothing of it ran. */
+	/** The job was refused, and none of its tasks ran. */
 	JobNotRun = 9,
 	/** It is not known whether the job ran. */
 	JobOutcomeUnknown = 10,
-	/** The doctor found something to mend. */
+	/** The `doctor` command found a problem. */
 	ProblemsFound = 11,
 }
 
--- a/packages/galenakeel/src/process/find-entries.ts
+++ b/packages/galenakeel/src/process/find-entries.ts
@@ -9,7 +9,7 @@
 });
 
 /**
-Finds the entry instances: those that the platform lists, or those of the settings while the platform is out of reach.
+Returns the entry instances that the platform lists, or those named in the settings when the platform is unavailable or has no address.
 
 @throws A fault of kind `PlatformUnavailable` when the platform does not answer and the settings name no instance.
 
--- a/packages/galenakeel/src/process/format-job.ts
+++ b/packages/galenakeel/src/process/format-job.ts
@@ -2,7 +2,7 @@
 import type {JobAnswer, JobProgress, JobState} from '../connection/job-client.js';
 
 /**
-Writes the answer to a job for people.
+Formats the answer to a job as text for the terminal.
 */
 export const formatJobAnswer = ({job, outcome, status, answer}: JobAnswer): string => {
 	const tasks = answer.tasks ?? [];
@@ -13,12 +13,12 @@
 };
 
 /**
-Writes how far a job has come for people.
+Formats the progress of a job as text for the terminal.
 */
 export const formatJobProgress = ({job, state, tasks, started, finished}: JobProgress): string =>
 	`${job}: ${state}, ${started} of ${tasks} tasks started, ${finished} finished`;
 
 /**
-Writes the state of a job for people.
+Formats the state of a job as text for the terminal.
 */
 export const formatJobState = (state: JobState): string => state.isAnswered ? formatJobAnswer(state) : formatJobProgress(state);
--- a/packages/galenakeel/src/process/format-status.ts
+++ b/packages/galenakeel/src/process/format-status.ts
@@ -11,7 +11,7 @@
 	busy: number;
 	availableFrom: number;
 	reportedBy: number;
-	/** Instances by the state of their guards that are not closed. */
+	/** Number of instances by the state of their guard of this endpoint; closed guards are not counted. */
 	readonly guards: Map<string, number>;
 };
 
@@ -87,7 +87,7 @@
 };
 
 /**
-Writes the state of the fleet for people: instances, versions in force, endpoints.
+Formats the state of the fleet as tables of instances, document versions in force, and endpoints.
 */
 export const formatStatus = (statuses: readonly InstanceStatus[]): string =>
 	[formatInstances(statuses), formatDocuments(statuses), formatEndpoints(statuses)].join('\n\n');
--- a/packages/galenakeel/src/process/operator-command.ts
+++ b/packages/galenakeel/src/process/operator-command.ts
@@ -9,19 +9,21 @@
 import {readText} from './read-text.js';
 
 /**
-Reads the settings file, if one is named, and puts the flags before it.
+Reads the settings file, if one is given, and applies the flags, which take precedence over it.
 */
 export const loadSettings = async (flags: OperatorFlags & {readonly settings?: string | undefined}): Promise<OperatorSettings> =>
 	applyFlags(parseOperatorSettings(flags.settings === undefined ? '{}' : await readText(flags.settings), flags.settings ?? 'the settings'), flags);
 
 /**
-Opens the platform that the settings name.
+Creates a client for the platform whose address the settings contain.
+
+@throws A fault of kind `InvalidConfiguration` when they contain none.
 */
 export const openPlatform = (settings: OperatorSettings): Platform =>
 	createPlatformClient(platformAddressOf(settings), settings.platform.timeoutMilliseconds);
 
 /**
-The base that oclif asks for: the flags of every command, and faults written as one clear message.
+The base class of all commands (oclif requires a class). It adds the common flags, and reports a fault as one message with its remedy instead of a stack trace.
 */
 export abstract class OperatorCommand extends Command {
 	static override enableJsonFlag = true;
@@ -48,7 +50,7 @@
 		return this.exit(exitCode);
 	}
 
-	/** Ends the command with a message and a code, in the form that the operator asked for. */
+	/** Exits with the code, after the message on standard error or, with `--json`, the result on standard output. */
 	protected exitWith(exitCode: ExitCode, message: string, result?: unknown): never {
 		if (this.jsonEnabled()) {
 			this.logJson(result ?? {error: {detail: message, exitCode}});
--- a/packages/galenakeel/src/process/operator-flags.ts
+++ b/packages/galenakeel/src/process/operator-flags.ts
@@ -11,7 +11,7 @@
 };
 
 /**
-Flags of every command.
+Flags that every command accepts.
 */
 export const operatorFlags = {
 	settings: Flags.string({
@@ -21,24 +21,24 @@
 		description: 'address of the platform, as an IP number and a port', env: 'GALENAKEEL_PLATFORM', helpValue: '10.1.2.3:7000', helpGroup: 'GLOBAL', parse: parseAddress,
 	}),
 	timeout: Flags.integer({
-		description: 'time that the platform and each instance have to answer, in milliseconds', min: 1, helpGroup: 'GLOBAL',
+		description: 'maximum time to wait for an answer of the platform or an instance, in milliseconds', min: 1, helpGroup: 'GLOBAL',
 	}),
 };
 
 /**
-Flags of the commands that ask the entry instances.
+Flags of the commands that query the entry instances.
 */
 export const instanceFlags = {
 	instance: Flags.string({
-		description: 'operators\' port of an instance to ask, asked when the platform lists none; may be repeated', multiple: true, helpValue: '10.1.2.3:8002', parse: parseAddress,
+		description: 'operators\' port of an instance, used if the platform is unavailable or not given; can be given several times', multiple: true, helpValue: '10.1.2.3:8002', parse: parseAddress,
 	}),
 };
 
 /**
-Flags of the commands that act as a caller.
+Flags of the commands that act as a caller of the dispatcher.
 */
 export const callerFlags = {
 	callers: Flags.string({
-		description: 'address that takes jobs: the balancer, or the callers\' port of an instance', env: 'GALENAKEEL_CALLERS', helpValue: '10.1.2.3:8000', parse: parseAddress,
+		description: 'address that accepts jobs: the load balancer, or the callers\' port of an instance', env: 'GALENAKEEL_CALLERS', helpValue: '10.1.2.3:8000', parse: parseAddress,
 	}),
 };
--- a/packages/galenakeel/src/process/operator-settings.ts
+++ b/packages/galenakeel/src/process/operator-settings.ts
@@ -9,30 +9,30 @@
 const settingsSchema = z.strictObject({
 	platform: z.strictObject({
 		address: addressSchema.optional(),
-		/** Time that the platform has to answer. */
+		/** Timeout of a call to the platform. */
 		timeoutMilliseconds: milliseconds.default(defaultTimeoutMilliseconds),
 	}).prefault({}),
 	instances: z.strictObject({
-		/** Time that each entry instance has to answer. */
+		/** Timeout of a call to an entry instance. */
 		timeoutMilliseconds: milliseconds.default(defaultTimeoutMilliseconds),
-		/** Operators' ports of the entry instances, to be asked when the platform does not list them. */
+		/** Addresses of the entry instances' operators' ports, used when the platform is unavailable or its address is not given. */
 		operators: z.array(addressSchema).default([]),
 	}).prefault({}),
 	callers: z.strictObject({
-		/** Address that takes jobs: the balancer, or the callers' port of one instance. */
+		/** Address that accepts jobs: the load balancer, or the callers' port of an instance. */
 		address: addressSchema.optional(),
 	}).prefault({}),
 });
 
 /**
-Settings of the command line, from a file of JSON with comments.
+Settings of the command line, read from a file of JSON with comments.
 */
 export type OperatorSettings = z.infer<typeof settingsSchema>;
 
 /**
 Parses and validates the text of an operator's settings file.
 
-@throws A fault of kind `InvalidConfiguration` that names every faulty place by line and column.
+@throws A fault of kind `InvalidConfiguration` that names the line and column of every error.
 
 @example
 ```
@@ -43,7 +43,7 @@
 	parseConfiguration(settingsSchema, text, source);
 
 /**
-What the flags and the environment say; they go before the settings file.
+Values of the flags and environment variables; they take precedence over the settings file.
 */
 export type OperatorFlags = {
 	readonly platform?: string | undefined;
@@ -78,14 +78,14 @@
 };
 
 /**
-Returns the address that takes jobs.
+Returns the address that accepts jobs.
 
 @throws A fault of kind `InvalidConfiguration` when none is given.
 */
 export const callersAddressOf = ({callers}: OperatorSettings): string => {
 	if (callers.address === undefined) {
 		const ways = 'pass --callers 10.1.2.3:8000, set GALENAKEEL_CALLERS, or write "callers": {"address": "10.1.2.3:8000"} in the settings file';
-		throw createFault(FaultKind.InvalidConfiguration, `the address that takes jobs is not given: ${ways}`);
+		throw createFault(FaultKind.InvalidConfiguration, `the address that accepts jobs is not given: ${ways}`);
 	}
 
 	return callers.address;
--- a/packages/galenakeel/src/process/read-text.ts
+++ b/packages/galenakeel/src/process/read-text.ts
@@ -2,7 +2,7 @@
 import {createFault, detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
 
 /**
-Reads a file that the operator named.
+Reads a text file given on the command line.
 
 @throws A fault of kind `InvalidConfiguration` when it can't be read.
 
