--- a/packages/galenakeel/src/process/doctor-checks.ts
+++ b/packages/galenakeel/src/process/doctor-checks.ts
@@ -13,7 +13,7 @@
 export enum Verdict {
 	/** No problem was found. */
 	Good = 'good',
-	/** Tasks are still served, but the problem should be fixed. */
+	/** Nothing is broken, but the problem should be fixed. */
 	Warning = 'warning',
 	/** The subject is faulty or unreachable. */
 	Bad = 'bad',
@@ -71,7 +71,7 @@
 	const elapsedMilliseconds = performance.now() - startedAt;
 	if (finding.verdict === Verdict.Good && elapsedMilliseconds > slowPlatformMilliseconds) {
 		return {
-			...finding, verdict: Verdict.Warning, detail: `a read took ${elapsedMilliseconds.toFixed(0)} ms`, remedy: 'Contact the platform\'s operators; documents and identifiers depend on it.',
+			...finding, verdict: Verdict.Warning, detail: `a read took ${elapsedMilliseconds.toFixed(0)} ms`, remedy: 'Ask the platform\'s operators; documents and callers\' identifiers need it.',
 		};
 	}
 
