--- a/packages/galenakeel/src/process/commands/doctor.ts
+++ b/packages/galenakeel/src/process/commands/doctor.ts
@@ -2,17 +2,17 @@
 import {parseDaemonSettings} from 'galenakeeld/process/daemon-settings.js';
 import {formatTable} from '../../request/format-table.js';
 import {
-	checkThat, examineFleet, Verdict, type Finding,
+	runCheck, checkFleet, Verdict, type Finding,
 } from '../doctor-checks.js';
 import {ExitCode} from '../exit-code.js';
 import {loadSettings, OperatorCommand, openPlatform} from '../operator-command.js';
 import {readText} from '../read-text.js';
 
 /**
-Looks for what is wrong, and says the remedy.
+Checks the settings files and the fleet, and prints a remedy for each problem.
 */
 export default class Doctor extends OperatorCommand {
-	static override description = 'Check daemons\' settings files, the platform, the documents, every entry instance, its peers and its clock, and say the remedy of what is wrong.';
+	static override description = 'Check daemons\' settings files, the platform, the documents, and every entry instance with its peers and clock, and print a remedy for each problem found.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %>',
 		'<%= config.bin %> <%= command.id %> --daemon-settings /etc/galenakeeld.jsonc',
@@ -20,7 +20,7 @@
 	];
 
 	static override flags = {
-		'daemon-settings': Flags.string({description: 'settings file of a daemon to check; may be repeated', multiple: true, helpValue: 'FILE'}),
+		'daemon-settings': Flags.string({description: 'settings file of a daemon to check; can be given several times', multiple: true, helpValue: 'FILE'}),
 	};
 
 	async run(): Promise<readonly Finding[]> {
@@ -30,7 +30,7 @@
 		const isFleetChecked = files.length === 0 || settings.platform.address !== undefined;
 		const findings = [
 			...await Promise.all(files.map(async file => checkDaemonSettings(file))),
-			...isFleetChecked ? await examineFleet(openPlatform(settings), settings.instances.timeoutMilliseconds) : [],
+			...isFleetChecked ? await checkFleet(openPlatform(settings), settings.instances.timeoutMilliseconds) : [],
 		];
 		const wrong = findings.filter(({verdict}) => verdict !== Verdict.Good);
 		this.log(formatTable(['SUBJECT', 'VERDICT', 'DETAIL'], findings.map(({subject, verdict, detail}) => [subject, verdict, detail.split('\n')[0]!])));
@@ -39,14 +39,14 @@
 		}
 
 		if (findings.some(({verdict}) => verdict === Verdict.Bad)) {
-			this.endWith(ExitCode.ProblemsFound, 'problems found', findings);
+			this.exitWith(ExitCode.ProblemsFound, 'problems found', findings);
 		}
 
 		return findings;
 	}
 }
 
-const checkDaemonSettings = async (file: string): Promise<Finding> => checkThat('daemon settings', async () => {
+const checkDaemonSettings = async (file: string): Promise<Finding> => runCheck('daemon settings', async () => {
 	const {instance, zone} = parseDaemonSettings(await readText(file), file);
 	return `${file} is valid, for ${instance} in ${zone}`;
 });
--- a/packages/galenakeel/src/process/commands/document/accept.ts
+++ b/packages/galenakeel/src/process/commands/document/accept.ts
@@ -6,7 +6,7 @@
 import {acceptDocument, readDocument} from '@galenakeel/model/version/document-store.js';
 import {parseServiceDocument} from '@galenakeel/model/version/service-document.js';
 import {waitUntilInForce} from '../../../connection/instance-status.js';
-import {splitBase} from '../../../version/document-base.js';
+import {splitBaseVersion} from '../../../version/document-base.js';
 import {describeConflict, formatConflict} from '../../document-conflict.js';
 import {findDocumentWarnings} from '../../document-warnings.js';
 import {ExitCode} from '../../exit-code.js';
@@ -18,10 +18,10 @@
 type Proposal = {readonly service: string; readonly seenVersion: number; readonly file: string; readonly text: string};
 
 /**
-Accepts a document, so that it comes into force on every instance.
+Accepts a document, which puts it in force on every instance.
 */
 export default class DocumentAccept extends OperatorCommand {
-	static override description = 'Validate a document and put it in force on every instance. If somebody else changed it since your change was made, nothing is changed, and you see both.';
+	static override description = 'Validate a document and put it in force on every instance. If it has changed since your base version, nothing is changed, and both changes are shown.';
 	static override examples = [
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc --wait',
 		'<%= config.bin %> <%= command.id %> paysheet.jsonc --from-version 12',
@@ -29,9 +29,9 @@
 
 	static override args = {file: Args.string({description: 'file with the document, JSON with comments', required: true})};
 	static override flags = {
-		'from-version': Flags.integer({description: 'version that the change was made from; 0 for a new service. By default the first line of the file says it', min: 0}),
-		wait: Flags.boolean({description: 'return once every live instance has the document in force'}),
-		'wait-timeout': Flags.integer({description: 'longest wait, in milliseconds', default: 10_000, min: 1}),
+		'from-version': Flags.integer({description: 'version that the change is based on; 0 for a new service. Read from the first line of the file by default', min: 0}),
+		wait: Flags.boolean({description: 'wait until every live instance has the document in force'}),
+		'wait-timeout': Flags.integer({description: 'maximum time that --wait waits, in milliseconds', default: 10_000, min: 1}),
 	};
 
 	async run(): Promise<Acceptance> {
@@ -40,14 +40,14 @@
 		const platform = openPlatform(settings);
 		const original = await readText(file);
 		const document = parseServiceDocument(original, file);
-		const {text, version: baseVersion} = splitBase(original);
+		const {text, version: baseVersion} = splitBaseVersion(original);
 		const {service} = document;
 		const warnings = await findDocumentWarnings(platform, document);
 		for (const warning of warnings) {
 			this.logToStderr(`warning: ${warning}`);
 		}
 
-		const seenVersion = flags['from-version'] ?? baseVersion ?? await assumeNew(platform, service, file);
+		const seenVersion = flags['from-version'] ?? baseVersion ?? await requireNewService(platform, service, file);
 		const version = await this.accept(platform, {
 			service, seenVersion, file, text,
 		});
@@ -61,7 +61,7 @@
 			service, version, warnings, behind,
 		};
 		if (behind.length > 0) {
-			this.endWith(ExitCode.NotInForce, `version ${version} is accepted, and not yet in force on ${behind.join(', ')}; look at these instances with "galenakeel status"`, result);
+			this.exitWith(ExitCode.NotInForce, `version ${version} is accepted, but not yet in force on ${behind.join(', ')}; check these instances with "galenakeel status"`, result);
 		}
 
 		this.log('in force on every live instance');
@@ -74,12 +74,12 @@
 				text: proposal.text, seenVersion: proposal.seenVersion, author: userInfo().username, nonce: randomUUID(),
 			});
 		} catch (error) {
-			return this.settleConflict(platform, proposal, error);
+			return this.resolveConflict(platform, proposal, error);
 		}
 	}
 
-	/** A conflict with the very same text means that the document was accepted before, perhaps by an attempt whose answer was lost. */
-	private async settleConflict(platform: Platform, proposal: Proposal, error: unknown): Promise<number> {
+	/** Returns the current version if its text is identical: the document was accepted before, for example by an attempt whose response was lost. */
+	private async resolveConflict(platform: Platform, proposal: Proposal, error: unknown): Promise<number> {
 		const report = isFault(error, FaultKind.DocumentConflict) ? await describeConflict(platform, proposal) : undefined;
 		if (!report) {
 			throw error;
@@ -89,15 +89,15 @@
 			return report.currentVersion;
 		}
 
-		return this.endWith(ExitCode.Conflict, formatConflict(report), {error: {kind: FaultKind.DocumentConflict, exitCode: ExitCode.Conflict, ...report}});
+		return this.exitWith(ExitCode.Conflict, formatConflict(report), {error: {kind: FaultKind.DocumentConflict, exitCode: ExitCode.Conflict, ...report}});
 	}
 }
 
-const assumeNew = async (platform: Platform, service: string, file: string): Promise<number> => {
+const requireNewService = async (platform: Platform, service: string, file: string): Promise<number> => {
 	const current = await readDocument(platform, service);
 	if (current) {
-		const remedy = `begin with "galenakeel document edit ${service}", or pass --from-version after a look at "galenakeel document diff ${file}"`;
-		throw createFault(FaultKind.InvalidConfiguration, `${file} does not say from which version of the document of "${service}" it was made; ${remedy}`);
+		const remedy = `begin with "galenakeel document edit ${service}", or check "galenakeel document diff ${file}" and pass --from-version`;
+		throw createFault(FaultKind.InvalidConfiguration, `${file} does not name the version of the document of "${service}" that it is based on; ${remedy}`);
 	}
 
 	return 0;
--- a/packages/galenakeel/src/process/doctor-checks.ts
+++ b/packages/galenakeel/src/process/doctor-checks.ts
@@ -8,70 +8,70 @@
 import {callDaemon} from '../connection/daemon-call.js';
 
 /**
-What the doctor thinks of one thing that it looked at.
+The result of one check of the `doctor` command.
 */
 export enum Verdict {
-	/** Nothing to mend. */
+	/** No problem was found. */
 	Good = 'good',
-	/** Service goes on; it should be mended. */
+	/** Nothing is broken, but the problem should be fixed. */
 	Warning = 'warning',
-	/** Something does not work. */
+	/** The subject is faulty or unreachable. */
 	Bad = 'bad',
-	/** It could not be looked at. */
+	/** The check could not be made. */
 	NotChecked = 'not checked',
 }
 
 /**
-One thing that the doctor looked at.
+A checked subject with the result of its check.
 */
 export type Finding = {
 	readonly subject: string;
 	readonly verdict: Verdict;
 	readonly detail: string;
-	/** What to do; empty when there is nothing to mend. */
+	/** How to fix the problem; empty when there is nothing to fix or no remedy is known. */
 	readonly remedy: string;
 };
 
-const good = (subject: string, detail: string): Finding => ({
+const createGoodFinding = (subject: string, detail: string): Finding => ({
 	subject, verdict: Verdict.Good, detail, remedy: '',
 });
 
-const findingOf = (subject: string, error: unknown): Finding => ({
+const createBadFinding = (subject: string, error: unknown): Finding => ({
 	subject,
 	verdict: Verdict.Bad,
 	detail: detailOf(error),
 	remedy: isFault(error) ? remedies[error.name] : '',
 });
 
-/** The platform's writes take several milliseconds; a read that takes this long delays documents and claims. */
+/** A platform write takes several milliseconds; a read that takes this long delays documents and claims. */
 const slowPlatformMilliseconds = 250;
 
-/** The field that carries the time counts whole seconds, so that a smaller difference can't be told. */
+/** The `Date` header has a resolution of one second, so smaller differences can't be detected reliably. */
 const clockToleranceMilliseconds = 2000;
 
 /**
-Turns a check that throws into a finding.
+Runs a check and returns a finding: good with the returned detail, or bad with the detail and remedy of the error thrown.
 
 @example
 ```
 const finding = await checkThat('daemon settings', async () => { parseDaemonSettings(text, path); return 'entry-a1.jsonc is valid'; });
 ```
 */
-export const checkThat = async (subject: string, check: () => Promise<string>): Promise<Finding> => {
+export const runCheck = async (subject: string, check: () => Promise<string>): Promise<Finding> => {
 	try {
-		return good(subject, await check());
+		return createGoodFinding(subject, await check());
 	} catch (error) {
-		return findingOf(subject, error);
+		return createBadFinding(subject, error);
 	}
 };
 
 const checkPlatform = async (platform: Platform): Promise<Finding> => {
 	const startedAt = performance.now();
-	const finding = await checkThat('platform', async () => `answers; the catalogue is at version ${await readCatalogueVersion(platform)}`);
-	const took = performance.now() - startedAt;
-	if (finding.verdict === Verdict.Good && took > slowPlatformMilliseconds) {
+	const finding = await runCheck('platform', async () => `answers; the catalogue is at version ${await readCatalogueVersion(platform)}`);
+	const elapsedMilliseconds = performance.now() - startedAt;
+	if (finding.verdict === Verdict.Good && elapsedMilliseconds > slowPlatformMilliseconds) {
 		return {
-			...finding, verdict: Verdict.Warning, detail: `a read took ${took.toFixed(0)} ms`, remedy: 'Ask the platform\'s operators; documents and callers\' identifiers wait for it.',
+			...finding, verdict: Verdict.Warning, detail: `a read took ${elapsedMilliseconds.toFixed(0)} ms`, remedy: 'Ask the platform\'s operators; documents and callers\' identifiers need it.',
 		};
 	}
 
@@ -85,26 +85,26 @@
 			subject: 'documents',
 			verdict: Verdict.Warning,
 			detail: 'no document is accepted, so no service is served',
-			remedy: 'Begin one with "galenakeel document edit SERVICE".',
+			remedy: 'Create one with "galenakeel document edit SERVICE".',
 		}];
 	}
 
 	const all = documents.map(({document}) => document);
 	const shared = all.flatMap((document, position) => findSharedAddresses(document, all.slice(0, position)).map(place => ({service: document.service, ...place})));
 	return [
-		good('documents', `${documents.length} accepted, all valid`),
+		createGoodFinding('documents', `${documents.length} accepted, all valid`),
 		...shared.map(({service, address, otherService}): Finding => ({
 			subject: 'documents',
 			verdict: Verdict.Warning,
 			detail: `the endpoint ${address} is in the documents of "${service}" and "${otherService}"`,
-			remedy: `Take it out of one of them: "galenakeel document edit ${service}".`,
+			remedy: `Remove it from one of them: "galenakeel document edit ${service}".`,
 		})),
 	];
 };
 
-const checkClock = (subject: string, date: string | undefined, between: {readonly before: number; readonly after: number}): Finding => {
-	const theirs = Date.parse(date ?? '');
-	if (Number.isNaN(theirs)) {
+const checkClock = (subject: string, date: string | undefined, callTimes: {readonly before: number; readonly after: number}): Finding => {
+	const remoteTime = Date.parse(date ?? '');
+	if (Number.isNaN(remoteTime)) {
 		return {
 			subject,
 			verdict: Verdict.NotChecked,
@@ -113,47 +113,47 @@
 		};
 	}
 
-	const ahead = theirs - between.after;
-	const behind = between.before - theirs;
+	const ahead = remoteTime - callTimes.after;
+	const behind = callTimes.before - remoteTime;
 	const difference = Math.max(ahead, behind);
 	if (difference <= clockToleranceMilliseconds) {
-		return good(subject, 'agrees with this machine\'s within 2 s');
+		return createGoodFinding(subject, 'agrees with this machine\'s within 2 s');
 	}
 
 	return {
 		subject,
 		verdict: Verdict.Warning,
 		detail: `is ${(difference / 1000).toFixed(0)} s ${ahead > behind ? 'ahead of' : 'behind'} this machine's`,
-		remedy: 'Check the time service (NTP) on both machines; times in logs, traces and histories can\'t be compared until then.',
+		remedy: 'Check the time service (NTP) on both machines; until it is fixed, times in logs, traces and histories can\'t be compared between them.',
 	};
 };
 
 const checkPeers = (status: DaemonStatus, live: ReadonlySet<string>): Finding => {
 	const subject = `peers of ${status.instance}`;
-	const unheard = status.peers.filter(({instance, isReachable}) => live.has(instance) && !isReachable).map(({instance}) => instance);
-	if (unheard.length === 0) {
-		return good(subject, `hears ${status.peers.filter(({isReachable}) => isReachable).length} peers`);
+	const unreachablePeers = status.peers.filter(({instance, isReachable}) => live.has(instance) && !isReachable).map(({instance}) => instance);
+	if (unreachablePeers.length === 0) {
+		return createGoodFinding(subject, `hears ${status.peers.filter(({isReachable}) => isReachable).length} peers`);
 	}
 
 	return {
 		subject,
 		verdict: Verdict.Bad,
-		detail: `does not hear ${unheard.join(', ')}`,
-		remedy: 'Check the way between the peers\' ports ("listen.peers" in the daemons\' settings); jobs held by a peer that is not heard are answered "outcome unknown".',
+		detail: `does not hear ${unreachablePeers.join(', ')}`,
+		remedy: 'Check the network between the peers\' ports ("listen.peers" in the daemons\' settings); requests for jobs held by an unreachable peer are answered "outcome unknown".',
 	};
 };
 
 const checkCatalogue = (status: DaemonStatus, version: number): Finding => {
 	const subject = `documents on ${status.instance}`;
 	if (status.catalogueVersion >= version) {
-		return good(subject, `catalogue version ${status.catalogueVersion} is in force`);
+		return createGoodFinding(subject, `catalogue version ${status.catalogueVersion} is in force`);
 	}
 
 	return {
 		subject,
 		verdict: Verdict.Bad,
 		detail: `catalogue version ${status.catalogueVersion} is in force, ${version} is accepted`,
-		remedy: 'If it does not catch up within seconds, look in its log for "platform-unavailable".',
+		remedy: 'If it does not catch up within a few seconds, search its log for "platform-unavailable".',
 	};
 };
 
@@ -171,32 +171,32 @@
 		const after = Date.now();
 		const status = parseJson<DaemonStatus>(reply.text);
 		return [
-			good(listed.name, `answers, and is ${status.state}`),
+			createGoodFinding(listed.name, `answers, and is ${status.state}`),
 			checkClock(`clock of ${listed.name}`, reply.headers.date, {before, after}),
 			checkPeers(status, known.live),
 			checkCatalogue(status, known.catalogueVersion),
 		];
 	} catch (error) {
-		return [findingOf(listed.name, error)];
+		return [createBadFinding(listed.name, error)];
 	}
 };
 
 /**
-Looks at the platform, its list, the documents, and every listed entry instance with its peers and clock.
+Checks the platform, its instance list, the documents, and every live entry instance with its peers and clock.
 
 @example
 ```
 const findings = await examineFleet(platform, 2000);
 ```
 */
-export const examineFleet = async (platform: Platform, callMilliseconds: number): Promise<readonly Finding[]> => {
+export const checkFleet = async (platform: Platform, callMilliseconds: number): Promise<readonly Finding[]> => {
 	const platformFinding = await checkPlatform(platform);
 	if (platformFinding.verdict === Verdict.Bad) {
 		return [platformFinding, {
 			subject: 'instances',
 			verdict: Verdict.NotChecked,
 			detail: 'only the platform lists them',
-			remedy: 'Serving goes on with the documents in force; look at the instances with "galenakeel status --instance ADDRESS", by their operators\' ports.',
+			remedy: 'Instances continue to serve the documents in force; check them with "galenakeel status --instance ADDRESS", with the address of an operators\' port.',
 		}];
 	}
 
@@ -206,7 +206,7 @@
 		const live = new Set(entries.map(({name}) => name));
 		const instances = await Promise.all(entries.map(async entry => checkInstance(entry, {live, catalogueVersion, callMilliseconds})));
 		const list: Finding = entries.length > 0
-			? good('instance list', `${entries.length} live entry instances`)
+			? createGoodFinding('instance list', `${entries.length} live entry instances`)
 			: {
 				subject: 'instance list',
 				verdict: Verdict.Bad,
@@ -215,6 +215,6 @@
 			};
 		return [platformFinding, list, ...documents, ...instances.flat()];
 	} catch (error) {
-		return [platformFinding, findingOf('documents', error)];
+		return [platformFinding, createBadFinding('documents', error)];
 	}
 };
--- a/packages/galenakeel/src/process/find-entries.ts
+++ b/packages/galenakeel/src/process/find-entries.ts
@@ -4,12 +4,12 @@
 import {openPlatform} from './operator-command.js';
 import type {OperatorSettings} from './operator-settings.js';
 
-const entryAt = (operators: string): ListedInstance => ({
+const createEntry = (operators: string): ListedInstance => ({
 	name: operators, role: InstanceRole.Entry, zone: '', address: '', operators, state: ListedState.Live, incarnation: '',
 });
 
 /**
-Finds the entry instances: those that the platform lists, or those of the settings while the platform is out of reach.
+Returns the entry instances that the platform lists, or those named in the settings when the platform is unavailable or has no address.
 
 @throws A fault of kind `PlatformUnavailable` when the platform does not answer and the settings name no instance.
 
@@ -19,16 +19,16 @@
 ```
 */
 export const findEntries = async (settings: OperatorSettings): Promise<readonly ListedInstance[]> => {
-	const known = settings.instances.operators.map(operators => entryAt(operators));
-	if (settings.platform.address === undefined && known.length > 0) {
-		return known;
+	const configured = settings.instances.operators.map(operators => createEntry(operators));
+	if (settings.platform.address === undefined && configured.length > 0) {
+		return configured;
 	}
 
 	try {
 		return await listEntries(openPlatform(settings));
 	} catch (error) {
-		if (isFault(error, FaultKind.PlatformUnavailable) && known.length > 0) {
-			return known;
+		if (isFault(error, FaultKind.PlatformUnavailable) && configured.length > 0) {
+			return configured;
 		}
 
 		throw error;
--- a/packages/galenakeel/src/version/document-base.ts
+++ b/packages/galenakeel/src/version/document-base.ts
@@ -1,28 +1,28 @@
-const baseLine = /^\/\/ galenakeel: from version (?<version>\d+)\r?\n/v;
+const baseVersionPattern = /^\/\/ galenakeel: from version (?<version>\d+)\r?\n/v;
 
 /**
-The text of a document apart from the line that says which version it was made from.
+The text of a document without the line that names the version it is based on.
 */
-export type BasedText = {
+export type VersionedText = {
 	readonly text: string;
-	/** Version that the change was made from; `undefined` when the text does not say. */
+	/** Version that the change is based on; `undefined` when the text has no such line. */
 	readonly version: number | undefined;
 };
 
 /**
-Puts the version that a working copy is made from on its first line.
+Adds a first line that names the version a working copy is based on.
 
 @example
 ```
 addBase('{}', 12); // => '// galenakeel: from version 12\n{}'
 ```
 */
-export const addBase = (text: string, version: number): string => `// galenakeel: from version ${version}\n${text}`;
+export const addBaseVersion = (text: string, version: number): string => `// galenakeel: from version ${version}\n${text}`;
 
 /**
-Takes that line off again, so that it never becomes part of the document.
+Removes that line, which is not part of the document, and returns its version.
 */
-export const splitBase = (text: string): BasedText => {
-	const match = baseLine.exec(text);
+export const splitBaseVersion = (text: string): VersionedText => {
+	const match = baseVersionPattern.exec(text);
 	return match ? {text: text.slice(match[0].length), version: Number(match.groups!.version)} : {text, version: undefined};
 };
--- a/packages/galenakeel/src/version/document-difference.ts
+++ b/packages/galenakeel/src/version/document-difference.ts
@@ -1,12 +1,12 @@
 import {createTwoFilesPatch} from 'diff';
 
 /**
-A text with the name under which a difference shows it.
+A text with the name that the diff shows for it.
 */
 export type NamedText = {readonly name: string; readonly text: string};
 
 /**
-Describes what changed from one text to another as a unified diff; empty when nothing did.
+Returns the unified diff of two texts; empty when they are equal. A missing newline at the end is ignored.
 
 @example
 ```
@@ -14,12 +14,12 @@
 ```
 */
 export const describeDifference = (before: NamedText, after: NamedText): string => {
-	const ended = ({text}: NamedText): string => text.endsWith('\n') ? text : `${text}\n`;
-	if (ended(before) === ended(after)) {
+	const endWithNewline = ({text}: NamedText): string => text.endsWith('\n') ? text : `${text}\n`;
+	if (endWithNewline(before) === endWithNewline(after)) {
 		return '';
 	}
 
-	const patch = createTwoFilesPatch(before.name, after.name, ended(before), ended(after));
-	// The first line is a ruler that only joins several files.
+	const patch = createTwoFilesPatch(before.name, after.name, endWithNewline(before), endWithNewline(after));
+	// The first line separates the patches of several files.
 	return patch.slice(patch.indexOf('\n') + 1).trimEnd();
 };
