--- a/packages/galenakeeld/src/process/fleet/rate-limited-log.ts
+++ b/packages/galenakeeld/src/process/fleet/rate-limited-log.ts
@@ -32,7 +32,7 @@
 				log.info({event: 'lines-left-out', of: event, count: window.omitted});
 			}
 
-			Object.assign(window, {since: now, written: 0, left: 0});
+			Object.assign(window, {startedAt: now, written: 0, omitted: 0});
 		}
 
 		if (window.written < maximumLines) {
