Rename longestRun and a few locals

longestRun of the endpoint guards becomes maximumExpectedRunTime, as the limits beside it are called; beats, heard, said, most and places become sendTimes, reportedStates, reportedState, maximum and errorLines or faultLines. Exact replacements in the functions that declare them; names only.

--- a/packages/galenakeeld/src/process/__tests__/endpoint-connections.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-connections.steps.ts
@@ -173,8 +173,8 @@
 	assert.equal(new Set(this.socketsOfTasks.values()).size, this.socketsOfTasks.size);
 });
 
-Then('at most {int} connections were open at once', function (this: World, most: number) {
-	assert.ok(this.maximumOpen <= most, `${this.maximumOpen} connections were open at once`);
+Then('at most {int} connections were open at once', function (this: World, maximum: number) {
+	assert.ok(this.maximumOpen <= maximum, `${this.maximumOpen} connections were open at once`);
 });
 
 Then('the endpoint has no open connection', function (this: World) {
--- a/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/endpoint-guard.steps.ts
@@ -31,16 +31,16 @@
 	}
 
 	world.guards = createEndpointGuards({
-		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => maximumExpectedMilliseconds,
+		ledger: world.ledger, running, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), maximumExpectedRunTime: () => maximumExpectedMilliseconds,
 	});
 };
 
-Given('an endpoint on which a task runs that is expected to take {int} ms at most', function (this: GuardWorld, longest: number) {
-	runTasksOn(this, 1, longest);
+Given('an endpoint on which a task runs that is expected to take {int} ms at most', function (this: GuardWorld, maximum: number) {
+	runTasksOn(this, 1, maximum);
 });
 
-Given('an endpoint on which {int} tasks run that are expected to take {int} ms at most', function (this: GuardWorld, count: number, longest: number) {
-	runTasksOn(this, count, longest);
+Given('an endpoint on which {int} tasks run that are expected to take {int} ms at most', function (this: GuardWorld, count: number, maximum: number) {
+	runTasksOn(this, count, maximum);
 });
 
 Given('{int} of {int} tasks are as long overdue on another endpoint, which answers', function (this: GuardWorld, overdue: number, running: number) {
@@ -71,7 +71,7 @@
 	}
 
 	this.guards = createEndpointGuards({
-		ledger: this.ledger, running: this.runningTasks, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), longestRun: () => 400,
+		ledger: this.ledger, running: this.runningTasks, limits: () => ({failuresBeforeOpen: 3, probationMilliseconds: 1000, retryBudget: 0}), maximumExpectedRunTime: () => 400,
 	});
 });
 
--- a/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
@@ -255,8 +255,8 @@
 	assert.ok(measured <= alone * factor, `${measured} over ${alone}: ${measured / alone}`);
 });
 
-Then('fewer than {float} calls to peers were made per task', {timeout: 60_000}, async function (this: FleetWorld, most: number) {
+Then('fewer than {float} calls to peers were made per task', {timeout: 60_000}, async function (this: FleetWorld, maximum: number) {
 	await run(this);
 	const calls = this.calls / this.records.filter(({isRefused}) => !isRefused).length;
-	assert.ok(calls < most, String(calls));
+	assert.ok(calls < maximum, String(calls));
 });
--- a/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/heartbeat-interval.steps.ts
@@ -41,11 +41,11 @@
 Then('the heartbeat at {int} ms announces {int} ms and the next is sent at {int} ms', async function (this: HeartbeatIntervalWorld, first: number, announced: number, second: number) {
 	const clock = install();
 	try {
-		const beats: number[] = [];
+		const sendTimes: number[] = [];
 		const send = async (): Promise<void> => {
 			for (;;) {
 				await this.source.untilNext();
-				beats.push(clock.now);
+				sendTimes.push(clock.now);
 				assert.equal(this.source.current().intervalMilliseconds, announced);
 			}
 		};
@@ -53,7 +53,7 @@
 		const start = clock.now;
 		void send();
 		await clock.tickAsync(second);
-		assert.deepEqual(beats.map(at => at - start), [first, second]);
+		assert.deepEqual(sendTimes.map(at => at - start), [first, second]);
 	} finally {
 		clock.uninstall();
 	}
@@ -62,12 +62,12 @@
 When('a call postpones the heartbeat every {int} ms for {int} ms', async function (this: HeartbeatIntervalWorld, every: number, milliseconds: number) {
 	const clock = install();
 	try {
-		const beats = [clock.now];
+		const sendTimes = [clock.now];
 		const send = async (): Promise<void> => {
 			for (;;) {
 				this.source.current();
 				await this.source.untilNext();
-				beats.push(clock.now);
+				sendTimes.push(clock.now);
 			}
 		};
 
@@ -77,7 +77,7 @@
 			this.source.postpone();
 		}
 
-		this.heartbeatTimes = beats;
+		this.heartbeatTimes = sendTimes;
 	} finally {
 		clock.uninstall();
 	}
--- a/packages/galenakeeld/src/process/__tests__/membership.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -100,13 +100,13 @@
 
 Then('no order of a run\'s heartbeats reverts it from {string}', (state: InstanceState) => {
 	const states = Object.values(InstanceState);
-	assertProperty(property(array(constantFrom(...states), {minLength: 1, maxLength: 8}), heard => {
+	assertProperty(property(array(constantFrom(...states), {minLength: 1, maxLength: 8}), reportedStates => {
 		const membership = createTestMembership(3);
-		for (const said of heard) {
-			membership.receiveHeartbeat(heartbeatOf('entry-2', 'b1', said));
+		for (const reportedState of reportedStates) {
+			membership.receiveHeartbeat(heartbeatOf('entry-2', 'b1', reportedState));
 		}
 
-		assert.equal(membership.findPeer('entry-2')!.state === state, heard.includes(state));
+		assert.equal(membership.findPeer('entry-2')!.state === state, reportedStates.includes(state));
 	}));
 });
 
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -65,13 +65,13 @@
 /**
 Creates the circuit breakers of the ledger's endpoints. They set the `guardLimit` of each endpoint in the ledger.
 
-@param options.longestRun Longest expected run time of a kind on an endpoint, in milliseconds.
+@param options.maximumExpectedRunTime Longest expected run time of a kind on an endpoint, in milliseconds.
 */
 export const createEndpointGuards = (options: {
 	readonly ledger: SlotLedger;
 	readonly running: RunningTasks;
 	readonly limits: () => GuardLimits;
-	readonly longestRun: (slots: EndpointSlots, kind: string) => number;
+	readonly maximumExpectedRunTime: (slots: EndpointSlots, kind: string) => number;
 }): EndpointGuards => {
 	const {ledger, running} = options;
 	const guards = new Map<string, EndpointGuard>();
@@ -155,7 +155,7 @@
 		report(attempt, now) {
 			const {address} = attempt.endpoint;
 			const slots = ledger.slotsOf(address);
-			const result = slots && attemptResultOf(attempt, options.longestRun(slots, attempt.kind));
+			const result = slots && attemptResultOf(attempt, options.maximumExpectedRunTime(slots, attempt.kind));
 			if (result) {
 				const guard = guardOf(address);
 				guard.record(result, now);
--- a/packages/galenakeeld/src/process/service-dispatchers.ts
+++ b/packages/galenakeeld/src/process/service-dispatchers.ts
@@ -156,7 +156,7 @@
 			ledger,
 			running,
 			limits: () => dispatcher.version.document.guards,
-			longestRun: (slots, kind) => estimates.ofKind(kind).percentile99 / speedOf(slots),
+			maximumExpectedRunTime: (slots, kind) => estimates.ofKind(kind).percentile99 / speedOf(slots),
 		});
 		return {
 			dispatcher,
--- a/packages/model/src/version/configuration-text.ts
+++ b/packages/model/src/version/configuration-text.ts
@@ -61,14 +61,14 @@
 	const parseErrors: ParseError[] = [];
 	const root = parseTree(text, parseErrors, {allowTrailingComma: true});
 	if (!root || parseErrors.length > 0) {
-		const places = parseErrors.map(error => describeSyntaxError(text, error));
-		throw createFault(FaultKind.InvalidConfiguration, `${source} is not JSON with comments:\n${places.join('\n') || 'the text is empty'}`);
+		const errorLines = parseErrors.map(error => describeSyntaxError(text, error));
+		throw createFault(FaultKind.InvalidConfiguration, `${source} is not JSON with comments:\n${errorLines.join('\n') || 'the text is empty'}`);
 	}
 
 	const result = validateConfiguration(schema, getNodeValue(root));
 	if ('faults' in result) {
-		const places = result.faults.map(fault => describeFault(text, root, fault)).toSorted((first, second) => first.offset - second.offset);
-		throw createFault(FaultKind.InvalidConfiguration, `${source} has ${places.length} ${places.length === 1 ? 'fault' : 'faults'}:\n${places.map(({line}) => line).join('\n')}`);
+		const faultLines = result.faults.map(fault => describeFault(text, root, fault)).toSorted((first, second) => first.offset - second.offset);
+		throw createFault(FaultKind.InvalidConfiguration, `${source} has ${faultLines.length} ${faultLines.length === 1 ? 'fault' : 'faults'}:\n${faultLines.map(({line}) => line).join('\n')}`);
 	}
 
 	return result.data;
