Correct doc comments and examples that name renamed things

Some @param lines and examples still had names from before the renames, and a few comments were figurative or unclear. They have the present names and plain wording; two scenario titles say position instead of place.

--- a/packages/galenakeeld/src/process/__tests__/daemon-settings.feature
+++ b/packages/galenakeeld/src/process/__tests__/daemon-settings.feature
@@ -9,7 +9,7 @@
       | bainne        | ie-south    | paysheet  | 4     |
       | tsagaan-gerel | ulaanbaatar | quote-svc | 3     |
 
-  Scenario: All faults are reported together, each with its place and a remedy
+  Scenario: All faults are reported together, each with its position and a remedy
     When settings are read from:
       """
       {
@@ -55,7 +55,7 @@
       | 10.1.2.3             | faulty  |
       | platform.example:80  | faulty  |
 
-  Scenario: A syntax error is reported with its place and an explanation
+  Scenario: A syntax error is reported with its position and an explanation
     When settings are read from:
       """
       {
--- a/packages/galenakeeld/src/process/claim-sweeper.ts
+++ b/packages/galenakeeld/src/process/claim-sweeper.ts
@@ -67,7 +67,7 @@
 
 @example
 ```
-void runClaimSweep({platform, retentionMilliseconds: 86_400_000, pauseMilliseconds: 500, isOurs}, signal);
+void runClaimSweep({platform, retentionMilliseconds: 86_400_000, pauseMilliseconds: 500, isOwnBucket}, signal);
 ```
 */
 export const runClaimSweep = async (options: ClaimSweepOptions, signal: AbortSignal): Promise<void> => {
--- a/packages/galenakeeld/src/process/daemon-gauges.ts
+++ b/packages/galenakeeld/src/process/daemon-gauges.ts
@@ -49,7 +49,7 @@
 };
 
 /**
-Where the gauges get their values.
+Sources of the gauge values.
 */
 export type GaugeSources = {
 	readonly dispatchers: ServiceDispatchers;
--- a/packages/galenakeeld/src/process/endpoint-guards.ts
+++ b/packages/galenakeeld/src/process/endpoint-guards.ts
@@ -65,7 +65,7 @@
 /**
 Creates the circuit breakers of the ledger's endpoints. They set the `guardLimit` of each endpoint in the ledger.
 
-@param options.maximumExpectedRunTime Longest expected run time of a kind on an endpoint, in milliseconds.
+@param options.maximumExpectedRunTime Returns the maximum expected run time of a kind on an endpoint, in milliseconds.
 */
 export const createEndpointGuards = (options: {
 	readonly ledger: SlotLedger;
--- a/packages/galenakeeld/src/process/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/heartbeat-interval.ts
@@ -1,5 +1,5 @@
 /**
-Settings from which the time between heartbeats follows.
+Settings that determine the time between heartbeats.
 */
 export type HeartbeatIntervalSettings = {
 	readonly heartbeatMilliseconds: number;
--- a/packages/galenakeeld/src/process/heartbeat-source.ts
+++ b/packages/galenakeeld/src/process/heartbeat-source.ts
@@ -22,7 +22,7 @@
 @example
 ```
 const heartbeats = createHeartbeatSource(() => describeSelf());
-heartbeats.announce();
+heartbeats.sendNow();
 ```
 */
 export const createHeartbeatSource = (current: () => PeerHeartbeat): TimedHeartbeatSource => {
--- a/packages/galenakeeld/src/process/leaving-endpoints.ts
+++ b/packages/galenakeeld/src/process/leaving-endpoints.ts
@@ -16,7 +16,7 @@
 };
 
 /**
-Tracks endpoints that are leaving. A mark applies to one incarnation and is never revoked; another incarnation at the same address gets work.
+Tracks endpoints that are leaving. A mark applies to one incarnation and is never revoked; another incarnation at the same address may get new work.
 */
 export type LeavingEndpoints = {
 	/** Updates incarnations and marks from this instance's list of endpoints. */
--- a/packages/galenakeeld/src/process/lending-calls.ts
+++ b/packages/galenakeeld/src/process/lending-calls.ts
@@ -22,7 +22,7 @@
 /**
 Creates the calls of an instance to its lenders.
 
-@param options.callsOf Returns the calls to the instance of a name.
+@param options.callsOf Returns the calls to an instance by its name.
 */
 export const createLendingCalls = (options: {
 	readonly instance: string;
--- a/packages/galenakeeld/src/process/log.ts
+++ b/packages/galenakeeld/src/process/log.ts
@@ -15,7 +15,7 @@
 	Debug = 'debug',
 	/** State changes of the daemon. */
 	Info = 'info',
-	/** A problem that the daemon continues to run with. */
+	/** A problem that does not stop the daemon. */
 	Warn = 'warn',
 	/** Data was lost or a request was aborted. */
 	Error = 'error',
--- a/packages/galenakeeld/src/process/membership.ts
+++ b/packages/galenakeeld/src/process/membership.ts
@@ -78,7 +78,7 @@
 	readonly owners: () => readonly SlotOwner[];
 	readonly leavingEndpoints: () => readonly string[];
 	readonly isLeavingEndpoint: (address: string) => boolean;
-	/** Marks peers that have fallen silent as unreachable; to be called several times a second. */
+	/** Marks peers whose silence timeout has passed as unreachable; to be called several times a second. */
 	readonly sweep: () => void;
 	readonly state: () => InstanceState;
 	/** Advances this instance to a later state. An earlier state is ignored. */
--- a/packages/galenakeeld/src/process/observation.ts
+++ b/packages/galenakeeld/src/process/observation.ts
@@ -48,7 +48,7 @@
 Creates the metrics, request records and tracing of a daemon.
 
 @param options.isKnown Tells whether a document in force names a service.
-@param options.sources Called at each reading of the metrics; returns where the gauges get their values.
+@param options.sources Returns the sources of the gauge values; called each time the metrics are read.
 */
 export const createObservation = (options: {
 	readonly self: Incarnation;
--- a/packages/galenakeeld/src/process/peer-directory.ts
+++ b/packages/galenakeeld/src/process/peer-directory.ts
@@ -33,7 +33,7 @@
 Creates the directory of peers, initially without connections.
 
 @param options.openHeartbeats Opens the source of this instance's heartbeats on a stream to a peer.
-@param options.hear Called with each heartbeat received from a peer that this instance dialled.
+@param options.onHeartbeat Called with each heartbeat received from a peer that this instance dialled.
 @param options.suspect Called when a stream to a peer has ended.
 
 Of two peers, the one whose name sorts first dials; the other dials only while it receives no heartbeats.
--- a/packages/galenakeeld/src/process/peer-heartbeats.ts
+++ b/packages/galenakeeld/src/process/peer-heartbeats.ts
@@ -15,7 +15,7 @@
 	readonly sendToAll: () => void;
 	/** Makes the streams to one peer send a heartbeat immediately, with a probe if one is given. */
 	readonly send: (peer: string, probe?: HeartbeatProbe) => void;
-	/** Postpones the next heartbeat to a peer, because a call to it serves as a sign of life. */
+	/** Postpones the next heartbeat to a peer, because a call to it also shows that this instance is alive. */
 	readonly postpone: (peer: string) => void;
 };
 
--- a/packages/galenakeeld/src/process/peer-watch.ts
+++ b/packages/galenakeeld/src/process/peer-watch.ts
@@ -6,7 +6,7 @@
 const lateHeartbeatMilliseconds = 250;
 /** Time within which a probed peer must answer. */
 const probeTimeoutMilliseconds = 350;
-/** Minimum time between two probes of all peers, so that the suspicions of several peers lead to one. */
+/** Minimum time between two probes of all peers, so that the suspicions of several peers lead to a single one. */
 const probeAllIntervalMilliseconds = 1000;
 /** Time between two sweeps above which this process is taken to have been paused. */
 const pauseMilliseconds = 500;
--- a/packages/galenakeeld/src/process/retry-budget.ts
+++ b/packages/galenakeeld/src/process/retry-budget.ts
@@ -9,7 +9,7 @@
 	readonly recordAttempt: () => void;
 	/** Returns whether a task may be retried, and spends one retry if so. */
 	readonly spend: () => boolean;
-	/** Whole retries left in the budget. */
+	/** Number of whole retries that remain in the budget. */
 	readonly remaining: () => number;
 };
 
--- a/packages/galenakeeld/src/process/run-estimates.ts
+++ b/packages/galenakeeld/src/process/run-estimates.ts
@@ -5,7 +5,7 @@
 const generationSamples = 256;
 /** Number of measurements of a kind from which on its declared run time is ignored. */
 const declaredWeightSamples = 8;
-/** Number of measurements between two updates of an estimate; the first as many each update it. */
+/** Number of measurements between two updates of an estimate; until that many have been recorded, each one updates it. */
 const refreshIntervalSamples = 32;
 /** Number of known kinds from which on further undeclared kinds share one estimate. */
 const maximumUndeclaredKinds = 64;
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -86,7 +86,7 @@
 
 @example
 ```
-const answer = await dispatcher.withSlot(demand, async grant => send(grant.endpoint));
+const answer = await dispatcher.withSlot(requirements, async grant => send(grant.endpoint));
 ```
 */
 export const createServiceDispatcher = (options: {
--- a/packages/galenakeeld/src/process/shared-turns.ts
+++ b/packages/galenakeeld/src/process/shared-turns.ts
@@ -15,7 +15,7 @@
 };
 
 /**
-Tells whether a time slot is this instance's turn. Turns go round in the order of the instances' names.
+Tells whether a time slot is this instance's turn. Turns rotate in the order of the instances' names.
 
 @param maximumTurns Maximum number of slots in a round.
 
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -207,7 +207,7 @@
 
 	return {
 		wake() {
-			// An idle borrower stays asleep, since there may be hundreds of services.
+			// An idle borrower is not woken, since there may be hundreds of services.
 			if (options.shortfall().count > 0 || leases.lenders().length > 0) {
 				woken.resolve();
 			}
--- a/packages/galenakeeld/src/process/slot-ledger.ts
+++ b/packages/galenakeeld/src/process/slot-ledger.ts
@@ -1,7 +1,7 @@
 import type {Endpoint} from '../version/service-version.js';
 
 /**
-The slots of one endpoint from the view of this instance. Only the ledger changes them.
+The slots of one endpoint on this instance. Only the ledger changes them.
 */
 export type EndpointSlots = {
 	endpoint: Endpoint;
--- a/packages/galenakeeld/src/process/standing-queue-detector.ts
+++ b/packages/galenakeeld/src/process/standing-queue-detector.ts
@@ -21,7 +21,7 @@
 
 @example
 ```
-const queue = createStandingQueue(performance.now());
+const queue = createStandingQueueDetector(performance.now());
 queue.observe(420, 1000, performance.now());
 queue.isStanding(performance.now()); // => false
 ```
--- a/packages/galenakeeld/src/process/task-queue.ts
+++ b/packages/galenakeeld/src/process/task-queue.ts
@@ -12,7 +12,7 @@
 }
 
 /**
-A waiting task, as the queue sees it.
+The properties of a waiting task that the queue uses.
 */
 export type WaitingTask = {
 	readonly kind: string;
--- a/packages/galenakeeld/src/process/waiting-order.ts
+++ b/packages/galenakeeld/src/process/waiting-order.ts
@@ -7,7 +7,7 @@
 const ageingFactor = 2;
 /** Maximum waiting time by which a longer task is placed behind a shorter one. */
 const maximumSizePenaltyMilliseconds = 2000;
-/** Number of tracked teams from which further undeclared teams share one queue, so that made-up names can't crowd out the others. */
+/** Number of tracked teams from which further undeclared teams share one queue, so that invented names can't displace the others. */
 const maximumUndeclaredTeams = 128;
 const overflowTeamName = '';
 /** Credit for unused capacity: work, divided by its share, that a team may start ahead of the others after it has used less than its share, in milliseconds at speed 1. */
--- a/packages/galenakeeld/src/request/run-submission.ts
+++ b/packages/galenakeeld/src/request/run-submission.ts
@@ -121,7 +121,7 @@
 /**
 Runs a submission that this incarnation holds, or joins the run already in progress or ended.
 
-@param permit What entitles this incarnation to a single run: the minted identifier, or the nonce of the claim.
+@param permit Single-use permit to run the submission: the minted identifier, or the nonce of the claim.
 */
 const runHeld = async (arrival: Arrival, permit: string, context: SubmissionContext): Promise<SubmissionAnswer> => {
 	const {submission, fingerprint} = arrival;
--- a/packages/model/src/process/daemon-status.ts
+++ b/packages/model/src/process/daemon-status.ts
@@ -50,7 +50,7 @@
 };
 
 /**
-An endpoint as a daemon sees it.
+State of an endpoint according to a daemon.
 */
 export type EndpointStatus = {
 	readonly address: string;
--- a/packages/model/src/version/endpoint-entry.ts
+++ b/packages/model/src/version/endpoint-entry.ts
@@ -22,7 +22,7 @@
 
 @example
 ```
-lifeOf({identifier: 'i-7f3a', startedAt: 1764800000000}); // => 'i-7f3a@1764800000000'
+incarnationOf({identifier: 'i-7f3a', startedAt: 1764800000000}); // => 'i-7f3a@1764800000000'
 ```
 */
 export const incarnationOf = ({identifier, startedAt}: Pick<EndpointEntry, 'identifier' | 'startedAt'>): string => `${identifier}@${startedAt}`;
--- a/packages/model/src/version/queue-configuration.ts
+++ b/packages/model/src/version/queue-configuration.ts
@@ -11,9 +11,9 @@
 	readonly priority: number;
 	/** Number of failed runs of a task after which its job fails. */
 	readonly mostAttempts: number;
-	/** The target time of a job is the duration of its critical path times this factor, … */
+	/** The target time of a job is the duration of its critical path times this factor, plus `objectiveMilliseconds`. */
 	readonly objectiveFactor: number;
-	/** … plus this many milliseconds. */
+	/** Constant part of the target time of a job, in milliseconds. */
 	readonly objectiveMilliseconds: number;
 };
 
