Rename further locals that were figurative or vague

saidAt, placeOf, notReached, rest, wanted, askOnce, taken, pass, heardAt and tally become reportedAt, identityOf, failIfCalled, remaining, request or requirements, sendRequest, dequeued, advance, lastContactAt and entry. Exact replacements in the modules that declare them; names only.

--- a/packages/galenakeeld/src/process/__tests__/claims.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/claims.steps.ts
@@ -20,7 +20,7 @@
 
 const versionWithoutEndpoints = Object.freeze(Object.create(null)) as ServiceVersion;
 
-const notReached = (): never => {
+const failIfCalled = (): never => {
 	throw new Error('these scenarios must not send a task to an endpoint');
 };
 
@@ -101,8 +101,8 @@
 				outcome: Outcome.Complete, answers: [],
 			};
 		},
-		taskContext: notReached,
-		openTrace: notReached,
+		taskContext: failIfCalled,
+		openTrace: failIfCalled,
 		noteRepeat: () => undefined,
 		observe: () => ({note: () => undefined, end: () => undefined}),
 	};
--- a/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/fleet-fairness.steps.ts
@@ -105,8 +105,8 @@
 		owners: () => owners,
 		isLeavingEndpoint: () => false,
 		peers: () => announcedPeers.filter(peer => peer.instance !== instance),
-		borrowSlots: async (lender, _service, {held, teams: loads, ...wanted}) => call(lender, async dispatchers => lendSlots(dispatchers, {
-			borrower: instance, service, held: [...held], teams: [...loads], ...wanted,
+		borrowSlots: async (lender, _service, {held, teams: loads, ...request}) => call(lender, async dispatchers => lendSlots(dispatchers, {
+			borrower: instance, service, held: [...held], teams: [...loads], ...request,
 		})),
 		returnSlots: async (lender, _service, leases) => call(lender, dispatchers => {
 			dispatchers.serviceOf(service)!.lent.reclaim(instance, leases);
@@ -133,10 +133,10 @@
 
 /** Picks at random, by weight, the instance to which a caller is connected. */
 const drawInstance = ({instances, random}: FleetWorld): ServiceDispatchers => {
-	let rest = random();
+	let remaining = random();
 	for (const [number, share] of callerShares.entries()) {
-		rest -= share;
-		if (rest < 0) {
+		remaining -= share;
+		if (remaining < 0) {
 			return instances[number]!;
 		}
 	}
--- a/packages/galenakeeld/src/process/__tests__/membership.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/membership.steps.ts
@@ -17,17 +17,17 @@
 type MembershipWorld = {clock: Clock; membership: Membership};
 
 const sweepMilliseconds = 100;
-const placeOf = (instance: string): Pick<PeerHeartbeat, 'instance' | 'zone' | 'weight' | 'callerAddress' | 'peerAddress' | 'operatorAddress'> => ({
+const identityOf = (instance: string): Pick<PeerHeartbeat, 'instance' | 'zone' | 'weight' | 'callerAddress' | 'peerAddress' | 'operatorAddress'> => ({
 	instance, zone: 'zone-a', weight: 1, callerAddress: '10.0.1.1:1', peerAddress: '10.0.1.1:2', operatorAddress: '10.0.1.1:3',
 });
 const heartbeatOf = (instance: string, incarnation: string, state: InstanceState, leavingEndpoints: readonly string[] = []): PeerHeartbeat => ({
-	...placeOf(instance), incarnation, state, catalogueVersion: 0, intervalMilliseconds: 500, hints: [], leavingEndpoints,
+	...identityOf(instance), incarnation, state, catalogueVersion: 0, intervalMilliseconds: 500, hints: [], leavingEndpoints,
 });
 const listedEndpoint = (address: string, incarnation: string, state: ListedState): ListedInstance => ({
 	name: 'worker-1', role: InstanceRole.Endpoint, zone: 'zone-a', address, state, incarnation,
 });
 
-const createTestMembership = (missedHeartbeats: number): Membership => createMembership({...placeOf('entry-1'), incarnation: 'a1'}, {
+const createTestMembership = (missedHeartbeats: number): Membership => createMembership({...identityOf('entry-1'), incarnation: 'a1'}, {
 	missedHeartbeats,
 	onOwnersChange() {
 		// Not checked in this feature.
--- a/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/peer-watch.steps.ts
@@ -16,7 +16,7 @@
 	peers: readonly string[];
 	interval: number;
 	probes: string[];
-	heardAt: Map<string, number>;
+	lastContactAt: Map<string, number>;
 	/** Peers that do not answer probes. */
 	silent: Set<string>;
 };
@@ -42,16 +42,16 @@
 
 const receiveHeartbeat = (world: WatchWorld, instance: string): void => {
 	world.membership.receiveHeartbeat(heartbeatOf(instance, world.interval));
-	world.heardAt.set(instance, world.clock.now);
+	world.lastContactAt.set(instance, world.clock.now);
 	world.silent.delete(instance);
 };
 
 /** Advances the clock with sweeps; `contact` is called for every peer whose interval has passed since its last contact. */
-const pass = (world: WatchWorld, milliseconds: number, contact: (instance: string) => void): void => {
+const advance = (world: WatchWorld, milliseconds: number, contact: (instance: string) => void): void => {
 	for (let passed = 0; passed < milliseconds; passed += sweepMilliseconds) {
 		world.clock.tick(sweepMilliseconds);
 		for (const instance of world.peers) {
-			if (world.clock.now - world.heardAt.get(instance)! >= world.interval) {
+			if (world.clock.now - world.lastContactAt.get(instance)! >= world.interval) {
 				contact(instance);
 			}
 		}
@@ -69,7 +69,7 @@
 	this.peers = namesOf(peers);
 	this.interval = interval;
 	this.probes = [];
-	this.heardAt = new Map();
+	this.lastContactAt = new Map();
 	this.silent = new Set();
 	this.membership = createMembership(heartbeatOf(self, interval), {
 		missedHeartbeats: 3,
@@ -111,7 +111,7 @@
 	}
 
 	this.probes = [];
-	pass(this, milliseconds, instance => {
+	advance(this, milliseconds, instance => {
 		if (!silent.has(instance)) {
 			receiveHeartbeat(this, instance);
 		}
@@ -119,7 +119,7 @@
 });
 
 When('{int} ms pass in which all send heartbeats', function (this: WatchWorld, milliseconds: number) {
-	pass(this, milliseconds, instance => {
+	advance(this, milliseconds, instance => {
 		receiveHeartbeat(this, instance);
 	});
 });
@@ -129,10 +129,10 @@
 });
 
 When('{string} only calls every {int} ms for {int} ms', function (this: WatchWorld, caller: string, _interval: number, milliseconds: number) {
-	pass(this, milliseconds, instance => {
+	advance(this, milliseconds, instance => {
 		if (instance === caller) {
 			this.membership.recordContact(instance);
-			this.heardAt.set(instance, this.clock.now);
+			this.lastContactAt.set(instance, this.clock.now);
 		} else {
 			receiveHeartbeat(this, instance);
 		}
--- a/packages/galenakeeld/src/process/__tests__/waiting-order.steps.ts
+++ b/packages/galenakeeld/src/process/__tests__/waiting-order.steps.ts
@@ -25,13 +25,13 @@
 };
 
 const takeAll = (order: WaitingOrder): readonly WaitingItem[] => {
-	const taken: WaitingItem[] = [];
+	const dequeued: WaitingItem[] = [];
 	for (let next = order.peek(() => true); next; next = order.peek(() => true)) {
 		order.take(next);
-		taken.push(next);
+		dequeued.push(next);
 	}
 
-	return taken;
+	return dequeued;
 };
 
 Given('a waiting order without quotas', function (this: OrderWorld) {
@@ -84,14 +84,14 @@
 });
 
 Then('{int} of the first {int} tasks to start are of {string}', function (this: OrderWorld, count: number, first: number, team: string) {
-	const taken: string[] = [];
+	const dequeued: string[] = [];
 	for (let number = 0; number < first; number++) {
 		const next = this.order.peek(() => true)!;
 		this.order.take(next);
-		taken.push(next.task.team);
+		dequeued.push(next.task.team);
 	}
 
-	assert.equal(taken.filter(name => name === team).length, count);
+	assert.equal(dequeued.filter(name => name === team).length, count);
 });
 
 Then('all waiting tasks start', function (this: OrderWorld) {
--- a/packages/galenakeeld/src/process/leaving-endpoints.ts
+++ b/packages/galenakeeld/src/process/leaving-endpoints.ts
@@ -96,7 +96,7 @@
 			return false;
 		}
 
-		return current === undefined || marks.has(current) || [...marks.values()].some(saidAt => performance.now() - saidAt < unorderedMarkMilliseconds);
+		return current === undefined || marks.has(current) || [...marks.values()].some(reportedAt => performance.now() - reportedAt < unorderedMarkMilliseconds);
 	};
 
 	return {
--- a/packages/galenakeeld/src/process/request-records.ts
+++ b/packages/galenakeeld/src/process/request-records.ts
@@ -48,7 +48,7 @@
 	startedAt: new Date(record.startedAt).toISOString(),
 	...record.end,
 	...(record.durationMilliseconds !== undefined && {durationMilliseconds: record.durationMilliseconds}),
-	steps: [...record.steps.values()].map(tally => describeStep(tally)),
+	steps: [...record.steps.values()].map(entry => describeStep(entry)),
 });
 
 const textOf = ({fault, detail}: ObservedStep): string => detail ?? fault ?? '';
@@ -98,10 +98,10 @@
 		const detail = textOf(step);
 		const key = `${kind} ${endpoint} ${detail}`;
 		const now = Math.round((performance.now() - record.monotonicStart) * 10) / 10;
-		const tally = record.steps.get(key);
-		if (tally) {
-			tally.count++;
-			tally.lastAt = now;
+		const entry = record.steps.get(key);
+		if (entry) {
+			entry.count++;
+			entry.lastAt = now;
 		} else if (record.steps.size < maximumSteps) {
 			record.steps.set(key, {
 				at: now, lastAt: now, count: 1, kind, endpoint, detail,
--- a/packages/galenakeeld/src/process/service-dispatcher.ts
+++ b/packages/galenakeeld/src/process/service-dispatcher.ts
@@ -38,7 +38,7 @@
 
 	@throws A fault of kind `DeadlinePassed` or `Cancelled` if the task was removed from the queue, or the error that `use` throws.
 	*/
-	readonly withSlot: <Result>(demand: TaskRequirements, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
+	readonly withSlot: <Result>(requirements: TaskRequirements, use: (grant: SlotGrant) => Promise<Result>) => Promise<Result>;
 	/** Starts waiting tasks for which a slot is free. */
 	readonly startNext: () => void;
 	/** Removes waiting tasks whose deadline has passed or that were cancelled, and updates the load estimates; called at a fixed interval. */
@@ -181,13 +181,13 @@
 	const dispatcher: ServiceDispatcher = {
 		version: options.version,
 		ledger,
-		async withSlot(wanted, use) {
+		async withSlot(requirements, use) {
 			type Result = Awaited<ReturnType<typeof use>>;
 			const result = createDeferred<Result>();
 			const task: WaitingTask = {
-				...wanted,
-				length: lengthOf(wanted.kind),
-				workMilliseconds: estimates.ofKind(wanted.kind).typical,
+				...requirements,
+				length: lengthOf(requirements.kind),
+				workMilliseconds: estimates.ofKind(requirements.kind).typical,
 				arrivedAt: performance.now(),
 				abandon: result.reject,
 			};
--- a/packages/galenakeeld/src/process/slot-borrower.ts
+++ b/packages/galenakeeld/src/process/slot-borrower.ts
@@ -152,18 +152,18 @@
 		}
 	};
 
-	const askOnce = async (lender: Peer, wanted: SlotRequest): Promise<void> => {
+	const sendRequest = async (lender: Peer, request: SlotRequest): Promise<void> => {
 		spendToken();
 		const held = leases.leasesToRenew(lender.instance);
 		const sentAt = performance.now();
-		const reply = await options.requestSlots(lender, {...wanted, held, teams: options.teams()});
+		const reply = await options.requestSlots(lender, {...request, held, teams: options.teams()});
 		if (reply) {
 			leases.replaceLeases(lender.instance, reply.leases, sentAt + reply.leaseMilliseconds);
 			options.onTeamLoads(lender.instance, reply.teams);
 			options.onBorrowed();
 		}
 
-		if (wanted.count > 0) {
+		if (request.count > 0) {
 			recordReply(lender, reply, reply !== undefined && sizeOf(reply.leases) > sizeOf(held));
 		}
 	};
@@ -176,7 +176,7 @@
 			}
 
 			if (shortfall.withinQuota > 0 || !options.isBusy(lender)) {
-				await askOnce(lender, shortfall);
+				await sendRequest(lender, shortfall);
 			}
 		}
 	};
@@ -200,7 +200,7 @@
 			if (now - idleSince > idleMilliseconds) {
 				await returnIdle(peer);
 			} else if (until - now < leases.leaseMilliseconds * renewalShare) {
-				await askOnce(peer, options.shortfall());
+				await sendRequest(peer, options.shortfall());
 			}
 		}
 	};
