Reword the comments of the soak, the trial fleets, demo and playground

They used figurative terms (strike, promise, gets, comes). They now use the terms of fault injection, and say which defaults, errors and limits apply.

--- a/packages/trials/src/process/daemon-process.ts
+++ b/packages/trials/src/process/daemon-process.ts
@@ -12,7 +12,7 @@
 const readyPollMilliseconds = 50;
 
 /**
-The addresses and the zone of a daemon under trial.
+Identity, availability zone and listen addresses of a daemon under test.
 */
 export type DaemonPlace = {
 	readonly instance: string;
@@ -20,16 +20,16 @@
 	readonly callers: string;
 	readonly peers: string;
 	readonly operators: string;
-	/** Address under which this daemon reaches the platform. */
+	/** Address at which this daemon calls the platform; that of a proxy in a proxied fleet. */
 	readonly platform: string;
 };
 
 /**
-A daemon that runs as a process of its own.
+A daemon that runs as a child process.
 */
 export type DaemonProcess = DaemonPlace & {
 	readonly child: ChildProcess;
-	/** Settles with the exit code, or the signal's name. */
+	/** Resolves with the exit code, or with the name of the signal that ended the process. */
 	readonly exited: Promise<number | string>;
 	readonly signal: (name: NodeJS.Signals) => void;
 	readonly untilReady: (timeoutMilliseconds: number) => Promise<void>;
@@ -37,9 +37,9 @@
 };
 
 /**
-Starts a daemon with its settings and log in a directory.
+Starts a daemon as a child process, and writes its settings file and log to a directory. The daemon is killed when this process exits.
 
-@param overrides Settings beyond the addresses.
+@param overrides Settings added to the generated ones; `platform` is merged, other keys replace.
 */
 export const startDaemonProcess = async (directory: string, place: DaemonPlace, overrides: Readonly<Record<string, unknown>> = {}): Promise<DaemonProcess> => {
 	const settingsPath = join(directory, `${place.instance}.jsonc`);
--- a/packages/trials/src/process/demo.ts
+++ b/packages/trials/src/process/demo.ts
@@ -45,7 +45,7 @@
 	tasks: Array.from({length: tasksInJob}, (_, position) => ({kind: 'sheet', path: `/sheet?task=${name}-${position}&run=${50 + (position * 20)}`, body: name})),
 });
 
-/** Sends a job under an identifier of its own, and once more if the answer did not come. */
+/** Submits a job under its own identifier, and resends it once if no answer was received. */
 const sendJob = async (fleet: Fleet, name: string): Promise<CallerResult> => {
 	const send = async (): Promise<CallerResult> => submitAsCaller(fleet.balancer.address, 'PUT', `/v1/jobs/${name}`, {body: jobBody(name)});
 	const first = await send();
--- a/packages/trials/src/process/fleet.ts
+++ b/packages/trials/src/process/fleet.ts
@@ -22,21 +22,21 @@
 const restartedIncarnation = '2';
 
 /**
-The sizes of a fleet under trial.
+The size and configuration of a fleet under test.
 */
 export type FleetSize = {
 	readonly zones: readonly string[];
 	readonly daemonsPerZone: number;
 	readonly endpointsPerZone: number;
 	readonly slots: number;
-	/** Speed of the endpoint at a position, over all zones. */
+	/** Relative speed of an endpoint, by its position among the endpoints of all zones; 1 by default. */
 	readonly speedOf?: (position: number) => number;
 	readonly listLagMilliseconds?: number;
-	/** Whether each link has a fault-injecting proxy of its own. */
+	/** Whether each link goes through its own fault-injecting proxy. */
 	readonly isProxied?: boolean;
-	/** Starts the endpoint at an address; in this process when absent. */
+	/** Starts the endpoint at an address. By default it runs in this process. */
 	readonly startEndpoint?: typeof startEndpointStandIn;
-	/** Settings of every daemon beyond its addresses. */
+	/** Settings of every daemon in addition to its addresses. */
 	readonly settings?: Readonly<Record<string, unknown>>;
 };
 
@@ -47,13 +47,13 @@
 	readonly name: string;
 	readonly zone: string;
 	readonly standIn: EndpointStandIn;
-	/** Address that documents name; that of the proxy when there is one. */
+	/** Address written in service documents: the proxy's if there is one. */
 	readonly address: string;
 	readonly proxy: FaultProxy | undefined;
 };
 
 /**
-Stand-ins and daemons that form one system.
+A running fleet: daemon processes, endpoints, and stand-ins of the platform and the balancer.
 */
 export type Fleet = {
 	readonly directory: string;
@@ -64,17 +64,17 @@
 	readonly daemons: readonly DaemonProcess[];
 	/** Present when the fleet is proxied. */
 	readonly links: ProxiedLinks | undefined;
-	/** Starts a further run of a daemon that has ended, in its place. */
+	/** Starts a daemon that has exited again, with the same addresses. */
 	readonly restart: (instance: string) => Promise<DaemonProcess>;
-	/** Address under which callers reach a daemon. */
+	/** Address at which callers reach a daemon: the proxy's if there is one. */
 	readonly callersOf: (instance: string) => string;
-	/** Shows the platform's list as it should be: all daemons and endpoints but those named as leaving, gone or started anew. */
+	/** Sets the platform's instance list: all daemons and endpoints are live with their first incarnation, except those named as leaving, gone or restarted. */
 	readonly list: (changes?: {readonly leaving?: readonly string[]; readonly gone?: readonly string[]; readonly restarted?: readonly string[]}) => void;
-	/** Accepts a document for a service over all endpoints, changed by a function. */
+	/** Stores a new version of a service's document that lists all endpoints, modified by a function, and returns the version. */
 	readonly accept: (service: string, change?: (document: Record<string, unknown>) => Record<string, unknown>) => Promise<number>;
-	/** A number that no other submission to this fleet has. */
+	/** Returns a number that is unique among the submissions to this fleet. */
 	readonly takeNumber: () => number;
-	/** Aborts when the fleet is stopped, so that no load outlives it. */
+	/** Aborted when the fleet stops, so that load generators stop with it. */
 	readonly stopped: AbortSignal;
 	readonly stop: () => Promise<void>;
 };
@@ -128,7 +128,9 @@
 };
 
 /**
-Starts stand-ins and daemons, and waits until every daemon takes requests.
+Starts stand-ins and daemons, and waits until every daemon is ready for requests. When a part fails to start, those already started are stopped.
+
+@throws When a daemon is not ready within 15 s.
 
 @example
 ```
@@ -142,7 +144,7 @@
 	try {
 		return await startParts(size, cleanup);
 	} catch (error) {
-		// What was started before would keep this process alive.
+		// Parts that are already running would keep this process alive.
 		await cleanup.run();
 		throw error;
 	}
--- a/packages/trials/src/process/platform-fleet.ts
+++ b/packages/trials/src/process/platform-fleet.ts
@@ -22,7 +22,7 @@
 const graceMilliseconds = 6000;
 
 /**
-A daemon of the fleet, as a process of its own.
+A daemon of the fleet, which runs as a child process.
 */
 export type PlatformDaemon = {
 	readonly instance: string;
@@ -31,12 +31,12 @@
 	readonly readiness: string;
 	readonly metrics: string;
 	readonly child: () => ChildProcess;
-	/** Starts the process anew with the same addresses. */
+	/** Starts a new process with the same addresses, and waits until it is ready. */
 	readonly restart: () => Promise<void>;
 };
 
 /**
-Proxies of a fleet: to the store by the instance of the daemon that calls, to the workers by their identifiers.
+Fault-injecting proxies of a fleet: those in front of the store by the name of the calling daemon's instance, those in front of workers by the worker's identifier.
 */
 export type PlatformLinks = {
 	readonly toStore: ReadonlyMap<string, FaultProxy>;
@@ -44,24 +44,24 @@
 };
 
 /**
-Stand-ins of the store and the endpoints, with real daemons.
+Daemon processes with stand-ins of the table store and of the workers (the endpoints).
 */
 export type PlatformFleet = {
 	readonly store: TableStoreStandIn;
 	readonly daemons: readonly PlatformDaemon[];
 	readonly workers: readonly WorkerStandIn[];
-	/** Proxies in front of the store and the workers, where the fleet has them. */
+	/** Proxies in front of the store and the workers; present when the fleet is proxied. */
 	readonly links: PlatformLinks | undefined;
-	/** Lists all workers in the store, as their heartbeats do. */
+	/** Writes the entries of all workers to the store, as their heartbeats do. */
 	readonly listWorkers: () => void;
 	readonly submit: (daemon: PlatformDaemon, identifier: string, body: unknown, timeoutMilliseconds?: number) => Promise<HttpReply>;
-	/** Holds the settings and logs of the daemons. */
+	/** Directory with the settings and logs of the daemons. */
 	readonly directory: string;
 	readonly stop: () => Promise<void>;
 };
 
 /**
-The queue of the trials.
+Host name of the queue to which the trials submit jobs.
 */
 export const queueHost = 'sheets.example';
 
@@ -86,17 +86,17 @@
 };
 
 /**
-How large a fleet is.
+The size of a fleet.
 */
 export type PlatformFleetOptions = {
 	readonly zones: readonly string[];
 	readonly daemonsInZone: number;
 	readonly workersInZone: number;
-	/** Puts a proxy in front of the store, for each daemon, and of each worker. */
+	/** Whether each daemon calls the store through its own proxy, and each worker has a proxy in front of it. */
 	readonly isProxied?: boolean;
 };
 
-/** Starts the parts of a fleet, and adds what ends each to the clean-up. */
+/** Starts the parts of a fleet, and registers how to stop each with the cleanup. */
 const startParts = async (options: PlatformFleetOptions, cleanup: Cleanup): Promise<PlatformFleet> => {
 	const directory = await mkdtemp(join(tmpdir(), 'galenakeel-fleet-'));
 	cleanup.add(async () => {
@@ -110,7 +110,7 @@
 	const toStore = new Map<string, FaultProxy>();
 	const toWorkers = new Map<string, FaultProxy>();
 
-	/** Returns the address of a proxy in front of a target, or the target's own. */
+	/** Starts a proxy in front of a target and returns its address; returns the target's address if the fleet isn't proxied. */
 	const proxyTo = async (target: string, name: string, links: Map<string, FaultProxy>): Promise<string> => {
 		if (!options.isProxied) {
 			return target;
@@ -192,7 +192,9 @@
 };
 
 /**
-Starts a store, workers and daemons, evenly over zones, and waits until all are ready.
+Starts a store, and workers and daemons in each availability zone, and waits until all daemons are ready. When a part fails to start, those already started are stopped.
+
+@throws When a daemon is not ready within 15 s.
 
 @example
 ```
--- a/packages/trials/src/process/playground-commands.ts
+++ b/packages/trials/src/process/playground-commands.ts
@@ -8,25 +8,25 @@
 const taskMilliseconds = 300;
 
 /**
-What can be typed into the playground.
+Commands that the playground reads from standard input.
 */
 export enum PlaygroundCommand {
-	/** The platform answers no call. */
+	/** Stops the platform from answering calls. */
 	PlatformDown = 'platform down',
-	/** The platform answers again. */
+	/** Makes the platform answer again. */
 	PlatformUp = 'platform up',
-	/** The first availability zone is cut off from the other zones and from the platform. */
+	/** Partitions the availability zone of the first daemon from the other zones and from the platform. */
 	CutZone = 'cut zone',
-	/** The zone is reachable again. */
+	/** Ends the partition of that zone. */
 	HealZone = 'heal zone',
-	/** Many requests come within a second. */
+	/** Sends a load peak: 600 requests within one second. */
 	Crest = 'crest',
 }
 
 const commands: ReadonlySet<string> = new Set(Object.values(PlaygroundCommand));
 
 /**
-Tells whether a line is a command of the playground.
+Checks whether a line of input is a playground command.
 */
 export const isPlaygroundCommand = (line: string): line is PlaygroundCommand => commands.has(line);
 
@@ -63,9 +63,9 @@
 };
 
 /**
-Does what was typed.
+Runs a command on the fleet.
 
-@returns What happened, in words.
+@returns A message for the user that describes the new state or the outcomes.
 
 @example
 ```
--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -10,21 +10,21 @@
 import {queueHost, type PlatformDaemon, type PlatformFleet} from './platform-fleet.js';
 
 /**
-Strikes the fleet with a fault, and resolves when it is over and what it struck is back.
+Injects a fault into the fleet, and resolves when the fault has ended and a killed or leaving daemon is ready again.
 */
 export type StrikeFault = (planned: PlannedFault) => Promise<void>;
 
 const delayMilliseconds = 60;
-/** Time after a daemon is ready again in which calls that were sent before may still break. */
+/** Time after a daemon is ready again during which calls sent earlier may still fail. */
 const settleMilliseconds = 300;
 
 const itemAt = <Item>(items: readonly Item[], target: number): Item => items[target % items.length]!;
 
 /**
-Creates what strikes a fleet. One target has one fault at a time; a fault whose target is busy is left out.
+Creates the function that injects faults into a fleet. A target has at most one fault at a time; a fault whose target already has one is skipped.
 
-@param disturbances Gets the times in which daemons were killed or stood still.
-@param onFault Called with each fault that strikes.
+@param disturbances Receives the intervals during which a daemon was killed, paused or leaving.
+@param onFault Called with each fault that is injected, before it takes effect.
 
 @example
 ```
@@ -47,7 +47,7 @@
 		busy.delete(target);
 	};
 
-	/** Notes the time in which a daemon can't answer. */
+	/** Records the interval during which a daemon is disturbed. It is open-ended until the fault is over. */
 	const disturb = async (daemon: PlatformDaemon, kind: DisturbanceKind, perform: () => Promise<void>): Promise<void> => {
 		const from = performance.now();
 		const position = disturbances.push({
@@ -71,7 +71,7 @@
 		daemon.child().kill('SIGCONT');
 	});
 
-	/** A daemon that leaves owes its answers until it has ended; only its restart is a time without it. */
+	/** A leaving daemon must still answer its calls until its process exits; only its restart counts as an interval without the daemon. */
 	const leaveDaemon = async (daemon: PlatformDaemon): Promise<void> => disturb(daemon, DisturbanceKind.Leaving, async () => {
 		const child = daemon.child();
 		child.kill('SIGTERM');
--- a/packages/trials/src/process/soak-load.ts
+++ b/packages/trials/src/process/soak-load.ts
@@ -6,11 +6,11 @@
 import type {PlatformDaemon, PlatformFleet} from './platform-fleet.js';
 
 /**
-Jobs that are submitted while faults strike.
+Jobs that are submitted while faults are injected.
 */
 export type SoakLoad = {
 	readonly jobs: readonly SoakJob[];
-	/** Submits nothing more, and resolves when all jobs have their answers. */
+	/** Stops submitting, and resolves when the callers of all jobs have finished. */
 	readonly stop: () => Promise<void>;
 };
 
@@ -19,13 +19,13 @@
 const mostTaskMilliseconds = 500;
 const mostTasks = 6;
 const mostSteps = 2;
-/** Attempts of a task in the configuration of the stand-ins. */
+/** Maximum attempts of a task, as in the configuration of the stand-ins. */
 const mostAttempts = 2;
 const meanGapMilliseconds = 120;
-/** Longer than a job is held at most: three objectives of the longest job. */
+/** Exceeds the longest time that a daemon holds a job, which is three objectives of the longest job. */
 const answerMilliseconds = 25_000;
 const mostCalls = 3;
-/** Time after which a caller without an answer sends its job again, at any daemon. */
+/** Delay after a call with unknown outcome before the caller resends its job to a random daemon. */
 const resendMilliseconds = 1300;
 
 const stateOf = (text: string): string | undefined => {
@@ -55,11 +55,11 @@
 	}
 };
 
-/** Whether a caller sends its job again: it doesn't know what became of it. */
+/** Whether the outcome of the job is unknown to the caller, which then resends the job. */
 const isUnknown = ({status}: SoakCall): boolean => status === undefined || status === 502 || status === 504;
 
 /**
-Submits a job, and again while its outcome is unknown.
+Submits a job with random steps, and resends it to random daemons while its outcome is unknown, up to three calls in all.
 */
 export const submitSoakJob = async (fleet: PlatformFleet, identifier: string, random: Random): Promise<SoakJob> => {
 	const milliseconds = random.integer(leastTaskMilliseconds, mostTaskMilliseconds);
@@ -83,7 +83,7 @@
 };
 
 /**
-Starts to submit jobs at random times to random daemons.
+Starts submitting jobs to random daemons, with exponentially distributed gaps.
 
 @example
 ```
--- a/packages/trials/src/process/soak-run.ts
+++ b/packages/trials/src/process/soak-run.ts
@@ -9,7 +9,7 @@
 import {startSoakLoad, submitSoakJob} from './soak-load.js';
 
 /**
-What a soak did and found.
+Counts of the jobs and faults of a soak, and the violations it found.
 */
 export type SoakResult = {
 	readonly jobs: number;
@@ -23,21 +23,21 @@
 	readonly zones: readonly string[];
 	readonly daemonsInZone: number;
 	readonly workersInZone: number;
-	/** Called with each fault that strikes. */
+	/** Called with each fault that is injected. */
 	readonly onFault: (fault: SoakFault, target: string) => void;
-	/** Called with the folder of the daemons' logs before the fleet is stopped. */
+	/** Called before the fleet stops, with the directory of the daemons' settings and logs. */
 	readonly onEnd: (directory: string, violations: readonly SoakViolation[]) => Promise<void>;
 };
 
-/** Time for the fleet to come to rest after the last fault. */
+/** Time for the fleet to settle after the last fault. */
 const calmMilliseconds = 4000;
 const lastJobs = 20;
-/** Identifiers of the last jobs begin here. */
+/** Number of the first recovery job; above all numbers of the load, so that identifiers differ. */
 const firstLastJob = 1_000_000;
-/** Draws of the load don't depend on those of the plan. */
+/** Gives the load a seed other than the plan's, so that their random numbers are independent. */
 const loadSeedGap = 1_000_003;
 
-/** Jobs after the last fault all have to be served. */
+/** Submits jobs after the last fault, and returns a violation for each that doesn't complete. */
 const findUnserved = async (fleet: PlatformFleet, seed: number): Promise<readonly SoakViolation[]> => {
 	const random = createRandom(seed);
 	const violations: SoakViolation[] = [];
@@ -53,7 +53,7 @@
 };
 
 /**
-Starts real daemons, injects the faults of a seed from outside while jobs come, and checks the promises by what callers and endpoints saw.
+Starts daemon processes, injects the faults planned from a seed while jobs are submitted, and checks the guarantees by what callers and endpoints observed.
 
 @example
 ```
--- a/packages/trials/src/process/soak.ts
+++ b/packages/trials/src/process/soak.ts
@@ -15,7 +15,7 @@
 		zones: {type: 'string', default: 'north,south'},
 		daemons: {type: 'string', default: '2'},
 		endpoints: {type: 'string', default: '4'},
-		/** Folder that gets the daemons' logs when a promise was broken. */
+		/** Directory to which the daemons' settings and logs are copied if there are violations. */
 		logs: {type: 'string'},
 	},
 });
