Rename crestX to peakX, StrikeFault to InjectFault, and related: terms of load and fault tests

PlaygroundCommand.Peak keeps its value 'crest'. In the soak: injectUnlessBusy, recordDisturbance, dropReplies, injectFault, findRecoveryFailures, recoveryJobs, firstRecoveryJob; in the demo: injectFaults.

--- a/packages/trials/src/process/demo.ts
+++ b/packages/trials/src/process/demo.ts
@@ -66,7 +66,7 @@
 	process.stdout.write(`${text}\n`);
 };
 
-const disturb = async (fleet: Fleet, startedAt: number): Promise<void> => {
+const injectFaults = async (fleet: Fleet, startedAt: number): Promise<void> => {
 	const at = async (milliseconds: number): Promise<void> => {
 		await sleep(Math.max(0, startedAt + milliseconds - Date.now()));
 	};
@@ -109,7 +109,7 @@
 	};
 	const startedAt = Date.now();
 	await Promise.all([
-		disturb(fleet, startedAt),
+		injectFaults(fleet, startedAt),
 		...Array.from({length: callers}, async (_, caller) => runCaller(fleet, caller, tally, startedAt + demoMilliseconds)),
 	]);
 	const {cutAnswers, ...outcomes} = tally;
--- a/packages/trials/src/process/playground-commands.ts
+++ b/packages/trials/src/process/playground-commands.ts
@@ -3,8 +3,8 @@
 import {submitAsCaller} from '../request/caller.js';
 import type {Fleet} from './fleet.js';
 
-const crestRequests = 600;
-const crestMilliseconds = 1000;
+const peakRequests = 600;
+const peakMilliseconds = 1000;
 const taskMilliseconds = 300;
 
 /**
@@ -20,7 +20,7 @@
 	/** Ends the partition of that zone. */
 	HealZone = 'heal zone',
 	/** Sends a load peak: 600 requests within one second. */
-	Crest = 'crest',
+	Peak = 'crest',
 }
 
 const commands: ReadonlySet<string> = new Set(Object.values(PlaygroundCommand));
@@ -49,17 +49,17 @@
 	return `${zone} is ${isCut ? 'cut off from the other zones and from the platform' : 'reachable again'}`;
 };
 
-const sendCrest = async (fleet: Fleet, service: string): Promise<string> => {
+const sendPeak = async (fleet: Fleet, service: string): Promise<string> => {
 	const counts = new Map<Outcome, number>();
-	await Promise.all(Array.from({length: crestRequests}, async (_, position) => {
-		await sleep(position * crestMilliseconds / crestRequests);
+	await Promise.all(Array.from({length: peakRequests}, async (_, position) => {
+		await sleep(position * peakMilliseconds / peakRequests);
 		const {outcome} = await submitAsCaller(fleet.balancer.address, 'POST', `/v1/services/${service}/sheet?task=crest-${position}&run=${taskMilliseconds}`, {
 			body: 'crest', headers: {'galenakeel-deadline-milliseconds': '3000'},
 		});
 		counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
 	}));
 	const parts = [...counts].map(([outcome, count]) => `${count} ${outcome}`);
-	return `${crestRequests} requests of ${taskMilliseconds} ms within ${crestMilliseconds} ms: ${parts.join(', ')}`;
+	return `${peakRequests} requests of ${taskMilliseconds} ms within ${peakMilliseconds} ms: ${parts.join(', ')}`;
 };
 
 /**
@@ -92,8 +92,8 @@
 			return setCut(fleet, false);
 		}
 
-		case PlaygroundCommand.Crest: {
-			return sendCrest(fleet, service);
+		case PlaygroundCommand.Peak: {
+			return sendPeak(fleet, service);
 		}
 	}
 };
--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -12,7 +12,7 @@
 /**
 Injects a fault into the fleet, and resolves when the fault has ended and a killed or leaving daemon is ready again.
 */
-export type StrikeFault = (planned: PlannedFault) => Promise<void>;
+export type InjectFault = (planned: PlannedFault) => Promise<void>;
 
 const delayMilliseconds = 60;
 /** Time after a daemon is ready again during which calls sent earlier may still fail. */
@@ -32,11 +32,11 @@
 await strike({fault: SoakFault.DaemonKilled, at: 0, forMilliseconds: 500, target: 3});
 ```
 */
-export const createSoakFaults = (fleet: PlatformFleet, disturbances: Disturbance[], onFault: (fault: SoakFault, target: string) => void): StrikeFault => {
+export const createSoakFaults = (fleet: PlatformFleet, disturbances: Disturbance[], onFault: (fault: SoakFault, target: string) => void): InjectFault => {
 	const busy = new Set<string>();
 	let configurationVersion = 1;
 
-	const strikeAlone = async (fault: SoakFault, target: string, perform: () => Promise<void>): Promise<void> => {
+	const injectUnlessBusy = async (fault: SoakFault, target: string, perform: () => Promise<void>): Promise<void> => {
 		if (busy.has(target)) {
 			return;
 		}
@@ -48,7 +48,7 @@
 	};
 
 	/** Records the interval during which a daemon is disturbed. It is open-ended until the fault is over. */
-	const disturb = async (daemon: PlatformDaemon, kind: DisturbanceKind, perform: () => Promise<void>): Promise<void> => {
+	const recordDisturbance = async (daemon: PlatformDaemon, kind: DisturbanceKind, perform: () => Promise<void>): Promise<void> => {
 		const from = performance.now();
 		const position = disturbances.push({
 			kind, daemon: daemon.instance, from, to: Number.POSITIVE_INFINITY,
@@ -59,24 +59,24 @@
 		};
 	};
 
-	const killDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => disturb(daemon, DisturbanceKind.Broken, async () => {
+	const killDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => recordDisturbance(daemon, DisturbanceKind.Broken, async () => {
 		daemon.child().kill('SIGKILL');
 		await sleep(milliseconds);
 		await daemon.restart();
 	});
 
-	const pauseDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => disturb(daemon, DisturbanceKind.Broken, async () => {
+	const pauseDaemon = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => recordDisturbance(daemon, DisturbanceKind.Broken, async () => {
 		daemon.child().kill('SIGSTOP');
 		await sleep(milliseconds);
 		daemon.child().kill('SIGCONT');
 	});
 
 	/** A leaving daemon must still answer its calls until its process exits; only its restart counts as an interval without the daemon. */
-	const leaveDaemon = async (daemon: PlatformDaemon): Promise<void> => disturb(daemon, DisturbanceKind.Leaving, async () => {
+	const leaveDaemon = async (daemon: PlatformDaemon): Promise<void> => recordDisturbance(daemon, DisturbanceKind.Leaving, async () => {
 		const child = daemon.child();
 		child.kill('SIGTERM');
 		await once(child, 'exit');
-		await disturb(daemon, DisturbanceKind.Broken, daemon.restart);
+		await recordDisturbance(daemon, DisturbanceKind.Broken, daemon.restart);
 	});
 
 	const stepClock = async (daemon: PlatformDaemon, milliseconds: number): Promise<void> => {
@@ -109,7 +109,7 @@
 		faults.isRefusing = false;
 	};
 
-	const deafen = async ({faults}: FaultProxy, milliseconds: number): Promise<void> => {
+	const dropReplies = async ({faults}: FaultProxy, milliseconds: number): Promise<void> => {
 		faults.backward = LinkState.Silent;
 		await sleep(milliseconds);
 		faults.backward = LinkState.Open;
@@ -135,7 +135,7 @@
 		[SoakFault.DaemonLeaves]: leaveDaemon,
 		[SoakFault.DaemonClockSteps]: stepClock,
 		[SoakFault.DaemonCutFromStore]: async ({instance}, milliseconds) => refuse(fleet.links!.toStore.get(instance)!, milliseconds),
-		[SoakFault.DaemonHearsNoStore]: async ({instance}, milliseconds) => deafen(fleet.links!.toStore.get(instance)!, milliseconds),
+		[SoakFault.DaemonHearsNoStore]: async ({instance}, milliseconds) => dropReplies(fleet.links!.toStore.get(instance)!, milliseconds),
 	};
 
 	const onStore: Partial<Record<SoakFault, StoreFault>> = {
@@ -168,15 +168,15 @@
 		const worker = itemAt(fleet.workers, target);
 		const storeFault = onStore[fault];
 		if (fault === SoakFault.AllDaemonsKilled) {
-			await Promise.all(fleet.daemons.map(async one => strikeAlone(fault, one.instance, async () => killDaemon(one, forMilliseconds))));
+			await Promise.all(fleet.daemons.map(async one => injectUnlessBusy(fault, one.instance, async () => killDaemon(one, forMilliseconds))));
 		} else if (fault === SoakFault.ConfigurationChanges) {
-			await strikeAlone(fault, 'configuration', changeConfiguration);
+			await injectUnlessBusy(fault, 'configuration', changeConfiguration);
 		} else if (storeFault) {
-			await strikeAlone(fault, 'store', async () => setStore(storeFault, forMilliseconds));
+			await injectUnlessBusy(fault, 'store', async () => setStore(storeFault, forMilliseconds));
 		} else if (onDaemon[fault]) {
-			await strikeAlone(fault, daemon.instance, async () => onDaemon[fault]!(daemon, forMilliseconds));
+			await injectUnlessBusy(fault, daemon.instance, async () => onDaemon[fault]!(daemon, forMilliseconds));
 		} else {
-			await strikeAlone(fault, worker.identifier, async () => onWorker[fault]!(worker, forMilliseconds, fleet.links!.toWorkers.get(worker.identifier)!));
+			await injectUnlessBusy(fault, worker.identifier, async () => onWorker[fault]!(worker, forMilliseconds, fleet.links!.toWorkers.get(worker.identifier)!));
 		}
 	};
 };
--- a/packages/trials/src/process/soak-run.ts
+++ b/packages/trials/src/process/soak-run.ts
@@ -31,18 +31,18 @@
 
 /** Time for the fleet to settle after the last fault. */
 const calmMilliseconds = 4000;
-const lastJobs = 20;
+const recoveryJobs = 20;
 /** Number of the first recovery job; above all numbers of the load, so that identifiers differ. */
-const firstLastJob = 1_000_000;
+const firstRecoveryJob = 1_000_000;
 /** Gives the load a seed other than the plan's, so that their random numbers are independent. */
 const loadSeedGap = 1_000_003;
 
 /** Submits jobs after the last fault, and returns a violation for each that doesn't complete. */
-const findUnserved = async (fleet: PlatformFleet, seed: number): Promise<readonly SoakViolation[]> => {
+const findRecoveryFailures = async (fleet: PlatformFleet, seed: number): Promise<readonly SoakViolation[]> => {
 	const random = createRandom(seed);
 	const violations: SoakViolation[] = [];
-	for (let number = 0; number < lastJobs; number++) {
-		const {identifier, calls} = await submitSoakJob(fleet, (firstLastJob + number).toString(16).padStart(16, '0'), random);
+	for (let number = 0; number < recoveryJobs; number++) {
+		const {identifier, calls} = await submitSoakJob(fleet, (firstRecoveryJob + number).toString(16).padStart(16, '0'), random);
 		const {state, daemon, detail} = calls.at(-1)!;
 		if (state !== 'complete') {
 			violations.push({rule: SoakRule.NotRecovered, detail: `${identifier} at ${daemon} after the last fault: ${detail}`});
@@ -66,21 +66,21 @@
 	try {
 		const disturbances: Disturbance[] = [];
 		let faults = 0;
-		const strike = createSoakFaults(fleet, disturbances, (fault, target) => {
+		const injectFault = createSoakFaults(fleet, disturbances, (fault, target) => {
 			faults++;
 			options.onFault(fault, target);
 		});
 		const load = startSoakLoad(fleet, createRandom(seed + loadSeedGap));
 		await Promise.all(planSoak(seed, milliseconds).map(async planned => {
 			await sleep(planned.at);
-			await strike(planned);
+			await injectFault(planned);
 		}));
 		await load.stop();
 		await sleep(calmMilliseconds);
 		const runs = fleet.workers.flatMap(worker => worker.runs());
-		const violations = [...checkSoak({jobs: load.jobs, runs, disturbances}), ...await findUnserved(fleet, seed)];
+		const violations = [...checkSoak({jobs: load.jobs, runs, disturbances}), ...await findRecoveryFailures(fleet, seed)];
 		await options.onEnd(fleet.directory, violations);
-		return {jobs: load.jobs.length + lastJobs, faults, violations};
+		return {jobs: load.jobs.length + recoveryJobs, faults, violations};
 	} finally {
 		await fleet.stop();
 	}
