--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -28,8 +28,8 @@
 
 @example
 ```
-const strike = createSoakFaults(fleet, disturbances, fault => console.log(fault));
-await strike({fault: SoakFault.DaemonKilled, at: 0, forMilliseconds: 500, target: 3});
+const injectFault = createSoakFaults(fleet, disturbances, fault => console.log(fault));
+await injectFault({fault: SoakFault.DaemonKilled, at: 0, forMilliseconds: 500, target: 3});
 ```
 */
 export const createSoakFaults = (fleet: PlatformFleet, disturbances: Disturbance[], onFault: (fault: SoakFault, target: string) => void): InjectFault => {
