--- a/packages/trials/src/process/soak-run.ts
+++ b/packages/trials/src/process/soak-run.ts
@@ -9,7 +9,7 @@
 import {startSoakLoad, submitSoakJob} from './soak-load.js';
 
 /**
-What a soak did and found.
+Counts of the jobs and faults of a soak, and the violations it found.
 */
 export type SoakResult = {
 	readonly jobs: number;
@@ -23,26 +23,26 @@
 	readonly zones: readonly string[];
 	readonly daemonsInZone: number;
 	readonly workersInZone: number;
-	/** Called with each fault that strikes. */
+	/** Called with each fault that is injected. */
 	readonly onFault: (fault: SoakFault, target: string) => void;
-	/** Called with the folder of the daemons' logs before the fleet is stopped. */
+	/** Called before the fleet stops, with the directory of the daemons' settings and logs. */
 	readonly onEnd: (directory: string, violations: readonly SoakViolation[]) => Promise<void>;
 };
 
-/** Time for the fleet to come to rest after the last fault. */
+/** Time for the fleet to settle after the last fault. */
 const calmMilliseconds = 4000;
-const lastJobs = 20;
-/** Identifiers of the last jobs begin here. */
-const firstLastJob = 1_000_000;
-/** Draws of the load don't depend on those of the plan. */
+const recoveryJobs = 20;
+/** Number of the first recovery job; above all numbers of the load, so that identifiers differ. */
+const firstRecoveryJob = 1_000_000;
+/** Gives the load a seed other than the plan's, so that their random numbers are independent. */
 const loadSeedGap = 1_000_003;
 
-/** Jobs after the last fault all have to be served. */
-const findUnserved = async (fleet: PlatformFleet, seed: number): Promise<readonly SoakViolation[]> => {
+/** Submits jobs after the last fault, and returns a violation for each that doesn't complete. */
+const findRecoveryFailures = async (fleet: PlatformFleet, seed: number): Promise<readonly SoakViolation[]> => {
 	const random = createRandom(seed);
 	const violations: SoakViolation[] = [];
-	for (let number = 0; number < lastJobs; number++) {
-		const {identifier, calls} = await submitSoakJob(fleet, (firstLastJob + number).toString(16).padStart(16, '0'), random);
+	for (let number = 0; number < recoveryJobs; number++) {
+		const {identifier, calls} = await submitSoakJob(fleet, (firstRecoveryJob + number).toString(16).padStart(16, '0'), random);
 		const {state, daemon, detail} = calls.at(-1)!;
 		if (state !== 'complete') {
 			violations.push({rule: SoakRule.NotRecovered, detail: `${identifier} at ${daemon} after the last fault: ${detail}`});
@@ -53,7 +53,7 @@
 };
 
 /**
-Starts real daemons, injects the faults of a seed from outside while jobs come, and checks the promises by what callers and endpoints saw.
+Starts daemon processes, injects the faults planned from a seed while jobs are submitted, and checks the guarantees by what callers and endpoints observed.
 
 @example
 ```
@@ -66,21 +66,21 @@
 	try {
 		const disturbances: Disturbance[] = [];
 		let faults = 0;
-		const strike = createSoakFaults(fleet, disturbances, (fault, target) => {
+		const injectFault = createSoakFaults(fleet, disturbances, (fault, target) => {
 			faults++;
 			options.onFault(fault, target);
 		});
 		const load = startSoakLoad(fleet, createRandom(seed + loadSeedGap));
 		await Promise.all(planSoak(seed, milliseconds).map(async planned => {
 			await sleep(planned.at);
-			await strike(planned);
+			await injectFault(planned);
 		}));
 		await load.stop();
 		await sleep(calmMilliseconds);
 		const runs = fleet.workers.flatMap(worker => worker.runs());
-		const violations = [...checkSoak({jobs: load.jobs, runs, disturbances}), ...await findUnserved(fleet, seed)];
+		const violations = [...checkSoak({jobs: load.jobs, runs, disturbances}), ...await findRecoveryFailures(fleet, seed)];
 		await options.onEnd(fleet.directory, violations);
-		return {jobs: load.jobs.length + lastJobs, faults, violations};
+		return {jobs: load.jobs.length + recoveryJobs, faults, violations};
 	} finally {
 		await fleet.stop();
 	}
