Bound what is read from the store, endpoints, callers and peers

Cause: entries of other writers were checked for types only. An error that no task handled ended the process.

--- a/packages/galenakeeld/src/connection/__tests__/fleet-frames.feature
+++ b/packages/galenakeeld/src/connection/__tests__/fleet-frames.feature
@@ -12,5 +12,7 @@
 
   Scenario: Malformed frames are rejected and messages of unknown kinds are skipped
     Then the frame '[]' is rejected
+    And the frame 'null' is rejected
+    And the frame 'no JSON' is rejected
     And the frame '{"messages":[]}' is rejected
     And the frame '{"sentAt":1,"messages":[{"kind":"started","job":"a"},{"kind":"later-version"},7]}' contains 1 message
--- a/packages/galenakeeld/src/process/fleet/cell-layout-watch.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-layout-watch.ts
@@ -1,6 +1,6 @@
 import type {StoreCalls} from '@galenakeel/model/connection/store-calls.js';
 import {
-	allCells, cellCountFor, cellsOfZone, type CellCounts,
+	allCells, cellCountFor, cellsOfZone, isCellCount, type CellCounts,
 } from './cell-layout.js';
 import type {TryStore} from './store-watches.js';
 
@@ -59,7 +59,7 @@
 	const lists = new Map<string, {readonly endpoints: number; readonly repeats: number}>();
 
 	const offer = (newer: CellCounts): void => {
-		const added = Object.entries(newer).filter(([zone]) => zones.includes(zone) && counts[zone] === undefined);
+		const added = Object.entries(newer).filter(([zone, count]) => zones.includes(zone) && counts[zone] === undefined && isCellCount(count));
 		if (added.length > 0) {
 			counts = {...counts, ...Object.fromEntries(added)};
 			options.onInstall(counts);
--- a/packages/galenakeeld/src/process/fleet/cell-layout.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-layout.ts
@@ -19,6 +19,14 @@
 /** Index of the rack in the labels of an endpoint; the kind of machine comes first. */
 const rackLabel = 1;
 
+/** Largest number of cells of a zone. */
+const maximumCells = 1000;
+
+/**
+Tells whether a value is a number of cells that a zone can have.
+*/
+export const isCellCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 1 && (value as number) <= maximumCells;
+
 /**
 Returns into how many cells a zone with this many endpoints is divided.
 
@@ -27,7 +35,7 @@
 cellCountFor(61); // => 3
 ```
 */
-export const cellCountFor = (endpoints: number): number => Math.max(1, Math.round(endpoints / endpointsPerCell));
+export const cellCountFor = (endpoints: number): number => Math.min(maximumCells, Math.max(1, Math.round(endpoints / endpointsPerCell)));
 
 /**
 Returns the names of the cells of a zone. An undivided zone is one cell of the same name.
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -104,8 +104,10 @@
 	});
 
 	const configuration = createConfigurationWatch(store, {
-		onInstall({version, queues}) {
-			log.info({event: FleetEvent.ConfigurationInstalled, version, queues: queues.length});
+		onInstall({version, queues, unreadableQueues}) {
+			log.info({
+				event: FleetEvent.ConfigurationInstalled, version, queues: queues.length, unreadableQueues,
+			});
 		},
 		onLost(detail) {
 			log.warn({event: FleetEvent.StoreLost, detail});
@@ -445,8 +447,9 @@
 			}
 
 			const queue = findQueue(current, host, path);
-			// The queue may exist in a newer configuration that this daemon has missed.
-			const refusal = configuration.ageMilliseconds() < configurationFreshnessMilliseconds ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
+			// The queue may exist in a newer configuration that this daemon has missed, or be one that it can't read.
+			const isComplete = configuration.ageMilliseconds() < configurationFreshnessMilliseconds && current.unreadableQueues === 0;
+			const refusal = isComplete ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
 			return queue ? {queue, pathPrefix: queue.pathPrefix} : refusal;
 		},
 		submit,
--- a/packages/galenakeeld/src/process/fleet/fleet-event.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-event.ts
@@ -26,4 +26,6 @@
 	DaemonLoad = 'daemon-load',
 	JobAnswered = 'job-answered',
 	RequestFailed = 'request-failed',
+	/** An error that no task has handled; the process goes on. */
+	UnexpectedError = 'unexpected-error',
 }
--- a/packages/galenakeeld/src/process/fleet/fleet-main.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-main.ts
@@ -4,6 +4,8 @@
 import {createLog, type Log} from '../log.js';
 import {startFleetDaemon} from './fleet-daemon.js';
 import {FleetEvent} from './fleet-event.js';
+import {createRateLimitedLog} from './rate-limited-log.js';
+import {handleUnexpectedErrors} from './unexpected-errors.js';
 import {parseFleetSettings, type FleetSettings} from './fleet-settings.js';
 
 /**
@@ -18,6 +20,9 @@
 	Usage = 2,
 }
 
+/** Lines a second about unexpected errors. */
+const maximumErrorLines = 10;
+
 const readSettings = (path: string): FleetSettings => parseFleetSettings(readFileSync(path, 'utf8'), path);
 
 /** Settings do not change while the process runs; a reload only validates the file. */
@@ -56,6 +61,10 @@
 	process.on('SIGHUP', () => {
 		checkReload(path, log);
 	});
+	const logLimited = createRateLimitedLog(log, maximumErrorLines);
+	handleUnexpectedErrors(process, error => {
+		logLimited(FleetEvent.UnexpectedError, error);
+	});
 	const terminationRequested = awaitTermination();
 	try {
 		const daemon = await startFleetDaemon(settings, log);
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -174,13 +174,23 @@
 */
 export const encodeFrame = (frame: FleetFrame): Uint8Array => Buffer.from(JSON.stringify(frame));
 
+type ParsedFrame = {readonly sentAt?: unknown; readonly messages?: unknown};
+
+const parseFrame = (text: string): ParsedFrame => {
+	try {
+		return (JSON.parse(text) ?? {}) as ParsedFrame;
+	} catch (error) {
+		throw createFault(FaultKind.MalformedRequest, 'the peer sent what is no JSON', error);
+	}
+};
+
 /**
 Decodes a frame from a peer. Messages of unknown kinds are ignored, so that peers of a newer version can send them.
 
-@throws A fault of kind `MalformedRequest` if the JSON is not a frame; a `SyntaxError` if the bytes are not JSON.
+@throws A fault of kind `MalformedRequest` if the bytes are not the JSON of a frame.
 */
 export const decodeFrame = (bytes: Uint8Array): FleetFrame => {
-	const {sentAt, messages} = JSON.parse(Buffer.from(bytes).toString()) as {readonly sentAt?: unknown; readonly messages?: unknown};
+	const {sentAt, messages} = parseFrame(Buffer.from(bytes).toString());
 	if (typeof sentAt !== 'number' || !Array.isArray(messages)) {
 		throw createFault(FaultKind.MalformedRequest, 'the peer sent what is no frame of messages');
 	}
--- a/packages/model/src/version/queue-configuration.ts
+++ b/packages/model/src/version/queue-configuration.ts
@@ -23,6 +23,8 @@
 export type QueueConfiguration = {
 	readonly version: number;
 	readonly queues: readonly Queue[];
+	/** Number of queues that can't be read, and so are missing in the list. */
+	readonly unreadableQueues: number;
 	readonly limits: {
 		readonly headerBytes: number;
 		readonly bodyBytes: number;
