--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -39,7 +39,7 @@
 let nextPort = firstPort;
 
 const heartbeat: Heartbeat = {
-	kind: FleetMessageKind.Heartbeat, instance: 'entry-1', address: '127.0.0.1:1', zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [], cellCounts: {},
+	kind: FleetMessageKind.Heartbeat, instance: 'entry-1', address: '127.0.0.1:1', zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, neededSilenceMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [], cellCounts: {},
 };
 
 const isDoneWithin = async (done: Promise<true>, milliseconds: number): Promise<boolean> =>
@@ -107,6 +107,9 @@
 		onMessage: () => {
 			this.heartbeatsReceived++;
 		},
+		onKeepAlive() {
+			// The scenarios send only heartbeats.
+		},
 		onOpened() {
 			// The scenarios check only connections and heartbeats.
 		},
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -4,7 +4,7 @@
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import {createFault, detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
 import {
-	decodeFrame, encodeFrame, FleetMessageKind, type FleetMessage,
+	decodeFrame, encodeFrame, FleetMessageKind, type FleetMessage, type Heartbeat, type KeepAlive,
 } from '@galenakeel/model/connection/fleet-message.js';
 import {createDelayDetector} from './delay-detector.js';
 import {createFrameSplitter, prefixLength} from './length-prefix.js';
@@ -16,7 +16,7 @@
 const maximumDelayMilliseconds = 600;
 
 /** Interval at which the event loop is observed. */
-const turnMilliseconds = 100;
+const turnMilliseconds = 250;
 
 /** Messages that a holder needs only after the owner is lost, so they wait for the next urgent message or heartbeat. Losing them is safe: a holder assumes that a lost owner may have started tasks. */
 const deferrableKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Started, FleetMessageKind.TaskSucceeded]);
@@ -59,7 +59,8 @@
 /**
 Starts the server that receives message streams from peers.
 
-@param onMessage Called for each message of a stream, in order. A stream may break at any time and be reopened by the peer.
+@param onMessage Called for each message of a stream except keep-alives, in order. A stream may break at any time and be reopened by the peer.
+@param onKeepAlive Called for each keep-alive, with the last heartbeat of the same stream.
 @param onBroken Called when a stream has ended, with the address from its first heartbeat, or an empty string if there was none.
 @param onReadError Called with the reason when reading a stream fails or a message is rejected.
 @param onFrame Called for each frame that was decoded.
@@ -67,6 +68,7 @@
 */
 export const serveFleet = async (address: string, handlers: {
 	readonly onMessage: (message: FleetMessage, from: string) => void;
+	readonly onKeepAlive: (keepAlive: KeepAlive, described: Heartbeat) => void;
 	/** Called after the first heartbeat of a stream. Messages sent on an earlier stream may be lost. */
 	readonly onOpened: (from: string) => void;
 	readonly onBroken: (from: string) => void;
@@ -79,6 +81,32 @@
 		const isDelayed = createDelayDetector(maximumDelayMilliseconds);
 		const split = createFrameSplitter();
 		let from = '';
+		let described: Heartbeat | undefined;
+
+		const receiveMessage = (message: FleetMessage): void => {
+			if (message.kind === FleetMessageKind.KeepAlive) {
+				if (described) {
+					handlers.onKeepAlive(message, described);
+				}
+
+				return;
+			}
+
+			const isFirst = from === '' && message.kind === FleetMessageKind.Heartbeat;
+			if (message.kind === FleetMessageKind.Heartbeat) {
+				described = message;
+			}
+
+			if (isFirst) {
+				from = message.address;
+				onSender(from);
+			}
+
+			handlers.onMessage(message, from);
+			if (isFirst) {
+				handlers.onOpened(from);
+			}
+		};
 
 		const receiveFrame = (bytes: Uint8Array): void => {
 			const receivedAt = performance.now();
@@ -89,16 +117,7 @@
 			}
 
 			for (const message of messages) {
-				const isFirst = from === '' && message.kind === FleetMessageKind.Heartbeat;
-				if (isFirst) {
-					from = message.address;
-					onSender(from);
-				}
-
-				handlers.onMessage(message, from);
-				if (isFirst) {
-					handlers.onOpened(from);
-				}
+				receiveMessage(message);
 			}
 		};
 
@@ -167,6 +186,8 @@
 	readonly send: (message: FleetMessage) => void;
 	/** Connects, sends queued messages and one heartbeat per interval, and reconnects after a failure, until the stream is closed. */
 	readonly run: () => Promise<void>;
+	/** Checks at once whether a heartbeat is due, after its interval has become shorter. */
+	readonly reviewInterval: () => void;
 	/** Skips the rest of the pause between connection attempts, for use when a heartbeat from the peer has arrived. */
 	readonly dialNow: () => void;
 	/** Closes the connection and opens a new one. After a network partition heals, the old connection stays stalled for seconds because TCP backs off its retransmissions exponentially. */
@@ -230,7 +251,8 @@
 		/** Interval when the last heartbeat was created. The peer expects the next heartbeat within this interval, even if it has since become longer. */
 		let interval = 0;
 
-		const millisecondsUntilHeartbeat = (): number => lastHeartbeatAt + Math.min(interval, options.heartbeatIntervalMilliseconds()) - performance.now();
+		/** A heartbeat is due at once when the interval has become shorter, since the peer doesn't know that yet. */
+		const millisecondsUntilHeartbeat = (): number => options.heartbeatIntervalMilliseconds() < interval ? 0 : lastHeartbeatAt + interval - performance.now();
 
 		while (!broken.aborted) {
 			if (millisecondsUntilHeartbeat() <= 1) {
@@ -308,6 +330,9 @@
 				}
 			}
 		},
+		reviewInterval() {
+			wake?.();
+		},
 		dialNow() {
 			endPause?.();
 		},
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -106,3 +106,11 @@
     And a third job of 1 task is submitted by "second"
     And the endpoints run for 900 ms
     Then the first job runs nowhere
+
+  Scenario: A run that starts just after a poll of an idle endpoint was sent keeps its lease, also if answers are late
+    Given an owner of these endpoints
+    When the endpoints run for 507 ms
+    And a job of 1 task is submitted by "first"
+    And the endpoint of the run answers 60 ms late
+    And the endpoints run for 3000 ms
+    Then the task ran 1 times, never twice at the same time
--- a/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
+++ b/packages/galenakeeld/src/process/cells/cell-capacity-cache.ts
@@ -27,6 +27,20 @@
 /** Age up to which a load is announced again after changes; heartbeats to all peers ask for it far more often. */
 const minimumLoadAgeMilliseconds = 5;
 
+/** Free share of the processor below which a cell counts as short of capacity. */
+const shortShare = 0.25;
+
+const freeShareOf = (capacities: readonly EndpointCapacity[]): number => {
+	let free = 0;
+	let total = 0;
+	for (const capacity of capacities) {
+		free += capacity.free.processor;
+		total += capacity.total.processor;
+	}
+
+	return total > 0 ? free / total : 0;
+};
+
 /**
 Creates an empty cache.
 
@@ -51,7 +65,13 @@
 	const computeLoad = (): CellLoad => {
 		const capacities = available();
 		const waiting = waitingInTimeWorkOf(jobs(), bestFactorOf(capacities), performance.now());
-		return {free: freeCapacitiesOf(capacities, typicalProcessor()), backlogMilliseconds: Math.round(waiting / throughputOf(capacities)), kindFactors: endpoints.kindFactors()};
+		const backlogMilliseconds = Math.round(waiting / throughputOf(capacities));
+		return {
+			free: freeCapacitiesOf(capacities, typicalProcessor()),
+			backlogMilliseconds,
+			isShortOfCapacity: backlogMilliseconds > 0 || freeShareOf(capacities) < shortShare,
+			kindFactors: endpoints.kindFactors(),
+		};
 	};
 
 	return {
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -91,11 +91,13 @@
 };
 
 /** Maximum wait of a poll while runs are active: a poll whose answer is lost delays their ends for this time only. */
-const busyPollWaitMilliseconds = 150;
+const busyPollWaitMilliseconds = 250;
 /** Number of simultaneous starts without an answer from which an endpoint gets no more. */
 const maximumUnconfirmedStarts = 2;
-/** The lease of a run that starts during an idle poll is extended by the next poll. */
-const idlePollWaitMilliseconds = 500;
+/** Maximum wait of a poll while no run is active. */
+const idlePollWaitMilliseconds = 1000;
+/** Interval at which leases are extended while an idle poll is still waiting. */
+const extendMilliseconds = 400;
 /** Maximum wait of a poll while a run is active whose end may never be reported. */
 const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
@@ -133,6 +135,9 @@
 	let polledToken = 0;
 	let isClosed = false;
 	let cooldownEndsAt = 0;
+	/** A poll is waiting that was sent while no run was active, and so extended no lease. */
+	let isIdlePollWaiting = false;
+	let extendTimer: NodeJS.Timeout | undefined;
 
 	const hasOrphans = (): boolean => orphans.active().length > 0;
 
@@ -455,6 +460,17 @@
 		}
 	}
 
+	/** Extends the leases of runs that were started during an idle poll, until that poll ends. */
+	const extendDuringIdlePoll = (): void => {
+		extendTimer ??= setTimeout(() => {
+			extendTimer = undefined;
+			if (isIdlePollWaiting && runs.size > 0 && !isClosed) {
+				void pollNow();
+				extendDuringIdlePoll();
+			}
+		}, extendMilliseconds);
+	};
+
 	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
 	async function resolveUnknown(run: Run): Promise<void> {
 		await pollNow();
@@ -500,6 +516,10 @@
 			const run = createRun(request, RunState.Starting);
 			addRun(run);
 			void sendStart(run, request.specification);
+			if (isIdlePollWaiting) {
+				extendDuringIdlePoll();
+			}
+
 			return run.ended.promise;
 		},
 		adopt(request) {
@@ -528,7 +548,9 @@
 		async run() {
 			while (!hasClosed()) {
 				const polledAt = performance.now();
+				isIdlePollWaiting = runs.size === 0;
 				const {outcome, report} = await poll(pollWaitMilliseconds());
+				isIdlePollWaiting = false;
 				if (isClosed) {
 					break;
 				}
--- a/packages/galenakeeld/src/process/fleet/__tests__/cell-layout-watch.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/cell-layout-watch.feature
@@ -2,7 +2,7 @@
 
   Scenario: The number is stored once the list of endpoints no longer changes
     Given the zones "north" have the endpoints
-      | north | 10 | 40 | 61 | 61 | 61 |
+      | north | 10 | 40 | 91 | 91 | 91 |
     When the layout is watched for 2000 ms
     Then the store has 3 cells for "north"
     And the cells are "north/0, north/1, north/2"
--- a/packages/galenakeeld/src/process/fleet/__tests__/cell-layout.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/cell-layout.feature
@@ -7,10 +7,10 @@
       | endpoints | cells |
       | 0         | 1     |
       | 11        | 1     |
-      | 29        | 1     |
-      | 30        | 2     |
-      | 61        | 3     |
-      | 246       | 12    |
+      | 44        | 1     |
+      | 45        | 2     |
+      | 63        | 2     |
+      | 246       | 8     |
 
   Scenario: An undivided zone is one cell of its name
     Then the cells of "north" in 1 parts are "north"
--- a/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.steps.ts
@@ -29,7 +29,7 @@
 const task = {job: '5c0e7a21d94b36f8', step: 0, index: 0};
 const messages: readonly FleetMessage[] = [
 	{
-		kind: FleetMessageKind.Heartbeat, instance: 'n1', address: 'n1', zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [], cellCounts: {},
+		kind: FleetMessageKind.Heartbeat, instance: 'n1', address: 'n1', zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, neededSilenceMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [], cellCounts: {},
 	},
 	{kind: FleetMessageKind.Started, job: task.job, part: '0'},
 ];
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.feature
@@ -12,3 +12,34 @@
     Given links to the peers "s1, s2" that lose a peer after 700 ms without heartbeats
     And heartbeats of "s1" at 0 ms
     Then the streams to "s1" were dialled at once
+
+  Scenario: Heartbeats whose description a peer knows are short
+    Given links to the peers "s1" that lose a peer after 700 ms without heartbeats
+    When the stream to "s1" opens and 3 heartbeats are due
+    Then "s1" was sent "heartbeat, keep-alive, keep-alive"
+    When the description changes and 2 heartbeats are due
+    Then "s1" was sent "heartbeat, keep-alive"
+    When the stream to "s1" opens and 2 heartbeats are due
+    Then "s1" was sent "heartbeat, keep-alive"
+    When 10000 ms pass and 2 heartbeats are due
+    Then "s1" was sent "heartbeat, keep-alive"
+
+  Scenario: A peer that was lost is reachable again with its next keep-alive
+    Given links to the peers "s1" that lose a peer after 700 ms without heartbeats
+    And heartbeats of "s1" at 0 ms
+    And keep-alives of "s1" at 600 ms
+    When silent peers are removed at 1200 ms
+    Then the peers "" were lost as "silent"
+    When silent peers are removed at 1400 ms
+    Then the peers "s1" were lost as "silent"
+    Given keep-alives of "s1" at 1500 ms
+    Then the peers "s1, s1" became reachable
+
+  Scenario: A peer that needs heartbeats more often gets the next one early
+    Given links to the peers "s1" that lose a peer after 6000 ms without heartbeats
+    And heartbeats of "s1" at 0 ms
+    And keep-alives of "s1" at 600 ms
+    Then the interval of the stream to "s1" was reviewed 0 times
+    Given keep-alives of "s1" at 700 ms that need heartbeats within 700 ms
+    And keep-alives of "s1" at 900 ms that need heartbeats within 700 ms
+    Then the interval of the stream to "s1" was reviewed 1 times
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -4,7 +4,10 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
-import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import {
+	FleetMessageKind, type FleetMessage, type Heartbeat, type KeepAlive,
+} from '@galenakeel/model/connection/fleet-message.js';
+import type {createPeerStream} from '../../../connection/fleet-service.js';
 import {shortInterval} from '../heartbeat-interval.js';
 import {createFleetLinks, type FleetLinks} from '../fleet-links.js';
 import {createFleetView} from '../fleet-view.js';
@@ -16,20 +19,33 @@
 	silentAfterMilliseconds: number;
 	brokenOff: string[];
 	dialled: string[];
+	/** Peers whose streams had their interval reviewed. */
+	reviewed: string[];
+	reachable: string[];
+	revision: number;
+	streams: Map<string, Parameters<typeof createPeerStream>[1]>;
+	sentKinds: FleetMessageKind[];
+	receiveKeepAlive: (keepAlive: KeepAlive, described: Heartbeat) => void;
 	lost: Array<readonly [address: string, cause: string]>;
 };
 
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
 const heartbeatFrom = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
-	kind: FleetMessageKind.Heartbeat, instance: address, address, zone: 'south', startedAt: 1, processor: 1000, silentAfterMilliseconds,
+	kind: FleetMessageKind.Heartbeat, instance: address, address, zone: 'south', startedAt: 1, processor: 1000, silentAfterMilliseconds, neededSilenceMilliseconds: silentAfterMilliseconds,
 	claims: [], configurationVersion: 1, isLeaving: false, known: [], cellCounts: {},
 });
 
+const keepAliveOf = (silentAfterMilliseconds: number, neededSilenceMilliseconds: number): KeepAlive => ({kind: FleetMessageKind.KeepAlive, silentAfterMilliseconds, neededSilenceMilliseconds});
+
 Given('links to the peers {string} that lose a peer after {int} ms without heartbeats', async function (this: LinksWorld, names: string, milliseconds: number) {
 	this.clock = install({toFake: ['performance']});
 	this.brokenOff = [];
 	this.dialled = [];
+	this.reviewed = [];
+	this.reachable = [];
+	this.revision = 1;
+	this.streams = new Map();
 	this.lost = [];
 	this.silentAfterMilliseconds = milliseconds;
 	this.links = await createFleetLinks({
@@ -37,17 +53,22 @@
 		view: createFleetView(),
 		serve: async (_, handlers) => {
 			this.receiveMessage = handlers.onMessage;
+			this.receiveKeepAlive = handlers.onKeepAlive;
 			return () => {
 				// Nothing was opened.
 			};
 		},
-		openStream: address => ({
-			isConnected: () => false,
+		openStream: (address, streamOptions) => ({
+			// Called for each address once.
+			isConnected: () => this.streams.has(address),
 			send() {
 				// Sent messages are not checked.
 			},
-			async run() {
-				// Nothing is opened.
+			run: async () => {
+				this.streams.set(address, streamOptions);
+			},
+			reviewInterval: () => {
+				this.reviewed.push(address);
 			},
 			dialNow: () => {
 				this.dialled.push(address);
@@ -60,12 +81,14 @@
 			},
 		}),
 		createHeartbeat: () => heartbeatFrom('n1', milliseconds),
+		createKeepAlive: () => keepAliveOf(milliseconds, milliseconds),
+		descriptionRevision: () => this.revision,
 		heartbeatIntervalTo: () => shortInterval,
 		onMessage() {
 			// Only heartbeats are sent.
 		},
-		onPeerReachable() {
-			// Not checked.
+		onPeerReachable: ({address}) => {
+			this.reachable.push(address);
 		},
 		onRefused() {
 			// No real streams are opened.
@@ -102,6 +125,54 @@
 	}
 });
 
+const receiveKeepAlives = (world: LinksWorld, names: string, at: number, neededSilence: number): void => {
+	world.clock.tick(at - performance.now());
+	for (const name of splitNames(names)) {
+		world.receiveKeepAlive(keepAliveOf(world.silentAfterMilliseconds, neededSilence), heartbeatFrom(name, world.silentAfterMilliseconds));
+	}
+};
+
+Given('keep-alives of {string} at {int} ms', function (this: LinksWorld, names: string, at: number) {
+	receiveKeepAlives(this, names, at, this.silentAfterMilliseconds);
+});
+
+Given('keep-alives of {string} at {int} ms that need heartbeats within {int} ms', function (this: LinksWorld, names: string, at: number, milliseconds: number) {
+	receiveKeepAlives(this, names, at, milliseconds);
+});
+
+const takeHeartbeats = (world: LinksWorld, count: number): void => {
+	const [stream] = [...world.streams.values()];
+	world.sentKinds = Array.from({length: count}, () => stream!.createHeartbeat().kind);
+};
+
+When('the stream to {string} opens and {int} heartbeats are due', function (this: LinksWorld, name: string, count: number) {
+	this.streams.get(name)!.onConnected();
+	takeHeartbeats(this, count);
+});
+
+When('the description changes and {int} heartbeats are due', function (this: LinksWorld, count: number) {
+	this.revision++;
+	takeHeartbeats(this, count);
+});
+
+When('{int} ms pass and {int} heartbeats are due', function (this: LinksWorld, milliseconds: number, count: number) {
+	this.clock.tick(milliseconds);
+	takeHeartbeats(this, count);
+});
+
+Then('{string} was sent {string}', function (this: LinksWorld, name: string, kinds: string) {
+	assert.ok(this.streams.has(name));
+	assert.equal(this.sentKinds.map(kind => kind === FleetMessageKind.Heartbeat ? 'heartbeat' : 'keep-alive').join(', '), kinds);
+});
+
+Then('the peers {string} became reachable', function (this: LinksWorld, names: string) {
+	assert.deepEqual(this.reachable, splitNames(names));
+});
+
+Then('the interval of the stream to {string} was reviewed {int} times', function (this: LinksWorld, name: string, count: number) {
+	assert.equal(this.reviewed.filter(one => one === name).length, count);
+});
+
 When('silent peers are removed at {int} ms', function (this: LinksWorld, at: number) {
 	this.clock.tick(at - performance.now());
 	this.links.removeSilentPeers();
@@ -116,5 +187,5 @@
 });
 
 Then('the peers {string} were lost as {string}', function (this: LinksWorld, names: string, cause: string) {
-	assert.deepEqual(this.lost, splitNames(names).map(name => [name, cause]));
+	assert.deepEqual(this.lost, names === '' ? [] : splitNames(names).map(name => [name, cause]));
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/idle-cell.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/idle-cell.ts
@@ -21,7 +21,9 @@
 	cancel: ignore,
 	dropHolder: ignore,
 	install: ignore,
-	load: () => ({free: [], backlogMilliseconds: 0, kindFactors: {}}),
+	load: () => ({
+		free: [], backlogMilliseconds: 0, isShortOfCapacity: false, kindFactors: {},
+	}),
 	observe: () => ({
 		jobs: 1, jobsWaiting: 0, tasksWaiting: 0, tasksActive: 1, endpoints: 1, endpointsReachable: 1,
 		work: {
--- a/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
-import {Given, Then, When} from '@cucumber/cucumber';
+import {
+	After, Given, Then, When,
+} from '@cucumber/cucumber';
+import {install, type Clock} from '@sinonjs/fake-timers';
 import type {CellLoad} from '@galenakeel/model/connection/fleet-message.js';
 import type {Peer} from '../fleet-view.js';
 import {createLoadAnnouncements} from '../load-announcements.js';
@@ -10,10 +13,14 @@
 	receivers: string[];
 	moreOwners: readonly Peer[];
 	announce: () => void;
+	announcementsClock: Clock | undefined;
 };
 
 const waitingMilliseconds = 20;
-const calmLoad: CellLoad = {free: [], backlogMilliseconds: 0, kindFactors: {}};
+const calmLoad: CellLoad = {
+	free: [], backlogMilliseconds: 0, isShortOfCapacity: false, kindFactors: {},
+};
+const intervalMilliseconds = 10;
 
 const createPeer = (address: string, loads: ReadonlyMap<string, CellLoad>): Peer => ({
 	instance: address,
@@ -22,6 +29,7 @@
 	startedAt: 1,
 	processor: 1000,
 	silentAfterMilliseconds: 700,
+	neededSilenceMilliseconds: 700,
 	pausesBefore: 0,
 	isLeaving: false,
 	claims: new Map([...loads.keys()].map(cell => [cell, {token: 1, term: 1}])),
@@ -33,6 +41,7 @@
 });
 
 Given('an owner of {string} with an owner of {string} and a daemon without a cell as peers', function (this: AnnouncementsWorld, own: string, other: string) {
+	this.announcementsClock = install({toFake: ['performance']});
 	this.ownLoad = calmLoad;
 	this.ownerOfSouth = createPeer(other, new Map([[other, calmLoad]]));
 	this.receivers = [];
@@ -48,12 +57,16 @@
 	});
 });
 
+After(function (this: Partial<AnnouncementsWorld>) {
+	this.announcementsClock?.uninstall();
+});
+
 Given('{int} more owners', function (this: AnnouncementsWorld, count: number) {
 	this.moreOwners = Array.from({length: count}, (_, index) => createPeer(`more-${index}`, new Map([[`more-${index}`, calmLoad]])));
 });
 
 When('there is a backlog in {string}', function (this: AnnouncementsWorld, cell: string) {
-	const load = {...calmLoad, backlogMilliseconds: waitingMilliseconds};
+	const load = {...calmLoad, backlogMilliseconds: waitingMilliseconds, isShortOfCapacity: true};
 	if (cell === this.ownerOfSouth.address) {
 		this.ownerOfSouth = createPeer(cell, new Map([[cell, load]]));
 	} else {
@@ -63,6 +76,7 @@
 
 When('{int} announcements are due', function (this: AnnouncementsWorld, count: number) {
 	for (let due = 0; due < count; due++) {
+		this.announcementsClock!.tick(intervalMilliseconds);
 		this.announce();
 	}
 });
@@ -70,6 +84,7 @@
 When('{int} announcements are due, with a change of load before each', function (this: AnnouncementsWorld, count: number) {
 	for (let due = 0; due < count; due++) {
 		this.ownLoad = {...this.ownLoad, free: [{service: 'sheets', factor: 1, processor: due}]};
+		this.announcementsClock!.tick(intervalMilliseconds);
 		this.announce();
 	}
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.feature
@@ -32,6 +32,7 @@
 
   Scenario: Changed loads are sent to the owners of other cells
     Given 3000 thousandths are free
+    And the owner "s1" is short of capacity
     When the loads are announced
     And the loads are announced
     And 2000 thousandths are free
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.steps.ts
@@ -25,7 +25,7 @@
 	zone,
 	startedAt: 1,
 	processor: 1000,
-	silentAfterMilliseconds: 700,
+	silentAfterMilliseconds: 700, neededSilenceMilliseconds: 700,
 	pausesBefore: 0,
 	isLeaving: false,
 	claims: new Map(owned === '' ? [] : [[owned, {token: 1, term: 1}]]),
@@ -43,7 +43,9 @@
 Given('a daemon that owns the cell {string}, and the peers', function (this: UpdatesWorld, cell: string, table: DataTable) {
 	this.peers = table.hashes().map(row => createPeer(row.address!, row.zone!, row.owns!));
 	this.listed = new Map();
-	this.load = {free: [], backlogMilliseconds: 0, kindFactors: {}};
+	this.load = {
+		free: [], backlogMilliseconds: 0, isShortOfCapacity: false, kindFactors: {},
+	};
 	this.sent = [];
 	const send = (address: string, message: FleetMessage): void => {
 		this.sent.push([address, message.kind]);
@@ -65,6 +67,11 @@
 	this.listed.set(zone, splitNames(names).map(name => createEntry(name, zone)));
 });
 
+Given('the owner {string} is short of capacity', function (this: UpdatesWorld, address: string) {
+	const loads = new Map([['south', {...this.load, isShortOfCapacity: true}]]);
+	this.peers = this.peers.map(peer => peer.address === address ? {...peer, loads} : peer);
+});
+
 Given('{int} thousandths are free', function (this: UpdatesWorld, processor: number) {
 	this.load = {...this.load, free: [{service: 'sheets', factor: 1, processor}]};
 });
--- a/packages/galenakeeld/src/process/fleet/cell-claims.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-claims.ts
@@ -94,17 +94,52 @@
 	return hasReachablePeers && reachesEndpoints && isConfirmedLost && sinceProbeFailureMilliseconds > remoteTakeoverMilliseconds;
 };
 
-const byClaimPrecedence = (cell: string) => (first: Claimant, second: Claimant): number =>
-	Number(first.isLeaving) - Number(second.isLeaving)
-	|| Number(second.zone === zoneOfCell(cell)) - Number(first.zone === zoneOfCell(cell))
-	|| second.claims.get(cell)!.token - first.claims.get(cell)!.token
-	|| (first.address < second.address ? -1 : 1);
+/** Whether a claimant of a cell has precedence over another one. */
+const hasPrecedence = (cell: string, first: Claimant, second: Claimant): boolean => {
+	if (first.isLeaving !== second.isLeaving) {
+		return second.isLeaving;
+	}
+
+	const isFirstLocal = first.zone === zoneOfCell(cell);
+	if (isFirstLocal !== (second.zone === zoneOfCell(cell))) {
+		return isFirstLocal;
+	}
+
+	const difference = first.claims.get(cell)!.token - second.claims.get(cell)!.token;
+	return difference === 0 ? first.address < second.address : difference > 0;
+};
+
+/**
+The owner of each cell that a daemon claims.
+*/
+export type Owners = ReadonlyMap<string, Claimant>;
+
+/**
+Finds the owner of each cell among the daemons that claim it. A daemon that isn't leaving has precedence, then one of the cell's own zone, then the highest token.
+
+@example
+```
+findOwners([self, ...peers]).get('north/1')?.address; // => '10.1.0.13:7720'
+```
+*/
+export const findOwners = (daemons: readonly Claimant[]): Owners => {
+	const owners = new Map<string, Claimant>();
+	for (const daemon of daemons) {
+		for (const cell of daemon.claims.keys()) {
+			const owner = owners.get(cell);
+			if (!owner || hasPrecedence(cell, daemon, owner)) {
+				owners.set(cell, daemon);
+			}
+		}
+	}
+
+	return owners;
+};
 
 /**
-Finds the owner of a cell among the daemons that claim it. A daemon that isn't leaving has precedence, then one of the cell's own zone, then the highest token.
+Finds the owner of one cell; undefined if no daemon claims it.
 */
-export const findOwner = (cell: string, daemons: readonly Claimant[]): Claimant | undefined =>
-	daemons.filter(({claims}) => claims.has(cell)).toSorted(byClaimPrecedence(cell))[0];
+export const findOwner = (cell: string, daemons: readonly Claimant[]): Claimant | undefined => findOwners(daemons).get(cell);
 
 /** Cells that daemons are about to claim, as a number by address. */
 export type PlannedClaims = ReadonlyMap<string, number>;
@@ -156,20 +191,22 @@
 */
 export const decideClaims = (cells: readonly string[], self: Claimant, daemons: readonly Claimant[]): ReadonlyMap<string, ClaimStep> => {
 	const planned = new Map<string, number>();
+	const owners = findOwners(daemons);
 
 	const decide = (cell: string): ClaimStep => {
 		const zone = zoneOfCell(cell);
-		const owner = findOwner(cell, daemons);
+		const owner = owners.get(cell);
 		const isOwner = owner?.address === self.address;
 		if (self.claims.has(cell) && !isOwner) {
 			return ClaimStep.Yield;
 		}
 
-		const next = findPreferredOwner(cell, daemons, planned);
 		if (owner?.zone === zone && !owner.isLeaving) {
-			return isOwner && next !== undefined && isMuchBetter(next, owner) ? ClaimStep.Release : ClaimStep.Keep;
+			const better = isOwner ? findPreferredOwner(cell, daemons, planned) : undefined;
+			return better !== undefined && isMuchBetter(better, owner) ? ClaimStep.Release : ClaimStep.Keep;
 		}
 
+		const next = findPreferredOwner(cell, daemons, planned);
 		if (next === undefined || (owner !== undefined && !owner.isLeaving && next.zone !== zone)) {
 			return ClaimStep.Keep;
 		}
--- a/packages/galenakeeld/src/process/fleet/cell-layout.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-layout.ts
@@ -14,7 +14,7 @@
 
 const separator = '/';
 /** One daemon orders the tasks of this many endpoints with a fraction of a core. */
-const endpointsPerCell = 20;
+const endpointsPerCell = 30;
 const hashRange = 2 ** 32;
 /** Index of the rack in the labels of an endpoint; the kind of machine comes first. */
 const rackLabel = 1;
@@ -32,7 +32,7 @@
 
 @example
 ```
-cellCountFor(61); // => 3
+cellCountFor(61); // => 2
 ```
 */
 export const cellCountFor = (endpoints: number): number => Math.min(maximumCells, Math.max(1, Math.round(endpoints / endpointsPerCell)));
--- a/packages/galenakeeld/src/process/fleet/cell-loads.ts
+++ b/packages/galenakeeld/src/process/fleet/cell-loads.ts
@@ -1,7 +1,7 @@
 import {performance} from 'node:perf_hooks';
-import type {CellClaim, FreeCapacity} from '@galenakeel/model/connection/fleet-message.js';
+import type {CellLoad, FreeCapacity} from '@galenakeel/model/connection/fleet-message.js';
 import type {CellCapacity} from '../cells/admit-job.js';
-import {findOwner} from './cell-claims.js';
+import type {Claimant} from './cell-claims.js';
 import type {FleetView} from './fleet-view.js';
 
 /**
@@ -12,7 +12,7 @@
 	readonly otherCellCapacities: (own: string) => readonly CellCapacity[];
 	/** Records that a job was redirected to a cell, with the processor capacity that it needs there, in thousandths of a core. */
 	readonly recordRedirect: (cell: string, processor: number) => void;
-	readonly recordClaims: (claims: readonly CellClaim[]) => void;
+	readonly recordLoad: (cell: string, load: CellLoad) => void;
 	/** Ratio of expected to estimated run time by kind of endpoint, as last reported for the cell. Kinds that the cell has not reported are taken from other cells. */
 	readonly kindFactors: (cell: string) => Readonly<Record<string, number>>;
 };
@@ -29,6 +29,17 @@
 	});
 };
 
+export type CellLoadsOptions = {
+	/** Names of the known cells of all zones. */
+	readonly cells: () => readonly string[];
+	readonly view: Pick<FleetView, 'get'>;
+	/** The daemon that owns a cell. */
+	readonly claimantOf: (cell: string) => Pick<Claimant, 'address'> | undefined;
+};
+
+/** Time after which the load of a cell is expected to show a job that was redirected there, also if it has not changed. */
+const sentJobMilliseconds = 2000;
+
 type SentJob = {readonly at: number; readonly processor: number};
 
 /**
@@ -36,16 +47,17 @@
 
 @example
 ```
-const loads = createCellLoads(layout.cells, view);
+const loads = createCellLoads({cells: layout.cells, view, claimantOf: owners.claimantOf});
 loads.otherCellCapacities('ie-south-a/0');
 ```
 */
-export const createCellLoads = (cells: () => readonly string[], view: FleetView): CellLoads => {
+export const createCellLoads = ({cells, view, claimantOf}: CellLoadsOptions): CellLoads => {
 	const sent = new Map<string, readonly SentJob[]>();
 	const factors = new Map<string, Readonly<Record<string, number>>>();
 
 	const sentSince = (cell: string, updatedAt: number): number => {
-		const recent = (sent.get(cell) ?? []).filter(({at}) => at > updatedAt);
+		const since = Math.max(updatedAt, performance.now() - sentJobMilliseconds);
+		const recent = (sent.get(cell) ?? []).filter(({at}) => at > since);
 		sent.set(cell, recent);
 		let total = 0;
 		for (const {processor} of recent) {
@@ -57,17 +69,15 @@
 
 	return {
 		otherCellCapacities: own => cells().filter(cell => cell !== own).flatMap(cell => {
-			const owner = view.get(findOwner(cell, view.all())?.address ?? '');
+			const owner = view.get(claimantOf(cell)?.address ?? '');
 			const load = owner?.loads.get(cell);
 			return load ? [{cell, free: subtractSentProcessor(load.free, sentSince(cell, owner!.loadsUpdatedAt)), waitMilliseconds: load.backlogMilliseconds}] : [];
 		}),
 		recordRedirect(cell, processor) {
 			sent.set(cell, [...sent.get(cell) ?? [], {at: performance.now(), processor}]);
 		},
-		recordClaims(claims) {
-			for (const {cell, load} of claims) {
-				factors.set(cell, load.kindFactors);
-			}
+		recordLoad(cell, load) {
+			factors.set(cell, load.kindFactors);
 		},
 		kindFactors: cell => Object.assign({}, ...factors.values(), factors.get(cell)) as Readonly<Record<string, number>>,
 	};
--- a/packages/galenakeeld/src/process/fleet/configuration-watch.ts
+++ b/packages/galenakeeld/src/process/fleet/configuration-watch.ts
@@ -20,15 +20,28 @@
 
 const awaitChangeMilliseconds = 800;
 const retryMilliseconds = 150;
-/** A watch of the store can miss changes, so the configuration is also read at this interval. */
+/** A watch of the store can miss changes, so the configuration is also read at this interval for each few daemons that pass on newer versions. */
 const readIntervalMilliseconds = 1200;
+const daemonsPerReadInterval = 10;
+const maximumReadIntervalMilliseconds = 10_000;
+
+/**
+Returns how often one of several daemons reads the configuration from the store.
+
+@example
+```
+readIntervalFor(31); // => 3600
+```
+*/
+export const readIntervalFor = (daemons: number): number =>
+	Math.min(maximumReadIntervalMilliseconds, readIntervalMilliseconds * Math.max(1, Math.floor(daemons / daemonsPerReadInterval)));
 
 /**
 Creates a watch of the configuration in the store.
 
 @example
 ```
-const watch = createConfigurationWatch(store, {onInstall, onLost, onRegained});
+const watch = createConfigurationWatch(store, {onInstall, onLost, onRegained, daemons: () => 9});
 void watch.run();
 ```
 */
@@ -37,6 +50,8 @@
 	/** Called once per outage, when a call of the store first fails. */
 	readonly onLost: (detail: string) => void;
 	readonly onRegained: () => void;
+	/** Number of daemons that pass on newer versions, this one included. */
+	readonly daemons: () => number;
 }): ConfigurationWatch => {
 	let current: QueueConfiguration | undefined;
 	let confirmedAt = Number.NEGATIVE_INFINITY;
@@ -95,7 +110,7 @@
 		async run() {
 			while (!closing.signal.aborted) {
 				try {
-					await (current === undefined || performance.now() - readAt > readIntervalMilliseconds ? read() : wait());
+					await (current === undefined || performance.now() - readAt > readIntervalFor(handlers.daemons()) ? read() : wait());
 				} catch (error) {
 					if (!isLost) {
 						isLost = true;
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -5,6 +5,7 @@
 import {createEndpointClient} from '@galenakeel/platform/connection/endpoint-client.js';
 import {createStoreClient} from '@galenakeel/platform/connection/store-client.js';
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
+import type {MemberRow} from '@galenakeel/model/connection/store-calls.js';
 import {detailOf} from '@galenakeel/model/request/fault.js';
 import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
 import {findQueue, type Queue} from '@galenakeel/model/version/queue-configuration.js';
@@ -15,13 +16,14 @@
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
 import {
-	cellOfEndpoint, homeCellOf, weightOfCell, zoneOfCell,
+	cellOfEndpoint, homeCellOf, weightOfCell,
 } from './cell-layout.js';
-import {findOwner} from './cell-claims.js';
+import {createCellOwners} from './cell-owners.js';
 import {createCellLayoutWatch} from './cell-layout-watch.js';
 import {describeClaim, describeYield} from './cell-log.js';
 import {createDiscovery} from './discovery.js';
 import {createCellLoads} from './cell-loads.js';
+import {createConfigurationAnnouncements} from './configuration-announcements.js';
 import {createConfigurationWatch} from './configuration-watch.js';
 import {createDaemonLoad, isWorthLogging} from './daemon-load.js';
 import {createRateLimitedLog} from './rate-limited-log.js';
@@ -31,16 +33,18 @@
 import {createFleetMetrics} from './fleet-metrics.js';
 import type {FleetSettings} from './fleet-settings.js';
 import {createFleetView} from './fleet-view.js';
-import {
-	createHeldJobs, HolderEvent, type CellOwner, type HeldJob,
-} from './held-jobs.js';
+import {shortInterval} from './heartbeat-interval.js';
+import {createHeldJobs, HolderEvent, type HeldJob} from './held-jobs.js';
 import {closeServer, listen} from './listen.js';
+import {createNotification} from './notification.js';
 import {createLoadAnnouncements} from './load-announcements.js';
 import {createEndpointProbe} from './endpoint-probe.js';
 import {createPauseDetector} from './pause-detector.js';
+import {selectPeers} from './peer-selection.js';
 import {readProcessUsage} from './process-usage.js';
 import {createRecentCancels} from './recent-cancels.js';
 import {createSelfDescription} from './self-description.js';
+import {createRollCall} from './roll-call.js';
 import {watchEndpoints, watchMembers, type TryStore} from './store-watches.js';
 import {createOwnedCells} from './owned-cells.js';
 
@@ -54,7 +58,7 @@
 
 const tickMilliseconds = 50;
 const announceLoadsMilliseconds = 10;
-const maximumLinesPerEvent = 40;
+const maximumLinesPerEvent = 10;
 /** Gap between two ticks from which the process counts as paused. */
 const pauseThresholdMilliseconds = 500;
 /** Time since the last confirmation by the store up to which the configuration counts as current. */
@@ -92,6 +96,7 @@
 	const metrics = createFleetMetrics();
 	const view = createFleetView();
 	const heldJobs = createHeldJobs();
+	const rollCall = createRollCall(() => view.all().filter(({zone}) => zone === settings.zone).map(({address}) => address));
 	const discovery = createDiscovery({lastHeardAt: address => view.get(address)?.lastHeartbeatAt, hasReachablePeers: () => view.all().length > 0});
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
 	const leaving = new AbortController();
@@ -115,6 +120,7 @@
 		onRegained() {
 			log.info({event: FleetEvent.StoreRegained});
 		},
+		daemons: () => view.all().length + 1,
 	});
 
 	const tryStore: TryStore = async (call, perform) => {
@@ -137,7 +143,8 @@
 		},
 	});
 
-	const loads = createCellLoads(layout.cells, view);
+	const loads = createCellLoads({cells: layout.cells, view, claimantOf: cell => owners.claimantOf(cell)});
+	const claimed = createNotification();
 	const probeEndpoints = createEndpointProbe(createEndpointClient);
 
 	const cells = createOwnedCells({
@@ -172,13 +179,14 @@
 		}),
 		onClaimed(cell, token, reason) {
 			log.info({event: FleetEvent.CellClaimed, ...describeClaim(cell, token, reason)});
+			claimed.notify();
 		},
 		onYielded(token, cell) {
 			log.info({event: FleetEvent.CellYielded, ...describeYield(token, cell)});
 		},
 	});
 	const daemonLoad = createDaemonLoad({
-		timerMilliseconds: announceLoadsMilliseconds,
+		timerMilliseconds: tickMilliseconds,
 		readUsage: readProcessUsage,
 		held: heldJobs.count,
 		cells: cells.all,
@@ -200,12 +208,16 @@
 		cellCounts: layout.counts,
 		configurationVersion: () => configuration.current()?.version ?? -1,
 		isLeaving: () => leaving.signal.aborted,
+		isUrgent: address => heldJobs.hasJobsAt(address) || rollCall.includes(address),
 	});
 
-	const ownerOf = (cell: string): CellOwner | undefined => {
-		const owner = findOwner(cell, [description.claimant(), ...view.all()]);
-		return owner && {address: owner.address, ...owner.claims.get(cell)!};
-	};
+	const owners = createCellOwners({
+		zone: settings.zone,
+		cells: layout.cells,
+		daemons: () => [description.claimant(), ...view.all()],
+		revisions: () => [view.revision(), cells.revision(), leaving.signal.aborted],
+		isConnected: address => links.isConnected(address),
+	});
 
 	const onMessage = (message: FleetMessage, from: string): void => {
 		switch (message.kind) {
@@ -214,6 +226,11 @@
 				break;
 			}
 
+			case FleetMessageKind.KeepAlive: {
+				// Changes nothing but the time of the last heartbeat.
+				break;
+			}
+
 			case FleetMessageKind.Submit: {
 				cells.raiseTokenAbove(message.cell, message.order.highestToken);
 				cells.get(message.cell)?.submit(from, message.order);
@@ -232,6 +249,7 @@
 
 			case FleetMessageKind.Load: {
 				view.receiveLoad(from, message.cell, message.load);
+				loads.recordLoad(message.cell, message.load);
 				break;
 			}
 
@@ -251,12 +269,10 @@
 		}
 	};
 
-	const onHeartbeat = ({address, configurationVersion, claims, cellCounts}: Heartbeat): void => {
+	const onHeartbeat = ({claims, cellCounts}: Heartbeat): void => {
 		layout.offer(cellCounts);
-		loads.recordClaims(claims);
-		const current = configuration.current();
-		if (current && configurationVersion < current.version) {
-			links.send(address, {kind: FleetMessageKind.Configuration, configuration: current});
+		for (const {cell, load} of claims) {
+			loads.recordLoad(cell, load);
 		}
 	};
 
@@ -266,18 +282,19 @@
 		address: self,
 		view,
 		createHeartbeat: description.createHeartbeat,
+		createKeepAlive: description.createKeepAlive,
+		descriptionRevision: description.revision,
 		heartbeatIntervalTo: description.heartbeatIntervalTo,
 		onMessage,
 		onPeerReachable(peer) {
 			const {instance, address, startedAt: peerStartedAt} = peer;
 			if (view.all().length === 1) {
 				discovery.restart();
+				startRollCall();
 			}
 
 			lists.synchronize(peer);
-			log.info({
-				event: FleetEvent.PeerReachable, peer: instance, address, startedAt: peerStartedAt,
-			});
+			logEvent(FleetEvent.PeerReachable, {peer: instance, address, startedAt: peerStartedAt});
 		},
 		onRefused: discovery.recordRefused,
 		onPeerLost(peer, cause) {
@@ -287,6 +304,10 @@
 				event: FleetEvent.PeerLost, peer: instance, address, cause, silentMilliseconds,
 			});
 			cells.recordLoss(peer, cause, silentMilliseconds);
+			if (peer.claims.size > 0 && peer.zone === settings.zone) {
+				startRollCall();
+			}
+
 			for (const cell of cells.all()) {
 				cell.dropHolder(address);
 			}
@@ -318,14 +339,29 @@
 		send: links.send,
 	});
 
+	/** Daemons of the last list of the store. */
+	let members: readonly MemberRow[] = [];
+
+	const connectToPeers = (): void => {
+		const selecting = {address: self, zone: settings.zone, isOwner: cells.count() > 0};
+		links.connect(selectPeers(selecting, members.map(({address, zone}) => ({address, zone, isOwner: false}))));
+	};
+
 	const isZoneConnected = (): boolean => view.all().every(({zone, address}) => zone !== settings.zone || links.isConnected(address));
 
+	/** Finds out which daemons of the zone are alive, since one of them has to claim a cell. */
+	function startRollCall(): void {
+		rollCall.start();
+		links.reviewIntervals();
+	}
+
 	const review = (): void => {
 		if (cells.reviewClaims(description.claimant, view.all(), {ageMilliseconds: performance.now() - monotonicStartedAt, mayClaim: discovery.isOver(), mayHandOver: isZoneConnected()})) {
+			connectToPeers();
 			links.sendHeartbeats();
 		}
 
-		heldJobs.checkOwners(ownerOf);
+		heldJobs.checkOwners(owners.ownerOf);
 	};
 
 	/** Takes back cells whose endpoints accept another daemon than the known owner, once heartbeats have had time to show that daemon as the owner. */
@@ -347,18 +383,38 @@
 	};
 
 	const announceLoads = createLoadAnnouncements({claims: cells.claims, peers: view.all, send: links.send});
-	const loadTimer = setInterval(() => {
-		daemonLoad.recordTick();
-		announceLoads();
-	}, announceLoadsMilliseconds);
+	let loadTimer: NodeJS.Timeout | undefined;
+
+	/** Announces loads only while this daemon owns a cell. */
+	const reviewLoadTimer = (): void => {
+		if (cells.count() > 0) {
+			loadTimer ??= setInterval(announceLoads, announceLoadsMilliseconds);
+		} else {
+			clearInterval(loadTimer);
+			loadTimer = undefined;
+		}
+	};
+
+	const announceConfiguration = createConfigurationAnnouncements({
+		zone: settings.zone, current: configuration.current, peers: view.all, send: links.send,
+	});
+
+	/** Peers on which something depends now must be heard soon, although their heartbeats were infrequent before. */
+	const expectUrgentPeers = (): void => {
+		for (const address of [...heldJobs.assignedOwners(), ...rollCall.expected()]) {
+			view.expectWithin(address, shortInterval.silentAfterMilliseconds);
+		}
+	};
 
 	const measureGap = createPauseDetector(pauseThresholdMilliseconds);
 
 	const tick = (): void => {
+		daemonLoad.recordTick();
 		const {milliseconds, isPause, followsPause} = measureGap();
 		if (isPause) {
 			log.warn({event: FleetEvent.Paused, milliseconds: Math.round(milliseconds)});
 			discovery.restart();
+			startRollCall();
 		}
 
 		if (isPause && !followsPause) {
@@ -367,36 +423,16 @@
 			return;
 		}
 
+		expectUrgentPeers();
 		links.removeSilentPeers();
 		review();
 		reviewFences();
+		reviewLoadTimer();
+		announceConfiguration();
 	};
 
 	const timer = setInterval(tick, tickMilliseconds);
 
-	/** An owner that can be heard but not reached gets no job. */
-	const connectedOwnerOf = (cell: string): CellOwner | undefined => {
-		const owner = ownerOf(cell);
-		return owner && links.isConnected(owner.address) ? owner : undefined;
-	};
-
-	const awaitOwner = async (cell: string, waitMilliseconds: number): Promise<CellOwner | undefined> => {
-		const until = performance.now() + waitMilliseconds;
-		for (;;) {
-			const owner = connectedOwnerOf(cell);
-			if (owner !== undefined || performance.now() >= until) {
-				return owner;
-			}
-
-			await sleep(Math.min(statePollMilliseconds, Math.max(1, until - performance.now())));
-		}
-	};
-
-	/** Cells with a reachable owner, those of this daemon's zone first. */
-	const ownedCells = (): readonly string[] => layout.cells()
-		.filter(cell => connectedOwnerOf(cell) !== undefined)
-		.toSorted((first, second) => Number(zoneOfCell(second) === settings.zone) - Number(zoneOfCell(first) === settings.zone));
-
 	const findHomeCell = (job: Job): string => {
 		const weighted = layout.cellsOf(settings.zone).map(cell => ({cell, weight: weightOfCell(cells.endpointsOf(cell)?.length ?? 0)}));
 		const hasRack = (cell: string, rack: string): boolean => cells.endpointsOf(cell)?.some(({labels}) => labels.includes(rack)) ?? false;
@@ -419,8 +455,8 @@
 				heldParts.add(held);
 				return held;
 			},
-			awaitOwner,
-			otherCells: () => ownedCells().filter(cell => cell !== homeCell),
+			awaitOwner: owners.awaitOwner,
+			otherCells: () => owners.reachableCells().filter(cell => cell !== homeCell),
 			send({address}, message) {
 				recentCancels.record(address, message);
 				links.send(address, message);
@@ -461,7 +497,7 @@
 	});
 	const areHomeCellsOwned = (): boolean => {
 		const names = layout.cellsOf(settings.zone);
-		return names.length > 0 && names.every(cell => ownerOf(cell) !== undefined && cells.endpointsOf(cell) !== undefined);
+		return names.length > 0 && names.every(cell => owners.ownerOf(cell) !== undefined && cells.endpointsOf(cell) !== undefined);
 	};
 
 	const isReady = (): boolean => isServing && !leaving.signal.aborted && configuration.current() !== undefined && areHomeCellsOwned();
@@ -484,13 +520,14 @@
 		tryStore,
 		leaving: leaving.signal,
 		self: {instance: settings.instance, address: self, zone: settings.zone},
-		onMembers(members) {
-			discovery.expect(members.filter(({zone, address}) => zone === settings.zone && address !== self).map(({address}) => address));
-			links.connect(members.map(({address}) => address));
+		onMembers(rows) {
+			members = rows;
+			discovery.expect(rows.filter(({zone, address}) => zone === settings.zone && address !== self).map(({address}) => address));
+			connectToPeers();
 		},
 	});
 	void watchEndpoints({
-		store, tryStore, leaving: leaving.signal, ownedCells: cells.count, install(entries) {
+		store, tryStore, leaving: leaving.signal, ownedCells: cells.count, awaitClaim: claimed.wait, install(entries) {
 			cells.install(entries);
 			lists.announce();
 		},
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -1,4 +1,7 @@
-import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import {performance} from 'node:perf_hooks';
+import {
+	FleetMessageKind, type FleetMessage, type Heartbeat, type KeepAlive,
+} from '@galenakeel/model/connection/fleet-message.js';
 import type {
 	createPeerStream, FrameObserver, PeerStream, serveFleet,
 } from '../../connection/fleet-service.js';
@@ -18,6 +21,8 @@
 	readonly connect: (addresses: readonly string[]) => void;
 	/** Sends a heartbeat to all peers now, ahead of the next regular one. */
 	readonly sendHeartbeats: () => void;
+	/** Sends heartbeats now where the interval has become shorter. */
+	readonly reviewIntervals: () => void;
 	/** Removes the peers whose heartbeats have stopped, and breaks off their streams. */
 	readonly removeSilentPeers: () => void;
 	readonly close: () => void;
@@ -28,7 +33,11 @@
 	readonly view: FleetView;
 	readonly serve: typeof serveFleet;
 	readonly openStream: typeof createPeerStream;
-	readonly createHeartbeat: (interval: HeartbeatInterval) => Heartbeat;
+	/** How this daemon describes itself to the peer at an address. */
+	readonly createHeartbeat: (address: string) => Heartbeat;
+	readonly createKeepAlive: (address: string) => KeepAlive;
+	/** Changes when peers need a heartbeat rather than a keep-alive. */
+	readonly descriptionRevision: () => number;
 	/** Heartbeat interval for an address. */
 	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
 	readonly onMessage: (message: FleetMessage, from: string) => void;
@@ -43,7 +52,12 @@
 	readonly onFrameReceived: FrameObserver;
 };
 
+/** What a peer was last told on the present connection. */
+type Told = {readonly revision: number; readonly at: number};
+
 const batchMilliseconds = 1;
+/** Interval of heartbeats with an unchanged description, which pass on addresses. */
+const repeatDescriptionMilliseconds = 10_000;
 const redialMilliseconds = 150;
 /** Pause between connection attempts to an address that is not a reachable peer; it may be gone permanently. */
 const redialUnknownPeerMilliseconds = 500;
@@ -60,6 +74,7 @@
 export const createFleetLinks = async (options: FleetLinksOptions): Promise<FleetLinks> => {
 	const {view, address: self} = options;
 	const streams = new Map<string, PeerStream>();
+	const told = new Map<string, Told>();
 
 	const reportLoss = (peer: Peer | undefined, cause: LossCause): void => {
 		if (peer) {
@@ -67,6 +82,19 @@
 		}
 	};
 
+	/** Creates a heartbeat if the peer doesn't know the present description, and a keep-alive otherwise. */
+	const createHeartbeat = (address: string): Heartbeat | KeepAlive => {
+		const now = performance.now();
+		const revision = options.descriptionRevision();
+		const before = told.get(address);
+		if (before?.revision === revision && now - before.at < repeatDescriptionMilliseconds) {
+			return options.createKeepAlive(address);
+		}
+
+		told.set(address, {revision, at: now});
+		return options.createHeartbeat(address);
+	};
+
 	const connect = (addresses: readonly string[]): void => {
 		for (const address of addresses) {
 			if (address === self || streams.has(address)) {
@@ -74,11 +102,12 @@
 			}
 
 			const stream = options.openStream(address, {
-				createHeartbeat: () => options.createHeartbeat(options.heartbeatIntervalTo(address)),
+				createHeartbeat: () => createHeartbeat(address),
 				heartbeatIntervalMilliseconds: () => options.heartbeatIntervalTo(address).heartbeatMilliseconds,
 				batchMilliseconds,
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnknownPeerMilliseconds,
 				onConnected() {
+					told.delete(address);
 					options.onStreamOpened(address);
 				},
 				onBroken(detail) {
@@ -95,8 +124,16 @@
 		}
 	};
 
+	/** Sends the next heartbeat earlier if the peer needs it. */
+	const reviewInterval = (address: string, neededBefore: number | undefined, needed: number): void => {
+		if (neededBefore !== undefined && needed < neededBefore) {
+			streams.get(address)?.reviewInterval();
+		}
+	};
+
 	const handleHeartbeat = (heartbeat: Heartbeat): void => {
 		const before = view.get(heartbeat.address);
+		const neededBefore = before?.neededSilenceMilliseconds;
 		const isNew = view.receiveHeartbeat(heartbeat);
 		if (isNew) {
 			reportLoss(before, LossCause.Ended);
@@ -106,6 +143,23 @@
 		}
 
 		connect([heartbeat.address, ...heartbeat.known]);
+		reviewInterval(heartbeat.address, neededBefore, heartbeat.neededSilenceMilliseconds);
+	};
+
+	const handleKeepAlive = ({silentAfterMilliseconds, neededSilenceMilliseconds}: KeepAlive, described: Heartbeat): void => {
+		const {address, startedAt} = described;
+		const peer = view.get(address);
+		if (peer?.startedAt !== startedAt) {
+			// The peer was removed, for instance as silent, and is heard again.
+			const heartbeat = {...described, silentAfterMilliseconds, neededSilenceMilliseconds};
+			handleHeartbeat(heartbeat);
+			options.onMessage(heartbeat, address);
+			return;
+		}
+
+		const neededBefore = peer.neededSilenceMilliseconds;
+		view.receiveKeepAlive(address, {silentAfterMilliseconds, neededSilenceMilliseconds});
+		reviewInterval(address, neededBefore, neededSilenceMilliseconds);
 	};
 
 	const stop = await options.serve(self, {
@@ -116,6 +170,7 @@
 
 			options.onMessage(message, from);
 		},
+		onKeepAlive: handleKeepAlive,
 		onOpened: options.onStreamOpened,
 		onBroken(from) {
 			options.onBroken(from, 'the peer\'s stream has ended');
@@ -140,7 +195,12 @@
 		connect,
 		sendHeartbeats() {
 			for (const [address, stream] of streams) {
-				stream.send(options.createHeartbeat(options.heartbeatIntervalTo(address)));
+				stream.send(createHeartbeat(address));
+			}
+		},
+		reviewIntervals() {
+			for (const stream of streams.values()) {
+				stream.reviewInterval();
 			}
 		},
 		removeSilentPeers() {
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -1,15 +1,17 @@
 import {performance} from 'node:perf_hooks';
-import type {Heartbeat, CellLoad} from '@galenakeel/model/connection/fleet-message.js';
+import type {Heartbeat, CellLoad, KeepAlive} from '@galenakeel/model/connection/fleet-message.js';
 import type {Claimant} from './cell-claims.js';
 
 /**
-A peer, as described by its last heartbeat.
+A peer, as described by its last heartbeat. Its messages update it in place.
 */
 export type Peer = Claimant & {
 	readonly instance: string;
-	/** Arrival of its last heartbeat, in monotonic milliseconds. */
+	/** Arrival of its last heartbeat or keep-alive, in monotonic milliseconds. */
 	readonly lastHeartbeatAt: number;
 	readonly silentAfterMilliseconds: number;
+	/** Time without messages after which the peer needs to regard this daemon as lost. */
+	readonly neededSilenceMilliseconds: number;
 	/** Total of this daemon's own pauses when the last heartbeat arrived, in milliseconds. */
 	readonly pausesBefore: number;
 	readonly loads: ReadonlyMap<string, CellLoad>;
@@ -25,6 +27,10 @@
 export type FleetView = {
 	/** Records a heartbeat. Returns whether the peer is new or has restarted. */
 	readonly receiveHeartbeat: (heartbeat: Heartbeat) => boolean;
+	/** Records a keep-alive of a peer; ignored while the peer is unknown. */
+	readonly receiveKeepAlive: (address: string, keepAlive: Pick<KeepAlive, 'silentAfterMilliseconds' | 'neededSilenceMilliseconds'>) => void;
+	/** Expects a message of a peer within this time, although its last heartbeat allowed for a longer silence. */
+	readonly expectWithin: (address: string, milliseconds: number) => void;
 	/** Records the load of a peer's cell between two heartbeats. */
 	readonly receiveLoad: (address: string, cell: string, load: CellLoad) => void;
 	/** Removes a peer immediately, because nothing listens at its address any more, and returns it. */
@@ -35,9 +41,21 @@
 	readonly removeSilent: () => readonly Peer[];
 	readonly get: (address: string) => Peer | undefined;
 	readonly all: () => readonly Peer[];
+	/** Changes whenever a peer appears, is removed, or describes itself anew. */
+	readonly revision: () => number;
 };
 
-const toPeer = (heartbeat: Heartbeat, pausesBefore: number): Peer => ({
+type PeerRecord = {
+	-readonly [Property in keyof Peer]: Peer[Property];
+} & {
+	/** Time by which a message is expected, as a silence since `expectedSince`. */
+	expectedWithinMilliseconds: number;
+	/** Monotonic milliseconds. */
+	expectedSince: number;
+	expectedPausesBefore: number;
+};
+
+const toRecord = (heartbeat: Heartbeat, pausesBefore: number): PeerRecord => ({
 	pausesBefore,
 	instance: heartbeat.instance,
 	address: heartbeat.address,
@@ -45,6 +63,7 @@
 	startedAt: heartbeat.startedAt,
 	processor: heartbeat.processor,
 	silentAfterMilliseconds: heartbeat.silentAfterMilliseconds,
+	neededSilenceMilliseconds: heartbeat.neededSilenceMilliseconds,
 	isLeaving: heartbeat.isLeaving,
 	claims: new Map(heartbeat.claims.map(({cell, token, term}) => [cell, {token, term}])),
 	loads: new Map(heartbeat.claims.map(({cell, load}) => [cell, load])),
@@ -52,6 +71,9 @@
 	known: heartbeat.known,
 	lastHeartbeatAt: performance.now(),
 	loadsUpdatedAt: performance.now(),
+	expectedWithinMilliseconds: Number.POSITIVE_INFINITY,
+	expectedSince: 0,
+	expectedPausesBefore: 0,
 });
 
 /**
@@ -65,25 +87,62 @@
 ```
 */
 export const createFleetView = (): FleetView => {
-	const peers = new Map<string, Peer>();
+	const peers = new Map<string, PeerRecord>();
+	/** The peers as a list; undefined after a change of the map. */
+	let list: readonly Peer[] | undefined;
+	let revision = 0;
 	let pauses = 0;
 
+	const recordChange = (): void => {
+		list = undefined;
+		revision++;
+	};
+
 	const remove = (address: string): Peer | undefined => {
 		const peer = peers.get(address);
-		peers.delete(address);
+		if (peers.delete(address)) {
+			recordChange();
+		}
+
 		return peer;
 	};
 
+	const isSilent = (peer: PeerRecord, now: number): boolean => {
+		const sinceHeartbeat = now - peer.lastHeartbeatAt - (pauses - peer.pausesBefore);
+		const sinceExpected = now - peer.expectedSince - (pauses - peer.expectedPausesBefore);
+		return sinceHeartbeat > peer.silentAfterMilliseconds || sinceExpected > peer.expectedWithinMilliseconds;
+	};
+
 	return {
 		receiveHeartbeat(heartbeat) {
 			const before = peers.get(heartbeat.address);
-			peers.set(heartbeat.address, toPeer(heartbeat, pauses));
+			peers.set(heartbeat.address, toRecord(heartbeat, pauses));
+			recordChange();
 			return before?.startedAt !== heartbeat.startedAt;
 		},
+		receiveKeepAlive(address, {silentAfterMilliseconds, neededSilenceMilliseconds}) {
+			const peer = peers.get(address);
+			if (peer) {
+				peer.lastHeartbeatAt = performance.now();
+				peer.pausesBefore = pauses;
+				peer.silentAfterMilliseconds = silentAfterMilliseconds;
+				peer.neededSilenceMilliseconds = neededSilenceMilliseconds;
+				peer.expectedWithinMilliseconds = Number.POSITIVE_INFINITY;
+			}
+		},
+		expectWithin(address, milliseconds) {
+			const peer = peers.get(address);
+			if (peer && milliseconds < Math.min(peer.silentAfterMilliseconds, peer.expectedWithinMilliseconds)) {
+				peer.expectedWithinMilliseconds = milliseconds;
+				peer.expectedSince = performance.now();
+				peer.expectedPausesBefore = pauses;
+			}
+		},
 		receiveLoad(address, cell, load) {
 			const peer = peers.get(address);
 			if (peer?.loads.has(cell)) {
-				peers.set(address, {...peer, loads: new Map([...peer.loads, [cell, load]]), loadsUpdatedAt: performance.now()});
+				peer.loads = new Map([...peer.loads, [cell, load]]);
+				peer.loadsUpdatedAt = performance.now();
 			}
 		},
 		remove,
@@ -92,14 +151,24 @@
 		},
 		removeSilent() {
 			const now = performance.now();
-			const silent = [...peers.values()].filter(({lastHeartbeatAt, pausesBefore, silentAfterMilliseconds}) => now - lastHeartbeatAt - (pauses - pausesBefore) > silentAfterMilliseconds);
+			const silent: Peer[] = [];
+			for (const peer of peers.values()) {
+				if (isSilent(peer, now)) {
+					silent.push(peer);
+				}
+			}
+
 			for (const {address} of silent) {
-				peers.delete(address);
+				remove(address);
 			}
 
 			return silent;
 		},
 		get: address => peers.get(address),
-		all: () => [...peers.values()],
+		all() {
+			list ??= [...peers.values()];
+			return list;
+		},
+		revision: () => revision,
 	};
 };
--- a/packages/galenakeeld/src/process/fleet/held-jobs.ts
+++ b/packages/galenakeeld/src/process/fleet/held-jobs.ts
@@ -43,6 +43,10 @@
 	/** Number of job parts that are held. */
 	readonly count: () => number;
 	readonly hold: (identifier: string, part: string) => HeldJob;
+	/** Whether parts of jobs are assigned to the owner at an address. */
+	readonly hasJobsAt: (address: string) => boolean;
+	/** Addresses of the owners to which parts are assigned. */
+	readonly assignedOwners: () => readonly string[];
 	/** Delivers an update of an owner to all holdings of its job part. */
 	readonly deliver: (from: string, update: JobUpdate) => void;
 	/** Notifies the jobs whose owner no longer owns their cell. */
@@ -72,6 +76,28 @@
 */
 export const createHeldJobs = (): HeldJobs => {
 	const holdings = new Set<Holding>();
+	/** Number of parts that are assigned to each owner, by address. */
+	const assigned = new Map<string, number>();
+
+	const changeAssigned = (owner: CellOwner | undefined, difference: number): void => {
+		if (!owner) {
+			return;
+		}
+
+		const count = (assigned.get(owner.address) ?? 0) + difference;
+		if (count === 0) {
+			assigned.delete(owner.address);
+		} else {
+			assigned.set(owner.address, count);
+		}
+	};
+
+	const assign = (holding: Holding, owner: CellOwner | undefined): void => {
+		changeAssigned(holding.owner, -1);
+		holding.owner = owner;
+		changeAssigned(owner, 1);
+	};
+
 	return {
 		count: () => holdings.size,
 		hold(identifier, part) {
@@ -83,14 +109,17 @@
 				updates: holding.updates,
 				setOwner(cell, owner) {
 					holding.cell = cell;
-					holding.owner = owner;
+					assign(holding, owner);
 				},
 				release() {
 					holdings.delete(holding);
+					assign(holding, undefined);
 					holding.updates.close();
 				},
 			};
 		},
+		hasJobsAt: address => assigned.has(address),
+		assignedOwners: () => [...assigned.keys()],
 		deliver(from, update) {
 			for (const {identifier, part, owner, updates: inbox} of holdings) {
 				// A task that succeeded at an earlier owner counts as well.
@@ -103,7 +132,7 @@
 		checkOwners(findOwner) {
 			for (const holding of holdings) {
 				if (holding.owner && !isSameTerm(holding.owner, findOwner(holding.cell))) {
-					holding.owner = undefined;
+					assign(holding, undefined);
 					holding.updates.push({kind: HolderEvent.OwnerLost});
 				}
 			}
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -1,5 +1,6 @@
+import {performance} from 'node:perf_hooks';
 import {
-	FleetMessageKind, type CellClaim, type CellLoad, type FleetMessage,
+	FleetMessageKind, type CellClaim, type FleetMessage,
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {Peer} from './fleet-view.js';
 
@@ -10,15 +11,19 @@
 	readonly send: (address: string, message: FleetMessage) => void;
 };
 
-/** While idle, one call in this many announces. */
-const callsPerIdleAnnouncement = 5;
-/** Number of owners up to which each call announces. Each further owner adds a call between two announcements, which bounds the messages of each owner. */
+/** Number of owners up to which each call announces to those that are short of capacity. Each further owner adds a call between two announcements, which bounds the messages of each owner. */
 const ownersPerCall = 3;
+/** Interval of announcements to an owner that has enough capacity of its own. */
+const unhurriedMilliseconds = 500;
 
-const hasBacklog = (loads: Iterable<CellLoad>): boolean => [...loads].some(({backlogMilliseconds}) => backlogMilliseconds > 0);
+/** An owner that is short of capacity redirects jobs by the loads of the others. */
+const isShort = ({loads}: Peer): boolean => [...loads.values()].some(({isShortOfCapacity}) => isShortOfCapacity);
+
+/** What an owner was last sent about a cell. */
+type Announcement = {readonly text: string; readonly at: number};
 
 /**
-Creates a function that sends loads that have changed since its last announcement to the owners of other cells, ahead of the next heartbeat. While no known cell has a backlog, or if there are many owners, most calls send nothing.
+Creates a function that sends loads that have changed to the owners of other cells, ahead of the next heartbeat. Owners that are short of capacity are sent changes at nearly each call, the others less often; all of them at once when a cell of this daemon becomes short of capacity.
 
 @example
 ```
@@ -27,38 +32,52 @@
 ```
 */
 export const createLoadAnnouncements = ({claims, peers, send}: LoadAnnouncementsOptions) => {
-	const seen = new Map<string, CellLoad>();
-	const lastSent = new Map<string, string>();
+	/** The last announcement by cell and owner. */
+	const announced = new Map<string, Announcement>();
+	const wereShort = new Set<string>();
 	let callsSinceAnnouncement = Number.POSITIVE_INFINITY;
 
-	const isIdle = (owners: readonly Peer[]): boolean =>
-		!hasBacklog(claims().map(({load}) => load)) && !owners.some(({loads}) => hasBacklog(loads.values()));
+	/** Returns whether a cell has become short of capacity since the last call. */
+	const hasBecomeShort = ({cell, load}: Pick<CellClaim, 'cell' | 'load'>): boolean => {
+		const wasShort = wereShort.has(cell);
+		if (load.isShortOfCapacity) {
+			wereShort.add(cell);
+		} else {
+			wereShort.delete(cell);
+		}
+
+		return load.isShortOfCapacity && !wasShort;
+	};
+
+	const announce = ({cell, load}: CellClaim, owners: readonly Peer[], now: number): void => {
+		const isNews = hasBecomeShort({cell, load});
+		let text: string | undefined;
+		for (const owner of owners) {
+			const key = `${cell} ${owner.address}`;
+			const before = announced.get(key);
+			if (!isNews && !isShort(owner) && now - (before?.at ?? Number.NEGATIVE_INFINITY) < unhurriedMilliseconds) {
+				continue;
+			}
+
+			text ??= JSON.stringify(load);
+			if (text !== before?.text) {
+				announced.set(key, {text, at: now});
+				send(owner.address, {kind: FleetMessageKind.Load, cell, load});
+			}
+		}
+	};
 
 	return (): void => {
 		const owners = peers().filter(peer => peer.claims.size > 0);
 		callsSinceAnnouncement++;
-		const callsPerAnnouncement = Math.max(isIdle(owners) ? callsPerIdleAnnouncement : 1, owners.length - ownersPerCall + 1);
-		if (callsSinceAnnouncement < callsPerAnnouncement) {
+		if (callsSinceAnnouncement < owners.length - ownersPerCall + 1) {
 			return;
 		}
 
 		callsSinceAnnouncement = 0;
-		for (const {cell, load} of claims()) {
-			// A load that was not recomputed is the same object.
-			if (load === seen.get(cell)) {
-				continue;
-			}
-
-			seen.set(cell, load);
-			const text = JSON.stringify(load);
-			if (text === lastSent.get(cell)) {
-				continue;
-			}
-
-			lastSent.set(cell, text);
-			for (const {address} of owners) {
-				send(address, {kind: FleetMessageKind.Load, cell, load});
-			}
+		const now = performance.now();
+		for (const claim of claims()) {
+			announce(claim, owners, now);
 		}
 	};
 };
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -21,6 +21,8 @@
 	readonly raiseTokenAbove: (cell: string, token: number) => void;
 	readonly claims: () => readonly CellClaim[];
 	readonly claimsByCell: () => ReadonlyMap<string, Claim>;
+	/** Changes whenever a cell is claimed or released, or a token is raised. */
+	readonly revision: () => number;
 	/** Claims and releases cells according to the reachable peers; claims nothing while `mayClaim` is false, and hands no cell over while `mayHandOver` is false. Returns whether anything changed. */
 	readonly reviewClaims: (self: () => Claimant, peers: readonly Claimant[], options: {readonly ageMilliseconds: number; readonly mayClaim: boolean; readonly mayHandOver: boolean}) => boolean;
 	/** Records the loss of a daemon, for each cell that it claimed. */
@@ -89,6 +91,7 @@
 	/** Time since when another daemon would have much more processor for an owned cell, in monotonic milliseconds. */
 	const misplacedSince = new Map<string, number>();
 	let highestToken = 0;
+	let revision = 0;
 	/** The endpoints of each cell. */
 	const listed = new Map<string, ListedEndpoints>();
 
@@ -107,6 +110,7 @@
 		const term = nextToken();
 		const cell = options.createCell(name, () => cells.get(name)?.token ?? term);
 		cells.set(name, {cell, term, token: term});
+		revision++;
 		options.onClaimed(name, term, reason);
 		const entries = listed.get(name)?.latest();
 		if (entries) {
@@ -120,6 +124,7 @@
 		const owned = cells.get(name);
 		cells.delete(name);
 		if (owned) {
+			revision++;
 			options.onYielded(owned.token, owned.cell);
 			owned.cell.close();
 		}
@@ -130,6 +135,7 @@
 		const owned = cells.get(name);
 		if (owned) {
 			owned.token = nextToken();
+			revision++;
 			options.onClaimed(name, owned.token, {cause});
 		}
 	};
@@ -238,6 +244,7 @@
 		claims: () => [...cells].map(([name, {cell, token, term}]) => ({
 			cell: name, token, term, load: cell.load(),
 		})),
+		revision: () => revision,
 		claimsByCell: () => new Map([...cells].map(([name, {token, term}]) => [name, {token, term}])),
 		reviewClaims(self, peers, {ageMilliseconds, mayClaim, mayHandOver}) {
 			recordTokens(peers);
--- a/packages/galenakeeld/src/process/fleet/self-description.ts
+++ b/packages/galenakeeld/src/process/fleet/self-description.ts
@@ -1,31 +1,40 @@
-import {FleetMessageKind, type Heartbeat} from '@galenakeel/model/connection/fleet-message.js';
-import {heartbeatIntervalBetween, type HeartbeatInterval} from './heartbeat-interval.js';
+import {FleetMessageKind, type Heartbeat, type KeepAlive} from '@galenakeel/model/connection/fleet-message.js';
+import {
+	heartbeatIntervalBetween, neededIntervalOf, type DaemonRole, type HeartbeatInterval,
+} from './heartbeat-interval.js';
 import type {Claimant} from './cell-claims.js';
 import type {CellCounts} from './cell-layout.js';
 import type {FleetSettings} from './fleet-settings.js';
 import type {FleetView} from './fleet-view.js';
 import type {OwnedCells} from './owned-cells.js';
+import {arePeers} from './peer-selection.js';
 
 /**
 How a daemon describes itself to its peers.
 */
 export type SelfDescription = {
 	readonly claimant: () => Claimant;
-	readonly createHeartbeat: (interval: HeartbeatInterval) => Heartbeat;
+	/** Creates a heartbeat for the peer at an address. */
+	readonly createHeartbeat: (address: string) => Heartbeat;
+	readonly createKeepAlive: (address: string) => KeepAlive;
 	/** Heartbeat interval for an address. */
 	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
+	/** Changes with the description, except for loads and known addresses. */
+	readonly revision: () => number;
 };
 
 export type SelfDescriptionOptions = {
 	readonly settings: Pick<FleetSettings, 'instance' | 'zone' | 'listen' | 'machine'>;
 	/** Unix milliseconds. */
 	readonly startedAt: number;
-	readonly cells: Pick<OwnedCells, 'claims' | 'claimsByCell' | 'count'>;
+	readonly cells: Pick<OwnedCells, 'claims' | 'claimsByCell' | 'count' | 'revision'>;
 	readonly view: Pick<FleetView, 'get' | 'all'>;
 	readonly cellCounts: () => CellCounts;
 	/** -1 while no configuration is installed. */
 	readonly configurationVersion: () => number;
 	readonly isLeaving: () => boolean;
+	/** Whether this daemon and the one at an address have to detect each other's loss quickly, because of jobs between them or because owners have to be found. */
+	readonly isUrgent: (address: string) => boolean;
 };
 
 const millicoresPerCore = 1000;
@@ -35,36 +44,73 @@
 
 @example
 ```
-const self = createSelfDescription({settings, startedAt: Date.now(), cells, view, cellCounts: layout.counts, configurationVersion: () => 7, isLeaving: () => false});
-self.createHeartbeat(self.heartbeatIntervalTo('10.1.0.13:7720'));
+const self = createSelfDescription({settings, startedAt: Date.now(), cells, view, cellCounts: layout.counts, configurationVersion: () => 7, isLeaving: () => false, isUrgent: () => false});
+self.createHeartbeat('10.1.0.13:7720');
 ```
 */
-export const createSelfDescription = ({settings, startedAt, cells, view, cellCounts, configurationVersion, isLeaving}: SelfDescriptionOptions): SelfDescription => {
+export const createSelfDescription = ({settings, startedAt, cells, view, cellCounts, configurationVersion, isLeaving, isUrgent}: SelfDescriptionOptions): SelfDescription => {
 	const {zone, instance, machine} = settings;
 	const address = settings.listen.peers;
 	const processor = Math.round(machine.cores * machine.share * millicoresPerCore);
+	let revision = 0;
+	let described: readonly unknown[] = [];
+
+	const ownRole = (): DaemonRole => ({zone, isOwner: cells.count() > 0});
+
+	const roleOf = (peerAddress: string): DaemonRole | undefined => {
+		const peer = view.get(peerAddress);
+		return peer && {zone: peer.zone, isOwner: peer.claims.size > 0};
+	};
+
+	const heartbeatIntervalTo = (peerAddress: string): HeartbeatInterval =>
+		heartbeatIntervalBetween(ownRole(), roleOf(peerAddress), view.get(peerAddress)?.neededSilenceMilliseconds ?? 0, isUrgent(peerAddress));
+
+	const silencesFor = (peerAddress: string) => ({
+		silentAfterMilliseconds: heartbeatIntervalTo(peerAddress).silentAfterMilliseconds,
+		neededSilenceMilliseconds: neededIntervalOf(ownRole(), roleOf(peerAddress), isUrgent(peerAddress)).silentAfterMilliseconds,
+	});
+
+	/** The peers with which the receiver should exchange heartbeats too; none while its zone is unknown. */
+	const knownFor = (receiver: string): readonly string[] => {
+		const peer = view.get(receiver);
+		if (!peer) {
+			return [];
+		}
+
+		const role = {address: receiver, zone: peer.zone, isOwner: peer.claims.size > 0};
+		return view.all()
+			.filter(one => one.address !== receiver && arePeers(role, {address: one.address, zone: one.zone, isOwner: one.claims.size > 0}))
+			.map(one => one.address);
+	};
 
 	return {
 		claimant: () => ({
 			address, zone, startedAt, processor, isLeaving: isLeaving(), claims: cells.claimsByCell(),
 		}),
-		createHeartbeat: ({silentAfterMilliseconds}) => ({
+		createHeartbeat: receiver => ({
 			kind: FleetMessageKind.Heartbeat,
 			instance,
 			address,
 			zone,
 			startedAt,
 			processor,
-			silentAfterMilliseconds,
+			...silencesFor(receiver),
 			claims: cells.claims(),
 			configurationVersion: configurationVersion(),
 			isLeaving: isLeaving(),
-			known: view.all().map(peer => peer.address),
+			known: knownFor(receiver),
 			cellCounts: cellCounts(),
 		}),
-		heartbeatIntervalTo(peerAddress) {
-			const peer = view.get(peerAddress);
-			return heartbeatIntervalBetween({zone, isOwner: cells.count() > 0}, peer && {zone: peer.zone, isOwner: peer.claims.size > 0});
+		createKeepAlive: receiver => ({kind: FleetMessageKind.KeepAlive, ...silencesFor(receiver)}),
+		heartbeatIntervalTo,
+		revision() {
+			const current = [cells.revision(), configurationVersion(), isLeaving(), cellCounts()];
+			if (current.some((value, position) => value !== described[position])) {
+				described = current;
+				revision++;
+			}
+
+			return revision;
 		},
 	};
 };
--- a/packages/galenakeeld/src/process/fleet/store-watches.ts
+++ b/packages/galenakeeld/src/process/fleet/store-watches.ts
@@ -9,7 +9,6 @@
 export type TryStore = <Value>(call: string, perform: () => Promise<Value>) => Promise<Value | undefined>;
 
 const endpointListIntervalMilliseconds = 500;
-const claimPollMilliseconds = 50;
 const memberListIntervalMilliseconds = 2000;
 const slowMemberListIntervalMilliseconds = 10_000;
 /** Time after the start in which the members are listed at the shorter interval. */
@@ -25,19 +24,17 @@
 	readonly tryStore: TryStore;
 	readonly leaving: AbortSignal;
 	readonly ownedCells: () => number;
+	/** Waits until this daemon has claimed a cell, but not longer than a time. */
+	readonly awaitClaim: (milliseconds: number) => Promise<void>;
 	readonly install: (entries: readonly EndpointEntry[]) => void;
 }): Promise<void> => {
 	while (!options.leaving.aborted || options.ownedCells() > 0) {
-		const owned = options.ownedCells();
-		const entries = owned > 0 ? await options.tryStore('listEndpoints', options.store.listEndpoints) : undefined;
+		const entries = options.ownedCells() > 0 ? await options.tryStore('listEndpoints', options.store.listEndpoints) : undefined;
 		if (entries) {
 			options.install(entries);
 		}
 
-		const until = performance.now() + endpointListIntervalMilliseconds;
-		while (performance.now() < until && options.ownedCells() <= owned) {
-			await sleep(claimPollMilliseconds);
-		}
+		await options.awaitClaim(endpointListIntervalMilliseconds);
 	}
 };
 
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -198,11 +198,16 @@
 	/** Finds a cell with an owner. The part's own cell comes first; after a lost owner, the wait for a successor lasts as long as the lease, because tasks may still run there. */
 	const findOwnerFor = async (part: JobPart): Promise<CellOwner | undefined> => {
 		const ownerWaitLimitMilliseconds = part.generation === 0 ? ownerWaitMilliseconds : options.leaseMilliseconds;
-		for (const candidate of new Set([part.cell, options.homeCell, ...options.otherCells()])) {
-			const owner = await options.awaitOwner(candidate, candidate === part.cell ? ownerWaitLimitMilliseconds : 0);
-			if (owner) {
+		const owner = await options.awaitOwner(part.cell, ownerWaitLimitMilliseconds);
+		if (owner) {
+			return owner;
+		}
+
+		for (const candidate of [options.homeCell, ...options.otherCells()]) {
+			const other = await options.awaitOwner(candidate, 0);
+			if (other) {
 				part.cell = candidate;
-				return owner;
+				return other;
 			}
 		}
 
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -10,6 +10,8 @@
 export enum FleetMessageKind {
 	/** Heartbeat with the cells that the sender owns and their load. */
 	Heartbeat = 'beat',
+	/** Heartbeat of a sender whose description has not changed since its last full heartbeat on the stream. */
+	KeepAlive = 'keep-alive',
 	/** A holder submits a job to the owner of a cell. */
 	Submit = 'submit',
 	/** A holder cancels a job. */
@@ -51,6 +53,8 @@
 	readonly free: readonly FreeCapacity[];
 	/** Queued work divided by the cell's capacity: milliseconds until the present queue is worked off. */
 	readonly backlogMilliseconds: number;
+	/** Jobs wait, or so little capacity is free that jobs may have to be redirected soon. */
+	readonly isShortOfCapacity: boolean;
 	/** Ratio of expected run time to estimate by kind of endpoint, for the kinds that the owner has measured. */
 	readonly kindFactors: Readonly<Record<string, number>>;
 };
@@ -83,16 +87,29 @@
 	readonly processor: number;
 	/** Time without messages after which the receiver may regard the sender as lost. */
 	readonly silentAfterMilliseconds: number;
+	/** Time without messages after which the sender needs to regard the receiver as lost. */
+	readonly neededSilenceMilliseconds: number;
 	readonly claims: readonly CellClaim[];
 	readonly configurationVersion: number;
 	/** The sender is shutting down and makes no new claims. */
 	readonly isLeaving: boolean;
-	/** Addresses of the daemons from which the sender receives heartbeats. */
+	/** Addresses of daemons that the receiver should exchange heartbeats with. */
 	readonly known: readonly string[];
 	/** Number of cells of each availability zone, where the sender knows it. */
 	readonly cellCounts: Readonly<Record<string, number>>;
 };
 
+/**
+Short form of a heartbeat.
+*/
+export type KeepAlive = {
+	readonly kind: FleetMessageKind.KeepAlive;
+	/** Time without messages after which the receiver may regard the sender as lost. */
+	readonly silentAfterMilliseconds: number;
+	/** Time without messages after which the sender needs to regard the receiver as lost. */
+	readonly neededSilenceMilliseconds: number;
+};
+
 /**
 Job, or part of one, that a holder submits to the owner of a cell. Times are durations, since daemons share no clock.
 */
@@ -139,6 +156,7 @@
 
 export type FleetMessage
 	= | Heartbeat
+		| KeepAlive
 		| {readonly kind: FleetMessageKind.Submit; readonly cell: string; readonly order: JobOrder}
 		| {readonly kind: FleetMessageKind.Cancel; readonly cell: string; readonly job: string; readonly part: string}
 		| {readonly kind: FleetMessageKind.Started; readonly job: string; readonly part: string}
