Review claims on change, and look for stray runs without building sets

Change: claims are reviewed after a change of the peers or of the own cells, otherwise each 250 ms; endpoints without stray runs and availability are read without building lists. Far peers are lost after 4.5 s in place of 6 s, so that their streams are dialled again sooner after a partition.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -107,6 +107,7 @@
 const stallAgeMilliseconds = 700;
 const insufficientCapacityCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
+const noJobs: readonly string[] = [];
 
 /**
 Creates the control of one incarnation of an endpoint.
@@ -159,7 +160,14 @@
 	};
 
 	/** The lease of an endpoint covers all its runs, so the run that has to end first limits it. */
-	const leaseLimitAt = (): number => Math.min(...[...runs].map(run => run.leaseLimitAt()));
+	const leaseLimitAt = (): number => {
+		let limitAt = Number.POSITIVE_INFINITY;
+		for (const run of runs) {
+			limitAt = Math.min(limitAt, run.leaseLimitAt());
+		}
+
+		return limitAt;
+	};
 
 	const abandon = (run: Run): void => {
 		abandonedRuns.add(run);
@@ -196,10 +204,28 @@
 	const hasClosed = (): boolean => isClosed;
 
 	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
-	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed, state}) => isUnconfirmed && state === RunState.Starting).length >= maximumUnconfirmedStarts;
+	const hasTooManyUnconfirmedStarts = (): boolean => {
+		let unconfirmed = 0;
+		for (const {isUnconfirmed, state} of runs) {
+			unconfirmed += isUnconfirmed && state === RunState.Starting ? 1 : 0;
+		}
+
+		return unconfirmed >= maximumUnconfirmedStarts;
+	};
 
 	const isActive = (run: Run): boolean => runs.has(run);
 
+	/** The run of this owner that an endpoint reports. */
+	const findRun = (reported: Pick<ActiveRun, 'task' | 'attempt'>): Run | undefined => {
+		for (const run of runs) {
+			if (isRunOf(run, reported)) {
+				return run;
+			}
+		}
+
+		return undefined;
+	};
+
 	/** Repeats a stop until the endpoint has carried it out or the lease has expired. */
 	const stopUntilEnded = async (run: Run): Promise<void> => {
 		while (isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
@@ -306,7 +332,7 @@
 	/** Records an end. Returns whether it is of a run of an earlier owner. */
 	const onEnded = (ended: EndedRun): boolean => {
 		acknowledged = Math.max(acknowledged, ended.sequence);
-		const run = [...runs].find(one => isRunOf(one, ended));
+		const run = findRun(ended);
 		if (!run) {
 			orphans.recordEnd(ended);
 			return true;
@@ -362,7 +388,7 @@
 			}
 		}
 
-		orphans.install(active.filter(one => ![...runs].some(run => isRunOf(run, one))));
+		orphans.install(active.filter(one => findRun(one) === undefined));
 	};
 
 	const onReport = (report: EndpointReport, polledAt: number): void => {
@@ -544,7 +570,7 @@
 				}
 			}
 		},
-		strayJobs: () => canRunStrays() ? [...orphans.active(), ...abandonedRuns].map(({task}) => task.job) : [],
+		strayJobs: () => (abandonedRuns.size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...abandonedRuns].map(({task}) => task.job) : noJobs,
 		async run() {
 			while (!hasClosed()) {
 				const polledAt = performance.now();
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -93,13 +93,32 @@
 		get: life => endpoints.get(life),
 		factorOf,
 		kindFactors: speeds.kindFactors,
-		availableCapacities: () => [...endpoints.values()].map(endpoint => endpoint.availableCapacity(factorOf(endpoint))).filter(capacity => capacity !== undefined),
+		availableCapacities() {
+			const capacities: EndpointCapacity[] = [];
+			for (const endpoint of endpoints.values()) {
+				const capacity = endpoint.availableCapacity(factorOf(endpoint));
+				if (capacity) {
+					capacities.push(capacity);
+				}
+			}
+
+			return capacities;
+		},
 		stopRuns(isStopped) {
 			for (const endpoint of endpoints.values()) {
 				endpoint.stopRuns(isStopped);
 			}
 		},
-		strayJobs: () => new Set([...endpoints.values()].flatMap(endpoint => endpoint.strayJobs())),
+		strayJobs() {
+			const jobs = new Set<string>();
+			for (const endpoint of endpoints.values()) {
+				for (const job of endpoint.strayJobs()) {
+					jobs.add(job);
+				}
+			}
+
+			return jobs;
+		},
 		install(entries) {
 			const current = new Set(entries.map(entry => incarnationOf(entry)));
 			for (const entry of entries) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.feature
@@ -18,7 +18,7 @@
   Scenario: A holder and the owner to which its jobs are assigned detect each other's failure quickly
     Then a daemon that is "in north", with jobs at one that is "in south and an owner", sends heartbeats to it at the "short" interval
     And a daemon that is "in south and an owner" sends heartbeats at the "short" interval to one that is "in north" and needs to detect its loss after 700 ms
-    And a daemon that is "in south and an owner" sends heartbeats at the "long" interval to one that is "in north" and needs to detect its loss after 6000 ms
+    And a daemon that is "in south and an owner" sends heartbeats at the "long" interval to one that is "in north" and needs to detect its loss after 4500 ms
 
   Scenario: An owner that was heard seldom is lost soon after a job is assigned to it, unless it is heard
     Given a view with heartbeats of "far" that expire after 6000 ms and of "other" that expire after 6000 ms
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -57,6 +57,8 @@
 };
 
 const tickMilliseconds = 50;
+/** Interval of reviews of the claims while nothing that is known of the peers changes. */
+const reviewMilliseconds = 250;
 const announceLoadsMilliseconds = 10;
 const maximumLinesPerEvent = 10;
 /** Gap between two ticks from which the process counts as paused. */
@@ -355,7 +357,12 @@
 		links.reviewIntervals();
 	}
 
+	let reviewedAt = Number.NEGATIVE_INFINITY;
+	let reviewedRevisions: readonly number[] = [];
+
 	const review = (): void => {
+		reviewedAt = performance.now();
+		reviewedRevisions = [view.revision(), cells.revision()];
 		if (cells.reviewClaims(description.claimant, view.all(), {ageMilliseconds: performance.now() - monotonicStartedAt, mayClaim: discovery.isOver(), mayHandOver: isZoneConnected()})) {
 			connectToPeers();
 			links.sendHeartbeats();
@@ -364,6 +371,15 @@
 		heldJobs.checkOwners(owners.ownerOf);
 	};
 
+	/** Reviews the claims after a change, and from time to time, since some decisions depend on how long something has been so. */
+	const reviewIfDue = (): void => {
+		const [viewRevision, cellsRevision] = reviewedRevisions;
+		const hasChanged = viewRevision !== view.revision() || cellsRevision !== cells.revision();
+		if (hasChanged || performance.now() - reviewedAt >= reviewMilliseconds) {
+			review();
+		}
+	};
+
 	/** Takes back cells whose endpoints accept another daemon than the known owner, once heartbeats have had time to show that daemon as the owner. */
 	const reviewFences = (): void => {
 		if (!discovery.isOver()) {
@@ -425,7 +441,7 @@
 
 		expectUrgentPeers();
 		links.removeSilentPeers();
-		review();
+		reviewIfDue();
 		reviewFences();
 		reviewLoadTimer();
 		announceConfiguration();
--- a/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
@@ -21,7 +21,7 @@
 /** Between owners of different zones, which redirect jobs to each other. */
 export const mediumInterval: HeartbeatInterval = {heartbeatMilliseconds: 400, silentAfterMilliseconds: 1200};
 /** Between all others, to limit heartbeat traffic, which grows with the square of the fleet size. */
-export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 2000, silentAfterMilliseconds: 6000};
+export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 2000, silentAfterMilliseconds: 4500};
 
 const hasInterval = (silenceMilliseconds: number) => ({silentAfterMilliseconds}: HeartbeatInterval): boolean => silentAfterMilliseconds <= silenceMilliseconds;
 
@@ -56,7 +56,7 @@
 
 @example
 ```
-heartbeatIntervalBetween({zone: 'north', isOwner: true}, {zone: 'south', isOwner: false}, 6000, false).heartbeatMilliseconds; // => 2000
+heartbeatIntervalBetween({zone: 'north', isOwner: true}, {zone: 'south', isOwner: false}, 4500, false).heartbeatMilliseconds; // => 2000
 ```
 */
 export const heartbeatIntervalBetween = (self: DaemonRole, peer: DaemonRole | undefined, neededSilenceMilliseconds: number, isUrgent: boolean): HeartbeatInterval => {
