--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -7,20 +7,18 @@
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import type {MemberRow} from '@galenakeel/model/connection/store-calls.js';
 import {detailOf} from '@galenakeel/model/request/fault.js';
-import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
-import {findQueue, type Queue} from '@galenakeel/model/version/queue-configuration.js';
+import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import {createPeerStream, serveFleet} from '../../connection/fleet-service.js';
-import {holdJob, type JobAnswer} from '../../request/hold-job.js';
+import {holdJob} from '../../request/hold-job.js';
 import {createCell} from '../cells/cell.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
-import {
-	cellOfEndpoint, homeCellOf, weightOfCell,
-} from './cell-layout.js';
+import {cellOfEndpoint} from './cell-layout.js';
 import {createCellOwners} from './cell-owners.js';
 import {createCellLayoutWatch} from './cell-layout-watch.js';
 import {describeClaim, describeYield} from './cell-log.js';
+import {createClaimReview} from './claim-review.js';
 import {createDiscovery} from './discovery.js';
 import {createCellLoads} from './cell-loads.js';
 import {createConfigurationAnnouncements} from './configuration-announcements.js';
@@ -34,7 +32,8 @@
 import type {FleetSettings} from './fleet-settings.js';
 import {createFleetView} from './fleet-view.js';
 import {shortInterval} from './heartbeat-interval.js';
-import {createHeldJobs, HolderEvent, type HeldJob} from './held-jobs.js';
+import {createHeldJobs} from './held-jobs.js';
+import {createJobIntake, refusalOf} from './job-intake.js';
 import {closeServer, listen} from './listen.js';
 import {createNotification} from './notification.js';
 import {createLoadAnnouncements} from './load-announcements.js';
@@ -57,18 +56,12 @@
 };
 
 const tickMilliseconds = 50;
-/** Interval of reviews of the claims while nothing that is known of the peers changes. */
-const reviewMilliseconds = 250;
 const announceLoadsMilliseconds = 10;
 const maximumLinesPerEvent = 10;
 /** Gap between two ticks from which the process counts as paused. */
 const pauseThresholdMilliseconds = 500;
-/** Time since the last confirmation by the store up to which the configuration counts as current. */
-const configurationFreshnessMilliseconds = 2500;
 /** Maximum time for which a run continues after its lease: allows for a slow clock, and for the time until an owner detects the loss of its holder. */
 const leaseSlackMilliseconds = 300;
-/** Time in which heartbeats show the owner whose token an endpoint accepts. */
-const fenceDelayMilliseconds = 400;
 /** Time until the platform has detected that a leaving daemon is no longer ready. */
 const announceMilliseconds = 2200;
 /** Share of the drain limit in which a leaving daemon still accepts jobs, since callers keep using their open connections. */
@@ -92,7 +85,6 @@
 */
 export const startFleetDaemon = async (settings: FleetSettings, log: Log): Promise<FleetDaemon> => {
 	const startedAt = Date.now();
-	const monotonicStartedAt = performance.now();
 	const self = settings.listen.peers;
 	const logEvent = createRateLimitedLog(log, maximumLinesPerEvent);
 	const metrics = createFleetMetrics();
@@ -103,8 +95,6 @@
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
 	const leaving = new AbortController();
 	let isServing = false;
-	/** Monotonic milliseconds up to which jobs are accepted. */
-	let acceptsUntil = Number.POSITIVE_INFINITY;
 
 	const store = createStoreClient(settings.platform.address, key => {
 		logEvent(FleetEvent.UnreadableEntry, {key});
@@ -171,7 +161,7 @@
 			kindFactors: () => loads.kindFactors(name),
 			onRedirected: loads.recordRedirect,
 			onFenced() {
-				fencedAt.set(name, fencedAt.get(name) ?? performance.now());
+				claims.recordFenced(name);
 			},
 			onDecision(decision, fields) {
 				metrics.countDecision(decision);
@@ -199,8 +189,6 @@
 			}
 		},
 	});
-	/** Monotonic milliseconds at which an endpoint of a cell was first found to accept the token of another owner. */
-	const fencedAt = new Map<string, number>();
 
 	const description = createSelfDescription({
 		settings,
@@ -315,7 +303,9 @@
 			}
 
 			// Several peers may be lost at once, and a claim must take all of these losses into account.
-			setImmediate(review);
+			setImmediate(() => {
+				claims.review();
+			});
 		},
 		onStreamOpened(address) {
 			daemonLoad.recordStreamOpened();
@@ -357,46 +347,23 @@
 		links.reviewIntervals();
 	}
 
-	let reviewedAt = Number.NEGATIVE_INFINITY;
-	let reviewedRevisions: readonly number[] = [];
-
-	const review = (): void => {
-		reviewedAt = performance.now();
-		reviewedRevisions = [view.revision(), cells.revision()];
-		if (cells.reviewClaims(description.claimant, view.all(), {ageMilliseconds: performance.now() - monotonicStartedAt, mayClaim: discovery.isOver(), mayHandOver: isZoneConnected()})) {
+	const claims = createClaimReview({
+		cells,
+		view,
+		self: description.claimant,
+		mayClaim: discovery.isOver,
+		mayHandOver: isZoneConnected,
+		onClaimsChanged() {
 			connectToPeers();
 			links.sendHeartbeats();
-		}
-
-		heldJobs.checkOwners(owners.ownerOf);
-	};
-
-	/** Reviews the claims after a change, and from time to time, since some decisions depend on how long something has been so. */
-	const reviewIfDue = (): void => {
-		const [viewRevision, cellsRevision] = reviewedRevisions;
-		const hasChanged = viewRevision !== view.revision() || cellsRevision !== cells.revision();
-		if (hasChanged || performance.now() - reviewedAt >= reviewMilliseconds) {
-			review();
-		}
-	};
-
-	/** Takes back cells whose endpoints accept another daemon than the known owner, once heartbeats have had time to show that daemon as the owner. */
-	const reviewFences = (): void => {
-		if (!discovery.isOver()) {
-			return;
-		}
-
-		for (const [cell, at] of fencedAt) {
-			if (performance.now() - at > fenceDelayMilliseconds) {
-				fencedAt.delete(cell);
-				if (cells.get(cell)) {
-					log.warn({event: FleetEvent.CellFenced, cell, peers: view.all().length});
-					cells.reclaimOrYield(cell, view.all().length > 0);
-					links.sendHeartbeats();
-				}
-			}
-		}
-	};
+		},
+		onReviewed() {
+			heldJobs.checkOwners(owners.ownerOf);
+		},
+		onFenceReviewed(cell) {
+			log.warn({event: FleetEvent.CellFenced, cell, peers: view.all().length});
+		},
+	});
 
 	const announceLoads = createLoadAnnouncements({claims: cells.claims, peers: view.all, send: links.send});
 	let loadTimer: NodeJS.Timeout | undefined;
@@ -441,70 +408,39 @@
 
 		expectUrgentPeers();
 		links.removeSilentPeers();
-		reviewIfDue();
-		reviewFences();
+		claims.reviewIfDue();
+		claims.reviewFences();
 		reviewLoadTimer();
 		announceConfiguration();
 	};
 
 	const timer = setInterval(tick, tickMilliseconds);
 
-	const findHomeCell = (job: Job): string => {
-		const weighted = layout.cellsOf(settings.zone).map(cell => ({cell, weight: weightOfCell(cells.endpointsOf(cell)?.length ?? 0)}));
-		const hasRack = (cell: string, rack: string): boolean => cells.endpointsOf(cell)?.some(({labels}) => labels.includes(rack)) ?? false;
-		return homeCellOf(job, weighted, hasRack) ?? settings.zone;
-	};
-
-	const submit = async (job: Job, queue: Queue, disconnected: AbortSignal): Promise<JobAnswer> => {
-		const arrivedAt = performance.now();
-		const homeCell = findHomeCell(job);
-		const heldParts = new Set<HeldJob>();
-		disconnected.addEventListener('abort', () => {
-			for (const {updates} of heldParts) {
-				updates.push({kind: HolderEvent.CallerDisconnected});
-			}
-		});
-		const answer = await holdJob(job, queue, {
-			homeCell,
-			hold(part) {
-				const held = heldJobs.hold(job.identifier, part);
-				heldParts.add(held);
-				return held;
-			},
-			awaitOwner: owners.awaitOwner,
-			otherCells: () => owners.reachableCells().filter(cell => cell !== homeCell),
-			send({address}, message) {
-				recentCancels.record(address, message);
-				links.send(address, message);
-			},
-			leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
-		});
-		const milliseconds = performance.now() - arrivedAt;
-		metrics.recordJob(queue.name, answer.end, milliseconds);
-		logEvent(FleetEvent.JobAnswered, {
-			job: job.identifier, queue: queue.name, end: answer.end ?? 'unknown', ...(answer.end === JobEnd.Refused && {reason: answer.reason}), milliseconds: Math.round(milliseconds),
-		});
-		return answer;
-	};
+	const intake = createJobIntake({
+		zone: settings.zone,
+		hold: holdJob,
+		configuration,
+		layout,
+		endpointsOf: cells.endpointsOf,
+		heldJobs,
+		owners,
+		send(address, message) {
+			recentCancels.record(address, message);
+			links.send(address, message);
+		},
+		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
+		onAnswered({job, queue, answer, milliseconds}) {
+			const reason = refusalOf(answer);
+			metrics.recordJob(queue, answer.end, milliseconds);
+			logEvent(FleetEvent.JobAnswered, {
+				job, queue, end: answer.end ?? 'unknown', ...(reason !== undefined && {reason}), milliseconds: Math.round(milliseconds),
+			});
+		},
+	});
 
 	const callerServer = createCallerServer<Queue>({
-		findQueue(host, path) {
-			if (performance.now() > acceptsUntil) {
-				return RefusalReason.Leaving;
-			}
-
-			const current = configuration.current();
-			if (!current) {
-				return RefusalReason.NoConfiguration;
-			}
-
-			const queue = findQueue(current, host, path);
-			// The queue may exist in a newer configuration that this daemon has missed, or be one that it can't read.
-			const isComplete = configuration.ageMilliseconds() < configurationFreshnessMilliseconds && current.unreadableQueues === 0;
-			const refusal = isComplete ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
-			return queue ? {queue, pathPrefix: queue.pathPrefix} : refusal;
-		},
-		submit,
+		findQueue: intake.findQueue,
+		submit: intake.submit,
 		maximumBodyBytes: () => configuration.current()?.limits.bodyBytes ?? 0,
 		isLeaving: () => leaving.signal.aborted,
 		onFailure(detail) {
@@ -554,7 +490,7 @@
 		async leave() {
 			const limitAt = performance.now() + settings.drain.limitMilliseconds - drainReserveMilliseconds;
 			leaving.abort();
-			acceptsUntil = performance.now() + (acceptingShare * settings.drain.limitMilliseconds);
+			intake.closeAt(performance.now() + (acceptingShare * settings.drain.limitMilliseconds));
 			log.info({event: FleetEvent.Leaving, held: heldJobs.count()});
 			links.sendHeartbeats();
 			void tryStore('removeMember', async () => store.removeMember(settings.instance));
--- /dev/null
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -0,0 +1,129 @@
+import {performance} from 'node:perf_hooks';
+import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
+import {findQueue, type Queue} from '@galenakeel/model/version/queue-configuration.js';
+import type {FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import type {holdJob, JobAnswer} from '../../request/hold-job.js';
+import {homeCellOf, weightOfCell} from './cell-layout.js';
+import type {CellLayoutWatch} from './cell-layout-watch.js';
+import type {CellOwners} from './cell-owners.js';
+import type {ConfigurationWatch} from './configuration-watch.js';
+import {HolderEvent, type HeldJob, type HeldJobs} from './held-jobs.js';
+import type {OwnedCells} from './owned-cells.js';
+
+/**
+Accepts the jobs of this daemon's callers.
+*/
+export type JobIntake = {
+	/** Returns the queue of a request, or why the request is refused. */
+	readonly findQueue: (host: string, path: string) => {readonly queue: Queue; readonly pathPrefix: string} | RefusalReason;
+	/** Holds a job until it has ended. */
+	readonly submit: (job: Job, queue: Queue, disconnected: AbortSignal) => Promise<JobAnswer>;
+	/** Refuses all jobs from a time on, in monotonic milliseconds. */
+	readonly closeAt: (time: number) => void;
+};
+
+/**
+The answer to a job, as it is recorded.
+*/
+export type AnsweredJob = {
+	readonly job: string;
+	readonly queue: string;
+	readonly answer: JobAnswer;
+	readonly milliseconds: number;
+};
+
+export type JobIntakeOptions = {
+	readonly zone: string;
+	readonly hold: typeof holdJob;
+	readonly configuration: Pick<ConfigurationWatch, 'current' | 'ageMilliseconds'>;
+	readonly layout: Pick<CellLayoutWatch, 'cellsOf'>;
+	readonly endpointsOf: OwnedCells['endpointsOf'];
+	readonly heldJobs: Pick<HeldJobs, 'hold'>;
+	readonly owners: Pick<CellOwners, 'awaitOwner' | 'reachableCells'>;
+	readonly send: (address: string, message: FleetMessage) => void;
+	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
+	readonly leaseMilliseconds: number;
+	readonly onAnswered: (answered: AnsweredJob) => void;
+};
+
+/** Maximum time since the last confirmation by the store up to which the configuration counts as current. */
+const configurationFreshnessMilliseconds = 2500;
+
+/**
+Creates an intake that accepts jobs.
+
+@example
+```
+const intake = createJobIntake(options);
+const found = intake.findQueue('sheets.example', '/rerate/5c0e7a21d94b36f8');
+```
+*/
+export const createJobIntake = (options: JobIntakeOptions): JobIntake => {
+	const {zone, configuration, layout, endpointsOf, heldJobs, owners} = options;
+	/** Monotonic milliseconds up to which jobs are accepted. */
+	let acceptsUntil = Number.POSITIVE_INFINITY;
+
+	const findHomeCell = (job: Job): string => {
+		const weighted = layout.cellsOf(zone).map(cell => ({cell, weight: weightOfCell(endpointsOf(cell)?.length ?? 0)}));
+		const hasRack = (cell: string, rack: string): boolean => endpointsOf(cell)?.some(({labels}) => labels.includes(rack)) ?? false;
+		return homeCellOf(job, weighted, hasRack) ?? zone;
+	};
+
+	return {
+		findQueue(host, path) {
+			if (performance.now() > acceptsUntil) {
+				return RefusalReason.Leaving;
+			}
+
+			const current = configuration.current();
+			if (!current) {
+				return RefusalReason.NoConfiguration;
+			}
+
+			const queue = findQueue(current, host, path);
+			if (queue) {
+				return {queue, pathPrefix: queue.pathPrefix};
+			}
+
+			// The queue may exist in a newer configuration that this daemon has missed, or be one that it can't read.
+			const isComplete = configuration.ageMilliseconds() < configurationFreshnessMilliseconds && current.unreadableQueues === 0;
+			return isComplete ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
+		},
+		async submit(job, queue, disconnected) {
+			const arrivedAt = performance.now();
+			const homeCell = findHomeCell(job);
+			const heldParts = new Set<HeldJob>();
+			disconnected.addEventListener('abort', () => {
+				for (const {updates} of heldParts) {
+					updates.push({kind: HolderEvent.CallerDisconnected});
+				}
+			});
+			const answer = await options.hold(job, queue, {
+				homeCell,
+				hold(part) {
+					const held = heldJobs.hold(job.identifier, part);
+					heldParts.add(held);
+					return held;
+				},
+				awaitOwner: owners.awaitOwner,
+				otherCells: () => owners.reachableCells().filter(cell => cell !== homeCell),
+				send({address}, message) {
+					options.send(address, message);
+				},
+				leaseMilliseconds: options.leaseMilliseconds,
+			});
+			options.onAnswered({
+				job: job.identifier, queue: queue.name, answer, milliseconds: performance.now() - arrivedAt,
+			});
+			return answer;
+		},
+		closeAt(time) {
+			acceptsUntil = time;
+		},
+	};
+};
+
+/**
+Returns why a job was refused; undefined for any other answer.
+*/
+export const refusalOf = (answer: JobAnswer): RefusalReason | undefined => answer.end === JobEnd.Refused ? answer.reason : undefined;
