--- a/packages/trials/src/process/__tests__/divided-zone.feature
+++ b/packages/trials/src/process/__tests__/divided-zone.feature
@@ -1,7 +1,7 @@
 Feature: A zone with many endpoints is divided into cells with owners of their own
 
   Background:
-    Given daemons on the platform in the zones "north" and "south", 3 in each, with 30 endpoints in each
+    Given daemons on the platform in the zones "north" and "south", 3 in each, with 46 endpoints in each
 
   Scenario: The cells of a zone belong to different daemons, and jobs run in all of them
     When 40 jobs of 2 tasks of 300 ms are submitted to daemon 1
