Simulate no more idle slots than there are tasks

Placing built three lists of candidates for each task.

Change: of idle slots that are free at the same time only the fastest are simulated, as many as tasks wait: the schedule never uses more, so its ends are the same. Placing looks at each candidate once.

--- a/packages/galenakeeld/src/process/cells/endpoint-choice.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-choice.ts
@@ -17,6 +17,7 @@
 
 /** Width of a run-time class as a factor; within a class, best fit decides. */
 const speedClassFactor = 1.05;
+const logOfSpeedClassFactor = Math.log(speedClassFactor);
 /** Ratio of the time until the due time to the expected run time from which an endpoint counts as fast enough. */
 export const safetyFactor = 1.25;
 
@@ -24,7 +25,7 @@
 Creates a choice.
 */
 export const createEndpointChoice = <Candidate>(candidate: Candidate, milliseconds: number, freeProcessor: number): EndpointChoice<Candidate> => ({
-	candidate, milliseconds, speedClass: Math.round(Math.log(milliseconds) / Math.log(speedClassFactor)), freeProcessor,
+	candidate, milliseconds, speedClass: Math.round(Math.log(milliseconds) / logOfSpeedClassFactor), freeProcessor,
 });
 
 type Compare = (first: EndpointChoice<unknown>, second: EndpointChoice<unknown>) => number;
--- a/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
+++ b/packages/galenakeeld/src/process/cells/evaluate-arrival.ts
@@ -1,6 +1,6 @@
 import type {FreeCapacity} from '@galenakeel/model/connection/fleet-message.js';
 import {
-	admitJob, freeProcessorIn, type AdmissionDecision, type CellCapacity, type ValuedJob,
+	admitJob, type AdmissionDecision, type CellCapacity, type ValuedJob,
 } from './admit-job.js';
 import {
 	compareUrgency, isInTime, urgencyOf, type Urgency,
@@ -70,6 +70,10 @@
 /** Width of a class of run-time factors. */
 const factorStep = 0.2;
 
+/** Number of tasks of a given size that an endpoint takes now. */
+const tasksFittingOn = ({free, maximumTasks}: EndpointCapacity, processorOfTask: number): number =>
+	Math.min(maximumTasks, Math.floor(Math.max(0, free.processor) / Math.max(1, processorOfTask)));
+
 /**
 Returns the free capacity usable by tasks of a given size, by service and run-time factor of the endpoints.
 */
@@ -77,7 +81,7 @@
 	const size = Math.max(1, processorOfTask);
 	const classes = new Map<string, FreeCapacity>();
 	for (const capacity of capacities) {
-		const tasks = Math.min(capacity.maximumTasks, Math.floor(Math.max(0, capacity.free.processor) / size));
+		const tasks = tasksFittingOn(capacity, size);
 		if (tasks > 0) {
 			const {service} = capacity;
 			const factor = Number((Math.max(1, Math.round(capacity.factor / factorStep)) * factorStep).toFixed(1));
@@ -104,6 +108,16 @@
 	return processor;
 };
 
+/** Processor that tasks of a given size can use at once, in thousandths of a core. */
+const freeProcessorFor = (capacities: readonly EndpointCapacity[], processorOfTask: number): number => {
+	let processor = 0;
+	for (const capacity of capacities) {
+		processor += tasksFittingOn(capacity, processorOfTask) * Math.max(1, processorOfTask);
+	}
+
+	return processor;
+};
+
 const countTasks = (steps: readonly PlacedStep[]): number => {
 	let tasks = 0;
 	for (const {remainingTasks} of steps) {
@@ -113,19 +127,50 @@
 	return tasks;
 };
 
-/** Slots of the own cell for tasks of the given size. */
-const slotsOf = (capacities: readonly EndpointCapacity[], processorOfTask: number): readonly SimulatedSlot[] => capacities.flatMap(({total, factor, remainingTimes}) => {
-	const count = Math.max(1, Math.floor(total.processor / Math.max(1, processorOfTask)));
-	const busy = remainingTimes();
-	return Array.from({length: count}, (_, index) => ({freeInMilliseconds: busy[index] ?? 0, factor}));
-});
+/** A number of idle slots of one speed. */
+type IdleSlots = {readonly count: number; readonly factor: number};
+
+/** Takes the fastest of idle slots that are free at the same time. Tasks never use more slots than their number. */
+const takeFastest = (idle: readonly IdleSlots[], tasks: number, freeInMilliseconds: number): readonly SimulatedSlot[] => {
+	const slots: SimulatedSlot[] = [];
+	for (const {count, factor} of idle.toSorted((first, second) => first.factor - second.factor)) {
+		for (let taken = 0; taken < count; taken++) {
+			if (slots.length >= tasks) {
+				return slots;
+			}
+
+			slots.push({freeInMilliseconds, factor});
+		}
+	}
+
+	return slots;
+};
+
+/** Slots of the own cell for tasks of the given size: all that are busy, and as many idle ones as there are tasks. */
+const slotsOf = (capacities: readonly EndpointCapacity[], processorOfTask: number, tasks: number): readonly SimulatedSlot[] => {
+	const busySlots: SimulatedSlot[] = [];
+	const idle: IdleSlots[] = [];
+	for (const {total, factor, remainingTimes} of capacities) {
+		const count = Math.max(1, Math.floor(total.processor / Math.max(1, processorOfTask)));
+		const busy = remainingTimes();
+		for (const freeInMilliseconds of busy.slice(0, count)) {
+			busySlots.push({freeInMilliseconds, factor});
+		}
+
+		idle.push({count: Math.max(0, count - busy.length), factor});
+	}
+
+	return [...busySlots, ...takeFastest(idle, tasks, 0)];
+};
 
 /** Delay of the start of a task in another cell with free capacity, in milliseconds. */
 const moveMilliseconds = 8;
 
-/** Slots of other cells for tasks of the given size. */
-const remoteSlotsOf = (others: readonly CellCapacity[], processorOfTask: number): readonly SimulatedSlot[] => others.flatMap(({free}) => free.flatMap(({factor, processor}) =>
-	Array.from({length: Math.max(0, Math.floor(processor / Math.max(1, processorOfTask)))}, () => ({freeInMilliseconds: moveMilliseconds, factor}))));
+/** Slots of other cells for tasks of the given size, as many as there are tasks. */
+const remoteSlotsOf = (others: readonly CellCapacity[], processorOfTask: number, tasks: number): readonly SimulatedSlot[] => {
+	const idle = others.flatMap(({free}) => free.map(({factor, processor}) => ({count: Math.floor(processor / Math.max(1, processorOfTask)), factor})));
+	return takeFastest(idle, tasks, moveMilliseconds);
+};
 
 const valueOfJob = ({order}: PlacedJob): number => {
 	let work = 0;
@@ -146,6 +191,15 @@
 	rank,
 });
 
+const countWaitingTasks = (job: PlacedJob): number => {
+	let tasks = 0;
+	for (const {waitingTasks} of job.steps) {
+		tasks += waitingTasks;
+	}
+
+	return tasks;
+};
+
 type RankedJob = {readonly job: PlacedJob; readonly urgency: Urgency};
 
 const byUrgency = (first: RankedJob, second: RankedJob): number => compareUrgency(first.urgency, second.urgency);
@@ -174,12 +228,13 @@
 		.toSorted(byUrgency);
 	const processor = firstProcessorOf(job);
 	const processorOfTask = processor / Math.max(1, countTasks(firstStepsOf(job)));
+	const tasks = countWaitingTasks(job) + waiting.reduce((sum, one) => sum + countWaitingTasks(one.job), 0);
 	return admitJob({
 		...toValuedJob(job, urgencyOfJob(job, bestFactor, now), now),
 		processor,
-		freeProcessor: freeProcessorIn({free: freeCapacitiesOf(capacities, processorOfTask)}),
+		freeProcessor: freeProcessorFor(capacities, processorOfTask),
 		isRedirected: job.order.moves > 0 || job.order.generation > 0,
-	}, waiting.map(one => toValuedJob(one.job, one.urgency, now)), [...slotsOf(capacities, processorOfTask), ...remoteSlotsOf(others, processorOfTask)], others);
+	}, waiting.map(one => toValuedJob(one.job, one.urgency, now)), [...slotsOf(capacities, processorOfTask, tasks), ...remoteSlotsOf(others, processorOfTask, tasks)], others);
 };
 
 /**
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -1,6 +1,6 @@
 import type {Resources, Step} from '@galenakeel/model/request/job.js';
 import {
-	chooseInTime, chooseSlowest, createEndpointChoice, safetyFactor,
+	chooseInTime, chooseSlowest, createEndpointChoice, safetyFactor, type EndpointChoice,
 } from './endpoint-choice.js';
 import {isFitting, subtractResources} from './room.js';
 
@@ -59,6 +59,7 @@
 
 /** Share of free processor below which fast endpoints are reserved for tasks that need them. */
 const scarceShare = 0.4;
+const noEndpoints: ReadonlySet<string> = new Set();
 /** Minimum free processor of a candidate, in thousandths of a core. */
 const minimumProcessor = 1;
 
@@ -84,11 +85,13 @@
 
 const boundsOf = (candidates: readonly Candidate[]): CandidateBounds => {
 	let largestProcessor = 0;
-	for (const {free} of candidates) {
+	let fastestFactor = Number.POSITIVE_INFINITY;
+	for (const {free, capacity} of candidates) {
 		largestProcessor = Math.max(largestProcessor, free.processor);
+		fastestFactor = Math.min(fastestFactor, capacity.factor);
 	}
 
-	return {largestProcessor, fastestFactor: fastestFactorOf(candidates.map(({capacity}) => capacity))};
+	return {largestProcessor, fastestFactor};
 };
 
 /**
@@ -137,13 +140,24 @@
 			&& (!isInTime || runTimeOf(step, bounds.fastestFactor * Math.min(1, remotePenalty)) <= timeUntilDueOf(waitingStep));
 	};
 
+	const choicesFor = (waitingStep: WaitingStep, avoided: ReadonlySet<string>): ReadonlyArray<EndpointChoice<Candidate>> => {
+		const {step} = waitingStep;
+		const choices: Array<EndpointChoice<Candidate>> = [];
+		for (const candidate of candidates) {
+			const isFree = isFitting(step.room, candidate.free) && isAllowed(waitingStep, candidate) && isBelowLimit(waitingStep, candidate);
+			if (isFree && !avoided.has(candidate.capacity.endpoint)) {
+				choices.push(createEndpointChoice(candidate, runTimeOf(step, factorFor(step, candidate.capacity, remotePenalty)), candidate.free.processor));
+			}
+		}
+
+		return choices;
+	};
+
 	const choose = (waitingStep: WaitingStep, avoided: ReadonlySet<string>): Candidate | undefined => {
-		const {step, isInTime} = waitingStep;
-		const fitting = candidates.filter(candidate => isFitting(step.room, candidate.free) && isAllowed(waitingStep, candidate) && isBelowLimit(waitingStep, candidate));
-		const preferred = avoided.size > 0 ? fitting.filter(({capacity}) => !avoided.has(capacity.endpoint)) : fitting;
+		const {isInTime} = waitingStep;
+		const preferred = choicesFor(waitingStep, avoided);
 		// A task that has failed at every endpoint is retried at any of them.
-		const usable = preferred.length > 0 || avoided.size < capacities.length ? preferred : fitting;
-		const choices = usable.map(candidate => createEndpointChoice(candidate, runTimeOf(step, factorFor(step, candidate.capacity, remotePenalty)), candidate.free.processor));
+		const choices = preferred.length > 0 || avoided.size === 0 || avoided.size < capacities.length ? preferred : choicesFor(waitingStep, noEndpoints);
 		return isInTime ? chooseInTime(choices, timeUntilDueOf(waitingStep), freeProcessor < scarceShare * totalProcessor) : chooseSlowest(choices);
 	};
 
