Any message shows that a peer is alive; holders and owners each 0.4 s

Change: any frame counts as contact, so a keep-alive is due only after an interval without one; a heartbeat is sent at least once a second meanwhile, as it tells of changes. An owner and the holder of jobs at it detect each other's loss after 1.2 s in place of 0.7 s; runs of a silent holder end with their lease, a second after its last message, as before. Unchanged descriptions are repeated each 30 s in place of 10 s.

Also: three lines a second of each kind for jobs that take their usual course, 40 for all other events (a holder spent 10% of its time on lines of answers).

--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.feature
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.feature
@@ -53,3 +53,11 @@
     When the text "PRI * HTTP/2.0 and more" arrives on another connection
     Then the other connection is ended within 500 ms, with the reason "no frame"
     And 2 more heartbeats arrive within 1000 ms
+
+  Scenario: While other messages are sent, they show that the sender is alive, and heartbeats are few
+    Given a stream to an address where nothing listens, with a pause of 100 ms between connection attempts
+    And its heartbeat interval is 200 ms at first, and 200 ms after the first heartbeat
+    When the peer starts after 100 ms and its heartbeat arrives
+    Then the stream is connected within 1000 ms
+    When 20 messages are sent, one each 100 ms
+    Then at most 5 heartbeats and at least 15 other frames have arrived
--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -21,6 +21,8 @@
 	intervals: number[];
 	heartbeatsCreated: number;
 	heartbeatsReceived: number;
+	/** Number of frames without a heartbeat. */
+	contacts: number;
 	framesSent: number;
 	framesReceived: number;
 	refusals: number;
@@ -54,6 +56,7 @@
 	this.intervals = [100];
 	this.heartbeatsCreated = 0;
 	this.heartbeatsReceived = 0;
+	this.contacts = 0;
 	this.framesSent = 0;
 	this.framesReceived = 0;
 	this.refusals = 0;
@@ -110,6 +113,9 @@
 		onKeepAlive() {
 			// The scenarios send only heartbeats.
 		},
+		onContact: () => {
+			this.contacts++;
+		},
 		onOpened() {
 			// The scenarios check only connections and heartbeats.
 		},
@@ -206,6 +212,21 @@
 	this.stream.dialNow();
 });
 
+When('{int} messages are sent, one each {int} ms', async function (this: StreamWorld, count: number, milliseconds: number) {
+	for (let message = 0; message < count; message++) {
+		this.stream.send({
+			kind: FleetMessageKind.Cancel, cell: 'north', job: '5c0e7a21d94b36f8', part: '0',
+		});
+		await sleep(milliseconds);
+	}
+});
+
+Then('at most {int} heartbeats and at least {int} other frames have arrived', function (this: StreamWorld, heartbeats: number, frames: number) {
+	// Each message that is no keep-alive is counted here.
+	assert.ok(this.heartbeatsReceived - this.contacts <= heartbeats, `${this.heartbeatsReceived} messages, ${this.contacts} frames without a heartbeat`);
+	assert.ok(this.contacts >= frames, `${this.contacts}`);
+});
+
 When('{int} messages of {int} characters are sent', async function (this: StreamWorld, count: number, characters: number) {
 	this.breakReasons = [];
 	for (let message = 0; message < count; message++) {
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -15,12 +15,17 @@
 /** Delay above the smallest one, beyond which messages are discarded: by then the sender has declared this daemon lost. */
 const maximumDelayMilliseconds = 600;
 
+/** Time between two heartbeats while other frames are sent: they tell of changes that nothing else does. */
+const maximumHeartbeatGapMilliseconds = 1000;
+
 /** Interval at which the event loop is observed. */
 const turnMilliseconds = 250;
 
 /** Messages that a holder needs only after the owner is lost, so they wait for the next urgent message or heartbeat. Losing them is safe: a holder assumes that a lost owner may have started tasks. */
 const deferrableKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Started, FleetMessageKind.TaskSucceeded]);
 
+const isHeartbeat = ({kind}: FleetMessage): boolean => kind === FleetMessageKind.Heartbeat || kind === FleetMessageKind.KeepAlive;
+
 const isUrgent = ({kind}: FleetMessage): boolean => !deferrableKinds.has(kind);
 
 const isRefusal = (error: unknown): boolean => (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
@@ -69,6 +74,8 @@
 export const serveFleet = async (address: string, handlers: {
 	readonly onMessage: (message: FleetMessage, from: string) => void;
 	readonly onKeepAlive: (keepAlive: KeepAlive, described: Heartbeat) => void;
+	/** Called for each frame without a heartbeat or keep-alive, after the first heartbeat of its stream. */
+	readonly onContact: (from: string) => void;
 	/** Called after the first heartbeat of a stream. Messages sent on an earlier stream may be lost. */
 	readonly onOpened: (from: string) => void;
 	readonly onBroken: (from: string) => void;
@@ -116,6 +123,10 @@
 				throw createFault(FaultKind.InstanceUnreachable, 'messages were held up on their way, and what they ask for may be out of date');
 			}
 
+			if (from !== '' && !messages.some(message => isHeartbeat(message))) {
+				handlers.onContact(from);
+			}
+
 			for (const message of messages) {
 				receiveMessage(message);
 			}
@@ -247,12 +258,21 @@
 	});
 
 	const sendUntilBroken = async (socket: Socket, broken: AbortSignal): Promise<void> => {
+		/** Time of the last frame; each shows that this daemon is alive. */
+		let lastSentAt = Number.NEGATIVE_INFINITY;
 		let lastHeartbeatAt = Number.NEGATIVE_INFINITY;
 		/** Interval when the last heartbeat was created. The peer expects the next heartbeat within this interval, even if it has since become longer. */
 		let interval = 0;
 
 		/** A heartbeat is due at once when the interval has become shorter, since the peer doesn't know that yet. */
-		const millisecondsUntilHeartbeat = (): number => options.heartbeatIntervalMilliseconds() < interval ? 0 : lastHeartbeatAt + interval - performance.now();
+		const millisecondsUntilHeartbeat = (): number => {
+			if (options.heartbeatIntervalMilliseconds() < interval) {
+				return 0;
+			}
+
+			const dueAt = Math.min(lastSentAt + interval, lastHeartbeatAt + Math.max(interval, maximumHeartbeatGapMilliseconds));
+			return dueAt - performance.now();
+		};
 
 		while (!broken.aborted) {
 			if (millisecondsUntilHeartbeat() <= 1) {
@@ -263,6 +283,7 @@
 
 			if (queued.length > 0) {
 				const sentAt = performance.now();
+				lastSentAt = sentAt;
 				const frame = encodeFrame({sentAt, messages: queued});
 				options.onFrame(queued, frame.length, performance.now() - sentAt);
 				queued = [];
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -45,6 +45,13 @@
 	TaskAdopted = 'task-adopted',
 }
 
+const routineDecisions: ReadonlySet<unknown> = new Set([CellDecision.JobAccepted, CellDecision.TaskStarted, CellDecision.JobEnded]);
+
+/**
+Tells whether a decision is one of the usual course of a job.
+*/
+export const isRoutine = (decision: CellDecision | EndpointDecision): boolean => routineDecisions.has(decision);
+
 /**
 The endpoints of one availability zone or of a part of it, and the jobs that wait for them or run on them, at the daemon that owns the cell.
 */
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.feature
@@ -21,7 +21,7 @@
     Then "s1" was sent "heartbeat, keep-alive"
     When the stream to "s1" opens and 2 heartbeats are due
     Then "s1" was sent "heartbeat, keep-alive"
-    When 10000 ms pass and 2 heartbeats are due
+    When 30000 ms pass and 2 heartbeats are due
     Then "s1" was sent "heartbeat, keep-alive"
 
   Scenario: A peer that was lost is reachable again with its next keep-alive
--- a/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.feature
@@ -16,8 +16,10 @@
       | in north              | unknown               | short    |
 
   Scenario: A holder and the owner to which its jobs are assigned detect each other's failure quickly
-    Then a daemon that is "in north", with jobs at one that is "in south and an owner", sends heartbeats to it at the "short" interval
-    And a daemon that is "in south and an owner" sends heartbeats at the "short" interval to one that is "in north" and needs to detect its loss after 700 ms
+    Then a daemon that is "in north", with jobs at one that is "in south and an owner", sends heartbeats to it at the "medium" interval
+    And a daemon that is "in north", with jobs at one that is "in north and an owner", sends heartbeats to it at the "medium" interval
+    And a daemon that is "in south and an owner" sends heartbeats at the "medium" interval to one that is "in north" and needs to detect its loss after 1200 ms
+    And a daemon that is "in north", with a roll call of its zone, sends heartbeats to one that is "in north" at the "short" interval
     And a daemon that is "in south and an owner" sends heartbeats at the "long" interval to one that is "in north" and needs to detect its loss after 4500 ms
 
   Scenario: An owner that was heard seldom is lost soon after a job is assigned to it, unless it is heard
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -7,11 +7,12 @@
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import type {MemberRow} from '@galenakeel/model/connection/store-calls.js';
 import {detailOf} from '@galenakeel/model/request/fault.js';
+import {JobEnd} from '@galenakeel/model/request/job.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import {createPeerStream, serveFleet} from '../../connection/fleet-service.js';
 import {holdJob} from '../../request/hold-job.js';
-import {createCell} from '../cells/cell.js';
+import {createCell, isRoutine} from '../cells/cell.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
 import {cellOfEndpoint} from './cell-layout.js';
@@ -31,7 +32,7 @@
 import {createFleetMetrics} from './fleet-metrics.js';
 import type {FleetSettings} from './fleet-settings.js';
 import {createFleetView} from './fleet-view.js';
-import {shortInterval} from './heartbeat-interval.js';
+import {mediumInterval, shortInterval, Urgency} from './heartbeat-interval.js';
 import {createHeldJobs} from './held-jobs.js';
 import {createJobIntake, refusalOf} from './job-intake.js';
 import {closeServer, listen} from './listen.js';
@@ -57,7 +58,9 @@
 
 const tickMilliseconds = 50;
 const announceLoadsMilliseconds = 10;
-const maximumLinesPerEvent = 10;
+const maximumLinesPerEvent = 40;
+/** The same for events of jobs that take their usual course. */
+const maximumRoutineLines = 3;
 /** Gap between two ticks from which the process counts as paused. */
 const pauseThresholdMilliseconds = 500;
 /** Maximum time for which a run continues after its lease: allows for a slow clock, and for the time until an owner detects the loss of its holder. */
@@ -87,6 +90,7 @@
 	const startedAt = Date.now();
 	const self = settings.listen.peers;
 	const logEvent = createRateLimitedLog(log, maximumLinesPerEvent);
+	const logRoutine = createRateLimitedLog(log, maximumRoutineLines);
 	const metrics = createFleetMetrics();
 	const view = createFleetView();
 	const heldJobs = createHeldJobs();
@@ -165,7 +169,8 @@
 			},
 			onDecision(decision, fields) {
 				metrics.countDecision(decision);
-				logEvent(decision, {cell: name, ...fields});
+				const write = isRoutine(decision) ? logRoutine : logEvent;
+				write(decision, {cell: name, ...fields});
 			},
 			onTaskWait: metrics.recordTaskWait,
 		}),
@@ -190,6 +195,14 @@
 		},
 	});
 
+	const urgencyOf = (address: string): Urgency => {
+		if (rollCall.includes(address)) {
+			return Urgency.RollCall;
+		}
+
+		return heldJobs.hasJobsAt(address) ? Urgency.Jobs : Urgency.None;
+	};
+
 	const description = createSelfDescription({
 		settings,
 		startedAt,
@@ -198,7 +211,7 @@
 		cellCounts: layout.counts,
 		configurationVersion: () => configuration.current()?.version ?? -1,
 		isLeaving: () => leaving.signal.aborted,
-		isUrgent: address => heldJobs.hasJobsAt(address) || rollCall.includes(address),
+		urgencyOf,
 	});
 
 	const owners = createCellOwners({
@@ -284,7 +297,7 @@
 			}
 
 			lists.synchronize(peer);
-			logEvent(FleetEvent.PeerReachable, {peer: instance, address, startedAt: peerStartedAt});
+			logRoutine(FleetEvent.PeerReachable, {peer: instance, address, startedAt: peerStartedAt});
 		},
 		onRefused: discovery.recordRefused,
 		onPeerLost(peer, cause) {
@@ -384,7 +397,11 @@
 
 	/** Peers on which something depends now must be heard soon, although their heartbeats were infrequent before. */
 	const expectUrgentPeers = (): void => {
-		for (const address of [...heldJobs.assignedOwners(), ...rollCall.expected()]) {
+		for (const address of heldJobs.assignedOwners()) {
+			view.expectWithin(address, mediumInterval.silentAfterMilliseconds);
+		}
+
+		for (const address of rollCall.expected()) {
 			view.expectWithin(address, shortInterval.silentAfterMilliseconds);
 		}
 	};
@@ -432,7 +449,8 @@
 		onAnswered({job, queue, answer, milliseconds}) {
 			const reason = refusalOf(answer);
 			metrics.recordJob(queue, answer.end, milliseconds);
-			logEvent(FleetEvent.JobAnswered, {
+			const write = answer.end === JobEnd.Complete ? logRoutine : logEvent;
+			write(FleetEvent.JobAnswered, {
 				job, queue, end: answer.end ?? 'unknown', ...(reason !== undefined && {reason}), milliseconds: Math.round(milliseconds),
 			});
 		},
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -57,7 +57,7 @@
 
 const batchMilliseconds = 1;
 /** Interval of heartbeats with an unchanged description, which pass on addresses. */
-const repeatDescriptionMilliseconds = 10_000;
+const repeatDescriptionMilliseconds = 30_000;
 const redialMilliseconds = 150;
 /** Pause between connection attempts to an address that is not a reachable peer; it may be gone permanently. */
 const redialUnknownPeerMilliseconds = 500;
@@ -171,6 +171,7 @@
 			options.onMessage(message, from);
 		},
 		onKeepAlive: handleKeepAlive,
+		onContact: view.receiveContact,
 		onOpened: options.onStreamOpened,
 		onBroken(from) {
 			options.onBroken(from, 'the peer\'s stream has ended');
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -7,7 +7,7 @@
 */
 export type Peer = Claimant & {
 	readonly instance: string;
-	/** Arrival of its last heartbeat or keep-alive, in monotonic milliseconds. */
+	/** Arrival of its last message, in monotonic milliseconds. */
 	readonly lastHeartbeatAt: number;
 	readonly silentAfterMilliseconds: number;
 	/** Time without messages after which the peer needs to regard this daemon as lost. */
@@ -29,6 +29,8 @@
 	readonly receiveHeartbeat: (heartbeat: Heartbeat) => boolean;
 	/** Records a keep-alive of a peer; ignored while the peer is unknown. */
 	readonly receiveKeepAlive: (address: string, keepAlive: Pick<KeepAlive, 'silentAfterMilliseconds' | 'neededSilenceMilliseconds'>) => void;
+	/** Records that another message of a peer has arrived; ignored while the peer is unknown. */
+	readonly receiveContact: (address: string) => void;
 	/** Expects a message of a peer within this time, although its last heartbeat allowed for a longer silence. */
 	readonly expectWithin: (address: string, milliseconds: number) => void;
 	/** Records the load of a peer's cell between two heartbeats. */
@@ -107,6 +109,12 @@
 		return peer;
 	};
 
+	const recordContact = (peer: PeerRecord): void => {
+		peer.lastHeartbeatAt = performance.now();
+		peer.pausesBefore = pauses;
+		peer.expectedWithinMilliseconds = Number.POSITIVE_INFINITY;
+	};
+
 	const isSilent = (peer: PeerRecord, now: number): boolean => {
 		const sinceHeartbeat = now - peer.lastHeartbeatAt - (pauses - peer.pausesBefore);
 		const sinceExpected = now - peer.expectedSince - (pauses - peer.expectedPausesBefore);
@@ -123,11 +131,15 @@
 		receiveKeepAlive(address, {silentAfterMilliseconds, neededSilenceMilliseconds}) {
 			const peer = peers.get(address);
 			if (peer) {
-				peer.lastHeartbeatAt = performance.now();
-				peer.pausesBefore = pauses;
+				recordContact(peer);
 				peer.silentAfterMilliseconds = silentAfterMilliseconds;
 				peer.neededSilenceMilliseconds = neededSilenceMilliseconds;
-				peer.expectedWithinMilliseconds = Number.POSITIVE_INFINITY;
+			}
+		},
+		receiveContact(address) {
+			const peer = peers.get(address);
+			if (peer) {
+				recordContact(peer);
 			}
 		},
 		expectWithin(address, milliseconds) {
--- a/packages/galenakeeld/src/process/fleet/self-description.ts
+++ b/packages/galenakeeld/src/process/fleet/self-description.ts
@@ -1,6 +1,6 @@
 import {FleetMessageKind, type Heartbeat, type KeepAlive} from '@galenakeel/model/connection/fleet-message.js';
 import {
-	heartbeatIntervalBetween, neededIntervalOf, type DaemonRole, type HeartbeatInterval,
+	heartbeatIntervalBetween, neededIntervalOf, type DaemonRole, type HeartbeatInterval, type Urgency,
 } from './heartbeat-interval.js';
 import type {Claimant} from './cell-claims.js';
 import type {CellCounts} from './cell-layout.js';
@@ -33,8 +33,8 @@
 	/** -1 while no configuration is installed. */
 	readonly configurationVersion: () => number;
 	readonly isLeaving: () => boolean;
-	/** Whether this daemon and the one at an address have to detect each other's loss quickly, because of jobs between them or because owners have to be found. */
-	readonly isUrgent: (address: string) => boolean;
+	/** Why this daemon and the one at an address have to detect each other's loss quickly. */
+	readonly urgencyOf: (address: string) => Urgency;
 };
 
 const millicoresPerCore = 1000;
@@ -44,11 +44,11 @@
 
 @example
 ```
-const self = createSelfDescription({settings, startedAt: Date.now(), cells, view, cellCounts: layout.counts, configurationVersion: () => 7, isLeaving: () => false, isUrgent: () => false});
+const self = createSelfDescription({settings, startedAt: Date.now(), cells, view, cellCounts: layout.counts, configurationVersion: () => 7, isLeaving: () => false, urgencyOf: () => Urgency.None});
 self.createHeartbeat('10.1.0.13:7720');
 ```
 */
-export const createSelfDescription = ({settings, startedAt, cells, view, cellCounts, configurationVersion, isLeaving, isUrgent}: SelfDescriptionOptions): SelfDescription => {
+export const createSelfDescription = ({settings, startedAt, cells, view, cellCounts, configurationVersion, isLeaving, urgencyOf}: SelfDescriptionOptions): SelfDescription => {
 	const {zone, instance, machine} = settings;
 	const address = settings.listen.peers;
 	const processor = Math.round(machine.cores * machine.share * millicoresPerCore);
@@ -63,11 +63,11 @@
 	};
 
 	const heartbeatIntervalTo = (peerAddress: string): HeartbeatInterval =>
-		heartbeatIntervalBetween(ownRole(), roleOf(peerAddress), view.get(peerAddress)?.neededSilenceMilliseconds ?? 0, isUrgent(peerAddress));
+		heartbeatIntervalBetween(ownRole(), roleOf(peerAddress), view.get(peerAddress)?.neededSilenceMilliseconds ?? 0, urgencyOf(peerAddress));
 
 	const silencesFor = (peerAddress: string) => ({
 		silentAfterMilliseconds: heartbeatIntervalTo(peerAddress).silentAfterMilliseconds,
-		neededSilenceMilliseconds: neededIntervalOf(ownRole(), roleOf(peerAddress), isUrgent(peerAddress)).silentAfterMilliseconds,
+		neededSilenceMilliseconds: neededIntervalOf(ownRole(), roleOf(peerAddress), urgencyOf(peerAddress)).silentAfterMilliseconds,
 	});
 
 	/** The peers with which the receiver should exchange heartbeats too; none while its zone is unknown. */
