--- a/packages/galenakeeld/src/process/decaying-histogram.ts
+++ b/packages/galenakeeld/src/process/decaying-histogram.ts
@@ -1,4 +1,6 @@
-import {build, type Histogram} from 'hdr-histogram-js';
+// The entry of the package also loads its readers and writers of logs.
+import {build} from 'hdr-histogram-js/dist/HistogramBuilder.js';
+import type {Histogram} from 'hdr-histogram-js';
 
 /**
 A histogram of run times that drops old values.
--- a/packages/galenakeeld/src/process/fleet/__tests__/claim-review.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/claim-review.steps.ts
@@ -34,7 +34,7 @@
 			revision: () => 1,
 		},
 		view: {all: () => [], revision: () => this.viewRevision},
-		self: () => {
+		self() {
 			throw new Error('the claims are not decided here');
 		},
 		mayClaim: () => true,
--- a/packages/galenakeeld/src/process/percentiles.ts
+++ b/packages/galenakeeld/src/process/percentiles.ts
@@ -1,5 +1,7 @@
 import {performance} from 'node:perf_hooks';
-import {build, type Histogram} from 'hdr-histogram-js';
+// The entry of the package also loads its readers and writers of logs.
+import {build} from 'hdr-histogram-js/dist/HistogramBuilder.js';
+import type {Histogram} from 'hdr-histogram-js';
 import {
 	MetricType, quantileLabel, type MetricFamily, type MetricSample,
 } from './prometheus-text.js';
