--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -91,11 +91,13 @@
 };
 
 /** Maximum wait of a poll while runs are active: a poll whose answer is lost delays their ends for this time only. */
-const busyPollWaitMilliseconds = 150;
+const busyPollWaitMilliseconds = 250;
 /** Number of simultaneous starts without an answer from which an endpoint gets no more. */
 const maximumUnconfirmedStarts = 2;
-/** The lease of a run that starts during an idle poll is extended by the next poll. */
-const idlePollWaitMilliseconds = 500;
+/** Maximum wait of a poll while no run is active. */
+const idlePollWaitMilliseconds = 1000;
+/** Interval at which leases are extended while an idle poll is still waiting. */
+const extendMilliseconds = 400;
 /** Maximum wait of a poll while a run is active whose end may never be reported. */
 const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
@@ -105,6 +107,7 @@
 const stallAgeMilliseconds = 700;
 const insufficientCapacityCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
+const noJobs: readonly string[] = [];
 
 /**
 Creates the control of one incarnation of an endpoint.
@@ -133,6 +136,9 @@
 	let polledToken = 0;
 	let isClosed = false;
 	let cooldownEndsAt = 0;
+	/** A poll is waiting that was sent while no run was active, and so extended no lease. */
+	let isIdlePollWaiting = false;
+	let extendTimer: NodeJS.Timeout | undefined;
 
 	const hasOrphans = (): boolean => orphans.active().length > 0;
 
@@ -154,7 +160,14 @@
 	};
 
 	/** The lease of an endpoint covers all its runs, so the run that has to end first limits it. */
-	const leaseLimitAt = (): number => Math.min(...[...runs].map(run => run.leaseLimitAt()));
+	const leaseLimitAt = (): number => {
+		let limitAt = Number.POSITIVE_INFINITY;
+		for (const run of runs) {
+			limitAt = Math.min(limitAt, run.leaseLimitAt());
+		}
+
+		return limitAt;
+	};
 
 	const abandon = (run: Run): void => {
 		abandonedRuns.add(run);
@@ -191,10 +204,28 @@
 	const hasClosed = (): boolean => isClosed;
 
 	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
-	const hasTooManyUnconfirmedStarts = (): boolean => [...runs].filter(({isUnconfirmed, state}) => isUnconfirmed && state === RunState.Starting).length >= maximumUnconfirmedStarts;
+	const hasTooManyUnconfirmedStarts = (): boolean => {
+		let unconfirmed = 0;
+		for (const {isUnconfirmed, state} of runs) {
+			unconfirmed += isUnconfirmed && state === RunState.Starting ? 1 : 0;
+		}
+
+		return unconfirmed >= maximumUnconfirmedStarts;
+	};
 
 	const isActive = (run: Run): boolean => runs.has(run);
 
+	/** The run of this owner that an endpoint reports. */
+	const findRun = (reported: Pick<ActiveRun, 'task' | 'attempt'>): Run | undefined => {
+		for (const run of runs) {
+			if (isRunOf(run, reported)) {
+				return run;
+			}
+		}
+
+		return undefined;
+	};
+
 	/** Repeats a stop until the endpoint has carried it out or the lease has expired. */
 	const stopUntilEnded = async (run: Run): Promise<void> => {
 		while (isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
@@ -301,7 +332,7 @@
 	/** Records an end. Returns whether it is of a run of an earlier owner. */
 	const onEnded = (ended: EndedRun): boolean => {
 		acknowledged = Math.max(acknowledged, ended.sequence);
-		const run = [...runs].find(one => isRunOf(one, ended));
+		const run = findRun(ended);
 		if (!run) {
 			orphans.recordEnd(ended);
 			return true;
@@ -357,7 +388,7 @@
 			}
 		}
 
-		orphans.install(active.filter(one => ![...runs].some(run => isRunOf(run, one))));
+		orphans.install(active.filter(one => findRun(one) === undefined));
 	};
 
 	const onReport = (report: EndpointReport, polledAt: number): void => {
@@ -455,6 +486,17 @@
 		}
 	}
 
+	/** Extends the leases of runs that were started during an idle poll, until that poll ends. */
+	const extendDuringIdlePoll = (): void => {
+		extendTimer ??= setTimeout(() => {
+			extendTimer = undefined;
+			if (isIdlePollWaiting && runs.size > 0 && !isClosed) {
+				void pollNow();
+				extendDuringIdlePoll();
+			}
+		}, extendMilliseconds);
+	};
+
 	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
 	async function resolveUnknown(run: Run): Promise<void> {
 		await pollNow();
@@ -500,6 +542,10 @@
 			const run = createRun(request, RunState.Starting);
 			addRun(run);
 			void sendStart(run, request.specification);
+			if (isIdlePollWaiting) {
+				extendDuringIdlePoll();
+			}
+
 			return run.ended.promise;
 		},
 		adopt(request) {
@@ -524,11 +570,13 @@
 				}
 			}
 		},
-		strayJobs: () => canRunStrays() ? [...orphans.active(), ...abandonedRuns].map(({task}) => task.job) : [],
+		strayJobs: () => (abandonedRuns.size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...abandonedRuns].map(({task}) => task.job) : noJobs,
 		async run() {
 			while (!hasClosed()) {
 				const polledAt = performance.now();
+				isIdlePollWaiting = runs.size === 0;
 				const {outcome, report} = await poll(pollWaitMilliseconds());
+				isIdlePollWaiting = false;
 				if (isClosed) {
 					break;
 				}
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -5,23 +5,24 @@
 import {createEndpointClient} from '@galenakeel/platform/connection/endpoint-client.js';
 import {createStoreClient} from '@galenakeel/platform/connection/store-client.js';
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
+import type {MemberRow} from '@galenakeel/model/connection/store-calls.js';
 import {detailOf} from '@galenakeel/model/request/fault.js';
-import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
-import {findQueue, type Queue} from '@galenakeel/model/version/queue-configuration.js';
+import {JobEnd} from '@galenakeel/model/request/job.js';
+import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import {createPeerStream, serveFleet} from '../../connection/fleet-service.js';
-import {holdJob, type JobAnswer} from '../../request/hold-job.js';
-import {createCell} from '../cells/cell.js';
+import {holdJob} from '../../request/hold-job.js';
+import {createCell, isRoutine} from '../cells/cell.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
-import {
-	cellOfEndpoint, homeCellOf, weightOfCell, zoneOfCell,
-} from './cell-layout.js';
-import {findOwner} from './cell-claims.js';
+import {cellOfEndpoint} from './cell-layout.js';
+import {createCellOwners} from './cell-owners.js';
 import {createCellLayoutWatch} from './cell-layout-watch.js';
 import {describeClaim, describeYield} from './cell-log.js';
+import {createClaimReview} from './claim-review.js';
 import {createDiscovery} from './discovery.js';
 import {createCellLoads} from './cell-loads.js';
+import {createConfigurationAnnouncements} from './configuration-announcements.js';
 import {createConfigurationWatch} from './configuration-watch.js';
 import {createDaemonLoad, isWorthLogging} from './daemon-load.js';
 import {createRateLimitedLog} from './rate-limited-log.js';
@@ -31,16 +32,19 @@
 import {createFleetMetrics} from './fleet-metrics.js';
 import type {FleetSettings} from './fleet-settings.js';
 import {createFleetView} from './fleet-view.js';
-import {
-	createHeldJobs, HolderEvent, type CellOwner, type HeldJob,
-} from './held-jobs.js';
+import {mediumInterval, shortInterval, Urgency} from './heartbeat-interval.js';
+import {createHeldJobs} from './held-jobs.js';
+import {createJobIntake, refusalOf} from './job-intake.js';
 import {closeServer, listen} from './listen.js';
+import {createNotification} from './notification.js';
 import {createLoadAnnouncements} from './load-announcements.js';
 import {createEndpointProbe} from './endpoint-probe.js';
 import {createPauseDetector} from './pause-detector.js';
+import {selectPeers} from './peer-selection.js';
 import {readProcessUsage} from './process-usage.js';
 import {createRecentCancels} from './recent-cancels.js';
 import {createSelfDescription} from './self-description.js';
+import {createRollCall} from './roll-call.js';
 import {watchEndpoints, watchMembers, type TryStore} from './store-watches.js';
 import {createOwnedCells} from './owned-cells.js';
 
@@ -55,14 +59,12 @@
 const tickMilliseconds = 50;
 const announceLoadsMilliseconds = 10;
 const maximumLinesPerEvent = 40;
+/** The same for events of jobs that take their usual course. */
+const maximumRoutineLines = 3;
 /** Gap between two ticks from which the process counts as paused. */
 const pauseThresholdMilliseconds = 500;
-/** Time since the last confirmation by the store up to which the configuration counts as current. */
-const configurationFreshnessMilliseconds = 2500;
 /** Maximum time for which a run continues after its lease: allows for a slow clock, and for the time until an owner detects the loss of its holder. */
 const leaseSlackMilliseconds = 300;
-/** Time in which heartbeats show the owner whose token an endpoint accepts. */
-const fenceDelayMilliseconds = 400;
 /** Time until the platform has detected that a leaving daemon is no longer ready. */
 const announceMilliseconds = 2200;
 /** Share of the drain limit in which a leaving daemon still accepts jobs, since callers keep using their open connections. */
@@ -86,26 +88,27 @@
 */
 export const startFleetDaemon = async (settings: FleetSettings, log: Log): Promise<FleetDaemon> => {
 	const startedAt = Date.now();
-	const monotonicStartedAt = performance.now();
 	const self = settings.listen.peers;
 	const logEvent = createRateLimitedLog(log, maximumLinesPerEvent);
+	const logRoutine = createRateLimitedLog(log, maximumRoutineLines);
 	const metrics = createFleetMetrics();
 	const view = createFleetView();
 	const heldJobs = createHeldJobs();
+	const rollCall = createRollCall(() => view.all().filter(({zone}) => zone === settings.zone).map(({address}) => address));
 	const discovery = createDiscovery({lastHeardAt: address => view.get(address)?.lastHeartbeatAt, hasReachablePeers: () => view.all().length > 0});
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
 	const leaving = new AbortController();
 	let isServing = false;
-	/** Monotonic milliseconds up to which jobs are accepted. */
-	let acceptsUntil = Number.POSITIVE_INFINITY;
 
 	const store = createStoreClient(settings.platform.address, key => {
 		logEvent(FleetEvent.UnreadableEntry, {key});
 	});
 
 	const configuration = createConfigurationWatch(store, {
-		onInstall({version, queues}) {
-			log.info({event: FleetEvent.ConfigurationInstalled, version, queues: queues.length});
+		onInstall({version, queues, unreadableQueues}) {
+			log.info({
+				event: FleetEvent.ConfigurationInstalled, version, queues: queues.length, unreadableQueues,
+			});
 		},
 		onLost(detail) {
 			log.warn({event: FleetEvent.StoreLost, detail});
@@ -113,6 +116,7 @@
 		onRegained() {
 			log.info({event: FleetEvent.StoreRegained});
 		},
+		daemons: () => view.all().length + 1,
 	});
 
 	const tryStore: TryStore = async (call, perform) => {
@@ -135,7 +139,8 @@
 		},
 	});
 
-	const loads = createCellLoads(layout.cells, view);
+	const loads = createCellLoads({cells: layout.cells, view, claimantOf: cell => owners.claimantOf(cell)});
+	const claimed = createNotification();
 	const probeEndpoints = createEndpointProbe(createEndpointClient);
 
 	const cells = createOwnedCells({
@@ -160,23 +165,25 @@
 			kindFactors: () => loads.kindFactors(name),
 			onRedirected: loads.recordRedirect,
 			onFenced() {
-				fencedAt.set(name, fencedAt.get(name) ?? performance.now());
+				claims.recordFenced(name);
 			},
 			onDecision(decision, fields) {
 				metrics.countDecision(decision);
-				logEvent(decision, {cell: name, ...fields});
+				const write = isRoutine(decision) ? logRoutine : logEvent;
+				write(decision, {cell: name, ...fields});
 			},
 			onTaskWait: metrics.recordTaskWait,
 		}),
 		onClaimed(cell, token, reason) {
 			log.info({event: FleetEvent.CellClaimed, ...describeClaim(cell, token, reason)});
+			claimed.notify();
 		},
 		onYielded(token, cell) {
 			log.info({event: FleetEvent.CellYielded, ...describeYield(token, cell)});
 		},
 	});
 	const daemonLoad = createDaemonLoad({
-		timerMilliseconds: announceLoadsMilliseconds,
+		timerMilliseconds: tickMilliseconds,
 		readUsage: readProcessUsage,
 		held: heldJobs.count,
 		cells: cells.all,
@@ -187,8 +194,14 @@
 			}
 		},
 	});
-	/** Monotonic milliseconds at which an endpoint of a cell was first found to accept the token of another owner. */
-	const fencedAt = new Map<string, number>();
+
+	const urgencyOf = (address: string): Urgency => {
+		if (rollCall.includes(address)) {
+			return Urgency.RollCall;
+		}
+
+		return heldJobs.hasJobsAt(address) ? Urgency.Jobs : Urgency.None;
+	};
 
 	const description = createSelfDescription({
 		settings,
@@ -198,12 +211,16 @@
 		cellCounts: layout.counts,
 		configurationVersion: () => configuration.current()?.version ?? -1,
 		isLeaving: () => leaving.signal.aborted,
+		urgencyOf,
 	});
 
-	const ownerOf = (cell: string): CellOwner | undefined => {
-		const owner = findOwner(cell, [description.claimant(), ...view.all()]);
-		return owner && {address: owner.address, ...owner.claims.get(cell)!};
-	};
+	const owners = createCellOwners({
+		zone: settings.zone,
+		cells: layout.cells,
+		daemons: () => [description.claimant(), ...view.all()],
+		revisions: () => [view.revision(), cells.revision(), leaving.signal.aborted],
+		isConnected: address => links.isConnected(address),
+	});
 
 	const onMessage = (message: FleetMessage, from: string): void => {
 		switch (message.kind) {
@@ -212,6 +229,11 @@
 				break;
 			}
 
+			case FleetMessageKind.KeepAlive: {
+				// Changes nothing but the time of the last heartbeat.
+				break;
+			}
+
 			case FleetMessageKind.Submit: {
 				cells.raiseTokenAbove(message.cell, message.order.highestToken);
 				cells.get(message.cell)?.submit(from, message.order);
@@ -230,6 +252,7 @@
 
 			case FleetMessageKind.Load: {
 				view.receiveLoad(from, message.cell, message.load);
+				loads.recordLoad(message.cell, message.load);
 				break;
 			}
 
@@ -249,12 +272,10 @@
 		}
 	};
 
-	const onHeartbeat = ({address, configurationVersion, claims, cellCounts}: Heartbeat): void => {
+	const onHeartbeat = ({claims, cellCounts}: Heartbeat): void => {
 		layout.offer(cellCounts);
-		loads.recordClaims(claims);
-		const current = configuration.current();
-		if (current && configurationVersion < current.version) {
-			links.send(address, {kind: FleetMessageKind.Configuration, configuration: current});
+		for (const {cell, load} of claims) {
+			loads.recordLoad(cell, load);
 		}
 	};
 
@@ -264,18 +285,19 @@
 		address: self,
 		view,
 		createHeartbeat: description.createHeartbeat,
+		createKeepAlive: description.createKeepAlive,
+		descriptionRevision: description.revision,
 		heartbeatIntervalTo: description.heartbeatIntervalTo,
 		onMessage,
 		onPeerReachable(peer) {
 			const {instance, address, startedAt: peerStartedAt} = peer;
 			if (view.all().length === 1) {
 				discovery.restart();
+				startRollCall();
 			}
 
 			lists.synchronize(peer);
-			log.info({
-				event: FleetEvent.PeerReachable, peer: instance, address, startedAt: peerStartedAt,
-			});
+			logRoutine(FleetEvent.PeerReachable, {peer: instance, address, startedAt: peerStartedAt});
 		},
 		onRefused: discovery.recordRefused,
 		onPeerLost(peer, cause) {
@@ -285,12 +307,18 @@
 				event: FleetEvent.PeerLost, peer: instance, address, cause, silentMilliseconds,
 			});
 			cells.recordLoss(peer, cause, silentMilliseconds);
+			if (peer.claims.size > 0 && peer.zone === settings.zone) {
+				startRollCall();
+			}
+
 			for (const cell of cells.all()) {
 				cell.dropHolder(address);
 			}
 
 			// Several peers may be lost at once, and a claim must take all of these losses into account.
-			setImmediate(review);
+			setImmediate(() => {
+				claims.review();
+			});
 		},
 		onStreamOpened(address) {
 			daemonLoad.recordStreamOpened();
@@ -316,47 +344,77 @@
 		send: links.send,
 	});
 
+	/** Daemons of the last list of the store. */
+	let members: readonly MemberRow[] = [];
+
+	const connectToPeers = (): void => {
+		const selecting = {address: self, zone: settings.zone, isOwner: cells.count() > 0};
+		links.connect(selectPeers(selecting, members.map(({address, zone}) => ({address, zone, isOwner: false}))));
+	};
+
 	const isZoneConnected = (): boolean => view.all().every(({zone, address}) => zone !== settings.zone || links.isConnected(address));
 
-	const review = (): void => {
-		if (cells.reviewClaims(description.claimant, view.all(), {ageMilliseconds: performance.now() - monotonicStartedAt, mayClaim: discovery.isOver(), mayHandOver: isZoneConnected()})) {
+	/** Finds out which daemons of the zone are alive, since one of them has to claim a cell. */
+	function startRollCall(): void {
+		rollCall.start();
+		links.reviewIntervals();
+	}
+
+	const claims = createClaimReview({
+		cells,
+		view,
+		self: description.claimant,
+		mayClaim: discovery.isOver,
+		mayHandOver: isZoneConnected,
+		onClaimsChanged() {
+			connectToPeers();
 			links.sendHeartbeats();
-		}
+		},
+		onReviewed() {
+			heldJobs.checkOwners(owners.ownerOf);
+		},
+		onFenceReviewed(cell) {
+			log.warn({event: FleetEvent.CellFenced, cell, peers: view.all().length});
+		},
+	});
 
-		heldJobs.checkOwners(ownerOf);
+	const announceLoads = createLoadAnnouncements({claims: cells.claims, peers: view.all, send: links.send});
+	let loadTimer: NodeJS.Timeout | undefined;
+
+	/** Announces loads only while this daemon owns a cell. */
+	const reviewLoadTimer = (): void => {
+		if (cells.count() > 0) {
+			loadTimer ??= setInterval(announceLoads, announceLoadsMilliseconds);
+		} else {
+			clearInterval(loadTimer);
+			loadTimer = undefined;
+		}
 	};
 
-	/** Takes back cells whose endpoints accept another daemon than the known owner, once heartbeats have had time to show that daemon as the owner. */
-	const reviewFences = (): void => {
-		if (!discovery.isOver()) {
-			return;
+	const announceConfiguration = createConfigurationAnnouncements({
+		zone: settings.zone, current: configuration.current, peers: view.all, send: links.send,
+	});
+
+	/** Peers on which something depends now must be heard soon, although their heartbeats were infrequent before. */
+	const expectUrgentPeers = (): void => {
+		for (const address of heldJobs.assignedOwners()) {
+			view.expectWithin(address, mediumInterval.silentAfterMilliseconds);
 		}
 
-		for (const [cell, at] of fencedAt) {
-			if (performance.now() - at > fenceDelayMilliseconds) {
-				fencedAt.delete(cell);
-				if (cells.get(cell)) {
-					log.warn({event: FleetEvent.CellFenced, cell, peers: view.all().length});
-					cells.reclaimOrYield(cell, view.all().length > 0);
-					links.sendHeartbeats();
-				}
-			}
+		for (const address of rollCall.expected()) {
+			view.expectWithin(address, shortInterval.silentAfterMilliseconds);
 		}
 	};
 
-	const announceLoads = createLoadAnnouncements({claims: cells.claims, peers: view.all, send: links.send});
-	const loadTimer = setInterval(() => {
-		daemonLoad.recordTick();
-		announceLoads();
-	}, announceLoadsMilliseconds);
-
 	const measureGap = createPauseDetector(pauseThresholdMilliseconds);
 
 	const tick = (): void => {
+		daemonLoad.recordTick();
 		const {milliseconds, isPause, followsPause} = measureGap();
 		if (isPause) {
 			log.warn({event: FleetEvent.Paused, milliseconds: Math.round(milliseconds)});
 			discovery.restart();
+			startRollCall();
 		}
 
 		if (isPause && !followsPause) {
@@ -365,91 +423,42 @@
 			return;
 		}
 
+		expectUrgentPeers();
 		links.removeSilentPeers();
-		review();
-		reviewFences();
+		claims.reviewIfDue();
+		claims.reviewFences();
+		reviewLoadTimer();
+		announceConfiguration();
 	};
 
 	const timer = setInterval(tick, tickMilliseconds);
 
-	/** An owner that can be heard but not reached gets no job. */
-	const connectedOwnerOf = (cell: string): CellOwner | undefined => {
-		const owner = ownerOf(cell);
-		return owner && links.isConnected(owner.address) ? owner : undefined;
-	};
-
-	const awaitOwner = async (cell: string, waitMilliseconds: number): Promise<CellOwner | undefined> => {
-		const until = performance.now() + waitMilliseconds;
-		for (;;) {
-			const owner = connectedOwnerOf(cell);
-			if (owner !== undefined || performance.now() >= until) {
-				return owner;
-			}
-
-			await sleep(Math.min(statePollMilliseconds, Math.max(1, until - performance.now())));
-		}
-	};
-
-	/** Cells with a reachable owner, those of this daemon's zone first. */
-	const ownedCells = (): readonly string[] => layout.cells()
-		.filter(cell => connectedOwnerOf(cell) !== undefined)
-		.toSorted((first, second) => Number(zoneOfCell(second) === settings.zone) - Number(zoneOfCell(first) === settings.zone));
-
-	const findHomeCell = (job: Job): string => {
-		const weighted = layout.cellsOf(settings.zone).map(cell => ({cell, weight: weightOfCell(cells.endpointsOf(cell)?.length ?? 0)}));
-		const hasRack = (cell: string, rack: string): boolean => cells.endpointsOf(cell)?.some(({labels}) => labels.includes(rack)) ?? false;
-		return homeCellOf(job, weighted, hasRack) ?? settings.zone;
-	};
-
-	const submit = async (job: Job, queue: Queue, disconnected: AbortSignal): Promise<JobAnswer> => {
-		const arrivedAt = performance.now();
-		const homeCell = findHomeCell(job);
-		const heldParts = new Set<HeldJob>();
-		disconnected.addEventListener('abort', () => {
-			for (const {updates} of heldParts) {
-				updates.push({kind: HolderEvent.CallerDisconnected});
-			}
-		});
-		const answer = await holdJob(job, queue, {
-			homeCell,
-			hold(part) {
-				const held = heldJobs.hold(job.identifier, part);
-				heldParts.add(held);
-				return held;
-			},
-			awaitOwner,
-			otherCells: () => ownedCells().filter(cell => cell !== homeCell),
-			send({address}, message) {
-				recentCancels.record(address, message);
-				links.send(address, message);
-			},
-			leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
-		});
-		const milliseconds = performance.now() - arrivedAt;
-		metrics.recordJob(queue.name, answer.end, milliseconds);
-		logEvent(FleetEvent.JobAnswered, {
-			job: job.identifier, queue: queue.name, end: answer.end ?? 'unknown', ...(answer.end === JobEnd.Refused && {reason: answer.reason}), milliseconds: Math.round(milliseconds),
-		});
-		return answer;
-	};
+	const intake = createJobIntake({
+		zone: settings.zone,
+		hold: holdJob,
+		configuration,
+		layout,
+		endpointsOf: cells.endpointsOf,
+		heldJobs,
+		owners,
+		send(address, message) {
+			recentCancels.record(address, message);
+			links.send(address, message);
+		},
+		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
+		onAnswered({job, queue, answer, milliseconds}) {
+			const reason = refusalOf(answer);
+			metrics.recordJob(queue, answer.end, milliseconds);
+			const write = answer.end === JobEnd.Complete ? logRoutine : logEvent;
+			write(FleetEvent.JobAnswered, {
+				job, queue, end: answer.end ?? 'unknown', ...(reason !== undefined && {reason}), milliseconds: Math.round(milliseconds),
+			});
+		},
+	});
 
 	const callerServer = createCallerServer<Queue>({
-		findQueue(host, path) {
-			if (performance.now() > acceptsUntil) {
-				return RefusalReason.Leaving;
-			}
-
-			const current = configuration.current();
-			if (!current) {
-				return RefusalReason.NoConfiguration;
-			}
-
-			const queue = findQueue(current, host, path);
-			// The queue may exist in a newer configuration that this daemon has missed.
-			const refusal = configuration.ageMilliseconds() < configurationFreshnessMilliseconds ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
-			return queue ? {queue, pathPrefix: queue.pathPrefix} : refusal;
-		},
-		submit,
+		findQueue: intake.findQueue,
+		submit: intake.submit,
 		maximumBodyBytes: () => configuration.current()?.limits.bodyBytes ?? 0,
 		isLeaving: () => leaving.signal.aborted,
 		onFailure(detail) {
@@ -458,7 +467,7 @@
 	});
 	const areHomeCellsOwned = (): boolean => {
 		const names = layout.cellsOf(settings.zone);
-		return names.length > 0 && names.every(cell => ownerOf(cell) !== undefined && cells.endpointsOf(cell) !== undefined);
+		return names.length > 0 && names.every(cell => owners.ownerOf(cell) !== undefined && cells.endpointsOf(cell) !== undefined);
 	};
 
 	const isReady = (): boolean => isServing && !leaving.signal.aborted && configuration.current() !== undefined && areHomeCellsOwned();
@@ -481,13 +490,14 @@
 		tryStore,
 		leaving: leaving.signal,
 		self: {instance: settings.instance, address: self, zone: settings.zone},
-		onMembers(members) {
-			discovery.expect(members.filter(({zone, address}) => zone === settings.zone && address !== self).map(({address}) => address));
-			links.connect(members.map(({address}) => address));
+		onMembers(rows) {
+			members = rows;
+			discovery.expect(rows.filter(({zone, address}) => zone === settings.zone && address !== self).map(({address}) => address));
+			connectToPeers();
 		},
 	});
 	void watchEndpoints({
-		store, tryStore, leaving: leaving.signal, ownedCells: cells.count, install(entries) {
+		store, tryStore, leaving: leaving.signal, ownedCells: cells.count, awaitClaim: claimed.wait, install(entries) {
 			cells.install(entries);
 			lists.announce();
 		},
@@ -498,7 +508,7 @@
 		async leave() {
 			const limitAt = performance.now() + settings.drain.limitMilliseconds - drainReserveMilliseconds;
 			leaving.abort();
-			acceptsUntil = performance.now() + (acceptingShare * settings.drain.limitMilliseconds);
+			intake.closeAt(performance.now() + (acceptingShare * settings.drain.limitMilliseconds));
 			log.info({event: FleetEvent.Leaving, held: heldJobs.count()});
 			links.sendHeartbeats();
 			void tryStore('removeMember', async () => store.removeMember(settings.instance));
--- a/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
@@ -16,31 +16,60 @@
 	readonly isOwner: boolean;
 };
 
-/** Between an owner of a cell and all others: daemons of its zone take the cell over when it fails, and it keeps the leases of a holder's runs only while it hears the holder. */
+/**
+Why two daemons have to detect each other's loss sooner than their roles ask for.
+*/
+export enum Urgency {
+	None,
+	/** One of them holds jobs that are assigned to the other. Leases of a silent holder's runs end within a second anyway. */
+	Jobs,
+	/** A daemon of the zone has to claim a cell and must know who is alive. */
+	RollCall,
+}
+
+/** Where a loss has to be detected quickly: that of an owner by its zone. */
 export const shortInterval: HeartbeatInterval = {heartbeatMilliseconds: 200, silentAfterMilliseconds: 700};
-/** Between daemons of a zone that own no cell. */
+/** Between owners of different zones, which redirect jobs to each other, and between an owner and the holder of jobs at it. */
 export const mediumInterval: HeartbeatInterval = {heartbeatMilliseconds: 400, silentAfterMilliseconds: 1200};
 /** Between all others, to limit heartbeat traffic, which grows with the square of the fleet size. */
-export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 2000, silentAfterMilliseconds: 6000};
+export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 2000, silentAfterMilliseconds: 4500};
+
+const hasInterval = (silenceMilliseconds: number) => ({silentAfterMilliseconds}: HeartbeatInterval): boolean => silentAfterMilliseconds <= silenceMilliseconds;
 
 /**
-Returns the heartbeat interval between two daemons. Daemons of one zone take over each other's cells, and the owner of a cell and the holders of its jobs wait for each other. All other daemons only pass on addresses of peers.
+Returns how soon a daemon needs to detect the loss of a peer, as the interval at which that peer has to send heartbeats. Daemons of a zone take over the cells of an owner; an owner and the holder of jobs that are assigned to it wait for each other.
 
 @param peer Undefined until its first heartbeat arrives.
-
 @example
 ```
-heartbeatIntervalBetween({zone: 'ie-south-a', isOwner: false}, {zone: 'ie-south-b', isOwner: true}).heartbeatMilliseconds; // => 200
+neededIntervalOf({zone: 'north', isOwner: false}, {zone: 'north', isOwner: true}, Urgency.None).silentAfterMilliseconds; // => 700
 ```
 */
-export const heartbeatIntervalBetween = (self: DaemonRole, peer: DaemonRole | undefined): HeartbeatInterval => {
-	if (peer === undefined) {
+export const neededIntervalOf = (self: DaemonRole, peer: DaemonRole | undefined, urgency: Urgency): HeartbeatInterval => {
+	if (peer === undefined || urgency === Urgency.RollCall) {
 		return shortInterval;
 	}
 
-	if (self.isOwner || peer.isOwner) {
+	const isOfZone = self.zone === peer.zone;
+	if (isOfZone && peer.isOwner) {
 		return shortInterval;
 	}
 
-	return self.zone === peer.zone ? mediumInterval : longInterval;
+	const areOwners = !isOfZone && self.isOwner && peer.isOwner;
+	return areOwners || urgency === Urgency.Jobs ? mediumInterval : longInterval;
+};
+
+/**
+Returns the interval at which a daemon sends heartbeats to a peer: the longest one with which the peer detects a loss as soon as it needs to.
+
+@param neededSilenceMilliseconds The silence that the peer stated in its last heartbeat.
+@example
+```
+heartbeatIntervalBetween({zone: 'north', isOwner: true}, {zone: 'south', isOwner: false}, 4500, Urgency.None).heartbeatMilliseconds; // => 2000
+```
+*/
+export const heartbeatIntervalBetween = (self: DaemonRole, peer: DaemonRole | undefined, neededSilenceMilliseconds: number, urgency: Urgency): HeartbeatInterval => {
+	// The peer's role may have changed since it stated its need.
+	const byRoles = peer === undefined ? shortInterval : neededIntervalOf(peer, self, urgency);
+	return [longInterval, mediumInterval].find(interval => hasInterval(Math.min(neededSilenceMilliseconds, byRoles.silentAfterMilliseconds))(interval)) ?? shortInterval;
 };
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -10,6 +10,8 @@
 export enum FleetMessageKind {
 	/** Heartbeat with the cells that the sender owns and their load. */
 	Heartbeat = 'beat',
+	/** Heartbeat of a sender whose description has not changed since its last full heartbeat on the stream. */
+	KeepAlive = 'keep-alive',
 	/** A holder submits a job to the owner of a cell. */
 	Submit = 'submit',
 	/** A holder cancels a job. */
@@ -51,6 +53,8 @@
 	readonly free: readonly FreeCapacity[];
 	/** Queued work divided by the cell's capacity: milliseconds until the present queue is worked off. */
 	readonly backlogMilliseconds: number;
+	/** Jobs wait, or so little capacity is free that jobs may have to be redirected soon. */
+	readonly isShortOfCapacity: boolean;
 	/** Ratio of expected run time to estimate by kind of endpoint, for the kinds that the owner has measured. */
 	readonly kindFactors: Readonly<Record<string, number>>;
 };
@@ -83,16 +87,29 @@
 	readonly processor: number;
 	/** Time without messages after which the receiver may regard the sender as lost. */
 	readonly silentAfterMilliseconds: number;
+	/** Time without messages after which the sender needs to regard the receiver as lost. */
+	readonly neededSilenceMilliseconds: number;
 	readonly claims: readonly CellClaim[];
 	readonly configurationVersion: number;
 	/** The sender is shutting down and makes no new claims. */
 	readonly isLeaving: boolean;
-	/** Addresses of the daemons from which the sender receives heartbeats. */
+	/** Addresses of daemons that the receiver should exchange heartbeats with. */
 	readonly known: readonly string[];
 	/** Number of cells of each availability zone, where the sender knows it. */
 	readonly cellCounts: Readonly<Record<string, number>>;
 };
 
+/**
+Short form of a heartbeat.
+*/
+export type KeepAlive = {
+	readonly kind: FleetMessageKind.KeepAlive;
+	/** Time without messages after which the receiver may regard the sender as lost. */
+	readonly silentAfterMilliseconds: number;
+	/** Time without messages after which the sender needs to regard the receiver as lost. */
+	readonly neededSilenceMilliseconds: number;
+};
+
 /**
 Job, or part of one, that a holder submits to the owner of a cell. Times are durations, since daemons share no clock.
 */
@@ -139,6 +156,7 @@
 
 export type FleetMessage
 	= | Heartbeat
+		| KeepAlive
 		| {readonly kind: FleetMessageKind.Submit; readonly cell: string; readonly order: JobOrder}
 		| {readonly kind: FleetMessageKind.Cancel; readonly cell: string; readonly job: string; readonly part: string}
 		| {readonly kind: FleetMessageKind.Started; readonly job: string; readonly part: string}
@@ -174,13 +192,23 @@
 */
 export const encodeFrame = (frame: FleetFrame): Uint8Array => Buffer.from(JSON.stringify(frame));
 
+type ParsedFrame = {readonly sentAt?: unknown; readonly messages?: unknown};
+
+const parseFrame = (text: string): ParsedFrame => {
+	try {
+		return (JSON.parse(text) ?? {}) as ParsedFrame;
+	} catch (error) {
+		throw createFault(FaultKind.MalformedRequest, 'the peer sent what is no JSON', error);
+	}
+};
+
 /**
 Decodes a frame from a peer. Messages of unknown kinds are ignored, so that peers of a newer version can send them.
 
-@throws A fault of kind `MalformedRequest` if the JSON is not a frame; a `SyntaxError` if the bytes are not JSON.
+@throws A fault of kind `MalformedRequest` if the bytes are not the JSON of a frame.
 */
 export const decodeFrame = (bytes: Uint8Array): FleetFrame => {
-	const {sentAt, messages} = JSON.parse(Buffer.from(bytes).toString()) as {readonly sentAt?: unknown; readonly messages?: unknown};
+	const {sentAt, messages} = parseFrame(Buffer.from(bytes).toString());
 	if (typeof sentAt !== 'number' || !Array.isArray(messages)) {
 		throw createFault(FaultKind.MalformedRequest, 'the peer sent what is no frame of messages');
 	}
