--- a/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.feature
@@ -23,3 +23,13 @@
     Given "n1" have version 6
     When announcements are due for 3000 ms
     Then the configuration was sent to "n1, n1"
+
+  Scenario Outline: One of <daemons> daemons reads the store less often, since they pass on newer versions
+    Then one of <daemons> daemons waits <wait> ms for a change, and reads the configuration each <interval> ms
+
+    Examples:
+      | daemons | wait | interval |
+      | 1       | 800  | 1200     |
+      | 19      | 800  | 1200     |
+      | 38      | 1800 | 3600     |
+      | 97      | 1800 | 10000    |
--- a/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.steps.ts
@@ -5,6 +5,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import type {QueueConfiguration} from '@galenakeel/model/version/queue-configuration.js';
 import {createConfigurationAnnouncements} from '../configuration-announcements.js';
+import {awaitChangeFor, readIntervalFor} from '../configuration-watch.js';
 import type {Peer} from '../fleet-view.js';
 
 type AnnouncementWorld = {
@@ -54,6 +55,11 @@
 	}
 });
 
+Then('one of {int} daemons waits {int} ms for a change, and reads the configuration each {int} ms', (daemons: number, wait: number, interval: number) => {
+	assert.equal(awaitChangeFor(daemons), wait);
+	assert.equal(readIntervalFor(daemons), interval);
+});
+
 Then('the configuration was sent to {string}', function (this: AnnouncementWorld, names: string) {
 	assert.equal(this.sentConfigurations.join(', '), names);
 });
--- a/packages/galenakeeld/src/process/fleet/configuration-watch.ts
+++ b/packages/galenakeeld/src/process/fleet/configuration-watch.ts
@@ -18,13 +18,28 @@
 	readonly close: () => void;
 };
 
+/** Time for which a call waits for a change, for each few daemons. The store confirms the configuration at the end of each call. */
 const awaitChangeMilliseconds = 800;
+const maximumAwaitMilliseconds = 1800;
 const retryMilliseconds = 150;
 /** A watch of the store can miss changes, so the configuration is also read at this interval for each few daemons that pass on newer versions. */
 const readIntervalMilliseconds = 1200;
 const daemonsPerReadInterval = 10;
 const maximumReadIntervalMilliseconds = 10_000;
 
+const forFleet = (milliseconds: number, maximumMilliseconds: number, daemons: number): number =>
+	Math.min(maximumMilliseconds, milliseconds * Math.max(1, Math.floor(daemons / daemonsPerReadInterval)));
+
+/**
+Returns for how long one of several daemons waits for a change.
+
+@example
+```
+awaitChangeFor(31); // => 1800
+```
+*/
+export const awaitChangeFor = (daemons: number): number => forFleet(awaitChangeMilliseconds, maximumAwaitMilliseconds, daemons);
+
 /**
 Returns how often one of several daemons reads the configuration from the store.
 
@@ -33,8 +48,7 @@
 readIntervalFor(31); // => 3600
 ```
 */
-export const readIntervalFor = (daemons: number): number =>
-	Math.min(maximumReadIntervalMilliseconds, readIntervalMilliseconds * Math.max(1, Math.floor(daemons / daemonsPerReadInterval)));
+export const readIntervalFor = (daemons: number): number => forFleet(readIntervalMilliseconds, maximumReadIntervalMilliseconds, daemons);
 
 /**
 Creates a watch of the configuration in the store.
@@ -90,7 +104,7 @@
 	};
 
 	const wait = async (): Promise<void> => {
-		const change = await store.awaitConfiguration(revision, awaitChangeMilliseconds);
+		const change = await store.awaitConfiguration(revision, awaitChangeFor(handlers.daemons()));
 		confirm();
 		if (change.isHistoryGone) {
 			await read();
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -56,7 +56,7 @@
 	readonly leave: () => Promise<number>;
 };
 
-const tickMilliseconds = 50;
+const tickMilliseconds = 100;
 const announceLoadsMilliseconds = 10;
 const maximumLinesPerEvent = 40;
 /** The same for events of jobs that take their usual course. */
--- a/packages/model/src/version/queue-configuration.ts
+++ b/packages/model/src/version/queue-configuration.ts
@@ -33,6 +33,29 @@
 	};
 };
 
+const queuesOfConfigurations = new WeakMap<QueueConfiguration, ReadonlyMap<string, readonly Queue[]>>();
+
+/** The queues of each host, grouped once for a configuration. */
+const queuesByHost = (configuration: QueueConfiguration): ReadonlyMap<string, readonly Queue[]> => {
+	const known = queuesOfConfigurations.get(configuration);
+	if (known) {
+		return known;
+	}
+
+	const groups = new Map<string, Queue[]>();
+	for (const queue of configuration.queues) {
+		const group = groups.get(queue.host);
+		if (group) {
+			group.push(queue);
+		} else {
+			groups.set(queue.host, [queue]);
+		}
+	}
+
+	queuesOfConfigurations.set(configuration, groups);
+	return groups;
+};
+
 /**
 Finds the queue of a request: among the queues of its host, the one with the longest matching path prefix.
 
@@ -41,10 +64,10 @@
 findQueue(configuration, 'sheets.example', '/rerate/5c0e7a21d94b36f8')?.name; // => 'rerate'
 ```
 */
-export const findQueue = ({queues}: QueueConfiguration, host: string, path: string): Queue | undefined => {
+export const findQueue = (configuration: QueueConfiguration, host: string, path: string): Queue | undefined => {
 	let longest: Queue | undefined;
-	for (const queue of queues) {
-		const isMatch = queue.host === host && path.startsWith(queue.pathPrefix);
+	for (const queue of queuesByHost(configuration).get(host) ?? []) {
+		const isMatch = path.startsWith(queue.pathPrefix);
 		if (isMatch && (!longest || queue.pathPrefix.length > longest.pathPrefix.length)) {
 			longest = queue;
 		}
