--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -52,8 +52,8 @@
 	readonly onFrameReceived: FrameObserver;
 };
 
-/** What a peer was last told on the present connection. */
-type Told = {readonly revision: number; readonly at: number};
+/** The description that was last sent on a connection. */
+type SentDescription = {readonly revision: number; readonly at: number};
 
 const batchMilliseconds = 1;
 /** Interval of heartbeats with an unchanged description, which pass on addresses. */
@@ -74,7 +74,8 @@
 export const createFleetLinks = async (options: FleetLinksOptions): Promise<FleetLinks> => {
 	const {view, address: self} = options;
 	const streams = new Map<string, PeerStream>();
-	const told = new Map<string, Told>();
+	/** The last description that was sent to each peer on the present connection. */
+	const sentDescriptions = new Map<string, SentDescription>();
 
 	const reportLoss = (peer: Peer | undefined, cause: LossCause): void => {
 		if (peer) {
@@ -86,12 +87,12 @@
 	const createHeartbeat = (address: string): Heartbeat | KeepAlive => {
 		const now = performance.now();
 		const revision = options.descriptionRevision();
-		const before = told.get(address);
+		const before = sentDescriptions.get(address);
 		if (before?.revision === revision && now - before.at < repeatDescriptionMilliseconds) {
 			return options.createKeepAlive(address);
 		}
 
-		told.set(address, {revision, at: now});
+		sentDescriptions.set(address, {revision, at: now});
 		return options.createHeartbeat(address);
 	};
 
@@ -107,7 +108,7 @@
 				batchMilliseconds,
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnknownPeerMilliseconds,
 				onConnected() {
-					told.delete(address);
+					sentDescriptions.delete(address);
 					options.onStreamOpened(address);
 				},
 				onBroken(detail) {
--- a/packages/galenakeeld/src/process/fleet/load-announcements.ts
+++ b/packages/galenakeeld/src/process/fleet/load-announcements.ts
@@ -14,7 +14,7 @@
 /** Number of owners up to which each call announces to those that are short of capacity. Each further owner adds a call between two announcements, which bounds the messages of each owner. */
 const ownersPerCall = 3;
 /** Interval of announcements to an owner that has enough capacity of its own. */
-const unhurriedMilliseconds = 500;
+const relaxedMilliseconds = 500;
 
 /** An owner that is short of capacity redirects jobs by the loads of the others. */
 const isShort = ({loads}: Peer): boolean => [...loads.values()].some(({isShortOfCapacity}) => isShortOfCapacity);
@@ -50,12 +50,12 @@
 	};
 
 	const announce = ({cell, load}: CellClaim, owners: readonly Peer[], now: number): void => {
-		const isNews = hasBecomeShort({cell, load});
+		const isNewlyShort = hasBecomeShort({cell, load});
 		let text: string | undefined;
 		for (const owner of owners) {
 			const key = `${cell} ${owner.address}`;
 			const before = announced.get(key);
-			if (!isNews && !isShort(owner) && now - (before?.at ?? Number.NEGATIVE_INFINITY) < unhurriedMilliseconds) {
+			if (!isNewlyShort && !isShort(owner) && now - (before?.at ?? Number.NEGATIVE_INFINITY) < relaxedMilliseconds) {
 				continue;
 			}
 
