Heartbeats between daemons that only learn of claims each 3 s, idle polls 1.5 s

Change: 3 s and 1.5 s; a silent peer is lost after 4.5 s as before. The lease of a run that starts during an idle poll is extended as before.

Result: 3,600 heartbeats a second at most in a fleet of six zones with 16 daemons and three owners each, in place of 4,500 (test).

--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -109,7 +109,7 @@
 
   Scenario: A run that starts just after a poll of an idle endpoint was sent keeps its lease, also if answers are late
     Given an owner of these endpoints
-    When the endpoints run for 507 ms
+    When the endpoints run for 1007 ms
     And a job of 1 task is submitted by "first"
     And the endpoint of the run answers 60 ms late
     And the endpoints run for 3000 ms
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -95,7 +95,7 @@
 /** Number of simultaneous starts without an answer from which an endpoint gets no more. */
 const maximumUnconfirmedStarts = 2;
 /** Maximum wait of a poll while no run is active. */
-const idlePollWaitMilliseconds = 1000;
+const idlePollWaitMilliseconds = 1500;
 /** Interval at which leases are extended while an idle poll is still waiting. */
 const extendMilliseconds = 400;
 /** Maximum wait of a poll while a run is active whose end may never be reported. */
--- a/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.feature
@@ -50,5 +50,5 @@
     Then the view loses "near"
 
   Scenario: Heartbeat traffic doesn't grow with the square of the fleet size
-    Then a daemon of 4 zones with 70 daemons each, which owns no cell, sends at most 200 heartbeats a second
-    And the daemons of 6 zones with 16 daemons and 3 owners each send at most 4500 heartbeats a second in all
+    Then a daemon of 4 zones with 70 daemons each, which owns no cell, sends at most 150 heartbeats a second
+    And the daemons of 6 zones with 16 daemons and 3 owners each send at most 3600 heartbeats a second in all
--- a/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
@@ -32,7 +32,7 @@
 /** Between owners of different zones, which redirect jobs to each other, and between an owner and the holder of jobs at it. */
 export const mediumInterval: HeartbeatInterval = {heartbeatMilliseconds: 400, silentAfterMilliseconds: 1200};
 /** Between all others, to limit heartbeat traffic, which grows with the square of the fleet size. */
-export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 2000, silentAfterMilliseconds: 4500};
+export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 3000, silentAfterMilliseconds: 4500};
 
 const hasInterval = (silenceMilliseconds: number) => ({silentAfterMilliseconds}: HeartbeatInterval): boolean => silentAfterMilliseconds <= silenceMilliseconds;
 
@@ -65,7 +65,7 @@
 @param neededSilenceMilliseconds The silence that the peer stated in its last heartbeat.
 @example
 ```
-heartbeatIntervalBetween({zone: 'north', isOwner: true}, {zone: 'south', isOwner: false}, 4500, Urgency.None).heartbeatMilliseconds; // => 2000
+heartbeatIntervalBetween({zone: 'north', isOwner: true}, {zone: 'south', isOwner: false}, 4500, Urgency.None).heartbeatMilliseconds; // => 3000
 ```
 */
 export const heartbeatIntervalBetween = (self: DaemonRole, peer: DaemonRole | undefined, neededSilenceMilliseconds: number, urgency: Urgency): HeartbeatInterval => {
