Reword what a first reader stumbles on

Members of an enum have comments and texts, the choice of an interval is one comparison, times of the store's watch say what they grow with.

--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -15,7 +15,7 @@
 /** Delay above the smallest one, beyond which messages are discarded: by then the sender has declared this daemon lost. */
 const maximumDelayMilliseconds = 600;
 
-/** Time between two heartbeats while other frames are sent: they tell of changes that nothing else does. */
+/** Maximum time between two heartbeats while other frames are sent, since only heartbeats announce a new interval or description. */
 const maximumHeartbeatGapMilliseconds = 1000;
 
 /** Interval at which the event loop is observed. */
--- a/packages/galenakeeld/src/process/fleet/configuration-watch.ts
+++ b/packages/galenakeeld/src/process/fleet/configuration-watch.ts
@@ -18,17 +18,19 @@
 	readonly close: () => void;
 };
 
-/** Time for which a call waits for a change, for each few daemons. The store confirms the configuration at the end of each call. */
+/** Time for which a call waits for a change in a small fleet. The store confirms the configuration at the end of each call. */
 const awaitChangeMilliseconds = 800;
 const maximumAwaitMilliseconds = 1800;
 const retryMilliseconds = 150;
-/** A watch of the store can miss changes, so the configuration is also read at this interval for each few daemons that pass on newer versions. */
+/** Interval of reads in a small fleet: a watch of the store can miss changes. */
 const readIntervalMilliseconds = 1200;
-const daemonsPerReadInterval = 10;
+/** Number of daemons by which both times grow, since each passes on newer versions to the others. */
+const daemonsPerInterval = 10;
 const maximumReadIntervalMilliseconds = 10_000;
 
+/** Lengthens a time in proportion to the fleet, up to a maximum. */
 const forFleet = (milliseconds: number, maximumMilliseconds: number, daemons: number): number =>
-	Math.min(maximumMilliseconds, milliseconds * Math.max(1, Math.floor(daemons / daemonsPerReadInterval)));
+	Math.min(maximumMilliseconds, milliseconds * Math.max(1, Math.floor(daemons / daemonsPerInterval)));
 
 /**
 Returns for how long one of several daemons waits for a change.
--- a/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
+++ b/packages/galenakeeld/src/process/fleet/heartbeat-interval.ts
@@ -20,11 +20,12 @@
 Why two daemons have to detect each other's loss sooner than their roles ask for.
 */
 export enum Urgency {
-	None,
+	/** Their roles decide. */
+	None = 'none',
 	/** One of them holds jobs that are assigned to the other. Leases of a silent holder's runs end within a second anyway. */
-	Jobs,
+	Jobs = 'jobs',
 	/** A daemon of the zone has to claim a cell and must know who is alive. */
-	RollCall,
+	RollCall = 'roll-call',
 }
 
 /** Where a loss has to be detected quickly: that of an owner by its zone. */
@@ -34,12 +35,11 @@
 /** Between all others, to limit heartbeat traffic, which grows with the square of the fleet size. */
 export const longInterval: HeartbeatInterval = {heartbeatMilliseconds: 3000, silentAfterMilliseconds: 4500};
 
-const hasInterval = (silenceMilliseconds: number) => ({silentAfterMilliseconds}: HeartbeatInterval): boolean => silentAfterMilliseconds <= silenceMilliseconds;
-
 /**
 Returns how soon a daemon needs to detect the loss of a peer, as the interval at which that peer has to send heartbeats. Daemons of a zone take over the cells of an owner; an owner and the holder of jobs that are assigned to it wait for each other.
 
 @param peer Undefined until its first heartbeat arrives.
+
 @example
 ```
 neededIntervalOf({zone: 'north', isOwner: false}, {zone: 'north', isOwner: true}, Urgency.None).silentAfterMilliseconds; // => 700
@@ -63,6 +63,7 @@
 Returns the interval at which a daemon sends heartbeats to a peer: the longest one with which the peer detects a loss as soon as it needs to.
 
 @param neededSilenceMilliseconds The silence that the peer stated in its last heartbeat.
+
 @example
 ```
 heartbeatIntervalBetween({zone: 'north', isOwner: true}, {zone: 'south', isOwner: false}, 4500, Urgency.None).heartbeatMilliseconds; // => 3000
@@ -71,5 +72,6 @@
 export const heartbeatIntervalBetween = (self: DaemonRole, peer: DaemonRole | undefined, neededSilenceMilliseconds: number, urgency: Urgency): HeartbeatInterval => {
 	// The peer's role may have changed since it stated its need.
 	const byRoles = peer === undefined ? shortInterval : neededIntervalOf(peer, self, urgency);
-	return [longInterval, mediumInterval].find(interval => hasInterval(Math.min(neededSilenceMilliseconds, byRoles.silentAfterMilliseconds))(interval)) ?? shortInterval;
+	const silenceMilliseconds = Math.min(neededSilenceMilliseconds, byRoles.silentAfterMilliseconds);
+	return [longInterval, mediumInterval].find(({silentAfterMilliseconds}) => silentAfterMilliseconds <= silenceMilliseconds) ?? shortInterval;
 };
