Log what a holder submits, reads and gives up, and which part an owner speaks of

The lines of an owner named no part, and a holder logged nothing between a submission and its answer, so a stale answer, a forgotten refusal and a lost redirect looked alike. No logic changed.

--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -266,6 +266,10 @@
 			}, address === replayed.zone ? callMilliseconds : peerMilliseconds);
 		},
 		leaseMilliseconds: 1300,
+		lastHeardFrom: () => performance.now(),
+		onDecision() {
+			// Only the answers count here.
+		},
 	});
 
 	const runJob = async (replayed: ReplayedJob): Promise<void> => {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -43,6 +43,8 @@
 	TaskRestarted = 'task-started-again',
 	TaskEnded = 'task-ended',
 	TaskAdopted = 'task-adopted',
+	/** A part that is or was here was submitted once more. */
+	SubmissionRepeated = 'submission-repeated',
 }
 
 const routineDecisions: ReadonlySet<unknown> = new Set([CellDecision.JobAccepted, CellDecision.TaskStarted, CellDecision.JobEnded]);
@@ -174,6 +176,10 @@
 
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
+	const describePart = ({order, holder}: PlacedJob): Readonly<Record<string, unknown>> => ({
+		job: order.job.identifier, part: order.part, generation: order.generation, holder,
+	});
+
 	/** Removes a part from the cell, with the update that reports its end, or without one if its last tasks were redirected. */
 	const finish = (job: PlacedJob, update?: JobUpdate): void => {
 		jobs.delete(keyOf(job));
@@ -207,7 +213,7 @@
 	const end = (job: PlacedJob, isComplete: boolean): void => {
 		const {identifier} = job.order.job;
 		onDecision(CellDecision.JobEnded, {
-			job: identifier, isComplete, ageMilliseconds: Math.round(performance.now() - job.receivedAt), dueInMilliseconds: Math.round(job.dueAt - performance.now()),
+			...describePart(job), isComplete, ageMilliseconds: Math.round(performance.now() - job.receivedAt), dueInMilliseconds: Math.round(job.dueAt - performance.now()),
 		});
 		finish(job, {
 			kind: FleetMessageKind.End, job: identifier, part: job.order.part, isComplete,
@@ -390,7 +396,7 @@
 	const refuse = (job: PlacedJob, reason: RefusalReason, retryAfterMilliseconds: number): void => {
 		const {identifier} = job.order.job;
 		onDecision(CellDecision.JobRefused, {
-			job: identifier, reason, queue: job.order.queue, heldMilliseconds: Math.round(performance.now() - job.receivedAt),
+			...describePart(job), reason, queue: job.order.queue, heldMilliseconds: Math.round(performance.now() - job.receivedAt),
 		});
 		jobs.delete(keyOf(job));
 		notify(job.holder, {
@@ -446,7 +452,7 @@
 		recordTaskSize(job);
 		jobs.set(keyOf(job), job);
 		onDecision(CellDecision.JobAccepted, {
-			job: order.job.identifier, queue: order.queue, holder: job.holder, dueInMilliseconds: Math.round(order.dueInMilliseconds), endsInMilliseconds: Math.round(endsIn), generation: order.generation,
+			...describePart(job), queue: order.queue, dueInMilliseconds: Math.round(order.dueInMilliseconds), endsInMilliseconds: Math.round(endsIn),
 		});
 		if (order.generation > 0 || hasStrayRuns(job)) {
 			adoptRuns(job);
@@ -524,12 +530,18 @@
 			const known = jobs.get(key);
 			const ended = finishedParts.get(key);
 			if (known) {
+				onDecision(CellDecision.SubmissionRepeated, {
+					...describePart(known), newHolder: holder, newGeneration: order.generation, hasEnded: false,
+				});
 				known.holder = holder;
 				resend(holder, known, undefined);
 				return;
 			}
 
 			if (ended) {
+				onDecision(CellDecision.SubmissionRepeated, {
+					...describePart(ended.job), newHolder: holder, newGeneration: order.generation, hasEnded: true,
+				});
 				resend(holder, ended.job, ended.update);
 				return;
 			}
@@ -546,7 +558,7 @@
 		cancel(holder, identifier, part) {
 			const job = jobs.get(partKeyOf(identifier, part));
 			if (job?.holder === holder) {
-				onDecision(CellDecision.JobCancelled, {job: identifier, part, hasStarted: job.hasStarted});
+				onDecision(CellDecision.JobCancelled, {...describePart(job), hasStarted: job.hasStarted});
 				jobs.delete(keyOf(job));
 				stopRunsOf(job);
 			}
@@ -555,7 +567,7 @@
 			for (const [key, job] of jobs) {
 				if (job.holder === holder) {
 					onDecision(CellDecision.JobCancelled, {
-						job: job.order.job.identifier, part: job.order.part, hasStarted: job.hasStarted, lostHolder: holder,
+						...describePart(job), hasStarted: job.hasStarted, lostHolder: holder,
 					});
 					jobs.delete(key);
 					stopRunsOf(job);
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -12,6 +12,7 @@
 import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import {createPeerStream, serveFleet} from '../../connection/fleet-service.js';
 import {holdJob} from '../../request/hold-job.js';
+import {HolderDecision} from '../../request/holder-decision.js';
 import {createCell, isRoutine} from '../cells/cell.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
@@ -446,6 +447,11 @@
 			links.send(address, message);
 		},
 		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
+		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
+		onDecision(decision, fields) {
+			const write = decision === HolderDecision.PartSubmitted && fields.isRepeated === false ? logRoutine : logEvent;
+			write(decision, fields);
+		},
 		onAnswered({job, queue, answer, milliseconds}) {
 			const reason = refusalOf(answer);
 			metrics.recordJob(queue, answer.end, milliseconds);
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -2,7 +2,7 @@
 import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
 import {findQueue, type Queue} from '@galenakeel/model/version/queue-configuration.js';
 import type {FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
-import type {holdJob, JobAnswer} from '../../request/hold-job.js';
+import type {holdJob, HoldOptions, JobAnswer} from '../../request/hold-job.js';
 import {homeCellOf, weightOfCell} from './cell-layout.js';
 import type {CellLayoutWatch} from './cell-layout-watch.js';
 import type {CellOwners} from './cell-owners.js';
@@ -44,7 +44,7 @@
 	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
 	readonly leaseMilliseconds: number;
 	readonly onAnswered: (answered: AnsweredJob) => void;
-};
+} & Pick<HoldOptions, 'lastHeardFrom' | 'onDecision'>;
 
 /** Maximum time since the last confirmation by the store up to which the configuration counts as current. */
 const configurationFreshnessMilliseconds = 2500;
@@ -111,6 +111,8 @@
 					options.send(address, message);
 				},
 				leaseMilliseconds: options.leaseMilliseconds,
+				lastHeardFrom: options.lastHeardFrom,
+				onDecision: options.onDecision,
 			});
 			options.onAnswered({
 				job: job.identifier, queue: queue.name, answer, milliseconds: performance.now() - arrivedAt,
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -82,6 +82,10 @@
 				record(this, message);
 			},
 			leaseMilliseconds: 1,
+			lastHeardFrom: () => undefined,
+			onDecision() {
+				// The answer and the orders show what was decided.
+			},
 		});
 	};
 
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -8,6 +8,7 @@
 } from '@galenakeel/model/connection/fleet-message.js';
 import {criticalPathOf} from '../process/cells/placed-job.js';
 import {HolderEvent, type CellOwner, type HeldJob} from '../process/fleet/held-jobs.js';
+import {HolderDecision} from './holder-decision.js';
 
 /**
 The answer to the caller of a job.
@@ -29,6 +30,9 @@
 	readonly send: (owner: CellOwner, message: FleetMessage) => void;
 	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
 	readonly leaseMilliseconds: number;
+	/** Monotonic milliseconds at which an owner was last heard; undefined while it isn't in sight. */
+	readonly lastHeardFrom: (owner: CellOwner) => number | undefined;
+	readonly onDecision: (decision: HolderDecision, fields: Readonly<Record<string, unknown>>) => void;
 };
 
 /** The answer of a job expires after this many objectives. */
@@ -71,6 +75,9 @@
 	= | {readonly end: AssignmentEnd.Done | AssignmentEnd.OwnerLost}
 		| {readonly end: AssignmentEnd.Refused | AssignmentEnd.JobEnded; readonly answer: JobAnswer};
 
+/** Time since a moment in monotonic milliseconds, rounded for a log. */
+const ageOf = (moment: number | undefined): number | undefined => moment === undefined ? undefined : Math.round(performance.now() - moment);
+
 const positionsOf = (job: Job): readonly string[] =>
 	job.steps.flatMap(({tasks}, step) => Array.from({length: tasks}, (_, index) => positionOf({step, index})));
 
@@ -131,6 +138,13 @@
 
 	/** Assigns a part to an owner and processes its updates until the part has ended or needs another owner. */
 	const assignPart = async (part: JobPart, owner: CellOwner, {updates}: HeldJob): Promise<AssignmentResult> => {
+		const assignedAt = performance.now();
+		const logDecision = (decision: HolderDecision, fields: Readonly<Record<string, unknown>>): void => {
+			options.onDecision(decision, {
+				job: job.identifier, part: part.name, cell: part.cell, owner: owner.address, term: owner.term, generation: part.generation, sinceAssignedMilliseconds: Math.round(performance.now() - assignedAt), ...fields,
+			});
+		};
+
 		const submit = (): void => {
 			options.send(owner, {kind: FleetMessageKind.Submit, cell: part.cell, order: createOrder(part)});
 		};
@@ -142,6 +156,7 @@
 		};
 
 		submit();
+		logDecision(HolderDecision.PartSubmitted, {isRepeated: false});
 		for await (const one of updates) {
 			switch (one.kind) {
 				case FleetMessageKind.Started: {
@@ -158,14 +173,17 @@
 				case FleetMessageKind.End: {
 					// The update that reports the start may have been lost.
 					hasStarted = true;
+					logDecision(HolderDecision.UpdateRead, {update: one.kind, isComplete: one.isComplete, openTasks: part.positions.size});
 					return one.isComplete ? {end: AssignmentEnd.Done} : {end: AssignmentEnd.JobEnded, answer: {end: JobEnd.Failed}};
 				}
 
 				case FleetMessageKind.Refuse: {
+					logDecision(HolderDecision.UpdateRead, {update: one.kind, reason: one.reason});
 					return {end: AssignmentEnd.Refused, answer: {end: JobEnd.Refused, reason: one.reason, retryAfterMilliseconds: one.retryAfterMilliseconds}};
 				}
 
 				case FleetMessageKind.Redirect: {
+					logDecision(HolderDecision.UpdateRead, {update: one.kind, newPart: one.newPart, tasks: one.positions.length});
 					split(part, one);
 					if (part.positions.size === 0) {
 						return {end: AssignmentEnd.Done};
@@ -176,12 +194,14 @@
 
 				case HolderEvent.OwnerReconnected: {
 					submit();
+					logDecision(HolderDecision.PartSubmitted, {isRepeated: true});
 					break;
 				}
 
 				case HolderEvent.OwnerLost: {
 					// An owner that is still running must not start tasks that its successor starts.
 					cancel();
+					logDecision(HolderDecision.OwnerLost, {heardMillisecondsAgo: ageOf(options.lastHeardFrom(owner))});
 					return {end: AssignmentEnd.OwnerLost};
 				}
 
