--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -49,3 +49,22 @@
     When a job of 4 tasks is submitted
     And the holder is lost
     Then 2 tasks were stopped here
+
+  Scenario: A part that was refused is refused again, although there is room by then
+    When a job of 2 tasks that no endpoint fits is submitted
+    And an endpoint that fits is listed
+    And the job is submitted again
+    Then no task was started here
+    And the holder was told 2 times that the job is refused
+
+  Scenario: A part that was cancelled is not started by an order that arrives after the cancel
+    When a job of 2 tasks is cancelled before its order arrives
+    And the job is submitted again
+    Then no task was started here
+
+  Scenario: A part that was dropped with its holder is not started again by the same order
+    When a job of 2 tasks is submitted
+    And the holder is lost
+    And the job is submitted again
+    And the cell runs for 1500 ms
+    Then 2 tasks were started here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -8,6 +8,7 @@
 	FleetMessageKind, type JobUpdate, type JobOrder, type Redirect,
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {Step} from '@galenakeel/model/request/job.js';
+import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import {createCell, type Cell} from '../cell.js';
 import {createSimulatedEndpoint} from './replay-load.js';
 
@@ -27,6 +28,8 @@
 const firstPollMilliseconds = 500;
 const settleMilliseconds = 50;
 const holder = 'holder';
+/** More than the first endpoint has. */
+const largeMemoryMegabytes = 4096;
 
 const createStep = (tasks: number, after: readonly number[]): Step => ({
 	tasks, room: {processor: processorOfTask, memoryMegabytes: 1, accelerators: 0}, estimateMilliseconds: taskMilliseconds, after,
@@ -49,6 +52,11 @@
 	isCommitted: false,
 });
 
+const smallEndpoint = (slots: number): EndpointEntry => ({
+	identifier: 'i-1', startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false,
+	room: {processor: slots * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
+});
+
 const submit = async (world: PartsWorld, order: JobOrder): Promise<void> => {
 	world.order = order;
 	world.cell.submit(holder, order);
@@ -106,10 +114,7 @@
 			// Waits are not checked here.
 		},
 	});
-	this.cell.install([{
-		identifier: 'i-1', startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false,
-		room: {processor: slots * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
-	}]);
+	this.cell.install([smallEndpoint(slots)]);
 	await this.clock.tickAsync(firstPollMilliseconds);
 });
 
@@ -158,6 +163,22 @@
 	await submit(this, this.order);
 });
 
+When('a job of {int} tasks that no endpoint fits is submitted', async function (this: PartsWorld, tasks: number) {
+	const step = createStep(tasks, []);
+	await submit(this, createOrder([{...step, room: {...step.room, memoryMegabytes: largeMemoryMegabytes}}], 0));
+});
+
+When('an endpoint that fits is listed', async function (this: PartsWorld) {
+	this.cell.install([smallEndpoint(2), {...smallEndpoint(2), identifier: 'i-2', room: {processor: 2 * processorOfTask, memoryMegabytes: 2 * largeMemoryMegabytes, accelerators: 0}}]);
+	await this.clock.tickAsync(firstPollMilliseconds);
+});
+
+When('a job of {int} tasks is cancelled before its order arrives', async function (this: PartsWorld, tasks: number) {
+	this.order = createOrder([createStep(tasks, [])], 0);
+	this.cell.cancel(holder, this.order.job.identifier, this.order.part);
+	await this.clock.tickAsync(settleMilliseconds);
+});
+
 When('the holder is lost', async function (this: PartsWorld) {
 	this.cell.dropHolder(holder);
 	await this.clock.tickAsync(settleMilliseconds);
@@ -183,3 +204,7 @@
 Then('no task went elsewhere', function (this: PartsWorld) {
 	assert.deepEqual(redirectsOf(this), []);
 });
+
+Then('the holder was told {int} times that the job is refused', function (this: PartsWorld, times: number) {
+	assert.equal(this.updates.filter(({kind}) => kind === FleetMessageKind.Refuse).length, times);
+});
--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -82,3 +82,9 @@
     And the caller disconnects
     Then part "0" was cancelled
     And part "0.1" was cancelled
+
+  Scenario: A refusal that is read after its part went to the home cell does not refuse the job there
+    When the owner of "north" redirects the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south" as part "0.1"
+    And the owner of "south" refuses part "0.1" twice at once
+    Then there is no answer yet
+    And part "0.1" was last submitted to "north" with the tasks "0.0, 0.1, 0.2, 0.3"
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -121,6 +121,16 @@
 	await settle();
 });
 
+When('the owner of {string} refuses part {string} twice at once', async function (this: HolderWorld, owner: string, part: string) {
+	for (let times = 0; times < 2; times++) {
+		this.heldJobs.deliver(owner, {
+			kind: FleetMessageKind.Refuse, job: identifier, part, reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000,
+		});
+	}
+
+	await settle();
+});
+
 When('the task {string} of part {string} succeeds', async function (this: HolderWorld, position: string, part: string) {
 	this.heldJobs.deliver('south', {
 		kind: FleetMessageKind.TaskSucceeded, job: identifier, part, position,
