--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -215,7 +215,7 @@
 When('{int} messages are sent, one each {int} ms', async function (this: StreamWorld, count: number, milliseconds: number) {
 	for (let message = 0; message < count; message++) {
 		this.stream.send({
-			kind: FleetMessageKind.Cancel, cell: 'north', job: '5c0e7a21d94b36f8', part: '0',
+			kind: FleetMessageKind.Cancel, cell: 'north', job: '5c0e7a21d94b36f8', part: '0', assignment: 1,
 		});
 		await sleep(milliseconds);
 	}
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -6,13 +6,13 @@
   Scenario: Tasks that find no capacity are redirected to a cell that has some
     When a job of 4 tasks is submitted
     Then 2 tasks were started here
-    And 2 tasks went to "south" as part "0.1"
+    And 2 tasks went to "south"
 
   Scenario: A holder that submits the part again receives the same updates again
     When a job of 4 tasks is submitted
     And the job is submitted again
     Then 2 tasks were started here
-    And the holder was notified 2 times that 2 tasks went to "south" as part "0.1"
+    And the holder was notified 2 times that 2 tasks went to "south"
 
   Scenario: A part that was redirected several times is redirected no further
     When a job of 4 tasks that was moved 4 times is submitted
@@ -68,3 +68,40 @@
     And the job is submitted again
     And the cell runs for 1500 ms
     Then 2 tasks were started here
+    And the holder was told that the part was dropped after a start
+
+  Scenario: A job whose caller submits it again through another instance goes on, and its first holder is told
+    When a job of 2 tasks is submitted
+    And the job is submitted by "other" in a new assignment
+    Then 2 tasks were started here
+    And the holder was told that it is superseded
+    When the first assignment is cancelled
+    Then no task was stopped here
+    When the cell runs for 150 ms
+    Then 2 tasks were started here
+    And "other" was told that the job is complete
+
+  Scenario: A part that its holder assigns anew with fewer tasks does not count as the earlier one
+    When a job of 2 tasks is submitted
+    And the job without the task "0.0" is submitted by "holder" in a new assignment
+    Then 2 tasks were stopped here
+    When the cell runs for 1500 ms
+    Then the end of the new assignment stands for the task "0.1"
+
+  Scenario: A cancel of an earlier assignment that is sent again does not cancel the present one
+    When a job of 2 tasks is submitted
+    And the first assignment is cancelled
+    And the job is submitted by "holder" in a new assignment
+    And the first assignment is cancelled
+    And the cell runs for 1500 ms
+    Then the end of the new assignment stands for 2 tasks
+
+  Scenario: The end of a part lists the tasks that went elsewhere
+    When a job of 4 tasks is submitted
+    And the cell runs for 1000 ms
+    Then the end lists 2 tasks that went to "south"
+
+  Scenario: An order that is older than what the owner remembers counts as one that may have run
+    When a job of 2 tasks that was first assigned 60000 ms ago is submitted
+    Then no task was started here
+    And the holder was told that the part was dropped after a start
--- a/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
@@ -139,6 +139,8 @@
 	return {
 		job: {identifier: String(world.submitted), specification: `${processorOfTask} ${estimateMilliseconds}`, steps: [createCountedStep(world, 1)]},
 		part: '0',
+		assignment: world.submitted,
+		assignedMillisecondsAgo: 0,
 		service: 'sheets',
 		queue: 'sheets',
 		priority: 0,
--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -253,7 +253,7 @@
 
 	const holdOptions = (replayed: ReplayedJob): HoldOptions => ({
 		homeCell: replayed.zone,
-		hold: part => heldJobs.hold(replayed.job.identifier, part),
+		hold: heldJobs.hold,
 		awaitOwner: async cell => ({address: cell, term: 1, token: 1}),
 		otherCells: () => load.zones.filter(zone => zone !== replayed.zone),
 		send({address}, message) {
@@ -261,7 +261,7 @@
 				if (message.kind === FleetMessageKind.Submit) {
 					cells.get(address)!.submit(replayed.zone, message.order);
 				} else if (message.kind === FleetMessageKind.Cancel) {
-					cells.get(address)!.cancel(replayed.zone, message.job, message.part);
+					cells.get(address)!.cancel(replayed.zone, message);
 				}
 			}, address === replayed.zone ? callMilliseconds : peerMilliseconds);
 		},
--- a/packages/galenakeeld/src/process/cells/__tests__/run-log.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/run-log.steps.ts
@@ -108,6 +108,8 @@
 			}],
 		},
 		part: '0',
+		assignment: 1,
+		assignedMillisecondsAgo: 0,
 		service: 'sheets',
 		queue: 'sheets',
 		priority: 0,
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -35,6 +35,8 @@
 		}],
 	},
 	part: '0',
+	assignment: 1,
+	assignedMillisecondsAgo: 0,
 	service: 'sheets',
 	queue: 'sheets',
 	priority: 0,
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -1,7 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import type {EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
 import {
-	FleetMessageKind, type CellLoad, type JobUpdate, type JobOrder,
+	FleetMessageKind, type AssignmentReference, type CellLoad, type JobUpdate, type JobOrder, type TaskRedirect,
 } from '@galenakeel/model/connection/fleet-message.js';
 import {RefusalReason} from '@galenakeel/model/request/job.js';
 import {positionOf, type TaskKey} from '@galenakeel/model/request/task-key.js';
@@ -12,16 +12,17 @@
 import type {EndpointDecision} from './endpoint-decision.js';
 import {RunResult} from './endpoint-run.js';
 import {createCellCapacityCache} from './cell-capacity-cache.js';
-import {createFinishedParts} from './finished-parts.js';
+import {createClosedAssignments} from './closed-assignments.js';
 import {maximumLeaseOf, minimumLeaseMilliseconds, yieldMilliseconds} from './maximum-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
-	beginAttempt, createPlacedJob, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
+	beginAttempt, createEnd, createPlacedJob, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
 import {
 	countContent, describeRuns, type ActiveRunDescription, type CellObservation,
 } from './cell-observation.js';
 import {isFitting} from './room.js';
+import {hasSamePositions} from './same-positions.js';
 import {shareTasks, type TaskShare} from './share-tasks.js';
 import {
 	bestFactorOf, fittingJobsOf, movableStepsOf, waitingStepsOf, evaluateArrival,
@@ -43,8 +44,10 @@
 	TaskRestarted = 'task-started-again',
 	TaskEnded = 'task-ended',
 	TaskAdopted = 'task-adopted',
-	/** A part that is or was here was submitted once more. */
+	/** An assignment that is or was here was submitted once more. */
 	SubmissionRepeated = 'submission-repeated',
+	/** A part was assigned anew, or the same job was submitted again, while an earlier assignment of it was here. */
+	AssignmentReplaced = 'assignment-replaced',
 }
 
 const routineDecisions: ReadonlySet<unknown> = new Set([CellDecision.JobAccepted, CellDecision.TaskStarted, CellDecision.JobEnded]);
@@ -61,8 +64,8 @@
 	readonly name: string;
 	/** Accepts or refuses a job from its holder. */
 	readonly submit: (holder: string, order: JobOrder) => void;
-	/** Cancels a part of a job at the request of its holder. */
-	readonly cancel: (holder: string, job: string, part: string) => void;
+	/** Cancels an assignment at the request of its holder, also one whose order has not arrived yet. */
+	readonly cancel: (holder: string, reference: AssignmentReference) => void;
 	/** Drops the jobs of a holder that is lost, so that none of their tasks is running when their callers submit them again. */
 	readonly dropHolder: (holder: string) => void;
 	/** Installs the endpoints of the cell that the platform lists. */
@@ -100,8 +103,8 @@
 
 /** Time for holders to submit jobs of an earlier owner again before its runs are stopped. */
 const settleMilliseconds = 350;
-/** How long the end of a job is kept for a holder that missed the update. */
-const keepEndMilliseconds = 5000;
+/** How long a closed assignment is kept, in case its holder submits it again. */
+const keepClosedMilliseconds = 30_000;
 const minimumRetryMilliseconds = 1000;
 const maximumRetryMilliseconds = 8000;
 const sweepMilliseconds = 50;
@@ -110,6 +113,14 @@
 /** Weight of a new step in the moving average of the processor of a task. */
 const typicalProcessorGain = 0.05;
 
+/** Whether two orders are for the same tasks, and no owner was lost between them. */
+const isSameWork = (first: JobOrder, second: JobOrder): boolean =>
+	first.generation === second.generation && hasSamePositions(first.excluded, second.excluded);
+
+const createDropped = (job: PlacedJob, hasStarted: boolean): JobUpdate => ({
+	kind: FleetMessageKind.Dropped, ...referenceOf(job), hasStarted, succeeded: succeededPositions(job), redirects: [...job.redirects],
+});
+
 const processorOf = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step'>>): number => {
 	let processor = 0;
 	for (const {step} of tasks) {
@@ -135,7 +146,7 @@
 	let ownedSince = performance.now();
 	let lastToken = options.token();
 	const jobs = new Map<string, PlacedJob>();
-	const finishedParts = createFinishedParts(keepEndMilliseconds);
+	const closedAssignments = createClosedAssignments(keepClosedMilliseconds);
 	/** Processor of a typical task, in thousandths of a core. */
 	let typicalProcessor = 1;
 	let isDispatching = false;
@@ -176,30 +187,40 @@
 
 	const keyOf = ({order}: PlacedJob): string => partKeyOf(order.job.identifier, order.part);
 
-	const describePart = ({order, holder}: PlacedJob): Readonly<Record<string, unknown>> => ({
-		job: order.job.identifier, part: order.part, generation: order.generation, holder,
+	const describePart = ({order, holder, assignment}: PlacedJob): Readonly<Record<string, unknown>> => ({
+		job: order.job.identifier, part: order.part, assignment, generation: order.generation, holder,
 	});
 
-	/** Removes a part from the cell, with the update that reports its end, or without one if its last tasks were redirected. */
-	const finish = (job: PlacedJob, update?: JobUpdate): void => {
+	/** Removes a job from the cell and keeps what its holder has to know of it. */
+	const close = (job: PlacedJob, updates: readonly JobUpdate[]): void => {
+		const {holder, assignment, order} = job;
 		jobs.delete(keyOf(job));
-		finishedParts.add(keyOf(job), {job, update});
-		if (update) {
-			notify(job.holder, update);
-		}
+		closedAssignments.add({
+			holder, assignment, part: keyOf(job), excluded: order.excluded, updates,
+		});
 	};
 
+	/** Removes a job from the cell with the update that reports its end. */
+	const finish = (job: PlacedJob, update: JobUpdate): void => {
+		close(job, [update]);
+		notify(job.holder, update);
+	};
+
+	const createRedirect = (job: PlacedJob, redirect: TaskRedirect): JobUpdate => ({kind: FleetMessageKind.Redirect, ...referenceOf(job), ...redirect});
+
 	/** Resends the updates that a holder may have missed. */
-	const resend = (holder: string, job: PlacedJob, update: JobUpdate | undefined): void => {
-		const {job: {identifier}, part} = job.order;
+	const resend = (job: PlacedJob): void => {
+		const reference = referenceOf(job);
+		if (job.hasStarted) {
+			notify(job.holder, {kind: FleetMessageKind.Started, ...reference});
+		}
+
 		for (const position of succeededPositions(job)) {
-			notify(holder, {
-				kind: FleetMessageKind.TaskSucceeded, job: identifier, part, position,
-			});
+			notify(job.holder, {kind: FleetMessageKind.TaskSucceeded, ...reference, position});
 		}
 
-		for (const again of [...job.redirects, ...update ? [update] : []]) {
-			notify(holder, again);
+		for (const redirect of job.redirects) {
+			notify(job.holder, createRedirect(job, redirect));
 		}
 	};
 
@@ -211,13 +232,10 @@
 	};
 
 	const end = (job: PlacedJob, isComplete: boolean): void => {
-		const {identifier} = job.order.job;
 		onDecision(CellDecision.JobEnded, {
 			...describePart(job), isComplete, ageMilliseconds: Math.round(performance.now() - job.receivedAt), dueInMilliseconds: Math.round(job.dueAt - performance.now()),
 		});
-		finish(job, {
-			kind: FleetMessageKind.End, job: identifier, part: job.order.part, isComplete,
-		});
+		finish(job, createEnd(job, isComplete));
 		stopRunsOf(job);
 	};
 
@@ -237,9 +255,7 @@
 			if (isComplete(job)) {
 				end(job, true);
 			} else {
-				notify(job.holder, {
-					kind: FleetMessageKind.TaskSucceeded, job: task.job, part: job.order.part, position: positionOf(task),
-				});
+				notify(job.holder, {kind: FleetMessageKind.TaskSucceeded, ...referenceOf(job), position: positionOf(task)});
 			}
 		} else {
 			const isFailure = result === RunResult.Failed;
@@ -259,7 +275,7 @@
 	/** Notifies the holder before the first task of a submission starts or is adopted. */
 	const announceStart = (job: PlacedJob): void => {
 		if (!job.hasStarted) {
-			notify(job.holder, {kind: FleetMessageKind.Started, job: job.order.job.identifier, part: job.order.part});
+			notify(job.holder, {kind: FleetMessageKind.Started, ...referenceOf(job)});
 			options.onTaskWait(performance.now() - job.receivedAt);
 		}
 	};
@@ -287,12 +303,14 @@
 	const transferTasks = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): void => {
 		const redirect = moveTasks(job, tasks, cell);
 		onDecision(CellDecision.JobRedirected, {
-			job: redirect.job, part: redirect.part, newPart: redirect.newPart, cell, tasks: tasks.length,
+			...describePart(job), cell, tasks: tasks.length,
 		});
 		options.onRedirected(cell, processorOf(job, tasks));
-		notify(job.holder, redirect);
+		const update = createRedirect(job, redirect);
+		notify(job.holder, update);
 		if (isComplete(job)) {
-			finish(job);
+			// Nothing is left here; what succeeded before is part of the end.
+			close(job, [createEnd(job, true)]);
 		}
 	};
 
@@ -394,13 +412,11 @@
 	}
 
 	const refuse = (job: PlacedJob, reason: RefusalReason, retryAfterMilliseconds: number): void => {
-		const {identifier} = job.order.job;
 		onDecision(CellDecision.JobRefused, {
 			...describePart(job), reason, queue: job.order.queue, heldMilliseconds: Math.round(performance.now() - job.receivedAt),
 		});
-		jobs.delete(keyOf(job));
-		notify(job.holder, {
-			kind: FleetMessageKind.Refuse, job: identifier, part: job.order.part, reason, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, retryAfterMilliseconds)),
+		finish(job, {
+			kind: FleetMessageKind.Refuse, ...referenceOf(job), reason, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, retryAfterMilliseconds)),
 		});
 	};
 
@@ -510,7 +526,7 @@
 	const sweep = (): void => {
 		checkToken();
 		const now = performance.now();
-		finishedParts.sweep();
+		closedAssignments.sweep();
 		for (const job of jobs.values()) {
 			if (!job.isCommitted && now + remainingCriticalPath(job) > job.expiresAt) {
 				refuse(job, RefusalReason.Overloaded, minimumRetryMilliseconds);
@@ -520,56 +536,118 @@
 		dispatch();
 	};
 
+	/** Gives a job to the holder that submitted it last. */
+	const takeOver = (job: PlacedJob, holder: string, assignment: number): void => {
+		onDecision(CellDecision.AssignmentReplaced, {...describePart(job), newHolder: holder, isContinued: true});
+		const superseded: JobUpdate = {kind: FleetMessageKind.Superseded, ...referenceOf(job)};
+		closedAssignments.add({
+			holder: job.holder, assignment: job.assignment, part: keyOf(job), excluded: job.order.excluded, updates: [superseded],
+		});
+		notify(job.holder, superseded);
+		job.holder = holder;
+		job.assignment = assignment;
+		resend(job);
+	};
+
+	/** Stops what runs for an assignment that its holder has replaced by one of other tasks or a later generation. */
+	const replace = (job: PlacedJob, holder: string): void => {
+		onDecision(CellDecision.AssignmentReplaced, {...describePart(job), newHolder: holder, isContinued: false});
+		finish(job, {kind: FleetMessageKind.Superseded, ...referenceOf(job)});
+		stopRunsOf(job);
+	};
+
+	/** Tells a holder what it may have missed of an assignment that is or was here. Returns whether there was one. */
+	const repeatAnswer = (holder: string, order: JobOrder): boolean => {
+		const known = jobs.get(partKeyOf(order.job.identifier, order.part));
+		const isPresent = known?.holder === holder && known.assignment === order.assignment;
+		const closed = closedAssignments.get(holder, order.assignment);
+		if (!isPresent && !closed) {
+			return false;
+		}
+
+		onDecision(CellDecision.SubmissionRepeated, {
+			job: order.job.identifier, part: order.part, assignment: order.assignment, holder, answer: closed?.updates.at(-1)?.kind,
+		});
+		if (isPresent) {
+			resend(known);
+		}
+
+		for (const update of closed?.updates ?? []) {
+			notify(holder, update);
+		}
+
+		return true;
+	};
+
+	/** Continues what is or was here of the same tasks: a job that its caller submits again, or a part whose holder missed its end. Returns whether there was something. */
+	const continueEarlier = (holder: string, order: JobOrder): boolean => {
+		const key = partKeyOf(order.job.identifier, order.part);
+		const known = jobs.get(key);
+		if (known && isSameWork(known.order, order)) {
+			takeOver(known, holder, order.assignment);
+			return true;
+		}
+
+		if (known) {
+			replace(known, holder);
+			return false;
+		}
+
+		const end = closedAssignments.findEnd(key, order.excluded);
+		if (!end) {
+			return false;
+		}
+
+		const update = {...end, assignment: order.assignment};
+		closedAssignments.add({
+			holder, assignment: order.assignment, part: key, excluded: order.excluded, updates: [update],
+		});
+		notify(holder, update);
+		return true;
+	};
+
+	const submitNew = (holder: string, order: JobOrder): void => {
+		const job = createPlacedJob(order, holder);
+		if (closedAssignments.isForgotten(order.assignedMillisecondsAgo)) {
+			finish(job, createDropped(job, true));
+		} else if (isEverPossible(order)) {
+			workTimes.measure(CellWork.Admission, () => {
+				decide(job);
+			});
+		} else {
+			refuse(job, RefusalReason.NoEndpoint, maximumRetryMilliseconds);
+		}
+	};
+
 	const timer = setInterval(sweep, sweepMilliseconds);
 
 	return {
 		name: options.name,
 		submit(holder, order) {
 			checkToken();
-			const key = partKeyOf(order.job.identifier, order.part);
-			const known = jobs.get(key);
-			const ended = finishedParts.get(key);
-			if (known) {
-				onDecision(CellDecision.SubmissionRepeated, {
-					...describePart(known), newHolder: holder, newGeneration: order.generation, hasEnded: false,
-				});
-				known.holder = holder;
-				resend(holder, known, undefined);
-				return;
-			}
-
-			if (ended) {
-				onDecision(CellDecision.SubmissionRepeated, {
-					...describePart(ended.job), newHolder: holder, newGeneration: order.generation, hasEnded: true,
-				});
-				resend(holder, ended.job, ended.update);
-				return;
-			}
-
-			const job = createPlacedJob(order, holder);
-			if (isEverPossible(order)) {
-				workTimes.measure(CellWork.Admission, () => {
-					decide(job);
-				});
-			} else {
-				refuse(job, RefusalReason.NoEndpoint, maximumRetryMilliseconds);
+			if (!repeatAnswer(holder, order) && !continueEarlier(holder, order)) {
+				submitNew(holder, order);
 			}
 		},
-		cancel(holder, identifier, part) {
-			const job = jobs.get(partKeyOf(identifier, part));
-			if (job?.holder === holder) {
+		cancel(holder, reference) {
+			const key = partKeyOf(reference.job, reference.part);
+			const job = jobs.get(key);
+			if (job?.holder === holder && job.assignment === reference.assignment) {
 				onDecision(CellDecision.JobCancelled, {...describePart(job), hasStarted: job.hasStarted});
-				jobs.delete(keyOf(job));
+				close(job, []);
 				stopRunsOf(job);
+			} else if (!closedAssignments.get(holder, reference.assignment)) {
+				// The order may be on its way on an earlier stream.
+				closedAssignments.add({
+					holder, assignment: reference.assignment, part: key, excluded: [], updates: [],
+				});
 			}
 		},
 		dropHolder(holder) {
-			for (const [key, job] of jobs) {
+			for (const job of jobs.values()) {
 				if (job.holder === holder) {
-					onDecision(CellDecision.JobCancelled, {
-						...describePart(job), hasStarted: job.hasStarted, lostHolder: holder,
-					});
-					jobs.delete(key);
+					onDecision(CellDecision.JobCancelled, {...describePart(job), hasStarted: job.hasStarted, lostHolder: holder});
+					finish(job, createDropped(job, job.hasStarted));
 					stopRunsOf(job);
 				}
 			}
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -1,7 +1,9 @@
 import {performance} from 'node:perf_hooks';
 import type {Step} from '@galenakeel/model/request/job.js';
 import {positionOf, type TaskKey} from '@galenakeel/model/request/task-key.js';
-import {FleetMessageKind, type JobOrder, type Redirect} from '@galenakeel/model/connection/fleet-message.js';
+import {
+	FleetMessageKind, type AssignmentReference, type JobOrder, type PartEnd, type TaskRedirect,
+} from '@galenakeel/model/connection/fleet-message.js';
 
 /**
 State of a task at the owner of its cell.
@@ -44,8 +46,10 @@
 */
 export type PlacedJob = {
 	readonly order: JobOrder;
-	/** Address of the daemon that holds the job; a repeated submission may change it. */
+	/** Address of the daemon that holds the job; a submission of the same job through another daemon changes it. */
 	holder: string;
+	/** The holder's assignment, which changes with the holder. */
+	assignment: number;
 	readonly receivedAt: number;
 	readonly dueAt: number;
 	readonly expiresAt: number;
@@ -56,7 +60,7 @@
 	/** The job can no longer be refused, because some of its tasks may have started here or elsewhere. */
 	isCommitted: boolean;
 	/** Tasks transferred to other cells. */
-	readonly redirects: Redirect[];
+	readonly redirects: TaskRedirect[];
 };
 
 const attemptsPerGeneration = 1000;
@@ -79,6 +83,7 @@
 	return {
 		order,
 		holder,
+		assignment: order.assignment,
 		receivedAt: now,
 		dueAt: now + order.dueInMilliseconds,
 		expiresAt: now + order.worthlessInMilliseconds,
@@ -228,29 +233,34 @@
 	tasks.flatMap(({state, starts}, index) => state === TaskState.Waiting && starts === 0 ? [index] : []);
 
 /**
-Transfers waiting tasks to another cell as a new part, and returns the message for the holder.
+Transfers waiting tasks to another cell.
 */
-export const moveTasks = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): Redirect => {
+export const moveTasks = (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string): TaskRedirect => {
 	for (const {step, index} of tasks) {
 		const placed = job.steps[step]!;
 		setState(placed, placed.tasks[index]!, TaskState.Elsewhere);
 		placed.remainingTasks--;
 	}
 
-	const redirect: Redirect = {
-		kind: FleetMessageKind.Redirect,
-		job: job.order.job.identifier,
-		part: job.order.part,
-		newPart: `${job.order.part}.${job.redirects.length + 1}`,
-		positions: tasks.map(task => positionOf(task)),
-		cell,
-	};
+	const redirect = {positions: tasks.map(task => positionOf(task)), cell};
 	job.redirects.push(redirect);
 	// Tasks of the job may start there.
 	job.isCommitted = true;
 	return redirect;
 };
 
+/**
+Returns how messages to the holder name a job.
+*/
+export const referenceOf = ({order, assignment}: PlacedJob): AssignmentReference => ({job: order.job.identifier, part: order.part, assignment});
+
+/**
+Returns the message that reports the end of a job.
+*/
+export const createEnd = (job: PlacedJob, isComplete: boolean): PartEnd => ({
+	kind: FleetMessageKind.End, ...referenceOf(job), isComplete, redirects: [...job.redirects],
+});
+
 /**
 Returns the positions of the tasks that have succeeded here.
 */
--- a/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.steps.ts
@@ -31,7 +31,9 @@
 	{
 		kind: FleetMessageKind.Heartbeat, instance: 'n1', address: 'n1', zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, neededSilenceMilliseconds: 700, claims: [], configurationVersion: 1, isLeaving: false, known: [], cellCounts: {},
 	},
-	{kind: FleetMessageKind.Started, job: task.job, part: '0'},
+	{
+		kind: FleetMessageKind.Started, job: task.job, part: '0', assignment: 1,
+	},
 ];
 
 const endpointCalls: EndpointCalls = {
--- a/packages/galenakeeld/src/process/fleet/__tests__/recent-cancels.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/recent-cancels.feature
@@ -10,10 +10,10 @@
     Then the cancels for "n1" at 4000 ms are "1, 2"
     And the cancels for "n1" at 6000 ms are "2"
 
-  Scenario: A job that is submitted again is not cancelled by an earlier cancel
+  Scenario: A job that is submitted again stays cancelled in its earlier assignment
     When the job "1" is cancelled at "n1" at 0 ms
     And the job "1" is submitted to "n1" at 100 ms
-    Then the cancels for "n1" at 200 ms are ""
+    Then the cancels for "n1" at 200 ms are "1"
 
   Scenario: A job that is submitted to the next owner stays cancelled at the lost one
     When the job "1" is cancelled at "n1" at 0 ms
--- a/packages/galenakeeld/src/process/fleet/__tests__/recent-cancels.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/recent-cancels.steps.ts
@@ -10,13 +10,16 @@
 type CancelsWorld = {
 	cancelsClock: Clock;
 	recentCancels: RecentCancels;
+	assignments: number;
 };
 
 const part = '0';
 
-const createOrder = (identifier: string): JobOrder => ({
+const createOrder = (identifier: string, assignment: number): JobOrder => ({
 	job: {identifier, specification: '', steps: []},
 	part,
+	assignment,
+	assignedMillisecondsAgo: 0,
 	service: 'sheets',
 	queue: 'sheets',
 	priority: 0,
@@ -37,6 +40,7 @@
 
 Given('cancels that are kept for {int} ms', function (this: CancelsWorld, milliseconds: number) {
 	this.cancelsClock = install({toFake: ['performance']});
+	this.assignments = 0;
 	this.recentCancels = createRecentCancels(milliseconds);
 });
 
@@ -46,14 +50,18 @@
 
 When('the job {string} is cancelled at {string} at {int} ms', function (this: CancelsWorld, job: string, address: string, milliseconds: number) {
 	advanceTo(this, milliseconds);
+	this.assignments++;
 	this.recentCancels.record(address, {
-		kind: FleetMessageKind.Cancel, cell: 'north', job, part,
+		kind: FleetMessageKind.Cancel, cell: 'north', job, part, assignment: this.assignments,
 	});
 });
 
 When('the job {string} is submitted to {string} at {int} ms', function (this: CancelsWorld, job: string, address: string, milliseconds: number) {
 	advanceTo(this, milliseconds);
-	this.recentCancels.record(address, {kind: FleetMessageKind.Submit, cell: 'north', order: createOrder(job)});
+	this.assignments++;
+	this.recentCancels.record(address, {
+		kind: FleetMessageKind.Submit, cell: 'north', term: 1, order: createOrder(job, this.assignments),
+	});
 });
 
 Then('the cancels for {string} at {int} ms are {string}', function (this: CancelsWorld, address: string, milliseconds: number, expected: string) {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -12,7 +12,7 @@
 import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
 import {createPeerStream, serveFleet} from '../../connection/fleet-service.js';
 import {holdJob} from '../../request/hold-job.js';
-import {HolderDecision} from '../../request/holder-decision.js';
+import {isRoutineOfHolder} from '../../request/holder-decision.js';
 import {createCell, isRoutine} from '../cells/cell.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
@@ -237,12 +237,12 @@
 
 			case FleetMessageKind.Submit: {
 				cells.raiseTokenAbove(message.cell, message.order.highestToken);
-				cells.get(message.cell)?.submit(from, message.order);
+				cells.getInTerm(message.cell, message.term)?.submit(from, message.order);
 				break;
 			}
 
 			case FleetMessageKind.Cancel: {
-				cells.get(message.cell)?.cancel(from, message.job, message.part);
+				cells.get(message.cell)?.cancel(from, message);
 				break;
 			}
 
@@ -266,7 +266,9 @@
 			case FleetMessageKind.TaskSucceeded:
 			case FleetMessageKind.Redirect:
 			case FleetMessageKind.Refuse:
-			case FleetMessageKind.End: {
+			case FleetMessageKind.End:
+			case FleetMessageKind.Dropped:
+			case FleetMessageKind.Superseded: {
 				heldJobs.deliver(from, message);
 				break;
 			}
@@ -449,7 +451,7 @@
 		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
 		onDecision(decision, fields) {
-			const write = decision === HolderDecision.PartSubmitted && fields.isRepeated === false ? logRoutine : logEvent;
+			const write = isRoutineOfHolder(decision, fields) ? logRoutine : logEvent;
 			write(decision, fields);
 		},
 		onAnswered({job, queue, answer, milliseconds}) {
--- a/packages/galenakeeld/src/process/fleet/held-jobs.ts
+++ b/packages/galenakeeld/src/process/fleet/held-jobs.ts
@@ -1,5 +1,5 @@
 import {createInbox, type Inbox} from '@galenakeel/model/connection/inbox.js';
-import {FleetMessageKind, type JobUpdate} from '@galenakeel/model/connection/fleet-message.js';
+import type {JobUpdate} from '@galenakeel/model/connection/fleet-message.js';
 
 /**
 Local events that the holder of a job receives in addition to the updates of the cell's owner.
@@ -13,7 +13,10 @@
 	CallerDisconnected = 'caller-left',
 }
 
-export type HolderUpdate = JobUpdate | {readonly kind: HolderEvent};
+export type HolderUpdate
+	= | JobUpdate
+		| {readonly kind: HolderEvent.OwnerLost | HolderEvent.OwnerReconnected; readonly assignment: number}
+		| {readonly kind: HolderEvent.CallerDisconnected};
 
 /**
 The owner of a cell during one term.
@@ -29,9 +32,12 @@
 A part of a job that this daemon holds for its caller.
 */
 export type HeldJob = {
+	/** Updates of the present assignment and of earlier ones, since they may arrive late. */
 	readonly updates: Inbox<HolderUpdate>;
-	/** Records which owner has the part; undefined while none has. */
-	readonly setOwner: (cell: string, owner: CellOwner | undefined) => void;
+	/** Records to which owner the part is assigned, and returns the number of the assignment. */
+	readonly assign: (cell: string, owner: CellOwner) => number;
+	/** Records that no owner has the part. */
+	readonly unassign: () => void;
 	/** Stops holding the part and closes its inbox. */
 	readonly release: () => void;
 };
@@ -42,12 +48,12 @@
 export type HeldJobs = {
 	/** Number of job parts that are held. */
 	readonly count: () => number;
-	readonly hold: (identifier: string, part: string) => HeldJob;
+	readonly hold: () => HeldJob;
 	/** Whether parts of jobs are assigned to the owner at an address. */
 	readonly hasJobsAt: (address: string) => boolean;
 	/** Addresses of the owners to which parts are assigned. */
 	readonly assignedOwners: () => readonly string[];
-	/** Delivers an update of an owner to all holdings of its job part. */
+	/** Delivers an update of an owner to the holding of its assignment. */
 	readonly deliver: (from: string, update: JobUpdate) => void;
 	/** Notifies the jobs whose owner no longer owns their cell. */
 	readonly checkOwners: (findOwner: (cell: string) => CellOwner | undefined) => void;
@@ -56,26 +62,34 @@
 };
 
 type Holding = {
-	readonly identifier: string;
-	readonly part: string;
 	readonly updates: Inbox<HolderUpdate>;
+	/** Numbers of its assignments so far. */
+	readonly assignments: number[];
 	cell: string;
+	/** Undefined while the part is not assigned. */
 	owner: CellOwner | undefined;
 };
 
+type Assignment = {readonly holding: Holding; readonly ownerAddress: string};
+
+const numbersPerMillisecond = 1000;
+
 const isSameTerm = (first: CellOwner, second: CellOwner | undefined): boolean =>
 	first.address === second?.address && first.term === second.term;
 
 /**
-Creates an empty set of held jobs. A caller that repeats an identifier adds a holding of the same job.
+Creates an empty set of held jobs. Numbers of assignments begin at the time in microseconds, so that a restarted daemon uses none again.
 
 @example
 ```
-const held = heldJobs.hold('5c0e7a21d94b36f8', '0');
+const held = heldJobs.hold();
+const assignment = held.assign('ie-south-a', owner);
 ```
 */
 export const createHeldJobs = (): HeldJobs => {
 	const holdings = new Set<Holding>();
+	const assignments = new Map<number, Assignment>();
+	let lastAssignment = Date.now() * numbersPerMillisecond;
 	/** Number of parts that are assigned to each owner, by address. */
 	const assigned = new Map<string, number>();
 
@@ -92,55 +106,73 @@
 		}
 	};
 
-	const assign = (holding: Holding, owner: CellOwner | undefined): void => {
+	const setOwner = (holding: Holding, owner: CellOwner | undefined): void => {
 		changeAssigned(holding.owner, -1);
 		holding.owner = owner;
 		changeAssigned(owner, 1);
 	};
 
+	const assign = (holding: Holding, cell: string, owner: CellOwner): number => {
+		lastAssignment++;
+		assignments.set(lastAssignment, {holding, ownerAddress: owner.address});
+		holding.assignments.push(lastAssignment);
+		holding.cell = cell;
+		setOwner(holding, owner);
+		return lastAssignment;
+	};
+
+	const release = (holding: Holding): void => {
+		holdings.delete(holding);
+		for (const assignment of holding.assignments) {
+			assignments.delete(assignment);
+		}
+
+		setOwner(holding, undefined);
+		holding.updates.close();
+	};
+
+	const notify = (holding: Holding, kind: HolderEvent.OwnerLost | HolderEvent.OwnerReconnected): void => {
+		holding.updates.push({kind, assignment: holding.assignments.at(-1)!});
+	};
+
 	return {
 		count: () => holdings.size,
-		hold(identifier, part) {
+		hold() {
 			const holding: Holding = {
-				identifier, part, updates: createInbox<HolderUpdate>(), cell: '', owner: undefined,
+				updates: createInbox<HolderUpdate>(), assignments: [], cell: '', owner: undefined,
 			};
 			holdings.add(holding);
 			return {
 				updates: holding.updates,
-				setOwner(cell, owner) {
-					holding.cell = cell;
-					assign(holding, owner);
+				assign: (cell, owner) => assign(holding, cell, owner),
+				unassign() {
+					setOwner(holding, undefined);
 				},
 				release() {
-					holdings.delete(holding);
-					assign(holding, undefined);
-					holding.updates.close();
+					release(holding);
 				},
 			};
 		},
 		hasJobsAt: address => assigned.has(address),
 		assignedOwners: () => [...assigned.keys()],
 		deliver(from, update) {
-			for (const {identifier, part, owner, updates: inbox} of holdings) {
-				// A task that succeeded at an earlier owner counts as well.
-				const isCurrent = owner?.address === from || update.kind === FleetMessageKind.TaskSucceeded;
-				if (identifier === update.job && part === update.part && isCurrent) {
-					inbox.push(update);
-				}
+			const assignment = assignments.get(update.assignment);
+			if (assignment?.ownerAddress === from) {
+				assignment.holding.updates.push(update);
 			}
 		},
 		checkOwners(findOwner) {
 			for (const holding of holdings) {
 				if (holding.owner && !isSameTerm(holding.owner, findOwner(holding.cell))) {
-					assign(holding, undefined);
-					holding.updates.push({kind: HolderEvent.OwnerLost});
+					setOwner(holding, undefined);
+					notify(holding, HolderEvent.OwnerLost);
 				}
 			}
 		},
 		notifyReconnected(address) {
-			for (const {owner, updates} of holdings) {
-				if (owner?.address === address) {
-					updates.push({kind: HolderEvent.OwnerReconnected});
+			for (const holding of holdings) {
+				if (holding.owner?.address === address) {
+					notify(holding, HolderEvent.OwnerReconnected);
 				}
 			}
 		},
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -2,7 +2,8 @@
 import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
 import {findQueue, type Queue} from '@galenakeel/model/version/queue-configuration.js';
 import type {FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
-import type {holdJob, HoldOptions, JobAnswer} from '../../request/hold-job.js';
+import type {holdJob, HoldOptions} from '../../request/hold-job.js';
+import type {JobAnswer} from '../../request/job-answer.js';
 import {homeCellOf, weightOfCell} from './cell-layout.js';
 import type {CellLayoutWatch} from './cell-layout-watch.js';
 import type {CellOwners} from './cell-owners.js';
@@ -100,8 +101,8 @@
 			});
 			const answer = await options.hold(job, queue, {
 				homeCell,
-				hold(part) {
-					const held = heldJobs.hold(job.identifier, part);
+				hold() {
+					const held = heldJobs.hold();
 					heldParts.add(held);
 					return held;
 				},
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -15,6 +15,8 @@
 */
 export type OwnedCells = {
 	readonly get: (cell: string) => Cell | undefined;
+	/** Returns a cell if the present claim to it is of that term, since an earlier one knew other jobs. */
+	readonly getInTerm: (cell: string, term: number) => Cell | undefined;
 	readonly all: () => readonly Cell[];
 	readonly count: () => number;
 	/** Raises the token of a cell above one with which another daemon has given orders. */
@@ -233,6 +235,10 @@
 
 	return {
 		get: name => cells.get(name)?.cell,
+		getInTerm(name, term) {
+			const owned = cells.get(name);
+			return owned?.term === term ? owned.cell : undefined;
+		},
 		all: () => [...cells.values()].map(({cell}) => cell),
 		count: () => cells.size,
 		raiseTokenAbove(name, token) {
--- a/packages/galenakeeld/src/process/fleet/recent-cancels.ts
+++ b/packages/galenakeeld/src/process/fleet/recent-cancels.ts
@@ -5,7 +5,7 @@
 The cancels that this daemon has sent to owners lately. Messages to a peer are lost while its stream is broken, and an owner that misses a cancel goes on to run the tasks.
 */
 export type RecentCancels = {
-	/** Records a message to an owner: a cancel is kept, and a later submission of the same part replaces it. */
+	/** Records a message to an owner if it is a cancel. */
 	readonly record: (address: string, message: FleetMessage) => void;
 	/** Returns the cancels for an owner whose stream was opened again, oldest first. */
 	readonly of: (address: string) => readonly FleetMessage[];
@@ -13,8 +13,6 @@
 
 type SentCancel = {readonly address: string; readonly message: FleetMessage; readonly at: number};
 
-const keyOf = (address: string, job: string, part: string): string => `${address} ${job}/${part}`;
-
 /**
 Creates an empty record.
 
@@ -28,17 +26,17 @@
 ```
 */
 export const createRecentCancels = (keepMilliseconds: number): RecentCancels => {
-	/** Oldest first. */
-	const cancels = new Map<string, SentCancel>();
+	/** By assignment, oldest first. */
+	const cancels = new Map<number, SentCancel>();
 
 	const removeOld = (): void => {
 		const oldest = performance.now() - keepMilliseconds;
-		for (const [key, {at}] of cancels) {
+		for (const [assignment, {at}] of cancels) {
 			if (at >= oldest) {
 				break;
 			}
 
-			cancels.delete(key);
+			cancels.delete(assignment);
 		}
 	};
 
@@ -46,9 +44,7 @@
 		record(address, message) {
 			if (message.kind === FleetMessageKind.Cancel) {
 				removeOld();
-				cancels.set(keyOf(address, message.job, message.part), {address, message, at: performance.now()});
-			} else if (message.kind === FleetMessageKind.Submit) {
-				cancels.delete(keyOf(address, message.order.job.identifier, message.order.part));
+				cancels.set(message.assignment, {address, message, at: performance.now()});
 			}
 		},
 		of(address) {
--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -4,87 +4,117 @@
     Given a job of 4 tasks whose home cell is "north"
 
   Scenario: A job ends when all its parts have ended
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
     And the owner of "north" ends part "0"
     Then there is no answer yet
-    When the owner of "south" ends part "0.1"
+    When the owner of "south" ends part "1"
     Then the holder answers "complete"
 
   Scenario: A redirected part is submitted with its own tasks only
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
-    Then part "0.1" was last submitted to "south" with the tasks "0.2, 0.3"
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    Then part "1" was last submitted to "south" with the tasks "0.2, 0.3"
 
   Scenario: A redirect that is received twice moves the tasks once
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
-    And the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
-    Then part "0.1" was submitted 1 times
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    And the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    Then part "1" was submitted 1 times
 
   Scenario: A part that another cell refuses returns to the home cell, where it can't be refused
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
-    And the owner of "south" refuses part "0.1"
-    Then part "0.1" was last submitted to "north" with the tasks "0.2, 0.3"
-    And part "0.1" was submitted as one that can't be refused
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    And the owner of "south" refuses part "1"
+    Then part "1" was last submitted to "north" with the tasks "0.2, 0.3"
+    And part "1" was submitted as one that can't be refused
 
   Scenario: A job whose only part is refused by the home cell is refused
     When the owner of "north" refuses part "0"
     Then the holder answers "refused"
 
   Scenario: A job that was redirected entirely and is refused by the other cell returns to the home cell before it is refused
-    When the owner of "north" redirects the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south" as part "0.1"
-    And the owner of "south" refuses part "0.1"
-    Then part "0.1" was last submitted to "north" with the tasks "0.0, 0.1, 0.2, 0.3"
-    When the owner of "north" refuses part "0.1"
+    When the owner of "north" redirects the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south", which become part "1"
+    And the owner of "south" refuses part "1"
+    Then part "1" was last submitted to "north" with the tasks "0.0, 0.1, 0.2, 0.3"
+    When the owner of "north" refuses part "1"
     Then the holder answers "refused"
 
   Scenario: A job that was redirected entirely can still be refused by the other cell
-    When the owner of "north" redirects the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south" as part "0.1"
-    Then part "0.1" was submitted as one that can be refused
+    When the owner of "north" redirects the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south", which become part "1"
+    Then part "1" was submitted as one that can be refused
 
   Scenario: A job of which a part has run is not refused even if the update that reports its start was lost
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
-    And the owner of "south" ends part "0.1"
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    And the owner of "south" ends part "1"
     And the owner of "north" refuses part "0"
     Then there is no answer yet
     And part "0" was submitted as one that can't be refused
 
   Scenario: A part that is refused although it can't be ends the job with an unknown outcome instead of being submitted again
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
-    And the owner of "south" refuses part "0.1"
-    And the owner of "north" refuses part "0.1"
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    And the owner of "south" refuses part "1"
+    And the owner of "north" refuses part "1"
     Then the outcome is unknown
-    And part "0.1" was submitted 2 times
+    And part "1" was submitted 2 times
 
   Scenario: The loss of one owner reassigns only its part
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
-    And the task "0.2" of part "0.1" succeeds
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    And the task "0.2" of part "1" succeeds
     And the owner of "south" is lost
-    Then part "0.1" was last submitted to "south" with the tasks "0.3"
+    Then part "1" was last submitted to "south" with the tasks "0.3"
     And part "0" was submitted 1 times
 
   Scenario: A part whose owner is replaced is submitted with the token of the lost owner
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
     And the owner of "south" is lost
-    Then part "0.1" was last submitted to "south" with the highest token 1
+    Then part "1" was last submitted to "south" with the highest token 1
 
   Scenario: A part that moves from a cell without an owner is submitted without that cell's token, which the endpoints of the other cell never received
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
     And the owner of "south" is lost, and no other instance claims the cell
-    Then part "0.1" was last submitted to "north" with the highest token 0
+    Then part "1" was last submitted to "north" with the highest token 0
 
   Scenario: A part that fails ends the job, and the other parts are cancelled
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
-    And the owner of "south" fails part "0.1"
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    And the owner of "south" fails part "1"
     Then the holder answers "failed"
     And part "0" was cancelled
 
   Scenario: All parts are cancelled when the caller disconnects
-    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south" as part "0.1"
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
     And the caller disconnects
     Then part "0" was cancelled
-    And part "0.1" was cancelled
+    And part "1" was cancelled
 
   Scenario: A refusal that is read after its part went to the home cell does not refuse the job there
-    When the owner of "north" redirects the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south" as part "0.1"
-    And the owner of "south" refuses part "0.1" twice at once
+    When the owner of "north" redirects the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south", which become part "1"
+    And the owner of "south" refuses part "1" twice at once
     Then there is no answer yet
-    And part "0.1" was last submitted to "north" with the tasks "0.0, 0.1, 0.2, 0.3"
+    And part "1" was last submitted to "north" with the tasks "0.0, 0.1, 0.2, 0.3"
+
+  Scenario: An end does not complete tasks that were redirected by a message that the holder missed
+    When the owner of "north" ends part "0", after a redirect of the tasks "0.2, 0.3" to "south" that was lost
+    Then there is no answer yet
+    And part "1" was last submitted to "south" with the tasks "0.2, 0.3"
+    When the owner of "south" ends part "1"
+    Then the holder answers "complete"
+
+  Scenario: An end of an earlier assignment does not end the present one
+    When the owner of "north" is lost
+    And the owner of "north" ends part "0" as it was first assigned
+    Then there is no answer yet
+    And part "0" was submitted 2 times
+
+  Scenario: A part that its owner dropped is submitted as one that can't be refused if its tasks had started
+    When the owner of "north" has dropped part "0", in which the task "0.0" succeeded, after a start
+    Then part "0" was last submitted to "north" with the tasks "0.1, 0.2, 0.3"
+    And part "0" was submitted as one that can't be refused
+    When the owner of "north" refuses part "0"
+    Then the outcome is unknown
+
+  Scenario: A part that its owner dropped can still be refused if none of its tasks had started
+    When the owner of "north" has dropped part "0" before any start
+    And the owner of "north" refuses part "0"
+    Then the holder answers "refused"
+
+  Scenario: A job that its caller submitted again elsewhere is given up without a cancel
+    When the owner of "north" gives part "0" to another holder
+    Then the outcome is unknown
+    And part "0" was not cancelled
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -3,14 +3,17 @@
 import {
 	Given, Then, When,
 } from '@cucumber/cucumber';
-import {FleetMessageKind, type FleetMessage, type JobOrder} from '@galenakeel/model/connection/fleet-message.js';
+import {
+	FleetMessageKind, type AssignmentReference, type FleetMessage, type JobOrder,
+} from '@galenakeel/model/connection/fleet-message.js';
 import {RefusalReason, type Job} from '@galenakeel/model/request/job.js';
 import {positionOf} from '@galenakeel/model/request/task-key.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {
 	createHeldJobs, HolderEvent, type HeldJob, type HeldJobs,
 } from '../../process/fleet/held-jobs.js';
-import {holdJob, type JobAnswer} from '../hold-job.js';
+import {holdJob} from '../hold-job.js';
+import type {JobAnswer} from '../job-answer.js';
 
 type HolderWorld = {
 	heldJobs: HeldJobs;
@@ -55,6 +58,12 @@
 	await turn();
 };
 
+/** Names the last assignment of a part, as its owner does. */
+const referenceTo = ({submitted}: HolderWorld, part: string): AssignmentReference => {
+	const {order} = submitted.findLast(one => one.order.part === part)!;
+	return {job: identifier, part, assignment: order.assignment};
+};
+
 const ordersOf = ({submitted}: HolderWorld, part: string) => submitted.filter(({order}) => order.part === part);
 
 Given('a job of {int} tasks whose home cell is {string}', async function (this: HolderWorld, count: number, homeCell: string) {
@@ -68,8 +77,8 @@
 	const hold = async (): Promise<void> => {
 		this.answer = await holdJob(job, queue, {
 			homeCell,
-			hold: part => {
-				const held = this.heldJobs.hold(identifier, part);
+			hold: () => {
+				const held = this.heldJobs.hold();
 				this.holdings.push(held);
 				return held;
 			},
@@ -93,47 +102,84 @@
 	await settle();
 });
 
-When('the owner of {string} redirects the tasks {string} of part {string} to {string} as part {string}', async function (this: HolderWorld, owner: string, positions: string, part: string, cell: string, newPart: string) {
+When('the owner of {string} redirects the tasks {string} of part {string} to {string}, which become part {string}', async function (this: HolderWorld, owner: string, positions: string, part: string, cell: string, newPart: string) {
 	this.heldJobs.deliver(owner, {
-		kind: FleetMessageKind.Redirect, job: identifier, part, newPart, positions: splitNames(positions), cell,
+		kind: FleetMessageKind.Redirect, ...referenceTo(this, part), positions: splitNames(positions), cell,
 	});
 	await settle();
+	assert.ok(ordersOf(this, newPart).length > 0);
 });
 
 When('the owner of {string} ends part {string}', async function (this: HolderWorld, owner: string, part: string) {
 	this.heldJobs.deliver(owner, {
-		kind: FleetMessageKind.End, job: identifier, part, isComplete: true,
+		kind: FleetMessageKind.End, ...referenceTo(this, part), isComplete: true, redirects: [],
 	});
 	await settle();
 });
 
 When('the owner of {string} fails part {string}', async function (this: HolderWorld, owner: string, part: string) {
 	this.heldJobs.deliver(owner, {
-		kind: FleetMessageKind.End, job: identifier, part, isComplete: false,
+		kind: FleetMessageKind.End, ...referenceTo(this, part), isComplete: false, redirects: [],
 	});
 	await settle();
 });
 
 When('the owner of {string} refuses part {string}', async function (this: HolderWorld, owner: string, part: string) {
 	this.heldJobs.deliver(owner, {
-		kind: FleetMessageKind.Refuse, job: identifier, part, reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000,
+		kind: FleetMessageKind.Refuse, ...referenceTo(this, part), reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000,
 	});
 	await settle();
 });
 
 When('the owner of {string} refuses part {string} twice at once', async function (this: HolderWorld, owner: string, part: string) {
+	const reference = referenceTo(this, part);
 	for (let times = 0; times < 2; times++) {
 		this.heldJobs.deliver(owner, {
-			kind: FleetMessageKind.Refuse, job: identifier, part, reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000,
+			kind: FleetMessageKind.Refuse, ...reference, reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000,
 		});
 	}
 
 	await settle();
 });
 
+When('the owner of {string} ends part {string}, after a redirect of the tasks {string} to {string} that was lost', async function (this: HolderWorld, owner: string, part: string, positions: string, cell: string) {
+	this.heldJobs.deliver(owner, {
+		kind: FleetMessageKind.End, ...referenceTo(this, part), isComplete: true, redirects: [{positions: splitNames(positions), cell}],
+	});
+	await settle();
+});
+
+When('the owner of {string} ends part {string} as it was first assigned', async function (this: HolderWorld, owner: string, part: string) {
+	const {order} = this.submitted.find(one => one.order.part === part)!;
+	this.heldJobs.deliver(owner, {
+		kind: FleetMessageKind.End, job: identifier, part, assignment: order.assignment, isComplete: true, redirects: [],
+	});
+	await settle();
+});
+
+const drop = async (world: HolderWorld, owner: string, part: string, succeeded: readonly string[], hasStarted: boolean): Promise<void> => {
+	world.heldJobs.deliver(owner, {
+		kind: FleetMessageKind.Dropped, ...referenceTo(world, part), hasStarted, succeeded, redirects: [],
+	});
+	await settle();
+};
+
+When('the owner of {string} has dropped part {string}, in which the task {string} succeeded, after a start', async function (this: HolderWorld, owner: string, part: string, succeeded: string) {
+	await drop(this, owner, part, [succeeded], true);
+});
+
+When('the owner of {string} has dropped part {string} before any start', async function (this: HolderWorld, owner: string, part: string) {
+	await drop(this, owner, part, [], false);
+});
+
+When('the owner of {string} gives part {string} to another holder', async function (this: HolderWorld, owner: string, part: string) {
+	this.heldJobs.deliver(owner, {kind: FleetMessageKind.Superseded, ...referenceTo(this, part)});
+	await settle();
+});
+
 When('the task {string} of part {string} succeeds', async function (this: HolderWorld, position: string, part: string) {
 	this.heldJobs.deliver('south', {
-		kind: FleetMessageKind.TaskSucceeded, job: identifier, part, position,
+		kind: FleetMessageKind.TaskSucceeded, ...referenceTo(this, part), position,
 	});
 	await settle();
 });
@@ -197,3 +243,7 @@
 Then('part {string} was cancelled', function (this: HolderWorld, part: string) {
 	assert.ok(this.cancelled.includes(part));
 });
+
+Then('part {string} was not cancelled', function (this: HolderWorld, part: string) {
+	assert.ok(!this.cancelled.includes(part));
+});
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -3,26 +3,18 @@
 import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
 import {positionOf} from '@galenakeel/model/request/task-key.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
-import {
-	FleetMessageKind, type FleetMessage, type JobOrder, type Redirect,
-} from '@galenakeel/model/connection/fleet-message.js';
+import type {FleetMessage, JobOrder, TaskRedirect} from '@galenakeel/model/connection/fleet-message.js';
 import {criticalPathOf} from '../process/cells/placed-job.js';
 import {HolderEvent, type CellOwner, type HeldJob} from '../process/fleet/held-jobs.js';
-import {HolderDecision} from './holder-decision.js';
-
-/**
-The answer to the caller of a job.
-*/
-export type JobAnswer
-	= | {readonly end: JobEnd.Complete | JobEnd.Failed | JobEnd.Cancelled}
-		| {readonly end: JobEnd.Refused; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number}
-	/** Undefined end: it is unknown whether the job has run. */
-		| {readonly end: undefined};
+import {AssignmentEnd, assignPart, type AssignPartOptions} from './assign-part.js';
+import type {HolderDecision} from './holder-decision.js';
+import type {JobAnswer} from './job-answer.js';
+import {createJobPart, type JobPart} from './job-part.js';
 
 export type HoldOptions = {
 	readonly homeCell: string;
-	/** Subscribes to the updates of a part. */
-	readonly hold: (part: string) => HeldJob;
+	/** Begins to hold a part, and returns its updates. */
+	readonly hold: () => HeldJob;
 	/** Waits for a reachable owner of a cell; undefined when there is none within that time. */
 	readonly awaitOwner: (cell: string, waitMilliseconds: number) => Promise<CellOwner | undefined>;
 	/** Other cells with a reachable owner, the least busy first. */
@@ -39,44 +31,6 @@
 const expiryObjectives = 3;
 const ownerWaitMilliseconds = 400;
 const retryWithoutCellMilliseconds = 2000;
-const firstPart = '0';
-
-/**
-A subset of a job's tasks, assigned to one owner at a time.
-*/
-type JobPart = {
-	readonly name: string;
-	cell: string;
-	/** Tasks that this daemon doesn't know to have succeeded. */
-	readonly positions: Set<string>;
-	/** Number of owners lost while the part was assigned to them. */
-	generation: number;
-	/** Highest fencing token of these owners, by cell, since the endpoints of one cell never receive the tokens of another. */
-	readonly highestTokens: Map<string, number>;
-	/** Number of times that owners have redirected the tasks to another cell. */
-	readonly moves: number;
-	/** The last order for the part said that it can't be refused. */
-	wasCommitted: boolean;
-};
-
-/** How the assignment of a part to an owner ended. */
-enum AssignmentEnd {
-	/** All its tasks have succeeded or were moved to other parts. */
-	Done = 'done',
-	/** The owner refused the part and has run none of its tasks. */
-	Refused = 'refused',
-	/** The owner is unreachable or has been replaced. */
-	OwnerLost = 'owner-lost',
-	/** The job has ended in another way. */
-	JobEnded = 'job-ended',
-}
-
-type AssignmentResult
-	= | {readonly end: AssignmentEnd.Done | AssignmentEnd.OwnerLost}
-		| {readonly end: AssignmentEnd.Refused | AssignmentEnd.JobEnded; readonly answer: JobAnswer};
-
-/** Time since a moment in monotonic milliseconds, rounded for a log. */
-const ageOf = (moment: number | undefined): number | undefined => moment === undefined ? undefined : Math.round(performance.now() - moment);
 
 const positionsOf = (job: Job): readonly string[] =>
 	job.steps.flatMap(({tasks}, step) => Array.from({length: tasks}, (_, index) => positionOf({step, index})));
@@ -101,16 +55,26 @@
 	let hasStarted = false;
 	/** The job has been answered, or this call has failed. */
 	let isAnswered = false;
+	let partCount = 0;
+
+	/** Parts are named "0", "1" and so on, in the order of their creation. */
+	const createName = (): string => {
+		const name = String(partCount);
+		partCount++;
+		return name;
+	};
 
 	/** The job can be refused while nothing has started and only one part has tasks. Parts without tasks don't count: all their tasks were redirected, and they are about to end. */
 	const isCommitted = (): boolean => hasStarted || [...heldParts.keys()].filter(({positions}) => positions.size > 0).length > 1;
 
-	const createOrder = (part: JobPart): JobOrder => {
+	const createOrder = (part: JobPart, assignment: number, assignedMillisecondsAgo: number): JobOrder => {
 		part.wasCommitted = isCommitted();
 		const age = performance.now() - arrivedAt;
 		return {
 			job,
 			part: part.name,
+			assignment,
+			assignedMillisecondsAgo: Math.round(assignedMillisecondsAgo),
 			service: queue.service,
 			queue: queue.name,
 			priority: queue.priority,
@@ -126,93 +90,25 @@
 		};
 	};
 
-	/** Moves tasks of a part to a new part in another cell. A repeated redirect finds them already moved and does nothing. */
-	const split = (part: JobPart, {positions, newPart, cell}: Redirect): void => {
+	const split = (part: JobPart, {positions, cell}: TaskRedirect): void => {
 		const moved = positions.filter(position => part.positions.delete(position));
 		if (moved.length > 0) {
-			void holdPart({
-				name: newPart, cell, positions: new Set(moved), generation: 0, highestTokens: new Map(), moves: part.moves + 1, wasCommitted: false,
-			});
+			void holdPart(createJobPart({
+				name: createName(), cell, positions: moved, moves: part.moves + 1,
+			}));
 		}
 	};
 
-	/** Assigns a part to an owner and processes its updates until the part has ended or needs another owner. */
-	const assignPart = async (part: JobPart, owner: CellOwner, {updates}: HeldJob): Promise<AssignmentResult> => {
-		const assignedAt = performance.now();
-		const logDecision = (decision: HolderDecision, fields: Readonly<Record<string, unknown>>): void => {
-			options.onDecision(decision, {
-				job: job.identifier, part: part.name, cell: part.cell, owner: owner.address, term: owner.term, generation: part.generation, sinceAssignedMilliseconds: Math.round(performance.now() - assignedAt), ...fields,
-			});
-		};
-
-		const submit = (): void => {
-			options.send(owner, {kind: FleetMessageKind.Submit, cell: part.cell, order: createOrder(part)});
-		};
-
-		const cancel = (): void => {
-			options.send(owner, {
-				kind: FleetMessageKind.Cancel, cell: part.cell, job: job.identifier, part: part.name,
-			});
-		};
-
-		submit();
-		logDecision(HolderDecision.PartSubmitted, {isRepeated: false});
-		for await (const one of updates) {
-			switch (one.kind) {
-				case FleetMessageKind.Started: {
-					hasStarted = true;
-					break;
-				}
-
-				case FleetMessageKind.TaskSucceeded: {
-					hasStarted = true;
-					part.positions.delete(one.position);
-					break;
-				}
-
-				case FleetMessageKind.End: {
-					// The update that reports the start may have been lost.
-					hasStarted = true;
-					logDecision(HolderDecision.UpdateRead, {update: one.kind, isComplete: one.isComplete, openTasks: part.positions.size});
-					return one.isComplete ? {end: AssignmentEnd.Done} : {end: AssignmentEnd.JobEnded, answer: {end: JobEnd.Failed}};
-				}
-
-				case FleetMessageKind.Refuse: {
-					logDecision(HolderDecision.UpdateRead, {update: one.kind, reason: one.reason});
-					return {end: AssignmentEnd.Refused, answer: {end: JobEnd.Refused, reason: one.reason, retryAfterMilliseconds: one.retryAfterMilliseconds}};
-				}
-
-				case FleetMessageKind.Redirect: {
-					logDecision(HolderDecision.UpdateRead, {update: one.kind, newPart: one.newPart, tasks: one.positions.length});
-					split(part, one);
-					if (part.positions.size === 0) {
-						return {end: AssignmentEnd.Done};
-					}
-
-					break;
-				}
-
-				case HolderEvent.OwnerReconnected: {
-					submit();
-					logDecision(HolderDecision.PartSubmitted, {isRepeated: true});
-					break;
-				}
-
-				case HolderEvent.OwnerLost: {
-					// An owner that is still running must not start tasks that its successor starts.
-					cancel();
-					logDecision(HolderDecision.OwnerLost, {heardMillisecondsAgo: ageOf(options.lastHeardFrom(owner))});
-					return {end: AssignmentEnd.OwnerLost};
-				}
-
-				case HolderEvent.CallerDisconnected: {
-					cancel();
-					return {end: AssignmentEnd.JobEnded, answer: {end: JobEnd.Cancelled}};
-				}
-			}
-		}
-
-		return {end: AssignmentEnd.JobEnded, answer: {end: undefined}};
+	const assignOptions: AssignPartOptions = {
+		job: job.identifier,
+		createOrder,
+		send: options.send,
+		lastHeardFrom: options.lastHeardFrom,
+		onStarted() {
+			hasStarted = true;
+		},
+		split,
+		onDecision: options.onDecision,
 	};
 
 	/** Finds a cell with an owner. The part's own cell comes first; after a lost owner, the wait for a successor lasts as long as the lease, because tasks may still run there. */
@@ -234,6 +130,12 @@
 		return undefined;
 	};
 
+	/** Later starts of the part have to wait for what the owner may have started. */
+	const recordPossibleRuns = (part: JobPart, owner: CellOwner): void => {
+		part.generation++;
+		part.highestTokens.set(part.cell, Math.max(part.highestTokens.get(part.cell) ?? 0, owner.token));
+	};
+
 	/** Assigns a part to one owner after another. Returns undefined when its tasks have succeeded or were moved, and the answer to the job otherwise. */
 	const runPart = async (part: JobPart, heldJob: HeldJob): Promise<JobAnswer | undefined> => {
 		for (;;) {
@@ -246,9 +148,8 @@
 				return part.generation === 0 && !isCommitted() ? {end: JobEnd.Refused, reason: RefusalReason.NoCell, retryAfterMilliseconds: retryWithoutCellMilliseconds} : {end: undefined};
 			}
 
-			heldJob.setOwner(part.cell, owner);
-			const result = await assignPart(part, owner, heldJob);
-			heldJob.setOwner(part.cell, undefined);
+			const result = await assignPart(part, owner, heldJob, assignOptions);
+			heldJob.unassign();
 			switch (result.end) {
 				case AssignmentEnd.Done: {
 					return undefined;
@@ -273,16 +174,23 @@
 					break;
 				}
 
+				case AssignmentEnd.Dropped: {
+					if (result.hasStarted) {
+						recordPossibleRuns(part, owner);
+					}
+
+					break;
+				}
+
 				case AssignmentEnd.OwnerLost: {
-					part.generation++;
-					part.highestTokens.set(part.cell, Math.max(part.highestTokens.get(part.cell) ?? 0, owner.token));
+					recordPossibleRuns(part, owner);
 				}
 			}
 		}
 	};
 
 	async function holdPart(part: JobPart): Promise<void> {
-		const holding = options.hold(part.name);
+		const holding = options.hold();
 		heldParts.set(part, holding);
 		try {
 			const partAnswer = await runPart(part, holding);
@@ -299,9 +207,9 @@
 		}
 	}
 
-	void holdPart({
-		name: firstPart, cell: options.homeCell, positions: new Set(allPositions), generation: 0, highestTokens: new Map(), moves: 0, wasCommitted: false,
-	});
+	void holdPart(createJobPart({
+		name: createName(), cell: options.homeCell, positions: allPositions, moves: 0,
+	}));
 	try {
 		return await answer.promise;
 	} finally {
