--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -1,7 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import type {EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
 import {
-	FleetMessageKind, type AssignmentReference, type CellLoad, type JobUpdate, type JobOrder, type TaskRedirect,
+	FleetMessageKind, type AssignmentReference, type CellLoad, type JobUpdate, type JobOrder, type PartEnd, type TaskRedirect,
 } from '@galenakeel/model/connection/fleet-message.js';
 import {RefusalReason} from '@galenakeel/model/request/job.js';
 import {positionOf, type TaskKey} from '@galenakeel/model/request/task-key.js';
@@ -105,6 +105,8 @@
 const settleMilliseconds = 350;
 /** How long a closed assignment is kept, in case its holder submits it again. */
 const keepClosedMilliseconds = 30_000;
+/** How long the end of a job is kept for a caller that submits the job again. */
+const keepEndMilliseconds = 5000;
 const minimumRetryMilliseconds = 1000;
 const maximumRetryMilliseconds = 8000;
 const sweepMilliseconds = 50;
@@ -146,7 +148,7 @@
 	let ownedSince = performance.now();
 	let lastToken = options.token();
 	const jobs = new Map<string, PlacedJob>();
-	const closedAssignments = createClosedAssignments(keepClosedMilliseconds);
+	const closedAssignments = createClosedAssignments(keepClosedMilliseconds, keepEndMilliseconds);
 	/** Processor of a typical task, in thousandths of a core. */
 	let typicalProcessor = 1;
 	let isDispatching = false;
@@ -193,11 +195,16 @@
 
 	/** Removes a job from the cell and keeps what its holder has to know of it. */
 	const close = (job: PlacedJob, updates: readonly JobUpdate[]): void => {
-		const {holder, assignment, order} = job;
+		const {holder, assignment} = job;
 		jobs.delete(keyOf(job));
-		closedAssignments.add({
-			holder, assignment, part: keyOf(job), excluded: order.excluded, updates,
-		});
+		closedAssignments.add({holder, assignment, updates});
+	};
+
+	/** Keeps the end of a job whose tasks have all succeeded or are elsewhere. */
+	const keepEnd = (job: PlacedJob, update: PartEnd): void => {
+		if (update.isComplete) {
+			closedAssignments.addEnd(keyOf(job), job.order.excluded, update);
+		}
 	};
 
 	/** Removes a job from the cell with the update that reports its end. */
@@ -235,7 +242,9 @@
 		onDecision(CellDecision.JobEnded, {
 			...describePart(job), isComplete, ageMilliseconds: Math.round(performance.now() - job.receivedAt), dueInMilliseconds: Math.round(job.dueAt - performance.now()),
 		});
-		finish(job, createEnd(job, isComplete));
+		const update = createEnd(job, isComplete);
+		finish(job, update);
+		keepEnd(job, update);
 		stopRunsOf(job);
 	};
 
@@ -306,11 +315,12 @@
 			...describePart(job), cell, tasks: tasks.length,
 		});
 		options.onRedirected(cell, processorOf(job, tasks));
-		const update = createRedirect(job, redirect);
-		notify(job.holder, update);
+		notify(job.holder, createRedirect(job, redirect));
 		if (isComplete(job)) {
 			// Nothing is left here; what succeeded before is part of the end.
-			close(job, [createEnd(job, true)]);
+			const end = createEnd(job, true);
+			close(job, [end]);
+			keepEnd(job, end);
 		}
 	};
 
@@ -540,9 +550,7 @@
 	const takeOver = (job: PlacedJob, holder: string, assignment: number): void => {
 		onDecision(CellDecision.AssignmentReplaced, {...describePart(job), newHolder: holder, isContinued: true});
 		const superseded: JobUpdate = {kind: FleetMessageKind.Superseded, ...referenceOf(job)};
-		closedAssignments.add({
-			holder: job.holder, assignment: job.assignment, part: keyOf(job), excluded: job.order.excluded, updates: [superseded],
-		});
+		closedAssignments.add({holder: job.holder, assignment: job.assignment, updates: [superseded]});
 		notify(job.holder, superseded);
 		job.holder = holder;
 		job.assignment = assignment;
@@ -599,9 +607,7 @@
 		}
 
 		const update = {...end, assignment: order.assignment};
-		closedAssignments.add({
-			holder, assignment: order.assignment, part: key, excluded: order.excluded, updates: [update],
-		});
+		closedAssignments.add({holder, assignment: order.assignment, updates: [update]});
 		notify(holder, update);
 		return true;
 	};
@@ -630,17 +636,14 @@
 			}
 		},
 		cancel(holder, reference) {
-			const key = partKeyOf(reference.job, reference.part);
-			const job = jobs.get(key);
+			const job = jobs.get(partKeyOf(reference.job, reference.part));
 			if (job?.holder === holder && job.assignment === reference.assignment) {
 				onDecision(CellDecision.JobCancelled, {...describePart(job), hasStarted: job.hasStarted});
 				close(job, []);
 				stopRunsOf(job);
 			} else if (!closedAssignments.get(holder, reference.assignment)) {
 				// The order may be on its way on an earlier stream.
-				closedAssignments.add({
-					holder, assignment: reference.assignment, part: key, excluded: [], updates: [],
-				});
+				closedAssignments.add({holder, assignment: reference.assignment, updates: []});
 			}
 		},
 		dropHolder(holder) {
--- a/packages/galenakeeld/src/process/cells/closed-assignments.ts
+++ b/packages/galenakeeld/src/process/cells/closed-assignments.ts
@@ -1,5 +1,5 @@
 import {performance} from 'node:perf_hooks';
-import {FleetMessageKind, type JobUpdate, type PartEnd} from '@galenakeel/model/connection/fleet-message.js';
+import type {JobUpdate, PartEnd} from '@galenakeel/model/connection/fleet-message.js';
 import {hasSamePositions} from './same-positions.js';
 
 /**
@@ -8,10 +8,6 @@
 export type ClosedAssignment = {
 	readonly holder: string;
 	readonly assignment: number;
-	/** Key of the part, which later assignments of it share. */
-	readonly part: string;
-	/** Tasks of the job that don't belong to the part. */
-	readonly excluded: readonly string[];
 	/** The updates that a holder has to know at the least, in order; none after a cancel. */
 	readonly updates: readonly JobUpdate[];
 };
@@ -22,6 +18,13 @@
 export type ClosedAssignments = {
 	readonly add: (closed: ClosedAssignment) => void;
 	readonly get: (holder: string, assignment: number) => ClosedAssignment | undefined;
+	/**
+	Keeps the end of tasks that have all succeeded, for a caller that submits the job again at once.
+
+	@param part Key of the part, which later assignments of it share.
+	@param excluded Tasks of the job that don't belong to the part.
+	*/
+	readonly addEnd: (part: string, excluded: readonly string[], end: PartEnd) => void;
 	/** The end of the same tasks under an earlier assignment, if all of them succeeded. */
 	readonly findEnd: (part: string, excluded: readonly string[]) => PartEnd | undefined;
 	/** Whether an assignment of that age may have been removed. */
@@ -35,56 +38,53 @@
 /** Margin for the time that an order is on its way. */
 const transitMilliseconds = 2000;
 
+/** Removes the entries that were added before a time. Maps are in the order in which entries were added. */
+const removeOlder = (entries: Map<string, {readonly at: number}>, oldest: number): void => {
+	for (const [key, {at}] of entries) {
+		if (at >= oldest) {
+			break;
+		}
+
+		entries.delete(key);
+	}
+};
+
 /**
 Creates an empty set.
 
 @param keepMilliseconds How long an assignment is kept, in milliseconds.
+@param keepEndMilliseconds How long the end of a part is kept for other assignments of the same tasks, in milliseconds.
 
 @example
 ```
-const closedAssignments = createClosedAssignments(30_000);
-closedAssignments.add({holder: '10.1.0.13:7720', assignment: 1, part: '5c0e7a21d94b36f8/0', excluded: [], updates: [refusal]});
+const closedAssignments = createClosedAssignments(30_000, 5000);
+closedAssignments.add({holder: '10.1.0.13:7720', assignment: 1, updates: [refusal]});
 closedAssignments.get('10.1.0.13:7720', 1)?.updates; // => [refusal]
 ```
 */
-export const createClosedAssignments = (keepMilliseconds: number): ClosedAssignments => {
+export const createClosedAssignments = (keepMilliseconds: number, keepEndMilliseconds: number): ClosedAssignments => {
 	const assignments = new Map<string, ClosedAssignment & {readonly at: number}>();
-	/** The last successful end of each part. */
-	const ends = new Map<string, {readonly closed: ClosedAssignment; readonly end: PartEnd}>();
-
-	const remove = (key: string, closed: ClosedAssignment): void => {
-		assignments.delete(key);
-		if (ends.get(closed.part)?.closed.assignment === closed.assignment) {
-			ends.delete(closed.part);
-		}
-	};
-
+	const ends = new Map<string, {readonly excluded: readonly string[]; readonly end: PartEnd; readonly at: number}>();
 	return {
 		add(closed) {
 			const key = keyOf(closed.holder, closed.assignment);
 			assignments.delete(key);
 			assignments.set(key, {...closed, at: performance.now()});
-			const last = closed.updates.at(-1);
-			if (last?.kind === FleetMessageKind.End && last.isComplete) {
-				ends.set(closed.part, {closed, end: last});
-			}
 		},
 		get: (holder, assignment) => assignments.get(keyOf(holder, assignment)),
+		addEnd(part, excluded, end) {
+			ends.delete(part);
+			ends.set(part, {excluded, end, at: performance.now()});
+		},
 		findEnd(part, excluded) {
 			const found = ends.get(part);
-			return found && hasSamePositions(found.closed.excluded, excluded) ? found.end : undefined;
+			return found && hasSamePositions(found.excluded, excluded) ? found.end : undefined;
 		},
 		isForgotten: ageMilliseconds => ageMilliseconds > keepMilliseconds - transitMilliseconds,
 		sweep() {
-			const oldest = performance.now() - keepMilliseconds;
-			for (const [key, closed] of assignments) {
-				// Assignments are in the order in which they were added.
-				if (closed.at >= oldest) {
-					break;
-				}
-
-				remove(key, closed);
-			}
+			const now = performance.now();
+			removeOlder(assignments, now - keepMilliseconds);
+			removeOlder(ends, now - keepEndMilliseconds);
 		},
 	};
 };
