--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.feature
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.feature
@@ -46,6 +46,13 @@
     Then the other connection is ended within 500 ms, with the reason "held up"
     And the stream is connected within 1000 ms
 
+  Scenario: A stream is ended after the receiver was suspended, which its steady clock does not show
+    Given a stream to an address where nothing listens, with a pause of 100 ms between connection attempts
+    When the peer starts after 100 ms and its heartbeat arrives
+    And a frame arrives on another connection, and one sent 100 ms later in whose time the receiver was suspended for 3000 ms
+    Then the other connection is ended within 500 ms, with the reason "held up"
+    And the stream is reconnected within 1000 ms
+
   Scenario: What is no stream of frames is ended, and streams of peers go on
     Given a stream to an address where nothing listens, with a pause of 100 ms between connection attempts
     When the peer starts after 100 ms and its heartbeat arrives
--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -34,6 +34,7 @@
 	connectedAgain: Deferred<true>;
 	ended: Promise<true>;
 	stop: (() => void) | undefined;
+	restoreDate: (() => void) | undefined;
 };
 
 const firstPort = 21_300;
@@ -95,6 +96,7 @@
 });
 
 After(async function (this: Partial<StreamWorld>) {
+	this.restoreDate?.();
 	if (this.stream) {
 		this.stream.close();
 		this.stream.resetConnection('the scenario has ended');
@@ -241,7 +243,7 @@
 });
 
 /** Opens a connection to the peer's server, and writes bytes that no stream of this build would send. */
-const writeToServer = async (world: StreamWorld, chunks: readonly Uint8Array[]): Promise<void> => {
+const writeToServer = async (world: StreamWorld, chunks: readonly Uint8Array[]): Promise<Socket> => {
 	const [host, port] = splitAddress(world.address);
 	const socket = connect({host, port});
 	socket.on('error', () => {
@@ -258,11 +260,28 @@
 	for (const chunk of chunks) {
 		socket.write(chunk);
 	}
+
+	return socket;
 };
 
+const encodeStarted = (sentAt: number): Uint8Array =>
+	prefixLength(Buffer.from(JSON.stringify({sentAt, messages: [{kind: FleetMessageKind.Started, job: '5c0e7a21d94b36f8', part: '0'}]})));
+
 When('a frame arrives on another connection, and one sent {int} ms before it', async function (this: StreamWorld, milliseconds: number) {
-	const encode = (sentAt: number): Uint8Array => prefixLength(Buffer.from(JSON.stringify({sentAt, messages: [{kind: FleetMessageKind.Started, job: '5c0e7a21d94b36f8', part: '0'}]})));
-	await writeToServer(this, [encode(milliseconds), encode(0)]);
+	await writeToServer(this, [encodeStarted(milliseconds), encodeStarted(0)]);
+});
+
+When('a frame arrives on another connection, and one sent {int} ms later in whose time the receiver was suspended for {int} ms', async function (this: StreamWorld, betweenMilliseconds: number, suspendedMilliseconds: number) {
+	const socket = await writeToServer(this, [encodeStarted(0)]);
+	await sleep(betweenMilliseconds);
+	const steadyNow = Date.now;
+	this.restoreDate = () => {
+		Date.now = steadyNow;
+	};
+
+	// The time of day counts a suspension, the steady clock doesn't.
+	Date.now = () => steadyNow() + suspendedMilliseconds;
+	socket.write(encodeStarted(betweenMilliseconds));
 });
 
 When('the text {string} arrives on another connection', async function (this: StreamWorld, text: string) {
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -96,6 +96,14 @@
     And the endpoints run for 1000 ms
     Then the third job never ran
 
+  Scenario: No task of a job starts that reaches its owner long after its holder sent it
+    Given an owner of these endpoints
+    When the holder "second" falls silent
+    And the endpoints run for 1500 ms
+    And a third job of 1 task is submitted by "second"
+    And the endpoints run for 1000 ms
+    Then the third job never ran
+
   Scenario: An owner that raises its token starts nothing beside a rival's runs before it has polled them
     Given 1 endpoint with room for 2 tasks
     And an owner of these endpoints
