Streams are ended after a suspension that the steady clock doesn't count

What callers saw: nothing that is shown; what a suspended daemon reads late (orders, claims, updates) counted as fresh.

Cause: the delay of a frame is measured on the steady clock of its receiver, which stands still while the machine is suspended, so frames that waited for seconds looked early.

A step of the time of day alone resets a daemon's incoming streams once. The turn is now noted after what had arrived was accepted, so that a timer that runs first after a pause doesn't let stale connections in.

--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -6,6 +6,7 @@
 import {
 	decodeFrame, encodeFrame, FleetMessageKind, type FleetMessage, type Heartbeat, type KeepAlive,
 } from '@galenakeel/model/connection/fleet-message.js';
+import {createSuspensionDetector} from '../process/suspension-detector.js';
 import {createDelayDetector} from './delay-detector.js';
 import {createFrameSplitter, prefixLength} from './length-prefix.js';
 
@@ -83,8 +84,10 @@
 	readonly onFrame: FrameObserver;
 }): Promise<() => void> => {
 	const sockets = new Set<Socket>();
+	const lastSuspendedAt = createSuspensionDetector();
 
 	const readFrames = async (socket: Socket, onSender: (from: string) => void): Promise<void> => {
+		const openedAt = performance.now();
 		const isDelayed = createDelayDetector(maximumDelayMilliseconds);
 		const split = createFrameSplitter();
 		let from = '';
@@ -119,7 +122,7 @@
 			const receivedAt = performance.now();
 			const {sentAt, messages} = decodeFrame(bytes);
 			handlers.onFrame(messages, bytes.length, performance.now() - receivedAt);
-			if (isDelayed(sentAt, receivedAt)) {
+			if (isDelayed(sentAt, receivedAt) || openedAt <= lastSuspendedAt()) {
 				throw createFault(FaultKind.InstanceUnreachable, 'messages were held up on their way, and what they ask for may be out of date');
 			}
 
@@ -161,12 +164,16 @@
 
 	let turnedAt = performance.now();
 	const turnTimer = setInterval(() => {
-		turnedAt = performance.now();
+		// What arrived while this process stood still is accepted before that.
+		setImmediate(() => {
+			lastSuspendedAt();
+			turnedAt = performance.now();
+		});
 	}, turnMilliseconds);
 
 	const server = createServer({noDelay: true}, socket => {
 		// The system accepts connections while this process stands still, and what was sent on them may be out of date.
-		if (performance.now() - turnedAt > maximumDelayMilliseconds) {
+		if (performance.now() - turnedAt > maximumDelayMilliseconds || turnedAt <= lastSuspendedAt()) {
 			socket.destroy();
 			return;
 		}
