Leases that the holder has confirmed

Cause: an owner allowed the leases of a holder's runs up to a second after it received any message of the holder. A message that was on its way for up to 0.6 s, or that was read after a suspension which the steady clock doesn't count, so let it start tasks of a holder that had given it up and gone to another cell; and an owner that the holder no longer heard went on for as long as it heard the holder and no cancel came through.

Change: each frame names the last frame that its sender has processed of the receiver (heard). The limit of a holder's leases is the time at which the owner sent the last frame that the holder has confirmed, plus the lease. The owner asks for a confirmation (ConfirmationRequest) when less than 0.7 s are left and when a job arrives, and polls endpoints with short leases at once when it has come. A confirmation from before a suspension counts no more. A daemon that is its own holder has confirmed what it had read by its last turn, so that after a pause it reads that a caller left before it starts tasks. Cancels are sent again for 30 s instead of 5 s, as an owner may stand still for longer.

--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -69,6 +69,7 @@
 			this.heartbeatsCreated++;
 			return heartbeat;
 		},
+		heard: () => undefined,
 		heartbeatIntervalMilliseconds: () => this.intervals[Math.min(this.heartbeatsCreated, this.intervals.length - 1)]!,
 		batchMilliseconds: 1,
 		redialMilliseconds: () => milliseconds,
@@ -118,6 +119,9 @@
 		onContact: () => {
 			this.contacts++;
 		},
+		onFrameProcessed() {
+			// The scenarios count frames when they are decoded.
+		},
 		onOpened() {
 			// The scenarios check only connections and heartbeats.
 		},
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -4,7 +4,7 @@
 import {splitAddress} from '@galenakeel/model/connection/platform-client.js';
 import {createFault, detailOf, FaultKind} from '@galenakeel/model/request/fault.js';
 import {
-	decodeFrame, encodeFrame, FleetMessageKind, type FleetMessage, type Heartbeat, type KeepAlive,
+	decodeFrame, encodeFrame, FleetMessageKind, type FleetFrame, type FleetMessage, type HeardFrame, type Heartbeat, type KeepAlive,
 } from '@galenakeel/model/connection/fleet-message.js';
 import {createSuspensionDetector} from '../process/suspension-detector.js';
 import {createDelayDetector} from './delay-detector.js';
@@ -77,6 +77,8 @@
 	readonly onKeepAlive: (keepAlive: KeepAlive, described: Heartbeat) => void;
 	/** Called for each frame without a heartbeat or keep-alive, after the first heartbeat of its stream. */
 	readonly onContact: (from: string) => void;
+	/** Called for each frame after its messages, from the first heartbeat of its stream on, with the last heartbeat. */
+	readonly onFrameProcessed: (described: Heartbeat, frame: FleetFrame) => void;
 	/** Called after the first heartbeat of a stream. Messages sent on an earlier stream may be lost. */
 	readonly onOpened: (from: string) => void;
 	readonly onBroken: (from: string) => void;
@@ -120,7 +122,8 @@
 
 		const receiveFrame = (bytes: Uint8Array): void => {
 			const receivedAt = performance.now();
-			const {sentAt, messages} = decodeFrame(bytes);
+			const frame = decodeFrame(bytes);
+			const {sentAt, messages} = frame;
 			handlers.onFrame(messages, bytes.length, performance.now() - receivedAt);
 			if (isDelayed(sentAt, receivedAt) || openedAt <= lastSuspendedAt()) {
 				throw createFault(FaultKind.InstanceUnreachable, 'messages were held up on their way, and what they ask for may be out of date');
@@ -133,6 +136,10 @@
 			for (const message of messages) {
 				receiveMessage(message);
 			}
+
+			if (described) {
+				handlers.onFrameProcessed(described, frame);
+			}
 		};
 
 		for await (const chunk of socket as AsyncIterable<Uint8Array>) {
@@ -219,12 +226,14 @@
 @param options.createHeartbeat Creates a heartbeat with the current state.
 @example
 ```
-const stream = createPeerStream('10.1.0.13:7720', {createHeartbeat, heartbeatIntervalMilliseconds: () => 100, batchMilliseconds: 1, redialMilliseconds: () => 250, onConnected, onBroken, onRefused, onFrame});
+const stream = createPeerStream('10.1.0.13:7720', {createHeartbeat, heard: () => undefined, heartbeatIntervalMilliseconds: () => 100, batchMilliseconds: 1, redialMilliseconds: () => 250, onConnected, onBroken, onRefused, onFrame});
 void stream.run();
 ```
 */
 export const createPeerStream = (address: string, options: {
 	readonly createHeartbeat: () => FleetMessage;
+	/** What each frame confirms. */
+	readonly heard: () => HeardFrame | undefined;
 	/** Heartbeat interval, read again after each frame so that a shorter one applies at once. */
 	readonly heartbeatIntervalMilliseconds: () => number;
 	/** How long messages are collected into one frame after an urgent one. */
@@ -291,7 +300,8 @@
 			if (queued.length > 0) {
 				const sentAt = performance.now();
 				lastSentAt = sentAt;
-				const frame = encodeFrame({sentAt, messages: queued});
+				const heard = options.heard();
+				const frame = encodeFrame({sentAt, ...(heard && {heard}), messages: queued});
 				options.onFrame(queued, frame.length, performance.now() - sentAt);
 				queued = [];
 				socket.write(prefixLength(frame));
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -88,7 +88,10 @@
 		holdMaximumMilliseconds: 1000,
 		listedSince: () => this.listedSince,
 		remotePenalty: 1,
-		lastHeardFrom: () => performance.now(),
+		lastConfirmedBy: () => performance.now(),
+		requestConfirmation() {
+			// The confirmations of holders are set above.
+		},
 		kindFactors: () => ({}),
 		createCalls: ({room: {processor}}) => {
 			const calls = createSimulatedEndpoint(processor, 1);
--- a/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
@@ -173,7 +173,10 @@
 		token: () => 1,
 		holdMaximumMilliseconds: 1000,
 		listedSince: () => -10_000,
-		lastHeardFrom: () => performance.now(),
+		lastConfirmedBy: () => performance.now(),
+		requestConfirmation() {
+			// The confirmations of holders are set above.
+		},
 		remotePenalty: 1,
 		kindFactors: () => ({}),
 		createCalls: () => createSimulatedEndpoint(processorOfTask, 1),
--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -302,7 +302,10 @@
 			holdMaximumMilliseconds: 1000,
 			listedSince: () => 0,
 			remotePenalty: 3,
-			lastHeardFrom: () => performance.now(),
+			lastConfirmedBy: () => performance.now(),
+			requestConfirmation() {
+				// The confirmations of holders are set above.
+			},
 			kindFactors: () => ({}),
 			createCalls(entry) {
 				const [kind] = entry.labels;
--- a/packages/galenakeeld/src/process/cells/__tests__/run-log.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/run-log.steps.ts
@@ -57,7 +57,10 @@
 		token: () => token,
 		holdMaximumMilliseconds: 1000,
 		listedSince: () => -10_000,
-		lastHeardFrom: () => performance.now(),
+		lastConfirmedBy: () => performance.now(),
+		requestConfirmation() {
+			// The confirmations of holders are set above.
+		},
 		remotePenalty: 1,
 		kindFactors: () => ({}),
 		createCalls: () => createBusyEndpoint(world.runLogClock, active),
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -13,8 +13,8 @@
 	owner: Cell;
 	tasksAtEndpoint: number;
 	leasedEndpoints: readonly LeasedEndpoint[];
-	/** Monotonic milliseconds at which silent holders were last heard. */
-	lastHeardAt: Map<string, number>;
+	/** Monotonic milliseconds at which the last message was sent that silent holders have confirmed. */
+	lastConfirmedAt: Map<string, number>;
 	/** Token of the present owner, if it has raised its own. */
 	raisedToken: number;
 };
@@ -58,7 +58,10 @@
 		holdMaximumMilliseconds: maximumLeaseMilliseconds,
 		listedSince: () => listedSince,
 		remotePenalty: 1,
-		lastHeardFrom: holder => world.lastHeardAt.get(holder) ?? performance.now(),
+		lastConfirmedBy: holder => world.lastConfirmedAt.get(holder) ?? performance.now(),
+		requestConfirmation() {
+			// The confirmations of holders are set above.
+		},
 		kindFactors: () => ({}),
 		createCalls: ({identifier}) => world.leasedEndpoints[Number(identifier)]!.calls,
 		notify() {
@@ -95,7 +98,7 @@
 
 const createEndpoints = (world: StrayWorld, endpoints: number, tasks: number): void => {
 	world.tasksAtEndpoint = tasks;
-	world.lastHeardAt = new Map();
+	world.lastConfirmedAt = new Map();
 	world.raisedToken = 0;
 	world.leasedEndpoints = Array.from({length: endpoints}, () => createLeasedEndpoint());
 };
@@ -158,7 +161,7 @@
 });
 
 When('the holder {string} falls silent', function (this: StrayWorld, holder: string) {
-	this.lastHeardAt.set(holder, performance.now());
+	this.lastConfirmedAt.set(holder, performance.now());
 });
 
 When('the holder {string} is lost', function (this: StrayWorld, holder: string) {
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -14,7 +14,9 @@
 	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
 import {createEndpointLeases} from './endpoint-leases.js';
-import {maximumLeaseOf, minimumLeaseMilliseconds, yieldMilliseconds} from './maximum-lease.js';
+import {
+	maximumLeaseOf, minimumLeaseMilliseconds, shortLeaseMilliseconds, yieldMilliseconds,
+} from './maximum-lease.js';
 import type {EndpointCapacity} from './place-tasks.js';
 import {addResources, subtractResources} from './room.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
@@ -58,6 +60,8 @@
 	readonly run: () => Promise<void>;
 	/** Polls the endpoint beside the poll that waits for an end: until it has answered under the present token, no task is started there. */
 	readonly pollNow: () => Promise<void>;
+	/** Polls at once if the last lease was short or missing, since its limit has moved on. */
+	readonly extendShortLease: () => void;
 	/** Sends no further requests; all runs count as lost for this owner. */
 	readonly close: () => void;
 	readonly isIdle: () => boolean;
@@ -139,6 +143,8 @@
 	/** A poll is waiting that was sent while no run was active, and so extended no lease. */
 	let isIdlePollWaiting = false;
 	let extendTimer: NodeJS.Timeout | undefined;
+	/** Limit of the last lease that was to be sent, in monotonic milliseconds. */
+	let lastLeaseLimitAt = Number.POSITIVE_INFINITY;
 
 	const hasOrphans = (): boolean => orphans.active().length > 0;
 
@@ -169,6 +175,12 @@
 		return limitAt;
 	};
 
+	/** Returns the end of the next lease, on the endpoint's clock; undefined if a run must not go on. */
+	const nextLease = (): number | undefined => {
+		lastLeaseLimitAt = leaseLimitAt();
+		return leases.next(lastLeaseLimitAt);
+	};
+
 	const abandon = (run: Run): void => {
 		abandonedRuns.add(run);
 		const limitAt = Math.min(run.leaseLimitAt(), performance.now() + options.holdMaximumMilliseconds);
@@ -314,7 +326,7 @@
 	};
 
 	const sendStart = async (run: Run, specification: string): Promise<void> => {
-		const lease = leases.next(leaseLimitAt());
+		const lease = nextLease();
 		if (lease === undefined) {
 			settle(run, RunResult.Declined);
 			return;
@@ -462,7 +474,7 @@
 		const token = options.token();
 		// No extension while the endpoint is silent or shows runs of an earlier owner: the lease of an endpoint covers all its runs, and these have to end.
 		const isExtending = runs.size > 0 && options.isSettled() && !reachability.isSilent() && !hasOrphans();
-		const lease = isExtending ? leases.next(leaseLimitAt()) : undefined;
+		const lease = isExtending ? nextLease() : undefined;
 		const reply = await calls.poll({
 			fencingToken: token,
 			acknowledged,
@@ -594,6 +606,11 @@
 			calls.close();
 		},
 		pollNow,
+		extendShortLease() {
+			if (runs.size > 0 && !isClosed && lastLeaseLimitAt < performance.now() + shortLeaseMilliseconds) {
+				void pollNow();
+			}
+		},
 		close() {
 			isClosed = true;
 			settleAllAsLost();
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -17,6 +17,8 @@
 	readonly availableCapacities: () => readonly EndpointCapacity[];
 	/** Stops the runs of the tasks for which `isStopped` returns true. */
 	readonly stopRuns: (isStopped: (task: TaskKey) => boolean) => void;
+	/** Extends leases that a holder's missing confirmation has limited. */
+	readonly extendShortLeases: () => void;
 	/** Jobs with a run that no job of the cell waits for. */
 	readonly strayJobs: () => ReadonlySet<string>;
 	/** Installs the endpoints that the platform lists. */
@@ -109,6 +111,11 @@
 				endpoint.stopRuns(isStopped);
 			}
 		},
+		extendShortLeases() {
+			for (const endpoint of endpoints.values()) {
+				endpoint.extendShortLease();
+			}
+		},
 		strayJobs() {
 			const jobs = new Set<string>();
 			for (const endpoint of endpoints.values()) {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -13,7 +13,9 @@
 import {RunResult} from './endpoint-run.js';
 import {createCellCapacityCache} from './cell-capacity-cache.js';
 import {createClosedAssignments} from './closed-assignments.js';
-import {maximumLeaseOf, minimumLeaseMilliseconds, yieldMilliseconds} from './maximum-lease.js';
+import {
+	maximumLeaseOf, minimumLeaseMilliseconds, renewalMilliseconds, yieldMilliseconds,
+} from './maximum-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
 	beginAttempt, createEnd, createPlacedJob, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
@@ -68,6 +70,8 @@
 	readonly cancel: (holder: string, reference: AssignmentReference) => void;
 	/** Drops the jobs of a holder that is lost, so that none of their tasks is running when their callers submit them again. */
 	readonly dropHolder: (holder: string) => void;
+	/** Extends leases and starts tasks that lacked the confirmation of a holder, after one has arrived. */
+	readonly resume: () => void;
 	/** Installs the endpoints of the cell that the platform lists. */
 	readonly install: (entries: readonly EndpointEntry[]) => void;
 	readonly load: () => CellLoad;
@@ -89,8 +93,10 @@
 	readonly kindFactors: () => Readonly<Record<string, number>>;
 	readonly createCalls: (entry: EndpointEntry) => EndpointCalls;
 	readonly notify: (holder: string, update: JobUpdate) => void;
-	/** Monotonic milliseconds at which a holder was last heard. */
-	readonly lastHeardFrom: (holder: string) => number;
+	/** Monotonic milliseconds at which this daemon sent the last message that a holder is known to have received; negative infinity if none is. */
+	readonly lastConfirmedBy: (holder: string) => number;
+	/** Asks a holder to confirm at once that it hears this daemon. */
+	readonly requestConfirmation: (holder: string) => void;
 	/** Other cells as their owners last described them. */
 	readonly otherCells: () => readonly CellCapacity[];
 	/** Called when tasks were redirected to another cell, with the processor that they need there. */
@@ -224,8 +230,14 @@
 		}
 	};
 
-	/** Runs of a job end with the lease after its holder was last heard, before its caller submits the job to another daemon. */
-	const leaseLimitOf = ({holder, receivedAt}: PlacedJob): number => Math.max(receivedAt, options.lastHeardFrom(holder)) + options.holdMaximumMilliseconds;
+	/** Runs of a job end a lease after this daemon sent the last message that the holder has confirmed: before the holder, which may count this daemon as lost from then on, assigns the tasks elsewhere, and before the caller of a lost holder submits the job again. */
+	const leaseLimitOf = ({holder}: PlacedJob): number => options.lastConfirmedBy(holder) + options.holdMaximumMilliseconds;
+
+	const renewLease = (job: PlacedJob): void => {
+		if (leaseLimitOf(job) < performance.now() + renewalMilliseconds) {
+			options.requestConfirmation(job.holder);
+		}
+	};
 
 	const stopRunsOf = (job: PlacedJob): void => {
 		endpoints.stopRuns(task => task.job === job.order.job.identifier && isOfPart(job, task));
@@ -337,7 +349,7 @@
 	/** Whether a new owner does not know yet what runs at some endpoints. No job starts until then, since a job that its caller repeats looks like a new one. */
 	const isAwaitingFirstReports = (): boolean => !isSettled() && endpoints.all().some(endpoint => endpoint.isAwaitingFirstAnswer());
 
-	/** A job waits while one of its tasks may be running outside this submission, and while its holder is silent. */
+	/** A job waits while one of its tasks may be running outside this submission, and while its holder confirms nothing. */
 	const isStartable = (job: PlacedJob, strayJobs: ReadonlySet<string>): boolean =>
 		!hasStrayRuns(job, strayJobs) && leaseLimitOf(job) > performance.now() + minimumLeaseMilliseconds && (job.order.generation === 0 || (isSettled() && areAllRunsKnown()));
 
@@ -528,6 +540,7 @@
 		const now = performance.now();
 		closedAssignments.sweep();
 		for (const job of jobs.values()) {
+			renewLease(job);
 			if (!job.isCommitted && now + remainingCriticalPath(job) > job.expiresAt) {
 				refuse(job, RefusalReason.Overloaded, minimumRetryMilliseconds);
 			}
@@ -546,6 +559,7 @@
 		notify(job.holder, superseded);
 		job.holder = holder;
 		job.assignment = assignment;
+		renewLease(job);
 		resend(job);
 	};
 
@@ -608,6 +622,7 @@
 
 	const submitNew = (holder: string, order: JobOrder): void => {
 		const job = createPlacedJob(order, holder);
+		renewLease(job);
 		if (closedAssignments.isForgotten(order.assignedMillisecondsAgo)) {
 			finish(job, createDropped(job, true));
 		} else if (isEverPossible(order)) {
@@ -652,6 +667,10 @@
 				}
 			}
 		},
+		resume() {
+			endpoints.extendShortLeases();
+			dispatch();
+		},
 		install(entries) {
 			endpoints.install(entries);
 			dispatch();
--- a/packages/galenakeeld/src/process/cells/maximum-lease.ts
+++ b/packages/galenakeeld/src/process/cells/maximum-lease.ts
@@ -7,6 +7,16 @@
 */
 export const minimumLeaseMilliseconds = 300;
 
+/**
+Remaining time of a holder's leases below which the holder is asked to confirm that it hears the owner.
+*/
+export const renewalMilliseconds = 700;
+
+/**
+Lease below which an endpoint is polled again as soon as the holder has confirmed, ahead of the next regular poll.
+*/
+export const shortLeaseMilliseconds = 500;
+
 /**
 Time within which an owner that is partitioned from its peers detects that endpoints accept another owner, and gives up its cell.
 */
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -84,6 +84,10 @@
 		createKeepAlive: () => keepAliveOf(milliseconds, milliseconds),
 		descriptionRevision: () => this.revision,
 		heartbeatIntervalTo: () => shortInterval,
+		heardFrom: () => undefined,
+		onFrameProcessed() {
+			// Messages arrive without frames.
+		},
 		onMessage() {
 			// Only heartbeats are sent.
 		},
--- a/packages/galenakeeld/src/process/fleet/__tests__/idle-cell.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/idle-cell.ts
@@ -20,6 +20,7 @@
 	submit: ignore,
 	cancel: ignore,
 	dropHolder: ignore,
+	resume: ignore,
 	install: ignore,
 	load: () => ({
 		free: [], backlogMilliseconds: 0, isShortOfCapacity: false, kindFactors: {},
--- /dev/null
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.feature
@@ -0,0 +1,58 @@
+Feature: A daemon knows which of its frames a peer has received
+
+  Background:
+    Given a daemon that has run for 5000 ms, and a peer
+
+  Scenario: A frame that confirms nothing tells nothing, however fresh it is
+    When a frame of the peer arrives that confirms nothing
+    Then nothing is confirmed
+
+  Scenario: A frame confirms what the peer had received, not when it arrives
+    When a frame of the peer arrives that confirms the frame of 4000 ms
+    Then the frame of 4000 ms is the last that is confirmed
+    When a frame of the peer arrives that confirms the frame of 3500 ms
+    Then the frame of 4000 ms is the last that is confirmed
+
+  Scenario: A frame that this daemon can't have sent is not confirmed
+    When a frame of the peer arrives that confirms the frame of 6000 ms
+    Then nothing is confirmed
+    When a frame of the peer arrives that confirms a frame of this daemon's earlier life
+    Then nothing is confirmed
+
+  Scenario: A restarted peer has confirmed nothing, and what its earlier life sent is not confirmed to it
+    When a frame of the peer arrives that confirms the frame of 4000 ms
+    And the peer restarts, and a frame of it arrives that it sent at 10 ms
+    Then nothing is confirmed
+    And the frame of 10 ms is confirmed to the peer
+
+  Scenario: What was confirmed before a suspension is not trusted after it
+    When a frame of the peer arrives that confirms the frame of 4000 ms
+    And the daemon is suspended for 3000 ms
+    Then nothing is confirmed
+    When a frame of the peer arrives that confirms the frame of 4900 ms
+    Then nothing is confirmed
+    When the daemon runs on for 100 ms
+    And a frame of the peer arrives that confirms the frame of 5100 ms
+    Then the frame of 5100 ms is the last that is confirmed
+
+  Scenario: What the daemon knew of itself before a suspension is not trusted after it
+    Then the daemon has confirmed its own turn of 5000 ms
+    When the daemon is suspended for 3000 ms
+    Then the daemon has confirmed nothing of its own
+    When the daemon runs on for 100 ms
+    And the daemon has read what arrived for it
+    Then the daemon has confirmed its own turn of 5100 ms
+
+  Scenario: A request is not repeated while its answer may be on its way, and a frame that was sent before it answers nothing
+    When a confirmation is requested 2 times
+    Then 1 request was sent
+    When the daemon runs on for 50 ms
+    And a frame of the peer arrives that confirms the frame of 4900 ms
+    Then 0 requests were answered
+    When a frame of the peer arrives that confirms the frame of 5001 ms
+    Then 1 request was answered
+    When a confirmation is requested 1 times
+    Then 2 requests were sent
+    When the daemon runs on for 150 ms
+    And a confirmation is requested 1 times
+    Then 3 requests were sent
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -16,6 +16,7 @@
 import {createCell, isRoutine} from '../cells/cell.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
+import {createSuspensionDetector} from '../suspension-detector.js';
 import {cellOfEndpoint} from './cell-layout.js';
 import {createCellOwners} from './cell-owners.js';
 import {createCellLayoutWatch} from './cell-layout-watch.js';
@@ -41,6 +42,7 @@
 import {createLoadAnnouncements} from './load-announcements.js';
 import {createEndpointProbe} from './endpoint-probe.js';
 import {createPauseDetector} from './pause-detector.js';
+import {createPeerConfirmations} from './peer-confirmations.js';
 import {selectPeers} from './peer-selection.js';
 import {readProcessUsage} from './process-usage.js';
 import {createRecentCancels} from './recent-cancels.js';
@@ -70,8 +72,8 @@
 const announceMilliseconds = 2200;
 /** Share of the drain limit in which a leaving daemon still accepts jobs, since callers keep using their open connections. */
 const acceptingShare = 0.5;
-/** Time for which cancels are sent again to an owner whose stream was broken. */
-const keepCancelsMilliseconds = 5000;
+/** Time for which cancels are sent again to an owner whose stream was broken, which may have stood still. */
+const keepCancelsMilliseconds = 30_000;
 const statePollMilliseconds = 20;
 /** Time before the drain limit, at which the process is killed, by which a leaving daemon ends by itself. */
 const drainReserveMilliseconds = 300;
@@ -98,6 +100,19 @@
 	const rollCall = createRollCall(() => view.all().filter(({zone}) => zone === settings.zone).map(({address}) => address));
 	const discovery = createDiscovery({lastHeardAt: address => view.get(address)?.lastHeartbeatAt, hasReachablePeers: () => view.all().length > 0});
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
+	const confirmations = createPeerConfirmations({
+		address: self,
+		startedAt,
+		lastSuspendedAt: createSuspensionDetector(),
+		sendRequest(address) {
+			links.send(address, {kind: FleetMessageKind.ConfirmationRequest});
+		},
+		onConfirmed() {
+			for (const cell of cells.all()) {
+				cell.resume();
+			}
+		},
+	});
 	const leaving = new AbortController();
 	let isServing = false;
 
@@ -161,7 +176,8 @@
 			notify(holder, update) {
 				links.send(holder, update);
 			},
-			lastHeardFrom: holder => holder === self ? performance.now() : view.get(holder)?.lastHeartbeatAt ?? Number.NEGATIVE_INFINITY,
+			lastConfirmedBy: confirmations.confirmedBy,
+			requestConfirmation: confirmations.request,
 			otherCells: () => loads.otherCellCapacities(name),
 			kindFactors: () => loads.kindFactors(name),
 			onRedirected: loads.recordRedirect,
@@ -230,8 +246,9 @@
 				break;
 			}
 
-			case FleetMessageKind.KeepAlive: {
-				// Changes nothing but the time of the last heartbeat.
+			case FleetMessageKind.KeepAlive:
+			case FleetMessageKind.ConfirmationRequest: {
+				// The links process them.
 				break;
 			}
 
@@ -291,7 +308,9 @@
 		createKeepAlive: description.createKeepAlive,
 		descriptionRevision: description.revision,
 		heartbeatIntervalTo: description.heartbeatIntervalTo,
+		heardFrom: confirmations.heardFrom,
 		onMessage,
+		onFrameProcessed: confirmations.recordFrame,
 		onPeerReachable(peer) {
 			const {instance, address, startedAt: peerStartedAt} = peer;
 			if (view.all().length === 1) {
@@ -413,6 +432,7 @@
 
 	const tick = (): void => {
 		daemonLoad.recordTick();
+		setImmediate(confirmations.recordOwnTurn);
 		const {milliseconds, isPause, followsPause} = measureGap();
 		if (isPause) {
 			log.warn({event: FleetEvent.Paused, milliseconds: Math.round(milliseconds)});
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {
-	FleetMessageKind, type FleetMessage, type Heartbeat, type KeepAlive,
+	FleetMessageKind, type FleetMessage, type HeardFrame, type Heartbeat, type KeepAlive,
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {
 	createPeerStream, FrameObserver, PeerStream, serveFleet,
@@ -40,7 +40,11 @@
 	readonly descriptionRevision: () => number;
 	/** Heartbeat interval for an address. */
 	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
+	/** What frames to an address confirm. */
+	readonly heardFrom: (address: string) => HeardFrame | undefined;
 	readonly onMessage: (message: FleetMessage, from: string) => void;
+	/** Called after the messages of each frame were processed. */
+	readonly onFrameProcessed: Parameters<typeof serveFleet>[1]['onFrameProcessed'];
 	readonly onPeerReachable: (peer: Peer) => void;
 	/** Called when nothing listens at the address of a daemon. */
 	readonly onRefused: (address: string) => void;
@@ -104,6 +108,7 @@
 
 			const stream = options.openStream(address, {
 				createHeartbeat: () => createHeartbeat(address),
+				heard: () => options.heardFrom(address),
 				heartbeatIntervalMilliseconds: () => options.heartbeatIntervalTo(address).heartbeatMilliseconds,
 				batchMilliseconds,
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnknownPeerMilliseconds,
@@ -169,8 +174,14 @@
 				handleHeartbeat(message);
 			}
 
+			if (message.kind === FleetMessageKind.ConfirmationRequest) {
+				streams.get(from)?.send(createHeartbeat(from));
+				return;
+			}
+
 			options.onMessage(message, from);
 		},
+		onFrameProcessed: options.onFrameProcessed,
 		onKeepAlive: handleKeepAlive,
 		onContact: view.receiveContact,
 		onOpened: options.onStreamOpened,
--- /dev/null
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -0,0 +1,106 @@
+import {performance} from 'node:perf_hooks';
+import type {FleetFrame, HeardFrame, Heartbeat} from '@galenakeel/model/connection/fleet-message.js';
+
+/**
+What this daemon and its peers know to have received of each other. An owner grants leases by it: a peer that confirms a frame had not lost this daemon when the frame was sent.
+*/
+export type PeerConfirmations = {
+	/** Records a frame of a peer. Call it after the frame's messages, since a confirmation doesn't hold before the cancels that arrive with it. */
+	readonly recordFrame: (peer: Pick<Heartbeat, 'address' | 'startedAt'>, frame: Pick<FleetFrame, 'sentAt' | 'heard'>) => void;
+	/** Records that this daemon has read what had arrived for it, so that it counts as heard by itself. */
+	readonly recordOwnTurn: () => void;
+	/** What the next frame to a peer confirms. */
+	readonly heardFrom: (address: string) => HeardFrame | undefined;
+	/** Monotonic milliseconds at which this daemon sent the last frame that a peer has confirmed; negative infinity if there is none, or none since this daemon was suspended. */
+	readonly confirmedBy: (address: string) => number;
+	/** Asks a peer to confirm at once, unless it was asked a moment ago. */
+	readonly request: (address: string) => void;
+};
+
+export type PeerConfirmationsOptions = {
+	/** Address of this daemon. */
+	readonly address: string;
+	/** Unix milliseconds of this daemon's start. */
+	readonly startedAt: number;
+	/** Monotonic milliseconds of the last suspension, which the monotonic clock doesn't count. */
+	readonly lastSuspendedAt: () => number;
+	readonly sendRequest: (address: string) => void;
+	/** Called when a confirmation has arrived that was requested. */
+	readonly onConfirmed: () => void;
+};
+
+type PeerRecord = {
+	readonly startedAt: number;
+	/** Monotonic clock of the peer. */
+	heardSentAt: number;
+	/** Own monotonic clock. */
+	confirmedAt: number;
+};
+
+/** Time for which a request is not repeated, since its answer may be on its way. */
+const repeatMilliseconds = 100;
+
+/**
+Creates an empty record.
+
+@example
+```
+const confirmations = createPeerConfirmations(options);
+confirmations.recordFrame(heartbeat, frame);
+confirmations.confirmedBy('10.1.0.13:7720');
+```
+*/
+export const createPeerConfirmations = ({address: self, startedAt, lastSuspendedAt, sendRequest, onConfirmed}: PeerConfirmationsOptions): PeerConfirmations => {
+	const records = new Map<string, PeerRecord>();
+	/** Times of the requests that have not been answered, in monotonic milliseconds. */
+	const requests = new Map<string, number>();
+	let ownTurnAt = performance.now();
+
+	/** The record of this life of a peer; frames of an earlier life prove nothing. */
+	const recordOf = (peer: Pick<Heartbeat, 'address' | 'startedAt'>): PeerRecord => {
+		const known = records.get(peer.address);
+		if (known?.startedAt === peer.startedAt) {
+			return known;
+		}
+
+		const record: PeerRecord = {startedAt: peer.startedAt, heardSentAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY};
+		records.set(peer.address, record);
+		return record;
+	};
+
+	const isOwnFrame = (heard: HeardFrame): boolean => heard.startedAt === startedAt && heard.sentAt <= performance.now();
+
+	return {
+		recordFrame(peer, {sentAt, heard}) {
+			const record = recordOf(peer);
+			record.heardSentAt = Math.max(record.heardSentAt, sentAt);
+			if (!heard || !isOwnFrame(heard)) {
+				return;
+			}
+
+			record.confirmedAt = Math.max(record.confirmedAt, heard.sentAt);
+			if (heard.sentAt >= (requests.get(peer.address) ?? Number.POSITIVE_INFINITY)) {
+				requests.delete(peer.address);
+				onConfirmed();
+			}
+		},
+		recordOwnTurn() {
+			ownTurnAt = performance.now();
+		},
+		heardFrom(address) {
+			const record = records.get(address);
+			return record && {startedAt: record.startedAt, sentAt: record.heardSentAt};
+		},
+		confirmedBy(address) {
+			const confirmedAt = address === self ? ownTurnAt : records.get(address)?.confirmedAt ?? Number.NEGATIVE_INFINITY;
+			return confirmedAt > lastSuspendedAt() ? confirmedAt : Number.NEGATIVE_INFINITY;
+		},
+		request(address) {
+			const now = performance.now();
+			if (address !== self && now - (requests.get(address) ?? Number.NEGATIVE_INFINITY) >= repeatMilliseconds) {
+				requests.set(address, now);
+				sendRequest(address);
+			}
+		},
+	};
+};
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -12,6 +12,8 @@
 	Heartbeat = 'beat',
 	/** Heartbeat of a sender whose description has not changed since its last full heartbeat on the stream. */
 	KeepAlive = 'keep-alive',
+	/** The receiver is to confirm this frame at once, with a frame of its own. */
+	ConfirmationRequest = 'confirm',
 	/** A holder submits a job to the owner of a cell. */
 	Submit = 'submit',
 	/** A holder cancels a job. */
@@ -197,6 +199,7 @@
 export type FleetMessage
 	= | Heartbeat
 		| KeepAlive
+		| {readonly kind: FleetMessageKind.ConfirmationRequest}
 		| {readonly kind: FleetMessageKind.Submit; readonly cell: string; readonly term: number; readonly order: JobOrder}
 		| (AssignmentReference & {readonly kind: FleetMessageKind.Cancel; readonly cell: string})
 		| (AssignmentReference & {readonly kind: FleetMessageKind.Started})
@@ -220,12 +223,24 @@
 const isFleetMessage = (value: unknown): value is FleetMessage =>
 	typeof value === 'object' && value !== null && kinds.has((value as {kind?: unknown}).kind);
 
+/**
+The last frame of a peer that a daemon has processed.
+*/
+export type HeardFrame = {
+	/** Unix milliseconds of the peer's start, since its monotonic clock begins anew with it. */
+	readonly startedAt: number;
+	/** Monotonic clock of the peer, in milliseconds. */
+	readonly sentAt: number;
+};
+
 /**
 Batch of messages that are sent together.
 */
 export type FleetFrame = {
 	/** Monotonic clock of the sender, in milliseconds. */
 	readonly sentAt: number;
+	/** What the sender has processed of the receiver's frames; undefined if nothing. */
+	readonly heard?: HeardFrame;
 	readonly messages: readonly FleetMessage[];
 };
 
@@ -234,7 +249,7 @@
 */
 export const encodeFrame = (frame: FleetFrame): Uint8Array => Buffer.from(JSON.stringify(frame));
 
-type ParsedFrame = {readonly sentAt?: unknown; readonly messages?: unknown};
+type ParsedFrame = {readonly sentAt?: unknown; readonly heard?: {readonly startedAt?: unknown; readonly sentAt?: unknown} | undefined; readonly messages?: unknown};
 
 const parseFrame = (text: string): ParsedFrame => {
 	try {
@@ -250,10 +265,13 @@
 @throws A fault of kind `MalformedRequest` if the bytes are not the JSON of a frame.
 */
 export const decodeFrame = (bytes: Uint8Array): FleetFrame => {
-	const {sentAt, messages} = parseFrame(Buffer.from(bytes).toString());
+	const {sentAt, heard, messages} = parseFrame(Buffer.from(bytes).toString());
 	if (typeof sentAt !== 'number' || !Array.isArray(messages)) {
 		throw createFault(FaultKind.MalformedRequest, 'the peer sent what is no frame of messages');
 	}
 
-	return {sentAt, messages: messages.filter(message => isFleetMessage(message))};
+	const known = messages.filter(message => isFleetMessage(message));
+	return typeof heard?.startedAt === 'number' && typeof heard.sentAt === 'number'
+		? {sentAt, heard: {startedAt: heard.startedAt, sentAt: heard.sentAt}, messages: known}
+		: {sentAt, messages: known};
 };
