Scenarios of leases that holders confirm, with a suspended owner

An owner with the real record of confirmations and an endpoint whose clock goes on while the owner is suspended: the endpoint of the tests now keeps the time of day, which is the same as before where nobody is suspended.

--- a/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
@@ -1,14 +1,13 @@
 /**
 An endpoint in memory with fencing tokens and leases, which records its runs.
 */
-import {performance} from 'node:perf_hooks';
 import {
 	type EndedRun, type EndpointCalls, type PollRequest, type PollReply, CallOutcome, type CallReply, RunEnd, type StartRequest, type StopRequest,
 } from '@galenakeel/model/connection/endpoint-calls.js';
 import {isSameTask, type TaskKey} from '@galenakeel/model/request/task-key.js';
 
 /**
-A run as recorded. Times are monotonic milliseconds.
+A run as recorded. Times are milliseconds of the time of day, which goes on while an owner is suspended.
 */
 export type LeasedRun = {
 	readonly task: TaskKey;
@@ -62,7 +61,7 @@
 	};
 
 	const activeRuns = (): readonly LeasedRun[] => {
-		const now = performance.now();
+		const now = Date.now();
 		for (const run of runs) {
 			if (run.endedAt === Number.POSITIVE_INFINITY && now >= leaseEndsAt) {
 				finish(run, RunEnd.Lapsed, leaseEndsAt);
@@ -74,10 +73,10 @@
 
 	const extendLease = (until: number | undefined): void => {
 		activeRuns();
-		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, performance.now() + maximumLeaseMilliseconds));
+		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, Date.now() + maximumLeaseMilliseconds));
 	};
 
-	const reply = (outcome: CallOutcome): CallReply => ({outcome, clockMilliseconds: performance.now()});
+	const reply = (outcome: CallOutcome): CallReply => ({outcome, clockMilliseconds: Date.now()});
 
 	const endpoint: LeasedEndpoint = {
 		runs,
@@ -93,7 +92,7 @@
 
 				extendLease(leaseEndMilliseconds);
 				runs.push({
-					task, attempt, startedAt: performance.now(), endedAt: Number.POSITIVE_INFINITY,
+					task, attempt, startedAt: Date.now(), endedAt: Number.POSITIVE_INFINITY,
 				});
 				return reply(CallOutcome.Done);
 			},
@@ -105,7 +104,7 @@
 
 				const run = activeRuns().find(one => one.attempt === attempt && isSameTask(one.task, task));
 				if (run) {
-					finish(run, RunEnd.Stopped, performance.now());
+					finish(run, RunEnd.Stopped, Date.now());
 				}
 
 				return reply(CallOutcome.Done);
@@ -117,10 +116,10 @@
 				}
 
 				extendLease(leaseEndMilliseconds);
-				const until = performance.now() + waitMilliseconds;
+				const until = Date.now() + waitMilliseconds;
 				const unacknowledged = (): readonly EndedRun[] => ended.filter(({sequence}) => sequence > acknowledged);
 				activeRuns();
-				while (unacknowledged().length === 0 && performance.now() < until) {
+				while (unacknowledged().length === 0 && Date.now() < until) {
 					await pause(pollStepMilliseconds);
 					activeRuns();
 				}
@@ -128,7 +127,7 @@
 				return {
 					outcome: CallOutcome.Done,
 					report: {
-						clockMilliseconds: performance.now(),
+						clockMilliseconds: Date.now(),
 						active: activeRuns().map(({task, attempt}) => ({task, attempt, processorInUse: 1})),
 						ended: unacknowledged(),
 					},
