Failing tests: two parts of a job that have the same task in one cell

Parts are named by their holder, so two holders of one job may name the same tasks differently; the owner compares parts by name only, starts the task for both, and starts a task that waits in both twice in one placement.

--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -114,3 +114,21 @@
     And the endpoint of the run answers 60 ms late
     And the endpoints run for 3000 ms
     Then the task ran 1 times, never twice at the same time
+
+  Scenario: A task that runs as part of one assignment is not started beside it for another part of its job
+    Given an owner of these endpoints
+    When the second task of the job is submitted as part "1" by "first"
+    And the second task of the job is submitted as part "2" by "second"
+    And the endpoints run for 1500 ms
+    Then the task ran 2 times, never twice at the same time
+
+  Scenario: A task that waits as part of one assignment is not started twice when another part of its job has it too
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When another job of 1 task is submitted by "third"
+    And a third job of 1 task is submitted by "third"
+    And the second task of the job is submitted as part "1" by "first"
+    And the second task of the job is submitted as part "2" by "second"
+    And the holder "third" is lost
+    And the endpoints run for 1500 ms
+    Then the task ran 1 times, never twice at the same time
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -128,6 +128,14 @@
 	await submit(this, holder, createOrder(thirdJob, 0));
 });
 
+When('the second task of the job is submitted as part {string} by {string}', async function (this: StrayWorld, part: string, holder: string) {
+	const order = createOrder(firstJob, 0);
+	const steps = order.job.steps.map(step => ({...step, tasks: 2}));
+	await submit(this, holder, {
+		...order, part, excluded: ['0.0'], job: {...order.job, steps},
+	});
+});
+
 When('the endpoints carry out no stops', function (this: StrayWorld) {
 	for (const endpoint of this.leasedEndpoints) {
 		endpoint.ignoresStops = true;
