An order replaces the other parts of its job in the cell that have its tasks

What callers would see: a task run twice at once in one cell (TWICE), when a job comes again through another holder whose parts are named otherwise than the first one's.

Cause: an owner looked for earlier assignments of an order by the name of its part alone. Holders name parts in the order in which they create them, so the same tasks may be of part 1 for one holder and of part 2 for the next; the owner then had them in two parts, and started both.

Change: an order that is not the same work as the part of its name replaces each assignment of its job in the cell that has one of its tasks open: its holder is told (Superseded) and its runs are stopped, and the new part waits for their end, as it did for a part of the same name.

Measured: all features of process/cells pass (92 scenarios).

--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -16,7 +16,7 @@
 import {maximumLeaseOf, minimumLeaseMilliseconds, yieldMilliseconds} from './maximum-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
-	beginAttempt, createEnd, createPlacedJob, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
+	beginAttempt, createEnd, createPlacedJob, hasOpenTasksOf, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
 import {
 	countContent, describeRuns, type ActiveRunDescription, type CellObservation,
@@ -579,6 +579,16 @@
 		return true;
 	};
 
+	/** Replaces the other assignments with tasks of an order, since each task of a job is of one assignment at a time, and those of a part with its name. */
+	const replaceOverlapping = (holder: string, order: JobOrder): void => {
+		const key = partKeyOf(order.job.identifier, order.part);
+		for (const job of jobs.values()) {
+			if (keyOf(job) === key || hasOpenTasksOf(job, order)) {
+				replace(job, holder);
+			}
+		}
+	};
+
 	/** Continues what is or was here of the same tasks: a job that its caller submits again, or a part whose holder missed its end. Returns whether there was something. */
 	const continueEarlier = (holder: string, order: JobOrder): boolean => {
 		const key = partKeyOf(order.job.identifier, order.part);
@@ -588,8 +598,8 @@
 			return true;
 		}
 
+		replaceOverlapping(holder, order);
 		if (known) {
-			replace(known, holder);
 			return false;
 		}
 
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -273,6 +273,19 @@
 export const isOfPart = ({steps}: PlacedJob, {step, index}: Pick<TaskKey, 'step' | 'index'>): boolean =>
 	(steps[step]?.tasks[index]?.state ?? TaskState.Elsewhere) !== TaskState.Elsewhere;
 
+/**
+Returns whether a task that an order names waits or runs as part of a job.
+*/
+export const hasOpenTasksOf = ({order: {job}, steps}: PlacedJob, order: JobOrder): boolean => {
+	if (job.identifier !== order.job.identifier) {
+		return false;
+	}
+
+	const excluded = new Set(order.excluded);
+	return steps.some(({position, tasks}) => tasks.some(({state}, index) =>
+		(state === TaskState.Waiting || state === TaskState.Active) && !excluded.has(positionOf({step: position, index}))));
+};
+
 /**
 Returns the key of a part, unique among all jobs.
 */
