Failing test: a start that is numbered below a run that ended at the endpoint

The simulated endpoint of stray-runs.feature now numbers as the platform's do: a start of a run that is there starts no second one, and one that is not higher than a run of the task that has ended there is declined.

--- a/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
@@ -18,7 +18,7 @@
 };
 
 /**
-An endpoint whose runs never end by themselves, unless they are stopped or their lease expires.
+An endpoint whose runs never end by themselves, unless they are stopped or their lease expires. It starts no run twice, and none that is not higher than one of the task that has ended there.
 */
 export type LeasedEndpoint = {
 	readonly calls: EndpointCalls;
@@ -92,6 +92,14 @@
 				}
 
 				extendLease(leaseEndMilliseconds);
+				if (activeRuns().some(one => one.attempt === attempt && isSameTask(one.task, task))) {
+					return reply(CallOutcome.Done);
+				}
+
+				if (ended.some(one => one.attempt >= attempt && isSameTask(one.task, task))) {
+					return reply(CallOutcome.Superseded);
+				}
+
 				runs.push({
 					task, attempt, startedAt: performance.now(), endedAt: Number.POSITIVE_INFINITY,
 				});
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -193,6 +193,10 @@
 	await submit(this, holder, createOrder(otherJob, 1));
 });
 
+When('the job is submitted by {string} as one that an earlier owner may have started', async function (this: StrayWorld, holder: string) {
+	await submit(this, holder, createOrder(firstJob, 1));
+});
+
 When('the endpoints run for {int} ms', async function (this: StrayWorld, milliseconds: number) {
 	await this.time.tickAsync(milliseconds);
 });
