A start that an endpoint declines as old is numbered higher the next time

What callers would see: a job that waits without end, when it comes again through another holder after an owner was lost and only the endpoint that ran it fits; on others a delay, and an endpoint that takes no task of any job for 60 ms after each such start.

Cause: attempts are numbered generation x 1000 + starts of the assignment. An assignment of an earlier holder in generation 1 has started run 1001; the next holder's begins in generation 0 with 1, 2, and so on, which the endpoint declines as not higher than a run that has ended there.

Change: such a decline has a result of its own (RunResult.Outdated); the task's next start is numbered as one of the next generation, and the endpoint doesn't pause, since it had capacity.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -300,8 +300,13 @@
 				break;
 			}
 
+			case CallOutcome.Superseded: {
+				onDecision(EndpointDecision.Declined, {...describe(run.task, run.attempt), outcome});
+				settle(run, RunResult.Outdated);
+				return;
+			}
+
 			case CallOutcome.InsufficientCapacity:
-			case CallOutcome.Superseded:
 			case CallOutcome.Expired: {
 				cooldownEndsAt = performance.now() + insufficientCapacityCooldownMilliseconds;
 				setTimeout(options.onChange, insufficientCapacityCooldownMilliseconds);
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -16,7 +16,7 @@
 import {maximumLeaseOf, minimumLeaseMilliseconds, yieldMilliseconds} from './maximum-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
-	beginAttempt, createEnd, createPlacedJob, hasOpenTasksOf, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
+	beginAttempt, createEnd, createPlacedJob, hasOpenTasksOf, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, skipAttempts, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
 import {
 	countContent, describeRuns, type ActiveRunDescription, type CellObservation,
@@ -258,8 +258,12 @@
 				notify(job.holder, {kind: FleetMessageKind.TaskSucceeded, ...referenceOf(job), position: positionOf(task)});
 			}
 		} else {
+			if (result === RunResult.Outdated) {
+				skipAttempts(job, task);
+			}
+
 			const isFailure = result === RunResult.Failed;
-			const avoided = result === RunResult.Declined ? undefined : incarnationOf(endpoint.entry());
+			const avoided = result === RunResult.Declined || result === RunResult.Outdated ? undefined : incarnationOf(endpoint.entry());
 			if (markWaiting(job, task, avoided, isFailure) >= job.order.mostAttempts) {
 				end(job, false);
 			}
--- a/packages/galenakeeld/src/process/cells/endpoint-run.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-run.ts
@@ -13,6 +13,8 @@
 	Lost = 'lost',
 	/** The endpoint had no capacity or declined the start; nothing has run. */
 	Declined = 'declined',
+	/** The endpoint declined the start because a run of the task with this or a higher number has ended there; nothing has run. */
+	Outdated = 'outdated',
 }
 
 /**
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -21,7 +21,7 @@
 
 type Task = {
 	state: TaskState;
-	/** Starts so far in this submission of the job. */
+	/** Number of the last start in this submission of the job. */
 	starts: number;
 	failures: number;
 	/** Endpoints at which a run ended without success. */
@@ -173,6 +173,14 @@
 	return (job.order.generation * attemptsPerGeneration) + task.starts;
 };
 
+/**
+Numbers the further attempts of a task as those of a later generation, since an endpoint has ended a run that an earlier assignment numbered higher.
+*/
+export const skipAttempts = (job: PlacedJob, {step, index}: Pick<TaskKey, 'step' | 'index'>): void => {
+	const task = job.steps[step]!.tasks[index]!;
+	task.starts = (Math.floor(task.starts / attemptsPerGeneration) + 1) * attemptsPerGeneration;
+};
+
 /**
 Marks a task as succeeded; returns false if it was not active.
 */
