The owner of a cell is split into modules with one job each

cell.ts was one function of some 580 lines.

Measured: 227 scenarios of process/cells, process/fleet and hold-job.feature pass.

--- a/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
@@ -7,7 +7,8 @@
 import {FleetMessageKind, type JobOrder, type JobUpdate} from '@galenakeel/model/connection/fleet-message.js';
 import type {Step} from '@galenakeel/model/request/job.js';
 import {createBinaryHeap} from '../binary-heap.js';
-import {CellDecision, createCell, type Cell} from '../cell.js';
+import {createCell, type Cell} from '../cell.js';
+import {CellDecision} from '../cell-decision.js';
 import {
 	placeTasks, type EndpointCapacity, type Placement, type WaitingStep,
 } from '../place-tasks.js';
--- /dev/null
+++ b/packages/galenakeeld/src/process/cells/cell-placement.ts
@@ -0,0 +1,130 @@
+import {performance} from 'node:perf_hooks';
+import type {CellCapacity} from './admit-job.js';
+import type {CellCapacityCache} from './cell-capacity-cache.js';
+import type {CellEndpoints} from './cell-endpoints.js';
+import type {CellJobs} from './cell-jobs.js';
+import type {CellRuns} from './cell-runs.js';
+import {
+	bestFactorOf, fittingJobsOf, movableStepsOf, waitingStepsOf,
+} from './evaluate-arrival.js';
+import {placeTasks} from './place-tasks.js';
+import {hasWaitingTasks, isMovable, type PlacedJob} from './placed-job.js';
+import {shareTasks, type TaskShare} from './share-tasks.js';
+import type {StartConditions} from './start-conditions.js';
+import {CellWork, type WorkTimes} from './work-times.js';
+
+/**
+The placement of waiting tasks on the endpoints of a cell, and of those that find no capacity there in other cells.
+*/
+export type CellPlacement = {
+	/** Schedules the placement of waiting tasks after the messages and answers that have arrived are processed, and after a pause as long as the last placement took, so that placements leave time to process what arrives. */
+	readonly dispatch: () => void;
+};
+
+export type CellPlacementOptions = {
+	readonly jobs: Pick<CellJobs, 'all' | 'get' | 'transfer'>;
+	readonly endpoints: Pick<CellEndpoints, 'strayJobs'>;
+	readonly capacity: Pick<CellCapacityCache, 'available' | 'invalidate'>;
+	readonly conditions: Pick<StartConditions, 'isAwaitingFirstReports' | 'isStartable'>;
+	readonly remotePenalty: number;
+	/** Other cells as their owners last described them. */
+	readonly otherCells: () => readonly CellCapacity[];
+	readonly isClosed: () => boolean;
+	readonly start: CellRuns['start'];
+	readonly measure: WorkTimes['measure'];
+};
+
+/**
+Creates the placement of a cell.
+
+@example
+```
+const placement = createCellPlacement(options);
+placement.dispatch();
+```
+*/
+export const createCellPlacement = (options: CellPlacementOptions): CellPlacement => {
+	const {jobs, capacity, conditions} = options;
+	let isDispatching = false;
+	/** Monotonic milliseconds. */
+	let nextPlacementAt = 0;
+
+	/** The jobs with tasks that may start now. */
+	const startableJobs = (): readonly PlacedJob[] => {
+		const waiting = jobs.all().filter(job => hasWaitingTasks(job));
+		if (waiting.length === 0 || conditions.isAwaitingFirstReports()) {
+			return [];
+		}
+
+		const strayJobs = options.endpoints.strayJobs();
+		return waiting.filter(job => conditions.isStartable(job, strayJobs));
+	};
+
+	/** Starts waiting tasks on endpoints of this cell, and returns the factor of the fastest one before. */
+	const placeHere = (startable: readonly PlacedJob[], now: number): number => {
+		const capacities = capacity.available();
+		const bestFactor = bestFactorOf(capacities);
+		const placements = placeTasks(waitingStepsOf(fittingJobsOf(startable, capacities), bestFactor, now), capacities, {now, remotePenalty: options.remotePenalty});
+		for (const placement of placements) {
+			options.start(placement);
+		}
+
+		return bestFactor;
+	};
+
+	/** Redirects tasks that found no capacity here to a cell that has some. */
+	const transferShare = ({part, position, indexes, cell}: TaskShare): void => {
+		const job = jobs.get(part);
+		if (job) {
+			jobs.transfer(job, indexes.map(index => ({step: position, index})), cell);
+		}
+	};
+
+	/** Redirects tasks that found no place here to cells with free capacity. */
+	const shareWaiting = (startable: readonly PlacedJob[], bestFactor: number, now: number): void => {
+		const movable = startable.filter(job => hasWaitingTasks(job) && isMovable(job));
+		const others = movable.length > 0 ? options.otherCells().filter(({free}) => free.length > 0) : [];
+		if (others.length === 0) {
+			return;
+		}
+
+		for (const share of shareTasks(movableStepsOf(movable, bestFactor, now), others, now)) {
+			transferShare(share);
+		}
+	};
+
+	const placeWaiting = (): void => {
+		capacity.invalidate();
+		isDispatching = false;
+		const startable = options.isClosed() ? [] : startableJobs();
+		if (startable.length === 0) {
+			return;
+		}
+
+		const now = performance.now();
+		const bestFactor = options.measure(CellWork.Placing, () => placeHere(startable, now));
+		options.measure(CellWork.Sharing, () => {
+			shareWaiting(startable, bestFactor, now);
+		});
+		const endedAt = performance.now();
+		nextPlacementAt = endedAt + (endedAt - now);
+		capacity.invalidate();
+	};
+
+	return {
+		dispatch() {
+			capacity.invalidate();
+			if (isDispatching) {
+				return;
+			}
+
+			isDispatching = true;
+			const pauseMilliseconds = nextPlacementAt - performance.now();
+			if (pauseMilliseconds >= 1) {
+				setTimeout(placeWaiting, pauseMilliseconds);
+			} else {
+				setImmediate(placeWaiting);
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/galenakeeld/src/process/cells/cell-submissions.ts
@@ -0,0 +1,185 @@
+import {
+	FleetMessageKind, type AssignmentReference, type JobOrder, type JobUpdate, type TaskRedirect,
+} from '@galenakeel/model/connection/fleet-message.js';
+import {CellDecision, describePart, type RecordDecision} from './cell-decision.js';
+import {createDropped, keyOf, type CellJobs} from './cell-jobs.js';
+import type {ClosedAssignments} from './closed-assignments.js';
+import type {JobAdmission} from './job-admission.js';
+import {
+	createPlacedJob, hasOpenTasksOf, partKeyOf, referenceOf, succeededPositions, type PlacedJob,
+} from './placed-job.js';
+import {hasSamePositions} from './same-positions.js';
+
+/**
+Answers what holders ask of a cell.
+*/
+export type CellSubmissions = {
+	/** Accepts or refuses a job from its holder. */
+	readonly submit: (holder: string, order: JobOrder) => void;
+	/** Cancels an assignment at the request of its holder, also one whose order has not arrived yet. */
+	readonly cancel: (holder: string, reference: AssignmentReference) => void;
+	/** Drops the jobs of a holder that is lost, so that none of their tasks is running when their callers submit them again. */
+	readonly dropHolder: (holder: string) => void;
+};
+
+export type CellSubmissionsOptions = {
+	readonly jobs: Pick<CellJobs, 'all' | 'close' | 'finish' | 'get' | 'stopRuns'>;
+	readonly closedAssignments: Pick<ClosedAssignments, 'add' | 'findEnd' | 'get' | 'isForgotten'>;
+	readonly admit: JobAdmission['decide'];
+	readonly notify: (holder: string, update: JobUpdate) => void;
+	readonly onDecision: RecordDecision;
+};
+
+/** Whether two orders are for the same tasks, and no owner was lost between them. */
+const isSameWork = (first: JobOrder, second: JobOrder): boolean =>
+	first.generation === second.generation && hasSamePositions(first.excluded, second.excluded);
+
+const createRedirect = (job: PlacedJob, redirect: TaskRedirect): JobUpdate => ({kind: FleetMessageKind.Redirect, ...referenceOf(job), ...redirect});
+
+/**
+Creates the answers of a cell.
+
+@example
+```
+const submissions = createCellSubmissions(options);
+submissions.submit('10.1.0.13:7720', order);
+```
+*/
+export const createCellSubmissions = ({jobs, closedAssignments, admit, notify, onDecision}: CellSubmissionsOptions): CellSubmissions => {
+	/** Resends the updates that a holder may have missed. */
+	const resend = (job: PlacedJob): void => {
+		const reference = referenceOf(job);
+		if (job.hasStarted) {
+			notify(job.holder, {kind: FleetMessageKind.Started, ...reference});
+		}
+
+		for (const position of succeededPositions(job)) {
+			notify(job.holder, {kind: FleetMessageKind.TaskSucceeded, ...reference, position});
+		}
+
+		for (const redirect of job.redirects) {
+			notify(job.holder, createRedirect(job, redirect));
+		}
+	};
+
+	/** Gives a job to the holder that submitted it last. */
+	const takeOver = (job: PlacedJob, holder: string, assignment: number): void => {
+		onDecision(CellDecision.AssignmentReplaced, {...describePart(job), newHolder: holder, isContinued: true});
+		const superseded: JobUpdate = {kind: FleetMessageKind.Superseded, ...referenceOf(job)};
+		closedAssignments.add({
+			holder: job.holder, assignment: job.assignment, part: keyOf(job), excluded: job.order.excluded, updates: [superseded],
+		});
+		notify(job.holder, superseded);
+		job.holder = holder;
+		job.assignment = assignment;
+		resend(job);
+	};
+
+	/** Stops what runs for an assignment that its holder has replaced by one of other tasks or a later generation. */
+	const replace = (job: PlacedJob, holder: string): void => {
+		onDecision(CellDecision.AssignmentReplaced, {...describePart(job), newHolder: holder, isContinued: false});
+		jobs.finish(job, {kind: FleetMessageKind.Superseded, ...referenceOf(job)});
+		jobs.stopRuns(job);
+	};
+
+	/** Replaces the other assignments with tasks of an order, since each task of a job is of one assignment at a time, and those of a part with its name. */
+	const replaceOverlapping = (holder: string, order: JobOrder): void => {
+		const key = partKeyOf(order.job.identifier, order.part);
+		for (const job of jobs.all()) {
+			if (keyOf(job) === key || hasOpenTasksOf(job, order)) {
+				replace(job, holder);
+			}
+		}
+	};
+
+	/** Tells a holder what it may have missed of an assignment that is or was here. Returns whether there was one. */
+	const repeatAnswer = (holder: string, order: JobOrder): boolean => {
+		const known = jobs.get(partKeyOf(order.job.identifier, order.part));
+		const isPresent = known?.holder === holder && known.assignment === order.assignment;
+		const closed = closedAssignments.get(holder, order.assignment);
+		if (!isPresent && !closed) {
+			return false;
+		}
+
+		onDecision(CellDecision.SubmissionRepeated, {
+			job: order.job.identifier, part: order.part, assignment: order.assignment, holder, answer: closed?.updates.at(-1)?.kind,
+		});
+		if (isPresent) {
+			resend(known);
+		}
+
+		for (const update of closed?.updates ?? []) {
+			notify(holder, update);
+		}
+
+		return true;
+	};
+
+	/** Answers an order for tasks that have all succeeded under an earlier assignment with the end of that one. Returns whether they have. */
+	const repeatEnd = (holder: string, order: JobOrder): boolean => {
+		const part = partKeyOf(order.job.identifier, order.part);
+		const end = closedAssignments.findEnd(part, order.excluded);
+		if (!end) {
+			return false;
+		}
+
+		const update = {...end, assignment: order.assignment};
+		closedAssignments.add({
+			holder, assignment: order.assignment, part, excluded: order.excluded, updates: [update],
+		});
+		notify(holder, update);
+		return true;
+	};
+
+	/** Continues what is or was here of the same tasks: a job that its caller submits again, or a part whose holder missed its end. Returns whether there was something. */
+	const continueEarlier = (holder: string, order: JobOrder): boolean => {
+		const known = jobs.get(partKeyOf(order.job.identifier, order.part));
+		if (known && isSameWork(known.order, order)) {
+			takeOver(known, holder, order.assignment);
+			return true;
+		}
+
+		replaceOverlapping(holder, order);
+		return known === undefined && repeatEnd(holder, order);
+	};
+
+	const submitNew = (holder: string, order: JobOrder): void => {
+		const job = createPlacedJob(order, holder);
+		if (closedAssignments.isForgotten(order.assignedMillisecondsAgo)) {
+			jobs.finish(job, createDropped(job, true));
+		} else {
+			admit(job);
+		}
+	};
+
+	return {
+		submit(holder, order) {
+			if (!repeatAnswer(holder, order) && !continueEarlier(holder, order)) {
+				submitNew(holder, order);
+			}
+		},
+		cancel(holder, reference) {
+			const key = partKeyOf(reference.job, reference.part);
+			const job = jobs.get(key);
+			if (job?.holder === holder && job.assignment === reference.assignment) {
+				onDecision(CellDecision.JobCancelled, {...describePart(job), hasStarted: job.hasStarted});
+				jobs.close(job, []);
+				jobs.stopRuns(job);
+			} else if (!closedAssignments.get(holder, reference.assignment)) {
+				// The order may be on its way on an earlier stream.
+				closedAssignments.add({
+					holder, assignment: reference.assignment, part: key, excluded: [], updates: [],
+				});
+			}
+		},
+		dropHolder(holder) {
+			for (const job of jobs.all()) {
+				if (job.holder === holder) {
+					onDecision(CellDecision.JobCancelled, {...describePart(job), hasStarted: job.hasStarted, lostHolder: holder});
+					jobs.finish(job, createDropped(job, job.hasStarted));
+					jobs.stopRuns(job);
+				}
+			}
+		},
+	};
+};
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -13,7 +13,8 @@
 import {createPeerStream, serveFleet} from '../../connection/fleet-service.js';
 import {holdJob} from '../../request/hold-job.js';
 import {isRoutineOfHolder} from '../../request/holder-decision.js';
-import {createCell, isRoutine} from '../cells/cell.js';
+import {createCell} from '../cells/cell.js';
+import {isRoutine} from '../cells/cell-decision.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
 import {cellOfEndpoint} from './cell-layout.js';
