--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -122,3 +122,30 @@
     And the endpoint of the run answers 60 ms late
     And the endpoints run for 3000 ms
     Then the task ran 1 times, never twice at the same time
+
+  Scenario: A task that runs as part of one assignment is not started beside it for another part of its job
+    Given an owner of these endpoints
+    When the second task of the job is submitted as part "1" by "first"
+    And the second task of the job is submitted as part "2" by "second"
+    And the endpoints run for 1500 ms
+    Then the task ran 2 times, never twice at the same time
+
+  Scenario: A task that waits as part of one assignment is not started twice when another part of its job has it too
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When another job of 1 task is submitted by "third"
+    And a third job of 1 task is submitted by "third"
+    And the second task of the job is submitted as part "1" by "first"
+    And the second task of the job is submitted as part "2" by "second"
+    And the holder "third" is lost
+    And the endpoints run for 1500 ms
+    Then the task ran 1 times, never twice at the same time
+
+  Scenario: A task whose last run was numbered higher by an earlier assignment is started again on the same endpoint
+    Given 1 endpoint with room for 1 task
+    And an owner of these endpoints
+    When the job is submitted by "first" as one that an earlier owner may have started
+    And the endpoints run for 500 ms
+    And the job is submitted again by "second"
+    And the endpoints run for 1000 ms
+    Then the task ran 2 times, never twice at the same time
