Failing tests: starts that a restarted endpoint accepts, and reports that overtake each other

The stand-in endpoint can restart under its identifier, fall silent, carry out starts late and answer polls late; as on the platform it rejects an attempt that is not above one that was stopped or has ended there, and answers a start of a run that is there with success.

--- a/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
@@ -18,7 +18,7 @@
 };
 
 /**
-An endpoint whose runs never end by themselves, unless they are stopped or their lease expires.
+An endpoint whose runs never end by themselves, unless they are stopped, their lease expires or the endpoint restarts.
 */
 export type LeasedEndpoint = {
 	readonly calls: EndpointCalls;
@@ -29,18 +29,33 @@
 	isFenced: boolean;
 	/** Time until a call is carried out. */
 	delayMilliseconds: number;
+	/** Whether calls get no answer. Starts are then carried out late, other calls never. */
+	isSilent: boolean;
+	/** Time after which a start that got no answer is carried out. */
+	lateStartMilliseconds: number;
+	/** Time by which the answers to polls that are sent now are late. */
+	pollAnswerDelayMilliseconds: number;
+	/** Start of the incarnation that the platform lists, in Unix milliseconds. */
+	listedStartedAt: number;
+	/** Ends all runs and starts again under the same identifier, at the same address. Polls that wait get no answer. */
+	readonly restart: () => void;
 };
 
 const usualDelayMilliseconds = 1;
 const pollStepMilliseconds = 5;
 const maximumLeaseMilliseconds = 1000;
+/** Time after which a caller no longer waits for an answer. */
+const answerTimeoutMilliseconds = 100;
+const usualLateStartMilliseconds = 1000;
 
 const pause = async (milliseconds: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, milliseconds);
 });
 
+const nameOf = ({job, step, index}: TaskKey): string => `${job}.${step}.${index}`;
+
 /**
-Creates an idle endpoint.
+Creates an idle endpoint, whose first start was at Unix millisecond 1.
 
 @example
 ```
@@ -52,10 +67,22 @@
 export const createLeasedEndpoint = (): LeasedEndpoint => {
 	const runs: LeasedRun[] = [];
 	const ended: EndedRun[] = [];
+	/** The highest attempt of each task that was stopped or has ended. */
+	const endedAttempts = new Map<string, number>();
 	let leaseEndsAt = 0;
+	let startedAt = 1;
+	/** Monotonic milliseconds at which the clock of the present incarnation was 0. */
+	let clockBeganAt = 0;
+
+	const clock = (): number => performance.now() - clockBeganAt;
+
+	const rejectAttempts = (task: TaskKey, attempt: number): void => {
+		endedAttempts.set(nameOf(task), Math.max(attempt, endedAttempts.get(nameOf(task)) ?? 0));
+	};
 
 	const finish = (run: LeasedRun, end: RunEnd, endedAt: number): void => {
 		run.endedAt = endedAt;
+		rejectAttempts(run.task, run.attempt);
 		ended.push({
 			sequence: ended.length + 1, task: run.task, attempt: run.attempt, end,
 		});
@@ -72,38 +99,73 @@
 		return runs.filter(({endedAt}) => endedAt === Number.POSITIVE_INFINITY);
 	};
 
+	const findActive = ({task, attempt}: Pick<LeasedRun, 'task' | 'attempt'>): LeasedRun | undefined =>
+		activeRuns().find(one => one.attempt === attempt && isSameTask(one.task, task));
+
 	const extendLease = (until: number | undefined): void => {
 		activeRuns();
-		leaseEndsAt = Math.max(leaseEndsAt, Math.min(until ?? 0, performance.now() + maximumLeaseMilliseconds));
+		leaseEndsAt = Math.max(leaseEndsAt, Math.min((until ?? 0) + clockBeganAt, performance.now() + maximumLeaseMilliseconds));
 	};
 
-	const reply = (outcome: CallOutcome): CallReply => ({outcome, clockMilliseconds: performance.now()});
+	const reply = (outcome: CallOutcome): CallReply => ({outcome, clockMilliseconds: clock()});
+
+	const executeStart = ({task, attempt, leaseEndMilliseconds}: StartRequest): CallReply => {
+		extendLease(leaseEndMilliseconds);
+		if (findActive({task, attempt})) {
+			return reply(CallOutcome.Done);
+		}
+
+		if (attempt <= (endedAttempts.get(nameOf(task)) ?? 0)) {
+			return reply(CallOutcome.Superseded);
+		}
+
+		runs.push({
+			task, attempt, startedAt: performance.now(), endedAt: Number.POSITIVE_INFINITY,
+		});
+		return reply(CallOutcome.Done);
+	};
 
 	const endpoint: LeasedEndpoint = {
 		runs,
 		ignoresStops: false,
 		isFenced: false,
 		delayMilliseconds: usualDelayMilliseconds,
+		isSilent: false,
+		lateStartMilliseconds: usualLateStartMilliseconds,
+		pollAnswerDelayMilliseconds: 0,
+		listedStartedAt: 1,
+		restart() {
+			for (const run of activeRuns()) {
+				run.endedAt = performance.now();
+			}
+
+			ended.length = 0;
+			endedAttempts.clear();
+			leaseEndsAt = 0;
+			startedAt++;
+			clockBeganAt = performance.now();
+		},
 		calls: {
-			async start({task, attempt, leaseEndMilliseconds}: StartRequest) {
-				await pause(endpoint.delayMilliseconds);
-				if (endpoint.isFenced) {
-					return reply(CallOutcome.Fenced);
+			async start(request: StartRequest) {
+				if (endpoint.isSilent) {
+					setTimeout(() => {
+						executeStart(request);
+					}, endpoint.lateStartMilliseconds);
+					await pause(answerTimeoutMilliseconds);
+					return {outcome: CallOutcome.Unknown, clockMilliseconds: undefined};
 				}
 
-				extendLease(leaseEndMilliseconds);
-				runs.push({
-					task, attempt, startedAt: performance.now(), endedAt: Number.POSITIVE_INFINITY,
-				});
-				return reply(CallOutcome.Done);
+				await pause(endpoint.delayMilliseconds);
+				return endpoint.isFenced ? reply(CallOutcome.Fenced) : executeStart(request);
 			},
 			async stop({task, attempt}: StopRequest) {
-				await pause(endpoint.delayMilliseconds);
-				if (endpoint.ignoresStops) {
+				await pause(endpoint.isSilent ? answerTimeoutMilliseconds : endpoint.delayMilliseconds);
+				if (endpoint.ignoresStops || endpoint.isSilent) {
 					return {outcome: CallOutcome.Unknown, clockMilliseconds: undefined};
 				}
 
-				const run = activeRuns().find(one => one.attempt === attempt && isSameTask(one.task, task));
+				const run = findActive({task, attempt});
+				rejectAttempts(task, attempt);
 				if (run) {
 					finish(run, RunEnd.Stopped, performance.now());
 				}
@@ -111,7 +173,20 @@
 				return reply(CallOutcome.Done);
 			},
 			async poll({acknowledged, leaseEndMilliseconds, waitMilliseconds}: PollRequest): Promise<PollReply> {
+				const sentTo = startedAt;
+				const hasRestarted = (): boolean => startedAt !== sentTo;
+				const answerDelayMilliseconds = endpoint.pollAnswerDelayMilliseconds;
+				const answerEndsAt = performance.now() + waitMilliseconds + answerTimeoutMilliseconds;
+				const missAnswer = async (): Promise<PollReply> => {
+					await pause(Math.max(1, answerEndsAt - performance.now()));
+					return {outcome: CallOutcome.Unknown};
+				};
+
 				await pause(endpoint.delayMilliseconds);
+				if (endpoint.isSilent) {
+					return missAnswer();
+				}
+
 				if (endpoint.isFenced) {
 					return {outcome: CallOutcome.Fenced};
 				}
@@ -120,19 +195,26 @@
 				const until = performance.now() + waitMilliseconds;
 				const unacknowledged = (): readonly EndedRun[] => ended.filter(({sequence}) => sequence > acknowledged);
 				activeRuns();
-				while (unacknowledged().length === 0 && performance.now() < until) {
+				while (unacknowledged().length === 0 && performance.now() < until && !hasRestarted()) {
 					await pause(pollStepMilliseconds);
 					activeRuns();
 				}
 
-				return {
-					outcome: CallOutcome.Done,
-					report: {
-						clockMilliseconds: performance.now(),
-						active: activeRuns().map(({task, attempt}) => ({task, attempt, processorInUse: 1})),
-						ended: unacknowledged(),
-					},
+				if (hasRestarted()) {
+					return missAnswer();
+				}
+
+				if (startedAt !== endpoint.listedStartedAt) {
+					return {outcome: CallOutcome.OtherIncarnation};
+				}
+
+				const report = {
+					clockMilliseconds: clock(),
+					active: activeRuns().map(({task, attempt}) => ({task, attempt, processorInUse: 1})),
+					ended: unacknowledged(),
 				};
+				await pause(answerDelayMilliseconds);
+				return {outcome: CallOutcome.Done, report};
 			},
 			close() {
 				// The endpoint outlives its owners.
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -17,6 +17,8 @@
 	lastHeardAt: Map<string, number>;
 	/** Token of the present owner, if it has raised its own. */
 	raisedToken: number;
+	/** The endpoint that restarts, falls silent or answers late. */
+	disrupted: LeasedEndpoint;
 };
 
 const processorOfTask = 1000;
@@ -51,6 +53,13 @@
 	isCommitted: generation > 0,
 });
 
+const installEndpoints = (world: StrayWorld, owner = world.owner): void => {
+	owner.install(world.leasedEndpoints.map(({listedStartedAt}, index) => ({
+		identifier: String(index), startedAt: listedStartedAt, service: 'sheets', address: '', zone: 'north', isDraining: false,
+		room: {processor: world.tasksAtEndpoint * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
+	})));
+};
+
 const createOwner = (world: StrayWorld, token: number): Cell => {
 	const owner = createCell({
 		name: 'north',
@@ -78,10 +87,7 @@
 			// Waits are not checked here.
 		},
 	});
-	owner.install(world.leasedEndpoints.map((_, index) => ({
-		identifier: String(index), startedAt: 1, service: 'sheets', address: '', zone: 'north', isDraining: false,
-		room: {processor: world.tasksAtEndpoint * processorOfTask, memoryMegabytes: 1024, accelerators: 0}, labels: ['a'],
-	})));
+	installEndpoints(world, owner);
 	return owner;
 };
 
@@ -153,6 +159,43 @@
 	assert.equal(runsOf(this, firstJob).length, this.leasedEndpoints.length);
 });
 
+When('a rival owner starts the first job on the first endpoint for the second time', async function (this: StrayWorld) {
+	void this.leasedEndpoints[0]!.calls.start({
+		task: {job: firstJob, step: 0, index: 0}, attempt: 2, specification: '', leaseEndMilliseconds: performance.now() + maximumLeaseMilliseconds, fencingToken: 2,
+	});
+	await this.time.tickAsync(untilStartedMilliseconds);
+	assert.equal(runsOf(this, firstJob).length, 1);
+});
+
+When('the first endpoint restarts under its identifier', function (this: StrayWorld) {
+	this.disrupted = this.leasedEndpoints[0]!;
+	this.disrupted.restart();
+});
+
+When('the endpoint of the run restarts under its identifier', function (this: StrayWorld) {
+	this.disrupted = this.leasedEndpoints.find(({runs}) => runs.length > 0)!;
+	this.disrupted.restart();
+});
+
+When('the first endpoint falls silent, and carries out starts {int} ms late', function (this: StrayWorld, milliseconds: number) {
+	this.disrupted = this.leasedEndpoints[0]!;
+	this.disrupted.isSilent = true;
+	this.disrupted.lateStartMilliseconds = milliseconds;
+});
+
+When('that endpoint is heard again', function (this: StrayWorld) {
+	this.disrupted.isSilent = false;
+});
+
+When('the answers to the polls of the first endpoint are {int} ms late', function (this: StrayWorld, milliseconds: number) {
+	this.leasedEndpoints[0]!.pollAnswerDelayMilliseconds = milliseconds;
+});
+
+When('the platform lists the restarted endpoint', function (this: StrayWorld) {
+	this.disrupted.listedStartedAt++;
+	installEndpoints(this);
+});
+
 When('the owner raises its token', function (this: StrayWorld) {
 	this.raisedToken = 3;
 });
@@ -197,6 +240,21 @@
 	}
 });
 
+Then('the run is at the restarted endpoint, and no other ran', function (this: StrayWorld) {
+	assert.deepEqual(this.disrupted.runs.map(({endedAt}) => endedAt), [Number.POSITIVE_INFINITY]);
+	assert.equal(runsOf(this, firstJob).length, 1, JSON.stringify(runsOf(this, firstJob)));
+});
+
+Then('the task runs at another endpoint', function (this: StrayWorld) {
+	const active = runsOf(this, firstJob).filter(({endedAt}) => endedAt === Number.POSITIVE_INFINITY);
+	assert.equal(active.length, 1, JSON.stringify(runsOf(this, firstJob)));
+	assert.ok(!this.disrupted.runs.includes(active[0]!));
+});
+
+Then('{int} endpoints have a run', function (this: StrayWorld, count: number) {
+	assert.equal(this.leasedEndpoints.filter(({runs}) => runs.length > 0).length, count);
+});
+
 Then('the third job never ran', function (this: StrayWorld) {
 	assert.deepEqual(runsOf(this, thirdJob), []);
 });
