An endpoint that restarts under its identifier is followed, and keeps the runs that it has accepted

Cause: a control belonged to one incarnation, but its starts and stops reach whichever is up, and their answers don't say which. When a poll showed another incarnation, all runs counted as lost with the earlier one, also those that the next one had accepted, or could still carry out late. A next owner that knew the earlier incarnation only took the endpoint for one without runs. Until the earlier control noticed, the endpoint was listed with its capacity twice.

Change: one control follows an endpoint at its address from one incarnation to the next; reports say which one answered. A run that the next one lists goes on there. One that it doesn't list is lost, unless the earlier one never said that it had it: it is stopped again, and starts elsewhere once a poll after that stop doesn't show it, or the leases have ended (about a second). An answer with a clock that can't be that of the known incarnation brings a poll at once, and the poll that waits for the earlier incarnation is given up. The endpoint gets tasks once the platform lists the incarnation that reports. The list of lapsed endpoints leaves out earlier incarnations.

The stand-in endpoint now reports its start, as the platform does, instead of an outcome. The scenario of the late start was made stricter: its stops are carried out only after the next incarnation has reported; in its first form it failed for the end of a lease, since the control's pauses ran on the real clock. They are on the runtime's clock that tests pause now.

--- a/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
@@ -204,11 +204,8 @@
 					return missAnswer();
 				}
 
-				if (startedAt !== endpoint.listedStartedAt) {
-					return {outcome: CallOutcome.OtherIncarnation};
-				}
-
 				const report = {
+					startedAt,
 					clockMilliseconds: clock(),
 					active: activeRuns().map(({task, attempt}) => ({task, attempt, processorInUse: 1})),
 					ended: unacknowledged(),
--- a/packages/galenakeeld/src/process/cells/__tests__/restarted-endpoint.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/restarted-endpoint.feature
@@ -35,14 +35,18 @@
     And the task ran 2 times, never twice at the same time
 
   Scenario: A start without an answer that the next incarnation would carry out late runs there or elsewhere, not both
-    When the first endpoint falls silent, and carries out starts 1500 ms late
+    When the endpoints run for 800 ms
+    And the first endpoint falls silent, and carries out starts 1500 ms late
     And a job of 1 task is submitted by "first"
     And the first endpoint restarts under its identifier
-    And the endpoints run for 1075 ms
+    And the endpoints carry out no stops
+    And the endpoints run for 275 ms
     And that endpoint is heard again
-    And the endpoints run for 1000 ms
+    And the endpoints run for 125 ms
+    And the endpoints carry out stops again
+    And the endpoints run for 400 ms
     Then the task runs at another endpoint
-    When the endpoints run for 1000 ms
+    When the endpoints run for 1500 ms
     Then the task ran 1 times, never twice at the same time
 
   Scenario: A next owner that knows the earlier incarnation only adopts the run that the next one has accepted
@@ -74,3 +78,13 @@
     And the job is submitted again by "second"
     And the endpoints run for 100 ms
     Then the task ran 1 times, never twice at the same time
+
+  Scenario: A restarted endpoint that the platform lists is not used as if there were two
+    When the first endpoint restarts under its identifier
+    And the platform lists the restarted endpoint
+    And the endpoints run for 50 ms
+    And a job of 1 task is submitted by "first"
+    And another job of 1 task is submitted by "second"
+    And a third job of 1 task is submitted by "second"
+    And the endpoints run for 1000 ms
+    Then the third job never ran
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -140,6 +140,12 @@
 	}
 });
 
+When('the endpoints carry out stops again', function (this: StrayWorld) {
+	for (const endpoint of this.leasedEndpoints) {
+		endpoint.ignoresStops = false;
+	}
+});
+
 When('the endpoint of the run answers {int} ms late', function (this: StrayWorld, milliseconds: number) {
 	for (const endpoint of this.leasedEndpoints) {
 		endpoint.delayMilliseconds = endpoint.runs.length > 0 ? milliseconds : endpoint.delayMilliseconds;
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -1,8 +1,8 @@
 import {performance} from 'node:perf_hooks';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, type PollReply, CallOutcome, type CallReply, RunEnd,
 } from '@galenakeel/model/connection/endpoint-calls.js';
+import {createDeferred} from '@galenakeel/model/request/deferred.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import {createEndpointReachability} from './endpoint-reachability.js';
@@ -18,6 +18,7 @@
 import type {EndpointCapacity} from './place-tasks.js';
 import {addResources, subtractResources} from './room.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
+import {createReportOrders, ReportOrder} from './report-order.js';
 
 /**
 A run of an earlier owner that this one has taken over.
@@ -38,7 +39,7 @@
 */
 export type CellEndpoint = {
 	readonly entry: () => EndpointEntry;
-	/** Installs a newer entry of the same incarnation. */
+	/** Installs a newer entry of the same endpoint at the same address, also one of its next incarnation. */
 	readonly update: (entry: EndpointEntry) => void;
 	/** Free capacity now; undefined while the endpoint takes no tasks. */
 	readonly availableCapacity: (factor: number) => EndpointCapacity | undefined;
@@ -63,6 +64,8 @@
 	readonly isIdle: () => boolean;
 	/** Whether the endpoint answers polls. */
 	readonly isReachable: () => boolean;
+	/** Whether it is polled no longer. */
+	readonly isClosed: () => boolean;
 	/** The runs that this owner has started or adopted. */
 	readonly runs: () => readonly Run[];
 	/** Lowest ratio of elapsed time to estimate among the active runs; 0 when idle. */
@@ -90,6 +93,13 @@
 	readonly onRunTime: (estimateMilliseconds: number, runMilliseconds: number) => void;
 };
 
+/** What is known of a poll since it was sent. */
+type SentPoll = {
+	/** Monotonic milliseconds. */
+	readonly polledAt: number;
+	readonly token: number;
+};
+
 /** Maximum wait of a poll while runs are active: a poll whose answer is lost delays their ends for this time only. */
 const busyPollWaitMilliseconds = 250;
 /** Number of simultaneous starts without an answer from which an endpoint gets no more. */
@@ -109,8 +119,12 @@
 const unboundedTasks = Number.POSITIVE_INFINITY;
 const noJobs: readonly string[] = [];
 
+const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
+
 /**
-Creates the control of one incarnation of an endpoint.
+Creates the control of an endpoint at its address. It follows the endpoint from one incarnation to the next, since starts reach whichever is up.
 
 @example
 ```
@@ -121,7 +135,8 @@
 */
 export const createCellEndpoint = (firstEntry: EndpointEntry, options: CellEndpointOptions): CellEndpoint => {
 	const {calls, onDecision} = options;
-	const leases = createEndpointLeases(options.holdMaximumMilliseconds);
+	const reportOrders = createReportOrders(firstEntry.startedAt);
+	let leases = createEndpointLeases(options.holdMaximumMilliseconds);
 	const reachability = createEndpointReachability();
 	const maximumLease = maximumLeaseOf(options.holdMaximumMilliseconds);
 	const runs = new Set<Run>();
@@ -139,6 +154,8 @@
 	/** A poll is waiting that was sent while no run was active, and so extended no lease. */
 	let isIdlePollWaiting = false;
 	let extendTimer: NodeJS.Timeout | undefined;
+	/** Ends the wait for the answer of the poll that waits for an end. */
+	let abandonPoll: (() => void) | undefined;
 
 	const hasOrphans = (): boolean => orphans.active().length > 0;
 
@@ -192,9 +209,9 @@
 		}
 	};
 
-	const closeForOtherIncarnation = (): void => {
+	const closeForOtherEndpoint = (): void => {
 		if (!isClosed) {
-			onDecision(EndpointDecision.OtherIncarnation, {endpoint: entry.identifier, startedAt: entry.startedAt});
+			onDecision(EndpointDecision.Replaced, {endpoint: entry.identifier, startedAt: entry.startedAt, runs: runs.size});
 		}
 
 		isClosed = true;
@@ -226,19 +243,34 @@
 		return undefined;
 	};
 
-	/** Repeats a stop until the endpoint has carried it out or the lease has expired. */
+	/** Takes the clock of an answer to a start or stop. One that can't be the clock of the present incarnation tells that another one may have answered, which a poll shows. */
+	const observeClock = (clockMilliseconds: number | undefined): void => {
+		if (clockMilliseconds === undefined) {
+			return;
+		}
+
+		if (leases.isPlausible(clockMilliseconds)) {
+			leases.observe(clockMilliseconds);
+		} else {
+			void pollNow();
+		}
+	};
+
+	/** Repeats a stop until the endpoint's present incarnation has carried it out or the lease has expired. */
 	const stopUntilEnded = async (run: Run): Promise<void> => {
 		while (isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
-			const {outcome} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
-			if (outcome === CallOutcome.Done) {
+			const startedAt = reportOrders.startedAt();
+			const {outcome, clockMilliseconds} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
+			observeClock(clockMilliseconds);
+			if (outcome === CallOutcome.Done && startedAt === reportOrders.startedAt()) {
 				run.state = RunState.Stopping;
 				run.visibleAt = performance.now();
 				await pollNow();
 				return;
 			}
 
-			if (outcome === CallOutcome.OtherIncarnation) {
-				closeForOtherIncarnation();
+			if (outcome === CallOutcome.OtherEndpoint) {
+				closeForOtherEndpoint();
 				return;
 			}
 
@@ -265,10 +297,7 @@
 	};
 
 	const onStartReply = (run: Run, {outcome, clockMilliseconds}: CallReply): void => {
-		if (clockMilliseconds !== undefined) {
-			leases.observe(clockMilliseconds);
-		}
-
+		observeClock(clockMilliseconds);
 		if (!isActive(run)) {
 			return;
 		}
@@ -276,6 +305,7 @@
 		switch (outcome) {
 			case CallOutcome.Done: {
 				run.state = run.state === RunState.Starting ? RunState.Running : run.state;
+				run.isAccepted = true;
 				run.visibleAt = performance.now();
 				return;
 			}
@@ -285,8 +315,8 @@
 				return;
 			}
 
-			case CallOutcome.OtherIncarnation: {
-				closeForOtherIncarnation();
+			case CallOutcome.OtherEndpoint: {
+				closeForOtherEndpoint();
 				return;
 			}
 
@@ -373,6 +403,7 @@
 		for (const run of runs) {
 			const reported = active.find(one => isRunOf(run, one));
 			if (reported) {
+				run.isAccepted = true;
 				if (run.state === RunState.Starting) {
 					run.state = RunState.Running;
 					run.visibleAt = performance.now();
@@ -391,7 +422,44 @@
 		orphans.install(active.filter(one => findRun(one) === undefined));
 	};
 
-	const onReport = (report: EndpointReport, polledAt: number): void => {
+	/**
+	Begins anew with another incarnation, which knows nothing of before. A run that it doesn't list is lost with the earlier one, unless the start is still to be carried out: then it has to be stopped here too.
+	*/
+	const beginIncarnation = (earlierStartedAt: number, report: EndpointReport): void => {
+		onDecision(EndpointDecision.OtherIncarnation, {
+			endpoint: entry.identifier, startedAt: earlierStartedAt, nextStartedAt: reportOrders.startedAt(), runs: runs.size, runsThere: report.active.length,
+		});
+		leases = createEndpointLeases(options.holdMaximumMilliseconds);
+		health = newEndpointHealth;
+		acknowledged = 0;
+		cooldownEndsAt = 0;
+		for (const run of runs) {
+			if (!run.isAccepted && run.state === RunState.Stopping) {
+				run.state = RunState.Starting;
+				void stopUntilEnded(run);
+			}
+		}
+
+		abandonPoll?.();
+	};
+
+	const onReport = (report: EndpointReport, {polledAt, token}: SentPoll): void => {
+		const earlierStartedAt = reportOrders.startedAt();
+		const order = reportOrders.record({startedAt: report.startedAt ?? entry.startedAt, clockMilliseconds: report.clockMilliseconds}, polledAt);
+		if (order === ReportOrder.Overtaken) {
+			return;
+		}
+
+		if (order === ReportOrder.OtherIncarnation) {
+			beginIncarnation(earlierStartedAt, report);
+			polledToken = 0;
+		}
+
+		if (polledToken < token) {
+			polledToken = token;
+			options.onChange();
+		}
+
 		const wasUnavailable = !reachability.isReachable() || hasOrphans();
 		leases.observe(report.clockMilliseconds);
 		if (reachability.isSilent()) {
@@ -425,8 +493,8 @@
 		!isClosed && !(reachability.isSilent() && leases.haveExpired() && performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds);
 
 	const onMissedPoll = (outcome: CallOutcome): void => {
-		if (outcome === CallOutcome.OtherIncarnation) {
-			closeForOtherIncarnation();
+		if (outcome === CallOutcome.OtherEndpoint) {
+			closeForOtherEndpoint();
 		} else if (outcome === CallOutcome.Fenced) {
 			options.onFenced();
 		}
@@ -458,8 +526,9 @@
 		return runs.size > 0 ? busyPollWaitMilliseconds : idlePollWaitMilliseconds;
 	};
 
-	const poll = async (waitMilliseconds: number): Promise<PollReply> => {
+	const poll = async (waitMilliseconds: number): Promise<PollReply & SentPoll> => {
 		const token = options.token();
+		const polledAt = performance.now();
 		// No extension while the endpoint is silent or shows runs of an earlier owner: the lease of an endpoint covers all its runs, and these have to end.
 		const isExtending = runs.size > 0 && options.isSettled() && !reachability.isSilent() && !hasOrphans();
 		const lease = isExtending ? leases.next(leaseLimitAt()) : undefined;
@@ -469,23 +538,37 @@
 			waitMilliseconds,
 			...(lease !== undefined && {leaseEndMilliseconds: lease}),
 		});
-		if (reply.report && polledToken < token) {
-			polledToken = token;
-			options.onChange();
-		}
-
-		return reply;
+		return {...reply, polledAt, token};
 	};
 
 	/** Polls at once, beside the poll that waits for an end. */
 	async function pollNow(): Promise<void> {
-		const polledAt = performance.now();
-		const {report} = await poll(0);
-		if (report && !hasClosed()) {
-			onReport(report, polledAt);
+		const reply = await poll(0);
+		if (hasClosed()) {
+			return;
+		}
+
+		if (reply.report) {
+			onReport(reply.report, reply);
+		} else if (reply.outcome === CallOutcome.OtherEndpoint) {
+			closeForOtherEndpoint();
 		}
 	}
 
+	/** Polls until a run ends; returns undefined once another incarnation has answered on another connection, since the earlier one may never answer. */
+	const pollUntilEnd = async (): Promise<(PollReply & SentPoll) | undefined> => {
+		const abandoned = createDeferred<undefined>();
+		abandonPoll = () => {
+			abandoned.resolve(undefined);
+		};
+
+		isIdlePollWaiting = runs.size === 0;
+		const reply = await Promise.race([poll(pollWaitMilliseconds()), abandoned.promise]);
+		isIdlePollWaiting = false;
+		abandonPoll = undefined;
+		return reply;
+	};
+
 	/** Extends the leases of runs that were started during an idle poll, until that poll ends. */
 	const extendDuringIdlePoll = (): void => {
 		extendTimer ??= setTimeout(() => {
@@ -508,14 +591,25 @@
 	return {
 		entry: () => entry,
 		update(newer) {
+			const isRestarted = newer.startedAt !== entry.startedAt && newer.startedAt !== reportOrders.startedAt();
 			entry = newer;
+			free = newer.room;
+			for (const run of runs) {
+				free = subtractResources(free, run.room);
+			}
+
+			if (isRestarted) {
+				void pollNow();
+			}
 		},
 		availableCapacity(factor) {
 			const now = performance.now();
 			const {state} = healthAt(health, now);
 			// Another owner may have started runs since the last poll, and a start would extend their leases.
 			const isPolled = polledToken === options.token();
-			const isReachable = isPolled && reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
+			// The next incarnation may have another room.
+			const isListed = entry.startedAt === reportOrders.startedAt();
+			const isReachable = isPolled && isListed && reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
 			const acceptsTasks = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown && leaseLimitAt() > now + minimumLeaseMilliseconds;
 			if (!isReachable || !acceptsTasks || hasOrphans()) {
 				return undefined;
@@ -573,18 +667,15 @@
 		strayJobs: () => (abandonedRuns.size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...abandonedRuns].map(({task}) => task.job) : noJobs,
 		async run() {
 			while (!hasClosed()) {
-				const polledAt = performance.now();
-				isIdlePollWaiting = runs.size === 0;
-				const {outcome, report} = await poll(pollWaitMilliseconds());
-				isIdlePollWaiting = false;
+				const reply = await pollUntilEnd();
 				if (isClosed) {
 					break;
 				}
 
-				if (report) {
-					onReport(report, polledAt);
-				} else {
-					onMissedPoll(outcome);
+				if (reply?.report) {
+					onReport(reply.report, reply);
+				} else if (reply) {
+					onMissedPoll(reply.outcome);
 					if (reachability.isBackingOff()) {
 						await sleep(retryMilliseconds);
 					}
@@ -601,6 +692,7 @@
 		isIdle: () => runs.size === 0,
 		runs: () => [...runs],
 		isReachable: () => reachability.isReachable() && !isClosed,
+		isClosed: () => isClosed,
 		overdueFactor: () => overdueFactorOf(runs),
 	};
 };
--- a/packages/galenakeeld/src/process/cells/cell-endpoints.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoints.ts
@@ -6,7 +6,7 @@
 import type {EndpointCapacity} from './place-tasks.js';
 
 /**
-The endpoints of a cell by incarnation, and the speed of each.
+The endpoints of a cell by identifier and address, and the speed of each.
 */
 export type CellEndpoints = {
 	readonly all: () => readonly CellEndpoint[];
@@ -37,6 +37,9 @@
 /** If all active runs exceed their expected time by this factor, the endpoint has become slow. */
 const overdueRatio = 3;
 
+/** What stays the same when an endpoint restarts. */
+const placeOf = ({identifier, address}: EndpointEntry): string => `${identifier}@${address}`;
+
 /** The first label of an endpoint names its kind. */
 const kindOf = ({labels}: EndpointEntry): string => labels[0] ?? '';
 
@@ -67,14 +70,29 @@
 		const endpoint = options.createEndpoint(entry, (estimateMilliseconds, runMilliseconds) => {
 			speeds.record(entry.identifier, kindOf(entry), estimateMilliseconds, runMilliseconds);
 		});
-		endpoints.set(incarnationOf(entry), endpoint);
+		endpoints.set(placeOf(entry), endpoint);
 		void endpoint.run();
 	};
 
+	const updateOrAdd = (entry: EndpointEntry): void => {
+		const known = endpoints.get(placeOf(entry));
+		const isRestarted = known !== undefined && known.entry().startedAt !== entry.startedAt;
+		if (isRestarted) {
+			// It may be of another kind now.
+			speeds.forget(entry.identifier);
+		}
+
+		if (known && !(isRestarted && known.isClosed())) {
+			known.update(entry);
+		} else {
+			add(entry);
+		}
+	};
+
 	/** Drains an endpoint that the platform no longer lists and removes it once idle, after a delay: entries also lapse during a store outage. */
-	const retire = (life: string, endpoint: CellEndpoint): void => {
-		const since = missingSince.get(life) ?? performance.now();
-		missingSince.set(life, since);
+	const retire = (place: string, endpoint: CellEndpoint): void => {
+		const since = missingSince.get(place) ?? performance.now();
+		missingSince.set(place, since);
 		if (performance.now() - since < lapsedEntryMilliseconds) {
 			return;
 		}
@@ -83,14 +101,14 @@
 		if (endpoint.isIdle()) {
 			endpoint.close();
 			speeds.forget(endpoint.entry().identifier);
-			endpoints.delete(life);
-			missingSince.delete(life);
+			endpoints.delete(place);
+			missingSince.delete(place);
 		}
 	};
 
 	return {
 		all: () => [...endpoints.values()],
-		get: life => endpoints.get(life),
+		get: incarnation => [...endpoints.values()].find(endpoint => incarnationOf(endpoint.entry()) === incarnation),
 		factorOf,
 		kindFactors: speeds.kindFactors,
 		availableCapacities() {
@@ -120,20 +138,15 @@
 			return jobs;
 		},
 		install(entries) {
-			const current = new Set(entries.map(entry => incarnationOf(entry)));
+			const current = new Set(entries.map(entry => placeOf(entry)));
 			for (const entry of entries) {
-				const known = endpoints.get(incarnationOf(entry));
-				missingSince.delete(incarnationOf(entry));
-				if (known) {
-					known.update(entry);
-				} else {
-					add(entry);
-				}
+				missingSince.delete(placeOf(entry));
+				updateOrAdd(entry);
 			}
 
-			for (const [life, endpoint] of endpoints) {
-				if (!current.has(life)) {
-					retire(life, endpoint);
+			for (const [place, endpoint] of endpoints) {
+				if (!current.has(place)) {
+					retire(place, endpoint);
 				}
 			}
 		},
--- a/packages/galenakeeld/src/process/cells/endpoint-clock.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-clock.ts
@@ -8,8 +8,13 @@
 	readonly observe: (clockMilliseconds: number) => void;
 	/** Upper bound of the endpoint's clock now; undefined before the first answer. */
 	readonly now: () => number | undefined;
+	/** Whether a clock value of an answer that has just arrived may be of this clock, rather than of the clock of another incarnation, which began anew. */
+	readonly isPlausible: (clockMilliseconds: number) => boolean;
 };
 
+/** Difference between an answer's clock and the expected one that a late answer can't explain. */
+const maximumDeviationMilliseconds = 300;
+
 /**
 Creates a clock that has not been observed yet.
 
@@ -27,5 +32,6 @@
 			offset = clockMilliseconds - performance.now();
 		},
 		now: () => offset === undefined ? undefined : performance.now() + offset,
+		isPlausible: clockMilliseconds => offset === undefined || Math.abs(performance.now() + offset - clockMilliseconds) <= maximumDeviationMilliseconds,
 	};
 };
--- a/packages/galenakeeld/src/process/cells/endpoint-decision.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-decision.ts
@@ -18,6 +18,8 @@
 	CooldownStarted = 'endpoint-rests',
 	/** The endpoint declined a start. */
 	Declined = 'start-declined',
-	/** Another incarnation of the endpoint answered. */
+	/** The endpoint has restarted: another incarnation answered. */
 	OtherIncarnation = 'endpoint-other-life',
+	/** An endpoint with another identifier answered at the address. */
+	Replaced = 'endpoint-replaced',
 }
--- a/packages/galenakeeld/src/process/cells/endpoint-leases.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-leases.ts
@@ -8,6 +8,8 @@
 export type EndpointLeases = {
 	/** Records the endpoint's clock from an answer that has just arrived. */
 	readonly observe: (clockMilliseconds: number) => void;
+	/** Whether the clock of an answer that has just arrived may be that of this incarnation. */
+	readonly isPlausible: (clockMilliseconds: number) => boolean;
 	/**
 	Returns the end of a lease that begins now, on the endpoint's clock; undefined before the first answer, or if the limit has passed. It counts as sent.
 
@@ -38,6 +40,7 @@
 
 	return {
 		observe: clock.observe,
+		isPlausible: clock.isPlausible,
 		next(limitAt = Number.POSITIVE_INFINITY) {
 			const now = clock.now();
 			const lease = Math.min(holdMaximumMilliseconds, limitAt - performance.now());
--- a/packages/galenakeeld/src/process/cells/endpoint-run.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-run.ts
@@ -38,6 +38,8 @@
 	state: RunState;
 	/** Its start was not answered in time. */
 	isUnconfirmed: boolean;
+	/** The endpoint has said that it has, or had, the run; so its start won't be carried out later. */
+	isAccepted: boolean;
 	/** Monotonic milliseconds from which a poll must report the run or its end. */
 	visibleAt: number;
 	/** Monotonic milliseconds after which its lease must not end. It moves on while the holder of the job is heard. */
@@ -68,7 +70,8 @@
 export const createRun = ({task, attempt, room, estimateMilliseconds, leaseLimitAt}: Omit<RunRequest, 'specification'>, state: RunState): Run => {
 	const now = performance.now();
 	return {
-		task, attempt, room, estimateMilliseconds, startSentAt: now, state, isUnconfirmed: false, visibleAt: now, leaseLimitAt, ended: createDeferred<RunResult>(),
+		task, attempt, room, estimateMilliseconds, startSentAt: now, state, isUnconfirmed: false, isAccepted: state === RunState.Running, visibleAt: now, leaseLimitAt,
+		ended: createDeferred<RunResult>(),
 	};
 };
 
--- /dev/null
+++ b/packages/galenakeeld/src/process/cells/report-order.ts
@@ -0,0 +1,69 @@
+import {performance} from 'node:perf_hooks';
+import type {EndpointReport} from '@galenakeel/model/connection/endpoint-calls.js';
+
+/**
+What a report is to those before it.
+*/
+export enum ReportOrder {
+	/** It is of the same incarnation as those before it. */
+	Newer = 'newer',
+	/** A report of a later incarnation has overtaken it on another connection. */
+	Overtaken = 'overtaken',
+	/** It is the first of another incarnation. */
+	OtherIncarnation = 'other-incarnation',
+}
+
+/**
+What orders a report: the start of the incarnation that answered, in Unix milliseconds, and its monotonic clock.
+*/
+export type OrderedReport = Pick<EndpointReport, 'clockMilliseconds'> & {readonly startedAt: number};
+
+/**
+The order of the reports of an endpoint, and the incarnation that reported last.
+*/
+export type ReportOrders = {
+	/** Start of the present incarnation, in Unix milliseconds. */
+	readonly startedAt: () => number;
+	/**
+	Classifies a report that has just arrived, and remembers it unless it was overtaken.
+
+	@param polledAt Monotonic milliseconds at which its poll was sent.
+	*/
+	readonly record: (report: OrderedReport, polledAt: number) => ReportOrder;
+};
+
+/**
+Creates the order of an endpoint that hasn't reported yet.
+
+The start times of incarnations don't order them, since the time of day may be set back: another incarnation is a later one if its poll was sent after the present one had reported.
+
+@param firstStartedAt Start of the incarnation that the platform lists, in Unix milliseconds.
+
+@example
+```
+const orders = createReportOrders(1764800000000);
+orders.record({startedAt: 1764800000000, clockMilliseconds: 500}, 10); // => ReportOrder.Newer
+orders.record({startedAt: 1764800009000, clockMilliseconds: 10}, 20); // => ReportOrder.OtherIncarnation
+```
+*/
+export const createReportOrders = (firstStartedAt: number): ReportOrders => {
+	let startedAt = firstStartedAt;
+	/** Monotonic milliseconds at which the present incarnation reported first. */
+	let firstReportAt = Number.NEGATIVE_INFINITY;
+
+	return {
+		startedAt: () => startedAt,
+		record(report, polledAt) {
+			const now = performance.now();
+			const isOther = report.startedAt !== startedAt;
+			const isOvertaken = isOther && polledAt < firstReportAt;
+			if (isOvertaken) {
+				return ReportOrder.Overtaken;
+			}
+
+			startedAt = report.startedAt;
+			firstReportAt = isOther || firstReportAt === Number.NEGATIVE_INFINITY ? now : firstReportAt;
+			return isOther ? ReportOrder.OtherIncarnation : ReportOrder.Newer;
+		},
+	};
+};
--- a/packages/galenakeeld/src/process/fleet/listed-endpoints.ts
+++ b/packages/galenakeeld/src/process/fleet/listed-endpoints.ts
@@ -1,8 +1,8 @@
 import {performance} from 'node:perf_hooks';
-import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
+import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 
 /**
-The endpoints of a cell as last listed, and those that a list has lacked for a short time only. Entries lapse during a store outage although their endpoints run on.
+The endpoints of a cell as last listed, and those that a list has lacked for a short time only. Entries lapse during a store outage although their endpoints run on. An endpoint that has restarted is listed with its present incarnation only.
 */
 export type ListedEndpoints = {
 	readonly install: (entries: readonly EndpointEntry[]) => void;
@@ -34,10 +34,10 @@
 	return {
 		install(entries) {
 			const now = performance.now();
-			const listed = new Set(entries.map(entry => incarnationOf(entry)));
-			const missing = (latest ?? []).filter(entry => !listed.has(incarnationOf(entry)));
+			const listed = new Set(entries.map(({identifier}) => identifier));
+			const missing = (latest ?? []).filter(({identifier}) => !listed.has(identifier));
 			lapsed = [
-				...lapsed.filter(({entry, at}) => now - at <= lapseMilliseconds && !listed.has(incarnationOf(entry))),
+				...lapsed.filter(({entry, at}) => now - at <= lapseMilliseconds && !listed.has(entry.identifier)),
 				...missing.map(entry => ({entry, at: now})),
 			];
 			latest = entries;
--- a/packages/model/src/connection/endpoint-calls.ts
+++ b/packages/model/src/connection/endpoint-calls.ts
@@ -16,8 +16,8 @@
 	InsufficientCapacity = 'no-room',
 	/** The endpoint rejected the call for another reason; nothing was done. */
 	Rejected = 'rejected',
-	/** Another incarnation of the endpoint answered. */
-	OtherIncarnation = 'other-life',
+	/** An endpoint with another identifier answered; nothing was done, and nothing of the intended one is active any more. */
+	OtherEndpoint = 'other-endpoint',
 	/** No answer arrived in time; the endpoint may still carry out the call. */
 	Unknown = 'unknown',
 }
@@ -63,6 +63,8 @@
 Active and ended runs of an endpoint.
 */
 export type EndpointReport = {
+	/** Start of the incarnation that answered, in Unix milliseconds; undefined if the report lacks it. An endpoint that restarts keeps its identifier. */
+	readonly startedAt?: number | undefined;
 	/** The endpoint's monotonic clock when it answered, in milliseconds. */
 	readonly clockMilliseconds: number;
 	readonly active: readonly ActiveRun[];
@@ -70,7 +72,7 @@
 };
 
 /**
-Answer to a start or stop call, with the endpoint's monotonic clock if the answer carries it.
+Answer to a start or stop call, with the endpoint's monotonic clock if the answer carries it. It doesn't say which incarnation answered.
 */
 export type CallReply = {
 	readonly outcome: CallOutcome;
@@ -116,7 +118,7 @@
 };
 
 /**
-Calls to one incarnation of an endpoint.
+Calls to an endpoint at its address. Whichever incarnation is up there carries them out.
 */
 export type EndpointCalls = {
 	readonly start: (request: StartRequest) => Promise<CallReply>;
