Reports of an endpoint count in the order of its clock

What callers saw: nothing so far; found beside the fault of restarted endpoints.

Cause: an owner polls an endpoint on two connections, and their answers may overtake each other. An older report that arrived last replaced what the newer one had shown: the run of a rival owner was forgotten for up to 1.5 s, so a job that its caller repeated started beside it; a run that had ended counted as one of an earlier owner, so the endpoint got no tasks and its leases were not extended until the next poll.

Change: a report with a lower clock than the last one's, whose poll was sent before the last one arrived, is left out. Its ends come again with the next report, since they are not acknowledged. That a run was settled as lost which a newer report had shown was looked for and can't happen: a run that is seen later than a poll was sent is not settled by that poll.

--- a/packages/galenakeeld/src/process/cells/__tests__/restarted-endpoint.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/restarted-endpoint.feature
@@ -88,3 +88,14 @@
     And a third job of 1 task is submitted by "second"
     And the endpoints run for 1000 ms
     Then the third job never ran
+
+  Scenario: A report that a newer one has overtaken does not bring back a run that has ended
+    When a job of 1 task is submitted by "first"
+    And the answers to the polls of the first endpoint are 150 ms late
+    And the endpoints run for 385 ms
+    And the answers to the polls of the first endpoint are 0 ms late
+    And the holder "first" is lost
+    And the endpoints run for 160 ms
+    And another job of 1 task is submitted by "second"
+    And a third job of 1 task is submitted by "second"
+    Then the third job runs
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -261,6 +261,10 @@
 	assert.equal(this.leasedEndpoints.filter(({runs}) => runs.length > 0).length, count);
 });
 
+Then('the third job runs', function (this: StrayWorld) {
+	assert.deepEqual(runsOf(this, thirdJob).map(({endedAt}) => endedAt), [Number.POSITIVE_INFINITY]);
+});
+
 Then('the third job never ran', function (this: StrayWorld) {
 	assert.deepEqual(runsOf(this, thirdJob), []);
 });
--- a/packages/galenakeeld/src/process/cells/report-order.ts
+++ b/packages/galenakeeld/src/process/cells/report-order.ts
@@ -5,9 +5,9 @@
 What a report is to those before it.
 */
 export enum ReportOrder {
-	/** It is of the same incarnation as those before it. */
+	/** It is newer than those before it, and of the same incarnation. */
 	Newer = 'newer',
-	/** A report of a later incarnation has overtaken it on another connection. */
+	/** A newer report has overtaken it on another connection. */
 	Overtaken = 'overtaken',
 	/** It is the first of another incarnation. */
 	OtherIncarnation = 'other-incarnation',
@@ -35,7 +35,7 @@
 /**
 Creates the order of an endpoint that hasn't reported yet.
 
-The start times of incarnations don't order them, since the time of day may be set back: another incarnation is a later one if its poll was sent after the present one had reported.
+Reports of one incarnation are ordered by its monotonic clock. The start times of incarnations don't order them, since the time of day may be set back: another incarnation is a later one if its poll was sent after the present one had reported.
 
 @param firstStartedAt Start of the incarnation that the platform lists, in Unix milliseconds.
 
@@ -43,26 +43,30 @@
 ```
 const orders = createReportOrders(1764800000000);
 orders.record({startedAt: 1764800000000, clockMilliseconds: 500}, 10); // => ReportOrder.Newer
-orders.record({startedAt: 1764800009000, clockMilliseconds: 10}, 20); // => ReportOrder.OtherIncarnation
+orders.record({startedAt: 1764800000000, clockMilliseconds: 400}, 5); // => ReportOrder.Overtaken
 ```
 */
 export const createReportOrders = (firstStartedAt: number): ReportOrders => {
 	let startedAt = firstStartedAt;
-	/** Monotonic milliseconds at which the present incarnation reported first. */
+	/** Monotonic milliseconds at which the present incarnation reported first and last. */
 	let firstReportAt = Number.NEGATIVE_INFINITY;
+	let lastReportAt = Number.NEGATIVE_INFINITY;
+	let clockMilliseconds = Number.NEGATIVE_INFINITY;
 
 	return {
 		startedAt: () => startedAt,
 		record(report, polledAt) {
 			const now = performance.now();
 			const isOther = report.startedAt !== startedAt;
-			const isOvertaken = isOther && polledAt < firstReportAt;
+			const isOvertaken = isOther ? polledAt < firstReportAt : report.clockMilliseconds < clockMilliseconds && polledAt < lastReportAt;
 			if (isOvertaken) {
 				return ReportOrder.Overtaken;
 			}
 
 			startedAt = report.startedAt;
 			firstReportAt = isOther || firstReportAt === Number.NEGATIVE_INFINITY ? now : firstReportAt;
+			lastReportAt = now;
+			clockMilliseconds = report.clockMilliseconds;
 			return isOther ? ReportOrder.OtherIncarnation : ReportOrder.Newer;
 		},
 	};
