--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -141,3 +141,22 @@
     And the job is submitted again by "second"
     And the endpoints run for 1000 ms
     Then the task ran 2 times, never twice at the same time
+
+  Scenario: A job that comes again in a later generation while its runs are being stopped adopts none of them
+    Given an owner of these endpoints
+    When a job of 1 task is submitted by "first"
+    And the endpoints carry out no stops
+    And the holder "first" is lost
+    And the job is submitted by "second" as one that an earlier owner may have started
+    And the endpoints run for 1500 ms
+    Then the task ran 2 times, never twice at the same time
+
+  Scenario: An owner that claims its cell anew takes over a run that it was stopping rather than starting its task beside it
+    Given an owner of these endpoints
+    When a job of 1 task is submitted by "first"
+    And the endpoints carry out no stops
+    And the holder "first" is lost
+    And the same owner claims its cell anew
+    And the job is submitted again by "second"
+    And the endpoints run for 2500 ms
+    Then the task ran 1 times, never twice at the same time
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -179,6 +179,14 @@
 	await this.time.tickAsync(untilStartedMilliseconds);
 });
 
+When('the same owner claims its cell anew', async function (this: StrayWorld) {
+	this.owner.close();
+	// What the closed cell still sends carries the new token.
+	this.raisedToken = 2;
+	this.owner = createOwner(this, 2);
+	await this.time.tickAsync(untilStartedMilliseconds);
+});
+
 When('another owner takes over, and the job is submitted to it at once by {string}', async function (this: StrayWorld, holder: string) {
 	this.owner.close();
 	this.owner = createOwner(this, 2);
