Soak: owners, holders and endpoints that stand still or start anew, and streams that break

- New faults: the owner of a zone and the daemon with the most open calls are killed or stand still, all daemons are killed in turn, streams between daemons are reset (a module that the daemons of the trials preload, as for the stepping clock), endpoints are killed, or stand still and carry calls out late.
- The check is stricter: a job said to be complete needs an end "done" of each task before that answer (before: at any time), and a job counts as refused if each of its calls was rejected with any 4xx, 503 or at the connection (before: 429 and 503 only).
A call that its caller broke off is owed no answer.

--- a/packages/stand-ins/src/process/worker-stand-in.ts
+++ b/packages/stand-ins/src/process/worker-stand-in.ts
@@ -59,10 +59,12 @@
 	readonly entry: (zone: string, state?: string, publicAddress?: string) => Readonly<Record<string, unknown>>;
 	/** Loses all state and starts a new incarnation, as after a crash and restart of the process. */
 	readonly crash: () => void;
+	/** Stands still for a time: runs make no progress and end with their lease, and calls are executed and answered afterwards. */
+	readonly pause: (milliseconds: number) => Promise<void>;
 	readonly close: () => void;
 };
 
-type ActiveRun = WorkerRun & {readonly endsAt: number; readonly processor: number};
+type ActiveRun = WorkerRun & {endsAt: number; readonly processor: number};
 type Ended = readonly [sequence: number, task: string, attempt: number, end: string, saved: string];
 type RequestBody = {
 	readonly Task?: string;
@@ -102,6 +104,9 @@
 	let highestToken = 0;
 	let sequence = 0;
 	let polls = 0;
+	let isPaused = false;
+	/** Resolves when the worker no longer stands still. */
+	let resumed = Promise.resolve();
 	let leaseEndsAt = 0;
 	let born = Date.now();
 	let startedAtMonotonic = performance.now();
@@ -135,6 +140,10 @@
 	});
 
 	const updateRuns = (): void => {
+		if (isPaused) {
+			return;
+		}
+
 		const now = performance.now();
 		for (const run of active) {
 			// On a busy machine this check may run late. The run still counts as ended at the expiry of its lease.
@@ -199,6 +208,7 @@
 		updateRuns();
 		if (ended.length === 0 && WaitMs > 0) {
 			await untilEnd(WaitMs);
+			await resumed;
 			updateRuns();
 		}
 
@@ -232,6 +242,7 @@
 		const path = request.url ?? '/';
 		const requestBody = JSON.parse(await readText(request)) as RequestBody;
 		const isStart = path === '/run-start';
+		await resumed;
 		if (standIn.fault === WorkerFault.Silent) {
 			return;
 		}
@@ -270,6 +281,19 @@
 			born = Date.now();
 			startedAtMonotonic = performance.now();
 		},
+		async pause(milliseconds) {
+			const pausedAt = performance.now();
+			updateRuns();
+			isPaused = true;
+			resumed = sleep(milliseconds);
+			await resumed;
+			isPaused = false;
+			for (const run of active) {
+				run.endsAt += performance.now() - pausedAt;
+			}
+
+			updateRuns();
+		},
 		close() {
 			clearInterval(timer);
 			server.closeAllConnections();
--- a/packages/trials/src/process/__tests__/soak.steps.ts
+++ b/packages/trials/src/process/__tests__/soak.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
+import type {SoakProfileName} from '../../version/soak-profile.js';
 import {runSoak, type SoakResult} from '../soak-run.js';
 
 type SoakedWorld = {
@@ -9,10 +10,11 @@
 
 const millisecondsOfSecond = 1000;
 
-When('daemons are soaked for {int} s with seed {int}', {timeout: 180_000}, async function (this: SoakedWorld, seconds: number, seed: number) {
+When('daemons are soaked by the profile {string} for {int} s with seed {int}', {timeout: 180_000}, async function (this: SoakedWorld, profile: SoakProfileName, seconds: number, seed: number) {
 	this.struck = [];
 	this.soaked = await runSoak({
 		seed,
+		profile,
 		milliseconds: seconds * millisecondsOfSecond,
 		zones: ['north', 'south'],
 		daemonsInZone: 2,
--- a/packages/trials/src/process/platform-fleet.ts
+++ b/packages/trials/src/process/platform-fleet.ts
@@ -10,6 +10,7 @@
 import {createStandInConfiguration} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
 import {call, type HttpReply} from '@galenakeel/stand-ins/connection/http-json.js';
 import {startFaultProxy, type FaultProxy} from '@galenakeel/stand-ins/connection/fault-proxy.js';
+import {peersVariable} from '@galenakeel/stand-ins/process/peer-stream-signals.js';
 import {startTableStoreStandIn, type TableStoreStandIn} from '@galenakeel/stand-ins/process/table-store-stand-in.js';
 import {startWorkerStandIn, type WorkerStandIn} from '@galenakeel/stand-ins/process/worker-stand-in.js';
 import {createCleanup, type Cleanup} from './cleanup.js';
@@ -17,6 +18,7 @@
 
 const daemonProgram = fileURLToPath(import.meta.resolve('galenakeeld/process/fleet/fleet-entry.js'));
 const steppingClock = import.meta.resolve('@galenakeel/stand-ins/process/stepping-clock.js');
+const peerStreamFaults = import.meta.resolve('@galenakeel/stand-ins/process/peer-stream-faults.js');
 const pollMilliseconds = 20;
 const readyTimeoutMilliseconds = 15_000;
 const graceMilliseconds = 6000;
@@ -185,7 +187,7 @@
 		}));
 		const log = openSync(join(directory, `${instance}.log`), 'a');
 		const start = (): ChildProcess => {
-			const started = spawn(process.execPath, [...nodeArguments, '--import', steppingClock, daemonProgram, settingsPath], {stdio: ['ignore', log, log]});
+			const started = spawn(process.execPath, [...nodeArguments, '--import', steppingClock, '--import', peerStreamFaults, daemonProgram, settingsPath], {stdio: ['ignore', log, log], env: {...process.env, [peersVariable]: peers}});
 			onProcess?.(started, position, instance);
 			return started;
 		};
--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -2,6 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {LinkState, type FaultProxy} from '@galenakeel/stand-ins/connection/fault-proxy.js';
+import {resetSignal} from '@galenakeel/stand-ins/process/peer-stream-signals.js';
 import {StoreFault} from '@galenakeel/stand-ins/process/table-store-stand-in.js';
 import {WorkerFault, type WorkerStandIn} from '@galenakeel/stand-ins/process/worker-stand-in.js';
 import {createStandInConfiguration} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
@@ -17,22 +18,36 @@
 const delayMilliseconds = 60;
 /** Time after a daemon is ready again during which calls sent earlier may still fail. */
 const settleMilliseconds = 300;
+/** Share of the time for which a daemon is away after which the next one is killed, where they are killed in turn. */
+const turnShare = 0.7;
 
 const itemAt = <Item>(items: readonly Item[], target: number): Item => items[target % items.length]!;
 
 /**
-Creates the function that injects faults into a fleet. A target has at most one fault at a time; a fault whose target already has one is skipped.
+What the faults need to know of the fleet while it runs.
+*/
+export type SoakFaultsOptions = {
+	/** Receives the intervals during which a daemon was killed, paused or leaving. */
+	readonly disturbances: Disturbance[];
+	/** Called with each fault that is injected, before it takes effect. */
+	readonly onFault: (fault: SoakFault, target: string) => void;
+	/** Instances of the daemons that own the cells of a zone now. */
+	readonly ownersOf: (zone: string) => readonly string[];
+	/** Number of calls at a daemon that have no answer yet. */
+	readonly openCallsAt: (instance: string) => number;
+};
 
-@param disturbances Receives the intervals during which a daemon was killed, paused or leaving.
-@param onFault Called with each fault that is injected, before it takes effect.
+/**
+Creates the function that injects faults into a fleet. A target has at most one fault at a time; a fault whose target already has one is skipped.
 
 @example
 ```
-const injectFault = createSoakFaults(fleet, disturbances, fault => console.log(fault));
+const injectFault = createSoakFaults(fleet, {disturbances, onFault: fault => console.log(fault), ownersOf: watch.ownersOf, openCallsAt: load.openCallsAt});
 await injectFault({fault: SoakFault.DaemonKilled, at: 0, forMilliseconds: 500, target: 3});
 ```
 */
-export const createSoakFaults = (fleet: PlatformFleet, disturbances: Disturbance[], onFault: (fault: SoakFault, target: string) => void): InjectFault => {
+export const createSoakFaults = (fleet: PlatformFleet, {disturbances, onFault, ownersOf, openCallsAt}: SoakFaultsOptions): InjectFault => {
+	const zones = [...new Set(fleet.daemons.map(({zone}) => zone))];
 	const busy = new Set<string>();
 	let configurationVersion = 1;
 
@@ -109,6 +124,12 @@
 		faults.isRefusing = false;
 	};
 
+	const killWorker = async (worker: WorkerStandIn, milliseconds: number, link: FaultProxy): Promise<void> => {
+		worker.crash();
+		await refuse(link, milliseconds);
+		fleet.listWorkers();
+	};
+
 	const dropReplies = async ({faults}: FaultProxy, milliseconds: number): Promise<void> => {
 		faults.backward = LinkState.Silent;
 		await sleep(milliseconds);
@@ -133,6 +154,13 @@
 		[SoakFault.DaemonKilled]: killDaemon,
 		[SoakFault.DaemonPaused]: pauseDaemon,
 		[SoakFault.DaemonLeaves]: leaveDaemon,
+		[SoakFault.OwnerKilled]: killDaemon,
+		[SoakFault.OwnerPaused]: pauseDaemon,
+		[SoakFault.HolderKilled]: killDaemon,
+		[SoakFault.HolderPaused]: pauseDaemon,
+		async [SoakFault.PeerStreamsReset](daemon) {
+			daemon.child().kill(resetSignal);
+		},
 		[SoakFault.DaemonClockSteps]: stepClock,
 		[SoakFault.DaemonCutFromStore]: async ({instance}, milliseconds) => refuse(fleet.links!.toStore.get(instance)!, milliseconds),
 		[SoakFault.DaemonHearsNoStore]: async ({instance}, milliseconds) => dropReplies(fleet.links!.toStore.get(instance)!, milliseconds),
@@ -147,6 +175,8 @@
 
 	const onWorker: Partial<Record<SoakFault, OnWorker>> = {
 		[SoakFault.EndpointCrashes]: crashWorker,
+		[SoakFault.EndpointKilled]: killWorker,
+		[SoakFault.EndpointPaused]: async (worker, milliseconds) => worker.pause(milliseconds),
 		[SoakFault.EndpointFailsAll]: async (worker, milliseconds) => setWorker(worker, WorkerFault.FailsAll, milliseconds),
 		[SoakFault.EndpointStartsLate]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LateStarts, milliseconds),
 		[SoakFault.EndpointLosesAnswers]: async (worker, milliseconds) => setWorker(worker, WorkerFault.LostAnswers, milliseconds),
@@ -163,14 +193,40 @@
 		[SoakFault.EndpointDelayed]: async (_, milliseconds, link) => delay(link, milliseconds),
 	};
 
+	const findOwner = (target: number): PlatformDaemon | undefined => {
+		const [owner] = ownersOf(itemAt(zones, target));
+		return fleet.daemons.find(({instance}) => instance === owner);
+	};
+
+	const findHolder = (): PlatformDaemon | undefined => fleet.daemons.toSorted((first, second) => openCallsAt(second.instance) - openCallsAt(first.instance))[0];
+
+	const finders: Partial<Record<SoakFault, (target: number) => PlatformDaemon | undefined>> = {
+		[SoakFault.OwnerKilled]: findOwner,
+		[SoakFault.OwnerPaused]: findOwner,
+		[SoakFault.HolderKilled]: findHolder,
+		[SoakFault.HolderPaused]: findHolder,
+	};
+
+	/** Kills all daemons, one after the other. */
+	const killDaemons = async (fault: SoakFault, milliseconds: number, gapMilliseconds: number): Promise<void> => {
+		await Promise.all(fleet.daemons.map(async (daemon, position) => {
+			await sleep(position * gapMilliseconds);
+			await injectUnlessBusy(fault, daemon.instance, async () => killDaemon(daemon, milliseconds));
+		}));
+	};
+
+	const onFleet: Partial<Record<SoakFault, (milliseconds: number) => Promise<void>>> = {
+		[SoakFault.AllDaemonsKilled]: async milliseconds => killDaemons(SoakFault.AllDaemonsKilled, milliseconds, 0),
+		[SoakFault.DaemonsKilledInTurn]: async milliseconds => killDaemons(SoakFault.DaemonsKilledInTurn, milliseconds, milliseconds * turnShare),
+		[SoakFault.ConfigurationChanges]: async () => injectUnlessBusy(SoakFault.ConfigurationChanges, 'configuration', changeConfiguration),
+	};
+
 	return async ({fault, target, forMilliseconds}) => {
-		const daemon = itemAt(fleet.daemons, target);
+		const daemon = finders[fault]?.(target) ?? itemAt(fleet.daemons, target);
 		const worker = itemAt(fleet.workers, target);
 		const storeFault = onStore[fault];
-		if (fault === SoakFault.AllDaemonsKilled) {
-			await Promise.all(fleet.daemons.map(async one => injectUnlessBusy(fault, one.instance, async () => killDaemon(one, forMilliseconds))));
-		} else if (fault === SoakFault.ConfigurationChanges) {
-			await injectUnlessBusy(fault, 'configuration', changeConfiguration);
+		if (onFleet[fault]) {
+			await onFleet[fault](forMilliseconds);
 		} else if (storeFault) {
 			await injectUnlessBusy(fault, 'store', async () => setStore(storeFault, forMilliseconds));
 		} else if (onDaemon[fault]) {
--- a/packages/trials/src/process/soak-load.ts
+++ b/packages/trials/src/process/soak-load.ts
@@ -3,6 +3,7 @@
 import {createStandInJob} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
 import type {SoakCall, SoakJob} from '../request/check-soak.js';
 import type {Random} from '../request/random.js';
+import type {SoakProfile} from '../version/soak-profile.js';
 import type {PlatformDaemon, PlatformFleet} from './platform-fleet.js';
 
 /**
@@ -10,18 +11,18 @@
 */
 export type SoakLoad = {
 	readonly jobs: readonly SoakJob[];
+	/** Number of calls at a daemon that have no answer yet. */
+	readonly openCallsAt: (instance: string) => number;
 	/** Stops submitting, and resolves when the callers of all jobs have finished. */
 	readonly stop: () => Promise<void>;
 };
 
 const processorOfTask = 1000;
-const leastTaskMilliseconds = 10;
-const mostTaskMilliseconds = 500;
-const mostTasks = 6;
 const mostSteps = 2;
 /** Maximum attempts of a task, as in the configuration of the stand-ins. */
 const mostAttempts = 2;
-const meanGapMilliseconds = 120;
+const leastPatienceMilliseconds = 500;
+const mostPatienceMilliseconds = 4000;
 /** Exceeds the longest time that a daemon holds a job, which is three objectives of the longest job. */
 const answerMilliseconds = 25_000;
 const mostCalls = 3;
@@ -38,19 +39,24 @@
 
 const isConnectionRefused = (error: unknown): boolean => error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
 
-const callOnce = async (fleet: PlatformFleet, daemon: PlatformDaemon, identifier: string, body: unknown): Promise<SoakCall> => {
+const isTimeout = (error: unknown): boolean => error instanceof Error && (error.name === 'AbortError' || error.name === 'TimeoutError');
+
+/** Which daemon a caller calls, and when it breaks the call off. */
+type PlannedCall = {readonly daemon: PlatformDaemon; readonly patienceMilliseconds: number};
+
+const callOnce = async (fleet: PlatformFleet, {daemon, patienceMilliseconds}: PlannedCall, identifier: string, body: unknown): Promise<SoakCall> => {
 	const sentAt = performance.now();
 	const base = {
-		job: identifier, daemon: daemon.instance, sentAt, isUnread: false,
+		job: identifier, daemon: daemon.instance, sentAt, isUnread: false, hasGivenUp: false,
 	};
 	try {
-		const {status, text} = await fleet.submit(daemon, identifier, body, answerMilliseconds);
+		const {status, text} = await fleet.submit(daemon, identifier, body, patienceMilliseconds);
 		return {
 			...base, endedAt: performance.now(), status, state: stateOf(text), detail: text,
 		};
 	} catch (error) {
 		return {
-			...base, endedAt: performance.now(), isUnread: isConnectionRefused(error), status: undefined, state: undefined, detail: error instanceof Error ? error.message : String(error),
+			...base, endedAt: performance.now(), hasGivenUp: patienceMilliseconds < answerMilliseconds && isTimeout(error), isUnread: isConnectionRefused(error), status: undefined, state: undefined, detail: error instanceof Error ? error.message : String(error),
 		};
 	}
 };
@@ -59,16 +65,23 @@
 const isUnknown = ({status}: SoakCall): boolean => status === undefined || status === 502 || status === 504;
 
 /**
-Submits a job with random steps, and resends it to random daemons while its outcome is unknown, up to three calls in all.
+Submits a job with random steps, and resends it to random daemons while its outcome is unknown, up to three calls in all. The last call is never broken off.
+
+@param onCall Called with the daemon of each call, and 1 when the call begins or -1 when it has ended.
 */
-export const submitSoakJob = async (fleet: PlatformFleet, identifier: string, random: Random): Promise<SoakJob> => {
-	const milliseconds = random.integer(leastTaskMilliseconds, mostTaskMilliseconds);
-	const steps = Array.from({length: random.integer(1, mostSteps)}, (_, step) => ({tasks: random.integer(1, mostTasks), ...(step > 0 && {after: [step - 1]})}));
+export const submitSoakJob = async (fleet: PlatformFleet, identifier: string, random: Random, profile: SoakProfile, onCall: (instance: string, change: number) => void): Promise<SoakJob> => {
+	const milliseconds = random.integer(profile.leastTaskMilliseconds, profile.mostTaskMilliseconds);
+	const steps = Array.from({length: random.integer(1, mostSteps)}, (_, step) => ({tasks: random.integer(profile.leastTasks, profile.mostTasks), ...(step > 0 && {after: [step - 1]})}));
 	const body = createStandInJob(milliseconds, processorOfTask, steps);
 	const calls: SoakCall[] = [];
-	const daemons = Array.from({length: mostCalls}, () => random.pick(fleet.daemons));
-	for (const daemon of daemons) {
-		const last = await callOnce(fleet, daemon, identifier, body);
+	const planned = Array.from({length: mostCalls}, (_, position): PlannedCall => ({
+		daemon: random.pick(fleet.daemons),
+		patienceMilliseconds: random.fraction() < profile.impatientShare && position < mostCalls - 1 ? random.integer(leastPatienceMilliseconds, mostPatienceMilliseconds) : answerMilliseconds,
+	}));
+	for (const one of planned) {
+		onCall(one.daemon.instance, 1);
+		const last = await callOnce(fleet, one, identifier, body);
+		onCall(one.daemon.instance, -1);
 		calls.push(last);
 		if (!isUnknown(last)) {
 			break;
@@ -87,17 +100,22 @@
 
 @example
 ```
-const load = startSoakLoad(fleet, createRandom(7));
+const load = startSoakLoad(fleet, createRandom(7), soakProfiles.any);
 await load.stop();
 ```
 */
-export const startSoakLoad = (fleet: PlatformFleet, random: Random): SoakLoad => {
+export const startSoakLoad = (fleet: PlatformFleet, random: Random, profile: SoakProfile): SoakLoad => {
 	const jobs: SoakJob[] = [];
+	const openCalls = new Map<string, number>();
 	const open = new Set<Promise<void>>();
 	const stopping = new AbortController();
 
+	const countCall = (instance: string, change: number): void => {
+		openCalls.set(instance, (openCalls.get(instance) ?? 0) + change);
+	};
+
 	const submit = async (number: number): Promise<void> => {
-		jobs.push(await submitSoakJob(fleet, number.toString(16).padStart(16, '0'), random));
+		jobs.push(await submitSoakJob(fleet, number.toString(16).padStart(16, '0'), random, profile, countCall));
 	};
 
 	const run = async (): Promise<void> => {
@@ -111,13 +129,14 @@
 			void submitted.finally(() => {
 				open.delete(submitted);
 			});
-			await sleep(-meanGapMilliseconds * Math.log(1 - random.fraction()));
+			await sleep(-profile.meanGapMilliseconds * Math.log(1 - random.fraction()));
 		}
 	};
 
 	const running = run();
 	return {
 		jobs,
+		openCallsAt: instance => openCalls.get(instance) ?? 0,
 		async stop() {
 			stopping.abort();
 			await running;
--- a/packages/trials/src/request/__tests__/check-soak.feature
+++ b/packages/trials/src/request/__tests__/check-soak.feature
@@ -60,6 +60,43 @@
     And the task "d1" ran from 210 to 300 and ended "failed"
     Then the soak finds "incomplete"
 
+  Scenario: An answer that says complete before a task has ended
+    Given a soak with a job of the steps "c1" and "d1" at daemon "north-0", sent at 100 and answered at 500 with 200 "complete"
+    And the task "c1" ran from 110 to 200 and ended "done"
+    And the task "d1" ran from 210 to 501 and ended "done"
+    Then the soak finds "incomplete"
+
+  Scenario: A call that its caller broke off
+    Given a job without tasks at daemon "north-1", sent at 100 and given up at 300
+    Then the soak finds nothing
+
+  Scenario Outline: A job that was rejected with <status> and of which a task started
+    Given a soak with a job of the steps "c1" and "d1" at daemon "north-0", sent at 100 and answered at 500 with <status> ""
+    And the task "c1" ran from 110 to 200 and ended "stopped"
+    Then the soak finds "refused"
+
+    Examples:
+      | status |
+      | 404    |
+      | 429    |
+      | 503    |
+
+  Scenario Outline: A job whose outcome the answer <status> leaves open
+    Given a soak with a job of the steps "c1" and "d1" at daemon "north-0", sent at 100 and answered at 500 with <status> ""
+    And the task "c1" ran from 110 to 200 and ended "done"
+    Then the soak finds nothing
+
+    Examples:
+      | status |
+      | 502    |
+      | 504    |
+
+  Scenario: A job that got no connection and of which a task started
+    Given a job of the task "c1" at daemon "north-1", sent at 100 and not connected at 101
+    And the daemon "north-1" was disturbed from 50 to 900
+    And the task "c1" ran from 110 to 200 and ended "done"
+    Then the soak finds "refused"
+
   Scenario: An answer that says failed after one attempt
     Given a soak with a job of the steps "c1" and "d1" at daemon "north-0", sent at 100 and answered at 500 with 200 "failed"
     And the task "c1" ran from 110 to 200 and ended "failed"
--- a/packages/trials/src/request/__tests__/check-soak.steps.ts
+++ b/packages/trials/src/request/__tests__/check-soak.steps.ts
@@ -14,12 +14,12 @@
 
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
-const addJob = (world: SoakWorld, steps: ReadonlyArray<readonly string[]>, call: {readonly daemon: string; readonly sentAt: number; readonly endedAt: number; readonly status: number | undefined; readonly state: string | undefined; readonly isUnread?: boolean}): void => {
+const addJob = (world: SoakWorld, steps: ReadonlyArray<readonly string[]>, call: {readonly daemon: string; readonly sentAt: number; readonly endedAt: number; readonly status: number | undefined; readonly state: string | undefined; readonly isUnread?: boolean; readonly hasGivenUp?: boolean}): void => {
 	world.soakJobs ??= [];
 	const identifier = `job-${world.soakJobs.length}`;
 	world.soakJobs.push({
 		identifier, steps, mostAttempts, calls: [{
-			isUnread: false, ...call, job: identifier, detail: '',
+			isUnread: false, hasGivenUp: false, ...call, job: identifier, detail: '',
 		}],
 	});
 };
@@ -41,6 +41,18 @@
 	});
 });
 
+Given('a job without tasks at daemon {string}, sent at {int} and given up at {int}', function (this: SoakWorld, daemon: string, sentAt: number, endedAt: number) {
+	addJob(this, [], {
+		daemon, sentAt, endedAt, status: undefined, state: undefined, hasGivenUp: true,
+	});
+});
+
+Given('a job of the task {string} at daemon {string}, sent at {int} and not connected at {int}', function (this: SoakWorld, task: string, daemon: string, sentAt: number, endedAt: number) {
+	addJob(this, [[task]], {
+		daemon, sentAt, endedAt, status: undefined, state: undefined, isUnread: true,
+	});
+});
+
 Given('the task {string} ran from {int} to {int} and ended {string}', function (this: SoakWorld, task: string, startedAt: number, endedAt: number, end: string) {
 	addRun(this, {
 		task, startedAt, endedAt, end,
--- a/packages/trials/src/request/check-soak.ts
+++ b/packages/trials/src/request/check-soak.ts
@@ -8,6 +8,8 @@
 	readonly endedAt: number;
 	/** No connection came about, so the daemon has read nothing. */
 	readonly isUnread: boolean;
+	/** The caller broke the call off, so no answer was owed. */
+	readonly hasGivenUp: boolean;
 	/** Undefined when no whole answer came. */
 	readonly status: number | undefined;
 	/** State of the job in the answer. */
@@ -31,6 +33,8 @@
 */
 export type SoakRun = {
 	readonly task: string;
+	/** Undefined if it isn't known which endpoint ran it. */
+	readonly endpoint?: string;
 	readonly startedAt: number;
 	readonly endedAt: number | undefined;
 	readonly end: string | undefined;
@@ -64,9 +68,9 @@
 	Twice = 'twice',
 	/** A caller got no whole answer, though nothing had happened to the daemon that it called. */
 	Lost = 'lost',
-	/** A task was started of a job whose calls were all refused. */
+	/** A task was started of a job whose calls were all rejected, by an answer or at the connection. */
 	Refused = 'refused',
-	/** A job was answered as complete, and a task of it has no run that succeeded. */
+	/** A job was answered as complete, and a task of it has no run that had succeeded before the answer. */
 	Incomplete = 'incomplete',
 	/** A job was answered as failed, and no task of it has failed so often. */
 	FalselyFailed = 'falsely-failed',
@@ -93,16 +97,20 @@
 const failedState = 'failed';
 const succeeded = 'done';
 const failed = 'failed';
-const refusals: ReadonlySet<number | undefined> = new Set([429, 503]);
+const unavailable = 503;
+const firstCallerError = 400;
+const firstServerError = 500;
 
 const endOf = ({endedAt}: SoakRun): number => endedAt ?? Number.POSITIVE_INFINITY;
 
+const describeRun = ({endpoint = 'an endpoint', startedAt, endedAt, end}: SoakRun): string => `ran at ${endpoint} from ${Math.round(startedAt)} to ${endedAt === undefined ? 'the end' : Math.round(endedAt)} (${end ?? 'open'})`;
+
 const findOverlaps = (task: string, runs: readonly SoakRun[]): readonly SoakViolation[] => {
 	const ordered = runs.toSorted((first, second) => first.startedAt - second.startedAt);
 	return ordered.slice(1)
 		.map((run, index) => ({run, before: ordered[index]!}))
 		.filter(({run, before}) => run.startedAt < endOf(before))
-		.map(({run, before}) => ({rule: SoakRule.Twice, detail: `${task} ran from ${Math.round(before.startedAt)} to ${Math.round(endOf(before))} and from ${Math.round(run.startedAt)}`}));
+		.map(({run, before}) => ({rule: SoakRule.Twice, detail: `${task} ${describeRun(before)}, and ${describeRun(run)}`}));
 };
 
 const groupByTask = (runs: readonly SoakRun[]): ReadonlyMap<string, readonly SoakRun[]> => {
@@ -131,20 +139,28 @@
 	.some(({kind}) => kind === DisturbanceKind.Broken || isUnread);
 
 const checkCalls = ({identifier, calls}: SoakJob, disturbances: readonly Disturbance[]): readonly SoakViolation[] => calls
-	.filter(call => call.status === undefined && !isDisturbed(call, disturbances))
+	.filter(call => call.status === undefined && !call.hasGivenUp && !isDisturbed(call, disturbances))
 	.map(({daemon, sentAt, endedAt, detail}) => ({rule: SoakRule.Lost, detail: `${identifier} at ${daemon}, sent at ${Math.round(sentAt)}, ended at ${Math.round(endedAt)}: ${detail}`}));
 
+const succeededAt = (runs: readonly SoakRun[]): number =>
+	Math.min(...runs.filter(({end}) => end === succeeded).map(run => endOf(run)), Number.POSITIVE_INFINITY);
+
+/** Whether a call tells its caller that the daemon has not taken the job. */
+const isRejected = ({status, isUnread}: SoakCall): boolean => isUnread || status === unavailable || (status !== undefined && status >= firstCallerError && status < firstServerError);
+
 const checkAnswers = (job: SoakJob, runsOf: (task: string) => readonly SoakRun[]): readonly SoakViolation[] => {
 	const violations: SoakViolation[] = [];
 	const tasks = job.steps.flat();
 	const started = tasks.filter(task => runsOf(task).length > 0);
-	if (started.length > 0 && job.calls.every(({status}) => refusals.has(status))) {
+	if (started.length > 0 && job.calls.every(call => isRejected(call))) {
 		violations.push({rule: SoakRule.Refused, detail: `${job.identifier} was refused, and ${started.join(', ')} started`});
 	}
 
-	const missing = tasks.filter(task => !runsOf(task).some(({end}) => end === succeeded));
-	if (missing.length > 0 && job.calls.some(({state}) => state === completeState)) {
-		violations.push({rule: SoakRule.Incomplete, detail: `${job.identifier} was answered as complete without ${missing.join(', ')}`});
+	for (const {daemon, endedAt} of job.calls.filter(({state}) => state === completeState)) {
+		const missing = tasks.filter(task => succeededAt(runsOf(task)) > endedAt);
+		if (missing.length > 0) {
+			violations.push({rule: SoakRule.Incomplete, detail: `${job.identifier} was answered as complete by ${daemon} at ${Math.round(endedAt)} without ${missing.join(', ')}`});
+		}
 	}
 
 	const isExhausted = tasks.some(task => runsOf(task).filter(({end}) => end === failed).length >= job.mostAttempts);
@@ -155,9 +171,6 @@
 	return violations;
 };
 
-const succeededAt = (runs: readonly SoakRun[]): number =>
-	Math.min(...runs.filter(({end}) => end === succeeded).map(run => endOf(run)), Number.POSITIVE_INFINITY);
-
 const checkOrder = ({identifier, steps, calls}: SoakJob, runsOf: (task: string) => readonly SoakRun[]): readonly SoakViolation[] => {
 	// A job that was sent again may run again from the start.
 	if (calls.length > 1) {
--- a/packages/trials/src/version/soak-plan.ts
+++ b/packages/trials/src/version/soak-plan.ts
@@ -1,4 +1,5 @@
 import {createRandom} from '../request/random.js';
+import type {SoakProfile} from './soak-profile.js';
 
 /**
 What a soak does to the fleet.
@@ -14,12 +15,26 @@
 	/** The daemon's calls reach the store, and no answer comes back. */
 	DaemonHearsNoStore = 'daemon-hears-no-store',
 	AllDaemonsKilled = 'all-daemons-killed',
+	/** Each daemon is killed and started anew; the next one is killed before it is back. */
+	DaemonsKilledInTurn = 'daemons-killed-in-turn',
+	/** The owner of a zone's first cell. */
+	OwnerKilled = 'owner-killed',
+	OwnerPaused = 'owner-paused',
+	/** The daemon with the most open calls. */
+	HolderKilled = 'holder-killed',
+	HolderPaused = 'holder-paused',
+	/** The streams that a daemon receives from its peers are reset. */
+	PeerStreamsReset = 'peer-streams-reset',
 	StoreBusy = 'store-busy',
 	StoreSilent = 'store-silent',
 	StoreLosesAnswers = 'store-loses-answers',
 	StoreHasNoHistory = 'store-has-no-history',
 	ConfigurationChanges = 'configuration-changes',
 	EndpointCrashes = 'endpoint-crashes',
+	/** Its connections break, and for a time nothing listens there. */
+	EndpointKilled = 'endpoint-killed',
+	/** It carries calls out when it goes on. */
+	EndpointPaused = 'endpoint-paused',
 	EndpointFailsAll = 'endpoint-fails-all',
 	EndpointStartsLate = 'endpoint-starts-late',
 	EndpointLosesAnswers = 'endpoint-loses-answers',
@@ -46,9 +61,8 @@
 };
 
 const firstMilliseconds = 1000;
-const mostGapMilliseconds = 2500;
-const leastLastMilliseconds = 200;
-const mostLastMilliseconds = 3500;
+/** Longest time from one fault to the next that follows at once. */
+const mostOverlapMilliseconds = 200;
 const mostTarget = 1000;
 /** Share of the faults that follow the one before at once, so that they overlap. */
 const overlapShare = 0.4;
@@ -60,20 +74,19 @@
 
 @example
 ```
-for (const {fault, at} of planSoak(7, 60_000)) {
+for (const {fault, at} of planSoak(7, 60_000, soakProfiles.any)) {
 ```
 */
-export const planSoak = (seed: number, milliseconds: number): readonly PlannedFault[] => {
+export const planSoak = (seed: number, milliseconds: number, profile: SoakProfile): readonly PlannedFault[] => {
 	const random = createRandom(seed);
 	const planned: PlannedFault[] = [];
-	const kinds = Object.values(SoakFault);
 	let at = firstMilliseconds;
 	while (at < milliseconds) {
-		const forMilliseconds = random.integer(leastLastMilliseconds, mostLastMilliseconds);
+		const forMilliseconds = random.integer(profile.leastLastMilliseconds, profile.mostLastMilliseconds);
 		planned.push({
-			fault: random.pick(kinds), at, forMilliseconds, target: random.integer(0, mostTarget),
+			fault: random.pick(profile.faults), at, forMilliseconds, target: random.integer(0, mostTarget),
 		});
-		at += random.fraction() < overlapShare ? random.integer(0, leastLastMilliseconds) : random.integer(leastLastMilliseconds, mostGapMilliseconds);
+		at += random.fraction() < overlapShare ? random.integer(0, mostOverlapMilliseconds) : random.integer(mostOverlapMilliseconds, profile.mostGapMilliseconds);
 	}
 
 	return planned;
