A stream that its peer does not hear is dialled again

A job whose holder's stream to the owner had gone silent without a reset hung until its caller gave up.

Cause: a daemon reset its stream to a peer only when it no longer heard that peer, which it hears on the other connection.

Change: frames name what their sender has heard of the receiver. fleet-links.ts keeps the times of frames that the peer hasn't confirmed on the present connection (unconfirmed-frames.ts), and resets the stream when a frame of the peer arrives that doesn't confirm what was sent longer before it than the longer of the two accepted silences plus 0.6 s. A peer that sends nothing is left to the loss by silence, as before. What the holder had sent is submitted again when the stream has opened, as after any reset. Five scenarios of fleet-links.feature.

--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -83,6 +83,9 @@
 		onRefused: () => {
 			this.refusals++;
 		},
+		onSent() {
+			// The scenarios count frames when they are encoded.
+		},
 		onFrame: (messages, bytes) => {
 			assert.ok(messages.length > 0 && bytes > 0);
 			this.framesSent++;
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -226,7 +226,7 @@
 @param options.createHeartbeat Creates a heartbeat with the current state.
 @example
 ```
-const stream = createPeerStream('10.1.0.13:7720', {createHeartbeat, heard: () => undefined, heartbeatIntervalMilliseconds: () => 100, batchMilliseconds: 1, redialMilliseconds: () => 250, onConnected, onBroken, onRefused, onFrame});
+const stream = createPeerStream('10.1.0.13:7720', {createHeartbeat, heard: () => undefined, heartbeatIntervalMilliseconds: () => 100, batchMilliseconds: 1, redialMilliseconds: () => 250, onConnected, onBroken, onRefused, onSent, onFrame});
 void stream.run();
 ```
 */
@@ -243,6 +243,8 @@
 	readonly onBroken: (detail: string) => void;
 	/** Called when a connection attempt is refused. */
 	readonly onRefused: () => void;
+	/** Called with the time of each frame, which a confirmation of the peer names. */
+	readonly onSent: (sentAt: number) => void;
 	readonly onFrame: FrameObserver;
 }): PeerStream => {
 	let queued: FleetMessage[] = [];
@@ -303,6 +305,7 @@
 				const heard = options.heard();
 				const frame = encodeFrame({sentAt, ...(heard && {heard}), messages: queued});
 				options.onFrame(queued, frame.length, performance.now() - sentAt);
+				options.onSent(sentAt);
 				queued = [];
 				socket.write(prefixLength(frame));
 			}
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.feature
@@ -8,6 +8,44 @@
     Then the streams to "s1" were broken off
     And the peers "s1" were lost as "silent"
 
+  Scenario: A stream that its peer confirms is kept
+    Given links to the peers "s1" that lose a peer after 700 ms without heartbeats
+    And the stream to "s1" opens at 0 ms
+    When frames are sent to "s1", which confirms each, until 5000 ms
+    Then no stream was broken off
+
+  Scenario: A stream that its peer does not hear is broken off, although the peer is heard
+    Given links to the peers "s1, s2" that lose a peer after 700 ms without heartbeats
+    And the stream to "s1" opens at 0 ms
+    And the stream to "s2" opens at 0 ms
+    When frames are sent to "s1", which confirms each, until 5000 ms
+    And frames are sent to "s1", which confirms none of them but sends its own, until 6200 ms
+    Then no stream was broken off
+    When frames are sent to "s1", which confirms none of them but sends its own, until 7000 ms
+    Then the stream to "s1" was broken off
+
+  Scenario: A stream that has opened again has its time to be heard
+    Given links to the peers "s1" that lose a peer after 700 ms without heartbeats
+    And the stream to "s1" opens at 0 ms
+    When frames are sent to "s1", which confirms none of them but sends its own, until 1200 ms
+    And the stream to "s1" opens at 1200 ms
+    And frames are sent to "s1", which confirms none of them but sends its own, until 2400 ms
+    Then no stream was broken off
+
+  Scenario: A peer that confirms what an earlier life of this daemon has sent does not hear its stream
+    Given links to the peers "s1" that lose a peer after 700 ms without heartbeats
+    And the stream to "s1" opens at 0 ms
+    When frames are sent to "s1", which confirms frames of an earlier life of this daemon, until 2000 ms
+    Then the stream to "s1" was broken off
+
+  Scenario: A peer that stands still for a while and then confirms is not dialled anew
+    Given links to the peers "s1" that lose a peer after 3000 ms without heartbeats
+    And the stream to "s1" opens at 0 ms
+    When frames are sent to "s1", which confirms each, until 1000 ms
+    And frames are sent to "s1", which sends nothing, until 3000 ms
+    And frames are sent to "s1", which confirms each, until 5000 ms
+    Then no stream was broken off
+
   Scenario: A peer is dialled at once when its first heartbeat arrives
     Given links to the peers "s1, s2" that lose a peer after 700 ms without heartbeats
     And heartbeats of "s1" at 0 ms
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -5,7 +5,7 @@
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {
-	FleetMessageKind, type FleetMessage, type Heartbeat, type KeepAlive,
+	FleetMessageKind, type FleetFrame, type FleetMessage, type Heartbeat, type KeepAlive,
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {createPeerStream} from '../../../connection/fleet-service.js';
 import {shortInterval} from '../heartbeat-interval.js';
@@ -26,9 +26,13 @@
 	streams: Map<string, Parameters<typeof createPeerStream>[1]>;
 	sentKinds: FleetMessageKind[];
 	receiveKeepAlive: (keepAlive: KeepAlive, described: Heartbeat) => void;
+	receiveFrame: (described: Heartbeat, frame: FleetFrame) => void;
 	lost: Array<readonly [address: string, cause: string]>;
 };
 
+/** Time between two frames. */
+const frameMilliseconds = 200;
+
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
 const heartbeatFrom = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
@@ -50,10 +54,12 @@
 	this.silentAfterMilliseconds = milliseconds;
 	this.links = await createFleetLinks({
 		address: 'n1',
+		startedAt: 1,
 		view: createFleetView(),
 		serve: async (_, handlers) => {
 			this.receiveMessage = handlers.onMessage;
 			this.receiveKeepAlive = handlers.onKeepAlive;
+			this.receiveFrame = handlers.onFrameProcessed;
 			return () => {
 				// Nothing was opened.
 			};
@@ -177,6 +183,64 @@
 	assert.equal(this.reviewed.filter(one => one === name).length, count);
 });
 
+Given('the stream to {string} opens at {int} ms', function (this: LinksWorld, name: string, at: number) {
+	this.clock.tick(at - performance.now());
+	this.streams.get(name)!.onConnected();
+});
+
+/** A frame of a peer that confirms the last one of ours up to a time, or none. */
+const receiveFrame = (world: LinksWorld, name: string, confirmedAt: number | undefined, startedAt = 1): void => {
+	const keepAlive = keepAliveOf(world.silentAfterMilliseconds, world.silentAfterMilliseconds);
+	const described = heartbeatFrom(name, world.silentAfterMilliseconds);
+	world.receiveKeepAlive(keepAlive, described);
+	world.receiveFrame(described, {sentAt: performance.now(), messages: [keepAlive], ...(confirmedAt !== undefined && {heard: {startedAt, sentAt: confirmedAt}})});
+};
+
+/** Each 200 ms a frame is sent, a frame of the peer arrives 100 ms later, and streams are reviewed. */
+const exchangeFrames = (world: LinksWorld, name: string, until: number, confirm: (sentAt: number) => void): void => {
+	while (performance.now() < until) {
+		const sentAt = performance.now();
+		world.streams.get(name)!.onSent(sentAt);
+		world.clock.tick(frameMilliseconds / 2);
+		confirm(sentAt);
+		world.clock.tick(frameMilliseconds / 2);
+		world.links.resetUnheardStreams();
+	}
+};
+
+When('frames are sent to {string}, which confirms each, until {int} ms', function (this: LinksWorld, name: string, until: number) {
+	exchangeFrames(this, name, until, sentAt => {
+		receiveFrame(this, name, sentAt);
+	});
+});
+
+When('frames are sent to {string}, which confirms none of them but sends its own, until {int} ms', function (this: LinksWorld, name: string, until: number) {
+	exchangeFrames(this, name, until, () => {
+		receiveFrame(this, name, undefined);
+	});
+});
+
+When('frames are sent to {string}, which confirms frames of an earlier life of this daemon, until {int} ms', function (this: LinksWorld, name: string, until: number) {
+	exchangeFrames(this, name, until, sentAt => {
+		receiveFrame(this, name, sentAt, 0);
+	});
+});
+
+When('frames are sent to {string}, which sends nothing, until {int} ms', function (this: LinksWorld, name: string, until: number) {
+	exchangeFrames(this, name, until, () => {
+		// The peer stands still.
+	});
+});
+
+Then('no stream was broken off', function (this: LinksWorld) {
+	assert.deepEqual(this.brokenOff, []);
+});
+
+Then('the stream to {string} was broken off', function (this: LinksWorld, name: string) {
+	assert.ok(this.brokenOff.length > 0);
+	assert.deepEqual([...new Set(this.brokenOff)], [name]);
+});
+
 When('silent peers are removed at {int} ms', function (this: LinksWorld, at: number) {
 	this.clock.tick(at - performance.now());
 	this.links.removeSilentPeers();
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -303,6 +303,7 @@
 		serve: serveFleet,
 		openStream: createPeerStream,
 		address: self,
+		startedAt,
 		view,
 		createHeartbeat: description.createHeartbeat,
 		createKeepAlive: description.createKeepAlive,
@@ -448,6 +449,7 @@
 
 		expectUrgentPeers();
 		links.removeSilentPeers();
+		links.resetUnheardStreams();
 		claims.reviewIfDue();
 		claims.reviewFences();
 		reviewLoadTimer();
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -8,6 +8,7 @@
 import type {HeartbeatInterval} from './heartbeat-interval.js';
 import {LossCause} from './cell-claims.js';
 import type {Peer, FleetView} from './fleet-view.js';
+import {createUnconfirmedFrames} from './unconfirmed-frames.js';
 
 /**
 The streams between this daemon and its peers.
@@ -25,11 +26,15 @@
 	readonly reviewIntervals: () => void;
 	/** Removes the peers whose heartbeats have stopped, and breaks off their streams. */
 	readonly removeSilentPeers: () => void;
+	/** Opens the streams again that a peer doesn't hear, although it is heard itself: an open connection may go silent in one direction without a reset. */
+	readonly resetUnheardStreams: () => void;
 	readonly close: () => void;
 };
 
 export type FleetLinksOptions = {
 	readonly address: string;
+	/** Unix milliseconds of this daemon's start, which confirmations of its frames name. */
+	readonly startedAt: number;
 	readonly view: FleetView;
 	readonly serve: typeof serveFleet;
 	readonly openStream: typeof createPeerStream;
@@ -63,6 +68,8 @@
 /** Interval of heartbeats with an unchanged description, which pass on addresses. */
 const repeatDescriptionMilliseconds = 30_000;
 const redialMilliseconds = 150;
+/** Time by which a peer may be behind with reading, beyond the silence that it or this daemon accepts. */
+const unheardReserveMilliseconds = 600;
 /** Pause between connection attempts to an address that is not a reachable peer; it may be gone permanently. */
 const redialUnknownPeerMilliseconds = 500;
 
@@ -80,6 +87,7 @@
 	const streams = new Map<string, PeerStream>();
 	/** The last description that was sent to each peer on the present connection. */
 	const sentDescriptions = new Map<string, SentDescription>();
+	const unconfirmed = createUnconfirmedFrames();
 
 	const reportLoss = (peer: Peer | undefined, cause: LossCause): void => {
 		if (peer) {
@@ -114,6 +122,7 @@
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnknownPeerMilliseconds,
 				onConnected() {
 					sentDescriptions.delete(address);
+					unconfirmed.recordOpened(address);
 					options.onStreamOpened(address);
 				},
 				onBroken(detail) {
@@ -123,6 +132,9 @@
 					options.onRefused(address);
 					reportLoss(view.remove(address), LossCause.Ended);
 				},
+				onSent(sentAt) {
+					unconfirmed.recordSent(address, sentAt);
+				},
 				onFrame: options.onFrameSent,
 			});
 			streams.set(address, stream);
@@ -181,7 +193,11 @@
 
 			options.onMessage(message, from);
 		},
-		onFrameProcessed: options.onFrameProcessed,
+		onFrameProcessed(described, frame) {
+			const {heard} = frame;
+			unconfirmed.recordReceived(described.address, heard?.startedAt === options.startedAt ? heard.sentAt : undefined);
+			options.onFrameProcessed(described, frame);
+		},
 		onKeepAlive: handleKeepAlive,
 		onContact: view.receiveContact,
 		onOpened: options.onStreamOpened,
@@ -222,6 +238,14 @@
 				reportLoss(peer, LossCause.Silent);
 			}
 		},
+		resetUnheardStreams() {
+			for (const {address, silentAfterMilliseconds} of view.all()) {
+				const acceptedMilliseconds = Math.max(silentAfterMilliseconds, options.heartbeatIntervalTo(address).silentAfterMilliseconds);
+				if (unconfirmed.isUnheard(address, acceptedMilliseconds + unheardReserveMilliseconds)) {
+					streams.get(address)?.resetConnection('the peer does not hear this stream');
+				}
+			}
+		},
 		close() {
 			for (const stream of streams.values()) {
 				stream.close();
