Jobs that run in two zones, around one fault of their holder or of an owner

Real daemons and clocks: the holder, or the owner of either zone, stands still, is killed and started anew, or has the streams that it receives reset, while a job runs in both zones and others want the room; the promises are checked as by the soak. The soak's profile "moves" also silences streams between daemons.

--- /dev/null
+++ b/packages/trials/src/process/__tests__/moved-jobs.steps.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {resetSignal} from '@galenakeel/stand-ins/process/peer-stream-signals.js';
+import {createStandInJob} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
+import {checkSoak, DisturbanceKind, type SoakJob} from '../../request/check-soak.js';
+import {watchFleetLogs} from '../fleet-log-watch.js';
+import {startPlatformFleet, type PlatformDaemon, type PlatformFleet} from '../platform-fleet.js';
+import {answerMilliseconds, callUntilKnown, nameTasks} from '../soak-load.js';
+
+/** The fleet is stopped by a step of the platform path. */
+type MovedWorld = {
+	fleet: PlatformFleet;
+	holder: PlatformDaemon;
+	homeOwner: PlatformDaemon;
+	otherOwner: PlatformDaemon;
+	sentJobs: Array<Promise<SoakJob>>;
+	struck: {readonly daemon: PlatformDaemon; readonly from: number};
+	faultEnds: Promise<void>;
+};
+
+/** What happens to a daemon. */
+enum DaemonFault {
+	Pause = 'pause',
+	/** It is killed, and started anew after the time. */
+	Kill = 'kill',
+	/** The streams that it receives are reset each 100 ms. */
+	Resets = 'resets',
+}
+
+const zones = ['north', 'south'];
+const daemonsInZone = 3;
+const workersInZone = 2;
+/** Tasks that the endpoints of a zone have room for. */
+const roomOfZone = 4;
+const processorOfTask = 1000;
+const taskMilliseconds = 2500;
+const laterTaskMilliseconds = 1000;
+const settleMilliseconds = 800;
+const resetMilliseconds = 100;
+const beforeEndMilliseconds = 100;
+const mostAttempts = 2;
+
+const send = async (fleet: PlatformFleet, daemon: PlatformDaemon, number: number, tasks: number, milliseconds: number): Promise<SoakJob> => {
+	const identifier = number.toString(16).padStart(16, '0');
+	const others = fleet.daemons.filter(one => one !== daemon && one.zone === daemon.zone);
+	const planned = [daemon, ...others].map(one => ({daemon: one, patienceMilliseconds: answerMilliseconds}));
+	const calls = await callUntilKnown(fleet, planned, identifier, createStandInJob(milliseconds, processorOfTask, [{tasks}]), () => {
+		// Open calls aren't counted.
+	});
+	return {
+		identifier, steps: nameTasks(identifier, [tasks]), mostAttempts, calls,
+	};
+};
+
+Given('daemons of two zones, and a job that needs the room of both, held in the first one by a daemon that owns nothing', {timeout: 30_000}, async function (this: MovedWorld) {
+	this.fleet = await startPlatformFleet({zones, daemonsInZone, workersInZone});
+	await sleep(settleMilliseconds);
+	const {daemons, directory} = this.fleet;
+	const watch = watchFleetLogs(directory, daemons.map(({instance}) => instance));
+	await watch.stop();
+	const ownerOf = (zone: string): PlatformDaemon => daemons.find(({instance}) => instance === watch.ownersOf(zone)[0])!;
+	this.homeOwner = ownerOf(zones[0]!);
+	this.otherOwner = ownerOf(zones[1]!);
+	this.holder = daemons.find(daemon => daemon.zone === zones[0] && daemon !== this.homeOwner)!;
+	this.sentJobs = [send(this.fleet, this.holder, 1, roomOfZone * zones.length, taskMilliseconds)];
+});
+
+const faults: Readonly<Record<DaemonFault, (daemon: PlatformDaemon, milliseconds: number) => Promise<void>>> = {
+	async [DaemonFault.Pause](daemon, milliseconds) {
+		daemon.child().kill('SIGSTOP');
+		await sleep(milliseconds);
+		daemon.child().kill('SIGCONT');
+	},
+	async [DaemonFault.Kill](daemon, milliseconds) {
+		daemon.child().kill('SIGKILL');
+		await sleep(milliseconds);
+		await daemon.restart();
+	},
+	async [DaemonFault.Resets](daemon, milliseconds) {
+		const until = performance.now() + milliseconds;
+		while (performance.now() < until) {
+			daemon.child().kill(resetSignal);
+			await sleep(resetMilliseconds);
+		}
+	},
+};
+
+When('{string} happens to the {string} {int} ms after the job was sent, for {int} ms', async function (this: MovedWorld, fault: DaemonFault, name: string, afterMilliseconds: number, milliseconds: number) {
+	await sleep(afterMilliseconds);
+	const daemon = {holder: this.holder, 'owner of its zone': this.homeOwner, 'owner of other zones': this.otherOwner}[name]!;
+	this.struck = {daemon, from: performance.now()};
+	this.faultEnds = faults[fault](daemon, milliseconds);
+	await sleep(milliseconds - beforeEndMilliseconds);
+});
+
+When('jobs that need the room of their zone are sent to both owners {int} ms before that ends', function (this: MovedWorld, milliseconds: number) {
+	assert.equal(milliseconds, beforeEndMilliseconds);
+	for (const [position, owner] of [this.homeOwner, this.otherOwner].entries()) {
+		this.sentJobs.push(send(this.fleet, owner, position + 2, roomOfZone, laterTaskMilliseconds));
+	}
+});
+
+Then('no promise was broken to any caller', {timeout: 120_000}, async function (this: MovedWorld) {
+	await this.faultEnds;
+	const jobs = await Promise.all(this.sentJobs);
+	const runs = this.fleet.workers.flatMap(worker => worker.runs().map(run => ({...run, endpoint: worker.identifier})));
+	const {daemon, from} = this.struck;
+	const disturbances = [{
+		kind: DisturbanceKind.Broken, daemon: daemon.instance, from, to: performance.now(),
+	}];
+	assert.deepEqual(checkSoak({jobs, runs, disturbances}), []);
+});
--- a/packages/trials/src/process/soak-faults.ts
+++ b/packages/trials/src/process/soak-faults.ts
@@ -2,7 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {LinkState, type FaultProxy} from '@galenakeel/stand-ins/connection/fault-proxy.js';
-import {resetSignal} from '@galenakeel/stand-ins/process/peer-stream-signals.js';
+import {resetSignal, silenceSignal} from '@galenakeel/stand-ins/process/peer-stream-signals.js';
 import {StoreFault} from '@galenakeel/stand-ins/process/table-store-stand-in.js';
 import {WorkerFault, type WorkerStandIn} from '@galenakeel/stand-ins/process/worker-stand-in.js';
 import {createStandInConfiguration} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
@@ -161,6 +161,9 @@
 		async [SoakFault.PeerStreamsReset](daemon) {
 			daemon.child().kill(resetSignal);
 		},
+		async [SoakFault.PeerStreamsSilent](daemon) {
+			daemon.child().kill(silenceSignal);
+		},
 		[SoakFault.DaemonClockSteps]: stepClock,
 		[SoakFault.DaemonCutFromStore]: async ({instance}, milliseconds) => refuse(fleet.links!.toStore.get(instance)!, milliseconds),
 		[SoakFault.DaemonHearsNoStore]: async ({instance}, milliseconds) => dropReplies(fleet.links!.toStore.get(instance)!, milliseconds),
--- a/packages/trials/src/process/soak-load.ts
+++ b/packages/trials/src/process/soak-load.ts
@@ -23,8 +23,8 @@
 const mostAttempts = 2;
 const leastPatienceMilliseconds = 500;
 const mostPatienceMilliseconds = 4000;
-/** Exceeds the longest time that a daemon holds a job, which is three objectives of the longest job. */
-const answerMilliseconds = 25_000;
+/** How long a caller waits that doesn't break its call off. Exceeds the longest time that a daemon holds a job, which is three objectives of the longest job. */
+export const answerMilliseconds = 25_000;
 const mostCalls = 3;
 /** Delay after a call with unknown outcome before the caller resends its job to a random daemon. */
 const resendMilliseconds = 1300;
@@ -41,8 +41,10 @@
 
 const isTimeout = (error: unknown): boolean => error instanceof Error && (error.name === 'AbortError' || error.name === 'TimeoutError');
 
-/** Which daemon a caller calls, and when it breaks the call off. */
-type PlannedCall = {readonly daemon: PlatformDaemon; readonly patienceMilliseconds: number};
+/**
+Which daemon a caller calls, and when it breaks the call off.
+*/
+export type PlannedCall = {readonly daemon: PlatformDaemon; readonly patienceMilliseconds: number};
 
 const callOnce = async (fleet: PlatformFleet, {daemon, patienceMilliseconds}: PlannedCall, identifier: string, body: unknown): Promise<SoakCall> => {
 	const sentAt = performance.now();
@@ -61,23 +63,18 @@
 	}
 };
 
+type OnCall = (instance: string, change: number) => void;
+
 /** Whether the outcome of the job is unknown to the caller, which then resends the job. */
 const isUnknown = ({status}: SoakCall): boolean => status === undefined || status === 502 || status === 504;
 
 /**
-Submits a job with random steps, and resends it to random daemons while its outcome is unknown, up to three calls in all. The last call is never broken off.
+Submits a job, and submits it again 1.3 s after each call that left its outcome unknown.
 
 @param onCall Called with the daemon of each call, and 1 when the call begins or -1 when it has ended.
 */
-export const submitSoakJob = async (fleet: PlatformFleet, identifier: string, random: Random, profile: SoakProfile, onCall: (instance: string, change: number) => void): Promise<SoakJob> => {
-	const milliseconds = random.integer(profile.leastTaskMilliseconds, profile.mostTaskMilliseconds);
-	const steps = Array.from({length: random.integer(1, mostSteps)}, (_, step) => ({tasks: random.integer(profile.leastTasks, profile.mostTasks), ...(step > 0 && {after: [step - 1]})}));
-	const body = createStandInJob(milliseconds, processorOfTask, steps);
+export const callUntilKnown = async (fleet: PlatformFleet, planned: readonly PlannedCall[], identifier: string, body: unknown, onCall: OnCall): Promise<readonly SoakCall[]> => {
 	const calls: SoakCall[] = [];
-	const planned = Array.from({length: mostCalls}, (_, position): PlannedCall => ({
-		daemon: random.pick(fleet.daemons),
-		patienceMilliseconds: random.fraction() < profile.impatientShare && position < mostCalls - 1 ? random.integer(leastPatienceMilliseconds, mostPatienceMilliseconds) : answerMilliseconds,
-	}));
 	for (const one of planned) {
 		onCall(one.daemon.instance, 1);
 		const last = await callOnce(fleet, one, identifier, body);
@@ -90,8 +87,32 @@
 		await sleep(resendMilliseconds);
 	}
 
+	return calls;
+};
+
+/**
+Returns the names of a job's tasks, step by step, as endpoints see them.
+
+@param counts Number of tasks of each step.
+*/
+export const nameTasks = (identifier: string, counts: readonly number[]): ReadonlyArray<readonly string[]> =>
+	counts.map((count, step) => Array.from({length: count}, (_, index) => `${identifier}.0.${step}.${index}`));
+
+/**
+Submits a job with random steps, and resends it to random daemons while its outcome is unknown, up to three calls in all. The last call is never broken off.
+
+@param onCall Called with the daemon of each call, and 1 when the call begins or -1 when it has ended.
+*/
+export const submitSoakJob = async (fleet: PlatformFleet, identifier: string, random: Random, profile: SoakProfile, onCall: OnCall): Promise<SoakJob> => {
+	const milliseconds = random.integer(profile.leastTaskMilliseconds, profile.mostTaskMilliseconds);
+	const steps = Array.from({length: random.integer(1, mostSteps)}, (_, step) => ({tasks: random.integer(profile.leastTasks, profile.mostTasks), ...(step > 0 && {after: [step - 1]})}));
+	const body = createStandInJob(milliseconds, processorOfTask, steps);
+	const planned = Array.from({length: mostCalls}, (_, position): PlannedCall => ({
+		daemon: random.pick(fleet.daemons),
+		patienceMilliseconds: random.fraction() < profile.impatientShare && position < mostCalls - 1 ? random.integer(leastPatienceMilliseconds, mostPatienceMilliseconds) : answerMilliseconds,
+	}));
 	return {
-		identifier, steps: steps.map(({tasks}, step) => Array.from({length: tasks}, (_, index) => `${identifier}.0.${step}.${index}`)), mostAttempts, calls,
+		identifier, steps: nameTasks(identifier, steps.map(({tasks}) => tasks)), mostAttempts, calls: await callUntilKnown(fleet, planned, identifier, body, onCall),
 	};
 };
 
--- a/packages/trials/src/version/soak-plan.ts
+++ b/packages/trials/src/version/soak-plan.ts
@@ -25,6 +25,8 @@
 	HolderPaused = 'holder-paused',
 	/** The streams that a daemon receives from its peers are reset. */
 	PeerStreamsReset = 'peer-streams-reset',
+	/** Those that are open now carry nothing any more; new ones work. */
+	PeerStreamsSilent = 'peer-streams-silent',
 	StoreBusy = 'store-busy',
 	StoreSilent = 'store-silent',
 	StoreLosesAnswers = 'store-loses-answers',
--- a/packages/trials/src/version/soak-profile.ts
+++ b/packages/trials/src/version/soak-profile.ts
@@ -56,6 +56,7 @@
 			SoakFault.DaemonPaused,
 			SoakFault.DaemonsKilledInTurn,
 			SoakFault.PeerStreamsReset,
+			SoakFault.PeerStreamsSilent,
 			SoakFault.EndpointKilled,
 			SoakFault.EndpointPaused,
 			SoakFault.EndpointResets,
