--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -114,3 +114,16 @@
     And the endpoint of the run answers 60 ms late
     And the endpoints run for 3000 ms
     Then the task ran 1 times, never twice at the same time
+
+  Scenario: A job whose caller sends it again 1300 ms after its holder fell silent does not run beside a run at an endpoint that the next owner does not reach
+    Given an owner of these endpoints
+    When a job of 1 task is submitted by "first"
+    And the endpoints run for 2000 ms
+    And the holder "first" falls silent
+    And the endpoints run for 950 ms
+    And the first endpoint falls silent, and carries out starts 1000 ms late
+    And the endpoints run for 330 ms
+    And another owner takes over
+    And the job is submitted again by "second"
+    And the endpoints run for 1000 ms
+    Then the task ran 2 times, never twice at the same time
