--- a/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
+++ b/packages/galenakeeld/src/connection/__tests__/peer-stream.steps.ts
@@ -69,7 +69,7 @@
 			this.heartbeatsCreated++;
 			return heartbeat;
 		},
-		heard: () => undefined,
+		confirm: () => undefined,
 		heartbeatIntervalMilliseconds: () => this.intervals[Math.min(this.heartbeatsCreated, this.intervals.length - 1)]!,
 		batchMilliseconds: 1,
 		redialMilliseconds: () => milliseconds,
--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -226,14 +226,14 @@
 @param options.createHeartbeat Creates a heartbeat with the current state.
 @example
 ```
-const stream = createPeerStream('10.1.0.13:7720', {createHeartbeat, heard: () => undefined, heartbeatIntervalMilliseconds: () => 100, batchMilliseconds: 1, redialMilliseconds: () => 250, onConnected, onBroken, onRefused, onFrame});
+const stream = createPeerStream('10.1.0.13:7720', {createHeartbeat, confirm: () => undefined, heartbeatIntervalMilliseconds: () => 100, batchMilliseconds: 1, redialMilliseconds: () => 250, onConnected, onBroken, onRefused, onFrame});
 void stream.run();
 ```
 */
 export const createPeerStream = (address: string, options: {
 	readonly createHeartbeat: () => FleetMessage;
-	/** What each frame confirms. */
-	readonly heard: () => HeardFrame | undefined;
+	/** Called with the time of each frame that is about to be sent; returns what it confirms. */
+	readonly confirm: (sentAt: number) => HeardFrame | undefined;
 	/** Heartbeat interval, read again after each frame so that a shorter one applies at once. */
 	readonly heartbeatIntervalMilliseconds: () => number;
 	/** How long messages are collected into one frame after an urgent one. */
@@ -300,7 +300,7 @@
 			if (queued.length > 0) {
 				const sentAt = performance.now();
 				lastSentAt = sentAt;
-				const heard = options.heard();
+				const heard = options.confirm(sentAt);
 				const frame = encodeFrame({sentAt, ...(heard && {heard}), messages: queued});
 				options.onFrame(queued, frame.length, performance.now() - sentAt);
 				queued = [];
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.feature
@@ -43,3 +43,27 @@
     Given keep-alives of "s1" at 700 ms that need heartbeats within 700 ms
     And keep-alives of "s1" at 900 ms that need heartbeats within 700 ms
     Then the interval of the stream to "s1" was reviewed 1 times
+
+  Scenario: A stream that has gone silent towards a peer that is heard is broken off
+    Given links to the peers "s1" that lose a peer after 700 ms without heartbeats
+    When frames are exchanged each 200 ms until 2000 ms
+    Then no stream was broken off
+    When frames are exchanged each 200 ms until 4000 ms, of which the peers receive none after 2000 ms
+    Then the stream to "s1" was broken off once
+
+  Scenario: A stream with infrequent heartbeats is not taken for a silent one
+    Given links to the peers "s1" that lose a peer after 4500 ms without heartbeats
+    When frames are exchanged each 3000 ms until 30000 ms
+    Then no stream was broken off
+
+  Scenario: A stream to a peer of an earlier version, which confirms nothing, is kept
+    Given links to the peers "s1" that lose a peer after 700 ms without heartbeats
+    When frames are exchanged each 200 ms until 10000 ms, and the peers tell nothing of what they receive
+    Then no stream was broken off
+
+  Scenario: A pause of this daemon is not taken for a silent stream
+    Given links to the peers "s1" that lose a peer after 700 ms without heartbeats
+    When frames are exchanged each 200 ms until 2000 ms
+    And the process stands still until 5000 ms, and frames arrive that were sent before
+    And frames are exchanged each 200 ms until 8000 ms
+    Then no stream was broken off
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -5,7 +5,7 @@
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {
-	FleetMessageKind, type FleetMessage, type Heartbeat, type KeepAlive,
+	FleetMessageKind, type FleetFrame, type FleetMessage, type Heartbeat, type KeepAlive,
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {createPeerStream} from '../../../connection/fleet-service.js';
 import {shortInterval} from '../heartbeat-interval.js';
@@ -25,10 +25,13 @@
 	revision: number;
 	streams: Map<string, Parameters<typeof createPeerStream>[1]>;
 	sentKinds: FleetMessageKind[];
+	frameProcessed: (described: Heartbeat, frame: FleetFrame) => void;
 	receiveKeepAlive: (keepAlive: KeepAlive, described: Heartbeat) => void;
 	lost: Array<readonly [address: string, cause: string]>;
 };
 
+const ownStartedAt = 7;
+
 const splitNames = (text: string): readonly string[] => text.split(',').map(name => name.trim());
 
 const heartbeatFrom = (address: string, silentAfterMilliseconds: number): Heartbeat => ({
@@ -50,8 +53,10 @@
 	this.silentAfterMilliseconds = milliseconds;
 	this.links = await createFleetLinks({
 		address: 'n1',
+		startedAt: ownStartedAt,
 		view: createFleetView(),
 		serve: async (_, handlers) => {
+			this.frameProcessed = handlers.onFrameProcessed;
 			this.receiveMessage = handlers.onMessage;
 			this.receiveKeepAlive = handlers.onKeepAlive;
 			return () => {
@@ -193,3 +198,49 @@
 Then('the peers {string} were lost as {string}', function (this: LinksWorld, names: string, cause: string) {
 	assert.deepEqual(this.lost, names === '' ? [] : splitNames(names).map(name => [name, cause]));
 });
+
+/** A frame goes to each peer in the given interval, and each peer sends one that confirms what it has received up to a time. */
+const exchangeFrames = (world: LinksWorld, interval: number, until: number, received: () => number | undefined): void => {
+	while (performance.now() < until) {
+		world.clock.tick(interval);
+		for (const [address, stream] of world.streams) {
+			stream.confirm(performance.now());
+			const sentAt = received();
+			world.frameProcessed(heartbeatFrom(address, world.silentAfterMilliseconds), {
+				sentAt: performance.now(), messages: [], ...(sentAt !== undefined && {heard: {startedAt: ownStartedAt, sentAt}}),
+			});
+		}
+	}
+};
+
+When('frames are exchanged each {int} ms until {int} ms', function (this: LinksWorld, interval: number, until: number) {
+	exchangeFrames(this, interval, until, () => performance.now() - interval);
+});
+
+When('frames are exchanged each {int} ms until {int} ms, of which the peers receive none after {int} ms', function (this: LinksWorld, interval: number, until: number, lastReceivedAt: number) {
+	exchangeFrames(this, interval, until, () => Math.min(lastReceivedAt, performance.now() - interval));
+});
+
+When('frames are exchanged each {int} ms until {int} ms, and the peers tell nothing of what they receive', function (this: LinksWorld, interval: number, until: number) {
+	exchangeFrames(this, interval, until, () => undefined);
+});
+
+When('the process stands still until {int} ms, and frames arrive that were sent before', function (this: LinksWorld, until: number) {
+	const sentAt = performance.now();
+	for (const stream of this.streams.values()) {
+		stream.confirm(sentAt);
+	}
+
+	this.clock.tick(until - sentAt);
+	for (const address of this.streams.keys()) {
+		this.frameProcessed(heartbeatFrom(address, this.silentAfterMilliseconds), {sentAt, messages: [], heard: {startedAt: ownStartedAt, sentAt: sentAt - 1}});
+	}
+});
+
+Then('no stream was broken off', function (this: LinksWorld) {
+	assert.deepEqual(this.brokenOff, []);
+});
+
+Then('the stream to {string} was broken off once', function (this: LinksWorld, name: string) {
+	assert.deepEqual(this.brokenOff, [name]);
+});
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -303,6 +303,7 @@
 		serve: serveFleet,
 		openStream: createPeerStream,
 		address: self,
+		startedAt,
 		view,
 		createHeartbeat: description.createHeartbeat,
 		createKeepAlive: description.createKeepAlive,
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -30,6 +30,8 @@
 
 export type FleetLinksOptions = {
 	readonly address: string;
+	/** Unix milliseconds of this daemon's start. */
+	readonly startedAt: number;
 	readonly view: FleetView;
 	readonly serve: typeof serveFleet;
 	readonly openStream: typeof createPeerStream;
@@ -108,7 +110,7 @@
 
 			const stream = options.openStream(address, {
 				createHeartbeat: () => createHeartbeat(address),
-				heard: () => options.heardFrom(address),
+				confirm: () => options.heardFrom(address),
 				heartbeatIntervalMilliseconds: () => options.heartbeatIntervalTo(address).heartbeatMilliseconds,
 				batchMilliseconds,
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnknownPeerMilliseconds,
