A stream between daemons that goes silent in one direction is opened again

What callers saw: no answer for jobs that a daemon submitted on a connection that had gone silent for good, while it heard the owner on the other one.

Cause: a stream is reset when its peer isn't heard; nothing showed that the peer doesn't receive.

--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -8,6 +8,7 @@
 import type {HeartbeatInterval} from './heartbeat-interval.js';
 import {LossCause} from './cell-claims.js';
 import type {Peer, FleetView} from './fleet-view.js';
+import {createUnheardStreamDetector, type UnheardStreamDetector} from './unheard-stream-detector.js';
 
 /**
 The streams between this daemon and its peers.
@@ -83,6 +84,8 @@
 	/** The last description that was sent to each peer on the present connection. */
 	const sentDescriptions = new Map<string, SentDescription>();
 
+	const unheardDetectors = new Map<string, UnheardStreamDetector>();
+
 	const reportLoss = (peer: Peer | undefined, cause: LossCause): void => {
 		if (peer) {
 			options.onPeerLost(peer, cause);
@@ -108,13 +111,19 @@
 				continue;
 			}
 
+			const detector = createUnheardStreamDetector();
+			unheardDetectors.set(address, detector);
 			const stream = options.openStream(address, {
 				createHeartbeat: () => createHeartbeat(address),
-				confirm: () => options.heardFrom(address),
+				confirm(sentAt) {
+					detector.recordSent(sentAt);
+					return options.heardFrom(address);
+				},
 				heartbeatIntervalMilliseconds: () => options.heartbeatIntervalTo(address).heartbeatMilliseconds,
 				batchMilliseconds,
 				redialMilliseconds: () => view.get(address) ? redialMilliseconds : redialUnknownPeerMilliseconds,
 				onConnected() {
+					detector.restart();
 					sentDescriptions.delete(address);
 					options.onStreamOpened(address);
 				},
@@ -170,6 +179,15 @@
 		reviewInterval(address, neededBefore, neededSilenceMilliseconds);
 	};
 
+	/** Breaks a stream off that has gone silent, so that another is opened. */
+	const reviewStream = (address: string, heard: HeardFrame | undefined): void => {
+		const detector = unheardDetectors.get(address);
+		if (heard?.startedAt === options.startedAt && detector?.recordReceived(heard.sentAt)) {
+			detector.restart();
+			streams.get(address)?.resetConnection('the peer doesn\'t receive what is sent on it');
+		}
+	};
+
 	const stop = await options.serve(self, {
 		onMessage(message, from) {
 			if (message.kind === FleetMessageKind.Heartbeat) {
@@ -183,7 +201,10 @@
 
 			options.onMessage(message, from);
 		},
-		onFrameProcessed: options.onFrameProcessed,
+		onFrameProcessed(described, frame) {
+			options.onFrameProcessed(described, frame);
+			reviewStream(described.address, frame.heard);
+		},
 		onKeepAlive: handleKeepAlive,
 		onContact: view.receiveContact,
 		onOpened: options.onStreamOpened,
