--- a/packages/trials/src/process/__tests__/moved-jobs.steps.ts
+++ b/packages/trials/src/process/__tests__/moved-jobs.steps.ts
@@ -3,10 +3,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {resetSignal} from '@galenakeel/stand-ins/process/peer-stream-signals.js';
-import {createStandInJob} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
+import {createQueueConfiguration, createStandInJob} from '@galenakeel/stand-ins/version/stand-in-configuration.js';
 import {checkSoak, DisturbanceKind, type SoakJob} from '../../request/check-soak.js';
 import {watchFleetLogs} from '../fleet-log-watch.js';
-import {startPlatformFleet, type PlatformDaemon, type PlatformFleet} from '../platform-fleet.js';
+import {
+	queueHost, startPlatformFleet, type PlatformDaemon, type PlatformFleet,
+} from '../platform-fleet.js';
 import {answerMilliseconds, callUntilKnown, nameTasks} from '../soak-load.js';
 
 /** The fleet is stopped by a step of the platform path. */
@@ -40,6 +42,7 @@
 const resetMilliseconds = 100;
 const beforeEndMilliseconds = 100;
 const mostAttempts = 2;
+const objectiveFactor = 1.6;
 
 type TrialJob = {readonly number: number; readonly tasks: number; readonly milliseconds: number; readonly estimateMilliseconds: number};
 
@@ -55,8 +58,12 @@
 	};
 };
 
-Given('daemons of two zones, and a caller of a daemon that owns nothing', {timeout: 30_000}, async function (this: MovedWorld) {
-	this.fleet = await startPlatformFleet({zones, daemonsInZone, workersInZone});
+Given('daemons of two zones with an objective of {int} ms, and a caller of a daemon that owns nothing', {timeout: 30_000}, async function (this: MovedWorld, objectiveMilliseconds: number) {
+	this.fleet = await startPlatformFleet({
+		zones, daemonsInZone, workersInZone, configuration: createQueueConfiguration(1, queueHost, [{
+			name: 'sheets', pathPrefix: '/sheets/', priority: 0, mostAttempts, objectiveFactor, objectiveMilliseconds,
+		}]),
+	});
 	await sleep(settleMilliseconds);
 	const {daemons, directory} = this.fleet;
 	const watch = watchFleetLogs(directory, daemons.map(({instance}) => instance));
