Model test of the conversation between holders and owners: simulated fleet

Two or three zones of two daemons each, of the real holder, cell, links, view and claims, over simulated streams and endpoints with leases, tokens and run numbers, on the paused clock; a seed plans callers and disruptions.

--- /dev/null
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
@@ -0,0 +1,158 @@
+/**
+A conversation between holders and owners under disruptions, the same for the same seed.
+*/
+import {performance} from 'node:perf_hooks';
+import type {Job, Step} from '@galenakeel/model/request/job.js';
+import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
+import {incarnationOf} from '@galenakeel/model/version/endpoint-entry.js';
+import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
+import {scheduleDisruptions} from './conversation-disruptions.js';
+import {createConversationHistory} from './conversation-history.js';
+import {findBrokenRules, type BrokenRule} from './conversation-rules.js';
+import {createSeededRandom, type SeededRandom} from './seeded-random.js';
+import {startSimulatedCaller, type CallerPlan, type SimulatedCaller} from './simulated-caller.js';
+import {createSimulatedDaemon, type SimulatedDaemon} from './simulated-daemon.js';
+import {createSimulatedEndpoint, type SimulatedEndpoint, type TaskDurations} from './simulated-endpoint.js';
+import {createSimulatedProcesses, type SimulatedProcesses} from './simulated-processes.js';
+import {createSimulatedStreams} from './simulated-streams.js';
+
+/**
+A broken rule, with the history of its job.
+*/
+export type ConversationFailure = BrokenRule & {readonly seed: number; readonly history: readonly string[]};
+
+/**
+What a conversation has shown.
+*/
+export type ConversationResult = {
+	readonly failures: readonly ConversationFailure[];
+	readonly jobs: number;
+	readonly runs: number;
+};
+
+const allZones = ['north', 'south', 'east'] as const;
+const daemonsOfZone = 2;
+const endpointsOfZone = 2;
+const processorOfTask = 1000;
+const memoryMegabytes = 1024;
+/** When each cell has an owner, and callers and disruptions begin, in milliseconds. */
+const readyMilliseconds = 1600;
+const busyMilliseconds = 5000;
+/** Time after the last disruption and submission in which each job has to be answered. */
+const answerMilliseconds = 12_000;
+/** Time for which starts are watched after the last answer. */
+const afterwardsMilliseconds = 1500;
+const watchMilliseconds = 100;
+const mostAttempts = 4;
+
+const createSteps = (random: SeededRandom): {readonly steps: readonly Step[]; readonly durations: TaskDurations} => {
+	const base = random.integer(20, random.isChosen(0.6) ? 400 : 1800);
+	const counts = random.isChosen(0.2) ? [random.integer(1, 3), random.integer(1, 3)] : [random.integer(1, 6)];
+	const estimateMilliseconds = Math.round(base * (0.4 + (1.4 * random.next())));
+	return {
+		steps: counts.map((tasks, position) => ({
+			tasks, room: {processor: processorOfTask, memoryMegabytes: 1, accelerators: 0}, estimateMilliseconds, after: position === 0 ? [] : [position - 1],
+		})),
+		durations: counts.map(tasks => Array.from({length: tasks}, () => Math.round(base * (0.7 + (0.6 * random.next()))))),
+	};
+};
+
+const createJob = (random: SeededRandom, number: number): Job => {
+	const {steps, durations} = createSteps(random);
+	return {identifier: number.toString(16).padStart(16, '0'), specification: JSON.stringify(durations), steps};
+};
+
+const createQueue = (random: SeededRandom): Queue => ({
+	name: 'sheets', host: 'sheets.example', pathPrefix: '/', service: 'sheets', priority: 0, mostAttempts: 3, objectiveFactor: 1.6, objectiveMilliseconds: random.integer(60, 900),
+});
+
+const planCaller = (random: SeededRandom, daemons: readonly SimulatedDaemon[], number: number): CallerPlan => ({
+	job: createJob(random, number),
+	submitsAt: readyMilliseconds + random.integer(0, busyMilliseconds),
+	daemons: Array.from({length: mostAttempts}, () => random.pick(daemons)),
+	leavesAfter: Array.from({length: mostAttempts}, (_, attempt) => random.isChosen(0.35) && attempt < mostAttempts - 1 ? random.integer(50, 2500) : Number.POSITIVE_INFINITY),
+});
+
+type Fleet = {
+	readonly daemons: readonly SimulatedDaemon[];
+	readonly endpoints: ReadonlyMap<string, SimulatedEndpoint>;
+};
+
+const createEntries = (random: SeededRandom, zones: readonly string[]): readonly EndpointEntry[] => zones.flatMap(zone => Array.from({length: endpointsOfZone}, (_, index): EndpointEntry => ({
+	identifier: `${zone}-i${index}`, startedAt: 1, service: 'sheets', address: '', zone, isDraining: false,
+	room: {processor: random.integer(1, 3) * processorOfTask, memoryMegabytes, accelerators: 0}, labels: ['a'],
+})));
+
+const createFleet = async (random: SeededRandom, processes: SimulatedProcesses, history: ReturnType<typeof createConversationHistory>) => {
+	const zones = allZones.slice(0, random.integer(2, allZones.length));
+	const streams = createSimulatedStreams(processes, random, history);
+	const entries = createEntries(random, zones);
+	const endpoints = new Map(entries.map(entry => [incarnationOf(entry), createSimulatedEndpoint({
+		identifier: entry.identifier, room: entry.room.processor / processorOfTask, processes, random, history,
+	})]));
+	const places = zones.flatMap(zone => Array.from({length: daemonsOfZone}, (_, index) => ({zone, name: `${zone}-${index}`})));
+	const daemons = await Promise.all(places.map(async ({zone, name}) => {
+		const process = processes.create(name);
+		return new Promise<SimulatedDaemon>((resolve, reject) => {
+			process.execute('start', () => {
+				createSimulatedDaemon({
+					process, zone, zones, streams, history, endpoints: entries,
+					neighbours: places.filter(place => place.zone === zone && place.name !== name).map(place => place.name),
+					createCalls: entry => endpoints.get(incarnationOf(entry))!.callsOf(process),
+				}).then(resolve, reject);
+			});
+		});
+	}));
+	for (const {process, connect} of daemons) {
+		process.execute('start', () => {
+			connect(places.map(({name}) => name));
+		});
+	}
+
+	const fleet: Fleet = {daemons, endpoints};
+	return {fleet, streams};
+};
+
+const closeFleet = ({daemons}: Fleet): void => {
+	for (const {process, close} of daemons) {
+		process.resume();
+		process.execute('start', close);
+	}
+};
+
+const converse = async (seed: number, random: SeededRandom, processes: SimulatedProcesses): Promise<ConversationResult> => {
+	const history = createConversationHistory();
+	const {fleet, streams} = await createFleet(random, processes, history);
+	const queue = createQueue(random);
+	const callers = Array.from({length: random.integer(5, 14)}, (_, number): SimulatedCaller => startSimulatedCaller(planCaller(random, fleet.daemons, number), queue, history));
+	const calmFrom = Math.max(readyMilliseconds + busyMilliseconds, scheduleDisruptions({
+		random, daemons: fleet.daemons, streams, history, from: readyMilliseconds, to: readyMilliseconds + busyMilliseconds,
+	}));
+	while (performance.now() < calmFrom + answerMilliseconds && !(performance.now() > calmFrom && callers.every(({isDone}) => isDone()))) {
+		await processes.runUntil(performance.now() + watchMilliseconds);
+	}
+
+	await processes.runUntil(performance.now() + afterwardsMilliseconds);
+	const runs = [...fleet.endpoints.values()].flatMap(endpoint => endpoint.runs);
+	const failures = callers.flatMap(caller => findBrokenRules(caller, runs)).map(broken => ({...broken, seed, history: history.linesOf(broken.job)}));
+	closeFleet(fleet);
+	return {failures, jobs: callers.length, runs: runs.length};
+};
+
+/**
+Holds the conversation of a seed.
+
+@example
+```
+const {failures} = await holdConversation(17);
+```
+*/
+export const holdConversation = async (seed: number): Promise<ConversationResult> => {
+	const random = createSeededRandom(seed);
+	const processes = createSimulatedProcesses(random);
+	try {
+		return await converse(seed, random, processes);
+	} finally {
+		processes.uninstall();
+	}
+};
--- /dev/null
+++ b/packages/galenakeeld/src/request/__tests__/conversation-disruptions.ts
@@ -0,0 +1,114 @@
+/**
+Disruptions of a simulated fleet, planned from a seed.
+*/
+import type {ConversationHistory} from './conversation-history.js';
+import type {SeededRandom} from './seeded-random.js';
+import type {SimulatedDaemon} from './simulated-daemon.js';
+import type {SimulatedStreams} from './simulated-streams.js';
+
+/**
+Kinds of disruptions.
+*/
+export enum Disruption {
+	/** The streams between two daemons break, in one direction or in both. */
+	Break = 'break',
+	/** What one daemon sends to another is held up. */
+	HoldUp = 'hold-up',
+	/** What two daemons send to each other is held up. */
+	Cut = 'cut',
+	/** A daemon stands still. */
+	Stop = 'stop',
+	/** An owner gives up its cell, and another daemon claims it. */
+	Replace = 'replace',
+}
+
+const kinds = [Disruption.Break, Disruption.Break, Disruption.HoldUp, Disruption.Cut, Disruption.Stop, Disruption.Stop, Disruption.Replace] as const;
+
+export type DisruptionOptions = {
+	readonly random: SeededRandom;
+	readonly daemons: readonly SimulatedDaemon[];
+	readonly streams: SimulatedStreams;
+	readonly history: ConversationHistory;
+	/** Monotonic milliseconds between which disruptions begin. */
+	readonly from: number;
+	readonly to: number;
+};
+
+/**
+Schedules disruptions outside of all processes, and returns when the last one has ended, in monotonic milliseconds.
+
+@example
+```
+const endsAt = scheduleDisruptions({random, daemons, streams, history, from: 2000, to: 6000});
+```
+*/
+export const scheduleDisruptions = ({random, daemons, streams, history, from, to}: DisruptionOptions): number => {
+	let endsAt = from;
+
+	const schedule = (at: number, milliseconds: number, text: string, action: () => void): void => {
+		endsAt = Math.max(endsAt, at + milliseconds);
+		setTimeout(() => {
+			history.record(undefined, `*** ${text}`);
+			action();
+		}, at);
+	};
+
+	const pickTwo = (): readonly [SimulatedDaemon, SimulatedDaemon] => {
+		const first = random.pick(daemons);
+		return [first, random.pick(daemons.filter(daemon => daemon !== first))];
+	};
+
+	const scheduleOne = (kind: Disruption, at: number): void => {
+		const [first, second] = pickTwo();
+		const firstName = first.process.name;
+		const secondName = second.process.name;
+		switch (kind) {
+			case Disruption.Break: {
+				const isBoth = random.isChosen(0.5);
+				schedule(at, 0, `break ${firstName} -> ${secondName}${isBoth ? ' and back' : ''}`, () => {
+					streams.breakStream(firstName, secondName);
+					if (isBoth) {
+						streams.breakStream(secondName, firstName);
+					}
+				});
+				return;
+			}
+
+			case Disruption.HoldUp:
+			case Disruption.Cut: {
+				const milliseconds = random.integer(50, random.isChosen(0.5) ? 590 : 2500);
+				schedule(at, milliseconds, `hold up ${firstName} -> ${secondName} ${kind === Disruption.Cut ? 'and back ' : ''}for ${milliseconds} ms`, () => {
+					streams.holdUp(firstName, secondName, milliseconds);
+					if (kind === Disruption.Cut) {
+						streams.holdUp(secondName, firstName, milliseconds);
+					}
+				});
+				return;
+			}
+
+			case Disruption.Stop: {
+				const milliseconds = random.integer(300, random.isChosen(0.5) ? 1500 : 3000);
+				schedule(at, milliseconds, `stop ${firstName} for ${milliseconds} ms`, () => {
+					first.process.stop();
+				});
+				schedule(at + milliseconds, 0, `resume ${firstName}`, () => {
+					first.process.resume();
+				});
+				return;
+			}
+
+			case Disruption.Replace: {
+				schedule(at, 0, `${firstName} gives up its cells`, () => {
+					first.process.execute('disruptions', first.yieldCells);
+				});
+			}
+		}
+	};
+
+	const count = random.integer(2, 7);
+	for (let number = 0; number < count; number++) {
+		scheduleOne(random.pick(kinds), random.integer(from, to));
+	}
+
+	return endsAt;
+};
