--- /dev/null
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {Then, When} from '@cucumber/cucumber';
+import {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
+import {holdConversation, type ConversationFailure} from './assignment-conversation.js';
+
+type ConversationWorld = {
+	failures: ConversationFailure[];
+	/** Number of messages about jobs that were read, by kind. */
+	messages: Map<FleetMessageKind, number>;
+};
+
+/** By hand: the seeds to try instead, as "1-5000" or "17". */
+const seedsVariable = 'CONVERSATION_SEEDS';
+/** One conversation takes some 0.3 s of processor time, and more beside other work. */
+const timeoutMilliseconds = 3_600_000;
+const shownFailures = 3;
+
+const seedsOf = (from: number, to: number): readonly [number, number] => {
+	const [first, last] = (process.env[seedsVariable] ?? '').split('-').map(Number);
+	return first ? [first, last ?? first] : [from, to];
+};
+
+const describe = ({seed, rule, job, detail, history}: ConversationFailure): string =>
+	[`seed ${seed}, job ${job}: ${rule}: ${detail}`, ...history].join('\n');
+
+When('the conversations of the seeds {int} to {int} are held', {timeout: timeoutMilliseconds}, async function (this: ConversationWorld, from: number, to: number) {
+	this.failures = [];
+	this.messages = new Map();
+	const [first, last] = seedsOf(from, to);
+	for (let seed = first; seed <= last; seed++) {
+		const {failures, messages} = await holdConversation(seed);
+		this.failures.push(...failures);
+		for (const [kind, count] of messages) {
+			this.messages.set(kind, (this.messages.get(kind) ?? 0) + count);
+		}
+	}
+});
+
+Then('no rule was broken', function (this: ConversationWorld) {
+	const summary = this.failures.map(({seed, rule, job}) => `seed ${seed}: ${rule}, job ${job}`).join('\n');
+	assert.equal(this.failures.length, 0, `${summary}\n\n${this.failures.slice(0, shownFailures).map(failure => describe(failure)).join('\n\n')}`);
+});
+
+Then('tasks were moved, refused and run by the owners of several cells', function (this: ConversationWorld) {
+	for (const kind of [FleetMessageKind.Redirect, FleetMessageKind.Refuse, FleetMessageKind.Dropped, FleetMessageKind.TaskSucceeded, FleetMessageKind.End]) {
+		assert.ok((this.messages.get(kind) ?? 0) > 0, `no message of kind ${kind}`);
+	}
+});
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
@@ -2,11 +2,11 @@
 A conversation between holders and owners under disruptions, the same for the same seed.
 */
 import {performance} from 'node:perf_hooks';
+import type {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
 import type {Job, Step} from '@galenakeel/model/request/job.js';
-import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
-import {incarnationOf} from '@galenakeel/model/version/endpoint-entry.js';
+import {type EndpointEntry, incarnationOf} from '@galenakeel/model/version/endpoint-entry.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
-import {scheduleDisruptions} from './conversation-disruptions.js';
+import {scheduleDisruptions, type PlannedDisruption} from './conversation-disruptions.js';
 import {createConversationHistory} from './conversation-history.js';
 import {findBrokenRules, type BrokenRule} from './conversation-rules.js';
 import {createSeededRandom, type SeededRandom} from './seeded-random.js';
@@ -28,6 +28,8 @@
 	readonly failures: readonly ConversationFailure[];
 	readonly jobs: number;
 	readonly runs: number;
+	/** Number of messages between daemons that were read, by kind. */
+	readonly messages: ReadonlyMap<FleetMessageKind, number>;
 };
 
 const allZones = ['north', 'south', 'east'] as const;
@@ -37,17 +39,21 @@
 const memoryMegabytes = 1024;
 /** When each cell has an owner, and callers and disruptions begin, in milliseconds. */
 const readyMilliseconds = 1600;
-const busyMilliseconds = 5000;
+const busyMilliseconds = 3000;
+const soonMilliseconds = 400;
 /** Time after the last disruption and submission in which each job has to be answered. */
-const answerMilliseconds = 12_000;
+const answerMilliseconds = 30_000;
 /** Time for which starts are watched after the last answer. */
 const afterwardsMilliseconds = 1500;
 const watchMilliseconds = 100;
 const mostAttempts = 4;
+/** Jobs of longer tasks have few of them. */
+const longMilliseconds = 400;
 
 const createSteps = (random: SeededRandom): {readonly steps: readonly Step[]; readonly durations: TaskDurations} => {
 	const base = random.integer(20, random.isChosen(0.6) ? 400 : 1800);
-	const counts = random.isChosen(0.2) ? [random.integer(1, 3), random.integer(1, 3)] : [random.integer(1, 6)];
+	const mostTasks = base > longMilliseconds ? 3 : 14;
+	const counts = random.isChosen(0.2) ? [random.integer(1, 3), random.integer(1, 3)] : [random.integer(1, random.isChosen(0.3) ? mostTasks : Math.min(6, mostTasks))];
 	const estimateMilliseconds = Math.round(base * (0.4 + (1.4 * random.next())));
 	return {
 		steps: counts.map((tasks, position) => ({
@@ -63,15 +69,32 @@
 };
 
 const createQueue = (random: SeededRandom): Queue => ({
-	name: 'sheets', host: 'sheets.example', pathPrefix: '/', service: 'sheets', priority: 0, mostAttempts: 3, objectiveFactor: 1.6, objectiveMilliseconds: random.integer(60, 900),
+	name: 'sheets', host: 'sheets.example', pathPrefix: '/', service: 'sheets', priority: 0, mostAttempts: 3, objectiveFactor: 1.6, objectiveMilliseconds: random.integer(40, 600),
 });
 
-const planCaller = (random: SeededRandom, daemons: readonly SimulatedDaemon[], number: number): CallerPlan => ({
-	job: createJob(random, number),
-	submitsAt: readyMilliseconds + random.integer(0, busyMilliseconds),
-	daemons: Array.from({length: mostAttempts}, () => random.pick(daemons)),
-	leavesAfter: Array.from({length: mostAttempts}, (_, attempt) => random.isChosen(0.35) && attempt < mostAttempts - 1 ? random.integer(50, 2500) : Number.POSITIVE_INFINITY),
-});
+type Occasion = {readonly submitsAt: number; readonly daemon: SimulatedDaemon};
+
+/** Most jobs are submitted shortly before or about the end of a disruption, many of them to a daemon that it concerns. */
+const pickOccasion = (random: SeededRandom, daemons: readonly SimulatedDaemon[], disruptions: readonly PlannedDisruption[]): Occasion => {
+	const disruption = random.pick(disruptions);
+	const daemon = random.isChosen(0.5) ? random.pick(disruption.daemons) : random.pick(daemons);
+	const kind = random.next();
+	if (kind < 0.4) {
+		return {submitsAt: disruption.startsAt - random.integer(0, soonMilliseconds), daemon};
+	}
+
+	return {submitsAt: kind < 0.8 ? disruption.endsAt + random.integer(-soonMilliseconds, soonMilliseconds) : readyMilliseconds + random.integer(0, busyMilliseconds), daemon};
+};
+
+const planCaller = (random: SeededRandom, daemons: readonly SimulatedDaemon[], number: number, disruptions: readonly PlannedDisruption[]): CallerPlan => {
+	const {submitsAt, daemon} = pickOccasion(random, daemons, disruptions);
+	return {
+		job: createJob(random, number),
+		submitsAt: Math.max(readyMilliseconds, submitsAt),
+		daemons: [daemon, ...Array.from({length: mostAttempts - 1}, () => random.pick(daemons))],
+		leavesAfter: Array.from({length: mostAttempts}, (_, attempt) => random.isChosen(0.35) && attempt < mostAttempts - 1 ? random.integer(50, 2500) : Number.POSITIVE_INFINITY),
+	};
+};
 
 type Fleet = {
 	readonly daemons: readonly SimulatedDaemon[];
@@ -80,7 +103,7 @@
 
 const createEntries = (random: SeededRandom, zones: readonly string[]): readonly EndpointEntry[] => zones.flatMap(zone => Array.from({length: endpointsOfZone}, (_, index): EndpointEntry => ({
 	identifier: `${zone}-i${index}`, startedAt: 1, service: 'sheets', address: '', zone, isDraining: false,
-	room: {processor: random.integer(1, 3) * processorOfTask, memoryMegabytes, accelerators: 0}, labels: ['a'],
+	room: {processor: random.integer(1, 2) * processorOfTask, memoryMegabytes, accelerators: 0}, labels: ['a'],
 })));
 
 const createFleet = async (random: SeededRandom, processes: SimulatedProcesses, history: ReturnType<typeof createConversationHistory>) => {
@@ -124,10 +147,11 @@
 	const history = createConversationHistory();
 	const {fleet, streams} = await createFleet(random, processes, history);
 	const queue = createQueue(random);
-	const callers = Array.from({length: random.integer(5, 14)}, (_, number): SimulatedCaller => startSimulatedCaller(planCaller(random, fleet.daemons, number), queue, history));
-	const calmFrom = Math.max(readyMilliseconds + busyMilliseconds, scheduleDisruptions({
+	const disruptions = scheduleDisruptions({
 		random, daemons: fleet.daemons, streams, history, from: readyMilliseconds, to: readyMilliseconds + busyMilliseconds,
-	}));
+	});
+	const callers = Array.from({length: random.integer(10, 28)}, (_, number): SimulatedCaller => startSimulatedCaller(planCaller(random, fleet.daemons, number, disruptions), queue, history));
+	const calmFrom = Math.max(readyMilliseconds + busyMilliseconds, ...disruptions.map(({endsAt}) => endsAt)) + soonMilliseconds;
 	while (performance.now() < calmFrom + answerMilliseconds && !(performance.now() > calmFrom && callers.every(({isDone}) => isDone()))) {
 		await processes.runUntil(performance.now() + watchMilliseconds);
 	}
@@ -136,7 +160,9 @@
 	const runs = [...fleet.endpoints.values()].flatMap(endpoint => endpoint.runs);
 	const failures = callers.flatMap(caller => findBrokenRules(caller, runs)).map(broken => ({...broken, seed, history: history.linesOf(broken.job)}));
 	closeFleet(fleet);
-	return {failures, jobs: callers.length, runs: runs.length};
+	return {
+		failures, jobs: callers.length, runs: runs.length, messages: streams.messages,
+	};
 };
 
 /**
--- a/packages/galenakeeld/src/request/__tests__/conversation-disruptions.ts
+++ b/packages/galenakeeld/src/request/__tests__/conversation-disruptions.ts
@@ -20,9 +20,21 @@
 	Stop = 'stop',
 	/** An owner gives up its cell, and another daemon claims it. */
 	Replace = 'replace',
+	/** Streams break while messages about jobs are on their way. */
+	Fragile = 'fragile',
 }
 
-const kinds = [Disruption.Break, Disruption.Break, Disruption.HoldUp, Disruption.Cut, Disruption.Stop, Disruption.Stop, Disruption.Replace] as const;
+/**
+A disruption that is planned. Times are monotonic milliseconds.
+*/
+export type PlannedDisruption = {
+	readonly startsAt: number;
+	readonly endsAt: number;
+	/** The daemons that it concerns, which are few or all. */
+	readonly daemons: readonly SimulatedDaemon[];
+};
+
+const kinds = [Disruption.Break, Disruption.HoldUp, Disruption.Cut, Disruption.Stop, Disruption.Stop, Disruption.Stop, Disruption.Replace, Disruption.Fragile, Disruption.Fragile] as const;
 
 export type DisruptionOptions = {
 	readonly random: SeededRandom;
@@ -35,18 +47,17 @@
 };
 
 /**
-Schedules disruptions outside of all processes, and returns when the last one has ended, in monotonic milliseconds.
+Schedules disruptions outside of all processes, and returns them.
 
 @example
 ```
-const endsAt = scheduleDisruptions({random, daemons, streams, history, from: 2000, to: 6000});
+const planned = scheduleDisruptions({random, daemons, streams, history, from: 2000, to: 6000});
 ```
 */
-export const scheduleDisruptions = ({random, daemons, streams, history, from, to}: DisruptionOptions): number => {
-	let endsAt = from;
+export const scheduleDisruptions = ({random, daemons, streams, history, from, to}: DisruptionOptions): readonly PlannedDisruption[] => {
+	const planned: PlannedDisruption[] = [];
 
-	const schedule = (at: number, milliseconds: number, text: string, action: () => void): void => {
-		endsAt = Math.max(endsAt, at + milliseconds);
+	const schedule = (at: number, text: string, action: () => void): void => {
 		setTimeout(() => {
 			history.record(undefined, `*** ${text}`);
 			action();
@@ -60,12 +71,17 @@
 
 	const scheduleOne = (kind: Disruption, at: number): void => {
 		const [first, second] = pickTwo();
+		const plan = (milliseconds: number, concerned: readonly SimulatedDaemon[]): void => {
+			planned.push({startsAt: at, endsAt: at + milliseconds, daemons: concerned});
+		};
+
 		const firstName = first.process.name;
 		const secondName = second.process.name;
 		switch (kind) {
 			case Disruption.Break: {
 				const isBoth = random.isChosen(0.5);
-				schedule(at, 0, `break ${firstName} -> ${secondName}${isBoth ? ' and back' : ''}`, () => {
+				plan(0, [first, second]);
+				schedule(at, `break ${firstName} -> ${secondName}${isBoth ? ' and back' : ''}`, () => {
 					streams.breakStream(firstName, secondName);
 					if (isBoth) {
 						streams.breakStream(secondName, firstName);
@@ -77,7 +93,8 @@
 			case Disruption.HoldUp:
 			case Disruption.Cut: {
 				const milliseconds = random.integer(50, random.isChosen(0.5) ? 590 : 2500);
-				schedule(at, milliseconds, `hold up ${firstName} -> ${secondName} ${kind === Disruption.Cut ? 'and back ' : ''}for ${milliseconds} ms`, () => {
+				plan(milliseconds, [first, second]);
+				schedule(at, `hold up ${firstName} -> ${secondName} ${kind === Disruption.Cut ? 'and back ' : ''}for ${milliseconds} ms`, () => {
 					streams.holdUp(firstName, secondName, milliseconds);
 					if (kind === Disruption.Cut) {
 						streams.holdUp(secondName, firstName, milliseconds);
@@ -88,19 +105,30 @@
 
 			case Disruption.Stop: {
 				const milliseconds = random.integer(300, random.isChosen(0.5) ? 1500 : 3000);
-				schedule(at, milliseconds, `stop ${firstName} for ${milliseconds} ms`, () => {
+				plan(milliseconds, [first]);
+				schedule(at, `stop ${firstName} for ${milliseconds} ms`, () => {
 					first.process.stop();
 				});
-				schedule(at + milliseconds, 0, `resume ${firstName}`, () => {
+				schedule(at + milliseconds, `resume ${firstName}`, () => {
 					first.process.resume();
 				});
 				return;
 			}
 
 			case Disruption.Replace: {
-				schedule(at, 0, `${firstName} gives up its cells`, () => {
+				plan(0, [first]);
+				schedule(at, `${firstName} gives up its cells`, () => {
 					first.process.execute('disruptions', first.yieldCells);
 				});
+				return;
+			}
+
+			case Disruption.Fragile: {
+				const milliseconds = random.integer(200, 2000);
+				plan(milliseconds, daemons);
+				schedule(at, `streams break while messages are on their way, for ${milliseconds} ms`, () => {
+					streams.breakOnMessages(milliseconds);
+				});
 			}
 		}
 	};
@@ -110,5 +138,5 @@
 		scheduleOne(random.pick(kinds), random.integer(from, to));
 	}
 
-	return endsAt;
+	return planned;
 };
--- a/packages/galenakeeld/src/request/__tests__/conversation-rules.ts
+++ b/packages/galenakeeld/src/request/__tests__/conversation-rules.ts
@@ -38,9 +38,11 @@
 
 const findMixed = (caller: SimulatedCaller, runs: readonly SimulatedRun[]): readonly BrokenRule[] => {
 	const answered = caller.attempts.find(({end}) => end === JobEnd.Complete);
-	return answered ? positionsOf(caller)
-		.filter(position => !runs.some(({task, end, endedAt}) => positionOf(task) === position && end === RunEnd.Succeeded && endedAt <= answered.endedAt!))
-		.map(position => ({rule: ConversationRule.Mixed, job: caller.plan.job.identifier, detail: `task ${position} was not done when the job was answered complete at ${answered.endedAt} ms`})) : [];
+	return answered
+		? positionsOf(caller)
+			.filter(position => !runs.some(({task, end, endedAt}) => positionOf(task) === position && end === RunEnd.Succeeded && endedAt <= answered.endedAt!))
+			.map(position => ({rule: ConversationRule.Mixed, job: caller.plan.job.identifier, detail: `task ${position} was not done when the job was answered complete at ${answered.endedAt} ms`}))
+		: [];
 };
 
 const findRefused = (caller: SimulatedCaller, runs: readonly SimulatedRun[]): readonly BrokenRule[] => {
--- a/packages/galenakeeld/src/request/__tests__/seeded-random.ts
+++ b/packages/galenakeeld/src/request/__tests__/seeded-random.ts
@@ -12,8 +12,13 @@
 	readonly pick: <Item>(items: readonly Item[]) => Item;
 };
 
+const modulus = (2 ** 31) - 1;
+const multiplier = 48_271;
+/** Numbers that are left out at first, since those of neighbouring seeds are alike. */
+const skippedNumbers = 5;
+
 /**
-Creates a generator (mulberry32 by Tommy Ettinger).
+Creates a generator (Park and Miller, multiplier 48271).
 
 @example
 ```
@@ -21,14 +26,16 @@
 ```
 */
 export const createSeededRandom = (seed: number): SeededRandom => {
-	let state = Math.imul(seed + 1, 0x9E_37_79_B1);
+	let state = seed + 1;
 	const next = (): number => {
-		state = (state + 0x6D_2B_79_F5) % (2 ** 32);
-		let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-		mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-		return ((mixed ^ (mixed >>> 14)) >>> 0) / (2 ** 32);
+		state = (state * multiplier) % modulus;
+		return state / modulus;
 	};
 
+	for (let skipped = 0; skipped < skippedNumbers; skipped++) {
+		next();
+	}
+
 	const integer = (least: number, most: number): number => least + Math.floor(next() * (most - least + 1));
 
 	return {
--- a/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
@@ -2,7 +2,7 @@
 A caller that submits one job, and submits it again through another daemon after it has left or got no certain answer.
 */
 import {performance} from 'node:perf_hooks';
-import {JobEnd, type Job} from '@galenakeel/model/request/job.js';
+import {type JobEnd, type Job} from '@galenakeel/model/request/job.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import type {ConversationHistory} from './conversation-history.js';
 import type {SimulatedDaemon} from './simulated-daemon.js';
--- a/packages/galenakeeld/src/request/__tests__/simulated-endpoint.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-endpoint.ts
@@ -133,7 +133,7 @@
 		const isFailure = random.isChosen(failureProbability);
 		setTimeout(() => {
 			finish(run, isFailure ? RunEnd.Failed : RunEnd.Succeeded);
-		}, durations[task.step]![task.index]!);
+		}, durations[task.step]![task.index]);
 	};
 
 	const start = (request: StartRequest, starter: string): CallOutcome => {
--- a/packages/galenakeeld/src/request/__tests__/simulated-processes.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-processes.ts
@@ -87,7 +87,7 @@
 			isWaiting = true;
 			process.execute(timerSource, () => {
 				isWaiting = false;
-				if (!clearedTimers.has(timer as object)) {
+				if (!clearedTimers.has(timer as Record<string, unknown>)) {
 					callback(...passed);
 				}
 			});
@@ -174,11 +174,11 @@
 		create,
 		outside: action => current.run(undefined, action),
 		async runUntil(milliseconds) {
-			let isOver = false;
+			// The clock goes from timer to timer, so there has to be one at the end.
 			paused.setTimeout(() => {
-				isOver = true;
+				// Only the time counts.
 			}, milliseconds - performance.now());
-			while (!isOver) {
+			while (performance.now() < milliseconds) {
 				step();
 				await awaitMicrotasks();
 			}
--- a/packages/galenakeeld/src/request/__tests__/simulated-streams.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-streams.ts
@@ -2,7 +2,9 @@
 The streams between simulated daemons: each delivers in order after a delay, until it breaks.
 */
 import {performance} from 'node:perf_hooks';
-import {FleetMessageKind, type FleetFrame, type FleetMessage, type Heartbeat} from '@galenakeel/model/connection/fleet-message.js';
+import {
+	FleetMessageKind, type FleetFrame, type FleetMessage, type Heartbeat,
+} from '@galenakeel/model/connection/fleet-message.js';
 import {createDelayDetector} from '../../connection/delay-detector.js';
 import type {createPeerStream, PeerStream, serveFleet} from '../../connection/fleet-service.js';
 import type {ConversationHistory} from './conversation-history.js';
@@ -20,6 +22,10 @@
 	readonly of: (process: SimulatedProcess) => {readonly serve: typeof serveFleet; readonly openStream: typeof createPeerStream};
 	/** Breaks the stream from one daemon to another. The first messages on their way may still arrive; the others are lost. */
 	readonly breakStream: (from: string, to: string) => void;
+	/** For some time, breaks streams now and then while messages about jobs are on their way, in milliseconds. */
+	readonly breakOnMessages: (milliseconds: number) => void;
+	/** Number of messages that were read, by kind. */
+	readonly messages: ReadonlyMap<FleetMessageKind, number>;
 	/** Holds up what one daemon sends to another, in milliseconds. */
 	readonly holdUp: (from: string, to: string, milliseconds: number) => void;
 };
@@ -43,19 +49,21 @@
 const leastDelayMilliseconds = 1;
 const mostDelayMilliseconds = 4;
 const connectMilliseconds = 2;
+/** Probability that a frame about jobs breaks its stream while streams are fragile. */
+const fragileProbability = 0.2;
 /** As in `serveFleet`. */
 const maximumDelayMilliseconds = 600;
 const maximumHeartbeatGapMilliseconds = 1000;
 const deferrableKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Started, FleetMessageKind.TaskSucceeded]);
 const quietKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Heartbeat, FleetMessageKind.KeepAlive, FleetMessageKind.Load]);
 
+const toldFields = ['part', 'assignment', 'excluded', 'generation', 'isCommitted', 'position', 'positions', 'cell', 'isComplete', 'hasStarted', 'succeeded', 'redirects', 'reason'];
+
 const isHeartbeat = ({kind}: FleetMessage): boolean => kind === FleetMessageKind.Heartbeat || kind === FleetMessageKind.KeepAlive;
 
 const describeMessage = (message: FleetMessage): string => {
-	const named = message.kind === FleetMessageKind.Submit ? message.order : message;
-	const {kind, ...fields} = {...named, kind: message.kind} as Record<string, unknown>;
-	const told = ['part', 'assignment', 'excluded', 'generation', 'isCommitted', 'position', 'positions', 'cell', 'term', 'isComplete', 'hasStarted', 'succeeded', 'redirects', 'reason'];
-	return `${String(kind)} ${told.filter(name => fields[name] !== undefined).map(name => `${name}=${JSON.stringify(fields[name])}`).join(' ')}`;
+	const fields = new Map(Object.entries(message.kind === FleetMessageKind.Submit ? {...message.order, cell: message.cell} : message));
+	return `${message.kind} ${toldFields.filter(name => fields.get(name) !== undefined).map(name => `${name}=${JSON.stringify(fields.get(name))}`).join(' ')}`;
 };
 
 const jobOf = (message: FleetMessage): string | undefined => message.kind === FleetMessageKind.Submit ? message.order.job.identifier : (message as {readonly job?: string}).job;
@@ -75,6 +83,9 @@
 	const connections = new Map<string, Connection>();
 	const heldUntil = new Map<string, number>();
 	let connectionCount = 0;
+	let isFragileUntil = 0;
+
+	const messageCounts = new Map<FleetMessageKind, number>();
 
 	const keyOf = (from: string, to: string): string => `${from} ${to}`;
 
@@ -122,6 +133,7 @@
 		let hasEnded = false;
 
 		const receiveMessage = (message: FleetMessage): void => {
+			messageCounts.set(message.kind, (messageCounts.get(message.kind) ?? 0) + 1);
 			if (message.kind === FleetMessageKind.KeepAlive) {
 				if (described) {
 					handlers.onKeepAlive(message, described);
@@ -218,6 +230,21 @@
 		});
 	};
 
+	/** Breaks a fragile stream, before or after the frame arrives. */
+	const breakIfFragile = (connection: Connection, {messages}: FleetFrame): void => {
+		const isAboutJobs = messages.some(({kind}) => !quietKinds.has(kind));
+		if (isAboutJobs && performance.now() < isFragileUntil && random.isChosen(fragileProbability)) {
+			if (random.isChosen(0.5)) {
+				end(connection);
+				return;
+			}
+
+			after(random.integer(leastDelayMilliseconds, mostDelayMilliseconds), () => {
+				end(connection);
+			});
+		}
+	};
+
 	/** An outgoing stream, as `createPeerStream` creates it. */
 	const createStream = (process: SimulatedProcess, address: string, options: StreamOptions): PeerStream => {
 		let connection: Connection | undefined;
@@ -252,7 +279,9 @@
 
 			if (queued.length > 0) {
 				lastSentAt = performance.now();
-				write(connection, {sentAt: lastSentAt, messages: queued});
+				const frame: FleetFrame = {sentAt: lastSentAt, messages: queued};
+				write(connection, frame);
+				breakIfFragile(connection, frame);
 				queued = [];
 			}
 
@@ -331,6 +360,10 @@
 			},
 			openStream: (address, options) => createStream(process, address, options),
 		}),
+		messages: messageCounts,
+		breakOnMessages(milliseconds) {
+			isFragileUntil = performance.now() + milliseconds;
+		},
 		breakStream(from, to) {
 			const connection = connections.get(keyOf(from, to));
 			if (connection) {
