--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -105,3 +105,24 @@
     When a job of 2 tasks that was first assigned 60000 ms ago is submitted
     Then no task was started here
     And the holder was told that the part was dropped after a start
+
+  Scenario: Endpoints that have ended runs of a later generation refuse the run numbers of a job that its caller submits again only a few times
+    Given the endpoint has ended run 2003 of each task
+    When a job of 2 tasks is submitted
+    And the cell runs for 1500 ms
+    Then the holder was told that the job is complete
+
+  Scenario: A job whose caller submits it again through another instance starts none of its tasks beside those of an earlier part
+    When the part "1" of a job with the tasks "0.0, 0.1" is submitted
+    And the job is submitted by "other" in a new assignment as part "0"
+    Then 2 tasks were stopped here
+    And the holder was told that it is superseded
+    When the cell runs for 1500 ms
+    Then "other" was told that the job is complete
+    And no task was started here while an earlier run of it went on
+
+  Scenario: Parts of one job that share no tasks run beside each other
+    When the part "1" of a job with the tasks "0.0" is submitted
+    And the part "0" of a job with the tasks "0.1" is submitted
+    Then 2 tasks were started here
+    And no task was stopped here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -4,10 +4,12 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
+import {CallOutcome} from '@galenakeel/model/connection/endpoint-calls.js';
 import {
 	FleetMessageKind, type JobUpdate, type JobOrder, type PartEnd, type Redirect,
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {Step} from '@galenakeel/model/request/job.js';
+import {positionOf} from '@galenakeel/model/request/task-key.js';
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import {createCell, type Cell} from '../cell.js';
 import {createSimulatedEndpoint} from './replay-load.js';
@@ -23,6 +25,12 @@
 	stopped: string[];
 	/** Monotonic milliseconds at which the first list of endpoints arrived. */
 	listedSince: number;
+	/** Highest run of each task that the endpoint has ended. */
+	endedAttempt: number;
+	/** Tasks of which a run is at the endpoint. */
+	activeTasks: Set<string>;
+	/** Tasks that were started while a run of them was at the endpoint. */
+	startedTwice: string[];
 };
 
 const processorOfTask = 1000;
@@ -81,6 +89,9 @@
 	this.started = [];
 	this.stopped = [];
 	this.listedSince = -10_000;
+	this.endedAttempt = 0;
+	this.activeTasks = new Set();
+	this.startedTwice = [];
 	let isOtherKnown = true;
 	this.cell = createCell({
 		name: 'north',
@@ -95,12 +106,29 @@
 			return {
 				...calls,
 				start: async request => {
-					this.started.push(`${request.task.step}.${request.task.index}`);
+					if (request.attempt <= this.endedAttempt) {
+						return {outcome: CallOutcome.Superseded, clockMilliseconds: undefined};
+					}
+
+					const position = positionOf(request.task);
+					this.startedTwice.push(...[position].filter(one => this.activeTasks.has(one)));
+					this.activeTasks.add(position);
+					this.started.push(position);
 					return calls.start(request);
 				},
 				stop: async request => {
-					this.stopped.push(`${request.task.step}.${request.task.index}`);
-					return calls.stop(request);
+					this.stopped.push(positionOf(request.task));
+					const reply = await calls.stop(request);
+					this.activeTasks.delete(positionOf(request.task));
+					return reply;
+				},
+				poll: async request => {
+					const reply = await calls.poll(request);
+					for (const {task} of reply.report?.ended ?? []) {
+						this.activeTasks.delete(positionOf(task));
+					}
+
+					return reply;
 				},
 			};
 		},
@@ -190,6 +218,30 @@
 	await submit(this, {...createOrder([createStep(tasks, [])], 0), assignedMillisecondsAgo: milliseconds});
 });
 
+Given('the endpoint has ended run {int} of each task', function (this: PartsWorld, attempt: number) {
+	this.endedAttempt = attempt;
+});
+
+/** A part of a job of two tasks. */
+When('the part {string} of a job with the tasks {string} is submitted', async function (this: PartsWorld, part: string, positions: string) {
+	const order = createOrder([createStep(2, [])], 0);
+	const own = new Set(positions.split(', '));
+	await submit(this, {...order, part, excluded: ['0.0', '0.1'].filter(position => !own.has(position))});
+});
+
+When('the job is submitted by {string} in a new assignment as part {string}', async function (this: PartsWorld, by: string, part: string) {
+	this.cell.submit(by, {...this.order, part, assignment: secondAssignment});
+	await this.clock.tickAsync(settleMilliseconds);
+});
+
+Then('no task was started here while an earlier run of it went on', function (this: PartsWorld) {
+	assert.deepEqual(this.startedTwice, []);
+});
+
+Then('the holder was told that the job is complete', function (this: PartsWorld) {
+	assert.deepEqual(endsOf(this.updates).map(({isComplete}) => isComplete), [true]);
+});
+
 const submitAnew = async (world: PartsWorld, by: string, excluded: readonly string[]): Promise<void> => {
 	world.cell.submit(by, {...world.order, assignment: secondAssignment, excluded});
 	await world.clock.tickAsync(settleMilliseconds);
