Go on above an earlier submission's run numbers when an endpoint refuses one as old

What callers saw: no answer for tens of seconds to a job that was sent again. Cause: an endpoint refuses a run number that is not above one that has ended there; a job that an earlier holder had taken to generation 1 had runs 1001 and up, its caller's next submission begins with run 1, and the owner tried 2, 3, 4 and so on, one in some 65 ms. Change: after such a refusal the numbers go on above those of the next generation (RunResult.Outnumbered, skipAttempts).

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -310,7 +310,7 @@
 		}
 
 		onDecision(EndpointDecision.Declined, {...describe(run.task, run.attempt), outcome});
-		settle(run, RunResult.Declined);
+		settle(run, outcome === CallOutcome.Superseded ? RunResult.Outnumbered : RunResult.Declined);
 	};
 
 	const sendStart = async (run: Run, specification: string): Promise<void> => {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -16,7 +16,7 @@
 import {maximumLeaseOf, minimumLeaseMilliseconds, yieldMilliseconds} from './maximum-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
-	beginAttempt, createEnd, createPlacedJob, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, succeededPositions, waitingIndexes, type PlacedJob,
+	beginAttempt, createEnd, createPlacedJob, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, skipAttempts, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
 import {
 	countContent, describeRuns, type ActiveRunDescription, type CellObservation,
@@ -259,7 +259,12 @@
 			}
 		} else {
 			const isFailure = result === RunResult.Failed;
-			const avoided = result === RunResult.Declined ? undefined : incarnationOf(endpoint.entry());
+			const hasRun = result === RunResult.Failed || result === RunResult.Lost;
+			const avoided = hasRun ? incarnationOf(endpoint.entry()) : undefined;
+			if (result === RunResult.Outnumbered) {
+				skipAttempts(job, task);
+			}
+
 			if (markWaiting(job, task, avoided, isFailure) >= job.order.mostAttempts) {
 				end(job, false);
 			}
--- a/packages/galenakeeld/src/process/cells/endpoint-run.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-run.ts
@@ -13,6 +13,8 @@
 	Lost = 'lost',
 	/** The endpoint had no capacity or declined the start; nothing has run. */
 	Declined = 'declined',
+	/** The endpoint has ended or stopped a run of the task with this attempt or a higher one; nothing has run. */
+	Outnumbered = 'outnumbered',
 }
 
 /**
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -21,7 +21,7 @@
 
 type Task = {
 	state: TaskState;
-	/** Starts so far in this submission of the job. */
+	/** Starts so far in this submission of the job, and the attempts that were skipped. */
 	starts: number;
 	failures: number;
 	/** Endpoints at which a run ended without success. */
@@ -173,6 +173,14 @@
 	return (job.order.generation * attemptsPerGeneration) + task.starts;
 };
 
+/**
+Continues the numbers of a task's attempts above those of the next generation, because an endpoint knows a run with a higher number. The same job may have been submitted before with more generations.
+*/
+export const skipAttempts = (job: PlacedJob, {step, index}: Pick<TaskKey, 'step' | 'index'>): void => {
+	const task = job.steps[step]!.tasks[index]!;
+	task.starts = (Math.floor(task.starts / attemptsPerGeneration) + 1) * attemptsPerGeneration;
+};
+
 /**
 Marks a task as succeeded; returns false if it was not active.
 */
