Replace the parts of an earlier holding that share tasks with an order

What callers would see: a task run twice at the same time (TWICE) at one owner. Cause: an owner knew an earlier submission of a job by the name of the part only; a job that its caller submits through another daemon has other parts ('0' there may cover '1' here), and these were taken beside each other. Found by reading, not by a run: while the first holder is heard and has not read that its caller left. Change: an order replaces all parts of its job that share tasks with it; what ran is stopped before anything starts anew.

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -112,9 +112,13 @@
 
 					const position = positionOf(request.task);
 					this.startedTwice.push(...[position].filter(one => this.activeTasks.has(one)));
-					this.activeTasks.add(position);
 					this.started.push(position);
-					return calls.start(request);
+					const reply = await calls.start(request);
+					if (reply.outcome === CallOutcome.Done) {
+						this.activeTasks.add(position);
+					}
+
+					return reply;
 				},
 				stop: async request => {
 					this.stopped.push(positionOf(request.task));
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -16,7 +16,7 @@
 import {maximumLeaseOf, minimumLeaseMilliseconds, yieldMilliseconds} from './maximum-lease.js';
 import {placeTasks, type Placement} from './place-tasks.js';
 import {
-	beginAttempt, createEnd, createPlacedJob, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, skipAttempts, succeededPositions, waitingIndexes, type PlacedJob,
+	beginAttempt, createEnd, createPlacedJob, hasTasksBesides, hasWaitingTasks, isComplete, isMovable, isOfPart, markSucceeded, markWaiting, moveTasks, partKeyOf, referenceOf, remainingCriticalPath, skipAttempts, succeededPositions, waitingIndexes, type PlacedJob,
 } from './placed-job.js';
 import {
 	countContent, describeRuns, type ActiveRunDescription, type CellObservation,
@@ -611,7 +611,18 @@
 		return true;
 	};
 
+	/** Replaces other parts of the job that share tasks with an order. One holding of a job divides it into parts that share none, so its caller has submitted it again. */
+	const replaceOverlapping = (holder: string, order: JobOrder): void => {
+		const excluded = new Set(order.excluded);
+		for (const job of jobs.values()) {
+			if (job.order.job.identifier === order.job.identifier && hasTasksBesides(job, excluded)) {
+				replace(job, holder);
+			}
+		}
+	};
+
 	const submitNew = (holder: string, order: JobOrder): void => {
+		replaceOverlapping(holder, order);
 		const job = createPlacedJob(order, holder);
 		if (closedAssignments.isForgotten(order.assignedMillisecondsAgo)) {
 			finish(job, createDropped(job, true));
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -281,6 +281,12 @@
 export const isOfPart = ({steps}: PlacedJob, {step, index}: Pick<TaskKey, 'step' | 'index'>): boolean =>
 	(steps[step]?.tasks[index]?.state ?? TaskState.Elsewhere) !== TaskState.Elsewhere;
 
+/**
+Returns whether a part has tasks besides the excluded ones, by their positions.
+*/
+export const hasTasksBesides = ({steps}: PlacedJob, excluded: ReadonlySet<string>): boolean =>
+	steps.some(({tasks, position}) => tasks.some(({state}, index) => state !== TaskState.Elsewhere && !excluded.has(positionOf({step: position, index}))));
+
 /**
 Returns the key of a part, unique among all jobs.
 */
