--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -101,6 +101,7 @@
 			});
 			const answer = await options.hold(job, queue, {
 				homeCell,
+				hasCallerLeft: () => disconnected.aborted,
 				hold() {
 					const held = heldJobs.hold();
 					heldParts.add(held);
--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -118,3 +118,8 @@
     When the owner of "north" gives part "0" to another holder
     Then the outcome is unknown
     And part "0" was not cancelled
+
+  Scenario: A part is not submitted once the caller has left
+    When the caller has left, which the parts have not read yet
+    And the owner of "north" is lost
+    Then part "0" was submitted 1 times
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -23,6 +23,7 @@
 	cancelled: string[];
 	holdings: HeldJob[];
 	answer: JobAnswer | undefined;
+	hasCallerLeft: boolean;
 };
 
 const identifier = '5c0e7a21d94b36f8';
@@ -74,9 +75,11 @@
 	this.cancelled = [];
 	this.holdings = [];
 	this.answer = undefined;
+	this.hasCallerLeft = false;
 	const hold = async (): Promise<void> => {
 		this.answer = await holdJob(job, queue, {
 			homeCell,
+			hasCallerLeft: () => this.hasCallerLeft,
 			hold: () => {
 				const held = this.heldJobs.hold();
 				this.holdings.push(held);
@@ -196,6 +199,10 @@
 	await settle();
 });
 
+When('the caller has left, which the parts have not read yet', function (this: HolderWorld) {
+	this.hasCallerLeft = true;
+});
+
 When('the caller disconnects', async function (this: HolderWorld) {
 	for (const {updates} of this.holdings) {
 		updates.push({kind: HolderEvent.CallerDisconnected});
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -13,6 +13,8 @@
 
 export type HoldOptions = {
 	readonly homeCell: string;
+	/** Whether the caller has disconnected, which the parts of the job may not have read yet. */
+	readonly hasCallerLeft: () => boolean;
 	/** Begins to hold a part, and returns its updates. */
 	readonly hold: () => HeldJob;
 	/** Waits for a reachable owner of a cell; undefined when there is none within that time. */
