Submit no part once its caller has left

What callers would see: a run of a job beside that of its next submission (TWICE). Cause: a holder that had waited for an owner submitted the part although the caller had left meanwhile, and cancelled it at once. Change: the holder checks hasCallerLeft before it submits.

--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -142,7 +142,7 @@
 	const runPart = async (part: JobPart, heldJob: HeldJob): Promise<JobAnswer | undefined> => {
 		for (;;) {
 			const owner = await findOwnerFor(part);
-			if (isAnswered) {
+			if (isAnswered || options.hasCallerLeft()) {
 				return {end: JobEnd.Cancelled};
 			}
 
