Read what has arrived after a request before its job is submitted

Cause: a holder that stood still reads the request when it goes on, and submits the job before it reads that the caller left in the meantime. Change: the intake waits a turn of the event loop before it holds a job.

--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -50,6 +50,11 @@
 /** Maximum time since the last confirmation by the store up to which the configuration counts as current. */
 const configurationFreshnessMilliseconds = 2500;
 
+/** A caller may have left while this process stood still: what has arrived after its request is read first. */
+const readWhatHasArrived = async (): Promise<void> => new Promise(resolve => {
+	setImmediate(resolve);
+});
+
 /**
 Creates an intake that accepts jobs.
 
@@ -99,6 +104,7 @@
 					updates.push({kind: HolderEvent.CallerDisconnected});
 				}
 			});
+			await readWhatHasArrived();
 			const answer = await options.hold(job, queue, {
 				homeCell,
 				hasCallerLeft: () => disconnected.aborted,
