Failing tests: redirects that an owner repeats although the tasks came back

A job is redirected in part to another cell, which refuses the tasks; the holder submits them to the home cell, where they run. When the job is then submitted by another holder, since its caller gave up a connection that still stands at the first, the home cell repeats the redirect, or the end with it, as it was: the second holder submits tasks to the other cell that run, or are being stopped, at home (TWICE).

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -105,3 +105,16 @@
     When a job of 2 tasks that was first assigned 60000 ms ago is submitted
     Then no task was started here
     And the holder was told that the part was dropped after a start
+
+  Scenario: A holder that takes a job over learns that redirected tasks came back
+    When a job of 4 tasks is submitted
+    And the redirected tasks come back as part "1"
+    And the job is submitted by "other" in a new assignment
+    Then "other" was told that 2 tasks went to "north", and of no other cell
+
+  Scenario: The end that a submission by another holder gets lists redirected tasks that came back as those of this cell
+    When a job of 4 tasks is submitted
+    And the redirected tasks come back as part "1"
+    And the cell runs for 200 ms
+    And the job is submitted by "other" in a new assignment
+    Then "other" was told that 2 tasks went to "north", and of no other cell
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -32,6 +32,7 @@
 const holder = 'holder';
 const firstAssignment = 1;
 const secondAssignment = 2;
+const assignmentOfReturn = 3;
 /** More than the first endpoint has. */
 const largeMemoryMegabytes = 4096;
 
@@ -206,6 +207,15 @@
 	await submitAnew(this, by, [position]);
 });
 
+When('the redirected tasks come back as part {string}', async function (this: PartsWorld, part: string) {
+	const returned = new Set(redirectsOf(this).flatMap(({positions}) => positions));
+	const positions = this.order.job.steps.flatMap(({tasks}, step) => Array.from({length: tasks}, (_, index) => `${step}.${index}`));
+	this.cell.submit(holder, {
+		...this.order, part, assignment: assignmentOfReturn, excluded: positions.filter(position => !returned.has(position)), moves: 1, isCommitted: true,
+	});
+	await this.clock.tickAsync(settleMilliseconds);
+});
+
 When('the first assignment is cancelled', async function (this: PartsWorld) {
 	this.cell.cancel(holder, {job: this.order.job.identifier, part: this.order.part, assignment: firstAssignment});
 	await this.clock.tickAsync(settleMilliseconds);
@@ -251,6 +261,11 @@
 	assert.ok(this.updates.some(({kind, assignment}) => kind === FleetMessageKind.Superseded && assignment === firstAssignment));
 });
 
+Then('{string} was told that {int} tasks went to {string}, and of no other cell', function (this: PartsWorld, _: string, tasks: number, cell: string) {
+	const redirects = [...this.otherUpdates.filter(one => one.kind === FleetMessageKind.Redirect), ...endsOf(this.otherUpdates).flatMap(end => end.redirects)];
+	assert.deepEqual(redirects.map(redirect => [redirect.positions.length, redirect.cell]), [[tasks, cell]]);
+});
+
 Then('{string} was told that the job is complete', function (this: PartsWorld, _: string) {
 	assert.deepEqual(endsOf(this.otherUpdates).map(({assignment, isComplete}) => [assignment, isComplete]), [[secondAssignment, true]]);
 });
