A redirect whose tasks came back names the cell that has them again

What callers saw: a job that its caller sends again while its first connection still stands could run twice at the same time (TWICE).

Cause: an owner redirects tasks to another cell, which refuses them, and the holder submits them to the owner again. A second holder that takes the job over, or gets its kept end, was told the redirect as it was first said, and submitted the tasks to the other cell, while they ran, or were being stopped, in the first.

Not seen in a log.

Change: when tasks that were redirected come back, the redirects of the job, also in kept ends, name the owner's own cell.

--- a/packages/galenakeeld/src/process/cells/cell-jobs.ts
+++ b/packages/galenakeeld/src/process/cells/cell-jobs.ts
@@ -1,5 +1,7 @@
 import {performance} from 'node:perf_hooks';
-import {FleetMessageKind, type JobUpdate, type PartEnd} from '@galenakeel/model/connection/fleet-message.js';
+import {
+	FleetMessageKind, type JobOrder, type JobUpdate, type PartEnd, type TaskRedirect,
+} from '@galenakeel/model/connection/fleet-message.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {CellDecision, describePart, type RecordDecision} from './cell-decision.js';
 import type {CellEndpoints} from './cell-endpoints.js';
@@ -7,6 +9,7 @@
 import {
 	createEnd, isComplete, isOfPart, moveTasks, partKeyOf, referenceOf, succeededPositions, type PlacedJob,
 } from './placed-job.js';
+import {redirectReturned} from './redirect-returned.js';
 
 /**
 The parts of jobs that are in a cell, and the ways in which they leave it.
@@ -23,13 +26,17 @@
 	readonly end: (job: PlacedJob, isComplete: boolean) => void;
 	/** Redirects waiting tasks to another cell. */
 	readonly transfer: (job: PlacedJob, tasks: ReadonlyArray<Pick<TaskKey, 'step' | 'index'>>, cell: string) => void;
+	/** Records that tasks of an order that were redirected to another cell have come back. */
+	readonly recordReturn: (order: JobOrder) => void;
 	/** Stops the runs of a job that has left the cell. */
 	readonly stopRuns: (job: PlacedJob) => void;
 	readonly clear: () => void;
 };
 
 export type CellJobsOptions = {
-	readonly closedAssignments: Pick<ClosedAssignments, 'add' | 'addEnd'>;
+	/** Name of the cell. */
+	readonly cell: string;
+	readonly closedAssignments: Pick<ClosedAssignments, 'add' | 'addEnd' | 'replaceRedirects'>;
 	readonly stopRuns: CellEndpoints['stopRuns'];
 	readonly notify: (holder: string, update: JobUpdate) => void;
 	/** Called when tasks were redirected to another cell, with the processor that they need there. */
@@ -55,7 +62,7 @@
 Returns the update for a holder that was lost.
 */
 export const createDropped = (job: PlacedJob, hasStarted: boolean): JobUpdate => ({
-	kind: FleetMessageKind.Dropped, ...referenceOf(job), hasStarted, succeeded: succeededPositions(job), redirects: [...job.redirects],
+	kind: FleetMessageKind.Dropped, ...referenceOf(job), hasStarted, succeeded: succeededPositions(job), redirects: job.redirects,
 });
 
 /**
@@ -63,12 +70,12 @@
 
 @example
 ```
-const jobs = createCellJobs({closedAssignments, stopRuns: endpoints.stopRuns, notify, onRedirected, onDecision});
+const jobs = createCellJobs({cell: 'ie-south-a', closedAssignments, stopRuns: endpoints.stopRuns, notify, onRedirected, onDecision});
 jobs.add(job);
 jobs.end(job, true);
 ```
 */
-export const createCellJobs = ({closedAssignments, stopRuns, notify, onRedirected, onDecision}: CellJobsOptions): CellJobs => {
+export const createCellJobs = ({cell: ownCell, closedAssignments, stopRuns, notify, onRedirected, onDecision}: CellJobsOptions): CellJobs => {
 	const jobs = new Map<string, PlacedJob>();
 
 	const close = (job: PlacedJob, updates: readonly JobUpdate[]): void => {
@@ -124,6 +131,15 @@
 				keepEnd(job, update);
 			}
 		},
+		recordReturn({job: {identifier}, excluded}) {
+			const replace = (redirects: readonly TaskRedirect[]): readonly TaskRedirect[] => redirectReturned(redirects, excluded, ownCell);
+			closedAssignments.replaceRedirects(identifier, replace);
+			for (const job of jobs.values()) {
+				if (job.order.job.identifier === identifier) {
+					job.redirects = replace(job.redirects);
+				}
+			}
+		},
 		stopRuns: stopRunsOf,
 		clear() {
 			jobs.clear();
--- a/packages/galenakeeld/src/process/cells/cell-submissions.ts
+++ b/packages/galenakeeld/src/process/cells/cell-submissions.ts
@@ -23,7 +23,7 @@
 };
 
 export type CellSubmissionsOptions = {
-	readonly jobs: Pick<CellJobs, 'all' | 'close' | 'finish' | 'get' | 'stopRuns'>;
+	readonly jobs: Pick<CellJobs, 'all' | 'close' | 'finish' | 'get' | 'recordReturn' | 'stopRuns'>;
 	readonly closedAssignments: Pick<ClosedAssignments, 'add' | 'findEnd' | 'get' | 'isForgotten'>;
 	readonly admit: JobAdmission['decide'];
 	/** Asks the holder for a confirmation if the leases of a job would end soon. */
@@ -146,9 +146,14 @@
 		renewLease(job);
 		if (closedAssignments.isForgotten(order.assignedMillisecondsAgo)) {
 			jobs.finish(job, createDropped(job, true));
-		} else {
-			admit(job);
+			return;
 		}
+
+		if (order.moves > 0) {
+			jobs.recordReturn(order);
+		}
+
+		admit(job);
 	};
 
 	return {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -136,7 +136,7 @@
 	};
 
 	const jobs = createCellJobs({
-		closedAssignments, stopRuns: endpoints.stopRuns, notify, onRedirected: options.onRedirected, onDecision,
+		cell: options.name, closedAssignments, stopRuns: endpoints.stopRuns, notify, onRedirected: options.onRedirected, onDecision,
 	});
 
 	const capacity = createCellCapacityCache({endpoints, jobs: jobs.all, typicalProcessor: () => admission.typicalProcessor()});
--- a/packages/galenakeeld/src/process/cells/closed-assignments.ts
+++ b/packages/galenakeeld/src/process/cells/closed-assignments.ts
@@ -1,5 +1,5 @@
 import {performance} from 'node:perf_hooks';
-import type {JobUpdate, PartEnd} from '@galenakeel/model/connection/fleet-message.js';
+import type {JobUpdate, PartEnd, TaskRedirect} from '@galenakeel/model/connection/fleet-message.js';
 import {hasSamePositions} from './same-positions.js';
 
 /**
@@ -27,6 +27,8 @@
 	readonly addEnd: (part: string, excluded: readonly string[], end: PartEnd) => void;
 	/** The end of the same tasks under an earlier assignment, if all of them succeeded. */
 	readonly findEnd: (part: string, excluded: readonly string[]) => PartEnd | undefined;
+	/** Replaces the redirects in the kept ends of a job. */
+	readonly replaceRedirects: (job: string, replace: (redirects: readonly TaskRedirect[]) => readonly TaskRedirect[]) => void;
 	/** Whether an assignment of that age may have been removed. */
 	readonly isForgotten: (ageMilliseconds: number) => boolean;
 	/** Removes the assignments whose retention period is over. */
@@ -64,7 +66,7 @@
 */
 export const createClosedAssignments = (keepMilliseconds: number, keepEndMilliseconds: number): ClosedAssignments => {
 	const assignments = new Map<string, ClosedAssignment & {readonly at: number}>();
-	const ends = new Map<string, {readonly excluded: readonly string[]; readonly end: PartEnd; readonly at: number}>();
+	const ends = new Map<string, {readonly excluded: readonly string[]; end: PartEnd; readonly at: number}>();
 	return {
 		add(closed) {
 			const key = keyOf(closed.holder, closed.assignment);
@@ -80,6 +82,13 @@
 			const found = ends.get(part);
 			return found && hasSamePositions(found.excluded, excluded) ? found.end : undefined;
 		},
+		replaceRedirects(job, replace) {
+			for (const kept of ends.values()) {
+				if (kept.end.job === job) {
+					kept.end = {...kept.end, redirects: replace(kept.end.redirects)};
+				}
+			}
+		},
 		isForgotten: ageMilliseconds => ageMilliseconds > keepMilliseconds - transitMilliseconds,
 		sweep() {
 			const now = performance.now();
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -59,8 +59,8 @@
 	hasStarted: boolean;
 	/** The job can no longer be refused, because some of its tasks may have started here or elsewhere. */
 	isCommitted: boolean;
-	/** Tasks transferred to other cells. */
-	readonly redirects: TaskRedirect[];
+	/** Tasks transferred to other cells, by the cell in which they were last known. */
+	redirects: readonly TaskRedirect[];
 };
 
 const attemptsPerGeneration = 1000;
@@ -251,7 +251,7 @@
 	}
 
 	const redirect = {positions: tasks.map(task => positionOf(task)), cell};
-	job.redirects.push(redirect);
+	job.redirects = [...job.redirects, redirect];
 	// Tasks of the job may start there.
 	job.isCommitted = true;
 	return redirect;
@@ -266,7 +266,7 @@
 Returns the message that reports the end of a job.
 */
 export const createEnd = (job: PlacedJob, isComplete: boolean): PartEnd => ({
-	kind: FleetMessageKind.End, ...referenceOf(job), isComplete, redirects: [...job.redirects],
+	kind: FleetMessageKind.End, ...referenceOf(job), isComplete, redirects: job.redirects,
 });
 
 /**
