Failing tests: a generation that an owner forgets, and runs that end with those of a silent holder

The first breaks TWICE: an owner knows from one holder that an earlier owner may have started a job, and starts it as new when another holder submits it, while a run goes on at a silent endpoint.

The second breaks no rule: the lease of an endpoint covers all its runs, so the runs of other holders end with those of a holder whose loss is noticed only after the lease (an owner expects one that owns no cell within 4.5 s).

--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -168,3 +168,26 @@
     And the job is submitted again by "second"
     And the endpoints run for 2500 ms
     Then the task ran 1 times, never twice at the same time
+
+  Scenario: A job that an earlier owner may have started waits for its runs also when another holder submits it as new
+    Given an owner of these endpoints
+    When a job of 1 task is submitted by "first"
+    And the first endpoint falls silent, and carries out starts 5000 ms late
+    And another owner takes over
+    And the job is submitted by "first" as one that an earlier owner may have started
+    And the endpoints run for 200 ms
+    And the job is submitted again by "second"
+    And the endpoints run for 2500 ms
+    Then the task ran 2 times, never twice at the same time
+
+  Scenario: A run beside one of a silent holder goes on if the loss of the holder is noticed after the lease
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When another job of 1 task is submitted by "second"
+    And a job of 1 task is submitted by "first"
+    And the holder "first" falls silent
+    And the endpoints run for 1250 ms
+    And the holder "first" is lost
+    And the endpoints run for 1500 ms
+    Then the first job runs nowhere
+    And the other job has run all the while
