An owner keeps the generation of a part that it replaces

What callers saw: a job that its caller sends again while its first connection still stands could run twice at the same time (TWICE).

Cause: a holder whose owner was lost submits the job to the next owner as of a later generation, which waits until all earlier runs are known. The same job from another holder, which knows of no loss, replaced it as a new one, and started although an endpoint was silent on which it still ran.

Evidence: 'A job that an earlier owner may have started waits for its runs also when another holder submits it as new', failed before. Not seen in a log.

Change: an order takes the highest generation of the parts that it replaces.

--- a/packages/galenakeeld/src/process/cells/cell-submissions.ts
+++ b/packages/galenakeeld/src/process/cells/cell-submissions.ts
@@ -83,14 +83,18 @@
 		jobs.stopRuns(job);
 	};
 
-	/** Replaces the other assignments with tasks of an order, since each task of a job is of one assignment at a time, and those of a part with its name. */
-	const replaceOverlapping = (holder: string, order: JobOrder): void => {
+	/** Replaces the other assignments with tasks of an order, since each task of a job is of one assignment at a time, and those of a part with its name. Returns the highest generation of these and the order, since its holder may not know of owners that another one has lost. */
+	const replaceOverlapping = (holder: string, order: JobOrder): number => {
 		const key = partKeyOf(order.job.identifier, order.part);
+		let {generation} = order;
 		for (const job of jobs.all()) {
 			if (keyOf(job) === key || hasOpenTasksOf(job, order)) {
+				generation = Math.max(generation, job.order.generation);
 				replace(job, holder);
 			}
 		}
+
+		return generation;
 	};
 
 	/** Tells a holder what it may have missed of an assignment that is or was here. Returns whether there was one. */
@@ -129,18 +133,6 @@
 		return true;
 	};
 
-	/** Continues what is or was here of the same tasks: a job that its caller submits again, or a part whose holder missed its end. Returns whether there was something. */
-	const continueEarlier = (holder: string, order: JobOrder): boolean => {
-		const known = jobs.get(partKeyOf(order.job.identifier, order.part));
-		if (known && isSameWork(known.order, order)) {
-			takeOver(known, holder, order.assignment);
-			return true;
-		}
-
-		replaceOverlapping(holder, order);
-		return known === undefined && repeatEnd(holder, order);
-	};
-
 	const submitNew = (holder: string, order: JobOrder): void => {
 		const job = createPlacedJob(order, holder);
 		renewLease(job);
@@ -156,10 +148,24 @@
 		admit(job);
 	};
 
+	/** Continues what is or was here of the same tasks: a job that its caller submits again, or a part whose holder missed its end. Begins anew otherwise. */
+	const submitAssignment = (holder: string, order: JobOrder): void => {
+		const known = jobs.get(partKeyOf(order.job.identifier, order.part));
+		if (known && isSameWork(known.order, order)) {
+			takeOver(known, holder, order.assignment);
+			return;
+		}
+
+		const generation = replaceOverlapping(holder, order);
+		if (known !== undefined || !repeatEnd(holder, order)) {
+			submitNew(holder, {...order, generation});
+		}
+	};
+
 	return {
 		submit(holder, order) {
-			if (!repeatAnswer(holder, order) && !continueEarlier(holder, order)) {
-				submitNew(holder, order);
+			if (!repeatAnswer(holder, order)) {
+				submitAssignment(holder, order);
 			}
 		},
 		cancel(holder, reference) {
