Failing tests: redirected tasks that an owner forgets, and an end that counts as a start

An owner keeps the end of a part for 5 s. Redirected tasks may run longer, and a job that its caller submits again starts them anew beside these runs (TWICE).

A holder takes each end for proof that a task has run, also one that lists all tasks as redirected: the other cell then has to accept them, however busy it is.

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -118,3 +118,10 @@
     And the cell runs for 200 ms
     And the job is submitted by "other" in a new assignment
     Then "other" was told that 2 tasks went to "north", and of no other cell
+
+  Scenario: A job that another holder submits while its redirected tasks may still run elsewhere does not start them here
+    When a job of 4 tasks is submitted
+    And the cell runs for 6000 ms
+    And the job is submitted by "other" in a new assignment
+    Then "other" was told that 2 tasks went to "south", and of no other cell
+    And 2 tasks were started here
--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -118,3 +118,7 @@
     When the owner of "north" gives part "0" to another holder
     Then the outcome is unknown
     And part "0" was not cancelled
+
+  Scenario: An end that lists all tasks as redirected does not keep the other cell from refusing them
+    When the owner of "north" ends part "0", after a redirect of the tasks "0.0, 0.1, 0.2, 0.3" to "south" that was lost
+    Then part "1" was submitted as one that can be refused
