An end that lists all tasks as redirected is no sign of a start

What callers saw: nothing that breaks a rule. A job of which no task had run counted as one that had, so that an overloaded cell had to accept it, or its caller got an unknown outcome rather than a refusal.

Cause: the holder took each end for proof of a start. An owner that redirects all tasks says so with an end to a holder that missed the redirect, and to another holder of the same job.

Change: an end counts as a start if it leaves tasks that were not redirected.

Measured: hold-job.feature, all pass.

--- a/packages/galenakeeld/src/request/assign-part.ts
+++ b/packages/galenakeeld/src/request/assign-part.ts
@@ -93,6 +93,11 @@
 			options.split(part, redirect);
 		}
 
+		if (part.positions.size > 0) {
+			// They ran there; the updates that report it may have been lost.
+			options.onStarted();
+		}
+
 		logDecision(HolderDecision.UpdateRead, {
 			update: FleetMessageKind.End, isComplete, openTasks: part.positions.size, isUsual: isComplete,
 		});
@@ -136,8 +141,6 @@
 			}
 
 			case FleetMessageKind.End: {
-				// The update that reports the start may have been lost.
-				options.onStarted();
 				return readEnd(update);
 			}
 
