Where redirected tasks went is kept as long as a closed assignment

What callers saw: a job that its caller sends again while its first connection still stands could run twice at the same time (TWICE).

Cause: an owner kept the end of a part for 5 s. Tasks that it had redirected may run longer in the other cell, and the job, submitted again by another holder, started them anew.

Evidence: 'A job that another holder submits while its redirected tasks may still run elsewhere does not start them here' in cell-parts.feature, failed before. Not seen in a log.

Change: ends with redirects are kept for 30 s, as closed assignments are.

--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -73,9 +73,9 @@
 
 /** Time for holders to submit jobs of an earlier owner again before its runs are stopped. */
 const settleMilliseconds = 350;
-/** How long a closed assignment is kept, in case its holder submits it again. */
+/** How long a closed assignment is kept, in case its holder submits it again, and where the redirected tasks of a job went. */
 const keepClosedMilliseconds = 30_000;
-/** How long the end of a job is kept for a caller that submits the job again. */
+/** How long the end of a job without redirected tasks is kept for a caller that submits the job again. */
 const keepEndMilliseconds = 5000;
 const sweepMilliseconds = 50;
 
--- a/packages/galenakeeld/src/process/cells/closed-assignments.ts
+++ b/packages/galenakeeld/src/process/cells/closed-assignments.ts
@@ -37,6 +37,8 @@
 
 const keyOf = (holder: string, assignment: number): string => `${holder} ${assignment}`;
 
+type KeptEnd = {readonly excluded: readonly string[]; end: PartEnd; readonly at: number};
+
 /** Margin for the time that an order is on its way. */
 const transitMilliseconds = 2000;
 
@@ -54,8 +56,8 @@
 /**
 Creates an empty set.
 
-@param keepMilliseconds How long an assignment is kept, in milliseconds.
-@param keepEndMilliseconds How long the end of a part is kept for other assignments of the same tasks, in milliseconds.
+@param keepMilliseconds How long an assignment is kept, in milliseconds; also the end of a part with redirected tasks, since these may go on elsewhere.
+@param keepEndMilliseconds How long the end of any other part is kept for other assignments of the same tasks, in milliseconds.
 
 @example
 ```
@@ -66,7 +68,8 @@
 */
 export const createClosedAssignments = (keepMilliseconds: number, keepEndMilliseconds: number): ClosedAssignments => {
 	const assignments = new Map<string, ClosedAssignment & {readonly at: number}>();
-	const ends = new Map<string, {readonly excluded: readonly string[]; end: PartEnd; readonly at: number}>();
+	const ends = new Map<string, KeptEnd>();
+	const endsWithRedirects = new Map<string, KeptEnd>();
 	return {
 		add(closed) {
 			const key = keyOf(closed.holder, closed.assignment);
@@ -76,14 +79,16 @@
 		get: (holder, assignment) => assignments.get(keyOf(holder, assignment)),
 		addEnd(part, excluded, end) {
 			ends.delete(part);
-			ends.set(part, {excluded, end, at: performance.now()});
+			endsWithRedirects.delete(part);
+			const kept = end.redirects.length > 0 ? endsWithRedirects : ends;
+			kept.set(part, {excluded, end, at: performance.now()});
 		},
 		findEnd(part, excluded) {
-			const found = ends.get(part);
+			const found = endsWithRedirects.get(part) ?? ends.get(part);
 			return found && hasSamePositions(found.excluded, excluded) ? found.end : undefined;
 		},
 		replaceRedirects(job, replace) {
-			for (const kept of ends.values()) {
+			for (const kept of endsWithRedirects.values()) {
 				if (kept.end.job === job) {
 					kept.end = {...kept.end, redirects: replace(kept.end.redirects)};
 				}
@@ -93,6 +98,7 @@
 		sweep() {
 			const now = performance.now();
 			removeOlder(assignments, now - keepMilliseconds);
+			removeOlder(endsWithRedirects, now - keepMilliseconds);
 			removeOlder(ends, now - keepEndMilliseconds);
 		},
 	};
