Failing test: the end of a part under another name

Holders name the parts of a job in the order in which they learn of redirects, so that two holders name the same tasks differently once tasks have moved several times. An owner finds a kept end only by the name: it starts tasks that it has redirected for the other holder (TWICE).

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -125,3 +125,10 @@
     And the job is submitted by "other" in a new assignment
     Then "other" was told that 2 tasks went to "south", and of no other cell
     And 2 tasks were started here
+
+  Scenario: The end of a part is repeated to a holder that has another name for the same tasks
+    When a job of 4 tasks is submitted
+    And the cell runs for 1000 ms
+    And the job is submitted by "other" as part "1"
+    Then "other" was told that 2 tasks went to "south", and of no other cell
+    And 2 tasks were started here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -203,6 +203,11 @@
 	await submitAnew(this, by, []);
 });
 
+When('the job is submitted by {string} as part {string}', async function (this: PartsWorld, by: string, part: string) {
+	this.order = {...this.order, part};
+	await submitAnew(this, by, []);
+});
+
 When('the job without the task {string} is submitted by {string} in a new assignment', async function (this: PartsWorld, position: string, by: string) {
 	await submitAnew(this, by, [position]);
 });
