The end of a part is found by its tasks, not by its name

What callers saw: a job that its caller sends again while its first connection still stands could run twice at the same time (TWICE).

Cause: holders name parts in the order in which they learn of redirects. A second holder's name for tasks that had moved several times differed, and the owner, which looked for the kept end by the name, started tasks that it had redirected for the first holder.

Change: a kept end is found by the job and its tasks. Tasks that have moved on since the end that moved them are those that came back, and get no answer from it; a scenario holds that.

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -132,3 +132,10 @@
     And the job is submitted by "other" as part "1"
     Then "other" was told that 2 tasks went to "south", and of no other cell
     And 2 tasks were started here
+
+  Scenario: Tasks that come back from another cell are not sent there again by the end that moved them
+    When a job of 4 tasks is submitted
+    And the cell runs for 1000 ms
+    And all tasks come back as part "1"
+    And the cell runs for 1000 ms
+    Then each of the 4 tasks was started here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -221,6 +221,13 @@
 	await this.clock.tickAsync(settleMilliseconds);
 });
 
+When('all tasks come back as part {string}', async function (this: PartsWorld, part: string) {
+	this.cell.submit(holder, {
+		...this.order, part, assignment: assignmentOfReturn, moves: 1, isCommitted: true,
+	});
+	await this.clock.tickAsync(settleMilliseconds);
+});
+
 When('the first assignment is cancelled', async function (this: PartsWorld) {
 	this.cell.cancel(holder, {job: this.order.job.identifier, part: this.order.part, assignment: firstAssignment});
 	await this.clock.tickAsync(settleMilliseconds);
@@ -236,6 +243,10 @@
 	assert.equal(new Set(this.started).size, tasks);
 });
 
+Then('each of the {int} tasks was started here', function (this: PartsWorld, tasks: number) {
+	assert.equal(new Set(this.started).size, tasks);
+});
+
 Then('{int} tasks were stopped here', function (this: PartsWorld, tasks: number) {
 	assert.equal(new Set(this.stopped).size, tasks);
 });
--- a/packages/galenakeeld/src/process/cells/cell-jobs.ts
+++ b/packages/galenakeeld/src/process/cells/cell-jobs.ts
@@ -87,7 +87,7 @@
 	/** Keeps the end of a job whose tasks have all succeeded or are elsewhere. */
 	const keepEnd = (job: PlacedJob, update: PartEnd): void => {
 		if (update.isComplete) {
-			closedAssignments.addEnd(keyOf(job), job.order.excluded, update);
+			closedAssignments.addEnd(job.order, update);
 		}
 	};
 
--- a/packages/galenakeeld/src/process/cells/cell-submissions.ts
+++ b/packages/galenakeeld/src/process/cells/cell-submissions.ts
@@ -122,12 +122,12 @@
 
 	/** Answers an order for tasks that have all succeeded under an earlier assignment with the end of that one. Returns whether they have. */
 	const repeatEnd = (holder: string, order: JobOrder): boolean => {
-		const end = closedAssignments.findEnd(partKeyOf(order.job.identifier, order.part), order.excluded);
+		const end = closedAssignments.findEnd(order);
 		if (!end) {
 			return false;
 		}
 
-		const update = {...end, assignment: order.assignment};
+		const update = {...end, part: order.part, assignment: order.assignment};
 		closedAssignments.add({holder, assignment: order.assignment, updates: [update]});
 		notify(holder, update);
 		return true;
--- a/packages/galenakeeld/src/process/cells/closed-assignments.ts
+++ b/packages/galenakeeld/src/process/cells/closed-assignments.ts
@@ -1,6 +1,7 @@
 import {performance} from 'node:perf_hooks';
-import type {JobUpdate, PartEnd, TaskRedirect} from '@galenakeel/model/connection/fleet-message.js';
-import {hasSamePositions} from './same-positions.js';
+import type {
+	JobOrder, JobUpdate, PartEnd, TaskRedirect,
+} from '@galenakeel/model/connection/fleet-message.js';
 
 /**
 An assignment that is no longer in its cell, and what its owner said last.
@@ -12,6 +13,9 @@
 	readonly updates: readonly JobUpdate[];
 };
 
+/** What identifies the tasks of an order, and how often they had moved by then. */
+type OrderedTasks = Pick<JobOrder, 'job' | 'excluded' | 'moves'>;
+
 /**
 The assignments that have left a cell: what an owner has said of one stays said when the holder submits it again.
 */
@@ -21,12 +25,11 @@
 	/**
 	Keeps the end of tasks that have all succeeded, for a caller that submits the job again at once.
 
-	@param part Key of the part, which later assignments of it share.
-	@param excluded Tasks of the job that don't belong to the part.
+	@param tasks The order of the assignment, which names the tasks.
 	*/
-	readonly addEnd: (part: string, excluded: readonly string[], end: PartEnd) => void;
-	/** The end of the same tasks under an earlier assignment, if all of them succeeded. */
-	readonly findEnd: (part: string, excluded: readonly string[]) => PartEnd | undefined;
+	readonly addEnd: (tasks: OrderedTasks, end: PartEnd) => void;
+	/** The end of the same tasks under an earlier assignment, if all of them succeeded or were redirected and haven't come back since. Holders may name the part differently. */
+	readonly findEnd: (tasks: OrderedTasks) => PartEnd | undefined;
 	/** Replaces the redirects in the kept ends of a job. */
 	readonly replaceRedirects: (job: string, replace: (redirects: readonly TaskRedirect[]) => readonly TaskRedirect[]) => void;
 	/** Whether an assignment of that age may have been removed. */
@@ -37,7 +40,9 @@
 
 const keyOf = (holder: string, assignment: number): string => `${holder} ${assignment}`;
 
-type KeptEnd = {readonly excluded: readonly string[]; end: PartEnd; readonly at: number};
+const tasksKeyOf = ({job, excluded}: OrderedTasks): string => [job.identifier, ...excluded.toSorted()].join(' ');
+
+type KeptEnd = {readonly moves: number; end: PartEnd; readonly at: number};
 
 /** Margin for the time that an order is on its way. */
 const transitMilliseconds = 2000;
@@ -77,15 +82,18 @@
 			assignments.set(key, {...closed, at: performance.now()});
 		},
 		get: (holder, assignment) => assignments.get(keyOf(holder, assignment)),
-		addEnd(part, excluded, end) {
-			ends.delete(part);
-			endsWithRedirects.delete(part);
+		addEnd(tasks, end) {
+			const key = tasksKeyOf(tasks);
+			ends.delete(key);
+			endsWithRedirects.delete(key);
 			const kept = end.redirects.length > 0 ? endsWithRedirects : ends;
-			kept.set(part, {excluded, end, at: performance.now()});
+			kept.set(key, {moves: tasks.moves, end, at: performance.now()});
 		},
-		findEnd(part, excluded) {
-			const found = endsWithRedirects.get(part) ?? ends.get(part);
-			return found && hasSamePositions(found.excluded, excluded) ? found.end : undefined;
+		findEnd(tasks) {
+			const key = tasksKeyOf(tasks);
+			const moved = endsWithRedirects.get(key);
+			const hasComeBack = moved !== undefined && moved.moves < tasks.moves;
+			return hasComeBack ? undefined : (moved ?? ends.get(key))?.end;
 		},
 		replaceRedirects(job, replace) {
 			for (const kept of endsWithRedirects.values()) {
