--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -126,3 +126,37 @@
     And the part "0" of a job with the tasks "0.1" is submitted
     Then 2 tasks were started here
     And no task was stopped here
+
+  Scenario: A holder that takes a job over learns that redirected tasks came back
+    When a job of 4 tasks is submitted
+    And the redirected tasks come back as part "1"
+    And the job is submitted by "other" in a new assignment
+    Then "other" was told that 2 tasks went to "north", and of no other cell
+
+  Scenario: The end that a submission by another holder gets lists redirected tasks that came back as those of this cell
+    When a job of 4 tasks is submitted
+    And the redirected tasks come back as part "1"
+    And the cell runs for 200 ms
+    And the job is submitted by "other" in a new assignment
+    Then "other" was told that 2 tasks went to "north", and of no other cell
+
+  Scenario: A job that another holder submits while its redirected tasks may still run elsewhere does not start them here
+    When a job of 4 tasks is submitted
+    And the cell runs for 6000 ms
+    And the job is submitted by "other" in a new assignment
+    Then "other" was told that 2 tasks went to "south", and of no other cell
+    And 2 tasks were started here
+
+  Scenario: The end of a part is repeated to a holder that has another name for the same tasks
+    When a job of 4 tasks is submitted
+    And the cell runs for 1000 ms
+    And the job is submitted by "other" as part "1"
+    Then "other" was told that 2 tasks went to "south", and of no other cell
+    And 2 tasks were started here
+
+  Scenario: Tasks that come back from another cell are not sent there again by the end that moved them
+    When a job of 4 tasks is submitted
+    And the cell runs for 1000 ms
+    And all tasks come back as part "1"
+    And the cell runs for 1000 ms
+    Then each of the 4 tasks was started here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -40,6 +40,7 @@
 const holder = 'holder';
 const firstAssignment = 1;
 const secondAssignment = 2;
+const assignmentOfReturn = 3;
 /** More than the first endpoint has. */
 const largeMemoryMegabytes = 4096;
 
@@ -258,10 +259,31 @@
 	await submitAnew(this, by, []);
 });
 
+When('the job is submitted by {string} as part {string}', async function (this: PartsWorld, by: string, part: string) {
+	this.order = {...this.order, part};
+	await submitAnew(this, by, []);
+});
+
 When('the job without the task {string} is submitted by {string} in a new assignment', async function (this: PartsWorld, position: string, by: string) {
 	await submitAnew(this, by, [position]);
 });
 
+When('the redirected tasks come back as part {string}', async function (this: PartsWorld, part: string) {
+	const returned = new Set(redirectsOf(this).flatMap(({positions}) => positions));
+	const positions = this.order.job.steps.flatMap(({tasks}, step) => Array.from({length: tasks}, (_, index) => `${step}.${index}`));
+	this.cell.submit(holder, {
+		...this.order, part, assignment: assignmentOfReturn, excluded: positions.filter(position => !returned.has(position)), moves: 1, isCommitted: true,
+	});
+	await this.clock.tickAsync(settleMilliseconds);
+});
+
+When('all tasks come back as part {string}', async function (this: PartsWorld, part: string) {
+	this.cell.submit(holder, {
+		...this.order, part, assignment: assignmentOfReturn, moves: 1, isCommitted: true,
+	});
+	await this.clock.tickAsync(settleMilliseconds);
+});
+
 When('the first assignment is cancelled', async function (this: PartsWorld) {
 	this.cell.cancel(holder, {job: this.order.job.identifier, part: this.order.part, assignment: firstAssignment});
 	await this.clock.tickAsync(settleMilliseconds);
@@ -277,6 +299,10 @@
 	assert.equal(new Set(this.started).size, tasks);
 });
 
+Then('each of the {int} tasks was started here', function (this: PartsWorld, tasks: number) {
+	assert.equal(new Set(this.started).size, tasks);
+});
+
 Then('{int} tasks were stopped here', function (this: PartsWorld, tasks: number) {
 	assert.equal(new Set(this.stopped).size, tasks);
 });
@@ -307,6 +333,11 @@
 	assert.ok(this.updates.some(({kind, assignment}) => kind === FleetMessageKind.Superseded && assignment === firstAssignment));
 });
 
+Then('{string} was told that {int} tasks went to {string}, and of no other cell', function (this: PartsWorld, _: string, tasks: number, cell: string) {
+	const redirects = [...this.otherUpdates.filter(one => one.kind === FleetMessageKind.Redirect), ...endsOf(this.otherUpdates).flatMap(end => end.redirects)];
+	assert.deepEqual(redirects.map(redirect => [redirect.positions.length, redirect.cell]), [[tasks, cell]]);
+});
+
 Then('{string} was told that the job is complete', function (this: PartsWorld, _: string) {
 	assert.deepEqual(endsOf(this.otherUpdates).map(({assignment, isComplete}) => [assignment, isComplete]), [[secondAssignment, true]]);
 });
--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -123,3 +123,7 @@
     When the caller has left, which the parts have not read yet
     And the owner of "north" is lost
     Then part "0" was submitted 1 times
+
+  Scenario: An end that lists all tasks as redirected does not keep the other cell from refusing them
+    When the owner of "north" ends part "0", after a redirect of the tasks "0.0, 0.1, 0.2, 0.3" to "south" that was lost
+    Then part "1" was submitted as one that can be refused
