Failing test: redirects that an owner forgets with a cancel

A holder that learns late that its caller left cancels a job in the home cell and its redirected tasks in another one. The home cell keeps nothing of the redirect. If the job comes again through another holder just then, the home cell waits for its own runs only, and starts the redirected tasks while the other cell is still stopping them (TWICE).

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -139,3 +139,10 @@
     And all tasks come back as part "1"
     And the cell runs for 1000 ms
     Then each of the 4 tasks was started here
+
+  Scenario: Redirected tasks of a job that its holder cancels are not started here while they are being stopped elsewhere
+    When a job of 4 tasks is submitted
+    And the first assignment is cancelled
+    And the job is submitted by "other" in a new assignment
+    And the cell runs for 900 ms
+    Then none of the tasks that went to "south" was started here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -247,6 +247,12 @@
 	assert.equal(new Set(this.started).size, tasks);
 });
 
+Then('none of the tasks that went to {string} was started here', function (this: PartsWorld, cell: string) {
+	const redirected = new Set(redirectsOf(this).filter(one => one.cell === cell).flatMap(({positions}) => positions));
+	assert.ok(redirected.size > 0);
+	assert.deepEqual(this.started.filter(position => redirected.has(position)), []);
+});
+
 Then('{int} tasks were stopped here', function (this: PartsWorld, tasks: number) {
 	assert.equal(new Set(this.stopped).size, tasks);
 });
