Runs of a silent holder are stopped before the lease of their endpoint ends

Tasks of other holders were started anew, so their answers came late and work was wasted.

Cause: the lease of an endpoint covers all its runs, and is not extended past that of a holder that confirms nothing. The owner notices the loss of a holder that owns no cell only after 1.2 to 4.5 s, and all runs of each endpoint with a run of it ended after 1 s.

Evidence: 'A run beside one of a silent holder goes on if the loss of the holder is noticed after the lease' in stray-runs.feature, failed before.

Change: an owner stops the runs of a job when 200 ms of its leases remain. The job stays, and starts again once its holder confirms.

Measured: stray-runs, restarted-endpoint, cell-parts, run-log and confirmed-leases.feature, 62 passed and one known red.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -675,7 +675,7 @@
 		},
 		stopRuns(isStopped) {
 			for (const run of runs) {
-				if (isStopped(run.task)) {
+				if (isStopped(run.task) && !abandonedRuns.has(run)) {
 					abandon(run);
 					void stopUntilEnded(run);
 				}
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -18,7 +18,7 @@
 import {createCellSubmissions} from './cell-submissions.js';
 import {createClosedAssignments} from './closed-assignments.js';
 import {createJobAdmission} from './job-admission.js';
-import {renewalMilliseconds} from './maximum-lease.js';
+import {renewalMilliseconds, stopSilentMilliseconds} from './maximum-lease.js';
 import type {PlacedJob} from './placed-job.js';
 import {createStartConditions} from './start-conditions.js';
 import {CellWork, createWorkTimes} from './work-times.js';
@@ -139,6 +139,14 @@
 		cell: options.name, closedAssignments, stopRuns: endpoints.stopRuns, notify, onRedirected: options.onRedirected, onDecision,
 	});
 
+	/** Stops the runs of a job whose holder has confirmed nothing for long, ahead of the end of their leases. */
+	const stopSilent = (job: PlacedJob): void => {
+		const remaining = leaseLimitOf(job) - performance.now();
+		if (job.hasStarted && remaining > 0 && remaining < stopSilentMilliseconds) {
+			jobs.stopRuns(job);
+		}
+	};
+
 	const capacity = createCellCapacityCache({endpoints, jobs: jobs.all, typicalProcessor: () => admission.typicalProcessor()});
 
 	const conditions = createStartConditions({
@@ -179,6 +187,7 @@
 		closedAssignments.sweep();
 		for (const job of jobs.all()) {
 			renewLease(job);
+			stopSilent(job);
 		}
 
 		admission.refuseExpired();
--- a/packages/galenakeeld/src/process/cells/maximum-lease.ts
+++ b/packages/galenakeeld/src/process/cells/maximum-lease.ts
@@ -17,6 +17,11 @@
 */
 export const shortLeaseMilliseconds = 500;
 
+/**
+Remaining time of a silent holder's leases below which its runs are stopped, since the lease of an endpoint, and so each run there, would end with theirs. A stop takes some 50 ms.
+*/
+export const stopSilentMilliseconds = 200;
+
 /**
 Time within which an owner that is partitioned from its peers detects that endpoints accept another owner, and gives up its cell.
 */
