--- a/packages/trials/src/process/platform-fleet.ts
+++ b/packages/trials/src/process/platform-fleet.ts
@@ -93,7 +93,8 @@
 */
 export type PlatformFleetOptions = {
 	readonly zones: readonly string[];
-	readonly daemonsInZone: number;
+	/** Number of daemons of each zone, or of a zone by its name. */
+	readonly daemonsInZone: number | ((zone: string) => number);
 	readonly workersInZone: number;
 	/** Whether each daemon calls the store through its own proxy, and each worker has a proxy in front of it. */
 	readonly isProxied?: boolean;
@@ -215,8 +216,10 @@
 		};
 	};
 
+	const countDaemons = (zone: string): number => typeof options.daemonsInZone === 'number' ? options.daemonsInZone : options.daemonsInZone(zone);
+
 	listWorkers();
-	const daemons = await Promise.all(options.zones.flatMap(zone => Array.from({length: options.daemonsInZone}, async (_, position) => startDaemon(zone, position))));
+	const daemons = await Promise.all(options.zones.flatMap(zone => Array.from({length: countDaemons(zone)}, async (_, position) => startDaemon(zone, position))));
 	await Promise.all(daemons.map(async ({readiness}) => untilReady(readiness)));
 	return {
 		store,
--- a/packages/trials/src/process/soak-load.ts
+++ b/packages/trials/src/process/soak-load.ts
@@ -46,27 +46,43 @@
 */
 export type PlannedCall = {readonly daemon: PlatformDaemon; readonly patienceMilliseconds: number};
 
-const callOnce = async (fleet: PlatformFleet, {daemon, patienceMilliseconds}: PlannedCall, identifier: string, body: unknown): Promise<SoakCall> => {
+/**
+Performs a call and records what came of it.
+
+@param described.isTimeoutOwn Whether a time-out means that the caller has broken the call off.
+*/
+export const readCall = async ({job, daemon, isTimeoutOwn}: {
+	readonly job: string;
+	readonly daemon: string;
+	readonly isTimeoutOwn: boolean;
+}, send: () => Promise<{readonly status: number; readonly text: string}>): Promise<SoakCall> => {
 	const sentAt = performance.now();
 	const base = {
-		job: identifier, daemon: daemon.instance, sentAt, isUnread: false, hasGivenUp: false,
+		job, daemon, sentAt, isUnread: false, hasGivenUp: false,
 	};
 	try {
-		const {status, text} = await fleet.submit(daemon, identifier, body, patienceMilliseconds);
+		const {status, text} = await send();
 		return {
 			...base, endedAt: performance.now(), status, state: stateOf(text), detail: text,
 		};
 	} catch (error) {
 		return {
-			...base, endedAt: performance.now(), hasGivenUp: patienceMilliseconds < answerMilliseconds && isTimeout(error), isUnread: isConnectionRefused(error), status: undefined, state: undefined, detail: error instanceof Error ? error.message : String(error),
+			...base, endedAt: performance.now(), hasGivenUp: isTimeoutOwn && isTimeout(error), isUnread: isConnectionRefused(error), status: undefined, state: undefined, detail: error instanceof Error ? error.message : String(error),
 		};
 	}
 };
 
+const callOnce = async (fleet: PlatformFleet, {daemon, patienceMilliseconds}: PlannedCall, identifier: string, body: unknown): Promise<SoakCall> =>
+	readCall({
+		job: identifier, daemon: daemon.instance, isTimeoutOwn: patienceMilliseconds < answerMilliseconds,
+	}, async () => fleet.submit(daemon, identifier, body, patienceMilliseconds));
+
 type OnCall = (instance: string, change: number) => void;
 
-/** Whether the outcome of the job is unknown to the caller, which then resends the job. */
-const isUnknown = ({status}: SoakCall): boolean => status === undefined || status === 502 || status === 504;
+/**
+Whether the outcome of a job is unknown to its caller, which then resends the job.
+*/
+export const isUnknown = ({status}: SoakCall): boolean => status === undefined || status === 502 || status === 504;
 
 /**
 Submits a job, and submits it again 1.3 s after each call that left its outcome unknown.
--- a/packages/trials/src/request/grown-job.ts
+++ b/packages/trials/src/request/grown-job.ts
@@ -70,19 +70,20 @@
 Draws a job of one step.
 
 @param number Becomes its identifier.
+@param processorOfTasks Processor demand of its tasks, in thousandths of a core.
 
 @example
 ```
 const {identifier, body} = drawJob(createRandom(7), 1);
 ```
 */
-export const drawJob = (random: Random, number: number): GrownJob => {
+export const drawJob = (random: Random, number: number, processorOfTasks: Spread = processorOfTask): GrownJob => {
 	const jobClass = pickClass(random);
 	const {maximum} = jobClass.milliseconds;
 	const factor = random.fraction() < tailShare ? tailFactor : 1;
 	const milliseconds = Math.round(Math.min(maximum, factor * drawSpread(random, jobClass.milliseconds)));
 	const tasks = Math.max(1, Math.round(drawSpread(random, jobClass.tasks)));
-	const processor = Math.round(drawSpread(random, processorOfTask));
+	const processor = Math.round(drawSpread(random, processorOfTasks));
 	const estimate = Math.max(1, Math.round(milliseconds * (1 + (estimateError * ((2 * random.fraction()) - 1)))));
 	return {
 		identifier: number.toString(16).padStart(16, '0'), jobClass, tasks, milliseconds, body: createStandInJob(milliseconds, processor, [{tasks}], estimate),
