A holder reads the end of a caller's connection before it submits the caller's job

Cause: a request and the end of its connection that arrived while the process stood still are read in different turns of the event loop. The intake waited for one phase of immediates, which comes before the next reading, and the end became known only when the response was closed, some turns later still. So jobs were submitted for callers that had left over 1.3 s before and had submitted them again. The same holds for a part that is submitted again when its owner is heard again or lost: nothing had been read since the pause.

After the wait the owner is looked up again.

--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -253,7 +253,7 @@
 
 	const holdOptions = (replayed: ReplayedJob): HoldOptions => ({
 		homeCell: replayed.zone,
-		hasCallerLeft: () => false,
+		hasCallerLeft: async () => false,
 		hold: heldJobs.hold,
 		awaitOwner: async cell => ({address: cell, term: 1, token: 1}),
 		otherCells: () => load.zones.filter(zone => zone !== replayed.zone),
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -42,6 +42,8 @@
 	readonly heldJobs: Pick<HeldJobs, 'hold'>;
 	readonly owners: Pick<CellOwners, 'awaitOwner' | 'reachableCells'>;
 	readonly send: (address: string, message: FleetMessage) => void;
+	/** Waits until what had arrived from callers has been read. */
+	readonly readArrivals: () => Promise<void>;
 	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
 	readonly leaseMilliseconds: number;
 	readonly onAnswered: (answered: AnsweredJob) => void;
@@ -50,11 +52,6 @@
 /** Maximum time since the last confirmation by the store up to which the configuration counts as current. */
 const configurationFreshnessMilliseconds = 2500;
 
-/** A caller may have left while this process stood still: what has arrived after its request is read first. */
-const readWhatHasArrived = async (): Promise<void> => new Promise(resolve => {
-	setImmediate(resolve);
-});
-
 /**
 Creates an intake that accepts jobs.
 
@@ -104,10 +101,12 @@
 					updates.push({kind: HolderEvent.CallerDisconnected});
 				}
 			});
-			await readWhatHasArrived();
 			const answer = await options.hold(job, queue, {
 				homeCell,
-				hasCallerLeft: () => disconnected.aborted,
+				async hasCallerLeft() {
+					await options.readArrivals();
+					return disconnected.aborted;
+				},
 				hold() {
 					const held = heldJobs.hold();
 					heldParts.add(held);
--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -124,6 +124,16 @@
     And the owner of "north" is lost
     Then part "0" was submitted 1 times
 
+  # Guards against TWICE: a holder that stood still submitted a part again to an owner that it heard again, for a caller that had left.
+  Scenario: A part is not submitted again on a new stream once the caller has left
+    When the caller has left, which the parts have not read yet
+    And a stream to the owner of "north" opens again
+    Then part "0" was submitted 1 times
+
+  Scenario: A part is submitted again on a new stream while the caller waits
+    When a stream to the owner of "north" opens again
+    Then part "0" was submitted 2 times
+
   Scenario: An end that lists all tasks as redirected does not keep the other cell from refusing them
     When the owner of "north" ends part "0", after a redirect of the tasks "0.0, 0.1, 0.2, 0.3" to "south" that was lost
     Then part "1" was submitted as one that can be refused
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -79,7 +79,7 @@
 	const hold = async (): Promise<void> => {
 		this.answer = await holdJob(job, queue, {
 			homeCell,
-			hasCallerLeft: () => this.hasCallerLeft,
+			hasCallerLeft: async () => this.hasCallerLeft,
 			hold: () => {
 				const held = this.heldJobs.hold();
 				this.holdings.push(held);
@@ -203,6 +203,11 @@
 	this.hasCallerLeft = true;
 });
 
+When('a stream to the owner of {string} opens again', async function (this: HolderWorld, owner: string) {
+	this.heldJobs.notifyReconnected(owner);
+	await settle();
+});
+
 When('the caller disconnects', async function (this: HolderWorld) {
 	for (const {updates} of this.holdings) {
 		updates.push({kind: HolderEvent.CallerDisconnected});
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -21,6 +21,7 @@
 import {createOwnedCells} from '../../process/fleet/owned-cells.js';
 import {createPeerConfirmations} from '../../process/fleet/peer-confirmations.js';
 import {createPauseDetector} from '../../process/fleet/pause-detector.js';
+import {createArrivalReader} from '../../process/fleet/read-arrivals.js';
 import {createRecentCancels} from '../../process/fleet/recent-cancels.js';
 import {createRollCall} from '../../process/fleet/roll-call.js';
 import {createSelfDescription} from '../../process/fleet/self-description.js';
@@ -59,6 +60,7 @@
 };
 
 /** As in `startFleetDaemon`. */
+const mostReadMilliseconds = 240;
 const tickMilliseconds = 100;
 const pauseThresholdMilliseconds = 500;
 const leaseSlackMilliseconds = 300;
@@ -334,6 +336,7 @@
 			recentCancels.record(address, message);
 			links.send(address, message);
 		},
+		readArrivals: createArrivalReader(mostReadMilliseconds),
 		leaseMilliseconds: maximumLeaseMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
 		onDecision: recordDecision,
--- a/packages/galenakeeld/src/request/assign-part.ts
+++ b/packages/galenakeeld/src/request/assign-part.ts
@@ -41,6 +41,8 @@
 	readonly onStarted: () => void;
 	/** Moves tasks of a part to a new part in another cell. A repeated redirect finds them moved already and does nothing. */
 	readonly split: (part: JobPart, redirect: TaskRedirect) => void;
+	/** Whether the caller has disconnected; its parts then receive an event that ends their assignments. */
+	readonly hasCallerLeft: () => Promise<boolean>;
 	readonly onDecision: (decision: HolderDecision, fields: Readonly<Record<string, unknown>>) => void;
 };
 
@@ -77,6 +79,12 @@
 		logDecision(HolderDecision.PartSubmitted, {isRepeated});
 	};
 
+	const submitAgain = async (): Promise<void> => {
+		if (!await options.hasCallerLeft()) {
+			submit(true);
+		}
+	};
+
 	const cancel = (): void => {
 		options.send(owner, {kind: FleetMessageKind.Cancel, cell: part.cell, ...reference});
 	};
@@ -162,10 +170,10 @@
 	};
 
 	/** Processes an update or a local event. Returns the result if the assignment has ended with it. */
-	const read = (update: HolderUpdate): AssignmentResult | undefined => {
+	const read = async (update: HolderUpdate): Promise<AssignmentResult | undefined> => {
 		switch (update.kind) {
 			case HolderEvent.OwnerReconnected: {
-				submit(true);
+				await submitAgain();
 				return undefined;
 			}
 
@@ -200,7 +208,7 @@
 			continue;
 		}
 
-		const result = read(update);
+		const result = await read(update);
 		if (result) {
 			return result;
 		}
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -13,8 +13,8 @@
 
 export type HoldOptions = {
 	readonly homeCell: string;
-	/** Whether the caller has disconnected, which the parts of the job may not have read yet. */
-	readonly hasCallerLeft: () => boolean;
+	/** Whether the caller has disconnected, which the parts of the job may not have read yet. Reads first what had arrived from callers. */
+	readonly hasCallerLeft: () => Promise<boolean>;
 	/** Begins to hold a part, and returns its updates. */
 	readonly hold: () => HeldJob;
 	/** Waits for a reachable owner of a cell; undefined when there is none within that time. */
@@ -110,6 +110,7 @@
 			hasStarted = true;
 		},
 		split,
+		hasCallerLeft: options.hasCallerLeft,
 		onDecision: options.onDecision,
 	};
 
@@ -141,15 +142,21 @@
 	/** Assigns a part to one owner after another. Returns undefined when its tasks have succeeded or were moved, and the answer to the job otherwise. */
 	const runPart = async (part: JobPart, heldJob: HeldJob): Promise<JobAnswer | undefined> => {
 		for (;;) {
-			const owner = await findOwnerFor(part);
-			if (isAnswered || options.hasCallerLeft()) {
+			const candidate = await findOwnerFor(part);
+			if (await options.hasCallerLeft() || isAnswered) {
 				return {end: JobEnd.Cancelled};
 			}
 
-			if (!owner) {
+			if (!candidate) {
 				return part.generation === 0 && !isCommitted() ? {end: JobEnd.Refused, reason: RefusalReason.NoCell, retryAfterMilliseconds: retryWithoutCellMilliseconds} : {end: undefined};
 			}
 
+			// It may have been lost in the meantime.
+			const owner = await options.awaitOwner(part.cell, 0);
+			if (!owner) {
+				continue;
+			}
+
 			const result = await assignPart(part, owner, heldJob, assignOptions);
 			heldJob.unassign();
 			switch (result.end) {
