Messages about jobs have one receiver, callers of trials one loop

The daemon and the simulated daemon of the conversations passed orders and updates on by the same lines, and the loads of grown and small sites had the same loop of callers.

--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -39,6 +39,7 @@
 import {mediumInterval, shortInterval, Urgency} from './heartbeat-interval.js';
 import {createHeldJobs} from './held-jobs.js';
 import {createJobIntake, refusalOf} from './job-intake.js';
+import {createJobMessageReceiver} from './job-messages.js';
 import {closeServer, listen} from './listen.js';
 import {createNotification} from './notification.js';
 import {createLoadAnnouncements} from './load-announcements.js';
@@ -244,6 +245,8 @@
 		isConnected: address => links.isConnected(address),
 	});
 
+	const receiveJobMessage = createJobMessageReceiver({cells, heldJobs});
+
 	const onMessage = (message: FleetMessage, from: string): void => {
 		switch (message.kind) {
 			case FleetMessageKind.Heartbeat: {
@@ -257,17 +260,6 @@
 				break;
 			}
 
-			case FleetMessageKind.Submit: {
-				cells.raiseTokenAbove(message.cell, message.order.highestToken);
-				cells.getInTerm(message.cell, message.term)?.submit(from, message.order);
-				break;
-			}
-
-			case FleetMessageKind.Cancel: {
-				cells.get(message.cell)?.cancel(from, message);
-				break;
-			}
-
 			case FleetMessageKind.Configuration: {
 				configuration.offer(message.configuration);
 				break;
@@ -284,6 +276,8 @@
 				break;
 			}
 
+			case FleetMessageKind.Submit:
+			case FleetMessageKind.Cancel:
 			case FleetMessageKind.Started:
 			case FleetMessageKind.TaskSucceeded:
 			case FleetMessageKind.Redirect:
@@ -291,7 +285,7 @@
 			case FleetMessageKind.End:
 			case FleetMessageKind.Dropped:
 			case FleetMessageKind.Superseded: {
-				heldJobs.deliver(from, message);
+				receiveJobMessage(message, from);
 				break;
 			}
 		}
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -17,6 +17,7 @@
 import {mediumInterval, shortInterval, Urgency} from '../../process/fleet/heartbeat-interval.js';
 import {createHeldJobs} from '../../process/fleet/held-jobs.js';
 import {createJobIntake} from '../../process/fleet/job-intake.js';
+import {createJobMessageReceiver} from '../../process/fleet/job-messages.js';
 import {createLoadAnnouncements} from '../../process/fleet/load-announcements.js';
 import {createOwnedCells} from '../../process/fleet/owned-cells.js';
 import {createPeerConfirmations} from '../../process/fleet/peer-confirmations.js';
@@ -176,24 +177,17 @@
 		isConnected: address => links.isConnected(address),
 	});
 
+	const receiveJobMessage = createJobMessageReceiver({cells, heldJobs});
+
 	const onMessage = (message: FleetMessage, from: string): void => {
 		switch (message.kind) {
-			case FleetMessageKind.Submit: {
-				cells.raiseTokenAbove(message.cell, message.order.highestToken);
-				cells.getInTerm(message.cell, message.term)?.submit(from, message.order);
-				break;
-			}
-
-			case FleetMessageKind.Cancel: {
-				cells.get(message.cell)?.cancel(from, message);
-				break;
-			}
-
 			case FleetMessageKind.Load: {
 				view.receiveLoad(from, message.cell, message.load);
 				break;
 			}
 
+			case FleetMessageKind.Submit:
+			case FleetMessageKind.Cancel:
 			case FleetMessageKind.Started:
 			case FleetMessageKind.TaskSucceeded:
 			case FleetMessageKind.Redirect:
@@ -201,7 +195,7 @@
 			case FleetMessageKind.End:
 			case FleetMessageKind.Dropped:
 			case FleetMessageKind.Superseded: {
-				heldJobs.deliver(from, message);
+				receiveJobMessage(message, from);
 				break;
 			}
 
--- a/packages/trials/src/process/grown-load.ts
+++ b/packages/trials/src/process/grown-load.ts
@@ -1,14 +1,13 @@
-import {Agent} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {call} from '@galenakeel/stand-ins/connection/http-json.js';
 import {
-	callerPatience, drawJob, JobOutcome, outcomeOfComplete, type EndedJob, type GrownJob,
+	callerPatience, JobOutcome, outcomeOfComplete, type EndedJob, type GrownJob,
 } from '../request/grown-job.js';
-import {createRandom, type Random} from '../request/random.js';
-import {planArrivals, type WaveLoad} from '../version/grown-plan.js';
-import {resendMilliseconds} from '../version/grown-site.js';
+import type {WaveLoad} from '../version/grown-plan.js';
+import {processorOfTask, resendMilliseconds} from '../version/grown-site.js';
 import {queueHost, type PlatformDaemon} from './platform-fleet.js';
+import {runZoneCallers, type Caller} from './zone-callers.js';
 
 /**
 The callers of a zone.
@@ -22,12 +21,9 @@
 	readonly firstNumber: number;
 };
 
-/** A client, which keeps its connections to one daemon until one breaks. */
-type Client = {readonly agent: Agent; daemon: PlatformDaemon};
-
 type CallEnd = {readonly status: number; readonly text: string} | undefined;
 
-const clientsOfZone = 29;
+const callersOfZone = 29;
 const mostResends = 2;
 const completeStatus = 200;
 const unknownStatuses: ReadonlySet<number> = new Set([502, 504]);
@@ -45,7 +41,7 @@
 	return end.status === completeStatus && end.text.includes('complete') ? outcomeOfComplete(job, milliseconds) : JobOutcome.Failed;
 };
 
-const callOnce = async ({agent, daemon}: Client, {identifier, jobClass, body}: GrownJob, timeoutMilliseconds: number): Promise<CallEnd> => {
+const callOnce = async ({agent, daemon}: Caller, {identifier, jobClass, body}: GrownJob, timeoutMilliseconds: number): Promise<CallEnd> => {
 	try {
 		return await call(daemon.callers, 'POST', `${jobClass.pathPrefix}${identifier}`, {
 			body: JSON.stringify(body), headers: {host: queueHost, 'content-type': 'application/json'}, agent, timeoutMilliseconds,
@@ -56,12 +52,12 @@
 };
 
 /** Submits a job, and submits it again to another daemon after a call without an answer that didn't reach the caller's deadline. */
-const submitJob = async (client: Client, job: GrownJob, moveClient: (client: Client) => void): Promise<Pick<EndedJob, 'milliseconds' | 'resends' | 'outcome'>> => {
+const submitJob = async (caller: Caller, job: GrownJob, move: () => void): Promise<Pick<EndedJob, 'milliseconds' | 'resends' | 'outcome'>> => {
 	const startedAt = performance.now();
 	const patience = callerPatience(job);
 	for (let resends = 0; ; resends++) {
 		const sentAt = performance.now();
-		const end = await callOnce(client, job, patience);
+		const end = await callOnce(caller, job, patience);
 		const isExpired = performance.now() - sentAt >= patience;
 		const isKnown = end !== undefined && !unknownStatuses.has(end.status);
 		if (isKnown || isExpired || resends === mostResends) {
@@ -69,7 +65,7 @@
 			return {milliseconds, resends, outcome: outcomeOfAnswer(job, end, milliseconds)};
 		}
 
-		moveClient(client);
+		move();
 		await sleep(resendMilliseconds);
 	}
 };
@@ -82,37 +78,15 @@
 const ended = await runZoneLoad({zone: 'north', daemons, wave, seed: 7, firstNumber: 1});
 ```
 */
-export const runZoneLoad = async ({zone, daemons, wave, seed, firstNumber}: ZoneLoad): Promise<readonly EndedJob[]> => {
-	const random: Random = createRandom(seed);
-	const clients: readonly Client[] = Array.from({length: clientsOfZone}, () => ({agent: new Agent({keepAlive: true}), daemon: random.pick(daemons)}));
-	// Draws of its own, so that broken connections don't change the jobs.
-	const moves = createRandom(seed + 1);
-	const moveClient = (client: Client): void => {
-		client.daemon = moves.pick(daemons);
-	};
-
-	const ended: EndedJob[] = [];
-	const submit = async (job: GrownJob, client: Client, arrivedAt: number): Promise<void> => {
-		ended.push({
-			job, zone, arrivedAt, ...await submitJob(client, job, moveClient),
-		});
-	};
-
-	const startedAt = performance.now();
-	const open: Array<Promise<void>> = [];
-	for (const [position, arrivedAt] of planArrivals(seed, wave).entries()) {
-		const waitMilliseconds = startedAt + arrivedAt - performance.now();
-		if (waitMilliseconds > 0) {
-			await sleep(waitMilliseconds);
-		}
-
-		open.push(submit(drawJob(random, firstNumber + position), random.pick(clients), arrivedAt));
-	}
-
-	await Promise.all(open);
-	for (const {agent} of clients) {
-		agent.destroy();
-	}
-
-	return ended;
-};
+export const runZoneLoad = async ({zone, daemons, wave, seed, firstNumber}: ZoneLoad): Promise<readonly EndedJob[]> => runZoneCallers({
+	callers: callersOfZone,
+	daemons,
+	otherDaemons: daemons,
+	wave,
+	seed,
+	firstNumber,
+	processorOfTask,
+	submit: async (caller, job, move, arrivedAt) => ({
+		job, zone, arrivedAt, ...await submitJob(caller, job, move),
+	}),
+});
