--- a/packages/galenakeeld/src/process/fleet/__tests__/read-arrivals.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/arrival-reader.steps.ts
@@ -3,7 +3,7 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
-import {createArrivalReader} from '../read-arrivals.js';
+import {createArrivalReader} from '../arrival-reader.js';
 
 type ArrivalsWorld = {
 	arrivalClock: Clock | undefined;
--- a/packages/galenakeeld/src/process/fleet/job-messages.ts
+++ b/packages/galenakeeld/src/process/fleet/job-message-receiver.ts
@@ -7,7 +7,7 @@
 */
 export type JobMessage = Extract<FleetMessage, {readonly kind: FleetMessageKind.Submit | FleetMessageKind.Cancel}> | JobUpdate;
 
-export type JobMessagesOptions = {
+export type JobMessageReceiverOptions = {
 	readonly cells: Pick<OwnedCells, 'get' | 'getInTerm' | 'raiseTokenAbove'>;
 	readonly heldJobs: Pick<HeldJobs, 'deliver'>;
 };
@@ -21,7 +21,7 @@
 receiveJobMessage(message, '10.1.0.13:7720');
 ```
 */
-export const createJobMessageReceiver = ({cells, heldJobs}: JobMessagesOptions) => (message: JobMessage, from: string): void => {
+export const createJobMessageReceiver = ({cells, heldJobs}: JobMessageReceiverOptions) => (message: JobMessage, from: string): void => {
 	switch (message.kind) {
 		case FleetMessageKind.Submit: {
 			cells.raiseTokenAbove(message.cell, message.order.highestToken);
