Count the bytes sent to other daemons by kind of message

Change: a frame is encoded message by message, so the size of each is known; daemon-load lines have sentBytes by kind, and the metric galenakeel_peer_message_bytes_total{kind} counts the same.

Test: daemon-load.feature, bytes by kind; 22 scenarios of the touched folders pass.

--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -58,9 +58,9 @@
 };
 
 /**
-Observes a frame that was encoded or decoded, with its size and the time that this took.
+Observes a frame that was encoded or decoded, with its size, the time that this took and, where it was encoded, the size of each message.
 */
-export type FrameObserver = (messages: readonly FleetMessage[], bytes: number, codingMilliseconds: number) => void;
+export type FrameObserver = (messages: readonly FleetMessage[], bytes: number, codingMilliseconds: number, messageBytes?: readonly number[]) => void;
 
 /**
 Starts the server that receives message streams from peers.
@@ -303,11 +303,11 @@
 				const sentAt = performance.now();
 				lastSentAt = sentAt;
 				const heard = options.heard();
-				const frame = encodeFrame({sentAt, ...(heard && {heard}), messages: queued});
-				options.onFrame(queued, frame.length, performance.now() - sentAt);
+				const {bytes, messageBytes} = encodeFrame({sentAt, ...(heard && {heard}), messages: queued});
+				options.onFrame(queued, bytes.length, performance.now() - sentAt, messageBytes);
 				options.onSent(sentAt);
 				queued = [];
-				socket.write(prefixLength(frame));
+				socket.write(prefixLength(bytes));
 			}
 
 			await awaitMessages(Math.max(0, millisecondsUntilHeartbeat()));
--- a/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.feature
@@ -30,6 +30,13 @@
     Then a report shows 0 ms of processor time, 0 frames with 0 messages and 0 heartbeats sent, and 0 frames received
     And it shows 0 streams opened and 0 broken, 0 starts and 0 polls
 
+  Scenario: Bytes that are sent count by the kind of message, from the last report on
+    When 3 frames with a heartbeat of 250 bytes and a message of 40 bytes are sent
+    And 1000 ms pass with the timer on time
+    Then a report shows 750 bytes of heartbeats and 120 bytes of other messages
+    When 1000 ms pass with the timer on time
+    Then a report shows 0 bytes of heartbeats and 0 bytes of other messages
+
   Scenario: Decisions of a cell count from the last report on, and a cell that is claimed anew counts from zero
     When the cell has decided on 5 arrivals in 20 ms
     And 1000 ms pass with the timer on time
--- a/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.steps.ts
@@ -110,6 +110,18 @@
 	}
 });
 
+When('{int} frames with a heartbeat of {int} bytes and a message of {int} bytes are sent', function (this: LoadWorld, frames: number, heartbeatBytes: number, otherBytes: number) {
+	for (let frame = 0; frame < frames; frame++) {
+		this.load.recordSent(messages, 400, 1, [heartbeatBytes, otherBytes]);
+	}
+});
+
+Then('a report shows {int} bytes of heartbeats and {int} bytes of other messages', function (this: LoadWorld, heartbeatBytes: number, otherBytes: number) {
+	const {sentBytes} = this.reports.at(-1)!;
+	const [heartbeat, other] = messages;
+	assert.deepEqual([sentBytes[heartbeat!.kind] ?? 0, sentBytes[other!.kind] ?? 0], [heartbeatBytes, otherBytes]);
+});
+
 When('a stream opens and breaks', function (this: LoadWorld) {
 	this.load.recordStreamOpened();
 	this.load.recordStreamBroken();
--- a/packages/galenakeeld/src/process/fleet/daemon-load.ts
+++ b/packages/galenakeeld/src/process/fleet/daemon-load.ts
@@ -3,7 +3,9 @@
 import type {Cell} from '../cells/cell.js';
 import type {CellContent} from '../cells/cell-observation.js';
 import {CellWork, type WorkTime, type WorkTotals} from '../cells/work-times.js';
-import {createTrafficCounter, type Traffic, type TrafficCounter} from './link-traffic.js';
+import {
+	createTrafficCounter, type KindTraffic, type Traffic, type TrafficCounter,
+} from './link-traffic.js';
 import {createLoopDelayMeter, type LoopDelay} from './loop-delay.js';
 import type {ProcessUsage} from './process-usage.js';
 
@@ -40,6 +42,8 @@
 	readonly held: number;
 	readonly sent: Traffic;
 	readonly received: Traffic;
+	/** Encoded size of the messages sent, by their kind. */
+	readonly sentBytes: Readonly<Record<string, number>>;
 	readonly streams: StreamCounts;
 	readonly calls: CallCounts;
 	readonly cells: readonly CellLoadReport[];
@@ -79,6 +83,10 @@
 const subtract = <Totals extends Readonly<Record<string, number>>>(totals: Totals, earlier: Totals): Totals =>
 	Object.fromEntries(Object.entries(totals).map(([field, value]) => [field, round(value - earlier[field]!)])) as Totals;
 
+/** The bytes of each kind of message beyond those of an earlier count. */
+const subtractBytes = (kinds: ReadonlyMap<string, KindTraffic>, earlier: ReadonlyMap<string, KindTraffic>): Readonly<Record<string, number>> =>
+	Object.fromEntries([...kinds].map(([kind, {bytes}]) => [kind, bytes - (earlier.get(kind)?.bytes ?? 0)] as const).filter(([, bytes]) => bytes > 0));
+
 const subtractWork = (totals: WorkTotals, earlier: WorkTotals | undefined): WorkTotals => {
 	const difference = (work: CellWork): WorkTime => earlier ? subtract(totals[work], earlier[work]) : subtract(totals[work], {count: 0, milliseconds: 0});
 	return {
@@ -124,7 +132,7 @@
 	const workReported = new WeakMap<Pick<Cell, 'observe'>, WorkTotals>();
 
 	const readTotals = () => ({
-		usage: options.readUsage(), sent: sent.totals(), received: received.totals(), streams, calls: {...calls},
+		usage: options.readUsage(), sent: sent.totals(), sentKinds: sent.kinds(), received: received.totals(), streams, calls: {...calls},
 	});
 
 	let earlier = readTotals();
@@ -149,6 +157,7 @@
 			held: options.held(),
 			sent: subtract(totals.sent, earlier.sent),
 			received: subtract(totals.received, earlier.received),
+			sentBytes: subtractBytes(totals.sentKinds, earlier.sentKinds),
 			streams: subtract(totals.streams, earlier.streams),
 			calls: subtract(totals.calls, earlier.calls),
 			cells: options.cells().map(cell => reportCell(cell)),
--- a/packages/galenakeeld/src/process/fleet/load-metrics.ts
+++ b/packages/galenakeeld/src/process/fleet/load-metrics.ts
@@ -56,6 +56,7 @@
 	const frames = createCounters('galenakeel_peer_frames_total', 'Frames exchanged with other daemons.', ['direction']);
 	const messages = createCounters('galenakeel_peer_messages_total', 'Messages exchanged with other daemons.', ['direction', 'kind']);
 	const bytes = createCounters('galenakeel_peer_bytes_total', 'Encoded frames exchanged with other daemons.', ['direction']);
+	const messageBytes = createCounters('galenakeel_peer_message_bytes_total', 'Encoded messages sent to other daemons.', ['kind']);
 	const coding = createCounters('galenakeel_peer_coding_seconds_total', 'Time spent on encoding and decoding frames.', ['direction']);
 	const streams = createCounters('galenakeel_peer_streams_total', 'Streams between daemons that were opened, and that ended or could not be opened.', ['event']);
 	const calls = createCounters('galenakeel_endpoint_calls_total', 'Calls to endpoints.', ['call']);
@@ -78,6 +79,10 @@
 			busy.add([], report.busyMilliseconds / millisecondsPerSecond);
 			addTraffic(sentLabel, report.sent);
 			addTraffic(receivedLabel, report.received);
+			for (const [kind, count] of Object.entries(report.sentBytes)) {
+				messageBytes.add([kind], count);
+			}
+
 			streams.add(['opened'], report.streams.opened);
 			streams.add(['broken'], report.streams.broken);
 			calls.add(['start'], report.calls.starts);
@@ -91,7 +96,7 @@
 			}
 		},
 		families: () => [
-			...[processor, busy, frames, messages, bytes, coding, streams, calls, workSeconds, workCount].map(counters => counters.family()),
+			...[processor, busy, frames, messages, bytes, messageBytes, coding, streams, calls, workSeconds, workCount].map(counters => counters.family()),
 			...latest ? describeGauges(latest) : [],
 		],
 	};
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -244,10 +244,31 @@
 	readonly messages: readonly FleetMessage[];
 };
 
+/**
+A frame as it is sent.
+*/
+export type EncodedFrame = {
+	readonly bytes: Uint8Array;
+	/** Encoded size of each message. */
+	readonly messageBytes: readonly number[];
+};
+
 /**
 Encodes a frame.
+
+@example
+```
+const {bytes, messageBytes} = encodeFrame({sentAt: performance.now(), messages: [heartbeat]});
+```
 */
-export const encodeFrame = (frame: FleetFrame): Uint8Array => Buffer.from(JSON.stringify(frame));
+export const encodeFrame = ({sentAt, heard, messages}: FleetFrame): EncodedFrame => {
+	const texts = messages.map(message => JSON.stringify(message));
+	const head = JSON.stringify(heard ? {sentAt, heard} : {sentAt});
+	return {
+		bytes: Buffer.from(`${head.slice(0, -1)},"messages":[${texts.join(',')}]}`),
+		messageBytes: texts.map(text => Buffer.byteLength(text)),
+	};
+};
 
 type ParsedFrame = {readonly sentAt?: unknown; readonly heard?: {readonly startedAt?: unknown; readonly sentAt?: unknown} | undefined; readonly messages?: unknown};
 
