Announce versions of the configuration, and send a configuration only when it is asked for

Cause: a daemon's version was known to its peers from heartbeats, which come up to 3 s apart; a peer was sent the whole configuration once it had seemed behind for 40 ms times the peers in view, 1.8 s on that site. So daemons that had installed a version were sent it again by every daemon of their zone, on the streams of heartbeats and orders, which then were held up and closed. A daemon that had missed a version got it after a time that grew with the fleet, and read the store each 10 s, at the same time as all others.

Ruled out: answers of the store as the bulk of what the links carry (97 answers a version); a slow watch (installed 0.3 and 0.4 s after sending before the streams broke).

Change: daemons tell each other the numbers of the installed and the newest version, also before they have installed it; keep-alives carry the installed one, so that a new version needs no new heartbeat. A daemon that hears of a newer version gives its watch an eighth of ConfigApplyMs, reads the store, and asks one peer that has it if the store doesn't yield it. The peer sends it on a connection of its own. All daemons together read the store each 160 ms, spread over their interval, at any size.

--- a/packages/galenakeeld/src/connection/fleet-service.ts
+++ b/packages/galenakeeld/src/connection/fleet-service.ts
@@ -67,7 +67,7 @@
 
 @param onMessage Called for each message of a stream except keep-alives, in order. A stream may break at any time and be reopened by the peer.
 @param onKeepAlive Called for each keep-alive, with the last heartbeat of the same stream.
-@param onBroken Called when a stream has ended, with the address from its first heartbeat, or an empty string if there was none.
+@param onBroken Called when a stream has ended, with the address from its first heartbeat. A connection without heartbeats carries a single message.
 @param onReadError Called with the reason when reading a stream fails or a message is rejected.
 @param onFrame Called for each frame that was decoded.
 @returns A function that shuts the server down at once.
@@ -166,7 +166,9 @@
 
 		socket.destroy();
 		sockets.delete(socket);
-		handlers.onBroken(from);
+		if (from !== '') {
+			handlers.onBroken(from);
+		}
 	};
 
 	let turnedAt = performance.now();
@@ -202,6 +204,34 @@
 	};
 };
 
+/**
+Sends one message to a peer on a connection of its own, so that messages on the stream to the peer don't wait behind it. Resolves when the peer has read it.
+
+@throws If the peer can't be reached or hasn't read the message in time.
+
+@example
+```
+await sendAlone('10.1.0.13:7720', {kind: FleetMessageKind.Configuration, configuration}, {timeoutMilliseconds: 2000, onFrame});
+```
+*/
+export const sendAlone = async (address: string, message: FleetMessage, {timeoutMilliseconds, onFrame}: {readonly timeoutMilliseconds: number; readonly onFrame: FrameObserver}): Promise<void> => {
+	const socket = await connectTo(address, () => undefined);
+	const timer = setTimeout(() => {
+		socket.destroy(new Error(`the peer has not read the message within ${timeoutMilliseconds} ms`));
+	}, timeoutMilliseconds);
+	try {
+		const sentAt = performance.now();
+		const {bytes, messageBytes} = encodeFrame({sentAt, messages: [message]});
+		onFrame([message], bytes.length, performance.now() - sentAt, messageBytes);
+		socket.resume();
+		socket.end(prefixLength(bytes));
+		await once(socket, 'close');
+	} finally {
+		clearTimeout(timer);
+		socket.destroy();
+	}
+};
+
 /**
 Outgoing message stream to one peer.
 */
--- a/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.feature
@@ -1,35 +1,45 @@
-Feature: A daemon sends its configuration only to peers that have had an older one for a while
+Feature: A daemon announces the version of its configuration to peers that are not known to have it
 
   Background:
     Given a daemon in "north" with version 7, and 5 peers of which "n1" is in "north" and "s1" in "south"
 
-  Scenario: A peer that reads the version by itself is sent nothing
-    Given "n1, s1" have version 6
-    When announcements are due for 100 ms
-    Given "n1, s1" have version 7
+  Scenario: Peers that have the version are told nothing
     When announcements are due for 2000 ms
-    Then the configuration was sent to ""
+    Then the version was announced to ""
 
-  Scenario: A peer that stays behind is sent the configuration, one of the zone first
+  Scenario: A daemon of the zone is told at once, and again while it stays behind
     Given "n1, s1" have version 6
-    When announcements are due for 150 ms
-    Then the configuration was sent to ""
+    Then the version was announced to "n1"
+    When announcements are due for 900 ms
+    Then the version was announced to "n1"
     When announcements are due for 100 ms
-    Then the configuration was sent to "n1"
-    When announcements are due for 500 ms
-    Then the configuration was sent to "n1, s1"
+    Then the version was announced to "n1, n1"
+    Given "n1" have version 7
+    When announcements are due for 2000 ms
+    Then the version was announced to "n1, n1"
 
-  Scenario: The configuration is sent again when it was lost
+  Scenario: A newer version is announced at once
     Given "n1" have version 6
-    When announcements are due for 3000 ms
-    Then the configuration was sent to "n1, n1"
+    When the daemon installs version 8
+    Then the version was announced to "n1, n1, other-0, other-1, other-2"
+
+  Scenario: A version is passed on before it is installed
+    When "n1" tells of version 8
+    Then the version was announced to "other-0, other-1, other-2"
+
+  Scenario: An owner tells the owners of other zones too
+    Given the daemon and "s1" own a cell each
+    And "n1, s1" have version 6
+    Then the version was announced to "n1, s1"
 
-  Scenario Outline: One of <daemons> daemons reads the store less often, since they pass on newer versions
+  # Guards against changes that come into force late (CONFIG): the time to read a missed change grew with the fleet, up to 10 s.
+  Scenario Outline: <daemons> daemons read the store as often together as ten do, since they announce newer versions
     Then one of <daemons> daemons waits <wait> ms for a change, and reads the configuration each <interval> ms
 
     Examples:
       | daemons | wait | interval |
-      | 1       | 800  | 1200     |
-      | 19      | 800  | 1200     |
-      | 38      | 1800 | 3600     |
-      | 97      | 1800 | 10000    |
+      | 1       | 800  | 1600     |
+      | 10      | 800  | 1600     |
+      | 38      | 1800 | 6080     |
+      | 97      | 1800 | 15520    |
+      | 500     | 1800 | 80000    |
--- a/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/fleet-links.steps.ts
@@ -40,7 +40,9 @@
 	claims: [], configurationVersion: 1, isLeaving: false, known: [], cellCounts: {},
 });
 
-const keepAliveOf = (silentAfterMilliseconds: number, neededSilenceMilliseconds: number): KeepAlive => ({kind: FleetMessageKind.KeepAlive, silentAfterMilliseconds, neededSilenceMilliseconds});
+const keepAliveOf = (silentAfterMilliseconds: number, neededSilenceMilliseconds: number): KeepAlive => ({
+	kind: FleetMessageKind.KeepAlive, silentAfterMilliseconds, neededSilenceMilliseconds, configurationVersion: 1,
+});
 
 Given('links to the peers {string} that lose a peer after {int} ms without heartbeats', async function (this: LinksWorld, names: string, milliseconds: number) {
 	this.clock = install({toFake: ['performance']});
--- a/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/heartbeat-interval.steps.ts
@@ -75,7 +75,7 @@
 });
 
 When('{string} sends a keep-alive that expires after {int} ms', function (this: IntervalWorld, name: string, milliseconds: number) {
-	this.heartbeatView.receiveKeepAlive(name, {silentAfterMilliseconds: milliseconds, neededSilenceMilliseconds: milliseconds});
+	this.heartbeatView.receiveKeepAlive(name, {silentAfterMilliseconds: milliseconds, neededSilenceMilliseconds: milliseconds, configurationVersion: 1});
 });
 
 Then('the view loses {string}', function (this: IntervalWorld, names: string) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/load-announcements.steps.ts
@@ -37,6 +37,7 @@
 	loadsUpdatedAt: 0,
 	lastHeartbeatAt: 0,
 	configurationVersion: 1,
+	newestVersion: 1,
 	known: [],
 });
 
--- a/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/zone-updates.steps.ts
@@ -32,6 +32,7 @@
 	loads: new Map(),
 	loadsUpdatedAt: 0,
 	configurationVersion: 1,
+	newestVersion: 1,
 	known: [],
 	lastHeartbeatAt: 0,
 });
--- a/packages/galenakeeld/src/process/fleet/configuration-watch.ts
+++ b/packages/galenakeeld/src/process/fleet/configuration-watch.ts
@@ -11,6 +11,8 @@
 	readonly current: () => QueueConfiguration | undefined;
 	/** Installs a configuration received from a peer if it is newer. */
 	readonly offer: (configuration: QueueConfiguration) => void;
+	/** Reads the configuration from the store, whatever the watch does. Rejects as the store's calls do. */
+	readonly read: () => Promise<void>;
 	/** Milliseconds since the store last confirmed the configuration. */
 	readonly ageMilliseconds: () => number;
 	/** Watches the store until `close` is called. */
@@ -22,15 +24,12 @@
 const awaitChangeMilliseconds = 800;
 const maximumAwaitMilliseconds = 1800;
 const retryMilliseconds = 150;
-/** Interval of reads in a small fleet: a watch of the store can miss changes. */
-const readIntervalMilliseconds = 1200;
-/** Number of daemons by which both times grow, since each passes on newer versions to the others. */
-const daemonsPerInterval = 10;
-const maximumReadIntervalMilliseconds = 10_000;
-
-/** Lengthens a time in proportion to the fleet, up to a maximum. */
-const forFleet = (milliseconds: number, maximumMilliseconds: number, daemons: number): number =>
-	Math.min(maximumMilliseconds, milliseconds * Math.max(1, Math.floor(daemons / daemonsPerInterval)));
+/** Number of daemons by which the wait grows. */
+const daemonsPerWait = 10;
+/** Interval at which some daemon of the fleet reads the configuration, since a watch of the store can miss changes. The others hear of the version from that one. */
+const fleetReadIntervalMilliseconds = 160;
+/** Number of daemons up to which each reads as often as one of so many. */
+const smallFleetDaemons = 10;
 
 /**
 Returns for how long one of several daemons waits for a change.
@@ -40,39 +39,43 @@
 awaitChangeFor(31); // => 1800
 ```
 */
-export const awaitChangeFor = (daemons: number): number => forFleet(awaitChangeMilliseconds, maximumAwaitMilliseconds, daemons);
+export const awaitChangeFor = (daemons: number): number =>
+	Math.min(maximumAwaitMilliseconds, awaitChangeMilliseconds * Math.max(1, Math.floor(daemons / daemonsPerWait)));
 
 /**
-Returns how often one of several daemons reads the configuration from the store.
+Returns how often one of several daemons reads the configuration from the store, in milliseconds. All together read equally often in a fleet of any size.
 
 @example
 ```
-readIntervalFor(31); // => 3600
+readIntervalFor(31); // => 4960
 ```
 */
-export const readIntervalFor = (daemons: number): number => forFleet(readIntervalMilliseconds, maximumReadIntervalMilliseconds, daemons);
+export const readIntervalFor = (daemons: number): number => fleetReadIntervalMilliseconds * Math.max(smallFleetDaemons, daemons);
 
 /**
 Creates a watch of the configuration in the store.
 
 @example
 ```
-const watch = createConfigurationWatch(store, {onInstall, onLost, onRegained, daemons: () => 9});
+const watch = createConfigurationWatch(store, {onInstall, onLost, onRegained, daemons: () => 9, random: Math.random});
 void watch.run();
 ```
 */
-export const createConfigurationWatch = (store: StoreCalls, handlers: {
+export const createConfigurationWatch = (store: Pick<StoreCalls, 'awaitConfiguration' | 'readConfiguration'>, handlers: {
 	readonly onInstall: (configuration: QueueConfiguration) => void;
 	/** Called once per outage, when a call of the store first fails. */
 	readonly onLost: (detail: string) => void;
 	readonly onRegained: () => void;
-	/** Number of daemons that pass on newer versions, this one included. */
+	/** Number of daemons that announce newer versions to each other, this one included. */
 	readonly daemons: () => number;
+	/** Returns a number from 0 to 1, by which the reads of the daemons are spread over their interval. */
+	readonly random: () => number;
 }): ConfigurationWatch => {
 	let current: QueueConfiguration | undefined;
 	let confirmedAt = Number.NEGATIVE_INFINITY;
 	let revision = 0;
-	let readAt = Number.NEGATIVE_INFINITY;
+	/** Monotonic milliseconds. */
+	let nextReadAt = Number.NEGATIVE_INFINITY;
 	let isLost = false;
 	const closing = new AbortController();
 
@@ -94,22 +97,34 @@
 	};
 
 	const read = async (): Promise<void> => {
-		readAt = performance.now();
 		const stored = await store.readConfiguration();
 		confirm();
 		if (stored) {
 			revision = stored.revision;
 			install(stored.configuration);
-		} else {
+		}
+	};
+
+	/** Reads at a random time of the next interval after all daemons have read at once, as at their start. */
+	const readWithOthers = async (): Promise<void> => {
+		nextReadAt = performance.now() + (handlers.random() * readIntervalFor(handlers.daemons()));
+		await read();
+		if (!current) {
 			await sleep(retryMilliseconds);
 		}
 	};
 
+	const readInTurn = async (): Promise<void> => {
+		nextReadAt = performance.now() + readIntervalFor(handlers.daemons());
+		await read();
+	};
+
 	const wait = async (): Promise<void> => {
-		const change = await store.awaitConfiguration(revision, awaitChangeFor(handlers.daemons()));
+		const untilRead = Math.max(1, Math.ceil(nextReadAt - performance.now()));
+		const change = await store.awaitConfiguration(revision, Math.min(awaitChangeFor(handlers.daemons()), untilRead));
 		confirm();
 		if (change.isHistoryGone) {
-			await read();
+			await readWithOthers();
 			return;
 		}
 
@@ -119,14 +134,25 @@
 		}
 	};
 
+	const followStore = async (): Promise<void> => {
+		if (!current) {
+			await readWithOthers();
+		} else if (performance.now() >= nextReadAt) {
+			await readInTurn();
+		} else {
+			await wait();
+		}
+	};
+
 	return {
 		current: () => current,
 		offer: install,
+		read,
 		ageMilliseconds: () => performance.now() - confirmedAt,
 		async run() {
 			while (!closing.signal.aborted) {
 				try {
-					await (current === undefined || performance.now() - readAt > readIntervalFor(handlers.daemons()) ? read() : wait());
+					await followStore();
 				} catch (error) {
 					if (!isLost) {
 						isLost = true;
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -10,7 +10,7 @@
 import {JobEnd} from '@galenakeel/model/request/job.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
-import {createPeerStream, serveFleet} from '../../connection/fleet-service.js';
+import {createPeerStream, sendAlone, serveFleet} from '../../connection/fleet-service.js';
 import {holdJob} from '../../request/hold-job.js';
 import {isRoutineOfHolder} from '../../request/holder-decision.js';
 import {createCell} from '../cells/cell.js';
@@ -26,7 +26,9 @@
 import {createClaimReview} from './claim-review.js';
 import {createDiscovery} from './discovery.js';
 import {createCellLoads} from './cell-loads.js';
-import {createConfigurationAnnouncements} from './configuration-announcements.js';
+import {createConfigurationAnnouncements, newestVersionOf} from './configuration-announcements.js';
+import {createConfigurationCatchUp} from './configuration-catch-up.js';
+import {createConfigurationTransfers} from './configuration-transfers.js';
 import {createConfigurationWatch} from './configuration-watch.js';
 import {createDaemonLoad, isWorthLogging} from './daemon-load.js';
 import {createRateLimitedLog} from './rate-limited-log.js';
@@ -131,6 +133,7 @@
 			log.info({
 				event: FleetEvent.ConfigurationInstalled, version, queues: queues.length, unreadableQueues,
 			});
+			catchUp.recordInstalled();
 		},
 		onLost(detail) {
 			log.warn({event: FleetEvent.StoreLost, detail});
@@ -139,6 +142,22 @@
 			log.info({event: FleetEvent.StoreRegained});
 		},
 		daemons: () => view.all().length + 1,
+		random: Math.random,
+	});
+	const configurationVersion = (): number => configuration.current()?.version ?? -1;
+	const newestVersion = (): number => newestVersionOf(configurationVersion(), view.all());
+	const catchUp = createConfigurationCatchUp({
+		zone: settings.zone,
+		installed: configurationVersion,
+		newest: newestVersion,
+		peers: view.all,
+		read: configuration.read,
+		request(address) {
+			links.send(address, {kind: FleetMessageKind.ConfigurationRequest});
+			logEvent(FleetEvent.ConfigurationRequested, {address, installed: configurationVersion(), newest: newestVersion()});
+		},
+		applyMilliseconds: settings.configuration.applyMilliseconds,
+		random: Math.random,
 	});
 
 	const tryStore: TryStore = async (call, perform) => {
@@ -232,7 +251,7 @@
 		cells,
 		view,
 		cellCounts: layout.counts,
-		configurationVersion: () => configuration.current()?.version ?? -1,
+		configurationVersion,
 		isLeaving: () => leaving.signal.aborted,
 		urgencyOf,
 	});
@@ -260,6 +279,18 @@
 				break;
 			}
 
+			case FleetMessageKind.ConfigurationVersion: {
+				view.receiveConfigurationVersion(from, message);
+				announceConfiguration();
+				catchUp.review();
+				break;
+			}
+
+			case FleetMessageKind.ConfigurationRequest: {
+				void sendConfiguration(from);
+				break;
+			}
+
 			case FleetMessageKind.Configuration: {
 				configuration.offer(message.configuration);
 				break;
@@ -291,6 +322,11 @@
 		}
 	};
 
+	const sendConfiguration = createConfigurationTransfers({
+		current: configuration.current,
+		sendAlone: async (address, message) => sendAlone(address, message, {timeoutMilliseconds: settings.configuration.applyMilliseconds, onFrame: daemonLoad.recordSent}),
+	});
+
 	const onHeartbeat = ({claims, cellCounts}: Heartbeat): void => {
 		layout.offer(cellCounts);
 		for (const {cell, load} of claims) {
@@ -414,7 +450,7 @@
 	};
 
 	const announceConfiguration = createConfigurationAnnouncements({
-		zone: settings.zone, current: configuration.current, peers: view.all, send: links.send,
+		zone: settings.zone, installed: configurationVersion, newest: newestVersion, isOwner: () => cells.count() > 0, peers: view.all, send: links.send,
 	});
 
 	/** Peers on which something depends now must be heard soon, although their heartbeats were infrequent before. */
@@ -453,6 +489,7 @@
 		claims.reviewFences();
 		reviewLoadTimer();
 		announceConfiguration();
+		catchUp.review();
 	};
 
 	const timer = setInterval(tick, tickMilliseconds);
@@ -515,6 +552,7 @@
 	isServing = true;
 	links.connect(settings.seeds.map(address => `${address}:${splitAddress(self)[1]}`));
 	void configuration.run();
+	void catchUp.run();
 	void layout.run();
 	void watchMembers({
 		store,
@@ -552,6 +590,7 @@
 			clearInterval(timer);
 			clearInterval(loadTimer);
 			configuration.close();
+			catchUp.close();
 			cells.close();
 			links.close();
 			await closeServer(callerServer, Math.max(0, limitAt - performance.now()));
--- a/packages/galenakeeld/src/process/fleet/fleet-event.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-event.ts
@@ -10,6 +10,8 @@
 	Reloaded = 'settings-reloaded',
 	ReloadFailed = 'settings-reload-failed',
 	ConfigurationInstalled = 'configuration-installed',
+	/** A peer has a newer configuration than the store has delivered here, and is asked for it. */
+	ConfigurationRequested = 'configuration-requested',
 	StoreLost = 'store-lost',
 	StoreRegained = 'store-regained',
 	StoreCallFailed = 'store-call-failed',
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -164,20 +164,20 @@
 		reviewInterval(heartbeat.address, neededBefore, heartbeat.neededSilenceMilliseconds);
 	};
 
-	const handleKeepAlive = ({silentAfterMilliseconds, neededSilenceMilliseconds}: KeepAlive, described: Heartbeat): void => {
+	const handleKeepAlive = ({kind: _, ...keepAlive}: KeepAlive, described: Heartbeat): void => {
 		const {address, startedAt} = described;
 		const peer = view.get(address);
 		if (peer?.startedAt !== startedAt) {
 			// The peer was removed, for instance as silent, and is heard again.
-			const heartbeat = {...described, silentAfterMilliseconds, neededSilenceMilliseconds};
+			const heartbeat = {...described, ...keepAlive};
 			handleHeartbeat(heartbeat);
 			options.onMessage(heartbeat, address);
 			return;
 		}
 
 		const neededBefore = peer.neededSilenceMilliseconds;
-		view.receiveKeepAlive(address, {silentAfterMilliseconds, neededSilenceMilliseconds});
-		reviewInterval(address, neededBefore, neededSilenceMilliseconds);
+		view.receiveKeepAlive(address, keepAlive);
+		reviewInterval(address, neededBefore, keepAlive.neededSilenceMilliseconds);
 	};
 
 	const stop = await options.serve(self, {
--- a/packages/galenakeeld/src/process/fleet/fleet-settings.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-settings.ts
@@ -25,6 +25,10 @@
 	}),
 	/** Factor by which the run time of a task grows away from its data. */
 	remotePenalty: z.number().min(1).default(1),
+	configuration: z.strictObject({
+		/** Time within which a version that operators have stored is in force at each daemon. */
+		applyMilliseconds: milliseconds.default(2000),
+	}).prefault({}),
 	drain: z.strictObject({
 		/** Time from SIGTERM until the process is killed. */
 		limitMilliseconds: milliseconds,
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -1,5 +1,7 @@
 import {performance} from 'node:perf_hooks';
-import type {Heartbeat, CellLoad, KeepAlive} from '@galenakeel/model/connection/fleet-message.js';
+import type {
+	CellLoad, ConfigurationVersion, Heartbeat, KeepAlive,
+} from '@galenakeel/model/connection/fleet-message.js';
 import type {Claimant} from './cell-claims.js';
 
 /**
@@ -17,7 +19,10 @@
 	readonly loads: ReadonlyMap<string, CellLoad>;
 	/** Last update of the loads, in monotonic milliseconds. */
 	readonly loadsUpdatedAt: number;
+	/** Version of the configuration that the peer has installed. */
 	readonly configurationVersion: number;
+	/** The newest version that the peer is known to have heard of. */
+	readonly newestVersion: number;
 	readonly known: readonly string[];
 };
 
@@ -28,7 +33,9 @@
 	/** Records a heartbeat. Returns whether the peer is new or has restarted. */
 	readonly receiveHeartbeat: (heartbeat: Heartbeat) => boolean;
 	/** Records a keep-alive of a peer; ignored while the peer is unknown. */
-	readonly receiveKeepAlive: (address: string, keepAlive: Pick<KeepAlive, 'silentAfterMilliseconds' | 'neededSilenceMilliseconds'>) => void;
+	readonly receiveKeepAlive: (address: string, keepAlive: Omit<KeepAlive, 'kind'>) => void;
+	/** Records the versions of a peer; ignored while the peer is unknown. */
+	readonly receiveConfigurationVersion: (address: string, versions: Pick<ConfigurationVersion, 'installed' | 'newest'>) => void;
 	/** Records that another message of a peer has arrived; ignored while the peer is unknown. */
 	readonly receiveContact: (address: string) => void;
 	/** Expects a message of a peer within this time, although its last heartbeat allowed for a longer silence. */
@@ -70,6 +77,7 @@
 	claims: new Map(heartbeat.claims.map(({cell, token, term}) => [cell, {token, term}])),
 	loads: new Map(heartbeat.claims.map(({cell, load}) => [cell, load])),
 	configurationVersion: heartbeat.configurationVersion,
+	newestVersion: heartbeat.configurationVersion,
 	known: heartbeat.known,
 	lastHeartbeatAt: performance.now(),
 	loadsUpdatedAt: performance.now(),
@@ -115,6 +123,11 @@
 		peer.expectedWithinMilliseconds = Number.POSITIVE_INFINITY;
 	};
 
+	const recordVersions = (peer: PeerRecord, installed: number, newest: number): void => {
+		peer.configurationVersion = installed;
+		peer.newestVersion = Math.max(peer.newestVersion, newest);
+	};
+
 	const isSilent = (peer: PeerRecord, now: number): boolean => {
 		const sinceHeartbeat = now - peer.lastHeartbeatAt - (pauses - peer.pausesBefore);
 		const sinceExpected = now - peer.expectedSince - (pauses - peer.expectedPausesBefore);
@@ -128,12 +141,19 @@
 			recordChange();
 			return before?.startedAt !== heartbeat.startedAt;
 		},
-		receiveKeepAlive(address, {silentAfterMilliseconds, neededSilenceMilliseconds}) {
+		receiveKeepAlive(address, {silentAfterMilliseconds, neededSilenceMilliseconds, configurationVersion}) {
 			const peer = peers.get(address);
 			if (peer) {
 				recordContact(peer);
 				peer.silentAfterMilliseconds = silentAfterMilliseconds;
 				peer.neededSilenceMilliseconds = neededSilenceMilliseconds;
+				recordVersions(peer, configurationVersion, configurationVersion);
+			}
+		},
+		receiveConfigurationVersion(address, {installed, newest}) {
+			const peer = peers.get(address);
+			if (peer) {
+				recordVersions(peer, installed, newest);
 			}
 		},
 		receiveContact(address) {
--- a/packages/galenakeeld/src/process/fleet/self-description.ts
+++ b/packages/galenakeeld/src/process/fleet/self-description.ts
@@ -19,7 +19,7 @@
 	readonly createKeepAlive: (address: string) => KeepAlive;
 	/** Heartbeat interval for an address. */
 	readonly heartbeatIntervalTo: (address: string) => HeartbeatInterval;
-	/** Changes with the description, except for loads and known addresses. */
+	/** Changes with the description, except for loads, known addresses and the version of the configuration, which keep-alives have too. */
 	readonly revision: () => number;
 };
 
@@ -101,10 +101,10 @@
 			known: knownFor(receiver),
 			cellCounts: cellCounts(),
 		}),
-		createKeepAlive: receiver => ({kind: FleetMessageKind.KeepAlive, ...silencesFor(receiver)}),
+		createKeepAlive: receiver => ({kind: FleetMessageKind.KeepAlive, ...silencesFor(receiver), configurationVersion: configurationVersion()}),
 		heartbeatIntervalTo,
 		revision() {
-			const current = [cells.revision(), configurationVersion(), isLeaving(), cellCounts()];
+			const current = [cells.revision(), isLeaving(), cellCounts()];
 			if (current.some((value, position) => value !== described[position])) {
 				described = current;
 				revision++;
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -32,7 +32,11 @@
 	Dropped = 'dropped',
 	/** The same job was submitted again, so this holder's caller waits for it no longer. */
 	Superseded = 'superseded',
-	/** A newer configuration than the receiver's. */
+	/** A version of the configuration that the receiver may not know of. */
+	ConfigurationVersion = 'configuration-version',
+	/** The receiver is to send its configuration, on a connection of its own. */
+	ConfigurationRequest = 'configuration-request',
+	/** The sender's configuration. Nothing else travels on its connection, since it may take long. */
 	Configuration = 'configuration',
 	/** Load of a cell, sent between two heartbeats. */
 	Load = 'load',
@@ -114,6 +118,8 @@
 	readonly silentAfterMilliseconds: number;
 	/** Time without messages after which the sender needs to regard the receiver as lost. */
 	readonly neededSilenceMilliseconds: number;
+	/** Version of the configuration that the sender has installed; -1 while it has none. */
+	readonly configurationVersion: number;
 };
 
 /**
@@ -196,6 +202,17 @@
 	readonly redirects: readonly TaskRedirect[];
 };
 
+/**
+Tells a peer of a version of the configuration.
+*/
+export type ConfigurationVersion = {
+	readonly kind: FleetMessageKind.ConfigurationVersion;
+	/** The version that the sender has installed; -1 while it has none. */
+	readonly installed: number;
+	/** The newest version that the sender has installed or heard of. */
+	readonly newest: number;
+};
+
 export type FleetMessage
 	= | Heartbeat
 		| KeepAlive
@@ -209,6 +226,8 @@
 		| PartEnd
 		| DroppedPart
 		| (AssignmentReference & {readonly kind: FleetMessageKind.Superseded})
+		| ConfigurationVersion
+		| {readonly kind: FleetMessageKind.ConfigurationRequest}
 		| {readonly kind: FleetMessageKind.Configuration; readonly configuration: QueueConfiguration}
 		| {readonly kind: FleetMessageKind.Load; readonly cell: string; readonly load: CellLoad}
 		| {readonly kind: FleetMessageKind.Endpoints; readonly cell: string; readonly entries: readonly EndpointEntry[]};
