A large answer of the store that has begun is not given up while it arrives

Cause: a wait for a change has 350 ms beyond its wait, a read 500 ms, for the whole answer. A configuration of 1,400 queues takes 0.27 s of such a link by itself; beside other traffic it is given up, its connection closed, and the next call transfers it from the start.

Change: the time-out is for the beginning of an answer; once its first part has come, its rest has half of ConfigApplyMs.

Ruled out: a longer time-out, which would find a silent store later.

--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -83,6 +83,8 @@
 /** Time for which cancels are sent again to an owner whose stream was broken, which may have stood still. */
 const keepCancelsMilliseconds = 30_000;
 const statePollMilliseconds = 20;
+/** Share of the time within which a configuration is to be in force, for an answer of the store to arrive once it has begun. */
+const transferShare = 0.5;
 /** Time before the drain limit, at which the process is killed, by which a leaving daemon ends by itself. */
 const drainReserveMilliseconds = 300;
 
@@ -124,7 +126,7 @@
 	const leaving = new AbortController();
 	let isServing = false;
 
-	const store = createStoreClient(settings.platform.address, key => {
+	const store = createStoreClient(settings.platform.address, settings.configuration.applyMilliseconds * transferShare, key => {
 		logEvent(FleetEvent.UnreadableEntry, {key});
 	});
 
