Tests: a job that has started is not refused, whoever stands still

cell-parts.feature: an owner doesn't refuse a job that it has started, that an earlier owner may have started, or of which other cells may have started tasks. No test failed when these were taken out before.

Also: the simulated daemon names the two new kinds of messages.

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -173,3 +173,25 @@
     And the cell runs for 6000 ms
     And the job without the task "0.0" is submitted by "other" in a new assignment
     Then "other" got an answer that leaves no task open
+
+  # Guards against REFUSED: an owner refused a job that it had started, once its time was over.
+  Scenario: A job that has started is not refused when its time is over
+    When a job of 2 tasks that run for 8000 ms is submitted
+    And the cell runs for 7000 ms
+    Then 2 tasks were started here
+    And the holder was told 0 times that the job is refused
+
+  # The same, for tasks that may have been started by an earlier owner.
+  Scenario: A part that an earlier owner may have started is not refused when its time is over
+    When a job of 2 tasks that run for 8000 ms is submitted
+    And another job of 2 tasks that an earlier owner may have started is submitted, 5000 ms late
+    And the cell runs for 1000 ms
+    Then the holder was told 0 times that the job is refused
+
+  # The same, for tasks that other cells may have started.
+  Scenario: The rest of a job whose other tasks were redirected is not refused when its time is over
+    When a job of 2 tasks that run for 8000 ms is submitted
+    And another job of 6 tasks is submitted
+    Then 4 tasks went to "south"
+    When the cell runs for 6000 ms
+    Then the holder was told 0 times that the job is refused
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -170,6 +170,28 @@
 	await submit(this, createOrder([createStep(tasks, [])], 0));
 });
 
+When('a job of {int} tasks that run for {int} ms is submitted', async function (this: PartsWorld, tasks: number, milliseconds: number) {
+	const order = createOrder([createStep(tasks, [])], 0);
+	const specification = [processorOfTask, ...Array.from({length: tasks}, () => milliseconds)].join(' ');
+	await submit(this, {...order, job: {...order.job, specification}});
+});
+
+const createOtherOrder = (tasks: number): JobOrder => {
+	const order = createOrder([createStep(tasks, [])], 0);
+	return {...order, assignment: secondAssignment, job: {...order.job, identifier: '5c0e7a21d94b36f9'}};
+};
+
+When('another job of {int} tasks is submitted', async function (this: PartsWorld, tasks: number) {
+	await submit(this, createOtherOrder(tasks));
+});
+
+When('another job of {int} tasks that an earlier owner may have started is submitted, {int} ms late', async function (this: PartsWorld, tasks: number, milliseconds: number) {
+	const order = createOtherOrder(tasks);
+	await submit(this, {
+		...order, generation: 1, dueInMilliseconds: order.dueInMilliseconds - milliseconds, worthlessInMilliseconds: order.worthlessInMilliseconds - milliseconds,
+	});
+});
+
 When('a job of {int} tasks that was moved {int} times is submitted', async function (this: PartsWorld, tasks: number, moves: number) {
 	await submit(this, createOrder([createStep(tasks, [])], moves));
 });
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
@@ -2,7 +2,8 @@
 import process from 'node:process';
 import {Then, When} from '@cucumber/cucumber';
 import {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
-import {holdConversation, type ConversationFailure} from './assignment-conversation.js';
+import {holdConversation, type ConversationFailure, type PlanConversation} from './assignment-conversation.js';
+import {planFrozenJobs, type Frozen} from './frozen-jobs.js';
 
 type ConversationWorld = {
 	failures: ConversationFailure[];
@@ -24,17 +25,25 @@
 const describe = ({seed, rule, job, detail, history}: ConversationFailure): string =>
 	[`seed ${seed}, job ${job}: ${rule}: ${detail}`, ...history].join('\n');
 
-When('the conversations of the seeds {int} to {int} are held', {timeout: timeoutMilliseconds}, async function (this: ConversationWorld, from: number, to: number) {
-	this.failures = [];
-	this.messages = new Map();
+const hold = async (world: ConversationWorld, from: number, to: number, planConversation?: PlanConversation): Promise<void> => {
+	world.failures = [];
+	world.messages = new Map();
 	const [first, last] = seedsOf(from, to);
 	for (let seed = first; seed <= last; seed++) {
-		const {failures, messages} = await holdConversation(seed);
-		this.failures.push(...failures);
+		const {failures, messages} = await holdConversation(seed, planConversation);
+		world.failures.push(...failures);
 		for (const [kind, count] of messages) {
-			this.messages.set(kind, (this.messages.get(kind) ?? 0) + count);
+			world.messages.set(kind, (world.messages.get(kind) ?? 0) + count);
 		}
 	}
+};
+
+When('the conversations of the seeds {int} to {int} are held', {timeout: timeoutMilliseconds}, async function (this: ConversationWorld, from: number, to: number) {
+	await hold(this, from, to);
+});
+
+When('the conversations of the seeds {int} to {int} are held, in which this stands still: {}', {timeout: timeoutMilliseconds}, async function (this: ConversationWorld, from: number, to: number, frozen: Frozen) {
+	await hold(this, from, to, planFrozenJobs(frozen));
 });
 
 Then('no rule was broken', function (this: ConversationWorld) {
@@ -42,8 +51,16 @@
 	assert.equal(this.failures.length, 0, `${summary}\n\n${this.failures.slice(0, shownFailures).map(failure => describe(failure)).join('\n\n')}`);
 });
 
-Then('tasks were moved, refused and run by the owners of several cells', function (this: ConversationWorld) {
-	for (const kind of [FleetMessageKind.Redirect, FleetMessageKind.Refuse, FleetMessageKind.Dropped, FleetMessageKind.TaskSucceeded, FleetMessageKind.End]) {
-		assert.ok((this.messages.get(kind) ?? 0) > 0, `no message of kind ${kind}`);
+const assertMessages = ({messages}: ConversationWorld, kinds: readonly FleetMessageKind[]): void => {
+	for (const kind of kinds) {
+		assert.ok((messages.get(kind) ?? 0) > 0, `no message of kind ${kind}`);
 	}
+};
+
+Then('jobs were run', function (this: ConversationWorld) {
+	assertMessages(this, [FleetMessageKind.Started, FleetMessageKind.End]);
+});
+
+Then('tasks were moved, refused and run by the owners of several cells', function (this: ConversationWorld) {
+	assertMessages(this, [FleetMessageKind.Redirect, FleetMessageKind.Refuse, FleetMessageKind.Dropped, FleetMessageKind.TaskSucceeded, FleetMessageKind.End]);
 });
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
@@ -7,14 +7,14 @@
 import {type EndpointEntry, incarnationOf} from '@galenakeel/model/version/endpoint-entry.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {scheduleDisruptions, type PlannedDisruption} from './conversation-disruptions.js';
-import {createConversationHistory} from './conversation-history.js';
+import {createConversationHistory, type ConversationHistory} from './conversation-history.js';
 import {findBrokenRules, type BrokenRule} from './conversation-rules.js';
 import {createSeededRandom, type SeededRandom} from './seeded-random.js';
 import {startSimulatedCaller, type CallerPlan, type SimulatedCaller} from './simulated-caller.js';
 import {createSimulatedDaemon, type SimulatedDaemon} from './simulated-daemon.js';
 import {createSimulatedEndpoint, type SimulatedEndpoint, type TaskDurations} from './simulated-endpoint.js';
 import {createSimulatedProcesses, type SimulatedProcesses} from './simulated-processes.js';
-import {createSimulatedStreams} from './simulated-streams.js';
+import {createSimulatedStreams, type SimulatedStreams} from './simulated-streams.js';
 
 /**
 A broken rule, with the history of its job.
@@ -32,13 +32,26 @@
 	readonly messages: ReadonlyMap<FleetMessageKind, number>;
 };
 
+/** What a conversation is planned with. */
+export type ConversationParts = {
+	readonly random: SeededRandom;
+	readonly daemons: readonly SimulatedDaemon[];
+	readonly streams: SimulatedStreams;
+	readonly history: ConversationHistory;
+};
+
+/**
+Schedules the disruptions of a conversation, and returns what its callers do and when the last disruption ends, in monotonic milliseconds.
+*/
+export type PlanConversation = (parts: ConversationParts) => {readonly callers: readonly CallerPlan[]; readonly endsAt: number};
+
 const allZones = ['north', 'south', 'east'] as const;
 const daemonsOfZone = 2;
 const endpointsOfZone = 2;
 const processorOfTask = 1000;
 const memoryMegabytes = 1024;
 /** When each cell has an owner, and callers and disruptions begin, in milliseconds. */
-const readyMilliseconds = 1600;
+export const readyMilliseconds = 1600;
 const busyMilliseconds = 3000;
 const soonMilliseconds = 400;
 /** Time after the last disruption and submission in which each job has to be answered. */
@@ -106,7 +119,7 @@
 	room: {processor: random.integer(1, 2) * processorOfTask, memoryMegabytes, accelerators: 0}, labels: ['a'],
 })));
 
-const createFleet = async (random: SeededRandom, processes: SimulatedProcesses, history: ReturnType<typeof createConversationHistory>) => {
+const createFleet = async (random: SeededRandom, processes: SimulatedProcesses, history: ConversationHistory) => {
 	const zones = allZones.slice(0, random.integer(2, allZones.length));
 	const streams = createSimulatedStreams(processes, random, history);
 	const entries = createEntries(random, zones);
@@ -143,15 +156,26 @@
 	}
 };
 
-const converse = async (seed: number, random: SeededRandom, processes: SimulatedProcesses): Promise<ConversationResult> => {
+/** Many callers, and disruptions of all kinds. */
+const planBusyTime: PlanConversation = ({random, daemons, streams, history}) => {
+	const disruptions = scheduleDisruptions({
+		random, daemons, streams, history, from: readyMilliseconds, to: readyMilliseconds + busyMilliseconds,
+	});
+	return {
+		callers: Array.from({length: random.integer(10, 28)}, (_, number) => planCaller(random, daemons, number, disruptions)),
+		endsAt: Math.max(readyMilliseconds + busyMilliseconds, ...disruptions.map(({endsAt}) => endsAt)),
+	};
+};
+
+const converse = async (seed: number, random: SeededRandom, processes: SimulatedProcesses, planConversation: PlanConversation): Promise<ConversationResult> => {
 	const history = createConversationHistory();
 	const {fleet, streams} = await createFleet(random, processes, history);
 	const queue = createQueue(random);
-	const disruptions = scheduleDisruptions({
-		random, daemons: fleet.daemons, streams, history, from: readyMilliseconds, to: readyMilliseconds + busyMilliseconds,
+	const plan = planConversation({
+		random, daemons: fleet.daemons, streams, history,
 	});
-	const callers = Array.from({length: random.integer(10, 28)}, (_, number): SimulatedCaller => startSimulatedCaller(planCaller(random, fleet.daemons, number, disruptions), queue, history));
-	const calmFrom = Math.max(readyMilliseconds + busyMilliseconds, ...disruptions.map(({endsAt}) => endsAt)) + soonMilliseconds;
+	const callers = plan.callers.map((caller): SimulatedCaller => startSimulatedCaller(caller, queue, history));
+	const calmFrom = plan.endsAt + soonMilliseconds;
 	while (performance.now() < calmFrom + answerMilliseconds && !(performance.now() > calmFrom && callers.every(({isDone}) => isDone()))) {
 		await processes.runUntil(performance.now() + watchMilliseconds);
 	}
@@ -168,16 +192,18 @@
 /**
 Holds the conversation of a seed.
 
+@param planConversation Plans callers and disruptions; many of all kinds by default.
+
 @example
 ```
 const {failures} = await holdConversation(17);
 ```
 */
-export const holdConversation = async (seed: number): Promise<ConversationResult> => {
+export const holdConversation = async (seed: number, planConversation = planBusyTime): Promise<ConversationResult> => {
 	const random = createSeededRandom(seed);
 	const processes = createSimulatedProcesses(random);
 	try {
-		return await converse(seed, random, processes);
+		return await converse(seed, random, processes, planConversation);
 	} finally {
 		processes.uninstall();
 	}
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -202,6 +202,8 @@
 			case FleetMessageKind.Heartbeat:
 			case FleetMessageKind.KeepAlive:
 			case FleetMessageKind.ConfirmationRequest:
+			case FleetMessageKind.ConfigurationVersion:
+			case FleetMessageKind.ConfigurationRequest:
 			case FleetMessageKind.Configuration:
 			case FleetMessageKind.Endpoints: {
 				break;
