A refusal says if the job may have run for an earlier call

By PROTOCOL.md a 429 means that the job never runs.

Cause: an owner that drops a job with its holder, or ends or cancels it, keeps what it said of that assignment only. The same job from another holder is a new one to it, and is refused as one that has not run.

Change: an owner keeps for 30 s, as it keeps assignments, which jobs it has started; a refusal of such a job says that it may have run. The holder then answers 504, outcome unknown, at once, or takes the part home from another cell as one that can't be refused.

Ruled out: accepting such jobs, which would run work whose time is over. Open: an owner that succeeds another, or a cell of another zone, doesn't know of the earlier start.

Tests: two scenarios of cell-parts.feature, two of hold-job.feature; with the record taken out the first fails. frozen-jobs.feature and assignment-conversation.feature hold.

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -195,3 +195,18 @@
     Then 4 tasks went to "south"
     When the cell runs for 6000 ms
     Then the holder was told 0 times that the job is refused
+
+  # Guards against 429 for a job that has run: its owner forgot that an earlier call of the same caller had started it.
+  Scenario: A job that ran for an earlier call is refused as one that may have run
+    Given another job of 4 tasks is submitted
+    And the cell runs for 1000 ms
+    When a job of 2 tasks is submitted
+    And the holder is lost
+    And the cell runs for 500 ms
+    And the job is submitted by "other" when its time is over
+    Then "other" was told that the job is refused and may have run
+
+  Scenario: A job that never started is refused as one that has not run
+    When a job of 2 tasks that no endpoint fits is submitted
+    And the job is submitted by "other" when its time is over
+    Then "other" was told that the job is refused and has not run
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -6,7 +6,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {CallOutcome} from '@galenakeel/model/connection/endpoint-calls.js';
 import {
-	FleetMessageKind, type JobUpdate, type JobOrder, type PartEnd, type Redirect,
+	FleetMessageKind, type JobUpdate, type JobOrder, type PartEnd, type Redirect, type Refusal,
 } from '@galenakeel/model/connection/fleet-message.js';
 import type {Step} from '@galenakeel/model/request/job.js';
 import {positionOf} from '@galenakeel/model/request/task-key.js';
@@ -290,6 +290,21 @@
 	await submitAnew(this, by, [position]);
 });
 
+When('the job is submitted by {string} when its time is over', async function (this: PartsWorld, by: string) {
+	this.order = {...this.order, dueInMilliseconds: -5000, worthlessInMilliseconds: -3000};
+	await submitAnew(this, by, []);
+});
+
+const refusalsOf = (updates: readonly JobUpdate[]): readonly Refusal[] => updates.filter(one => one.kind === FleetMessageKind.Refuse);
+
+Then('{string} was told that the job is refused and may have run', function (this: PartsWorld, _: string) {
+	assert.deepEqual(refusalsOf(this.otherUpdates).map(({mayHaveRun}) => mayHaveRun), [true]);
+});
+
+Then('{string} was told that the job is refused and has not run', function (this: PartsWorld, _: string) {
+	assert.deepEqual(refusalsOf(this.otherUpdates).map(({mayHaveRun}) => mayHaveRun), [false]);
+});
+
 When('the redirected tasks come back as part {string}', async function (this: PartsWorld, part: string) {
 	const returned = new Set(redirectsOf(this).flatMap(({positions}) => positions));
 	const positions = this.order.job.steps.flatMap(({tasks}, step) => Array.from({length: tasks}, (_, index) => `${step}.${index}`));
--- a/packages/galenakeeld/src/process/cells/cell-jobs.ts
+++ b/packages/galenakeeld/src/process/cells/cell-jobs.ts
@@ -38,7 +38,7 @@
 export type CellJobsOptions = {
 	/** Name of the cell. */
 	readonly cell: string;
-	readonly closedAssignments: Pick<ClosedAssignments, 'add' | 'addEnd' | 'addRedirects' | 'redirectsOf' | 'replaceRedirects'>;
+	readonly closedAssignments: Pick<ClosedAssignments, 'add' | 'addEnd' | 'addRedirects' | 'addStarted' | 'redirectsOf' | 'replaceRedirects'>;
 	readonly stopRuns: CellEndpoints['stopRuns'];
 	readonly notify: (holder: string, update: JobUpdate) => void;
 	/** Called when tasks were redirected to another cell, with the processor that they need there. */
@@ -84,6 +84,10 @@
 		const {holder, assignment} = job;
 		jobs.delete(keyOf(job));
 		closedAssignments.add({holder, assignment, updates});
+		if (job.hasStarted) {
+			closedAssignments.addStarted(job.order.job.identifier);
+		}
+
 		if (job.redirects.length > 0) {
 			closedAssignments.addRedirects(job.order.job.identifier, job.redirects);
 		}
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -162,7 +162,7 @@
 	});
 
 	const admission = createJobAdmission({
-		jobs, endpoints, capacity, conditions, isSettled, otherCells, adopt: runs.adopt, measure: workTimes.measure, onDecision, onAccepted: dispatch,
+		jobs, endpoints, capacity, conditions, hasStartedBefore: closedAssignments.hasStarted, isSettled, otherCells, adopt: runs.adopt, measure: workTimes.measure, onDecision, onAccepted: dispatch,
 	});
 
 	const submissions = createCellSubmissions({
--- a/packages/galenakeeld/src/process/cells/closed-assignments.ts
+++ b/packages/galenakeeld/src/process/cells/closed-assignments.ts
@@ -33,6 +33,10 @@
 	/** Keeps where tasks of a job went, since they may still be stopped there when its caller submits the job again. */
 	readonly addRedirects: (job: string, redirects: readonly TaskRedirect[]) => void;
 	readonly redirectsOf: (job: string) => readonly TaskRedirect[];
+	/** Records that tasks of a job have been started. */
+	readonly addStarted: (job: string) => void;
+	/** Whether tasks of a job have been started under an assignment that is kept. */
+	readonly hasStarted: (job: string) => boolean;
 	/** Replaces the redirects that are kept of a job, also those in ends. */
 	readonly replaceRedirects: (job: string, replace: (redirects: readonly TaskRedirect[]) => readonly TaskRedirect[]) => void;
 	/** Whether an assignment of that age may have been removed. */
@@ -80,6 +84,8 @@
 	const endsWithRedirects = new Map<string, KeptEnd>();
 	/** By job. */
 	const redirected = new Map<string, {redirects: readonly TaskRedirect[]; readonly at: number}>();
+	/** By job. */
+	const started = new Map<string, {readonly at: number}>();
 	return {
 		add(closed) {
 			const key = keyOf(closed.holder, closed.assignment);
@@ -105,6 +111,11 @@
 			redirected.delete(job);
 			redirected.set(job, {redirects: [...earlier, ...redirects], at: performance.now()});
 		},
+		addStarted(job) {
+			started.delete(job);
+			started.set(job, {at: performance.now()});
+		},
+		hasStarted: job => started.has(job),
 		redirectsOf: job => redirected.get(job)?.redirects ?? [],
 		replaceRedirects(job, replace) {
 			const known = redirected.get(job);
@@ -122,6 +133,7 @@
 		sweep() {
 			const now = performance.now();
 			removeOlder(assignments, now - keepMilliseconds);
+			removeOlder(started, now - keepMilliseconds);
 			removeOlder(endsWithRedirects, now - keepMilliseconds);
 			removeOlder(ends, now - keepEndMilliseconds);
 			removeOlder(redirected, now - keepEndMilliseconds);
--- a/packages/galenakeeld/src/process/cells/job-admission.ts
+++ b/packages/galenakeeld/src/process/cells/job-admission.ts
@@ -32,6 +32,8 @@
 	readonly endpoints: Pick<CellEndpoints, 'all'>;
 	readonly capacity: Pick<CellCapacityCache, 'available'>;
 	readonly conditions: Pick<StartConditions, 'hasStrayRuns' | 'isAwaitingFirstReports'>;
+	/** Whether tasks of a job have been started here under another assignment. */
+	readonly hasStartedBefore: (job: string) => boolean;
 	readonly isSettled: () => boolean;
 	/** Other cells as their owners last described them. */
 	readonly otherCells: () => readonly CellCapacity[];
@@ -67,7 +69,11 @@
 			...describePart(job), reason, queue: job.order.queue, heldMilliseconds: Math.round(performance.now() - job.receivedAt),
 		});
 		jobs.finish(job, {
-			kind: FleetMessageKind.Refuse, ...referenceOf(job), reason, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, retryAfterMilliseconds)),
+			kind: FleetMessageKind.Refuse,
+			...referenceOf(job),
+			reason,
+			retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, retryAfterMilliseconds)),
+			mayHaveRun: options.hasStartedBefore(job.order.job.identifier),
 		});
 	};
 
--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -137,3 +137,15 @@
   Scenario: An end that lists all tasks as redirected does not keep the other cell from refusing them
     When the owner of "north" ends part "0", after a redirect of the tasks "0.0, 0.1, 0.2, 0.3" to "south" that was lost
     Then part "1" was submitted as one that can be refused
+
+  # Guards against 429 for a job that has run for an earlier call of its caller.
+  Scenario: A job that its home cell refuses as one that may have run has an unknown outcome
+    When the owner of "north" refuses part "0", which may have run
+    Then the outcome is unknown
+    And part "0" was submitted 1 times
+
+  Scenario: A part that another cell refuses as one that may have run returns to the home cell, where it can't be refused
+    When the owner of "north" redirects the tasks "0.0, 0.1, 0.2, 0.3" of part "0" to "south", which become part "1"
+    And the owner of "south" refuses part "1", which may have run
+    Then part "1" was last submitted to "north" with the tasks "0.0, 0.1, 0.2, 0.3"
+    And part "1" was submitted as one that can't be refused
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -129,7 +129,14 @@
 
 When('the owner of {string} refuses part {string}', async function (this: HolderWorld, owner: string, part: string) {
 	this.heldJobs.deliver(owner, {
-		kind: FleetMessageKind.Refuse, ...referenceTo(this, part), reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000,
+		kind: FleetMessageKind.Refuse, ...referenceTo(this, part), reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000, mayHaveRun: false,
+	});
+	await settle();
+});
+
+When('the owner of {string} refuses part {string}, which may have run', async function (this: HolderWorld, owner: string, part: string) {
+	this.heldJobs.deliver(owner, {
+		kind: FleetMessageKind.Refuse, ...referenceTo(this, part), reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000, mayHaveRun: true,
 	});
 	await settle();
 });
@@ -138,7 +145,7 @@
 	const reference = referenceTo(this, part);
 	for (let times = 0; times < 2; times++) {
 		this.heldJobs.deliver(owner, {
-			kind: FleetMessageKind.Refuse, ...reference, reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000,
+			kind: FleetMessageKind.Refuse, ...reference, reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000, mayHaveRun: false,
 		});
 	}
 
--- a/packages/galenakeeld/src/request/assign-part.ts
+++ b/packages/galenakeeld/src/request/assign-part.ts
@@ -16,7 +16,7 @@
 export enum AssignmentEnd {
 	/** All its tasks have succeeded or were moved to other parts. */
 	Done = 'done',
-	/** The owner refused the part and has run none of its tasks. */
+	/** The owner refused the part and has run none of its tasks under this assignment. */
 	Refused = 'refused',
 	/** The owner had lost this daemon, and has stopped what ran of the part. */
 	Dropped = 'dropped',
@@ -29,7 +29,9 @@
 export type AssignmentResult
 	= | {readonly end: AssignmentEnd.Done | AssignmentEnd.OwnerLost}
 		| {readonly end: AssignmentEnd.Dropped; readonly hasStarted: boolean}
-		| {readonly end: AssignmentEnd.Refused | AssignmentEnd.JobEnded; readonly answer: JobAnswer};
+		/** If the job may have run, it was started for an earlier call of its caller. */
+		| {readonly end: AssignmentEnd.Refused; readonly answer: JobAnswer; readonly mayHaveRun: boolean}
+		| {readonly end: AssignmentEnd.JobEnded; readonly answer: JobAnswer};
 
 export type AssignPartOptions = {
 	/** Identifier of the job. */
@@ -153,9 +155,13 @@
 			}
 
 			case FleetMessageKind.Refuse: {
-				const {reason, retryAfterMilliseconds} = update;
-				logDecision(HolderDecision.UpdateRead, {update: update.kind, reason});
-				return {end: AssignmentEnd.Refused, answer: {end: JobEnd.Refused, reason, retryAfterMilliseconds}};
+				const {reason, retryAfterMilliseconds, mayHaveRun} = update;
+				logDecision(HolderDecision.UpdateRead, {update: update.kind, reason, mayHaveRun});
+				if (mayHaveRun) {
+					options.onStarted();
+				}
+
+				return {end: AssignmentEnd.Refused, answer: {end: JobEnd.Refused, reason, retryAfterMilliseconds}, mayHaveRun};
 			}
 
 			case FleetMessageKind.Dropped: {
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -174,8 +174,8 @@
 						return result.answer;
 					}
 
-					// Tasks of the part may have been started by a lost owner, or the home cell refused a committed part, so the outcome is unknown.
-					if (part.generation > 0 || (isAtHome && part.wasCommitted)) {
+					// Tasks of the part may have been started by a lost owner or for an earlier call, or the home cell refused a committed part, so the outcome is unknown.
+					if (part.generation > 0 || (isAtHome && (part.wasCommitted || result.mayHaveRun))) {
 						return {end: undefined};
 					}
 
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -202,6 +202,17 @@
 	readonly redirects: readonly TaskRedirect[];
 };
 
+/**
+An owner's refusal of a part of which it has started no task under this assignment.
+*/
+export type Refusal = AssignmentReference & {
+	readonly kind: FleetMessageKind.Refuse;
+	readonly reason: RefusalReason;
+	readonly retryAfterMilliseconds: number;
+	/** The owner has started tasks of the same job under another assignment, as when its caller submits it again, so it can't be said that the job has not run. */
+	readonly mayHaveRun: boolean;
+};
+
 /**
 Tells a peer of a version of the configuration.
 */
@@ -222,7 +233,7 @@
 		| (AssignmentReference & {readonly kind: FleetMessageKind.Started})
 		| (AssignmentReference & {readonly kind: FleetMessageKind.TaskSucceeded; readonly position: string})
 		| Redirect
-		| (AssignmentReference & {readonly kind: FleetMessageKind.Refuse; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number})
+		| Refusal
 		| PartEnd
 		| DroppedPart
 		| (AssignmentReference & {readonly kind: FleetMessageKind.Superseded})
