A path is unknown only by the newest version that a daemon has heard of

What callers could see: 404 for a queue that operators have added, from a daemon that has missed the version. A 404 says that repeating is of no use.

Cause: a daemon whose store answers counted its configuration as complete for 2.5 s, whatever peers had told it.

Change: while a peer has told of a newer version, an unknown path is answered 503 with Retry-After. Weighed and left out: asking the store before each 404, which a flood of unknown paths would turn into calls beyond its limit for all.

Test: job-intake.feature; the scenario of the newer version fails without the change (the refusal was unknown-queue).

--- /dev/null
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.feature
@@ -0,0 +1,21 @@
+Feature: A path is said to be unknown only by a daemon whose configuration is the newest that it knows of
+
+  Background:
+    Given a daemon whose configuration has the path "/sheets/" and was confirmed 100 ms ago
+
+  Scenario: A path that the newest configuration lacks is unknown
+    Then a request for "/other/" is refused as "unknown-queue"
+
+  # Guards against 404 for a queue that operators have added (CONFIG), by a daemon that has missed the version.
+  Scenario: A path may be in a version that peers have told of
+    Given a peer has told of a newer version
+    Then a request for "/other/" is refused as "no-configuration"
+    And a request for "/sheets/" is accepted
+
+  Scenario: A path may be in a version that the store has not been asked for
+    Given the configuration was confirmed 2600 ms ago
+    Then a request for "/other/" is refused as "no-configuration"
+
+  Scenario: A path may be that of a queue that can't be read
+    Given a queue of the configuration can't be read
+    Then a request for "/other/" is refused as "no-configuration"
--- /dev/null
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {Given, Then} from '@cucumber/cucumber';
+import type {QueueConfiguration} from '@galenakeel/model/version/queue-configuration.js';
+import {createJobIntake, type JobIntake} from '../job-intake.js';
+
+type IntakeWorld = {
+	intake: JobIntake;
+	configuration: QueueConfiguration;
+	confirmedMillisecondsAgo: number;
+	isNewest: boolean;
+};
+
+const host = 'sheets.example';
+
+const fail = (): never => {
+	throw new Error('no job is submitted here');
+};
+
+Given('a daemon whose configuration has the path {string} and was confirmed {int} ms ago', function (this: IntakeWorld, pathPrefix: string, milliseconds: number) {
+	this.configuration = {
+		version: 7,
+		queues: [{
+			name: 'sheets', host, pathPrefix, service: 'sheets', priority: 0, mostAttempts: 3, objectiveFactor: 1.6, objectiveMilliseconds: 60,
+		}],
+		unreadableQueues: 0,
+		limits: {
+			headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1,
+		},
+	};
+	this.confirmedMillisecondsAgo = milliseconds;
+	this.isNewest = true;
+	this.intake = createJobIntake({
+		zone: 'north',
+		hold: fail,
+		configuration: {current: () => this.configuration, ageMilliseconds: () => this.confirmedMillisecondsAgo, isNewest: () => this.isNewest},
+		layout: {cellsOf: fail},
+		endpointsOf: fail,
+		heldJobs: {hold: fail},
+		owners: {awaitOwner: fail, reachableCells: fail},
+		send: fail,
+		readArrivals: fail,
+		leaseMilliseconds: 1300,
+		onAnswered: fail,
+		lastHeardFrom: fail,
+		onDecision: fail,
+	});
+});
+
+Given('a peer has told of a newer version', function (this: IntakeWorld) {
+	this.isNewest = false;
+});
+
+Given('the configuration was confirmed {int} ms ago', function (this: IntakeWorld, milliseconds: number) {
+	this.confirmedMillisecondsAgo = milliseconds;
+});
+
+Given('a queue of the configuration can\'t be read', function (this: IntakeWorld) {
+	this.configuration = {...this.configuration, unreadableQueues: 1};
+});
+
+Then('a request for {string} is refused as {string}', function (this: IntakeWorld, path: string, reason: string) {
+	assert.equal(this.intake.findQueue(host, path), reason);
+});
+
+Then('a request for {string} is accepted', function (this: IntakeWorld, path: string) {
+	assert.equal(typeof this.intake.findQueue(host, path), 'object');
+});
--- a/packages/galenakeeld/src/process/fleet/configuration-follower.ts
+++ b/packages/galenakeeld/src/process/fleet/configuration-follower.ts
@@ -18,6 +18,8 @@
 export type ConfigurationFollower = Pick<ConfigurationWatch, 'ageMilliseconds' | 'current'> & {
 	/** Version of the installed configuration; -1 while there is none. */
 	readonly installed: () => number;
+	/** Whether no peer has told of a version that isn't installed here. */
+	readonly isNewest: () => boolean;
 	readonly receive: (message: ConfigurationMessage, from: string) => void;
 	/** Announces versions and begins to catch up where that is due; call it regularly. */
 	readonly review: () => void;
@@ -89,6 +91,7 @@
 		current: watch.current,
 		ageMilliseconds: watch.ageMilliseconds,
 		installed,
+		isNewest: () => installed() >= newest(),
 		receive(message, from) {
 			switch (message.kind) {
 				case FleetMessageKind.ConfigurationVersion: {
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -36,7 +36,7 @@
 export type JobIntakeOptions = {
 	readonly zone: string;
 	readonly hold: typeof holdJob;
-	readonly configuration: Pick<ConfigurationFollower, 'current' | 'ageMilliseconds'>;
+	readonly configuration: Pick<ConfigurationFollower, 'ageMilliseconds' | 'current' | 'isNewest'>;
 	readonly layout: Pick<CellLayoutWatch, 'cellsOf'>;
 	readonly endpointsOf: OwnedCells['endpointsOf'];
 	readonly heldJobs: Pick<HeldJobs, 'hold'>;
@@ -89,7 +89,7 @@
 			}
 
 			// The queue may exist in a newer configuration that this daemon has missed, or be one that it can't read.
-			const isComplete = configuration.ageMilliseconds() < configurationFreshnessMilliseconds && current.unreadableQueues === 0;
+			const isComplete = configuration.isNewest() && configuration.ageMilliseconds() < configurationFreshnessMilliseconds && current.unreadableQueues === 0;
 			return isComplete ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
 		},
 		async submit(job, queue, disconnected) {
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -323,7 +323,7 @@
 	const intake = createJobIntake({
 		zone,
 		hold: holdJob,
-		configuration: {current: () => undefined, ageMilliseconds: () => 0},
+		configuration: {current: () => undefined, ageMilliseconds: () => 0, isNewest: () => true},
 		layout: {cellsOf: name => [name]},
 		endpointsOf: cells.endpointsOf,
 		heldJobs,
