--- a/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.feature
@@ -32,6 +32,13 @@
     And "n1, s1" have version 6
     Then the version was announced to "n1, s1"
 
+  Scenario: What a peer of an earlier build leaves out changes nothing
+    Given a view of the peer "n1" with version 7
+    When a keep-alive of "n1" without a version is read
+    Then the view has version 7 of "n1"
+    When "n1" tells the view of version 8, which it has not installed
+    Then the view has version 7 of "n1", and 8 as the newest
+
   # Guards against changes that come into force late (CONFIG): the time to read a missed change grew with the fleet, up to 10 s.
   Scenario Outline: <daemons> daemons read the store as often together as ten do, since they announce newer versions
     Then one of <daemons> daemons waits <wait> ms for a change, and reads the configuration each <interval> ms
--- a/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/configuration-announcements.steps.ts
@@ -3,10 +3,10 @@
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
 import {install, type Clock} from '@sinonjs/fake-timers';
-import {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind, type KeepAlive} from '@galenakeel/model/connection/fleet-message.js';
 import {createConfigurationAnnouncements, newestVersionOf} from '../configuration-announcements.js';
 import {awaitChangeFor, readIntervalFor} from '../configuration-watch.js';
-import type {Peer} from '../fleet-view.js';
+import {createFleetView, type FleetView, type Peer} from '../fleet-view.js';
 import {createDescribedPeer} from './described-peer.js';
 
 type AnnouncementWorld = {
@@ -15,6 +15,7 @@
 	sentVersions: string[];
 	isOwner: boolean;
 	ownVersion: number;
+	view: FleetView;
 	announce: () => void;
 };
 
@@ -71,6 +72,33 @@
 	}
 });
 
+Given('a view of the peer {string} with version {int}', function (this: AnnouncementWorld, address: string, configurationVersion: number) {
+	this.view = createFleetView();
+	this.view.receiveHeartbeat({
+		kind: FleetMessageKind.Heartbeat, instance: address, address, zone: 'north', startedAt: 1, processor: 1000, silentAfterMilliseconds: 700, neededSilenceMilliseconds: 700,
+		claims: [], configurationVersion, isLeaving: false, known: [], cellCounts: {},
+	});
+});
+
+When('a keep-alive of {string} without a version is read', function (this: AnnouncementWorld, address: string) {
+	const keepAlive = {silentAfterMilliseconds: 700, neededSilenceMilliseconds: 700};
+	this.view.receiveKeepAlive(address, keepAlive as unknown as KeepAlive);
+});
+
+When('{string} tells the view of version {int}, which it has not installed', function (this: AnnouncementWorld, address: string, newest: number) {
+	this.view.receiveConfigurationVersion(address, {installed: 7, newest});
+});
+
+Then('the view has version {int} of {string}', function (this: AnnouncementWorld, version: number, address: string) {
+	const {configurationVersion, newestVersion} = this.view.get(address)!;
+	assert.deepEqual([configurationVersion, newestVersion], [version, version]);
+});
+
+Then('the view has version {int} of {string}, and {int} as the newest', function (this: AnnouncementWorld, version: number, address: string, newest: number) {
+	const {configurationVersion, newestVersion} = this.view.get(address)!;
+	assert.deepEqual([configurationVersion, newestVersion], [version, newest]);
+});
+
 Then('one of {int} daemons waits {int} ms for a change, and reads the configuration each {int} ms', (daemons: number, wait: number, interval: number) => {
 	assert.equal(awaitChangeFor(daemons), wait);
 	assert.equal(readIntervalFor(daemons), interval);
--- a/packages/galenakeeld/src/process/fleet/fleet-view.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-view.ts
@@ -123,9 +123,12 @@
 		peer.expectedWithinMilliseconds = Number.POSITIVE_INFINITY;
 	};
 
+	/** Ignores what is no version, as in messages of an earlier build. */
 	const recordVersions = (peer: PeerRecord, installed: number, newest: number): void => {
-		peer.configurationVersion = installed;
-		peer.newestVersion = Math.max(peer.newestVersion, newest);
+		if (Number.isSafeInteger(installed) && Number.isSafeInteger(newest)) {
+			peer.configurationVersion = installed;
+			peer.newestVersion = Math.max(peer.newestVersion, newest);
+		}
 	};
 
 	const isSilent = (peer: PeerRecord, now: number): boolean => {
