Daemons that start together read the configuration in turn

What callers could see: a change that all watches miss in the first seconds of a fleet comes into force late (CONFIG).

Cause, found by reading again: the first read's interval was that of a daemon that knows of no others yet, 1.6 s; the next one that of the fleet, 15.5 s at 97 daemons. So all read within the same 1.6 s of each interval, and nobody in between.

Change: when the next read is due is worked out from the present number of daemons.

--- a/packages/galenakeeld/src/process/fleet/__tests__/configuration-spread.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/configuration-spread.feature
@@ -4,7 +4,7 @@
   Scenario Outline: <daemons> daemons install a version in time although the store of <share> of them <fault>
     Given <daemons> daemons in <zones> zones with <owners> owners each, on links that carry a configuration in 300 ms
     And <share> of them have a store that <fault>
-    When version 2 is acknowledged after 4 s
+    When version 2 is acknowledged 2500 ms after the start
     Then all daemons have version 2 within <bound> ms
 
     Examples:
--- a/packages/galenakeeld/src/process/fleet/__tests__/configuration-spread.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/configuration-spread.steps.ts
@@ -23,7 +23,7 @@
 };
 const staleMilliseconds = 3000;
 /** Before the change, so that waits that are in progress by then are affected too. */
-const changeAfterMilliseconds = 3000;
+const changeAfterMilliseconds = 2000;
 /** Spreads the affected daemons over zones and roles. */
 const spreadStep = 61;
 const applyMilliseconds = 2000;
@@ -40,11 +40,11 @@
 	const isChanging = () => this.spreadClock !== undefined && this.spreadClock.now >= changeAfterMilliseconds;
 	this.configurationStore = createSimulatedConfigurationStore(daemon => isAffected(daemon) && isChanging() ? services[fault]! : StoreService.Full, staleMilliseconds);
 });
-When('version {int} is acknowledged after {int} s', async function (this: SpreadWorld, version: number, seconds: number) {
+When('version {int} is acknowledged {int} ms after the start', async function (this: SpreadWorld, version: number, milliseconds: number) {
 	this.spreadClock = install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval']});
 	syncBuiltinESMExports();
 	this.configurationFleet = createSimulatedConfigurationFleet({...this.fleetOptions, store: this.configurationStore});
-	await this.spreadClock.tickAsync(seconds * 1000);
+	await this.spreadClock.tickAsync(milliseconds);
 	assert.deepEqual(this.configurationFleet.behind(version - 1), []);
 	this.configurationStore.write(version);
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/simulated-configuration-fleet.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/simulated-configuration-fleet.ts
@@ -45,6 +45,8 @@
 const describe = ({address, zone, isOwner}: PeerCandidate): SimulatedPeer => createDescribedPeer({address, zone, owned: new Map(isOwner ? [[zone, undefined]] : [])});
 
 const tickMilliseconds = 100;
+/** Time after which the daemons, which start together, know each other. */
+const acquaintMilliseconds = 500;
 const transitMilliseconds = 1;
 
 const recordVersions = (peer: SimulatedPeer, installed: number, newest: number): void => {
@@ -91,13 +93,14 @@
 		const peers = new Map<string, SimulatedPeer>();
 		const heartbeats = new Map<string, {readonly intervalMilliseconds: number; dueAt: number}>();
 		let list: readonly Peer[] | undefined;
+		const startedAt = performance.now();
 		const configuration = createConfigurationFollower({
 			zone,
 			applyMilliseconds,
 			store: store.callsFor(address, useLink),
 			peers() {
 				list ??= [...peers.values()];
-				return list;
+				return performance.now() - startedAt < acquaintMilliseconds ? [] : list;
 			},
 			recordVersions(from, versions) {
 				recordVersions(peers.get(from)!, versions.installed, versions.newest);
--- a/packages/galenakeeld/src/process/fleet/configuration-watch.ts
+++ b/packages/galenakeeld/src/process/fleet/configuration-watch.ts
@@ -75,7 +75,9 @@
 	let confirmedAt = Number.NEGATIVE_INFINITY;
 	let revision = 0;
 	/** Monotonic milliseconds. */
-	let nextReadAt = Number.NEGATIVE_INFINITY;
+	let lastReadAt = Number.NEGATIVE_INFINITY;
+	/** Part of the interval after which the next read is due. */
+	let intervalShare = 1;
 	let isLost = false;
 	const closing = new AbortController();
 
@@ -105,9 +107,13 @@
 		}
 	};
 
-	/** Reads at a random time of the next interval after all daemons have read at once, as at their start. */
+	/** The interval is that of the present number of daemons, of which a daemon knows none at its start. */
+	const millisecondsUntilRead = (): number => lastReadAt + (intervalShare * readIntervalFor(handlers.daemons())) - performance.now();
+
+	/** Reads at the same time as other daemons, as at their start. The next read is due at a random time of the interval. */
 	const readWithOthers = async (): Promise<void> => {
-		nextReadAt = performance.now() + (handlers.random() * readIntervalFor(handlers.daemons()));
+		lastReadAt = performance.now();
+		intervalShare = handlers.random();
 		await read();
 		if (!current) {
 			await sleep(retryMilliseconds);
@@ -115,12 +121,13 @@
 	};
 
 	const readInTurn = async (): Promise<void> => {
-		nextReadAt = performance.now() + readIntervalFor(handlers.daemons());
+		lastReadAt = performance.now();
+		intervalShare = 1;
 		await read();
 	};
 
 	const wait = async (): Promise<void> => {
-		const untilRead = Math.max(1, Math.ceil(nextReadAt - performance.now()));
+		const untilRead = Math.max(1, Math.ceil(millisecondsUntilRead()));
 		const change = await store.awaitConfiguration(revision, Math.min(awaitChangeFor(handlers.daemons()), untilRead));
 		confirm();
 		if (change.isHistoryGone) {
@@ -137,7 +144,7 @@
 	const followStore = async (): Promise<void> => {
 		if (!current) {
 			await readWithOthers();
-		} else if (performance.now() >= nextReadAt) {
+		} else if (millisecondsUntilRead() <= 0) {
 			await readInTurn();
 		} else {
 			await wait();
