Test: daemons that the store serves send each other no configuration

The simulated fleet counted whole configurations between daemons and nothing looked at the count; that of the simulated store goes.

--- a/packages/galenakeeld/src/process/fleet/__tests__/configuration-spread.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/configuration-spread.steps.ts
@@ -40,6 +40,7 @@
 	const isChanging = () => this.spreadClock !== undefined && this.spreadClock.now >= changeAfterMilliseconds;
 	this.configurationStore = createSimulatedConfigurationStore(daemon => isAffected(daemon) && isChanging() ? services[fault]! : StoreService.Full, staleMilliseconds);
 });
+
 When('version {int} is acknowledged {int} ms after the start', async function (this: SpreadWorld, version: number, milliseconds: number) {
 	this.spreadClock = install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval']});
 	syncBuiltinESMExports();
@@ -54,6 +55,10 @@
 	assert.deepEqual(this.configurationFleet!.behind(version), [], 'daemons that are behind');
 });
 
+Then('no configuration was sent from daemon to daemon', function (this: SpreadWorld) {
+	assert.equal(this.configurationFleet!.bodies(), 0);
+});
+
 After(function (this: Partial<SpreadWorld>) {
 	this.configurationFleet?.close();
 	if (this.spreadClock) {
--- a/packages/galenakeeld/src/process/fleet/__tests__/simulated-configuration-store.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/simulated-configuration-store.ts
@@ -25,8 +25,6 @@
 	readonly write: (version: number) => void;
 	/** The calls of one daemon. */
 	readonly callsFor: (daemon: string, receive: () => Promise<void>) => Pick<StoreCalls, 'readConfiguration' | 'awaitConfiguration'>;
-	/** Answers that carried a whole configuration. */
-	readonly bodies: () => number;
 };
 
 type Written = {readonly version: number; readonly revision: number; readonly at: number};
@@ -50,7 +48,6 @@
 export const createSimulatedConfigurationStore = (serviceOf: (daemon: string) => StoreService, staleMilliseconds = 0): SimulatedConfigurationStore => {
 	const written: Written[] = [{version: 1, revision: 1, at: Number.NEGATIVE_INFINITY}];
 	const waiting = new Set<() => void>();
-	let bodies = 0;
 
 	const latest = (): Written => written.at(-1)!;
 
@@ -88,7 +85,6 @@
 				const service = await answer(daemon);
 				const until = service === StoreService.StaleReads ? performance.now() - staleMilliseconds : performance.now();
 				const stored = toStored(written.findLast(({at}) => at <= until)!);
-				bodies++;
 				await receive();
 				return stored;
 			},
@@ -108,11 +104,9 @@
 				}
 
 				const stored = toStored(latest());
-				bodies++;
 				await receive();
 				return {...stored, isHistoryGone: false};
 			},
 		}),
-		bodies: () => bodies,
 	};
 };
