A cancel doesn't wait while a part is submitted again

Cause: when a stream to an owner opens again, the task of a part waited until arrivals had been read before it submitted the part again, and read no update meanwhile. The end of the caller stood behind that wait. On a daemon whose turns are long the wait lasts for seconds, while its frames go on to confirm the owner's, so the owner goes on to extend the leases.

Change: the part is submitted again beside the task that reads the updates.

The scenario failed before: "A part is cancelled at once when the caller disconnects while the part waits to be submitted again" (27 passed, 1 failed; now 28 passed).

--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -130,6 +130,15 @@
     And a stream to the owner of "north" opens again
     Then part "0" was submitted 1 times
 
+  # Guards against TWICE: the cancel waited until arrivals were read, while the holder went on to confirm the owner's frames.
+  Scenario: A part is cancelled at once when the caller disconnects while the part waits to be submitted again
+    When arrivals from callers take long to read
+    And a stream to the owner of "north" opens again
+    And the caller disconnects
+    Then part "0" was cancelled
+    When arrivals from callers have been read
+    Then part "0" was submitted 1 times
+
   Scenario: A part is submitted again on a new stream while the caller waits
     When a stream to the owner of "north" opens again
     Then part "0" was submitted 2 times
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -6,6 +6,7 @@
 import {
 	FleetMessageKind, type AssignmentReference, type FleetMessage, type JobOrder,
 } from '@galenakeel/model/connection/fleet-message.js';
+import {createDeferred, type Deferred} from '@galenakeel/model/request/deferred.js';
 import {RefusalReason, type Job} from '@galenakeel/model/request/job.js';
 import {positionOf} from '@galenakeel/model/request/task-key.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
@@ -24,6 +25,8 @@
 	holdings: HeldJob[];
 	answer: JobAnswer | undefined;
 	hasCallerLeft: boolean;
+	/** Resolves once arrivals from callers have been read; undefined while nothing has to be read. */
+	arrivals: Deferred<void> | undefined;
 };
 
 const identifier = '5c0e7a21d94b36f8';
@@ -76,10 +79,14 @@
 	this.holdings = [];
 	this.answer = undefined;
 	this.hasCallerLeft = false;
+	this.arrivals = undefined;
 	const hold = async (): Promise<void> => {
 		this.answer = await holdJob(job, queue, {
 			homeCell,
-			hasCallerLeft: async () => this.hasCallerLeft,
+			hasCallerLeft: async () => {
+				await this.arrivals?.promise;
+				return this.hasCallerLeft;
+			},
 			hold: () => {
 				const held = this.heldJobs.hold();
 				this.holdings.push(held);
@@ -210,6 +217,15 @@
 	this.hasCallerLeft = true;
 });
 
+When('arrivals from callers take long to read', function (this: HolderWorld) {
+	this.arrivals = createDeferred();
+});
+
+When('arrivals from callers have been read', async function (this: HolderWorld) {
+	this.arrivals!.resolve();
+	await settle();
+});
+
 When('a stream to the owner of {string} opens again', async function (this: HolderWorld, owner: string) {
 	this.heldJobs.notifyReconnected(owner);
 	await settle();
--- a/packages/galenakeeld/src/request/assign-part.ts
+++ b/packages/galenakeeld/src/request/assign-part.ts
@@ -67,6 +67,7 @@
 	const assignment = heldJob.assign(part.cell, owner);
 	const reference: AssignmentReference = {job: options.job, part: part.name, assignment};
 	const assignedAt = performance.now();
+	let hasEnded = false;
 
 	const logDecision = (decision: HolderDecision, fields: Readonly<Record<string, unknown>>): void => {
 		options.onDecision(decision, {
@@ -81,8 +82,9 @@
 		logDecision(HolderDecision.PartSubmitted, {isRepeated});
 	};
 
+	/** Runs beside the task that reads the updates, which must not wait: the end of the caller may be the next of them. */
 	const submitAgain = async (): Promise<void> => {
-		if (!await options.hasCallerLeft()) {
+		if (!await options.hasCallerLeft() && !hasEnded) {
 			submit(true);
 		}
 	};
@@ -176,10 +178,10 @@
 	};
 
 	/** Processes an update or a local event. Returns the result if the assignment has ended with it. */
-	const read = async (update: HolderUpdate): Promise<AssignmentResult | undefined> => {
+	const read = (update: HolderUpdate): AssignmentResult | undefined => {
 		switch (update.kind) {
 			case HolderEvent.OwnerReconnected: {
-				await submitAgain();
+				void submitAgain();
 				return undefined;
 			}
 
@@ -214,8 +216,9 @@
 			continue;
 		}
 
-		const result = await read(update);
+		const result = read(update);
 		if (result) {
+			hasEnded = true;
 			return result;
 		}
 	}
