A daemon counts as heard by itself up to where a turn began, not where it ended

Cause: the leases of such a daemon's runs last a second beyond the last turn of its event loop. A turn reads what had arrived at its beginning, but counted from its end. With turns of some milliseconds that is the same. On a slow machine the end of a caller's connection lies unread for a whole turn while leases are extended past the caller's return.

Change: reading-turns.ts records where a turn began, once it has ended. Peer confirmations take the time from there.

The scenario failed before: "A long turn of the event loop confirms only what had arrived when it began" (5700 instead of 5000).

--- a/packages/galenakeeld/src/process/fleet/__tests__/confirmed-leases.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/confirmed-leases.steps.ts
@@ -43,6 +43,7 @@
 		address: '10.1.0.13:7720',
 		startedAt: ownerStartedAt,
 		lastSuspendedAt: createSuspensionDetector(),
+		readUpTo: () => performance.now(),
 		sendRequest: () => {
 			const sentAt = performance.now();
 			setTimeout(() => {
--- a/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.feature
@@ -43,6 +43,13 @@
     And the daemon has read what arrived for it
     Then the daemon has confirmed its own turn of 5100 ms
 
+  # Guards against TWICE: a slow daemon that holds and owns a job extended its runs by what had arrived unread during a long turn.
+  Scenario: A long turn of the event loop confirms only what had arrived when it began
+    When a turn of the event loop begins
+    And the daemon runs on for 700 ms
+    And the turn ends
+    Then the daemon has confirmed its own turn of 5000 ms
+
   Scenario: A request is not repeated while its answer may be on its way, and a frame that was sent before it answers nothing
     When a confirmation is requested 2 times
     Then 1 request was sent
--- a/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {performance} from 'node:perf_hooks';
+import {setImmediate as turn} from 'node:timers/promises';
 import {
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
@@ -7,10 +8,12 @@
 import type {HeardFrame} from '@galenakeel/model/connection/fleet-message.js';
 import {createSuspensionDetector} from '../../suspension-detector.js';
 import {createPeerConfirmations, type PeerConfirmations} from '../peer-confirmations.js';
+import {createReadingTurns, type ReadingTurns} from '../reading-turns.js';
 
 type ConfirmationsWorld = {
 	confirmationClock: Clock;
 	confirmations: PeerConfirmations;
+	turns: ReadingTurns;
 	peerStartedAt: number;
 	requested: string[];
 	answeredRequests: number;
@@ -31,10 +34,12 @@
 	this.peerStartedAt = startedAt + 1;
 	this.requested = [];
 	this.answeredRequests = 0;
+	this.turns = createReadingTurns();
 	this.confirmations = createPeerConfirmations({
 		address: self,
 		startedAt,
 		lastSuspendedAt: createSuspensionDetector(),
+		readUpTo: this.turns.readUpTo,
 		sendRequest: address => {
 			this.requested.push(address);
 		},
@@ -74,8 +79,17 @@
 	this.confirmationClock.tick(milliseconds);
 });
 
-When('the daemon has read what arrived for it', function (this: ConfirmationsWorld) {
-	this.confirmations.recordOwnTurn();
+When('the daemon has read what arrived for it', async function (this: ConfirmationsWorld) {
+	this.turns.begin();
+	await turn();
+});
+
+When('a turn of the event loop begins', function (this: ConfirmationsWorld) {
+	this.turns.begin();
+});
+
+When('the turn ends', async () => {
+	await turn();
 });
 
 When('a confirmation is requested {int} times', function (this: ConfirmationsWorld, times: number) {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -48,6 +48,7 @@
 import {selectPeers} from './peer-selection.js';
 import {readProcessUsage} from './process-usage.js';
 import {createArrivalReader} from './arrival-reader.js';
+import {createReadingTurns} from './reading-turns.js';
 import {createRecentCancels} from './recent-cancels.js';
 import {createSelfDescription} from './self-description.js';
 import {createRollCall} from './roll-call.js';
@@ -107,10 +108,12 @@
 	const rollCall = createRollCall(() => view.all().filter(({zone}) => zone === settings.zone).map(({address}) => address));
 	const discovery = createDiscovery({lastHeardAt: address => view.get(address)?.lastHeartbeatAt, hasReachablePeers: () => view.all().length > 0});
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
+	const turns = createReadingTurns();
 	const confirmations = createPeerConfirmations({
 		address: self,
 		startedAt,
 		lastSuspendedAt: createSuspensionDetector(),
+		readUpTo: turns.readUpTo,
 		sendRequest(address) {
 			links.send(address, {kind: FleetMessageKind.ConfirmationRequest});
 		},
@@ -444,7 +447,7 @@
 
 	const tick = (): void => {
 		daemonLoad.recordTick();
-		setImmediate(confirmations.recordOwnTurn);
+		turns.begin();
 		const {milliseconds, isPause, followsPause} = measureGap();
 		if (isPause) {
 			log.warn({event: FleetEvent.Paused, milliseconds: Math.round(milliseconds)});
--- a/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -7,11 +7,9 @@
 export type PeerConfirmations = {
 	/** Records a frame of a peer. Call it after the frame's messages, since a confirmation doesn't hold before the cancels that arrive with it. */
 	readonly recordFrame: (peer: Pick<Heartbeat, 'address' | 'startedAt'>, frame: Pick<FleetFrame, 'sentAt' | 'heard'>) => void;
-	/** Records that this daemon has read what had arrived for it, so that it counts as heard by itself. */
-	readonly recordOwnTurn: () => void;
 	/** What the next frame to a peer confirms. */
 	readonly heardFrom: (address: string) => HeardFrame | undefined;
-	/** Monotonic milliseconds at which this daemon sent the last frame that a peer has confirmed; negative infinity if there is none, or none since this daemon was suspended. */
+	/** Monotonic milliseconds at which this daemon sent the last frame that a peer has confirmed; negative infinity if there is none, or none since this daemon was suspended. For this daemon itself, the time up to which it has read what arrived. */
 	readonly confirmedBy: (address: string) => number;
 	/** Asks a peer to confirm at once, unless it was asked a moment ago. */
 	readonly request: (address: string) => void;
@@ -24,6 +22,8 @@
 	readonly startedAt: number;
 	/** Monotonic milliseconds of the last suspension, which the monotonic clock doesn't count. */
 	readonly lastSuspendedAt: () => number;
+	/** Monotonic milliseconds up to which this daemon has read what arrived for it. */
+	readonly readUpTo: () => number;
 	readonly sendRequest: (address: string) => void;
 	/** Called when a confirmation has arrived that was requested. */
 	readonly onConfirmed: () => void;
@@ -50,11 +50,10 @@
 confirmations.confirmedBy('10.1.0.13:7720');
 ```
 */
-export const createPeerConfirmations = ({address: self, startedAt, lastSuspendedAt, sendRequest, onConfirmed}: PeerConfirmationsOptions): PeerConfirmations => {
+export const createPeerConfirmations = ({address: self, startedAt, lastSuspendedAt, readUpTo, sendRequest, onConfirmed}: PeerConfirmationsOptions): PeerConfirmations => {
 	const records = new Map<string, PeerRecord>();
 	/** Times of the requests that have not been answered, in monotonic milliseconds. */
 	const requests = new Map<string, number>();
-	let ownTurnAt = performance.now();
 
 	/** The record of this life of a peer; frames of an earlier life prove nothing. */
 	const recordOf = (peer: Pick<Heartbeat, 'address' | 'startedAt'>): PeerRecord => {
@@ -84,15 +83,12 @@
 				onConfirmed();
 			}
 		},
-		recordOwnTurn() {
-			ownTurnAt = performance.now();
-		},
 		heardFrom(address) {
 			const record = records.get(address);
 			return record && {startedAt: record.startedAt, sentAt: record.heardSentAt};
 		},
 		confirmedBy(address) {
-			const confirmedAt = address === self ? ownTurnAt : records.get(address)?.confirmedAt ?? Number.NEGATIVE_INFINITY;
+			const confirmedAt = address === self ? readUpTo() : records.get(address)?.confirmedAt ?? Number.NEGATIVE_INFINITY;
 			return confirmedAt > lastSuspendedAt() ? confirmedAt : Number.NEGATIVE_INFINITY;
 		},
 		request(address) {
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -23,6 +23,7 @@
 import {createPeerConfirmations} from '../../process/fleet/peer-confirmations.js';
 import {createPauseDetector} from '../../process/fleet/pause-detector.js';
 import {createArrivalReader} from '../../process/fleet/arrival-reader.js';
+import {createReadingTurns} from '../../process/fleet/reading-turns.js';
 import {createRecentCancels} from '../../process/fleet/recent-cancels.js';
 import {createRollCall} from '../../process/fleet/roll-call.js';
 import {createSelfDescription} from '../../process/fleet/self-description.js';
@@ -88,11 +89,13 @@
 	const heldJobs = createHeldJobs();
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
 	const startedAt = Date.now();
+	const turns = createReadingTurns();
 	const confirmations = createPeerConfirmations({
 		address: self,
 		startedAt,
 		// The time of day keeps to the steady clock here.
 		lastSuspendedAt: () => Number.NEGATIVE_INFINITY,
+		readUpTo: turns.readUpTo,
 		sendRequest(address) {
 			links.send(address, {kind: FleetMessageKind.ConfirmationRequest});
 		},
@@ -291,7 +294,7 @@
 	const measureGap = createPauseDetector(pauseThresholdMilliseconds);
 
 	const tick = (): void => {
-		setImmediate(confirmations.recordOwnTurn);
+		turns.begin();
 		const {milliseconds, isPause, followsPause} = measureGap();
 		if (isPause) {
 			discovery.restart();
