A frame is confirmed once the turn in which it arrived has been read

Cause: a stream that opens in the middle of a turn sends its first frame there, and confirms frames that were processed earlier in the same turn. The end of a caller's connection that had arrived before them may be read later in it, and its cancel follows the confirmation. On a slow machine a turn takes longer than the 240 ms that are to spare.

Change: what a frame confirms is what was processed in turns that have ended.

--- a/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
@@ -65,6 +65,10 @@
 	receive(this, performance.now(), {startedAt: earlierStartedAt, sentAt: 1});
 });
 
+When('a frame of the peer arrives that it sent at {int} ms', function (this: ConfirmationsWorld, sentAt: number) {
+	receive(this, sentAt);
+});
+
 When('the peer restarts, and a frame of it arrives that it sent at {int} ms', function (this: ConfirmationsWorld, sentAt: number) {
 	this.peerStartedAt++;
 	receive(this, sentAt);
--- a/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -31,7 +31,9 @@
 
 type PeerRecord = {
 	readonly startedAt: number;
-	/** Monotonic clock of the peer. */
+	/** Time of the last frame that was processed, on the monotonic clock of the peer. */
+	processedSentAt: number;
+	/** The same for the last frame that was processed in a turn of the event loop that has ended. */
 	heardSentAt: number;
 	/** Own monotonic clock. */
 	confirmedAt: number;
@@ -62,17 +64,30 @@
 			return known;
 		}
 
-		const record: PeerRecord = {startedAt: peer.startedAt, heardSentAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY};
+		const record: PeerRecord = {
+			startedAt: peer.startedAt, processedSentAt: Number.NEGATIVE_INFINITY, heardSentAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY,
+		};
 		records.set(peer.address, record);
 		return record;
 	};
 
+	/** Confirms a frame once the turn is over: the end of a caller's connection that arrived before it may not have been read yet. */
+	const recordProcessed = (record: PeerRecord, sentAt: number): void => {
+		const isPending = record.processedSentAt > record.heardSentAt;
+		record.processedSentAt = Math.max(record.processedSentAt, sentAt);
+		if (!isPending) {
+			setImmediate(() => {
+				record.heardSentAt = record.processedSentAt;
+			});
+		}
+	};
+
 	const isOwnFrame = (heard: HeardFrame): boolean => heard.startedAt === startedAt && heard.sentAt <= performance.now();
 
 	return {
 		recordFrame(peer, {sentAt, heard}) {
 			const record = recordOf(peer);
-			record.heardSentAt = Math.max(record.heardSentAt, sentAt);
+			recordProcessed(record, sentAt);
 			if (!heard || !isOwnFrame(heard)) {
 				return;
 			}
@@ -85,7 +100,8 @@
 		},
 		heardFrom(address) {
 			const record = records.get(address);
-			return record && {startedAt: record.startedAt, sentAt: record.heardSentAt};
+			const hasHeard = record !== undefined && record.heardSentAt > Number.NEGATIVE_INFINITY;
+			return hasHeard ? {startedAt: record.startedAt, sentAt: record.heardSentAt} : undefined;
 		},
 		confirmedBy(address) {
 			const confirmedAt = address === self ? readUpTo() : records.get(address)?.confirmedAt ?? Number.NEGATIVE_INFINITY;
