A holder waits for one whole turn of reading, however long that is

What callers saw: no answer until their deadline, from a daemon that is slow.

Cause: before each submission a holder read what had arrived from callers, and began anew if that had taken over 240 ms. On a machine whose turns are all longer it neither submitted nor refused. The constant stood for the time between the end of a lease and a caller's return, and made up for leases that counted what was unread as read.

Change: the wait is one whole turn.

--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -15,7 +15,6 @@
 import {isRoutineOfHolder} from '../../request/holder-decision.js';
 import {createCell} from '../cells/cell.js';
 import {isRoutine} from '../cells/cell-decision.js';
-import {maximumLeaseOf} from '../cells/maximum-lease.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
 import {createSuspensionDetector} from '../suspension-detector.js';
@@ -47,8 +46,7 @@
 import {createPeerConfirmations} from './peer-confirmations.js';
 import {selectPeers} from './peer-selection.js';
 import {readProcessUsage} from './process-usage.js';
-import {createArrivalReader} from './arrival-reader.js';
-import {createReadingTurns} from './reading-turns.js';
+import {awaitWholeTurn, createReadingTurns} from './reading-turns.js';
 import {createRecentCancels} from './recent-cancels.js';
 import {createSelfDescription} from './self-description.js';
 import {createRollCall} from './roll-call.js';
@@ -72,8 +70,6 @@
 const pauseThresholdMilliseconds = 500;
 /** Maximum time for which a run continues after its lease: allows for a slow clock, and for the time until an owner detects the loss of its holder. */
 const leaseSlackMilliseconds = 300;
-/** Time from the end of a caller's connection until the caller may submit its job again. */
-const callerReturnMilliseconds = 1300;
 /** Time until the platform has detected that a leaving daemon is no longer ready. */
 const announceMilliseconds = 2200;
 /** Share of the drain limit in which a leaving daemon still accepts jobs, since callers keep using their open connections. */
@@ -484,8 +480,7 @@
 			recentCancels.record(address, message);
 			links.send(address, message);
 		},
-		// Runs of a lost holder end before its callers return.
-		readArrivals: createArrivalReader(Math.max(tickMilliseconds, callerReturnMilliseconds - maximumLeaseOf(settings.leases.maximumMilliseconds))),
+		readArrivals: awaitWholeTurn,
 		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
 		onDecision(decision, fields) {
--- a/packages/galenakeeld/src/process/fleet/reading-turns.ts
+++ b/packages/galenakeeld/src/process/fleet/reading-turns.ts
@@ -10,6 +10,26 @@
 	readonly readUpTo: () => number;
 };
 
+/** Resolves in the next phase of the event loop in which immediates run. */
+const awaitImmediates = async (): Promise<void> => new Promise(resolve => {
+	setImmediate(resolve);
+});
+
+/**
+Waits until everything that had arrived at open connections before the call has been read.
+
+@example
+```
+await awaitWholeTurn();
+if (!disconnected.aborted) {
+```
+*/
+export const awaitWholeTurn = async (): Promise<void> => {
+	// The event loop reads between the immediates of two turns.
+	await awaitImmediates();
+	await awaitImmediates();
+};
+
 /**
 Creates the record of the turns.
 
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -22,8 +22,7 @@
 import {createOwnedCells} from '../../process/fleet/owned-cells.js';
 import {createPeerConfirmations} from '../../process/fleet/peer-confirmations.js';
 import {createPauseDetector} from '../../process/fleet/pause-detector.js';
-import {createArrivalReader} from '../../process/fleet/arrival-reader.js';
-import {createReadingTurns} from '../../process/fleet/reading-turns.js';
+import {awaitWholeTurn, createReadingTurns} from '../../process/fleet/reading-turns.js';
 import {createRecentCancels} from '../../process/fleet/recent-cancels.js';
 import {createRollCall} from '../../process/fleet/roll-call.js';
 import {createSelfDescription} from '../../process/fleet/self-description.js';
@@ -62,7 +61,6 @@
 };
 
 /** As in `startFleetDaemon`. */
-const mostReadMilliseconds = 240;
 const tickMilliseconds = 100;
 const pauseThresholdMilliseconds = 500;
 const leaseSlackMilliseconds = 300;
@@ -335,7 +333,7 @@
 			recentCancels.record(address, message);
 			links.send(address, message);
 		},
-		readArrivals: createArrivalReader(mostReadMilliseconds),
+		readArrivals: awaitWholeTurn,
 		leaseMilliseconds: maximumLeaseMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
 		onDecision: recordDecision,
