A caller is taken to have left a lease before it may return

Cause: only the end of its connection tells that a caller has left. If that arrives late, or never, the holder goes on to confirm the owner's frames, and the owner to extend the leases. Between zones nothing else keeps the runs of two calls apart.

Counted from when the request can have been sent, the wait ends a lease before the caller may submit its job again, and before anything later is confirmed (caller-waits.ts). No message changes.

--- a/packages/galenakeeld/src/process/fleet/__tests__/confirmed-leases.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/confirmed-leases.steps.ts
@@ -44,6 +44,9 @@
 		startedAt: ownerStartedAt,
 		lastSuspendedAt: createSuspensionDetector(),
 		readUpTo: () => performance.now(),
+		beforeConfirming() {
+			// No caller leaves here.
+		},
 		sendRequest: () => {
 			const sentAt = performance.now();
 			setTimeout(() => {
--- a/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
@@ -38,6 +38,8 @@
 		heldJobs: {hold: fail},
 		owners: {awaitOwner: fail, reachableCells: fail},
 		send: fail,
+		callerWaits: {begin: fail},
+		unreadSince: fail,
 		readArrivals: fail,
 		leaseMilliseconds: 1300,
 		onAnswered: fail,
--- a/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
@@ -22,6 +22,11 @@
 const self = '10.1.0.13:7720';
 const peer = '10.1.0.14:7720';
 const startedAt = 1_000_000;
+
+const ignore = (): void => {
+	// No caller leaves here.
+};
+
 const earlierStartedAt = 900_000;
 
 const receive = ({confirmations, peerStartedAt}: ConfirmationsWorld, sentAt: number, heard?: HeardFrame): void => {
@@ -34,12 +39,13 @@
 	this.peerStartedAt = startedAt + 1;
 	this.requested = [];
 	this.answeredRequests = 0;
-	this.turns = createReadingTurns();
+	this.turns = createReadingTurns(ignore);
 	this.confirmations = createPeerConfirmations({
 		address: self,
 		startedAt,
 		lastSuspendedAt: createSuspensionDetector(),
 		readUpTo: this.turns.readUpTo,
+		beforeConfirming: ignore,
 		sendRequest: address => {
 			this.requested.push(address);
 		},
--- a/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.steps.ts
@@ -18,7 +18,9 @@
 
 Given('a wait for what has arrived', function (this: TurnsWorld) {
 	this.turnClock = install({toFake: ['performance', 'Date'], shouldClearNativeTimers: true});
-	this.observedTurns = createReadingTurns();
+	this.observedTurns = createReadingTurns(() => {
+		// No caller leaves here.
+	});
 	this.isOver = false;
 	const wait = async (): Promise<void> => {
 		await awaitWholeTurn();
--- /dev/null
+++ b/packages/galenakeeld/src/process/fleet/caller-waits.ts
@@ -0,0 +1,70 @@
+import {performance} from 'node:perf_hooks';
+
+/**
+The waits of callers for the answers to their jobs.
+*/
+export type CallerWaits = {
+	/**
+	Begins the wait of a caller. Returns a function that forgets it.
+
+	@param sentAt Monotonic milliseconds before which the caller can't have sent its request.
+	@param waitMilliseconds How long the caller waits from then on.
+	@param onEnd Called when the caller has to be taken to have left.
+	*/
+	readonly begin: (sentAt: number, waitMilliseconds: number, onEnd: () => void) => () => void;
+	/** Ends the waits whose time is over. Call it before anything is confirmed to the owners of jobs. */
+	readonly endOverdue: () => void;
+};
+
+export type CallerWaitsOptions = {
+	/** Time from the end of a wait until the caller may submit its job again, in milliseconds. */
+	readonly returnMilliseconds: number;
+	/** Time for which a run may go on after the last confirmation, in milliseconds. */
+	readonly leaseMilliseconds: number;
+};
+
+type Wait = {readonly endsAt: number; readonly onEnd: () => void};
+
+/**
+Creates the waits of this daemon's callers.
+
+The end of a caller's connection may arrive late or never, so a caller is taken to have left a lease before it may submit its job again: nothing that is confirmed up to then lets a run go on beyond its return.
+
+@example
+```
+const waits = createCallerWaits({returnMilliseconds: 1300, leaseMilliseconds: 1060});
+const forget = waits.begin(turns.acceptedUpTo(), 2000, cancel);
+```
+*/
+export const createCallerWaits = ({returnMilliseconds, leaseMilliseconds}: CallerWaitsOptions): CallerWaits => {
+	const waits = new Set<Wait>();
+	/** No wait ends before this time. */
+	let firstEndsAt = Number.POSITIVE_INFINITY;
+
+	return {
+		begin(sentAt, waitMilliseconds, onEnd) {
+			const wait: Wait = {endsAt: sentAt + waitMilliseconds + returnMilliseconds - leaseMilliseconds, onEnd};
+			waits.add(wait);
+			firstEndsAt = Math.min(firstEndsAt, wait.endsAt);
+			return () => {
+				waits.delete(wait);
+			};
+		},
+		endOverdue() {
+			const now = performance.now();
+			if (now < firstEndsAt) {
+				return;
+			}
+
+			firstEndsAt = Number.POSITIVE_INFINITY;
+			for (const wait of waits) {
+				if (wait.endsAt <= now) {
+					waits.delete(wait);
+					wait.onEnd();
+				} else {
+					firstEndsAt = Math.min(firstEndsAt, wait.endsAt);
+				}
+			}
+		},
+	};
+};
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -15,9 +15,11 @@
 import {isRoutineOfHolder} from '../../request/holder-decision.js';
 import {createCell} from '../cells/cell.js';
 import {isRoutine} from '../cells/cell-decision.js';
+import {maximumLeaseOf} from '../cells/maximum-lease.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
 import {createSuspensionDetector} from '../suspension-detector.js';
+import {createCallerWaits} from './caller-waits.js';
 import {cellOfEndpoint} from './cell-layout.js';
 import {createCellOwners} from './cell-owners.js';
 import {createCellLayoutWatch} from './cell-layout-watch.js';
@@ -104,12 +106,17 @@
 	const rollCall = createRollCall(() => view.all().filter(({zone}) => zone === settings.zone).map(({address}) => address));
 	const discovery = createDiscovery({lastHeardAt: address => view.get(address)?.lastHeartbeatAt, hasReachablePeers: () => view.all().length > 0});
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
-	const turns = createReadingTurns();
+	const callerWaits = createCallerWaits({
+		returnMilliseconds: settings.callers.returnMilliseconds,
+		leaseMilliseconds: maximumLeaseOf(settings.leases.maximumMilliseconds),
+	});
+	const turns = createReadingTurns(callerWaits.endOverdue);
 	const confirmations = createPeerConfirmations({
 		address: self,
 		startedAt,
 		lastSuspendedAt: createSuspensionDetector(),
 		readUpTo: turns.readUpTo,
+		beforeConfirming: callerWaits.endOverdue,
 		sendRequest(address) {
 			links.send(address, {kind: FleetMessageKind.ConfirmationRequest});
 		},
@@ -480,6 +487,8 @@
 			recentCancels.record(address, message);
 			links.send(address, message);
 		},
+		callerWaits,
+		unreadSince: turns.acceptedUpTo,
 		readArrivals: awaitWholeTurn,
 		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
--- a/packages/galenakeeld/src/process/fleet/fleet-settings.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-settings.ts
@@ -19,6 +19,10 @@
 	machine: z.strictObject({cores: z.number().positive().default(1), share: z.number().positive().default(1)}).prefault({}),
 	/** IP addresses of peers to connect to at the start, in addition to those listed in the store. */
 	seeds: z.array(z.string()).default([]),
+	callers: z.strictObject({
+		/** Time from the end of a caller's connection until the caller may submit its job again. */
+		returnMilliseconds: milliseconds.default(1300),
+	}).prefault({}),
 	leases: z.strictObject({
 		/** Maximum lease that an endpoint grants. */
 		maximumMilliseconds: milliseconds,
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -2,9 +2,11 @@
 import {JobEnd, RefusalReason, type Job} from '@galenakeel/model/request/job.js';
 import {findQueue, type Queue} from '@galenakeel/model/version/queue-configuration.js';
 import type {FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import type {WaitingCaller} from '@galenakeel/model/connection/waiting-caller.js';
 import type {holdJob, HoldOptions} from '../../request/hold-job.js';
 import type {JobAnswer} from '../../request/job-answer.js';
 import {homeCellOf, weightOfCell} from './cell-layout.js';
+import type {CallerWaits} from './caller-waits.js';
 import type {CellLayoutWatch} from './cell-layout-watch.js';
 import type {CellOwners} from './cell-owners.js';
 import type {ConfigurationFollower} from './configuration-follower.js';
@@ -18,7 +20,7 @@
 	/** Returns the queue of a request, or why the request is refused. */
 	readonly findQueue: (host: string, path: string) => {readonly queue: Queue; readonly pathPrefix: string} | RefusalReason;
 	/** Holds a job until it has ended. */
-	readonly submit: (job: Job, queue: Queue, disconnected: AbortSignal) => Promise<JobAnswer>;
+	readonly submit: (job: Job, queue: Queue, caller: WaitingCaller) => Promise<JobAnswer>;
 	/** Refuses all jobs from a time on, in monotonic milliseconds. */
 	readonly closeAt: (time: number) => void;
 };
@@ -42,6 +44,9 @@
 	readonly heldJobs: Pick<HeldJobs, 'hold'>;
 	readonly owners: Pick<CellOwners, 'awaitOwner' | 'reachableCells'>;
 	readonly send: (address: string, message: FleetMessage) => void;
+	readonly callerWaits: Pick<CallerWaits, 'begin'>;
+	/** Monotonic milliseconds before which no request was sent that has not been read yet. */
+	readonly unreadSince: () => number;
 	/** Waits until what had arrived from callers has been read. */
 	readonly readArrivals: () => Promise<void>;
 	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
@@ -92,20 +97,25 @@
 			const isComplete = configuration.isNewest() && configuration.ageMilliseconds() < configurationFreshnessMilliseconds && current.unreadableQueues === 0;
 			return isComplete ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
 		},
-		async submit(job, queue, disconnected) {
+		async submit(job, queue, {disconnected, waitMilliseconds}) {
 			const arrivedAt = performance.now();
 			const homeCell = findHomeCell(job);
 			const heldParts = new Set<HeldJob>();
-			disconnected.addEventListener('abort', () => {
+			let hasLeft = false;
+			const leave = (): void => {
+				hasLeft = true;
 				for (const {updates} of heldParts) {
 					updates.push({kind: HolderEvent.CallerDisconnected});
 				}
-			});
+			};
+
+			disconnected.addEventListener('abort', leave);
+			const forgetWait = waitMilliseconds === undefined ? undefined : options.callerWaits.begin(options.unreadSince(), waitMilliseconds, leave);
 			const answer = await options.hold(job, queue, {
 				homeCell,
 				async hasCallerLeft() {
 					await options.readArrivals();
-					return disconnected.aborted;
+					return hasLeft;
 				},
 				hold() {
 					const held = heldJobs.hold();
@@ -121,6 +131,7 @@
 				lastHeardFrom: options.lastHeardFrom,
 				onDecision: options.onDecision,
 			});
+			forgetWait?.();
 			options.onAnswered({
 				job: job.identifier, queue: queue.name, answer, milliseconds: performance.now() - arrivedAt,
 			});
--- a/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -24,6 +24,8 @@
 	readonly lastSuspendedAt: () => number;
 	/** Monotonic milliseconds up to which this daemon has read what arrived for it. */
 	readonly readUpTo: () => number;
+	/** Called before frames of peers are confirmed. */
+	readonly beforeConfirming: () => void;
 	readonly sendRequest: (address: string) => void;
 	/** Called when a confirmation has arrived that was requested. */
 	readonly onConfirmed: () => void;
@@ -52,7 +54,7 @@
 confirmations.confirmedBy('10.1.0.13:7720');
 ```
 */
-export const createPeerConfirmations = ({address: self, startedAt, lastSuspendedAt, readUpTo, sendRequest, onConfirmed}: PeerConfirmationsOptions): PeerConfirmations => {
+export const createPeerConfirmations = ({address: self, startedAt, lastSuspendedAt, readUpTo, beforeConfirming, sendRequest, onConfirmed}: PeerConfirmationsOptions): PeerConfirmations => {
 	const records = new Map<string, PeerRecord>();
 	/** Times of the requests that have not been answered, in monotonic milliseconds. */
 	const requests = new Map<string, number>();
@@ -77,6 +79,7 @@
 		record.processedSentAt = Math.max(record.processedSentAt, sentAt);
 		if (!isPending) {
 			setImmediate(() => {
+				beforeConfirming();
 				record.heardSentAt = record.processedSentAt;
 			});
 		}
--- a/packages/galenakeeld/src/process/fleet/reading-turns.ts
+++ b/packages/galenakeeld/src/process/fleet/reading-turns.ts
@@ -8,6 +8,8 @@
 	readonly begin: () => void;
 	/** Monotonic milliseconds up to which everything that arrived at open connections has been read. */
 	readonly readUpTo: () => number;
+	/** The same with what arrived at connections that were opened by then, which are accepted in one turn and read in a later one. */
+	readonly acceptedUpTo: () => number;
 };
 
 /** Resolves in the next phase of the event loop in which immediates run. */
@@ -33,23 +35,29 @@
 /**
 Creates the record of the turns.
 
+@param onEnd Called at the end of each observed turn, before `readUpTo` moves on.
+
 @example
 ```
-const turns = createReadingTurns();
+const turns = createReadingTurns(waits.endOverdue);
 setInterval(turns.begin, 100);
 turns.readUpTo();
 ```
 */
-export const createReadingTurns = (): ReadingTurns => {
+export const createReadingTurns = (onEnd: () => void): ReadingTurns => {
 	let readUpTo = performance.now();
+	let acceptedUpTo = readUpTo;
 	return {
 		begin() {
 			const beganAt = performance.now();
 			// Immediates run once the turn's reading is over.
 			setImmediate(() => {
+				onEnd();
+				acceptedUpTo = readUpTo;
 				readUpTo = beganAt;
 			});
 		},
 		readUpTo: () => readUpTo,
+		acceptedUpTo: () => acceptedUpTo,
 	};
 };
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -4,10 +4,13 @@
 import {performance} from 'node:perf_hooks';
 import type {EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
 import {FleetMessageKind, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import type {WaitingCaller} from '@galenakeel/model/connection/waiting-caller.js';
 import type {Job} from '@galenakeel/model/request/job.js';
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {createCell} from '../../process/cells/cell.js';
+import {maximumLeaseOf} from '../../process/cells/maximum-lease.js';
+import {createCallerWaits} from '../../process/fleet/caller-waits.js';
 import {createCellLoads} from '../../process/fleet/cell-loads.js';
 import {createCellOwners} from '../../process/fleet/cell-owners.js';
 import {createClaimReview} from '../../process/fleet/claim-review.js';
@@ -39,7 +42,7 @@
 	readonly process: SimulatedProcess;
 	readonly zone: string;
 	/** Holds a job for a caller. */
-	readonly submit: (job: Job, queue: Queue, disconnected: AbortSignal) => Promise<JobAnswer>;
+	readonly submit: (job: Job, queue: Queue, caller: WaitingCaller) => Promise<JobAnswer>;
 	/** Opens streams to other daemons. */
 	readonly connect: (addresses: readonly string[]) => void;
 	/** Gives up its cells, so that another daemon claims them. */
@@ -66,6 +69,7 @@
 const leaseSlackMilliseconds = 300;
 const keepCancelsMilliseconds = 30_000;
 const maximumLeaseMilliseconds = 1000;
+const returnMilliseconds = 1300;
 /** Less often than in `startFleetDaemon`, to save time. */
 const announceLoadsMilliseconds = 40;
 const listedMillisecondsAgo = 10_000;
@@ -87,13 +91,15 @@
 	const heldJobs = createHeldJobs();
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
 	const startedAt = Date.now();
-	const turns = createReadingTurns();
+	const callerWaits = createCallerWaits({returnMilliseconds, leaseMilliseconds: maximumLeaseOf(maximumLeaseMilliseconds)});
+	const turns = createReadingTurns(callerWaits.endOverdue);
 	const confirmations = createPeerConfirmations({
 		address: self,
 		startedAt,
 		// The time of day keeps to the steady clock here.
 		lastSuspendedAt: () => Number.NEGATIVE_INFINITY,
 		readUpTo: turns.readUpTo,
+		beforeConfirming: callerWaits.endOverdue,
 		sendRequest(address) {
 			links.send(address, {kind: FleetMessageKind.ConfirmationRequest});
 		},
@@ -333,6 +339,8 @@
 			recentCancels.record(address, message);
 			links.send(address, message);
 		},
+		callerWaits,
+		unreadSince: turns.acceptedUpTo,
 		readArrivals: awaitWholeTurn,
 		leaseMilliseconds: maximumLeaseMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
--- /dev/null
+++ b/packages/model/src/connection/waiting-caller.ts
@@ -0,0 +1,9 @@
+/**
+A caller that waits for the answer to its job.
+*/
+export type WaitingCaller = {
+	/** Aborted when the end of the caller's connection is read. */
+	readonly disconnected: AbortSignal;
+	/** How long the caller waits for an answer, in milliseconds from the sending of its request; undefined if it doesn't say. */
+	readonly waitMilliseconds: number | undefined;
+};
