A wait that is over counts before a part is submitted

A daemon that stood still may submit a part before its next tick; the wait of the caller was then looked at too late.

--- a/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
@@ -38,7 +38,7 @@
 		heldJobs: {hold: fail},
 		owners: {awaitOwner: fail, reachableCells: fail},
 		send: fail,
-		callerWaits: {begin: fail},
+		callerWaits: {begin: fail, endOverdue: fail},
 		unreadSince: fail,
 		readArrivals: fail,
 		leaseMilliseconds: 1300,
--- a/packages/galenakeeld/src/process/fleet/caller-waits.ts
+++ b/packages/galenakeeld/src/process/fleet/caller-waits.ts
@@ -12,7 +12,7 @@
 	@param onEnd Called when the caller has to be taken to have left.
 	*/
 	readonly begin: (sentAt: number, waitMilliseconds: number, onEnd: () => void) => () => void;
-	/** Ends the waits whose time is over. Call it before anything is confirmed to the owners of jobs. */
+	/** Ends the waits whose time is over. Call it before anything is confirmed or submitted to the owners of jobs. */
 	readonly endOverdue: () => void;
 };
 
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -44,7 +44,7 @@
 	readonly heldJobs: Pick<HeldJobs, 'hold'>;
 	readonly owners: Pick<CellOwners, 'awaitOwner' | 'reachableCells'>;
 	readonly send: (address: string, message: FleetMessage) => void;
-	readonly callerWaits: Pick<CallerWaits, 'begin'>;
+	readonly callerWaits: CallerWaits;
 	/** Monotonic milliseconds before which no request was sent that has not been read yet. */
 	readonly unreadSince: () => number;
 	/** Waits until what had arrived from callers has been read. */
@@ -115,6 +115,7 @@
 				homeCell,
 				async hasCallerLeft() {
 					await options.readArrivals();
+					options.callerWaits.endOverdue();
 					return hasLeft;
 				},
 				hold() {
