--- a/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.feature
@@ -17,6 +17,11 @@
     And a report shows a maximum loop delay of 0 ms
     And it is not worth logging
 
+  Scenario: The report tells how long arrivals were unread
+    When a turn of the event loop takes 700 ms
+    And 1000 ms pass with the timer on time
+    Then a report shows a longest turn of 700 ms
+
   Scenario: Processor time, messages and calls count from the last report on
     When 300 ms of processor time are used
     And 3 frames of a heartbeat and another message are sent
--- a/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/daemon-load.steps.ts
@@ -18,6 +18,7 @@
 	intervalMilliseconds: number;
 	processorMilliseconds: number;
 	held: number;
+	longestTurn: number;
 	admission: WorkTime;
 	observedCell: Pick<Cell, 'name' | 'observe'>;
 	load: DaemonLoad;
@@ -62,6 +63,7 @@
 	this.intervalMilliseconds = milliseconds;
 	this.processorMilliseconds = 0;
 	this.held = 0;
+	this.longestTurn = 0;
 	this.admission = noWork;
 	this.reports = [];
 	this.metrics = createLoadMetrics();
@@ -69,6 +71,7 @@
 	this.load = createDaemonLoad({
 		timerMilliseconds: milliseconds,
 		readUsage: () => ({processorMilliseconds: this.processorMilliseconds, busyMilliseconds: 0, heapBytes: 1}),
+		takeLongestTurn: () => this.longestTurn,
 		held: () => this.held,
 		cells: () => [this.observedCell],
 		onReport: report => {
@@ -152,6 +155,14 @@
 	this.held = held;
 });
 
+When('a turn of the event loop takes {int} ms', function (this: LoadWorld, milliseconds: number) {
+	this.longestTurn = milliseconds;
+});
+
+Then('a report shows a longest turn of {int} ms', function (this: LoadWorld, milliseconds: number) {
+	assert.equal(this.reports.at(-1)!.longestTurnMilliseconds, milliseconds);
+});
+
 Then('{int} loads were reported', function (this: LoadWorld, count: number) {
 	assert.equal(this.reports.length, count);
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
@@ -43,6 +43,7 @@
 		readArrivals: fail,
 		leaseMilliseconds: 1300,
 		onAnswered: fail,
+		onCallerLeft: fail,
 		lastHeardFrom: fail,
 		onDecision: fail,
 	});
--- a/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.feature
@@ -25,3 +25,4 @@
     When a turn begins at 700 ms
     And 1 phase of immediates has passed
     Then what arrived up to 700 ms is read
+    And the longest turn took 700 ms
--- a/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.steps.ts
@@ -57,6 +57,11 @@
 	assert.equal(this.isOver, true);
 });
 
+Then('the longest turn took {int} ms', function (this: TurnsWorld, milliseconds: number) {
+	assert.equal(this.observedTurns.takeLongest(), milliseconds);
+	assert.equal(this.observedTurns.takeLongest(), 0);
+});
+
 Then('what arrived up to {int} ms is read', function (this: TurnsWorld, at: number) {
 	assert.equal(this.observedTurns.readUpTo(), at);
 });
--- a/packages/galenakeeld/src/process/fleet/caller-waits.ts
+++ b/packages/galenakeeld/src/process/fleet/caller-waits.ts
@@ -8,7 +8,7 @@
 	Begins the wait of a caller. Returns a function that forgets it.
 
 	@param sentAt Monotonic milliseconds before which the caller can't have sent its request.
-	@param waitMilliseconds How long the caller waits from then on.
+	@param waitMilliseconds How long the caller waits from then on; infinite if it doesn't say.
 	@param onEnd Called when the caller has to be taken to have left.
 	*/
 	readonly begin: (sentAt: number, waitMilliseconds: number, onEnd: () => void) => () => void;
--- a/packages/galenakeeld/src/process/fleet/daemon-load.ts
+++ b/packages/galenakeeld/src/process/fleet/daemon-load.ts
@@ -37,6 +37,8 @@
 	/** Time in which the event loop was not waiting for events. */
 	readonly busyMilliseconds: number;
 	readonly loopDelay: LoopDelay;
+	/** Duration of the longest turn of the event loop; what arrived during it was unread all the while. */
+	readonly longestTurnMilliseconds: number;
 	readonly heapBytes: number;
 	/** Parts of jobs held for callers. */
 	readonly held: number;
@@ -67,6 +69,8 @@
 	/** Interval of the timer that calls `recordTick`. */
 	readonly timerMilliseconds: number;
 	readonly readUsage: () => ProcessUsage;
+	/** Returns the duration of the longest turn of the event loop since the last call, in milliseconds. */
+	readonly takeLongestTurn: () => number;
 	readonly held: () => number;
 	readonly cells: () => ReadonlyArray<Pick<Cell, 'name' | 'observe'>>;
 	readonly onReport: (report: DaemonLoadReport) => void;
@@ -117,7 +121,7 @@
 
 @example
 ```
-const load = createDaemonLoad({timerMilliseconds: 10, readUsage: readProcessUsage, held: heldJobs.count, cells: cells.all, onReport: metrics.recordLoad});
+const load = createDaemonLoad({timerMilliseconds: 10, readUsage: readProcessUsage, takeLongestTurn: turns.takeLongest, held: heldJobs.count, cells: cells.all, onReport: metrics.recordLoad});
 const timer = setInterval(load.recordTick, 10);
 ```
 */
@@ -153,6 +157,7 @@
 			processorMilliseconds: round(used.processorMilliseconds - earlier.usage.processorMilliseconds),
 			busyMilliseconds: round(used.busyMilliseconds - earlier.usage.busyMilliseconds),
 			loopDelay: {meanMilliseconds: round(meanMilliseconds), maximumMilliseconds: round(maximumMilliseconds)},
+			longestTurnMilliseconds: round(options.takeLongestTurn()),
 			heapBytes,
 			held: options.held(),
 			sent: subtract(totals.sent, earlier.sent),
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -228,6 +228,7 @@
 	const daemonLoad = createDaemonLoad({
 		timerMilliseconds: tickMilliseconds,
 		readUsage: readProcessUsage,
+		takeLongestTurn: turns.takeLongest,
 		held: heldJobs.count,
 		cells: cells.all,
 		onReport(report) {
@@ -496,6 +497,9 @@
 			const write = isRoutineOfHolder(decision, fields) ? logRoutine : logEvent;
 			write(decision, fields);
 		},
+		onCallerLeft({milliseconds, ...left}) {
+			logEvent(FleetEvent.CallerLeft, {...left, milliseconds: Math.round(milliseconds)});
+		},
 		onAnswered({job, queue, answer, milliseconds}) {
 			const reason = refusalOf(answer);
 			metrics.recordJob(queue, answer.end, milliseconds);
--- a/packages/galenakeeld/src/process/fleet/fleet-event.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-event.ts
@@ -26,6 +26,8 @@
 	Paused = 'process-was-paused',
 	/** Load of the daemon and its cells over the last second. */
 	DaemonLoad = 'daemon-load',
+	/** A caller has left before its job was answered. */
+	CallerLeft = 'caller-left',
 	JobAnswered = 'job-answered',
 	RequestFailed = 'request-failed',
 	/** An error that no task has handled; the process goes on. */
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -35,6 +35,26 @@
 	readonly milliseconds: number;
 };
 
+/**
+How a daemon knows that a caller has left.
+*/
+export enum CallerEnd {
+	/** The end of its connection was read. */
+	Disconnected = 'disconnected',
+	/** The time is over for which it said that it would wait. */
+	WaitOver = 'wait-over',
+}
+
+/**
+A caller that left before its job was answered, as it is recorded.
+*/
+export type LeftCaller = {
+	readonly job: string;
+	readonly cause: CallerEnd;
+	/** Time since its request was read, in milliseconds. */
+	readonly milliseconds: number;
+};
+
 export type JobIntakeOptions = {
 	readonly zone: string;
 	readonly hold: typeof holdJob;
@@ -52,6 +72,7 @@
 	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
 	readonly leaseMilliseconds: number;
 	readonly onAnswered: (answered: AnsweredJob) => void;
+	readonly onCallerLeft: (left: LeftCaller) => void;
 } & Pick<HoldOptions, 'lastHeardFrom' | 'onDecision'>;
 
 /** Maximum time since the last confirmation by the store up to which the configuration counts as current. */
@@ -102,15 +123,25 @@
 			const homeCell = findHomeCell(job);
 			const heldParts = new Set<HeldJob>();
 			let hasLeft = false;
-			const leave = (): void => {
+			let isAnswered = false;
+			const leave = (cause: CallerEnd): void => {
+				if (hasLeft || isAnswered) {
+					return;
+				}
+
 				hasLeft = true;
+				options.onCallerLeft({job: job.identifier, cause, milliseconds: performance.now() - arrivedAt});
 				for (const {updates} of heldParts) {
 					updates.push({kind: HolderEvent.CallerDisconnected});
 				}
 			};
 
-			disconnected.addEventListener('abort', leave);
-			const forgetWait = waitMilliseconds === undefined ? undefined : options.callerWaits.begin(options.unreadSince(), waitMilliseconds, leave);
+			disconnected.addEventListener('abort', () => {
+				leave(CallerEnd.Disconnected);
+			});
+			const forgetWait = options.callerWaits.begin(options.unreadSince(), waitMilliseconds ?? Number.POSITIVE_INFINITY, () => {
+				leave(CallerEnd.WaitOver);
+			});
 			const answer = await options.hold(job, queue, {
 				homeCell,
 				async hasCallerLeft() {
@@ -131,8 +162,10 @@
 				leaseMilliseconds: options.leaseMilliseconds,
 				lastHeardFrom: options.lastHeardFrom,
 				onDecision: options.onDecision,
+			}).finally(() => {
+				isAnswered = true;
+				forgetWait();
 			});
-			forgetWait?.();
 			options.onAnswered({
 				job: job.identifier, queue: queue.name, answer, milliseconds: performance.now() - arrivedAt,
 			});
--- a/packages/galenakeeld/src/process/fleet/reading-turns.ts
+++ b/packages/galenakeeld/src/process/fleet/reading-turns.ts
@@ -10,6 +10,8 @@
 	readonly readUpTo: () => number;
 	/** The same with what arrived at connections that were opened by then, which are accepted in one turn and read in a later one. */
 	readonly acceptedUpTo: () => number;
+	/** Returns the duration of the longest observed turn since the last call, in milliseconds. */
+	readonly takeLongest: () => number;
 };
 
 /** Resolves in the next phase of the event loop in which immediates run. */
@@ -47,6 +49,7 @@
 export const createReadingTurns = (onEnd: () => void): ReadingTurns => {
 	let readUpTo = performance.now();
 	let acceptedUpTo = readUpTo;
+	let longestMilliseconds = 0;
 	return {
 		begin() {
 			const beganAt = performance.now();
@@ -55,9 +58,15 @@
 				onEnd();
 				acceptedUpTo = readUpTo;
 				readUpTo = beganAt;
+				longestMilliseconds = Math.max(longestMilliseconds, performance.now() - beganAt);
 			});
 		},
 		readUpTo: () => readUpTo,
 		acceptedUpTo: () => acceptedUpTo,
+		takeLongest() {
+			const milliseconds = longestMilliseconds;
+			longestMilliseconds = 0;
+			return milliseconds;
+		},
 	};
 };
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -345,6 +345,9 @@
 		leaseMilliseconds: maximumLeaseMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
 		onDecision: recordDecision,
+		onCallerLeft({job, cause}) {
+			recordDecision('reads that the caller has left', {job, cause});
+		},
 		onAnswered({job, answer: {end}}) {
 			recordDecision('answers', {job, end: end ?? 'unknown'});
 		},
