The runs of an endpoint are a part of their own

Behaviour is unchanged: lines were moved, and no constant, condition, order of calls or await was changed.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -13,12 +13,12 @@
 import {
 	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
+import {createEndpointRuns} from './endpoint-runs.js';
 import {createEndpointLeases} from './endpoint-leases.js';
 import {
 	maximumLeaseOf, minimumLeaseMilliseconds, shortLeaseMilliseconds, yieldMilliseconds,
 } from './maximum-lease.js';
 import type {EndpointCapacity} from './place-tasks.js';
-import {addResources, subtractResources} from './room.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
 import {createReportOrders, ReportOrder} from './report-order.js';
 
@@ -106,8 +106,6 @@
 
 /** Maximum wait of a poll while runs are active: a poll whose answer is lost delays their ends for this time only. */
 const busyPollWaitMilliseconds = 250;
-/** Number of simultaneous starts without an answer from which an endpoint gets no more. */
-const maximumUnconfirmedStarts = 2;
 /** Maximum wait of a poll while no run is active. */
 const idlePollWaitMilliseconds = 1500;
 /** Interval at which leases are extended while an idle poll is still waiting. */
@@ -143,12 +141,9 @@
 	let leases = createEndpointLeases(options.holdMaximumMilliseconds);
 	const reachability = createEndpointReachability();
 	const maximumLease = maximumLeaseOf(options.holdMaximumMilliseconds);
-	const runs = new Set<Run>();
-	/** Runs that are being stopped because their job has left the cell. */
-	const abandonedRuns = new Set<Run>();
+	const runs = createEndpointRuns({room: firstEntry.room, holdMaximumMilliseconds: options.holdMaximumMilliseconds, onChange: options.onChange});
 	const orphans = createOrphanedRuns();
 	let entry = firstEntry;
-	let free = entry.room;
 	let health = newEndpointHealth;
 	let acknowledged = 0;
 	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. */
@@ -177,84 +172,23 @@
 		}
 	};
 
-	const addRun = (run: Run): void => {
-		runs.add(run);
-		free = subtractResources(free, run.room);
-	};
-
-	/** The lease of an endpoint covers all its runs, so the run that has to end first limits it. */
-	const leaseLimitAt = (): number => {
-		let limitAt = Number.POSITIVE_INFINITY;
-		for (const run of runs) {
-			limitAt = Math.min(limitAt, run.leaseLimitAt());
-		}
-
-		return limitAt;
-	};
-
 	/** Returns the end of the next lease, on the endpoint's clock; undefined if a run must not go on. */
 	const nextLease = (): number | undefined => {
-		lastLeaseLimitAt = leaseLimitAt();
+		lastLeaseLimitAt = runs.leaseLimitAt();
 		return leases.next(lastLeaseLimitAt);
 	};
 
-	const abandon = (run: Run): void => {
-		abandonedRuns.add(run);
-		const limitAt = Math.min(run.leaseLimitAt(), performance.now() + options.holdMaximumMilliseconds);
-		run.leaseLimitAt = () => limitAt;
-	};
-
-	const settle = (run: Run, result: RunResult): void => {
-		if (!runs.delete(run)) {
-			return;
-		}
-
-		abandonedRuns.delete(run);
-		free = addResources(free, run.room);
-		run.ended.resolve(result);
-		options.onChange();
-	};
-
-	const settleAllAsLost = (): void => {
-		for (const run of runs) {
-			settle(run, RunResult.Lost);
-		}
-	};
-
 	const closeForOtherEndpoint = (): void => {
 		if (!isClosed) {
-			onDecision(EndpointDecision.Replaced, {endpoint: entry.identifier, startedAt: entry.startedAt, runs: runs.size});
+			onDecision(EndpointDecision.Replaced, {endpoint: entry.identifier, startedAt: entry.startedAt, runs: runs.count()});
 		}
 
 		isClosed = true;
-		settleAllAsLost();
+		runs.settleAllAsLost();
 	};
 
 	const hasClosed = (): boolean => isClosed;
 
-	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
-	const hasTooManyUnconfirmedStarts = (): boolean => {
-		let unconfirmed = 0;
-		for (const {isUnconfirmed, state} of runs) {
-			unconfirmed += isUnconfirmed && state === RunState.Starting ? 1 : 0;
-		}
-
-		return unconfirmed >= maximumUnconfirmedStarts;
-	};
-
-	const isActive = (run: Run): boolean => runs.has(run);
-
-	/** The run of this owner that an endpoint reports. */
-	const findRun = (reported: Pick<ActiveRun, 'task' | 'attempt'>): Run | undefined => {
-		for (const run of runs) {
-			if (isRunOf(run, reported)) {
-				return run;
-			}
-		}
-
-		return undefined;
-	};
-
 	/** Takes the clock of an answer to a start or stop. One that can't be the clock of the present incarnation tells that another one may have answered, which a poll shows. */
 	const observeClock = (clockMilliseconds: number | undefined): void => {
 		if (clockMilliseconds === undefined) {
@@ -270,7 +204,7 @@
 
 	/** Repeats a stop until the endpoint's present incarnation has carried it out or the lease has expired. */
 	const stopUntilEnded = async (run: Run): Promise<void> => {
-		while (isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
+		while (runs.isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
 			const startedAt = reportOrders.startedAt();
 			const {outcome, clockMilliseconds} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
 			observeClock(clockMilliseconds);
@@ -291,7 +225,7 @@
 			}
 
 			if (leases.haveExpired()) {
-				settle(run, RunResult.Lost);
+				runs.settle(run, RunResult.Lost);
 				return;
 			}
 
@@ -301,7 +235,7 @@
 
 	/** Resolves the outcome of a start without an answer, once. */
 	const beginResolving = (run: Run): void => {
-		if (isActive(run) && run.state === RunState.Starting && !run.isUnconfirmed) {
+		if (runs.isActive(run) && run.state === RunState.Starting && !run.isUnconfirmed) {
 			run.isUnconfirmed = true;
 			onDecision(EndpointDecision.StartUnknown, describe(run.task, run.attempt));
 			void resolveUnknown(run);
@@ -310,7 +244,7 @@
 
 	const onStartReply = (run: Run, {outcome, clockMilliseconds}: CallReply): void => {
 		observeClock(clockMilliseconds);
-		if (!isActive(run)) {
+		if (!runs.isActive(run)) {
 			return;
 		}
 
@@ -344,7 +278,7 @@
 
 			case CallOutcome.Superseded: {
 				onDecision(EndpointDecision.Declined, {...describe(run.task, run.attempt), outcome});
-				settle(run, RunResult.Outdated);
+				runs.settle(run, RunResult.Outdated);
 				return;
 			}
 
@@ -357,13 +291,13 @@
 		}
 
 		onDecision(EndpointDecision.Declined, {...describe(run.task, run.attempt), outcome});
-		settle(run, RunResult.Declined);
+		runs.settle(run, RunResult.Declined);
 	};
 
 	const sendStart = async (run: Run, specification: string): Promise<void> => {
 		const lease = nextLease();
 		if (lease === undefined) {
-			settle(run, RunResult.Declined);
+			runs.settle(run, RunResult.Declined);
 			return;
 		}
 
@@ -379,7 +313,7 @@
 	/** Records an end. Returns whether it is of a run of an earlier owner. */
 	const onEnded = (ended: EndedRun): boolean => {
 		acknowledged = Math.max(acknowledged, ended.sequence);
-		const run = findRun(ended);
+		const run = runs.findReported(ended);
 		if (!run) {
 			orphans.recordEnd(ended);
 			return true;
@@ -389,12 +323,12 @@
 		if (ended.end === RunEnd.Succeeded) {
 			recordHealth(HealthEvent.Succeeded);
 			options.onRunTime(run.estimateMilliseconds, milliseconds);
-			settle(run, RunResult.Succeeded);
+			runs.settle(run, RunResult.Succeeded);
 		} else if (ended.end === RunEnd.Failed) {
 			recordHealth(HealthEvent.Failed);
-			settle(run, RunResult.Failed);
+			runs.settle(run, RunResult.Failed);
 		} else {
-			settle(run, RunResult.Lost);
+			runs.settle(run, RunResult.Lost);
 		}
 
 		return false;
@@ -417,7 +351,7 @@
 	};
 
 	const reconcileRuns = (active: readonly ActiveRun[], polledAt: number): void => {
-		for (const run of runs) {
+		for (const run of runs.all()) {
 			const reported = active.find(one => isRunOf(run, one));
 			if (reported) {
 				run.isAccepted = true;
@@ -432,11 +366,11 @@
 					onDecision(EndpointDecision.RunLost, describe(run.task, run.attempt));
 				}
 
-				settle(run, RunResult.Lost);
+				runs.settle(run, RunResult.Lost);
 			}
 		}
 
-		orphans.install(active.filter(one => findRun(one) === undefined));
+		orphans.install(active.filter(one => runs.findReported(one) === undefined));
 	};
 
 	/**
@@ -444,13 +378,13 @@
 	*/
 	const beginIncarnation = (earlierStartedAt: number, report: EndpointReport): void => {
 		onDecision(EndpointDecision.OtherIncarnation, {
-			endpoint: entry.identifier, startedAt: earlierStartedAt, nextStartedAt: reportOrders.startedAt(), runs: runs.size, runsThere: report.active.length,
+			endpoint: entry.identifier, startedAt: earlierStartedAt, nextStartedAt: reportOrders.startedAt(), runs: runs.count(), runsThere: report.active.length,
 		});
 		leases = createEndpointLeases(options.holdMaximumMilliseconds);
 		health = newEndpointHealth;
 		acknowledged = 0;
 		cooldownEndsAt = 0;
-		for (const run of runs) {
+		for (const run of runs.all()) {
 			if (!run.isAccepted && run.state === RunState.Stopping) {
 				run.state = RunState.Starting;
 				void stopUntilEnded(run);
@@ -523,11 +457,11 @@
 		}
 
 		if (!wasSilent) {
-			onDecision(EndpointDecision.Silent, {endpoint: entry.identifier, outcome, runs: runs.size});
+			onDecision(EndpointDecision.Silent, {endpoint: entry.identifier, outcome, runs: runs.count()});
 		}
 
 		if (leases.haveExpired()) {
-			settleAllAsLost();
+			runs.settleAllAsLost();
 		}
 	};
 
@@ -536,18 +470,18 @@
 			return 0;
 		}
 
-		if (hasOrphans() || [...runs].some(({state}) => state === RunState.Stopping)) {
+		if (hasOrphans() || [...runs.all()].some(({state}) => state === RunState.Stopping)) {
 			return briefPollWaitMilliseconds;
 		}
 
-		return runs.size > 0 ? busyPollWaitMilliseconds : idlePollWaitMilliseconds;
+		return runs.count() > 0 ? busyPollWaitMilliseconds : idlePollWaitMilliseconds;
 	};
 
 	const poll = async (waitMilliseconds: number): Promise<PollReply & SentPoll> => {
 		const token = options.token();
 		const polledAt = performance.now();
 		// No extension while the endpoint is silent or shows runs of an earlier owner: the lease of an endpoint covers all its runs, and these have to end.
-		const isExtending = runs.size > 0 && options.isSettled() && !reachability.isSilent() && !hasOrphans();
+		const isExtending = runs.count() > 0 && options.isSettled() && !reachability.isSilent() && !hasOrphans();
 		const lease = isExtending ? nextLease() : undefined;
 		const reply = await calls.poll({
 			fencingToken: token,
@@ -579,7 +513,7 @@
 			abandoned.resolve(undefined);
 		};
 
-		isIdlePollWaiting = runs.size === 0;
+		isIdlePollWaiting = runs.count() === 0;
 		const reply = await Promise.race([poll(pollWaitMilliseconds()), abandoned.promise]);
 		isIdlePollWaiting = false;
 		abandonPoll = undefined;
@@ -590,7 +524,7 @@
 	const extendDuringIdlePoll = (): void => {
 		extendTimer ??= setTimeout(() => {
 			extendTimer = undefined;
-			if (isIdlePollWaiting && runs.size > 0 && !isClosed) {
+			if (isIdlePollWaiting && runs.count() > 0 && !isClosed) {
 				void pollNow();
 				extendDuringIdlePoll();
 			}
@@ -610,11 +544,7 @@
 		update(newer) {
 			const isRestarted = newer.startedAt !== entry.startedAt && newer.startedAt !== reportOrders.startedAt();
 			entry = newer;
-			free = newer.room;
-			for (const run of runs) {
-				free = subtractResources(free, run.room);
-			}
-
+			runs.installRoom(newer.room);
 			if (isRestarted) {
 				void pollNow();
 			}
@@ -626,8 +556,8 @@
 			const isPolled = polledToken === options.token();
 			// The next incarnation may have another room.
 			const isListed = entry.startedAt === reportOrders.startedAt();
-			const isReachable = isPolled && isListed && reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
-			const acceptsTasks = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown && leaseLimitAt() > now + minimumLeaseMilliseconds;
+			const isReachable = isPolled && isListed && reachability.isReachable() && !isClosed && !runs.hasTooManyUnconfirmedStarts();
+			const acceptsTasks = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown && runs.leaseLimitAt() > now + minimumLeaseMilliseconds;
 			if (!isReachable || !acceptsTasks || hasOrphans()) {
 				return undefined;
 			}
@@ -635,13 +565,13 @@
 			return {
 				endpoint: incarnationOf(entry),
 				service: entry.service,
-				free,
+				free: runs.free(),
 				total: entry.room,
 				labels: entry.labels,
 				factor,
-				maximumTasks: state === HealthState.Probing ? Math.max(0, 1 - runs.size) : unboundedTasks,
-				remainingTimes: () => remainingTimesOf(runs, factor),
-				countOf: (job, step) => [...runs].filter(({task}) => task.job === job && task.step === step).length,
+				maximumTasks: state === HealthState.Probing ? Math.max(0, 1 - runs.count()) : unboundedTasks,
+				remainingTimes: () => remainingTimesOf(runs.all(), factor),
+				countOf: runs.countOf,
 			};
 		},
 		areRunsKnown() {
@@ -651,7 +581,7 @@
 		isAwaitingFirstAnswer: () => reachability.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
 			const run = createRun(request, RunState.Starting);
-			addRun(run);
+			runs.add(run);
 			void sendStart(run, request.specification);
 			if (isIdlePollWaiting) {
 				extendDuringIdlePoll();
@@ -670,18 +600,15 @@
 			}
 
 			const run = createRun({...request, attempt: orphan.attempt}, RunState.Running);
-			addRun(run);
+			runs.add(run);
 			return {attempt: orphan.attempt, ended: run.ended.promise};
 		},
 		stopRuns(isStopped) {
-			for (const run of runs) {
-				if (isStopped(run.task) && !abandonedRuns.has(run)) {
-					abandon(run);
-					void stopUntilEnded(run);
-				}
-			}
+			runs.abandon(isStopped, run => {
+				void stopUntilEnded(run);
+			});
 		},
-		strayJobs: () => (abandonedRuns.size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...abandonedRuns].map(({task}) => task.job) : noJobs,
+		strayJobs: () => (runs.abandoned().size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...runs.abandoned()].map(({task}) => task.job) : noJobs,
 		async run() {
 			while (!hasClosed()) {
 				const reply = await pollUntilEnd();
@@ -703,18 +630,18 @@
 		},
 		pollNow,
 		extendShortLease() {
-			if (runs.size > 0 && !isClosed && lastLeaseLimitAt < performance.now() + shortLeaseMilliseconds) {
+			if (runs.count() > 0 && !isClosed && lastLeaseLimitAt < performance.now() + shortLeaseMilliseconds) {
 				void pollNow();
 			}
 		},
 		close() {
 			isClosed = true;
-			settleAllAsLost();
+			runs.settleAllAsLost();
 		},
-		isIdle: () => runs.size === 0,
-		runs: () => [...runs],
+		isIdle: () => runs.count() === 0,
+		runs: () => [...runs.all()],
 		isReachable: () => reachability.isReachable() && !isClosed,
 		isClosed: () => isClosed,
-		overdueFactor: () => overdueFactorOf(runs),
+		overdueFactor: () => overdueFactorOf(runs.all()),
 	};
 };
