The polls of an endpoint are a part of their own

Behaviour is unchanged: lines were moved, and no constant, condition, order of calls or await was changed.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -1,8 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import {
-	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, type PollReply, CallOutcome, type CallReply, RunEnd,
+	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, CallOutcome, type CallReply, RunEnd,
 } from '@galenakeel/model/connection/endpoint-calls.js';
-import {createDeferred} from '@galenakeel/model/request/deferred.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import {createEndpointReachability} from './endpoint-reachability.js';
@@ -13,6 +12,7 @@
 import {
 	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
+import {createEndpointPolls, type SentPoll} from './endpoint-polls.js';
 import {createEndpointRuns} from './endpoint-runs.js';
 import {createEndpointLeases} from './endpoint-leases.js';
 import {
@@ -97,21 +97,6 @@
 	readonly onRunTime: (estimateMilliseconds: number, runMilliseconds: number) => void;
 };
 
-/** What is known of a poll since it was sent. */
-type SentPoll = {
-	/** Monotonic milliseconds. */
-	readonly polledAt: number;
-	readonly token: number;
-};
-
-/** Maximum wait of a poll while runs are active: a poll whose answer is lost delays their ends for this time only. */
-const busyPollWaitMilliseconds = 250;
-/** Maximum wait of a poll while no run is active. */
-const idlePollWaitMilliseconds = 1500;
-/** Interval at which leases are extended while an idle poll is still waiting. */
-const extendMilliseconds = 400;
-/** Maximum wait of a poll while a run is active whose end may never be reported. */
-const briefPollWaitMilliseconds = 20;
 const retryMilliseconds = 40;
 /** Time without an answer after which a poll looks for the run of a start; an answer takes a few milliseconds. */
 const startAnswerTimeoutMilliseconds = 50;
@@ -150,13 +135,8 @@
 	let polledToken = 0;
 	let isClosed = false;
 	let cooldownEndsAt = 0;
-	/** A poll is waiting that was sent while no run was active, and so extended no lease. */
-	let isIdlePollWaiting = false;
-	let extendTimer: NodeJS.Timeout | undefined;
 	/** Limit of the last lease that was to be sent, in monotonic milliseconds. */
 	let lastLeaseLimitAt = Number.POSITIVE_INFINITY;
-	/** Ends the wait for the answer of the poll that waits for an end. */
-	let abandonPoll: (() => void) | undefined;
 
 	const hasOrphans = (): boolean => orphans.active().length > 0;
 
@@ -189,6 +169,11 @@
 
 	const hasClosed = (): boolean => isClosed;
 
+	const polls = createEndpointPolls({
+		calls, runs, reachability, token: options.token, acknowledged: () => acknowledged, isSettled: options.isSettled, hasOrphans,
+		isClosed: hasClosed, nextLease, onReport, onOtherEndpoint: closeForOtherEndpoint,
+	});
+
 	/** Takes the clock of an answer to a start or stop. One that can't be the clock of the present incarnation tells that another one may have answered, which a poll shows. */
 	const observeClock = (clockMilliseconds: number | undefined): void => {
 		if (clockMilliseconds === undefined) {
@@ -198,7 +183,7 @@
 		if (leases.isPlausible(clockMilliseconds)) {
 			leases.observe(clockMilliseconds);
 		} else {
-			void pollNow();
+			void polls.pollNow();
 		}
 	};
 
@@ -211,7 +196,7 @@
 			if (outcome === CallOutcome.Done && startedAt === reportOrders.startedAt()) {
 				run.state = RunState.Stopping;
 				run.visibleAt = performance.now();
-				await pollNow();
+				await polls.pollNow();
 				return;
 			}
 
@@ -391,10 +376,10 @@
 			}
 		}
 
-		abandonPoll?.();
+		polls.abandon();
 	};
 
-	const onReport = (report: EndpointReport, {polledAt, token}: SentPoll): void => {
+	function onReport(report: EndpointReport, {polledAt, token}: SentPoll): void {
 		const earlierStartedAt = reportOrders.startedAt();
 		const order = reportOrders.record({startedAt: report.startedAt ?? entry.startedAt, clockMilliseconds: report.clockMilliseconds}, polledAt);
 		if (order === ReportOrder.Overtaken) {
@@ -437,7 +422,7 @@
 		if (wasUnavailable) {
 			options.onChange();
 		}
-	};
+	}
 
 	/** Whether a run that no job waits for may still be active: not at another incarnation, nor once all leases of a silent endpoint have ended. */
 	const canRunStrays = (): boolean =>
@@ -465,75 +450,9 @@
 		}
 	};
 
-	const pollWaitMilliseconds = (): number => {
-		if (!reachability.hasAnswered() || reachability.hasMissedPoll()) {
-			return 0;
-		}
-
-		if (hasOrphans() || [...runs.all()].some(({state}) => state === RunState.Stopping)) {
-			return briefPollWaitMilliseconds;
-		}
-
-		return runs.count() > 0 ? busyPollWaitMilliseconds : idlePollWaitMilliseconds;
-	};
-
-	const poll = async (waitMilliseconds: number): Promise<PollReply & SentPoll> => {
-		const token = options.token();
-		const polledAt = performance.now();
-		// No extension while the endpoint is silent or shows runs of an earlier owner: the lease of an endpoint covers all its runs, and these have to end.
-		const isExtending = runs.count() > 0 && options.isSettled() && !reachability.isSilent() && !hasOrphans();
-		const lease = isExtending ? nextLease() : undefined;
-		const reply = await calls.poll({
-			fencingToken: token,
-			acknowledged,
-			waitMilliseconds,
-			...(lease !== undefined && {leaseEndMilliseconds: lease}),
-		});
-		return {...reply, polledAt, token};
-	};
-
-	/** Polls at once, beside the poll that waits for an end. */
-	async function pollNow(): Promise<void> {
-		const reply = await poll(0);
-		if (hasClosed()) {
-			return;
-		}
-
-		if (reply.report) {
-			onReport(reply.report, reply);
-		} else if (reply.outcome === CallOutcome.OtherEndpoint) {
-			closeForOtherEndpoint();
-		}
-	}
-
-	/** Polls until a run ends; returns undefined once another incarnation has answered on another connection, since the earlier one may never answer. */
-	const pollUntilEnd = async (): Promise<(PollReply & SentPoll) | undefined> => {
-		const abandoned = createDeferred<undefined>();
-		abandonPoll = () => {
-			abandoned.resolve(undefined);
-		};
-
-		isIdlePollWaiting = runs.count() === 0;
-		const reply = await Promise.race([poll(pollWaitMilliseconds()), abandoned.promise]);
-		isIdlePollWaiting = false;
-		abandonPoll = undefined;
-		return reply;
-	};
-
-	/** Extends the leases of runs that were started during an idle poll, until that poll ends. */
-	const extendDuringIdlePoll = (): void => {
-		extendTimer ??= setTimeout(() => {
-			extendTimer = undefined;
-			if (isIdlePollWaiting && runs.count() > 0 && !isClosed) {
-				void pollNow();
-				extendDuringIdlePoll();
-			}
-		}, extendMilliseconds);
-	};
-
 	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
 	async function resolveUnknown(run: Run): Promise<void> {
-		await pollNow();
+		await polls.pollNow();
 		if (run.state === RunState.Starting) {
 			await stopUntilEnded(run);
 		}
@@ -546,7 +465,7 @@
 			entry = newer;
 			runs.installRoom(newer.room);
 			if (isRestarted) {
-				void pollNow();
+				void polls.pollNow();
 			}
 		},
 		availableCapacity(factor) {
@@ -583,10 +502,7 @@
 			const run = createRun(request, RunState.Starting);
 			runs.add(run);
 			void sendStart(run, request.specification);
-			if (isIdlePollWaiting) {
-				extendDuringIdlePoll();
-			}
-
+			polls.extendDuringIdlePoll();
 			return run.ended.promise;
 		},
 		adopt(request) {
@@ -611,7 +527,7 @@
 		strayJobs: () => (runs.abandoned().size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...runs.abandoned()].map(({task}) => task.job) : noJobs,
 		async run() {
 			while (!hasClosed()) {
-				const reply = await pollUntilEnd();
+				const reply = await polls.pollUntilEnd();
 				if (isClosed) {
 					break;
 				}
@@ -628,10 +544,10 @@
 
 			calls.close();
 		},
-		pollNow,
+		pollNow: polls.pollNow,
 		extendShortLease() {
 			if (runs.count() > 0 && !isClosed && lastLeaseLimitAt < performance.now() + shortLeaseMilliseconds) {
-				void pollNow();
+				void polls.pollNow();
 			}
 		},
 		close() {
