The starts and stops of an endpoint are parts of their own

Behaviour is unchanged: lines were moved, and no constant, condition, order of calls or await was changed. The fields that begin anew with another incarnation are set in another order, with nothing between them.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -1,19 +1,21 @@
 import {performance} from 'node:perf_hooks';
 import {
-	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, CallOutcome, type CallReply, RunEnd,
+	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, CallOutcome, RunEnd,
 } from '@galenakeel/model/connection/endpoint-calls.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
+import {awaitRetry} from './await-retry.js';
+import {createEndpointCooldowns} from './endpoint-cooldowns.js';
 import {createEndpointReachability} from './endpoint-reachability.js';
 import {EndpointDecision} from './endpoint-decision.js';
-import {
-	HealthEvent, HealthState, healthAt, newEndpointHealth, updateHealth,
-} from './endpoint-health.js';
+import {HealthEvent, HealthState} from './endpoint-health.js';
 import {
 	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
 import {createEndpointPolls, type SentPoll} from './endpoint-polls.js';
 import {createEndpointRuns} from './endpoint-runs.js';
+import {createEndpointStarts} from './endpoint-starts.js';
+import {createEndpointStops} from './endpoint-stops.js';
 import {createEndpointLeases} from './endpoint-leases.js';
 import {
 	maximumLeaseOf, minimumLeaseMilliseconds, shortLeaseMilliseconds, yieldMilliseconds,
@@ -97,19 +99,11 @@
 	readonly onRunTime: (estimateMilliseconds: number, runMilliseconds: number) => void;
 };
 
-const retryMilliseconds = 40;
-/** Time without an answer after which a poll looks for the run of a start; an answer takes a few milliseconds. */
-const startAnswerTimeoutMilliseconds = 50;
 /** Age from which the reported processor use shows whether a run makes progress. */
 const stallAgeMilliseconds = 700;
-const insufficientCapacityCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
 const noJobs: readonly string[] = [];
 
-const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
-	setTimeout(resolve, milliseconds);
-});
-
 /**
 Creates the control of an endpoint at its address. It follows the endpoint from one incarnation to the next, since starts reach whichever is up.
 
@@ -129,12 +123,10 @@
 	const runs = createEndpointRuns({room: firstEntry.room, holdMaximumMilliseconds: options.holdMaximumMilliseconds, onChange: options.onChange});
 	const orphans = createOrphanedRuns();
 	let entry = firstEntry;
-	let health = newEndpointHealth;
 	let acknowledged = 0;
 	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. */
 	let polledToken = 0;
 	let isClosed = false;
-	let cooldownEndsAt = 0;
 	/** Limit of the last lease that was to be sent, in monotonic milliseconds. */
 	let lastLeaseLimitAt = Number.POSITIVE_INFINITY;
 
@@ -144,13 +136,7 @@
 		job: task.job, task: `${task.step}.${task.index}`, attempt, endpoint: entry.identifier,
 	});
 
-	const recordHealth = (event: HealthEvent): void => {
-		const before = healthAt(health, performance.now());
-		health = updateHealth(before, event, performance.now());
-		if (health.state === HealthState.CoolingDown && before.state !== HealthState.CoolingDown) {
-			onDecision(EndpointDecision.CooldownStarted, {endpoint: entry.identifier, cause: event, failuresInRow: health.failuresInRow});
-		}
-	};
+	const cooldowns = createEndpointCooldowns({identifier: () => entry.identifier, onChange: options.onChange, onDecision});
 
 	/** Returns the end of the next lease, on the endpoint's clock; undefined if a run must not go on. */
 	const nextLease = (): number | undefined => {
@@ -187,113 +173,15 @@
 		}
 	};
 
-	/** Repeats a stop until the endpoint's present incarnation has carried it out or the lease has expired. */
-	const stopUntilEnded = async (run: Run): Promise<void> => {
-		while (runs.isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
-			const startedAt = reportOrders.startedAt();
-			const {outcome, clockMilliseconds} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
-			observeClock(clockMilliseconds);
-			if (outcome === CallOutcome.Done && startedAt === reportOrders.startedAt()) {
-				run.state = RunState.Stopping;
-				run.visibleAt = performance.now();
-				await polls.pollNow();
-				return;
-			}
-
-			if (outcome === CallOutcome.OtherEndpoint) {
-				closeForOtherEndpoint();
-				return;
-			}
-
-			if (outcome === CallOutcome.Fenced) {
-				options.onFenced();
-			}
-
-			if (leases.haveExpired()) {
-				runs.settle(run, RunResult.Lost);
-				return;
-			}
-
-			await sleep(retryMilliseconds);
-		}
-	};
-
-	/** Resolves the outcome of a start without an answer, once. */
-	const beginResolving = (run: Run): void => {
-		if (runs.isActive(run) && run.state === RunState.Starting && !run.isUnconfirmed) {
-			run.isUnconfirmed = true;
-			onDecision(EndpointDecision.StartUnknown, describe(run.task, run.attempt));
-			void resolveUnknown(run);
-		}
-	};
-
-	const onStartReply = (run: Run, {outcome, clockMilliseconds}: CallReply): void => {
-		observeClock(clockMilliseconds);
-		if (!runs.isActive(run)) {
-			return;
-		}
-
-		switch (outcome) {
-			case CallOutcome.Done: {
-				run.state = run.state === RunState.Starting ? RunState.Running : run.state;
-				run.isAccepted = true;
-				run.visibleAt = performance.now();
-				return;
-			}
-
-			case CallOutcome.Unknown: {
-				beginResolving(run);
-				return;
-			}
-
-			case CallOutcome.OtherEndpoint: {
-				closeForOtherEndpoint();
-				return;
-			}
-
-			case CallOutcome.Fenced: {
-				options.onFenced();
-				break;
-			}
-
-			case CallOutcome.Rejected: {
-				recordHealth(HealthEvent.Declined);
-				break;
-			}
-
-			case CallOutcome.Superseded: {
-				onDecision(EndpointDecision.Declined, {...describe(run.task, run.attempt), outcome});
-				runs.settle(run, RunResult.Outdated);
-				return;
-			}
-
-			case CallOutcome.InsufficientCapacity:
-			case CallOutcome.Expired: {
-				cooldownEndsAt = performance.now() + insufficientCapacityCooldownMilliseconds;
-				setTimeout(options.onChange, insufficientCapacityCooldownMilliseconds);
-				break;
-			}
-		}
-
-		onDecision(EndpointDecision.Declined, {...describe(run.task, run.attempt), outcome});
-		runs.settle(run, RunResult.Declined);
-	};
-
-	const sendStart = async (run: Run, specification: string): Promise<void> => {
-		const lease = nextLease();
-		if (lease === undefined) {
-			runs.settle(run, RunResult.Declined);
-			return;
-		}
+	const {stopUntilEnded} = createEndpointStops({
+		calls, runs, token: options.token, startedAt: reportOrders.startedAt, haveLeasesExpired: () => leases.haveExpired(), isClosed: hasClosed,
+		observeClock, pollNow: polls.pollNow, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
+	});
 
-		const timer = setTimeout(() => {
-			beginResolving(run);
-		}, startAnswerTimeoutMilliseconds);
-		onStartReply(run, await calls.start({
-			task: run.task, attempt: run.attempt, specification, leaseEndMilliseconds: lease, fencingToken: options.token(),
-		}));
-		clearTimeout(timer);
-	};
+	const starts = createEndpointStarts({
+		calls, runs, cooldowns, token: options.token, nextLease, observeClock, pollNow: polls.pollNow, stopUntilEnded,
+		describe, onDecision, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
+	});
 
 	/** Records an end. Returns whether it is of a run of an earlier owner. */
 	const onEnded = (ended: EndedRun): boolean => {
@@ -306,11 +194,11 @@
 
 		const milliseconds = performance.now() - run.startSentAt;
 		if (ended.end === RunEnd.Succeeded) {
-			recordHealth(HealthEvent.Succeeded);
+			cooldowns.record(HealthEvent.Succeeded);
 			options.onRunTime(run.estimateMilliseconds, milliseconds);
 			runs.settle(run, RunResult.Succeeded);
 		} else if (ended.end === RunEnd.Failed) {
-			recordHealth(HealthEvent.Failed);
+			cooldowns.record(HealthEvent.Failed);
 			runs.settle(run, RunResult.Failed);
 		} else {
 			runs.settle(run, RunResult.Lost);
@@ -326,7 +214,7 @@
 		}
 
 		onDecision(EndpointDecision.RunStalled, {...describe(run.task, run.attempt), ageMilliseconds: Math.round(age)});
-		recordHealth(HealthEvent.Stalled);
+		cooldowns.record(HealthEvent.Stalled);
 		void stopUntilEnded(run);
 	};
 
@@ -366,9 +254,8 @@
 			endpoint: entry.identifier, startedAt: earlierStartedAt, nextStartedAt: reportOrders.startedAt(), runs: runs.count(), runsThere: report.active.length,
 		});
 		leases = createEndpointLeases(options.holdMaximumMilliseconds);
-		health = newEndpointHealth;
 		acknowledged = 0;
-		cooldownEndsAt = 0;
+		cooldowns.reset();
 		for (const run of runs.all()) {
 			if (!run.isAccepted && run.state === RunState.Stopping) {
 				run.state = RunState.Starting;
@@ -450,14 +337,6 @@
 		}
 	};
 
-	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
-	async function resolveUnknown(run: Run): Promise<void> {
-		await polls.pollNow();
-		if (run.state === RunState.Starting) {
-			await stopUntilEnded(run);
-		}
-	}
-
 	return {
 		entry: () => entry,
 		update(newer) {
@@ -470,13 +349,13 @@
 		},
 		availableCapacity(factor) {
 			const now = performance.now();
-			const {state} = healthAt(health, now);
+			const state = cooldowns.stateAt(now);
 			// Another owner may have started runs since the last poll, and a start would extend their leases.
 			const isPolled = polledToken === options.token();
 			// The next incarnation may have another room.
 			const isListed = entry.startedAt === reportOrders.startedAt();
 			const isReachable = isPolled && isListed && reachability.isReachable() && !isClosed && !runs.hasTooManyUnconfirmedStarts();
-			const acceptsTasks = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown && runs.leaseLimitAt() > now + minimumLeaseMilliseconds;
+			const acceptsTasks = !entry.isDraining && cooldowns.isCapacityExpected(now) && state !== HealthState.CoolingDown && runs.leaseLimitAt() > now + minimumLeaseMilliseconds;
 			if (!isReachable || !acceptsTasks || hasOrphans()) {
 				return undefined;
 			}
@@ -501,7 +380,7 @@
 		async start(request) {
 			const run = createRun(request, RunState.Starting);
 			runs.add(run);
-			void sendStart(run, request.specification);
+			void starts.send(run, request.specification);
 			polls.extendDuringIdlePoll();
 			return run.ended.promise;
 		},
@@ -537,7 +416,7 @@
 				} else if (reply) {
 					onMissedPoll(reply.outcome);
 					if (reachability.isBackingOff()) {
-						await sleep(retryMilliseconds);
+						await awaitRetry();
 					}
 				}
 			}
