What the reports of an endpoint say is a part of its own

Behaviour is unchanged: lines were moved, and no constant, condition, order of calls or await was changed.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -1,18 +1,17 @@
 import {performance} from 'node:perf_hooks';
-import {
-	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, CallOutcome, RunEnd,
-} from '@galenakeel/model/connection/endpoint-calls.js';
+import {type EndpointCalls, type EndpointReport, CallOutcome} from '@galenakeel/model/connection/endpoint-calls.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import {awaitRetry} from './await-retry.js';
 import {createEndpointCooldowns} from './endpoint-cooldowns.js';
 import {createEndpointReachability} from './endpoint-reachability.js';
 import {EndpointDecision} from './endpoint-decision.js';
-import {HealthEvent, HealthState} from './endpoint-health.js';
+import {HealthState} from './endpoint-health.js';
 import {
-	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
+	createRun, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
 import {createEndpointPolls, type SentPoll} from './endpoint-polls.js';
+import {createEndpointReports} from './endpoint-reports.js';
 import {createEndpointRuns} from './endpoint-runs.js';
 import {createEndpointStarts} from './endpoint-starts.js';
 import {createEndpointStops} from './endpoint-stops.js';
@@ -22,7 +21,8 @@
 } from './maximum-lease.js';
 import type {EndpointCapacity} from './place-tasks.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
-import {createReportOrders, ReportOrder} from './report-order.js';
+import {createReportOrders} from './report-order.js';
+import {createReportedRuns} from './reported-runs.js';
 
 /**
 A run of an earlier owner that this one has taken over.
@@ -99,8 +99,6 @@
 	readonly onRunTime: (estimateMilliseconds: number, runMilliseconds: number) => void;
 };
 
-/** Age from which the reported processor use shows whether a run makes progress. */
-const stallAgeMilliseconds = 700;
 const unboundedTasks = Number.POSITIVE_INFINITY;
 const noJobs: readonly string[] = [];
 
@@ -123,9 +121,6 @@
 	const runs = createEndpointRuns({room: firstEntry.room, holdMaximumMilliseconds: options.holdMaximumMilliseconds, onChange: options.onChange});
 	const orphans = createOrphanedRuns();
 	let entry = firstEntry;
-	let acknowledged = 0;
-	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. */
-	let polledToken = 0;
 	let isClosed = false;
 	/** Limit of the last lease that was to be sent, in monotonic milliseconds. */
 	let lastLeaseLimitAt = Number.POSITIVE_INFINITY;
@@ -156,7 +151,7 @@
 	const hasClosed = (): boolean => isClosed;
 
 	const polls = createEndpointPolls({
-		calls, runs, reachability, token: options.token, acknowledged: () => acknowledged, isSettled: options.isSettled, hasOrphans,
+		calls, runs, reachability, token: options.token, acknowledged: () => reportedRuns.acknowledged(), isSettled: options.isSettled, hasOrphans,
 		isClosed: hasClosed, nextLease, onReport, onOtherEndpoint: closeForOtherEndpoint,
 	});
 
@@ -173,9 +168,9 @@
 		}
 	};
 
-	const {stopUntilEnded} = createEndpointStops({
-		calls, runs, token: options.token, startedAt: reportOrders.startedAt, haveLeasesExpired: () => leases.haveExpired(), isClosed: hasClosed,
-		observeClock, pollNow: polls.pollNow, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
+	const {stopUntilEnded, stopOrphan} = createEndpointStops({
+		calls, runs, token: options.token, startedAt: reportOrders.startedAt, ownedSince: options.ownedSince, haveLeasesExpired: () => leases.haveExpired(),
+		isClosed: hasClosed, observeClock, pollNow: polls.pollNow, describe, onDecision, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
 	});
 
 	const starts = createEndpointStarts({
@@ -183,132 +178,21 @@
 		describe, onDecision, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
 	});
 
-	/** Records an end. Returns whether it is of a run of an earlier owner. */
-	const onEnded = (ended: EndedRun): boolean => {
-		acknowledged = Math.max(acknowledged, ended.sequence);
-		const run = runs.findReported(ended);
-		if (!run) {
-			orphans.recordEnd(ended);
-			return true;
-		}
-
-		const milliseconds = performance.now() - run.startSentAt;
-		if (ended.end === RunEnd.Succeeded) {
-			cooldowns.record(HealthEvent.Succeeded);
-			options.onRunTime(run.estimateMilliseconds, milliseconds);
-			runs.settle(run, RunResult.Succeeded);
-		} else if (ended.end === RunEnd.Failed) {
-			cooldowns.record(HealthEvent.Failed);
-			runs.settle(run, RunResult.Failed);
-		} else {
-			runs.settle(run, RunResult.Lost);
-		}
-
-		return false;
-	};
-
-	const stopStalled = (run: Run, active: ActiveRun): void => {
-		const age = performance.now() - run.startSentAt;
-		if (active.processorInUse !== 0 || age < stallAgeMilliseconds || run.state !== RunState.Running) {
-			return;
-		}
-
-		onDecision(EndpointDecision.RunStalled, {...describe(run.task, run.attempt), ageMilliseconds: Math.round(age)});
-		cooldowns.record(HealthEvent.Stalled);
-		void stopUntilEnded(run);
-	};
-
-	const stopOrphan = async ({task, attempt}: ActiveRun): Promise<void> => {
-		onDecision(EndpointDecision.OrphanStopped, {...describe(task, attempt), token: options.token(), sinceClaimMilliseconds: Math.round(performance.now() - options.ownedSince())});
-		await calls.stop({task, attempt, fencingToken: options.token()});
-	};
-
-	const reconcileRuns = (active: readonly ActiveRun[], polledAt: number): void => {
-		for (const run of runs.all()) {
-			const reported = active.find(one => isRunOf(run, one));
-			if (reported) {
-				run.isAccepted = true;
-				if (run.state === RunState.Starting) {
-					run.state = RunState.Running;
-					run.visibleAt = performance.now();
-				}
-
-				stopStalled(run, reported);
-			} else if (run.state !== RunState.Starting && run.visibleAt < polledAt) {
-				if (run.state === RunState.Running) {
-					onDecision(EndpointDecision.RunLost, describe(run.task, run.attempt));
-				}
-
-				runs.settle(run, RunResult.Lost);
-			}
-		}
-
-		orphans.install(active.filter(one => runs.findReported(one) === undefined));
-	};
+	const reportedRuns = createReportedRuns({
+		runs, orphans, cooldowns, stopUntilEnded, describe, onDecision, onRunTime: options.onRunTime,
+	});
 
-	/**
-	Begins anew with another incarnation, which knows nothing of before. A run that it doesn't list is lost with the earlier one, unless the start is still to be carried out: then it has to be stopped here too.
-	*/
-	const beginIncarnation = (earlierStartedAt: number, report: EndpointReport): void => {
-		onDecision(EndpointDecision.OtherIncarnation, {
-			endpoint: entry.identifier, startedAt: earlierStartedAt, nextStartedAt: reportOrders.startedAt(), runs: runs.count(), runsThere: report.active.length,
-		});
+	const beginLeases = (): void => {
 		leases = createEndpointLeases(options.holdMaximumMilliseconds);
-		acknowledged = 0;
-		cooldowns.reset();
-		for (const run of runs.all()) {
-			if (!run.isAccepted && run.state === RunState.Stopping) {
-				run.state = RunState.Starting;
-				void stopUntilEnded(run);
-			}
-		}
-
-		polls.abandon();
 	};
 
-	function onReport(report: EndpointReport, {polledAt, token}: SentPoll): void {
-		const earlierStartedAt = reportOrders.startedAt();
-		const order = reportOrders.record({startedAt: report.startedAt ?? entry.startedAt, clockMilliseconds: report.clockMilliseconds}, polledAt);
-		if (order === ReportOrder.Overtaken) {
-			return;
-		}
-
-		if (order === ReportOrder.OtherIncarnation) {
-			beginIncarnation(earlierStartedAt, report);
-			polledToken = 0;
-		}
-
-		if (polledToken < token) {
-			polledToken = token;
-			options.onChange();
-		}
-
-		const wasUnavailable = !reachability.isReachable() || hasOrphans();
-		leases.observe(report.clockMilliseconds);
-		if (reachability.isSilent()) {
-			onDecision(EndpointDecision.Regained, {endpoint: entry.identifier});
-		}
-
-		reachability.recordAnswer();
-		let hasEarlierEnds = false;
-		for (const ended of report.ended) {
-			hasEarlierEnds = onEnded(ended) || hasEarlierEnds;
-		}
-
-		reconcileRuns(report.active, polledAt);
-		if (hasOrphans() || hasEarlierEnds) {
-			options.onOrphans();
-		}
-
-		if (options.isSettled()) {
-			for (const orphan of orphans.active()) {
-				void stopOrphan(orphan);
-			}
-		}
+	const reports = createEndpointReports({
+		entry: () => entry, reportOrders, reachability, runs, orphans, reportedRuns, cooldowns, leases: () => leases, beginLeases, hasOrphans, isSettled: options.isSettled,
+		stopUntilEnded, stopOrphan, abandonPoll: polls.abandon, onChange: options.onChange, onOrphans: options.onOrphans, onDecision,
+	});
 
-		if (wasUnavailable) {
-			options.onChange();
-		}
+	function onReport(report: EndpointReport, poll: SentPoll): void {
+		reports.onReport(report, poll);
 	}
 
 	/** Whether a run that no job waits for may still be active: not at another incarnation, nor once all leases of a silent endpoint have ended. */
@@ -351,7 +235,7 @@
 			const now = performance.now();
 			const state = cooldowns.stateAt(now);
 			// Another owner may have started runs since the last poll, and a start would extend their leases.
-			const isPolled = polledToken === options.token();
+			const isPolled = reports.polledToken() === options.token();
 			// The next incarnation may have another room.
 			const isListed = entry.startedAt === reportOrders.startedAt();
 			const isReachable = isPolled && isListed && reachability.isReachable() && !isClosed && !runs.hasTooManyUnconfirmedStarts();
@@ -373,7 +257,7 @@
 			};
 		},
 		areRunsKnown() {
-			const isPolled = polledToken === options.token() && !reachability.isSilent() && !hasOrphans();
+			const isPolled = reports.polledToken() === options.token() && !reachability.isSilent() && !hasOrphans();
 			return isPolled || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
 		},
 		isAwaitingFirstAnswer: () => reachability.isAwaitingFirstAnswer() && !isClosed,
--- a/packages/galenakeeld/src/process/cells/endpoint-stops.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-stops.ts
@@ -1,6 +1,8 @@
 import {performance} from 'node:perf_hooks';
-import {CallOutcome, type EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
+import {type ActiveRun, CallOutcome, type EndpointCalls} from '@galenakeel/model/connection/endpoint-calls.js';
+import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {awaitRetry} from './await-retry.js';
+import {EndpointDecision} from './endpoint-decision.js';
 import {RunResult, RunState, type Run} from './endpoint-run.js';
 import type {EndpointRuns} from './endpoint-runs.js';
 
@@ -10,6 +12,8 @@
 export type EndpointStops = {
 	/** Repeats a stop until the endpoint's present incarnation has carried it out or the lease has expired. */
 	readonly stopUntilEnded: (run: Run) => Promise<void>;
+	/** Stops a run of an earlier owner once. */
+	readonly stopOrphan: (orphan: ActiveRun) => Promise<void>;
 };
 
 export type EndpointStopsOptions = {
@@ -18,12 +22,17 @@
 	readonly token: () => number;
 	/** Start of the incarnation that reported last, in Unix milliseconds. */
 	readonly startedAt: () => number;
+	/** Monotonic milliseconds since when the token has been valid. */
+	readonly ownedSince: () => number;
 	/** Whether every lease that was sent has expired. */
 	readonly haveLeasesExpired: () => boolean;
 	readonly isClosed: () => boolean;
 	/** Takes the clock of an answer. */
 	readonly observeClock: (clockMilliseconds: number | undefined) => void;
 	readonly pollNow: () => Promise<void>;
+	/** Returns the fields of a logged decision about a run. */
+	readonly describe: (task: TaskKey, attempt: number) => Readonly<Record<string, unknown>>;
+	readonly onDecision: (decision: EndpointDecision, fields: Readonly<Record<string, unknown>>) => void;
 	readonly onFenced: () => void;
 	/** Called when an endpoint with another identifier has answered. */
 	readonly onOtherEndpoint: () => void;
@@ -39,7 +48,7 @@
 ```
 */
 export const createEndpointStops = (options: EndpointStopsOptions): EndpointStops => {
-	const {calls, runs, observeClock} = options;
+	const {calls, runs, observeClock, describe, onDecision} = options;
 
 	return {
 		async stopUntilEnded(run) {
@@ -71,5 +80,9 @@
 				await awaitRetry();
 			}
 		},
+		async stopOrphan({task, attempt}) {
+			onDecision(EndpointDecision.OrphanStopped, {...describe(task, attempt), token: options.token(), sinceClaimMilliseconds: Math.round(performance.now() - options.ownedSince())});
+			await calls.stop({task, attempt, fencingToken: options.token()});
+		},
 	};
 };
