--- a/packages/trials/src/process/bench-fleet.ts
+++ b/packages/trials/src/process/bench-fleet.ts
@@ -5,6 +5,7 @@
 import type {TaskMix} from '../version/task-mix.js';
 import type {DaemonProcess} from './daemon-process.js';
 import {startFleet, type Fleet, type FleetSize} from './fleet.js';
+import {startCountsOf} from './start-counts.js';
 
 /**
 The service that the benchmark calls.
@@ -132,12 +133,5 @@
 */
 export const countStarts = async (fleet: Fleet): Promise<ReadonlyMap<string, number>> => {
 	await sleep(reportLagMilliseconds);
-	const starts = new Map<string, number>();
-	for (const {standIn} of fleet.endpoints) {
-		for (const {task} of standIn.starts()) {
-			starts.set(task, (starts.get(task) ?? 0) + 1);
-		}
-	}
-
-	return starts;
+	return startCountsOf(fleet);
 };
--- a/packages/trials/src/process/demo.ts
+++ b/packages/trials/src/process/demo.ts
@@ -3,6 +3,7 @@
 import {Outcome} from '@galenakeel/model/request/outcome.js';
 import {submitAsCaller, type CallerResult} from '../request/caller.js';
 import {startFleet, type Fleet} from './fleet.js';
+import {startCountsOf} from './start-counts.js';
 
 const service = 'paysheet';
 const demoMilliseconds = 12_000;
@@ -86,16 +87,7 @@
 	say(`${drained!.instance} left with exit code ${exit}`);
 };
 
-const countStartedTwice = (fleet: Fleet): number => {
-	const starts = new Map<string, number>();
-	for (const {standIn} of fleet.endpoints) {
-		for (const {task} of standIn.starts()) {
-			starts.set(task, (starts.get(task) ?? 0) + 1);
-		}
-	}
-
-	return [...starts.values()].filter(times => times > 1).length;
-};
+const countStartedTwice = (fleet: Fleet): number => [...startCountsOf(fleet).values()].filter(times => times > 1).length;
 
 const fleet = await startFleet({
 	zones: ['zone-a', 'zone-b', 'zone-c'], daemonsPerZone: 2, endpointsPerZone: 2, slots: 8,
