The histories of a leaving endpoint start their load in one place

Two histories started the same callers and waited the same time; both now call startWarmLoad. Load, times and order are unchanged (a few microtasks later).

--- a/packages/trials/src/process/leaving-histories.ts
+++ b/packages/trials/src/process/leaving-histories.ts
@@ -1,10 +1,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ProvePoint} from '../version/prove-point.js';
 import type {Violation} from '../request/check-history.js';
+import type {History} from '../request/history.js';
+import type {Random} from '../request/random.js';
 import type {FaultHistory} from './fault-history.js';
 import {startFleet, type Fleet} from './fleet.js';
 import {collectStarts} from './history-recorder.js';
-import {startClosedLoad} from './caller-load.js';
+import {startClosedLoad, type CallerLoad} from './caller-load.js';
 
 const service = 'paysheet';
 const inForceMilliseconds = 1200;
@@ -22,6 +24,16 @@
 	return fleet;
 };
 
+/**
+Starts callers of all daemons, and waits until they have begun.
+*/
+const startWarmLoad = async (fleet: Fleet, history: History, random: Random): Promise<CallerLoad> => {
+	const instances = fleet.daemons.map(({instance}) => instance);
+	const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, maximumPauseMilliseconds: 10, random});
+	await sleep(warmMilliseconds);
+	return load;
+};
+
 /**
 Checks that an endpoint received tasks before it was listed as leaving; otherwise the history proves nothing.
 */
@@ -38,9 +50,7 @@
 const createLeavingHistory = (disturb: (fleet: Fleet) => (() => void)): FaultHistory => async (history, random) => {
 	const fleet = await startLeavingFleet();
 	try {
-		const instances = fleet.daemons.map(({instance}) => instance);
-		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, maximumPauseMilliseconds: 10, random});
-		await sleep(warmMilliseconds);
+		const load = await startWarmLoad(fleet, history, random);
 		// Faults of a single daemon affect the second one, which owns the slots of its zone.
 		const {name, address} = random.pick(fleet.endpoints.filter(({zone}) => zone === fleet.daemons[1]!.zone));
 		const disturbLater = disturb(fleet);
@@ -93,9 +103,7 @@
 const restartAtSameAddress: FaultHistory = async (history, random) => {
 	const fleet = await startLeavingFleet();
 	try {
-		const instances = fleet.daemons.map(({instance}) => instance);
-		const load = startClosedLoad(fleet, history, {service, instances, runMilliseconds: 20}, {callers, maximumPauseMilliseconds: 10, random});
-		await sleep(warmMilliseconds);
+		const load = await startWarmLoad(fleet, history, random);
 		const {name, address, standIn} = random.pick(fleet.endpoints);
 		const mark = {endpoint: address, listedAt: Date.now(), restartedAt: Infinity};
 		history.leaving.push(mark);
