--- a/packages/trials/src/process/processor-quotas.ts
+++ b/packages/trials/src/process/processor-quotas.ts
@@ -8,7 +8,7 @@
 Holds processes to their share of a core by stopping and continuing them, since limits of the kernel need the rights of root.
 */
 export type ProcessorQuotas = {
-	/** Holds a process to a share of a core, until it ends. A share of 1 or more is no limit to a process with one thread. */
+	/** Holds a process to a share of a core, until it ends or gets another one. A share of 1 or more is no limit to a process with one thread. */
 	readonly limit: (processIdentifier: number, share: number) => void;
 	/** Stops a limited process for some time, whatever its quota. */
 	readonly stall: (processIdentifier: number, milliseconds: number) => void;
--- a/packages/trials/src/process/quota-process.ts
+++ b/packages/trials/src/process/quota-process.ts
@@ -9,7 +9,7 @@
 type Limited = {
 	readonly processIdentifier: number;
 	/** Processor time in each period, in milliseconds. */
-	readonly quota: number;
+	quota: number;
 	/** Processor time that is left in this period, in milliseconds. */
 	left: number;
 	/** Processor time since the start of the process, in milliseconds. */
@@ -78,9 +78,18 @@
 		}
 	} else {
 		const quota = command.share * periodMilliseconds;
-		limited.set(command.processIdentifier, {
-			processIdentifier: command.processIdentifier, quota, left: quota, used: readUsed(command.processIdentifier), stalledUntil: 0, isStopped: false,
-		});
+		const used = readUsed(command.processIdentifier);
+		const one = limited.get(command.processIdentifier);
+		if (one) {
+			// The process may be stopped, and goes on only by its record.
+			one.quota = quota;
+			one.left = Math.min(one.left, quota);
+			one.used = used;
+		} else {
+			limited.set(command.processIdentifier, {
+				processIdentifier: command.processIdentifier, quota, left: quota, used, stalledUntil: 0, isStopped: false,
+			});
+		}
 	}
 
 	checkAll();
