--- a/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
@@ -39,7 +39,6 @@
 		owners: {awaitOwner: fail, reachableCells: fail},
 		send: fail,
 		callerWaits: {begin: fail, endOverdue: fail},
-		unreadSince: fail,
 		readArrivals: fail,
 		leaseMilliseconds: 1300,
 		onAnswered: fail,
--- a/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.feature
@@ -26,3 +26,29 @@
     And 1 phase of immediates has passed
     Then what arrived up to 700 ms is read
     And the longest turn took 700 ms
+
+  # Guards against TWICE: requests of connections that had waited for many turns were taken for fresh ones.
+  Scenario: What is read at a new connection may be as old as the last turn without one
+    When a turn begins at 0 ms
+    And 1 phase of immediates has passed
+    And the turn takes 700 ms
+    And a turn begins at 700 ms
+    And a connection is accepted
+    And 1 phase of immediates has passed
+    Then what is read there was sent after 0 ms
+    When the turn takes 500 ms
+    And a turn begins at 1200 ms
+    And a connection is accepted
+    And 1 phase of immediates has passed
+    Then what is read there was sent after 0 ms
+    When the turn takes 500 ms
+    And a turn begins at 1700 ms
+    And 1 phase of immediates has passed
+    Then what is read there was sent after 1700 ms
+    When the turn takes 100 ms
+    And a connection is accepted
+    Then what is read there was sent after 1700 ms
+
+  Scenario: The event loop accepts one connection in each turn
+    When 5 connections have been opened at a server that stood still
+    Then they are accepted in 5 turns
--- a/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.steps.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {
 	After, Given, Then, When,
 } from '@cucumber/cucumber';
@@ -10,8 +14,14 @@
 	turnClock: Clock | undefined;
 	observedTurns: ReadingTurns;
 	isOver: boolean;
+	sentAfter: () => number;
+	acceptedInTurns: number[];
 };
 
+/** Time in which another process opens its connections. */
+const openMilliseconds = 200;
+const mostTurns = 1000;
+
 const awaitImmediates = async (): Promise<void> => new Promise(resolve => {
 	setImmediate(resolve);
 });
@@ -49,6 +59,40 @@
 	this.turnClock!.tick(milliseconds);
 });
 
+When('a connection is accepted', function (this: TurnsWorld) {
+	this.sentAfter = this.observedTurns.accept();
+});
+
+When('{int} connections have been opened at a server that stood still', async function (this: TurnsWorld, count: number) {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const open = `for (let left = ${count}; left > 0; left--) { require('node:net').connect(${port}, '127.0.0.1').on('error', () => {}).unref(); }`;
+	// The process stands still until the other one has opened its connections.
+	spawnSync(process.execPath, ['-e', `${open} setTimeout(() => {}, ${openMilliseconds})`]);
+	this.acceptedInTurns = [];
+	let turn = 0;
+	server.on('connection', socket => {
+		this.acceptedInTurns.push(turn);
+		socket.destroy();
+	});
+	while (this.acceptedInTurns.length < count && turn < mostTurns) {
+		await awaitImmediates();
+		turn++;
+	}
+
+	server.close();
+});
+
+Then('they are accepted in {int} turns', function (this: TurnsWorld, turns: number) {
+	assert.equal(new Set(this.acceptedInTurns).size, turns);
+});
+
+Then('what is read there was sent after {int} ms', function (this: TurnsWorld, at: number) {
+	assert.equal(this.sentAfter(), at);
+});
+
 Then('the wait goes on', function (this: TurnsWorld) {
 	assert.equal(this.isOver, false);
 });
--- a/packages/galenakeeld/src/process/fleet/caller-waits.ts
+++ b/packages/galenakeeld/src/process/fleet/caller-waits.ts
@@ -33,7 +33,7 @@
 @example
 ```
 const waits = createCallerWaits({returnMilliseconds: 1300, leaseMilliseconds: 1060});
-const forget = waits.begin(turns.acceptedUpTo(), 2000, cancel);
+const forget = waits.begin(caller.sentAfter, 2000, cancel);
 ```
 */
 export const createCallerWaits = ({returnMilliseconds, leaseMilliseconds}: CallerWaitsOptions): CallerWaits => {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -489,7 +489,6 @@
 			links.send(address, message);
 		},
 		callerWaits,
-		unreadSince: turns.acceptedUpTo,
 		readArrivals: awaitWholeTurn,
 		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
@@ -513,6 +512,7 @@
 	const callerServer = createCallerServer<Queue>({
 		findQueue: intake.findQueue,
 		submit: intake.submit,
+		onConnection: turns.accept,
 		maximumBodyBytes: () => configuration.current()?.limits.bodyBytes ?? 0,
 		isLeaving: () => leaving.signal.aborted,
 		onFailure(detail) {
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -65,8 +65,6 @@
 	readonly owners: Pick<CellOwners, 'awaitOwner' | 'reachableCells'>;
 	readonly send: (address: string, message: FleetMessage) => void;
 	readonly callerWaits: CallerWaits;
-	/** Monotonic milliseconds before which no request was sent that has not been read yet. */
-	readonly unreadSince: () => number;
 	/** Waits until what had arrived from callers has been read. */
 	readonly readArrivals: () => Promise<void>;
 	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
@@ -118,7 +116,7 @@
 			const isComplete = configuration.isNewest() && configuration.ageMilliseconds() < configurationFreshnessMilliseconds && current.unreadableQueues === 0;
 			return isComplete ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
 		},
-		async submit(job, queue, {disconnected, waitMilliseconds}) {
+		async submit(job, queue, {disconnected, sentAfter, waitMilliseconds}) {
 			const arrivedAt = performance.now();
 			const homeCell = findHomeCell(job);
 			const heldParts = new Set<HeldJob>();
@@ -139,7 +137,7 @@
 			disconnected.addEventListener('abort', () => {
 				leave(CallerEnd.Disconnected);
 			});
-			const forgetWait = options.callerWaits.begin(options.unreadSince(), waitMilliseconds ?? Number.POSITIVE_INFINITY, () => {
+			const forgetWait = options.callerWaits.begin(sentAfter, waitMilliseconds ?? Number.POSITIVE_INFINITY, () => {
 				leave(CallerEnd.WaitOver);
 			});
 			const answer = await options.hold(job, queue, {
--- a/packages/galenakeeld/src/process/fleet/reading-turns.ts
+++ b/packages/galenakeeld/src/process/fleet/reading-turns.ts
@@ -8,8 +8,12 @@
 	readonly begin: () => void;
 	/** Monotonic milliseconds up to which everything that arrived at open connections has been read. */
 	readonly readUpTo: () => number;
-	/** The same with what arrived at connections that were opened by then, which are accepted in one turn and read in a later one. */
-	readonly acceptedUpTo: () => number;
+	/**
+	Records that a connection was accepted just now. The event loop accepts one connection of a server in each turn, so it may have waited for many turns.
+
+	@returns Returns, for what is read at this connection just now, the monotonic milliseconds before which it can't all have been sent.
+	*/
+	readonly accept: () => () => number;
 	/** Returns the duration of the longest observed turn since the last call, in milliseconds. */
 	readonly takeLongest: () => number;
 };
@@ -48,21 +52,33 @@
 */
 export const createReadingTurns = (onEnd: () => void): ReadingTurns => {
 	let readUpTo = performance.now();
+	/** All connections that had been opened by then have been accepted. */
 	let acceptedUpTo = readUpTo;
+	let hasAccepted = false;
 	let longestMilliseconds = 0;
 	return {
 		begin() {
 			const beganAt = performance.now();
+			hasAccepted = false;
 			// Immediates run once the turn's reading is over.
 			setImmediate(() => {
 				onEnd();
-				acceptedUpTo = readUpTo;
 				readUpTo = beganAt;
+				if (!hasAccepted) {
+					acceptedUpTo = beganAt;
+				}
+
 				longestMilliseconds = Math.max(longestMilliseconds, performance.now() - beganAt);
 			});
 		},
 		readUpTo: () => readUpTo,
-		acceptedUpTo: () => acceptedUpTo,
+		accept() {
+			hasAccepted = true;
+			const acceptedAt = performance.now();
+			const openedAfter = acceptedUpTo;
+			// What had arrived before the connection was accepted is read in a later turn.
+			return () => acceptedAt < readUpTo ? readUpTo : openedAfter;
+		},
 		takeLongest() {
 			const milliseconds = longestMilliseconds;
 			longestMilliseconds = 0;
--- a/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
@@ -80,7 +80,7 @@
 		const disconnected = new AbortController();
 		daemon.process.execute(callerSource, () => {
 			const wait = async (): Promise<void> => {
-				const {end} = await daemon.submit(job, queue, {disconnected: disconnected.signal, waitMilliseconds: undefined});
+				const {end} = await daemon.submit(job, queue, {disconnected: disconnected.signal, sentAfter: performance.now(), waitMilliseconds: undefined});
 				if (attempt.endedAt === undefined) {
 					close(attempt, end, `is answered ${end ?? 'unknown'}`);
 				}
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -340,7 +340,6 @@
 			links.send(address, message);
 		},
 		callerWaits,
-		unreadSince: turns.acceptedUpTo,
 		readArrivals: awaitWholeTurn,
 		leaseMilliseconds: maximumLeaseMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
