The task of an endpoint is a part of its own

Behaviour is unchanged: lines were moved, and no constant, condition, order of calls or await was changed.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -1,8 +1,7 @@
 import {performance} from 'node:perf_hooks';
-import {type EndpointCalls, type EndpointReport, CallOutcome} from '@galenakeel/model/connection/endpoint-calls.js';
+import type {EndpointCalls, EndpointReport} from '@galenakeel/model/connection/endpoint-calls.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
-import {awaitRetry} from './await-retry.js';
 import {createEndpointCooldowns} from './endpoint-cooldowns.js';
 import {createEndpointReachability} from './endpoint-reachability.js';
 import {EndpointDecision} from './endpoint-decision.js';
@@ -10,6 +9,7 @@
 import {
 	createRun, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
+import {createEndpointPollLoop} from './endpoint-poll-loop.js';
 import {createEndpointPolls, type SentPoll} from './endpoint-polls.js';
 import {createEndpointReports} from './endpoint-reports.js';
 import {createEndpointRuns} from './endpoint-runs.js';
@@ -199,27 +199,10 @@
 	const canRunStrays = (): boolean =>
 		!isClosed && !(reachability.isSilent() && leases.haveExpired() && performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds);
 
-	const onMissedPoll = (outcome: CallOutcome): void => {
-		if (outcome === CallOutcome.OtherEndpoint) {
-			closeForOtherEndpoint();
-		} else if (outcome === CallOutcome.Fenced) {
-			options.onFenced();
-		}
-
-		const wasSilent = reachability.isSilent();
-		reachability.recordMissedPoll(outcome === CallOutcome.Unknown);
-		if (!reachability.isSilent()) {
-			return;
-		}
-
-		if (!wasSilent) {
-			onDecision(EndpointDecision.Silent, {endpoint: entry.identifier, outcome, runs: runs.count()});
-		}
-
-		if (leases.haveExpired()) {
-			runs.settleAllAsLost();
-		}
-	};
+	const loop = createEndpointPollLoop({
+		calls, polls, reachability, runs, identifier: () => entry.identifier, haveLeasesExpired: () => leases.haveExpired(), isClosed: hasClosed,
+		onReport, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint, onDecision,
+	});
 
 	return {
 		entry: () => entry,
@@ -288,25 +271,7 @@
 			});
 		},
 		strayJobs: () => (runs.abandoned().size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...runs.abandoned()].map(({task}) => task.job) : noJobs,
-		async run() {
-			while (!hasClosed()) {
-				const reply = await polls.pollUntilEnd();
-				if (isClosed) {
-					break;
-				}
-
-				if (reply?.report) {
-					onReport(reply.report, reply);
-				} else if (reply) {
-					onMissedPoll(reply.outcome);
-					if (reachability.isBackingOff()) {
-						await awaitRetry();
-					}
-				}
-			}
-
-			calls.close();
-		},
+		run: loop.run,
 		pollNow: polls.pollNow,
 		extendShortLease() {
 			if (runs.count() > 0 && !isClosed && lastLeaseLimitAt < performance.now() + shortLeaseMilliseconds) {
