Simulated daemons have turns of an event loop, and may be slow

What the tests would miss: a simulated process performed each arrival by itself, so an immediate said nothing about what had been read, and no daemon was ever slow. Change: a process reads as libuv does: it asks once a turn which sources are ready, reads each of them whole, then runs immediates, then timers; a connection is accepted, read and ended in different turns. A slow process takes milliseconds for each action. Endpoints may leave calls unanswered and carry them out late; the end of a caller's connection may come late or never, and callers may say how long they wait.

--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
@@ -36,6 +36,7 @@
 export type ConversationParts = {
 	readonly random: SeededRandom;
 	readonly daemons: readonly SimulatedDaemon[];
+	readonly endpoints: readonly SimulatedEndpoint[];
 	readonly streams: SimulatedStreams;
 	readonly history: ConversationHistory;
 };
@@ -130,7 +131,7 @@
 	const daemons = await Promise.all(places.map(async ({zone, name}) => {
 		const process = processes.create(name);
 		return new Promise<SimulatedDaemon>((resolve, reject) => {
-			process.execute('start', () => {
+			process.performNow(() => {
 				createSimulatedDaemon({
 					process, zone, zones, streams, history, endpoints: entries,
 					neighbours: places.filter(place => place.zone === zone && place.name !== name).map(place => place.name),
@@ -140,7 +141,7 @@
 		});
 	}));
 	for (const {process, connect} of daemons) {
-		process.execute('start', () => {
+		process.performNow(() => {
 			connect(places.map(({name}) => name));
 		});
 	}
@@ -152,14 +153,14 @@
 const closeFleet = ({daemons}: Fleet): void => {
 	for (const {process, close} of daemons) {
 		process.resume();
-		process.execute('start', close);
+		process.performNow(close);
 	}
 };
 
 /** Many callers, and disruptions of all kinds. */
-const planBusyTime: PlanConversation = ({random, daemons, streams, history}) => {
+const planBusyTime: PlanConversation = ({random, daemons, endpoints, streams, history}) => {
 	const disruptions = scheduleDisruptions({
-		random, daemons, streams, history, from: readyMilliseconds, to: readyMilliseconds + busyMilliseconds,
+		random, daemons, endpoints, streams, history, from: readyMilliseconds, to: readyMilliseconds + busyMilliseconds,
 	});
 	return {
 		callers: Array.from({length: random.integer(10, 28)}, (_, number) => planCaller(random, daemons, number, disruptions)),
@@ -172,7 +173,7 @@
 	const {fleet, streams} = await createFleet(random, processes, history);
 	const queue = createQueue(random);
 	const plan = planConversation({
-		random, daemons: fleet.daemons, streams, history,
+		random, daemons: fleet.daemons, endpoints: [...fleet.endpoints.values()], streams, history,
 	});
 	const callers = plan.callers.map((caller): SimulatedCaller => startSimulatedCaller(caller, queue, history));
 	const calmFrom = plan.endsAt + soonMilliseconds;
--- a/packages/galenakeeld/src/request/__tests__/conversation-disruptions.ts
+++ b/packages/galenakeeld/src/request/__tests__/conversation-disruptions.ts
@@ -4,6 +4,8 @@
 import type {ConversationHistory} from './conversation-history.js';
 import type {SeededRandom} from './seeded-random.js';
 import type {SimulatedDaemon} from './simulated-daemon.js';
+import {drawSlowActions} from './slow-actions.js';
+import type {SimulatedEndpoint} from './simulated-endpoint.js';
 import type {SimulatedStreams} from './simulated-streams.js';
 
 /**
@@ -20,6 +22,10 @@
 	Stop = 'stop',
 	/** An owner gives up its cell, and another daemon claims it. */
 	Replace = 'replace',
+	/** Some daemons are slow: their actions take time, and a turn of an event loop up to a second and more. */
+	Slow = 'slow',
+	/** An endpoint leaves calls unanswered and carries them out late. */
+	Late = 'late',
 	/** Streams break while messages about jobs are on their way. */
 	Fragile = 'fragile',
 }
@@ -34,16 +40,20 @@
 	readonly daemons: readonly SimulatedDaemon[];
 };
 
-const kinds = [Disruption.Break, Disruption.HoldUp, Disruption.Cut, Disruption.Stop, Disruption.Stop, Disruption.Stop, Disruption.Replace, Disruption.Fragile, Disruption.Fragile] as const;
+/** The kinds by default; several entries of a kind make it likelier. */
+const usualKinds = [Disruption.Break, Disruption.HoldUp, Disruption.Cut, Disruption.Stop, Disruption.Stop, Disruption.Stop, Disruption.Replace, Disruption.Fragile, Disruption.Fragile] as const;
 
 export type DisruptionOptions = {
 	readonly random: SeededRandom;
 	readonly daemons: readonly SimulatedDaemon[];
+	readonly endpoints: readonly SimulatedEndpoint[];
 	readonly streams: SimulatedStreams;
 	readonly history: ConversationHistory;
 	/** Monotonic milliseconds between which disruptions begin. */
 	readonly from: number;
 	readonly to: number;
+	/** Kinds from which is drawn; several entries of a kind make it likelier. */
+	readonly kinds?: readonly Disruption[];
 };
 
 /**
@@ -51,10 +61,10 @@
 
 @example
 ```
-const planned = scheduleDisruptions({random, daemons, streams, history, from: 2000, to: 6000});
+const planned = scheduleDisruptions({random, daemons, endpoints, streams, history, from: 2000, to: 6000});
 ```
 */
-export const scheduleDisruptions = ({random, daemons, streams, history, from, to}: DisruptionOptions): readonly PlannedDisruption[] => {
+export const scheduleDisruptions = ({random, daemons, endpoints, streams, history, from, to, kinds = usualKinds}: DisruptionOptions): readonly PlannedDisruption[] => {
 	const planned: PlannedDisruption[] = [];
 
 	const schedule = (at: number, text: string, action: () => void): void => {
@@ -115,6 +125,35 @@
 				return;
 			}
 
+			case Disruption.Slow: {
+				const milliseconds = random.integer(500, 4000);
+				const slow = random.isChosen(0.4) ? [first] : [first, ...daemons.filter(daemon => daemon !== first && random.isChosen(0.6))];
+				plan(milliseconds, [first]);
+				schedule(at, `${slow.map(({process}) => process.name).join(', ')} slow for ${milliseconds} ms`, () => {
+					for (const {process} of slow) {
+						process.setActionTime(drawSlowActions(random));
+					}
+				});
+				schedule(at + milliseconds, `${slow.map(({process}) => process.name).join(', ')} fast again`, () => {
+					for (const {process} of slow) {
+						process.setActionTime(undefined);
+					}
+				});
+				return;
+			}
+
+			case Disruption.Late: {
+				const milliseconds = random.integer(500, 4000);
+				const late = endpoints.filter(() => random.isChosen(0.5));
+				plan(milliseconds, [first]);
+				schedule(at, `${late.map(({identifier}) => identifier).join(', ')} late for ${milliseconds} ms`, () => {
+					for (const endpoint of late) {
+						endpoint.carryOutLate(milliseconds);
+					}
+				});
+				return;
+			}
+
 			case Disruption.Replace: {
 				plan(0, [first]);
 				schedule(at, `${firstName} gives up its cells`, () => {
--- a/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
@@ -29,6 +29,10 @@
 	readonly daemons: readonly SimulatedDaemon[];
 	/** When the caller leaves, counted from the start of each attempt, in milliseconds; infinite if it stays. */
 	readonly leavesAfter: readonly number[];
+	/** Whether the caller says with each attempt when it leaves. */
+	readonly announcesWait?: boolean;
+	/** How late the end of its connection reaches the daemon of each attempt, in milliseconds; infinite if never. Not at all late by default. */
+	readonly endDelays?: readonly number[];
 };
 
 /**
@@ -42,7 +46,6 @@
 };
 
 const resendMilliseconds = 1300;
-const callerSource = 'callers';
 
 /**
 Starts a caller outside of all processes.
@@ -54,7 +57,7 @@
 ```
 */
 export const startSimulatedCaller = (plan: CallerPlan, queue: Queue, history: ConversationHistory): SimulatedCaller => {
-	const {job, daemons, leavesAfter} = plan;
+	const {job, daemons, leavesAfter, announcesWait = false, endDelays = []} = plan;
 	const attempts: Attempt[] = [];
 	let isDone = false;
 
@@ -78,9 +81,15 @@
 		attempts.push(attempt);
 		history.record(job.identifier, `caller submits to ${attempt.daemon}`);
 		const disconnected = new AbortController();
-		daemon.process.execute(callerSource, () => {
+		const patience = leavesAfter[number]!;
+		const waitMilliseconds = announcesWait && Number.isFinite(patience) ? patience : undefined;
+		const source = `caller of ${job.identifier}, ${number}`;
+		daemon.process.executeLast(source, () => {
+			// The connection is accepted; the request is read in a later turn, and the end of the connection in one still later.
+		});
+		daemon.process.executeLast(source, () => {
 			const wait = async (): Promise<void> => {
-				const {end} = await daemon.submit(job, queue, {disconnected: disconnected.signal, waitMilliseconds: undefined});
+				const {end} = await daemon.submit(job, queue, {disconnected: disconnected.signal, waitMilliseconds});
 				if (attempt.endedAt === undefined) {
 					close(attempt, end, `is answered ${end ?? 'unknown'}`);
 				}
@@ -88,14 +97,26 @@
 
 			void wait();
 		});
-		const patience = leavesAfter[number]!;
+		const endConnection = (milliseconds: number): void => {
+			const end = (): void => {
+				daemon.process.execute(source, () => {
+					history.record(job.identifier, `${attempt.daemon} reads that the caller has left`);
+					disconnected.abort();
+				});
+			};
+
+			if (milliseconds === 0) {
+				end();
+			} else if (Number.isFinite(milliseconds)) {
+				setTimeout(end, milliseconds);
+			}
+		};
+
 		if (Number.isFinite(patience)) {
 			setTimeout(() => {
 				if (attempt.endedAt === undefined) {
 					close(attempt, undefined, 'leaves');
-					daemon.process.execute(callerSource, () => {
-						disconnected.abort();
-					});
+					endConnection(endDelays[number] ?? 0);
 				}
 			}, patience);
 		}
--- a/packages/galenakeeld/src/request/__tests__/simulated-endpoint.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-endpoint.ts
@@ -29,9 +29,12 @@
 An endpoint that several daemons call.
 */
 export type SimulatedEndpoint = {
+	readonly identifier: string;
 	/** The calls of a daemon, whose answers reach it inside its process. */
 	readonly callsOf: (process: SimulatedProcess) => EndpointCalls;
 	readonly runs: readonly SimulatedRun[];
+	/** For some time, leaves calls unanswered and carries them out late, in milliseconds. */
+	readonly carryOutLate: (milliseconds: number) => void;
 };
 
 /** How tasks run: the milliseconds of each task, by step and index. */
@@ -43,6 +46,12 @@
 /** A stop takes at most this long. */
 const mostStopMilliseconds = 30;
 const failureProbability = 0.06;
+/** Probability that a call is carried out late while an endpoint does so. */
+const lateProbability = 0.5;
+const leastLateMilliseconds = 500;
+const mostLateMilliseconds = 4000;
+/** As in the client of endpoints: time after which the outcome of a call is unknown; that of a poll in addition to its wait. */
+const timeoutMilliseconds = 100;
 
 /**
 Creates an idle endpoint.
@@ -70,6 +79,8 @@
 	let leaseEndsAt = 0;
 	let leaseTimer: NodeJS.Timeout | undefined;
 	let wakePolls: Array<() => void> = [];
+	/** Monotonic milliseconds up to which calls are carried out late. */
+	let lateUntil = 0;
 
 	const keyOf = (task: TaskKey): string => `${task.job} ${positionOf(task)}`;
 	const activeRuns = (): readonly SimulatedRun[] => runs.filter(({end}) => end === undefined);
@@ -213,34 +224,61 @@
 
 	const replyTo = (outcome: CallOutcome): CallReply => ({outcome, clockMilliseconds: Math.floor(performance.now())});
 
+	/** Carries out a call late and leaves it unanswered. */
+	const performLate = async <Reply>(perform: () => Promise<Reply>, waitMilliseconds: number): Promise<undefined> => {
+		setTimeout(() => {
+			void perform();
+		}, random.integer(leastLateMilliseconds, mostLateMilliseconds));
+		await new Promise(resolve => {
+			setTimeout(resolve, timeoutMilliseconds + waitMilliseconds);
+		});
+		return undefined;
+	};
+
+	const performInTime = async <Reply>(perform: () => Promise<Reply>): Promise<Reply> => {
+		await delay();
+		const reply = await perform();
+		await delay();
+		return reply;
+	};
+
+	const isCalledLate = (): boolean => performance.now() < lateUntil && random.isChosen(lateProbability);
+
 	const callsOf = (process: SimulatedProcess): EndpointCalls => {
 		let callCount = 0;
 
 		/** Performs a call at the endpoint, and hands the answer to the process. Answers may overtake each other. */
-		const call = async <Reply>(perform: () => Promise<Reply>): Promise<Reply> => new Promise(resolve => {
+		const call = async <Reply>(perform: () => Promise<Reply>, unknown: Reply, waitMilliseconds = 0): Promise<Reply> => new Promise(resolve => {
 			callCount++;
 			const source = `${identifier} ${callCount}`;
 			const answer = async (): Promise<void> => {
-				await delay();
-				const reply = await perform();
-				await delay();
+				const reply = await (isCalledLate() ? performLate(perform, waitMilliseconds) : performInTime(perform));
 				process.execute(source, () => {
-					resolve(reply);
+					resolve(reply ?? unknown);
 				});
 			};
 
 			void processes.outside(answer);
 		});
 
+		const unknown = {outcome: CallOutcome.Unknown, clockMilliseconds: undefined} as const;
+
 		return {
-			start: async request => call(async () => replyTo(start(request, process.name))),
-			stop: async request => call(async () => replyTo(stop(request))),
-			poll: async request => call(async () => poll(request)),
+			start: async request => call(async () => replyTo(start(request, process.name)), unknown),
+			stop: async request => call(async () => replyTo(stop(request)), unknown),
+			poll: async request => call(async () => poll(request), unknown, request.waitMilliseconds),
 			close() {
 				// The endpoint outlives its owners.
 			},
 		};
 	};
 
-	return {callsOf, runs};
+	return {
+		identifier,
+		callsOf,
+		runs,
+		carryOutLate(milliseconds) {
+			lateUntil = performance.now() + milliseconds;
+		},
+	};
 };
--- a/packages/galenakeeld/src/request/__tests__/simulated-processes.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-processes.ts
@@ -1,5 +1,5 @@
 /**
-Processes that share the runtime's paused clock. Each may stand still: its timers and inboxes stop, while time goes on.
+Processes that share the runtime's paused clock, each with an event loop of its own. Each may stand still, or be slow: its actions then take time.
 */
 import {AsyncLocalStorage} from 'node:async_hooks';
 import {syncBuiltinESMExports} from 'node:module';
@@ -7,18 +7,23 @@
 import timersPromises from 'node:timers/promises';
 import {install} from '@sinonjs/fake-timers';
 import type {SeededRandom} from './seeded-random.js';
+import {createSimulatedTurns} from './simulated-turns.js';
 
 /**
 A process. Whatever is called inside of it keeps to it, also after an await, and in its timers.
 */
 export type SimulatedProcess = {
 	readonly name: string;
-	/** Performs an action inside the process, later if it stands still. The actions of one source keep their order; those of several sources that have waited are performed in any order. */
+	/** Performs an action inside the process at once, between two others. */
+	readonly performNow: (action: () => void) => void;
+	/** Performs an action when the process reads what has arrived from a source, for instance at a socket. The actions of one source keep their order. */
 	readonly execute: (source: string, action: () => void) => void;
+	/** The same; what follows from the source is read in a later turn of the event loop. */
+	readonly executeLast: (source: string, action: () => void) => void;
 	readonly stop: () => void;
 	readonly resume: () => void;
-	/** How long the process has stood still in all, in milliseconds. */
-	readonly stoppedMilliseconds: () => number;
+	/** Sets how long an action takes, in milliseconds; by default it takes little. */
+	readonly setActionTime: (drawMilliseconds: (() => number) | undefined) => void;
 };
 
 /**
@@ -36,13 +41,19 @@
 
 /** Unix milliseconds at the start. */
 const startAt = 1_000_000;
-const timerSource = 'timers';
-/** Probability that a timer that is due goes before what has waited for a process. */
-const timerFirstProbability = 0.3;
+/** Probability that an action of a fast process takes a millisecond rather than nothing. */
+const millisecondProbability = 0.1;
 const replacedTimers = ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'clearImmediate'] as const;
 
 type Callback = (...values: readonly unknown[]) => void;
-type WaitingProcess = {readonly hasWaiting: () => boolean; readonly performWaiting: () => void};
+type SetTimer = (...values: readonly unknown[]) => unknown;
+type RunningProcess = {
+	readonly process: SimulatedProcess;
+	readonly addTimer: (action: () => void) => void;
+	readonly addImmediate: (action: () => void) => void;
+	readonly hasActions: () => boolean;
+	readonly performNext: () => void;
+};
 
 /**
 Pauses the runtime's clock and creates processes on it. Only one may exist at a time.
@@ -51,7 +62,7 @@
 ```
 const processes = createSimulatedProcesses(random);
 const daemon = processes.create('north-1');
-daemon.execute('callers', () => cell.submit(holder, order));
+daemon.execute('caller 1', () => cell.submit(holder, order));
 await processes.runUntil(1000);
 processes.uninstall();
 ```
@@ -60,9 +71,9 @@
 	const realSetImmediate = globalThis.setImmediate;
 	const realSleep = timersPromises.setTimeout;
 	const clock = install({now: startAt, toFake: ['performance', 'Date', ...replacedTimers], shouldClearNativeTimers: true});
-	const paused = Object.fromEntries(replacedTimers.map(name => [name, globalThis[name]])) as Record<typeof replacedTimers[number], (...values: readonly unknown[]) => unknown>;
-	const current = new AsyncLocalStorage<SimulatedProcess | undefined>();
-	const all: WaitingProcess[] = [];
+	const paused = Object.fromEntries(replacedTimers.map(name => [name, globalThis[name]])) as Record<typeof replacedTimers[number], SetTimer>;
+	const current = new AsyncLocalStorage<RunningProcess | undefined>();
+	const all: RunningProcess[] = [];
 	/** Timers that were cleared while their callback waited for a process. */
 	const clearedTimers = new WeakSet();
 
@@ -71,7 +82,7 @@
 	});
 
 	/** Replaces a function that sets a timer by one whose callback keeps to the process. */
-	const keepToProcess = (set: (...values: readonly unknown[]) => unknown, isRepeated: boolean) => (callback: Callback, ...values: readonly unknown[]): unknown => {
+	const keepToProcess = (set: SetTimer, isRepeated: boolean) => (callback: Callback, ...values: readonly unknown[]): unknown => {
 		const process = current.getStore();
 		if (!process) {
 			return set(callback, ...values);
@@ -85,7 +96,7 @@
 			}
 
 			isWaiting = true;
-			process.execute(timerSource, () => {
+			process.addTimer(() => {
 				isWaiting = false;
 				if (!clearedTimers.has(timer as Record<string, unknown>)) {
 					callback(...passed);
@@ -95,6 +106,21 @@
 		return timer;
 	};
 
+	const setImmediateOfProcess = (callback: Callback, ...values: readonly unknown[]): unknown => {
+		const process = current.getStore();
+		if (!process) {
+			return paused.setImmediate(callback, ...values);
+		}
+
+		const immediate = {};
+		process.addImmediate(() => {
+			if (!clearedTimers.has(immediate)) {
+				callback(...values);
+			}
+		});
+		return immediate;
+	};
+
 	const clearWith = (clear: (...values: readonly unknown[]) => unknown) => (timer: unknown): void => {
 		if (typeof timer === 'object' && timer !== null) {
 			clearedTimers.add(timer);
@@ -106,7 +132,7 @@
 	Object.assign(globalThis, {
 		setTimeout: keepToProcess(paused.setTimeout, false),
 		setInterval: keepToProcess(paused.setInterval, true),
-		setImmediate: keepToProcess(paused.setImmediate, false),
+		setImmediate: setImmediateOfProcess,
 		clearTimeout: clearWith(paused.clearTimeout),
 		clearInterval: clearWith(paused.clearInterval),
 		clearImmediate: clearWith(paused.clearImmediate),
@@ -119,52 +145,63 @@
 	syncBuiltinESMExports();
 
 	const create = (name: string): SimulatedProcess => {
-		/** What waits for the process, by source. */
-		const waiting = new Map<string, Array<() => void>>();
-		let stoppedAt: number | undefined;
-		let stoppedMilliseconds = 0;
+		const turns = createSimulatedTurns(random);
+		let isStopped = false;
+		/** Monotonic milliseconds up to which the last action takes. */
+		let busyUntil = 0;
+		const drawUsual = (): number => random.isChosen(millisecondProbability) ? 1 : 0;
+		let drawMilliseconds = drawUsual;
 
 		const process: SimulatedProcess = {
 			name,
+			performNow(action) {
+				current.run(running, action);
+			},
 			execute(source, action) {
-				if (stoppedAt === undefined && waiting.size === 0) {
-					current.run(process, action);
-				} else {
-					waiting.set(source, [...waiting.get(source) ?? [], action]);
-				}
+				turns.addArrival(source, action, false);
+			},
+			executeLast(source, action) {
+				turns.addArrival(source, action, true);
 			},
 			stop() {
-				stoppedAt ??= performance.now();
+				isStopped = true;
 			},
 			resume() {
-				stoppedMilliseconds += performance.now() - (stoppedAt ?? performance.now());
-				stoppedAt = undefined;
+				isStopped = false;
+			},
+			setActionTime(draw) {
+				drawMilliseconds = draw ?? drawUsual;
 			},
-			stoppedMilliseconds: () => stoppedMilliseconds,
 		};
 
-		all.push({
-			hasWaiting: () => stoppedAt === undefined && waiting.size > 0,
-			performWaiting() {
-				const source = random.pick([...waiting.keys()]);
-				const [action, ...rest] = waiting.get(source)!;
-				if (rest.length > 0) {
-					waiting.set(source, rest);
-				} else {
-					waiting.delete(source);
+		const running: RunningProcess = {
+			process,
+			addTimer: turns.addTimer,
+			addImmediate: turns.addImmediate,
+			hasActions: () => !isStopped && performance.now() >= busyUntil && turns.hasActions(),
+			performNext() {
+				const {action, isContinued} = turns.takeAction();
+				const milliseconds = isContinued ? 0 : drawMilliseconds();
+				busyUntil = performance.now() + milliseconds;
+				if (milliseconds > 0) {
+					// The clock goes from timer to timer.
+					paused.setTimeout(() => {
+						// Only the time counts.
+					}, milliseconds);
 				}
 
-				current.run(process, action!);
+				current.run(running, action);
 			},
-		});
+		};
+		all.push(running);
 		return process;
 	};
 
-	/** Performs the next action that has waited, or the next timer. */
+	/** Performs the next action of a process that has one, or the next timer. */
 	const step = (): void => {
-		const ready = all.filter(({hasWaiting}) => hasWaiting());
-		if (ready.length > 0 && !random.isChosen(timerFirstProbability)) {
-			random.pick(ready).performWaiting();
+		const ready = all.filter(({hasActions}) => hasActions());
+		if (ready.length > 0) {
+			random.pick(ready).performNext();
 		} else {
 			clock.next();
 		}
--- a/packages/galenakeeld/src/request/__tests__/simulated-streams.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-streams.ts
@@ -30,6 +30,13 @@
 	readonly holdUp: (from: string, to: string, milliseconds: number) => void;
 };
 
+type Server = {
+	readonly process: SimulatedProcess;
+	readonly handlers: ServeHandlers;
+	/** Monotonic milliseconds of the last observed turn of its event loop. */
+	turnedAt: number;
+};
+
 type Transit = {readonly frame: FleetFrame; readonly arrivesAt: number; isLost: boolean};
 
 type Connection = {
@@ -54,6 +61,7 @@
 /** As in `serveFleet`. */
 const maximumDelayMilliseconds = 600;
 const maximumHeartbeatGapMilliseconds = 1000;
+const turnMilliseconds = 250;
 const deferrableKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Started, FleetMessageKind.TaskSucceeded]);
 const quietKinds: ReadonlySet<FleetMessageKind> = new Set([FleetMessageKind.Heartbeat, FleetMessageKind.KeepAlive, FleetMessageKind.Load]);
 
@@ -79,7 +87,7 @@
 ```
 */
 export const createSimulatedStreams = (processes: SimulatedProcesses, random: SeededRandom, history: ConversationHistory): SimulatedStreams => {
-	const servers = new Map<string, {readonly process: SimulatedProcess; readonly handlers: ServeHandlers}>();
+	const servers = new Map<string, Server>();
 	const connections = new Map<string, Connection>();
 	const heldUntil = new Map<string, number>();
 	let connectionCount = 0;
@@ -198,11 +206,10 @@
 			},
 		};
 		connections.set(keyOf(from.name, to), connection);
-		const stoppedBefore = server.process.stoppedMilliseconds();
-		const openedAt = performance.now();
-		server.process.execute(connection.source, () => {
-			// As in `serveFleet`: a connection that waited while the process stood still is closed.
-			if (server.process.stoppedMilliseconds() > stoppedBefore && performance.now() - openedAt > maximumDelayMilliseconds) {
+		// A connection is accepted in one turn and read in a later one.
+		server.process.executeLast(connection.source, () => {
+			// As in `serveFleet`: a connection that may have waited while the process stood still is closed.
+			if (performance.now() - server.turnedAt > maximumDelayMilliseconds) {
 				end(connection);
 			} else {
 				accept(connection, server.handlers);
@@ -359,8 +366,15 @@
 	return {
 		of: process => ({
 			async serve(address, handlers) {
-				servers.set(address, {process, handlers});
+				const server: Server = {process, handlers, turnedAt: performance.now()};
+				servers.set(address, server);
+				const turnTimer = setInterval(() => {
+					setImmediate(() => {
+						server.turnedAt = performance.now();
+					});
+				}, turnMilliseconds);
 				return () => {
+					clearInterval(turnTimer);
 					servers.delete(address);
 				};
 			},
