--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -41,6 +41,8 @@
 export type SimulatedDaemon = {
 	readonly process: SimulatedProcess;
 	readonly zone: string;
+	/** Accepts the connection of a caller. Returns what tells, when a request is read there, the monotonic milliseconds before which it can't have been sent. */
+	readonly accept: () => () => number;
 	/** Holds a job for a caller. */
 	readonly submit: (job: Job, queue: Queue, caller: WaitingCaller) => Promise<JobAnswer>;
 	/** Opens streams to other daemons. */
@@ -355,6 +357,7 @@
 	return {
 		process,
 		zone,
+		accept: turns.accept,
 		submit: intake.submit,
 		connect: links.connect,
 		yieldCells() {
