A frame is confirmed once the turn after the one that read it has ended

What callers would see: TWICE. Cause: the event loop asks once a turn which connections are ready, and then reads of each of them all that has come by the time that it gets there. On a slow daemon, a frame that is sent and arrives late in a long turn is read in it if its connection was ready when the turn began, while the end of a caller's connection that arrived before the frame was sent waits for the next turn. Change: a frame is confirmed at the end of the turn after its own, which has read all that was there before; an answer to a request for a confirmation waits for that. The scenario of peer-confirmations.feature failed before (frame 30 confirmed instead of 20) and passes. It replaces one that took a single turn for enough, and asks for more: the same frame is confirmed a turn later.

--- a/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.feature
@@ -24,6 +24,7 @@
     And the peer restarts, and a frame of it arrives that it sent at 10 ms
     Then nothing is confirmed
     When the turn ends
+    And the next turn ends
     Then the frame of 10 ms is confirmed to the peer
 
   Scenario: What was confirmed before a suspension is not trusted after it
@@ -51,15 +52,21 @@
     And the turn ends
     Then the daemon has confirmed its own turn of 5000 ms
 
-  # Guards against TWICE: a stream that opened in the middle of a turn confirmed frames before the ends of callers that had arrived with them were read.
-  Scenario: A frame is confirmed to its peer only once what arrived with it has been read
+  # Guards against TWICE: the event loop reads of a connection what arrives up to then, also during the turn, yet of others only what had arrived before; so a frame was confirmed although the end of a caller that had arrived before it was unread.
+  Scenario: A frame is confirmed to its peer only once the turn after it has been read
     When a frame of the peer arrives that it sent at 20 ms
     And the turn ends
+    And the next turn ends
     Then the frame of 20 ms is confirmed to the peer
     When a frame of the peer arrives that it sent at 30 ms
     Then the frame of 20 ms is confirmed to the peer
     When the turn ends
+    Then the frame of 20 ms is confirmed to the peer
+    When a frame of the peer arrives that it sent at 40 ms
+    And the next turn ends
     Then the frame of 30 ms is confirmed to the peer
+    When the turn ends
+    Then the frame of 40 ms is confirmed to the peer
 
   Scenario: A request is not repeated while its answer may be on its way, and a frame that was sent before it answers nothing
     When a confirmation is requested 2 times
--- a/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
@@ -98,7 +98,7 @@
 	this.turns.begin();
 });
 
-When('the turn ends', async () => {
+When('the (next )turn ends', async () => {
 	await turn();
 });
 
--- a/packages/galenakeeld/src/process/fleet/fleet-links.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-links.ts
@@ -8,6 +8,7 @@
 import type {HeartbeatInterval} from './heartbeat-interval.js';
 import {LossCause} from './cell-claims.js';
 import type {Peer, FleetView} from './fleet-view.js';
+import {awaitWholeTurn} from './reading-turns.js';
 import {createUnconfirmedFrames} from './unconfirmed-frames.js';
 
 /**
@@ -142,6 +143,12 @@
 		}
 	};
 
+	/** Answers a request once the frame that carried it is confirmed. */
+	const confirm = async (address: string): Promise<void> => {
+		await awaitWholeTurn();
+		streams.get(address)?.send(createHeartbeat(address));
+	};
+
 	/** Sends the next heartbeat earlier if the peer needs it. */
 	const reviewInterval = (address: string, neededBefore: number | undefined, needed: number): void => {
 		if (neededBefore !== undefined && needed < neededBefore) {
@@ -187,7 +194,7 @@
 			}
 
 			if (message.kind === FleetMessageKind.ConfirmationRequest) {
-				streams.get(from)?.send(createHeartbeat(from));
+				void confirm(from);
 				return;
 			}
 
--- a/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -36,6 +36,8 @@
 	/** Time of the last frame that was processed, on the monotonic clock of the peer. */
 	processedSentAt: number;
 	/** The same for the last frame that was processed in a turn of the event loop that has ended. */
+	readSentAt: number;
+	/** The same for the last one since whose turn a whole turn has ended. */
 	heardSentAt: number;
 	/** Own monotonic clock. */
 	confirmedAt: number;
@@ -67,21 +69,29 @@
 		}
 
 		const record: PeerRecord = {
-			startedAt: peer.startedAt, processedSentAt: Number.NEGATIVE_INFINITY, heardSentAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY,
+			startedAt: peer.startedAt, processedSentAt: Number.NEGATIVE_INFINITY, readSentAt: Number.NEGATIVE_INFINITY, heardSentAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY,
 		};
 		records.set(peer.address, record);
 		return record;
 	};
 
-	/** Confirms a frame once the turn is over: the end of a caller's connection that arrived before it may not have been read yet. */
+	/** Confirms at the end of each turn what was processed in the one before. A turn reads of each connection all that has come by the time that its reading gets there, so a frame may be processed in it although the end of a caller's connection that arrived before it is not read until the next. */
+	const confirmAtTurnEnd = (record: PeerRecord): void => {
+		setImmediate(() => {
+			beforeConfirming();
+			record.heardSentAt = record.readSentAt;
+			record.readSentAt = record.processedSentAt;
+			if (record.readSentAt > record.heardSentAt) {
+				confirmAtTurnEnd(record);
+			}
+		});
+	};
+
 	const recordProcessed = (record: PeerRecord, sentAt: number): void => {
 		const isPending = record.processedSentAt > record.heardSentAt;
 		record.processedSentAt = Math.max(record.processedSentAt, sentAt);
 		if (!isPending) {
-			setImmediate(() => {
-				beforeConfirming();
-				record.heardSentAt = record.processedSentAt;
-			});
+			confirmAtTurnEnd(record);
 		}
 	};
 
