--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
@@ -8,3 +8,14 @@
   Scenario: A job whose caller left while its holder stood still does not run beside its next submission
     When the conversations of the seeds 1110 to 1110 are held
     Then no rule was broken
+
+  # Guards against TWICE: a daemon that was behind extended the runs of a caller that had left, or never read that it had, and the caller's next submission started in another zone.
+  Scenario Outline: A job doesn't run beside its next submission in another zone while daemons <delay> and the ends of callers arrive <end>
+    When the conversations of the seeds <first> to <last> are held, with callers that return while daemons <delay> and whose ends arrive <end>
+    Then no rule was broken
+
+    Examples:
+      | delay       | end           | first | last |
+      | are slow    | promptly      | 9     | 16   |
+      | are slow    | late or never | 31    | 42   |
+      | stand still | late or never | 1     | 10   |
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
@@ -4,6 +4,7 @@
 import {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
 import {holdConversation, type ConversationFailure, type PlanConversation} from './assignment-conversation.js';
 import {planFrozenJobs, type Frozen} from './frozen-jobs.js';
+import {planReturningCallers, type CallerEnd, type Delay} from './returning-callers.js';
 
 type ConversationWorld = {
 	failures: ConversationFailure[];
@@ -46,6 +47,10 @@
 	await hold(this, from, to, planFrozenJobs(frozen));
 });
 
+When('the conversations of the seeds {int} to {int} are held, with callers that return while daemons {} and whose ends arrive {}', {timeout: timeoutMilliseconds}, async function (this: ConversationWorld, from: number, to: number, delay: Delay, callerEnd: CallerEnd) {
+	await hold(this, from, to, planReturningCallers(callerEnd, delay));
+});
+
 Then('no rule was broken', function (this: ConversationWorld) {
 	const summary = this.failures.map(({seed, rule, job}) => `seed ${seed}: ${rule}, job ${job}`).join('\n');
 	assert.equal(this.failures.length, 0, `${summary}\n\n${this.failures.slice(0, shownFailures).map(failure => describe(failure)).join('\n\n')}`);
