An owner that was lost doesn't repeat redirects to an order of a later generation

What callers saw: a task runs in two zones at the same time (TWICE).

Cause: an owner keeps the end of an assignment for 30 s if tasks of it were redirected, for a holder that missed it. When it is lost, and comes back after another daemon has owned the cell and started these tasks, the holder's order of the later generation gets that end as its answer. The holder moves the tasks to the other zone, while those that the daemon in between has started run on. One class with the other faults of this incident: a statement about an earlier moment is taken for one about the present.

Ruled out: a repeated redirect of an order without lost owners, which stays (generation 0); a new job's redirects are repeated to such orders only.

Change: an end with redirects answers only orders of its own generation.

--- a/packages/galenakeeld/src/process/cells/closed-assignments.ts
+++ b/packages/galenakeeld/src/process/cells/closed-assignments.ts
@@ -13,8 +13,8 @@
 	readonly updates: readonly JobUpdate[];
 };
 
-/** What identifies the tasks of an order, and how often they had moved by then. */
-type OrderedTasks = Pick<JobOrder, 'job' | 'excluded' | 'moves'>;
+/** What identifies the tasks of an order, how often they had moved by then, and how many owners had been lost that may have started them. */
+type OrderedTasks = Pick<JobOrder, 'job' | 'excluded' | 'moves' | 'generation'>;
 
 /**
 The assignments that have left a cell: what an owner has said of one stays said when the holder submits it again.
@@ -28,7 +28,7 @@
 	@param tasks The order of the assignment, which names the tasks.
 	*/
 	readonly addEnd: (tasks: OrderedTasks, end: PartEnd) => void;
-	/** The end of the same tasks under an earlier assignment, if all of them succeeded or were redirected and haven't come back since. Holders may name the part differently. */
+	/** The end of the same tasks under an earlier assignment, if all of them succeeded, or were redirected and neither have come back since nor may have been started by another owner. Holders may name the part differently. */
 	readonly findEnd: (tasks: OrderedTasks) => PartEnd | undefined;
 	/** Keeps where tasks of a job went, since they may still be stopped there when its caller submits the job again. */
 	readonly addRedirects: (job: string, redirects: readonly TaskRedirect[]) => void;
@@ -49,7 +49,7 @@
 
 const tasksKeyOf = ({job, excluded}: OrderedTasks): string => [job.identifier, ...excluded.toSorted()].join(' ');
 
-type KeptEnd = {readonly moves: number; end: PartEnd; readonly at: number};
+type KeptEnd = {readonly moves: number; readonly generation: number; end: PartEnd; readonly at: number};
 
 /** Margin for the time that an order is on its way. */
 const transitMilliseconds = 2000;
@@ -98,13 +98,17 @@
 			ends.delete(key);
 			endsWithRedirects.delete(key);
 			const kept = end.redirects.length > 0 ? endsWithRedirects : ends;
-			kept.set(key, {moves: tasks.moves, end, at: performance.now()});
+			kept.set(key, {
+				moves: tasks.moves, generation: tasks.generation, end, at: performance.now(),
+			});
 		},
 		findEnd(tasks) {
 			const key = tasksKeyOf(tasks);
 			const moved = endsWithRedirects.get(key);
 			const hasComeBack = moved !== undefined && moved.moves < tasks.moves;
-			return hasComeBack ? undefined : (moved ?? ends.get(key))?.end;
+			// An owner that was lost since may have started what this one redirected.
+			const mayRunElsewhere = moved !== undefined && moved.generation < tasks.generation;
+			return hasComeBack || mayRunElsewhere ? undefined : (moved ?? ends.get(key))?.end;
 		},
 		addRedirects(job, redirects) {
 			const earlier = redirected.get(job)?.redirects ?? [];
