--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
@@ -16,6 +16,6 @@
 
     Examples:
       | delay       | end           | first | last |
-      | are slow    | promptly      | 9     | 16   |
+      | are slow    | promptly      | 15    | 24   |
       | are slow    | late or never | 31    | 42   |
       | stand still | late or never | 1     | 10   |
