--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -161,6 +161,15 @@
     And the cell runs for 1000 ms
     Then each of the 4 tasks was started here
 
+  # Guards against TWICE: an owner that was lost and came back sent tasks to another zone that a daemon that owned its cell meanwhile had started.
+  Scenario: Tasks that another owner may have started since they were redirected are not sent to another cell by the end that redirected them
+    When a job of 4 tasks is submitted
+    And the cell runs for 1000 ms
+    And the job is submitted by "other" in a new assignment after another owner was lost
+    And the cell runs for 1500 ms
+    Then "other" was told of no other cell
+    And each of the 4 tasks was started here
+
   Scenario: Redirected tasks of a job that its holder cancels are not started here while they are being stopped elsewhere
     When a job of 4 tasks is submitted
     And the first assignment is cancelled
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -281,6 +281,11 @@
 	await submitAnew(this, by, []);
 });
 
+When('the job is submitted by {string} in a new assignment after another owner was lost', async function (this: PartsWorld, by: string) {
+	this.order = {...this.order, generation: 1, isCommitted: true};
+	await submitAnew(this, by, []);
+});
+
 When('the job is submitted by {string} as part {string}', async function (this: PartsWorld, by: string, part: string) {
 	this.order = {...this.order, part};
 	await submitAnew(this, by, []);
@@ -381,6 +386,11 @@
 	assert.deepEqual(redirects.map(redirect => [redirect.positions.length, redirect.cell]), [[tasks, cell]]);
 });
 
+Then('{string} was told of no other cell', function (this: PartsWorld, _: string) {
+	const redirects = [...this.otherUpdates.filter(one => one.kind === FleetMessageKind.Redirect), ...endsOf(this.otherUpdates).flatMap(end => end.redirects)];
+	assert.deepEqual(redirects, []);
+});
+
 Then('{string} was told that the job is complete', function (this: PartsWorld, _: string) {
 	assert.deepEqual(endsOf(this.otherUpdates).map(({assignment, isComplete}) => [assignment, isComplete]), [[secondAssignment, true]]);
 });
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -73,6 +73,18 @@
     And the endpoints run for 1100 ms
     Then the first job runs nowhere
 
+  # The lease of an endpoint covers all its runs and never shortens. Ends that no stop brings about stand for an owner that stands still.
+  Scenario: A task of a holder that was heard some time ago does not run on with the longer lease of a run beside it
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When the holder "first" falls silent
+    And another job of 1 task is submitted by "second"
+    And the endpoints run for 600 ms
+    And a job of 1 task is submitted by "first"
+    And the endpoints carry out no stops
+    And the endpoints run for 440 ms
+    Then the first job runs nowhere
+
   Scenario: A run beside one of a silent holder goes on once the loss of the holder is noticed
     Given 1 endpoint with room for 2 tasks
     And an owner of these endpoints
