--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -85,6 +85,19 @@
     And the endpoints run for 440 ms
     Then the first job runs nowhere
 
+  # Guards against TWICE: an owner that is behind passes over the time in which it stops the runs of a silent holder.
+  Scenario: A task of a silent holder is stopped by an owner that was behind while its time ran out
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When the holder "first" falls silent
+    And another job of 1 task is submitted by "second"
+    And the endpoints run for 600 ms
+    And a job of 1 task is submitted by "first"
+    And the endpoints run for 150 ms
+    And the owner stands still for 240 ms
+    And the endpoints run for 330 ms
+    Then the first job runs nowhere
+
   Scenario: A run beside one of a silent holder goes on once the loss of the holder is noticed
     Given 1 endpoint with room for 2 tasks
     And an owner of these endpoints
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -261,6 +261,10 @@
 	await this.time.tickAsync(milliseconds);
 });
 
+When('the owner stands still for {int} ms', function (this: StrayWorld, milliseconds: number) {
+	this.time.jump(milliseconds);
+});
+
 Then('the task ran {int} times, never twice at the same time', function (this: StrayWorld, times: number) {
 	const runs = runsOf(this, firstJob);
 	assert.equal(runs.length, times, JSON.stringify(runs));
--- a/packages/galenakeeld/src/process/fleet/__tests__/caller-waits.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/caller-waits.feature
@@ -30,3 +30,10 @@
     Then 1 caller has left
     When it is 3300 ms
     Then 2 callers have left
+
+  # Guards against TWICE: the steady clock stands still while the machine is suspended, and callers go on waiting.
+  Scenario: The wait of a caller goes on while the machine is suspended
+    When a caller sends a job at 0 ms and waits for 2000 ms
+    And the machine is suspended for 3000 ms
+    And it is 100 ms
+    Then 1 caller has left
--- a/packages/galenakeeld/src/process/fleet/__tests__/caller-waits.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/caller-waits.steps.ts
@@ -14,7 +14,7 @@
 };
 
 Given('callers that return {int} ms after they left, and runs that go on for {int} ms after a confirmation', function (this: WaitsWorld, returnMilliseconds: number, leaseMilliseconds: number) {
-	this.waitClock = install({toFake: ['performance'], shouldClearNativeTimers: true});
+	this.waitClock = install({toFake: ['performance', 'Date'], shouldClearNativeTimers: true});
 	this.waits = createCallerWaits({returnMilliseconds, leaseMilliseconds});
 	this.callersLeft = 0;
 });
@@ -38,6 +38,10 @@
 	this.waits.endOverdue();
 });
 
+When('the machine is suspended for {int} ms', function (this: WaitsWorld, milliseconds: number) {
+	this.waitClock!.setSystemTime(Date.now() + milliseconds);
+});
+
 Then('no caller has left', function (this: WaitsWorld) {
 	assert.equal(this.callersLeft, 0);
 });
--- a/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.feature
@@ -49,6 +49,11 @@
     And a connection is accepted
     Then what is read there was sent after 1700 ms
 
+  # Guards against 504 for callers that still wait: with a new connection in each turn, all requests counted as being as old as the first of these turns.
+  Scenario: A daemon whose turns each accept the connection that was opened in the one before takes none for much older
+    When 50 turns of 100 ms each accept the connection that was opened in the one before
+    Then what is read there was sent at most 1240 ms ago
+
   Scenario: The event loop accepts one connection in each turn
     When 5 connections have been opened at a server that stood still
     Then they are accepted in 5 turns
--- a/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/reading-turns.steps.ts
@@ -63,6 +63,15 @@
 	this.sentAfter = this.observedTurns.accept();
 });
 
+When('{int} turns of {int} ms each accept the connection that was opened in the one before', async function (this: TurnsWorld, count: number, milliseconds: number) {
+	for (let turn = 0; turn < count; turn++) {
+		this.observedTurns.begin();
+		this.sentAfter = this.observedTurns.accept();
+		await awaitImmediates();
+		this.turnClock!.tick(milliseconds);
+	}
+});
+
 When('{int} connections have been opened at a server that stood still', async function (this: TurnsWorld, count: number) {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
@@ -93,6 +102,11 @@
 	assert.equal(this.sentAfter(), at);
 });
 
+Then('what is read there was sent at most {int} ms ago', function (this: TurnsWorld, milliseconds: number) {
+	const age = performance.now() - this.sentAfter();
+	assert.ok(age <= milliseconds, `it may be ${age} ms old`);
+});
+
 Then('the wait goes on', function (this: TurnsWorld) {
 	assert.equal(this.isOver, false);
 });
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
@@ -19,3 +19,8 @@
       | are slow    | promptly      | 15    | 24   |
       | are slow    | late or never | 31    | 42   |
       | stand still | late or never | 1     | 10   |
+
+  # Guards against TWICE: the wait of a caller was counted from when its request arrived, although it had been on its way for long.
+  Scenario: A job doesn't run beside its next submission in another zone while requests and the ends of callers are held up
+    When the conversations of the seeds 1 to 40 are held, with callers that return while daemons are slow and whose ends arrive late or never, as do their requests
+    Then no rule was broken
--- a/packages/galenakeeld/src/request/__tests__/returning-callers.ts
+++ b/packages/galenakeeld/src/request/__tests__/returning-callers.ts
@@ -16,6 +16,8 @@
 	Prompt = 'promptly',
 	/** Some seconds late, or never; callers say how long they wait. */
 	Late = 'late or never',
+	/** The same, and requests are on their way for some time too, as on a link that is held up. */
+	HeldUp = 'late or never, as do their requests',
 }
 
 /**
@@ -34,6 +36,7 @@
 /** Outlasts both attempts of a caller. */
 const taskMilliseconds = 6000;
 const latestMilliseconds = 3000;
+const requestDelays = [100, 800] as const;
 const neverProbability = 0.3;
 const slowDelays = [1500, 4000] as const;
 const stops = [300, 3500] as const;
@@ -141,8 +144,9 @@
 			submitsAt,
 			daemons: [holder, random.pick(daemons.filter(({zone}) => zone !== holder.zone))],
 			leavesAfter: [patience, random.integer(300, 900)],
-			announcesWait: callerEnd === CallerEnd.Late,
+			announcesWait: callerEnd !== CallerEnd.Prompt,
 			endDelays: [drawEndDelay(random, callerEnd), 0],
+			requestDelays: [callerEnd === CallerEnd.HeldUp ? random.integer(...requestDelays) : 0, 0],
 		};
 	};
 
--- a/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
@@ -33,6 +33,8 @@
 	readonly announcesWait?: boolean;
 	/** How late the end of its connection reaches the daemon of each attempt, in milliseconds; infinite if never. Not at all late by default. */
 	readonly endDelays?: readonly number[];
+	/** How long the request of each attempt is on its way to the daemon, in milliseconds. Not at all by default. */
+	readonly requestDelays?: readonly number[];
 };
 
 /**
@@ -57,7 +59,7 @@
 ```
 */
 export const startSimulatedCaller = (plan: CallerPlan, queue: Queue, history: ConversationHistory): SimulatedCaller => {
-	const {job, daemons, leavesAfter, announcesWait = false, endDelays = []} = plan;
+	const {job, daemons, leavesAfter, announcesWait = false, endDelays = [], requestDelays = []} = plan;
 	const attempts: Attempt[] = [];
 	let isDone = false;
 
@@ -86,19 +88,28 @@
 		const source = `caller of ${job.identifier}, ${number}`;
 		let tellSentAfter: () => number;
 		// The connection is accepted; the request is read in a later turn, and the end of the connection in one still later.
-		daemon.process.executeLast(source, () => {
-			tellSentAfter = daemon.accept();
-		});
-		daemon.process.executeLast(source, () => {
-			const wait = async (): Promise<void> => {
-				const {end} = await daemon.submit(job, queue, {disconnected: disconnected.signal, sentAfter: tellSentAfter(), waitMilliseconds});
-				if (attempt.endedAt === undefined) {
-					close(attempt, end, `is answered ${end ?? 'unknown'}`);
-				}
-			};
+		const sendRequest = (): void => {
+			daemon.process.executeLast(source, () => {
+				tellSentAfter = daemon.accept();
+			});
+			daemon.process.executeLast(source, () => {
+				const wait = async (): Promise<void> => {
+					const {end} = await daemon.submit(job, queue, {disconnected: disconnected.signal, sentAfter: tellSentAfter(), waitMilliseconds});
+					if (attempt.endedAt === undefined) {
+						close(attempt, end, `is answered ${end ?? 'unknown'}`);
+					}
+				};
+				void wait();
+			});
+		};
+
+		const requestDelay = requestDelays[number] ?? 0;
+		if (requestDelay > 0) {
+			setTimeout(sendRequest, requestDelay);
+		} else {
+			sendRequest();
+		}
 
-			void wait();
-		});
 		const endConnection = (milliseconds: number): void => {
 			const end = (): void => {
 				daemon.process.execute(source, () => {
