An owner that is behind stops the runs of a silent holder late rather than never

A run outlives what its holder allows by up to 0.7 s, beyond its caller's return, if its endpoint's lease was longer for a run beside it.

Cause: the stop was sent only while 0 to 200 ms of the holder's time were left.

Change: the stop is sent as soon as less than 200 ms are left, also after the end. A holder of which nothing is confirmed since a suspension stays an exception: its runs lapse or go on after a round trip.

The scenario failed before: "A task of a silent holder is stopped by an owner that was behind while its time ran out"; cells: 133 passed, 0 failed, two known reds.

--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -139,10 +139,10 @@
 		cell: options.name, closedAssignments, stopRuns: endpoints.stopRuns, notify, onRedirected: options.onRedirected, onDecision,
 	});
 
-	/** Stops the runs of a job whose holder has confirmed nothing for long, ahead of the end of their leases. */
+	/** Stops the runs of a job whose holder has confirmed nothing for long, ahead of the end of their leases, or as soon as an owner that is behind notices. */
 	const stopSilent = (job: PlacedJob): void => {
 		const remaining = leaseLimitOf(job) - performance.now();
-		if (job.hasStarted && remaining > 0 && remaining < stopSilentMilliseconds) {
+		if (job.hasStarted && remaining > Number.NEGATIVE_INFINITY && remaining < stopSilentMilliseconds) {
 			jobs.stopRuns(job);
 		}
 	};
