--- a/packages/galenakeeld/src/process/cells/cell-submissions.ts
+++ b/packages/galenakeeld/src/process/cells/cell-submissions.ts
@@ -163,7 +163,7 @@
 		}
 
 		const generation = replaceOverlapping(holder, order);
-		if (known !== undefined || !repeatEnd(holder, order)) {
+		if (known !== undefined || !repeatEnd(holder, {...order, generation})) {
 			submitNew(holder, {...order, generation});
 		}
 	};
