A job whose caller may have left before it was read is refused at once

What callers saw: 504, after which a job is sent again without knowing whether it ran, from a daemon that is behind: requests at new connections count as sent after the last turn that had no connection to accept, which may be long ago.

Change: such a job has started nowhere, so it is refused as overloaded with Retry-After, before anything is done for it.

The scenario failed before (the job was held): "A job that is read when its caller may have left is refused at once".

--- a/packages/galenakeeld/src/process/fleet/__tests__/job-intake.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.feature
@@ -19,3 +19,8 @@
   Scenario: A path may be that of a queue that can't be read
     Given a queue of the configuration can't be read
     Then a request for "/other/" is refused as "no-configuration"
+
+  # Guards against 504 for jobs that never ran: a daemon that is behind read them when their callers may have left.
+  Scenario: A job that is read when its caller may have left is refused at once
+    When a job is submitted for a caller that waits for 2000 ms and may have sent it 2300 ms ago
+    Then the job is refused as "overloaded"
--- a/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
@@ -1,13 +1,17 @@
 import assert from 'node:assert/strict';
-import {Given, Then} from '@cucumber/cucumber';
+import {performance} from 'node:perf_hooks';
+import {Given, Then, When} from '@cucumber/cucumber';
 import type {QueueConfiguration} from '@galenakeel/model/version/queue-configuration.js';
-import {createJobIntake, type JobIntake} from '../job-intake.js';
+import type {JobAnswer} from '../../../request/job-answer.js';
+import {createCallerWaits} from '../caller-waits.js';
+import {createJobIntake, refusalOf, type JobIntake} from '../job-intake.js';
 
 type IntakeWorld = {
 	intake: JobIntake;
 	configuration: QueueConfiguration;
 	confirmedMillisecondsAgo: number;
 	isNewest: boolean;
+	answers: JobAnswer[];
 };
 
 const host = 'sheets.example';
@@ -29,6 +33,7 @@
 	};
 	this.confirmedMillisecondsAgo = milliseconds;
 	this.isNewest = true;
+	this.answers = [];
 	this.intake = createJobIntake({
 		zone: 'north',
 		hold: fail,
@@ -38,10 +43,12 @@
 		heldJobs: {hold: fail},
 		owners: {awaitOwner: fail, reachableCells: fail},
 		send: fail,
-		callerWaits: {begin: fail, endOverdue: fail},
+		callerWaits: createCallerWaits({returnMilliseconds: 1300, leaseMilliseconds: 1060}),
 		readArrivals: fail,
 		leaseMilliseconds: 1300,
-		onAnswered: fail,
+		onAnswered: ({answer}) => {
+			this.answers.push(answer);
+		},
 		onCallerLeft: fail,
 		lastHeardFrom: fail,
 		onDecision: fail,
@@ -60,6 +67,18 @@
 	this.configuration = {...this.configuration, unreadableQueues: 1};
 });
 
+When('a job is submitted for a caller that waits for {int} ms and may have sent it {int} ms ago', async function (this: IntakeWorld, waitMilliseconds: number, milliseconds: number) {
+	await this.intake.submit(
+		{identifier: '5c0e7a21d94b36f8', specification: '', steps: []},
+		this.configuration.queues[0]!,
+		{disconnected: new AbortController().signal, sentAfter: performance.now() - milliseconds, waitMilliseconds},
+	);
+});
+
+Then('the job is refused as {string}', function (this: IntakeWorld, reason: string) {
+	assert.deepEqual(this.answers.map(answer => refusalOf(answer)), [reason]);
+});
+
 Then('a request for {string} is refused as {string}', function (this: IntakeWorld, path: string, reason: string) {
 	assert.equal(this.intake.findQueue(host, path), reason);
 });
--- a/packages/galenakeeld/src/process/fleet/caller-waits.ts
+++ b/packages/galenakeeld/src/process/fleet/caller-waits.ts
@@ -12,6 +12,8 @@
 	@param onEnd Called when the caller has to be taken to have left.
 	*/
 	readonly begin: (sentAt: number, waitMilliseconds: number, onEnd: () => void) => () => void;
+	/** Whether a caller that sent its request at that time may have left already. */
+	readonly mayBeOver: (sentAt: number, waitMilliseconds: number) => boolean;
 	/** Ends the waits whose time is over. Call it before anything is confirmed or submitted to the owners of jobs. */
 	readonly endOverdue: () => void;
 };
@@ -41,15 +43,18 @@
 	/** No wait ends before this time. */
 	let firstEndsAt = Number.POSITIVE_INFINITY;
 
+	const endOf = (sentAt: number, waitMilliseconds: number): number => sentAt + waitMilliseconds + returnMilliseconds - leaseMilliseconds;
+
 	return {
 		begin(sentAt, waitMilliseconds, onEnd) {
-			const wait: Wait = {endsAt: sentAt + waitMilliseconds + returnMilliseconds - leaseMilliseconds, onEnd};
+			const wait: Wait = {endsAt: endOf(sentAt, waitMilliseconds), onEnd};
 			waits.add(wait);
 			firstEndsAt = Math.min(firstEndsAt, wait.endsAt);
 			return () => {
 				waits.delete(wait);
 			};
 		},
+		mayBeOver: (sentAt, waitMilliseconds) => endOf(sentAt, waitMilliseconds) <= performance.now(),
 		endOverdue() {
 			const now = performance.now();
 			if (now < firstEndsAt) {
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -76,6 +76,11 @@
 /** Maximum time since the last confirmation by the store up to which the configuration counts as current. */
 const configurationFreshnessMilliseconds = 2500;
 
+/** The answer to a caller that may have left before its request was read, since this daemon is behind. */
+const refusalWhenBehind: JobAnswer = {end: JobEnd.Refused, reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000};
+
+const waitOf = ({waitMilliseconds}: WaitingCaller): number => waitMilliseconds ?? Number.POSITIVE_INFINITY;
+
 /**
 Creates an intake that accepts jobs.
 
@@ -96,6 +101,57 @@
 		return homeCellOf(job, weighted, hasRack) ?? zone;
 	};
 
+	/** Holds a job until it has ended or its caller has left. */
+	const holdForCaller = async (job: Job, queue: Queue, caller: WaitingCaller): Promise<JobAnswer> => {
+		const arrivedAt = performance.now();
+		const homeCell = findHomeCell(job);
+		const heldParts = new Set<HeldJob>();
+		let hasLeft = false;
+		let isAnswered = false;
+		const leave = (cause: CallerEnd): void => {
+			if (hasLeft || isAnswered) {
+				return;
+			}
+
+			hasLeft = true;
+			options.onCallerLeft({job: job.identifier, cause, milliseconds: performance.now() - arrivedAt});
+			for (const {updates} of heldParts) {
+				updates.push({kind: HolderEvent.CallerDisconnected});
+			}
+		};
+
+		caller.disconnected.addEventListener('abort', () => {
+			leave(CallerEnd.Disconnected);
+		});
+		const forgetWait = options.callerWaits.begin(caller.sentAfter, waitOf(caller), () => {
+			leave(CallerEnd.WaitOver);
+		});
+		return options.hold(job, queue, {
+			homeCell,
+			async hasCallerLeft() {
+				await options.readArrivals();
+				options.callerWaits.endOverdue();
+				return hasLeft;
+			},
+			hold() {
+				const held = heldJobs.hold();
+				heldParts.add(held);
+				return held;
+			},
+			awaitOwner: owners.awaitOwner,
+			otherCells: () => owners.reachableCells().filter(cell => cell !== homeCell),
+			send({address}, message) {
+				options.send(address, message);
+			},
+			leaseMilliseconds: options.leaseMilliseconds,
+			lastHeardFrom: options.lastHeardFrom,
+			onDecision: options.onDecision,
+		}).finally(() => {
+			isAnswered = true;
+			forgetWait();
+		});
+	};
+
 	return {
 		findQueue(host, path) {
 			if (performance.now() > acceptsUntil) {
@@ -116,54 +172,10 @@
 			const isComplete = configuration.isNewest() && configuration.ageMilliseconds() < configurationFreshnessMilliseconds && current.unreadableQueues === 0;
 			return isComplete ? RefusalReason.UnknownQueue : RefusalReason.NoConfiguration;
 		},
-		async submit(job, queue, {disconnected, sentAfter, waitMilliseconds}) {
+		async submit(job, queue, caller) {
 			const arrivedAt = performance.now();
-			const homeCell = findHomeCell(job);
-			const heldParts = new Set<HeldJob>();
-			let hasLeft = false;
-			let isAnswered = false;
-			const leave = (cause: CallerEnd): void => {
-				if (hasLeft || isAnswered) {
-					return;
-				}
-
-				hasLeft = true;
-				options.onCallerLeft({job: job.identifier, cause, milliseconds: performance.now() - arrivedAt});
-				for (const {updates} of heldParts) {
-					updates.push({kind: HolderEvent.CallerDisconnected});
-				}
-			};
-
-			disconnected.addEventListener('abort', () => {
-				leave(CallerEnd.Disconnected);
-			});
-			const forgetWait = options.callerWaits.begin(sentAfter, waitMilliseconds ?? Number.POSITIVE_INFINITY, () => {
-				leave(CallerEnd.WaitOver);
-			});
-			const answer = await options.hold(job, queue, {
-				homeCell,
-				async hasCallerLeft() {
-					await options.readArrivals();
-					options.callerWaits.endOverdue();
-					return hasLeft;
-				},
-				hold() {
-					const held = heldJobs.hold();
-					heldParts.add(held);
-					return held;
-				},
-				awaitOwner: owners.awaitOwner,
-				otherCells: () => owners.reachableCells().filter(cell => cell !== homeCell),
-				send({address}, message) {
-					options.send(address, message);
-				},
-				leaseMilliseconds: options.leaseMilliseconds,
-				lastHeardFrom: options.lastHeardFrom,
-				onDecision: options.onDecision,
-			}).finally(() => {
-				isAnswered = true;
-				forgetWait();
-			});
+			const isTooLate = options.callerWaits.mayBeOver(caller.sentAfter, waitOf(caller));
+			const answer = isTooLate ? refusalWhenBehind : await holdForCaller(job, queue, caller);
 			options.onAnswered({
 				job: job.identifier, queue: queue.name, answer, milliseconds: performance.now() - arrivedAt,
 			});
