--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -1,26 +1,28 @@
 import {performance} from 'node:perf_hooks';
-import {
-	type ActiveRun, type EndedRun, type EndpointCalls, type EndpointReport, type PollReply, CallOutcome, type CallReply, RunEnd,
-} from '@galenakeel/model/connection/endpoint-calls.js';
-import {createDeferred} from '@galenakeel/model/request/deferred.js';
+import type {EndpointCalls, EndpointReport} from '@galenakeel/model/connection/endpoint-calls.js';
 import type {TaskKey} from '@galenakeel/model/request/task-key.js';
 import {incarnationOf, type EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
+import {createEndpointCooldowns} from './endpoint-cooldowns.js';
 import {createEndpointReachability} from './endpoint-reachability.js';
 import {EndpointDecision} from './endpoint-decision.js';
+import {HealthState} from './endpoint-health.js';
 import {
-	HealthEvent, HealthState, healthAt, newEndpointHealth, updateHealth,
-} from './endpoint-health.js';
-import {
-	createRun, isRunOf, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
+	createRun, overdueFactorOf, remainingTimesOf, RunResult, RunState, type Run, type RunRequest,
 } from './endpoint-run.js';
+import {createEndpointPollLoop} from './endpoint-poll-loop.js';
+import {createEndpointPolls, type SentPoll} from './endpoint-polls.js';
+import {createEndpointReports} from './endpoint-reports.js';
+import {createEndpointRuns} from './endpoint-runs.js';
+import {createEndpointStarts} from './endpoint-starts.js';
+import {createEndpointStops} from './endpoint-stops.js';
 import {createEndpointLeases} from './endpoint-leases.js';
 import {
 	maximumLeaseOf, minimumLeaseMilliseconds, shortLeaseMilliseconds, yieldMilliseconds,
 } from './maximum-lease.js';
 import type {EndpointCapacity} from './place-tasks.js';
-import {addResources, subtractResources} from './room.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
-import {createReportOrders, ReportOrder} from './report-order.js';
+import {createReportOrders} from './report-order.js';
+import {createReportedRuns} from './reported-runs.js';
 
 /**
 A run of an earlier owner that this one has taken over.
@@ -97,36 +99,9 @@
 	readonly onRunTime: (estimateMilliseconds: number, runMilliseconds: number) => void;
 };
 
-/** What is known of a poll since it was sent. */
-type SentPoll = {
-	/** Monotonic milliseconds. */
-	readonly polledAt: number;
-	readonly token: number;
-};
-
-/** Maximum wait of a poll while runs are active: a poll whose answer is lost delays their ends for this time only. */
-const busyPollWaitMilliseconds = 250;
-/** Number of simultaneous starts without an answer from which an endpoint gets no more. */
-const maximumUnconfirmedStarts = 2;
-/** Maximum wait of a poll while no run is active. */
-const idlePollWaitMilliseconds = 1500;
-/** Interval at which leases are extended while an idle poll is still waiting. */
-const extendMilliseconds = 400;
-/** Maximum wait of a poll while a run is active whose end may never be reported. */
-const briefPollWaitMilliseconds = 20;
-const retryMilliseconds = 40;
-/** Time without an answer after which a poll looks for the run of a start; an answer takes a few milliseconds. */
-const startAnswerTimeoutMilliseconds = 50;
-/** Age from which the reported processor use shows whether a run makes progress. */
-const stallAgeMilliseconds = 700;
-const insufficientCapacityCooldownMilliseconds = 60;
 const unboundedTasks = Number.POSITIVE_INFINITY;
 const noJobs: readonly string[] = [];
 
-const sleep = async (milliseconds: number): Promise<void> => new Promise(resolve => {
-	setTimeout(resolve, milliseconds);
-});
-
 /**
 Creates the control of an endpoint at its address. It follows the endpoint from one incarnation to the next, since starts reach whichever is up.
 
@@ -143,25 +118,12 @@
 	let leases = createEndpointLeases(options.holdMaximumMilliseconds);
 	const reachability = createEndpointReachability();
 	const maximumLease = maximumLeaseOf(options.holdMaximumMilliseconds);
-	const runs = new Set<Run>();
-	/** Runs that are being stopped because their job has left the cell. */
-	const abandonedRuns = new Set<Run>();
+	const runs = createEndpointRuns({room: firstEntry.room, holdMaximumMilliseconds: options.holdMaximumMilliseconds, onChange: options.onChange});
 	const orphans = createOrphanedRuns();
 	let entry = firstEntry;
-	let free = entry.room;
-	let health = newEndpointHealth;
-	let acknowledged = 0;
-	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. */
-	let polledToken = 0;
 	let isClosed = false;
-	let cooldownEndsAt = 0;
-	/** A poll is waiting that was sent while no run was active, and so extended no lease. */
-	let isIdlePollWaiting = false;
-	let extendTimer: NodeJS.Timeout | undefined;
 	/** Limit of the last lease that was to be sent, in monotonic milliseconds. */
 	let lastLeaseLimitAt = Number.POSITIVE_INFINITY;
-	/** Ends the wait for the answer of the poll that waits for an end. */
-	let abandonPoll: (() => void) | undefined;
 
 	const hasOrphans = (): boolean => orphans.active().length > 0;
 
@@ -169,91 +131,29 @@
 		job: task.job, task: `${task.step}.${task.index}`, attempt, endpoint: entry.identifier,
 	});
 
-	const recordHealth = (event: HealthEvent): void => {
-		const before = healthAt(health, performance.now());
-		health = updateHealth(before, event, performance.now());
-		if (health.state === HealthState.CoolingDown && before.state !== HealthState.CoolingDown) {
-			onDecision(EndpointDecision.CooldownStarted, {endpoint: entry.identifier, cause: event, failuresInRow: health.failuresInRow});
-		}
-	};
-
-	const addRun = (run: Run): void => {
-		runs.add(run);
-		free = subtractResources(free, run.room);
-	};
-
-	/** The lease of an endpoint covers all its runs, so the run that has to end first limits it. */
-	const leaseLimitAt = (): number => {
-		let limitAt = Number.POSITIVE_INFINITY;
-		for (const run of runs) {
-			limitAt = Math.min(limitAt, run.leaseLimitAt());
-		}
-
-		return limitAt;
-	};
+	const cooldowns = createEndpointCooldowns({identifier: () => entry.identifier, onChange: options.onChange, onDecision});
 
 	/** Returns the end of the next lease, on the endpoint's clock; undefined if a run must not go on. */
 	const nextLease = (): number | undefined => {
-		lastLeaseLimitAt = leaseLimitAt();
+		lastLeaseLimitAt = runs.leaseLimitAt();
 		return leases.next(lastLeaseLimitAt);
 	};
 
-	const abandon = (run: Run): void => {
-		abandonedRuns.add(run);
-		const limitAt = Math.min(run.leaseLimitAt(), performance.now() + options.holdMaximumMilliseconds);
-		run.leaseLimitAt = () => limitAt;
-	};
-
-	const settle = (run: Run, result: RunResult): void => {
-		if (!runs.delete(run)) {
-			return;
-		}
-
-		abandonedRuns.delete(run);
-		free = addResources(free, run.room);
-		run.ended.resolve(result);
-		options.onChange();
-	};
-
-	const settleAllAsLost = (): void => {
-		for (const run of runs) {
-			settle(run, RunResult.Lost);
-		}
-	};
-
 	const closeForOtherEndpoint = (): void => {
 		if (!isClosed) {
-			onDecision(EndpointDecision.Replaced, {endpoint: entry.identifier, startedAt: entry.startedAt, runs: runs.size});
+			onDecision(EndpointDecision.Replaced, {endpoint: entry.identifier, startedAt: entry.startedAt, runs: runs.count()});
 		}
 
 		isClosed = true;
-		settleAllAsLost();
+		runs.settleAllAsLost();
 	};
 
 	const hasClosed = (): boolean => isClosed;
 
-	/** Whether too many starts have an unknown outcome. A single one may be a lost answer. */
-	const hasTooManyUnconfirmedStarts = (): boolean => {
-		let unconfirmed = 0;
-		for (const {isUnconfirmed, state} of runs) {
-			unconfirmed += isUnconfirmed && state === RunState.Starting ? 1 : 0;
-		}
-
-		return unconfirmed >= maximumUnconfirmedStarts;
-	};
-
-	const isActive = (run: Run): boolean => runs.has(run);
-
-	/** The run of this owner that an endpoint reports. */
-	const findRun = (reported: Pick<ActiveRun, 'task' | 'attempt'>): Run | undefined => {
-		for (const run of runs) {
-			if (isRunOf(run, reported)) {
-				return run;
-			}
-		}
-
-		return undefined;
-	};
+	const polls = createEndpointPolls({
+		calls, runs, reachability, token: options.token, acknowledged: () => reportedRuns.acknowledged(), isSettled: options.isSettled, hasOrphans,
+		isClosed: hasClosed, nextLease, onReport, onOtherEndpoint: closeForOtherEndpoint,
+	});
 
 	/** Takes the clock of an answer to a start or stop. One that can't be the clock of the present incarnation tells that another one may have answered, which a poll shows. */
 	const observeClock = (clockMilliseconds: number | undefined): void => {
@@ -264,370 +164,65 @@
 		if (leases.isPlausible(clockMilliseconds)) {
 			leases.observe(clockMilliseconds);
 		} else {
-			void pollNow();
-		}
-	};
-
-	/** Repeats a stop until the endpoint's present incarnation has carried it out or the lease has expired. */
-	const stopUntilEnded = async (run: Run): Promise<void> => {
-		while (isActive(run) && run.state !== RunState.Stopping && !hasClosed()) {
-			const startedAt = reportOrders.startedAt();
-			const {outcome, clockMilliseconds} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
-			observeClock(clockMilliseconds);
-			if (outcome === CallOutcome.Done && startedAt === reportOrders.startedAt()) {
-				run.state = RunState.Stopping;
-				run.visibleAt = performance.now();
-				await pollNow();
-				return;
-			}
-
-			if (outcome === CallOutcome.OtherEndpoint) {
-				closeForOtherEndpoint();
-				return;
-			}
-
-			if (outcome === CallOutcome.Fenced) {
-				options.onFenced();
-			}
-
-			if (leases.haveExpired()) {
-				settle(run, RunResult.Lost);
-				return;
-			}
-
-			await sleep(retryMilliseconds);
-		}
-	};
-
-	/** Resolves the outcome of a start without an answer, once. */
-	const beginResolving = (run: Run): void => {
-		if (isActive(run) && run.state === RunState.Starting && !run.isUnconfirmed) {
-			run.isUnconfirmed = true;
-			onDecision(EndpointDecision.StartUnknown, describe(run.task, run.attempt));
-			void resolveUnknown(run);
-		}
-	};
-
-	const onStartReply = (run: Run, {outcome, clockMilliseconds}: CallReply): void => {
-		observeClock(clockMilliseconds);
-		if (!isActive(run)) {
-			return;
-		}
-
-		switch (outcome) {
-			case CallOutcome.Done: {
-				run.state = run.state === RunState.Starting ? RunState.Running : run.state;
-				run.isAccepted = true;
-				run.visibleAt = performance.now();
-				return;
-			}
-
-			case CallOutcome.Unknown: {
-				beginResolving(run);
-				return;
-			}
-
-			case CallOutcome.OtherEndpoint: {
-				closeForOtherEndpoint();
-				return;
-			}
-
-			case CallOutcome.Fenced: {
-				options.onFenced();
-				break;
-			}
-
-			case CallOutcome.Rejected: {
-				recordHealth(HealthEvent.Declined);
-				break;
-			}
-
-			case CallOutcome.Superseded: {
-				onDecision(EndpointDecision.Declined, {...describe(run.task, run.attempt), outcome});
-				settle(run, RunResult.Outdated);
-				return;
-			}
-
-			case CallOutcome.InsufficientCapacity:
-			case CallOutcome.Expired: {
-				cooldownEndsAt = performance.now() + insufficientCapacityCooldownMilliseconds;
-				setTimeout(options.onChange, insufficientCapacityCooldownMilliseconds);
-				break;
-			}
-		}
-
-		onDecision(EndpointDecision.Declined, {...describe(run.task, run.attempt), outcome});
-		settle(run, RunResult.Declined);
-	};
-
-	const sendStart = async (run: Run, specification: string): Promise<void> => {
-		const lease = nextLease();
-		if (lease === undefined) {
-			settle(run, RunResult.Declined);
-			return;
-		}
-
-		const timer = setTimeout(() => {
-			beginResolving(run);
-		}, startAnswerTimeoutMilliseconds);
-		onStartReply(run, await calls.start({
-			task: run.task, attempt: run.attempt, specification, leaseEndMilliseconds: lease, fencingToken: options.token(),
-		}));
-		clearTimeout(timer);
-	};
-
-	/** Records an end. Returns whether it is of a run of an earlier owner. */
-	const onEnded = (ended: EndedRun): boolean => {
-		acknowledged = Math.max(acknowledged, ended.sequence);
-		const run = findRun(ended);
-		if (!run) {
-			orphans.recordEnd(ended);
-			return true;
-		}
-
-		const milliseconds = performance.now() - run.startSentAt;
-		if (ended.end === RunEnd.Succeeded) {
-			recordHealth(HealthEvent.Succeeded);
-			options.onRunTime(run.estimateMilliseconds, milliseconds);
-			settle(run, RunResult.Succeeded);
-		} else if (ended.end === RunEnd.Failed) {
-			recordHealth(HealthEvent.Failed);
-			settle(run, RunResult.Failed);
-		} else {
-			settle(run, RunResult.Lost);
+			void polls.pollNow();
 		}
-
-		return false;
 	};
 
-	const stopStalled = (run: Run, active: ActiveRun): void => {
-		const age = performance.now() - run.startSentAt;
-		if (active.processorInUse !== 0 || age < stallAgeMilliseconds || run.state !== RunState.Running) {
-			return;
-		}
-
-		onDecision(EndpointDecision.RunStalled, {...describe(run.task, run.attempt), ageMilliseconds: Math.round(age)});
-		recordHealth(HealthEvent.Stalled);
-		void stopUntilEnded(run);
-	};
-
-	const stopOrphan = async ({task, attempt}: ActiveRun): Promise<void> => {
-		onDecision(EndpointDecision.OrphanStopped, {...describe(task, attempt), token: options.token(), sinceClaimMilliseconds: Math.round(performance.now() - options.ownedSince())});
-		await calls.stop({task, attempt, fencingToken: options.token()});
-	};
-
-	const reconcileRuns = (active: readonly ActiveRun[], polledAt: number): void => {
-		for (const run of runs) {
-			const reported = active.find(one => isRunOf(run, one));
-			if (reported) {
-				run.isAccepted = true;
-				if (run.state === RunState.Starting) {
-					run.state = RunState.Running;
-					run.visibleAt = performance.now();
-				}
-
-				stopStalled(run, reported);
-			} else if (run.state !== RunState.Starting && run.visibleAt < polledAt) {
-				if (run.state === RunState.Running) {
-					onDecision(EndpointDecision.RunLost, describe(run.task, run.attempt));
-				}
+	const {stopUntilEnded, stopOrphan} = createEndpointStops({
+		calls, runs, token: options.token, startedAt: reportOrders.startedAt, ownedSince: options.ownedSince, haveLeasesExpired: () => leases.haveExpired(),
+		isClosed: hasClosed, observeClock, pollNow: polls.pollNow, describe, onDecision, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
+	});
 
-				settle(run, RunResult.Lost);
-			}
-		}
+	const starts = createEndpointStarts({
+		calls, runs, cooldowns, token: options.token, nextLease, observeClock, pollNow: polls.pollNow, stopUntilEnded,
+		describe, onDecision, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
+	});
 
-		orphans.install(active.filter(one => findRun(one) === undefined));
-	};
+	const reportedRuns = createReportedRuns({
+		runs, orphans, cooldowns, stopUntilEnded, describe, onDecision, onRunTime: options.onRunTime,
+	});
 
-	/**
-	Begins anew with another incarnation, which knows nothing of before. A run that it doesn't list is lost with the earlier one, unless the start is still to be carried out: then it has to be stopped here too.
-	*/
-	const beginIncarnation = (earlierStartedAt: number, report: EndpointReport): void => {
-		onDecision(EndpointDecision.OtherIncarnation, {
-			endpoint: entry.identifier, startedAt: earlierStartedAt, nextStartedAt: reportOrders.startedAt(), runs: runs.size, runsThere: report.active.length,
-		});
+	const beginLeases = (): void => {
 		leases = createEndpointLeases(options.holdMaximumMilliseconds);
-		health = newEndpointHealth;
-		acknowledged = 0;
-		cooldownEndsAt = 0;
-		for (const run of runs) {
-			if (!run.isAccepted && run.state === RunState.Stopping) {
-				run.state = RunState.Starting;
-				void stopUntilEnded(run);
-			}
-		}
-
-		abandonPoll?.();
 	};
 
-	const onReport = (report: EndpointReport, {polledAt, token}: SentPoll): void => {
-		const earlierStartedAt = reportOrders.startedAt();
-		const order = reportOrders.record({startedAt: report.startedAt ?? entry.startedAt, clockMilliseconds: report.clockMilliseconds}, polledAt);
-		if (order === ReportOrder.Overtaken) {
-			return;
-		}
-
-		if (order === ReportOrder.OtherIncarnation) {
-			beginIncarnation(earlierStartedAt, report);
-			polledToken = 0;
-		}
-
-		if (polledToken < token) {
-			polledToken = token;
-			options.onChange();
-		}
-
-		const wasUnavailable = !reachability.isReachable() || hasOrphans();
-		leases.observe(report.clockMilliseconds);
-		if (reachability.isSilent()) {
-			onDecision(EndpointDecision.Regained, {endpoint: entry.identifier});
-		}
-
-		reachability.recordAnswer();
-		let hasEarlierEnds = false;
-		for (const ended of report.ended) {
-			hasEarlierEnds = onEnded(ended) || hasEarlierEnds;
-		}
-
-		reconcileRuns(report.active, polledAt);
-		if (hasOrphans() || hasEarlierEnds) {
-			options.onOrphans();
-		}
-
-		if (options.isSettled()) {
-			for (const orphan of orphans.active()) {
-				void stopOrphan(orphan);
-			}
-		}
+	const reports = createEndpointReports({
+		entry: () => entry, reportOrders, reachability, runs, orphans, reportedRuns, cooldowns, leases: () => leases, beginLeases, hasOrphans, isSettled: options.isSettled,
+		stopUntilEnded, stopOrphan, abandonPoll: polls.abandon, onChange: options.onChange, onOrphans: options.onOrphans, onDecision,
+	});
 
-		if (wasUnavailable) {
-			options.onChange();
-		}
-	};
+	function onReport(report: EndpointReport, poll: SentPoll): void {
+		reports.onReport(report, poll);
+	}
 
 	/** Whether a run that no job waits for may still be active: not at another incarnation, nor once all leases of a silent endpoint have ended. */
 	const canRunStrays = (): boolean =>
 		!isClosed && !(reachability.isSilent() && leases.haveExpired() && performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds);
 
-	const onMissedPoll = (outcome: CallOutcome): void => {
-		if (outcome === CallOutcome.OtherEndpoint) {
-			closeForOtherEndpoint();
-		} else if (outcome === CallOutcome.Fenced) {
-			options.onFenced();
-		}
-
-		const wasSilent = reachability.isSilent();
-		reachability.recordMissedPoll(outcome === CallOutcome.Unknown);
-		if (!reachability.isSilent()) {
-			return;
-		}
-
-		if (!wasSilent) {
-			onDecision(EndpointDecision.Silent, {endpoint: entry.identifier, outcome, runs: runs.size});
-		}
-
-		if (leases.haveExpired()) {
-			settleAllAsLost();
-		}
-	};
-
-	const pollWaitMilliseconds = (): number => {
-		if (!reachability.hasAnswered() || reachability.hasMissedPoll()) {
-			return 0;
-		}
-
-		if (hasOrphans() || [...runs].some(({state}) => state === RunState.Stopping)) {
-			return briefPollWaitMilliseconds;
-		}
-
-		return runs.size > 0 ? busyPollWaitMilliseconds : idlePollWaitMilliseconds;
-	};
-
-	const poll = async (waitMilliseconds: number): Promise<PollReply & SentPoll> => {
-		const token = options.token();
-		const polledAt = performance.now();
-		// No extension while the endpoint is silent or shows runs of an earlier owner: the lease of an endpoint covers all its runs, and these have to end.
-		const isExtending = runs.size > 0 && options.isSettled() && !reachability.isSilent() && !hasOrphans();
-		const lease = isExtending ? nextLease() : undefined;
-		const reply = await calls.poll({
-			fencingToken: token,
-			acknowledged,
-			waitMilliseconds,
-			...(lease !== undefined && {leaseEndMilliseconds: lease}),
-		});
-		return {...reply, polledAt, token};
-	};
-
-	/** Polls at once, beside the poll that waits for an end. */
-	async function pollNow(): Promise<void> {
-		const reply = await poll(0);
-		if (hasClosed()) {
-			return;
-		}
-
-		if (reply.report) {
-			onReport(reply.report, reply);
-		} else if (reply.outcome === CallOutcome.OtherEndpoint) {
-			closeForOtherEndpoint();
-		}
-	}
-
-	/** Polls until a run ends; returns undefined once another incarnation has answered on another connection, since the earlier one may never answer. */
-	const pollUntilEnd = async (): Promise<(PollReply & SentPoll) | undefined> => {
-		const abandoned = createDeferred<undefined>();
-		abandonPoll = () => {
-			abandoned.resolve(undefined);
-		};
-
-		isIdlePollWaiting = runs.size === 0;
-		const reply = await Promise.race([poll(pollWaitMilliseconds()), abandoned.promise]);
-		isIdlePollWaiting = false;
-		abandonPoll = undefined;
-		return reply;
-	};
-
-	/** Extends the leases of runs that were started during an idle poll, until that poll ends. */
-	const extendDuringIdlePoll = (): void => {
-		extendTimer ??= setTimeout(() => {
-			extendTimer = undefined;
-			if (isIdlePollWaiting && runs.size > 0 && !isClosed) {
-				void pollNow();
-				extendDuringIdlePoll();
-			}
-		}, extendMilliseconds);
-	};
-
-	/** A start without an answer continues if a poll reports the run; otherwise the run is stopped. */
-	async function resolveUnknown(run: Run): Promise<void> {
-		await pollNow();
-		if (run.state === RunState.Starting) {
-			await stopUntilEnded(run);
-		}
-	}
+	const loop = createEndpointPollLoop({
+		calls, polls, reachability, runs, identifier: () => entry.identifier, haveLeasesExpired: () => leases.haveExpired(), isClosed: hasClosed,
+		onReport, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint, onDecision,
+	});
 
 	return {
 		entry: () => entry,
 		update(newer) {
 			const isRestarted = newer.startedAt !== entry.startedAt && newer.startedAt !== reportOrders.startedAt();
 			entry = newer;
-			free = newer.room;
-			for (const run of runs) {
-				free = subtractResources(free, run.room);
-			}
-
+			runs.installRoom(newer.room);
 			if (isRestarted) {
-				void pollNow();
+				void polls.pollNow();
 			}
 		},
 		availableCapacity(factor) {
 			const now = performance.now();
-			const {state} = healthAt(health, now);
+			const state = cooldowns.stateAt(now);
 			// Another owner may have started runs since the last poll, and a start would extend their leases.
-			const isPolled = polledToken === options.token();
+			const isPolled = reports.polledToken() === options.token();
 			// The next incarnation may have another room.
 			const isListed = entry.startedAt === reportOrders.startedAt();
-			const isReachable = isPolled && isListed && reachability.isReachable() && !isClosed && !hasTooManyUnconfirmedStarts();
-			const acceptsTasks = !entry.isDraining && now >= cooldownEndsAt && state !== HealthState.CoolingDown && leaseLimitAt() > now + minimumLeaseMilliseconds;
+			const isReachable = isPolled && isListed && reachability.isReachable() && !isClosed && !runs.hasTooManyUnconfirmedStarts();
+			const acceptsTasks = !entry.isDraining && cooldowns.isCapacityExpected(now) && state !== HealthState.CoolingDown && runs.leaseLimitAt() > now + minimumLeaseMilliseconds;
 			if (!isReachable || !acceptsTasks || hasOrphans()) {
 				return undefined;
 			}
@@ -635,28 +230,25 @@
 			return {
 				endpoint: incarnationOf(entry),
 				service: entry.service,
-				free,
+				free: runs.free(),
 				total: entry.room,
 				labels: entry.labels,
 				factor,
-				maximumTasks: state === HealthState.Probing ? Math.max(0, 1 - runs.size) : unboundedTasks,
-				remainingTimes: () => remainingTimesOf(runs, factor),
-				countOf: (job, step) => [...runs].filter(({task}) => task.job === job && task.step === step).length,
+				maximumTasks: state === HealthState.Probing ? Math.max(0, 1 - runs.count()) : unboundedTasks,
+				remainingTimes: () => remainingTimesOf(runs.all(), factor),
+				countOf: runs.countOf,
 			};
 		},
 		areRunsKnown() {
-			const isPolled = polledToken === options.token() && !reachability.isSilent() && !hasOrphans();
+			const isPolled = reports.polledToken() === options.token() && !reachability.isSilent() && !hasOrphans();
 			return isPolled || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
 		},
 		isAwaitingFirstAnswer: () => reachability.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
 			const run = createRun(request, RunState.Starting);
-			addRun(run);
-			void sendStart(run, request.specification);
-			if (isIdlePollWaiting) {
-				extendDuringIdlePoll();
-			}
-
+			runs.add(run);
+			void starts.send(run, request.specification);
+			polls.extendDuringIdlePoll();
 			return run.ended.promise;
 		},
 		adopt(request) {
@@ -670,51 +262,30 @@
 			}
 
 			const run = createRun({...request, attempt: orphan.attempt}, RunState.Running);
-			addRun(run);
+			runs.add(run);
 			return {attempt: orphan.attempt, ended: run.ended.promise};
 		},
 		stopRuns(isStopped) {
-			for (const run of runs) {
-				if (isStopped(run.task) && !abandonedRuns.has(run)) {
-					abandon(run);
-					void stopUntilEnded(run);
-				}
-			}
-		},
-		strayJobs: () => (abandonedRuns.size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...abandonedRuns].map(({task}) => task.job) : noJobs,
-		async run() {
-			while (!hasClosed()) {
-				const reply = await pollUntilEnd();
-				if (isClosed) {
-					break;
-				}
-
-				if (reply?.report) {
-					onReport(reply.report, reply);
-				} else if (reply) {
-					onMissedPoll(reply.outcome);
-					if (reachability.isBackingOff()) {
-						await sleep(retryMilliseconds);
-					}
-				}
-			}
-
-			calls.close();
+			runs.abandon(isStopped, run => {
+				void stopUntilEnded(run);
+			});
 		},
-		pollNow,
+		strayJobs: () => (runs.abandoned().size > 0 || hasOrphans()) && canRunStrays() ? [...orphans.active(), ...runs.abandoned()].map(({task}) => task.job) : noJobs,
+		run: loop.run,
+		pollNow: polls.pollNow,
 		extendShortLease() {
-			if (runs.size > 0 && !isClosed && lastLeaseLimitAt < performance.now() + shortLeaseMilliseconds) {
-				void pollNow();
+			if (runs.count() > 0 && !isClosed && lastLeaseLimitAt < performance.now() + shortLeaseMilliseconds) {
+				void polls.pollNow();
 			}
 		},
 		close() {
 			isClosed = true;
-			settleAllAsLost();
+			runs.settleAllAsLost();
 		},
-		isIdle: () => runs.size === 0,
-		runs: () => [...runs],
+		isIdle: () => runs.count() === 0,
+		runs: () => [...runs.all()],
 		isReachable: () => reachability.isReachable() && !isClosed,
 		isClosed: () => isClosed,
-		overdueFactor: () => overdueFactorOf(runs),
+		overdueFactor: () => overdueFactorOf(runs.all()),
 	};
 };
--- a/packages/galenakeeld/src/process/fleet/caller-waits.ts
+++ b/packages/galenakeeld/src/process/fleet/caller-waits.ts
@@ -8,7 +8,7 @@
 	Begins the wait of a caller. Returns a function that forgets it.
 
 	@param sentAt Monotonic milliseconds before which the caller can't have sent its request.
-	@param waitMilliseconds How long the caller waits from then on.
+	@param waitMilliseconds How long the caller waits from then on; infinite if it doesn't say.
 	@param onEnd Called when the caller has to be taken to have left.
 	*/
 	readonly begin: (sentAt: number, waitMilliseconds: number, onEnd: () => void) => () => void;
@@ -33,7 +33,7 @@
 @example
 ```
 const waits = createCallerWaits({returnMilliseconds: 1300, leaseMilliseconds: 1060});
-const forget = waits.begin(turns.acceptedUpTo(), 2000, cancel);
+const forget = waits.begin(caller.sentAfter, 2000, cancel);
 ```
 */
 export const createCallerWaits = ({returnMilliseconds, leaseMilliseconds}: CallerWaitsOptions): CallerWaits => {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -228,6 +228,7 @@
 	const daemonLoad = createDaemonLoad({
 		timerMilliseconds: tickMilliseconds,
 		readUsage: readProcessUsage,
+		takeLongestTurn: turns.takeLongest,
 		held: heldJobs.count,
 		cells: cells.all,
 		onReport(report) {
@@ -488,7 +489,6 @@
 			links.send(address, message);
 		},
 		callerWaits,
-		unreadSince: turns.acceptedUpTo,
 		readArrivals: awaitWholeTurn,
 		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
@@ -496,6 +496,9 @@
 			const write = isRoutineOfHolder(decision, fields) ? logRoutine : logEvent;
 			write(decision, fields);
 		},
+		onCallerLeft({milliseconds, ...left}) {
+			logEvent(FleetEvent.CallerLeft, {...left, milliseconds: Math.round(milliseconds)});
+		},
 		onAnswered({job, queue, answer, milliseconds}) {
 			const reason = refusalOf(answer);
 			metrics.recordJob(queue, answer.end, milliseconds);
@@ -509,6 +512,7 @@
 	const callerServer = createCallerServer<Queue>({
 		findQueue: intake.findQueue,
 		submit: intake.submit,
+		onConnection: turns.accept,
 		maximumBodyBytes: () => configuration.current()?.limits.bodyBytes ?? 0,
 		isLeaving: () => leaving.signal.aborted,
 		onFailure(detail) {
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -41,6 +41,8 @@
 export type SimulatedDaemon = {
 	readonly process: SimulatedProcess;
 	readonly zone: string;
+	/** Accepts the connection of a caller. Returns what tells, when a request is read there, the monotonic milliseconds before which it can't have been sent. */
+	readonly accept: () => () => number;
 	/** Holds a job for a caller. */
 	readonly submit: (job: Job, queue: Queue, caller: WaitingCaller) => Promise<JobAnswer>;
 	/** Opens streams to other daemons. */
@@ -340,11 +342,13 @@
 			links.send(address, message);
 		},
 		callerWaits,
-		unreadSince: turns.acceptedUpTo,
 		readArrivals: awaitWholeTurn,
 		leaseMilliseconds: maximumLeaseMilliseconds + leaseSlackMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
 		onDecision: recordDecision,
+		onCallerLeft({job, cause}) {
+			recordDecision('reads that the caller has left', {job, cause});
+		},
 		onAnswered({job, answer: {end}}) {
 			recordDecision('answers', {job, end: end ?? 'unknown'});
 		},
@@ -353,6 +357,7 @@
 	return {
 		process,
 		zone,
+		accept: turns.accept,
 		submit: intake.submit,
 		connect: links.connect,
 		yieldCells() {
