--- a/packages/galenakeeld/src/process/fleet/reading-turns.ts
+++ b/packages/galenakeeld/src/process/fleet/reading-turns.ts
@@ -11,7 +11,7 @@
 	/**
 	Records that a connection was accepted just now. The event loop accepts one connection of a server in each turn, so it may have waited for many turns.
 
-	@returns Returns, for what is read at this connection just now, the monotonic milliseconds before which it can't all have been sent.
+	@returns Returns, for what is read at this connection just now, the monotonic milliseconds before which it can't all have arrived.
 	*/
 	readonly accept: () => () => number;
 	/** Returns the duration of the longest observed turn since the last call, in milliseconds. */
--- a/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-caller.ts
@@ -99,6 +99,7 @@
 						close(attempt, end, `is answered ${end ?? 'unknown'}`);
 					}
 				};
+
 				void wait();
 			});
 		};
