A task joins the runs of an endpoint only under a lease that its holder allows

Cause: the lease of an endpoint covers all its runs and never shortens. Extensions were limited by the holders of all runs, but a start was not: it asked for 0.3 s of its own limit, and joined whatever lease the runs beside it had. A stop ended it in time only at an owner that was neither cut off nor behind. The same holds for a lease that another owner had sent before this one took the endpoint over.

Class: a permission of one holder is taken for that of another.

Change: an endpoint says until when its lease may go on, counting what an earlier owner may have sent. A task is placed there only if that is before the time at which it may be started elsewhere, 1.3 s after the last frame that its holder has confirmed (until its caller may come back, and until its holder gives up waiting for a successor). Otherwise it takes an endpoint with a shorter lease, or waits for a confirmation, which is requested as the job arrives. Callers' waits end so much earlier (0.24 s) as such a run may go on.

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -98,6 +98,7 @@
 		name: 'north',
 		token: () => 1,
 		holdMaximumMilliseconds: 1000,
+		unconfirmedRunMilliseconds: 1300,
 		listedSince: () => this.listedSince,
 		remotePenalty: 1,
 		lastConfirmedBy: () => performance.now(),
--- a/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
@@ -37,6 +37,7 @@
 
 const createEndpoints = (count: number, freeProcessor: number, factor: number): EndpointCapacity[] => Array.from({length: count}, (_, index) => ({
 	endpoint: `i-${index}`,
+	leaseEndsAt: 0,
 	service: 'sheets',
 	free: {processor: freeProcessor, memoryMegabytes: 1024, accelerators: 0},
 	total: {processor: processorOfEndpoint, memoryMegabytes: 1024, accelerators: 0},
@@ -84,7 +85,7 @@
 		isInTime: true,
 		avoidedEndpoints: () => new Set(),
 	}));
-	this.placements = placeTasks(waiting, this.capacities, {now: 0, remotePenalty: 3});
+	this.placements = placeTasks(waiting, this.capacities, {now: 0, remotePenalty: 3, latestLeaseEndOf: () => Number.POSITIVE_INFINITY});
 });
 
 Then('no task is placed', function (this: CostWorld) {
@@ -173,6 +174,7 @@
 		name: 'north',
 		token: () => 1,
 		holdMaximumMilliseconds: 1000,
+		unconfirmedRunMilliseconds: 1300,
 		listedSince: () => -10_000,
 		lastConfirmedBy: () => performance.now(),
 		requestConfirmation() {
--- a/packages/galenakeeld/src/process/cells/__tests__/place-tasks.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/place-tasks.feature
@@ -68,4 +68,4 @@
     Then they go to "slow, quick"
 
   Scenario: No placement exceeds the free capacity
-    Then in 1000 random loads with seed 7 no endpoint exceeds its capacity, and no task is placed twice or where it may not run
+    Then in 1000 random loads with seed 7 no endpoint exceeds its capacity, and no task is placed twice, where it may not run or under a lease that is too long for it
--- a/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/place-tasks.steps.ts
@@ -15,6 +15,7 @@
 
 const remotePenalty = 3;
 const unbounded = Number.POSITIVE_INFINITY;
+const latestLeaseEndOf = () => unbounded;
 const createResources = (processor: number) => ({processor, memoryMegabytes: 1024, accelerators: 0});
 
 const createStep = (tasks: number, estimateMilliseconds: number, processor: number, more: Partial<Step> = {}): Step => ({
@@ -45,7 +46,7 @@
 };
 
 const describePlacements = ({capacities, waiting}: PlacementWorld): string => {
-	const placements = placeTasks(waiting, capacities, {now: 0, remotePenalty});
+	const placements = placeTasks(waiting, capacities, {now: 0, remotePenalty, latestLeaseEndOf});
 	const endpointOf = (job: string, index: number): string => placements.find(placement => placement.part === job && placement.index === index)?.endpoint ?? 'nowhere';
 	return waiting.flatMap(({job, indexes}) => indexes.map(index => endpointOf(job, index))).join(', ');
 };
@@ -54,6 +55,7 @@
 	this.waiting = [];
 	this.capacities = table.hashes().map(row => ({
 		endpoint: row.name!,
+		leaseEndsAt: 0,
 		service: 'sheets',
 		total: createResources(Number(row.processor)),
 		free: createResources(Number(row.free)),
@@ -113,6 +115,7 @@
 
 const arbitraryCapacity = fc.record({
 	endpoint: fc.integer({min: 0, max: 9}).map(String),
+	leaseEndsAt: fc.integer({min: 0, max: 1000}),
 	service: fc.constantFrom('sheets', 'quotes'),
 	total: fc.constant(createResources(4000)),
 	free: fc.integer({min: 0, max: 4000}).map(processor => createResources(processor)),
@@ -134,14 +137,18 @@
 
 const arbitraryWaiting = fc.array(fc.tuple(arbitraryStep, fc.integer({min: 0, max: 3000}), fc.boolean(), fc.constantFrom('sheets', 'quotes')), {maxLength: 12});
 
-const checkCapacities = (capacities: readonly EndpointCapacity[], waiting: readonly WaitingStep[], placements: readonly Placement[]): void => {
+/** Time after which no lease may end that covers a run of a part, by part: some allow the leases of all endpoints, some of none. */
+const drawnLeaseEndOf = (part: string): number => (Number(part.replace('job-', '')) % 6) * 250;
+
+const checkPlacements = (capacities: readonly EndpointCapacity[], waiting: readonly WaitingStep[], placements: readonly Placement[]): void => {
 	const stepOf = (job: string): WaitingStep => waiting.find(one => one.job === job)!;
 	for (const capacity of capacities) {
 		const here = placements.filter(({endpoint}) => endpoint === capacity.endpoint).map(placement => stepOf(placement.part));
 		let used = 0;
-		for (const {step, service, job} of here) {
+		for (const {step, service, job, part} of here) {
 			used += step.room.processor;
 			assert.equal(service, capacity.service);
+			assert.ok(capacity.leaseEndsAt <= drawnLeaseEndOf(part));
 			assert.ok(step.requiredLabel === undefined || capacity.labels.includes(step.requiredLabel));
 			assert.ok(here.filter(one => one.job === job).length <= (step.mostOnOneEndpoint ?? unbounded));
 		}
@@ -153,10 +160,10 @@
 	assert.equal(new Set(placements.map(({part, index}) => `${part} ${index}`)).size, placements.length);
 };
 
-Then('in {int} random loads with seed {int} no endpoint exceeds its capacity, and no task is placed twice or where it may not run', {timeout: 60_000}, (numberRuns: number, seed: number) => {
+Then('in {int} random loads with seed {int} no endpoint exceeds its capacity, and no task is placed twice, where it may not run or under a lease that is too long for it', {timeout: 60_000}, (numberRuns: number, seed: number) => {
 	const capacities = fc.uniqueArray(arbitraryCapacity, {selector: ({endpoint}) => endpoint, maxLength: 8});
 	fc.assert(fc.property(capacities, arbitraryWaiting, (drawnCapacities, drawn) => {
 		const waiting = drawn.map(([step, dueAt, isInTime, service], position) => createWaiting(position, step as Step, {dueAt, isInTime, service}));
-		checkCapacities(drawnCapacities, waiting, placeTasks(waiting, drawnCapacities, {now: 0, remotePenalty}));
+		checkPlacements(drawnCapacities, waiting, placeTasks(waiting, drawnCapacities, {now: 0, remotePenalty, latestLeaseEndOf: drawnLeaseEndOf}));
 	}), {numRuns: numberRuns, seed});
 });
--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -266,7 +266,7 @@
 				}
 			}, address === replayed.zone ? callMilliseconds : peerMilliseconds);
 		},
-		leaseMilliseconds: 1300,
+		successorWaitMilliseconds: 1300,
 		lastHeardFrom: () => performance.now(),
 		onDecision() {
 			// Only the answers count here.
@@ -301,6 +301,7 @@
 			name: zone,
 			token: () => 1,
 			holdMaximumMilliseconds: 1000,
+			unconfirmedRunMilliseconds: 1300,
 			listedSince: () => 0,
 			remotePenalty: 3,
 			lastConfirmedBy: () => performance.now(),
--- a/packages/galenakeeld/src/process/cells/__tests__/run-log.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/run-log.steps.ts
@@ -56,6 +56,7 @@
 		name: 'north',
 		token: () => token,
 		holdMaximumMilliseconds: 1000,
+		unconfirmedRunMilliseconds: 1300,
 		listedSince: () => -10_000,
 		lastConfirmedBy: () => performance.now(),
 		requestConfirmation() {
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -85,18 +85,64 @@
     And the endpoints run for 440 ms
     Then the first job runs nowhere
 
+  Scenario: A task of a holder that was heard some time ago starts beside another one as soon as its holder is heard
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When the holder "first" falls silent
+    And another job of 1 task is submitted by "second"
+    And the endpoints run for 600 ms
+    And a job of 1 task is submitted by "first"
+    Then the first job runs nowhere
+    When the holder "first" is heard again
+    Then the task ran 1 times, never twice at the same time
+
+  Scenario: A task of a holder that was heard some time ago starts at once where no other runs
+    Given 2 endpoints with room for 2 tasks
+    And an owner of these endpoints
+    When the holder "first" falls silent
+    And another job of 1 task is submitted by "second"
+    And the endpoints run for 600 ms
+    And a job of 1 task is submitted by "first"
+    Then the task ran 1 times, never twice at the same time
+
+  Scenario: A task of a holder that was heard some time ago does not run on with the longer lease of a run that was placed with it
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When the endpoints run for 1500 ms
+    And the holder "first" falls silent
+    And the endpoints run for 600 ms
+    And another job is submitted by "second" and the first one by "first" at the same moment
+    And the endpoints carry out no stops
+    And the endpoints run for 720 ms
+    Then the first job runs nowhere
+
+  # Guards against TWICE: the owner doesn't know the leases that a rival has sent.
+  Scenario: A task of a holder that was heard some time ago does not run on with the lease of a rival owner
+    Given 1 endpoint with room for 1 task
+    And an owner of these endpoints
+    When the holder "second" falls silent
+    And the endpoints run for 500 ms
+    And a rival owner extends the lease of each endpoint
+    And the owner raises its token
+    And the endpoints run for 60 ms
+    And a third job of 1 task is submitted by "second"
+    And the endpoints carry out no stops
+    And the endpoints run for 720 ms
+    Then the third job runs nowhere
+
   # Guards against TWICE: an owner that is behind passes over the time in which it stops the runs of a silent holder.
   Scenario: A task of a silent holder is stopped by an owner that was behind while its time ran out
     Given 1 endpoint with room for 2 tasks
     And an owner of these endpoints
     When the holder "first" falls silent
+    And the endpoints run for 200 ms
     And another job of 1 task is submitted by "second"
-    And the endpoints run for 600 ms
     And a job of 1 task is submitted by "first"
-    And the endpoints run for 150 ms
+    And the endpoints run for 540 ms
     And the owner stands still for 240 ms
-    And the endpoints run for 330 ms
-    Then the first job runs nowhere
+    And the endpoints run for 110 ms
+    Then the task ran 1 times, never twice at the same time
+    And the first job runs nowhere
 
   Scenario: A run beside one of a silent holder goes on once the loss of the holder is noticed
     Given 1 endpoint with room for 2 tasks
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -65,6 +65,7 @@
 		name: 'north',
 		token: () => Math.max(token, world.raisedToken),
 		holdMaximumMilliseconds: maximumLeaseMilliseconds,
+		unconfirmedRunMilliseconds: 1300,
 		listedSince: () => listedSince,
 		remotePenalty: 1,
 		lastConfirmedBy: holder => world.lastConfirmedAt.get(holder) ?? performance.now(),
@@ -137,6 +138,12 @@
 	await submit(this, holder, createOrder(thirdJob, 0));
 });
 
+When('another job is submitted by {string} and the first one by {string} at the same moment', async function (this: StrayWorld, otherHolder: string, holder: string) {
+	this.owner.submit(otherHolder, createOrder(otherJob, 0));
+	await submit(this, holder, createOrder(firstJob, 0));
+	assert.equal(runsOf(this, otherJob).length, 1);
+});
+
 When('the second task of the job is submitted as part {string} by {string}', async function (this: StrayWorld, part: string, holder: string) {
 	const order = createOrder(firstJob, 0);
 	const steps = order.job.steps.map(step => ({...step, tasks: 2}));
@@ -221,6 +228,22 @@
 	this.lastConfirmedAt.set(holder, performance.now());
 });
 
+When('the holder {string} is heard again', async function (this: StrayWorld, holder: string) {
+	this.lastConfirmedAt.delete(holder);
+	this.owner.resume();
+	await this.time.tickAsync(untilStartedMilliseconds);
+});
+
+When('a rival owner extends the lease of each endpoint', async function (this: StrayWorld) {
+	for (const {calls} of this.leasedEndpoints) {
+		void calls.poll({
+			fencingToken: 2, acknowledged: 0, waitMilliseconds: 0, leaseEndMilliseconds: performance.now() + maximumLeaseMilliseconds,
+		});
+	}
+
+	await this.time.tickAsync(untilStartedMilliseconds);
+});
+
 When('the holder {string} is lost', function (this: StrayWorld, holder: string) {
 	this.owner.dropHolder(holder);
 });
@@ -292,6 +315,10 @@
 	assert.deepEqual(runsOf(this, thirdJob).map(({endedAt}) => endedAt), [Number.POSITIVE_INFINITY]);
 });
 
+Then('the third job runs nowhere', function (this: StrayWorld) {
+	assert.deepEqual(runsOf(this, thirdJob).filter(({endedAt}) => endedAt === Number.POSITIVE_INFINITY), []);
+});
+
 Then('the third job never ran', function (this: StrayWorld) {
 	assert.deepEqual(runsOf(this, thirdJob), []);
 });
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -74,6 +74,8 @@
 	readonly isClosed: () => boolean;
 	/** The runs that this owner has started or adopted. */
 	readonly runs: () => readonly Run[];
+	/** Monotonic milliseconds up to which what runs there may go on without this owner. */
+	readonly leaseEndsAt: () => number;
 	/** Lowest ratio of elapsed time to estimate among the active runs; 0 when idle. */
 	readonly overdueFactor: () => number;
 };
@@ -229,6 +231,7 @@
 
 			return {
 				endpoint: incarnationOf(entry),
+				leaseEndsAt: leases.endsAt(),
 				service: entry.service,
 				free: runs.free(),
 				total: entry.room,
@@ -286,6 +289,7 @@
 		runs: () => [...runs.all()],
 		isReachable: () => reachability.isReachable() && !isClosed,
 		isClosed: () => isClosed,
+		leaseEndsAt: () => leases.endsAt(),
 		overdueFactor: () => overdueFactorOf(runs.all()),
 	};
 };
--- a/packages/galenakeeld/src/process/cells/cell-placement.ts
+++ b/packages/galenakeeld/src/process/cells/cell-placement.ts
@@ -25,7 +25,9 @@
 	readonly jobs: Pick<CellJobs, 'all' | 'get' | 'transfer'>;
 	readonly endpoints: Pick<CellEndpoints, 'strayJobs'>;
 	readonly capacity: Pick<CellCapacityCache, 'available' | 'invalidate'>;
-	readonly conditions: Pick<StartConditions, 'isAwaitingFirstReports' | 'isStartable'>;
+	readonly conditions: Pick<StartConditions, 'isAwaitingFirstReports' | 'isConfirmedLately' | 'isStartable'>;
+	/** Monotonic milliseconds after which no lease may end that covers a run of the job. */
+	readonly latestLeaseEndOf: (job: PlacedJob) => number;
 	readonly remotePenalty: number;
 	/** Other cells as their owners last described them. */
 	readonly otherCells: () => readonly CellCapacity[];
@@ -34,6 +36,13 @@
 	readonly measure: WorkTimes['measure'];
 };
 
+type PlacedHere = {
+	/** Factor of the fastest endpoint. */
+	readonly bestFactor: number;
+	/** Jobs whose remaining tasks other cells may get. */
+	readonly shareable: readonly PlacedJob[];
+};
+
 /**
 Creates the placement of a cell.
 
@@ -60,16 +69,22 @@
 		return waiting.filter(job => conditions.isStartable(job, strayJobs));
 	};
 
-	/** Starts waiting tasks on endpoints of this cell, and returns the factor of the fastest one before. */
-	const placeHere = (startable: readonly PlacedJob[], now: number): number => {
+	const latestLeaseEndOf = (part: string): number => {
+		const job = jobs.get(part);
+		return job ? options.latestLeaseEndOf(job) : Number.NEGATIVE_INFINITY;
+	};
+
+	/** Starts waiting tasks on endpoints of this cell. A job that fits and whose holder has not confirmed lately isn't shared: its confirmation was requested. */
+	const placeHere = (startable: readonly PlacedJob[], now: number): PlacedHere => {
 		const capacities = capacity.available();
 		const bestFactor = bestFactorOf(capacities);
-		const placements = placeTasks(waitingStepsOf(fittingJobsOf(startable, capacities), bestFactor, now), capacities, {now, remotePenalty: options.remotePenalty});
+		const fitting = new Set(fittingJobsOf(startable, capacities));
+		const placements = placeTasks(waitingStepsOf([...fitting], bestFactor, now), capacities, {now, remotePenalty: options.remotePenalty, latestLeaseEndOf});
 		for (const placement of placements) {
 			options.start(placement);
 		}
 
-		return bestFactor;
+		return {bestFactor, shareable: startable.filter(job => conditions.isConfirmedLately(job) || !fitting.has(job))};
 	};
 
 	/** Redirects tasks that found no capacity here to a cell that has some. */
@@ -81,8 +96,8 @@
 	};
 
 	/** Redirects tasks that found no place here to cells with free capacity. */
-	const shareWaiting = (startable: readonly PlacedJob[], bestFactor: number, now: number): void => {
-		const movable = startable.filter(job => hasWaitingTasks(job) && isMovable(job));
+	const shareWaiting = ({shareable, bestFactor}: PlacedHere, now: number): void => {
+		const movable = shareable.filter(job => hasWaitingTasks(job) && isMovable(job));
 		const others = movable.length > 0 ? options.otherCells().filter(({free}) => free.length > 0) : [];
 		if (others.length === 0) {
 			return;
@@ -102,9 +117,9 @@
 		}
 
 		const now = performance.now();
-		const bestFactor = options.measure(CellWork.Placing, () => placeHere(startable, now));
+		const placed = options.measure(CellWork.Placing, () => placeHere(startable, now));
 		options.measure(CellWork.Sharing, () => {
-			shareWaiting(startable, bestFactor, now);
+			shareWaiting(placed, now);
 		});
 		const endedAt = performance.now();
 		nextPlacementAt = endedAt + (endedAt - now);
--- a/packages/galenakeeld/src/process/cells/cell-runs.ts
+++ b/packages/galenakeeld/src/process/cells/cell-runs.ts
@@ -16,7 +16,7 @@
 The runs that a cell starts for the tasks of its jobs, or takes over from an earlier owner.
 */
 export type CellRuns = {
-	/** Starts a task where it was placed. */
+	/** Starts a task where it was placed, unless the lease there is too long for it by now. */
 	readonly start: (placement: Placement) => void;
 	/** Takes over the runs of waiting tasks of a job that endpoints report. */
 	readonly adopt: (job: PlacedJob) => void;
@@ -26,8 +26,10 @@
 	readonly jobs: Pick<CellJobs, 'get' | 'end'>;
 	readonly endpoints: Pick<CellEndpoints, 'all' | 'get' | 'factorOf'>;
 	readonly token: () => number;
-	/** Monotonic milliseconds after which no lease of a run of the job may end. */
+	/** Monotonic milliseconds after which no lease that is sent for a run of the job may end. */
 	readonly leaseLimitOf: (job: PlacedJob) => number;
+	/** Monotonic milliseconds after which no lease may end that covers a run of the job. */
+	readonly latestLeaseEndOf: (job: PlacedJob) => number;
 	readonly isClosed: () => boolean;
 	readonly notify: (holder: string, update: JobUpdate) => void;
 	readonly onDecision: RecordDecision;
@@ -129,7 +131,8 @@
 		start({part, position, index, endpoint: incarnation}) {
 			const job = jobs.get(part);
 			const endpoint = endpoints.get(incarnation);
-			if (!job || !endpoint) {
+			// A task that was placed before may have got a longer lease there.
+			if (!job || !endpoint || endpoint.leaseEndsAt() > options.latestLeaseEndOf(job)) {
 				return;
 			}
 
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -19,7 +19,7 @@
 import {createClosedAssignments} from './closed-assignments.js';
 import {createJobAdmission} from './job-admission.js';
 import {renewalMilliseconds, stopSilentMilliseconds} from './maximum-lease.js';
-import type {PlacedJob} from './placed-job.js';
+import {hasWaitingTasks, type PlacedJob} from './placed-job.js';
 import {createStartConditions} from './start-conditions.js';
 import {CellWork, createWorkTimes} from './work-times.js';
 
@@ -50,6 +50,8 @@
 	readonly name: string;
 	readonly token: () => number;
 	readonly holdMaximumMilliseconds: number;
+	/** Time for which a run may go on after this daemon sent the last message that its holder has confirmed, in milliseconds. */
+	readonly unconfirmedRunMilliseconds: number;
 	/** Monotonic milliseconds since when this daemon has known endpoints of the cell; undefined before the first list. */
 	readonly listedSince: () => number | undefined;
 	readonly remotePenalty: number;
@@ -129,8 +131,12 @@
 	/** Runs of a job end a lease after this daemon sent the last message that the holder has confirmed: before the holder, which may count this daemon as lost from then on, assigns the tasks elsewhere, and before the caller of a lost holder submits the job again. */
 	const leaseLimitOf = ({holder}: PlacedJob): number => options.lastConfirmedBy(holder) + options.holdMaximumMilliseconds;
 
+	/** The lease of an endpoint covers all that runs there, so that a task may also join one that was sent for other jobs, up to the time at which its own may be started elsewhere. */
+	const latestLeaseEndOf = ({holder}: PlacedJob): number => options.lastConfirmedBy(holder) + options.unconfirmedRunMilliseconds;
+
 	const renewLease = (job: PlacedJob): void => {
-		if (leaseLimitOf(job) < performance.now() + renewalMilliseconds) {
+		const isExpiring = leaseLimitOf(job) < performance.now() + renewalMilliseconds;
+		if (isExpiring || (hasWaitingTasks(job) && !conditions.isConfirmedLately(job))) {
 			options.requestConfirmation(job.holder);
 		}
 	};
@@ -150,15 +156,15 @@
 	const capacity = createCellCapacityCache({endpoints, jobs: jobs.all, typicalProcessor: () => admission.typicalProcessor()});
 
 	const conditions = createStartConditions({
-		endpoints, ownedSince: () => ownedSince, isSettled, listedSince: options.listedSince, holdMaximumMilliseconds, leaseLimitOf,
+		endpoints, ownedSince: () => ownedSince, isSettled, listedSince: options.listedSince, holdMaximumMilliseconds, leaseLimitOf, latestLeaseEndOf,
 	});
 
 	const runs = createCellRuns({
-		jobs, endpoints, token, leaseLimitOf, isClosed: () => isClosed, notify, onDecision, onTaskWait: options.onTaskWait, onChange: dispatch,
+		jobs, endpoints, token, leaseLimitOf, latestLeaseEndOf, isClosed: () => isClosed, notify, onDecision, onTaskWait: options.onTaskWait, onChange: dispatch,
 	});
 
 	const placement = createCellPlacement({
-		jobs, endpoints, capacity, conditions, remotePenalty: options.remotePenalty, otherCells, isClosed: () => isClosed, start: runs.start, measure: workTimes.measure,
+		jobs, endpoints, capacity, conditions, latestLeaseEndOf, remotePenalty: options.remotePenalty, otherCells, isClosed: () => isClosed, start: runs.start, measure: workTimes.measure,
 	});
 
 	const admission = createJobAdmission({
--- a/packages/galenakeeld/src/process/cells/endpoint-leases.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-leases.ts
@@ -16,6 +16,10 @@
 	@param limitAt Monotonic milliseconds after which the lease must not end; without a limit by default.
 	*/
 	readonly next: (limitAt?: number) => number | undefined;
+	/** Monotonic milliseconds at which every lease that was sent has expired. */
+	readonly endsAt: () => number;
+	/** Counts the longest lease that another owner may have sent up to now. */
+	readonly recordOtherOwner: () => void;
 	/** Whether every lease that was sent has expired, so that nothing can be running any more. */
 	readonly haveExpired: () => boolean;
 };
@@ -35,7 +39,6 @@
 export const createEndpointLeases = (holdMaximumMilliseconds: number): EndpointLeases => {
 	const clock = createEndpointClock();
 	const maximumLease = maximumLeaseOf(holdMaximumMilliseconds);
-	/** Monotonic milliseconds at which every lease that was sent has expired. */
 	let endAt = performance.now() + maximumLease;
 
 	return {
@@ -51,6 +54,10 @@
 			endAt = Math.max(endAt, performance.now() + maximumLeaseOf(lease));
 			return now + lease;
 		},
+		endsAt: () => endAt,
+		recordOtherOwner() {
+			endAt = Math.max(endAt, performance.now() + maximumLease);
+		},
 		haveExpired: () => performance.now() > endAt,
 	};
 };
--- a/packages/galenakeeld/src/process/cells/endpoint-reports.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-reports.ts
@@ -30,7 +30,7 @@
 	readonly reportedRuns: Pick<ReportedRuns, 'onEnded' | 'reconcile' | 'reset'>;
 	readonly cooldowns: Pick<EndpointCooldowns, 'reset'>;
 	/** Leases of the present incarnation. */
-	readonly leases: () => Pick<EndpointLeases, 'observe'>;
+	readonly leases: () => Pick<EndpointLeases, 'observe' | 'recordOtherOwner'>;
 	/** Begins the leases of another incarnation. */
 	readonly beginLeases: () => void;
 	/** Whether a run of an earlier owner is active. */
@@ -98,6 +98,7 @@
 
 			if (polledToken < token) {
 				polledToken = token;
+				options.leases().recordOtherOwner();
 				options.onChange();
 			}
 
--- a/packages/galenakeeld/src/process/cells/maximum-lease.ts
+++ b/packages/galenakeeld/src/process/cells/maximum-lease.ts
@@ -38,3 +38,26 @@
 ```
 */
 export const maximumLeaseOf = (holdMaximumMilliseconds: number): number => (holdMaximumMilliseconds * slowClockFactor) + leaseSlackMilliseconds;
+
+/**
+What bounds the time for which a run may go on without another confirmation of its holder, in milliseconds.
+*/
+export type UnconfirmedRunBounds = {
+	/** Maximum lease that an endpoint grants, on its own clock. */
+	readonly holdMaximumMilliseconds: number;
+	/** Time from the end of a caller's wait until it may submit its job again. */
+	readonly returnMilliseconds: number;
+	/** Time for which a holder that has lost an owner waits for a successor before it assigns a part to another cell. */
+	readonly successorWaitMilliseconds: number;
+};
+
+/**
+Returns the time for which a run may go on after the owner sent the last frame that the holder has confirmed, in milliseconds: until the job may be started elsewhere, and no shorter than the longest lease.
+
+@example
+```
+unconfirmedRunOf({holdMaximumMilliseconds: 1000, returnMilliseconds: 2000, successorWaitMilliseconds: 1300}); // => 1300
+```
+*/
+export const unconfirmedRunOf = ({holdMaximumMilliseconds, returnMilliseconds, successorWaitMilliseconds}: UnconfirmedRunBounds): number =>
+	Math.max(maximumLeaseOf(holdMaximumMilliseconds), Math.min(returnMilliseconds, successorWaitMilliseconds));
--- a/packages/galenakeeld/src/process/cells/place-tasks.ts
+++ b/packages/galenakeeld/src/process/cells/place-tasks.ts
@@ -10,6 +10,8 @@
 export type EndpointCapacity = {
 	/** Incarnation of the endpoint. */
 	readonly endpoint: string;
+	/** Monotonic milliseconds up to which what runs there may go on without the owner, since a lease covers all runs and never shortens. */
+	readonly leaseEndsAt: number;
 	readonly service: string;
 	readonly free: Resources;
 	readonly total: Resources;
@@ -55,6 +57,17 @@
 	readonly endpoint: string;
 };
 
+/**
+What placements depend on beside steps and endpoints.
+*/
+export type PlacementContext = {
+	/** Monotonic milliseconds. */
+	readonly now: number;
+	readonly remotePenalty: number;
+	/** Monotonic milliseconds after which no lease may end that covers a run of a part. */
+	readonly latestLeaseEndOf: (part: string) => number;
+};
+
 type Candidate = {free: Resources; assignedTasks: number; readonly capacity: EndpointCapacity};
 
 /** Share of free processor below which fast endpoints are reserved for tasks that need them. */
@@ -100,17 +113,13 @@
 Handles tasks of different sizes and lengths on endpoints of different speeds. A task that fits nowhere does not block those behind it. A late task gets the slowest available endpoint.
 
 @param waiting Steps in scheduling order.
-@param now Monotonic milliseconds.
 
 @example
 ```
-const placements = placeTasks(waiting, capacities, {now: performance.now(), remotePenalty: 3});
+const placements = placeTasks(waiting, capacities, {now: performance.now(), remotePenalty: 3, latestLeaseEndOf});
 ```
 */
-export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty}: {
-	readonly now: number;
-	readonly remotePenalty: number;
-}): readonly Placement[] => {
+export const placeTasks = (waiting: readonly WaitingStep[], capacities: readonly EndpointCapacity[], {now, remotePenalty, latestLeaseEndOf}: PlacementContext): readonly Placement[] => {
 	let candidates = capacities.map((capacity): Candidate => ({
 		capacity, free: capacity.free, assignedTasks: 0,
 	})).filter(candidate => isAvailable(candidate));
@@ -141,11 +150,12 @@
 	};
 
 	const choicesFor = (waitingStep: WaitingStep, avoided: ReadonlySet<string>): ReadonlyArray<EndpointChoice<Candidate>> => {
-		const {step} = waitingStep;
+		const {step, part} = waitingStep;
+		const latestLeaseEnd = latestLeaseEndOf(part);
 		const choices: Array<EndpointChoice<Candidate>> = [];
 		for (const candidate of candidates) {
 			const isFree = isFitting(step.room, candidate.free) && isAllowed(waitingStep, candidate) && isBelowLimit(waitingStep, candidate);
-			if (isFree && !avoided.has(candidate.capacity.endpoint)) {
+			if (isFree && candidate.capacity.leaseEndsAt <= latestLeaseEnd && !avoided.has(candidate.capacity.endpoint)) {
 				choices.push(createEndpointChoice(candidate, runTimeOf(step, factorFor(step, candidate.capacity, remotePenalty)), candidate.free.processor));
 			}
 		}
--- a/packages/galenakeeld/src/process/cells/start-conditions.ts
+++ b/packages/galenakeeld/src/process/cells/start-conditions.ts
@@ -13,6 +13,8 @@
 	readonly isAwaitingFirstReports: () => boolean;
 	/** Whether tasks of a job may start. It waits while one of them may be running outside this submission, and while its holder confirms nothing. */
 	readonly isStartable: (job: PlacedJob, strayJobs: ReadonlySet<string>) => boolean;
+	/** Whether the holder of a job has confirmed so lately that its tasks may join the longest lease. They wait for a confirmation, or for an endpoint with a shorter lease, otherwise. */
+	readonly isConfirmedLately: (job: PlacedJob) => boolean;
 };
 
 export type StartConditionsOptions = {
@@ -24,8 +26,10 @@
 	/** Monotonic milliseconds since when this daemon has known endpoints of the cell; undefined before the first list. */
 	readonly listedSince: () => number | undefined;
 	readonly holdMaximumMilliseconds: number;
-	/** Monotonic milliseconds after which no lease of a run of the job may end. */
+	/** Monotonic milliseconds after which no lease that is sent for a run of the job may end. */
 	readonly leaseLimitOf: (job: PlacedJob) => number;
+	/** Monotonic milliseconds after which no lease may end that covers a run of the job. */
+	readonly latestLeaseEndOf: (job: PlacedJob) => number;
 };
 
 /**
@@ -37,7 +41,7 @@
 const startable = jobs.filter(job => conditions.isStartable(job, endpoints.strayJobs()));
 ```
 */
-export const createStartConditions = ({endpoints, ownedSince, isSettled, listedSince, holdMaximumMilliseconds, leaseLimitOf}: StartConditionsOptions): StartConditions => {
+export const createStartConditions = ({endpoints, ownedSince, isSettled, listedSince, holdMaximumMilliseconds, leaseLimitOf, latestLeaseEndOf}: StartConditionsOptions): StartConditions => {
 	/** Whether each endpoint on which an earlier owner may have started tasks has been polled, or can no longer run them. A new list may lack entries that lapsed. */
 	const areAllRunsKnown = (): boolean => {
 		const now = performance.now();
@@ -50,6 +54,7 @@
 	return {
 		hasStrayRuns,
 		isAwaitingFirstReports: () => !isSettled() && endpoints.all().some(endpoint => endpoint.isAwaitingFirstAnswer()),
+		isConfirmedLately: job => latestLeaseEndOf(job) >= performance.now() + maximumLeaseOf(holdMaximumMilliseconds),
 		isStartable: (job, strayJobs) =>
 			!hasStrayRuns(job, strayJobs) && leaseLimitOf(job) > performance.now() + minimumLeaseMilliseconds && (job.order.generation === 0 || (isSettled() && areAllRunsKnown())),
 	};
--- a/packages/galenakeeld/src/process/fleet/__tests__/caller-waits.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/caller-waits.steps.ts
@@ -13,9 +13,9 @@
 	callersLeft: number;
 };
 
-Given('callers that return {int} ms after they left, and runs that go on for {int} ms after a confirmation', function (this: WaitsWorld, returnMilliseconds: number, leaseMilliseconds: number) {
+Given('callers that return {int} ms after they left, and runs that go on for {int} ms after a confirmation', function (this: WaitsWorld, returnMilliseconds: number, unconfirmedRunMilliseconds: number) {
 	this.waitClock = install({toFake: ['performance', 'Date'], shouldClearNativeTimers: true});
-	this.waits = createCallerWaits({returnMilliseconds, leaseMilliseconds});
+	this.waits = createCallerWaits({returnMilliseconds, unconfirmedRunMilliseconds});
 	this.callersLeft = 0;
 });
 
--- a/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
@@ -43,9 +43,9 @@
 		heldJobs: {hold: fail},
 		owners: {awaitOwner: fail, reachableCells: fail},
 		send: fail,
-		callerWaits: createCallerWaits({returnMilliseconds: 1300, leaseMilliseconds: 1060}),
+		callerWaits: createCallerWaits({returnMilliseconds: 1300, unconfirmedRunMilliseconds: 1060}),
 		readArrivals: fail,
-		leaseMilliseconds: 1300,
+		successorWaitMilliseconds: 1300,
 		onAnswered: ({answer}) => {
 			this.answers.push(answer);
 		},
--- a/packages/galenakeeld/src/process/fleet/caller-waits.ts
+++ b/packages/galenakeeld/src/process/fleet/caller-waits.ts
@@ -22,7 +22,7 @@
 	/** Time from the end of a wait until the caller may submit its job again, in milliseconds. */
 	readonly returnMilliseconds: number;
 	/** Time for which a run may go on after the last confirmation, in milliseconds. */
-	readonly leaseMilliseconds: number;
+	readonly unconfirmedRunMilliseconds: number;
 };
 
 type Wait = {readonly endsAt: number; readonly onEnd: () => void};
@@ -30,20 +30,20 @@
 /**
 Creates the waits of this daemon's callers.
 
-The end of a caller's connection may arrive late or never, so a caller is taken to have left a lease before it may submit its job again: nothing that is confirmed up to then lets a run go on beyond its return.
+The end of a caller's connection may arrive late or never, so a caller is taken to have left so long before it may submit its job again as a run may go on unconfirmed: nothing that is confirmed up to then lets a run go on beyond its return.
 
 @example
 ```
-const waits = createCallerWaits({returnMilliseconds: 1300, leaseMilliseconds: 1060});
+const waits = createCallerWaits({returnMilliseconds: 1300, unconfirmedRunMilliseconds: 1300});
 const forget = waits.begin(caller.sentAfter, 2000, cancel);
 ```
 */
-export const createCallerWaits = ({returnMilliseconds, leaseMilliseconds}: CallerWaitsOptions): CallerWaits => {
+export const createCallerWaits = ({returnMilliseconds, unconfirmedRunMilliseconds}: CallerWaitsOptions): CallerWaits => {
 	const waits = new Set<Wait>();
 	/** No wait ends before this time. */
 	let firstEndsAt = Number.POSITIVE_INFINITY;
 
-	const endOf = (sentAt: number, waitMilliseconds: number): number => sentAt + waitMilliseconds + returnMilliseconds - leaseMilliseconds;
+	const endOf = (sentAt: number, waitMilliseconds: number): number => sentAt + waitMilliseconds + returnMilliseconds - unconfirmedRunMilliseconds;
 
 	return {
 		begin(sentAt, waitMilliseconds, onEnd) {
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -15,7 +15,7 @@
 import {isRoutineOfHolder} from '../../request/holder-decision.js';
 import {createCell} from '../cells/cell.js';
 import {isRoutine} from '../cells/cell-decision.js';
-import {maximumLeaseOf} from '../cells/maximum-lease.js';
+import {unconfirmedRunOf} from '../cells/maximum-lease.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
 import {createSuspensionDetector} from '../suspension-detector.js';
@@ -106,9 +106,13 @@
 	const rollCall = createRollCall(() => view.all().filter(({zone}) => zone === settings.zone).map(({address}) => address));
 	const discovery = createDiscovery({lastHeardAt: address => view.get(address)?.lastHeartbeatAt, hasReachablePeers: () => view.all().length > 0});
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
+	const successorWaitMilliseconds = settings.leases.maximumMilliseconds + leaseSlackMilliseconds;
+	const unconfirmedRunMilliseconds = unconfirmedRunOf({
+		holdMaximumMilliseconds: settings.leases.maximumMilliseconds, returnMilliseconds: settings.callers.returnMilliseconds, successorWaitMilliseconds,
+	});
 	const callerWaits = createCallerWaits({
 		returnMilliseconds: settings.callers.returnMilliseconds,
-		leaseMilliseconds: maximumLeaseOf(settings.leases.maximumMilliseconds),
+		unconfirmedRunMilliseconds,
 	});
 	const turns = createReadingTurns(callerWaits.endOverdue);
 	const confirmations = createPeerConfirmations({
@@ -196,6 +200,7 @@
 			name,
 			token,
 			holdMaximumMilliseconds: settings.leases.maximumMilliseconds,
+			unconfirmedRunMilliseconds,
 			listedSince: () => cells.listedSince(name),
 			remotePenalty: settings.remotePenalty,
 			createCalls: entry => daemonLoad.countCalls(createEndpointClient(entry)),
@@ -490,7 +495,7 @@
 		},
 		callerWaits,
 		readArrivals: awaitWholeTurn,
-		leaseMilliseconds: settings.leases.maximumMilliseconds + leaseSlackMilliseconds,
+		successorWaitMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
 		onDecision(decision, fields) {
 			const write = isRoutineOfHolder(decision, fields) ? logRoutine : logEvent;
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -67,11 +67,9 @@
 	readonly callerWaits: CallerWaits;
 	/** Waits until what had arrived from callers has been read. */
 	readonly readArrivals: () => Promise<void>;
-	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
-	readonly leaseMilliseconds: number;
 	readonly onAnswered: (answered: AnsweredJob) => void;
 	readonly onCallerLeft: (left: LeftCaller) => void;
-} & Pick<HoldOptions, 'lastHeardFrom' | 'onDecision'>;
+} & Pick<HoldOptions, 'lastHeardFrom' | 'onDecision' | 'successorWaitMilliseconds'>;
 
 /** Maximum time since the last confirmation by the store up to which the configuration counts as current. */
 const configurationFreshnessMilliseconds = 2500;
@@ -143,7 +141,7 @@
 			send({address}, message) {
 				options.send(address, message);
 			},
-			leaseMilliseconds: options.leaseMilliseconds,
+			successorWaitMilliseconds: options.successorWaitMilliseconds,
 			lastHeardFrom: options.lastHeardFrom,
 			onDecision: options.onDecision,
 		}).finally(() => {
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
@@ -22,5 +22,5 @@
 
   # Guards against TWICE: the wait of a caller was counted from when its request arrived, although it had been on its way for long.
   Scenario: A job doesn't run beside its next submission in another zone while requests and the ends of callers are held up
-    When the conversations of the seeds 1 to 40 are held, with callers that return while daemons are slow and whose ends arrive late or never, as do their requests
+    When the conversations of the seeds 1 to 45 are held, with callers that return while daemons are slow and whose ends arrive late or never, as do their requests
     Then no rule was broken
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -100,7 +100,7 @@
 			send: (_, message) => {
 				record(this, message);
 			},
-			leaseMilliseconds: 1,
+			successorWaitMilliseconds: 1,
 			lastHeardFrom: () => undefined,
 			onDecision() {
 				// The answer and the orders show what was decided.
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -9,7 +9,7 @@
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {createCell} from '../../process/cells/cell.js';
-import {maximumLeaseOf} from '../../process/cells/maximum-lease.js';
+import {unconfirmedRunOf} from '../../process/cells/maximum-lease.js';
 import {createCallerWaits} from '../../process/fleet/caller-waits.js';
 import {createCellLoads} from '../../process/fleet/cell-loads.js';
 import {createCellOwners} from '../../process/fleet/cell-owners.js';
@@ -93,7 +93,9 @@
 	const heldJobs = createHeldJobs();
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
 	const startedAt = Date.now();
-	const callerWaits = createCallerWaits({returnMilliseconds, leaseMilliseconds: maximumLeaseOf(maximumLeaseMilliseconds)});
+	const successorWaitMilliseconds = maximumLeaseMilliseconds + leaseSlackMilliseconds;
+	const unconfirmedRunMilliseconds = unconfirmedRunOf({holdMaximumMilliseconds: maximumLeaseMilliseconds, returnMilliseconds, successorWaitMilliseconds});
+	const callerWaits = createCallerWaits({returnMilliseconds, unconfirmedRunMilliseconds});
 	const turns = createReadingTurns(callerWaits.endOverdue);
 	const confirmations = createPeerConfirmations({
 		address: self,
@@ -128,6 +130,7 @@
 			name,
 			token,
 			holdMaximumMilliseconds: maximumLeaseMilliseconds,
+			unconfirmedRunMilliseconds,
 			listedSince: () => performance.now() - listedMillisecondsAgo,
 			remotePenalty: 1,
 			createCalls: options.createCalls,
@@ -343,7 +346,7 @@
 		},
 		callerWaits,
 		readArrivals: awaitWholeTurn,
-		leaseMilliseconds: maximumLeaseMilliseconds + leaseSlackMilliseconds,
+		successorWaitMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
 		onDecision: recordDecision,
 		onCallerLeft({job, cause}) {
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -22,8 +22,8 @@
 	/** Other cells with a reachable owner, the least busy first. */
 	readonly otherCells: () => readonly string[];
 	readonly send: (owner: CellOwner, message: FleetMessage) => void;
-	/** Maximum time for which a run continues without an extension of its lease, in milliseconds. */
-	readonly leaseMilliseconds: number;
+	/** How long a part whose owner is lost waits for a successor before it goes to another cell, in milliseconds: until none of its tasks runs any more. */
+	readonly successorWaitMilliseconds: number;
 	/** Monotonic milliseconds at which an owner was last heard; undefined while it isn't in sight. */
 	readonly lastHeardFrom: (owner: CellOwner) => number | undefined;
 	readonly onDecision: (decision: HolderDecision, fields: Readonly<Record<string, unknown>>) => void;
@@ -114,9 +114,9 @@
 		onDecision: options.onDecision,
 	};
 
-	/** Finds a cell with an owner. The part's own cell comes first; after a lost owner, the wait for a successor lasts as long as the lease, because tasks may still run there. */
+	/** Finds a cell with an owner. The part's own cell comes first; after a lost owner, the wait for a successor lasts until no task runs there any more. */
 	const findOwnerFor = async (part: JobPart): Promise<CellOwner | undefined> => {
-		const ownerWaitLimitMilliseconds = part.generation === 0 ? ownerWaitMilliseconds : options.leaseMilliseconds;
+		const ownerWaitLimitMilliseconds = part.generation === 0 ? ownerWaitMilliseconds : options.successorWaitMilliseconds;
 		const owner = await options.awaitOwner(part.cell, ownerWaitLimitMilliseconds);
 		if (owner) {
 			return owner;
