An owner that an endpoint rejects starts nothing there before it has polled it

Cause: the answer "fenced" to a start or stop told the claims that there is a rival, but the endpoint still counted as polled under this owner's token: what was known of its runs and of its leases was true of before.

Change: a rejected token takes the endpoint out of use until a poll is answered that was sent later. Its lease is taken to be as long as a rival may have extended it, so that no run counts as lost there because this owner's own leases have expired.

Evidence: two scenarios of stray-runs.feature failed before (200 starts in place of 1; the task started beside a run whose lease a rival may extend), and fail with each protection taken out, one at a time.

--- a/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/leased-endpoint.ts
@@ -26,6 +26,8 @@
 	ignoresStops: boolean;
 	/** Whether polls and starts are rejected, as after the call of an owner with a higher token. */
 	isFenced: boolean;
+	/** Number of starts that were rejected since an owner had sent a higher token. */
+	fencedStarts: number;
 	/** Time until a call is carried out. */
 	delayMilliseconds: number;
 	/** Whether calls get no answer. Starts are then carried out late, other calls never. */
@@ -128,6 +130,7 @@
 		runs,
 		ignoresStops: false,
 		isFenced: false,
+		fencedStarts: 0,
 		delayMilliseconds: usualDelayMilliseconds,
 		isSilent: false,
 		lateStartMilliseconds: usualLateStartMilliseconds,
@@ -155,7 +158,12 @@
 				}
 
 				await pause(endpoint.delayMilliseconds);
-				return endpoint.isFenced ? reply(CallOutcome.Fenced) : executeStart(request);
+				if (endpoint.isFenced) {
+					endpoint.fencedStarts++;
+					return reply(CallOutcome.Fenced);
+				}
+
+				return executeStart(request);
 			},
 			async stop({task, attempt}: StopRequest) {
 				await pause(endpoint.isSilent ? answerTimeoutMilliseconds : endpoint.delayMilliseconds);
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -275,3 +275,23 @@
     And the endpoints run for 1500 ms
     Then the first job runs nowhere
     And the other job has run all the while
+
+  # Guards against numbers of attempts that run into those of the next generation: an owner that was fenced started its task again every 2 to 5 ms.
+  Scenario: An owner that an endpoint rejects starts nothing more there before it has polled it under a higher token
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When the endpoints accept only a rival owner
+    And a job of 1 task is submitted by "first"
+    And the endpoints run for 1600 ms
+    Then the endpoint has rejected 1 start
+    When the endpoints accept this owner again, which raises its token
+    Then the task ran 1 times, never twice at the same time
+
+  # Guards against TWICE: leases that a rival extends were taken for expired.
+  Scenario: A run at an endpoint that accepts only a rival owner does not count as lost, since the rival may extend its lease
+    Given an owner of these endpoints
+    When a job of 1 task is submitted by "first"
+    And the endpoints run for 2000 ms
+    And the endpoint of the run accepts only a rival owner
+    And the endpoints run for 1500 ms
+    Then the task ran 1 times, never twice at the same time
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -234,6 +234,27 @@
 	await this.time.tickAsync(untilStartedMilliseconds);
 });
 
+When('the endpoints accept only a rival owner', function (this: StrayWorld) {
+	for (const endpoint of this.leasedEndpoints) {
+		endpoint.isFenced = true;
+	}
+});
+
+When('the endpoint of the run accepts only a rival owner', function (this: StrayWorld) {
+	for (const endpoint of this.leasedEndpoints) {
+		endpoint.isFenced = endpoint.runs.length > 0;
+	}
+});
+
+When('the endpoints accept this owner again, which raises its token', async function (this: StrayWorld) {
+	for (const endpoint of this.leasedEndpoints) {
+		endpoint.isFenced = false;
+	}
+
+	this.raisedToken = 3;
+	await this.time.tickAsync(untilPolledMilliseconds);
+});
+
 When('a rival owner extends the lease of each endpoint', async function (this: StrayWorld) {
 	for (const {calls} of this.leasedEndpoints) {
 		void calls.poll({
@@ -307,6 +328,10 @@
 	assert.ok(!this.disrupted.runs.includes(active[0]!));
 });
 
+Then('the endpoint has rejected {int} start(s)', function (this: StrayWorld, count: number) {
+	assert.equal(this.leasedEndpoints[0]!.fencedStarts, count);
+});
+
 Then('{int} endpoints have a run', function (this: StrayWorld, count: number) {
 	assert.equal(this.leasedEndpoints.filter(({runs}) => runs.length > 0).length, count);
 });
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -172,12 +172,12 @@
 
 	const {stopUntilEnded, stopOrphan} = createEndpointStops({
 		calls, runs, token: options.token, startedAt: reportOrders.startedAt, ownedSince: options.ownedSince, haveLeasesExpired: () => leases.haveExpired(),
-		isClosed: hasClosed, observeClock, pollNow: polls.pollNow, describe, onDecision, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
+		isClosed: hasClosed, observeClock, pollNow: polls.pollNow, describe, onDecision, onFenced, onOtherEndpoint: closeForOtherEndpoint,
 	});
 
 	const starts = createEndpointStarts({
 		calls, runs, cooldowns, token: options.token, nextLease, observeClock, pollNow: polls.pollNow, stopUntilEnded,
-		describe, onDecision, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint,
+		describe, onDecision, onFenced, onOtherEndpoint: closeForOtherEndpoint,
 	});
 
 	const reportedRuns = createReportedRuns({
@@ -197,13 +197,22 @@
 		reports.onReport(report, poll);
 	}
 
+	/** No task is started here until a poll is answered that was sent later, under a token that the endpoint accepts. */
+	function onFenced(token: number): void {
+		if (token === options.token()) {
+			reports.recordFenced();
+		}
+
+		options.onFenced();
+	}
+
 	/** Whether a run that no job waits for may still be active: not at another incarnation, nor once all leases of a silent endpoint have ended. */
 	const canRunStrays = (): boolean =>
 		!isClosed && !(reachability.isSilent() && leases.haveExpired() && performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds);
 
 	const loop = createEndpointPollLoop({
 		calls, polls, reachability, runs, identifier: () => entry.identifier, haveLeasesExpired: () => leases.haveExpired(), isClosed: hasClosed,
-		onReport, onFenced: options.onFenced, onOtherEndpoint: closeForOtherEndpoint, onDecision,
+		onReport, onFenced, onOtherEndpoint: closeForOtherEndpoint, onDecision,
 	});
 
 	return {
--- a/packages/galenakeeld/src/process/cells/endpoint-poll-loop.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-poll-loop.ts
@@ -1,4 +1,6 @@
-import {CallOutcome, type EndpointCalls, type EndpointReport} from '@galenakeel/model/connection/endpoint-calls.js';
+import {
+	CallOutcome, type EndpointCalls, type EndpointReport, type PollReply,
+} from '@galenakeel/model/connection/endpoint-calls.js';
 import {awaitRetry} from './await-retry.js';
 import {EndpointDecision} from './endpoint-decision.js';
 import type {EndpointPolls, SentPoll} from './endpoint-polls.js';
@@ -24,7 +26,8 @@
 	readonly haveLeasesExpired: () => boolean;
 	readonly isClosed: () => boolean;
 	readonly onReport: (report: EndpointReport, poll: SentPoll) => void;
-	readonly onFenced: () => void;
+	/** Called when the endpoint has rejected a token, since it has accepted a higher one. */
+	readonly onFenced: (token: number) => void;
 	/** Called when an endpoint with another identifier has answered. */
 	readonly onOtherEndpoint: () => void;
 	readonly onDecision: (decision: EndpointDecision, fields: Readonly<Record<string, unknown>>) => void;
@@ -42,11 +45,11 @@
 export const createEndpointPollLoop = (options: EndpointPollLoopOptions): EndpointPollLoop => {
 	const {calls, polls, reachability, runs, onDecision} = options;
 
-	const onMissedPoll = (outcome: CallOutcome): void => {
+	const onMissedPoll = ({outcome, token}: PollReply & SentPoll): void => {
 		if (outcome === CallOutcome.OtherEndpoint) {
 			options.onOtherEndpoint();
 		} else if (outcome === CallOutcome.Fenced) {
-			options.onFenced();
+			options.onFenced(token);
 		}
 
 		const wasSilent = reachability.isSilent();
@@ -75,7 +78,7 @@
 				if (reply?.report) {
 					options.onReport(reply.report, reply);
 				} else if (reply) {
-					onMissedPoll(reply.outcome);
+					onMissedPoll(reply);
 					if (reachability.isBackingOff()) {
 						await awaitRetry();
 					}
--- a/packages/galenakeeld/src/process/cells/endpoint-reports.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-reports.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import type {ActiveRun, EndpointReport} from '@galenakeel/model/connection/endpoint-calls.js';
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import type {EndpointCooldowns} from './endpoint-cooldowns.js';
@@ -15,8 +16,10 @@
 The reports of an endpoint, from one incarnation to the next.
 */
 export type EndpointReports = {
-	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. */
+	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. 0 after the endpoint has rejected a token, until a poll that was sent later is answered. */
 	readonly polledToken: () => number;
+	/** Records that the endpoint has accepted a higher token, so that another owner may have started runs and extended leases there. */
+	readonly recordFenced: () => void;
 	/** Takes a report that has just arrived, unless a newer one has overtaken it. */
 	readonly onReport: (report: EndpointReport, poll: SentPoll) => void;
 };
@@ -61,6 +64,8 @@
 export const createEndpointReports = (options: EndpointReportsOptions): EndpointReports => {
 	const {entry, reportOrders, reachability, runs, orphans, reportedRuns, hasOrphans, onDecision} = options;
 	let polledToken = 0;
+	/** Monotonic milliseconds. */
+	let fencedAt = Number.NEGATIVE_INFINITY;
 
 	/**
 	Begins anew with another incarnation, which knows nothing of before. A run that it doesn't list is lost with the earlier one, unless the start is still to be carried out: then it has to be stopped here too.
@@ -84,6 +89,11 @@
 
 	return {
 		polledToken: () => polledToken,
+		recordFenced() {
+			polledToken = 0;
+			fencedAt = performance.now();
+			options.leases().recordOtherOwner();
+		},
 		onReport(report, {polledAt, token}) {
 			const earlierStartedAt = reportOrders.startedAt();
 			const order = reportOrders.record({startedAt: report.startedAt ?? entry().startedAt, clockMilliseconds: report.clockMilliseconds}, polledAt);
@@ -96,7 +106,7 @@
 				polledToken = 0;
 			}
 
-			if (polledToken < token) {
+			if (polledToken < token && polledAt >= fencedAt) {
 				polledToken = token;
 				options.leases().recordOtherOwner();
 				options.onChange();
--- a/packages/galenakeeld/src/process/cells/endpoint-starts.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-starts.ts
@@ -29,7 +29,8 @@
 	/** Returns the fields of a logged decision about a run. */
 	readonly describe: (task: TaskKey, attempt: number) => Readonly<Record<string, unknown>>;
 	readonly onDecision: (decision: EndpointDecision, fields: Readonly<Record<string, unknown>>) => void;
-	readonly onFenced: () => void;
+	/** Called when the endpoint has rejected a token, since it has accepted a higher one. */
+	readonly onFenced: (token: number) => void;
 	/** Called when an endpoint with another identifier has answered. */
 	readonly onOtherEndpoint: () => void;
 };
@@ -41,7 +42,7 @@
 	readonly beginResolving: (run: Run) => void;
 };
 
-const onStartReply = (run: Run, {outcome, clockMilliseconds}: CallReply, options: OnStartReplyOptions): void => {
+const onStartReply = (run: Run, {outcome, clockMilliseconds, token}: CallReply & {readonly token: number}, options: OnStartReplyOptions): void => {
 	const {runs, cooldowns, describe, onDecision} = options;
 	options.observeClock(clockMilliseconds);
 	if (!runs.isActive(run)) {
@@ -67,7 +68,7 @@
 		}
 
 		case CallOutcome.Fenced: {
-			options.onFenced();
+			options.onFenced(token);
 			break;
 		}
 
@@ -136,9 +137,11 @@
 			const timer = setTimeout(() => {
 				beginResolving(run);
 			}, startAnswerTimeoutMilliseconds);
-			onStartReply(run, await calls.start({
-				task: run.task, attempt: run.attempt, specification, leaseEndMilliseconds: lease, fencingToken: options.token(),
-			}), replyOptions);
+			const token = options.token();
+			const reply = await calls.start({
+				task: run.task, attempt: run.attempt, specification, leaseEndMilliseconds: lease, fencingToken: token,
+			});
+			onStartReply(run, {...reply, token}, replyOptions);
 			clearTimeout(timer);
 		},
 	};
--- a/packages/galenakeeld/src/process/cells/endpoint-stops.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-stops.ts
@@ -33,7 +33,8 @@
 	/** Returns the fields of a logged decision about a run. */
 	readonly describe: (task: TaskKey, attempt: number) => Readonly<Record<string, unknown>>;
 	readonly onDecision: (decision: EndpointDecision, fields: Readonly<Record<string, unknown>>) => void;
-	readonly onFenced: () => void;
+	/** Called when the endpoint has rejected a token, since it has accepted a higher one. */
+	readonly onFenced: (token: number) => void;
 	/** Called when an endpoint with another identifier has answered. */
 	readonly onOtherEndpoint: () => void;
 };
@@ -54,7 +55,8 @@
 		async stopUntilEnded(run) {
 			while (runs.isActive(run) && run.state !== RunState.Stopping && !options.isClosed()) {
 				const startedAt = options.startedAt();
-				const {outcome, clockMilliseconds} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: options.token()});
+				const token = options.token();
+				const {outcome, clockMilliseconds} = await calls.stop({task: run.task, attempt: run.attempt, fencingToken: token});
 				observeClock(clockMilliseconds);
 				if (outcome === CallOutcome.Done && startedAt === options.startedAt()) {
 					run.state = RunState.Stopping;
@@ -69,7 +71,7 @@
 				}
 
 				if (outcome === CallOutcome.Fenced) {
-					options.onFenced();
+					options.onFenced(token);
 				}
 
 				if (options.haveLeasesExpired()) {
