--- a/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -36,9 +36,9 @@
 	/** Time of the last frame that was processed, on the monotonic clock of the peer. */
 	processedSentAt: number;
 	/** The same for the last frame that was processed in a turn of the event loop that has ended. */
-	readSentAt: number;
+	previousTurnSentAt: number;
 	/** The same for the last one since whose turn a whole turn has ended. */
-	heardSentAt: number;
+	confirmableSentAt: number;
 	/** Own monotonic clock. */
 	confirmedAt: number;
 };
@@ -69,7 +69,7 @@
 		}
 
 		const record: PeerRecord = {
-			startedAt: peer.startedAt, processedSentAt: Number.NEGATIVE_INFINITY, readSentAt: Number.NEGATIVE_INFINITY, heardSentAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY,
+			startedAt: peer.startedAt, processedSentAt: Number.NEGATIVE_INFINITY, previousTurnSentAt: Number.NEGATIVE_INFINITY, confirmableSentAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY,
 		};
 		records.set(peer.address, record);
 		return record;
@@ -79,16 +79,16 @@
 	const confirmAtTurnEnd = (record: PeerRecord): void => {
 		setImmediate(() => {
 			beforeConfirming();
-			record.heardSentAt = record.readSentAt;
-			record.readSentAt = record.processedSentAt;
-			if (record.readSentAt > record.heardSentAt) {
+			record.confirmableSentAt = record.previousTurnSentAt;
+			record.previousTurnSentAt = record.processedSentAt;
+			if (record.previousTurnSentAt > record.confirmableSentAt) {
 				confirmAtTurnEnd(record);
 			}
 		});
 	};
 
 	const recordProcessed = (record: PeerRecord, sentAt: number): void => {
-		const isPending = record.processedSentAt > record.heardSentAt;
+		const isPending = record.processedSentAt > record.confirmableSentAt;
 		record.processedSentAt = Math.max(record.processedSentAt, sentAt);
 		if (!isPending) {
 			confirmAtTurnEnd(record);
@@ -113,8 +113,8 @@
 		},
 		heardFrom(address) {
 			const record = records.get(address);
-			const hasHeard = record !== undefined && record.heardSentAt > Number.NEGATIVE_INFINITY;
-			return hasHeard ? {startedAt: record.startedAt, sentAt: record.heardSentAt} : undefined;
+			const hasHeard = record !== undefined && record.confirmableSentAt > Number.NEGATIVE_INFINITY;
+			return hasHeard ? {startedAt: record.startedAt, sentAt: record.confirmableSentAt} : undefined;
 		},
 		confirmedBy(address) {
 			const confirmedAt = address === self ? readUpTo() : records.get(address)?.confirmedAt ?? Number.NEGATIVE_INFINITY;
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
@@ -4,7 +4,7 @@
 import {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
 import {holdConversation, type ConversationFailure, type PlanConversation} from './assignment-conversation.js';
 import {planFrozenJobs, type Frozen} from './frozen-jobs.js';
-import {planReturningCallers, type CallerEnd, type Delay} from './returning-callers.js';
+import {planReturningCallers, type EndArrival, type Delay} from './returning-callers.js';
 
 type ConversationWorld = {
 	failures: ConversationFailure[];
@@ -47,8 +47,8 @@
 	await hold(this, from, to, planFrozenJobs(frozen));
 });
 
-When('the conversations of the seeds {int} to {int} are held, with callers that return while daemons {} and whose ends arrive {}', {timeout: timeoutMilliseconds}, async function (this: ConversationWorld, from: number, to: number, delay: Delay, callerEnd: CallerEnd) {
-	await hold(this, from, to, planReturningCallers(callerEnd, delay));
+When('the conversations of the seeds {int} to {int} are held, with callers that return while daemons {} and whose ends arrive {}', {timeout: timeoutMilliseconds}, async function (this: ConversationWorld, from: number, to: number, delay: Delay, endArrival: EndArrival) {
+	await hold(this, from, to, planReturningCallers(endArrival, delay));
 });
 
 Then('no rule was broken', function (this: ConversationWorld) {
--- a/packages/galenakeeld/src/request/__tests__/returning-callers.ts
+++ b/packages/galenakeeld/src/request/__tests__/returning-callers.ts
@@ -11,7 +11,7 @@
 /**
 How the end of a caller's connection reaches the daemon.
 */
-export enum CallerEnd {
+export enum EndArrival {
 	/** At once; the daemon reads it when it gets to it. */
 	Prompt = 'promptly',
 	/** Some seconds late, or never; callers say how long they wait. */
@@ -54,8 +54,8 @@
 	}],
 });
 
-const drawEndDelay = (random: SeededRandom, callerEnd: CallerEnd): number => {
-	if (callerEnd === CallerEnd.Prompt) {
+const drawEndDelay = (random: SeededRandom, endArrival: EndArrival): number => {
+	if (endArrival === EndArrival.Prompt) {
 		return 0;
 	}
 
@@ -128,10 +128,10 @@
 
 @example
 ```
-const {failures} = await holdConversation(17, planReturningCallers(CallerEnd.Late, Delay.Slow));
+const {failures} = await holdConversation(17, planReturningCallers(EndArrival.Late, Delay.Slow));
 ```
 */
-export const planReturningCallers = (callerEnd: CallerEnd, delay: Delay): PlanConversation => parts => {
+export const planReturningCallers = (endArrival: EndArrival, delay: Delay): PlanConversation => parts => {
 	const {random, daemons} = parts;
 
 	const planCaller = (number: number): CallerPlan => {
@@ -144,9 +144,9 @@
 			submitsAt,
 			daemons: [holder, random.pick(daemons.filter(({zone}) => zone !== holder.zone))],
 			leavesAfter: [patience, random.integer(300, 900)],
-			announcesWait: callerEnd !== CallerEnd.Prompt,
-			endDelays: [drawEndDelay(random, callerEnd), 0],
-			requestDelays: [callerEnd === CallerEnd.HeldUp ? random.integer(...requestDelays) : 0, 0],
+			announcesWait: endArrival !== EndArrival.Prompt,
+			endDelays: [drawEndDelay(random, endArrival), 0],
+			requestDelays: [endArrival === EndArrival.HeldUp ? random.integer(...requestDelays) : 0, 0],
 		};
 	};
 
