--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -9,7 +9,7 @@
 import {detailOf} from '@galenakeel/model/request/fault.js';
 import {JobEnd} from '@galenakeel/model/request/job.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
-import {FleetMessageKind, type Heartbeat, type FleetMessage} from '@galenakeel/model/connection/fleet-message.js';
+import {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
 import {createPeerStream, sendAlone, serveFleet} from '../../connection/fleet-service.js';
 import {holdJob} from '../../request/hold-job.js';
 import {isRoutineOfHolder} from '../../request/holder-decision.js';
@@ -41,6 +41,7 @@
 import {createJobIntake, refusalOf} from './job-intake.js';
 import {createJobMessageReceiver} from './job-message-receiver.js';
 import {closeServer, listen} from './listen.js';
+import {createMessageReceiver} from './message-receiver.js';
 import {createNotification} from './notification.js';
 import {createLoadAnnouncements} from './load-announcements.js';
 import {createEndpointProbe} from './endpoint-probe.js';
@@ -271,60 +272,9 @@
 		isConnected: address => links.isConnected(address),
 	});
 
-	const receiveJobMessage = createJobMessageReceiver({cells, heldJobs});
-
-	const onMessage = (message: FleetMessage, from: string): void => {
-		switch (message.kind) {
-			case FleetMessageKind.Heartbeat: {
-				onHeartbeat(message);
-				break;
-			}
-
-			case FleetMessageKind.KeepAlive:
-			case FleetMessageKind.ConfirmationRequest: {
-				// The links process them.
-				break;
-			}
-
-			case FleetMessageKind.ConfigurationVersion:
-			case FleetMessageKind.ConfigurationRequest:
-			case FleetMessageKind.Configuration: {
-				configuration.receive(message, from);
-				break;
-			}
-
-			case FleetMessageKind.Load: {
-				view.receiveLoad(from, message.cell, message.load);
-				loads.recordLoad(message.cell, message.load);
-				break;
-			}
-
-			case FleetMessageKind.Endpoints: {
-				cells.recordEndpoints(message.cell, message.entries);
-				break;
-			}
-
-			case FleetMessageKind.Submit:
-			case FleetMessageKind.Cancel:
-			case FleetMessageKind.Started:
-			case FleetMessageKind.TaskSucceeded:
-			case FleetMessageKind.Redirect:
-			case FleetMessageKind.Refuse:
-			case FleetMessageKind.End:
-			case FleetMessageKind.Dropped:
-			case FleetMessageKind.Superseded: {
-				receiveJobMessage(message, from);
-				break;
-			}
-		}
-	};
-
-	const onHeartbeat = ({claims, cellCounts}: Heartbeat): void => {
-		layout.offer(cellCounts);
-		for (const {cell, load} of claims) {
-			loads.recordLoad(cell, load);
-		}
-	};
+	const onMessage = createMessageReceiver({
+		configuration, layout, view, loads, cells, receiveJobMessage: createJobMessageReceiver({cells, heldJobs}),
+	});
 
 	const links = await createFleetLinks({
 		serve: serveFleet,
