A scenario of TWICE between two owners of a cell, which fails

By reading: the former owner raises its token after the new one's last poll of an endpoint, and starts there; the holder names the token that it had at the assignment, so the new owner doesn't poll again.

--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -295,3 +295,12 @@
     And the endpoint of the run accepts only a rival owner
     And the endpoints run for 1500 ms
     Then the task ran 1 times, never twice at the same time
+
+  # Guards against TWICE: a rival that had raised its token started a task after this owner's last poll there, and the holder assigned it here.
+  Scenario: A job that an earlier owner may have started starts only where that owner's runs are known since its arrival
+    Given an owner of these endpoints
+    When a rival owner starts the first job on the last endpoint
+    And the endpoint of the run accepts only a rival owner
+    And the job is submitted by "first" as one that an earlier owner may have started
+    And the endpoints run for 300 ms
+    Then the task ran 1 times, never twice at the same time
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -183,6 +183,14 @@
 	assert.equal(runsOf(this, firstJob).length, this.leasedEndpoints.length);
 });
 
+When('a rival owner starts the first job on the last endpoint', async function (this: StrayWorld) {
+	void this.leasedEndpoints.at(-1)!.calls.start({
+		task: {job: firstJob, step: 0, index: 0}, attempt: 1, specification: '', leaseEndMilliseconds: performance.now() + maximumLeaseMilliseconds, fencingToken: 2,
+	});
+	await this.time.tickAsync(untilStartedMilliseconds);
+	assert.equal(runsOf(this, firstJob).length, 1);
+});
+
 When('a rival owner starts the first job on the first endpoint for the second time', async function (this: StrayWorld) {
 	void this.leasedEndpoints[0]!.calls.start({
 		task: {job: firstJob, step: 0, index: 0}, attempt: 2, specification: '', leaseEndMilliseconds: performance.now() + maximumLeaseMilliseconds, fencingToken: 2,
