--- a/packages/galenakeeld/src/process/cells/cell-placement.ts
+++ b/packages/galenakeeld/src/process/cells/cell-placement.ts
@@ -36,6 +36,7 @@
 	readonly measure: WorkTimes['measure'];
 };
 
+/** What the placement of tasks in this cell leaves to other cells. */
 type PlacedHere = {
 	/** Factor of the fastest endpoint. */
 	readonly bestFactor: number;
