--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -33,12 +33,19 @@
     And the cell runs for 150 ms
     Then 1 tasks were started here
 
-  Scenario: Tasks of an earlier owner start once all endpoints are known
-    When a job of 2 tasks that an earlier owner may have started is submitted
+  # Guards against TWICE: the owner judged by its own list of endpoints and the time since its claim that an earlier owner's runs were known.
+  Scenario: Tasks that an earlier owner may have started start no sooner than its runs have ended, although all endpoints have reported
+    When a job of 2 tasks is submitted, whose runs by an earlier owner have ended after 700 ms
+    And the cell runs for 600 ms
+    Then no task was started here
+    When the cell runs for 100 ms
+    Then 2 tasks were started here
+
+  Scenario: Tasks of an earlier owner whose runs have ended start at once
+    When a job of 2 tasks is submitted, whose runs by an earlier owner have ended after 0 ms
     Then 2 tasks were started here
 
-  Scenario: Entries that lapsed during a partition may be missing, so what an earlier owner started waits until its leases have expired
-    Given the endpoints were listed a moment ago
+  Scenario: What an earlier owner may have started waits for the longest time that a run may go on if its order says nothing of these runs
     When a job of 2 tasks that an earlier owner may have started is submitted
     And the cell runs for 1200 ms
     Then no task was started here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -23,8 +23,6 @@
 	otherUpdates: JobUpdate[];
 	started: string[];
 	stopped: string[];
-	/** Monotonic milliseconds at which the first list of endpoints arrived. */
-	listedSince: number;
 	/** Highest run of each task that the endpoint has ended. */
 	endedAttempt: number;
 	/** Tasks of which a run is at the endpoint. */
@@ -89,7 +87,6 @@
 	this.otherUpdates = [];
 	this.started = [];
 	this.stopped = [];
-	this.listedSince = -10_000;
 	this.endedAttempt = 0;
 	this.activeTasks = new Set();
 	this.startedTwice = [];
@@ -99,7 +96,6 @@
 		token: () => 1,
 		holdMaximumMilliseconds: 1000,
 		unconfirmedRunMilliseconds: 1300,
-		listedSince: () => this.listedSince,
 		remotePenalty: 1,
 		lastConfirmedBy: () => performance.now(),
 		requestConfirmation() {
@@ -209,8 +205,10 @@
 	await submit(this, createOrder([{...createStep(tasks, []), mostOnOneEndpoint}], 0));
 });
 
-Given('the endpoints were listed a moment ago', function (this: PartsWorld) {
-	this.listedSince = performance.now();
+When('a job of {int} tasks is submitted, whose runs by an earlier owner have ended after {int} ms', async function (this: PartsWorld, tasks: number, milliseconds: number) {
+	await submit(this, {
+		...createOrder([createStep(tasks, [])], 0), generation: 1, isCommitted: true, earlierRunsMilliseconds: milliseconds,
+	});
 });
 
 When('a job of {int} tasks that an earlier owner may have started is submitted', async function (this: PartsWorld, tasks: number) {
--- a/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/decision-cost.steps.ts
@@ -175,7 +175,6 @@
 		token: () => 1,
 		holdMaximumMilliseconds: 1000,
 		unconfirmedRunMilliseconds: 1300,
-		listedSince: () => -10_000,
 		lastConfirmedBy: () => performance.now(),
 		requestConfirmation() {
 			// The confirmations of holders are set above.
--- a/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/replay-load.ts
@@ -268,6 +268,7 @@
 		},
 		successorWaitMilliseconds: 1300,
 		lastHeardFrom: () => performance.now(),
+		runsEndAt: () => performance.now(),
 		onDecision() {
 			// Only the answers count here.
 		},
@@ -302,7 +303,6 @@
 			token: () => 1,
 			holdMaximumMilliseconds: 1000,
 			unconfirmedRunMilliseconds: 1300,
-			listedSince: () => 0,
 			remotePenalty: 3,
 			lastConfirmedBy: () => performance.now(),
 			requestConfirmation() {
--- a/packages/galenakeeld/src/process/cells/__tests__/run-log.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/run-log.steps.ts
@@ -57,7 +57,6 @@
 		token: () => token,
 		holdMaximumMilliseconds: 1000,
 		unconfirmedRunMilliseconds: 1300,
-		listedSince: () => -10_000,
 		lastConfirmedBy: () => performance.now(),
 		requestConfirmation() {
 			// The confirmations of holders are set above.
@@ -123,6 +122,7 @@
 		worthlessInMilliseconds: 3000,
 		excluded: [],
 		generation,
+		earlierRunsMilliseconds: 0,
 		highestToken: 0,
 		moves: 0,
 		isCommitted: generation > 0,
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -215,7 +215,7 @@
   Scenario: A task whose last run was numbered higher by an earlier assignment is started again on the same endpoint
     Given 1 endpoint with room for 1 task
     And an owner of these endpoints
-    When the job is submitted by "first" as one that an earlier owner may have started
+    When the job is submitted by "first" as one whose runs by an earlier owner have ended
     And the endpoints run for 500 ms
     And the job is submitted again by "second"
     And the endpoints run for 1000 ms
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -23,7 +23,6 @@
 
 const processorOfTask = 1000;
 const maximumLeaseMilliseconds = 1000;
-const listedSince = -10_000;
 const untilPolledMilliseconds = 500;
 const untilStartedMilliseconds = 20;
 const firstJob = '5c0e7a21d94b36f8';
@@ -66,7 +65,6 @@
 		token: () => Math.max(token, world.raisedToken),
 		holdMaximumMilliseconds: maximumLeaseMilliseconds,
 		unconfirmedRunMilliseconds: 1300,
-		listedSince: () => listedSince,
 		remotePenalty: 1,
 		lastConfirmedBy: holder => world.lastConfirmedAt.get(holder) ?? performance.now(),
 		requestConfirmation() {
@@ -309,6 +307,10 @@
 	await submit(this, holder, createOrder(firstJob, 1));
 });
 
+When('the job is submitted by {string} as one whose runs by an earlier owner have ended', async function (this: StrayWorld, holder: string) {
+	await submit(this, holder, {...createOrder(firstJob, 1), earlierRunsMilliseconds: 0});
+});
+
 When('the endpoints run for {int} ms', async function (this: StrayWorld, milliseconds: number) {
 	await this.time.tickAsync(milliseconds);
 });
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -47,8 +47,6 @@
 	readonly update: (entry: EndpointEntry) => void;
 	/** Free capacity now; undefined while the endpoint takes no tasks. */
 	readonly availableCapacity: (factor: number) => EndpointCapacity | undefined;
-	/** Whether a poll has reported what runs there, or no run of an earlier owner can be active any more. */
-	readonly areRunsKnown: () => boolean;
 	/** Whether the first poll has neither been answered nor failed. */
 	readonly isAwaitingFirstAnswer: () => boolean;
 	/** Starts a task and waits for its end. */
@@ -251,10 +249,6 @@
 				countOf: runs.countOf,
 			};
 		},
-		areRunsKnown() {
-			const isPolled = reports.polledToken() === options.token() && !reachability.isSilent() && !hasOrphans();
-			return isPolled || isClosed || performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds;
-		},
 		isAwaitingFirstAnswer: () => reachability.isAwaitingFirstAnswer() && !isClosed,
 		async start(request) {
 			const run = createRun(request, RunState.Starting);
--- a/packages/galenakeeld/src/process/cells/cell-submissions.ts
+++ b/packages/galenakeeld/src/process/cells/cell-submissions.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {
 	FleetMessageKind, type AssignmentReference, type JobOrder, type JobUpdate, type TaskRedirect,
 } from '@galenakeel/model/connection/fleet-message.js';
@@ -25,6 +26,8 @@
 export type CellSubmissionsOptions = {
 	readonly jobs: Pick<CellJobs, 'all' | 'close' | 'finish' | 'get' | 'recordReturn' | 'repeatRedirects' | 'stopRuns'>;
 	readonly closedAssignments: Pick<ClosedAssignments, 'add' | 'findEnd' | 'get' | 'isForgotten'>;
+	/** Time for which a run may go on after its owner sent the last message that the holder has confirmed, in milliseconds. */
+	readonly unconfirmedRunMilliseconds: number;
 	readonly admit: JobAdmission['decide'];
 	/** Asks the holder for a confirmation if the leases of a job would end soon. */
 	readonly renewLease: (job: PlacedJob) => void;
@@ -47,7 +50,7 @@
 submissions.submit('10.1.0.13:7720', order);
 ```
 */
-export const createCellSubmissions = ({jobs, closedAssignments, admit, renewLease, notify, onDecision}: CellSubmissionsOptions): CellSubmissions => {
+export const createCellSubmissions = ({jobs, closedAssignments, unconfirmedRunMilliseconds, admit, renewLease, notify, onDecision}: CellSubmissionsOptions): CellSubmissions => {
 	/** Resends the updates that a holder may have missed. */
 	const resend = (job: PlacedJob): void => {
 		const reference = referenceOf(job);
@@ -64,8 +67,13 @@
 		}
 	};
 
+	/** Completes an order that doesn't say when the runs of earlier owners have ended: those owners may have been confirmed up to now. */
+	const complete = (order: JobOrder): JobOrder => ({
+		...order, earlierRunsMilliseconds: order.earlierRunsMilliseconds ?? (order.generation > 0 ? unconfirmedRunMilliseconds : 0),
+	});
+
 	/** Gives a job to the holder that submitted it last. */
-	const takeOver = (job: PlacedJob, holder: string, assignment: number): void => {
+	const takeOver = (job: PlacedJob, holder: string, {assignment}: JobOrder): void => {
 		onDecision(CellDecision.AssignmentReplaced, {...describePart(job), newHolder: holder, isContinued: true});
 		const superseded: JobUpdate = {kind: FleetMessageKind.Superseded, ...referenceOf(job)};
 		closedAssignments.add({holder: job.holder, assignment: job.assignment, updates: [superseded]});
@@ -83,18 +91,19 @@
 		jobs.stopRuns(job);
 	};
 
-	/** Replaces the other assignments with tasks of an order, since each task of a job is of one assignment at a time, and those of a part with its name. Returns the highest generation of these and the order, since its holder may not know of owners that another one has lost. */
-	const replaceOverlapping = (holder: string, order: JobOrder): number => {
+	/** Replaces the other assignments with tasks of an order, since each task of a job is of one assignment at a time, and those of a part with its name. Returns the order with the highest generation and the latest end of earlier runs of these and its own, since its holder may not know of owners that another one has lost. */
+	const replaceOverlapping = (holder: string, order: JobOrder): JobOrder => {
 		const key = partKeyOf(order.job.identifier, order.part);
-		let {generation} = order;
+		let {generation, earlierRunsMilliseconds = 0} = order;
 		for (const job of jobs.all()) {
 			if (keyOf(job) === key || hasOpenTasksOf(job, order)) {
 				generation = Math.max(generation, job.order.generation);
+				earlierRunsMilliseconds = Math.max(earlierRunsMilliseconds, job.earlierRunsEndAt - performance.now());
 				replace(job, holder);
 			}
 		}
 
-		return generation;
+		return {...order, generation, earlierRunsMilliseconds};
 	};
 
 	/** Tells a holder what it may have missed of an assignment that is or was here. Returns whether there was one. */
@@ -158,20 +167,20 @@
 	const submitAssignment = (holder: string, order: JobOrder): void => {
 		const known = jobs.get(partKeyOf(order.job.identifier, order.part));
 		if (known && isSameWork(known.order, order)) {
-			takeOver(known, holder, order.assignment);
+			takeOver(known, holder, order);
 			return;
 		}
 
-		const generation = replaceOverlapping(holder, order);
-		if (known !== undefined || !repeatEnd(holder, {...order, generation})) {
-			submitNew(holder, {...order, generation});
+		const completed = replaceOverlapping(holder, order);
+		if (known !== undefined || !repeatEnd(holder, completed)) {
+			submitNew(holder, completed);
 		}
 	};
 
 	return {
 		submit(holder, order) {
 			if (!repeatAnswer(holder, order)) {
-				submitAssignment(holder, order);
+				submitAssignment(holder, complete(order));
 			}
 		},
 		cancel(holder, reference) {
--- a/packages/galenakeeld/src/process/cells/cell.ts
+++ b/packages/galenakeeld/src/process/cells/cell.ts
@@ -52,8 +52,6 @@
 	readonly holdMaximumMilliseconds: number;
 	/** Time for which a run may go on after this daemon sent the last message that its holder has confirmed, in milliseconds. */
 	readonly unconfirmedRunMilliseconds: number;
-	/** Monotonic milliseconds since when this daemon has known endpoints of the cell; undefined before the first list. */
-	readonly listedSince: () => number | undefined;
 	readonly remotePenalty: number;
 	/** What other owners have learned of kinds of endpoints. */
 	readonly kindFactors: () => Readonly<Record<string, number>>;
@@ -156,7 +154,7 @@
 	const capacity = createCellCapacityCache({endpoints, jobs: jobs.all, typicalProcessor: () => admission.typicalProcessor()});
 
 	const conditions = createStartConditions({
-		endpoints, ownedSince: () => ownedSince, isSettled, listedSince: options.listedSince, holdMaximumMilliseconds, leaseLimitOf, latestLeaseEndOf,
+		endpoints, isSettled, holdMaximumMilliseconds, leaseLimitOf, latestLeaseEndOf,
 	});
 
 	const runs = createCellRuns({
@@ -172,7 +170,7 @@
 	});
 
 	const submissions = createCellSubmissions({
-		jobs, closedAssignments, admit: admission.decide, renewLease, notify, onDecision,
+		jobs, closedAssignments, unconfirmedRunMilliseconds: options.unconfirmedRunMilliseconds, admit: admission.decide, renewLease, notify, onDecision,
 	});
 
 	function dispatch(): void {
--- a/packages/galenakeeld/src/process/cells/placed-job.ts
+++ b/packages/galenakeeld/src/process/cells/placed-job.ts
@@ -51,6 +51,8 @@
 	/** The holder's assignment, which changes with the holder. */
 	assignment: number;
 	readonly receivedAt: number;
+	/** When each run has ended that other owners may have started. */
+	earlierRunsEndAt: number;
 	readonly dueAt: number;
 	readonly expiresAt: number;
 	readonly objectiveMilliseconds: number;
@@ -85,6 +87,7 @@
 		holder,
 		assignment: order.assignment,
 		receivedAt: now,
+		earlierRunsEndAt: now + (order.earlierRunsMilliseconds ?? 0),
 		dueAt: now + order.dueInMilliseconds,
 		expiresAt: now + order.worthlessInMilliseconds,
 		objectiveMilliseconds: order.objectiveMilliseconds,
--- a/packages/galenakeeld/src/process/cells/start-conditions.ts
+++ b/packages/galenakeeld/src/process/cells/start-conditions.ts
@@ -1,10 +1,10 @@
 import {performance} from 'node:perf_hooks';
-import {lapsedEntryMilliseconds, type CellEndpoints} from './cell-endpoints.js';
-import {maximumLeaseOf, minimumLeaseMilliseconds, yieldMilliseconds} from './maximum-lease.js';
+import type {CellEndpoints} from './cell-endpoints.js';
+import {maximumLeaseOf, minimumLeaseMilliseconds} from './maximum-lease.js';
 import type {PlacedJob} from './placed-job.js';
 
 /**
-Whether enough is known of the runs of earlier assignments and owners to start tasks.
+Whether no run of an earlier assignment or owner can be active beside one that starts.
 */
 export type StartConditions = {
 	/** Whether a run of the job is known that this submission has neither started nor adopted, as when its caller repeats it. */
@@ -19,12 +19,8 @@
 
 export type StartConditionsOptions = {
 	readonly endpoints: Pick<CellEndpoints, 'all' | 'strayJobs'>;
-	/** Monotonic milliseconds since when the token has been valid. */
-	readonly ownedSince: () => number;
 	/** Whether holders have had time to submit the jobs of an earlier owner again. */
 	readonly isSettled: () => boolean;
-	/** Monotonic milliseconds since when this daemon has known endpoints of the cell; undefined before the first list. */
-	readonly listedSince: () => number | undefined;
 	readonly holdMaximumMilliseconds: number;
 	/** Monotonic milliseconds after which no lease that is sent for a run of the job may end. */
 	readonly leaseLimitOf: (job: PlacedJob) => number;
@@ -41,14 +37,7 @@
 const startable = jobs.filter(job => conditions.isStartable(job, endpoints.strayJobs()));
 ```
 */
-export const createStartConditions = ({endpoints, ownedSince, isSettled, listedSince, holdMaximumMilliseconds, leaseLimitOf, latestLeaseEndOf}: StartConditionsOptions): StartConditions => {
-	/** Whether each endpoint on which an earlier owner may have started tasks has been polled, or can no longer run them. A new list may lack entries that lapsed. */
-	const areAllRunsKnown = (): boolean => {
-		const now = performance.now();
-		const isListComplete = now - (listedSince() ?? now) > lapsedEntryMilliseconds;
-		return isListComplete ? endpoints.all().every(endpoint => endpoint.areRunsKnown()) : now - ownedSince() > maximumLeaseOf(holdMaximumMilliseconds) + yieldMilliseconds;
-	};
-
+export const createStartConditions = ({endpoints, isSettled, holdMaximumMilliseconds, leaseLimitOf, latestLeaseEndOf}: StartConditionsOptions): StartConditions => {
 	const hasStrayRuns = ({order}: PlacedJob, strayJobs = endpoints.strayJobs()): boolean => strayJobs.has(order.job.identifier);
 
 	return {
@@ -56,6 +45,6 @@
 		isAwaitingFirstReports: () => !isSettled() && endpoints.all().some(endpoint => endpoint.isAwaitingFirstAnswer()),
 		isConfirmedLately: job => latestLeaseEndOf(job) >= performance.now() + maximumLeaseOf(holdMaximumMilliseconds),
 		isStartable: (job, strayJobs) =>
-			!hasStrayRuns(job, strayJobs) && leaseLimitOf(job) > performance.now() + minimumLeaseMilliseconds && (job.order.generation === 0 || (isSettled() && areAllRunsKnown())),
+			!hasStrayRuns(job, strayJobs) && leaseLimitOf(job) > performance.now() + minimumLeaseMilliseconds && performance.now() >= job.earlierRunsEndAt,
 	};
 };
--- a/packages/galenakeeld/src/process/fleet/__tests__/confirmed-leases.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/confirmed-leases.steps.ts
@@ -62,7 +62,6 @@
 		token: () => 1,
 		holdMaximumMilliseconds: maximumLeaseMilliseconds,
 		unconfirmedRunMilliseconds: 1300,
-		listedSince: () => 0,
 		remotePenalty: 1,
 		lastConfirmedBy: this.ownerConfirmations.confirmedBy,
 		requestConfirmation: this.ownerConfirmations.request,
--- a/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/job-intake.steps.ts
@@ -51,6 +51,7 @@
 		},
 		onCallerLeft: fail,
 		lastHeardFrom: fail,
+		runsEndAt: fail,
 		onDecision: fail,
 	});
 });
--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -202,7 +202,6 @@
 			token,
 			holdMaximumMilliseconds: settings.leases.maximumMilliseconds,
 			unconfirmedRunMilliseconds,
-			listedSince: () => cells.listedSince(name),
 			remotePenalty: settings.remotePenalty,
 			createCalls: entry => daemonLoad.countCalls(createEndpointClient(entry)),
 			notify(holder, update) {
@@ -447,6 +446,7 @@
 		readArrivals: awaitWholeTurn,
 		successorWaitMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
+		runsEndAt: ({address}) => confirmations.confirmedTo(address) + unconfirmedRunMilliseconds,
 		onDecision(decision, fields) {
 			const write = isRoutineOfHolder(decision, fields) ? logRoutine : logEvent;
 			write(decision, fields);
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -69,7 +69,7 @@
 	readonly readArrivals: () => Promise<void>;
 	readonly onAnswered: (answered: AnsweredJob) => void;
 	readonly onCallerLeft: (left: LeftCaller) => void;
-} & Pick<HoldOptions, 'lastHeardFrom' | 'onDecision' | 'successorWaitMilliseconds'>;
+} & Pick<HoldOptions, 'lastHeardFrom' | 'onDecision' | 'runsEndAt' | 'successorWaitMilliseconds'>;
 
 /** Maximum time since the last confirmation by the store up to which the configuration counts as current. */
 const configurationFreshnessMilliseconds = 2500;
@@ -143,6 +143,7 @@
 			},
 			successorWaitMilliseconds: options.successorWaitMilliseconds,
 			lastHeardFrom: options.lastHeardFrom,
+			runsEndAt: options.runsEndAt,
 			onDecision: options.onDecision,
 		}).finally(() => {
 			isAnswered = true;
--- a/packages/galenakeeld/src/process/fleet/listed-endpoints.ts
+++ b/packages/galenakeeld/src/process/fleet/listed-endpoints.ts
@@ -10,8 +10,6 @@
 	readonly latest: () => readonly EndpointEntry[] | undefined;
 	/** Endpoints that are missing in the latest list, but may still run tasks. */
 	readonly lapsed: () => readonly EndpointEntry[];
-	/** Time of the first list in monotonic milliseconds; undefined before it. */
-	readonly since: () => number | undefined;
 };
 
 /**
@@ -28,7 +26,6 @@
 */
 export const createListedEndpoints = (lapseMilliseconds: number): ListedEndpoints => {
 	let latest: readonly EndpointEntry[] | undefined;
-	let since: number | undefined;
 	let lapsed: ReadonlyArray<{readonly entry: EndpointEntry; readonly at: number}> = [];
 
 	return {
@@ -41,10 +38,8 @@
 				...missing.map(entry => ({entry, at: now})),
 			];
 			latest = entries;
-			since ??= now;
 		},
 		latest: () => latest,
 		lapsed: () => lapsed.filter(({at}) => performance.now() - at <= lapseMilliseconds).map(({entry}) => entry),
-		since: () => since,
 	};
 };
--- a/packages/galenakeeld/src/process/fleet/owned-cells.ts
+++ b/packages/galenakeeld/src/process/fleet/owned-cells.ts
@@ -35,8 +35,6 @@
 	readonly install: (entries: readonly EndpointEntry[]) => void;
 	/** Records the endpoints of a cell as sent by its owner, in case this daemon takes it over while the store is unavailable. */
 	readonly recordEndpoints: (cell: string, entries: readonly EndpointEntry[]) => void;
-	/** Time of the first list of a cell, in monotonic milliseconds; undefined before it. */
-	readonly listedSince: (cell: string) => number | undefined;
 	/** Returns the latest list of the endpoints of a cell; undefined before the first one. */
 	readonly endpointsOf: (cell: string) => readonly EndpointEntry[] | undefined;
 	readonly close: () => void;
@@ -307,7 +305,6 @@
 				recordList(name, entries);
 			}
 		},
-		listedSince: name => listed.get(name)?.since(),
 		endpointsOf: name => listed.get(name)?.latest(),
 		close() {
 			for (const name of cells.keys()) {
--- a/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -11,6 +11,8 @@
 	readonly heardFrom: (address: string) => HeardFrame | undefined;
 	/** Monotonic milliseconds at which this daemon sent the last frame that a peer has confirmed; negative infinity if there is none, or none since this daemon was suspended. For this daemon itself, the time up to which it has read what arrived. */
 	readonly confirmedBy: (address: string) => number;
+	/** Monotonic milliseconds at which the last frame was processed that this daemon has confirmed, or is about to confirm, to a peer in any of its lives; negative infinity if there is none. The peer had sent it by then, and grants leases by nothing later. For this daemon itself, the same as what it has confirmed. */
+	readonly confirmedTo: (address: string) => number;
 	/** Asks a peer to confirm at once, unless it was asked a moment ago. */
 	readonly request: (address: string) => void;
 };
@@ -31,18 +33,27 @@
 	readonly onConfirmed: () => void;
 };
 
+type ProcessedFrame = {
+	/** Monotonic clock of the peer. */
+	readonly sentAt: number;
+	/** Own monotonic clock. */
+	readonly processedAt: number;
+};
+
 type PeerRecord = {
 	readonly startedAt: number;
-	/** Time of the last frame that was processed, on the monotonic clock of the peer. */
-	processedSentAt: number;
-	/** The same for the last frame that was processed in a turn of the event loop that has ended. */
-	previousTurnSentAt: number;
-	/** The same for the last one since whose turn a whole turn has ended. */
-	confirmableSentAt: number;
+	/** The last frame that was processed. */
+	processed: ProcessedFrame;
+	/** The last frame that was processed in a turn of the event loop that has ended. */
+	previousTurn: ProcessedFrame;
+	/** The last one since whose turn a whole turn has ended. */
+	confirmable: ProcessedFrame;
 	/** Own monotonic clock. */
 	confirmedAt: number;
 };
 
+const noFrame: ProcessedFrame = {sentAt: Number.NEGATIVE_INFINITY, processedAt: Number.NEGATIVE_INFINITY};
+
 /** Time for which a request is not repeated, since its answer may be on its way. */
 const repeatMilliseconds = 100;
 
@@ -69,7 +80,7 @@
 		}
 
 		const record: PeerRecord = {
-			startedAt: peer.startedAt, processedSentAt: Number.NEGATIVE_INFINITY, previousTurnSentAt: Number.NEGATIVE_INFINITY, confirmableSentAt: Number.NEGATIVE_INFINITY, confirmedAt: Number.NEGATIVE_INFINITY,
+			startedAt: peer.startedAt, processed: noFrame, previousTurn: noFrame, confirmable: noFrame, confirmedAt: Number.NEGATIVE_INFINITY,
 		};
 		records.set(peer.address, record);
 		return record;
@@ -79,17 +90,20 @@
 	const confirmAtTurnEnd = (record: PeerRecord): void => {
 		setImmediate(() => {
 			beforeConfirming();
-			record.confirmableSentAt = record.previousTurnSentAt;
-			record.previousTurnSentAt = record.processedSentAt;
-			if (record.previousTurnSentAt > record.confirmableSentAt) {
+			record.confirmable = record.previousTurn;
+			record.previousTurn = record.processed;
+			if (record.previousTurn.sentAt > record.confirmable.sentAt) {
 				confirmAtTurnEnd(record);
 			}
 		});
 	};
 
 	const recordProcessed = (record: PeerRecord, sentAt: number): void => {
-		const isPending = record.processedSentAt > record.confirmableSentAt;
-		record.processedSentAt = Math.max(record.processedSentAt, sentAt);
+		const isPending = record.processed.sentAt > record.confirmable.sentAt;
+		if (sentAt > record.processed.sentAt) {
+			record.processed = {sentAt, processedAt: performance.now()};
+		}
+
 		if (!isPending) {
 			confirmAtTurnEnd(record);
 		}
@@ -113,13 +127,14 @@
 		},
 		heardFrom(address) {
 			const record = records.get(address);
-			const hasHeard = record !== undefined && record.confirmableSentAt > Number.NEGATIVE_INFINITY;
-			return hasHeard ? {startedAt: record.startedAt, sentAt: record.confirmableSentAt} : undefined;
+			const hasHeard = record !== undefined && record.confirmable !== noFrame;
+			return hasHeard ? {startedAt: record.startedAt, sentAt: record.confirmable.sentAt} : undefined;
 		},
 		confirmedBy(address) {
 			const confirmedAt = address === self ? readUpTo() : records.get(address)?.confirmedAt ?? Number.NEGATIVE_INFINITY;
 			return confirmedAt > lastSuspendedAt() ? confirmedAt : Number.NEGATIVE_INFINITY;
 		},
+		confirmedTo: address => address === self ? readUpTo() : records.get(address)?.confirmable.processedAt ?? Number.NEGATIVE_INFINITY,
 		request(address) {
 			const now = performance.now();
 			if (address !== self && now - (requests.get(address) ?? Number.NEGATIVE_INFINITY) >= repeatMilliseconds) {
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
@@ -24,3 +24,20 @@
   Scenario: A job doesn't run beside its next submission in another zone while requests and the ends of callers are held up
     When the conversations of the seeds 1 to 45 are held, with callers that return while daemons are slow and whose ends arrive late or never, as do their requests
     Then no rule was broken
+
+  # Guards against TWICE: the next owner took the runs of the former one for known by its own list of endpoints and the time since its own claim.
+  Scenario Outline: A task doesn't run twice when its owner <change> and the next one <unknown>
+    When the conversations of the seeds 13 to 16 are held, in which an owner <change> and the next one <unknown>
+    Then no rule was broken
+
+    Examples:
+      | change                | unknown                        |
+      | stands still          | has not listed an endpoint yet |
+      | stands still          | has forgotten an endpoint      |
+      | stands still          | does not reach an endpoint     |
+      | stands still for long | has not listed an endpoint yet |
+      | stands still for long | has forgotten an endpoint      |
+      | stands still for long | does not reach an endpoint     |
+      | leaves                | has not listed an endpoint yet |
+      | leaves                | has forgotten an endpoint      |
+      | leaves                | does not reach an endpoint     |
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.steps.ts
@@ -3,6 +3,7 @@
 import {Then, When} from '@cucumber/cucumber';
 import {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
 import {holdConversation, type ConversationFailure, type PlanConversation} from './assignment-conversation.js';
+import {planChangingOwners, type OwnerChange, type UnknownEndpoint} from './changing-owners.js';
 import {planFrozenJobs, type Frozen} from './frozen-jobs.js';
 import {planReturningCallers, type EndArrival, type Delay} from './returning-callers.js';
 
@@ -51,6 +52,10 @@
 	await hold(this, from, to, planReturningCallers(endArrival, delay));
 });
 
+When('the conversations of the seeds {int} to {int} are held, in which an owner {} and the next one {}', {timeout: timeoutMilliseconds}, async function (this: ConversationWorld, from: number, to: number, change: OwnerChange, unknown: UnknownEndpoint) {
+	await hold(this, from, to, planChangingOwners(change, unknown));
+});
+
 Then('no rule was broken', function (this: ConversationWorld) {
 	const summary = this.failures.map(({seed, rule, job}) => `seed ${seed}: ${rule}, job ${job}`).join('\n');
 	assert.equal(this.failures.length, 0, `${summary}\n\n${this.failures.slice(0, shownFailures).map(failure => describe(failure)).join('\n\n')}`);
--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
@@ -37,6 +37,8 @@
 	readonly random: SeededRandom;
 	readonly daemons: readonly SimulatedDaemon[];
 	readonly endpoints: readonly SimulatedEndpoint[];
+	/** What the platform lists of the endpoints, in the same order. */
+	readonly entries: readonly EndpointEntry[];
 	readonly streams: SimulatedStreams;
 	readonly history: ConversationHistory;
 };
@@ -113,6 +115,7 @@
 type Fleet = {
 	readonly daemons: readonly SimulatedDaemon[];
 	readonly endpoints: ReadonlyMap<string, SimulatedEndpoint>;
+	readonly entries: readonly EndpointEntry[];
 };
 
 const createEntries = (random: SeededRandom, zones: readonly string[]): readonly EndpointEntry[] => zones.flatMap(zone => Array.from({length: endpointsOfZone}, (_, index): EndpointEntry => ({
@@ -146,7 +149,7 @@
 		});
 	}
 
-	const fleet: Fleet = {daemons, endpoints};
+	const fleet: Fleet = {daemons, endpoints, entries};
 	return {fleet, streams};
 };
 
@@ -173,7 +176,7 @@
 	const {fleet, streams} = await createFleet(random, processes, history);
 	const queue = createQueue(random);
 	const plan = planConversation({
-		random, daemons: fleet.daemons, endpoints: [...fleet.endpoints.values()], streams, history,
+		random, daemons: fleet.daemons, endpoints: [...fleet.endpoints.values()], entries: fleet.entries, streams, history,
 	});
 	const callers = plan.callers.map((caller): SimulatedCaller => startSimulatedCaller(caller, queue, history));
 	const calmFrom = plan.endsAt + soonMilliseconds;
--- /dev/null
+++ b/packages/galenakeeld/src/request/__tests__/changing-owners.ts
@@ -0,0 +1,162 @@
+/**
+Conversations in which a cell changes its owner while the next one doesn't know all endpoints on which the former one starts tasks.
+*/
+import type {Job} from '@galenakeel/model/request/job.js';
+import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
+import type {ConversationParts, PlanConversation} from './assignment-conversation.js';
+import type {SeededRandom} from './seeded-random.js';
+import type {CallerPlan} from './simulated-caller.js';
+import type {SimulatedDaemon} from './simulated-daemon.js';
+
+/**
+How an owner loses its cell.
+*/
+export enum OwnerChange {
+	/** It stands still for some seconds, and learns of the next owner some time after it has woken. */
+	Stop = 'stands still',
+	/** It announces that it leaves, and hears of the next owner at once. */
+	Leave = 'leaves',
+	/** It stands still until the next owner has done its work. */
+	LongStop = 'stands still for long',
+}
+
+/**
+Why the next owner doesn't know what runs at an endpoint.
+*/
+export enum UnknownEndpoint {
+	/** The former owner has listed the endpoint, the next one has not yet. */
+	New = 'has not listed an endpoint yet',
+	/** The entry of the endpoint has expired some time before, and the former owner's runs go on there. */
+	Forgotten = 'has forgotten an endpoint',
+	/** The calls of the next owner don't arrive at the endpoint. */
+	Unreached = 'does not reach an endpoint',
+}
+
+const zone = 'north';
+const processorOfTask = 1000;
+const label = 'a';
+const shortTaskMilliseconds = 700;
+const longTaskMilliseconds = 4500;
+/** When the jobs are submitted: lists that were read before, and what a cell remembers of earlier ones, have settled. */
+const submitMilliseconds = 4400;
+const forgetMilliseconds = 2700;
+const stops = [1500, 4500] as const;
+const longStops = [5000, 6000] as const;
+const betweenMilliseconds = [50, 500] as const;
+const afterwardsMilliseconds = 2000;
+const jobsOfConversation = 3;
+
+/** Its tasks require a label, so that they stay in their cell. */
+const createJob = (random: SeededRandom, number: number): Job => {
+	const milliseconds = random.pick([shortTaskMilliseconds, longTaskMilliseconds, longTaskMilliseconds]);
+	const tasks = random.integer(1, 2);
+	return {
+		identifier: number.toString(16).padStart(16, '0'),
+		specification: JSON.stringify([Array.from({length: tasks}, () => milliseconds)]),
+		steps: [{
+			tasks, room: {processor: processorOfTask, memoryMegabytes: 1, accelerators: 0}, estimateMilliseconds: milliseconds, requiredLabel: label, after: [],
+		}],
+	};
+};
+
+/**
+Plans conversations in which an owner is replaced by one that doesn't know an endpoint.
+
+@example
+```
+const {failures} = await holdConversation(17, planChangingOwners(OwnerChange.Stop, UnknownEndpoint.New));
+```
+*/
+export const planChangingOwners = (change: OwnerChange, unknown: UnknownEndpoint): PlanConversation => ({random, daemons, endpoints, entries, history}: ConversationParts) => {
+	const ofZone = daemons.filter(daemon => daemon.zone === zone);
+	const unknownAt = entries.findLastIndex(entry => entry.zone === zone);
+	const others = entries.toSpliced(unknownAt, 1);
+	const changesAt = submitMilliseconds + (unknown === UnknownEndpoint.Forgotten ? forgetMilliseconds : 0) + random.integer(...betweenMilliseconds);
+	const [leastStop, mostStop] = change === OwnerChange.LongStop ? longStops : stops;
+	const stopMilliseconds = random.integer(leastStop, mostStop);
+
+	const schedule = (at: number, text: string, action: () => void): void => {
+		setTimeout(() => {
+			history.record(undefined, `*** ${text}`);
+			action();
+		}, at);
+	};
+
+	const findOwner = (): SimulatedDaemon | undefined => ofZone.find(daemon => daemon.ownedCells().includes(zone));
+
+	/** A daemon that stands still reads a list once it has woken. */
+	const list = (listed: readonly EndpointEntry[], readers: readonly SimulatedDaemon[]): void => {
+		for (const daemon of readers) {
+			daemon.process.execute('store', () => {
+				daemon.list(listed);
+			});
+		}
+	};
+
+	/** All daemons but one read that the platform lists one endpoint less, and forget it. */
+	const forgetAt = (at: number): void => {
+		for (const milliseconds of [at, at + forgetMilliseconds]) {
+			schedule(milliseconds, `the platform lists ${others.length} endpoints`, () => {
+				list(others, daemons);
+			});
+		}
+	};
+
+	/** The former owner, as known when the change began. */
+	let former: SimulatedDaemon | undefined;
+
+	const planUnknown = (): void => {
+		switch (unknown) {
+			case UnknownEndpoint.New: {
+				const listedAt = change === OwnerChange.Stop ? changesAt + stopMilliseconds : changesAt - random.integer(...betweenMilliseconds);
+				forgetAt(1);
+				schedule(listedAt - 1, 'the former owner reads of a new endpoint', () => {
+					list(entries, ofZone.filter(daemon => daemon === (former ?? findOwner())));
+				});
+				schedule(listedAt + (2 * random.integer(...betweenMilliseconds)), 'the others read of the new endpoint', () => {
+					list(entries, daemons);
+				});
+				break;
+			}
+
+			case UnknownEndpoint.Forgotten: {
+				forgetAt(submitMilliseconds + 1);
+				break;
+			}
+
+			case UnknownEndpoint.Unreached: {
+				schedule(changesAt, 'the next owner does not reach an endpoint', () => {
+					for (const daemon of ofZone.filter(one => one !== former)) {
+						endpoints[unknownAt]!.cutOff(daemon.process.name);
+					}
+				});
+			}
+		}
+	};
+
+	const planChange = (): void => {
+		schedule(changesAt - 1, `the owner ${change}`, () => {
+			former = findOwner();
+			if (change === OwnerChange.Leave) {
+				former?.process.execute('signals', former.leave);
+			} else {
+				former?.process.stop();
+			}
+		});
+		if (change !== OwnerChange.Leave) {
+			schedule(changesAt + stopMilliseconds, 'it wakes', () => {
+				former?.process.resume();
+			});
+		}
+	};
+
+	planChange();
+	planUnknown();
+	const callers = Array.from({length: jobsOfConversation}, (_, number): CallerPlan => ({
+		job: createJob(random, number),
+		submitsAt: submitMilliseconds + Math.round(number * random.integer(...betweenMilliseconds) / 4),
+		daemons: [random.pick(ofZone)],
+		leavesAfter: [Number.POSITIVE_INFINITY],
+	}));
+	return {callers, endsAt: changesAt + stopMilliseconds + afterwardsMilliseconds};
+};
--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -71,6 +71,43 @@
     And the owner of "south" is lost, and no other instance claims the cell
     Then part "1" was last submitted to "north" with the highest token 0
 
+  Scenario: A part that no owner has had is submitted as one without earlier runs
+    Then part "0" was last submitted to "north" as one without earlier runs
+
+  # Guards against TWICE: the next owner wasn't told until when the former one's runs may go on.
+  Scenario: A part whose owner is lost is submitted with the time after which its runs have ended
+    Given what the owner of "north" has started may run for 60000 ms
+    When the owner of "north" is lost
+    Then part "0" was last submitted to "north" as one whose earlier runs have ended after 60000 ms
+
+  # The same, for a cell whose endpoints no fencing token of the former owner's cell reaches.
+  Scenario: A part that moves from a cell without an owner is submitted with the time after which its runs have ended there
+    When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    Given what the owner of "south" has started may run for 60000 ms
+    When the owner of "south" is lost, and no other instance claims the cell
+    Then part "1" was last submitted to "north" as one whose earlier runs have ended after 60000 ms
+
+  # The same, for the runs of an owner that was lost before the last one.
+  Scenario: A part that lost two owners is submitted with the time after which the runs of both have ended
+    Given what the owner of "north" has started may run for 60000 ms
+    When the owner of "north" is lost
+    And what the owner of "north" has started may run for 100 ms
+    And the owner of "north" is lost again
+    Then part "0" was last submitted to "north" as one whose earlier runs have ended after 60000 ms
+
+  Scenario: An owner that has dropped a part knows its own runs when it gets the part again
+    Given what the owner of "north" has started may run for 60000 ms
+    When the owner of "north" has dropped part "0", in which the task "0.0" succeeded, after a start
+    Then part "0" was last submitted to "north" as one without earlier runs
+
+  # Guards against TWICE: the stops of a part that its owner has dropped may be on their way when the cell changes its owner.
+  Scenario: A part that its owner dropped after a start is submitted to the next owner with the time after which its runs have ended
+    Given what the owner of "north" has started may run for 60000 ms
+    When the owner of "north" has dropped part "0", in which the task "0.0" succeeded, after a start
+    And what the owner of "north" has started may run for 100 ms
+    And the owner of "north" is lost
+    Then part "0" was last submitted to "north" as one whose earlier runs have ended after 60000 ms
+
   Scenario: A part that fails ends the job, and the other parts are cancelled
     When the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
     And the owner of "south" fails part "1"
--- a/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {performance} from 'node:perf_hooks';
 import {setImmediate as turn} from 'node:timers/promises';
 import {
 	Given, Then, When,
@@ -22,6 +23,8 @@
 	terms: Map<string, number>;
 	submitted: Array<{readonly cell: string; readonly order: JobOrder}>;
 	cancelled: string[];
+	/** Monotonic milliseconds by which the runs of the owner of a cell have ended; by now for a cell without an entry. */
+	runEnds: Map<string, number>;
 	holdings: HeldJob[];
 	answer: JobAnswer | undefined;
 	hasCallerLeft: boolean;
@@ -76,6 +79,7 @@
 	this.terms = new Map([['north', 1], ['south', 1]]);
 	this.submitted = [];
 	this.cancelled = [];
+	this.runEnds = new Map();
 	this.holdings = [];
 	this.answer = undefined;
 	this.hasCallerLeft = false;
@@ -102,6 +106,7 @@
 			},
 			successorWaitMilliseconds: 1,
 			lastHeardFrom: () => undefined,
+			runsEndAt: ({address}) => this.runEnds.get(address) ?? performance.now(),
 			onDecision() {
 				// The answer and the orders show what was decided.
 			},
@@ -201,8 +206,12 @@
 	await settle();
 });
 
-When('the owner of {string} is lost', async function (this: HolderWorld, cell: string) {
-	this.terms.set(cell, 2);
+Given('what the owner of {string} has started may run for {int} ms', function (this: HolderWorld, cell: string, milliseconds: number) {
+	this.runEnds.set(cell, performance.now() + milliseconds);
+});
+
+When('the owner of {string} is lost( again)', async function (this: HolderWorld, cell: string) {
+	this.terms.set(cell, this.terms.get(cell)! + 1);
 	this.heldJobs.checkOwners(name => ({address: name, term: this.terms.get(name)!, token: this.terms.get(name)!}));
 	await settle();
 });
@@ -263,6 +272,19 @@
 	assert.equal(last.order.highestToken, token);
 });
 
+Then('part {string} was last submitted to {string} as one whose earlier runs have ended after {int} ms', function (this: HolderWorld, part: string, cell: string, milliseconds: number) {
+	const last = ordersOf(this, part).at(-1)!;
+	assert.equal(last.cell, cell);
+	const earlierRunsMilliseconds = last.order.earlierRunsMilliseconds!;
+	assert.ok(earlierRunsMilliseconds <= milliseconds && earlierRunsMilliseconds > milliseconds / 2, String(earlierRunsMilliseconds));
+});
+
+Then('part {string} was last submitted to {string} as one without earlier runs', function (this: HolderWorld, part: string, cell: string) {
+	const last = ordersOf(this, part).at(-1)!;
+	assert.equal(last.cell, cell);
+	assert.equal(last.order.earlierRunsMilliseconds, 0);
+});
+
 Then('part {string} was submitted {int} times', function (this: HolderWorld, part: string, times: number) {
 	assert.equal(ordersOf(this, part).length, times);
 });
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -49,6 +49,10 @@
 	readonly connect: (addresses: readonly string[]) => void;
 	/** Gives up its cells, so that another daemon claims them. */
 	readonly yieldCells: () => void;
+	/** Reads a list of the endpoints from the store. */
+	readonly list: (entries: readonly EndpointEntry[]) => void;
+	/** Announces that it leaves, so that other daemons claim its cells. */
+	readonly leave: () => void;
 	readonly ownedCells: () => readonly string[];
 	readonly close: () => void;
 };
@@ -74,7 +78,6 @@
 const returnMilliseconds = 1300;
 /** Less often than in `startFleetDaemon`, to save time. */
 const announceLoadsMilliseconds = 40;
-const listedMillisecondsAgo = 10_000;
 const processorOfMachine = 1;
 
 /**
@@ -116,6 +119,7 @@
 	const rollCall = createRollCall(() => view.all().filter(peer => peer.zone === zone).map(({address}) => address));
 	const discovery = createDiscovery({lastHeardAt: address => view.get(address)?.lastHeartbeatAt, hasReachablePeers: () => view.all().length > 0});
 	discovery.expect(options.neighbours);
+	let isLeaving = false;
 
 	const recordDecision = (decision: string, fields: Readonly<Record<string, unknown>>): void => {
 		history.record(fields.job as string | undefined, `${self} ${decision} ${JSON.stringify({...fields, job: undefined})}`);
@@ -131,7 +135,6 @@
 			token,
 			holdMaximumMilliseconds: maximumLeaseMilliseconds,
 			unconfirmedRunMilliseconds,
-			listedSince: () => performance.now() - listedMillisecondsAgo,
 			remotePenalty: 1,
 			createCalls: options.createCalls,
 			notify(holder, update) {
@@ -177,7 +180,7 @@
 		view,
 		cellCounts: () => ({}),
 		configurationVersion: () => 1,
-		isLeaving: () => false,
+		isLeaving: () => isLeaving,
 		urgencyOf,
 	});
 
@@ -185,7 +188,7 @@
 		zone,
 		cells: () => zones,
 		daemons: () => [description.claimant(), ...view.all()],
-		revisions: () => [view.revision(), cells.revision()],
+		revisions: () => [view.revision(), cells.revision(), isLeaving],
 		isConnected: address => links.isConnected(address),
 	});
 
@@ -348,6 +351,7 @@
 		readArrivals: awaitWholeTurn,
 		successorWaitMilliseconds,
 		lastHeardFrom: ({address}) => address === self ? performance.now() : view.get(address)?.lastHeartbeatAt,
+		runsEndAt: ({address}) => confirmations.confirmedTo(address) + unconfirmedRunMilliseconds,
 		onDecision: recordDecision,
 		onCallerLeft({job, cause}) {
 			recordDecision('reads that the caller has left', {job, cause});
@@ -370,6 +374,11 @@
 
 			links.sendHeartbeats();
 		},
+		list: cells.install,
+		leave() {
+			isLeaving = true;
+			links.sendHeartbeats();
+		},
 		ownedCells: () => cells.all().map(({name}) => name),
 		close() {
 			clearInterval(timer);
--- a/packages/galenakeeld/src/request/__tests__/simulated-endpoint.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-endpoint.ts
@@ -35,6 +35,10 @@
 	readonly runs: readonly SimulatedRun[];
 	/** For some time, leaves calls unanswered and carries them out late, in milliseconds. */
 	readonly carryOutLate: (milliseconds: number) => void;
+	/** Loses the calls of a daemon, and the answers to them, from now on. */
+	readonly cutOff: (daemon: string) => void;
+	/** Carries out the calls of a daemon again. */
+	readonly reach: (daemon: string) => void;
 };
 
 /** How tasks run: the milliseconds of each task, by step and index. */
@@ -81,6 +85,8 @@
 	let wakePolls: Array<() => void> = [];
 	/** Monotonic milliseconds up to which calls are carried out late. */
 	let lateUntil = 0;
+	/** Daemons whose calls are lost. */
+	const lostDaemons = new Set<string>();
 
 	const keyOf = (task: TaskKey): string => `${task.job} ${positionOf(task)}`;
 	const activeRuns = (): readonly SimulatedRun[] => runs.filter(({end}) => end === undefined);
@@ -235,6 +241,14 @@
 		return undefined;
 	};
 
+	/** Loses a call that is never carried out. */
+	const loseCall = async (waitMilliseconds: number): Promise<undefined> => {
+		await new Promise(resolve => {
+			setTimeout(resolve, timeoutMilliseconds + waitMilliseconds);
+		});
+		return undefined;
+	};
+
 	const performInTime = async <Reply>(perform: () => Promise<Reply>): Promise<Reply> => {
 		await delay();
 		const reply = await perform();
@@ -251,8 +265,16 @@
 		const call = async <Reply>(perform: () => Promise<Reply>, unknown: Reply, waitMilliseconds = 0): Promise<Reply> => new Promise(resolve => {
 			callCount++;
 			const source = `${identifier} ${callCount}`;
+			const send = async (): Promise<Reply | undefined> => {
+				if (lostDaemons.has(process.name)) {
+					return loseCall(waitMilliseconds);
+				}
+
+				return isCalledLate() ? performLate(perform, waitMilliseconds) : performInTime(perform);
+			};
+
 			const answer = async (): Promise<void> => {
-				const reply = await (isCalledLate() ? performLate(perform, waitMilliseconds) : performInTime(perform));
+				const reply = await send();
 				process.execute(source, () => {
 					resolve(reply ?? unknown);
 				});
@@ -280,5 +302,11 @@
 		carryOutLate(milliseconds) {
 			lateUntil = performance.now() + milliseconds;
 		},
+		cutOff(daemon) {
+			lostDaemons.add(daemon);
+		},
+		reach(daemon) {
+			lostDaemons.delete(daemon);
+		},
 	};
 };
--- a/packages/galenakeeld/src/request/assign-part.ts
+++ b/packages/galenakeeld/src/request/assign-part.ts
@@ -36,7 +36,7 @@
 export type AssignPartOptions = {
 	/** Identifier of the job. */
 	readonly job: string;
-	readonly createOrder: (part: JobPart, assignment: number, assignedMillisecondsAgo: number) => JobOrder;
+	readonly createOrder: (part: JobPart, owner: CellOwner, assignment: number, assignedMillisecondsAgo: number) => JobOrder;
 	readonly send: (owner: CellOwner, message: FleetMessage) => void;
 	readonly lastHeardFrom: (owner: CellOwner) => number | undefined;
 	/** Called when a task of the job has started, or may have. */
@@ -77,7 +77,7 @@
 
 	const submit = (isRepeated: boolean): void => {
 		options.send(owner, {
-			kind: FleetMessageKind.Submit, cell: part.cell, term: owner.term, order: options.createOrder(part, assignment, performance.now() - assignedAt),
+			kind: FleetMessageKind.Submit, cell: part.cell, term: owner.term, order: options.createOrder(part, owner, assignment, performance.now() - assignedAt),
 		});
 		logDecision(HolderDecision.PartSubmitted, {isRepeated});
 	};
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -9,7 +9,7 @@
 import {AssignmentEnd, assignPart, type AssignPartOptions} from './assign-part.js';
 import type {HolderDecision} from './holder-decision.js';
 import type {JobAnswer} from './job-answer.js';
-import {createJobPart, type JobPart} from './job-part.js';
+import {createJobPart, earlierRunsMilliseconds, type JobPart} from './job-part.js';
 
 export type HoldOptions = {
 	readonly homeCell: string;
@@ -26,6 +26,8 @@
 	readonly successorWaitMilliseconds: number;
 	/** Monotonic milliseconds at which an owner was last heard; undefined while it isn't in sight. */
 	readonly lastHeardFrom: (owner: CellOwner) => number | undefined;
+	/** Monotonic milliseconds by which each run has ended that an owner may have started for jobs of this daemon, if no further frame is confirmed to it before its assignment is cancelled. */
+	readonly runsEndAt: (owner: CellOwner) => number;
 	readonly onDecision: (decision: HolderDecision, fields: Readonly<Record<string, unknown>>) => void;
 };
 
@@ -69,7 +71,7 @@
 	/** The job can be refused while nothing has started and only one part has tasks. Parts without tasks don't count: all their tasks were redirected, and they are about to end. */
 	const isCommitted = (): boolean => hasStarted || [...heldParts.keys()].filter(({positions}) => positions.size > 0).length > 1;
 
-	const createOrder = (part: JobPart, assignment: number, assignedMillisecondsAgo: number): JobOrder => {
+	const createOrder = (part: JobPart, owner: CellOwner, assignment: number, assignedMillisecondsAgo: number): JobOrder => {
 		part.wasCommitted = isCommitted();
 		const age = performance.now() - arrivedAt;
 		return {
@@ -86,6 +88,7 @@
 			worthlessInMilliseconds: (expiryObjectives * objective) - age,
 			excluded: allPositions.filter(position => !part.positions.has(position)),
 			generation: part.generation,
+			earlierRunsMilliseconds: earlierRunsMilliseconds(part, owner),
 			highestToken: part.highestTokens.get(part.cell) ?? 0,
 			moves: part.moves,
 			isCommitted: part.wasCommitted,
@@ -136,6 +139,7 @@
 	/** Later starts of the part have to wait for what the owner may have started. */
 	const recordPossibleRuns = (part: JobPart, owner: CellOwner): void => {
 		part.generation++;
+		part.earlierRuns.push({owner, endAt: options.runsEndAt(owner)});
 		part.highestTokens.set(part.cell, Math.max(part.highestTokens.get(part.cell) ?? 0, owner.token));
 	};
 
--- a/packages/galenakeeld/src/request/job-part.ts
+++ b/packages/galenakeeld/src/request/job-part.ts
@@ -1,3 +1,16 @@
+import {performance} from 'node:perf_hooks';
+import type {CellOwner} from '../process/fleet/held-jobs.js';
+
+/**
+Runs that an owner may have started for a part before it was assigned anew.
+*/
+export type EarlierRuns = {
+	/** What the owner knows of them in its term. */
+	readonly owner: Pick<CellOwner, 'address' | 'term'>;
+	/** Monotonic milliseconds by which each of them has ended. */
+	readonly endAt: number;
+};
+
 /**
 A subset of a job's tasks, assigned to one owner at a time.
 */
@@ -11,6 +24,8 @@
 	generation: number;
 	/** Highest fencing token of these owners, by cell, since the endpoints of one cell never receive the tokens of another. */
 	readonly highestTokens: Map<string, number>;
+	/** Runs of these owners. */
+	readonly earlierRuns: EarlierRuns[];
 	/** Number of times that owners have redirected the tasks to another cell. */
 	readonly moves: number;
 	/** The last order for the part said that it can't be refused. */
@@ -19,7 +34,27 @@
 
 /**
 Creates a part that no owner has had.
+
+@example
+```
+const part = createJobPart({name: '0', cell: 'ie-south-a', positions: ['0.0', '0.1'], moves: 0});
+```
 */
 export const createJobPart = ({name, cell, positions, moves}: {readonly name: string; readonly cell: string; readonly positions: Iterable<string>; readonly moves: number}): JobPart => ({
-	name, cell, positions: new Set(positions), generation: 0, highestTokens: new Map(), moves, wasCommitted: false,
+	name, cell, positions: new Set(positions), generation: 0, highestTokens: new Map(), earlierRuns: [], moves, wasCommitted: false,
 });
+
+/**
+Returns the milliseconds until each run of a part has ended that other owners than this one may have started. An owner knows what it has started itself in its present term.
+
+@example
+```
+earlierRunsMilliseconds(part, owner); // => 840
+```
+*/
+export const earlierRunsMilliseconds = ({earlierRuns}: JobPart, owner: CellOwner): number => {
+	const ends = earlierRuns
+		.filter(({owner: {address, term}}) => address !== owner.address || term !== owner.term)
+		.map(({endAt}) => endAt - performance.now());
+	return Math.ceil(Math.max(0, ...ends));
+};
--- a/packages/model/src/connection/fleet-message.ts
+++ b/packages/model/src/connection/fleet-message.ts
@@ -159,6 +159,8 @@
 	readonly excluded: readonly string[];
 	/** Number of the job's submissions to owners whose tasks may have been started; attempts of later ones have higher numbers. */
 	readonly generation: number;
+	/** Milliseconds until each run has ended that other owners may have started for the part; undefined if the holder doesn't know, as in orders of earlier builds. */
+	readonly earlierRunsMilliseconds?: number;
 	/** Highest token of the owners that may have started tasks of the job. */
 	readonly highestToken: number;
 	/** Number of times that owners have transferred the part to another cell. */
