Keep what an earlier life of a peer was confirmed when it restarts

What callers would see: TWICE. An owner that is killed and starts again at its address within a lease has left runs behind, which its restart doesn't end.

Cause: the record of what was confirmed to a peer begins anew with each of its lives, so the holder took a restarted owner for one that had started nothing, and the order to the next owner named no time.

Evidence: by reading, then the new scenario of peer-confirmations.feature, which failed on (negative infinity in place of 5000 ms).

Change: the record of the next life keeps when the last confirmed frame of earlier ones was processed. What is confirmed to the peer is as before.

Measured: peer-confirmations.feature, 12 passed.

--- a/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.feature
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.feature
@@ -68,6 +68,36 @@
     When the turn ends
     Then the frame of 40 ms is confirmed to the peer
 
+  Scenario: What a peer may start for this daemon's jobs counts from when its last confirmed frame was processed
+    Then nothing was confirmed to the peer
+    When a frame of the peer arrives that it sent at 20 ms
+    And the turn ends
+    Then nothing was confirmed to the peer
+    When the daemon runs on for 100 ms
+    And the next turn ends
+    Then the last frame that was confirmed to the peer was processed at 5000 ms
+    When a frame of the peer arrives that it sent at 10 ms
+    And the turn ends
+    And the next turn ends
+    Then the last frame that was confirmed to the peer was processed at 5000 ms
+
+  # Guards against TWICE: a peer ends and starts again at its address, and what its earlier life has started goes on.
+  Scenario: What an earlier life of a peer may have started counts after its restart
+    When a frame of the peer arrives that it sent at 20 ms
+    And the turn ends
+    And the next turn ends
+    And the daemon runs on for 100 ms
+    And the peer restarts, and a frame of it arrives that it sent at 10 ms
+    Then the last frame that was confirmed to the peer was processed at 5000 ms
+    When the turn ends
+    And the next turn ends
+    Then the last frame that was confirmed to the peer was processed at 5100 ms
+
+  Scenario: What this daemon may start for its own jobs counts from what it has read
+    When the daemon runs on for 100 ms
+    And the daemon has read what arrived for it
+    Then the daemon has confirmed up to 5100 ms to itself
+
   Scenario: A request is not repeated while its answer may be on its way, and a frame that was sent before it answers nothing
     When a confirmation is requested 2 times
     Then 1 request was sent
--- a/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
+++ b/packages/galenakeeld/src/process/fleet/__tests__/peer-confirmations.steps.ts
@@ -128,6 +128,18 @@
 	assert.equal(this.confirmations.confirmedBy(self), Number.NEGATIVE_INFINITY);
 });
 
+Then('nothing was confirmed to the peer', function (this: ConfirmationsWorld) {
+	assert.equal(this.confirmations.confirmedTo(peer), Number.NEGATIVE_INFINITY);
+});
+
+Then('the last frame that was confirmed to the peer was processed at {int} ms', function (this: ConfirmationsWorld, processedAt: number) {
+	assert.equal(this.confirmations.confirmedTo(peer), processedAt);
+});
+
+Then('the daemon has confirmed up to {int} ms to itself', function (this: ConfirmationsWorld, at: number) {
+	assert.equal(this.confirmations.confirmedTo(self), at);
+});
+
 Then('{int} request(s) was/were sent', function (this: ConfirmationsWorld, count: number) {
 	assert.deepEqual(this.requested, Array.from({length: count}, () => peer));
 });
--- a/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -48,6 +48,8 @@
 	previousTurn: ProcessedFrame;
 	/** The last one since whose turn a whole turn has ended. */
 	confirmable: ProcessedFrame;
+	/** When the last confirmable frame of the earlier lives of the peer was processed, on the own monotonic clock. */
+	readonly earlierProcessedAt: number;
 	/** Own monotonic clock. */
 	confirmedAt: number;
 };
@@ -72,7 +74,9 @@
 	/** Times of the requests that have not been answered, in monotonic milliseconds. */
 	const requests = new Map<string, number>();
 
-	/** The record of this life of a peer; frames of an earlier life prove nothing. */
+	const lastProcessedAt = ({confirmable, earlierProcessedAt}: PeerRecord): number => Math.max(confirmable.processedAt, earlierProcessedAt);
+
+	/** The record of this life of a peer; frames of an earlier life prove nothing, but runs that it started may go on. */
 	const recordOf = (peer: Pick<Heartbeat, 'address' | 'startedAt'>): PeerRecord => {
 		const known = records.get(peer.address);
 		if (known?.startedAt === peer.startedAt) {
@@ -80,7 +84,12 @@
 		}
 
 		const record: PeerRecord = {
-			startedAt: peer.startedAt, processed: noFrame, previousTurn: noFrame, confirmable: noFrame, confirmedAt: Number.NEGATIVE_INFINITY,
+			startedAt: peer.startedAt,
+			processed: noFrame,
+			previousTurn: noFrame,
+			confirmable: noFrame,
+			confirmedAt: Number.NEGATIVE_INFINITY,
+			earlierProcessedAt: known ? lastProcessedAt(known) : Number.NEGATIVE_INFINITY,
 		};
 		records.set(peer.address, record);
 		return record;
@@ -134,7 +143,14 @@
 			const confirmedAt = address === self ? readUpTo() : records.get(address)?.confirmedAt ?? Number.NEGATIVE_INFINITY;
 			return confirmedAt > lastSuspendedAt() ? confirmedAt : Number.NEGATIVE_INFINITY;
 		},
-		confirmedTo: address => address === self ? readUpTo() : records.get(address)?.confirmable.processedAt ?? Number.NEGATIVE_INFINITY,
+		confirmedTo(address) {
+			const record = records.get(address);
+			if (address === self) {
+				return readUpTo();
+			}
+
+			return record ? lastProcessedAt(record) : Number.NEGATIVE_INFINITY;
+		},
 		request(address) {
 			const now = performance.now();
 			if (address !== self && now - (requests.get(address) ?? Number.NEGATIVE_INFINITY) >= repeatMilliseconds) {
