Take over the later end of earlier runs with a job

What callers would see: TWICE, where two daemons hold one job, each has lost an owner, and the second one's runs may go on longer.

Cause: a holder that takes a waiting job over at the same generation changed its holder and assignment only; what its order says of the runs of earlier owners was dropped.

Change: the later of both ends counts. Two scenarios beside it hold the end that the first holder named, for an order that takes over and for one that replaces.

--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.feature
@@ -41,6 +41,32 @@
     When the cell runs for 100 ms
     Then 2 tasks were started here
 
+  # Guards against TWICE: a second holder of a job may have lost an owner later than the first.
+  Scenario: Tasks that a second holder takes over start no sooner than the runs have ended that it knows of
+    When a job of 2 tasks is submitted, whose runs by an earlier owner have ended after 300 ms
+    And the job is submitted by "other" in a new assignment, whose runs by an earlier owner have ended after 700 ms
+    And the cell runs for 600 ms
+    Then no task was started here
+    When the cell runs for 100 ms
+    Then 2 tasks were started here
+
+  # The same, where the second holder has lost no owner, or another number of them.
+  Scenario: Tasks that a second holder takes over start no sooner than the runs have ended that the first one knew of
+    When a job of 2 tasks is submitted, whose runs by an earlier owner have ended after 700 ms
+    And the job is submitted by "other" in a new assignment, whose runs by an earlier owner have ended after 0 ms
+    And the cell runs for 600 ms
+    Then no task was started here
+    When the cell runs for 100 ms
+    Then 2 tasks were started here
+
+  Scenario: Tasks of a new order that replaces an earlier one start no sooner than the runs have ended that the earlier one named
+    When a job of 2 tasks is submitted, whose runs by an earlier owner have ended after 700 ms
+    And the job is submitted by "other" as one that no owner has had
+    And the cell runs for 550 ms
+    Then no task was started here
+    When the cell runs for 150 ms
+    Then 2 tasks were started here
+
   Scenario: Tasks of an earlier owner whose runs have ended start at once
     When a job of 2 tasks is submitted, whose runs by an earlier owner have ended after 0 ms
     Then 2 tasks were started here
--- a/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/cell-parts.steps.ts
@@ -285,6 +285,16 @@
 	await submitAnew(this, by, []);
 });
 
+When('the job is submitted by {string} in a new assignment, whose runs by an earlier owner have ended after {int} ms', async function (this: PartsWorld, by: string, milliseconds: number) {
+	this.order = {...this.order, earlierRunsMilliseconds: milliseconds};
+	await submitAnew(this, by, []);
+});
+
+When('the job is submitted by {string} as one that no owner has had', async function (this: PartsWorld, by: string) {
+	this.order = {...this.order, generation: 0, earlierRunsMilliseconds: 0};
+	await submitAnew(this, by, []);
+});
+
 When('the job is submitted by {string} as part {string}', async function (this: PartsWorld, by: string, part: string) {
 	this.order = {...this.order, part};
 	await submitAnew(this, by, []);
--- a/packages/galenakeeld/src/process/cells/cell-submissions.ts
+++ b/packages/galenakeeld/src/process/cells/cell-submissions.ts
@@ -35,6 +35,9 @@
 	readonly onDecision: RecordDecision;
 };
 
+/** An order that says when the runs of earlier owners have ended. */
+type CompleteOrder = JobOrder & Required<Pick<JobOrder, 'earlierRunsMilliseconds'>>;
+
 /** Whether two orders are for the same tasks, and no owner was lost between them. */
 const isSameWork = (first: JobOrder, second: JobOrder): boolean =>
 	first.generation === second.generation && hasSamePositions(first.excluded, second.excluded);
@@ -68,18 +71,19 @@
 	};
 
 	/** Completes an order that doesn't say when the runs of earlier owners have ended: those owners may have been confirmed up to now. */
-	const complete = (order: JobOrder): JobOrder => ({
+	const complete = (order: JobOrder): CompleteOrder => ({
 		...order, earlierRunsMilliseconds: order.earlierRunsMilliseconds ?? (order.generation > 0 ? unconfirmedRunMilliseconds : 0),
 	});
 
 	/** Gives a job to the holder that submitted it last. */
-	const takeOver = (job: PlacedJob, holder: string, {assignment}: JobOrder): void => {
+	const takeOver = (job: PlacedJob, holder: string, {assignment, earlierRunsMilliseconds}: CompleteOrder): void => {
 		onDecision(CellDecision.AssignmentReplaced, {...describePart(job), newHolder: holder, isContinued: true});
 		const superseded: JobUpdate = {kind: FleetMessageKind.Superseded, ...referenceOf(job)};
 		closedAssignments.add({holder: job.holder, assignment: job.assignment, updates: [superseded]});
 		notify(job.holder, superseded);
 		job.holder = holder;
 		job.assignment = assignment;
+		job.earlierRunsEndAt = Math.max(job.earlierRunsEndAt, performance.now() + earlierRunsMilliseconds);
 		renewLease(job);
 		resend(job);
 	};
@@ -92,9 +96,9 @@
 	};
 
 	/** Replaces the other assignments with tasks of an order, since each task of a job is of one assignment at a time, and those of a part with its name. Returns the order with the highest generation and the latest end of earlier runs of these and its own, since its holder may not know of owners that another one has lost. */
-	const replaceOverlapping = (holder: string, order: JobOrder): JobOrder => {
+	const replaceOverlapping = (holder: string, order: CompleteOrder): CompleteOrder => {
 		const key = partKeyOf(order.job.identifier, order.part);
-		let {generation, earlierRunsMilliseconds = 0} = order;
+		let {generation, earlierRunsMilliseconds} = order;
 		for (const job of jobs.all()) {
 			if (keyOf(job) === key || hasOpenTasksOf(job, order)) {
 				generation = Math.max(generation, job.order.generation);
@@ -142,7 +146,7 @@
 		return true;
 	};
 
-	const submitNew = (holder: string, order: JobOrder): void => {
+	const submitNew = (holder: string, order: CompleteOrder): void => {
 		const job = createPlacedJob(order, holder);
 		renewLease(job);
 		if (closedAssignments.isForgotten(order.assignedMillisecondsAgo)) {
@@ -164,7 +168,7 @@
 	};
 
 	/** Continues what is or was here of the same tasks: a job that its caller submits again, or a part whose holder missed its end. Begins anew otherwise. */
-	const submitAssignment = (holder: string, order: JobOrder): void => {
+	const submitAssignment = (holder: string, order: CompleteOrder): void => {
 		const known = jobs.get(partKeyOf(order.job.identifier, order.part));
 		if (known && isSameWork(known.order, order)) {
 			takeOver(known, holder, order);
