Keep the end of earlier runs with tasks that are redirected

What callers would see: TWICE in another zone, where no fencing token of the former owner's cell reaches.

Cause: a redirect makes a new part of the tasks, and what was noted of lost owners stayed with the part that they left.

Change: the new part begins with the earlier runs of the one that it comes from.

--- a/packages/galenakeeld/src/request/__tests__/hold-job.feature
+++ b/packages/galenakeeld/src/request/__tests__/hold-job.feature
@@ -95,6 +95,13 @@
     And the owner of "north" is lost again
     Then part "0" was last submitted to "north" as one whose earlier runs have ended after 60000 ms
 
+  # The same, for tasks that the next owner redirects.
+  Scenario: Tasks that are redirected keep the time after which the runs of a lost owner have ended
+    Given what the owner of "north" has started may run for 60000 ms
+    When the owner of "north" is lost
+    And the owner of "north" redirects the tasks "0.2, 0.3" of part "0" to "south", which become part "1"
+    Then part "1" was last submitted to "south" as one whose earlier runs have ended after 60000 ms
+
   Scenario: An owner that has dropped a part knows its own runs when it gets the part again
     Given what the owner of "north" has started may run for 60000 ms
     When the owner of "north" has dropped part "0", in which the task "0.0" succeeded, after a start
--- a/packages/galenakeeld/src/request/job-part.ts
+++ b/packages/galenakeeld/src/request/job-part.ts
@@ -32,6 +32,13 @@
 	wasCommitted: boolean;
 };
 
+/** What a part begins with. */
+export type JobPartOptions = Pick<JobPart, 'name' | 'cell' | 'moves'> & {
+	readonly positions: Iterable<string>;
+	/** What earlier owners may have started of these tasks, as part of another one; none by default. */
+	readonly earlierRuns?: readonly EarlierRuns[];
+};
+
 /**
 Creates a part that no owner has had.
 
@@ -40,8 +47,8 @@
 const part = createJobPart({name: '0', cell: 'ie-south-a', positions: ['0.0', '0.1'], moves: 0});
 ```
 */
-export const createJobPart = ({name, cell, positions, moves}: {readonly name: string; readonly cell: string; readonly positions: Iterable<string>; readonly moves: number}): JobPart => ({
-	name, cell, positions: new Set(positions), generation: 0, highestTokens: new Map(), earlierRuns: [], moves, wasCommitted: false,
+export const createJobPart = ({name, cell, positions, moves, earlierRuns = []}: JobPartOptions): JobPart => ({
+	name, cell, positions: new Set(positions), generation: 0, highestTokens: new Map(), earlierRuns: [...earlierRuns], moves, wasCommitted: false,
 });
 
 /**
