Count a silent endpoint's stray runs by its leases alone

Cause: beside the leases that an owner has sent or has to assume at an endpoint, strays counted as possible for 2.06 s after the owner's claim. What a former owner may have started is bounded by the order now.

Change: the span and its constant (yieldMilliseconds) are gone. No scenario tells the difference: at a silent endpoint whose leases have expired, runs of this owner count as lost, and runs of earlier ones are adopted first.

--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -16,9 +16,7 @@
 import {createEndpointStarts} from './endpoint-starts.js';
 import {createEndpointStops} from './endpoint-stops.js';
 import {createEndpointLeases} from './endpoint-leases.js';
-import {
-	maximumLeaseOf, minimumLeaseMilliseconds, shortLeaseMilliseconds, yieldMilliseconds,
-} from './maximum-lease.js';
+import {minimumLeaseMilliseconds, shortLeaseMilliseconds} from './maximum-lease.js';
 import type {EndpointCapacity} from './place-tasks.js';
 import {createOrphanedRuns} from './orphaned-runs.js';
 import {createReportOrders} from './report-order.js';
@@ -117,7 +115,6 @@
 	const reportOrders = createReportOrders(firstEntry.startedAt);
 	let leases = createEndpointLeases(options.holdMaximumMilliseconds);
 	const reachability = createEndpointReachability();
-	const maximumLease = maximumLeaseOf(options.holdMaximumMilliseconds);
 	const runs = createEndpointRuns({room: firstEntry.room, holdMaximumMilliseconds: options.holdMaximumMilliseconds, onChange: options.onChange});
 	const orphans = createOrphanedRuns();
 	let entry = firstEntry;
@@ -205,8 +202,7 @@
 	}
 
 	/** Whether a run that no job waits for may still be active: not at another incarnation, nor once all leases of a silent endpoint have ended. */
-	const canRunStrays = (): boolean =>
-		!isClosed && !(reachability.isSilent() && leases.haveExpired() && performance.now() > options.ownedSince() + maximumLease + yieldMilliseconds);
+	const canRunStrays = (): boolean => !isClosed && !(reachability.isSilent() && leases.haveExpired());
 
 	const loop = createEndpointPollLoop({
 		calls, polls, reachability, runs, identifier: () => entry.identifier, haveLeasesExpired: () => leases.haveExpired(), isClosed: hasClosed,
--- a/packages/galenakeeld/src/process/cells/maximum-lease.ts
+++ b/packages/galenakeeld/src/process/cells/maximum-lease.ts
@@ -22,11 +22,6 @@
 */
 export const stopSilentMilliseconds = 200;
 
-/**
-Time within which an owner that is partitioned from its peers detects that endpoints accept another owner, and gives up its cell.
-*/
-export const yieldMilliseconds = 1000;
-
 /**
 Returns the time after which a lease that begins now is certain to have expired, in milliseconds.
 
--- a/packages/galenakeeld/src/request/hold-job.ts
+++ b/packages/galenakeeld/src/request/hold-job.ts
@@ -96,11 +96,10 @@
 	};
 
 	const split = (part: JobPart, {positions, cell}: TaskRedirect): void => {
-		const {earlierRuns} = part;
 		const moved = positions.filter(position => part.positions.delete(position));
 		if (moved.length > 0) {
 			void holdPart(createJobPart({
-				name: createName(), cell, positions: moved, moves: part.moves + 1, earlierRuns,
+				name: createName(), cell, positions: moved, moves: part.moves + 1, earlierRuns: part.earlierRuns,
 			}));
 		}
 	};
