--- a/packages/galenakeeld/src/process/cells/job-admission.ts
+++ b/packages/galenakeeld/src/process/cells/job-admission.ts
@@ -94,7 +94,7 @@
 		recordTaskSize(job);
 		jobs.add(job);
 		onDecision(CellDecision.JobAccepted, {
-			...describePart(job), queue: order.queue, dueInMilliseconds: Math.round(order.dueInMilliseconds), endsInMilliseconds: Math.round(endsIn),
+			...describePart(job), queue: order.queue, dueInMilliseconds: Math.round(order.dueInMilliseconds), endsInMilliseconds: Math.round(endsIn), earlierRunsMilliseconds: Math.round(Math.max(0, job.earlierRunsEndAt - performance.now())),
 		});
 		if (order.generation > 0 || conditions.hasStrayRuns(job)) {
 			options.adopt(job);
