Compute the bounds of runs in one place

The daemon and its simulation each computed for how long a run may go on and a holder waits for a successor. Holder and owner now rest on one bound, so it has one module. No change of behaviour.

--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -15,7 +15,6 @@
 import {isRoutineOfHolder} from '../../request/holder-decision.js';
 import {createCell} from '../cells/cell.js';
 import {isRoutine} from '../cells/cell-decision.js';
-import {unconfirmedRunOf} from '../cells/maximum-lease.js';
 import type {Log} from '../log.js';
 import {encodeMetrics} from '../prometheus-text.js';
 import {createSuspensionDetector} from '../suspension-detector.js';
@@ -51,6 +50,7 @@
 import {readProcessUsage} from './process-usage.js';
 import {awaitWholeTurn, createReadingTurns} from './reading-turns.js';
 import {createRecentCancels} from './recent-cancels.js';
+import {runBoundsOf} from './run-bounds.js';
 import {createSelfDescription} from './self-description.js';
 import {createRollCall} from './roll-call.js';
 import {watchEndpoints, watchMembers, type TryStore} from './store-watches.js';
@@ -71,8 +71,6 @@
 const maximumRoutineLines = 3;
 /** Gap between two ticks from which the process counts as paused. */
 const pauseThresholdMilliseconds = 500;
-/** Maximum time for which a run continues after its lease: allows for a slow clock, and for the time until an owner detects the loss of its holder. */
-const leaseSlackMilliseconds = 300;
 /** Time until the platform has detected that a leaving daemon is no longer ready. */
 const announceMilliseconds = 2200;
 /** Share of the drain limit in which a leaving daemon still accepts jobs, since callers keep using their open connections. */
@@ -107,9 +105,8 @@
 	const rollCall = createRollCall(() => view.all().filter(({zone}) => zone === settings.zone).map(({address}) => address));
 	const discovery = createDiscovery({lastHeardAt: address => view.get(address)?.lastHeartbeatAt, hasReachablePeers: () => view.all().length > 0});
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
-	const successorWaitMilliseconds = settings.leases.maximumMilliseconds + leaseSlackMilliseconds;
-	const unconfirmedRunMilliseconds = unconfirmedRunOf({
-		holdMaximumMilliseconds: settings.leases.maximumMilliseconds, returnMilliseconds: settings.callers.returnMilliseconds, successorWaitMilliseconds,
+	const {successorWaitMilliseconds, unconfirmedRunMilliseconds} = runBoundsOf({
+		holdMaximumMilliseconds: settings.leases.maximumMilliseconds, returnMilliseconds: settings.callers.returnMilliseconds,
 	});
 	const callerWaits = createCallerWaits({
 		returnMilliseconds: settings.callers.returnMilliseconds,
--- a/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-daemon.ts
@@ -9,7 +9,6 @@
 import type {EndpointEntry} from '@galenakeel/model/version/endpoint-entry.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {createCell} from '../../process/cells/cell.js';
-import {unconfirmedRunOf} from '../../process/cells/maximum-lease.js';
 import {createCallerWaits} from '../../process/fleet/caller-waits.js';
 import {createCellLoads} from '../../process/fleet/cell-loads.js';
 import {createCellOwners} from '../../process/fleet/cell-owners.js';
@@ -28,6 +27,7 @@
 import {awaitWholeTurn, createReadingTurns} from '../../process/fleet/reading-turns.js';
 import {createRecentCancels} from '../../process/fleet/recent-cancels.js';
 import {createRollCall} from '../../process/fleet/roll-call.js';
+import {runBoundsOf} from '../../process/fleet/run-bounds.js';
 import {createSelfDescription} from '../../process/fleet/self-description.js';
 import {holdJob} from '../hold-job.js';
 import type {JobAnswer} from '../job-answer.js';
@@ -72,7 +72,6 @@
 /** As in `startFleetDaemon`. */
 const tickMilliseconds = 100;
 const pauseThresholdMilliseconds = 500;
-const leaseSlackMilliseconds = 300;
 const keepCancelsMilliseconds = 30_000;
 const maximumLeaseMilliseconds = 1000;
 const returnMilliseconds = 1300;
@@ -96,8 +95,7 @@
 	const heldJobs = createHeldJobs();
 	const recentCancels = createRecentCancels(keepCancelsMilliseconds);
 	const startedAt = Date.now();
-	const successorWaitMilliseconds = maximumLeaseMilliseconds + leaseSlackMilliseconds;
-	const unconfirmedRunMilliseconds = unconfirmedRunOf({holdMaximumMilliseconds: maximumLeaseMilliseconds, returnMilliseconds, successorWaitMilliseconds});
+	const {successorWaitMilliseconds, unconfirmedRunMilliseconds} = runBoundsOf({holdMaximumMilliseconds: maximumLeaseMilliseconds, returnMilliseconds});
 	const callerWaits = createCallerWaits({returnMilliseconds, unconfirmedRunMilliseconds});
 	const turns = createReadingTurns(callerWaits.endOverdue);
 	const confirmations = createPeerConfirmations({
