Cancel a job that is held when a request asks for it

Cause: the caller server answered each DELETE with 410 without a look at the jobs that its daemon holds.

Change: the intake keeps which jobs it holds, and cancels one as if its caller had left. A caller that is only taken to have left is still told that the outcome is unknown.

--- a/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
+++ b/packages/galenakeeld/src/process/fleet/fleet-daemon.ts
@@ -464,6 +464,7 @@
 	const callerServer = createCallerServer<Queue>({
 		findQueue: intake.findQueue,
 		submit: intake.submit,
+		cancel: intake.cancel,
 		onConnection: turns.accept,
 		maximumBodyBytes: () => configuration.current()?.limits.bodyBytes ?? 0,
 		isLeaving: () => leaving.signal.aborted,
--- a/packages/galenakeeld/src/process/fleet/job-intake.ts
+++ b/packages/galenakeeld/src/process/fleet/job-intake.ts
@@ -21,6 +21,8 @@
 	readonly findQueue: (host: string, path: string) => {readonly queue: Queue; readonly pathPrefix: string} | RefusalReason;
 	/** Holds a job until it has ended. */
 	readonly submit: (job: Job, queue: Queue, caller: WaitingCaller) => Promise<JobAnswer>;
+	/** Cancels a job that this daemon holds, for all callers that wait for it. Returns whether it holds the job. */
+	readonly cancel: (identifier: string, queue: Queue) => boolean;
 	/** Refuses all jobs from a time on, in monotonic milliseconds. */
 	readonly closeAt: (time: number) => void;
 };
@@ -36,17 +38,19 @@
 };
 
 /**
-How a daemon knows that a caller has left.
+Why a daemon holds a job no longer for a caller.
 */
 export enum CallerEnd {
 	/** The end of its connection was read. */
 	Disconnected = 'disconnected',
 	/** The time is over for which it said that it would wait. */
 	WaitOver = 'wait-over',
+	/** Its job was cancelled. It waits for the answer. */
+	Cancelled = 'cancelled',
 }
 
 /**
-A caller that left before its job was answered, as it is recorded.
+A caller for whom a job is held no longer before it was answered, as it is recorded.
 */
 export type LeftCaller = {
 	readonly job: string;
@@ -77,6 +81,8 @@
 /** The answer to a caller that may have left before its request was read, since this daemon is behind. */
 const refusalWhenBehind: JobAnswer = {end: JobEnd.Refused, reason: RefusalReason.Overloaded, retryAfterMilliseconds: 1000};
 
+const keyOf = (identifier: string, queue: Queue): string => `${queue.name}/${identifier}`;
+
 const waitOf = ({waitMilliseconds}: WaitingCaller): number => waitMilliseconds ?? Number.POSITIVE_INFINITY;
 
 /**
@@ -92,6 +98,21 @@
 	const {zone, configuration, layout, endpointsOf, heldJobs, owners} = options;
 	/** Monotonic milliseconds up to which jobs are accepted. */
 	let acceptsUntil = Number.POSITIVE_INFINITY;
+	/** Functions that cancel the jobs that are held, by queue and identifier; several for a job that its caller has submitted again. */
+	const cancels = new Map<string, ReadonlySet<() => void>>();
+
+	/** Makes a job known to those who may cancel it. Returns a function that forgets it. */
+	const makeCancellable = (key: string, cancel: () => void): (() => void) => {
+		cancels.set(key, new Set([...cancels.get(key) ?? [], cancel]));
+		return () => {
+			const others = [...cancels.get(key) ?? []].filter(one => one !== cancel);
+			if (others.length > 0) {
+				cancels.set(key, new Set(others));
+			} else {
+				cancels.delete(key);
+			}
+		};
+	};
 
 	const findHomeCell = (job: Job): string => {
 		const weighted = layout.cellsOf(zone).map(cell => ({cell, weight: weightOfCell(endpointsOf(cell)?.length ?? 0)}));
@@ -99,19 +120,19 @@
 		return homeCellOf(job, weighted, hasRack) ?? zone;
 	};
 
-	/** Holds a job until it has ended or its caller has left. */
-	const holdForCaller = async (job: Job, queue: Queue, caller: WaitingCaller): Promise<JobAnswer> => {
+	/** Holds a job until it has ended, its caller has left, or it is cancelled. */
+	const holdForCaller = async (job: Job, queue: Queue, caller: WaitingCaller): Promise<{readonly answer: JobAnswer; readonly callerEnd: CallerEnd | undefined}> => {
 		const arrivedAt = performance.now();
 		const homeCell = findHomeCell(job);
 		const heldParts = new Set<HeldJob>();
-		let hasLeft = false;
+		let callerEnd: CallerEnd | undefined;
 		let isAnswered = false;
 		const leave = (cause: CallerEnd): void => {
-			if (hasLeft || isAnswered) {
+			if (callerEnd !== undefined || isAnswered) {
 				return;
 			}
 
-			hasLeft = true;
+			callerEnd = cause;
 			options.onCallerLeft({job: job.identifier, cause, milliseconds: performance.now() - arrivedAt});
 			for (const {updates} of heldParts) {
 				updates.push({kind: HolderEvent.CallerDisconnected});
@@ -124,12 +145,15 @@
 		const forgetWait = options.callerWaits.begin(caller.sentAfter, waitOf(caller), () => {
 			leave(CallerEnd.WaitOver);
 		});
-		return options.hold(job, queue, {
+		const forgetCancel = makeCancellable(keyOf(job.identifier, queue), () => {
+			leave(CallerEnd.Cancelled);
+		});
+		const answer = await options.hold(job, queue, {
 			homeCell,
 			async hasCallerLeft() {
 				await options.readArrivals();
 				options.callerWaits.endOverdue();
-				return hasLeft;
+				return callerEnd !== undefined;
 			},
 			hold() {
 				const held = heldJobs.hold();
@@ -148,7 +172,9 @@
 		}).finally(() => {
 			isAnswered = true;
 			forgetWait();
+			forgetCancel();
 		});
+		return {answer, callerEnd};
 	};
 
 	return {
@@ -174,11 +200,20 @@
 		async submit(job, queue, caller) {
 			const arrivedAt = performance.now();
 			const isTooLate = options.callerWaits.mayBeOver(caller.sentAfter, waitOf(caller));
-			const answer = isTooLate ? refusalWhenBehind : await holdForCaller(job, queue, caller);
+			const {answer, callerEnd} = isTooLate ? {answer: refusalWhenBehind, callerEnd: undefined} : await holdForCaller(job, queue, caller);
 			options.onAnswered({
 				job: job.identifier, queue: queue.name, answer, milliseconds: performance.now() - arrivedAt,
 			});
-			return answer;
+			// A caller that is only taken to have left may wait on, and submit its job again.
+			return answer.end === JobEnd.Cancelled && callerEnd !== CallerEnd.Cancelled ? {end: undefined} : answer;
+		},
+		cancel(identifier, queue) {
+			const present = cancels.get(keyOf(identifier, queue));
+			for (const cancel of present ?? []) {
+				cancel();
+			}
+
+			return present !== undefined;
 		},
 		closeAt(time) {
 			acceptsUntil = time;
