--- a/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
+++ b/packages/galenakeeld/src/process/fleet/peer-confirmations.ts
@@ -11,7 +11,7 @@
 	readonly heardFrom: (address: string) => HeardFrame | undefined;
 	/** Monotonic milliseconds at which this daemon sent the last frame that a peer has confirmed; negative infinity if there is none, or none since this daemon was suspended. For this daemon itself, the time up to which it has read what arrived. */
 	readonly confirmedBy: (address: string) => number;
-	/** Monotonic milliseconds at which the last frame was processed that this daemon has confirmed, or is about to confirm, to a peer in any of its lives; negative infinity if there is none. The peer had sent it by then, and grants leases by nothing later. For this daemon itself, the same as what it has confirmed. */
+	/** Monotonic milliseconds at which the last frame was processed that this daemon has confirmed, or is about to confirm, to a peer in any of its lives; negative infinity if there is none. The peer had sent it by then, so its permission to run tasks for this daemon counts from no later time. For this daemon itself, the time up to which it has read what arrived. */
 	readonly confirmedTo: (address: string) => number;
 	/** Asks a peer to confirm at once, unless it was asked a moment ago. */
 	readonly request: (address: string) => void;
--- a/packages/galenakeeld/src/request/__tests__/changing-owners.ts
+++ b/packages/galenakeeld/src/request/__tests__/changing-owners.ts
@@ -39,9 +39,12 @@
 const longTaskMilliseconds = 4500;
 /** When the jobs are submitted: lists that were read before, and what a cell remembers of earlier ones, have settled. */
 const submitMilliseconds = 4400;
+/** Time after which an endpoint that is no longer listed counts as gone. */
 const forgetMilliseconds = 2700;
+/** Shortest and longest standstill of an owner, in milliseconds. */
 const stops = [1500, 4500] as const;
 const longStops = [5000, 6000] as const;
+/** Shortest and longest time between two events that follow each other. */
 const betweenMilliseconds = [50, 500] as const;
 const afterwardsMilliseconds = 2000;
 const jobsOfConversation = 3;
@@ -93,7 +96,7 @@
 		}
 	};
 
-	/** All daemons but one read that the platform lists one endpoint less, and forget it. */
+	/** All daemons read twice that the platform lists one endpoint less, the second time when they count it as gone. */
 	const forgetAt = (at: number): void => {
 		for (const milliseconds of [at, at + forgetMilliseconds]) {
 			schedule(milliseconds, `the platform lists ${others.length} endpoints`, () => {
--- a/packages/galenakeeld/src/request/__tests__/simulated-endpoint.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-endpoint.ts
@@ -37,8 +37,6 @@
 	readonly carryOutLate: (milliseconds: number) => void;
 	/** Loses the calls of a daemon, and the answers to them, from now on. */
 	readonly cutOff: (daemon: string) => void;
-	/** Carries out the calls of a daemon again. */
-	readonly reach: (daemon: string) => void;
 };
 
 /** How tasks run: the milliseconds of each task, by step and index. */
@@ -305,8 +303,5 @@
 		cutOff(daemon) {
 			lostDaemons.add(daemon);
 		},
-		reach(daemon) {
-			lostDaemons.delete(daemon);
-		},
 	};
 };
--- a/packages/galenakeeld/src/request/job-part.ts
+++ b/packages/galenakeeld/src/request/job-part.ts
@@ -5,7 +5,7 @@
 Runs that an owner may have started for a part before it was assigned anew.
 */
 export type EarlierRuns = {
-	/** What the owner knows of them in its term. */
+	/** The owner that started them; it knows of them as long as its term lasts. */
 	readonly owner: Pick<CellOwner, 'address' | 'term'>;
 	/** Monotonic milliseconds by which each of them has ended. */
 	readonly endAt: number;
