Extend leases only where a poll under the present token has told what runs

What callers would see: TWICE. An owner that has raised its token, since a rival claimed its cell, extended the lease of an endpoint on which that rival had started a task meanwhile, so that the run went on up to 1 s longer than its holder counts for.

Whether a lease may be extended was decided by the time since the token had been valid (isSettled), not by what the endpoint has said under that token.

The new scenario of stray-runs.feature failed on: the rival's run, with a lease of 400 ms, still ran after 520 ms.

Change: a poll extends the lease only if the last answered poll carried the present token, and showed no run of another owner. After that answer the endpoint rejects each start under a lower token, so the report can't be overtaken by one; no time is counted.

--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.feature
@@ -130,6 +130,20 @@
     And the endpoints run for 720 ms
     Then the third job runs nowhere
 
+  # Guards against TWICE: the owner extended the lease of a run that a rival had started, since its claim was old enough, before any poll under its raised token had told what runs there.
+  Scenario: An owner that has raised its token extends no lease before it knows what a rival has started
+    Given 1 endpoint with room for 2 tasks
+    And an owner of these endpoints
+    When another job of 1 task is submitted by "second"
+    And the holder "second" falls silent
+    And the endpoints run for 600 ms
+    And the endpoints carry out no stops
+    And a rival owner starts the first job on the first endpoint with a lease of 400 ms
+    And the owner raises its token
+    And the holder "second" is heard again
+    And the endpoints run for 500 ms
+    Then the first job runs nowhere
+
   # Guards against TWICE: an owner that is behind passes over the time in which it stops the runs of a silent holder.
   Scenario: A task of a silent holder is stopped by an owner that was behind while its time ran out
     Given 1 endpoint with room for 2 tasks
--- a/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
+++ b/packages/galenakeeld/src/process/cells/__tests__/stray-runs.steps.ts
@@ -189,6 +189,14 @@
 	assert.equal(runsOf(this, firstJob).length, 1);
 });
 
+When('a rival owner starts the first job on the first endpoint with a lease of {int} ms', async function (this: StrayWorld, milliseconds: number) {
+	void this.leasedEndpoints[0]!.calls.start({
+		task: {job: firstJob, step: 0, index: 0}, attempt: 1, specification: '', leaseEndMilliseconds: performance.now() + milliseconds, fencingToken: 2,
+	});
+	await this.time.tickAsync(untilStartedMilliseconds);
+	assert.equal(runsOf(this, firstJob).length, 1);
+});
+
 When('a rival owner starts the first job on the first endpoint for the second time', async function (this: StrayWorld) {
 	void this.leasedEndpoints[0]!.calls.start({
 		task: {job: firstJob, step: 0, index: 0}, attempt: 2, specification: '', leaseEndMilliseconds: performance.now() + maximumLeaseMilliseconds, fencingToken: 2,
--- a/packages/galenakeeld/src/process/cells/cell-endpoint.ts
+++ b/packages/galenakeeld/src/process/cells/cell-endpoint.ts
@@ -148,7 +148,7 @@
 	const hasClosed = (): boolean => isClosed;
 
 	const polls = createEndpointPolls({
-		calls, runs, reachability, token: options.token, acknowledged: () => reportedRuns.acknowledged(), isSettled: options.isSettled, hasOrphans,
+		calls, runs, reachability, token: options.token, acknowledged: () => reportedRuns.acknowledged(), polledToken: () => reports.polledToken(), hasOrphans,
 		isClosed: hasClosed, nextLease, onReport, onOtherEndpoint: closeForOtherEndpoint,
 	});
 
--- a/packages/galenakeeld/src/process/cells/endpoint-polls.ts
+++ b/packages/galenakeeld/src/process/cells/endpoint-polls.ts
@@ -37,8 +37,8 @@
 	readonly token: () => number;
 	/** Number of the last end that was recorded. */
 	readonly acknowledged: () => number;
-	/** Whether orphaned runs of an earlier owner may be stopped. */
-	readonly isSettled: () => boolean;
+	/** Token of the last answered poll; since then the endpoint rejects requests with lower tokens. */
+	readonly polledToken: () => number;
 	/** Whether a run of an earlier owner is active. */
 	readonly hasOrphans: () => boolean;
 	readonly isClosed: () => boolean;
@@ -91,8 +91,9 @@
 	const poll = async (waitMilliseconds: number): Promise<PollReply & SentPoll> => {
 		const token = options.token();
 		const polledAt = performance.now();
-		// No extension while the endpoint is silent or shows runs of an earlier owner: the lease of an endpoint covers all its runs, and these have to end.
-		const isExtending = runs.count() > 0 && options.isSettled() && !reachability.isSilent() && !hasOrphans();
+		// The lease of an endpoint covers all its runs, and those of another owner have to end. So it is extended only where a poll under the present token, which no other owner's start can have followed, has shown none.
+		const areRunsKnown = options.polledToken() === token && !hasOrphans();
+		const isExtending = runs.count() > 0 && areRunsKnown && !reachability.isSilent();
 		const lease = isExtending ? nextLease() : undefined;
 		const reply = await calls.poll({
 			fencingToken: token,
