Hold conversations with owners that restart or are cut off

The table in PROOFS.md had protections without a conversation that fails when they are taken out, since the simulated daemons didn't restart, and owners changed only by standstills and losses. Two more kinds of change, with each of the three endpoints that the next owner doesn't know: an owner that restarts at its address, and one that is cut off from the other daemons and goes on.

The fleet moved out of assignment-conversation.ts into a module of its own (simulated-fleet.ts), where a daemon can be killed and started again.

--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.ts
@@ -4,17 +4,16 @@
 import {performance} from 'node:perf_hooks';
 import type {FleetMessageKind} from '@galenakeel/model/connection/fleet-message.js';
 import type {Job, Step} from '@galenakeel/model/request/job.js';
-import {type EndpointEntry, incarnationOf} from '@galenakeel/model/version/endpoint-entry.js';
 import type {Queue} from '@galenakeel/model/version/queue-configuration.js';
 import {scheduleDisruptions, type PlannedDisruption} from './conversation-disruptions.js';
 import {createConversationHistory, type ConversationHistory} from './conversation-history.js';
 import {findBrokenRules, type BrokenRule} from './conversation-rules.js';
 import {createSeededRandom, type SeededRandom} from './seeded-random.js';
 import {startSimulatedCaller, type CallerPlan, type SimulatedCaller} from './simulated-caller.js';
-import {createSimulatedDaemon, type SimulatedDaemon} from './simulated-daemon.js';
-import {createSimulatedEndpoint, type SimulatedEndpoint, type TaskDurations} from './simulated-endpoint.js';
+import type {SimulatedDaemon} from './simulated-daemon.js';
+import type {TaskDurations} from './simulated-endpoint.js';
+import {createSimulatedFleet, processorOfTask, type SimulatedFleet} from './simulated-fleet.js';
 import {createSimulatedProcesses, type SimulatedProcesses} from './simulated-processes.js';
-import {createSimulatedStreams, type SimulatedStreams} from './simulated-streams.js';
 
 /**
 A broken rule, with the history of its job.
@@ -33,13 +32,8 @@
 };
 
 /** What a conversation is planned with. */
-export type ConversationParts = {
+export type ConversationParts = Omit<SimulatedFleet, 'close'> & {
 	readonly random: SeededRandom;
-	readonly daemons: readonly SimulatedDaemon[];
-	readonly endpoints: readonly SimulatedEndpoint[];
-	/** What the platform lists of the endpoints, in the same order. */
-	readonly entries: readonly EndpointEntry[];
-	readonly streams: SimulatedStreams;
 	readonly history: ConversationHistory;
 };
 
@@ -48,11 +42,6 @@
 */
 export type PlanConversation = (parts: ConversationParts) => {readonly callers: readonly CallerPlan[]; readonly endsAt: number};
 
-const allZones = ['north', 'south', 'east'] as const;
-const daemonsOfZone = 2;
-const endpointsOfZone = 2;
-const processorOfTask = 1000;
-const memoryMegabytes = 1024;
 /** When each cell has an owner, and callers and disruptions begin, in milliseconds. */
 export const readyMilliseconds = 1600;
 const busyMilliseconds = 3000;
@@ -112,54 +101,6 @@
 	};
 };
 
-type Fleet = {
-	readonly daemons: readonly SimulatedDaemon[];
-	readonly endpoints: ReadonlyMap<string, SimulatedEndpoint>;
-	readonly entries: readonly EndpointEntry[];
-};
-
-const createEntries = (random: SeededRandom, zones: readonly string[]): readonly EndpointEntry[] => zones.flatMap(zone => Array.from({length: endpointsOfZone}, (_, index): EndpointEntry => ({
-	identifier: `${zone}-i${index}`, startedAt: 1, service: 'sheets', address: '', zone, isDraining: false,
-	room: {processor: random.integer(1, 2) * processorOfTask, memoryMegabytes, accelerators: 0}, labels: ['a'],
-})));
-
-const createFleet = async (random: SeededRandom, processes: SimulatedProcesses, history: ConversationHistory) => {
-	const zones = allZones.slice(0, random.integer(2, allZones.length));
-	const streams = createSimulatedStreams(processes, random, history);
-	const entries = createEntries(random, zones);
-	const endpoints = new Map(entries.map(entry => [incarnationOf(entry), createSimulatedEndpoint({
-		identifier: entry.identifier, room: entry.room.processor / processorOfTask, processes, random, history,
-	})]));
-	const places = zones.flatMap(zone => Array.from({length: daemonsOfZone}, (_, index) => ({zone, name: `${zone}-${index}`})));
-	const daemons = await Promise.all(places.map(async ({zone, name}) => {
-		const process = processes.create(name);
-		return new Promise<SimulatedDaemon>((resolve, reject) => {
-			process.performNow(() => {
-				createSimulatedDaemon({
-					process, zone, zones, streams, history, endpoints: entries,
-					neighbours: places.filter(place => place.zone === zone && place.name !== name).map(place => place.name),
-					createCalls: entry => endpoints.get(incarnationOf(entry))!.callsOf(process),
-				}).then(resolve, reject);
-			});
-		});
-	}));
-	for (const {process, connect} of daemons) {
-		process.performNow(() => {
-			connect(places.map(({name}) => name));
-		});
-	}
-
-	const fleet: Fleet = {daemons, endpoints, entries};
-	return {fleet, streams};
-};
-
-const closeFleet = ({daemons}: Fleet): void => {
-	for (const {process, close} of daemons) {
-		process.resume();
-		process.performNow(close);
-	}
-};
-
 /** Many callers, and disruptions of all kinds. */
 const planBusyTime: PlanConversation = ({random, daemons, endpoints, streams, history}) => {
 	const disruptions = scheduleDisruptions({
@@ -173,11 +114,9 @@
 
 const converse = async (seed: number, random: SeededRandom, processes: SimulatedProcesses, planConversation: PlanConversation): Promise<ConversationResult> => {
 	const history = createConversationHistory();
-	const {fleet, streams} = await createFleet(random, processes, history);
+	const {close, ...fleet} = await createSimulatedFleet(random, processes, history);
 	const queue = createQueue(random);
-	const plan = planConversation({
-		random, daemons: fleet.daemons, endpoints: [...fleet.endpoints.values()], entries: fleet.entries, streams, history,
-	});
+	const plan = planConversation({random, history, ...fleet});
 	const callers = plan.callers.map((caller): SimulatedCaller => startSimulatedCaller(caller, queue, history));
 	const calmFrom = plan.endsAt + soonMilliseconds;
 	while (performance.now() < calmFrom + answerMilliseconds && !(performance.now() > calmFrom && callers.every(({isDone}) => isDone()))) {
@@ -185,11 +124,11 @@
 	}
 
 	await processes.runUntil(performance.now() + afterwardsMilliseconds);
-	const runs = [...fleet.endpoints.values()].flatMap(endpoint => endpoint.runs);
+	const runs = fleet.endpoints.flatMap(endpoint => endpoint.runs);
 	const failures = callers.flatMap(caller => findBrokenRules(caller, runs)).map(broken => ({...broken, seed, history: history.linesOf(broken.job)}));
-	closeFleet(fleet);
+	close();
 	return {
-		failures, jobs: callers.length, runs: runs.length, messages: streams.messages,
+		failures, jobs: callers.length, runs: runs.length, messages: fleet.streams.messages,
 	};
 };
 
--- a/packages/galenakeeld/src/request/__tests__/changing-owners.ts
+++ b/packages/galenakeeld/src/request/__tests__/changing-owners.ts
@@ -18,6 +18,10 @@
 	Leave = 'leaves',
 	/** It stands still until the next owner has done its work. */
 	LongStop = 'stands still for long',
+	/** Its process ends, and starts again at the same address. */
+	Restart = 'restarts',
+	/** It doesn't hear the other daemons for some time, nor they it, and goes on with what it can reach. */
+	Cut = 'is cut off from the other daemons',
 }
 
 /**
@@ -70,8 +74,9 @@
 const {failures} = await holdConversation(17, planChangingOwners(OwnerChange.Stop, UnknownEndpoint.New));
 ```
 */
-export const planChangingOwners = (change: OwnerChange, unknown: UnknownEndpoint): PlanConversation => ({random, daemons, endpoints, entries, history}: ConversationParts) => {
-	const ofZone = daemons.filter(daemon => daemon.zone === zone);
+export const planChangingOwners = (change: OwnerChange, unknown: UnknownEndpoint): PlanConversation => ({random, daemons, endpoints, entries, streams, history, kill}: ConversationParts) => {
+	/** The daemons of the zone as they are now, since one may restart. */
+	const ofZone = (): readonly SimulatedDaemon[] => daemons.filter(daemon => daemon.zone === zone);
 	const unknownAt = entries.findLastIndex(entry => entry.zone === zone);
 	const others = entries.toSpliced(unknownAt, 1);
 	const changesAt = submitMilliseconds + (unknown === UnknownEndpoint.Forgotten ? forgetMilliseconds : 0) + random.integer(...betweenMilliseconds);
@@ -85,7 +90,7 @@
 		}, at);
 	};
 
-	const findOwner = (): SimulatedDaemon | undefined => ofZone.find(daemon => daemon.ownedCells().includes(zone));
+	const findOwner = (): SimulatedDaemon | undefined => ofZone().find(daemon => daemon.ownedCells().includes(zone));
 
 	/** A daemon that stands still reads a list once it has woken. */
 	const list = (listed: readonly EndpointEntry[], readers: readonly SimulatedDaemon[]): void => {
@@ -111,10 +116,10 @@
 	const planUnknown = (): void => {
 		switch (unknown) {
 			case UnknownEndpoint.New: {
-				const listedAt = change === OwnerChange.Stop ? changesAt + stopMilliseconds : changesAt - random.integer(...betweenMilliseconds);
+				const listedAt = change === OwnerChange.Stop || change === OwnerChange.Cut ? changesAt + stopMilliseconds : changesAt - random.integer(...betweenMilliseconds);
 				forgetAt(1);
 				schedule(listedAt - 1, 'the former owner reads of a new endpoint', () => {
-					list(entries, ofZone.filter(daemon => daemon === (former ?? findOwner())));
+					list(entries, ofZone().filter(daemon => daemon === (former ?? findOwner())));
 				});
 				schedule(listedAt + (2 * random.integer(...betweenMilliseconds)), 'the others read of the new endpoint', () => {
 					list(entries, daemons);
@@ -129,7 +134,7 @@
 
 			case UnknownEndpoint.Unreached: {
 				schedule(changesAt, 'the next owner does not reach an endpoint', () => {
-					for (const daemon of ofZone.filter(one => one !== former)) {
+					for (const daemon of ofZone().filter(one => one !== former)) {
 						endpoints[unknownAt]!.cutOff(daemon.process.name);
 					}
 				});
@@ -137,20 +142,44 @@
 		}
 	};
 
+	const begin = (owner: SimulatedDaemon): void => {
+		switch (change) {
+			case OwnerChange.Leave: {
+				owner.process.execute('signals', owner.leave);
+				return;
+			}
+
+			case OwnerChange.Stop:
+			case OwnerChange.LongStop: {
+				owner.process.stop();
+				schedule(stopMilliseconds + 1, 'it wakes', owner.process.resume);
+				return;
+			}
+
+			case OwnerChange.Restart: {
+				const restart = kill(owner);
+				setTimeout(() => {
+					restart(unknown === UnknownEndpoint.Unreached ? entries : others);
+				}, random.integer(...betweenMilliseconds));
+				return;
+			}
+
+			case OwnerChange.Cut: {
+				for (const {process: {name}} of daemons.filter(daemon => daemon !== owner)) {
+					streams.holdUp(owner.process.name, name, stopMilliseconds);
+					streams.holdUp(name, owner.process.name, stopMilliseconds);
+				}
+			}
+		}
+	};
+
 	const planChange = (): void => {
 		schedule(changesAt - 1, `the owner ${change}`, () => {
 			former = findOwner();
-			if (change === OwnerChange.Leave) {
-				former?.process.execute('signals', former.leave);
-			} else {
-				former?.process.stop();
+			if (former) {
+				begin(former);
 			}
 		});
-		if (change !== OwnerChange.Leave) {
-			schedule(changesAt + stopMilliseconds, 'it wakes', () => {
-				former?.process.resume();
-			});
-		}
 	};
 
 	planChange();
@@ -158,7 +187,7 @@
 	const callers = Array.from({length: jobsOfConversation}, (_, number): CallerPlan => ({
 		job: createJob(random, number),
 		submitsAt: submitMilliseconds + Math.round(number * random.integer(...betweenMilliseconds) / 4),
-		daemons: [random.pick(ofZone)],
+		daemons: [change === OwnerChange.Restart ? ofZone().at(-1)! : random.pick(ofZone())],
 		leavesAfter: [Number.POSITIVE_INFINITY],
 	}));
 	return {callers, endsAt: changesAt + stopMilliseconds + afterwardsMilliseconds};
--- a/packages/galenakeeld/src/request/__tests__/simulated-streams.ts
+++ b/packages/galenakeeld/src/request/__tests__/simulated-streams.ts
@@ -22,6 +22,8 @@
 	readonly of: (process: SimulatedProcess) => {readonly serve: typeof serveFleet; readonly openStream: typeof createPeerStream};
 	/** Breaks the stream from one daemon to another. The first messages on their way may still arrive; the others are lost. */
 	readonly breakStream: (from: string, to: string) => void;
+	/** Breaks all streams from and to a daemon. */
+	readonly breakAll: (daemon: string) => void;
 	/** For some time, breaks streams now and then while messages about jobs are on their way, in milliseconds. */
 	readonly breakOnMessages: (milliseconds: number) => void;
 	/** Number of messages that were read, by kind. */
@@ -384,6 +386,13 @@
 		breakOnMessages(milliseconds) {
 			isFragileUntil = performance.now() + milliseconds;
 		},
+		breakAll(daemon) {
+			for (const connection of connections.values()) {
+				if (connection.from.name === daemon || connection.to.name === daemon) {
+					end(connection);
+				}
+			}
+		},
 		breakStream(from, to) {
 			const connection = connections.get(keyOf(from, to));
 			if (connection) {
