Hold conversations with neighbours apart, new terms and late endpoints

Three more ways for the seeded conversations: two daemons of a zone that don't hear each other, own one cell and raise their tokens in turn; an owner that claims its cell in another term; an endpoint that leaves calls unanswered and carries them out late, for both owners.

--- a/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
+++ b/packages/galenakeeld/src/request/__tests__/assignment-conversation.feature
@@ -42,9 +42,9 @@
       | leaves                | has forgotten an endpoint      |
       | leaves                | does not reach an endpoint     |
 
-  # Guards against TWICE: the runs of an earlier life of an owner were not counted, or those of an owner that goes on while another has its cell.
-  Scenario Outline: A task doesn't run twice when its owner <change> while another daemon <unknown>
-    When the conversations of the seeds 1 to 8 are held, in which an owner <change> and the next one <unknown>
+  # Guards against TWICE: the runs of an earlier life or term of an owner were not counted, or those of an owner that goes on while another has its cell.
+  Scenario Outline: A task doesn't run twice when its owner <change> and another daemon, or its next term, <unknown>
+    When the conversations of the seeds 5 to 8 are held, in which an owner <change> and the next one <unknown>
     Then no rule was broken
 
     Examples:
@@ -52,6 +52,13 @@
       | restarts                          | has not listed an endpoint yet |
       | restarts                          | has forgotten an endpoint      |
       | restarts                          | does not reach an endpoint     |
+      | restarts                          | finds an endpoint late         |
+      | claims its cell anew              | has forgotten an endpoint      |
       | is cut off from the other daemons | has not listed an endpoint yet |
       | is cut off from the other daemons | has forgotten an endpoint      |
       | is cut off from the other daemons | does not reach an endpoint     |
+      | is cut off from the other daemons | finds an endpoint late         |
+      | is cut off from its neighbour     | has not listed an endpoint yet |
+      | is cut off from its neighbour     | has forgotten an endpoint      |
+      | is cut off from its neighbour     | does not reach an endpoint     |
+      | is cut off from its neighbour     | finds an endpoint late         |
--- a/packages/galenakeeld/src/request/__tests__/changing-owners.ts
+++ b/packages/galenakeeld/src/request/__tests__/changing-owners.ts
@@ -7,6 +7,7 @@
 import type {SeededRandom} from './seeded-random.js';
 import type {CallerPlan} from './simulated-caller.js';
 import type {SimulatedDaemon} from './simulated-daemon.js';
+import {processorOfTask} from './simulated-fleet.js';
 
 /**
 How an owner loses its cell.
@@ -22,6 +23,10 @@
 	Restart = 'restarts',
 	/** It doesn't hear the other daemons for some time, nor they it, and goes on with what it can reach. */
 	Cut = 'is cut off from the other daemons',
+	/** It doesn't hear the other daemon of its zone for some time, nor that one it, so that both claim the cell and raise their tokens in turn. */
+	Apart = 'is cut off from its neighbour',
+	/** It gives up its cell and claims it in another term. */
+	Reclaim = 'claims its cell anew',
 }
 
 /**
@@ -34,10 +39,11 @@
 	Forgotten = 'has forgotten an endpoint',
 	/** The calls of the next owner don't arrive at the endpoint. */
 	Unreached = 'does not reach an endpoint',
+	/** The endpoint leaves calls unanswered for some time, of both owners, and carries them out late. */
+	Late = 'finds an endpoint late',
 }
 
 const zone = 'north';
-const processorOfTask = 1000;
 const label = 'a';
 const shortTaskMilliseconds = 700;
 const longTaskMilliseconds = 4500;
@@ -52,6 +58,8 @@
 const betweenMilliseconds = [50, 500] as const;
 const afterwardsMilliseconds = 2000;
 const jobsOfConversation = 3;
+/** Changes at whose end the former owner lists the new endpoint; it does before the others. */
+const listsAtEnd: ReadonlySet<OwnerChange> = new Set([OwnerChange.Stop, OwnerChange.Cut, OwnerChange.Apart]);
 
 /** Its tasks require a label, so that they stay in their cell. */
 const createJob = (random: SeededRandom, number: number): Job => {
@@ -116,7 +124,7 @@
 	const planUnknown = (): void => {
 		switch (unknown) {
 			case UnknownEndpoint.New: {
-				const listedAt = change === OwnerChange.Stop || change === OwnerChange.Cut ? changesAt + stopMilliseconds : changesAt - random.integer(...betweenMilliseconds);
+				const listedAt = listsAtEnd.has(change) ? changesAt + stopMilliseconds : changesAt - random.integer(...betweenMilliseconds);
 				forgetAt(1);
 				schedule(listedAt - 1, 'the former owner reads of a new endpoint', () => {
 					list(entries, ofZone().filter(daemon => daemon === (former ?? findOwner())));
@@ -134,14 +142,29 @@
 
 			case UnknownEndpoint.Unreached: {
 				schedule(changesAt, 'the next owner does not reach an endpoint', () => {
-					for (const daemon of ofZone().filter(one => one !== former)) {
+					for (const daemon of ofZone().filter(one => one !== former || change === OwnerChange.Reclaim)) {
 						endpoints[unknownAt]!.cutOff(daemon.process.name);
 					}
 				});
+				break;
+			}
+
+			case UnknownEndpoint.Late: {
+				schedule(changesAt - random.integer(...betweenMilliseconds), 'an endpoint carries calls out late', () => {
+					endpoints[unknownAt]!.carryOutLate(stopMilliseconds);
+				});
 			}
 		}
 	};
 
+	/** Holds up what an owner and other daemons send to each other. */
+	const holdUp = (owner: SimulatedDaemon, others: readonly SimulatedDaemon[]): void => {
+		for (const {process: {name}} of others.filter(daemon => daemon !== owner)) {
+			streams.holdUp(owner.process.name, name, stopMilliseconds);
+			streams.holdUp(name, owner.process.name, stopMilliseconds);
+		}
+	};
+
 	const begin = (owner: SimulatedDaemon): void => {
 		switch (change) {
 			case OwnerChange.Leave: {
@@ -159,16 +182,23 @@
 			case OwnerChange.Restart: {
 				const restart = kill(owner);
 				setTimeout(() => {
-					restart(unknown === UnknownEndpoint.Unreached ? entries : others);
+					restart(unknown === UnknownEndpoint.Unreached || unknown === UnknownEndpoint.Late ? entries : others);
 				}, random.integer(...betweenMilliseconds));
 				return;
 			}
 
 			case OwnerChange.Cut: {
-				for (const {process: {name}} of daemons.filter(daemon => daemon !== owner)) {
-					streams.holdUp(owner.process.name, name, stopMilliseconds);
-					streams.holdUp(name, owner.process.name, stopMilliseconds);
-				}
+				holdUp(owner, daemons);
+				return;
+			}
+
+			case OwnerChange.Apart: {
+				holdUp(owner, ofZone());
+				return;
+			}
+
+			case OwnerChange.Reclaim: {
+				owner.process.execute('disruptions', owner.yieldCells);
 			}
 		}
 	};
