--- a/packages/galenakeeld/src/request/__tests__/changing-owners.ts
+++ b/packages/galenakeeld/src/request/__tests__/changing-owners.ts
@@ -86,7 +86,7 @@
 	/** The daemons of the zone as they are now, since one may restart. */
 	const ofZone = (): readonly SimulatedDaemon[] => daemons.filter(daemon => daemon.zone === zone);
 	const unknownAt = entries.findLastIndex(entry => entry.zone === zone);
-	const others = entries.toSpliced(unknownAt, 1);
+	const otherEntries = entries.toSpliced(unknownAt, 1);
 	const changesAt = submitMilliseconds + (unknown === UnknownEndpoint.Forgotten ? forgetMilliseconds : 0) + random.integer(...betweenMilliseconds);
 	const [leastStop, mostStop] = change === OwnerChange.LongStop ? longStops : stops;
 	const stopMilliseconds = random.integer(leastStop, mostStop);
@@ -112,8 +112,8 @@
 	/** All daemons read twice that the platform lists one endpoint less, the second time when they count it as gone. */
 	const forgetAt = (at: number): void => {
 		for (const milliseconds of [at, at + forgetMilliseconds]) {
-			schedule(milliseconds, `the platform lists ${others.length} endpoints`, () => {
-				list(others, daemons);
+			schedule(milliseconds, `the platform lists ${otherEntries.length} endpoints`, () => {
+				list(otherEntries, daemons);
 			});
 		}
 	};
@@ -157,9 +157,9 @@
 		}
 	};
 
-	/** Holds up what an owner and other daemons send to each other. */
-	const holdUp = (owner: SimulatedDaemon, others: readonly SimulatedDaemon[]): void => {
-		for (const {process: {name}} of others.filter(daemon => daemon !== owner)) {
+	/** Holds up what an owner and its peers among some daemons send to each other. */
+	const holdUp = (owner: SimulatedDaemon, among: readonly SimulatedDaemon[]): void => {
+		for (const {process: {name}} of among.filter(daemon => daemon !== owner)) {
 			streams.holdUp(owner.process.name, name, stopMilliseconds);
 			streams.holdUp(name, owner.process.name, stopMilliseconds);
 		}
@@ -181,8 +181,9 @@
 
 			case OwnerChange.Restart: {
 				const restart = kill(owner);
+				const isListed = unknown === UnknownEndpoint.Unreached || unknown === UnknownEndpoint.Late;
 				setTimeout(() => {
-					restart(unknown === UnknownEndpoint.Unreached || unknown === UnknownEndpoint.Late ? entries : others);
+					restart(isListed ? entries : otherEntries);
 				}, random.integer(...betweenMilliseconds));
 				return;
 			}
