--- a/review/third-daemon.mjs
+++ b/review/third-daemon.mjs
@@ -56,23 +56,27 @@
 @param options.folder Folder for its settings and its log.
 @param options.zones Names of all zones.
 */
-export const startDaemon = async ({folder, name, host, zone, zones, storeAddress, record}) => {
+export const startDaemon = async ({folder, name, host, zone, zones, storeServer, record}) => {
 	const [frontend, readiness, peers, metrics] = [await findFreePort(host), await findFreePort(host), await findFreePort(host), await findFreePort(host)];
 	const deployFile = readFileSync(path.join(root, 'deploy/system.toml'), 'utf8');
 	const {run} = /^run = "(?<run>.+)"$/mv.exec(deployFile).groups;
 	const {template} = /^template = "(?<template>.+)"$/mv.exec(deployFile).groups;
 	const settingsPath = path.join(folder, `${name}.jsonc`);
-	writeFileSync(settingsPath, render(readFileSync(path.join(root, template), 'utf8'), {
-		NodeName: name,
-		Zone: zone,
-		Zones: Object.fromEntries(zones.map(one => [one, 'region'])),
-		Ip: host,
-		InternalPorts: [peers, metrics],
-		Listen: {Frontend: `${host}:${frontend}`, Readiness: `${host}:${readiness}`},
-		platform: {Address: storeAddress},
-		Limits: {Cores: 1, CpuShare: 0.675},
-		Bounds: bounds,
-	}));
+	const writeSettings = address => {
+		writeFileSync(settingsPath, render(readFileSync(path.join(root, template), 'utf8'), {
+			NodeName: name,
+			Zone: zone,
+			Zones: Object.fromEntries(zones.map(one => [one, 'region'])),
+			Ip: host,
+			InternalPorts: [peers, metrics],
+			Listen: {Frontend: `${host}:${frontend}`, Readiness: `${host}:${readiness}`},
+			platform: {Address: address},
+			Limits: {Cores: 1, CpuShare: 0.675},
+			Bounds: bounds,
+		}));
+	};
+
+	writeSettings(storeServer.address);
 	const log = openSync(path.join(folder, `${name}.log`), 'a');
 	const [program, ...words] = run.split(' ');
 	const child = spawn(program, words, {
@@ -93,6 +97,10 @@
 			record(`daemon ${name} gets ${signal}`);
 			child.kill(signal);
 		},
+		/** The address of the store in the daemon's settings. */
+		storeServer: () => storeServer,
+		/** Changes the address of the store in the daemon's settings file. */
+		writeSettings,
 		hasExited: () => child.exitCode !== null || child.signalCode !== null,
 		async close() {
 			if (!daemon.hasExited()) {
--- a/review/third-scene.mjs
+++ b/review/third-scene.mjs
@@ -74,8 +74,10 @@
 	});
 	const places = zones.flatMap((zone, index) => Array.from({length: daemonsInZone}, (_, number) => ({name: `edge-${zone}-${number}`, zone, host: `127.0.${index + 1}.${number + 1}`})));
 	const daemons = await Promise.allSettled(places.map(async place => {
+		// Each daemon calls the store at an address of its own.
+		const storeServer = await store.open();
 		const daemon = await startDaemon({
-			...place, folder, zones, storeAddress: store.address, record,
+			...place, folder, zones, storeServer, record,
 		});
 		parts.push(daemon);
 		return daemon;
--- a/review/third-store.mjs
+++ b/review/third-store.mjs
@@ -9,7 +9,7 @@
 const nameOf = ({Table, part = '', Key}) => JSON.stringify([Table, part, Key]);
 
 /**
-Starts an empty store of rows that speaks the platform's protocol.
+Starts an empty store of rows that speaks the platform's protocol. It listens at no address until one is opened.
 
 @param host Loopback address on which it listens.
 */
@@ -76,7 +76,7 @@
 		}
 	};
 
-	const server = await serve(host, async (request, response) => {
+	const handle = async (request, response) => {
 		const {pathname, searchParams} = new URL(request.url, 'http://store');
 		const text = await readText(request);
 		switch (pathname) {
@@ -102,15 +102,28 @@
 				answerJson(response, 404, stamp());
 			}
 		}
-	});
+	};
+
+	const servers = [];
+
+	/** Opens another address of the store, with the same rows. */
+	const open = async () => {
+		const server = await serve(host, handle);
+		servers.push(server);
+		return server;
+	};
 
 	return {
-		address: server.address,
+		open,
 		/** Writes a row as the operators or the runners do. */
 		put(table, key, value) {
 			version++;
 			write({Table: table, Key: key}, Buffer.from(JSON.stringify(value)).toString('base64'));
 		},
-		close: server.close,
+		close() {
+			for (const server of servers) {
+				server.close();
+			}
+		},
 	};
 };
--- a/review/third-worker.mjs
+++ b/review/third-worker.mjs
@@ -25,6 +25,7 @@
 	/** End of the lease on the runner's clock. */
 	let leaseEndsAt = 0;
 	let beats = 0;
+	let isDraining = false;
 
 	const clock = () => Math.floor(performance.now() - startedAt);
 	const raise = (task, attempt) => {
@@ -144,6 +145,10 @@
 		identifier,
 		/** All runs since the runner was started. */
 		runs: () => runs,
+		/** Reports from now on that the runner drains. */
+		drain() {
+			isDraining = true;
+		},
 		/** The runner's entry in the store, with the next number. */
 		entry() {
 			beats++;
@@ -153,7 +158,8 @@
 				Zone: zone,
 				Version: 'v1',
 				Slots: 8,
-				State: 'ready',
+				State: isDraining ? 'draining' : 'ready',
+				...(isDraining && {RemainingMs: 30_000}),
 				ColdRemainingMs: 0,
 				Capacity: {Cpu: processor, MemMb: 32_768, Gpu: 0},
 				Labels: ['a', rack],
