--- a/review/third-jobs.mjs
+++ b/review/third-jobs.mjs
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {call} from './third-http.mjs';
-import {hostName} from './third-scene.mjs';
+import {hostName, mainPrefix} from './third-scene.mjs';
 
 /**
 Returns a new identifier of a job: 16 hexadecimal digits.
@@ -35,7 +35,7 @@
 export const submit = async (daemon, identifier, job, {waitMilliseconds, record}) => {
 	record(`client: POST ${identifier} is sent to ${daemon.name}, X-Deadline-Ms ${waitMilliseconds}`);
 	const sentAt = performance.now();
-	const reply = await call(daemon.callers, 'POST', `/sheets/${identifier}`, {body: job, headers: {host: hostName, 'x-deadline-ms': String(waitMilliseconds)}, waitMilliseconds});
+	const reply = await call(daemon.callers, 'POST', `${mainPrefix}${identifier}`, {body: job, headers: {host: hostName, 'x-deadline-ms': String(waitMilliseconds)}, waitMilliseconds});
 	record(`client: POST ${identifier} at ${daemon.name}: ${reply.status === 0 ? `no answer (${reply.text})` : `${reply.status} ${reply.text}`}`);
 	return {...reply, sentAt, answeredAt: performance.now()};
 };
@@ -45,7 +45,7 @@
 */
 export const cancel = async (daemon, identifier, {record}) => {
 	record(`client: DELETE ${identifier} is sent to ${daemon.name}`);
-	const reply = await call(daemon.callers, 'DELETE', `/sheets/${identifier}`, {headers: {host: hostName}});
+	const reply = await call(daemon.callers, 'DELETE', `${mainPrefix}${identifier}`, {headers: {host: hostName}});
 	record(`client: DELETE ${identifier} at ${daemon.name}: ${reply.status === 0 ? `no answer (${reply.text})` : `${reply.status} ${reply.text}`}`);
 	return {...reply, answeredAt: performance.now()};
 };
--- a/review/third-scene.mjs
+++ b/review/third-scene.mjs
@@ -13,14 +13,28 @@
 
 export const hostName = 'sheets.example';
 export const service = 'sheets';
+/** The queue of the jobs, and one that is there beside it. */
+export const mainPrefix = '/sheets/';
+export const otherPrefix = '/loads/';
+export const firstVersion = 7;
 const beatMilliseconds = 1500;
 
-/** Configuration with one queue. */
-const createConfiguration = queue => ({
-	Version: 7,
-	Routes: [{
-		Name: 'r-sheets', Host: hostName, PathPrefix: '/sheets/', Kind: 'unsafe', TimeoutMs: 30_000, TargetLatencyMs: 60, Priority: 1, Service: service, MaxAttempts: 3, SlackFactor: 1.6, ...queue,
-	}],
+/** Creates a configuration with one queue for each path prefix. */
+const createConfiguration = (version, pathPrefixes, queue) => ({
+	Version: version,
+	Routes: pathPrefixes.map(pathPrefix => ({
+		Name: `r${pathPrefix.replaceAll('/', '-')}`,
+		Host: hostName,
+		PathPrefix: pathPrefix,
+		Kind: 'unsafe',
+		TimeoutMs: 30_000,
+		TargetLatencyMs: 60,
+		Priority: 1,
+		Service: service,
+		MaxAttempts: 3,
+		SlackFactor: 1.6,
+		...queue,
+	})),
 	Services: [{
 		Name: service, HealthPath: '/healthz', MaxConns: 64, Protocol: 'h1', Tls: false, EnforcesCapacity: true, Headroom: false,
 	}],
@@ -47,7 +61,14 @@
 const startDeployment = async ({zones, daemonsInZone, workersInZone, processor, queue}, folder, record, parts) => {
 	const store = await startStore('127.0.0.1');
 	parts.push(store);
-	store.put('op', 'config', createConfiguration(queue));
+
+	/** Stores a configuration, as an operator does. */
+	const configure = (version, pathPrefixes) => {
+		store.put('op', 'config', createConfiguration(version, pathPrefixes, queue));
+		record(`the store has accepted configuration ${version} with ${pathPrefixes.join(' and ')}`);
+	};
+
+	configure(firstVersion, [mainPrefix, otherPrefix]);
 	const workers = [];
 	for (const [index, zone] of zones.entries()) {
 		for (let number = 0; number < workersInZone; number++) {
@@ -87,7 +108,9 @@
 		throw failed.reason;
 	}
 
-	return {store, workers, daemons: daemons.map(({value}) => value)};
+	return {
+		configure, store, workers, daemons: daemons.map(({value}) => value),
+	};
 };
 
 /**
