--- a/review/third-daemon.mjs
+++ b/review/third-daemon.mjs
@@ -14,14 +14,22 @@
 const readyMilliseconds = 20_000;
 const lookMilliseconds = 50;
 
-const findFreePort = async host => {
-	const server = createServer();
-	server.listen(0, host);
-	await once(server, 'listening');
-	const {port} = server.address();
-	server.close();
-	await once(server, 'close');
-	return port;
+/** Finds ports that are free at an address; no two are the same. */
+const findFreePorts = async (host, count) => {
+	const servers = Array.from({length: count}, () => createServer());
+	const ports = [];
+	for (const server of servers) {
+		server.listen(0, host);
+		await once(server, 'listening');
+		ports.push(server.address().port);
+	}
+
+	for (const server of servers) {
+		server.close();
+		await once(server, 'close');
+	}
+
+	return ports;
 };
 
 const valueOf = (fields, name) => {
@@ -57,7 +65,7 @@
 @param options.zones Names of all zones.
 */
 export const startDaemon = async ({folder, name, host, zone, zones, storeServer, record}) => {
-	const [frontend, readiness, peers, metrics] = [await findFreePort(host), await findFreePort(host), await findFreePort(host), await findFreePort(host)];
+	const [frontend, readiness, peers, metrics] = await findFreePorts(host, 4);
 	const deployFile = readFileSync(path.join(root, 'deploy/system.toml'), 'utf8');
 	const {run} = /^run = "(?<run>.+)"$/mv.exec(deployFile).groups;
 	const {template} = /^template = "(?<template>.+)"$/mv.exec(deployFile).groups;
--- a/review/third-scene.mjs
+++ b/review/third-scene.mjs
@@ -58,7 +58,7 @@
 };
 
 /** Starts the parts of a deployment one after the other. Those that were started are added to `parts`, also if a later one fails. */
-const startDeployment = async ({zones, daemonsInZone, workersInZone, processor, queue}, folder, record, parts) => {
+const startDeployment = async ({zones, daemonsInZone, workersInZone, processor, queue, isOwnerFirst}, folder, record, parts) => {
 	const store = await startStore('127.0.0.1');
 	parts.push(store);
 
@@ -94,7 +94,7 @@
 		},
 	});
 	const places = zones.flatMap((zone, index) => Array.from({length: daemonsInZone}, (_, number) => ({name: `edge-${zone}-${number}`, zone, host: `127.0.${index + 1}.${number + 1}`})));
-	const daemons = await Promise.allSettled(places.map(async place => {
+	const start = async place => {
 		// Each daemon calls the store at an address of its own.
 		const storeServer = await store.open();
 		const daemon = await startDaemon({
@@ -102,14 +102,18 @@
 		});
 		parts.push(daemon);
 		return daemon;
-	}));
+	};
+
+	// Its zone has no other daemon yet, so this one owns the endpoints there.
+	const owners = isOwnerFirst ? [await start(places.shift())] : [];
+	const daemons = await Promise.allSettled(places.map(async place => start(place)));
 	const failed = daemons.find(({status}) => status === 'rejected');
 	if (failed) {
 		throw failed.reason;
 	}
 
 	return {
-		configure, store, workers, daemons: daemons.map(({value}) => value),
+		configure, store, workers, daemons: [...owners, ...daemons.map(({value}) => value)],
 	};
 };
 
